--- /dev/null
+++ b/src/damaskridge/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""I/O: HTTP, RPC, disk, metrics and the event log."""
--- /dev/null
+++ b/src/damaskridge/adapters/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Files of the control group: synced and checksummed."""
--- /dev/null
+++ b/src/damaskridge/adapters/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines."""
--- /dev/null
+++ b/src/damaskridge/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface and the operators' port."""
--- /dev/null
+++ b/src/damaskridge/adapters/observability/__init__.py
@@ -0,0 +1,1 @@
+"""The event log and metrics."""
--- /dev/null
+++ b/src/damaskridge/adapters/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: the list of hosts."""
--- /dev/null
+++ b/src/damaskridge/adapters/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Services between the system's processes, on grpclib."""
--- /dev/null
+++ b/src/damaskridge/adapters/services/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of plain services."""
--- /dev/null
+++ b/src/damaskridge/binaries/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: settings, wiring and signal handling."""
--- /dev/null
+++ b/src/damaskridge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic decisions without I/O."""
--- /dev/null
+++ b/src/damaskridge/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control group."""
--- /dev/null
+++ b/src/damaskridge/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of workspaces."""
--- /dev/null
+++ b/src/damaskridge/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life cycle of one request on its front."""
--- /dev/null
+++ b/src/damaskridge/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order, admission and placement of requests within one cell."""
--- /dev/null
+++ b/src/damaskridge/core/state/fleet_queries.py
@@ -0,0 +1,105 @@
+"""Reads the fleet view; nothing here changes it."""
+
+from result import Err, Ok, Result
+
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.bundle import BackendServer, Route, Workspace
+from damaskridge.model.control import Owner, Session
+from damaskridge.model.errors import ErrorKind, Failure
+
+__all__ = [
+    "addresses_for",
+    "cell_resource",
+    "cells_serving",
+    "find_route",
+    "find_workspace",
+    "live_sessions",
+    "owner_of",
+    "servers_of_cell",
+    "workspace_of_key",
+    "workspace_resource",
+]
+
+
+def workspace_resource(workspace: str) -> str:
+    """Return the name of the resource whose owner counts a workspace's rate."""
+    return f"workspace/{workspace}"
+
+
+def cell_resource(cell: str) -> str:
+    """Return the name of the resource whose owner schedules a cell."""
+    return f"cell/{cell}"
+
+
+def workspace_of_key(view: FleetView, digest: str) -> Result[str, Failure]:
+    """Return the workspace of a key, or why the key does not work."""
+    if digest in view.withdrawn_keys:
+        return Err(Failure(ErrorKind.KEY_WITHDRAWN))
+    for record in view.bundle.keys:
+        if record.digest == digest:
+            return Ok(record.workspace)
+    return Err(Failure(ErrorKind.INVALID_KEY))
+
+
+def find_workspace(view: FleetView, name: str) -> Workspace | None:
+    """Return a workspace of the bundle in force."""
+    for workspace in view.bundle.workspaces:
+        if workspace.name == name:
+            return workspace
+    return None
+
+
+def find_route(view: FleetView, service: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of `path` at path boundaries."""
+    best: Route | None = None
+    for route in view.bundle.routes:
+        if route.service != service:
+            continue
+        prefix = route.path.strip("/")
+        if prefix and path != prefix and not path.startswith(prefix + "/"):
+            continue
+        if best is None or len(prefix) > len(best.path.strip("/")):
+            best = route
+    return best
+
+
+def live_sessions(view: FleetView) -> list[Session]:
+    """Return the sessions of hosts that are not draining, by host."""
+    return [
+        session
+        for host, session in sorted(view.sessions.items())
+        if not session.draining and host not in view.draining_hosts
+    ]
+
+
+def addresses_for(view: FleetView, data_centre: str) -> list[str]:
+    """Return callers' addresses, those in `data_centre` first."""
+    sessions = live_sessions(view)
+    sessions.sort(key=lambda session: session.data_centre != data_centre)
+    return [session.caller_address for session in sessions]
+
+
+def owner_of(view: FleetView, resource: str) -> Owner | None:
+    """Return the owner of a resource if a live session holds it."""
+    owner = view.owners.get(resource)
+    if owner is None or not owner.host:
+        return None
+    session = view.sessions.get(owner.host)
+    if session is None or session.number != owner.session:
+        return None
+    return owner
+
+
+def servers_of_cell(view: FleetView, cell: str) -> tuple[BackendServer, ...]:
+    """Return the backend servers of a cell."""
+    return tuple(item for item in view.bundle.backend_servers if item.cell == cell)
+
+
+def cells_serving(view: FleetView, serves: str, data_centre: str) -> list[str]:
+    """Return the cells that serve a model or service, `data_centre` first."""
+    places: dict[str, bool] = {}
+    for server in view.bundle.backend_servers:
+        if server.serves == serves:
+            near = server.data_centre == data_centre
+            places[server.cell] = places.get(server.cell, False) or near
+    return sorted(places, key=lambda cell: (not places[cell], cell))
--- /dev/null
+++ b/src/damaskridge/core/state/view.py
@@ -0,0 +1,185 @@
+"""The entry hosts' copy of what the fleet must know.
+
+`FleetView` is changed by deltas and snapshots only; `fleet_queries` reads it.
+"""
+
+from collections.abc import Iterable
+from functools import singledispatchmethod
+
+import msgspec
+
+from damaskridge.model.bundle import Bundle
+from damaskridge.model.control import (
+    BundleActivated,
+    DrainChanged,
+    DrainTarget,
+    FingerprintChanged,
+    FingerprintState,
+    FleetChange,
+    FleetDelta,
+    FleetSnapshot,
+    KeyWithdrawn,
+    Owner,
+    OwnerChanged,
+    Session,
+    SessionChanged,
+    SessionEnded,
+)
+
+__all__ = ["IDENTITY_FIELDS", "FleetView", "apply_bundle_delta", "identity"]
+
+IDENTITY_FIELDS: dict[str, tuple[str, ...]] = {
+    "workspaces": ("name",),
+    "keys": ("digest",),
+    "operators": ("name",),
+    "models": ("name",),
+    "routes": ("service", "path"),
+    "backend_servers": ("name",),
+}
+
+
+def identity(field: str, item: object) -> str:
+    """Return the name by which a delta removes an item of a bundle."""
+    parts = [getattr(item, part) for part in IDENTITY_FIELDS[field]]
+    return "/".join([field, *parts])
+
+
+def apply_bundle_delta(
+    bundle: Bundle, upserted: Bundle, removed: Iterable[str]
+) -> Bundle:
+    """
+    Return `bundle` with items replaced, added and removed.
+
+    Parameters
+    ----------
+    bundle : Bundle
+        The content to start from.
+    upserted : Bundle
+        Items that are new or changed.
+    removed : iterable of str
+        Identities as `identity` spells them.
+    """
+    gone = set(removed)
+    fields: dict[str, object] = {}
+    for field in IDENTITY_FIELDS:
+        items = {identity(field, item): item for item in getattr(bundle, field)}
+        items.update({identity(field, item): item for item in getattr(upserted, field)})
+        fields[field] = tuple(items[key] for key in sorted(items) if key not in gone)
+    return msgspec.structs.replace(bundle, **fields)
+
+
+class FleetView:
+    """
+    What an entry host knows of the fleet.
+
+    Attributes
+    ----------
+    index : int
+        Index of the last log entry that is reflected.
+    version : int
+        Version of the bundle in force; 0 before the first.
+    bundle : Bundle
+        Its content.
+    withdrawn_keys : set[str]
+        Digests that never work again.
+    sessions : dict[str, Session]
+        Live sessions by host.
+    owners : dict[str, Owner]
+        Owners by resource.
+    draining_hosts, draining_backend_servers : set[str]
+        Drained by an operator.
+    suspects, quarantined : set[str]
+        Fingerprints of requests.
+    """
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.version = 0
+        self.bundle = Bundle()
+        self.withdrawn_keys: set[str] = set()
+        self.sessions: dict[str, Session] = {}
+        self.owners: dict[str, Owner] = {}
+        self.draining_hosts: set[str] = set()
+        self.draining_backend_servers: set[str] = set()
+        self.suspects: set[str] = set()
+        self.quarantined: set[str] = set()
+
+    def restore(self, snapshot: FleetSnapshot) -> bool:
+        """Take over `snapshot`; `False` if it is older than the view."""
+        if snapshot.index < self.index:
+            return False
+        self.index = snapshot.index
+        self.version = snapshot.version
+        self.bundle = snapshot.bundle
+        self.withdrawn_keys = set(snapshot.withdrawn_keys)
+        self.sessions = {session.host: session for session in snapshot.sessions}
+        self.owners = {owner.resource: owner for owner in snapshot.owners}
+        self.draining_hosts = set(snapshot.draining_hosts)
+        self.draining_backend_servers = set(snapshot.draining_backend_servers)
+        self.suspects = set(snapshot.suspects)
+        self.quarantined = set(snapshot.quarantined)
+        return True
+
+    def apply_delta(self, delta: FleetDelta) -> bool:
+        """Apply `delta`; `False` if changes before it are missing."""
+        if delta.base_index > self.index:
+            return False
+        if delta.index <= self.index:
+            return True
+        for change in delta.changes:
+            self.apply(change)
+        self.index = delta.index
+        return True
+
+    @singledispatchmethod
+    def apply(self, change: FleetChange) -> None:
+        """Apply one change."""
+        raise TypeError(f"unknown fleet change: {type(change).__name__}")
+
+    @apply.register
+    def _(self, change: BundleActivated) -> None:
+        assert change.version > self.version, "a bundle version must never revert"
+        self.bundle = apply_bundle_delta(self.bundle, change.upserted, change.removed)
+        self.version = change.version
+
+    @apply.register
+    def _(self, change: KeyWithdrawn) -> None:
+        self.withdrawn_keys.add(change.key_digest)
+
+    @apply.register
+    def _(self, change: SessionChanged) -> None:
+        self.sessions[change.session.host] = change.session
+
+    @apply.register
+    def _(self, change: SessionEnded) -> None:
+        session = self.sessions.get(change.host)
+        if session is not None and session.number == change.number:
+            del self.sessions[change.host]
+
+    @apply.register
+    def _(self, change: OwnerChanged) -> None:
+        if change.removed:
+            self.owners.pop(change.owner.resource, None)
+        else:
+            self.owners[change.owner.resource] = change.owner
+
+    @apply.register
+    def _(self, change: DrainChanged) -> None:
+        names = (
+            self.draining_hosts
+            if change.target is DrainTarget.HOST
+            else self.draining_backend_servers
+        )
+        if change.draining:
+            names.add(change.name)
+        else:
+            names.discard(change.name)
+
+    @apply.register
+    def _(self, change: FingerprintChanged) -> None:
+        self.suspects.discard(change.fingerprint)
+        self.quarantined.discard(change.fingerprint)
+        if change.state is FingerprintState.SUSPECT:
+            self.suspects.add(change.fingerprint)
+        elif change.state is FingerprintState.QUARANTINED:
+            self.quarantined.add(change.fingerprint)
--- /dev/null
+++ b/tests/core/state/test_view.py
@@ -0,0 +1,47 @@
+"""The fleet view: a delta after a gap, or an older version, must not be applied."""
+
+import pytest
+
+from damaskridge.core.state.fleet_queries import find_route
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.bundle import Bundle, Route, Workspace
+from damaskridge.model.control import BundleActivated, FleetDelta, KeyWithdrawn
+
+
+def bundle_change(version, *names, removed=()):
+    workspaces = tuple(Workspace(name, 1.0, 1.0) for name in names)
+    return BundleActivated(
+        version=version,
+        base_version=version - 1,
+        upserted=Bundle(workspaces=workspaces),
+        removed=removed,
+    )
+
+
+def test_delta_after_a_gap_is_refused():
+    view = FleetView()
+    delta = FleetDelta(base_index=5, index=6, changes=(KeyWithdrawn(key_digest="a"),))
+    assert not view.apply_delta(delta)
+    assert view.withdrawn_keys == set()
+
+
+def test_bundle_delta_adds_and_removes():
+    view = FleetView()
+    view.apply(bundle_change(1, "a", "b"))
+    view.apply(bundle_change(2, "c", removed=("workspaces/a",)))
+    assert [item.name for item in view.bundle.workspaces] == ["b", "c"]
+
+
+def test_version_never_reverts():
+    view = FleetView()
+    view.apply(bundle_change(2, "a"))
+    with pytest.raises(AssertionError, match="never revert"):
+        view.apply(bundle_change(1, "b"))
+
+
+def test_route_prefix_ends_at_a_path_boundary():
+    view = FleetView()
+    closed = Route("desk", "bookings", repeatable=False)
+    view.bundle = Bundle(routes=(Route("desk"), closed))
+    assert find_route(view, "desk", "bookings/7") == closed
+    assert find_route(view, "desk", "bookingsearch") == Route("desk")
--- /dev/null
+++ b/tests/model/test_control.py
@@ -0,0 +1,28 @@
+"""Commands and changes on the wire: a lost type tag would corrupt the log."""
+
+import msgspec
+
+from damaskridge.model.bundle import Bundle, Workspace
+from damaskridge.model.control import (
+    AnyCommand,
+    AnyFollowReply,
+    BundleActivated,
+    FleetDelta,
+    RollBundle,
+)
+
+
+def test_commands_keep_their_type():
+    command = RollBundle(
+        command_id="c1", operator="ana", proposal="p1", expected_version=3
+    )
+    data = msgspec.msgpack.encode(command)
+    assert msgspec.msgpack.decode(data, type=AnyCommand) == command
+
+
+def test_deltas_keep_the_type_of_each_change():
+    bundle = Bundle(workspaces=(Workspace("notes", 100.0, 500.0),))
+    change = BundleActivated(version=2, base_version=1, upserted=bundle)
+    delta = FleetDelta(base_index=1, index=2, changes=(change,))
+    data = msgspec.msgpack.encode(delta)
+    assert msgspec.msgpack.decode(data, type=AnyFollowReply) == delta
