--- /dev/null
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -0,0 +1,123 @@
+"""Files of one data folder, with explicit durability."""
+
+import os
+from pathlib import Path
+from typing import Protocol
+
+__all__ = ["DiskFolder", "Folder"]
+
+TEMPORARY_SUFFIX = ".tmp"
+
+
+class Folder(Protocol):
+    """What the store needs of a data folder; names are plain file names."""
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        ...
+
+    def append(self, name: str, data: bytes) -> None:
+        """Append to an existing file; not durable before `sync`."""
+        ...
+
+    def sync(self, name: str) -> None:
+        """Make what was appended durable."""
+        ...
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file, durably."""
+        ...
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Create or replace a file, atomically and durably."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Remove a file, durably."""
+        ...
+
+
+class DiskFolder:
+    """
+    A folder on a real disk.
+
+    Parameters
+    ----------
+    path : Path
+        The folder; it is created if it is missing.
+    """
+
+    def __init__(self, path: Path) -> None:
+        path.mkdir(parents=True, exist_ok=True)
+        self._path = path
+        self._open: dict[str, int] = {}
+        for leftover in path.glob(f"*{TEMPORARY_SUFFIX}"):
+            leftover.unlink()
+        self._sync_folder()
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return sorted(path.name for path in self._path.iterdir() if path.is_file())
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self._path / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Append to an existing file; not durable before `sync`."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._descriptor(name), view) :]
+
+    def sync(self, name: str) -> None:
+        """Make what was appended durable."""
+        os.fsync(self._descriptor(name))
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file, durably."""
+        os.ftruncate(self._descriptor(name), size_bytes)
+        self.sync(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Create or replace a file, atomically and durably."""
+        self._close(name)
+        temporary = self._path / (name + TEMPORARY_SUFFIX)
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.rename(self._path / name)
+        self._sync_folder()
+
+    def remove(self, name: str) -> None:
+        """Remove a file, durably."""
+        self._close(name)
+        (self._path / name).unlink(missing_ok=True)
+        self._sync_folder()
+
+    def close(self) -> None:
+        """Close all files."""
+        for name in list(self._open):
+            self._close(name)
+
+    def _descriptor(self, name: str) -> int:
+        if name not in self._open:
+            flags = os.O_WRONLY | os.O_APPEND
+            self._open[name] = os.open(self._path / name, flags)
+        return self._open[name]
+
+    def _close(self, name: str) -> None:
+        descriptor = self._open.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._path, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
--- /dev/null
+++ b/src/damaskridge/adapters/disk/store.py
@@ -0,0 +1,202 @@
+"""Log, hard state and snapshot of one member in a data folder.
+
+Files: `member` holds the random disk id, `snapshot` the latest snapshot, and
+`log-<number>` the records since then. Entries and hard states share the log file,
+so that one sync covers a batch of both.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from damaskridge.adapters.disk.folder import Folder
+from damaskridge.adapters.disk.records import Scan, encode_record, scan
+from damaskridge.core.consensus.log import RaftLog
+from damaskridge.model.consensus import HardState, LogEntry, Snapshot
+
+__all__ = ["LogStore", "StoredState"]
+
+MEMBER_FILE = "member"
+SNAPSHOT_FILE = "snapshot"
+SEGMENT_PREFIX = "log-"
+
+
+class _EntryRecord(msgspec.Struct, frozen=True, tag="e"):
+    entry: LogEntry
+
+
+class _HardRecord(msgspec.Struct, frozen=True, tag="h"):
+    hard_state: HardState
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_record = msgspec.msgpack.Decoder(_EntryRecord | _HardRecord).decode
+_decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """
+    What a folder contained at the start.
+
+    Parameters
+    ----------
+    member : str
+        Random id of the disk.
+    log : RaftLog
+        Snapshot and entries.
+    hard_state : HardState
+        Term and vote.
+    cut_bytes : int
+        Size of an unsynced tail that was cut off.
+    damage : str
+        Name of the damaged file; the folder was emptied and got a new id.
+    """
+
+    member: str
+    log: RaftLog
+    hard_state: HardState
+    cut_bytes: int = 0
+    damage: str = ""
+
+
+class _Damaged(Exception):
+    """A synced record was altered or is missing."""
+
+
+class LogStore:
+    """
+    Writes what a Raft node asks to save.
+
+    Parameters
+    ----------
+    folder : Folder
+        The data folder.
+    new_member : str
+        Random id to use if the folder has none.
+    verify : bool
+        Whether checksums are verified; off only in tests.
+    """
+
+    def __init__(self, folder: Folder, new_member: str, verify: bool = True) -> None:
+        self._folder = folder
+        self._new_member = new_member
+        self._verify = verify
+        self._segment = ""
+        self._dirty = False
+
+    def open(self) -> StoredState:
+        """Read the folder; a damaged one is emptied and gets a new id."""
+        try:
+            return self._read()
+        except (_Damaged, msgspec.MsgspecError) as error:
+            # The vote may be lost, so this disk must not keep its old name.
+            for name in [MEMBER_FILE, *self._folder.names()]:
+                self._folder.remove(name)
+            return self._create(damage=str(error))
+
+    def save_hard_state(self, hard_state: HardState) -> None:
+        """Write term and vote; durable after `sync`."""
+        self._write(_encode(_HardRecord(hard_state)))
+
+    def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        """Write entries; the first replaces all from its index on."""
+        for entry in entries:
+            self._write(_encode(_EntryRecord(entry)))
+
+    def save_snapshot(self, log: RaftLog, hard_state: HardState) -> None:
+        """Write a snapshot and a new segment with what follows it, durably."""
+        snapshot = encode_record(_encode(log.snapshot))
+        self._folder.replace(SNAPSHOT_FILE, snapshot)
+        self._start_segment(log, hard_state)
+
+    def sync(self) -> None:
+        """Make all writes durable."""
+        if self._dirty:
+            self._folder.sync(self._segment)
+            self._dirty = False
+
+    def _write(self, payload: bytes) -> None:
+        self._folder.append(self._segment, encode_record(payload))
+        self._dirty = True
+
+    def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
+        old = self._segments()
+        number = int(old[-1].removeprefix(SEGMENT_PREFIX)) + 1 if old else 1
+        entries = log.slice(log.snapshot.index + 1, log.last_index)
+        payloads = [_encode(_HardRecord(hard_state))]
+        payloads += [_encode(_EntryRecord(entry)) for entry in entries]
+        self._segment = f"{SEGMENT_PREFIX}{number:012d}"
+        self._folder.replace(self._segment, b"".join(map(encode_record, payloads)))
+        self._dirty = False
+        for name in old:
+            self._folder.remove(name)
+
+    def _segments(self) -> list[str]:
+        names = self._folder.names()
+        return [name for name in names if name.startswith(SEGMENT_PREFIX)]
+
+    def _create(self, damage: str = "") -> StoredState:
+        log, hard_state = RaftLog(), HardState()
+        self._start_segment(log, hard_state)
+        self._folder.replace(MEMBER_FILE, encode_record(self._new_member.encode()))
+        return StoredState(self._new_member, log, hard_state, damage=damage)
+
+    def _read(self) -> StoredState:
+        names = self._folder.names()
+        if MEMBER_FILE not in names:
+            # The id is written last, so without it nothing was ever acknowledged
+            # under it.
+            for name in names:
+                self._folder.remove(name)
+            return self._create()
+        member = self._single(MEMBER_FILE).decode()
+        snapshot = None
+        if SNAPSHOT_FILE in names:
+            snapshot = _decode_snapshot(self._single(SNAPSHOT_FILE))
+        return self._read_segment(member, snapshot)
+
+    def _read_segment(self, member: str, snapshot: Snapshot | None) -> StoredState:
+        segments = self._segments()
+        if not segments:
+            raise _Damaged("log")
+        # A segment is complete once it exists; older ones are leftovers.
+        for name in segments[:-1]:
+            self._folder.remove(name)
+        self._segment = segments[-1]
+        data = self._folder.read(self._segment)
+        found = self._scan(self._segment, data)
+        cut_bytes = len(data) - found.size_bytes
+        if cut_bytes:
+            self._folder.truncate(self._segment, found.size_bytes)
+        log, hard_state = self._replay(found.payloads, snapshot)
+        return StoredState(member, log, hard_state, cut_bytes)
+
+    def _replay(
+        self, payloads: list[bytes], snapshot: Snapshot | None
+    ) -> tuple[RaftLog, HardState]:
+        log, hard_state = RaftLog(snapshot), HardState()
+        for payload in payloads:
+            record = _decode_record(payload)
+            if isinstance(record, _HardRecord):
+                hard_state = record.hard_state
+            elif record.entry.index > log.snapshot.index:
+                if record.entry.index <= log.last_index:
+                    log.truncate(record.entry.index)
+                if record.entry.index != log.last_index + 1:
+                    raise _Damaged(self._segment)
+                log.append((record.entry,))
+        log.synced_index = log.last_index
+        return log, hard_state
+
+    def _single(self, name: str) -> bytes:
+        found = self._scan(name, self._folder.read(name))
+        if len(found.payloads) != 1:
+            raise _Damaged(name)
+        return found.payloads[0]
+
+    def _scan(self, name: str, data: bytes) -> Scan:
+        found = scan(data, self._verify)
+        if found.damaged:
+            raise _Damaged(name)
+        return found
--- a/src/damaskridge/model/consensus.py
+++ b/src/damaskridge/model/consensus.py
@@ -3,10 +3,12 @@
 import msgspec
 
 __all__ = [
+    "AnyMessage",
     "AppendEntries",
     "AppendReply",
     "HardState",
     "InstallSnapshot",
+    "JoinRequest",
     "LogEntry",
     "Membership",
     "Message",
@@ -120,3 +122,25 @@
 
 class TimeoutNow(Message, frozen=True, kw_only=True, tag=True):
     """Tells a caught-up member to start an election at once."""
+
+
+class JoinRequest(Message, frozen=True, kw_only=True, tag=True):
+    """
+    Sent by a member with an empty disk until it hears from a leader.
+
+    `seen` are the members with empty disks that the sender has heard from.
+    """
+
+    seen: tuple[str, ...] = ()
+
+
+AnyMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendEntries
+    | AppendReply
+    | InstallSnapshot
+    | SnapshotReply
+    | TimeoutNow
+    | JoinRequest
+)
