--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.records import Scan, encode_record, scan
 from damaskridge.core.consensus.log import RaftLog
-from damaskridge.model.consensus import HardState, LogEntry, Snapshot
+from damaskridge.model.consensus import HardState, LogEntry, Membership, Snapshot
 
 __all__ = ["LogStore", "StoredState"]
 
@@ -175,19 +175,33 @@
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
     ) -> tuple[RaftLog, HardState]:
-        log, hard_state = RaftLog(snapshot), HardState()
+        hard_state = HardState()
+        log: RaftLog | None = None
         for payload in payloads:
             record = _decode_record(payload)
             if isinstance(record, _HardRecord):
                 hard_state = record.hard_state
-            elif record.entry.index > log.snapshot.index:
-                if record.entry.index <= log.last_index:
-                    log.truncate(record.entry.index)
-                if record.entry.index != log.last_index + 1:
-                    raise _Damaged(self._segment)
-                log.append((record.entry,))
+                continue
+            entry = record.entry
+            if log is None:
+                log = RaftLog(_base(snapshot, entry.index - 1))
+            if entry.index <= log.last_index:
+                log.truncate(entry.index)
+            if entry.index != log.last_index + 1:
+                raise _Damaged(self._segment)
+            log.append((entry,))
+        return self._join(log, snapshot), hard_state
+
+    def _join(self, log: RaftLog | None, snapshot: Snapshot | None) -> RaftLog:
+        """Put snapshot and segment together after a stop between their writes."""
+        if log is None:
+            return RaftLog(snapshot)
+        if log.snapshot.index > (snapshot.index if snapshot else 0):
+            raise _Damaged(SNAPSHOT_FILE)
+        if snapshot is not None:
+            log.install(snapshot)
         log.synced_index = log.last_index
-        return log, hard_state
+        return log
 
     def _single(self, name: str) -> bytes:
         found = self._scan(name, self._folder.read(name))
@@ -200,3 +214,10 @@
         if found.damaged:
             raise _Damaged(name)
         return found
+
+
+def _base(snapshot: Snapshot | None, index: int) -> Snapshot:
+    """Return what precedes the first entry of a segment."""
+    if snapshot is not None and snapshot.index == index:
+        return snapshot
+    return Snapshot(index, 0, Membership(()), b"")
--- /dev/null
+++ b/src/damaskridge/adapters/log_driver.py
@@ -0,0 +1,103 @@
+"""Runs a Raft node on a store: saves are synced before anything else happens."""
+
+import random
+from collections.abc import Iterable
+
+from damaskridge.adapters.disk.store import LogStore, StoredState
+from damaskridge.core.consensus.messages import Action, Event, Guards, Save, Synced
+from damaskridge.core.consensus.node import RaftNode
+
+__all__ = ["LogDriver", "member_id"]
+
+
+def member_id(host: str, disk_id: str, guards: Guards) -> str:
+    """Return the id of a member; with another disk a host is another member."""
+    return f"{host}#{disk_id}" if guards.blank_vote else host
+
+
+class LogDriver:
+    """
+    One member with its store.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host.
+    store : LogStore
+        The opened store.
+    stored : StoredState
+        What the store contained.
+    rng : random.Random
+        Source of the election timeouts.
+    now_s : float
+        Present time.
+    hosts : tuple of str
+        Names of all hosts of the group.
+    may_form : bool
+        Whether this member may form a new group.
+    max_entries : int
+        Bound on the entries of one message.
+    guards : Guards
+        Safety rules; all in force outside tests.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        store: LogStore,
+        stored: StoredState,
+        rng: random.Random,
+        now_s: float,
+        hosts: tuple[str, ...],
+        may_form: bool = True,
+        max_entries: int = 64,
+        guards: Guards | None = None,
+    ) -> None:
+        self._guards = guards or Guards()
+        self._store = store
+        self.node = RaftNode(
+            member_id(host, stored.member, self._guards),
+            stored.log,
+            stored.hard_state,
+            rng,
+            now_s,
+            hosts,
+            may_form,
+            max_entries,
+            self._guards,
+        )
+
+    def run(self, events: Iterable[Event], now_s: float) -> list[Action]:
+        """
+        Handle a batch of events with one sync.
+
+        Returns
+        -------
+        list of Action
+            Everything but the saves, which are durable on return.
+        """
+        if not self._guards.sync_before_ack:
+            self._store.sync()
+        actions: list[Action] = []
+        for event in events:
+            actions += self.node.step(event, now_s)
+        saves = [action for action in actions if isinstance(action, Save)]
+        others = [action for action in actions if not isinstance(action, Save)]
+        if saves:
+            self._save(saves)
+            log = self.node.log
+            synced = Synced(log.last_index, log.last_term)
+            others += self.node.step(synced, now_s)
+        return others
+
+    def _save(self, saves: list[Save]) -> None:
+        for save in saves:
+            if save.hard_state is not None:
+                self._store.save_hard_state(save.hard_state)
+            if save.entries:
+                self._store.save_entries(save.entries)
+        if any(save.snapshot is not None for save in saves):
+            # Holds all of the batch, because log and hard state are up to date.
+            self._store.save_snapshot(self.node.log, self.node.hard_state)
+        elif self._guards.sync_before_ack:
+            self._store.sync()
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -28,7 +28,7 @@
     TimeoutNow,
 )
 
-__all__ = ["Leader"]
+__all__ = ["MAX_ENTRIES", "Leader"]
 
 # Bounds one message to a few MB even with commands that carry a whole bundle.
 MAX_ENTRIES = 64
@@ -46,11 +46,16 @@
         The member's log and commit index.
     guards : Guards
         Safety rules in force.
+    max_entries : int
+        Bound on the entries of one message.
     now_s : float
         Time of the election.
     """
 
-    def __init__(self, state: MemberState, guards: Guards, now_s: float) -> None:
+    def __init__(
+        self, state: MemberState, guards: Guards, max_entries: int, now_s: float
+    ) -> None:
+        self._max_entries = max_entries
         self._state = state
         self._guards = guards
         self._progress: dict[str, Progress] = {}
@@ -183,7 +188,7 @@
         if previous_term is None:
             self._send_snapshot(member, now_s)
             return
-        last = min(state.log.last_index, previous + MAX_ENTRIES)
+        last = min(state.log.last_index, previous + self._max_entries)
         message = AppendEntries(
             sender=state.name,
             term=state.term,
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -10,7 +10,7 @@
     election_timeout_s,
 )
 from damaskridge.core.consensus.joining import Joining
-from damaskridge.core.consensus.leader import Leader
+from damaskridge.core.consensus.leader import MAX_ENTRIES, Leader
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.core.consensus.messages import (
     Action,
@@ -69,6 +69,8 @@
         have reported an empty disk.
     may_form : bool
         Whether this member may form a new group.
+    max_entries : int
+        Bound on the entries of one message.
     guards : Guards
         Safety rules; all in force outside tests.
     """
@@ -82,11 +84,13 @@
         now_s: float,
         hosts: tuple[str, ...] = (),
         may_form: bool = True,
+        max_entries: int = MAX_ENTRIES,
         guards: Guards | None = None,
     ) -> None:
         self._state = MemberState(name, log, hard_state)
         self._rng = rng
         self._guards = guards or Guards()
+        self._max_entries = max_entries
         self._leader: Leader | None = None
         self._tally = Tally()
         self._joining = Joining(self._state, hosts, may_form, now_s)
@@ -342,7 +346,7 @@
         self.role = Role.LEADER
         self.leader_name = self.name
         self._state.actions.append(LeadershipWon(self.term))
-        self._leader = Leader(self._state, self._guards, now_s)
+        self._leader = Leader(self._state, self._guards, self._max_entries, now_s)
 
     def _follow(self, term: int, leader: str, now_s: float) -> None:
         if self._leader is not None:
--- /dev/null
+++ b/tests/memory_folder.py
@@ -0,0 +1,65 @@
+"""A data folder in memory that loses what was not synced."""
+
+import random
+
+__all__ = ["MemoryFolder", "PowerLost"]
+
+
+class PowerLost(Exception):
+    """The host stopped in the middle of a write to its disk."""
+
+
+class MemoryFolder:
+    def __init__(self) -> None:
+        self.files: dict[str, bytearray] = {}
+        self.synced_bytes: dict[str, int] = {}
+        self.operations_left: int | None = None
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.files[name])
+
+    def append(self, name: str, data: bytes) -> None:
+        self.files[name] += data
+
+    def sync(self, name: str) -> None:
+        self._count()
+        self.synced_bytes[name] = len(self.files[name])
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        self._count()
+        del self.files[name][size_bytes:]
+        self.synced_bytes[name] = size_bytes
+
+    def replace(self, name: str, data: bytes) -> None:
+        self._count()
+        self.files[name] = bytearray(data)
+        self.synced_bytes[name] = len(data)
+
+    def remove(self, name: str) -> None:
+        self._count()
+        self.files.pop(name, None)
+
+    def crash(self, rng: random.Random) -> None:
+        """Keep a random part of what was not synced."""
+        self.operations_left = None
+        for name, data in self.files.items():
+            synced = self.synced_bytes[name]
+            del data[rng.randint(synced, len(data)) :]
+
+    def flip_bit(self, rng: random.Random) -> None:
+        """Alter one bit of a synced record."""
+        name = next(n for n in self.names() if n.startswith("log-"))
+        position = rng.randrange(self.synced_bytes[name])
+        self.files[name][position] ^= 1 << rng.randrange(8)
+
+    def lose(self) -> None:
+        self.files.clear()
+
+    def _count(self) -> None:
+        if self.operations_left is not None:
+            if self.operations_left == 0:
+                raise PowerLost
+            self.operations_left -= 1
--- /dev/null
+++ b/tests/soak_consensus.py
@@ -0,0 +1,463 @@
+"""Randomised runs of the replicated log under faults, with invariants per step.
+
+``python -m tests.soak_consensus SEEDS [STEPS]`` runs many seeds.
+"""
+
+import heapq
+import random
+import sys
+from collections import Counter
+from dataclasses import dataclass, field, fields
+
+import msgspec
+
+from damaskridge.adapters.disk.store import LogStore
+from damaskridge.adapters.log_driver import LogDriver
+from damaskridge.core.consensus import messages as m
+from damaskridge.core.consensus.membership import host_name, with_learner
+from damaskridge.model import consensus as wire
+from tests.linearizability import Operation, is_linearizable
+from tests.memory_folder import MemoryFolder, PowerLost
+
+__all__ = ["Report", "run_seed"]
+
+STEP_S = 0.01
+FORMING_STEPS = 150
+HEALING_STEPS = 400
+COMPACT_AFTER = 12
+CLIENT_TIMEOUT_S = 0.5
+KINDS = (
+    "crash power power start start start partition isolate isolate heal heal "
+    "lose_disk lose_disk flip_bit flip_bit change transfer"
+).split()
+GUARDS = frozenset(f.name for f in fields(m.Guards))
+
+
+@dataclass(frozen=True)
+class Report:
+    steps: int
+    faults: Counter[str]
+    operations: int
+
+
+class Invariants:
+    """What must hold over all members and all time."""
+
+    def __init__(self) -> None:
+        self.leaders: dict[int, str] = {}
+        self.votes: dict[tuple[str, int], str] = {}
+        self.entries: dict[tuple[int, int], tuple[object, int | None]] = {}
+        self.committed: dict[int, tuple[wire.LogEntry, int]] = {}
+        self.last_committed = 0
+        self.membership = wire.Membership(())
+
+    def appended(self, node, entries) -> None:
+        for entry in entries:
+            fact = (entry, node.log.term(entry.index - 1))
+            if fact[1] is None:
+                continue
+            known = self.entries.setdefault((entry.index, entry.term), fact)
+            assert known == fact, f"log matching at {entry.index}"
+
+    def won(self, node, term: int) -> None:
+        assert self.leaders.setdefault(term, node.name) == node.name, "two leaders"
+        for index in range(node.log.snapshot.index + 1, self.last_committed + 1):
+            entry, commit_term = self.committed[index]
+            if commit_term < term:
+                present = node.log.term(index) == entry.term
+                assert present, f"leader of {term} lacks committed entry {index}"
+
+    def applied(self, node, entries) -> None:
+        if node.role.value == "leader":
+            assert entries[-1].term == node.term, "commit of an older term's entry"
+        for entry in entries:
+            fact = (entry, node.term)
+            known = self.committed.setdefault(entry.index, fact)
+            assert known[0] == entry, f"two committed entries at {entry.index}"
+            if entry.index > self.last_committed:
+                assert entry.index == self.last_committed + 1
+                self.last_committed = entry.index
+                self.membership = entry.membership or self.membership
+
+
+@dataclass
+class Member:
+    """One host: its disk outlives its process."""
+
+    host: str
+    folder: MemoryFolder = field(default_factory=MemoryFolder)
+    driver: LogDriver | None = None
+    value: int = 0
+    applied: int = 0
+    isolated_term: int | None = None
+    waiting: dict[int, tuple[int, Operation]] = field(default_factory=dict)
+    reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
+    ready: list[tuple[int, Operation]] = field(default_factory=list)
+
+
+class Simulation:
+    def __init__(self, seed: int, disabled: frozenset[str]) -> None:
+        assert disabled <= GUARDS
+        self.rng = random.Random(seed)
+        self.guards = m.Guards(**{name: False for name in disabled})
+        self.hosts = tuple(f"c{i}" for i in range(self.rng.choice((3, 5))))
+        self.members = {host: Member(host) for host in self.hosts}
+        self.invariants = Invariants()
+        self.network: list[tuple[float, int, str, str, wire.Message]] = []
+        self.blocked: set[tuple[str, str]] = set()
+        self.faults: Counter[str] = Counter()
+        self.history: list[Operation] = []
+        self.calls: list[Operation | None] = [None, None, None]
+        self.now_s = 0.0
+        self.sequence = 0
+        self.chaos = False
+        self.loss = self.rng.choice((0.0, 0.02, 0.15))
+        for host in self.hosts:
+            self.start(host)
+
+    # Processes and disks
+
+    def start(self, host: str) -> None:
+        member = self.members[host]
+        member.isolated_term = None
+        disk_id = f"{self.rng.getrandbits(64):016x}"
+        store = LogStore(member.folder, disk_id, self.guards.checksum)
+        try:
+            stored = store.open()
+        except PowerLost:
+            self.stop(host)
+            return
+        self.faults["damage"] += bool(stored.damage)
+        self.faults["torn_tail"] += bool(stored.cut_bytes)
+        rng = random.Random(self.rng.getrandbits(64))
+        driver = LogDriver(
+            host, store, stored, rng, self.now_s, self.hosts,
+            max_entries=3, guards=self.guards,
+        )  # fmt: skip
+        member.driver = driver
+        member.waiting, member.reads, member.ready = {}, {}, []
+        self.restore(member, driver.node.log.snapshot)
+
+    def stop(self, host: str) -> None:
+        self.members[host].driver = None
+        self.members[host].folder.crash(self.rng)
+
+    def restore(self, member: Member, snapshot: wire.Snapshot) -> None:
+        member.applied = snapshot.index
+        member.value = int(snapshot.state or b"0")
+
+    def is_whole(self) -> bool:
+        """Tell whether every host votes, so that one disk may be lost."""
+        live = [x.driver.node for x in self.members.values() if x.driver]
+        names = {node.name for node in live}
+        memberships = {node.log.membership() for node in live}
+        whole = self.invariants.membership
+        return (
+            len(names) == len(self.hosts)
+            and set(whole.voters) == names
+            and memberships == {whole}
+        )
+
+    # Actions of a node
+
+    def run(self, host: str, *events: m.Event) -> list[m.Action]:
+        member = self.members[host]
+        driver = member.driver
+        if driver is None:
+            return []
+        step = driver.node.step
+
+        def checked(event, now_s):
+            actions = step(event, now_s)
+            for action in actions:
+                if isinstance(action, m.Save):
+                    self.invariants.appended(driver.node, action.entries)
+                elif isinstance(action, m.LeadershipWon):
+                    self.invariants.won(driver.node, action.term)
+                elif isinstance(action, m.Apply):
+                    self.invariants.applied(driver.node, action.entries)
+            return actions
+
+        driver.node.step = checked
+        try:
+            actions = driver.run(events, self.now_s)
+        except PowerLost:
+            self.stop(host)
+            return []
+        finally:
+            driver.node.step = step
+        for action in actions:
+            self.act(member, action)
+        self.answer_reads(member)
+        return actions
+
+    def act(self, member: Member, action: m.Action) -> None:
+        if isinstance(action, m.Send):
+            self.transmit(member.host, action.to, action.message)
+        elif isinstance(action, m.Apply):
+            for entry in action.entries:
+                self.apply(member, entry)
+        elif isinstance(action, m.Restore):
+            self.restore(member, action.snapshot)
+        elif isinstance(action, m.LeadershipLost):
+            member.waiting, member.ready = {}, []
+        elif isinstance(action, m.ReadReady) and action.read_id in member.reads:
+            known, operation = member.reads.pop(action.read_id)
+            assert action.index >= known, "stale read index"
+            member.ready.append((action.index, operation))
+
+    def apply(self, member: Member, entry: wire.LogEntry) -> None:
+        assert entry.index == member.applied + 1
+        member.applied = entry.index
+        took_place = False
+        if entry.command:
+            expected, new = msgspec.msgpack.decode(entry.command)
+            took_place = member.value == expected
+            member.value = new if took_place else member.value
+        term, operation = member.waiting.pop(entry.index, (0, None))
+        if operation and term == entry.term:
+            self.finish(operation, took_place)
+
+    def answer_reads(self, member: Member) -> None:
+        for item in list(member.ready):
+            if item[0] <= member.applied:
+                member.ready.remove(item)
+                self.finish(item[1], member.value)
+
+    def finish(self, operation: Operation, result: int) -> None:
+        if operation in self.calls:
+            operation.result, operation.returned_s = int(result), self.now_s
+            self.calls[self.calls.index(operation)] = None
+
+    # Network
+
+    def transmit(self, source: str, to: str, message: wire.Message) -> None:
+        self.vote_once(message)
+        copies = 1
+        delay_s = self.rng.uniform(0.0005, 0.004)
+        if self.chaos:
+            copies = 0 if self.rng.random() < self.loss else 1
+            copies += self.rng.random() < 0.03
+            if self.rng.random() < 0.05:
+                delay_s = self.rng.uniform(0.0, 1.0)
+        for _ in range(copies):
+            self.sequence += 1
+            due_s = self.now_s + delay_s * self.rng.uniform(1, 2)
+            item = (due_s, self.sequence, source, to, message)
+            heapq.heappush(self.network, item)
+
+    def vote_once(self, message: wire.Message) -> None:
+        if isinstance(message, wire.VoteRequest) and not message.pre_vote:
+            self.vote(message.sender, message.term, message.sender)
+
+    def vote(self, voter: str, term: int, candidate: str) -> None:
+        known = self.invariants.votes.setdefault((voter, term), candidate)
+        assert known == candidate, "two votes in one term"
+
+    def deliver(self) -> None:
+        while self.network and self.network[0][0] <= self.now_s:
+            _, _, source, to, message = heapq.heappop(self.network)
+            member = self.members[host_name(to)]
+            if (source, member.host) in self.blocked or member.driver is None:
+                continue
+            if to in (member.driver.node.name, member.host):
+                actions = self.run(member.host, m.Received(message))
+                self.record_votes(message, actions)
+
+    def record_votes(self, message: wire.Message, actions: list[m.Action]) -> None:
+        for action in actions:
+            reply = getattr(action, "message", None)
+            if isinstance(reply, wire.VoteReply) and reply.granted:
+                if not reply.pre_vote:
+                    self.vote(reply.sender, reply.term, message.sender)
+
+    # Faults
+
+    def inject(self) -> None:
+        rng, host = self.rng, self.rng.choice(self.hosts)
+        running = self.members[host].driver is not None
+        kind = rng.choice(KINDS)
+        if kind == "crash" and running:
+            self.stop(host)
+        elif kind == "power" and running:
+            self.members[host].folder.operations_left = rng.randrange(6)
+        elif kind == "start" and not running:
+            self.start(host)
+        elif kind in ("partition", "isolate"):
+            self.partition(kind == "isolate")
+        elif kind == "heal":
+            self.heal()
+        elif kind in ("lose_disk", "flip_bit") and self.is_whole():
+            self.stop(host)
+            folder = self.members[host].folder
+            folder.lose() if kind == "lose_disk" else folder.flip_bit(rng)
+            self.start(host)
+            if rng.random() < 0.7:
+                self.isolate_leader()
+        elif kind == "change":
+            self.change_membership()
+        elif kind == "transfer":
+            self.run(host, m.TransferLeadership())
+        else:
+            return
+        self.faults[kind] += 1
+
+    def partition(self, isolate: bool) -> None:
+        size = 1 if isolate else self.rng.randrange(1, len(self.hosts))
+        self.split(set(self.rng.sample(self.hosts, size)))
+
+    def isolate_leader(self) -> None:
+        """Leave a host that lost its disk with those that may lag behind."""
+        for host in self.hosts:
+            driver = self.members[host].driver
+            if driver is not None and driver.node.role.value == "leader":
+                self.split({host})
+
+    def split(self, group: set[str]) -> None:
+        self.heal()
+        for a in self.hosts:
+            for b in self.hosts:
+                if (a in group) != (b in group):
+                    self.blocked.add((a, b))
+        if len(group) == 1:
+            member = self.members[group.pop()]
+            if member.driver:
+                member.isolated_term = member.driver.node.term
+
+    def heal(self) -> None:
+        self.blocked.clear()
+        for member in self.members.values():
+            member.isolated_term = None
+
+    def change_membership(self) -> None:
+        present = self.invariants.membership
+        names = [x.driver.node.name for x in self.members.values() if x.driver]
+        absent = [n for n in names if n not in present.voters + present.learners]
+        for host in self.hosts:
+            driver = self.members[host].driver
+            if driver is None or driver.node.role.value != "leader":
+                continue
+            others = [v for v in present.voters if v != driver.node.name]
+            if absent:
+                new = with_learner(present, absent[0])
+            elif len(present.voters) > 2 and self.is_whole() and self.chaos:
+                gone = self.rng.choice(others)
+                left = tuple(v for v in present.voters if v != gone)
+                new = wire.Membership(left, present.learners)
+            else:
+                continue
+            self.run(host, m.ChangeMembership(new))
+
+    # Clients
+
+    def call(self) -> None:
+        for client, operation in enumerate(self.calls):
+            if operation is not None:
+                if self.now_s > operation.called_s + CLIENT_TIMEOUT_S:
+                    self.calls[client] = None
+            elif self.rng.random() < 0.2:
+                self.begin(client, self.rng.choice(self.hosts))
+
+    def begin(self, client: int, host: str) -> None:
+        member = self.members[host]
+        driver = member.driver
+        if driver is None or driver.node.role.value != "leader":
+            return
+        self.sequence += 1
+        if self.rng.random() < 0.5:
+            operation = Operation(self.now_s)
+            self.calls[client] = operation
+            member.reads[self.sequence] = (self.invariants.last_committed, operation)
+            self.history.append(operation)
+            self.run(host, m.ReadRequest(self.sequence))
+            return
+        expected = self.rng.choice((member.value, member.value, 0))
+        operation = Operation(self.now_s, expected, self.sequence)
+        self.calls[client] = operation
+        self.history.append(operation)
+        command = msgspec.msgpack.encode((expected, self.sequence))
+        # Registered before the step: with one voter the entry commits within it.
+        index = driver.node.log.last_index + 1
+        member.waiting[index] = (driver.node.term, operation)
+        actions = self.run(host, m.Propose((command,)))
+        if any(isinstance(action, m.Refused) for action in actions):
+            member.waiting.pop(index, None)
+            self.history.remove(operation)
+            self.calls[client] = None
+
+    # The run
+
+    def step(self) -> None:
+        self.now_s += STEP_S
+        self.deliver()
+        for host in self.hosts:
+            self.run(host, m.Tick())
+            self.compact(host)
+        self.check_isolated()
+        self.call()
+        if self.chaos and self.rng.random() < 0.03:
+            self.inject()
+
+    def compact(self, host: str) -> None:
+        member = self.members[host]
+        if member.driver is None or len(member.driver.node.log) < COMPACT_AFTER:
+            return
+        if member.applied > member.driver.node.log.snapshot.index:
+            self.faults["snapshot"] += 1
+            self.run(host, m.Compact(member.applied, str(member.value).encode()))
+
+    def check_isolated(self) -> None:
+        for member in self.members.values():
+            if member.driver and member.isolated_term is not None:
+                term = member.driver.node.term
+                assert term == member.isolated_term, (
+                    "an isolated member raised its term"
+                )
+
+    def recover(self) -> None:
+        """Without faults the group must become whole and take commands."""
+        self.chaos = False
+        self.heal()
+        for host in self.hosts:
+            self.members[host].folder.operations_left = None
+            if self.members[host].driver is None:
+                self.start(host)
+        before = self.invariants.last_committed
+        for step in range(HEALING_STEPS):
+            self.step()
+            if step % 20 == 19:
+                self.change_membership()
+        assert self.invariants.last_committed > before, "no progress after healing"
+        assert self.is_whole(), "a member did not come back"
+
+
+def run_seed(
+    seed: int, steps: int, disabled_guards: frozenset[str] = frozenset()
+) -> Report:
+    """Run one seed; `AssertionError` if an invariant is violated."""
+    simulation = Simulation(seed, disabled_guards)
+    for _ in range(FORMING_STEPS):
+        simulation.step()
+    assert simulation.is_whole(), "the group did not form"
+    simulation.chaos = True
+    for _ in range(steps):
+        simulation.step()
+    simulation.recover()
+    assert is_linearizable(simulation.history), "history is not linearizable"
+    total = steps + FORMING_STEPS + HEALING_STEPS
+    return Report(total, simulation.faults, len(simulation.history))
+
+
+def main(seeds: int = 1000, steps: int = 1500) -> None:
+    faults: Counter[str] = Counter()
+    for seed in range(seeds):
+        try:
+            report = run_seed(seed, steps)
+        except AssertionError as error:
+            raise SystemExit(f"seed {seed} steps {steps}: {error!r}") from error
+        faults += report.faults
+    print(f"{seeds} seeds, {steps} steps each, faults: {dict(faults)}")
+
+
+if __name__ == "__main__":
+    main(*map(int, sys.argv[1:]))
