--- /dev/null
+++ b/src/damaskridge/adapters/control_node.py
@@ -0,0 +1,437 @@
+"""One member of the control group: replicated log, disk, streams and state."""
+
+import logging
+import random
+import secrets
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+import anyio
+import anyio.lowlevel
+import msgspec
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from damaskridge.adapters.disk.folder import Folder
+from damaskridge.adapters.disk.store import LogStore, StoredState
+from damaskridge.adapters.log_driver import LogDriver
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.control_group import (
+    ControlGroupService,
+    PeerFrame,
+    PeerLink,
+)
+from damaskridge.adapters.rpc.control_node import ControlStatePort
+from damaskridge.core.consensus.election import Role
+from damaskridge.core.consensus.membership import host_name
+from damaskridge.core.consensus.messages import (
+    Action,
+    Appended,
+    Apply,
+    Compact,
+    Event,
+    LeadershipLost,
+    LeadershipWon,
+    Propose,
+    ReadFailed,
+    ReadReady,
+    ReadRequest,
+    Received,
+    Refused,
+    Restore,
+    Send,
+    Tick,
+    TransferLeadership,
+)
+from damaskridge.model.consensus import AnyMessage, LogEntry, Snapshot
+from damaskridge.model.control import AnyCommand, Command, CommandResult, FleetDelta
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+
+__all__ = ["ControlNode"]
+
+TICK_S = 0.02
+COMPACT_AFTER_ENTRIES = 2000
+TRANSFER_TIMEOUT_S = 2.0
+SUBSCRIBER_DELTAS = 10_000
+
+_logger = logging.getLogger("damaskridge.control_node")
+_encode = msgspec.msgpack.Encoder().encode
+_decode_command = msgspec.msgpack.Decoder(AnyCommand).decode
+
+
+class _StateImage(msgspec.Struct, frozen=True, array_like=True):
+    """The content of a snapshot: last time stamp and state."""
+
+    at_ms: int
+    state: bytes
+
+
+_decode_image = msgspec.msgpack.Decoder(_StateImage).decode
+
+
+@dataclass(slots=True)
+class _Proposal:
+    """A command whose caller waits."""
+
+    command: Command
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: CommandResult = field(default_factory=CommandResult)
+
+    def finish(self, result: CommandResult) -> None:
+        self.result = result
+        self.done.set()
+
+
+@dataclass(slots=True)
+class _Reader:
+    """A caller that waits for the confirmation of leadership."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    confirmed: bool = False
+
+
+class ControlNode:
+    """
+    Drives one member; implements `ControlNodePort`.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    members : dict of str to str
+        RPC address of every host of the group, in an order common to all.
+    folder : Folder
+        The data folder.
+    state : ControlStatePort
+        The state machine.
+    rng : random.Random
+        Source of timeouts and jitter.
+    may_form : bool
+        Whether this member may form a new group.
+    wall_ms : callable
+        The wall clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        members: dict[str, str],
+        folder: Folder,
+        state: ControlStatePort,
+        rng: random.Random,
+        may_form: bool = True,
+        wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
+    ) -> None:
+        self._host = host
+        self._members = members
+        self._state = state
+        self._wall_ms = wall_ms
+        self._last_at_ms = 0
+        store = LogStore(folder, secrets.token_hex(8))
+        stored = store.open()
+        _report(stored)
+        self._driver = LogDriver(
+            host,
+            store,
+            stored,
+            rng,
+            anyio.current_time(),
+            tuple(members),
+            may_form,
+        )
+        self._applied = 0
+        if stored.log.snapshot.index:
+            self._restore(stored.log.snapshot)
+        self._links = {
+            name: PeerLink(name, address, rng)
+            for name, address in members.items()
+            if name != host
+        }
+        self._events: list[Event] = []
+        self._proposals: list[_Proposal] = []
+        self._appending: list[_Proposal] = []
+        self._waiting: dict[int, tuple[int, _Proposal]] = {}
+        self._readers: list[_Reader] = []
+        self._reads: dict[int, list[_Reader]] = {}
+        self._read_id = 0
+        self._wake = anyio.Event()
+        self._subscribers: list[MemoryObjectSendStream[FleetDelta]] = []
+        self._running = True
+        self._scope = anyio.CancelScope()
+
+    @property
+    def name(self) -> str:
+        """The member's name."""
+        return self._host
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member believes that it leads."""
+        return self._running and self._driver.node.role is Role.LEADER
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._driver.node.term
+
+    @property
+    def leader_address(self) -> str:
+        """RPC address of the leader, empty if unknown."""
+        return self._members.get(host_name(self._driver.node.leader_name), "")
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last applied entry."""
+        return self._applied
+
+    def service(self) -> ControlGroupService:
+        """Return the handler for the streams of the other members."""
+        return ControlGroupService(self._deliver)
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Return the result after commit and apply, or a `NOT_LEADER` failure."""
+        if not self.is_leader:
+            return self._not_leader()
+        proposal = _Proposal(command)
+        self._proposals.append(proposal)
+        self._wake.set()
+        await proposal.done.wait()
+        return proposal.result
+
+    async def confirm_leadership(self) -> bool:
+        """Tell whether a quorum acknowledged a round that began after the call."""
+        if not self.is_leader:
+            return False
+        reader = _Reader()
+        self._readers.append(reader)
+        self._wake.set()
+        await reader.done.wait()
+        return reader.confirmed
+
+    def applied_deltas(self) -> AsyncIterator[FleetDelta]:
+        """
+        Yield the delta of every command applied from now on.
+
+        The iterator ends when deltas were missed: by a snapshot, or because the
+        consumer was too slow.
+        """
+        send, receive = anyio.create_memory_object_stream[FleetDelta](SUBSCRIBER_DELTAS)
+        self._subscribers.append(send)
+        return _drain(receive)
+
+    async def run(self) -> None:
+        """Take part in the group until `stop`."""
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    for link in self._links.values():
+                        tasks.start_soon(link.run)
+                    await self._loop()
+        finally:
+            self._running = False
+            self._fail_waiting()
+
+    async def stop(self) -> None:
+        """Hand leadership over, then leave `run`."""
+        if self.is_leader and self._links:
+            self._push(TransferLeadership())
+            with anyio.move_on_after(TRANSFER_TIMEOUT_S):
+                while self.is_leader:
+                    await anyio.sleep(TICK_S)
+            if not self.is_leader:
+                log_event(_logger, EventNumber.LEADERSHIP_TRANSFERRED, term=self.term)
+        self._scope.cancel()
+
+    async def _loop(self) -> None:
+        while True:
+            # Yields even while there is work, so that streams are served.
+            await anyio.lowlevel.checkpoint()
+            with anyio.move_on_after(TICK_S):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self._run_batch()
+
+    def _run_batch(self) -> None:
+        events, self._events = self._events, []
+        events.append(Tick())
+        if self._readers:
+            self._read_id += 1
+            self._reads[self._read_id], self._readers = self._readers, []
+            events.append(ReadRequest(self._read_id))
+        if self._proposals:
+            self._appending, self._proposals = self._proposals, []
+            commands = tuple(self._stamp(p.command) for p in self._appending)
+            events.append(Propose(commands))
+        for action in self._driver.run(events, anyio.current_time()):
+            self._act(action)
+        self._compact()
+
+    def _stamp(self, command: Command) -> bytes:
+        self._last_at_ms = max(self._last_at_ms, self._wall_ms())
+        return _encode(msgspec.structs.replace(command, at_ms=self._last_at_ms))
+
+    def _compact(self) -> None:
+        log = self._driver.node.log
+        if self._applied - log.snapshot.index < COMPACT_AFTER_ENTRIES:
+            return
+        image = _encode(_StateImage(self._last_at_ms, self._state.encode()))
+        event = Compact(self._applied, image)
+        for action in self._driver.run([event], anyio.current_time()):
+            self._act(action)
+        log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied)
+
+    @singledispatchmethod
+    def _act(self, action: Action) -> None:
+        raise TypeError(type(action))
+
+    @_act.register
+    def _(self, action: Send) -> None:
+        link = self._links.get(host_name(action.to))
+        if link is not None:
+            link.send(PeerFrame(action.to, action.message))  # type: ignore[arg-type]
+
+    @_act.register
+    def _(self, action: Apply) -> None:
+        for entry in action.entries:
+            self._apply(entry)
+
+    @_act.register
+    def _(self, action: Restore) -> None:
+        self._restore(action.snapshot)
+        for subscriber in self._subscribers:
+            subscriber.close()
+        self._subscribers.clear()
+        log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
+
+    @_act.register
+    def _(self, action: Appended) -> None:
+        for offset, proposal in enumerate(self._appending):
+            self._waiting[action.first_index + offset] = (action.term, proposal)
+        self._appending = []
+
+    @_act.register
+    def _(self, action: Refused) -> None:
+        for proposal in self._appending:
+            proposal.finish(self._not_leader())
+        self._appending = []
+
+    @_act.register
+    def _(self, action: ReadReady) -> None:
+        assert self._applied >= action.index, "a confirmed read sees applied entries"
+        self._answer_readers(action.read_id, True)
+
+    @_act.register
+    def _(self, action: ReadFailed) -> None:
+        self._answer_readers(action.read_id, False)
+
+    @_act.register
+    def _(self, action: LeadershipWon) -> None:
+        log = self._driver.node.log
+        # Entries that are not applied yet may carry later stamps than our clock.
+        for entry in log.slice(self._applied + 1, log.last_index):
+            if entry.command:
+                at_ms = _decode_command(entry.command).at_ms
+                self._last_at_ms = max(self._last_at_ms, at_ms)
+        log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
+
+    @_act.register
+    def _(self, action: LeadershipLost) -> None:
+        log_event(_logger, EventNumber.LEADER_LOST, term=self.term)
+        self._fail_waiting()
+
+    def _apply(self, entry: LogEntry) -> None:
+        assert entry.index == self._applied + 1, "entries are applied in order"
+        self._applied = entry.index
+        if entry.membership is not None:
+            _log_membership(entry)
+        term, proposal = self._waiting.pop(entry.index, (0, None))
+        if entry.command:
+            command = _decode_command(entry.command)
+            self._last_at_ms = max(self._last_at_ms, command.at_ms)
+            applied = self._state.apply(entry.index, command)
+            self._publish(applied.delta)
+            if proposal is not None and term == entry.term:
+                proposal.finish(applied.result)
+                return
+        if proposal is not None:
+            proposal.finish(_outcome_unknown())
+
+    def _publish(self, delta: FleetDelta) -> None:
+        for subscriber in list(self._subscribers):
+            try:
+                subscriber.send_nowait(delta)
+            except (anyio.WouldBlock, anyio.BrokenResourceError):
+                subscriber.close()
+                self._subscribers.remove(subscriber)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        image = _decode_image(snapshot.state)
+        self._last_at_ms = max(self._last_at_ms, image.at_ms)
+        self._state.restore(image.state)
+        self._applied = snapshot.index
+
+    def _answer_readers(self, read_id: int, confirmed: bool) -> None:
+        for reader in self._reads.pop(read_id, []):
+            reader.confirmed = confirmed
+            reader.done.set()
+
+    def _fail_waiting(self) -> None:
+        for _, proposal in self._waiting.values():
+            proposal.finish(_outcome_unknown())
+        self._waiting.clear()
+        for proposal in self._proposals:
+            proposal.finish(self._not_leader())
+        self._proposals.clear()
+        for reader in self._readers:
+            reader.done.set()
+        self._readers.clear()
+        for read_id in list(self._reads):
+            self._answer_readers(read_id, False)
+
+    def _deliver(self, recipient: str, message: AnyMessage) -> None:
+        # A frame for an older disk of this host must not reach the present one.
+        if recipient in (self._driver.node.name, self._host):
+            self._push(Received(message))
+
+    def _push(self, event: Event) -> None:
+        self._events.append(event)
+        self._wake.set()
+
+    def _not_leader(self) -> CommandResult:
+        leader = "" if self.is_leader else self.leader_address
+        return CommandResult(Failure(ErrorKind.NOT_LEADER, leader=leader))
+
+
+async def _drain(
+    receive: MemoryObjectReceiveStream[FleetDelta],
+) -> AsyncIterator[FleetDelta]:
+    with receive:
+        async for delta in receive:
+            yield delta
+
+
+def _outcome_unknown() -> CommandResult:
+    detail = "leadership was lost before the command was confirmed"
+    return CommandResult(Failure(ErrorKind.OUTCOME_UNKNOWN, detail=detail))
+
+
+def _report(stored: StoredState) -> None:
+    if stored.damage:
+        log_event(
+            _logger, EventNumber.LOG_DAMAGED, level=logging.ERROR, file=stored.damage
+        )
+    if stored.cut_bytes:
+        log_event(_logger, EventNumber.LOG_TAIL_CUT, cut_bytes=stored.cut_bytes)
+
+
+def _log_membership(entry: LogEntry) -> None:
+    assert entry.membership is not None
+    log_event(
+        _logger,
+        EventNumber.MEMBERSHIP_CHANGED,
+        index=entry.index,
+        voters=entry.membership.voters,
+        learners=entry.membership.learners,
+    )
--- /dev/null
+++ b/src/damaskridge/binaries/control_settings.py
@@ -0,0 +1,73 @@
+"""Settings of a control process."""
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationInfo,
+    field_validator,
+)
+
+__all__ = ["Address", "ControlSettings", "Name"]
+
+
+def _check_address(address: str) -> str:
+    ip, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError("must be <ip>:<port>")
+    ipaddress.ip_address(ip)
+    return address
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class ControlSettings(BaseModel):
+    """
+    Settings of a control process.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    data_centre : str
+        Where the host is.
+    rpc_address : str
+        Where the process listens for other processes.
+    operators_address : str
+        Where health, readiness and metrics are served.
+    data_folder : Path
+        Folder of the replicated log.
+    members : dict of str to str
+        RPC address of every host of the control group, in an order common to all.
+    join_as_learner : bool
+        Whether this host only joins an existing group and never forms one.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    host: Name
+    data_centre: Name
+    rpc_address: Address
+    operators_address: Address
+    data_folder: Annotated[Path, Field(strict=False)]
+    members: dict[Name, Address]
+    join_as_learner: bool = False
+
+    @field_validator("members")
+    @classmethod
+    def _check_members(
+        cls, members: dict[str, str], info: ValidationInfo
+    ) -> dict[str, str]:
+        host = info.data.get("host")
+        if host is not None and host not in members:
+            raise ValueError(f"must contain the host {host!r}")
+        if len(set(members.values())) < len(members):
+            raise ValueError("two hosts have the same address")
+        return members
