--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -44,7 +44,7 @@
     Tick,
     TransferLeadership,
 )
-from damaskridge.model.consensus import AnyMessage, LogEntry, Snapshot
+from damaskridge.model.consensus import AnyMessage, LogEntry, Membership, Snapshot
 from damaskridge.model.control import AnyCommand, Command, CommandResult, FleetDelta
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
@@ -158,6 +158,7 @@
         self._read_id = 0
         self._wake = anyio.Event()
         self._subscribers: list[MemoryObjectSendStream[FleetDelta]] = []
+        self._leadership_lost = anyio.Event()
         self._running = True
         self._scope = anyio.CancelScope()
 
@@ -181,6 +182,16 @@
         """RPC address of the leader, empty if unknown."""
         return self._members.get(host_name(self._driver.node.leader_name), "")
 
+    @property
+    def member(self) -> str:
+        """The member id; it changes when the disk is lost."""
+        return self._driver.node.name
+
+    @property
+    def membership(self) -> Membership:
+        """The membership in force."""
+        return self._driver.node.log.membership()
+
     @property
     def applied_index(self) -> int:
         """Index of the last applied entry."""
@@ -238,9 +249,7 @@
         if self.is_leader and self._links:
             self._push(TransferLeadership())
             with anyio.move_on_after(TRANSFER_TIMEOUT_S):
-                while self.is_leader:
-                    await anyio.sleep(TICK_S)
-            if not self.is_leader:
+                await self._leadership_lost.wait()
                 log_event(_logger, EventNumber.LEADERSHIP_TRANSFERRED, term=self.term)
         self._scope.cancel()
 
@@ -334,10 +343,12 @@
             if entry.command:
                 at_ms = _decode_command(entry.command).at_ms
                 self._last_at_ms = max(self._last_at_ms, at_ms)
+        self._leadership_lost = anyio.Event()
         log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
 
     @_act.register
     def _(self, action: LeadershipLost) -> None:
+        self._leadership_lost.set()
         log_event(_logger, EventNumber.LEADER_LOST, term=self.term)
         self._fail_waiting()
 
--- /dev/null
+++ b/tests/adapters/rpc/test_control_group.py
@@ -0,0 +1,71 @@
+"""Guards against a stream that stays in use after it went silent."""
+
+import random
+
+import anyio
+from grpclib.server import Server
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc.control_group import (
+    ControlGroupService,
+    PeerFrame,
+    PeerLink,
+)
+from damaskridge.model.consensus import TimeoutNow
+
+
+class Relay:
+    """Forwards connections; `freeze` silences the open ones without closing them."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.connections, self.frozen = port, 0, 0
+
+    async def serve(self, client) -> None:
+        self.connections += 1
+        number = self.connections
+        server = await anyio.connect_tcp("127.0.0.1", self.port)
+        async with client, server, anyio.create_task_group() as tasks:
+            tasks.start_soon(self.pump, number, client, server)
+            await self.pump(number, server, client)
+            tasks.cancel_scope.cancel()
+
+    async def pump(self, number: int, source, sink) -> None:
+        try:
+            async for data in source:
+                if number > self.frozen:
+                    await sink.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+
+async def scenario() -> None:
+    received: list[int] = []
+    service = ControlGroupService(lambda to, message: received.append(message.term))
+    server = Server([service], codec=MsgpackCodec())
+    await server.start("127.0.0.1", 0)
+    relay = Relay(server._server.sockets[0].getsockname()[1])
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    link = PeerLink("c2", f"127.0.0.1:{port}", random.Random(1))
+
+    async def send_until_received(term: int) -> None:
+        with anyio.fail_after(30):
+            while term not in received:
+                link.send(PeerFrame("c2#1", TimeoutNow(sender="c1#1", term=term)))
+                await anyio.sleep(0.02)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, relay.serve)
+        tasks.start_soon(link.run)
+        await send_until_received(1)
+        relay.frozen = relay.connections
+        await send_until_received(2)
+        assert relay.connections > relay.frozen
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    server.close()
+    await server.wait_closed()
+
+
+def test_silent_stream_is_replaced():
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/adapters/test_control_node.py
@@ -0,0 +1,150 @@
+"""Guards against a control group that does not form, fail over or come back."""
+
+import random
+import socket
+
+import anyio
+import msgspec
+from grpclib.server import Server
+from tests.memory_folder import MemoryFolder
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.control_node import ControlNode
+from damaskridge.adapters.rpc.control_node import AppliedCommand
+from damaskridge.model.control import (
+    AdvanceTime,
+    CommandResult,
+    FleetDelta,
+    KeyWithdrawn,
+)
+from damaskridge.model.errors import ErrorKind
+
+
+class FakeState:
+    """Records the ids and stamps of the commands."""
+
+    def __init__(self) -> None:
+        self.applied: list[tuple[str, int]] = []
+
+    def apply(self, index, command) -> AppliedCommand:
+        self.applied.append((command.command_id, command.at_ms))
+        change = KeyWithdrawn(key_digest=command.command_id)
+        delta = FleetDelta(base_index=index - 1, index=index, changes=(change,))
+        return AppliedCommand(CommandResult(index=index), delta)
+
+    def encode(self) -> bytes:
+        return msgspec.msgpack.encode(self.applied)
+
+    def restore(self, data: bytes) -> None:
+        self.applied = [tuple(x) for x in msgspec.msgpack.decode(data)]
+
+
+class Host:
+    """One control host whose process can be started and stopped."""
+
+    def __init__(self, name: str, members: dict[str, str], clock: list[int]) -> None:
+        self.name, self.members, self.clock = name, members, clock
+        self.folder = MemoryFolder()
+
+    async def start(self, tasks) -> None:
+        self.state = FakeState()
+        self.node = ControlNode(
+            self.name, self.members, self.folder, self.state,
+            random.Random(self.name), wall_ms=lambda: self.clock[0],
+        )  # fmt: skip
+        self.server = Server([self.node.service()], codec=MsgpackCodec())
+        ip, port = self.members[self.name].split(":")
+        await self.server.start(ip, int(port))
+        tasks.start_soon(self.node.run)
+
+    async def stop(self) -> None:
+        await self.node.stop()
+        self.server.close()
+        await self.server.wait_closed()
+
+
+def free_addresses(names: list[str]) -> dict[str, str]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in names]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return {n: f"127.0.0.1:{p}" for n, p in zip(names, ports, strict=True)}
+
+
+async def leader_of(hosts: list[Host]) -> Host:
+    with anyio.fail_after(30):
+        while True:
+            for host in hosts:
+                if host.node.is_leader and await host.node.confirm_leadership():
+                    return host
+            await anyio.sleep(0.02)
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(30):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.02)
+
+
+async def propose(hosts: list[Host], command_id: str) -> CommandResult:
+    with anyio.fail_after(30):
+        while True:
+            leader = await leader_of(hosts)
+            command = AdvanceTime(command_id=command_id)
+            result = await leader.node.propose(command)
+            if result.failure is None:
+                return result
+
+
+async def scenario() -> None:
+    members, clock = free_addresses(["c0", "c1", "c2"]), [1000]
+    hosts = [Host(name, members, clock) for name in members]
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            await host.start(tasks)
+        leader = await leader_of(hosts)
+        deltas = leader.node.applied_deltas()
+        await propose(hosts, "first")
+        assert (await anext(deltas)).changes[0].key_digest == "first"
+        follower = next(h for h in hosts if h is not leader)
+        await until(lambda: follower.state.applied)
+        refused = await follower.node.propose(AdvanceTime(command_id="x"))
+        assert refused.failure.kind is ErrorKind.NOT_LEADER
+        assert refused.failure.leader == members[leader.name]
+
+        await leader.stop()
+        clock[0] = 500  # a wall clock that runs backwards must not move stamps back
+        rest = [h for h in hosts if h is not leader]
+        await propose(rest, "second")
+        leader.folder.lose()
+        await leader.start(tasks)
+        await until(lambda: all(len(h.state.applied) == 2 for h in hosts))
+        assert leader.state.applied == [("first", 1000), ("second", 1000)]
+        await until(lambda: leader.node.member in leader.node.membership.voters)
+        for host in hosts:
+            await host.stop()
+
+
+def test_group_forms_fails_over_and_takes_back_a_host_with_a_lost_disk():
+    anyio.run(scenario)
+
+
+async def isolated_proposal() -> None:
+    members = free_addresses(["c0", "c1", "c2"])
+    hosts = [Host(name, members, [0]) for name in members]
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            await host.start(tasks)
+        leader = await leader_of(hosts)
+        for host in hosts:
+            if host is not leader:
+                host.node._scope.cancel()
+        result = await leader.node.propose(AdvanceTime(command_id="lost"))
+        assert result.failure.kind is ErrorKind.OUTCOME_UNKNOWN
+        assert not await leader.node.confirm_leadership()
+        for host in hosts:
+            await host.stop()
+
+
+def test_leader_without_quorum_reports_an_unknown_outcome():
+    anyio.run(isolated_proposal)
--- /dev/null
+++ b/tests/core/consensus/test_consensus.py
@@ -0,0 +1,42 @@
+"""Guards against violations of the log's invariants under random faults."""
+
+import pytest
+from tests.linearizability import Operation, is_linearizable
+from tests.soak_consensus import run_seed
+
+SEEDS = range(60)
+STEPS = 1000
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_invariants_hold_under_faults(seed):
+    assert sum(run_seed(seed, STEPS).faults.values()) > 0
+
+
+@pytest.mark.parametrize(
+    "guard",
+    [
+        "blank_vote",
+        "checksum",
+        "current_term_commit",
+        "pre_vote",
+        "read_round",
+        "sync_before_ack",
+    ],
+)
+def test_seeds_find_a_disabled_guard(guard):
+    for seed in SEEDS:
+        try:
+            run_seed(seed, STEPS, frozenset({guard}))
+        except AssertionError:
+            return
+    pytest.fail(f"no seed found that {guard} is off")
+
+
+def test_checker_refuses_a_stale_read():
+    write = Operation(0.0, expected=0, new=7, returned_s=1.0, result=1)
+    fresh = Operation(2.0, returned_s=3.0, result=7)
+    stale = Operation(2.0, returned_s=3.0, result=0)
+    during = Operation(0.5, returned_s=3.0, result=0)
+    assert is_linearizable([write, fresh]) and is_linearizable([write, during])
+    assert not is_linearizable([write, stale])
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -27,7 +27,7 @@
 COMPACT_AFTER = 12
 CLIENT_TIMEOUT_S = 0.5
 KINDS = (
-    "crash power power start start start partition isolate isolate heal heal "
+    "crash blackout power power start start start partition isolate isolate heal heal "
     "lose_disk lose_disk flip_bit flip_bit change transfer"
 ).split()
 GUARDS = frozenset(f.name for f in fields(m.Guards))
@@ -279,6 +279,8 @@
         kind = rng.choice(KINDS)
         if kind == "crash" and running:
             self.stop(host)
+        elif kind == "blackout":
+            self.blackout()
         elif kind == "power" and running:
             self.members[host].folder.operations_left = rng.randrange(6)
         elif kind == "start" and not running:
@@ -302,6 +304,13 @@
             return
         self.faults[kind] += 1
 
+    def blackout(self) -> None:
+        """Stop every process at once and start them all again."""
+        for host in self.hosts:
+            self.stop(host)
+        for host in self.hosts:
+            self.start(host)
+
     def partition(self, isolate: bool) -> None:
         size = 1 if isolate else self.rng.randrange(1, len(self.hosts))
         self.split(set(self.rng.sample(self.hosts, size)))
