--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -52,7 +52,9 @@
 __all__ = ["ControlNode"]
 
 TICK_S = 0.02
+# Bounds the memory and the start-up time that the log costs.
 COMPACT_AFTER_ENTRIES = 2000
+COMPACT_AFTER_BYTES = 4_000_000
 TRANSFER_TIMEOUT_S = 2.0
 SUBSCRIBER_DELTAS = 10_000
 
@@ -142,6 +144,7 @@
             may_form,
         )
         self._applied = 0
+        self._applied_bytes = 0
         if stored.log.snapshot.index:
             self._restore(stored.log.snapshot)
         self._links = {
@@ -283,8 +286,11 @@
 
     def _compact(self) -> None:
         log = self._driver.node.log
-        if self._applied - log.snapshot.index < COMPACT_AFTER_ENTRIES:
+        count = self._applied - log.snapshot.index
+        full = self._applied_bytes >= COMPACT_AFTER_BYTES
+        if count < COMPACT_AFTER_ENTRIES and not full:
             return
+        self._applied_bytes = 0
         image = _encode(_StateImage(self._last_at_ms, self._state.encode()))
         event = Compact(self._applied, image)
         for action in self._driver.run([event], anyio.current_time()):
@@ -355,6 +361,7 @@
     def _apply(self, entry: LogEntry) -> None:
         assert entry.index == self._applied + 1, "entries are applied in order"
         self._applied = entry.index
+        self._applied_bytes += len(entry.command)
         if entry.membership is not None:
             _log_membership(entry)
         term, proposal = self._waiting.pop(entry.index, (0, None))
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -30,8 +30,9 @@
 
 __all__ = ["MAX_ENTRIES", "Leader"]
 
-# Bounds one message to a few MB even with commands that carry a whole bundle.
+# A command may carry a whole bundle, so that both bounds are needed.
 MAX_ENTRIES = 64
+MAX_BYTES = 1_000_000
 SNAPSHOT_RETRY_S = 1.0
 TRANSFER_TIMEOUT_S = ELECTION_TIMEOUT_S[1]
 
@@ -139,7 +140,8 @@
             progress.acknowledge(reply.match_index, reply.round)
         else:
             progress.round = max(progress.round, reply.round)
-            progress.back_up(reply.match_index)
+            if not progress.back_up(reply.match_index):
+                return
         self._after_reply(reply.sender, now_s)
 
     def snapshot_reply(self, reply: SnapshotReply, now_s: float) -> None:
@@ -188,7 +190,7 @@
         if previous_term is None:
             self._send_snapshot(member, now_s)
             return
-        last = min(state.log.last_index, previous + self._max_entries)
+        entries = state.log.batch(previous + 1, self._max_entries, MAX_BYTES)
         message = AppendEntries(
             sender=state.name,
             term=state.term,
@@ -196,9 +198,9 @@
             previous_term=previous_term,
             commit_index=state.commit_index,
             round=self._round,
-            entries=state.log.slice(previous + 1, last) if last > previous else (),
+            entries=entries,
         )
-        progress.next_index = last + 1
+        progress.next_index += len(entries)
         state.send(member, message)
 
     def _send_snapshot(self, member: str, now_s: float) -> None:
--- a/src/damaskridge/core/consensus/log.py
+++ b/src/damaskridge/core/consensus/log.py
@@ -53,6 +53,16 @@
         assert first >= base
         return tuple(self._entries[first - base : last - base + 1])
 
+    def batch(self, first: int, count: int, size_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from `first` on within both bounds, at least one if any."""
+        entries = self.slice(first, min(self.last_index, first + count - 1))
+        total_bytes = 0
+        for position, entry in enumerate(entries):
+            total_bytes += len(entry.command)
+            if position and total_bytes > size_bytes:
+                return entries[:position]
+        return entries
+
     def membership(self, up_to: int | None = None) -> Membership:
         """Return the membership in force at an index, by default the last."""
         return self._membership_entry(up_to)[1]
--- a/src/damaskridge/core/consensus/replication.py
+++ b/src/damaskridge/core/consensus/replication.py
@@ -20,6 +20,7 @@
     contact_s: float
     match_index: int = 0
     round: int = 0
+    refused_index: int = 0
     snapshot_sent_s: float = float("-inf")
 
     def acknowledge(self, match_index: int, round_number: int) -> None:
@@ -27,10 +28,22 @@
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
         self.round = max(self.round, round_number)
-
-    def back_up(self, hint: int) -> None:
-        """Record a refusal: retry after `hint`, never below what is known."""
+        self.refused_index = 0
+
+    def back_up(self, hint: int) -> bool:
+        """
+        Record a refusal: retry after `hint`, never below what is known.
+
+        Returns
+        -------
+        bool
+            Whether to retry at once; not after two refusals at the same place, so
+            that a member that refuses for good costs one message a heartbeat.
+        """
         self.next_index = max(self.match_index, min(self.next_index - 1, hint)) + 1
+        repeated = self.next_index == self.refused_index
+        self.refused_index = self.next_index
+        return not repeated
 
 
 def quorum_value(values: Iterable[float]) -> float:
