--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -5,7 +5,6 @@
 import secrets
 import time
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import anyio
@@ -13,6 +12,7 @@
 import msgspec
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from damaskridge.adapters.control_waiters import ProposalWaiters, ReadWaiters
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.store import LogStore, StoredState
 from damaskridge.adapters.log_driver import LogDriver
@@ -73,27 +73,6 @@
 _decode_image = msgspec.msgpack.Decoder(_StateImage).decode
 
 
-@dataclass(slots=True)
-class _Proposal:
-    """A command whose caller waits."""
-
-    command: Command
-    done: anyio.Event = field(default_factory=anyio.Event)
-    result: CommandResult = field(default_factory=CommandResult)
-
-    def finish(self, result: CommandResult) -> None:
-        self.result = result
-        self.done.set()
-
-
-@dataclass(slots=True)
-class _Reader:
-    """A caller that waits for the confirmation of leadership."""
-
-    done: anyio.Event = field(default_factory=anyio.Event)
-    confirmed: bool = False
-
-
 class ControlNode:
     """
     Drives one member; implements `ControlNodePort`.
@@ -103,7 +82,7 @@
     host : str
         Name of this host.
     members : dict of str to str
-        RPC address of every host of the group, in an order common to all.
+        RPC address of every host of the group.
     folder : Folder
         The data folder.
     state : ControlStatePort
@@ -140,7 +119,7 @@
             stored,
             rng,
             anyio.current_time(),
-            tuple(members),
+            tuple(sorted(members)),
             may_form,
         )
         self._applied = 0
@@ -153,12 +132,8 @@
             if name != host
         }
         self._events: list[Event] = []
-        self._proposals: list[_Proposal] = []
-        self._appending: list[_Proposal] = []
-        self._waiting: dict[int, tuple[int, _Proposal]] = {}
-        self._readers: list[_Reader] = []
-        self._reads: dict[int, list[_Reader]] = {}
-        self._read_id = 0
+        self._proposals = ProposalWaiters()
+        self._readers = ReadWaiters()
         self._wake = anyio.Event()
         self._subscribers: list[MemoryObjectSendStream[FleetDelta]] = []
         self._leadership_lost = anyio.Event()
@@ -208,21 +183,15 @@
         """Return the result after commit and apply, or a `NOT_LEADER` failure."""
         if not self.is_leader:
             return self._not_leader()
-        proposal = _Proposal(command)
-        self._proposals.append(proposal)
         self._wake.set()
-        await proposal.done.wait()
-        return proposal.result
+        return await self._proposals.wait(command)
 
     async def confirm_leadership(self) -> bool:
         """Tell whether a quorum acknowledged a round that began after the call."""
         if not self.is_leader:
             return False
-        reader = _Reader()
-        self._readers.append(reader)
         self._wake.set()
-        await reader.done.wait()
-        return reader.confirmed
+        return await self._readers.wait()
 
     def applied_deltas(self) -> AsyncIterator[FleetDelta]:
         """
@@ -245,6 +214,7 @@
                     await self._loop()
         finally:
             self._running = False
+            self._proposals.refuse_all(self._not_leader())
             self._fail_waiting()
 
     async def stop(self) -> None:
@@ -268,14 +238,12 @@
     def _run_batch(self) -> None:
         events, self._events = self._events, []
         events.append(Tick())
-        if self._readers:
-            self._read_id += 1
-            self._reads[self._read_id], self._readers = self._readers, []
-            events.append(ReadRequest(self._read_id))
-        if self._proposals:
-            self._appending, self._proposals = self._proposals, []
-            commands = tuple(self._stamp(p.command) for p in self._appending)
-            events.append(Propose(commands))
+        read_id = self._readers.take_read()
+        if read_id is not None:
+            events.append(ReadRequest(read_id))
+        commands = self._proposals.take_commands()
+        if commands:
+            events.append(Propose(tuple(map(self._stamp, commands))))
         for action in self._driver.run(events, anyio.current_time()):
             self._act(action)
         self._compact()
@@ -322,24 +290,20 @@
 
     @_act.register
     def _(self, action: Appended) -> None:
-        for offset, proposal in enumerate(self._appending):
-            self._waiting[action.first_index + offset] = (action.term, proposal)
-        self._appending = []
+        self._proposals.appended(action.first_index, action.term)
 
     @_act.register
     def _(self, action: Refused) -> None:
-        for proposal in self._appending:
-            proposal.finish(self._not_leader())
-        self._appending = []
+        self._proposals.refused(self._not_leader())
 
     @_act.register
     def _(self, action: ReadReady) -> None:
         assert self._applied >= action.index, "a confirmed read sees applied entries"
-        self._answer_readers(action.read_id, True)
+        self._readers.answer(action.read_id, True)
 
     @_act.register
     def _(self, action: ReadFailed) -> None:
-        self._answer_readers(action.read_id, False)
+        self._readers.answer(action.read_id, False)
 
     @_act.register
     def _(self, action: LeadershipWon) -> None:
@@ -364,17 +328,14 @@
         self._applied_bytes += len(entry.command)
         if entry.membership is not None:
             _log_membership(entry)
-        term, proposal = self._waiting.pop(entry.index, (0, None))
+        result = CommandResult(index=entry.index)
         if entry.command:
             command = _decode_command(entry.command)
             self._last_at_ms = max(self._last_at_ms, command.at_ms)
             applied = self._state.apply(entry.index, command)
             self._publish(applied.delta)
-            if proposal is not None and term == entry.term:
-                proposal.finish(applied.result)
-                return
-        if proposal is not None:
-            proposal.finish(_outcome_unknown())
+            result = applied.result
+        self._proposals.applied(entry.index, entry.term, result)
 
     def _publish(self, delta: FleetDelta) -> None:
         for subscriber in list(self._subscribers):
@@ -390,23 +351,9 @@
         self._state.restore(image.state)
         self._applied = snapshot.index
 
-    def _answer_readers(self, read_id: int, confirmed: bool) -> None:
-        for reader in self._reads.pop(read_id, []):
-            reader.confirmed = confirmed
-            reader.done.set()
-
     def _fail_waiting(self) -> None:
-        for _, proposal in self._waiting.values():
-            proposal.finish(_outcome_unknown())
-        self._waiting.clear()
-        for proposal in self._proposals:
-            proposal.finish(self._not_leader())
-        self._proposals.clear()
-        for reader in self._readers:
-            reader.done.set()
-        self._readers.clear()
-        for read_id in list(self._reads):
-            self._answer_readers(read_id, False)
+        self._proposals.leadership_lost()
+        self._readers.fail_all()
 
     def _deliver(self, recipient: str, message: AnyMessage) -> None:
         # A frame for an older disk of this host must not reach the present one.
@@ -430,11 +377,6 @@
             yield delta
 
 
-def _outcome_unknown() -> CommandResult:
-    detail = "leadership was lost before the command was confirmed"
-    return CommandResult(Failure(ErrorKind.OUTCOME_UNKNOWN, detail=detail))
-
-
 def _report(stored: StoredState) -> None:
     if stored.damage:
         log_event(
--- /dev/null
+++ b/src/damaskridge/adapters/control_waiters.py
@@ -0,0 +1,124 @@
+"""Callers that wait for a command or for a confirmation of leadership."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from damaskridge.model.control import Command, CommandResult
+from damaskridge.model.errors import ErrorKind, Failure
+
+__all__ = ["ProposalWaiters", "ReadWaiters"]
+
+
+@dataclass(slots=True)
+class _Proposal:
+    """A command whose caller waits."""
+
+    command: Command
+    done: anyio.Event = field(default_factory=anyio.Event)
+    result: CommandResult = field(default_factory=CommandResult)
+
+    def finish(self, result: CommandResult) -> None:
+        self.result = result
+        self.done.set()
+
+
+@dataclass(slots=True)
+class _Reader:
+    """A caller that waits for a confirmation."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    confirmed: bool = False
+
+
+class ProposalWaiters:
+    """Commands on their way: new, being appended, and appended."""
+
+    def __init__(self) -> None:
+        self._new: list[_Proposal] = []
+        self._appending: list[_Proposal] = []
+        self._appended: dict[int, tuple[int, _Proposal]] = {}
+
+    async def wait(self, command: Command) -> CommandResult:
+        """Queue a command and return its result."""
+        proposal = _Proposal(command)
+        self._new.append(proposal)
+        await proposal.done.wait()
+        return proposal.result
+
+    def take_commands(self) -> list[Command]:
+        """Return the new commands; `appended` or `refused` must follow."""
+        assert not self._appending
+        self._appending, self._new = self._new, []
+        return [proposal.command for proposal in self._appending]
+
+    def appended(self, first_index: int, term: int) -> None:
+        """Record the indexes of the commands taken last."""
+        for offset, proposal in enumerate(self._appending):
+            self._appended[first_index + offset] = (term, proposal)
+        self._appending = []
+
+    def refused(self, result: CommandResult) -> None:
+        """Finish the commands taken last with a failure."""
+        for proposal in self._appending:
+            proposal.finish(result)
+        self._appending = []
+
+    def refuse_all(self, result: CommandResult) -> None:
+        """Finish everything that was not appended with a failure."""
+        self._appending += self._new
+        self._new = []
+        self.refused(result)
+
+    def applied(self, index: int, term: int, result: CommandResult) -> None:
+        """Finish the command at an index, if it is the one that was appended."""
+        appended_term, proposal = self._appended.pop(index, (0, None))
+        if proposal is not None:
+            proposal.finish(result if term == appended_term else _outcome_unknown())
+
+    def leadership_lost(self) -> None:
+        """Finish what was appended; it may still be committed by the next leader."""
+        for _, proposal in self._appended.values():
+            proposal.finish(_outcome_unknown())
+        self._appended.clear()
+
+
+class ReadWaiters:
+    """Callers by the read that confirms leadership for them."""
+
+    def __init__(self) -> None:
+        self._new: list[_Reader] = []
+        self._reads: dict[int, list[_Reader]] = {}
+        self._last_id = 0
+
+    async def wait(self) -> bool:
+        """Queue a caller and tell whether leadership was confirmed for it."""
+        reader = _Reader()
+        self._new.append(reader)
+        await reader.done.wait()
+        return reader.confirmed
+
+    def take_read(self) -> int | None:
+        """Return the id of one read for all new callers, None if there are none."""
+        if not self._new:
+            return None
+        self._last_id += 1
+        self._reads[self._last_id], self._new = self._new, []
+        return self._last_id
+
+    def answer(self, read_id: int, confirmed: bool) -> None:
+        """Answer the callers of a read."""
+        for reader in self._reads.pop(read_id, []):
+            reader.confirmed = confirmed
+            reader.done.set()
+
+    def fail_all(self) -> None:
+        """Answer every caller that leadership is not confirmed."""
+        self.take_read()
+        for read_id in list(self._reads):
+            self.answer(read_id, False)
+
+
+def _outcome_unknown() -> CommandResult:
+    detail = "leadership was lost before the command was confirmed"
+    return CommandResult(Failure(ErrorKind.OUTCOME_UNKNOWN, detail=detail))
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -104,15 +104,16 @@
 
     async def _connect(self) -> None:
         channel = Channel(self._ip, self._port, codec=MsgpackCodec())
-        was_connected = False
         try:
             await self._exchange(channel)
         except* CONNECTION_ERRORS as errors:
-            reason = repr(errors.exceptions[0])
-            was_connected = self._connected
-            _logger.debug("stream to %s ended: %s", self._host, reason)
+            _logger.debug("stream to %s ended: %r", self._host, errors.exceptions)
+        except* Exception as errors:
+            # One peer's fault, such as a message of another version, must not end
+            # the process.
+            _logger.warning("stream to %s failed: %r", self._host, errors.exceptions)
         finally:
-            was_connected = was_connected or self._connected
+            was_connected = self._connected
             self._connected = False
             channel.close()
         if was_connected:
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -34,6 +34,8 @@
 
 _logger = logging.getLogger("damaskridge.control")
 
+_UNEXPECTED = {"event_number": EventNumber.UNEXPECTED_ERROR}
+
 
 class _StartFailed(Exception):
     """A setting is valid but cannot be used on this machine."""
@@ -151,9 +153,18 @@
         _fail([str(error)], EXIT_FAILURE)
     except ImportError as error:
         _fail([f"control state: {error}"], EXIT_FAILURE)
+    except Exception as error:
+        _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
+        _fail([f"unexpected error: {_innermost(error)!r}"], EXIT_FAILURE)
     log_event(_logger, EventNumber.PROCESS_STOPPED, host=settings.host)
 
 
+def _innermost(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _fail(faults: list[str], code: int) -> None:
     for fault in faults:
         print(f"damaskridge-control: {fault}", file=sys.stderr)
--- a/src/damaskridge/binaries/control_settings.py
+++ b/src/damaskridge/binaries/control_settings.py
@@ -45,7 +45,7 @@
     data_folder : Path
         Folder of the replicated log.
     members : dict of str to str
-        RPC address of every host of the control group, in an order common to all.
+        RPC address of every host of the control group.
     join_as_learner : bool
         Whether this host only joins an existing group and never forms one.
     """
--- a/tests/adapters/disk/test_store.py
+++ b/tests/adapters/disk/test_store.py
@@ -1,5 +1,6 @@
 """Guards against lost acknowledged records and against trusting damaged ones."""
 
+import copy
 import random
 
 import pytest
@@ -48,15 +49,15 @@
 
 def test_every_flipped_bit_is_reported_and_empties_the_member():
     whole = MemoryFolder()
-    written(whole)
-    name = whole.names()[0]
-    for position in range(whole.synced_bytes[name]):
-        folder = MemoryFolder()
-        written(folder)
-        folder.files[name][position] ^= 1 << position % 8
-        found = LogStore(folder, "b2").open()
-        assert (found.member, found.damage) == ("b2", name)
-        assert (found.log.last_index, found.hard_state) == (0, HardState())
+    log = RaftLog(Snapshot(1, 2, Membership(("c1#a1",)), b"state"), [ENTRIES[1]])
+    written(whole).save_snapshot(log, HardState(2, "c1#a1"))
+    for name in whole.names():
+        for position in range(whole.synced_bytes[name]):
+            folder = copy.deepcopy(whole)
+            folder.files[name][position] ^= 1 << position % 8
+            found = LogStore(folder, "b2").open()
+            assert (found.member, found.damage) == ("b2", name)
+            assert (found.log.last_index, found.hard_state) == (0, HardState())
 
 
 @pytest.mark.parametrize("lost", ["member", "log-", "everything"])
--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -5,9 +5,11 @@
 
 import anyio
 import msgspec
+import pytest
 from grpclib.server import Server
 from tests.memory_folder import MemoryFolder
 
+from damaskridge.adapters import control_node
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.rpc.control_node import AppliedCommand
@@ -125,7 +127,9 @@
             await host.stop()
 
 
-def test_group_forms_fails_over_and_takes_back_a_host_with_a_lost_disk():
+@pytest.mark.parametrize("compact_after", [2000, 1])
+def test_group_fails_over_and_takes_back_a_lost_disk(monkeypatch, compact_after):
+    monkeypatch.setattr(control_node, "COMPACT_AFTER_ENTRIES", compact_after)
     anyio.run(scenario)
 
 
