Add the replicated control state

Owners follow rendezvous hashing with handover, the ledger allows a call once, versions are kept as differences.

--- a/src/damaskridge/adapters/rpc/control_node.py
+++ b/src/damaskridge/adapters/rpc/control_node.py
@@ -1,22 +1,14 @@
 """The typed interface between the replicated log and the control services."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from typing import Protocol
 
+from damaskridge.core.state.applied import AppliedCommand
 from damaskridge.model.control import Command, CommandResult, FleetDelta, FleetSnapshot
 
 __all__ = ["AppliedCommand", "ControlNodePort", "ControlStatePort"]
 
 
-@dataclass(frozen=True, slots=True)
-class AppliedCommand:
-    """The result of a command and the delta that followers need."""
-
-    result: CommandResult
-    delta: FleetDelta
-
-
 class ControlStatePort(Protocol):
     """The state machine that the replicated log feeds."""
 
--- /dev/null
+++ b/src/damaskridge/core/state/bundle_checks.py
@@ -0,0 +1,135 @@
+"""Checks of a bundle as a whole, with the path of every fault."""
+
+import ipaddress
+import math
+from collections import defaultdict
+from collections.abc import Iterator
+
+from damaskridge.core.state.view import IDENTITY_FIELDS
+from damaskridge.model.bundle import BackendServer, BackendServerRole, Bundle
+
+__all__ = ["bundle_faults"]
+
+MIN_OPERATORS = 2
+DIGEST_CHARACTERS = 64
+
+_POSITIVE = {
+    "workspaces": ("rate_tokens_per_s", "burst_tokens", "share_weight"),
+    "models": ("context_tokens", "kv_bytes_per_token"),
+    "backend_servers": (
+        "piece_tokens",
+        "prefill_tokens_per_s",
+        "decode_step_ms",
+        "link_bytes_per_s",
+    ),
+}
+_PREFILL = {BackendServerRole.PREFILL, BackendServerRole.MIXED}
+_DECODE = {BackendServerRole.DECODE, BackendServerRole.MIXED}
+
+
+def bundle_faults(bundle: Bundle) -> list[str]:
+    """Return every fault as ``path: what is wrong``; empty if none."""
+    return [
+        *_duplicates(bundle),
+        *_values(bundle),
+        *_references(bundle),
+        *_servers(bundle),
+        *_cells(bundle),
+    ]
+
+
+def _duplicates(bundle: Bundle) -> Iterator[str]:
+    for field, parts in IDENTITY_FIELDS.items():
+        seen: dict[tuple[str, ...], int] = {}
+        for number, item in enumerate(getattr(bundle, field)):
+            key = tuple(getattr(item, part) for part in parts)
+            first = seen.setdefault(key, number)
+            if not key[0]:
+                yield f"{field}[{number}].{parts[0]}: must not be empty"
+            elif first != number:
+                yield f"{field}[{number}].{parts[0]}: same as {field}[{first}]"
+
+
+def _values(bundle: Bundle) -> Iterator[str]:
+    for field, names in _POSITIVE.items():
+        for number, item in enumerate(getattr(bundle, field)):
+            for name in names:
+                value = getattr(item, name)
+                if not (value > 0 and math.isfinite(value)):
+                    yield f"{field}[{number}].{name}: must be above 0, not {value}"
+    for number, route in enumerate(bundle.routes):
+        if route.cost_tokens < 0:
+            yield (
+                f"routes[{number}].cost_tokens: must be at least 0, "
+                f"not {route.cost_tokens}"
+            )
+
+
+def _references(bundle: Bundle) -> Iterator[str]:
+    workspaces = {item.name for item in bundle.workspaces}
+    for number, key in enumerate(bundle.keys):
+        if key.workspace not in workspaces:
+            yield f"keys[{number}].workspace: unknown workspace {key.workspace!r}"
+        if not _is_digest(key.digest):
+            yield f"keys[{number}].digest: must be a SHA-256 in hexadecimal"
+    for number, operator in enumerate(bundle.operators):
+        if not _is_digest(operator.key_digest):
+            yield f"operators[{number}].key_digest: must be a SHA-256 in hexadecimal"
+    if len(bundle.operators) < MIN_OPERATORS:
+        yield f"operators: must be at least {MIN_OPERATORS}, a change needs two"
+
+
+def _servers(bundle: Bundle) -> Iterator[str]:
+    models = {item.name for item in bundle.models}
+    for number, server in enumerate(bundle.backend_servers):
+        path = f"backend_servers[{number}]"
+        if not server.cell:
+            yield f"{path}.cell: must not be empty"
+        if server.slots < 1:
+            yield f"{path}.slots: must be at least 1, not {server.slots}"
+        if not _is_address(server.address):
+            yield f"{path}.address: must be ip:port, not {server.address!r}"
+        if server.role is BackendServerRole.SERVICE:
+            continue
+        if server.serves not in models:
+            yield f"{path}.serves: unknown model {server.serves!r}"
+        if server.kv_pieces < 1:
+            yield f"{path}.kv_pieces: must be at least 1, not {server.kv_pieces}"
+
+
+def _cells(bundle: Bundle) -> Iterator[str]:
+    cells: dict[str, list[tuple[int, BackendServer]]] = defaultdict(list)
+    for number, server in enumerate(bundle.backend_servers):
+        cells[server.cell].append((number, server))
+    for cell, servers in cells.items():
+        number, first = servers[0]
+        path = f"backend_servers[{number}].cell: cell {cell!r}"
+        for other, server in servers:
+            service = server.role is BackendServerRole.SERVICE
+            if server.serves != first.serves or service != (
+                first.role is BackendServerRole.SERVICE
+            ):
+                yield (
+                    f"backend_servers[{other}].serves: cell {cell!r} serves "
+                    f"{first.serves!r}, not {server.serves!r}"
+                )
+        roles = {server.role for _, server in servers}
+        if roles == {BackendServerRole.SERVICE}:
+            continue
+        if not roles & _PREFILL:
+            yield f"{path} has no backend server for prefill"
+        if not roles & _DECODE:
+            yield f"{path} has no backend server for decode"
+
+
+def _is_digest(text: str) -> bool:
+    return len(text) == DIGEST_CHARACTERS and set(text) <= set("0123456789abcdef")
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) < 65_536
--- /dev/null
+++ b/src/damaskridge/core/state/queries.py
@@ -0,0 +1,62 @@
+"""Reads the control state; nothing here changes it."""
+
+from damaskridge.core.state.data import StateData
+from damaskridge.core.state.ledger import find_intent, record_of
+from damaskridge.core.state.ownership import is_live
+from damaskridge.model.control import (
+    FingerprintState,
+    FleetSnapshot,
+    LedgerRecord,
+    Owner,
+    Session,
+)
+
+__all__ = [
+    "fingerprints_in",
+    "ledger_record",
+    "live_session",
+    "owners_of_host",
+    "snapshot_of",
+]
+
+
+def fingerprints_in(data: StateData, state: FingerprintState) -> tuple[str, ...]:
+    """Return the fingerprints in one state."""
+    return tuple(
+        sorted(name for name, item in data.fingerprints.items() if item.state is state)
+    )
+
+
+def live_session(data: StateData, host: str, number: int) -> Session | None:
+    """Return a session if it is live."""
+    return data.sessions[host] if is_live(data, host, number) else None
+
+
+def owners_of_host(data: StateData, host: str) -> tuple[Owner, ...]:
+    """Return what a host owns, by resource."""
+    owners = (data.owners[resource] for resource in sorted(data.owners))
+    return tuple(owner for owner in owners if owner.host == host)
+
+
+def ledger_record(
+    data: StateData, workspace: str, idempotency_key: str
+) -> LedgerRecord | None:
+    """Return what the ledger knows of a call."""
+    intent = find_intent(data, workspace, idempotency_key)
+    return record_of(intent) if intent is not None else None
+
+
+def snapshot_of(data: StateData) -> FleetSnapshot:
+    """Return what entry hosts know of the state."""
+    return FleetSnapshot(
+        index=data.index,
+        version=data.version,
+        bundle=data.bundle,
+        withdrawn_keys=tuple(sorted(data.withdrawn_keys)),
+        sessions=tuple(data.sessions[host] for host in sorted(data.sessions)),
+        owners=tuple(data.owners[name] for name in sorted(data.owners)),
+        draining_hosts=tuple(sorted(data.draining_hosts)),
+        draining_backend_servers=tuple(sorted(data.draining_backend_servers)),
+        suspects=fingerprints_in(data, FingerprintState.SUSPECT),
+        quarantined=fingerprints_in(data, FingerprintState.QUARANTINED),
+    )
--- /dev/null
+++ b/tests/core/state/test_commands.py
@@ -0,0 +1,341 @@
+"""The control state: races, resends and replicas must never split a decision."""
+
+import random
+
+import pytest
+from tests.core.state.fleet import Fleet, bundle, digest
+
+from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.fleet_queries import workspace_of_key
+from damaskridge.core.state.ledger import KEPT_BODY_BYTES, RETENTION_MS
+from damaskridge.core.state.session_tracker import SessionTracker
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.control import (
+    AdvanceTime,
+    AllocateFencingNumber,
+    CloseSession,
+    DrainTarget,
+    ExpireSession,
+    FingerprintState,
+    LedgerState,
+    OpenSession,
+    ProposeBundle,
+    RecordIntent,
+    RecordResult,
+    ReleaseOwnership,
+    ReportCrash,
+    RollBackBundle,
+    RollBundle,
+    SetDrain,
+    SetHostDraining,
+    SignOffBundle,
+    SuspectCleared,
+    WithdrawKey,
+)
+from damaskridge.model.errors import ErrorKind
+
+
+def kind_of(result):
+    return result.failure.kind if result.failure else None
+
+
+def roll(fleet, proposal, expected, operator="ada"):
+    return fleet.run(
+        RollBundle, operator=operator, proposal=proposal, expected_version=expected
+    )
+
+
+def roll_back(fleet, to, expected):
+    return fleet.run(
+        RollBackBundle, operator="bob", to_version=to, expected_version=expected
+    )
+
+
+def test_equal_versions_have_one_winner_and_a_resend_gets_the_first_answer():
+    fleet = Fleet()
+    first, second = fleet.signed(bundle("a")), fleet.signed(bundle("b"))
+    command = RollBundle(
+        command_id="roll", operator="ada", proposal=first, expected_version=1
+    )
+    won = fleet.apply(command)
+    assert (won.failure, won.value) == (None, "2")
+    assert kind_of(roll(fleet, second, 1, "bob")) is ErrorKind.VERSION_CONFLICT
+    assert fleet.apply(command) == won
+    assert fleet.data.version == 2
+    other = fleet.run(
+        RollBackBundle, "roll", operator="ada", to_version=1, expected_version=2
+    )
+    assert kind_of(other) is ErrorKind.INVALID_REQUEST
+
+
+def test_a_change_needs_two_known_operators():
+    fleet = Fleet()
+    name = fleet.run(ProposeBundle, operator="ada", bundle=bundle("a")).value
+    assert kind_of(roll(fleet, name, 1)) is ErrorKind.NOT_SIGNED_OFF
+    own = fleet.run(SignOffBundle, operator="ada", proposal=name)
+    assert kind_of(own) is ErrorKind.SELF_SIGN_OFF
+    for operator in ("eve", ""):
+        other = fleet.run(SignOffBundle, operator=operator, proposal=name)
+        assert kind_of(other) is ErrorKind.UNKNOWN_OPERATOR
+    fresh = Fleet(state=ControlState())
+    name = fresh.run(ProposeBundle, operator="ada", bundle=bundle()).value
+    assert kind_of(roll(fresh, name, 0)) is ErrorKind.NOT_SIGNED_OFF
+    assert fresh.data.version == 0
+
+
+def test_roll_back_restores_content_but_never_revives_a_key():
+    fleet = Fleet()
+    view = FleetView()
+    fleet.roll(bundle("w1", "new", keys=("k1", "k2"), cells=("c9",)))
+    fleet.run(WithdrawKey, operator="ada", key_digest=digest("k1"))
+    assert roll_back(fleet, 1, 2).value == "3"
+    assert kind_of(roll_back(fleet, 9, 3)) is ErrorKind.UNKNOWN_VERSION
+    for delta in fleet.deltas:
+        assert view.apply_delta(delta)
+    assert view.version == 3
+    assert view.bundle == fleet.data.bundle
+    assert {item.name for item in view.bundle.workspaces} == {"w1", "w2", "w3"}
+    assert workspace_of_key(view, digest("k1")).err().kind is ErrorKind.KEY_WITHDRAWN
+
+
+def test_versions_beyond_the_kept_ones_are_unknown():
+    fleet = Fleet()
+    for _ in range(200):
+        roll_back(fleet, fleet.data.version, fleet.data.version)
+    assert fleet.data.version == 201
+    assert kind_of(roll_back(fleet, 1, 201)) is ErrorKind.UNKNOWN_VERSION
+    assert roll_back(fleet, 2, 201).value == "202"
+
+
+def test_handover_never_has_two_owners_and_keeps_the_level():
+    fleet = Fleet("h1")
+    before = dict(fleet.data.owners)
+    second = fleet.open("h2")
+    moving = [item for item in fleet.data.owners.values() if item.moving_to]
+    assert moving and all(item.host == "h1" for item in fleet.data.owners.values())
+    owner = moving[0]
+    fields = {"host": "h1", "session": owner.session, "resource": owner.resource}
+    stale = fleet.run(ReleaseOwnership, **fields, epoch=owner.epoch - 1)
+    assert kind_of(stale) is ErrorKind.EPOCH_CONFLICT
+    fleet.run(ReleaseOwnership, **fields, epoch=owner.epoch, level_tokens=4.5)
+    new = fleet.data.owners[owner.resource]
+    assert (new.host, new.session, new.level_tokens) == ("h2", second, 4.5)
+    assert new.epoch > before[owner.resource].epoch
+    again = fleet.run(ReleaseOwnership, **fields, epoch=owner.epoch)
+    assert kind_of(again) is ErrorKind.EPOCH_CONFLICT
+    fleet.run(ExpireSession, host="h2", session=second)
+    after = fleet.data.owners[owner.resource]
+    assert (after.host, after.level_tokens, after.moving_to) == ("h1", 0.0, "")
+    assert after.epoch > new.epoch
+
+
+def test_a_lost_host_moves_only_its_own_resources_and_cells_stay_near():
+    fleet = Fleet("h1", "h2", "h3")
+    far = fleet.open("h4", "east")
+    names = tuple(f"x{number}" for number in range(60))
+    fleet.roll(bundle(*names))
+    cells = [fleet.data.owners[f"cell/{name}"] for name in ("c1", "c2")]
+    assert all(item.host != "h4" for item in cells)
+    before = dict(fleet.data.owners)
+    assert {item.host for item in before.values()} == {"h1", "h2", "h3", "h4"}
+    fleet.run(CloseSession, host="h4", session=far)
+    for resource, owner in before.items():
+        kept = fleet.data.owners[resource].epoch == owner.epoch
+        assert kept == (owner.host != "h4")
+
+
+def test_ledger_runs_a_call_at_most_once_through_session_loss():
+    fleet = Fleet("h1")
+    session = fleet.data.sessions["h1"].number
+
+    def intend(command_id="", body="b", key="k", number=session):
+        return fleet.run(
+            RecordIntent,
+            command_id,
+            workspace="w1",
+            idempotency_key=key,
+            body_digest=body,
+            host="h1",
+            session=number,
+        )
+
+    def finish(intent_id, key="k", **fields):
+        return fleet.run(
+            RecordResult,
+            workspace="w1",
+            idempotency_key=key,
+            intent_id=intent_id,
+            **fields,
+        )
+
+    first = intend("i1")
+    assert first.ledger.state is LedgerState.NEW
+    assert intend("i1") == first
+    assert intend().ledger.state is LedgerState.IN_PROGRESS
+    assert kind_of(intend(body="x")) is ErrorKind.IDEMPOTENCY_CONFLICT
+    assert finish("i1", not_run=True).failure is None
+    assert intend("i2").ledger.state is LedgerState.NEW
+    assert kind_of(finish("i1", status=200)) is ErrorKind.UNKNOWN_REQUEST
+    finish("i2", status=201, content_type="t", body=b"done")
+    replay = intend("i3").ledger
+    assert (replay.state, replay.body) == (LedgerState.FINISHED, b"done")
+    assert intend("i3").ledger == replay
+    intend("big", key="big")
+    finish("big", key="big", status=200, body=b"x" * (KEPT_BODY_BYTES + 1))
+    assert intend(key="big").ledger.body == b""
+    assert intend("i4", key="k2").ledger.state is LedgerState.NEW
+    fleet.open("h1")
+    for late in ({"status": 200}, {"not_run": True}):
+        assert kind_of(finish("i4", key="k2", **late)) is ErrorKind.SESSION_ENDED
+    assert intend(key="k2").ledger.state is LedgerState.UNKNOWN
+    assert kind_of(intend(key="k3")) is ErrorKind.SESSION_ENDED
+    fleet.run(AdvanceTime, at_ms=RETENTION_MS + 1)
+    assert not fleet.data.ledger
+
+
+def test_second_crash_quarantines_the_common_request_and_clears_the_others():
+    fleet = Fleet("h1")
+
+    def crash(name, *fingerprints, incarnation=1):
+        fleet.run(
+            ReportCrash,
+            backend_server=name,
+            incarnation=incarnation,
+            fingerprints=fingerprints,
+        )
+
+    def states():
+        return {name: item.state for name, item in fleet.data.fingerprints.items()}
+
+    suspect, quarantined = FingerprintState.SUSPECT, FingerprintState.QUARANTINED
+    crash("s1", "bad", "a", "b")
+    crash("s1", "bad", "a")
+    assert states() == dict.fromkeys(("bad", "a", "b"), suspect)
+    fleet.run(SuspectCleared, fingerprint="a")
+    crash("s2", "bad", "a", "c")
+    assert states() == {"bad": quarantined}
+    fleet.run(SuspectCleared, fingerprint="bad")
+    crash("s2", "b", "d", incarnation=2)
+    assert states() == {"bad": quarantined, "b": suspect, "d": suspect}
+    fleet.run(AdvanceTime, at_ms=3_600_001)
+    assert states() == {} and not fleet.data.crashes
+
+
+def test_fencing_numbers_grow_even_when_a_cell_leaves_and_returns():
+    fleet = Fleet("h1")
+
+    def allocate(epoch=None):
+        owner = fleet.data.owners["cell/c1"]
+        return fleet.run(
+            AllocateFencingNumber,
+            resource="cell/c1",
+            epoch=owner.epoch if epoch is None else epoch,
+            host="h1",
+        )
+
+    assert [allocate().value, allocate().value] == ["1", "2"]
+    assert kind_of(allocate(epoch=0)) is ErrorKind.EPOCH_CONFLICT
+    epoch = fleet.data.owners["cell/c1"].epoch
+    fleet.roll(bundle(cells=("c2",)))
+    fleet.roll(bundle())
+    assert int(allocate().value) > 2
+    assert fleet.data.owners["cell/c1"].epoch > epoch
+
+
+def test_a_session_named_as_expired_is_never_renewed_again():
+    tracker = SessionTracker()
+    fleet = Fleet("h1", "h2")
+    tracker.leader_elected(10.0, fleet.data.sessions.values())
+    assert tracker.renewed("h2", 2, 12.0)
+    assert tracker.expired(13.05) == []
+    assert tracker.expired(13.07) == [("h1", 1)]
+    assert not tracker.renewed("h1", 1, 13.08)
+    tracker.ended("h1", 1)
+    assert tracker.expired(13.1) == []
+
+
+def random_command(rng, fleet, number):
+    data = fleet.data
+    host = f"h{rng.randrange(4)}"
+    live = data.sessions.get(host)
+    session = live.number if live else 0
+    held = rng.choice(list(data.owners.values())) if data.owners else None
+    operator = rng.choice(("ada", "bob", "eve"))
+    proposal = f"p{rng.randrange(data.last_proposal + 2)}"
+    name = rng.choice("abcd")
+    names = rng.sample(("a", "b", "c", "d"), 2)
+    content = bundle(*names, keys=names, cells=rng.sample(("c1", "c2", "c3"), 2))
+    options = [
+        (OpenSession, {"host": host, "incarnation": 1, "data_centre": "west",
+                       "caller_address": "", "peer_address": ""}),
+        (rng.choice((ExpireSession, CloseSession, SetHostDraining)),
+         {"host": host, "session": session}),
+        (ProposeBundle, {"operator": operator, "bundle": content}),
+        (SignOffBundle, {"operator": operator, "proposal": proposal}),
+        (RollBundle, {"operator": operator, "proposal": proposal,
+                      "expected_version": data.version - rng.randrange(2)}),
+        (RollBackBundle, {"operator": operator, "expected_version": data.version,
+                          "to_version": rng.randrange(data.version + 2)}),
+        (WithdrawKey, {"operator": operator, "key_digest": digest(name)}),
+        (SetDrain, {"operator": operator, "target": rng.choice(list(DrainTarget)),
+                    "name": host, "draining": rng.random() < 0.5}),
+        (RecordIntent, {"workspace": name, "idempotency_key": str(rng.randrange(5)),
+                        "body_digest": rng.choice("xy"), "host": host,
+                        "session": session}),
+        (RecordResult, {"workspace": name, "idempotency_key": str(rng.randrange(5)),
+                        "intent_id": f"r{rng.randrange(number + 1)}", "body": b"z",
+                        "not_run": rng.random() < 0.3}),
+        (ReportCrash, {"backend_server": name, "incarnation": rng.randrange(9),
+                       "fingerprints": tuple(names)}),
+        (SuspectCleared, {"fingerprint": name}),
+        (AdvanceTime, {}),
+    ]  # fmt: skip
+    if held is not None:
+        epoch = held.epoch - (rng.random() < 0.2)
+        owner = {"host": held.host, "resource": held.resource, "epoch": epoch}
+        options.append((ReleaseOwnership, {**owner, "session": held.session}))
+        options.append((AllocateFencingNumber, owner))
+    kind, fields = rng.choice(options)
+    at_ms = data.now_ms + rng.choice((-5, 10, 60_000, 900_000))
+    return kind(command_id=f"r{number}", at_ms=at_ms, **fields)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_replicas_stay_equal_when_one_is_restored_midway(seed):
+    rng = random.Random(seed)
+    fleet, view = Fleet("h0"), FleetView()
+    replica, epochs, fencing, withdrawn = ControlState(), {}, {}, set()
+    replica.restore(fleet.state.encode())
+    assert view.restore(replica.fleet_snapshot())
+    new, sent = {}, []
+    for number in range(1500):
+        command = random_command(rng, fleet, number)
+        sent.append(command if rng.random() < 0.9 else rng.choice([*sent, command]))
+        command = sent[-1]
+        result = fleet.apply(command)
+        if number == 700:
+            replica.restore(fleet.state.encode())
+        elif number % 500 == 250:
+            replica.restore(replica.encode())
+        if number != 700:
+            replica.apply(fleet.index, command)
+        version = view.version
+        assert view.apply_delta(fleet.deltas[-1])
+        assert view.version >= version
+        for name, owner in fleet.data.owners.items():
+            assert owner.epoch >= epochs.get(name, 0)
+            epochs[name] = owner.epoch
+        if isinstance(command, AllocateFencingNumber) and not result.failure:
+            fresh = fencing.setdefault(command.command_id, int(result.value))
+            assert fresh == int(result.value)
+        if result.ledger and result.ledger.state is LedgerState.NEW:
+            new.setdefault(command.command_id, result)
+            assert new[command.command_id] == result
+        assert withdrawn <= fleet.data.withdrawn_keys
+        withdrawn = set(fleet.data.withdrawn_keys)
+    assert replica.digest() == fleet.state.digest()
+    assert replica.data == fleet.data
+    rebuilt, snapshot = FleetView(), fleet.state.fleet_snapshot()
+    rebuilt.restore(snapshot)
+    assert vars(rebuilt) == vars(view)
+    assert len(set(fencing.values())) > 3 and len(new) > 10 and view.version > 3
