--- /dev/null
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -0,0 +1,163 @@
+"""Calls to the leader of the control group, wherever it is."""
+
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import anyio
+from grpclib.client import Channel, StreamStreamMethod, UnaryUnaryMethod
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc.control_methods import (
+    FOLLOW_PATH,
+    OPERATOR_KEY,
+    PROPOSE_PATH,
+    STATUS_PATH,
+)
+from damaskridge.model.control import (
+    AnyCommand,
+    AnyFollowReply,
+    AnyFollowRequest,
+    Command,
+    CommandResult,
+)
+from damaskridge.model.control_status import FleetStatus, StatusRequest
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+
+__all__ = ["CONNECTION_ERRORS", "ControlCalls"]
+
+CONNECTION_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+# Above one commit under load and below the time of an election.
+ATTEMPT_TIMEOUT_S = 1.0
+RETRY_WAIT_S = 0.05
+MAX_RETRY_WAIT_S = 0.4
+
+
+class ControlCalls:
+    """
+    Finds the leader by asking and by its hints, and resends lost calls.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        ``ip:port`` of every control host.
+    operator_key : str
+        Sent with every command; empty for an entry host.
+    rng : random.Random or None
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        *,
+        operator_key: str = "",
+        rng: random.Random | None = None,
+    ) -> None:
+        assert addresses, "no address of a control host"
+        self._addresses = list(addresses)
+        self._metadata = {OPERATOR_KEY: operator_key} if operator_key else {}
+        self._rng = rng or random.Random()
+        self._next = 0
+        self._hint = ""
+        self._channels: dict[str, Channel] = {}
+
+    def next_address(self) -> str:
+        """Return the address to try next."""
+        if self._hint:
+            return self._hint
+        self._next += 1
+        return self._addresses[self._next % len(self._addresses)]
+
+    def found(self, address: str) -> None:
+        """Remember the leader's address."""
+        self._hint = address
+
+    def failed(self, address: str, leader: str = "") -> None:
+        """Try another address next, `leader` if it is named."""
+        self._hint = "" if leader == address else leader
+
+    def retry_wait_s(self, attempt: int) -> float:
+        """Return a jittered wait; the first attempts follow at once."""
+        longest_s = min(MAX_RETRY_WAIT_S, RETRY_WAIT_S * 2 ** min(attempt, 8))
+        return self._rng.uniform(0, longest_s)
+
+    def drop(self, address: str) -> None:
+        """Close a connection, so that the next call opens a new one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for address in list(self._channels):
+            self.drop(address)
+
+    def follow(self, address: str) -> Any:
+        """Return the context manager of a `Follow` stream."""
+        # grpclib types messages as classes; the codec also takes unions.
+        request_type: Any = AnyFollowRequest
+        reply_type: Any = AnyFollowReply
+        channel = self._channel(address)
+        method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
+            channel, FOLLOW_PATH, request_type, reply_type
+        )
+        return method.open()
+
+    async def propose(self, command: Command, timeout_s: float) -> CommandResult:
+        """Commit a command; sends it again with the same id until it is answered."""
+        result = await self._call(PROPOSE_PATH, AnyCommand, command, timeout_s)
+        return CommandResult(failure=result) if isinstance(result, Failure) else result
+
+    async def status(
+        self, timeout_s: float, *, with_bundle: bool = False
+    ) -> FleetStatus:
+        """Return the status as confirmed by a quorum."""
+        request = StatusRequest(with_bundle=with_bundle)
+        result = await self._call(STATUS_PATH, StatusRequest, request, timeout_s)
+        return FleetStatus(failure=result) if isinstance(result, Failure) else result
+
+    async def _call(
+        self, path: str, request_type: Any, request: Any, timeout_s: float
+    ) -> Any:
+        reply_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
+        attempt, reached = 0, False
+        with anyio.move_on_after(timeout_s):
+            while True:
+                address = self.next_address()
+                leader = ""
+                try:
+                    with anyio.fail_after(ATTEMPT_TIMEOUT_S):
+                        channel = self._channel(address)
+                        await channel.__connect__()
+                        # A reply may be lost from here on.
+                        reached = True
+                        method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
+                            channel, path, request_type, reply_type
+                        )
+                        reply = await method(request, metadata=self._metadata)
+                    failure = reply.failure
+                    if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
+                        self.found(address)
+                        return reply
+                    leader = failure.leader
+                except CONNECTION_ERRORS:
+                    self.drop(address)
+                self.failed(address, leader)
+                await anyio.sleep(self.retry_wait_s(attempt))
+                attempt += 1
+        run_state = RunState.UNKNOWN if reached else RunState.NOT_RUN
+        return Failure(
+            ErrorKind.CONTROL_UNAVAILABLE,
+            f"no leader answered within {timeout_s:g} s",
+            run_state=run_state,
+        )
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host.strip("[]"), int(port), codec=MsgpackCodec())
+            self._channels[address] = channel
+        return channel
--- /dev/null
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -0,0 +1,305 @@
+"""An entry host's connection to the control group."""
+
+import contextlib
+import logging
+import secrets
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.control_calls import CONNECTION_ERRORS, ControlCalls
+from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.control import (
+    AnyFollowReply,
+    CloseSession,
+    Command,
+    CommandResult,
+    FleetChange,
+    FleetDelta,
+    FleetSnapshot,
+    FollowRefused,
+    OpenFollow,
+    OpenSession,
+    RenewSession,
+    Session,
+    SessionLost,
+    SessionRenewed,
+    SetHostDraining,
+)
+from damaskridge.model.events import EventNumber
+
+__all__ = ["ChangeCallback", "ControlClient"]
+
+PROPOSE_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 2.0
+SILENCE_S = 1.0
+# Smaller than any index, so that the leader answers with a snapshot.
+NOTHING_SEEN = -1
+
+ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
+
+_log = logging.getLogger("damaskridge.control_client")
+
+
+class _StreamEnded(Exception):
+    """The `Follow` stream must be opened again, at `leader` if it is named."""
+
+    def __init__(self, leader: str = "") -> None:
+        super().__init__(leader)
+        self.leader = leader
+
+
+class ControlClient:
+    """
+    Keeps the session, its lease and the fleet view of one entry host.
+
+    Parameters
+    ----------
+    control_addresses : sequence of str
+        ``ip:port`` of every control host.
+    host : str
+        Name of this host.
+    incarnation : int
+        Distinguishes processes that ran on this host one after another.
+    data_centre : str
+        Where this host stands.
+    caller_address, peer_address : str
+        ``ip:port`` for callers and for other processes of the fleet.
+    clock : callable
+        Monotonic time in seconds.
+    calls : ControlCalls or None
+        Connections to the control hosts.
+    """
+
+    def __init__(
+        self,
+        *,
+        control_addresses: Sequence[str],
+        host: str,
+        incarnation: int,
+        data_centre: str,
+        caller_address: str,
+        peer_address: str,
+        clock: Callable[[], float] = anyio.current_time,
+        calls: ControlCalls | None = None,
+    ) -> None:
+        self._calls = calls or ControlCalls(control_addresses)
+        self._host = host
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._caller_address = caller_address
+        self._peer_address = peer_address
+        self._clock = clock
+        self._fleet = FleetView()
+        self._lease = HolderLease()
+        self._session: Session | None = None
+        self._index = NOTHING_SEEN
+        self._sequence = 0
+        self._sent_s: dict[int, float] = {}
+        self._callbacks: list[ChangeCallback] = []
+        self._draining = False
+        self._closing = False
+        self._scope = anyio.CancelScope()
+        self._session_missing = anyio.Event()
+        self._session_opened = anyio.Event()
+
+    @property
+    def fleet(self) -> FleetView:
+        """The fleet as last seen."""
+        return self._fleet
+
+    @property
+    def lease(self) -> HolderLease:
+        """The lease of this host's session."""
+        return self._lease
+
+    @property
+    def session(self) -> Session | None:
+        """The session of this host, if it has one."""
+        return self._session
+
+    def on_change(self, callback: ChangeCallback) -> None:
+        """Call back after every change; with no changes after a snapshot."""
+        self._callbacks.append(callback)
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commit a command; finds the leader, sends again with the same id."""
+        return await self._calls.propose(command, PROPOSE_TIMEOUT_S)
+
+    async def run(self) -> None:
+        """Follow the leader until `close`."""
+        attempt = 0
+        with self._scope:
+            while not self._closing:
+                address = self._calls.next_address()
+                index, leader = self._fleet.index, ""
+                try:
+                    await self._follow(address)
+                except _StreamEnded as ended:
+                    leader = ended.leader
+                except (*CONNECTION_ERRORS, TimeoutError):
+                    self._calls.drop(address)
+                self._calls.failed(address, leader)
+                log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
+                attempt = 0 if self._fleet.index > index else attempt + 1
+                await anyio.sleep(self._calls.retry_wait_s(attempt))
+
+    async def begin_drain(self) -> None:
+        """Leave the address answer and give up ownership; the lease goes on."""
+        self._draining = True
+        session = self._session
+        if session is not None:
+            await self.propose(
+                SetHostDraining(
+                    command_id=_new_id("drain"), host=self._host, session=session.number
+                )
+            )
+
+    async def close(self) -> None:
+        """End the session and stop `run`."""
+        self._closing = True
+        self._lease.end()
+        session, self._session = self._session, None
+        if session is not None:
+            command = CloseSession(
+                command_id=_new_id("close"), host=self._host, session=session.number
+            )
+            await self._calls.propose(command, CLOSE_TIMEOUT_S)
+        self._scope.cancel()
+        self._calls.close()
+
+    async def _follow(self, address: str) -> None:
+        ended: _StreamEnded | None = None
+        async with self._calls.follow(address) as stream:
+            with anyio.fail_after(SILENCE_S):
+                await stream.send_message(
+                    OpenFollow(host=self._host, index=self._index)
+                )
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._keep_session)
+                group.start_soon(self._renew, stream)
+                try:
+                    await self._read(stream, address)
+                except _StreamEnded as error:
+                    ended = error
+                except (*CONNECTION_ERRORS, TimeoutError):
+                    self._calls.drop(address)
+                    ended = _StreamEnded()
+                group.cancel_scope.cancel()
+            with contextlib.suppress(*CONNECTION_ERRORS):
+                await stream.cancel()
+        if ended is not None:
+            raise ended
+
+    async def _read(self, stream: Any, address: str) -> None:
+        while True:
+            with anyio.fail_after(SILENCE_S):
+                message = await stream.recv_message()
+            if message is None:
+                raise _StreamEnded
+            if isinstance(message, FollowRefused):
+                raise _StreamEnded(message.failure.leader)
+            self._calls.found(address)
+            self._received(message)
+
+    def _received(self, message: AnyFollowReply) -> None:
+        if isinstance(message, FleetDelta):
+            self._apply_delta(message)
+        elif isinstance(message, FleetSnapshot):
+            # An older snapshot is refused: a view never goes back.
+            if self._fleet.restore(message):
+                self._index = self._fleet.index
+                self._notify(())
+        elif isinstance(message, SessionRenewed):
+            sent_s = self._sent_s.get(message.sequence)
+            self._forget_sent(message.sequence)
+            if sent_s is not None and self._is_current(message.session):
+                self._lease.renew(sent_s, message.duration_s)
+        elif isinstance(message, SessionLost) and self._is_current(message.session):
+            log_event(_log, EventNumber.LEASE_LOST, session=message.session)
+            self._lease.end()
+            self._session = None
+            self._session_missing.set()
+
+    def _apply_delta(self, delta: FleetDelta) -> None:
+        if not self._fleet.apply_delta(delta):
+            self._index = NOTHING_SEEN
+            raise _StreamEnded
+        self._index = self._fleet.index
+        self._notify(delta.changes)
+
+    def _notify(self, changes: tuple[FleetChange, ...]) -> None:
+        for callback in self._callbacks:
+            callback(changes)
+
+    def _is_current(self, number: int) -> bool:
+        return self._session is not None and self._session.number == number
+
+    def _forget_sent(self, sequence: int) -> None:
+        for number in [number for number in self._sent_s if number <= sequence]:
+            del self._sent_s[number]
+
+    async def _renew(self, stream: Any) -> None:
+        # Without a session the message still draws an answer, which tells a live
+        # leader from a silent connection.
+        while True:
+            self._session_opened = anyio.Event()
+            self._sequence += 1
+            session = self._session
+            self._sent_s[self._sequence] = self._clock()
+            try:
+                await stream.send_message(
+                    RenewSession(
+                        host=self._host,
+                        session=session.number if session is not None else 0,
+                        sequence=self._sequence,
+                        applied_index=self._fleet.index,
+                        version=self._fleet.version,
+                    )
+                )
+            except CONNECTION_ERRORS:
+                return
+            # The first renewal of a new session is sent at once.
+            with anyio.move_on_after(SESSION_RENEWAL_S):
+                await self._session_opened.wait()
+
+    async def _keep_session(self) -> None:
+        while not self._closing:
+            self._session_missing = anyio.Event()
+            if self._session is None:
+                await self._open_session()
+            else:
+                await self._session_missing.wait()
+
+    async def _open_session(self) -> None:
+        command = OpenSession(
+            command_id=_new_id("open"),
+            host=self._host,
+            incarnation=self._incarnation,
+            data_centre=self._data_centre,
+            caller_address=self._caller_address,
+            peer_address=self._peer_address,
+        )
+        result = await self.propose(command)
+        if result.failure is not None:
+            await anyio.sleep(self._calls.retry_wait_s(1))
+            return
+        self._session = Session(
+            host=self._host,
+            number=int(result.value),
+            incarnation=self._incarnation,
+            data_centre=self._data_centre,
+            caller_address=self._caller_address,
+            peer_address=self._peer_address,
+        )
+        self._session_opened.set()
+        log_event(_log, EventNumber.SESSION_OPENED, session=self._session.number)
+        if self._draining:
+            await self.begin_drain()
+
+
+def _new_id(purpose: str) -> str:
+    return f"{purpose}/{secrets.token_hex(8)}"
--- a/src/damaskridge/core/state/queries.py
+++ b/src/damaskridge/core/state/queries.py
@@ -10,6 +10,7 @@
     Owner,
     Session,
 )
+from damaskridge.model.control_status import FleetStatus, ProposalStatus
 
 __all__ = [
     "fingerprints_in",
@@ -17,6 +18,7 @@
     "live_session",
     "owners_of_host",
     "snapshot_of",
+    "status_of",
 ]
 
 
@@ -60,3 +62,24 @@
         suspects=fingerprints_in(data, FingerprintState.SUSPECT),
         quarantined=fingerprints_in(data, FingerprintState.QUARANTINED),
     )
+
+
+def status_of(data: StateData, *, with_bundle: bool = False) -> FleetStatus:
+    """Return what operators see; the node's own part is added by the service."""
+    return FleetStatus(
+        index=data.index,
+        version=data.version,
+        sessions=tuple(data.sessions[host] for host in sorted(data.sessions)),
+        owners=tuple(data.owners[name] for name in sorted(data.owners)),
+        proposals=tuple(
+            ProposalStatus(
+                proposal=name,
+                proposer=item.proposer,
+                signed_off_by=item.signed_off_by,
+            )
+            for name, item in data.proposals.items()
+        ),
+        draining_hosts=tuple(sorted(data.draining_hosts)),
+        draining_backend_servers=tuple(sorted(data.draining_backend_servers)),
+        bundle=data.bundle if with_bundle else None,
+    )
--- /dev/null
+++ b/tests/adapters/rpc/test_control.py
@@ -0,0 +1,182 @@
+"""Control services over loopback: leases, deltas and operators' keys must hold."""
+
+import contextlib
+
+import anyio
+from grpclib.server import Server
+from tests.adapters.rpc.fake_node import FakeGroup, FakeNode
+from tests.core.state.fleet import Fleet, digest
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.control_client import ControlClient
+from damaskridge.adapters.rpc.control_server import control_services
+from damaskridge.core.state.commands import ControlState
+from damaskridge.model.control import (
+    FleetDelta,
+    KeyWithdrawn,
+    RollBackBundle,
+    WithdrawKey,
+)
+from damaskridge.model.errors import ErrorKind
+
+
+@contextlib.asynccontextmanager
+async def control_group(size=1):
+    seed = Fleet()
+    group, servers = FakeGroup(), []
+    group.index = seed.index
+    async with anyio.create_task_group() as tasks:
+        for number in range(size):
+            state = ControlState()
+            state.restore(seed.state.encode())
+            node = FakeNode(group, f"c{number}", state)
+            services = control_services(node, state)
+            server = Server(services, codec=MsgpackCodec())
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            node.address = f"127.0.0.1:{port}"
+            tasks.start_soon(services[0].run)
+            servers.append(server)
+        try:
+            yield group
+        finally:
+            for server in servers:
+                server.close()
+            tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def entry_host(group, host="h1"):
+    client = ControlClient(
+        control_addresses=[item.address for item in group.members],
+        host=host,
+        incarnation=1,
+        data_centre="west",
+        caller_address=f"{host}:1",
+        peer_address=f"{host}:2",
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(client.run)
+        await until(lambda: client.lease.is_valid(anyio.current_time()))
+        yield client
+        await client.close()
+
+
+async def until(condition):
+    with anyio.fail_after(10):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+
+
+def run(main):
+    anyio.run(main)
+
+
+def test_session_is_renewed_deltas_arrive_and_close_ends_the_session():
+    async def main():
+        async with control_group() as group:
+            node = group.members[0]
+            async with entry_host(group) as client:
+                await until(lambda: client.fleet.version == 1)
+                changes = []
+                client.on_change(changes.extend)
+                group.commit(
+                    WithdrawKey(command_id="w", operator="ada", key_digest="d")
+                )
+                await until(lambda: "d" in client.fleet.withdrawn_keys)
+                assert KeyWithdrawn(key_digest="d") in changes
+                assert client.fleet.owners == node.state.data.owners
+                await client.begin_drain()
+                await until(lambda: client.fleet.sessions["h1"].draining)
+                first = client.session.number
+            assert node.state.data.sessions == {}
+            assert not client.lease.is_valid(anyio.current_time())
+            assert first == node.state.data.last_session
+
+    run(main)
+
+
+def test_lease_runs_out_while_the_leader_has_no_quorum_and_a_new_session_follows():
+    async def main():
+        async with control_group() as group:
+            node = group.members[0]
+            async with entry_host(group) as client:
+                first = client.session.number
+                node.confirms = False
+                await until(lambda: not client.lease.is_valid(anyio.current_time()))
+                # The granter waits longer than the holder.
+                assert node.state.data.sessions["h1"].number == first
+                await until(lambda: not node.state.data.sessions)
+                node.confirms = True
+                await until(lambda: client.lease.is_valid(anyio.current_time()))
+                assert client.session.number > first
+                await until(lambda: client.fleet.sessions["h1"] == client.session)
+
+    run(main)
+
+
+def test_new_leader_keeps_the_session_and_the_view():
+    async def main():
+        async with control_group(3) as group:
+            async with entry_host(group) as client:
+                number = client.session.number
+                group.elect("c2")
+                rounds = group.members[2].rounds
+                await until(lambda: group.members[2].rounds > rounds + 2)
+                group.commit(
+                    WithdrawKey(command_id="w", operator="ada", key_digest="d")
+                )
+                await until(lambda: "d" in client.fleet.withdrawn_keys)
+                assert client.session.number == number
+                assert client.lease.is_valid(anyio.current_time())
+
+    run(main)
+
+
+def test_gap_in_the_deltas_leads_to_a_snapshot():
+    async def main():
+        async with control_group() as group, entry_host(group) as client:
+            await until(lambda: client.fleet.version == 1)
+            state = group.members[0].state
+            gap = FleetDelta(base_index=10**6, index=10**6 + 1, changes=())
+            applied = state.apply(
+                group.index + 1,
+                WithdrawKey(command_id="unseen", operator="ada", key_digest="lost"),
+            )
+            group.index += 1
+            assert applied.delta.changes
+            changed = FleetDelta(
+                base_index=gap.base_index,
+                index=gap.index,
+                changes=(KeyWithdrawn(key_digest="lost"),),
+            )
+            group.members[0].queues[0].send_nowait(changed)
+            await until(lambda: "lost" in client.fleet.withdrawn_keys)
+            assert client.fleet.index <= group.index
+
+    run(main)
+
+
+def test_lost_answer_is_resent_and_an_operator_needs_the_own_key():
+    async def main():
+        async with control_group(2) as group:
+            addresses = [item.address for item in group.members]
+            back = {"to_version": 1, "expected_version": 1}
+            calls = ControlCalls(addresses, operator_key="bob")
+            command = RollBackBundle(command_id="x", operator="ada", **back)
+            refused = await calls.propose(command, 5.0)
+            assert refused.failure.kind is ErrorKind.UNKNOWN_OPERATOR
+            group.members[0].lose_reply = True
+            command = RollBackBundle(command_id="y", operator="bob", **back)
+            result = await calls.propose(command, 5.0)
+            assert (result.failure, result.value) == (None, "2")
+            status = await calls.status(5.0, with_bundle=True)
+            assert (status.version, status.leader) == (2, "c0")
+            assert digest("k1") in {item.digest for item in status.bundle.keys}
+            group.elect("nobody")
+            lost = await calls.propose(command, 0.3)
+            assert lost.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
+            calls.close()
+
+    run(main)
