Add the bundle file reader and damaskridge-ctl

The file is validated as a whole and every fault is named by its path. The operators' program resends by request id and reports when a version is in force.

--- /dev/null
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -0,0 +1,89 @@
+"""Reads a bundle file: JSON with comments, validated as a whole.
+
+Faults of shape (types, missing or unknown fields) are reported first, all of them.
+The checks across fields run on a file whose shape is right.
+"""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+import json5
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, create_model
+from result import Err, Ok, Result
+
+from damaskridge.core.state.bundle_checks import bundle_faults
+from damaskridge.model.bundle import Bundle
+
+__all__ = ["bundle_text", "parse_bundle", "read_bundle"]
+
+
+def _validator(struct: type[msgspec.Struct]) -> type[BaseModel]:
+    """Return the validated model with the fields of a data class."""
+    fields: dict[str, Any] = {}
+    for field in msgspec.structs.fields(struct):
+        required = field.default is msgspec.NODEFAULT
+        default = ... if required else field.default
+        fields[field.name] = (_validated_type(field.type), Field(default))
+    return create_model(
+        struct.__name__,
+        __config__=ConfigDict(extra="forbid", strict=True, allow_inf_nan=False),
+        **fields,
+    )
+
+
+def _validated_type(kind: Any) -> Any:
+    if get_origin(kind) is tuple:
+        return tuple[_validator(get_args(kind)[0]), ...]  # type: ignore[misc]
+    return kind
+
+
+_BundleModel = _validator(Bundle)
+
+
+def read_bundle(path: Path) -> Result[Bundle, list[str]]:
+    """Return the bundle of a file, or every fault as ``path: what is wrong``."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([f"{path}: {error}"])
+    return parse_bundle(text)
+
+
+def parse_bundle(text: str) -> Result[Bundle, list[str]]:
+    """Return the bundle that `text` spells, or every fault."""
+    try:
+        content = _decode(text)
+        model = _BundleModel.model_validate_json(json.dumps(content))
+    except ValidationError as error:
+        return Err([_fault(item["loc"], item["msg"]) for item in error.errors()])
+    except (ValueError, RecursionError) as error:
+        return Err([f"not JSON with comments: {str(error).splitlines()[0]}"])
+    bundle = msgspec.convert(model.model_dump(), Bundle)
+    faults = bundle_faults(bundle)
+    return Err(faults) if faults else Ok(bundle)
+
+
+def bundle_text(bundle: Bundle) -> str:
+    """Return the text of a bundle file."""
+    return msgspec.json.format(msgspec.json.encode(bundle), indent=2).decode() + "\n"
+
+
+def _decode(text: str) -> Any:
+    try:
+        # json5 is written in Python and takes seconds for some thousand servers.
+        return json.loads(text)
+    except ValueError:
+        return json5.loads(text)
+
+
+def _fault(location: Iterable[int | str], message: str) -> str:
+    path = ""
+    for part in location:
+        if isinstance(part, int):
+            path += f"[{part}]"
+        else:
+            path += f".{part}" if path else part
+    return f"{path or 'bundle'}: {message[:1].lower()}{message[1:]}"
--- /dev/null
+++ b/src/damaskridge/binaries/ctl.py
@@ -0,0 +1,145 @@
+"""The operators' program `damaskridge-ctl`.
+
+Exit codes: 0 done, 1 refused, 2 wrong usage or an invalid file, 3 no control host
+answers. Every error is one line on standard error.
+"""
+
+import sys
+from collections.abc import Callable, Sequence
+from importlib.metadata import PackageNotFoundError, version
+from typing import Any, NoReturn, TypeVar, cast
+
+import fire
+from fire.decorators import SetParseFns
+
+from damaskridge.binaries.ctl_commands import CtlError, CtlSettings, Operations
+
+__all__ = ["Ctl", "main"]
+
+F = TypeVar("F", bound=Callable[..., Any])
+
+
+def _as_text(*positional: type[str], **named: type[str]) -> Callable[[F], F]:
+    """Keep arguments as they are typed; fire would read ``1e5`` as a number."""
+    return cast(Callable[[F], F], SetParseFns(*positional, **named))
+
+
+class Ctl:
+    """
+    Controls a fleet.
+
+    Parameters
+    ----------
+    control
+        Addresses of the control hosts, ``ip:port`` with commas between them.
+    operator
+        Name of the operator.
+    key_file
+        File with the operator's key.
+    request_id
+        Repeats an earlier command: give the id that it printed.
+    json
+        Print JSON.
+    """
+
+    @_as_text(control=str, operator=str, key_file=str, request_id=str)
+    def __init__(
+        self,
+        *,
+        control: str = "",
+        operator: str = "",
+        key_file: str = "",
+        request_id: str = "",
+        json: bool = False,
+    ) -> None:
+        settings = CtlSettings(
+            control=tuple(item.strip() for item in control.split(",") if item.strip()),
+            operator=operator,
+            key_file=key_file,
+            request_id=request_id,
+            as_json=json,
+        )
+        self._operations = Operations(settings)
+
+    @_as_text(str)
+    def check(self, file: str) -> None:
+        """Check a bundle file and name every fault."""
+        self._operations.check(file)
+
+    @_as_text(str)
+    def diff(self, file: str) -> None:
+        """Show what a bundle file changes in the version in force."""
+        self._operations.diff(file)
+
+    @_as_text(str)
+    def propose(self, file: str) -> None:
+        """Propose a bundle file; prints the proposal's id."""
+        self._operations.propose(file)
+
+    @_as_text(str)
+    def sign_off(self, proposal: str) -> None:
+        """Approve another operator's proposal."""
+        self._operations.sign_off(proposal)
+
+    @_as_text(str)
+    def roll(self, proposal: str, *, expected_version: int) -> None:
+        """Put a proposal in force if the expected version is in force now."""
+        self._operations.roll(proposal, expected_version)
+
+    def rollback(self, *, to_version: int, expected_version: int) -> None:
+        """Put the content of an older version in force as a new version."""
+        self._operations.roll_back(to_version, expected_version)
+
+    def status(self) -> None:
+        """Show the version in force, hosts, proposals and drains."""
+        self._operations.status()
+
+    def leases(self) -> None:
+        """Show sessions and the owner of every resource."""
+        self._operations.leases()
+
+    @_as_text(str, label=str)
+    def key_issue(self, workspace: str, *, label: str = "") -> None:
+        """Propose a bundle with a new key and print the key once."""
+        self._operations.key_issue(workspace, label)
+
+    @_as_text(digest=str)
+    def key_withdraw(self, *, digest: str = "") -> None:
+        """Withdraw a key for good: by its digest, else the key on standard input."""
+        self._operations.key_withdraw(digest)
+
+    @_as_text(str, str)
+    def drain(self, target: str, name: str) -> None:
+        """Start draining; TARGET is host or backend_server."""
+        self._operations.drain(target, name, draining=True)
+
+    @_as_text(str, str)
+    def undrain(self, target: str, name: str) -> None:
+        """End draining; TARGET is host or backend_server."""
+        self._operations.drain(target, name, draining=False)
+
+    def version(self) -> None:
+        """Print the version of this program."""
+        try:
+            print(version("damaskridge"))
+        except PackageNotFoundError:
+            print("unknown")
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the program and exit with its code."""
+    try:
+        fire.Fire(Ctl, command=arguments, name="damaskridge-ctl")
+    except CtlError as error:
+        _exit(error.code, str(error))
+    except KeyboardInterrupt:
+        _exit(CtlError.UNREACHABLE, "interrupted; the command may have been applied")
+
+
+def _exit(code: int, message: str) -> NoReturn:
+    print(f"damaskridge-ctl: {message}", file=sys.stderr)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/damaskridge/core/state/bundle_checks.py
+++ b/src/damaskridge/core/state/bundle_checks.py
@@ -56,7 +56,7 @@
             for name in names:
                 value = getattr(item, name)
                 if not (value > 0 and math.isfinite(value)):
-                    yield f"{field}[{number}].{name}: must be above 0, not {value}"
+                    yield f"{field}[{number}].{name}: must be above 0, not {value:g}"
     for number, route in enumerate(bundle.routes):
         if route.cost_tokens < 0:
             yield (
--- /dev/null
+++ b/tests/binaries/test_ctl.py
@@ -0,0 +1,89 @@
+"""The operators' program: its exit codes and what it prints must be reliable."""
+
+import json
+
+import anyio
+import pytest
+from anyio.from_thread import start_blocking_portal
+from tests.adapters.rpc.test_control import control_group, entry_host
+from tests.core.state.fleet import bundle, digest
+
+from damaskridge.adapters.bundle_file import bundle_text
+from damaskridge.binaries.ctl import main
+
+
+@pytest.fixture
+def group():
+    async def serve(*, task_status):
+        async with control_group(2) as members, entry_host(members):
+            stop = anyio.Event()
+            task_status.started((members, stop))
+            await stop.wait()
+
+    with start_blocking_portal() as portal:
+        done, (members, stop) = portal.start_task(serve)
+        yield members
+        portal.call(stop.set)
+        done.result(10)
+
+
+def test_a_change_goes_through_two_operators_and_reports_every_host(
+    group, tmp_path, capsys
+):
+    addresses = ",".join(item.address for item in group.members)
+    for name in ("ada", "bob"):
+        (tmp_path / name).write_text(f"{name}\n")
+    file = tmp_path / "bundle.json"
+    file.write_text(bundle_text(bundle("w1", "new")))
+
+    def ctl(*arguments, operator="ada", code=0):
+        options = ["--control", addresses, "--operator", operator, "--json"]
+        options += ["--key-file", str(tmp_path / operator)]
+        if code:
+            with pytest.raises(SystemExit) as ended:
+                main([*arguments, *options])
+            assert ended.value.code == code
+            return capsys.readouterr().err
+        main([*arguments, *options])
+        return json.loads(capsys.readouterr().out)
+
+    added = ctl("diff", str(file))["upserted"]["workspaces"]
+    assert [item["name"] for item in added] == ["new"]
+    proposal = ctl("propose", str(file), "--request-id", "r1")["proposal"]
+    assert ctl("propose", str(file), "--request-id", "r1")["proposal"] == proposal
+    roll = ("roll", proposal, "--expected-version", "1")
+    assert "not_signed_off" in ctl(*roll, code=1)
+    assert "self_sign_off" in ctl("sign-off", proposal, code=1)
+    ctl("sign-off", proposal, operator="bob")
+    rolled = ctl(*roll)
+    assert (rolled["version"], rolled["hosts_in_force"], rolled["hosts_live"]) == (
+        2,
+        1,
+        1,
+    )
+    assert "version_conflict" in ctl(*roll, code=1)
+    issued = ctl("key-issue", "new")
+    assert issued["digest"] == digest(issued["key"])
+    ctl("key-withdraw", "--digest", digest("k1"))
+    ctl("drain", "host", "h1")
+    ctl("drain", "backend_server", "s-c1")
+    assert "unknown_name" in ctl("undrain", "host", "h9", code=1)
+    assert "must be host" in ctl("drain", "rack", "r1", code=2)
+    back = ctl("rollback", "--to-version", "1", "--expected-version", "2")
+    status = ctl("status")
+    assert (back["version"], status["version"]) == (3, 3)
+    assert status["draining_hosts"] == ["h1"]
+    ctl("undrain", "host", "h1")
+    assert {item["host"] for item in ctl("leases")["owners"]} == {"h1"}
+    (tmp_path / "bob").write_text("wrong\n")
+    assert "unknown_operator" in ctl("drain", "host", "h1", operator="bob", code=1)
+
+
+def test_an_invalid_file_and_wrong_usage_end_with_2(tmp_path, capsys):
+    file = tmp_path / "bundle.json"
+    file.write_text("{workspaces: 3}")
+    for arguments in (["check", str(file)], ["status"], ["nope"], ["roll", "p1"]):
+        with pytest.raises(SystemExit) as ended:
+            main(arguments)
+        assert ended.value.code == 2
+    assert "workspaces: " in capsys.readouterr().err
