--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -147,16 +147,20 @@
                 attempt = 0 if self._fleet.index > index else attempt + 1
                 await anyio.sleep(self._calls.retry_wait_s(attempt))
 
-    async def begin_drain(self) -> None:
-        """Leave the address answer and give up ownership; the lease goes on."""
+    async def begin_drain(self) -> bool:
+        """
+        Leave the address answer and give up ownership; the lease goes on.
+
+        `False` if the control group did not accept it; the caller may try again.
+        """
         self._draining = True
         session = self._session
-        if session is not None:
-            await self.propose(
-                SetHostDraining(
-                    command_id=_new_id("drain"), host=self._host, session=session.number
-                )
-            )
+        if session is None:
+            return True
+        command = SetHostDraining(
+            command_id=_new_id("drain"), host=self._host, session=session.number
+        )
+        return (await self.propose(command)).failure is None
 
     async def close(self) -> None:
         """End the session and stop `run`."""
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -7,8 +7,7 @@
 
 import hmac
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
@@ -186,21 +185,23 @@
         if not isinstance(first, OpenFollow) or not self._duties.ready:
             await stream.send_message(FollowRefused(failure=self._not_leader()))
             return
-        async with self._added(Follower(first.host), first.index) as follower:
-            async with anyio.create_task_group() as group:
+        async with anyio.create_task_group() as group:
+            follower = Follower(group.cancel_scope.cancel)
+            self._followers.add(follower, first.index)
+            try:
                 group.start_soon(self._write, stream, follower, group.cancel_scope)
-                while (message := await stream.recv_message()) is not None:
-                    if isinstance(message, RenewSession):
-                        self._received(follower, message)
+                await self._read(stream, follower)
+            finally:
+                self._followers.remove(follower)
                 group.cancel_scope.cancel()
 
-    @asynccontextmanager
-    async def _added(self, follower: Follower, index: int) -> AsyncIterator[Follower]:
-        self._followers.add(follower, index)
-        try:
-            yield follower
-        finally:
-            self._followers.remove(follower)
+    async def _read(self, stream: Any, follower: Follower) -> None:
+        # A host renews several times in this period; a silent one has gone.
+        with anyio.move_on_after(SESSION_DURATION_S) as silence:
+            while (message := await stream.recv_message()) is not None:
+                silence.deadline = anyio.current_time() + SESSION_DURATION_S
+                if isinstance(message, RenewSession):
+                    self._received(follower, message)
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -1,6 +1,7 @@
 """The open `Follow` streams of a leader and what each of them is still to get."""
 
 from collections import deque
+from collections.abc import Callable
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
@@ -17,10 +18,18 @@
 
 
 class Follower:
-    """The queue of one stream; `host` is set by its first message."""
-
-    def __init__(self, host: str) -> None:
-        self.host = host
+    """
+    The queue of one stream.
+
+    Parameters
+    ----------
+    overflowed : callable
+        Called when the host reads too slowly. The stream must then be ended by
+        force, because its writer may wait for a silent connection.
+    """
+
+    def __init__(self, overflowed: Callable[[], None]) -> None:
+        self._overflowed = overflowed
         self._send: MemoryObjectSendStream[AnyFollowReply]
         self.messages: MemoryObjectReceiveStream[AnyFollowReply]
         self._send, self.messages = anyio.create_memory_object_stream[AnyFollowReply](
@@ -28,11 +37,11 @@
         )
 
     def push(self, message: AnyFollowReply) -> None:
-        """Queue a message, or end the stream if it is too far behind."""
+        """Queue a message; a full queue ends the stream."""
         try:
             self._send.send_nowait(message)
         except anyio.WouldBlock:
-            self._send.close()
+            self._overflowed()
         except (anyio.ClosedResourceError, anyio.BrokenResourceError):
             return
 
