--- /dev/null
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -0,0 +1,380 @@
+"""The life cycle of one request on its front, without I/O."""
+
+from functools import singledispatchmethod
+
+import msgspec
+
+from damaskridge.core.requests.assembler import Assembler, InvalidChunk
+from damaskridge.core.requests.messages import (
+    Action,
+    AskPlacement,
+    AskRate,
+    AttemptFailed,
+    Begun,
+    CancelOnServer,
+    CancelRequested,
+    ChunkReceived,
+    Close,
+    Continued,
+    Deliver,
+    Event,
+    Granted,
+    Placed,
+    PlacementRefused,
+    Prefilled,
+    RateRefused,
+    RefundTokens,
+    Report,
+    RequestSpec,
+    ResumeDecode,
+    RetryLimits,
+    SendDecode,
+    SendPrefill,
+    Stage,
+    TakenOver,
+    TimePassed,
+    WithdrawRequest,
+)
+from damaskridge.model.engine import DecodeChunk, DecodeRequest, PrefillRequest
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.routing import Placement, Progress, RequestPhase
+
+__all__ = ["RequestMachine"]
+
+_PHASES = {
+    Stage.PREFILLING: RequestPhase.PREFILLING,
+    Stage.TRANSFERRING: RequestPhase.TRANSFERRING,
+    Stage.DECODING: RequestPhase.DECODING,
+    Stage.FINISHED: RequestPhase.FINISHED,
+    Stage.FAILED: RequestPhase.CANCELLED,
+    Stage.CANCELLED: RequestPhase.CANCELLED,
+}
+_ENDED = frozenset({Stage.FINISHED, Stage.FAILED, Stage.CANCELLED})
+_RUNNING = frozenset({Stage.PREFILLING, Stage.TRANSFERRING, Stage.DECODING})
+_NEVER_S = float("inf")
+
+
+class RequestMachine:
+    """
+    Decides what happens to one request.
+
+    Parameters
+    ----------
+    spec : RequestSpec
+        What the caller asked for.
+    limits : RetryLimits
+        Bounds of the attempts.
+    accepted_s : float
+        When the front accepted the request.
+
+    Attributes
+    ----------
+    stage : Stage
+        Where the request is.
+    attempt : int
+        The current attempt, from 1; 0 before the first.
+    placement : Placement or None
+        Engines of the current attempt.
+    deadline_s : float
+        When `TimePassed` is due.
+    texts : list[str]
+        Output tokens so far; the index is the offset.
+    """
+
+    def __init__(
+        self, spec: RequestSpec, limits: RetryLimits, accepted_s: float
+    ) -> None:
+        self.spec = spec
+        self.stage = Stage.NEW
+        self.attempt = 0
+        self.placement: Placement | None = None
+        self.deadline_s = _NEVER_S
+        self.texts: list[str] = []
+        self.first_token_s: float | None = None
+        self._limits = limits
+        self._accepted_s = accepted_s
+        self._now_s = accepted_s
+        self._assembler = Assembler(limits.window)
+        self._excluded: tuple[str, ...] = ()
+        self._crashes = 0
+        self._granted = False
+        self._may_have_run = False
+        self._resumed = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether the request has its final answer."""
+        return self.stage in _ENDED
+
+    @property
+    def run_state(self) -> RunState:
+        """Whether a backend server ran the request."""
+        if self.texts:
+            return RunState.RAN
+        maybe = self._may_have_run or self.stage in _RUNNING
+        return RunState.UNKNOWN if maybe else RunState.NOT_RUN
+
+    def progress(self, failed_server: str = "") -> Progress:
+        """Return what the cell owner needs to know now."""
+        return Progress(
+            request_id=self.spec.request_id,
+            attempt=max(self.attempt, 1),
+            phase=_PHASES.get(self.stage, RequestPhase.QUEUED),
+            output_tokens=len(self.texts),
+            first_token_s=self.first_token_s,
+            failed_server=failed_server,
+        )
+
+    def handle(self, event: Event, now_s: float) -> list[Action]:
+        """Apply an event and return what has to be done."""
+        self._now_s = now_s
+        if self.ended:
+            return self._after_end(event)
+        return self._handle(event)
+
+    def _after_end(self, event: Event) -> list[Action]:
+        # The reservation of a placement that arrives after the end is released.
+        if isinstance(event, Placed):
+            self.attempt = max(self.attempt, event.placement.attempt)
+            return [Report(self.progress())]
+        return []
+
+    @singledispatchmethod
+    def _handle(self, event: object) -> list[Action]:
+        raise TypeError(f"unknown event: {type(event).__name__}")
+
+    @_handle.register
+    def _(self, event: Begun) -> list[Action]:
+        self.stage = Stage.QUEUED_FOR_RATE
+        return [AskRate(self.spec.prompt_tokens + self.spec.max_output_tokens)]
+
+    @_handle.register
+    def _(self, event: Granted) -> list[Action]:
+        self._granted = True
+        return self._ask_placement()
+
+    @_handle.register
+    def _(self, event: RateRefused) -> list[Action]:
+        return self._end(Stage.FAILED, event.failure)
+
+    @_handle.register
+    def _(self, event: Placed) -> list[Action]:
+        placement = event.placement
+        if (
+            self.stage is not Stage.QUEUED_FOR_PLACEMENT
+            or placement.attempt != self.attempt
+        ):
+            return []
+        self.placement = placement
+        self._enter(Stage.PREFILLING, self._limits.prefill_s)
+        request = PrefillRequest(
+            engine_request_id=self._engine_request_id(),
+            model=self.spec.model,
+            prompt=self.spec.prompt + "".join(self.texts),
+            priority=placement.priority,
+        )
+        send = SendPrefill(
+            self.attempt, placement.prefill_server, placement.prefill_address, request
+        )
+        return [send, Report(self.progress())]
+
+    @_handle.register
+    def _(self, event: PlacementRefused) -> list[Action]:
+        if event.attempt != self.attempt:
+            return []
+        return self._end(Stage.FAILED, event.failure)
+
+    @_handle.register
+    def _(self, event: Prefilled) -> list[Action]:
+        if event.attempt != self.attempt or self.stage is not Stage.PREFILLING:
+            return []
+        placement = self._placed()
+        # The prefill engine evicts its result in under a second, so the transfer
+        # starts at once and has a deadline.
+        self._enter(Stage.TRANSFERRING, placement.transfer_deadline_s)
+        request = DecodeRequest(
+            engine_request_id=self._engine_request_id(),
+            model=self.spec.model,
+            prefill_address=placement.prefill_address,
+            first_offset=len(self.texts),
+            max_output_tokens=self.spec.max_output_tokens - len(self.texts),
+            priority=placement.priority,
+        )
+        send = SendDecode(
+            self.attempt, placement.decode_server, placement.decode_address, request
+        )
+        return [send, Report(self.progress())]
+
+    @_handle.register
+    def _(self, event: ChunkReceived) -> list[Action]:
+        if event.attempt != self.attempt or self.stage not in _RUNNING:
+            return []
+        actions: list[Action] = []
+        if self.stage is not Stage.DECODING:
+            self._enter(Stage.DECODING, self._limits.silence_s)
+            actions.append(Report(self.progress()))
+        self.deadline_s = self._now_s + self._limits.silence_s
+        self._resumed = False
+        try:
+            chunks = self._assembler.add(event.chunk)
+        except InvalidChunk as error:
+            failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, str(error))
+            return self._retry(self._placed().decode_server, failure)
+        return [*actions, *self._deliver(chunks)]
+
+    @_handle.register
+    def _(self, event: AttemptFailed) -> list[Action]:
+        if event.attempt != self.attempt or self.stage not in _RUNNING:
+            return []
+        return self._retry(event.server, event.failure)
+
+    @_handle.register
+    def _(self, event: CancelRequested) -> list[Action]:
+        return self._end(Stage.CANCELLED, event.failure)
+
+    @_handle.register
+    def _(self, event: TakenOver) -> list[Action]:
+        self.stage = Stage.CANCELLED
+        self.deadline_s = _NEVER_S
+        return [Close(Failure(ErrorKind.STREAM_TAKEN_OVER))]
+
+    @_handle.register
+    def _(self, event: Continued) -> list[Action]:
+        self.placement = event.placement
+        self.attempt = event.placement.attempt
+        self._enter(Stage.DECODING, self._limits.silence_s)
+        self._may_have_run = True
+        return [self._resume(), Report(self.progress())]
+
+    @_handle.register
+    def _(self, event: TimePassed) -> list[Action]:
+        if self._now_s < self.deadline_s:
+            return []
+        placement = self._placed()
+        if self.stage is Stage.DECODING and not self._resumed:
+            self._resumed = True
+            self.deadline_s = self._now_s + self._limits.silence_s
+            return [self._resume()]
+        failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, self.stage.value)
+        prefilling = self.stage is Stage.PREFILLING
+        server = placement.prefill_server if prefilling else placement.decode_server
+        return self._retry(server, failure)
+
+    def _ask_placement(self) -> list[Action]:
+        self.attempt += 1
+        self.placement = None
+        self._resumed = False
+        self._assembler.restart()
+        self.stage = Stage.QUEUED_FOR_PLACEMENT
+        self.deadline_s = _NEVER_S
+        return [
+            AskPlacement(
+                attempt=self.attempt,
+                prompt_tokens=self.spec.prompt_tokens + len(self.texts),
+                max_output_tokens=self.spec.max_output_tokens - len(self.texts),
+                suspect=self._crashes > 0,
+                excluded=self._excluded,
+            )
+        ]
+
+    def _retry(self, server: str, failure: Failure) -> list[Action]:
+        if failure.ran is not RunState.NOT_RUN:
+            self._may_have_run = True
+            if failure.kind is ErrorKind.BACKEND_SERVER_FAILED:
+                self._crashes += 1
+        if server and server not in self._excluded:
+            self._excluded = (*self._excluded, server)
+        exhausted = self.attempt >= self._limits.attempts
+        if exhausted or self._crashes >= self._limits.crashes:
+            return self._end(Stage.FAILED, failure, server)
+        if len(self.texts) >= self.spec.max_output_tokens:
+            return self._finish_at_length()
+        cancels = self._cancel_engines()
+        self.stage = Stage.FAILED
+        report = Report(self.progress(failed_server=server))
+        return [*cancels, report, *self._ask_placement()]
+
+    def _finish_at_length(self) -> list[Action]:
+        # Only the last chunk, which carries no text, was lost.
+        last = DecodeChunk(len(self.texts), finish_reason="length")
+        return [*self._cancel_engines(), *self._deliver(self._assembler.add(last))]
+
+    def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[Action]:
+        if not chunks:
+            return []
+        for chunk in chunks:
+            if chunk.finish_reason is None:
+                assert chunk.offset == len(self.texts), "a token twice or out of order"
+                self.texts.append(chunk.text)
+        if self.first_token_s is None:
+            self.first_token_s = self._now_s - self._accepted_s
+        if not self._assembler.finished:
+            return [Deliver(chunks)]
+        return [Deliver(chunks), *self._end(Stage.FINISHED, None)]
+
+    def _end(
+        self, stage: Stage, failure: Failure | None, failed_server: str = ""
+    ) -> list[Action]:
+        actions: list[Action] = []
+        if failure is not None:
+            state = self._final_run_state(failure)
+            failure = msgspec.structs.replace(failure, run_state=state)
+            actions += self._cancel_engines()
+        if self.stage is Stage.QUEUED_FOR_PLACEMENT:
+            actions.append(WithdrawRequest())
+        if self.stage in _RUNNING:
+            self._may_have_run = True
+        self.stage = stage
+        self.deadline_s = _NEVER_S
+        if self.placement is not None:
+            actions.append(Report(self.progress(failed_server)))
+        unused = self._unused_tokens()
+        if unused > 0:
+            actions.append(RefundTokens(unused))
+        return [*actions, Close(failure)]
+
+    def _final_run_state(self, failure: Failure) -> RunState:
+        if self.texts:
+            return RunState.RAN
+        # The default of a kind proves nothing about this attempt.
+        proven = failure.run_state is RunState.NOT_RUN
+        if self._may_have_run or (self.stage in _RUNNING and not proven):
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
+
+    def _unused_tokens(self) -> int:
+        if not self._granted:
+            return 0
+        unused = self.spec.max_output_tokens - len(self.texts)
+        if not self._may_have_run:
+            unused += self.spec.prompt_tokens
+        return unused
+
+    def _cancel_engines(self) -> list[Action]:
+        placement = self.placement
+        if placement is None:
+            return []
+        engine_request_id = self._engine_request_id()
+        addresses = dict.fromkeys((placement.prefill_address, placement.decode_address))
+        return [CancelOnServer(item, engine_request_id) for item in addresses if item]
+
+    def _resume(self) -> ResumeDecode:
+        placement = self._placed()
+        return ResumeDecode(
+            self.attempt,
+            placement.decode_server,
+            placement.decode_address,
+            self._engine_request_id(),
+            self._assembler.next_offset,
+        )
+
+    def _enter(self, stage: Stage, limit_s: float) -> None:
+        self.stage = stage
+        self.deadline_s = self._now_s + limit_s
+
+    def _engine_request_id(self) -> str:
+        return f"{self.spec.request_id}.{self.attempt}"
+
+    def _placed(self) -> Placement:
+        assert self.placement is not None, "no engine before a placement"
+        return self.placement
