--- /dev/null
+++ b/src/damaskridge/adapters/front.py
@@ -0,0 +1,349 @@
+"""The front: runs the requests that an entry host accepted."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Protocol
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.adapters.front_call import ModelCall, RunningCall
+from damaskridge.adapters.front_context import FrontContext, report
+from damaskridge.adapters.front_owners import OwnerClient
+from damaskridge.adapters.front_resume import StreamResumer
+from damaskridge.adapters.front_services import RouteCall, RunningService
+from damaskridge.adapters.front_settings import FrontSettings
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ports import (
+    CellPort,
+    ControlPort,
+    EnginePort,
+    PeerPort,
+    RatePort,
+    ServiceAnswer,
+    ServicePort,
+)
+from damaskridge.core.requests.messages import Begun, TakenOver
+from damaskridge.core.state.fleet_queries import (
+    owner_of,
+    workspace_of_key,
+)
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.control import Owner
+from damaskridge.model.engine import DecodeChunk
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+from damaskridge.model.ids import RequestId
+from damaskridge.model.routing import (
+    ActiveRequest,
+    Placement,
+    Progress,
+    RequestProfile,
+)
+
+__all__ = ["ActiveKey", "Front", "FrontSettings"]
+
+_logger = logging.getLogger(__name__)
+# An end that was lost on the way to the cell owner is reported again this often.
+_END_REPORTS = 2
+
+
+class ActiveKey(msgspec.Struct, frozen=True):
+    """A running request with an idempotency key, for a new rate owner."""
+
+    request_id: str
+    idempotency_key: str
+    body_digest: str
+
+
+class _Running(Protocol):
+    @property
+    def request_id(self) -> str: ...
+    @property
+    def placement(self) -> Placement | None: ...
+    @property
+    def profile(self) -> RequestProfile | None: ...
+    def progress(self) -> Progress: ...
+
+
+class Front:
+    """
+    Accepts, runs and resumes requests on one entry host.
+
+    Parameters
+    ----------
+    host, incarnation, data_centre : str, int, str
+        This process.
+    control, rates, cells, peers, engine_for, services
+        The other parts of the system.
+    settings : FrontSettings
+        Times and limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        data_centre: str,
+        control: ControlPort,
+        rates: RatePort,
+        cells: CellPort,
+        peers: PeerPort,
+        engine_for: Callable[[str], EnginePort],
+        services: ServicePort,
+        settings: FrontSettings,
+    ) -> None:
+        self.context = FrontContext(
+            host=host,
+            incarnation=incarnation,
+            data_centre=data_centre,
+            control=control,
+            rates=rates,
+            cells=cells,
+            peers=peers,
+            engine_for=engine_for,
+            services=services,
+            settings=settings,
+            owners=OwnerClient(control, settings),
+        )
+        self.settings = settings
+        self.draining = False
+        self._sequence = 0
+        self._calls: dict[str, RunningCall] = {}
+        self._services: dict[str, RunningService] = {}
+        self._ended: dict[str, int] = {}
+        self._registered: dict[str, int] = {}
+        self._seen_index = -1
+        self._resumer = StreamResumer(self.context, self._calls)
+
+    @property
+    def fleet(self) -> FleetView:
+        """The fleet as last seen."""
+        return self.context.control.fleet
+
+    def next_request_id(self) -> str:
+        """Return a new request id."""
+        self._sequence += 1
+        context = self.context
+        return str(RequestId(context.host, context.incarnation, self._sequence))
+
+    def authorize(self, digest: str) -> Result[str, Failure]:
+        """Return the workspace of a key; fails closed without a valid lease."""
+        now_s = asyncio.get_running_loop().time()
+        if not self.context.control.lease.is_valid(now_s):
+            return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
+        return workspace_of_key(self.fleet, digest)
+
+    def accept(self, call: ModelCall) -> Result[RunningCall, Failure]:
+        """Start a request to a model."""
+        if self.draining:
+            return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
+        if call.fingerprint in self.fleet.quarantined:
+            return Err(Failure(ErrorKind.REQUEST_QUARANTINED))
+        running = RunningCall(self.context, call)
+        self._calls[running.request_id] = running
+        log_event(
+            _logger,
+            EventNumber.REQUEST_ACCEPTED,
+            request_id=running.request_id,
+            workspace=call.workspace,
+            prompt_tokens=call.spec.prompt_tokens,
+        )
+        running.dispatch(Begun())
+        return Ok(running)
+
+    async def output(self, running: RunningCall) -> AsyncIterator[DecodeChunk]:
+        """Yield a request's output, or that of the request it repeats."""
+        async for chunk in running.read(0):
+            yield chunk
+        original = running.original
+        if original is not None:
+            workspace = running.call.workspace
+            stream = self.resume(original.request_id, workspace, 0, original.front)
+            async for chunk in stream:
+                yield chunk
+
+    async def call_service(self, call: RouteCall) -> Result[ServiceAnswer, Failure]:
+        """Call a plain service; a call that has left outlives its caller."""
+        if self.draining:
+            return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
+        running = RunningService(self.context, call)
+        self._services[running.request_id] = running
+        done: asyncio.Future[Result[ServiceAnswer, Failure]]
+        done = asyncio.get_running_loop().create_future()
+        task = self.context.start(self._run_service(running, done))
+        try:
+            return await asyncio.shield(done)
+        finally:
+            # A ledger entry must not stay open because a caller went away.
+            if not running.sent and call.route.repeatable:
+                task.cancel()
+
+    async def _run_service(
+        self,
+        running: RunningService,
+        done: asyncio.Future[Result[ServiceAnswer, Failure]],
+    ) -> None:
+        result: Result[ServiceAnswer, Failure] = Err(Failure(ErrorKind.INTERNAL))
+        try:
+            result = await running.run()
+        finally:
+            del self._services[running.request_id]
+            if not done.done():
+                done.set_result(result)
+
+    def resume(
+        self, request_id: str, workspace: str, offset: int, front: str = ""
+    ) -> AsyncIterator[DecodeChunk]:
+        """Yield a request's output from `offset`, wherever it runs."""
+        return self._resumer.resume(request_id, workspace, offset, front)
+
+    async def stream_local(
+        self, request_id: str, workspace: str, offset: int
+    ) -> AsyncIterator[DecodeChunk]:
+        """Yield output of a request that this host runs; raises `StreamFailed`."""
+        async for chunk in self._resumer.local(request_id, workspace, offset):
+            yield chunk
+
+    def cancel(self, request_id: str) -> None:
+        """Cancel a request of this host for its caller."""
+        running = self._calls.get(request_id)
+        if running is not None:
+            running.cancel(Failure(ErrorKind.CANCELLED))
+
+    def taken_over(self, request_id: str) -> None:
+        """Stop a request that another host continues; engines keep running it."""
+        running = self._calls.get(request_id)
+        if running is not None:
+            running.dispatch(TakenOver())
+
+    def active_requests(self, resource: str) -> tuple[ActiveRequest, ...]:
+        """Return the requests that run in a cell."""
+        return tuple(
+            ActiveRequest(
+                profile=running.profile,
+                placement=running.placement,
+                phase=running.progress().phase,
+                output_tokens=running.progress().output_tokens,
+            )
+            for running in self._running()
+            if running.profile is not None
+            and running.placement is not None
+            and running.profile.resource == resource
+        )
+
+    def active_keys(self, workspace: str) -> tuple[ActiveKey, ...]:
+        """Return the requests of a workspace that carry an idempotency key."""
+        return tuple(
+            ActiveKey(
+                running.request_id,
+                running.call.idempotency_key,
+                running.call.body_digest,
+            )
+            for running in self._calls.values()
+            if running.call.workspace == workspace
+            and running.call.idempotency_key
+            and running.original is None
+            and not running.machine.ended
+        )
+
+    def begin_drain(self) -> None:
+        """Refuse new requests; running ones go on."""
+        self.draining = True
+
+    async def wait_idle(self) -> None:
+        """Return once no request runs."""
+        while self._services or any(
+            not running.machine.ended for running in self._calls.values()
+        ):
+            await asyncio.sleep(self.settings.check_s)
+        # Cancels and last reports are still on their way.
+        await asyncio.sleep(self.settings.progress_s)
+
+    async def run(self) -> None:
+        """Report progress, register at new owners, watch keys; runs for ever."""
+        loop = asyncio.get_running_loop()
+        next_report_s = loop.time()
+        while True:
+            if self.fleet.index != self._seen_index:
+                self._seen_index = self.fleet.index
+                self._stop_withdrawn_keys()
+            self._register_at_new_owners()
+            if loop.time() >= next_report_s:
+                next_report_s = loop.time() + self.settings.progress_s
+                self._report_progress()
+                self._forget_old()
+            await asyncio.sleep(self.settings.check_s)
+
+    def _running(self) -> Iterable[_Running]:
+        for running in self._calls.values():
+            if not running.machine.ended:
+                yield running
+        yield from self._services.values()
+
+    def _stop_withdrawn_keys(self) -> None:
+        for running in list(self._calls.values()):
+            if running.machine.ended:
+                continue
+            allowed = workspace_of_key(self.fleet, running.call.key_digest)
+            if isinstance(allowed, Err):
+                running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
+        for service in self._services.values():
+            if not service.call.route.open_to_all and not service.sent:
+                allowed = workspace_of_key(self.fleet, service.call.key_digest)
+                if isinstance(allowed, Err):
+                    service.withdrawn = True
+
+    def _register_at_new_owners(self) -> None:
+        for resource in self.fleet.owners:
+            if not resource.startswith("cell/"):
+                continue
+            owner = owner_of(self.fleet, resource)
+            if owner is None or self._registered.get(resource) == owner.epoch:
+                continue
+            self._registered[resource] = owner.epoch
+            self.context.start(self._register(owner))
+
+    async def _register(self, owner: Owner) -> None:
+        context = self.context
+
+        async def send(current: Owner) -> bool:
+            await context.cells.register(
+                current.resource,
+                current.epoch,
+                context.host,
+                context.incarnation,
+                self.active_requests(current.resource),
+            )
+            return True
+
+        if isinstance(await context.owners.ask(owner.resource, send), Failure):
+            self._registered.pop(owner.resource, None)
+
+    def _report_progress(self) -> None:
+        batches: dict[str, list[Progress]] = {}
+        for running in self._running():
+            if running.profile is not None and running.placement is not None:
+                items = batches.setdefault(running.profile.resource, [])
+                items.append(running.progress())
+        for call in self._calls.values():
+            if not call.machine.ended or call.profile is None:
+                continue
+            sent = self._ended.get(call.request_id, 0)
+            if sent < _END_REPORTS and not call.moved:
+                self._ended[call.request_id] = sent + 1
+                batches.setdefault(call.profile.resource, []).append(call.progress())
+        for resource, items in batches.items():
+            self.context.start(report(self.context, resource, tuple(items)))
+
+    def _forget_old(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        ended = [call for call in self._calls.values() if call.ended_s is not None]
+        surplus = len(ended) - self.settings.retain_requests
+        for number, call in enumerate(ended):
+            age_s = now_s - (call.ended_s or now_s)
+            if number < surplus or age_s > self.settings.retain_s:
+                del self._calls[call.request_id]
+                self._ended.pop(call.request_id, None)
--- /dev/null
+++ b/src/damaskridge/adapters/front_call.py
@@ -0,0 +1,436 @@
+"""Runs one request on its front: performs the actions of its life cycle."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+from result import Err
+
+from damaskridge.adapters.front_context import (
+    FrontContext,
+    ask_rate,
+    closing,
+    place,
+    report,
+)
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ports import (
+    CellPort,
+    ControlPort,
+    EnginePort,
+    PeerPort,
+    RatePort,
+    ServicePort,
+    StreamFailed,
+)
+from damaskridge.core.requests.lifecycle import RequestMachine
+from damaskridge.core.requests.messages import (
+    AskPlacement,
+    AskRate,
+    AttemptFailed,
+    CancelOnServer,
+    CancelRequested,
+    ChunkReceived,
+    Close,
+    Deliver,
+    Event,
+    Granted,
+    Placed,
+    PlacementRefused,
+    Prefilled,
+    RateRefused,
+    RefundTokens,
+    Report,
+    RequestSpec,
+    ResumeDecode,
+    SendDecode,
+    SendPrefill,
+    Stage,
+    TakenOver,
+    TimePassed,
+    WithdrawRequest,
+)
+from damaskridge.core.state.fleet_queries import (
+    cell_resource,
+    cells_serving,
+    owner_of,
+    workspace_resource,
+)
+from damaskridge.model.control import Owner
+from damaskridge.model.engine import DecodeChunk, prefix_block_hashes
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.events import EventNumber
+from damaskridge.model.routing import (
+    Duplicate,
+    Placement,
+    Progress,
+    ProgressBatch,
+    RateGrant,
+    RateReply,
+    RateRequest,
+    Refund,
+    Refused,
+    RequestProfile,
+    SubmitReply,
+    Withdraw,
+)
+
+__all__ = ["ModelCall", "RunningCall"]
+
+_logger = logging.getLogger(__name__)
+# A cancel can overtake the call that it cancels, so it is sent a second time.
+_CANCEL_AGAIN_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelCall:
+    """A caller's request to a model, after all checks."""
+
+    workspace: str
+    key_digest: str
+    route: str
+    streaming: bool
+    spec: RequestSpec
+    fingerprint: str = ""
+    idempotency_key: str = ""
+    body_digest: str = ""
+
+
+class RunningCall:
+    """
+    One request with its output and its readers.
+
+    Attributes
+    ----------
+    failure : Failure or None
+        Why the request ended before its last token.
+    original : Duplicate or None
+        The request with the same idempotency key that is answered instead.
+    moved : bool
+        Whether another front continues the request.
+    """
+
+    def __init__(self, context: FrontContext, call: ModelCall) -> None:
+        self._context = context
+        self._loop = asyncio.get_running_loop()
+        self.call = call
+        self.accepted_s = self._loop.time()
+        self.machine = RequestMachine(
+            call.spec, context.settings.retry_limits(), self.accepted_s
+        )
+        self.profile: RequestProfile | None = None
+        self.failure: Failure | None = None
+        self.original: Duplicate | None = None
+        self.ended_s: float | None = None
+        self.moved = False
+        self._last: DecodeChunk | None = None
+        self._grant: tuple[str, RateGrant] | None = None
+        self._changed = asyncio.Event()
+        self._readers = 0
+        self._work: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_s = float("inf")
+
+    @property
+    def request_id(self) -> str:
+        """The request's identifier."""
+        return self.call.spec.request_id
+
+    @property
+    def placement(self) -> Placement | None:
+        """Engines of the current attempt."""
+        return self.machine.placement
+
+    def progress(self) -> Progress:
+        """Return what the cell owner needs to know now."""
+        return self.machine.progress()
+
+    def dispatch(self, event: Event) -> None:
+        """Apply an event to the life cycle and perform its actions."""
+        for action in self.machine.handle(event, self._loop.time()):
+            self._perform(action)
+        self._arm_timer()
+
+    def cancel(self, failure: Failure) -> None:
+        """Stop the request and free its memory everywhere."""
+        self.dispatch(CancelRequested(failure))
+
+    async def read(self, offset: int) -> AsyncIterator[DecodeChunk]:
+        """Yield output from `offset`; raises `StreamFailed`."""
+        self._readers += 1
+        try:
+            while self.original is None:
+                # Kept before the check: a change while a caller reads is not missed.
+                changed = self._changed
+                while (chunk := self._chunk_at(offset)) is not None:
+                    yield chunk
+                    if chunk.finish_reason is not None:
+                        return
+                    offset += 1
+                if self.failure is not None:
+                    raise StreamFailed(self.failure)
+                if changed is self._changed:
+                    await changed.wait()
+        finally:
+            self._readers -= 1
+            self._reader_left()
+
+    def _chunk_at(self, offset: int) -> DecodeChunk | None:
+        machine = self.machine
+        index = offset - machine.base_offset
+        if index < 0 or (index > len(machine.texts) and self._last is not None):
+            raise StreamFailed(Failure(ErrorKind.INVALID_OFFSET, str(offset)))
+        if index < len(machine.texts):
+            return DecodeChunk(offset, machine.texts[index])
+        return self._last if index == len(machine.texts) else None
+
+    def _reader_left(self) -> None:
+        if self._readers or self.machine.ended or self.original is not None:
+            return
+        if self.call.streaming and self.machine.texts:
+            grace_s = self._context.settings.resume_grace_s
+            self._loop.call_later(grace_s, self._cancel_unread)
+        else:
+            self._cancel_unread()
+
+    def _cancel_unread(self) -> None:
+        if self._readers == 0 and not self.machine.ended:
+            log_event(_logger, EventNumber.CALLER_LOST, request_id=self.request_id)
+            self.cancel(Failure(ErrorKind.CANCELLED, "the caller disconnected"))
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _arm_timer(self) -> None:
+        # A later deadline keeps the timer: chunks would re-arm it at every token.
+        deadline_s = self.machine.deadline_s
+        if deadline_s < self._timer_s:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_s = deadline_s
+            self._timer = self._loop.call_at(deadline_s, self._timer_fired)
+
+    def _timer_fired(self) -> None:
+        self._timer_s = float("inf")
+        self._timer = None
+        self.dispatch(TimePassed())
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self._stop()
+        self._work = self._context.start(work)
+
+    def _stop(self) -> None:
+        if self._work is not None and self._work is not asyncio.current_task():
+            self._work.cancel()
+        self._work = None
+
+    @singledispatchmethod
+    def _perform(self, action: object) -> None:
+        raise TypeError(f"unknown action: {type(action).__name__}")
+
+    @_perform.register
+    def _(self, action: AskRate) -> None:
+        self._start(self._ask_rate(action))
+
+    @_perform.register
+    def _(self, action: AskPlacement) -> None:
+        self._start(self._ask_placement(action))
+
+    @_perform.register
+    def _(self, action: SendPrefill) -> None:
+        self._start(self._prefill(action))
+
+    @_perform.register
+    def _(self, action: SendDecode) -> None:
+        engine = self._context.engine_for(action.address)
+        chunks = engine.decode(action.request)
+        self._start(self._receive(action.attempt, action.server, chunks))
+
+    @_perform.register
+    def _(self, action: ResumeDecode) -> None:
+        log_event(_logger, EventNumber.CONNECTION_SILENT, request_id=self.request_id)
+        engine = self._context.engine_for(action.address)
+        chunks = engine.resume(action.engine_request_id, action.offset)
+        self._start(self._receive(action.attempt, action.server, chunks))
+
+    @_perform.register
+    def _(self, action: CancelOnServer) -> None:
+        self._stop()
+        self._context.start(self._cancel_on_server(action))
+
+    @_perform.register
+    def _(self, action: WithdrawRequest) -> None:
+        profile = self.profile
+        if profile is None:
+            return
+        owner = owner_of(self._context.control.fleet, profile.resource)
+        withdraw = Withdraw(
+            resource=profile.resource,
+            epoch=owner.epoch if owner else profile.epoch,
+            request_id=self.request_id,
+        )
+        cells = self._context.cells
+        self._context.start(self._context.owners.tell(cells.withdraw(withdraw)))
+
+    @_perform.register
+    def _(self, action: Deliver) -> None:
+        if action.chunks[-1].finish_reason is not None:
+            self._last = action.chunks[-1]
+        self._wake()
+
+    @_perform.register
+    def _(self, action: Report) -> None:
+        if self.profile is not None:
+            work = report(self._context, self.profile.resource, (action.progress,))
+            self._context.start(work)
+
+    @_perform.register
+    def _(self, action: RefundTokens) -> None:
+        if self._grant is None:
+            return
+        resource, grant = self._grant
+        refund = Refund(
+            resource=resource,
+            epoch=grant.epoch,
+            workspace=self.call.workspace,
+            request_id=self.request_id,
+            tokens=action.tokens,
+        )
+        self._context.start(
+            self._context.owners.tell(self._context.rates.refund(refund))
+        )
+
+    @_perform.register
+    def _(self, action: Close) -> None:
+        self.failure = action.failure
+        kind = action.failure.kind if action.failure else None
+        self.moved = kind is ErrorKind.STREAM_TAKEN_OVER
+        self.ended_s = self._loop.time()
+        self._stop()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._wake()
+        context = self._context
+        if self.call.idempotency_key and not self.moved:
+            resource = workspace_resource(self.call.workspace)
+            ended = context.rates.ended(resource, self.call.workspace, self.request_id)
+            context.start(context.owners.tell(ended))
+        self._log_end()
+
+    def _log_end(self) -> None:
+        number = EventNumber.REQUEST_FINISHED
+        if self.machine.stage is Stage.CANCELLED:
+            number = EventNumber.REQUEST_CANCELLED
+        elif self.failure is not None:
+            number = EventNumber.REQUEST_REFUSED
+        log_event(
+            _logger,
+            number,
+            request_id=self.request_id,
+            workspace=self.call.workspace,
+            kind=self.failure.kind.value if self.failure else "",
+            run=self.failure.ran.value if self.failure else RunState.RAN.value,
+            output_tokens=self.machine.output_tokens,
+            attempt=self.machine.attempt,
+        )
+
+    async def _ask_rate(self, action: AskRate) -> None:
+        request = RateRequest(
+            resource=workspace_resource(self.call.workspace),
+            epoch=0,
+            workspace=self.call.workspace,
+            request_id=self.request_id,
+            front=self._context.host,
+            cost_tokens=action.cost_tokens,
+            idempotency_key=self.call.idempotency_key,
+            body_digest=self.call.body_digest,
+            wait_s=self._context.settings.rate_wait_s,
+        )
+        reply = await ask_rate(self._context, request)
+        if isinstance(reply, RateGrant):
+            self._grant = (request.resource, reply)
+            self.dispatch(Granted())
+        elif isinstance(reply, Duplicate):
+            self.original = reply
+            self.dispatch(TakenOver())
+        else:
+            self.dispatch(RateRefused(reply.failure))
+
+    async def _ask_placement(self, action: AskPlacement) -> None:
+        fleet = self._context.control.fleet
+        call = self.call
+        if call.fingerprint in fleet.quarantined:
+            failure = Failure(ErrorKind.REQUEST_QUARANTINED)
+            self.dispatch(PlacementRefused(action.attempt, failure))
+            return
+        self.profile = RequestProfile(
+            resource="",
+            epoch=0,
+            request_id=self.request_id,
+            attempt=action.attempt,
+            workspace=call.workspace,
+            front=self._context.host,
+            incarnation=self._context.incarnation,
+            route=call.route,
+            model=call.spec.model,
+            prompt_tokens=action.prompt_tokens,
+            max_output_tokens=action.max_output_tokens,
+            prefix_hashes=prefix_block_hashes(call.spec.prompt),
+            fingerprint=call.fingerprint,
+            suspect=action.suspect or call.fingerprint in fleet.suspects,
+            waited_s=self._loop.time() - self.accepted_s,
+            excluded=action.excluded,
+        )
+        reply = await place(self._context, self.profile, self._set_profile)
+        if isinstance(reply, Placement):
+            self.dispatch(Placed(reply))
+        else:
+            self.dispatch(PlacementRefused(action.attempt, reply.failure))
+
+    def _set_profile(self, profile: RequestProfile) -> None:
+        self.profile = profile
+
+    async def _prefill(self, action: SendPrefill) -> None:
+        lease = self._context.control.lease
+        # The key may have been withdrawn unseen while the request was queued.
+        if not self.machine.texts and not lease.is_valid(self._loop.time()):
+            self.cancel(
+                Failure(
+                    ErrorKind.LEASE_EXPIRED,
+                    run_state=RunState.NOT_RUN,
+                    retry_after_s=1.0,
+                )
+            )
+            return
+        engine = self._context.engine_for(action.address)
+        reply = await engine.prefill(action.request)
+        if isinstance(reply, Err):
+            failure = reply.err_value
+            self.dispatch(AttemptFailed(action.attempt, action.server, failure))
+        else:
+            self.dispatch(Prefilled(action.attempt))
+
+    async def _receive(
+        self, attempt: int, server: str, chunks: AsyncIterator[DecodeChunk]
+    ) -> None:
+        try:
+            async with closing(chunks):
+                async for chunk in chunks:
+                    self.dispatch(ChunkReceived(attempt, chunk))
+                    if self._work is not asyncio.current_task():
+                        return
+            failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, "stream ended early")
+        except StreamFailed as error:
+            failure = error.failure
+        self.dispatch(AttemptFailed(attempt, server, failure))
+
+    async def _cancel_on_server(self, action: CancelOnServer) -> None:
+        engine = self._context.engine_for(action.address)
+        await engine.cancel(action.engine_request_id)
+        await asyncio.sleep(_CANCEL_AGAIN_S)
+        await engine.cancel(action.engine_request_id)
--- /dev/null
+++ b/src/damaskridge/adapters/front_context.py
@@ -0,0 +1,152 @@
+"""What all requests of a front share, and their calls to owners."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from damaskridge.adapters.front_owners import OwnerClient
+from damaskridge.adapters.front_settings import FrontSettings
+from damaskridge.adapters.ports import (
+    CellPort,
+    ControlPort,
+    EnginePort,
+    PeerPort,
+    RatePort,
+    ServicePort,
+)
+from damaskridge.core.state.fleet_queries import cell_resource, cells_serving, owner_of
+from damaskridge.model.control import Owner
+from damaskridge.model.engine import DecodeChunk
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.routing import (
+    Placement,
+    Progress,
+    ProgressBatch,
+    RateGrant,
+    RateReply,
+    RateRequest,
+    Refused,
+    RequestProfile,
+    SubmitReply,
+)
+
+__all__ = ["FrontContext", "ask_rate", "closing", "place", "report"]
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class FrontContext:
+    """What every request of a front uses."""
+
+    host: str
+    incarnation: int
+    data_centre: str
+    control: ControlPort
+    rates: RatePort
+    cells: CellPort
+    peers: PeerPort
+    engine_for: Callable[[str], EnginePort]
+    services: ServicePort
+    settings: FrontSettings
+    owners: OwnerClient
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run `work` in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            _logger.error("UNEXPECTED_ERROR", exc_info=error)
+
+
+@asynccontextmanager
+async def closing(chunks: AsyncIterator[DecodeChunk]) -> AsyncIterator[None]:
+    """Close a stream on the way out, so that its connection is released at once."""
+    try:
+        yield
+    finally:
+        close = getattr(chunks, "aclose", None)
+        if close is not None:
+            await close()
+
+
+async def ask_rate(context: FrontContext, request: RateRequest) -> RateReply:
+    """Ask the rate owner; a grant that arrives after its end is asked for again."""
+    loop = asyncio.get_running_loop()
+    sent_s = loop.time()
+
+    async def send(owner: Owner) -> RateReply:
+        nonlocal sent_s
+        sent_s = loop.time()
+        current = msgspec.structs.replace(request, epoch=owner.epoch)
+        return await context.rates.reserve(current)
+
+    limit_s = request.wait_s + context.settings.owner_wait_s / 4
+    for _ in range(context.settings.attempts):
+        reply = await context.owners.ask(request.resource, send, limit_s)
+        if isinstance(reply, Failure):
+            return Refused(request_id=request.request_id, failure=reply)
+        if not isinstance(reply, RateGrant):
+            return reply
+        if loop.time() < sent_s + reply.waited_s + reply.valid_for_s:
+            return reply
+    failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "grants came late", retry_after_s=1)
+    return Refused(request_id=request.request_id, failure=failure)
+
+
+async def place(
+    context: FrontContext,
+    profile: RequestProfile,
+    submitted: Callable[[RequestProfile], None],
+) -> SubmitReply:
+    """Ask the cells that serve the model or service, the nearest first."""
+    fleet = context.control.fleet
+    cells = cells_serving(fleet, profile.model, context.data_centre)
+    failure = Failure(ErrorKind.NO_BACKEND_SERVER, profile.model, retry_after_s=1.0)
+
+    async def send(owner: Owner) -> SubmitReply:
+        current = msgspec.structs.replace(
+            profile, resource=owner.resource, epoch=owner.epoch
+        )
+        submitted(current)
+        return await context.cells.submit(current)
+
+    for cell in cells:
+        reply = await context.owners.ask(cell_resource(cell), send)
+        if isinstance(reply, Placement):
+            return reply
+        failure = reply if isinstance(reply, Failure) else reply.failure
+        if failure.kind not in (
+            ErrorKind.NO_BACKEND_SERVER,
+            ErrorKind.OWNER_UNAVAILABLE,
+        ):
+            break
+    return Refused(request_id=profile.request_id, failure=failure)
+
+
+async def report(
+    context: FrontContext, resource: str, items: tuple[Progress, ...]
+) -> None:
+    """Send progress to the present owner of a cell."""
+    owner = owner_of(context.control.fleet, resource)
+    if owner is None:
+        return
+    batch = ProgressBatch(
+        resource=resource,
+        epoch=owner.epoch,
+        front=context.host,
+        incarnation=context.incarnation,
+        items=items,
+    )
+    await context.owners.tell(context.cells.report(batch))
--- /dev/null
+++ b/src/damaskridge/adapters/front_services.py
@@ -0,0 +1,305 @@
+"""Calls to plain services, with the ledger for calls that must not be repeated."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.adapters.front_context import FrontContext, ask_rate, place, report
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ports import ServiceAnswer, ServiceCall
+from damaskridge.core.state.fleet_queries import workspace_resource
+from damaskridge.model.bundle import Route
+from damaskridge.model.control import (
+    Command,
+    CommandResult,
+    LedgerState,
+    RecordIntent,
+    RecordResult,
+)
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.events import EventNumber
+from damaskridge.model.routing import (
+    Placement,
+    Progress,
+    RateGrant,
+    RateRequest,
+    Refund,
+    RequestPhase,
+    RequestProfile,
+)
+
+__all__ = ["RouteCall", "RunningService"]
+
+_logger = logging.getLogger(__name__)
+_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouteCall:
+    """A caller's call to a plain service, after all checks."""
+
+    request_id: str
+    workspace: str
+    key_digest: str
+    route: Route
+    call: ServiceCall
+    idempotency_key: str = ""
+    body_digest: str = ""
+
+
+class RunningService:
+    """
+    One call to a plain service.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether the call may have left; from then on it is not cancelled.
+    withdrawn : bool
+        Whether the key was withdrawn before the call left.
+    """
+
+    def __init__(self, context: FrontContext, call: RouteCall) -> None:
+        self._context = context
+        self._loop = asyncio.get_running_loop()
+        self.call = call
+        self.accepted_s = self._loop.time()
+        self.sent = False
+        self.withdrawn = False
+        self.profile: RequestProfile | None = None
+        self.placement: Placement | None = None
+        self._attempt = 0
+        self._output_tokens = 0
+        self._grant: RateGrant | None = None
+
+    @property
+    def request_id(self) -> str:
+        """The request's identifier."""
+        return self.call.request_id
+
+    def progress(self) -> Progress:
+        """Return what the cell owner needs to know now."""
+        return self._progress(RequestPhase.DECODING if self.sent else _QUEUED)
+
+    async def run(self) -> Result[ServiceAnswer, Failure]:
+        """Return the answer of the service, or why there is none."""
+        route = self.call.route
+        if not route.repeatable and not self.call.idempotency_key:
+            return Err(Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING))
+        if not route.open_to_all:
+            failure = await self._reserve()
+            if failure is not None:
+                return Err(failure)
+        result = await self._attempts()
+        if isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN:
+            await self._refund()
+        return result
+
+    async def _reserve(self) -> Failure | None:
+        call = self.call
+        request = RateRequest(
+            resource=workspace_resource(call.workspace),
+            epoch=0,
+            workspace=call.workspace,
+            request_id=call.request_id,
+            front=self._context.host,
+            cost_tokens=call.route.cost_tokens,
+            wait_s=self._context.settings.rate_wait_s,
+        )
+        reply = await ask_rate(self._context, request)
+        if isinstance(reply, RateGrant):
+            self._grant = reply
+            return None
+        return getattr(reply, "failure", Failure(ErrorKind.IDEMPOTENCY_IN_PROGRESS))
+
+    async def _refund(self) -> None:
+        if self._grant is None:
+            return
+        refund = Refund(
+            resource=workspace_resource(self.call.workspace),
+            epoch=self._grant.epoch,
+            workspace=self.call.workspace,
+            request_id=self.request_id,
+            tokens=self.call.route.cost_tokens,
+        )
+        await self._context.owners.tell(self._context.rates.refund(refund))
+
+    async def _attempts(self) -> Result[ServiceAnswer, Failure]:
+        excluded: tuple[str, ...] = ()
+        may_have_run = False
+        while True:
+            self._attempt += 1
+            placed = await self._place(excluded)
+            if isinstance(placed, Failure):
+                return Err(_truthful(placed, may_have_run))
+            result = await self._once(placed)
+            if isinstance(result, Ok):
+                return result
+            may_have_run |= result.err_value.ran is not RunState.NOT_RUN
+            if not self.call.route.repeatable or self._attempt >= _ATTEMPTS:
+                return Err(_truthful(result.err_value, may_have_run))
+            if result.err_value.kind not in _RETRIED:
+                return Err(_truthful(result.err_value, may_have_run))
+            excluded = (*excluded, placed.decode_server)
+
+    async def _place(self, excluded: tuple[str, ...]) -> Placement | Failure:
+        call = self.call
+        profile = RequestProfile(
+            resource="",
+            epoch=0,
+            request_id=call.request_id,
+            attempt=self._attempt,
+            workspace=call.workspace,
+            front=self._context.host,
+            incarnation=self._context.incarnation,
+            route=call.call.path,
+            model=call.route.service,
+            prompt_tokens=0,
+            max_output_tokens=0,
+            waited_s=self._loop.time() - self.accepted_s,
+            excluded=excluded,
+        )
+        reply = await place(self._context, profile, self._set_profile)
+        if not isinstance(reply, Placement):
+            return reply.failure
+        self.placement = reply
+        return reply
+
+    def _set_profile(self, profile: RequestProfile) -> None:
+        self.profile = profile
+
+    async def _once(self, placement: Placement) -> Result[ServiceAnswer, Failure]:
+        failed_server = ""
+        try:
+            if self.call.route.repeatable:
+                result = await self._send(placement)
+            else:
+                result = await self._send_once_only(placement)
+            if isinstance(result, Err) and result.err_value.kind in _RETRIED:
+                failed_server = placement.decode_server
+            return result
+        finally:
+            self.sent = False
+            await self._finished(failed_server)
+
+    async def _send(self, placement: Placement) -> Result[ServiceAnswer, Failure]:
+        lease = self._context.control.lease
+        if not self.call.route.open_to_all and not lease.is_valid(self._loop.time()):
+            return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
+        if self.withdrawn:
+            return Err(Failure(ErrorKind.KEY_WITHDRAWN))
+        self.sent = True
+        call = self._context.services.call(placement.decode_address, self.call.call)
+        try:
+            return await asyncio.wait_for(call, self._context.settings.service_wait_s)
+        except TimeoutError:
+            return Err(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
+
+    async def _send_once_only(
+        self, placement: Placement
+    ) -> Result[ServiceAnswer, Failure]:
+        call = self.call
+        session = self._context.control.session
+        if session is None:
+            return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
+        intent = RecordIntent(
+            command_id=f"{self.request_id}-intent",
+            workspace=call.workspace,
+            idempotency_key=call.idempotency_key,
+            body_digest=call.body_digest,
+            host=self._context.host,
+            session=session.number,
+        )
+        committed = await self._propose(intent)
+        if committed.failure is not None:
+            return Err(committed.failure)
+        record = committed.ledger
+        assert record is not None, "an intent is answered with a ledger record"
+        if record.state is LedgerState.FINISHED:
+            log_event(_logger, EventNumber.LEDGER_REPLAYED, request_id=self.request_id)
+            return Ok(ServiceAnswer(record.status, record.content_type, record.body))
+        if record.state is not LedgerState.NEW:
+            return Err(Failure(_LEDGER_REFUSALS[record.state]))
+        current = self._context.control.session
+        if current is None or current.number != session.number:
+            result: Result[ServiceAnswer, Failure] = Err(
+                Failure(ErrorKind.SESSION_ENDED, retry_after_s=1.0)
+            )
+        else:
+            result = await self._send(placement)
+        return await self._record(intent, result)
+
+    async def _record(
+        self, intent: RecordIntent, result: Result[ServiceAnswer, Failure]
+    ) -> Result[ServiceAnswer, Failure]:
+        not_run = isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN
+        answer = result.ok_value if isinstance(result, Ok) else _unknown_answer(self)
+        record = RecordResult(
+            command_id=f"{self.request_id}-result",
+            workspace=intent.workspace,
+            idempotency_key=intent.idempotency_key,
+            intent_id=intent.command_id,
+            status=0 if not_run else answer.status,
+            content_type="" if not_run else answer.content_type,
+            body=b"" if not_run else answer.body,
+            not_run=not_run,
+        )
+        committed = await self._propose(record)
+        log_event(_logger, EventNumber.LEDGER_RESULT, request_id=self.request_id)
+        if committed.failure is not None and not not_run:
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the result is not recorded"))
+        if isinstance(result, Err) and not not_run:
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, result.err_value.kind.value))
+        return result
+
+    async def _propose(self, command: Command) -> CommandResult:
+        return await self._context.control.propose(command)
+
+    async def _finished(self, failed_server: str) -> None:
+        if self.profile is None:
+            return
+        self._output_tokens = 1
+        progress = self._progress(RequestPhase.FINISHED, failed_server)
+        await report(self._context, self.profile.resource, (progress,))
+        self.placement = None
+
+    def _progress(self, phase: RequestPhase, failed_server: str = "") -> Progress:
+        return Progress(
+            request_id=self.request_id,
+            attempt=max(1, self._attempt),
+            phase=phase,
+            output_tokens=self._output_tokens,
+            failed_server=failed_server,
+        )
+
+
+_QUEUED = RequestPhase.QUEUED
+_RETRIED = frozenset(
+    {ErrorKind.BACKEND_SERVER_FAILED, ErrorKind.BACKEND_SERVER_TIMEOUT}
+)
+_LEDGER_REFUSALS = {
+    LedgerState.IN_PROGRESS: ErrorKind.IDEMPOTENCY_IN_PROGRESS,
+    LedgerState.UNKNOWN: ErrorKind.OUTCOME_UNKNOWN,
+}
+
+
+def _truthful(failure: Failure, may_have_run: bool) -> Failure:
+    if may_have_run and failure.ran is RunState.NOT_RUN:
+        return msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
+    return failure
+
+
+def _unknown_answer(run: RunningService) -> ServiceAnswer:
+    # A later call with the same key is answered, and never sent.
+    error = {
+        "kind": ErrorKind.OUTCOME_UNKNOWN.value,
+        "message": "the connection broke after the call had left",
+        "run": RunState.UNKNOWN.value,
+        "request_id": run.request_id,
+        "retry_after_s": None,
+    }
+    body = msgspec.json.encode({"error": error})
+    return ServiceAnswer(502, "application/json", body)
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -78,7 +78,9 @@
     deadline_s : float
         When `TimePassed` is due.
     texts : list[str]
-        Output tokens so far; the index is the offset.
+        Output tokens so far, the first at `base_offset`.
+    base_offset : int
+        Not 0 for a request that was taken over from another front.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self.placement: Placement | None = None
         self.deadline_s = _NEVER_S
         self.texts: list[str] = []
+        self.base_offset = 0
         self.first_token_s: float | None = None
         self._limits = limits
         self._accepted_s = accepted_s
@@ -107,12 +110,9 @@
         return self.stage in _ENDED
 
     @property
-    def run_state(self) -> RunState:
-        """Whether a backend server ran the request."""
-        if self.texts:
-            return RunState.RAN
-        maybe = self._may_have_run or self.stage in _RUNNING
-        return RunState.UNKNOWN if maybe else RunState.NOT_RUN
+    def output_tokens(self) -> int:
+        """Number of tokens delivered so far, by all fronts."""
+        return self.base_offset + len(self.texts)
 
     def progress(self, failed_server: str = "") -> Progress:
         """Return what the cell owner needs to know now."""
@@ -120,7 +120,7 @@
             request_id=self.spec.request_id,
             attempt=max(self.attempt, 1),
             phase=_PHASES.get(self.stage, RequestPhase.QUEUED),
-            output_tokens=len(self.texts),
+            output_tokens=self.output_tokens,
             first_token_s=self.first_token_s,
             failed_server=failed_server,
         )
@@ -196,8 +196,8 @@
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
             prefill_address=placement.prefill_address,
-            first_offset=len(self.texts),
-            max_output_tokens=self.spec.max_output_tokens - len(self.texts),
+            first_offset=self.output_tokens,
+            max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
             priority=placement.priority,
         )
         send = SendDecode(
@@ -230,6 +230,7 @@
 
     @_handle.register
     def _(self, event: CancelRequested) -> list[Action]:
+        self._may_have_run |= self.stage in _RUNNING
         return self._end(Stage.CANCELLED, event.failure)
 
     @_handle.register
@@ -242,6 +243,8 @@
     def _(self, event: Continued) -> list[Action]:
         self.placement = event.placement
         self.attempt = event.placement.attempt
+        self.base_offset = event.offset
+        self._assembler = Assembler(self._limits.window, event.offset)
         self._enter(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
         return [self._resume(), Report(self.progress())]
@@ -258,7 +261,8 @@
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, self.stage.value)
         prefilling = self.stage is Stage.PREFILLING
         server = placement.prefill_server if prefilling else placement.decode_server
-        return self._retry(server, failure)
+        # A stalled transfer may be the link's fault, so no server is reported.
+        return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
     def _ask_placement(self) -> list[Action]:
         self.attempt += 1
@@ -270,33 +274,40 @@
         return [
             AskPlacement(
                 attempt=self.attempt,
-                prompt_tokens=self.spec.prompt_tokens + len(self.texts),
-                max_output_tokens=self.spec.max_output_tokens - len(self.texts),
+                prompt_tokens=self.spec.prompt_tokens + self.output_tokens,
+                max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
                 suspect=self._crashes > 0,
                 excluded=self._excluded,
             )
         ]
 
-    def _retry(self, server: str, failure: Failure) -> list[Action]:
+    def _retry(
+        self, server: str, failure: Failure, server_failed: bool = True
+    ) -> list[Action]:
         if failure.ran is not RunState.NOT_RUN:
             self._may_have_run = True
             if failure.kind is ErrorKind.BACKEND_SERVER_FAILED:
                 self._crashes += 1
+        # A prefill has run by the time of a transfer.
+        self._may_have_run |= self.stage is not Stage.PREFILLING
         if server and server not in self._excluded:
             self._excluded = (*self._excluded, server)
-        exhausted = self.attempt >= self._limits.attempts
-        if exhausted or self._crashes >= self._limits.crashes:
-            return self._end(Stage.FAILED, failure, server)
-        if len(self.texts) >= self.spec.max_output_tokens:
+        failed_server = server if server_failed else ""
+        if self.output_tokens >= self.spec.max_output_tokens:
             return self._finish_at_length()
+        # The prompt of a request that was taken over is not known here.
+        no_prompt = not self._granted
+        exhausted = self.attempt >= self._limits.attempts
+        if no_prompt or exhausted or self._crashes >= self._limits.crashes:
+            return self._end(Stage.FAILED, failure, failed_server)
         cancels = self._cancel_engines()
         self.stage = Stage.FAILED
-        report = Report(self.progress(failed_server=server))
+        report = Report(self.progress(failed_server))
         return [*cancels, report, *self._ask_placement()]
 
     def _finish_at_length(self) -> list[Action]:
         # Only the last chunk, which carries no text, was lost.
-        last = DecodeChunk(len(self.texts), finish_reason="length")
+        last = DecodeChunk(self.output_tokens, finish_reason="length")
         return [*self._cancel_engines(), *self._deliver(self._assembler.add(last))]
 
     def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[Action]:
@@ -304,7 +315,9 @@
             return []
         for chunk in chunks:
             if chunk.finish_reason is None:
-                assert chunk.offset == len(self.texts), "a token twice or out of order"
+                assert chunk.offset == self.output_tokens, (
+                    "a token twice or out of order"
+                )
                 self.texts.append(chunk.text)
         if self.first_token_s is None:
             self.first_token_s = self._now_s - self._accepted_s
@@ -317,35 +330,31 @@
     ) -> list[Action]:
         actions: list[Action] = []
         if failure is not None:
-            state = self._final_run_state(failure)
+            state = self._final_run_state()
             failure = msgspec.structs.replace(failure, run_state=state)
             actions += self._cancel_engines()
-        if self.stage is Stage.QUEUED_FOR_PLACEMENT:
+        # The placement may have been decided while its answer is on the way.
+        queued = self.stage is Stage.QUEUED_FOR_PLACEMENT
+        if queued:
             actions.append(WithdrawRequest())
-        if self.stage in _RUNNING:
-            self._may_have_run = True
         self.stage = stage
         self.deadline_s = _NEVER_S
-        if self.placement is not None:
+        if queued or self.placement is not None:
             actions.append(Report(self.progress(failed_server)))
         unused = self._unused_tokens()
         if unused > 0:
             actions.append(RefundTokens(unused))
         return [*actions, Close(failure)]
 
-    def _final_run_state(self, failure: Failure) -> RunState:
-        if self.texts:
+    def _final_run_state(self) -> RunState:
+        if self.output_tokens:
             return RunState.RAN
-        # The default of a kind proves nothing about this attempt.
-        proven = failure.run_state is RunState.NOT_RUN
-        if self._may_have_run or (self.stage in _RUNNING and not proven):
-            return RunState.UNKNOWN
-        return RunState.NOT_RUN
+        return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
 
     def _unused_tokens(self) -> int:
         if not self._granted:
             return 0
-        unused = self.spec.max_output_tokens - len(self.texts)
+        unused = self.spec.max_output_tokens - self.output_tokens
         if not self._may_have_run:
             unused += self.spec.prompt_tokens
         return unused
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -84,7 +84,7 @@
         Most chunks that wait for a missing one.
     """
 
-    attempts: int = 3
+    attempts: int = 4
     crashes: int = 2
     silence_s: float = 1.5
     prefill_s: float = 30.0
@@ -161,7 +161,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Continued:
-    """This front continues a request of a front that is gone."""
+    """The front continues a request of a front that is gone."""
 
     placement: Placement
     offset: int
