--- /dev/null
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -0,0 +1,165 @@
+"""Model engines over HTTP; see docs/engines.md."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.adapters.http_client import BackendClient, HttpReply, failed
+from damaskridge.adapters.ports import StreamFailed
+from damaskridge.model.engine import (
+    CacheEventPage,
+    DecodeChunk,
+    DecodeRequest,
+    EngineRequest,
+    LoadReport,
+    Order,
+    PrefillRequest,
+    PrefillResult,
+)
+from damaskridge.model.errors import Failure
+
+__all__ = ["HttpEngine"]
+
+_SHORT_S = 1.0
+_PREFILL_S = 30.0
+# The life cycle detects silence earlier; this only bounds a forgotten stream.
+_STREAM_S = 60.0
+_ANSWER_LIMIT_BYTES = 4_194_304
+_LINE_LIMIT_BYTES = 65_536
+
+
+class HttpEngine:
+    """
+    One model engine.
+
+    Parameters
+    ----------
+    client : BackendClient
+        Connections, shared by all engines.
+    address : str
+        ``ip:port``.
+    """
+
+    def __init__(self, client: BackendClient, address: str) -> None:
+        self._client = client
+        self._base = f"http://{address}/v1"
+
+    async def prefill(self, request: PrefillRequest) -> Result[PrefillResult, Failure]:
+        """Compute and hold a KV cache."""
+        return await self._call(
+            "POST", "/prefill", PrefillResult, request, read_s=_PREFILL_S
+        )
+
+    async def decode(self, request: DecodeRequest) -> AsyncIterator[DecodeChunk]:
+        """Import a KV cache and stream output; raises `StreamFailed`."""
+        body = msgspec.json.encode(request)
+        async for chunk in self._chunks("POST", "/decode", body):
+            yield chunk
+
+    async def resume(
+        self, engine_request_id: str, offset: int
+    ) -> AsyncIterator[DecodeChunk]:
+        """Stream output again from `offset` on a new connection."""
+        path = f"/requests/{engine_request_id}/stream?offset={offset}"
+        async for chunk in self._chunks("GET", path, b"", fresh=True):
+            yield chunk
+
+    async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
+        """Stop a request and free all its memory."""
+        path = f"/requests/{engine_request_id}"
+        return await self._call("DELETE", path, None, repeat=True)
+
+    async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
+        """List every request that holds memory or waits."""
+        return await self._call(
+            "GET", "/requests", tuple[EngineRequest, ...], repeat=True
+        )
+
+    async def load(self) -> Result[LoadReport, Failure]:
+        """Return the last load report."""
+        return await self._call("GET", "/load", LoadReport, repeat=True)
+
+    async def cache_events(self, after: int) -> Result[CacheEventPage, Failure]:
+        """Return cache events after a sequence number."""
+        path = f"/cache-events?after={after}"
+        return await self._call("GET", path, CacheEventPage, repeat=True)
+
+    async def order(self, order: Order) -> Result[None, Failure]:
+        """Give an order."""
+        return await self._call("POST", "/orders", None, order)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        kind: Any,
+        body: msgspec.Struct | None = None,
+        *,
+        read_s: float = _SHORT_S,
+        repeat: bool = False,
+    ) -> Result[Any, Failure]:
+        failure = await self._try(method, path, kind, body, read_s, fresh=False)
+        if isinstance(failure, Err) and repeat:
+            return await self._try(method, path, kind, body, read_s, fresh=True)
+        return failure
+
+    async def _try(
+        self,
+        method: str,
+        path: str,
+        kind: Any,
+        body: msgspec.Struct | None,
+        read_s: float,
+        fresh: bool,
+    ) -> Result[Any, Failure]:
+        try:
+            reply = await self._client.call(
+                method,
+                self._base + path,
+                body=msgspec.json.encode(body) if body is not None else b"",
+                read_s=read_s,
+                limit_bytes=_ANSWER_LIMIT_BYTES,
+                fresh=fresh,
+            )
+            if reply.status // 100 != 2:
+                return Err(_refusal(reply))
+            if kind is None:
+                return Ok(None)
+            return Ok(_decoded(reply.body, kind))
+        except StreamFailed as error:
+            return Err(error.failure)
+
+    async def _chunks(
+        self, method: str, path: str, body: bytes, fresh: bool = False
+    ) -> AsyncIterator[DecodeChunk]:
+        url = self._base + path
+        opened = self._client.stream(
+            method, url, body=body, read_s=_STREAM_S, fresh=fresh
+        )
+        async with opened as response:
+            lines = self._client.lines(response, _LINE_LIMIT_BYTES)
+            if response.status != 200:
+                data = b"".join([line async for line in lines])
+                raise StreamFailed(_refusal(HttpReply(response.status, "", data)))
+            async for line in lines:
+                chunk = _decoded(line, DecodeChunk)
+                yield chunk
+                if chunk.finish_reason is not None:
+                    return
+
+
+def _decoded(data: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        raise failed("answer is not of the protocol") from None
+
+
+def _refusal(reply: HttpReply) -> Failure:
+    """Return the engine's own failure, if it sent one."""
+    try:
+        return msgspec.json.decode(reply.body, type=Failure)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return failed(f"status {reply.status}").failure
--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -32,7 +32,7 @@
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
-from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
 from damaskridge.model.ids import RequestId
 from damaskridge.model.routing import (
@@ -173,13 +173,11 @@
         self._services[running.request_id] = running
         done: asyncio.Future[Result[ServiceAnswer, Failure]]
         done = asyncio.get_running_loop().create_future()
-        task = self.context.start(self._run_service(running, done))
+        running.task = self.context.start(self._run_service(running, done))
         try:
             return await asyncio.shield(done)
         finally:
-            # A ledger entry must not stay open because a caller went away.
-            if not running.sent and call.route.repeatable:
-                task.cancel()
+            running.give_up()
 
     async def _run_service(
         self,
@@ -189,6 +187,9 @@
         result: Result[ServiceAnswer, Failure] = Err(Failure(ErrorKind.INTERNAL))
         try:
             result = await running.run()
+        except asyncio.CancelledError:
+            result = Err(Failure(running.ended_by, run_state=RunState.NOT_RUN))
+            raise
         finally:
             del self._services[running.request_id]
             if not done.done():
@@ -255,9 +256,9 @@
 
     async def wait_idle(self) -> None:
         """Return once no request runs."""
-        while self._services or any(
-            not running.machine.ended for running in self._calls.values()
-        ):
+        while True:
+            if not any(True for _ in self._running()):
+                break
             await asyncio.sleep(self.settings.check_s)
         # Cancels and last reports are still on their way.
         await asyncio.sleep(self.settings.progress_s)
@@ -285,16 +286,17 @@
 
     def _stop_withdrawn_keys(self) -> None:
         for running in list(self._calls.values()):
-            if running.machine.ended:
+            # The reader of a request that was taken over watches its own key.
+            if running.machine.ended or not running.call.key_digest:
                 continue
             allowed = workspace_of_key(self.fleet, running.call.key_digest)
             if isinstance(allowed, Err):
                 running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
-        for service in self._services.values():
-            if not service.call.route.open_to_all and not service.sent:
+        for service in list(self._services.values()):
+            if not service.call.route.open_to_all:
                 allowed = workspace_of_key(self.fleet, service.call.key_digest)
                 if isinstance(allowed, Err):
-                    service.withdrawn = True
+                    service.withdraw_key()
 
     def _register_at_new_owners(self) -> None:
         for resource in self.fleet.owners:
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator, Coroutine
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
-import msgspec
 from result import Err
 
 from damaskridge.adapters.front_context import (
@@ -19,12 +18,6 @@
 )
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import (
-    CellPort,
-    ControlPort,
-    EnginePort,
-    PeerPort,
-    RatePort,
-    ServicePort,
     StreamFailed,
 )
 from damaskridge.core.requests.lifecycle import RequestMachine
@@ -55,12 +48,9 @@
     WithdrawRequest,
 )
 from damaskridge.core.state.fleet_queries import (
-    cell_resource,
-    cells_serving,
     owner_of,
     workspace_resource,
 )
-from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk, prefix_block_hashes
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
@@ -68,14 +58,10 @@
     Duplicate,
     Placement,
     Progress,
-    ProgressBatch,
     RateGrant,
-    RateReply,
     RateRequest,
     Refund,
-    Refused,
     RequestProfile,
-    SubmitReply,
     Withdraw,
 )
 
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -29,6 +29,7 @@
     Refund,
     RequestPhase,
     RequestProfile,
+    Withdraw,
 )
 
 __all__ = ["RouteCall", "RunningService"]
@@ -58,8 +59,10 @@
     ----------
     sent : bool
         Whether the call may have left; from then on it is not cancelled.
-    withdrawn : bool
-        Whether the key was withdrawn before the call left.
+    ended_by : ErrorKind
+        Why the call was cancelled while it was queued.
+    task : asyncio.Task or None
+        Runs the call.
     """
 
     def __init__(self, context: FrontContext, call: RouteCall) -> None:
@@ -68,12 +71,15 @@
         self.call = call
         self.accepted_s = self._loop.time()
         self.sent = False
-        self.withdrawn = False
+        self.ended_by = ErrorKind.CANCELLED
+        self.task: asyncio.Task[None] | None = None
         self.profile: RequestProfile | None = None
         self.placement: Placement | None = None
         self._attempt = 0
         self._output_tokens = 0
         self._grant: RateGrant | None = None
+        self._recorded = False
+        self._may_have_run = False
 
     @property
     def request_id(self) -> str:
@@ -84,6 +90,17 @@
         """Return what the cell owner needs to know now."""
         return self._progress(RequestPhase.DECODING if self.sent else _QUEUED)
 
+    def withdraw_key(self) -> None:
+        """Stop the call unless it has left."""
+        self.ended_by = ErrorKind.KEY_WITHDRAWN
+        self.give_up()
+
+    def give_up(self) -> None:
+        """Cancel the call while it is queued; one that was placed is finished."""
+        queued = self.placement is None and not self._recorded
+        if self.task is not None and queued and not self._may_have_run:
+            self.task.cancel()
+
     async def run(self) -> Result[ServiceAnswer, Failure]:
         """Return the answer of the service, or why there is none."""
         route = self.call.route
@@ -93,7 +110,11 @@
             failure = await self._reserve()
             if failure is not None:
                 return Err(failure)
-        result = await self._attempts()
+        try:
+            result = await self._attempts()
+        except asyncio.CancelledError:
+            self._context.start(self._release())
+            raise
         if isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN:
             await self._refund()
         return result
@@ -127,22 +148,34 @@
         )
         await self._context.owners.tell(self._context.rates.refund(refund))
 
+    async def _release(self) -> None:
+        await self._refund()
+        profile = self.profile
+        if profile is None:
+            return
+        context = self._context
+        withdraw = Withdraw(
+            resource=profile.resource, epoch=profile.epoch, request_id=self.request_id
+        )
+        await context.owners.tell(context.cells.withdraw(withdraw))
+        progress = self._progress(RequestPhase.CANCELLED)
+        await report(context, profile.resource, (progress,))
+
     async def _attempts(self) -> Result[ServiceAnswer, Failure]:
         excluded: tuple[str, ...] = ()
-        may_have_run = False
         while True:
             self._attempt += 1
             placed = await self._place(excluded)
             if isinstance(placed, Failure):
-                return Err(_truthful(placed, may_have_run))
+                return Err(_truthful(placed, self._may_have_run))
             result = await self._once(placed)
             if isinstance(result, Ok):
                 return result
-            may_have_run |= result.err_value.ran is not RunState.NOT_RUN
+            self._may_have_run |= result.err_value.ran is not RunState.NOT_RUN
             if not self.call.route.repeatable or self._attempt >= _ATTEMPTS:
-                return Err(_truthful(result.err_value, may_have_run))
+                return Err(_truthful(result.err_value, self._may_have_run))
             if result.err_value.kind not in _RETRIED:
-                return Err(_truthful(result.err_value, may_have_run))
+                return Err(_truthful(result.err_value, self._may_have_run))
             excluded = (*excluded, placed.decode_server)
 
     async def _place(self, excluded: tuple[str, ...]) -> Placement | Failure:
@@ -189,7 +222,7 @@
         lease = self._context.control.lease
         if not self.call.route.open_to_all and not lease.is_valid(self._loop.time()):
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
-        if self.withdrawn:
+        if self.ended_by is ErrorKind.KEY_WITHDRAWN:
             return Err(Failure(ErrorKind.KEY_WITHDRAWN))
         self.sent = True
         call = self._context.services.call(placement.decode_address, self.call.call)
@@ -213,6 +246,7 @@
             host=self._context.host,
             session=session.number,
         )
+        self._recorded = True
         committed = await self._propose(intent)
         if committed.failure is not None:
             return Err(committed.failure)
--- a/src/damaskridge/adapters/http/__init__.py
+++ b/src/damaskridge/adapters/http/__init__.py
@@ -1,1 +1,1 @@
-"""The callers' HTTP interface and the operators' port."""
+"""The callers' side: a plain ASGI application."""
--- /dev/null
+++ b/src/damaskridge/adapters/http/app.py
@@ -0,0 +1,432 @@
+"""The ASGI application for callers; see docs/callers.md."""
+
+import asyncio
+import hashlib
+import logging
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+from result import Err
+
+from damaskridge.adapters.front import Front
+from damaskridge.adapters.front_call import ModelCall, RunningCall
+from damaskridge.adapters.front_context import closing
+from damaskridge.adapters.front_services import RouteCall
+from damaskridge.adapters.http.answers import AnswerForm, error_event
+from damaskridge.adapters.http.bodies import (
+    ChatBody,
+    CompletionBody,
+    RequestError,
+    check_encoding,
+    decode_body,
+    find_model,
+    output_limit,
+)
+from damaskridge.adapters.http.credentials import (
+    bearer_key,
+    key_digest,
+    mentions,
+    strip_query,
+    stripped,
+)
+from damaskridge.adapters.http.exchange import (
+    CallerGone,
+    Exchange,
+    Receive,
+    Scope,
+    Send,
+)
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ports import ServiceCall, StreamFailed
+from damaskridge.core.requests.messages import RequestSpec
+from damaskridge.core.state.fleet_queries import addresses_for, find_route
+from damaskridge.model.engine import DecodeChunk, estimate_tokens
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+
+__all__ = ["CallerApp"]
+
+_logger = logging.getLogger(__name__)
+_KEY_CHECK_S = 1.0
+_IDEMPOTENCY_KEY_LIMIT = 255
+_EVENT_STREAM = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+]
+
+
+class CallerApp:
+    """
+    Answers callers.
+
+    Parameters
+    ----------
+    front : Front
+        Runs the requests.
+    """
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            front = self._front
+            request_id = front.next_request_id()
+            exchange = Exchange(scope, receive, send, request_id, front.settings)
+            await self._serve(exchange)
+        else:
+            await send({"type": "websocket.close", "code": 1000})
+
+    async def _serve(self, exchange: Exchange) -> None:
+        try:
+            try:
+                exchange.check_headers()
+                await self._route(exchange)
+            except (RequestError, StreamFailed) as error:
+                await self._refuse(exchange, error.failure)
+            except CallerGone:
+                raise
+            except Exception:
+                _logger.exception("UNEXPECTED_ERROR")
+                await self._refuse(exchange, Failure(ErrorKind.INTERNAL))
+        except CallerGone as gone:
+            log_event(
+                _logger,
+                EventNumber.CALLER_LOST,
+                request_id=exchange.request_id,
+                too_slow=gone.too_slow,
+            )
+
+    async def _refuse(self, exchange: Exchange, failure: Failure) -> None:
+        log_event(
+            _logger,
+            EventNumber.REQUEST_REFUSED,
+            request_id=exchange.request_id,
+            kind=failure.kind.value,
+            run=failure.ran.value,
+        )
+        if exchange.started:
+            event = error_event(failure, exchange.request_id)
+            await exchange.write(event, more=False)
+        else:
+            await exchange.refuse(failure)
+
+    async def _route(self, exchange: Exchange) -> None:
+        path = exchange.path
+        if path == "/v1/chat/completions":
+            _expect(exchange, "POST")
+            await self._model_call(exchange, ChatBody)
+        elif path == "/v1/completions":
+            _expect(exchange, "POST")
+            await self._model_call(exchange, CompletionBody)
+        elif path == "/v1/models":
+            _expect(exchange, "GET")
+            await self._models(exchange)
+        elif path == "/v1/addresses":
+            _expect(exchange, "GET")
+            await self._addresses(exchange)
+        elif path.startswith("/v1/requests/") and path.endswith("/stream"):
+            _expect(exchange, "GET")
+            await self._resume(exchange)
+        elif path.startswith("/services/"):
+            await self._service(exchange)
+        else:
+            raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
+
+    def _authorize(self, exchange: Exchange) -> tuple[str, str]:
+        key = bearer_key(exchange.raw_headers)
+        if isinstance(key, Err):
+            raise RequestError(key.err_value)
+        workspace = self._front.authorize(key_digest(key.ok_value))
+        if isinstance(workspace, Err):
+            raise RequestError(workspace.err_value)
+        return workspace.ok_value, key.ok_value
+
+    async def _addresses(self, exchange: Exchange) -> None:
+        front = self._front
+        addresses = addresses_for(front.fleet, front.context.data_centre)
+        session = front.fleet.sessions.get(front.context.host)
+        if front.draining and session is not None:
+            addresses = [item for item in addresses if item != session.caller_address]
+        body = {"addresses": addresses, "keep_s": front.settings.keep_s}
+        await exchange.answer(200, msgspec.json.encode(body))
+
+    async def _models(self, exchange: Exchange) -> None:
+        self._authorize(exchange)
+        data = [
+            {
+                "id": model.name,
+                "object": "model",
+                "context_tokens": model.context_tokens,
+            }
+            for model in self._front.fleet.bundle.models
+        ]
+        body = {"object": "list", "data": data}
+        await exchange.answer(200, msgspec.json.encode(body))
+
+    async def _model_call(
+        self, exchange: Exchange, kind: type[ChatBody] | type[CompletionBody]
+    ) -> None:
+        workspace, key = self._authorize(exchange)
+        check_encoding(exchange.headers)
+        raw = await exchange.body()
+        body: ChatBody | CompletionBody = decode_body(kind, raw)
+        # The key may have been withdrawn while a slow body arrived.
+        self._authorize(exchange)
+        model = find_model(self._front.fleet, body.model)
+        text = body.text
+        if mentions(text, key):
+            raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
+        spec = RequestSpec(
+            request_id=exchange.request_id,
+            model=model.name,
+            prompt=text,
+            prompt_tokens=estimate_tokens(text),
+            max_output_tokens=output_limit(
+                model,
+                text,
+                body.limit_tokens,
+                self._front.settings.default_output_tokens,
+            ),
+        )
+        call = ModelCall(
+            workspace=workspace,
+            key_digest=key_digest(key),
+            route=exchange.path,
+            streaming=body.stream,
+            spec=spec,
+            fingerprint=_digest(model.name, text),
+            idempotency_key=_idempotency_key(exchange, key),
+            body_digest=_digest(exchange.path, raw),
+        )
+        accepted = self._front.accept(call)
+        if isinstance(accepted, Err):
+            raise RequestError(accepted.err_value)
+        chat = kind is ChatBody
+        form = AnswerForm(chat=chat, completion=not chat, model=model.name)
+        await self._answer_call(exchange, accepted.ok_value, form)
+
+    async def _answer_call(
+        self, exchange: Exchange, running: RunningCall, form: AnswerForm
+    ) -> None:
+        def named() -> None:
+            if running.original is not None:
+                exchange.request_id = running.original.request_id
+
+        digest = running.call.key_digest
+        chunks = self._watched(exchange, self._front.output(running), digest)
+        try:
+            if running.call.streaming:
+                await _stream(exchange, chunks, form, named)
+            else:
+                tokens = running.call.spec.prompt_tokens
+                await _whole(exchange, chunks, form, tokens, named)
+        except CallerGone as gone:
+            if gone.too_slow:
+                running.cancel(Failure(ErrorKind.CALLER_TOO_SLOW))
+            raise
+        except StreamFailed:
+            named()
+            raise
+
+    async def _resume(self, exchange: Exchange) -> None:
+        workspace, key = self._authorize(exchange)
+        request_id = exchange.path.removeprefix("/v1/requests/")
+        request_id = request_id.removesuffix("/stream")
+        exchange.request_id = request_id[:200].encode("ascii", "replace").decode()
+        if not exchange.request_id.isprintable():
+            raise RequestError(Failure(ErrorKind.UNKNOWN_REQUEST))
+        offset = _offset(exchange)
+        stream = self._front.resume(request_id, workspace, offset)
+        chunks = self._watched(exchange, stream, key_digest(key))
+        form = AnswerForm(chat=True, completion=True)
+        try:
+            await _stream(exchange, chunks, form, lambda: None)
+        except CallerGone as gone:
+            if gone.too_slow:
+                self._front.cancel(request_id)
+            raise
+
+    async def _watched(
+        self, exchange: Exchange, chunks: AsyncIterator[DecodeChunk], digest: str
+    ) -> AsyncIterator[DecodeChunk]:
+        """Yield chunks until the caller disconnects or its key is withdrawn."""
+        async with exchange.watched() as gone, closing(chunks):
+            while True:
+                following = asyncio.ensure_future(_following(chunks))
+                try:
+                    await self._wait_for(following, gone, digest)
+                    chunk = await following
+                finally:
+                    await _settled(following)
+                if chunk is None:
+                    return
+                yield chunk
+
+    async def _wait_for(
+        self,
+        following: asyncio.Future[DecodeChunk | None],
+        gone: asyncio.Task[None],
+        digest: str,
+    ) -> None:
+        while not following.done():
+            waits: set[asyncio.Future[Any]] = {following, gone}
+            await asyncio.wait(
+                waits,
+                timeout=_KEY_CHECK_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if gone.done():
+                raise CallerGone
+            if digest in self._front.fleet.withdrawn_keys:
+                raise StreamFailed(Failure(ErrorKind.KEY_WITHDRAWN))
+
+    async def _service(self, exchange: Exchange) -> None:
+        _, _, rest = exchange.path.partition("/services/")
+        name, _, path = rest.partition("/")
+        route = find_route(self._front.fleet, name, path)
+        if route is None or ".." in path.split("/"):
+            raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
+        workspace, key = "", ""
+        if not route.open_to_all:
+            workspace, key = self._authorize(exchange)
+        keys = _keys_of(exchange)
+        raw = await exchange.body()
+        if any(mentions(path, item) or item.encode("latin-1") in raw for item in keys):
+            raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
+        if not route.open_to_all:
+            self._authorize(exchange)
+        query = strip_query(exchange.query, *keys)
+        call = ServiceCall(
+            method=exchange.method,
+            path=f"/{path}?{query}" if query else f"/{path}",
+            headers=stripped(exchange.raw_headers, keys),
+            body=raw,
+        )
+        route_call = RouteCall(
+            request_id=exchange.request_id,
+            workspace=workspace,
+            key_digest=key_digest(key) if key else "",
+            route=route,
+            call=call,
+            idempotency_key=_idempotency_key(exchange, *keys),
+            body_digest=_digest(call.method, call.path, raw),
+        )
+        await self._answer_service(exchange, route_call)
+
+    async def _answer_service(self, exchange: Exchange, call: RouteCall) -> None:
+        async with exchange.watched() as gone:
+            work = asyncio.ensure_future(self._front.call_service(call))
+            try:
+                waits: set[asyncio.Future[Any]] = {work, gone}
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                if not work.done():
+                    raise CallerGone
+            finally:
+                work.cancel()
+        result = work.result()
+        if isinstance(result, Err):
+            raise RequestError(result.err_value)
+        answer = result.ok_value
+        content_type = answer.content_type.encode("latin-1", "replace")
+        await exchange.answer(answer.status, answer.body, content_type)
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _following(chunks: AsyncIterator[DecodeChunk]) -> DecodeChunk | None:
+    return await anext(chunks, None)
+
+
+async def _settled(work: asyncio.Future[DecodeChunk | None]) -> None:
+    # A generator cannot be closed while a step of it still runs.
+    if not work.done():
+        work.cancel()
+        await asyncio.wait({work})
+
+
+async def _stream(
+    exchange: Exchange,
+    chunks: AsyncIterator[DecodeChunk],
+    form: AnswerForm,
+    named: Callable[[], None],
+) -> None:
+    async with closing(chunks):
+        async for chunk in chunks:
+            if not exchange.started:
+                named()
+                await exchange.start(200, _EVENT_STREAM)
+            last = chunk.finish_reason is not None
+            await exchange.write(form.event(chunk, exchange.request_id), more=not last)
+            if last:
+                return
+
+
+async def _whole(
+    exchange: Exchange,
+    chunks: AsyncIterator[DecodeChunk],
+    form: AnswerForm,
+    prompt_tokens: int,
+    named: Callable[[], None],
+) -> None:
+    texts: list[str] = []
+    async with closing(chunks):
+        async for chunk in chunks:
+            if chunk.finish_reason is None:
+                texts.append(chunk.text)
+                continue
+            named()
+            body = form.whole(
+                texts, chunk.finish_reason, prompt_tokens, exchange.request_id
+            )
+            await exchange.answer(200, body)
+            return
+
+
+def _expect(exchange: Exchange, method: str) -> None:
+    if exchange.method != method:
+        raise RequestError(Failure(ErrorKind.METHOD_NOT_ALLOWED, f"use {method}"))
+
+
+def _digest(*parts: str | bytes) -> str:
+    digest = hashlib.sha256()
+    for part in parts:
+        data = part.encode("utf-8", "surrogatepass") if isinstance(part, str) else part
+        digest.update(len(data).to_bytes(8, "big") + data)
+    return digest.hexdigest()
+
+
+def _keys_of(exchange: Exchange) -> list[str]:
+    keys: list[str] = []
+    for name, value in exchange.raw_headers:
+        if name.lower() == b"authorization":
+            keys.append(value.decode("latin-1").strip().partition(" ")[2].strip())
+    return [key for key in keys if key]
+
+
+def _idempotency_key(exchange: Exchange, *keys: str) -> str:
+    value = exchange.headers.get("idempotency-key", "").strip()
+    if len(value) > _IDEMPOTENCY_KEY_LIMIT or any(mentions(value, key) for key in keys):
+        raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "idempotency-key"))
+    return value
+
+
+def _offset(exchange: Exchange) -> int:
+    """Return the first offset wanted: after `Last-Event-ID`, or ``offset``."""
+    last = exchange.headers.get("last-event-id", "")
+    values = parse_qs(exchange.query).get("offset", [])
+    text = last or (values[0] if values else "0")
+    if not (text.isascii() and text.isdecimal() and len(text) < 10):
+        raise RequestError(Failure(ErrorKind.INVALID_OFFSET))
+    return int(text) + 1 if last else int(text)
--- /dev/null
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -0,0 +1,152 @@
+"""One HTTP request of a caller and its answer, with bounds on both."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from contextlib import asynccontextmanager
+from typing import Any
+
+from damaskridge.adapters.front_settings import FrontSettings
+from damaskridge.adapters.http.answers import error_body, retry_after_header
+from damaskridge.adapters.http.bodies import RequestError
+from damaskridge.model.errors import ErrorKind, Failure
+
+__all__ = ["CallerGone", "Exchange", "Receive", "Scope", "Send"]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+_HEADERS_LIMIT_BYTES = 32_768
+_JSON = b"application/json"
+
+
+class CallerGone(Exception):
+    """The caller disconnected, or stopped reading (`too_slow`)."""
+
+    def __init__(self, too_slow: bool = False) -> None:
+        super().__init__("caller gone")
+        self.too_slow = too_slow
+
+
+class Exchange:
+    """
+    A request with its answer.
+
+    Parameters
+    ----------
+    scope, receive, send
+        The ASGI connection.
+    request_id : str
+        Goes into every answer.
+    settings : FrontSettings
+        Times and limits.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the answer has begun.
+    """
+
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        request_id: str,
+        settings: FrontSettings,
+    ) -> None:
+        self._receive = receive
+        self._send = send
+        self._settings = settings
+        self.request_id = request_id
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query = bytes(scope.get("query_string", b"")).decode("latin-1")
+        self.raw_headers: list[tuple[bytes, bytes]] = list(scope["headers"])
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self.raw_headers
+        }
+        self.started = False
+
+    def check_headers(self) -> None:
+        """Refuse headers over the limit."""
+        size_bytes = sum(len(name) + len(value) for name, value in self.raw_headers)
+        if size_bytes + len(self.path) + len(self.query) > _HEADERS_LIMIT_BYTES:
+            raise RequestError(Failure(ErrorKind.HEADERS_TOO_LARGE))
+
+    async def body(self) -> bytes:
+        """Return the whole body, within the limits of size and time."""
+        limit_bytes = self._settings.body_limit_bytes
+        declared = self.headers.get("content-length", "0")
+        if declared.isdecimal() and int(declared) > limit_bytes:
+            raise RequestError(Failure(ErrorKind.BODY_TOO_LARGE))
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self._settings.body_wait_s):
+                while True:
+                    message = await self._receive()
+                    if message["type"] == "http.disconnect":
+                        raise CallerGone
+                    body += message.get("body", b"")
+                    if len(body) > limit_bytes:
+                        raise RequestError(Failure(ErrorKind.BODY_TOO_LARGE))
+                    if not message.get("more_body", False):
+                        return bytes(body)
+        except TimeoutError:
+            raise RequestError(Failure(ErrorKind.BODY_TIMEOUT)) from None
+
+    @asynccontextmanager
+    async def watched(self) -> AsyncIterator[asyncio.Task[None]]:
+        """Give a task that ends when the caller disconnects."""
+        task = asyncio.get_running_loop().create_task(self._disconnected())
+        try:
+            yield task
+        finally:
+            task.cancel()
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Begin the answer."""
+        self.started = True
+        headers = [*headers, (b"x-request-id", self.request_id.encode())]
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        await self._write(start)
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Send a part of the body; `CallerGone` if the caller does not read it."""
+        body = {"type": "http.response.body", "body": data, "more_body": more}
+        await self._write(body)
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes,
+        content_type: bytes = _JSON,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [(b"content-type", content_type), length, *headers])
+        await self.write(b"" if self.method == "HEAD" else body, more=False)
+
+    async def refuse(self, failure: Failure) -> None:
+        """Send a refusal."""
+        headers = retry_after_header(failure)
+        # The rest of a body that was not read must not pass for another request.
+        if failure.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TIMEOUT):
+            headers.append((b"connection", b"close"))
+        body = error_body(failure, self.request_id)
+        await self.answer(failure.status, body, headers=tuple(headers))
+
+    async def _write(self, message: MutableMapping[str, Any]) -> None:
+        try:
+            async with asyncio.timeout(self._settings.write_wait_s):
+                await self._send(message)
+        except TimeoutError:
+            raise CallerGone(too_slow=True) from None
+        except OSError:
+            raise CallerGone from None
+
+    async def _disconnected(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
--- /dev/null
+++ b/src/damaskridge/adapters/http_client.py
@@ -0,0 +1,161 @@
+"""HTTP calls to backend servers over httpcore, with every failure as a value."""
+
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+
+import httpcore
+import msgspec
+
+from damaskridge.adapters.ports import StreamFailed
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+
+__all__ = ["BackendClient", "HttpReply", "failed"]
+
+# A connection that has been idle for longer may have gone silent.
+_KEEPALIVE_S = 2.0
+_CONNECT_S = 1.0
+
+
+class HttpReply(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class BackendClient:
+    """
+    A pool of connections to backend servers.
+
+    Parameters
+    ----------
+    connections : int
+        Most connections at the same time.
+    """
+
+    def __init__(self, connections: int = 2_000) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=connections,
+            max_keepalive_connections=connections,
+            keepalive_expiry=_KEEPALIVE_S,
+        )
+        # Resumes and repeated calls never meet a connection that went silent.
+        self._fresh = httpcore.AsyncConnectionPool(
+            max_connections=connections, max_keepalive_connections=0
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+        await self._fresh.aclose()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+        read_s: float,
+        limit_bytes: int,
+        fresh: bool = False,
+    ) -> HttpReply:
+        """Return the whole answer; raises `StreamFailed`."""
+        stream = self.stream(
+            method, url, body=body, headers=headers, read_s=read_s, fresh=fresh
+        )
+        data = bytearray()
+        async with stream as response:
+            with _failures():
+                async for part in response.aiter_stream():
+                    data += part
+                    if len(data) > limit_bytes:
+                        raise failed("answer over the limit")
+            return HttpReply(response.status, _content_type(response), bytes(data))
+
+    async def lines(
+        self, response: httpcore.Response, limit_bytes: int
+    ) -> AsyncIterator[bytes]:
+        """Yield the lines of a response; raises `StreamFailed`."""
+        rest = b""
+        with _failures():
+            async for part in response.aiter_stream():
+                *lines, rest = (rest + part).split(b"\n")
+                for line in lines:
+                    if line.strip():
+                        yield line
+                if len(rest) > limit_bytes:
+                    raise failed("line over the limit")
+        if rest.strip():
+            yield rest
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+        read_s: float,
+        fresh: bool = False,
+    ) -> AsyncIterator[httpcore.Response]:
+        """Give the response with its body unread; raises `StreamFailed`."""
+        pool = self._fresh if fresh else self._pool
+        timeouts = {
+            "connect": _CONNECT_S,
+            "pool": _CONNECT_S,
+            "write": read_s,
+            "read": read_s,
+        }
+        with _failures():
+            opened = pool.stream(
+                method,
+                url,
+                headers=headers or [(b"content-type", b"application/json")],
+                content=body,
+                extensions={"timeout": timeouts},
+            )
+            response = await opened.__aenter__()
+        try:
+            yield response
+        finally:
+            await opened.__aexit__(None, None, None)
+
+
+@contextmanager
+def _failures() -> Iterator[None]:
+    """Turn errors of httpcore into `StreamFailed`."""
+    try:
+        yield
+    except _NOT_SENT as error:
+        raise failed(type(error).__name__, RunState.NOT_RUN) from error
+    except httpcore.TimeoutException as error:
+        failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, type(error).__name__)
+        raise StreamFailed(failure) from error
+    except _BROKEN as error:
+        raise failed(type(error).__name__) from error
+
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+    httpcore.LocalProtocolError,
+)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, OSError, ValueError)
+
+
+def failed(detail: str, run_state: RunState | None = None) -> StreamFailed:
+    """Return the exception for a backend server that failed."""
+    failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, detail, run_state)
+    return StreamFailed(failure)
+
+
+def _content_type(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == b"content-type":
+            return value.decode("latin-1")
+    return "application/octet-stream"
--- /dev/null
+++ b/src/damaskridge/adapters/platform/http_host_list.py
@@ -0,0 +1,62 @@
+"""The platform's list of backend servers over HTTP."""
+
+from enum import Enum
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.adapters.http_client import BackendClient
+from damaskridge.adapters.ports import StreamFailed
+from damaskridge.model.errors import ErrorKind, Failure
+
+__all__ = ["HttpHostList", "ListedHost", "ListedState"]
+
+_READ_S = 1.0
+_ANSWER_LIMIT_BYTES = 4_194_304
+
+
+class ListedState(Enum):
+    """What the platform says of a backend server."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class ListedHost(msgspec.Struct, frozen=True):
+    """One entry of the list."""
+
+    name: str
+    state: ListedState
+
+
+class HttpHostList:
+    """
+    Reads ``GET /hosts``.
+
+    Parameters
+    ----------
+    client : BackendClient
+        Connections.
+    address : str
+        ``ip:port`` of the platform.
+    """
+
+    def __init__(self, client: BackendClient, address: str) -> None:
+        self._client = client
+        self._url = f"http://{address}/hosts"
+
+    async def leaving(self) -> Result[frozenset[str], Failure]:
+        """Return the names of backend servers that are leaving or gone."""
+        try:
+            reply = await self._client.call(
+                "GET", self._url, read_s=_READ_S, limit_bytes=_ANSWER_LIMIT_BYTES
+            )
+            hosts = msgspec.json.decode(reply.body, type=tuple[ListedHost, ...])
+        except StreamFailed as error:
+            return Err(error.failure)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            detail = "the host list is not of the protocol"
+            return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
+        leaving = (host for host in hosts if host.state is not ListedState.LIVE)
+        return Ok(frozenset(host.name for host in leaving))
--- /dev/null
+++ b/src/damaskridge/adapters/services/http_service.py
@@ -0,0 +1,52 @@
+"""Instances of plain services over HTTP."""
+
+from result import Err, Ok, Result
+
+from damaskridge.adapters.http_client import BackendClient
+from damaskridge.adapters.ports import ServiceAnswer, ServiceCall, StreamFailed
+from damaskridge.model.errors import Failure
+
+__all__ = ["HttpService"]
+
+_ANSWER_LIMIT_BYTES = 4_194_304
+
+
+class HttpService:
+    """
+    Calls plain services.
+
+    Parameters
+    ----------
+    client : BackendClient
+        Connections, shared by all services.
+    read_s : float
+        Longest silence of an instance.
+    """
+
+    def __init__(self, client: BackendClient, read_s: float = 30.0) -> None:
+        self._client = client
+        self._read_s = read_s
+
+    async def call(
+        self, address: str, call: ServiceCall
+    ) -> Result[ServiceAnswer, Failure]:
+        """Send a call; only a failure to connect has run state ``not_run``."""
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in call.headers.items()
+        ]
+        headers.append((b"host", address.encode()))
+        try:
+            # A call on a connection that went silent could not be sent again.
+            reply = await self._client.call(
+                call.method,
+                f"http://{address}{call.path}",
+                body=call.body,
+                headers=headers,
+                read_s=self._read_s,
+                limit_bytes=_ANSWER_LIMIT_BYTES,
+                fresh=True,
+            )
+        except StreamFailed as error:
+            return Err(error.failure)
+        return Ok(ServiceAnswer(reply.status, reply.content_type, reply.body))
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -226,7 +226,9 @@
     def _(self, event: AttemptFailed) -> list[Action]:
         if event.attempt != self.attempt or self.stage not in _RUNNING:
             return []
-        return self._retry(event.server, event.failure)
+        # Other kinds are answers of a server that is alive.
+        broken = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+        return self._retry(event.server, event.failure, broken)
 
     @_handle.register
     def _(self, event: CancelRequested) -> list[Action]:
