--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show the system at work."""
--- /dev/null
+++ b/examples/standins/hosts.py
@@ -0,0 +1,31 @@
+"""A stand-in for the platform's list of backend servers, which lags."""
+
+import asyncio
+from typing import Any
+
+import fire
+import msgspec
+
+from damaskridge.adapters.platform.http_host_list import ListedHost, ListedState
+from examples.standins.asgi import Reply, encoded, serve
+
+__all__ = ["main"]
+
+
+def main(port: int, host: str = "127.0.0.1", lag_s: float = 1.0) -> None:
+    """Run the list; `POST /hosts` with a `ListedHost` changes it after the lag."""
+    states: dict[str, ListedState] = {}
+
+    async def handle(scope: dict[str, Any], body: bytes) -> Reply:
+        if scope["method"] == "POST":
+            change = msgspec.json.decode(body, type=ListedHost)
+            loop = asyncio.get_running_loop()
+            loop.call_later(lag_s, states.__setitem__, change.name, change.state)
+            return 204, b""
+        return encoded([ListedHost(name, state) for name, state in states.items()])
+
+    serve(handle, host, port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, quote
 
 import msgspec
 from result import Err
@@ -302,9 +302,10 @@
         if not route.open_to_all:
             self._authorize(exchange)
         query = strip_query(exchange.query, *keys)
+        quoted = "/" + quote(path, safe="/:@!$&'()*+,;=-._~")
         call = ServiceCall(
             method=exchange.method,
-            path=f"/{path}?{query}" if query else f"/{path}",
+            path=quoted + (f"?{query}" if query else ""),
             headers=stripped(exchange.raw_headers, keys),
             body=raw,
         )
