--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -136,6 +136,10 @@
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
         return workspace_of_key(self.fleet, digest)
 
+    def key_works(self, digest: str) -> bool:
+        """Tell whether a running stream may go on for a key."""
+        return isinstance(workspace_of_key(self.fleet, digest), Ok)
+
     def accept(self, call: ModelCall) -> Result[RunningCall, Failure]:
         """Start a request to a model."""
         if self.draining:
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -374,25 +374,22 @@
         )
         reply = await place(self._context, self.profile, self._set_profile)
         if isinstance(reply, Placement):
-            self.dispatch(Placed(reply))
+            self._start_unless_lease_lost(reply)
         else:
             self.dispatch(PlacementRefused(action.attempt, reply.failure))
 
+    def _start_unless_lease_lost(self, placement: Placement) -> None:
+        lease = self._context.control.lease
+        if self.machine.texts or lease.is_valid(self._loop.time()):
+            self.dispatch(Placed(placement))
+            return
+        # The key may have been withdrawn unseen while the request was queued.
+        self.cancel(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
+
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
 
     async def _prefill(self, action: SendPrefill) -> None:
-        lease = self._context.control.lease
-        # The key may have been withdrawn unseen while the request was queued.
-        if not self.machine.texts and not lease.is_valid(self._loop.time()):
-            self.cancel(
-                Failure(
-                    ErrorKind.LEASE_EXPIRED,
-                    run_state=RunState.NOT_RUN,
-                    retry_after_s=1.0,
-                )
-            )
-            return
         engine = self._context.engine_for(action.address)
         reply = await engine.prefill(action.request)
         if isinstance(reply, Err):
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -43,7 +43,7 @@
 from damaskridge.core.requests.messages import RequestSpec
 from damaskridge.core.state.fleet_queries import addresses_for, find_route
 from damaskridge.model.engine import DecodeChunk, estimate_tokens
-from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
 
 __all__ = ["CallerApp"]
@@ -218,8 +218,12 @@
             if running.original is not None:
                 exchange.request_id = running.original.request_id
 
-        digest = running.call.key_digest
-        chunks = self._watched(exchange, self._front.output(running), digest)
+        def key_works() -> bool:
+            # The front ends its own requests and knows whether they have run.
+            local = running.original is None
+            return local or self._front.key_works(running.call.key_digest)
+
+        chunks = self._watched(exchange, self._front.output(running), key_works)
         try:
             if running.call.streaming:
                 await _stream(exchange, chunks, form, named)
@@ -243,7 +247,8 @@
             raise RequestError(Failure(ErrorKind.UNKNOWN_REQUEST))
         offset = _offset(exchange)
         stream = self._front.resume(request_id, workspace, offset)
-        chunks = self._watched(exchange, stream, key_digest(key))
+        digest = key_digest(key)
+        chunks = self._watched(exchange, stream, lambda: self._front.key_works(digest))
         form = AnswerForm(chat=True, completion=True)
         try:
             await _stream(exchange, chunks, form, lambda: None)
@@ -253,14 +258,17 @@
             raise
 
     async def _watched(
-        self, exchange: Exchange, chunks: AsyncIterator[DecodeChunk], digest: str
+        self,
+        exchange: Exchange,
+        chunks: AsyncIterator[DecodeChunk],
+        key_works: Callable[[], bool],
     ) -> AsyncIterator[DecodeChunk]:
         """Yield chunks until the caller disconnects or its key is withdrawn."""
         async with exchange.watched() as gone, closing(chunks):
             while True:
                 following = asyncio.ensure_future(_following(chunks))
                 try:
-                    await self._wait_for(following, gone, digest)
+                    await _wait_for(following, gone, key_works, exchange)
                     chunk = await following
                 finally:
                     await _settled(following)
@@ -268,24 +276,6 @@
                     return
                 yield chunk
 
-    async def _wait_for(
-        self,
-        following: asyncio.Future[DecodeChunk | None],
-        gone: asyncio.Task[None],
-        digest: str,
-    ) -> None:
-        while not following.done():
-            waits: set[asyncio.Future[Any]] = {following, gone}
-            await asyncio.wait(
-                waits,
-                timeout=_KEY_CHECK_S,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if gone.done():
-                raise CallerGone
-            if digest in self._front.fleet.withdrawn_keys:
-                raise StreamFailed(Failure(ErrorKind.KEY_WITHDRAWN))
-
     async def _service(self, exchange: Exchange) -> None:
         _, _, rest = exchange.path.partition("/services/")
         name, _, path = rest.partition("/")
@@ -346,6 +336,25 @@
             return
 
 
+async def _wait_for(
+    following: asyncio.Future[DecodeChunk | None],
+    gone: asyncio.Task[None],
+    key_works: Callable[[], bool],
+    exchange: Exchange,
+) -> None:
+    while not following.done():
+        waits: set[asyncio.Future[Any]] = {following, gone}
+        await asyncio.wait(
+            waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        if gone.done():
+            raise CallerGone
+        if not key_works():
+            run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
+            failure = Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state)
+            raise StreamFailed(failure)
+
+
 async def _following(chunks: AsyncIterator[DecodeChunk]) -> DecodeChunk | None:
     return await anext(chunks, None)
 
--- /dev/null
+++ b/tests/adapters/front_fakes.py
@@ -0,0 +1,374 @@
+"""In-process fakes of everything around a front, and a caller of its application."""
+
+import asyncio
+from types import SimpleNamespace
+
+import msgspec
+from examples.standins.engine import next_token
+from result import Err, Ok
+
+from damaskridge.adapters.front import Front
+from damaskridge.adapters.front_settings import FrontSettings
+from damaskridge.adapters.http.app import CallerApp
+from damaskridge.adapters.http.credentials import key_digest
+from damaskridge.adapters.ports import ServiceAnswer, StreamFailed
+from damaskridge.core.leases import HolderLease
+from damaskridge.core.state.view import FleetView
+from damaskridge.model.bundle import (
+    BackendServer,
+    BackendServerRole,
+    Bundle,
+    KeyRecord,
+    Model,
+    Route,
+    Workspace,
+)
+from damaskridge.model.control import (
+    CommandResult,
+    LedgerRecord,
+    LedgerState,
+    Owner,
+    RecordIntent,
+    Session,
+)
+from damaskridge.model.engine import DecodeChunk, PrefillResult, estimate_tokens
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.routing import (
+    Duplicate,
+    Placement,
+    RateGrant,
+    Refused,
+    RequestPhase,
+    TakeOverReply,
+)
+
+KEY, OTHER_KEY, LOST_KEY = "key-one-secret", "key-two-secret", "key-lost-secret"
+BROKEN = StreamFailed(Failure(ErrorKind.BACKEND_SERVER_FAILED, "broken"))
+
+
+class FakeControl:
+    def __init__(self, host):
+        self.fleet = FleetView()
+        self.lease = HolderLease()
+        self.lease.renew(0.0, 1e6)
+        self.session = Session(host, 1, 1, "dc", f"{host}:80", f"{host}:81")
+        self.ledger, self.commands = {}, []
+
+    async def propose(self, command):
+        self.commands.append(command)
+        if not isinstance(command, RecordIntent):
+            answer = LedgerRecord(
+                LedgerState.FINISHED, command.status, command.content_type, command.body
+            )
+            if command.not_run:
+                del self.ledger[command.idempotency_key]
+            else:
+                self.ledger[command.idempotency_key] = answer
+            return CommandResult()
+        known = self.ledger.get(command.idempotency_key)
+        self.ledger.setdefault(
+            command.idempotency_key, LedgerRecord(LedgerState.IN_PROGRESS)
+        )
+        return CommandResult(ledger=known or LedgerRecord(LedgerState.NEW))
+
+
+class FakeRates:
+    def __init__(self):
+        self.requests, self.refunds, self.keys, self.ended_ids = [], [], {}, []
+        self.wait_s, self.refusal, self.valid_s, self.down = 0.0, None, [], False
+
+    async def reserve(self, request):
+        self.requests.append(request)
+        if self.down:
+            raise ConnectionError
+        await asyncio.sleep(self.wait_s)
+        if self.refusal:
+            return Refused(request_id=request.request_id, failure=self.refusal)
+        known = self.keys.setdefault(request.idempotency_key, request)
+        if request.idempotency_key and known.request_id != request.request_id:
+            return Duplicate(
+                request_id=known.request_id, front=known.front, finished=False
+            )
+        valid_s = self.valid_s.pop() if self.valid_s else 5.0
+        return RateGrant(
+            request_id=request.request_id, epoch=request.epoch, valid_for_s=valid_s
+        )
+
+    async def refund(self, refund):
+        self.refunds.append(refund)
+
+    async def ended(self, resource, workspace, request_id):
+        self.ended_ids.append(request_id)
+
+
+class FakeCells:
+    """Places on the first pair of engines that is not excluded."""
+
+    def __init__(self, pairs):
+        self.pairs, self.wait_s, self.refusal = pairs, 0.0, None
+        self.profiles, self.reports, self.withdrawn, self.registered = [], [], [], []
+        self.take_overs = {}
+
+    async def submit(self, profile):
+        self.profiles.append(profile)
+        await asyncio.sleep(self.wait_s)
+        if self.refusal:
+            return Refused(request_id=profile.request_id, failure=self.refusal)
+        for prefill, decode in self.pairs:
+            if not {prefill, decode} & set(profile.excluded):
+                return Placement(
+                    request_id=profile.request_id,
+                    attempt=profile.attempt,
+                    epoch=profile.epoch,
+                    prefill_server=prefill,
+                    prefill_address=prefill,
+                    decode_server=decode,
+                    decode_address=decode,
+                )
+        failure = Failure(ErrorKind.NO_BACKEND_SERVER, retry_after_s=0.4)
+        return Refused(request_id=profile.request_id, failure=failure)
+
+    async def withdraw(self, withdraw):
+        self.withdrawn.append(withdraw)
+
+    async def report(self, batch):
+        self.reports.extend(batch.items)
+
+    async def register(self, resource, epoch, front, incarnation, active):
+        self.registered.append((resource, epoch, active))
+
+    async def take_over(self, take_over):
+        active = self.take_overs.pop((take_over.request_id, take_over.workspace), None)
+        unknown = Failure(ErrorKind.UNKNOWN_REQUEST)
+        return TakeOverReply(active=active, failure=None if active else unknown)
+
+    def phases(self, request_id):
+        items = [item for item in self.reports if item.request_id == request_id]
+        return [item.phase for item in items]
+
+
+class FakeEngine:
+    """Holds `memory` from the first call until it is cancelled or has finished."""
+
+    def __init__(self, fleet):
+        self.fleet, self.memory, self.texts, self.prompts = fleet, {}, {}, {}
+        self.prefill_s, self.transfer_s, self.step_s = 0.1, 0.1, 0.02
+        self.break_at = self.silent_at = self.garbage_at = None
+        self.refusal, self.shuffle, self.cancelled = None, False, []
+
+    async def prefill(self, request):
+        if self.refusal:
+            return Err(self.refusal)
+        name = request.engine_request_id
+        self.memory[name] = RequestPhase.PREFILLING
+        self.prompts[name] = request.prompt
+        await asyncio.sleep(self.prefill_s)
+        tokens = estimate_tokens(request.prompt)
+        return Ok(PrefillResult(name, tokens, 0, 1, 1, 800))
+
+    async def decode(self, request):
+        name = request.engine_request_id
+        self.memory[name] = RequestPhase.TRANSFERRING
+        await asyncio.sleep(self.transfer_s)
+        source = self.fleet[request.prefill_address]
+        text = source.prompts[name]
+        source.memory.pop(name, None)
+        self.memory[name] = RequestPhase.DECODING
+        made = self.texts[name] = {}
+        for offset in range(
+            request.first_offset, request.first_offset + request.max_output_tokens
+        ):
+            made[offset] = next_token(text)
+            text += made[offset]
+        async for chunk in self.stream(name, request.first_offset):
+            yield chunk
+
+    async def resume(self, engine_request_id, offset):
+        self.silent_at = None
+        if engine_request_id not in self.texts:
+            raise StreamFailed(Failure(ErrorKind.UNKNOWN_REQUEST))
+        async for chunk in self.stream(engine_request_id, offset):
+            yield chunk
+
+    async def stream(self, name, first):
+        made = self.texts[name]
+        offsets = [offset for offset in sorted(made) if offset >= first]
+        if self.shuffle:
+            pairs = zip(offsets[::2], offsets[1::2], strict=True)
+            offsets = [item for a, b in pairs for item in (b, a, b)]
+        for offset in offsets:
+            await asyncio.sleep(self.step_s)
+            if offset == self.break_at:
+                raise BROKEN
+            if offset == self.silent_at:
+                await asyncio.sleep(1e6)
+            bad = offset == self.garbage_at
+            yield DecodeChunk(-7 if bad else offset, made[offset])
+        self.memory.pop(name, None)
+        yield DecodeChunk(max(made) + 1, finish_reason="length")
+
+    async def cancel(self, engine_request_id):
+        self.cancelled.append(engine_request_id)
+        self.memory.pop(engine_request_id, None)
+        return Ok(None)
+
+
+class FakeServices:
+    def __init__(self):
+        self.calls, self.results, self.delay_s = [], [], 0.0
+
+    async def call(self, address, call):
+        self.calls.append(call)
+        await asyncio.sleep(self.delay_s)
+        if self.results:
+            return self.results.pop(0)
+        return Ok(ServiceAnswer(200, "text/plain", b"done"))
+
+
+class FakePeers:
+    def __init__(self):
+        self.fronts = {}
+
+    async def resume_stream(self, host, request_id, workspace, offset):
+        if host not in self.fronts:
+            raise ConnectionError
+        stream = self.fronts[host].stream_local(request_id, workspace, offset)
+        async for chunk in stream:
+            yield chunk
+
+
+def bundle():
+    def server(name, role, serves, cell):
+        return BackendServer(name, cell, role, serves, "dc", name, 20)
+
+    return Bundle(
+        workspaces=(Workspace("one", 100, 100), Workspace("two", 100, 100)),
+        keys=(
+            KeyRecord(key_digest(KEY), "one"),
+            KeyRecord(key_digest(OTHER_KEY), "two"),
+            KeyRecord(key_digest(LOST_KEY), "one"),
+        ),
+        models=(Model("m", 4096),),
+        routes=(
+            Route("desk"),
+            Route("desk", "charge", repeatable=False),
+            Route("desk", "open", open_to_all=True),
+        ),
+        backend_servers=(
+            server("p1", BackendServerRole.PREFILL, "m", "llm"),
+            server("desk1", BackendServerRole.SERVICE, "desk", "desk"),
+        ),
+    )
+
+
+def world(host="h1", peers=None, **settings):
+    """Return a front with its fakes; call it inside a running loop."""
+    control = FakeControl(host)
+    fleet = control.fleet
+    fleet.bundle, fleet.withdrawn_keys = bundle(), {key_digest(LOST_KEY)}
+    fleet.sessions = {host: control.session}
+    resources = ("workspace/one", "workspace/two", "cell/llm", "cell/desk")
+    fleet.owners = {name: Owner(name, host, 1, 1) for name in resources}
+    engines = {}
+    for name in ("p1", "p2", "d1", "d2", "d3", "desk1"):
+        engines[name] = FakeEngine(engines)
+    pairs = [("p1", "d1"), ("p2", "d2"), ("p1", "d2"), ("p2", "d3"), ("p1", "d3")]
+    found = SimpleNamespace(
+        control=control,
+        rates=FakeRates(),
+        cells=FakeCells(pairs),
+        peers=peers or FakePeers(),
+        services=FakeServices(),
+        engines=engines,
+    )
+    found.front = Front(
+        host=host,
+        incarnation=1,
+        data_centre="dc",
+        control=control,
+        rates=found.rates,
+        cells=found.cells,
+        peers=found.peers,
+        engine_for=engines.__getitem__,
+        services=found.services,
+        settings=FrontSettings(**settings),
+    )
+    found.peers.fronts[host] = found.front
+    found.app = CallerApp(found.front)
+    found.run = asyncio.ensure_future(found.front.run())
+    return found
+
+
+def held(found):
+    return {name: engine.memory for name, engine in found.engines.items()}
+
+
+def nothing_held(found):
+    return not any(engine.memory for engine in found.engines.values())
+
+
+class Caller:
+    """One HTTP request to the application."""
+
+    def __init__(self, app, method, path, body=b"", headers=(), key=KEY, query=""):
+        self.sent, self.changed = [], asyncio.Event()
+        self.parts, self.stalled = asyncio.Queue(), None
+        raw = [(b"authorization", f"Bearer {key}".encode())] if key else []
+        raw += [(name.encode(), value.encode()) for name, value in headers]
+        scope = {"type": "http", "method": method, "path": path, "headers": raw}
+        scope["query_string"] = query.encode()
+        if body is not None:
+            data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+            self.parts.put_nowait({"type": "http.request", "body": data})
+        self.task = asyncio.ensure_future(app(scope, self.parts.get, self._send))
+
+    async def _send(self, message):
+        if self.stalled is not None and len(self.sent) >= self.stalled:
+            await asyncio.sleep(1e6)
+        self.sent.append(message)
+
+    def disconnect(self):
+        self.parts.put_nowait({"type": "http.disconnect"})
+
+    @property
+    def status(self):
+        return self.sent[0]["status"]
+
+    @property
+    def headers(self):
+        return {
+            name.decode(): value.decode() for name, value in self.sent[0]["headers"]
+        }
+
+    @property
+    def body(self):
+        return b"".join(message.get("body", b"") for message in self.sent[1:])
+
+    @property
+    def json(self):
+        return msgspec.json.decode(self.body)
+
+    @property
+    def error(self):
+        """The refusal, also one in a stream."""
+        return msgspec.json.decode(self.body.rpartition(b"data: ")[2])["error"]
+
+    @property
+    def tokens(self):
+        """The text by offset of every event, in the order received."""
+        found = []
+        for event in self.body.decode().split("\n\n"):
+            if event.startswith("id: "):
+                first, data = event.split("\n")
+                choice = msgspec.json.decode(data.removeprefix("data: "))["choices"][0]
+                if choice["finish_reason"] is None:
+                    found.append((int(first[4:]), choice["text"]))
+        return found
+
+
+def completion(app, tokens=20, stream=True, prompt="a prompt", **options):
+    body = {"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": stream}
+    return Caller(app, "POST", "/v1/completions", body, **options)
+
+
+NOT_RUN = RunState.NOT_RUN.value
--- /dev/null
+++ b/tests/core/requests/test_lifecycle.py
@@ -0,0 +1,140 @@
+"""Guards against memory left on engines, untrue run states and lost refunds."""
+
+import random
+
+import pytest
+
+from damaskridge.core.requests import messages as m
+from damaskridge.core.requests.lifecycle import RequestMachine
+from damaskridge.model.engine import DecodeChunk
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.routing import Placement, RequestPhase
+
+LOST = Failure(ErrorKind.BACKEND_SERVER_FAILED)
+REFUSED = Failure(ErrorKind.BACKEND_SERVER_FAILED, run_state=RunState.NOT_RUN)
+
+
+def placed(attempt=1, server=1):
+    return m.Placed(
+        Placement(
+            request_id="r",
+            attempt=attempt,
+            epoch=1,
+            prefill_server=f"p{server}",
+            prefill_address=f"pa{server}",
+            decode_server=f"d{server}",
+            decode_address=f"da{server}",
+        )
+    )
+
+
+def machine_at(stage, tokens=0):
+    machine = RequestMachine(m.RequestSpec("r", "m", "p", 10, 5), m.RetryLimits(), 0.0)
+    path = [
+        (m.Stage.QUEUED_FOR_RATE, m.Begun()),
+        (m.Stage.QUEUED_FOR_PLACEMENT, m.Granted()),
+        (m.Stage.PREFILLING, placed()),
+        (m.Stage.TRANSFERRING, m.Prefilled(1)),
+        (m.Stage.DECODING, m.ChunkReceived(1, DecodeChunk(0, "a"))),
+    ]
+    for reached, event in path:
+        machine.handle(event, 0.0)
+        if reached is stage:
+            return machine
+    raise AssertionError(stage)
+
+
+def kinds(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+@pytest.mark.parametrize(
+    ("stage", "run", "refund", "cancels"),
+    [
+        (m.Stage.QUEUED_FOR_RATE, RunState.NOT_RUN, [], 0),
+        (m.Stage.QUEUED_FOR_PLACEMENT, RunState.NOT_RUN, [15], 0),
+        (m.Stage.PREFILLING, RunState.UNKNOWN, [5], 2),
+        (m.Stage.TRANSFERRING, RunState.UNKNOWN, [5], 2),
+        (m.Stage.DECODING, RunState.RAN, [4], 2),
+    ],
+)
+def test_cancellation_frees_both_engines_at_every_stage(stage, run, refund, cancels):
+    machine = machine_at(stage)
+    actions = machine.handle(m.CancelRequested(Failure(ErrorKind.CANCELLED)), 1.0)
+    assert actions[-1].failure.ran is run
+    assert [action.tokens for action in kinds(actions, m.RefundTokens)] == refund
+    addresses = [action.address for action in kinds(actions, m.CancelOnServer)]
+    assert addresses == ["pa1", "da1"][:cancels]
+    late = machine.handle(placed(), 2.0)
+    assert [item.progress.phase for item in late] == [RequestPhase.CANCELLED]
+
+
+def test_not_run_only_if_every_server_proved_it():
+    machine = machine_at(m.Stage.PREFILLING)
+    for attempt in range(1, 4):
+        machine.handle(m.AttemptFailed(attempt, f"p{attempt}", REFUSED), 1.0)
+        machine.handle(placed(attempt + 1), 1.0)
+    end = machine.handle(m.AttemptFailed(4, "p4", REFUSED), 1.0)[-1]
+    assert end.failure.ran is RunState.NOT_RUN
+    machine = machine_at(m.Stage.TRANSFERRING)
+    machine.handle(m.AttemptFailed(1, "d1", REFUSED), 1.0)
+    end = machine.handle(m.PlacementRefused(2, Failure(ErrorKind.OVERLOADED)), 1.0)[-1]
+    assert end.failure.ran is RunState.UNKNOWN
+
+
+def test_an_attempt_after_a_crash_continues_as_a_suspect():
+    machine = machine_at(m.Stage.DECODING)
+    actions = machine.handle(m.AttemptFailed(1, "d1", LOST), 1.0)
+    assert len(kinds(actions, m.CancelOnServer)) == 2
+    (ask,) = kinds(actions, m.AskPlacement)
+    assert (ask.suspect, ask.excluded, ask.max_output_tokens) == (True, ("d1",), 4)
+    (prefill, _) = machine.handle(placed(2, 2), 1.0)
+    assert prefill.request.prompt == "pa"
+    (decode, _) = machine.handle(m.Prefilled(2), 1.0)
+    assert (decode.request.first_offset, decode.request.max_output_tokens) == (1, 4)
+    assert machine.handle(m.ChunkReceived(1, DecodeChunk(1, "old")), 1.0) == []
+    end = machine.handle(m.AttemptFailed(2, "d2", LOST), 1.0)[-1]
+    assert isinstance(end, m.Close)
+    assert end.failure.ran is RunState.RAN
+
+
+def test_a_stalled_transfer_and_silence_have_deadlines():
+    machine = machine_at(m.Stage.TRANSFERRING)
+    assert machine.handle(m.TimePassed(), 0.9) == []
+    actions = machine.handle(m.TimePassed(), 1.0)
+    assert kinds(actions, m.Report)[0].progress.failed_server == ""
+    assert kinds(actions, m.AskPlacement)
+    machine = machine_at(m.Stage.DECODING)
+    (resume,) = machine.handle(m.TimePassed(), 1.5)
+    assert (resume.address, resume.offset) == ("da1", 1)
+    actions = machine.handle(m.TimePassed(), 3.0)
+    assert kinds(actions, m.Report)[0].progress.failed_server == "d1"
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_events_end_with_one_close_and_no_engine_forgotten(seed):
+    rng = random.Random(seed)
+    machine = machine_at(m.Stage.PREFILLING)
+    open_on, closes = {("pa1", "r.1")}, 0
+    for step in range(201):
+        attempt = machine.attempt
+        event = rng.choice(
+            [
+                placed(attempt, rng.randrange(4)),
+                m.Prefilled(attempt),
+                m.ChunkReceived(attempt, DecodeChunk(rng.randrange(6), "t")),
+                m.ChunkReceived(attempt, DecodeChunk(5, finish_reason="length")),
+                m.AttemptFailed(attempt, "d1", rng.choice([LOST, REFUSED])),
+                m.TimePassed(),
+            ]
+        )
+        if step == 200:
+            event = m.CancelRequested(Failure(ErrorKind.CANCELLED))
+        for action in machine.handle(event, step / 4):
+            if isinstance(action, m.SendPrefill | m.SendDecode):
+                open_on.add((action.address, action.request.engine_request_id))
+            elif isinstance(action, m.CancelOnServer):
+                open_on.discard((action.address, action.engine_request_id))
+            closes += isinstance(action, m.Close)
+    assert closes == 1
+    assert machine.stage is m.Stage.FINISHED or not open_on
