--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -27,7 +27,6 @@
 from damaskridge.core.requests.messages import Begun, TakenOver
 from damaskridge.core.state.fleet_queries import (
     owner_of,
-    workspace_of_key,
 )
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import Owner
@@ -134,11 +133,11 @@
         now_s = asyncio.get_running_loop().time()
         if not self.context.control.lease.is_valid(now_s):
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
-        return workspace_of_key(self.fleet, digest)
+        return self.context.index.workspace_of_key(self.fleet, digest)
 
     def key_works(self, digest: str) -> bool:
         """Tell whether a running stream may go on for a key."""
-        return isinstance(workspace_of_key(self.fleet, digest), Ok)
+        return isinstance(self.context.index.workspace_of_key(self.fleet, digest), Ok)
 
     def accept(self, call: ModelCall) -> Result[RunningCall, Failure]:
         """Start a request to a model."""
@@ -293,12 +292,16 @@
             # The reader of a request that was taken over watches its own key.
             if running.machine.ended or not running.call.key_digest:
                 continue
-            allowed = workspace_of_key(self.fleet, running.call.key_digest)
+            allowed = self.context.index.workspace_of_key(
+                self.fleet, running.call.key_digest
+            )
             if isinstance(allowed, Err):
                 running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
         for service in list(self._services.values()):
             if not service.call.route.open_to_all:
-                allowed = workspace_of_key(self.fleet, service.call.key_digest)
+                allowed = self.context.index.workspace_of_key(
+                    self.fleet, service.call.key_digest
+                )
                 if isinstance(allowed, Err):
                     service.withdraw_key()
 
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -16,6 +16,7 @@
     place,
     report,
 )
+from damaskridge.adapters.front_output import RequestOutput
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import (
     StreamFailed,
@@ -113,9 +114,8 @@
         self.original: Duplicate | None = None
         self.ended_s: float | None = None
         self.moved = False
-        self._last: DecodeChunk | None = None
+        self._output = RequestOutput(self.machine)
         self._grant: tuple[str, RateGrant] | None = None
-        self._changed = asyncio.Event()
         self._readers = 0
         self._work: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -148,32 +148,15 @@
     async def read(self, offset: int) -> AsyncIterator[DecodeChunk]:
         """Yield output from `offset`; raises `StreamFailed`."""
         self._readers += 1
+        stream = self._output.read(offset)
         try:
-            while self.original is None:
-                # Kept before the check: a change while a caller reads is not missed.
-                changed = self._changed
-                while (chunk := self._chunk_at(offset)) is not None:
+            async with closing(stream):
+                async for chunk in stream:
                     yield chunk
-                    if chunk.finish_reason is not None:
-                        return
-                    offset += 1
-                if self.failure is not None:
-                    raise StreamFailed(self.failure)
-                if changed is self._changed:
-                    await changed.wait()
         finally:
             self._readers -= 1
             self._reader_left()
 
-    def _chunk_at(self, offset: int) -> DecodeChunk | None:
-        machine = self.machine
-        index = offset - machine.base_offset
-        if index < 0 or (index > len(machine.texts) and self._last is not None):
-            raise StreamFailed(Failure(ErrorKind.INVALID_OFFSET, str(offset)))
-        if index < len(machine.texts):
-            return DecodeChunk(offset, machine.texts[index])
-        return self._last if index == len(machine.texts) else None
-
     def _reader_left(self) -> None:
         if self._readers or self.machine.ended or self.original is not None:
             return
@@ -188,10 +171,6 @@
             log_event(_logger, EventNumber.CALLER_LOST, request_id=self.request_id)
             self.cancel(Failure(ErrorKind.CANCELLED, "the caller disconnected"))
 
-    def _wake(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
     def _arm_timer(self) -> None:
         # A later deadline keeps the timer: chunks would re-arm it at every token.
         deadline_s = self.machine.deadline_s
@@ -265,9 +244,7 @@
 
     @_perform.register
     def _(self, action: Deliver) -> None:
-        if action.chunks[-1].finish_reason is not None:
-            self._last = action.chunks[-1]
-        self._wake()
+        self._output.extend(action.chunks[-1])
 
     @_perform.register
     def _(self, action: Report) -> None:
@@ -300,7 +277,7 @@
         self._stop()
         if self._timer is not None:
             self._timer.cancel()
-        self._wake()
+        self._output.end(action.failure, answered_elsewhere=self.original is not None)
         context = self._context
         if self.call.idempotency_key and not self.moved:
             resource = workspace_resource(self.call.workspace)
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -19,7 +19,8 @@
     RatePort,
     ServicePort,
 )
-from damaskridge.core.state.fleet_queries import cell_resource, cells_serving, owner_of
+from damaskridge.core.requests.fleet_index import FleetIndex
+from damaskridge.core.state.fleet_queries import cell_resource, owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure
@@ -55,6 +56,7 @@
     services: ServicePort
     settings: FrontSettings
     owners: OwnerClient
+    index: FleetIndex = field(default_factory=FleetIndex)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -112,7 +114,7 @@
 ) -> SubmitReply:
     """Ask the cells that serve the model or service, the nearest first."""
     fleet = context.control.fleet
-    cells = cells_serving(fleet, profile.model, context.data_centre)
+    cells = context.index.cells(fleet, profile.model, context.data_centre)
     failure = Failure(ErrorKind.NO_BACKEND_SERVER, profile.model, retry_after_s=1.0)
 
     async def send(owner: Owner) -> SubmitReply:
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import logging
-from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import parse_qs, quote
 
@@ -12,7 +11,6 @@
 
 from damaskridge.adapters.front import Front
 from damaskridge.adapters.front_call import ModelCall, RunningCall
-from damaskridge.adapters.front_context import closing
 from damaskridge.adapters.front_services import RouteCall
 from damaskridge.adapters.http.answers import AnswerForm, error_event
 from damaskridge.adapters.http.bodies import (
@@ -21,7 +19,6 @@
     RequestError,
     check_encoding,
     decode_body,
-    find_model,
     output_limit,
 )
 from damaskridge.adapters.http.credentials import (
@@ -38,23 +35,19 @@
     Scope,
     Send,
 )
+from damaskridge.adapters.http.relay import send_events, send_whole, watched
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.core.requests.messages import RequestSpec
-from damaskridge.core.state.fleet_queries import addresses_for, find_route
-from damaskridge.model.engine import DecodeChunk, estimate_tokens
-from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.core.state.fleet_queries import addresses_for
+from damaskridge.model.engine import estimate_tokens
+from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 
 __all__ = ["CallerApp"]
 
 _logger = logging.getLogger(__name__)
-_KEY_CHECK_S = 1.0
 _IDEMPOTENCY_KEY_LIMIT = 255
-_EVENT_STREAM = [
-    (b"content-type", b"text/event-stream"),
-    (b"cache-control", b"no-store"),
-]
 
 
 class CallerApp:
@@ -178,7 +171,9 @@
         body: ChatBody | CompletionBody = decode_body(kind, raw)
         # The key may have been withdrawn while a slow body arrived.
         self._authorize(exchange)
-        model = find_model(self._front.fleet, body.model)
+        model = self._front.context.index.model(self._front.fleet, body.model)
+        if model is None:
+            raise RequestError(Failure(ErrorKind.UNKNOWN_MODEL))
         text = body.text
         if mentions(text, key):
             raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
@@ -223,13 +218,13 @@
             local = running.original is None
             return local or self._front.key_works(running.call.key_digest)
 
-        chunks = self._watched(exchange, self._front.output(running), key_works)
+        chunks = watched(exchange, self._front.output(running), key_works)
         try:
             if running.call.streaming:
-                await _stream(exchange, chunks, form, named)
+                await send_events(exchange, chunks, form, named)
             else:
                 tokens = running.call.spec.prompt_tokens
-                await _whole(exchange, chunks, form, tokens, named)
+                await send_whole(exchange, chunks, form, tokens, named)
         except CallerGone as gone:
             if gone.too_slow:
                 running.cancel(Failure(ErrorKind.CALLER_TOO_SLOW))
@@ -248,38 +243,19 @@
         offset = _offset(exchange)
         stream = self._front.resume(request_id, workspace, offset)
         digest = key_digest(key)
-        chunks = self._watched(exchange, stream, lambda: self._front.key_works(digest))
+        chunks = watched(exchange, stream, lambda: self._front.key_works(digest))
         form = AnswerForm(chat=True, completion=True)
         try:
-            await _stream(exchange, chunks, form, lambda: None)
+            await send_events(exchange, chunks, form, lambda: None)
         except CallerGone as gone:
             if gone.too_slow:
                 self._front.cancel(request_id)
             raise
 
-    async def _watched(
-        self,
-        exchange: Exchange,
-        chunks: AsyncIterator[DecodeChunk],
-        key_works: Callable[[], bool],
-    ) -> AsyncIterator[DecodeChunk]:
-        """Yield chunks until the caller disconnects or its key is withdrawn."""
-        async with exchange.watched() as gone, closing(chunks):
-            while True:
-                following = asyncio.ensure_future(_following(chunks))
-                try:
-                    await _wait_for(following, gone, key_works, exchange)
-                    chunk = await following
-                finally:
-                    await _settled(following)
-                if chunk is None:
-                    return
-                yield chunk
-
     async def _service(self, exchange: Exchange) -> None:
         _, _, rest = exchange.path.partition("/services/")
         name, _, path = rest.partition("/")
-        route = find_route(self._front.fleet, name, path)
+        route = self._front.context.index.route(self._front.fleet, name, path)
         if route is None or ".." in path.split("/"):
             raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
         workspace, key = "", ""
@@ -336,74 +312,6 @@
             return
 
 
-async def _wait_for(
-    following: asyncio.Future[DecodeChunk | None],
-    gone: asyncio.Task[None],
-    key_works: Callable[[], bool],
-    exchange: Exchange,
-) -> None:
-    while not following.done():
-        waits: set[asyncio.Future[Any]] = {following, gone}
-        await asyncio.wait(
-            waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
-        )
-        if gone.done():
-            raise CallerGone
-        if not key_works():
-            run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
-            failure = Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state)
-            raise StreamFailed(failure)
-
-
-async def _following(chunks: AsyncIterator[DecodeChunk]) -> DecodeChunk | None:
-    return await anext(chunks, None)
-
-
-async def _settled(work: asyncio.Future[DecodeChunk | None]) -> None:
-    # A generator cannot be closed while a step of it still runs.
-    if not work.done():
-        work.cancel()
-        await asyncio.wait({work})
-
-
-async def _stream(
-    exchange: Exchange,
-    chunks: AsyncIterator[DecodeChunk],
-    form: AnswerForm,
-    named: Callable[[], None],
-) -> None:
-    async with closing(chunks):
-        async for chunk in chunks:
-            if not exchange.started:
-                named()
-                await exchange.start(200, _EVENT_STREAM)
-            last = chunk.finish_reason is not None
-            await exchange.write(form.event(chunk, exchange.request_id), more=not last)
-            if last:
-                return
-
-
-async def _whole(
-    exchange: Exchange,
-    chunks: AsyncIterator[DecodeChunk],
-    form: AnswerForm,
-    prompt_tokens: int,
-    named: Callable[[], None],
-) -> None:
-    texts: list[str] = []
-    async with closing(chunks):
-        async for chunk in chunks:
-            if chunk.finish_reason is None:
-                texts.append(chunk.text)
-                continue
-            named()
-            body = form.whole(
-                texts, chunk.finish_reason, prompt_tokens, exchange.request_id
-            )
-            await exchange.answer(200, body)
-            return
-
-
 def _expect(exchange: Exchange, method: str) -> None:
     if exchange.method != method:
         raise RequestError(Failure(ErrorKind.METHOD_NOT_ALLOWED, f"use {method}"))
--- a/src/damaskridge/adapters/http/bodies.py
+++ b/src/damaskridge/adapters/http/bodies.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from damaskridge.core.state.view import FleetView
 from damaskridge.model.bundle import Model
 from damaskridge.model.engine import estimate_tokens
 from damaskridge.model.errors import ErrorKind, Failure
@@ -20,7 +19,6 @@
     "RequestError",
     "check_encoding",
     "decode_body",
-    "find_model",
     "output_limit",
 ]
 
@@ -113,14 +111,6 @@
     raise RequestError(failure)
 
 
-def find_model(fleet: FleetView, name: str) -> Model:
-    """Return a model of the bundle in force; raises `RequestError`."""
-    for model in fleet.bundle.models:
-        if model.name == name:
-            return model
-    raise RequestError(Failure(ErrorKind.UNKNOWN_MODEL))
-
-
 def output_limit(
     model: Model, text: str, wanted_tokens: int | None, default_tokens: int
 ) -> int:
--- /dev/null
+++ b/src/damaskridge/adapters/http/relay.py
@@ -0,0 +1,109 @@
+"""Relays chunks to a caller while watching the caller and its key."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from damaskridge.adapters.front_context import closing
+from damaskridge.adapters.http.answers import AnswerForm
+from damaskridge.adapters.http.exchange import CallerGone, Exchange
+from damaskridge.adapters.ports import StreamFailed
+from damaskridge.model.engine import DecodeChunk
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+
+__all__ = ["send_events", "send_whole", "watched"]
+
+_KEY_CHECK_S = 1.0
+_EVENT_STREAM = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+]
+
+
+async def watched(
+    exchange: Exchange,
+    chunks: AsyncIterator[DecodeChunk],
+    key_works: Callable[[], bool],
+) -> AsyncIterator[DecodeChunk]:
+    """Yield chunks until the caller disconnects or its key is withdrawn."""
+    async with exchange.watched() as gone, closing(chunks):
+        while True:
+            following = asyncio.ensure_future(_following(chunks))
+            try:
+                await _wait_for(following, gone, key_works, exchange)
+                chunk = await following
+            finally:
+                await _settled(following)
+            if chunk is None:
+                return
+            yield chunk
+
+
+async def _wait_for(
+    following: asyncio.Future[DecodeChunk | None],
+    gone: asyncio.Task[None],
+    key_works: Callable[[], bool],
+    exchange: Exchange,
+) -> None:
+    while not following.done():
+        waits: set[asyncio.Future[Any]] = {following, gone}
+        await asyncio.wait(
+            waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        if gone.done():
+            raise CallerGone
+        if not key_works():
+            run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
+            failure = Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state)
+            raise StreamFailed(failure)
+
+
+async def _following(chunks: AsyncIterator[DecodeChunk]) -> DecodeChunk | None:
+    return await anext(chunks, None)
+
+
+async def _settled(work: asyncio.Future[DecodeChunk | None]) -> None:
+    # A generator cannot be closed while a step of it still runs.
+    if not work.done():
+        work.cancel()
+        await asyncio.wait({work})
+
+
+async def send_events(
+    exchange: Exchange,
+    chunks: AsyncIterator[DecodeChunk],
+    form: AnswerForm,
+    named: Callable[[], None],
+) -> None:
+    """Send chunks as events; `named` is called before the id is used."""
+    async with closing(chunks):
+        async for chunk in chunks:
+            if not exchange.started:
+                named()
+                await exchange.start(200, _EVENT_STREAM)
+            last = chunk.finish_reason is not None
+            await exchange.write(form.event(chunk, exchange.request_id), more=not last)
+            if last:
+                return
+
+
+async def send_whole(
+    exchange: Exchange,
+    chunks: AsyncIterator[DecodeChunk],
+    form: AnswerForm,
+    prompt_tokens: int,
+    named: Callable[[], None],
+) -> None:
+    """Send the answer in one piece once it is complete."""
+    texts: list[str] = []
+    async with closing(chunks):
+        async for chunk in chunks:
+            if chunk.finish_reason is None:
+                texts.append(chunk.text)
+                continue
+            named()
+            body = form.whole(
+                texts, chunk.finish_reason, prompt_tokens, exchange.request_id
+            )
+            await exchange.answer(200, body)
+            return
