--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from damaskridge.adapters.front_call import ModelCall, RunningCall
-from damaskridge.adapters.front_context import FrontContext, report
+from damaskridge.adapters.front_context import FrontContext, closing, report
 from damaskridge.adapters.front_owners import OwnerClient
 from damaskridge.adapters.front_resume import StreamResumer
 from damaskridge.adapters.front_services import RouteCall, RunningService
@@ -159,14 +159,17 @@
 
     async def output(self, running: RunningCall) -> AsyncIterator[DecodeChunk]:
         """Yield a request's output, or that of the request it repeats."""
-        async for chunk in running.read(0):
-            yield chunk
+        stream = running.read(0)
+        async with closing(stream):
+            async for chunk in stream:
+                yield chunk
         original = running.original
         if original is not None:
             workspace = running.call.workspace
             stream = self.resume(original.request_id, workspace, 0, original.front)
-            async for chunk in stream:
-                yield chunk
+            async with closing(stream):
+                async for chunk in stream:
+                    yield chunk
 
     async def call_service(self, call: RouteCall) -> Result[ServiceAnswer, Failure]:
         """Call a plain service; a call that has left outlives its caller."""
@@ -208,8 +211,10 @@
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
         """Yield output of a request that this host runs; raises `StreamFailed`."""
-        async for chunk in self._resumer.local(request_id, workspace, offset):
-            yield chunk
+        stream = self._resumer.local(request_id, workspace, offset)
+        async with closing(stream):
+            async for chunk in stream:
+                yield chunk
 
     def cancel(self, request_id: str) -> None:
         """Cancel a request of this host for its caller."""
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -35,7 +35,7 @@
     Scope,
     Send,
 )
-from damaskridge.adapters.http.relay import send_events, send_whole, watched
+from damaskridge.adapters.http.relay import send_events, send_whole, while_watched
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.core.requests.messages import RequestSpec
@@ -218,13 +218,14 @@
             local = running.original is None
             return local or self._front.key_works(running.call.key_digest)
 
-        chunks = watched(exchange, self._front.output(running), key_works)
+        chunks = self._front.output(running)
+        if running.call.streaming:
+            work = send_events(exchange, chunks, form, named)
+        else:
+            tokens = running.call.spec.prompt_tokens
+            work = send_whole(exchange, chunks, form, tokens, named)
         try:
-            if running.call.streaming:
-                await send_events(exchange, chunks, form, named)
-            else:
-                tokens = running.call.spec.prompt_tokens
-                await send_whole(exchange, chunks, form, tokens, named)
+            await while_watched(exchange, work, key_works)
         except CallerGone as gone:
             if gone.too_slow:
                 running.cancel(Failure(ErrorKind.CALLER_TOO_SLOW))
@@ -243,10 +244,10 @@
         offset = _offset(exchange)
         stream = self._front.resume(request_id, workspace, offset)
         digest = key_digest(key)
-        chunks = watched(exchange, stream, lambda: self._front.key_works(digest))
         form = AnswerForm(chat=True, completion=True)
+        work = send_events(exchange, stream, form, lambda: None)
         try:
-            await send_events(exchange, chunks, form, lambda: None)
+            await while_watched(exchange, work, lambda: self._front.key_works(digest))
         except CallerGone as gone:
             if gone.too_slow:
                 self._front.cancel(request_id)
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -1,7 +1,7 @@
 """Relays chunks to a caller while watching the caller and its key."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
 from damaskridge.adapters.front_context import closing
@@ -11,7 +11,7 @@
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["send_events", "send_whole", "watched"]
+__all__ = ["send_events", "send_whole", "while_watched"]
 
 _KEY_CHECK_S = 1.0
 _EVENT_STREAM = [
@@ -20,53 +20,36 @@
 ]
 
 
-async def watched(
+async def while_watched(
     exchange: Exchange,
-    chunks: AsyncIterator[DecodeChunk],
-    key_works: Callable[[], bool],
-) -> AsyncIterator[DecodeChunk]:
-    """Yield chunks until the caller disconnects or its key is withdrawn."""
-    async with exchange.watched() as gone, closing(chunks):
-        while True:
-            following = asyncio.ensure_future(_following(chunks))
-            try:
-                await _wait_for(following, gone, key_works, exchange)
-                chunk = await following
-            finally:
-                await _settled(following)
-            if chunk is None:
-                return
-            yield chunk
-
-
-async def _wait_for(
-    following: asyncio.Future[DecodeChunk | None],
-    gone: asyncio.Task[None],
+    work: Coroutine[Any, Any, None],
     key_works: Callable[[], bool],
-    exchange: Exchange,
 ) -> None:
-    while not following.done():
-        waits: set[asyncio.Future[Any]] = {following, gone}
-        await asyncio.wait(
-            waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
-        )
-        if gone.done():
-            raise CallerGone
-        if not key_works():
-            run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
-            failure = Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state)
-            raise StreamFailed(failure)
-
-
-async def _following(chunks: AsyncIterator[DecodeChunk]) -> DecodeChunk | None:
-    return await anext(chunks, None)
-
-
-async def _settled(work: asyncio.Future[DecodeChunk | None]) -> None:
-    # A generator cannot be closed while a step of it still runs.
-    if not work.done():
-        work.cancel()
-        await asyncio.wait({work})
+    """Run `work` until the caller disconnects or its key is withdrawn."""
+    async with exchange.watched() as gone:
+        task = asyncio.ensure_future(work)
+        try:
+            while not task.done():
+                waits: set[asyncio.Future[Any]] = {task, gone}
+                await asyncio.wait(
+                    waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not task.done():
+                    _check(exchange, gone, key_works)
+        finally:
+            task.cancel()
+            await asyncio.wait({task})
+        await task
+
+
+def _check(
+    exchange: Exchange, gone: asyncio.Task[None], key_works: Callable[[], bool]
+) -> None:
+    if gone.done():
+        raise CallerGone
+    if not key_works():
+        run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
+        raise StreamFailed(Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state))
 
 
 async def send_events(
