--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -26,20 +26,20 @@
 
 class BackendClient:
     """
-    A pool of connections to backend servers.
+    Connections to backend servers.
+
+    Each address has its own pool, because the work of a pool for one request grows
+    with all its connections.
 
     Parameters
     ----------
     connections : int
-        Most connections at the same time.
+        Most connections to one address at the same time.
     """
 
-    def __init__(self, connections: int = 2_000) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            max_keepalive_connections=connections,
-            keepalive_expiry=_KEEPALIVE_S,
-        )
+    def __init__(self, connections: int = 400) -> None:
+        self._connections = connections
+        self._pools: dict[bytes, httpcore.AsyncConnectionPool] = {}
         # Resumes and repeated calls never meet a connection that went silent.
         self._fresh = httpcore.AsyncConnectionPool(
             max_connections=connections, max_keepalive_connections=0
@@ -47,7 +47,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        for pool in self._pools.values():
+            await pool.aclose()
         await self._fresh.aclose()
 
     async def call(
@@ -102,7 +103,7 @@
         fresh: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
         """Give the response with its body unread; raises `StreamFailed`."""
-        pool = self._fresh if fresh else self._pool
+        pool = self._fresh if fresh else self._pool_of(url)
         timeouts = {
             "connect": _CONNECT_S,
             "pool": _CONNECT_S,
@@ -123,6 +124,16 @@
         finally:
             await opened.__aexit__(None, None, None)
 
+    def _pool_of(self, url: str) -> httpcore.AsyncConnectionPool:
+        address = httpcore.URL(url).host + b":%d" % (httpcore.URL(url).port or 80)
+        if address not in self._pools:
+            self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=self._connections,
+                max_keepalive_connections=self._connections,
+                keepalive_expiry=_KEEPALIVE_S,
+            )
+        return self._pools[address]
+
 
 @contextmanager
 def _failures() -> Iterator[None]:
