--- /dev/null
+++ b/src/damaskridge/core/scheduling/admission.py
@@ -0,0 +1,71 @@
+"""Reserves decode slots and KV memory before a prefill starts."""
+
+import math
+
+from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.urgency import Level
+
+__all__ = [
+    "LOOK_AHEAD_TOKENS",
+    "can_reserve",
+    "extend",
+    "pieces_for",
+    "release",
+    "reserve",
+]
+
+# A decode engine allocates this far ahead of the token that it computes.
+LOOK_AHEAD_TOKENS = 32
+# Kept free of delay-tolerant work, whose requests hold memory for many seconds.
+_BULK_HEADROOM = 0.15
+# Kept free for streams that become longer than predicted.
+_GROWTH_HEADROOM = 0.05
+
+
+def pieces_for(server: ServerState, prompt_tokens: int, output_tokens: int) -> int:
+    """Return the KV memory that a request needs, in pieces."""
+    if server.spec.kv_pieces == 0:
+        return 0
+    tokens = prompt_tokens + output_tokens + LOOK_AHEAD_TOKENS
+    return math.ceil(tokens / server.spec.piece_tokens)
+
+
+def can_reserve(server: ServerState, pieces: int, level: Level) -> bool:
+    """Tell whether a slot and `pieces` are free for a request of this level."""
+    spec = server.spec
+    reserved = _BULK_HEADROOM if level is Level.BULK else 0.0
+    slots = spec.slots - math.floor(reserved * spec.slots)
+    if server.used_slots + 1 > slots:
+        return False
+    if spec.kv_pieces == 0:
+        return True
+    limit = spec.kv_pieces * (1 - reserved - _GROWTH_HEADROOM)
+    # A request larger than the limit may run alone rather than never.
+    alone = server.used_slots == 0 and pieces <= spec.kv_pieces
+    return alone or server.used_pieces + pieces <= limit
+
+
+def reserve(server: ServerState, request_id: str, pieces: int) -> None:
+    """Take a slot and memory."""
+    assert request_id not in server.requests, "a request is placed once per attempt"
+    server.requests.add(request_id)
+    server.used_slots += 1
+    server.used_pieces += pieces
+
+
+def extend(server: ServerState, held: int, needed: int) -> int:
+    """Return the pieces that a longer stream holds, within what is free."""
+    spec = server.spec
+    gained = min(max(0, needed - held), max(0, spec.kv_pieces - server.used_pieces))
+    server.used_pieces += gained
+    return held + gained
+
+
+def release(server: ServerState, request_id: str, pieces: int) -> None:
+    """Free what `reserve` and `extend` took; a second release does nothing."""
+    if request_id in server.requests:
+        server.requests.discard(request_id)
+        server.used_slots -= 1
+        server.used_pieces -= pieces
+        assert server.used_slots >= 0, "slots are released once"
+        assert server.used_pieces >= 0, "pieces are released once"
--- /dev/null
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -0,0 +1,201 @@
+"""Takes requests from the queue in order and places them."""
+
+from damaskridge.core.scheduling import admission
+from damaskridge.core.scheduling.fair_queue import FairQueue, QueueItem
+from damaskridge.core.scheduling.messages import CellAction, SendSubmitReply
+from damaskridge.core.scheduling.placement import Choice, Placer, is_service
+from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.settings import (
+    FIRST_TOKEN_TARGET_S,
+    SchedulerSettings,
+)
+from damaskridge.core.scheduling.urgency import Level
+from damaskridge.model.routing import Placement, RequestPhase, RequestProfile
+
+__all__ = ["Dispatcher"]
+
+_RETRY_S = 0.02
+_HEADS = 4
+# Share of the cell that delay-tolerant work gets after its slack has passed.
+_AGED_SHARE = 0.15
+_MAX_AGED_CREDIT_S = 1.0
+_TRANSFER_MARGIN_S = 0.3
+_SERVICE_CALL_S = 0.1
+_DEFAULT_SLOTS = 1
+
+
+class Dispatcher:
+    """Orders queued requests and turns them into placements."""
+
+    retry_s = _RETRY_S
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self._settings = settings
+        self.placer = Placer(settings)
+        self.queue = FairQueue(settings.fair_share)
+        self._aged_credit_s = 0.0
+        self._prefill_rate = 1.0
+        self._slots = _DEFAULT_SLOTS
+        self._pieces = 0
+        self._most_pieces = 0
+        self._piece_tokens = 16
+        self._step_s = 0.04
+
+    @property
+    def has_work(self) -> bool:
+        """Whether requests are queued."""
+        return len(self.queue) > 0
+
+    def note_servers(self) -> None:
+        """Recompute the capacity of the cell after its servers changed."""
+        usable = [s for s in self.placer.servers.values() if s.is_usable]
+        prefill = [s.spec.prefill_tokens_per_s for s in usable if s.prefills]
+        decode = [s.spec for s in usable if s.decodes]
+        self._prefill_rate = sum(prefill) or 1.0
+        self._slots = sum(spec.slots for spec in decode) or _DEFAULT_SLOTS
+        self._pieces = sum(spec.kv_pieces for spec in decode)
+        self._most_pieces = max((spec.kv_pieces for spec in decode), default=0)
+        if decode:
+            self._piece_tokens = decode[0].piece_tokens
+            self._step_s = max(spec.decode_step_ms for spec in decode) / 1000
+
+    def can_ever_fit(self, profile: RequestProfile) -> bool:
+        """Tell whether the largest engine could hold the request alone."""
+        tokens = profile.prompt_tokens + admission.LOOK_AHEAD_TOKENS
+        return not self._most_pieces or tokens <= self._most_pieces * self._piece_tokens
+
+    def enqueue(self, entry: Entry, now_s: float) -> None:
+        """Queue a request by its urgency."""
+        profile = entry.profile
+        is_retry = profile.attempt > 1
+        level, due_s = Level.URGENT, now_s
+        if self._settings.infer_urgency:
+            level = entry.estimate.level
+            due_s = now_s - profile.waited_s + entry.estimate.slack_s
+        if is_retry:
+            # A stream that lost its engine has a caller who already reads it.
+            level = Level.URGENT
+        cost_s = self._cost_s(entry)
+        self.queue.push(
+            QueueItem(profile.request_id, profile.workspace, level, due_s, cost_s)
+        )
+
+    def dispatch(self, registry: Registry, now_s: float) -> list[CellAction]:
+        """Place what fits, in order."""
+        actions: list[CellAction] = []
+        if not self.has_work:
+            return actions
+        if self._settings.infer_urgency:
+            self._demote_late(registry, now_s)
+        for level in (Level.URGENT, Level.LATE, Level.BULK):
+            if level is not Level.BULK:
+                actions += self._place_aged(registry, now_s)
+            while placed := self._place_first(registry, level, now_s):
+                actions.append(placed)
+        return actions
+
+    def _place_aged(self, registry: Registry, now_s: float) -> list[CellAction]:
+        """Place delay-tolerant work that is past its slack, within its credit."""
+        actions: list[CellAction] = []
+        while self._settings.age_queued and self._aged_credit_s > 0:
+            item = next(self.queue.first(Level.BULK, 1), None)
+            if item is None or now_s < item.due_s:
+                break
+            placed = self._place(registry, item, Level.BULK, now_s)
+            if placed is None:
+                break
+            self._aged_credit_s -= item.cost_s
+            actions.append(placed)
+        return actions
+
+    def _place_first(
+        self, registry: Registry, level: Level, now_s: float
+    ) -> CellAction | None:
+        for item in self.queue.first(level, _HEADS):
+            placed = self._place(registry, item, level, now_s)
+            if placed is not None:
+                if level is not Level.BULK:
+                    credit_s = self._aged_credit_s + item.cost_s * _AGED_SHARE
+                    self._aged_credit_s = min(_MAX_AGED_CREDIT_S, credit_s)
+                return placed
+        return None
+
+    def _place(
+        self, registry: Registry, item: QueueItem, level: Level, now_s: float
+    ) -> CellAction | None:
+        entry = registry.entries[item.request_id]
+        choice = self._choose(entry, level, now_s)
+        if choice is None:
+            return None
+        assert entry.placement is None, "a request is placed once per attempt"
+        self.queue.take(item.request_id)
+        self.placer.reserve(entry, choice, level, now_s)
+        entry.placement = _to_placement(entry, choice, level)
+        entry.phase = RequestPhase.PREFILLING
+        return SendSubmitReply(entry.front, item.request_id, entry.placement)
+
+    def _choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+        first = next(iter(self.placer.servers.values()))
+        if is_service(first):
+            return self.placer.choose_service(entry, level, now_s)
+        return self.placer.choose(entry, level, now_s)
+
+    def _demote_late(self, registry: Registry, now_s: float) -> None:
+        """
+        Move urgent requests that missed their target behind those that can meet it.
+
+        Every request moves at most once.
+        """
+        moved = True
+        while moved:
+            moved = False
+            for item in list(self.queue.first(Level.URGENT, _HEADS)):
+                entry = registry.entries[item.request_id]
+                waited_s = now_s - entry.queued_s + entry.profile.waited_s
+                if waited_s < FIRST_TOKEN_TARGET_S or entry.profile.attempt > 1:
+                    continue
+                self.queue.remove(item.request_id)
+                item.level = Level.LATE
+                self.queue.push(item)
+                moved = True
+
+    def _cost_s(self, entry: Entry) -> float:
+        """Return how long the request occupies the whole cell."""
+        profile, output = entry.profile, entry.estimate.output_tokens
+        if not self._pieces:
+            return _SERVICE_CALL_S / self._slots
+        decode_s = output * self._step_s
+        pieces = (profile.prompt_tokens + output) / self._piece_tokens
+        cached_tokens = self.placer.cached_tokens(entry)
+        prefill_tokens = max(1, profile.prompt_tokens - cached_tokens)
+        return (
+            prefill_tokens / self._prefill_rate
+            + decode_s / self._slots
+            + decode_s * pieces / self._pieces
+        ) / 3
+
+
+def _to_placement(entry: Entry, choice: Choice, level: Level) -> Placement:
+    profile = entry.profile
+    placement = Placement(
+        request_id=profile.request_id,
+        attempt=profile.attempt,
+        epoch=profile.epoch,
+        decode_server=choice.decode.spec.name,
+        decode_address=choice.decode.spec.address,
+        priority=int(level),
+    )
+    if choice.prefill is None:
+        return placement
+    wait_s = choice.transfer_start_s - choice.prefill_end_s + choice.transfer_time_s
+    return Placement(
+        request_id=placement.request_id,
+        attempt=placement.attempt,
+        epoch=placement.epoch,
+        prefill_server=choice.prefill.spec.name,
+        prefill_address=choice.prefill.spec.address,
+        decode_server=placement.decode_server,
+        decode_address=placement.decode_address,
+        priority=placement.priority,
+        transfer_deadline_s=2 * wait_s + _TRANSFER_MARGIN_S,
+    )
--- /dev/null
+++ b/src/damaskridge/core/scheduling/fair_queue.py
@@ -0,0 +1,151 @@
+"""The queue: levels of urgency, and within a level fair shares of engine cost."""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from damaskridge.core.scheduling.lazy_heap import LazyHeap
+from damaskridge.core.scheduling.urgency import Level
+
+__all__ = ["FairQueue", "QueueItem"]
+
+
+@dataclass(slots=True)
+class QueueItem:
+    """A queued request; `cost_s` is the time it takes of the whole cell."""
+
+    request_id: str
+    workspace: str
+    level: Level
+    due_s: float
+    cost_s: float
+
+
+class FairQueue:
+    """
+    Start-time fair queueing by cost, blended with due times.
+
+    Every workspace has a virtual time that grows by the cost of what was taken,
+    divided by its share. The next request of a level is the one with the smallest
+    sum of due time and virtual time, so a workspace is served late by as much as
+    it is ahead of its share, and many small requests count as one large.
+
+    Parameters
+    ----------
+    is_fair : bool
+        Whether shares count; without, due times alone decide.
+    """
+
+    def __init__(self, is_fair: bool = True) -> None:
+        self._is_fair = is_fair
+        self._items: dict[str, QueueItem] = {}
+        self._heaps: dict[tuple[Level, str], list[tuple[float, int, str]]] = {}
+        self._heads = {level: LazyHeap() for level in Level}
+        self._virtual: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
+        self._weights: dict[str, float] = {}
+        self._total_weight = 1.0
+        self._now_virtual = 0.0
+        self._sequence = 0
+        self._backlog_s = dict.fromkeys(Level, 0.0)
+        self._own_backlog_s: dict[str, dict[Level, float]] = {}
+        self._active_weight = 0.0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._items
+
+    def set_weights(self, weights: dict[str, float]) -> None:
+        """Use the weights of a new bundle."""
+        self._weights = {name: max(weight, 1e-6) for name, weight in weights.items()}
+        self._total_weight = sum(self._weights.values()) or 1.0
+        self._active_weight = sum(self._weight(space) for space in self._counts)
+
+    def push(self, item: QueueItem) -> None:
+        """Add a request."""
+        assert item.request_id not in self._items, "a request is queued once"
+        space = item.workspace
+        if not self._counts.get(space):
+            self._virtual[space] = max(self._virtual.get(space, 0.0), self._now_virtual)
+            self._own_backlog_s[space] = dict.fromkeys(Level, 0.0)
+            self._active_weight += self._weight(space)
+        self._counts[space] = self._counts.get(space, 0) + 1
+        self._items[item.request_id] = item
+        self._backlog_s[item.level] += item.cost_s
+        self._own_backlog_s[space][item.level] += item.cost_s
+        self._sequence += 1
+        heap = self._heaps.setdefault((item.level, space), [])
+        heapq.heappush(heap, (item.due_s, self._sequence, item.request_id))
+        self._update_head(item.level, space)
+
+    def remove(self, request_id: str) -> QueueItem | None:
+        """Remove a request that is not placed."""
+        item = self._items.pop(request_id, None)
+        if item is None:
+            return None
+        space = item.workspace
+        self._backlog_s[item.level] -= item.cost_s
+        self._own_backlog_s[space][item.level] -= item.cost_s
+        self._counts[space] -= 1
+        self._update_head(item.level, space)
+        if not self._counts[space]:
+            del self._counts[space], self._own_backlog_s[space]
+            self._active_weight -= self._weight(space)
+        return item
+
+    def take(self, request_id: str) -> QueueItem:
+        """Remove a request that was placed, and charge its workspace."""
+        item = self._items[request_id]
+        space = item.workspace
+        share = self._weight(space) / self._total_weight
+        if self._is_fair:
+            start = self._virtual[space]
+            self._now_virtual = max(self._now_virtual, start)
+            self._virtual[space] = start + item.cost_s / share
+            for level in Level:
+                self._update_head(level, space)
+        self.remove(request_id)
+        return item
+
+    def first(self, level: Level, count: int) -> Iterator[QueueItem]:
+        """Return the heads of up to `count` workspaces, the next one first."""
+        for space in self._heads[level].first(count):
+            yield self._items[self._heaps[level, space][0][2]]
+
+    def wait_s(self, workspace: str, level: Level) -> float:
+        """
+        Return how long a new request waits for work at its level and above.
+
+        The work of a workspace that floods does not delay the others beyond their
+        share, so a workspace waits for all work or for its own at its share.
+        """
+        own_s = self._own_backlog_s.get(workspace)
+        if own_s is None:
+            return 0.0
+        levels = [item for item in Level if level is Level.BULK or item < Level.BULK]
+        total_s = sum(self._backlog_s[item] for item in levels)
+        share = self._weight(workspace) / max(self._active_weight, 1e-6)
+        if not self._is_fair:
+            return total_s
+        return min(total_s, sum(own_s[item] for item in levels) / share)
+
+    def _weight(self, workspace: str) -> float:
+        return self._weights.get(workspace, 1.0)
+
+    def _update_head(self, level: Level, space: str) -> None:
+        heap = self._heaps.get((level, space))
+        if heap is None:
+            return
+        while heap and not self._is_live(heap[0][2], level):
+            heapq.heappop(heap)
+        if heap:
+            self._heads[level].update(space, heap[0][0] + self._virtual[space])
+        else:
+            self._heads[level].discard(space)
+            del self._heaps[level, space]
+
+    def _is_live(self, request_id: str, level: Level) -> bool:
+        item = self._items.get(request_id)
+        return item is not None and item.level is level
--- /dev/null
+++ b/src/damaskridge/core/scheduling/overload.py
@@ -0,0 +1,36 @@
+"""Refuses at once what nobody can serve in time and whose waiting hurts others."""
+
+import random
+
+from damaskridge.core.scheduling.urgency import Level
+
+__all__ = ["OverloadControl"]
+
+# Longer than bursts at full load, so that only lasting overload refuses.
+_MAX_URGENT_WAIT_S = 5.0
+_MAX_BULK_WAIT_S = 120.0
+_RETRY_SPREAD = 0.5
+
+
+class OverloadControl:
+    """
+    Decides from the time that a new request would wait.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads retry times.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def retry_after_s(self, level: Level, wait_s: float) -> float | None:
+        """Return the time after which to retry, or none to admit."""
+        limit_s = _MAX_BULK_WAIT_S if level is Level.BULK else _MAX_URGENT_WAIT_S
+        excess_s = wait_s - limit_s
+        return self.spread_s(1.0 + excess_s) if excess_s > 0 else None
+
+    def spread_s(self, wait_s: float) -> float:
+        """Return `wait_s`, spread upwards by jitter."""
+        return wait_s * (1 + _RETRY_SPREAD * self._rng.random())
--- /dev/null
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -0,0 +1,233 @@
+"""Picks engines by predicted time to first token, and reserves them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from damaskridge.core.scheduling import admission, links
+from damaskridge.core.scheduling.lazy_heap import LazyHeap
+from damaskridge.core.scheduling.prefix_hints import PrefixHints
+from damaskridge.core.scheduling.registry import Entry
+from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.settings import SchedulerSettings
+from damaskridge.core.scheduling.urgency import Level
+from damaskridge.model.bundle import BackendServerRole
+from damaskridge.model.routing import Placement
+
+__all__ = ["Choice", "Placer", "is_service"]
+
+_CANDIDATES = 8
+# A request that no other server can run goes back to those that failed it.
+_EXCLUSION_S = 2.0
+# Longer queues at an engine would take the order out of the cell owner's hands.
+_MAX_PREFILL_WAIT_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.15}
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request could run, and when."""
+
+    prefill: ServerState | None
+    decode: ServerState
+    pieces: int
+    uncached_tokens: int = 0
+    prefill_end_s: float = 0.0
+    transfer_start_s: float = 0.0
+    transfer_time_s: float = 0.0
+
+
+class Placer:
+    """Keeps the servers of the cell ordered by load; costs O(log n) a request."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self._settings = settings
+        self.servers: dict[str, ServerState] = {}
+        self.hints = PrefixHints()
+        self._prefill = LazyHeap()
+        self._decode = LazyHeap()
+
+    def update(self, server: ServerState) -> None:
+        """Reorder a server after a change."""
+        name = server.spec.name
+        known = self.servers.get(name) is server
+        if known and server.is_usable and server.prefills:
+            self._prefill.update(name, server.busy_until_s)
+        else:
+            self._prefill.discard(name)
+        if known and server.is_usable and server.decodes:
+            self._decode.update(name, server.load)
+        else:
+            self._decode.discard(name)
+
+    def cached_tokens(self, entry: Entry) -> int:
+        """Return the longest cached prefix of a request on any engine."""
+        hashes = entry.profile.prefix_hashes
+        if not self._settings.use_prefix_hints:
+            return 0
+        names = self.hints.servers_with(hashes, _CANDIDATES)
+        return max((self.hints.cached_tokens(n, hashes) for n in names), default=0)
+
+    def choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+        """Return the best place that is free now, if any."""
+        for prefill, tokens in self._rank_prefill(entry, level, now_s):
+            end_s = now_s + prefill.prefill_wait_s(level, now_s)
+            end_s += tokens / prefill.spec.prefill_tokens_per_s
+            choice = self._choose_decode(entry, level, prefill, tokens, end_s, now_s)
+            if choice is not None:
+                return choice
+        return None
+
+    def choose_service(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+        """Return the least busy instance of a plain service that has a slot."""
+        for server in self._decode_candidates(entry, now_s):
+            if admission.can_reserve(server, 0, level):
+                return Choice(None, server, 0)
+        return None
+
+    def reserve(self, entry: Entry, choice: Choice, level: Level, now_s: float) -> None:
+        """Reserve what was chosen, before anything starts."""
+        request_id = entry.profile.request_id
+        if self._settings.reserve_decode:
+            assert admission.can_reserve(choice.decode, choice.pieces, level), (
+                "slots and pieces stay within capacity"
+            )
+        admission.reserve(choice.decode, request_id, choice.pieces)
+        if entry.suspect:
+            choice.decode.suspects += 1
+        if choice.prefill is not None:
+            choice.prefill.add_prefill(choice.uncached_tokens, level, now_s)
+            if choice.prefill is not choice.decode and entry.suspect:
+                choice.prefill.suspects += 1
+            links.reserve_transfer(
+                choice.prefill,
+                choice.decode,
+                choice.transfer_start_s,
+                choice.transfer_time_s,
+            )
+            self.update(choice.prefill)
+        entry.pieces = choice.pieces
+        entry.placed_s, entry.prefill_end_s = now_s, choice.prefill_end_s
+        self.update(choice.decode)
+
+    def adopt(self, entry: Entry, placement: Placement) -> None:
+        """Reserve what a registered request already uses."""
+        server = self.servers.get(placement.decode_server)
+        if server is None or entry.profile.request_id in server.requests:
+            return
+        entry.pieces = self._pieces(server, entry)
+        admission.reserve(server, entry.profile.request_id, entry.pieces)
+        self._count_suspect(entry, placement, 1)
+        self.update(server)
+
+    def release(self, entry: Entry) -> None:
+        """Free what a request holds."""
+        if entry.placement is None:
+            return
+        server = self.servers.get(entry.placement.decode_server)
+        if server is None or entry.profile.request_id not in server.requests:
+            return
+        admission.release(server, entry.profile.request_id, entry.pieces)
+        entry.pieces = 0
+        self._count_suspect(entry, entry.placement, -1)
+        self.update(server)
+
+    def extend(self, entry: Entry) -> None:
+        """Reserve more memory for a stream that exceeds its prediction."""
+        assert entry.placement is not None
+        server = self.servers.get(entry.placement.decode_server)
+        if server is None or entry.profile.request_id not in server.requests:
+            return
+        tokens = entry.profile.prompt_tokens
+        needed = admission.pieces_for(server, tokens, entry.output_tokens)
+        if needed > entry.pieces:
+            entry.pieces = admission.extend(server, entry.pieces, needed)
+            self.update(server)
+
+    def _count_suspect(self, entry: Entry, placement: Placement, change: int) -> None:
+        if entry.suspect:
+            for name in {placement.prefill_server, placement.decode_server}:
+                if name in self.servers:
+                    server = self.servers[name]
+                    server.suspects = max(0, server.suspects + change)
+
+    def _pieces(self, server: ServerState, entry: Entry) -> int:
+        most = entry.estimate.most_output_tokens
+        output = max(most, entry.output_tokens)
+        pieces = admission.pieces_for(server, entry.profile.prompt_tokens, output)
+        return min(pieces, server.spec.kv_pieces)
+
+    def _rank_prefill(
+        self, entry: Entry, level: Level, now_s: float
+    ) -> list[tuple[ServerState, int]]:
+        hashes = entry.profile.prefix_hashes
+        names = self._prefill.first(_CANDIDATES)
+        if self._settings.use_prefix_hints:
+            names += self.hints.servers_with(hashes, _CANDIDATES)
+        ranked: list[tuple[float, str, int]] = []
+        for name in dict.fromkeys(names):
+            server = self.servers.get(name)
+            if server is None or not self._is_allowed(server, entry, now_s):
+                continue
+            if name not in self._prefill:
+                continue
+            wait_s = server.prefill_wait_s(level, now_s)
+            if wait_s > _MAX_PREFILL_WAIT_S[level]:
+                continue
+            cached = 0
+            if self._settings.use_prefix_hints:
+                cached = self.hints.cached_tokens(name, hashes)
+            tokens = max(1, entry.profile.prompt_tokens - cached)
+            ready_s = wait_s + tokens / server.spec.prefill_tokens_per_s
+            ranked.append((ready_s, name, tokens))
+        return [(self.servers[name], tokens) for _, name, tokens in sorted(ranked)]
+
+    def _choose_decode(
+        self,
+        entry: Entry,
+        level: Level,
+        prefill: ServerState,
+        tokens: int,
+        end_s: float,
+        now_s: float,
+    ) -> Choice | None:
+        size_bytes = entry.profile.prompt_tokens * self._settings.kv_bytes_per_token
+        best: Choice | None = None
+        for decode in self._decode_candidates(entry, now_s):
+            pieces = self._pieces(decode, entry)
+            if self._settings.reserve_decode and not admission.can_reserve(
+                decode, pieces, level
+            ):
+                continue
+            start_s = end_s
+            duration_s = links.transfer_time_s(prefill, decode, size_bytes)
+            if self._settings.reserve_links:
+                start_s = links.transfer_start_s(prefill, decode, end_s)
+                if start_s > end_s + links.HOLD_S:
+                    continue
+            found = Choice(prefill, decode, pieces, tokens, end_s, start_s, duration_s)
+            if best is None or _arrival_s(found) < _arrival_s(best):
+                best = found
+        return best
+
+    def _decode_candidates(self, entry: Entry, now_s: float) -> Iterator[ServerState]:
+        for name in self._decode.first(_CANDIDATES):
+            server = self.servers[name]
+            if self._is_allowed(server, entry, now_s):
+                yield server
+
+    def _is_allowed(self, server: ServerState, entry: Entry, now_s: float) -> bool:
+        if server.spec.serves != entry.profile.model:
+            return False
+        is_excluded = server.spec.name in entry.profile.excluded
+        if is_excluded and now_s - entry.queued_s < _EXCLUSION_S:
+            return False
+        return not (entry.suspect and server.suspects)
+
+
+def _arrival_s(choice: Choice) -> float:
+    # Load breaks ties between links that are free, so that engines fill evenly.
+    return choice.transfer_start_s + choice.transfer_time_s + 0.1 * choice.decode.load
+
+
+def is_service(server: ServerState) -> bool:
+    """Tell whether a server is an instance of a plain service."""
+    return server.spec.role is BackendServerRole.SERVICE
--- /dev/null
+++ b/src/damaskridge/core/scheduling/prefix_hints.py
@@ -0,0 +1,83 @@
+"""Hints at cached prefixes; a gap in the events forgets, never invents."""
+
+from collections.abc import Sequence
+
+from damaskridge.model.engine import (
+    BYTES_PER_TOKEN,
+    PREFIX_BLOCK_BYTES,
+    CacheEventPage,
+)
+
+__all__ = ["PrefixHints"]
+
+_BLOCK_TOKENS = PREFIX_BLOCK_BYTES // BYTES_PER_TOKEN
+_MAX_BLOCKS = 50_000
+
+
+class PrefixHints:
+    """Which engine has which prefix blocks in its cache, as far as is known."""
+
+    def __init__(self) -> None:
+        self._blocks: dict[str, set[int]] = {}
+        self._servers: dict[int, dict[str, None]] = {}
+        self._sequences: dict[str, int] = {}
+
+    def apply(self, server: str, page: CacheEventPage) -> None:
+        """Apply events in order; a gap discards the server's hints first."""
+        for event in page.events:
+            last = self._sequences.get(server)
+            if last is not None and event.sequence <= last:
+                continue
+            if last is not None and event.sequence > last + 1:
+                self.forget(server)
+            self._sequences[server] = event.sequence
+            self._change(server, event.block_hash, event.cached)
+        if page.gap:
+            self.forget(server)
+
+    def forget(self, server: str) -> None:
+        """Discard all hints of a server."""
+        for block_hash in self._blocks.pop(server, set()):
+            self._drop(server, block_hash)
+
+    def restart(self, server: str) -> None:
+        """Discard a server's hints and accept a new numbering of its events."""
+        self.forget(server)
+        self._sequences.pop(server, None)
+
+    def cached_tokens(self, server: str, hashes: Sequence[int]) -> int:
+        """Return the length of the longest cached prefix, in tokens."""
+        blocks = self._blocks.get(server)
+        if not blocks:
+            return 0
+        low, high = 0, len(hashes)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if hashes[middle - 1] in blocks:
+                low = middle
+            else:
+                high = middle - 1
+        return low * _BLOCK_TOKENS
+
+    def servers_with(self, hashes: Sequence[int], count: int) -> list[str]:
+        """Return up to `count` servers that have at least the first block."""
+        if not hashes:
+            return []
+        found = self._servers.get(hashes[0], {})
+        return [name for _, name in zip(range(count), found, strict=False)]
+
+    def _change(self, server: str, block_hash: int, cached: bool) -> None:
+        blocks = self._blocks.setdefault(server, set())
+        if not cached:
+            blocks.discard(block_hash)
+            self._drop(server, block_hash)
+        elif len(blocks) < _MAX_BLOCKS:
+            blocks.add(block_hash)
+            self._servers.setdefault(block_hash, {})[server] = None
+
+    def _drop(self, server: str, block_hash: int) -> None:
+        holders = self._servers.get(block_hash)
+        if holders is not None:
+            holders.pop(server, None)
+            if not holders:
+                del self._servers[block_hash]
--- /dev/null
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -0,0 +1,182 @@
+"""Requests of the cell by id and by front."""
+
+from dataclasses import dataclass
+
+from damaskridge.core.scheduling.settings import FRONT_LEASE_S
+from damaskridge.core.scheduling.urgency import Estimate
+from damaskridge.model.routing import (
+    ActiveRequest,
+    Placement,
+    RequestPhase,
+    RequestProfile,
+)
+
+__all__ = ["TAKE_OVER_GRACE_S", "Entry", "Registry"]
+
+# With the lease of 3 s this leaves 1 s of the promised lease time plus 3 s.
+TAKE_OVER_GRACE_S = 2.0
+_TOMBSTONE_S = 60.0
+
+
+@dataclass(slots=True)
+class Entry:
+    """One request: queued without a placement, running with one."""
+
+    profile: RequestProfile
+    front: str
+    incarnation: int
+    estimate: Estimate
+    queued_s: float
+    placement: Placement | None = None
+    phase: RequestPhase = RequestPhase.QUEUED
+    pieces: int = 0
+    output_tokens: int = 0
+    placed_s: float = 0.0
+    prefill_end_s: float = 0.0
+    reclaim_s: float | None = None
+    taken_over: bool = False
+    suspect: bool = False
+
+    @property
+    def engine_request_id(self) -> str:
+        """The name of the attempt on engines."""
+        return f"{self.profile.request_id}.{self.profile.attempt}"
+
+    def to_active(self) -> ActiveRequest | None:
+        """Return the message that describes the running request."""
+        if self.placement is None:
+            return None
+        return ActiveRequest(
+            profile=self.profile,
+            placement=self.placement,
+            phase=self.phase,
+            output_tokens=self.output_tokens,
+        )
+
+
+@dataclass(slots=True)
+class _Front:
+    incarnation: int
+    seen_s: float
+    lost: bool = False
+
+
+class Registry:
+    """Finds requests, and fronts that have been silent for too long."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self._by_front: dict[str, dict[str, None]] = {}
+        self._fronts: dict[str, _Front] = {}
+        self._orphans: dict[str, None] = {}
+        self._ended: dict[str, float] = {}
+        self._unknown: dict[tuple[str, str], float] = {}
+
+    def add(self, entry: Entry) -> None:
+        """Record a request of its front."""
+        request_id = entry.profile.request_id
+        self.entries[request_id] = entry
+        self._by_front.setdefault(entry.front, {})[request_id] = None
+
+    def remove(self, request_id: str, now_s: float) -> Entry | None:
+        """Forget a request; its engine request id counts as ended."""
+        entry = self.entries.pop(request_id, None)
+        if entry is not None:
+            self._by_front.get(entry.front, {}).pop(request_id, None)
+            self._orphans.pop(request_id, None)
+            self.note_ended(entry.engine_request_id, now_s)
+        return entry
+
+    def note_ended(self, engine_request_id: str, now_s: float) -> None:
+        """Remember that an attempt is over."""
+        self._ended[engine_request_id] = now_s
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if self._ended[oldest] > now_s - _TOMBSTONE_S:
+                break
+            del self._ended[oldest]
+
+    def move(self, entry: Entry, front: str, incarnation: int) -> None:
+        """Give a request to another front."""
+        request_id = entry.profile.request_id
+        self._by_front.get(entry.front, {}).pop(request_id, None)
+        entry.front, entry.incarnation = front, incarnation
+        entry.reclaim_s, entry.taken_over = None, True
+        self._orphans.pop(request_id, None)
+        self._by_front.setdefault(front, {})[request_id] = None
+
+    def note_front(self, front: str, incarnation: int, now_s: float) -> None:
+        """Note that a front is alive."""
+        known = self._fronts.get(front)
+        if known is None or incarnation != known.incarnation:
+            self._fronts[front] = _Front(incarnation, now_s)
+        else:
+            known.seen_s, known.lost = now_s, False
+
+    def is_front_lost(self, entry: Entry) -> bool:
+        """Tell whether the front of a request is gone."""
+        known = self._fronts.get(entry.front)
+        return known is None or known.lost or known.incarnation != entry.incarnation
+
+    def mark_lost(self, front: str, incarnation: int) -> None:
+        """Note that a front's process is gone."""
+        known = self._fronts.get(front)
+        if known is not None and known.incarnation == incarnation:
+            known.lost = True
+
+    def orphan(self, entry: Entry, now_s: float) -> None:
+        """Let others take the request over until its grace has passed."""
+        if entry.reclaim_s is None:
+            entry.reclaim_s = now_s + TAKE_OVER_GRACE_S
+            self._orphans[entry.profile.request_id] = None
+
+    def take_due(self, now_s: float) -> list[Entry]:
+        """Return orphans whose grace has passed; a front that is back keeps its."""
+        due: list[Entry] = []
+        for request_id in list(self._orphans):
+            entry = self.entries[request_id]
+            if entry.reclaim_s is None or now_s < entry.reclaim_s:
+                continue
+            del self._orphans[request_id]
+            entry.reclaim_s = None
+            if self.is_front_lost(entry):
+                due.append(entry)
+        return due
+
+    def requests_of(self, front: str) -> list[Entry]:
+        """Return the requests of a front."""
+        return [self.entries[item] for item in self._by_front.get(front, {})]
+
+    def find_silent(self, now_s: float) -> list[tuple[str, int]]:
+        """Return fronts that became silent, with their incarnations."""
+        return [
+            (name, front.incarnation)
+            for name, front in self._fronts.items()
+            if not front.lost and now_s - front.seen_s >= FRONT_LEASE_S
+        ]
+
+    def is_stray(
+        self, server: str, engine_request_id: str, asked_s: float, now_s: float
+    ) -> bool:
+        """
+        Tell whether an engine's list entry belongs to no request and is old.
+
+        An attempt that ended before the list was asked for is stray at once; one
+        that nobody registered is stray after the lease time.
+        """
+        request_id, _, attempt = engine_request_id.rpartition(".")
+        key = (server, engine_request_id)
+        entry = self.entries.get(request_id)
+        if entry is not None and str(entry.profile.attempt) == attempt:
+            self._unknown.pop(key, None)
+            return False
+        ended_s = self._ended.get(engine_request_id)
+        if ended_s is not None:
+            return asked_s > ended_s
+        return now_s - self._unknown.setdefault(key, now_s) >= FRONT_LEASE_S
+
+    def forget_unlisted(self, server: str, listed: set[str]) -> None:
+        """Forget unknown entries that an engine no longer lists."""
+        for key in [key for key in self._unknown if key[0] == server]:
+            if key[1] not in listed:
+                del self._unknown[key]
--- /dev/null
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -0,0 +1,469 @@
+"""The scheduler of one cell: composes order, admission, placement and recovery."""
+
+import random
+from functools import singledispatchmethod
+
+from damaskridge.core.scheduling.dispatch import Dispatcher
+from damaskridge.core.scheduling.messages import (
+    CacheReported,
+    CancelOnEngine,
+    CellAction,
+    CellChanged,
+    CellEvent,
+    CellGained,
+    EngineListed,
+    FrontLost,
+    FrontRegistered,
+    LoadReported,
+    NotifyTakenOver,
+    ProgressReported,
+    ReportCrashedRequests,
+    ReportSuspectCleared,
+    RequestRegistered,
+    RequestSubmitted,
+    RequestWithdrawn,
+    SendOrder,
+    SendSubmitReply,
+    SendTakeOverReply,
+    ServerFailed,
+    ServerLeaving,
+    ServerRecovered,
+    TakeOverRequested,
+    TimePassed,
+)
+from damaskridge.core.scheduling.overload import OverloadControl
+from damaskridge.core.scheduling.placement import is_service
+from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.retry_budget import RetryBudget
+from damaskridge.core.scheduling.roles import RoleAdvisor
+from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.settings import SchedulerSettings
+from damaskridge.core.scheduling.suspects import SuspectTable
+from damaskridge.core.scheduling.urgency import Estimator, UrgencyEstimator
+from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
+from damaskridge.model.engine import OrderKind
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.routing import (
+    Progress,
+    Refused,
+    RequestPhase,
+    RequestProfile,
+    TakeOverReply,
+)
+
+__all__ = ["REBUILD_LIMIT_S", "CellScheduler"]
+
+REBUILD_LIMIT_S = 3.0
+_SILENCE_CHECK_S = 0.25
+_ENDED = (RequestPhase.FINISHED, RequestPhase.CANCELLED)
+_STARTED = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
+
+
+class CellScheduler:
+    """
+    Decides for one cell; use a new instance for every cell and every epoch.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads retry times.
+    settings : SchedulerSettings
+        Assumptions and switches.
+    estimator : Estimator or None
+        Replaces the inference of urgency, for comparisons.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        settings: SchedulerSettings | None = None,
+        estimator: Estimator | None = None,
+    ) -> None:
+        self._settings = settings or SchedulerSettings()
+        self._estimator = estimator or UrgencyEstimator()
+        self._overload = OverloadControl(rng)
+        self._registry = Registry()
+        self._retries = RetryBudget()
+        self._suspects = SuspectTable()
+        self._roles = RoleAdvisor()
+        self._dispatcher = Dispatcher(self._settings)
+        self._placer = self._dispatcher.placer
+        self._epoch: int | None = None
+        self._missing_fronts: set[str] = set()
+        self._missing_engines: set[str] = set()
+        self._rebuilt_by_s = 0.0
+        self._next_check_s = 0.0
+
+    def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
+        """Apply `event` and return what to send."""
+        actions = self._apply(event, now_s)
+        if now_s >= self._next_check_s:
+            self._next_check_s = now_s + _SILENCE_CHECK_S
+            actions += self._check_fronts(now_s)
+            actions += self._propose_role(now_s)
+        if self._is_rebuilt(now_s):
+            actions += self._dispatcher.dispatch(self._registry, now_s)
+        return actions
+
+    def next_wakeup_s(self, now_s: float) -> float | None:
+        """Return the time at which to send `TimePassed`, if any."""
+        if self._epoch is None:
+            return None
+        if not self._is_rebuilt(now_s):
+            return min(self._rebuilt_by_s, self._next_check_s)
+        if self._dispatcher.has_work:
+            return min(self._next_check_s, now_s + self._dispatcher.retry_s)
+        return self._next_check_s if self._registry.entries else None
+
+    @singledispatchmethod
+    def _apply(self, event: CellEvent, now_s: float) -> list[CellAction]:
+        raise TypeError(f"unknown event: {event!r}")
+
+    @_apply.register
+    def _(self, event: CellGained, now_s: float) -> list[CellAction]:
+        assert self._epoch is None or event.epoch > self._epoch, "epochs only grow"
+        self._epoch = event.epoch
+        self._missing_fronts = set(event.fronts)
+        self._rebuilt_by_s = now_s + REBUILD_LIMIT_S
+        self._change_servers(event.backend_servers, event.workspaces)
+        self._missing_engines = {
+            server.name
+            for server in event.backend_servers
+            if server.role is not BackendServerRole.SERVICE
+        }
+        return []
+
+    @_apply.register
+    def _(self, event: CellChanged, now_s: float) -> list[CellAction]:
+        self._change_servers(event.backend_servers, event.workspaces)
+        return []
+
+    @_apply.register
+    def _(self, event: RequestSubmitted, now_s: float) -> list[CellAction]:
+        profile = event.profile
+        if profile.epoch != self._epoch:
+            return [_refuse(profile, ErrorKind.EPOCH_CONFLICT)]
+        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        actions: list[CellAction] = []
+        known = self._registry.entries.get(profile.request_id)
+        if known is not None:
+            if known.profile.attempt >= profile.attempt:
+                return self._repeat_reply(known, profile)
+            actions += self._end(known, now_s, cancel=True)
+        refusal = self._check_submitted(profile)
+        if refusal is not None:
+            return [*actions, refusal]
+        return actions + self._enqueue(profile, now_s)
+
+    @_apply.register
+    def _(self, event: RequestRegistered, now_s: float) -> list[CellAction]:
+        active = event.active
+        profile = active.profile
+        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        if profile.request_id in self._registry.entries:
+            return []
+        entry = self._new_entry(profile, now_s)
+        entry.placement, entry.phase = active.placement, active.phase
+        entry.output_tokens = active.output_tokens
+        self._registry.add(entry)
+        self._placer.adopt(entry, active.placement)
+        return []
+
+    @_apply.register
+    def _(self, event: FrontRegistered, now_s: float) -> list[CellAction]:
+        self._registry.note_front(event.front, event.incarnation, now_s)
+        self._missing_fronts.discard(event.front)
+        return []
+
+    @_apply.register
+    def _(self, event: RequestWithdrawn, now_s: float) -> list[CellAction]:
+        entry = self._registry.entries.get(event.request_id)
+        if entry is None:
+            return []
+        if entry.placement is None:
+            waited_s = now_s - entry.queued_s + entry.profile.waited_s
+            self._estimator.note_left(entry.profile, waited_s)
+        return self._end(entry, now_s, cancel=True)
+
+    @_apply.register
+    def _(self, event: ProgressReported, now_s: float) -> list[CellAction]:
+        batch = event.batch
+        if batch.epoch != self._epoch:
+            return []
+        self._registry.note_front(batch.front, batch.incarnation, now_s)
+        actions: list[CellAction] = []
+        for item in batch.items:
+            entry = self._registry.entries.get(item.request_id)
+            if entry is None or entry.profile.attempt != item.attempt:
+                continue
+            if entry.front == batch.front and entry.incarnation == batch.incarnation:
+                actions += self._note_progress(entry, item, now_s)
+        return actions
+
+    @_apply.register
+    def _(self, event: LoadReported, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        if server is None:
+            return []
+        report = event.report
+        if report.incarnation != server.incarnation:
+            # A process that was leaving has been replaced.
+            server.leaving = server.leaving and server.incarnation == 0
+            server.incarnation = report.incarnation
+            self._placer.hints.restart(event.backend_server)
+        if report.role and not is_service(server):
+            server.role = BackendServerRole(report.role)
+        server.apply_report(report, self._settings.correct_reports, now_s)
+        self._placer.update(server)
+        return []
+
+    @_apply.register
+    def _(self, event: CacheReported, now_s: float) -> list[CellAction]:
+        if event.backend_server in self._placer.servers:
+            self._placer.hints.apply(event.backend_server, event.page)
+        return []
+
+    @_apply.register
+    def _(self, event: EngineListed, now_s: float) -> list[CellAction]:
+        name = event.backend_server
+        self._missing_engines.discard(name)
+        listed = {item.engine_request_id for item in event.requests}
+        self._registry.forget_unlisted(name, listed)
+        return [
+            CancelOnEngine(name, engine_request_id)
+            for engine_request_id in sorted(listed)
+            if self._registry.is_stray(name, engine_request_id, event.asked_s, now_s)
+        ]
+
+    @_apply.register
+    def _(self, event: ServerFailed, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        self._missing_engines.discard(event.backend_server)
+        if server is None or event.incarnation < server.incarnation:
+            return []
+        was_failed, server.failed = server.failed, True
+        self._placer.hints.restart(event.backend_server)
+        self._placer.update(server)
+        if not event.crashed or was_failed:
+            return []
+        return self._note_crash(server, event.incarnation, now_s)
+
+    @_apply.register
+    def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        if server is not None:
+            server.failed = False
+            server.busy_until_s = server.urgent_until_s = now_s
+            self._placer.update(server)
+        return []
+
+    @_apply.register
+    def _(self, event: ServerLeaving, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        self._missing_engines.discard(event.backend_server)
+        if server is not None:
+            server.leaving = True
+            self._placer.update(server)
+        return []
+
+    @_apply.register
+    def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
+        self._missing_fronts.discard(event.front)
+        return self._lose_front(event.front, event.incarnation, now_s)
+
+    @_apply.register
+    def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
+        ask = event.take_over
+        if ask.epoch != self._epoch:
+            return [_take_over_refusal(event, ErrorKind.EPOCH_CONFLICT)]
+        self._registry.note_front(ask.front, ask.incarnation, now_s)
+        entry = self._registry.entries.get(ask.request_id)
+        if entry is None or entry.placement is None:
+            return [_take_over_refusal(event, ErrorKind.UNKNOWN_REQUEST)]
+        if entry.profile.workspace != ask.workspace:
+            return [_take_over_refusal(event, ErrorKind.UNKNOWN_REQUEST)]
+        actions: list[CellAction] = []
+        if (entry.front, entry.incarnation) != (ask.front, ask.incarnation):
+            is_lost = self._registry.is_front_lost(entry)
+            if entry.taken_over and not is_lost:
+                return [_take_over_refusal(event, ErrorKind.STREAM_TAKEN_OVER)]
+            if not is_lost:
+                actions.append(NotifyTakenOver(entry.front, ask.request_id))
+            self._registry.move(entry, ask.front, ask.incarnation)
+        reply = TakeOverReply(active=entry.to_active())
+        return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
+
+    @_apply.register
+    def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
+        return []
+
+    def _is_rebuilt(self, now_s: float) -> bool:
+        if self._epoch is None:
+            return False
+        is_complete = not self._missing_fronts and not self._missing_engines
+        return is_complete or now_s >= self._rebuilt_by_s
+
+    def _change_servers(
+        self, servers: tuple[BackendServer, ...], workspaces: tuple[Workspace, ...]
+    ) -> None:
+        self._dispatcher.queue.set_weights(
+            {space.name: space.share_weight for space in workspaces}
+        )
+        names = {server.name for server in servers}
+        for spec in servers:
+            state = self._placer.servers.get(spec.name)
+            if state is None:
+                state = ServerState(spec, spec.role)
+                self._placer.servers[spec.name] = state
+            elif state.spec.role is not spec.role:
+                state.role = spec.role
+            state.removed = False
+            state.spec = spec
+            self._placer.update(state)
+        for name in [name for name in self._placer.servers if name not in names]:
+            server = self._placer.servers[name]
+            server.removed = True
+            self._placer.update(server)
+            self._missing_engines.discard(name)
+        self._dispatcher.note_servers()
+
+    def _check_submitted(self, profile: RequestProfile) -> SendSubmitReply | None:
+        """Refuse what no server could ever run, and retries beyond the budget."""
+        if not any(
+            server.spec.serves == profile.model
+            for server in self._placer.servers.values()
+        ):
+            return _refuse(profile, ErrorKind.NO_BACKEND_SERVER)
+        if not self._dispatcher.can_ever_fit(profile):
+            return _refuse(profile, ErrorKind.INVALID_REQUEST)
+        if profile.attempt == 1:
+            self._retries.earn(profile.workspace)
+        elif not self._retries.spend(profile.workspace, profile.attempt):
+            return _refuse(profile, ErrorKind.OVERLOADED, self._overload.spread_s(1.0))
+        return None
+
+    def _enqueue(self, profile: RequestProfile, now_s: float) -> list[CellAction]:
+        entry = self._new_entry(profile, now_s)
+        if self._settings.control_overload and profile.attempt == 1:
+            level = entry.estimate.level
+            wait_s = self._dispatcher.queue.wait_s(profile.workspace, level)
+            retry_after_s = self._overload.retry_after_s(level, wait_s)
+            if retry_after_s is not None:
+                return [_refuse(profile, ErrorKind.OVERLOADED, retry_after_s)]
+        self._registry.add(entry)
+        self._dispatcher.enqueue(entry, now_s)
+        return []
+
+    def _new_entry(self, profile: RequestProfile, now_s: float) -> Entry:
+        estimate = self._estimator.estimate(profile, 0)
+        entry = Entry(profile, profile.front, profile.incarnation, estimate, now_s)
+        cached_tokens = self._placer.cached_tokens(entry)
+        if cached_tokens:
+            entry.estimate = self._estimator.estimate(profile, cached_tokens)
+        entry.suspect = profile.suspect or self._suspects.is_suspect(
+            profile.fingerprint, now_s
+        )
+        return entry
+
+    def _repeat_reply(self, known: Entry, profile: RequestProfile) -> list[CellAction]:
+        if known.placement is None or known.profile.attempt != profile.attempt:
+            return []
+        reply = SendSubmitReply(known.front, profile.request_id, known.placement)
+        return [reply] if known.front == profile.front else []
+
+    def _note_progress(
+        self, entry: Entry, item: Progress, now_s: float
+    ) -> list[CellAction]:
+        if item.phase is RequestPhase.FINISHED:
+            return self._finish(entry, item, now_s)
+        if item.phase is RequestPhase.CANCELLED:
+            return self._end(entry, now_s, cancel=True)
+        if entry.placement is not None and item.phase is not RequestPhase.QUEUED:
+            entry.phase = item.phase
+            entry.output_tokens = max(entry.output_tokens, item.output_tokens)
+            self._placer.extend(entry)
+        return []
+
+    def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
+        self._estimator.note_finished(entry.profile, item.output_tokens)
+        actions: list[CellAction] = []
+        if entry.suspect:
+            self._suspects.clear(entry.profile.fingerprint)
+            actions.append(ReportSuspectCleared(entry.profile.fingerprint))
+        return actions + self._end(entry, now_s, cancel=False)
+
+    def _end(self, entry: Entry, now_s: float, cancel: bool) -> list[CellAction]:
+        """Forget a request, free its reservations, and cancel it on its engines."""
+        self._dispatcher.queue.remove(entry.profile.request_id)
+        self._registry.remove(entry.profile.request_id, now_s)
+        self._placer.release(entry)
+        if not cancel or entry.placement is None:
+            return []
+        placement = entry.placement
+        names = dict.fromkeys((placement.prefill_server, placement.decode_server))
+        return [CancelOnEngine(name, entry.engine_request_id) for name in names if name]
+
+    def _note_crash(
+        self, server: ServerState, incarnation: int, now_s: float
+    ) -> list[CellAction]:
+        name = server.spec.name
+        ran: list[str] = []
+        for entry in self._registry.entries.values():
+            placement = entry.placement
+            if placement is None:
+                continue
+            on_prefill = placement.prefill_server == name
+            on_decode = placement.decode_server == name
+            started = entry.phase in _STARTED or now_s >= entry.prefill_end_s
+            decoding = entry.phase is RequestPhase.DECODING
+            if (on_prefill and not decoding) or (on_decode and started):
+                ran.append(entry.profile.fingerprint)
+            if on_decode:
+                self._placer.release(entry)
+        fingerprints = tuple(dict.fromkeys(item for item in ran if item))
+        self._suspects.add(fingerprints, now_s)
+        return [ReportCrashedRequests(name, incarnation, fingerprints)]
+
+    def _check_fronts(self, now_s: float) -> list[CellAction]:
+        actions: list[CellAction] = []
+        for front, incarnation in self._registry.find_silent(now_s):
+            actions += self._lose_front(front, incarnation, now_s)
+        for entry in self._registry.take_due(now_s):
+            actions += self._end(entry, now_s, cancel=True)
+        return actions
+
+    def _lose_front(
+        self, front: str, incarnation: int, now_s: float
+    ) -> list[CellAction]:
+        self._registry.mark_lost(front, incarnation)
+        for entry in self._registry.requests_of(front):
+            if entry.incarnation != incarnation:
+                continue
+            if entry.placement is None:
+                self._end(entry, now_s, cancel=False)
+            else:
+                self._registry.orphan(entry, now_s)
+        return []
+
+    def _propose_role(self, now_s: float) -> list[CellAction]:
+        if not self._settings.propose_roles:
+            return []
+        proposal = self._roles.propose(list(self._placer.servers.values()), now_s)
+        if proposal is None:
+            return []
+        server, role = proposal
+        return [SendOrder(server.spec.name, OrderKind.CHANGE_ROLE, role.value)]
+
+
+def _refuse(
+    profile: RequestProfile, kind: ErrorKind, retry_after_s: float | None = None
+) -> SendSubmitReply:
+    failure = Failure(kind, retry_after_s=retry_after_s)
+    refused = Refused(request_id=profile.request_id, failure=failure)
+    return SendSubmitReply(profile.front, profile.request_id, refused)
+
+
+def _take_over_refusal(event: TakeOverRequested, kind: ErrorKind) -> SendTakeOverReply:
+    ask = event.take_over
+    reply = TakeOverReply(failure=Failure(kind))
+    return SendTakeOverReply(ask.front, ask.request_id, reply)
--- /dev/null
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -0,0 +1,147 @@
+"""Infers how urgent a request is; no field that the caller sets decides it."""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Protocol
+
+from damaskridge.core.scheduling.settings import FIRST_TOKEN_TARGET_S
+from damaskridge.model.routing import RequestProfile
+
+__all__ = ["BULK_SLACK_S", "Estimate", "Estimator", "Level", "UrgencyEstimator"]
+
+BULK_SLACK_S = 10.0
+_PRIOR_OUTPUT_TOKENS = 128.0
+_MIN_SAMPLES = 5
+_LEARNING_RATE = 0.1
+# Slower than output learning, so that one burst of long prompts moves no border.
+_CENTRE_RATE = 0.01
+# Groups of sizes closer than this factor are one group, and all of it is urgent.
+_MIN_SEPARATION = math.log(2.0)
+_IMPATIENT_WAIT_S = 10.0
+_IMPATIENT_SHARE = 0.1
+_MAX_GROUPS = 10_000
+_OUTPUT_FACTOR = 4.0
+
+
+class Level(IntEnum):
+    """Levels of the queue, the most urgent first."""
+
+    URGENT = 0
+    LATE = 1
+    BULK = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """
+    What is expected of a request.
+
+    Parameters
+    ----------
+    level : Level
+        Level at which the request is queued.
+    slack_s : float
+        Time for which it can wait.
+    output_tokens : float
+        Expected output.
+    most_output_tokens : int
+        Output that is rarely exceeded, for reservations.
+    """
+
+    level: Level
+    slack_s: float
+    output_tokens: float
+    most_output_tokens: int
+
+
+class Estimator(Protocol):
+    """Estimates requests and learns from how they end."""
+
+    def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
+        """Return what is expected of a request."""
+
+    def note_finished(self, profile: RequestProfile, output_tokens: int) -> None:
+        """Learn from a request that ran to its end."""
+
+    def note_left(self, profile: RequestProfile, waited_s: float) -> None:
+        """Learn from a caller that left while its request was queued."""
+
+
+@dataclass(slots=True)
+class _Group:
+    samples: int = 0
+    mean: float = _PRIOR_OUTPUT_TOKENS
+    deviation: float = _PRIOR_OUTPUT_TOKENS
+    impatient_share: float = 0.0
+
+
+class UrgencyEstimator:
+    """
+    Learns per workspace, route and size of prompt.
+
+    Requests fall into two groups by the logarithm of their size (prompt less
+    cached prefix, plus weighted output), found by online 2-means. The smaller
+    group is urgent, and so is any group whose callers leave early.
+    """
+
+    def __init__(self) -> None:
+        self._groups: OrderedDict[tuple[str, str, int], _Group] = OrderedDict()
+        self._small = math.log(500.0)
+        self._large = math.log(5000.0)
+
+    def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
+        """Return what is expected of `profile`."""
+        group = self._group(profile)
+        most = profile.max_output_tokens
+        output = min(group.mean, float(most))
+        if group.samples >= _MIN_SAMPLES:
+            most = min(most, math.ceil(group.mean + 3.0 * group.deviation) + 16)
+        size = max(1, profile.prompt_tokens - cached_tokens) + _OUTPUT_FACTOR * output
+        urgent = self._is_small(math.log(size))
+        if group.impatient_share > _IMPATIENT_SHARE:
+            urgent = True
+        level = Level.URGENT if urgent else Level.BULK
+        slack_s = FIRST_TOKEN_TARGET_S / 2 if urgent else BULK_SLACK_S
+        return Estimate(level, slack_s, output, most)
+
+    def note_finished(self, profile: RequestProfile, output_tokens: int) -> None:
+        """Learn the output length; the caller waited to the end."""
+        group = self._group(profile)
+        if group.samples == 0:
+            group.mean, group.deviation = float(output_tokens), output_tokens / 2
+        error = output_tokens - group.mean
+        group.samples += 1
+        group.mean += _LEARNING_RATE * error
+        group.deviation += _LEARNING_RATE * (abs(error) - group.deviation)
+        group.impatient_share *= 1 - _LEARNING_RATE
+        self._learn_size(profile.prompt_tokens + _OUTPUT_FACTOR * output_tokens)
+
+    def note_left(self, profile: RequestProfile, waited_s: float) -> None:
+        """Learn that a caller left after `waited_s` in the queue."""
+        if waited_s <= _IMPATIENT_WAIT_S:
+            group = self._group(profile)
+            group.impatient_share += _LEARNING_RATE * (1 - group.impatient_share)
+
+    def _group(self, profile: RequestProfile) -> _Group:
+        bucket = max(1, profile.prompt_tokens).bit_length()
+        key = (profile.workspace, profile.route, bucket)
+        group = self._groups.get(key)
+        if group is None:
+            group = self._groups[key] = _Group()
+            if len(self._groups) > _MAX_GROUPS:
+                self._groups.popitem(last=False)
+        return group
+
+    def _is_small(self, log_size: float) -> bool:
+        if self._large - self._small < _MIN_SEPARATION:
+            return True
+        return log_size < (self._small + self._large) / 2
+
+    def _learn_size(self, size: float) -> None:
+        log_size = math.log(max(1.0, size))
+        if log_size < (self._small + self._large) / 2:
+            self._small += _CENTRE_RATE * (log_size - self._small)
+        else:
+            self._large += _CENTRE_RATE * (log_size - self._large)
--- /dev/null
+++ b/tests/core/limits/test_rate_owner.py
@@ -0,0 +1,187 @@
+"""Rates: overshoot, double charges, overtaking and grants without a lease."""
+
+import random
+
+import pytest
+
+from damaskridge.core.limits import messages as m
+from damaskridge.core.limits.rate_owner import RateOwner
+from damaskridge.model.bundle import Workspace
+from damaskridge.model.errors import ErrorKind
+from damaskridge.model.routing import Duplicate, RateGrant, RateRequest, Refund, Refused
+
+SPACE = Workspace("a", 100.0, 200.0)
+
+
+def request(number, cost, wait_s=0.0, key="", digest="", epoch=1, front="f"):
+    return m.RateRequested(
+        RateRequest(
+            resource="workspace/a",
+            epoch=epoch,
+            workspace="a",
+            request_id=f"r{number}",
+            front=front,
+            cost_tokens=cost,
+            idempotency_key=key,
+            body_digest=digest,
+            wait_s=wait_s,
+        ),
+        2.0,
+    )
+
+
+def make_owner(level=200.0, fronts=()):
+    owner = RateOwner(random.Random(1))
+    owner.handle(m.OwnershipGained(SPACE, 1, level, fronts), 0.0)
+    return owner
+
+
+def replies(actions):
+    return {a.request_id: a.reply for a in actions if isinstance(a, m.SendRateReply)}
+
+
+def kind(actions):
+    (reply,) = replies(actions).values()
+    assert isinstance(reply, Refused)
+    return reply.failure.kind
+
+
+def test_request_id_is_charged_once():
+    owner = make_owner()
+    assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
+    assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
+    assert kind(owner.handle(request(2, 1), 0.0)) is ErrorKind.RATE_EXCEEDED
+
+
+def test_waiting_is_in_order_and_small_requests_do_not_overtake():
+    owner = make_owner(level=0.0)
+    assert owner.handle(request(1, 100, wait_s=2.0), 0.0) == []
+    assert owner.handle(request(2, 1, wait_s=2.0), 0.0) == []
+    assert owner.handle(m.TimePassed(2.0), 0.5) == []
+    wakeup_s = owner.next_wakeup_s(0.5)
+    assert list(replies(owner.handle(m.TimePassed(2.0), wakeup_s))) == ["r1"]
+    actions = owner.handle(m.TimePassed(2.0), wakeup_s + 0.02)
+    assert replies(actions)["r2"].waited_s > 1.0
+
+
+def test_refusals_name_kind_and_time():
+    owner = make_owner(level=0.0)
+    assert kind(owner.handle(request(1, 201), 0.0)) is ErrorKind.INVALID_REQUEST
+    reply = replies(owner.handle(request(2, 200), 0.0))["r2"]
+    assert 2.0 <= reply.failure.retry_after_s <= 2.6
+    assert kind(owner.handle(request(3, 1, epoch=2), 9.0)) is ErrorKind.EPOCH_CONFLICT
+
+
+def test_nothing_is_granted_without_a_lease():
+    owner = make_owner(level=0.0)
+    owner.handle(request(1, 10, wait_s=1.0), 0.0)
+    assert owner.handle(m.TimePassed(0.0), 0.5) == []
+    assert kind(owner.handle(m.TimePassed(0.0), 1.1)) is ErrorKind.RATE_EXCEEDED
+    late = m.RateRequested(request(2, 1).request, 0.0)
+    assert kind(owner.handle(late, 2.0)) is ErrorKind.LEASE_EXPIRED
+
+
+def test_idempotency_keys():
+    owner = make_owner()
+    owner.handle(request(1, 1, key="k", digest="x", front="f1"), 0.0)
+    reply = replies(owner.handle(request(2, 1, key="k", digest="x"), 0.0))["r2"]
+    assert reply == Duplicate(request_id="r1", front="f1", finished=False)
+    conflict = owner.handle(request(3, 1, key="k", digest="y"), 0.0)
+    assert kind(conflict) is ErrorKind.IDEMPOTENCY_CONFLICT
+    owner.handle(m.RequestEnded("a", "r1"), 1.0)
+    reply = replies(owner.handle(request(4, 1, key="k", digest="x"), 600.9))["r4"]
+    assert isinstance(reply, Duplicate) and reply.finished
+    reply = replies(owner.handle(request(5, 1, key="k", digest="z"), 601.1))["r5"]
+    assert isinstance(reply, RateGrant)
+
+
+def test_new_owner_holds_keyed_requests_until_fronts_report():
+    owner = make_owner(fronts=("f1", "f2"))
+    assert owner.handle(request(1, 1, key="k"), 0.0) == []
+    assert replies(owner.handle(request(2, 1), 0.0))
+    owner.handle(m.RequestActive("a", "f1", "r0", "k", ""), 0.1)
+    owner.handle(m.RequestActive("a", "f1", "", "", ""), 0.1)
+    actions = owner.handle(m.RequestActive("a", "f2", "", "", ""), 0.2)
+    assert isinstance(replies(actions)["r1"], Duplicate)
+    silent = make_owner(fronts=("f1",))
+    silent.handle(request(1, 1, key="k"), 0.0)
+    assert silent.next_wakeup_s(0.0) == 2.0
+    assert replies(silent.handle(m.TimePassed(2.0), 2.0))
+
+
+def test_release_hands_the_level_over_and_refuses_the_rest():
+    owner = make_owner(level=150.0)
+    owner.handle(request(1, 50), 0.0)
+    owner.handle(m.RefundReceived(refund("r1", 20)), 0.0)
+    owner.handle(m.RefundReceived(refund("r1", 500)), 0.0)
+    owner.handle(request(2, 151, wait_s=5.0), 0.0)
+    actions = owner.handle(m.ReleaseRequested("a"), 0.0)
+    assert kind(actions) is ErrorKind.EPOCH_CONFLICT
+    assert actions[-1] == m.ReleaseBucket("a", 1, 150.0)
+    assert kind(owner.handle(request(3, 1), 0.0)) is ErrorKind.EPOCH_CONFLICT
+
+
+def refund(request_id, tokens, epoch=1):
+    return Refund(
+        resource="workspace/a",
+        epoch=epoch,
+        workspace="a",
+        request_id=request_id,
+        tokens=tokens,
+    )
+
+
+def worst_overshoot(uses, rate, burst):
+    """Return the largest excess over burst plus rate times length of any window."""
+    worst = excess = 0.0
+    last_s = 0.0
+    for at_s, tokens in uses:
+        excess = max(0.0, excess - rate * (at_s - last_s)) + tokens
+        worst, last_s = max(worst, excess), at_s
+    return worst - burst
+
+
+def run_handovers(seed):
+    """Run owners one after another, on clocks 1% apart; return grants and refunds."""
+    rng = random.Random(seed)
+    uses, level, now_s, number, charged = [], 200.0, 0.0, 0, []
+    costs = {}
+    for epoch in range(1, 30):
+        speed, offset = rng.choice([0.99, 1.0, 1.01]), rng.random() * 100
+        owner = RateOwner(rng)
+        owner.handle(m.OwnershipGained(SPACE, epoch, level, ()), offset)
+        started_s, end_s = now_s, now_s + rng.uniform(0.5, 6.0)
+        is_crash = rng.random() < 0.5
+        charged.clear()
+        while now_s < end_s:
+            now_s += rng.expovariate(20)
+            clock_s = offset + (now_s - started_s) * speed
+            # A frozen owner resumes after its lease has ended.
+            lease_s = end_s - now_s if rng.random() < 0.95 else 0.0
+            number += 1
+            event = request(number, rng.randint(1, 60), rng.random(), epoch=epoch)
+            if charged and rng.random() < 0.2:
+                request_id, cost = charged.pop()
+                tokens = rng.randint(0, cost)
+                uses.append((now_s, -tokens))
+                event = m.RefundReceived(refund(request_id, tokens, epoch))
+            elif lease_s <= 0:
+                event = m.TimePassed(0.0)
+            else:
+                event = m.RateRequested(event.request, lease_s)
+                costs[event.request.request_id] = event.request.cost_tokens
+            for item, reply in replies(owner.handle(event, clock_s)).items():
+                if isinstance(reply, RateGrant):
+                    charged.append((item, costs[item]))
+                    uses.append((now_s, costs[item]))
+        level = 0.0
+        if not is_crash:
+            level = owner.handle(m.ReleaseRequested("a"), clock_s)[-1].level_tokens
+    return uses
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_window_overshoots_across_handovers(seed):
+    uses = run_handovers(seed)
+    assert sum(tokens for _, tokens in uses if tokens > 0) > 1000
+    assert worst_overshoot(uses, SPACE.rate_tokens_per_s, SPACE.burst_tokens) <= 0
