Add the owner runtime and the RPC between entry hosts

RateRuntime and CellRuntime run the pure machines while the lease is valid; PeerService and the clients carry the calls between hosts.

--- /dev/null
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -0,0 +1,270 @@
+"""Runs the schedulers of the cells that this host owns."""
+
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Ok, Result
+
+from damaskridge.adapters.cell_worker import CellLinks, CellMachine, CellWorker
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ownership import held_resources, propose_release
+from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.ports import ControlPort, EnginePort, HostListPort
+from damaskridge.adapters.rpc.peer_messages import ActiveRequests
+from damaskridge.core.scheduling.messages import (
+    ProgressReported,
+    RequestSubmitted,
+    RequestWithdrawn,
+    TakeOverRequested,
+)
+from damaskridge.model.control import Owner
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+from damaskridge.model.routing import (
+    ActiveRequest,
+    ProgressBatch,
+    Refused,
+    RequestProfile,
+    SubmitReply,
+    TakeOver,
+    TakeOverReply,
+    Withdraw,
+)
+
+__all__ = ["CellRuntime"]
+
+logger = logging.getLogger(__name__)
+
+PREFIX = "cell/"
+CHECK_PERIOD_S = 0.25
+HOST_LIST_PERIOD_S = 0.5
+HOST_LIST_TIMEOUT_S = 1.0
+
+
+class CellRuntime:
+    """
+    `CellPort` for the cells that this host owns.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    control : ControlPort
+        Gives ownership and the lease.
+    new_machine : callable
+        Returns a new scheduler for one cell.
+    engine_for : callable
+        Returns the engine at an address.
+    host_list : HostListPort
+        The platform's list of leaving servers.
+    ask_requests, notify_taken_over : callable
+        Calls to fronts; see `CellLinks`.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        control: ControlPort,
+        new_machine: Callable[[], CellMachine],
+        engine_for: Callable[[str], EnginePort],
+        host_list: HostListPort,
+        ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]],
+        notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]],
+    ) -> None:
+        self._host = host
+        self._control = control
+        self._new_machine = new_machine
+        self._host_list = host_list
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._workers: dict[str, CellWorker] = {}
+        # Released epochs: the fleet view names this host until the release commits.
+        self._released: dict[str, int] = {}
+        self._releases: list[anyio.Event] = []
+        self._group: TaskGroup | None = None
+        self._links = CellLinks(
+            control=control,
+            engine_for=engine_for,
+            ask_requests=ask_requests,
+            notify_taken_over=notify_taken_over,
+            submitted=PendingReplies(
+                lambda request_id: Refused(
+                    request_id=request_id,
+                    failure=self._failure(ErrorKind.OWNER_UNAVAILABLE),
+                )
+            ),
+            taken_over=PendingReplies(
+                lambda request_id: TakeOverReply(
+                    failure=self._failure(ErrorKind.OWNER_UNAVAILABLE)
+                )
+            ),
+        )
+
+    @property
+    def owned(self) -> dict[str, int]:
+        """The epoch of every owned cell."""
+        return {cell: worker.owner.epoch for cell, worker in self._workers.items()}
+
+    @property
+    def queue_length(self) -> int:
+        """Requests that wait for a placement on this host."""
+        return len(self._links.submitted)
+
+    async def run(self) -> None:
+        """Follow ownership and the host list until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._poll_host_list)
+            while True:
+                self.fleet_changed()
+                await anyio.sleep(CHECK_PERIOD_S)
+
+    def fleet_changed(self) -> None:
+        """Start and stop ownership as the fleet view and the lease say."""
+        owners = held_resources(self._control, self._host, PREFIX)
+        for cell, worker in list(self._workers.items()):
+            current = owners.get(worker.owner.resource)
+            if current is None or current.epoch != worker.owner.epoch or worker.stopped:
+                self._stop(cell)
+            elif current.moving_to:
+                self._release(cell)
+        leaving = self._listed_leaving | self._control.fleet.draining_backend_servers
+        for resource, owner in owners.items():
+            cell = resource.removeprefix(PREFIX)
+            if cell in self._workers:
+                self._workers[cell].follow_bundle()
+                self._workers[cell].follow_leaving(leaving)
+            elif not owner.moving_to and self._released.get(cell) != owner.epoch:
+                self._start(cell, owner)
+
+    async def submit(self, profile: RequestProfile) -> SubmitReply:
+        """Queue a request; returns when it is placed or refused."""
+        worker = self._worker(profile.resource, profile.epoch)
+        if isinstance(worker, Failure):
+            return Refused(request_id=profile.request_id, failure=worker)
+        worker.heard(profile.front, profile.incarnation)
+        pending = self._links.submitted
+        future = pending.open(profile.resource, profile.front, profile.request_id)
+        try:
+            worker.handle(RequestSubmitted(profile))
+            return await future
+        finally:
+            pending.close(profile.front, profile.request_id, future)
+
+    async def withdraw(self, withdraw: Withdraw) -> None:
+        """Forget a request in whatever epoch."""
+        worker = self._workers.get(withdraw.resource.removeprefix(PREFIX))
+        if worker is not None:
+            worker.handle(RequestWithdrawn(withdraw.request_id))
+
+    async def report(self, batch: ProgressBatch) -> None:
+        """Take progress in."""
+        worker = self._worker(batch.resource, batch.epoch)
+        if not isinstance(worker, Failure):
+            worker.heard(batch.front, batch.incarnation)
+            worker.handle(ProgressReported(batch))
+
+    async def register(
+        self,
+        resource: str,
+        epoch: int,
+        front: str,
+        incarnation: int,
+        active: tuple[ActiveRequest, ...],
+    ) -> None:
+        """Take a front's running requests in."""
+        worker = self._worker(resource, epoch)
+        if not isinstance(worker, Failure):
+            worker.register(front, incarnation, active)
+
+    async def take_over(self, take_over: TakeOver) -> TakeOverReply:
+        """Ask the machine whether a new front may continue a request."""
+        worker = self._worker(take_over.resource, take_over.epoch)
+        if isinstance(worker, Failure):
+            return TakeOverReply(failure=worker)
+        pending = self._links.taken_over
+        future = pending.open(take_over.resource, take_over.front, take_over.request_id)
+        try:
+            worker.handle(TakeOverRequested(take_over))
+            return await future
+        finally:
+            pending.close(take_over.front, take_over.request_id, future)
+
+    async def release_all(self) -> None:
+        """Hand every cell over; returns when all are released or lost."""
+        for cell in list(self._workers):
+            self._release(cell)
+        for event in list(self._releases):
+            await event.wait()
+
+    def _worker(self, resource: str, epoch: int) -> CellWorker | Failure:
+        cell = resource.removeprefix(PREFIX)
+        if cell not in self._workers:
+            self.fleet_changed()
+        worker = self._workers.get(cell)
+        if worker is None or worker.stopped:
+            return self._failure(ErrorKind.OWNER_UNAVAILABLE)
+        if worker.owner.epoch != epoch:
+            return self._failure(ErrorKind.EPOCH_CONFLICT)
+        return worker
+
+    def _start(self, cell: str, owner: Owner) -> None:
+        if self._group is None:
+            return
+        worker = CellWorker(cell, owner, self._new_machine(), self._links)
+        self._workers[cell] = worker
+        _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
+        worker.gain()
+        self._group.start_soon(worker.run)
+
+    def _stop(self, cell: str) -> None:
+        worker = self._workers.pop(cell)
+        worker.stop()
+        _log_owner(EventNumber.OWNERSHIP_LOST, worker.owner)
+
+    def _release(self, cell: str) -> None:
+        worker = self._workers.pop(cell)
+        worker.stop()
+        self._released[cell] = worker.owner.epoch
+        done = anyio.Event()
+        self._releases.append(done)
+        assert self._group is not None, "run() must have started"
+        self._group.start_soon(self._hand_over, worker.owner, done)
+
+    async def _hand_over(self, owner: Owner, done: anyio.Event) -> None:
+        try:
+            if await propose_release(self._control, owner):
+                _log_owner(EventNumber.OWNERSHIP_RELEASED, owner)
+        finally:
+            self._releases.remove(done)
+            done.set()
+
+    async def _poll_host_list(self) -> None:
+        while True:
+            with anyio.move_on_after(HOST_LIST_TIMEOUT_S):
+                result = await self._host_list.leaving()
+                if isinstance(result, Ok):
+                    self._note_leaving(result.ok_value)
+            await anyio.sleep(HOST_LIST_PERIOD_S)
+
+    def _note_leaving(self, names: frozenset[str]) -> None:
+        for name in sorted(names - self._listed_leaving):
+            log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
+        self._listed_leaving = names
+
+    def _failure(self, kind: ErrorKind) -> Failure:
+        return Failure(kind, f"{self._host} does not schedule this cell now")
+
+
+def _log_owner(number: EventNumber, owner: Owner) -> None:
+    log_event(
+        logger,
+        number,
+        resource=owner.resource,
+        epoch=owner.epoch,
+        session=owner.session,
+        host=owner.host,
+    )
--- /dev/null
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -0,0 +1,361 @@
+"""Runs the scheduler of one cell that this host owns."""
+
+import logging
+import uuid
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Ok, Result
+
+from damaskridge.adapters.engine_commands import cancel_once, send_order
+from damaskridge.adapters.engine_poller import BackendServerPoller
+from damaskridge.adapters.ownership import lease_is_valid
+from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.ports import ControlPort, EnginePort
+from damaskridge.adapters.rpc.peer_messages import ActiveRequests
+from damaskridge.core.leases import SESSION_DURATION_S
+from damaskridge.core.scheduling.messages import (
+    CancelOnEngine,
+    CellAction,
+    CellChanged,
+    CellEvent,
+    CellGained,
+    FrontLost,
+    FrontRegistered,
+    NotifyTakenOver,
+    ReportCrashedRequests,
+    ReportSuspectCleared,
+    RequestRegistered,
+    SendOrder,
+    SendSubmitReply,
+    SendTakeOverReply,
+    ServerLeaving,
+    ServerRecovered,
+    TimePassed,
+)
+from damaskridge.core.state.fleet_queries import servers_of_cell
+from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
+from damaskridge.model.control import Command, Owner, ReportCrash, SuspectCleared
+from damaskridge.model.errors import Failure
+from damaskridge.model.routing import ActiveRequest, SubmitReply, TakeOverReply
+
+__all__ = ["CellLinks", "CellMachine", "CellWorker"]
+
+logger = logging.getLogger(__name__)
+
+CHECK_PERIOD_S = 0.25
+CANCEL_RETRY_S = 0.2
+
+
+class CellMachine(Protocol):
+    """The pure scheduler of one cell."""
+
+    def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
+        """Return what is to be done about an event."""
+        ...
+
+    def next_wakeup_s(self, now_s: float) -> float | None:
+        """Return when `TimePassed` is due."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class CellLinks:
+    """
+    What a cell's scheduler needs from outside.
+
+    Parameters
+    ----------
+    control : ControlPort
+        The control group.
+    engine_for : callable
+        Returns the engine at an address.
+    ask_requests : callable
+        Asks the front on a host for its running requests in a cell.
+    notify_taken_over : callable
+        Tells the front on a host that a request was taken over.
+    submitted, taken_over : PendingReplies
+        Calls that wait.
+    """
+
+    control: ControlPort
+    engine_for: Callable[[str], EnginePort]
+    ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]]
+    notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]]
+    submitted: PendingReplies[SubmitReply]
+    taken_over: PendingReplies[TakeOverReply]
+
+
+@dataclass(slots=True)
+class _FrontContact:
+    incarnation: int
+    heard_s: float
+
+
+class CellWorker:
+    """
+    One owned cell: its machine, its pollers and the fronts that use it.
+
+    Parameters
+    ----------
+    cell, owner : str, Owner
+        The cell and this host's ownership.
+    machine : CellMachine
+        Decides; used for this ownership only.
+    links : CellLinks
+        Everything outside.
+    """
+
+    def __init__(
+        self, cell: str, owner: Owner, machine: CellMachine, links: CellLinks
+    ) -> None:
+        self.cell = cell
+        self.owner = owner
+        self.scope = anyio.CancelScope()
+        self.gained_s = anyio.current_time()
+        self._machine = machine
+        self._links = links
+        self._stopped = False
+        self._servers: tuple[BackendServer, ...] = ()
+        self._workspaces: tuple[Workspace, ...] = ()
+        self._pollers: dict[str, BackendServerPoller] = {}
+        self._fronts: dict[str, _FrontContact] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._wake = anyio.Event()
+        self._group: TaskGroup | None = None
+        self._queued: list[
+            tuple[Callable[..., Coroutine[Any, Any, None]], tuple[Any, ...]]
+        ] = []
+
+    @property
+    def stopped(self) -> bool:
+        """Whether this worker has stopped deciding."""
+        return self._stopped
+
+    async def run(self) -> None:
+        """Schedule until stopped."""
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                for function, args in self._queued:
+                    group.start_soon(function, *args)
+                while not self._stopped:
+                    self._check_fronts()
+                    self.handle(TimePassed())
+                    wake = self._wake = anyio.Event()
+                    with anyio.move_on_after(self._pause_s()):
+                        await wake.wait()
+                group.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Stop deciding at once; waiting calls are refused."""
+        if self._stopped:
+            return
+        self._stopped = True
+        self._links.submitted.refuse(self.owner.resource)
+        self._links.taken_over.refuse(self.owner.resource)
+        self.scope.cancel()
+
+    def handle(self, event: CellEvent) -> None:
+        """Let the machine decide, if the lease is still valid."""
+        # A process that was frozen must not act on an expired lease.
+        if self._stopped or not lease_is_valid(self._links.control):
+            self.stop()
+            return
+        for action in self._machine.handle(event, anyio.current_time()):
+            self._carry_out(action)
+        if not isinstance(event, TimePassed):
+            self._wake.set()
+
+    def heard(self, front: str, incarnation: int) -> None:
+        """Note that a front's process is alive."""
+        now_s = anyio.current_time()
+        contact = self._fronts.get(front)
+        if contact is not None and contact.incarnation != incarnation:
+            session = self._links.control.fleet.sessions.get(front)
+            if session is not None and session.incarnation == contact.incarnation:
+                return
+            self.handle(FrontLost(front, contact.incarnation))
+        self._fronts[front] = _FrontContact(incarnation, now_s)
+
+    def register(
+        self, front: str, incarnation: int, active: tuple[ActiveRequest, ...]
+    ) -> None:
+        """Take a front's running requests over into the machine."""
+        self.heard(front, incarnation)
+        for item in active:
+            self.handle(RequestRegistered(item))
+        self.handle(FrontRegistered(front, incarnation))
+
+    def follow_bundle(self) -> None:
+        """Pass a change of the cell's servers or workspaces on."""
+        fleet = self._links.control.fleet
+        servers = servers_of_cell(fleet, self.cell)
+        if servers == self._servers and fleet.bundle.workspaces == self._workspaces:
+            return
+        self._servers, self._workspaces = servers, fleet.bundle.workspaces
+        self.handle(CellChanged(servers, self._workspaces))
+        self._sync_pollers()
+
+    def follow_leaving(self, names: frozenset[str]) -> None:
+        """Pass on which servers are leaving by the host list or by a drain."""
+        mine = names & {server.name for server in self._servers}
+        for name in sorted(mine - self._leaving):
+            self.handle(ServerLeaving(name))
+        for name in sorted(self._leaving - mine):
+            if any(server.name == name for server in self._servers):
+                self.handle(ServerRecovered(name))
+        self._leaving = mine
+
+    def gain(self) -> None:
+        """Start deciding; pollers and questions to fronts start with `run`."""
+        fleet = self._links.control.fleet
+        self._servers = servers_of_cell(fleet, self.cell)
+        self._workspaces = fleet.bundle.workspaces
+        now_s = anyio.current_time()
+        for host, session in sorted(fleet.sessions.items()):
+            self._fronts[host] = _FrontContact(session.incarnation, now_s)
+        fronts = tuple(self._fronts)
+        self.handle(
+            CellGained(
+                self.cell, self.owner.epoch, self._servers, self._workspaces, fronts
+            )
+        )
+        self._sync_pollers()
+        for front in fronts:
+            self._spawn(self._collect_requests, front)
+
+    def _sync_pollers(self) -> None:
+        wanted = {server.name: server for server in self._servers}
+        for name, poller in list(self._pollers.items()):
+            if wanted.get(name) != poller.server:
+                poller.scope.cancel()
+                del self._pollers[name]
+        for name, server in wanted.items():
+            if name not in self._pollers:
+                poller = BackendServerPoller(server, self._engine(server), self.handle)
+                self._pollers[name] = poller
+                self._spawn(poller.run)
+
+    def _engine(self, server: BackendServer) -> EnginePort | None:
+        if server.role is BackendServerRole.SERVICE:
+            return None
+        return self._links.engine_for(server.address)
+
+    async def _collect_requests(self, front: str) -> None:
+        """Ask a front until it answers or counts as lost."""
+        while front in self._fronts:
+            reply = await self._links.ask_requests(front, self.owner.resource)
+            if isinstance(reply, Ok):
+                answer = reply.ok_value
+                self.register(front, answer.incarnation, answer.items)
+                return
+            await anyio.sleep(CHECK_PERIOD_S)
+
+    def _check_fronts(self) -> None:
+        # A front that lost only the control group goes on serving its streams, so
+        # it counts as lost when its session has ended and it is silent too.
+        now_s = anyio.current_time()
+        for front, contact in list(self._fronts.items()):
+            session = self._links.control.fleet.sessions.get(front)
+            alive = session is not None and session.incarnation == contact.incarnation
+            if not alive and now_s - contact.heard_s >= SESSION_DURATION_S:
+                del self._fronts[front]
+                self.handle(FrontLost(front, contact.incarnation))
+
+    def _pause_s(self) -> float:
+        now_s = anyio.current_time()
+        wakeup_s = self._machine.next_wakeup_s(now_s)
+        if wakeup_s is None:
+            return CHECK_PERIOD_S
+        return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
+
+    def _spawn(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: Any
+    ) -> None:
+        if self._stopped:
+            return
+        if self._group is None:
+            self._queued.append((function, args))
+        else:
+            self._group.start_soon(function, *args)
+
+    @singledispatchmethod
+    def _carry_out(self, action: CellAction) -> None:
+        raise TypeError(f"unknown action: {type(action).__name__}")
+
+    @_carry_out.register
+    def _(self, action: SendSubmitReply) -> None:
+        self._links.submitted.resolve(action.front, action.request_id, action.reply)
+
+    @_carry_out.register
+    def _(self, action: SendTakeOverReply) -> None:
+        self._links.taken_over.resolve(action.front, action.request_id, action.reply)
+
+    @_carry_out.register
+    def _(self, action: NotifyTakenOver) -> None:
+        self._spawn(self._links.notify_taken_over, action.front, action.request_id)
+
+    @_carry_out.register
+    def _(self, action: CancelOnEngine) -> None:
+        self._spawn(self._cancel, action)
+
+    @_carry_out.register
+    def _(self, action: SendOrder) -> None:
+        self._spawn(self._order, action)
+
+    @_carry_out.register
+    def _(self, action: ReportCrashedRequests) -> None:
+        # The same crash seen by two successive owners counts once.
+        command = ReportCrash(
+            command_id=f"crash/{action.backend_server}/{action.incarnation}",
+            backend_server=action.backend_server,
+            incarnation=action.incarnation,
+            fingerprints=action.fingerprints,
+        )
+        self._spawn(self._propose, command)
+
+    @_carry_out.register
+    def _(self, action: ReportSuspectCleared) -> None:
+        command = SuspectCleared(
+            command_id=uuid.uuid4().hex, fingerprint=action.fingerprint
+        )
+        self._spawn(self._propose, command)
+
+    async def _propose(self, command: Command) -> None:
+        while not self._stopped:
+            result = await self._links.control.propose(command)
+            if result.failure is None or result.index:
+                return
+            await anyio.sleep(CHECK_PERIOD_S)
+
+    async def _cancel(self, action: CancelOnEngine) -> None:
+        """Cancel until the engine confirms, has crashed or left the bundle."""
+        poller = self._pollers.get(action.backend_server)
+        if poller is None:
+            return
+        engine = self._engine(poller.server)
+        crashes = poller.crashes
+        while engine is not None and lease_is_valid(self._links.control):
+            if await cancel_once(engine, action) or poller.crashes != crashes:
+                return
+            if self._pollers.get(action.backend_server) is not poller:
+                return
+            await anyio.sleep(CANCEL_RETRY_S)
+
+    async def _order(self, action: SendOrder) -> None:
+        poller = self._pollers.get(action.backend_server)
+        engine = None if poller is None else self._engine(poller.server)
+        if poller is not None and engine is not None:
+            await send_order(
+                self._links.control,
+                self.owner,
+                self.gained_s,
+                poller.server,
+                engine,
+                action,
+            )
--- /dev/null
+++ b/src/damaskridge/adapters/engine_commands.py
@@ -0,0 +1,93 @@
+"""Cancellations and orders that the scheduler of an owned cell sends to engines."""
+
+import logging
+import uuid
+
+import anyio
+from result import Err
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ownership import lease_is_valid
+from damaskridge.adapters.ports import ControlPort, EnginePort
+from damaskridge.core.leases import SESSION_DURATION_S
+from damaskridge.core.scheduling.messages import CancelOnEngine, SendOrder
+from damaskridge.model.bundle import BackendServer
+from damaskridge.model.control import AllocateFencingNumber, Owner
+from damaskridge.model.engine import LoadReport, Order, OrderKind
+from damaskridge.model.events import EventNumber
+
+__all__ = ["ORDER_IN_FLIGHT_S", "cancel_once", "send_order"]
+
+logger = logging.getLogger(__name__)
+
+CANCEL_TIMEOUT_S = 1.0
+# Longest time between sending an order and its effect on the engine.
+ORDER_IN_FLIGHT_S = 2.0
+
+
+async def cancel_once(engine: EnginePort, action: CancelOnEngine) -> bool:
+    """Try to cancel a request; tells whether the engine confirmed."""
+    with anyio.move_on_after(CANCEL_TIMEOUT_S):
+        result = await engine.cancel(action.engine_request_id)
+        if isinstance(result, Err):
+            return False
+        log_event(
+            logger,
+            EventNumber.ENGINE_REQUEST_CANCELLED,
+            backend_server=action.backend_server,
+            engine_request_id=action.engine_request_id,
+        )
+        return True
+    return False
+
+
+async def send_order(
+    control: ControlPort,
+    owner: Owner,
+    gained_s: float,
+    server: BackendServer,
+    engine: EnginePort,
+    action: SendOrder,
+) -> bool:
+    """
+    Send an order with a new fencing number.
+
+    An engine that ignores the number could take an earlier owner's order after
+    this one, so the order waits until none can be on its way any more.
+    """
+    if not server.checks_fencing:
+        ready_s = gained_s + SESSION_DURATION_S + ORDER_IN_FLIGHT_S
+        await anyio.sleep(max(0.0, ready_s - anyio.current_time()))
+        current = await engine.load()
+        if isinstance(current, Err) or _is_done(current.ok_value, action):
+            return False
+    command = AllocateFencingNumber(
+        command_id=uuid.uuid4().hex,
+        resource=owner.resource,
+        epoch=owner.epoch,
+        host=owner.host,
+    )
+    allocated = await control.propose(command)
+    if allocated.failure is not None or not lease_is_valid(control):
+        return False
+    number = int(allocated.value)
+    with anyio.move_on_after(ORDER_IN_FLIGHT_S):
+        result = await engine.order(Order(action.kind, action.value, number))
+        event = EventNumber.ORDER_SENT
+        if isinstance(result, Err):
+            event = EventNumber.ORDER_REFUSED
+        log_event(
+            logger,
+            event,
+            backend_server=server.name,
+            kind=action.kind.value,
+            fencing_number=number,
+        )
+        return not isinstance(result, Err)
+    return False
+
+
+def _is_done(report: LoadReport, action: SendOrder) -> bool:
+    if action.kind is OrderKind.CHANGE_ROLE:
+        return report.role == action.value
+    return action.value in report.models
--- /dev/null
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -0,0 +1,180 @@
+"""Polls one backend server of an owned cell and detects failures and restarts."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import anyio
+from result import Ok
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ports import EnginePort
+from damaskridge.core.scheduling.messages import (
+    CacheReported,
+    CellEvent,
+    EngineListed,
+    LoadReported,
+    ServerFailed,
+    ServerRecovered,
+)
+from damaskridge.model.bundle import BackendServer, BackendServerRole
+from damaskridge.model.engine import LoadReport
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.events import EventNumber
+
+__all__ = ["BackendServerPoller"]
+
+logger = logging.getLogger(__name__)
+
+LOAD_PERIOD_S = 0.5
+CACHE_PERIOD_S = 0.5
+LIST_PERIOD_S = 1.0
+POLL_TIMEOUT_S = 1.0
+# One lost answer is no failure; two in a row are 3 s at most with the period.
+SILENT_POLLS = 2
+
+
+class BackendServerPoller:
+    """
+    Turns an engine's reports into events of the scheduler.
+
+    Parameters
+    ----------
+    server : BackendServer
+        What is polled; of a plain service only the connection.
+    engine : EnginePort
+        Connection to the engine; not used for plain services.
+    emit : callable
+        Takes each event.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        engine: EnginePort | None,
+        emit: Callable[[CellEvent], None],
+    ) -> None:
+        self.server = server
+        self.scope = anyio.CancelScope()
+        self.incarnation = 0
+        self.report: LoadReport | None = None
+        self.crashes = 0
+        self._engine = engine
+        self._emit = emit
+        self._failed = False
+        self._silent_polls = 0
+        self._cache_after = 0
+
+    async def run(self) -> None:
+        """Poll until the scope is cancelled."""
+        with self.scope:
+            if self._engine is None:
+                # A service has no list of requests; the scheduler waits for one.
+                self._emit(EngineListed(self.server.name, (), anyio.current_time()))
+                await _repeat(self._probe, LOAD_PERIOD_S)
+            async with anyio.create_task_group() as group:
+                group.start_soon(_repeat, self._poll_load, LOAD_PERIOD_S)
+                group.start_soon(_repeat, self._poll_list, LIST_PERIOD_S)
+                if self.server.role is not BackendServerRole.DECODE:
+                    group.start_soon(_repeat, self._poll_cache, CACHE_PERIOD_S)
+
+    async def _poll_load(self) -> None:
+        assert self._engine is not None
+        try:
+            with anyio.fail_after(POLL_TIMEOUT_S):
+                result = await self._engine.load()
+        except TimeoutError:
+            self._no_answer(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
+            return
+        if isinstance(result, Ok):
+            self._answered(result.ok_value)
+        else:
+            self._no_answer(result.err_value)
+
+    async def _poll_cache(self) -> None:
+        assert self._engine is not None
+        with anyio.move_on_after(POLL_TIMEOUT_S):
+            result = await self._engine.cache_events(self._cache_after)
+            if not isinstance(result, Ok):
+                return
+            page = result.ok_value
+            if page.gap:
+                log_event(
+                    logger,
+                    EventNumber.CACHE_EVENTS_LOST,
+                    backend_server=self.server.name,
+                )
+            if page.events:
+                self._cache_after = max(event.sequence for event in page.events)
+            if page.events or page.gap:
+                self._emit(CacheReported(self.server.name, page))
+
+    async def _poll_list(self) -> None:
+        assert self._engine is not None
+        asked_s = anyio.current_time()
+        with anyio.move_on_after(POLL_TIMEOUT_S):
+            result = await self._engine.list_requests()
+            if isinstance(result, Ok):
+                self._emit(EngineListed(self.server.name, result.ok_value, asked_s))
+
+    async def _probe(self) -> None:
+        host, _, port = self.server.address.rpartition(":")
+        try:
+            with anyio.fail_after(POLL_TIMEOUT_S):
+                stream = await anyio.connect_tcp(host, int(port))
+                await stream.aclose()
+        except (OSError, TimeoutError):
+            self._no_answer(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
+        else:
+            self._silent_polls = 0
+            self._recover()
+
+    def _answered(self, report: LoadReport) -> None:
+        name = self.server.name
+        self._silent_polls = 0
+        if self.incarnation not in (0, report.incarnation) and not self._failed:
+            self._fail(crashed=True)
+        if report.incarnation != self.incarnation:
+            self._cache_after = 0
+        self.incarnation = report.incarnation
+        self.report = report
+        self._recover()
+        self._emit(LoadReported(name, report))
+
+    def _no_answer(self, failure: Failure) -> None:
+        refused = (
+            failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+            and failure.ran is RunState.NOT_RUN
+        )
+        self._silent_polls += 1
+        if not self._failed and (refused or self._silent_polls >= SILENT_POLLS):
+            self._fail(crashed=refused)
+
+    def _fail(self, *, crashed: bool) -> None:
+        self._failed = True
+        self.crashes += crashed
+        log_event(
+            logger,
+            EventNumber.BACKEND_SERVER_LOST,
+            level=logging.WARNING,
+            backend_server=self.server.name,
+            crashed=crashed,
+            incarnation=self.incarnation,
+        )
+        self._emit(ServerFailed(self.server.name, self.incarnation, crashed))
+
+    def _recover(self) -> None:
+        if self._failed:
+            self._failed = False
+            log_event(
+                logger,
+                EventNumber.BACKEND_SERVER_BACK,
+                backend_server=self.server.name,
+                incarnation=self.incarnation,
+            )
+            self._emit(ServerRecovered(self.server.name))
+
+
+async def _repeat(poll: Callable[[], Awaitable[None]], period_s: float) -> None:
+    while True:
+        await poll()
+        await anyio.sleep(period_s)
--- /dev/null
+++ b/src/damaskridge/adapters/owners.py
@@ -0,0 +1,33 @@
+"""The owners on this host: rates of workspaces and schedulers of cells."""
+
+import anyio
+
+from damaskridge.adapters.cell_runtime import CellRuntime
+from damaskridge.adapters.rate_runtime import RateRuntime
+
+__all__ = ["Owners"]
+
+
+class Owners:
+    """Runs both kinds of owners together."""
+
+    def __init__(self, rates: RateRuntime, cells: CellRuntime) -> None:
+        self.rates = rates
+        self.cells = cells
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.rates.run)
+            group.start_soon(self.cells.run)
+
+    def fleet_changed(self) -> None:
+        """Follow a change of the fleet view."""
+        self.rates.fleet_changed()
+        self.cells.fleet_changed()
+
+    async def release_all(self) -> None:
+        """Hand over everything that this host owns."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.rates.release_all)
+            group.start_soon(self.cells.release_all)
--- /dev/null
+++ b/src/damaskridge/adapters/ownership.py
@@ -0,0 +1,60 @@
+"""What this host owns according to the fleet view and its own lease."""
+
+import anyio
+
+from damaskridge.adapters.ports import ControlPort
+from damaskridge.model.control import Owner, ReleaseOwnership
+
+__all__ = ["RELEASE_RETRY_S", "held_resources", "lease_is_valid", "propose_release"]
+
+RELEASE_RETRY_S = 0.2
+
+
+def lease_is_valid(control: ControlPort) -> bool:
+    """Tell whether this host may decide now; asked before every decision."""
+    now_s = anyio.current_time()
+    return control.session is not None and control.lease.is_valid(now_s)
+
+
+def held_resources(control: ControlPort, host: str, prefix: str) -> dict[str, Owner]:
+    """Return the resources that this host's session owns; none without a lease."""
+    session = control.session
+    if session is None or not lease_is_valid(control):
+        return {}
+    return {
+        resource: owner
+        for resource, owner in control.fleet.owners.items()
+        if resource.startswith(prefix)
+        and owner.host == host
+        and owner.session == session.number
+    }
+
+
+async def propose_release(
+    control: ControlPort, owner: Owner, level_tokens: float = 0.0
+) -> bool:
+    """
+    Hand a resource over; tries again while the session that owned it lives.
+
+    Returns
+    -------
+    bool
+        Whether the control group committed the release.
+    """
+    command = ReleaseOwnership(
+        command_id=f"release/{owner.resource}/{owner.epoch}",
+        host=owner.host,
+        session=owner.session,
+        resource=owner.resource,
+        epoch=owner.epoch,
+        level_tokens=level_tokens,
+    )
+    while control.session is not None and control.session.number == owner.session:
+        result = await control.propose(command)
+        if result.failure is None:
+            return True
+        await anyio.sleep(RELEASE_RETRY_S)
+        current = control.fleet.owners.get(owner.resource)
+        if current is None or current.epoch != owner.epoch:
+            return False
+    return False
--- /dev/null
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -0,0 +1,299 @@
+"""Runs the rate owner of the workspaces that this host owns."""
+
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Ok, Result
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.ownership import (
+    held_resources,
+    lease_is_valid,
+    propose_release,
+)
+from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.ports import ControlPort
+from damaskridge.adapters.rpc.peer_messages import ActiveKey
+from damaskridge.core.limits.messages import (
+    OwnershipEnded,
+    OwnershipGained,
+    RateAction,
+    RateEvent,
+    RateRequested,
+    RefundReceived,
+    ReleaseBucket,
+    ReleaseRequested,
+    RequestActive,
+    RequestEnded,
+    SendRateReply,
+    TimePassed,
+    WorkspaceChanged,
+)
+from damaskridge.core.state.fleet_queries import find_workspace, workspace_resource
+from damaskridge.model.bundle import Workspace
+from damaskridge.model.control import Owner
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+from damaskridge.model.routing import RateReply, RateRequest, Refund, Refused
+
+__all__ = ["RateMachine", "RateRuntime"]
+
+logger = logging.getLogger(__name__)
+
+PREFIX = "workspace/"
+# Bounds the time for which an ended lease goes unnoticed while nothing happens.
+CHECK_PERIOD_S = 0.25
+
+AskKeys = Callable[[str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]]
+
+
+class RateMachine(Protocol):
+    """The pure rate owner."""
+
+    def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
+        """Return what is to be done about an event."""
+        ...
+
+    def next_wakeup_s(self, now_s: float) -> float | None:
+        """Return when `TimePassed` is due."""
+        ...
+
+
+class _Held:
+    """One workspace that this host owns now."""
+
+    def __init__(self, owner: Owner, workspace: Workspace) -> None:
+        self.owner = owner
+        self.workspace = workspace
+        self.releasing = False
+        self.released = anyio.Event()
+
+
+class RateRuntime:
+    """
+    `RatePort` for the workspaces that this host owns.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    control : ControlPort
+        Gives ownership and the lease.
+    machine : RateMachine
+        Decides; one machine for all workspaces.
+    ask_keys : AskKeys
+        Asks the front on a host for its idempotency keys of a workspace.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        control: ControlPort,
+        machine: RateMachine,
+        ask_keys: AskKeys,
+    ) -> None:
+        self._host = host
+        self._control = control
+        self._machine = machine
+        self._ask_keys = ask_keys
+        self._held: dict[str, _Held] = {}
+        # Epochs that this process has held: a regained epoch starts empty.
+        self._seen_epochs: dict[str, int] = {}
+        self._pending: PendingReplies[RateReply] = PendingReplies(
+            lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
+        )
+        self._wake = anyio.Event()
+        self._group: TaskGroup | None = None
+
+    @property
+    def owned(self) -> dict[str, int]:
+        """The epoch of every owned workspace."""
+        return {name: held.owner.epoch for name, held in self._held.items()}
+
+    async def run(self) -> None:
+        """Follow ownership and time until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                self.fleet_changed()
+                if self._held:
+                    self._decide(TimePassed(self._lease_remaining_s()))
+                wake = self._wake = anyio.Event()
+                with anyio.move_on_after(self._pause_s()):
+                    await wake.wait()
+
+    def fleet_changed(self) -> None:
+        """Start and stop ownership as the fleet view and the lease say."""
+        if self._group is None:
+            return
+        owners = held_resources(self._control, self._host, PREFIX)
+        for name, held in list(self._held.items()):
+            current = owners.get(workspace_resource(name))
+            if current is None or current.epoch != held.owner.epoch:
+                self._stop(name)
+            elif current.moving_to and not held.releasing:
+                self._release(held)
+        for resource, owner in owners.items():
+            self._follow(resource.removeprefix(PREFIX), owner)
+
+    async def reserve(self, request: RateRequest) -> RateReply:
+        """Ask the machine; returns after the wait, if any."""
+        if request.workspace not in self._held:
+            self.fleet_changed()
+        held = self._held.get(request.workspace)
+        if held is None or held.released.is_set():
+            return self._refusal(request.request_id, ErrorKind.OWNER_UNAVAILABLE)
+        if held.owner.epoch != request.epoch:
+            return self._refusal(request.request_id, ErrorKind.EPOCH_CONFLICT)
+        future = self._pending.open(request.resource, request.front, request.request_id)
+        try:
+            self._decide(RateRequested(request, self._lease_remaining_s()))
+            self._wake.set()
+            return await future
+        finally:
+            self._pending.close(request.front, request.request_id, future)
+
+    async def refund(self, refund: Refund) -> None:
+        """Give unused tokens back."""
+        held = self._held.get(refund.workspace)
+        if held is not None and held.owner.epoch == refund.epoch:
+            self._decide(RefundReceived(refund))
+            self._wake.set()
+
+    async def ended(self, resource: str, workspace: str, request_id: str) -> None:
+        """Note that a request with an idempotency key has finished."""
+        if workspace in self._held:
+            self._decide(RequestEnded(workspace, request_id))
+
+    async def release_all(self) -> None:
+        """Hand every workspace over; returns when all are released or lost."""
+        held = list(self._held.values())
+        for item in held:
+            if not item.releasing:
+                self._release(item)
+        for item in held:
+            await item.released.wait()
+
+    def _follow(self, name: str, owner: Owner) -> None:
+        workspace = find_workspace(self._control.fleet, name)
+        held = self._held.get(name)
+        if workspace is None:
+            return
+        if held is None:
+            if not owner.moving_to:
+                self._start(workspace, owner)
+        elif held.workspace != workspace:
+            held.workspace = workspace
+            self._decide(WorkspaceChanged(workspace))
+
+    def _start(self, workspace: Workspace, owner: Owner) -> None:
+        regained = self._seen_epochs.get(workspace.name) == owner.epoch
+        self._seen_epochs[workspace.name] = owner.epoch
+        held = self._held[workspace.name] = _Held(owner, workspace)
+        fronts = tuple(sorted(self._control.fleet.sessions))
+        level_tokens = 0.0 if regained else owner.level_tokens
+        _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
+        self._decide(OwnershipGained(workspace, owner.epoch, level_tokens, fronts))
+        for front in fronts:
+            self._spawn(self._collect_keys, held, front)
+
+    def _stop(self, name: str) -> None:
+        held = self._held.pop(name)
+        held.released.set()
+        _log_owner(EventNumber.OWNERSHIP_LOST, held.owner)
+        # Whatever the machine answers, nothing may be granted any more.
+        self._machine.handle(OwnershipEnded(name), anyio.current_time())
+        self._pending.refuse(held.owner.resource)
+
+    def _release(self, held: _Held) -> None:
+        held.releasing = True
+        self._decide(ReleaseRequested(held.workspace.name))
+
+    def _decide(self, event: RateEvent) -> None:
+        # A process that was frozen must not act on an expired lease.
+        if not lease_is_valid(self._control):
+            self._stop_all()
+            return
+        self._carry_out(self._machine.handle(event, anyio.current_time()))
+
+    def _stop_all(self) -> None:
+        for name in list(self._held):
+            self._stop(name)
+
+    def _carry_out(self, actions: list[RateAction]) -> None:
+        for action in actions:
+            if isinstance(action, SendRateReply):
+                self._pending.resolve(action.front, action.request_id, action.reply)
+            else:
+                self._spawn(self._hand_over, action)
+
+    async def _hand_over(self, action: ReleaseBucket) -> None:
+        held = self._held.get(action.workspace)
+        if held is None or held.owner.epoch != action.epoch:
+            return
+        if await propose_release(self._control, held.owner, action.level_tokens):
+            _log_owner(EventNumber.OWNERSHIP_RELEASED, held.owner)
+        held.released.set()
+
+    async def _collect_keys(self, held: _Held, front: str) -> None:
+        """Ask a front until it answers or its session ends."""
+        name = held.workspace.name
+        while front in self._control.fleet.sessions:
+            reply = await self._ask_keys(front, name)
+            if self._held.get(name) is not held:
+                return
+            if isinstance(reply, Ok):
+                for key in reply.ok_value:
+                    self._decide(_active_event(name, front, key))
+                break
+            await anyio.sleep(CHECK_PERIOD_S)
+        # What a front without a session had sent is known to the ledger only.
+        if self._held.get(name) is held:
+            self._decide(RequestActive(name, front, "", "", ""))
+            self._wake.set()
+
+    def _spawn(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: Any
+    ) -> None:
+        assert self._group is not None, "run() must have started"
+        self._group.start_soon(function, *args)
+
+    def _lease_remaining_s(self) -> float:
+        return self._control.lease.remaining_s(anyio.current_time())
+
+    def _pause_s(self) -> float:
+        now_s = anyio.current_time()
+        wakeup_s = self._machine.next_wakeup_s(now_s) if self._held else None
+        if wakeup_s is None:
+            return CHECK_PERIOD_S
+        return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
+
+    def _refusal(self, request_id: str, kind: ErrorKind) -> Refused:
+        failure = Failure(kind, f"{self._host} does not count this rate now")
+        return Refused(request_id=request_id, failure=failure)
+
+
+def _active_event(workspace: str, front: str, key: ActiveKey) -> RequestActive:
+    return RequestActive(
+        workspace,
+        front,
+        key.request_id,
+        key.idempotency_key,
+        key.body_digest,
+        key.finished,
+    )
+
+
+def _log_owner(number: EventNumber, owner: Owner) -> None:
+    log_event(
+        logger,
+        number,
+        resource=owner.resource,
+        epoch=owner.epoch,
+        session=owner.session,
+        host=owner.host,
+    )
--- /dev/null
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -0,0 +1,280 @@
+"""The rate, cell and peer ports of a front: local or by RPC to the owner's host."""
+
+import logging
+from collections.abc import AsyncIterator
+from typing import Any
+
+from result import Err, Ok, Result
+
+from damaskridge.adapters.ports import CellPort, ControlPort, RatePort, StreamFailed
+from damaskridge.adapters.rpc.peer_channels import PeerChannels
+from damaskridge.adapters.rpc.peer_messages import (
+    ActiveKey,
+    ActiveKeys,
+    ActiveRequests,
+    AskActiveKeys,
+    AskActiveRequests,
+    KeyEnded,
+    RegisterFront,
+    RequestTakenOver,
+    ResumeStream,
+)
+from damaskridge.adapters.rpc.peer_server import FrontPort, active_keys_of
+from damaskridge.core.state.fleet_queries import owner_of
+from damaskridge.model.control import Owner
+from damaskridge.model.engine import DecodeChunk
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.routing import (
+    ActiveRequest,
+    ProgressBatch,
+    RateReply,
+    RateRequest,
+    Refund,
+    Refused,
+    RequestProfile,
+    SubmitReply,
+    TakeOver,
+    TakeOverReply,
+    Withdraw,
+)
+
+__all__ = ["CellClient", "FrontClient", "RateClient"]
+
+logger = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 2.0
+# A delay-tolerant request may queue for minutes; pings detect a dead owner earlier.
+SUBMIT_TIMEOUT_S = 600.0
+
+
+class _OwnerLookup:
+    """Finds the live owner of a resource and its address."""
+
+    def __init__(self, host: str, control: ControlPort, channels: PeerChannels) -> None:
+        self.host = host
+        self.control = control
+        self.channels = channels
+
+    def owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
+        """Return the owner; `EPOCH_CONFLICT` if the caller knows another epoch."""
+        owner = owner_of(self.control.fleet, resource)
+        if owner is None:
+            return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{resource} has no owner"))
+        if epoch is not None and owner.epoch != epoch:
+            return Err(Failure(ErrorKind.EPOCH_CONFLICT, f"{resource}: {owner.epoch}"))
+        return Ok(owner)
+
+    async def call(
+        self, owner: Owner, name: str, message: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Call the owner's host."""
+        session = self.control.fleet.sessions[owner.host]
+        return await self.channels.call(session.peer_address, name, message, timeout_s)
+
+    async def send(
+        self, resource: str, epoch: int | None, name: str, message: Any
+    ) -> None:
+        """Call the owner, and drop the message if it cannot be reached."""
+        owner = self.owner(resource, epoch)
+        if isinstance(owner, Ok):
+            await self.call(owner.ok_value, name, message, CALL_TIMEOUT_S)
+
+
+class RateClient:
+    """
+    `RatePort` for a front.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    control : ControlPort
+        Gives the owners.
+    channels : PeerChannels
+        Connections to the other hosts.
+    local : RatePort
+        The owners on this host.
+    """
+
+    def __init__(
+        self, host: str, control: ControlPort, channels: PeerChannels, local: RatePort
+    ) -> None:
+        self._lookup = _OwnerLookup(host, control, channels)
+        self._local = local
+
+    async def reserve(self, request: RateRequest) -> RateReply:
+        """Ask for admission."""
+        owner = self._lookup.owner(request.resource, request.epoch)
+        if isinstance(owner, Err):
+            return Refused(request_id=request.request_id, failure=owner.err_value)
+        if owner.ok_value.host == self._lookup.host:
+            return await self._local.reserve(request)
+        timeout_s = request.wait_s + CALL_TIMEOUT_S
+        reply = await self._lookup.call(owner.ok_value, "Reserve", request, timeout_s)
+        if isinstance(reply, Err):
+            return Refused(request_id=request.request_id, failure=reply.err_value)
+        grant: RateReply = reply.ok_value
+        return grant
+
+    async def refund(self, refund: Refund) -> None:
+        """Give unused tokens back."""
+        if self._is_local(refund.resource):
+            await self._local.refund(refund)
+        else:
+            await self._lookup.send(refund.resource, refund.epoch, "Refund", refund)
+
+    async def ended(self, resource: str, workspace: str, request_id: str) -> None:
+        """Tell that a request with an idempotency key has finished."""
+        if self._is_local(resource):
+            await self._local.ended(resource, workspace, request_id)
+            return
+        message = KeyEnded(resource, workspace, request_id)
+        await self._lookup.send(resource, None, "KeyEnded", message)
+
+    def _is_local(self, resource: str) -> bool:
+        owner = self._lookup.owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+
+
+class CellClient:
+    """`CellPort` for a front; parameters as for `RateClient`."""
+
+    def __init__(
+        self, host: str, control: ControlPort, channels: PeerChannels, local: CellPort
+    ) -> None:
+        self._lookup = _OwnerLookup(host, control, channels)
+        self._local = local
+
+    async def submit(self, profile: RequestProfile) -> SubmitReply:
+        """Ask for a placement."""
+        owner = self._lookup.owner(profile.resource, profile.epoch)
+        if isinstance(owner, Err):
+            return Refused(request_id=profile.request_id, failure=owner.err_value)
+        if owner.ok_value.host == self._lookup.host:
+            return await self._local.submit(profile)
+        reply = await self._lookup.call(
+            owner.ok_value, "Submit", profile, SUBMIT_TIMEOUT_S
+        )
+        if isinstance(reply, Err):
+            return Refused(request_id=profile.request_id, failure=reply.err_value)
+        placement: SubmitReply = reply.ok_value
+        return placement
+
+    async def withdraw(self, withdraw: Withdraw) -> None:
+        """Give a request up."""
+        if self._is_local(withdraw.resource):
+            await self._local.withdraw(withdraw)
+            return
+        # A withdrawal holds in every epoch: a new owner may have the registration.
+        await self._lookup.send(withdraw.resource, None, "Withdraw", withdraw)
+
+    async def report(self, batch: ProgressBatch) -> None:
+        """Report progress."""
+        if self._is_local(batch.resource):
+            await self._local.report(batch)
+        else:
+            await self._lookup.send(batch.resource, batch.epoch, "Report", batch)
+
+    async def register(
+        self,
+        resource: str,
+        epoch: int,
+        front: str,
+        incarnation: int,
+        active: tuple[ActiveRequest, ...],
+    ) -> None:
+        """Report all running requests to a new owner."""
+        if self._is_local(resource):
+            await self._local.register(resource, epoch, front, incarnation, active)
+            return
+        message = RegisterFront(resource, epoch, front, incarnation, active)
+        await self._lookup.send(resource, epoch, "Register", message)
+
+    async def take_over(self, take_over: TakeOver) -> TakeOverReply:
+        """Ask to continue a request whose front is gone."""
+        owner = self._lookup.owner(take_over.resource, take_over.epoch)
+        if isinstance(owner, Err):
+            return TakeOverReply(failure=owner.err_value)
+        if owner.ok_value.host == self._lookup.host:
+            return await self._local.take_over(take_over)
+        reply = await self._lookup.call(
+            owner.ok_value, "TakeOver", take_over, 3 * CALL_TIMEOUT_S
+        )
+        if isinstance(reply, Err):
+            return TakeOverReply(failure=reply.err_value)
+        answer: TakeOverReply = reply.ok_value
+        return answer
+
+    def _is_local(self, resource: str) -> bool:
+        owner = self._lookup.owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+
+
+class FrontClient:
+    """`PeerPort`, and what owners ask of fronts; `attach` names the local front."""
+
+    def __init__(
+        self, host: str, incarnation: int, control: ControlPort, channels: PeerChannels
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._control = control
+        self._channels = channels
+        self._front: FrontPort | None = None
+
+    def attach(self, front: FrontPort) -> None:
+        """Set this host's front."""
+        self._front = front
+
+    async def resume_stream(
+        self, host: str, request_id: str, workspace: str, offset: int
+    ) -> AsyncIterator[DecodeChunk]:
+        """Relay a request's output from `offset`; raises `StreamFailed`."""
+        session = self._control.fleet.sessions.get(host)
+        if session is None:
+            detail = f"entry host {host} has no session"
+            raise StreamFailed(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
+        message = ResumeStream(request_id, workspace, offset)
+        async for item in self._channels.resume(session.peer_address, message):
+            if item.failure is not None:
+                raise StreamFailed(item.failure)
+            if item.chunk is not None:
+                yield item.chunk
+
+    async def active_requests(
+        self, host: str, resource: str
+    ) -> Result[ActiveRequests, Failure]:
+        """Ask a front for its running requests in a cell."""
+        if host == self._host and self._front is not None:
+            items = tuple(self._front.active_requests(resource))
+            return Ok(ActiveRequests(self._incarnation, items))
+        return await self._ask(host, "ActiveRequests", AskActiveRequests(resource))
+
+    async def active_keys(
+        self, host: str, workspace: str
+    ) -> Result[tuple[ActiveKey, ...], Failure]:
+        """Ask a front for its idempotency keys of a workspace."""
+        if host == self._host and self._front is not None:
+            return Ok(active_keys_of(self._front, workspace))
+        reply = await self._ask(host, "ActiveKeys", AskActiveKeys(workspace))
+        if isinstance(reply, Err):
+            return reply
+        keys: ActiveKeys = reply.ok_value
+        return Ok(keys.items)
+
+    async def notify_taken_over(self, host: str, request_id: str) -> None:
+        """Tell a front that a request is no longer its; lost if it is gone."""
+        if host == self._host and self._front is not None:
+            outcome = self._front.taken_over(request_id)
+            if outcome is not None:
+                await outcome
+            return
+        await self._ask(host, "TakenOver", RequestTakenOver(request_id))
+
+    async def _ask(self, host: str, name: str, message: Any) -> Result[Any, Failure]:
+        session = self._control.fleet.sessions.get(host)
+        if session is None:
+            return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{host} has no session"))
+        return await self._channels.call(
+            session.peer_address, name, message, CALL_TIMEOUT_S
+        )
