--- /dev/null
+++ b/src/damaskridge/binaries/entry_host.py
@@ -0,0 +1,222 @@
+"""Wiring and life cycle of one entry host."""
+
+import logging
+import random
+import secrets
+import signal
+import socket
+import time
+from collections.abc import Callable
+from functools import lru_cache
+
+import anyio
+from grpclib.server import Server
+from result import Err
+
+from damaskridge.adapters.cell_runtime import CellRuntime
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.engines.http_engine import HttpEngine
+from damaskridge.adapters.front import Front, FrontSettings
+from damaskridge.adapters.http.app import caller_app
+from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.observability.events import configure, log_event
+from damaskridge.adapters.observability.metrics import Metrics
+from damaskridge.adapters.owners import Owners
+from damaskridge.adapters.ownership import lease_is_valid
+from damaskridge.adapters.platform.http_host_list import HttpHostList
+from damaskridge.adapters.ports import ControlPort, EnginePort
+from damaskridge.adapters.rate_runtime import RateRuntime
+from damaskridge.adapters.rpc.control_client import ControlClient
+from damaskridge.adapters.rpc.peer_channels import PeerChannels
+from damaskridge.adapters.rpc.peer_client import CellClient, FrontClient, RateClient
+from damaskridge.adapters.rpc.peer_server import PeerService
+from damaskridge.adapters.services.http_service import HttpService
+from damaskridge.binaries.entry_settings import EntrySettings
+from damaskridge.binaries.http_server import HttpServer, listen
+from damaskridge.core.limits.rate_owner import RateOwner
+from damaskridge.core.scheduling.scheduler import CellScheduler
+from damaskridge.model.events import EventNumber
+
+__all__ = ["EntryHost", "run_entry_host"]
+
+logger = logging.getLogger(__name__)
+
+# Two proposals fit in; a hand-over that takes longer is left to the session's end.
+RELEASE_TIMEOUT_S = 4.0
+CLOSE_TIMEOUT_S = 2.0
+ENGINE_CONNECTIONS = 4096
+
+
+class EntryHost:
+    """
+    All parts of one entry host.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        # The time alone could repeat after a clock was set back.
+        incarnation = (time.time_ns() // 1_000_000 << 16) | secrets.randbits(16)
+        self.control = ControlClient(
+            control_addresses=settings.control_addresses,
+            host=settings.host,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+            peer_address=settings.peer_address,
+        )
+        self.channels = PeerChannels()
+        fronts = FrontClient(settings.host, incarnation, self.control, self.channels)
+        engine_for = lru_cache(ENGINE_CONNECTIONS)(HttpEngine)
+        self.owners = self._owners(fronts, engine_for)
+        self.front = Front(
+            host=settings.host,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+            control=self.control,
+            rates=RateClient(
+                settings.host, self.control, self.channels, self.owners.rates
+            ),
+            cells=CellClient(
+                settings.host, self.control, self.channels, self.owners.cells
+            ),
+            peers=fronts,
+            engine_for=engine_for,
+            services=HttpService(),
+            settings=FrontSettings(**settings.front.model_dump()),
+        )
+        fronts.attach(self.front)
+        self.control.on_change(lambda *_: self.owners.fleet_changed())
+        service = PeerService(
+            incarnation=incarnation,
+            rates=self.owners.rates,
+            cells=self.owners.cells,
+            front=self.front,
+        )
+        self.peer_server = Server([service], codec=MsgpackCodec())
+        self.caller_server = HttpServer(
+            caller_app(self.front), settings.front.max_header_bytes
+        )
+        self.operators_server = HttpServer(
+            operators_app(self._metrics(), self.is_ready)
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether the host has a bundle and a lease."""
+        control: ControlPort = self.control
+        return control.fleet.version > 0 and lease_is_valid(control)
+
+    async def run(self, listeners: list[socket.socket]) -> None:
+        """Serve until SIGTERM or SIGINT, then drain."""
+        caller, peer, operators = listeners
+        await self.peer_server.start(sock=peer)
+        async with anyio.create_task_group() as group:
+            for service in (self.channels, self.control, self.owners, self.front):
+                group.start_soon(service.run)
+            stopped = anyio.Event()
+            group.start_soon(self._serve_callers, caller, stopped)
+            group.start_soon(self.operators_server.run_on, operators)
+            log_event(logger, EventNumber.PROCESS_READY, host=self.settings.host)
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    break
+                await self._drain(stopped)
+            group.cancel_scope.cancel()
+        self.peer_server.close()
+        self.channels.close()
+
+    async def _serve_callers(self, listener: socket.socket, done: anyio.Event) -> None:
+        await self.caller_server.run_on(listener)
+        done.set()
+
+    async def _drain(self, callers_stopped: anyio.Event) -> None:
+        log_event(logger, EventNumber.PROCESS_DRAINING, host=self.settings.host)
+        keep_s = self.settings.front.keep_s
+        drained_s = anyio.current_time() + keep_s
+        with anyio.move_on_after(keep_s):
+            await self.control.begin_drain()
+        # Callers may use the address until their copy of the answer has expired.
+        await anyio.sleep(max(0.0, drained_s - anyio.current_time()))
+        self.caller_server.stop()
+        self.front.begin_drain()
+        await self.front.wait_idle()
+        await callers_stopped.wait()
+        with anyio.move_on_after(RELEASE_TIMEOUT_S):
+            await self.owners.release_all()
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            await self.control.close()
+
+    def _owners(
+        self, fronts: FrontClient, engine_for: Callable[[str], EnginePort]
+    ) -> Owners:
+        rng = random.Random(secrets.randbits(64))
+        rates = RateRuntime(
+            host=self.settings.host,
+            control=self.control,
+            machine=RateOwner(rng=rng),
+            ask_keys=fronts.active_keys,
+        )
+        cells = CellRuntime(
+            host=self.settings.host,
+            control=self.control,
+            new_machine=lambda: CellScheduler(rng=rng),
+            engine_for=engine_for,
+            host_list=HttpHostList(self.settings.host_list_address),
+            ask_requests=fronts.active_requests,
+            notify_taken_over=fronts.notify_taken_over,
+        )
+        return Owners(rates, cells)
+
+    def _metrics(self) -> Metrics:
+        metrics = Metrics()
+        control, owners = self.control, self.owners
+        metrics.watch(
+            "queue_length", "Requests that wait here", lambda: owners.cells.queue_length
+        )
+        metrics.watch(
+            "lease_remaining_seconds",
+            "Time left of the session's lease",
+            lambda: control.lease.remaining_s(anyio.current_time()),
+        )
+        metrics.watch(
+            "bundle_version", "Bundle in force", lambda: control.fleet.version
+        )
+        metrics.watch(
+            "owned_resources",
+            "Workspaces and cells owned",
+            lambda: len(owners.rates.owned) + len(owners.cells.owned),
+        )
+        return metrics
+
+
+def run_entry_host(settings: EntrySettings) -> str:
+    """Run an entry host; returns why it failed, or an empty line."""
+    configure(settings.host, settings.log_level)
+    log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
+    listeners = []
+    for name in ("caller_address", "peer_address", "operators_address"):
+        listener = listen(name, getattr(settings, name))
+        if isinstance(listener, Err):
+            return listener.err_value
+        listeners.append(listener.ok_value)
+
+    async def run() -> None:
+        await EntryHost(settings).run(listeners)
+
+    try:
+        anyio.run(run)
+    except Exception as error:
+        return _describe(error)
+    log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
+    return ""
+
+
+def _describe(error: BaseException) -> str:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    text = str(error).splitlines()
+    return f"{type(error).__name__}: {text[0] if text else 'no detail'}"
--- /dev/null
+++ b/src/damaskridge/binaries/http_server.py
@@ -0,0 +1,72 @@
+"""Uvicorn inside a running loop, without signal handlers of its own."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+from result import Err, Ok, Result
+
+from damaskridge.binaries.entry_settings import split_address
+
+__all__ = ["HttpServer", "listen"]
+
+BACKLOG = 1024
+
+
+def listen(setting: str, address: str) -> Result[socket.socket, str]:
+    """Return a listening socket, or one line that names the setting at fault."""
+    ip, port = split_address(address)
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((ip, port))
+    except OSError as error:
+        listener.close()
+        return Err(f"{setting}: cannot listen on {address}: {error.strerror}")
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return Ok(listener)
+
+
+class HttpServer(uvicorn.Server):
+    """
+    Serves one ASGI application.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What answers.
+    max_header_bytes : int
+        Longest request head that h11 takes.
+    """
+
+    def __init__(self, app: Any, max_header_bytes: int = 16_384) -> None:
+        super().__init__(
+            uvicorn.Config(
+                app,
+                http="h11",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                proxy_headers=False,
+                h11_max_incomplete_event_size=max_header_bytes,
+            )
+        )
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals to the program, which drains before it stops."""
+        yield
+
+    async def run_on(self, listener: socket.socket) -> None:
+        """Serve until `stop`, then until the open responses have ended."""
+        await self.serve(sockets=[listener])
+
+    def stop(self) -> None:
+        """Close the listener; open responses go on."""
+        self.should_exit = True
--- /dev/null
+++ b/src/damaskridge/core/timeline.py
@@ -0,0 +1,210 @@
+"""Merges the event logs of many processes into one ordered time line.
+
+>>> lines = ['{"time_s": 2.0, "process": "b", "event": 5000, "name": "N"}', '{"torn']
+>>> [item.process for item in parse_log(lines).entries]
+['b']
+>>> parse_log(lines).torn_lines
+1
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from damaskridge.model.events import EventNumber
+
+__all__ = [
+    "ClockOffset",
+    "Filter",
+    "LogEntry",
+    "ParsedLog",
+    "Timeline",
+    "estimate_offsets",
+    "merge",
+    "parse_log",
+]
+
+# The first event on one process causes the second on another, by the shared field.
+CAUSES: tuple[tuple[EventNumber, EventNumber, str], ...] = (
+    (EventNumber.REQUEST_ACCEPTED, EventNumber.QUEUE_PLACED, "request_id"),
+    (EventNumber.QUEUE_PLACED, EventNumber.REQUEST_PLACED, "request_id"),
+    (EventNumber.BUNDLE_ACTIVATED, EventNumber.BUNDLE_IN_FORCE, "version"),
+    (EventNumber.SESSION_OPENED, EventNumber.OWNERSHIP_GAINED, "session"),
+)
+# Changes to the offsets pass along chains of processes, so a few rounds settle them.
+MAX_ROUNDS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One line of a log; `time_s` is the wall clock of `process`."""
+
+    time_s: float
+    process: str
+    event: int
+    name: str
+    fields: Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedLog:
+    """The entries of one log and the number of lines that were no entry."""
+
+    entries: tuple[LogEntry, ...]
+    torn_lines: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClockOffset:
+    """
+    What is added to the times of a process.
+
+    `pairs` counts the pairs of cause and effect with other processes; 0 means that
+    the offset is an assumption.
+    """
+
+    process: str
+    offset_s: float
+    pairs: int
+
+
+@dataclass(frozen=True, slots=True)
+class Timeline:
+    """Entries in order, with corrected times, and the offsets."""
+
+    entries: tuple[LogEntry, ...]
+    offsets: tuple[ClockOffset, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Filter:
+    """Which entries are shown; empty fields let everything pass."""
+
+    request_id: str = ""
+    host: str = ""
+    backend_server: str = ""
+    event: str = ""
+    since_s: float = float("-inf")
+    until_s: float = float("inf")
+
+    def matches(self, entry: LogEntry) -> bool:
+        """Tell whether an entry passes."""
+        fields = entry.fields
+        return (
+            self.since_s <= entry.time_s <= self.until_s
+            and self._matches_request(fields)
+            and (not self.host or self.host in (entry.process, fields.get("host")))
+            and (not self.backend_server or self.backend_server in _servers_of(fields))
+            and (not self.event or self.event in (entry.name, str(entry.event)))
+        )
+
+    def _matches_request(self, fields: Mapping[str, object]) -> bool:
+        if not self.request_id:
+            return True
+        attempt = str(fields.get("engine_request_id", "")).rpartition(".")[0]
+        return self.request_id in (fields.get("request_id"), attempt)
+
+
+def parse_log(lines: Iterable[str]) -> ParsedLog:
+    """Return the entries of a log; torn lines and other output are counted."""
+    entries: list[LogEntry] = []
+    torn_lines = 0
+    for line in lines:
+        if not line.strip():
+            continue
+        entry = _parse_line(line)
+        if entry is None:
+            torn_lines += 1
+        else:
+            entries.append(entry)
+    return ParsedLog(tuple(entries), torn_lines)
+
+
+def estimate_offsets(entries: Iterable[LogEntry]) -> tuple[ClockOffset, ...]:
+    """
+    Estimate each process's clock offset from causes and effects.
+
+    An effect never precedes its cause. Processes keep their own time unless a pair
+    shows that they cannot; then the effect's process is moved by the least amount.
+    """
+    ordered = list(entries)
+    least_s: dict[tuple[str, str], float] = {}
+    pairs = dict.fromkeys((entry.process for entry in ordered), 0)
+    for cause, effect in _pairs(ordered):
+        key = (cause.process, effect.process)
+        lead_s = cause.time_s - effect.time_s
+        least_s[key] = max(lead_s, least_s.get(key, float("-inf")))
+        pairs[cause.process] += 1
+        pairs[effect.process] += 1
+    offsets = dict.fromkeys(pairs, 0.0)
+    for _ in range(MAX_ROUNDS):
+        changed = False
+        for (earlier, later), lead_s in least_s.items():
+            needed_s = offsets[earlier] + lead_s
+            if needed_s > offsets[later] + 1e-9:
+                offsets[later] = needed_s
+                changed = True
+        if not changed:
+            break
+    return tuple(
+        ClockOffset(process, round(offsets[process], 6), pairs[process])
+        for process in sorted(offsets)
+    )
+
+
+def merge(logs: Iterable[ParsedLog], shown: Filter | None = None) -> Timeline:
+    """Return one time line over all logs, filtered by corrected times."""
+    entries = [entry for log in logs for entry in log.entries]
+    offsets = estimate_offsets(entries)
+    shift_s = {item.process: item.offset_s for item in offsets}
+    moved = [
+        LogEntry(
+            entry.time_s + shift_s[entry.process],
+            entry.process,
+            entry.event,
+            entry.name,
+            entry.fields,
+        )
+        for entry in entries
+    ]
+    # The sort is stable: entries of one process at one time keep their order.
+    moved.sort(key=lambda entry: entry.time_s)
+    kept = tuple(entry for entry in moved if shown is None or shown.matches(entry))
+    return Timeline(kept, offsets)
+
+
+def _pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
+    for cause_number, effect_number, field in CAUSES:
+        causes: dict[object, LogEntry] = {}
+        for entry in entries:
+            value = entry.fields.get(field)
+            if entry.event == cause_number and isinstance(value, str | int):
+                first = causes.setdefault(value, entry)
+                if entry.time_s < first.time_s:
+                    causes[value] = entry
+        for entry in entries:
+            if entry.event != effect_number:
+                continue
+            value = entry.fields.get(field)
+            cause = causes.get(value) if isinstance(value, str | int) else None
+            if cause is not None and cause.process != entry.process:
+                yield cause, entry
+
+
+def _parse_line(line: str) -> LogEntry | None:
+    try:
+        data = json.loads(line)
+        return LogEntry(
+            float(data["time_s"]),
+            str(data["process"]),
+            int(data["event"]),
+            str(data["name"]),
+            data,
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+
+
+def _servers_of(fields: Mapping[str, object]) -> tuple[object, ...]:
+    names = ("backend_server", "prefill_server", "decode_server")
+    return tuple(fields.get(name) for name in names)
--- /dev/null
+++ b/tests/adapters/http/test_operators_app.py
@@ -0,0 +1,33 @@
+"""The operators' port: readiness that lies, metrics that are not collected."""
+
+import anyio
+
+from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.observability.metrics import Metrics
+
+
+def ask(app, path):
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {"type": "http", "method": "GET", "path": path}
+    anyio.run(app, scope, None, send)
+    return sent[0]["status"], sent[1]["body"].decode()
+
+
+def test_ready_and_metrics_are_read_at_the_request():
+    state = {"ready": False}
+    metrics = Metrics()
+    metrics.watch("bundle_version", "Bundle", lambda: 7)
+    metrics.requests.labels("model", "ok").inc()
+    app = operators_app(metrics, lambda: state["ready"])
+    assert ask(app, "/ready")[0] == 503
+    state["ready"] = True
+    assert ask(app, "/ready")[0] == 200
+    status, text = ask(app, "/metrics")
+    assert status == 200
+    assert "damaskridge_bundle_version 7.0" in text
+    assert 'damaskridge_requests_total{kind="model",outcome="ok"} 1.0' in text
+    assert ask(app, "/other")[0] == 404
--- /dev/null
+++ b/tests/core/test_timeline.py
@@ -0,0 +1,54 @@
+"""The time line: effects before causes, torn lines, filters that hide attempts."""
+
+import json
+
+from damaskridge.core.timeline import Filter, merge, parse_log
+from damaskridge.model.events import EventNumber
+
+
+def line(time_s, process, event, **fields):
+    head = {"time_s": time_s, "process": process, "event": event, "name": event.name}
+    return json.dumps(head | fields)
+
+
+def logs():
+    front = [
+        line(10.0, "front", EventNumber.REQUEST_ACCEPTED, request_id="r1"),
+        line(10.2, "front", EventNumber.REQUEST_PLACED, request_id="r1"),
+    ]
+    # The owner's clock is 3 s slow.
+    owner = [
+        line(7.1, "owner", EventNumber.QUEUE_PLACED, request_id="r1"),
+        line(
+            7.3,
+            "owner",
+            EventNumber.ENGINE_REQUEST_CANCELLED,
+            engine_request_id="r1.1",
+            backend_server="e1",
+        ),
+        line(7.4, "owner", EventNumber.ORDER_SENT)[:30],
+        "null",
+    ]
+    lone = [line(10.05, "lone", EventNumber.PROCESS_READY)]
+    return [parse_log(front), parse_log(owner), parse_log(lone)]
+
+
+def test_offset_keeps_every_effect_after_its_cause():
+    merged = merge(logs())
+    names = [entry.name for entry in merged.entries]
+    assert names.index("REQUEST_ACCEPTED") <= names.index("QUEUE_PLACED")
+    assert names.index("QUEUE_PLACED") < names.index("REQUEST_PLACED")
+    offsets = {item.process: item for item in merged.offsets}
+    assert 2.9 <= offsets["owner"].offset_s <= 3.1
+    assert (offsets["lone"].offset_s, offsets["lone"].pairs) == (0.0, 0)
+
+
+def test_torn_lines_are_counted_and_skipped():
+    assert [log.torn_lines for log in logs()] == [0, 2, 0]
+
+
+def test_filters_combine_and_find_attempts_on_engines():
+    shown = merge(logs(), Filter(request_id="r1", backend_server="e1")).entries
+    assert [entry.name for entry in shown] == ["ENGINE_REQUEST_CANCELLED"]
+    shown = merge(logs(), Filter(since_s=10.01, until_s=10.1, event="1001")).entries
+    assert [entry.process for entry in shown] == ["lone"]
