--- /dev/null
+++ b/examples/demo_processes.py
@@ -0,0 +1,131 @@
+"""Starts the demo's processes and ends them all, also after an error."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from examples.demo_settings import (
+    ALICE_KEY,
+    BOB_KEY,
+    CONTROLS,
+    ENGINES,
+    ENTRIES,
+    SERVICES,
+    Layout,
+)
+
+ROOT = Path(__file__).resolve().parents[1]
+STOP_TIMEOUT_S = 8.0
+
+
+class Processes:
+    """A context that leaves no process behind."""
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        paths = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        self.environment = {**os.environ, "PYTHONPATH": paths}
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.stop_all()
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        # The child keeps its own copy of the file; this one is closed at once.
+        with self.log_path(name).open("ab") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env=self.environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def start_all(self) -> None:
+        port = self.layout.port
+        for name, role in ENGINES.items():
+            self.start(
+                name, "examples.standins.engine", "--port", port(name), "--role", role
+            )
+        for name in SERVICES:
+            self.start(name, "examples.standins.service", "--port", port(name))
+        self.start("hosts", "examples.standins.hosts", "--port", port("hosts"))
+        for name in CONTROLS:
+            path = str(self.layout.control_settings(name))
+            self.start(name, "damaskridge.binaries.control", "--settings", path)
+        for name in ENTRIES:
+            self.start_entry(name)
+
+    def start_entry(self, name: str) -> None:
+        path = str(self.layout.entry_settings(name))
+        self.start(name, "damaskridge.binaries.entry", "--settings", path)
+
+    def kill(self, name: str) -> None:
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def dead(self) -> list[str]:
+        return [name for name, item in self.running.items() if item.poll() is not None]
+
+    def stop_all(self) -> dict[str, int]:
+        """End everything; returns the exit codes of those that ended by themselves."""
+        processes, self.running = self.running, {}
+        for item in processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                item.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_TIMEOUT_S
+        codes = {}
+        for name, item in processes.items():
+            try:
+                codes[name] = item.wait(max(0.01, end_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                item.kill()
+                item.wait()
+        return codes
+
+    def log_path(self, name: str) -> Path:
+        return self.layout.folder / f"{name}.log"
+
+    def ctl(self, operator: str, *arguments: str) -> str:
+        """Run damaskridge-ctl as an operator; returns what it printed."""
+        environment = dict(self.environment)
+        environment["DAMASKRIDGE_OPERATOR_KEY"] = (
+            ALICE_KEY if operator == "alice" else BOB_KEY
+        )
+        addresses = ",".join(self.layout.control_addresses())
+        command = [sys.executable, "-m", "damaskridge.binaries.ctl", *arguments]
+        command += ["--operator", operator, "--control-addresses", addresses]
+        done = subprocess.run(
+            command,
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=15,
+            check=False,
+        )
+        if done.returncode:
+            raise RuntimeError(f"damaskridge-ctl {arguments[0]}: {done.stderr.strip()}")
+        return done.stdout.strip()
+
+    def timeline(self, *arguments: str) -> list[str]:
+        logs = [str(path) for path in sorted(self.layout.folder.glob("*.log"))]
+        done = subprocess.run(
+            [sys.executable, "-m", "damaskridge.binaries.timeline", *logs, *arguments],
+            cwd=ROOT,
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=15,
+            check=False,
+        )
+        return done.stdout.splitlines()
--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -185,6 +185,7 @@
         worker = self._worker(take_over.resource, take_over.epoch)
         if isinstance(worker, Failure):
             return TakeOverReply(failure=worker)
+        worker.heard(take_over.front, take_over.incarnation)
         pending = self._links.taken_over
         future = pending.open(take_over.resource, take_over.front, take_over.request_id)
         try:
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -61,6 +61,7 @@
         self._engine = engine
         self._emit = emit
         self._failed = False
+        self._crash_reported = False
         self._silent_polls = 0
         self._cache_after = 0
 
@@ -131,7 +132,8 @@
     def _answered(self, report: LoadReport) -> None:
         name = self.server.name
         self._silent_polls = 0
-        if self.incarnation not in (0, report.incarnation) and not self._failed:
+        restarted = self.incarnation not in (0, report.incarnation)
+        if restarted and not self._crash_reported:
             self._fail(crashed=True)
         if report.incarnation != self.incarnation:
             self._cache_after = 0
@@ -146,11 +148,13 @@
             and failure.ran is RunState.NOT_RUN
         )
         self._silent_polls += 1
-        if not self._failed and (refused or self._silent_polls >= SILENT_POLLS):
+        silent = not self._failed and self._silent_polls >= SILENT_POLLS
+        if (refused and not self._crash_reported) or silent:
             self._fail(crashed=refused)
 
     def _fail(self, *, crashed: bool) -> None:
         self._failed = True
+        self._crash_reported = crashed
         self.crashes += crashed
         log_event(
             logger,
@@ -164,7 +168,7 @@
 
     def _recover(self) -> None:
         if self._failed:
-            self._failed = False
+            self._failed = self._crash_reported = False
             log_event(
                 logger,
                 EventNumber.BACKEND_SERVER_BACK,
@@ -176,5 +180,16 @@
 
 async def _repeat(poll: Callable[[], Awaitable[None]], period_s: float) -> None:
     while True:
-        await poll()
+        try:
+            await poll()
+        except AssertionError:
+            raise
+        except Exception as error:
+            # One engine's malformed answer must not end the whole entry host.
+            log_event(
+                logger,
+                EventNumber.UNEXPECTED_ERROR,
+                level=logging.ERROR,
+                error_type=type(error).__name__,
+            )
         await anyio.sleep(period_s)
--- /dev/null
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -0,0 +1,59 @@
+"""Counts numbered events in the metrics, so that a decision reports itself once."""
+
+import logging
+
+from damaskridge.adapters.observability.events import ROOT_LOGGER, fields_of
+from damaskridge.adapters.observability.metrics import Metrics
+from damaskridge.model.events import EventNumber
+
+__all__ = ["EventMetrics", "count_events"]
+
+
+class EventMetrics(logging.Handler):
+    """
+    Updates metrics from the fields of events that are logged.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        What is updated. Events below the log level are not counted.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        super().__init__()
+        self._metrics = metrics
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count one record."""
+        number = getattr(record, "event_number", None)
+        if number is None:
+            return
+        fields = fields_of(record)
+        metrics = self._metrics
+        metrics.events.labels(number.name).inc()
+        kind = str(fields.get("kind", "model"))
+        match number:
+            case EventNumber.REQUEST_FINISHED:
+                metrics.requests.labels(kind, "ok").inc()
+            case EventNumber.REQUEST_REFUSED:
+                metrics.requests.labels(kind, str(fields.get("error_kind", ""))).inc()
+            case EventNumber.REQUEST_GRANTED:
+                metrics.waits_s.labels("rate").observe(_number(fields, "waited_s"))
+            case EventNumber.REQUEST_PLACED:
+                metrics.waits_s.labels("cell").observe(_number(fields, "waited_s"))
+            case EventNumber.REQUEST_FIRST_TOKEN:
+                metrics.first_token_s.observe(_number(fields, "first_token_s"))
+            case EventNumber.LEDGER_INTENT:
+                metrics.ledger_states.labels(str(fields.get("state", ""))).inc()
+            case _:
+                pass
+
+
+def count_events(metrics: Metrics) -> None:
+    """Count every event that this process logs from now on."""
+    logging.getLogger(ROOT_LOGGER).addHandler(EventMetrics(metrics))
+
+
+def _number(fields: dict[str, object], name: str) -> float:
+    value = fields.get(name)
+    return float(value) if isinstance(value, int | float) else 0.0
--- a/src/damaskridge/adapters/observability/metrics.py
+++ b/src/damaskridge/adapters/observability/metrics.py
@@ -22,6 +22,8 @@
 
     Attributes
     ----------
+    events : Counter
+        Numbered events by `name`.
     requests : Counter
         Requests by `kind` (model or service) and `outcome` (an error kind or ``ok``).
     waits_s, first_token_s, token_gap_s : Histogram
@@ -34,6 +36,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
+        self.events = self._counter("events", "Numbered log events", "name")
         self.requests = self._counter("requests", "Requests", "kind", "outcome")
         self.waits_s = self._histogram("wait_seconds", "Time waited", "stage")
         self.first_token_s = self._histogram(
--- a/src/damaskridge/binaries/entry.py
+++ b/src/damaskridge/binaries/entry.py
@@ -1,5 +1,6 @@
 """The entry program: one entry host that serves callers and owns resources."""
 
+import inspect
 import sys
 from pathlib import Path
 
@@ -16,13 +17,19 @@
 
 
 def entry(
-    settings: str = "", *, check_settings: bool = False, version: bool = False
+    *extra: object,
+    settings: str = "",
+    check_settings: bool = False,
+    version: bool = False,
+    **unknown: object,
 ) -> None:
     """
     Run an entry host.
 
     Parameters
     ----------
+    *extra, **unknown : object
+        Refused here, because fire would complain only after the program has run.
     settings : str
         Settings file, JSON with comments.
     check_settings : bool
@@ -30,12 +37,17 @@
     version : bool
         Only print the version.
     """
+    if "help" in unknown:
+        print(inspect.cleandoc(entry.__doc__ or ""))
+        return
+    for name in (*map(str, extra), *(f"--{flag}" for flag in unknown)):
+        _exit(EXIT_SETTINGS, f"{name}: unknown argument")
     if version:
         print(f"damaskridge-entry {__version__}")
         return
     if not settings:
         _exit(EXIT_SETTINGS, "--settings: missing")
-    loaded = load_settings(Path(settings), EntrySettings)
+    loaded = load_settings(Path(str(settings)), EntrySettings)
     if isinstance(loaded, Err):
         _exit(EXIT_SETTINGS, "; ".join(loaded.err_value))
         return
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -19,6 +19,7 @@
 from damaskridge.adapters.front import Front, FrontSettings
 from damaskridge.adapters.http.app import caller_app
 from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import configure, log_event
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.owners import Owners
@@ -173,6 +174,7 @@
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
+        count_events(metrics)
         control, owners = self.control, self.owners
         metrics.watch(
             "queue_length", "Requests that wait here", lambda: owners.cells.queue_length
--- a/src/damaskridge/binaries/timeline.py
+++ b/src/damaskridge/binaries/timeline.py
@@ -1,5 +1,6 @@
 """The time line program: one ordered time line from the logs of all processes."""
 
+import inspect
 import sys
 from collections.abc import Iterator
 from datetime import UTC, datetime
@@ -20,6 +21,7 @@
     since: str = "",
     until: str = "",
     event: str = "",
+    **unknown: object,
 ) -> None:
     """
     Print the merged events of log files.
@@ -32,7 +34,14 @@
         Show only these; `event` is a name or number.
     since, until : str
         ISO 8601 time or seconds of the epoch.
+    **unknown : object
+        Refused here, because fire would complain only after the output.
     """
+    if "help" in unknown:
+        print(inspect.cleandoc(timeline.__doc__ or ""))
+        return
+    for name in unknown:
+        _fail(f"--{name}: unknown option")
     if not logs:
         _fail("LOGS: no log file given")
     try:
--- a/tests/adapters/http/test_operators_app.py
+++ b/tests/adapters/http/test_operators_app.py
@@ -3,7 +3,10 @@
 import anyio
 
 from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.observability.event_metrics import EventMetrics
+from damaskridge.adapters.observability.events import event_record
 from damaskridge.adapters.observability.metrics import Metrics
+from damaskridge.model.events import EventNumber
 
 
 def ask(app, path):
@@ -31,3 +34,16 @@
     assert "damaskridge_bundle_version 7.0" in text
     assert 'damaskridge_requests_total{kind="model",outcome="ok"} 1.0' in text
     assert ask(app, "/other")[0] == 404
+
+
+def test_events_are_counted_by_their_fields():
+    metrics = Metrics()
+    handler = EventMetrics(metrics)
+    for number, fields in (
+        (EventNumber.REQUEST_REFUSED, {"error_kind": "rate_exceeded"}),
+        (EventNumber.REQUEST_FIRST_TOKEN, {"first_token_s": 0.4}),
+    ):
+        handler.emit(event_record("front", number, fields))
+    text = metrics.text().decode()
+    assert 'requests_total{kind="model",outcome="rate_exceeded"} 1.0' in text
+    assert "damaskridge_first_token_seconds_sum 0.4" in text
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -145,6 +145,19 @@
     with_cell(body)
 
 
+def test_restart_after_a_silence_counts_as_a_crash_once():
+    async def body(cell):
+        cell.engine.silent = True
+        await anyio.sleep(5)
+        cell.engine.silent, cell.engine.incarnation = False, 2
+        await anyio.sleep(3)
+        failed = [item.crashed for item in cell.seen(ServerFailed)]
+        assert failed == [False, True]
+        assert len(cell.seen(ServerRecovered)) == 1
+
+    with_cell(body)
+
+
 def test_cancel_is_repeated_until_the_engine_confirms():
     async def body(cell):
         cell.engine.cancels_to_fail = 3
--- a/tests/binaries/test_entry_settings.py
+++ b/tests/binaries/test_entry_settings.py
@@ -42,6 +42,13 @@
 
 def test_missing_file_exits_with_2_and_one_line(tmp_path, capsys):
     with pytest.raises(SystemExit) as stopped:
-        entry(str(tmp_path / "none.json"))
+        entry(settings=str(tmp_path / "none.json"))
     assert stopped.value.code == 2
     assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_unknown_option_is_refused_before_the_program_runs(capsys):
+    with pytest.raises(SystemExit) as stopped:
+        entry(settings="none.json", bogus=True)
+    assert stopped.value.code == 2
+    assert "--bogus" in capsys.readouterr().err
