Wire the entry host to the callers' application and backend clients

Cause: the parts were written against stated interfaces; three constructors and the names of the front's limits differed. The demo now uses the commands that damaskridge-ctl has. Before: the entry program did not start. After: it starts; the demo does not pass yet, because the control services are not run.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -74,11 +74,11 @@
 
     def roll(self, path: Path, expected_version: int) -> None:
         def propose() -> str:
-            return self.processes.ctl("alice", "propose", "--bundle", str(path))
+            return self.processes.ctl("alice", "propose", str(path))
 
         proposal = retry(READY_S, propose).split()[-1]
-        self.processes.ctl("bob", "sign-off", "--proposal", proposal)
-        arguments = ["--proposal", proposal, "--expected-version"]
+        self.processes.ctl("bob", "sign-off", proposal)
+        arguments = [proposal, "--expected-version"]
         self.processes.ctl("alice", "roll", *arguments, str(expected_version))
 
     def addresses(self) -> list[str]:
@@ -127,8 +127,8 @@
     def withdraw_key(self) -> None:
         before = caller.generate(self.entries[1], WITHDRAWN_KEY, SHORT_QUESTION, 2)
         started_s = time.monotonic()
-        arguments = ["--key-digest", digest(WITHDRAWN_KEY)]
-        self.processes.ctl("alice", "withdraw-key", *arguments)
+        arguments = ["--digest", digest(WITHDRAWN_KEY)]
+        self.processes.ctl("alice", "key-withdraw", *arguments)
 
         def refused_everywhere() -> bool:
             return all(
@@ -166,7 +166,7 @@
         self.processes.start_entry(name)
 
     def drain_server(self) -> None:
-        drain = ["--target", "backend_server", "--name", "decode-1"]
+        drain = ["backend_server", "decode-1"]
         self.processes.ctl("alice", "drain", *drain)
         time.sleep(3)
         answers = [
@@ -192,7 +192,7 @@
         seen = f"{seen_s} s after the commit, {total_s:.1f} s with sign-off"
         self.check("second bundle in force on every host", held, seen)
         arguments = ["--to-version", "1", "--expected-version", "2"]
-        self.processes.ctl("bob", "roll-back", *arguments)
+        self.processes.ctl("bob", "rollback", *arguments)
         seen_s = wait_until(IN_FORCE_S, lambda: self.versions() == {3})
         held = seen_s is not None
         self.check("rolled back as version 3", held, f"after {seen_s} s")
--- a/examples/demo_processes.py
+++ b/examples/demo_processes.py
@@ -97,17 +97,16 @@
 
     def ctl(self, operator: str, *arguments: str) -> str:
         """Run damaskridge-ctl as an operator; returns what it printed."""
-        environment = dict(self.environment)
-        environment["DAMASKRIDGE_OPERATOR_KEY"] = (
-            ALICE_KEY if operator == "alice" else BOB_KEY
-        )
+        key_file = self.layout.folder / f"{operator}.key"
+        key_file.write_text(ALICE_KEY if operator == "alice" else BOB_KEY)
         addresses = ",".join(self.layout.control_addresses())
         command = [sys.executable, "-m", "damaskridge.binaries.ctl", *arguments]
-        command += ["--operator", operator, "--control-addresses", addresses]
+        command += ["--operator", operator, "--control", addresses]
+        command += ["--key-file", str(key_file)]
         done = subprocess.run(
             command,
             cwd=ROOT,
-            env=environment,
+            env=self.environment,
             capture_output=True,
             text=True,
             timeout=15,
--- a/examples/demo_settings.py
+++ b/examples/demo_settings.py
@@ -66,16 +66,12 @@
 
     def control_settings(self, name: str) -> Path:
         content = {
-            "name": name,
+            "host": name,
             "data_centre": "fukuoka",
             "rpc_address": self.addresses[f"{name}/peer"],
             "operators_address": self.addresses[f"{name}/operators"],
             "members": {item: self.addresses[f"{item}/peer"] for item in CONTROLS},
             "data_folder": str(self.folder / f"{name}-data"),
-            "operators": [
-                {"name": "alice", "key_digest": digest(ALICE_KEY)},
-                {"name": "bob", "key_digest": digest(BOB_KEY)},
-            ],
         }
         return self.write(name, content)
 
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -174,3 +174,7 @@
 def main() -> None:
     """Run the console program."""
     fire.Fire(_command, name="damaskridge-control")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -17,8 +17,9 @@
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.engines.http_engine import HttpEngine
 from damaskridge.adapters.front import Front, FrontSettings
-from damaskridge.adapters.http.app import caller_app
+from damaskridge.adapters.http.app import CallerApp
 from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.http_client import BackendClient
 from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import configure, log_event
 from damaskridge.adapters.observability.metrics import Metrics
@@ -45,7 +46,7 @@
 # Two proposals fit in; a hand-over that takes longer is left to the session's end.
 RELEASE_TIMEOUT_S = 4.0
 CLOSE_TIMEOUT_S = 2.0
-ENGINE_CONNECTIONS = 4096
+ENGINE_CLIENTS = 4096
 
 
 class EntryHost:
@@ -72,7 +73,12 @@
         )
         self.channels = PeerChannels()
         fronts = FrontClient(settings.host, incarnation, self.control, self.channels)
-        engine_for = lru_cache(ENGINE_CONNECTIONS)(HttpEngine)
+        self.backends = BackendClient()
+
+        @lru_cache(ENGINE_CLIENTS)
+        def engine_for(address: str) -> EnginePort:
+            return HttpEngine(self.backends, address)
+
         self.owners = self._owners(fronts, engine_for)
         self.front = Front(
             host=settings.host,
@@ -87,8 +93,10 @@
             ),
             peers=fronts,
             engine_for=engine_for,
-            services=HttpService(),
-            settings=FrontSettings(**settings.front.model_dump()),
+            services=HttpService(self.backends),
+            settings=FrontSettings(
+                **settings.front.model_dump(exclude={"max_header_bytes"})
+            ),
         )
         fronts.attach(self.front)
         self.control.on_change(lambda *_: self.owners.fleet_changed())
@@ -100,7 +108,7 @@
         )
         self.peer_server = Server([service], codec=MsgpackCodec())
         self.caller_server = HttpServer(
-            caller_app(self.front), settings.front.max_header_bytes
+            CallerApp(self.front), settings.front.max_header_bytes
         )
         self.operators_server = HttpServer(
             operators_app(self._metrics(), self.is_ready)
@@ -129,6 +137,7 @@
             group.cancel_scope.cancel()
         self.peer_server.close()
         self.channels.close()
+        await self.backends.close()
 
     async def _serve_callers(self, listener: socket.socket, done: anyio.Event) -> None:
         await self.caller_server.run_on(listener)
@@ -166,7 +175,7 @@
             control=self.control,
             new_machine=lambda: CellScheduler(rng=rng),
             engine_for=engine_for,
-            host_list=HttpHostList(self.settings.host_list_address),
+            host_list=HttpHostList(self.backends, self.settings.host_list_address),
             ask_requests=fronts.active_requests,
             notify_taken_over=fronts.notify_taken_over,
         )
--- a/src/damaskridge/binaries/entry_settings.py
+++ b/src/damaskridge/binaries/entry_settings.py
@@ -34,9 +34,9 @@
 
     Attributes
     ----------
-    max_body_bytes, max_header_bytes : int
+    body_limit_bytes, max_header_bytes : int
         Longest body and longest request head.
-    body_timeout_s : float
+    body_wait_s : float
         Longest time for which a caller may send its body.
     rate_wait_s : float
         Longest time for which a request slightly above the rate waits.
@@ -49,12 +49,12 @@
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    max_body_bytes: int = Field(default=4_194_304, gt=0)
+    body_limit_bytes: int = Field(default=1_048_576, gt=0)
     max_header_bytes: int = Field(default=16_384, ge=1024)
-    body_timeout_s: float = Field(default=10.0, gt=0)
-    rate_wait_s: float = Field(default=5.0, ge=0)
+    body_wait_s: float = Field(default=10.0, gt=0)
+    rate_wait_s: float = Field(default=2.0, ge=0)
     keep_s: float = Field(default=5.0, ge=0)
-    silence_s: float = Field(default=2.0, gt=0)
+    silence_s: float = Field(default=1.5, gt=0)
 
 
 class EntrySettings(BaseModel):
