--- a/src/damaskridge/core/state/ownership.py
+++ b/src/damaskridge/core/state/ownership.py
@@ -149,8 +149,6 @@
     owner: Owner, place: str, hosts: dict[str, Session], changed_host: str
 ) -> bool:
     """Tell whether a change of one host leaves a live owner as it is."""
-    if changed_host in (owner.host, owner.moving_to):
-        return False
     wanted = hosts.get(owner.moving_to or owner.host)
     changed = hosts.get(changed_host)
     if wanted is None or changed is None:
