Keep memberships apart from the entries of the log

Every message read the membership by a scan of up to 2,000 entries. Also log a transferred leadership only if the term has changed.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -220,9 +220,11 @@
     async def stop(self) -> None:
         """Hand leadership over, then leave `run`."""
         if self.is_leader and self._links:
+            term = self.term
             self._push(TransferLeadership())
             with anyio.move_on_after(TRANSFER_TIMEOUT_S):
                 await self._leadership_lost.wait()
+            if self.term > term:
                 log_event(_logger, EventNumber.LEADERSHIP_TRANSFERRED, term=self.term)
         self._scope.cancel()
 
--- a/src/damaskridge/core/consensus/log.py
+++ b/src/damaskridge/core/consensus/log.py
@@ -23,7 +23,10 @@
         self, snapshot: Snapshot | None = None, entries: list[LogEntry] | None = None
     ) -> None:
         self.snapshot = snapshot or Snapshot(0, 0, NO_MEMBERSHIP, b"")
-        self._entries = list(entries or [])
+        self._entries: list[LogEntry] = []
+        # Kept apart because the membership is read several times a message.
+        self._memberships: list[tuple[int, Membership]] = []
+        self.append(tuple(entries or ()))
         self.synced_index = self.last_index
 
     @property
@@ -77,11 +80,14 @@
             assert entry.index == self.last_index + 1
             assert entry.term >= self.last_term
             self._entries.append(entry)
+            if entry.membership is not None:
+                self._memberships.append((entry.index, entry.membership))
 
     def truncate(self, first: int) -> None:
         """Remove the entries from `first` on."""
         assert first > self.snapshot.index
         del self._entries[first - self.snapshot.index - 1 :]
+        self._memberships = [m for m in self._memberships if m[0] < first]
         self.synced_index = min(self.synced_index, self.last_index)
 
     def new_entries(self, entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
@@ -107,21 +113,25 @@
         term = self.term(index)
         assert term is not None
         snapshot = Snapshot(index, term, self.membership(index), state)
-        self._entries = list(self.slice(index + 1, self.last_index))
-        self.snapshot = snapshot
+        self._replace(snapshot, self.slice(index + 1, self.last_index))
         return snapshot
 
     def install(self, snapshot: Snapshot) -> None:
         """Replace the log by a leader's snapshot; keep a suffix that fits."""
+        suffix: tuple[LogEntry, ...] = ()
         if self.term(snapshot.index) == snapshot.term:
-            self._entries = list(self.slice(snapshot.index + 1, self.last_index))
-        else:
-            self._entries = []
-        self.snapshot = snapshot
+            suffix = self.slice(snapshot.index + 1, self.last_index)
+        self._replace(snapshot, suffix)
         self.synced_index = min(self.synced_index, self.last_index)
 
+    def _replace(self, snapshot: Snapshot, suffix: tuple[LogEntry, ...]) -> None:
+        self.snapshot = snapshot
+        self._entries = list(suffix)
+        kept = range(snapshot.index + 1, self.last_index + 1)
+        self._memberships = [m for m in self._memberships if m[0] in kept]
+
     def _membership_entry(self, up_to: int | None) -> tuple[int, Membership]:
-        for entry in reversed(self._entries):
-            if entry.membership and (up_to is None or entry.index <= up_to):
-                return entry.index, entry.membership
+        for index, membership in reversed(self._memberships):
+            if up_to is None or index <= up_to:
+                return index, membership
         return self.snapshot.index, self.snapshot.membership
