--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -191,21 +191,29 @@
             self._send_snapshot(member, now_s)
             return
         entries = state.log.batch(previous + 1, self._max_entries, MAX_BYTES)
+        progress.next_index += len(entries)
+        self._send_entries(member, previous, previous_term, entries)
+
+    def _send_entries(
+        self, member: str, previous: int, term: int, entries: tuple[LogEntry, ...]
+    ) -> None:
+        state = self._state
         message = AppendEntries(
             sender=state.name,
             term=state.term,
             previous_index=previous,
-            previous_term=previous_term,
+            previous_term=term,
             commit_index=state.commit_index,
             round=self._round,
             entries=entries,
         )
-        progress.next_index += len(entries)
         state.send(member, message)
 
     def _send_snapshot(self, member: str, now_s: float) -> None:
         progress, state = self._progress[member], self._state
-        if now_s < progress.snapshot_sent_s + SNAPSHOT_RETRY_S:
+        if self._awaits_snapshot(progress, now_s):
+            # Heartbeats go on, or a slow snapshot would cost the leader its quorum.
+            self._send_entries(member, 0, 0, ())
             return
         progress.snapshot_sent_s = now_s
         message = InstallSnapshot(
@@ -216,8 +224,14 @@
         )
         state.send(member, message)
 
+    def _awaits_snapshot(self, progress: Progress, now_s: float) -> bool:
+        needed = self._state.log.term(progress.next_index - 1) is None
+        return needed and now_s < progress.snapshot_sent_s + SNAPSHOT_RETRY_S
+
     def _after_reply(self, member: str, now_s: float) -> None:
-        if self._progress[member].next_index <= self._state.log.last_index:
+        progress = self._progress[member]
+        missing = progress.next_index <= self._state.log.last_index
+        if missing and not self._awaits_snapshot(progress, now_s):
             self._replicate(member, now_s)
         self._advance_commit()
         self._release_reads()
--- a/tests/core/consensus/test_consensus.py
+++ b/tests/core/consensus/test_consensus.py
@@ -2,7 +2,9 @@
 
 import pytest
 from tests.linearizability import Operation, is_linearizable
-from tests.soak_consensus import STEP_S, election_steps, run_seed
+from tests.soak_consensus import STEP_S, Simulation, election_steps, run_seed
+
+from damaskridge.model.consensus import InstallSnapshot
 
 SEEDS = range(60)
 STEPS = 1000
@@ -17,6 +19,42 @@
     assert max(map(election_steps, range(100))) * STEP_S < 1.0
 
 
+def test_member_that_waits_for_a_snapshot_counts_for_the_quorum(monkeypatch):
+    simulation = next(s for s in map(new_group, range(9)) if len(s.hosts) == 3)
+    (leader,) = simulation.leaders()
+    behind, other = (h for h in simulation.hosts if h != leader)
+    simulation.stop(behind)
+    run_steps(simulation, 300)
+    transmit = simulation.transmit
+    monkeypatch.setattr(
+        simulation,
+        "transmit",
+        lambda source, to, message: (
+            None
+            if isinstance(message, InstallSnapshot)
+            else transmit(source, to, message)
+        ),
+    )
+    simulation.start(behind)
+    run_steps(simulation, 20)
+    simulation.stop(other)
+    term = simulation.members[leader].driver.node.term
+    run_steps(simulation, 300)
+    assert simulation.leaders() == [leader]
+    assert simulation.members[leader].driver.node.term == term
+
+
+def new_group(seed: int) -> Simulation:
+    simulation = Simulation(seed, frozenset())
+    run_steps(simulation, 150)
+    return simulation
+
+
+def run_steps(simulation: Simulation, steps: int) -> None:
+    for _ in range(steps):
+        simulation.step()
+
+
 @pytest.mark.parametrize(
     "guard",
     [
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -20,7 +20,7 @@
 from tests.linearizability import Operation, is_linearizable
 from tests.memory_folder import MemoryFolder, PowerLost
 
-__all__ = ["Report", "election_steps", "run_seed"]
+__all__ = ["Report", "Simulation", "election_steps", "run_seed"]
 
 STEP_S = 0.01
 FORMING_STEPS = 150
