--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -28,6 +28,7 @@
 EXIT_OK = 0
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
+USAGE = "damaskridge-control --settings FILE [--check-settings] | --version"
 CLOSE_TIMEOUT_S = 1.0
 STATE_MODULE = "damaskridge.core.state.commands"
 SERVER_MODULE = "damaskridge.adapters.rpc.control_server"
@@ -118,20 +119,36 @@
 
 
 def _command(
-    settings: str = "", check_settings: bool = False, version: bool = False
+    *arguments: object,
+    settings: str = "",
+    check_settings: bool = False,
+    version: bool = False,
+    **options: object,
 ) -> None:
     """
     Run a control process.
 
     Parameters
     ----------
+    *arguments : object
+        None is known.
     settings : str
         Path of the settings file.
     check_settings : bool
         Check the settings file and stop.
     version : bool
         Print the version and stop.
+    **options : object
+        None other is known.
     """
+    # Fire would run the program before it reports what it does not know.
+    if options.pop("help", False):
+        print(USAGE)
+        return
+    unknown = [str(argument) for argument in arguments]
+    unknown += [f"--{name.replace('_', '-')}" for name in options]
+    if unknown:
+        _fail([f"{name}: unknown argument" for name in unknown], EXIT_SETTINGS)
     if version:
         print(package_version("damaskridge"))
         return
--- a/tests/binaries/test_control.py
+++ b/tests/binaries/test_control.py
@@ -61,8 +61,17 @@
     assert f"{tmp_path / 'none'}: " in error and "data_folder: " in error
 
 
-def test_version_needs_no_settings(capsys, monkeypatch):
-    assert run(monkeypatch, "--version") == 0
+def test_unknown_argument_starts_nothing(tmp_path, capsys, monkeypatch):
+    path = tmp_path / "control.json"
+    path.write_text(VALID)
+    monkeypatch.setattr(control, "_run", lambda settings: pytest.fail("started"))
+    assert run(monkeypatch, "--settings", str(path), "--check-setings") == 2
+    assert "--check-setings: unknown argument" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("option", ["--version", "--help"])
+def test_information_needs_no_settings(capsys, monkeypatch, option):
+    assert run(monkeypatch, option) == 0
     assert capsys.readouterr().out.strip()
 
 
