Cut the processor time of token streams

httpcore's default backend sets a timer and restarts reading at each read, and each write to a caller set a timer.

--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -24,8 +24,6 @@
 
 _SHORT_S = 1.0
 _PREFILL_S = 30.0
-# The life cycle detects silence earlier; this only bounds a forgotten stream.
-_STREAM_S = 60.0
 _ANSWER_LIMIT_BYTES = 4_194_304
 _LINE_LIMIT_BYTES = 65_536
 
@@ -135,9 +133,8 @@
         self, method: str, path: str, body: bytes, fresh: bool = False
     ) -> AsyncIterator[DecodeChunk]:
         url = self._base + path
-        opened = self._client.stream(
-            method, url, body=body, read_s=_STREAM_S, fresh=fresh
-        )
+        # The life cycle detects silence; a timer at every read would be costly.
+        opened = self._client.stream(method, url, body=body, read_s=None, fresh=fresh)
         async with opened as response:
             lines = self._client.lines(response, _LINE_LIMIT_BYTES)
             if response.status != 200:
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -45,6 +45,8 @@
     ----------
     started : bool
         Whether the answer has begun.
+    is_watched : bool
+        Whether `stalled` is asked regularly; a timer for each write is costly.
     """
 
     def __init__(
@@ -68,6 +70,8 @@
             for name, value in self.raw_headers
         }
         self.started = False
+        self.is_watched = False
+        self._writing_since_s = float("inf")
 
     def check_headers(self) -> None:
         """Refuse headers over the limit."""
@@ -139,13 +143,25 @@
         await self.answer(failure.status, body, headers=tuple(headers))
 
     async def _write(self, message: MutableMapping[str, Any]) -> None:
+        loop = asyncio.get_running_loop()
+        self._writing_since_s = loop.time()
         try:
-            async with asyncio.timeout(self._settings.write_wait_s):
+            if self.is_watched:
                 await self._send(message)
+            else:
+                async with asyncio.timeout(self._settings.write_wait_s):
+                    await self._send(message)
         except TimeoutError:
             raise CallerGone(too_slow=True) from None
         except OSError:
             raise CallerGone from None
+        finally:
+            self._writing_since_s = float("inf")
+
+    def stalled(self) -> bool:
+        """Tell whether the caller has not read for too long."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._writing_since_s >= self._settings.write_wait_s
 
     async def _disconnected(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -28,6 +28,7 @@
     """Run `work` until the caller disconnects or its key is withdrawn."""
     async with exchange.watched() as gone:
         task = asyncio.ensure_future(work)
+        exchange.is_watched = True
         try:
             while not task.done():
                 waits: set[asyncio.Future[Any]] = {task, gone}
@@ -37,6 +38,7 @@
                 if not task.done():
                     _check(exchange, gone, key_works)
         finally:
+            exchange.is_watched = False
             task.cancel()
             await asyncio.wait({task})
         await task
@@ -47,6 +49,8 @@
 ) -> None:
     if gone.done():
         raise CallerGone
+    if exchange.stalled():
+        raise CallerGone(too_slow=True)
     if not key_works():
         run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
         raise StreamFailed(Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state))
--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from damaskridge.adapters.http_streams import StreamBackend
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
@@ -39,10 +40,13 @@
 
     def __init__(self, connections: int = 400) -> None:
         self._connections = connections
+        self._backend = StreamBackend()
         self._pools: dict[bytes, httpcore.AsyncConnectionPool] = {}
         # Resumes and repeated calls never meet a connection that went silent.
         self._fresh = httpcore.AsyncConnectionPool(
-            max_connections=connections, max_keepalive_connections=0
+            max_connections=connections,
+            max_keepalive_connections=0,
+            network_backend=self._backend,
         )
 
     async def close(self) -> None:
@@ -58,7 +62,7 @@
         *,
         body: bytes = b"",
         headers: list[tuple[bytes, bytes]] | None = None,
-        read_s: float,
+        read_s: float | None,
         limit_bytes: int,
         fresh: bool = False,
     ) -> HttpReply:
@@ -99,7 +103,7 @@
         *,
         body: bytes = b"",
         headers: list[tuple[bytes, bytes]] | None = None,
-        read_s: float,
+        read_s: float | None,
         fresh: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
         """Give the response with its body unread; raises `StreamFailed`."""
@@ -131,6 +135,7 @@
                 max_connections=self._connections,
                 max_keepalive_connections=self._connections,
                 keepalive_expiry=_KEEPALIVE_S,
+                network_backend=self._backend,
             )
         return self._pools[address]
 
--- /dev/null
+++ b/tests/adapters/engines/test_http_engine.py
@@ -0,0 +1,90 @@
+"""Guards against engines and services whose garbage breaks a front or lies."""
+
+import asyncio
+
+import pytest
+
+from damaskridge.adapters.engines.http_engine import HttpEngine
+from damaskridge.adapters.http_client import BackendClient
+from damaskridge.adapters.platform.http_host_list import HttpHostList
+from damaskridge.adapters.ports import ServiceCall, StreamFailed
+from damaskridge.adapters.services.http_service import HttpService
+from damaskridge.model.engine import DecodeChunk, DecodeRequest, PrefillRequest
+from damaskridge.model.errors import ErrorKind, RunState
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+CHUNK = b'{"offset":0,"text":"a"}\n'
+DECODE = DecodeRequest("req-h-1-1.1", "m", "1.2.3.4:5", 0, 4)
+
+
+async def serve(answer):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def lines(*parts):
+    body = b"".join(parts)
+    return OK + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+@pytest.mark.parametrize(
+    ("answer", "tokens"),
+    [
+        (b"", 0),
+        (b"\x00\xff nothing of HTTP\r\n\r\n", 0),
+        (lines(b"{}\n"), 0),
+        (lines(b"\xff\xfe\n"), 0),
+        (lines(b"[" * 50_000 + b"\n"), 0),
+        (lines(b"x" * 100_000), 0),
+        (lines(CHUNK, b'{"offset":"1"}\n'), 1),
+        (OK + b"content-length: 99\r\n\r\n" + CHUNK, 1),
+        (b"HTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\n??", 0),
+    ],
+)
+def test_garbage_is_a_failed_server_of_unknown_run_state(answer, tokens):
+    async def main():
+        server, address = await serve(answer)
+        client = BackendClient()
+        engine = HttpEngine(client, address)
+        got = []
+        with pytest.raises(StreamFailed) as failed:
+            async for chunk in engine.decode(DECODE):
+                got.append(chunk)
+        assert got == [DecodeChunk(0, "a")] * tokens
+        failures = [failed.value.failure]
+        prefill = PrefillRequest("req-h-1-1.1", "m", "p")
+        failures.append((await engine.prefill(prefill)).err_value)
+        failures.append((await HttpHostList(client, address).leaving()).err_value)
+        for failure in failures:
+            assert failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+            assert failure.ran is RunState.UNKNOWN
+        await client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_run_states_of_service_calls():
+    async def main():
+        server, address = await serve(lines(b"x" * 5_000_000))
+        client = BackendClient()
+        service = HttpService(client)
+        call = ServiceCall("POST", "/")
+        large = (await service.call(address, call)).err_value
+        assert (large.kind, large.ran) == (
+            ErrorKind.BACKEND_SERVER_FAILED,
+            RunState.UNKNOWN,
+        )
+        server.close()
+        await server.wait_closed()
+        refused = (await service.call(address, call)).err_value
+        assert refused.ran is RunState.NOT_RUN
+        await client.close()
+
+    asyncio.run(main())
