--- a/src/damaskridge/core/scheduling/links.py
+++ b/src/damaskridge/core/scheduling/links.py
@@ -1,11 +1,13 @@
 """Reserves the links that carry KV transfers."""
 
 from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.urgency import Level
 
 __all__ = ["HOLD_S", "reserve_transfer", "transfer_start_s", "transfer_time_s"]
 
 # A prefill result is evicted in less than a second; the transfer starts before.
-HOLD_S = 0.5
+# Delay-tolerant work waits in the queue instead, so that links stay free.
+HOLD_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.1}
 
 
 def transfer_time_s(source: ServerState, target: ServerState, size_bytes: int) -> float:
@@ -16,17 +18,34 @@
     return size_bytes / rate
 
 
-def transfer_start_s(source: ServerState, target: ServerState, ready_s: float) -> float:
-    """Return when both links are free for a result that is ready at `ready_s`."""
+def transfer_start_s(
+    source: ServerState, target: ServerState, ready_s: float, duration_s: float
+) -> float:
+    """
+    Return the first time from `ready_s` on when both links are free for long enough.
+
+    A transfer may use a gap before a later reservation, because the long prefill
+    of that one would otherwise keep the links from short requests.
+    """
     if source is target:
         return ready_s
-    return max(ready_s, source.link_until_s, target.link_until_s)
+    start_s = ready_s
+    for busy_s, free_s in sorted([*source.transfers_s, *target.transfers_s]):
+        if busy_s < start_s + duration_s and free_s > start_s:
+            start_s = free_s
+    return start_s
 
 
 def reserve_transfer(
-    source: ServerState, target: ServerState, start_s: float, duration_s: float
+    source: ServerState,
+    target: ServerState,
+    start_s: float,
+    duration_s: float,
+    now_s: float,
 ) -> None:
-    """Occupy both links."""
-    if source is not target:
-        source.link_until_s = max(source.link_until_s, start_s + duration_s)
-        target.link_until_s = max(target.link_until_s, start_s + duration_s)
+    """Occupy both links, and forget transfers that are over."""
+    if source is target:
+        return
+    for server in (source, target):
+        kept = [item for item in server.transfers_s if item[1] > now_s]
+        server.transfers_s = [*kept, (start_s, start_s + duration_s)]
--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -16,6 +16,9 @@
 __all__ = ["Choice", "Placer", "is_service"]
 
 _CANDIDATES = 8
+# One lost transfer in about 50 keeps the estimate in balance.
+_LOST_FACTOR, _ARRIVED_FACTOR = 1.1, 0.998
+_MAX_SLOWNESS = 2.2
 # A request that no other server can run goes back to those that failed it.
 _EXCLUSION_S = 2.0
 # Longer queues at an engine would take the order out of the cell owner's hands.
@@ -42,6 +45,7 @@
         self._settings = settings
         self.servers: dict[str, ServerState] = {}
         self.hints = PrefixHints()
+        self._slowness = 1.0
         self._prefill = LazyHeap()
         self._decode = LazyHeap()
 
@@ -58,6 +62,11 @@
         else:
             self._decode.discard(name)
 
+    def note_transfer(self, arrived: bool) -> None:
+        """Learn from transfers how much slower links are than the bundle says."""
+        change = _ARRIVED_FACTOR if arrived else _LOST_FACTOR
+        self._slowness = min(_MAX_SLOWNESS, max(1.0, self._slowness * change))
+
     def cached_tokens(self, entry: Entry) -> int:
         """Return the longest cached prefix of a request on any engine."""
         hashes = entry.profile.prefix_hashes
@@ -102,6 +111,7 @@
                 choice.decode,
                 choice.transfer_start_s,
                 choice.transfer_time_s,
+                now_s,
             )
             self.update(choice.prefill)
         entry.pieces = choice.pieces
@@ -199,9 +209,10 @@
                 continue
             start_s = end_s
             duration_s = links.transfer_time_s(prefill, decode, size_bytes)
+            duration_s *= self._slowness
             if self._settings.reserve_links:
-                start_s = links.transfer_start_s(prefill, decode, end_s)
-                if start_s > end_s + links.HOLD_S:
+                start_s = links.transfer_start_s(prefill, decode, end_s, duration_s)
+                if start_s > end_s + links.HOLD_S[level]:
                     continue
             found = Choice(prefill, decode, pieces, tokens, end_s, start_s, duration_s)
             if best is None or _arrival_s(found) < _arrival_s(best):
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -149,6 +149,7 @@
         if known is not None:
             if known.profile.attempt >= profile.attempt:
                 return self._repeat_reply(known, profile)
+            self._note_lost_transfer(known)
             actions += self._end(known, now_s, cancel=True)
         refusal = self._check_submitted(profile)
         if refusal is not None:
@@ -384,8 +385,19 @@
             self._placer.extend(entry)
         return []
 
+    def _note_lost_transfer(self, entry: Entry) -> None:
+        """Take a new attempt without a failed server for an evicted prefill result."""
+        placement = entry.placement
+        if placement is None or entry.phase is RequestPhase.DECODING:
+            return
+        names = (placement.prefill_server, placement.decode_server)
+        servers = [self._placer.servers.get(name) for name in names]
+        if all(server is not None and not server.failed for server in servers):
+            self._placer.note_transfer(arrived=False)
+
     def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
         self._estimator.note_finished(entry.profile, item.output_tokens)
+        self._placer.note_transfer(arrived=True)
         actions: list[CellAction] = []
         if entry.suspect:
             self._suspects.clear(entry.profile.fingerprint)
--- a/src/damaskridge/core/scheduling/servers.py
+++ b/src/damaskridge/core/scheduling/servers.py
@@ -30,7 +30,7 @@
     requests: set[str] = field(default_factory=set)
     busy_until_s: float = 0.0
     urgent_until_s: float = 0.0
-    link_until_s: float = 0.0
+    transfers_s: list[tuple[float, float]] = field(default_factory=list)
     sent: deque[tuple[float, int]] = field(default_factory=deque)
 
     @property
--- a/src/damaskridge/core/scheduling/urgency.py
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -20,7 +20,7 @@
 # Groups of sizes closer than this factor are one group, and all of it is urgent.
 _MIN_SEPARATION = math.log(2.0)
 _IMPATIENT_WAIT_S = 10.0
-_IMPATIENT_SHARE = 0.1
+_IMPATIENT_SHARE = 0.05
 _MAX_GROUPS = 10_000
 # Engine cost of an output token in prompt tokens: 40 ms in a batch of 20 at a
 # prefill speed of 8,000 tokens/s.
