--- /dev/null
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -0,0 +1,118 @@
+"""What happens to requests whose front or server is gone."""
+
+from collections.abc import Callable
+
+from damaskridge.core.scheduling.messages import (
+    CellAction,
+    NotifyTakenOver,
+    ReportCrashedRequests,
+    SendTakeOverReply,
+)
+from damaskridge.core.scheduling.placement import Placer
+from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.suspects import SuspectTable
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.routing import RequestPhase, TakeOver, TakeOverReply
+
+__all__ = ["EndRequest", "Recovery", "refuse_take_over"]
+
+_STARTED = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
+
+EndRequest = Callable[[Entry, float, bool], list[CellAction]]
+
+
+class Recovery:
+    """
+    Moves or reclaims requests after failures.
+
+    Parameters
+    ----------
+    registry, placer, suspects : Registry, Placer, SuspectTable
+        State of the cell.
+    end_request : EndRequest
+        Forgets a request and, if told so, cancels it on its engines.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        placer: Placer,
+        suspects: SuspectTable,
+        end_request: EndRequest,
+    ) -> None:
+        self._registry = registry
+        self._placer = placer
+        self._suspects = suspects
+        self._end_request = end_request
+
+    def check_fronts(self, now_s: float) -> list[CellAction]:
+        """Note silent fronts, and reclaim what nobody took over."""
+        actions: list[CellAction] = []
+        for front, incarnation in self._registry.find_silent(now_s):
+            actions += self.lose_front(front, incarnation, now_s)
+        for entry in self._registry.take_due(now_s):
+            actions += self._end_request(entry, now_s, True)
+        return actions
+
+    def lose_front(
+        self, front: str, incarnation: int, now_s: float
+    ) -> list[CellAction]:
+        """Drop what a lost front has queued; the rest may be taken over."""
+        self._registry.mark_lost(front, incarnation)
+        actions: list[CellAction] = []
+        for entry in self._registry.requests_of(front):
+            if entry.incarnation != incarnation:
+                continue
+            if entry.placement is None:
+                actions += self._end_request(entry, now_s, False)
+            else:
+                self._registry.orphan(entry, now_s)
+        return actions
+
+    def take_over(self, ask: TakeOver, now_s: float) -> list[CellAction]:
+        """Give a request to the first other front of the workspace that asks."""
+        self._registry.note_front(ask.front, ask.incarnation, now_s)
+        entry = self._registry.entries.get(ask.request_id)
+        if entry is None or entry.placement is None:
+            return [refuse_take_over(ask, ErrorKind.UNKNOWN_REQUEST)]
+        if entry.profile.workspace != ask.workspace:
+            return [refuse_take_over(ask, ErrorKind.UNKNOWN_REQUEST)]
+        actions: list[CellAction] = []
+        if (entry.front, entry.incarnation) != (ask.front, ask.incarnation):
+            is_lost = self._registry.is_front_lost(entry)
+            if entry.taken_over and not is_lost:
+                return [refuse_take_over(ask, ErrorKind.STREAM_TAKEN_OVER)]
+            if not is_lost:
+                actions.append(NotifyTakenOver(entry.front, ask.request_id))
+            self._registry.move(entry, ask.front, ask.incarnation)
+        reply = TakeOverReply(active=entry.to_active())
+        return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
+
+    def note_crash(
+        self, server: ServerState, incarnation: int, now_s: float
+    ) -> list[CellAction]:
+        """Report the fingerprints that ran on a server when it crashed."""
+        name = server.spec.name
+        ran: list[str] = []
+        for entry in self._registry.entries.values():
+            placement = entry.placement
+            if placement is None:
+                continue
+            on_prefill = placement.prefill_server == name
+            on_decode = placement.decode_server == name
+            started = entry.phase in _STARTED or now_s >= entry.prefill_end_s
+            decoding = entry.phase is RequestPhase.DECODING
+            if (on_prefill and not decoding) or (on_decode and started):
+                ran.append(entry.profile.fingerprint)
+            if on_decode:
+                self._placer.release(entry)
+        fingerprints = tuple(dict.fromkeys(item for item in ran if item))
+        self._suspects.add(fingerprints, now_s)
+        return [ReportCrashedRequests(name, incarnation, fingerprints)]
+
+
+def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverReply:
+    """Return the answer to a front that may not continue a request."""
+    reply = TakeOverReply(failure=Failure(kind))
+    return SendTakeOverReply(ask.front, ask.request_id, reply)
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -15,16 +15,13 @@
     FrontLost,
     FrontRegistered,
     LoadReported,
-    NotifyTakenOver,
     ProgressReported,
-    ReportCrashedRequests,
     ReportSuspectCleared,
     RequestRegistered,
     RequestSubmitted,
     RequestWithdrawn,
     SendOrder,
     SendSubmitReply,
-    SendTakeOverReply,
     ServerFailed,
     ServerLeaving,
     ServerRecovered,
@@ -33,6 +30,7 @@
 )
 from damaskridge.core.scheduling.overload import OverloadControl
 from damaskridge.core.scheduling.placement import is_service
+from damaskridge.core.scheduling.recovery import Recovery, refuse_take_over
 from damaskridge.core.scheduling.registry import Entry, Registry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
@@ -48,15 +46,12 @@
     Refused,
     RequestPhase,
     RequestProfile,
-    TakeOverReply,
 )
 
 __all__ = ["REBUILD_LIMIT_S", "CellScheduler"]
 
 REBUILD_LIMIT_S = 3.0
 _SILENCE_CHECK_S = 0.25
-_ENDED = (RequestPhase.FINISHED, RequestPhase.CANCELLED)
-_STARTED = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
 
 
 class CellScheduler:
@@ -88,6 +83,9 @@
         self._roles = RoleAdvisor()
         self._dispatcher = Dispatcher(self._settings)
         self._placer = self._dispatcher.placer
+        self._recovery = Recovery(
+            self._registry, self._placer, self._suspects, self._end
+        )
         self._epoch: int | None = None
         self._missing_fronts: set[str] = set()
         self._missing_engines: set[str] = set()
@@ -99,7 +97,7 @@
         actions = self._apply(event, now_s)
         if now_s >= self._next_check_s:
             self._next_check_s = now_s + _SILENCE_CHECK_S
-            actions += self._check_fronts(now_s)
+            actions += self._recovery.check_fronts(now_s)
             actions += self._propose_role(now_s)
         if self._is_rebuilt(now_s):
             actions += self._dispatcher.dispatch(self._registry, now_s)
@@ -247,7 +245,7 @@
         self._placer.update(server)
         if not event.crashed or was_failed:
             return []
-        return self._note_crash(server, event.incarnation, now_s)
+        return self._recovery.note_crash(server, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
@@ -270,29 +268,14 @@
     @_apply.register
     def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
         self._missing_fronts.discard(event.front)
-        return self._lose_front(event.front, event.incarnation, now_s)
+        return self._recovery.lose_front(event.front, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
         ask = event.take_over
         if ask.epoch != self._epoch:
-            return [_take_over_refusal(event, ErrorKind.EPOCH_CONFLICT)]
-        self._registry.note_front(ask.front, ask.incarnation, now_s)
-        entry = self._registry.entries.get(ask.request_id)
-        if entry is None or entry.placement is None:
-            return [_take_over_refusal(event, ErrorKind.UNKNOWN_REQUEST)]
-        if entry.profile.workspace != ask.workspace:
-            return [_take_over_refusal(event, ErrorKind.UNKNOWN_REQUEST)]
-        actions: list[CellAction] = []
-        if (entry.front, entry.incarnation) != (ask.front, ask.incarnation):
-            is_lost = self._registry.is_front_lost(entry)
-            if entry.taken_over and not is_lost:
-                return [_take_over_refusal(event, ErrorKind.STREAM_TAKEN_OVER)]
-            if not is_lost:
-                actions.append(NotifyTakenOver(entry.front, ask.request_id))
-            self._registry.move(entry, ask.front, ask.incarnation)
-        reply = TakeOverReply(active=entry.to_active())
-        return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
+            return [refuse_take_over(ask, ErrorKind.EPOCH_CONFLICT)]
+        return self._recovery.take_over(ask, now_s)
 
     @_apply.register
     def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
@@ -415,48 +398,6 @@
         names = dict.fromkeys((placement.prefill_server, placement.decode_server))
         return [CancelOnEngine(name, entry.engine_request_id) for name in names if name]
 
-    def _note_crash(
-        self, server: ServerState, incarnation: int, now_s: float
-    ) -> list[CellAction]:
-        name = server.spec.name
-        ran: list[str] = []
-        for entry in self._registry.entries.values():
-            placement = entry.placement
-            if placement is None:
-                continue
-            on_prefill = placement.prefill_server == name
-            on_decode = placement.decode_server == name
-            started = entry.phase in _STARTED or now_s >= entry.prefill_end_s
-            decoding = entry.phase is RequestPhase.DECODING
-            if (on_prefill and not decoding) or (on_decode and started):
-                ran.append(entry.profile.fingerprint)
-            if on_decode:
-                self._placer.release(entry)
-        fingerprints = tuple(dict.fromkeys(item for item in ran if item))
-        self._suspects.add(fingerprints, now_s)
-        return [ReportCrashedRequests(name, incarnation, fingerprints)]
-
-    def _check_fronts(self, now_s: float) -> list[CellAction]:
-        actions: list[CellAction] = []
-        for front, incarnation in self._registry.find_silent(now_s):
-            actions += self._lose_front(front, incarnation, now_s)
-        for entry in self._registry.take_due(now_s):
-            actions += self._end(entry, now_s, cancel=True)
-        return actions
-
-    def _lose_front(
-        self, front: str, incarnation: int, now_s: float
-    ) -> list[CellAction]:
-        self._registry.mark_lost(front, incarnation)
-        for entry in self._registry.requests_of(front):
-            if entry.incarnation != incarnation:
-                continue
-            if entry.placement is None:
-                self._end(entry, now_s, cancel=False)
-            else:
-                self._registry.orphan(entry, now_s)
-        return []
-
     def _propose_role(self, now_s: float) -> list[CellAction]:
         if not self._settings.propose_roles:
             return []
@@ -473,9 +414,3 @@
     failure = Failure(kind, retry_after_s=retry_after_s)
     refused = Refused(request_id=profile.request_id, failure=failure)
     return SendSubmitReply(profile.front, profile.request_id, refused)
-
-
-def _take_over_refusal(event: TakeOverRequested, kind: ErrorKind) -> SendTakeOverReply:
-    ask = event.take_over
-    reply = TakeOverReply(failure=Failure(kind))
-    return SendTakeOverReply(ask.front, ask.request_id, reply)
