--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -79,12 +79,13 @@
         self._by_front.setdefault(entry.front, {})[request_id] = None
 
     def remove(self, request_id: str, now_s: float) -> Entry | None:
-        """Forget a request; its engine request id counts as ended."""
+        """Forget a request; an attempt that was placed counts as ended."""
         entry = self.entries.pop(request_id, None)
         if entry is not None:
             self._by_front.get(entry.front, {}).pop(request_id, None)
             self._orphans.pop(request_id, None)
-            self.note_ended(entry.engine_request_id, now_s)
+            if entry.placement is not None:
+                self.note_ended(entry.engine_request_id, now_s)
         return entry
 
     def note_ended(self, engine_request_id: str, now_s: float) -> None:
@@ -96,6 +97,10 @@
                 break
             del self._ended[oldest]
 
+    def has_ended(self, engine_request_id: str) -> bool:
+        """Tell whether an attempt was placed and is over."""
+        return engine_request_id in self._ended
+
     def move(self, entry: Entry, front: str, incarnation: int) -> None:
         """Give a request to another front."""
         request_id = entry.profile.request_id
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -29,7 +29,6 @@
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
-from damaskridge.core.scheduling.placement import is_service
 from damaskridge.core.scheduling.recovery import Recovery, refuse_take_over
 from damaskridge.core.scheduling.registry import Entry, Registry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
@@ -52,6 +51,11 @@
 
 REBUILD_LIMIT_S = 3.0
 _SILENCE_CHECK_S = 0.25
+_ENGINE_ROLES = {
+    role.value: role
+    for role in BackendServerRole
+    if role is not BackendServerRole.SERVICE
+}
 
 
 class CellScheduler:
@@ -143,6 +147,8 @@
             return [_refuse(profile, ErrorKind.EPOCH_CONFLICT)]
         self._registry.note_front(profile.front, profile.incarnation, now_s)
         actions: list[CellAction] = []
+        if self._registry.has_ended(f"{profile.request_id}.{profile.attempt}"):
+            return [_refuse(profile, ErrorKind.CANCELLED)]
         known = self._registry.entries.get(profile.request_id)
         if known is not None:
             if known.profile.attempt >= profile.attempt:
@@ -210,8 +216,8 @@
             server.leaving = server.leaving and server.incarnation == 0
             server.incarnation = report.incarnation
             self._placer.hints.restart(event.backend_server)
-        if report.role and not is_service(server):
-            server.role = BackendServerRole(report.role)
+        if report.role in _ENGINE_ROLES:
+            server.role = _ENGINE_ROLES[report.role]
         server.apply_report(report, self._settings.correct_reports, now_s)
         self._placer.update(server)
         return []
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -97,6 +97,8 @@
     actions = submit(cell, 0.2, "r", attempt=2, excluded=(first.decode_server,))
     assert placements(actions)["r"].decode_server != first.decode_server
     assert (first.decode_server, "r.1") in cancels(actions)
+    progress(cell, 0.3, step("r", RequestPhase.FINISHED, 2))
+    assert not placements(submit(cell, 0.4, "r", attempt=2))
 
 
 def test_nothing_is_placed_before_the_rebuild_is_complete():
