Run the control services and the operators' port in the control process

Cause: the entry hosts found no leader, because the services' run loops and their handlers were not part of the process.

--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -1,37 +1,38 @@
 """The program of a control host."""
 
-import importlib
-import importlib.util
 import logging
 import random
 import signal
 import sys
 from importlib.metadata import version as package_version
 from pathlib import Path
-from typing import Any
 
 import anyio
 import fire
 from grpclib.server import Server
+from result import Err
 
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.disk.folder import DiskFolder
+from damaskridge.adapters.http.operators_app import operators_app
+from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import configure, log_event
-from damaskridge.adapters.rpc.control_node import ControlStatePort
+from damaskridge.adapters.observability.metrics import Metrics
+from damaskridge.adapters.rpc.control_server import control_services
 from damaskridge.binaries.control_settings import ControlSettings
+from damaskridge.binaries.http_server import HttpServer, listen
 from damaskridge.binaries.settings_file import load_settings
+from damaskridge.core.state.commands import ControlState
 from damaskridge.model.events import EventNumber
 
-__all__ = ["build_services", "main", "run_control"]
+__all__ = ["build_state", "main", "run_control"]
 
 EXIT_OK = 0
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 USAGE = "damaskridge-control --settings FILE [--check-settings] | --version"
 CLOSE_TIMEOUT_S = 1.0
-STATE_MODULE = "damaskridge.core.state.commands"
-SERVER_MODULE = "damaskridge.adapters.rpc.control_server"
 
 _logger = logging.getLogger("damaskridge.control")
 
@@ -42,26 +43,30 @@
     """A setting is valid but cannot be used on this machine."""
 
 
-def build_state() -> ControlStatePort:
+def build_state() -> ControlState:
     """Return an empty control state."""
-    state: ControlStatePort = importlib.import_module(STATE_MODULE).ControlState()
-    return state
+    return ControlState()
 
 
-def build_services(node: ControlNode, state: ControlStatePort) -> list[Any]:
-    """Return all gRPC handlers of the process."""
-    services: list[Any] = [node.service()]
-    if importlib.util.find_spec(SERVER_MODULE) is not None:
-        module = importlib.import_module(SERVER_MODULE)
-        services += module.control_services(node, state)
-    return services
-
-
-async def serve_operators(settings: ControlSettings, node: ControlNode) -> None:
+async def serve_operators(
+    settings: ControlSettings, node: ControlNode, state: ControlState
+) -> None:
     """Serve health, readiness and metrics on the operators' address."""
+    listener = listen("operators_address", settings.operators_address)
+    if isinstance(listener, Err):
+        raise _StartFailed(listener.err_value)
+    metrics = Metrics()
+    count_events(metrics)
+    metrics.watch("is_leader", "Whether this host leads", lambda: node.is_leader)
+    metrics.watch("term", "Term of the replicated log", lambda: node.term)
+    metrics.watch(
+        "bundle_version", "Bundle in force", lambda: state.fleet_snapshot().version
+    )
+    app = operators_app(metrics, lambda: bool(node.leader_address) or node.is_leader)
+    await HttpServer(app).run_on(listener.ok_value)
 
 
-async def run_control(settings: ControlSettings, state: ControlStatePort) -> None:
+async def run_control(settings: ControlSettings, state: ControlState) -> None:
     """
     Run one control process until SIGTERM or SIGINT.
 
@@ -69,7 +74,7 @@
     ----------
     settings : ControlSettings
         Validated settings.
-    state : ControlStatePort
+    state : ControlState
         The empty state that the log feeds.
     """
     folder = _open_folder(settings.data_folder)
@@ -81,13 +86,16 @@
         random.Random(),
         may_form=not settings.join_as_learner,
     )
-    server = Server(build_services(node, state), codec=MsgpackCodec())
+    services = control_services(node, state)
+    server = Server([node.service(), *services], codec=MsgpackCodec())
     ip, _, port = settings.rpc_address.rpartition(":")
     try:
         await _listen(server, ip, int(port))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_stop_on_signal, node)
-            tasks.start_soon(serve_operators, settings, node)
+            tasks.start_soon(serve_operators, settings, node, state)
+            for service in services:
+                tasks.start_soon(service.run)
             await node.run()
             tasks.cancel_scope.cancel()
     finally:
@@ -168,8 +176,6 @@
         anyio.run(run_control, settings, build_state())
     except (_StartFailed, OSError) as error:
         _fail([str(error)], EXIT_FAILURE)
-    except ImportError as error:
-        _fail([f"control state: {error}"], EXIT_FAILURE)
     except Exception as error:
         _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
         _fail([f"unexpected error: {_innermost(error)!r}"], EXIT_FAILURE)
