--- a/examples/demo_caller.py
+++ b/examples/demo_caller.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass, field
 
-GENERATE_PATH = "/v1/generate"
+GENERATE_PATH = "/v1/completions"
 TIMEOUT_S = 10.0
 RESUME_TRIES = 40
 RESUME_PAUSE_S = 0.25
@@ -49,7 +49,7 @@
     body = {
         "model": "notes",
         "prompt": prompt,
-        "max_output_tokens": max_output_tokens,
+        "max_tokens": max_output_tokens,
         "stream": True,
     }
     headers = {"authorization": f"Bearer {key}", "content-type": "application/json"}
@@ -71,11 +71,9 @@
         if answer.finished:
             return
         address = entry_addresses[number % len(entry_addresses)]
-        headers = {
-            "authorization": f"Bearer {key}",
-            # The last offset that arrived; -1 would not be a valid event id.
-            "last-event-id": str(max(answer.tokens, default=0)),
-        }
+        headers = {"authorization": f"Bearer {key}"}
+        if answer.tokens:
+            headers["last-event-id"] = str(max(answer.tokens))
         connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
         try:
             path = f"/v1/requests/{answer.request_id}/stream"
@@ -125,7 +123,7 @@
         name, _, value = line.decode().rstrip("\r\n").partition(": ")
         if name == "id":
             offset = int(value)
-        elif name == "data":
+        elif name == "data" and value != "[DONE]":
             _take(json.loads(value), offset, answer)
             if answer.first_token_s is None and started_s and answer.tokens:
                 answer.first_token_s = time.monotonic() - started_s
@@ -136,11 +134,13 @@
 def _take(data: dict, offset: int | None, answer: Answer) -> None:
     if data.get("error"):
         answer.error_kind = data["error"].get("kind", "")
-    elif data.get("finish_reason"):
+        return
+    choice = data["choices"][0]
+    if choice.get("finish_reason"):
         answer.finished = True
     elif offset is not None:
-        earlier = answer.tokens.setdefault(offset, data["text"])
-        if earlier != data["text"]:
+        earlier = answer.tokens.setdefault(offset, choice["text"])
+        if earlier != choice["text"]:
             answer.error_kind = "different_text"
 
 
