Avoid a server after a stalled transfer for one attempt only

In a trial with 200 streams that began at once, transfers to overloaded stand-ins stalled, all decode servers were excluded for good and requests ended with no_backend_server.

--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -99,6 +99,7 @@
         self._now_s = accepted_s
         self._assembler = Assembler(limits.window)
         self._excluded: tuple[str, ...] = ()
+        self._avoided = ""
         self._crashes = 0
         self._granted = False
         self._may_have_run = False
@@ -279,7 +280,7 @@
                 prompt_tokens=self.spec.prompt_tokens + self.output_tokens,
                 max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
                 suspect=self._crashes > 0,
-                excluded=self._excluded,
+                excluded=self._excluded + ((self._avoided,) if self._avoided else ()),
             )
         ]
 
@@ -292,7 +293,10 @@
                 self._crashes += 1
         # A prefill has run by the time of a transfer.
         self._may_have_run |= self.stage is not Stage.PREFILLING
-        if server and server not in self._excluded:
+        # A server that is alive is avoided once only, else a few stalls in a small
+        # fleet would leave no server and refuse the request.
+        self._avoided = "" if server_failed else server
+        if server_failed and server not in self._excluded:
             self._excluded = (*self._excluded, server)
         failed_server = server if server_failed else ""
         if self.output_tokens >= self.spec.max_output_tokens:
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -103,7 +103,11 @@
     assert machine.handle(m.TimePassed(), 0.9) == []
     actions = machine.handle(m.TimePassed(), 1.0)
     assert kinds(actions, m.Report)[0].progress.failed_server == ""
-    assert kinds(actions, m.AskPlacement)
+    assert kinds(actions, m.AskPlacement)[0].excluded == ("d1",)
+    machine.handle(placed(2, 2), 1.0)
+    machine.handle(m.Prefilled(2), 1.0)
+    actions = machine.handle(m.TimePassed(), 2.0)
+    assert kinds(actions, m.AskPlacement)[0].excluded == ("d2",)
     machine = machine_at(m.Stage.DECODING)
     (resume,) = machine.handle(m.TimePassed(), 1.5)
     assert (resume.address, resume.offset) == ("da1", 1)
