--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -31,7 +31,7 @@
 
     def record(self, request: JoinRequest) -> None:
         """Remember a host that reported an empty disk."""
-        if request.term == 0:
+        if request.term <= BOOTSTRAP_TERM:
             self._empty[host_name(request.sender)] = request
 
     def tick(self, now_s: float) -> None:
@@ -48,7 +48,8 @@
     def try_form(self) -> bool:
         """Form the group if every host is known to be empty."""
         state = self._state
-        is_empty = state.term == 0 and state.log.last_index == 0
+        # The term alone is on disk if power was lost while the group was formed.
+        is_empty = state.term <= BOOTSTRAP_TERM and state.log.last_index == 0
         if not (self._may_form and is_empty and all(map(self._knows_us, self._others))):
             return False
         voters = (state.name, *(self._empty[host].sender for host in self._others))
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -312,6 +312,17 @@
         for host in self.hosts:
             self.start(host)
 
+    def disturb_forming(self) -> None:
+        """Stop or start a process; a disk that was empty may be torn."""
+        host = self.rng.choice(self.hosts)
+        member = self.members[host]
+        if member.driver is None:
+            self.start(host)
+        elif self.rng.random() < 0.5:
+            member.folder.operations_left = self.rng.randrange(5)
+        else:
+            self.stop(host)
+
     def partition(self, isolate: bool) -> None:
         size = 1 if isolate else self.rng.randrange(1, len(self.hosts))
         self.split(set(self.rng.sample(self.hosts, size)))
@@ -447,8 +458,12 @@
 ) -> Report:
     """Run one seed; `AssertionError` if an invariant is violated."""
     simulation = Simulation(seed, disabled_guards)
-    for _ in range(FORMING_STEPS):
+    for step in range(FORMING_STEPS):
         simulation.step()
+        if seed % 4 == 0 and step < FORMING_STEPS // 2 and step % 7 == 3:
+            simulation.disturb_forming()
+    if seed % 4 == 0:
+        simulation.recover()
     assert simulation.is_whole(), "the group did not form"
     simulation.chaos = True
     for _ in range(steps):
