--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -169,33 +169,39 @@
         cut_bytes = len(data) - found.size_bytes
         if cut_bytes:
             self._folder.truncate(self._segment, found.size_bytes)
-        log, hard_state = self._replay(found.payloads, snapshot)
+        replayed, hard_state = self._replay(found.payloads, snapshot)
+        log = self._join(replayed, snapshot)
+        if replayed.snapshot.index != log.snapshot.index:
+            # Entries after the snapshot would leave a gap in the old segment.
+            self._start_segment(log, hard_state)
         return StoredState(member, log, hard_state, cut_bytes)
 
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
     ) -> tuple[RaftLog, HardState]:
         hard_state = HardState()
-        log: RaftLog | None = None
+        log = RaftLog(snapshot)
+        is_first = True
         for payload in payloads:
             record = _decode_record(payload)
             if isinstance(record, _HardRecord):
                 hard_state = record.hard_state
                 continue
             entry = record.entry
-            if log is None:
+            if is_first:
                 log = RaftLog(_base(snapshot, entry.index - 1))
+                is_first = False
             if entry.index <= log.last_index:
                 log.truncate(entry.index)
             if entry.index != log.last_index + 1:
                 raise _Damaged(self._segment)
             log.append((entry,))
-        return self._join(log, snapshot), hard_state
+        return log, hard_state
 
-    def _join(self, log: RaftLog | None, snapshot: Snapshot | None) -> RaftLog:
+    def _join(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
         """Put snapshot and segment together after a stop between their writes."""
-        if log is None:
-            return RaftLog(snapshot)
+        base = replayed.snapshot
+        log = RaftLog(base, list(replayed.slice(base.index + 1, replayed.last_index)))
         if log.snapshot.index > (snapshot.index if snapshot else 0):
             raise _Damaged(SNAPSHOT_FILE)
         if snapshot is not None:
--- a/src/damaskridge/adapters/log_driver.py
+++ b/src/damaskridge/adapters/log_driver.py
@@ -91,13 +91,15 @@
         return others
 
     def _save(self, saves: list[Save]) -> None:
+        if any(save.snapshot is not None for save in saves):
+            # Writes all of the batch, because log and hard state are up to date.
+            # Entries after a new snapshot would leave a gap in the old segment.
+            self._store.save_snapshot(self.node.log, self.node.hard_state)
+            return
         for save in saves:
             if save.hard_state is not None:
                 self._store.save_hard_state(save.hard_state)
             if save.entries:
                 self._store.save_entries(save.entries)
-        if any(save.snapshot is not None for save in saves):
-            # Holds all of the batch, because log and hard state are up to date.
-            self._store.save_snapshot(self.node.log, self.node.hard_state)
-        elif self._guards.sync_before_ack:
+        if self._guards.sync_before_ack:
             self._store.sync()
--- a/tests/adapters/disk/test_store.py
+++ b/tests/adapters/disk/test_store.py
@@ -89,14 +89,21 @@
     assert sum(n.startswith("log-") for n in folder.names()) == 1
 
 
-def test_installed_snapshot_replaces_a_conflicting_log_after_power_loss():
+@pytest.mark.parametrize("installed", [3, 9])
+def test_installed_snapshot_replaces_the_log_after_power_loss(installed):
     folder = MemoryFolder()
     store = written(folder)
     log = RaftLog(None, list(ENTRIES))
-    log.install(Snapshot(3, 9, Membership(("c1#a1",)), b"state"))
+    log.install(Snapshot(installed, 9, Membership(("c1#a1",)), b"state"))
     folder.operations_left = 1
     with pytest.raises(PowerLost):
         store.save_snapshot(log, HardState(9, ""))
     folder.operations_left = None
+    store = LogStore(folder, "b2")
+    found = store.open()
+    assert (found.log.last_index, found.log.last_term) == (installed, 9)
+    store.save_entries((LogEntry(installed + 1, 9, b"after"),))
+    store.sync()
     found = LogStore(folder, "b2").open()
-    assert (found.log.last_index, found.log.last_term) == (3, 9)
+    assert (found.member, found.damage) == ("a1", "")
+    assert found.log.last_index == installed + 1
