--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -91,6 +91,7 @@
     value: int = 0
     applied: int = 0
     isolated_term: int | None = None
+    flipped: bool = False
     waiting: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     ready: list[tuple[int, Operation]] = field(default_factory=list)
@@ -129,6 +130,8 @@
             self.stop(host)
             return
         self.faults["damage"] += bool(stored.damage)
+        assert member.flipped or not stored.damage, "damage without a flipped bit"
+        member.flipped = False
         self.faults["torn_tail"] += bool(stored.cut_bytes)
         rng = random.Random(self.rng.getrandbits(64))
         driver = LogDriver(
@@ -293,6 +296,7 @@
         elif kind in ("lose_disk", "flip_bit") and self.is_whole():
             self.stop(host)
             folder = self.members[host].folder
+            self.members[host].flipped = kind == "flip_bit"
             folder.lose() if kind == "lose_disk" else folder.flip_bit(rng)
             self.start(host)
             if rng.random() < 0.7:
