--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -1,5 +1,6 @@
 """Files of one data folder, with explicit durability."""
 
+import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
@@ -43,7 +44,9 @@
 
 class DiskFolder:
     """
-    A folder on a real disk.
+    A folder on a real disk, locked until `close`.
+
+    Two processes on one folder would vote twice under one member id.
 
     Parameters
     ----------
@@ -55,6 +58,12 @@
         path.mkdir(parents=True, exist_ok=True)
         self._path = path
         self._open: dict[str, int] = {}
+        self._lock = os.open(path, os.O_RDONLY)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise
         for leftover in path.glob(f"*{TEMPORARY_SUFFIX}"):
             leftover.unlink()
         self._sync_folder()
@@ -100,9 +109,10 @@
         self._sync_folder()
 
     def close(self) -> None:
-        """Close all files."""
+        """Close all files and give up the lock."""
         for name in list(self._open):
             self._close(name)
+        os.close(self._lock)
 
     def _descriptor(self, name: str) -> int:
         if name not in self._open:
@@ -116,8 +126,4 @@
             os.close(descriptor)
 
     def _sync_folder(self) -> None:
-        descriptor = os.open(self._path, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        os.fsync(self._lock)
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -25,7 +25,6 @@
 
 __all__ = ["build_services", "main", "run_control"]
 
-EXIT_OK = 0
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 USAGE = "damaskridge-control --settings FILE [--check-settings] | --version"
@@ -100,6 +99,8 @@
 def _open_folder(path: Path) -> DiskFolder:
     try:
         return DiskFolder(path)
+    except BlockingIOError as error:
+        raise _StartFailed(f"data_folder: {path}: in use") from error
     except OSError as error:
         raise _StartFailed(f"data_folder: {path}: {error.strerror}") from error
 
--- a/tests/adapters/disk/test_store.py
+++ b/tests/adapters/disk/test_store.py
@@ -24,9 +24,13 @@
 
 
 def test_synced_records_survive_and_later_ones_replace_them(tmp_path):
-    store = written(DiskFolder(tmp_path))
+    folder = DiskFolder(tmp_path)
+    store = written(folder)
+    with pytest.raises(BlockingIOError):
+        DiskFolder(tmp_path)
     store.save_entries((LogEntry(3, 5, b"new"),))
     store.sync()
+    folder.close()
     (tmp_path / "snapshot.tmp").write_bytes(b"unfinished")
     found = LogStore(DiskFolder(tmp_path), "b2").open()
     assert (found.member, found.hard_state) == ("a1", HardState(2, "c1#a1"))
@@ -35,14 +39,18 @@
 
 
 def test_torn_tail_is_cut_at_every_length(tmp_path):
-    store = written(DiskFolder(tmp_path))
+    folder = DiskFolder(tmp_path)
+    store = written(folder)
     path = next(tmp_path.glob("log-*"))
     synced = path.stat().st_size
     store.save_entries((LogEntry(5, 2, b"unsynced"),))
     data = path.read_bytes()
+    folder.close()
     for size in range(synced, len(data)):
         path.write_bytes(data[:size] + bytes(size % 3 * 8 if size == synced else 0))
-        found = LogStore(DiskFolder(tmp_path), "b2").open()
+        folder = DiskFolder(tmp_path)
+        found = LogStore(folder, "b2").open()
+        folder.close()
         assert (found.member, found.log.last_index) == ("a1", 4)
         assert path.stat().st_size == synced
 
