--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -28,7 +28,6 @@
 
 __all__ = ["build_state", "main", "run_control"]
 
-EXIT_OK = 0
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 USAGE = "damaskridge-control --settings FILE [--check-settings] | --version"
@@ -108,6 +107,8 @@
 def _open_folder(path: Path) -> DiskFolder:
     try:
         return DiskFolder(path)
+    except BlockingIOError as error:
+        raise _StartFailed(f"data_folder: {path}: in use") from error
     except OSError as error:
         raise _StartFailed(f"data_folder: {path}: {error.strerror}") from error
 
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -91,6 +91,7 @@
     value: int = 0
     applied: int = 0
     isolated_term: int | None = None
+    flipped: bool = False
     waiting: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     ready: list[tuple[int, Operation]] = field(default_factory=list)
@@ -129,6 +130,8 @@
             self.stop(host)
             return
         self.faults["damage"] += bool(stored.damage)
+        assert member.flipped or not stored.damage, "damage without a flipped bit"
+        member.flipped = False
         self.faults["torn_tail"] += bool(stored.cut_bytes)
         rng = random.Random(self.rng.getrandbits(64))
         driver = LogDriver(
@@ -293,6 +296,7 @@
         elif kind in ("lose_disk", "flip_bit") and self.is_whole():
             self.stop(host)
             folder = self.members[host].folder
+            self.members[host].flipped = kind == "flip_bit"
             folder.lose() if kind == "lose_disk" else folder.flip_bit(rng)
             self.start(host)
             if rng.random() < 0.7:
@@ -312,6 +316,17 @@
         for host in self.hosts:
             self.start(host)
 
+    def disturb_forming(self) -> None:
+        """Stop or start a process; a disk that was empty may be torn."""
+        host = self.rng.choice(self.hosts)
+        member = self.members[host]
+        if member.driver is None:
+            self.start(host)
+        elif self.rng.random() < 0.5:
+            member.folder.operations_left = self.rng.randrange(5)
+        else:
+            self.stop(host)
+
     def partition(self, isolate: bool) -> None:
         size = 1 if isolate else self.rng.randrange(1, len(self.hosts))
         self.split(set(self.rng.sample(self.hosts, size)))
@@ -447,8 +462,12 @@
 ) -> Report:
     """Run one seed; `AssertionError` if an invariant is violated."""
     simulation = Simulation(seed, disabled_guards)
-    for _ in range(FORMING_STEPS):
+    for step in range(FORMING_STEPS):
         simulation.step()
+        if seed % 4 == 0 and step < FORMING_STEPS // 2 and step % 7 == 3:
+            simulation.disturb_forming()
+    if seed % 4 == 0:
+        simulation.recover()
     assert simulation.is_whole(), "the group did not form"
     simulation.chaos = True
     for _ in range(steps):
