--- a/bench/policies.py
+++ b/bench/policies.py
@@ -124,7 +124,7 @@
         output = max(1, request.output_tokens - request.produced)
         return Estimate(level, slack_s, output, output)
 
-    def note_finished(self, profile, output_tokens):
+    def note_finished(self, profile, output_tokens, waited_s):
         pass
 
     def note_left(self, profile, waited_s):
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -385,7 +385,8 @@
             self._placer.note_transfer(arrived=False)
 
     def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
-        self._estimator.note_finished(entry.profile, item.output_tokens)
+        waited_s = max(0.0, entry.placed_s - entry.queued_s)
+        self._estimator.note_finished(entry.profile, item.output_tokens, waited_s)
         self._placer.note_transfer(arrived=True)
         actions: list[CellAction] = []
         if entry.suspect:
--- a/src/damaskridge/core/scheduling/urgency.py
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -64,8 +64,10 @@
     def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
         """Return what is expected of a request."""
 
-    def note_finished(self, profile: RequestProfile, output_tokens: int) -> None:
-        """Learn from a request that ran to its end."""
+    def note_finished(
+        self, profile: RequestProfile, output_tokens: int, waited_s: float
+    ) -> None:
+        """Learn from a request that ran to its end after `waited_s` in the queue."""
 
     def note_left(self, profile: RequestProfile, waited_s: float) -> None:
         """Learn from a caller that left while its request was queued."""
@@ -108,7 +110,9 @@
         slack_s = FIRST_TOKEN_TARGET_S / 2 if urgent else BULK_SLACK_S
         return Estimate(level, slack_s, output, most)
 
-    def note_finished(self, profile: RequestProfile, output_tokens: int) -> None:
+    def note_finished(
+        self, profile: RequestProfile, output_tokens: int, waited_s: float
+    ) -> None:
         """Learn the output length; the caller waited to the end."""
         group = self._group(profile)
         if group.samples == 0:
@@ -117,7 +121,9 @@
         group.samples += 1
         group.mean += _LEARNING_RATE * error
         group.deviation += _LEARNING_RATE * (abs(error) - group.deviation)
-        group.impatient_share *= 1 - _LEARNING_RATE
+        # A caller that waited for long weighs more than one that had no need to.
+        is_patient = waited_s > _IMPATIENT_WAIT_S
+        group.impatient_share *= 0.5 if is_patient else 1 - _LEARNING_RATE
         self._learn_size(profile.prompt_tokens + _OUTPUT_FACTOR * output_tokens)
 
     def note_left(self, profile: RequestProfile, waited_s: float) -> None:
