--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -82,8 +82,8 @@
     )
     server = Server(build_services(node, state), codec=MsgpackCodec())
     ip, _, port = settings.rpc_address.rpartition(":")
+    await _listen(server, ip, int(port))
     try:
-        await _listen(server, ip, int(port))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_stop_on_signal, node)
             tasks.start_soon(serve_operators, settings, node)
--- a/tests/binaries/test_control.py
+++ b/tests/binaries/test_control.py
@@ -1,5 +1,6 @@
 """Guards against settings faults that are not named and wrong exit codes."""
 
+import socket
 import sys
 from pathlib import Path
 
@@ -69,6 +70,18 @@
     assert "--check-setings: unknown argument" in capsys.readouterr().err
 
 
+def test_occupied_address_is_named(tmp_path, capsys, monkeypatch):
+    path = tmp_path / "control.json"
+    monkeypatch.setattr(control, "build_state", lambda: None)
+    monkeypatch.setattr(control, "configure", lambda process: None)
+    with socket.create_server(("127.0.0.1", 0)) as occupied:
+        address = f"127.0.0.1:{occupied.getsockname()[1]}"
+        text = VALID.replace("127.0.0.1:7101", address)
+        path.write_text(text.replace('"data"', f'"{tmp_path / "data"}"'))
+        assert run(monkeypatch, "--settings", str(path)) == 1
+    assert f"rpc_address: {address}: " in capsys.readouterr().err
+
+
 @pytest.mark.parametrize("option", ["--version", "--help"])
 def test_information_needs_no_settings(capsys, monkeypatch, option):
     assert run(monkeypatch, option) == 0
