--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -88,8 +88,8 @@
     services = control_services(node, state)
     server = Server([node.service(), *services], codec=MsgpackCodec())
     ip, _, port = settings.rpc_address.rpartition(":")
+    await _listen(server, ip, int(port))
     try:
-        await _listen(server, ip, int(port))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_stop_on_signal, node)
             tasks.start_soon(serve_operators, settings, node, state)
