--- a/examples/demo.py
+++ b/examples/demo.py
@@ -74,6 +74,8 @@
 
     def roll(self, path: Path, expected_version: int) -> None:
         def propose() -> str:
+            if dead := self.processes.dead():
+                raise ChildProcessError(f"ended too early: {dead}")
             return self.processes.ctl("alice", "propose", "--bundle", str(path))
 
         proposal = retry(READY_S, propose).split()[-1]
