Tell a new rate owner of all requests with an idempotency key

Cause: the front's ActiveKey had no field `finished`, which the peer service reads. While a request with an idempotency key ran, the question of a new rate owner raised AttributeError; on the owner's own host this ended the task group of all its owners. The front also left out requests that had ended, so that a resend within 30 s of the end ran again after the owner had changed. Ruled out: the peer messages, whose ActiveKey has the field. Change: the front lists ended requests too and says that they are finished.

--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -49,11 +49,12 @@
 
 
 class ActiveKey(msgspec.Struct, frozen=True):
-    """A running request with an idempotency key, for a new rate owner."""
+    """A request with an idempotency key, for a new rate owner."""
 
     request_id: str
     idempotency_key: str
     body_digest: str
+    finished: bool = False
 
 
 class _Running(Protocol):
@@ -244,18 +245,19 @@
         )
 
     def active_keys(self, workspace: str) -> tuple[ActiveKey, ...]:
-        """Return the requests of a workspace that carry an idempotency key."""
+        """Return the requests of a workspace with a key, also those that have ended."""
         return tuple(
             ActiveKey(
                 running.request_id,
                 running.call.idempotency_key,
                 running.call.body_digest,
+                running.machine.ended,
             )
             for running in self._calls.values()
             if running.call.workspace == workspace
             and running.call.idempotency_key
             and running.original is None
-            and not running.machine.ended
+            and not running.moved
         )
 
     def begin_drain(self) -> None:
