Keep to leaving servers after a restart and a change of owner

Cause, three faults in the state of leaving servers. A server that was not leaving any more was reported as recovered, which does not end its leaving, so it got no work until the cell changed hands. A restart of a leaving server's process ended its leaving, though the operator's drain or the host list still named it. A new cell owner placed requests up to 0.25 s before it looked at the list.

--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -138,7 +138,7 @@
                 self._workers[cell].follow_bundle()
                 self._workers[cell].follow_leaving(leaving)
             elif not owner.moving_to and self._released.get(cell) != owner.epoch:
-                self._start(cell, owner)
+                self._start(cell, owner, leaving)
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
         """Queue a request; returns when it is placed or refused."""
@@ -212,7 +212,7 @@
             return self._failure(ErrorKind.EPOCH_CONFLICT)
         return worker
 
-    def _start(self, cell: str, owner: Owner) -> None:
+    def _start(self, cell: str, owner: Owner, leaving: frozenset[str]) -> None:
         if self._group is None:
             return
         worker = CellWorker(cell, owner, self._new_machine(), self._links)
@@ -223,6 +223,8 @@
 
     def _stop(self, cell: str) -> None:
         worker = self._workers.pop(cell)
+        # Known before the first request is placed.
+        worker.follow_leaving(leaving)
         worker.stop()
         _log_owner(EventNumber.OWNERSHIP_LOST, worker.owner)
 
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -34,7 +34,7 @@
     SendSubmitReply,
     SendTakeOverReply,
     ServerLeaving,
-    ServerRecovered,
+    ServerStaying,
     TimePassed,
 )
 from damaskridge.core.state.fleet_queries import servers_of_cell
@@ -208,7 +208,7 @@
             self.handle(ServerLeaving(name))
         for name in sorted(self._leaving - mine):
             if any(server.name == name for server in self._servers):
-                self.handle(ServerRecovered(name))
+                self.handle(ServerStaying(name))
         self._leaving = mine
 
     def gain(self) -> None:
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -42,6 +42,7 @@
     "ServerFailed",
     "ServerLeaving",
     "ServerRecovered",
+    "ServerStaying",
     "TakeOverRequested",
     "TimePassed",
 ]
@@ -149,6 +150,13 @@
     backend_server: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStaying:
+    """A server that was leaving is not leaving any more."""
+
+    backend_server: str
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLeaving:
     """A server is leaving: no new work."""
@@ -190,6 +198,7 @@
     | ServerFailed
     | ServerRecovered
     | ServerLeaving
+    | ServerStaying
     | FrontLost
     | TakeOverRequested
     | TimePassed
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -25,6 +25,7 @@
     ServerFailed,
     ServerLeaving,
     ServerRecovered,
+    ServerStaying,
     TakeOverRequested,
     TimePassed,
 )
@@ -212,8 +213,6 @@
             return []
         report = event.report
         if report.incarnation != server.incarnation:
-            # A process that was leaving has been replaced.
-            server.leaving = server.leaving and server.incarnation == 0
             server.incarnation = report.incarnation
             self._placer.hints.restart(event.backend_server)
         if report.role in _ENGINE_ROLES:
@@ -276,6 +275,14 @@
         self._missing_fronts.discard(event.front)
         return self._recovery.lose_front(event.front, event.incarnation, now_s)
 
+    @_apply.register
+    def _(self, event: ServerStaying, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        if server is not None:
+            server.leaving = False
+            self._placer.update(server)
+        return []
+
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
         ask = event.take_over
