Do not say not_run when the search for a request fails

Cause: a resume that found no owner was refused as owner_unavailable with the default run state not_run and the id of the resumed request, which had run. Ruled out: the request's own record, whose run state is right. Change: failures of the search have the run state unknown.

--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -15,7 +15,7 @@
 from damaskridge.model.bundle import BackendServerRole
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
-from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
 from damaskridge.model.ids import RequestId
 from damaskridge.model.routing import ActiveRequest, TakeOver, TakeOverReply
@@ -95,6 +95,9 @@
                 failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "relay ended early")
             except StreamFailed as error:
                 failure = error.failure
+            if failure.kind in _LOOK_AGAIN and failure.ran is RunState.NOT_RUN:
+                # It tells of the search; the request itself may well have run.
+                failure = msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
             if failure.kind not in _LOOK_AGAIN or loop.time() >= give_up_s:
                 raise StreamFailed(failure)
             if failure.kind is ErrorKind.UNKNOWN_REQUEST and not self._may_return(
