Send deltas in the order in which streams were opened

The set of followers was walked in the order of their addresses in memory, so a randomised run on a paused clock could not be repeated.

--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -60,18 +60,19 @@
 
     def __init__(self, state: ControlState) -> None:
         self._state = state
-        self._followers: set[Follower] = set()
+        # In the order in which the streams were opened, so that runs can be repeated.
+        self._followers: dict[Follower, None] = {}
         self._recent: deque[FleetDelta] = deque(maxlen=KEPT_DELTAS)
 
     def add(self, follower: Follower, index: int) -> None:
         """Add a stream whose host has seen everything up to `index`."""
-        self._followers.add(follower)
+        self._followers[follower] = None
         for message in self._missing(index):
             follower.push(message)
 
     def remove(self, follower: Follower) -> None:
         """Forget a stream."""
-        self._followers.discard(follower)
+        self._followers.pop(follower, None)
         follower.close()
 
     def publish(self, delta: FleetDelta) -> None:
