Find what an engine crashed of before its crash is seen

Cause: a front sees an engine break off at once and ends the attempt, but the owner's poll finds the crash up to 0.5 s later. The attempt was then missing in ReportCrash, its fingerprint was never quarantined, and a request that was resent could crash engine after engine. Ruled out: the quarantine in the control state, which got empty fingerprints. Change: Progress has `crashed`. The cell owner suspects the fingerprint at once, names it in the report of the crash, runs one copy of a suspect at a time, and refuses it for 10 s after two engines were lost with it. The quarantine is also checked by the cell owner, and by the front when a placement arrives.

--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -146,6 +146,10 @@
         if isinstance(worker, Failure):
             return Refused(request_id=profile.request_id, failure=worker)
         worker.heard(profile.front, profile.incarnation)
+        if profile.fingerprint in self._control.fleet.quarantined:
+            # The front's view of the fleet may be older than this host's.
+            failure = Failure(ErrorKind.REQUEST_QUARANTINED)
+            return Refused(request_id=profile.request_id, failure=failure)
         pending = self._links.submitted
         future = pending.open(profile.resource, profile.front, profile.request_id)
         try:
@@ -219,12 +223,12 @@
         self._workers[cell] = worker
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         worker.gain()
+        # Known before the first request is placed.
+        worker.follow_leaving(leaving)
         self._group.start_soon(worker.run)
 
     def _stop(self, cell: str) -> None:
         worker = self._workers.pop(cell)
-        # Known before the first request is placed.
-        worker.follow_leaving(leaving)
         worker.stop()
         _log_owner(EventNumber.OWNERSHIP_LOST, worker.owner)
 
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -351,12 +351,17 @@
         )
         reply = await place(self._context, self.profile, self._set_profile)
         if isinstance(reply, Placement):
-            self._start_unless_lease_lost(reply)
+            self._start_if_allowed(reply)
         else:
             self.dispatch(PlacementRefused(action.attempt, reply.failure))
 
-    def _start_unless_lease_lost(self, placement: Placement) -> None:
-        lease = self._context.control.lease
+    def _start_if_allowed(self, placement: Placement) -> None:
+        control = self._context.control
+        # It may have been quarantined while this attempt was queued.
+        if self.call.fingerprint in control.fleet.quarantined:
+            self.cancel(Failure(ErrorKind.REQUEST_QUARANTINED))
+            return
+        lease = control.lease
         if self.machine.texts or lease.is_valid(self._loop.time()):
             self.dispatch(Placed(placement))
             return
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -115,7 +115,7 @@
         """Number of tokens delivered so far, by all fronts."""
         return self.base_offset + len(self.texts)
 
-    def progress(self, failed_server: str = "") -> Progress:
+    def progress(self, failed_server: str = "", crashed: bool = False) -> Progress:
         """Return what the cell owner needs to know now."""
         return Progress(
             request_id=self.spec.request_id,
@@ -124,6 +124,7 @@
             output_tokens=self.output_tokens,
             first_token_s=self.first_token_s,
             failed_server=failed_server,
+            crashed=crashed,
         )
 
     def handle(self, event: Event, now_s: float) -> list[Action]:
@@ -287,10 +288,11 @@
     def _retry(
         self, server: str, failure: Failure, server_failed: bool = True
     ) -> list[Action]:
+        crashed = False
         if failure.ran is not RunState.NOT_RUN:
             self._may_have_run = True
-            if failure.kind is ErrorKind.BACKEND_SERVER_FAILED:
-                self._crashes += 1
+            crashed = failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+            self._crashes += crashed
         # A prefill has run by the time of a transfer.
         self._may_have_run |= self.stage is not Stage.PREFILLING
         # A server that is alive is avoided once only, else a few stalls in a small
@@ -305,10 +307,10 @@
         no_prompt = not self._granted
         exhausted = self.attempt >= self._limits.attempts
         if no_prompt or exhausted or self._crashes >= self._limits.crashes:
-            return self._end(Stage.FAILED, failure, failed_server)
+            return self._end(Stage.FAILED, failure, failed_server, crashed)
         cancels = self._cancel_engines()
         self.stage = Stage.FAILED
-        report = Report(self.progress(failed_server))
+        report = Report(self.progress(failed_server, crashed))
         return [*cancels, report, *self._ask_placement()]
 
     def _finish_at_length(self) -> list[Action]:
@@ -332,7 +334,11 @@
         return [Deliver(chunks), *self._end(Stage.FINISHED, None)]
 
     def _end(
-        self, stage: Stage, failure: Failure | None, failed_server: str = ""
+        self,
+        stage: Stage,
+        failure: Failure | None,
+        failed_server: str = "",
+        crashed: bool = False,
     ) -> list[Action]:
         actions: list[Action] = []
         if failure is not None:
@@ -346,7 +352,7 @@
         self.stage = stage
         self.deadline_s = _NEVER_S
         if queued or self.placement is not None:
-            actions.append(Report(self.progress(failed_server)))
+            actions.append(Report(self.progress(failed_server, crashed)))
         unused = self._unused_tokens()
         if unused > 0:
             actions.append(RefundTokens(unused))
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -124,6 +124,8 @@
         self, registry: Registry, item: QueueItem, level: Level, now_s: float
     ) -> CellAction | None:
         entry = registry.entries[item.request_id]
+        if entry.suspect and _runs(registry, entry.profile.fingerprint):
+            return None
         choice = self._choose(entry, level, now_s)
         if choice is None:
             return None
@@ -175,6 +177,12 @@
         ) / 3
 
 
+def _runs(registry: Registry, fingerprint: str) -> bool:
+    # Two copies of a suspect could cost two more servers before the first is lost.
+    found = registry.with_fingerprint(fingerprint)
+    return any(item.placement is not None for item in found)
+
+
 def _to_placement(entry: Entry, choice: Choice, level: Level) -> Placement:
     profile = entry.profile
     placement = Placement(
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -6,6 +6,7 @@
     CellAction,
     NotifyTakenOver,
     ReportCrashedRequests,
+    SendSubmitReply,
     SendTakeOverReply,
 )
 from damaskridge.core.scheduling.placement import Placer
@@ -13,9 +14,15 @@
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.model.errors import ErrorKind, Failure
-from damaskridge.model.routing import RequestPhase, TakeOver, TakeOverReply
+from damaskridge.model.routing import (
+    Refused,
+    RequestPhase,
+    RequestProfile,
+    TakeOver,
+    TakeOverReply,
+)
 
-__all__ = ["EndRequest", "Recovery", "refuse_take_over"]
+__all__ = ["EndRequest", "Recovery", "refuse_held", "refuse_take_over"]
 
 _STARTED = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
 
@@ -89,6 +96,31 @@
         reply = TakeOverReply(active=entry.to_active())
         return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
 
+    def note_lost_server(
+        self, entry: Entry, server: ServerState, now_s: float
+    ) -> list[CellAction]:
+        """
+        Suspect a request whose front saw its engine break off.
+
+        The front ends the attempt long before the owner's polls find the crash, so
+        the request would otherwise be missing in the report of the crash.
+        """
+        fingerprint = entry.profile.fingerprint
+        if not fingerprint:
+            return []
+        self._suspects.note_failure(
+            fingerprint, server.spec.name, server.incarnation, now_s
+        )
+        actions: list[CellAction] = []
+        for other in self._registry.with_fingerprint(fingerprint):
+            if other.placement is not None:
+                continue
+            other.suspect = True
+            if self._suspects.is_held(fingerprint, now_s):
+                actions.append(refuse_held(other.profile))
+                actions += self._end_request(other, now_s, False)
+        return actions
+
     def note_crash(
         self, server: ServerState, incarnation: int, now_s: float
     ) -> list[CellAction]:
@@ -107,11 +139,19 @@
                 ran.append(entry.profile.fingerprint)
             if on_decode:
                 self._placer.release(entry)
+        ran += self._suspects.failed_on(name, now_s)
         fingerprints = tuple(dict.fromkeys(item for item in ran if item))
         self._suspects.add(fingerprints, now_s)
         return [ReportCrashedRequests(name, incarnation, fingerprints)]
 
 
+def refuse_held(profile: RequestProfile) -> SendSubmitReply:
+    """Return the answer to a request that has cost all the servers it may."""
+    failure = Failure(ErrorKind.REQUEST_QUARANTINED)
+    refused = Refused(request_id=profile.request_id, failure=failure)
+    return SendSubmitReply(profile.front, profile.request_id, refused)
+
+
 def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverReply:
     """Return the answer to a front that may not continue a request."""
     reply = TakeOverReply(failure=Failure(kind))
--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -110,6 +110,11 @@
         self._orphans.pop(request_id, None)
         self._by_front.setdefault(front, {})[request_id] = None
 
+    def with_fingerprint(self, fingerprint: str) -> list[Entry]:
+        """Return the requests with a fingerprint; asked for suspects only."""
+        entries = self.entries.values()
+        return [item for item in entries if item.profile.fingerprint == fingerprint]
+
     def note_front(self, front: str, incarnation: int, now_s: float) -> None:
         """Note that a front is alive."""
         known = self._fronts.get(front)
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -30,7 +30,7 @@
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
-from damaskridge.core.scheduling.recovery import Recovery, refuse_take_over
+from damaskridge.core.scheduling.recovery import Recovery, refuse_held, refuse_take_over
 from damaskridge.core.scheduling.registry import Entry, Registry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
@@ -156,6 +156,8 @@
                 return self._repeat_reply(known, profile)
             self._note_lost_transfer(known)
             actions += self._end(known, now_s, cancel=True)
+        if self._suspects.is_held(profile.fingerprint, now_s):
+            return [*actions, refuse_held(profile)]
         refusal = self._check_submitted(profile)
         if refusal is not None:
             return [*actions, refusal]
@@ -200,6 +202,9 @@
         actions: list[CellAction] = []
         for item in batch.items:
             entry = self._registry.entries.get(item.request_id)
+            server = self._placer.servers.get(item.failed_server)
+            if entry is not None and item.crashed and server is not None:
+                actions += self._recovery.note_lost_server(entry, server, now_s)
             if entry is None or entry.profile.attempt != item.attempt:
                 continue
             if entry.front == batch.front and entry.incarnation == batch.incarnation:
@@ -270,11 +275,6 @@
             self._placer.update(server)
         return []
 
-    @_apply.register
-    def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
-        self._missing_fronts.discard(event.front)
-        return self._recovery.lose_front(event.front, event.incarnation, now_s)
-
     @_apply.register
     def _(self, event: ServerStaying, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
@@ -283,6 +283,11 @@
             self._placer.update(server)
         return []
 
+    @_apply.register
+    def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
+        self._missing_fronts.discard(event.front)
+        return self._recovery.lose_front(event.front, event.incarnation, now_s)
+
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
         ask = event.take_over
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -3,6 +3,11 @@
 __all__ = ["SUSPECT_RETENTION_S", "SuspectTable"]
 
 SUSPECT_RETENTION_S = 3600.0
+# A front sees a crash at once, the owner with its next polls of the engine.
+CRASH_SEEN_S = 5.0
+# By then the control group has the reports of the crashes.
+HELD_S = 10.0
+_CRASHES = 2
 
 
 class SuspectTable:
@@ -10,6 +15,7 @@
 
     def __init__(self) -> None:
         self._until_s: dict[str, float] = {}
+        self._failed_s: dict[str, dict[tuple[str, int], float]] = {}
 
     def add(self, fingerprints: tuple[str, ...], now_s: float) -> None:
         """Suspect the fingerprints of a crash."""
@@ -18,9 +24,35 @@
         for fingerprint in [f for f, end_s in self._until_s.items() if end_s <= now_s]:
             del self._until_s[fingerprint]
 
+    def note_failure(
+        self, fingerprint: str, server: str, incarnation: int, now_s: float
+    ) -> None:
+        """Suspect a fingerprint because a front lost the server that ran it."""
+        self.add((fingerprint,), now_s)
+        failed = self._failed_s.setdefault(fingerprint, {})
+        failed.setdefault((server, incarnation), now_s)
+        for name, items in list(self._failed_s.items()):
+            if all(now_s - failed_s > HELD_S for failed_s in items.values()):
+                del self._failed_s[name]
+
+    def failed_on(self, server: str, now_s: float) -> list[str]:
+        """Return what fronts lost on a server just before its crash was seen."""
+        return [
+            fingerprint
+            for fingerprint, failed in self._failed_s.items()
+            for (name, _), failed_s in failed.items()
+            if name == server and now_s - failed_s <= CRASH_SEEN_S
+        ]
+
+    def is_held(self, fingerprint: str, now_s: float) -> bool:
+        """Tell whether a fingerprint was lost with as many servers as it may cost."""
+        failed = self._failed_s.get(fingerprint, {}).values()
+        return sum(now_s - failed_s <= HELD_S for failed_s in failed) >= _CRASHES
+
     def clear(self, fingerprint: str) -> None:
         """Forget a fingerprint that ran to its end."""
         self._until_s.pop(fingerprint, None)
+        self._failed_s.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Tell whether the fingerprint is suspect."""
--- a/src/damaskridge/model/routing.py
+++ b/src/damaskridge/model/routing.py
@@ -217,7 +217,11 @@
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """How far one attempt is; a finished or cancelled phase ends it."""
+    """
+    How far one attempt is; a finished or cancelled phase ends it.
+
+    `crashed` tells that `failed_server` broke off while it may have run the attempt.
+    """
 
     request_id: str
     attempt: int
@@ -225,6 +229,7 @@
     output_tokens: int = 0
     first_token_s: float | None = None
     failed_server: str = ""
+    crashed: bool = False
 
 
 class ProgressBatch(msgspec.Struct, frozen=True, kw_only=True):
