--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -138,7 +138,7 @@
                 self._workers[cell].follow_bundle()
                 self._workers[cell].follow_leaving(leaving)
             elif not owner.moving_to and self._released.get(cell) != owner.epoch:
-                self._start(cell, owner)
+                self._start(cell, owner, leaving)
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
         """Queue a request; returns when it is placed or refused."""
@@ -146,6 +146,10 @@
         if isinstance(worker, Failure):
             return Refused(request_id=profile.request_id, failure=worker)
         worker.heard(profile.front, profile.incarnation)
+        if profile.fingerprint in self._control.fleet.quarantined:
+            # The front's view of the fleet may be older than this host's.
+            failure = Failure(ErrorKind.REQUEST_QUARANTINED)
+            return Refused(request_id=profile.request_id, failure=failure)
         pending = self._links.submitted
         future = pending.open(profile.resource, profile.front, profile.request_id)
         try:
@@ -212,13 +216,15 @@
             return self._failure(ErrorKind.EPOCH_CONFLICT)
         return worker
 
-    def _start(self, cell: str, owner: Owner) -> None:
+    def _start(self, cell: str, owner: Owner, leaving: frozenset[str]) -> None:
         if self._group is None:
             return
         worker = CellWorker(cell, owner, self._new_machine(), self._links)
         self._workers[cell] = worker
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         worker.gain()
+        # Known before the first request is placed.
+        worker.follow_leaving(leaving)
         self._group.start_soon(worker.run)
 
     def _stop(self, cell: str) -> None:
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -25,11 +25,12 @@
     ServerFailed,
     ServerLeaving,
     ServerRecovered,
+    ServerStaying,
     TakeOverRequested,
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
-from damaskridge.core.scheduling.recovery import Recovery, refuse_take_over
+from damaskridge.core.scheduling.recovery import Recovery, refuse_held, refuse_take_over
 from damaskridge.core.scheduling.registry import Entry, Registry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
@@ -155,6 +156,8 @@
                 return self._repeat_reply(known, profile)
             self._note_lost_transfer(known)
             actions += self._end(known, now_s, cancel=True)
+        if self._suspects.is_held(profile.fingerprint, now_s):
+            return [*actions, refuse_held(profile)]
         refusal = self._check_submitted(profile)
         if refusal is not None:
             return [*actions, refusal]
@@ -199,6 +202,9 @@
         actions: list[CellAction] = []
         for item in batch.items:
             entry = self._registry.entries.get(item.request_id)
+            server = self._placer.servers.get(item.failed_server)
+            if entry is not None and item.crashed and server is not None:
+                actions += self._recovery.note_lost_server(entry, server, now_s)
             if entry is None or entry.profile.attempt != item.attempt:
                 continue
             if entry.front == batch.front and entry.incarnation == batch.incarnation:
@@ -212,8 +218,6 @@
             return []
         report = event.report
         if report.incarnation != server.incarnation:
-            # A process that was leaving has been replaced.
-            server.leaving = server.leaving and server.incarnation == 0
             server.incarnation = report.incarnation
             self._placer.hints.restart(event.backend_server)
         if report.role in _ENGINE_ROLES:
@@ -271,6 +275,14 @@
             self._placer.update(server)
         return []
 
+    @_apply.register
+    def _(self, event: ServerStaying, now_s: float) -> list[CellAction]:
+        server = self._placer.servers.get(event.backend_server)
+        if server is not None:
+            server.leaving = False
+            self._placer.update(server)
+        return []
+
     @_apply.register
     def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
         self._missing_fronts.discard(event.front)
