Log every event of the catalogue and confine grpclib's cancellations

Cause: the front logged no REQUEST_PLACED, so the demo's step on draining servers found no placements; 18 other numbers were logged nowhere. Refusals were logged twice, with the kind in a field that the metrics do not read.

Change: RequestEvents logs each step of a request once, cell_events and control_events log decisions and committed changes. No event is logged per token.

Found on the way: on SIGTERM an entry host often stopped after 0.02 to 1 s with exit code 0, without its drain. grpclib cancels the task that waits when a connection ends; a cancellation that comes after the call has returned ends the task group around it silently. Calls and streams to control hosts now run in a task of their own. The demo stops its entry hosts before the control group, which a hand-over needs: with both stopped at once the hosts need 8 s, the demo's limit.

--- a/examples/demo_processes.py
+++ b/examples/demo_processes.py
@@ -78,7 +78,14 @@
 
     def stop_all(self) -> dict[str, int]:
         """End everything; returns the exit codes of those that ended by themselves."""
-        processes, self.running = self.running, {}
+        # A hand-over needs the control group, which therefore stops after the hosts.
+        codes = {}
+        for names in (ENTRIES, CONTROLS, tuple(self.running)):
+            codes |= self._stop([name for name in names if name in self.running])
+        return codes
+
+    def _stop(self, names: list[str]) -> dict[str, int]:
+        processes = {name: self.running.pop(name) for name in names}
         for item in processes.values():
             with contextlib.suppress(ProcessLookupError):
                 item.send_signal(signal.SIGTERM)
--- /dev/null
+++ b/src/damaskridge/adapters/cell_events.py
@@ -0,0 +1,74 @@
+"""The events that the owner of a cell logs about its decisions."""
+
+import logging
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.scheduling.messages import (
+    CancelOnEngine,
+    CellAction,
+    CellEvent,
+    EngineListed,
+    SendOrder,
+    SendSubmitReply,
+    TimePassed,
+)
+from damaskridge.model.control import Owner
+from damaskridge.model.engine import OrderKind
+from damaskridge.model.events import EventNumber
+from damaskridge.model.routing import Placement
+
+__all__ = ["log_action", "log_rebuilt"]
+
+_logger = logging.getLogger("damaskridge.cell")
+
+
+def log_action(event: CellEvent, action: CellAction) -> None:
+    """Log a decision; `event` is what led to it."""
+    if isinstance(action, SendSubmitReply):
+        _log_reply(action)
+    elif isinstance(action, SendOrder) and action.kind is OrderKind.CHANGE_ROLE:
+        log_event(
+            _logger,
+            EventNumber.ROLE_PROPOSED,
+            backend_server=action.backend_server,
+            role=action.value,
+        )
+    elif isinstance(action, CancelOnEngine) and isinstance(
+        event, TimePassed | EngineListed
+    ):
+        # Other events that lead to a cancellation come from the request's front.
+        log_event(
+            _logger,
+            EventNumber.REQUEST_RECLAIMED,
+            request_id=action.engine_request_id.rpartition(".")[0],
+            backend_server=action.backend_server,
+        )
+
+
+def log_rebuilt(owner: Owner) -> None:
+    """Log that a new owner knows all running requests."""
+    log_event(
+        _logger,
+        EventNumber.CELL_REBUILT,
+        resource=owner.resource,
+        epoch=owner.epoch,
+    )
+
+
+def _log_reply(action: SendSubmitReply) -> None:
+    reply = action.reply
+    if isinstance(reply, Placement):
+        log_event(
+            _logger,
+            EventNumber.QUEUE_PLACED,
+            request_id=action.request_id,
+            prefill_server=reply.prefill_server,
+            decode_server=reply.decode_server,
+        )
+    else:
+        log_event(
+            _logger,
+            EventNumber.QUEUE_REFUSED,
+            request_id=action.request_id,
+            error_kind=reply.failure.kind.value,
+        )
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
+from damaskridge.adapters.cell_events import log_action, log_rebuilt
 from damaskridge.adapters.engine_commands import cancel_once, send_order
 from damaskridge.adapters.engine_poller import BackendServerPoller
 from damaskridge.adapters.ownership import lease_is_valid
@@ -58,6 +59,10 @@
         """Return what is to be done about an event."""
         ...
 
+    def is_rebuilt(self, now_s: float) -> bool:
+        """Tell whether all running requests of the cell are known."""
+        ...
+
     def next_wakeup_s(self, now_s: float) -> float | None:
         """Return when `TimePassed` is due."""
         ...
@@ -120,6 +125,7 @@
         self._machine = machine
         self._links = links
         self._stopped = False
+        self._rebuilt = False
         self._servers: tuple[BackendServer, ...] = ()
         self._workspaces: tuple[Workspace, ...] = ()
         self._pollers: dict[str, BackendServerPoller] = {}
@@ -166,8 +172,13 @@
         if self._stopped or not lease_is_valid(self._links.control):
             self.stop()
             return
-        for action in self._machine.handle(event, anyio.current_time()):
+        now_s = anyio.current_time()
+        for action in self._machine.handle(event, now_s):
+            log_action(event, action)
             self._carry_out(action)
+        if not self._rebuilt and self._machine.is_rebuilt(now_s):
+            self._rebuilt = True
+            log_rebuilt(self.owner)
         if not isinstance(event, TimePassed):
             self._wake.set()
 
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -246,8 +246,11 @@
         commands = self._proposals.take_commands()
         if commands:
             events.append(Propose(tuple(map(self._stamp, commands))))
+        was = self._driver.node.role
         for action in self._driver.run(events, anyio.current_time()):
             self._act(action)
+        if was is not Role.CANDIDATE and self._driver.node.role is Role.CANDIDATE:
+            log_event(_logger, EventNumber.ELECTION_STARTED, term=self.term)
         self._compact()
 
     def _stamp(self, command: Command) -> bytes:
--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -14,7 +14,6 @@
 from damaskridge.adapters.front_resume import StreamResumer
 from damaskridge.adapters.front_services import RouteCall, RunningService
 from damaskridge.adapters.front_settings import FrontSettings
-from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import (
     CellPort,
     ControlPort,
@@ -24,7 +23,7 @@
     ServiceAnswer,
     ServicePort,
 )
-from damaskridge.core.requests.messages import Begun, TakenOver
+from damaskridge.core.requests.messages import TakenOver
 from damaskridge.core.state.fleet_queries import (
     owner_of,
 )
@@ -32,7 +31,6 @@
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure, RunState
-from damaskridge.model.events import EventNumber
 from damaskridge.model.ids import RequestId
 from damaskridge.model.routing import (
     ActiveRequest,
@@ -147,14 +145,7 @@
             return Err(Failure(ErrorKind.REQUEST_QUARANTINED))
         running = RunningCall(self.context, call)
         self._calls[running.request_id] = running
-        log_event(
-            _logger,
-            EventNumber.REQUEST_ACCEPTED,
-            request_id=running.request_id,
-            workspace=call.workspace,
-            prompt_tokens=call.spec.prompt_tokens,
-        )
-        running.dispatch(Begun())
+        running.begin()
         return Ok(running)
 
     async def output(self, running: RunningCall) -> AsyncIterator[DecodeChunk]:
@@ -176,6 +167,7 @@
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
         running = RunningService(self.context, call)
+        running.events.accepted()
         self._services[running.request_id] = running
         done: asyncio.Future[Result[ServiceAnswer, Failure]]
         done = asyncio.get_running_loop().create_future()
@@ -191,13 +183,16 @@
         done: asyncio.Future[Result[ServiceAnswer, Failure]],
     ) -> None:
         result: Result[ServiceAnswer, Failure] = Err(Failure(ErrorKind.INTERNAL))
+        cancelled = False
         try:
             result = await running.run()
         except asyncio.CancelledError:
+            cancelled = True
             result = Err(Failure(running.ended_by, run_state=RunState.NOT_RUN))
             raise
         finally:
             del self._services[running.request_id]
+            running.log_end(result, cancelled)
             if not done.done():
                 done.set_result(result)
 
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -16,6 +16,7 @@
     place,
     report,
 )
+from damaskridge.adapters.front_events import RequestEvents
 from damaskridge.adapters.front_output import RequestOutput
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import (
@@ -26,6 +27,7 @@
     AskPlacement,
     AskRate,
     AttemptFailed,
+    Begun,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
@@ -53,7 +55,7 @@
     workspace_resource,
 )
 from damaskridge.model.engine import DecodeChunk, prefix_block_hashes
-from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import (
     Duplicate,
@@ -106,6 +108,9 @@
         self._loop = asyncio.get_running_loop()
         self.call = call
         self.accepted_s = self._loop.time()
+        self._events = RequestEvents(
+            call.spec.request_id, call.workspace, self._loop.time
+        )
         self.machine = RequestMachine(
             call.spec, context.settings.retry_limits(), self.accepted_s
         )
@@ -141,6 +146,11 @@
             self._perform(action)
         self._arm_timer()
 
+    def begin(self) -> None:
+        """Ask for admission."""
+        self._events.accepted(self.call.spec.prompt_tokens)
+        self.dispatch(Begun())
+
     def cancel(self, failure: Failure) -> None:
         """Stop the request and free its memory everywhere."""
         self.dispatch(CancelRequested(failure))
@@ -204,21 +214,27 @@
 
     @_perform.register
     def _(self, action: AskPlacement) -> None:
+        self._events.asks_placement(action.attempt)
         self._start(self._ask_placement(action))
 
     @_perform.register
     def _(self, action: SendPrefill) -> None:
+        if self.machine.placement is not None:
+            self._events.placed(self.machine.placement)
         self._start(self._prefill(action))
 
     @_perform.register
     def _(self, action: SendDecode) -> None:
+        self._events.prefilled(action.attempt)
         engine = self._context.engine_for(action.address)
         chunks = engine.decode(action.request)
         self._start(self._receive(action.attempt, action.server, chunks))
 
     @_perform.register
     def _(self, action: ResumeDecode) -> None:
-        log_event(_logger, EventNumber.CONNECTION_SILENT, request_id=self.request_id)
+        # A request that was just taken over has no connection yet.
+        if self._work is not None:
+            self._events.silent(action.address, action.offset)
         engine = self._context.engine_for(action.address)
         chunks = engine.resume(action.engine_request_id, action.offset)
         self._start(self._receive(action.attempt, action.server, chunks))
@@ -244,6 +260,7 @@
 
     @_perform.register
     def _(self, action: Deliver) -> None:
+        self._events.delivered(self.machine.first_token_s)
         self._output.extend(action.chunks[-1])
 
     @_perform.register
@@ -283,23 +300,10 @@
             resource = workspace_resource(self.call.workspace)
             ended = context.rates.ended(resource, self.call.workspace, self.request_id)
             context.start(context.owners.tell(ended))
-        self._log_end()
-
-    def _log_end(self) -> None:
-        number = EventNumber.REQUEST_FINISHED
-        if self.machine.stage is Stage.CANCELLED:
-            number = EventNumber.REQUEST_CANCELLED
-        elif self.failure is not None:
-            number = EventNumber.REQUEST_REFUSED
-        log_event(
-            _logger,
-            number,
-            request_id=self.request_id,
-            workspace=self.call.workspace,
-            kind=self.failure.kind.value if self.failure else "",
-            run=self.failure.ran.value if self.failure else RunState.RAN.value,
-            output_tokens=self.machine.output_tokens,
-            attempt=self.machine.attempt,
+        cancelled = self.machine.stage is Stage.CANCELLED
+        machine = self.machine
+        self._events.ended(
+            self.failure, cancelled, machine.output_tokens, machine.attempt
         )
 
     async def _ask_rate(self, action: AskRate) -> None:
@@ -317,6 +321,7 @@
         reply = await ask_rate(self._context, request)
         if isinstance(reply, RateGrant):
             self._grant = (request.resource, reply)
+            self._events.granted(reply.waited_s)
             self.dispatch(Granted())
         elif isinstance(reply, Duplicate):
             self.original = reply
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
 
 from damaskridge.adapters.front_context import FrontContext, ask_rate, place, report
+from damaskridge.adapters.front_events import RequestEvents
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceAnswer, ServiceCall
 from damaskridge.core.state.fleet_queries import workspace_resource
@@ -70,6 +72,9 @@
         self._loop = asyncio.get_running_loop()
         self.call = call
         self.accepted_s = self._loop.time()
+        self.events = RequestEvents(
+            call.request_id, call.workspace, self._loop.time, "service"
+        )
         self.sent = False
         self.ended_by = ErrorKind.CANCELLED
         self.task: asyncio.Task[None] | None = None
@@ -133,6 +138,7 @@
         reply = await ask_rate(self._context, request)
         if isinstance(reply, RateGrant):
             self._grant = reply
+            self.events.granted(reply.waited_s)
             return None
         return getattr(reply, "failure", Failure(ErrorKind.IDEMPOTENCY_IN_PROGRESS))
 
@@ -165,6 +171,7 @@
         excluded: tuple[str, ...] = ()
         while True:
             self._attempt += 1
+            self.events.asks_placement(self._attempt)
             placed = await self._place(excluded)
             if isinstance(placed, Failure):
                 return Err(_truthful(placed, self._may_have_run))
@@ -199,6 +206,7 @@
         if not isinstance(reply, Placement):
             return reply.failure
         self.placement = reply
+        self.events.placed(reply)
         return reply
 
     def _set_profile(self, profile: RequestProfile) -> None:
@@ -252,8 +260,9 @@
             return Err(committed.failure)
         record = committed.ledger
         assert record is not None, "an intent is answered with a ledger record"
+        self._log(EventNumber.LEDGER_INTENT, state=record.state.value)
         if record.state is LedgerState.FINISHED:
-            log_event(_logger, EventNumber.LEDGER_REPLAYED, request_id=self.request_id)
+            self._log(EventNumber.LEDGER_REPLAYED, status=record.status)
             return Ok(ServiceAnswer(record.status, record.content_type, record.body))
         if record.state is not LedgerState.NEW:
             return Err(Failure(_LEDGER_REFUSALS[record.state]))
@@ -282,13 +291,22 @@
             not_run=not_run,
         )
         committed = await self._propose(record)
-        log_event(_logger, EventNumber.LEDGER_RESULT, request_id=self.request_id)
+        if committed.failure is None:
+            self._log(EventNumber.LEDGER_RESULT, status=record.status)
         if committed.failure is not None and not not_run:
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the result is not recorded"))
         if isinstance(result, Err) and not not_run:
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, result.err_value.kind.value))
         return result
 
+    def log_end(self, result: Result[ServiceAnswer, Failure], cancelled: bool) -> None:
+        """Log the final answer."""
+        failure = result.err_value if isinstance(result, Err) else None
+        self.events.ended(failure, cancelled, self._output_tokens, self._attempt)
+
+    def _log(self, number: EventNumber, **fields: Any) -> None:
+        log_event(_logger, number, request_id=self.request_id, **fields)
+
     async def _propose(self, command: Command) -> CommandResult:
         return await self._context.control.propose(command)
 
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -48,6 +48,7 @@
 
 _logger = logging.getLogger(__name__)
 _IDEMPOTENCY_KEY_LIMIT = 255
+_UNEXPECTED = {"event_number": EventNumber.UNEXPECTED_ERROR}
 
 
 class CallerApp:
@@ -80,12 +81,16 @@
             try:
                 exchange.check_headers()
                 await self._route(exchange)
-            except (RequestError, StreamFailed) as error:
+            except RequestError as error:
+                _log_refusal(exchange, error.failure)
+                await self._refuse(exchange, error.failure)
+            except StreamFailed as error:
+                # The request's own end has been logged by its front.
                 await self._refuse(exchange, error.failure)
             except CallerGone:
                 raise
             except Exception:
-                _logger.exception("UNEXPECTED_ERROR")
+                _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
                 await self._refuse(exchange, Failure(ErrorKind.INTERNAL))
         except CallerGone as gone:
             log_event(
@@ -96,13 +101,6 @@
             )
 
     async def _refuse(self, exchange: Exchange, failure: Failure) -> None:
-        log_event(
-            _logger,
-            EventNumber.REQUEST_REFUSED,
-            request_id=exchange.request_id,
-            kind=failure.kind.value,
-            run=failure.ran.value,
-        )
         if exchange.started:
             event = error_event(failure, exchange.request_id)
             await exchange.write(event, more=False)
@@ -252,6 +250,10 @@
             if gone.too_slow:
                 self._front.cancel(request_id)
             raise
+        except StreamFailed as error:
+            if exchange.started:
+                raise
+            raise RequestError(error.failure) from None
 
     async def _service(self, exchange: Exchange) -> None:
         _, _, rest = exchange.path.partition("/services/")
@@ -299,12 +301,23 @@
                 work.cancel()
         result = work.result()
         if isinstance(result, Err):
-            raise RequestError(result.err_value)
+            raise StreamFailed(result.err_value)
         answer = result.ok_value
         content_type = answer.content_type.encode("latin-1", "replace")
         await exchange.answer(answer.status, answer.body, content_type)
 
 
+def _log_refusal(exchange: Exchange, failure: Failure) -> None:
+    log_event(
+        _logger,
+        EventNumber.REQUEST_REFUSED,
+        request_id=exchange.request_id,
+        kind="service" if exchange.path.startswith("/services/") else "model",
+        error_kind=failure.kind.value,
+        run=failure.ran.value,
+    )
+
+
 async def _lifespan(receive: Receive, send: Send) -> None:
     while True:
         message = await receive()
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc.confined import confined
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
     OPERATOR_KEY,
@@ -123,20 +124,24 @@
     ) -> Any:
         reply_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
         attempt, reached = 0, False
+
+        async def send(address: str) -> Any:
+            nonlocal reached
+            channel = self._channel(address)
+            await channel.__connect__()
+            # A reply may be lost from here on.
+            reached = True
+            method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
+                channel, path, request_type, reply_type
+            )
+            return await method(request, metadata=self._metadata)
+
         with anyio.move_on_after(timeout_s):
             while True:
                 address = self.next_address()
                 leader = ""
                 try:
-                    with anyio.fail_after(ATTEMPT_TIMEOUT_S):
-                        channel = self._channel(address)
-                        await channel.__connect__()
-                        # A reply may be lost from here on.
-                        reached = True
-                        method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
-                            channel, path, request_type, reply_type
-                        )
-                        reply = await method(request, metadata=self._metadata)
+                    reply = await confined(send(address), ATTEMPT_TIMEOUT_S)
                     failure = reply.failure
                     if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
                         self.found(address)
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -9,6 +9,7 @@
 import anyio
 
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.confined import confined
 from damaskridge.adapters.rpc.control_calls import CONNECTION_ERRORS, ControlCalls
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
@@ -98,6 +99,7 @@
         self._session: Session | None = None
         self._index = NOTHING_SEEN
         self._version = 0
+        self._was_held = False
         self._sequence = 0
         self._sent_s: dict[int, float] = {}
         self._callbacks: list[ChangeCallback] = []
@@ -138,13 +140,14 @@
                 address = self._calls.next_address()
                 index, leader = self._fleet.index, ""
                 try:
-                    await self._follow(address)
+                    await confined(self._follow(address))
                 except _StreamEnded as ended:
                     leader = ended.leader
                 except (*CONNECTION_ERRORS, TimeoutError):
                     self._calls.drop(address)
                 self._calls.failed(address, leader)
                 log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
+                self._note_lease()
                 attempt = 0 if self._fleet.index > index else attempt + 1
                 await anyio.sleep(self._calls.retry_wait_s(attempt))
 
@@ -223,9 +226,10 @@
             self._forget_sent(message.sequence)
             if sent_s is not None and self._is_current(message.session):
                 self._lease.renew(sent_s, message.duration_s)
+                self._note_lease()
         elif isinstance(message, SessionLost) and self._is_current(message.session):
-            log_event(_log, EventNumber.LEASE_LOST, session=message.session)
             self._lease.end()
+            self._note_lease()
             self._session = None
             self._session_missing.set()
 
@@ -243,6 +247,15 @@
         for callback in self._callbacks:
             callback(changes)
 
+    def _note_lease(self) -> None:
+        """Log when the lease is lost or valid again."""
+        held = self._lease.is_valid(self._clock())
+        if held is self._was_held or self._session is None:
+            return
+        self._was_held = held
+        number = EventNumber.LEASE_CONFIRMED if held else EventNumber.LEASE_LOST
+        log_event(_log, number, session=self._session.number)
+
     def _is_current(self, number: int) -> bool:
         return self._session is not None and self._session.number == number
 
@@ -255,6 +268,7 @@
         # leader from a silent connection.
         while True:
             self._session_opened = anyio.Event()
+            self._note_lease()
             self._sequence += 1
             session = self._session
             self._sent_s[self._sequence] = self._clock()
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -21,6 +21,7 @@
 
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.confined import confined
 from damaskridge.model.consensus import AnyMessage
 from damaskridge.model.events import EventNumber
 
@@ -105,7 +106,7 @@
     async def _connect(self) -> None:
         channel = Channel(self._ip, self._port, codec=MsgpackCodec())
         try:
-            await self._exchange(channel)
+            await confined(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
             _logger.debug("stream to %s ended: %r", self._host, errors.exceptions)
         except* Exception as errors:
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -19,6 +19,7 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.control_events import log_change, log_command
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
     OPERATOR_KEY,
@@ -151,7 +152,9 @@
             return CommandResult(failure=refusal)
         _log_operator(command, EventNumber.OPERATOR_COMMAND)
         stamped = msgspec.structs.replace(command, at_ms=self._wall_ms())
-        return await self._node.propose(stamped)
+        result = await self._node.propose(stamped)
+        log_command(command, result)
+        return result
 
     def _check_operator(self, command: Command, key: str) -> Failure | None:
         name = getattr(command, "operator", None)
@@ -217,8 +220,8 @@
         try:
             async for message in follower.messages:
                 await stream.send_message(message)
-        except (OSError, StreamTerminatedError):
-            pass  # The host has gone; its next stream starts anew.
+        except (OSError, StreamTerminatedError, anyio.ClosedResourceError):
+            pass  # The host has gone or this one leads no more.
         scope.cancel()
 
     def _received(self, follower: Follower, request: RenewSession) -> None:
@@ -272,9 +275,7 @@
             for change in delta.changes:
                 if isinstance(change, BundleActivated):
                     self._activated = (change.version, self._wall_ms())
-                    log_event(
-                        _log, EventNumber.BUNDLE_ACTIVATED, version=change.version
-                    )
+                log_change(change)
             live = self._state.data.sessions
             for host in [host for host in self._hosts if host not in live]:
                 del self._hosts[host]
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -90,6 +90,7 @@
     ip, _, port = settings.rpc_address.rpartition(":")
     try:
         await _listen(server, ip, int(port))
+        log_event(_logger, EventNumber.PROCESS_READY, host=settings.host)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_stop_on_signal, node)
             tasks.start_soon(serve_operators, settings, node, state)
@@ -123,7 +124,7 @@
 async def _stop_on_signal(node: ControlNode) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            log_event(_logger, EventNumber.PROCESS_DRAINING)
+            log_event(_logger, EventNumber.PROCESS_DRAINING, host=node.name)
             await node.stop()
 
 
@@ -175,7 +176,11 @@
     log_event(_logger, EventNumber.PROCESS_STARTED, host=settings.host)
     try:
         anyio.run(run_control, settings, build_state())
-    except (_StartFailed, OSError) as error:
+    except _StartFailed as error:
+        setting = str(error).partition(":")[0]
+        log_event(_logger, EventNumber.SETTINGS_INVALID, setting=setting)
+        _fail([str(error)], EXIT_FAILURE)
+    except OSError as error:
         _fail([str(error)], EXIT_FAILURE)
     except Exception as error:
         _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -212,6 +212,7 @@
     for name in ("caller_address", "peer_address", "operators_address"):
         listener = listen(name, getattr(settings, name))
         if isinstance(listener, Err):
+            log_event(logger, EventNumber.SETTINGS_INVALID, setting=name)
             return listener.err_value
         listeners.append(listener.ok_value)
 
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -103,7 +103,7 @@
             self._next_check_s = now_s + _SILENCE_CHECK_S
             actions += self._recovery.check_fronts(now_s)
             actions += self._propose_role(now_s)
-        if self._is_rebuilt(now_s):
+        if self.is_rebuilt(now_s):
             actions += self._dispatcher.dispatch(self._registry, now_s)
         return actions
 
@@ -111,7 +111,7 @@
         """Return the time at which to send `TimePassed`, if any."""
         if self._epoch is None:
             return None
-        if not self._is_rebuilt(now_s):
+        if not self.is_rebuilt(now_s):
             return min(self._rebuilt_by_s, self._next_check_s)
         if self._dispatcher.has_work:
             return min(self._next_check_s, now_s + self._dispatcher.retry_s)
@@ -287,7 +287,8 @@
     def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
         return []
 
-    def _is_rebuilt(self, now_s: float) -> bool:
+    def is_rebuilt(self, now_s: float) -> bool:
+        """Tell whether fronts and engines have reported, or the wait is over."""
         if self._epoch is None:
             return False
         is_complete = not self._missing_fronts and not self._missing_engines
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -63,6 +63,9 @@
         self.events = []
         self.hold = hold
 
+    def is_rebuilt(self, now_s):
+        return True
+
     def next_wakeup_s(self, now_s):
         return None
 
