--- a/examples/demo_processes.py
+++ b/examples/demo_processes.py
@@ -12,7 +12,6 @@
     ALICE_KEY,
     BOB_KEY,
     CONTROLS,
-    ENGINES,
     ENTRIES,
     SERVICES,
     Layout,
@@ -51,19 +50,27 @@
 
     def start_all(self) -> None:
         port = self.layout.port
-        for name, role in ENGINES.items():
-            self.start(
-                name, "examples.standins.engine", "--port", port(name), "--role", role
-            )
+        for name, role in self.layout.engines.items():
+            self.start_engine(name, role)
         for name in SERVICES:
             self.start(name, "examples.standins.service", "--port", port(name))
         self.start("hosts", "examples.standins.hosts", "--port", port("hosts"))
         for name in CONTROLS:
-            path = str(self.layout.control_settings(name))
-            self.start(name, "damaskridge.binaries.control", "--settings", path)
+            self.start_control(name)
         for name in ENTRIES:
             self.start_entry(name)
 
+    def start_engine(self, name: str, role: str) -> None:
+        layout = self.layout
+        options = ["--port", layout.port(name), "--role", role, "--kv-pieces", "4000"]
+        options += ["--slots", str(layout.slots)]
+        options += ["--decode-step-ms", str(layout.decode_step_ms)]
+        self.start(name, "examples.standins.engine", *options)
+
+    def start_control(self, name: str) -> None:
+        path = str(self.layout.control_settings(name))
+        self.start(name, "damaskridge.binaries.control", "--settings", path)
+
     def start_entry(self, name: str) -> None:
         path = str(self.layout.entry_settings(name))
         self.start(name, "damaskridge.binaries.entry", "--settings", path)
--- a/examples/demo_settings.py
+++ b/examples/demo_settings.py
@@ -41,6 +41,9 @@
 
     folder: Path
     addresses: dict[str, str] = field(default_factory=dict)
+    engines: dict[str, str] = field(default_factory=lambda: dict(ENGINES))
+    slots: int = 20
+    decode_step_ms: float = 40.0
 
     def __post_init__(self) -> None:
         names = [f"{name}/{use}" for name in CONTROLS for use in ("peer", "operators")]
@@ -49,7 +52,7 @@
             for name in ENTRIES
             for use in ("caller", "peer", "operators")
         ]
-        names += [*ENGINES, *SERVICES, "hosts"]
+        names += [*self.engines, *SERVICES, "hosts"]
         for name, port in zip(names, free_ports(len(names)), strict=True):
             self.addresses[name] = f"127.0.0.1:{port}"
 
@@ -89,7 +92,7 @@
         return self.write(name, content)
 
     def bundle(self, name: str, rate_tokens_per_s: float) -> Path:
-        engines = [self._engine(item, role) for item, role in ENGINES.items()]
+        engines = [self._engine(item, role) for item, role in self.engines.items()]
         services = [self._service(item) for item in SERVICES]
         keys = [
             {"digest": digest(key), "workspace": workspace}
@@ -127,8 +130,9 @@
             "serves": "notes",
             "data_centre": "fukuoka",
             "address": self.addresses[name],
-            "slots": 20,
+            "slots": self.slots,
             "kv_pieces": 4000,
+            "decode_step_ms": self.decode_step_ms,
         }
 
     def _service(self, name: str) -> dict[str, object]:
