Keep entry hosts alive when the control leader's connection breaks

Tests over real processes (tests/processes) found four faults:

- grpclib ends a wait on a lost connection by cancelling the task, which anyio then counts as a foreign cancellation: the next cancelled scope let CancelledError through, and every entry host stopped without an error when the leader was killed. own_cancellation takes that cancellation back.
- A member whose synced tail was cut off refused its leader for ever, because the leader never goes below what the member has acknowledged.
Heartbeats now carry the acknowledged index; a member with a shorter log empties its disk and rejoins under a new id.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -33,6 +33,7 @@
     Event,
     LeadershipLost,
     LeadershipWon,
+    LogLost,
     Propose,
     ReadFailed,
     ReadReady,
@@ -110,18 +111,13 @@
         self._state = state
         self._wall_ms = wall_ms
         self._last_at_ms = 0
+        self._folder = folder
+        self._rng = rng
+        self._may_form = may_form
+        self._empty_state = state.encode()
         store = LogStore(folder, secrets.token_hex(8))
         stored = store.open()
-        _report(stored)
-        self._driver = LogDriver(
-            host,
-            store,
-            stored,
-            rng,
-            anyio.current_time(),
-            tuple(sorted(members)),
-            may_form,
-        )
+        self._driver = self._open(store, stored)
         self._applied = 0
         self._applied_bytes = 0
         if stored.log.snapshot.index:
@@ -247,9 +243,32 @@
         if commands:
             events.append(Propose(tuple(map(self._stamp, commands))))
         for action in self._driver.run(events, anyio.current_time()):
+            if isinstance(action, LogLost):
+                self._rejoin()
+                return
             self._act(action)
         self._compact()
 
+    def _open(self, store: LogStore, stored: StoredState) -> LogDriver:
+        _report(stored)
+        return LogDriver(
+            self._host,
+            store,
+            stored,
+            self._rng,
+            anyio.current_time(),
+            tuple(sorted(self._members)),
+            self._may_form,
+        )
+
+    def _rejoin(self) -> None:
+        """Go on as an empty member after the disk lost synced entries."""
+        store = LogStore(self._folder, secrets.token_hex(8))
+        self._driver = self._open(store, store.discard("synced entries are missing"))
+        self._state.restore(self._empty_state)
+        self._applied = self._applied_bytes = 0
+        self._end_subscribers()
+
     def _stamp(self, command: Command) -> bytes:
         self._last_at_ms = max(self._last_at_ms, self._wall_ms())
         return _encode(msgspec.structs.replace(command, at_ms=self._last_at_ms))
@@ -285,9 +304,7 @@
     @_act.register
     def _(self, action: Restore) -> None:
         self._restore(action.snapshot)
-        for subscriber in self._subscribers:
-            subscriber.close()
-        self._subscribers.clear()
+        self._end_subscribers()
         log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
 
     @_act.register
@@ -353,6 +370,11 @@
         self._state.restore(image.state)
         self._applied = snapshot.index
 
+    def _end_subscribers(self) -> None:
+        for subscriber in self._subscribers:
+            subscriber.close()
+        self._subscribers.clear()
+
     def _fail_waiting(self) -> None:
         self._proposals.leadership_lost()
         self._readers.fail_all()
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -90,10 +90,14 @@
         try:
             return self._read()
         except (_Damaged, msgspec.MsgspecError) as error:
-            # The vote may be lost, so this disk must not keep its old name.
-            for name in [MEMBER_FILE, *self._folder.names()]:
-                self._folder.remove(name)
-            return self._create(damage=str(error))
+            return self.discard(str(error))
+
+    def discard(self, damage: str) -> StoredState:
+        """Empty the folder and give it the new id."""
+        # The vote may be lost, so this disk must not keep its old name.
+        for name in [MEMBER_FILE, *self._folder.names()]:
+            self._folder.remove(name)
+        return self._create(damage)
 
     def save_hard_state(self, hard_state: HardState) -> None:
         """Write term and vote; durable after `sync`."""
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -6,9 +6,9 @@
 
 import anyio
 from grpclib.client import Channel, StreamStreamMethod, UnaryUnaryMethod
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
     OPERATOR_KEY,
@@ -25,9 +25,8 @@
 from damaskridge.model.control_status import FleetStatus, StatusRequest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["CONNECTION_ERRORS", "ControlCalls"]
+__all__ = ["ControlCalls"]
 
-CONNECTION_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 # Above one commit under load and below the time of an election.
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_WAIT_S = 0.05
@@ -128,7 +127,7 @@
                 address = self.next_address()
                 leader = ""
                 try:
-                    with anyio.fail_after(ATTEMPT_TIMEOUT_S):
+                    with anyio.fail_after(ATTEMPT_TIMEOUT_S), own_cancellation():
                         channel = self._channel(address)
                         await channel.__connect__()
                         # A reply may be lost from here on.
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -9,7 +9,8 @@
 import anyio
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.control_calls import CONNECTION_ERRORS, ControlCalls
+from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
+from damaskridge.adapters.rpc.control_calls import ControlCalls
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import (
@@ -179,7 +180,7 @@
     async def _follow(self, address: str) -> None:
         ended: _StreamEnded | None = None
         async with self._calls.follow(address) as stream:
-            with anyio.fail_after(SILENCE_S):
+            with anyio.fail_after(SILENCE_S), own_cancellation():
                 await stream.send_message(
                     OpenFollow(host=self._host, index=self._index)
                 )
@@ -194,14 +195,14 @@
                     self._calls.drop(address)
                     ended = _StreamEnded()
                 group.cancel_scope.cancel()
-            with contextlib.suppress(*CONNECTION_ERRORS):
+            with contextlib.suppress(*CONNECTION_ERRORS), own_cancellation():
                 await stream.cancel()
         if ended is not None:
             raise ended
 
     async def _read(self, stream: Any, address: str) -> None:
         while True:
-            with anyio.fail_after(SILENCE_S):
+            with anyio.fail_after(SILENCE_S), own_cancellation():
                 message = await stream.recv_message()
             if message is None:
                 raise _StreamEnded
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -13,14 +13,14 @@
 
 import anyio
 import msgspec
-from grpclib import GRPCError
 from grpclib.client import Channel, Stream, StreamStreamMethod
 from grpclib.const import Cardinality, Handler
-from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Stream as ServerStream
 
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
 from damaskridge.model.consensus import AnyMessage
 from damaskridge.model.events import EventNumber
 
@@ -34,13 +34,6 @@
 SERVER_IDLE_S = 5.0
 BACKOFF_S = (0.05, 1.0)
 QUEUE_FRAMES = 256
-CONNECTION_ERRORS = (
-    OSError,
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    TimeoutError,
-)
 
 _logger = logging.getLogger("damaskridge.control_group")
 
@@ -124,7 +117,7 @@
             channel, EXCHANGE_PATH, PeerFrame, ProbeAnswer
         )
         async with method.open() as stream:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with anyio.fail_after(CONNECT_TIMEOUT_S), own_cancellation():
                 await stream.send_message(PeerFrame())
                 await stream.recv_message()
             self._answered_s = anyio.current_time()
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -8,7 +8,7 @@
 import hmac
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
@@ -40,6 +40,7 @@
     BundleActivated,
     Command,
     CommandResult,
+    FleetDelta,
     FollowRefused,
     OpenFollow,
     ProposeBundle,
@@ -267,7 +268,14 @@
             )
 
     async def _publish(self) -> None:
-        async for delta in self._node.applied_deltas():
+        while True:
+            deltas = self._node.applied_deltas()
+            # The last iterator ended because deltas were missed.
+            self._duties.resync()
+            await self._publish_all(deltas)
+
+    async def _publish_all(self, deltas: AsyncIterator[FleetDelta]) -> None:
+        async for delta in deltas:
             self._duties.observe(delta)
             for change in delta.changes:
                 if isinstance(change, BundleActivated):
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -75,6 +75,12 @@
             elif isinstance(change, SessionEnded):
                 self.sessions.ended(change.host, change.number)
 
+    def resync(self) -> None:
+        """Lead anew after deltas were missed: streams start from a snapshot."""
+        if self._ready_term >= 0:
+            self._ready_term = -1
+            self._step_down()
+
     async def run(self) -> None:
         """Do the duties for ever."""
         async with anyio.create_task_group() as group:
@@ -92,9 +98,7 @@
     async def _check_term(self) -> None:
         if self.ready:
             return
-        if self._ready_term >= 0:
-            self._ready_term = -1
-            self._step_down()
+        self.resync()
         if not self._node.is_leader:
             return
         term = self._node.term
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -206,6 +206,7 @@
             commit_index=state.commit_index,
             round=self._round,
             entries=entries,
+            acknowledged_index=self._progress[member].match_index,
         )
         state.send(member, message)
 
--- a/src/damaskridge/core/consensus/messages.py
+++ b/src/damaskridge/core/consensus/messages.py
@@ -20,6 +20,7 @@
     "Guards",
     "LeadershipLost",
     "LeadershipWon",
+    "LogLost",
     "Propose",
     "ReadFailed",
     "ReadReady",
@@ -178,3 +179,8 @@
 @dataclass(frozen=True, slots=True)
 class LeadershipLost(Action):
     """The node no longer leads."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogLost(Action):
+    """The disk lost synced entries: the host must rejoin as an empty member."""
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -20,6 +20,7 @@
     Guards,
     LeadershipLost,
     LeadershipWon,
+    LogLost,
     Propose,
     ReadFailed,
     ReadRequest,
@@ -230,6 +231,11 @@
         self._hear_leader(message, now_s)
         state, log = self._state, self.log
         previous = message.previous_index
+        if message.acknowledged_index > log.last_index:
+            # The leader counts these entries as held here, so this member must not
+            # vote any more under its present id.
+            state.actions.append(LogLost())
+            return
         if previous < log.snapshot.index:
             self._reply_append(message, True, state.commit_index)
         elif log.term(previous) != message.previous_term:
--- a/src/damaskridge/model/consensus.py
+++ b/src/damaskridge/model/consensus.py
@@ -89,13 +89,23 @@
 
 
 class AppendEntries(Message, frozen=True, kw_only=True, tag=True):
-    """Replicates entries, or none as a heartbeat; `round` numbers read rounds."""
+    """
+    Replicates entries, or none as a heartbeat.
+
+    Parameters
+    ----------
+    round : int
+        Numbers the rounds that confirm reads.
+    acknowledged_index : int
+        Index up to which the recipient has acknowledged the sender's log.
+    """
 
     previous_index: int
     previous_term: int
     commit_index: int
     round: int
     entries: tuple[LogEntry, ...] = ()
+    acknowledged_index: int = 0
 
 
 class AppendReply(Message, frozen=True, kw_only=True, tag=True):
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -203,6 +203,8 @@
                 self.apply(member, entry)
         elif isinstance(action, m.Restore):
             self.restore(member, action.snapshot)
+        elif isinstance(action, m.LogLost):
+            assert self.guards != m.Guards(), "a synced entry is lost"
         elif isinstance(action, m.LeadershipLost):
             member.waiting, member.ready = {}, []
         elif isinstance(action, m.ReadReady) and action.read_id in member.reads:
