Bound the ledger by size and replicated time by the monotonic clock

- A workspace never known before starts with its burst, one that was removed and comes back does not (known_workspaces, at most 10,000 removed ones).
- The ledger of a workspace holds at most 4 MiB.
A new call beyond it is refused with OVERLOADED, not_run; no record is dropped before 24 h.
Calls in progress are indexed by session, and the ledger is kept in the order of time, so that neither a session's end nor pruning scans all of it.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -45,6 +45,7 @@
     Tick,
     TransferLeadership,
 )
+from damaskridge.core.state.replicated_clock import ReplicatedClock
 from damaskridge.model.consensus import AnyMessage, LogEntry, Membership, Snapshot
 from damaskridge.model.control import AnyCommand, Command, CommandResult, FleetDelta
 from damaskridge.model.errors import ErrorKind, Failure
@@ -110,7 +111,7 @@
         self._members = members
         self._state = state
         self._wall_ms = wall_ms
-        self._last_at_ms = 0
+        self._clock = ReplicatedClock(anyio.current_time())
         self._folder = folder
         self._rng = rng
         self._may_form = may_form
@@ -270,8 +271,8 @@
         self._end_subscribers()
 
     def _stamp(self, command: Command) -> bytes:
-        self._last_at_ms = max(self._last_at_ms, self._wall_ms())
-        return _encode(msgspec.structs.replace(command, at_ms=self._last_at_ms))
+        at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
+        return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
     def _compact(self) -> None:
         log = self._driver.node.log
@@ -280,7 +281,7 @@
         if count < COMPACT_AFTER_ENTRIES and not full:
             return
         self._applied_bytes = 0
-        image = _encode(_StateImage(self._last_at_ms, self._state.encode()))
+        image = _encode(_StateImage(self._clock.last_ms, self._state.encode()))
         event = Compact(self._applied, image)
         for action in self._driver.run([event], anyio.current_time()):
             self._act(action)
@@ -330,8 +331,7 @@
         # Entries that are not applied yet may carry later stamps than our clock.
         for entry in log.slice(self._applied + 1, log.last_index):
             if entry.command:
-                at_ms = _decode_command(entry.command).at_ms
-                self._last_at_ms = max(self._last_at_ms, at_ms)
+                self._observe(_decode_command(entry.command).at_ms)
         self._leadership_lost = anyio.Event()
         log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
 
@@ -350,12 +350,15 @@
         result = CommandResult(index=entry.index)
         if entry.command:
             command = _decode_command(entry.command)
-            self._last_at_ms = max(self._last_at_ms, command.at_ms)
+            self._observe(command.at_ms)
             applied = self._state.apply(entry.index, command)
             self._publish(applied.delta)
             result = applied.result
         self._proposals.applied(entry.index, entry.term, result)
 
+    def _observe(self, at_ms: int) -> None:
+        self._clock.observe(at_ms, anyio.current_time())
+
     def _publish(self, delta: FleetDelta) -> None:
         for subscriber in list(self._subscribers):
             try:
@@ -366,7 +369,7 @@
 
     def _restore(self, snapshot: Snapshot) -> None:
         image = _decode_image(snapshot.state)
-        self._last_at_ms = max(self._last_at_ms, image.at_ms)
+        self._observe(image.at_ms)
         self._state.restore(image.state)
         self._applied = snapshot.index
 
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -99,6 +99,15 @@
         never repeats an epoch.
     fencing_floor : int
         Largest fencing number of a removed cell.
+    known_workspaces : dict[str, bool]
+        Resources of workspaces that ever had a rate bucket, the oldest first; an
+        ordered set. One that comes back gets no fresh burst.
+    ledger : dict[str, Intent]
+        In the order of `Intent.at_ms`.
+    open_intents : dict[str, dict[str, bool]]
+        By session number, the ledger's keys of its calls in progress.
+    ledger_bytes : dict[str, int]
+        By workspace, the size of its part of the ledger.
     """
 
     index: int = 0
@@ -120,7 +129,10 @@
     fingerprints: dict[str, Fingerprint] = {}
     fencing: dict[str, int] = {}
     fencing_floor: int = 0
+    known_workspaces: dict[str, bool] = {}
     ledger: dict[str, Intent] = {}
+    open_intents: dict[str, dict[str, bool]] = {}
+    ledger_bytes: dict[str, int] = {}
     answers: dict[str, Answered] = {}
 
 
--- a/src/damaskridge/core/state/ledger.py
+++ b/src/damaskridge/core/state/ledger.py
@@ -9,11 +9,12 @@
     RecordIntent,
     RecordResult,
 )
-from damaskridge.model.errors import ErrorKind
+from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = [
     "KEPT_BODY_BYTES",
     "RETENTION_MS",
+    "WORKSPACE_BYTES",
     "end_session_intents",
     "find_intent",
     "ledger_key",
@@ -27,6 +28,12 @@
 # A larger body would stand in every snapshot of the log. The record then says
 # finished without a body, and the replay has only the status.
 KEPT_BODY_BYTES = 256 * 1024
+# Some 4,000 calls a day with results of 1 KB. A record is never dropped before its
+# retention has passed, because its call could then run again.
+WORKSPACE_BYTES = 4 * 1024 * 1024
+RECORD_BYTES = 200
+# The ledger is pruned once a minute.
+FULL_RETRY_S = 60.0
 
 
 def ledger_key(workspace: str, idempotency_key: str) -> str:
@@ -54,13 +61,21 @@
     if not is_live(data, command.host, command.session):
         return refused(ErrorKind.SESSION_ENDED, command.host)
     key = ledger_key(command.workspace, command.idempotency_key)
-    data.ledger[key] = Intent(
+    intent = Intent(
         intent_id=command.command_id,
         body_digest=command.body_digest,
         host=command.host,
         session=command.session,
         at_ms=data.now_ms,
     )
+    if not _fits(data, key, _size_bytes(key, intent)):
+        detail = f"the ledger of {command.workspace} is full"
+        return CommandResult(
+            Failure(ErrorKind.OVERLOADED, detail, retry_after_s=FULL_RETRY_S)
+        )
+    data.ledger[key] = intent
+    _count(data, key, _size_bytes(key, intent))
+    data.open_intents.setdefault(str(command.session), {})[key] = True
     return CommandResult(ledger=LedgerRecord(LedgerState.NEW))
 
 
@@ -73,33 +88,78 @@
         return refused(ErrorKind.SESSION_ENDED, intent.host)
     if intent.state is LedgerState.FINISHED:
         return CommandResult(ledger=record_of(intent))
+    key = ledger_key(command.workspace, command.idempotency_key)
+    _close(data, key, intent)
     if command.not_run:
-        del data.ledger[ledger_key(command.workspace, command.idempotency_key)]
+        _remove(data, key)
         return CommandResult()
-    intent.state = LedgerState.FINISHED
-    intent.at_ms = data.now_ms
+    _change(data, key, intent, LedgerState.FINISHED)
     intent.status = command.status
-    intent.content_type = command.content_type
-    if len(command.body) <= KEPT_BODY_BYTES:
+    kept_bytes = len(command.content_type) + len(command.body)
+    # A call that has run cannot be refused any more; its record loses its body.
+    if len(command.body) <= KEPT_BODY_BYTES and _fits(data, key, kept_bytes):
+        intent.content_type = command.content_type
         intent.body = command.body
+        _count(data, key, kept_bytes)
     return CommandResult()
 
 
-def end_session_intents(data: StateData, host: str, session: int) -> None:
+def end_session_intents(data: StateData, session: int) -> None:
     """Mark what a session left without a result as unknown for good."""
-    for intent in data.ledger.values():
-        if intent.state is not LedgerState.IN_PROGRESS:
-            continue
-        if (intent.host, intent.session) == (host, session):
-            intent.state = LedgerState.UNKNOWN
-            intent.at_ms = data.now_ms
+    for key in data.open_intents.pop(str(session), {}):
+        _change(data, key, data.ledger[key], LedgerState.UNKNOWN)
 
 
 def prune_ledger(data: StateData) -> None:
     """Remove entries past their retention, but none still in progress."""
     oldest_ms = data.now_ms - RETENTION_MS
-    data.ledger = {
-        key: intent
-        for key, intent in data.ledger.items()
-        if intent.at_ms >= oldest_ms or intent.state is LedgerState.IN_PROGRESS
-    }
+    expired = []
+    for key, intent in data.ledger.items():
+        if intent.at_ms >= oldest_ms:
+            break
+        if intent.state is not LedgerState.IN_PROGRESS:
+            expired.append(key)
+    for key in expired:
+        _remove(data, key)
+
+
+def _change(data: StateData, key: str, intent: Intent, state: LedgerState) -> None:
+    """Change an entry's state and move it to the end of the order by time."""
+    del data.ledger[key]
+    data.ledger[key] = intent
+    intent.state, intent.at_ms = state, data.now_ms
+
+
+def _close(data: StateData, key: str, intent: Intent) -> None:
+    session = str(intent.session)
+    data.open_intents[session].pop(key)
+    if not data.open_intents[session]:
+        del data.open_intents[session]
+
+
+def _remove(data: StateData, key: str) -> None:
+    _count(data, key, -_size_bytes(key, data.ledger.pop(key)))
+
+
+def _size_bytes(key: str, intent: Intent) -> int:
+    return RECORD_BYTES + len(key) + len(intent.content_type) + len(intent.body)
+
+
+def _workspace(key: str) -> str:
+    length, _, rest = key.partition("/")
+    return rest[: int(length)]
+
+
+def _fits(data: StateData, key: str, size_bytes: int) -> bool:
+    used_bytes = data.ledger_bytes.get(_workspace(key), 0)
+    return used_bytes + size_bytes <= WORKSPACE_BYTES
+
+
+def _count(data: StateData, key: str, size_bytes: int) -> None:
+    workspace = _workspace(key)
+    used_bytes = data.ledger_bytes.get(workspace, 0) + size_bytes
+    assert used_bytes >= 0, "a ledger below its empty size"
+    if used_bytes:
+        data.ledger_bytes[workspace] = used_bytes
+    else:
+        data.ledger_bytes.pop(workspace, None)
--- a/src/damaskridge/core/state/ownership.py
+++ b/src/damaskridge/core/state/ownership.py
@@ -26,6 +26,10 @@
 
 __all__ = ["allocate_fencing", "is_live", "rebalance", "release", "resources_of"]
 
+# About 1 MB of state. A workspace that was removed 10,000 workspaces ago starts with
+# a full bucket again.
+KNOWN_WORKSPACES = 10_000
+
 _MASK = (1 << 64) - 1
 
 
@@ -93,7 +97,8 @@
         wanted = _choose(resource, place, hosts)
         if owner is None or not live:
             if owner is None or owner.host or wanted is not None:
-                _assign(data, resource, wanted, 0.0, changes)
+                level_tokens = _first_level_tokens(data, resource, owner)
+                _assign(data, resource, wanted, level_tokens, changes)
             continue
         moving_to = wanted.host if wanted and wanted.host != owner.host else ""
         if moving_to != owner.moving_to:
@@ -178,6 +183,28 @@
     changes.append(OwnerChanged(owner=owner))
 
 
+def _first_level_tokens(data: StateData, resource: str, owner: Owner | None) -> float:
+    """Return the level of a bucket that no living owner hands over."""
+    if owner is not None:
+        # Without a host nothing was taken since the owner was recorded. After a
+        # crash nobody knows the level, so that the bucket starts empty.
+        return 0.0 if owner.host else owner.level_tokens
+    if resource in data.known_workspaces:
+        return 0.0
+    for workspace in data.bundle.workspaces:
+        if workspace_resource(workspace.name) == resource:
+            data.known_workspaces[resource] = True
+            _forget_workspaces(data)
+            return workspace.burst_tokens
+    return 0.0
+
+
+def _forget_workspaces(data: StateData) -> None:
+    removed = [name for name in data.known_workspaces if name not in data.owners]
+    for name in removed[: max(0, len(data.known_workspaces) - KNOWN_WORKSPACES)]:
+        del data.known_workspaces[name]
+
+
 def _remove(data: StateData, resource: str, changes: Changes) -> None:
     owner = data.owners.pop(resource)
     number = data.fencing.pop(resource, 0)
--- a/src/damaskridge/core/state/sessions.py
+++ b/src/damaskridge/core/state/sessions.py
@@ -93,4 +93,4 @@
 
 def _ended(data: StateData, session: Session, changes: Changes) -> None:
     changes.append(SessionEnded(host=session.host, number=session.number))
-    end_session_intents(data, session.host, session.number)
+    end_session_intents(data, session.number)
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -165,6 +165,43 @@
     run(main)
 
 
+def test_leader_that_missed_deltas_publishes_again():
+    async def main():
+        async with control_group() as group, entry_host(group) as client:
+            node = group.members[0]
+            queues, node.queues = node.queues, []
+            for queue in queues:
+                queue.close()
+            await until(lambda: node.queues)
+            group.commit(WithdrawKey(command_id="w", operator="ada", key_digest="d"))
+            await until(lambda: "d" in client.fleet.withdrawn_keys)
+
+    run(main)
+
+
+def test_broken_connection_ends_neither_its_task_nor_the_group():
+    async def main():
+        async with control_group() as group, entry_host(group):
+            addresses = [item.address for item in group.members]
+            calls = ControlCalls(addresses, operator_key="ada")
+            group.members[0].lose_reply = True
+
+            async def break_connection():
+                await until(lambda: not group.members[0].lose_reply)
+                (channel,) = calls._channels.values()
+                channel._protocol.connection._transport.abort()
+                group.elect("nobody")
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(break_connection)
+                command = WithdrawKey(command_id="w", operator="ada", key_digest="d")
+                result = await calls.propose(command, 0.9)
+            assert result.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
+            calls.close()
+
+    run(main)
+
+
 def test_lost_answer_is_resent_and_an_operator_needs_the_own_key():
     async def main():
         async with control_group(2) as group:
--- a/tests/core/state/test_commands.py
+++ b/tests/core/state/test_commands.py
@@ -7,7 +7,11 @@
 
 from damaskridge.core.state.commands import ControlState
 from damaskridge.core.state.fleet_queries import workspace_of_key
-from damaskridge.core.state.ledger import KEPT_BODY_BYTES, RETENTION_MS
+from damaskridge.core.state.ledger import (
+    KEPT_BODY_BYTES,
+    RETENTION_MS,
+    WORKSPACE_BYTES,
+)
 from damaskridge.core.state.ownership import rebalance
 from damaskridge.core.state.session_tracker import SessionTracker
 from damaskridge.core.state.view import FleetView
@@ -191,7 +195,52 @@
     assert intend(key="k2").ledger.state is LedgerState.UNKNOWN
     assert kind_of(intend(key="k3")) is ErrorKind.SESSION_ENDED
     fleet.run(AdvanceTime, at_ms=RETENTION_MS + 1)
-    assert not fleet.data.ledger
+    data = fleet.data
+    assert not data.ledger and not data.open_intents and not data.ledger_bytes
+
+
+def test_a_full_ledger_refuses_new_calls_and_drops_no_record():
+    fleet = Fleet("h1")
+    session = fleet.data.sessions["h1"].number
+
+    def call(workspace, key):
+        call = {"workspace": workspace, "idempotency_key": key}
+        intent = {"body_digest": "b", "host": "h1", "session": session}
+        result = fleet.run(RecordIntent, f"i{key}", **intent, **call)
+        body = b"x" * KEPT_BODY_BYTES
+        fleet.run(RecordResult, intent_id=f"i{key}", status=200, body=body, **call)
+        return result
+
+    results = [call("w1", str(number)) for number in range(25_000)]
+    first = next(i for i, item in enumerate(results) if item.failure is not None)
+    refusal = results[first].failure
+    assert (refusal.kind, refusal.ran.value) == (ErrorKind.OVERLOADED, "not_run")
+    assert refusal.retry_after_s > 0
+    assert len(fleet.data.ledger) == first
+    assert fleet.data.ledger_bytes["w1"] <= WORKSPACE_BYTES
+    fields = {"idempotency_key": "0", "body_digest": "b", "host": "h1"}
+    again = fleet.run(RecordIntent, workspace="w1", session=session, **fields).ledger
+    assert (again.state, len(again.body)) == (LedgerState.FINISHED, KEPT_BODY_BYTES)
+    assert call("w2", "other").failure is None
+    fleet.run(AdvanceTime, at_ms=RETENTION_MS + 1)
+    assert call("w1", "new").failure is None
+
+
+def test_only_a_workspace_never_known_before_starts_with_its_burst():
+    fleet = Fleet()
+    fleet.open("h1")
+
+    def levels():
+        owners = fleet.data.owners.values()
+        return {item.resource: item.level_tokens for item in owners}
+
+    assert levels()["workspace/w1"] == 10.0 and levels()["cell/c1"] == 0.0
+    fleet.roll(bundle("w1", "w4"))
+    assert levels()["workspace/w4"] == 10.0
+    fleet.roll(bundle("w1", "w2", "w4"))
+    assert levels()["workspace/w2"] == 0.0
+    fleet.open("h1")
+    assert set(levels().values()) == {0.0}
 
 
 def test_second_crash_quarantines_the_common_request_and_clears_the_others():
