--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -33,6 +33,7 @@
     Event,
     LeadershipLost,
     LeadershipWon,
+    LogLost,
     Propose,
     ReadFailed,
     ReadReady,
@@ -44,6 +45,7 @@
     Tick,
     TransferLeadership,
 )
+from damaskridge.core.state.replicated_clock import ReplicatedClock
 from damaskridge.model.consensus import AnyMessage, LogEntry, Membership, Snapshot
 from damaskridge.model.control import AnyCommand, Command, CommandResult, FleetDelta
 from damaskridge.model.errors import ErrorKind, Failure
@@ -109,19 +111,14 @@
         self._members = members
         self._state = state
         self._wall_ms = wall_ms
-        self._last_at_ms = 0
+        self._clock = ReplicatedClock(anyio.current_time())
+        self._folder = folder
+        self._rng = rng
+        self._may_form = may_form
+        self._empty_state = state.encode()
         store = LogStore(folder, secrets.token_hex(8))
         stored = store.open()
-        _report(stored)
-        self._driver = LogDriver(
-            host,
-            store,
-            stored,
-            rng,
-            anyio.current_time(),
-            tuple(sorted(members)),
-            may_form,
-        )
+        self._driver = self._open(store, stored)
         self._applied = 0
         self._applied_bytes = 0
         if stored.log.snapshot.index:
@@ -248,14 +245,37 @@
             events.append(Propose(tuple(map(self._stamp, commands))))
         was = self._driver.node.role
         for action in self._driver.run(events, anyio.current_time()):
+            if isinstance(action, LogLost):
+                self._rejoin()
+                return
             self._act(action)
         if was is not Role.CANDIDATE and self._driver.node.role is Role.CANDIDATE:
             log_event(_logger, EventNumber.ELECTION_STARTED, term=self.term)
         self._compact()
 
+    def _open(self, store: LogStore, stored: StoredState) -> LogDriver:
+        _report(stored)
+        return LogDriver(
+            self._host,
+            store,
+            stored,
+            self._rng,
+            anyio.current_time(),
+            tuple(sorted(self._members)),
+            self._may_form,
+        )
+
+    def _rejoin(self) -> None:
+        """Go on as an empty member after the disk lost synced entries."""
+        store = LogStore(self._folder, secrets.token_hex(8))
+        self._driver = self._open(store, store.discard("synced entries are missing"))
+        self._state.restore(self._empty_state)
+        self._applied = self._applied_bytes = 0
+        self._end_subscribers()
+
     def _stamp(self, command: Command) -> bytes:
-        self._last_at_ms = max(self._last_at_ms, self._wall_ms())
-        return _encode(msgspec.structs.replace(command, at_ms=self._last_at_ms))
+        at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
+        return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
     def _compact(self) -> None:
         log = self._driver.node.log
@@ -264,7 +284,7 @@
         if count < COMPACT_AFTER_ENTRIES and not full:
             return
         self._applied_bytes = 0
-        image = _encode(_StateImage(self._last_at_ms, self._state.encode()))
+        image = _encode(_StateImage(self._clock.last_ms, self._state.encode()))
         event = Compact(self._applied, image)
         for action in self._driver.run([event], anyio.current_time()):
             self._act(action)
@@ -288,9 +308,7 @@
     @_act.register
     def _(self, action: Restore) -> None:
         self._restore(action.snapshot)
-        for subscriber in self._subscribers:
-            subscriber.close()
-        self._subscribers.clear()
+        self._end_subscribers()
         log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
 
     @_act.register
@@ -316,8 +334,7 @@
         # Entries that are not applied yet may carry later stamps than our clock.
         for entry in log.slice(self._applied + 1, log.last_index):
             if entry.command:
-                at_ms = _decode_command(entry.command).at_ms
-                self._last_at_ms = max(self._last_at_ms, at_ms)
+                self._observe(_decode_command(entry.command).at_ms)
         self._leadership_lost = anyio.Event()
         log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
 
@@ -336,12 +353,15 @@
         result = CommandResult(index=entry.index)
         if entry.command:
             command = _decode_command(entry.command)
-            self._last_at_ms = max(self._last_at_ms, command.at_ms)
+            self._observe(command.at_ms)
             applied = self._state.apply(entry.index, command)
             self._publish(applied.delta)
             result = applied.result
         self._proposals.applied(entry.index, entry.term, result)
 
+    def _observe(self, at_ms: int) -> None:
+        self._clock.observe(at_ms, anyio.current_time())
+
     def _publish(self, delta: FleetDelta) -> None:
         for subscriber in list(self._subscribers):
             try:
@@ -352,10 +372,15 @@
 
     def _restore(self, snapshot: Snapshot) -> None:
         image = _decode_image(snapshot.state)
-        self._last_at_ms = max(self._last_at_ms, image.at_ms)
+        self._observe(image.at_ms)
         self._state.restore(image.state)
         self._applied = snapshot.index
 
+    def _end_subscribers(self) -> None:
+        for subscriber in self._subscribers:
+            subscriber.close()
+        self._subscribers.clear()
+
     def _fail_waiting(self) -> None:
         self._proposals.leadership_lost()
         self._readers.fail_all()
