Measure slopes of memory, time and traffic by size

Cause: docs/CAPACITY.md must derive each role's cost from measured slopes. Change: bench/slopes.py measures states in one process and a fleet of real processes on loopback, fits lines and holds the costs at the size of section 1.4 of the design against its limits.

--- /dev/null
+++ b/bench/capacity_losses.py
@@ -0,0 +1,176 @@
+"""Rows of the page about lost places and about KV traffic."""
+
+import random
+
+import msgspec
+
+from bench.capacity_sheet import (
+    BYTES_LIMIT_PER_S,
+    CELLS,
+    HOSTS,
+    KV_BYTES_PER_S,
+    REGIONS,
+    REQUESTS_PER_S,
+    TOKENS_PER_S,
+    TOKENS_PER_S_PER_STREAM,
+    WORKSPACES,
+    Sheet,
+)
+from damaskridge.model.engine import DecodeRequest, PrefillRequest, PrefillResult
+from damaskridge.model.routing import (
+    Placement,
+    Progress,
+    RateGrant,
+    RateRequest,
+    RequestPhase,
+    RequestProfile,
+)
+
+__all__ = ["kv_rows", "progress_item_bytes", "region_rows"]
+
+
+def encoded_bytes(message: object) -> int:
+    return len(msgspec.msgpack.encode(message))
+
+
+def sample_id(number: int = 1) -> str:
+    return f"entry-001-{random.Random(number).getrandbits(96):024x}"
+
+
+def request_messages_bytes(prompt_tokens: int) -> int:
+    """Return the control messages of one request between front and owners."""
+    request_id = sample_id()
+    messages = (
+        RateRequest(
+            resource="workspace/workspace-000",
+            epoch=1,
+            workspace="workspace-000",
+            request_id=request_id,
+            front="entry-001",
+            cost_tokens=2000,
+        ),
+        RateGrant(request_id=request_id, epoch=1, valid_for_s=2.0),
+        RequestProfile(
+            resource="cell/cell-000",
+            epoch=1,
+            request_id=request_id,
+            attempt=1,
+            workspace="workspace-000",
+            front="entry-001",
+            incarnation=1 << 56,
+            route="/v1/completions",
+            model="model-0",
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=500,
+            prefix_hashes=tuple((1 << 62) + n for n in range(prompt_tokens // 64)),
+            fingerprint="0" * 32,
+        ),
+        Placement(
+            request_id=request_id,
+            attempt=1,
+            epoch=1,
+            prefill_server="engine-00001",
+            prefill_address="10.1.0.1:8000",
+            decode_server="engine-00002",
+            decode_address="10.1.0.2:8000",
+        ),
+    )
+    return sum(map(encoded_bytes, messages))
+
+
+def progress_item_bytes() -> int:
+    item = Progress(
+        request_id=sample_id(),
+        attempt=1,
+        phase=RequestPhase.DECODING,
+        output_tokens=500,
+    )
+    return encoded_bytes(item)
+
+
+def engine_messages_bytes() -> int:
+    """Return what front and engines exchange about one KV transfer, less the prompt."""
+    engine_request_id = f"{sample_id()}.1"
+    messages = (
+        PrefillRequest(engine_request_id, "model-0", ""),
+        PrefillResult(engine_request_id, 8000, 0, 500, 1 << 30, 800),
+        DecodeRequest(engine_request_id, "model-0", "10.1.0.1:8000", 0, 500),
+    )
+    return sum(len(msgspec.json.encode(message)) for message in messages)
+
+
+def region_rows(sheet: Sheet) -> None:
+    role = "loss"
+    moved = (WORKSPACES + CELLS) / HOSTS
+    delta = sheet.at("session_loss_bytes_per_resource", moved)
+    each_ms = sheet.at("session_loss_us_per_host", HOSTS) / 1e3
+    streams = TOKENS_PER_S / TOKENS_PER_S_PER_STREAM / HOSTS
+    for name, hosts in (
+        ("rack", 14),
+        ("data centre", 28),
+        ("region", HOSTS // REGIONS),
+    ):
+        left = HOSTS - hosts
+        resources = hosts * moved
+        sheet.add(role, f"{name}: hosts", "", hosts, "1")
+        sheet.add(role, f"{name}: owners to move", "0.9 a host", resources, "1")
+        sheet.add(
+            role, f"{name}: expiry at the leader", "each loss", hosts * each_ms, "ms"
+        )
+        sheet.add(
+            role,
+            f"{name}: deltas to each remaining host",
+            "losses times their bytes",
+            hosts * delta / 1e3,
+            "kB",
+        )
+        sheet.add(
+            role,
+            f"{name}: questions to each remaining front",
+            "one for each moved owner",
+            resources,
+            "calls",
+        )
+        sheet.add(
+            role,
+            f"{name}: questions of a new owner of one resource",
+            "remaining hosts",
+            left,
+            "calls",
+        )
+        sheet.add(
+            role,
+            f"{name}: streams resumed by each remaining host",
+            "streams of the lost fronts",
+            hosts * streams / left,
+            "streams",
+        )
+
+
+def kv_rows(sheet: Sheet) -> None:
+    role = "kv"
+    prompt = int(KV_BYTES_PER_S / REQUESTS_PER_S / 131_072)
+    sheet.add(role, "KV cache of one request", "2,900 GB/s over 2,800/s", 1035.7, "MB")
+    sheet.add(role, "its prompt", "at 131,072 B a token", prompt, "tokens")
+    sheet.add(
+        role,
+        "messages of front and engines about it, less the prompt",
+        "encoded",
+        engine_messages_bytes(),
+        "B",
+    )
+    sheet.add(
+        role,
+        "messages of front and owners for it",
+        "encoded; grows by 9 B per 64 tokens",
+        request_messages_bytes(prompt),
+        "B",
+    )
+    sheet.hold(
+        role,
+        "the latter on one host",
+        "7.2 requests/s",
+        request_messages_bytes(prompt) * REQUESTS_PER_S / HOSTS,
+        "B/s",
+        BYTES_LIMIT_PER_S,
+    )
--- /dev/null
+++ b/bench/slope_fit.py
@@ -0,0 +1,68 @@
+"""A slope: the linear fit of a cost over a size, with its straightness."""
+
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+__all__ = ["COMMAND", "Slope", "fit"]
+
+COMMAND = "make slopes"
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """
+    A line through measured points.
+
+    Attributes
+    ----------
+    name : str
+        Key by which the page refers to the slope.
+    value : float
+        Cost for one more `per`, in `unit`.
+    at_zero : float
+        Where the line meets size zero, in `unit`.
+    unit, per : str
+        Unit of the cost and of the size.
+    points : tuple of (float, float)
+        Size and cost as measured.
+    r_squared : float or None
+        Straightness; none if there is a single point.
+    """
+
+    name: str
+    value: float
+    at_zero: float
+    unit: str
+    per: str
+    points: tuple[tuple[float, float], ...]
+    r_squared: float | None
+    command: str = COMMAND
+
+    @property
+    def measured_range(self) -> str:
+        sizes = [size for size, _ in self.points]
+        low, high = min(sizes), max(sizes)
+        return f"{low:,.0f}" if low == high else f"{low:,.0f} to {high:,.0f}"
+
+    def at(self, size: float) -> float:
+        return self.at_zero + self.value * size
+
+    def to_json(self) -> dict:
+        return asdict(self) | {"range": self.measured_range}
+
+
+def fit(name: str, unit: str, per: str, points: Sequence[tuple[float, float]]) -> Slope:
+    """Return the least-squares line; one point gives a line through zero."""
+    kept = tuple((float(size), float(cost)) for size, cost in points)
+    if len(kept) == 1:
+        size, cost = kept[0]
+        return Slope(name, cost / size, 0.0, unit, per, kept, None)
+    mean_size = sum(size for size, _ in kept) / len(kept)
+    mean_cost = sum(cost for _, cost in kept) / len(kept)
+    spread = sum((size - mean_size) ** 2 for size, _ in kept)
+    value = sum((s - mean_size) * (c - mean_cost) for s, c in kept) / spread
+    at_zero = mean_cost - value * mean_size
+    total = sum((cost - mean_cost) ** 2 for _, cost in kept)
+    missed = sum((cost - at_zero - value * size) ** 2 for size, cost in kept)
+    r_squared = 1.0 - missed / total if total else 1.0
+    return Slope(name, value, at_zero, unit, per, kept, r_squared)
--- /dev/null
+++ b/bench/slope_processes.py
@@ -0,0 +1,285 @@
+"""Real processes of a fleet on loopback, with counted bytes, for the slopes."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from examples.demo_settings import free_ports
+
+from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.model.bundle import Bundle, Operator
+from damaskridge.model.control import ProposeBundle, RollBundle, SignOffBundle
+
+__all__ = ["Fleet", "Relay", "Usage", "cpu_s", "rss_bytes"]
+
+ROOT = Path(__file__).resolve().parent.parent
+CONTROLS = ("control-1", "control-2", "control-3")
+OPERATOR_KEY = "operator-key-of-the-slopes"
+KEY = "caller-key-of-the-slopes"
+STOP_S = 12.0
+READY_S = 45.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def operators() -> tuple[Operator, ...]:
+    return tuple(Operator(name, digest(OPERATOR_KEY)) for name in ("alice", "bob"))
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in steps of one clock tick."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def rss_bytes(pid: int) -> int:
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+class Relay:
+    """
+    Passes connections on to one control host and counts their bytes.
+
+    Attributes
+    ----------
+    in_bytes, out_bytes : int
+        Bytes to and from the control host, without TCP and IP headers.
+    in_reads, out_reads : int
+        Reads from the socket, about one for each packet.
+    """
+
+    def __init__(self, port: int, target: str) -> None:
+        self.address = f"127.0.0.1:{port}"
+        self.in_bytes = self.out_bytes = self.in_reads = self.out_reads = 0
+        self._port = port
+        self._target = target
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        ip, _, port = self._target.rpartition(":")
+        try:
+            onward_reader, onward_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pass(reader, onward_writer, inward=True),
+            self._pass(onward_reader, writer, inward=False),
+        )
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        inward: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                if inward:
+                    self.in_bytes += len(data)
+                    self.in_reads += 1
+                else:
+                    self.out_bytes += len(data)
+                    self.out_reads += 1
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+class Usage:
+    """Processor time and bytes of the fleet between two moments."""
+
+    def __init__(self, fleet: "Fleet") -> None:
+        self._fleet = fleet
+        self._start_s = time.monotonic()
+        self._cpu_s = {name: cpu_s(pid) for name, pid in fleet.pids().items()}
+        self._bytes = self._counted()
+        self._reads = self._read_counts()
+        self.took_s = 0.0
+        self.cpu_s: dict[str, float] = {}
+        self.in_bytes = self.out_bytes = self.in_reads = self.out_reads = 0
+
+    def _counted(self) -> tuple[int, int]:
+        relays = self._fleet.relays
+        return sum(r.in_bytes for r in relays), sum(r.out_bytes for r in relays)
+
+    def _read_counts(self) -> tuple[int, int]:
+        relays = self._fleet.relays
+        return sum(r.in_reads for r in relays), sum(r.out_reads for r in relays)
+
+    def end(self) -> "Usage":
+        self.took_s = time.monotonic() - self._start_s
+        now = {name: cpu_s(pid) for name, pid in self._fleet.pids().items()}
+        self.cpu_s = {name: now[name] - was for name, was in self._cpu_s.items()}
+        pairs = zip(self._counted(), self._bytes, strict=True)
+        self.in_bytes, self.out_bytes = (now - was for now, was in pairs)
+        pairs = zip(self._read_counts(), self._reads, strict=True)
+        self.in_reads, self.out_reads = (now - was for now, was in pairs)
+        return self
+
+    def core_share(self, name: str) -> float:
+        return self.cpu_s[name] / self.took_s
+
+    def entry_share(self) -> float:
+        shares = [s for name, s in self.cpu_s.items() if name.startswith("entry")]
+        return sum(shares) / len(shares) / self.took_s
+
+
+class Fleet:
+    """Three control hosts and any number of entry hosts, in one folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        ports = free_ports(len(CONTROLS) * 3 + 1)
+        self._ports = {
+            name: tuple(ports[n * 3 : n * 3 + 3]) for n, name in enumerate(CONTROLS)
+        }
+        self.platform_port = ports[-1]
+        self.relays = [
+            Relay(relay, f"127.0.0.1:{rpc}") for rpc, relay, _ in self._ports.values()
+        ]
+        self.addresses = [relay.address for relay in self.relays]
+        self.calls = ControlCalls(self.addresses, operator_key=OPERATOR_KEY)
+        self.version = 0
+        self.callers: list[str] = []
+
+    async def __aenter__(self) -> "Fleet":
+        for relay in self.relays:
+            await relay.start()
+        members = dict(zip(CONTROLS, self.addresses, strict=True))
+        for name, (rpc, _, operators_port) in self._ports.items():
+            settings = {
+                "host": name,
+                "data_centre": "dc-0",
+                "rpc_address": f"127.0.0.1:{rpc}",
+                "operators_address": f"127.0.0.1:{operators_port}",
+                "members": members,
+                "data_folder": str(self.folder / name),
+            }
+            self._start_with(name, "damaskridge.binaries.control", settings)
+        self.start(
+            "hosts", "examples.standins.hosts", "--port", str(self.platform_port)
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.calls.close()
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_S
+        for process in self.processes.values():
+            left_s = max(0.01, end_s - time.monotonic())
+            try:
+                # The relays must go on while the processes drain.
+                await asyncio.to_thread(process.wait, left_s)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        paths = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": paths},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def _start_with(self, name: str, module: str, settings: dict) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.start(name, module, "--settings", str(path))
+
+    def start_entries(self, count: int) -> None:
+        """Start entry hosts until there are `count`."""
+        held = len(self.callers)
+        ports = iter(free_ports(3 * (count - held)))
+        for number in range(held, count):
+            caller, peer, operators_port = (
+                f"127.0.0.1:{next(ports)}" for _ in range(3)
+            )
+            settings = {
+                "host": f"entry-{number:03}",
+                "data_centre": "dc-0",
+                "caller_address": caller,
+                "peer_address": peer,
+                "operators_address": operators_port,
+                "control_addresses": self.addresses,
+                "host_list_address": f"127.0.0.1:{self.platform_port}",
+                "front": {"keep_s": 0.5},
+            }
+            name = f"entry-{number:03}"
+            self._start_with(name, "damaskridge.binaries.entry", settings)
+            self.callers.append(caller)
+
+    def pids(self) -> dict[str, int]:
+        return {name: process.pid for name, process in self.processes.items()}
+
+    async def leader(self) -> str:
+        return (await self.calls.status(10.0)).leader
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry host has a session and the version in force."""
+        end_s = time.monotonic() + READY_S
+        while time.monotonic() < end_s:
+            status = await self.calls.status(5.0)
+            there = [h for h in status.hosts if h.version >= self.version]
+            if status.failure is None and len(there) >= len(self.callers):
+                return
+            await asyncio.sleep(0.2)
+        raise TimeoutError("the fleet did not become ready")
+
+    async def roll(self, bundle: Bundle) -> None:
+        """Propose, sign off and roll a bundle."""
+        name = f"slopes/{self.version + 1}"
+        proposal = await self._commit(
+            ProposeBundle(command_id=f"{name}/p", operator="alice", bundle=bundle)
+        )
+        await self._commit(
+            SignOffBundle(command_id=f"{name}/s", operator="bob", proposal=proposal)
+        )
+        value = await self._commit(
+            RollBundle(
+                command_id=f"{name}/r",
+                operator="alice",
+                proposal=proposal,
+                expected_version=self.version,
+            )
+        )
+        self.version = int(value)
+
+    async def _commit(self, command: ProposeBundle | SignOffBundle | RollBundle) -> str:
+        result = await self.calls.propose(command, 10.0)
+        assert result.failure is None, result.failure
+        return result.value
+
+    def events(self, number: int) -> list[dict]:
+        """Return all log records with an event number."""
+        found = []
+        for path in self.folder.glob("*.log"):
+            for line in path.read_text().splitlines():
+                if f'"event":{number},' in line.replace(" ", ""):
+                    found.append(json.loads(line))
+        return found
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,126 @@
+"""Measures the slopes of docs/CAPACITY.md and writes its tables."""
+
+import json
+import os
+import platform
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+
+from bench.capacity_rows import capacity_rows
+from bench.capacity_sheet import Row
+from bench.slope_fit import Slope
+from bench.slopes_fleet import measure_fleet
+from bench.slopes_owners import measure_owners
+from bench.slopes_state import measure_state
+
+__all__ = ["main", "replace_block"]
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+OUT = ROOT / "out" / "slopes.json"
+
+
+def shown(value: float) -> str:
+    """Return a value with three significant digits and no exponent."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.6f}"
+
+
+def replace_block(page: str, name: str, lines: list[str]) -> str:
+    """Return the page with the lines between the markers of `name` replaced."""
+    begin, end = f"<!-- {name} begin -->", f"<!-- {name} end -->"
+    head, _, rest = page.partition(begin)
+    _, found, tail = rest.partition(end)
+    if not found:
+        raise ValueError(f"the page has no block {name!r}")
+    return "\n".join([f"{head}{begin}", "", *lines, "", f"{end}{tail}"])
+
+
+def slope_lines(slopes: list[Slope]) -> list[str]:
+    lines = [
+        "| slope | at size 0 | for one more | unit | size | measured at | R² |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for slope in slopes:
+        straight = "one point" if slope.r_squared is None else f"{slope.r_squared:.3f}"
+        lines.append(
+            f"| `{slope.name}` | {shown(slope.at_zero)} | {shown(slope.value)} "
+            f"| {slope.unit} | {slope.per} | {slope.measured_range} | {straight} |"
+        )
+    return lines
+
+
+def point_lines(slopes: list[Slope], names: tuple[str, ...]) -> list[str]:
+    lines = ["| figure | unit | measured (size: value) |", "| --- | --- | --- |"]
+    for slope in slopes:
+        if slope.name in names:
+            points = "; ".join(f"{s:,.0f}: {shown(c)}" for s, c in slope.points)
+            lines.append(f"| `{slope.name}` by {slope.per} | {slope.unit} | {points} |")
+    return lines
+
+
+def row_lines(rows: list[Row], role: str) -> list[str]:
+    lines = [
+        "| line | how | value | unit | limit | held |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        if row.role == role:
+            limit = "" if row.limit is None else shown(row.limit)
+            lines.append(
+                f"| {row.line} | {row.how} | {shown(row.value)} | {row.unit} "
+                f"| {limit} | {row.verdict} |"
+            )
+    return lines
+
+
+def machine_lines(took_s: float) -> list[str]:
+    day = datetime.now(UTC).strftime("%Y-%m-%d")
+    return [
+        f"Measured on {day} with `make slopes` in {took_s:.0f} s on {os.cpu_count()} "
+        f"cores ({platform.machine()}, Linux), Python {platform.python_version()}, "
+        f"load average {os.getloadavg()[1]:.1f} over 5 minutes."
+    ]
+
+
+def write_page(slopes: list[Slope], rows: list[Row], took_s: float) -> None:
+    page = PAGE.read_text(encoding="utf-8")
+    page = replace_block(page, "machine", machine_lines(took_s))
+    page = replace_block(page, "slopes", slope_lines(slopes))
+    curves = ("ledger_commits_per_s", "ledger_median_ms", "ledger_p99_ms")
+    page = replace_block(page, "curves", point_lines(slopes, curves))
+    for role in sorted({row.role for row in rows}):
+        page = replace_block(page, role, row_lines(rows, role))
+    PAGE.write_text(page, encoding="utf-8")
+
+
+def main() -> None:
+    start_s = time.monotonic()
+    OUT.parent.mkdir(exist_ok=True)
+    slopes = [*measure_state(), *measure_owners(), *measure_fleet()]
+    rows = capacity_rows({slope.name: slope for slope in slopes})
+    took_s = time.monotonic() - start_s
+    for slope in slopes:
+        print(
+            f"slope={slope.name} value={slope.value:.6g} at_zero={slope.at_zero:.6g} "
+            f"unit={slope.unit} per={slope.per!r} range={slope.measured_range!r} "
+            f"r_squared={slope.r_squared}"
+        )
+    for row in rows:
+        print(row)
+    content = {
+        "slopes": [slope.to_json() for slope in slopes],
+        "rows": [row.to_json() for row in rows],
+    }
+    OUT.write_text(json.dumps(content, indent=1))
+    write_page(slopes, rows, took_s)
+    breaches = sum(row.verdict == "no" for row in rows)
+    print(f"{len(slopes)} slopes, {breaches} limits not held, {took_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/slopes_fleet.py
@@ -0,0 +1,300 @@
+"""Slopes of real processes: follow streams, rolls, requests, polling, ledger."""
+
+import asyncio
+import http.client
+import statistics
+import time
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import msgspec
+from examples.demo_caller import generate
+
+from bench.slope_fit import Slope, fit
+from bench.slope_processes import KEY, Fleet, Usage, digest, operators, rss_bytes
+from damaskridge.adapters.rpc.control_client import ControlClient
+from damaskridge.model.bundle import (
+    BackendServer,
+    BackendServerRole,
+    Bundle,
+    KeyRecord,
+    Model,
+    Workspace,
+)
+from damaskridge.model.control import RecordIntent, Session
+from damaskridge.model.events import EventNumber
+
+__all__ = ["measure_fleet"]
+
+ENTRIES = (3, 15, 30, 54)
+SETTLE_S = 2.5
+WINDOW_S = 6.0
+ROLLS = 16
+ROLL_PERIOD_S = 0.5
+REQUESTS = 80
+CALLERS = 8
+TOKENS = (4, 64, 192)
+POLLED = (2, 24, 64)
+LISTED = (0, 500, 2_000)
+CONCURRENT_CALLS = (1, 8, 16, 32)
+LEDGER_S = 4.0
+SPACES = 20
+
+
+def spaces_bundle(number: int, engines: tuple[BackendServer, ...] = ()) -> Bundle:
+    """Return a bundle whose content differs by `number`."""
+    return Bundle(
+        workspaces=tuple(
+            Workspace(f"workspace-{n:03}", 1e9, 1e9 + number * (n == 0))
+            for n in range(SPACES)
+        ),
+        keys=(KeyRecord(digest(KEY), "workspace-000"),),
+        operators=operators(),
+        models=(Model("notes", 32_768),),
+        backend_servers=engines,
+    )
+
+
+def engines_at(address: str, count: int) -> tuple[BackendServer, ...]:
+    return tuple(
+        BackendServer(
+            f"engine-{n:03}",
+            "notes-cell",
+            BackendServerRole.MIXED,
+            "notes",
+            "dc-0",
+            address,
+            64,
+            100_000,
+        )
+        for n in range(count)
+    )
+
+
+async def measure_follow(folder: Path) -> list[Slope]:
+    """Measure control and entry hosts at idle and under rolls, by entry hosts."""
+    points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
+
+    def add(name: str, unit: str, per: str, size: float, value: float) -> None:
+        points.setdefault((name, unit, per), []).append((size, value))
+
+    async with Fleet(folder) as fleet:
+        await fleet.roll(spaces_bundle(0))
+        for count in ENTRIES:
+            fleet.start_entries(count)
+            await fleet.wait_ready()
+            await asyncio.sleep(SETTLE_S)
+            leader = await fleet.leader()
+            follower = next(n for n in fleet.pids() if "control" in n and n != leader)
+            idle = Usage(fleet)
+            await asyncio.sleep(WINDOW_S)
+            idle.end()
+            before = fleet.version
+            rolling = Usage(fleet)
+            for n in range(ROLLS):
+                await asyncio.gather(
+                    fleet.roll(spaces_bundle(n + 1)), asyncio.sleep(ROLL_PERIOD_S)
+                )
+            rolling.end()
+            await asyncio.sleep(1.0)
+            idle_s, per = idle.took_s, "entry host"
+            add("leader_idle_core", "%", per, count, idle.core_share(leader) * 100)
+            add("follower_idle_core", "%", per, count, idle.core_share(follower) * 100)
+            add("entry_idle_core", "%", per, count, idle.entry_share() * 100)
+            add("control_idle_in_bytes", "B/s", per, count, idle.in_bytes / idle_s)
+            add("control_idle_out_bytes", "B/s", per, count, idle.out_bytes / idle_s)
+            add("control_idle_in_reads", "1/s", per, count, idle.in_reads / idle_s)
+            add("control_idle_out_reads", "1/s", per, count, idle.out_reads / idle_s)
+            for name, host in (("leader", leader), ("follower", follower)):
+                extra_s = rolling.cpu_s[host] - idle.core_share(host) * rolling.took_s
+                add(f"{name}_ms_per_roll", "ms", per, count, extra_s / ROLLS * 1e3)
+            extra_s = (rolling.entry_share() - idle.entry_share()) * rolling.took_s
+            add("entry_ms_per_roll", "ms", per, count, extra_s / ROLLS * 1e3)
+            extra = rolling.out_bytes - idle.out_bytes / idle_s * rolling.took_s
+            add("control_out_bytes_per_roll", "B", per, count, extra / ROLLS)
+            add("in_force_ms", "ms", per, count, in_force_ms(fleet, before))
+            pids = fleet.pids()
+            add("leader_rss", "MB", per, count, rss_bytes(pids[leader]) / 1e6)
+            shares = [rss_bytes(p) / 1e6 for n, p in pids.items() if "entry" in n]
+            add("entry_rss", "MB", per, count, statistics.mean(shares))
+    return [fit(*key, values) for key, values in points.items()]
+
+
+def in_force_ms(fleet: Fleet, after_version: int) -> float:
+    """Return the median over rolls of the time until the last host has a version."""
+    activated: dict[int, float] = {}
+    for event in fleet.events(EventNumber.BUNDLE_ACTIVATED):
+        version, when_s = event["version"], event["monotonic_s"]
+        activated[version] = min(when_s, activated.get(version, when_s))
+    reached: dict[int, float] = {}
+    for event in fleet.events(EventNumber.BUNDLE_IN_FORCE):
+        version = event["version"]
+        reached[version] = max(event["monotonic_s"], reached.get(version, 0.0))
+    spans = [
+        (reached[version] - activated[version]) * 1e3
+        for version in activated
+        if version > after_version and version in reached
+    ]
+    return statistics.median(spans)
+
+
+async def measure_requests(folder: Path) -> list[Slope]:
+    """Measure one entry host that is front and owner: requests, tokens, polling."""
+    polls, requests, sizes = [], [], []
+    async with Fleet(folder) as fleet:
+        port = fleet.platform_port
+        engine_port = await free_port()
+        fleet.start(
+            "engine",
+            "examples.standins.engine",
+            *("--port", str(engine_port), "--models", "notes", "--slots", "256"),
+            *("--kv-pieces", "1000000", "--decode-step-ms", "5"),
+        )
+        fleet.start_entries(1)
+        address = f"127.0.0.1:{engine_port}"
+        bare = await idle_share(fleet, spaces_bundle(0))
+        sizes.append((0, bare * 100))
+        for names in LISTED[1:]:
+            await asyncio.to_thread(list_hosts, port, sizes[-1][0], names)
+            sizes.append((names, await idle_share(fleet, None) * 100))
+        bare = sizes[-1][1] / 100
+        for count in POLLED:
+            bundle = spaces_bundle(count, engines_at(address, count))
+            polls.append((count, (await idle_share(fleet, bundle) - bare) * 100))
+        await fleet.roll(spaces_bundle(1, engines_at(address, 2)))
+        await asyncio.sleep(SETTLE_S)
+        for tokens in TOKENS:
+            requests.append((tokens, await cpu_ms_per_request(fleet, tokens)))
+    return [
+        fit("poll_core", "%", "polled engine", polls),
+        fit("host_list_core", "%", "listed name", sizes),
+        fit("front_ms_per_request", "ms", "output token", requests),
+    ]
+
+
+async def free_port() -> int:
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = int(server.sockets[0].getsockname()[1])
+    server.close()
+    return port
+
+
+async def idle_share(fleet: Fleet, bundle: Bundle | None) -> float:
+    if bundle is not None:
+        await fleet.roll(bundle)
+    await fleet.wait_ready()
+    await asyncio.sleep(SETTLE_S)
+    usage = Usage(fleet)
+    await asyncio.sleep(WINDOW_S / 2)
+    return usage.end().entry_share()
+
+
+def list_hosts(port: int, first: int, end: int) -> None:
+    """Add names to the platform's list."""
+    connection = http.client.HTTPConnection(f"127.0.0.1:{port}")
+    for number in range(first, end):
+        body = msgspec.json.encode({"name": f"listed-{number:05}", "state": "live"})
+        connection.request("POST", "/hosts", body)
+        connection.getresponse().read()
+    connection.close()
+
+
+async def cpu_ms_per_request(fleet: Fleet, tokens: int) -> float:
+    address = fleet.callers[0]
+
+    def call(number: int) -> None:
+        for n in range(REQUESTS // CALLERS):
+            prompt = f"caller {number} call {n} " + "word " * 100
+            answer = generate(address, KEY, prompt, tokens)
+            assert answer.finished, (answer.status, answer.error_kind, answer.body)
+
+    idle = Usage(fleet)
+    await asyncio.sleep(2.0)
+    share = idle.end().entry_share()
+    usage = Usage(fleet)
+    await asyncio.gather(*(asyncio.to_thread(call, n) for n in range(CALLERS)))
+    usage.end()
+    return (usage.entry_share() - share) * usage.took_s / REQUESTS * 1e3
+
+
+async def measure_ledger(folder: Path) -> list[Slope]:
+    """Measure commits of three control hosts by calls in flight."""
+    rates, waits, tails, costs, lost = [], [], [], [], []
+    async with Fleet(folder) as fleet:
+        await fleet.roll(spaces_bundle(0))
+        client = ControlClient(
+            control_addresses=fleet.addresses,
+            host="bench",
+            incarnation=1,
+            data_centre="dc-0",
+            caller_address="127.0.0.1:1",
+            peer_address="127.0.0.1:2",
+        )
+        running = asyncio.ensure_future(client.run())
+        await session_of(client)
+        leader = await fleet.leader()
+        for count in CONCURRENT_CALLS:
+            usage = Usage(fleet)
+            took_s, refused = await commit_for(client, count)
+            usage.end()
+            lost.append((count, refused))
+            rates.append((count, len(took_s) / usage.took_s))
+            took_s.sort()
+            waits.append((count, statistics.median(took_s) * 1e3))
+            tails.append((count, took_s[int(len(took_s) * 0.99)] * 1e3))
+            costs.append((len(took_s), usage.cpu_s[leader] * 1e3))
+        await client.close()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+    return [
+        fit("ledger_commits_per_s", "1/s", "call in flight", rates),
+        fit("ledger_median_ms", "ms", "call in flight", waits),
+        fit("ledger_p99_ms", "ms", "call in flight", tails),
+        fit("leader_ms_per_commit", "ms", "commit", costs),
+        fit("ledger_refused", "calls", "call in flight", lost),
+    ]
+
+
+async def session_of(client: ControlClient) -> Session:
+    for _ in range(200):
+        if client.session is not None:
+            return client.session
+        await asyncio.sleep(0.05)
+    raise TimeoutError("no session")
+
+
+async def commit_for(client: ControlClient, count: int) -> tuple[list[float], int]:
+    """Record intents for a while; returns latencies and the number of refusals."""
+    took_s: list[float] = []
+    refused = 0
+    end_s = time.monotonic() + LEDGER_S
+
+    async def call(number: int) -> None:
+        nonlocal refused
+        sequence = 0
+        while (start_s := time.monotonic()) < end_s:
+            sequence += 1
+            name = f"{count}/{number}/{sequence}"
+            command = RecordIntent(
+                command_id=name,
+                workspace="workspace-000",
+                idempotency_key=name,
+                body_digest="0" * 64,
+                host="bench",
+                session=(await session_of(client)).number,
+            )
+            result = await client.propose(command)
+            refused += result.failure is not None
+            if result.failure is None:
+                took_s.append(time.monotonic() - start_s)
+
+    await asyncio.gather(*(call(number) for number in range(count)))
+    return took_s, refused
+
+
+def measure_fleet() -> list[Slope]:
+    found = []
+    for measure in (measure_follow, measure_requests, measure_ledger):
+        with TemporaryDirectory(prefix="slopes-", dir=Path.cwd() / "out") as folder:
+            found += asyncio.run(measure(Path(folder)))
+    return found
--- /dev/null
+++ b/bench/slopes_state.py
@@ -0,0 +1,359 @@
+"""Memory and processor time of the states inside one process, by size."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bench.slope_fit import Slope, fit
+from damaskridge.core.requests.fleet_index import FleetIndex
+from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.view import FleetView
+from damaskridge.model import control as mc
+from damaskridge.model.bundle import (
+    BackendServer,
+    BackendServerRole,
+    Bundle,
+    KeyRecord,
+    Model,
+    Operator,
+    Workspace,
+)
+
+__all__ = [
+    "CELLS",
+    "RUNNERS",
+    "WORKSPACES",
+    "build_bundle",
+    "bytes_of",
+    "fleet",
+    "measure_state",
+    "time_us",
+]
+
+RUNNERS = (10, 100, 500, 1_700)
+WORKSPACES = (5, 50, 270)
+HOSTS = (10, 100, 390)
+SMALL_RUNNERS, SMALL_WORKSPACES = 10, 5
+CELLS = 84
+DATA_CENTRES = 14
+KEYS_PER_WORKSPACE = 10
+REPEATS = 5
+
+
+def build_bundle(runners: int, workspaces: int, slots: int = 20) -> Bundle:
+    """Return a bundle with `runners` engines in cells of 6 models in 14 places."""
+    cells = min(CELLS, max(1, runners // 2))
+    roles = (BackendServerRole.PREFILL, BackendServerRole.DECODE)
+    servers = tuple(
+        BackendServer(
+            f"engine-{n:05}",
+            f"cell-{n % cells:03}",
+            roles[n // cells % 2],
+            f"model-{n % cells % 6}",
+            f"dc-{n % cells % DATA_CENTRES}",
+            f"10.1.{n // 250}.{n % 250 + 1}:8000",
+            slots,
+            4000,
+        )
+        for n in range(runners)
+    )
+    keys = tuple(
+        KeyRecord(f"{space:032x}{n:032x}", f"workspace-{space:03}")
+        for space in range(workspaces)
+        for n in range(KEYS_PER_WORKSPACE)
+    )
+    return Bundle(
+        workspaces=tuple(
+            Workspace(f"workspace-{n:03}", 1e5, 1e6) for n in range(workspaces)
+        ),
+        keys=keys,
+        operators=(Operator("alice", "a" * 64), Operator("bob", "b" * 64)),
+        models=tuple(Model(f"model-{n}", 32_768) for n in range(6)),
+        backend_servers=servers,
+    )
+
+
+class StateDriver:
+    """Applies commands to a control state as the log does, decoded from bytes."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self._index = 0
+
+    def apply(self, command: mc.Command) -> Any:
+        data = msgspec.msgpack.encode(command)
+        decoded = msgspec.msgpack.decode(data, type=mc.AnyCommand)
+        self._index += 1
+        applied = self.state.apply(self._index, decoded)
+        assert applied.result.failure is None, applied.result.failure
+        return applied
+
+    def open_hosts(self, hosts: int, first: int = 0) -> None:
+        for n in range(first, hosts):
+            self.apply(open_session(n))
+
+    def roll(self, bundle: Bundle, number: int) -> Any:
+        self.propose(bundle, number)
+        return self.apply(self.roll_command(number))
+
+    def settle(self) -> None:
+        """Let every owner release what is to move, as the entry hosts do."""
+        for owner in list(self.state.data.owners.values()):
+            if owner.moving_to:
+                self.apply(
+                    mc.ReleaseOwnership(
+                        command_id=f"release/{owner.resource}/{owner.epoch}",
+                        host=owner.host,
+                        session=owner.session,
+                        resource=owner.resource,
+                        epoch=owner.epoch,
+                    )
+                )
+
+    def propose(self, bundle: Bundle, number: int) -> None:
+        self.apply(
+            mc.ProposeBundle(command_id=f"p{number}", operator="alice", bundle=bundle)
+        )
+        self.apply(
+            mc.SignOffBundle(
+                command_id=f"s{number}",
+                operator="bob",
+                proposal=f"p{self.state.data.last_proposal}",
+            )
+        )
+
+    def roll_command(self, number: int) -> mc.RollBundle:
+        return mc.RollBundle(
+            command_id=f"r{number}",
+            operator="alice",
+            proposal=f"p{self.state.data.last_proposal}",
+            expected_version=self.state.data.version,
+        )
+
+
+def open_session(number: int) -> mc.OpenSession:
+    return mc.OpenSession(
+        command_id=f"open/{number}",
+        host=f"entry-{number:03}",
+        incarnation=(1 << 56) + number,
+        data_centre=f"dc-{number % DATA_CENTRES}",
+        caller_address=f"10.0.{number // 250}.{number % 250 + 1}:443",
+        peer_address=f"10.0.{number // 250}.{number % 250 + 1}:7000",
+    )
+
+
+def change_one(bundle: Bundle, number: int) -> Bundle:
+    servers = list(bundle.backend_servers)
+    place = number % len(servers)
+    servers[place] = msgspec.structs.replace(servers[place], slots=20 + number % 7)
+    return msgspec.structs.replace(bundle, backend_servers=tuple(servers))
+
+
+def bytes_of(build: Callable[[], object]) -> int:
+    """Return the memory that what `build` returns holds."""
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return used
+
+
+def time_us(work: Callable[[], object]) -> float:
+    """Return the processor time of one call; the least of several."""
+    spent = []
+    for _ in range(REPEATS):
+        start_s = time.process_time()
+        work()
+        spent.append((time.process_time() - start_s) * 1e6)
+    return min(spent)
+
+
+def decoded_view(data: bytes) -> tuple[FleetView, FleetIndex]:
+    view, index = FleetView(), FleetIndex()
+    view.restore(msgspec.msgpack.decode(data, type=mc.FleetSnapshot))
+    index.workspace_of_key(view, "")
+    return view, index
+
+
+def fleet(runners: int, workspaces: int, hosts: int) -> StateDriver:
+    driver = StateDriver()
+    driver.roll(build_bundle(runners, workspaces), 0)
+    driver.open_hosts(hosts)
+    driver.settle()
+    return driver
+
+
+def measure_views() -> list[Slope]:
+    """Measure the entry hosts' view and the control state over each size."""
+    sizes = {
+        "runner": [(n, SMALL_WORKSPACES, 3) for n in RUNNERS],
+        "workspace": [(SMALL_RUNNERS, n, 3) for n in WORKSPACES],
+        "host": [(SMALL_RUNNERS, SMALL_WORKSPACES, n) for n in HOSTS],
+    }
+    found = []
+    for column, (per, cases) in enumerate(sizes.items()):
+        points: dict[str, list[tuple[float, float]]] = {}
+        for case in cases:
+            size = case[column]
+            data = msgspec.msgpack.encode(fleet(*case).state.fleet_snapshot())
+            held = bytes_of(lambda data=data: decoded_view(data))
+            points.setdefault("fleet_view", []).append((size, held))
+            points.setdefault("snapshot", []).append((size, len(data)))
+            held = bytes_of(lambda case=case: fleet(*case))
+            points.setdefault("control_state", []).append((size, held))
+        found += [
+            fit(f"{name}_bytes_per_{per}", "B", per, values)
+            for name, values in points.items()
+        ]
+    return found
+
+
+def measure_kept() -> list[Slope]:
+    """Measure what the control state keeps by count: versions, calls, proposals."""
+    bundle = build_bundle(100, SMALL_WORKSPACES)
+
+    def versions(count: int) -> StateDriver:
+        driver = StateDriver()
+        for n in range(count):
+            driver.roll(change_one(bundle, n), n)
+        return driver
+
+    def proposals(count: int) -> StateDriver:
+        driver = StateDriver()
+        for n in range(count):
+            driver.propose(build_bundle(1_700, 270), n)
+        return driver
+
+    def calls(count: int) -> StateDriver:
+        driver = fleet(SMALL_RUNNERS, SMALL_WORKSPACES, 3)
+        for n in range(count):
+            for command in ledger_call(n):
+                driver.apply(command)
+        return driver
+
+    found = []
+    for name, per, build, counts in (
+        ("control_state_bytes_per_version", "version", versions, (10, 50, 150)),
+        ("control_state_bytes_per_full_proposal", "proposal", proposals, (1, 3, 6)),
+        ("control_state_bytes_per_ledger_call", "call", calls, (100, 1_000, 3_000)),
+    ):
+        points = [(n, bytes_of(lambda n=n, build=build: build(n))) for n in counts]
+        found.append(fit(name, "B", per, points))
+    encode = [(n, time_us(calls(n).state.encode)) for n in (1_000, 5_000, 20_000)]
+    found.append(fit("snapshot_encode_us_per_ledger_call", "us", "call", encode))
+    return found
+
+
+def ledger_call(number: int) -> tuple[mc.Command, mc.Command]:
+    intent_id = f"{number:032x}"
+    intent = mc.RecordIntent(
+        command_id=intent_id,
+        at_ms=1,
+        workspace="workspace-000",
+        idempotency_key=f"{number:032x}",
+        body_digest=f"{number:064x}",
+        host="entry-000",
+        session=1,
+    )
+    result = mc.RecordResult(
+        command_id=f"{number:031x}r",
+        at_ms=1,
+        workspace="workspace-000",
+        idempotency_key=f"{number:032x}",
+        intent_id=intent_id,
+        status=200,
+        content_type="application/json",
+        body=b"x" * 200,
+    )
+    return intent, result
+
+
+def measure_changes() -> list[Slope]:
+    """Measure one roll and one session change, at the leader and at an entry host."""
+    points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
+
+    def add(name: str, unit: str, per: str, size: float, value: float) -> None:
+        points.setdefault((name, unit, per), []).append((size, value))
+
+    for runners in RUNNERS:
+        driver = fleet(runners, 270, 390)
+        bundle = build_bundle(runners, 270)
+        proposal = mc.ProposeBundle(command_id="", operator="alice", bundle=bundle)
+        size = len(msgspec.msgpack.encode(proposal))
+        add("propose_bytes_per_runner", "B", "runner", runners, size)
+        spent, applied_us, sizes = [], [], []
+        for n in range(1, 4):
+            driver.propose(change_one(bundle, n), n)
+            view = FleetView()
+            view.restore(driver.state.fleet_snapshot())
+            command = driver.roll_command(n)
+            start_s = time.process_time()
+            delta = driver.apply(command).delta
+            spent.append((time.process_time() - start_s) * 1e6)
+            sizes.append(len(msgspec.msgpack.encode(delta)))
+            start_s = time.process_time()
+            view.apply_delta(delta)
+            applied_us.append((time.process_time() - start_s) * 1e6)
+        add("roll_us_per_runner", "us", "runner", runners, min(spent))
+        add("view_roll_us_per_runner", "us", "runner", runners, min(applied_us))
+        add("roll_delta_bytes_per_runner", "B", "runner", runners, max(sizes))
+    for hosts in HOSTS:
+        for name, unit, per, value in measure_sessions(hosts):
+            size = moved_by(hosts) if per == "resource" else hosts
+            add(name, unit, per, size, value)
+        driver = fleet(1_700, 270, hosts)
+        bundle = build_bundle(1_700, 270)
+        spent = []
+        for n in range(1, 4):
+            driver.propose(change_one(bundle, n), n)
+            command = driver.roll_command(n)
+            start_s = time.process_time()
+            driver.apply(command)
+            spent.append((time.process_time() - start_s) * 1e6)
+        add("roll_us_per_host", "us", "host", hosts, min(spent))
+    return [fit(*key, values) for key, values in points.items()]
+
+
+def moved_by(hosts: int) -> float:
+    """Return how many workspaces and cells one of `hosts` owns on average."""
+    return (270 + CELLS) / hosts
+
+
+def measure_sessions(hosts: int) -> list[tuple[str, str, str, float]]:
+    """Lose and open sessions of several hosts; returns means per session."""
+    driver = fleet(1_700, 270, hosts)
+    count = min(hosts - 1, 30)
+    lost_us = opened_us = size = 0.0
+    for n in range(count):
+        name = f"entry-{n:03}"
+        number = driver.state.data.sessions[name].number
+        end = mc.ExpireSession(command_id=f"e{n}", host=name, session=number)
+        start_s = time.process_time()
+        delta = driver.apply(end).delta
+        lost_us += (time.process_time() - start_s) * 1e6
+        size += len(msgspec.msgpack.encode(delta))
+        back = msgspec.structs.replace(open_session(n), command_id=f"o{n}")
+        start_s = time.process_time()
+        driver.apply(back)
+        opened_us += (time.process_time() - start_s) * 1e6
+        driver.settle()
+    return [
+        ("session_loss_us_per_host", "us", "host", lost_us / count),
+        ("session_open_us_per_host", "us", "host", opened_us / count),
+        ("session_loss_bytes_per_resource", "B", "resource", size / count),
+    ]
+
+
+def measure_state() -> list[Slope]:
+    return [
+        *measure_views(),
+        *measure_kept(),
+        *measure_changes(),
+    ]
--- /dev/null
+++ b/tests/bench/test_slopes.py
@@ -0,0 +1,28 @@
+"""Guards against a wrong fit and against tables that are written past their block."""
+
+import pytest
+from bench.capacity_sheet import Row
+from bench.slope_fit import fit
+from bench.slopes import replace_block
+
+
+def test_a_straight_line_is_found_exactly_and_a_bent_one_is_told():
+    line = fit("x", "B", "host", [(10, 25), (20, 45), (40, 85)])
+    assert (line.value, line.at_zero, line.r_squared) == pytest.approx((2, 5, 1))
+    assert line.at(100) == pytest.approx(205)
+    bent = fit("x", "B", "host", [(0, 0), (1, 1), (2, 0)])
+    assert bent.r_squared == pytest.approx(0)
+
+
+def test_only_the_named_block_changes_and_a_missing_one_is_an_error():
+    page = "a\n<!-- t begin -->\nold\n<!-- t end -->\nb\n"
+    new = replace_block(page, "t", ["new"])
+    assert new == "a\n<!-- t begin -->\n\nnew\n\n<!-- t end -->\nb\n"
+    assert replace_block(new, "t", ["new"]) == new
+    with pytest.raises(ValueError, match="no block"):
+        replace_block(page, "u", [])
+
+
+@pytest.mark.parametrize(("value", "verdict"), [(64.0, "yes"), (64.1, "no")])
+def test_a_cost_above_its_limit_is_not_held(value, verdict):
+    assert Row("front", "memory", "", value, "MB", 64.0).verdict == verdict
