--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -67,12 +67,12 @@
         "MB",
         MEMORY_LIMIT_MB,
     )
-    sent = sheet.per("control_idle_in_bytes")
-    sheet.add(role, "renewals out", "`control_idle_in_bytes`", sent, "B/s")
-    got = sheet.per("control_idle_out_bytes")
-    sheet.add(role, "renewals in", "`control_idle_out_bytes`", got, "B/s")
+    sent = sheet.per("host_idle_in_bytes")
+    sheet.add(role, "renewals out", "`host_idle_in_bytes`", sent, "B/s")
+    got = sheet.per("host_idle_out_bytes")
+    sheet.add(role, "renewals in", "`host_idle_out_bytes`", got, "B/s")
     rolls = CHANGES_PER_DAY / DAY_S
-    deltas = sheet.per("control_out_bytes_per_roll") * rolls
+    deltas = sheet.per("host_bytes_per_roll") * rolls
     sheet.add(
         role, "deltas of 4,600 rolls a day", "per roll, over a day", deltas, "B/s"
     )
@@ -261,13 +261,15 @@
         CORE_LIMIT_PERCENT,
     )
     sheet.add(role, "renewals in", "390 over 0.75 s", HOSTS * RENEWALS_PER_S, "1/s")
-    moved = sheet.at("control_idle_in_bytes", HOSTS)
-    moved += sheet.at("control_idle_out_bytes", HOSTS)
+    hosts = sum(sheet.at(f"host_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
+    members = sum(sheet.at(f"member_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
+    sheet.add(role, "bytes to and from hosts", "both at 390", hosts, "B/s")
+    sheet.add(role, "bytes between control hosts", "both at 390", members, "B/s")
     sheet.hold(
         role,
         "bytes in and out at idle",
-        "both at 390",
-        moved,
+        "both lines above",
+        hosts + members,
         "B/s",
         BYTES_LIMIT_PER_S,
     )
