--- a/bench/capacity_losses.py
+++ b/bench/capacity_losses.py
@@ -7,10 +7,21 @@
 from bench.capacity_sheet import (
     BYTES_LIMIT_PER_S,
     CELLS,
+    CHANGES_PER_DAY,
+    CORE_LIMIT_PERCENT,
+    DAY_S,
+    GRANT_RETENTION_S,
     HOSTS,
     KV_BYTES_PER_S,
+    LARGE_WORKSPACE_SHARE,
+    LEAST_ELECTION_MS,
+    LEDGER_SHARE,
+    LIST_READS_PER_S,
+    MEMORY_LIMIT_MB,
+    NAME_BYTES,
     REGIONS,
     REQUESTS_PER_S,
+    RUNNERS,
     TOKENS_PER_S,
     TOKENS_PER_S_PER_STREAM,
     WORKSPACES,
@@ -26,7 +37,7 @@
     RequestProfile,
 )
 
-__all__ = ["kv_rows", "progress_item_bytes", "region_rows"]
+__all__ = ["end_rows", "kv_rows", "progress_item_bytes", "region_rows"]
 
 
 def encoded_bytes(message: object) -> int:
@@ -174,3 +185,52 @@
         "B/s",
         BYTES_LIMIT_PER_S,
     )
+
+
+def end_rows(sheet: Sheet) -> None:
+    """Add the sizes at which today's mechanisms reach a limit."""
+    role = "ends"
+
+    def end(line: str, limit: str, size: float, unit: str, needed: float) -> None:
+        # Below zero the limit is passed before the first one.
+        how = f"{limit}; needed: {needed:,.4g}"
+        sheet.add(role, line, how, max(0.0, size), unit)
+
+    def reach(name: str, limit: float) -> float:
+        slope = sheet.slopes[name]
+        return (limit - slope.at_zero) / slope.value
+
+    names = BYTES_LIMIT_PER_S / LIST_READS_PER_S / NAME_BYTES
+    end("platform's host list", "12 KB/s", names, "names", HOSTS + RUNNERS)
+    engines = CORE_LIMIT_PERCENT / sheet.per("poll_core")
+    end("polled engines of one owner", "2.7% of a core", engines, "engines", 20)
+    grants = MEMORY_LIMIT_MB * 1e6 / sheet.per("rate_owner_bytes_per_grant")
+    large = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
+    grants /= GRANT_RETENTION_S
+    end("grants of one rate owner kept for 1 h", "64 MB", grants, "1/s", large)
+    hosts = reach("leader_idle_core", CORE_LIMIT_PERCENT)
+    end("sessions of one leader", "2.7% of a core", hosts, "hosts", HOSTS)
+    names_by_way = (
+        "host_idle_in",
+        "host_idle_out",
+        "member_idle_in",
+        "member_idle_out",
+    )
+    slopes = [sheet.slopes[f"{name}_bytes"] for name in names_by_way]
+    base = sum(slope.at_zero for slope in slopes)
+    hosts = (BYTES_LIMIT_PER_S - base) / sum(slope.value for slope in slopes)
+    end("sessions of one leader", "12 KB/s", hosts, "hosts", HOSTS)
+    hosts = reach("roll_us_per_host", LEAST_ELECTION_MS / 2 * 1e3)
+    end("stall of a roll", "half the least election timeout", hosts, "hosts", HOSTS)
+    logged = sheet.at("propose_bytes_per_runner", RUNNERS)
+    rolls = BYTES_LIMIT_PER_S / logged * DAY_S
+    end("whole bundles in the log", "12 KB/s", rolls, "rolls a day", CHANGES_PER_DAY)
+    call_bytes = sheet.per("control_state_bytes_per_ledger_call")
+    calls = REQUESTS_PER_S * LEDGER_SHARE
+    kept = MEMORY_LIMIT_MB * 1e6 / call_bytes / DAY_S
+    end("ledger calls kept for 24 h", "64 MB", kept, "1/s", calls)
+    most = max(rate for _, rate in sheet.slopes["ledger_commits_per_s"].points)
+    end("ledger calls of one group", "most commits measured", most / 2, "1/s", calls)
+    per_token = sheet.per("front_ms_per_request")
+    tokens = 1e3 / per_token
+    end("tokens of one front", "one core", tokens, "1/s", TOKENS_PER_S / HOSTS)
--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from bench.capacity_losses import kv_rows, progress_item_bytes, region_rows
+from bench.capacity_losses import end_rows, kv_rows, progress_item_bytes, region_rows
 from bench.capacity_sheet import (
     BYTES_LIMIT_PER_S,
     CELLS,
@@ -368,10 +368,13 @@
     )
 
 
+ROLES = (front_rows, owner_rows, leader_rows, region_rows, kv_rows, end_rows)
+
+
 def capacity_rows(slopes: Mapping[str, Slope]) -> list[Row]:
     """Return every line of the page."""
     sheet = Sheet(slopes)
-    for add in (front_rows, owner_rows, leader_rows, region_rows, kv_rows):
+    for add in ROLES:
         add(sheet)
     sheet.hold(
         "follower",
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -4,9 +4,12 @@
 import os
 import platform
 import time
+from dataclasses import fields
 from datetime import UTC, datetime
 from pathlib import Path
 
+import fire
+
 from bench.capacity_rows import capacity_rows
 from bench.capacity_sheet import Row
 from bench.slope_fit import Slope
@@ -78,18 +81,18 @@
     return lines
 
 
-def machine_lines(took_s: float) -> list[str]:
+def machine_line(took_s: float) -> str:
     day = datetime.now(UTC).strftime("%Y-%m-%d")
-    return [
+    return (
         f"Measured on {day} with `make slopes` in {took_s:.0f} s on {os.cpu_count()} "
         f"cores ({platform.machine()}, Linux), Python {platform.python_version()}, "
         f"load average {os.getloadavg()[1]:.1f} over 5 minutes."
-    ]
+    )
 
 
-def write_page(slopes: list[Slope], rows: list[Row], took_s: float) -> None:
+def write_page(slopes: list[Slope], rows: list[Row], machine: str) -> None:
     page = PAGE.read_text(encoding="utf-8")
-    page = replace_block(page, "machine", machine_lines(took_s))
+    page = replace_block(page, "machine", [machine])
     page = replace_block(page, "slopes", slope_lines(slopes))
     curves = ("ledger_commits_per_s", "ledger_median_ms", "ledger_p99_ms")
     page = replace_block(page, "curves", point_lines(slopes, curves))
@@ -98,12 +101,28 @@
     PAGE.write_text(page, encoding="utf-8")
 
 
-def main() -> None:
-    start_s = time.monotonic()
-    OUT.parent.mkdir(exist_ok=True)
-    slopes = [*measure_state(), *measure_owners(), *measure_fleet()]
+def load_slopes() -> tuple[list[Slope], str]:
+    """Return the slopes of the last run, and its machine line."""
+    content = json.loads(OUT.read_text(encoding="utf-8"))
+    names = {field.name for field in fields(Slope)}
+    slopes = []
+    for item in content["slopes"]:
+        values = {name: value for name, value in item.items() if name in names}
+        values["points"] = tuple(tuple(point) for point in values["points"])
+        slopes.append(Slope(**values))
+    return slopes, content["machine"]
+
+
+def main(*, saved: bool = False) -> None:
+    """Measure and write the page; with `saved` from the slopes of the last run."""
+    if saved:
+        slopes, machine = load_slopes()
+    else:
+        start_s = time.monotonic()
+        OUT.parent.mkdir(exist_ok=True)
+        slopes = [*measure_state(), *measure_owners(), *measure_fleet()]
+        machine = machine_line(time.monotonic() - start_s)
     rows = capacity_rows({slope.name: slope for slope in slopes})
-    took_s = time.monotonic() - start_s
     for slope in slopes:
         print(
             f"slope={slope.name} value={slope.value:.6g} at_zero={slope.at_zero:.6g} "
@@ -113,14 +132,15 @@
     for row in rows:
         print(row)
     content = {
+        "machine": machine,
         "slopes": [slope.to_json() for slope in slopes],
         "rows": [row.to_json() for row in rows],
     }
     OUT.write_text(json.dumps(content, indent=1))
-    write_page(slopes, rows, took_s)
+    write_page(slopes, rows, machine)
     breaches = sum(row.verdict == "no" for row in rows)
-    print(f"{len(slopes)} slopes, {breaches} limits not held, {took_s:.0f} s")
+    print(f"{len(slopes)} slopes, {breaches} limits not held")
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
