Halve the control group's idle work and avoid silent control hosts

Heartbeats every 100 ms instead of 50, election timeout 0.35 to 0.6 s, probes every 0.3 s, no extra turn of the loop per batch, and an answer that only confirms a heartbeat waits for the next tick. 100 simulated elections still end within 1 s.

A client avoids an address for 1 s after its connection broke or went silent: followers name a silent leader until the next election, and each attempt there cost a second of the lease.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -8,7 +8,6 @@
 from functools import singledispatchmethod
 
 import anyio
-import anyio.lowlevel
 import msgspec
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
@@ -46,14 +45,21 @@
     TransferLeadership,
 )
 from damaskridge.core.state.replicated_clock import ReplicatedClock
-from damaskridge.model.consensus import AnyMessage, LogEntry, Membership, Snapshot
+from damaskridge.model.consensus import (
+    AnyMessage,
+    AppendReply,
+    LogEntry,
+    Membership,
+    Snapshot,
+)
 from damaskridge.model.control import AnyCommand, Command, CommandResult, FleetDelta
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 
 __all__ = ["ControlNode"]
 
-TICK_S = 0.02
+# Half a heartbeat. Messages and commands wake the node at once.
+TICK_S = 0.05
 # Bounds the memory and the start-up time that the log costs.
 COMPACT_AFTER_ENTRIES = 2000
 COMPACT_AFTER_BYTES = 4_000_000
@@ -228,7 +234,6 @@
     async def _loop(self) -> None:
         while True:
             # Yields even while there is work, so that streams are served.
-            await anyio.lowlevel.checkpoint()
             with anyio.move_on_after(TICK_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -384,8 +389,21 @@
 
     def _deliver(self, recipient: str, message: AnyMessage) -> None:
         # A frame for an older disk of this host must not reach the present one.
-        if recipient in (self._driver.node.name, self._host):
-            self._push(Received(message))
+        if recipient not in (self._driver.node.name, self._host):
+            return
+        self._events.append(Received(message))
+        if not self._can_wait(message):
+            self._wake.set()
+
+    def _can_wait(self, message: AnyMessage) -> bool:
+        """Tell whether a message is an answer that only confirms a heartbeat."""
+        last_index = self._driver.node.log.last_index
+        return (
+            isinstance(message, AppendReply)
+            and message.accepted
+            and message.match_index == self._applied == last_index
+            and self._readers.is_empty
+        )
 
     def _push(self, event: Event) -> None:
         self._events.append(event)
--- a/src/damaskridge/adapters/control_waiters.py
+++ b/src/damaskridge/adapters/control_waiters.py
@@ -98,6 +98,11 @@
         await reader.done.wait()
         return reader.confirmed
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nobody waits."""
+        return not self._new and not self._reads
+
     def take_read(self) -> int | None:
         """Return the id of one read for all new callers, None if there are none."""
         if not self._new:
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -31,6 +31,9 @@
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_WAIT_S = 0.05
 MAX_RETRY_WAIT_S = 0.4
+# Followers name a silent leader until the next election; each attempt there would
+# cost a second of the lease.
+AVOID_S = 1.0
 
 
 class ControlCalls:
@@ -61,13 +64,18 @@
         self._next = 0
         self._hint = ""
         self._channels: dict[str, Channel] = {}
+        self._avoided_until_s: dict[str, float] = {}
 
     def next_address(self) -> str:
         """Return the address to try next."""
-        if self._hint:
+        if self._hint and not self._is_avoided(self._hint):
             return self._hint
-        self._next += 1
-        return self._addresses[self._next % len(self._addresses)]
+        for _ in self._addresses:
+            self._next += 1
+            address = self._addresses[self._next % len(self._addresses)]
+            if not self._is_avoided(address):
+                break
+        return address
 
     def found(self, address: str) -> None:
         """Remember the leader's address."""
@@ -83,15 +91,22 @@
         return self._rng.uniform(0, longest_s)
 
     def drop(self, address: str) -> None:
-        """Close a connection, so that the next call opens a new one."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        """Close a broken connection, and try the other addresses first."""
+        self._avoided_until_s[address] = anyio.current_time() + AVOID_S
+        self._close(address)
 
     def close(self) -> None:
         """Close every connection."""
         for address in list(self._channels):
-            self.drop(address)
+            self._close(address)
+
+    def _close(self, address: str) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def _is_avoided(self, address: str) -> bool:
+        return anyio.current_time() < self._avoided_until_s.get(address, 0.0)
 
     def follow(self, address: str) -> Any:
         """Return the context manager of a `Follow` stream."""
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -27,9 +27,10 @@
 __all__ = ["ControlGroupService", "PeerFrame", "PeerLink", "ProbeAnswer"]
 
 EXCHANGE_PATH = "/damaskridge.ControlGroup/Exchange"
-PROBE_INTERVAL_S = 0.1
-# Below the shortest election timeout together with the time to connect again.
-SILENCE_S = 0.25
+PROBE_INTERVAL_S = 0.3
+# A silent stream is replaced within 0.8 s. Meanwhile the other members are a quorum,
+# and pre-vote keeps the member behind the stream from disturbing them.
+SILENCE_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 SERVER_IDLE_S = 5.0
 BACKOFF_S = (0.05, 1.0)
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -25,7 +25,7 @@
 
 __all__ = ["LeaderDuties"]
 
-TICK_S = 0.05
+TICK_S = 0.1
 ADVANCE_TIME_S = 60.0
 # Above the time of an election, so that a proposal is not given up needlessly.
 PROPOSE_TIMEOUT_S = 2.0
--- a/src/damaskridge/core/consensus/election.py
+++ b/src/damaskridge/core/consensus/election.py
@@ -7,9 +7,9 @@
 
 __all__ = ["ELECTION_TIMEOUT_S", "HEARTBEAT_S", "Role", "Tally", "election_timeout_s"]
 
-HEARTBEAT_S = 0.05
+HEARTBEAT_S = 0.1
 # A leader must be elected within 1 s: one timeout and one round of votes.
-ELECTION_TIMEOUT_S = (0.3, 0.6)
+ELECTION_TIMEOUT_S = (0.35, 0.6)
 # After a split vote. With the full timeout 4 of 400 simulated elections took 1 s or
 # more.
 CAMPAIGN_TIMEOUT_S = (0.1, 0.3)
--- a/tests/processes/test_bundle_in_force.py
+++ b/tests/processes/test_bundle_in_force.py
@@ -180,8 +180,8 @@
     segment.write_bytes(content)
     version = roll_in_force(fleet, 3, 2)
     fleet.start(host)
+    until(lambda: '"LOG_DAMAGED"' in fleet.log(host), "the damage")
     until(lambda: is_voter(fleet, host), "a vote for the repaired host")
-    assert '"LOG_DAMAGED"' in fleet.log(host)
     wait_for_version(fleet, host, version)
     fleet.kill(leader)
     assert roll_in_force(fleet, 4, version) == 4
