Refuse a repeated key-issue clearly and hide fire's metadata

Usage texts no longer list FIRE_METADATA as a group. The end of a Follow stream on the leader no longer logs a traceback for its closed queue.

Run: tests/binaries and tests/adapters/rpc pass.

--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -218,7 +218,7 @@
         try:
             async for message in follower.messages:
                 await stream.send_message(message)
-        except (OSError, StreamTerminatedError):
+        except (OSError, StreamTerminatedError, anyio.ClosedResourceError):
             pass  # The host has gone; its next stream starts anew.
         scope.cancel()
 
--- a/src/damaskridge/binaries/ctl.py
+++ b/src/damaskridge/binaries/ctl.py
@@ -10,7 +10,8 @@
 from typing import Any, NoReturn, TypeVar, cast
 
 import fire
-from fire.decorators import SetParseFns
+from fire import completion
+from fire.decorators import FIRE_METADATA, SetParseFns
 
 from damaskridge.binaries.ctl_commands import CtlError, CtlSettings, Operations
 
@@ -126,8 +127,19 @@
             print("unknown")
 
 
+def _hide_metadata() -> None:
+    """Keep the attribute of `SetParseFns` out of fire's usage texts."""
+    is_visible = completion.MemberVisible
+
+    def is_command(component: object, name: str, *rest: Any, **options: Any) -> bool:
+        return name != FIRE_METADATA and is_visible(component, name, *rest, **options)
+
+    completion.MemberVisible = is_command
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the program and exit with its code."""
+    _hide_metadata()
     try:
         fire.Fire(Ctl, command=arguments, name="damaskridge-ctl")
     except CtlError as error:
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -180,15 +180,21 @@
 
     def key_issue(self, workspace: str, label: str) -> None:
         """Propose the bundle in force with one more key, and print the key."""
+        if self._settings.request_id:
+            # A repeated command must be equal, but the key is stored nowhere.
+            raise CtlError(
+                CtlError.USAGE,
+                "key-issue makes a new key on every run and takes no --request-id; "
+                "an unused proposal does no harm",
+            )
         status = self._read_status(with_bundle=True)
         bundle = status.bundle or Bundle()
         if workspace not in {item.name for item in bundle.workspaces}:
             raise CtlError(CtlError.REFUSED, f"unknown_name: workspace {workspace!r}")
         key = secrets.token_urlsafe(KEY_BYTES)
         record = KeyRecord(_digest(key), workspace, label)
-        proposal = self._commit_bundle(
-            apply_bundle_delta(bundle, Bundle(keys=(record,)), ())
-        )
+        content = apply_bundle_delta(bundle, Bundle(keys=(record,)), ())
+        proposal = self._commit_bundle(content, f"ctl/{secrets.token_hex(8)}")
         self._print(
             f"key {key}\nproposal {proposal}, based on version {status.version}",
             {"key": key, "digest": record.digest, "proposal": proposal},
@@ -227,12 +233,12 @@
         self._print(f"{target} {name} {word}", {"name": name, "draining": draining})
 
     def _propose(self, bundle: Bundle) -> None:
-        proposal = self._commit_bundle(bundle)
+        proposal = self._commit_bundle(bundle, self._command_id())
         self._print(f"proposal {proposal}", {"proposal": proposal})
 
-    def _commit_bundle(self, bundle: Bundle) -> str:
+    def _commit_bundle(self, bundle: Bundle, command_id: str) -> str:
         command = ProposeBundle(
-            command_id=self._command_id(), operator=self._operator(), bundle=bundle
+            command_id=command_id, operator=self._operator(), bundle=bundle
         )
         return self._commit(command).value
 
--- a/tests/binaries/test_ctl.py
+++ b/tests/binaries/test_ctl.py
@@ -64,6 +64,7 @@
     assert "version_conflict" in ctl(*roll, code=1)
     issued = ctl("key-issue", "new")
     assert issued["digest"] == digest(issued["key"])
+    assert "--request-id" in ctl("key-issue", "new", "--request-id", "r2", code=2)
     ctl("key-withdraw", "--digest", digest("k1"))
     ctl("drain", "host", "h1")
     ctl("drain", "backend_server", "s-c1")
@@ -86,4 +87,5 @@
         with pytest.raises(SystemExit) as ended:
             main(arguments)
         assert ended.value.code == 2
-    assert "workspaces: " in capsys.readouterr().err
+    errors = capsys.readouterr().err
+    assert "workspaces: " in errors and "FIRE_METADATA" not in errors
