--- a/src/damaskridge/binaries/ctl.py
+++ b/src/damaskridge/binaries/ctl.py
@@ -132,7 +132,9 @@
     is_visible = completion.MemberVisible
 
     def is_command(component: object, name: str, *rest: Any, **options: Any) -> bool:
-        return name != FIRE_METADATA and is_visible(component, name, *rest, **options)
+        return name != FIRE_METADATA and bool(
+            is_visible(component, name, *rest, **options)
+        )
 
     completion.MemberVisible = is_command
 
