--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -9,9 +9,9 @@
 
 import anyio
 import msgspec
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from damaskridge.adapters.control_waiters import ProposalWaiters, ReadWaiters
+from damaskridge.adapters.delta_subscribers import DeltaSubscribers
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.store import LogStore, StoredState
 from damaskridge.adapters.log_driver import LogDriver
@@ -64,7 +64,6 @@
 COMPACT_AFTER_ENTRIES = 2000
 COMPACT_AFTER_BYTES = 4_000_000
 TRANSFER_TIMEOUT_S = 2.0
-SUBSCRIBER_DELTAS = 10_000
 
 _logger = logging.getLogger("damaskridge.control_node")
 _encode = msgspec.msgpack.Encoder().encode
@@ -138,7 +137,7 @@
         self._proposals = ProposalWaiters()
         self._readers = ReadWaiters()
         self._wake = anyio.Event()
-        self._subscribers: list[MemoryObjectSendStream[FleetDelta]] = []
+        self._subscribers = DeltaSubscribers()
         self._leadership_lost = anyio.Event()
         self._running = True
         self._scope = anyio.CancelScope()
@@ -203,9 +202,7 @@
         The iterator ends when deltas were missed: by a snapshot, or because the
         consumer was too slow.
         """
-        send, receive = anyio.create_memory_object_stream[FleetDelta](SUBSCRIBER_DELTAS)
-        self._subscribers.append(send)
-        return _drain(receive)
+        return self._subscribers.subscribe()
 
     async def run(self) -> None:
         """Take part in the group until `stop`."""
@@ -273,7 +270,7 @@
         self._driver = self._open(store, store.discard("synced entries are missing"))
         self._state.restore(self._empty_state)
         self._applied = self._applied_bytes = 0
-        self._end_subscribers()
+        self._subscribers.end_all()
 
     def _stamp(self, command: Command) -> bytes:
         at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
@@ -310,7 +307,7 @@
     @_act.register
     def _(self, action: Restore) -> None:
         self._restore(action.snapshot)
-        self._end_subscribers()
+        self._subscribers.end_all()
         log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
 
     @_act.register
@@ -357,32 +354,19 @@
             command = _decode_command(entry.command)
             self._observe(command.at_ms)
             applied = self._state.apply(entry.index, command)
-            self._publish(applied.delta)
+            self._subscribers.publish(applied.delta)
             result = applied.result
         self._proposals.applied(entry.index, entry.term, result)
 
     def _observe(self, at_ms: int) -> None:
         self._clock.observe(at_ms, anyio.current_time())
 
-    def _publish(self, delta: FleetDelta) -> None:
-        for subscriber in list(self._subscribers):
-            try:
-                subscriber.send_nowait(delta)
-            except (anyio.WouldBlock, anyio.BrokenResourceError):
-                subscriber.close()
-                self._subscribers.remove(subscriber)
-
     def _restore(self, snapshot: Snapshot) -> None:
         image = _decode_image(snapshot.state)
         self._observe(image.at_ms)
         self._state.restore(image.state)
         self._applied = snapshot.index
 
-    def _end_subscribers(self) -> None:
-        for subscriber in self._subscribers:
-            subscriber.close()
-        self._subscribers.clear()
-
     def _fail_waiting(self) -> None:
         self._proposals.leadership_lost()
         self._readers.fail_all()
@@ -414,14 +398,6 @@
         return CommandResult(Failure(ErrorKind.NOT_LEADER, leader=leader))
 
 
-async def _drain(
-    receive: MemoryObjectReceiveStream[FleetDelta],
-) -> AsyncIterator[FleetDelta]:
-    with receive:
-        async for delta in receive:
-            yield delta
-
-
 def _report(stored: StoredState) -> None:
     if stored.damage:
         log_event(
--- a/src/damaskridge/adapters/log_driver.py
+++ b/src/damaskridge/adapters/log_driver.py
@@ -9,6 +9,8 @@
 
 __all__ = ["LogDriver", "member_id"]
 
+LATE_SYNC_RUNS = 50
+
 
 def member_id(host: str, disk_id: str, guards: Guards) -> str:
     """Return the id of a member; with another disk a host is another member."""
@@ -55,6 +57,7 @@
     ) -> None:
         self._guards = guards or Guards()
         self._store = store
+        self._unsynced_runs = 0
         self.node = RaftNode(
             member_id(host, stored.member, self._guards),
             stored.log,
@@ -76,8 +79,7 @@
         list of Action
             Everything but the saves, which are durable on return.
         """
-        if not self._guards.sync_before_ack:
-            self._store.sync()
+        self._sync_late()
         actions: list[Action] = []
         for event in events:
             actions += self.node.step(event, now_s)
@@ -90,6 +92,15 @@
             others += self.node.step(synced, now_s)
         return others
 
+    def _sync_late(self) -> None:
+        """Without the guard, sync as a disk's background writer would."""
+        if self._guards.sync_before_ack:
+            return
+        self._unsynced_runs += 1
+        if self._unsynced_runs >= LATE_SYNC_RUNS:
+            self._unsynced_runs = 0
+            self._store.sync()
+
     def _save(self, saves: list[Save]) -> None:
         if any(save.snapshot is not None for save in saves):
             # Writes all of the batch, because log and hard state are up to date.
--- a/src/damaskridge/binaries/ctl.py
+++ b/src/damaskridge/binaries/ctl.py
@@ -132,7 +132,8 @@
     is_visible = completion.MemberVisible
 
     def is_command(component: object, name: str, *rest: Any, **options: Any) -> bool:
-        return name != FIRE_METADATA and is_visible(component, name, *rest, **options)
+        visible = is_visible(component, name, *rest, **options)
+        return bool(visible) and name != FIRE_METADATA
 
     completion.MemberVisible = is_command
 
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -113,6 +113,7 @@
         self.now_s = 0.0
         self.sequence = 0
         self.chaos = False
+        self.committed_now = False
         self.loss = self.rng.choice((0.0, 0.02, 0.15))
         for host in self.hosts:
             self.start(host)
@@ -201,6 +202,8 @@
         elif isinstance(action, m.Apply):
             for entry in action.entries:
                 self.apply(member, entry)
+            is_leader = member.driver and member.driver.node.role is Role.LEADER
+            self.committed_now |= bool(is_leader)
         elif isinstance(action, m.Restore):
             self.restore(member, action.snapshot)
         elif isinstance(action, m.LogLost):
@@ -318,6 +321,16 @@
         for host in self.hosts:
             self.start(host)
 
+    def lose_power(self) -> None:
+        """Stop a random quorum right after a commit and start it again."""
+        size = self.rng.randrange(len(self.hosts) // 2 + 1, len(self.hosts) + 1)
+        group = self.rng.sample(self.hosts, size)
+        for host in group:
+            self.stop(host)
+        for host in group:
+            self.start(host)
+        self.faults["quorum_power"] += 1
+
     def disturb_forming(self) -> None:
         """Stop or start a process; a disk that was empty may be torn."""
         host = self.rng.choice(self.hosts)
@@ -417,7 +430,10 @@
 
     def step(self) -> None:
         self.now_s += STEP_S
+        self.committed_now = False
         self.deliver()
+        if self.chaos and self.committed_now and self.rng.random() < 0.01:
+            self.lose_power()
         for host in self.hosts:
             self.run(host, m.Tick())
             self.compact(host)
