--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -8,6 +8,7 @@
 
 import logging
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -21,7 +22,7 @@
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
-from damaskridge.model.consensus import AnyMessage
+from damaskridge.model.consensus import AnyMessage, InstallSnapshot
 from damaskridge.model.events import EventNumber
 
 __all__ = ["ControlGroupService", "PeerFrame", "PeerLink", "ProbeAnswer"]
@@ -35,21 +36,73 @@
 SERVER_IDLE_S = 5.0
 BACKOFF_S = (0.05, 1.0)
 QUEUE_FRAMES = 256
+# Above a batch of entries. Longer messages would hold up heartbeats and probes.
+PART_BYTES = 256 * 1024
 
+_encode = msgspec.msgpack.Encoder().encode
 _logger = logging.getLogger("damaskridge.control_group")
 
 
 class PeerFrame(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A message for the member `recipient`, or a probe."""
+    """
+    A message for the member `recipient`, a part of one, or a probe.
+
+    Parameters
+    ----------
+    part : bytes
+        A part of an encoded frame that is too large for one message.
+    is_last : bool
+        Whether the part completes its frame.
+    """
 
     recipient: str = ""
     message: AnyMessage | None = None
+    part: bytes = b""
+    is_last: bool = False
+
+
+_decode = msgspec.msgpack.Decoder(PeerFrame).decode
 
 
 class ProbeAnswer(msgspec.Struct, frozen=True):
     """Answers a probe."""
 
 
+def split_frame(frame: PeerFrame) -> list[PeerFrame]:
+    """Return the frame itself, or its parts if it carries a large snapshot."""
+    message = frame.message
+    if not isinstance(message, InstallSnapshot):
+        return [frame]
+    if len(message.snapshot.state) <= PART_BYTES:
+        return [frame]
+    data = _encode(frame)
+    starts = range(0, len(data), PART_BYTES)
+    return [
+        PeerFrame(
+            part=data[start : start + PART_BYTES],
+            is_last=start + PART_BYTES >= len(data),
+        )
+        for start in starts
+    ]
+
+
+class FrameAssembler:
+    """Puts the parts of large frames together, one frame after another."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    def add(self, frame: PeerFrame) -> PeerFrame | None:
+        """Return the frame, or None while parts of it are missing."""
+        if not frame.part:
+            return frame
+        self._parts.append(frame.part)
+        if not frame.is_last:
+            return None
+        data, self._parts = b"".join(self._parts), []
+        return _decode(data)
+
+
 class PeerLink:
     """
     The outgoing stream to one member.
@@ -130,8 +183,23 @@
                 tasks.start_soon(self._probe)
 
     async def _write(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
-        async for frame in self._queue:
-            await stream.send_message(frame)
+        large: deque[PeerFrame] = deque()
+        while True:
+            # Heartbeats go out between the parts of a snapshot.
+            if large:
+                await stream.send_message(large.popleft())
+            try:
+                frame = self._queue.receive_nowait()
+            except anyio.WouldBlock:
+                if large:
+                    continue
+                frame = await self._queue.receive()
+            parts = split_frame(frame)
+            if len(parts) == 1:
+                await stream.send_message(frame)
+            elif not large:
+                # Otherwise it repeats the snapshot that is on its way.
+                large.extend(parts)
 
     async def _read(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
         while await stream.recv_message() is not None:
@@ -165,12 +233,16 @@
         return {EXCHANGE_PATH: handler}
 
     async def _exchange(self, stream: ServerStream[Any, Any]) -> None:
+        assembler = FrameAssembler()
         while True:
             frame: PeerFrame | None = None
             with anyio.move_on_after(SERVER_IDLE_S):
                 frame = await stream.recv_message()
             if frame is None:
                 return
+            frame = assembler.add(frame)
+            if frame is None:
+                continue
             if frame.message is None:
                 await stream.send_message(ProbeAnswer())
             else:
--- a/src/damaskridge/core/state/ledger.py
+++ b/src/damaskridge/core/state/ledger.py
@@ -31,6 +31,8 @@
 # Some 4,000 calls a day with results of 1 KB. A record is never dropped before its
 # retention has passed, because its call could then run again.
 WORKSPACE_BYTES = 4 * 1024 * 1024
+# Bounds the snapshots of the log.
+TOTAL_BYTES = 128 * 1024 * 1024
 RECORD_BYTES = 200
 # The ledger is pruned once a minute.
 FULL_RETRY_S = 60.0
@@ -152,7 +154,9 @@
 
 def _fits(data: StateData, key: str, size_bytes: int) -> bool:
     used_bytes = data.ledger_bytes.get(_workspace(key), 0)
-    return used_bytes + size_bytes <= WORKSPACE_BYTES
+    if used_bytes + size_bytes > WORKSPACE_BYTES:
+        return False
+    return sum(data.ledger_bytes.values()) + size_bytes <= TOTAL_BYTES
 
 
 def _count(data: StateData, key: str, size_bytes: int) -> None:
--- a/tests/adapters/rpc/test_control_group.py
+++ b/tests/adapters/rpc/test_control_group.py
@@ -1,4 +1,4 @@
-"""Guards against a stream that stays in use after it went silent."""
+"""Guards against silent streams that stay in use and against very long messages."""
 
 import random
 
@@ -6,12 +6,18 @@
 from grpclib.server import Server
 
 from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc import control_group
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
     PeerFrame,
     PeerLink,
 )
-from damaskridge.model.consensus import TimeoutNow
+from damaskridge.model.consensus import (
+    InstallSnapshot,
+    Membership,
+    Snapshot,
+    TimeoutNow,
+)
 
 
 class Relay:
@@ -67,5 +73,20 @@
     await server.wait_closed()
 
 
+def test_large_snapshot_travels_in_parts_and_lets_heartbeats_through():
+    state = random.Random(1).randbytes(3 * control_group.PART_BYTES)
+    snapshot = Snapshot(7, 2, Membership(("a",)), state)
+    message = InstallSnapshot(sender="a", term=2, snapshot=snapshot, round=1)
+    frame = control_group.PeerFrame("b", message)
+    parts = control_group.split_frame(frame)
+    size_bytes = [len(MsgpackCodec().encode(part, PeerFrame)) for part in parts]
+    assert len(parts) > 3 and max(size_bytes) < control_group.PART_BYTES + 100
+    assembler, heartbeat = control_group.FrameAssembler(), PeerFrame()
+    for part in parts[:-1]:
+        assert assembler.add(part) is None and assembler.add(heartbeat) is heartbeat
+    assert assembler.add(parts[-1]) == frame
+    assert control_group.split_frame(heartbeat) == [heartbeat]
+
+
 def test_silent_stream_is_replaced():
     anyio.run(scenario)
