--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -185,15 +185,15 @@
     async def _write(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
         large: deque[PeerFrame] = deque()
         while True:
-            # Heartbeats go out between the parts of a snapshot.
-            if large:
+            if not large:
+                frame = await self._queue.receive()
+            else:
+                # Heartbeats go out between the parts of a snapshot.
                 await stream.send_message(large.popleft())
-            try:
-                frame = self._queue.receive_nowait()
-            except anyio.WouldBlock:
-                if large:
+                try:
+                    frame = self._queue.receive_nowait()
+                except anyio.WouldBlock:
                     continue
-                frame = await self._queue.receive()
             parts = split_frame(frame)
             if len(parts) == 1:
                 await stream.send_message(frame)
@@ -234,16 +234,13 @@
 
     async def _exchange(self, stream: ServerStream[Any, Any]) -> None:
         assembler = FrameAssembler()
-        while True:
-            frame: PeerFrame | None = None
-            with anyio.move_on_after(SERVER_IDLE_S):
-                frame = await stream.recv_message()
-            if frame is None:
-                return
-            frame = assembler.add(frame)
-            if frame is None:
-                continue
-            if frame.message is None:
-                await stream.send_message(ProbeAnswer())
-            else:
-                self._deliver(frame.recipient, frame.message)
+        with anyio.move_on_after(SERVER_IDLE_S) as idle:
+            while (received := await stream.recv_message()) is not None:
+                idle.deadline = anyio.current_time() + SERVER_IDLE_S
+                frame = assembler.add(received)
+                if frame is None:
+                    continue
+                if frame.message is None:
+                    await stream.send_message(ProbeAnswer())
+                else:
+                    self._deliver(frame.recipient, frame.message)
