Dispatch actions and events without building a function per call

Cause: functools.singledispatchmethod builds and names a function at every access; 10.5% of an entry host's time under 300 streams (sampling profile).

Change: DispatchMethod, used by the request's life cycle, its runner, the scheduler and the cell worker.

--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -4,7 +4,6 @@
 import uuid
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
-from functools import singledispatchmethod
 from typing import Any, Protocol
 
 import anyio
@@ -18,6 +17,7 @@
 from damaskridge.adapters.pending import PendingReplies
 from damaskridge.adapters.ports import ControlPort, EnginePort
 from damaskridge.adapters.rpc.peer_messages import ActiveRequests
+from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.scheduling.messages import (
     CancelOnEngine,
@@ -295,7 +295,7 @@
         else:
             self._group.start_soon(function, *args)
 
-    @singledispatchmethod
+    @DispatchMethod
     def _carry_out(self, action: CellAction) -> None:
         raise TypeError(f"unknown action: {type(action).__name__}")
 
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -4,7 +4,6 @@
 import logging
 from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass
-from functools import singledispatchmethod
 from typing import Any
 
 from result import Err
@@ -22,6 +21,7 @@
 from damaskridge.adapters.ports import (
     StreamFailed,
 )
+from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.requests.lifecycle import RequestMachine
 from damaskridge.core.requests.messages import (
     AskPlacement,
@@ -204,7 +204,7 @@
             self._work.cancel()
         self._work = None
 
-    @singledispatchmethod
+    @DispatchMethod
     def _perform(self, action: object) -> None:
         raise TypeError(f"unknown action: {type(action).__name__}")
 
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -1,9 +1,8 @@
 """The life cycle of one request on its front, without I/O."""
 
-from functools import singledispatchmethod
-
 import msgspec
 
+from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.requests.assembler import Assembler, InvalidChunk
 from damaskridge.core.requests.messages import (
     Action,
@@ -140,7 +139,7 @@
             return [Report(self.progress())]
         return []
 
-    @singledispatchmethod
+    @DispatchMethod
     def _handle(self, event: object) -> list[Action]:
         raise TypeError(f"unknown event: {type(event).__name__}")
 
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -1,8 +1,8 @@
 """The scheduler of one cell: composes order, admission, placement and recovery."""
 
 import random
-from functools import singledispatchmethod
 
+from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.scheduling.dispatch import Dispatcher
 from damaskridge.core.scheduling.messages import (
     CacheReported,
@@ -117,7 +117,7 @@
             return min(self._next_check_s, now_s + self._dispatcher.retry_s)
         return self._next_check_s if self._registry.entries else None
 
-    @singledispatchmethod
+    @DispatchMethod
     def _apply(self, event: CellEvent, now_s: float) -> list[CellAction]:
         raise TypeError(f"unknown event: {event!r}")
 
