Fetch taken-over text from its start, drop stalled callers, answer 431 in JSON

A caller that stops reading kept uvicorn's buffer until TCP gave up; its transport is aborted now. A request head over h11's limit got uvicorn's bare 400 and now gets a 431 with the JSON of other refusals.

--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -232,8 +232,9 @@
 
     @_perform.register
     def _(self, action: ResumeDecode) -> None:
-        # A request that was just taken over has no connection yet.
-        if self._work is not None:
+        # A request that was just taken over has no connection that was silent.
+        taken_over = self.machine.base_offset > 0 and not self.machine.texts
+        if self._work is not None and not taken_over:
             self._events.silent(action.address, action.offset)
         engine = self._context.engine_for(action.address)
         chunks = engine.resume(action.engine_request_id, action.offset)
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -192,7 +192,9 @@
             model=profile.model,
             prompt="",
             prompt_tokens=profile.prompt_tokens,
-            max_output_tokens=profile.max_output_tokens + offset,
+            # Of a later attempt the number of earlier tokens is not known.
+            max_output_tokens=profile.max_output_tokens
+            + (offset if profile.attempt > 1 else 0),
         )
         call = ModelCall(
             workspace=workspace,
@@ -210,4 +212,5 @@
         )
         self._calls[profile.request_id] = running
         log_event(_logger, EventNumber.STREAM_TAKEN_OVER, request_id=profile.request_id)
-        running.dispatch(Continued(active.placement, offset))
+        # Another caller may resume from an earlier offset, so all text is fetched.
+        running.dispatch(Continued(active.placement, 0, wanted_offset=offset))
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -93,6 +93,8 @@
                 _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
                 await self._refuse(exchange, Failure(ErrorKind.INTERNAL))
         except CallerGone as gone:
+            if gone.too_slow:
+                exchange.abort()
             log_event(
                 _logger,
                 EventNumber.CALLER_LOST,
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.http.bodies import RequestError
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["CallerGone", "Exchange", "Receive", "Scope", "Send"]
+__all__ = ["ABORT_EXTENSION", "CallerGone", "Exchange", "Receive", "Scope", "Send"]
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -18,6 +18,8 @@
 
 _HEADERS_LIMIT_BYTES = 32_768
 _JSON = b"application/json"
+# Key in the scope's extensions of a function that drops the connection at once.
+ABORT_EXTENSION = "damaskridge.abort"
 
 
 class CallerGone(Exception):
@@ -69,6 +71,7 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in self.raw_headers
         }
+        self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION)
         self.started = False
         self.is_watched = False
         self._writing_since_s = float("inf")
@@ -158,6 +161,11 @@
         finally:
             self._writing_since_s = float("inf")
 
+    def abort(self) -> None:
+        """Drop the connection; what the caller has not read is freed."""
+        if self._abort is not None:
+            self._abort()
+
     def stalled(self) -> bool:
         """Tell whether the caller has not read for too long."""
         now_s = asyncio.get_running_loop().time()
--- a/src/damaskridge/binaries/http_server.py
+++ b/src/damaskridge/binaries/http_server.py
@@ -2,13 +2,18 @@
 
 import contextlib
 import socket
+import sys
 from collections.abc import Iterator
 from typing import Any
 
 import uvicorn
 from result import Err, Ok, Result
+from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from damaskridge.adapters.http.answers import error_body
+from damaskridge.adapters.http.exchange import ABORT_EXTENSION
 from damaskridge.binaries.entry_settings import split_address
+from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = ["HttpServer", "listen"]
 
@@ -32,6 +37,37 @@
     return Ok(listener)
 
 
+class _Protocol(H11Protocol):
+    """Answers what is no request of HTTP with the body that other refusals have."""
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse and close; called while the parser's error is handled."""
+        error = sys.exc_info()[1]
+        kind = ErrorKind.INVALID_REQUEST
+        if getattr(error, "error_status_hint", 400) == 431:
+            kind = ErrorKind.HEADERS_TOO_LARGE
+        failure = Failure(kind, msg)
+        body = error_body(failure, "")
+        head = (
+            f"HTTP/1.1 {failure.status} Refused\r\ncontent-type: application/json\r\n"
+            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        )
+        self.transport.write(head.encode() + body)
+        self.transport.close()
+
+
+def _with_abort(app: Any) -> Any:
+    """Let the application drop a connection with all that is still buffered."""
+
+    async def wrapped(scope: Any, receive: Any, send: Any) -> None:
+        transport = getattr(getattr(send, "__self__", None), "transport", None)
+        if transport is not None:
+            scope.setdefault("extensions", {})[ABORT_EXTENSION] = transport.abort
+        await app(scope, receive, send)
+
+    return wrapped
+
+
 class HttpServer(uvicorn.Server):
     """
     Serves one ASGI application.
@@ -47,8 +83,8 @@
     def __init__(self, app: Any, max_header_bytes: int = 16_384) -> None:
         super().__init__(
             uvicorn.Config(
-                app,
-                http="h11",
+                _with_abort(app),
+                http=_Protocol,
                 ws="none",
                 lifespan="off",
                 log_config=None,
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -103,6 +103,7 @@
         self._granted = False
         self._may_have_run = False
         self._resumed = False
+        self._wanted_offset = 0
 
     @property
     def ended(self) -> bool:
@@ -226,6 +227,8 @@
     def _(self, event: AttemptFailed) -> list[Action]:
         if event.attempt != self.attempt or self.stage not in _RUNNING:
             return []
+        if self._starts_later(event.failure):
+            return [self._resume()]
         # Other kinds are answers of a server that is alive.
         broken = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
         return self._retry(event.server, event.failure, broken)
@@ -246,6 +249,7 @@
         self.placement = event.placement
         self.attempt = event.placement.attempt
         self.base_offset = event.offset
+        self._wanted_offset = max(event.offset, event.wanted_offset)
         self._assembler = Assembler(self._limits.window, event.offset)
         self._enter(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
@@ -266,6 +270,16 @@
         # A stalled transfer may be the link's fault, so no server is reported.
         return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
+    def _starts_later(self, failure: Failure) -> bool:
+        """Continue at the caller's offset if the engine has nothing before it."""
+        refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
+        if not refused or self.base_offset >= self._wanted_offset:
+            return False
+        self.base_offset = self._wanted_offset
+        self._assembler = Assembler(self._limits.window, self.base_offset)
+        self.deadline_s = self._now_s + self._limits.silence_s
+        return True
+
     def _ask_placement(self) -> list[Action]:
         self.attempt += 1
         self.placement = None
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -161,10 +161,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Continued:
-    """The front continues a request of a front that is gone."""
+    """
+    The front continues a request of a front that is gone.
+
+    Parameters
+    ----------
+    placement : Placement
+        Engines of its last attempt.
+    offset : int
+        First token to fetch.
+    wanted_offset : int
+        First token to fetch if the engine has none before; the caller's offset.
+    """
 
     placement: Placement
     offset: int
+    wanted_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -10,6 +10,7 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.routing import Placement, RequestPhase
 
+RESUME = m.ResumeDecode
 LOST = Failure(ErrorKind.BACKEND_SERVER_FAILED)
 REFUSED = Failure(ErrorKind.BACKEND_SERVER_FAILED, run_state=RunState.NOT_RUN)
 
@@ -142,3 +143,19 @@
             closes += isinstance(action, m.Close)
     assert closes == 1
     assert machine.stage is m.Stage.FINISHED or not open_on
+
+
+def test_a_request_taken_over_is_fetched_whole_or_from_the_callers_offset():
+    machine = RequestMachine(m.RequestSpec("r", "m", "", 10, 9), m.RetryLimits(), 0.0)
+    continued = m.Continued(placed(2).placement, 0, wanted_offset=4)
+    assert [item.offset for item in kinds(machine.handle(continued, 0.0), RESUME)] == [
+        0
+    ]
+    earlier = Failure(ErrorKind.INVALID_OFFSET)
+    actions = machine.handle(m.AttemptFailed(2, "d1", earlier), 0.0)
+    assert [item.offset for item in actions] == [4]
+    machine.handle(m.ChunkReceived(2, DecodeChunk(4, "e")), 0.0)
+    assert (machine.base_offset, machine.texts) == (4, ["e"])
+    # Its prompt is not known here, so the loss of its engine ends it at once.
+    end = machine.handle(m.AttemptFailed(2, "d1", LOST), 0.0)[-1]
+    assert (end.failure.kind, end.failure.ran) == (LOST.kind, RunState.RAN)
