--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -20,6 +20,8 @@
 __all__ = ["JsonFormatter", "configure", "event_record", "fields_of", "log_event"]
 
 ROOT_LOGGER = "damaskridge"
+# Without a handler their warnings would be lines that are no JSON.
+LIBRARY_LOGGERS = ("asyncio", "grpclib", "uvicorn.error")
 
 
 def event_record(
@@ -92,10 +94,12 @@
 
 
 def configure(process: str, level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send the project's log records to `stream`, by default standard error."""
+    """Send the records of the project and its libraries to `stream`, or stderr."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(process))
     logger = logging.getLogger(ROOT_LOGGER)
     logger.handlers[:] = [handler]
     logger.setLevel(level)
     logger.propagate = False
+    for name in LIBRARY_LOGGERS:
+        logging.getLogger(name).handlers[:] = [handler]
--- a/src/damaskridge/binaries/entry_settings.py
+++ b/src/damaskridge/binaries/entry_settings.py
@@ -50,7 +50,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     body_limit_bytes: int = Field(default=1_048_576, gt=0)
-    max_header_bytes: int = Field(default=16_384, ge=1024)
+    max_header_bytes: int = Field(default=49_152, ge=1024)
     body_wait_s: float = Field(default=10.0, gt=0)
     rate_wait_s: float = Field(default=2.0, ge=0)
     keep_s: float = Field(default=5.0, ge=0)
