Keep connections to backend servers in a pool of our own

Cause: httpcore's pool compares all its connections at every request. A sampling profile with 200 requests at once shows 28.5% of the entry process in _assign_requests_to_connections. AddressPool keeps idle AsyncHTTP11Connections of one address; the last used is reused first.

The engine stand-ins are ruled out: asked directly by the same 200, they prefill in 0.18 s and decode in 0.36 s (95th percentile) without an eviction.

--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from damaskridge.adapters.http_pool import AddressPool
 from damaskridge.adapters.http_streams import StreamBackend
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.errors import ErrorKind, Failure, RunState
@@ -36,9 +37,6 @@
     """
     Connections to backend servers.
 
-    Each address has its own pool, because the work of a pool for one request grows
-    with all its connections.
-
     Parameters
     ----------
     connections : int
@@ -48,19 +46,12 @@
     def __init__(self, connections: int = 400) -> None:
         self._connections = connections
         self._backend = StreamBackend()
-        self._pools: dict[bytes, httpcore.AsyncConnectionPool] = {}
-        # Resumes and repeated calls never meet a connection that went silent.
-        self._fresh = httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            max_keepalive_connections=0,
-            network_backend=self._backend,
-        )
+        self._pools: dict[bytes, AddressPool] = {}
 
     async def close(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
-            await pool.aclose()
-        await self._fresh.aclose()
+            await pool.close()
 
     async def call(
         self,
@@ -113,21 +104,20 @@
         read_s: float | None,
         fresh: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
-        """Give the response with its body unread; raises `StreamFailed`."""
-        pool = self._fresh if fresh else self._pool_of(url)
-        timeouts = {
-            "connect": _CONNECT_S,
-            "pool": _CONNECT_S,
-            "write": read_s,
-            "read": read_s,
-        }
+        """
+        Give the response with its body unread; raises `StreamFailed`.
+
+        With `fresh` the call never meets a connection that went silent.
+        """
         with _failures():
-            opened = pool.stream(
+            parsed = httpcore.URL(url)
+            opened = self._pool_of(parsed).stream(
                 method,
-                url,
-                headers=headers or [(b"content-type", b"application/json")],
-                content=body,
-                extensions={"timeout": timeouts},
+                parsed.target,
+                headers or [(b"content-type", b"application/json")],
+                body,
+                read_s,
+                fresh,
             )
             response = await opened.__aenter__()
         try:
@@ -135,14 +125,17 @@
         finally:
             await opened.__aexit__(None, None, None)
 
-    def _pool_of(self, url: str) -> httpcore.AsyncConnectionPool:
-        address = httpcore.URL(url).host + b":%d" % (httpcore.URL(url).port or 80)
+    def _pool_of(self, url: httpcore.URL) -> AddressPool:
+        port = url.port or 80
+        address = b"%b:%d" % (url.host, port)
         if address not in self._pools:
-            self._pools[address] = httpcore.AsyncConnectionPool(
-                max_connections=self._connections,
-                max_keepalive_connections=self._connections,
-                keepalive_expiry=_KEEPALIVE_S,
-                network_backend=self._backend,
+            self._pools[address] = AddressPool(
+                url.host,
+                port,
+                self._backend,
+                limit=self._connections,
+                keepalive_s=_KEEPALIVE_S,
+                connect_s=_CONNECT_S,
             )
         return self._pools[address]
 
