--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -1,9 +1,8 @@
 """The life cycle of one request on its front, without I/O."""
 
-from functools import singledispatchmethod
-
 import msgspec
 
+from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.requests.assembler import Assembler, InvalidChunk
 from damaskridge.core.requests.messages import (
     Action,
@@ -104,6 +103,7 @@
         self._granted = False
         self._may_have_run = False
         self._resumed = False
+        self._wanted_offset = 0
 
     @property
     def ended(self) -> bool:
@@ -141,7 +141,7 @@
             return [Report(self.progress())]
         return []
 
-    @singledispatchmethod
+    @DispatchMethod
     def _handle(self, event: object) -> list[Action]:
         raise TypeError(f"unknown event: {type(event).__name__}")
 
@@ -192,8 +192,10 @@
             return []
         placement = self._placed()
         # The prefill engine evicts its result in under a second, so the transfer
-        # starts at once and has a deadline.
-        self._enter(Stage.TRANSFERRING, placement.transfer_deadline_s)
+        # starts at once and has a deadline. The first token also waits for the first
+        # decode step and, in a burst, for this process.
+        limit_s = max(placement.transfer_deadline_s, self._limits.transfer_s)
+        self._enter(Stage.TRANSFERRING, limit_s)
         request = DecodeRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -228,6 +230,8 @@
     def _(self, event: AttemptFailed) -> list[Action]:
         if event.attempt != self.attempt or self.stage not in _RUNNING:
             return []
+        if self._starts_later(event.failure):
+            return [self._resume()]
         # Other kinds are answers of a server that is alive.
         broken = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
         return self._retry(event.server, event.failure, broken)
@@ -248,6 +252,7 @@
         self.placement = event.placement
         self.attempt = event.placement.attempt
         self.base_offset = event.offset
+        self._wanted_offset = max(event.offset, event.wanted_offset)
         self._assembler = Assembler(self._limits.window, event.offset)
         self._enter(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
@@ -268,6 +273,16 @@
         # A stalled transfer may be the link's fault, so no server is reported.
         return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
+    def _starts_later(self, failure: Failure) -> bool:
+        """Continue at the caller's offset if the engine has nothing before it."""
+        refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
+        if not refused or self.base_offset >= self._wanted_offset:
+            return False
+        self.base_offset = self._wanted_offset
+        self._assembler = Assembler(self._limits.window, self.base_offset)
+        self.deadline_s = self._now_s + self._limits.silence_s
+        return True
+
     def _ask_placement(self) -> list[Action]:
         self.attempt += 1
         self.placement = None
