Match attempts that were lost with a server by its incarnation

Cause: a crash within 5 s of an earlier one of the same server was also explained by what was lost with the earlier process, so the new culprit was cleared of suspicion.

--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -139,7 +139,7 @@
                 ran.append(entry.profile.fingerprint)
             if on_decode:
                 self._placer.release(entry)
-        ran += self._suspects.failed_on(name, now_s)
+        ran += self._suspects.failed_on(name, server.incarnation, now_s)
         fingerprints = tuple(dict.fromkeys(item for item in ran if item))
         self._suspects.add(fingerprints, now_s)
         return [ReportCrashedRequests(name, incarnation, fingerprints)]
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -35,13 +35,17 @@
             if all(now_s - failed_s > HELD_S for failed_s in items.values()):
                 del self._failed_s[name]
 
-    def failed_on(self, server: str, now_s: float) -> list[str]:
-        """Return what fronts lost on a server just before its crash was seen."""
+    def failed_on(self, server: str, incarnation: int, now_s: float) -> list[str]:
+        """
+        Return what fronts lost on a server just before its crash was seen.
+
+        What was lost with an earlier process of the server explains another crash.
+        """
+        key = (server, incarnation)
         return [
             fingerprint
             for fingerprint, failed in self._failed_s.items()
-            for (name, _), failed_s in failed.items()
-            if name == server and now_s - failed_s <= CRASH_SEEN_S
+            if now_s - failed.get(key, float("-inf")) <= CRASH_SEEN_S
         ]
 
     def is_held(self, fingerprint: str, now_s: float) -> bool:
