Report only admitted requests to a new rate owner

Cause: a front also listed requests that still waited for their grant. When it became the owner itself, such a request took the key from the one that runs elsewhere. Ruled out: the key table, in which the first entry of a key wins as intended.

--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -256,7 +256,7 @@
             for running in self._calls.values()
             if running.call.workspace == workspace
             and running.call.idempotency_key
-            and running.original is None
+            and running.granted
             and not running.moved
         )
 
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -126,6 +126,11 @@
         """The request's identifier."""
         return self.call.spec.request_id
 
+    @property
+    def granted(self) -> bool:
+        """Whether a rate owner admitted the request."""
+        return self._grant is not None
+
     @property
     def placement(self) -> Placement | None:
         """Engines of the current attempt."""
