Keep queued requests of fronts that have nothing else to report

Cause: progress batches named only placed requests, and batches are the heartbeat of a front. A front whose requests in a cell were all queued fell silent, and after 3 s the scheduler dropped them without an answer, so their callers waited for ever. Change: a front with queued requests sends empty batches, and a dropped request is answered, so that a front that is alive asks again.

--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -341,8 +341,11 @@
     def _report_progress(self) -> None:
         batches: dict[str, list[Progress]] = {}
         for running in self._running():
-            if running.profile is not None and running.placement is not None:
-                items = batches.setdefault(running.profile.resource, [])
+            if running.profile is None or not running.profile.resource:
+                continue
+            # Without items, the batch tells that the front of a queued request lives.
+            items = batches.setdefault(running.profile.resource, [])
+            if running.placement is not None:
                 items.append(running.progress())
         for call in self._calls.values():
             if not call.machine.ended or call.profile is None:
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -72,6 +72,8 @@
             if entry.incarnation != incarnation:
                 continue
             if entry.placement is None:
+                # A front that is alive after all asks again.
+                actions.append(_refuse(entry.profile, ErrorKind.OWNER_UNAVAILABLE))
                 actions += self._end_request(entry, now_s, False)
             else:
                 self._registry.orphan(entry, now_s)
@@ -147,8 +149,11 @@
 
 def refuse_held(profile: RequestProfile) -> SendSubmitReply:
     """Return the answer to a request that has cost all the servers it may."""
-    failure = Failure(ErrorKind.REQUEST_QUARANTINED)
-    refused = Refused(request_id=profile.request_id, failure=failure)
+    return _refuse(profile, ErrorKind.REQUEST_QUARANTINED)
+
+
+def _refuse(profile: RequestProfile, kind: ErrorKind) -> SendSubmitReply:
+    refused = Refused(request_id=profile.request_id, failure=Failure(kind))
     return SendSubmitReply(profile.front, profile.request_id, refused)
 
 
