Answer or serve every queued request of a cell

Causes: load reports' free memory was ignored, so the memory of requests that no front knows was given away; a request that needs an engine alone was overtaken for ever by small ones; requests stayed queued without limit when no server of their model was usable; a server that left and returned stayed leaving, because ServerRecovered only ended a failure.

Change: memory that a report shows in use beyond the cell's own reservations counts as stray. A request of more than half an engine that is 10 s past its slack gets an engine kept for it. Queued requests are refused with no_backend_server 3 s after the last usable server of their model is gone. ServerRecovered has the field returned, sent when a server is no longer leaving; an answer after a silence alone does not end leaving.

Adds the switch budget_retries for comparisons.

--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -208,7 +208,7 @@
             self.handle(ServerLeaving(name))
         for name in sorted(self._leaving - mine):
             if any(server.name == name for server in self._servers):
-                self.handle(ServerRecovered(name))
+                self.handle(ServerRecovered(name, returned=True))
         self._leaving = mine
 
     def gain(self) -> None:
--- a/src/damaskridge/core/scheduling/admission.py
+++ b/src/damaskridge/core/scheduling/admission.py
@@ -12,6 +12,7 @@
     "pieces_for",
     "release",
     "reserve",
+    "shared_limit",
 ]
 
 # A decode engine allocates this far ahead of the token that it computes.
@@ -39,10 +40,16 @@
         return False
     if spec.kv_pieces == 0:
         return True
-    limit = spec.kv_pieces * (1 - reserved - _GROWTH_HEADROOM)
+    used = server.used_pieces + server.stray_pieces
     # A request larger than the limit may run alone rather than never.
-    alone = server.used_slots == 0 and pieces <= spec.kv_pieces
-    return alone or server.used_pieces + pieces <= limit
+    alone = server.used_slots == 0 and used + pieces <= spec.kv_pieces
+    return alone or used + pieces <= shared_limit(server, level)
+
+
+def shared_limit(server: ServerState, level: Level) -> float:
+    """Return the memory that requests of this level may fill beside others."""
+    reserved = _BULK_HEADROOM if level is Level.BULK else 0.0
+    return server.spec.kv_pieces * (1 - reserved - _GROWTH_HEADROOM)
 
 
 def reserve(server: ServerState, request_id: str, pieces: int) -> None:
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -12,9 +12,13 @@
 from damaskridge.core.scheduling.urgency import Level
 from damaskridge.model.routing import Placement, RequestPhase, RequestProfile
 
-__all__ = ["Dispatcher"]
+__all__ = ["NO_SERVER_LIMIT_S", "Dispatcher"]
 
+# Time for which requests wait for a server to return before they are refused.
+NO_SERVER_LIMIT_S = 3.0
 _RETRY_S = 0.02
+# Wait past its slack after which a large request gets an engine kept for it.
+_CLAIM_AFTER_S = 10.0
 _HEADS = 4
 # Share of the cell that delay-tolerant work gets after its slack has passed.
 _AGED_SHARE = 0.15
@@ -40,6 +44,7 @@
         self._most_pieces = 0
         self._piece_tokens = 16
         self._step_s = 0.04
+        self._unservable_since_s: dict[str, float] = {}
 
     @property
     def has_work(self) -> bool:
@@ -87,6 +92,7 @@
             return actions
         if self._settings.infer_urgency:
             self._demote_late(registry, now_s)
+        actions += self._place_claimant(registry, now_s)
         for level in (Level.URGENT, Level.LATE, Level.BULK):
             if level is not Level.BULK:
                 actions += self._place_aged(registry, now_s)
@@ -94,6 +100,43 @@
                 actions.append(placed)
         return actions
 
+    def find_unservable(self, registry: Registry, now_s: float) -> list[str]:
+        """Return queued requests whose model has had no usable server for long."""
+        if not self.has_work:
+            self._unservable_since_s.clear()
+            return []
+        servable = self.placer.servable_models()
+        since_s = self._unservable_since_s
+        models = {server.spec.serves for server in self.placer.servers.values()}
+        for model in models:
+            if model in servable:
+                since_s.pop(model, None)
+            else:
+                since_s.setdefault(model, now_s)
+        late = {m for m in since_s if now_s - since_s[m] >= NO_SERVER_LIMIT_S}
+        if not late:
+            return []
+        entries = registry.entries
+        return [r for r in self.queue.request_ids() if entries[r].profile.model in late]
+
+    def _place_claimant(self, registry: Registry, now_s: float) -> list[CellAction]:
+        """Place the request that an engine is kept for, or find one that needs it."""
+        claimant = self.placer.claimant
+        if claimant is not None:
+            self.placer.check_claim(claimant in self.queue)
+            if self.placer.claimant is not None:
+                item = self.queue.get(claimant)
+                placed = self._place(registry, item, item.level, now_s)
+                return [placed] if placed else []
+        for level in Level:
+            for item in self.queue.first(level, _HEADS):
+                if now_s >= item.due_s + _CLAIM_AFTER_S:
+                    entry = registry.entries[item.request_id]
+                    self.placer.claim(entry, level, now_s)
+                    if self.placer.claimant is not None:
+                        return []
+        return []
+
     def _place_aged(self, registry: Registry, now_s: float) -> list[CellAction]:
         """Place delay-tolerant work that is past its slack, within its credit."""
         actions: list[CellAction] = []
--- a/src/damaskridge/core/scheduling/fair_queue.py
+++ b/src/damaskridge/core/scheduling/fair_queue.py
@@ -57,6 +57,14 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._items
 
+    def get(self, request_id: str) -> QueueItem:
+        """Return a queued request."""
+        return self._items[request_id]
+
+    def request_ids(self) -> list[str]:
+        """Return the queued requests."""
+        return list(self._items)
+
     def set_weights(self, weights: dict[str, float]) -> None:
         """Use the weights of a new bundle."""
         self._weights = {name: max(weight, 1e-6) for name, weight in weights.items()}
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -144,9 +144,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRecovered:
-    """A server answers again."""
+    """A server answers again, or (`returned`) is no longer leaving."""
 
     backend_server: str
+    returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -46,6 +46,7 @@
         self.servers: dict[str, ServerState] = {}
         self.hints = PrefixHints()
         self._slowness = 1.0
+        self._claim: tuple[str, str] | None = None
         self._prefill = LazyHeap()
         self._decode = LazyHeap()
 
@@ -75,6 +76,34 @@
         names = self.hints.servers_with(hashes, _CANDIDATES)
         return max((self.hints.cached_tokens(n, hashes) for n in names), default=0)
 
+    @property
+    def claimant(self) -> str | None:
+        """The request for which a decode engine is kept, if any."""
+        return self._claim[0] if self._claim else None
+
+    def claim(self, entry: Entry, level: Level, now_s: float) -> None:
+        """Keep an engine for a request that small ones would overtake for ever."""
+        for server in self._decode_candidates(entry, now_s):
+            pieces = self._pieces(server, entry)
+            if 2 * pieces > admission.shared_limit(server, level):
+                self._claim = (entry.profile.request_id, server.spec.name)
+                return
+
+    def check_claim(self, is_queued: bool) -> None:
+        """Give the claimed engine free when it or the request is gone."""
+        if self._claim is not None:
+            server = self.servers.get(self._claim[1])
+            if not is_queued or server is None or not server.is_usable:
+                self._claim = None
+
+    def servable_models(self) -> set[str]:
+        """Return models and services for which usable servers exist."""
+        usable = [server for server in self.servers.values() if server.is_usable]
+        prefill = {s.spec.serves for s in usable if s.prefills}
+        decode = {s.spec.serves for s in usable if s.decodes and not is_service(s)}
+        services = {s.spec.serves for s in usable if is_service(s)}
+        return (prefill & decode) | services
+
     def choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
         """Return the best place that is free now, if any."""
         for prefill, tokens in self._rank_prefill(entry, level, now_s):
@@ -128,7 +157,7 @@
         self._count_suspect(entry, placement, 1)
         self.update(server)
 
-    def release(self, entry: Entry) -> None:
+    def release(self, entry: Entry, now_s: float) -> None:
         """Free what a request holds."""
         if entry.placement is None:
             return
@@ -136,6 +165,7 @@
         if server is None or entry.profile.request_id not in server.requests:
             return
         admission.release(server, entry.profile.request_id, entry.pieces)
+        server.note_release(entry.pieces, now_s)
         entry.pieces = 0
         self._count_suspect(entry, entry.placement, -1)
         self.update(server)
@@ -220,8 +250,14 @@
         return best
 
     def _decode_candidates(self, entry: Entry, now_s: float) -> Iterator[ServerState]:
-        for name in self._decode.first(_CANDIDATES):
+        names = self._decode.first(_CANDIDATES)
+        claimant, claimed = self._claim or ("", "")
+        if claimant == entry.profile.request_id:
+            names = [claimed, *names]
+        for name in dict.fromkeys(names):
             server = self.servers[name]
+            if name == claimed and claimant != entry.profile.request_id:
+                continue
             if self._is_allowed(server, entry, now_s):
                 yield server
 
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -106,7 +106,7 @@
             if (on_prefill and not decoding) or (on_decode and started):
                 ran.append(entry.profile.fingerprint)
             if on_decode:
-                self._placer.release(entry)
+                self._placer.release(entry, now_s)
         fingerprints = tuple(dict.fromkeys(item for item in ran if item))
         self._suspects.add(fingerprints, now_s)
         return [ReportCrashedRequests(name, incarnation, fingerprints)]
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -3,7 +3,7 @@
 import random
 from functools import singledispatchmethod
 
-from damaskridge.core.scheduling.dispatch import Dispatcher
+from damaskridge.core.scheduling.dispatch import NO_SERVER_LIMIT_S, Dispatcher
 from damaskridge.core.scheduling.messages import (
     CacheReported,
     CancelOnEngine,
@@ -103,6 +103,7 @@
             self._next_check_s = now_s + _SILENCE_CHECK_S
             actions += self._recovery.check_fronts(now_s)
             actions += self._propose_role(now_s)
+            actions += self._refuse_unservable(now_s)
         if self._is_rebuilt(now_s):
             actions += self._dispatcher.dispatch(self._registry, now_s)
         return actions
@@ -257,7 +258,11 @@
     def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
         if server is not None:
-            server.failed = False
+            # A server that answers after a silence may still be leaving.
+            if event.returned:
+                server.leaving = False
+            else:
+                server.failed = False
             server.busy_until_s = server.urgent_until_s = now_s
             self._placer.update(server)
         return []
@@ -328,7 +333,9 @@
             return _refuse(profile, ErrorKind.INVALID_REQUEST)
         if profile.attempt == 1:
             self._retries.earn(profile.workspace)
-        elif not self._retries.spend(profile.workspace, profile.attempt):
+        elif self._settings.budget_retries and not self._retries.spend(
+            profile.workspace, profile.attempt
+        ):
             return _refuse(profile, ErrorKind.OVERLOADED, self._overload.spread_s(1.0))
         return None
 
@@ -398,13 +405,26 @@
         """Forget a request, free its reservations, and cancel it on its engines."""
         self._dispatcher.queue.remove(entry.profile.request_id)
         self._registry.remove(entry.profile.request_id, now_s)
-        self._placer.release(entry)
+        self._placer.release(entry, now_s)
         if not cancel or entry.placement is None:
             return []
         placement = entry.placement
         names = dict.fromkeys((placement.prefill_server, placement.decode_server))
         return [CancelOnEngine(name, entry.engine_request_id) for name in names if name]
 
+    def _refuse_unservable(self, now_s: float) -> list[CellAction]:
+        """Answer queued requests whose model has had no server for long."""
+        if not self._is_rebuilt(now_s):
+            return []
+        actions: list[CellAction] = []
+        for request_id in self._dispatcher.find_unservable(self._registry, now_s):
+            entry = self._registry.entries[request_id]
+            retry_after_s = self._overload.spread_s(NO_SERVER_LIMIT_S)
+            kind = ErrorKind.NO_BACKEND_SERVER
+            actions.append(_refuse(entry.profile, kind, retry_after_s))
+            actions += self._end(entry, now_s, cancel=False)
+        return actions
+
     def _propose_role(self, now_s: float) -> list[CellAction]:
         if not self._settings.propose_roles:
             return []
--- a/src/damaskridge/core/scheduling/servers.py
+++ b/src/damaskridge/core/scheduling/servers.py
@@ -26,12 +26,14 @@
     removed: bool = False
     used_slots: int = 0
     used_pieces: int = 0
+    stray_pieces: int = 0
     suspects: int = 0
     requests: set[str] = field(default_factory=set)
     busy_until_s: float = 0.0
     urgent_until_s: float = 0.0
     transfers_s: list[tuple[float, float]] = field(default_factory=list)
     sent: deque[tuple[float, int]] = field(default_factory=deque)
+    released: deque[tuple[float, int]] = field(default_factory=deque)
 
     @property
     def is_usable(self) -> bool:
@@ -52,7 +54,8 @@
     def load(self) -> float:
         """Share of the scarcer of slots and memory that is reserved."""
         slots = self.used_slots / max(1, self.spec.slots)
-        return max(slots, self.used_pieces / max(1, self.spec.kv_pieces))
+        pieces = self.used_pieces + self.stray_pieces
+        return max(slots, pieces / max(1, self.spec.kv_pieces))
 
     def add_prefill(self, tokens: int, level: Level, now_s: float) -> float:
         """Count a prompt that is sent, and return when it should be computed."""
@@ -71,9 +74,25 @@
         until_s = self.busy_until_s if level is Level.BULK else self.urgent_until_s
         return max(0.0, until_s - now_s)
 
+    def note_release(self, pieces: int, now_s: float) -> None:
+        """Remember memory that a late report may still count as in use."""
+        self.released.append((now_s, pieces))
+        while self.released[0][0] < now_s - _SENT_RETENTION_S:
+            self.released.popleft()
+
+    def _count_strays(self, report: LoadReport, taken_s: float) -> None:
+        """Count memory that is in use but belongs to no request of the cell."""
+        if not self.spec.kv_pieces or not self.decodes:
+            return
+        known = self.used_pieces
+        known += sum(held for at_s, held in self.released if at_s >= taken_s)
+        used = self.spec.kv_pieces - report.free_kv_pieces
+        self.stray_pieces = max(0, used - known)
+
     def apply_report(self, report: LoadReport, correct: bool, now_s: float) -> None:
         """Correct the backlog by a report and what was sent since."""
         taken_s = now_s - report.age_s
+        self._count_strays(report, taken_s)
         tokens = report.queued_prefill_tokens
         if correct:
             tokens += sum(sent for sent_s, sent in self.sent if sent_s >= taken_s)
--- a/src/damaskridge/core/scheduling/settings.py
+++ b/src/damaskridge/core/scheduling/settings.py
@@ -19,8 +19,9 @@
         Size of the KV cache of one token, for transfer times.
     infer_urgency, age_queued, fair_share, reserve_decode, reserve_links : bool
         Switches for urgency, aging, fair share, decode memory and links.
-    use_prefix_hints, correct_reports, control_overload : bool
-        Switches for prefix hints, own counts beside load reports, and refusals.
+    use_prefix_hints, correct_reports, control_overload, budget_retries : bool
+        Switches for prefix hints, own counts beside load reports, refusals, and
+        the budget of retries.
     propose_roles : bool
         Whether to order role changes.
     """
@@ -34,4 +35,5 @@
     use_prefix_hints: bool = True
     correct_reports: bool = True
     control_overload: bool = True
+    budget_retries: bool = True
     propose_roles: bool = False
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -5,7 +5,7 @@
 from damaskridge.core.scheduling import messages as m
 from damaskridge.core.scheduling.scheduler import CellScheduler
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
-from damaskridge.model.engine import EnginePhase, EngineRequest
+from damaskridge.model.engine import EnginePhase, EngineRequest, LoadReport
 from damaskridge.model.errors import ErrorKind
 from damaskridge.model.routing import (
     ActiveRequest,
@@ -238,3 +238,61 @@
     submit(cell, 0.2, "short")
     actions = progress(cell, 0.5, step("r0", RequestPhase.FINISHED))
     assert list(placements(actions)) == ["short"]
+
+
+def load(cell, name, free, now_s, age_s=0.0):
+    report = LoadReport(0, age_s, 0, 0, free)
+    return cell.handle(m.LoadReported(name, report), now_s)
+
+
+def test_memory_of_stray_requests_is_not_given_away():
+    cell = make_cell((ENGINES[0], server("d1", ROLE.DECODE, 4, 20)))
+    load(cell, "d1", 5, 0.0)
+    assert not placements(submit(cell, 0.1, "r1"))
+    assert placements(load(cell, "d1", 20, 1.0)).keys() == {"r1"}
+    # A report from before the end still counts the memory of the ended request.
+    progress(cell, 2.0, step("r1", RequestPhase.FINISHED))
+    load(cell, "d1", 5, 2.1, age_s=0.5)
+    assert placements(submit(cell, 2.2, "r2"))
+
+
+def test_a_request_as_large_as_an_engine_is_served_among_small_ones():
+    cell = make_cell((ENGINES[0], server("d1", ROLE.DECODE, 4, 300)))
+    now_s, ends, placed = 0.0, {}, set()
+    for number in range(400):
+        now_s += 0.1
+        if number == 20:
+            submit(cell, now_s, "big", prompt=4600)
+        actions = submit(cell, now_s, f"r{number}", space="b")
+        for name in [name for name in ends if ends[name] <= number]:
+            del ends[name]
+            actions += progress(cell, now_s, step(name, RequestPhase.FINISHED))
+        placed |= set(placements(actions))
+        ends |= dict.fromkeys(set(placements(actions)) - {"big"}, number + 3)
+    assert "big" in placed
+
+
+def test_queued_requests_are_answered_when_all_servers_have_failed():
+    cell = make_cell()
+    for name in ("d1", "d2"):
+        cell.handle(m.ServerFailed(name, 0, False), 0.0)
+    submit(cell, 0.1, "r")
+    found, now_s = [], 0.1
+    while not found and now_s < 10.0:
+        now_s += 0.25
+        found = [a for a in progress(cell, now_s) if isinstance(a, m.SendSubmitReply)]
+    assert 3.0 <= now_s <= 4.0
+    assert found[0].reply.failure.kind is ErrorKind.NO_BACKEND_SERVER
+    assert found[0].reply.failure.retry_after_s >= 3.0
+    cell.handle(m.ServerRecovered("d1"), now_s)
+    assert placements(submit(cell, now_s + 0.1, "r2"))
+
+
+def test_a_server_that_returns_from_leaving_is_used_again():
+    cell = make_cell((ENGINES[0], ENGINES[2]))
+    cell.handle(m.ServerLeaving("d1"), 0.0)
+    cell.handle(m.ServerFailed("d1", 0, False), 0.1)
+    cell.handle(m.ServerRecovered("d1"), 0.2)
+    assert not placements(submit(cell, 0.3, "r")), "an answer does not end leaving"
+    actions = cell.handle(m.ServerRecovered("d1", returned=True), 0.4)
+    assert placements(actions).keys() == {"r"}
