--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,51 +1,69 @@
-"""Runs all scenarios and prints one line per figure."""
+"""Prints one line per figure.
+
+`python -m bench` runs the scenarios of the goals, `python -m bench ablations` the
+worth of every mechanism.
+"""
 
 import json
+import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 import matplotlib
 
-from bench.figures import Figure, compare, measure, measure_growth
-from bench.policies import ABLATIONS, BASELINES
+from bench.figures import Figure, compare, measure, merge
+from bench.growth import measure_growth
+from bench.policies import BASELINES, OWN
 from bench.simulation import Scenario, simulate
 from bench.workload import WORKLOADS
+from bench.worth import measure_worth
 
 matplotlib.use("Agg")
 
 LOADS = (0.5, 0.8, 1.0, 1.3, 2.0)
-VARIANTS = ("flood", "engine_lost", "owner_lost", "slow_links", "stale", "resend")
+SEEDS = (1, 11, 12)
+# The goals compare with these two; the others are for information, on one seed.
+COMPARED = (OWN, "fcfs", "upper_bound")
+VARIANTS = (
+    ("flood", 0.8),
+    ("flood", 1.0),
+    ("engine_lost", 0.8),
+    ("owner_lost", 0.8),
+    ("owner_lost", 1.0),
+    ("slow_links", 0.8),
+    ("stale", 0.8),
+    ("resend", 1.3),
+)
 ROOT = Path(__file__).resolve().parent.parent
-WORKERS = 2
+WORKERS = 3
 
 
-def build_scenarios() -> list[Scenario]:
+def build_scenarios(seed: int) -> list[Scenario]:
+    """Return the scenarios of one seed."""
     found = []
     for workload in WORKLOADS:
+        policies = (OWN, *BASELINES) if seed == SEEDS[0] else COMPARED
         for load in LOADS:
-            for policy in ("damaskridge", *BASELINES):
-                found.append(Scenario(workload, load, policy))
-        for variant in VARIANTS:
-            load = 1.3 if variant == "resend" else 0.8
-            found.append(Scenario(workload, load, variant=variant))
-            if variant in ("flood", "owner_lost"):
-                found.append(Scenario(workload, 1.0, variant=variant))
-        for name in ABLATIONS:
-            found.append(Scenario(workload, 1.0, f"no_{name}"))
-            found.append(Scenario(workload, 1.3, f"no_{name}"))
+            found += [Scenario(workload, load, p, seed=seed) for p in policies]
+        found += [
+            Scenario(workload, load, variant=variant, seed=seed)
+            for variant, load in VARIANTS
+        ]
     return found
 
 
 def run_one(scenario: Scenario) -> list[Figure]:
+    """Run one scenario in a worker process."""
     return measure(simulate(scenario))
 
 
 def plot(figures: list[Figure]) -> None:
+    """Draw urgent goodput over load."""
     from matplotlib import pyplot
 
     chart, axes = pyplot.subplots(1, len(WORKLOADS), figsize=(10, 4), sharey=True)
     for axis, workload in zip(axes, WORKLOADS, strict=True):
-        for policy in ("damaskridge", *BASELINES):
+        for policy in (OWN, *BASELINES):
             points = sorted(
                 (f.load * 100, f.value)
                 for f in figures
@@ -60,23 +78,33 @@
     chart.savefig(ROOT / "docs" / "goodput.png", dpi=80)
 
 
-def main() -> None:
-    figures = measure_growth()
+def measure_goals(pool: ProcessPoolExecutor) -> list[Figure]:
+    """Return the figures of the goals."""
+    runs = []
+    pending = [(s, pool.map(run_one, build_scenarios(s))) for s in SEEDS]
+    for _, found in pending:
+        figures = [figure for run in found for figure in run]
+        runs.append(figures + compare(figures))
+    return measure_growth() + merge(runs)
+
+
+def write(name: str, figures: list[Figure]) -> None:
+    """Print the figures and store them as JSON."""
     for figure in figures:
-        print(figure, flush=True)
-    with ProcessPoolExecutor(WORKERS) as pool:
-        for found in pool.map(run_one, build_scenarios()):
-            figures += found
-            for figure in found:
-                print(figure, flush=True)
-    ratios = compare(figures)
-    for figure in ratios:
         print(figure)
-    figures += ratios
     out = ROOT / "out"
     out.mkdir(exist_ok=True)
     data = [figure.to_json() for figure in figures]
-    (out / "bench.json").write_text(json.dumps(data, indent=1))
+    (out / name).write_text(json.dumps(data, indent=1))
+
+
+def main() -> None:
+    """Run what the command line asks for."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        if sys.argv[1:] == ["ablations"]:
+            return write("ablations.json", measure_worth(pool, SEEDS))
+        figures = measure_goals(pool)
+    write("bench.json", figures)
     plot(figures)
     failed = sum(figure.verdict == "fail" for figure in figures)
     bounded = sum(figure.bound is not None for figure in figures)
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,35 +1,24 @@
 """Turns runs into figures with the bounds of section 1.3 of the design."""
 
 import math
-import random
-import time
 from collections import defaultdict
-from dataclasses import asdict, dataclass
-
-import msgspec
+from dataclasses import asdict, dataclass, replace
 
+from bench.policies import OWN
 from bench.simulation import Result
 from bench.workload import SHARES
-from damaskridge.core.scheduling import messages as sm
-from damaskridge.core.scheduling.scheduler import CellScheduler
-from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
-from damaskridge.model.routing import (
-    Progress,
-    ProgressBatch,
-    RequestPhase,
-    RequestProfile,
-)
 
-__all__ = ["Figure", "compare", "measure", "measure_growth", "summarise"]
+__all__ = ["Figure", "compare", "measure", "merge", "quantile", "summarise"]
 
 FIRST_TOKEN_S = 1.0
 GAP_S = 0.078
 WARM_UP_S = 20.0
+HIGHER_IS_BETTER = ("goodput", "urgent", "worst_workspace", "utilisation")
 
 
 @dataclass
 class Figure:
-    """One line of output."""
+    """One line of output: the median of some seeds, judged on the worst."""
 
     figure: str
     workload: str
@@ -39,20 +28,24 @@
     unit: str
     bound: float | None = None
     upper: bool = False
+    worst: float | None = None
+    seeds: int = 1
 
     @property
     def verdict(self) -> str:
         if self.bound is None:
             return "none"
-        good = self.value <= self.bound if self.upper else self.value >= self.bound
+        value = self.value if self.worst is None else self.worst
+        good = value <= self.bound if self.upper else value >= self.bound
         return "pass" if good else "fail"
 
     def __str__(self) -> str:
         bound = "none" if self.bound is None else f"{self.bound:.4g}"
+        worst = self.value if self.worst is None else self.worst
         return (
             f"figure={self.figure} workload={self.workload} load={self.load * 100:.0f} "
-            f"policy={self.policy} value={self.value:.4g} unit={self.unit} "
-            f"bound={bound} verdict={self.verdict}"
+            f"policy={self.policy} value={self.value:.4g} worst={worst:.4g} "
+            f"seeds={self.seeds} unit={self.unit} bound={bound} verdict={self.verdict}"
         )
 
     def to_json(self) -> dict:
@@ -130,6 +123,24 @@
     return found
 
 
+def merge(runs: list[list[Figure]]) -> list[Figure]:
+    """Return one figure for each of several seeds: the median and the worst."""
+    groups = defaultdict(list)
+    for figure in (figure for run in runs for figure in run):
+        key = (figure.figure, figure.workload, figure.load, figure.policy)
+        groups[key].append(figure)
+    found = []
+    for group in groups.values():
+        values = [figure.value for figure in group]
+        first = group[0]
+        higher = first.figure.startswith(HIGHER_IS_BETTER)
+        is_upper = first.upper if first.bound is not None else not higher
+        worst = max(values) if is_upper else min(values)
+        median = quantile(values, 0.5)
+        found.append(replace(first, value=median, worst=worst, seeds=len(group)))
+    return found
+
+
 def bound_of(name: str, load: float, variant: str) -> tuple[float | None, bool]:
     """Return the bound of section 1.3, and whether it is an upper one."""
     faulty = variant not in ("none", "flood", "resend")
@@ -162,7 +173,7 @@
     figures = []
     for name, value in summarise(result).items():
         bound, upper = bound_of(name, scenario.load, scenario.variant)
-        if scenario.policy != "damaskridge":
+        if scenario.policy != OWN:
             bound = None
         unit = next(
             (u for u in ("tokens", "per_s", "us", "s") if name.endswith("_" + u)), "1"
@@ -190,13 +201,11 @@
     def add(name, workload, load, top, bottom, bound, upper=False):
         if top in values and bottom in values:
             value = values[top] / max(1e-9, values[bottom])
-            found.append(
-                Figure(name, workload, load, "damaskridge", value, "1", bound, upper)
-            )
+            found.append(Figure(name, workload, load, OWN, value, "1", bound, upper))
 
     for workload in sorted({f.workload for f in figures}):
         for load in sorted({f.load for f in figures}):
-            own = ("goodput_urgent", workload, load, "damaskridge")
+            own = ("goodput_urgent", workload, load, OWN)
             add(
                 "urgent_over_upper_bound",
                 workload,
@@ -218,8 +227,8 @@
             "urgent_per_s_over_100",
             workload,
             2.0,
-            (*rate, 2.0, "damaskridge"),
-            (*rate, 1.0, "damaskridge"),
+            (*rate, 2.0, OWN),
+            (*rate, 1.0, OWN),
             0.95,
         )
         calm = ("calm_completion_p99_s", workload, 1.0)
@@ -227,83 +236,9 @@
             "calm_p99_over_fcfs",
             workload,
             1.0,
-            (*calm, "damaskridge"),
+            (*calm, OWN),
             (*calm, "fcfs"),
             2.0,
             True,
         )
     return found
-
-
-def decision_time_us(servers: int, spaces: int, requests: int = 1500) -> float:
-    """Return the CPU time per request of a cell at half load."""
-    role = BackendServerRole
-    base = BackendServer("", "c", role.DECODE, "m", "dc", "", 20, 4000)
-    fleet = tuple(
-        msgspec.structs.replace(
-            base, name=f"e{n}", role=role.PREFILL if n % 5 < 2 else role.DECODE
-        )
-        for n in range(servers)
-    )
-    names = tuple(Workspace(f"w{n}", 1e9, 1e9) for n in range(spaces))
-    cell = CellScheduler(random.Random(1))
-    cell.handle(sm.CellGained("c", 1, fleet, names, ()), 0.0)
-    held = max(1, servers * 6)
-    spent = []
-    running: list = []
-    for number in range(requests):
-        now_s = 10.0 + number * 0.5 / servers
-        profile = RequestProfile(
-            resource="c",
-            epoch=1,
-            request_id=f"r{number}",
-            attempt=1,
-            workspace=f"w{number % spaces}",
-            front="f",
-            incarnation=1,
-            route="/v1",
-            model="m",
-            prompt_tokens=300,
-            max_output_tokens=200,
-        )
-        items = ()
-        if len(running) >= held:
-            ended = running.pop(0)
-            items = (
-                Progress(
-                    request_id=ended,
-                    attempt=1,
-                    phase=RequestPhase.FINISHED,
-                    output_tokens=50,
-                ),
-            )
-        batch = ProgressBatch(
-            resource="c", epoch=1, front="f", incarnation=1, items=items
-        )
-        start_s = time.process_time()
-        cell.handle(sm.RequestSubmitted(profile), now_s)
-        cell.handle(sm.ProgressReported(batch), now_s)
-        spent.append(time.process_time() - start_s)
-        running.append(f"r{number}")
-    # The median ignores pauses that other processes on the machine cause.
-    return quantile(spent, 0.5) * 1e6
-
-
-def measure_growth() -> list[Figure]:
-    """Return CPU time per request by size, and its growth against the logarithm."""
-    found = defaultdict(float)
-    figures = []
-    for servers, spaces in ((10, 5), (100, 5), (1700, 5), (10, 270), (1700, 270)):
-        value = min(decision_time_us(servers, spaces) for _ in range(3))
-        found[servers, spaces] = value
-        name = f"cpu_per_request_{servers}_servers_{spaces}_workspaces"
-        figures.append(Figure(name, "synthetic", 0.5, "damaskridge", value, "us"))
-    for name, big, bound in (
-        ("cpu_growth_servers", (1700, 5), math.log(1700) / math.log(10)),
-        ("cpu_growth_workspaces", (10, 270), math.log(270) / math.log(5)),
-    ):
-        value = found[big] / found[10, 5]
-        figures.append(
-            Figure(name, "synthetic", 0.5, "damaskridge", value, "1", bound, True)
-        )
-    return figures
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -12,19 +12,21 @@
 from damaskridge.model.bundle import BackendServerRole
 from damaskridge.model.routing import Placement, RequestPhase
 
-__all__ = ["ABLATIONS", "BASELINES", "make_cell"]
+__all__ = ["ABLATIONS", "BASELINES", "OWN", "make_cell"]
 
 BASELINES = ("fcfs", "shortest", "round_robin", "upper_bound")
-ABLATIONS = (
-    "infer_urgency",
-    "age_queued",
-    "fair_share",
-    "reserve_decode",
-    "reserve_links",
-    "use_prefix_hints",
-    "correct_reports",
-    "control_overload",
-)
+OWN = "damaskridge"
+ABLATIONS = {
+    "urgency": "infer_urgency",
+    "aging": "age_queued",
+    "fair-share": "fair_share",
+    "link-reservation": "reserve_links",
+    "decode-reservation": "reserve_decode",
+    "prefix-hints": "use_prefix_hints",
+    "report-correction": "correct_reports",
+    "overload-control": "control_overload",
+    "retry-budget": "budget_retries",
+}
 ENDED = (RequestPhase.FINISHED, RequestPhase.CANCELLED)
 
 
@@ -134,10 +136,15 @@
 def make_cell(policy: str, seed: int, requests):
     settings = SchedulerSettings(kv_bytes_per_token=KV_BYTES_PER_TOKEN)
     rng = random.Random(seed)
-    if policy in ("fcfs", "shortest", "round_robin"):
+    if policy in ("shortest", "round_robin"):
         return SimpleCell(policy)
+    if policy == "fcfs":
+        # The own placement and reservations, so that only the order is compared.
+        off = ("infer_urgency", "age_queued", "fair_share", "control_overload")
+        settings = replace(settings, **dict.fromkeys(off, False))
     if policy == "upper_bound":
         return CellScheduler(rng, settings, Oracle(requests))
-    if policy.startswith("no_"):
-        settings = replace(settings, **{policy.removeprefix("no_"): False})
+    if policy.startswith(f"{OWN}-without-"):
+        name = policy.removeprefix(f"{OWN}-without-")
+        settings = replace(settings, **{ABLATIONS[name]: False})
     return CellScheduler(rng, settings)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -114,7 +114,7 @@
         self.clock.after(0.5, self.report_loads)
         self.clock.after(1.0, self.heartbeat)
         fault_s = self.scenario.duration_s * FAULT_AT
-        if self.scenario.variant == "engine_lost":
+        if self.scenario.variant.startswith("engine_lost"):
             self.clock.at(fault_s, self.lose_engine)
         if self.scenario.variant == "owner_lost":
             self.clock.at(fault_s, self.lose_owner)
@@ -328,7 +328,8 @@
         self.submit(request)
 
     def refuse(self, request, failure) -> None:
-        resend = self.scenario.variant == "resend" and request.resends < MAX_RESENDS
+        resends = self.scenario.variant.endswith("resend")
+        resend = resends and request.resends < MAX_RESENDS
         if resend and failure.retry_after_s is not None:
             request.resends += 1
             self.clock.after(failure.retry_after_s, self.ask_rate, request)
@@ -362,8 +363,9 @@
             self.clock.after(1.0, self.heartbeat)
 
     def report_loads(self) -> None:
-        stale = self.scenario.variant == "stale"
-        age_s, loss = (2.0, 0.25) if stale else (0.2, 0.02)
+        variant = self.scenario.variant
+        age_s = 2.0 if variant == "stale" else 0.2
+        loss = 0.25 if variant in ("stale", "lost_events") else 0.02
         for name, engine in self.engines.items():
             if engine.alive:
                 event = sm.LoadReported(name, engine.report(age_s))
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -93,8 +93,10 @@
     blocks = prompt // 64
     shared = int(blocks * shape.shared_prefix) if not urgent else 0
     document = rng.randrange(shape.documents)
-    hashes = [hash((shape.name, space, document, i)) for i in range(shared)]
-    hashes += [hash((shape.name, number, i)) for i in range(shared, blocks)]
+    # Hashes of integers are equal in every process; those of strings are not.
+    owner = list(SHARES).index(space)
+    hashes = [hash((0, owner, document, i)) for i in range(shared)]
+    hashes += [hash((1, number, 0, i)) for i in range(shared, blocks)]
     front = f"h{rng.randrange(10)}"
     return Request(
         number, space, urgent, False, prompt, output, tuple(hashes), arrive_s, front
--- /dev/null
+++ b/bench/worth.py
@@ -0,0 +1,87 @@
+"""What each mechanism is worth: own figures less those without the mechanism."""
+
+from collections.abc import Iterator
+from concurrent.futures import Executor
+
+from bench.figures import Figure, quantile, summarise
+from bench.policies import ABLATIONS, OWN
+from bench.simulation import Scenario, simulate
+from bench.workload import WORKLOADS
+
+__all__ = ["measure_worth"]
+
+LOADS = (0.8, 1.0, 1.3, 2.0)
+DURATION_S = 60.0
+# The variant that a mechanism is meant for, beside the normal runs.
+MEANT_FOR = {
+    "fair-share": (("flood", 0.8), ("flood", 1.0)),
+    "link-reservation": (("slow_links", 0.8),),
+    "prefix-hints": (("lost_events", 1.0),),
+    "report-correction": (("stale", 0.8), ("stale", 1.0)),
+    "retry-budget": (("engine_lost_resend", 0.8), ("engine_lost_resend", 1.3)),
+}
+# The sign turns each figure so that more is better.
+WEIGHED = {
+    "goodput_urgent": 1,
+    "worst_workspace": 1,
+    "wasted_prefill": -1,
+    "calm_completion_p99_s": -1,
+    "wrongful_refusals": -1,
+}
+
+
+def points(mechanism: str) -> Iterator[tuple[str, str, float]]:
+    """Return workloads, variants and loads at which to weigh a mechanism."""
+    for workload in WORKLOADS:
+        for load in LOADS:
+            yield workload, "none", load
+        for variant, load in MEANT_FOR.get(mechanism, ()):
+            yield workload, variant, load
+
+
+def weigh(scenario: Scenario) -> dict[str, float]:
+    """Run one scenario in a worker process."""
+    found = summarise(simulate(scenario))
+    return {name: found[name] for name in WEIGHED}
+
+
+def measure_worth(pool: Executor, seeds: tuple[int, ...]) -> list[Figure]:
+    """Return the worth of every mechanism: the median and the least of the seeds."""
+    jobs = {}
+    for mechanism in ABLATIONS:
+        for workload, variant, load in points(mechanism):
+            for seed in seeds:
+                for policy in (OWN, f"{OWN}-without-{mechanism}"):
+                    job = Scenario(workload, load, policy, variant, DURATION_S, seed)
+                    jobs[job] = None
+    results = dict(zip(jobs, pool.map(weigh, jobs), strict=True))
+    figures = []
+    for mechanism in ABLATIONS:
+        for workload, variant, load in points(mechanism):
+            pairs = []
+            for seed in seeds:
+                own = Scenario(workload, load, OWN, variant, DURATION_S, seed)
+                name = f"{OWN}-without-{mechanism}"
+                other = Scenario(workload, load, name, variant, DURATION_S, seed)
+                pairs.append((results[own], results[other]))
+            suffix = "" if variant == "none" else f"+{variant}"
+            for name, sign in WEIGHED.items():
+                gains = [sign * subtract(a[name], b[name]) for a, b in pairs]
+                figures.append(
+                    Figure(
+                        f"worth_{name}",
+                        workload,
+                        load,
+                        f"{OWN}-without-{mechanism}{suffix}",
+                        quantile(gains, 0.5),
+                        "s" if name.endswith("_s") else "1",
+                        worst=min(gains),
+                        seeds=len(seeds),
+                    )
+                )
+    return figures
+
+
+def subtract(a: float, b: float) -> float:
+    """Return `a` less `b`, where two infinite values are equal."""
+    return 0.0 if a == b else a - b
--- a/tests/bench/test_bounds.py
+++ b/tests/bench/test_bounds.py
@@ -1,7 +1,8 @@
 """Regressions of the decisions below the bounds of the design, at a few points."""
 
 import pytest
-from bench.figures import measure_growth, summarise
+from bench.figures import summarise
+from bench.growth import measure_growth
 from bench.simulation import Scenario, simulate
 
 SHORT_S = 40.0
