Let small requests overtake while a lost bucket rebuilds

Cause: after the loss of an owner urgent requests queued behind long delay-tolerant ones for the tokens of an empty bucket; most of the urgent requests that missed their target came up to 30 s after the recovery.

Change: while the bucket may hold less than with a full history, a request waits behind smaller ones that come within 10 times the time that its own tokens take. Order in normal operation is unchanged, and so is the bucket.

--- a/bench/figures.py
+++ b/bench/figures.py
@@ -83,6 +83,25 @@
     return worst
 
 
+def same_mix(model, flooded: str) -> float:
+    """
+    Return the worst workspace over the mean, all with the mix of the whole.
+
+    Most delay-tolerant requests miss the target of the first token at full load, so
+    `worst_workspace` also shows how many of them a small workspace happens to send.
+    """
+    calm_share = sum(not r.is_urgent for r in model) / max(1, len(model))
+    values = []
+    for name in SHARES:
+        if name == flooded:
+            continue
+        own = [r for r in model if r.workspace == name]
+        urgent = share_good([r for r in own if r.is_urgent])
+        calm = share_good([r for r in own if not r.is_urgent])
+        values.append((1 - calm_share) * urgent + calm_share * calm)
+    return min(values) / max(1e-9, sum(values) / len(values))
+
+
 def summarise(result: Result) -> dict[str, float]:
     """Return the raw measures of one run."""
     scenario = result.scenario
@@ -106,6 +125,7 @@
         "token_gap_p95_s": quantile([g for r in model for g in r.gaps_s], 0.95),
         "wasted_prefill": result.wasted_tokens / max(1, result.prefill_tokens),
         "worst_workspace": min(by_space) / max(1e-9, sum(by_space) / len(by_space)),
+        "worst_workspace_same_mix": same_mix(model, flooded),
         "wrongful_refusals": sum(bool(r.refused) for r in within),
         "rate_overshoot_tokens": overshoot_tokens(result),
         "utilisation": result.utilisation,
@@ -151,7 +171,7 @@
     if name == "wrongful_refusals" and load <= 1.0:
         if variant in ("none", "flood", "owner_lost"):
             return 0.0, True
-    if name == "worst_workspace" and load <= 1.0 and not faulty:
+    if name.startswith("worst_workspace") and load <= 1.0 and not faulty:
         return 0.9, False
     if name == "token_gap_p95_s":
         return GAP_S, True
--- a/src/damaskridge/core/limits/rate_owner.py
+++ b/src/damaskridge/core/limits/rate_owner.py
@@ -2,11 +2,9 @@
 
 import random
 from collections import OrderedDict
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from damaskridge.core.limits.bucket import TokenBucket
-from damaskridge.core.limits.keys import KEY_RETENTION_S, KeyEntry, KeyTable
+from damaskridge.core.limits.keys import KEY_RETENTION_S, KeyEntry
 from damaskridge.core.limits.messages import (
     OwnershipEnded,
     OwnershipGained,
@@ -22,106 +20,24 @@
     TimePassed,
     WorkspaceChanged,
 )
+from damaskridge.core.limits.workspace_state import (
+    REBUILD_LIMIT_S,
+    Waiting,
+    WorkspaceState,
+)
 from damaskridge.model.bundle import Workspace
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.routing import Duplicate, RateGrant, RateRequest, Refused
 
 __all__ = ["REBUILD_LIMIT_S", "RateOwner"]
 
-REBUILD_LIMIT_S = 2.0
 _MAX_WAITING = 1000
 _RETRY_SPREAD = 0.25
-_CHARGE_RETENTION_S = 3600.0
 _LEASE_RECHECK_S = 0.05
 # Covers late wake-ups; the wait itself is known from the rate.
 _HISTORY_SLACK_S = 5.0
 
 
-@dataclass(slots=True)
-class _Waiting:
-    request: RateRequest
-    arrived_s: float
-    deadline_s: float
-
-
-@dataclass(slots=True)
-class _Charge:
-    tokens: int
-    forget_s: float
-
-
-class _History:
-    """
-    What the bucket would hold if the earlier owner had handed it over full.
-
-    After a crash the bucket starts empty, so a workspace within its rate has to
-    wait for tokens. This second bucket tells such a wait from one that the
-    workspace caused; it grants nothing.
-    """
-
-    def __init__(self, space: Workspace, lost: bool, now_s: float) -> None:
-        self._bucket: TokenBucket | None = None
-        if lost:
-            rate, burst = space.rate_tokens_per_s, space.burst_tokens
-            self._bucket = TokenBucket(rate, burst, burst, now_s)
-            # By then the real bucket would be full as well.
-            self._ends_s = now_s + 2 * burst / max(rate, 1e-9)
-
-    def would_pay(self, tokens: int, now_s: float) -> bool:
-        """Take `tokens` and tell whether a full history would have paid them."""
-        if self._bucket is not None and now_s >= self._ends_s:
-            self._bucket = None
-        return self._bucket is not None and self._bucket.take(tokens, now_s)
-
-    def give_back(self, tokens: int, now_s: float) -> None:
-        """Return tokens that were not used."""
-        if self._bucket is not None:
-            self._bucket.give_back(tokens, now_s)
-
-
-class _WorkspaceState:
-    """The bucket, the queue and the keys of one workspace."""
-
-    def __init__(self, gained: OwnershipGained, now_s: float) -> None:
-        space = gained.workspace
-        self.name = space.name
-        self.epoch = gained.epoch
-        self.bucket = TokenBucket(
-            space.rate_tokens_per_s, space.burst_tokens, gained.level_tokens, now_s
-        )
-        self.history = _History(space, gained.lost, now_s)
-        self.keys = KeyTable()
-        self.charges: OrderedDict[str, _Charge] = OrderedDict()
-        self.waiting: OrderedDict[str, _Waiting] = OrderedDict()
-        self.waiting_tokens = 0
-        self.parked: OrderedDict[str, _Waiting] = OrderedDict()
-        self.missing_fronts = set(gained.fronts)
-        self.rebuilt_by_s = now_s + REBUILD_LIMIT_S
-
-    def is_rebuilt(self, now_s: float) -> bool:
-        return not self.missing_fronts or now_s >= self.rebuilt_by_s
-
-    def enqueue(self, entry: _Waiting) -> None:
-        self.waiting[entry.request.request_id] = entry
-        self.waiting_tokens += entry.request.cost_tokens
-
-    def dequeue(self, request_id: str) -> None:
-        self.waiting_tokens -= self.waiting.pop(request_id).request.cost_tokens
-
-    def charge(self, request: RateRequest, now_s: float) -> None:
-        forget_s = now_s + _CHARGE_RETENTION_S
-        self.charges[request.request_id] = _Charge(request.cost_tokens, forget_s)
-
-    def expire(self, now_s: float) -> None:
-        self.keys.expire(now_s)
-        while self.charges:
-            request_id, charge = next(iter(self.charges.items()))
-            if charge.forget_s > now_s:
-                break
-            self.keys.finish(request_id, now_s)
-            del self.charges[request_id]
-
-
 class RateOwner:
     """
     Decides on the rates of all workspaces that this host owns.
@@ -134,7 +50,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._spaces: dict[str, _WorkspaceState] = {}
+        self._spaces: dict[str, WorkspaceState] = {}
         self._lease_ends_s = float("-inf")
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
@@ -148,7 +64,7 @@
             if space.parked:
                 times.append(space.rebuilt_by_s)
             if space.waiting:
-                head = next(iter(space.waiting.values()))
+                head = space.head()
                 paid_s = now_s + space.bucket.seconds_until(
                     head.request.cost_tokens, now_s
                 )
@@ -168,7 +84,7 @@
         if current is not None and current.epoch >= event.epoch:
             return []
         actions = self._refuse_all(name)
-        self._spaces[name] = _WorkspaceState(event, now_s)
+        self._spaces[name] = WorkspaceState(event, now_s)
         return actions
 
     @_apply.register
@@ -177,6 +93,7 @@
         space = self._spaces.get(changed.name)
         if space is None:
             return []
+        space.rate_tokens_per_s = changed.rate_tokens_per_s
         space.bucket.change_limits(
             changed.rate_tokens_per_s, changed.burst_tokens, now_s
         )
@@ -207,7 +124,7 @@
             return [_refuse(request, ErrorKind.LEASE_EXPIRED)]
         space.expire(now_s)
         actions = self._serve(space, now_s)
-        entry = _Waiting(request, now_s, now_s + request.wait_s)
+        entry = Waiting(request, now_s, now_s + request.wait_s)
         return actions + self._admit(space, entry, now_s)
 
     @_apply.register
@@ -261,12 +178,14 @@
         for space in self._spaces.values():
             space.expire(now_s)
             actions += self._serve(space, now_s)
+            if space.history.is_active(now_s):
+                actions += self._refuse_late(space, now_s)
         return actions
 
     def _note_lease(self, remaining_s: float, now_s: float) -> None:
         self._lease_ends_s = now_s + remaining_s if remaining_s > 0 else float("-inf")
 
-    def _forget(self, space: _WorkspaceState, request_id: str) -> None:
+    def _forget(self, space: WorkspaceState, request_id: str) -> None:
         if request_id in space.waiting:
             space.dequeue(request_id)
         space.parked.pop(request_id, None)
@@ -280,7 +199,7 @@
         return [_refuse(entry.request, ErrorKind.EPOCH_CONFLICT) for entry in entries]
 
     def _admit(
-        self, space: _WorkspaceState, entry: _Waiting, now_s: float
+        self, space: WorkspaceState, entry: Waiting, now_s: float
     ) -> list[RateAction]:
         request = entry.request
         request_id = request.request_id
@@ -302,7 +221,7 @@
         return self._pay(space, entry, now_s)
 
     def _pay(
-        self, space: _WorkspaceState, entry: _Waiting, now_s: float
+        self, space: WorkspaceState, entry: Waiting, now_s: float
     ) -> list[RateAction]:
         request = entry.request
         within_rate = space.history.would_pay(request.cost_tokens, now_s)
@@ -314,14 +233,15 @@
         fits = len(space.waiting) < _MAX_WAITING
         if within_rate:
             # The loss of an owner refuses nobody who is within the rate.
-            entry.deadline_s = max(entry.deadline_s, now_s + wait_s + _HISTORY_SLACK_S)
+            most_s = wait_s + space.delay_s(request, now_s) + _HISTORY_SLACK_S
+            entry.deadline_s = max(entry.deadline_s, now_s + most_s)
         if fits and now_s + wait_s <= entry.deadline_s:
             self._remember_key(space, request)
-            space.enqueue(entry)
+            space.enqueue(entry, now_s)
             return []
         return [self._refuse_rate(request, wait_s)]
 
-    def _take(self, space: _WorkspaceState, request: RateRequest, now_s: float) -> bool:
+    def _take(self, space: WorkspaceState, request: RateRequest, now_s: float) -> bool:
         if now_s >= self._lease_ends_s:
             return False
         if not space.bucket.take(request.cost_tokens, now_s):
@@ -329,11 +249,11 @@
         space.charge(request, now_s)
         return True
 
-    def _serve(self, space: _WorkspaceState, now_s: float) -> list[RateAction]:
+    def _serve(self, space: WorkspaceState, now_s: float) -> list[RateAction]:
         """Grant what the bucket can pay, in order; refuse what waited too long."""
         actions: list[RateAction] = []
         while space.waiting:
-            entry = next(iter(space.waiting.values()))
+            entry = space.head()
             request = entry.request
             if self._take(space, request, now_s):
                 space.dequeue(request.request_id)
@@ -353,7 +273,18 @@
                 actions += self._admit(space, entry, now_s)
         return actions
 
-    def _remember_key(self, space: _WorkspaceState, request: RateRequest) -> None:
+    def _refuse_late(self, space: WorkspaceState, now_s: float) -> list[RateAction]:
+        """Refuse what waited too long behind smaller requests."""
+        actions: list[RateAction] = []
+        late = [item for item in space.waiting.values() if now_s >= item.deadline_s]
+        for entry in late:
+            request = entry.request
+            self._forget(space, request.request_id)
+            wait_s = space.bucket.seconds_until(request.cost_tokens, now_s)
+            actions.append(self._refuse_rate(request, wait_s))
+        return actions
+
+    def _remember_key(self, space: WorkspaceState, request: RateRequest) -> None:
         space.keys.add(
             KeyEntry(
                 request.idempotency_key,
@@ -364,7 +295,7 @@
         )
 
     def _reply_grant(
-        self, space: _WorkspaceState, entry: _Waiting, now_s: float
+        self, space: WorkspaceState, entry: Waiting, now_s: float
     ) -> list[RateAction]:
         request = entry.request
         valid_for_s = self._lease_ends_s - now_s
