Keep virtual times of urgent and delay-tolerant work apart

Cause: one virtual time per workspace for both. Ruled out: prefill (98% busy with urgent first), refusals (0), long prompts (23 of 104 late ones).

--- a/src/damaskridge/core/scheduling/fair_queue.py
+++ b/src/damaskridge/core/scheduling/fair_queue.py
@@ -29,6 +29,8 @@
     divided by its share. The next request of a level is the one with the smallest
     sum of due time and virtual time, so a workspace is served late by as much as
     it is ahead of its share, and many small requests count as one large.
+    Delay-tolerant work has virtual times of its own: its backlog is many seconds
+    long, and leads of seconds would decide the order of urgent requests.
 
     Parameters
     ----------
@@ -41,11 +43,12 @@
         self._items: dict[str, QueueItem] = {}
         self._heaps: dict[tuple[Level, str], list[tuple[float, int, str]]] = {}
         self._heads = {level: LazyHeap() for level in Level}
-        self._virtual: dict[str, float] = {}
+        self._virtual: dict[tuple[bool, str], float] = {}
         self._counts: dict[str, int] = {}
+        self._lane_counts: dict[tuple[bool, str], int] = {}
         self._weights: dict[str, float] = {}
         self._total_weight = 1.0
-        self._now_virtual = 0.0
+        self._now_virtual = {True: 0.0, False: 0.0}
         self._sequence = 0
         self._backlog_s = dict.fromkeys(Level, 0.0)
         self._own_backlog_s: dict[str, dict[Level, float]] = {}
@@ -75,8 +78,12 @@
         """Add a request."""
         assert item.request_id not in self._items, "a request is queued once"
         space = item.workspace
+        lane = _lane(item.level, space)
+        if not self._lane_counts.get(lane):
+            now_virtual = self._now_virtual[lane[0]]
+            self._virtual[lane] = max(self._virtual.get(lane, 0.0), now_virtual)
+        self._lane_counts[lane] = self._lane_counts.get(lane, 0) + 1
         if not self._counts.get(space):
-            self._virtual[space] = max(self._virtual.get(space, 0.0), self._now_virtual)
             self._own_backlog_s[space] = dict.fromkeys(Level, 0.0)
             self._active_weight += self._weight(space)
         self._counts[space] = self._counts.get(space, 0) + 1
@@ -97,6 +104,7 @@
         self._backlog_s[item.level] -= item.cost_s
         self._own_backlog_s[space][item.level] -= item.cost_s
         self._counts[space] -= 1
+        self._lane_counts[_lane(item.level, space)] -= 1
         self._update_head(item.level, space)
         if not self._counts[space]:
             del self._counts[space], self._own_backlog_s[space]
@@ -109,9 +117,10 @@
         space = item.workspace
         share = self._weight(space) / self._total_weight
         if self._is_fair:
-            start = self._virtual[space]
-            self._now_virtual = max(self._now_virtual, start)
-            self._virtual[space] = start + item.cost_s / share
+            lane = _lane(item.level, space)
+            start = self._virtual[lane]
+            self._now_virtual[lane[0]] = max(self._now_virtual[lane[0]], start)
+            self._virtual[lane] = start + item.cost_s / share
             for level in Level:
                 self._update_head(level, space)
         self.remove(request_id)
@@ -149,7 +158,9 @@
         while heap and not self._is_live(heap[0][2], level):
             heapq.heappop(heap)
         if heap:
-            self._heads[level].update(space, heap[0][0] + self._virtual[space])
+            self._heads[level].update(
+                space, heap[0][0] + self._virtual[_lane(level, space)]
+            )
         else:
             self._heads[level].discard(space)
             del self._heaps[level, space]
@@ -157,3 +168,7 @@
     def _is_live(self, request_id: str, level: Level) -> bool:
         item = self._items.get(request_id)
         return item is not None and item.level is level
+
+
+def _lane(level: Level, space: str) -> tuple[bool, str]:
+    return level is Level.BULK, space
--- a/tests/core/scheduling/test_parts.py
+++ b/tests/core/scheduling/test_parts.py
@@ -122,3 +122,14 @@
     assert estimator.estimate(profile, 0).level is Level.BULK
     estimator.note_left(profile, 2.0)
     assert estimator.estimate(profile, 0).level is Level.URGENT
+
+
+def test_a_lead_in_delay_tolerant_work_does_not_delay_urgent_requests():
+    queue = FairQueue()
+    for number in range(10):
+        queue.push(QueueItem(f"bulk{number}", "a", Level.BULK, 0.0, 1.0))
+    for number in range(10):
+        queue.take(f"bulk{number}")
+    queue.push(QueueItem("first", "a", Level.URGENT, 1.0, 0.01))
+    queue.push(QueueItem("second", "b", Level.URGENT, 1.1, 0.01))
+    assert next(queue.first(Level.URGENT, 1)).request_id == "first"
