--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -33,9 +33,8 @@
 __all__ = ["Result", "Scenario", "simulate"]
 
 HOP_S = 0.0005
-# At 5 s some requests are refused after the loss of an owner: the bucket starts
-# empty, and costs are charged at their most and refunded at the end.
-WAIT_S = 15.0
+# The default of the front's setting rate_wait_s.
+WAIT_S = 2.0
 OUTAGE_S = 3.0
 DRAIN_S = 60.0
 FAULT_AT = 0.5
@@ -114,7 +113,7 @@
         self.clock.after(0.5, self.report_loads)
         self.clock.after(1.0, self.heartbeat)
         fault_s = self.scenario.duration_s * FAULT_AT
-        if self.scenario.variant == "engine_lost":
+        if self.scenario.variant.startswith("engine_lost"):
             self.clock.at(fault_s, self.lose_engine)
         if self.scenario.variant == "owner_lost":
             self.clock.at(fault_s, self.lose_owner)
@@ -128,7 +127,10 @@
         self.rates = RateOwner(random.Random(self.scenario.seed))
         for space in self.fleet.workspaces:
             tokens = space.burst_tokens if level is None else level
-            self.rates.handle(lm.OwnershipGained(space, self.epoch, tokens, ()), now_s)
+            lost = level is not None
+            self.rates.handle(
+                lm.OwnershipGained(space, self.epoch, tokens, (), lost), now_s
+            )
         self.cells = {}
         for is_service, servers in (
             (False, self.fleet.engines),
@@ -328,7 +330,8 @@
         self.submit(request)
 
     def refuse(self, request, failure) -> None:
-        resend = self.scenario.variant == "resend" and request.resends < MAX_RESENDS
+        resends = self.scenario.variant.endswith("resend")
+        resend = resends and request.resends < MAX_RESENDS
         if resend and failure.retry_after_s is not None:
             request.resends += 1
             self.clock.after(failure.retry_after_s, self.ask_rate, request)
@@ -362,8 +365,9 @@
             self.clock.after(1.0, self.heartbeat)
 
     def report_loads(self) -> None:
-        stale = self.scenario.variant == "stale"
-        age_s, loss = (2.0, 0.25) if stale else (0.2, 0.02)
+        variant = self.scenario.variant
+        age_s = 2.0 if variant == "stale" else 0.2
+        loss = 0.25 if variant in ("stale", "lost_events") else 0.02
         for name, engine in self.engines.items():
             if engine.alive:
                 event = sm.LoadReported(name, engine.report(age_s))
