--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 
 bench: setup
 	$(PYTHON) -m bench
+	$(PYTHON) -m bench.process
 
 soak: setup
 	$(PYTHON) tests/soak.py --seeds $(or $(SEEDS),200)
--- a/bench/growth.py
+++ b/bench/growth.py
@@ -21,7 +21,7 @@
     RequestProfile,
 )
 
-__all__ = ["SIZES", "FullCell", "measure_growth"]
+__all__ = ["SIZES", "FullCell", "decision_time_us", "measure_growth"]
 
 SLOTS = 20
 OUTPUT_TOKENS = 50
--- a/bench/slopes_owners.py
+++ b/bench/slopes_owners.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bench.figures import decision_time_us
+from bench.growth import decision_time_us
 from bench.slope_fit import Slope, fit
 from bench.slopes_state import RUNNERS, WORKSPACES, build_bundle, bytes_of, time_us
 from damaskridge.core.limits import messages as lm
