Fail an entry host that ends without a signal

Cause: a stray cancellation ended the task group of an entry host and the program exited with 0, so a service manager that restarts on failure left it down.

--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -122,6 +122,7 @@
     async def run(self, listeners: list[socket.socket]) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
         caller, peer, operators = listeners
+        drained = False
         await self.peer_server.start(sock=peer)
         async with anyio.create_task_group() as group:
             for service in (self.channels, self.control, self.owners, self.front):
@@ -134,10 +135,14 @@
                 async for _ in signals:
                     break
                 await self._drain(stopped)
+                drained = True
             group.cancel_scope.cancel()
         self.peer_server.close()
         self.channels.close()
         await self.backends.close()
+        if not drained:
+            # A stray cancellation ends a task group without an error.
+            raise RuntimeError("a part of the host ended without a signal")
 
     async def _serve_callers(self, listener: socket.socket, done: anyio.Event) -> None:
         await self.caller_server.run_on(listener)
