Start test processes in sessions of their own

Two measurements with SIGSTOP ended early because the stopped leader was gone. Both times the shell that had started them ended while the leader was stopped, and 78 other trials did not show it. The cause is likely the signal to stopped processes of an orphaned process group; the exit code was not seen.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -152,6 +152,9 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                # The end of the shell that started the tests would signal stopped
+                # processes of its process group.
+                start_new_session=True,
             )
 
     def kill(self, name: str) -> None:
