Mark errors of abandoned calls as seen

Cause: a call that was given up and failed later left its error unread. asyncio then formats a traceback when the task is collected, which parses source with ast. In two test runs pytest aborted with 'AST constructor recursion depth mismatch', which CPython raises when ast.parse is entered again; that this was the way it happened was not shown. Before: such reports in the test output; after: none in three runs of tests/adapters and tests/binaries.

--- a/src/damaskridge/adapters/rpc/confined.py
+++ b/src/damaskridge/adapters/rpc/confined.py
@@ -9,7 +9,7 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-__all__ = ["confined"]
+__all__ = ["confined", "retrieve"]
 
 T = TypeVar("T")
 
@@ -31,7 +31,7 @@
         The step was cancelled from inside.
     """
     task = asyncio.ensure_future(step)
-    task.add_done_callback(_retrieve)
+    task.add_done_callback(retrieve)
     try:
         await asyncio.wait({task}, timeout=timeout_s)
     finally:
@@ -44,6 +44,12 @@
     return task.result()
 
 
-def _retrieve(task: asyncio.Future[Any]) -> None:
+def retrieve(task: asyncio.Future[Any]) -> None:
+    """
+    Mark the error of an abandoned task as seen; for `add_done_callback`.
+
+    Otherwise asyncio formats a traceback when the task is collected, at any moment,
+    also inside `ast.parse`, which is not reentrant in Python 3.11.
+    """
     if not task.cancelled():
         task.exception()
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -12,6 +12,7 @@
 
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.confined import retrieve
 from damaskridge.adapters.rpc.peer_messages import (
     METHODS,
     Ping,
@@ -58,6 +59,7 @@
         cancel scope of the calling task open.
         """
         task = asyncio.ensure_future(step)
+        task.add_done_callback(retrieve)
         self.waits.add(task)
         try:
             await asyncio.wait({task}, timeout=timeout_s)
