--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,12 +1,14 @@
 """Prints one line per figure.
 
 `python -m bench` runs the scenarios of the goals, `python -m bench ablations` the
-worth of every mechanism.
+worth of every mechanism (on given seeds, if any), `python -m bench roles` a shift of the mix with and without
+role changes.
 """
 
 import json
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 
 import matplotlib
@@ -36,6 +38,8 @@
 )
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 3
+# Long enough for a lasting imbalance, a change of role and its effect.
+ROLES_S = 180.0
 
 
 def build_scenarios(seed: int) -> list[Scenario]:
@@ -88,6 +92,20 @@
     return measure_growth() + merge(runs)
 
 
+def measure_roles(pool: ProcessPoolExecutor) -> list[Figure]:
+    """Return the figures of a shift of the mix, without bounds."""
+    runs = []
+    for seed in SEEDS:
+        jobs = [
+            Scenario(workload, load, policy, "mix_shift", ROLES_S, seed)
+            for workload in WORKLOADS
+            for load in (0.8, 1.0)
+            for policy in (OWN, f"{OWN}-with-roles")
+        ]
+        runs.append([f for run in pool.map(run_one, jobs) for f in run])
+    return [replace(f, bound=None) for f in merge(runs)]
+
+
 def write(name: str, figures: list[Figure]) -> None:
     """Print the figures and store them as JSON."""
     for figure in figures:
@@ -101,8 +119,11 @@
 def main() -> None:
     """Run what the command line asks for."""
     with ProcessPoolExecutor(WORKERS) as pool:
-        if sys.argv[1:] == ["ablations"]:
-            return write("ablations.json", measure_worth(pool, SEEDS))
+        if sys.argv[1:2] == ["ablations"]:
+            seeds = tuple(map(int, sys.argv[2:])) or SEEDS
+            return write("ablations.json", measure_worth(pool, seeds))
+        if sys.argv[1:] == ["roles"]:
+            return write("roles.json", measure_roles(pool))
         figures = measure_goals(pool)
     write("bench.json", figures)
     plot(figures)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -144,6 +144,8 @@
         settings = replace(settings, **dict.fromkeys(off, False))
     if policy == "upper_bound":
         return CellScheduler(rng, settings, Oracle(requests))
+    if policy == f"{OWN}-with-roles":
+        settings = replace(settings, propose_roles=True)
     if policy.startswith(f"{OWN}-without-"):
         name = policy.removeprefix(f"{OWN}-without-")
         settings = replace(settings, **{ABLATIONS[name]: False})
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+import msgspec
+
 from bench.engine import Clock, DecodeEngine, PrefillEngine, Run
 from bench.policies import make_cell
 from bench.workload import (
@@ -13,6 +15,7 @@
     WORKLOADS,
     build_fleet,
     generate,
+    shift_mix,
 )
 from damaskridge.core.limits import messages as lm
 from damaskridge.core.limits.rate_owner import RateOwner
@@ -39,6 +42,8 @@
 DRAIN_S = 60.0
 FAULT_AT = 0.5
 MAX_RESENDS = 3
+# Time from an order to change a role until the engine works in it.
+ORDER_S = 10.0
 PATIENCE_S = 5.0
 
 
@@ -68,6 +73,7 @@
     cpu_s: float = 0.0
     placed: int = 0
     evicted: int = 0
+    orders: int = 0
 
 
 class Simulation:
@@ -87,7 +93,10 @@
             scenario.seed,
             flood,
         )
+        if scenario.variant == "mix_shift":
+            shift_mix(requests, scenario.duration_s / 3)
         self.result = Result(scenario, requests, fleet=self.fleet)
+        self.retired: list = []
         self.by_id = {item.request_id: item for item in requests}
         self.rng = random.Random(scenario.seed)
         self.owner_up = True
@@ -158,11 +167,23 @@
         for action in actions:
             if isinstance(action, sm.SendSubmitReply):
                 self.clock.after(HOP_S, self.submit_reply, action)
+            elif isinstance(action, sm.SendOrder):
+                self.clock.after(ORDER_S, self.change_role, action)
         pending_s = self.wakeups.get(is_service)
         if wakeup_s is not None and (pending_s is None or wakeup_s < pending_s - 1e-9):
             self.wakeups[is_service] = wakeup_s
             self.clock.at(wakeup_s, self.wake, is_service, wakeup_s)
 
+    def change_role(self, order) -> None:
+        """Start the engine in its new role; what runs in the old one ends there."""
+        old = self.engines[order.backend_server]
+        self.result.orders += 1
+        self.retired.append(old)
+        kind = PrefillEngine if order.value == "prefill" else DecodeEngine
+        self.engines[order.backend_server] = kind(
+            self.clock, old.spec, old.link_bytes_per_s, KV_BYTES_PER_TOKEN
+        )
+
     def wake(self, is_service, wakeup_s) -> None:
         if self.wakeups.get(is_service) == wakeup_s:
             del self.wakeups[is_service]
@@ -258,6 +279,11 @@
             self.clock.after(request.service_s, self.service_done, request)
             return
         decode = self.engines[reply.decode_server]
+        source = self.engines[reply.prefill_server]
+        if isinstance(decode, PrefillEngine) or isinstance(source, DecodeEngine):
+            # The role changed after the placement was decided.
+            request.attempt += 1
+            return self.submit(request)
         run = Run(
             request,
             reply.attempt,
@@ -270,7 +296,7 @@
         )
         self.running[request] = run
         self.live[request] = RequestPhase.PREFILLING
-        self.clock.after(HOP_S, self.engines[reply.prefill_server].submit, run)
+        self.clock.after(HOP_S, source.submit, run)
 
     def leave(self, request) -> None:
         """Give up: a caller who waits for an answer does not wait for long."""
@@ -370,7 +396,9 @@
         loss = 0.25 if variant in ("stale", "lost_events") else 0.02
         for name, engine in self.engines.items():
             if engine.alive:
-                event = sm.LoadReported(name, engine.report(age_s))
+                role = "prefill" if isinstance(engine, PrefillEngine) else "decode"
+                report = msgspec.structs.replace(engine.report(age_s), role=role)
+                event = sm.LoadReported(name, report)
                 self.clock.after(age_s, self.tell, False, event)
             if isinstance(engine, PrefillEngine):
                 kept = [
@@ -402,8 +430,9 @@
 
     def collect(self) -> None:
         result = self.result
-        prefill = [e for e in self.engines.values() if isinstance(e, PrefillEngine)]
-        decode = [e for e in self.engines.values() if isinstance(e, DecodeEngine)]
+        engines = [*self.engines.values(), *self.retired]
+        prefill = [e for e in engines if isinstance(e, PrefillEngine)]
+        decode = [e for e in engines if isinstance(e, DecodeEngine)]
         result.prefill_tokens = sum(e.total_tokens for e in prefill)
         result.wasted_tokens = sum(e.wasted_tokens for e in prefill)
         result.evicted = sum(e.evicted for e in decode)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -8,7 +8,15 @@
 
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
 
-__all__ = ["MAX_OUTPUT_TOKENS", "Fleet", "Request", "Shape", "WORKLOADS", "generate"]
+__all__ = [
+    "MAX_OUTPUT_TOKENS",
+    "Fleet",
+    "Request",
+    "Shape",
+    "WORKLOADS",
+    "generate",
+    "shift_mix",
+]
 
 MAX_OUTPUT_TOKENS = 600
 KV_BYTES_PER_TOKEN = 65_536
@@ -148,6 +156,19 @@
     )
 
 
+def shift_mix(requests, at_s: float) -> None:
+    """Make requests heavy to prefill before `at_s`, and heavy to decode after it."""
+    for item in requests:
+        if item.is_service:
+            continue
+        prompt, output = (1.3, 0.6) if item.arrive_s < at_s else (0.3, 1.6)
+        item.prompt_tokens = max(16, int(item.prompt_tokens * prompt))
+        item.output_tokens = max(
+            4, min(MAX_OUTPUT_TOKENS, int(item.output_tokens * output))
+        )
+        item.hashes = item.hashes[: item.prompt_tokens // 64]
+
+
 def generate(shape, fleet, load, duration_s, seed, flood: float = 1.0):
     """Return requests in order of arrival; `flood` multiplies one workspace."""
     rng = random.Random(seed)
