--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,8 @@
 """Prints one line per figure.
 
 `python -m bench` runs the scenarios of the goals, `python -m bench ablations` the
-worth of every mechanism (on given seeds, if any), `python -m bench roles` a shift of the mix with and without
-role changes.
+worth of every mechanism (on the seeds that follow, if any), `python -m bench roles` a
+shift of the mix with and without role changes.
 """
 
 import json
