Release what moved on before its owner began

Cause: an owner that was assigned while the resource was already to move to a third host never started it, and only what was started was released. The resource stayed without a working owner for good. A release that was refused because the move was called off was also tried again for ever, and kept a cell from starting. Ruled out: the control state, which waits for the owner's release as designed. Change: such an owner releases at once, the rate with the level that it was given; a called-off release ends and the cell starts again.

--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -137,8 +137,12 @@
             if cell in self._workers:
                 self._workers[cell].follow_bundle()
                 self._workers[cell].follow_leaving(leaving)
-            elif not owner.moving_to and self._released.get(cell) != owner.epoch:
-                self._start(cell, owner, leaving)
+            elif self._released.get(cell) != owner.epoch:
+                if owner.moving_to:
+                    # It moved on before this host began; nobody else can release it.
+                    self._release_owner(cell, owner)
+                else:
+                    self._start(cell, owner, leaving)
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
         """Queue a request; returns when it is placed or refused."""
@@ -235,16 +239,23 @@
     def _release(self, cell: str) -> None:
         worker = self._workers.pop(cell)
         worker.stop()
-        self._released[cell] = worker.owner.epoch
+        self._release_owner(cell, worker.owner)
+
+    def _release_owner(self, cell: str, owner: Owner) -> None:
+        if self._group is None:
+            return
+        self._released[cell] = owner.epoch
         done = anyio.Event()
         self._releases.append(done)
-        assert self._group is not None, "run() must have started"
-        self._group.start_soon(self._hand_over, worker.owner, done)
+        self._group.start_soon(self._hand_over, owner, done)
 
     async def _hand_over(self, owner: Owner, done: anyio.Event) -> None:
         try:
             if await propose_release(self._control, owner):
                 _log_owner(EventNumber.OWNERSHIP_RELEASED, owner)
+            else:
+                # The move was called off, or another session decides.
+                self._released.pop(owner.resource.removeprefix(PREFIX), None)
         finally:
             self._releases.remove(done)
             done.set()
--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -55,6 +55,6 @@
             return True
         await anyio.sleep(RELEASE_RETRY_S)
         current = control.fleet.owners.get(owner.resource)
-        if current is None or current.epoch != owner.epoch:
+        if current is None or current.epoch != owner.epoch or not current.moving_to:
             return False
     return False
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -103,6 +103,7 @@
         self._held: dict[str, _Held] = {}
         # Epochs that this process has held: a regained epoch starts empty.
         self._seen_epochs: dict[str, int] = {}
+        self._passed_on: dict[str, int] = {}
         self._pending: PendingReplies[RateReply] = PendingReplies(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
         )
@@ -186,10 +187,20 @@
         if held is None:
             if not owner.moving_to:
                 self._start(workspace, owner)
+            elif self._passed_on.get(name) != owner.epoch:
+                self._pass_on(name, owner)
         elif held.workspace != workspace:
             held.workspace = workspace
             self._decide(WorkspaceChanged(workspace))
 
+    def _pass_on(self, name: str, owner: Owner) -> None:
+        """Release what moved on before this host began; nobody else can."""
+        self._passed_on[name] = owner.epoch
+        regained = self._seen_epochs.get(name) == owner.epoch
+        self._seen_epochs[name] = owner.epoch
+        level_tokens = 0.0 if regained else owner.level_tokens
+        self._spawn(propose_release, self._control, owner, level_tokens)
+
     def _start(self, workspace: Workspace, owner: Owner) -> None:
         regained = self._seen_epochs.get(workspace.name) == owner.epoch
         self._seen_epochs[workspace.name] = owner.epoch
@@ -257,7 +268,7 @@
             self._wake.set()
 
     def _spawn(
-        self, function: Callable[..., Coroutine[Any, Any, None]], *args: Any
+        self, function: Callable[..., Coroutine[Any, Any, object]], *args: Any
     ) -> None:
         assert self._group is not None, "run() must have started"
         self._group.start_soon(function, *args)
