--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -38,7 +38,7 @@
         }
         self._parts.put_nowait({"type": "http.request", "body": body})
         world.connections[host.name] += 1
-        world.open_connections.add(self)
+        world.open_connections[self] = None
         host.process.start(self._serve())
 
     async def _serve(self):
@@ -53,7 +53,7 @@
             self.broken = broken
             self.done.set()
             self._world.connections[self.host.name] -= 1
-            self._world.open_connections.discard(self)
+            self._world.open_connections.pop(self, None)
 
     async def _send(self, message):
         if not self.host.process.alive:
--- a/tests/system/driver.py
+++ b/tests/system/driver.py
@@ -70,7 +70,8 @@
         self.faults, self.answers = Counter(), Counter()
         self.network = Network(self.rng)
         self.invariants = Invariants(self)
-        self.connections, self.open_connections = Counter(), set()
+        # A dict, because the order of a set of objects differs between runs.
+        self.connections, self.open_connections = Counter(), {}
         self.calls, self.tasks = {}, []
         self.listed_leaving = set()
         self.apart_s = {}
