Check the key and the session right before a request starts

Now the key is looked up in the fleet view at the moment the call or the prefill starts. Ownership is also checked against the session that gained it, since a new session's lease does not cover it.

--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -169,7 +169,8 @@
     def handle(self, event: CellEvent) -> None:
         """Let the machine decide, if the lease is still valid."""
         # A process that was frozen must not act on an expired lease.
-        if self._stopped or not lease_is_valid(self._links.control):
+        session = self.owner.session
+        if self._stopped or not lease_is_valid(self._links.control, session):
             self.stop()
             return
         now_s = anyio.current_time()
@@ -351,7 +352,8 @@
             return
         engine = self._engine(poller.server)
         crashes = poller.crashes
-        while engine is not None and lease_is_valid(self._links.control):
+        session = self.owner.session
+        while engine is not None and lease_is_valid(self._links.control, session):
             if await cancel_once(engine, action) or poller.crashes != crashes:
                 return
             if self._pollers.get(action.backend_server) is not poller:
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -372,12 +372,12 @@
         if self.call.fingerprint in control.fleet.quarantined:
             self.cancel(Failure(ErrorKind.REQUEST_QUARANTINED))
             return
-        lease = control.lease
-        if self.machine.texts or lease.is_valid(self._loop.time()):
+        # The key may have been withdrawn while the request was queued.
+        failure = self._context.key_failure(self.call.key_digest)
+        if failure is None or self.machine.texts:
             self.dispatch(Placed(placement))
-            return
-        # The key may have been withdrawn unseen while the request was queued.
-        self.cancel(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
+        else:
+            self.cancel(failure)
 
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+from result import Err
 
 from damaskridge.adapters.front_owners import OwnerClient
 from damaskridge.adapters.front_settings import FrontSettings
@@ -59,6 +60,17 @@
     index: FleetIndex = field(default_factory=FleetIndex)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def key_failure(self, digest: str) -> Failure | None:
+        """Return why no request may start for a key now, if so."""
+        now_s = asyncio.get_running_loop().time()
+        if not self.control.lease.is_valid(now_s):
+            return Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0)
+        if not digest:
+            # The reader of a request that was taken over brought its own key.
+            return None
+        found = self.index.workspace_of_key(self.control.fleet, digest)
+        return found.err_value if isinstance(found, Err) else None
+
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run `work` in the background."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -227,11 +227,11 @@
             await self._finished(failed_server)
 
     async def _send(self, placement: Placement) -> Result[ServiceAnswer, Failure]:
-        lease = self._context.control.lease
-        if not self.call.route.open_to_all and not lease.is_valid(self._loop.time()):
-            return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
-        if self.ended_by is ErrorKind.KEY_WITHDRAWN:
-            return Err(Failure(ErrorKind.KEY_WITHDRAWN))
+        if not self.call.route.open_to_all:
+            # Asked again: the key may have been withdrawn while the call was queued.
+            failure = self._context.key_failure(self.call.key_digest)
+            if failure is not None:
+                return Err(failure)
         self.sent = True
         call = self._context.services.call(placement.decode_address, self.call.call)
         try:
--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -10,10 +10,22 @@
 RELEASE_RETRY_S = 0.2
 
 
-def lease_is_valid(control: ControlPort) -> bool:
-    """Tell whether this host may decide now; asked before every decision."""
-    now_s = anyio.current_time()
-    return control.session is not None and control.lease.is_valid(now_s)
+def lease_is_valid(control: ControlPort, session: int | None = None) -> bool:
+    """
+    Tell whether this host may decide now; asked before every decision.
+
+    Parameters
+    ----------
+    control : ControlPort
+        The control group.
+    session : int or None
+        Session by which a resource is owned. The lease of a later session does not
+        cover what an earlier one owned.
+    """
+    held = control.session
+    if held is None or session not in (None, held.number):
+        return False
+    return control.lease.is_valid(anyio.current_time())
 
 
 def held_resources(control: ControlPort, host: str, prefix: str) -> dict[str, Owner]:
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -232,8 +232,15 @@
         if not lease_is_valid(self._control):
             self._stop_all()
             return
+        self._stop_earlier_sessions()
         self._carry_out(self._machine.handle(event, anyio.current_time()))
 
+    def _stop_earlier_sessions(self) -> None:
+        # The lease of a new session does not cover what an earlier one owned.
+        for name, held in list(self._held.items()):
+            if not lease_is_valid(self._control, held.owner.session):
+                self._stop(name)
+
     def _stop_all(self) -> None:
         for name in list(self._held):
             self._stop(name)
