--- a/tests/system/network.py
+++ b/tests/system/network.py
@@ -47,6 +47,8 @@
         process = _PROCESS.get()
         if process is not None:
             when = when / process.clock_rate + _TIMER_SLACK_S
+            args = (callback, *args)
+            callback = process.call_if_alive
         return super().call_at(when, callback, *args, context=context)
 
 
@@ -85,6 +87,11 @@
         """Call a function as part of this process."""
         return self._context.copy().run(function, *args)
 
+    def call_if_alive(self, callback, *args):
+        """Run a timer's callback; a killed process has no timers."""
+        if self.alive:
+            callback(*args)
+
     def kill(self):
         """End every task; nothing that a dying task does leaves the process."""
         self.alive = False
