Claim the answer of a keyed request before its last chunk

Change: the ledger, which survives, lets one run of a key end; one commit per keyed request, none before the first token.

--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from damaskridge.adapters.front_claims import claim_answer
 from damaskridge.adapters.front_context import (
     FrontContext,
     ask_rate,
@@ -397,6 +398,8 @@
         try:
             async with closing(chunks):
                 async for chunk in chunks:
+                    if chunk.finish_reason is not None and not await self._claim():
+                        return
                     self.dispatch(ChunkReceived(attempt, chunk))
                     if self._work is not asyncio.current_task():
                         return
@@ -405,6 +408,22 @@
             failure = error.failure
         self.dispatch(AttemptFailed(attempt, server, failure))
 
+    async def _claim(self) -> bool:
+        """Tell whether the answer may end; a keyed request ends once in the fleet."""
+        call = self.call
+        if not call.idempotency_key:
+            return True
+        failure = await claim_answer(
+            self._context,
+            request_id=self.request_id,
+            workspace=call.workspace,
+            idempotency_key=call.idempotency_key,
+            body_digest=call.body_digest,
+        )
+        if failure is not None:
+            self.cancel(failure)
+        return failure is None
+
     async def _cancel_on_server(self, action: CancelOnServer) -> None:
         engine = self._context.engine_for(action.address)
         await engine.cancel(action.engine_request_id)
