Ask for the claim of an answer once and settle it at the end

The claim now has its own task; the end of the request closes it, as answered or, if the answer did not end, as free for a resend.

--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -8,7 +8,7 @@
 
 from result import Err
 
-from damaskridge.adapters.front_claims import claim_answer
+from damaskridge.adapters.front_claims import AnswerClaim
 from damaskridge.adapters.front_context import (
     FrontContext,
     ask_rate,
@@ -122,6 +122,15 @@
         self.moved = False
         self._output = RequestOutput(self.machine)
         self._grant: tuple[str, RateGrant] | None = None
+        self._claimed: AnswerClaim | None = None
+        if call.idempotency_key:
+            self._claimed = AnswerClaim(
+                context,
+                request_id=self.request_id,
+                workspace=call.workspace,
+                idempotency_key=call.idempotency_key,
+                body_digest=call.body_digest,
+            )
         self._readers = 0
         self._work: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -295,6 +304,8 @@
     @_perform.register
     def _(self, action: Close) -> None:
         self.failure = action.failure
+        if self._claimed is not None:
+            self._claimed.settle(answered=action.failure is None)
         kind = action.failure.kind if action.failure else None
         self.moved = kind is ErrorKind.STREAM_TAKEN_OVER
         self.ended_s = self._loop.time()
@@ -410,16 +421,9 @@
 
     async def _claim(self) -> bool:
         """Tell whether the answer may end; a keyed request ends once in the fleet."""
-        call = self.call
-        if not call.idempotency_key:
+        if self._claimed is None:
             return True
-        failure = await claim_answer(
-            self._context,
-            request_id=self.request_id,
-            workspace=call.workspace,
-            idempotency_key=call.idempotency_key,
-            body_digest=call.body_digest,
-        )
+        failure = await self._claimed.win()
         if failure is not None:
             self.cancel(failure)
         return failure is None
