--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -111,7 +111,11 @@
         if not fingerprint:
             return []
         self._suspects.note_failure(
-            fingerprint, server.spec.name, server.incarnation, now_s
+            fingerprint,
+            server.spec.name,
+            server.incarnation,
+            now_s,
+            was_suspect=entry.suspect,
         )
         actions: list[CellAction] = []
         for other in self._registry.with_fingerprint(fingerprint):
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -8,6 +8,7 @@
 # By then the control group has the reports of the crashes.
 HELD_S = 10.0
 _CRASHES = 2
+_EARLIER_CRASH = ("", 0)
 
 
 class SuspectTable:
@@ -25,11 +26,24 @@
             del self._until_s[fingerprint]
 
     def note_failure(
-        self, fingerprint: str, server: str, incarnation: int, now_s: float
+        self,
+        fingerprint: str,
+        server: str,
+        incarnation: int,
+        now_s: float,
+        *,
+        was_suspect: bool = False,
     ) -> None:
-        """Suspect a fingerprint because a front lost the server that ran it."""
+        """
+        Suspect a fingerprint because a front lost the server that ran it.
+
+        For a request that was suspect before, the crash behind that counts too,
+        however long ago it was.
+        """
         self.add((fingerprint,), now_s)
         failed = self._failed_s.setdefault(fingerprint, {})
+        if was_suspect and (server, incarnation) not in failed:
+            failed[_EARLIER_CRASH] = now_s
         failed.setdefault((server, incarnation), now_s)
         for name, items in list(self._failed_s.items()):
             if all(now_s - failed_s > HELD_S for failed_s in items.values()):
--- a/tests/core/scheduling/test_parts.py
+++ b/tests/core/scheduling/test_parts.py
@@ -11,6 +11,7 @@
 from damaskridge.core.scheduling.retry_budget import MAX_ATTEMPTS, RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
 from damaskridge.core.scheduling.servers import ServerState
+from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.core.scheduling.urgency import Level, UrgencyEstimator
 from damaskridge.model.bundle import BackendServer, BackendServerRole
 from damaskridge.model.engine import CacheEvent, CacheEventPage, LoadReport
@@ -133,3 +134,12 @@
     queue.push(QueueItem("first", "a", Level.URGENT, 1.0, 0.01))
     queue.push(QueueItem("second", "b", Level.URGENT, 1.1, 0.01))
     assert next(queue.first(Level.URGENT, 1)).request_id == "first"
+
+
+def test_a_suspect_that_loses_one_more_server_is_held():
+    # Its first crash may be long ago: a third server must not be lost to it.
+    table = SuspectTable()
+    table.note_failure("f", "p1", 1, 0.0)
+    assert not table.is_held("f", 1.0)
+    table.note_failure("f", "p2", 1, 100.0, was_suspect=True)
+    assert table.is_held("f", 101.0)
