Test the guard that claims an answer

The two guards cover for each other, so the test of duplicate detection now switches the claim off as well, and the claim has a test of its own.

--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -8,6 +8,7 @@
 from damaskridge.adapters import cell_runtime, cell_worker, ownership, rate_runtime
 from damaskridge.adapters.cell_worker import CellWorker
 from damaskridge.adapters.front import Front
+from damaskridge.adapters.front_claims import AnswerClaim
 from damaskridge.adapters.front_services import RunningService
 from damaskridge.adapters.rate_runtime import RateRuntime
 from damaskridge.core.limits.keys import KeyTable
@@ -164,7 +165,17 @@
     yield mock.patch.object(SuspectTable, "is_held", lambda *_: False)
 
 
+async def _always_wins(self):
+    return None
+
+
+def _answer_claim():
+    yield mock.patch.object(AnswerClaim, "win", _always_wins)
+
+
 def _duplicate_detection():
+    # The claim of the answer covers for it and the other way round.
+    yield from _answer_claim()
     yield mock.patch.object(KeyTable, "find", lambda *_: None)
 
 
@@ -183,6 +194,7 @@
     "leaving_check": "leaving",
     "fencing_of_epochs": "ownership",
     "one_suspect_per_engine": "crashes",
+    "answer_claim": "duplicate",
     "duplicate_detection": "duplicate",
 }
 _GUARDS = {
@@ -199,6 +211,7 @@
     "leaving_check": _leaving_check,
     "fencing_of_epochs": _fencing_of_epochs,
     "one_suspect_per_engine": _one_suspect_per_engine,
+    "answer_claim": _answer_claim,
     "duplicate_detection": _duplicate_detection,
 }
 NAMES = frozenset(_GUARDS)
