Revert the merging of crash reports

Cause: read again, the try was at the wrong depth. A crash is reported once per server and incarnation again.

--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -322,10 +322,9 @@
 
     @_carry_out.register
     def _(self, action: ReportCrashedRequests) -> None:
-        # The same crash seen by two successive owners counts once; the control
-        # state merges what each of them knows of it.
+        # The same crash seen by two successive owners counts once.
         command = ReportCrash(
-            command_id=uuid.uuid4().hex,
+            command_id=f"crash/{action.backend_server}/{action.incarnation}",
             backend_server=action.backend_server,
             incarnation=action.incarnation,
             fingerprints=action.fingerprints,
--- a/src/damaskridge/core/state/fingerprints.py
+++ b/src/damaskridge/core/state/fingerprints.py
@@ -19,17 +19,11 @@
 ) -> CommandResult:
     """Suspect the requests of a crash; quarantine those of a second one."""
     key = f"{command.incarnation}/{command.backend_server}"
+    if key in data.crashes:
+        return CommandResult()
     found = set(command.fingerprints)
-    held = data.crashes.get(key)
-    if held is not None:
-        # A later owner may know of requests that the first report lacks.
-        if _is_explained(data, held) or found <= set(held.fingerprints):
-            return CommandResult()
-        found |= set(held.fingerprints)
     earlier = [
-        crash
-        for name, crash in data.crashes.items()
-        if name != key and found & set(crash.fingerprints)
+        crash for crash in data.crashes.values() if found & set(crash.fingerprints)
     ]
     culprits = {name for crash in earlier for name in crash.fingerprints} & found
     crash = Crash(tuple(sorted(found)), data.now_ms)
@@ -48,14 +42,6 @@
     return CommandResult()
 
 
-def _is_explained(data: StateData, crash: Crash) -> bool:
-    return any(
-        held.state is FingerprintState.QUARANTINED
-        for name in crash.fingerprints
-        if (held := data.fingerprints.get(name)) is not None
-    )
-
-
 def clear_suspect(
     data: StateData, command: SuspectCleared, changes: Changes
 ) -> CommandResult:
