--- /dev/null
+++ b/deploy/run.py
@@ -0,0 +1,12 @@
+"""Starts a program on the users' platform from a checkout."""
+
+import os
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from damaskridge.binaries.platform import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:], os.environ))
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -9,6 +9,7 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from damaskridge.adapters.control_waiters import ProposalWaiters, ReadWaiters
 from damaskridge.adapters.delta_subscribers import DeltaSubscribers
@@ -128,11 +129,10 @@
         self._applied_bytes = 0
         if stored.log.snapshot.index:
             self._restore(stored.log.snapshot)
-        self._links = {
-            name: PeerLink(name, address, rng)
-            for name, address in members.items()
-            if name != host
-        }
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: TaskGroup | None = None
+        for name in [*members, *map(host_name, self._known_members())]:
+            self._link_to(name)
         self._events: list[Event] = []
         self._proposals = ProposalWaiters()
         self._readers = ReadWaiters()
@@ -209,6 +209,7 @@
         try:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
+                    self._tasks = tasks
                     for link in self._links.values():
                         tasks.start_soon(link.run)
                     await self._loop()
@@ -296,9 +297,31 @@
     def _act(self, action: Action) -> None:
         raise TypeError(type(action))
 
+    def _known_members(self) -> tuple[str, ...]:
+        membership = self._driver.node.log.membership()
+        return (*membership.voters, *membership.learners)
+
+    def _link_to(self, name: str) -> PeerLink | None:
+        """
+        Return the stream to a host, and start it if it is new.
+
+        A host that is not in the settings is reached if its name is its address.
+        """
+        if name == self._host:
+            return None
+        if name not in self._links:
+            address = self._members.get(name, name)
+            if not address.rpartition(":")[2].isdecimal():
+                return None
+            self._members[name] = address
+            link = self._links[name] = PeerLink(name, address, self._rng)
+            if self._tasks is not None:
+                self._tasks.start_soon(link.run)
+        return self._links[name]
+
     @_act.register
     def _(self, action: Send) -> None:
-        link = self._links.get(host_name(action.to))
+        link = self._link_to(host_name(action.to))
         if link is not None:
             link.send(PeerFrame(action.to, action.message))  # type: ignore[arg-type]
 
--- /dev/null
+++ b/src/damaskridge/adapters/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to backend servers."""
--- /dev/null
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -0,0 +1,187 @@
+"""Forwards calls to plain services."""
+
+import logging
+from collections.abc import Callable
+
+from damaskridge.adapters.gateway.answers import CallerAnswer
+from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
+from damaskridge.adapters.gateway.work import GatewayWork
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.gateway.instances import InstanceRegistry
+from damaskridge.core.gateway.load import LoadBook, Work
+from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.send_policy import GiveUp
+from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.events import EventNumber
+from damaskridge.model.gateway import BackendInstance
+
+__all__ = ["CallForwarder"]
+
+logger = logging.getLogger(__name__)
+
+ANSWER_LIMIT_BYTES = 4_194_304
+# A repeatable call goes to another server after this many times its objective: by then
+# its answer would be late in any case.
+PATIENCE_OBJECTIVES = 2.5
+# Below this a pause of the operating system would pass for a silent server.
+LEAST_PATIENCE_S = 0.25
+
+
+class CallForwarder:
+    """
+    Sends a call until it is answered, within what its kind allows.
+
+    Parameters
+    ----------
+    sender, registry, load : Sender, InstanceRegistry, LoadBook
+        Shared by all forwarders of the host.
+    data_centre : str
+        Where this host stands.
+    may_resend : callable
+        Takes one additional send to a service from the retry budget.
+    refusals : RefusalTimes
+        When refused callers may come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        sender: Sender,
+        registry: InstanceRegistry,
+        load: LoadBook,
+        data_centre: str,
+        may_resend: Callable[[GatewayWork], bool],
+        refusals: RefusalTimes,
+    ) -> None:
+        self._sender = sender
+        self._registry = registry
+        self._load = load
+        self._data_centre = data_centre
+        self._may_resend = may_resend
+        self._refusals = refusals
+
+    async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
+        """Answer the caller with the service's answer, or with a failure."""
+        tried: set[str] = set()
+        while True:
+            instance, candidates = self._choose(work, frozenset(tried))
+            if instance is None:
+                await self._give_up_unserved(work, answer)
+                return
+            tried.add(instance.instance)
+            failure = await self._attempt(work, answer, instance, candidates)
+            if failure is not None:
+                await answer.refuse(failure)
+                return
+            if answer.is_complete:
+                return
+
+    def _choose(
+        self, work: GatewayWork, tried: frozenset[str]
+    ) -> tuple[BackendInstance | None, int]:
+        now_s = work.arrived_s + work.elapsed_s
+        service = work.service.name
+        candidates = self._registry.candidates(service, now_s, excluded=tried)
+        # With no other server left, one that had no room may have some now.
+        candidates = candidates or self._registry.candidates(service, now_s)
+        if not candidates:
+            return None, 0
+        chosen = self._load.least_loaded(candidates, self._data_centre)
+        return chosen, len(candidates)
+
+    async def _give_up_unserved(self, work: GatewayWork, answer: CallerAnswer) -> None:
+        kind = ErrorKind.NO_BACKEND_SERVER
+        if work.policy.runs:
+            kind = ErrorKind.BACKEND_SERVER_FAILED
+        detail = f"no backend server for {work.service.name}"
+        retry_after_s = self._refusals.no_server_s(work.left_s)
+        await answer.refuse(Failure(kind, detail, retry_after_s=retry_after_s))
+
+    async def _attempt(
+        self,
+        work: GatewayWork,
+        answer: CallerAnswer,
+        instance: BackendInstance,
+        candidates: int,
+    ) -> Failure | None:
+        """Send once; returns the failure to answer, or None to go on or when done."""
+        policy, name = work.policy, instance.instance
+        policy.sent()
+        load = self._load.total(name).requests
+        log_event(
+            logger,
+            EventNumber.REQUEST_SENT,
+            request_id=work.request.request_id,
+            instance=name,
+            step="call",
+            attempt=policy.sends,
+            load=load,
+            candidates=candidates,
+        )
+        self._load.start(work.request.request_id, name, Work(requests=1))
+        try:
+            outcome = await self._sender.send(
+                instance,
+                work.request,
+                work.body,
+                work.options(name),
+                answer_s=self._answer_s(work, candidates),
+                fresh=not policy.may_repeat,
+            )
+            if isinstance(outcome, OpenReply):
+                return await self._answer(work, answer, outcome)
+        finally:
+            self._load.finish(work.request.request_id, name)
+        if isinstance(outcome, NotRun):
+            may_resend = self._may_resend(work)
+            decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
+        else:
+            decision = self._after_unknown(work, outcome)
+        return self._failure(work, decision, outcome.reason)
+
+    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> object:
+        return work.policy.unknown(
+            left_s=work.left_s,
+            may_resend=work.policy.has_another_run and self._may_resend(work),
+            timed_out=outcome.timed_out,
+        )
+
+    def _failure(
+        self, work: GatewayWork, decision: object, reason: str
+    ) -> Failure | None:
+        if not isinstance(decision, GiveUp):
+            return None
+        retry_after_s = None
+        if decision.kind is ErrorKind.OVERLOADED:
+            retry_after_s = self._refusals.overloaded_s(work.left_s)
+        return decision.failure(reason, retry_after_s)
+
+    def _answer_s(self, work: GatewayWork, candidates: int) -> float:
+        left_s = max(0.0, work.timeout_s)
+        if not work.policy.has_another_run or candidates < 2:
+            return left_s
+        patience_s = PATIENCE_OBJECTIVES * work.route.objective_ms / 1000
+        return min(left_s, max(LEAST_PATIENCE_S, patience_s))
+
+    async def _answer(
+        self, work: GatewayWork, answer: CallerAnswer, reply: OpenReply
+    ) -> Failure | None:
+        try:
+            body = await reply.whole(ANSWER_LIMIT_BYTES)
+        except ConnectionBroken as error:
+            self._sender.note_answer(reply.instance, good=False, reason=str(error))
+            decision = self._after_unknown(work, Unknown(str(error)))
+            return self._failure(work, decision, str(error))
+        finally:
+            reply.close()
+        is_failure = reply.head.status >= 500
+        self._sender.note_answer(
+            reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
+        )
+        if is_failure:
+            may_resend = work.policy.has_another_run and self._may_resend(work)
+            if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
+                return None
+        await answer.pass_on(reply.head, reply.facts, body)
+        return None
--- /dev/null
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -0,0 +1,291 @@
+"""Sends one request to one backend server and tells what became of it."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from damaskridge.adapters.gateway.connections import (
+    BackendConnection,
+    ConnectionBroken,
+    Headers,
+    NotSent,
+    ReplyHead,
+)
+from damaskridge.adapters.gateway.dialect import (
+    CallerRequest,
+    Dialect,
+    ReplyFacts,
+    SendOptions,
+)
+from damaskridge.adapters.gateway.pool import ConnectionPool
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.gateway.instances import InstanceRegistry
+from damaskridge.model.events import EventNumber
+from damaskridge.model.gateway import BackendInstance
+
+__all__ = ["NotRun", "OpenReply", "Outcome", "Sender", "Unknown"]
+
+logger = logging.getLogger(__name__)
+
+# A connection attempt to a live server takes a few milliseconds; a lost first packet is
+# sent again after a second, which a new attempt beats.
+CONNECT_S = 0.3
+RELEASE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request did not run and never will; `is_full` if the server had no room."""
+
+    reason: str
+    is_full: bool = False
+    retry_status: int = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run, or may run still."""
+
+    reason: str
+    timed_out: bool = False
+
+
+class OpenReply:
+    """
+    An answer whose body is unread; `close` must be called.
+
+    Attributes
+    ----------
+    head : ReplyHead
+        Status and headers.
+    facts : ReplyFacts
+        What they say.
+    """
+
+    def __init__(
+        self,
+        instance: BackendInstance,
+        connection: BackendConnection,
+        pool: ConnectionPool,
+        head: ReplyHead,
+        facts: ReplyFacts,
+    ) -> None:
+        self.instance = instance
+        self.head = head
+        self.facts = facts
+        self._connection = connection
+        self._pool = pool
+        self._is_open = True
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises `ConnectionBroken` if it is not whole."""
+        async for chunk in self._connection.body():
+            yield chunk
+
+    async def whole(self, limit_bytes: int) -> bytes:
+        """Return the whole body; raises `ConnectionBroken`."""
+        body = bytearray()
+        async for chunk in self._connection.body():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise ConnectionBroken(f"answer over {limit_bytes} bytes")
+        return bytes(body)
+
+    def close(self) -> None:
+        """Give the connection back, or drop it if the answer is not complete."""
+        if self._is_open:
+            self._is_open = False
+            self._connection.keep_alive_s = self.facts.keep_alive_s
+            self._pool.give_back(self.instance, self._connection)
+
+
+Outcome = OpenReply | NotRun | Unknown
+
+
+class Sender:
+    """
+    Sends requests and notes how the backend servers answer.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Encodes requests and decodes answers.
+    pool : ConnectionPool
+        Connections.
+    registry : InstanceRegistry
+        Where the health of servers is noted.
+    """
+
+    def __init__(
+        self, dialect: Dialect, pool: ConnectionPool, registry: InstanceRegistry
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._registry = registry
+        self._releases: set[asyncio.Task[None]] = set()
+
+    async def send(
+        self,
+        instance: BackendInstance,
+        request: CallerRequest,
+        body: bytes,
+        options: SendOptions,
+        *,
+        answer_s: float,
+        fresh: bool = False,
+    ) -> Outcome:
+        """
+        Send a request and wait for the head of its answer.
+
+        Parameters
+        ----------
+        instance : BackendInstance
+            Where to.
+        request : CallerRequest
+            The caller's request.
+        body : bytes
+            Its body.
+        options : SendOptions
+            What the gateway adds.
+        answer_s : float
+            Longest wait for the head, in seconds.
+        fresh : bool
+            Whether to use a new connection.
+
+        Returns
+        -------
+        Outcome
+            The answer, or what is known of the request without one.
+        """
+        started_s = asyncio.get_running_loop().time()
+        headers = self._dialect.send_headers(request, options)
+        try:
+            connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
+        except NotSent as error:
+            self._note_unreachable(instance, str(error))
+            return self._log(request, instance, NotRun(str(error)), started_s)
+        is_open = False
+        try:
+            async with asyncio.timeout(answer_s):
+                await connection.send(request.method, request.target, headers, body)
+                head = await connection.head()
+            is_prefill = options.step is not None and options.step.is_prefill
+            outcome = self._judge(request, instance, connection, head, is_prefill)
+            is_open = isinstance(outcome, OpenReply)
+        except TimeoutError:
+            outcome = Unknown(f"no answer in {answer_s:.3f} s", timed_out=True)
+            self._pool.drop(instance)
+        except NotSent as error:
+            outcome = NotRun(str(error))
+        except ConnectionBroken as error:
+            outcome = Unknown(str(error))
+        finally:
+            if not is_open:
+                connection.close()
+        if isinstance(outcome, Unknown):
+            self.note_answer(instance, good=False, reason=outcome.reason)
+        return self._log(request, instance, outcome, started_s)
+
+    def note_answer(
+        self, instance: BackendInstance, *, good: bool, reason: str
+    ) -> None:
+        """Note whether an answer was good, for the choice of servers."""
+        now_s = asyncio.get_running_loop().time()
+        avoided_s = self._registry.answered(instance.instance, now_s, good=good)
+        if avoided_s:
+            self._log_avoided(instance, reason, avoided_s)
+
+    def release(self, instance: BackendInstance, handle: str) -> None:
+        """Free an exported KV cache that will not be imported."""
+        task = asyncio.ensure_future(self._release(instance, handle))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _release(self, instance: BackendInstance, handle: str) -> None:
+        method, target = self._dialect.release_handle(handle)
+        headers: Headers = [(b"host", instance.address.encode())]
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                connection = await self._pool.take(instance, CONNECT_S)
+                try:
+                    await connection.send(method, target, headers, b"")
+                    await connection.head()
+                    async for _ in connection.body():
+                        pass
+                finally:
+                    self._pool.give_back(instance, connection)
+        except (ConnectionBroken, TimeoutError) as error:
+            # The engine frees the memory by itself when the handle expires.
+            reason = str(error) or "timed out"
+            log_event(
+                logger,
+                EventNumber.SEND_FAILED,
+                request_id="",
+                instance=instance.instance,
+                outcome="release",
+                reason=reason,
+                elapsed_ms=0,
+            )
+
+    def _judge(
+        self,
+        request: CallerRequest,
+        instance: BackendInstance,
+        connection: BackendConnection,
+        head: ReplyHead,
+        is_prefill: bool,
+    ) -> Outcome:
+        facts = self._dialect.reply_facts(head)
+        if facts.request_id and facts.request_id != request.request_id:
+            return Unknown("the answer belongs to another request")
+        if facts.is_other_instance:
+            self._note_unreachable(instance, "another instance has the address")
+            return NotRun("another instance has the address")
+        if facts.did_not_run:
+            return NotRun(
+                f"refused with status {head.status}",
+                is_full=head.status in (429, 503),
+                retry_status=head.status,
+            )
+        if head.status < 300 and not (facts.is_signed or is_prefill):
+            return Unknown(f"status {head.status} without a signature")
+        return OpenReply(instance, connection, self._pool, head, facts)
+
+    def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        avoided_s = self._registry.unreachable(instance.instance, now_s)
+        self._pool.drop(instance)
+        self._log_avoided(instance, reason, avoided_s)
+
+    def _log_avoided(
+        self, instance: BackendInstance, reason: str, avoided_s: float
+    ) -> None:
+        log_event(
+            logger,
+            EventNumber.INSTANCE_AVOIDED,
+            instance=instance.instance,
+            reason=reason,
+            failures=1,
+            avoided_ms=round(avoided_s * 1000),
+        )
+
+    def _log(
+        self,
+        request: CallerRequest,
+        instance: BackendInstance,
+        outcome: Outcome,
+        started_s: float,
+    ) -> Outcome:
+        if not isinstance(outcome, OpenReply):
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            log_event(
+                logger,
+                EventNumber.SEND_FAILED,
+                request_id=request.request_id,
+                instance=instance.instance,
+                outcome=type(outcome).__name__,
+                reason=outcome.reason,
+                elapsed_ms=round(elapsed_s * 1000),
+            )
+        return outcome
--- /dev/null
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -0,0 +1,81 @@
+"""One admitted request on its way through the gateway."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
+from damaskridge.core.gateway.send_policy import SendPolicy
+from damaskridge.model.gateway import GatewayRoute, GatewayService
+
+__all__ = ["GatewayWork"]
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewayWork:
+    """
+    A request with everything that was decided about it on admission.
+
+    Parameters
+    ----------
+    request, body : CallerRequest, bytes
+        What the caller sent.
+    route, service : GatewayRoute, GatewayService
+        Where it goes.
+    workspace : str
+        Whose key came with it; empty on public routes.
+    priority : int
+        Rank of the request; 0 is the most urgent.
+    arrived_s : float
+        Loop time at which its head was read.
+    hosts : int
+        Entry hosts that share the budgets.
+    """
+
+    request: CallerRequest
+    body: bytes
+    route: GatewayRoute
+    service: GatewayService
+    workspace: str
+    priority: int
+    arrived_s: float
+    hosts: int
+    policy: SendPolicy = field(init=False)
+
+    def __post_init__(self) -> None:
+        route = self.route
+        self.policy = SendPolicy(
+            route.kind, route.attempts, is_resumable=route.is_resumable
+        )
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the request arrived."""
+        return asyncio.get_running_loop().time() - self.arrived_s
+
+    @property
+    def timeout_s(self) -> float:
+        """Time until the final answer is due."""
+        return self.route.timeout_ms / 1000 - self.elapsed_s
+
+    @property
+    def left_s(self) -> float:
+        """Time for which a backend server may work: never beyond the caller's."""
+        patience_s = self.request.patience_s
+        if patience_s is None:
+            return self.timeout_s
+        return min(self.timeout_s, patience_s - self.elapsed_s)
+
+    def options(
+        self,
+        instance: str,
+        step: EngineStep | None = None,
+        last_event_id: int | None = None,
+    ) -> SendOptions:
+        """Return what is added to a send that leaves now."""
+        return SendOptions(
+            instance=instance,
+            left_s=max(0.0, self.left_s),
+            workspace=self.workspace,
+            step=step,
+            last_event_id=last_event_id,
+        )
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -166,6 +166,10 @@
         if self._abort is not None:
             self._abort()
 
+    def now_s(self) -> float:
+        """Return the time on the clock that arrival is measured with."""
+        return asyncio.get_running_loop().time()
+
     def stalled(self) -> bool:
         """Tell whether the caller has not read for too long."""
         now_s = asyncio.get_running_loop().time()
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -9,6 +9,7 @@
 """
 
 import logging
+import os
 import sys
 import time
 from typing import TextIO
@@ -17,7 +18,15 @@
 
 from damaskridge.model.events import EventNumber
 
-__all__ = ["JsonFormatter", "configure", "event_record", "fields_of", "log_event"]
+__all__ = [
+    "BoundedHandler",
+    "JsonFormatter",
+    "configure",
+    "configure_bounded",
+    "event_record",
+    "fields_of",
+    "log_event",
+]
 
 ROOT_LOGGER = "damaskridge"
 # Without a handler their warnings would be lines that are no JSON.
@@ -103,3 +112,77 @@
     logger.propagate = False
     for name in LIBRARY_LOGGERS:
         logging.getLogger(name).handlers[:] = [handler]
+
+
+# Lines of one event in one second: above what one host logs on a busy day.
+LINES_PER_S = 100
+
+
+class BoundedHandler(logging.Handler):
+    """
+    Writes lines to a descriptor, bounded by event and second, and never waits.
+
+    What is over the budget, and what the reader of the descriptor has no room for, is
+    left out and counted; the counts are written with the next second's first line.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; it is made non-blocking.
+    lines_per_s : int
+        Most lines of one event in one second.
+    """
+
+    def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._written: dict[str, int] = {}
+        self._dropped: dict[str, int] = {}
+        self._cut = b""
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, or count it."""
+        if int(record.created) != self._second:
+            self._begin_second(record)
+        name = record.getMessage()
+        written = self._written.get(name, 0)
+        self._written[name] = written + 1
+        if written >= self._lines_per_s or not self._write(self.format(record)):
+            self._dropped[name] = self._dropped.get(name, 0) + 1
+
+    def _begin_second(self, record: logging.LogRecord) -> None:
+        self._second = int(record.created)
+        self._written.clear()
+        dropped, self._dropped = self._dropped, {}
+        for name, lines in dropped.items():
+            fields = {"dropped_event": name, "dropped_lines": lines}
+            report = event_record("log", EventNumber.LOG_LINES_DROPPED, fields)
+            self._write(self.format(report))
+
+    def _write(self, line: str) -> bool:
+        data = self._cut + line.encode() + b"\n"
+        try:
+            count = os.write(self._descriptor, data)
+        except OSError:
+            # The reader is slow or gone; the line is counted as dropped.
+            return False
+        # The rest of a line that was cut goes before the next one.
+        self._cut = data[count:]
+        return True
+
+
+def configure_bounded(process: str, level: str = "INFO") -> None:
+    """Send the records of the project and its libraries to standard output."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonFormatter(process))
+    logger = logging.getLogger(ROOT_LOGGER)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
+    for name in LIBRARY_LOGGERS:
+        library = logging.getLogger(name)
+        library.handlers[:] = [handler]
+        library.propagate = False
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -67,6 +67,10 @@
         self._channels: dict[str, Channel] = {}
         self._avoided_until_s: dict[str, float] = {}
 
+    def add_addresses(self, addresses: Sequence[str]) -> None:
+        """Try further addresses as well; known ones are kept."""
+        self._addresses += [item for item in addresses if item not in self._addresses]
+
     def next_address(self) -> str:
         """Return the address to try next."""
         if self._hint and not self._is_avoided(self._hint):
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -23,6 +23,7 @@
     FleetDelta,
     FleetSnapshot,
     FollowRefused,
+    InstancesSeen,
     OpenFollow,
     OpenSession,
     RenewSession,
@@ -33,7 +34,7 @@
 )
 from damaskridge.model.events import EventNumber
 
-__all__ = ["ChangeCallback", "ControlClient"]
+__all__ = ["ChangeCallback", "ControlClient", "InstancesCallback"]
 
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
@@ -42,6 +43,7 @@
 NOTHING_SEEN = -1
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
+InstancesCallback = Callable[[InstancesSeen], None]
 
 _log = logging.getLogger("damaskridge.control_client")
 
@@ -104,6 +106,7 @@
         self._sequence = 0
         self._sent_s: dict[int, float] = {}
         self._callbacks: list[ChangeCallback] = []
+        self._instances_callbacks: list[InstancesCallback] = []
         self._draining = False
         self._closing = False
         self._scope = anyio.CancelScope()
@@ -129,6 +132,14 @@
         """Call back after every change; with no changes after a snapshot."""
         self._callbacks.append(callback)
 
+    def on_instances(self, callback: InstancesCallback) -> None:
+        """Call back after every reading of the list of backend servers."""
+        self._instances_callbacks.append(callback)
+
+    def add_control_addresses(self, addresses: Sequence[str]) -> None:
+        """Try further addresses of control hosts as well."""
+        self._calls.add_addresses(addresses)
+
     async def propose(self, command: Command) -> CommandResult:
         """Commit a command; finds the leader, sends again with the same id."""
         return await self._calls.propose(command, PROPOSE_TIMEOUT_S)
@@ -222,6 +233,9 @@
             if self._fleet.restore(message):
                 self._index = self._fleet.index
                 self._notify(())
+        elif isinstance(message, InstancesSeen):
+            for callback in self._instances_callbacks:
+                callback(message)
         elif isinstance(message, SessionRenewed):
             sent_s = self._sent_s.get(message.sequence)
             self._forget_sent(message.sequence)
--- a/src/damaskridge/adapters/rpc/control_events.py
+++ b/src/damaskridge/adapters/rpc/control_events.py
@@ -14,6 +14,7 @@
     FleetChange,
     KeyWithdrawn,
     ProposeBundle,
+    RoutingTableActivated,
     SignOffBundle,
 )
 from damaskridge.model.events import EventNumber
@@ -33,6 +34,16 @@
     log_event(_log, EventNumber.BUNDLE_ACTIVATED, version=change.version)
 
 
+@log_change.register
+def _(change: RoutingTableActivated) -> None:
+    log_event(
+        _log,
+        EventNumber.ROUTING_ACTIVATED,
+        version=change.changed.version,
+        routes=len(change.changed.routes),
+    )
+
+
 @log_change.register
 def _(change: KeyWithdrawn) -> None:
     log_event(_log, EventNumber.KEY_WITHDRAWN, key_digest=change.key_digest)
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -28,6 +28,10 @@
 )
 from damaskridge.adapters.rpc.control_node import ControlNodePort
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
+from damaskridge.adapters.rpc.instance_publisher import (
+    InstanceListReader,
+    InstancePublisher,
+)
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
@@ -86,6 +90,8 @@
         Monotonic time in seconds.
     wall_ms : callable
         Wall time in milliseconds, which commands carry.
+    instances : InstanceListReader or None
+        The list of backend servers that the leader reads for all hosts.
     """
 
     def __init__(
@@ -95,6 +101,7 @@
         *,
         clock: Callable[[], float] = anyio.current_time,
         wall_ms: Callable[[], int] = _wall_ms,
+        instances: InstanceListReader | None = None,
     ) -> None:
         self._node = node
         self._state = state
@@ -102,6 +109,11 @@
         self._wall_ms = wall_ms
         self._followers = FollowerSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
+        self._instances: InstancePublisher | None = None
+        if instances is not None:
+            self._instances = InstancePublisher(
+                instances, self._followers, lambda: self._duties.ready
+            )
         self._renewals: list[_Renewal] = []
         self._renewal_arrived = anyio.Event()
         self._hosts: dict[str, HostStatus] = {}
@@ -129,6 +141,8 @@
             group.start_soon(self._publish)
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
+            if self._instances is not None:
+                group.start_soon(self._instances.run)
 
     def _not_leader(self) -> Failure:
         address = "" if self._node.is_leader else self._node.leader_address
@@ -200,6 +214,8 @@
         async with anyio.create_task_group() as group:
             follower = Follower(group.cancel_scope.cancel)
             self._followers.add(follower, first.index)
+            if self._instances is not None:
+                self._instances.greet(follower)
             try:
                 group.start_soon(self._write, stream, follower, group.cancel_scope)
                 await self._read(stream, follower)
@@ -308,6 +324,9 @@
     *,
     clock: Callable[[], float] = anyio.current_time,
     wall_ms: Callable[[], int] = _wall_ms,
+    instances: InstanceListReader | None = None,
 ) -> list[ControlService]:
     """Return the handlers for a grpclib server; each one's `run` must run."""
-    return [ControlService(node, state, clock=clock, wall_ms=wall_ms)]
+    return [
+        ControlService(node, state, clock=clock, wall_ms=wall_ms, instances=instances)
+    ]
--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -86,6 +86,11 @@
         for follower in self._followers:
             follower.push(delta)
 
+    def notify(self, message: AnyFollowReply) -> None:
+        """Send a message that is no part of the log on every stream."""
+        for follower in self._followers:
+            follower.push(message)
+
     def end_all(self, last: AnyFollowReply) -> None:
         """Send `last` on every stream and end it."""
         for follower in self._followers:
--- /dev/null
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -0,0 +1,99 @@
+"""Reads the list of backend servers on the leader and hands it to all hosts."""
+
+import logging
+import secrets
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from result import Err, Result
+
+from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.followers import Follower, FollowerSet
+from damaskridge.core.gateway.instance_feed import InstanceReadings
+from damaskridge.model.events import EventNumber
+from damaskridge.model.gateway import InstanceList
+
+__all__ = ["InstanceListReader", "InstancePublisher"]
+
+# A server that leaves may get no request three seconds after the list shows it. One
+# reading, its way to the hosts and one lost reading fit in.
+READ_PERIOD_S = 0.8
+
+_log = logging.getLogger("damaskridge.instances")
+
+
+class InstanceListReader(Protocol):
+    """The list of backend servers."""
+
+    async def read(self) -> Result[InstanceList, str]:
+        """Return every usable entry, or why the list could not be read."""
+        ...
+
+
+class InstancePublisher:
+    """
+    Reads while this host leads.
+
+    Parameters
+    ----------
+    reader : InstanceListReader
+        The list.
+    followers : FollowerSet
+        The open streams of the hosts.
+    leads : callable
+        Whether this host leads.
+    """
+
+    def __init__(
+        self,
+        reader: InstanceListReader,
+        followers: FollowerSet,
+        leads: Callable[[], bool],
+    ) -> None:
+        self._reader = reader
+        self._followers = followers
+        self._leads = leads
+        self._readings: InstanceReadings | None = None
+        self._failed = False
+
+    def greet(self, follower: Follower) -> None:
+        """Send a new stream all entries."""
+        whole = self._readings.whole() if self._readings is not None else None
+        if whole is not None:
+            follower.push(whole)
+
+    async def run(self) -> None:
+        """Read for ever."""
+        while True:
+            if self._leads():
+                await self._read()
+            else:
+                self._readings = None
+            await anyio.sleep(READ_PERIOD_S)
+
+    async def _read(self) -> None:
+        listed = await self._reader.read()
+        if isinstance(listed, Err):
+            if not self._failed:
+                log_event(
+                    _log, EventNumber.INSTANCE_LIST_FAILED, reason=listed.err_value
+                )
+            self._failed = True
+            return
+        self._failed = False
+        if not self._leads():
+            return
+        if self._readings is None:
+            self._readings = InstanceReadings(secrets.token_hex(4))
+        seen = self._readings.add(listed.ok_value.instances)
+        self._followers.notify(seen)
+        if seen.changed or seen.removed:
+            log_event(
+                _log,
+                EventNumber.INSTANCES_CHANGED,
+                revision=seen.revision,
+                changed=[item.instance for item in seen.changed],
+                removed=seen.removed,
+                source=seen.source,
+            )
--- a/src/damaskridge/binaries/control_settings.py
+++ b/src/damaskridge/binaries/control_settings.py
@@ -1,11 +1,9 @@
 """Settings of a control process."""
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated
 
 from pydantic import (
-    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
@@ -13,18 +11,11 @@
     field_validator,
 )
 
-__all__ = ["Address", "ControlSettings", "Name"]
-
+from damaskridge.adapters.addresses import Address
 
-def _check_address(address: str) -> str:
-    ip, separator, port = address.rpartition(":")
-    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError("must be <ip>:<port>")
-    ipaddress.ip_address(ip)
-    return address
+__all__ = ["Address", "ControlSettings", "Name"]
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
--- a/src/damaskridge/binaries/http_server.py
+++ b/src/damaskridge/binaries/http_server.py
@@ -1,11 +1,13 @@
 """Uvicorn inside a running loop, without signal handlers of its own."""
 
+import asyncio
 import contextlib
 import socket
 import sys
 from collections.abc import Iterator
 from typing import Any
 
+import h11
 import uvicorn
 from result import Err, Ok, Result
 from uvicorn.protocols.http.h11_impl import H11Protocol
@@ -18,6 +20,10 @@
 __all__ = ["HttpServer", "listen"]
 
 BACKLOG = 1024
+# Callers on the slowest links send a head in a few hundred milliseconds.
+HEADER_TIMEOUT_S = 5.0
+# Longer than callers pause between the requests of one task.
+IDLE_TIMEOUT_S = 5.0
 
 
 def listen(setting: str, address: str) -> Result[socket.socket, str]:
@@ -38,7 +44,52 @@
 
 
 class _Protocol(H11Protocol):
-    """Answers what is no request of HTTP with the body that other refusals have."""
+    """
+    Bounds the time of a request's head.
+
+    What is no request of HTTP is answered with the body that other refusals have.
+    """
+
+    _head_timer: asyncio.TimerHandle | None = None
+    _has_part_of_head = False
+
+    def connection_made(self, transport: Any) -> None:
+        """Start the time of the first request."""
+        super().connection_made(transport)
+        self._watch_head(self.config.timeout_keep_alive)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, and start or stop the time of a head."""
+        super().data_received(data)
+        incomplete = self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]
+        if not incomplete:
+            self._stop_watching()
+        elif not self._has_part_of_head:
+            self._stop_watching()
+            self._has_part_of_head = True
+            self._watch_head(self.config.header_timeout_s)  # type: ignore[attr-defined]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the timer."""
+        self._stop_watching()
+        super().connection_lost(exc)
+
+    def _watch_head(self, timeout_s: float) -> None:
+        self._head_timer = self.loop.call_later(timeout_s, self._head_timed_out)
+
+    def _stop_watching(self) -> None:
+        self._has_part_of_head = False
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_timed_out(self) -> None:
+        self._head_timer = None
+        if not self.conn.trailing_data[0]:
+            # Nothing was sent, so that no request is lost.
+            self.transport.close()
+            return
+        self._refuse(Failure(ErrorKind.BODY_TIMEOUT, "the head is not complete"))
 
     def send_400_response(self, msg: str) -> None:
         """Refuse and close; called while the parser's error is handled."""
@@ -46,7 +97,9 @@
         kind = ErrorKind.INVALID_REQUEST
         if getattr(error, "error_status_hint", 400) == 431:
             kind = ErrorKind.HEADERS_TOO_LARGE
-        failure = Failure(kind, msg)
+        self._refuse(Failure(kind, msg))
+
+    def _refuse(self, failure: Failure) -> None:
         body = error_body(failure, "")
         head = (
             f"HTTP/1.1 {failure.status} Refused\r\ncontent-type: application/json\r\n"
@@ -94,6 +147,11 @@
                 h11_max_incomplete_event_size=max_header_bytes,
             )
         )
+        self.limit(
+            max_header_bytes=max_header_bytes,
+            header_timeout_s=HEADER_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+        )
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -104,6 +162,25 @@
         """Serve until `stop`, then until the open responses have ended."""
         await self.serve(sockets=[listener])
 
+    def limit(
+        self, *, max_header_bytes: int, header_timeout_s: float, idle_timeout_s: float
+    ) -> None:
+        """
+        Set the limits of connections that are opened from now on.
+
+        Parameters
+        ----------
+        max_header_bytes : int
+            Longest request head.
+        header_timeout_s : float
+            Longest time until a head is complete, in seconds.
+        idle_timeout_s : float
+            How long a connection without requests is kept, in seconds.
+        """
+        self.config.h11_max_incomplete_event_size = max_header_bytes
+        self.config.timeout_keep_alive = idle_timeout_s  # type: ignore[assignment]
+        self.config.header_timeout_s = header_timeout_s  # type: ignore[attr-defined]
+
     def stop(self) -> None:
         """Close the listener; open responses go on."""
         self.should_exit = True
--- /dev/null
+++ b/src/damaskridge/binaries/platform_control.py
@@ -0,0 +1,118 @@
+"""The control program on the users' platform: replicated log and operators' API."""
+
+import logging
+import random
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+from grpclib.server import Server
+from result import Err
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.control_node import ControlNode
+from damaskridge.adapters.disk.folder import DiskFolder
+from damaskridge.adapters.http.operators_app import operators_app as metrics_app
+from damaskridge.adapters.observability.event_metrics import count_events
+from damaskridge.adapters.observability.events import configure_bounded, log_event
+from damaskridge.adapters.observability.metrics import Metrics
+from damaskridge.adapters.replicated_routing import ReplicatedRouting
+from damaskridge.adapters.rpc.control_server import control_services
+from damaskridge.binaries.http_server import HttpServer, listen
+from damaskridge.core.state.commands import ControlState
+from damaskridge.model.events import EventNumber
+from damaskridge.platform.apps import operators_app
+from damaskridge.platform.instance_list import PlatformInstanceList
+from damaskridge.platform.settings import PlatformSettings, load_platform_settings
+
+__all__ = ["run_platform_control"]
+
+EXIT_FAILURE = 1
+EXIT_SETTINGS = 2
+CLOSE_TIMEOUT_S = 0.5
+
+logger = logging.getLogger("damaskridge.platform_control")
+
+
+def run_platform_control(path: Path) -> int:
+    """Run the control program until SIGTERM; returns the exit status."""
+    loaded = load_platform_settings(path)
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            print(f"damaskridge-platform: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.ok_value
+    if settings.data_folder is None or settings.control is None:
+        print("damaskridge-platform: DataDir, Listen.Control: missing", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_bounded(f"{settings.host}/control")
+    log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
+    anyio.run(_run, settings, settings.data_folder, settings.control)
+    log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
+    return 0
+
+
+async def _run(settings: PlatformSettings, data_folder: Path, control: str) -> None:
+    # The address is the member's name, so that members need no list of each other.
+    name = f"{settings.ip}:{settings.rpc_port}"
+    folder = DiskFolder(data_folder)
+    state = ControlState()
+    node = ControlNode(
+        name,
+        {address: address for address in {name, *settings.control_addresses}},
+        folder,
+        state,
+        random.Random(),
+        may_form=settings.first_start,
+    )
+    reader = PlatformInstanceList(settings.list_address)
+    services = control_services(node, state, instances=reader)
+    rpc = Server([node.service(), *services], codec=MsgpackCodec())
+    await rpc.start(settings.ip, settings.rpc_port)
+    port = int(control.rpartition(":")[2])
+    app = operators_app(ReplicatedRouting(node, state), port)
+    operators = listen("control", control).unwrap()
+    metrics_address = f"{settings.ip}:{settings.metrics_port + 1}"
+    metrics = listen("metrics", metrics_address)
+    log_event(logger, EventNumber.PROCESS_READY, host=settings.host)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_on_signal, node)
+        group.start_soon(_ignore_reloads)
+        group.start_soon(HttpServer(app).run_on, operators)
+        if metrics.is_ok():
+            exposed = metrics_app(_metrics(node, state), lambda: True)
+            group.start_soon(HttpServer(exposed).run_on, metrics.unwrap())
+        for service in services:
+            group.start_soon(service.run)
+        await node.run()
+        group.cancel_scope.cancel()
+    rpc.close()
+    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await rpc.wait_closed()
+    folder.close()
+
+
+async def _stop_on_signal(node: ControlNode) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            log_event(logger, EventNumber.PROCESS_DRAINING, host=node.name)
+            await node.stop()
+
+
+async def _ignore_reloads() -> None:
+    """Keep SIGHUP from ending the process; members know each other from the log."""
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            pass
+
+
+def _metrics(node: ControlNode, state: ControlState) -> Metrics:
+    metrics = Metrics()
+    count_events(metrics)
+    metrics.watch("is_leader", "Whether this host leads", lambda: node.is_leader)
+    metrics.watch("term", "Term of the replicated log", lambda: node.term)
+    metrics.watch(
+        "routing_version", "Version in force", lambda: state.data.routing.version
+    )
+    return metrics
--- /dev/null
+++ b/src/damaskridge/core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about forwarded requests: routes, limits, placement, retries."""
--- /dev/null
+++ b/src/damaskridge/core/gateway/instances.py
@@ -0,0 +1,137 @@
+"""The backend servers that a host may use, and how their answers have been."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from damaskridge.model.gateway import BackendInstance, EngineStage
+
+__all__ = ["InstanceHealth", "InstanceRegistry"]
+
+# A server that cannot be reached is tried again after this, doubled each time.
+UNREACHABLE_S = 0.5
+LONGEST_UNREACHABLE_S = 4.0
+# A server that fails most of its requests is left alone for this long. Shorter tries
+# would spend more requests on it than they would find recoveries.
+FAILING_S = 3.0
+# Of so many last answers, so many failures are taken as the server's own fault.
+WINDOW_ANSWERS = 8
+FAILING_ANSWERS = 4
+
+
+@dataclass(slots=True)
+class InstanceHealth:
+    """
+    What one host has seen of one backend server.
+
+    Attributes
+    ----------
+    avoided_until_s : float
+        It gets no request before this time, unless no other server is left.
+    unreachable : int
+        Failures to connect in a row.
+    recent : list of bool
+        Whether each of the last answers was good, the oldest first.
+    """
+
+    avoided_until_s: float = float("-inf")
+    unreachable: int = 0
+    recent: list[bool] = field(default_factory=list)
+
+    def note(self, good: bool) -> None:
+        """Record one answer."""
+        self.recent.append(good)
+        del self.recent[:-WINDOW_ANSWERS]
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether most of the last answers were failures."""
+        failures = self.recent.count(False)
+        return failures >= FAILING_ANSWERS and 2 * failures >= len(self.recent)
+
+
+class InstanceRegistry:
+    """
+    All instances of the list, with their health as this host has seen it.
+
+    Health comes from requests alone. Backend servers are not probed: a health check
+    needs a slot like a request and says less.
+    """
+
+    def __init__(self) -> None:
+        self._instances: dict[str, BackendInstance] = {}
+        self._health: dict[str, InstanceHealth] = {}
+
+    def __len__(self) -> int:
+        return len(self._instances)
+
+    def replace(self, instances: Iterable[BackendInstance]) -> list[BackendInstance]:
+        """Take over a whole list; returns the instances that are gone."""
+        listed = {item.instance: item for item in instances}
+        gone = [
+            item
+            for name, item in self._instances.items()
+            if name not in listed or listed[name].address != item.address
+        ]
+        self._instances = listed
+        for item in gone:
+            self._health.pop(item.instance, None)
+        return gone
+
+    def find(self, name: str) -> BackendInstance | None:
+        """Return an instance by its name."""
+        return self._instances.get(name)
+
+    def all(self) -> tuple[BackendInstance, ...]:
+        """Return every instance of the list."""
+        return tuple(self._instances.values())
+
+    def candidates(
+        self,
+        service: str,
+        now_s: float,
+        stage: EngineStage | None = None,
+        excluded: frozenset[str] = frozenset(),
+    ) -> list[BackendInstance]:
+        """
+        Return the instances that may get a request now.
+
+        Avoided ones are left out unless nothing else is there.
+        """
+        usable = [
+            item
+            for item in self._instances.values()
+            if item.service == service
+            and item.stage is stage
+            and not item.is_leaving
+            and item.instance not in excluded
+        ]
+        healthy = [item for item in usable if not self._is_avoided(item, now_s)]
+        return healthy or usable
+
+    def unreachable(self, instance: str, now_s: float) -> float:
+        """Note a failure to connect; returns how long the server is avoided."""
+        health = self._of(instance)
+        avoided_s = min(UNREACHABLE_S * 2**health.unreachable, LONGEST_UNREACHABLE_S)
+        health.unreachable += 1
+        health.avoided_until_s = now_s + avoided_s
+        return avoided_s
+
+    def answered(self, instance: str, now_s: float, *, good: bool) -> float:
+        """Note an answer or its absence; returns how long the server is avoided."""
+        health = self._of(instance)
+        health.note(good)
+        if good:
+            health.unreachable = 0
+            health.avoided_until_s = float("-inf")
+        elif health.is_failing:
+            health.recent.clear()
+            health.avoided_until_s = now_s + FAILING_S
+            return FAILING_S
+        return 0.0
+
+    def _of(self, instance: str) -> InstanceHealth:
+        return self._health.setdefault(instance, InstanceHealth())
+
+    def _is_avoided(self, instance: BackendInstance, now_s: float) -> bool:
+        health = self._health.get(instance.instance)
+        return health is not None and now_s < health.avoided_until_s
--- /dev/null
+++ b/src/damaskridge/core/gateway/refusals.py
@@ -0,0 +1,55 @@
+"""When the callers of refused requests may come back.
+
+A caller that is refused for lack of room comes back within a third of the time that it
+has left. The times are spread, so that callers who were refused together do not return
+together.
+"""
+
+import random
+
+__all__ = ["RefusalTimes"]
+
+# A backend server that is full has room again within about one answer.
+OVERLOAD_S = 0.15
+# A new backend server, or one that was restarted, is listed after about a second.
+NO_SERVER_S = 0.8
+# An entry host has its routes about this long after it started.
+NOT_READY_S = 0.3
+LEFT_SHARE = 0.3
+# A workspace without any rate is told this.
+LONGEST_S = 30.0
+SPREAD = 0.5
+
+
+class RefusalTimes:
+    """
+    Times for `Retry-After`.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the times.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def overloaded_s(self, left_s: float) -> float:
+        """Return the time after which a full server may have room."""
+        return self._spread(OVERLOAD_S, left_s)
+
+    def no_server_s(self, left_s: float) -> float:
+        """Return the time after which a server may be there."""
+        return self._spread(NO_SERVER_S, left_s)
+
+    def not_ready_s(self) -> float:
+        """Return the time after which this host may know its routes."""
+        return self._spread(NOT_READY_S, float("inf"))
+
+    def over_rate_s(self, wait_s: float) -> float:
+        """Return the time after which the workspace's rate has room."""
+        return self._spread(min(wait_s, LONGEST_S), float("inf"))
+
+    def _spread(self, wait_s: float, left_s: float) -> float:
+        spread_s = wait_s * self._rng.uniform(1.0, 1.0 + SPREAD)
+        return max(0.0, min(spread_s, LEFT_SHARE * max(0.0, left_s)))
--- /dev/null
+++ b/src/damaskridge/core/gateway/retry_share.py
@@ -0,0 +1,57 @@
+"""Bounds the sends beyond each request's first, over all hosts together.
+
+Every host has an equal share of the fixed allowance and earns its part of the share of
+requests by its own requests, so that no retry waits for another host.
+"""
+
+__all__ = ["RetryShare"]
+
+
+class RetryShare:
+    """
+    One host's budget of additional sends to one service.
+
+    Parameters
+    ----------
+    ratio : float
+        Additional sends that each request earns.
+    allowance : float
+        Additional sends of all hosts in one window.
+    window_s : float
+        The window, in seconds.
+    """
+
+    def __init__(self, ratio: float, allowance: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_s = window_s
+        self._level = 0.0
+        self._refilled_s: float | None = None
+
+    def earn(self, hosts: int, now_s: float) -> None:
+        """Count one request."""
+        self._refill(hosts, now_s)
+        self._level = min(self._level + self._ratio, self._capacity(hosts))
+
+    def spend(self, hosts: int, now_s: float) -> bool:
+        """Take one additional send; `False` if none is left."""
+        self._refill(hosts, now_s)
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+    def _capacity(self, hosts: int) -> float:
+        # Half of the allowance is the size of the bucket and half its refill in one
+        # window, so that any window stays within the whole.
+        return max(1.0, self._allowance / 2 / max(1, hosts))
+
+    def _refill(self, hosts: int, now_s: float) -> None:
+        capacity = self._capacity(hosts)
+        if self._refilled_s is None:
+            self._level = capacity
+        else:
+            elapsed_s = max(0.0, now_s - self._refilled_s)
+            gained = elapsed_s * capacity / self._window_s
+            self._level = min(capacity, self._level + gained)
+        self._refilled_s = now_s
--- /dev/null
+++ b/src/damaskridge/core/gateway/routing.py
@@ -0,0 +1,74 @@
+"""Finds the route and the workspace of a request in a routing table."""
+
+from bisect import bisect_left
+from hashlib import sha256
+from itertools import accumulate
+
+from damaskridge.model.gateway import (
+    GatewayRoute,
+    GatewayService,
+    GatewayWorkspace,
+    RoutingTable,
+)
+
+__all__ = ["RoutingIndex", "key_digest"]
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which a key is known."""
+    return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+class RoutingIndex:
+    """
+    A routing table prepared for look-ups.
+
+    Parameters
+    ----------
+    table : RoutingTable
+        The table in force.
+    """
+
+    def __init__(self, table: RoutingTable) -> None:
+        self.table = table
+        self._routes = {
+            (route.host_name.lower(), route.path_prefix): route
+            for route in table.routes
+        }
+        self._holders = {
+            digest: workspace
+            for workspace in table.workspaces
+            for digest in workspace.key_digests
+        }
+        self._services = {service.name: service for service in table.services}
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether routes that are not public need a key."""
+        return bool(self.table.workspaces)
+
+    def route(self, host_name: str, path: str) -> GatewayRoute | None:
+        """Return the route with the longest prefix that begins `path`."""
+        name = host_name.rpartition(":")[0] or host_name
+        name = name.lower()
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+    def workspace(self, digest: str) -> GatewayWorkspace | None:
+        """Return the workspace that holds the key with this digest."""
+        return self._holders.get(digest)
+
+    def service(self, name: str) -> GatewayService | None:
+        """Return a service."""
+        return self._services.get(name)
+
+    @staticmethod
+    def target(route: GatewayRoute, draw: float) -> str:
+        """Return the service for `draw`, a number from 0 up to but not including 1."""
+        sums = list(accumulate(target.weight for target in route.targets))
+        position = int(draw * sums[-1])
+        return route.targets[bisect_left(sums, position + 1)].service
--- /dev/null
+++ b/src/damaskridge/core/gateway/send_policy.py
@@ -0,0 +1,111 @@
+"""Decides what follows a send that brought no answer for the caller.
+
+The rules keep two promises: a request that must run at most once is never sent again
+after a send whose outcome is unknown, and a refusal that says "not run" is given only
+if no send may have run.
+
+>>> policy = SendPolicy(WorkKind.AT_MOST_ONCE, attempts=2)
+>>> policy.not_run(left_s=1.0, may_resend=True)
+Resend()
+>>> policy.unknown(left_s=1.0, may_resend=True, timed_out=False).kind
+<ErrorKind.BACKEND_SERVER_FAILED: 'backend_server_failed'>
+"""
+
+from dataclasses import dataclass
+
+from damaskridge.model.errors import ErrorKind, Failure, RunState
+from damaskridge.model.gateway import WorkKind
+
+__all__ = ["GiveUp", "Resend", "SendPolicy"]
+
+# A backend server needs about as long to answer; a send with less cannot succeed.
+LEAST_LEFT_S = 0.02
+# Sends that were refused before they ran; more would only multiply an overload.
+MOST_SENDS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Resend:
+    """Send the request again, to another backend server."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller with a failure of this kind."""
+
+    kind: ErrorKind
+    run_state: RunState
+
+    def failure(self, detail: str, retry_after_s: float | None = None) -> Failure:
+        """Return the failure with what is known of the reason."""
+        return Failure(self.kind, detail, self.run_state, retry_after_s)
+
+
+class SendPolicy:
+    """
+    What one request has been through, and what may follow.
+
+    Parameters
+    ----------
+    kind : WorkKind
+        How often the request may run.
+    attempts : int
+        Most backend servers that may run it.
+    is_resumable : bool
+        Whether a stream may be continued on another backend server.
+    """
+
+    def __init__(
+        self, kind: WorkKind, attempts: int, *, is_resumable: bool = False
+    ) -> None:
+        self._may_repeat = kind is WorkKind.REPEATABLE or is_resumable
+        self._attempts = max(1, attempts)
+        self.sends = 0
+        self.runs = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may run more than once."""
+        return self._may_repeat
+
+    @property
+    def has_another_run(self) -> bool:
+        """Whether a further backend server may run the request."""
+        return self._may_repeat and self.runs + 1 < self._attempts
+
+    def sent(self) -> None:
+        """Count a send."""
+        self.sends += 1
+
+    def not_run(self, *, left_s: float, may_resend: bool) -> Resend | GiveUp:
+        """Decide after a send that did not run; `may_resend` is the retry budget."""
+        if may_resend and left_s > LEAST_LEFT_S and self.sends < MOST_SENDS:
+            return Resend()
+        if self.runs:
+            return GiveUp(ErrorKind.BACKEND_SERVER_FAILED, RunState.UNKNOWN)
+        return GiveUp(ErrorKind.OVERLOADED, RunState.NOT_RUN)
+
+    def unknown(
+        self, *, left_s: float, may_resend: bool, timed_out: bool
+    ) -> Resend | GiveUp:
+        """Decide after a send that may have run."""
+        self.runs += 1
+        if self._may_run_again(left_s, may_resend):
+            return Resend()
+        kind = ErrorKind.BACKEND_SERVER_FAILED
+        if timed_out:
+            kind = ErrorKind.BACKEND_SERVER_TIMEOUT
+        return GiveUp(kind, RunState.UNKNOWN)
+
+    def failed(self, *, left_s: float, may_resend: bool) -> Resend | None:
+        """Decide after an answer that is a failure; None passes it on."""
+        self.runs += 1
+        return Resend() if self._may_run_again(left_s, may_resend) else None
+
+    def _may_run_again(self, left_s: float, may_resend: bool) -> bool:
+        return (
+            self._may_repeat
+            and self.runs < self._attempts
+            and may_resend
+            and left_s > LEAST_LEFT_S
+        )
--- /dev/null
+++ b/src/damaskridge/core/gateway/table_checks.py
@@ -0,0 +1,63 @@
+"""Checks of a routing table as a whole.
+
+>>> table_faults(RoutingTable(version=0))
+['version: must be above 0, not 0']
+"""
+
+from collections.abc import Iterator
+
+from damaskridge.model.gateway import GatewayRoute, RoutingTable
+
+__all__ = ["table_faults"]
+
+
+def table_faults(table: RoutingTable) -> list[str]:
+    """Return every fault as ``path: what is wrong``; empty if none."""
+    return [*_version(table), *_routes(table), *_names(table), *_keys(table)]
+
+
+def _version(table: RoutingTable) -> Iterator[str]:
+    if table.version < 1:
+        yield f"version: must be above 0, not {table.version}"
+
+
+def _routes(table: RoutingTable) -> Iterator[str]:
+    services = {service.name for service in table.services}
+    places: dict[tuple[str, str], int] = {}
+    for number, route in enumerate(table.routes):
+        path = f"routes[{number}]"
+        yield from (f"{path}.{fault}" for fault in _route_faults(route, services))
+        first = places.setdefault((route.host_name, route.path_prefix), number)
+        if first != number:
+            yield f"{path}: same host name and path prefix as routes[{first}]"
+
+
+def _route_faults(route: GatewayRoute, services: set[str]) -> Iterator[str]:
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        yield f"path_prefix: must begin and end with a slash, not {prefix!r}"
+    if route.timeout_ms <= 0:
+        yield f"timeout_ms: must be above 0, not {route.timeout_ms}"
+    if any(target.weight < 0 for target in route.targets):
+        yield "targets: a weight is negative"
+    if sum(target.weight for target in route.targets) <= 0:
+        yield "targets: the weights add up to 0"
+    for target in route.targets:
+        if target.service not in services:
+            yield f"targets: unknown service {target.service!r}"
+
+
+def _names(table: RoutingTable) -> Iterator[str]:
+    for field in ("services", "workspaces"):
+        names = [item.name for item in getattr(table, field)]
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            yield f"{field}: {name!r} appears twice"
+
+
+def _keys(table: RoutingTable) -> Iterator[str]:
+    holders: dict[str, str] = {}
+    for workspace in table.workspaces:
+        for digest in workspace.key_digests:
+            holder = holders.setdefault(digest, workspace.name)
+            if holder != workspace.name:
+                yield f"workspaces: {holder!r} and {workspace.name!r} share a key"
--- a/src/damaskridge/core/state/commands.py
+++ b/src/damaskridge/core/state/commands.py
@@ -10,6 +10,7 @@
     fingerprints,
     ledger,
     ownership,
+    routing_tables,
     sessions,
 )
 from damaskridge.core.state.applied import AppliedCommand
@@ -27,6 +28,7 @@
     LedgerState,
     OpenSession,
     ProposeBundle,
+    PublishRoutingTable,
     RecordIntent,
     RecordResult,
     ReleaseOwnership,
@@ -174,6 +176,10 @@
     def _(self, command: RollBackBundle, changes: Changes) -> CommandResult:
         return bundles.roll_back(self.data, command, changes)
 
+    @_run.register
+    def _(self, command: PublishRoutingTable, changes: Changes) -> CommandResult:
+        return routing_tables.publish_table(self.data, command, changes)
+
     @_run.register
     def _(self, command: WithdrawKey, changes: Changes) -> CommandResult:
         return bundles.withdraw_key(self.data, command, changes)
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -12,6 +12,7 @@
     Session,
 )
 from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.model.gateway import RoutingTable
 
 __all__ = [
     "Answered",
@@ -108,6 +109,8 @@
         By session number, the ledger's keys of its calls in progress.
     ledger_bytes : dict[str, int]
         By workspace, the size of its part of the ledger.
+    routing_source : bytes
+        The document of the routing table in force.
     """
 
     index: int = 0
@@ -134,6 +137,8 @@
     open_intents: dict[str, dict[str, bool]] = {}
     ledger_bytes: dict[str, int] = {}
     answers: dict[str, Answered] = {}
+    routing: RoutingTable = RoutingTable()
+    routing_source: bytes = b""
 
 
 def refused(kind: ErrorKind, detail: str = "") -> CommandResult:
--- a/src/damaskridge/core/state/queries.py
+++ b/src/damaskridge/core/state/queries.py
@@ -61,6 +61,7 @@
         draining_backend_servers=tuple(sorted(data.draining_backend_servers)),
         suspects=fingerprints_in(data, FingerprintState.SUSPECT),
         quarantined=fingerprints_in(data, FingerprintState.QUARANTINED),
+        routing=data.routing,
     )
 
 
--- a/src/damaskridge/core/state/view.py
+++ b/src/damaskridge/core/state/view.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from damaskridge.core.gateway.table_delta import apply_table_delta
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.control import (
     BundleActivated,
@@ -21,10 +22,12 @@
     KeyWithdrawn,
     Owner,
     OwnerChanged,
+    RoutingTableActivated,
     Session,
     SessionChanged,
     SessionEnded,
 )
+from damaskridge.model.gateway import RoutingTable
 
 __all__ = ["IDENTITY_FIELDS", "FleetView", "apply_bundle_delta", "identity"]
 
@@ -90,6 +93,8 @@
         Drained by an operator.
     suspects, quarantined : set[str]
         Fingerprints of requests.
+    routing : RoutingTable
+        The routing table in force; its version is 0 before the first.
     """
 
     def __init__(self) -> None:
@@ -103,6 +108,7 @@
         self.draining_backend_servers: set[str] = set()
         self.suspects: set[str] = set()
         self.quarantined: set[str] = set()
+        self.routing = RoutingTable()
 
     def restore(self, snapshot: FleetSnapshot) -> bool:
         """Take over `snapshot`; `False` if it is older than the view."""
@@ -118,6 +124,7 @@
         self.draining_backend_servers = set(snapshot.draining_backend_servers)
         self.suspects = set(snapshot.suspects)
         self.quarantined = set(snapshot.quarantined)
+        self.routing = snapshot.routing
         return True
 
     def apply_delta(self, delta: FleetDelta) -> bool:
@@ -142,6 +149,11 @@
         self.bundle = apply_bundle_delta(self.bundle, change.upserted, change.removed)
         self.version = change.version
 
+    @apply.register
+    def _(self, change: RoutingTableActivated) -> None:
+        assert change.changed.version > self.routing.version, "a table never reverts"
+        self.routing = apply_table_delta(self.routing, change.changed, change.removed)
+
     @apply.register
     def _(self, change: KeyWithdrawn) -> None:
         self.withdrawn_keys.add(change.key_digest)
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -10,6 +10,7 @@
 
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.errors import Failure
+from damaskridge.model.gateway import BackendInstance, RoutingTable
 
 __all__ = [
     "AdvanceTime",
@@ -33,6 +34,7 @@
     "FollowRefused",
     "FollowReply",
     "FollowRequest",
+    "InstancesSeen",
     "KeyWithdrawn",
     "LedgerRecord",
     "LedgerState",
@@ -41,6 +43,7 @@
     "Owner",
     "OwnerChanged",
     "ProposeBundle",
+    "PublishRoutingTable",
     "RecordIntent",
     "RecordResult",
     "ReleaseOwnership",
@@ -48,6 +51,7 @@
     "ReportCrash",
     "RollBackBundle",
     "RollBundle",
+    "RoutingTableActivated",
     "Session",
     "SessionChanged",
     "SessionEnded",
@@ -98,6 +102,25 @@
     expected_version: int
 
 
+class PublishRoutingTable(Command, frozen=True, kw_only=True, tag=True):
+    """
+    Puts a routing table in force if its version is higher than the one in force.
+
+    A lower version, and the same content again, are accepted and change nothing.
+    Other content of the version in force is refused.
+
+    Parameters
+    ----------
+    table : RoutingTable
+        The content.
+    source : bytes
+        The document from which the table was decoded, kept for reading back.
+    """
+
+    table: RoutingTable
+    source: bytes
+
+
 class WithdrawKey(Command, frozen=True, kw_only=True, tag=True):
     """Withdraws a key for good; no later bundle brings it back."""
 
@@ -320,6 +343,17 @@
     removed: tuple[str, ...] = ()
 
 
+class RoutingTableActivated(FleetChange, frozen=True, kw_only=True, tag=True):
+    """
+    A new routing table is in force, as the difference from the one before.
+
+    `changed` has its version and limits; each `removed` name is ``<field>/<name>``.
+    """
+
+    changed: RoutingTable
+    removed: tuple[str, ...] = ()
+
+
 class KeyWithdrawn(FleetChange, frozen=True, kw_only=True, tag=True):
     """A key stopped working."""
 
@@ -363,6 +397,7 @@
 
 AnyFleetChange = (
     BundleActivated
+    | RoutingTableActivated
     | KeyWithdrawn
     | SessionChanged
     | SessionEnded
@@ -376,6 +411,7 @@
     | SignOffBundle
     | RollBundle
     | RollBackBundle
+    | PublishRoutingTable
     | WithdrawKey
     | SetDrain
     | OpenSession
@@ -455,6 +491,32 @@
     draining_backend_servers: tuple[str, ...]
     suspects: tuple[str, ...]
     quarantined: tuple[str, ...]
+    routing: RoutingTable = RoutingTable()
+
+
+class InstancesSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+    """
+    The leader has read the list of backend servers.
+
+    Parameters
+    ----------
+    source : str
+        The reader; revisions of different readers cannot be compared.
+    revision : int
+        Number of the content; it grows with every change.
+    base_revision : int
+        The revision that `changed` and `removed` lead on from; 0 for all entries.
+    changed : tuple of BackendInstance
+        Entries that are new or changed.
+    removed : tuple of str
+        Names of entries that are gone.
+    """
+
+    source: str
+    revision: int
+    base_revision: int = 0
+    changed: tuple[BackendInstance, ...] = ()
+    removed: tuple[str, ...] = ()
 
 
 class FollowRefused(FollowReply, frozen=True, kw_only=True, tag=True):
@@ -464,5 +526,10 @@
 
 
 AnyFollowReply = (
-    SessionRenewed | SessionLost | FleetDelta | FleetSnapshot | FollowRefused
+    SessionRenewed
+    | SessionLost
+    | FleetDelta
+    | FleetSnapshot
+    | FollowRefused
+    | InstancesSeen
 )
--- /dev/null
+++ b/src/damaskridge/platform/config_document.py
@@ -0,0 +1,168 @@
+"""The operator's configuration document, decoded into a routing table."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.core.gateway.routing import key_digest
+from damaskridge.model.gateway import (
+    CallerLimits,
+    EngineTraits,
+    GatewayRoute,
+    GatewayService,
+    GatewayWorkspace,
+    RouteTarget,
+    RoutingTable,
+    WorkKind,
+)
+
+__all__ = ["decode_document"]
+
+_KINDS = {
+    "idempotent": WorkKind.REPEATABLE,
+    "non_idempotent": WorkKind.AT_MOST_ONCE,
+    "stream": WorkKind.STREAM,
+}
+
+
+class _Target(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0
+    # 0 is the most urgent.
+    priority: int = 0
+    # One service with the whole weight; `backends` is used in its place.
+    service: str = ""
+    backends: list[_Target] = []
+    # Backend servers, not sends: one that refuses does not count.
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    itl_slo_ms: float = 0
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int
+    kv_capacity: int
+    # How long an exported KV cache is kept, in seconds.
+    kv_hold_s: float = 0.0
+    # Longest reservation of decode room, in milliseconds.
+    hold_ms: float = 0.0
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    health_path: str = ""
+    # Connections that one backend server takes from all callers together.
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class _Document(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_decode = msgspec.json.Decoder(_Document).decode
+
+
+def decode_document(body: bytes) -> Result[RoutingTable, str]:
+    """Return the routing table, or why the document cannot be read."""
+    try:
+        document = _decode(body)
+        return Ok(
+            RoutingTable(
+                version=document.version,
+                routes=tuple(_route(route) for route in document.routes),
+                services=tuple(_service(service) for service in document.services),
+                workspaces=tuple(_workspace(tenant) for tenant in document.tenants),
+                limits=CallerLimits(
+                    header_bytes=document.limits.max_header_bytes,
+                    body_bytes=document.limits.max_body_bytes,
+                    header_timeout_ms=document.limits.header_timeout_ms,
+                    idle_timeout_ms=document.limits.idle_timeout_ms,
+                ),
+            )
+        )
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        return Err(str(error)[:200])
+
+
+def _route(route: _Route) -> GatewayRoute:
+    kind = _KINDS.get(route.kind)
+    if kind is None:
+        raise ValueError(f"route {route.name!r}: unknown kind {route.kind!r}")
+    targets = tuple(RouteTarget(item.service, item.weight) for item in route.backends)
+    if route.service and not targets:
+        targets = (RouteTarget(route.service),)
+    return GatewayRoute(
+        name=route.name,
+        host_name=route.hostname,
+        path_prefix=route.path_prefix,
+        kind=kind,
+        timeout_ms=round(route.timeout_ms),
+        objective_ms=round(route.slo_ms),
+        targets=targets,
+        priority=route.priority,
+        attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        event_gap_ms=round(route.itl_slo_ms),
+    )
+
+
+def _service(service: _Service) -> GatewayService:
+    engine = service.engine
+    traits = None
+    if engine is not None:
+        traits = EngineTraits(
+            slots=engine.slots,
+            memory_tokens=engine.kv_capacity,
+            handle_s=engine.kv_hold_s,
+            reservation_s=engine.hold_ms / 1000,
+        )
+    return GatewayService(
+        name=service.name,
+        health_path=service.health_path,
+        connections=service.max_conns,
+        engine=traits,
+    )
+
+
+def _workspace(tenant: _Tenant) -> GatewayWorkspace:
+    return GatewayWorkspace(
+        name=tenant.name,
+        key_digests=tuple(key_digest(key) for key in tenant.api_keys),
+        priority=tenant.priority,
+        counts_tokens=tenant.unit == "tokens",
+        plain_tokens=tenant.plain_tokens,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
--- /dev/null
+++ b/src/damaskridge/platform/dialect.py
@@ -0,0 +1,235 @@
+"""Headers of callers and backend servers on the platform."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from damaskridge.adapters.gateway.connections import ReplyHead
+from damaskridge.adapters.gateway.dialect import (
+    CallerRequest,
+    EngineStep,
+    HandleReply,
+    Headers,
+    Refusal,
+    ReplyFacts,
+    SendOptions,
+)
+from damaskridge.adapters.http.answers import error_body
+from damaskridge.model.errors import ErrorKind, Failure
+
+__all__ = ["PlatformDialect"]
+
+# The caller's id of one attempt; it is not shared by a caller's retries.
+_REQUEST_ID = b"x-attempt-id"
+# How long the caller waits from now, not a point in time.
+_DEADLINE_MS = b"x-deadline-ms"
+# Prompt tokens and the most output tokens, in this order.
+_TOKEN_COUNT = b"x-token-count"
+_PROMPT_PARTS = b"x-prompt-prefix"
+_LENGTH_HINT = b"x-length-hint"
+_LAST_EVENT_ID = b"last-event-id"
+_KEY = b"authorization"
+_TENANT = b"x-tenant"
+_EXPECTED_INSTANCE = b"x-expect-instance"
+# Only ``prefill`` is ever sent; a decode is a request without this header.
+_STAGE = b"x-stage"
+# ``ip:port/handle`` of an exported KV cache.
+_KV_SOURCE = b"x-kv-source"
+# A reservation of decode room.
+_RESERVATION = b"x-kv-hold"
+_PRIORITY = b"x-request-priority"
+_DID_NOT_RUN = b"x-not-executed"
+_SIGNATURE = b"x-response-signature"
+
+# Only the system may set these; what a client sends of them is dropped.
+_SYSTEM_HEADERS = frozenset(
+    {
+        _TENANT,
+        _EXPECTED_INSTANCE,
+        _STAGE,
+        _KV_SOURCE,
+        _RESERVATION,
+        _PRIORITY,
+        b"x-expect-version",
+        b"x-kv-backup",
+        b"x-pin-ms",
+        b"kv-fetch",
+    }
+)
+# Set anew for every send, or no matter of the next hop.
+_NOT_PASSED_ON = _SYSTEM_HEADERS | frozenset(
+    {
+        _KEY,
+        _DEADLINE_MS,
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_SINGLE = (_REQUEST_ID, _DEADLINE_MS, _TOKEN_COUNT, _KEY, _LAST_EVENT_ID, b"host")
+_URGENT_PRIORITIES = 10
+
+
+class _PrefillBody(msgspec.Struct, rename="pascal"):
+    handle_id: str
+    tokens: int = 0
+
+
+_decode_prefill = msgspec.json.Decoder(_PrefillBody).decode
+
+
+class PlatformDialect:
+    """Implements `Dialect` for the platform's headers."""
+
+    def caller_request(
+        self, method: str, target: bytes, headers: Headers
+    ) -> Result[CallerRequest, Failure]:
+        """Decode a caller's request."""
+        values: dict[bytes, bytes] = {}
+        for name, value in headers:
+            if name in values and name in _SINGLE:
+                return Err(_invalid(f"{name.decode()}: sent twice"))
+            values[name] = value
+        request_id = values.get(_REQUEST_ID, b"").decode("latin-1")
+        if not request_id:
+            return Err(_invalid("x-attempt-id: missing"))
+        key = values.get(_KEY, b"").decode("latin-1")
+        scheme, _, secret = key.partition(" ")
+        tokens = _numbers(values.get(_TOKEN_COUNT, b""))
+        deadline_ms = _number(values.get(_DEADLINE_MS, b""))
+        return Ok(
+            CallerRequest(
+                request_id=request_id,
+                method=method,
+                target=target,
+                host_name=values.get(b"host", b"").decode("latin-1"),
+                path=target.partition(b"?")[0].decode("latin-1"),
+                key=secret.strip() if scheme.lower() == "bearer" else None,
+                patience_s=None if deadline_ms is None else deadline_ms / 1000,
+                prompt_tokens=tokens[0] if len(tokens) == 2 else 0,
+                output_tokens=tokens[1] if len(tokens) == 2 else 0,
+                expected_output_tokens=_number(values.get(_LENGTH_HINT, b"")) or 0,
+                last_event_id=_number(values.get(_LAST_EVENT_ID, b"")),
+                prompt_parts=_parts(values.get(_PROMPT_PARTS, b"")),
+                headers=_passed_on(headers),
+            )
+        )
+
+    def send_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
+        """Return the headers of one send."""
+        headers = request.headers
+        if options.last_event_id != request.last_event_id:
+            headers = [pair for pair in headers if pair[0] != _LAST_EVENT_ID]
+            if options.last_event_id is not None:
+                headers = [*headers, (_LAST_EVENT_ID, b"%d" % options.last_event_id)]
+        left_ms = max(1, int(options.left_s * 1000))
+        sent = [
+            *headers,
+            (_DEADLINE_MS, b"%d" % left_ms),
+            (_EXPECTED_INSTANCE, options.instance.encode("latin-1")),
+        ]
+        if options.workspace:
+            sent.append((_TENANT, options.workspace.encode("latin-1")))
+        if options.step is not None:
+            sent += _step_headers(options.step)
+        return sent
+
+    def reply_facts(self, head: ReplyHead) -> ReplyFacts:
+        """Decode the head of a backend server's answer."""
+        return ReplyFacts(
+            request_id=(head.value(_REQUEST_ID) or b"").decode("latin-1"),
+            did_not_run=head.value(_DID_NOT_RUN) is not None or head.status == 421,
+            is_signed=head.value(_SIGNATURE) is not None,
+            is_other_instance=head.status == 421,
+            keep_alive_s=_keep_alive_s(head.value(b"keep-alive")),
+        )
+
+    def handle_reply(self, body: bytes) -> Result[HandleReply, str]:
+        """Decode the answer to a prefill."""
+        try:
+            decoded = _decode_prefill(body)
+        except msgspec.DecodeError as error:
+            return Err(str(error))
+        return Ok(HandleReply(handle=decoded.handle_id, tokens=decoded.tokens))
+
+    def release_handle(self, handle: str) -> tuple[str, bytes]:
+        """Return method and target that free an exported KV cache."""
+        return "DELETE", b"/api/kv-handle/" + handle.encode("latin-1")
+
+    def refusal(self, failure: Failure) -> Refusal:
+        """Encode an answer of the gateway itself."""
+        headers: Headers = [(b"content-type", b"application/json")]
+        if failure.retry_after_s is not None:
+            retry_after = b"%.3f" % failure.retry_after_s
+            headers.append((b"retry-after", retry_after))
+        if failure.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TIMEOUT):
+            # The rest of a body that was not read must not pass for a request.
+            headers.append((b"connection", b"close"))
+        return Refusal(failure.status, headers, error_body(failure, ""))
+
+
+def _step_headers(step: EngineStep) -> Headers:
+    headers: Headers = []
+    if step.is_prefill:
+        headers.append((_STAGE, b"prefill"))
+    if step.source_handle:
+        source = f"{step.source_address}/{step.source_handle}"
+        headers.append((_KV_SOURCE, source.encode("latin-1")))
+    if step.reservation:
+        headers.append((_RESERVATION, step.reservation.encode("latin-1")))
+    if step.priority is not None:
+        priority = min(max(0, step.priority), _URGENT_PRIORITIES - 1)
+        headers.append((_PRIORITY, b"%d" % priority))
+    return headers
+
+
+def _passed_on(headers: Headers) -> Headers:
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    # A client cannot have the headers dropped that say who it is and what it asks.
+    named -= {b"host", _REQUEST_ID, _TOKEN_COUNT, _PROMPT_PARTS, b"x-model"}
+    dropped = _NOT_PASSED_ON | named
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def _number(text: bytes) -> int | None:
+    text = text.strip()
+    return int(text) if text.isdigit() and len(text) < 16 else None
+
+
+def _numbers(text: bytes) -> list[int]:
+    numbers = [_number(part) for part in text.split(b",")]
+    return [number for number in numbers if number is not None]
+
+
+def _parts(text: bytes) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for part in text.split(b","):
+        name, _, tokens = part.strip().partition(b":")
+        number = _number(tokens)
+        if name and number is not None:
+            parts.append((name.decode("latin-1"), number))
+    return tuple(parts)
+
+
+def _keep_alive_s(value: bytes | None) -> float | None:
+    for part in (value or b"").split(b","):
+        name, _, number = part.strip().partition(b"=")
+        seconds = _number(number)
+        if name.lower() == b"timeout" and seconds is not None:
+            return float(seconds)
+    return None
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(ErrorKind.INVALID_REQUEST, detail)
