--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -11,7 +11,7 @@
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook, Work
 from damaskridge.core.gateway.refusals import RefusalTimes
-from damaskridge.core.gateway.send_policy import GiveUp
+from damaskridge.core.gateway.send_policy import GiveUp, Resend
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance
@@ -140,7 +140,7 @@
             decision = self._after_unknown(work, outcome)
         return self._failure(work, decision, outcome.reason)
 
-    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> object:
+    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> Resend | GiveUp:
         return work.policy.unknown(
             left_s=work.left_s,
             may_resend=work.policy.has_another_run and self._may_resend(work),
@@ -148,7 +148,7 @@
         )
 
     def _failure(
-        self, work: GatewayWork, decision: object, reason: str
+        self, work: GatewayWork, decision: Resend | GiveUp, reason: str
     ) -> Failure | None:
         if not isinstance(decision, GiveUp):
             return None
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -52,7 +52,7 @@
 LIST_READERS_PER_S = 8.0
 # Shares of a day's tolerance that hosts use: the rest covers hosts that count others
 # late, and answers that were on their way.
-QUOTA_SLACK_SHARE = 0.5
+QUOTA_SLACK_SHARE = 0.75
 RETRY_SHARE = 0.8
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -50,6 +50,18 @@
             print(f"damaskridge-platform: {listener.err_value}", file=sys.stderr)
             return EXIT_FAILURE
         listeners[name] = listener.ok_value
+
+    async def run() -> None:
+        await _serve(path, settings, listeners)
+
+    anyio.run(run)
+    log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
+    return 0
+
+
+async def _serve(
+    path: Path, settings: PlatformSettings, listeners: dict[str, socket]
+) -> None:
     host = GatewayHost(
         _gateway_settings(settings),
         PlatformDialect(),
@@ -68,12 +80,7 @@
             group.start_soon(HttpServer(host.operators_app()).run_on, metrics.unwrap())
         group.start_soon(_reload, path, settings, host)
 
-    async def run() -> None:
-        await host.run(listeners["front"], serve_others)
-
-    anyio.run(run)
-    log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
-    return 0
+    await host.run(listeners["front"], serve_others)
 
 
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -1,10 +1,10 @@
-"""Splits an event stream into whole events and reads their ids.
+r"""Splits an event stream into whole events and reads their ids.
 
 >>> splitter = EventSplitter()
->>> splitter.feed(b"id: 7\\ndata: a\\n\\nid: 8\\nda")
-[StreamEvent(data=b'id: 7\\ndata: a\\n\\n', event_id=7)]
+>>> splitter.feed(b"id: 7\ndata: a\n\nid: 8\nda")
+[StreamEvent(data=b'id: 7\ndata: a\n\n', event_id=7)]
 >>> splitter.rest
-b'id: 8\\nda'
+b'id: 8\nda'
 """
 
 import re
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -111,7 +111,8 @@
     def unreachable(self, instance: str, now_s: float) -> float:
         """Note a failure to connect; returns how long the server is avoided."""
         health = self._of(instance)
-        avoided_s = min(UNREACHABLE_S * 2**health.unreachable, LONGEST_UNREACHABLE_S)
+        doubled_s: float = UNREACHABLE_S * 2**health.unreachable
+        avoided_s = min(doubled_s, LONGEST_UNREACHABLE_S)
         health.unreachable += 1
         health.avoided_until_s = now_s + avoided_s
         return avoided_s
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -6,7 +6,7 @@
 its burst.
 
 >>> bucket = ShareBucket()
->>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
+>>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=200.0)
 >>> bucket.take(limit, cost=60.0, hosts=1, slack=0.0, now_s=0.0)
 0.0
 >>> bucket.take(limit, cost=60.0, hosts=1, slack=0.0, now_s=0.0)
@@ -17,6 +17,9 @@
 
 __all__ = ["QuotaShares", "ShareBucket"]
 
+# Level of a new bucket as a part of its capacity.
+FIRST_LEVEL = 0.5
+
 
 class ShareBucket:
     """One host's part of one workspace's token bucket."""
@@ -71,7 +74,8 @@
 
     def _refill(self, rate_per_s: float, capacity: float, now_s: float) -> float:
         if self._level is None:
-            level = capacity
+            # A host that is restarted must not bring another full share.
+            level = FIRST_LEVEL * capacity
         else:
             elapsed_s = max(0.0, now_s - self._refilled_s)
             level = min(capacity, self._level + elapsed_s * rate_per_s)
--- a/src/damaskridge/platform/settings.py
+++ b/src/damaskridge/platform/settings.py
@@ -1,6 +1,6 @@
-"""The settings file of the platform: one ``name=value`` a line.
+r"""The settings file of the platform: one ``name=value`` a line.
 
->>> settings = parse_lines("Node=a\\nZones.z1=r1\\nSeeds=10.0.0.1:80,10.0.0.2:80\\n")
+>>> settings = parse_lines("Node=a\nZones.z1=r1\nSeeds=10.0.0.1:80,10.0.0.2:80\n")
 >>> settings["Seeds"]
 '10.0.0.1:80,10.0.0.2:80'
 """
