Share load and usage between entry hosts; reserve decode room before the prefill

Cause: each host saw a tenth of the traffic. Retries that never reached a server used up the retry budget.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -24,7 +24,7 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.quota import QuotaShares
+from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
@@ -80,7 +80,7 @@
         Decodes requests and encodes refusals.
     calls, streams : CallForwarder, StreamForwarder
         Forward what was admitted.
-    quota : QuotaShares
+    quota : FleetQuota
         Limits of workspaces.
     refusals : RefusalTimes
         When refused callers may come back.
@@ -97,7 +97,7 @@
         dialect: Dialect,
         calls: CallForwarder,
         streams: StreamForwarder,
-        quota: QuotaShares,
+        quota: FleetQuota,
         refusals: RefusalTimes,
         rng: random.Random,
         on_request: Callable[[str], None],
@@ -240,7 +240,7 @@
         if workspace.counts_tokens:
             tokens = request.prompt_tokens + request.output_tokens
             cost = float(tokens if request.has_size else workspace.plain_tokens)
-        wait_s = self._quota.take(workspace, cost, self._state.hosts, now_s)
+        wait_s = self._quota.take(workspace, cost, now_s)
         if wait_s > 0:
             raise RequestError(
                 Failure(
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -9,9 +9,10 @@
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook, Work
+from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance
@@ -119,7 +120,7 @@
             load=load,
             candidates=candidates,
         )
-        self._load.start(work.request.request_id, name, Work(requests=1))
+        self._load.start(work.request.request_id, name, InstanceLoad(requests=1))
         try:
             outcome = await self._sender.send(
                 instance,
@@ -133,6 +134,8 @@
                 return await self._answer(work, answer, outcome)
         finally:
             self._load.finish(work.request.request_id, name)
+        if not isinstance(outcome, NotRun) or outcome.was_sent:
+            work.arrivals += 1
         if isinstance(outcome, NotRun):
             may_resend = self._may_resend(work)
             decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
@@ -167,6 +170,7 @@
     async def _answer(
         self, work: GatewayWork, answer: CallerAnswer, reply: OpenReply
     ) -> Failure | None:
+        work.arrivals += 1
         try:
             body = await reply.whole(ANSWER_LIMIT_BYTES)
         except ConnectionBroken as error:
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -15,6 +15,7 @@
 __all__ = [
     "CallerRequest",
     "Dialect",
+    "EngineCall",
     "EngineStep",
     "HandleReply",
     "Headers",
@@ -161,6 +162,15 @@
     tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """A call to a model engine that is no caller's request."""
+
+    method: str
+    target: bytes
+    body: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """An answer that the gateway gives by itself."""
@@ -191,8 +201,20 @@
         """Decode the answer to a prefill."""
         ...
 
-    def release_handle(self, handle: str) -> tuple[str, bytes]:
-        """Return method and target that free an exported KV cache."""
+    def release_handle(self, handle: str) -> EngineCall:
+        """Return the call that frees an exported KV cache."""
+        ...
+
+    def reserve(self, tokens: int, duration_s: float) -> EngineCall:
+        """Return the call that reserves a slot and memory of a decode engine."""
+        ...
+
+    def reservation_reply(self, body: bytes) -> Result[str, str]:
+        """Decode the answer to a reservation."""
+        ...
+
+    def cancel_reservation(self, reservation: str) -> EngineCall:
+        """Return the call that gives a reservation up."""
         ...
 
     def refusal(self, failure: Failure) -> Refusal:
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -5,6 +5,8 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 from damaskridge.adapters.gateway.connections import (
     BackendConnection,
     ConnectionBroken,
@@ -15,6 +17,7 @@
 from damaskridge.adapters.gateway.dialect import (
     CallerRequest,
     Dialect,
+    EngineCall,
     ReplyFacts,
     SendOptions,
 )
@@ -30,17 +33,29 @@
 
 # A connection attempt to a live server takes a few milliseconds; a lost first packet is
 # sent again after a second, which a new attempt beats.
-CONNECT_S = 0.3
-RELEASE_S = 1.0
+CONNECT_S = 0.2
+# Such calls need no slot, so that a live engine answers within milliseconds.
+ENGINE_CALL_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request did not run and never will; `is_full` if the server had no room."""
+    """
+    The request did not run and never will.
+
+    Parameters
+    ----------
+    reason : str
+        What was seen.
+    is_full : bool
+        Whether the server had no room.
+    was_sent : bool
+        Whether any byte of it reached a server.
+    """
 
     reason: str
     is_full: bool = False
-    retry_status: int = 503
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +138,7 @@
         self._dialect = dialect
         self._pool = pool
         self._registry = registry
-        self._releases: set[asyncio.Task[None]] = set()
+        self._unwatched: set[asyncio.Task[None]] = set()
 
     async def send(
         self,
@@ -164,8 +179,10 @@
             connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
         except NotSent as error:
             self._note_unreachable(instance, str(error))
-            return self._log(request, instance, NotRun(str(error)), started_s)
+            failed = NotRun(str(error), was_sent=False)
+            return self._log(request, instance, failed, started_s)
         is_open = False
+        outcome: Outcome
         try:
             async with asyncio.timeout(answer_s):
                 await connection.send(request.method, request.target, headers, body)
@@ -177,7 +194,7 @@
             outcome = Unknown(f"no answer in {answer_s:.3f} s", timed_out=True)
             self._pool.drop(instance)
         except NotSent as error:
-            outcome = NotRun(str(error))
+            outcome = NotRun(str(error), was_sent=False)
         except ConnectionBroken as error:
             outcome = Unknown(str(error))
         finally:
@@ -196,35 +213,53 @@
         if avoided_s:
             self._log_avoided(instance, reason, avoided_s)
 
-    def release(self, instance: BackendInstance, handle: str) -> None:
-        """Free an exported KV cache that will not be imported."""
-        task = asyncio.ensure_future(self._release(instance, handle))
-        self._releases.add(task)
-        task.add_done_callback(self._releases.discard)
-
-    async def _release(self, instance: BackendInstance, handle: str) -> None:
-        method, target = self._dialect.release_handle(handle)
-        headers: Headers = [(b"host", instance.address.encode())]
+    async def call_engine(
+        self, instance: BackendInstance, call: EngineCall
+    ) -> Result[bytes, str]:
+        """Return the body of the answer with status 200, or what went wrong."""
+        headers: Headers = [
+            (b"host", instance.address.encode()),
+            (b"content-type", b"application/json"),
+        ]
         try:
-            async with asyncio.timeout(RELEASE_S):
+            async with asyncio.timeout(ENGINE_CALL_S):
                 connection = await self._pool.take(instance, CONNECT_S)
                 try:
-                    await connection.send(method, target, headers, b"")
-                    await connection.head()
-                    async for _ in connection.body():
-                        pass
+                    await connection.send(call.method, call.target, headers, call.body)
+                    head = await connection.head()
+                    chunks = [chunk async for chunk in connection.body()]
                 finally:
                     self._pool.give_back(instance, connection)
-        except (ConnectionBroken, TimeoutError) as error:
-            # The engine frees the memory by itself when the handle expires.
-            reason = str(error) or "timed out"
+        except NotSent as error:
+            self._note_unreachable(instance, str(error))
+            return Err(str(error))
+        except TimeoutError:
+            return Err(f"no answer in {ENGINE_CALL_S:g} s")
+        except ConnectionBroken as error:
+            return Err(str(error))
+        if head.status != 200:
+            return Err(f"status {head.status}")
+        return Ok(b"".join(chunks))
+
+    def call_later(self, instance: BackendInstance, call: EngineCall) -> None:
+        """Call an engine to free what no request uses; nobody waits for it."""
+        task = asyncio.ensure_future(self._call_unwatched(instance, call))
+        self._unwatched.add(task)
+        task.add_done_callback(self._unwatched.discard)
+
+    async def _call_unwatched(
+        self, instance: BackendInstance, call: EngineCall
+    ) -> None:
+        called = await self.call_engine(instance, call)
+        if isinstance(called, Err):
+            # The engine frees the memory by itself when its time is over.
             log_event(
                 logger,
                 EventNumber.SEND_FAILED,
                 request_id="",
                 instance=instance.instance,
-                outcome="release",
-                reason=reason,
+                outcome=call.method,
+                reason=called.err_value,
                 elapsed_ms=0,
             )
 
@@ -246,7 +281,6 @@
             return NotRun(
                 f"refused with status {head.status}",
                 is_full=head.status in (429, 503),
-                retry_status=head.status,
             )
         if head.status < 300 and not (facts.is_signed or is_prefill):
             return Unknown(f"status {head.status} without a signature")
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -19,9 +19,11 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.event_stream import EventSplitter
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook, Work
+from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.prompt_reading import ReadingSpeed
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, EngineStage
@@ -37,6 +39,15 @@
 # Engines export to one other engine; a third try would be late in any case.
 MOST_PREFILLS = 2
 MOST_HANDLE_REFUSALS = 2
+# Engines that are asked for room for one request; more would multiply an overload.
+MOST_RESERVATIONS = 4
+# A request that gets room later than this is late in any case, and it would take the
+# room from one that can still be on time.
+ROOM_WAIT_OBJECTIVES = 0.5
+ROOM_PAUSE_S = 0.05
+# What an engine answers that has no room.
+FULL = "status 503"
+RESERVATION_USE_SHARE = 0.9
 # An exported KV cache that is older may lapse before it is imported.
 HANDLE_USE_SHARE = 0.7
 # The caller gives up after two seconds without an event at the earliest.
@@ -58,6 +69,15 @@
     usable_until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Reservation:
+    """Room on a decode engine, and until when it may be used."""
+
+    instance: BackendInstance
+    name: str
+    usable_until_s: float
+
+
 class StreamForwarder:
     """
     Runs generations on separate prefill and decode engines.
@@ -94,20 +114,104 @@
         self._data_centre = data_centre
         self._may_resend = may_resend
         self._refusals = refusals
+        self._speed = ReadingSpeed()
 
     async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
         """Answer the caller with the engine's events, or with a failure."""
         run = _StreamRun(work, answer)
-        handle = await self._prefill(work)
+        handle: _Handle | None = None
         try:
+            if not await self._find_room(run):
+                return
+            handle = await self._prefill(run)
             while not answer.is_complete:
                 handle = await self._decode(run, handle)
         finally:
             if handle is not None:
-                self._sender.release(handle.instance, handle.handle)
+                self._release(handle)
+            self._cancel(run)
+
+    async def _find_room(self, run: "_StreamRun") -> bool:
+        """
+        Reserve decode room before the prompt is read; `False` if it was refused.
 
-    async def _prefill(self, work: GatewayWork) -> _Handle | None:
+        A prompt that is read for an engine without room is read in vain.
+        """
+        work = run.work
+        engine = work.service.engine
+        if engine is None or engine.reservation_s <= 0:
+            return True
+        wait_s = ROOM_WAIT_OBJECTIVES * work.route.objective_ms / 1000
+        while True:
+            asked = await self._reserve(run, engine.reservation_s)
+            if run.reservation is not None or not asked:
+                return True
+            if work.elapsed_s + ROOM_PAUSE_S > wait_s or work.left_s <= 0:
+                break
+            await asyncio.sleep(ROOM_PAUSE_S)
+        failure = Failure(
+            ErrorKind.OVERLOADED,
+            "no decode engine has room",
+            retry_after_s=self._refusals.overloaded_s(work.left_s),
+        )
+        await run.answer.refuse(failure)
+        return False
+
+    async def _reserve(self, run: "_StreamRun", duration_s: float) -> int:
+        """Ask engines for room; returns how many said that they have none."""
+        work = run.work
+        tokens = work.request.prompt_tokens + work.request.output_tokens
+        tried: set[str] = set()
+        full = 0
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            candidates = self._registry.candidates(
+                work.service.name, now_s, EngineStage.DECODE, frozenset(tried)
+            )
+            if not candidates or len(tried) >= MOST_RESERVATIONS:
+                return full
+            instance = self._load.most_memory(candidates, self._data_centre)
+            name = instance.instance
+            tried.add(name)
+            load = InstanceLoad(1, memory_tokens=tokens)
+            self._load.start(work.request.request_id, name, load)
+            call = self._dialect.reserve(tokens, duration_s)
+            called = await self._sender.call_engine(instance, call)
+            reserved = called.and_then(self._dialect.reservation_reply)
+            if reserved.is_ok():
+                self._log_sent(work, name, "reserve", len(candidates))
+                usable_until_s = now_s + RESERVATION_USE_SHARE * duration_s
+                run.reservation = _Reservation(
+                    instance, reserved.unwrap(), usable_until_s
+                )
+                return full
+            self._load.finish(work.request.request_id, name)
+            full += called.is_err() and called.unwrap_err() == FULL
+            log_event(
+                logger,
+                EventNumber.SEND_FAILED,
+                request_id=work.request.request_id,
+                instance=name,
+                outcome="reserve",
+                reason=reserved.unwrap_err(),
+                elapsed_ms=round(work.elapsed_s * 1000),
+            )
+
+    def _release(self, handle: _Handle) -> None:
+        call = self._dialect.release_handle(handle.handle)
+        self._sender.call_later(handle.instance, call)
+
+    def _cancel(self, run: "_StreamRun") -> None:
+        reservation, run.reservation = run.reservation, None
+        if reservation is not None:
+            instance = reservation.instance
+            self._load.finish(run.work.request.request_id, instance.instance)
+            call = self._dialect.cancel_reservation(reservation.name)
+            self._sender.call_later(instance, call)
+
+    async def _prefill(self, run: "_StreamRun") -> _Handle | None:
         """Read the prompt; None if a decode engine has to read it."""
+        work = run.work
         tried: set[str] = set()
         for number in range(MOST_PREFILLS):
             now_s = asyncio.get_running_loop().time()
@@ -119,20 +223,35 @@
             if number and not self._may_resend(work):
                 return None
             instance = self._load.shortest_prefill(candidates, self._data_centre)
+            if self._decode_reads(run, instance):
+                return None
             tried.add(instance.instance)
             handle = await self._prefill_on(instance, work, len(candidates))
             if handle is not None:
                 return handle
         return None
 
+    def _decode_reads(self, run: "_StreamRun", prefill: BackendInstance) -> bool:
+        """Tell whether the reserved decode engine has the prompt read sooner."""
+        if run.reservation is None:
+            return False
+        decode = run.reservation.instance.instance
+        return self._speed.prefers_decode(
+            prompt_tokens=run.work.request.prompt_tokens,
+            prefill_pending=self._load.total(prefill.instance).prompt_tokens,
+            decode_pending=self._load.total(decode).prompt_tokens,
+        )
+
     async def _prefill_on(
         self, instance: BackendInstance, work: GatewayWork, candidates: int
     ) -> _Handle | None:
         request, name = work.request, instance.instance
         self._log_sent(work, name, "prefill", candidates)
         step = EngineStep(is_prefill=True, priority=work.priority)
+        tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
+        started_s = asyncio.get_running_loop().time()
         self._load.start(
-            request.request_id, name, Work(prompt_tokens=request.prompt_tokens)
+            request.request_id, name, InstanceLoad(prompt_tokens=request.prompt_tokens)
         )
         try:
             outcome = await self._sender.send(
@@ -143,8 +262,14 @@
                 answer_s=min(PREFILL_S, max(0.0, work.left_s)),
             )
             if not isinstance(outcome, OpenReply):
+                if isinstance(outcome, Unknown) or outcome.was_sent:
+                    work.arrivals += 1
                 return None
-            return await self._handle_of(outcome, work)
+            handle = await self._handle_of(outcome, work)
+            if handle is not None:
+                now_s = asyncio.get_running_loop().time()
+                self._speed.observe(tokens, now_s - started_s)
+            return handle
         finally:
             self._load.finish(request.request_id, name)
 
@@ -193,17 +318,20 @@
             await self._fail(run, self._unserved(work))
             return handle
         if handle is not None and (now_s > handle.usable_until_s or run.has_events):
-            self._sender.release(handle.instance, handle.handle)
+            self._release(handle)
             handle = None
         name = instance.instance
         run.tried.add(name)
         work.policy.sent()
         answer.attempts = work.policy.sends
         self._log_sent(work, name, "decode", candidates)
-        memory_tokens = work.request.prompt_tokens + work.request.output_tokens
-        self._load.start(
-            work.request.request_id, name, Work(1, memory_tokens=memory_tokens)
+        request = work.request
+        load = InstanceLoad(
+            requests=1,
+            prompt_tokens=0 if handle is not None else request.prompt_tokens,
+            memory_tokens=request.prompt_tokens + request.output_tokens,
         )
+        self._load.start(request.request_id, name, load)
         try:
             outcome = await self._send(run, instance, handle)
             if isinstance(outcome, OpenReply):
@@ -221,12 +349,17 @@
         if run.handle_refusals < MOST_HANDLE_REFUSALS:
             return handle
         # The refusals do not say whether the engine is full or the handle is gone.
-        self._sender.release(handle.instance, handle.handle)
+        self._release(handle)
         return None
 
     def _choose(
         self, run: "_StreamRun", now_s: float
     ) -> tuple[BackendInstance | None, int]:
+        reservation = run.reservation
+        if reservation is not None:
+            if now_s < reservation.usable_until_s:
+                return reservation.instance, 1
+            self._cancel(run)
         service, stage = run.work.service.name, EngineStage.DECODE
         candidates = self._registry.candidates(
             service, now_s, stage, frozenset(run.tried)
@@ -241,13 +374,13 @@
         self, run: "_StreamRun", instance: BackendInstance, handle: _Handle | None
     ) -> Outcome:
         work = run.work
-        step = EngineStep(priority=work.priority)
-        if handle is not None:
-            step = EngineStep(
-                source_address=handle.instance.address,
-                source_handle=handle.handle,
-                priority=work.priority,
-            )
+        reservation, run.reservation = run.reservation, None
+        step = EngineStep(
+            source_address=handle.instance.address if handle is not None else "",
+            source_handle=handle.handle if handle is not None else "",
+            reservation=reservation.name if reservation is not None else "",
+            priority=work.priority,
+        )
         answer_s = max(0.0, work.timeout_s)
         if work.policy.has_another_run:
             answer_s = min(answer_s, FIRST_EVENT_S)
@@ -257,7 +390,8 @@
             work.body,
             work.options(instance.instance, step, run.last_event_id),
             answer_s=answer_s,
-            fresh=not work.policy.may_repeat,
+            # A reservation has just shown that its connection is not silent.
+            fresh=not work.policy.may_repeat and reservation is None,
         )
 
     async def _after_failed_send(
@@ -265,6 +399,8 @@
     ) -> None:
         work = run.work
         decision: Resend | GiveUp
+        if not isinstance(outcome, NotRun) or outcome.was_sent:
+            work.arrivals += 1
         if isinstance(outcome, NotRun):
             may_resend = self._may_resend(work)
             decision = work.policy.not_run(left_s=work.left_s, may_resend=may_resend)
@@ -308,11 +444,20 @@
                 if run.is_new(event.event_id)
             )
             if ready:
+                if not run.answer.has_started:
+                    self._note_read(run, reply.instance)
                 await run.write(reply, ready)
         # Only the end of the body tells that what is left is whole.
         if splitter.rest or not run.answer.has_started:
             await run.write(reply, splitter.rest)
 
+    def _note_read(self, run: "_StreamRun", instance: BackendInstance) -> None:
+        """Count no prompt tokens on an engine that has begun to answer."""
+        request = run.work.request
+        memory_tokens = request.prompt_tokens + request.output_tokens
+        load = InstanceLoad(1, memory_tokens=memory_tokens)
+        self._load.start(request.request_id, instance.instance, load)
+
     async def _watched(
         self, run: "_StreamRun", reply: OpenReply
     ) -> AsyncIterator[bytes]:
@@ -341,6 +486,7 @@
         reason = f"status {reply.head.status}"
         good = reply.head.status < 500
         self._sender.note_answer(reply.instance, good=good, reason=reason)
+        work.arrivals += 1
         if not good:
             may_resend = work.policy.has_another_run and self._may_resend(work)
             if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
@@ -402,6 +548,7 @@
         self.answer = answer
         self.tried: set[str] = set()
         self.handle_refusals = 0
+        self.reservation: _Reservation | None = None
         self.has_events = False
         # The caller's own position counts until an event has been passed on.
         self.last_event_id = work.request.last_event_id
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -29,6 +29,8 @@
         Loop time at which its head was read.
     hosts : int
         Entry hosts that share the budgets.
+    arrivals : int
+        Sends that reached a backend server and count against the retry budget.
     """
 
     request: CallerRequest
@@ -40,6 +42,7 @@
     arrived_s: float
     hosts: int
     policy: SendPolicy = field(init=False)
+    arrivals: int = 0
 
     def __post_init__(self) -> None:
         route = self.route
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -24,9 +24,11 @@
     FleetSnapshot,
     FollowRefused,
     InstancesSeen,
+    LoadSeen,
     OpenFollow,
     OpenSession,
     RenewSession,
+    ReportLoad,
     Session,
     SessionLost,
     SessionRenewed,
@@ -39,11 +41,16 @@
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
 SILENCE_S = 1.0
+# Together with the leader's period, the time in which another host's placement shows.
+LOAD_PERIOD_S = 0.03
 # Smaller than any index, so that the leader answers with a snapshot.
 NOTHING_SEEN = -1
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
 InstancesCallback = Callable[[InstancesSeen], None]
+LoadCallback = Callable[[LoadSeen], None]
+# Returns what changed; all that is in flight if its argument is true.
+LoadSource = Callable[[bool], ReportLoad | None]
 
 _log = logging.getLogger("damaskridge.control_client")
 
@@ -107,6 +114,8 @@
         self._sent_s: dict[int, float] = {}
         self._callbacks: list[ChangeCallback] = []
         self._instances_callbacks: list[InstancesCallback] = []
+        self._load_source: LoadSource | None = None
+        self._load_callback: LoadCallback | None = None
         self._draining = False
         self._closing = False
         self._scope = anyio.CancelScope()
@@ -136,6 +145,19 @@
         """Call back after every reading of the list of backend servers."""
         self._instances_callbacks.append(callback)
 
+    def share_load(self, source: LoadSource, callback: LoadCallback) -> None:
+        """
+        Report this host's load, and learn that of the others.
+
+        Parameters
+        ----------
+        source : callable
+            Returns what changed since its last call, or None.
+        callback : callable
+            Called with what changed on the other hosts.
+        """
+        self._load_source, self._load_callback = source, callback
+
     def add_control_addresses(self, addresses: Sequence[str]) -> None:
         """Try further addresses of control hosts as well."""
         self._calls.add_addresses(addresses)
@@ -201,6 +223,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._keep_session)
                 group.start_soon(self._renew, stream)
+                group.start_soon(self._report_load, stream)
                 try:
                     await self._read(stream, address)
                 except _StreamEnded as error:
@@ -233,6 +256,9 @@
             if self._fleet.restore(message):
                 self._index = self._fleet.index
                 self._notify(())
+        elif isinstance(message, LoadSeen):
+            if self._load_callback is not None:
+                self._load_callback(message)
         elif isinstance(message, InstancesSeen):
             for callback in self._instances_callbacks:
                 callback(message)
@@ -303,6 +329,18 @@
             with anyio.move_on_after(SESSION_RENEWAL_S):
                 await self._session_opened.wait()
 
+    async def _report_load(self, stream: Any) -> None:
+        everything = True
+        while self._load_source is not None:
+            report = self._load_source(everything)
+            everything = False
+            try:
+                if report is not None:
+                    await stream.send_message(report)
+            except CONNECTION_ERRORS:
+                return
+            await anyio.sleep(LOAD_PERIOD_S)
+
     async def _keep_session(self) -> None:
         while not self._closing:
             self._session_missing = anyio.Event()
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,6 +33,7 @@
     InstancePublisher,
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
+from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.commands import ControlState
@@ -50,6 +51,7 @@
     OpenFollow,
     ProposeBundle,
     RenewSession,
+    ReportLoad,
     RollBundle,
     SessionLost,
     SessionRenewed,
@@ -64,6 +66,11 @@
 
 _log = logging.getLogger("damaskridge.control")
 
+# A placement is wrong by what arrives in this time.
+LOAD_PERIOD_S = 0.04
+# Keeps the leader's work for load reports at a few hundredths of a core.
+LOAD_HOST_S = 0.004
+
 
 @dataclass(frozen=True, slots=True)
 class _Renewal:
@@ -109,6 +116,7 @@
         self._wall_ms = wall_ms
         self._followers = FollowerSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
+        self._board = LoadBoard()
         self._instances: InstancePublisher | None = None
         if instances is not None:
             self._instances = InstancePublisher(
@@ -141,6 +149,7 @@
             group.start_soon(self._publish)
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
+            group.start_soon(self._publish_load)
             if self._instances is not None:
                 group.start_soon(self._instances.run)
 
@@ -214,6 +223,7 @@
         async with anyio.create_task_group() as group:
             follower = Follower(group.cancel_scope.cancel)
             self._followers.add(follower, first.index)
+            self._board.join(follower)
             if self._instances is not None:
                 self._instances.greet(follower)
             try:
@@ -221,6 +231,7 @@
                 await self._read(stream, follower)
             finally:
                 self._followers.remove(follower)
+                self._board.leave(follower)
                 group.cancel_scope.cancel()
 
     async def _read(self, stream: Any, follower: Follower) -> None:
@@ -230,6 +241,8 @@
                 silence.deadline = anyio.current_time() + SESSION_DURATION_S
                 if isinstance(message, RenewSession):
                     self._received(follower, message)
+                elif isinstance(message, ReportLoad):
+                    self._board.report(follower, message)
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
@@ -286,6 +299,14 @@
                 )
             )
 
+    async def _publish_load(self) -> None:
+        while True:
+            for follower in self._followers.open():
+                news = self._board.news(follower)
+                if news is not None:
+                    follower.push(news)
+            await anyio.sleep(max(LOAD_PERIOD_S, len(self._board) * LOAD_HOST_S))
+
     async def _publish(self) -> None:
         while True:
             deltas = self._node.applied_deltas()
--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -70,6 +70,10 @@
         for message in self._missing(index):
             follower.push(message)
 
+    def open(self) -> list[Follower]:
+        """Return every open stream."""
+        return list(self._followers)
+
     def remove(self, follower: Follower) -> None:
         """Forget a stream."""
         self._followers.pop(follower, None)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -31,12 +31,12 @@
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.quota import QuotaShares
+from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.retry_share import RetryShare
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
-from damaskridge.model.control import InstancesSeen
+from damaskridge.model.control import InstancesSeen, LoadSeen, ReportLoad
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, RoutingTable
 
@@ -45,15 +45,17 @@
 logger = logging.getLogger(__name__)
 
 PRUNE_S = 1.0
+# What others had in flight has ended by then, or will soon.
+LOAD_STALE_S = 3.0
 # A leader is replaced within a second; after that a host reads the list by itself.
 LIST_STALE_S = 2.5
 LIST_PERIOD_S = 2.0
 # So many hosts may read the list by themselves in one second.
 LIST_READERS_PER_S = 8.0
-# Shares of a day's tolerance that hosts use: the rest covers hosts that count others
-# late, and answers that were on their way.
-QUOTA_SLACK_SHARE = 0.75
-RETRY_SHARE = 0.8
+# Part of the operator's tolerance that a workspace may use at once. The rest covers
+# what hosts admit before they hear of each other.
+QUOTA_SLACK_SHARE = 0.4
+RETRY_SHARE = 0.9
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
 DRAIN_PROPOSAL_S = 1.5
@@ -139,12 +141,15 @@
         self._pool = ConnectionPool()
         self._copy = InstanceCopy()
         self._retries: dict[str, RetryShare] = {}
+        self._load = LoadBook(rng)
+        self._quota = FleetQuota(QUOTA_SLACK_SHARE * settings.quota_slack)
+        self._load_heard_s = float("-inf")
         refusals = RefusalTimes(rng)
         sender = Sender(dialect, self._pool, self.registry)
         shared: dict[str, Any] = {
             "sender": sender,
             "registry": self.registry,
-            "load": LoadBook(rng),
+            "load": self._load,
             "data_centre": settings.data_centre,
             "may_resend": self._may_resend,
             "refusals": refusals,
@@ -154,7 +159,7 @@
             dialect=dialect,
             calls=CallForwarder(**shared),
             streams=StreamForwarder(dialect=dialect, **shared),
-            quota=QuotaShares(QUOTA_SLACK_SHARE * settings.quota_slack),
+            quota=self._quota,
             refusals=refusals,
             rng=rng,
             on_request=self._earn,
@@ -163,6 +168,7 @@
         self.metrics = self._metrics()
         self.control.on_change(lambda _: self._fleet_changed())
         self.control.on_instances(self._instances_seen)
+        self.control.share_load(self._load_report, self._load_seen)
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
@@ -254,8 +260,23 @@
             routes=len(table.routes),
         )
 
+    def _load_report(self, everything: bool) -> ReportLoad | None:
+        load = self._load.unreported(everything=everything)
+        usage = self._quota.unreported()
+        return ReportLoad(load=load, usage=usage) if load or usage else None
+
+    def _load_seen(self, message: LoadSeen) -> None:
+        now_s = anyio.current_time()
+        self._load_heard_s = now_s
+        self._load.others_changed(message.load)
+        self._quota.others_admitted(message.usage, now_s)
+
     def _instances_seen(self, message: InstancesSeen) -> None:
-        if self._copy.apply(message, anyio.current_time()):
+        now_s = anyio.current_time()
+        # The leader speaks, so that no news of the others' load means no change.
+        self._load_heard_s = now_s
+        self._quota.heard(now_s)
+        if self._copy.apply(message, now_s):
             self._use_list(self._copy.items)
 
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
@@ -282,11 +303,16 @@
         while True:
             await anyio.sleep(PRUNE_S)
             self._pool.prune()
+            if anyio.current_time() - self._load_heard_s > LOAD_STALE_S:
+                self._load.forget_others()
 
     def _earn(self, service: str) -> None:
         self._retry_share(service).earn(self.state.hosts, anyio.current_time())
 
     def _may_resend(self, work: GatewayWork) -> bool:
+        if not work.arrivals:
+            # No send has reached a backend server yet.
+            return True
         share = self._retry_share(work.service.name)
         return share.spend(self.state.hosts, anyio.current_time())
 
--- a/src/damaskridge/core/gateway/load.py
+++ b/src/damaskridge/core/gateway/load.py
@@ -7,38 +7,18 @@
 ...     )
 ...     for name in ("a", "b")
 ... ]
->>> book.start("r1", "a", Work(requests=1))
+>>> book.start("r1", "a", InstanceLoad(requests=1))
 >>> book.least_loaded(servers, "west").instance
 'b'
 """
 
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
 
+from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance
 
-__all__ = ["LoadBook", "Work"]
-
-
-@dataclass(frozen=True, slots=True)
-class Work:
-    """
-    What one request takes of a backend server.
-
-    Parameters
-    ----------
-    requests : int
-        Slots.
-    prompt_tokens : int
-        Prompt tokens that are still to be read.
-    memory_tokens : int
-        KV cache, in tokens.
-    """
-
-    requests: int = 0
-    prompt_tokens: int = 0
-    memory_tokens: int = 0
+__all__ = ["LoadBook"]
 
 
 class LoadBook:
@@ -53,29 +33,55 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._work: dict[str, dict[str, Work]] = {}
+        self._work: dict[str, dict[str, InstanceLoad]] = {}
+        self._others: dict[str, InstanceLoad] = {}
+        self._unreported: set[str] = set()
 
-    def start(self, request: str, instance: str, work: Work) -> None:
+    def start(self, request: str, instance: str, work: InstanceLoad) -> None:
         """Count a request on an instance."""
         self._work.setdefault(instance, {})[request] = work
+        self._unreported.add(instance)
 
     def finish(self, request: str, instance: str) -> None:
         """Stop counting a request."""
         running = self._work.get(instance)
-        if running is not None:
-            running.pop(request, None)
+        if running is not None and running.pop(request, None) is not None:
+            self._unreported.add(instance)
             if not running:
                 del self._work[instance]
 
-    def total(self, instance: str) -> Work:
-        """Return the sum of what is in flight on an instance."""
+    def own(self, instance: str) -> InstanceLoad:
+        """Return what this host has in flight on an instance."""
         running = self._work.get(instance, {}).values()
-        return Work(
+        return InstanceLoad(
             sum(work.requests for work in running),
             sum(work.prompt_tokens for work in running),
             sum(work.memory_tokens for work in running),
         )
 
+    def total(self, instance: str) -> InstanceLoad:
+        """Return what all hosts have in flight on an instance, as far as known."""
+        own, others = self.own(instance), self._others.get(instance, InstanceLoad())
+        return InstanceLoad(
+            own.requests + others.requests,
+            own.prompt_tokens + others.prompt_tokens,
+            own.memory_tokens + others.memory_tokens,
+        )
+
+    def others_changed(self, load: Mapping[str, InstanceLoad]) -> None:
+        """Take over what the other hosts have in flight."""
+        self._others.update(load)
+
+    def forget_others(self) -> None:
+        """Count this host's requests only, after others were not heard for long."""
+        self._others.clear()
+
+    def unreported(self, *, everything: bool) -> dict[str, InstanceLoad]:
+        """Return what changed since the last call, or all that is in flight."""
+        names = self._unreported | (self._work.keys() if everything else set())
+        self._unreported = set()
+        return {name: self.own(name) for name in names}
+
     def least_loaded(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -1,115 +1,122 @@
-"""Limits a workspace's rate over all entry hosts by equal shares.
+"""Limits a workspace's rate over all entry hosts.
 
-Each entry host holds one share of the rate and refills its bucket by itself, so that no
-request waits for another host and no host's failure stops a workspace. The sum of
-the shares is the workspace's rate and, within the tolerance that the operator grants,
-its burst.
+Every host keeps the whole bucket of each workspace. It takes its own admissions at once
+and those of the other hosts as it hears of them, so that no request waits for another
+host and no host's failure stops a workspace. What the hosts admit before they hear of
+each other is covered by the tolerance that the operator grants. A host that has heard
+nothing for a while goes on as if the others admitted as before.
 
->>> bucket = ShareBucket()
->>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=200.0)
->>> bucket.take(limit, cost=60.0, hosts=1, slack=0.0, now_s=0.0)
+>>> quota = FleetQuota()
+>>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
+>>> quota.take(limit, cost=60.0, now_s=0.0)
 0.0
->>> bucket.take(limit, cost=60.0, hosts=1, slack=0.0, now_s=0.0)
-0.2
+>>> quota.others_admitted({"w": 30.0}, now_s=0.0)
+>>> quota.take(limit, cost=60.0, now_s=0.0)
+0.5
 """
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+
 from damaskridge.model.gateway import GatewayWorkspace
 
-__all__ = ["QuotaShares", "ShareBucket"]
+__all__ = ["FleetQuota"]
+
+# Reports come many times a second; after this the other hosts are not heard.
+SILENCE_S = 0.5
+# Over how long the others' admissions are averaged, to go on without reports.
+AVERAGE_S = 4.0
 
-# Level of a new bucket as a part of its capacity.
-FIRST_LEVEL = 0.5
 
+@dataclass(slots=True)
+class _Bucket:
+    """The bucket of one workspace."""
 
-class ShareBucket:
-    """One host's part of one workspace's token bucket."""
+    level: float
+    refilled_s: float
+    others_per_s: float = 0.0
+    own_unreported: float = 0.0
 
-    def __init__(self) -> None:
-        self._level: float | None = None
-        self._refilled_s = 0.0
 
-    def take(
-        self,
-        limit: GatewayWorkspace,
-        *,
-        cost: float,
-        hosts: int,
-        slack: float,
-        now_s: float,
-    ) -> float:
+class FleetQuota:
+    """
+    The buckets of all workspaces, as one host knows them.
+
+    Parameters
+    ----------
+    slack : float
+        What may be admitted at once beyond a workspace's burst.
+    """
+
+    def __init__(self, slack: float = 0.0) -> None:
+        self._slack = slack
+        self._buckets: dict[str, _Bucket] = {}
+        self._heard_s = float("-inf")
+
+    def take(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
         """
-        Take the cost of one request, or return the wait until it is there.
+        Take a request's cost.
 
         Parameters
         ----------
-        limit : GatewayWorkspace
-            The rate and burst of the workspace.
+        workspace : GatewayWorkspace
+            Whose rate it counts against.
         cost : float
-            What the request counts.
-        hosts : int
-            Entry hosts that hold a share.
-        slack : float
-            What all hosts together may admit beyond rate and burst.
+            What it counts.
         now_s : float
             Present time.
 
         Returns
         -------
         float
-            0 if the cost was taken, else seconds until it may be.
+            0 if it was admitted, else the seconds until it may be.
         """
-        rate_per_s = limit.rate_per_s / hosts
-        # A share below one request would refuse a workspace that is within its rate.
-        capacity = max(cost, (limit.burst + slack) / hosts)
-        level = self._refill(rate_per_s, capacity, now_s)
-        if level >= cost:
-            self._level = level - cost
-            return 0.0
-        return (cost - level) / rate_per_s if rate_per_s > 0 else float("inf")
-
-    def give_back(self, cost: float) -> None:
-        """Return the cost of a request that did not run."""
-        if self._level is not None:
-            self._level += cost
-
-    def _refill(self, rate_per_s: float, capacity: float, now_s: float) -> float:
-        if self._level is None:
-            # A host that is restarted must not bring another full share.
-            level = FIRST_LEVEL * capacity
-        else:
-            elapsed_s = max(0.0, now_s - self._refilled_s)
-            level = min(capacity, self._level + elapsed_s * rate_per_s)
-        self._level, self._refilled_s = level, now_s
-        return level
-
-
-class QuotaShares:
-    """
-    The buckets of all workspaces on one host.
-
-    Parameters
-    ----------
-    slack : float
-        What all hosts together may admit beyond a workspace's rate and burst.
-    """
-
-    def __init__(self, slack: float = 0.0) -> None:
-        self._slack = slack
-        self._buckets: dict[str, ShareBucket] = {}
-
-    def take(
-        self, workspace: GatewayWorkspace, cost: float, hosts: int, now_s: float
-    ) -> float:
-        """Take a request's cost; 0, or the seconds after which it is there."""
         if workspace.rate_per_s <= 0:
             return 0.0
-        bucket = self._buckets.setdefault(workspace.name, ShareBucket())
-        return bucket.take(
-            workspace, cost=cost, hosts=max(1, hosts), slack=self._slack, now_s=now_s
-        )
-
-    def give_back(self, workspace: GatewayWorkspace, cost: float) -> None:
-        """Return the cost of a request that did not run."""
+        bucket = self._refilled(workspace, now_s)
+        # A request larger than the bucket must not be refused for good.
+        if bucket.level < min(cost, self._capacity(workspace)):
+            return (cost - bucket.level) / workspace.rate_per_s
+        bucket.level -= cost
+        bucket.own_unreported += cost
+        return 0.0
+
+    def others_admitted(self, usage: Mapping[str, float], now_s: float) -> None:
+        """Take what other hosts have admitted; call it for every message."""
+        self._heard_s = now_s
+        for name, used in usage.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= used
+                bucket.others_per_s += used / AVERAGE_S
+
+    def heard(self, now_s: float) -> None:
+        """Note that the other hosts can be heard, though nothing has changed."""
+        self._heard_s = now_s
+
+    def unreported(self) -> dict[str, float]:
+        """Return what this host admitted since the last call."""
+        usage = {}
+        for name, bucket in self._buckets.items():
+            if bucket.own_unreported:
+                usage[name], bucket.own_unreported = bucket.own_unreported, 0.0
+        return usage
+
+    def _capacity(self, workspace: GatewayWorkspace) -> float:
+        return workspace.burst + self._slack
+
+    def _refilled(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
+        capacity = self._capacity(workspace)
         bucket = self._buckets.get(workspace.name)
-        if bucket is not None:
-            bucket.give_back(cost)
+        if bucket is None:
+            bucket = self._buckets[workspace.name] = _Bucket(capacity, now_s)
+            return bucket
+        elapsed_s = max(0.0, now_s - bucket.refilled_s)
+        refill = workspace.rate_per_s * elapsed_s
+        if now_s - self._heard_s > SILENCE_S:
+            refill -= bucket.others_per_s * elapsed_s
+        else:
+            bucket.others_per_s *= max(0.0, 1 - elapsed_s / AVERAGE_S)
+        bucket.level = min(capacity, bucket.level + refill)
+        bucket.refilled_s = now_s
+        return bucket
--- a/src/damaskridge/core/gateway/retry_share.py
+++ b/src/damaskridge/core/gateway/retry_share.py
@@ -6,6 +6,10 @@
 
 __all__ = ["RetryShare"]
 
+# Part of the allowance that is the size of the bucket. The rest is its refill in one
+# window, so that any window stays within the whole.
+BUCKET_PART = 0.7
+
 
 class RetryShare:
     """
@@ -42,9 +46,7 @@
         return True
 
     def _capacity(self, hosts: int) -> float:
-        # Half of the allowance is the size of the bucket and half its refill in one
-        # window, so that any window stays within the whole.
-        return max(1.0, self._allowance / 2 / max(1, hosts))
+        return max(1.0, BUCKET_PART * self._allowance / max(1, hosts))
 
     def _refill(self, hosts: int, now_s: float) -> None:
         capacity = self._capacity(hosts)
@@ -52,6 +54,7 @@
             self._level = capacity
         else:
             elapsed_s = max(0.0, now_s - self._refilled_s)
-            gained = elapsed_s * capacity / self._window_s
+            refill = (1 - BUCKET_PART) / BUCKET_PART * capacity
+            gained = elapsed_s * refill / self._window_s
             self._level = min(capacity, self._level + gained)
         self._refilled_s = now_s
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -34,10 +34,12 @@
     "FollowRefused",
     "FollowReply",
     "FollowRequest",
+    "InstanceLoad",
     "InstancesSeen",
     "KeyWithdrawn",
     "LedgerRecord",
     "LedgerState",
+    "LoadSeen",
     "OpenFollow",
     "OpenSession",
     "Owner",
@@ -49,6 +51,7 @@
     "ReleaseOwnership",
     "RenewSession",
     "ReportCrash",
+    "ReportLoad",
     "RollBackBundle",
     "RollBundle",
     "RoutingTableActivated",
@@ -449,7 +452,42 @@
     version: int
 
 
-AnyFollowRequest = OpenFollow | RenewSession
+class InstanceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """
+    What is in flight on one backend server.
+
+    Parameters
+    ----------
+    requests : int
+        Requests.
+    prompt_tokens : int
+        Prompt tokens that are still to be read.
+    memory_tokens : int
+        KV cache in use, in tokens.
+    """
+
+    requests: int = 0
+    prompt_tokens: int = 0
+    memory_tokens: int = 0
+
+
+class ReportLoad(FollowRequest, frozen=True, kw_only=True, tag=True):
+    """
+    What changed on an entry host since its last report on this stream.
+
+    Parameters
+    ----------
+    load : dict of str to InstanceLoad
+        By backend server, what this host has in flight there now.
+    usage : dict of str to float
+        By workspace, what was admitted since the last report.
+    """
+
+    load: dict[str, InstanceLoad] = {}
+    usage: dict[str, float] = {}
+
+
+AnyFollowRequest = OpenFollow | RenewSession | ReportLoad
 
 
 class FollowReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -519,6 +557,22 @@
     removed: tuple[str, ...] = ()
 
 
+class LoadSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+    """
+    What changed on all other entry hosts together.
+
+    Parameters
+    ----------
+    load : dict of str to InstanceLoad
+        By backend server, what the others have in flight there now.
+    usage : dict of str to float
+        By workspace, what the others admitted since the last message.
+    """
+
+    load: dict[str, InstanceLoad] = {}
+    usage: dict[str, float] = {}
+
+
 class FollowRefused(FollowReply, frozen=True, kw_only=True, tag=True):
     """The control host is not the leader; `failure.leader` may name it."""
 
@@ -532,4 +586,5 @@
     | FleetSnapshot
     | FollowRefused
     | InstancesSeen
+    | LoadSeen
 )
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -6,6 +6,7 @@
 from damaskridge.adapters.gateway.connections import ReplyHead
 from damaskridge.adapters.gateway.dialect import (
     CallerRequest,
+    EngineCall,
     EngineStep,
     HandleReply,
     Headers,
@@ -81,7 +82,13 @@
     tokens: int = 0
 
 
+class _ReservationBody(msgspec.Struct, rename="pascal"):
+    # The name of the reservation.
+    hold: str
+
+
 _decode_prefill = msgspec.json.Decoder(_PrefillBody).decode
+_decode_reservation = msgspec.json.Decoder(_ReservationBody).decode
 
 
 class PlatformDialect:
@@ -158,9 +165,26 @@
             return Err(str(error))
         return Ok(HandleReply(handle=decoded.handle_id, tokens=decoded.tokens))
 
-    def release_handle(self, handle: str) -> tuple[str, bytes]:
-        """Return method and target that free an exported KV cache."""
-        return "DELETE", b"/api/kv-handle/" + handle.encode("latin-1")
+    def release_handle(self, handle: str) -> EngineCall:
+        """Return the call that frees an exported KV cache."""
+        return EngineCall("DELETE", f"/api/kv-handle/{handle}".encode("latin-1"))
+
+    def reserve(self, tokens: int, duration_s: float) -> EngineCall:
+        """Return the call that reserves a slot and memory of a decode engine."""
+        body = {"Tokens": tokens, "ttl_ms": int(duration_s * 1000)}
+        return EngineCall("POST", b"/api/hold-take", msgspec.json.encode(body))
+
+    def reservation_reply(self, body: bytes) -> Result[str, str]:
+        """Decode the answer to a reservation."""
+        try:
+            return Ok(_decode_reservation(body).hold)
+        except msgspec.DecodeError as error:
+            return Err(str(error))
+
+    def cancel_reservation(self, reservation: str) -> EngineCall:
+        """Return the call that gives a reservation up."""
+        target = f"/api/hold-drop/{reservation}".encode("latin-1")
+        return EngineCall("DELETE", target)
 
     def refusal(self, failure: Failure) -> Refusal:
         """Encode an answer of the gateway itself."""
