Change engines between prefill and decode by load; keep following the leader's list

Decode memory binds in bursts (streams run four seconds, 36 fit on three engines): the leader turns a prefill engine into a decode engine, with its term as fencing number; reservations take the expected output in place of the most.

--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -160,7 +160,7 @@
     async def _reserve(self, run: "_StreamRun", duration_s: float) -> int:
         """Ask engines for room; returns how many said that they have none."""
         work = run.work
-        tokens = work.request.prompt_tokens + work.request.output_tokens
+        tokens = work.memory_tokens
         tried: set[str] = set()
         full = 0
         while True:
@@ -329,7 +329,7 @@
         load = InstanceLoad(
             requests=1,
             prompt_tokens=0 if handle is not None else request.prompt_tokens,
-            memory_tokens=request.prompt_tokens + request.output_tokens,
+            memory_tokens=work.memory_tokens,
         )
         self._load.start(request.request_id, name, load)
         try:
@@ -454,8 +454,7 @@
     def _note_read(self, run: "_StreamRun", instance: BackendInstance) -> None:
         """Count no prompt tokens on an engine that has begun to answer."""
         request = run.work.request
-        memory_tokens = request.prompt_tokens + request.output_tokens
-        load = InstanceLoad(1, memory_tokens=memory_tokens)
+        load = InstanceLoad(1, memory_tokens=run.work.memory_tokens)
         self._load.start(request.request_id, instance.instance, load)
 
     async def _watched(
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -68,6 +68,18 @@
             return self.timeout_s
         return min(self.timeout_s, patience_s - self.elapsed_s)
 
+    @property
+    def memory_tokens(self) -> int:
+        """
+        KV cache that a generation is expected to need, in tokens.
+
+        The most output would leave a good part of the memory unused; the caller's
+        estimate is right at the median.
+        """
+        request = self.request
+        expected_tokens = request.expected_output_tokens or request.output_tokens
+        return request.prompt_tokens + min(expected_tokens, request.output_tokens)
+
     def options(
         self,
         instance: str,
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,6 +33,7 @@
     InstancePublisher,
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
+from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
@@ -99,6 +100,10 @@
         Wall time in milliseconds, which commands carry.
     instances : InstanceListReader or None
         The list of backend servers that the leader reads for all hosts.
+    orders : EngineOrders or None
+        Orders to model engines, which the leader gives as `host`.
+    host : str
+        The machine.
     """
 
     def __init__(
@@ -109,6 +114,8 @@
         clock: Callable[[], float] = anyio.current_time,
         wall_ms: Callable[[], int] = _wall_ms,
         instances: InstanceListReader | None = None,
+        orders: EngineOrders | None = None,
+        host: str = "",
     ) -> None:
         self._node = node
         self._state = state
@@ -117,10 +124,23 @@
         self._followers = FollowerSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
         self._board = LoadBoard()
+        self._orders: StageOrders | None = None
+        if orders is not None:
+            self._orders = StageOrders(
+                node=node,
+                host=host,
+                board=self._board,
+                orders=orders,
+                routing=lambda: state.data.routing,
+                leads=lambda: self._duties.ready,
+            )
         self._instances: InstancePublisher | None = None
         if instances is not None:
             self._instances = InstancePublisher(
-                instances, self._followers, lambda: self._duties.ready
+                instances,
+                self._followers,
+                lambda: self._duties.ready,
+                self._orders.adjust if self._orders is not None else tuple,
             )
         self._renewals: list[_Renewal] = []
         self._renewal_arrived = anyio.Event()
@@ -152,6 +172,8 @@
             group.start_soon(self._publish_load)
             if self._instances is not None:
                 group.start_soon(self._instances.run)
+            if self._orders is not None:
+                group.start_soon(self._orders.run)
 
     def _not_leader(self) -> Failure:
         address = "" if self._node.is_leader else self._node.leader_address
@@ -346,8 +368,18 @@
     clock: Callable[[], float] = anyio.current_time,
     wall_ms: Callable[[], int] = _wall_ms,
     instances: InstanceListReader | None = None,
+    orders: EngineOrders | None = None,
+    host: str = "",
 ) -> list[ControlService]:
     """Return the handlers for a grpclib server; each one's `run` must run."""
     return [
-        ControlService(node, state, clock=clock, wall_ms=wall_ms, instances=instances)
+        ControlService(
+            node,
+            state,
+            clock=clock,
+            wall_ms=wall_ms,
+            instances=instances,
+            orders=orders,
+            host=host,
+        )
     ]
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
 from damaskridge.core.gateway.instance_feed import InstanceReadings
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import InstanceList
+from damaskridge.model.gateway import BackendInstance, InstanceList
 
 __all__ = ["InstanceListReader", "InstancePublisher"]
 
@@ -20,6 +20,8 @@
 # reading, its way to the hosts and one lost reading fit in.
 READ_PERIOD_S = 0.8
 
+Adjust = Callable[[tuple[BackendInstance, ...]], tuple[BackendInstance, ...]]
+
 _log = logging.getLogger("damaskridge.instances")
 
 
@@ -43,6 +45,8 @@
         The open streams of the hosts.
     leads : callable
         Whether this host leads.
+    adjust : callable
+        Changes what is handed on of a reading.
     """
 
     def __init__(
@@ -50,7 +54,9 @@
         reader: InstanceListReader,
         followers: FollowerSet,
         leads: Callable[[], bool],
+        adjust: Adjust = tuple,
     ) -> None:
+        self._adjust = adjust
         self._reader = reader
         self._followers = followers
         self._leads = leads
@@ -86,7 +92,7 @@
             return
         if self._readings is None:
             self._readings = InstanceReadings(secrets.token_hex(4))
-        seen = self._readings.add(listed.ok_value.instances)
+        seen = self._readings.add(self._adjust(listed.ok_value.instances))
         self._followers.notify(seen)
         if seen.changed or seen.removed:
             log_event(
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -24,6 +24,7 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.platform.apps import operators_app
 from damaskridge.platform.instance_list import PlatformInstanceList
+from damaskridge.platform.orders import PlatformOrders
 from damaskridge.platform.settings import PlatformSettings, load_platform_settings
 
 __all__ = ["run_platform_control"]
@@ -67,7 +68,9 @@
         may_form=settings.first_start,
     )
     reader = PlatformInstanceList(settings.list_address)
-    services = control_services(node, state, instances=reader)
+    services = control_services(
+        node, state, instances=reader, orders=PlatformOrders(), host=settings.host
+    )
     rpc = Server([node.service(), *services], codec=MsgpackCodec())
     await rpc.start(settings.ip, settings.rpc_port)
     port = int(control.rpartition(":")[2])
--- a/src/damaskridge/core/gateway/instance_feed.py
+++ b/src/damaskridge/core/gateway/instance_feed.py
@@ -71,12 +71,14 @@
         self._source = ""
         self._revision = 0
         self._items: dict[str, BackendInstance] = {}
+        # A reading of this host's own, which must not break the leader's sequence.
+        self._own: tuple[BackendInstance, ...] | None = None
         self.seen_s = float("-inf")
 
     @property
     def items(self) -> tuple[BackendInstance, ...]:
         """Return every entry."""
-        return tuple(self._items.values())
+        return tuple(self._items.values()) if self._own is None else self._own
 
     def apply(self, message: InstancesSeen, now_s: float) -> bool:
         """Apply a difference; `False` if what it leads on from is missing."""
@@ -90,11 +92,11 @@
         self._items.update({item.instance: item for item in message.changed})
         for name in message.removed:
             self._items.pop(name, None)
+        self._own = None
         self.seen_s = now_s
         return True
 
     def replace(self, instances: Iterable[BackendInstance], now_s: float) -> None:
         """Take over a reading of this host's own."""
-        self._source, self._revision = "", 0
-        self._items = {item.instance: item for item in instances}
+        self._own = tuple(instances)
         self.seen_s = now_s
--- a/src/damaskridge/core/gateway/load.py
+++ b/src/damaskridge/core/gateway/load.py
@@ -20,6 +20,9 @@
 
 __all__ = ["LoadBook"]
 
+# About one long request.
+NEAR_TOKENS = 6_000
+
 
 class LoadBook:
     """
@@ -109,12 +112,17 @@
     def most_memory(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
-        """Return the candidate with the least KV cache in use."""
+        """
+        Return the candidate with the least KV cache in use.
+
+        One in the same data centre may hold one request more: a transfer between
+        data centres takes twice as long, and every event would cross their link.
+        """
         return min(
             self._shuffled(candidates),
             key=lambda item: (
-                self.total(item.instance).memory_tokens,
-                item.data_centre != data_centre,
+                self.total(item.instance).memory_tokens
+                + (item.data_centre != data_centre) * NEAR_TOKENS
             ),
         )
 
--- a/src/damaskridge/core/gateway/load_board.py
+++ b/src/damaskridge/core/gateway/load_board.py
@@ -69,14 +69,21 @@
         reader.changed = set()
         return LoadSeen(load=load, usage=usage)
 
+    def total(self) -> dict[str, InstanceLoad]:
+        """Return what all hosts together have in flight, by backend server."""
+        names = {name for member in self._members.values() for name in member.load}
+        everyone = list(self._members.values())
+        return {name: _sum(everyone, name) for name in names}
+
     def _others(self, reader: _Member, name: str) -> InstanceLoad:
-        loads = [
-            member.load[name]
-            for member in self._members.values()
-            if member is not reader and name in member.load
-        ]
-        return InstanceLoad(
-            requests=sum(load.requests for load in loads),
-            prompt_tokens=sum(load.prompt_tokens for load in loads),
-            memory_tokens=sum(load.memory_tokens for load in loads),
-        )
+        others = [item for item in self._members.values() if item is not reader]
+        return _sum(others, name)
+
+
+def _sum(members: list[_Member], name: str) -> InstanceLoad:
+    loads = [member.load[name] for member in members if name in member.load]
+    return InstanceLoad(
+        requests=sum(load.requests for load in loads),
+        prompt_tokens=sum(load.prompt_tokens for load in loads),
+        memory_tokens=sum(load.memory_tokens for load in loads),
+    )
--- a/tests/core/gateway/test_instances.py
+++ b/tests/core/gateway/test_instances.py
@@ -94,3 +94,15 @@
     copy.apply(InstanceReadings("one").add([server("a")]), 1.0)
     assert copy.apply(InstanceReadings("two").add([server("b")]), 2.0)
     assert [item.instance for item in copy.items] == ["b"]
+
+
+def test_a_host_that_read_the_list_itself_follows_the_leader_again():
+    """On kdrc-reloft trouble-1 a host used a leaving server for three seconds."""
+    readings, copy = InstanceReadings("reader"), InstanceCopy()
+    copy.apply(readings.add([server("a"), server("b")]), 1.0)
+    copy.replace([server("a"), server("b")], 5.0)
+    assert copy.apply(readings.add([server("a", is_leaving=True), server("b")]), 6.0)
+    assert [(item.instance, item.is_leaving) for item in copy.items] == [
+        ("a", True),
+        ("b", False),
+    ]
--- /dev/null
+++ b/tests/core/gateway/test_stage_balance.py
@@ -0,0 +1,83 @@
+"""Guards against engines that change their stage to and fro, or too late."""
+
+import itertools
+
+from damaskridge.core.gateway.stage_balance import PAUSE_S, StageBalance
+from damaskridge.model.control import InstanceLoad
+from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
+
+TRAITS = EngineTraits(slots=64, memory_tokens=65_000)
+
+
+def engines(prefill, decode):
+    stages = [EngineStage.PREFILL] * prefill + [EngineStage.DECODE] * decode
+    return [
+        BackendInstance(
+            instance=f"e{number}",
+            service="llm",
+            address="",
+            data_centre="west",
+            slots=64,
+            stage=stage,
+        )
+        for number, stage in enumerate(stages)
+    ]
+
+
+def load_of(items, *, decode_use, prefill_busy):
+    busy = [item for item in items if item.stage is EngineStage.PREFILL][:prefill_busy]
+    load = {item.instance: InstanceLoad(1, 5000, 0) for item in busy}
+    for item in items:
+        if item.stage is EngineStage.DECODE:
+            memory_tokens = int(decode_use * TRAITS.memory_tokens)
+            load[item.instance] = InstanceLoad(1, 0, memory_tokens)
+    return load
+
+
+def changes(items, load, length_s=30.0):
+    balance, now_s, found = StageBalance(0.0), 0.0, []
+    while now_s < length_s:
+        change = balance.observe(items, load, TRAITS, now_s)
+        if change is not None:
+            found.append((now_s, change))
+        now_s += 0.1
+    return found
+
+
+def test_a_prefill_engine_helps_full_decode_engines():
+    items = engines(2, 3)
+    at_s, change = changes(items, load_of(items, decode_use=0.6, prefill_busy=0))[0]
+    assert change.stage is EngineStage.DECODE
+    assert change.instance.stage is EngineStage.PREFILL
+    assert at_s < 6.0
+
+
+def test_changes_are_far_apart():
+    items = engines(3, 3)
+    times = [
+        t for t, _ in changes(items, load_of(items, decode_use=0.9, prefill_busy=0))
+    ]
+    assert all(b - a >= PAUSE_S for a, b in itertools.pairwise(times))
+
+
+def test_the_last_engine_of_a_stage_stays():
+    items = engines(1, 4)
+    assert not changes(items, load_of(items, decode_use=0.9, prefill_busy=0))
+    items = engines(1, 1)
+    assert not changes(items, load_of(items, decode_use=0.0, prefill_busy=1))
+
+
+def test_busy_prefill_engines_are_kept():
+    items = engines(2, 3)
+    assert not changes(items, load_of(items, decode_use=0.9, prefill_busy=2))
+
+
+def test_an_idle_decode_engine_helps_busy_prefill_engines():
+    items = engines(1, 4)
+    found = changes(items, load_of(items, decode_use=0.1, prefill_busy=1))
+    assert found[0][1].stage is EngineStage.PREFILL
+
+
+def test_a_balanced_service_is_left_alone():
+    items = engines(2, 3)
+    assert not changes(items, load_of(items, decode_use=0.3, prefill_busy=1))
