Send callers of full engines back after a generation; shorten the first contact

After a restart of everything hosts put a control host off for a second whose connection was refused while it started.

--- a/src/damaskridge/adapters/gateway/answers.py
+++ b/src/damaskridge/adapters/gateway/answers.py
@@ -65,6 +65,8 @@
         self._arrived_s = arrived_s
         self._close_connection = close_connection
         self._first_s = 0.0
+        self._written_s = 0.0
+        self._longest_gap_s = 0.0
         self._status = 0
         self.is_complete = False
         self.attempts = 0
@@ -105,6 +107,10 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part of a stream."""
+        now_s = self._now_s()
+        if self._written_s:
+            self._longest_gap_s = max(self._longest_gap_s, now_s - self._written_s)
+        self._written_s = now_s
         await self._exchange.write(data)
 
     async def end_stream(self) -> None:
@@ -144,6 +150,7 @@
             attempts=self.attempts,
             elapsed_ms=round((self._now_s() - self._arrived_s) * 1000),
             first_ms=round((self._first_s - self._arrived_s) * 1000),
+            longest_gap_ms=round(self._longest_gap_s * 1000),
         )
 
     def _log_failed(self, failure: Failure) -> None:
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -209,9 +209,14 @@
     ) -> None:
         """Note whether an answer was good, for the choice of servers."""
         now_s = asyncio.get_running_loop().time()
+        was_avoided = self._registry.is_avoided(instance.instance, now_s)
         avoided_s = self._registry.answered(instance.instance, now_s, good=good)
         if avoided_s:
             self._log_avoided(instance, reason, avoided_s)
+        elif good and was_avoided:
+            log_event(
+                logger, EventNumber.INSTANCE_USED_AGAIN, instance=instance.instance
+            )
 
     async def call_engine(
         self, instance: BackendInstance, call: EngineCall
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -152,7 +152,7 @@
         failure = Failure(
             ErrorKind.OVERLOADED,
             "no decode engine has room",
-            retry_after_s=self._refusals.overloaded_s(work.left_s),
+            retry_after_s=self._refusals.engine_full_s(work.left_s),
         )
         await run.answer.refuse(failure)
         return False
@@ -413,7 +413,7 @@
         if isinstance(decision, GiveUp):
             retry_after_s = None
             if decision.run_state is RunState.NOT_RUN:
-                retry_after_s = self._refusals.overloaded_s(work.left_s)
+                retry_after_s = self._refusals.engine_full_s(work.left_s)
             await self._fail(run, decision.failure(outcome.reason, retry_after_s))
 
     async def _relay(self, run: "_StreamRun", reply: OpenReply) -> None:
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -95,9 +95,15 @@
         longest_s = min(MAX_RETRY_WAIT_S, RETRY_WAIT_S * 2 ** min(attempt, 8))
         return self._rng.uniform(0, longest_s)
 
-    def drop(self, address: str) -> None:
-        """Close a broken connection, and try the other addresses first."""
-        self._avoided_until_s[address] = anyio.current_time() + AVOID_S
+    def drop(self, address: str, error: BaseException | None = None) -> None:
+        """
+        Close a broken connection, and try the other addresses first.
+
+        A refused connection costs no time, and a process that starts refuses until
+        it listens, so that its address is not put off.
+        """
+        if not isinstance(error, ConnectionRefusedError):
+            self._avoided_until_s[address] = anyio.current_time() + AVOID_S
         self._close(address)
 
     def close(self) -> None:
@@ -165,8 +171,8 @@
                         self.found(address)
                         return reply
                     leader = failure.leader
-                except CONNECTION_ERRORS:
-                    self.drop(address)
+                except CONNECTION_ERRORS as error:
+                    self.drop(address, error)
                 self.failed(address, leader)
                 await anyio.sleep(self.retry_wait_s(attempt))
                 attempt += 1
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -40,6 +40,8 @@
 
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
+# Bounds the pauses of a host that has just started to about a tenth of a second.
+FIRST_ATTEMPTS = 1
 SILENCE_S = 1.0
 # Together with the leader's period, the time in which another host's placement shows.
 LOAD_PERIOD_S = 0.03
@@ -177,12 +179,15 @@
                     await confined(self._follow(address))
                 except _StreamEnded as ended:
                     leader = ended.leader
-                except (*CONNECTION_ERRORS, TimeoutError):
-                    self._calls.drop(address)
+                except (*CONNECTION_ERRORS, TimeoutError) as error:
+                    self._calls.drop(address, error)
                 self._calls.failed(address, leader)
                 log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
                 self._note_lease()
                 attempt = 0 if self._fleet.index > index else attempt + 1
+                if not self._fleet.index:
+                    # A host that knows nothing yet cannot serve anyone.
+                    attempt = min(attempt, FIRST_ATTEMPTS)
                 await anyio.sleep(self._calls.retry_wait_s(attempt))
 
     async def begin_drain(self) -> bool:
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -124,6 +124,7 @@
         self._followers = FollowerSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
         self._board = LoadBoard()
+        self._load_reported = anyio.Event()
         self._orders: StageOrders | None = None
         if orders is not None:
             self._orders = StageOrders(
@@ -265,6 +266,7 @@
                     self._received(follower, message)
                 elif isinstance(message, ReportLoad):
                     self._board.report(follower, message)
+                    self._load_reported.set()
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
@@ -322,6 +324,8 @@
             )
 
     async def _publish_load(self) -> None:
+        # Hosts that forward no requests report none.
+        await self._load_reported.wait()
         while True:
             for follower in self._followers.open():
                 news = self._board.news(follower)
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -105,7 +105,7 @@
             and not item.is_leaving
             and item.instance not in excluded
         ]
-        healthy = [item for item in usable if not self._is_avoided(item, now_s)]
+        healthy = [item for item in usable if not self.is_avoided(item.instance, now_s)]
         return healthy or usable
 
     def unreachable(self, instance: str, now_s: float) -> float:
@@ -130,9 +130,10 @@
             return FAILING_S
         return 0.0
 
+    def is_avoided(self, instance: str, now_s: float) -> bool:
+        """Tell whether an instance gets requests only if no other is left."""
+        health = self._health.get(instance)
+        return health is not None and now_s < health.avoided_until_s
+
     def _of(self, instance: str) -> InstanceHealth:
         return self._health.setdefault(instance, InstanceHealth())
-
-    def _is_avoided(self, instance: BackendInstance, now_s: float) -> bool:
-        health = self._health.get(instance.instance)
-        return health is not None and now_s < health.avoided_until_s
--- a/src/damaskridge/core/gateway/refusals.py
+++ b/src/damaskridge/core/gateway/refusals.py
@@ -11,10 +11,13 @@
 
 # A backend server that is full has room again within about one answer.
 OVERLOAD_S = 0.15
+# A decode engine has room again when generations end, which last a few seconds. Callers
+# who return sooner meet the same burst and have only one more try.
+ENGINE_FULL_S = 2.5
 # A new backend server, or one that was restarted, is listed after about a second.
 NO_SERVER_S = 0.8
 # An entry host has its routes about this long after it started.
-NOT_READY_S = 0.3
+NOT_READY_S = 0.6
 LEFT_SHARE = 0.3
 # A workspace without any rate is told this.
 LONGEST_S = 30.0
@@ -38,6 +41,10 @@
         """Return the time after which a full server may have room."""
         return self._spread(OVERLOAD_S, left_s)
 
+    def engine_full_s(self, left_s: float) -> float:
+        """Return the time after which a decode engine may have room."""
+        return self._spread(ENGINE_FULL_S, left_s)
+
     def no_server_s(self, left_s: float) -> float:
         """Return the time after which a server may be there."""
         return self._spread(NO_SERVER_S, left_s)
