--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -9,6 +9,9 @@
 
 __all__ = ["GatewayWork"]
 
+# Above a half, so that an engine that fills with long generations need not preempt.
+OUTPUT_SHARE = 0.6
+
 
 @dataclass(slots=True, kw_only=True)
 class GatewayWork:
@@ -73,12 +76,14 @@
         """
         KV cache that a generation is expected to need, in tokens.
 
-        The most output would leave a good part of the memory unused; the caller's
-        estimate is right at the median.
+        The most output would leave a good part of the memory unused. The caller's
+        estimate is right at the median, and a generation has half of its output on
+        average over its time.
         """
         request = self.request
         expected_tokens = request.expected_output_tokens or request.output_tokens
-        return request.prompt_tokens + min(expected_tokens, request.output_tokens)
+        output_tokens = min(expected_tokens, request.output_tokens)
+        return request.prompt_tokens + int(OUTPUT_SHARE * output_tokens)
 
     def options(
         self,
