--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -148,6 +148,7 @@
         arrived_s: float,
     ) -> None:
         try:
+            exchange.check_headers(self._state.index.table.limits.header_bytes)
             admitted = self._admit(request)
             body = await exchange.body()
             self._charge(request, admitted)
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -76,10 +76,10 @@
         self.is_watched = False
         self._writing_since_s = float("inf")
 
-    def check_headers(self) -> None:
+    def check_headers(self, limit_bytes: int = _HEADERS_LIMIT_BYTES) -> None:
         """Refuse headers over the limit."""
         size_bytes = sum(len(name) + len(value) for name, value in self.raw_headers)
-        if size_bytes + len(self.path) + len(self.query) > _HEADERS_LIMIT_BYTES:
+        if size_bytes + len(self.path) + len(self.query) > limit_bytes:
             raise RequestError(Failure(ErrorKind.HEADERS_TOO_LARGE))
 
     async def body(self) -> bytes:
--- a/tests/adapters/gateway/test_calls.py
+++ b/tests/adapters/gateway/test_calls.py
@@ -277,3 +277,14 @@
         assert (status, headers["connection"]) == (200, "close")
 
     play(main)
+
+
+def test_headers_over_the_limit_are_refused():
+    async def main():
+        app = StandIn("a", answering())
+        async with gateway(app) as found:
+            status, _, _ = await found.ask("/safe/p", ["x-large: " + "y" * 20_000])
+        assert status == 431
+        assert app.seen == []
+
+    play(main)
--- /dev/null
+++ b/tests/platform/test_instance_list.py
@@ -0,0 +1,87 @@
+"""Guards against servers that are lost or invented by a damaged list."""
+
+import asyncio
+
+import msgspec
+
+from damaskridge.model.gateway import EngineStage
+from damaskridge.platform.instance_list import PlatformInstanceList
+
+
+def entry(number, **changes):
+    return {
+        "Id": f"i{number}",
+        "Service": "s",
+        "Address": f"10.0.0.{number}:80",
+        "Zone": "z",
+        "Version": "v1",
+        "Slots": 4,
+        "State": "ready",
+        "ColdLeftMs": 0,
+        **changes,
+    }
+
+
+def read(*pages, status=200):
+    async def main():
+        asked = []
+
+        async def handle(reader, writer):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            asked.append(head.split(" ")[1])
+            body = pages[min(len(asked), len(pages)) - 1]
+            writer.write(
+                b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%s"
+                % (status, len(body), body)
+            )
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        listed = await PlatformInstanceList(f"127.0.0.1:{port}").read()
+        server.close()
+        return listed, asked
+
+    return asyncio.run(main())
+
+
+def page(*entries, next_page=None):
+    return msgspec.json.encode({"Instances": entries, "Next": next_page})
+
+
+def test_all_pages_are_read():
+    listed, asked = read(page(entry(1), next_page="p 2"), page(entry(2)))
+    assert [item.instance for item in listed.unwrap().instances] == ["i1", "i2"]
+    assert asked == ["/instances", "/instances?PageToken=p%202"]
+
+
+def test_entries_are_decoded():
+    listed, _ = read(page(entry(1, State="draining"), entry(2, Phase="prefill")))
+    first, second = listed.unwrap().instances
+    assert (first.is_leaving, first.stage) == (True, None)
+    assert (first.address, first.data_centre, first.slots) == ("10.0.0.1:80", "z", 4)
+    assert (second.is_leaving, second.stage) == (False, EngineStage.PREFILL)
+
+
+def test_damaged_entries_are_left_out_one_by_one():
+    damaged = [
+        {},
+        {"Id": 3},
+        7,
+        None,
+        "text",
+        entry(1, Slots="4"),
+        entry(1, State="gone"),
+        entry(1, Address="nowhere"),
+        entry(1, Phase="other"),
+        entry(1, Id=""),
+    ]
+    listed, _ = read(page(*damaged, entry(9)))
+    assert [item.instance for item in listed.unwrap().instances] == ["i9"]
+
+
+def test_a_list_that_cannot_be_read_is_an_error_and_no_empty_list():
+    assert read(b"{")[0].is_err()
+    assert read(page(), status=429)[0].is_err()
+    assert read(b'{"Instances":[')[0].is_err()
