--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -131,7 +131,7 @@
     def failed(self, address, leader=""):
         return None
 
-    def drop(self, address):
+    def drop(self, address, error=None):
         return None
 
     def close(self):
