--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -144,6 +144,7 @@
         wait_s = ROOM_WAIT_OBJECTIVES * work.route.objective_ms / 1000
         while True:
             asked = await self._reserve(run, engine.reservation_s)
+            run.has_asked = True
             if run.reservation is not None or not asked:
                 return True
             if work.elapsed_s + ROOM_PAUSE_S > wait_s or work.left_s <= 0:
@@ -187,6 +188,9 @@
                 return full
             self._load.finish(work.request.request_id, name)
             full += called.is_err() and called.unwrap_err() == FULL
+            if run.has_asked:
+                # A request asks many times; the refusal names the end of it.
+                continue
             log_event(
                 logger,
                 EventNumber.SEND_FAILED,
@@ -547,6 +551,7 @@
         self.answer = answer
         self.tried: set[str] = set()
         self.handle_refusals = 0
+        self.has_asked = False
         self.reservation: _Reservation | None = None
         self.has_events = False
         # The caller's own position counts until an event has been passed on.
