--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -81,7 +81,7 @@
     def _choose(
         self, work: GatewayWork, tried: frozenset[str]
     ) -> tuple[BackendInstance | None, int]:
-        now_s = work.arrived_s + work.elapsed_s
+        now_s = work.now_s
         service = work.service.name
         candidates = self._registry.candidates(service, now_s, excluded=tried)
         # With no other server left, one that had no room may have some now.
@@ -109,6 +109,7 @@
         """Send once; returns the failure to answer, or None to go on or when done."""
         policy, name = work.policy, instance.instance
         policy.sent()
+        answer.attempts = policy.sends
         load = self._load.total(name).requests
         log_event(
             logger,
@@ -119,6 +120,7 @@
             attempt=policy.sends,
             load=load,
             candidates=candidates,
+            list_age_ms=round((work.now_s - self._registry.seen_s) * 1000),
         )
         self._load.start(work.request.request_id, name, InstanceLoad(requests=1))
         try:
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -540,6 +540,7 @@
             attempt=work.policy.sends,
             load=load.prompt_tokens if step == "prefill" else load.memory_tokens,
             candidates=candidates,
+            list_age_ms=round((work.now_s - self._registry.seen_s) * 1000),
         )
 
 
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -53,10 +53,15 @@
             route.kind, route.attempts, is_resumable=route.is_resumable
         )
 
+    @property
+    def now_s(self) -> float:
+        """Present time on the clock that arrival is measured with."""
+        return asyncio.get_running_loop().time()
+
     @property
     def elapsed_s(self) -> float:
         """Time since the request arrived."""
-        return asyncio.get_running_loop().time() - self.arrived_s
+        return self.now_s - self.arrived_s
 
     @property
     def timeout_s(self) -> float:
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -43,6 +43,15 @@
                 metrics.waits_s.labels("cell").observe(_number(fields, "waited_s"))
             case EventNumber.REQUEST_FIRST_TOKEN:
                 metrics.first_token_s.observe(_number(fields, "first_token_s"))
+            case EventNumber.REQUEST_ANSWERED:
+                metrics.requests.labels("gateway", str(fields.get("status", ""))).inc()
+                metrics.answer_s.observe(_number(fields, "elapsed_ms") / 1000)
+                metrics.first_token_s.observe(_number(fields, "first_ms") / 1000)
+                metrics.token_gap_s.observe(_number(fields, "longest_gap_ms") / 1000)
+            case EventNumber.REQUEST_FAILED:
+                outcome = str(fields.get("error_kind", ""))
+                metrics.requests.labels("gateway", outcome).inc()
+                metrics.failure_s.observe(_number(fields, "elapsed_ms") / 1000)
             case EventNumber.LEDGER_INTENT:
                 metrics.ledger_states.labels(str(fields.get("state", ""))).inc()
             case _:
--- a/src/damaskridge/adapters/observability/metrics.py
+++ b/src/damaskridge/adapters/observability/metrics.py
@@ -25,9 +25,12 @@
     events : Counter
         Numbered events by `name`.
     requests : Counter
-        Requests by `kind` (model or service) and `outcome` (an error kind or ``ok``).
+        Requests by `kind` (model, service or gateway) and `outcome`: an error kind,
+        ``ok``, or the status of an answer that was passed on.
     waits_s, first_token_s, token_gap_s : Histogram
         Waits by `stage` (rate or cell), time to first token, time between tokens.
+    answer_s, failure_s : Histogram
+        Time to the end of an answer that was passed on, and to a failure.
     prefill_tokens, wasted_prefill_tokens : Counter
         Prefilled tokens, and those whose result was never decoded.
     ledger_states : Counter
@@ -43,6 +46,8 @@
             "first_token_seconds", "Time to first token"
         )
         self.token_gap_s = self._histogram("token_gap_seconds", "Time between tokens")
+        self.answer_s = self._histogram("answer_seconds", "Time to a whole answer")
+        self.failure_s = self._histogram("failure_seconds", "Time to a failure")
         self.prefill_tokens = self._counter("prefill_tokens", "Prefilled tokens")
         self.wasted_prefill_tokens = self._counter(
             "wasted_prefill_tokens", "Prefilled tokens that were never decoded"
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -282,6 +282,7 @@
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.drop(gone)
+        self.registry.seen_s = self._copy.seen_s
 
     async def _keep_list(self) -> None:
         """Read the list here while no leader sends it."""
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -55,11 +55,17 @@
 
     Health comes from requests alone. Backend servers are not probed: a health check
     needs a slot like a request and says less.
+
+    Attributes
+    ----------
+    seen_s : float
+        When the list was last known to be as it is here.
     """
 
     def __init__(self) -> None:
         self._instances: dict[str, BackendInstance] = {}
         self._health: dict[str, InstanceHealth] = {}
+        self.seen_s = 0.0
 
     def __len__(self) -> int:
         return len(self._instances)
