Split the forwarding of generations; count no load for callers who have left

Cause: a caller who left while decode room was sought left its request counted on that engine for good, seen on reading.

--- /dev/null
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -0,0 +1,144 @@
+"""Finds room on a decode engine before a prompt is read.
+
+A prompt that is read for an engine without room is read in vain.
+"""
+
+import asyncio
+
+from damaskridge.adapters.gateway.dialect import Dialect
+from damaskridge.adapters.gateway.generation import Generation, Reservation
+from damaskridge.adapters.gateway.sender import Sender
+from damaskridge.core.gateway.instances import InstanceRegistry
+from damaskridge.core.gateway.load import LoadBook
+from damaskridge.model.control import InstanceLoad
+from damaskridge.model.gateway import BackendInstance, EngineStage
+
+__all__ = ["DecodeRoom"]
+
+# Engines that are asked for room for one request; more would multiply an overload.
+MOST_RESERVATIONS = 4
+# A request that gets room later than this is late in any case, and it would take the
+# room from one that can still be on time.
+WAIT_OBJECTIVES = 0.5
+PAUSE_S = 0.05
+# What an engine answers that has no room.
+FULL = "status 503"
+# The reservation's time runs from its arrival at the engine.
+USE_SHARE = 0.9
+
+
+class DecodeRoom:
+    """
+    Reserves room on decode engines.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Encodes the calls.
+    sender, registry, load : Sender, InstanceRegistry, LoadBook
+        Shared by all forwarders of the host.
+    data_centre : str
+        Where this host stands.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        sender: Sender,
+        registry: InstanceRegistry,
+        load: LoadBook,
+        data_centre: str,
+    ) -> None:
+        self._dialect = dialect
+        self._sender = sender
+        self._registry = registry
+        self._load = load
+        self._data_centre = data_centre
+
+    async def find(self, run: Generation) -> bool:
+        """
+        Reserve room; `False` if every engine stays full while it may wait.
+
+        Without a reservation `True` means that no engine could be asked.
+        """
+        work = run.work
+        engine = work.service.engine
+        if engine is None or engine.reservation_s <= 0:
+            return True
+        wait_s = WAIT_OBJECTIVES * work.route.objective_ms / 1000
+        is_first = True
+        while True:
+            full = await self._ask_engines(run, engine.reservation_s, is_first)
+            is_first = False
+            if run.reservation is not None or not full:
+                return True
+            if work.elapsed_s + PAUSE_S > wait_s or work.left_s <= 0:
+                return False
+            await asyncio.sleep(PAUSE_S)
+
+    def cancel(self, run: Generation) -> None:
+        """Give up a reservation that is not used."""
+        reservation, run.reservation = run.reservation, None
+        if reservation is not None:
+            instance = reservation.instance
+            self._load.finish(run.work.request.request_id, instance.instance)
+            call = self._dialect.cancel_reservation(reservation.name)
+            self._sender.call_later(instance, call)
+
+    async def _ask_engines(
+        self, run: Generation, duration_s: float, is_logged: bool
+    ) -> int:
+        """Ask engines until one has room; returns how many had none."""
+        tried: set[str] = set()
+        full = 0
+        while len(tried) < MOST_RESERVATIONS:
+            candidates = self._registry.candidates(
+                run.work.service.name,
+                run.work.now_s,
+                EngineStage.DECODE,
+                frozenset(tried),
+            )
+            if not candidates:
+                break
+            instance = self._load.most_memory(candidates, self._data_centre)
+            tried.add(instance.instance)
+            reason = await self._ask(run, instance, duration_s)
+            if run.reservation is not None:
+                run.log_sent(
+                    instance.instance,
+                    "reserve",
+                    load=self._load.total(instance.instance),
+                    candidates=len(candidates),
+                    list_seen_s=self._registry.seen_s,
+                )
+                break
+            full += reason == FULL
+            # A request asks many times; the refusal names the end of it.
+            if is_logged:
+                run.log_failed(instance.instance, "reserve", reason)
+        return full
+
+    async def _ask(
+        self, run: Generation, instance: BackendInstance, duration_s: float
+    ) -> str:
+        """Ask one engine; returns why it gave no room."""
+        work, name = run.work, instance.instance
+        request_id, tokens = work.request.request_id, work.memory_tokens
+        now_s = work.now_s
+        self._load.start(request_id, name, InstanceLoad(1, memory_tokens=tokens))
+        try:
+            call = self._dialect.reserve(tokens, duration_s)
+            called = await self._sender.call_engine(instance, call)
+            reserved = called.and_then(self._dialect.reservation_reply)
+            if reserved.is_ok():
+                usable_until_s = now_s + USE_SHARE * duration_s
+                run.reservation = Reservation(
+                    instance, reserved.unwrap(), usable_until_s
+                )
+                return ""
+            return reserved.unwrap_err()
+        finally:
+            # Also when the caller leaves meanwhile.
+            if run.reservation is None:
+                self._load.finish(request_id, name)
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -144,6 +144,7 @@
     state: GatewayState
     registry: InstanceRegistry
     resends: list
+    load: LoadBook
 
     async def ask(self, path="/safe/x", headers=(), body=b"", method="POST", key="k"):
         """Return status, headers and body; the body is None if the answer is cut."""
@@ -200,10 +201,11 @@
 
     rng, dialect = random.Random(1), PlatformDialect()
     refusals = RefusalTimes(rng)
+    load = LoadBook(rng)
     shared = {
         "sender": Sender(dialect, pool, registry),
         "registry": registry,
-        "load": LoadBook(rng),
+        "load": load,
         "data_centre": "west",
         "may_resend": may_resend,
         "refusals": refusals,
@@ -238,7 +240,7 @@
     serving = asyncio.ensure_future(server.run_on(listener))
     try:
         async with asyncio.timeout(2 * LIMIT_S):
-            yield Gateway(listener.getsockname()[1], state, registry, resends)
+            yield Gateway(listener.getsockname()[1], state, registry, resends, load)
     finally:
         server.stop()
         await serving
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -197,3 +197,35 @@
         assert found[0].seen == found[1].seen == []
 
     play(main)
+
+
+def test_a_caller_who_leaves_while_room_is_sought_leaves_no_load():
+    """A counted request that never ended would keep work from its engine for good."""
+
+    async def main():
+        found = engines(decoding())
+        async with gateway(*found) as app:
+            asked = asyncio.Event()
+
+            async def never(reader, writer):
+                asked.set()
+                await reader.read()
+
+            silent = await asyncio.start_server(never, "127.0.0.1", 0)
+            host, port = silent.sockets[0].getsockname()
+            found[1].address = f"{host}:{port}"
+            app.registry.replace([engine.instance() for engine in found])
+            _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+            writer.write(
+                b"POST /gen/x HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: a1\r\n"
+                b"authorization: Bearer k\r\nx-token-count: 100,50\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            await asyncio.wait_for(asked.wait(), 2)
+            assert app.load.total("d0").requests == 1
+            writer.close()
+            await asyncio.sleep(0.2)
+            assert app.load.total("d0").requests == 0
+            silent.close()
+
+    play(main)
