Let a hand-over be proposed again after its move was called off

Its first proposal was refused because the move had been called off; when the move was ordered again, the proposal had the same command id, and the control state answers a command that is sent again with its first result. The host gave the cell up and could not hand it over, so that nobody served it for 57 s. The id now names the move as the host sees it, and stays only while the outcome is unknown. Ruled out: the quicker first contact of entry hosts, which only moved the events.

--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -4,6 +4,7 @@
 
 from damaskridge.adapters.ports import ControlPort
 from damaskridge.model.control import Owner, ReleaseOwnership
+from damaskridge.model.errors import ErrorKind
 
 __all__ = ["RELEASE_RETRY_S", "held_resources", "lease_is_valid", "propose_release"]
 
@@ -53,20 +54,32 @@
     bool
         Whether the control group committed the release.
     """
-    command = ReleaseOwnership(
-        command_id=f"release/{owner.resource}/{owner.epoch}",
-        host=owner.host,
-        session=owner.session,
-        resource=owner.resource,
-        epoch=owner.epoch,
-        level_tokens=level_tokens,
-    )
+    command = _release(control, owner, level_tokens)
     while control.session is not None and control.session.number == owner.session:
         result = await control.propose(command)
         if result.failure is None:
             return True
+        if result.failure.kind is not ErrorKind.CONTROL_UNAVAILABLE:
+            # The refusal is remembered by the command's id. The move may have been
+            # called off at that moment and ordered again since.
+            command = _release(control, owner, level_tokens)
         await anyio.sleep(RELEASE_RETRY_S)
         current = control.fleet.owners.get(owner.resource)
         if current is None or current.epoch != owner.epoch or not current.moving_to:
             return False
     return False
+
+
+def _release(
+    control: ControlPort, owner: Owner, level_tokens: float
+) -> ReleaseOwnership:
+    """Return the command for a move as this host's view of the fleet shows it."""
+    move = f"{owner.resource}/{owner.epoch}/{control.fleet.index}"
+    return ReleaseOwnership(
+        command_id=f"release/{move}",
+        host=owner.host,
+        session=owner.session,
+        resource=owner.resource,
+        epoch=owner.epoch,
+        level_tokens=level_tokens,
+    )
