--- a/examples/standins/hosts.py
+++ b/examples/standins/hosts.py
@@ -6,7 +6,7 @@
 import fire
 import msgspec
 
-from damaskridge.adapters.platform.http_host_list import ListedHost, ListedState
+from damaskridge.adapters.host_list.http_host_list import ListedHost, ListedState
 from examples.standins.asgi import Reply, encoded, serve
 
 __all__ = ["main"]
--- /dev/null
+++ b/src/damaskridge/adapters/host_list/__init__.py
@@ -0,0 +1,1 @@
+"""The list of live and leaving hosts."""
--- a/src/damaskridge/adapters/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: the list of hosts."""
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -17,6 +17,7 @@
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.engines.http_engine import HttpEngine
 from damaskridge.adapters.front import Front, FrontSettings
+from damaskridge.adapters.host_list.http_host_list import HttpHostList
 from damaskridge.adapters.http.app import CallerApp
 from damaskridge.adapters.http.operators_app import operators_app
 from damaskridge.adapters.http_client import BackendClient
@@ -25,7 +26,6 @@
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.owners import Owners
 from damaskridge.adapters.ownership import lease_is_valid
-from damaskridge.adapters.platform.http_host_list import HttpHostList
 from damaskridge.adapters.ports import ControlPort, EnginePort
 from damaskridge.adapters.rate_runtime import RateRuntime
 from damaskridge.adapters.rpc.control_client import ControlClient
--- a/tests/adapters/engines/test_http_engine.py
+++ b/tests/adapters/engines/test_http_engine.py
@@ -5,8 +5,8 @@
 import pytest
 
 from damaskridge.adapters.engines.http_engine import HttpEngine
+from damaskridge.adapters.host_list.http_host_list import HttpHostList
 from damaskridge.adapters.http_client import BackendClient
-from damaskridge.adapters.platform.http_host_list import HttpHostList
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.adapters.services.http_service import HttpService
 from damaskridge.model.engine import DecodeChunk, DecodeRequest, PrefillRequest
