Count the crash of an attempt when its next attempt is submitted

Cause: a front sends the report of a lost attempt and the submission of the next one by two calls.

Change: the profile of a new attempt names the server that broke off under the attempt before; the report carries the fingerprint and counts for requests that have ended; each front remembers the crashes it saw for as long as an owner does, and refuses the request when it is sent again.

--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -142,7 +142,7 @@
         """Start a request to a model."""
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
-        if call.fingerprint in self.fleet.quarantined:
+        if self.context.is_quarantined(call.fingerprint):
             return Err(Failure(ErrorKind.REQUEST_QUARANTINED))
         running = RunningCall(self.context, call)
         self._calls[running.request_id] = running
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from result import Err
 
 from damaskridge.adapters.front_claims import AnswerClaim
@@ -282,7 +283,8 @@
     @_perform.register
     def _(self, action: Report) -> None:
         if self.profile is not None:
-            work = report(self._context, self.profile.resource, (action.progress,))
+            progress = self._note_crash(action.progress, self.profile)
+            work = report(self._context, self.profile.resource, (progress,))
             self._context.start(work)
 
     @_perform.register
@@ -304,6 +306,8 @@
     @_perform.register
     def _(self, action: Close) -> None:
         self.failure = action.failure
+        if action.failure is None:
+            self._context.suspects.clear(self.call.fingerprint)
         if self._claimed is not None:
             self._claimed.settle(answered=action.failure is None)
         kind = action.failure.kind if action.failure else None
@@ -350,7 +354,7 @@
     async def _ask_placement(self, action: AskPlacement) -> None:
         fleet = self._context.control.fleet
         call = self.call
-        if call.fingerprint in fleet.quarantined:
+        if self._context.is_quarantined(call.fingerprint):
             failure = Failure(ErrorKind.REQUEST_QUARANTINED)
             self.dispatch(PlacementRefused(action.attempt, failure))
             return
@@ -371,6 +375,7 @@
             suspect=action.suspect or call.fingerprint in fleet.suspects,
             waited_s=self._loop.time() - self.accepted_s,
             excluded=action.excluded,
+            crashed_server=action.crashed_server,
         )
         reply = await place(self._context, self.profile, self._set_profile)
         if isinstance(reply, Placement):
@@ -379,9 +384,8 @@
             self.dispatch(PlacementRefused(action.attempt, reply.failure))
 
     def _start_if_allowed(self, placement: Placement) -> None:
-        control = self._context.control
         # It may have been quarantined while this attempt was queued.
-        if self.call.fingerprint in control.fleet.quarantined:
+        if self._context.is_quarantined(self.call.fingerprint):
             self.cancel(Failure(ErrorKind.REQUEST_QUARANTINED))
             return
         # The key may have been withdrawn while the request was queued.
@@ -391,6 +395,23 @@
         else:
             self.cancel(failure)
 
+    def _note_crash(self, progress: Progress, profile: RequestProfile) -> Progress:
+        """Suspect the request if its engine broke off; returns the whole report."""
+        if not (progress.crashed and progress.failed_server and profile.fingerprint):
+            return progress
+        self._context.suspects.note_failure(
+            profile.fingerprint,
+            progress.failed_server,
+            # A front does not know the engine's process: the same engine counts
+            # once within the time that a suspect is held.
+            0,
+            self._loop.time(),
+            was_suspect=profile.suspect,
+        )
+        return msgspec.structs.replace(
+            progress, fingerprint=profile.fingerprint, suspect=profile.suspect
+        )
+
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
 
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -21,6 +21,7 @@
     ServicePort,
 )
 from damaskridge.core.requests.fleet_index import FleetIndex
+from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.core.state.fleet_queries import cell_resource, owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
@@ -58,6 +59,7 @@
     settings: FrontSettings
     owners: OwnerClient
     index: FleetIndex = field(default_factory=FleetIndex)
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def key_failure(self, digest: str) -> Failure | None:
@@ -71,6 +73,18 @@
         found = self.index.workspace_of_key(self.control.fleet, digest)
         return found.err_value if isinstance(found, Err) else None
 
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """
+        Tell whether a request has cost as many backend servers as it may.
+
+        What this host saw counts at once; the group's list lacks the crashes that
+        a cell owner did not report before it ended.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return fingerprint in self.control.fleet.quarantined or self.suspects.is_held(
+            fingerprint, now_s
+        )
+
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run `work` in the background."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -100,6 +100,7 @@
         self._excluded: tuple[str, ...] = ()
         self._avoided = ""
         self._crashes = 0
+        self._crashed_server = ""
         self._granted = False
         self._may_have_run = False
         self._resumed = False
@@ -290,6 +291,7 @@
         self._assembler.restart()
         self.stage = Stage.QUEUED_FOR_PLACEMENT
         self.deadline_s = _NEVER_S
+        crashed_server, self._crashed_server = self._crashed_server, ""
         return [
             AskPlacement(
                 attempt=self.attempt,
@@ -297,6 +299,7 @@
                 max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
                 suspect=self._crashes > 0,
                 excluded=self._excluded + ((self._avoided,) if self._avoided else ()),
+                crashed_server=crashed_server,
             )
         ]
 
@@ -325,6 +328,7 @@
             return self._end(Stage.FAILED, failure, failed_server, crashed)
         cancels = self._cancel_engines()
         self.stage = Stage.FAILED
+        self._crashed_server = server if crashed else ""
         report = Report(self.progress(failed_server, crashed))
         return [*cancels, report, *self._ask_placement()]
 
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -221,6 +221,7 @@
     max_output_tokens: int
     suspect: bool
     excluded: tuple[str, ...]
+    crashed_server: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -99,7 +99,7 @@
         return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
 
     def note_lost_server(
-        self, entry: Entry, server: ServerState, now_s: float
+        self, fingerprint: str, server: ServerState, now_s: float, *, was_suspect: bool
     ) -> list[CellAction]:
         """
         Suspect a request whose front saw its engine break off.
@@ -107,7 +107,6 @@
         The front ends the attempt long before the owner's polls find the crash, so
         the request would otherwise be missing in the report of the crash.
         """
-        fingerprint = entry.profile.fingerprint
         if not fingerprint:
             return []
         self._suspects.note_failure(
@@ -115,7 +114,7 @@
             server.spec.name,
             server.incarnation,
             now_s,
-            was_suspect=entry.suspect,
+            was_suspect=was_suspect,
         )
         actions: list[CellAction] = []
         for other in self._registry.with_fingerprint(fingerprint):
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -152,9 +152,16 @@
         if self._registry.has_ended(f"{profile.request_id}.{profile.attempt}"):
             return [_refuse(profile, ErrorKind.CANCELLED)]
         known = self._registry.entries.get(profile.request_id)
+        if known is not None and known.profile.attempt >= profile.attempt:
+            return self._repeat_reply(known, profile)
+        server = self._placer.servers.get(profile.crashed_server)
+        if server is not None:
+            was_suspect = known is not None and known.suspect
+            actions += self._recovery.note_lost_server(
+                profile.fingerprint, server, now_s, was_suspect=was_suspect
+            )
+            known = self._registry.entries.get(profile.request_id)
         if known is not None:
-            if known.profile.attempt >= profile.attempt:
-                return self._repeat_reply(known, profile)
             self._note_lost_transfer(known)
             actions += self._end(known, now_s, cancel=True)
         if self._suspects.is_held(profile.fingerprint, now_s):
@@ -204,8 +211,12 @@
         for item in batch.items:
             entry = self._registry.entries.get(item.request_id)
             server = self._placer.servers.get(item.failed_server)
-            if entry is not None and item.crashed and server is not None:
-                actions += self._recovery.note_lost_server(entry, server, now_s)
+            if item.crashed and server is not None:
+                # The request may have ended here: its withdrawal overtakes reports.
+                actions += self._recovery.note_lost_server(
+                    item.fingerprint, server, now_s, was_suspect=item.suspect
+                )
+                entry = self._registry.entries.get(item.request_id)
             if entry is None or entry.profile.attempt != item.attempt:
                 continue
             if entry.front == batch.front and entry.incarnation == batch.incarnation:
--- a/src/damaskridge/model/routing.py
+++ b/src/damaskridge/model/routing.py
@@ -159,6 +159,9 @@
         Time since the front accepted the request.
     excluded : tuple[str, ...]
         Backend servers that failed an earlier attempt.
+    crashed_server : str
+        Backend server that broke off under the attempt before this one. The report
+        of that attempt may arrive after this profile.
     """
 
     resource: str
@@ -177,6 +180,7 @@
     suspect: bool = False
     waited_s: float = 0.0
     excluded: tuple[str, ...] = ()
+    crashed_server: str = ""
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -220,7 +224,8 @@
     """
     How far one attempt is; a finished or cancelled phase ends it.
 
-    `crashed` tells that `failed_server` broke off while it may have run the attempt.
+    `crashed` tells that `failed_server` broke off while it may have run the attempt;
+    then `fingerprint` is the request's, and `suspect` that of the attempt's profile.
     """
 
     request_id: str
@@ -230,6 +235,8 @@
     first_token_s: float | None = None
     failed_server: str = ""
     crashed: bool = False
+    fingerprint: str = ""
+    suspect: bool = False
 
 
 class ProgressBatch(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -360,3 +360,24 @@
         assert addresses.json == {"addresses": [], "keep_s": 5.0}
 
     run_paused(main())
+
+
+def test_a_request_that_lost_two_engines_is_refused_when_it_is_sent_again():
+    """The cell owner may end before it has reported the second crash."""
+
+    async def main():
+        found = world()
+        for name in ("d1", "d2", "d3"):
+            found.engines[name].break_at = 0
+        first = completion(found.app, stream=False)
+        await first.task
+        prompts = [len(engine.prompts) for engine in found.engines.values()]
+        again = completion(found.app, stream=False)
+        await again.task
+        assert again.status == 422
+        assert [len(engine.prompts) for engine in found.engines.values()] == prompts
+        other = completion(found.app, stream=False, prompt="another prompt")
+        await other.task
+        assert other.status != 422
+
+    run_paused(main())
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from damaskridge.core.scheduling import messages as m
 from damaskridge.core.scheduling.scheduler import CellScheduler
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
@@ -12,6 +14,7 @@
     Placement,
     Progress,
     ProgressBatch,
+    Refused,
     RequestPhase,
     RequestProfile,
     TakeOver,
@@ -184,6 +187,53 @@
     assert "r3" in placements(actions)
 
 
+def refusals(actions):
+    return [
+        a.reply.failure.kind
+        for a in actions
+        if isinstance(a, m.SendSubmitReply) and isinstance(a.reply, Refused)
+    ]
+
+
+def test_the_crash_named_by_a_new_attempt_counts_before_its_report_arrives():
+    """The report of the attempt before travels by itself and may come later."""
+    cell = make_cell()
+    first = placements(submit(cell, 0.0, "r", suspect=True))["r"]
+    again = submit(
+        cell,
+        0.1,
+        "r",
+        attempt=2,
+        suspect=True,
+        excluded=(first.prefill_server,),
+        crashed_server=first.prefill_server,
+    )
+    assert refusals(again) == [ErrorKind.REQUEST_QUARANTINED]
+
+
+def test_a_crash_counts_once_for_the_attempt_and_its_late_report():
+    cell = make_cell()
+    server = placements(submit(cell, 0.0, "r"))["r"].prefill_server
+    more = dict(suspect=True, excluded=(server,), crashed_server=server)
+    assert placements(submit(cell, 0.1, "r", attempt=2, **more))
+    crashed = dict(failed_server=server, crashed=True, fingerprint="print-r")
+    late = msgspec.structs.replace(step("r", RequestPhase.CANCELLED), **crashed)
+    progress(cell, 0.2, late)
+    assert placements(submit(cell, 0.3, "r", attempt=3, suspect=True))
+
+
+def test_the_crash_of_a_request_that_has_ended_still_counts():
+    """The withdrawal of a request may overtake the report of its crash."""
+    cell = make_cell()
+    server = placements(submit(cell, 0.0, "r", suspect=True))["r"].prefill_server
+    cell.handle(m.RequestWithdrawn("r"), 0.1)
+    crashed = dict(failed_server=server, crashed=True, fingerprint="print-r")
+    item = step("r", RequestPhase.CANCELLED)
+    progress(cell, 0.2, msgspec.structs.replace(item, suspect=True, **crashed))
+    resent = submit(cell, 0.3, "r2", fingerprint="print-r")
+    assert refusals(resent) == [ErrorKind.REQUEST_QUARANTINED]
+
+
 def test_a_registered_request_keeps_its_slot():
     cell = make_cell((ENGINES[0], server("d1", ROLE.DECODE, 1)), ("f",))
     placement = Placement(
