Run two control hosts a data centre; replace hosts that are gone for good

Cause: the grown deployments expect two lost disks to be borne, which three members cannot, and replace hosts of the core by empty ones at new addresses. A dead voter was never removed, so each replacement enlarged the quorum. Only one deploy file exists, so the small deployments run the program on hosts without a disk too. A fourth host that sorted before the seeds could also have formed a second group of its own at the first start.

Change: only seeds form the group; a host without a disk is an observer, which follows the log and never votes; the leader removes silent learners, and a silent voter if the group is of an even size, after 15 s; a removed member asks again for admission after 3 s without a leader.

Ruled out: removal of a silent voter from a group of odd size, since the group would then bear fewer lost disks.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -24,7 +24,7 @@
 )
 from damaskridge.adapters.rpc.control_node import ControlStatePort
 from damaskridge.core.consensus.election import Role
-from damaskridge.core.consensus.membership import host_name
+from damaskridge.core.consensus.membership import OBSERVER_PREFIX, host_name
 from damaskridge.core.consensus.messages import (
     Action,
     Appended,
@@ -99,6 +99,8 @@
         Source of timeouts and jitter.
     may_form : bool
         Whether this member may form a new group.
+    is_observer : bool
+        Whether the folder is lost with the process: the member then never votes.
     wall_ms : callable
         The wall clock in milliseconds.
     """
@@ -111,6 +113,7 @@
         state: ControlStatePort,
         rng: random.Random,
         may_form: bool = True,
+        is_observer: bool = False,
         wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
         self._host = host
@@ -121,8 +124,9 @@
         self._folder = folder
         self._rng = rng
         self._may_form = may_form
+        self._is_observer = is_observer
         self._empty_state = state.encode()
-        store = LogStore(folder, secrets.token_hex(8))
+        store = LogStore(folder, self._new_disk_id())
         stored = store.open()
         self._driver = self._open(store, stored)
         self._applied = 0
@@ -270,12 +274,16 @@
 
     def _rejoin(self) -> None:
         """Go on as an empty member after the disk lost synced entries."""
-        store = LogStore(self._folder, secrets.token_hex(8))
+        store = LogStore(self._folder, self._new_disk_id())
         self._driver = self._open(store, store.discard("synced entries are missing"))
         self._state.restore(self._empty_state)
         self._applied = self._applied_bytes = 0
         self._subscribers.end_all()
 
+    def _new_disk_id(self) -> str:
+        prefix = OBSERVER_PREFIX if self._is_observer else ""
+        return prefix + secrets.token_hex(8)
+
     def _stamp(self, command: Command) -> bytes:
         at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
         return _encode(msgspec.structs.replace(command, at_ms=at_ms))
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import anyio
 from grpclib.server import Server
@@ -44,20 +45,24 @@
             print(f"damaskridge-platform: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok_value
-    if settings.data_folder is None or settings.control is None:
-        print("damaskridge-platform: DataDir, Listen.Control: missing", file=sys.stderr)
+    if settings.control is None:
+        print("damaskridge-platform: Listen.Control: missing", file=sys.stderr)
         return EXIT_SETTINGS
     configure_bounded(f"{settings.host}/control")
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
-    anyio.run(_run, settings, settings.data_folder, settings.control)
+    if settings.data_folder is not None:
+        anyio.run(_run, settings, settings.data_folder, settings.control)
+    else:
+        with TemporaryDirectory(prefix="damaskridge-") as folder:
+            anyio.run(_run, settings, Path(folder), settings.control)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
     return 0
 
 
-async def _run(settings: PlatformSettings, data_folder: Path, control: str) -> None:
+async def _run(settings: PlatformSettings, folder_path: Path, control: str) -> None:
     # The address is the member's name, so that members need no list of each other.
     name = f"{settings.ip}:{settings.rpc_port}"
-    folder = DiskFolder(data_folder)
+    folder = DiskFolder(folder_path)
     state = ControlState()
     node = ControlNode(
         name,
@@ -65,7 +70,10 @@
         folder,
         state,
         random.Random(),
-        may_form=settings.first_start,
+        # A host that is not a seed would count other hosts than the seeds do, and a
+        # second group could form beside theirs.
+        may_form=settings.first_start and name in settings.control_addresses,
+        is_observer=settings.data_folder is None,
     )
     reader = PlatformInstanceList(settings.list_address)
     services = control_services(
--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -1,10 +1,10 @@
 """How a member that is not in the group gets into it, or forms a new one."""
 
-from damaskridge.core.consensus.membership import host_name
+from damaskridge.core.consensus.membership import host_name, is_observer
 from damaskridge.core.consensus.state import MemberState
 from damaskridge.model.consensus import JoinRequest, LogEntry, Membership
 
-__all__ = ["Joining"]
+__all__ = ["BOOTSTRAP_TERM", "Joining"]
 
 JOIN_INTERVAL_S = 0.2
 BOOTSTRAP_TERM = 1
@@ -14,9 +14,9 @@
     """
     Asks to join, and forms the group on the first start.
 
-    Only the first of `hosts` forms a group, and only after every other host has
-    reported an empty disk and has named this member's id. A host that lost its
-    disk later finds others that are not empty, and can only join as a learner.
+    Only the first of `hosts` with a disk forms a group, and only after every other
+    host has reported an empty disk and has named this member's id. A host that lost
+    its disk later finds others that are not empty, and can only join as a learner.
     """
 
     def __init__(
@@ -25,7 +25,7 @@
         self._state = state
         self._host = host_name(state.name)
         self._others = tuple(host for host in hosts if host != self._host)
-        self._may_form = may_form and hosts[:1] == (self._host,)
+        self._may_form = may_form and not is_observer(state.name)
         self._empty: dict[str, JoinRequest] = {}
         self._due_s = now_s
 
@@ -34,15 +34,16 @@
         if request.term <= BOOTSTRAP_TERM:
             self._empty[host_name(request.sender)] = request
 
-    def tick(self, now_s: float) -> None:
-        """Ask every other host for admission once in an interval."""
+    def tick(self, now_s: float, members: tuple[str, ...] = ()) -> None:
+        """Ask every other host, and those of `members`, once in an interval."""
         if now_s < self._due_s:
             return
         self._due_s = now_s + JOIN_INTERVAL_S
         state = self._state
         seen = tuple(sorted(request.sender for request in self._empty.values()))
         request = JoinRequest(sender=state.name, term=state.term, seen=seen)
-        for host in self._others:
+        known = {host_name(member) for member in members} - {self._host}
+        for host in sorted(known | set(self._others)):
             state.send(host, request)
 
     def try_form(self) -> bool:
@@ -52,7 +53,10 @@
         is_empty = state.term <= BOOTSTRAP_TERM and state.log.last_index == 0
         if not (self._may_form and is_empty and all(map(self._knows_us, self._others))):
             return False
-        voters = (state.name, *(self._empty[host].sender for host in self._others))
+        empty = (self._empty[host].sender for host in self._others)
+        voters = (state.name, *(name for name in empty if not is_observer(name)))
+        if min(voters, key=host_name) != state.name:
+            return False
         state.vote(BOOTSTRAP_TERM, "")
         entry = LogEntry(1, BOOTSTRAP_TERM, membership=Membership(voters))
         state.append((entry,))
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -7,6 +7,7 @@
     is_single_change,
     next_membership,
     with_learner,
+    without_silent,
 )
 from damaskridge.core.consensus.messages import (
     Appended,
@@ -35,6 +36,8 @@
 MAX_BYTES = 1_000_000
 SNAPSHOT_RETRY_S = 1.0
 TRANSFER_TIMEOUT_S = ELECTION_TIMEOUT_S[1]
+# Longer than restarts, freezes and cuts last, so that those change no membership.
+EVICT_AFTER_S = 15.0
 
 
 class Leader:
@@ -280,11 +283,18 @@
             recent = progress.contact_s >= now_s - ELECTION_TIMEOUT_S[0]
             return recent and progress.match_index >= self._state.commit_index
 
+        def is_silent(member: str) -> bool:
+            progress = self._progress.get(member)
+            return progress is not None and progress.contact_s < now_s - EVICT_AFTER_S
+
+        if not self._can_change():
+            return
         state = self._state
-        if state.membership.learners and self._can_change():
-            change = next_membership(state.membership, state.name, caught_up)
-            if change is not None:
-                self._append((b"",), change, now_s)
+        change = next_membership(state.membership, state.name, caught_up)
+        if change is None:
+            change = without_silent(state.membership, state.name, is_silent)
+        if change is not None:
+            self._append((b"",), change, now_s)
 
     def _rank(self, member: str) -> tuple[int, float]:
         progress = self._progress[member]
--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -1,7 +1,9 @@
 """Member ids, quorums, and the next step of a membership change.
 
 A member id is ``<name>#<disk id>``. The disk id is random and stored on the disk,
-so a host that lost its disk has another id and none of its old votes.
+so a host that lost its disk has another id and none of its old votes. An observer,
+a host without a disk, has a disk id of its own for each process; it follows the log
+and never votes.
 
 >>> host_name("control-1#9f")
 'control-1'
@@ -13,7 +15,19 @@
 
 from damaskridge.model.consensus import Membership
 
-__all__ = ["host_name", "next_membership", "quorum", "with_learner"]
+__all__ = [
+    "OBSERVER_PREFIX",
+    "host_name",
+    "is_observer",
+    "next_membership",
+    "quorum",
+    "with_learner",
+    "without_silent",
+]
+
+OBSERVER_PREFIX = "observer-"
+# The smallest group that survives the loss of one disk.
+SMALLEST_GROUP = 3
 
 
 def host_name(member: str) -> str:
@@ -21,6 +35,16 @@
     return member.partition("#")[0]
 
 
+def is_observer(member: str) -> bool:
+    """
+    Tell whether a member keeps nothing on a disk.
+
+    >>> is_observer("control-1#observer-9f")
+    True
+    """
+    return member.partition("#")[2].startswith(OBSERVER_PREFIX)
+
+
 def quorum(voters: int) -> int:
     """Return the size of a majority."""
     return voters // 2 + 1
@@ -49,6 +73,8 @@
     """
     voters, learners = membership.voters, membership.learners
     for learner in filter(caught_up, learners):
+        if is_observer(learner):
+            continue
         name = host_name(learner)
         old = [v for v in voters if host_name(v) == name and v != leader]
         if old and len(voters) > 1:
@@ -56,3 +82,24 @@
         rest = tuple(x for x in learners if x != learner)
         return Membership((*voters, learner), rest)
     return None
+
+
+def without_silent(
+    membership: Membership, leader: str, is_silent: Callable[[str], bool]
+) -> Membership | None:
+    """
+    Return the membership without one member that has been silent for long.
+
+    A group of an even size survives as many lost disks as one with a voter fewer,
+    which needs a smaller quorum. So the loss of a host for good, or its replacement
+    by one with another name, costs no tolerance after that. A removed member that
+    was only cut off joins again.
+    """
+    voters, learners = membership.voters, membership.learners
+    for learner in filter(is_silent, learners):
+        return Membership(voters, tuple(x for x in learners if x != learner))
+    if len(voters) > SMALLEST_GROUP and len(voters) % 2 == 0:
+        for voter in voters:
+            if voter != leader and is_silent(voter):
+                return Membership(tuple(v for v in voters if v != voter), learners)
+    return None
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -9,7 +9,7 @@
     Tally,
     election_timeout_s,
 )
-from damaskridge.core.consensus.joining import Joining
+from damaskridge.core.consensus.joining import BOOTSTRAP_TERM, Joining
 from damaskridge.core.consensus.leader import MAX_ENTRIES, Leader
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.core.consensus.messages import (
@@ -48,6 +48,9 @@
 
 __all__ = ["RaftNode"]
 
+# Well above the time of an election, which needs no request to join.
+REJOIN_AFTER_S = 3.0
+
 
 class RaftNode:
     """
@@ -96,6 +99,7 @@
         self._tally = Tally()
         self._joining = Joining(self._state, hosts, may_form, now_s)
         self._heard_s = float("-inf")
+        self._started_s = now_s
         self.role = Role.FOLLOWER
         self.leader_name = ""
         self._reset_deadline(now_s)
@@ -315,10 +319,17 @@
 
     def _request_join(self, now_s: float) -> None:
         membership = self._state.membership
-        is_member = self.name in membership.voters + membership.learners
-        silent = now_s >= self._heard_s + ELECTION_TIMEOUT_S[1]
-        if not is_member and silent:
-            self._joining.tick(now_s)
+        members = membership.voters + membership.learners
+        if self.name in members:
+            # A member that was removed while it was cut off does not learn of it.
+            heard_s, limit_s = max(self._heard_s, self._started_s), REJOIN_AFTER_S
+            if self.term <= BOOTSTRAP_TERM:
+                # Its request would be taken for that of an empty disk.
+                return
+        else:
+            heard_s, limit_s = self._heard_s, ELECTION_TIMEOUT_S[1]
+        if now_s >= heard_s + limit_s:
+            self._joining.tick(now_s, members)
             if self._joining.try_form():
                 self._deadline_s = now_s
 
