Keep crash reports over a change of the cell owner; observers need no lock

Fronts knew of both crashes, but did not tell the next owner.

Change 1: a front sends the reports of attempts that it lost in the last 10 s when it registers with a new owner of the cell.

Change 2: the folder of an observer is private to its process and is not locked.

--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -52,15 +52,19 @@
     ----------
     path : Path
         The folder; it is created if it is missing.
+    is_private : bool
+        Whether no other process knows the folder; it is then not locked, which
+        temporary file systems may not offer.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, *, is_private: bool = False) -> None:
         path.mkdir(parents=True, exist_ok=True)
         self._path = path
         self._open: dict[str, int] = {}
         self._lock = os.open(path, os.O_RDONLY)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            if not is_private:
+                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._lock)
             raise
--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -332,6 +332,8 @@
 
         if isinstance(await context.owners.ask(owner.resource, send), Failure):
             self._registered.pop(owner.resource, None)
+        elif crashes := context.recent_crashes(owner.resource):
+            await report(context, owner.resource, crashes)
 
     def _report_progress(self) -> None:
         batches: dict[str, list[Progress]] = {}
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -399,18 +399,11 @@
         """Suspect the request if its engine broke off; returns the whole report."""
         if not (progress.crashed and progress.failed_server and profile.fingerprint):
             return progress
-        self._context.suspects.note_failure(
-            profile.fingerprint,
-            progress.failed_server,
-            # A front does not know the engine's process: the same engine counts
-            # once within the time that a suspect is held.
-            0,
-            self._loop.time(),
-            was_suspect=profile.suspect,
-        )
-        return msgspec.structs.replace(
+        progress = msgspec.structs.replace(
             progress, fingerprint=profile.fingerprint, suspect=profile.suspect
         )
+        self._context.note_crash(profile, progress)
+        return progress
 
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -21,7 +22,7 @@
     ServicePort,
 )
 from damaskridge.core.requests.fleet_index import FleetIndex
-from damaskridge.core.scheduling.suspects import SuspectTable
+from damaskridge.core.scheduling.suspects import HELD_S, SuspectTable
 from damaskridge.core.state.fleet_queries import cell_resource, owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
@@ -60,6 +61,7 @@
     owners: OwnerClient
     index: FleetIndex = field(default_factory=FleetIndex)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    crashes: deque[tuple[float, str, Progress]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def key_failure(self, digest: str) -> Failure | None:
@@ -85,6 +87,31 @@
             fingerprint, now_s
         )
 
+    def note_crash(self, profile: RequestProfile, progress: Progress) -> None:
+        """Keep the report of a lost attempt for the next owner of its cell."""
+        now_s = asyncio.get_running_loop().time()
+        self.crashes.append((now_s, profile.resource, progress))
+        self.suspects.note_failure(
+            profile.fingerprint,
+            progress.failed_server,
+            # A front does not know the engine's process: the same engine counts
+            # once within the time that a suspect is held.
+            0,
+            now_s,
+            was_suspect=profile.suspect,
+        )
+
+    def recent_crashes(self, resource: str) -> tuple[Progress, ...]:
+        """
+        Return the reports of attempts of a cell that were lost not long ago.
+
+        An owner may end before it has seen or reported the crash behind them.
+        """
+        oldest_s = asyncio.get_running_loop().time() - HELD_S
+        while self.crashes and self.crashes[0][0] < oldest_s:
+            self.crashes.popleft()
+        return tuple(item for _, cell, item in self.crashes if cell == resource)
+
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run `work` in the background."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -62,7 +62,8 @@
 async def _run(settings: PlatformSettings, folder_path: Path, control: str) -> None:
     # The address is the member's name, so that members need no list of each other.
     name = f"{settings.ip}:{settings.rpc_port}"
-    folder = DiskFolder(folder_path)
+    is_observer = settings.data_folder is None
+    folder = DiskFolder(folder_path, is_private=is_observer)
     state = ControlState()
     node = ControlNode(
         name,
@@ -73,7 +74,7 @@
         # A host that is not a seed would count other hosts than the seeds do, and a
         # second group could form beside theirs.
         may_form=settings.first_start and name in settings.control_addresses,
-        is_observer=settings.data_folder is None,
+        is_observer=is_observer,
     )
     reader = PlatformInstanceList(settings.list_address)
     services = control_services(
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -1,6 +1,6 @@
 """Fingerprints that were on a server when it crashed."""
 
-__all__ = ["SUSPECT_RETENTION_S", "SuspectTable"]
+__all__ = ["HELD_S", "SUSPECT_RETENTION_S", "SuspectTable"]
 
 SUSPECT_RETENTION_S = 3600.0
 # A front sees a crash at once, the owner with its next polls of the engine.
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -381,3 +381,21 @@
         assert other.status != 422
 
     run_paused(main())
+
+
+def test_a_new_cell_owner_hears_of_crashes_that_the_last_one_may_have_kept():
+    async def main():
+        found = world()
+        for name in ("d1", "d2", "d3"):
+            found.engines[name].break_at = 0
+        await completion(found.app, stream=False).task
+        reported = len([item for item in found.cells.reports if item.crashed])
+        owner = Owner("cell/llm", "h1", 1, 2)
+        found.control.fleet.owners["cell/llm"] = owner
+        await asyncio.sleep(1)
+        again = [item for item in found.cells.reports if item.crashed][reported:]
+        assert [item.failed_server for item in again] == ["d1", "d2"]
+        assert all(item.fingerprint for item in again)
+        assert again[-1].suspect
+
+    run_paused(main())
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -15,6 +15,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 # Loopback addresses of three machines: ports are the same on all of them.
 MACHINES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+WITHOUT_DISK = "127.0.0.4"
 START_S = 15.0
 
 
@@ -80,10 +81,10 @@
         for server in self._servers:
             server.close()
 
-    def start(self, program, number, *, first=False):
+    def start(self, program, number, *, first=False, has_disk=True):
         import subprocess
 
-        ip = MACHINES[number]
+        ip = (*MACHINES, WITHOUT_DISK)[number]
         seeds = ",".join(f"{other}:{self.control}" for other in MACHINES)
         lines = [
             f"Node=machine-{number}",
@@ -104,7 +105,7 @@
         else:
             lines += [
                 f"Listen.Control={ip}:{self.control}",
-                f"DataDir={self.folder}/data-{number}",
+                f"DataDir={self.folder}/data-{number}" if has_disk else "DataDir=",
             ]
         settings = self.folder / f"{program}-{number}.conf"
         settings.write_text("\n".join(lines))
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -4,7 +4,7 @@
 import json
 import signal
 
-from tests.processes.platform_fleet import MACHINES, PlatformFleet
+from tests.processes.platform_fleet import MACHINES, WITHOUT_DISK, PlatformFleet
 
 ALL = range(len(MACHINES))
 
@@ -82,6 +82,27 @@
     play(tmp_path, scenario)
 
 
+def test_a_control_host_without_a_disk_names_the_leader_and_never_votes(tmp_path):
+    """Small deployments have no disk on the second machine of a data centre."""
+
+    async def scenario(fleet):
+        fleet.start("control", 3, first=True, has_disk=False)
+        await fleet.publish()
+
+        async def leader_named():
+            reply = await fleet.http(WITHOUT_DISK, fleet.control, "GET", "/api/config")
+            return reply[0] in (307, 308)
+
+        await fleet.until(leader_named)
+        fleet.stop("control", 3)
+        assert await asyncio.to_thread(fleet.processes["control", 3].wait, 5) == 0
+        log = (tmp_path / "control-3.log").read_text()
+        assert "LEADER_ELECTED" not in log
+        assert "ELECTION_STARTED" not in log
+
+    play(tmp_path, scenario)
+
+
 def test_a_leaving_server_gets_no_request_after_the_list_shows_it(tmp_path):
     async def scenario(fleet):
         await fleet.until(lambda: serves(fleet, 1))
