Age re-sent crash reports; keep suspects after an explained crash; observers in memory

Re-sent reports now carry their age.

Suspects now stay suspects until they have run to their end, and a suspect that was alone on a server that crashed is quarantined.

Cause 3: the platform refuses more than locks outside of the data folder (opening a folder to sync it): an observer now keeps its log in memory.

--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Protocol
 
-__all__ = ["DiskFolder", "Folder"]
+__all__ = ["DiskFolder", "Folder", "VolatileFolder"]
 
 TEMPORARY_SUFFIX = ".tmp"
 
@@ -52,19 +52,15 @@
     ----------
     path : Path
         The folder; it is created if it is missing.
-    is_private : bool
-        Whether no other process knows the folder; it is then not locked, which
-        temporary file systems may not offer.
     """
 
-    def __init__(self, path: Path, *, is_private: bool = False) -> None:
+    def __init__(self, path: Path) -> None:
         path.mkdir(parents=True, exist_ok=True)
         self._path = path
         self._open: dict[str, int] = {}
         self._lock = os.open(path, os.O_RDONLY)
         try:
-            if not is_private:
-                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._lock)
             raise
@@ -131,3 +127,41 @@
 
     def _sync_folder(self) -> None:
         os.fsync(self._lock)
+
+
+class VolatileFolder:
+    """A folder in memory, for a member whose host has no disk."""
+
+    def __init__(self) -> None:
+        self._files: dict[str, bytearray] = {}
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return sorted(self._files)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return bytes(self._files[name])
+
+    def append(self, name: str, data: bytes) -> None:
+        """Append to an existing file."""
+        self._files[name] += data
+
+    def sync(self, name: str) -> None:
+        """Do nothing; the content is lost with the process."""
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file."""
+        del self._files[name][size_bytes:]
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Create or replace a file."""
+        self._files[name] = bytearray(data)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._files.pop(name, None)
+
+    def close(self) -> None:
+        """Forget all files."""
+        self._files.clear()
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -107,10 +107,14 @@
 
         An owner may end before it has seen or reported the crash behind them.
         """
-        oldest_s = asyncio.get_running_loop().time() - HELD_S
-        while self.crashes and self.crashes[0][0] < oldest_s:
+        now_s = asyncio.get_running_loop().time()
+        while self.crashes and self.crashes[0][0] < now_s - HELD_S:
             self.crashes.popleft()
-        return tuple(item for _, cell, item in self.crashes if cell == resource)
+        return tuple(
+            msgspec.structs.replace(item, age_s=now_s - lost_s)
+            for lost_s, cell, item in self.crashes
+            if cell == resource
+        )
 
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run `work` in the background."""
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 from pathlib import Path
-from tempfile import TemporaryDirectory
 
 import anyio
 from grpclib.server import Server
@@ -13,7 +12,7 @@
 
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
-from damaskridge.adapters.disk.folder import DiskFolder
+from damaskridge.adapters.disk.folder import DiskFolder, VolatileFolder
 from damaskridge.adapters.http.operators_app import operators_app as metrics_app
 from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import configure_bounded, log_event
@@ -50,20 +49,17 @@
         return EXIT_SETTINGS
     configure_bounded(f"{settings.host}/control")
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
-    if settings.data_folder is not None:
-        anyio.run(_run, settings, settings.data_folder, settings.control)
-    else:
-        with TemporaryDirectory(prefix="damaskridge-") as folder:
-            anyio.run(_run, settings, Path(folder), settings.control)
+    anyio.run(_run, settings, settings.control)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
     return 0
 
 
-async def _run(settings: PlatformSettings, folder_path: Path, control: str) -> None:
+async def _run(settings: PlatformSettings, control: str) -> None:
     # The address is the member's name, so that members need no list of each other.
     name = f"{settings.ip}:{settings.rpc_port}"
-    is_observer = settings.data_folder is None
-    folder = DiskFolder(folder_path, is_private=is_observer)
+    folder: DiskFolder | VolatileFolder = VolatileFolder()
+    if settings.data_folder is not None:
+        folder = DiskFolder(settings.data_folder)
     state = ControlState()
     node = ControlNode(
         name,
@@ -74,7 +70,7 @@
         # A host that is not a seed would count other hosts than the seeds do, and a
         # second group could form beside theirs.
         may_form=settings.first_start and name in settings.control_addresses,
-        is_observer=is_observer,
+        is_observer=settings.data_folder is None,
     )
     reader = PlatformInstanceList(settings.list_address)
     services = control_services(
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -214,7 +214,10 @@
             if item.crashed and server is not None:
                 # The request may have ended here: its withdrawal overtakes reports.
                 actions += self._recovery.note_lost_server(
-                    item.fingerprint, server, now_s, was_suspect=item.suspect
+                    item.fingerprint,
+                    server,
+                    now_s - item.age_s,
+                    was_suspect=item.suspect,
                 )
                 entry = self._registry.entries.get(item.request_id)
             if entry is None or entry.profile.attempt != item.attempt:
--- a/src/damaskridge/core/state/fingerprints.py
+++ b/src/damaskridge/core/state/fingerprints.py
@@ -28,14 +28,16 @@
     culprits = {name for crash in earlier for name in crash.fingerprints} & found
     crash = Crash(tuple(sorted(found)), data.now_ms)
     data.crashes[key] = crash
+    if len(found) == 1 and not culprits:
+        # A suspect runs alone among suspects; nothing else was on the server either.
+        culprits = {name for name in found if _is_suspect(data, name)}
     if not culprits:
         for name in sorted(found):
             _set(data, name, FingerprintState.SUSPECT, changes)
         return CommandResult()
     for explained in (crash, *earlier):
-        for name in explained.fingerprints:
-            if name not in culprits:
-                _clear(data, name, changes)
+        # The others stay suspects until they have run to their end: one of them may
+        # have crashed the server while the culprit was there too.
         explained.fingerprints = tuple(sorted(culprits & set(explained.fingerprints)))
     for name in sorted(culprits):
         _set(data, name, FingerprintState.QUARANTINED, changes)
@@ -68,6 +70,11 @@
         _clear(data, name, changes)
 
 
+def _is_suspect(data: StateData, name: str) -> bool:
+    held = data.fingerprints.get(name)
+    return held is not None and held.state is FingerprintState.SUSPECT
+
+
 def _set(data: StateData, name: str, state: FingerprintState, changes: Changes) -> None:
     data.fingerprints[name] = Fingerprint(state, data.now_ms)
     changes.append(FingerprintChanged(fingerprint=name, state=state))
--- a/src/damaskridge/model/routing.py
+++ b/src/damaskridge/model/routing.py
@@ -226,6 +226,7 @@
 
     `crashed` tells that `failed_server` broke off while it may have run the attempt;
     then `fingerprint` is the request's, and `suspect` that of the attempt's profile.
+    `age_s` is the time since then, for a report that is sent again.
     """
 
     request_id: str
@@ -237,6 +238,7 @@
     crashed: bool = False
     fingerprint: str = ""
     suspect: bool = False
+    age_s: float = 0.0
 
 
 class ProgressBatch(msgspec.Struct, frozen=True, kw_only=True):
