Change spare prefill engines to decode before a burst, several at once

The order to change one came at 10.5 s, within the burst, and takes 6 s: a new leader first waited 4 s and then warmed its averages for 3 s, and the averages began at zero.

Change: averages begin as plain means and warm up while the last leader's orders may act; an engine is given away from a decode use of 0.2 on if reading stays below 0.7; as many change at once as reading can spare; the first prefill engine comes back already at a use of 0.5.

Ruled out: a limit of the network or of slots (64 an engine, 14 in use).

--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -105,13 +105,14 @@
                 leading_since_s = None
                 self._balances.clear()
                 self._changing.clear()
-            elif leading_since_s is None:
-                leading_since_s = now_s
-            elif now_s - leading_since_s >= TAKE_OVER_S:
-                await self._watch(now_s)
+            else:
+                if leading_since_s is None:
+                    leading_since_s = now_s
+                # The averages warm up while the last leader's orders may still act.
+                await self._watch(now_s, now_s - leading_since_s >= TAKE_OVER_S)
             await anyio.sleep(WATCH_PERIOD_S)
 
-    async def _watch(self, now_s: float) -> None:
+    async def _watch(self, now_s: float, may_order: bool) -> None:
         load = self._board.total()
         for service in self._routing().services:
             if service.engine is None:
@@ -122,9 +123,13 @@
                 if item.service == service.name and not item.is_leaving
             ]
             balance = self._balances.setdefault(service.name, StageBalance(now_s))
-            change = balance.observe(engines, load, service.engine, now_s)
-            if change is not None and await self._node.confirm_leadership():
-                await self._order(change)
+            changes = balance.observe(
+                engines, load, service.engine, now_s, may_change=may_order
+            )
+            if changes and await self._node.confirm_leadership():
+                async with anyio.create_task_group() as group:
+                    for change in changes:
+                        group.start_soon(self._order, change)
 
     async def _order(self, change: StageChange) -> None:
         instance, fence = change.instance, self._node.term
--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from math import ceil
 
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
@@ -17,17 +18,23 @@
 # Time constant of the averages: above the length of one generation, well below the time
 # that a change has to pay off in.
 AVERAGE_S = 4.0
+# Keeps the first observation, which covers no time, from dividing by zero.
+EPSILON_S = 1e-3
 # The averages mean nothing before they have seen about this much.
 WARM_UP_S = 3.0
-# Share of the decode memory in use from which a burst of twice the load does not fit.
-DECODE_SHORT = 0.4
-# Share of the decode memory below which a decode engine can be spared.
+# Share of the decode memory in use from which a burst of four times the load does not
+# fit. A change takes longer than most bursts, so it has to come before them.
+DECODE_SHORT = 0.2
+# Share of the memory of the other decode engines below which one can be spared.
 DECODE_SPARE = 0.2
+# The same if no engine is left that only reads prompts: decode engines then read them
+# at half speed.
+DECODE_SPARE_FOR_FIRST = 0.5
 # Share of the time in which prefill engines are busy: with more, prompts queue.
 PREFILL_SHORT = 0.85
-# What the remaining prefill engines may be busy after one was given away. Decode
-# engines read what is beyond that.
-PREFILL_SPARE = 1.0
+# What the remaining prefill engines may be busy after others were given away: well
+# below `PREFILL_SHORT`, so that no engine changes to and fro.
+PREFILL_SPARE = 0.7
 # Rest after a change; the averages then show its effect.
 PAUSE_S = 12.0
 
@@ -65,9 +72,11 @@
         load: Mapping[str, InstanceLoad],
         traits: EngineTraits,
         now_s: float,
-    ) -> StageChange | None:
+        *,
+        may_change: bool = True,
+    ) -> tuple[StageChange, ...]:
         """
-        Note the present load; returns a change that should be ordered now.
+        Note the present load; returns the changes that should be ordered now.
 
         Parameters
         ----------
@@ -79,17 +88,19 @@
             Properties of the engines.
         now_s : float
             Present time.
+        may_change : bool
+            Whether changes can be ordered; if not, the load is noted only.
         """
         engines = list(engines)
         prefill = [item for item in engines if item.stage is EngineStage.PREFILL]
         decode = [item for item in engines if item.stage is EngineStage.DECODE]
         self._average(prefill, decode, load, traits, now_s)
-        if now_s < self._quiet_until_s:
-            return None
-        change = self._change(prefill, decode, load)
-        if change is not None:
+        if not may_change or now_s < self._quiet_until_s:
+            return ()
+        changes = self._changes(prefill, decode, load)
+        if changes:
             self._quiet_until_s = now_s + PAUSE_S
-        return change
+        return changes
 
     def _average(
         self,
@@ -103,36 +114,34 @@
         busy = sum(load.get(e.instance, nothing).prompt_tokens > 0 for e in prefill)
         used = sum(load.get(e.instance, nothing).memory_tokens for e in decode)
         capacity = max(1, len(decode) * traits.memory_tokens)
-        weight = min(1.0, max(0.0, now_s - self._seen_s) / AVERAGE_S)
+        # A plain mean at first, or the averages would stay too low for long.
+        span_s = min(AVERAGE_S, max(now_s - self._started_s, EPSILON_S))
+        weight = min(1.0, max(0.0, now_s - self._seen_s) / span_s)
         self._seen_s = now_s
         self.prefill_use += weight * (busy / max(1, len(prefill)) - self.prefill_use)
         self.decode_use += weight * (used / capacity - self.decode_use)
 
-    def _change(
+    def _changes(
         self,
         prefill: list[BackendInstance],
         decode: list[BackendInstance],
         load: Mapping[str, InstanceLoad],
-    ) -> StageChange | None:
+    ) -> tuple[StageChange, ...]:
         nothing = InstanceLoad()
-        spare = self.prefill_use * len(prefill) / max(1, len(prefill) - 1)
-        if (
-            len(prefill) > 1
-            and self.decode_use > DECODE_SHORT
-            and spare < PREFILL_SPARE
-        ):
-            chosen = min(
-                prefill, key=lambda e: load.get(e.instance, nothing).prompt_tokens
-            )
-            return self._to(chosen, EngineStage.DECODE)
+        if prefill and self.decode_use > DECODE_SHORT:
+            needed = max(1, ceil(self.prefill_use * len(prefill) / PREFILL_SPARE))
+            prefill.sort(key=lambda e: load.get(e.instance, nothing).prompt_tokens)
+            given = prefill[: max(0, len(prefill) - needed)]
+            if given:
+                return tuple(self._to(item, EngineStage.DECODE) for item in given)
         if len(decode) > 1 and (not prefill or self.prefill_use > PREFILL_SHORT):
             left = self.decode_use * len(decode) / (len(decode) - 1)
-            if left < DECODE_SPARE:
+            if left < (DECODE_SPARE if prefill else DECODE_SPARE_FOR_FIRST):
                 chosen = min(
                     decode, key=lambda e: load.get(e.instance, nothing).memory_tokens
                 )
-                return self._to(chosen, EngineStage.PREFILL)
-        return None
+                return (self._to(chosen, EngineStage.PREFILL),)
+        return ()
 
     def _to(self, instance: BackendInstance, stage: EngineStage) -> StageChange:
         return StageChange(instance, stage, self.decode_use, self.prefill_use)
