--- a/src/damaskridge/adapters/addresses.py
+++ b/src/damaskridge/adapters/addresses.py
@@ -5,14 +5,20 @@
 
 from pydantic import AfterValidator
 
-__all__ = ["Address"]
+__all__ = ["Address", "split_address"]
 
 
-def _check_address(address: str) -> str:
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP address and port of ``ip:port``; `ValueError` if malformed."""
     ip, separator, port = address.rpartition(":")
     if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError("must be <ip>:<port>")
     ipaddress.ip_address(ip)
+    return ip, int(port)
+
+
+def _check_address(address: str) -> str:
+    split_address(address)
     return address
 
 
--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -9,7 +9,6 @@
 
 from result import Err
 
-from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.gateway.answers import CallerAnswer
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.dialect import CallerRequest, Dialect
@@ -19,6 +18,7 @@
 from damaskridge.adapters.http.exchange import (
     CallerGone,
     Exchange,
+    ExchangeLimits,
     Receive,
     Scope,
     Send,
@@ -276,9 +276,9 @@
             hosts=self._state.hosts,
         )
 
-    def _limits(self) -> FrontSettings:
+    def _limits(self) -> ExchangeLimits:
         limits = self._state.index.table.limits
-        return FrontSettings(
+        return ExchangeLimits(
             body_limit_bytes=limits.body_bytes,
             body_wait_s=limits.idle_timeout_ms / 1000,
             write_wait_s=WRITE_WAIT_S,
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -31,6 +31,7 @@
 from damaskridge.adapters.http.exchange import (
     CallerGone,
     Exchange,
+    ExchangeLimits,
     Receive,
     Scope,
     Send,
@@ -63,6 +64,12 @@
 
     def __init__(self, front: Front) -> None:
         self._front = front
+        settings = front.settings
+        self._limits = ExchangeLimits(
+            body_limit_bytes=settings.body_limit_bytes,
+            body_wait_s=settings.body_wait_s,
+            write_wait_s=settings.write_wait_s,
+        )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
@@ -71,7 +78,7 @@
         elif scope["type"] == "http":
             front = self._front
             request_id = front.next_request_id()
-            exchange = Exchange(scope, receive, send, request_id, front.settings)
+            exchange = Exchange(scope, receive, send, request_id, self._limits)
             await self._serve(exchange)
         else:
             await send({"type": "websocket.close", "code": 1000})
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -3,14 +3,22 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Any
 
-from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.http.answers import error_body, retry_after_header
 from damaskridge.adapters.http.bodies import RequestError
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["ABORT_EXTENSION", "CallerGone", "Exchange", "Receive", "Scope", "Send"]
+__all__ = [
+    "ABORT_EXTENSION",
+    "CallerGone",
+    "Exchange",
+    "ExchangeLimits",
+    "Receive",
+    "Scope",
+    "Send",
+]
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -30,6 +38,24 @@
         self.too_slow = too_slow
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeLimits:
+    """
+    Limits of one exchange with a caller.
+
+    Parameters
+    ----------
+    body_limit_bytes, body_wait_s : int, float
+        Largest body, and longest time until it is complete.
+    write_wait_s : float
+        Longest time for which the caller may leave its answer unread.
+    """
+
+    body_limit_bytes: int
+    body_wait_s: float
+    write_wait_s: float
+
+
 class Exchange:
     """
     A request with its answer.
@@ -40,7 +66,7 @@
         The ASGI connection.
     request_id : str
         Goes into every answer.
-    settings : FrontSettings
+    limits : ExchangeLimits
         Times and limits.
 
     Attributes
@@ -57,11 +83,11 @@
         receive: Receive,
         send: Send,
         request_id: str,
-        settings: FrontSettings,
+        limits: ExchangeLimits,
     ) -> None:
         self._receive = receive
         self._send = send
-        self._settings = settings
+        self._limits = limits
         self.request_id = request_id
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -84,13 +110,13 @@
 
     async def body(self) -> bytes:
         """Return the whole body, within the limits of size and time."""
-        limit_bytes = self._settings.body_limit_bytes
+        limit_bytes = self._limits.body_limit_bytes
         declared = self.headers.get("content-length", "0")
         if declared.isdecimal() and int(declared) > limit_bytes:
             raise RequestError(Failure(ErrorKind.BODY_TOO_LARGE))
         body = bytearray()
         try:
-            async with asyncio.timeout(self._settings.body_wait_s):
+            async with asyncio.timeout(self._limits.body_wait_s):
                 while True:
                     message = await self._receive()
                     if message["type"] == "http.disconnect":
@@ -152,7 +178,7 @@
             if self.is_watched:
                 await self._send(message)
             else:
-                async with asyncio.timeout(self._settings.write_wait_s):
+                async with asyncio.timeout(self._limits.write_wait_s):
                     await self._send(message)
         except TimeoutError:
             raise CallerGone(too_slow=True) from None
@@ -173,7 +199,7 @@
     def stalled(self) -> bool:
         """Tell whether the caller has not read for too long."""
         now_s = asyncio.get_running_loop().time()
-        return now_s - self._writing_since_s >= self._settings.write_wait_s
+        return now_s - self._writing_since_s >= self._limits.write_wait_s
 
     async def _disconnected(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
--- a/src/damaskridge/binaries/entry_settings.py
+++ b/src/damaskridge/binaries/entry_settings.py
@@ -2,29 +2,13 @@
 
 from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field
 
-__all__ = ["Address", "EntrySettings", "FrontLimits", "split_address"]
+from damaskridge.adapters.addresses import Address
 
+__all__ = ["EntrySettings", "FrontLimits"]
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP address and port of ``ip:port``; `ValueError` if malformed."""
-    # The standard library's parser is not needed by programs without settings.
-    import ipaddress
 
-    ip, _, port = address.rpartition(":")
-    ipaddress.ip_address(ip)
-    if not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError("port must be between 1 and 65535")
-    return ip, int(port)
-
-
-def _check_address(address: str) -> str:
-    split_address(address)
-    return address
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=63)]
 
 
