Keep retry budgets whole while hosts are cut off; count failed prompt readings

Two leaks: a prefill engine that answered with a failure or broke off its answer was not counted, so that the next reading of the prompt was free; and a host's part of the budget grew when other hosts lost their sessions (the core was cut in halves from 8.4 to 15.8 s), though those hosts still spent theirs.

Change: such a reading counts; budgets are shared by the largest number of hosts of the last 30 s.

--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -130,7 +130,9 @@
                     work.arrivals += 1
                 return None
             handle = await self._handle_of(outcome, run)
-            if handle is not None:
+            if handle is None:
+                work.arrivals += 1
+            else:
                 now_s = run.work.now_s
                 self._speed.observe(tokens, now_s - started_s)
             return handle
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -28,6 +28,7 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import HttpServer
+from damaskridge.core.gateway.host_count import HostCount
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
@@ -140,6 +141,7 @@
         self.registry = InstanceRegistry()
         self._pool = ConnectionPool()
         self._copy = InstanceCopy()
+        self._host_count = HostCount()
         self._retries: dict[str, RetryShare] = {}
         self._load = LoadBook(rng)
         self._quota = FleetQuota(QUOTA_SLACK_SHARE * settings.quota_slack)
@@ -242,7 +244,9 @@
 
     def _fleet_changed(self) -> None:
         fleet = self.control.fleet
-        self.state.hosts = max(1, len(live_sessions(fleet)))
+        self.state.hosts = self._host_count.note(
+            len(live_sessions(fleet)), anyio.current_time()
+        )
         table = fleet.routing
         if table.version == self.state.index.table.version:
             return
--- a/src/damaskridge/binaries/platform.py
+++ b/src/damaskridge/binaries/platform.py
@@ -1,5 +1,7 @@
 """The command line of the programs on the users' platform."""
 
+import os
+import signal
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -31,6 +33,8 @@
     if not path or len(arguments) != 1:
         print(f"usage: {SETTINGS_VARIABLE}=FILE {USAGE}", file=sys.stderr)
         return EXIT_USAGE
+    # A stop during the load, which takes a moment, ends the program like a later one.
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     # Each program loads only what it needs; both must fit small machines.
     if arguments[0] == "entry":
         from damaskridge.binaries.platform_entry import run_platform_entry
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -9,6 +9,7 @@
     events,
     gateway,
     not_executed,
+    reply,
 )
 
 from damaskridge.model.gateway import EngineStage
@@ -80,6 +81,25 @@
     play(main)
 
 
+def test_a_second_reading_of_a_prompt_is_taken_from_the_retry_budget():
+    """The operator counts each one after the first, also after an answer of failure."""
+
+    async def main():
+        async def refuse(seen, writer):
+            writer.write(reply(seen, 500, b"", signed=False))
+
+        found = engines(decoding())
+        broken = StandIn("p1", refuse, EngineStage.PREFILL, "llm")
+        found[0].script = refuse
+        async with gateway(broken, *found) as app:
+            status, _, _ = await app.generate("/gen/x")
+            assert status == 200
+            assert len(broken.seen) + len(found[0].seen) == 2
+            assert len(app.resends) == 1
+
+    play(main)
+
+
 def test_a_broken_stream_goes_on_without_gap_or_repeat():
     async def main():
         found = engines(
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -17,17 +17,22 @@
 MACHINES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 WITHOUT_DISK = "127.0.0.4"
 START_S = 15.0
+BLOCK_PORTS = 40
 
 
-def _free_ports(count):
-    taken, ports = [], []
-    while len(ports) < count:
-        probe = socket.create_server((MACHINES[0], 0))
-        taken.append(probe)
-        ports.append(probe.getsockname()[1])
-    for probe in taken:
-        probe.close()
-    return ports
+def _reserve_ports():
+    """
+    Return a listening socket that reserves a block of ports, and the first of them.
+
+    Ports that the kernel hands out to connections may be taken before a program
+    that was told them starts; those of a block are below that range.
+    """
+    for first in range(20_000, 32_000, BLOCK_PORTS):
+        try:
+            return socket.create_server((MACHINES[0], first)), first
+        except OSError:
+            continue
+    raise RuntimeError("no block of ports is free")
 
 
 async def _answer(seen, writer):
@@ -49,11 +54,15 @@
     def __init__(self, folder):
         self.folder = folder
         self.processes = {}
+        # Sizes of the logs when the programs were last started.
+        self.log_bytes = {}
         self.leaving = set()
         self.version = 0
-        ports = _free_ports(6)
-        self.front, self.ready, self.control, self.directory, self.list_port = ports[:5]
-        self.rpc = ports[5]
+        self._reserved, first = _reserve_ports()
+        self.front, self.ready, self.control, self.directory = range(
+            first + 1, first + 5
+        )
+        self.list_port, self.rpc = first + 5, first + 10
         self.app = StandIn("app-1", _answer)
         self.prefill = StandIn("p-1", _read_prompt, EngineStage.PREFILL, "llm")
         self.decode = StandIn("d-1", _generate, EngineStage.DECODE, "llm")
@@ -65,12 +74,20 @@
             host, port = server.sockets[0].getsockname()
             standin.address = f"{host}:{port}"
             self._servers.append(server)
+        await self.start_list()
+        return self
+
+    async def start_list(self):
+        """Serve the list of backend servers, and start all programs."""
         listing = await asyncio.start_server(self._list, MACHINES[0], self.list_port)
         self._servers.append(listing)
         for number in range(len(MACHINES)):
             self.start("control", number, first=True)
             self.start("entry", number, first=True)
-        return self
+
+    def listed(self):
+        """Return the backend servers of the list."""
+        return [self.app, self.prefill, self.decode]
 
     async def __aexit__(self, *error):
         for process in self.processes.values():
@@ -80,6 +97,7 @@
             await asyncio.to_thread(process.wait)
         for server in self._servers:
             server.close()
+        self._reserved.close()
 
     def start(self, program, number, *, first=False, has_disk=True):
         import subprocess
@@ -110,6 +128,7 @@
         settings = self.folder / f"{program}-{number}.conf"
         settings.write_text("\n".join(lines))
         log = (self.folder / f"{program}-{number}.log").open("ab")
+        self.log_bytes[program, number] = log.tell()
         self.processes[program, number] = subprocess.Popen(
             [sys.executable, str(ROOT / "deploy" / "run.py"), program],
             env={**os.environ, "DAMASKRIDGE_CONFIG": str(settings)},
@@ -118,6 +137,11 @@
             start_new_session=True,
         )
 
+    def has_logged(self, program, number):
+        """Tell whether a program has written a line since its last start."""
+        log = self.folder / f"{program}-{number}.log"
+        return log.stat().st_size > self.log_bytes[program, number]
+
     def stop(self, program, number, sent=signal.SIGTERM):
         self.processes[program, number].send_signal(sent)
 
@@ -148,15 +172,31 @@
             "Tenants": [{"Name": "t", "ApiKeys": ["k"]}],
         }
         body = msgspec.json.encode(document)
-        await self.until(lambda: self._any("PUT", "/api/config", body, 200), timeout_s)
+        await self.until(lambda: self.offer("PUT", "/api/config", body), timeout_s)
 
-    async def _any(self, method, path, body, wanted):
+    async def offer(self, method, path, body=b""):
+        """Ask one control host after the other; tell whether one did it."""
         for ip in MACHINES:
             status, _ = await self.http(ip, self.control, method, path, body=body)
-            if status == wanted:
+            if status == 200:
                 return True
         return False
 
+    async def read_version(self, timeout_s=START_S):
+        """Return the version in force as a control host confirms it."""
+        found = []
+
+        async def is_read():
+            for ip in MACHINES:
+                status, body = await self.http(ip, self.control, "GET", "/api/config")
+                if status == 200:
+                    found.append(msgspec.json.decode(body)["Version"])
+                    return True
+            return False
+
+        await self.until(is_read, timeout_s)
+        return found[0]
+
     async def until(self, condition, timeout_s=START_S):
         async with asyncio.timeout(timeout_s):
             while not await condition():  # noqa: ASYNC110
@@ -187,13 +227,13 @@
     async def _list(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         entries = []
-        for item in (self.app, self.prefill, self.decode):
+        for item in self.listed():
             entry = {
                 "Id": item.name,
                 "Service": item.service,
                 "Address": item.address,
                 "Zone": "west",
-                "Slots": 8,
+                "Slots": 64,
                 "State": "draining" if item.name in self.leaving else "ready",
             }
             if item.stage is not None:
