--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup format lint types layers unit doctests test demo bench soak slopes clean
+.PHONY: setup format lint types layers unit doctests test demo bench soak fault-soak slopes clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -47,6 +47,9 @@
 soak: setup
 	$(PYTHON) tests/soak.py --seeds $(or $(SEEDS),200)
 
+fault-soak: setup
+	$(PYTHON) -m tests.fault_soak --seeds $(or $(SEEDS),50)
+
 slopes: setup
 	$(PYTHON) -m bench.slopes
 
--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -1,6 +1,7 @@
 """Plays seeds from the command line."""
 
 import argparse
+import logging
 import shutil
 import sys
 import tempfile
@@ -12,6 +13,8 @@
 
 
 def _play(seed, length_s, guard):
+    # Servers that are stopped in the middle of an answer would each leave a trace.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     record = run_seed(seed, folder, length_s, guard)
     if not record.broken:
--- a/tests/fault_soak/proxy.py
+++ b/tests/fault_soak/proxy.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from enum import Enum
 
 __all__ = ["FaultProxy", "LinkFault"]
 
 _CHUNK_BYTES = 65_536
+_LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class LinkFault(Enum):
@@ -53,6 +56,10 @@
     def reset(self):
         """Reset every open connection."""
         for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                # Without this the peer would see an orderly end.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
             writer.transport.abort()
 
     def _accept(self, reader, writer):
@@ -88,12 +95,15 @@
                     item.transport.abort()
 
     async def _pump(self, reader, writer, is_answer):
+        is_silent = False
         with contextlib.suppress(OSError):
             while data := await reader.read(_CHUNK_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
-                lost = self.fault is LinkFault.SILENCE
-                if not lost and not (is_answer and self.fault is LinkFault.MUTE):
+                muted = is_answer and self.fault is LinkFault.MUTE
+                # Nothing follows bytes that were lost, as on a real connection.
+                is_silent |= muted or self.fault is LinkFault.SILENCE
+                if not is_silent:
                     writer.write(data)
                     await writer.drain()
             # What was written before has left when the buffer is empty.
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -24,9 +24,10 @@
 class SoakFleet(PlatformFleet):
     """A fleet whose backend servers and list are reached through proxies."""
 
-    def __init__(self, folder, backends):
+    def __init__(self, folder, backends, guard):
         super().__init__(folder)
         self.backends = backends
+        self._guard = guard
         self.app, self.prefill, self.decode = backends[0], backends[3], backends[4]
         self.proxies = []
         self._own = []
@@ -53,6 +54,11 @@
     def listed(self):
         return self.backends
 
+    def program_words(self):
+        if self._guard:
+            return ["-m", "tests.fault_soak.unguarded", self._guard]
+        return super().program_words()
+
 
 class Soak:
     """
@@ -64,6 +70,8 @@
         Decides all faults and requests; the processes' own timing varies.
     folder : Path
         Settings, data and logs of the processes.
+    guard : str
+        Guard of the programs that is switched off; see `unguarded`.
     """
 
     machines = len(MACHINES)
@@ -71,15 +79,13 @@
     def __init__(self, seed, folder, guard=""):
         self.rng = random.Random(seed)
         self.record = Record()
-        self.fleet = SoakFleet(folder, make_backends(self.record, self.rng))
-        self.fleet.guard = guard
+        self.fleet = SoakFleet(folder, make_backends(self.record, self.rng), guard)
         self.keys = ["k"]
         self.prefix = 0
         self.in_force_s = {}
         self.acknowledged = 0
         self.sent_version = 0
         self._fronts = []
-        self._expected_ends = set()
         self._busy = set()
 
     def path_of(self, kind):
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -130,13 +130,17 @@
         log = (self.folder / f"{program}-{number}.log").open("ab")
         self.log_bytes[program, number] = log.tell()
         self.processes[program, number] = subprocess.Popen(
-            [sys.executable, str(ROOT / "deploy" / "run.py"), program],
+            [sys.executable, *self.program_words(), program],
             env={**os.environ, "DAMASKRIDGE_CONFIG": str(settings)},
             stdout=log,
             stderr=log,
             start_new_session=True,
         )
 
+    def program_words(self):
+        """Return the words of the command line before the program's name."""
+        return [str(ROOT / "deploy" / "run.py")]
+
     def has_logged(self, program, number):
         """Tell whether a program has written a line since its last start."""
         log = self.folder / f"{program}-{number}.log"
