Ignore SIGHUP while a program loads

The handler was installed after the modules had loaded.

Change: it is ignored from the first line on; the settings are read after that in any case.

--- a/src/damaskridge/binaries/platform.py
+++ b/src/damaskridge/binaries/platform.py
@@ -33,8 +33,9 @@
     if not path or len(arguments) != 1:
         print(f"usage: {SETTINGS_VARIABLE}=FILE {USAGE}", file=sys.stderr)
         return EXIT_USAGE
-    # A stop during the load, which takes a moment, ends the program like a later one.
+    # The load takes a moment, in which signals mean the same as later.
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Each program loads only what it needs; both must fit small machines.
     if arguments[0] == "entry":
         from damaskridge.binaries.platform_entry import run_platform_entry
