--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -44,12 +44,13 @@
             await self.ask(kind, self._rng.randrange(self._world.machines))
             await asyncio.sleep(self._rng.uniform(0.0, 0.15))
 
-    async def ask(self, kind, machine):
+    async def ask(self, kind, machine, path="", key=""):
         """Send one request; returns its status, None without a whole answer."""
         world, record = self._world, self._world.record
         self._sent += 1
         attempt = f"a{self._number}-{self._sent}"
-        path, key = world.path_of(kind), self._rng.choice(world.keys)
+        path = path or world.path_of(kind)
+        key = key or self._rng.choice(world.keys)
         if self._connection is not None and machine != self._machine:
             self._close()
         self._machine = machine
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -4,7 +4,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-__all__ = ["Record", "Request"]
+__all__ = ["CHANGE_S", "CONTACT_S", "DRAIN_S", "Record", "Request"]
 
 # A new run of a stream may begin this long before the old one has ended.
 OVERLAP_S = 0.4
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -10,7 +10,7 @@
 from tests.fault_soak.backends import make_backends
 from tests.fault_soak.callers import Caller
 from tests.fault_soak.proxy import FaultProxy, LinkFault
-from tests.fault_soak.record import Record
+from tests.fault_soak.record import CHANGE_S, CONTACT_S, DRAIN_S, Record
 from tests.processes.platform_fleet import MACHINES, START_S, PlatformFleet
 
 __all__ = ["Soak", "run_seed"]
@@ -19,6 +19,10 @@
 # The platform's bound for service after the last fault.
 RECOVERY_S = 12.0
 EXIT_S = 9.0
+# The list is read and spread within this time beyond the bound.
+CALM_MARGIN_S = 0.2
+# Enough for each of three servers to get one.
+LEAVING_CALLS = 6
 
 
 class SoakFleet(PlatformFleet):
@@ -241,13 +245,15 @@
 
     async def _change(self):
         """Send a configuration with another prefix, or with another key."""
-        self.sent_version += 1
-        version, old_path, old_keys = self.sent_version, self.path_of("safe"), self.keys
-        prefix, keys = self.prefix, old_keys
+        version = self.sent_version + 1
         if version == 1 or self.rng.random() < 0.6:
-            prefix = version
+            await self._put(version, self.keys)
         else:
-            keys = ["k", f"k{version}"]
+            await self._put(self.prefix, ["k", f"k{version}"])
+
+    async def _put(self, prefix, keys):
+        self.sent_version += 1
+        version, old_path, old_keys = self.sent_version, self.path_of("safe"), self.keys
         body = _document(version, prefix, keys)
         with contextlib.suppress(TimeoutError):
             await self.fleet.until(
@@ -281,6 +287,8 @@
             await asyncio.sleep(0.1)
         for item in sorted(waiting):
             record.note_broken("recovery", f"{item} is not served")
+        await self._check_calm(caller)
+        await self._kill_control()
         read = await self.fleet.read_version()
         if not self.acknowledged <= read <= self.sent_version:
             text = f"read {read}, acknowledged {self.acknowledged}"
@@ -292,6 +300,24 @@
             if process.poll() is not None:
                 record.note_broken("end", f"{name} ended with {process.returncode}")
 
+    async def _check_calm(self, caller):
+        """Remove a key, a route and a server when nothing excuses their use."""
+        await asyncio.sleep(CONTACT_S)
+        await self._put(self.prefix, ["k", "last"])
+        path, leaving = self.path_of("safe"), self.fleet.backends[2].name
+        await self._put(self.sent_version + 1, ["k"])
+        self.fleet.leaving.add(leaving)
+        self.record.leaving_s[leaving] = self.record.now_s
+        await asyncio.sleep(max(CHANGE_S, DRAIN_S) + CALM_MARGIN_S)
+        for number in range(self.machines):
+            for options in ({"key": "last"}, {"path": path}):
+                status = await caller.ask("safe", number, **options)
+                if status not in (401, 403, 404):
+                    text = f"{options} on {number} is answered {status}"
+                    self.record.note_broken("change", text)
+            for _ in range(LEAVING_CALLS):
+                await caller.ask("safe", number)
+
 
 def _document(version, prefix, keys):
     route = {"Hostname": "h.example", "TimeoutMs": 4000, "MaxAttempts": 2}
