--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -18,6 +18,15 @@
 WITHOUT_DISK = "127.0.0.4"
 START_S = 15.0
 BLOCK_PORTS = 40
+USED_PORTS = 26
+
+
+def _is_free(ip, port):
+    try:
+        socket.create_server((ip, port)).close()
+    except OSError:
+        return False
+    return True
 
 
 def _reserve_ports():
@@ -29,9 +38,15 @@
     """
     for first in range(20_000, 32_000, BLOCK_PORTS):
         try:
-            return socket.create_server((MACHINES[0], first)), first
+            reserved = socket.create_server((MACHINES[0], first))
         except OSError:
             continue
+        if all(
+            _is_free(ip, first + n) for ip in MACHINES for n in range(1, USED_PORTS)
+        ):
+            return reserved, first
+        # Programs of a run that was killed may still listen here.
+        reserved.close()
     raise RuntimeError("no block of ports is free")
 
 
