Drop old reports of lost attempts when a new one is kept

Cause: a front trimmed them only when a cell changed its owner, so that they grew with each lost engine for as long as the owner stayed.

The test fails without it (4 reports kept, 2 expected).

--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -90,6 +90,7 @@
     def note_crash(self, profile: RequestProfile, progress: Progress) -> None:
         """Keep the report of a lost attempt for the next owner of its cell."""
         now_s = asyncio.get_running_loop().time()
+        self._forget_crashes(now_s)
         self.crashes.append((now_s, profile.resource, progress))
         self.suspects.note_failure(
             profile.fingerprint,
@@ -108,14 +109,17 @@
         An owner may end before it has seen or reported the crash behind them.
         """
         now_s = asyncio.get_running_loop().time()
-        while self.crashes and self.crashes[0][0] < now_s - HELD_S:
-            self.crashes.popleft()
+        self._forget_crashes(now_s)
         return tuple(
             msgspec.structs.replace(item, age_s=now_s - lost_s)
             for lost_s, cell, item in self.crashes
             if cell == resource
         )
 
+    def _forget_crashes(self, now_s: float) -> None:
+        while self.crashes and self.crashes[0][0] < now_s - HELD_S:
+            self.crashes.popleft()
+
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run `work` in the background."""
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -19,6 +19,7 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.http.credentials import key_digest
+from damaskridge.core.scheduling.suspects import HELD_S
 from damaskridge.core.state.fleet_queries import owner_of
 from damaskridge.model.control import Owner, RecordResult
 from damaskridge.model.errors import ErrorKind, Failure, RunState
@@ -399,3 +400,19 @@
         assert again[-1].suspect
 
     run_paused(main())
+
+
+def test_reports_of_lost_attempts_are_not_kept_for_ever():
+    """A cell may keep its owner for months, in which nobody asks for the reports."""
+
+    async def main():
+        found = world()
+        for name in ("d1", "d2", "d3"):
+            found.engines[name].break_at = 0
+        await completion(found.app, stream=False).task
+        assert len(found.front.context.crashes) == 2
+        await asyncio.sleep(HELD_S + 1)
+        await completion(found.app, stream=False, prompt="another prompt").task
+        assert len(found.front.context.crashes) == 2
+
+    run_paused(main())
