Count suspended time in every lease, reservation and age

Cause: the loop's usual clock stands still while a machine is suspended, so that session leases, reservations, exported caches, idle connections and the age of the server list outlived a suspension.

Change: programs run on BoottimeEventLoop, whose clock is CLOCK_BOOTTIME. Timers that passed during the suspension are due at once on waking.

--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server
 from result import Err
 
+from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.disk.folder import DiskFolder
@@ -175,7 +176,7 @@
     configure(settings.host)
     log_event(_logger, EventNumber.PROCESS_STARTED, host=settings.host)
     try:
-        anyio.run(run_control, settings, build_state())
+        run_program(run_control, settings, build_state())
     except _StartFailed as error:
         setting = str(error).partition(":")[0]
         log_event(_logger, EventNumber.SETTINGS_INVALID, setting=setting)
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -11,6 +11,7 @@
 import anyio
 import msgspec
 
+from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.bundle_file import read_bundle
 from damaskridge.adapters.rpc.control_calls import ControlCalls
 from damaskridge.core.state.bundles import bundle_difference
@@ -308,7 +309,7 @@
             finally:
                 calls.close()
 
-        return anyio.run(main)
+        return run_program(main)
 
     def _print(self, text: str, content: object) -> None:
         if self._settings.as_json:
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server
 from result import Err
 
+from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.cell_runtime import CellRuntime
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.engines.http_engine import HttpEngine
@@ -225,7 +226,7 @@
         await EntryHost(settings).run(listeners)
 
     try:
-        anyio.run(run)
+        run_program(run)
     except Exception as error:
         return _describe(error)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -10,6 +10,7 @@
 from grpclib.server import Server
 from result import Err
 
+from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.disk.folder import DiskFolder, VolatileFolder
@@ -49,7 +50,7 @@
         return EXIT_SETTINGS
     configure_bounded(f"{settings.host}/control")
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
-    anyio.run(_run, settings, settings.control)
+    run_program(_run, settings, settings.control)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
     return 0
 
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.observability.events import configure_bounded, log_event
 from damaskridge.binaries.gateway_host import GatewayHost, GatewaySettings
 from damaskridge.binaries.http_server import HttpServer, listen
@@ -54,7 +55,7 @@
     async def run() -> None:
         await _serve(path, settings, listeners)
 
-    anyio.run(run)
+    run_program(run)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
     return 0
 
