Heed servers that leave or ask for a pause; bound answers without end

Cause: the gateway ignored Server-Leaving and a server's Retry-After, kept reading bodies of engine calls and events without an end, and took any byte for progress of a stream. A restart under the same name passed for the same server.

Change: core.gateway.server_notices keeps what servers asked of this host. A leaving server gets nothing more from this host at once, and from the others through the load reports and the leader's list. A server that asked for a pause gets nothing until it is over; if all of a service have, callers are refused at once with the shortest pause. Bodies, events and informational replies are bounded, only whole events count as progress, the answer to a prefill has a deadline, and a timer that is late because this process stood still does not end a stream whose bytes have arrived. Entries of the list carry the start time.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -35,6 +35,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A time-out that is noticed later than this has waited for this process.
+LATE_TIMER_S = 0.1
+# Time for an answer that has arrived to be passed on.
+LATE_ANSWER_S = 0.1
 # A caller that leaves a stream unread for longer has gone.
 WRITE_WAIT_S = 10.0
 
@@ -184,12 +188,13 @@
             task = asyncio.ensure_future(forwarding)
             waits: set[asyncio.Future[Any]] = {task, gone}
             exchange.is_watched = True
+            first = asyncio.FIRST_COMPLETED
             try:
-                await asyncio.wait(
-                    waits,
-                    timeout=max(0.0, work.timeout_s),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                timeout_s = max(0.0, work.timeout_s)
+                await asyncio.wait(waits, timeout=timeout_s, return_when=first)
+                if work.timeout_s < -LATE_TIMER_S:
+                    # This process stood still; the answer may have arrived meanwhile.
+                    await asyncio.wait(waits, timeout=LATE_ANSWER_S, return_when=first)
             finally:
                 exchange.is_watched = False
                 if not task.done():
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -95,8 +95,13 @@
         kind = ErrorKind.NO_BACKEND_SERVER
         if work.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
-        detail = f"no backend server for {work.service.name}"
+        service = work.service.name
+        detail = f"no backend server for {service}"
         retry_after_s = self._refusals.no_server_s(work.left_s)
+        pause_s = self._registry.pause_s(service, work.now_s)
+        if pause_s:
+            detail = f"every backend server for {service} wants no request now"
+            retry_after_s = self._refusals.paused_s(pause_s)
         await answer.refuse(Failure(kind, detail, retry_after_s=retry_after_s))
 
     async def _attempt(
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -26,6 +26,8 @@
 READ_AHEAD_BYTES = 65_536
 # A head of a backend server beyond this is no answer.
 REPLY_HEAD_BYTES = 32_768
+# Replies such as "100 Continue" before the answer; more of them are no answer.
+MOST_INFORMATIONAL = 8
 # Finds a connection that went silent: unacknowledged data for this long ends it.
 USER_TIMEOUT_MS = 1_500
 
@@ -155,6 +157,11 @@
             and link.error is None
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that nobody has taken yet."""
+        return bool(self._link.received)
+
     def close(self) -> None:
         """Drop the connection; the server learns of it at once."""
         self._link.transport.abort()
@@ -187,12 +194,13 @@
 
     async def head(self) -> ReplyHead:
         """Return the head of the answer; raises `ConnectionBroken`."""
-        while True:
+        for _ in range(MOST_INFORMATIONAL + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
                 return ReplyHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
+        raise ConnectionBroken(f"over {MOST_INFORMATIONAL} informational replies")
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ConnectionBroken` if it is not whole."""
@@ -205,6 +213,15 @@
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
             yield bytes(event.data)
 
+    async def whole_body(self, limit_bytes: int) -> bytes:
+        """Return the body; raises `ConnectionBroken` if it is not whole or too long."""
+        body = bytearray()
+        async for chunk in self.body():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise ConnectionBroken(f"body over {limit_bytes} bytes")
+        return bytes(body)
+
     async def _next(self) -> object:
         while True:
             try:
--- a/src/damaskridge/adapters/gateway/decode_room.py
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from enum import Enum
 
 from damaskridge.adapters.gateway.dialect import Dialect
 from damaskridge.adapters.gateway.generation import Generation, Reservation
@@ -13,7 +14,7 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
-__all__ = ["DecodeRoom"]
+__all__ = ["DecodeRoom", "RoomSearch"]
 
 # Engines that are asked for room for one request; more would multiply an overload.
 MOST_RESERVATIONS = 4
@@ -27,6 +28,19 @@
 USE_SHARE = 0.9
 
 
+class RoomSearch(Enum):
+    """
+    How a search for decode room ended.
+
+    `DONE` also stands for engines that could not be asked; they are then tried without
+    a reservation. `PAUSED` means that every engine has asked for a pause.
+    """
+
+    DONE = "done"
+    FULL = "full"
+    PAUSED = "paused"
+
+
 class DecodeRoom:
     """
     Reserves room on decode engines.
@@ -56,25 +70,26 @@
         self._load = load
         self._data_centre = data_centre
 
-    async def find(self, run: Generation) -> bool:
-        """
-        Reserve room; `False` if every engine stays full while it may wait.
-
-        Without a reservation `True` means that no engine could be asked.
-        """
+    async def find(self, run: Generation) -> RoomSearch:
+        """Reserve room, waiting for a while if every engine is full."""
         work = run.work
         engine = work.service.engine
         if engine is None or engine.reservation_s <= 0:
-            return True
+            return RoomSearch.DONE
         wait_s = WAIT_OBJECTIVES * work.route.objective_ms / 1000
         is_first = True
         while True:
             full = await self._ask_engines(run, engine.reservation_s, is_first)
             is_first = False
-            if run.reservation is not None or not full:
-                return True
+            if run.reservation is not None:
+                return RoomSearch.DONE
+            service, stage = work.service.name, EngineStage.DECODE
+            if self._registry.pause_s(service, work.now_s, stage):
+                return RoomSearch.PAUSED
+            if not full:
+                return RoomSearch.DONE
             if work.elapsed_s + PAUSE_S > wait_s or work.left_s <= 0:
-                return False
+                return RoomSearch.FULL
             await asyncio.sleep(PAUSE_S)
 
     def cancel(self, run: Generation) -> None:
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -143,15 +143,21 @@
         Whether the answer is the work of the backend server that ran the request.
     is_other_instance : bool
         Whether another instance than the expected one has the address.
+    is_leaving : bool
+        Whether the backend server says that it leaves.
     keep_alive_s : float or None
         How long the server keeps an idle connection.
+    pause_s : float or None
+        How long a server that turned the request away wants no other.
     """
 
     request_id: str = ""
     did_not_run: bool = False
     is_signed: bool = False
     is_other_instance: bool = False
+    is_leaving: bool = False
     keep_alive_s: float | None = None
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -57,6 +57,8 @@
         Decode engines that refused the request with the present handle.
     has_events : bool
         Whether an engine has sent an event.
+    progress_s : float
+        Loop time of the last event, or of the head of the present answer.
     """
 
     work: GatewayWork
@@ -67,6 +69,7 @@
     handle: Handle | None = None
     handle_refusals: int = 0
     has_events: bool = False
+    progress_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.last_event_id = self.work.request.last_event_id
@@ -74,6 +77,7 @@
     def is_new(self, event_id: int | None) -> bool:
         """Tell whether the caller lacks an event, and note that it gets it."""
         self.has_events = True
+        self.progress_s = self.work.now_s
         if event_id is None:
             return True
         if self.last_event_id is not None and event_id <= self.last_event_id:
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -1,5 +1,6 @@
 """Has prompts read by prefill engines."""
 
+import asyncio
 from collections.abc import Callable
 
 from damaskridge.adapters.gateway.connections import ConnectionBroken
@@ -129,7 +130,7 @@
                 if isinstance(outcome, Unknown) or outcome.was_sent:
                     work.arrivals += 1
                 return None
-            handle = await self._handle_of(outcome, run)
+            handle = await self._handle_of(outcome, run, started_s + PREFILL_S)
             if handle is None:
                 work.arrivals += 1
             else:
@@ -139,13 +140,18 @@
         finally:
             self._load.finish(request.request_id, name)
 
-    async def _handle_of(self, reply: OpenReply, run: Generation) -> Handle | None:
+    async def _handle_of(
+        self, reply: OpenReply, run: Generation, deadline_s: float
+    ) -> Handle | None:
         reason = f"status {reply.head.status}"
+        body = b""
         try:
-            body = await reply.whole(ANSWER_LIMIT_BYTES)
+            async with asyncio.timeout_at(deadline_s):
+                body = await reply.whole(ANSWER_LIMIT_BYTES)
+        except TimeoutError:
+            reason = f"no whole answer in {PREFILL_S:g} s"
         except ConnectionBroken as error:
             reason = str(error)
-            body = b""
         finally:
             reply.close()
         if reply.head.status == 200 and body:
@@ -154,11 +160,13 @@
                 self._sender.note_answer(reply.instance, good=True, reason="")
                 engine = run.work.service.engine
                 kept_s = engine.handle_s if engine is not None else 0.0
-                now_s = run.work.now_s
+                # An answer that is taken after its deadline has waited for this
+                # process, and the handle with it.
+                made_s = min(run.work.now_s, deadline_s)
                 return Handle(
                     reply.instance,
                     decoded.unwrap().handle,
-                    now_s + HANDLE_USE_SHARE * kept_s,
+                    made_s + HANDLE_USE_SHARE * kept_s,
                 )
             reason = decoded.unwrap_err()
         self._sender.note_answer(reply.instance, good=False, reason=reason)
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -36,6 +36,11 @@
 CONNECT_S = 0.2
 # Such calls need no slot, so that a live engine answers within milliseconds.
 ENGINE_CALL_S = 0.5
+# After a pause of this process a timer is due before the bytes that came meanwhile
+# are taken; reading them then takes no longer than this.
+LATE_READ_S = 0.05
+# Their answers are small documents.
+ENGINE_CALL_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,21 +103,24 @@
         async for chunk in self._connection.body():
             yield chunk
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether a part of the body has arrived that was not read yet."""
+        return self._connection.has_unread
+
     async def whole(self, limit_bytes: int) -> bytes:
         """Return the whole body; raises `ConnectionBroken`."""
-        body = bytearray()
-        async for chunk in self._connection.body():
-            body += chunk
-            if len(body) > limit_bytes:
-                raise ConnectionBroken(f"answer over {limit_bytes} bytes")
-        return bytes(body)
+        return await self._connection.whole_body(limit_bytes)
 
     def close(self) -> None:
         """Give the connection back, or drop it if the answer is not complete."""
         if self._is_open:
             self._is_open = False
             self._connection.keep_alive_s = self.facts.keep_alive_s
-            self._pool.give_back(self.instance, self._connection)
+            if self.facts.is_leaving:
+                self._connection.close()
+            else:
+                self._pool.give_back(self.instance, self._connection)
 
 
 Outcome = OpenReply | NotRun | Unknown
@@ -174,6 +182,9 @@
             The answer, or what is known of the request without one.
         """
         started_s = asyncio.get_running_loop().time()
+        if self._is_paused(instance):
+            paused = NotRun("the server wants no request now", was_sent=False)
+            return self._log(request, instance, paused, started_s)
         headers = self._dialect.send_headers(request, options)
         try:
             connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
@@ -186,7 +197,7 @@
         try:
             async with asyncio.timeout(answer_s):
                 await connection.send(request.method, request.target, headers, body)
-                head = await connection.head()
+            head = await _head_until(connection, started_s + answer_s)
             is_prefill = options.step is not None and options.step.is_prefill
             outcome = self._judge(request, instance, connection, head, is_prefill)
             is_open = isinstance(outcome, OpenReply)
@@ -222,6 +233,8 @@
         self, instance: BackendInstance, call: EngineCall
     ) -> Result[bytes, str]:
         """Return the body of the answer with status 200, or what went wrong."""
+        if self._is_paused(instance):
+            return Err("the server wants no request now")
         headers: Headers = [
             (b"host", instance.address.encode()),
             (b"content-type", b"application/json"),
@@ -232,7 +245,7 @@
                 try:
                     await connection.send(call.method, call.target, headers, call.body)
                     head = await connection.head()
-                    chunks = [chunk async for chunk in connection.body()]
+                    body = await connection.whole_body(ENGINE_CALL_BYTES)
                 finally:
                     self._pool.give_back(instance, connection)
         except NotSent as error:
@@ -242,9 +255,10 @@
             return Err(f"no answer in {ENGINE_CALL_S:g} s")
         except ConnectionBroken as error:
             return Err(str(error))
+        self._heed(instance, self._dialect.reply_facts(head))
         if head.status != 200:
             return Err(f"status {head.status}")
-        return Ok(b"".join(chunks))
+        return Ok(body)
 
     def call_later(self, instance: BackendInstance, call: EngineCall) -> None:
         """Call an engine to free what no request uses; nobody waits for it."""
@@ -279,6 +293,7 @@
         facts = self._dialect.reply_facts(head)
         if facts.request_id and facts.request_id != request.request_id:
             return Unknown("the answer belongs to another request")
+        self._heed(instance, facts)
         if facts.is_other_instance:
             self._note_unreachable(instance, "another instance has the address")
             return NotRun("another instance has the address")
@@ -291,6 +306,24 @@
             return Unknown(f"status {head.status} without a signature")
         return OpenReply(instance, connection, self._pool, head, facts)
 
+    def _is_paused(self, instance: BackendInstance) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return self._registry.notices.pause_left_s(instance.instance, now_s) > 0
+
+    def _heed(self, instance: BackendInstance, facts: ReplyFacts) -> None:
+        """Take over what a server asks of this host."""
+        notices, name = self._registry.notices, instance.instance
+        if facts.is_leaving and notices.leaves(instance):
+            self._pool.drop(instance)
+            log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
+        if facts.pause_s:
+            now_s = asyncio.get_running_loop().time()
+            notices.asked_to_pause(name, now_s + facts.pause_s)
+            pause_ms = round(facts.pause_s * 1000)
+            log_event(
+                logger, EventNumber.INSTANCE_PAUSED, instance=name, pause_ms=pause_ms
+            )
+
     def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
@@ -328,3 +361,15 @@
                 elapsed_ms=round(elapsed_s * 1000),
             )
         return outcome
+
+
+async def _head_until(connection: BackendConnection, deadline_s: float) -> ReplyHead:
+    """Return the head of the answer; raises `TimeoutError` if it has not arrived."""
+    try:
+        async with asyncio.timeout_at(deadline_s):
+            return await connection.head()
+    except TimeoutError:
+        if not connection.has_unread:
+            raise
+    async with asyncio.timeout(LATE_READ_S):
+        return await connection.head()
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -6,7 +6,7 @@
 
 from damaskridge.adapters.gateway.answers import CallerAnswer
 from damaskridge.adapters.gateway.connections import ConnectionBroken
-from damaskridge.adapters.gateway.decode_room import DecodeRoom
+from damaskridge.adapters.gateway.decode_room import DecodeRoom, RoomSearch
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation
 from damaskridge.adapters.gateway.prefills import Prefills
@@ -18,7 +18,7 @@
     Unknown,
 )
 from damaskridge.adapters.gateway.work import GatewayWork
-from damaskridge.core.gateway.event_stream import EventSplitter
+from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.refusals import RefusalTimes
@@ -36,6 +36,8 @@
 SILENCE_S = 1.2
 # Before the first event a request may wait in the engine's queue.
 FIRST_EVENT_S = 2.5
+# A timer that is due by more has waited for this process, which stood still.
+LATE_TIMER_S = 0.1
 
 
 class _Silent(Exception):
@@ -91,8 +93,10 @@
         """Answer the caller with the engine's events, or with a failure."""
         run = Generation(work, answer)
         try:
-            if not await self._room.find(run):
-                await answer.refuse(self._full(work))
+            search = await self._room.find(run)
+            if search is not RoomSearch.DONE:
+                full = search is RoomSearch.FULL
+                await answer.refuse(self._full(work) if full else self._unserved(work))
                 return
             run.handle = await self._prefills.read(run)
             while not answer.is_complete:
@@ -162,7 +166,9 @@
         now_s = run.work.now_s
         reservation = run.reservation
         if reservation is not None:
-            if now_s < reservation.usable_until_s:
+            name = reservation.instance.instance
+            paused = self._registry.notices.pause_left_s(name, now_s) > 0
+            if now_s < reservation.usable_until_s and not paused:
                 return reservation.instance, 1
             self._room.cancel(run)
         service, stage = run.work.service.name, EngineStage.DECODE
@@ -240,11 +246,14 @@
 
     async def _relay_events(self, run: Generation, reply: OpenReply) -> None:
         splitter = EventSplitter()
+        run.progress_s = run.work.now_s
         async for chunk in self._watched(run, reply):
+            try:
+                events = splitter.feed(chunk)
+            except EventTooLong as error:
+                raise ConnectionBroken(str(error)) from error
             ready = b"".join(
-                event.data
-                for event in splitter.feed(chunk)
-                if run.is_new(event.event_id)
+                event.data for event in events if run.is_new(event.event_id)
             )
             if ready:
                 if not run.answer.has_started:
@@ -261,19 +270,31 @@
         self._load.start(request.request_id, instance.instance, load)
 
     async def _watched(self, run: Generation, reply: OpenReply) -> AsyncIterator[bytes]:
-        """Yield the body; raises `_Silent` where another engine could go on."""
+        """
+        Yield the body; raises `_Silent` where another engine could go on.
+
+        Only whole events count as progress: an engine that stalls may still send a
+        byte now and then.
+        """
         chunks = reply.chunks()
         while True:
-            limit_s: float | None = None
+            deadline_s: float | None = None
             if run.work.policy.has_another_run:
                 limit_s = SILENCE_S if run.answer.has_started else FIRST_EVENT_S
+                deadline_s = run.progress_s + limit_s
             try:
-                async with asyncio.timeout(limit_s):
+                async with asyncio.timeout_at(deadline_s):
                     chunk = await anext(chunks)
             except StopAsyncIteration:
                 return
             except TimeoutError:
-                raise _Silent from None
+                was_paused = run.work.now_s > (deadline_s or 0.0) + LATE_TIMER_S
+                if not (was_paused and reply.has_unread):
+                    raise _Silent from None
+                # This process stood still, not the engine.
+                run.progress_s = run.work.now_s
+                chunks = reply.chunks()
+                continue
             yield chunk
 
     async def _pass_on_failure(self, run: Generation, reply: OpenReply) -> None:
@@ -319,6 +340,11 @@
         kind = ErrorKind.NO_BACKEND_SERVER
         if work.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
-        detail = f"no decode engine for {work.service.name}"
+        service = work.service.name
+        detail = f"no decode engine for {service}"
         retry_after_s = self._refusals.no_server_s(work.left_s)
+        pause_s = self._registry.pause_s(service, work.now_s, EngineStage.DECODE)
+        if pause_s:
+            detail = f"every decode engine for {service} wants no request now"
+            retry_after_s = self._refusals.paused_s(pause_s)
         return Failure(kind, detail, retry_after_s=retry_after_s)
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -267,6 +267,9 @@
                 elif isinstance(message, ReportLoad):
                     self._board.report(follower, message)
                     self._load_reported.set()
+                    if self._instances is not None:
+                        for notice in message.leaving:
+                            self._instances.notices.add(notice)
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -6,11 +6,13 @@
 from typing import Protocol
 
 import anyio
+import msgspec
 from result import Err, Result
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
 from damaskridge.core.gateway.instance_feed import InstanceReadings
+from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, InstanceList
 
@@ -47,6 +49,11 @@
         Whether this host leads.
     adjust : callable
         Changes what is handed on of a reading.
+
+    Attributes
+    ----------
+    notices : ServerNotices
+        What hosts have reported of servers that leave.
     """
 
     def __init__(
@@ -57,6 +64,7 @@
         adjust: Adjust = tuple,
     ) -> None:
         self._adjust = adjust
+        self.notices = ServerNotices()
         self._reader = reader
         self._followers = followers
         self._leads = leads
@@ -92,7 +100,9 @@
             return
         if self._readings is None:
             self._readings = InstanceReadings(secrets.token_hex(4))
-        seen = self._readings.add(self._adjust(listed.ok_value.instances))
+        self.notices.forget_all_but(listed.ok_value.instances)
+        instances = tuple(map(self._with_notice, listed.ok_value.instances))
+        seen = self._readings.add(self._adjust(instances))
         self._followers.notify(seen)
         if seen.changed or seen.removed:
             log_event(
@@ -103,3 +113,9 @@
                 removed=seen.removed,
                 source=seen.source,
             )
+
+    def _with_notice(self, item: BackendInstance) -> BackendInstance:
+        """Mark an instance that a host knows to be leaving before the list does."""
+        if item.is_leaving or not self.notices.has_left(item):
+            return item
+        return msgspec.structs.replace(item, is_leaving=True)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -39,7 +39,7 @@
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import InstancesSeen, LoadSeen, ReportLoad
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance, RoutingTable
+from damaskridge.model.gateway import BackendInstance, LeavingInstance, RoutingTable
 
 __all__ = ["GatewayHost", "GatewaySettings"]
 
@@ -146,6 +146,7 @@
         self._load = LoadBook(rng)
         self._quota = FleetQuota(QUOTA_SLACK_SHARE * settings.quota_slack)
         self._load_heard_s = float("-inf")
+        self._reported_leaving: tuple[LeavingInstance, ...] = ()
         refusals = RefusalTimes(rng)
         sender = Sender(dialect, self._pool, self.registry)
         shared: dict[str, Any] = {
@@ -267,7 +268,12 @@
     def _load_report(self, everything: bool) -> ReportLoad | None:
         load = self._load.unreported(everything=everything)
         usage = self._quota.unreported()
-        return ReportLoad(load=load, usage=usage) if load or usage else None
+        leaving = self.registry.notices.leaving()
+        news = leaving if everything or leaving != self._reported_leaving else ()
+        self._reported_leaving = leaving
+        if not (load or usage or news):
+            return None
+        return ReportLoad(load=load, usage=usage, leaving=news)
 
     def _load_seen(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -10,7 +10,10 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ["EventSplitter", "StreamEvent"]
+__all__ = ["EventSplitter", "EventTooLong", "StreamEvent"]
+
+# An event holds a few tokens. Bytes without the end of an event are no stream.
+EVENT_LIMIT_BYTES = 262_144
 
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
@@ -24,10 +27,22 @@
     event_id: int | None
 
 
+class EventTooLong(Exception):
+    """The end of an event is missing after as many bytes as an event may have."""
+
+
 class EventSplitter:
-    """Collects bytes until an event is whole."""
+    """
+    Collects bytes until an event is whole.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Longest event.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int = EVENT_LIMIT_BYTES) -> None:
+        self._limit_bytes = limit_bytes
         self._rest = b""
 
     @property
@@ -36,7 +51,7 @@
         return self._rest
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that `data` completes."""
+        """Return the events that `data` completes; raises `EventTooLong`."""
         buffer = self._rest + data
         events = []
         start = 0
@@ -44,6 +59,8 @@
             events.append(_event(buffer[start : end.end()]))
             start = end.end()
         self._rest = buffer[start:]
+        if len(self._rest) > self._limit_bytes:
+            raise EventTooLong(f"no end of an event in {self._limit_bytes} bytes")
         return events
 
 
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
 __all__ = ["InstanceHealth", "InstanceRegistry"]
@@ -60,12 +61,15 @@
     ----------
     seen_s : float
         When the list was last known to be as it is here.
+    notices : ServerNotices
+        What servers have asked of this host.
     """
 
     def __init__(self) -> None:
         self._instances: dict[str, BackendInstance] = {}
         self._health: dict[str, InstanceHealth] = {}
         self.seen_s = 0.0
+        self.notices = ServerNotices()
 
     def __len__(self) -> int:
         return len(self._instances)
@@ -76,11 +80,12 @@
         gone = [
             item
             for name, item in self._instances.items()
-            if name not in listed or listed[name].address != item.address
+            if name not in listed or _is_other_start(item, listed[name])
         ]
         self._instances = listed
         for item in gone:
             self._health.pop(item.instance, None)
+        self.notices.forget_all_but(listed.values())
         return gone
 
     def find(self, name: str) -> BackendInstance | None:
@@ -101,19 +106,34 @@
         """
         Return the instances that may get a request now.
 
-        Avoided ones are left out unless nothing else is there.
+        Avoided ones are left out unless nothing else is there. Those that asked for a
+        pause are always left out.
         """
         usable = [
             item
-            for item in self._instances.values()
-            if item.service == service
-            and item.stage is stage
-            and not item.is_leaving
-            and item.instance not in excluded
+            for item in self._staying(service, stage)
+            if item.instance not in excluded
+            and not self.notices.pause_left_s(item.instance, now_s)
         ]
         healthy = [item for item in usable if not self.is_avoided(item.instance, now_s)]
         return healthy or usable
 
+    def pause_s(
+        self, service: str, now_s: float, stage: EngineStage | None = None
+    ) -> float:
+        """
+        Return the time until the first server takes work again.
+
+        0 if a server takes work now, or if there is none.
+        """
+        return min(
+            (
+                self.notices.pause_left_s(item.instance, now_s)
+                for item in self._staying(service, stage)
+            ),
+            default=0.0,
+        )
+
     def unreachable(self, instance: str, now_s: float) -> float:
         """Note a failure to connect; returns how long the server is avoided."""
         health = self._of(instance)
@@ -141,5 +161,22 @@
         health = self._health.get(instance)
         return health is not None and now_s < health.avoided_until_s
 
+    def _staying(
+        self, service: str, stage: EngineStage | None
+    ) -> list[BackendInstance]:
+        return [
+            item
+            for item in self._instances.values()
+            if item.service == service
+            and item.stage is stage
+            and not item.is_leaving
+            and not self.notices.has_left(item)
+        ]
+
     def _of(self, instance: str) -> InstanceHealth:
         return self._health.setdefault(instance, InstanceHealth())
+
+
+def _is_other_start(known: BackendInstance, listed: BackendInstance) -> bool:
+    """Tell whether two entries of one name are different processes."""
+    return known.address != listed.address or known.started_ms != listed.started_ms
--- a/src/damaskridge/core/gateway/refusals.py
+++ b/src/damaskridge/core/gateway/refusals.py
@@ -49,6 +49,10 @@
         """Return the time after which a server may be there."""
         return self._spread(NO_SERVER_S, left_s)
 
+    def paused_s(self, pause_s: float) -> float:
+        """Return the time after which a server takes work again, never sooner."""
+        return self._spread(pause_s, float("inf"))
+
     def not_ready_s(self) -> float:
         """Return the time after which this host may know its routes."""
         return self._spread(NOT_READY_S, float("inf"))
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -10,7 +10,11 @@
 
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.errors import Failure
-from damaskridge.model.gateway import BackendInstance, RoutingTable
+from damaskridge.model.gateway import (
+    BackendInstance,
+    LeavingInstance,
+    RoutingTable,
+)
 
 __all__ = [
     "AdvanceTime",
@@ -481,10 +485,13 @@
         By backend server, what this host has in flight there now.
     usage : dict of str to float
         By workspace, what was admitted since the last report.
+    leaving : tuple of LeavingInstance
+        Backend servers that said in an answer that they leave.
     """
 
     load: dict[str, InstanceLoad] = {}
     usage: dict[str, float] = {}
+    leaving: tuple[LeavingInstance, ...] = ()
 
 
 AnyFollowRequest = OpenFollow | RenewSession | ReportLoad
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -16,6 +16,7 @@
     "GatewayService",
     "GatewayWorkspace",
     "InstanceList",
+    "LeavingInstance",
     "RouteTarget",
     "RoutingTable",
     "WorkKind",
@@ -187,6 +188,8 @@
         Whether it must get no new work.
     stage : EngineStage or None
         The stage of a model engine.
+    started_ms : int
+        Unix time of this start, because a restart may keep the name; 0 if unknown.
     """
 
     instance: str
@@ -196,6 +199,14 @@
     slots: int
     is_leaving: bool = False
     stage: EngineStage | None = None
+    started_ms: int = 0
+
+
+class LeavingInstance(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a backend server that has said that it leaves."""
+
+    instance: str
+    started_ms: int = 0
 
 
 class InstanceList(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -40,6 +40,9 @@
 _PRIORITY = b"x-request-priority"
 _DID_NOT_RUN = b"x-not-executed"
 _SIGNATURE = b"x-response-signature"
+_LEAVING = b"server-leaving"
+# On a runner's 503 it means that the runner wants nothing from this machine.
+_RETRY_AFTER = b"retry-after"
 
 # Only the system may set these; what a client sends of them is dropped.
 _SYSTEM_HEADERS = frozenset(
@@ -154,7 +157,9 @@
             did_not_run=head.value(_DID_NOT_RUN) is not None or head.status == 421,
             is_signed=head.value(_SIGNATURE) is not None,
             is_other_instance=head.status == 421,
+            is_leaving=(head.value(_LEAVING) or b"").strip() == b"1",
             keep_alive_s=_keep_alive_s(head.value(b"keep-alive")),
+            pause_s=_seconds(head.value(_RETRY_AFTER)) if head.status == 503 else None,
         )
 
     def handle_reply(self, body: bytes) -> Result[HandleReply, str]:
@@ -255,5 +260,13 @@
     return None
 
 
+def _seconds(value: bytes | None) -> float | None:
+    """Return a number of seconds, fractions included, or None."""
+    text = (value or b"").strip().decode("latin-1")
+    if len(text) >= 16 or not text.replace(".", "", 1).isdecimal():
+        return None
+    return float(text)
+
+
 def _invalid(detail: str) -> Failure:
     return Failure(ErrorKind.INVALID_REQUEST, detail)
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -35,6 +35,8 @@
     slots: int
     state: str
     phase: str = ""
+    # Unix milliseconds of the runner's start; a restart may keep `id`.
+    born: int = msgspec.field(default=0, name="born")
 
 
 _decode_page = msgspec.json.Decoder(_Page).decode
@@ -79,16 +81,12 @@
             headers = [(b"host", self._address.encode()), (b"connection", b"close")]
             await connection.send("GET", target.encode(), headers, b"")
             head = await connection.head()
-            body = bytearray()
-            async for chunk in connection.body():
-                body += chunk
-                if len(body) > PAGE_BYTES:
-                    raise ConnectionBroken(f"a page over {PAGE_BYTES} bytes")
+            body = await connection.whole_body(PAGE_BYTES)
         finally:
             connection.close()
         if head.status != 200:
             raise ConnectionBroken(f"status {head.status}")
-        return bytes(body)
+        return body
 
 
 def _instance(raw: msgspec.Raw) -> BackendInstance | None:
@@ -112,4 +110,5 @@
         slots=entry.slots,
         is_leaving=entry.state == "draining",
         stage=_STAGES.get(entry.phase),
+        started_ms=entry.born,
     )
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -11,6 +11,8 @@
 __all__ = ["PlatformOrders"]
 
 CALL_S = 0.8
+# Answers are small documents.
+ANSWER_BYTES = 65_536
 # 202: it is carried out; 200: it holds already.
 _ACCEPTED = (200, 202)
 
@@ -73,7 +75,7 @@
             ]
             await connection.send(method, target, headers, body)
             head = await connection.head()
-            chunks = [chunk async for chunk in connection.body()]
+            body = await connection.whole_body(ANSWER_BYTES)
         finally:
             connection.close()
-        return head.status, b"".join(chunks)
+        return head.status, body
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -125,6 +125,30 @@
     assert DIALECT.reply_facts(ReplyHead(200, [])).keep_alive_s is None
 
 
+def test_a_server_says_that_it_leaves():
+    head = ReplyHead(200, [(b"server-leaving", b"1")])
+    assert DIALECT.reply_facts(head).is_leaving
+    assert not DIALECT.reply_facts(ReplyHead(200, [])).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"2.5", 2.5),
+        (503, b"3", 3.0),
+        (503, b"-1", None),
+        (503, b"1e9", None),
+        (503, b"soon", None),
+        (503, b"", None),
+        (200, b"2", None),
+        (429, b"2", None),
+    ],
+)
+def test_a_server_that_turns_a_request_away_may_ask_for_a_pause(status, value, pause_s):
+    head = ReplyHead(status, [(b"retry-after", value)])
+    assert DIALECT.reply_facts(head).pause_s == pause_s
+
+
 @pytest.mark.parametrize("body", [b"", b"{}", b"\xff", b'{"HandleId":3}'])
 def test_a_prefill_without_a_handle_is_no_prefill(body):
     assert DIALECT.handle_reply(body).is_err()
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -85,3 +85,11 @@
     assert read(b"{")[0].is_err()
     assert read(page(), status=429)[0].is_err()
     assert read(b'{"Instances":[')[0].is_err()
+
+
+def test_a_restart_under_the_same_name_is_told_apart():
+    first, _ = read(page([entry(1, born=1_700_000_000_000), entry(2)]))
+    assert [item.started_ms for item in first.unwrap().instances] == [
+        1_700_000_000_000,
+        0,
+    ]
