--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -88,7 +88,7 @@
 
 
 def test_a_restart_under_the_same_name_is_told_apart():
-    first, _ = read(page([entry(1, born=1_700_000_000_000), entry(2)]))
+    first, _ = read(page(entry(1, born=1_700_000_000_000), entry(2)))
     assert [item.started_ms for item in first.unwrap().instances] == [
         1_700_000_000_000,
         0,
