Leave calls their part of a workspace's rate; read no prompt between slow events

Change 1: large requests leave a tenth of a second of the rate to small ones, and small ones may overdraw the bucket within the operator's tolerance. The test of the time that a refusal names counts the part that is left to small ones. Change 2: a decode engine that runs other streams reads a prompt only if their events stay on time, by the steps that an event covers and the route's gap.

--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.prompt_reading import ReadingSpeed
+from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
@@ -93,11 +93,18 @@
         """Tell whether the reserved decode engine has the prompt read sooner."""
         if run.reservation is None:
             return False
-        decode = run.reservation.instance.instance
+        work = run.work
+        decode = self._load.total(run.reservation.instance.instance)
+        pace = None
+        engine = work.service.engine
+        # The reservation itself counts as one request.
+        if decode.requests > 1 and engine is not None:
+            pace = EventPace(engine.steps_per_event, work.route.event_gap_ms / 1000)
         return self._speed.prefers_decode(
-            prompt_tokens=run.work.request.prompt_tokens,
+            prompt_tokens=work.request.prompt_tokens,
             prefill_pending=self._load.total(prefill.instance).prompt_tokens,
-            decode_pending=self._load.total(decode).prompt_tokens,
+            decode_pending=decode.prompt_tokens,
+            pace=pace,
         )
 
     async def _read_on(
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -55,7 +55,9 @@
 LIST_READERS_PER_S = 8.0
 # Part of the operator's tolerance that a workspace may use at once. The rest covers
 # what hosts admit before they hear of each other.
-QUOTA_SLACK_SHARE = 0.4
+QUOTA_SLACK_SHARE = 0.35
+# Part of it by which small requests may overdraw a workspace's bucket.
+SMALL_SLACK_SHARE = 0.35
 RETRY_SHARE = 0.9
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
@@ -144,7 +146,10 @@
         self._host_count = HostCount()
         self._retries: dict[str, RetryShare] = {}
         self._load = LoadBook(rng)
-        self._quota = FleetQuota(QUOTA_SLACK_SHARE * settings.quota_slack)
+        self._quota = FleetQuota(
+            QUOTA_SLACK_SHARE * settings.quota_slack,
+            SMALL_SLACK_SHARE * settings.quota_slack,
+        )
         self._load_heard_s = float("-inf")
         self._reported_leaving: tuple[LeavingInstance, ...] = ()
         refusals = RefusalTimes(rng)
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -6,6 +6,10 @@
 each other is covered by the tolerance that the operator grants. Until the next news of
 the others a host assumes that they admit as before.
 
+Small requests go before large ones: a large one leaves a part of the bucket to them,
+and they may overdraw it a little. Load answered: a workspace near its rate whose long
+generations would take everything that its calls need.
+
 >>> quota = FleetQuota()
 >>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
 >>> quota.take(limit, cost=60.0, now_s=0.0)
@@ -24,6 +28,11 @@
 
 # The leader speaks at least once a second; after this it is not heard.
 SILENCE_S = 1.5
+# A request is small if the rate refills its cost within this time.
+SMALL_S = 0.05
+# What large requests leave in the bucket, as a time of refill. Calls take a tenth of
+# a workspace's tokens.
+RESERVED_S = 0.1
 # Over how long the others' admissions are averaged, to go on without reports.
 AVERAGE_S = 4.0
 
@@ -47,10 +56,13 @@
     ----------
     slack : float
         What may be admitted at once beyond a workspace's burst.
+    small_slack : float
+        By how much small requests may overdraw a bucket.
     """
 
-    def __init__(self, slack: float = 0.0) -> None:
+    def __init__(self, slack: float = 0.0, small_slack: float = 0.0) -> None:
         self._slack = slack
+        self._small_slack = small_slack
         self._buckets: dict[str, _Bucket] = {}
         self._heard_s = 0.0
 
@@ -75,11 +87,11 @@
         if workspace.rate_per_s <= 0:
             return 0.0
         bucket = self._refilled(workspace, now_s)
-        # A request larger than the bucket must not be refused for good.
         # What the others have probably admitted since they were heard last.
         level = bucket.level - self._assumed(bucket, now_s)
-        if level < min(cost, self._capacity(workspace)):
-            return (cost - level) / workspace.rate_per_s
+        needed = self._needed(workspace, cost)
+        if level < needed:
+            return (needed - level) / workspace.rate_per_s
         bucket.level -= cost
         bucket.own_unreported += cost
         return 0.0
@@ -105,6 +117,14 @@
                 usage[name], bucket.own_unreported = bucket.own_unreported, 0.0
         return usage
 
+    def _needed(self, workspace: GatewayWorkspace, cost: float) -> float:
+        """Return the level from which a request is admitted."""
+        if cost <= SMALL_S * workspace.rate_per_s:
+            return cost - self._small_slack
+        # A request larger than the bucket must not be refused for good.
+        reserved = RESERVED_S * workspace.rate_per_s
+        return min(cost + reserved, self._capacity(workspace))
+
     def _capacity(self, workspace: GatewayWorkspace) -> float:
         return workspace.burst + self._slack
 
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -103,12 +103,15 @@
         How long an exported KV cache waits to be imported, in seconds.
     reservation_s : float
         Longest reservation of decode room, in seconds.
+    steps_per_event : float
+        Steps of an engine that one event of a stream covers.
     """
 
     slots: int
     memory_tokens: int
     handle_s: float = 0.0
     reservation_s: float = 0.0
+    steps_per_event: float = 1.0
 
 
 class GatewayService(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/damaskridge/platform/config_document.py
+++ b/src/damaskridge/platform/config_document.py
@@ -55,6 +55,8 @@
     kv_hold_s: float = 0.0
     # Longest reservation of decode room, in milliseconds.
     hold_ms: float = 0.0
+    # Steps of the engine that one event of a stream covers.
+    stride: float = 1.0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -147,6 +149,7 @@
             memory_tokens=engine.kv_capacity,
             handle_s=engine.kv_hold_s,
             reservation_s=engine.hold_ms / 1000,
+            steps_per_event=engine.stride,
         )
     return GatewayService(
         name=service.name,
--- a/tests/core/gateway/test_prompt_reading.py
+++ b/tests/core/gateway/test_prompt_reading.py
@@ -2,7 +2,7 @@
 
 import random
 
-from damaskridge.core.gateway.prompt_reading import ReadingSpeed
+from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
 
 
 def test_an_idle_prefill_engine_reads():
@@ -52,3 +52,32 @@
     alone, shared = (waits(22.0, may_share=share) for share in (False, True))
     assert alone[int(0.9 * len(alone))] > 0.9
     assert shared[int(0.9 * len(shared))] < 0.6
+
+
+def prefers_decode(pace, tokens=5000, **fields):
+    fields = {"prefill_pending": 15_000, "decode_pending": 0, **fields}
+    return ReadingSpeed().prefers_decode(prompt_tokens=tokens, pace=pace, **fields)
+
+
+def test_streams_whose_events_cover_many_steps_are_not_held_up_by_a_prompt():
+    """One event would take in the reading of the whole prompt."""
+    pace = EventPace(steps_per_event=76, event_gap_s=0.3)
+    assert not prefers_decode(pace)
+    assert prefers_decode(None)
+    assert prefers_decode(pace, tokens=2000)
+    assert not prefers_decode(pace, tokens=2000, decode_pending=4000)
+
+
+def test_streams_whose_events_cover_few_steps_hardly_notice_a_prompt():
+    pace = EventPace(steps_per_event=7, event_gap_s=0.3)
+    assert prefers_decode(pace)
+    assert prefers_decode(pace, tokens=11_000, prefill_pending=30_000)
+
+
+def test_a_prompt_that_no_prefill_engine_reads_in_time_is_read_all_the_same():
+    pace = EventPace(steps_per_event=76, event_gap_s=0.3)
+    assert prefers_decode(pace, prefill_pending=60_000)
+
+
+def test_a_route_without_a_limit_for_gaps_has_prompts_read_where_it_is_sooner():
+    assert prefers_decode(EventPace(steps_per_event=76, event_gap_s=0.0))
