Keep prefill engines for a burst when others are changed to decode

Change: as many stay as are busy for half of the time, not 0.7 of it, so that a burst of twice the load can be read.

--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -32,9 +32,9 @@
 DECODE_SPARE_FOR_FIRST = 0.5
 # Share of the time in which prefill engines are busy: with more, prompts queue.
 PREFILL_SHORT = 0.85
-# What the remaining prefill engines may be busy after others were given away: well
-# below `PREFILL_SHORT`, so that no engine changes to and fro.
-PREFILL_SPARE = 0.7
+# What the remaining prefill engines may be busy after others were given away. A burst
+# doubles it, and a change back takes longer than the burst lasts.
+PREFILL_SPARE = 0.5
 # Rest after a change; the averages then show its effect.
 PAUSE_S = 12.0
 
