Send callers to as many hosts as their requests need; running totals of load

The leader summed over all hosts for each server and host, so that news were sent every 0.8 s; a host with a request every few seconds knew of nothing and chose engines blindly: prefill engines got 214 to 420 prompts each, their known queue was 200 tokens on average, 2,642 reservations met a full engine, and a host's part of the retry budget was two sends.

Change: LoadBoard keeps running totals, so that a report costs what it names. Hosts without requests hear only what others admitted. core.gateway.host_choice sizes the address answer of a data centre by what its hosts have in flight, at least three, and the retry budget goes mostly to the hosts in that answer. The loss of a control stream is logged once, not once an attempt (1,861 lines).

The tests of the retry share pass the part of the allowance in place of the number of hosts.

--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -23,6 +23,7 @@
     FleetDelta,
     FleetSnapshot,
     FollowRefused,
+    HostsNeeded,
     InstancesSeen,
     LoadSeen,
     OpenFollow,
@@ -50,6 +51,7 @@
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
 InstancesCallback = Callable[[InstancesSeen], None]
+HostsNeededCallback = Callable[[HostsNeeded], None]
 LoadCallback = Callable[[LoadSeen], None]
 # Returns what changed; all that is in flight if its argument is true.
 LoadSource = Callable[[bool], ReportLoad | None]
@@ -116,6 +118,7 @@
         self._sent_s: dict[int, float] = {}
         self._callbacks: list[ChangeCallback] = []
         self._instances_callbacks: list[InstancesCallback] = []
+        self._hosts_needed_callbacks: list[HostsNeededCallback] = []
         self._load_source: LoadSource | None = None
         self._load_callback: LoadCallback | None = None
         self._draining = False
@@ -147,6 +150,10 @@
         """Call back after every reading of the list of backend servers."""
         self._instances_callbacks.append(callback)
 
+    def on_hosts_needed(self, callback: HostsNeededCallback) -> None:
+        """Call back when another number of hosts is needed."""
+        self._hosts_needed_callbacks.append(callback)
+
     def share_load(self, source: LoadSource, callback: LoadCallback) -> None:
         """
         Report this host's load, and learn that of the others.
@@ -182,9 +189,12 @@
                 except (*CONNECTION_ERRORS, TimeoutError) as error:
                     self._calls.drop(address, error)
                 self._calls.failed(address, leader)
-                log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
                 self._note_lease()
-                attempt = 0 if self._fleet.index > index else attempt + 1
+                progressed = self._fleet.index > index
+                if progressed or not attempt:
+                    # Further attempts tell nothing new.
+                    log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
+                attempt = 0 if progressed else attempt + 1
                 if not self._fleet.index:
                     # A host that knows nothing yet cannot serve anyone.
                     attempt = min(attempt, FIRST_ATTEMPTS)
@@ -267,6 +277,9 @@
         elif isinstance(message, InstancesSeen):
             for callback in self._instances_callbacks:
                 callback(message)
+        elif isinstance(message, HostsNeeded):
+            for notify in self._hosts_needed_callbacks:
+                notify(message)
         elif isinstance(message, SessionRenewed):
             sent_s = self._sent_s.get(message.sequence)
             self._forget_sent(message.sequence)
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -34,6 +34,7 @@
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
+from damaskridge.core.gateway.host_choice import HostDemand
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
@@ -49,6 +50,8 @@
     CommandResult,
     FleetDelta,
     FollowRefused,
+    HostsNeeded,
+    InstanceLoad,
     OpenFollow,
     ProposeBundle,
     RenewSession,
@@ -71,6 +74,13 @@
 LOAD_PERIOD_S = 0.04
 # Keeps the leader's work for load reports at a few hundredths of a core.
 LOAD_HOST_S = 0.004
+# Hosts without requests only hear what others admitted, so that a workspace's bucket is
+# known there when a request comes.
+LOAD_IDLE_PERIOD_S = 2.0
+# A burst doubles the load within a second.
+DEMAND_PERIOD_S = 0.5
+# Longer than hosts take to find a new leader and to report.
+DEMAND_WARM_UP_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +135,9 @@
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
         self._board = LoadBoard()
         self._load_reported = anyio.Event()
+        self._demand = HostDemand()
+        self._hosts_needed: dict[str, int] = {}
+        self._follower_hosts: dict[Follower, str] = {}
         self._orders: StageOrders | None = None
         if orders is not None:
             self._orders = StageOrders(
@@ -171,6 +184,7 @@
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
             group.start_soon(self._publish_load)
+            group.start_soon(self._publish_hosts_needed)
             if self._instances is not None:
                 group.start_soon(self._instances.run)
             if self._orders is not None:
@@ -246,7 +260,10 @@
         async with anyio.create_task_group() as group:
             follower = Follower(group.cancel_scope.cancel)
             self._followers.add(follower, first.index)
-            self._board.join(follower)
+            self._board.join(follower, anyio.current_time())
+            self._follower_hosts[follower] = first.host
+            if self._hosts_needed:
+                follower.push(HostsNeeded(by_data_centre=self._hosts_needed))
             if self._instances is not None:
                 self._instances.greet(follower)
             try:
@@ -255,6 +272,7 @@
             finally:
                 self._followers.remove(follower)
                 self._board.leave(follower)
+                del self._follower_hosts[follower]
                 group.cancel_scope.cancel()
 
     async def _read(self, stream: Any, follower: Follower) -> None:
@@ -265,7 +283,7 @@
                 if isinstance(message, RenewSession):
                     self._received(follower, message)
                 elif isinstance(message, ReportLoad):
-                    self._board.report(follower, message)
+                    self._board.report(follower, message, anyio.current_time())
                     self._load_reported.set()
                     if self._instances is not None:
                         for notice in message.leaving:
@@ -329,12 +347,46 @@
     async def _publish_load(self) -> None:
         # Hosts that forward no requests report none.
         await self._load_reported.wait()
+        idle_told_s = float("-inf")
         while True:
+            now_s = anyio.current_time()
+            tells_idle = now_s - idle_told_s >= LOAD_IDLE_PERIOD_S
+            if tells_idle:
+                idle_told_s = now_s
             for follower in self._followers.open():
-                news = self._board.news(follower)
-                if news is not None:
-                    follower.push(news)
-            await anyio.sleep(max(LOAD_PERIOD_S, len(self._board) * LOAD_HOST_S))
+                if tells_idle or self._board.is_active(follower, now_s):
+                    news = self._board.news(follower, now_s)
+                    if news is not None:
+                        follower.push(news)
+            active = self._board.active(now_s)
+            await anyio.sleep(max(LOAD_PERIOD_S, active * LOAD_HOST_S))
+
+    async def _publish_hosts_needed(self) -> None:
+        # Hosts that forward no requests report none.
+        await self._load_reported.wait()
+        while True:
+            if not self._duties.ready:
+                # The hosts of a new leader need a moment to report their load.
+                self._demand, self._hosts_needed = HostDemand(), {}
+                await anyio.sleep(DEMAND_WARM_UP_S)
+            else:
+                needed = self._demand.hosts_needed(
+                    self._load_by_data_centre(), anyio.current_time()
+                )
+                if needed != self._hosts_needed:
+                    self._hosts_needed = needed
+                    self._followers.notify(HostsNeeded(by_data_centre=needed))
+                    log_event(_log, EventNumber.HOSTS_NEEDED, hosts=needed)
+                await anyio.sleep(DEMAND_PERIOD_S)
+
+    def _load_by_data_centre(self) -> dict[str, list[InstanceLoad]]:
+        load: dict[str, list[InstanceLoad]] = {}
+        for follower, host in self._follower_hosts.items():
+            session = self._state.data.sessions.get(host)
+            if session is not None:
+                items = load.setdefault(session.data_centre, [])
+                items += self._board.load_of(follower).values()
+        return load
 
     async def _publish(self) -> None:
         while True:
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -28,16 +28,23 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import HttpServer
+from damaskridge.core.gateway.host_choice import chosen_hosts
 from damaskridge.core.gateway.host_count import HostCount
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load_board import ACTIVE_S
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.retry_share import RetryShare
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
-from damaskridge.model.control import InstancesSeen, LoadSeen, ReportLoad
+from damaskridge.model.control import (
+    HostsNeeded,
+    InstancesSeen,
+    LoadSeen,
+    ReportLoad,
+)
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, LeavingInstance, RoutingTable
 
@@ -59,6 +66,9 @@
 # Part of it by which small requests may overdraw a workspace's bucket.
 SMALL_SLACK_SHARE = 0.35
 RETRY_SHARE = 0.9
+# Part of the retry budget for the hosts that callers are sent to. The others also get
+# requests, of callers that keep an old answer.
+USED_RETRY_PART = 0.8
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
 DRAIN_PROPOSAL_S = 1.5
@@ -144,13 +154,17 @@
         self._pool = ConnectionPool()
         self._copy = InstanceCopy()
         self._host_count = HostCount()
+        self._used_count = HostCount()
+        self._hosts_needed: dict[str, int] = {}
         self._retries: dict[str, RetryShare] = {}
+        self._retry_part = 0.0
         self._load = LoadBook(rng)
         self._quota = FleetQuota(
             QUOTA_SLACK_SHARE * settings.quota_slack,
             SMALL_SLACK_SHARE * settings.quota_slack,
         )
         self._load_heard_s = float("-inf")
+        self._load_reported_s = float("-inf")
         self._reported_leaving: tuple[LeavingInstance, ...] = ()
         refusals = RefusalTimes(rng)
         sender = Sender(dialect, self._pool, self.registry)
@@ -176,6 +190,7 @@
         self.metrics = self._metrics()
         self.control.on_change(lambda _: self._fleet_changed())
         self.control.on_instances(self._instances_seen)
+        self.control.on_hosts_needed(self._hosts_needed_changed)
         self.control.share_load(self._load_report, self._load_seen)
 
     def is_ready(self) -> bool:
@@ -185,14 +200,15 @@
     def addresses(self, data_centre: str) -> list[str]:
         """Return the addresses that callers in a data centre should use."""
         fleet = self.control.fleet
-        local = [
-            session.caller_address
+        local = {
+            session.host: session.caller_address
             for session in live_sessions(fleet)
             if session.data_centre == data_centre
-        ]
-        if len(local) >= LEAST_LOCAL_HOSTS:
-            return local
-        return addresses_for(fleet, data_centre)
+        }
+        if len(local) < LEAST_LOCAL_HOSTS:
+            return addresses_for(fleet, data_centre)
+        needed = self._hosts_needed.get(data_centre, len(local))
+        return [local[host] for host in chosen_hosts(list(local), needed)]
 
     def operators_app(self) -> Any:
         """Return the application that serves the metrics."""
@@ -248,11 +264,36 @@
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             await self.control.close()
 
+    def _hosts_needed_changed(self, message: HostsNeeded) -> None:
+        self._hosts_needed = message.by_data_centre
+        self._count_hosts()
+
+    def _count_hosts(self) -> None:
+        """Count the hosts, and those that callers are sent to."""
+        now_s = anyio.current_time()
+        names: dict[str, list[str]] = {}
+        for session in live_sessions(self.control.fleet):
+            names.setdefault(session.data_centre, []).append(session.host)
+        used = {
+            host
+            for data_centre, hosts in names.items()
+            for host in chosen_hosts(
+                hosts, self._hosts_needed.get(data_centre, len(hosts))
+            )
+        }
+        every = self._host_count.note(sum(map(len, names.values())), now_s)
+        used_count = self._used_count.note(len(used), now_s)
+        self.state.hosts = every
+        used_part = USED_RETRY_PART if used_count < every else 1.0
+        self._retry_part = (
+            used_part / used_count
+            if self.settings.host in used
+            else (1 - used_part) / every
+        )
+
     def _fleet_changed(self) -> None:
         fleet = self.control.fleet
-        self.state.hosts = self._host_count.note(
-            len(live_sessions(fleet)), anyio.current_time()
-        )
+        self._count_hosts()
         table = fleet.routing
         if table.version == self.state.index.table.version:
             return
@@ -276,6 +317,8 @@
         leaving = self.registry.notices.leaving()
         news = leaving if everything or leaving != self._reported_leaving else ()
         self._reported_leaving = leaving
+        if load or usage or everything:
+            self._load_reported_s = anyio.current_time()
         if not (load or usage or news):
             return None
         return ReportLoad(load=load, usage=usage, leaving=news)
@@ -283,6 +326,8 @@
     def _load_seen(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
         self._load_heard_s = now_s
+        if message.is_whole:
+            self._load.forget_others()
         self._load.others_changed(message.load)
         self._quota.others_admitted(message.usage, now_s)
 
@@ -319,18 +364,21 @@
         while True:
             await anyio.sleep(PRUNE_S)
             self._pool.prune()
-            if anyio.current_time() - self._load_heard_s > LOAD_STALE_S:
+            now_s = anyio.current_time()
+            # A host that reports nothing is not told what others have in flight.
+            is_told = now_s - self._load_reported_s < ACTIVE_S
+            if not is_told or now_s - self._load_heard_s > LOAD_STALE_S:
                 self._load.forget_others()
 
     def _earn(self, service: str) -> None:
-        self._retry_share(service).earn(self.state.hosts, anyio.current_time())
+        self._retry_share(service).earn(self._retry_part, anyio.current_time())
 
     def _may_resend(self, work: GatewayWork) -> bool:
         if not work.arrivals:
             # No send has reached a backend server yet.
             return True
         share = self._retry_share(work.service.name)
-        return share.spend(self.state.hosts, anyio.current_time())
+        return share.spend(self._retry_part, anyio.current_time())
 
     def _retry_share(self, service: str) -> RetryShare:
         settings = self.settings
--- a/src/damaskridge/core/gateway/load.py
+++ b/src/damaskridge/core/gateway/load.py
@@ -74,6 +74,9 @@
     def others_changed(self, load: Mapping[str, InstanceLoad]) -> None:
         """Take over what the other hosts have in flight."""
         self._others.update(load)
+        for name, work in load.items():
+            if work == InstanceLoad():
+                del self._others[name]
 
     def forget_others(self) -> None:
         """Count this host's requests only, after others were not heard for long."""
--- a/src/damaskridge/core/gateway/load_board.py
+++ b/src/damaskridge/core/gateway/load_board.py
@@ -3,23 +3,55 @@
 Placing and rates need to know what other hosts have in flight. Reports and sums are
 sent at short intervals, and only what changed, so that no request waits for them. A
 host that hears nothing goes on with what it last knew.
+
+The board keeps running totals: a report costs what it names, and news cost what has
+changed, whatever the number of hosts. Hosts that have reported nothing of late are
+told what others admitted, but not what these have in flight; a host that reports again
+is told everything.
 """
 
+from collections import OrderedDict
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 from damaskridge.model.control import InstanceLoad, LoadSeen, ReportLoad
 
-__all__ = ["LoadBoard"]
+__all__ = ["ACTIVE_S", "LoadBoard"]
+
+# A host without requests for so long is not told what others have in flight.
+ACTIVE_S = 10.0
+# Totals that are nothing are kept for news of the change, up to so many.
+KEPT_EMPTY = 256
+NOTHING = InstanceLoad()
 
 
 @dataclass(slots=True)
 class _Member:
-    """What one host has reported, and what it has not been told yet."""
+    """
+    What one host has reported, and what it was told.
+
+    `told` is the number of the last change that it was told of. Usage is counted from
+    the start of the board, so that a difference is what was not told yet.
+    """
 
     load: dict[str, InstanceLoad] = field(default_factory=dict)
-    changed: set[str] = field(default_factory=set)
-    usage: dict[str, float] = field(default_factory=dict)
+    told: int = 0
+    active_until_s: float = float("-inf")
+    own_usage: dict[str, float] = field(default_factory=dict)
+    told_usage: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """The last change of a total, and the last one that another host made."""
+
+    number: int
+    member: Hashable
+    number_of_another: int
+
+    def number_for(self, member: Hashable) -> int:
+        """Return the number of the last change that is news for a host."""
+        return self.number_of_another if member == self.member else self.number
 
 
 class LoadBoard:
@@ -27,63 +59,133 @@
 
     def __init__(self) -> None:
         self._members: dict[Hashable, _Member] = {}
+        self._totals: dict[str, InstanceLoad] = {}
+        # The total that changed last stands last.
+        self._changes: OrderedDict[str, _Change] = OrderedDict()
+        self._number = 0
+        self._usage: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._members)
 
-    def join(self, member: Hashable) -> None:
-        """Add a host; it is told everything that the others have in flight."""
-        changed = {name for item in self._members.values() for name in item.load}
-        self._members[member] = _Member(changed=changed)
+    def join(self, member: Hashable, now_s: float) -> None:
+        """Add a host; at first it is told what others have in flight."""
+        self._members[member] = _Member(
+            active_until_s=now_s + ACTIVE_S, told_usage=dict(self._usage)
+        )
 
     def leave(self, member: Hashable) -> None:
         """Remove a host with all that it had in flight."""
         left = self._members.pop(member, None)
         if left is not None:
-            for other in self._members.values():
-                other.changed |= left.load.keys()
+            for name, load in left.load.items():
+                self._change(member, name, load, NOTHING)
 
-    def report(self, member: Hashable, message: ReportLoad) -> None:
+    def is_active(self, member: Hashable, now_s: float) -> bool:
+        """Tell whether a host has reported requests of late."""
+        found = self._members.get(member)
+        return found is not None and now_s < found.active_until_s
+
+    def active(self, now_s: float) -> int:
+        """Return how many hosts have reported requests of late."""
+        return sum(now_s < item.active_until_s for item in self._members.values())
+
+    def report(self, member: Hashable, message: ReportLoad, now_s: float) -> None:
         """Take over what changed on a host."""
         reporter = self._members.get(member)
         if reporter is None:
             return
-        reporter.load.update(message.load)
+        if message.load or message.usage:
+            if now_s >= reporter.active_until_s:
+                reporter.told = 0
+            reporter.active_until_s = now_s + ACTIVE_S
         for name, load in message.load.items():
-            if load == InstanceLoad():
-                del reporter.load[name]
-        for other in self._members.values():
-            if other is reporter:
-                continue
-            other.changed |= message.load.keys()
-            for workspace, used in message.usage.items():
-                other.usage[workspace] = other.usage.get(workspace, 0.0) + used
-
-    def news(self, member: Hashable) -> LoadSeen | None:
+            self._change(member, name, reporter.load.pop(name, NOTHING), load)
+            if load != NOTHING:
+                reporter.load[name] = load
+        for workspace, used in message.usage.items():
+            own = reporter.own_usage
+            own[workspace] = own.get(workspace, 0.0) + used
+            self._usage[workspace] = self._usage.get(workspace, 0.0) + used
+
+    def news(self, member: Hashable, now_s: float) -> LoadSeen | None:
         """Return what a host has not been told yet, or None."""
         reader = self._members.get(member)
-        if reader is None or not (reader.changed or reader.usage):
+        if reader is None:
+            return None
+        usage = self._usage_news(reader)
+        if not self.is_active(member, now_s):
+            return LoadSeen(usage=usage) if usage else None
+        is_whole = reader.told == 0
+        load = self._load_news(member, reader)
+        if not (load or usage):
             return None
-        load = {name: self._others(reader, name) for name in reader.changed}
-        usage, reader.usage = reader.usage, {}
-        reader.changed = set()
-        return LoadSeen(load=load, usage=usage)
+        return LoadSeen(load=load, usage=usage, is_whole=is_whole)
 
     def total(self) -> dict[str, InstanceLoad]:
         """Return what all hosts together have in flight, by backend server."""
-        names = {name for member in self._members.values() for name in member.load}
-        everyone = list(self._members.values())
-        return {name: _sum(everyone, name) for name in names}
-
-    def _others(self, reader: _Member, name: str) -> InstanceLoad:
-        others = [item for item in self._members.values() if item is not reader]
-        return _sum(others, name)
+        return dict(self._totals)
+
+    def load_of(self, member: Hashable) -> dict[str, InstanceLoad]:
+        """Return what one host has in flight, by backend server."""
+        found = self._members.get(member)
+        return dict(found.load) if found is not None else {}
+
+    def _change(
+        self, member: Hashable, name: str, old: InstanceLoad, new: InstanceLoad
+    ) -> None:
+        total = _minus(_plus(self._totals.get(name, NOTHING), new), old)
+        if total == NOTHING:
+            self._totals.pop(name, None)
+        else:
+            self._totals[name] = total
+        self._number += 1
+        last = self._changes.get(name)
+        of_another = last.number_for(member) if last is not None else 0
+        self._changes[name] = _Change(self._number, member, of_another)
+        self._changes.move_to_end(name)
+        if len(self._changes) > len(self._totals) + KEPT_EMPTY:
+            self._drop_empty()
+
+    def _drop_empty(self) -> None:
+        """Drop the older half of the totals that are nothing."""
+        empty = [name for name in self._changes if name not in self._totals]
+        for name in empty[: KEPT_EMPTY // 2]:
+            del self._changes[name]
+
+    def _load_news(self, member: Hashable, reader: _Member) -> dict[str, InstanceLoad]:
+        load = {}
+        for name, change in reversed(self._changes.items()):
+            if change.number <= reader.told:
+                break
+            if change.number_for(member) > reader.told:
+                total = self._totals.get(name, NOTHING)
+                load[name] = _minus(total, reader.load.get(name, NOTHING))
+        reader.told = self._number
+        return load
+
+    def _usage_news(self, reader: _Member) -> dict[str, float]:
+        usage = {}
+        for workspace, used in self._usage.items():
+            others = used - reader.own_usage.get(workspace, 0.0)
+            untold = others - reader.told_usage.get(workspace, 0.0)
+            if untold > 0:
+                usage[workspace] = untold
+                reader.told_usage[workspace] = others
+        return usage
+
+
+def _plus(a: InstanceLoad, b: InstanceLoad) -> InstanceLoad:
+    return InstanceLoad(
+        a.requests + b.requests,
+        a.prompt_tokens + b.prompt_tokens,
+        a.memory_tokens + b.memory_tokens,
+    )
 
 
-def _sum(members: list[_Member], name: str) -> InstanceLoad:
-    loads = [member.load[name] for member in members if name in member.load]
+def _minus(a: InstanceLoad, b: InstanceLoad) -> InstanceLoad:
     return InstanceLoad(
-        requests=sum(load.requests for load in loads),
-        prompt_tokens=sum(load.prompt_tokens for load in loads),
-        memory_tokens=sum(load.memory_tokens for load in loads),
+        a.requests - b.requests,
+        a.prompt_tokens - b.prompt_tokens,
+        a.memory_tokens - b.memory_tokens,
     )
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -16,7 +16,7 @@
 0.0
 >>> quota.others_admitted({"w": 30.0}, now_s=0.0)
 >>> quota.take(limit, cost=60.0, now_s=0.0)
-0.5
+0.6
 """
 
 from collections.abc import Mapping
--- a/src/damaskridge/core/gateway/retry_share.py
+++ b/src/damaskridge/core/gateway/retry_share.py
@@ -1,6 +1,6 @@
 """Bounds the sends beyond each request's first, over all hosts together.
 
-Every host has an equal share of the fixed allowance and earns its part of the share of
+Every host has a part of the fixed allowance and earns its part of the share of
 requests by its own requests, so that no retry waits for another host.
 """
 
@@ -32,24 +32,24 @@
         self._level = 0.0
         self._refilled_s: float | None = None
 
-    def earn(self, hosts: int, now_s: float) -> None:
-        """Count one request."""
-        self._refill(hosts, now_s)
-        self._level = min(self._level + self._ratio, self._capacity(hosts))
+    def earn(self, part: float, now_s: float) -> None:
+        """Count one request; `part` of the allowance belongs to this host."""
+        self._refill(part, now_s)
+        self._level = min(self._level + self._ratio, self._capacity(part))
 
-    def spend(self, hosts: int, now_s: float) -> bool:
+    def spend(self, part: float, now_s: float) -> bool:
         """Take one additional send; `False` if none is left."""
-        self._refill(hosts, now_s)
+        self._refill(part, now_s)
         if self._level < 1:
             return False
         self._level -= 1
         return True
 
-    def _capacity(self, hosts: int) -> float:
-        return max(1.0, BUCKET_PART * self._allowance / max(1, hosts))
+    def _capacity(self, part: float) -> float:
+        return max(1.0, BUCKET_PART * self._allowance * part)
 
-    def _refill(self, hosts: int, now_s: float) -> None:
-        capacity = self._capacity(hosts)
+    def _refill(self, part: float, now_s: float) -> None:
+        capacity = self._capacity(part)
         if self._refilled_s is None:
             self._level = capacity
         else:
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -38,6 +38,7 @@
     "FollowRefused",
     "FollowReply",
     "FollowRequest",
+    "HostsNeeded",
     "InstanceLoad",
     "InstancesSeen",
     "KeyWithdrawn",
@@ -574,10 +575,26 @@
         By backend server, what the others have in flight there now.
     usage : dict of str to float
         By workspace, what the others admitted since the last message.
+    is_whole : bool
+        Whether `load` names all that the others have in flight.
     """
 
     load: dict[str, InstanceLoad] = {}
     usage: dict[str, float] = {}
+    is_whole: bool = False
+
+
+class HostsNeeded(FollowReply, frozen=True, kw_only=True, tag=True):
+    """
+    How many entry hosts callers should be sent to.
+
+    Parameters
+    ----------
+    by_data_centre : dict of str to int
+        Hosts that the requests of each data centre need.
+    """
+
+    by_data_centre: dict[str, int]
 
 
 class FollowRefused(FollowReply, frozen=True, kw_only=True, tag=True):
@@ -592,6 +609,7 @@
     | FleetDelta
     | FleetSnapshot
     | FollowRefused
+    | HostsNeeded
     | InstancesSeen
     | LoadSeen
 )
--- a/tests/core/gateway/test_load.py
+++ b/tests/core/gateway/test_load.py
@@ -21,10 +21,10 @@
     """Let every book hear of the others, as over the leader."""
     board = LoadBoard()
     for number, book in enumerate(books):
-        board.join(number)
-        board.report(number, ReportLoad(load=book.unreported(everything=True)))
+        board.join(number, 0.0)
+        board.report(number, ReportLoad(load=book.unreported(everything=True)), 0.0)
     for number, book in enumerate(books):
-        news = board.news(number)
+        news = board.news(number, 0.0)
         if news is not None:
             book.others_changed(news.load)
 
@@ -51,23 +51,23 @@
 
 def test_a_host_that_left_has_nothing_in_flight():
     board = LoadBoard()
-    board.join("x")
-    board.join("y")
-    board.report("x", ReportLoad(load={"a": InstanceLoad(2)}))
-    assert board.news("y").load == {"a": InstanceLoad(2)}
+    board.join("x", 0.0)
+    board.join("y", 0.0)
+    board.report("x", ReportLoad(load={"a": InstanceLoad(2)}), 0.0)
+    assert board.news("y", 0.0).load == {"a": InstanceLoad(2)}
     board.leave("x")
-    assert board.news("y").load == {"a": InstanceLoad()}
+    assert board.news("y", 0.0).load == {"a": InstanceLoad()}
 
 
 def test_a_host_is_told_what_others_admitted_and_not_its_own():
     board = LoadBoard()
     for name in "xyz":
-        board.join(name)
-    board.report("x", ReportLoad(usage={"w": 5.0}))
-    board.report("y", ReportLoad(usage={"w": 2.0}))
-    assert board.news("x").usage == {"w": 2.0}
-    assert board.news("z").usage == {"w": 7.0}
-    assert board.news("z") is None
+        board.join(name, 0.0)
+    board.report("x", ReportLoad(usage={"w": 5.0}), 0.0)
+    board.report("y", ReportLoad(usage={"w": 2.0}), 0.0)
+    assert board.news("x", 0.0).usage == {"w": 2.0}
+    assert board.news("z", 0.0).usage == {"w": 7.0}
+    assert board.news("z", 0.0) is None
 
 
 def test_the_nearest_of_equal_servers_is_chosen():
--- a/tests/core/gateway/test_retry_share.py
+++ b/tests/core/gateway/test_retry_share.py
@@ -15,8 +15,8 @@
         share = rng.choice(shares)
         if rng.random() < 0.5:
             requests.append(now_s)
-            share.earn(hosts, now_s)
-        while share.spend(hosts, now_s):
+            share.earn(1 / hosts, now_s)
+        while share.spend(1 / hosts, now_s):
             repeats.append(now_s)
     for start_s in range(50):
         end_s = start_s + window_s
@@ -27,4 +27,4 @@
 
 def test_a_quiet_host_can_repeat_several_requests_at_once():
     share = RetryShare(0.2, 60.0, 10.0)
-    assert sum(share.spend(11, 5.0) for _ in range(10)) >= 3
+    assert sum(share.spend(1 / 11, 5.0) for _ in range(10)) >= 3
--- a/tests/core/gateway/test_stage_balance.py
+++ b/tests/core/gateway/test_stage_balance.py
@@ -99,7 +99,7 @@
 
 
 def test_the_prefill_engines_that_are_left_read_twice_the_prompts():
-    """Nine of fourteen were given away at calm, and a burst then waited for the rest."""
+    """Nine of fourteen were given away, and a burst then waited for the rest."""
     for prefill, busy in ((14, 3), (14, 4), (16, 4), (7, 2), (5, 1)):
         items = engines(prefill, 29)
         load = load_of(items, decode_use=0.6, prefill_busy=busy)
