Tell late copies of answers apart on connections that are used again

Cause: refusals of a server and answers to reservations name no request. A late copy of a refusal, on a connection that was used for a reservation before, would have said that a generation had not run which must run once; a copy of a reservation would have been used by the next generation.

Change: generations that run once use a new connection. The answer to a reservation must name one that was not given before and no request, or its connection is closed. A refusal without a request id says so in the log.

The stand-in numbers its reservations and asks by different ids.

--- a/src/damaskridge/adapters/gateway/decode_room.py
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+from collections import deque
 from enum import Enum
+from functools import partial
 
 from damaskridge.adapters.gateway.dialect import Dialect
 from damaskridge.adapters.gateway.generation import Generation, Reservation
@@ -24,6 +26,9 @@
 PAUSE_S = 0.05
 # What an engine answers that has no room.
 FULL = "status 503"
+# Names of reservations by which a late copy of an answer is recognised. A copy comes
+# within seconds.
+REMEMBERED = 256
 # The reservation's time runs from its arrival at the engine.
 USE_SHARE = 0.9
 
@@ -69,6 +74,7 @@
         self._registry = registry
         self._load = load
         self._data_centre = data_centre
+        self._given: deque[tuple[str, str]] = deque(maxlen=REMEMBERED)
 
     async def find(self, run: Generation) -> RoomSearch:
         """Reserve room, waiting for a while if every engine is full."""
@@ -134,6 +140,16 @@
                 run.log_failed(instance.instance, "reserve", reason)
         return full
 
+    def _is_new(self, instance: BackendInstance, body: bytes) -> bool:
+        """Tell whether a body names a reservation that was not given before."""
+        reserved = self._dialect.reservation_reply(body)
+        if reserved.is_err():
+            return False
+        given = (instance.instance, reserved.unwrap())
+        is_new = given not in self._given
+        self._given.append(given)
+        return is_new
+
     async def _ask(
         self, run: Generation, instance: BackendInstance, duration_s: float
     ) -> str:
@@ -144,7 +160,9 @@
         self._load.start(request_id, name, InstanceLoad(1, memory_tokens=tokens))
         try:
             call = self._dialect.reserve(tokens, duration_s)
-            called = await self._sender.call_engine(instance, call)
+            called = await self._sender.call_engine(
+                instance, call, partial(self._is_new, instance)
+            )
             reserved = called.and_then(self._dialect.reservation_reply)
             if reserved.is_ok():
                 usable_until_s = now_s + USE_SHARE * duration_s
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -230,9 +230,30 @@
             )
 
     async def call_engine(
-        self, instance: BackendInstance, call: EngineCall
+        self,
+        instance: BackendInstance,
+        call: EngineCall,
+        accepts: Callable[[bytes], bool] = lambda _: True,
     ) -> Result[bytes, str]:
-        """Return the body of the answer with status 200, or what went wrong."""
+        """
+        Call an engine for no caller's request.
+
+        Parameters
+        ----------
+        instance : BackendInstance
+            The engine.
+        call : EngineCall
+            What to call.
+        accepts : callable
+            Tells whether a body answers this call. Answers to such calls carry no
+            request id, so that a late copy of an earlier one shows only by its body;
+            its connection is not used again.
+
+        Returns
+        -------
+        Result[bytes, str]
+            The body of the answer with status 200, or what went wrong.
+        """
         if self._is_paused(instance):
             return Err("the server wants no request now")
         headers: Headers = [
@@ -242,12 +263,20 @@
         try:
             async with asyncio.timeout(ENGINE_CALL_S):
                 connection = await self._pool.take(instance, CONNECT_S)
+                is_sound = False
                 try:
                     await connection.send(call.method, call.target, headers, call.body)
                     head = await connection.head()
                     body = await connection.whole_body(ENGINE_CALL_BYTES)
+                    facts = self._dialect.reply_facts(head)
+                    is_sound = not facts.request_id and (
+                        head.status != 200 or accepts(body)
+                    )
                 finally:
-                    self._pool.give_back(instance, connection)
+                    if is_sound:
+                        self._pool.give_back(instance, connection)
+                    else:
+                        connection.close()
         except NotSent as error:
             self._note_unreachable(instance, str(error))
             return Err(str(error))
@@ -255,7 +284,9 @@
             return Err(f"no answer in {ENGINE_CALL_S:g} s")
         except ConnectionBroken as error:
             return Err(str(error))
-        self._heed(instance, self._dialect.reply_facts(head))
+        if not is_sound:
+            return Err("the answer belongs to another call")
+        self._heed(instance, facts)
         if head.status != 200:
             return Err(f"status {head.status}")
         return Ok(body)
@@ -298,8 +329,9 @@
             self._note_unreachable(instance, "another instance has the address")
             return NotRun("another instance has the address")
         if facts.did_not_run:
+            source = "" if facts.request_id else " and no request id"
             return NotRun(
-                f"refused with status {head.status}",
+                f"refused with status {head.status}{source}",
                 is_full=head.status in (429, 503),
             )
         if head.status < 300 and not (facts.is_signed or is_prefill):
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -199,8 +199,8 @@
             work.body,
             work.options(instance.instance, step, run.last_event_id),
             answer_s=answer_s,
-            # A reservation has just shown that its connection is not silent.
-            fresh=not work.policy.may_repeat and reservation is None,
+            # A late copy of an earlier refusal would pass for this one's.
+            fresh=not work.policy.may_repeat,
         )
 
     async def _after_failed_send(
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -95,6 +95,7 @@
     service: str = "app"
     seen: list = field(default_factory=list)
     closed: int = 0
+    reserved: int = 0
     address: str = ""
 
     async def serve(self, reader, writer):
@@ -122,7 +123,10 @@
         return Seen(method, target, headers, body, reader)
 
     def _api(self, seen):
-        body = b'{"Hold":"h1"}' if seen.target == "/api/hold-take" else b"{}"
+        body = b"{}"
+        if seen.target == "/api/hold-take":
+            self.reserved += 1
+            body = b'{"Hold":"h%d"}' % self.reserved
         return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
 
     def instance(self):
@@ -146,10 +150,19 @@
     resends: list
     load: LoadBook
 
-    async def ask(self, path="/safe/x", headers=(), body=b"", method="POST", key="k"):
+    async def ask(
+        self,
+        path="/safe/x",
+        headers=(),
+        body=b"",
+        method="POST",
+        key="k",
+        attempt="a1",
+    ):
         """Return status, headers and body; the body is None if the answer is cut."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        lines = [f"{method} {path} HTTP/1.1", "host: h.example", "x-attempt-id: a1"]
+        lines = [f"{method} {path} HTTP/1.1", "host: h.example"]
+        lines.append(f"x-attempt-id: {attempt}")
         lines += [f"authorization: Bearer {key}"] if key else []
         lines += [*headers, f"content-length: {len(body)}", "connection: close"]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
