Have the prompt of a stream that goes on elsewhere read by a prefill engine

Change: such a run asks for room and for a prefill like a new one, for at most 0.4 s; the second reading is taken from the retry budget. Without room it is sent as before.

Test: test_streams.py, fails before.

--- a/src/damaskridge/adapters/gateway/decode_room.py
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -24,6 +24,9 @@
 # room from one that can still be on time.
 WAIT_OBJECTIVES = 0.5
 PAUSE_S = 0.05
+# A run that goes on elsewhere may wait so long. Callers give up a stream after two
+# seconds without an event at the earliest, and its silence may have taken over one.
+WAIT_AGAIN_S = 0.4
 # What an engine answers that has no room.
 FULL = "status 503"
 # Names of reservations by which a late copy of an answer is recognised. A copy comes
@@ -83,6 +86,8 @@
         if engine is None or engine.reservation_s <= 0:
             return RoomSearch.DONE
         wait_s = WAIT_OBJECTIVES * work.route.objective_ms / 1000
+        if run.has_events:
+            wait_s = work.elapsed_s + WAIT_AGAIN_S
         is_first = True
         while True:
             full = await self._ask_engines(run, engine, is_first)
@@ -111,9 +116,9 @@
         self, run: Generation, engine: EngineTraits, is_logged: bool
     ) -> int:
         """Ask engines until one has room; returns how many had none."""
-        tried: set[str] = set()
+        tried = set(run.tried)
         full = 0
-        while len(tried) < MOST_RESERVATIONS:
+        for _ in range(MOST_RESERVATIONS):
             untried = self._registry.candidates(
                 run.work.service.name,
                 run.work.now_s,
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -78,7 +78,8 @@
             )
             if not candidates or work.left_s <= 0:
                 return None
-            if number and not self._may_resend(work):
+            is_first = number == 0 and not run.has_events
+            if not is_first and not self._may_resend(work):
                 return None
             instance = self._load.shortest_prefill(candidates, self._data_centre)
             if self._decode_reads(run, instance):
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -101,10 +101,23 @@
             run.handle = await self._prefills.read(run)
             while not answer.is_complete:
                 await self._decode(run)
+                if run.has_events and not answer.is_complete:
+                    await self._prepare_again(run)
         finally:
             self._prefills.release(run)
             self._room.cancel(run)
 
+    async def _prepare_again(self, run: Generation) -> None:
+        """
+        Find room for a run that goes on elsewhere, and have its prompt read.
+
+        A decode engine would hold up its other streams while it reads, and would have
+        to preempt one of them without room. If there is none, it is tried all the same.
+        """
+        await self._room.find(run)
+        if run.reservation is not None:
+            run.handle = await self._prefills.read(run)
+
     async def _decode(self, run: Generation) -> None:
         """Run the generation on one decode engine."""
         work = run.work
@@ -113,9 +126,7 @@
             await self._fail(run, self._unserved(work))
             return
         handle = run.handle
-        if handle is not None and (
-            work.now_s > handle.usable_until_s or run.has_events
-        ):
+        if handle is not None and work.now_s > handle.usable_until_s:
             self._prefills.release(run)
         name = instance.instance
         run.tried.add(name)
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -249,3 +249,30 @@
             silent.close()
 
     play(main)
+
+
+def test_a_stream_that_goes_on_elsewhere_is_read_by_a_prefill_engine_again():
+    """A decode engine that reads a long prompt holds up all of its other streams."""
+
+    async def main():
+        def breaking():
+            async def script(seen, writer):
+                if "last-event-id" in seen.headers:
+                    return await decoding()(seen, writer)
+                return await decoding(cut_after=3)(seen, writer)
+
+            return script
+
+        found = engines(breaking(), breaking())
+        async with gateway(*found) as app:
+            status, _, body = await app.generate("/res/x")
+            assert (status, body) == (200, events(1, 9))
+            # One for the run that goes on and one for the second reading.
+            assert len(app.resends) == 2
+        sent = [seen for engine in found[1:] for seen in engine.seen]
+        assert len(found[0].seen) == len(sent) == 2
+        again = next(seen for seen in sent if "last-event-id" in seen.headers)
+        assert "x-kv-source" in again.headers
+        assert "x-kv-hold" in again.headers
+
+    play(main)
