Refuse a request that was there at three crashes of its servers

Cause: the gateway forgot a request that crashed its server; its repeats, under new ids and at other hosts, took down one server after the other.

Change: core.gateway.crash_watch knows a request by a fingerprint of workspace, path and body. A server that broke off a run and is then lost has crashed. Hosts report crashes with their load; the leader hands them on. After three crashes the request is refused at once for a minute, unless it has been answered, since many calls share a fingerprint.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -24,6 +24,7 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
@@ -88,6 +89,8 @@
         Limits of workspaces.
     refusals : RefusalTimes
         When refused callers may come back.
+    crashes : CrashWatch
+        Which requests crash backend servers.
     rng : random.Random
         Draws the target of routes with several.
     on_request : callable
@@ -103,6 +106,7 @@
         streams: StreamForwarder,
         quota: FleetQuota,
         refusals: RefusalTimes,
+        crashes: CrashWatch,
         rng: random.Random,
         on_request: Callable[[str], None],
     ) -> None:
@@ -113,6 +117,7 @@
         self._streams = streams
         self._quota = quota
         self._refusals = refusals
+        self._crashes = crashes
         self._rng = rng
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -160,6 +165,9 @@
             await answer.refuse(error.failure)
             return
         work = self._work(request, body, admitted, arrived_s)
+        if self._crashes.is_suspect(work.fingerprint, work.now_s):
+            await answer.refuse(self._suspect())
+            return
         self._on_request(work.service.name)
         log_event(
             logger,
@@ -207,6 +215,12 @@
             raise CallerGone
         await self._time_out(answer, work)
 
+    def _suspect(self) -> Failure:
+        detail = "requests like this one have crashed their backend servers"
+        retry_after_s = self._refusals.suspect_s()
+        kind = ErrorKind.NO_BACKEND_SERVER
+        return Failure(kind, detail, RunState.NOT_RUN, retry_after_s)
+
     async def _time_out(self, answer: CallerAnswer, work: GatewayWork) -> None:
         detail = f"no whole answer within {work.route.timeout_ms} ms"
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, detail, RunState.UNKNOWN)
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -147,6 +147,7 @@
             may_resend = self._may_resend(work)
             decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
         else:
+            self._sender.note_run(instance, work.fingerprint, is_whole=False)
             decision = self._after_unknown(work, outcome)
         return self._failure(work, decision, outcome.reason)
 
@@ -182,10 +183,12 @@
             body = await reply.whole(ANSWER_LIMIT_BYTES)
         except ConnectionBroken as error:
             self._sender.note_answer(reply.instance, good=False, reason=str(error))
+            self._sender.note_run(reply.instance, work.fingerprint, is_whole=False)
             decision = self._after_unknown(work, Unknown(str(error)))
             return self._failure(work, decision, str(error))
         finally:
             reply.close()
+        self._sender.note_run(reply.instance, work.fingerprint, is_whole=True)
         is_failure = reply.head.status >= 500
         self._sender.note_answer(
             reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -135,6 +135,8 @@
                 answer_s=min(PREFILL_S, max(0.0, work.left_s)),
             )
             if not isinstance(outcome, OpenReply):
+                if isinstance(outcome, Unknown):
+                    self._sender.note_run(instance, work.fingerprint, is_whole=False)
                 if isinstance(outcome, Unknown) or outcome.was_sent:
                     work.arrivals += 1
                 return None
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -23,9 +23,10 @@
 )
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance
+from damaskridge.model.gateway import BackendInstance, ServerStart
 
 __all__ = ["NotRun", "OpenReply", "Outcome", "Sender", "Unknown"]
 
@@ -138,14 +139,21 @@
         Connections.
     registry : InstanceRegistry
         Where the health of servers is noted.
+    crashes : CrashWatch
+        Where lost servers are noted.
     """
 
     def __init__(
-        self, dialect: Dialect, pool: ConnectionPool, registry: InstanceRegistry
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        registry: InstanceRegistry,
+        crashes: CrashWatch,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._registry = registry
+        self._crashes = crashes
         self._unwatched: set[asyncio.Task[None]] = set()
 
     async def send(
@@ -229,6 +237,16 @@
                 logger, EventNumber.INSTANCE_USED_AGAIN, instance=instance.instance
             )
 
+    def note_run(
+        self, instance: BackendInstance, fingerprint: str, *, is_whole: bool
+    ) -> None:
+        """Note that a server ran a request to its end, or broke off on the way."""
+        now_s = asyncio.get_running_loop().time()
+        if is_whole:
+            self._crashes.answered(fingerprint, now_s)
+        else:
+            self._crashes.broke_off(fingerprint, _start_of(instance), now_s)
+
     async def call_engine(
         self,
         instance: BackendInstance,
@@ -359,6 +377,7 @@
     def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
+        self._crashes.was_lost(_start_of(instance), now_s)
         self._pool.drop(instance)
         self._log_avoided(instance, reason, avoided_s)
 
@@ -395,6 +414,10 @@
         return outcome
 
 
+def _start_of(instance: BackendInstance) -> ServerStart:
+    return ServerStart(instance.instance, instance.started_ms)
+
+
 async def _head_until(connection: BackendConnection, deadline_s: float) -> ReplyHead:
     """Return the head of the answer; raises `TimeoutError` if it has not arrived."""
     try:
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -151,6 +151,8 @@
                 return
         finally:
             self._load.finish(work.request.request_id, name)
+        if isinstance(outcome, Unknown):
+            self._sender.note_run(instance, work.fingerprint, is_whole=False)
         await self._after_failed_send(run, outcome)
         self._note_handle(run, outcome)
 
@@ -253,6 +255,8 @@
             await self._continue(run, Unknown(reason, timed_out=True), reply.instance)
         else:
             self._sender.note_answer(reply.instance, good=True, reason="")
+            fingerprint = run.work.fingerprint
+            self._sender.note_run(reply.instance, fingerprint, is_whole=True)
             await run.answer.end_stream()
 
     async def _relay_events(self, run: Generation, reply: OpenReply) -> None:
@@ -332,6 +336,7 @@
         self, run: Generation, outcome: Unknown, instance: BackendInstance
     ) -> None:
         run.log_failed(instance.instance, "stream", outcome.reason)
+        self._sender.note_run(instance, run.work.fingerprint, is_whole=False)
         await self._after_failed_send(run, outcome)
 
     async def _fail(self, run: Generation, failure: Failure) -> None:
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
+from damaskridge.core.gateway.crash_watch import fingerprint_of
 from damaskridge.core.gateway.send_policy import SendPolicy
 from damaskridge.model.gateway import GatewayRoute, GatewayService
 
@@ -32,6 +33,8 @@
         Loop time at which its head was read.
     hosts : int
         Entry hosts that share the budgets.
+    fingerprint : str
+        What the request has in common with its repeats.
     arrivals : int
         Sends that reached a backend server and count against the retry budget.
     """
@@ -45,10 +48,13 @@
     arrived_s: float
     hosts: int
     policy: SendPolicy = field(init=False)
+    fingerprint: str = field(init=False)
     arrivals: int = 0
 
     def __post_init__(self) -> None:
         route = self.route
+        path = self.request.target.decode("latin-1")
+        self.fingerprint = fingerprint_of(self.workspace, path, self.body)
         self.policy = SendPolicy(
             route.kind, route.attempts, is_resumable=route.is_resumable
         )
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -19,6 +19,7 @@
     CloseSession,
     Command,
     CommandResult,
+    CrashesSeen,
     FleetChange,
     FleetDelta,
     FleetSnapshot,
@@ -51,6 +52,7 @@
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
 InstancesCallback = Callable[[InstancesSeen], None]
+CrashesCallback = Callable[[CrashesSeen], None]
 HostsNeededCallback = Callable[[HostsNeeded], None]
 LoadCallback = Callable[[LoadSeen], None]
 # Returns what changed; all that is in flight if its argument is true.
@@ -118,6 +120,7 @@
         self._sent_s: dict[int, float] = {}
         self._callbacks: list[ChangeCallback] = []
         self._instances_callbacks: list[InstancesCallback] = []
+        self._crashes_callbacks: list[CrashesCallback] = []
         self._hosts_needed_callbacks: list[HostsNeededCallback] = []
         self._load_source: LoadSource | None = None
         self._load_callback: LoadCallback | None = None
@@ -150,6 +153,10 @@
         """Call back after every reading of the list of backend servers."""
         self._instances_callbacks.append(callback)
 
+    def on_crashes(self, callback: CrashesCallback) -> None:
+        """Call back when a host has reported requests that were there at a crash."""
+        self._crashes_callbacks.append(callback)
+
     def on_hosts_needed(self, callback: HostsNeededCallback) -> None:
         """Call back when another number of hosts is needed."""
         self._hosts_needed_callbacks.append(callback)
@@ -277,6 +284,9 @@
         elif isinstance(message, InstancesSeen):
             for callback in self._instances_callbacks:
                 callback(message)
+        elif isinstance(message, CrashesSeen):
+            for learn in self._crashes_callbacks:
+                learn(message)
         elif isinstance(message, HostsNeeded):
             for notify in self._hosts_needed_callbacks:
                 notify(message)
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -34,6 +34,7 @@
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
+from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.host_choice import HostDemand
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.leases import SESSION_DURATION_S
@@ -48,6 +49,7 @@
     BundleActivated,
     Command,
     CommandResult,
+    CrashesSeen,
     FleetDelta,
     FollowRefused,
     HostsNeeded,
@@ -135,6 +137,7 @@
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
         self._board = LoadBoard()
         self._load_reported = anyio.Event()
+        self._crashes = CrashWatch()
         self._demand = HostDemand()
         self._hosts_needed: dict[str, int] = {}
         self._follower_hosts: dict[Follower, str] = {}
@@ -264,6 +267,9 @@
             self._follower_hosts[follower] = first.host
             if self._hosts_needed:
                 follower.push(HostsNeeded(by_data_centre=self._hosts_needed))
+            crashes = self._crashes.recent(anyio.current_time())
+            if crashes:
+                follower.push(CrashesSeen(crashes=crashes))
             if self._instances is not None:
                 self._instances.greet(follower)
             try:
@@ -288,6 +294,9 @@
                     if self._instances is not None:
                         for notice in message.leaving:
                             self._instances.notices.add(notice)
+                    if message.crashes:
+                        self._crashes.heard(message.crashes, anyio.current_time())
+                        self._followers.notify(CrashesSeen(crashes=message.crashes))
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -28,6 +28,7 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import HttpServer
+from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.host_choice import chosen_hosts
 from damaskridge.core.gateway.host_count import HostCount
 from damaskridge.core.gateway.instance_feed import InstanceCopy
@@ -39,13 +40,19 @@
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import (
+    CrashesSeen,
     HostsNeeded,
     InstancesSeen,
     LoadSeen,
     ReportLoad,
 )
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance, LeavingInstance, RoutingTable
+from damaskridge.model.gateway import (
+    BackendInstance,
+    LeavingInstance,
+    RoutingTable,
+    ServerStart,
+)
 
 __all__ = ["GatewayHost", "GatewaySettings"]
 
@@ -151,6 +158,7 @@
         self.state = GatewayState(RoutingIndex(RoutingTable()))
         self.registry = InstanceRegistry()
         self._pool = ConnectionPool()
+        self._crashes = CrashWatch()
         self._copy = InstanceCopy()
         self._host_count = HostCount()
         self._used_count = HostCount()
@@ -165,7 +173,7 @@
         self._load_heard_s = float("-inf")
         self._reported_leaving: tuple[LeavingInstance, ...] = ()
         refusals = RefusalTimes(rng)
-        sender = Sender(dialect, self._pool, self.registry)
+        sender = Sender(dialect, self._pool, self.registry, self._crashes)
         shared: dict[str, Any] = {
             "sender": sender,
             "registry": self.registry,
@@ -181,6 +189,7 @@
             streams=StreamForwarder(dialect=dialect, **shared),
             quota=self._quota,
             refusals=refusals,
+            crashes=self._crashes,
             rng=rng,
             on_request=self._earn,
         )
@@ -189,6 +198,7 @@
         self.control.on_change(lambda _: self._fleet_changed())
         self.control.on_instances(self._instances_seen)
         self.control.on_hosts_needed(self._hosts_needed_changed)
+        self.control.on_crashes(self._crashes_seen)
         self.control.share_load(self._load_report, self._load_seen)
 
     def is_ready(self) -> bool:
@@ -315,9 +325,13 @@
         leaving = self.registry.notices.leaving()
         news = leaving if everything or leaving != self._reported_leaving else ()
         self._reported_leaving = leaving
-        if not (load or usage or news):
+        crashes = self._crashes.unreported()
+        if not (load or usage or news or crashes):
             return None
-        return ReportLoad(load=load, usage=usage, leaving=news)
+        return ReportLoad(load=load, usage=usage, leaving=news, crashes=crashes)
+
+    def _crashes_seen(self, message: CrashesSeen) -> None:
+        self._crashes.heard(message.crashes, anyio.current_time())
 
     def _load_seen(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
@@ -338,6 +352,8 @@
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.drop(gone)
+            start = ServerStart(gone.instance, gone.started_ms)
+            self._crashes.was_lost(start, anyio.current_time())
         self.registry.seen_s = self._copy.seen_s
 
     async def _keep_list(self) -> None:
--- a/src/damaskridge/core/gateway/refusals.py
+++ b/src/damaskridge/core/gateway/refusals.py
@@ -18,6 +18,8 @@
 NO_SERVER_S = 0.8
 # An entry host has its routes about this long after it started.
 NOT_READY_S = 0.6
+# A request that crashed servers stays under suspicion for a minute.
+SUSPECT_S = 60.0
 LEFT_SHARE = 0.3
 # A workspace without any rate is told this.
 LONGEST_S = 30.0
@@ -53,6 +55,10 @@
         """Return the time after which a server takes work again, never sooner."""
         return self._spread(pause_s, float("inf"))
 
+    def suspect_s(self) -> float:
+        """Return the time after which a request that crashed servers may be tried."""
+        return self._spread(SUSPECT_S, float("inf"))
+
     def not_ready_s(self) -> float:
         """Return the time after which this host may know its routes."""
         return self._spread(NOT_READY_S, float("inf"))
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -12,6 +12,7 @@
 from damaskridge.model.errors import Failure
 from damaskridge.model.gateway import (
     BackendInstance,
+    CrashNotice,
     LeavingInstance,
     RoutingTable,
 )
@@ -27,6 +28,7 @@
     "CloseSession",
     "Command",
     "CommandResult",
+    "CrashesSeen",
     "DrainChanged",
     "DrainTarget",
     "ExpireSession",
@@ -488,11 +490,14 @@
         By workspace, what was admitted since the last report.
     leaving : tuple of LeavingInstance
         Backend servers that said in an answer that they leave.
+    crashes : tuple of CrashNotice
+        Requests that ran on a backend server when it crashed.
     """
 
     load: dict[str, InstanceLoad] = {}
     usage: dict[str, float] = {}
     leaving: tuple[LeavingInstance, ...] = ()
+    crashes: tuple[CrashNotice, ...] = ()
 
 
 AnyFollowRequest = OpenFollow | RenewSession | ReportLoad
@@ -584,6 +589,12 @@
     is_whole: bool = False
 
 
+class CrashesSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+    """Requests that ran on a backend server when it crashed, as hosts report them."""
+
+    crashes: tuple[CrashNotice, ...]
+
+
 class HostsNeeded(FollowReply, frozen=True, kw_only=True, tag=True):
     """
     How many entry hosts callers should be sent to.
@@ -609,6 +620,7 @@
     | FleetDelta
     | FleetSnapshot
     | FollowRefused
+    | CrashesSeen
     | HostsNeeded
     | InstancesSeen
     | LoadSeen
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -10,6 +10,7 @@
 __all__ = [
     "BackendInstance",
     "CallerLimits",
+    "CrashNotice",
     "EngineStage",
     "EngineTraits",
     "GatewayRoute",
@@ -19,6 +20,7 @@
     "LeavingInstance",
     "RouteTarget",
     "RoutingTable",
+    "ServerStart",
     "WorkKind",
 ]
 
@@ -205,6 +207,20 @@
     started_ms: int = 0
 
 
+class ServerStart(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a backend server."""
+
+    instance: str
+    started_ms: int = 0
+
+
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A request, by its fingerprint, that ran on a server when that crashed."""
+
+    fingerprint: str
+    server: ServerStart
+
+
 class LeavingInstance(msgspec.Struct, frozen=True, array_like=True):
     """One start of a backend server that has said that it leaves."""
 
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -14,6 +14,7 @@
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
+from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.quota import FleetQuota
@@ -96,9 +97,18 @@
     seen: list = field(default_factory=list)
     closed: int = 0
     reserved: int = 0
+    listener: object = None
+    writers: list = field(default_factory=list)
     address: str = ""
 
+    def crash(self):
+        """Reset all connections and take no new ones."""
+        self.listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 seen = await self._read(reader)
@@ -200,6 +210,7 @@
     servers = []
     for standin in standins:
         server = await asyncio.start_server(standin.serve, "127.0.0.1", 0)
+        standin.listener = server
         standin.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         servers.append(server)
     registry, pool = InstanceRegistry(), ConnectionPool()
@@ -212,11 +223,11 @@
         resends.append(work.request.request_id)
         return len(resends) <= budget
 
-    rng, dialect = random.Random(1), PlatformDialect()
+    rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashWatch()
     refusals = RefusalTimes(rng)
     load = LoadBook(rng)
     shared = {
-        "sender": Sender(dialect, pool, registry),
+        "sender": Sender(dialect, pool, registry, crashes),
         "registry": registry,
         "load": load,
         "data_centre": "west",
@@ -244,6 +255,7 @@
         streams=StreamForwarder(dialect=dialect, **shared),
         quota=FleetQuota(),
         refusals=refusals,
+        crashes=crashes,
         rng=rng,
         on_request=lambda service: None,
     )
