--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -164,7 +164,7 @@
     def stop(self, program, number, sent=signal.SIGTERM):
         self.processes[program, number].send_signal(sent)
 
-    async def publish(self, *, path="/a/", timeout_s=START_S):
+    async def publish(self, *, path="/a/", keys=("k",), timeout_s=START_S):
         """Put a configuration in force; returns when it is acknowledged."""
         self.version += 1
         host = {"Hostname": "h.example", "TimeoutMs": 4000, "MaxAttempts": 2}
@@ -188,7 +188,7 @@
                     },
                 },
             ],
-            "Tenants": [{"Name": "t", "ApiKeys": ["k"]}],
+            "Tenants": [{"Name": "t", "ApiKeys": list(keys)}],
         }
         body = msgspec.json.encode(document)
         await self.until(lambda: self.offer("PUT", "/api/config", body), timeout_s)
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -122,6 +122,36 @@
     play(tmp_path, scenario)
 
 
+def test_what_was_withdrawn_or_has_left_is_not_used_after_a_restart(tmp_path):
+    """A process that starts knows nothing of what was before."""
+
+    async def scenario(fleet):
+        await fleet.until(lambda: serves(fleet, 1))
+        await fleet.publish(keys=("k2",))
+        fleet.leaving.add("app-1")
+        await asyncio.sleep(2.5)
+        seen = len(fleet.app.seen)
+        for program in ("entry", "control"):
+            fleet.stop(program, 1, signal.SIGKILL)
+            await asyncio.to_thread(fleet.processes[program, 1].wait)
+            fleet.start(program, 1)
+
+        answers = set()
+
+        async def knows_its_routes():
+            old, _ = await fleet.ask(1, key="k")
+            new, _ = await fleet.ask(1, key="k2")
+            answers.add(old)
+            return (old, new) == (401, 503)
+
+        await fleet.until(knows_its_routes, 5.0)
+        # No connection at first, then refused without routes, then an unknown key.
+        assert answers <= {0, 503, 401}
+        assert len(fleet.app.seen) == seen
+
+    play(tmp_path, scenario)
+
+
 def test_a_host_that_stops_serves_on_until_callers_have_left_it(tmp_path):
     async def scenario(fleet):
         await fleet.until(lambda: serves(fleet, 2))
