Send callers of a data centre to four hosts at least

With three, the loss of one during a replacement leaves a single host. Small deployments have three or four hosts in a data centre and use all of them, as before the choice of hosts.

--- a/src/damaskridge/core/gateway/host_choice.py
+++ b/src/damaskridge/core/gateway/host_choice.py
@@ -27,8 +27,8 @@
 GENERATIONS_PER_HOST = 12
 # Calls in flight that take a tenth of a core, at 3 ms for a call that lasts 80 ms.
 CALLS_PER_HOST = 2.5
-# One of them may fail while another one is being replaced.
-LEAST_HOSTS = 3
+# With one that fails while another one is being replaced, half are left.
+LEAST_HOSTS = 4
 
 
 class HostDemand:
