Drop kept connections to engines and services that hold bytes of no request

Cause: on the product's own interface, bytes after a complete answer stayed in httpcore's parser or in the reader, and the next request on the connection was given them as its answer. An idle connection outlived a suspension, because httpcore counts the clock that stands still.

Change: the pool closes a connection that holds such bytes, when it is given back and when it is taken, and counts idle time on the loop's clock.

--- a/src/damaskridge/adapters/http_pool.py
+++ b/src/damaskridge/adapters/http_pool.py
@@ -1,5 +1,6 @@
 """Connections of httpcore to one address, kept for reuse."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -47,12 +48,13 @@
         self._keepalive_s = keepalive_s
         self._connect_s = connect_s
         self._running = 0
-        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        # With the loop time since when each has been idle.
+        self._idle: list[tuple[httpcore.AsyncHTTP11Connection, float]] = []
 
     async def close(self) -> None:
         """Close idle connections."""
         idle, self._idle = self._idle, []
-        for connection in idle:
+        for connection, _ in idle:
             await connection.aclose()
 
     @asynccontextmanager
@@ -77,8 +79,8 @@
                 yield response
             finally:
                 await response.aclose()
-                if connection.is_idle() and not fresh:
-                    self._idle.append(connection)
+                if connection.is_idle() and not fresh and not _has_extra(connection):
+                    self._idle.append((connection, _now_s()))
                 else:
                     await connection.aclose()
         finally:
@@ -87,8 +89,10 @@
     async def _connection(self, fresh: bool) -> httpcore.AsyncHTTP11Connection:
         # The connection used last is the least likely to have gone silent.
         while self._idle and not fresh:
-            connection = self._idle.pop()
-            if not connection.has_expired():
+            connection, idle_since_s = self._idle.pop()
+            # The library's clock stands still while the machine is suspended.
+            is_fresh = _now_s() - idle_since_s < self._keepalive_s
+            if is_fresh and not connection.has_expired():
                 return connection
             await connection.aclose()
         stream = await self._backend.connect_tcp(
@@ -119,3 +123,17 @@
         return httpcore.Request(
             method, url, headers=headers, content=body, extensions={"timeout": timeouts}
         )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _has_extra(connection: httpcore.AsyncHTTP11Connection) -> bool:
+    """
+    Tell whether bytes followed a complete answer.
+
+    They belong to no request, and httpcore would take them for the next answer. It
+    offers no public way to see them.
+    """
+    return bool(connection._h11_state.trailing_data[0])
--- a/src/damaskridge/adapters/http_streams.py
+++ b/src/damaskridge/adapters/http_streams.py
@@ -14,12 +14,34 @@
 __all__ = ["StreamBackend"]
 
 
+class _Reader(asyncio.StreamReader):
+    """Tells whether bytes have arrived that nobody has read."""
+
+    def __init__(self) -> None:
+        super().__init__(loop=asyncio.get_running_loop())
+        self._unread_bytes = 0
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that nobody has read."""
+        return self._unread_bytes > 0
+
+    def feed_data(self, data: Any) -> None:
+        """Take bytes from the transport."""
+        self._unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return some bytes, or none at the end."""
+        data = await super().read(n)
+        self._unread_bytes -= len(data)
+        return data
+
+
 class _Connection(httpcore.AsyncNetworkStream):
     """One connection; a timeout of `None` sets no timer."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, reader: _Reader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
 
@@ -60,8 +82,10 @@
         raise httpcore.UnsupportedProtocol("TLS")
 
     def get_extra_info(self, info: str) -> Any:
-        """Tell whether an idle connection was closed by the other side."""
-        return self._reader.at_eof() if info == "is_readable" else None
+        """Tell whether an idle connection has ended, or holds bytes of no request."""
+        if info != "is_readable":
+            return None
+        return self._reader.at_eof() or self._reader.has_unread
 
 
 class StreamBackend(httpcore.AsyncNetworkBackend):
@@ -78,7 +102,7 @@
         """Return a connection."""
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(host, port)
+                reader, writer = await _open(host, port)
         except TimeoutError as error:
             raise httpcore.ConnectTimeout from error
         except OSError as error:
@@ -88,3 +112,10 @@
     async def sleep(self, seconds: float) -> None:
         """Wait."""
         await asyncio.sleep(seconds)
+
+
+async def _open(host: str, port: int) -> tuple[_Reader, asyncio.StreamWriter]:
+    loop, reader = asyncio.get_running_loop(), _Reader()
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
