--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -54,7 +54,7 @@
     index : RoutingIndex
         The routing table in force.
     hosts : int
-        Entry hosts that share the limits.
+        Entry hosts of the fleet.
     is_draining : bool
         Whether callers are asked to connect elsewhere.
     running : int
@@ -292,7 +292,6 @@
             workspace=workspace.name if workspace is not None else "",
             priority=priority,
             arrived_s=arrived_s,
-            hosts=self._state.hosts,
         )
 
     def _limits(self) -> ExchangeLimits:
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -26,7 +26,7 @@
 from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance, ServerStart
+from damaskridge.model.gateway import BackendInstance
 
 __all__ = ["NotRun", "OpenReply", "Outcome", "Sender", "Unknown"]
 
@@ -245,7 +245,7 @@
         if is_whole:
             self._crashes.answered(fingerprint, now_s)
         else:
-            self._crashes.broke_off(fingerprint, _start_of(instance), now_s)
+            self._crashes.broke_off(fingerprint, instance.start, now_s)
 
     async def call_engine(
         self,
@@ -377,7 +377,7 @@
     def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
-        self._crashes.was_lost(_start_of(instance), now_s)
+        self._crashes.was_lost(instance.start, now_s)
         self._pool.drop(instance)
         self._log_avoided(instance, reason, avoided_s)
 
@@ -414,10 +414,6 @@
         return outcome
 
 
-def _start_of(instance: BackendInstance) -> ServerStart:
-    return ServerStart(instance.instance, instance.started_ms)
-
-
 async def _head_until(connection: BackendConnection, deadline_s: float) -> ReplyHead:
     """Return the head of the answer; raises `TimeoutError` if it has not arrived."""
     try:
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -31,8 +31,6 @@
         Rank of the request; 0 is the most urgent.
     arrived_s : float
         Loop time at which its head was read.
-    hosts : int
-        Entry hosts that share the budgets.
     fingerprint : str
         What the request has in common with its repeats.
     arrivals : int
@@ -46,7 +44,6 @@
     workspace: str
     priority: int
     arrived_s: float
-    hosts: int
     policy: SendPolicy = field(init=False)
     fingerprint: str = field(init=False)
     arrivals: int = 0
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -49,7 +49,6 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import (
     BackendInstance,
-    LeavingInstance,
     RoutingTable,
     ServerStart,
 )
@@ -171,7 +170,7 @@
             SMALL_SLACK_SHARE * settings.quota_slack,
         )
         self._load_heard_s = float("-inf")
-        self._reported_leaving: tuple[LeavingInstance, ...] = ()
+        self._reported_leaving: tuple[ServerStart, ...] = ()
         refusals = RefusalTimes(rng)
         sender = Sender(dialect, self._pool, self.registry, self._crashes)
         shared: dict[str, Any] = {
@@ -352,8 +351,7 @@
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.drop(gone)
-            start = ServerStart(gone.instance, gone.started_ms)
-            self._crashes.was_lost(start, anyio.current_time())
+            self._crashes.was_lost(gone.start, anyio.current_time())
         self.registry.seen_s = self._copy.seen_s
 
     async def _keep_list(self) -> None:
@@ -376,8 +374,7 @@
         while True:
             await anyio.sleep(PRUNE_S)
             self._pool.prune()
-            now_s = anyio.current_time()
-            if now_s - self._load_heard_s > LOAD_STALE_S:
+            if anyio.current_time() - self._load_heard_s > LOAD_STALE_S:
                 self._load.forget_others()
 
     def _earn(self, service: str) -> None:
--- a/src/damaskridge/core/gateway/server_notices.py
+++ b/src/damaskridge/core/gateway/server_notices.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Iterable
 
-from damaskridge.model.gateway import BackendInstance, LeavingInstance
+from damaskridge.model.gateway import BackendInstance, ServerStart
 
 __all__ = ["ServerNotices"]
 
@@ -23,14 +23,14 @@
     """Requests of servers to be left alone, for good or for a while."""
 
     def __init__(self) -> None:
-        self._leaving: dict[str, LeavingInstance] = {}
+        self._leaving: dict[str, ServerStart] = {}
         self._paused_until_s: dict[str, float] = {}
 
     def leaves(self, item: BackendInstance) -> bool:
         """Note that an instance leaves; `False` if that was known."""
-        return self.add(LeavingInstance(item.instance, item.started_ms))
+        return self.add(item.start)
 
-    def add(self, notice: LeavingInstance) -> bool:
+    def add(self, notice: ServerStart) -> bool:
         """Take over a notice of another host; `False` if it was known."""
         is_new = self._leaving.get(notice.instance) != notice
         self._leaving[notice.instance] = notice
@@ -38,10 +38,9 @@
 
     def has_left(self, item: BackendInstance) -> bool:
         """Tell whether this start of an instance has said that it leaves."""
-        notice = self._leaving.get(item.instance)
-        return notice is not None and notice.started_ms == item.started_ms
+        return self._leaving.get(item.instance) == item.start
 
-    def leaving(self) -> tuple[LeavingInstance, ...]:
+    def leaving(self) -> tuple[ServerStart, ...]:
         """Return all instances that said that they leave."""
         return tuple(self._leaving.values())
 
@@ -56,11 +55,11 @@
 
     def forget_all_but(self, listed: Iterable[BackendInstance]) -> None:
         """Drop notices of instances that are gone or have started anew."""
-        present = {item.instance: item.started_ms for item in listed}
+        present = {item.instance: item.start for item in listed}
         self._leaving = {
             name: notice
             for name, notice in self._leaving.items()
-            if present.get(name) == notice.started_ms
+            if present.get(name) == notice
         }
         self._paused_until_s = {
             name: until_s
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -13,8 +13,8 @@
 from damaskridge.model.gateway import (
     BackendInstance,
     CrashNotice,
-    LeavingInstance,
     RoutingTable,
+    ServerStart,
 )
 
 __all__ = [
@@ -488,7 +488,7 @@
         By backend server, what this host has in flight there now.
     usage : dict of str to float
         By workspace, what was admitted since the last report.
-    leaving : tuple of LeavingInstance
+    leaving : tuple of ServerStart
         Backend servers that said in an answer that they leave.
     crashes : tuple of CrashNotice
         Requests that ran on a backend server when it crashed.
@@ -496,7 +496,7 @@
 
     load: dict[str, InstanceLoad] = {}
     usage: dict[str, float] = {}
-    leaving: tuple[LeavingInstance, ...] = ()
+    leaving: tuple[ServerStart, ...] = ()
     crashes: tuple[CrashNotice, ...] = ()
 
 
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -17,7 +17,6 @@
     "GatewayService",
     "GatewayWorkspace",
     "InstanceList",
-    "LeavingInstance",
     "RouteTarget",
     "RoutingTable",
     "ServerStart",
@@ -173,6 +172,20 @@
     limits: CallerLimits = CallerLimits()
 
 
+class ServerStart(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a backend server."""
+
+    instance: str
+    started_ms: int = 0
+
+
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A request, by its fingerprint, that ran on a server when that crashed."""
+
+    fingerprint: str
+    server: ServerStart
+
+
 class BackendInstance(msgspec.Struct, frozen=True, kw_only=True):
     """
     One start of a backend server, as the list of backend servers shows it.
@@ -206,26 +219,10 @@
     stage: EngineStage | None = None
     started_ms: int = 0
 
-
-class ServerStart(msgspec.Struct, frozen=True, array_like=True):
-    """One start of a backend server."""
-
-    instance: str
-    started_ms: int = 0
-
-
-class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A request, by its fingerprint, that ran on a server when that crashed."""
-
-    fingerprint: str
-    server: ServerStart
-
-
-class LeavingInstance(msgspec.Struct, frozen=True, array_like=True):
-    """One start of a backend server that has said that it leaves."""
-
-    instance: str
-    started_ms: int = 0
+    @property
+    def start(self) -> ServerStart:
+        """The name and time of this start."""
+        return ServerStart(self.instance, self.started_ms)
 
 
 class InstanceList(msgspec.Struct, frozen=True, kw_only=True):
