--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,10 +33,8 @@
     InstancePublisher,
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
+from damaskridge.adapters.rpc.load_publisher import LoadPublisher
 from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
-from damaskridge.core.gateway.crash_watch import CrashWatch
-from damaskridge.core.gateway.host_choice import HostDemand
-from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.commands import ControlState
@@ -49,11 +47,8 @@
     BundleActivated,
     Command,
     CommandResult,
-    CrashesSeen,
     FleetDelta,
     FollowRefused,
-    HostsNeeded,
-    InstanceLoad,
     OpenFollow,
     ProposeBundle,
     RenewSession,
@@ -72,18 +67,6 @@
 
 _log = logging.getLogger("damaskridge.control")
 
-# A placement is wrong by what arrives in this time.
-LOAD_PERIOD_S = 0.04
-# Keeps the leader's work for load reports below a fifth of a core.
-LOAD_HOST_S = 0.002
-# Hosts without requests only hear what others admitted, so that a workspace's bucket is
-# known there when a request comes.
-LOAD_IDLE_PERIOD_S = 2.0
-# A burst doubles the load within a second.
-DEMAND_PERIOD_S = 0.5
-# Longer than hosts take to find a new leader and to report.
-DEMAND_WARM_UP_S = 3.0
-
 
 @dataclass(frozen=True, slots=True)
 class _Renewal:
@@ -135,18 +118,15 @@
         self._wall_ms = wall_ms
         self._followers = FollowerSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
-        self._board = LoadBoard()
-        self._load_reported = anyio.Event()
-        self._crashes = CrashWatch()
-        self._demand = HostDemand()
-        self._hosts_needed: dict[str, int] = {}
-        self._follower_hosts: dict[Follower, str] = {}
+        self._load = LoadPublisher(
+            self._followers, lambda: self._duties.ready, self._data_centre_of
+        )
         self._orders: StageOrders | None = None
         if orders is not None:
             self._orders = StageOrders(
                 node=node,
                 host=host,
-                board=self._board,
+                board=self._load.board,
                 orders=orders,
                 routing=lambda: state.data.routing,
                 leads=lambda: self._duties.ready,
@@ -186,13 +166,16 @@
             group.start_soon(self._publish)
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
-            group.start_soon(self._publish_load)
-            group.start_soon(self._publish_hosts_needed)
+            group.start_soon(self._load.run)
             if self._instances is not None:
                 group.start_soon(self._instances.run)
             if self._orders is not None:
                 group.start_soon(self._orders.run)
 
+    def _data_centre_of(self, host: str) -> str | None:
+        session = self._state.data.sessions.get(host)
+        return session.data_centre if session is not None else None
+
     def _not_leader(self) -> Failure:
         address = "" if self._node.is_leader else self._node.leader_address
         return Failure(ErrorKind.NOT_LEADER, leader=address)
@@ -263,13 +246,7 @@
         async with anyio.create_task_group() as group:
             follower = Follower(group.cancel_scope.cancel)
             self._followers.add(follower, first.index)
-            self._board.join(follower, anyio.current_time())
-            self._follower_hosts[follower] = first.host
-            if self._hosts_needed:
-                follower.push(HostsNeeded(by_data_centre=self._hosts_needed))
-            crashes = self._crashes.recent(anyio.current_time())
-            if crashes:
-                follower.push(CrashesSeen(crashes=crashes))
+            self._load.join(follower, first.host)
             if self._instances is not None:
                 self._instances.greet(follower)
             try:
@@ -277,8 +254,7 @@
                 await self._read(stream, follower)
             finally:
                 self._followers.remove(follower)
-                self._board.leave(follower)
-                del self._follower_hosts[follower]
+                self._load.leave(follower)
                 group.cancel_scope.cancel()
 
     async def _read(self, stream: Any, follower: Follower) -> None:
@@ -289,14 +265,10 @@
                 if isinstance(message, RenewSession):
                     self._received(follower, message)
                 elif isinstance(message, ReportLoad):
-                    self._board.report(follower, message, anyio.current_time())
-                    self._load_reported.set()
+                    self._load.report(follower, message)
                     if self._instances is not None:
                         for notice in message.leaving:
                             self._instances.notices.add(notice)
-                    if message.crashes:
-                        self._crashes.heard(message.crashes, anyio.current_time())
-                        self._followers.notify(CrashesSeen(crashes=message.crashes))
 
     async def _write(
         self, stream: Any, follower: Follower, scope: anyio.CancelScope
@@ -353,50 +325,6 @@
                 )
             )
 
-    async def _publish_load(self) -> None:
-        # Hosts that forward no requests report none.
-        await self._load_reported.wait()
-        idle_told_s = float("-inf")
-        while True:
-            now_s = anyio.current_time()
-            tells_idle = now_s - idle_told_s >= LOAD_IDLE_PERIOD_S
-            if tells_idle:
-                idle_told_s = now_s
-            for follower in self._followers.open():
-                if tells_idle or self._board.is_active(follower, now_s):
-                    news = self._board.news(follower, now_s)
-                    if news is not None:
-                        follower.push(news)
-            active = self._board.active(now_s)
-            await anyio.sleep(max(LOAD_PERIOD_S, active * LOAD_HOST_S))
-
-    async def _publish_hosts_needed(self) -> None:
-        # Hosts that forward no requests report none.
-        await self._load_reported.wait()
-        while True:
-            if not self._duties.ready:
-                # The hosts of a new leader need a moment to report their load.
-                self._demand, self._hosts_needed = HostDemand(), {}
-                await anyio.sleep(DEMAND_WARM_UP_S)
-            else:
-                needed = self._demand.hosts_needed(
-                    self._load_by_data_centre(), anyio.current_time()
-                )
-                if needed != self._hosts_needed:
-                    self._hosts_needed = needed
-                    self._followers.notify(HostsNeeded(by_data_centre=needed))
-                    log_event(_log, EventNumber.HOSTS_NEEDED, hosts=needed)
-                await anyio.sleep(DEMAND_PERIOD_S)
-
-    def _load_by_data_centre(self) -> dict[str, list[InstanceLoad]]:
-        load: dict[str, list[InstanceLoad]] = {}
-        for follower, host in self._follower_hosts.items():
-            session = self._state.data.sessions.get(host)
-            if session is not None:
-                items = load.setdefault(session.data_centre, [])
-                items += self._board.load_of(follower).values()
-        return load
-
     async def _publish(self) -> None:
         while True:
             deltas = self._node.applied_deltas()
