Log each decision of the retry budget with what it held

A repeat that exceeds the operator's allowance could not be told from one that was paid: no line said whether a send was taken from the budget, from which level and by which part of the allowance. Which repeats are sent is unchanged.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -385,7 +385,17 @@
             # No send has reached a backend server yet.
             return True
         share = self._retry_share(work.service.name)
-        return share.spend(self._retry_part, anyio.current_time())
+        granted = share.spend(self._retry_part, anyio.current_time())
+        log_event(
+            logger,
+            EventNumber.RETRY_GRANTED if granted else EventNumber.RETRY_DENIED,
+            request_id=work.request.request_id,
+            service=work.service.name,
+            arrivals=work.arrivals,
+            left=round(share.level, 2),
+            part=round(self._retry_part, 4),
+        )
+        return granted
 
     def _retry_share(self, service: str) -> RetryShare:
         settings = self.settings
--- a/src/damaskridge/core/gateway/retry_share.py
+++ b/src/damaskridge/core/gateway/retry_share.py
@@ -32,6 +32,11 @@
         self._level = 0.0
         self._refilled_s: float | None = None
 
+    @property
+    def level(self) -> float:
+        """Additional sends that are left, as of the last change."""
+        return self._level
+
     def earn(self, part: float, now_s: float) -> None:
         """Count one request; `part` of the allowance belongs to this host."""
         self._refill(part, now_s)
