--- a/tests/core/gateway/test_retry_share.py
+++ b/tests/core/gateway/test_retry_share.py
@@ -28,3 +28,42 @@
 def test_a_quiet_host_can_repeat_several_requests_at_once():
     share = RetryShare(0.2, 60.0, 10.0)
     assert sum(share.spend(1 / 11, 5.0) for _ in range(10)) >= 3
+
+
+def most_in_a_window(repeats, window_s):
+    return max(
+        sum(start_s <= at_s < start_s + window_s for at_s in repeats)
+        for start_s in repeats
+    )
+
+
+def test_hosts_that_start_again_within_a_window_have_no_second_budget():
+    allowance, window_s, hosts = 60.0, 10.0, 11
+    repeats, now_s = [], 0.0
+    shares = [RetryShare(0.2, allowance, window_s) for _ in range(hosts)]
+    while now_s < 30.0:
+        now_s += 0.1
+        if round(now_s, 1) == 20.0:
+            shares = [RetryShare(0.2, allowance, window_s) for _ in range(hosts)]
+        for share in shares:
+            # All hosts are quiet at first, so that their buckets are full.
+            while now_s >= 19.0 and share.spend(1 / hosts, now_s):
+                repeats.append(now_s)
+    assert most_in_a_window(repeats, window_s) <= allowance
+
+
+def test_hosts_that_stand_by_hold_no_more_than_the_allowance_leaves():
+    allowance, window_s, used, standing_by = 158.0, 10.0, 16, 52
+    parts = [0.8 / used] * used + [0.2 / (used + standing_by)] * standing_by
+    shares = [RetryShare(0.18, allowance, window_s) for _ in parts]
+    repeats, requests, now_s = [], [], 0.0
+    while now_s < 60.0:
+        now_s += 0.1
+        for part, share in zip(parts, shares, strict=True):
+            # Every host has requests before all of them fail.
+            if now_s < 40.0 and round(now_s * 10) % 20 == 0:
+                share.earn(part, now_s)
+                requests.append(now_s)
+            while now_s >= 40.0 and share.spend(part, now_s):
+                repeats.append(now_s)
+    assert most_in_a_window(repeats, window_s) <= allowance
