Pay for every arrival beyond a request's first before it is sent

Cause: a repeat was taken from the budget where it was decided, in three places, and a run after a refused prompt reading was decided in none of them. When the budget denied a second reading, when no second prefill engine was left or when it refused too, the run arrived as a repeat without a token. The tests showed 2 arrivals instead of 1, 3 instead of 2, and 25 repeats in 20 requests with a budget of 5.

Change: SendAccount counts arrivals as the operator does, and Sender.send asks RetryGate before each send, so that no send leaves unpaid whoever decided it. A run that can't be paid is refused at once and the decode room is given back. SEND decisions ask the gate first and what is paid stays with the request, so that nothing is paid twice. One paid reading less is taken when a stream goes on whose prompt no prefill engine has read.

--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -1,16 +1,17 @@
 """Forwards calls to plain services."""
 
 import logging
-from collections.abc import Callable
 
 from damaskridge.adapters.gateway.answers import CallerAnswer
 from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.core.gateway.send_policy import GiveUp, Resend
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure
@@ -39,8 +40,8 @@
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
-    may_resend : callable
-        Takes one additional send to a service from the retry budget.
+    gate : RetryGate
+        Admits sends against the retry budget.
     refusals : RefusalTimes
         When refused callers may come back.
     """
@@ -52,14 +53,14 @@
         registry: InstanceRegistry,
         load: LoadBook,
         data_centre: str,
-        may_resend: Callable[[GatewayWork], bool],
+        gate: RetryGate,
         refusals: RefusalTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
         self._load = load
         self._data_centre = data_centre
-        self._may_resend = may_resend
+        self._gate = gate
         self._refusals = refusals
 
     async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
@@ -131,9 +132,7 @@
         try:
             outcome = await self._sender.send(
                 instance,
-                work.request,
-                work.body,
-                work.options(name),
+                work,
                 answer_s=self._answer_s(work, candidates),
                 fresh=not policy.may_repeat,
             )
@@ -141,10 +140,8 @@
                 return await self._answer(work, answer, outcome)
         finally:
             self._load.finish(work.request.request_id, name)
-        if not isinstance(outcome, NotRun) or outcome.was_sent:
-            work.arrivals += 1
         if isinstance(outcome, NotRun):
-            may_resend = self._may_resend(work)
+            may_resend = self._gate.admits(work, SendStep.RUN)
             decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
         else:
             self._sender.note_run(instance, work.fingerprint, is_whole=False)
@@ -154,7 +151,8 @@
     def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> Resend | GiveUp:
         return work.policy.unknown(
             left_s=work.left_s,
-            may_resend=work.policy.has_another_run and self._may_resend(work),
+            may_resend=work.policy.has_another_run
+            and self._gate.admits(work, SendStep.RUN),
             timed_out=outcome.timed_out,
         )
 
@@ -178,7 +176,6 @@
     async def _answer(
         self, work: GatewayWork, answer: CallerAnswer, reply: OpenReply
     ) -> Failure | None:
-        work.arrivals += 1
         try:
             body = await reply.whole(ANSWER_LIMIT_BYTES)
         except ConnectionBroken as error:
@@ -194,7 +191,9 @@
             reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
         )
         if is_failure:
-            may_resend = work.policy.has_another_run and self._may_resend(work)
+            may_resend = work.policy.has_another_run and self._gate.admits(
+                work, SendStep.RUN
+            )
             if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
                 return None
         await answer.pass_on(reply.head, reply.facts, body)
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -1,16 +1,16 @@
 """Has prompts read by prefill engines."""
 
 import asyncio
-from collections.abc import Callable
 
 from damaskridge.adapters.gateway.connections import ConnectionBroken
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation, Handle
+from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
+from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
@@ -38,8 +38,8 @@
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
-    may_resend : callable
-        Takes one additional send to a service from the retry budget.
+    gate : RetryGate
+        Admits sends against the retry budget.
     """
 
     def __init__(
@@ -50,14 +50,14 @@
         registry: InstanceRegistry,
         load: LoadBook,
         data_centre: str,
-        may_resend: Callable[[GatewayWork], bool],
+        gate: RetryGate,
     ) -> None:
         self._dialect = dialect
         self._sender = sender
         self._registry = registry
         self._load = load
         self._data_centre = data_centre
-        self._may_resend = may_resend
+        self._gate = gate
         self._speed = ReadingSpeed()
 
     def release(self, run: Generation) -> None:
@@ -71,15 +71,14 @@
         """Read the prompt; None if a decode engine has to read it."""
         work = run.work
         tried: set[str] = set()
-        for number in range(MOST_PREFILLS):
+        for _ in range(MOST_PREFILLS):
             now_s = run.work.now_s
             candidates = self._registry.candidates(
                 work.service.name, now_s, EngineStage.PREFILL, frozenset(tried)
             )
             if not candidates or work.left_s <= 0:
                 return None
-            is_first = number == 0 and not run.has_events
-            if not is_first and not self._may_resend(work):
+            if not self._gate.admits(work, SendStep.READ):
                 return None
             instance = self._load.shortest_prefill(candidates, self._data_centre)
             if self._decode_reads(run, instance):
@@ -129,21 +128,16 @@
         try:
             outcome = await self._sender.send(
                 instance,
-                request,
-                work.body,
-                work.options(name, step),
+                work,
+                step,
                 answer_s=min(PREFILL_S, max(0.0, work.left_s)),
             )
             if not isinstance(outcome, OpenReply):
                 if isinstance(outcome, Unknown):
                     self._sender.note_run(instance, work.fingerprint, is_whole=False)
-                if isinstance(outcome, Unknown) or outcome.was_sent:
-                    work.arrivals += 1
                 return None
             handle = await self._handle_of(outcome, run, started_s + PREFILL_S)
-            if handle is None:
-                work.arrivals += 1
-            else:
+            if handle is not None:
                 now_s = run.work.now_s
                 self._speed.observe(tokens, now_s - started_s)
             return handle
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -18,13 +18,16 @@
     CallerRequest,
     Dialect,
     EngineCall,
+    EngineStep,
     ReplyFacts,
-    SendOptions,
 )
 from damaskridge.adapters.gateway.pool import ConnectionPool
+from damaskridge.adapters.gateway.retry_gate import RetryGate
+from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.instances import InstanceRegistry
+from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance
 
@@ -141,6 +144,8 @@
         Where the health of servers is noted.
     crashes : CrashWatch
         Where lost servers are noted.
+    gate : RetryGate
+        Admits each send against the retry budget.
     """
 
     def __init__(
@@ -149,8 +154,10 @@
         pool: ConnectionPool,
         registry: InstanceRegistry,
         crashes: CrashWatch,
+        gate: RetryGate,
     ) -> None:
         self._dialect = dialect
+        self._gate = gate
         self._pool = pool
         self._registry = registry
         self._crashes = crashes
@@ -159,26 +166,29 @@
     async def send(
         self,
         instance: BackendInstance,
-        request: CallerRequest,
-        body: bytes,
-        options: SendOptions,
+        work: GatewayWork,
+        step: EngineStep | None = None,
         *,
+        last_event_id: int | None = None,
         answer_s: float,
         fresh: bool = False,
     ) -> Outcome:
         """
         Send a request and wait for the head of its answer.
 
+        Nothing is sent that the retry budget does not cover, whatever its caller has
+        decided before.
+
         Parameters
         ----------
         instance : BackendInstance
             Where to.
-        request : CallerRequest
-            The caller's request.
-        body : bytes
-            Its body.
-        options : SendOptions
-            What the gateway adds.
+        work : GatewayWork
+            The admitted request.
+        step : EngineStep or None
+            What an engine is asked for; None for a plain call.
+        last_event_id : int or None
+            The last event that the caller has.
         answer_s : float
             Longest wait for the head, in seconds.
         fresh : bool
@@ -189,10 +199,17 @@
         Outcome
             The answer, or what is known of the request without one.
         """
+        request = work.request
         started_s = asyncio.get_running_loop().time()
         if self._is_paused(instance):
             paused = NotRun("the server wants no request now", was_sent=False)
             return self._log(request, instance, paused, started_s)
+        is_prefill = step is not None and step.is_prefill
+        send_step = SendStep.READ if is_prefill else SendStep.RUN
+        if not self._gate.admits(work, send_step):
+            unpaid = NotRun("the retry budget has no send left", was_sent=False)
+            return self._log(request, instance, unpaid, started_s)
+        options = work.options(instance.instance, step, last_event_id)
         headers = self._dialect.send_headers(request, options)
         try:
             connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
@@ -204,9 +221,10 @@
         outcome: Outcome
         try:
             async with asyncio.timeout(answer_s):
-                await connection.send(request.method, request.target, headers, body)
+                await connection.send(
+                    request.method, request.target, headers, work.body
+                )
             head = await _head_until(connection, started_s + answer_s)
-            is_prefill = options.step is not None and options.step.is_prefill
             outcome = self._judge(request, instance, connection, head, is_prefill)
             is_open = isinstance(outcome, OpenReply)
         except TimeoutError:
@@ -219,6 +237,9 @@
         finally:
             if not is_open:
                 connection.close()
+        was_refused = isinstance(outcome, NotRun)
+        if not isinstance(outcome, NotRun) or outcome.was_sent:
+            work.account.arrived(send_step, was_refused=was_refused)
         if isinstance(outcome, Unknown):
             self.note_answer(instance, good=False, reason=outcome.reason)
         return self._log(request, instance, outcome, started_s)
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -1,7 +1,7 @@
 """Forwards generations: prefill, then a decode whose events go to the caller."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import Any
 
 from damaskridge.adapters.gateway.answers import CallerAnswer
@@ -10,6 +10,7 @@
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation
 from damaskridge.adapters.gateway.prefills import Prefills
+from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import (
     NotRun,
     OpenReply,
@@ -22,6 +23,7 @@
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.core.gateway.send_policy import GiveUp, Resend
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure, RunState
@@ -56,8 +58,8 @@
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
-    may_resend : callable
-        Takes one additional send to a service from the retry budget.
+    gate : RetryGate
+        Admits sends against the retry budget.
     refusals : RefusalTimes
         When refused callers may come back.
     """
@@ -70,14 +72,14 @@
         registry: InstanceRegistry,
         load: LoadBook,
         data_centre: str,
-        may_resend: Callable[[GatewayWork], bool],
+        gate: RetryGate,
         refusals: RefusalTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
         self._load = load
         self._data_centre = data_centre
-        self._may_resend = may_resend
+        self._gate = gate
         self._refusals = refusals
         engines: dict[str, Any] = {
             "dialect": dialect,
@@ -87,7 +89,7 @@
             "data_centre": data_centre,
         }
         self._room = DecodeRoom(**engines)
-        self._prefills = Prefills(may_resend=may_resend, **engines)
+        self._prefills = Prefills(gate=gate, **engines)
 
     async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
         """Answer the caller with the engine's events, or with a failure."""
@@ -121,6 +123,10 @@
     async def _decode(self, run: Generation) -> None:
         """Run the generation on one decode engine."""
         work = run.work
+        if not self._gate.admits(work, SendStep.RUN):
+            decision = work.policy.not_run(left_s=work.left_s, may_resend=False)
+            await self._give_up(run, decision, "the retry budget has no send left")
+            return
         instance, candidates = self._choose(run)
         if instance is None:
             await self._fail(run, self._unserved(work))
@@ -208,9 +214,9 @@
             answer_s = min(answer_s, FIRST_EVENT_S)
         return await self._sender.send(
             instance,
-            work.request,
-            work.body,
-            work.options(instance.instance, step, run.last_event_id),
+            work,
+            step,
+            last_event_id=run.last_event_id,
             answer_s=answer_s,
             # A late copy of an earlier refusal would pass for this one's.
             fresh=not work.policy.may_repeat,
@@ -221,22 +227,28 @@
     ) -> None:
         work = run.work
         decision: Resend | GiveUp
-        if not isinstance(outcome, NotRun) or outcome.was_sent:
-            work.arrivals += 1
         if isinstance(outcome, NotRun):
-            may_resend = self._may_resend(work)
+            may_resend = self._gate.admits(work, SendStep.RUN)
             decision = work.policy.not_run(left_s=work.left_s, may_resend=may_resend)
         else:
             decision = work.policy.unknown(
                 left_s=work.left_s,
-                may_resend=work.policy.has_another_run and self._may_resend(work),
+                may_resend=work.policy.has_another_run
+                and self._gate.admits(work, SendStep.RUN),
                 timed_out=outcome.timed_out,
             )
-        if isinstance(decision, GiveUp):
-            retry_after_s = None
-            if decision.run_state is RunState.NOT_RUN:
-                retry_after_s = self._refusals.engine_full_s(work.left_s)
-            await self._fail(run, decision.failure(outcome.reason, retry_after_s))
+        await self._give_up(run, decision, outcome.reason)
+
+    async def _give_up(
+        self, run: Generation, decision: Resend | GiveUp, reason: str
+    ) -> None:
+        """Answer the caller if no engine is to be tried again."""
+        if not isinstance(decision, GiveUp):
+            return
+        retry_after_s = None
+        if decision.run_state is RunState.NOT_RUN:
+            retry_after_s = self._refusals.engine_full_s(run.work.left_s)
+        await self._fail(run, decision.failure(reason, retry_after_s))
 
     async def _relay(self, run: Generation, reply: OpenReply) -> None:
         """Pass events on; after a break the stream may go on elsewhere."""
@@ -322,9 +334,10 @@
         reason = f"status {reply.head.status}"
         good = reply.head.status < 500
         self._sender.note_answer(reply.instance, good=good, reason=reason)
-        work.arrivals += 1
         if not good:
-            may_resend = work.policy.has_another_run and self._may_resend(work)
+            may_resend = work.policy.has_another_run and self._gate.admits(
+                work, SendStep.RUN
+            )
             if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
                 return
         if run.answer.has_started:
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -5,6 +5,7 @@
 
 from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
 from damaskridge.core.gateway.crash_watch import fingerprint_of
+from damaskridge.core.gateway.send_account import SendAccount
 from damaskridge.core.gateway.send_policy import SendPolicy
 from damaskridge.model.gateway import GatewayRoute, GatewayService
 
@@ -33,8 +34,8 @@
         Loop time at which its head was read.
     fingerprint : str
         What the request has in common with its repeats.
-    arrivals : int
-        Sends that reached a backend server and count against the retry budget.
+    account : SendAccount
+        What its sends cost the retry budget.
     """
 
     request: CallerRequest
@@ -46,7 +47,7 @@
     arrived_s: float
     policy: SendPolicy = field(init=False)
     fingerprint: str = field(init=False)
-    arrivals: int = 0
+    account: SendAccount = field(default_factory=SendAccount)
 
     def __post_init__(self) -> None:
         route = self.route
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -18,9 +18,9 @@
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.dialect import Dialect
 from damaskridge.adapters.gateway.pool import ConnectionPool
+from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.http.operators_app import operators_app
 from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import log_event
@@ -36,7 +36,7 @@
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
-from damaskridge.core.gateway.retry_share import RetryShare
+from damaskridge.core.gateway.retry_budget import RetryBudget
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import (
@@ -162,8 +162,11 @@
         self._host_count = HostCount()
         self._used_count = HostCount()
         self._hosts_needed: dict[str, int] = {}
-        self._retries: dict[str, RetryShare] = {}
-        self._retry_part = 0.0
+        self._retries = RetryBudget(
+            RETRY_SHARE * settings.retry_ratio,
+            RETRY_SHARE * settings.retry_allowance,
+            settings.retry_window_s,
+        )
         self._load = LoadBook(rng)
         self._quota = FleetQuota(
             QUOTA_SLACK_SHARE * settings.quota_slack,
@@ -172,13 +175,14 @@
         self._load_heard_s = float("-inf")
         self._reported_leaving: tuple[ServerStart, ...] = ()
         refusals = RefusalTimes(rng)
-        sender = Sender(dialect, self._pool, self.registry, self._crashes)
+        gate = RetryGate(self._retries)
+        sender = Sender(dialect, self._pool, self.registry, self._crashes, gate)
         shared: dict[str, Any] = {
             "sender": sender,
             "registry": self.registry,
             "load": self._load,
             "data_centre": settings.data_centre,
-            "may_resend": self._may_resend,
+            "gate": gate,
             "refusals": refusals,
         }
         app = GatewayApp(
@@ -292,7 +296,7 @@
         used_count = self._used_count.note(len(used), now_s)
         self.state.hosts = every
         used_part = USED_RETRY_PART if used_count < every else 1.0
-        self._retry_part = (
+        self._retries.part = (
             used_part / used_count
             if self.settings.host in used
             else (1 - used_part) / every
@@ -378,34 +382,7 @@
                 self._load.forget_others()
 
     def _earn(self, service: str) -> None:
-        self._retry_share(service).earn(self._retry_part, anyio.current_time())
-
-    def _may_resend(self, work: GatewayWork) -> bool:
-        if not work.arrivals:
-            # No send has reached a backend server yet.
-            return True
-        share = self._retry_share(work.service.name)
-        granted = share.spend(self._retry_part, anyio.current_time())
-        log_event(
-            logger,
-            EventNumber.RETRY_GRANTED if granted else EventNumber.RETRY_DENIED,
-            request_id=work.request.request_id,
-            service=work.service.name,
-            arrivals=work.arrivals,
-            left=round(share.level, 2),
-            part=round(self._retry_part, 4),
-        )
-        return granted
-
-    def _retry_share(self, service: str) -> RetryShare:
-        settings = self.settings
-        if service not in self._retries:
-            self._retries[service] = RetryShare(
-                RETRY_SHARE * settings.retry_ratio,
-                RETRY_SHARE * settings.retry_allowance,
-                settings.retry_window_s,
-            )
-        return self._retries[service]
+        self._retries.earn(service, anyio.current_time())
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -11,6 +11,7 @@
 from damaskridge.adapters.gateway.app import GatewayApp, GatewayState
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.pool import ConnectionPool
+from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
@@ -193,6 +194,21 @@
         return await self.ask(path, ["x-token-count: 100,50"], b"prompt", **options)
 
 
+class Retries:
+    """A retry budget of a fixed number of sends."""
+
+    def __init__(self, sends):
+        self.sends = sends
+        self.asked = []
+
+    def spend(self, service, now_s):
+        self.asked.append(service)
+        return len(self.asked) <= self.sends
+
+    def left(self, service):
+        return float(max(0, self.sends - len(self.asked)))
+
+
 def _unchunk(data):
     body = b""
     while data:
@@ -215,23 +231,17 @@
         servers.append(server)
     registry, pool = InstanceRegistry(), ConnectionPool()
     registry.replace([standin.instance() for standin in standins])
-    resends = []
-
-    def may_resend(work):
-        if not work.arrivals:
-            return True
-        resends.append(work.request.request_id)
-        return len(resends) <= budget
-
+    retries = Retries(budget)
+    gate = RetryGate(retries)
     rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashWatch()
     refusals = RefusalTimes(rng)
     load = LoadBook(rng)
     shared = {
-        "sender": Sender(dialect, pool, registry, crashes),
+        "sender": Sender(dialect, pool, registry, crashes, gate),
         "registry": registry,
         "load": load,
         "data_centre": "west",
-        "may_resend": may_resend,
+        "gate": gate,
         "refusals": refusals,
     }
     targets = {"/gen/": "llm", "/res/": "llm"}
@@ -265,7 +275,9 @@
     serving = asyncio.ensure_future(server.run_on(listener))
     try:
         async with asyncio.timeout(2 * LIMIT_S):
-            yield Gateway(listener.getsockname()[1], state, registry, resends, load)
+            yield Gateway(
+                listener.getsockname()[1], state, registry, retries.asked, load
+            )
     finally:
         server.stop()
         await serving
