Share the retry allowance so that the parts of all hosts add up to it

What callers saw: nothing; servers may get more repeats than the operator allows.

Cause: a bucket held at least one send, whatever its host's part. 52 hosts that stand by with a part of 0.43 each held 52 sends together, beside the eight tenths of the hosts in use. The class of fault is a sum of rounded parts that exceeds the whole.

Evidence: 16 hosts in use and 52 that stand by spent 164 in a window where 158 are allowed, without any request in it (known red so far; the earned part came on top).

Change: each host may hold one send that its own requests have earned, and only what these leave of the allowance is shared among the hosts that callers are sent to. The parts add up to the allowance whatever the number of hosts. A host that stands by has no fixed part, so that it repeats one request in five that reach it.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -71,9 +71,6 @@
 # Part of it by which small requests may overdraw a workspace's bucket.
 SMALL_SLACK_SHARE = 0.35
 RETRY_SHARE = 0.9
-# Part of the retry budget for the hosts that callers are sent to. The others also get
-# requests, of callers that keep an old answer.
-USED_RETRY_PART = 0.8
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
 DRAIN_PROPOSAL_S = 1.5
@@ -296,11 +293,10 @@
         every = self._host_count.note(sum(map(len, names.values())), now_s)
         used_count = self._used_count.note(len(used), now_s)
         self.state.hosts = every
-        used_part = USED_RETRY_PART if used_count < every else 1.0
-        self._retries.part = (
-            used_part / used_count
-            if self.settings.host in used
-            else (1 - used_part) / every
+        self._retries.share_among(
+            hosts=every,
+            used_hosts=used_count,
+            is_used=self.settings.host in used,
         )
 
     def _fleet_changed(self) -> None:
--- a/src/damaskridge/core/gateway/retry_budget.py
+++ b/src/damaskridge/core/gateway/retry_budget.py
@@ -1,6 +1,6 @@
 """Takes repeats of all services from one host's part of the retry budgets."""
 
-from damaskridge.core.gateway.retry_share import RetryShare
+from damaskridge.core.gateway.retry_share import RetryPart, RetryShare, part_of
 
 __all__ = ["RetryBudget"]
 
@@ -19,11 +19,6 @@
         The window, in seconds.
     started_s : float
         When this process started.
-
-    Attributes
-    ----------
-    part : float
-        This host's part of the allowance.
     """
 
     def __init__(
@@ -33,16 +28,22 @@
         self._allowance = allowance
         self._window_s = window_s
         self._started_s = started_s
+        self._part = RetryPart()
         self._shares: dict[str, RetryShare] = {}
-        self.part = 0.0
+
+    def share_among(self, *, hosts: int, used_hosts: int, is_used: bool) -> None:
+        """Take this host's part, with so many hosts in the fleet and in use."""
+        self._part = part_of(
+            self._allowance, hosts=hosts, used_hosts=used_hosts, is_used=is_used
+        )
 
     def earn(self, service: str, now_s: float) -> None:
         """Count one request for a service."""
-        self._share(service).earn(self.part, now_s)
+        self._share(service).earn(self._part, now_s)
 
     def spend(self, service: str, now_s: float) -> bool:
         """Take one additional send; `False` if none is left."""
-        return self._share(service).spend(self.part, now_s)
+        return self._share(service).spend(self._part, now_s)
 
     def left(self, service: str) -> float:
         """Return the additional sends that were left after the last change."""
@@ -51,6 +52,6 @@
     def _share(self, service: str) -> RetryShare:
         if service not in self._shares:
             self._shares[service] = RetryShare(
-                self._ratio, self._allowance, self._window_s, self._started_s
+                self._ratio, self._window_s, self._started_s
             )
         return self._shares[service]
--- a/tests/core/gateway/test_retry_share.py
+++ b/tests/core/gateway/test_retry_share.py
@@ -2,21 +2,24 @@
 
 import random
 
-from damaskridge.core.gateway.retry_share import RetryShare
+import pytest
+
+from damaskridge.core.gateway.retry_share import RetryShare, part_of
 
 
 def test_any_window_stays_within_the_budget_of_all_hosts():
     rng = random.Random(3)
     ratio, allowance, window_s, hosts = 0.2, 60.0, 10.0, 11
-    shares = [RetryShare(ratio, allowance, window_s, 0.0) for _ in range(hosts)]
+    part = part_of(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    shares = [RetryShare(ratio, window_s, 0.0) for _ in range(hosts)]
     requests, repeats, now_s = [], [], 0.0
     while now_s < 60.0:
         now_s += 0.01
         share = rng.choice(shares)
         if rng.random() < 0.5:
             requests.append(now_s)
-            share.earn(1 / hosts, now_s)
-        while share.spend(1 / hosts, now_s):
+            share.earn(part, now_s)
+        while share.spend(part, now_s):
             repeats.append(now_s)
     for start_s in range(50):
         end_s = start_s + window_s
@@ -26,9 +29,10 @@
 
 
 def test_a_quiet_host_can_repeat_several_requests_at_once():
-    share = RetryShare(0.2, 60.0, 10.0, 0.0)
+    part = part_of(60.0, hosts=11, used_hosts=11, is_used=True)
+    share = RetryShare(0.2, 10.0, 0.0)
     # The host has run for three windows.
-    assert sum(share.spend(1 / 11, 30.0) for _ in range(10)) >= 3
+    assert sum(share.spend(part, 30.0) for _ in range(10)) >= 3
 
 
 def most_in_a_window(repeats, window_s):
@@ -41,22 +45,27 @@
 def test_hosts_that_start_again_within_a_window_have_no_second_budget():
     allowance, window_s, hosts = 60.0, 10.0, 11
     repeats, now_s = [], 0.0
-    shares = [RetryShare(0.2, allowance, window_s, 0.0) for _ in range(hosts)]
+    part = part_of(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    shares = [RetryShare(0.2, window_s, 0.0) for _ in range(hosts)]
     while now_s < 30.0:
         now_s += 0.1
         if round(now_s, 1) == 20.0:
-            shares = [RetryShare(0.2, allowance, window_s, now_s) for _ in range(hosts)]
+            shares = [RetryShare(0.2, window_s, now_s) for _ in range(hosts)]
         for share in shares:
             # All hosts are quiet at first, so that their buckets are full.
-            while now_s >= 19.0 and share.spend(1 / hosts, now_s):
+            while now_s >= 19.0 and share.spend(part, now_s):
                 repeats.append(now_s)
     assert most_in_a_window(repeats, window_s) <= allowance
 
 
 def test_hosts_that_stand_by_hold_no_more_than_the_allowance_leaves():
     allowance, window_s, used, standing_by = 158.0, 10.0, 16, 52
-    parts = [0.8 / used] * used + [0.2 / (used + standing_by)] * standing_by
-    shares = [RetryShare(0.18, allowance, window_s, 0.0) for _ in parts]
+    hosts = used + standing_by
+    parts = [
+        part_of(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+        for number in range(hosts)
+    ]
+    shares = [RetryShare(0.18, window_s, 0.0) for _ in parts]
     repeats, requests, now_s = [], [], 0.0
     while now_s < 60.0:
         now_s += 0.1
@@ -68,3 +77,24 @@
             while now_s >= 40.0 and share.spend(part, now_s):
                 repeats.append(now_s)
     assert most_in_a_window(repeats, window_s) <= allowance
+
+
+@pytest.mark.parametrize(
+    ("allowance", "hosts", "used"), [(55.8, 11, 11), (396.0, 200, 20), (30.0, 390, 120)]
+)
+def test_the_parts_of_all_hosts_add_up_to_the_allowance(allowance, hosts, used):
+    parts = [
+        part_of(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+        for number in range(hosts)
+    ]
+    assert sum(part.fixed + part.held for part in parts) == pytest.approx(allowance)
+
+
+def test_a_host_that_stands_by_repeats_what_its_requests_have_earned():
+    part = part_of(158.0, hosts=68, used_hosts=16, is_used=False)
+    share = RetryShare(0.2, 10.0, 0.0)
+    assert not share.spend(part, 100.0)
+    for _ in range(5):
+        share.earn(part, 101.0)
+    assert share.spend(part, 101.0)
+    assert not share.spend(part, 101.0)
