--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -8,12 +8,12 @@
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
 
-__all__ = ["RetryBudgetPort", "RetryGate"]
+__all__ = ["RetryBudget", "RetryGate"]
 
 logger = logging.getLogger(__name__)
 
 
-class RetryBudgetPort(Protocol):
+class RetryBudget(Protocol):
     """The part of the fleet's retry budget that one host may spend."""
 
     def spend(self, service: str, now_s: float) -> bool:
@@ -31,11 +31,11 @@
 
     Parameters
     ----------
-    budget : RetryBudgetPort
+    budget : RetryBudget
         Where the sends are taken from.
     """
 
-    def __init__(self, budget: RetryBudgetPort) -> None:
+    def __init__(self, budget: RetryBudget) -> None:
         self._budget = budget
 
     def admits(self, work: GatewayWork, step: SendStep) -> bool:
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -31,12 +31,12 @@
 from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.host_choice import chosen_hosts
 from damaskridge.core.gateway.host_count import HostCount
+from damaskridge.core.gateway.host_retry_budget import HostRetryBudget
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
-from damaskridge.core.gateway.retry_budget import RetryBudget
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import (
@@ -159,7 +159,7 @@
         self._host_count = HostCount()
         self._used_count = HostCount()
         self._hosts_needed: dict[str, int] = {}
-        self._retries = RetryBudget(
+        self._retries = HostRetryBudget(
             RETRY_SHARE * settings.retry_ratio,
             RETRY_SHARE * settings.retry_allowance,
             settings.retry_window_s,
--- a/src/damaskridge/core/gateway/retry_budget.py
+++ b/src/damaskridge/core/gateway/host_retry_budget.py
@@ -2,10 +2,10 @@
 
 from damaskridge.core.gateway.retry_share import RetryPart, RetryShare, part_of
 
-__all__ = ["RetryBudget"]
+__all__ = ["HostRetryBudget"]
 
 
-class RetryBudget:
+class HostRetryBudget:
     """
     One bucket for each service.
 
--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -144,3 +144,33 @@
         if quota.take(LIMIT, 400.0, now_s) == 0:
             admitted.append((now_s, 400.0))
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
+
+
+def restarted_fleet_admits(restart_s, *, hosts=16, delay_s=0.1):
+    """Return what a fleet admits of a workspace far over its rate, hosts restarting."""
+    rng = random.Random(5)
+    fleet = [FleetQuota(SLACK) for _ in range(hosts)]
+    admitted, now_s, told_s = [], 0.0, 0.0
+    restarts = [(restart_s + 0.5 * number, number) for number in range(hosts)]
+    while now_s < restart_s + 10:
+        now_s += rng.expovariate(7.5 * RATE / 5_500)
+        while restarts and now_s >= restarts[0][0]:
+            _, number = restarts.pop(0)
+            fleet[number] = FleetQuota(SLACK)
+        cost = rng.uniform(2_000, 9_000)
+        if rng.choice(fleet).take(LIMIT, cost, now_s) == 0:
+            admitted.append((now_s, cost))
+        if now_s >= told_s:
+            told_s = now_s + delay_s
+            usage = [quota.unreported() for quota in fleet]
+            for number, quota in enumerate(fleet):
+                quota.heard(now_s)
+                for other, used in enumerate(usage):
+                    if other != number:
+                        quota.others_admitted(used, now_s)
+    return admitted
+
+
+def test_hosts_that_start_again_do_not_admit_a_burst_each():
+    admitted = restarted_fleet_admits(20.0)
+    assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
