Count a workspace's admissions on hosts that start again or stand by

What callers would see: nothing; a workspace over its rate gets more than its rate, burst and tolerance (QUOTA), at the expense of the others.

Cause: FleetQuota made a workspace's bucket full at a host's first request for it, and what others had admitted before was left out. A host that restarts, and each host that stands by, had a whole burst and slack of its own. Between requests the refill was applied only at the next one and clipped then, so that late use by others was forgotten.

Change: buckets of all workspaces are kept from the first routing table on, are as full as the rate has filled them since the process started, and are refilled before what others admitted is taken. A host that has just started refuses a large request for at most a few tenths of a second; small ones may overdraw as before.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -169,6 +169,7 @@
         self._quota = FleetQuota(
             QUOTA_SLACK_SHARE * settings.quota_slack,
             SMALL_SLACK_SHARE * settings.quota_slack,
+            started_s=anyio.current_time(),
         )
         self._load_heard_s = float("-inf")
         self._reported_leaving: tuple[ServerStart, ...] = ()
@@ -306,6 +307,7 @@
         if table.version == self.state.index.table.version:
             return
         self.state.index = RoutingIndex(table)
+        self._quota.limits_changed(table.workspaces, anyio.current_time())
         limits = table.limits
         self.caller_server.limit(
             max_header_bytes=limits.header_bytes,
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -6,6 +6,10 @@
 each other is covered by the tolerance that the operator grants. Until the next news of
 the others a host assumes that they admit as before.
 
+A host keeps the buckets of all workspaces from its first routing table on, so that it
+knows what the others admitted before its own first request. They are empty when its
+process starts, since nobody tells what was admitted before.
+
 Small requests go before large ones: a large one leaves a part of the bucket to them,
 and they may overdraw it a little. Load answered: a workspace near its rate whose long
 generations would take everything that its calls need.
@@ -19,7 +23,7 @@
 0.6
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from damaskridge.model.gateway import GatewayWorkspace
@@ -41,6 +45,7 @@
 class _Bucket:
     """The bucket of one workspace."""
 
+    workspace: GatewayWorkspace
     level: float
     refilled_s: float
     others_per_s: float = 0.0
@@ -58,14 +63,32 @@
         What may be admitted at once beyond a workspace's burst.
     small_slack : float
         By how much small requests may overdraw a bucket.
+    started_s : float
+        When this process started.
     """
 
-    def __init__(self, slack: float = 0.0, small_slack: float = 0.0) -> None:
+    def __init__(
+        self,
+        slack: float = 0.0,
+        small_slack: float = 0.0,
+        started_s: float = float("-inf"),
+    ) -> None:
         self._slack = slack
         self._small_slack = small_slack
+        self._started_s = started_s
         self._buckets: dict[str, _Bucket] = {}
         self._heard_s = 0.0
 
+    def limits_changed(
+        self, workspaces: Iterable[GatewayWorkspace], now_s: float
+    ) -> None:
+        """Keep a bucket for each of these workspaces, and no other."""
+        self._buckets = {
+            workspace.name: self._bucket(workspace, now_s)
+            for workspace in workspaces
+            if workspace.rate_per_s > 0
+        }
+
     def take(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
         """
         Take a request's cost.
@@ -86,7 +109,7 @@
         """
         if workspace.rate_per_s <= 0:
             return 0.0
-        bucket = self._refilled(workspace, now_s)
+        bucket = self._bucket(workspace, now_s)
         # What the others have probably admitted since they were heard last.
         level = bucket.level - self._assumed(bucket, now_s)
         needed = self._needed(workspace, cost)
@@ -102,6 +125,7 @@
         for name, used in usage.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
+                self._refill(bucket, now_s)
                 bucket.level -= used
                 bucket.others_per_s += used / AVERAGE_S
 
@@ -133,19 +157,25 @@
         since_s = max(self._heard_s, bucket.assumed_s)
         return bucket.others_per_s * max(0.0, now_s - since_s)
 
-    def _refilled(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
-        capacity = self._capacity(workspace)
+    def _bucket(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
+        """Return the bucket of a workspace as it is now, by its present limit."""
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = self._buckets[workspace.name] = _Bucket(capacity, now_s)
-            return bucket
+            filled = workspace.rate_per_s * max(0.0, now_s - self._started_s)
+            level = min(self._capacity(workspace), filled)
+            bucket = self._buckets[workspace.name] = _Bucket(workspace, level, now_s)
+        bucket.workspace = workspace
+        self._refill(bucket, now_s)
+        return bucket
+
+    def _refill(self, bucket: _Bucket, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - bucket.refilled_s)
-        refill = workspace.rate_per_s * elapsed_s
+        refill = bucket.workspace.rate_per_s * elapsed_s
         if now_s - self._heard_s < SILENCE_S:
             bucket.others_per_s *= max(0.0, 1 - elapsed_s / AVERAGE_S)
         else:
             refill -= self._assumed(bucket, now_s)
             bucket.assumed_s = now_s
+        capacity = self._capacity(bucket.workspace)
         bucket.level = min(capacity, bucket.level + refill)
         bucket.refilled_s = now_s
-        return bucket
--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -156,7 +156,8 @@
         now_s += rng.expovariate(7.5 * RATE / 5_500)
         while restarts and now_s >= restarts[0][0]:
             _, number = restarts.pop(0)
-            fleet[number] = FleetQuota(SLACK)
+            fleet[number] = FleetQuota(SLACK, started_s=now_s)
+            fleet[number].limits_changed([LIMIT], now_s)
         cost = rng.uniform(2_000, 9_000)
         if rng.choice(fleet).take(LIMIT, cost, now_s) == 0:
             admitted.append((now_s, cost))
@@ -174,3 +175,26 @@
 def test_hosts_that_start_again_do_not_admit_a_burst_each():
     admitted = restarted_fleet_admits(20.0)
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
+
+
+def test_hosts_without_requests_know_what_the_others_have_admitted():
+    """Else each of the hosts that stand by has a full bucket for its first requests."""
+    rng = random.Random(5)
+    busy, idle = FleetQuota(SLACK), [FleetQuota(SLACK) for _ in range(20)]
+    for quota in [busy, *idle]:
+        quota.limits_changed([LIMIT], 0.0)
+    admitted, now_s = [], 0.0
+    while now_s < 30.0:
+        now_s += 0.1
+        quotas = [busy, *idle] if now_s > 25.0 else [busy]
+        for quota in quotas:
+            cost = rng.uniform(2_000, 9_000)
+            while quota.take(LIMIT, cost, now_s) == 0:
+                admitted.append((now_s, cost))
+        usage = [quota.unreported() for quota in [busy, *idle]]
+        for number, quota in enumerate([busy, *idle]):
+            quota.heard(now_s)
+            for other, used in enumerate(usage):
+                if other != number:
+                    quota.others_admitted(used, now_s)
+    assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
