Tell every host of a stage change before it is ordered, also after a new election

Cause: an engine that changes its stage refuses everything for seconds. Hosts heard of it with the next reading of the list, up to 0.8 s after the order, and a new leader did not know of the orders of the one before. Such an engine has nothing in flight, so that it was chosen before all others, again and again.

Change: the change is marked and the list handed on 0.1 s before the order leaves, and leadership is confirmed after that wait. A new leader asks every engine for its report when it takes over and again when it may order itself, since an order that was on its way may act late; engines that carry one out are left alone. A restart ends an order.

--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -130,6 +130,7 @@
                 orders=orders,
                 routing=lambda: state.data.routing,
                 leads=lambda: self._duties.ready,
+                publish=self._publish_instances,
             )
         self._instances: InstancePublisher | None = None
         if instances is not None:
@@ -172,6 +173,10 @@
             if self._orders is not None:
                 group.start_soon(self._orders.run)
 
+    def _publish_instances(self) -> None:
+        if self._instances is not None:
+            self._instances.publish_again()
+
     def _data_centre_of(self, host: str) -> str | None:
         session = self._state.data.sessions.get(host)
         return session.data_centre if session is not None else None
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -69,6 +69,7 @@
         self._followers = followers
         self._leads = leads
         self._readings: InstanceReadings | None = None
+        self._listed: tuple[BackendInstance, ...] = ()
         self._failed = False
 
     def greet(self, follower: Follower) -> None:
@@ -100,9 +101,18 @@
             return
         if self._readings is None:
             self._readings = InstanceReadings(secrets.token_hex(4))
-        self.notices.forget_all_but(listed.ok_value.instances)
-        instances = tuple(map(self._with_notice, listed.ok_value.instances))
-        seen = self._readings.add(self._adjust(instances))
+        self._listed = listed.ok_value.instances
+        self.notices.forget_all_but(self._listed)
+        self._notify(self._readings)
+
+    def publish_again(self) -> None:
+        """Hand the last reading on again, after what is changed in it has changed."""
+        if self._readings is not None and self._leads():
+            self._notify(self._readings)
+
+    def _notify(self, readings: InstanceReadings) -> None:
+        instances = tuple(map(self._with_notice, self._listed))
+        seen = readings.add(self._adjust(instances))
         self._followers.notify(seen)
         if seen.changed or seen.removed:
             log_event(
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -2,10 +2,15 @@
 
 The term of the replicated log is the fencing number: it belongs to one leader and grows
 with every new one.
+
+An engine that changes refuses everything, with nothing in flight, so that it would be
+chosen before all others. So every host is told before the order leaves, and a new
+leader asks the engines which of them carry out an order of the leader before.
 """
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -17,7 +22,12 @@
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.gateway.stage_balance import StageBalance, StageChange
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance, EngineStage, RoutingTable
+from damaskridge.model.gateway import (
+    BackendInstance,
+    EngineStage,
+    RoutingTable,
+    ServerStart,
+)
 
 __all__ = ["EngineOrders", "StageOrders"]
 
@@ -26,6 +36,10 @@
 TAKE_OVER_S = 4.0
 # An engine that has not changed by then did not take the order.
 CHANGE_S = 14.0
+# Longer than a message takes to all hosts, and a request of theirs to an engine.
+SPREAD_S = 0.1
+# A live engine answers within milliseconds.
+SURVEY_S = 0.25
 
 _log = logging.getLogger("damaskridge.orders")
 
@@ -39,6 +53,25 @@
         """Order a stage; an error may mean that the order is carried out late."""
         ...
 
+    async def is_busy(self, instance: BackendInstance) -> Result[bool, str]:
+        """Tell whether an engine carries out an order now."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """An engine that is on its way to another stage."""
+
+    start: ServerStart
+    stage: EngineStage
+    until_s: float
+
+    def is_over(self, item: BackendInstance, now_s: float) -> bool:
+        """Tell whether the engine can be used as the list shows it."""
+        # A restart ends an order.
+        is_done = item.stage is self.stage or item.start != self.start
+        return is_done or now_s > self.until_s
+
 
 class StageOrders:
     """
@@ -58,6 +91,8 @@
         Returns the routing table in force.
     leads : callable
         Whether this host leads.
+    publish : callable
+        Hands the list on to all hosts again, through `adjust`.
     """
 
     def __init__(
@@ -69,7 +104,9 @@
         orders: EngineOrders,
         routing: Callable[[], RoutingTable],
         leads: Callable[[], bool],
+        publish: Callable[[], None],
     ) -> None:
+        self._publish = publish
         self._node = node
         self._host = host
         self._board = board
@@ -77,7 +114,8 @@
         self._routing = routing
         self._leads = leads
         self._balances: dict[str, StageBalance] = {}
-        self._changing: dict[str, tuple[EngineStage, float]] = {}
+        self._changing: dict[str, _Change] = {}
+        self._surveys_due_s: list[float] = []
         self._instances: tuple[BackendInstance, ...] = ()
 
     def adjust(
@@ -87,8 +125,8 @@
         now_s = anyio.current_time()
         adjusted = []
         for item in instances:
-            wanted, until_s = self._changing.get(item.instance, (item.stage, 0.0))
-            if item.stage is wanted or now_s > until_s:
+            change = self._changing.get(item.instance)
+            if change is None or change.is_over(item, now_s):
                 self._changing.pop(item.instance, None)
                 adjusted.append(item)
             else:
@@ -105,13 +143,43 @@
                 leading_since_s = None
                 self._balances.clear()
                 self._changing.clear()
+                self._instances = ()
             else:
                 if leading_since_s is None:
                     leading_since_s = now_s
+                    # An order that was on its way may act after the first one.
+                    self._surveys_due_s = [now_s, now_s + TAKE_OVER_S]
+                await self._survey(now_s)
                 # The averages warm up while the last leader's orders may still act.
                 await self._watch(now_s, now_s - leading_since_s >= TAKE_OVER_S)
             await anyio.sleep(WATCH_PERIOD_S)
 
+    async def _survey(self, now_s: float) -> None:
+        """Find engines that carry out an order of the leader before."""
+        if not self._instances or now_s < min(self._surveys_due_s, default=now_s + 1):
+            return
+        self._surveys_due_s.pop(0)
+        known = set(self._changing)
+        with anyio.move_on_after(SURVEY_S):
+            async with anyio.create_task_group() as group:
+                for item in self._instances:
+                    if item.stage is not None and not item.is_leaving:
+                        group.start_soon(self._ask, item, item.stage)
+        found = sorted(self._changing.keys() - known)
+        if found:
+            log_event(_log, EventNumber.ORDERS_FOUND, backend_servers=found)
+            self._publish()
+
+    async def _ask(self, item: BackendInstance, stage: EngineStage) -> None:
+        busy = await self._orders.is_busy(item)
+        # One that does not answer gets no request either.
+        if busy.unwrap_or(False):
+            self._mark(item, _other(stage))
+
+    def _mark(self, item: BackendInstance, stage: EngineStage) -> None:
+        until_s = anyio.current_time() + CHANGE_S
+        self._changing[item.instance] = _Change(item.start, stage, until_s)
+
     async def _watch(self, now_s: float, may_order: bool) -> None:
         load = self._board.total()
         for service in self._routing().services:
@@ -126,15 +194,25 @@
             changes = balance.observe(
                 engines, load, service.engine, now_s, may_change=may_order
             )
-            if changes and await self._node.confirm_leadership():
-                async with anyio.create_task_group() as group:
-                    for change in changes:
-                        group.start_soon(self._order, change)
+            if changes:
+                await self._order_all(changes)
+
+    async def _order_all(self, changes: Iterable[StageChange]) -> None:
+        for change in changes:
+            self._mark(change.instance, change.stage)
+        self._publish()
+        await anyio.sleep(SPREAD_S)
+        if not await self._node.confirm_leadership():
+            # The next leader orders; if this one still leads, nothing was ordered.
+            for change in changes:
+                self._changing.pop(change.instance.instance, None)
+            return
+        async with anyio.create_task_group() as group:
+            for change in changes:
+                group.start_soon(self._order, change)
 
     async def _order(self, change: StageChange) -> None:
         instance, fence = change.instance, self._node.term
-        until_s = anyio.current_time() + CHANGE_S
-        self._changing[instance.instance] = (change.stage, until_s)
         ordered = await self._orders.order_stage(
             instance, change.stage, self._host, fence
         )
@@ -151,3 +229,8 @@
             prefill_use=round(change.prefill_use, 2),
             reason=ordered.err() or "",
         )
+
+
+def _other(stage: EngineStage) -> EngineStage:
+    is_prefill = stage is EngineStage.PREFILL
+    return EngineStage.DECODE if is_prefill else EngineStage.PREFILL
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -47,10 +47,7 @@
         """Order a stage; an error may mean that the order is carried out late."""
         try:
             async with asyncio.timeout(CALL_S):
-                status, body = await self._call(instance, "GET", b"/api/report", b"")
-                if status != 200:
-                    return Err(f"report: status {status}")
-                report = _decode_report(body)
+                report = await self._report(instance)
                 if report.busy:
                     return Err("another order is in progress")
                 order = _Order("Phase", stage.value, holder, fence, report.seq)
@@ -63,6 +60,23 @@
             return Err(str(error))
         return Ok(None) if status in _ACCEPTED else Err(f"status {status}")
 
+    async def is_busy(self, instance: BackendInstance) -> Result[bool, str]:
+        """Tell whether an engine carries out an order now."""
+        try:
+            async with asyncio.timeout(CALL_S):
+                return Ok((await self._report(instance)).busy)
+        except TimeoutError:
+            return Err(f"no answer in {CALL_S:g} s")
+        except (ConnectionBroken, msgspec.DecodeError) as error:
+            return Err(str(error))
+
+    async def _report(self, instance: BackendInstance) -> _Report:
+        """Return an engine's report; raises `ConnectionBroken` or `DecodeError`."""
+        status, body = await self._call(instance, "GET", b"/api/report", b"")
+        if status != 200:
+            raise ConnectionBroken(f"report: status {status}")
+        return _decode_report(body)
+
     async def _call(
         self, instance: BackendInstance, method: str, target: bytes, body: bytes
     ) -> tuple[int, bytes]:
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -63,3 +63,24 @@
 def test_refusals_and_garbage_are_errors():
     assert order(status=412)[0].is_err()
     assert order(report=b"{")[0].is_err()
+
+
+def test_a_report_tells_whether_an_engine_carries_out_an_order():
+    async def main(report):
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n" % len(report))
+            writer.write(report)
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        instance = BackendInstance(
+            instance="i1", service="s", address=address, data_centre="z", slots=1
+        )
+        busy = await PlatformOrders().is_busy(instance)
+        server.close()
+        return busy
+
+    assert asyncio.run(main(b'{"Seq":4,"Busy":true}')).unwrap()
+    assert not asyncio.run(main(b'{"Seq":4,"Busy":false}')).unwrap()
+    assert asyncio.run(main(b"{")).is_err()
