Hold the fault soak against the operator's bound for repeats

The soak did not see the incident: its servers never turned a request away, so that no budget was ever used, and arrivals were not counted. Servers now turn every request away for seconds, apart from the other faults so that old seeds keep theirs, and every window of 10 s is held against 0.2 of the requests and 12.

--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -198,3 +198,34 @@
                 if other != number:
                     quota.others_admitted(used, now_s)
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
+
+
+def test_hosts_that_are_told_seldom_assume_what_the_others_admit_meanwhile():
+    """Else hosts with few requests admit all of them between two messages."""
+    rng = random.Random(11)
+    active, idle, share_of_idle = 16, 52, 0.2
+    fleet = [FleetQuota(SLACK) for _ in range(active + idle)]
+    for quota in fleet:
+        quota.limits_changed([LIMIT], 0.0)
+    untold = [0.0] * len(fleet)
+    admitted, now_s, tick = [], 0.0, 0
+    while now_s < 30.0:
+        now_s += rng.expovariate(7.5 * RATE / 5_500)
+        number = rng.randrange(active)
+        if rng.random() < share_of_idle:
+            number = active + rng.randrange(idle)
+        cost = rng.uniform(2_000, 9_000)
+        if fleet[number].take(LIMIT, cost, now_s) == 0:
+            admitted.append((now_s, cost))
+        if now_s < tick * 0.1:
+            continue
+        tick += 1
+        used = [quota.unreported().get("w", 0.0) for quota in fleet]
+        for number, quota in enumerate(fleet):
+            untold[number] += sum(used) - used[number]
+            if tick % 8 == 0:
+                quota.heard(now_s)
+            if number < active or tick % 20 == 0:
+                quota.others_admitted({"w": untold[number]}, now_s)
+                untold[number] = 0.0
+    assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from damaskridge.model.gateway import EngineStage
-from tests.adapters.gateway.standin import StandIn, chunk, chunked_head, reply
+from tests.adapters.gateway.standin import (
+    StandIn,
+    chunk,
+    chunked_head,
+    not_executed,
+    reply,
+)
 
 __all__ = ["event_count", "make_backends"]
 
@@ -21,13 +27,25 @@
     def __init__(self, record, rng):
         self._record = record
         self._rng = rng
+        # Names of servers that turn every request away.
+        self.refusing = set()
 
     def _begin(self, seen, name):
         has_key = "authorization" in seen.headers
         return self._record.run_began(name, seen.attempt, has_key)
 
+    def _refuses(self, name, seen, writer, *, is_reading=False):
+        """Count an arrival; answers it if the server turns requests away."""
+        refuses = name in self.refusing
+        self._record.arrived(seen.attempt, is_reading=is_reading, was_refused=refuses)
+        if refuses:
+            writer.write(not_executed(seen))
+        return refuses
+
     def call(self, name):
         async def script(seen, writer):
+            if self._refuses(name, seen, writer):
+                return
             run = self._begin(seen, name)
             await asyncio.sleep(self._rng.uniform(0.0, 0.06))
             self._record.run_ended(run)
@@ -37,6 +55,8 @@
 
     def prefill(self, name):
         async def script(seen, writer):
+            if self._refuses(name, seen, writer, is_reading=True):
+                return
             await asyncio.sleep(self._rng.uniform(0.0, 0.03))
             body = b'{"HandleId":"h-%s","Tokens":100}' % seen.attempt.encode()
             writer.write(reply(seen, body=body, signed=False))
@@ -45,6 +65,8 @@
 
     def decode(self, name):
         async def script(seen, writer):
+            if self._refuses(name, seen, writer):
+                return False
             run = self._begin(seen, name)
             try:
                 first = int(seen.headers.get("last-event-id", "0")) + 1
@@ -64,8 +86,12 @@
 
 
 def make_backends(record, rng):
-    """Return three plain servers, a prefill engine and two decode engines."""
+    """
+    Return three plain servers, a prefill engine and two decode engines.
+
+    The second value is the set of names of those that turn requests away.
+    """
     made = Backends(record, rng)
     calls = [made.call(f"app-{number}") for number in range(3)]
     decodes = [made.decode(f"d-{number}") for number in range(2)]
-    return [*calls, made.prefill("p-0"), *decodes]
+    return [*calls, made.prefill("p-0"), *decodes], made.refusing
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -4,7 +4,14 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-__all__ = ["CHANGE_S", "CONTACT_S", "DRAIN_S", "Record", "Request"]
+__all__ = [
+    "CHANGE_S",
+    "CONTACT_S",
+    "DRAIN_S",
+    "RETRY_SLACK",
+    "Record",
+    "Request",
+]
 
 # A new run of a stream may begin this long before the old one has ended.
 OVERLAP_S = 0.4
@@ -14,6 +21,10 @@
 CHANGE_S = 2.0
 CONTACT_S = 3.0
 DRAIN_S = 3.0
+# The operator's bound for arrivals beyond the first of each request.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 12
+RETRY_WINDOW_S = 10.0
 
 
 @dataclass
@@ -28,6 +39,8 @@
     sent_s: float
     status: int | None = None
     runs: list = field(default_factory=list)
+    arrivals: int = 0
+    has_free_reading: bool = True
 
 
 class Record:
@@ -43,6 +56,8 @@
         self.removed_s = {}
         self.leaving_s = {}
         self._active = defaultdict(dict)
+        # Times of arrivals beyond the first, by whether they belong to a stream.
+        self._repeats_s = {True: [], False: []}
         self.started_s = asyncio.get_running_loop().time()
 
     @property
@@ -75,6 +90,38 @@
 
     # Backend servers.
 
+    def arrived(self, attempt, *, is_reading=False, was_refused=False):
+        """Count an arrival as the operator does."""
+        request = self.requests.get(attempt)
+        if request is None:
+            return
+        if is_reading and not was_refused and request.has_free_reading:
+            request.has_free_reading = False
+            return
+        request.arrivals += 1
+        if request.arrivals > 1:
+            self._repeats_s[request.kind == "stream"].append(self.now_s)
+
+    def check_repeats(self):
+        """Hold every window against the bound for repeats."""
+        for is_stream, repeats_s in self._repeats_s.items():
+            sent_s = [
+                request.sent_s
+                for request in self.requests.values()
+                if (request.kind == "stream") is is_stream
+            ]
+            for start_s in repeats_s:
+                repeats = _count(repeats_s, start_s)
+                sent = max(
+                    _count(sent_s, start_s - back * RETRY_WINDOW_S)
+                    for back in (0.0, 0.5, 1.0)
+                )
+                allowed = RETRY_RATIO * sent + RETRY_SLACK
+                if repeats > allowed:
+                    text = f"{repeats} repeats from {start_s:.3f}, {allowed:g} allowed"
+                    self.note_broken("repeats", f"streams {is_stream}: {text}")
+                    break
+
     def run_began(self, server, attempt, key_seen):
         """Note a run; returns a token for `run_ended`."""
         request, now_s = self.requests.get(attempt), self.now_s
@@ -106,3 +153,7 @@
     def run_ended(self, run):
         attempt, token = run
         self._active[attempt].pop(token, None)
+
+
+def _count(times_s, start_s):
+    return sum(start_s <= at_s < start_s + RETRY_WINDOW_S for at_s in times_s)
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -10,7 +10,13 @@
 from tests.fault_soak.backends import make_backends
 from tests.fault_soak.callers import Caller
 from tests.fault_soak.proxy import FaultProxy, LinkFault
-from tests.fault_soak.record import CHANGE_S, CONTACT_S, DRAIN_S, Record
+from tests.fault_soak.record import (
+    CHANGE_S,
+    CONTACT_S,
+    DRAIN_S,
+    RETRY_SLACK,
+    Record,
+)
 from tests.processes.platform_fleet import MACHINES, START_S, PlatformFleet
 
 __all__ = ["Soak", "run_seed"]
@@ -28,6 +34,8 @@
 class SoakFleet(PlatformFleet):
     """A fleet whose backend servers and list are reached through proxies."""
 
+    bounds = (*PlatformFleet.bounds, f"Bounds.RetrySlack={RETRY_SLACK}")
+
     def __init__(self, folder, backends, guard):
         super().__init__(folder)
         self.backends = backends
@@ -83,7 +91,10 @@
     def __init__(self, seed, folder, guard=""):
         self.rng = random.Random(seed)
         self.record = Record()
-        self.fleet = SoakFleet(folder, make_backends(self.record, self.rng), guard)
+        backends, self._refusing = make_backends(self.record, self.rng)
+        self.fleet = SoakFleet(folder, backends, guard)
+        # Apart from the other faults, so that old seeds keep theirs.
+        self._refusal_rng = random.Random(f"refusals {seed}")
         self.keys = ["k"]
         self.prefix = 0
         self.in_force_s = {}
@@ -116,7 +127,10 @@
             rngs = [random.Random(self.rng.random()) for _ in range(CALLERS)]
             callers = [Caller(n, self, rng) for n, rng in enumerate(rngs)]
             tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+            refusals = asyncio.ensure_future(self._refuse())
             await self._disturb(length_s)
+            refusals.cancel()
+            self._refusing.clear()
             last = Caller(CALLERS, self, random.Random(self.rng.random()))
             await self._check_end(last, tasks)
             for proxy in self._fronts:
@@ -229,6 +243,18 @@
         proxy.fault = LinkFault.NONE
         self.record.disturb("healed")
 
+    async def _refuse(self):
+        """Have some servers turn every request away, again and again."""
+        rng = self._refusal_rng
+        names = [server.name for server in self.fleet.backends]
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            refusing = rng.choice((names[:3], names[3:], ["p-0"], rng.sample(names, 2)))
+            self._refusing.update(refusing)
+            self.record.disturb("refusals")
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            self._refusing.clear()
+
     async def _reset(self):
         self.record.disturb("reset")
         self.rng.choice([*self._fronts, *self.fleet.proxies]).reset()
@@ -296,6 +322,7 @@
         if not self.acknowledged <= read <= self.sent_version:
             text = f"read {read}, acknowledged {self.acknowledged}"
             record.note_broken("lost", f"{text}, sent {self.sent_version}")
+        record.check_repeats()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/fault_soak/unguarded.py
+++ b/tests/fault_soak/unguarded.py
@@ -72,12 +72,20 @@
     platform_control.DiskFolder = lambda path: folder.VolatileFolder()
 
 
+def _retry_budget():
+    """Send repeats that nobody pays for."""
+    from damaskridge.adapters.gateway.retry_gate import RetryGate
+
+    RetryGate.admits = lambda self, work, step: True
+
+
 GUARDS = {
     "key_withdrawal": _key_withdrawal,
     "one_run": _one_run,
     "event_offsets": _event_offsets,
     "leaving": _leaving,
     "durable_log": _durable_log,
+    "retry_budget": _retry_budget,
 }
 
 if __name__ == "__main__":
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -66,6 +66,9 @@
 class PlatformFleet:
     """Three machines, each with a control and an entry process."""
 
+    # What the settings of every process say of the operator's bounds.
+    bounds = ("Bounds.GraceS=6",)
+
     def __init__(self, folder):
         self.folder = folder
         self.processes = {}
@@ -127,7 +130,7 @@
             f"Seeds={seeds}",
             f"Bootstrap={str(first).lower()}",
             f"Cloud.Address={MACHINES[0]}:{self.list_port}",
-            "Bounds.GraceS=6",
+            *self.bounds,
         ]
         if program == "entry":
             lines += [
