Test that a started host holds its limits from the first request on

The buckets of workspaces are made with the first routing table; without that call the test fails (a request is admitted that the others have used up). A comment says what the tenth of the retry budget is kept for.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -70,6 +70,8 @@
 QUOTA_SLACK_SHARE = 0.35
 # Part of it by which small requests may overdraw a workspace's bucket.
 SMALL_SLACK_SHARE = 0.35
+# The rest covers arrivals that servers see and this host does not, such as those of a
+# request that it gave up.
 RETRY_SHARE = 0.9
 # With fewer hosts in a data centre its callers also get those of the others.
 LEAST_LOCAL_HOSTS = 2
--- /dev/null
+++ b/tests/binaries/test_gateway_host.py
@@ -0,0 +1,56 @@
+"""Guards against limits that a started host does not hold from the first request on."""
+
+import anyio
+from result import Ok
+from tests.core.gateway.tables import table, workspace
+from tests.paused import run_paused
+
+from damaskridge.binaries.gateway_host import GatewayHost, GatewaySettings
+from damaskridge.model.control import LoadSeen
+from damaskridge.model.gateway import InstanceList
+from damaskridge.platform.dialect import PlatformDialect
+
+LIMIT = workspace("w", "k", rate_per_s=1000.0, burst=1000.0)
+SETTINGS = GatewaySettings(
+    host="h1",
+    data_centre="west",
+    caller_address="127.0.0.1:1",
+    peer_address="127.0.0.1:2",
+    control_addresses=("127.0.0.1:3",),
+    address_ttl_s=2.0,
+    grace_s=6.0,
+    retry_ratio=0.2,
+    retry_allowance=60.0,
+    retry_window_s=10.0,
+    quota_slack=0.0,
+)
+
+
+class EmptyList:
+    async def read(self):
+        return Ok(InstanceList(instances=()))
+
+
+def with_table(host):
+    host.control.fleet.routing = table(1, workspaces=(LIMIT,))
+    host._fleet_changed()
+
+
+def test_a_started_host_counts_what_others_admit_before_its_first_request():
+    async def main():
+        host = GatewayHost(SETTINGS, PlatformDialect(), EmptyList())
+        await anyio.sleep(10)
+        with_table(host)
+        host._load_seen(LoadSeen(usage={"w": 900.0}))
+        assert host._quota.take(LIMIT, 500.0, anyio.current_time()) > 0
+
+    run_paused(main())
+
+
+def test_a_started_host_has_no_repeats_yet():
+    async def main():
+        host = GatewayHost(SETTINGS, PlatformDialect(), EmptyList())
+        with_table(host)
+        assert not host._retries.spend("llm", anyio.current_time())
+
+    run_paused(main())
