--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -14,6 +14,15 @@
 SLACK = 76_000.0
 
 
+def tell_each_other(fleet, now_s):
+    usage = [quota.unreported() for quota in fleet]
+    for number, quota in enumerate(fleet):
+        quota.heard(now_s)
+        for other, used in enumerate(usage):
+            if other != number:
+                quota.others_admitted(used, now_s)
+
+
 def play(demand_per_s, *, hosts=11, length_s=30.0, silent=(0.0, 0.0), delay_s=0.1):
     """Return the times and costs of what a fleet admits, and how many it refuses."""
     rng = random.Random(7)
@@ -28,12 +37,7 @@
             refused += 1
         if now_s >= told_s and not silent[0] <= now_s < silent[1]:
             told_s = now_s + delay_s
-            usage = [quota.unreported() for quota in fleet]
-            for number, quota in enumerate(fleet):
-                quota.heard(now_s)
-                for other, used in enumerate(usage):
-                    if other != number:
-                        quota.others_admitted(used, now_s)
+            tell_each_other(fleet, now_s)
     return admitted, refused
 
 
@@ -113,12 +117,7 @@
             admitted.append((now_s, cost))
         if now_s >= told_s:
             told_s = now_s + 0.1
-            usage = [quota.unreported() for quota in fleet]
-            for number, quota in enumerate(fleet):
-                quota.heard(now_s)
-                for other, used in enumerate(usage):
-                    if other != number:
-                        quota.others_admitted(used, now_s)
+            tell_each_other(fleet, now_s)
     return admitted, calls, refused
 
 
@@ -163,12 +162,7 @@
             admitted.append((now_s, cost))
         if now_s >= told_s:
             told_s = now_s + delay_s
-            usage = [quota.unreported() for quota in fleet]
-            for number, quota in enumerate(fleet):
-                quota.heard(now_s)
-                for other, used in enumerate(usage):
-                    if other != number:
-                        quota.others_admitted(used, now_s)
+            tell_each_other(fleet, now_s)
     return admitted
 
 
@@ -191,12 +185,7 @@
             cost = rng.uniform(2_000, 9_000)
             while quota.take(LIMIT, cost, now_s) == 0:
                 admitted.append((now_s, cost))
-        usage = [quota.unreported() for quota in [busy, *idle]]
-        for number, quota in enumerate([busy, *idle]):
-            quota.heard(now_s)
-            for other, used in enumerate(usage):
-                if other != number:
-                    quota.others_admitted(used, now_s)
+        tell_each_other([busy, *idle], now_s)
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
 
 
