Let the fault soak excuse a change that was sent and not acknowledged

The trace: the leader answered 503 for version 2 at 4.5 s, a new leader was elected at 6.09 s and committed it from the log, and the callers' 404 came before the resend was acknowledged. The check took a removal as such only from its acknowledgement on. It now excuses what an unacknowledged change removes, and holds all else as before.

--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -54,6 +54,8 @@
         self.disturbed_s = 0.0
         # Prefix or key by the time at which its removal was acknowledged.
         self.removed_s = {}
+        # What a change removes that was sent and not acknowledged: it may be in force.
+        self.perhaps_removed = set()
         self.leaving_s = {}
         self._active = defaultdict(dict)
         # Times of arrivals beyond the first, by whether they belong to a stream.
