Report a connection between processes that is lost at once as a lost connection

Cause: grpclib awaits a new connection and then opens a stream on it. If the connection is lost between the two, its object has no transport any more and the stream fails with AttributeError, which nothing expects of a lost connection: the task group of the program ended.

Change: RpcChannel, which all channels between processes now use, checks the connection after it was opened and raises ConnectionResetError, which every caller handles.

--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 import anyio
-from grpclib.client import Channel, StreamStreamMethod, UnaryUnaryMethod
+from grpclib.client import StreamStreamMethod, UnaryUnaryMethod
 
-from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS
+from damaskridge.adapters.rpc.channels import RpcChannel
 from damaskridge.adapters.rpc.confined import confined
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
@@ -64,7 +64,7 @@
         self._rng = rng or random.Random()
         self._next = 0
         self._hint = ""
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, RpcChannel] = {}
         self._avoided_until_s: dict[str, float] = {}
 
     def add_addresses(self, addresses: Sequence[str]) -> None:
@@ -183,10 +183,10 @@
             run_state=run_state,
         )
 
-    def _channel(self, address: str) -> Channel:
+    def _channel(self, address: str) -> RpcChannel:
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
-            channel = Channel(host.strip("[]"), int(port), codec=MsgpackCodec())
+            channel = RpcChannel(host.strip("[]"), int(port))
             self._channels[address] = channel
         return channel
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -14,14 +14,14 @@
 
 import anyio
 import msgspec
-from grpclib.client import Channel, Stream, StreamStreamMethod
+from grpclib.client import Stream, StreamStreamMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Stream as ServerStream
 
-from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
+from damaskridge.adapters.rpc.channels import RpcChannel
 from damaskridge.adapters.rpc.confined import confined
 from damaskridge.model.consensus import AnyMessage, InstallSnapshot
 from damaskridge.model.events import EventNumber
@@ -151,7 +151,7 @@
                 backoff_s = min(backoff_s * 2, BACKOFF_S[1])
 
     async def _connect(self) -> None:
-        channel = Channel(self._ip, self._port, codec=MsgpackCodec())
+        channel = RpcChannel(self._ip, self._port)
         try:
             await confined(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
@@ -167,7 +167,7 @@
         if was_connected:
             log_event(_logger, EventNumber.PEER_LOST, peer=self._host)
 
-    async def _exchange(self, channel: Channel) -> None:
+    async def _exchange(self, channel: RpcChannel) -> None:
         method: StreamStreamMethod[PeerFrame, ProbeAnswer] = StreamStreamMethod(
             channel, EXCHANGE_PATH, PeerFrame, ProbeAnswer
         )
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 import anyio
-from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.client import UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from result import Err, Ok, Result
 
-from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.rpc.channels import RpcChannel
 from damaskridge.adapters.rpc.confined import retrieve
 from damaskridge.adapters.rpc.peer_messages import (
     METHODS,
@@ -38,7 +38,7 @@
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self.channel = Channel(host, int(port), codec=MsgpackCodec())
+        self.channel = RpcChannel(host, int(port))
         self.waits: set[asyncio.Task[Any]] = set()
         self.silent = False
 
--- /dev/null
+++ b/tests/adapters/rpc/test_channels.py
@@ -0,0 +1,35 @@
+"""Guards against a process that ends because a connection is lost at once."""
+
+import asyncio
+
+import pytest
+from grpclib.client import UnaryUnaryMethod
+from grpclib.server import Server
+
+from damaskridge.adapters.codec import MsgpackCodec
+from damaskridge.adapters.rpc import channels
+
+
+class LostAtOnce(channels.RpcChannel):
+    """Loses its connection before the caller that waits for it goes on."""
+
+    async def _create_connection(self):
+        protocol = await super()._create_connection()
+        protocol.connection_lost(ConnectionResetError())
+        return protocol
+
+
+def test_a_connection_that_is_lost_at_once_is_a_lost_connection():
+    async def main():
+        server = Server([], codec=MsgpackCodec())
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        channel = LostAtOnce("127.0.0.1", port)
+        call = UnaryUnaryMethod(channel, "/service/Method", bytes, bytes)
+        with pytest.raises(ConnectionResetError):
+            await call(b"")
+        channel.close()
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(main())
