--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -67,7 +67,13 @@
         elif status in (401, 403, 404):
             since_s = world.in_force_s.get(path, float("inf"))
             allowed_s = max(since_s, world.in_force_s.get(key, float("inf")))
-            removed = {path, key} & (record.removed_s.keys() | record.perhaps_removed)
+            removed = {path, key} & record.removed_s.keys()
+            perhaps_s = record.perhaps_removed_s
+            removed |= {
+                item
+                for item in (path, key)
+                if request.sent_s <= perhaps_s.get(item, float("-inf"))
+            }
             if not removed and request.sent_s > allowed_s + 5.0:
                 record.note_broken("denied", f"{request}")
         return status
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -54,8 +54,9 @@
         self.disturbed_s = 0.0
         # Prefix or key by the time at which its removal was acknowledged.
         self.removed_s = {}
-        # What a change removes that was sent and not acknowledged: it may be in force.
-        self.perhaps_removed = set()
+        # What a change removes that was sent and not acknowledged, by the time until
+        # which it may be in force.
+        self.perhaps_removed_s = {}
         self.leaving_s = {}
         self._active = defaultdict(dict)
         # Times of arrivals beyond the first, by whether they belong to a stream.
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -283,7 +283,7 @@
         body = _document(version, prefix, keys)
         new_path = f"/safe{prefix}/"
         removed = {old_path, *old_keys} - {new_path, *keys}
-        self.record.perhaps_removed |= removed
+        self.record.perhaps_removed_s.update(dict.fromkeys(removed, float("inf")))
         with contextlib.suppress(TimeoutError):
             await self.fleet.until(
                 lambda: self.fleet.offer("PUT", "/api/config", body), START_S
@@ -292,6 +292,10 @@
                 return
             now_s = self.record.now_s
             self.acknowledged = version
+            # The highest version is in force, so that no other may be for long.
+            for item, until_s in self.record.perhaps_removed_s.items():
+                known_s = min(until_s, now_s + CHANGE_S)
+                self.record.perhaps_removed_s[item] = known_s
             self.prefix, self.keys = prefix, keys
             for item in (new_path, "/once/", "/stream/", *keys):
                 self.in_force_s.setdefault(item, now_s)
