--- a/bench/slopes_owners.py
+++ b/bench/slopes_owners.py
@@ -12,7 +12,7 @@
 from damaskridge.core.scheduling import messages as sm
 from damaskridge.core.scheduling.scheduler import CellScheduler
 from damaskridge.model.bundle import Workspace
-from damaskridge.model.engine import EnginePhase, EngineRequest, LoadReport
+from damaskridge.model.engine import EnginePhase, EngineRequestStatus, LoadReport
 from damaskridge.model.routing import (
     Progress,
     ProgressBatch,
@@ -107,7 +107,7 @@
     """Measure the events that engines and fronts send all the time."""
     load = LoadReport(1, 0.5, 20, 1000, 900, "decode")
     listed = tuple(
-        EngineRequest(f"entry-001-{n:024x}.1", EnginePhase.DECODING, 60, n)
+        EngineRequestStatus(f"entry-001-{n:024x}.1", EnginePhase.DECODING, 60, n)
         for n in range(20)
     )
     events, loads, lists = [], [], []
--- a/examples/standins/engine.py
+++ b/examples/standins/engine.py
@@ -26,7 +26,7 @@
     DecodeChunk,
     DecodeRequest,
     EnginePhase,
-    EngineRequest,
+    EngineRequestStatus,
     LoadReport,
     Order,
     PrefillRequest,
@@ -355,9 +355,9 @@
         for name in finished[:-FINISHED_KEPT]:
             del self.held[name]
 
-    def _list(self) -> tuple[EngineRequest, ...]:
+    def _list(self) -> tuple[EngineRequestStatus, ...]:
         return tuple(
-            EngineRequest(
+            EngineRequestStatus(
                 held.engine_request_id,
                 held.phase,
                 held.pieces,
--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -28,9 +28,9 @@
     ProgressBatch,
     Refused,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
     Withdraw,
 )
 
@@ -97,7 +97,7 @@
                 )
             ),
             taken_over=PendingReplies(
-                lambda request_id: TakeOverReply(
+                lambda request_id: TakeOverResponse(
                     failure=self._failure(ErrorKind.OWNER_UNAVAILABLE)
                 )
             ),
@@ -144,7 +144,7 @@
                 else:
                     self._start(cell, owner, leaving)
 
-    async def submit(self, profile: RequestProfile) -> SubmitReply:
+    async def submit(self, profile: RequestProfile) -> SubmitResponse:
         """Queue a request; returns when it is placed or refused."""
         worker = self._worker(profile.resource, profile.epoch)
         if isinstance(worker, Failure):
@@ -188,11 +188,11 @@
         if not isinstance(worker, Failure):
             worker.register(front, incarnation, active)
 
-    async def take_over(self, take_over: TakeOver) -> TakeOverReply:
+    async def take_over(self, take_over: TakeOver) -> TakeOverResponse:
         """Ask the machine whether a new front may continue a request."""
         worker = self._worker(take_over.resource, take_over.epoch)
         if isinstance(worker, Failure):
-            return TakeOverReply(failure=worker)
+            return TakeOverResponse(failure=worker)
         worker.heard(take_over.front, take_over.incarnation)
         pending = self._links.taken_over
         future = pending.open(take_over.resource, take_over.front, take_over.request_id)
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -42,7 +42,7 @@
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
 from damaskridge.model.control import Command, Owner, ReportCrash, SuspectCleared
 from damaskridge.model.errors import Failure
-from damaskridge.model.routing import ActiveRequest, SubmitReply, TakeOverReply
+from damaskridge.model.routing import ActiveRequest, SubmitResponse, TakeOverResponse
 
 __all__ = ["CellLinks", "CellMachine", "CellWorker"]
 
@@ -91,8 +91,8 @@
     engine_for: Callable[[str], EnginePort]
     ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]]
     notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]]
-    submitted: PendingReplies[SubmitReply]
-    taken_over: PendingReplies[TakeOverReply]
+    submitted: PendingReplies[SubmitResponse]
+    taken_over: PendingReplies[TakeOverResponse]
 
 
 @dataclass(slots=True)
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -145,7 +145,7 @@
     def _no_answer(self, failure: Failure) -> None:
         refused = (
             failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-            and failure.ran is RunState.NOT_RUN
+            and failure.final_run_state is RunState.NOT_RUN
         )
         self._silent_polls += 1
         silent = not self._failed and self._silent_polls >= SILENT_POLLS
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -12,7 +12,7 @@
     CacheEventPage,
     DecodeChunk,
     DecodeRequest,
-    EngineRequest,
+    EngineRequestStatus,
     LoadReport,
     Order,
     PrefillRequest,
@@ -69,10 +69,10 @@
         path = f"/requests/{engine_request_id}"
         return await self._call("DELETE", path, None, repeat=True)
 
-    async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
+    async def list_requests(self) -> Result[tuple[EngineRequestStatus, ...], Failure]:
         """List every request that holds memory or waits."""
         return await self._call(
-            "GET", "/requests", tuple[EngineRequest, ...], repeat=True
+            "GET", "/requests", tuple[EngineRequestStatus, ...], repeat=True
         )
 
     async def load(self) -> Result[LoadReport, Failure]:
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -32,11 +32,11 @@
     Progress,
     ProgressBatch,
     RateGrant,
-    RateReply,
     RateRequest,
+    RateResponse,
     Refused,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
 )
 
 __all__ = ["FrontContext", "ask_rate", "closing", "place", "report"]
@@ -144,12 +144,12 @@
             await close()
 
 
-async def ask_rate(context: FrontContext, request: RateRequest) -> RateReply:
+async def ask_rate(context: FrontContext, request: RateRequest) -> RateResponse:
     """Ask the rate owner; a grant that arrives after its end is asked for again."""
     loop = asyncio.get_running_loop()
     sent_s = loop.time()
 
-    async def send(owner: Owner) -> RateReply:
+    async def send(owner: Owner) -> RateResponse:
         nonlocal sent_s
         sent_s = loop.time()
         current = msgspec.structs.replace(request, epoch=owner.epoch)
@@ -172,13 +172,13 @@
     context: FrontContext,
     profile: RequestProfile,
     submitted: Callable[[RequestProfile], None],
-) -> SubmitReply:
+) -> SubmitResponse:
     """Ask the cells that serve the model or service, the nearest first."""
     fleet = context.control.fleet
     cells = context.index.cells(fleet, profile.model, context.data_centre)
     failure = Failure(ErrorKind.NO_BACKEND_SERVER, profile.model, retry_after_s=1.0)
 
-    async def send(owner: Owner) -> SubmitReply:
+    async def send(owner: Owner) -> SubmitResponse:
         current = msgspec.structs.replace(
             profile, resource=owner.resource, epoch=owner.epoch
         )
--- a/src/damaskridge/adapters/front_events.py
+++ b/src/damaskridge/adapters/front_events.py
@@ -107,7 +107,7 @@
             workspace=self._workspace,
             kind=self._kind,
             error_kind=failure.kind.value if failure else "",
-            run=failure.ran.value if failure else RunState.RAN.value,
+            run=failure.final_run_state.value if failure else RunState.RAN.value,
             output_tokens=output_tokens,
             attempt=attempt,
         )
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -13,7 +13,7 @@
 from damaskridge.model.control import Owner
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
-from damaskridge.model.routing import Refused, TakeOverReply
+from damaskridge.model.routing import Refused, TakeOverResponse
 
 __all__ = ["OwnerClient"]
 
@@ -115,7 +115,7 @@
 def _is_trouble(reply: object) -> bool:
     if isinstance(reply, Refused):
         return reply.failure.kind in _OWNER_TROUBLE
-    if isinstance(reply, TakeOverReply) and reply.failure is not None:
+    if isinstance(reply, TakeOverResponse) and reply.failure is not None:
         return reply.failure.kind in _OWNER_TROUBLE
     return False
 
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -18,7 +18,7 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
 from damaskridge.model.ids import RequestId
-from damaskridge.model.routing import ActiveRequest, TakeOver, TakeOverReply
+from damaskridge.model.routing import ActiveRequest, TakeOver, TakeOverResponse
 
 __all__ = ["StreamResumer"]
 
@@ -95,7 +95,10 @@
                 failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "relay ended early")
             except StreamFailed as error:
                 failure = error.failure
-            if failure.kind in _LOOK_AGAIN and failure.ran is RunState.NOT_RUN:
+            if (
+                failure.kind in _LOOK_AGAIN
+                and failure.final_run_state is RunState.NOT_RUN
+            ):
                 # It tells of the search; the request itself may well have run.
                 failure = msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
             if failure.kind not in _LOOK_AGAIN or loop.time() >= give_up_s:
@@ -170,10 +173,10 @@
 
     async def _ask_owner(
         self, resource: str, request_id: str, workspace: str
-    ) -> TakeOverReply | Failure:
+    ) -> TakeOverResponse | Failure:
         context = self._context
 
-        async def send(owner: Owner) -> TakeOverReply:
+        async def send(owner: Owner) -> TakeOverResponse:
             take_over = TakeOver(
                 resource=resource,
                 epoch=owner.epoch,
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -120,7 +120,10 @@
         except asyncio.CancelledError:
             self._context.start(self._release())
             raise
-        if isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN:
+        if (
+            isinstance(result, Err)
+            and result.err_value.final_run_state is RunState.NOT_RUN
+        ):
             await self._refund()
         return result
 
@@ -178,7 +181,9 @@
             result = await self._once(placed)
             if isinstance(result, Ok):
                 return result
-            self._may_have_run |= result.err_value.ran is not RunState.NOT_RUN
+            self._may_have_run |= (
+                result.err_value.final_run_state is not RunState.NOT_RUN
+            )
             if not self.call.route.repeatable or self._attempt >= _ATTEMPTS:
                 return Err(_truthful(result.err_value, self._may_have_run))
             if result.err_value.kind not in _RETRIED:
@@ -278,7 +283,10 @@
     async def _record(
         self, intent: RecordIntent, result: Result[ServiceAnswer, Failure]
     ) -> Result[ServiceAnswer, Failure]:
-        not_run = isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN
+        not_run = (
+            isinstance(result, Err)
+            and result.err_value.final_run_state is RunState.NOT_RUN
+        )
         answer = result.ok_value if isinstance(result, Ok) else _unknown_answer(self)
         record = RecordResult(
             command_id=f"{self.request_id}-result",
@@ -339,7 +347,7 @@
 
 
 def _truthful(failure: Failure, may_have_run: bool) -> Failure:
-    if may_have_run and failure.ran is RunState.NOT_RUN:
+    if may_have_run and failure.final_run_state is RunState.NOT_RUN:
         return msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
     return failure
 
--- a/src/damaskridge/adapters/gateway/answers.py
+++ b/src/damaskridge/adapters/gateway/answers.py
@@ -159,7 +159,7 @@
             EventNumber.REQUEST_FAILED,
             request_id=self._exchange.request_id,
             error_kind=failure.kind.value,
-            run=failure.ran.value,
+            run=failure.final_run_state.value,
             reason=failure.detail,
             elapsed_ms=round((self._now_s() - self._arrived_s) * 1000),
             attempts=self.attempts,
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -266,7 +266,7 @@
         if is_whole:
             self._crashes.answered(fingerprint, now_s)
         else:
-            self._crashes.broke_off(fingerprint, instance.start, now_s)
+            self._crashes.broke_off(fingerprint, instance.instance_id, now_s)
 
     async def call_engine(
         self,
@@ -398,7 +398,7 @@
     def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
-        self._crashes.was_lost(instance.start, now_s)
+        self._crashes.was_lost(instance.instance_id, now_s)
         self._pool.drop(instance)
         self._log_avoided(instance, reason, avoided_s)
 
--- a/src/damaskridge/adapters/http/answers.py
+++ b/src/damaskridge/adapters/http/answers.py
@@ -15,7 +15,7 @@
     error = {
         "kind": failure.kind.value,
         "message": failure.detail or failure.kind.value.replace("_", " "),
-        "run": failure.ran.value,
+        "run": failure.final_run_state.value,
         "request_id": request_id,
         "retry_after_s": failure.retry_after_s,
     }
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -323,7 +323,7 @@
         request_id=exchange.request_id,
         kind="service" if exchange.path.startswith("/services/") else "model",
         error_kind=failure.kind.value,
-        run=failure.ran.value,
+        run=failure.final_run_state.value,
     )
 
 
--- a/src/damaskridge/adapters/ports.py
+++ b/src/damaskridge/adapters/ports.py
@@ -18,7 +18,7 @@
     CacheEventPage,
     DecodeChunk,
     DecodeRequest,
-    EngineRequest,
+    EngineRequestStatus,
     LoadReport,
     Order,
     PrefillRequest,
@@ -28,13 +28,13 @@
 from damaskridge.model.routing import (
     ActiveRequest,
     ProgressBatch,
-    RateReply,
     RateRequest,
+    RateResponse,
     Refund,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
     Withdraw,
 )
 
@@ -79,7 +79,7 @@
         """Stop a request and free all its memory; unknown requests are fine."""
         ...
 
-    async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
+    async def list_requests(self) -> Result[tuple[EngineRequestStatus, ...], Failure]:
         """List every request that holds memory or waits."""
         ...
 
@@ -164,7 +164,7 @@
 class RatePort(Protocol):
     """The rate owner of a workspace, wherever it is."""
 
-    async def reserve(self, request: RateRequest) -> RateReply:
+    async def reserve(self, request: RateRequest) -> RateResponse:
         """Ask for admission; returns after the wait, if any."""
         ...
 
@@ -180,7 +180,7 @@
 class CellPort(Protocol):
     """The owner of a cell, wherever it is."""
 
-    async def submit(self, profile: RequestProfile) -> SubmitReply:
+    async def submit(self, profile: RequestProfile) -> SubmitResponse:
         """Ask for a placement; returns when the request is placed or refused."""
         ...
 
@@ -203,7 +203,7 @@
         """Report all running requests to a new owner."""
         ...
 
-    async def take_over(self, take_over: TakeOver) -> TakeOverReply:
+    async def take_over(self, take_over: TakeOver) -> TakeOverResponse:
         """Ask to continue a request whose front is gone."""
         ...
 
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -37,7 +37,7 @@
 from damaskridge.model.control import Owner
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
-from damaskridge.model.routing import RateReply, RateRequest, Refund, Refused
+from damaskridge.model.routing import RateRequest, RateResponse, Refund, Refused
 
 __all__ = ["RateMachine", "RateRuntime"]
 
@@ -104,7 +104,7 @@
         # Epochs that this process has held: a regained epoch starts empty.
         self._seen_epochs: dict[str, int] = {}
         self._passed_on: dict[str, int] = {}
-        self._pending: PendingReplies[RateReply] = PendingReplies(
+        self._pending: PendingReplies[RateResponse] = PendingReplies(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
         )
         self._wake = anyio.Event()
@@ -141,7 +141,7 @@
         for resource, owner in owners.items():
             self._follow(resource.removeprefix(PREFIX), owner)
 
-    async def reserve(self, request: RateRequest) -> RateReply:
+    async def reserve(self, request: RateRequest) -> RateResponse:
         """Ask the machine; returns after the wait, if any."""
         if request.workspace not in self._held:
             self.fleet_changed()
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/control_calls.py
@@ -18,8 +18,8 @@
 )
 from damaskridge.model.control import (
     AnyCommand,
-    AnyFollowReply,
     AnyFollowRequest,
+    AnyFollowResponse,
     Command,
     CommandResult,
 )
@@ -123,7 +123,7 @@
         """Return the context manager of a `Follow` stream."""
         # grpclib types messages as classes; the codec also takes unions.
         request_type: Any = AnyFollowRequest
-        reply_type: Any = AnyFollowReply
+        reply_type: Any = AnyFollowResponse
         channel = self._channel(address)
         method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
             channel, FOLLOW_PATH, request_type, reply_type
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -15,7 +15,7 @@
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import (
-    AnyFollowReply,
+    AnyFollowResponse,
     CloseSession,
     Command,
     CommandResult,
@@ -270,7 +270,7 @@
             self._calls.found(address)
             self._received(message)
 
-    def _received(self, message: AnyFollowReply) -> None:
+    def _received(self, message: AnyFollowResponse) -> None:
         if isinstance(message, FleetDelta):
             self._apply_delta(message)
         elif isinstance(message, FleetSnapshot):
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -42,8 +42,8 @@
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.control import (
     AnyCommand,
-    AnyFollowReply,
     AnyFollowRequest,
+    AnyFollowResponse,
     BundleActivated,
     Command,
     CommandResult,
@@ -154,7 +154,7 @@
                 self._follow,
                 Cardinality.STREAM_STREAM,
                 AnyFollowRequest,
-                AnyFollowReply,
+                AnyFollowResponse,
             ),
             STATUS_PATH: Handler(
                 self._status, Cardinality.UNARY_UNARY, StatusRequest, FleetStatus
--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -7,7 +7,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from damaskridge.core.state.commands import ControlState
-from damaskridge.model.control import AnyFollowReply, FleetDelta
+from damaskridge.model.control import AnyFollowResponse, FleetDelta
 
 __all__ = ["Follower", "FollowerSet"]
 
@@ -30,13 +30,13 @@
 
     def __init__(self, overflowed: Callable[[], None]) -> None:
         self._overflowed = overflowed
-        self._send: MemoryObjectSendStream[AnyFollowReply]
-        self.messages: MemoryObjectReceiveStream[AnyFollowReply]
-        self._send, self.messages = anyio.create_memory_object_stream[AnyFollowReply](
-            QUEUED_MESSAGES
-        )
+        self._send: MemoryObjectSendStream[AnyFollowResponse]
+        self.messages: MemoryObjectReceiveStream[AnyFollowResponse]
+        self._send, self.messages = anyio.create_memory_object_stream[
+            AnyFollowResponse
+        ](QUEUED_MESSAGES)
 
-    def push(self, message: AnyFollowReply) -> None:
+    def push(self, message: AnyFollowResponse) -> None:
         """Queue a message; a full queue ends the stream."""
         try:
             self._send.send_nowait(message)
@@ -90,18 +90,18 @@
         for follower in self._followers:
             follower.push(delta)
 
-    def notify(self, message: AnyFollowReply) -> None:
+    def notify(self, message: AnyFollowResponse) -> None:
         """Send a message that is no part of the log on every stream."""
         for follower in self._followers:
             follower.push(message)
 
-    def end_all(self, last: AnyFollowReply) -> None:
+    def end_all(self, last: AnyFollowResponse) -> None:
         """Send `last` on every stream and end it."""
         for follower in self._followers:
             follower.push(last)
             follower.end()
 
-    def _missing(self, index: int) -> list[AnyFollowReply]:
+    def _missing(self, index: int) -> list[AnyFollowResponse]:
         current = self._state.data.fleet_index
         if index >= current:
             return []
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -27,14 +27,14 @@
 from damaskridge.model.routing import (
     ActiveRequest,
     ProgressBatch,
-    RateReply,
     RateRequest,
+    RateResponse,
     Refund,
     Refused,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
     Withdraw,
 )
 
@@ -102,7 +102,7 @@
         self._lookup = _OwnerLookup(host, control, channels)
         self._local = local
 
-    async def reserve(self, request: RateRequest) -> RateReply:
+    async def reserve(self, request: RateRequest) -> RateResponse:
         """Ask for admission."""
         owner = self._lookup.owner(request.resource, request.epoch)
         if isinstance(owner, Err):
@@ -113,7 +113,7 @@
         reply = await self._lookup.call(owner.ok_value, "Reserve", request, timeout_s)
         if isinstance(reply, Err):
             return Refused(request_id=request.request_id, failure=reply.err_value)
-        grant: RateReply = reply.ok_value
+        grant: RateResponse = reply.ok_value
         return grant
 
     async def refund(self, refund: Refund) -> None:
@@ -145,7 +145,7 @@
         self._lookup = _OwnerLookup(host, control, channels)
         self._local = local
 
-    async def submit(self, profile: RequestProfile) -> SubmitReply:
+    async def submit(self, profile: RequestProfile) -> SubmitResponse:
         """Ask for a placement."""
         owner = self._lookup.owner(profile.resource, profile.epoch)
         if isinstance(owner, Err):
@@ -157,7 +157,7 @@
         )
         if isinstance(reply, Err):
             return Refused(request_id=profile.request_id, failure=reply.err_value)
-        placement: SubmitReply = reply.ok_value
+        placement: SubmitResponse = reply.ok_value
         return placement
 
     async def withdraw(self, withdraw: Withdraw) -> None:
@@ -190,19 +190,19 @@
         message = RegisterFront(resource, epoch, front, incarnation, active)
         await self._lookup.send(resource, epoch, "Register", message)
 
-    async def take_over(self, take_over: TakeOver) -> TakeOverReply:
+    async def take_over(self, take_over: TakeOver) -> TakeOverResponse:
         """Ask to continue a request whose front is gone."""
         owner = self._lookup.owner(take_over.resource, take_over.epoch)
         if isinstance(owner, Err):
-            return TakeOverReply(failure=owner.err_value)
+            return TakeOverResponse(failure=owner.err_value)
         if owner.ok_value.host == self._lookup.host:
             return await self._local.take_over(take_over)
         reply = await self._lookup.call(
             owner.ok_value, "TakeOver", take_over, 3 * CALL_TIMEOUT_S
         )
         if isinstance(reply, Err):
-            return TakeOverReply(failure=reply.err_value)
-        answer: TakeOverReply = reply.ok_value
+            return TakeOverResponse(failure=reply.err_value)
+        answer: TakeOverResponse = reply.ok_value
         return answer
 
     def _is_local(self, resource: str) -> bool:
--- a/src/damaskridge/adapters/rpc/peer_messages.py
+++ b/src/damaskridge/adapters/rpc/peer_messages.py
@@ -9,13 +9,13 @@
 from damaskridge.model.routing import (
     ActiveRequest,
     ProgressBatch,
-    RateReply,
     RateRequest,
+    RateResponse,
     Refund,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
     Withdraw,
 )
 
@@ -123,14 +123,14 @@
 # Request and reply type of each unary method; `Resume` is a stream of `ResumeItem`.
 METHODS: dict[str, tuple[Any, Any]] = {
     "Ping": (Ping, Ack),
-    "Reserve": (RateRequest, RateReply),
+    "Reserve": (RateRequest, RateResponse),
     "Refund": (Refund, Ack),
     "KeyEnded": (KeyEnded, Ack),
-    "Submit": (RequestProfile, SubmitReply),
+    "Submit": (RequestProfile, SubmitResponse),
     "Withdraw": (Withdraw, Ack),
     "Report": (ProgressBatch, Ack),
     "Register": (RegisterFront, Ack),
-    "TakeOver": (TakeOver, TakeOverReply),
+    "TakeOver": (TakeOver, TakeOverResponse),
     "ActiveRequests": (AskActiveRequests, ActiveRequests),
     "ActiveKeys": (AskActiveKeys, ActiveKeys),
     "TakenOver": (RequestTakenOver, Ack),
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -25,8 +25,8 @@
 from damaskridge.model.gateway import (
     BackendInstance,
     EngineStage,
+    InstanceId,
     RoutingTable,
-    ServerStart,
 )
 
 __all__ = ["EngineOrders", "StageOrders"]
@@ -62,14 +62,14 @@
 class _Change:
     """An engine that is on its way to another stage."""
 
-    start: ServerStart
+    instance_id: InstanceId
     stage: EngineStage
     until_s: float
 
     def is_over(self, item: BackendInstance, now_s: float) -> bool:
         """Tell whether the engine can be used as the list shows it."""
         # A restart ends an order.
-        is_done = item.stage is self.stage or item.start != self.start
+        is_done = item.stage is self.stage or item.instance_id != self.instance_id
         return is_done or now_s > self.until_s
 
 
@@ -178,7 +178,7 @@
 
     def _mark(self, item: BackendInstance, stage: EngineStage) -> None:
         until_s = anyio.current_time() + CHANGE_S
-        self._changing[item.instance] = _Change(item.start, stage, until_s)
+        self._changing[item.instance] = _Change(item.instance_id, stage, until_s)
 
     async def _watch(self, now_s: float, may_order: bool) -> None:
         load = self._board.total()
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -61,7 +61,8 @@
         )
         code = cls.UNREACHABLE if unreachable else cls.REFUSED
         return cls(
-            code, f"{failure.kind.value}: {failure.detail} ({failure.ran.value})"
+            code,
+            f"{failure.kind.value}: {failure.detail} ({failure.final_run_state.value})",
         )
 
 
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -49,8 +49,8 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import (
     BackendInstance,
+    InstanceId,
     RoutingTable,
-    ServerStart,
 )
 
 __all__ = ["GatewayHost", "GatewaySettings"]
@@ -174,7 +174,7 @@
             started_s=anyio.current_time(),
         )
         self._load_heard_s = float("-inf")
-        self._reported_leaving: tuple[ServerStart, ...] = ()
+        self._reported_leaving: tuple[InstanceId, ...] = ()
         refusals = RefusalTimes(rng)
         gate = RetryGate(self._retries)
         sender = Sender(dialect, self._pool, self.registry, self._crashes, gate)
@@ -356,7 +356,7 @@
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.drop(gone)
-            self._crashes.was_lost(gone.start, anyio.current_time())
+            self._crashes.was_lost(gone.instance_id, anyio.current_time())
         self.registry.seen_s = self._copy.seen_s
 
     async def _keep_list(self) -> None:
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -24,8 +24,8 @@
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.events import EventNumber
 from damaskridge.platform.apps import operators_app
-from damaskridge.platform.instance_list import PlatformInstanceList
-from damaskridge.platform.orders import PlatformOrders
+from damaskridge.platform.instance_list import PlatformInstanceListReader
+from damaskridge.platform.orders import PlatformOrderClient
 from damaskridge.platform.settings import PlatformSettings, load_platform_settings
 
 __all__ = ["run_platform_control"]
@@ -73,9 +73,9 @@
         may_form=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
     )
-    reader = PlatformInstanceList(settings.list_address)
+    reader = PlatformInstanceListReader(settings.list_address)
     services = control_services(
-        node, state, instances=reader, orders=PlatformOrders(), host=settings.host
+        node, state, instances=reader, orders=PlatformOrderClient(), host=settings.host
     )
     rpc = Server([node.service(), *services], codec=MsgpackCodec())
     await rpc.start(settings.ip, settings.rpc_port)
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -17,7 +17,7 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.platform.apps import directory_app, ready_app
 from damaskridge.platform.dialect import PlatformDialect
-from damaskridge.platform.instance_list import PlatformInstanceList
+from damaskridge.platform.instance_list import PlatformInstanceListReader
 from damaskridge.platform.settings import PlatformSettings, load_platform_settings
 
 __all__ = ["run_platform_entry"]
@@ -66,7 +66,7 @@
     host = GatewayHost(
         _gateway_settings(settings),
         PlatformDialect(),
-        PlatformInstanceList(settings.list_address),
+        PlatformInstanceListReader(settings.list_address),
     )
 
     def serve_others(group: TaskGroup) -> None:
--- a/src/damaskridge/core/gateway/crash_watch.py
+++ b/src/damaskridge/core/gateway/crash_watch.py
@@ -9,8 +9,8 @@
 
 >>> watch = CrashWatch()
 >>> for server in ("a", "b", "c"):
-...     watch.broke_off("f1", ServerStart(server), now_s=1.0)
-...     watch.was_lost(ServerStart(server), now_s=1.5)
+...     watch.broke_off("f1", InstanceId(server), now_s=1.0)
+...     watch.was_lost(InstanceId(server), now_s=1.5)
 >>> watch.is_suspect("f1", now_s=2.0)
 True
 >>> watch.is_suspect("f2", now_s=2.0)
@@ -22,7 +22,7 @@
 from hashlib import blake2b
 from typing import TypeVar
 
-from damaskridge.model.gateway import CrashNotice, ServerStart
+from damaskridge.model.gateway import CrashNotice, InstanceId
 
 __all__ = ["CrashWatch", "fingerprint_of"]
 
@@ -52,17 +52,17 @@
     """What one host knows of crashes, its own and those that others report."""
 
     def __init__(self) -> None:
-        self._broken: dict[ServerStart, dict[str, float]] = {}
-        self._crashes: dict[str, dict[ServerStart, float]] = {}
+        self._broken: dict[InstanceId, dict[str, float]] = {}
+        self._crashes: dict[str, dict[InstanceId, float]] = {}
         self._unreported: list[CrashNotice] = []
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
-    def broke_off(self, fingerprint: str, server: ServerStart, now_s: float) -> None:
+    def broke_off(self, fingerprint: str, server: InstanceId, now_s: float) -> None:
         """Note that a server broke off a run; whether it crashed shows later."""
         self._forget_old(now_s)
         self._broken.setdefault(server, {})[fingerprint] = now_s
 
-    def was_lost(self, server: ServerStart, now_s: float) -> None:
+    def was_lost(self, server: InstanceId, now_s: float) -> None:
         """Note that a start of a server cannot be reached, or is gone."""
         for fingerprint, broken_s in self._broken.pop(server, {}).items():
             if now_s - broken_s <= CONFIRM_S:
--- a/src/damaskridge/core/gateway/send_policy.py
+++ b/src/damaskridge/core/gateway/send_policy.py
@@ -4,7 +4,7 @@
 after a send whose outcome is unknown, and a refusal that says "not run" is given only
 if no send may have run.
 
->>> policy = SendPolicy(WorkKind.AT_MOST_ONCE, attempts=2)
+>>> policy = SendPolicy(RouteKind.AT_MOST_ONCE, attempts=2)
 >>> policy.not_run(left_s=1.0, may_resend=True)
 Resend()
 >>> policy.unknown(left_s=1.0, may_resend=True, timed_out=False).kind
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from damaskridge.model.errors import ErrorKind, Failure, RunState
-from damaskridge.model.gateway import WorkKind
+from damaskridge.model.gateway import RouteKind
 
 __all__ = ["GiveUp", "Resend", "SendPolicy"]
 
@@ -47,7 +47,7 @@
 
     Parameters
     ----------
-    kind : WorkKind
+    kind : RouteKind
         How often the request may run.
     attempts : int
         Most backend servers that may run it.
@@ -56,9 +56,9 @@
     """
 
     def __init__(
-        self, kind: WorkKind, attempts: int, *, is_resumable: bool = False
+        self, kind: RouteKind, attempts: int, *, is_resumable: bool = False
     ) -> None:
-        self._may_repeat = kind is WorkKind.REPEATABLE or is_resumable
+        self._may_repeat = kind is RouteKind.REPEATABLE or is_resumable
         self._attempts = max(1, attempts)
         self.sends = 0
         self.runs = 0
--- a/src/damaskridge/core/gateway/server_notices.py
+++ b/src/damaskridge/core/gateway/server_notices.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Iterable
 
-from damaskridge.model.gateway import BackendInstance, ServerStart
+from damaskridge.model.gateway import BackendInstance, InstanceId
 
 __all__ = ["ServerNotices"]
 
@@ -23,14 +23,14 @@
     """Requests of servers to be left alone, for good or for a while."""
 
     def __init__(self) -> None:
-        self._leaving: dict[str, ServerStart] = {}
+        self._leaving: dict[str, InstanceId] = {}
         self._paused_until_s: dict[str, float] = {}
 
     def leaves(self, item: BackendInstance) -> bool:
         """Note that an instance leaves; `False` if that was known."""
-        return self.add(item.start)
+        return self.add(item.instance_id)
 
-    def add(self, notice: ServerStart) -> bool:
+    def add(self, notice: InstanceId) -> bool:
         """Take over a notice of another host; `False` if it was known."""
         is_new = self._leaving.get(notice.instance) != notice
         self._leaving[notice.instance] = notice
@@ -38,9 +38,9 @@
 
     def has_left(self, item: BackendInstance) -> bool:
         """Tell whether this start of an instance has said that it leaves."""
-        return self._leaving.get(item.instance) == item.start
+        return self._leaving.get(item.instance) == item.instance_id
 
-    def leaving(self) -> tuple[ServerStart, ...]:
+    def leaving(self) -> tuple[InstanceId, ...]:
         """Return all instances that said that they leave."""
         return tuple(self._leaving.values())
 
@@ -55,7 +55,7 @@
 
     def forget_all_but(self, listed: Iterable[BackendInstance]) -> None:
         """Drop notices of instances that are gone or have started anew."""
-        present = {item.instance: item.start for item in listed}
+        present = {item.instance: item.instance_id for item in listed}
         self._leaving = {
             name: notice
             for name, notice in self._leaving.items()
--- a/src/damaskridge/core/limits/messages.py
+++ b/src/damaskridge/core/limits/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from damaskridge.model.bundle import Workspace
-from damaskridge.model.routing import RateReply, RateRequest, Refund
+from damaskridge.model.routing import RateRequest, RateResponse, Refund
 
 __all__ = [
     "OwnershipEnded",
@@ -123,7 +123,7 @@
 
     front: str
     request_id: str
-    reply: RateReply
+    reply: RateResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -307,7 +307,7 @@
         self, server: str, failure: Failure, server_failed: bool = True
     ) -> list[Action]:
         crashed = False
-        if failure.ran is not RunState.NOT_RUN:
+        if failure.final_run_state is not RunState.NOT_RUN:
             self._may_have_run = True
             crashed = failure.kind is ErrorKind.BACKEND_SERVER_FAILED
             self._crashes += crashed
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -5,7 +5,7 @@
 from damaskridge.model.bundle import BackendServer, Workspace
 from damaskridge.model.engine import (
     CacheEventPage,
-    EngineRequest,
+    EngineRequestStatus,
     LoadReport,
     OrderKind,
 )
@@ -13,9 +13,9 @@
     ActiveRequest,
     ProgressBatch,
     RequestProfile,
-    SubmitReply,
+    SubmitResponse,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
 )
 
 __all__ = [
@@ -130,7 +130,7 @@
     """An engine's own list of requests arrived; `asked_s` is when it was asked."""
 
     backend_server: str
-    requests: tuple[EngineRequest, ...]
+    requests: tuple[EngineRequestStatus, ...]
     asked_s: float
 
 
@@ -211,7 +211,7 @@
 
     front: str
     request_id: str
-    reply: SubmitReply
+    reply: SubmitResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +220,7 @@
 
     front: str
     request_id: str
-    reply: TakeOverReply
+    reply: TakeOverResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -19,7 +19,7 @@
     RequestPhase,
     RequestProfile,
     TakeOver,
-    TakeOverReply,
+    TakeOverResponse,
 )
 
 __all__ = ["EndRequest", "Recovery", "refuse_held", "refuse_take_over"]
@@ -95,7 +95,7 @@
             if not is_lost:
                 actions.append(NotifyTakenOver(entry.front, ask.request_id))
             self._registry.move(entry, ask.front, ask.incarnation)
-        reply = TakeOverReply(active=entry.to_active())
+        reply = TakeOverResponse(active=entry.to_active())
         return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
 
     def note_lost_server(
@@ -162,5 +162,5 @@
 
 def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverReply:
     """Return the answer to a front that may not continue a request."""
-    reply = TakeOverReply(failure=Failure(kind))
+    reply = TakeOverResponse(failure=Failure(kind))
     return SendTakeOverReply(ask.front, ask.request_id, reply)
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -13,8 +13,8 @@
 from damaskridge.model.gateway import (
     BackendInstance,
     CrashNotice,
+    InstanceId,
     RoutingTable,
-    ServerStart,
 )
 
 __all__ = [
@@ -22,7 +22,7 @@
     "AllocateFencingNumber",
     "AnyCommand",
     "AnyFleetChange",
-    "AnyFollowReply",
+    "AnyFollowResponse",
     "AnyFollowRequest",
     "BundleActivated",
     "CloseSession",
@@ -38,7 +38,7 @@
     "FleetDelta",
     "FleetSnapshot",
     "FollowRefused",
-    "FollowReply",
+    "FollowResponse",
     "FollowRequest",
     "HostsNeeded",
     "InstanceLoad",
@@ -488,7 +488,7 @@
         By backend server, what this host has in flight there now.
     usage : dict of str to float
         By workspace, what was admitted since the last report.
-    leaving : tuple of ServerStart
+    leaving : tuple of InstanceId
         Backend servers that said in an answer that they leave.
     crashes : tuple of CrashNotice
         Requests that ran on a backend server when it crashed.
@@ -496,18 +496,18 @@
 
     load: dict[str, InstanceLoad] = {}
     usage: dict[str, float] = {}
-    leaving: tuple[ServerStart, ...] = ()
+    leaving: tuple[InstanceId, ...] = ()
     crashes: tuple[CrashNotice, ...] = ()
 
 
 AnyFollowRequest = OpenFollow | RenewSession | ReportLoad
 
 
-class FollowReply(msgspec.Struct, frozen=True, kw_only=True):
+class FollowResponse(msgspec.Struct, frozen=True, kw_only=True):
     """What the leader sends on a `Follow` stream."""
 
 
-class SessionRenewed(FollowReply, frozen=True, kw_only=True, tag=True):
+class SessionRenewed(FollowResponse, frozen=True, kw_only=True, tag=True):
     """The renewal `sequence` was confirmed by a quorum after it arrived."""
 
     session: int
@@ -515,13 +515,13 @@
     duration_s: float
 
 
-class SessionLost(FollowReply, frozen=True, kw_only=True, tag=True):
+class SessionLost(FollowResponse, frozen=True, kw_only=True, tag=True):
     """The session is not live; the host must open a new one."""
 
     session: int
 
 
-class FleetDelta(FollowReply, frozen=True, kw_only=True, tag=True):
+class FleetDelta(FollowResponse, frozen=True, kw_only=True, tag=True):
     """Changes that lead from fleet index `base_index` to `index`."""
 
     base_index: int
@@ -529,7 +529,7 @@
     changes: tuple[AnyFleetChange, ...]
 
 
-class FleetSnapshot(FollowReply, frozen=True, kw_only=True, tag=True):
+class FleetSnapshot(FollowResponse, frozen=True, kw_only=True, tag=True):
     """The whole fleet view at `index`."""
 
     index: int
@@ -545,7 +545,7 @@
     routing: RoutingTable = RoutingTable()
 
 
-class InstancesSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+class InstancesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
     The leader has read the list of backend servers.
 
@@ -570,7 +570,7 @@
     removed: tuple[str, ...] = ()
 
 
-class LoadSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+class LoadSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
     What changed on all other entry hosts together.
 
@@ -589,13 +589,13 @@
     is_whole: bool = False
 
 
-class CrashesSeen(FollowReply, frozen=True, kw_only=True, tag=True):
+class CrashesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
     """Requests that ran on a backend server when it crashed, as hosts report them."""
 
     crashes: tuple[CrashNotice, ...]
 
 
-class HostsNeeded(FollowReply, frozen=True, kw_only=True, tag=True):
+class HostsNeeded(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
     How many entry hosts callers should be sent to.
 
@@ -608,13 +608,13 @@
     by_data_centre: dict[str, int]
 
 
-class FollowRefused(FollowReply, frozen=True, kw_only=True, tag=True):
+class FollowRefused(FollowResponse, frozen=True, kw_only=True, tag=True):
     """The control host is not the leader; `failure.leader` may name it."""
 
     failure: Failure
 
 
-AnyFollowReply = (
+AnyFollowResponse = (
     SessionRenewed
     | SessionLost
     | FleetDelta
--- a/src/damaskridge/model/engine.py
+++ b/src/damaskridge/model/engine.py
@@ -23,7 +23,7 @@
     "DecodeChunk",
     "DecodeRequest",
     "EnginePhase",
-    "EngineRequest",
+    "EngineRequestStatus",
     "LoadReport",
     "Order",
     "OrderKind",
@@ -117,7 +117,7 @@
     finish_reason: str | None = None
 
 
-class EngineRequest(msgspec.Struct, frozen=True):
+class EngineRequestStatus(msgspec.Struct, frozen=True):
     """One entry of an engine's own list of requests."""
 
     engine_request_id: str
--- a/src/damaskridge/model/errors.py
+++ b/src/damaskridge/model/errors.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["ANSWERS", "Answer", "ErrorKind", "Failure", "RunState"]
+__all__ = ["ERROR_SPECS", "ErrorSpec", "ErrorKind", "Failure", "RunState"]
 
 
 class RunState(Enum):
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class ErrorSpec:
     """The HTTP status and the default run state of one error kind."""
 
     status: int
@@ -82,52 +82,52 @@
 _NOT_RUN = RunState.NOT_RUN
 _UNKNOWN = RunState.UNKNOWN
 
-ANSWERS: dict[ErrorKind, Answer] = {
-    ErrorKind.INVALID_JSON: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_ENCODING: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_REQUEST: Answer(400, _NOT_RUN),
-    ErrorKind.UNKNOWN_MODEL: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_ROUTE: Answer(404, _NOT_RUN),
-    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, _NOT_RUN),
-    ErrorKind.MISSING_KEY: Answer(401, _NOT_RUN),
-    ErrorKind.MULTIPLE_KEYS: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_KEY: Answer(401, _NOT_RUN),
-    ErrorKind.KEY_WITHDRAWN: Answer(401, _NOT_RUN),
-    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
-    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN),
-    ErrorKind.BODY_TIMEOUT: Answer(408, _NOT_RUN, retryable=True),
-    ErrorKind.IDEMPOTENCY_KEY_MISSING: Answer(400, _NOT_RUN),
-    ErrorKind.IDEMPOTENCY_CONFLICT: Answer(422, _NOT_RUN),
-    ErrorKind.IDEMPOTENCY_IN_PROGRESS: Answer(409, _UNKNOWN, retryable=True),
-    ErrorKind.UNKNOWN_REQUEST: Answer(404, _UNKNOWN),
-    ErrorKind.INVALID_OFFSET: Answer(416, _UNKNOWN),
-    ErrorKind.REQUEST_QUARANTINED: Answer(422, _NOT_RUN),
-    ErrorKind.CALLER_TOO_SLOW: Answer(408, RunState.RAN),
-    ErrorKind.RATE_EXCEEDED: Answer(429, _NOT_RUN, retryable=True),
-    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.LEASE_EXPIRED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.OWNER_UNAVAILABLE: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.NO_BACKEND_SERVER: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.BACKEND_SERVER_FAILED: Answer(502, _UNKNOWN, retryable=True),
-    ErrorKind.BACKEND_SERVER_TIMEOUT: Answer(504, _UNKNOWN, retryable=True),
-    ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN),
-    ErrorKind.STREAM_TAKEN_OVER: Answer(409, RunState.RAN),
-    ErrorKind.CANCELLED: Answer(499, _UNKNOWN),
-    ErrorKind.SHUTTING_DOWN: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.NOT_LEADER: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.CONTROL_UNAVAILABLE: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.SESSION_ENDED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.EPOCH_CONFLICT: Answer(409, _NOT_RUN, retryable=True),
-    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, retryable=True),
-    ErrorKind.UNKNOWN_OPERATOR: Answer(403, _NOT_RUN),
-    ErrorKind.INVALID_BUNDLE: Answer(422, _NOT_RUN),
-    ErrorKind.INVALID_SETTINGS: Answer(422, _NOT_RUN),
-    ErrorKind.UNKNOWN_PROPOSAL: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_VERSION: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_NAME: Answer(404, _NOT_RUN),
-    ErrorKind.NOT_SIGNED_OFF: Answer(409, _NOT_RUN),
-    ErrorKind.SELF_SIGN_OFF: Answer(403, _NOT_RUN),
-    ErrorKind.VERSION_CONFLICT: Answer(409, _NOT_RUN),
+ERROR_SPECS: dict[ErrorKind, ErrorSpec] = {
+    ErrorKind.INVALID_JSON: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_ENCODING: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_REQUEST: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.UNKNOWN_MODEL: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_ROUTE: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorSpec(405, _NOT_RUN),
+    ErrorKind.MISSING_KEY: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.MULTIPLE_KEYS: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_KEY: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.KEY_WITHDRAWN: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: ErrorSpec(413, _NOT_RUN),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorSpec(431, _NOT_RUN),
+    ErrorKind.BODY_TIMEOUT: ErrorSpec(408, _NOT_RUN, retryable=True),
+    ErrorKind.IDEMPOTENCY_KEY_MISSING: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.IDEMPOTENCY_CONFLICT: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.IDEMPOTENCY_IN_PROGRESS: ErrorSpec(409, _UNKNOWN, retryable=True),
+    ErrorKind.UNKNOWN_REQUEST: ErrorSpec(404, _UNKNOWN),
+    ErrorKind.INVALID_OFFSET: ErrorSpec(416, _UNKNOWN),
+    ErrorKind.REQUEST_QUARANTINED: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.CALLER_TOO_SLOW: ErrorSpec(408, RunState.RAN),
+    ErrorKind.RATE_EXCEEDED: ErrorSpec(429, _NOT_RUN, retryable=True),
+    ErrorKind.OVERLOADED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.LEASE_EXPIRED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.OWNER_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.NO_BACKEND_SERVER: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.BACKEND_SERVER_FAILED: ErrorSpec(502, _UNKNOWN, retryable=True),
+    ErrorKind.BACKEND_SERVER_TIMEOUT: ErrorSpec(504, _UNKNOWN, retryable=True),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorSpec(502, _UNKNOWN),
+    ErrorKind.STREAM_TAKEN_OVER: ErrorSpec(409, RunState.RAN),
+    ErrorKind.CANCELLED: ErrorSpec(499, _UNKNOWN),
+    ErrorKind.SHUTTING_DOWN: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.NOT_LEADER: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.CONTROL_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.SESSION_ENDED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.EPOCH_CONFLICT: ErrorSpec(409, _NOT_RUN, retryable=True),
+    ErrorKind.INTERNAL: ErrorSpec(500, _UNKNOWN, retryable=True),
+    ErrorKind.UNKNOWN_OPERATOR: ErrorSpec(403, _NOT_RUN),
+    ErrorKind.INVALID_BUNDLE: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.INVALID_SETTINGS: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.UNKNOWN_PROPOSAL: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_VERSION: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_NAME: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.NOT_SIGNED_OFF: ErrorSpec(409, _NOT_RUN),
+    ErrorKind.SELF_SIGN_OFF: ErrorSpec(403, _NOT_RUN),
+    ErrorKind.VERSION_CONFLICT: ErrorSpec(409, _NOT_RUN),
 }
 
 
@@ -142,7 +142,7 @@
     detail : str
         One line that names the offending value. Never a key or a prompt.
     run_state : RunState or None
-        Overrides the default of `ANSWERS` where more is known.
+        Overrides the default of `ERROR_SPECS` where more is known.
     retry_after_s : float or None
         Time after which a retry may succeed, in seconds.
     leader : str
@@ -156,11 +156,11 @@
     leader: str = ""
 
     @property
-    def ran(self) -> RunState:
+    def final_run_state(self) -> RunState:
         """The run state, from this failure or else from the table."""
-        return self.run_state or ANSWERS[self.kind].run_state
+        return self.run_state or ERROR_SPECS[self.kind].run_state
 
     @property
     def status(self) -> int:
         """The HTTP status of the answer."""
-        return ANSWERS[self.kind].status
+        return ERROR_SPECS[self.kind].status
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -19,12 +19,12 @@
     "InstanceList",
     "RouteTarget",
     "RoutingTable",
-    "ServerStart",
-    "WorkKind",
+    "InstanceId",
+    "RouteKind",
 ]
 
 
-class WorkKind(Enum):
+class RouteKind(Enum):
     """How often a request may run, and what its answer is."""
 
     REPEATABLE = "repeatable"
@@ -56,7 +56,7 @@
         Unique name.
     host_name, path_prefix : str
         What selects the route; the prefix begins and ends with a slash.
-    kind : WorkKind
+    kind : RouteKind
         How often a request may run.
     timeout_ms : int
         Longest time until the final answer, in milliseconds.
@@ -79,7 +79,7 @@
     name: str
     host_name: str
     path_prefix: str
-    kind: WorkKind
+    kind: RouteKind
     timeout_ms: int
     objective_ms: int
     targets: tuple[RouteTarget, ...]
@@ -172,7 +172,7 @@
     limits: CallerLimits = CallerLimits()
 
 
-class ServerStart(msgspec.Struct, frozen=True, array_like=True):
+class InstanceId(msgspec.Struct, frozen=True, array_like=True):
     """One start of a backend server."""
 
     instance: str
@@ -183,7 +183,7 @@
     """A request, by its fingerprint, that ran on a server when that crashed."""
 
     fingerprint: str
-    server: ServerStart
+    server: InstanceId
 
 
 class BackendInstance(msgspec.Struct, frozen=True, kw_only=True):
@@ -220,9 +220,9 @@
     started_ms: int = 0
 
     @property
-    def start(self) -> ServerStart:
+    def instance_id(self) -> InstanceId:
         """The name and time of this start."""
-        return ServerStart(self.instance, self.started_ms)
+        return InstanceId(self.instance, self.started_ms)
 
 
 class InstanceList(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/damaskridge/model/routing.py
+++ b/src/damaskridge/model/routing.py
@@ -13,15 +13,15 @@
     "Progress",
     "ProgressBatch",
     "RateGrant",
-    "RateReply",
+    "RateResponse",
     "RateRequest",
     "Refund",
     "Refused",
     "RequestPhase",
     "RequestProfile",
-    "SubmitReply",
+    "SubmitResponse",
     "TakeOver",
-    "TakeOverReply",
+    "TakeOverResponse",
     "Withdraw",
 ]
 
@@ -110,7 +110,7 @@
     failure: Failure
 
 
-RateReply = RateGrant | Duplicate | Refused
+RateResponse = RateGrant | Duplicate | Refused
 
 
 class Refund(msgspec.Struct, frozen=True, kw_only=True):
@@ -217,7 +217,7 @@
     transfer_deadline_s: float = 1.0
 
 
-SubmitReply = Placement | Refused
+SubmitResponse = Placement | Refused
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -279,7 +279,7 @@
     incarnation: int
 
 
-class TakeOverReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class TakeOverResponse(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What the new front needs, or why it may not continue."""
 
     failure: Failure | None = None
--- a/src/damaskridge/platform/config_document.py
+++ b/src/damaskridge/platform/config_document.py
@@ -10,17 +10,17 @@
     GatewayRoute,
     GatewayService,
     GatewayWorkspace,
+    RouteKind,
     RouteTarget,
     RoutingTable,
-    WorkKind,
 )
 
 __all__ = ["decode_document"]
 
 _KINDS = {
-    "idempotent": WorkKind.REPEATABLE,
-    "non_idempotent": WorkKind.AT_MOST_ONCE,
-    "stream": WorkKind.STREAM,
+    "idempotent": RouteKind.REPEATABLE,
+    "non_idempotent": RouteKind.AT_MOST_ONCE,
+    "stream": RouteKind.STREAM,
 }
 
 
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -9,7 +9,7 @@
 from damaskridge.adapters.gateway.connections import ConnectionBroken, open_connection
 from damaskridge.model.gateway import BackendInstance, EngineStage, InstanceList
 
-__all__ = ["PlatformInstanceList"]
+__all__ = ["PlatformInstanceListReader"]
 
 # Longest time for one page.
 PAGE_S = 1.0
@@ -43,7 +43,7 @@
 _decode_entry = msgspec.json.Decoder(_Entry).decode
 
 
-class PlatformInstanceList:
+class PlatformInstanceListReader:
     """
     Reads the whole list.
 
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.gateway.connections import ConnectionBroken, open_connection
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
-__all__ = ["PlatformOrders"]
+__all__ = ["PlatformOrderClient"]
 
 CALL_S = 0.8
 # Answers are small documents.
@@ -38,7 +38,7 @@
 _decode_report = msgspec.json.Decoder(_Report).decode
 
 
-class PlatformOrders:
+class PlatformOrderClient:
     """Implements `EngineOrders`."""
 
     async def order_stage(
--- a/tests/adapters/engines/test_http_engine.py
+++ b/tests/adapters/engines/test_http_engine.py
@@ -63,7 +63,7 @@
         failures.append((await HttpHostList(client, address).leaving()).err_value)
         for failure in failures:
             assert failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-            assert failure.ran is RunState.UNKNOWN
+            assert failure.final_run_state is RunState.UNKNOWN
         await client.close()
         server.close()
 
@@ -77,14 +77,14 @@
         service = HttpService(client)
         call = ServiceCall("POST", "/")
         large = (await service.call(address, call)).err_value
-        assert (large.kind, large.ran) == (
+        assert (large.kind, large.final_run_state) == (
             ErrorKind.BACKEND_SERVER_FAILED,
             RunState.UNKNOWN,
         )
         server.close()
         await server.wait_closed()
         refused = (await service.call(address, call)).err_value
-        assert refused.ran is RunState.NOT_RUN
+        assert refused.final_run_state is RunState.NOT_RUN
         await client.close()
 
     asyncio.run(main())
--- a/tests/adapters/front_fakes.py
+++ b/tests/adapters/front_fakes.py
@@ -39,7 +39,7 @@
     RateGrant,
     Refused,
     RequestPhase,
-    TakeOverReply,
+    TakeOverResponse,
 )
 
 KEY, OTHER_KEY, LOST_KEY = "key-one-secret", "key-two-secret", "key-lost-secret"
@@ -140,7 +140,7 @@
     async def take_over(self, take_over):
         active = self.take_overs.pop((take_over.request_id, take_over.workspace), None)
         unknown = Failure(ErrorKind.UNKNOWN_REQUEST)
-        return TakeOverReply(active=active, failure=None if active else unknown)
+        return TakeOverResponse(active=active, failure=None if active else unknown)
 
     def phases(self, request_id):
         items = [item for item in self.reports if item.request_id == request_id]
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -21,17 +21,17 @@
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.routing import RoutingIndex
-from damaskridge.model.gateway import BackendInstance, WorkKind
+from damaskridge.model.gateway import BackendInstance, RouteKind
 from damaskridge.platform.dialect import PlatformDialect
 
 LIMIT_S = 10.0
 WORKSPACES = (workspace("w", "k"),)
 ROUTES = (
-    route("/safe/", WorkKind.REPEATABLE, attempts=2, is_public=False),
-    route("/once/", WorkKind.AT_MOST_ONCE, attempts=1),
-    route("/open/", WorkKind.REPEATABLE, is_public=True),
-    route("/gen/", WorkKind.STREAM, attempts=1, timeout_ms=4000),
-    route("/res/", WorkKind.STREAM, attempts=2, is_resumable=True, timeout_ms=4000),
+    route("/safe/", RouteKind.REPEATABLE, attempts=2, is_public=False),
+    route("/once/", RouteKind.AT_MOST_ONCE, attempts=1),
+    route("/open/", RouteKind.REPEATABLE, is_public=True),
+    route("/gen/", RouteKind.STREAM, attempts=1, timeout_ms=4000),
+    route("/res/", RouteKind.STREAM, attempts=2, is_resumable=True, timeout_ms=4000),
 )
 
 
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -15,7 +15,7 @@
 
 from damaskridge.adapters.gateway.connections import READ_AHEAD_BYTES, BackendConnection
 from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
-from damaskridge.platform.instance_list import PlatformInstanceList
+from damaskridge.platform.instance_list import PlatformInstanceListReader
 
 PIECE = b"x" * 8192
 # What a connection may hold and what the operating systems of both ends buffer.
@@ -193,7 +193,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        read = await PlatformInstanceList(f"127.0.0.1:{port}").read()
+        read = await PlatformInstanceListReader(f"127.0.0.1:{port}").read()
         assert read.is_err()
         async with asyncio.timeout(2):
             await script.is_closed.wait()
--- a/tests/adapters/http/test_app.py
+++ b/tests/adapters/http/test_app.py
@@ -15,7 +15,7 @@
     decode_body,
 )
 from damaskridge.adapters.http.credentials import mentions, strip_query, stripped
-from damaskridge.model.errors import ANSWERS, ErrorKind, Failure
+from damaskridge.model.errors import ERROR_SPECS, ErrorKind, Failure
 
 GOOD = {"model": "m", "prompt": "p", "max_tokens": 2}
 CHAT, COMPLETION = "/v1/chat/completions", "/v1/completions"
@@ -83,8 +83,8 @@
         caller = Caller(found.app, method, path, body or b"", **options)
         await caller.task
         assert caller.error["kind"] == kind.value
-        assert caller.status == ANSWERS[kind].status
-        assert caller.error["run"] == ANSWERS[kind].run_state.value
+        assert caller.status == ERROR_SPECS[kind].status
+        assert caller.error["run"] == ERROR_SPECS[kind].run_state.value
         assert caller.error["request_id"] == caller.headers["x-request-id"]
         assert not found.cells.profiles
         assert not found.services.calls
--- a/tests/adapters/http/test_callers_page.py
+++ b/tests/adapters/http/test_callers_page.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from damaskridge.model.errors import ANSWERS
+from damaskridge.model.errors import ERROR_SPECS
 
 PAGE = Path(__file__).parents[3] / "docs" / "callers.md"
 
@@ -12,5 +12,5 @@
     assert rows == [
         f"| `{kind.value}` | {answer.status} | `{answer.run_state.value}` | "
         f"{'yes' if answer.retryable else 'no'} |"
-        for kind, answer in ANSWERS.items()
+        for kind, answer in ERROR_SPECS.items()
     ]
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -9,7 +9,7 @@
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstancesSeen
-from damaskridge.model.gateway import BackendInstance, InstanceList, ServerStart
+from damaskridge.model.gateway import BackendInstance, InstanceId, InstanceList
 
 
 def server(started_ms):
@@ -53,7 +53,7 @@
             tasks.start_soon(publisher.run)
             await anyio.sleep(1)
             assert not hosts.copy.items[0].is_leaving
-            publisher.notices.add(ServerStart("a", 1))
+            publisher.notices.add(InstanceId("a", 1))
             await anyio.sleep(2)
             assert hosts.copy.items[0].is_leaving
             reader.started_ms = 2
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -8,7 +8,7 @@
 from damaskridge.core.gateway.host_choice import GENERATIONS_PER_HOST
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import CrashesSeen, HostsNeeded, InstanceLoad, ReportLoad
-from damaskridge.model.gateway import CrashNotice, ServerStart
+from damaskridge.model.gateway import CrashNotice, InstanceId
 
 NEEDED = 9
 REPORT = ReportLoad(
@@ -72,7 +72,7 @@
     async def main():
         play = Play()
         first, second = play.connect(), play.connect()
-        notice = CrashNotice("f", ServerStart("a", 1))
+        notice = CrashNotice("f", InstanceId("a", 1))
         play.publisher.report(first, ReportLoad(crashes=(notice,)))
         for follower in (second, play.connect()):
             (seen,) = received(follower, CrashesSeen)
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.rpc.control_group import SILENCE_S
 from damaskridge.model.control import (
-    AnyFollowReply,
+    AnyFollowResponse,
     FleetDelta,
     InstancesSeen,
     RoutingTableActivated,
@@ -44,7 +44,7 @@
 )
 def test_what_is_encoded_is_decoded_as_it_was(message):
     data = MsgpackCodec().encode(message, None)
-    assert MsgpackCodec().decode(data, AnyFollowReply) == message
+    assert MsgpackCodec().decode(data, AnyFollowResponse) == message
 
 
 def test_small_messages_stay_as_they_are():
@@ -56,7 +56,7 @@
     data = MsgpackCodec().encode(large_delta(), None)
     for damaged in (data[:-9], data[:2] + b"\0" + data[3:]):
         with pytest.raises(msgspec.ValidationError):
-            MsgpackCodec().decode(damaged, AnyFollowReply)
+            MsgpackCodec().decode(damaged, AnyFollowResponse)
     monkeypatch.setattr(codec_module, "MOST_BYTES", 1000)
     with pytest.raises(msgspec.ValidationError):
-        MsgpackCodec().decode(data, AnyFollowReply)
+        MsgpackCodec().decode(data, AnyFollowResponse)
--- a/tests/adapters/test_front_claims.py
+++ b/tests/adapters/test_front_claims.py
@@ -71,7 +71,7 @@
     given_up, won, lost, other_body = run_paused(claims())
     assert given_up is None and won is None
     assert lost.kind is other_body.kind is ErrorKind.OUTCOME_UNKNOWN
-    assert lost.ran is RunState.RAN
+    assert lost.final_run_state is RunState.RAN
 
 
 async def claim_without_session():
--- a/tests/core/gateway/tables.py
+++ b/tests/core/gateway/tables.py
@@ -6,13 +6,13 @@
     GatewayRoute,
     GatewayService,
     GatewayWorkspace,
+    RouteKind,
     RouteTarget,
     RoutingTable,
-    WorkKind,
 )
 
 
-def route(prefix="/a/", kind=WorkKind.REPEATABLE, **fields):
+def route(prefix="/a/", kind=RouteKind.REPEATABLE, **fields):
     fields = {
         "name": f"r{prefix}",
         "host_name": "h.example",
--- a/tests/core/gateway/test_crash_watch.py
+++ b/tests/core/gateway/test_crash_watch.py
@@ -8,12 +8,12 @@
     CrashWatch,
     fingerprint_of,
 )
-from damaskridge.model.gateway import ServerStart
+from damaskridge.model.gateway import InstanceId
 
 
 def crash(watch, fingerprint, name, now_s=0.0, delay_s=0.5):
-    watch.broke_off(fingerprint, ServerStart(name), now_s)
-    watch.was_lost(ServerStart(name), now_s + delay_s)
+    watch.broke_off(fingerprint, InstanceId(name), now_s)
+    watch.was_lost(InstanceId(name), now_s + delay_s)
 
 
 def test_a_request_is_refused_after_three_crashes_on_any_hosts():
@@ -42,17 +42,17 @@
 def test_an_answer_that_is_lost_is_no_crash():
     watch = CrashWatch()
     for number in range(9):
-        watch.broke_off("f", ServerStart(f"s{number}"), 0.0)
+        watch.broke_off("f", InstanceId(f"s{number}"), 0.0)
     assert not watch.is_suspect("f", 1.0)
     for number in range(9):
-        watch.was_lost(ServerStart(f"s{number}"), CONFIRM_S + 1.0)
+        watch.was_lost(InstanceId(f"s{number}"), CONFIRM_S + 1.0)
     assert not watch.is_suspect("f", CONFIRM_S + 1.0)
 
 
 def test_a_restart_under_the_same_name_counts_as_a_crash_of_its_own():
     watch = CrashWatch()
     for started_ms in range(MOST_CRASHES):
-        start = ServerStart("s", started_ms)
+        start = InstanceId("s", started_ms)
         watch.broke_off("f", start, 0.0)
         watch.was_lost(start, 0.5)
     assert watch.is_suspect("f", 1.0)
--- a/tests/core/gateway/test_server_notices.py
+++ b/tests/core/gateway/test_server_notices.py
@@ -2,7 +2,7 @@
 
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.server_notices import ServerNotices
-from damaskridge.model.gateway import BackendInstance, EngineStage, ServerStart
+from damaskridge.model.gateway import BackendInstance, EngineStage, InstanceId
 
 
 def server(name, **fields):
@@ -76,6 +76,6 @@
 
 def test_a_notice_of_another_host_counts_for_the_same_start_only():
     notices = ServerNotices()
-    notices.add(ServerStart("a", 1))
+    notices.add(InstanceId("a", 1))
     assert notices.has_left(server("a", started_ms=1))
     assert not notices.has_left(server("a", started_ms=2))
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -62,7 +62,7 @@
 def test_cancellation_frees_both_engines_at_every_stage(stage, run, refund, cancels):
     machine = machine_at(stage)
     actions = machine.handle(m.CancelRequested(Failure(ErrorKind.CANCELLED)), 1.0)
-    assert actions[-1].failure.ran is run
+    assert actions[-1].failure.final_run_state is run
     assert [action.tokens for action in kinds(actions, m.RefundTokens)] == refund
     addresses = [action.address for action in kinds(actions, m.CancelOnServer)]
     assert addresses == ["pa1", "da1"][:cancels]
@@ -76,11 +76,11 @@
         machine.handle(m.AttemptFailed(attempt, f"p{attempt}", REFUSED), 1.0)
         machine.handle(placed(attempt + 1), 1.0)
     end = machine.handle(m.AttemptFailed(4, "p4", REFUSED), 1.0)[-1]
-    assert end.failure.ran is RunState.NOT_RUN
+    assert end.failure.final_run_state is RunState.NOT_RUN
     machine = machine_at(m.Stage.TRANSFERRING)
     machine.handle(m.AttemptFailed(1, "d1", REFUSED), 1.0)
     end = machine.handle(m.PlacementRefused(2, Failure(ErrorKind.OVERLOADED)), 1.0)[-1]
-    assert end.failure.ran is RunState.UNKNOWN
+    assert end.failure.final_run_state is RunState.UNKNOWN
 
 
 def test_an_attempt_after_a_crash_continues_as_a_suspect():
@@ -96,7 +96,7 @@
     assert machine.handle(m.ChunkReceived(1, DecodeChunk(1, "old")), 1.0) == []
     end = machine.handle(m.AttemptFailed(2, "d2", LOST), 1.0)[-1]
     assert isinstance(end, m.Close)
-    assert end.failure.ran is RunState.RAN
+    assert end.failure.final_run_state is RunState.RAN
 
 
 def test_a_stalled_transfer_and_silence_have_deadlines():
@@ -158,4 +158,4 @@
     assert (machine.base_offset, machine.texts) == (4, ["e"])
     # Its prompt is not known here, so the loss of its engine ends it at once.
     end = machine.handle(m.AttemptFailed(2, "d1", LOST), 0.0)[-1]
-    assert (end.failure.kind, end.failure.ran) == (LOST.kind, RunState.RAN)
+    assert (end.failure.kind, end.failure.final_run_state) == (LOST.kind, RunState.RAN)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -7,7 +7,7 @@
 from damaskridge.core.scheduling import messages as m
 from damaskridge.core.scheduling.scheduler import CellScheduler
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
-from damaskridge.model.engine import EnginePhase, EngineRequest, LoadReport
+from damaskridge.model.engine import EnginePhase, EngineRequestStatus, LoadReport
 from damaskridge.model.errors import ErrorKind
 from damaskridge.model.routing import (
     ActiveRequest,
@@ -164,7 +164,7 @@
 
 def test_unregistered_engine_entries_are_cancelled_after_the_lease():
     cell = make_cell()
-    listed = (EngineRequest("req-x-1-1.1", EnginePhase.DECODING, 5, 1),)
+    listed = (EngineRequestStatus("req-x-1-1.1", EnginePhase.DECODING, 5, 1),)
     assert not cancels(cell.handle(m.EngineListed("d1", listed, 1.0), 1.0))
     actions = cell.handle(m.EngineListed("d1", listed, 4.0), 4.0)
     assert cancels(actions) == {("d1", "req-x-1-1.1")}
--- a/tests/core/state/test_commands.py
+++ b/tests/core/state/test_commands.py
@@ -214,7 +214,10 @@
     results = [call("w1", str(number)) for number in range(25_000)]
     first = next(i for i, item in enumerate(results) if item.failure is not None)
     refusal = results[first].failure
-    assert (refusal.kind, refusal.ran.value) == (ErrorKind.OVERLOADED, "not_run")
+    assert (refusal.kind, refusal.final_run_state.value) == (
+        ErrorKind.OVERLOADED,
+        "not_run",
+    )
     assert refusal.retry_after_s > 0
     assert len(fleet.data.ledger) == first
     assert fleet.data.ledger_bytes["w1"] <= WORKSPACE_BYTES
--- a/tests/model/test_control.py
+++ b/tests/model/test_control.py
@@ -5,7 +5,7 @@
 from damaskridge.model.bundle import Bundle, Workspace
 from damaskridge.model.control import (
     AnyCommand,
-    AnyFollowReply,
+    AnyFollowResponse,
     BundleActivated,
     FleetDelta,
     RollBundle,
@@ -25,4 +25,4 @@
     change = BundleActivated(version=2, base_version=1, upserted=bundle)
     delta = FleetDelta(base_index=1, index=2, changes=(change,))
     data = msgspec.msgpack.encode(delta)
-    assert msgspec.msgpack.decode(data, type=AnyFollowReply) == delta
+    assert msgspec.msgpack.decode(data, type=AnyFollowResponse) == delta
--- a/tests/model/test_errors.py
+++ b/tests/model/test_errors.py
@@ -3,16 +3,16 @@
 import msgspec
 import pytest
 
-from damaskridge.model.errors import ANSWERS, ErrorKind, Failure, RunState
+from damaskridge.model.errors import ERROR_SPECS, ErrorKind, Failure, RunState
 
 
 def test_every_kind_has_an_answer():
-    assert set(ANSWERS) == set(ErrorKind)
+    assert set(ERROR_SPECS) == set(ErrorKind)
 
 
 def test_a_failure_may_know_more_than_the_table():
     failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, run_state=RunState.NOT_RUN)
-    assert failure.ran is RunState.NOT_RUN
+    assert failure.final_run_state is RunState.NOT_RUN
 
 
 @pytest.mark.parametrize("kind", ErrorKind)
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -5,7 +5,7 @@
 
 from damaskridge.core.gateway.routing import key_digest
 from damaskridge.core.gateway.table_checks import table_faults
-from damaskridge.model.gateway import RouteTarget, WorkKind
+from damaskridge.model.gateway import RouteKind, RouteTarget
 from damaskridge.platform.config_document import decode_document
 
 DOCUMENT = {
@@ -74,7 +74,7 @@
     assert table_faults(table) == []
     first, second = table.routes
     assert (first.kind, first.is_resumable, first.attempts) == (
-        WorkKind.STREAM,
+        RouteKind.STREAM,
         True,
         2,
     )
@@ -84,7 +84,7 @@
         300,
     )
     assert first.targets == (RouteTarget("s1", 9), RouteTarget("s2", 1))
-    assert (second.kind, second.is_public) == (WorkKind.AT_MOST_ONCE, True)
+    assert (second.kind, second.is_public) == (RouteKind.AT_MOST_ONCE, True)
     assert second.targets == (RouteTarget("s2"),)
     engine = table.services[0].engine
     assert (engine.memory_tokens, engine.handle_s, engine.reservation_s) == (
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from damaskridge.model.gateway import EngineStage
-from damaskridge.platform.instance_list import PlatformInstanceList
+from damaskridge.platform.instance_list import PlatformInstanceListReader
 
 
 def entry(number, **changes):
@@ -39,7 +39,7 @@
 
         server = await asyncio.start_server(handle, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        listed = await PlatformInstanceList(f"127.0.0.1:{port}").read()
+        listed = await PlatformInstanceListReader(f"127.0.0.1:{port}").read()
         server.close()
         return listed, asked
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from damaskridge.model.gateway import BackendInstance, EngineStage
-from damaskridge.platform.orders import PlatformOrders
+from damaskridge.platform.orders import PlatformOrderClient
 
 
 def order(*, report=b'{"Seq":4,"Busy":false}', status=202):
@@ -31,7 +31,7 @@
             data_centre="z",
             slots=1,
         )
-        result = await PlatformOrders().order_stage(
+        result = await PlatformOrderClient().order_stage(
             instance, EngineStage.DECODE, "host-1", 9
         )
         server.close()
@@ -77,7 +77,7 @@
         instance = BackendInstance(
             instance="i1", service="s", address=address, data_centre="z", slots=1
         )
-        busy = await PlatformOrders().is_busy(instance)
+        busy = await PlatformOrderClient().is_busy(instance)
         server.close()
         return busy
 
--- a/tests/system/fakes.py
+++ b/tests/system/fakes.py
@@ -12,7 +12,7 @@
     CacheEventPage,
     DecodeChunk,
     EnginePhase,
-    EngineRequest,
+    EngineRequestStatus,
     LoadReport,
     PrefillResult,
     estimate_tokens,
@@ -190,7 +190,9 @@
 
     def list(self):
         return tuple(
-            EngineRequest(name, held.phase, held.pieces, held.first + len(held.texts))
+            EngineRequestStatus(
+                name, held.phase, held.pieces, held.first + len(held.texts)
+            )
             for name, held in self.held.items()
             if held.phase is not EnginePhase.FINISHED
         )
