--- a/src/damaskridge/model/__init__.py
+++ b/src/damaskridge/model/__init__.py
@@ -1,1 +1,4 @@
-"""Data classes, error kinds and event numbers; imports nothing of the project."""
+"""Messages, records, error kinds and event numbers shared by all other packages.
+
+This package imports no other package of the project.
+"""
--- a/src/damaskridge/model/bundle.py
+++ b/src/damaskridge/model/bundle.py
@@ -1,4 +1,8 @@
-"""The bundle: one versioned set of everything that operators decide."""
+"""The configuration bundle, which operators propose, sign off and roll out.
+
+A bundle holds the workspaces, keys, operators, models, routes and backend servers
+of the fleet. The control group replicates it and assigns it a version number.
+"""
 
 from enum import Enum
 
@@ -17,7 +21,7 @@
 
 
 class BackendServerRole(Enum):
-    """What a backend server does for its cell."""
+    """The part of a generation that a backend server runs, or a plain service."""
 
     PREFILL = "prefill"
     DECODE = "decode"
@@ -27,19 +31,19 @@
 
 class Workspace(msgspec.Struct, frozen=True):
     """
-    A customer of the platform.
+    A customer, with its rate limit and its share of engine time.
 
     Parameters
     ----------
     name : str
         Unique name.
     rate_tokens_per_s : float
-        Tokens (prompt plus output) that the workspace may use a second, counted
-        over all hosts together.
+        Refill rate of the token bucket: prompt plus output tokens per second, over
+        all hosts together.
     burst_tokens : float
-        Most tokens that may be used at once.
+        Capacity of the token bucket.
     share_weight : float
-        Weight of the workspace's fair share of engine time.
+        Weight in weighted fair queueing for engine time.
     """
 
     name: str
@@ -49,7 +53,7 @@
 
 
 class KeyRecord(msgspec.Struct, frozen=True):
-    """A key of a workspace; `digest` is the SHA-256 of the key in hexadecimal."""
+    """An API key of a workspace; `digest` is the SHA-256 of the key in hexadecimal."""
 
     digest: str
     workspace: str
@@ -57,14 +61,25 @@
 
 
 class Operator(msgspec.Struct, frozen=True):
-    """A person who may change the fleet, known by the digest of a key."""
+    """A person who may change the fleet, authenticated by the digest of a key."""
 
     name: str
     key_digest: str
 
 
 class Model(msgspec.Struct, frozen=True):
-    """A model that the fleet serves; `context_tokens` is prompt plus output."""
+    """
+    A model that the fleet serves.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    context_tokens : int
+        Length of the context window: prompt plus output.
+    kv_bytes_per_token : int
+        Size of the KV cache per token.
+    """
 
     name: str
     context_tokens: int
@@ -73,21 +88,21 @@
 
 class Route(msgspec.Struct, frozen=True):
     """
-    A path of a plain service, `/services/<service>/<path>`.
+    A route to a plain service, ``/services/<service>/<path>``.
 
     Parameters
     ----------
     service : str
         Name of the service.
     path : str
-        Path prefix below the service, for example ``bookings``; empty for all.
+        Path prefix below the service, for example ``bookings``; empty for all paths.
     open_to_all : bool
-        Whether a request needs no key.
+        Whether requests are accepted without an API key.
     repeatable : bool
-        Whether a call may be sent again after a failure. A call that is not
+        Whether a call may be retried after a failure. A call that is not
         repeatable needs an idempotency key.
     cost_tokens : int
-        What one call takes from the rate of the workspace.
+        Tokens that one call is charged against the rate of the workspace.
     """
 
     service: str
@@ -106,30 +121,30 @@
     name : str
         Unique name.
     cell : str
-        The cell that schedules this server. A cell holds the servers of one
-        model or service in one place, with one owner at a time.
+        The cell that schedules this server. A cell consists of the servers of one
+        model or service in one place and has one owner at a time.
     role : BackendServerRole
-        What the server does.
+        The stages that an engine runs, or `SERVICE`.
     serves : str
         Name of the model or service.
     data_centre : str
-        Where the server stands.
+        Data centre of the server.
     address : str
         ``ip:port``.
     slots : int
-        Requests that the server runs at the same time.
+        Maximum number of concurrent requests.
     kv_pieces : int
-        KV memory in pieces; 0 for a service.
+        Size of the KV cache in blocks; 0 for a service.
     piece_tokens : int
-        Tokens that one piece of KV memory holds.
+        Tokens per block of the KV cache.
     prefill_tokens_per_s : float
-        Prefill speed.
+        Prefill throughput.
     decode_step_ms : float
-        Time of one decode step at a full batch, in milliseconds.
+        Duration of one decode step with a full batch, in milliseconds.
     link_bytes_per_s : float
-        Rate of the link that KV transfers use.
+        Bandwidth of the network link for KV cache transfers.
     checks_fencing : bool
-        Whether the server refuses orders with an old fencing number.
+        Whether the server refuses orders with a stale fencing number.
     """
 
     name: str
@@ -148,7 +163,7 @@
 
 
 class Bundle(msgspec.Struct, frozen=True):
-    """The whole content of one bundle version, without its number."""
+    """The complete content of one bundle version, without the version number."""
 
     workspaces: tuple[Workspace, ...] = ()
     keys: tuple[KeyRecord, ...] = ()
--- a/src/damaskridge/model/consensus.py
+++ b/src/damaskridge/model/consensus.py
@@ -1,4 +1,4 @@
-"""Records and messages of the replicated log."""
+"""Log records and messages of the Raft consensus protocol of the control group."""
 
 import msgspec
 
@@ -21,7 +21,7 @@
 
 
 class Membership(msgspec.Struct, frozen=True):
-    """Members of the control group; `learners` replicate without a vote."""
+    """Members of the control group; `learners` replicate the log but cannot vote."""
 
     voters: tuple[str, ...]
     learners: tuple[str, ...] = ()
@@ -34,13 +34,15 @@
     Parameters
     ----------
     index : int
-        Position, from 1.
+        Position in the log, from 1.
     term : int
         Term of the leader that created the entry.
     command : bytes
-        An encoded command of `model.control`; empty for a leader's first entry.
+        An encoded command of `model.control`; empty in the no-op entry that a new
+        leader appends first.
     membership : Membership or None
-        A membership change; in force from when it is appended.
+        A membership change; it takes effect when it is appended, before it is
+        committed.
     """
 
     index: int
@@ -50,14 +52,19 @@
 
 
 class HardState(msgspec.Struct, frozen=True):
-    """What must be synced before a member answers a vote or a leader."""
+    """State that a member syncs to disk before it responds to a vote or a leader."""
 
     term: int = 0
     voted_for: str = ""
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """The whole state after `index`, with what the log needs to go on."""
+    """
+    The complete state after the entry at `index`.
+
+    `term` and `membership` are those at `index`, so that the log can continue from
+    the snapshot.
+    """
 
     index: int
     term: int
@@ -73,7 +80,12 @@
 
 
 class VoteRequest(Message, frozen=True, kw_only=True, tag=True):
-    """Asks for a vote; `pre_vote` asks whether a vote would be given."""
+    """
+    Requests a vote.
+
+    With `pre_vote` it only asks whether the recipient would grant one. With
+    `leadership_transfer` a live leader is no reason to refuse.
+    """
 
     last_index: int
     last_term: int
@@ -82,7 +94,7 @@
 
 
 class VoteReply(Message, frozen=True, kw_only=True, tag=True):
-    """Answers a `VoteRequest`."""
+    """Responds to a `VoteRequest`."""
 
     granted: bool
     pre_vote: bool = False
@@ -90,14 +102,15 @@
 
 class AppendEntries(Message, frozen=True, kw_only=True, tag=True):
     """
-    Replicates entries, or none as a heartbeat.
+    Replicates log entries; without entries it is a heartbeat.
 
     Parameters
     ----------
     round : int
-        Numbers the rounds that confirm reads.
+        Number of the heartbeat round, which confirms the leadership for reads.
     acknowledged_index : int
-        Index up to which the recipient has acknowledged the sender's log.
+        Highest index that the recipient has acknowledged to this leader. A recipient
+        whose log is shorter has lost entries.
     """
 
     previous_index: int
@@ -109,7 +122,12 @@
 
 
 class AppendReply(Message, frozen=True, kw_only=True, tag=True):
-    """Answers `AppendEntries`; on a refusal `match_index` is where to retry from."""
+    """
+    Responds to `AppendEntries`.
+
+    If `accepted` is false, `match_index` is a hint of the index after which the
+    leader retries.
+    """
 
     accepted: bool
     match_index: int
@@ -117,28 +135,28 @@
 
 
 class InstallSnapshot(Message, frozen=True, kw_only=True, tag=True):
-    """Brings a member that is too far behind up to date."""
+    """Replaces the log of a member that needs entries which are compacted away."""
 
     snapshot: Snapshot
     round: int
 
 
 class SnapshotReply(Message, frozen=True, kw_only=True, tag=True):
-    """Confirms that a snapshot up to `match_index` is synced."""
+    """Confirms that the snapshot up to `match_index` is synced to disk."""
 
     match_index: int
     round: int
 
 
 class TimeoutNow(Message, frozen=True, kw_only=True, tag=True):
-    """Tells a caught-up member to start an election at once."""
+    """Orders an up-to-date member to start an election, to transfer leadership."""
 
 
 class JoinRequest(Message, frozen=True, kw_only=True, tag=True):
     """
-    Sent by a member with an empty disk until it hears from a leader.
+    Requests to join, sent by a member with an empty disk until a leader contacts it.
 
-    `seen` are the members with empty disks that the sender has heard from.
+    `seen` names the members whose own join requests the sender has received.
     """
 
     seen: tuple[str, ...] = ()
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -1,7 +1,8 @@
-"""Commands of the replicated control state, their results, and fleet changes.
+"""Commands of the replicated state machine and messages of the `Follow` stream.
 
-Commands are the content of log entries. Every command carries `command_id`: a
-command that is sent again gets the first result.
+Commands are the content of log entries. `command_id` makes them idempotent: a retried
+command returns the result of the first execution. On a `Follow` stream an entry host
+renews its session and reports its load; the leader sends the changes of the fleet.
 """
 
 from enum import Enum
@@ -76,28 +77,38 @@
 
 
 class Command(msgspec.Struct, frozen=True, kw_only=True):
-    """A change of the control state; `at_ms` is the leader's wall clock."""
+    """
+    A command that changes the replicated state.
+
+    Parameters
+    ----------
+    command_id : str
+        Unique identifier, for deduplication of retries.
+    at_ms : int
+        Wall clock of the leader when it appended the command, so that all members
+        apply it with the same time.
+    """
 
     command_id: str
     at_ms: int = 0
 
 
 class ProposeBundle(Command, frozen=True, kw_only=True, tag=True):
-    """Stores a bundle as a proposal; the result's `value` is the proposal id."""
+    """Stores a bundle as a proposal; `CommandResult.value` is its identifier."""
 
     operator: str
     bundle: Bundle
 
 
 class SignOffBundle(Command, frozen=True, kw_only=True, tag=True):
-    """Approves a proposal; the proposer may not sign off."""
+    """Approves a proposal; the operator must not be its proposer."""
 
     operator: str
     proposal: str
 
 
 class RollBundle(Command, frozen=True, kw_only=True, tag=True):
-    """Puts a signed-off proposal in force if `expected_version` is in force."""
+    """Activates a signed-off proposal if the active version is `expected_version`."""
 
     operator: str
     proposal: str
@@ -105,7 +116,7 @@
 
 
 class RollBackBundle(Command, frozen=True, kw_only=True, tag=True):
-    """Puts the content of an older version in force as a new version."""
+    """Activates the content of an earlier version under a new version number."""
 
     operator: str
     to_version: int
@@ -114,17 +125,18 @@
 
 class PublishRoutingTable(Command, frozen=True, kw_only=True, tag=True):
     """
-    Puts a routing table in force if its version is higher than the one in force.
+    Activates a routing table if its version is higher than the active one.
 
-    A lower version, and the same content again, are accepted and change nothing.
-    Other content of the version in force is refused.
+    A lower version and an identical table are accepted without effect. A different
+    table under the active version number is refused.
 
     Parameters
     ----------
     table : RoutingTable
-        The content.
+        The new routing table.
     source : bytes
-        The document from which the table was decoded, kept for reading back.
+        The document from which the table was decoded; operators read it back
+        unchanged.
     """
 
     table: RoutingTable
@@ -132,21 +144,21 @@
 
 
 class WithdrawKey(Command, frozen=True, kw_only=True, tag=True):
-    """Withdraws a key for good; no later bundle brings it back."""
+    """Revokes an API key permanently, even if a later bundle contains it."""
 
     operator: str
     key_digest: str
 
 
 class DrainTarget(Enum):
-    """What can be drained."""
+    """Type of the target of `SetDrain`."""
 
     HOST = "host"
     BACKEND_SERVER = "backend_server"
 
 
 class SetDrain(Command, frozen=True, kw_only=True, tag=True):
-    """Starts or ends the draining of a host or a backend server."""
+    """Starts or ends draining a host or a backend server."""
 
     operator: str
     target: DrainTarget
@@ -155,7 +167,7 @@
 
 
 class OpenSession(Command, frozen=True, kw_only=True, tag=True):
-    """Starts a session of an entry host; ends an earlier one of the same host."""
+    """Opens a session for an entry host and closes its previous one, if any."""
 
     host: str
     incarnation: int
@@ -165,28 +177,37 @@
 
 
 class ExpireSession(Command, frozen=True, kw_only=True, tag=True):
-    """Ends a session whose lease has run out; only the leader proposes it."""
+    """Ends a session whose lease has expired; proposed only by the leader."""
 
     host: str
     session: int
 
 
 class CloseSession(Command, frozen=True, kw_only=True, tag=True):
-    """Ends a session at the host's own wish."""
+    """Ends a session at the request of its host."""
 
     host: str
     session: int
 
 
 class SetHostDraining(Command, frozen=True, kw_only=True, tag=True):
-    """Takes a host that shuts down out of the address answer and of ownership."""
+    """
+    Marks a host as shutting down.
+
+    Callers are no longer sent to it, and its resources move to other hosts.
+    """
 
     host: str
     session: int
 
 
 class ReleaseOwnership(Command, frozen=True, kw_only=True, tag=True):
-    """Hands a resource over; `level_tokens` is the level of a rate bucket."""
+    """
+    Gives up the ownership of a resource.
+
+    `level_tokens` is the fill level of a workspace's token bucket, with which the
+    next owner continues.
+    """
 
     host: str
     session: int
@@ -196,7 +217,7 @@
 
 
 class RecordIntent(Command, frozen=True, kw_only=True, tag=True):
-    """Records that a call that must not be repeated is about to leave."""
+    """Records in the ledger, before it is sent, a call that may run at most once."""
 
     workspace: str
     idempotency_key: str
@@ -207,9 +228,18 @@
 
 class RecordResult(Command, frozen=True, kw_only=True, tag=True):
     """
-    Records the result of a call, or with `not_run` that it never left.
+    Records the result of an at-most-once call in the ledger.
 
-    The intent is known by `intent_id`, the command id of its `RecordIntent`.
+    Parameters
+    ----------
+    workspace, idempotency_key : str
+        Key of the call in the ledger.
+    intent_id : str
+        `command_id` of the `RecordIntent` of this call.
+    status, content_type, body : int, str, bytes
+        The HTTP response.
+    not_run : bool
+        Whether no backend server ran the call, so that it may be retried.
     """
 
     workspace: str
@@ -222,7 +252,7 @@
 
 
 class ReportCrash(Command, frozen=True, kw_only=True, tag=True):
-    """Reports the requests that ran on an engine when it died."""
+    """Reports the fingerprints of the requests that ran on an engine as it crashed."""
 
     backend_server: str
     incarnation: int
@@ -230,13 +260,13 @@
 
 
 class SuspectCleared(Command, frozen=True, kw_only=True, tag=True):
-    """A suspect request ran to its end without a crash."""
+    """Clears a suspect fingerprint whose request completed without a crash."""
 
     fingerprint: str
 
 
 class AllocateFencingNumber(Command, frozen=True, kw_only=True, tag=True):
-    """Gives a cell's owner the next fencing number for orders."""
+    """Allocates the next fencing number, for an order of a cell's owner."""
 
     resource: str
     epoch: int
@@ -244,11 +274,11 @@
 
 
 class AdvanceTime(Command, frozen=True, kw_only=True, tag=True):
-    """Removes what has passed its retention at `at_ms`."""
+    """Advances the replicated clock and removes records that have expired by then."""
 
 
 class LedgerState(Enum):
-    """What is known of a call that must not be repeated."""
+    """State of an at-most-once call in the ledger."""
 
     NEW = "new"
     IN_PROGRESS = "in_progress"
@@ -257,7 +287,7 @@
 
 
 class LedgerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The ledger's answer to `RecordIntent`; only `NEW` allows the call."""
+    """The result of `RecordIntent`; the call may be sent only if it is `NEW`."""
 
     state: LedgerState
     status: int = 0
@@ -267,18 +297,18 @@
 
 class CommandResult(msgspec.Struct, frozen=True, omit_defaults=True):
     """
-    The result of a command after it was committed and applied.
+    The result of a committed and applied command.
 
     Parameters
     ----------
     failure : Failure or None
-        Why the command changed nothing.
+        Why the command was refused; it then changed nothing.
     index : int
         Index of the log entry.
     value : str
-        What the command created: a proposal, or a number in decimal.
+        What the command created: a proposal identifier, or a number in decimal.
     ledger : LedgerRecord or None
-        The answer to `RecordIntent`.
+        The result of `RecordIntent`.
     """
 
     failure: Failure | None = None
@@ -288,7 +318,24 @@
 
 
 class Session(msgspec.Struct, frozen=True):
-    """A live session of an entry host; `number` is its epoch."""
+    """
+    A live session of an entry host.
+
+    Parameters
+    ----------
+    host : str
+        Name of the entry host.
+    number : int
+        Session number; it grows with every session of the fleet.
+    incarnation : int
+        Identifies the process among those that ran on the host.
+    data_centre : str
+        Data centre of the host.
+    caller_address, peer_address : str
+        Addresses for callers and for other entry hosts.
+    draining : bool
+        Whether the host is shutting down.
+    """
 
     host: str
     number: int
@@ -301,22 +348,23 @@
 
 class Owner(msgspec.Struct, frozen=True):
     """
-    Who owns a resource.
+    The ownership of a resource by an entry host.
 
     Parameters
     ----------
     resource : str
         ``workspace/<name>`` or ``cell/<name>``.
     host : str
-        The owner; empty while nobody owns the resource.
+        The owner; empty while the resource has none.
     session : int
         Session of the owner.
     epoch : int
-        Grows with every change.
+        Increases with every change of the owner.
     level_tokens : float
-        Level of a rate bucket at the change; 0 after a crash.
+        Fill level of the token bucket that the previous owner handed over; 0 if it
+        crashed.
     moving_to : str
-        The host that is to get the resource once the owner has released it.
+        The host that becomes the owner once the present one releases the resource.
     """
 
     resource: str
@@ -328,7 +376,7 @@
 
 
 class FingerprintState(Enum):
-    """What is known of a request that was on a crashing engine."""
+    """State of the fingerprint of a request that ran on an engine as it crashed."""
 
     SUSPECT = "suspect"
     QUARANTINED = "quarantined"
@@ -336,15 +384,16 @@
 
 
 class FleetChange(msgspec.Struct, frozen=True, kw_only=True):
-    """A change of what entry hosts know of the fleet."""
+    """Base class of the changes to the entry hosts' view of the fleet."""
 
 
 class BundleActivated(FleetChange, frozen=True, kw_only=True, tag=True):
     """
-    A new version is in force, as the difference from `base_version`.
+    A new bundle version is active; carries the difference from `base_version`.
 
-    Each `removed` name is ``<field>/<identity>``, for example
-    ``keys/<digest>`` or ``routes/<service>/<path>``.
+    `upserted` holds the entries that are new or changed. Each name in `removed` is
+    ``<field>/<identity>``, for example ``keys/<digest>`` or
+    ``routes/<service>/<path>``.
     """
 
     version: int
@@ -355,9 +404,10 @@
 
 class RoutingTableActivated(FleetChange, frozen=True, kw_only=True, tag=True):
     """
-    A new routing table is in force, as the difference from the one before.
+    A new routing table is active; carries the difference from the previous one.
 
-    `changed` has its version and limits; each `removed` name is ``<field>/<name>``.
+    `changed` holds the new version and limits and the entries that are new or
+    changed. Each name in `removed` is ``<field>/<name>``.
     """
 
     changed: RoutingTable
@@ -365,13 +415,13 @@
 
 
 class KeyWithdrawn(FleetChange, frozen=True, kw_only=True, tag=True):
-    """A key stopped working."""
+    """An API key was revoked."""
 
     key_digest: str
 
 
 class SessionChanged(FleetChange, frozen=True, kw_only=True, tag=True):
-    """A session began or changed."""
+    """A session was opened or changed."""
 
     session: Session
 
@@ -384,14 +434,14 @@
 
 
 class OwnerChanged(FleetChange, frozen=True, kw_only=True, tag=True):
-    """A resource has a new owner, or is about to move, or is gone (`removed`)."""
+    """The owner of a resource or its successor changed, or the resource is removed."""
 
     owner: Owner
     removed: bool = False
 
 
 class DrainChanged(FleetChange, frozen=True, kw_only=True, tag=True):
-    """An operator started or ended the draining of a host or backend server."""
+    """An operator started or ended draining a host or a backend server."""
 
     target: DrainTarget
     name: str
@@ -439,18 +489,33 @@
 
 
 class FollowRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """What an entry host sends on its `Follow` stream."""
+    """Base class of the messages that an entry host sends on its `Follow` stream."""
 
 
 class OpenFollow(FollowRequest, frozen=True, kw_only=True, tag=True):
-    """Starts the stream; `index` is the last fleet index the host has seen."""
+    """Opens the stream; `index` is the fleet index up to which the host is current."""
 
     host: str
     index: int
 
 
 class RenewSession(FollowRequest, frozen=True, kw_only=True, tag=True):
-    """Asks for a renewal; `applied_index` and `version` report progress."""
+    """
+    Renews the lease of a session.
+
+    Parameters
+    ----------
+    host : str
+        Name of the entry host.
+    session : int
+        Number of the session.
+    sequence : int
+        Number of this renewal; `SessionRenewed` returns it.
+    applied_index : int
+        Fleet index that the host has applied.
+    version : int
+        Bundle version that the host uses.
+    """
 
     host: str
     session: int
@@ -461,14 +526,14 @@
 
 class InstanceLoad(msgspec.Struct, frozen=True, array_like=True):
     """
-    What is in flight on one backend server.
+    The load in flight on one backend server.
 
     Parameters
     ----------
     requests : int
-        Requests.
+        Number of requests.
     prompt_tokens : int
-        Prompt tokens that are still to be read.
+        Prompt tokens that are not prefilled yet.
     memory_tokens : int
         KV cache in use, in tokens.
     """
@@ -480,18 +545,18 @@
 
 class ReportLoad(FollowRequest, frozen=True, kw_only=True, tag=True):
     """
-    What changed on an entry host since its last report on this stream.
+    Reports what changed on an entry host since its last report on this stream.
 
     Parameters
     ----------
     load : dict of str to InstanceLoad
-        By backend server, what this host has in flight there now.
+        Present load of this host by instance, for instances whose load changed.
     usage : dict of str to float
-        By workspace, what was admitted since the last report.
+        Rate units admitted since the last report, by workspace.
     leaving : tuple of InstanceId
-        Backend servers that said in an answer that they leave.
+        Instances that announced in a response that they shut down.
     crashes : tuple of CrashNotice
-        Requests that ran on a backend server when it crashed.
+        Requests that ran on an instance as it crashed.
     """
 
     load: dict[str, InstanceLoad] = {}
@@ -504,11 +569,16 @@
 
 
 class FollowResponse(msgspec.Struct, frozen=True, kw_only=True):
-    """What the leader sends on a `Follow` stream."""
+    """Base class of the messages that the leader sends on a `Follow` stream."""
 
 
 class SessionRenewed(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """The renewal `sequence` was confirmed by a quorum after it arrived."""
+    """
+    Confirms the renewal `sequence`.
+
+    A quorum has confirmed the leader after the renewal arrived. The lease is valid
+    for `duration_s` from the time at which the host sent it.
+    """
 
     session: int
     sequence: int
@@ -516,13 +586,13 @@
 
 
 class SessionLost(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """The session is not live; the host must open a new one."""
+    """Reports that the session has ended; the host must open a new one."""
 
     session: int
 
 
 class FleetDelta(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """Changes that lead from fleet index `base_index` to `index`."""
+    """Changes of the fleet view from fleet index `base_index` to `index`."""
 
     base_index: int
     index: int
@@ -530,7 +600,7 @@
 
 
 class FleetSnapshot(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """The whole fleet view at `index`."""
+    """The complete fleet view at fleet index `index`."""
 
     index: int
     version: int
@@ -547,20 +617,21 @@
 
 class InstancesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
-    The leader has read the list of backend servers.
+    The result of the leader's latest read of the list of backend servers.
 
     Parameters
     ----------
     source : str
-        The reader; revisions of different readers cannot be compared.
+        Identifies the reader; only revisions of the same reader are comparable.
     revision : int
-        Number of the content; it grows with every change.
+        Revision of the list; it increases with every change.
     base_revision : int
-        The revision that `changed` and `removed` lead on from; 0 for all entries.
+        Revision to which `changed` and `removed` apply; 0 if `changed` is the complete
+        list.
     changed : tuple of BackendInstance
         Entries that are new or changed.
     removed : tuple of str
-        Names of entries that are gone.
+        Names of removed entries.
     """
 
     source: str
@@ -572,16 +643,16 @@
 
 class LoadSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
-    What changed on all other entry hosts together.
+    The sum of the changes on all other entry hosts.
 
     Parameters
     ----------
     load : dict of str to InstanceLoad
-        By backend server, what the others have in flight there now.
+        Present load of the other hosts by instance, for instances whose load changed.
     usage : dict of str to float
-        By workspace, what the others admitted since the last message.
+        Rate units that the other hosts admitted since the last message, by workspace.
     is_whole : bool
-        Whether `load` names all that the others have in flight.
+        Whether `load` is complete: instances that it does not name have no load.
     """
 
     load: dict[str, InstanceLoad] = {}
@@ -590,26 +661,26 @@
 
 
 class CrashesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """Requests that ran on a backend server when it crashed, as hosts report them."""
+    """Forwards the requests that entry hosts reported to have run during a crash."""
 
     crashes: tuple[CrashNotice, ...]
 
 
 class HostsNeeded(FollowResponse, frozen=True, kw_only=True, tag=True):
     """
-    How many entry hosts callers should be sent to.
+    The number of entry hosts over which callers should be spread.
 
     Parameters
     ----------
     by_data_centre : dict of str to int
-        Hosts that the requests of each data centre need.
+        Entry hosts that the load of each data centre requires.
     """
 
     by_data_centre: dict[str, int]
 
 
 class FollowRefused(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """The control host is not the leader; `failure.leader` may name it."""
+    """The control host is not the leader; `failure.leader` is its address, if known."""
 
     failure: Failure
 
--- a/src/damaskridge/model/control_status.py
+++ b/src/damaskridge/model/control_status.py
@@ -1,4 +1,4 @@
-"""What operators read of the control group."""
+"""Status of the control group and of the fleet, for operators."""
 
 import msgspec
 
@@ -10,27 +10,27 @@
 
 
 class StatusRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Asks for the status; `with_bundle` also for the content in force."""
+    """Requests the status; `with_bundle` also requests the active bundle."""
 
     with_bundle: bool = False
 
 
 class HostStatus(msgspec.Struct, frozen=True, kw_only=True):
     """
-    What an entry host last reported to this leader.
+    The progress that an entry host last reported to this leader.
 
     Parameters
     ----------
     host : str
-        The host.
+        Name of the host.
     session : int
-        Its session at the report.
+        Number of its session at that time.
     version : int
-        The bundle version that it has in force.
+        Bundle version that the host uses.
     applied_index : int
-        Index of its fleet view.
+        Fleet index that the host has applied.
     reached_at_ms : int
-        The leader's wall clock when it first reported `version`.
+        Wall clock of the leader when the host first reported `version`.
     """
 
     host: str
@@ -41,7 +41,7 @@
 
 
 class ProposalStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A proposal that is not in force yet; `signed_off_by` may be empty."""
+    """A pending proposal; `signed_off_by` is empty until it is signed off."""
 
     proposal: str
     proposer: str
@@ -50,13 +50,17 @@
 
 class FleetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """
-    The state as confirmed by a quorum, or with `failure` nothing else.
+    The status of the fleet, confirmed by a quorum.
+
+    If `failure` is set, all other fields have their defaults.
 
     Parameters
     ----------
+    failure : Failure or None
+        Why the status cannot be read.
     activated_at_ms : int
-        The leader's wall clock when it applied the version in force; 0 if it
-        applied it before it led.
+        Wall clock of the leader when it applied the active version; 0 if it applied
+        the version before it became leader.
     """
 
     failure: Failure | None = None
--- a/src/damaskridge/model/engine.py
+++ b/src/damaskridge/model/engine.py
@@ -1,7 +1,7 @@
-"""Operations of model engines, as the system sees them.
+"""Requests, responses and orders of the HTTP interface of model engines.
 
-The text of a prompt is cut into blocks of `PREFIX_BLOCK_BYTES`; engines name
-cached prefixes by the chained hashes of these blocks.
+A prompt is split into blocks of `PREFIX_BLOCK_BYTES`. Engines identify a cached prefix
+by the chained hashes of its blocks, so that each hash covers all blocks before it.
 
 >>> a, b = prefix_block_hashes("x" * 512)
 >>> prefix_block_hashes("x" * 300) == (a,)
@@ -33,12 +33,13 @@
     "prefix_block_hashes",
 ]
 
+# Average for estimates without a tokenizer.
 BYTES_PER_TOKEN = 4
 PREFIX_BLOCK_BYTES = 256
 
 
 class EnginePhase(Enum):
-    """Where an engine is with a request."""
+    """Phase of a request on an engine."""
 
     QUEUED = "queued"
     PREFILLING = "prefilling"
@@ -50,7 +51,7 @@
 
 class PrefillRequest(msgspec.Struct, frozen=True):
     """
-    Computes a prompt's KV cache and keeps it for export.
+    Requests an engine to compute the KV cache of a prompt and keep it for export.
 
     Parameters
     ----------
@@ -59,7 +60,7 @@
     model : str
         Name of the model.
     prompt : str
-        The whole prompt, including output of earlier attempts.
+        The complete prompt, including the output of earlier attempts.
     priority : int
         Smaller numbers run first.
     """
@@ -71,7 +72,24 @@
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
-    """The exported KV cache; the engine evicts it after `hold_ms`."""
+    """
+    The KV cache that a prefill has made available for export.
+
+    Parameters
+    ----------
+    engine_request_id : str
+        Identifier of the prefill.
+    prompt_tokens : int
+        Length of the prompt.
+    cached_tokens : int
+        Tokens of the prompt that were already in the engine's prefix cache.
+    kv_pieces : int
+        Size of the KV cache in blocks.
+    kv_bytes : int
+        Size of the KV cache in bytes.
+    hold_ms : int
+        Time after which the engine evicts the KV cache.
+    """
 
     engine_request_id: str
     prompt_tokens: int
@@ -83,7 +101,7 @@
 
 class DecodeRequest(msgspec.Struct, frozen=True):
     """
-    Imports an exported KV cache and generates output.
+    Requests an engine to import an exported KV cache and generate output.
 
     Parameters
     ----------
@@ -96,7 +114,7 @@
     first_offset : int
         Offset of the first token that this attempt generates.
     max_output_tokens : int
-        Most tokens that this attempt may generate.
+        Maximum number of tokens that this attempt generates.
     priority : int
         Smaller numbers run first.
     """
@@ -110,7 +128,7 @@
 
 
 class DecodeChunk(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One output token at `offset`; the last chunk has a finish reason, no text."""
+    """One output token at `offset`; the last chunk has only a finish reason."""
 
     offset: int
     text: str = ""
@@ -118,7 +136,20 @@
 
 
 class EngineRequestStatus(msgspec.Struct, frozen=True):
-    """One entry of an engine's own list of requests."""
+    """
+    One request in the list that an engine keeps of its requests.
+
+    Parameters
+    ----------
+    engine_request_id : str
+        Text of an `EngineRequestId`.
+    phase : EnginePhase
+        Phase of the request.
+    kv_pieces : int
+        KV cache in use, in blocks.
+    next_offset : int
+        Offset of the next output token.
+    """
 
     engine_request_id: str
     phase: EnginePhase
@@ -128,24 +159,24 @@
 
 class LoadReport(msgspec.Struct, frozen=True):
     """
-    An engine's load some time ago.
+    The load of an engine, as measured `age_s` ago.
 
     Parameters
     ----------
     incarnation : int
-        Changes when the engine's process restarts.
+        Identifies the process; it changes with every restart.
     age_s : float
-        How old the numbers are.
+        Age of the measurement, in seconds.
     running : int
-        Requests that run.
+        Number of running requests.
     queued_prefill_tokens : int
-        Prompt tokens not yet computed.
+        Prompt tokens that are not prefilled yet.
     free_kv_pieces : int
-        Free KV memory.
+        Free KV cache, in blocks.
     role : str
-        The role that the engine has now.
+        Present role of the engine.
     models : tuple[str, ...]
-        Models that are loaded.
+        Loaded models.
     """
 
     incarnation: int
@@ -158,7 +189,7 @@
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """A prefix block that entered (`cached`) or left an engine's cache."""
+    """A prefix block was added to (`cached`) or evicted from an engine's cache."""
 
     sequence: int
     block_hash: int
@@ -166,14 +197,14 @@
 
 
 class CacheEventPage(msgspec.Struct, frozen=True):
-    """Cache events after a sequence number; `gap` if some were lost."""
+    """Cache events after a sequence number; `gap` is set if events were lost."""
 
     events: tuple[CacheEvent, ...]
     gap: bool = False
 
 
 class OrderKind(Enum):
-    """What an order changes on an engine."""
+    """The change that an order makes to an engine."""
 
     LOAD_MODEL = "load_model"
     LOAD_ADAPTER = "load_adapter"
@@ -181,7 +212,20 @@
 
 
 class Order(msgspec.Struct, frozen=True):
-    """An order to an engine; engines that check refuse an old fencing number."""
+    """
+    An order to an engine.
+
+    Parameters
+    ----------
+    kind : OrderKind
+        The change to make.
+    value : str
+        Name of the model, adapter or role.
+    fencing_number : int
+        Number that increases with every order of a cell. An engine that checks it
+        refuses orders with a lower number than it has accepted, which come from an
+        earlier owner of the cell.
+    """
 
     kind: OrderKind
     value: str
@@ -189,12 +233,12 @@
 
 
 def estimate_tokens(text: str) -> int:
-    """Return the estimated number of tokens of `text`, rounded up."""
+    """Estimate the number of tokens of `text`, rounded up."""
     return -(-len(text.encode()) // BYTES_PER_TOKEN)
 
 
 def prefix_block_hashes(text: str) -> tuple[int, ...]:
-    """Return the chained 64-bit hashes of the whole blocks of `text`."""
+    """Return the chained 64-bit hashes of the complete blocks of `text`."""
     data = text.encode()
     hashes: list[int] = []
     chain = b""
--- a/src/damaskridge/model/errors.py
+++ b/src/damaskridge/model/errors.py
@@ -1,4 +1,7 @@
-"""The closed list of error kinds and the table from kind to answer."""
+"""Error kinds of requests and commands, with the HTTP status of each.
+
+The list is closed; `ERROR_SPECS` has an entry for every kind.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -9,7 +12,7 @@
 
 
 class RunState(Enum):
-    """Whether the request behind a failure was run by a backend server."""
+    """Whether a backend server ran the request that failed."""
 
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -17,9 +20,9 @@
 
 
 class ErrorKind(Enum):
-    """Every reason for which a request or a command fails."""
+    """Reason for which a request or a command fails."""
 
-    # Mistakes of a caller
+    # Errors of callers
     INVALID_JSON = "invalid_json"
     INVALID_ENCODING = "invalid_encoding"
     INVALID_REQUEST = "invalid_request"
@@ -40,10 +43,10 @@
     INVALID_OFFSET = "invalid_offset"
     REQUEST_QUARANTINED = "request_quarantined"
     CALLER_TOO_SLOW = "caller_too_slow"
-    # Limits and load
+    # Rate limits and overload
     RATE_EXCEEDED = "rate_exceeded"
     OVERLOADED = "overloaded"
-    # The fleet
+    # State of the fleet
     LEASE_EXPIRED = "lease_expired"
     OWNER_UNAVAILABLE = "owner_unavailable"
     NO_BACKEND_SERVER = "no_backend_server"
@@ -58,7 +61,7 @@
     SESSION_ENDED = "session_ended"
     EPOCH_CONFLICT = "epoch_conflict"
     INTERNAL = "internal"
-    # Mistakes of an operator
+    # Errors of operators
     UNKNOWN_OPERATOR = "unknown_operator"
     INVALID_BUNDLE = "invalid_bundle"
     INVALID_SETTINGS = "invalid_settings"
@@ -72,7 +75,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ErrorSpec:
-    """The HTTP status and the default run state of one error kind."""
+    """
+    Properties of an error kind.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the response.
+    run_state : RunState
+        Run state of a failure that does not carry its own.
+    retryable : bool
+        Whether a retry of the same request may succeed.
+    """
 
     status: int
     run_state: RunState
@@ -133,16 +147,16 @@
 
 class Failure(msgspec.Struct, frozen=True, omit_defaults=True):
     """
-    A failed request or command, with what the other side needs to act on it.
+    The failure of a request or command, as reported to its sender.
 
     Parameters
     ----------
     kind : ErrorKind
-        The reason.
+        Reason of the failure.
     detail : str
-        One line that names the offending value. Never a key or a prompt.
+        One line that names the offending value; never contains a key or a prompt.
     run_state : RunState or None
-        Overrides the default of `ERROR_SPECS` where more is known.
+        Overrides the run state of `ERROR_SPECS` if the sender knows it.
     retry_after_s : float or None
         Time after which a retry may succeed, in seconds.
     leader : str
@@ -157,10 +171,10 @@
 
     @property
     def final_run_state(self) -> RunState:
-        """The run state, from this failure or else from the table."""
+        """The run state of this failure, or else the default of its kind."""
         return self.run_state or ERROR_SPECS[self.kind].run_state
 
     @property
     def status(self) -> int:
-        """The HTTP status of the answer."""
+        """The HTTP status of the response."""
         return ERROR_SPECS[self.kind].status
--- a/src/damaskridge/model/events.py
+++ b/src/damaskridge/model/events.py
@@ -1,4 +1,4 @@
-"""Numbers of the events in the log of every process; see docs/events.md.
+"""Numbers of the log events of all processes; docs/events.md describes them.
 
 Ranges: 1000 process, 2000 control group, 3000 control state, 4000 sessions and
 ownership, 5000 requests, 6000 scheduling, 7000 backend servers, 8000 operators.
@@ -10,7 +10,7 @@
 
 
 class EventNumber(IntEnum):
-    """Every event that a process logs."""
+    """Number that identifies a kind of log event."""
 
     PROCESS_STARTED = 1000
     PROCESS_READY = 1001
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -1,6 +1,7 @@
-"""What entry hosts need to forward opaque requests: routes, services, workspaces.
+"""The routing table and the list of backend servers of the gateway.
 
-A routing table is complete in itself. The one with the highest version is in force.
+The gateway forwards requests without decoding their bodies. A routing table is
+self-contained; the one with the highest version is active.
 """
 
 from enum import Enum
@@ -25,7 +26,7 @@
 
 
 class RouteKind(Enum):
-    """How often a request may run, and what its answer is."""
+    """Whether requests of a route may run repeatedly, and whether they stream."""
 
     REPEATABLE = "repeatable"
     AT_MOST_ONCE = "at_most_once"
@@ -33,14 +34,14 @@
 
 
 class EngineStage(Enum):
-    """The half of a generation that a model engine runs."""
+    """The stage of a generation that a model engine runs."""
 
     PREFILL = "prefill"
     DECODE = "decode"
 
 
 class RouteTarget(msgspec.Struct, frozen=True):
-    """A service that gets a share of a route's requests."""
+    """A service that receives a weighted share of the requests of a route."""
 
     service: str
     weight: int = 1
@@ -48,32 +49,35 @@
 
 class GatewayRoute(msgspec.Struct, frozen=True, kw_only=True):
     """
-    Requests of one host name below one path.
+    A route for the requests to one host name below one path.
 
     Parameters
     ----------
     name : str
         Unique name.
     host_name, path_prefix : str
-        What selects the route; the prefix begins and ends with a slash.
+        Requests that the route matches; the prefix begins and ends with a slash.
     kind : RouteKind
-        How often a request may run.
+        Whether requests may run repeatedly, and whether they stream.
     timeout_ms : int
-        Longest time until the final answer, in milliseconds.
+        Timeout of the complete response, in milliseconds.
     objective_ms : int
-        Time within which an answer is on time; for a stream, its first event.
+        Service level objective for the response, or for the first event of a stream,
+        in milliseconds.
     priority : int
-        Rank of the requests; 0 is the most urgent.
+        Priority of the requests; 0 is the most urgent.
     targets : tuple of RouteTarget
-        The services with their weights.
+        Services that receive the requests, with their weights.
     attempts : int
-        Most backend servers that may run one request.
+        Maximum number of backend servers that may run one request; a server that
+        refuses it without running it does not count.
     is_public : bool
-        Whether a request needs no key.
+        Whether requests are accepted without an API key.
     is_resumable : bool
-        Whether a stream may be continued on another backend server.
+        Whether an interrupted stream may continue on another backend server.
     event_gap_ms : int
-        Longest pause between the events of a stream that is on time.
+        Service level objective for the time between two events of a stream, in
+        milliseconds.
     """
 
     name: str
@@ -92,20 +96,20 @@
 
 class EngineTraits(msgspec.Struct, frozen=True, kw_only=True):
     """
-    What the model engines of one service have in common.
+    Capacity and timing that all model engines of one service share.
 
     Parameters
     ----------
     slots : int
-        Requests that an engine runs at the same time.
+        Maximum number of concurrent requests.
     memory_tokens : int
-        Tokens of KV cache that an engine holds.
+        Size of the KV cache, in tokens.
     handle_s : float
-        How long an exported KV cache waits to be imported, in seconds.
+        Time for which an engine keeps an exported KV cache for import, in seconds.
     reservation_s : float
-        Longest reservation of decode room, in seconds.
+        Maximum duration of a reservation on a decode engine, in seconds.
     steps_per_event : float
-        Steps of an engine that one event of a stream covers.
+        Decode steps per event of a stream.
     """
 
     slots: int
@@ -116,7 +120,21 @@
 
 
 class GatewayService(msgspec.Struct, frozen=True, kw_only=True):
-    """A service with interchangeable backend servers; `engine` is set for models."""
+    """
+    A service, which is run by interchangeable backend servers.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    health_path : str
+        Path of the health check; empty for none.
+    connections : int
+        Maximum number of connections that one backend server accepts from all callers
+        together; 0 if unknown.
+    engine : EngineTraits or None
+        Set if the backend servers are model engines.
+    """
 
     name: str
     health_path: str = ""
@@ -125,7 +143,7 @@
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller may send, and how long it may take."""
+    """Size limits and timeouts for the requests of callers."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -135,22 +153,23 @@
 
 class GatewayWorkspace(msgspec.Struct, frozen=True, kw_only=True):
     """
-    A workspace with its keys and its rate.
+    A workspace with its API keys and rate limit.
 
     Parameters
     ----------
     name : str
         Unique name.
     key_digests : tuple of str
-        SHA-256 of each key, in hexadecimal.
+        SHA-256 of each API key, in hexadecimal.
     priority : int or None
-        Rank of its requests in place of the route's.
+        Priority of its requests; overrides the priority of the route.
     counts_tokens : bool
-        Whether the rate counts tokens in place of requests.
+        Whether the rate limit counts tokens instead of requests.
     plain_tokens : int
-        Tokens that a request counts which names none.
+        Tokens charged for a request that does not state its size.
     rate_per_s, burst : float
-        Limit over all hosts together; 0 for none.
+        Refill rate and capacity of the token bucket, over all hosts together; 0 for
+        no limit.
     """
 
     name: str
@@ -163,7 +182,7 @@
 
 
 class RoutingTable(msgspec.Struct, frozen=True, kw_only=True):
-    """One complete version; version 0 is the empty table before the first."""
+    """A complete routing table; version 0 is the initial empty one."""
 
     version: int = 0
     routes: tuple[GatewayRoute, ...] = ()
@@ -173,14 +192,23 @@
 
 
 class InstanceId(msgspec.Struct, frozen=True, array_like=True):
-    """One start of a backend server."""
+    """
+    Identifies an instance: one run of the process of a backend server.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance; a restarted process may keep it.
+    started_ms : int
+        Unix time of the start, in milliseconds; 0 if unknown.
+    """
 
     instance: str
     started_ms: int = 0
 
 
 class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
-    """A request, by its fingerprint, that ran on a server when that crashed."""
+    """The fingerprint of a request that ran on an instance as it crashed."""
 
     fingerprint: str
     server: InstanceId
@@ -188,26 +216,27 @@
 
 class BackendInstance(msgspec.Struct, frozen=True, kw_only=True):
     """
-    One start of a backend server, as the list of backend servers shows it.
+    An instance, as the list of backend servers describes it.
 
     Parameters
     ----------
     instance : str
-        Name of this start; a restarted process mostly has another.
+        Name of the instance; a restarted process usually has a new one.
     service : str
-        The service it belongs to.
+        Service that the instance runs.
     address : str
-        ``ip:port``; used again by other instances after this one has gone.
+        ``ip:port``; later instances may reuse it.
     data_centre : str
-        Where it stands.
+        Data centre of the instance.
     slots : int
-        Requests that it runs at the same time.
+        Maximum number of concurrent requests.
     is_leaving : bool
-        Whether it must get no new work.
+        Whether the instance shuts down and must receive no new requests.
     stage : EngineStage or None
-        The stage of a model engine.
+        Stage that a model engine runs; None for a service.
     started_ms : int
-        Unix time of this start, because a restart may keep the name; 0 if unknown.
+        Unix time of the start, in milliseconds; 0 if unknown. It distinguishes
+        instances if a restart keeps the name.
     """
 
     instance: str
@@ -221,11 +250,11 @@
 
     @property
     def instance_id(self) -> InstanceId:
-        """The name and time of this start."""
+        """The identity of the instance, distinct after a restart."""
         return InstanceId(self.instance, self.started_ms)
 
 
 class InstanceList(msgspec.Struct, frozen=True, kw_only=True):
-    """All usable entries of the list of backend servers, read at one time."""
+    """The usable entries of the list of backend servers, from one read."""
 
     instances: tuple[BackendInstance, ...] = ()
--- a/src/damaskridge/model/ids.py
+++ b/src/damaskridge/model/ids.py
@@ -1,4 +1,4 @@
-"""Identifiers that name the host and the process that created them.
+"""Identifiers of requests, unique across hosts and restarts without coordination.
 
 >>> request_id = RequestId("entry-1", 0x1F, 7)
 >>> str(request_id)
@@ -20,16 +20,16 @@
 @dataclass(frozen=True, slots=True)
 class RequestId:
     """
-    One request of a caller.
+    Identifies one request of a caller.
 
     Parameters
     ----------
     host : str
-        The entry host that accepted the request.
+        Name of the entry host that accepted the request.
     incarnation : int
-        Distinguishes processes that ran on the same host one after another.
+        Identifies the process among those that ran on the host.
     sequence : int
-        Counts the requests of that process.
+        Number of the request in that process.
     """
 
     host: str
@@ -41,7 +41,7 @@
 
     @classmethod
     def parse(cls, text: str) -> "RequestId":
-        """Return the identifier that `text` spells; `ValueError` if none."""
+        """Parse the text form; raises `ValueError` if it is malformed."""
         match = _REQUEST_ID.fullmatch(text)
         if match is None:
             raise ValueError(f"not a request id: {text[:80]!r}")
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineRequestId:
-    """One attempt at a request on an engine; a retry gets the next number."""
+    """Identifies one attempt to run a request on an engine; retries count up."""
 
     request_id: RequestId
     attempt: int
@@ -61,7 +61,7 @@
 
     @classmethod
     def parse(cls, text: str) -> "EngineRequestId":
-        """Return the identifier that `text` spells; `ValueError` if none."""
+        """Parse the text form; raises `ValueError` if it is malformed."""
         head, _, attempt = text.rpartition(".")
         if not attempt.isdecimal():
             raise ValueError(f"not an engine request id: {text[:80]!r}")
--- a/src/damaskridge/model/routing.py
+++ b/src/damaskridge/model/routing.py
@@ -1,4 +1,8 @@
-"""What a front, a rate owner and a cell owner tell each other."""
+"""Messages between the front of a request, its rate owner and its cell owner.
+
+The front is the entry host to which the caller is connected. The rate owner enforces
+the rate limit of the workspace, and the cell owner schedules the backend servers.
+"""
 
 from enum import Enum
 
@@ -27,7 +31,7 @@
 
 
 class RequestPhase(Enum):
-    """Where a front is with a request."""
+    """Phase of a request, as its front sees it."""
 
     QUEUED = "queued"
     PREFILLING = "prefilling"
@@ -39,26 +43,26 @@
 
 class RateRequest(msgspec.Struct, frozen=True, kw_only=True):
     """
-    Asks the rate owner to admit a request.
+    Requests the rate owner to admit a request.
 
     Parameters
     ----------
     resource, epoch : str, int
-        The ownership that the front knows; an owner refuses another epoch.
+        Ownership that the front knows; the owner refuses a different epoch.
     workspace : str
-        Who pays.
+        Workspace that is charged.
     request_id : str
-        The request; the same id is charged once.
+        Identifier of the request; it is charged once, also if the message is retried.
     front : str
-        The host that asks.
+        Host that sends the message.
     cost_tokens : int
-        Prompt tokens plus the most output tokens.
+        Prompt tokens plus the maximum number of output tokens.
     idempotency_key : str
-        The caller's key, or empty.
+        The caller's idempotency key, or empty.
     body_digest : str
-        Digest of the request's body, to refuse the same key with another body.
+        Digest of the request body, to refuse the same key with a different body.
     wait_s : float
-        Longest time for which the front is ready to wait.
+        Maximum time for which the owner may queue the request, in seconds.
     """
 
     resource: str
@@ -74,19 +78,19 @@
 
 class RateGrant(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """
-    The request is within rate and burst.
+    Admits a request within the rate limit.
 
     Parameters
     ----------
     request_id : str
-        The request.
+        Identifier of the request.
     epoch : int
-        Epoch of the owner that granted.
+        Epoch of the owner that admitted it.
     valid_for_s : float
         The front may start the request until this long after it *sent* the
         `RateRequest`, plus `waited_s`.
     waited_s : float
-        How long the owner held the request before it granted.
+        Time for which the owner queued the request, in seconds.
     """
 
     request_id: str
@@ -96,7 +100,7 @@
 
 
 class Duplicate(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Another request with the same idempotency key exists, on `front`."""
+    """Refers to an earlier request with the same idempotency key, on `front`."""
 
     request_id: str
     front: str
@@ -104,7 +108,7 @@
 
 
 class Refused(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """The request was refused."""
+    """Refuses a request."""
 
     request_id: str
     failure: Failure
@@ -114,7 +118,7 @@
 
 
 class Refund(msgspec.Struct, frozen=True, kw_only=True):
-    """Gives back tokens that were granted in the same epoch but not used."""
+    """Returns unused tokens, which count only in the epoch that granted them."""
 
     resource: str
     epoch: int
@@ -125,43 +129,43 @@
 
 class RequestProfile(msgspec.Struct, frozen=True, kw_only=True):
     """
-    What the cell owner knows of a request; nothing here is set by the caller alone.
+    A request for the cell owner to schedule; no field is set by the caller alone.
 
     Parameters
     ----------
     resource, epoch : str, int
-        The ownership that the front knows.
+        Ownership that the front knows.
     request_id : str
-        The request.
+        Identifier of the request.
     attempt : int
         Number of this attempt on engines, from 1.
     workspace : str
-        Whose request it is.
+        Workspace of the caller.
     front : str
-        The host that runs the request.
+        Host that the caller is connected to.
     incarnation : int
-        The front's process.
+        Identifies the process of the front.
     route : str
-        Path by which the request came.
+        Path of the caller's request.
     model : str
-        Model, or name of the plain service.
+        Name of the model or plain service.
     prompt_tokens : int
         Estimated length of the prompt.
     max_output_tokens : int
-        Most output tokens.
+        Maximum number of output tokens.
     prefix_hashes : tuple[int, ...]
         `prefix_block_hashes` of the prompt.
     fingerprint : str
-        Digest of the model and the prompt, to find requests that crash engines.
+        Digest of the model and the prompt, to detect requests that crash engines.
     suspect : bool
-        Whether the fingerprint was on an engine that crashed.
+        Whether a request with this fingerprint ran on an engine as it crashed.
     waited_s : float
-        Time since the front accepted the request.
+        Time since the front accepted the request, in seconds.
     excluded : tuple[str, ...]
         Backend servers that failed an earlier attempt.
     crashed_server : str
-        Backend server that broke off under the attempt before this one. The report
-        of that attempt may arrive after this profile.
+        Backend server that was lost during the previous attempt. It is repeated here
+        because the `Progress` of that attempt may arrive later than this profile.
     """
 
     resource: str
@@ -185,25 +189,26 @@
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """
-    Where a request runs; decode memory, slot and link are reserved.
+    Assigns a request to engines.
 
-    For a plain service `prefill_server` is empty and `decode_server` is the
-    instance.
+    Memory and a slot on the decode engine and time on the link are reserved for it.
+    For a plain service, `prefill_server` is empty and `decode_server` runs the call.
 
     Parameters
     ----------
     request_id, attempt : str, int
-        The attempt that was placed.
+        Attempt that is placed.
     epoch : int
         Epoch of the cell owner.
     prefill_server, prefill_address : str
-        Engine that prefills.
+        Engine that runs the prefill.
     decode_server, decode_address : str
-        Engine that decodes.
+        Engine that runs the decode.
     priority : int
-        Priority for the engines; smaller runs first.
+        Priority on the engines; smaller numbers run first.
     transfer_deadline_s : float
-        Longest time from the end of prefill to the first decoded token.
+        Timeout from the end of the prefill to the first decoded token, which covers
+        the transfer of the KV cache, in seconds.
     """
 
     request_id: str
@@ -222,11 +227,27 @@
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """
-    How far one attempt is; a finished or cancelled phase ends it.
+    Reports the progress of one attempt; it ends with `FINISHED` or `CANCELLED`.
 
-    `crashed` tells that `failed_server` broke off while it may have run the attempt;
-    then `fingerprint` is the request's, and `suspect` that of the attempt's profile.
-    `age_s` is the time since then, for a report that is sent again.
+    Parameters
+    ----------
+    request_id, attempt : str, int
+        The attempt.
+    phase : RequestPhase
+        Present phase.
+    output_tokens : int
+        Number of output tokens so far.
+    first_token_s : float or None
+        Time to the first token, in seconds, if there is one.
+    failed_server : str
+        Backend server that failed the attempt, or empty.
+    crashed : bool
+        Whether the connection to `failed_server` was lost while it may have been
+        running the attempt.
+    fingerprint, suspect : str, bool
+        If `crashed` is set, the values of the profile of the attempt.
+    age_s : float
+        Time since the loss of the server, in seconds, if the report is retried.
     """
 
     request_id: str
@@ -242,7 +263,7 @@
 
 
 class ProgressBatch(msgspec.Struct, frozen=True, kw_only=True):
-    """Progress of all requests of one front in one cell; also a heartbeat."""
+    """Reports all requests of one front in one cell; also serves as a heartbeat."""
 
     resource: str
     epoch: int
@@ -252,7 +273,7 @@
 
 
 class ActiveRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A running request that its front registers with a new cell owner."""
+    """Registers a running request of a front with a new cell owner."""
 
     profile: RequestProfile
     placement: Placement
@@ -261,7 +282,7 @@
 
 
 class Withdraw(msgspec.Struct, frozen=True, kw_only=True):
-    """The front gives up a request that may still be queued."""
+    """Cancels a request, which may still be queued by the cell owner."""
 
     resource: str
     epoch: int
@@ -269,7 +290,7 @@
 
 
 class TakeOver(msgspec.Struct, frozen=True, kw_only=True):
-    """Another front asks to continue a request whose front is gone."""
+    """Requests to continue on another front a request whose front is lost."""
 
     resource: str
     epoch: int
@@ -280,7 +301,7 @@
 
 
 class TakeOverResponse(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """What the new front needs, or why it may not continue."""
+    """The request to continue, or why the new front must not continue it."""
 
     failure: Failure | None = None
     active: ActiveRequest | None = None
--- a/tests/model/test_control.py
+++ b/tests/model/test_control.py
@@ -1,4 +1,7 @@
-"""Commands and changes on the wire: a lost type tag would corrupt the log."""
+"""Tests the encoding of commands and fleet changes.
+
+Guards against a missing type tag, with which log entries could not be decoded.
+"""
 
 import msgspec
 
@@ -12,7 +15,7 @@
 )
 
 
-def test_commands_keep_their_type():
+def test_command_type_survives_encoding():
     command = RollBundle(
         command_id="c1", operator="ana", proposal="p1", expected_version=3
     )
@@ -20,7 +23,7 @@
     assert msgspec.msgpack.decode(data, type=AnyCommand) == command
 
 
-def test_deltas_keep_the_type_of_each_change():
+def test_change_type_survives_encoding_in_a_delta():
     bundle = Bundle(workspaces=(Workspace("notes", 100.0, 500.0),))
     change = BundleActivated(version=2, base_version=1, upserted=bundle)
     delta = FleetDelta(base_index=1, index=2, changes=(change,))
