--- a/src/damaskridge/platform/apps.py
+++ b/src/damaskridge/platform/apps.py
@@ -1,4 +1,4 @@
-"""What the platform calls: the directory, readiness, and the operators' API."""
+"""HTTP applications that the platform calls: directory, readiness and operators."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any, Protocol
@@ -11,97 +11,103 @@
 from damaskridge.model.gateway import RoutingTable
 from damaskridge.platform.config_document import decode_document
 
-__all__ = ["RoutingPort", "directory_app", "operators_app", "ready_app"]
+__all__ = ["RoutingTableStore", "directory_app", "operators_app", "ready_app"]
 
-Message = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
-AsgiApp = Callable[[Message, Receive, Send], Awaitable[None]]
+AsgiMessage = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[AsgiMessage]]
+Send = Callable[[AsgiMessage], Awaitable[None]]
+AsgiApp = Callable[[AsgiMessage, Receive, Send], Awaitable[None]]
 
-DOCUMENT_BYTES = 16_777_216
+MAX_DOCUMENT_BYTES = 16_777_216
 
-_JSON = [(b"content-type", b"application/json")]
+_JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-class RoutingPort(Protocol):
-    """The routing table as operators see it."""
+class RoutingTableStore(Protocol):
+    """The replicated routing table, as the operators' application uses it."""
 
     async def publish(self, table: RoutingTable, source: bytes) -> Result[int, Failure]:
-        """Put a table in force; returns the version in force."""
+        """Activate a table, and return the version that is active afterwards."""
         ...
 
     async def read(self) -> Result[bytes, Failure]:
-        """Return the document in force, as a quorum confirms it; empty if none."""
+        """
+        Return the active document, or an empty one if there is none yet.
+
+        A quorum confirms that no newer document is active.
+        """
         ...
 
     def leader_ip(self) -> str:
-        """Return the address of the leader's machine, empty if it is unknown."""
+        """Return the IP address of the leader's host; empty if it is unknown."""
         ...
 
 
 class _Addresses(msgspec.Struct, rename="pascal"):
-    # Addresses of entry hosts for callers, of at most 64 hosts.
+    # Caller addresses of at most 64 entry hosts.
     addresses: list[str]
-    # How long the answer may be kept, in seconds.
+    # Time for which callers may cache the response, in seconds.
     ttl_s: float
 
 
 def directory_app(addresses: Callable[[str], list[str]], ttl_s: float) -> AsgiApp:
     """
-    Return the application that tells callers where to connect.
+    Return the application that resolves the addresses of entry hosts for callers.
 
     Parameters
     ----------
     addresses : callable
-        Returns the addresses for a data centre.
+        Returns the addresses for callers in a given data centre.
     ttl_s : float
-        How long callers may keep an answer, in seconds.
+        Time for which callers may cache a response, in seconds.
     """
 
-    async def app(scope: Message, receive: Receive, send: Send) -> None:
+    async def app(scope: AsgiMessage, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
         if scope["path"] != "/api/resolve" or scope["method"] != "GET":
-            await _answer(send, 404)
+            await _respond(send, 404)
             return
         query = parse_qs(bytes(scope["query_string"]).decode("latin-1"))
         found = addresses(query.get("Zone", [""])[0])
         if not found:
-            await _answer(send, 503)
+            await _respond(send, 503)
             return
         body = msgspec.json.encode(_Addresses(found, ttl_s))
-        await _answer(send, 200, body, _JSON)
+        await _respond(send, 200, body, _JSON_HEADERS)
 
     return app
 
 
 def ready_app(is_ready: Callable[[], bool]) -> AsgiApp:
-    """Return the application that answers whether this entry host is ready."""
+    """Return the application for the readiness probe of this entry host."""
 
-    async def app(scope: Message, receive: Receive, send: Send) -> None:
+    async def app(scope: AsgiMessage, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
         if scope["path"] != "/api/ready":
-            await _answer(send, 404)
+            await _respond(send, 404)
             return
-        await _answer(send, 200 if is_ready() else 503)
+        await _respond(send, 200 if is_ready() else 503)
 
     return app
 
 
-def operators_app(routing: RoutingPort, control_port: int) -> AsgiApp:
+def operators_app(routing: RoutingTableStore, control_port: int) -> AsgiApp:
     """
-    Return the application for operators.
+    Return the application through which operators write and read the configuration.
 
     Parameters
     ----------
-    routing : RoutingPort
+    routing : RoutingTableStore
         The replicated routing table.
     control_port : int
         The port of this application on every control host.
     """
 
-    def refusal(failure: Failure) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    def failure_response(
+        failure: Failure,
+    ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
         ip = routing.leader_ip()
         if failure.kind is ErrorKind.NOT_LEADER and ip:
             location = f"http://{ip}:{control_port}/api/config".encode()
@@ -110,8 +116,10 @@
             return 400, failure.detail.encode(), []
         return failure.status, failure.detail.encode(), []
 
-    async def put(receive: Receive) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
-        body = await _body(receive)
+    async def put_document(
+        receive: Receive,
+    ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+        body = await _read_body(receive)
         if body is None:
             return 413, b"", []
         decoded = decode_document(body)
@@ -119,46 +127,46 @@
             return 400, decoded.unwrap_err().encode(), []
         published = await routing.publish(decoded.unwrap(), body)
         if published.is_err():
-            return refusal(published.unwrap_err())
-        return 200, b"{}", _JSON
+            return failure_response(published.unwrap_err())
+        return 200, b"{}", _JSON_HEADERS
 
-    async def get() -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    async def get_document() -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
         document = await routing.read()
         if document.is_err():
-            return refusal(document.unwrap_err())
+            return failure_response(document.unwrap_err())
         if not document.unwrap():
             return 503, b"no configuration yet", []
-        return 200, document.unwrap(), _JSON
+        return 200, document.unwrap(), _JSON_HEADERS
 
-    async def app(scope: Message, receive: Receive, send: Send) -> None:
+    async def app(scope: AsgiMessage, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
         if scope["path"] != "/api/config":
-            await _answer(send, 404)
+            await _respond(send, 404)
         elif scope["method"] == "PUT":
-            await _answer(send, *await put(receive))
+            await _respond(send, *await put_document(receive))
         elif scope["method"] == "GET":
-            await _answer(send, *await get())
+            await _respond(send, *await get_document())
         else:
-            await _answer(send, 405)
+            await _respond(send, 405)
 
     return app
 
 
-async def _body(receive: Receive) -> bytes | None:
+async def _read_body(receive: Receive) -> bytes | None:
     body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
         body += message.get("body", b"")
-        if len(body) > DOCUMENT_BYTES:
+        if len(body) > MAX_DOCUMENT_BYTES:
             return None
         if not message.get("more_body", False):
             return bytes(body)
 
 
-async def _answer(
+async def _respond(
     send: Send,
     status: int,
     body: bytes = b"",
--- a/src/damaskridge/platform/config_document.py
+++ b/src/damaskridge/platform/config_document.py
@@ -1,4 +1,7 @@
-"""The operator's configuration document, decoded into a routing table."""
+"""Decodes the operators' configuration document into a routing table.
+
+The structs below mirror the JSON document field by field.
+"""
 
 import msgspec
 from result import Err, Ok, Result
@@ -17,7 +20,7 @@
 
 __all__ = ["decode_document"]
 
-_KINDS = {
+_ROUTE_KINDS = {
     "idempotent": RouteKind.REPEATABLE,
     "non_idempotent": RouteKind.AT_MOST_ONCE,
     "stream": RouteKind.STREAM,
@@ -38,10 +41,10 @@
     slo_ms: float = 0
     # 0 is the most urgent.
     priority: int = 0
-    # One service with the whole weight; `backends` is used in its place.
+    # Shorthand for a single target; ignored if `backends` is set.
     service: str = ""
     backends: list[_Target] = []
-    # Backend servers, not sends: one that refuses does not count.
+    # Backend servers that may run a request; one that refuses it does not count.
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
@@ -51,18 +54,18 @@
 class _Engine(msgspec.Struct, rename="pascal"):
     slots: int
     kv_capacity: int
-    # How long an exported KV cache is kept, in seconds.
+    # Time for which an exported KV cache is kept, in seconds.
     kv_hold_s: float = 0.0
-    # Longest reservation of decode room, in milliseconds.
+    # Maximum duration of a reservation on a decode engine, in milliseconds.
     hold_ms: float = 0.0
-    # Steps of the engine that one event of a stream covers.
+    # Decode steps per event of a stream.
     stride: float = 1.0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
     health_path: str = ""
-    # Connections that one backend server takes from all callers together.
+    # Connections that one backend server accepts from all callers together.
     max_conns: int = 0
     engine: _Engine | None = None
 
@@ -92,19 +95,23 @@
     tenants: list[_Tenant] = []
 
 
-_decode = msgspec.json.Decoder(_Document).decode
+_decode_json = msgspec.json.Decoder(_Document).decode
 
 
 def decode_document(body: bytes) -> Result[RoutingTable, str]:
-    """Return the routing table, or why the document cannot be read."""
+    """Decode a document; the error says what is malformed."""
     try:
-        document = _decode(body)
+        document = _decode_json(body)
         return Ok(
             RoutingTable(
                 version=document.version,
-                routes=tuple(_route(route) for route in document.routes),
-                services=tuple(_service(service) for service in document.services),
-                workspaces=tuple(_workspace(tenant) for tenant in document.tenants),
+                routes=tuple(_to_gateway_route(route) for route in document.routes),
+                services=tuple(
+                    _to_gateway_service(service) for service in document.services
+                ),
+                workspaces=tuple(
+                    _to_gateway_workspace(tenant) for tenant in document.tenants
+                ),
                 limits=CallerLimits(
                     header_bytes=document.limits.max_header_bytes,
                     body_bytes=document.limits.max_body_bytes,
@@ -117,8 +124,8 @@
         return Err(str(error)[:200])
 
 
-def _route(route: _Route) -> GatewayRoute:
-    kind = _KINDS.get(route.kind)
+def _to_gateway_route(route: _Route) -> GatewayRoute:
+    kind = _ROUTE_KINDS.get(route.kind)
     if kind is None:
         raise ValueError(f"route {route.name!r}: unknown kind {route.kind!r}")
     targets = tuple(RouteTarget(item.service, item.weight) for item in route.backends)
@@ -140,7 +147,7 @@
     )
 
 
-def _service(service: _Service) -> GatewayService:
+def _to_gateway_service(service: _Service) -> GatewayService:
     engine = service.engine
     traits = None
     if engine is not None:
@@ -159,7 +166,7 @@
     )
 
 
-def _workspace(tenant: _Tenant) -> GatewayWorkspace:
+def _to_gateway_workspace(tenant: _Tenant) -> GatewayWorkspace:
     return GatewayWorkspace(
         name=tenant.name,
         key_digests=tuple(key_digest(key) for key in tenant.api_keys),
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Headers of callers and backend servers on the platform."""
+"""HTTP headers and engine calls of the platform."""
 
 import msgspec
 from result import Err, Ok, Result
@@ -19,39 +19,42 @@
 
 __all__ = ["PlatformDialect"]
 
-# The caller's id of one attempt; it is not shared by a caller's retries.
+# Identifies one attempt of the caller; each retry by the caller has a new one.
 _REQUEST_ID = b"x-attempt-id"
-# How long the caller waits from now, not a point in time.
+# Remaining time for the response, relative to the arrival of the request.
 _DEADLINE_MS = b"x-deadline-ms"
-# Prompt tokens and the most output tokens, in this order.
+# ``prompt,output``: prompt tokens and maximum number of output tokens.
 _TOKEN_COUNT = b"x-token-count"
-_PROMPT_PARTS = b"x-prompt-prefix"
+# ``id:tokens,...``: leading parts of the prompt, which other requests may share.
+_PROMPT_PREFIX = b"x-prompt-prefix"
+# The caller's estimate of the number of output tokens.
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
-_KEY = b"authorization"
+_AUTHORIZATION = b"authorization"
 _TENANT = b"x-tenant"
-_EXPECTED_INSTANCE = b"x-expect-instance"
-# Only ``prefill`` is ever sent; a decode is a request without this header.
+_EXPECT_INSTANCE = b"x-expect-instance"
+# The only value that is sent is ``prefill``; decode requests have no such header.
 _STAGE = b"x-stage"
-# ``ip:port/handle`` of an exported KV cache.
+# ``ip:port/handle`` of the exported KV cache to import.
 _KV_SOURCE = b"x-kv-source"
-# A reservation of decode room.
-_RESERVATION = b"x-kv-hold"
+# Identifier of a reservation on a decode engine.
+_KV_RESERVATION = b"x-kv-hold"
 _PRIORITY = b"x-request-priority"
-_DID_NOT_RUN = b"x-not-executed"
-_SIGNATURE = b"x-response-signature"
-_LEAVING = b"server-leaving"
-# On a runner's 503 it means that the runner wants nothing from this machine.
+_NOT_EXECUTED = b"x-not-executed"
+_RESPONSE_SIGNATURE = b"x-response-signature"
+_SERVER_LEAVING = b"server-leaving"
+# In a 503 response of a backend server: time for which it accepts no requests from
+# this host.
 _RETRY_AFTER = b"retry-after"
 
-# Only the system may set these; what a client sends of them is dropped.
+# Set only by the system, and dropped from the requests of callers.
 _SYSTEM_HEADERS = frozenset(
     {
         _TENANT,
-        _EXPECTED_INSTANCE,
+        _EXPECT_INSTANCE,
         _STAGE,
         _KV_SOURCE,
-        _RESERVATION,
+        _KV_RESERVATION,
         _PRIORITY,
         b"x-expect-version",
         b"x-kv-backup",
@@ -59,10 +62,10 @@
         b"kv-fetch",
     }
 )
-# Set anew for every send, or no matter of the next hop.
-_NOT_PASSED_ON = _SYSTEM_HEADERS | frozenset(
+# Not forwarded: set anew for every send, or hop-by-hop headers.
+_NOT_FORWARDED = _SYSTEM_HEADERS | frozenset(
     {
-        _KEY,
+        _AUTHORIZATION,
         _DEADLINE_MS,
         b"connection",
         b"content-length",
@@ -76,8 +79,16 @@
         b"upgrade",
     }
 )
-_SINGLE = (_REQUEST_ID, _DEADLINE_MS, _TOKEN_COUNT, _KEY, _LAST_EVENT_ID, b"host")
-_URGENT_PRIORITIES = 10
+_SINGLE_VALUED = (
+    _REQUEST_ID,
+    _DEADLINE_MS,
+    _TOKEN_COUNT,
+    _AUTHORIZATION,
+    _LAST_EVENT_ID,
+    b"host",
+)
+# ``x-request-priority`` is 0 to 9; less urgent priorities are sent as 9.
+_PRIORITY_LEVELS = 10
 
 
 class _PrefillBody(msgspec.Struct, rename="pascal"):
@@ -86,7 +97,7 @@
 
 
 class _ReservationBody(msgspec.Struct, rename="pascal"):
-    # The name of the reservation.
+    # Identifier of the reservation.
     hold: str
 
 
@@ -100,19 +111,19 @@
     def caller_request(
         self, method: str, target: bytes, headers: Headers
     ) -> Result[CallerRequest, Failure]:
-        """Decode a caller's request."""
+        """Decode the head of a caller's request; refuses a malformed one."""
         values: dict[bytes, bytes] = {}
         for name, value in headers:
-            if name in values and name in _SINGLE:
-                return Err(_invalid(f"{name.decode()}: sent twice"))
+            if name in values and name in _SINGLE_VALUED:
+                return Err(_invalid_request(f"{name.decode()}: sent twice"))
             values[name] = value
         request_id = values.get(_REQUEST_ID, b"").decode("latin-1")
         if not request_id:
-            return Err(_invalid("x-attempt-id: missing"))
-        key = values.get(_KEY, b"").decode("latin-1")
+            return Err(_invalid_request("x-attempt-id: missing"))
+        key = values.get(_AUTHORIZATION, b"").decode("latin-1")
         scheme, _, secret = key.partition(" ")
-        tokens = _numbers(values.get(_TOKEN_COUNT, b""))
-        deadline_ms = _number(values.get(_DEADLINE_MS, b""))
+        tokens = _parse_ints(values.get(_TOKEN_COUNT, b""))
+        deadline_ms = _parse_int(values.get(_DEADLINE_MS, b""))
         return Ok(
             CallerRequest(
                 request_id=request_id,
@@ -124,15 +135,15 @@
                 patience_s=None if deadline_ms is None else deadline_ms / 1000,
                 prompt_tokens=tokens[0] if len(tokens) == 2 else 0,
                 output_tokens=tokens[1] if len(tokens) == 2 else 0,
-                expected_output_tokens=_number(values.get(_LENGTH_HINT, b"")) or 0,
-                last_event_id=_number(values.get(_LAST_EVENT_ID, b"")),
-                prompt_parts=_parts(values.get(_PROMPT_PARTS, b"")),
-                headers=_passed_on(headers),
+                expected_output_tokens=_parse_int(values.get(_LENGTH_HINT, b"")) or 0,
+                last_event_id=_parse_int(values.get(_LAST_EVENT_ID, b"")),
+                prompt_parts=_parse_prompt_parts(values.get(_PROMPT_PREFIX, b"")),
+                headers=_forwarded_headers(headers),
             )
         )
 
     def send_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
-        """Return the headers of one send."""
+        """Return the headers of one send to a backend server."""
         headers = request.headers
         if options.last_event_id != request.last_event_id:
             headers = [pair for pair in headers if pair[0] != _LAST_EVENT_ID]
@@ -142,7 +153,7 @@
         sent = [
             *headers,
             (_DEADLINE_MS, b"%d" % left_ms),
-            (_EXPECTED_INSTANCE, options.instance.encode("latin-1")),
+            (_EXPECT_INSTANCE, options.instance.encode("latin-1")),
         ]
         if options.workspace:
             sent.append((_TENANT, options.workspace.encode("latin-1")))
@@ -151,19 +162,21 @@
         return sent
 
     def reply_facts(self, head: ReplyHead) -> ReplyFacts:
-        """Decode the head of a backend server's answer."""
+        """Decode the head of a backend server's response."""
         return ReplyFacts(
             request_id=(head.value(_REQUEST_ID) or b"").decode("latin-1"),
-            did_not_run=head.value(_DID_NOT_RUN) is not None or head.status == 421,
-            is_signed=head.value(_SIGNATURE) is not None,
+            did_not_run=head.value(_NOT_EXECUTED) is not None or head.status == 421,
+            is_signed=head.value(_RESPONSE_SIGNATURE) is not None,
             is_other_instance=head.status == 421,
-            is_leaving=(head.value(_LEAVING) or b"").strip() == b"1",
-            keep_alive_s=_keep_alive_s(head.value(b"keep-alive")),
-            pause_s=_seconds(head.value(_RETRY_AFTER)) if head.status == 503 else None,
+            is_leaving=(head.value(_SERVER_LEAVING) or b"").strip() == b"1",
+            keep_alive_s=_parse_keep_alive_s(head.value(b"keep-alive")),
+            pause_s=_parse_seconds(head.value(_RETRY_AFTER))
+            if head.status == 503
+            else None,
         )
 
     def handle_reply(self, body: bytes) -> Result[HandleReply, str]:
-        """Decode the answer to a prefill."""
+        """Decode the response to a prefill."""
         try:
             decoded = _decode_prefill(body)
         except msgspec.DecodeError as error:
@@ -171,34 +184,34 @@
         return Ok(HandleReply(handle=decoded.handle_id, tokens=decoded.tokens))
 
     def release_handle(self, handle: str) -> EngineCall:
-        """Return the call that frees an exported KV cache."""
+        """Return the call that releases an exported KV cache."""
         return EngineCall("DELETE", f"/api/kv-handle/{handle}".encode("latin-1"))
 
     def reserve(self, tokens: int, duration_s: float) -> EngineCall:
-        """Return the call that reserves a slot and memory of a decode engine."""
+        """Return the call that reserves a slot and memory on a decode engine."""
         body = {"Tokens": tokens, "ttl_ms": int(duration_s * 1000)}
         return EngineCall("POST", b"/api/hold-take", msgspec.json.encode(body))
 
     def reservation_reply(self, body: bytes) -> Result[str, str]:
-        """Decode the answer to a reservation."""
+        """Decode the response to a reservation."""
         try:
             return Ok(_decode_reservation(body).hold)
         except msgspec.DecodeError as error:
             return Err(str(error))
 
     def cancel_reservation(self, reservation: str) -> EngineCall:
-        """Return the call that gives a reservation up."""
+        """Return the call that cancels a reservation."""
         target = f"/api/hold-drop/{reservation}".encode("latin-1")
         return EngineCall("DELETE", target)
 
     def refusal(self, failure: Failure) -> Refusal:
-        """Encode an answer of the gateway itself."""
+        """Encode a refusal by the gateway itself."""
         headers: Headers = [(b"content-type", b"application/json")]
         if failure.retry_after_s is not None:
             retry_after = b"%.3f" % failure.retry_after_s
             headers.append((b"retry-after", retry_after))
         if failure.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TIMEOUT):
-            # The rest of a body that was not read must not pass for a request.
+            # The unread rest of the body must not be parsed as the next request.
             headers.append((b"connection", b"close"))
         return Refusal(failure.status, headers, error_body(failure, ""))
 
@@ -211,62 +224,68 @@
         source = f"{step.source_address}/{step.source_handle}"
         headers.append((_KV_SOURCE, source.encode("latin-1")))
     if step.reservation:
-        headers.append((_RESERVATION, step.reservation.encode("latin-1")))
+        headers.append((_KV_RESERVATION, step.reservation.encode("latin-1")))
     if step.priority is not None:
-        priority = min(max(0, step.priority), _URGENT_PRIORITIES - 1)
+        priority = min(max(0, step.priority), _PRIORITY_LEVELS - 1)
         headers.append((_PRIORITY, b"%d" % priority))
     return headers
 
 
-def _passed_on(headers: Headers) -> Headers:
-    named = {
+def _forwarded_headers(headers: Headers) -> Headers:
+    connection_options = {
         token.strip().lower()
         for name, value in headers
         if name == b"connection"
         for token in value.split(b",")
     }
-    # A client cannot have the headers dropped that say who it is and what it asks.
-    named -= {b"host", _REQUEST_ID, _TOKEN_COUNT, _PROMPT_PARTS, b"x-model"}
-    dropped = _NOT_PASSED_ON | named
+    # A caller must not remove headers that identify its request through `Connection`.
+    connection_options -= {
+        b"host",
+        _REQUEST_ID,
+        _TOKEN_COUNT,
+        _PROMPT_PREFIX,
+        b"x-model",
+    }
+    dropped = _NOT_FORWARDED | connection_options
     return [(name, value) for name, value in headers if name not in dropped]
 
 
-def _number(text: bytes) -> int | None:
+def _parse_int(text: bytes) -> int | None:
     text = text.strip()
     return int(text) if text.isdigit() and len(text) < 16 else None
 
 
-def _numbers(text: bytes) -> list[int]:
-    numbers = [_number(part) for part in text.split(b",")]
+def _parse_ints(text: bytes) -> list[int]:
+    numbers = [_parse_int(part) for part in text.split(b",")]
     return [number for number in numbers if number is not None]
 
 
-def _parts(text: bytes) -> tuple[tuple[str, int], ...]:
+def _parse_prompt_parts(text: bytes) -> tuple[tuple[str, int], ...]:
     parts = []
     for part in text.split(b","):
         name, _, tokens = part.strip().partition(b":")
-        number = _number(tokens)
+        number = _parse_int(tokens)
         if name and number is not None:
             parts.append((name.decode("latin-1"), number))
     return tuple(parts)
 
 
-def _keep_alive_s(value: bytes | None) -> float | None:
+def _parse_keep_alive_s(value: bytes | None) -> float | None:
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
-        seconds = _number(number)
+        seconds = _parse_int(number)
         if name.lower() == b"timeout" and seconds is not None:
             return float(seconds)
     return None
 
 
-def _seconds(value: bytes | None) -> float | None:
-    """Return a number of seconds, fractions included, or None."""
+def _parse_seconds(value: bytes | None) -> float | None:
+    """Parse a decimal number of seconds; returns None if it is malformed."""
     text = (value or b"").strip().decode("latin-1")
     if len(text) >= 16 or not text.replace(".", "", 1).isdecimal():
         return None
     return float(text)
 
 
-def _invalid(detail: str) -> Failure:
+def _invalid_request(detail: str) -> Failure:
     return Failure(ErrorKind.INVALID_REQUEST, detail)
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of backend servers."""
+"""Client for the platform's list of backend servers."""
 
 import asyncio
 from urllib.parse import quote
@@ -11,19 +11,19 @@
 
 __all__ = ["PlatformInstanceListReader"]
 
-# Longest time for one page.
-PAGE_S = 1.0
-# A list that never ends would keep its reader busy for good.
-MOST_PAGES = 200
-PAGE_BYTES = 1_048_576
+# Timeout of the request for one page.
+PAGE_TIMEOUT_S = 1.0
+# Bounds a read in case a faulty list links its pages without end.
+MAX_PAGES = 200
+MAX_PAGE_BYTES = 1_048_576
 
 _STAGES = {"prefill": EngineStage.PREFILL, "decode": EngineStage.DECODE}
 
 
 class _Page(msgspec.Struct, rename="pascal"):
-    # Entries are decoded one by one, because another writer may spoil some.
+    # Decoded one by one, so that a malformed entry does not affect the others.
     instances: list[msgspec.Raw]
-    # The token of the following page.
+    # Token of the next page; empty or missing on the last one.
     next: str | None = None
 
 
@@ -35,7 +35,7 @@
     slots: int
     state: str
     phase: str = ""
-    # Unix milliseconds of the runner's start; a restart may keep `id`.
+    # Unix time of the start, in milliseconds; a restart may keep `id`.
     born: int = msgspec.field(default=0, name="born")
 
 
@@ -45,43 +45,43 @@
 
 class PlatformInstanceListReader:
     """
-    Reads the whole list.
+    Reads the list of backend servers page by page.
 
     Parameters
     ----------
     address : str
-        Where the platform serves it.
+        ``ip:port`` at which the platform serves the list.
     """
 
     def __init__(self, address: str) -> None:
         self._address = address
 
     async def read(self) -> Result[InstanceList, str]:
-        """Return every usable entry, or why the list could not be read."""
+        """Read all pages and return the usable entries, or an error message."""
         entries: list[BackendInstance] = []
         token = ""
-        for _ in range(MOST_PAGES):
+        for _ in range(MAX_PAGES):
             try:
-                async with asyncio.timeout(PAGE_S):
-                    page = _decode_page(await self._page(token))
+                async with asyncio.timeout(PAGE_TIMEOUT_S):
+                    page = _decode_page(await self._fetch_page(token))
             except TimeoutError:
-                return Err(f"no page within {PAGE_S:g} s")
+                return Err(f"no page within {PAGE_TIMEOUT_S:g} s")
             except (ConnectionBroken, msgspec.DecodeError) as error:
                 return Err(str(error))
-            entries += filter(None, map(_instance, page.instances))
+            entries += filter(None, map(_decode_instance, page.instances))
             if not page.next:
                 return Ok(InstanceList(instances=tuple(entries)))
             token = page.next
-        return Err(f"more than {MOST_PAGES} pages")
+        return Err(f"more than {MAX_PAGES} pages")
 
-    async def _page(self, token: str) -> bytes:
-        connection = await open_connection(self._address, PAGE_S)
+    async def _fetch_page(self, token: str) -> bytes:
+        connection = await open_connection(self._address, PAGE_TIMEOUT_S)
         target = "/instances" + (f"?PageToken={quote(token)}" if token else "")
         try:
             headers = [(b"host", self._address.encode()), (b"connection", b"close")]
             await connection.send("GET", target.encode(), headers, b"")
             head = await connection.head()
-            body = await connection.whole_body(PAGE_BYTES)
+            body = await connection.whole_body(MAX_PAGE_BYTES)
         finally:
             connection.close()
         if head.status != 200:
@@ -89,8 +89,8 @@
         return body
 
 
-def _instance(raw: msgspec.Raw) -> BackendInstance | None:
-    """Return an entry, or None if it names no backend server to use."""
+def _decode_instance(raw: msgspec.Raw) -> BackendInstance | None:
+    """Decode an entry; returns None if it is malformed or not usable."""
     try:
         entry = _decode_entry(raw)
     except (msgspec.DecodeError, UnicodeDecodeError):
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -1,4 +1,4 @@
-"""Orders to model engines on the platform."""
+"""Client for orders to model engines on the platform."""
 
 import asyncio
 
@@ -10,28 +10,29 @@
 
 __all__ = ["PlatformOrderClient"]
 
-CALL_S = 0.8
-# Answers are small documents.
-ANSWER_BYTES = 65_536
-# 202: it is carried out; 200: it holds already.
-_ACCEPTED = (200, 202)
+CALL_TIMEOUT_S = 0.8
+# Responses are small documents.
+MAX_RESPONSE_BYTES = 65_536
+# 202: the order is in progress; 200: the engine is already in the ordered state.
+_ACCEPTED_STATUSES = (200, 202)
 
 
 class _Report(msgspec.Struct, rename="pascal"):
-    # Orders that the engine has accepted since its start.
+    # Number of orders that the engine has accepted since its start.
     seq: int
-    # Whether an order is carried out now.
+    # Whether an order is in progress.
     busy: bool = False
 
 
 class _Order(msgspec.Struct, rename="pascal"):
     op: str
-    # What the platform calls a stage.
+    # The platform's name for a stage.
     phase: str
-    # One machine, whatever process on it gives the order.
+    # Host that sends the order; it stays the same across restarts of its process.
     holder: str
+    # Fencing number.
     fence: int
-    # The number of orders that the engine must have accepted before this one.
+    # Precondition: the number of orders that the engine has accepted before this one.
     expected: int
 
 
@@ -39,15 +40,20 @@
 
 
 class PlatformOrderClient:
-    """Implements `EngineOrders`."""
+    """Implements `EngineOrders` with the HTTP calls of the platform."""
 
     async def order_stage(
         self, instance: BackendInstance, stage: EngineStage, holder: str, fence: int
     ) -> Result[None, str]:
-        """Order a stage; an error may mean that the order is carried out late."""
+        """
+        Order an engine to change to a stage.
+
+        After an error the engine may still execute the order, for example after a
+        timeout.
+        """
         try:
-            async with asyncio.timeout(CALL_S):
-                report = await self._report(instance)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                report = await self._fetch_report(instance)
                 if report.busy:
                     return Err("another order is in progress")
                 order = _Order("Phase", stage.value, holder, fence, report.seq)
@@ -55,23 +61,23 @@
                     instance, "POST", b"/api/order", msgspec.json.encode(order)
                 )
         except TimeoutError:
-            return Err(f"no answer in {CALL_S:g} s")
+            return Err(f"no response within {CALL_TIMEOUT_S:g} s")
         except (ConnectionBroken, msgspec.DecodeError) as error:
             return Err(str(error))
-        return Ok(None) if status in _ACCEPTED else Err(f"status {status}")
+        return Ok(None) if status in _ACCEPTED_STATUSES else Err(f"status {status}")
 
     async def is_busy(self, instance: BackendInstance) -> Result[bool, str]:
-        """Tell whether an engine carries out an order now."""
+        """Return whether an order is in progress on an engine."""
         try:
-            async with asyncio.timeout(CALL_S):
-                return Ok((await self._report(instance)).busy)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return Ok((await self._fetch_report(instance)).busy)
         except TimeoutError:
-            return Err(f"no answer in {CALL_S:g} s")
+            return Err(f"no response within {CALL_TIMEOUT_S:g} s")
         except (ConnectionBroken, msgspec.DecodeError) as error:
             return Err(str(error))
 
-    async def _report(self, instance: BackendInstance) -> _Report:
-        """Return an engine's report; raises `ConnectionBroken` or `DecodeError`."""
+    async def _fetch_report(self, instance: BackendInstance) -> _Report:
+        """Fetch an engine's report; raises `ConnectionBroken` or `DecodeError`."""
         status, body = await self._call(instance, "GET", b"/api/report", b"")
         if status != 200:
             raise ConnectionBroken(f"report: status {status}")
@@ -80,7 +86,7 @@
     async def _call(
         self, instance: BackendInstance, method: str, target: bytes, body: bytes
     ) -> tuple[int, bytes]:
-        connection = await open_connection(instance.address, CALL_S)
+        connection = await open_connection(instance.address, CALL_TIMEOUT_S)
         try:
             headers = [
                 (b"host", instance.address.encode()),
@@ -89,7 +95,7 @@
             ]
             await connection.send(method, target, headers, body)
             head = await connection.head()
-            body = await connection.whole_body(ANSWER_BYTES)
+            body = await connection.whole_body(MAX_RESPONSE_BYTES)
         finally:
             connection.close()
         return head.status, body
--- a/src/damaskridge/platform/settings.py
+++ b/src/damaskridge/platform/settings.py
@@ -1,6 +1,6 @@
-r"""The settings file of the platform: one ``name=value`` a line.
+r"""The settings file of the platform, with one ``name=value`` per line.
 
->>> settings = parse_lines("Node=a\nZones.z1=r1\nSeeds=10.0.0.1:80,10.0.0.2:80\n")
+>>> settings = parse_settings("Node=a\nZones.z1=r1\nSeeds=10.0.0.1:80,10.0.0.2:80\n")
 >>> settings["Seeds"]
 '10.0.0.1:80,10.0.0.2:80'
 """
@@ -13,10 +13,10 @@
 
 from damaskridge.adapters.addresses import Address
 
-__all__ = ["PlatformSettings", "load_platform_settings", "parse_lines"]
+__all__ = ["PlatformSettings", "load_platform_settings", "parse_settings"]
 
 
-def _split(value: object) -> object:
+def _split_commas(value: object) -> object:
     if isinstance(value, str):
         return tuple(part for part in value.split(",") if part)
     return value
@@ -26,46 +26,49 @@
     return None if value == "" else value
 
 
-Addresses = Annotated[tuple[Address, ...], BeforeValidator(_split)]
-Ports = Annotated[tuple[int, int], BeforeValidator(_split)]
+Addresses = Annotated[tuple[Address, ...], BeforeValidator(_split_commas)]
+Ports = Annotated[tuple[int, int], BeforeValidator(_split_commas)]
 OptionalAddress = Annotated[Address | None, BeforeValidator(_empty_is_none)]
 OptionalPath = Annotated[Path | None, BeforeValidator(_empty_is_none)]
 
 
 class PlatformSettings(BaseModel):
     """
-    What a process is told at its start.
+    Settings of one process, read from the settings file at its start.
 
     Parameters
     ----------
     host : str
-        Name of the machine.
+        Name of the host.
     ip : str
-        Its address.
+        IP address of the host.
     data_centre : str
-        The platform's zone.
+        Data centre of the host; the platform calls it a zone.
     front, ready, control, directory : str or None
-        Where each of these is served; None if this process does not serve it.
+        Listen address of each application; None if this process does not serve it.
     ports : tuple of (int, int)
-        First and last port for traffic between the system's processes.
+        First and last port of the range for connections between hosts and for metrics.
     seeds : tuple of str
-        Operators' addresses of some control hosts.
+        Addresses of the operators' applications of some control hosts.
     first_start : bool
-        Whether the whole system starts for the first time, with empty disks.
+        Whether the whole system, not only this process, starts for the first time with
+        empty disks.
     data_folder : Path or None
-        The folder on the disk, if the machine has one.
+        Directory for persistent data; None if the host has no disk.
     list_address : str
-        Where the platform serves the list of backend servers.
+        Address at which the platform serves the list of backend servers.
     list_rate_per_s : float
-        Calls for that list from all processes together.
+        Maximum rate of requests for the list, over all processes together.
     grace_s : float
-        Time from SIGTERM to SIGKILL.
+        Time between SIGTERM and SIGKILL, in seconds.
     longest_ttl_s : float
-        Longest life of an address answer that callers honour.
+        Maximum TTL that callers honour for the addresses of entry hosts, in seconds.
     retry_ratio, retry_slack, retry_window_s : float
-        Additional sends: share of the requests, fixed number, and the window.
+        Retry budget: ratio of retries to requests, fixed number of further retries, and
+        length of the window in which both are counted.
     quota_slack : float
-        Admissions beyond a workspace's rate that the operator tolerates.
+        Admissions beyond the rate limit of a workspace that the operator tolerates,
+        over all hosts together.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -79,7 +82,6 @@
     directory: OptionalAddress = Field(None, alias="Listen.Directory")
     ports: Ports = Field(alias="PortRange")
     seeds: Addresses = Field(alias="Seeds", min_length=1)
-    # The name stands for the first start of the system, not of this process.
     first_start: bool = Field(False, alias="Bootstrap")
     data_folder: OptionalPath = Field(None, alias="DataDir")
     list_address: Address = Field(alias="Cloud.Address")
@@ -93,28 +95,28 @@
 
     @property
     def rpc_port(self) -> int:
-        """The port of the control group, the same on all machines."""
+        """Port of the RPC server of control hosts, the same on all hosts."""
         return self.ports[0]
 
     @property
     def peer_port(self) -> int:
-        """The port of entry hosts for each other."""
+        """Port on which entry hosts accept connections from each other."""
         return self.ports[0] + 1
 
     @property
     def metrics_port(self) -> int:
-        """The first of the ports where metrics are served, one for each role."""
+        """First of the ports for metrics; each role uses its own."""
         return self.ports[0] + 2
 
     @property
     def control_addresses(self) -> tuple[str, ...]:
-        """RPC addresses of the control hosts that the seeds name."""
+        """RPC addresses of the control hosts in `seeds`."""
         ips = (seed.rpartition(":")[0] for seed in self.seeds)
         return tuple(f"{ip}:{self.rpc_port}" for ip in ips)
 
 
-def parse_lines(text: str) -> dict[str, str]:
-    """Return the settings by name; lines without ``=`` are left out."""
+def parse_settings(text: str) -> dict[str, str]:
+    """Parse ``name=value`` lines; lines without ``=`` are ignored."""
     pairs = (line.strip().partition("=") for line in text.splitlines())
     return {
         name.strip(): value.strip() for name, separator, value in pairs if separator
@@ -122,13 +124,13 @@
 
 
 def load_platform_settings(path: Path) -> Result[PlatformSettings, list[str]]:
-    """Return the settings, or a line for every fault."""
+    """Read and validate the settings; returns one line for each error."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Err([f"{path}: {error}"])
     try:
-        return Ok(PlatformSettings.model_validate(parse_lines(text)))
+        return Ok(PlatformSettings.model_validate(parse_settings(text)))
     except ValidationError as error:
         return Err(
             [
--- a/tests/platform/test_apps.py
+++ b/tests/platform/test_apps.py
@@ -1,4 +1,8 @@
-"""Guards against acknowledgements of what is not in force, and readers misled."""
+"""Tests the HTTP applications that the platform calls.
+
+Guards against acknowledging a document that is not committed, and against responses
+that are not confirmed by a quorum.
+"""
 
 import asyncio
 
@@ -11,16 +15,16 @@
 from damaskridge.platform.apps import directory_app, operators_app, ready_app
 
 
-class Routing:
-    def __init__(self, answer=None, document=b"", leader="10.0.0.9"):
-        self.answer = answer if answer is not None else Ok(7)
+class FakeRoutingTableStore:
+    def __init__(self, result=None, document=b"", leader="10.0.0.9"):
+        self.result = result if result is not None else Ok(7)
         self.document = document
         self.leader = leader
         self.published = []
 
     async def publish(self, table, source):
         self.published.append((table.version, source))
-        return self.answer
+        return self.result
 
     async def read(self):
         return (
@@ -45,7 +49,7 @@
     return sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"]
 
 
-def put(routing, body=None):
+def put_config(routing, body=None):
     body = msgspec.json.encode(DOCUMENT) if body is None else body
     return call(operators_app(routing, 8229), "PUT", "/api/config", body)
 
@@ -53,14 +57,14 @@
 NOT_LEADER = Err(Failure(ErrorKind.NOT_LEADER))
 
 
-def test_a_document_is_acknowledged_once_it_is_committed():
-    routing = Routing()
-    assert put(routing)[0] == 200
+def test_document_is_acknowledged_once_committed():
+    routing = FakeRoutingTableStore()
+    assert put_config(routing)[0] == 200
     assert routing.published == [(7, msgspec.json.encode(DOCUMENT))]
 
 
 @pytest.mark.parametrize(
-    ("answer", "status"),
+    ("result", "status"),
     [
         (Err(Failure(ErrorKind.INVALID_BUNDLE, "why")), 400),
         (Err(Failure(ErrorKind.VERSION_CONFLICT)), 409),
@@ -68,47 +72,47 @@
         (NOT_LEADER, 307),
     ],
 )
-def test_a_refusal_says_whether_to_ask_again(answer, status):
-    assert put(Routing(answer))[0] == status
+def test_status_of_a_refused_document(result, status):
+    assert put_config(FakeRoutingTableStore(result))[0] == status
 
 
-def test_operators_are_sent_to_the_leader_or_told_to_wait():
-    _, headers, _ = put(Routing(NOT_LEADER))
+def test_put_on_a_follower_redirects_to_a_known_leader():
+    _, headers, _ = put_config(FakeRoutingTableStore(NOT_LEADER))
     assert headers[b"location"] == b"http://10.0.0.9:8229/api/config"
-    assert put(Routing(NOT_LEADER, leader=""))[0] == 503
+    assert put_config(FakeRoutingTableStore(NOT_LEADER, leader=""))[0] == 503
 
 
-def test_an_unreadable_document_is_never_proposed():
-    routing = Routing()
-    assert put(routing, b"{")[0] == 400
+def test_malformed_document_is_not_proposed():
+    routing = FakeRoutingTableStore()
+    assert put_config(routing, b"{")[0] == 400
     assert routing.published == []
 
 
-def test_the_document_is_read_back_as_it_was_sent():
-    app = operators_app(Routing(document=b'{"Version":7}'), 8229)
+def test_get_returns_the_document_unchanged():
+    app = operators_app(FakeRoutingTableStore(document=b'{"Version":7}'), 8229)
     assert call(app, "GET", "/api/config")[::2] == (200, b'{"Version":7}')
 
 
-def test_without_a_quorum_or_a_document_nothing_is_read():
+def test_get_without_document_or_quorum_is_unavailable():
     for document in (b"", Err(Failure(ErrorKind.CONTROL_UNAVAILABLE))):
-        app = operators_app(Routing(document=document), 8229)
+        app = operators_app(FakeRoutingTableStore(document=document), 8229)
         assert call(app, "GET", "/api/config")[0] == 503
 
 
-def test_other_paths_and_methods():
-    app = operators_app(Routing(), 8229)
+def test_unknown_paths_and_methods_are_refused():
+    app = operators_app(FakeRoutingTableStore(), 8229)
     assert call(app, "GET", "/other")[0] == 404
     assert call(app, "DELETE", "/api/config")[0] == 405
 
 
-def test_callers_get_addresses_for_their_data_centre():
-    app = directory_app(lambda place: [f"{place}:1"], 1.0)
+def test_directory_returns_addresses_for_the_data_centre():
+    app = directory_app(lambda data_centre: [f"{data_centre}:1"], 1.0)
     status, _, body = call(app, "GET", "/api/resolve", query=b"Name=h&Zone=west")
     assert status == 200
     assert msgspec.json.decode(body) == {"Addresses": ["west:1"], "TtlS": 1.0}
     assert call(directory_app(lambda _: [], 1.0), "GET", "/api/resolve")[0] == 503
 
 
-def test_readiness():
+def test_readiness_status():
     assert call(ready_app(lambda: True), "GET", "/api/ready")[0] == 200
     assert call(ready_app(lambda: False), "GET", "/api/ready")[0] == 503
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -1,4 +1,8 @@
-"""Guards against documents that are misread, or accepted in part."""
+"""Tests the decoding of the configuration document.
+
+Guards against fields that are decoded into the wrong place, and against documents of
+which only a part is accepted.
+"""
 
 import msgspec
 import pytest
@@ -69,7 +73,7 @@
     return decode_document(msgspec.json.encode({**DOCUMENT, **changes}))
 
 
-def test_every_field_arrives_where_it_belongs():
+def test_fields_are_decoded():
     table = decode().unwrap()
     assert table_faults(table) == []
     first, second = table.routes
@@ -113,10 +117,10 @@
         msgspec.json.encode({k: v for k, v in DOCUMENT.items() if k != "Services"}),
     ],
 )
-def test_what_cannot_be_read_in_full_is_refused(body):
+def test_malformed_document_is_refused(body):
     assert decode_document(body).is_err()
 
 
-def test_an_unknown_kind_is_refused():
+def test_unknown_route_kind_is_refused():
     route = {**DOCUMENT["Routes"][0], "Kind": "once"}
     assert "unknown kind" in decode(Routes=[route]).unwrap_err()
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,4 +1,8 @@
-"""Guards against headers that callers forge, and answers that are misread."""
+"""Tests the HTTP headers and engine calls of the platform.
+
+Guards against forged headers of callers that reach a backend server, and against
+responses that are misinterpreted.
+"""
 
 import pytest
 
@@ -8,13 +12,13 @@
 from damaskridge.platform.dialect import PlatformDialect
 
 DIALECT = PlatformDialect()
-BASE = [
+BASE_HEADERS = [
     (b"host", b"h.example"),
     (b"x-attempt-id", b"a1"),
     (b"x-deadline-ms", b"1500"),
     (b"authorization", b"Bearer key"),
 ]
-FORGED = [
+SYSTEM_HEADERS = [
     b"x-tenant",
     b"x-expect-instance",
     b"x-expect-version",
@@ -28,77 +32,79 @@
 ]
 
 
-def request(*extra, base=BASE):
+def decode_request(*extra, base=BASE_HEADERS):
     return DIALECT.caller_request("POST", b"/a/b?q=1", [*base, *extra])
 
 
-def sent(found, **options):
+def send_headers(request, **options):
     options = {"instance": "i1", "left_s": 1.2, "workspace": "w", **options}
-    return DIALECT.send_headers(found, SendOptions(**options))
+    return DIALECT.send_headers(request, SendOptions(**options))
 
 
-def test_a_request_is_decoded():
-    found = request(
+def test_caller_request_is_decoded():
+    request = decode_request(
         (b"x-token-count", b"1460,80"),
         (b"x-prompt-prefix", b"5c:800,91:410, e4:250"),
         (b"x-length-hint", b"33"),
         (b"last-event-id", b"12"),
     ).unwrap()
-    assert (found.request_id, found.host_name, found.path) == (
+    assert (request.request_id, request.host_name, request.path) == (
         "a1",
         "h.example",
         "/a/b",
     )
-    assert (found.key, found.patience_s) == ("key", 1.5)
-    assert (found.prompt_tokens, found.output_tokens) == (1460, 80)
-    assert found.prompt_parts == (("5c", 800), ("91", 410), ("e4", 250))
-    assert (found.expected_output_tokens, found.last_event_id) == (33, 12)
+    assert (request.key, request.patience_s) == ("key", 1.5)
+    assert (request.prompt_tokens, request.output_tokens) == (1460, 80)
+    assert request.prompt_parts == (("5c", 800), ("91", 410), ("e4", 250))
+    assert (request.expected_output_tokens, request.last_event_id) == (33, 12)
 
 
-@pytest.mark.parametrize("name", FORGED)
-def test_headers_of_the_system_are_dropped(name):
-    found = request((name, b"forged")).unwrap()
-    headers = sent(found)
+@pytest.mark.parametrize("name", SYSTEM_HEADERS)
+def test_forged_system_headers_are_dropped(name):
+    request = decode_request((name, b"forged")).unwrap()
+    headers = send_headers(request)
     assert (name, b"forged") not in headers
     assert (b"x-tenant", b"w") in headers
 
 
-def test_no_backend_server_sees_the_key_or_a_longer_deadline():
-    headers = dict(sent(request().unwrap()))
+def test_key_is_dropped_and_deadline_is_replaced():
+    headers = dict(send_headers(decode_request().unwrap()))
     assert b"authorization" not in headers
     assert headers[b"x-deadline-ms"] == b"1200"
     assert headers[b"x-expect-instance"] == b"i1"
     assert headers[b"x-attempt-id"] == b"a1"
 
 
-def test_a_caller_cannot_have_its_identity_dropped_on_the_way():
+def test_connection_header_cannot_remove_identifying_headers():
     listed = b"x-attempt-id, x-token-count, x-mine"
-    found = request(
+    request = decode_request(
         (b"connection", listed), (b"x-token-count", b"5,1"), (b"x-mine", b"1")
     ).unwrap()
-    names = [name for name, _ in found.headers]
+    names = [name for name, _ in request.headers]
     assert b"x-attempt-id" in names
     assert b"x-token-count" in names
     assert b"x-mine" not in names
 
 
 @pytest.mark.parametrize("name", [b"x-attempt-id", b"x-deadline-ms", b"authorization"])
-def test_ambiguous_headers_are_refused(name):
-    assert request((name, b"second")).unwrap_err().kind is ErrorKind.INVALID_REQUEST
+def test_duplicate_headers_are_refused(name):
+    assert (
+        decode_request((name, b"second")).unwrap_err().kind is ErrorKind.INVALID_REQUEST
+    )
 
 
-def test_a_request_without_an_id_is_refused():
-    assert request(base=BASE[:1]).is_err()
+def test_request_without_attempt_id_is_refused():
+    assert decode_request(base=BASE_HEADERS[:1]).is_err()
 
 
-def test_the_steps_of_a_generation():
-    found = request().unwrap()
-    prefill = dict(sent(found, step=EngineStep(is_prefill=True)))
+def test_headers_of_prefill_and_decode():
+    request = decode_request().unwrap()
+    prefill = dict(send_headers(request, step=EngineStep(is_prefill=True)))
     assert prefill[b"x-stage"] == b"prefill"
     step = EngineStep(
         source_address="1.2.3.4:5", source_handle="ab", reservation="r", priority=12
     )
-    decode = dict(sent(found, step=step, last_event_id=4))
+    decode = dict(send_headers(request, step=step, last_event_id=4))
     assert decode[b"x-kv-source"] == b"1.2.3.4:5/ab"
     assert decode[b"x-kv-hold"] == b"r"
     assert decode[b"x-request-priority"] == b"9"
@@ -115,17 +121,17 @@
         (500, [], False),
     ],
 )
-def test_only_a_statement_means_not_run(status, headers, did_not_run):
+def test_not_run_requires_an_explicit_statement(status, headers, did_not_run):
     assert DIALECT.reply_facts(ReplyHead(status, headers)).did_not_run is did_not_run
 
 
-def test_the_time_of_idle_connections_is_read():
+def test_keep_alive_timeout_is_decoded():
     head = ReplyHead(200, [(b"keep-alive", b"max=9, timeout=4")])
     assert DIALECT.reply_facts(head).keep_alive_s == 4.0
     assert DIALECT.reply_facts(ReplyHead(200, [])).keep_alive_s is None
 
 
-def test_a_server_says_that_it_leaves():
+def test_leaving_header_is_decoded():
     head = ReplyHead(200, [(b"server-leaving", b"1")])
     assert DIALECT.reply_facts(head).is_leaving
     assert not DIALECT.reply_facts(ReplyHead(200, [])).is_leaving
@@ -144,17 +150,17 @@
         (429, b"2", None),
     ],
 )
-def test_a_server_that_turns_a_request_away_may_ask_for_a_pause(status, value, pause_s):
+def test_retry_after_counts_only_on_status_503(status, value, pause_s):
     head = ReplyHead(status, [(b"retry-after", value)])
     assert DIALECT.reply_facts(head).pause_s == pause_s
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b"\xff", b'{"HandleId":3}'])
-def test_a_prefill_without_a_handle_is_no_prefill(body):
+def test_prefill_response_without_handle_is_an_error(body):
     assert DIALECT.handle_reply(body).is_err()
 
 
-def test_a_refusal_says_when_to_come_back():
+def test_refusal_carries_retry_after():
     failure = Failure(ErrorKind.OVERLOADED, retry_after_s=0.25)
     refusal = DIALECT.refusal(failure)
     assert refusal.status == 503
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -1,4 +1,8 @@
-"""Guards against servers that are lost or invented by a damaged list."""
+"""Tests the client for the list of backend servers.
+
+Guards against malformed entries and failed reads that remove usable instances or add
+unusable ones.
+"""
 
 import asyncio
 
@@ -22,14 +26,14 @@
     }
 
 
-def read(*pages, status=200):
+def read_list(*pages, status=200):
     async def main():
-        asked = []
+        targets = []
 
         async def handle(reader, writer):
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            asked.append(head.split(" ")[1])
-            body = pages[min(len(asked), len(pages)) - 1]
+            targets.append(head.split(" ")[1])
+            body = pages[min(len(targets), len(pages)) - 1]
             writer.write(
                 b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%s"
                 % (status, len(body), body)
@@ -41,7 +45,7 @@
         port = server.sockets[0].getsockname()[1]
         listed = await PlatformInstanceListReader(f"127.0.0.1:{port}").read()
         server.close()
-        return listed, asked
+        return listed, targets
 
     return asyncio.run(main())
 
@@ -51,21 +55,21 @@
 
 
 def test_all_pages_are_read():
-    listed, asked = read(page(entry(1), next_page="p 2"), page(entry(2)))
+    listed, targets = read_list(page(entry(1), next_page="p 2"), page(entry(2)))
     assert [item.instance for item in listed.unwrap().instances] == ["i1", "i2"]
-    assert asked == ["/instances", "/instances?PageToken=p%202"]
+    assert targets == ["/instances", "/instances?PageToken=p%202"]
 
 
 def test_entries_are_decoded():
-    listed, _ = read(page(entry(1, State="draining"), entry(2, Phase="prefill")))
+    listed, _ = read_list(page(entry(1, State="draining"), entry(2, Phase="prefill")))
     first, second = listed.unwrap().instances
     assert (first.is_leaving, first.stage) == (True, None)
     assert (first.address, first.data_centre, first.slots) == ("10.0.0.1:80", "z", 4)
     assert (second.is_leaving, second.stage) == (False, EngineStage.PREFILL)
 
 
-def test_damaged_entries_are_left_out_one_by_one():
-    damaged = [
+def test_malformed_entries_are_skipped_individually():
+    malformed = [
         {},
         {"Id": 3},
         7,
@@ -77,18 +81,18 @@
         entry(1, Phase="other"),
         entry(1, Id=""),
     ]
-    listed, _ = read(page(*damaged, entry(9)))
+    listed, _ = read_list(page(*malformed, entry(9)))
     assert [item.instance for item in listed.unwrap().instances] == ["i9"]
 
 
-def test_a_list_that_cannot_be_read_is_an_error_and_no_empty_list():
-    assert read(b"{")[0].is_err()
-    assert read(page(), status=429)[0].is_err()
-    assert read(b'{"Instances":[')[0].is_err()
+def test_failed_read_is_an_error_and_not_an_empty_list():
+    assert read_list(b"{")[0].is_err()
+    assert read_list(page(), status=429)[0].is_err()
+    assert read_list(b'{"Instances":[')[0].is_err()
 
 
-def test_a_restart_under_the_same_name_is_told_apart():
-    first, _ = read(page(entry(1, born=1_700_000_000_000), entry(2)))
+def test_start_time_distinguishes_restarts_under_one_name():
+    first, _ = read_list(page(entry(1, born=1_700_000_000_000), entry(2)))
     assert [item.started_ms for item in first.unwrap().instances] == [
         1_700_000_000_000,
         0,
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -1,4 +1,8 @@
-"""Guards against orders without a fence, and orders to another engine."""
+"""Tests the client for orders to model engines.
+
+Guards against orders without a fencing number, and against orders that another engine
+at a reused address would accept.
+"""
 
 import asyncio
 
@@ -8,14 +12,14 @@
 from damaskridge.platform.orders import PlatformOrderClient
 
 
-def order(*, report=b'{"Seq":4,"Busy":false}', status=202):
+def send_order(*, report=b'{"Seq":4,"Busy":false}', status=202):
     async def main():
-        seen = []
+        received = []
 
         async def handle(reader, writer):
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             length = int(head.split("content-length: ")[1].split("\r\n")[0])
-            seen.append((head, await reader.readexactly(length)))
+            received.append((head, await reader.readexactly(length)))
             is_order = head.startswith("post")
             body = b"" if is_order else report
             writer.write(
@@ -35,15 +39,15 @@
             instance, EngineStage.DECODE, "host-1", 9
         )
         server.close()
-        return result, seen
+        return result, received
 
     return asyncio.run(main())
 
 
-def test_an_order_names_holder_fence_engine_and_what_went_before():
-    result, seen = order()
+def test_order_names_holder_fence_instance_and_precondition():
+    result, received = send_order()
     assert result.is_ok()
-    head, body = seen[1]
+    head, body = received[1]
     assert "x-expect-instance: i1" in head
     assert msgspec.json.decode(body) == {
         "Op": "Phase",
@@ -54,18 +58,18 @@
     }
 
 
-def test_a_busy_engine_gets_no_order():
-    result, seen = order(report=b'{"Seq":4,"Busy":true}')
+def test_busy_engine_receives_no_order():
+    result, received = send_order(report=b'{"Seq":4,"Busy":true}')
     assert result.is_err()
-    assert len(seen) == 1
+    assert len(received) == 1
 
 
-def test_refusals_and_garbage_are_errors():
-    assert order(status=412)[0].is_err()
-    assert order(report=b"{")[0].is_err()
+def test_refusals_and_malformed_reports_are_errors():
+    assert send_order(status=412)[0].is_err()
+    assert send_order(report=b"{")[0].is_err()
 
 
-def test_a_report_tells_whether_an_engine_carries_out_an_order():
+def test_is_busy_returns_the_reported_state():
     async def main(report):
         async def handle(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,4 +1,8 @@
-"""Guards against settings that are misread or that stop a process for no reason."""
+"""Tests the settings file of the platform.
+
+Guards against settings that are misinterpreted, and against processes that refuse to
+start because of names that they do not know.
+"""
 
 import pytest
 
@@ -28,7 +32,7 @@
     return load_platform_settings(path)
 
 
-def test_a_file_is_read_and_unknown_names_are_ignored(tmp_path):
+def test_file_is_parsed_and_unknown_names_are_ignored(tmp_path):
     settings = load(tmp_path, LINES).unwrap()
     assert (settings.host, settings.data_centre) == ("front-a-1", "a")
     assert settings.control_addresses == ("10.1.0.14:7600", "10.2.0.4:7600")
@@ -48,11 +52,11 @@
         ("Bounds.GraceS=8", "Bounds.GraceS=-1", "Bounds.GraceS"),
     ],
 )
-def test_each_fault_is_named(tmp_path, removed, added, named):
-    faults = load(tmp_path, LINES.replace(removed, added)).unwrap_err()
-    assert any(fault.startswith(named) for fault in faults)
+def test_errors_name_the_setting(tmp_path, removed, added, named):
+    errors = load(tmp_path, LINES.replace(removed, added)).unwrap_err()
+    assert any(error.startswith(named) for error in errors)
 
 
-def test_an_unreadable_file_is_a_fault(tmp_path):
+def test_unreadable_file_is_an_error(tmp_path):
     assert load_platform_settings(tmp_path / "none").is_err()
     assert load(tmp_path, b"Node=\xff\xfe").is_err()
