--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -203,7 +203,7 @@
 
 class ReleaseOwnership(Command, frozen=True, kw_only=True, tag=True):
     """
-    Gives up the ownership of a resource.
+    Releases the ownership of a resource to the host that it is moving to.
 
     `level_tokens` is the fill level of a workspace's token bucket, with which the
     next owner continues.
@@ -287,7 +287,7 @@
 
 
 class LedgerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The result of `RecordIntent`; the call may be sent only if it is `NEW`."""
+    """The result of `RecordIntent`; the call may be sent only if `state` is `NEW`."""
 
     state: LedgerState
     status: int = 0
@@ -326,7 +326,8 @@
     host : str
         Name of the entry host.
     number : int
-        Session number; it grows with every session of the fleet.
+        Number of the session, which is also its epoch; it increases with every new
+        session in the fleet.
     incarnation : int
         Identifies the process among those that ran on the host.
     data_centre : str
--- a/src/damaskridge/model/ids.py
+++ b/src/damaskridge/model/ids.py
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineRequestId:
-    """Identifies one attempt to run a request on an engine; retries count up."""
+    """Identifies one attempt to run a request on an engine; each retry adds 1."""
 
     request_id: RequestId
     attempt: int
