--- a/src/damaskridge/model/errors.py
+++ b/src/damaskridge/model/errors.py
@@ -1,15 +1,18 @@
-"""The closed list of error kinds and the table from kind to answer."""
+"""Error kinds of requests and commands, with the HTTP status of each.
+
+The list is closed; `ERROR_SPECS` has an entry for every kind.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
 
-__all__ = ["ANSWERS", "Answer", "ErrorKind", "Failure", "RunState"]
+__all__ = ["ERROR_SPECS", "ErrorSpec", "ErrorKind", "Failure", "RunState"]
 
 
 class RunState(Enum):
-    """Whether the request behind a failure was run by a backend server."""
+    """Whether a backend server ran the request that failed."""
 
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -17,9 +20,9 @@
 
 
 class ErrorKind(Enum):
-    """Every reason for which a request or a command fails."""
+    """Reason for which a request or a command fails."""
 
-    # Mistakes of a caller
+    # Errors of callers
     INVALID_JSON = "invalid_json"
     INVALID_ENCODING = "invalid_encoding"
     INVALID_REQUEST = "invalid_request"
@@ -40,10 +43,10 @@
     INVALID_OFFSET = "invalid_offset"
     REQUEST_QUARANTINED = "request_quarantined"
     CALLER_TOO_SLOW = "caller_too_slow"
-    # Limits and load
+    # Rate limits and overload
     RATE_EXCEEDED = "rate_exceeded"
     OVERLOADED = "overloaded"
-    # The fleet
+    # State of the fleet
     LEASE_EXPIRED = "lease_expired"
     OWNER_UNAVAILABLE = "owner_unavailable"
     NO_BACKEND_SERVER = "no_backend_server"
@@ -58,7 +61,7 @@
     SESSION_ENDED = "session_ended"
     EPOCH_CONFLICT = "epoch_conflict"
     INTERNAL = "internal"
-    # Mistakes of an operator
+    # Errors of operators
     UNKNOWN_OPERATOR = "unknown_operator"
     INVALID_BUNDLE = "invalid_bundle"
     INVALID_SETTINGS = "invalid_settings"
@@ -71,8 +74,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """The HTTP status and the default run state of one error kind."""
+class ErrorSpec:
+    """
+    Properties of an error kind.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the response.
+    run_state : RunState
+        Run state of a failure that does not carry its own.
+    retryable : bool
+        Whether a retry of the same request may succeed.
+    """
 
     status: int
     run_state: RunState
@@ -82,67 +96,67 @@
 _NOT_RUN = RunState.NOT_RUN
 _UNKNOWN = RunState.UNKNOWN
 
-ANSWERS: dict[ErrorKind, Answer] = {
-    ErrorKind.INVALID_JSON: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_ENCODING: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_REQUEST: Answer(400, _NOT_RUN),
-    ErrorKind.UNKNOWN_MODEL: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_ROUTE: Answer(404, _NOT_RUN),
-    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, _NOT_RUN),
-    ErrorKind.MISSING_KEY: Answer(401, _NOT_RUN),
-    ErrorKind.MULTIPLE_KEYS: Answer(400, _NOT_RUN),
-    ErrorKind.INVALID_KEY: Answer(401, _NOT_RUN),
-    ErrorKind.KEY_WITHDRAWN: Answer(401, _NOT_RUN),
-    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
-    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN),
-    ErrorKind.BODY_TIMEOUT: Answer(408, _NOT_RUN, retryable=True),
-    ErrorKind.IDEMPOTENCY_KEY_MISSING: Answer(400, _NOT_RUN),
-    ErrorKind.IDEMPOTENCY_CONFLICT: Answer(422, _NOT_RUN),
-    ErrorKind.IDEMPOTENCY_IN_PROGRESS: Answer(409, _UNKNOWN, retryable=True),
-    ErrorKind.UNKNOWN_REQUEST: Answer(404, _UNKNOWN),
-    ErrorKind.INVALID_OFFSET: Answer(416, _UNKNOWN),
-    ErrorKind.REQUEST_QUARANTINED: Answer(422, _NOT_RUN),
-    ErrorKind.CALLER_TOO_SLOW: Answer(408, RunState.RAN),
-    ErrorKind.RATE_EXCEEDED: Answer(429, _NOT_RUN, retryable=True),
-    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.LEASE_EXPIRED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.OWNER_UNAVAILABLE: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.NO_BACKEND_SERVER: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.BACKEND_SERVER_FAILED: Answer(502, _UNKNOWN, retryable=True),
-    ErrorKind.BACKEND_SERVER_TIMEOUT: Answer(504, _UNKNOWN, retryable=True),
-    ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN),
-    ErrorKind.STREAM_TAKEN_OVER: Answer(409, RunState.RAN),
-    ErrorKind.CANCELLED: Answer(499, _UNKNOWN),
-    ErrorKind.SHUTTING_DOWN: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.NOT_LEADER: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.CONTROL_UNAVAILABLE: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.SESSION_ENDED: Answer(503, _NOT_RUN, retryable=True),
-    ErrorKind.EPOCH_CONFLICT: Answer(409, _NOT_RUN, retryable=True),
-    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, retryable=True),
-    ErrorKind.UNKNOWN_OPERATOR: Answer(403, _NOT_RUN),
-    ErrorKind.INVALID_BUNDLE: Answer(422, _NOT_RUN),
-    ErrorKind.INVALID_SETTINGS: Answer(422, _NOT_RUN),
-    ErrorKind.UNKNOWN_PROPOSAL: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_VERSION: Answer(404, _NOT_RUN),
-    ErrorKind.UNKNOWN_NAME: Answer(404, _NOT_RUN),
-    ErrorKind.NOT_SIGNED_OFF: Answer(409, _NOT_RUN),
-    ErrorKind.SELF_SIGN_OFF: Answer(403, _NOT_RUN),
-    ErrorKind.VERSION_CONFLICT: Answer(409, _NOT_RUN),
+ERROR_SPECS: dict[ErrorKind, ErrorSpec] = {
+    ErrorKind.INVALID_JSON: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_ENCODING: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_REQUEST: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.UNKNOWN_MODEL: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_ROUTE: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorSpec(405, _NOT_RUN),
+    ErrorKind.MISSING_KEY: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.MULTIPLE_KEYS: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.INVALID_KEY: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.KEY_WITHDRAWN: ErrorSpec(401, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: ErrorSpec(413, _NOT_RUN),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorSpec(431, _NOT_RUN),
+    ErrorKind.BODY_TIMEOUT: ErrorSpec(408, _NOT_RUN, retryable=True),
+    ErrorKind.IDEMPOTENCY_KEY_MISSING: ErrorSpec(400, _NOT_RUN),
+    ErrorKind.IDEMPOTENCY_CONFLICT: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.IDEMPOTENCY_IN_PROGRESS: ErrorSpec(409, _UNKNOWN, retryable=True),
+    ErrorKind.UNKNOWN_REQUEST: ErrorSpec(404, _UNKNOWN),
+    ErrorKind.INVALID_OFFSET: ErrorSpec(416, _UNKNOWN),
+    ErrorKind.REQUEST_QUARANTINED: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.CALLER_TOO_SLOW: ErrorSpec(408, RunState.RAN),
+    ErrorKind.RATE_EXCEEDED: ErrorSpec(429, _NOT_RUN, retryable=True),
+    ErrorKind.OVERLOADED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.LEASE_EXPIRED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.OWNER_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.NO_BACKEND_SERVER: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.BACKEND_SERVER_FAILED: ErrorSpec(502, _UNKNOWN, retryable=True),
+    ErrorKind.BACKEND_SERVER_TIMEOUT: ErrorSpec(504, _UNKNOWN, retryable=True),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorSpec(502, _UNKNOWN),
+    ErrorKind.STREAM_TAKEN_OVER: ErrorSpec(409, RunState.RAN),
+    ErrorKind.CANCELLED: ErrorSpec(499, _UNKNOWN),
+    ErrorKind.SHUTTING_DOWN: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.NOT_LEADER: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.CONTROL_UNAVAILABLE: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.SESSION_ENDED: ErrorSpec(503, _NOT_RUN, retryable=True),
+    ErrorKind.EPOCH_CONFLICT: ErrorSpec(409, _NOT_RUN, retryable=True),
+    ErrorKind.INTERNAL: ErrorSpec(500, _UNKNOWN, retryable=True),
+    ErrorKind.UNKNOWN_OPERATOR: ErrorSpec(403, _NOT_RUN),
+    ErrorKind.INVALID_BUNDLE: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.INVALID_SETTINGS: ErrorSpec(422, _NOT_RUN),
+    ErrorKind.UNKNOWN_PROPOSAL: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_VERSION: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.UNKNOWN_NAME: ErrorSpec(404, _NOT_RUN),
+    ErrorKind.NOT_SIGNED_OFF: ErrorSpec(409, _NOT_RUN),
+    ErrorKind.SELF_SIGN_OFF: ErrorSpec(403, _NOT_RUN),
+    ErrorKind.VERSION_CONFLICT: ErrorSpec(409, _NOT_RUN),
 }
 
 
 class Failure(msgspec.Struct, frozen=True, omit_defaults=True):
     """
-    A failed request or command, with what the other side needs to act on it.
+    The failure of a request or command, as reported to its sender.
 
     Parameters
     ----------
     kind : ErrorKind
-        The reason.
+        Reason of the failure.
     detail : str
-        One line that names the offending value. Never a key or a prompt.
+        One line that names the offending value; never contains a key or a prompt.
     run_state : RunState or None
-        Overrides the default of `ANSWERS` where more is known.
+        Overrides the run state of `ERROR_SPECS` if the sender knows it.
     retry_after_s : float or None
         Time after which a retry may succeed, in seconds.
     leader : str
@@ -156,11 +170,11 @@
     leader: str = ""
 
     @property
-    def ran(self) -> RunState:
-        """The run state, from this failure or else from the table."""
-        return self.run_state or ANSWERS[self.kind].run_state
+    def final_run_state(self) -> RunState:
+        """The run state of this failure, or else the default of its kind."""
+        return self.run_state or ERROR_SPECS[self.kind].run_state
 
     @property
     def status(self) -> int:
-        """The HTTP status of the answer."""
-        return ANSWERS[self.kind].status
+        """The HTTP status of the response."""
+        return ERROR_SPECS[self.kind].status
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -1,11 +1,15 @@
-"""Guards against documents that are misread, or accepted in part."""
+"""Tests the decoding of the configuration document.
+
+Guards against fields that are decoded into the wrong place, and against documents of
+which only a part is accepted.
+"""
 
 import msgspec
 import pytest
 
 from damaskridge.core.gateway.routing import key_digest
 from damaskridge.core.gateway.table_checks import table_faults
-from damaskridge.model.gateway import RouteTarget, WorkKind
+from damaskridge.model.gateway import RouteKind, RouteTarget
 from damaskridge.platform.config_document import decode_document
 
 DOCUMENT = {
@@ -69,12 +73,12 @@
     return decode_document(msgspec.json.encode({**DOCUMENT, **changes}))
 
 
-def test_every_field_arrives_where_it_belongs():
+def test_fields_are_decoded():
     table = decode().unwrap()
     assert table_faults(table) == []
     first, second = table.routes
     assert (first.kind, first.is_resumable, first.attempts) == (
-        WorkKind.STREAM,
+        RouteKind.STREAM,
         True,
         2,
     )
@@ -84,7 +88,7 @@
         300,
     )
     assert first.targets == (RouteTarget("s1", 9), RouteTarget("s2", 1))
-    assert (second.kind, second.is_public) == (WorkKind.AT_MOST_ONCE, True)
+    assert (second.kind, second.is_public) == (RouteKind.AT_MOST_ONCE, True)
     assert second.targets == (RouteTarget("s2"),)
     engine = table.services[0].engine
     assert (engine.memory_tokens, engine.handle_s, engine.reservation_s) == (
@@ -113,10 +117,10 @@
         msgspec.json.encode({k: v for k, v in DOCUMENT.items() if k != "Services"}),
     ],
 )
-def test_what_cannot_be_read_in_full_is_refused(body):
+def test_malformed_document_is_refused(body):
     assert decode_document(body).is_err()
 
 
-def test_an_unknown_kind_is_refused():
+def test_unknown_route_kind_is_refused():
     route = {**DOCUMENT["Routes"][0], "Kind": "once"}
     assert "unknown kind" in decode(Routes=[route]).unwrap_err()
