Rename three gateway modules after what they hold

The names work, answers and decode_room don't say what the modules contain. They hold the admitted request, the response to a caller and the reservations on decode engines. Imports follow; nothing else changes.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -9,11 +9,11 @@
 
 from result import Err
 
-from damaskridge.adapters.gateway.answers import CallerAnswer
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.dialect import CallerRequest, Dialect
+from damaskridge.adapters.gateway.responses import CallerAnswer
 from damaskridge.adapters.gateway.streams import StreamForwarder
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.http.bodies import RequestError
 from damaskridge.adapters.http.exchange import (
     CallerGone,
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -2,11 +2,11 @@
 
 import logging
 
-from damaskridge.adapters.gateway.answers import CallerAnswer
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
 from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.responses import CallerAnswer
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -3,9 +3,9 @@
 import logging
 from dataclasses import dataclass, field
 
-from damaskridge.adapters.gateway.answers import CallerAnswer
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.responses import CallerAnswer
 from damaskridge.adapters.gateway.sender import OpenReply
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -3,7 +3,7 @@
 import logging
 from typing import Protocol
 
-from damaskridge.adapters.gateway.work import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
 from damaskridge.adapters.gateway.connections import (
     BackendConnection,
     ConnectionBroken,
@@ -23,7 +24,6 @@
 )
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.retry_gate import RetryGate
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.instances import InstanceRegistry
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -4,12 +4,13 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from damaskridge.adapters.gateway.answers import CallerAnswer
+from damaskridge.adapters.gateway.admitted_request import GatewayWork
 from damaskridge.adapters.gateway.connections import ConnectionBroken
-from damaskridge.adapters.gateway.decode_room import DecodeRoom, RoomSearch
+from damaskridge.adapters.gateway.decode_reservations import DecodeRoom, RoomSearch
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation
 from damaskridge.adapters.gateway.prefills import Prefills
+from damaskridge.adapters.gateway.responses import CallerAnswer
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import (
     NotRun,
@@ -18,7 +19,6 @@
     Sender,
     Unknown,
 )
-from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load import LoadBook
