--- a/src/damaskridge/adapters/gateway/admitted_request.py
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -68,17 +68,17 @@
         return self.now_s - self.arrived_s
 
     @property
-    def timeout_s(self) -> float:
+    def route_remaining_s(self) -> float:
         """Time until the final answer is due."""
         return self.route.timeout_ms / 1000 - self.elapsed_s
 
     @property
-    def left_s(self) -> float:
+    def remaining_s(self) -> float:
         """Time for which a backend server may work: never beyond the caller's."""
-        patience_s = self.request.patience_s
-        if patience_s is None:
-            return self.timeout_s
-        return min(self.timeout_s, patience_s - self.elapsed_s)
+        caller_timeout_s = self.request.caller_timeout_s
+        if caller_timeout_s is None:
+            return self.route_remaining_s
+        return min(self.route_remaining_s, caller_timeout_s - self.elapsed_s)
 
     @property
     def memory_tokens(self) -> int:
@@ -90,8 +90,8 @@
         average over its time.
         """
         request = self.request
-        expected_tokens = request.expected_output_tokens or request.output_tokens
-        output_tokens = min(expected_tokens, request.output_tokens)
+        expected_tokens = request.expected_output_tokens or request.max_output_tokens
+        output_tokens = min(expected_tokens, request.max_output_tokens)
         return request.prompt_tokens + int(OUTPUT_SHARE * output_tokens)
 
     def options(
@@ -103,7 +103,7 @@
         """Return what is added to a send that leaves now."""
         return SendOptions(
             instance=instance,
-            left_s=max(0.0, self.left_s),
+            remaining_s=max(0.0, self.remaining_s),
             workspace=self.workspace,
             step=step,
             last_event_id=last_event_id,
--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -64,11 +64,11 @@
     index: RoutingIndex
     hosts: int = 1
     is_draining: bool = False
-    running: int = 0
+    running_requests: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class _Admitted:
+class _Admission:
     route: GatewayRoute
     workspace: GatewayWorkspace | None
 
@@ -126,7 +126,7 @@
             return
         arrived_s = asyncio.get_running_loop().time()
         target = _target(scope)
-        decoded = self._dialect.caller_request(
+        decoded = self._dialect.decode_request(
             scope["method"], target, list(scope["headers"])
         )
         request_id = "" if isinstance(decoded, Err) else decoded.ok_value.request_id
@@ -137,7 +137,7 @@
             arrived_s,
             close_connection=self._state.is_draining,
         )
-        self._state.running += 1
+        self._state.running_requests += 1
         try:
             if isinstance(decoded, Err):
                 await answer.refuse(decoded.err_value)
@@ -147,7 +147,7 @@
             log_event(logger, EventNumber.CALLER_LOST, request_id=request_id)
             exchange.abort()
         finally:
-            self._state.running -= 1
+            self._state.running_requests -= 1
 
     async def _serve(
         self,
@@ -158,37 +158,37 @@
     ) -> None:
         try:
             exchange.check_headers(self._state.index.table.limits.header_bytes)
-            admitted = self._admit(request)
+            admission = self._admit(request)
             body = await exchange.body()
-            self._charge(request, admitted)
+            self._charge(request, admission)
         except RequestError as error:
             await answer.refuse(error.failure)
             return
-        work = self._work(request, body, admitted, arrived_s)
-        if self._crashes.is_suspect(work.fingerprint, work.now_s):
+        admitted = self._work(request, body, admission, arrived_s)
+        if self._crashes.is_suspect(admitted.fingerprint, admitted.now_s):
             await answer.refuse(self._suspect())
             return
-        self._on_request(work.service.name)
+        self._on_request(admitted.service.name)
         log_event(
             logger,
             EventNumber.REQUEST_RECEIVED,
             request_id=request.request_id,
-            route=work.route.name,
-            workspace=work.workspace,
+            route=admitted.route.name,
+            workspace=admitted.workspace,
             version=self._state.index.table.version,
-            deadline_ms=round(work.left_s * 1000),
+            deadline_ms=round(admitted.remaining_s * 1000),
         )
-        if work.service.engine is not None and request.has_size:
-            forwarding = self._streams.forward(work, answer)
+        if admitted.service.engine is not None and request.has_size:
+            forwarding = self._streams.forward(admitted, answer)
         else:
-            forwarding = self._calls.forward(work, answer)
-        await self._until_done(exchange, answer, work, forwarding)
+            forwarding = self._calls.forward(admitted, answer)
+        await self._until_done(exchange, answer, admitted, forwarding)
 
     async def _until_done(
         self,
         exchange: Exchange,
         answer: CallerAnswer,
-        work: GatewayWork,
+        admitted: GatewayWork,
         forwarding: Coroutine[Any, Any, None],
     ) -> None:
         """Run until answered, until the caller leaves, or until the time-out."""
@@ -198,9 +198,9 @@
             exchange.is_watched = True
             first = asyncio.FIRST_COMPLETED
             try:
-                timeout_s = max(0.0, work.timeout_s)
+                timeout_s = max(0.0, admitted.route_remaining_s)
                 await asyncio.wait(waits, timeout=timeout_s, return_when=first)
-                if work.timeout_s < -LATE_TIMER_S:
+                if admitted.route_remaining_s < -LATE_TIMER_S:
                     # This process stood still; the answer may have arrived meanwhile.
                     await asyncio.wait(waits, timeout=LATE_ANSWER_S, return_when=first)
             finally:
@@ -213,7 +213,7 @@
             return
         if gone.done() and not gone.cancelled():
             raise CallerGone
-        await self._time_out(answer, work)
+        await self._time_out(answer, admitted)
 
     def _suspect(self) -> Failure:
         detail = "requests like this one have crashed their backend servers"
@@ -221,15 +221,15 @@
         kind = ErrorKind.NO_BACKEND_SERVER
         return Failure(kind, detail, RunState.NOT_RUN, retry_after_s)
 
-    async def _time_out(self, answer: CallerAnswer, work: GatewayWork) -> None:
-        detail = f"no whole answer within {work.route.timeout_ms} ms"
+    async def _time_out(self, answer: CallerAnswer, admitted: GatewayWork) -> None:
+        detail = f"no whole answer within {admitted.route.timeout_ms} ms"
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, detail, RunState.UNKNOWN)
         if answer.has_started:
             answer.break_off(failure)
         else:
             await answer.refuse(failure)
 
-    def _admit(self, request: CallerRequest) -> _Admitted:
+    def _admit(self, request: CallerRequest) -> _Admission:
         index = self._state.index
         if index.table.version == 0:
             retry_after_s = self._refusals.not_ready_s()
@@ -243,22 +243,22 @@
         if route is None:
             raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
         if route.is_public or not index.needs_keys:
-            return _Admitted(route, None)
+            return _Admission(route, None)
         if request.key is None:
             raise RequestError(Failure(ErrorKind.MISSING_KEY))
         workspace = index.workspace(key_digest(request.key))
         if workspace is None:
             raise RequestError(Failure(ErrorKind.INVALID_KEY))
-        return _Admitted(route, workspace)
+        return _Admission(route, workspace)
 
-    def _charge(self, request: CallerRequest, admitted: _Admitted) -> None:
-        workspace = admitted.workspace
+    def _charge(self, request: CallerRequest, admission: _Admission) -> None:
+        workspace = admission.workspace
         if workspace is None:
             return
         now_s = asyncio.get_running_loop().time()
         cost = 1.0
         if workspace.counts_tokens:
-            tokens = request.prompt_tokens + request.output_tokens
+            tokens = request.prompt_tokens + request.max_output_tokens
             cost = float(tokens if request.has_size else workspace.plain_tokens)
         wait_s = self._quota.take(workspace, cost, now_s)
         if wait_s > 0:
@@ -274,10 +274,10 @@
         self,
         request: CallerRequest,
         body: bytes,
-        admitted: _Admitted,
+        admission: _Admission,
         arrived_s: float,
     ) -> GatewayWork:
-        route, workspace = admitted.route, admitted.workspace
+        route, workspace = admission.route, admission.workspace
         index = self._state.index
         service = index.service(index.target(route, self._rng.random()))
         assert service is not None, "a routing table names only known services"
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -63,16 +63,16 @@
         self._gate = gate
         self._refusals = refusals
 
-    async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
+    async def forward(self, admitted: GatewayWork, answer: CallerAnswer) -> None:
         """Answer the caller with the service's answer, or with a failure."""
         tried: set[str] = set()
         while True:
-            instance, candidates = self._choose(work, frozenset(tried))
+            instance, candidates = self._choose(admitted, frozenset(tried))
             if instance is None:
-                await self._give_up_unserved(work, answer)
+                await self._give_up_unserved(admitted, answer)
                 return
             tried.add(instance.instance)
-            failure = await self._attempt(work, answer, instance, candidates)
+            failure = await self._attempt(admitted, answer, instance, candidates)
             if failure is not None:
                 await answer.refuse(failure)
                 return
@@ -80,10 +80,10 @@
                 return
 
     def _choose(
-        self, work: GatewayWork, tried: frozenset[str]
+        self, admitted: GatewayWork, tried: frozenset[str]
     ) -> tuple[BackendInstance | None, int]:
-        now_s = work.now_s
-        service = work.service.name
+        now_s = admitted.now_s
+        service = admitted.service.name
         candidates = self._registry.candidates(service, now_s, excluded=tried)
         # With no other server left, one that had no room may have some now.
         candidates = candidates or self._registry.candidates(service, now_s)
@@ -92,14 +92,16 @@
         chosen = self._load.least_loaded(candidates, self._data_centre)
         return chosen, len(candidates)
 
-    async def _give_up_unserved(self, work: GatewayWork, answer: CallerAnswer) -> None:
+    async def _give_up_unserved(
+        self, admitted: GatewayWork, answer: CallerAnswer
+    ) -> None:
         kind = ErrorKind.NO_BACKEND_SERVER
-        if work.policy.runs:
+        if admitted.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
-        service = work.service.name
+        service = admitted.service.name
         detail = f"no backend server for {service}"
-        retry_after_s = self._refusals.no_server_s(work.left_s)
-        pause_s = self._registry.pause_s(service, work.now_s)
+        retry_after_s = self._refusals.no_server_s(admitted.remaining_s)
+        pause_s = self._registry.pause_s(service, admitted.now_s)
         if pause_s:
             detail = f"every backend server for {service} wants no request now"
             retry_after_s = self._refusals.paused_s(pause_s)
@@ -107,94 +109,100 @@
 
     async def _attempt(
         self,
-        work: GatewayWork,
+        admitted: GatewayWork,
         answer: CallerAnswer,
         instance: BackendInstance,
         candidates: int,
     ) -> Failure | None:
         """Send once; returns the failure to answer, or None to go on or when done."""
-        policy, name = work.policy, instance.instance
+        policy, name = admitted.policy, instance.instance
         policy.sent()
         answer.attempts = policy.sends
         load = self._load.total(name).requests
         log_event(
             logger,
             EventNumber.REQUEST_SENT,
-            request_id=work.request.request_id,
+            request_id=admitted.request.request_id,
             instance=name,
             step="call",
             attempt=policy.sends,
             load=load,
             candidates=candidates,
-            list_age_ms=round((work.now_s - self._registry.seen_s) * 1000),
+            list_age_ms=round((admitted.now_s - self._registry.seen_s) * 1000),
         )
-        self._load.start(work.request.request_id, name, InstanceLoad(requests=1))
+        self._load.start(admitted.request.request_id, name, InstanceLoad(requests=1))
         try:
             outcome = await self._sender.send(
                 instance,
-                work,
-                answer_s=self._answer_s(work, candidates),
+                admitted,
+                answer_s=self._answer_s(admitted, candidates),
                 fresh=not policy.may_repeat,
             )
             if isinstance(outcome, OpenReply):
-                return await self._answer(work, answer, outcome)
+                return await self._answer(admitted, answer, outcome)
         finally:
-            self._load.finish(work.request.request_id, name)
+            self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(work, SendStep.RUN)
-            decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
+            may_resend = self._gate.admits(admitted, SendStep.RUN)
+            decision = policy.not_run(
+                left_s=admitted.remaining_s, may_resend=may_resend
+            )
         else:
-            self._sender.note_run(instance, work.fingerprint, is_whole=False)
-            decision = self._after_unknown(work, outcome)
-        return self._failure(work, decision, outcome.reason)
-
-    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> Resend | GiveUp:
-        return work.policy.unknown(
-            left_s=work.left_s,
-            may_resend=work.policy.has_another_run
-            and self._gate.admits(work, SendStep.RUN),
+            self._sender.note_run(instance, admitted.fingerprint, is_whole=False)
+            decision = self._after_unknown(admitted, outcome)
+        return self._failure(admitted, decision, outcome.reason)
+
+    def _after_unknown(
+        self, admitted: GatewayWork, outcome: Unknown
+    ) -> Resend | GiveUp:
+        return admitted.policy.unknown(
+            left_s=admitted.remaining_s,
+            may_resend=admitted.policy.has_another_run
+            and self._gate.admits(admitted, SendStep.RUN),
             timed_out=outcome.timed_out,
         )
 
     def _failure(
-        self, work: GatewayWork, decision: Resend | GiveUp, reason: str
+        self, admitted: GatewayWork, decision: Resend | GiveUp, reason: str
     ) -> Failure | None:
         if not isinstance(decision, GiveUp):
             return None
         retry_after_s = None
         if decision.kind is ErrorKind.OVERLOADED:
-            retry_after_s = self._refusals.overloaded_s(work.left_s)
+            retry_after_s = self._refusals.overloaded_s(admitted.remaining_s)
         return decision.failure(reason, retry_after_s)
 
-    def _answer_s(self, work: GatewayWork, candidates: int) -> float:
-        left_s = max(0.0, work.timeout_s)
-        if not work.policy.has_another_run or candidates < 2:
+    def _answer_s(self, admitted: GatewayWork, candidates: int) -> float:
+        left_s = max(0.0, admitted.route_remaining_s)
+        if not admitted.policy.has_another_run or candidates < 2:
             return left_s
-        patience_s = PATIENCE_OBJECTIVES * work.route.objective_ms / 1000
-        return min(left_s, max(LEAST_PATIENCE_S, patience_s))
+        response_timeout_s = PATIENCE_OBJECTIVES * admitted.route.objective_ms / 1000
+        return min(left_s, max(LEAST_PATIENCE_S, response_timeout_s))
 
     async def _answer(
-        self, work: GatewayWork, answer: CallerAnswer, reply: OpenReply
+        self, admitted: GatewayWork, answer: CallerAnswer, reply: OpenReply
     ) -> Failure | None:
         try:
             body = await reply.whole(ANSWER_LIMIT_BYTES)
         except ConnectionBroken as error:
             self._sender.note_answer(reply.instance, good=False, reason=str(error))
-            self._sender.note_run(reply.instance, work.fingerprint, is_whole=False)
-            decision = self._after_unknown(work, Unknown(str(error)))
-            return self._failure(work, decision, str(error))
+            self._sender.note_run(reply.instance, admitted.fingerprint, is_whole=False)
+            decision = self._after_unknown(admitted, Unknown(str(error)))
+            return self._failure(admitted, decision, str(error))
         finally:
             reply.close()
-        self._sender.note_run(reply.instance, work.fingerprint, is_whole=True)
+        self._sender.note_run(reply.instance, admitted.fingerprint, is_whole=True)
         is_failure = reply.head.status >= 500
         self._sender.note_answer(
             reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
         )
         if is_failure:
-            may_resend = work.policy.has_another_run and self._gate.admits(
-                work, SendStep.RUN
+            may_resend = admitted.policy.has_another_run and self._gate.admits(
+                admitted, SendStep.RUN
             )
-            if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
+            if admitted.policy.failed(
+                left_s=admitted.remaining_s, may_resend=may_resend
+            ):
                 return None
         await answer.pass_on(reply.head, reply.facts, body)
         return None
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -16,7 +16,7 @@
     "BackendConnection",
     "ConnectionBroken",
     "NotSent",
-    "ReplyHead",
+    "ResponseHead",
     "open_connection",
 ]
 
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplyHead:
+class ResponseHead:
     """Status and headers of an answer."""
 
     status: int
@@ -192,12 +192,12 @@
             raise NotSent(str(error)) from error
         await self._link.write(data)
 
-    async def head(self) -> ReplyHead:
+    async def head(self) -> ResponseHead:
         """Return the head of the answer; raises `ConnectionBroken`."""
         for _ in range(MOST_INFORMATIONAL + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
-                return ReplyHead(event.status_code, list(event.headers))
+                return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
         raise ConnectionBroken(f"over {MOST_INFORMATIONAL} informational replies")
@@ -213,7 +213,7 @@
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
             yield bytes(event.data)
 
-    async def whole_body(self, limit_bytes: int) -> bytes:
+    async def read_body(self, limit_bytes: int) -> bytes:
         """Return the body; raises `ConnectionBroken` if it is not whole or too long."""
         body = bytearray()
         async for chunk in self.body():
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -81,25 +81,25 @@
 
     async def find(self, run: Generation) -> RoomSearch:
         """Reserve room, waiting for a while if every engine is full."""
-        work = run.work
-        engine = work.service.engine
+        admitted = run.admitted
+        engine = admitted.service.engine
         if engine is None or engine.reservation_s <= 0:
             return RoomSearch.DONE
-        wait_s = WAIT_OBJECTIVES * work.route.objective_ms / 1000
+        wait_s = WAIT_OBJECTIVES * admitted.route.objective_ms / 1000
         if run.has_events:
-            wait_s = work.elapsed_s + WAIT_AGAIN_S
+            wait_s = admitted.elapsed_s + WAIT_AGAIN_S
         is_first = True
         while True:
             full = await self._ask_engines(run, engine, is_first)
             is_first = False
             if run.reservation is not None:
                 return RoomSearch.DONE
-            service, stage = work.service.name, EngineStage.DECODE
-            if self._registry.pause_s(service, work.now_s, stage):
+            service, stage = admitted.service.name, EngineStage.DECODE
+            if self._registry.pause_s(service, admitted.now_s, stage):
                 return RoomSearch.PAUSED
             if not full:
                 return RoomSearch.DONE
-            if work.elapsed_s + PAUSE_S > wait_s or work.left_s <= 0:
+            if admitted.elapsed_s + PAUSE_S > wait_s or admitted.remaining_s <= 0:
                 return RoomSearch.FULL
             await asyncio.sleep(PAUSE_S)
 
@@ -108,8 +108,8 @@
         reservation, run.reservation = run.reservation, None
         if reservation is not None:
             instance = reservation.instance
-            self._load.finish(run.work.request.request_id, instance.instance)
-            call = self._dialect.cancel_reservation(reservation.name)
+            self._load.finish(run.admitted.request.request_id, instance.instance)
+            call = self._dialect.cancel_reservation_call(reservation.name)
             self._sender.call_later(instance, call)
 
     async def _ask_engines(
@@ -120,13 +120,13 @@
         full = 0
         for _ in range(MOST_RESERVATIONS):
             untried = self._registry.candidates(
-                run.work.service.name,
-                run.work.now_s,
+                run.admitted.service.name,
+                run.admitted.now_s,
                 EngineStage.DECODE,
                 frozenset(tried),
             )
             candidates = self._load.with_room(
-                untried, run.work.memory_tokens, engine.memory_tokens
+                untried, run.admitted.memory_tokens, engine.memory_tokens
             )
             if not candidates:
                 full += len(untried)
@@ -151,7 +151,7 @@
 
     def _is_new(self, instance: BackendInstance, body: bytes) -> bool:
         """Tell whether a body names a reservation that was not given before."""
-        reserved = self._dialect.reservation_reply(body)
+        reserved = self._dialect.decode_reservation_response(body)
         if reserved.is_err():
             return False
         given = (instance.instance, reserved.unwrap())
@@ -163,16 +163,16 @@
         self, run: Generation, instance: BackendInstance, duration_s: float
     ) -> str:
         """Ask one engine; returns why it gave no room."""
-        work, name = run.work, instance.instance
-        request_id, tokens = work.request.request_id, work.memory_tokens
-        now_s = work.now_s
+        admitted, name = run.admitted, instance.instance
+        request_id, tokens = admitted.request.request_id, admitted.memory_tokens
+        now_s = admitted.now_s
         self._load.start(request_id, name, InstanceLoad(1, memory_tokens=tokens))
         try:
-            call = self._dialect.reserve(tokens, duration_s)
+            call = self._dialect.reserve_call(tokens, duration_s)
             called = await self._sender.call_engine(
                 instance, call, partial(self._is_new, instance)
             )
-            reserved = called.and_then(self._dialect.reservation_reply)
+            reserved = called.and_then(self._dialect.decode_reservation_response)
             if reserved.is_ok():
                 usable_until_s = now_s + USE_SHARE * duration_s
                 run.reservation = Reservation(
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -9,7 +9,7 @@
 
 from result import Result
 
-from damaskridge.adapters.gateway.connections import ReplyHead
+from damaskridge.adapters.gateway.connections import ResponseHead
 from damaskridge.model.errors import Failure
 
 __all__ = [
@@ -17,10 +17,10 @@
     "Dialect",
     "EngineCall",
     "EngineStep",
-    "HandleReply",
+    "PrefillResponse",
     "Headers",
     "Refusal",
-    "ReplyFacts",
+    "ResponseMetadata",
     "SendOptions",
 ]
 
@@ -44,9 +44,9 @@
         What selects the route.
     key : str or None
         The caller's key.
-    patience_s : float or None
+    caller_timeout_s : float or None
         How long the caller will wait, in seconds.
-    prompt_tokens, output_tokens : int
+    prompt_tokens, max_output_tokens : int
         Size of a generation: its prompt, and the most output.
     expected_output_tokens : int
         The caller's estimate of the output; 0 if it gave none.
@@ -64,9 +64,9 @@
     host_name: str
     path: str
     key: str | None = None
-    patience_s: float | None = None
+    caller_timeout_s: float | None = None
     prompt_tokens: int = 0
-    output_tokens: int = 0
+    max_output_tokens: int = 0
     expected_output_tokens: int = 0
     last_event_id: int | None = None
     prompt_parts: tuple[tuple[str, int], ...] = ()
@@ -75,7 +75,7 @@
     @property
     def has_size(self) -> bool:
         """Whether the caller named the size of a generation."""
-        return self.prompt_tokens + self.output_tokens > 0
+        return self.prompt_tokens + self.max_output_tokens > 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,7 +111,7 @@
     ----------
     instance : str
         The only instance that may run it.
-    left_s : float
+    remaining_s : float
         Time after which the backend server may stop.
     workspace : str
         The workspace that the caller's key belongs to; empty on public routes.
@@ -122,14 +122,14 @@
     """
 
     instance: str
-    left_s: float
+    remaining_s: float
     workspace: str = ""
     step: EngineStep | None = None
     last_event_id: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ReplyFacts:
+class ResponseMetadata:
     """
     What an answer says of its request.
 
@@ -161,7 +161,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class HandleReply:
+class PrefillResponse:
     """An exported KV cache that waits to be imported."""
 
     handle: str
@@ -189,37 +189,37 @@
 class Dialect(Protocol):
     """Decodes requests and answers, and encodes sends and refusals."""
 
-    def caller_request(
+    def decode_request(
         self, method: str, target: bytes, headers: Headers
     ) -> Result[CallerRequest, Failure]:
         """Decode a caller's request."""
         ...
 
-    def send_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
+    def encode_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
         """Return the headers of one send."""
         ...
 
-    def reply_facts(self, head: ReplyHead) -> ReplyFacts:
+    def decode_response_head(self, head: ResponseHead) -> ResponseMetadata:
         """Decode the head of a backend server's answer."""
         ...
 
-    def handle_reply(self, body: bytes) -> Result[HandleReply, str]:
+    def decode_prefill_response(self, body: bytes) -> Result[PrefillResponse, str]:
         """Decode the answer to a prefill."""
         ...
 
-    def release_handle(self, handle: str) -> EngineCall:
+    def release_handle_call(self, handle: str) -> EngineCall:
         """Return the call that frees an exported KV cache."""
         ...
 
-    def reserve(self, tokens: int, duration_s: float) -> EngineCall:
+    def reserve_call(self, tokens: int, duration_s: float) -> EngineCall:
         """Return the call that reserves a slot and memory of a decode engine."""
         ...
 
-    def reservation_reply(self, body: bytes) -> Result[str, str]:
+    def decode_reservation_response(self, body: bytes) -> Result[str, str]:
         """Decode the answer to a reservation."""
         ...
 
-    def cancel_reservation(self, reservation: str) -> EngineCall:
+    def cancel_reservation_call(self, reservation: str) -> EngineCall:
         """Return the call that gives a reservation up."""
         ...
 
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -61,7 +61,7 @@
         Loop time of the last event, or of the head of the present answer.
     """
 
-    work: GatewayWork
+    admitted: GatewayWork
     answer: CallerAnswer
     last_event_id: int | None = None
     tried: set[str] = field(default_factory=set)
@@ -72,12 +72,12 @@
     progress_s: float = 0.0
 
     def __post_init__(self) -> None:
-        self.last_event_id = self.work.request.last_event_id
+        self.last_event_id = self.admitted.request.last_event_id
 
-    def is_new(self, event_id: int | None) -> bool:
+    def accept_event(self, event_id: int | None) -> bool:
         """Tell whether the caller lacks an event, and note that it gets it."""
         self.has_events = True
-        self.progress_s = self.work.now_s
+        self.progress_s = self.admitted.now_s
         if event_id is None:
             return True
         if self.last_event_id is not None and event_id <= self.last_event_id:
@@ -101,17 +101,17 @@
         list_seen_s: float,
     ) -> None:
         """Log a send with what its engine was chosen by."""
-        work = self.work
+        admitted = self.admitted
         log_event(
             logger,
             EventNumber.REQUEST_SENT,
-            request_id=work.request.request_id,
+            request_id=admitted.request.request_id,
             instance=instance,
             step=step,
-            attempt=work.policy.sends,
+            attempt=admitted.policy.sends,
             load=load.prompt_tokens if step == "prefill" else load.memory_tokens,
             candidates=candidates,
-            list_age_ms=round((work.now_s - list_seen_s) * 1000),
+            list_age_ms=round((admitted.now_s - list_seen_s) * 1000),
         )
 
     def log_failed(self, instance: str, step: str, reason: str) -> None:
@@ -119,9 +119,9 @@
         log_event(
             logger,
             EventNumber.SEND_FAILED,
-            request_id=self.work.request.request_id,
+            request_id=self.admitted.request.request_id,
             instance=instance,
             outcome=step,
             reason=reason,
-            elapsed_ms=round(self.work.elapsed_s * 1000),
+            elapsed_ms=round(self.admitted.elapsed_s * 1000),
         )
--- a/src/damaskridge/adapters/gateway/pool.py
+++ b/src/damaskridge/adapters/gateway/pool.py
@@ -49,7 +49,7 @@
         else:
             connection.close()
 
-    def drop(self, instance: BackendInstance) -> None:
+    def close_idle(self, instance: BackendInstance) -> None:
         """Close the idle connections of an instance."""
         for connection in self._idle.pop((instance.address, instance.instance), []):
             connection.close()
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -64,21 +64,21 @@
         """Free a KV cache that will not be imported."""
         handle, run.handle = run.handle, None
         if handle is not None:
-            call = self._dialect.release_handle(handle.name)
+            call = self._dialect.release_handle_call(handle.name)
             self._sender.call_later(handle.instance, call)
 
     async def read(self, run: Generation) -> Handle | None:
         """Read the prompt; None if a decode engine has to read it."""
-        work = run.work
+        admitted = run.admitted
         tried: set[str] = set()
         for _ in range(MOST_PREFILLS):
-            now_s = run.work.now_s
+            now_s = run.admitted.now_s
             candidates = self._registry.candidates(
-                work.service.name, now_s, EngineStage.PREFILL, frozenset(tried)
+                admitted.service.name, now_s, EngineStage.PREFILL, frozenset(tried)
             )
-            if not candidates or work.left_s <= 0:
+            if not candidates or admitted.remaining_s <= 0:
                 return None
-            if not self._gate.admits(work, SendStep.READ):
+            if not self._gate.admits(admitted, SendStep.READ):
                 return None
             instance = self._load.shortest_prefill(candidates, self._data_centre)
             if self._decode_reads(run, instance):
@@ -93,15 +93,15 @@
         """Tell whether the reserved decode engine has the prompt read sooner."""
         if run.reservation is None:
             return False
-        work = run.work
+        admitted = run.admitted
         decode = self._load.total(run.reservation.instance.instance)
         pace = None
-        engine = work.service.engine
+        engine = admitted.service.engine
         # The reservation itself counts as one request.
         if decode.requests > 1 and engine is not None:
-            pace = EventPace(engine.steps_per_event, work.route.event_gap_ms / 1000)
+            pace = EventPace(engine.steps_per_event, admitted.route.event_gap_ms / 1000)
         return self._speed.prefers_decode(
-            prompt_tokens=work.request.prompt_tokens,
+            prompt_tokens=admitted.request.prompt_tokens,
             prefill_pending=self._load.total(prefill.instance).prompt_tokens,
             decode_pending=decode.prompt_tokens,
             pace=pace,
@@ -110,8 +110,8 @@
     async def _read_on(
         self, instance: BackendInstance, run: Generation, candidates: int
     ) -> Handle | None:
-        work = run.work
-        request, name = work.request, instance.instance
+        admitted = run.admitted
+        request, name = admitted.request, instance.instance
         run.log_sent(
             name,
             "prefill",
@@ -119,26 +119,28 @@
             candidates=candidates,
             list_seen_s=self._registry.seen_s,
         )
-        step = EngineStep(is_prefill=True, priority=work.priority)
+        step = EngineStep(is_prefill=True, priority=admitted.priority)
         tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
-        started_s = run.work.now_s
+        started_s = run.admitted.now_s
         self._load.start(
             request.request_id, name, InstanceLoad(prompt_tokens=request.prompt_tokens)
         )
         try:
             outcome = await self._sender.send(
                 instance,
-                work,
+                admitted,
                 step,
-                answer_s=min(PREFILL_S, max(0.0, work.left_s)),
+                answer_s=min(PREFILL_S, max(0.0, admitted.remaining_s)),
             )
             if not isinstance(outcome, OpenReply):
                 if isinstance(outcome, Unknown):
-                    self._sender.note_run(instance, work.fingerprint, is_whole=False)
+                    self._sender.note_run(
+                        instance, admitted.fingerprint, is_whole=False
+                    )
                 return None
             handle = await self._handle_of(outcome, run, started_s + PREFILL_S)
             if handle is not None:
-                now_s = run.work.now_s
+                now_s = run.admitted.now_s
                 self._speed.observe(tokens, now_s - started_s)
             return handle
         finally:
@@ -159,14 +161,14 @@
         finally:
             reply.close()
         if reply.head.status == 200 and body:
-            decoded = self._dialect.handle_reply(body)
+            decoded = self._dialect.decode_prefill_response(body)
             if decoded.is_ok():
                 self._sender.note_answer(reply.instance, good=True, reason="")
-                engine = run.work.service.engine
+                engine = run.admitted.service.engine
                 kept_s = engine.handle_s if engine is not None else 0.0
                 # An answer that is taken after its deadline has waited for this
                 # process, and the handle with it.
-                made_s = min(run.work.now_s, deadline_s)
+                made_s = min(run.admitted.now_s, deadline_s)
                 return Handle(
                     reply.instance,
                     decoded.unwrap().handle,
--- a/src/damaskridge/adapters/gateway/responses.py
+++ b/src/damaskridge/adapters/gateway/responses.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from damaskridge.adapters.gateway.connections import Headers, ReplyHead
-from damaskridge.adapters.gateway.dialect import Dialect, ReplyFacts
+from damaskridge.adapters.gateway.connections import Headers, ResponseHead
+from damaskridge.adapters.gateway.dialect import Dialect, ResponseMetadata
 from damaskridge.adapters.http.exchange import Exchange
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.model.errors import Failure
@@ -76,7 +76,9 @@
         """Whether the caller has the head of the answer."""
         return self._exchange.started
 
-    async def pass_on(self, head: ReplyHead, facts: ReplyFacts, body: bytes) -> None:
+    async def pass_on(
+        self, head: ResponseHead, facts: ResponseMetadata, body: bytes
+    ) -> None:
         """Send a backend server's whole answer."""
         if head.status in _PROMISES_NOT_RUN and not facts.is_signed:
             # Only a backend server that says so has not run the request, and this
@@ -97,7 +99,7 @@
         self._log_failed(failure)
         await self._send(refusal.status, refusal.headers, refusal.body)
 
-    async def start_stream(self, head: ReplyHead) -> None:
+    async def start_stream(self, head: ResponseHead) -> None:
         """Send the head of a stream."""
         self._first_s = self._now_s()
         self._status = head.status
--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -38,26 +38,26 @@
     def __init__(self, budget: RetryBudget) -> None:
         self._budget = budget
 
-    def admits(self, work: GatewayWork, step: SendStep) -> bool:
+    def admits(self, admitted: GatewayWork, step: SendStep) -> bool:
         """
         Tell whether a step may be sent, and pay for it.
 
         What is paid stays with the request, so that it is safe to ask again before the
         send.
         """
-        while work.account.unpaid_before(step):
-            granted = self._budget.spend(work.service.name, work.now_s)
+        while admitted.account.unpaid_before(step):
+            granted = self._budget.spend(admitted.service.name, admitted.now_s)
             log_event(
                 logger,
                 EventNumber.RETRY_GRANTED if granted else EventNumber.RETRY_DENIED,
-                request_id=work.request.request_id,
-                service=work.service.name,
+                request_id=admitted.request.request_id,
+                service=admitted.service.name,
                 step=step.value,
-                arrivals=work.account.counted,
-                paid=work.account.paid,
-                left=round(self._budget.left(work.service.name), 2),
+                arrivals=admitted.account.counted,
+                paid=admitted.account.paid,
+                left=round(self._budget.left(admitted.service.name), 2),
             )
             if not granted:
                 return False
-            work.account.pay()
+            admitted.account.pay()
         return True
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -13,14 +13,14 @@
     ConnectionBroken,
     Headers,
     NotSent,
-    ReplyHead,
+    ResponseHead,
 )
 from damaskridge.adapters.gateway.dialect import (
     CallerRequest,
     Dialect,
     EngineCall,
     EngineStep,
-    ReplyFacts,
+    ResponseMetadata,
 )
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.retry_gate import RetryGate
@@ -81,9 +81,9 @@
 
     Attributes
     ----------
-    head : ReplyHead
+    head : ResponseHead
         Status and headers.
-    facts : ReplyFacts
+    facts : ResponseMetadata
         What they say.
     """
 
@@ -92,8 +92,8 @@
         instance: BackendInstance,
         connection: BackendConnection,
         pool: ConnectionPool,
-        head: ReplyHead,
-        facts: ReplyFacts,
+        head: ResponseHead,
+        facts: ResponseMetadata,
     ) -> None:
         self.instance = instance
         self.head = head
@@ -114,7 +114,7 @@
 
     async def whole(self, limit_bytes: int) -> bytes:
         """Return the whole body; raises `ConnectionBroken`."""
-        return await self._connection.whole_body(limit_bytes)
+        return await self._connection.read_body(limit_bytes)
 
     def close(self) -> None:
         """Give the connection back, or drop it if the answer is not complete."""
@@ -166,7 +166,7 @@
     async def send(
         self,
         instance: BackendInstance,
-        work: GatewayWork,
+        admitted: GatewayWork,
         step: EngineStep | None = None,
         *,
         last_event_id: int | None = None,
@@ -199,18 +199,18 @@
         Outcome
             The answer, or what is known of the request without one.
         """
-        request = work.request
+        request = admitted.request
         started_s = asyncio.get_running_loop().time()
         if self._is_paused(instance):
             paused = NotRun("the server wants no request now", was_sent=False)
             return self._log(request, instance, paused, started_s)
         is_prefill = step is not None and step.is_prefill
         send_step = SendStep.READ if is_prefill else SendStep.RUN
-        if not self._gate.admits(work, send_step):
+        if not self._gate.admits(admitted, send_step):
             unpaid = NotRun("the retry budget has no send left", was_sent=False)
             return self._log(request, instance, unpaid, started_s)
-        options = work.options(instance.instance, step, last_event_id)
-        headers = self._dialect.send_headers(request, options)
+        options = admitted.options(instance.instance, step, last_event_id)
+        headers = self._dialect.encode_headers(request, options)
         try:
             connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
         except NotSent as error:
@@ -222,14 +222,14 @@
         try:
             async with asyncio.timeout(answer_s):
                 await connection.send(
-                    request.method, request.target, headers, work.body
+                    request.method, request.target, headers, admitted.body
                 )
             head = await _head_until(connection, started_s + answer_s)
             outcome = self._judge(request, instance, connection, head, is_prefill)
             is_open = isinstance(outcome, OpenReply)
         except TimeoutError:
             outcome = Unknown(f"no answer in {answer_s:.3f} s", timed_out=True)
-            self._pool.drop(instance)
+            self._pool.close_idle(instance)
         except NotSent as error:
             outcome = NotRun(str(error), was_sent=False)
         except ConnectionBroken as error:
@@ -239,7 +239,7 @@
                 connection.close()
         was_refused = isinstance(outcome, NotRun)
         if not isinstance(outcome, NotRun) or outcome.was_sent:
-            work.account.arrived(send_step, was_refused=was_refused)
+            admitted.account.arrived(send_step, was_refused=was_refused)
         if isinstance(outcome, Unknown):
             self.note_answer(instance, good=False, reason=outcome.reason)
         return self._log(request, instance, outcome, started_s)
@@ -306,8 +306,8 @@
                 try:
                     await connection.send(call.method, call.target, headers, call.body)
                     head = await connection.head()
-                    body = await connection.whole_body(ENGINE_CALL_BYTES)
-                    facts = self._dialect.reply_facts(head)
+                    body = await connection.read_body(ENGINE_CALL_BYTES)
+                    facts = self._dialect.decode_response_head(head)
                     is_sound = not facts.request_id and (
                         head.status != 200 or accepts(body)
                     )
@@ -357,10 +357,10 @@
         request: CallerRequest,
         instance: BackendInstance,
         connection: BackendConnection,
-        head: ReplyHead,
+        head: ResponseHead,
         is_prefill: bool,
     ) -> Outcome:
-        facts = self._dialect.reply_facts(head)
+        facts = self._dialect.decode_response_head(head)
         if facts.request_id and facts.request_id != request.request_id:
             return Unknown("the answer belongs to another request")
         self._heed(instance, facts)
@@ -381,11 +381,11 @@
         now_s = asyncio.get_running_loop().time()
         return self._registry.notices.pause_left_s(instance.instance, now_s) > 0
 
-    def _heed(self, instance: BackendInstance, facts: ReplyFacts) -> None:
+    def _heed(self, instance: BackendInstance, facts: ResponseMetadata) -> None:
         """Take over what a server asks of this host."""
         notices, name = self._registry.notices, instance.instance
         if facts.is_leaving and notices.leaves(instance):
-            self._pool.drop(instance)
+            self._pool.close_idle(instance)
             log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
         if facts.pause_s:
             now_s = asyncio.get_running_loop().time()
@@ -399,7 +399,7 @@
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
         self._crashes.was_lost(instance.start, now_s)
-        self._pool.drop(instance)
+        self._pool.close_idle(instance)
         self._log_avoided(instance, reason, avoided_s)
 
     def _log_avoided(
@@ -435,7 +435,7 @@
         return outcome
 
 
-async def _head_until(connection: BackendConnection, deadline_s: float) -> ReplyHead:
+async def _head_until(connection: BackendConnection, deadline_s: float) -> ResponseHead:
     """Return the head of the answer; raises `TimeoutError` if it has not arrived."""
     try:
         async with asyncio.timeout_at(deadline_s):
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -91,14 +91,16 @@
         self._room = DecodeRoom(**engines)
         self._prefills = Prefills(gate=gate, **engines)
 
-    async def forward(self, work: GatewayWork, answer: CallerAnswer) -> None:
+    async def forward(self, admitted: GatewayWork, answer: CallerAnswer) -> None:
         """Answer the caller with the engine's events, or with a failure."""
-        run = Generation(work, answer)
+        run = Generation(admitted, answer)
         try:
             search = await self._room.find(run)
             if search is not RoomSearch.DONE:
                 full = search is RoomSearch.FULL
-                await answer.refuse(self._full(work) if full else self._unserved(work))
+                await answer.refuse(
+                    self._full(admitted) if full else self._unserved(admitted)
+                )
                 return
             run.handle = await self._prefills.read(run)
             while not answer.is_complete:
@@ -122,22 +124,24 @@
 
     async def _decode(self, run: Generation) -> None:
         """Run the generation on one decode engine."""
-        work = run.work
-        if not self._gate.admits(work, SendStep.RUN):
-            decision = work.policy.not_run(left_s=work.left_s, may_resend=False)
+        admitted = run.admitted
+        if not self._gate.admits(admitted, SendStep.RUN):
+            decision = admitted.policy.not_run(
+                left_s=admitted.remaining_s, may_resend=False
+            )
             await self._give_up(run, decision, "the retry budget has no send left")
             return
         instance, candidates = self._choose(run)
         if instance is None:
-            await self._fail(run, self._unserved(work))
+            await self._fail(run, self._unserved(admitted))
             return
         handle = run.handle
-        if handle is not None and work.now_s > handle.usable_until_s:
+        if handle is not None and admitted.now_s > handle.usable_until_s:
             self._prefills.release(run)
         name = instance.instance
         run.tried.add(name)
-        work.policy.sent()
-        run.answer.attempts = work.policy.sends
+        admitted.policy.sent()
+        run.answer.attempts = admitted.policy.sends
         run.log_sent(
             name,
             "decode",
@@ -145,7 +149,7 @@
             candidates=candidates,
             list_seen_s=self._registry.seen_s,
         )
-        self._load.start(work.request.request_id, name, self._load_of(run))
+        self._load.start(admitted.request.request_id, name, self._load_of(run))
         try:
             outcome = await self._send(run, instance)
             if isinstance(outcome, OpenReply):
@@ -156,18 +160,20 @@
                     outcome.close()
                 return
         finally:
-            self._load.finish(work.request.request_id, name)
+            self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, Unknown):
-            self._sender.note_run(instance, work.fingerprint, is_whole=False)
+            self._sender.note_run(instance, admitted.fingerprint, is_whole=False)
         await self._after_failed_send(run, outcome)
         self._note_handle(run, outcome)
 
     def _load_of(self, run: Generation) -> InstanceLoad:
-        work = run.work
+        admitted = run.admitted
         return InstanceLoad(
             requests=1,
-            prompt_tokens=0 if run.handle is not None else work.request.prompt_tokens,
-            memory_tokens=work.memory_tokens,
+            prompt_tokens=0
+            if run.handle is not None
+            else admitted.request.prompt_tokens,
+            memory_tokens=admitted.memory_tokens,
         )
 
     def _note_handle(self, run: Generation, outcome: NotRun | Unknown) -> None:
@@ -182,7 +188,7 @@
             self._prefills.release(run)
 
     def _choose(self, run: Generation) -> tuple[BackendInstance | None, int]:
-        now_s = run.work.now_s
+        now_s = run.admitted.now_s
         reservation = run.reservation
         if reservation is not None:
             name = reservation.instance.instance
@@ -190,7 +196,7 @@
             if now_s < reservation.usable_until_s and not paused:
                 return reservation.instance, 1
             self._room.cancel(run)
-        service, stage = run.work.service.name, EngineStage.DECODE
+        service, stage = run.admitted.service.name, EngineStage.DECODE
         candidates = self._registry.candidates(
             service, now_s, stage, frozenset(run.tried)
         )
@@ -201,40 +207,42 @@
         return chosen, len(candidates)
 
     async def _send(self, run: Generation, instance: BackendInstance) -> Outcome:
-        work, handle = run.work, run.handle
+        admitted, handle = run.admitted, run.handle
         reservation, run.reservation = run.reservation, None
         step = EngineStep(
             source_address=handle.instance.address if handle is not None else "",
             source_handle=handle.name if handle is not None else "",
             reservation=reservation.name if reservation is not None else "",
-            priority=work.priority,
+            priority=admitted.priority,
         )
-        answer_s = max(0.0, work.timeout_s)
-        if work.policy.has_another_run:
+        answer_s = max(0.0, admitted.route_remaining_s)
+        if admitted.policy.has_another_run:
             answer_s = min(answer_s, FIRST_EVENT_S)
         return await self._sender.send(
             instance,
-            work,
+            admitted,
             step,
             last_event_id=run.last_event_id,
             answer_s=answer_s,
             # A late copy of an earlier refusal would pass for this one's.
-            fresh=not work.policy.may_repeat,
+            fresh=not admitted.policy.may_repeat,
         )
 
     async def _after_failed_send(
         self, run: Generation, outcome: NotRun | Unknown
     ) -> None:
-        work = run.work
+        admitted = run.admitted
         decision: Resend | GiveUp
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(work, SendStep.RUN)
-            decision = work.policy.not_run(left_s=work.left_s, may_resend=may_resend)
+            may_resend = self._gate.admits(admitted, SendStep.RUN)
+            decision = admitted.policy.not_run(
+                left_s=admitted.remaining_s, may_resend=may_resend
+            )
         else:
-            decision = work.policy.unknown(
-                left_s=work.left_s,
-                may_resend=work.policy.has_another_run
-                and self._gate.admits(work, SendStep.RUN),
+            decision = admitted.policy.unknown(
+                left_s=admitted.remaining_s,
+                may_resend=admitted.policy.has_another_run
+                and self._gate.admits(admitted, SendStep.RUN),
                 timed_out=outcome.timed_out,
             )
         await self._give_up(run, decision, outcome.reason)
@@ -247,7 +255,7 @@
             return
         retry_after_s = None
         if decision.run_state is RunState.NOT_RUN:
-            retry_after_s = self._refusals.engine_full_s(run.work.left_s)
+            retry_after_s = self._refusals.engine_full_s(run.admitted.remaining_s)
         await self._fail(run, decision.failure(reason, retry_after_s))
 
     async def _relay(self, run: Generation, reply: OpenReply) -> None:
@@ -267,20 +275,20 @@
             await self._continue(run, Unknown(reason, timed_out=True), reply.instance)
         else:
             self._sender.note_answer(reply.instance, good=True, reason="")
-            fingerprint = run.work.fingerprint
+            fingerprint = run.admitted.fingerprint
             self._sender.note_run(reply.instance, fingerprint, is_whole=True)
             await run.answer.end_stream()
 
     async def _relay_events(self, run: Generation, reply: OpenReply) -> None:
         splitter = EventSplitter()
-        run.progress_s = run.work.now_s
+        run.progress_s = run.admitted.now_s
         async for chunk in self._watched(run, reply):
             try:
                 events = splitter.feed(chunk)
             except EventTooLong as error:
                 raise ConnectionBroken(str(error)) from error
             ready = b"".join(
-                event.data for event in events if run.is_new(event.event_id)
+                event.data for event in events if run.accept_event(event.event_id)
             )
             if ready:
                 if not run.answer.has_started:
@@ -292,8 +300,8 @@
 
     def _note_read(self, run: Generation, instance: BackendInstance) -> None:
         """Count no prompt tokens on an engine that has begun to answer."""
-        request = run.work.request
-        load = InstanceLoad(1, memory_tokens=run.work.memory_tokens)
+        request = run.admitted.request
+        load = InstanceLoad(1, memory_tokens=run.admitted.memory_tokens)
         self._load.start(request.request_id, instance.instance, load)
 
     async def _watched(self, run: Generation, reply: OpenReply) -> AsyncIterator[bytes]:
@@ -306,7 +314,7 @@
         chunks = reply.chunks()
         while True:
             deadline_s: float | None = None
-            if run.work.policy.has_another_run:
+            if run.admitted.policy.has_another_run:
                 limit_s = SILENCE_S if run.answer.has_started else FIRST_EVENT_S
                 deadline_s = run.progress_s + limit_s
             try:
@@ -315,17 +323,17 @@
             except StopAsyncIteration:
                 return
             except TimeoutError:
-                was_paused = run.work.now_s > (deadline_s or 0.0) + LATE_TIMER_S
+                was_paused = run.admitted.now_s > (deadline_s or 0.0) + LATE_TIMER_S
                 if not (was_paused and reply.has_unread):
                     raise _Silent from None
                 # This process stood still, not the engine.
-                run.progress_s = run.work.now_s
+                run.progress_s = run.admitted.now_s
                 chunks = reply.chunks()
                 continue
             yield chunk
 
     async def _pass_on_failure(self, run: Generation, reply: OpenReply) -> None:
-        work = run.work
+        admitted = run.admitted
         try:
             body = await reply.whole(ANSWER_LIMIT_BYTES)
         except ConnectionBroken as error:
@@ -335,10 +343,12 @@
         good = reply.head.status < 500
         self._sender.note_answer(reply.instance, good=good, reason=reason)
         if not good:
-            may_resend = work.policy.has_another_run and self._gate.admits(
-                work, SendStep.RUN
+            may_resend = admitted.policy.has_another_run and self._gate.admits(
+                admitted, SendStep.RUN
             )
-            if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
+            if admitted.policy.failed(
+                left_s=admitted.remaining_s, may_resend=may_resend
+            ):
                 return
         if run.answer.has_started:
             await self._fail(run, Failure(ErrorKind.BACKEND_SERVER_FAILED, reason))
@@ -349,7 +359,7 @@
         self, run: Generation, outcome: Unknown, instance: BackendInstance
     ) -> None:
         run.log_failed(instance.instance, "stream", outcome.reason)
-        self._sender.note_run(instance, run.work.fingerprint, is_whole=False)
+        self._sender.note_run(instance, run.admitted.fingerprint, is_whole=False)
         await self._after_failed_send(run, outcome)
 
     async def _fail(self, run: Generation, failure: Failure) -> None:
@@ -358,21 +368,21 @@
         else:
             await run.answer.refuse(failure)
 
-    def _full(self, work: GatewayWork) -> Failure:
+    def _full(self, admitted: GatewayWork) -> Failure:
         return Failure(
             ErrorKind.OVERLOADED,
             "no decode engine has room",
-            retry_after_s=self._refusals.engine_full_s(work.left_s),
+            retry_after_s=self._refusals.engine_full_s(admitted.remaining_s),
         )
 
-    def _unserved(self, work: GatewayWork) -> Failure:
+    def _unserved(self, admitted: GatewayWork) -> Failure:
         kind = ErrorKind.NO_BACKEND_SERVER
-        if work.policy.runs:
+        if admitted.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
-        service = work.service.name
+        service = admitted.service.name
         detail = f"no decode engine for {service}"
-        retry_after_s = self._refusals.no_server_s(work.left_s)
-        pause_s = self._registry.pause_s(service, work.now_s, EngineStage.DECODE)
+        retry_after_s = self._refusals.no_server_s(admitted.remaining_s)
+        pause_s = self._registry.pause_s(service, admitted.now_s, EngineStage.DECODE)
         if pause_s:
             detail = f"every decode engine for {service} wants no request now"
             retry_after_s = self._refusals.paused_s(pause_s)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -355,7 +355,7 @@
 
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
-            self._pool.drop(gone)
+            self._pool.close_idle(gone)
             self._crashes.was_lost(gone.start, anyio.current_time())
         self.registry.seen_s = self._copy.seen_s
 
@@ -389,7 +389,9 @@
         metrics = Metrics()
         count_events(metrics)
         state = self.state
-        metrics.watch("requests_running", "Requests now", lambda: state.running)
+        metrics.watch(
+            "requests_running", "Requests now", lambda: state.running_requests
+        )
         metrics.watch(
             "routing_version", "Version in force", lambda: state.index.table.version
         )
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -3,15 +3,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damaskridge.adapters.gateway.connections import ReplyHead
+from damaskridge.adapters.gateway.connections import ResponseHead
 from damaskridge.adapters.gateway.dialect import (
     CallerRequest,
     EngineCall,
     EngineStep,
-    HandleReply,
     Headers,
+    PrefillResponse,
     Refusal,
-    ReplyFacts,
+    ResponseMetadata,
     SendOptions,
 )
 from damaskridge.adapters.http.answers import error_body
@@ -97,7 +97,7 @@
 class PlatformDialect:
     """Implements `Dialect` for the platform's headers."""
 
-    def caller_request(
+    def decode_request(
         self, method: str, target: bytes, headers: Headers
     ) -> Result[CallerRequest, Failure]:
         """Decode a caller's request."""
@@ -121,9 +121,9 @@
                 host_name=values.get(b"host", b"").decode("latin-1"),
                 path=target.partition(b"?")[0].decode("latin-1"),
                 key=secret.strip() if scheme.lower() == "bearer" else None,
-                patience_s=None if deadline_ms is None else deadline_ms / 1000,
+                caller_timeout_s=None if deadline_ms is None else deadline_ms / 1000,
                 prompt_tokens=tokens[0] if len(tokens) == 2 else 0,
-                output_tokens=tokens[1] if len(tokens) == 2 else 0,
+                max_output_tokens=tokens[1] if len(tokens) == 2 else 0,
                 expected_output_tokens=_number(values.get(_LENGTH_HINT, b"")) or 0,
                 last_event_id=_number(values.get(_LAST_EVENT_ID, b"")),
                 prompt_parts=_parts(values.get(_PROMPT_PARTS, b"")),
@@ -131,14 +131,14 @@
             )
         )
 
-    def send_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
+    def encode_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
         """Return the headers of one send."""
         headers = request.headers
         if options.last_event_id != request.last_event_id:
             headers = [pair for pair in headers if pair[0] != _LAST_EVENT_ID]
             if options.last_event_id is not None:
                 headers = [*headers, (_LAST_EVENT_ID, b"%d" % options.last_event_id)]
-        left_ms = max(1, int(options.left_s * 1000))
+        left_ms = max(1, int(options.remaining_s * 1000))
         sent = [
             *headers,
             (_DEADLINE_MS, b"%d" % left_ms),
@@ -150,9 +150,9 @@
             sent += _step_headers(options.step)
         return sent
 
-    def reply_facts(self, head: ReplyHead) -> ReplyFacts:
+    def decode_response_head(self, head: ResponseHead) -> ResponseMetadata:
         """Decode the head of a backend server's answer."""
-        return ReplyFacts(
+        return ResponseMetadata(
             request_id=(head.value(_REQUEST_ID) or b"").decode("latin-1"),
             did_not_run=head.value(_DID_NOT_RUN) is not None or head.status == 421,
             is_signed=head.value(_SIGNATURE) is not None,
@@ -162,31 +162,31 @@
             pause_s=_seconds(head.value(_RETRY_AFTER)) if head.status == 503 else None,
         )
 
-    def handle_reply(self, body: bytes) -> Result[HandleReply, str]:
+    def decode_prefill_response(self, body: bytes) -> Result[PrefillResponse, str]:
         """Decode the answer to a prefill."""
         try:
             decoded = _decode_prefill(body)
         except msgspec.DecodeError as error:
             return Err(str(error))
-        return Ok(HandleReply(handle=decoded.handle_id, tokens=decoded.tokens))
+        return Ok(PrefillResponse(handle=decoded.handle_id, tokens=decoded.tokens))
 
-    def release_handle(self, handle: str) -> EngineCall:
+    def release_handle_call(self, handle: str) -> EngineCall:
         """Return the call that frees an exported KV cache."""
         return EngineCall("DELETE", f"/api/kv-handle/{handle}".encode("latin-1"))
 
-    def reserve(self, tokens: int, duration_s: float) -> EngineCall:
+    def reserve_call(self, tokens: int, duration_s: float) -> EngineCall:
         """Return the call that reserves a slot and memory of a decode engine."""
         body = {"Tokens": tokens, "ttl_ms": int(duration_s * 1000)}
         return EngineCall("POST", b"/api/hold-take", msgspec.json.encode(body))
 
-    def reservation_reply(self, body: bytes) -> Result[str, str]:
+    def decode_reservation_response(self, body: bytes) -> Result[str, str]:
         """Decode the answer to a reservation."""
         try:
             return Ok(_decode_reservation(body).hold)
         except msgspec.DecodeError as error:
             return Err(str(error))
 
-    def cancel_reservation(self, reservation: str) -> EngineCall:
+    def cancel_reservation_call(self, reservation: str) -> EngineCall:
         """Return the call that gives a reservation up."""
         target = f"/api/hold-drop/{reservation}".encode("latin-1")
         return EngineCall("DELETE", target)
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -81,7 +81,7 @@
             headers = [(b"host", self._address.encode()), (b"connection", b"close")]
             await connection.send("GET", target.encode(), headers, b"")
             head = await connection.head()
-            body = await connection.whole_body(PAGE_BYTES)
+            body = await connection.read_body(PAGE_BYTES)
         finally:
             connection.close()
         if head.status != 200:
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -89,7 +89,7 @@
             ]
             await connection.send(method, target, headers, body)
             head = await connection.head()
-            body = await connection.whole_body(ANSWER_BYTES)
+            body = await connection.read_body(ANSWER_BYTES)
         finally:
             connection.close()
         return head.status, body
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -50,11 +50,11 @@
         return self.headers.get("x-attempt-id", "")
 
 
-def reply(seen, status=200, body=b"ok", *, signed=True, extra=b"", length=True):
+def response(request, status=200, body=b"ok", *, signed=True, extra=b"", length=True):
     """Return the bytes of an answer that echoes the request's id."""
     head = b"HTTP/1.1 %d Status\r\nx-attempt-id: %s\r\n" % (
         status,
-        seen.attempt.encode(),
+        request.attempt.encode(),
     )
     if signed:
         head += b"x-response-signature: sig\r\n"
@@ -63,15 +63,15 @@
     return head + extra + b"\r\n" + body
 
 
-def not_executed(seen, status=503):
-    return reply(seen, status, b"", signed=False, extra=b"x-not-executed: 1\r\n")
+def not_executed(request, status=503):
+    return response(request, status, b"", signed=False, extra=b"x-not-executed: 1\r\n")
 
 
-def chunked_head(seen):
+def chunked_head(request):
     return (
         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
         b"transfer-encoding: chunked\r\nx-response-signature: sig\r\n"
-        b"x-attempt-id: %s\r\n\r\n" % seen.attempt.encode()
+        b"x-attempt-id: %s\r\n\r\n" % request.attempt.encode()
     )
 
 
@@ -88,14 +88,15 @@
     """
     A backend server that answers as its script says.
 
-    `script(seen, writer)` writes the answer; it returns true to close the connection.
+    `script(request, writer)` writes the response and returns true to close the
+    connection.
     """
 
     name: str
     script: object
     stage: object = None
     service: str = "app"
-    seen: list = field(default_factory=list)
+    received: list = field(default_factory=list)
     closed: int = 0
     reserved: int = 0
     listener: object = None
@@ -112,12 +113,12 @@
         self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
-                seen = await self._read(reader)
-                if seen.target.startswith("/api/"):
-                    writer.write(self._api(seen))
+                request = await self._read(reader)
+                if request.target.startswith("/api/"):
+                    writer.write(self._api(request))
                     continue
-                self.seen.append(seen)
-                if await self.script(seen, writer):
+                self.received.append(request)
+                if await self.script(request, writer):
                     break
         self.closed += 1
         writer.transport.abort()
@@ -133,9 +134,9 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         return Seen(method, target, headers, body, reader)
 
-    def _api(self, seen):
+    def _api(self, request):
         body = b"{}"
-        if seen.target == "/api/hold-take":
+        if request.target == "/api/hold-take":
             self.reserved += 1
             body = b'{"Hold":"h%d"}' % self.reserved
         return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
@@ -161,7 +162,7 @@
     resends: list
     load: LoadBook
 
-    async def ask(
+    async def send_request(
         self,
         path="/safe/x",
         headers=(),
@@ -191,7 +192,9 @@
         return int(first.split()[1]), found, rest
 
     async def generate(self, path="/res/x", **options):
-        return await self.ask(path, ["x-token-count: 100,50"], b"prompt", **options)
+        return await self.send_request(
+            path, ["x-token-count: 100,50"], b"prompt", **options
+        )
 
 
 class Retries:
--- a/tests/adapters/gateway/test_calls.py
+++ b/tests/adapters/gateway/test_calls.py
@@ -3,19 +3,19 @@
 import asyncio
 
 import pytest
-from tests.adapters.gateway.standin import StandIn, gateway, not_executed, reply
+from tests.adapters.gateway.standin import StandIn, gateway, not_executed, response
 from tests.core.gateway.tables import workspace
 
 
 def answering(**options):
-    async def script(seen, writer):
-        writer.write(reply(seen, **options))
+    async def script(request, writer):
+        writer.write(response(request, **options))
 
     return script
 
 
 def raw(data, close=True):
-    async def script(seen, writer):
+    async def script(request, writer):
         writer.write(data)
         await writer.drain()
         return close
@@ -23,11 +23,11 @@
     return script
 
 
-async def refuse(seen, writer):
-    writer.write(not_executed(seen))
+async def refuse(request, writer):
+    writer.write(not_executed(request))
 
 
-async def reset(seen, writer):
+async def reset(request, writer):
     return True
 
 
@@ -40,14 +40,18 @@
         body = b"from the server"
         app = StandIn("a", answering(status=201, body=body, extra=b"x-more: 1\r\n"))
         async with gateway(app) as found:
-            status, headers, got = await found.ask("/once/p?q=1", body=b"in")
+            status, headers, got = await found.send_request("/once/p?q=1", body=b"in")
         assert (status, got) == (201, body)
         assert headers["x-response-signature"] == "sig"
         assert headers["x-more"] == "1"
-        (seen,) = app.seen
-        assert (seen.method, seen.target, seen.body) == ("POST", "/once/p?q=1", b"in")
-        assert seen.headers["x-tenant"] == "w"
-        assert "authorization" not in seen.headers
+        (request,) = app.received
+        assert (request.method, request.target, request.body) == (
+            "POST",
+            "/once/p?q=1",
+            b"in",
+        )
+        assert request.headers["x-tenant"] == "w"
+        assert "authorization" not in request.headers
 
     play(main)
 
@@ -56,9 +60,9 @@
     async def main():
         servers = [StandIn(name, reset) for name in "ab"]
         async with gateway(*servers) as found:
-            status, _, _ = await found.ask("/once/p", body=b"x")
+            status, _, _ = await found.send_request("/once/p", body=b"x")
         assert status == 502
-        assert sum(len(server.seen) for server in servers) == 1
+        assert sum(len(server.received) for server in servers) == 1
 
     play(main)
 
@@ -67,7 +71,7 @@
     async def main():
         servers = [StandIn("a", reset), StandIn("b", answering())]
         async with gateway(*servers) as found:
-            answers = [await found.ask("/safe/p") for _ in range(6)]
+            answers = [await found.send_request("/safe/p") for _ in range(6)]
         assert [status for status, _, _ in answers] == [200] * 6
 
     play(main)
@@ -77,7 +81,7 @@
     async def main():
         servers = [StandIn("a", refuse), StandIn("b", answering())]
         async with gateway(*servers) as found:
-            answers = [await found.ask("/once/p") for _ in range(6)]
+            answers = [await found.send_request("/once/p") for _ in range(6)]
         assert [status for status, _, _ in answers] == [200] * 6
 
     play(main)
@@ -87,7 +91,7 @@
     async def main():
         servers = [StandIn(name, refuse) for name in "ab"]
         async with gateway(*servers, budget=2) as found:
-            status, headers, _ = await found.ask("/once/p")
+            status, headers, _ = await found.send_request("/once/p")
         assert status == 503
         assert 0 < float(headers["retry-after"]) < 1
 
@@ -107,7 +111,7 @@
                 slots=64,
             )
             found.registry.replace([lost, good.instance()])
-            answers = [await found.ask("/once/p") for _ in range(4)]
+            answers = [await found.send_request("/once/p") for _ in range(4)]
             assert found.resends == []
         assert [status for status, _, _ in answers] == [200] * 4
 
@@ -137,22 +141,24 @@
     async def main():
         app = StandIn("a", script)
         async with gateway(app) as found:
-            status, headers, _ = await found.ask("/once/p")
+            status, headers, _ = await found.send_request("/once/p")
         assert status == 502
         assert "x-response-signature" not in headers
-        assert len(app.seen) == 1
+        assert len(app.received) == 1
 
     play(main)
 
 
 def test_bytes_after_an_answer_belong_to_no_other_request():
     async def main():
-        async def twice(seen, writer):
-            writer.write(reply(seen, body=b"one") + reply(seen, body=b"two"))
+        async def twice(request, writer):
+            writer.write(
+                response(request, body=b"one") + response(request, body=b"two")
+            )
 
         app = StandIn("a", twice)
         async with gateway(app) as found:
-            answers = [await found.ask("/safe/p") for _ in range(3)]
+            answers = [await found.send_request("/safe/p") for _ in range(3)]
         assert [body for _, _, body in answers] == [b"one"] * 3
 
     play(main)
@@ -160,14 +166,14 @@
 
 def test_an_answer_without_a_length_is_whole_on_a_clean_end_only():
     async def main():
-        async def clean(seen, writer):
-            writer.write(reply(seen, body=b"whole", length=False))
+        async def clean(request, writer):
+            writer.write(response(request, body=b"whole", length=False))
             writer.write_eof()
             await asyncio.sleep(0.2)
             return True
 
         async with gateway(StandIn("a", clean)) as found:
-            status, _, body = await found.ask("/once/p")
+            status, _, body = await found.send_request("/once/p")
         assert (status, body) == (200, b"whole")
 
     play(main)
@@ -177,9 +183,9 @@
     async def main():
         asked, left = asyncio.Event(), asyncio.Event()
 
-        async def wait(seen, writer):
+        async def wait(request, writer):
             asked.set()
-            assert await seen.reader.read() == b""
+            assert await request.reader.read() == b""
             left.set()
             return True
 
@@ -199,13 +205,13 @@
 
 def test_the_answer_comes_at_the_time_out_of_the_route():
     async def main():
-        async def silent(seen, writer):
+        async def silent(request, writer):
             await asyncio.sleep(5)
 
         app = StandIn("a", silent)
         async with gateway(app) as found:
             started_s = asyncio.get_running_loop().time()
-            status, _, _ = await found.ask("/once/p")
+            status, _, _ = await found.send_request("/once/p")
             elapsed_s = asyncio.get_running_loop().time() - started_s
         assert status == 504
         assert 0.9 < elapsed_s < 1.4
@@ -217,8 +223,8 @@
     async def main():
         app = StandIn("a", refuse)
         async with gateway(app, StandIn("b", refuse)) as found:
-            await found.ask("/safe/p", ["x-deadline-ms: 700"])
-        left_ms = [int(seen.headers["x-deadline-ms"]) for seen in app.seen]
+            await found.send_request("/safe/p", ["x-deadline-ms: 700"])
+        left_ms = [int(request.headers["x-deadline-ms"]) for request in app.received]
         assert left_ms == sorted(left_ms, reverse=True)
         assert all(0 < ms <= 700 for ms in left_ms)
 
@@ -238,9 +244,9 @@
     async def main():
         app = StandIn("a", answering())
         async with gateway(app) as found:
-            got, _, _ = await found.ask(path, key=key)
+            got, _, _ = await found.send_request(path, key=key)
         assert got == status
-        assert len(app.seen) == (status == 200)
+        assert len(app.received) == (status == 200)
 
     play(main)
 
@@ -249,7 +255,7 @@
     async def main():
         async with gateway(StandIn("a", answering())) as found:
             found.state.index = type(found.state.index)(type(found.state.index.table)())
-            status, headers, _ = await found.ask("/safe/p")
+            status, headers, _ = await found.send_request("/safe/p")
         assert status == 503
         assert float(headers["retry-after"]) > 0
 
@@ -261,10 +267,10 @@
         limited = workspace("w", "k", rate_per_s=2.0, burst=1.0)
         app = StandIn("a", answering())
         async with gateway(app, workspaces=(limited,)) as found:
-            answers = [await found.ask("/safe/p") for _ in range(2)]
+            answers = [await found.send_request("/safe/p") for _ in range(2)]
         assert [status for status, _, _ in answers] == [200, 429]
         assert 0 < float(answers[1][1]["retry-after"]) < 1
-        assert len(app.seen) == 1
+        assert len(app.received) == 1
 
     play(main)
 
@@ -273,7 +279,7 @@
     async def main():
         async with gateway(StandIn("a", answering())) as found:
             found.state.is_draining = True
-            status, headers, _ = await found.ask("/safe/p")
+            status, headers, _ = await found.send_request("/safe/p")
         assert (status, headers["connection"]) == (200, "close")
 
     play(main)
@@ -283,8 +289,10 @@
     async def main():
         app = StandIn("a", answering())
         async with gateway(app) as found:
-            status, _, _ = await found.ask("/safe/p", ["x-large: " + "y" * 20_000])
+            status, _, _ = await found.send_request(
+                "/safe/p", ["x-large: " + "y" * 20_000]
+            )
         assert status == 431
-        assert app.seen == []
+        assert app.received == []
 
     play(main)
--- a/tests/adapters/gateway/test_connections.py
+++ b/tests/adapters/gateway/test_connections.py
@@ -33,7 +33,7 @@
     return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
-async def ask(connection):
+async def send_request(connection):
     await connection.send("GET", b"/", [(b"host", b"h")], b"")
     head = await connection.head()
     return head.status, b"".join([part async for part in connection.body()])
@@ -44,7 +44,7 @@
         server, address = await serve(OK)
         connection = await open_connection(address, 1.0)
         for _ in range(3):
-            assert await ask(connection) == (200, b"ok")
+            assert await send_request(connection) == (200, b"ok")
             assert connection.is_reusable
         connection.close()
         server.close()
@@ -61,7 +61,7 @@
 
         server, address = await serve(OK, after=more)
         connection = await open_connection(address, 1.0)
-        assert await ask(connection) == (200, b"ok")
+        assert await send_request(connection) == (200, b"ok")
         await asyncio.sleep(0.1)
         assert not connection.is_reusable
         connection.close()
@@ -85,7 +85,7 @@
         server, address = await serve(b"HTTP/1.1 200 OK\r\n\r\npart", after=reset)
         connection = await open_connection(address, 1.0)
         with pytest.raises(ConnectionBroken):
-            await ask(connection)
+            await send_request(connection)
         connection.close()
         server.close()
 
@@ -130,7 +130,7 @@
             instance="b", service="s", address=address, data_centre="w", slots=1
         )
         connection = await pool.take(first, 1.0)
-        await ask(connection)
+        await send_request(connection)
         pool.give_back(first, connection)
         assert await pool.take(second, 1.0) is not connection
         await asyncio.sleep(0.1)
@@ -149,7 +149,7 @@
             instance="a", service="s", address=address, data_centre="w", slots=1
         )
         connection = await pool.take(instance, 1.0)
-        await ask(connection)
+        await send_request(connection)
         connection.keep_alive_s = 0.5
         pool.give_back(instance, connection)
         assert await pool.take(instance, 1.0) is not connection
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.adapters.gateway.standin import StandIn, gateway, reply
+from tests.adapters.gateway.standin import StandIn, gateway, response
 
 
 def play(main):
@@ -12,11 +12,11 @@
 def crashing(poison):
     """Answer, but crash at a request with this body."""
 
-    async def script(seen, writer):
-        if seen.body == poison:
+    async def script(request, writer):
+        if request.body == poison:
             server.crash()
             return True
-        writer.write(reply(seen))
+        writer.write(response(request))
         return False
 
     server = StandIn("", script)
@@ -30,13 +30,17 @@
             server.name = f"s{number}"
         async with gateway(*servers) as app:
             for number in range(8):
-                await app.ask("/once/x", body=b"bad", attempt=f"bad{number}")
+                await app.send_request("/once/x", body=b"bad", attempt=f"bad{number}")
                 # Requests after it find out that the server is gone.
                 for again in range(8):
-                    await app.ask("/safe/x", body=b"good", attempt=f"g{number}{again}")
-            ran = sum(seen.body == b"bad" for s in servers for seen in s.seen)
-            status, headers, _ = await app.ask("/once/x", body=b"bad", attempt="last")
-            good, _, _ = await app.ask("/once/x", body=b"good", attempt="good")
+                    await app.send_request(
+                        "/safe/x", body=b"good", attempt=f"g{number}{again}"
+                    )
+            ran = sum(request.body == b"bad" for s in servers for request in s.received)
+            status, headers, _ = await app.send_request(
+                "/once/x", body=b"bad", attempt="last"
+            )
+            good, _, _ = await app.send_request("/once/x", body=b"good", attempt="good")
         assert ran == 3
         assert status == 503
         assert float(headers["retry-after"]) >= 60
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -9,9 +9,9 @@
     chunked_head,
     events,
     gateway,
-    reply,
+    response,
 )
-from tests.adapters.gateway.test_streams import decoding, engines
+from tests.adapters.gateway.test_streams import decode_script, engines
 
 from damaskridge.adapters.gateway.connections import READ_AHEAD_BYTES, BackendConnection
 from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
@@ -30,8 +30,8 @@
         self.sent_bytes = 0
         self.is_closed = asyncio.Event()
 
-    async def __call__(self, seen, writer):
-        writer.write(self.start(seen))
+    async def __call__(self, request, writer):
+        writer.write(self.start(request))
         try:
             while True:
                 writer.write(self.piece)
@@ -43,27 +43,27 @@
         return True
 
 
-def head_without_end(seen):
-    return b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-long: " % seen.attempt.encode()
+def head_without_end(request):
+    return b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-long: " % request.attempt.encode()
 
 
-def body_without_end(seen):
+def body_without_end(request):
     return (
         b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-response-signature: s\r\n\r\n"
-        % seen.attempt.encode()
+        % request.attempt.encode()
     )
 
 
-def no_http(seen):
+def no_http(request):
     return b"\x00\xff"
 
 
-def informational(seen):
+def informational(request):
     return b"HTTP/1.1 103 Early Hints\r\n\r\n"
 
 
-def chunked(seen):
-    return chunked_head(seen)
+def chunked(request):
+    return chunked_head(request)
 
 
 def play(main):
@@ -75,7 +75,7 @@
     "body": (body_without_end, PIECE),
     "no_http": (no_http, PIECE),
     "informational": (informational, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
-    "blank_lines": (lambda seen: b"", b"\r\n" * 4096),
+    "blank_lines": (lambda request: b"", b"\r\n" * 4096),
     "chunks": (chunked, chunk(PIECE)),
 }
 
@@ -86,7 +86,7 @@
         start, piece = STARTS[name]
         script = Endless(start, piece)
         async with gateway(StandIn("a", script)) as app:
-            status, _, _ = await app.ask("/once/x")
+            status, _, _ = await app.send_request("/once/x")
             # It may have run, so that nothing may say that it has not.
             assert status in (502, 504)
             async with asyncio.timeout(2):
@@ -100,14 +100,14 @@
 @pytest.mark.parametrize("name", STARTS)
 def test_a_repeatable_call_goes_to_another_server(name):
     async def main():
-        async def answer(seen, writer):
-            writer.write(reply(seen))
+        async def answer(request, writer):
+            writer.write(response(request))
 
         start, piece = STARTS[name]
         good = StandIn("b", answer)
         bad = StandIn("a", Endless(start, piece))
         async with gateway(bad, good) as app:
-            statuses = {(await app.ask("/safe/x"))[0] for _ in range(3)}
+            statuses = {(await app.send_request("/safe/x"))[0] for _ in range(3)}
         assert statuses == {200}
 
     play(main)
@@ -118,14 +118,14 @@
     async def main():
         start, piece = STARTS[name]
         script = Endless(start, piece)
-        found = engines(script, decoding())
+        found = engines(script, decode_script())
         async with gateway(*found) as app:
             app.registry.unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
             assert (status, body) == (200, events(1, 9))
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
-        assert found[1].seen
+        assert found[1].received
         assert script.sent_bytes < MOST_BUFFERED_BYTES
 
     play(main)
@@ -136,7 +136,7 @@
     async def main():
         start, piece = STARTS[name]
         script = Endless(start, piece)
-        found = engines(decoding(), prefill=script)
+        found = engines(decode_script(), prefill=script)
         async with gateway(*found) as app:
             status, _, body = await app.generate("/gen/x")
             assert (status, body) == (200, events(1, 9))
@@ -151,7 +151,7 @@
     async def main():
         start, piece = STARTS[name]
         script = Endless(start, piece)
-        found = engines(decoding())
+        found = engines(decode_script())
         async with gateway(*found) as app:
 
             async def serve(reader, writer):
@@ -206,11 +206,11 @@
     """Bytes that complete no event are no progress."""
 
     async def main():
-        def begin(seen):
-            return chunked_head(seen) + chunk(events(1, 2))
+        def begin(request):
+            return chunked_head(request) + chunk(events(1, 2))
 
         script = Endless(begin, chunk(b":"), pause_s=0.1)
-        found = engines(script, decoding())
+        found = engines(script, decode_script())
         async with gateway(*found) as app:
             app.registry.unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
@@ -223,8 +223,8 @@
     """Each event comes within the silence that is allowed, the whole takes longer."""
 
     async def main():
-        async def slow(seen, writer):
-            writer.write(chunked_head(seen))
+        async def slow(request, writer):
+            writer.write(chunked_head(request))
             for number in range(1, 5):
                 await asyncio.sleep(0.7)
                 writer.write(chunk(events(number, number)))
@@ -234,7 +234,7 @@
         async with gateway(*found) as app:
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 4))
-        assert len(found[1].seen) == 1
+        assert len(found[1].received) == 1
 
     play(main)
 
--- a/tests/adapters/gateway/test_retry_budget.py
+++ b/tests/adapters/gateway/test_retry_budget.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.adapters.gateway.standin import StandIn, gateway
-from tests.adapters.gateway.test_streams import decoding, engines, refuse
+from tests.adapters.gateway.test_streams import decode_script, engines, refuse
 
 from damaskridge.model.gateway import EngineStage
 
@@ -13,12 +13,12 @@
 
 
 def arrivals(*standins):
-    return sum(len(standin.seen) for standin in standins)
+    return sum(len(standin.received) for standin in standins)
 
 
 def test_no_run_follows_a_refused_prompt_reading_without_budget():
     async def main():
-        found = engines(decoding(), prefill=refuse)
+        found = engines(decode_script(), prefill=refuse)
         async with gateway(*found, budget=0) as app:
             status, headers, _ = await app.generate("/gen/x")
         assert arrivals(*found) == 1
@@ -30,7 +30,7 @@
 
 def test_no_run_follows_two_refused_prompt_readings_with_budget_for_one():
     async def main():
-        found = engines(decoding(), prefill=refuse)
+        found = engines(decode_script(), prefill=refuse)
         found.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
         async with gateway(*found, budget=1) as app:
             status, _, _ = await app.generate("/gen/x")
@@ -43,7 +43,7 @@
 def test_repeats_of_an_overload_stay_within_the_budget():
     async def main():
         requests, budget = 20, 5
-        found = engines(decoding(), prefill=refuse)
+        found = engines(decode_script(), prefill=refuse)
         found.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
         async with gateway(*found, budget=budget) as app:
             for number in range(requests):
--- a/tests/adapters/gateway/test_server_notices.py
+++ b/tests/adapters/gateway/test_server_notices.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from tests.adapters.gateway.standin import StandIn, gateway, reply
-from tests.adapters.gateway.test_streams import decoding, engines, read_prompt
+from tests.adapters.gateway.standin import StandIn, gateway, response
+from tests.adapters.gateway.test_streams import decode_script, engines, run_prefill
 
 LEAVING = b"server-leaving: 1\r\n"
 PAUSE = b"x-not-executed: 1\r\nretry-after: 1.5\r\n"
@@ -14,8 +14,8 @@
 
 
 def answering(extra=b"", status=200):
-    async def script(seen, writer):
-        writer.write(reply(seen, status, signed=status == 200, extra=extra))
+    async def script(request, writer):
+        writer.write(response(request, status, signed=status == 200, extra=extra))
 
     return script
 
@@ -25,9 +25,9 @@
         leaving, other = StandIn("a", answering(LEAVING)), StandIn("b", answering())
         async with gateway(leaving, other) as app:
             for _ in range(8):
-                status, _, _ = await app.ask("/safe/x")
+                status, _, _ = await app.send_request("/safe/x")
                 assert status == 200
-            assert len(leaving.seen) == 1
+            assert len(leaving.received) == 1
             assert leaving.closed == 1
             assert app.registry.notices.leaving()[0].instance == "a"
 
@@ -36,17 +36,17 @@
 
 def test_a_reader_of_prompts_that_leaves_is_not_asked_again():
     async def main():
-        async def read_and_leave(seen, writer):
+        async def read_and_leave(request, writer):
             body = b'{"HandleId":"h","Tokens":1,"Version":1}'
-            writer.write(reply(seen, body=body, extra=LEAVING))
+            writer.write(response(request, body=body, extra=LEAVING))
 
-        found = engines(decoding(), prefill=read_and_leave)
+        found = engines(decode_script(), prefill=read_and_leave)
         async with gateway(*found) as app:
             for _ in range(3):
                 status, _, _ = await app.generate("/gen/x")
                 assert status == 200
-        assert len(found[0].seen) == 1
-        assert len(found[1].seen) == 3
+        assert len(found[0].received) == 1
+        assert len(found[1].received) == 3
 
     play(main)
 
@@ -56,9 +56,9 @@
         busy, other = StandIn("a", answering(PAUSE, 503)), StandIn("b", answering())
         async with gateway(busy, other) as app:
             for _ in range(8):
-                status, _, _ = await app.ask("/once/x")
+                status, _, _ = await app.send_request("/once/x")
                 assert status == 200
-            assert len(busy.seen) == 1
+            assert len(busy.received) == 1
 
     play(main)
 
@@ -67,12 +67,12 @@
     async def main():
         servers = [StandIn(name, answering(PAUSE, 503)) for name in "ab"]
         async with gateway(*servers) as app:
-            await app.ask("/safe/x")
-            before = sum(len(server.seen) for server in servers)
-            status, headers, _ = await app.ask("/safe/x")
+            await app.send_request("/safe/x")
+            before = sum(len(server.received) for server in servers)
+            status, headers, _ = await app.send_request("/safe/x")
             assert status == 503
             assert 1.0 < float(headers["retry-after"]) <= 1.5 * 1.5
-            assert sum(len(server.seen) for server in servers) == before == 2
+            assert sum(len(server.received) for server in servers) == before == 2
 
     play(main)
 
@@ -88,29 +88,29 @@
             status, headers, _ = await app.generate("/gen/x")
         assert status == 503
         assert float(headers["retry-after"]) > 1.0
-        assert not [seen for engine in found for seen in engine.seen]
+        assert not [request for engine in found for request in engine.received]
 
     play(main)
 
 
 def test_a_reservation_on_an_engine_that_then_asks_for_a_pause_is_not_used():
     async def main():
-        found = engines(decoding(), decoding(), prefill=read_prompt)
+        found = engines(decode_script(), decode_script(), prefill=run_prefill)
         async with gateway(*found) as app:
 
-            async def read_and_pause(seen, writer):
+            async def read_and_pause(request, writer):
                 for engine in found[1:]:
                     if app.load.total(engine.name).requests:
                         until_s = asyncio.get_running_loop().time() + 1.5
                         app.registry.notices.asked_to_pause(engine.name, until_s)
                         paused.append(engine)
-                await read_prompt(seen, writer)
+                await run_prefill(request, writer)
 
             paused = []
             found[0].script = read_and_pause
             status, _, _ = await app.generate("/res/x")
         assert status == 200
         assert len(paused) == 1
-        assert not paused[0].seen
+        assert not paused[0].received
 
     play(main)
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -9,26 +9,26 @@
     events,
     gateway,
     not_executed,
-    reply,
+    response,
 )
 
 from damaskridge.model.gateway import EngineStage
 
 
-async def read_prompt(seen, writer):
-    body = b'{"HandleId":"h-%s","Tokens":100,"Version":1}' % seen.attempt.encode()
+async def run_prefill(request, writer):
+    body = b'{"HandleId":"h-%s","Tokens":100,"Version":1}' % request.attempt.encode()
     writer.write(
         b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\ncontent-length: %d\r\n\r\n%s"
-        % (seen.attempt.encode(), len(body), body)
+        % (request.attempt.encode(), len(body), body)
     )
 
 
-def decoding(total=9, *, cut_after=None, torn=b"", stall=False):
+def decode_script(total=9, *, cut_after=None, torn=b"", stall=False):
     """Stream events from `last-event-id` on, and perhaps break off."""
 
-    async def script(seen, writer):
-        first = int(seen.headers.get("last-event-id", 0)) + 1
-        writer.write(chunked_head(seen))
+    async def script(request, writer):
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        writer.write(chunked_head(request))
         last = total if cut_after is None else cut_after
         for number in range(first, last + 1):
             writer.write(chunk(events(number, number)))
@@ -46,11 +46,11 @@
     return script
 
 
-async def refuse(seen, writer):
-    writer.write(not_executed(seen))
+async def refuse(request, writer):
+    writer.write(not_executed(request))
 
 
-def engines(*decoders, prefill=read_prompt):
+def engines(*decoders, prefill=run_prefill):
     reader = StandIn("p", prefill, EngineStage.PREFILL, "llm")
     return [
         reader,
@@ -67,12 +67,12 @@
 
 def test_a_stream_takes_the_prefilled_cache():
     async def main():
-        found = engines(decoding())
+        found = engines(decode_script())
         async with gateway(*found) as app:
             status, headers, body = await app.generate("/gen/x")
         assert (status, body) == (200, events(1, 9))
         assert headers["x-response-signature"] == "sig"
-        prefill, decode = found[0].seen[0], found[1].seen[0]
+        prefill, decode = found[0].received[0], found[1].received[0]
         assert prefill.headers["x-stage"] == "prefill"
         assert decode.headers["x-kv-source"] == f"{found[0].address}/h-a1"
         assert decode.headers["x-kv-hold"] == "h1"
@@ -85,16 +85,16 @@
     """The operator counts each one after the first, also after an answer of failure."""
 
     async def main():
-        async def refuse(seen, writer):
-            writer.write(reply(seen, 500, b"", signed=False))
+        async def refuse(request, writer):
+            writer.write(response(request, 500, b"", signed=False))
 
-        found = engines(decoding())
+        found = engines(decode_script())
         broken = StandIn("p1", refuse, EngineStage.PREFILL, "llm")
         found[0].script = refuse
         async with gateway(broken, *found) as app:
             status, _, _ = await app.generate("/gen/x")
             assert status == 200
-            assert len(broken.seen) + len(found[0].seen) == 2
+            assert len(broken.received) + len(found[0].received) == 2
             assert len(app.resends) == 1
 
     play(main)
@@ -103,15 +103,15 @@
 def test_a_broken_stream_goes_on_without_gap_or_repeat():
     async def main():
         found = engines(
-            decoding(cut_after=4, torn=b"id: 5\ndata: to"),
-            decoding(cut_after=4, torn=b"id: 5\ndata: to"),
+            decode_script(cut_after=4, torn=b"id: 5\ndata: to"),
+            decode_script(cut_after=4, torn=b"id: 5\ndata: to"),
         )
         async with gateway(*found) as app:
             # Whichever engine is chosen first breaks; the other goes on from there.
             status, _, body = await app.generate("/res/x")
-        sent = [seen for engine in found[1:] for seen in engine.seen]
+        sent = [request for engine in found[1:] for request in engine.received]
         assert len(sent) == 2
-        assert sorted(seen.headers.get("last-event-id", "") for seen in sent) == [
+        assert sorted(request.headers.get("last-event-id", "") for request in sent) == [
             "",
             "4",
         ]
@@ -127,11 +127,13 @@
         def second_time():
             runs = []
 
-            async def script(seen, writer):
-                runs.append(seen)
-                if "last-event-id" in seen.headers:
-                    return await decoding()(seen, writer)
-                return await decoding(cut_after=3, torn=b"id: 4\nda")(seen, writer)
+            async def script(request, writer):
+                runs.append(request)
+                if "last-event-id" in request.headers:
+                    return await decode_script()(request, writer)
+                return await decode_script(cut_after=3, torn=b"id: 4\nda")(
+                    request, writer
+                )
 
             return script
 
@@ -145,10 +147,10 @@
 
 def test_a_silent_engine_is_left_for_another():
     async def main():
-        async def script(seen, writer):
-            if "last-event-id" in seen.headers:
-                return await decoding()(seen, writer)
-            return await decoding(cut_after=3, stall=True)(seen, writer)
+        async def script(request, writer):
+            if "last-event-id" in request.headers:
+                return await decode_script()(request, writer)
+            return await decode_script(cut_after=3, stall=True)(request, writer)
 
         found = engines(script, script)
         async with gateway(*found) as app:
@@ -160,44 +162,44 @@
 
 def test_a_stream_that_cannot_be_resumed_looks_cut():
     async def main():
-        found = engines(decoding(cut_after=4), decoding())
+        found = engines(decode_script(cut_after=4), decode_script())
         found[2].service = "other"
         async with gateway(*found) as app:
             status, _, body = await app.generate("/gen/x")
         assert status == 200
         assert body is None
-        assert len(found[1].seen) == 1
+        assert len(found[1].received) == 1
 
     play(main)
 
 
 def test_a_decode_engine_reads_the_prompt_without_prefill_engines():
     async def main():
-        found = engines(decoding(), prefill=refuse)
+        found = engines(decode_script(), prefill=refuse)
         async with gateway(*found) as app:
             status, _, body = await app.generate("/gen/x")
         assert (status, body) == (200, events(1, 9))
-        assert "x-kv-source" not in found[1].seen[0].headers
+        assert "x-kv-source" not in found[1].received[0].headers
 
     play(main)
 
 
 def test_an_engine_that_refuses_is_followed_by_another_with_the_same_cache():
     async def main():
-        found = engines(refuse, decoding())
+        found = engines(refuse, decode_script())
         async with gateway(*found) as app:
             answers = [await app.generate("/gen/x") for _ in range(4)]
         assert [body for _, _, body in answers] == [events(1, 9)] * 4
-        assert len(found[0].seen) == 4
+        assert len(found[0].received) == 4
 
     play(main)
 
 
 def test_a_caller_that_resumes_gets_what_it_lacks():
     async def main():
-        found = engines(decoding())
+        found = engines(decode_script())
         async with gateway(*found) as app:
-            status, _, body = await app.ask(
+            status, _, body = await app.send_request(
                 "/res/x", ["x-token-count: 100,50", "last-event-id: 6"], b"prompt"
             )
         assert (status, body) == (200, events(7, 9))
@@ -207,14 +209,16 @@
 
 def test_engines_without_room_are_a_true_refusal():
     async def main():
-        found = engines(decoding())
-        found[1]._api = lambda seen: b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n"
+        found = engines(decode_script())
+        found[1]._api = lambda request: (
+            b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n"
+        )
         async with gateway(*found) as app:
             status, headers, _ = await app.generate("/gen/x")
         assert status == 503
         assert "retry-after" in headers
         # No prompt is read for an engine without room.
-        assert found[0].seen == found[1].seen == []
+        assert found[0].received == found[1].received == []
 
     play(main)
 
@@ -223,7 +227,7 @@
     """A counted request that never ended would keep work from its engine for good."""
 
     async def main():
-        found = engines(decoding())
+        found = engines(decode_script())
         async with gateway(*found) as app:
             asked = asyncio.Event()
 
@@ -256,10 +260,10 @@
 
     async def main():
         def breaking():
-            async def script(seen, writer):
-                if "last-event-id" in seen.headers:
-                    return await decoding()(seen, writer)
-                return await decoding(cut_after=3)(seen, writer)
+            async def script(request, writer):
+                if "last-event-id" in request.headers:
+                    return await decode_script()(request, writer)
+                return await decode_script(cut_after=3)(request, writer)
 
             return script
 
@@ -269,9 +273,9 @@
             assert (status, body) == (200, events(1, 9))
             # One for the run that goes on and one for the second reading.
             assert len(app.resends) == 2
-        sent = [seen for engine in found[1:] for seen in engine.seen]
-        assert len(found[0].seen) == len(sent) == 2
-        again = next(seen for seen in sent if "last-event-id" in seen.headers)
+        sent = [request for engine in found[1:] for request in engine.received]
+        assert len(found[0].received) == len(sent) == 2
+        again = next(request for request in sent if "last-event-id" in request.headers)
         assert "x-kv-source" in again.headers
         assert "x-kv-hold" in again.headers
 
--- a/tests/adapters/test_boottime_loop.py
+++ b/tests/adapters/test_boottime_loop.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import anyio
-from tests.adapters.gateway.standin import StandIn, gateway, reply
-from tests.adapters.gateway.test_streams import decoding, engines, read_prompt
+from tests.adapters.gateway.standin import StandIn, gateway, response
+from tests.adapters.gateway.test_streams import decode_script, engines, run_prefill
 
 from damaskridge.adapters.boottime_loop import BoottimeEventLoop
 from damaskridge.core.gateway.instance_feed import InstanceCopy
@@ -65,14 +65,14 @@
     """Both have lapsed at the engines, which may have given them to others."""
 
     async def main(clock):
-        async def read_and_suspend(seen, writer):
+        async def read_and_suspend(received, writer):
             clock.suspend(2.5)
-            await read_prompt(seen, writer)
+            await run_prefill(received, writer)
 
-        found = engines(decoding(), prefill=read_and_suspend)
+        found = engines(decode_script(), prefill=read_and_suspend)
         async with gateway(*found) as app:
             status, _, _ = await app.generate("/res/x")
-        (decode,) = found[1].seen
+        (decode,) = found[1].received
         assert status == 200
         assert "x-kv-hold" not in decode.headers
         assert "x-kv-source" not in decode.headers
@@ -84,16 +84,16 @@
     """The server has closed it or has lost track of it."""
 
     async def main(clock):
-        async def answer(seen, writer):
-            writer.write(reply(seen))
+        async def answer(received, writer):
+            writer.write(response(received))
 
         server = StandIn("a", answer)
         async with gateway(server) as app:
             for _ in range(2):
-                await app.ask("/safe/x")
+                await app.send_request("/safe/x")
             clock.suspend()
-            await app.ask("/safe/x")
-        first, second, third = (seen.reader for seen in server.seen)
+            await app.send_request("/safe/x")
+        first, second, third = (received.reader for received in server.received)
         assert first is second
         assert third is not second
 
--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -8,7 +8,7 @@
     chunk,
     chunked_head,
     not_executed,
-    reply,
+    response,
 )
 
 __all__ = ["event_count", "make_backends"]
@@ -30,52 +30,54 @@
         # Names of servers that turn every request away.
         self.refusing = set()
 
-    def _begin(self, seen, name):
-        has_key = "authorization" in seen.headers
-        return self._record.run_began(name, seen.attempt, has_key)
+    def _begin(self, request, name):
+        has_key = "authorization" in request.headers
+        return self._record.run_began(name, request.attempt, has_key)
 
-    def _refuses(self, name, seen, writer, *, is_reading=False):
+    def _refuses(self, name, request, writer, *, is_reading=False):
         """Count an arrival; answers it if the server turns requests away."""
         refuses = name in self.refusing
-        self._record.arrived(seen.attempt, is_reading=is_reading, was_refused=refuses)
+        self._record.arrived(
+            request.attempt, is_reading=is_reading, was_refused=refuses
+        )
         if refuses:
-            writer.write(not_executed(seen))
+            writer.write(not_executed(request))
         return refuses
 
     def call(self, name):
-        async def script(seen, writer):
-            if self._refuses(name, seen, writer):
+        async def script(request, writer):
+            if self._refuses(name, request, writer):
                 return
-            run = self._begin(seen, name)
+            run = self._begin(request, name)
             await asyncio.sleep(self._rng.uniform(0.0, 0.06))
             self._record.run_ended(run)
-            writer.write(reply(seen, body=b"ran:" + seen.attempt.encode()))
+            writer.write(response(request, body=b"ran:" + request.attempt.encode()))
 
         return StandIn(name, script)
 
     def prefill(self, name):
-        async def script(seen, writer):
-            if self._refuses(name, seen, writer, is_reading=True):
+        async def script(request, writer):
+            if self._refuses(name, request, writer, is_reading=True):
                 return
             await asyncio.sleep(self._rng.uniform(0.0, 0.03))
-            body = b'{"HandleId":"h-%s","Tokens":100}' % seen.attempt.encode()
-            writer.write(reply(seen, body=body, signed=False))
+            body = b'{"HandleId":"h-%s","Tokens":100}' % request.attempt.encode()
+            writer.write(response(request, body=body, signed=False))
 
         return StandIn(name, script, EngineStage.PREFILL, "llm")
 
     def decode(self, name):
-        async def script(seen, writer):
-            if self._refuses(name, seen, writer):
+        async def script(request, writer):
+            if self._refuses(name, request, writer):
                 return False
-            run = self._begin(seen, name)
+            run = self._begin(request, name)
             try:
-                first = int(seen.headers.get("last-event-id", "0")) + 1
-                writer.write(chunked_head(seen))
-                for number in range(first, event_count(seen.attempt) + 1):
+                first = int(request.headers.get("last-event-id", "0")) + 1
+                writer.write(chunked_head(request))
+                for number in range(first, event_count(request.attempt) + 1):
                     await asyncio.sleep(EVENT_PAUSE_S)
-                    if writer.transport.is_closing() or seen.reader.at_eof():
+                    if writer.transport.is_closing() or request.reader.at_eof():
                         return True
-                    event = f"id: {number}\ndata: {seen.attempt}/{number}\n\n"
+                    event = f"id: {number}\ndata: {request.attempt}/{number}\n\n"
                     writer.write(chunk(event.encode()))
                     await writer.drain()
                 writer.write(b"0\r\n\r\n")
--- a/tests/fault_soak/unguarded.py
+++ b/tests/fault_soak/unguarded.py
@@ -43,11 +43,11 @@
     """Pass on events that the caller has already."""
     from damaskridge.adapters.gateway.generation import Generation
 
-    def is_new(self, event_id):
+    def accept_event(self, event_id):
         self.has_events = True
         return True
 
-    Generation.is_new = is_new
+    Generation.accept_event = accept_event
 
 
 def _leaving():
@@ -76,7 +76,7 @@
     """Send repeats that nobody pays for."""
     from damaskridge.adapters.gateway.retry_gate import RetryGate
 
-    RetryGate.admits = lambda self, work, step: True
+    RetryGate.admits = lambda self, admitted, step: True
 
 
 GUARDS = {
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from damaskridge.adapters.gateway.connections import ReplyHead
+from damaskridge.adapters.gateway.connections import ResponseHead
 from damaskridge.adapters.gateway.dialect import EngineStep, SendOptions
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.platform.dialect import PlatformDialect
@@ -29,12 +29,12 @@
 
 
 def request(*extra, base=BASE):
-    return DIALECT.caller_request("POST", b"/a/b?q=1", [*base, *extra])
+    return DIALECT.decode_request("POST", b"/a/b?q=1", [*base, *extra])
 
 
 def sent(found, **options):
-    options = {"instance": "i1", "left_s": 1.2, "workspace": "w", **options}
-    return DIALECT.send_headers(found, SendOptions(**options))
+    options = {"instance": "i1", "remaining_s": 1.2, "workspace": "w", **options}
+    return DIALECT.encode_headers(found, SendOptions(**options))
 
 
 def test_a_request_is_decoded():
@@ -49,8 +49,8 @@
         "h.example",
         "/a/b",
     )
-    assert (found.key, found.patience_s) == ("key", 1.5)
-    assert (found.prompt_tokens, found.output_tokens) == (1460, 80)
+    assert (found.key, found.caller_timeout_s) == ("key", 1.5)
+    assert (found.prompt_tokens, found.max_output_tokens) == (1460, 80)
     assert found.prompt_parts == (("5c", 800), ("91", 410), ("e4", 250))
     assert (found.expected_output_tokens, found.last_event_id) == (33, 12)
 
@@ -116,19 +116,22 @@
     ],
 )
 def test_only_a_statement_means_not_run(status, headers, did_not_run):
-    assert DIALECT.reply_facts(ReplyHead(status, headers)).did_not_run is did_not_run
+    assert (
+        DIALECT.decode_response_head(ResponseHead(status, headers)).did_not_run
+        is did_not_run
+    )
 
 
 def test_the_time_of_idle_connections_is_read():
-    head = ReplyHead(200, [(b"keep-alive", b"max=9, timeout=4")])
-    assert DIALECT.reply_facts(head).keep_alive_s == 4.0
-    assert DIALECT.reply_facts(ReplyHead(200, [])).keep_alive_s is None
+    head = ResponseHead(200, [(b"keep-alive", b"max=9, timeout=4")])
+    assert DIALECT.decode_response_head(head).keep_alive_s == 4.0
+    assert DIALECT.decode_response_head(ResponseHead(200, [])).keep_alive_s is None
 
 
 def test_a_server_says_that_it_leaves():
-    head = ReplyHead(200, [(b"server-leaving", b"1")])
-    assert DIALECT.reply_facts(head).is_leaving
-    assert not DIALECT.reply_facts(ReplyHead(200, [])).is_leaving
+    head = ResponseHead(200, [(b"server-leaving", b"1")])
+    assert DIALECT.decode_response_head(head).is_leaving
+    assert not DIALECT.decode_response_head(ResponseHead(200, [])).is_leaving
 
 
 @pytest.mark.parametrize(
@@ -145,13 +148,13 @@
     ],
 )
 def test_a_server_that_turns_a_request_away_may_ask_for_a_pause(status, value, pause_s):
-    head = ReplyHead(status, [(b"retry-after", value)])
-    assert DIALECT.reply_facts(head).pause_s == pause_s
+    head = ResponseHead(status, [(b"retry-after", value)])
+    assert DIALECT.decode_response_head(head).pause_s == pause_s
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b"\xff", b'{"HandleId":3}'])
 def test_a_prefill_without_a_handle_is_no_prefill(body):
-    assert DIALECT.handle_reply(body).is_err()
+    assert DIALECT.decode_prefill_response(body).is_err()
 
 
 def test_a_refusal_says_when_to_come_back():
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -8,7 +8,13 @@
 from pathlib import Path
 
 import msgspec
-from tests.adapters.gateway.standin import StandIn, chunk, chunked_head, events, reply
+from tests.adapters.gateway.standin import (
+    StandIn,
+    chunk,
+    chunked_head,
+    events,
+    response,
+)
 
 from damaskridge.model.gateway import EngineStage
 
@@ -50,17 +56,17 @@
     raise RuntimeError("no block of ports is free")
 
 
-async def _answer(seen, writer):
-    writer.write(reply(seen, body=b"served"))
+async def _answer(request, writer):
+    writer.write(response(request, body=b"served"))
 
 
-async def _read_prompt(seen, writer):
+async def _read_prompt(request, writer):
     body = b'{"HandleId":"h1","Tokens":100}'
-    writer.write(reply(seen, body=body, signed=False))
+    writer.write(response(request, body=body, signed=False))
 
 
-async def _generate(seen, writer):
-    writer.write(chunked_head(seen) + chunk(events(1, 3)) + b"0\r\n\r\n")
+async def _generate(request, writer):
+    writer.write(chunked_head(request) + chunk(events(1, 3)) + b"0\r\n\r\n")
 
 
 class PlatformFleet:
--- a/tests/processes/test_platform_path.py
+++ b/tests/processes/test_platform_path.py
@@ -114,10 +114,10 @@
         fleet.leaving.add("app-1")
         # The platform allows three seconds.
         await asyncio.sleep(2.5)
-        seen = len(fleet.app.seen)
+        received = len(fleet.app.received)
         for number in ALL:
             assert (await fleet.ask(number))[0] == 503
-        assert len(fleet.app.seen) == seen
+        assert len(fleet.app.received) == received
 
     play(tmp_path, scenario)
 
@@ -130,7 +130,7 @@
         await fleet.publish(keys=("k2",))
         fleet.leaving.add("app-1")
         await asyncio.sleep(2.5)
-        seen = len(fleet.app.seen)
+        received = len(fleet.app.received)
         for program in ("entry", "control"):
             fleet.stop(program, 1, signal.SIGKILL)
             await asyncio.to_thread(fleet.processes[program, 1].wait)
@@ -147,7 +147,7 @@
         await fleet.until(knows_its_routes, 5.0)
         # No connection at first, then refused without routes, then an unknown key.
         assert answers <= {0, 503, 401}
-        assert len(fleet.app.seen) == seen
+        assert len(fleet.app.received) == received
 
     play(tmp_path, scenario)
 
