--- a/src/damaskridge/adapters/gateway/__init__.py
+++ b/src/damaskridge/adapters/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Forwards callers' requests to backend servers."""
+"""The gateway, which forwards callers' requests to backend servers."""
--- a/src/damaskridge/adapters/gateway/admitted_request.py
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -1,4 +1,4 @@
-"""One admitted request on its way through the gateway."""
+"""A request that the gateway has admitted, with what is needed to forward it."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -9,33 +9,40 @@
 from damaskridge.core.gateway.send_policy import SendPolicy
 from damaskridge.model.gateway import GatewayRoute, GatewayService
 
-__all__ = ["GatewayWork"]
+__all__ = ["AdmittedRequest"]
 
-# Above a half, so that an engine that fills with long generations need not preempt.
-OUTPUT_SHARE = 0.6
+# Share of the expected output that counts as memory in use. A generation holds half of
+# its output on average over its run; the margin above that keeps an engine that fills
+# with long generations from having to preempt one.
+OUTPUT_MEMORY_FRACTION = 0.6
 
 
 @dataclass(slots=True, kw_only=True)
-class GatewayWork:
+class AdmittedRequest:
     """
-    A request with everything that was decided about it on admission.
+    A caller's request, and what was decided on its admission.
 
     Parameters
     ----------
     request, body : CallerRequest, bytes
-        What the caller sent.
+        The request as the caller sent it.
     route, service : GatewayRoute, GatewayService
-        Where it goes.
+        The route that matched, and the service chosen among the route's targets.
     workspace : str
-        Whose key came with it; empty on public routes.
+        Workspace of the caller's key; empty on public routes.
     priority : int
-        Rank of the request; 0 is the most urgent.
+        Priority of the request; 0 is the most urgent.
     arrived_s : float
-        Loop time at which its head was read.
-    fingerprint : str
-        What the request has in common with its repeats.
+        Event loop time at which the head of the request was read.
     account : SendAccount
-        What its sends cost the retry budget.
+        What sending the request has cost the retry budget.
+
+    Attributes
+    ----------
+    policy : SendPolicy
+        Decides whether the request may be sent to a further backend server.
+    fingerprint : str
+        Digest that is the same for every retry of the request by its caller.
     """
 
     request: CallerRequest
@@ -59,7 +66,7 @@
 
     @property
     def now_s(self) -> float:
-        """Present time on the clock that arrival is measured with."""
+        """Current event loop time."""
         return asyncio.get_running_loop().time()
 
     @property
@@ -69,12 +76,12 @@
 
     @property
     def route_remaining_s(self) -> float:
-        """Time until the final answer is due."""
+        """Time until the timeout of the route; negative after it."""
         return self.route.timeout_ms / 1000 - self.elapsed_s
 
     @property
     def remaining_s(self) -> float:
-        """Time for which a backend server may work: never beyond the caller's."""
+        """Time until the timeout of the route or of the caller, the earlier of both."""
         caller_timeout_s = self.request.caller_timeout_s
         if caller_timeout_s is None:
             return self.route_remaining_s
@@ -83,24 +90,24 @@
     @property
     def memory_tokens(self) -> int:
         """
-        KV cache that a generation is expected to need, in tokens.
+        KV cache that a generation is expected to occupy on average, in tokens.
 
-        The most output would leave a good part of the memory unused. The caller's
-        estimate is right at the median, and a generation has half of its output on
-        average over its time.
+        The limit of the output would leave much of the memory unused. The caller's
+        estimate of the output is right at the median, and a generation holds half of
+        its output on average over its run.
         """
         request = self.request
         expected_tokens = request.expected_output_tokens or request.max_output_tokens
         output_tokens = min(expected_tokens, request.max_output_tokens)
-        return request.prompt_tokens + int(OUTPUT_SHARE * output_tokens)
+        return request.prompt_tokens + int(OUTPUT_MEMORY_FRACTION * output_tokens)
 
-    def options(
+    def send_options(
         self,
         instance: str,
         step: EngineStep | None = None,
         last_event_id: int | None = None,
     ) -> SendOptions:
-        """Return what is added to a send that leaves now."""
+        """Return what the gateway adds to the request if it is sent now."""
         return SendOptions(
             instance=instance,
             remaining_s=max(0.0, self.remaining_s),
--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -1,4 +1,4 @@
-"""The ASGI application that admits callers' requests and forwards them."""
+"""The ASGI application of the gateway, which admits and forwards requests."""
 
 import asyncio
 import logging
@@ -9,10 +9,10 @@
 
 from result import Err
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.dialect import CallerRequest, Dialect
-from damaskridge.adapters.gateway.responses import CallerAnswer
+from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.adapters.http.bodies import RequestError
 from damaskridge.adapters.http.exchange import (
@@ -36,29 +36,29 @@
 
 logger = logging.getLogger(__name__)
 
-# A time-out that is noticed later than this has waited for this process.
-LATE_TIMER_S = 0.1
-# Time for an answer that has arrived to be passed on.
-LATE_ANSWER_S = 0.1
-# A caller that leaves a stream unread for longer has gone.
-WRITE_WAIT_S = 10.0
+# If a timeout fires later than this, the process itself was suspended or blocked.
+MAX_TIMER_DELAY_S = 0.1
+# Time to forward a response that arrived while the process was suspended.
+LATE_RESPONSE_GRACE_S = 0.1
+# A caller that doesn't read its stream for this long is treated as disconnected.
+WRITE_TIMEOUT_S = 10.0
 
 
 @dataclass(slots=True)
 class GatewayState:
     """
-    What changes while the gateway runs.
+    Mutable state of the gateway that other parts of the host update.
 
     Attributes
     ----------
     index : RoutingIndex
-        The routing table in force.
+        Index of the routing table in force.
     hosts : int
-        Entry hosts of the fleet.
+        Number of entry hosts in the fleet.
     is_draining : bool
-        Whether callers are asked to connect elsewhere.
-    running : int
-        Requests that are being answered.
+        Whether the host is draining; callers are then asked to reconnect elsewhere.
+    running_requests : int
+        Number of requests in progress.
     """
 
     index: RoutingIndex
@@ -69,32 +69,34 @@
 
 @dataclass(frozen=True, slots=True)
 class _Admission:
+    """The route and workspace of an admitted request; no workspace if public."""
+
     route: GatewayRoute
     workspace: GatewayWorkspace | None
 
 
 class GatewayApp:
     """
-    Answers callers.
+    Admits requests, forwards them and enforces the timeouts.
 
     Parameters
     ----------
     state : GatewayState
-        Routes and hosts, changed from outside.
+        Routing index and host state, updated from outside.
     dialect : Dialect
         Decodes requests and encodes refusals.
     calls, streams : CallForwarder, StreamForwarder
-        Forward what was admitted.
+        Forward admitted requests to plain services and to engines.
     quota : FleetQuota
-        Limits of workspaces.
+        Enforces the rate limits of workspaces.
     refusals : RefusalTimes
-        When refused callers may come back.
+        Computes after what time refused callers may retry.
     crashes : CrashWatch
-        Which requests crash backend servers.
+        Tracks which requests crash backend servers.
     rng : random.Random
-        Draws the target of routes with several.
+        Selects among the targets of a route.
     on_request : callable
-        Told the service of each admitted request.
+        Called with the name of the service for each admitted request.
     """
 
     def __init__(
@@ -131,7 +133,7 @@
         )
         request_id = "" if isinstance(decoded, Err) else decoded.ok_value.request_id
         exchange = Exchange(scope, receive, send, request_id, self._limits())
-        answer = CallerAnswer(
+        response = CallerResponse(
             exchange,
             self._dialect,
             arrived_s,
@@ -140,9 +142,9 @@
         self._state.running_requests += 1
         try:
             if isinstance(decoded, Err):
-                await answer.refuse(decoded.err_value)
+                await response.refuse(decoded.err_value)
             else:
-                await self._serve(exchange, answer, decoded.ok_value, arrived_s)
+                await self._serve(exchange, response, decoded.ok_value, arrived_s)
         except CallerGone:
             log_event(logger, EventNumber.CALLER_LOST, request_id=request_id)
             exchange.abort()
@@ -152,7 +154,7 @@
     async def _serve(
         self,
         exchange: Exchange,
-        answer: CallerAnswer,
+        response: CallerResponse,
         request: CallerRequest,
         arrived_s: float,
     ) -> None:
@@ -160,13 +162,13 @@
             exchange.check_headers(self._state.index.table.limits.header_bytes)
             admission = self._admit(request)
             body = await exchange.body()
-            self._charge(request, admission)
+            self._charge_quota(request, admission)
         except RequestError as error:
-            await answer.refuse(error.failure)
+            await response.refuse(error.failure)
             return
-        admitted = self._work(request, body, admission, arrived_s)
+        admitted = self._admitted_request(request, body, admission, arrived_s)
         if self._crashes.is_suspect(admitted.fingerprint, admitted.now_s):
-            await answer.refuse(self._suspect())
+            await response.refuse(self._suspect_failure())
             return
         self._on_request(admitted.service.name)
         log_event(
@@ -179,30 +181,37 @@
             deadline_ms=round(admitted.remaining_s * 1000),
         )
         if admitted.service.engine is not None and request.has_size:
-            forwarding = self._streams.forward(admitted, answer)
+            forwarding = self._streams.forward(admitted, response)
         else:
-            forwarding = self._calls.forward(admitted, answer)
-        await self._until_done(exchange, answer, admitted, forwarding)
+            forwarding = self._calls.forward(admitted, response)
+        await self._run_until_done(exchange, response, admitted, forwarding)
 
-    async def _until_done(
+    async def _run_until_done(
         self,
         exchange: Exchange,
-        answer: CallerAnswer,
-        admitted: GatewayWork,
+        response: CallerResponse,
+        admitted: AdmittedRequest,
         forwarding: Coroutine[Any, Any, None],
     ) -> None:
-        """Run until answered, until the caller leaves, or until the time-out."""
-        async with exchange.watched() as gone:
+        """Run until the response is complete, the caller leaves or a timeout."""
+        async with exchange.watched() as caller_gone:
             task = asyncio.ensure_future(forwarding)
-            waits: set[asyncio.Future[Any]] = {task, gone}
+            pending: set[asyncio.Future[Any]] = {task, caller_gone}
             exchange.is_watched = True
-            first = asyncio.FIRST_COMPLETED
+            first_completed = asyncio.FIRST_COMPLETED
             try:
                 timeout_s = max(0.0, admitted.route_remaining_s)
-                await asyncio.wait(waits, timeout=timeout_s, return_when=first)
-                if admitted.route_remaining_s < -LATE_TIMER_S:
-                    # This process stood still; the answer may have arrived meanwhile.
-                    await asyncio.wait(waits, timeout=LATE_ANSWER_S, return_when=first)
+                await asyncio.wait(
+                    pending, timeout=timeout_s, return_when=first_completed
+                )
+                if admitted.route_remaining_s < -MAX_TIMER_DELAY_S:
+                    # The process was suspended; the response may have arrived in
+                    # the meantime.
+                    await asyncio.wait(
+                        pending,
+                        timeout=LATE_RESPONSE_GRACE_S,
+                        return_when=first_completed,
+                    )
             finally:
                 exchange.is_watched = False
                 if not task.done():
@@ -211,23 +220,25 @@
         if not task.cancelled():
             task.result()
             return
-        if gone.done() and not gone.cancelled():
+        if caller_gone.done() and not caller_gone.cancelled():
             raise CallerGone
-        await self._time_out(answer, admitted)
+        await self._respond_timeout(response, admitted)
 
-    def _suspect(self) -> Failure:
+    def _suspect_failure(self) -> Failure:
         detail = "requests like this one have crashed their backend servers"
         retry_after_s = self._refusals.suspect_s()
         kind = ErrorKind.NO_BACKEND_SERVER
         return Failure(kind, detail, RunState.NOT_RUN, retry_after_s)
 
-    async def _time_out(self, answer: CallerAnswer, admitted: GatewayWork) -> None:
+    async def _respond_timeout(
+        self, response: CallerResponse, admitted: AdmittedRequest
+    ) -> None:
         detail = f"no whole answer within {admitted.route.timeout_ms} ms"
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, detail, RunState.UNKNOWN)
-        if answer.has_started:
-            answer.break_off(failure)
+        if response.has_started:
+            response.abort(failure)
         else:
-            await answer.refuse(failure)
+            await response.refuse(failure)
 
     def _admit(self, request: CallerRequest) -> _Admission:
         index = self._state.index
@@ -251,7 +262,7 @@
             raise RequestError(Failure(ErrorKind.INVALID_KEY))
         return _Admission(route, workspace)
 
-    def _charge(self, request: CallerRequest, admission: _Admission) -> None:
+    def _charge_quota(self, request: CallerRequest, admission: _Admission) -> None:
         workspace = admission.workspace
         if workspace is None:
             return
@@ -270,21 +281,21 @@
                 )
             )
 
-    def _work(
+    def _admitted_request(
         self,
         request: CallerRequest,
         body: bytes,
         admission: _Admission,
         arrived_s: float,
-    ) -> GatewayWork:
+    ) -> AdmittedRequest:
         route, workspace = admission.route, admission.workspace
         index = self._state.index
         service = index.service(index.target(route, self._rng.random()))
-        assert service is not None, "a routing table names only known services"
+        assert service is not None, "a routing table refers only to known services"
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
-        return GatewayWork(
+        return AdmittedRequest(
             request=request,
             body=body,
             route=route,
@@ -299,12 +310,12 @@
         return ExchangeLimits(
             body_limit_bytes=limits.body_bytes,
             body_wait_s=limits.idle_timeout_ms / 1000,
-            write_wait_s=WRITE_WAIT_S,
+            write_wait_s=WRITE_TIMEOUT_S,
         )
 
 
 def _target(scope: Scope) -> bytes:
-    """Return path and query as the caller sent them."""
+    """Return the path and query string as the caller sent them."""
     path = bytes(scope.get("raw_path") or scope["path"].encode())
     query = bytes(scope.get("query_string", b""))
     return path + b"?" + query if query else path
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -1,10 +1,10 @@
-"""Forwards calls to plain services."""
+"""Forwards calls to plain services, that is, to servers that are not engines."""
 
 import logging
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import ConnectionBroken
-from damaskridge.adapters.gateway.responses import CallerAnswer
+from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
 from damaskridge.adapters.observability.events import log_event
@@ -22,28 +22,31 @@
 
 logger = logging.getLogger(__name__)
 
-ANSWER_LIMIT_BYTES = 4_194_304
-# A repeatable call goes to another server after this many times its objective: by then
-# its answer would be late in any case.
-PATIENCE_OBJECTIVES = 2.5
-# Below this a pause of the operating system would pass for a silent server.
-LEAST_PATIENCE_S = 0.25
+MAX_RESPONSE_BYTES = 4_194_304
+# A repeatable call is sent to another server if there is no response after this
+# multiple of the route's objective. By then the response would be late in any case.
+RESPONSE_TIMEOUT_OBJECTIVES = 2.5
+# With a shorter timeout, a pause of the operating system would look like a server that
+# doesn't respond.
+MIN_RESPONSE_TIMEOUT_S = 0.25
 
 
 class CallForwarder:
     """
-    Sends a call until it is answered, within what its kind allows.
+    Sends a call to one server after another until one responds.
+
+    How often a call may be sent depends on its kind and on the retry budget.
 
     Parameters
     ----------
     sender, registry, load : Sender, InstanceRegistry, LoadBook
-        Shared by all forwarders of the host.
+        Objects that all forwarders of the host share.
     data_centre : str
-        Where this host stands.
+        Data centre of this host.
     gate : RetryGate
-        Admits sends against the retry budget.
+        Checks requests against the retry budget before they are sent.
     refusals : RefusalTimes
-        When refused callers may come back.
+        Computes after what time refused callers may retry.
     """
 
     def __init__(
@@ -63,37 +66,39 @@
         self._gate = gate
         self._refusals = refusals
 
-    async def forward(self, admitted: GatewayWork, answer: CallerAnswer) -> None:
-        """Answer the caller with the service's answer, or with a failure."""
+    async def forward(
+        self, admitted: AdmittedRequest, response: CallerResponse
+    ) -> None:
+        """Forward a call and send the caller the service's response, or a failure."""
         tried: set[str] = set()
         while True:
-            instance, candidates = self._choose(admitted, frozenset(tried))
+            instance, candidates = self._choose_server(admitted, frozenset(tried))
             if instance is None:
-                await self._give_up_unserved(admitted, answer)
+                await self._refuse_without_server(admitted, response)
                 return
             tried.add(instance.instance)
-            failure = await self._attempt(admitted, answer, instance, candidates)
+            failure = await self._send_once(admitted, response, instance, candidates)
             if failure is not None:
-                await answer.refuse(failure)
+                await response.refuse(failure)
                 return
-            if answer.is_complete:
+            if response.is_complete:
                 return
 
-    def _choose(
-        self, admitted: GatewayWork, tried: frozenset[str]
+    def _choose_server(
+        self, admitted: AdmittedRequest, tried: frozenset[str]
     ) -> tuple[BackendInstance | None, int]:
         now_s = admitted.now_s
         service = admitted.service.name
         candidates = self._registry.candidates(service, now_s, excluded=tried)
-        # With no other server left, one that had no room may have some now.
+        # If every server has been tried, one that was full may have capacity now.
         candidates = candidates or self._registry.candidates(service, now_s)
         if not candidates:
             return None, 0
         chosen = self._load.least_loaded(candidates, self._data_centre)
         return chosen, len(candidates)
 
-    async def _give_up_unserved(
-        self, admitted: GatewayWork, answer: CallerAnswer
+    async def _refuse_without_server(
+        self, admitted: AdmittedRequest, response: CallerResponse
     ) -> None:
         kind = ErrorKind.NO_BACKEND_SERVER
         if admitted.policy.runs:
@@ -105,19 +110,27 @@
         if pause_s:
             detail = f"every backend server for {service} wants no request now"
             retry_after_s = self._refusals.paused_s(pause_s)
-        await answer.refuse(Failure(kind, detail, retry_after_s=retry_after_s))
+        await response.refuse(Failure(kind, detail, retry_after_s=retry_after_s))
 
-    async def _attempt(
+    async def _send_once(
         self,
-        admitted: GatewayWork,
-        answer: CallerAnswer,
+        admitted: AdmittedRequest,
+        response: CallerResponse,
         instance: BackendInstance,
         candidates: int,
     ) -> Failure | None:
-        """Send once; returns the failure to answer, or None to go on or when done."""
+        """
+        Send the call to one server.
+
+        Returns
+        -------
+        Failure or None
+            The failure to respond with. None if the response is complete, or if the
+            call is to be sent to another server.
+        """
         policy, name = admitted.policy, instance.instance
         policy.sent()
-        answer.attempts = policy.sends
+        response.attempts = policy.sends
         load = self._load.total(name).requests
         log_event(
             logger,
@@ -135,11 +148,11 @@
             outcome = await self._sender.send(
                 instance,
                 admitted,
-                answer_s=self._answer_s(admitted, candidates),
+                response_timeout_s=self._response_timeout_s(admitted, candidates),
                 fresh=not policy.may_repeat,
             )
             if isinstance(outcome, OpenReply):
-                return await self._answer(admitted, answer, outcome)
+                return await self._forward_response(admitted, response, outcome)
         finally:
             self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, NotRun):
@@ -148,12 +161,12 @@
                 left_s=admitted.remaining_s, may_resend=may_resend
             )
         else:
-            self._sender.note_run(instance, admitted.fingerprint, is_whole=False)
-            decision = self._after_unknown(admitted, outcome)
-        return self._failure(admitted, decision, outcome.reason)
+            self._sender.record_run(instance, admitted.fingerprint, is_complete=False)
+            decision = self._decide_after_unknown(admitted, outcome)
+        return self._failure_of(admitted, decision, outcome.reason)
 
-    def _after_unknown(
-        self, admitted: GatewayWork, outcome: Unknown
+    def _decide_after_unknown(
+        self, admitted: AdmittedRequest, outcome: Unknown
     ) -> Resend | GiveUp:
         return admitted.policy.unknown(
             left_s=admitted.remaining_s,
@@ -162,8 +175,8 @@
             timed_out=outcome.timed_out,
         )
 
-    def _failure(
-        self, admitted: GatewayWork, decision: Resend | GiveUp, reason: str
+    def _failure_of(
+        self, admitted: AdmittedRequest, decision: Resend | GiveUp, reason: str
     ) -> Failure | None:
         if not isinstance(decision, GiveUp):
             return None
@@ -172,29 +185,42 @@
             retry_after_s = self._refusals.overloaded_s(admitted.remaining_s)
         return decision.failure(reason, retry_after_s)
 
-    def _answer_s(self, admitted: GatewayWork, candidates: int) -> float:
-        left_s = max(0.0, admitted.route_remaining_s)
+    def _response_timeout_s(self, admitted: AdmittedRequest, candidates: int) -> float:
+        remaining_s = max(0.0, admitted.route_remaining_s)
         if not admitted.policy.has_another_run or candidates < 2:
-            return left_s
-        response_timeout_s = PATIENCE_OBJECTIVES * admitted.route.objective_ms / 1000
-        return min(left_s, max(LEAST_PATIENCE_S, response_timeout_s))
+            return remaining_s
+        response_timeout_s = (
+            RESPONSE_TIMEOUT_OBJECTIVES * admitted.route.objective_ms / 1000
+        )
+        return min(remaining_s, max(MIN_RESPONSE_TIMEOUT_S, response_timeout_s))
 
-    async def _answer(
-        self, admitted: GatewayWork, answer: CallerAnswer, reply: OpenReply
+    async def _forward_response(
+        self,
+        admitted: AdmittedRequest,
+        response: CallerResponse,
+        server_response: OpenReply,
     ) -> Failure | None:
         try:
-            body = await reply.whole(ANSWER_LIMIT_BYTES)
+            body = await server_response.read_body(MAX_RESPONSE_BYTES)
         except ConnectionBroken as error:
-            self._sender.note_answer(reply.instance, good=False, reason=str(error))
-            self._sender.note_run(reply.instance, admitted.fingerprint, is_whole=False)
-            decision = self._after_unknown(admitted, Unknown(str(error)))
-            return self._failure(admitted, decision, str(error))
+            self._sender.record_response(
+                server_response.instance, good=False, reason=str(error)
+            )
+            self._sender.record_run(
+                server_response.instance, admitted.fingerprint, is_complete=False
+            )
+            decision = self._decide_after_unknown(admitted, Unknown(str(error)))
+            return self._failure_of(admitted, decision, str(error))
         finally:
-            reply.close()
-        self._sender.note_run(reply.instance, admitted.fingerprint, is_whole=True)
-        is_failure = reply.head.status >= 500
-        self._sender.note_answer(
-            reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
+            server_response.close()
+        self._sender.record_run(
+            server_response.instance, admitted.fingerprint, is_complete=True
+        )
+        is_failure = server_response.head.status >= 500
+        self._sender.record_response(
+            server_response.instance,
+            good=not is_failure,
+            reason=f"status {server_response.head.status}",
         )
         if is_failure:
             may_resend = admitted.policy.has_another_run and self._gate.admits(
@@ -204,5 +230,5 @@
                 left_s=admitted.remaining_s, may_resend=may_resend
             ):
                 return None
-        await answer.pass_on(reply.head, reply.facts, body)
+        await response.forward(server_response.head, server_response.metadata, body)
         return None
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 connections to backend servers, one request at a time.
 
-h11 parses; this module decides what counts as a whole answer and when a connection may
-be used again. httpcore hides both: bytes that follow a complete answer, and whether an
-answer without a length ended cleanly or was reset.
+h11 parses the bytes. This module decides whether a response is complete and whether a
+connection may be reused. httpcore doesn't expose what that takes: bytes that follow a
+complete response, and whether a response without a length ended cleanly or was reset.
 """
 
 import asyncio
@@ -22,51 +22,53 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# Bounds the memory of an answer whose reader is slow.
-READ_AHEAD_BYTES = 65_536
-# A head of a backend server beyond this is no answer.
-REPLY_HEAD_BYTES = 32_768
-# Replies such as "100 Continue" before the answer; more of them are no answer.
-MOST_INFORMATIONAL = 8
-# Finds a connection that went silent: unacknowledged data for this long ends it.
-USER_TIMEOUT_MS = 1_500
+# Limits the memory of a response that is read more slowly than it arrives.
+MAX_READ_AHEAD_BYTES = 65_536
+# A larger response head is treated as a broken connection.
+MAX_RESPONSE_HEAD_BYTES = 32_768
+# Interim responses such as "100 Continue" that may precede the final response; a
+# server that sends more is treated as a broken connection.
+MAX_INFORMATIONAL_RESPONSES = 8
+# Detects an unresponsive peer: the kernel closes a connection whose sent data has been
+# unacknowledged for this long.
+TCP_USER_TIMEOUT_MS = 1_500
 
 
 class ConnectionBroken(Exception):
-    """The connection ended, or what arrived is no answer."""
+    """The connection ended, or the data received is not a valid response."""
 
 
 class NotSent(ConnectionBroken):
-    """No byte of the request has left."""
+    """No byte of the request was sent."""
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of an answer."""
+    """Status and headers of a response."""
 
     status: int
     headers: Headers
 
     def value(self, name: bytes) -> bytes | None:
-        """Return the first header with this lower-case name."""
+        """Return the value of the first header with this lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
 
-class _Link(asyncio.Protocol):
-    """Collects what arrives, with back pressure, and how the connection ended."""
+class _ConnectionProtocol(asyncio.Protocol):
+    """Buffer received data with flow control, and keep how the connection ended."""
 
     def __init__(self) -> None:
-        self.received = bytearray()
-        self.ended = False
+        self.buffer = bytearray()
+        self.at_eof = False
         self.error: Exception | None = None
         self._transport: asyncio.Transport | None = None
-        self._changed = asyncio.Event()
+        self._wakeup = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
 
     @property
     def transport(self) -> asyncio.Transport:
-        assert self._transport is not None, "used before it is connected"
+        assert self._transport is not None, "the connection is not established yet"
         return self._transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -74,22 +76,22 @@
         self._transport = transport
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
-        self.received += data
-        if len(self.received) > READ_AHEAD_BYTES:
+        self.buffer += data
+        if len(self.buffer) > MAX_READ_AHEAD_BYTES:
             self.transport.pause_reading()
-        self._changed.set()
+        self._wakeup.set()
 
     def eof_received(self) -> bool:
-        self.ended = True
-        self._changed.set()
+        self.at_eof = True
+        self._wakeup.set()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.error = exc or ConnectionBroken("closed")
-        self._changed.set()
+        self._wakeup.set()
         self._writable.set()
 
     def pause_writing(self) -> None:
@@ -99,23 +101,39 @@
         self._writable.set()
 
     async def read(self) -> bytes:
-        """Return what arrived, nothing at a clean end; raises `ConnectionBroken`."""
-        while not self.received:
-            if self.ended:
+        """
+        Return the buffered data, waiting for some if there is none.
+
+        The result is empty at a clean end of the stream.
+
+        Raises
+        ------
+        ConnectionBroken
+            The connection was lost.
+        """
+        while not self.buffer:
+            if self.at_eof:
                 return b""
             if self.error is not None:
                 raise ConnectionBroken(str(self.error) or type(self.error).__name__)
-            self._changed.clear()
-            await self._changed.wait()
-        data = bytes(self.received)
-        self.received.clear()
+            self._wakeup.clear()
+            await self._wakeup.wait()
+        data = bytes(self.buffer)
+        self.buffer.clear()
         if self.error is None:
             self.transport.resume_reading()
         return data
 
     async def write(self, data: bytes) -> None:
-        """Send; returns early once the other side has answered or ended."""
-        if self.error is not None or self.ended:
+        """
+        Write data and wait until the transport accepts more, or is closed.
+
+        Raises
+        ------
+        NotSent
+            The connection had ended before the call.
+        """
+        if self.error is not None or self.at_eof:
             raise NotSent(str(self.error or "closed by the other side"))
         self.transport.write(data)
         await self._writable.wait()
@@ -123,48 +141,50 @@
 
 class BackendConnection:
     """
-    One connection; `send`, `head` and `body` are called in this order.
+    An HTTP/1.1 connection that carries one request at a time.
+
+    For each request, call `send`, `head` and `body` in this order.
 
     Parameters
     ----------
-    link : _Link
-        The open connection.
+    protocol : _ConnectionProtocol
+        The established connection.
 
     Attributes
     ----------
     idle_since_s : float
-        Loop time at which the last answer was complete.
+        Event loop time at which the last response was complete.
     keep_alive_s : float or None
-        How long the server keeps an idle connection, if it said so.
+        How long the server keeps an idle connection open; None if unknown.
     """
 
-    def __init__(self, link: _Link) -> None:
-        self._link = link
+    def __init__(self, protocol: _ConnectionProtocol) -> None:
+        self._protocol = protocol
         self._http = self._new_parser()
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the last answer was complete and nothing has followed it."""
-        link = self._link
+        """Whether the last response was complete and no data has followed it."""
+        protocol = self._protocol
         return (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
-            and not link.received
-            and not link.ended
-            and link.error is None
+            and not protocol.buffer
+            and not protocol.at_eof
+            and protocol.error is None
         )
 
     @property
-    def has_unread(self) -> bool:
-        """Whether bytes have arrived that nobody has taken yet."""
-        return bool(self._link.received)
+    def has_unread_data(self) -> bool:
+        """Whether received data is waiting to be read."""
+        return bool(self._protocol.buffer)
 
     def close(self) -> None:
-        """Drop the connection; the server learns of it at once."""
-        self._link.transport.abort()
+        """Abort the connection, so that the server notices it at once."""
+        self._protocol.transport.abort()
 
     async def send(
         self, method: str, target: bytes, headers: Headers, body: bytes
@@ -176,36 +196,52 @@
         ------
         NotSent
             Nothing was sent, because the connection had ended or the request is
-            no valid HTTP.
+            not valid HTTP.
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-        framed = [*headers, (b"content-length", b"%d" % len(body))]
+        framed_headers = [*headers, (b"content-length", b"%d" % len(body))]
         try:
             data = self._http.send(
-                h11.Request(method=method, target=target, headers=framed)
+                h11.Request(method=method, target=target, headers=framed_headers)
             )
             if body:
                 data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
             data = (data or b"") + (self._http.send(h11.EndOfMessage()) or b"")
         except h11.LocalProtocolError as error:
             raise NotSent(str(error)) from error
-        await self._link.write(data)
+        await self._protocol.write(data)
 
     async def head(self) -> ResponseHead:
-        """Return the head of the answer; raises `ConnectionBroken`."""
-        for _ in range(MOST_INFORMATIONAL + 1):
-            event = await self._next()
+        """
+        Return the head of the final response.
+
+        Raises
+        ------
+        ConnectionBroken
+            The connection ended, or the data received is not a valid response.
+        """
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
-        raise ConnectionBroken(f"over {MOST_INFORMATIONAL} informational replies")
+        raise ConnectionBroken(
+            f"over {MAX_INFORMATIONAL_RESPONSES} informational replies"
+        )
 
     async def body(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises `ConnectionBroken` if it is not whole."""
+        """
+        Yield the response body in chunks.
+
+        Raises
+        ------
+        ConnectionBroken
+            The connection ended before the body was complete.
+        """
         while True:
-            event = await self._next()
+            event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 self.idle_since_s = asyncio.get_running_loop().time()
                 return
@@ -214,7 +250,14 @@
             yield bytes(event.data)
 
     async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the body; raises `ConnectionBroken` if it is not whole or too long."""
+        """
+        Return the complete response body.
+
+        Raises
+        ------
+        ConnectionBroken
+            The body is incomplete, or longer than `limit_bytes`.
+        """
         body = bytearray()
         async for chunk in self.body():
             body += chunk
@@ -222,19 +265,21 @@
                 raise ConnectionBroken(f"body over {limit_bytes} bytes")
         return bytes(body)
 
-    async def _next(self) -> object:
+    async def _next_event(self) -> object:
         while True:
             try:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(await self._link.read())
+                self._http.receive_data(await self._protocol.read())
             except h11.RemoteProtocolError as error:
                 raise ConnectionBroken(str(error)) from error
 
     @staticmethod
     def _new_parser() -> h11.Connection:
-        return h11.Connection(h11.CLIENT, max_incomplete_event_size=REPLY_HEAD_BYTES)
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
+        )
 
 
 async def open_connection(address: str, timeout_s: float) -> BackendConnection:
@@ -244,15 +289,17 @@
     Raises
     ------
     NotSent
-        It was refused, or not open within `timeout_s` seconds.
+        The connection was refused or not established within `timeout_s` seconds.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, link = await loop.create_connection(_Link, host, int(port))
+            _, protocol = await loop.create_connection(
+                _ConnectionProtocol, host, int(port)
+            )
     except TimeoutError as error:
         raise NotSent("connect timed out") from error
     except OSError as error:
         raise NotSent(f"connect failed: {error.strerror}") from error
-    return BackendConnection(link)
+    return BackendConnection(protocol)
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -1,6 +1,6 @@
-"""Finds room on a decode engine before a prompt is read.
+"""Reserves capacity on a decode engine before the prefill.
 
-A prompt that is read for an engine without room is read in vain.
+A prefill for a decode engine that turns out to be full is wasted.
 """
 
 import asyncio
@@ -16,32 +16,38 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
-__all__ = ["DecodeRoom", "RoomSearch"]
-
-# Engines that are asked for room for one request; more would multiply an overload.
-MOST_RESERVATIONS = 4
-# A request that gets room later than this is late in any case, and it would take the
-# room from one that can still be on time.
-WAIT_OBJECTIVES = 0.5
-PAUSE_S = 0.05
-# A run that goes on elsewhere may wait so long. Callers give up a stream after two
-# seconds without an event at the earliest, and its silence may have taken over one.
-WAIT_AGAIN_S = 0.4
-# What an engine answers that has no room.
-FULL = "status 503"
-# Names of reservations by which a late copy of an answer is recognised. A copy comes
-# within seconds.
-REMEMBERED = 256
-# The reservation's time runs from its arrival at the engine.
-USE_SHARE = 0.9
+__all__ = ["DecodeReservations", "RoomSearch"]
+
+# Engines that are asked for a reservation in one round. Asking more would multiply the
+# load during an overload.
+MAX_RESERVATION_ATTEMPTS = 4
+# Time from the arrival of a request until the wait for a reservation ends, as a share
+# of the route's objective. A generation that starts later is late in any case, and
+# would use capacity that another one needs to be on time.
+MAX_WAIT_OBJECTIVES = 0.5
+# Time between two rounds while all engines are full.
+POLL_INTERVAL_S = 0.05
+# Longest wait for a reservation when a stream resumes on another engine. Callers
+# abandon a stream after 2 seconds without an event at the earliest, and detecting that
+# the first engine stalled may have taken more than one of them.
+RESUME_WAIT_S = 0.4
+# The error of `Sender.call_engine` for an engine that is full.
+ENGINE_FULL = "status 503"
+# Reservation names that are kept to recognize a late duplicate of a response.
+# Duplicates arrive within seconds.
+MAX_REMEMBERED_RESERVATIONS = 256
+# Share of its duration for which a reservation is used. The duration starts when the
+# request for it arrives at the engine.
+RESERVATION_LIFETIME_FRACTION = 0.9
 
 
 class RoomSearch(Enum):
     """
-    How a search for decode room ended.
+    The outcome of the search for a decode engine with free capacity.
 
-    `DONE` also stands for engines that could not be asked; they are then tried without
-    a reservation. `PAUSED` means that every engine has asked for a pause.
+    `DONE` means that the decode may be sent: there is a reservation, or the engines
+    could not be asked for one, and the decode is tried without it. `FULL` means that
+    the engines have no free capacity, `PAUSED` that all of them asked for a pause.
     """
 
     DONE = "done"
@@ -49,18 +55,18 @@
     PAUSED = "paused"
 
 
-class DecodeRoom:
+class DecodeReservations:
     """
-    Reserves room on decode engines.
+    Reserves slots and memory on decode engines.
 
     Parameters
     ----------
     dialect : Dialect
-        Encodes the calls.
+        Encodes the calls to engines.
     sender, registry, load : Sender, InstanceRegistry, LoadBook
-        Shared by all forwarders of the host.
+        Objects that all forwarders of the host share.
     data_centre : str
-        Where this host stands.
+        Data centre of this host.
     """
 
     def __init__(
@@ -77,65 +83,68 @@
         self._registry = registry
         self._load = load
         self._data_centre = data_centre
-        self._given: deque[tuple[str, str]] = deque(maxlen=REMEMBERED)
+        self._issued: deque[tuple[str, str]] = deque(maxlen=MAX_REMEMBERED_RESERVATIONS)
 
-    async def find(self, run: Generation) -> RoomSearch:
-        """Reserve room, waiting for a while if every engine is full."""
-        admitted = run.admitted
+    async def reserve(self, generation: Generation) -> RoomSearch:
+        """Reserve capacity, waiting for a limited time if all engines are full."""
+        admitted = generation.admitted
         engine = admitted.service.engine
         if engine is None or engine.reservation_s <= 0:
             return RoomSearch.DONE
-        wait_s = WAIT_OBJECTIVES * admitted.route.objective_ms / 1000
-        if run.has_events:
-            wait_s = admitted.elapsed_s + WAIT_AGAIN_S
+        wait_s = MAX_WAIT_OBJECTIVES * admitted.route.objective_ms / 1000
+        if generation.has_events:
+            wait_s = admitted.elapsed_s + RESUME_WAIT_S
         is_first = True
         while True:
-            full = await self._ask_engines(run, engine, is_first)
+            full_count = await self._try_engines(generation, engine, is_first)
             is_first = False
-            if run.reservation is not None:
+            if generation.reservation is not None:
                 return RoomSearch.DONE
             service, stage = admitted.service.name, EngineStage.DECODE
             if self._registry.pause_s(service, admitted.now_s, stage):
                 return RoomSearch.PAUSED
-            if not full:
+            if not full_count:
                 return RoomSearch.DONE
-            if admitted.elapsed_s + PAUSE_S > wait_s or admitted.remaining_s <= 0:
+            if (
+                admitted.elapsed_s + POLL_INTERVAL_S > wait_s
+                or admitted.remaining_s <= 0
+            ):
                 return RoomSearch.FULL
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
-    def cancel(self, run: Generation) -> None:
-        """Give up a reservation that is not used."""
-        reservation, run.reservation = run.reservation, None
+    def cancel(self, generation: Generation) -> None:
+        """Cancel a reservation that has not been used."""
+        reservation, generation.reservation = generation.reservation, None
         if reservation is not None:
             instance = reservation.instance
-            self._load.finish(run.admitted.request.request_id, instance.instance)
+            self._load.finish(generation.admitted.request.request_id, instance.instance)
             call = self._dialect.cancel_reservation_call(reservation.name)
-            self._sender.call_later(instance, call)
+            self._sender.call_in_background(instance, call)
 
-    async def _ask_engines(
-        self, run: Generation, engine: EngineTraits, is_logged: bool
+    async def _try_engines(
+        self, generation: Generation, engine: EngineTraits, log_failures: bool
     ) -> int:
-        """Ask engines until one has room; returns how many had none."""
-        tried = set(run.tried)
-        full = 0
-        for _ in range(MOST_RESERVATIONS):
+        """Ask engines until one grants a reservation; returns how many were full."""
+        tried_engines = set(generation.tried_engines)
+        full_count = 0
+        for _ in range(MAX_RESERVATION_ATTEMPTS):
             untried = self._registry.candidates(
-                run.admitted.service.name,
-                run.admitted.now_s,
+                generation.admitted.service.name,
+                generation.admitted.now_s,
                 EngineStage.DECODE,
-                frozenset(tried),
+                frozenset(tried_engines),
             )
             candidates = self._load.with_room(
-                untried, run.admitted.memory_tokens, engine.memory_tokens
+                untried, generation.admitted.memory_tokens, engine.memory_tokens
             )
             if not candidates:
-                full += len(untried)
+                full_count += len(untried)
                 break
             instance = self._load.most_memory(candidates, self._data_centre)
-            tried.add(instance.instance)
-            reason = await self._ask(run, instance, engine.reservation_s)
-            if run.reservation is not None:
-                run.log_sent(
+            tried_engines.add(instance.instance)
+            reason = await self._reserve_on(generation, instance, engine.reservation_s)
+            if generation.reservation is not None:
+                generation.log_sent(
                     instance.instance,
                     "reserve",
                     load=self._load.total(instance.instance),
@@ -143,44 +152,45 @@
                     list_seen_s=self._registry.seen_s,
                 )
                 break
-            full += reason == FULL
-            # A request asks many times; the refusal names the end of it.
-            if is_logged:
-                run.log_failed(instance.instance, "reserve", reason)
-        return full
-
-    def _is_new(self, instance: BackendInstance, body: bytes) -> bool:
-        """Tell whether a body names a reservation that was not given before."""
+            full_count += reason == ENGINE_FULL
+            # Only the first round is logged, as there may be many. If all fail, the
+            # refusal of the request is logged.
+            if log_failures:
+                generation.log_failed(instance.instance, "reserve", reason)
+        return full_count
+
+    def _is_first_copy(self, instance: BackendInstance, body: bytes) -> bool:
+        """Return whether a body names a reservation that is seen for the first time."""
         reserved = self._dialect.decode_reservation_response(body)
         if reserved.is_err():
             return False
-        given = (instance.instance, reserved.unwrap())
-        is_new = given not in self._given
-        self._given.append(given)
+        issued = (instance.instance, reserved.unwrap())
+        is_new = issued not in self._issued
+        self._issued.append(issued)
         return is_new
 
-    async def _ask(
-        self, run: Generation, instance: BackendInstance, duration_s: float
+    async def _reserve_on(
+        self, generation: Generation, instance: BackendInstance, duration_s: float
     ) -> str:
-        """Ask one engine; returns why it gave no room."""
-        admitted, name = run.admitted, instance.instance
+        """Ask one engine; returns the reason of a failure, empty on success."""
+        admitted, name = generation.admitted, instance.instance
         request_id, tokens = admitted.request.request_id, admitted.memory_tokens
         now_s = admitted.now_s
         self._load.start(request_id, name, InstanceLoad(1, memory_tokens=tokens))
         try:
             call = self._dialect.reserve_call(tokens, duration_s)
-            called = await self._sender.call_engine(
-                instance, call, partial(self._is_new, instance)
+            result = await self._sender.call_engine(
+                instance, call, partial(self._is_first_copy, instance)
             )
-            reserved = called.and_then(self._dialect.decode_reservation_response)
+            reserved = result.and_then(self._dialect.decode_reservation_response)
             if reserved.is_ok():
-                usable_until_s = now_s + USE_SHARE * duration_s
-                run.reservation = Reservation(
+                usable_until_s = now_s + RESERVATION_LIFETIME_FRACTION * duration_s
+                generation.reservation = Reservation(
                     instance, reserved.unwrap(), usable_until_s
                 )
                 return ""
             return reserved.unwrap_err()
         finally:
-            # Also when the caller leaves meanwhile.
-            if run.reservation is None:
+            # Also runs if the task is cancelled because the caller has left.
+            if generation.reservation is None:
                 self._load.finish(request_id, name)
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -1,7 +1,7 @@
-"""What the gateway needs to know of the protocols that it forwards.
+"""The interface between the gateway and the wire format of a platform.
 
-A dialect decodes headers into these types once, and encodes the headers that the
-gateway sends. It decides nothing.
+A dialect decodes the headers of requests and responses into the types of this module,
+and encodes what the gateway sends. It contains no forwarding logic.
 """
 
 from dataclasses import dataclass, field
@@ -17,8 +17,8 @@
     "Dialect",
     "EngineCall",
     "EngineStep",
-    "PrefillResponse",
     "Headers",
+    "PrefillResponse",
     "Refusal",
     "ResponseMetadata",
     "SendOptions",
@@ -30,32 +30,33 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRequest:
     """
-    A request as its caller sent it.
+    A caller's request, decoded.
 
     Parameters
     ----------
     request_id : str
-        The caller's id of this attempt.
+        Identifier that the caller gave this attempt.
     method : str
         HTTP method.
     target : bytes
-        Path and query, unchanged.
+        Path and query string, unchanged.
     host_name, path : str
-        What selects the route.
+        Host name and path, by which the route is selected.
     key : str or None
-        The caller's key.
+        API key of the caller.
     caller_timeout_s : float or None
-        How long the caller will wait, in seconds.
+        How long the caller waits for the response, counted from arrival.
     prompt_tokens, max_output_tokens : int
-        Size of a generation: its prompt, and the most output.
+        Length of the prompt, and the limit of the output.
     expected_output_tokens : int
-        The caller's estimate of the output; 0 if it gave none.
+        The caller's estimate of the output length; 0 if it gave none.
     last_event_id : int or None
-        The last event that the caller has of this stream.
+        The last event of this stream that the caller has received.
     prompt_parts : tuple of (str, int)
-        Parts of the prompt with their tokens; requests share the first ones.
+        Identifiers and token counts of the parts of the prompt. Requests may have
+        leading parts in common.
     headers : list of (bytes, bytes)
-        Headers that are passed on.
+        Headers to forward to the backend server.
     """
 
     request_id: str
@@ -74,25 +75,26 @@
 
     @property
     def has_size(self) -> bool:
-        """Whether the caller named the size of a generation."""
+        """Whether the caller gave the token counts of a generation."""
         return self.prompt_tokens + self.max_output_tokens > 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineStep:
     """
-    How a send takes part in a generation on separate engines.
+    The part of a generation that an engine is asked to perform.
 
     Parameters
     ----------
     is_prefill : bool
-        Whether only the prompt is read.
+        Whether the engine only prefills and exports the KV cache.
     source_address, source_handle : str
-        Engine and handle from which the KV cache is imported; empty for none.
+        Address of the engine and handle from which the KV cache is imported; empty
+        if there is none.
     reservation : str
-        Reservation of decode room that the send uses.
+        Reservation on the decode engine that the request uses; empty for none.
     priority : int or None
-        Rank on the engine; 0 is the most urgent.
+        Scheduling priority on the engine; 0 is the most urgent.
     """
 
     is_prefill: bool = False
@@ -105,20 +107,20 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SendOptions:
     """
-    What the gateway adds to one send.
+    What the gateway adds to a request each time it sends it.
 
     Parameters
     ----------
     instance : str
-        The only instance that may run it.
+        The only instance that may run the request.
     remaining_s : float
-        Time after which the backend server may stop.
+        Time after which the backend server may stop working on the request.
     workspace : str
-        The workspace that the caller's key belongs to; empty on public routes.
+        Workspace of the caller's key; empty on public routes.
     step : EngineStep or None
-        For model engines.
+        What an engine is asked to perform; None for a plain service.
     last_event_id : int or None
-        The event after which a stream goes on.
+        The event after which a stream is to resume.
     """
 
     instance: str
@@ -131,24 +133,24 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseMetadata:
     """
-    What an answer says of its request.
+    What the head of a response states about the request and the server.
 
     Parameters
     ----------
     request_id : str
-        The request that the answer belongs to; empty if it does not say.
+        The request that the response belongs to; empty if it is not stated.
     did_not_run : bool
         Whether the backend server states that it did not run the request.
     is_signed : bool
-        Whether the answer is the work of the backend server that ran the request.
+        Whether the response carries the signature of the server that ran the request.
     is_other_instance : bool
-        Whether another instance than the expected one has the address.
+        Whether the address now belongs to another instance than the expected one.
     is_leaving : bool
-        Whether the backend server says that it leaves.
+        Whether the backend server announces that it is shutting down.
     keep_alive_s : float or None
-        How long the server keeps an idle connection.
+        How long the server keeps an idle connection open; None if not stated.
     pause_s : float or None
-        How long a server that turned the request away wants no other.
+        How long a server that refused the request asks not to be sent another.
     """
 
     request_id: str = ""
@@ -162,7 +164,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PrefillResponse:
-    """An exported KV cache that waits to be imported."""
+    """The handle of an exported KV cache, and the tokens that it covers."""
 
     handle: str
     tokens: int = 0
@@ -170,7 +172,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineCall:
-    """A call to a model engine that is no caller's request."""
+    """A call that the gateway itself makes to an engine, for no caller's request."""
 
     method: str
     target: bytes
@@ -179,7 +181,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """An answer that the gateway gives by itself."""
+    """A response that the gateway itself gives instead of a backend server."""
 
     status: int
     headers: Headers
@@ -187,7 +189,7 @@
 
 
 class Dialect(Protocol):
-    """Decodes requests and answers, and encodes sends and refusals."""
+    """Decodes requests and responses, and encodes headers, calls and refusals."""
 
     def decode_request(
         self, method: str, target: bytes, headers: Headers
@@ -196,15 +198,15 @@
         ...
 
     def encode_headers(self, request: CallerRequest, options: SendOptions) -> Headers:
-        """Return the headers of one send."""
+        """Return the headers with which a request is sent to a backend server."""
         ...
 
     def decode_response_head(self, head: ResponseHead) -> ResponseMetadata:
-        """Decode the head of a backend server's answer."""
+        """Decode the head of a backend server's response."""
         ...
 
     def decode_prefill_response(self, body: bytes) -> Result[PrefillResponse, str]:
-        """Decode the answer to a prefill."""
+        """Decode the response to a prefill."""
         ...
 
     def release_handle_call(self, handle: str) -> EngineCall:
@@ -212,17 +214,17 @@
         ...
 
     def reserve_call(self, tokens: int, duration_s: float) -> EngineCall:
-        """Return the call that reserves a slot and memory of a decode engine."""
+        """Return the call that reserves a slot and memory on a decode engine."""
         ...
 
     def decode_reservation_response(self, body: bytes) -> Result[str, str]:
-        """Decode the answer to a reservation."""
+        """Decode the response to `reserve_call` into the name of the reservation."""
         ...
 
     def cancel_reservation_call(self, reservation: str) -> EngineCall:
-        """Return the call that gives a reservation up."""
+        """Return the call that cancels a reservation."""
         ...
 
     def refusal(self, failure: Failure) -> Refusal:
-        """Encode an answer of the gateway itself."""
+        """Encode a failure as the response to the caller."""
         ...
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -1,24 +1,35 @@
-"""One generation on its way through a prefill and a decode engine."""
+"""The state of a generation that runs on a prefill and a decode engine."""
 
 import logging
 from dataclasses import dataclass, field
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
-from damaskridge.adapters.gateway.responses import CallerAnswer
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
+from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.sender import OpenReply
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance
 
-__all__ = ["Generation", "Handle", "Reservation"]
+__all__ = ["CacheHandle", "Generation", "Reservation"]
 
 logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
-class Handle:
-    """A KV cache that waits on an engine, and until when it may be used."""
+class CacheHandle:
+    """
+    The handle of a KV cache that a prefill engine has exported.
+
+    Parameters
+    ----------
+    instance : BackendInstance
+        The engine that holds the cache.
+    name : str
+        Name of the handle on that engine.
+    usable_until_s : float
+        Event loop time until which the cache may be imported.
+    """
 
     instance: BackendInstance
     name: str
@@ -27,7 +38,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Room on a decode engine, and until when it may be used."""
+    """
+    A slot and memory that are reserved on a decode engine.
+
+    Parameters
+    ----------
+    instance : BackendInstance
+        The engine.
+    name : str
+        Name of the reservation on that engine.
+    usable_until_s : float
+        Event loop time until which the reservation may be used.
+    """
 
     instance: BackendInstance
     name: str
@@ -37,47 +59,53 @@
 @dataclass(slots=True)
 class Generation:
     """
-    What one generation has been through.
+    The progress of one generation.
 
     Parameters
     ----------
-    work : GatewayWork
-        The admitted request.
-    answer : CallerAnswer
-        Its answer.
+    admitted : AdmittedRequest
+        The request.
+    response : CallerResponse
+        The response to the caller.
     last_event_id : int or None
-        The last event that the caller has; its own position until one is passed on.
-    tried : set of str
-        Decode engines that it was sent to.
+        The last event that the caller has received. Before the first one is forwarded,
+        the position that the caller sent with the request.
+    tried_engines : set of str
+        Decode engines that the request was sent to.
     reservation : Reservation or None
-        Decode room that is not used yet.
-    handle : Handle or None
-        Exported KV cache that is not used yet.
+        Reservation on a decode engine that has not been used yet.
+    handle : CacheHandle or None
+        Handle of an exported KV cache that has not been imported yet.
     handle_refusals : int
-        Decode engines that refused the request with the present handle.
+        Number of decode engines that refused the request with the current handle.
     has_events : bool
         Whether an engine has sent an event.
-    progress_s : float
-        Loop time of the last event, or of the head of the present answer.
+    last_progress_s : float
+        Event loop time of the last event, or of the head of the current response of an
+        engine if that is later.
     """
 
-    admitted: GatewayWork
-    answer: CallerAnswer
+    admitted: AdmittedRequest
+    response: CallerResponse
     last_event_id: int | None = None
-    tried: set[str] = field(default_factory=set)
+    tried_engines: set[str] = field(default_factory=set)
     reservation: Reservation | None = None
-    handle: Handle | None = None
+    handle: CacheHandle | None = None
     handle_refusals: int = 0
     has_events: bool = False
-    progress_s: float = 0.0
+    last_progress_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.last_event_id = self.admitted.request.last_event_id
 
     def accept_event(self, event_id: int | None) -> bool:
-        """Tell whether the caller lacks an event, and note that it gets it."""
+        """
+        Return whether to forward an event, and count it as forwarded if so.
+
+        Events that the caller has already received are not forwarded.
+        """
         self.has_events = True
-        self.progress_s = self.admitted.now_s
+        self.last_progress_s = self.admitted.now_s
         if event_id is None:
             return True
         if self.last_event_id is not None and event_id <= self.last_event_id:
@@ -85,11 +113,11 @@
         self.last_event_id = event_id
         return True
 
-    async def write(self, reply: OpenReply, data: bytes) -> None:
-        """Pass data on, after the head of the first engine that sent some."""
-        if not self.answer.has_started:
-            await self.answer.start_stream(reply.head)
-        await self.answer.write(data)
+    async def write(self, server_response: OpenReply, data: bytes) -> None:
+        """Forward data to the caller, after the head of the first engine's response."""
+        if not self.response.has_started:
+            await self.response.start_stream(server_response.head)
+        await self.response.write(data)
 
     def log_sent(
         self,
@@ -100,7 +128,7 @@
         candidates: int,
         list_seen_s: float,
     ) -> None:
-        """Log a send with what its engine was chosen by."""
+        """Log that a step was sent, with the data by which its engine was chosen."""
         admitted = self.admitted
         log_event(
             logger,
@@ -115,7 +143,7 @@
         )
 
     def log_failed(self, instance: str, step: str, reason: str) -> None:
-        """Log a step that brought nothing."""
+        """Log that a step failed."""
         log_event(
             logger,
             EventNumber.SEND_FAILED,
--- a/src/damaskridge/adapters/gateway/pool.py
+++ b/src/damaskridge/adapters/gateway/pool.py
@@ -1,4 +1,4 @@
-"""Idle connections to backend servers, kept by address and instance."""
+"""A pool of idle connections to backend servers, by address and instance."""
 
 import asyncio
 from collections import defaultdict
@@ -8,29 +8,45 @@
 
 __all__ = ["ConnectionPool"]
 
-# Where a server does not say how long it keeps an idle connection.
-KEEP_ALIVE_S = 2.0
-# A request that crosses the server's close is lost, so that a connection is given up
-# this much before the server would close it.
+# Used if a server does not announce how long it keeps idle connections.
+DEFAULT_KEEP_ALIVE_S = 2.0
+# A request that is sent while the server closes the connection is lost, so a connection
+# is retired this long before the server would close it.
 KEEP_ALIVE_MARGIN_S = 0.7
-# A connection that has been idle for longer may have gone silent.
-LONGEST_IDLE_S = 4.0
+# A connection that has been idle for longer may be dead without notice.
+MAX_IDLE_S = 4.0
 
 
 class ConnectionPool:
-    """Opens connections and keeps those that may be used again."""
+    """Open connections and keep the reusable ones."""
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, str], list[BackendConnection]] = defaultdict(list)
 
-    async def take(
-        self, instance: BackendInstance, connect_s: float, *, fresh: bool = False
+    async def acquire(
+        self,
+        instance: BackendInstance,
+        connect_timeout_s: float,
+        *,
+        fresh: bool = False,
     ) -> BackendConnection:
         """
-        Return an idle connection, or a new one; raises `ConnectionBroken`.
+        Return an idle connection, or open a new one.
 
-        `fresh` asks for a new one, because a request that must not be repeated is
-        lost on a connection that has gone silent.
+        Parameters
+        ----------
+        instance : BackendInstance
+            The instance to connect to.
+        connect_timeout_s : float
+            Time limit for establishing a new connection.
+        fresh : bool
+            Whether to open a new connection in any case. A request that must run at
+            most once cannot be retried if an idle connection turns out to be dead.
+
+        Raises
+        ------
+        NotSent
+            The connection could not be established.
         """
         key = (instance.address, instance.instance)
         while self._idle[key] and not fresh:
@@ -38,12 +54,10 @@
             if self._is_usable(connection):
                 return connection
             connection.close()
-        return await open_connection(instance.address, connect_s)
+        return await open_connection(instance.address, connect_timeout_s)
 
-    def give_back(
-        self, instance: BackendInstance, connection: BackendConnection
-    ) -> None:
-        """Keep a connection if its last answer was whole, else close it."""
+    def release(self, instance: BackendInstance, connection: BackendConnection) -> None:
+        """Keep a connection if it is reusable, else close it."""
         if self._is_usable(connection):
             self._idle[instance.address, instance.instance].append(connection)
         else:
@@ -55,7 +69,7 @@
             connection.close()
 
     def prune(self) -> None:
-        """Close connections that are too old to be used; call it regularly."""
+        """Close connections that are no longer usable; to be called periodically."""
         for key, connections in list(self._idle.items()):
             usable = [item for item in connections if self._is_usable(item)]
             for connection in connections:
@@ -75,7 +89,11 @@
 
     @staticmethod
     def _is_usable(connection: BackendConnection) -> bool:
-        kept_s = connection.keep_alive_s
-        limit_s = KEEP_ALIVE_S if kept_s is None else kept_s - KEEP_ALIVE_MARGIN_S
-        age_s = asyncio.get_running_loop().time() - connection.idle_since_s
-        return connection.is_reusable and age_s < min(limit_s, LONGEST_IDLE_S)
+        keep_alive_s = connection.keep_alive_s
+        limit_s = (
+            DEFAULT_KEEP_ALIVE_S
+            if keep_alive_s is None
+            else keep_alive_s - KEEP_ALIVE_MARGIN_S
+        )
+        idle_s = asyncio.get_running_loop().time() - connection.idle_since_s
+        return connection.is_reusable and idle_s < min(limit_s, MAX_IDLE_S)
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -1,10 +1,10 @@
-"""Has prompts read by prefill engines."""
+"""Runs the prefill of a generation on a prefill engine."""
 
 import asyncio
 
 from damaskridge.adapters.gateway.connections import ConnectionBroken
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
-from damaskridge.adapters.gateway.generation import Generation, Handle
+from damaskridge.adapters.gateway.generation import CacheHandle, Generation
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
 from damaskridge.core.gateway.instances import InstanceRegistry
@@ -14,32 +14,33 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
 
-__all__ = ["Prefills"]
+__all__ = ["PrefillRunner"]
 
-ANSWER_LIMIT_BYTES = 1_048_576
-# An engine that has read nothing by then is better left: a decode engine reads the
-# prompt by itself in less.
-PREFILL_S = 1.2
-# A third try would be late in any case.
-MOST_PREFILLS = 2
-# An exported KV cache that is older may lapse before it is imported.
-HANDLE_USE_SHARE = 0.7
+MAX_RESPONSE_BYTES = 1_048_576
+# A prefill that takes longer is abandoned: a decode engine prefills the prompt itself
+# in less time.
+PREFILL_TIMEOUT_S = 1.2
+# A third attempt would be late in any case.
+MAX_PREFILL_ATTEMPTS = 2
+# Share of its lifetime for which the handle of an exported KV cache is used. An older
+# one may expire before the decode engine imports the cache.
+HANDLE_LIFETIME_FRACTION = 0.7
 
 
-class Prefills:
+class PrefillRunner:
     """
-    Reads prompts for decode engines.
+    Prefills prompts and obtains the handles of the exported KV caches.
 
     Parameters
     ----------
     dialect : Dialect
-        Decodes the answers.
+        Decodes the responses of engines.
     sender, registry, load : Sender, InstanceRegistry, LoadBook
-        Shared by all forwarders of the host.
+        Objects that all forwarders of the host share.
     data_centre : str
-        Where this host stands.
+        Data centre of this host.
     gate : RetryGate
-        Admits sends against the retry budget.
+        Checks requests against the retry budget before they are sent.
     """
 
     def __init__(
@@ -60,19 +61,19 @@
         self._gate = gate
         self._speed = ReadingSpeed()
 
-    def release(self, run: Generation) -> None:
-        """Free a KV cache that will not be imported."""
-        handle, run.handle = run.handle, None
+    def release_handle(self, generation: Generation) -> None:
+        """Free an exported KV cache that will not be imported."""
+        handle, generation.handle = generation.handle, None
         if handle is not None:
             call = self._dialect.release_handle_call(handle.name)
-            self._sender.call_later(handle.instance, call)
+            self._sender.call_in_background(handle.instance, call)
 
-    async def read(self, run: Generation) -> Handle | None:
-        """Read the prompt; None if a decode engine has to read it."""
-        admitted = run.admitted
+    async def prefill(self, generation: Generation) -> CacheHandle | None:
+        """Run the prefill; returns None if a decode engine has to do it instead."""
+        admitted = generation.admitted
         tried: set[str] = set()
-        for _ in range(MOST_PREFILLS):
-            now_s = run.admitted.now_s
+        for _ in range(MAX_PREFILL_ATTEMPTS):
+            now_s = generation.admitted.now_s
             candidates = self._registry.candidates(
                 admitted.service.name, now_s, EngineStage.PREFILL, frozenset(tried)
             )
@@ -81,38 +82,40 @@
             if not self._gate.admits(admitted, SendStep.READ):
                 return None
             instance = self._load.shortest_prefill(candidates, self._data_centre)
-            if self._decode_reads(run, instance):
+            if self._prefers_decode_engine(generation, instance):
                 return None
             tried.add(instance.instance)
-            handle = await self._read_on(instance, run, len(candidates))
+            handle = await self._prefill_on(instance, generation, len(candidates))
             if handle is not None:
                 return handle
         return None
 
-    def _decode_reads(self, run: Generation, prefill: BackendInstance) -> bool:
-        """Tell whether the reserved decode engine has the prompt read sooner."""
-        if run.reservation is None:
+    def _prefers_decode_engine(
+        self, generation: Generation, prefill_engine: BackendInstance
+    ) -> bool:
+        """Return whether the reserved decode engine would finish the prefill sooner."""
+        if generation.reservation is None:
             return False
-        admitted = run.admitted
-        decode = self._load.total(run.reservation.instance.instance)
+        admitted = generation.admitted
+        decode_load = self._load.total(generation.reservation.instance.instance)
         pace = None
         engine = admitted.service.engine
         # The reservation itself counts as one request.
-        if decode.requests > 1 and engine is not None:
+        if decode_load.requests > 1 and engine is not None:
             pace = EventPace(engine.steps_per_event, admitted.route.event_gap_ms / 1000)
         return self._speed.prefers_decode(
             prompt_tokens=admitted.request.prompt_tokens,
-            prefill_pending=self._load.total(prefill.instance).prompt_tokens,
-            decode_pending=decode.prompt_tokens,
+            prefill_pending=self._load.total(prefill_engine.instance).prompt_tokens,
+            decode_pending=decode_load.prompt_tokens,
             pace=pace,
         )
 
-    async def _read_on(
-        self, instance: BackendInstance, run: Generation, candidates: int
-    ) -> Handle | None:
-        admitted = run.admitted
+    async def _prefill_on(
+        self, instance: BackendInstance, generation: Generation, candidates: int
+    ) -> CacheHandle | None:
+        admitted = generation.admitted
         request, name = admitted.request, instance.instance
-        run.log_sent(
+        generation.log_sent(
             name,
             "prefill",
             load=self._load.total(name),
@@ -121,7 +124,7 @@
         )
         step = EngineStep(is_prefill=True, priority=admitted.priority)
         tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
-        started_s = run.admitted.now_s
+        started_s = generation.admitted.now_s
         self._load.start(
             request.request_id, name, InstanceLoad(prompt_tokens=request.prompt_tokens)
         )
@@ -130,51 +133,59 @@
                 instance,
                 admitted,
                 step,
-                answer_s=min(PREFILL_S, max(0.0, admitted.remaining_s)),
+                response_timeout_s=min(
+                    PREFILL_TIMEOUT_S, max(0.0, admitted.remaining_s)
+                ),
             )
             if not isinstance(outcome, OpenReply):
                 if isinstance(outcome, Unknown):
-                    self._sender.note_run(
-                        instance, admitted.fingerprint, is_whole=False
+                    self._sender.record_run(
+                        instance, admitted.fingerprint, is_complete=False
                     )
                 return None
-            handle = await self._handle_of(outcome, run, started_s + PREFILL_S)
+            handle = await self._read_handle(
+                outcome, generation, started_s + PREFILL_TIMEOUT_S
+            )
             if handle is not None:
-                now_s = run.admitted.now_s
+                now_s = generation.admitted.now_s
                 self._speed.observe(tokens, now_s - started_s)
             return handle
         finally:
             self._load.finish(request.request_id, name)
 
-    async def _handle_of(
-        self, reply: OpenReply, run: Generation, deadline_s: float
-    ) -> Handle | None:
-        reason = f"status {reply.head.status}"
+    async def _read_handle(
+        self, server_response: OpenReply, generation: Generation, deadline_s: float
+    ) -> CacheHandle | None:
+        reason = f"status {server_response.head.status}"
         body = b""
         try:
             async with asyncio.timeout_at(deadline_s):
-                body = await reply.whole(ANSWER_LIMIT_BYTES)
+                body = await server_response.read_body(MAX_RESPONSE_BYTES)
         except TimeoutError:
-            reason = f"no whole answer in {PREFILL_S:g} s"
+            reason = f"no complete response within {PREFILL_TIMEOUT_S:g} s"
         except ConnectionBroken as error:
             reason = str(error)
         finally:
-            reply.close()
-        if reply.head.status == 200 and body:
+            server_response.close()
+        if server_response.head.status == 200 and body:
             decoded = self._dialect.decode_prefill_response(body)
             if decoded.is_ok():
-                self._sender.note_answer(reply.instance, good=True, reason="")
-                engine = run.admitted.service.engine
-                kept_s = engine.handle_s if engine is not None else 0.0
-                # An answer that is taken after its deadline has waited for this
-                # process, and the handle with it.
-                made_s = min(run.admitted.now_s, deadline_s)
-                return Handle(
-                    reply.instance,
+                self._sender.record_response(
+                    server_response.instance, good=True, reason=""
+                )
+                engine = generation.admitted.service.engine
+                lifetime_s = engine.handle_s if engine is not None else 0.0
+                # A response that is read after the deadline had arrived before it,
+                # while this process was suspended. The handle has aged since then.
+                exported_s = min(generation.admitted.now_s, deadline_s)
+                return CacheHandle(
+                    server_response.instance,
                     decoded.unwrap().handle,
-                    made_s + HANDLE_USE_SHARE * kept_s,
+                    exported_s + HANDLE_LIFETIME_FRACTION * lifetime_s,
                 )
             reason = decoded.unwrap_err()
-        self._sender.note_answer(reply.instance, good=False, reason=reason)
-        run.log_failed(reply.instance.instance, "prefill", reason)
+        self._sender.record_response(
+            server_response.instance, good=False, reason=reason
+        )
+        generation.log_failed(server_response.instance.instance, "prefill", reason)
         return None
--- a/src/damaskridge/adapters/gateway/responses.py
+++ b/src/damaskridge/adapters/gateway/responses.py
@@ -1,4 +1,4 @@
-"""The answer to one caller: a backend server's, or the gateway's own."""
+"""The response to a caller, from a backend server or from the gateway itself."""
 
 import logging
 
@@ -9,12 +9,12 @@
 from damaskridge.model.errors import Failure
 from damaskridge.model.events import EventNumber
 
-__all__ = ["CallerAnswer"]
+__all__ = ["CallerResponse"]
 
 logger = logging.getLogger(__name__)
 
-# They concern one connection only. The length is set anew.
-_CONNECTION_HEADERS = frozenset(
+# Hop-by-hop headers, and the length, which is set anew.
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
@@ -29,27 +29,27 @@
 )
 
 
-class CallerAnswer:
+class CallerResponse:
     """
-    Writes the answer to one request and logs it.
+    Writes the response to a request and logs it.
 
     Parameters
     ----------
     exchange : Exchange
-        The caller's connection.
+        The connection to the caller.
     dialect : Dialect
         Encodes refusals.
     arrived_s : float
-        Loop time at which the request arrived.
+        Event loop time at which the request arrived.
     close_connection : bool
-        Whether the caller is asked to open a new connection for its next request.
+        Whether to ask the caller to open a new connection for its next request.
 
     Attributes
     ----------
     is_complete : bool
-        Whether nothing more is to be sent.
+        Whether the response has ended, in full or by an abort.
     attempts : int
-        Sends so far, for the log.
+        How often the request has been sent to a backend server, for the log.
     """
 
     def __init__(
@@ -64,8 +64,8 @@
         self._dialect = dialect
         self._arrived_s = arrived_s
         self._close_connection = close_connection
-        self._first_s = 0.0
-        self._written_s = 0.0
+        self._head_sent_s = 0.0
+        self._last_write_s = 0.0
         self._longest_gap_s = 0.0
         self._status = 0
         self.is_complete = False
@@ -73,77 +73,82 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether the caller has the head of the answer."""
+        """Whether the head of the response has been sent to the caller."""
         return self._exchange.started
 
-    async def pass_on(
-        self, head: ResponseHead, facts: ResponseMetadata, body: bytes
+    async def forward(
+        self, head: ResponseHead, metadata: ResponseMetadata, body: bytes
     ) -> None:
-        """Send a backend server's whole answer."""
-        if head.status in _PROMISES_NOT_RUN and not facts.is_signed:
-            # Only a backend server that says so has not run the request, and this
-            # one did not.
+        """Send the complete response of a backend server."""
+        if head.status in _NOT_RUN_STATUSES and not metadata.is_signed:
+            # The status would tell the caller that the request did not run, but the
+            # backend server has not stated that.
             await self._send(502, [], b"")
         else:
-            headers = _end_to_end(head.headers)
-            # An answer to HEAD names the length of a body that is not sent.
+            headers = _end_to_end_headers(head.headers)
+            # The response to HEAD carries the length of a body that is not sent.
             length = head.value(b"content-length")
             if self._exchange.method != "HEAD" or length is None:
                 length = b"%d" % len(body)
             await self._send(head.status, [*headers, (b"content-length", length)], body)
-        self._log_answered()
+        self._log_response()
 
     async def refuse(self, failure: Failure) -> None:
-        """Send an answer of the gateway itself."""
+        """Send a failure as the gateway's own response."""
         refusal = self._dialect.refusal(failure)
-        self._log_failed(failure)
+        self._log_failure(failure)
         await self._send(refusal.status, refusal.headers, refusal.body)
 
     async def start_stream(self, head: ResponseHead) -> None:
-        """Send the head of a stream."""
-        self._first_s = self._now_s()
+        """Send the head of a streamed response."""
+        self._head_sent_s = self._now_s()
         self._status = head.status
         await self._exchange.start(
-            head.status, [*_end_to_end(head.headers), *self._closing()]
+            head.status,
+            [*_end_to_end_headers(head.headers), *self._connection_headers()],
         )
 
     async def write(self, data: bytes) -> None:
-        """Send a part of a stream."""
+        """Send a part of a streamed response."""
         now_s = self._now_s()
-        if self._written_s:
-            self._longest_gap_s = max(self._longest_gap_s, now_s - self._written_s)
-        self._written_s = now_s
+        if self._last_write_s:
+            self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_write_s)
+        self._last_write_s = now_s
         await self._exchange.write(data)
 
     async def end_stream(self) -> None:
-        """End a stream that is complete."""
+        """End a streamed response that is complete."""
         self.is_complete = True
         await self._exchange.write(b"", more=False)
-        self._log_answered()
+        self._log_response()
 
-    def break_off(self, failure: Failure) -> None:
-        """End an answer that has begun and cannot be completed; it looks cut."""
+    def abort(self, failure: Failure) -> None:
+        """
+        Close the connection of a response that has begun and can't be completed.
+
+        The caller sees a truncated response.
+        """
         self.is_complete = True
-        self._log_failed(failure)
+        self._log_failure(failure)
         self._exchange.abort()
 
     async def _send(self, status: int, headers: Headers, body: bytes) -> None:
         self.is_complete = True
         self._status = status
-        self._first_s = self._now_s()
+        self._head_sent_s = self._now_s()
         if not any(name == b"content-length" for name, _ in headers):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        await self._exchange.start(status, [*headers, *self._closing()])
-        sent = b"" if self._exchange.method == "HEAD" else body
-        await self._exchange.write(sent, more=False)
+        await self._exchange.start(status, [*headers, *self._connection_headers()])
+        sent_body = b"" if self._exchange.method == "HEAD" else body
+        await self._exchange.write(sent_body, more=False)
 
-    def _closing(self) -> Headers:
+    def _connection_headers(self) -> Headers:
         return [(b"connection", b"close")] if self._close_connection else []
 
     def _now_s(self) -> float:
         return self._exchange.now_s()
 
-    def _log_answered(self) -> None:
+    def _log_response(self) -> None:
         log_event(
             logger,
             EventNumber.REQUEST_ANSWERED,
@@ -151,11 +156,11 @@
             status=self._status,
             attempts=self.attempts,
             elapsed_ms=round((self._now_s() - self._arrived_s) * 1000),
-            first_ms=round((self._first_s - self._arrived_s) * 1000),
+            first_ms=round((self._head_sent_s - self._arrived_s) * 1000),
             longest_gap_ms=round(self._longest_gap_s * 1000),
         )
 
-    def _log_failed(self, failure: Failure) -> None:
+    def _log_failure(self, failure: Failure) -> None:
         log_event(
             logger,
             EventNumber.REQUEST_FAILED,
@@ -168,16 +173,16 @@
         )
 
 
-# Statuses by which a client takes it that the request never runs.
-_PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+# Statuses from which a client concludes that the request did not run and never will.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-def _end_to_end(headers: Headers) -> Headers:
-    named = {
+def _end_to_end_headers(headers: Headers) -> Headers:
+    listed = {
         token.strip().lower()
         for name, value in headers
         if name == b"connection"
         for token in value.split(b",")
     }
-    dropped = _CONNECTION_HEADERS | named
-    return [(name, value) for name, value in headers if name not in dropped]
+    removed = _HOP_BY_HOP_HEADERS | listed
+    return [(name, value) for name, value in headers if name not in removed]
--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -1,9 +1,9 @@
-"""Admits sends to backend servers against the retry budget."""
+"""Checks requests against the retry budget before they are sent."""
 
 import logging
 from typing import Protocol
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
@@ -14,36 +14,36 @@
 
 
 class RetryBudget(Protocol):
-    """The part of the fleet's retry budget that one host may spend."""
+    """The share of the fleet's retry budget that one host may spend."""
 
     def spend(self, service: str, now_s: float) -> bool:
-        """Take one send beyond the first; `False` if none is left."""
+        """Spend one retry of a service; returns False if none is left."""
         ...
 
     def left(self, service: str) -> float:
-        """Return the sends that were left after the last change."""
+        """Return the retries of a service that were left after the last change."""
         ...
 
 
 class RetryGate:
     """
-    Takes from the budget what a send costs, before it is sent.
+    Deducts the cost of sending a request from the retry budget, before it is sent.
 
     Parameters
     ----------
     budget : RetryBudget
-        Where the sends are taken from.
+        The budget to deduct from.
     """
 
     def __init__(self, budget: RetryBudget) -> None:
         self._budget = budget
 
-    def admits(self, admitted: GatewayWork, step: SendStep) -> bool:
+    def admits(self, admitted: AdmittedRequest, step: SendStep) -> bool:
         """
-        Tell whether a step may be sent, and pay for it.
+        Deduct the cost of a step, and return whether the step may be sent.
 
-        What is paid stays with the request, so that it is safe to ask again before the
-        send.
+        What has been deducted is credited to the request, so calling this twice before
+        the step is sent costs no more than calling it once.
         """
         while admitted.account.unpaid_before(step):
             granted = self._budget.spend(admitted.service.name, admitted.now_s)
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -1,4 +1,4 @@
-"""Sends one request to one backend server and tells what became of it."""
+"""Sends a request to a backend server once and classifies the outcome."""
 
 import asyncio
 import logging
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import (
     BackendConnection,
     ConnectionBroken,
@@ -35,16 +35,17 @@
 
 logger = logging.getLogger(__name__)
 
-# A connection attempt to a live server takes a few milliseconds; a lost first packet is
-# sent again after a second, which a new attempt beats.
-CONNECT_S = 0.2
-# Such calls need no slot, so that a live engine answers within milliseconds.
-ENGINE_CALL_S = 0.5
-# After a pause of this process a timer is due before the bytes that came meanwhile
-# are taken; reading them then takes no longer than this.
-LATE_READ_S = 0.05
-# Their answers are small documents.
-ENGINE_CALL_BYTES = 65_536
+# A live server accepts a connection within a few milliseconds. TCP retransmits a lost
+# first packet only after a second; a new attempt to connect is faster.
+CONNECT_TIMEOUT_S = 0.2
+# Calls of the gateway itself need no slot, so a live engine responds to them within
+# milliseconds.
+ENGINE_CALL_TIMEOUT_S = 0.5
+# After this process was suspended, a timeout fires before data that has arrived in the
+# meantime is read. Reading the buffered data takes no longer than this.
+BUFFERED_READ_TIMEOUT_S = 0.05
+# Responses to calls of the gateway itself are small documents.
+MAX_ENGINE_CALL_RESPONSE_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +56,11 @@
     Parameters
     ----------
     reason : str
-        What was seen.
+        Why the request did not run.
     is_full : bool
-        Whether the server had no room.
+        Whether the server refused the request for lack of capacity.
     was_sent : bool
-        Whether any byte of it reached a server.
+        Whether any part of the request may have reached a server.
     """
 
     reason: str
@@ -69,7 +70,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """The request may have run, or may run still."""
+    """
+    The request may have run, or may still be running.
+
+    Parameters
+    ----------
+    reason : str
+        Why there is no usable response.
+    timed_out : bool
+        Whether the response did not arrive in time.
+    """
 
     reason: str
     timed_out: bool = False
@@ -77,14 +87,16 @@
 
 class OpenReply:
     """
-    An answer whose body is unread; `close` must be called.
+    A response whose body has not been read yet; `close` must be called.
 
     Attributes
     ----------
+    instance : BackendInstance
+        The instance that sent the response.
     head : ResponseHead
         Status and headers.
-    facts : ResponseMetadata
-        What they say.
+    metadata : ResponseMetadata
+        What the headers state about the request and the server.
     """
 
     def __init__(
@@ -93,38 +105,38 @@
         connection: BackendConnection,
         pool: ConnectionPool,
         head: ResponseHead,
-        facts: ResponseMetadata,
+        metadata: ResponseMetadata,
     ) -> None:
         self.instance = instance
         self.head = head
-        self.facts = facts
+        self.metadata = metadata
         self._connection = connection
         self._pool = pool
         self._is_open = True
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises `ConnectionBroken` if it is not whole."""
+        """Yield the body; raises `ConnectionBroken` if it is incomplete."""
         async for chunk in self._connection.body():
             yield chunk
 
     @property
-    def has_unread(self) -> bool:
-        """Whether a part of the body has arrived that was not read yet."""
-        return self._connection.has_unread
+    def has_unread_data(self) -> bool:
+        """Whether received data of the body is waiting to be read."""
+        return self._connection.has_unread_data
 
-    async def whole(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raises `ConnectionBroken`."""
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the complete body; raises `ConnectionBroken`."""
         return await self._connection.read_body(limit_bytes)
 
     def close(self) -> None:
-        """Give the connection back, or drop it if the answer is not complete."""
+        """Release the connection to the pool if it is reusable, else close it."""
         if self._is_open:
             self._is_open = False
-            self._connection.keep_alive_s = self.facts.keep_alive_s
-            if self.facts.is_leaving:
+            self._connection.keep_alive_s = self.metadata.keep_alive_s
+            if self.metadata.is_leaving:
                 self._connection.close()
             else:
-                self._pool.give_back(self.instance, self._connection)
+                self._pool.release(self.instance, self._connection)
 
 
 Outcome = OpenReply | NotRun | Unknown
@@ -132,20 +144,20 @@
 
 class Sender:
     """
-    Sends requests and notes how the backend servers answer.
+    Sends requests and records how the backend servers respond.
 
     Parameters
     ----------
     dialect : Dialect
-        Encodes requests and decodes answers.
+        Encodes requests and decodes responses.
     pool : ConnectionPool
-        Connections.
+        Supplies connections to backend servers.
     registry : InstanceRegistry
-        Where the health of servers is noted.
+        Records the health of backend servers.
     crashes : CrashWatch
-        Where lost servers are noted.
+        Records runs that broke off and servers that were lost.
     gate : RetryGate
-        Admits each send against the retry budget.
+        Checks each request against the retry budget before it is sent.
     """
 
     def __init__(
@@ -161,93 +173,99 @@
         self._pool = pool
         self._registry = registry
         self._crashes = crashes
-        self._unwatched: set[asyncio.Task[None]] = set()
+        self._background_calls: set[asyncio.Task[None]] = set()
 
     async def send(
         self,
         instance: BackendInstance,
-        admitted: GatewayWork,
+        admitted: AdmittedRequest,
         step: EngineStep | None = None,
         *,
         last_event_id: int | None = None,
-        answer_s: float,
+        response_timeout_s: float,
         fresh: bool = False,
     ) -> Outcome:
         """
-        Send a request and wait for the head of its answer.
+        Send a request and wait for the head of the response.
 
-        Nothing is sent that the retry budget does not cover, whatever its caller has
-        decided before.
+        The retry budget is checked here in any case, even if the calling code has
+        checked it before.
 
         Parameters
         ----------
         instance : BackendInstance
-            Where to.
-        work : GatewayWork
-            The admitted request.
+            The instance to send the request to.
+        admitted : AdmittedRequest
+            The request.
         step : EngineStep or None
-            What an engine is asked for; None for a plain call.
+            What an engine is asked to perform; None for a plain service.
         last_event_id : int or None
-            The last event that the caller has.
-        answer_s : float
-            Longest wait for the head, in seconds.
+            The last event of a stream that the caller has received.
+        response_timeout_s : float
+            Time limit for the head of the response.
         fresh : bool
-            Whether to use a new connection.
+            Whether to open a new connection instead of reusing one.
 
         Returns
         -------
         Outcome
-            The answer, or what is known of the request without one.
+            The response, or what is known about the request without one.
         """
         request = admitted.request
         started_s = asyncio.get_running_loop().time()
         if self._is_paused(instance):
             paused = NotRun("the server wants no request now", was_sent=False)
-            return self._log(request, instance, paused, started_s)
+            return self._log_outcome(request, instance, paused, started_s)
         is_prefill = step is not None and step.is_prefill
         send_step = SendStep.READ if is_prefill else SendStep.RUN
         if not self._gate.admits(admitted, send_step):
-            unpaid = NotRun("the retry budget has no send left", was_sent=False)
-            return self._log(request, instance, unpaid, started_s)
-        options = admitted.options(instance.instance, step, last_event_id)
+            over_budget = NotRun("the retry budget has no send left", was_sent=False)
+            return self._log_outcome(request, instance, over_budget, started_s)
+        options = admitted.send_options(instance.instance, step, last_event_id)
         headers = self._dialect.encode_headers(request, options)
         try:
-            connection = await self._pool.take(instance, CONNECT_S, fresh=fresh)
+            connection = await self._pool.acquire(
+                instance, CONNECT_TIMEOUT_S, fresh=fresh
+            )
         except NotSent as error:
-            self._note_unreachable(instance, str(error))
+            self._record_unreachable(instance, str(error))
             failed = NotRun(str(error), was_sent=False)
-            return self._log(request, instance, failed, started_s)
-        is_open = False
+            return self._log_outcome(request, instance, failed, started_s)
+        is_response_open = False
         outcome: Outcome
         try:
-            async with asyncio.timeout(answer_s):
+            async with asyncio.timeout(response_timeout_s):
                 await connection.send(
                     request.method, request.target, headers, admitted.body
                 )
-            head = await _head_until(connection, started_s + answer_s)
-            outcome = self._judge(request, instance, connection, head, is_prefill)
-            is_open = isinstance(outcome, OpenReply)
+            head = await _read_head_until(connection, started_s + response_timeout_s)
+            outcome = self._classify_response(
+                request, instance, connection, head, is_prefill
+            )
+            is_response_open = isinstance(outcome, OpenReply)
         except TimeoutError:
-            outcome = Unknown(f"no answer in {answer_s:.3f} s", timed_out=True)
+            outcome = Unknown(
+                f"no answer in {response_timeout_s:.3f} s", timed_out=True
+            )
             self._pool.close_idle(instance)
         except NotSent as error:
             outcome = NotRun(str(error), was_sent=False)
         except ConnectionBroken as error:
             outcome = Unknown(str(error))
         finally:
-            if not is_open:
+            if not is_response_open:
                 connection.close()
         was_refused = isinstance(outcome, NotRun)
         if not isinstance(outcome, NotRun) or outcome.was_sent:
             admitted.account.arrived(send_step, was_refused=was_refused)
         if isinstance(outcome, Unknown):
-            self.note_answer(instance, good=False, reason=outcome.reason)
-        return self._log(request, instance, outcome, started_s)
+            self.record_response(instance, good=False, reason=outcome.reason)
+        return self._log_outcome(request, instance, outcome, started_s)
 
-    def note_answer(
+    def record_response(
         self, instance: BackendInstance, *, good: bool, reason: str
     ) -> None:
-        """Note whether an answer was good, for the choice of servers."""
+        """Record whether a server responded as expected; failing ones are avoided."""
         now_s = asyncio.get_running_loop().time()
         was_avoided = self._registry.is_avoided(instance.instance, now_s)
         avoided_s = self._registry.answered(instance.instance, now_s, good=good)
@@ -258,12 +276,12 @@
                 logger, EventNumber.INSTANCE_USED_AGAIN, instance=instance.instance
             )
 
-    def note_run(
-        self, instance: BackendInstance, fingerprint: str, *, is_whole: bool
+    def record_run(
+        self, instance: BackendInstance, fingerprint: str, *, is_complete: bool
     ) -> None:
-        """Note that a server ran a request to its end, or broke off on the way."""
+        """Record that a server completed a request, or broke off while running it."""
         now_s = asyncio.get_running_loop().time()
-        if is_whole:
+        if is_complete:
             self._crashes.answered(fingerprint, now_s)
         else:
             self._crashes.broke_off(fingerprint, instance.start, now_s)
@@ -275,84 +293,85 @@
         accepts: Callable[[bytes], bool] = lambda _: True,
     ) -> Result[bytes, str]:
         """
-        Call an engine for no caller's request.
+        Make a call of the gateway itself to an engine.
 
         Parameters
         ----------
         instance : BackendInstance
             The engine.
         call : EngineCall
-            What to call.
+            The call to make.
         accepts : callable
-            Tells whether a body answers this call. Answers to such calls carry no
-            request id, so that a late copy of an earlier one shows only by its body;
-            its connection is not used again.
+            Returns whether a body is the response to this call. Responses to such
+            calls carry no request id, so a late duplicate of an earlier response can
+            be recognized only by its body. The connection is then closed.
 
         Returns
         -------
         Result[bytes, str]
-            The body of the answer with status 200, or what went wrong.
+            The body of a response with status 200, or the reason of the failure.
         """
         if self._is_paused(instance):
-            return Err("the server wants no request now")
+            return Err("the backend server asked for a pause")
         headers: Headers = [
             (b"host", instance.address.encode()),
             (b"content-type", b"application/json"),
         ]
         try:
-            async with asyncio.timeout(ENGINE_CALL_S):
-                connection = await self._pool.take(instance, CONNECT_S)
-                is_sound = False
+            async with asyncio.timeout(ENGINE_CALL_TIMEOUT_S):
+                connection = await self._pool.acquire(instance, CONNECT_TIMEOUT_S)
+                is_valid = False
                 try:
                     await connection.send(call.method, call.target, headers, call.body)
                     head = await connection.head()
-                    body = await connection.read_body(ENGINE_CALL_BYTES)
-                    facts = self._dialect.decode_response_head(head)
-                    is_sound = not facts.request_id and (
+                    body = await connection.read_body(MAX_ENGINE_CALL_RESPONSE_BYTES)
+                    metadata = self._dialect.decode_response_head(head)
+                    is_valid = not metadata.request_id and (
                         head.status != 200 or accepts(body)
                     )
                 finally:
-                    if is_sound:
-                        self._pool.give_back(instance, connection)
+                    if is_valid:
+                        self._pool.release(instance, connection)
                     else:
                         connection.close()
         except NotSent as error:
-            self._note_unreachable(instance, str(error))
+            self._record_unreachable(instance, str(error))
             return Err(str(error))
         except TimeoutError:
-            return Err(f"no answer in {ENGINE_CALL_S:g} s")
+            return Err(f"no response within {ENGINE_CALL_TIMEOUT_S:g} s")
         except ConnectionBroken as error:
             return Err(str(error))
-        if not is_sound:
-            return Err("the answer belongs to another call")
-        self._heed(instance, facts)
+        if not is_valid:
+            return Err("the response belongs to another call")
+        self._apply_notices(instance, metadata)
         if head.status != 200:
             return Err(f"status {head.status}")
         return Ok(body)
 
-    def call_later(self, instance: BackendInstance, call: EngineCall) -> None:
-        """Call an engine to free what no request uses; nobody waits for it."""
-        task = asyncio.ensure_future(self._call_unwatched(instance, call))
-        self._unwatched.add(task)
-        task.add_done_callback(self._unwatched.discard)
+    def call_in_background(self, instance: BackendInstance, call: EngineCall) -> None:
+        """Call an engine to free unused resources, without waiting for the outcome."""
+        task = asyncio.ensure_future(self._call_and_log_failure(instance, call))
+        self._background_calls.add(task)
+        task.add_done_callback(self._background_calls.discard)
 
-    async def _call_unwatched(
+    async def _call_and_log_failure(
         self, instance: BackendInstance, call: EngineCall
     ) -> None:
-        called = await self.call_engine(instance, call)
-        if isinstance(called, Err):
-            # The engine frees the memory by itself when its time is over.
+        result = await self.call_engine(instance, call)
+        if isinstance(result, Err):
+            # The engine frees the memory by itself when the handle or reservation
+            # expires.
             log_event(
                 logger,
                 EventNumber.SEND_FAILED,
                 request_id="",
                 instance=instance.instance,
                 outcome=call.method,
-                reason=called.err_value,
+                reason=result.err_value,
                 elapsed_ms=0,
             )
 
-    def _judge(
+    def _classify_response(
         self,
         request: CallerRequest,
         instance: BackendInstance,
@@ -360,42 +379,45 @@
         head: ResponseHead,
         is_prefill: bool,
     ) -> Outcome:
-        facts = self._dialect.decode_response_head(head)
-        if facts.request_id and facts.request_id != request.request_id:
+        """Decide from the head of a response what happened to the request."""
+        metadata = self._dialect.decode_response_head(head)
+        if metadata.request_id and metadata.request_id != request.request_id:
             return Unknown("the answer belongs to another request")
-        self._heed(instance, facts)
-        if facts.is_other_instance:
-            self._note_unreachable(instance, "another instance has the address")
+        self._apply_notices(instance, metadata)
+        if metadata.is_other_instance:
+            self._record_unreachable(instance, "another instance has the address")
             return NotRun("another instance has the address")
-        if facts.did_not_run:
-            source = "" if facts.request_id else " and no request id"
+        if metadata.did_not_run:
+            source = "" if metadata.request_id else " and no request id"
             return NotRun(
                 f"refused with status {head.status}{source}",
                 is_full=head.status in (429, 503),
             )
-        if head.status < 300 and not (facts.is_signed or is_prefill):
+        if head.status < 300 and not (metadata.is_signed or is_prefill):
             return Unknown(f"status {head.status} without a signature")
-        return OpenReply(instance, connection, self._pool, head, facts)
+        return OpenReply(instance, connection, self._pool, head, metadata)
 
     def _is_paused(self, instance: BackendInstance) -> bool:
         now_s = asyncio.get_running_loop().time()
         return self._registry.notices.pause_left_s(instance.instance, now_s) > 0
 
-    def _heed(self, instance: BackendInstance, facts: ResponseMetadata) -> None:
-        """Take over what a server asks of this host."""
+    def _apply_notices(
+        self, instance: BackendInstance, metadata: ResponseMetadata
+    ) -> None:
+        """Record that a server is shutting down or asks for a pause."""
         notices, name = self._registry.notices, instance.instance
-        if facts.is_leaving and notices.leaves(instance):
+        if metadata.is_leaving and notices.leaves(instance):
             self._pool.close_idle(instance)
             log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
-        if facts.pause_s:
+        if metadata.pause_s:
             now_s = asyncio.get_running_loop().time()
-            notices.asked_to_pause(name, now_s + facts.pause_s)
-            pause_ms = round(facts.pause_s * 1000)
+            notices.asked_to_pause(name, now_s + metadata.pause_s)
+            pause_ms = round(metadata.pause_s * 1000)
             log_event(
                 logger, EventNumber.INSTANCE_PAUSED, instance=name, pause_ms=pause_ms
             )
 
-    def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
+    def _record_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.unreachable(instance.instance, now_s)
         self._crashes.was_lost(instance.start, now_s)
@@ -414,7 +436,7 @@
             avoided_ms=round(avoided_s * 1000),
         )
 
-    def _log(
+    def _log_outcome(
         self,
         request: CallerRequest,
         instance: BackendInstance,
@@ -435,13 +457,19 @@
         return outcome
 
 
-async def _head_until(connection: BackendConnection, deadline_s: float) -> ResponseHead:
-    """Return the head of the answer; raises `TimeoutError` if it has not arrived."""
+async def _read_head_until(
+    connection: BackendConnection, deadline_s: float
+) -> ResponseHead:
+    """
+    Return the head of the response; raises `TimeoutError` if it has not arrived.
+
+    Data that has arrived by the deadline is still read if only this process is late.
+    """
     try:
         async with asyncio.timeout_at(deadline_s):
             return await connection.head()
     except TimeoutError:
-        if not connection.has_unread:
+        if not connection.has_unread_data:
             raise
-    async with asyncio.timeout(LATE_READ_S):
+    async with asyncio.timeout(BUFFERED_READ_TIMEOUT_S):
         return await connection.head()
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -1,16 +1,19 @@
-"""Forwards generations: prefill, then a decode whose events go to the caller."""
+"""Forwards generations: a prefill, then a decode whose events are relayed."""
 
 import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
-from damaskridge.adapters.gateway.admitted_request import GatewayWork
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import ConnectionBroken
-from damaskridge.adapters.gateway.decode_reservations import DecodeRoom, RoomSearch
+from damaskridge.adapters.gateway.decode_reservations import (
+    DecodeReservations,
+    RoomSearch,
+)
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation
-from damaskridge.adapters.gateway.prefills import Prefills
-from damaskridge.adapters.gateway.responses import CallerAnswer
+from damaskridge.adapters.gateway.prefills import PrefillRunner
+from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import (
     NotRun,
@@ -31,19 +34,20 @@
 
 __all__ = ["StreamForwarder"]
 
-ANSWER_LIMIT_BYTES = 4_194_304
-# Decode engines that may refuse a request with one exported KV cache.
-MOST_HANDLE_REFUSALS = 2
-# The caller gives up after two seconds without an event at the earliest.
-SILENCE_S = 1.2
-# Before the first event a request may wait in the engine's queue.
-FIRST_EVENT_S = 2.5
-# A timer that is due by more has waited for this process, which stood still.
-LATE_TIMER_S = 0.1
+MAX_RESPONSE_BYTES = 4_194_304
+# Refusals by decode engines after which a handle is no longer used.
+MAX_HANDLE_REFUSALS = 2
+# Callers abandon a stream after 2 seconds without an event at the earliest. Resuming on
+# another engine has to fit into the rest of that time.
+EVENT_TIMEOUT_S = 1.2
+# The first event may take longer, because the request may be queued in the engine.
+FIRST_EVENT_TIMEOUT_S = 2.5
+# If a timeout fires later than this, the process itself was suspended or blocked.
+MAX_TIMER_DELAY_S = 0.1
 
 
-class _Silent(Exception):
-    """The engine has sent nothing for too long."""
+class _EventTimeout(Exception):
+    """The engine has sent no event for too long."""
 
 
 class StreamForwarder:
@@ -53,15 +57,15 @@
     Parameters
     ----------
     dialect : Dialect
-        Encodes the calls to engines.
+        Encodes the gateway's own calls to engines.
     sender, registry, load : Sender, InstanceRegistry, LoadBook
-        Shared by all forwarders of the host.
+        Objects that all forwarders of the host share.
     data_centre : str
-        Where this host stands.
+        Data centre of this host.
     gate : RetryGate
-        Admits sends against the retry budget.
+        Checks requests against the retry budget before they are sent.
     refusals : RefusalTimes
-        When refused callers may come back.
+        Computes after what time refused callers may retry.
     """
 
     def __init__(
@@ -88,117 +92,128 @@
             "load": load,
             "data_centre": data_centre,
         }
-        self._room = DecodeRoom(**engines)
-        self._prefills = Prefills(gate=gate, **engines)
+        self._reservations = DecodeReservations(**engines)
+        self._prefills = PrefillRunner(gate=gate, **engines)
 
-    async def forward(self, admitted: GatewayWork, answer: CallerAnswer) -> None:
-        """Answer the caller with the engine's events, or with a failure."""
-        run = Generation(admitted, answer)
+    async def forward(
+        self, admitted: AdmittedRequest, response: CallerResponse
+    ) -> None:
+        """Run a generation and send the caller the engine's events, or a failure."""
+        generation = Generation(admitted, response)
         try:
-            search = await self._room.find(run)
+            search = await self._reservations.reserve(generation)
             if search is not RoomSearch.DONE:
                 full = search is RoomSearch.FULL
-                await answer.refuse(
-                    self._full(admitted) if full else self._unserved(admitted)
+                await response.refuse(
+                    self._full_failure(admitted)
+                    if full
+                    else self._no_engine_failure(admitted)
                 )
                 return
-            run.handle = await self._prefills.read(run)
-            while not answer.is_complete:
-                await self._decode(run)
-                if run.has_events and not answer.is_complete:
-                    await self._prepare_again(run)
+            generation.handle = await self._prefills.prefill(generation)
+            while not response.is_complete:
+                await self._decode(generation)
+                if generation.has_events and not response.is_complete:
+                    await self._prepare_resume(generation)
         finally:
-            self._prefills.release(run)
-            self._room.cancel(run)
+            self._prefills.release_handle(generation)
+            self._reservations.cancel(generation)
 
-    async def _prepare_again(self, run: Generation) -> None:
+    async def _prepare_resume(self, generation: Generation) -> None:
         """
-        Find room for a run that goes on elsewhere, and have its prompt read.
+        Reserve capacity and prefill again for a stream that resumes elsewhere.
 
-        A decode engine would hold up its other streams while it reads, and would have
-        to preempt one of them without room. If there is none, it is tried all the same.
+        A decode engine that prefills delays its other streams, and without free
+        capacity it would have to preempt one of them. If no engine has free capacity,
+        the decode is sent all the same.
         """
-        await self._room.find(run)
-        if run.reservation is not None:
-            run.handle = await self._prefills.read(run)
+        await self._reservations.reserve(generation)
+        if generation.reservation is not None:
+            generation.handle = await self._prefills.prefill(generation)
 
-    async def _decode(self, run: Generation) -> None:
-        """Run the generation on one decode engine."""
-        admitted = run.admitted
+    async def _decode(self, generation: Generation) -> None:
+        """Send the generation to one decode engine and relay its events."""
+        admitted = generation.admitted
         if not self._gate.admits(admitted, SendStep.RUN):
             decision = admitted.policy.not_run(
                 left_s=admitted.remaining_s, may_resend=False
             )
-            await self._give_up(run, decision, "the retry budget has no send left")
+            await self._fail_if_final(
+                generation, decision, "the retry budget has no send left"
+            )
             return
-        instance, candidates = self._choose(run)
+        instance, candidates = self._choose_engine(generation)
         if instance is None:
-            await self._fail(run, self._unserved(admitted))
+            await self._fail(generation, self._no_engine_failure(admitted))
             return
-        handle = run.handle
+        handle = generation.handle
         if handle is not None and admitted.now_s > handle.usable_until_s:
-            self._prefills.release(run)
+            self._prefills.release_handle(generation)
         name = instance.instance
-        run.tried.add(name)
+        generation.tried_engines.add(name)
         admitted.policy.sent()
-        run.answer.attempts = admitted.policy.sends
-        run.log_sent(
+        generation.response.attempts = admitted.policy.sends
+        generation.log_sent(
             name,
             "decode",
             load=self._load.total(name),
             candidates=candidates,
             list_seen_s=self._registry.seen_s,
         )
-        self._load.start(admitted.request.request_id, name, self._load_of(run))
+        self._load.start(
+            admitted.request.request_id, name, self._expected_load(generation)
+        )
         try:
-            outcome = await self._send(run, instance)
+            outcome = await self._send(generation, instance)
             if isinstance(outcome, OpenReply):
-                run.handle = None
+                generation.handle = None
                 try:
-                    await self._relay(run, outcome)
+                    await self._relay(generation, outcome)
                 finally:
                     outcome.close()
                 return
         finally:
             self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, Unknown):
-            self._sender.note_run(instance, admitted.fingerprint, is_whole=False)
-        await self._after_failed_send(run, outcome)
-        self._note_handle(run, outcome)
+            self._sender.record_run(instance, admitted.fingerprint, is_complete=False)
+        await self._handle_failed_send(generation, outcome)
+        self._update_handle(generation, outcome)
 
-    def _load_of(self, run: Generation) -> InstanceLoad:
-        admitted = run.admitted
+    def _expected_load(self, generation: Generation) -> InstanceLoad:
+        admitted = generation.admitted
         return InstanceLoad(
             requests=1,
             prompt_tokens=0
-            if run.handle is not None
+            if generation.handle is not None
             else admitted.request.prompt_tokens,
             memory_tokens=admitted.memory_tokens,
         )
 
-    def _note_handle(self, run: Generation, outcome: NotRun | Unknown) -> None:
-        """Keep the handle after a refusal, as long as it may be good."""
+    def _update_handle(self, generation: Generation, outcome: NotRun | Unknown) -> None:
+        """Decide after a failed decode whether the handle may be used again."""
         if isinstance(outcome, Unknown):
-            # The engine may have imported the cache, and a handle serves once.
-            run.handle = None
+            # The engine may have imported the cache, which is possible only once.
+            generation.handle = None
             return
-        run.handle_refusals += 1
-        if run.handle_refusals >= MOST_HANDLE_REFUSALS:
-            # A refusal does not say whether the engine is full or the handle is gone.
-            self._prefills.release(run)
+        generation.handle_refusals += 1
+        if generation.handle_refusals >= MAX_HANDLE_REFUSALS:
+            # A refusal doesn't state whether the engine is full or the handle invalid.
+            self._prefills.release_handle(generation)
 
-    def _choose(self, run: Generation) -> tuple[BackendInstance | None, int]:
-        now_s = run.admitted.now_s
-        reservation = run.reservation
+    def _choose_engine(
+        self, generation: Generation
+    ) -> tuple[BackendInstance | None, int]:
+        now_s = generation.admitted.now_s
+        reservation = generation.reservation
         if reservation is not None:
             name = reservation.instance.instance
             paused = self._registry.notices.pause_left_s(name, now_s) > 0
             if now_s < reservation.usable_until_s and not paused:
                 return reservation.instance, 1
-            self._room.cancel(run)
-        service, stage = run.admitted.service.name, EngineStage.DECODE
+            self._reservations.cancel(generation)
+        service, stage = generation.admitted.service.name, EngineStage.DECODE
         candidates = self._registry.candidates(
-            service, now_s, stage, frozenset(run.tried)
+            service, now_s, stage, frozenset(generation.tried_engines)
         )
         candidates = candidates or self._registry.candidates(service, now_s, stage)
         if not candidates:
@@ -206,32 +221,33 @@
         chosen = self._load.most_memory(candidates, self._data_centre)
         return chosen, len(candidates)
 
-    async def _send(self, run: Generation, instance: BackendInstance) -> Outcome:
-        admitted, handle = run.admitted, run.handle
-        reservation, run.reservation = run.reservation, None
+    async def _send(self, generation: Generation, instance: BackendInstance) -> Outcome:
+        admitted, handle = generation.admitted, generation.handle
+        reservation, generation.reservation = generation.reservation, None
         step = EngineStep(
             source_address=handle.instance.address if handle is not None else "",
             source_handle=handle.name if handle is not None else "",
             reservation=reservation.name if reservation is not None else "",
             priority=admitted.priority,
         )
-        answer_s = max(0.0, admitted.route_remaining_s)
+        response_timeout_s = max(0.0, admitted.route_remaining_s)
         if admitted.policy.has_another_run:
-            answer_s = min(answer_s, FIRST_EVENT_S)
+            response_timeout_s = min(response_timeout_s, FIRST_EVENT_TIMEOUT_S)
         return await self._sender.send(
             instance,
             admitted,
             step,
-            last_event_id=run.last_event_id,
-            answer_s=answer_s,
-            # A late copy of an earlier refusal would pass for this one's.
+            last_event_id=generation.last_event_id,
+            response_timeout_s=response_timeout_s,
+            # On a reused connection, a late duplicate of an earlier refusal could be
+            # taken for the response to this request.
             fresh=not admitted.policy.may_repeat,
         )
 
-    async def _after_failed_send(
-        self, run: Generation, outcome: NotRun | Unknown
+    async def _handle_failed_send(
+        self, generation: Generation, outcome: NotRun | Unknown
     ) -> None:
-        admitted = run.admitted
+        admitted = generation.admitted
         decision: Resend | GiveUp
         if isinstance(outcome, NotRun):
             may_resend = self._gate.admits(admitted, SendStep.RUN)
@@ -245,103 +261,140 @@
                 and self._gate.admits(admitted, SendStep.RUN),
                 timed_out=outcome.timed_out,
             )
-        await self._give_up(run, decision, outcome.reason)
+        await self._fail_if_final(generation, decision, outcome.reason)
 
-    async def _give_up(
-        self, run: Generation, decision: Resend | GiveUp, reason: str
+    async def _fail_if_final(
+        self, generation: Generation, decision: Resend | GiveUp, reason: str
     ) -> None:
-        """Answer the caller if no engine is to be tried again."""
+        """Fail the generation unless it is to be sent to another engine."""
         if not isinstance(decision, GiveUp):
             return
         retry_after_s = None
         if decision.run_state is RunState.NOT_RUN:
-            retry_after_s = self._refusals.engine_full_s(run.admitted.remaining_s)
-        await self._fail(run, decision.failure(reason, retry_after_s))
+            retry_after_s = self._refusals.engine_full_s(
+                generation.admitted.remaining_s
+            )
+        await self._fail(generation, decision.failure(reason, retry_after_s))
 
-    async def _relay(self, run: Generation, reply: OpenReply) -> None:
-        """Pass events on; after a break the stream may go on elsewhere."""
-        if reply.head.status != 200:
-            await self._pass_on_failure(run, reply)
+    async def _relay(self, generation: Generation, server_response: OpenReply) -> None:
+        """Relay an engine's response; a broken stream may resume on another engine."""
+        if server_response.head.status != 200:
+            await self._forward_failure(generation, server_response)
             return
         try:
-            await self._relay_events(run, reply)
+            await self._relay_events(generation, server_response)
         except ConnectionBroken as error:
-            self._sender.note_answer(reply.instance, good=False, reason=str(error))
-            await self._continue(run, Unknown(str(error)), reply.instance)
-        except _Silent:
-            reply.close()
+            self._sender.record_response(
+                server_response.instance, good=False, reason=str(error)
+            )
+            await self._resume_or_fail(
+                generation, Unknown(str(error)), server_response.instance
+            )
+        except _EventTimeout:
+            server_response.close()
             reason = "no event for too long"
-            self._sender.note_answer(reply.instance, good=False, reason=reason)
-            await self._continue(run, Unknown(reason, timed_out=True), reply.instance)
+            self._sender.record_response(
+                server_response.instance, good=False, reason=reason
+            )
+            await self._resume_or_fail(
+                generation, Unknown(reason, timed_out=True), server_response.instance
+            )
         else:
-            self._sender.note_answer(reply.instance, good=True, reason="")
-            fingerprint = run.admitted.fingerprint
-            self._sender.note_run(reply.instance, fingerprint, is_whole=True)
-            await run.answer.end_stream()
+            self._sender.record_response(server_response.instance, good=True, reason="")
+            fingerprint = generation.admitted.fingerprint
+            self._sender.record_run(
+                server_response.instance, fingerprint, is_complete=True
+            )
+            await generation.response.end_stream()
 
-    async def _relay_events(self, run: Generation, reply: OpenReply) -> None:
+    async def _relay_events(
+        self, generation: Generation, server_response: OpenReply
+    ) -> None:
         splitter = EventSplitter()
-        run.progress_s = run.admitted.now_s
-        async for chunk in self._watched(run, reply):
+        generation.last_progress_s = generation.admitted.now_s
+        async for chunk in self._chunks_until_timeout(generation, server_response):
             try:
                 events = splitter.feed(chunk)
             except EventTooLong as error:
                 raise ConnectionBroken(str(error)) from error
-            ready = b"".join(
-                event.data for event in events if run.accept_event(event.event_id)
+            new_data = b"".join(
+                event.data
+                for event in events
+                if generation.accept_event(event.event_id)
             )
-            if ready:
-                if not run.answer.has_started:
-                    self._note_read(run, reply.instance)
-                await run.write(reply, ready)
-        # Only the end of the body tells that what is left is whole.
-        if splitter.rest or not run.answer.has_started:
-            await run.write(reply, splitter.rest)
+            if new_data:
+                if not generation.response.has_started:
+                    self._clear_prompt_load(generation, server_response.instance)
+                await generation.write(server_response, new_data)
+        # Only at the end of the body is it known that the remaining data is complete.
+        if splitter.rest or not generation.response.has_started:
+            await generation.write(server_response, splitter.rest)
 
-    def _note_read(self, run: Generation, instance: BackendInstance) -> None:
-        """Count no prompt tokens on an engine that has begun to answer."""
-        request = run.admitted.request
-        load = InstanceLoad(1, memory_tokens=run.admitted.memory_tokens)
+    def _clear_prompt_load(
+        self, generation: Generation, instance: BackendInstance
+    ) -> None:
+        """Stop counting prompt tokens as load of an engine that has begun to decode."""
+        request = generation.admitted.request
+        load = InstanceLoad(1, memory_tokens=generation.admitted.memory_tokens)
         self._load.start(request.request_id, instance.instance, load)
 
-    async def _watched(self, run: Generation, reply: OpenReply) -> AsyncIterator[bytes]:
+    async def _chunks_until_timeout(
+        self, generation: Generation, server_response: OpenReply
+    ) -> AsyncIterator[bytes]:
         """
-        Yield the body; raises `_Silent` where another engine could go on.
+        Yield the body, with a timeout if another engine could resume the stream.
+
+        Only complete events count as progress: an engine that stalls may still send
+        single bytes.
 
-        Only whole events count as progress: an engine that stalls may still send a
-        byte now and then.
+        Raises
+        ------
+        _EventTimeout
+            No event was complete in time.
+        ConnectionBroken
+            The connection ended before the body was complete.
         """
-        chunks = reply.chunks()
+        chunks = server_response.chunks()
         while True:
             deadline_s: float | None = None
-            if run.admitted.policy.has_another_run:
-                limit_s = SILENCE_S if run.answer.has_started else FIRST_EVENT_S
-                deadline_s = run.progress_s + limit_s
+            if generation.admitted.policy.has_another_run:
+                limit_s = (
+                    EVENT_TIMEOUT_S
+                    if generation.response.has_started
+                    else FIRST_EVENT_TIMEOUT_S
+                )
+                deadline_s = generation.last_progress_s + limit_s
             try:
                 async with asyncio.timeout_at(deadline_s):
                     chunk = await anext(chunks)
             except StopAsyncIteration:
                 return
             except TimeoutError:
-                was_paused = run.admitted.now_s > (deadline_s or 0.0) + LATE_TIMER_S
-                if not (was_paused and reply.has_unread):
-                    raise _Silent from None
-                # This process stood still, not the engine.
-                run.progress_s = run.admitted.now_s
-                chunks = reply.chunks()
+                was_suspended = (
+                    generation.admitted.now_s > (deadline_s or 0.0) + MAX_TIMER_DELAY_S
+                )
+                if not (was_suspended and server_response.has_unread_data):
+                    raise _EventTimeout from None
+                # This process was suspended; the engine has sent data meanwhile.
+                generation.last_progress_s = generation.admitted.now_s
+                chunks = server_response.chunks()
                 continue
             yield chunk
 
-    async def _pass_on_failure(self, run: Generation, reply: OpenReply) -> None:
-        admitted = run.admitted
+    async def _forward_failure(
+        self, generation: Generation, server_response: OpenReply
+    ) -> None:
+        admitted = generation.admitted
         try:
-            body = await reply.whole(ANSWER_LIMIT_BYTES)
+            body = await server_response.read_body(MAX_RESPONSE_BYTES)
         except ConnectionBroken as error:
-            await self._continue(run, Unknown(str(error)), reply.instance)
+            await self._resume_or_fail(
+                generation, Unknown(str(error)), server_response.instance
+            )
             return
-        reason = f"status {reply.head.status}"
-        good = reply.head.status < 500
-        self._sender.note_answer(reply.instance, good=good, reason=reason)
+        reason = f"status {server_response.head.status}"
+        good = server_response.head.status < 500
+        self._sender.record_response(server_response.instance, good=good, reason=reason)
         if not good:
             may_resend = admitted.policy.has_another_run and self._gate.admits(
                 admitted, SendStep.RUN
@@ -350,32 +403,38 @@
                 left_s=admitted.remaining_s, may_resend=may_resend
             ):
                 return
-        if run.answer.has_started:
-            await self._fail(run, Failure(ErrorKind.BACKEND_SERVER_FAILED, reason))
+        if generation.response.has_started:
+            await self._fail(
+                generation, Failure(ErrorKind.BACKEND_SERVER_FAILED, reason)
+            )
         else:
-            await run.answer.pass_on(reply.head, reply.facts, body)
+            await generation.response.forward(
+                server_response.head, server_response.metadata, body
+            )
 
-    async def _continue(
-        self, run: Generation, outcome: Unknown, instance: BackendInstance
+    async def _resume_or_fail(
+        self, generation: Generation, outcome: Unknown, instance: BackendInstance
     ) -> None:
-        run.log_failed(instance.instance, "stream", outcome.reason)
-        self._sender.note_run(instance, run.admitted.fingerprint, is_whole=False)
-        await self._after_failed_send(run, outcome)
+        generation.log_failed(instance.instance, "stream", outcome.reason)
+        self._sender.record_run(
+            instance, generation.admitted.fingerprint, is_complete=False
+        )
+        await self._handle_failed_send(generation, outcome)
 
-    async def _fail(self, run: Generation, failure: Failure) -> None:
-        if run.answer.has_started:
-            run.answer.break_off(failure)
+    async def _fail(self, generation: Generation, failure: Failure) -> None:
+        if generation.response.has_started:
+            generation.response.abort(failure)
         else:
-            await run.answer.refuse(failure)
+            await generation.response.refuse(failure)
 
-    def _full(self, admitted: GatewayWork) -> Failure:
+    def _full_failure(self, admitted: AdmittedRequest) -> Failure:
         return Failure(
             ErrorKind.OVERLOADED,
             "no decode engine has room",
             retry_after_s=self._refusals.engine_full_s(admitted.remaining_s),
         )
 
-    def _unserved(self, admitted: GatewayWork) -> Failure:
+    def _no_engine_failure(self, admitted: AdmittedRequest) -> Failure:
         kind = ErrorKind.NO_BACKEND_SERVER
         if admitted.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
--- a/tests/adapters/gateway/test_connections.py
+++ b/tests/adapters/gateway/test_connections.py
@@ -129,12 +129,12 @@
         second = BackendInstance(
             instance="b", service="s", address=address, data_centre="w", slots=1
         )
-        connection = await pool.take(first, 1.0)
+        connection = await pool.acquire(first, 1.0)
         await send_request(connection)
-        pool.give_back(first, connection)
-        assert await pool.take(second, 1.0) is not connection
+        pool.release(first, connection)
+        assert await pool.acquire(second, 1.0) is not connection
         await asyncio.sleep(0.1)
-        assert await pool.take(first, 1.0) is not connection
+        assert await pool.acquire(first, 1.0) is not connection
         pool.close()
         server.close()
 
@@ -148,11 +148,11 @@
         instance = BackendInstance(
             instance="a", service="s", address=address, data_centre="w", slots=1
         )
-        connection = await pool.take(instance, 1.0)
+        connection = await pool.acquire(instance, 1.0)
         await send_request(connection)
         connection.keep_alive_s = 0.5
-        pool.give_back(instance, connection)
-        assert await pool.take(instance, 1.0) is not connection
+        pool.release(instance, connection)
+        assert await pool.acquire(instance, 1.0) is not connection
         pool.close()
         server.close()
 
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -13,7 +13,10 @@
 )
 from tests.adapters.gateway.test_streams import decode_script, engines
 
-from damaskridge.adapters.gateway.connections import READ_AHEAD_BYTES, BackendConnection
+from damaskridge.adapters.gateway.connections import (
+    MAX_READ_AHEAD_BYTES,
+    BackendConnection,
+)
 from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
 from damaskridge.platform.instance_list import PlatformInstanceList
 
@@ -240,5 +243,5 @@
 
 
 def test_bytes_without_the_end_of_an_event_are_bounded():
-    assert READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MOST_BUFFERED_BYTES
+    assert MAX_READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MOST_BUFFERED_BYTES
     assert BackendConnection._new_parser()._max_incomplete_event_size <= 65_536
