--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -1,4 +1,4 @@
-"""A scripted backend server on a real socket, and a gateway before it."""
+"""Scripted backend servers on real sockets, and a gateway in front of them."""
 
 import asyncio
 import contextlib
@@ -24,7 +24,7 @@
 from damaskridge.model.gateway import BackendInstance, WorkKind
 from damaskridge.platform.dialect import PlatformDialect
 
-LIMIT_S = 10.0
+TIMEOUT_S = 10.0
 WORKSPACES = (workspace("w", "k"),)
 ROUTES = (
     route("/safe/", WorkKind.REPEATABLE, attempts=2, is_public=False),
@@ -36,8 +36,8 @@
 
 
 @dataclass
-class Seen:
-    """One request that reached a stand-in."""
+class ReceivedRequest:
+    """A request that a stand-in has received."""
 
     method: str
     target: str
@@ -51,7 +51,7 @@
 
 
 def response(request, status=200, body=b"ok", *, signed=True, extra=b"", length=True):
-    """Return the bytes of an answer that echoes the request's id."""
+    """Return the bytes of a response that carries the id of the request."""
     head = b"HTTP/1.1 %d Status\r\nx-attempt-id: %s\r\n" % (
         status,
         request.attempt.encode(),
@@ -64,10 +64,12 @@
 
 
 def not_executed(request, status=503):
+    """Return the bytes of a refusal that states that the request did not run."""
     return response(request, status, b"", signed=False, extra=b"x-not-executed: 1\r\n")
 
 
 def chunked_head(request):
+    """Return the head of a chunked event stream."""
     return (
         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
         b"transfer-encoding: chunked\r\nx-response-signature: sig\r\n"
@@ -76,17 +78,19 @@
 
 
 def chunk(data):
+    """Return data as a chunk of a body with chunked transfer coding."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 def events(first, last):
+    """Return the server-sent events with the ids from `first` to `last`."""
     return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, last + 1))
 
 
 @dataclass
 class StandIn:
     """
-    A backend server that answers as its script says.
+    A backend server whose responses are scripted.
 
     `script(request, writer)` writes the response and returns true to close the
     connection.
@@ -97,14 +101,14 @@
     stage: object = None
     service: str = "app"
     received: list = field(default_factory=list)
-    closed: int = 0
-    reserved: int = 0
+    closed_connections: int = 0
+    reservation_count: int = 0
     listener: object = None
     writers: list = field(default_factory=list)
     address: str = ""
 
     def crash(self):
-        """Reset all connections and take no new ones."""
+        """Abort all connections and accept no new ones."""
         self.listener.close()
         for writer in self.writers:
             writer.transport.abort()
@@ -113,17 +117,17 @@
         self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
-                request = await self._read(reader)
+                request = await self._read_request(reader)
                 if request.target.startswith("/api/"):
-                    writer.write(self._api(request))
+                    writer.write(self._api_response(request))
                     continue
                 self.received.append(request)
                 if await self.script(request, writer):
                     break
-        self.closed += 1
+        self.closed_connections += 1
         writer.transport.abort()
 
-    async def _read(self, reader):
+    async def _read_request(self, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *lines = head.strip().split("\r\n")
         method, target, _ = first.split(" ")
@@ -132,13 +136,13 @@
             name, _, value = line.partition(": ")
             headers[name.lower()] = value
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        return Seen(method, target, headers, body, reader)
+        return ReceivedRequest(method, target, headers, body, reader)
 
-    def _api(self, request):
+    def _api_response(self, request):
         body = b"{}"
         if request.target == "/api/hold-take":
-            self.reserved += 1
-            body = b'{"Hold":"h%d"}' % self.reserved
+            self.reservation_count += 1
+            body = b'{"Hold":"h%d"}' % self.reservation_count
         return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
 
     def instance(self):
@@ -154,12 +158,12 @@
 
 @dataclass
 class Gateway:
-    """The running gateway."""
+    """A running gateway, and access to its state."""
 
     port: int
     state: GatewayState
     registry: InstanceRegistry
-    resends: list
+    spend_requests: list
     load: LoadBook
 
     async def send_request(
@@ -171,14 +175,14 @@
         key="k",
         attempt="a1",
     ):
-        """Return status, headers and body; the body is None if the answer is cut."""
+        """Return status, headers and body; the body is None if it is truncated."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         lines = [f"{method} {path} HTTP/1.1", "host: h.example"]
         lines.append(f"x-attempt-id: {attempt}")
         lines += [f"authorization: Bearer {key}"] if key else []
         lines += [*headers, f"content-length: {len(body)}", "connection: close"]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        async with asyncio.timeout(LIMIT_S):
+        async with asyncio.timeout(TIMEOUT_S):
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             try:
                 rest = await reader.read()
@@ -186,10 +190,10 @@
                 rest = None
         writer.close()
         first, *fields = head.strip().split("\r\n")
-        found = dict(field.lower().split(": ", 1) for field in fields)
-        if rest is not None and found.get("transfer-encoding") == "chunked":
-            rest = _unchunk(rest)
-        return int(first.split()[1]), found, rest
+        response_headers = dict(field.lower().split(": ", 1) for field in fields)
+        if rest is not None and response_headers.get("transfer-encoding") == "chunked":
+            rest = _decode_chunked(rest)
+        return int(first.split()[1]), response_headers, rest
 
     async def generate(self, path="/res/x", **options):
         return await self.send_request(
@@ -197,22 +201,22 @@
         )
 
 
-class Retries:
-    """A retry budget of a fixed number of sends."""
+class FixedRetryBudget:
+    """A retry budget with a fixed number of retries."""
 
-    def __init__(self, sends):
-        self.sends = sends
-        self.asked = []
+    def __init__(self, retries):
+        self.retries = retries
+        self.spend_requests = []
 
     def spend(self, service, now_s):
-        self.asked.append(service)
-        return len(self.asked) <= self.sends
+        self.spend_requests.append(service)
+        return len(self.spend_requests) <= self.retries
 
     def left(self, service):
-        return float(max(0, self.sends - len(self.asked)))
+        return float(max(0, self.retries - len(self.spend_requests)))
 
 
-def _unchunk(data):
+def _decode_chunked(data):
     body = b""
     while data:
         size, _, data = data.partition(b"\r\n")
@@ -225,7 +229,7 @@
 
 @contextlib.asynccontextmanager
 async def gateway(*standins, workspaces=WORKSPACES, budget=9):
-    """Give a gateway on a real port with scripted backend servers behind it."""
+    """Run a gateway on a real port with scripted backend servers behind it."""
     servers = []
     for standin in standins:
         server = await asyncio.start_server(standin.serve, "127.0.0.1", 0)
@@ -234,7 +238,7 @@
         servers.append(server)
     registry, pool = InstanceRegistry(), ConnectionPool()
     registry.replace([standin.instance() for standin in standins])
-    retries = Retries(budget)
+    retries = FixedRetryBudget(budget)
     gate = RetryGate(retries)
     rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashWatch()
     refusals = RefusalTimes(rng)
@@ -277,9 +281,9 @@
     server = HttpServer(app)
     serving = asyncio.ensure_future(server.run_on(listener))
     try:
-        async with asyncio.timeout(2 * LIMIT_S):
+        async with asyncio.timeout(2 * TIMEOUT_S):
             yield Gateway(
-                listener.getsockname()[1], state, registry, retries.asked, load
+                listener.getsockname()[1], state, registry, retries.spend_requests, load
             )
     finally:
         server.stop()
--- a/tests/adapters/gateway/test_connections.py
+++ b/tests/adapters/gateway/test_connections.py
@@ -1,4 +1,4 @@
-"""Guards against connections that are used again though something follows an answer."""
+"""Test that a connection is reused only if nothing has followed the last response."""
 
 import asyncio
 
@@ -15,15 +15,15 @@
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-def play(main):
+def run_async(main):
     asyncio.run(asyncio.wait_for(main(), 10))
 
 
-async def serve(answer, *, after=None):
+async def serve(data, *, after=None):
     async def handle(reader, writer):
         try:
             while await reader.readuntil(b"\r\n\r\n"):
-                writer.write(answer)
+                writer.write(data)
                 if after is not None:
                     await after(writer)
         except (asyncio.IncompleteReadError, OSError):
@@ -39,7 +39,7 @@
     return head.status, b"".join([part async for part in connection.body()])
 
 
-def test_a_connection_serves_one_request_after_another():
+def test_a_connection_is_reused_for_several_requests():
     async def main():
         server, address = await serve(OK)
         connection = await open_connection(address, 1.0)
@@ -49,11 +49,11 @@
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
 @pytest.mark.parametrize("late", [False, True])
-def test_bytes_after_an_answer_end_the_use_of_its_connection(late):
+def test_data_after_a_response_makes_its_connection_unusable(late):
     async def main():
         async def more(writer):
             await asyncio.sleep(0.05 if late else 0)
@@ -67,10 +67,10 @@
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_reset_body_without_a_length_is_not_whole():
+def test_a_body_without_a_length_is_incomplete_after_a_reset():
     async def main():
         async def reset(writer):
             await asyncio.sleep(0.05)
@@ -89,10 +89,10 @@
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_refused_connection_means_that_nothing_was_sent():
+def test_a_refused_connection_raises_not_sent():
     async def main():
         server, address = await serve(OK)
         server.close()
@@ -100,10 +100,10 @@
         with pytest.raises(NotSent):
             await open_connection(address, 1.0)
 
-    play(main)
+    run_async(main)
 
 
-def test_a_request_that_is_no_http_is_not_sent():
+def test_an_invalid_request_raises_not_sent():
     async def main():
         server, address = await serve(OK)
         connection = await open_connection(address, 1.0)
@@ -112,10 +112,10 @@
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_the_pool_keeps_instances_apart_and_drops_closed_connections():
+def test_the_pool_separates_instances_and_discards_closed_connections():
     async def main():
         async def close(writer):
             await asyncio.sleep(0.05)
@@ -138,10 +138,10 @@
         pool.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_connection_is_given_up_before_the_server_would_close_it():
+def test_a_connection_is_retired_before_its_keep_alive_expires():
     async def main():
         server, address = await serve(OK)
         pool = ConnectionPool()
@@ -156,4 +156,4 @@
         pool.close()
         server.close()
 
-    play(main)
+    run_async(main)
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -1,19 +1,22 @@
-"""Guards against repeats of a request that crashes each server that runs it."""
+"""Test that a request which crashes each server that runs it is quarantined.
+
+Without that, its retries would take down one server after the other.
+"""
 
 import asyncio
 
 from tests.adapters.gateway.standin import StandIn, gateway, response
 
 
-def play(main):
+def run_async(main):
     asyncio.run(main())
 
 
-def crashing(poison):
-    """Answer, but crash at a request with this body."""
+def crashing_server(crash_body):
+    """Return a server that responds, but crashes on a request with this body."""
 
     async def script(request, writer):
-        if request.body == poison:
+        if request.body == crash_body:
             server.crash()
             return True
         writer.write(response(request))
@@ -23,15 +26,15 @@
     return server
 
 
-def test_a_request_that_crashed_three_servers_is_refused_at_once():
+def test_a_request_that_crashed_three_servers_is_refused_without_being_sent():
     async def main():
-        servers = [crashing(b"bad") for _ in range(6)]
+        servers = [crashing_server(b"bad") for _ in range(6)]
         for number, server in enumerate(servers):
             server.name = f"s{number}"
         async with gateway(*servers) as app:
             for number in range(8):
                 await app.send_request("/once/x", body=b"bad", attempt=f"bad{number}")
-                # Requests after it find out that the server is gone.
+                # Further requests detect that the server can't be reached.
                 for again in range(8):
                     await app.send_request(
                         "/safe/x", body=b"good", attempt=f"g{number}{again}"
@@ -46,4 +49,4 @@
         assert float(headers["retry-after"]) >= 60
         assert good == 200
 
-    play(main)
+    run_async(main)
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -1,4 +1,4 @@
-"""Guards against servers that send bytes without end, and against stalled streams."""
+"""Test that endless responses and stalled streams are detected and abandoned."""
 
 import asyncio
 
@@ -20,16 +20,16 @@
 from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
 from damaskridge.platform.instance_list import PlatformInstanceList
 
-PIECE = b"x" * 8192
-# What a connection may hold and what the operating systems of both ends buffer.
-MOST_BUFFERED_BYTES = 16 * 1024 * 1024
+CHUNK_DATA = b"x" * 8192
+# Upper bound of what a connection and the operating systems of both ends buffer.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
-class Endless:
-    """A script that sends until the other side closes, and counts what it sent."""
+class EndlessScript:
+    """A script that sends until the peer closes, and counts the bytes sent."""
 
-    def __init__(self, start, piece=PIECE, pause_s=0.0):
-        self.start, self.piece, self.pause_s = start, piece, pause_s
+    def __init__(self, start, data=CHUNK_DATA, pause_s=0.0):
+        self.start, self.data, self.pause_s = start, data, pause_s
         self.sent_bytes = 0
         self.is_closed = asyncio.Event()
 
@@ -37,135 +37,139 @@
         writer.write(self.start(request))
         try:
             while True:
-                writer.write(self.piece)
+                writer.write(self.data)
                 await writer.drain()
-                self.sent_bytes += len(self.piece)
+                self.sent_bytes += len(self.data)
                 await asyncio.sleep(self.pause_s)
         except ConnectionError:
             self.is_closed.set()
         return True
 
 
-def head_without_end(request):
+def endless_head(request):
     return b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-long: " % request.attempt.encode()
 
 
-def body_without_end(request):
+def endless_body(request):
     return (
         b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-response-signature: s\r\n\r\n"
         % request.attempt.encode()
     )
 
 
-def no_http(request):
+def not_http(request):
     return b"\x00\xff"
 
 
-def informational(request):
+def endless_informational(request):
     return b"HTTP/1.1 103 Early Hints\r\n\r\n"
 
 
-def chunked(request):
+def endless_chunks(request):
     return chunked_head(request)
 
 
-def play(main):
+def run_async(main):
     asyncio.run(main())
 
 
-STARTS = {
-    "head": (head_without_end, PIECE),
-    "body": (body_without_end, PIECE),
-    "no_http": (no_http, PIECE),
-    "informational": (informational, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
+ENDLESS_RESPONSES = {
+    "head": (endless_head, CHUNK_DATA),
+    "body": (endless_body, CHUNK_DATA),
+    "not_http": (not_http, CHUNK_DATA),
+    "informational": (endless_informational, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
     "blank_lines": (lambda request: b"", b"\r\n" * 4096),
-    "chunks": (chunked, chunk(PIECE)),
+    "chunks": (endless_chunks, chunk(CHUNK_DATA)),
 }
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_call_ends_and_the_connection_is_closed(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_a_call_fails_and_its_connection_is_closed(name):
     async def main():
-        start, piece = STARTS[name]
-        script = Endless(start, piece)
+        start, data = ENDLESS_RESPONSES[name]
+        script = EndlessScript(start, data)
         async with gateway(StandIn("a", script)) as app:
             status, _, _ = await app.send_request("/once/x")
-            # It may have run, so that nothing may say that it has not.
+            # The call may have run, so no status that denies it is allowed.
             assert status in (502, 504)
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
-            assert script.sent_bytes < MOST_BUFFERED_BYTES
+            assert script.sent_bytes < MAX_BUFFERED_BYTES
             assert app.registry._of("a").recent == [False]
 
-    play(main)
+    run_async(main)
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_repeatable_call_goes_to_another_server(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_a_repeatable_call_is_retried_on_another_server(name):
     async def main():
-        async def answer(request, writer):
+        async def respond(request, writer):
             writer.write(response(request))
 
-        start, piece = STARTS[name]
-        good = StandIn("b", answer)
-        bad = StandIn("a", Endless(start, piece))
+        start, data = ENDLESS_RESPONSES[name]
+        good = StandIn("b", respond)
+        bad = StandIn("a", EndlessScript(start, data))
         async with gateway(bad, good) as app:
             statuses = {(await app.send_request("/safe/x"))[0] for _ in range(3)}
         assert statuses == {200}
 
-    play(main)
+    run_async(main)
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_generation_goes_on_at_another_engine(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_a_generation_is_retried_on_another_engine(name):
     async def main():
-        start, piece = STARTS[name]
-        script = Endless(start, piece)
-        found = engines(script, decode_script())
-        async with gateway(*found) as app:
+        start, data = ENDLESS_RESPONSES[name]
+        script = EndlessScript(start, data)
+        servers = engines(script, decode_script())
+        async with gateway(*servers) as app:
             app.registry.unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
             assert (status, body) == (200, events(1, 9))
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
-        assert found[1].received
-        assert script.sent_bytes < MOST_BUFFERED_BYTES
+        assert servers[1].received
+        assert script.sent_bytes < MAX_BUFFERED_BYTES
 
-    play(main)
+    run_async(main)
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_reader_of_prompts_is_left_and_the_decode_engine_reads(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_a_prefill_is_abandoned_and_the_decode_engine_prefills(name):
     async def main():
-        start, piece = STARTS[name]
-        script = Endless(start, piece)
-        found = engines(decode_script(), prefill=script)
-        async with gateway(*found) as app:
+        start, data = ENDLESS_RESPONSES[name]
+        script = EndlessScript(start, data)
+        servers = engines(decode_script(), prefill=script)
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/gen/x")
             assert (status, body) == (200, events(1, 9))
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
 
-    play(main)
+    run_async(main)
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_reservation_without_end_is_given_up(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_an_endless_reservation_response_is_abandoned(name):
     async def main():
-        start, piece = STARTS[name]
-        script = Endless(start, piece)
-        found = engines(decode_script())
-        async with gateway(*found) as app:
+        start, data = ENDLESS_RESPONSES[name]
+        script = EndlessScript(start, data)
+        servers = engines(decode_script())
+        async with gateway(*servers) as app:
 
             async def serve(reader, writer):
                 await reader.readuntil(b"\r\n\r\n")
-                await script(Anonymous, writer)
+                await script(UnnamedRequest, writer)
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
-            item = found[1].instance()
+            instance = servers[1].instance()
             app.registry.replace(
-                [type(item)(**{**fields_of(item), "address": f"127.0.0.1:{port}"})]
+                [
+                    type(instance)(
+                        **{**fields_of(instance), "address": f"127.0.0.1:{port}"}
+                    )
+                ]
             )
             status, _, _ = await app.generate("/gen/x")
             assert status in (502, 504)
@@ -173,26 +177,26 @@
                 await script.is_closed.wait()
             server.close()
 
-    play(main)
+    run_async(main)
 
 
-class Anonymous:
+class UnnamedRequest:
     attempt = "a1"
 
 
-def fields_of(item):
-    return {name: getattr(item, name) for name in item.__struct_fields__}
+def fields_of(instance):
+    return {name: getattr(instance, name) for name in instance.__struct_fields__}
 
 
-@pytest.mark.parametrize("name", STARTS)
-def test_a_list_of_backend_servers_without_end_is_given_up(name):
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_an_endless_instance_list_is_abandoned(name):
     async def main():
-        start, piece = STARTS[name]
-        script = Endless(start, piece)
+        start, data = ENDLESS_RESPONSES[name]
+        script = EndlessScript(start, data)
 
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            await script(Anonymous, writer)
+            await script(UnnamedRequest, writer)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
@@ -202,28 +206,28 @@
             await script.is_closed.wait()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_stream_that_stalls_but_sends_a_byte_now_and_then_goes_on_elsewhere():
-    """Bytes that complete no event are no progress."""
+def test_a_stalled_stream_that_still_sends_bytes_resumes_on_another_engine():
+    """Data that completes no event doesn't count as progress."""
 
     async def main():
-        def begin(request):
+        def begin_stream(request):
             return chunked_head(request) + chunk(events(1, 2))
 
-        script = Endless(begin, chunk(b":"), pause_s=0.1)
-        found = engines(script, decode_script())
-        async with gateway(*found) as app:
+        script = EndlessScript(begin_stream, chunk(b":"), pause_s=0.1)
+        servers = engines(script, decode_script())
+        async with gateway(*servers) as app:
             app.registry.unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 9))
 
-    play(main)
+    run_async(main)
 
 
-def test_a_slow_but_sound_stream_is_not_cut():
-    """Each event comes within the silence that is allowed, the whole takes longer."""
+def test_a_slow_stream_is_not_aborted():
+    """Each event arrives within the event timeout, but the stream takes longer."""
 
     async def main():
         async def slow(request, writer):
@@ -233,15 +237,15 @@
                 writer.write(chunk(events(number, number)))
             writer.write(b"0\r\n\r\n")
 
-        found = engines(slow)
-        async with gateway(*found) as app:
+        servers = engines(slow)
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 4))
-        assert len(found[1].received) == 1
+        assert len(servers[1].received) == 1
 
-    play(main)
+    run_async(main)
 
 
-def test_bytes_without_the_end_of_an_event_are_bounded():
-    assert MAX_READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MOST_BUFFERED_BYTES
+def test_the_buffers_for_incomplete_data_are_bounded():
+    assert MAX_READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MAX_BUFFERED_BYTES
     assert BackendConnection._new_parser()._max_incomplete_event_size <= 65_536
--- a/tests/adapters/gateway/test_late_copies.py
+++ b/tests/adapters/gateway/test_late_copies.py
@@ -1,8 +1,8 @@
-"""
-Guards against a late second copy of an answer on a connection that is in use again.
+"""Test that a late duplicate of a response is not taken for the next response.
 
-The next caller would get an answer that is not its own, or be told that its request
-did not run.
+A server may send a response twice, the second time when its connection is already in
+use for another request. The next caller would then get a response to another request,
+or a refusal although its request ran.
 """
 
 import asyncio
@@ -19,46 +19,48 @@
 DELAY_S = 0.03
 
 
-def play(main):
+def run_async(main):
     asyncio.run(main())
 
 
-def late_copies(answer):
-    """Answer, and send the answer once more when the next request has arrived."""
-    last = []
+def late_duplicates(make_response):
+    """Respond, and send the response again when the next request arrives."""
+    previous = []
 
     async def script(request, writer):
-        if last:
-            writer.write(last.pop())
+        if previous:
+            writer.write(previous.pop())
             await asyncio.sleep(DELAY_S)
-        data = answer(request)
-        last.append(data)
+        data = make_response(request)
+        previous.append(data)
         writer.write(data)
 
     return script
 
 
-def test_a_copy_of_an_answer_is_not_given_to_the_next_caller():
+def test_a_duplicate_response_is_not_forwarded_to_the_next_caller():
     async def main():
         server = StandIn(
             "a",
-            late_copies(lambda request: response(request, body=request.body or b"-")),
+            late_duplicates(
+                lambda request: response(request, body=request.body or b"-")
+            ),
         )
         async with gateway(server) as app:
             for number in range(4):
-                mine = b"%d" % number
+                body_sent = b"%d" % number
                 for path in ("/once/x", "/safe/x", "/safe/y"):
                     attempt = f"{path[1:5]}{path[-1]}{number}"
                     status, _, body = await app.send_request(
-                        path, body=mine, attempt=attempt
+                        path, body=body_sent, attempt=attempt
                     )
-                    assert status != 200 or body == mine
+                    assert status != 200 or body == body_sent
 
-    play(main)
+    run_async(main)
 
 
-def test_a_copy_of_a_refusal_does_not_say_that_the_next_request_has_not_run():
-    """A refusal names no request; only its connection tells whose it is."""
+def test_a_duplicate_refusal_is_not_taken_for_the_next_response():
+    """A refusal carries no request id; only its connection relates it to a request."""
 
     async def main():
         async def refuse_then_run(request, writer):
@@ -79,61 +81,61 @@
             assert status == 200
             assert ran[0].reader is not ran[-1].reader
 
-    play(main)
+    run_async(main)
 
 
-def test_a_generation_that_runs_once_uses_no_connection_that_was_used_before():
+def test_an_at_most_once_generation_uses_a_new_connection():
     async def main():
-        found = engines(decode_script(), prefill=run_prefill)
-        async with gateway(*found) as app:
+        servers = engines(decode_script(), prefill=run_prefill)
+        async with gateway(*servers) as app:
             for _ in range(3):
                 status, _, body = await app.generate("/gen/x")
                 assert (status, body) == (200, events(1, 9))
-        readers = [request.reader for request in found[1].received]
+        readers = [request.reader for request in servers[1].received]
         assert len(set(map(id, readers))) == len(readers) == 3
 
-    play(main)
+    run_async(main)
 
 
-def test_a_copy_of_a_reservation_is_not_used_by_the_next_generation():
-    """Both would name one reservation, of which only one can make use."""
+def test_a_duplicate_reservation_is_not_used_by_another_generation():
+    """Two generations would use one reservation, which is valid for only one."""
 
     async def main():
-        found = engines(decode_script(), decode_script())
-        first = found[1]
-        own_api = first._api
+        servers = engines(decode_script(), decode_script())
+        first = servers[1]
+        api_response = first._api_response
 
-        def copies(request):
-            if request.target == "/api/hold-take" and first.reserved:
-                first.reserved -= 1
-            return own_api(request)
+        def repeat_reservation(request):
+            if request.target == "/api/hold-take" and first.reservation_count:
+                first.reservation_count -= 1
+            return api_response(request)
 
-        first._api = copies
-        async with gateway(*found) as app:
+        first._api_response = repeat_reservation
+        async with gateway(*servers) as app:
             for _ in range(6):
                 status, _, _ = await app.generate("/res/x")
                 assert status == 200
         holds = [request.headers.get("x-kv-hold") for request in first.received]
         assert holds.count("h1") <= 1
 
-    play(main)
+    run_async(main)
 
 
-def test_the_answer_to_a_request_is_no_answer_to_a_reservation():
+def test_the_response_to_a_request_is_not_taken_for_a_reservation():
     async def main():
-        found = engines(decode_script())
-        engine = found[1]
+        servers = engines(decode_script())
+        engine = servers[1]
 
-        def answer_of_another(request):
+        def respond_to_other_request(request):
             body = b'{"Hold":"h9"}'
             return response(request, body=body).replace(
                 b"x-attempt-id: ", b"x-attempt-id: b"
             )
 
-        engine._api = answer_of_another
-        async with gateway(*found) as app:
+        engine._api_response = respond_to_other_request
+        async with gateway(*servers) as app:
             status, _, _ = await app.generate("/res/x")
         assert status == 200
         assert "x-kv-hold" not in engine.received[0].headers
 
-    play(main)
+    run_async(main)
--- a/tests/adapters/gateway/test_retry_budget.py
+++ b/tests/adapters/gateway/test_retry_budget.py
@@ -1,4 +1,4 @@
-"""Guards against arrivals at servers that nobody took from the retry budget."""
+"""Test that every request beyond the first is charged to the retry budget."""
 
 import asyncio
 
@@ -8,46 +8,46 @@
 from damaskridge.model.gateway import EngineStage
 
 
-def play(main):
+def run_async(main):
     asyncio.run(main())
 
 
-def arrivals(*standins):
+def request_count(*standins):
     return sum(len(standin.received) for standin in standins)
 
 
-def test_no_run_follows_a_refused_prompt_reading_without_budget():
+def test_without_budget_no_decode_follows_a_refused_prefill():
     async def main():
-        found = engines(decode_script(), prefill=refuse)
-        async with gateway(*found, budget=0) as app:
+        servers = engines(decode_script(), prefill=refuse)
+        async with gateway(*servers, budget=0) as app:
             status, headers, _ = await app.generate("/gen/x")
-        assert arrivals(*found) == 1
+        assert request_count(*servers) == 1
         assert status == 503
         assert float(headers["retry-after"]) > 0
 
-    play(main)
+    run_async(main)
 
 
-def test_no_run_follows_two_refused_prompt_readings_with_budget_for_one():
+def test_with_budget_for_one_retry_no_decode_follows_two_refused_prefills():
     async def main():
-        found = engines(decode_script(), prefill=refuse)
-        found.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
-        async with gateway(*found, budget=1) as app:
+        servers = engines(decode_script(), prefill=refuse)
+        servers.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
+        async with gateway(*servers, budget=1) as app:
             status, _, _ = await app.generate("/gen/x")
-        assert arrivals(*found) == 2
+        assert request_count(*servers) == 2
         assert status == 503
 
-    play(main)
+    run_async(main)
 
 
-def test_repeats_of_an_overload_stay_within_the_budget():
+def test_retries_during_an_overload_stay_within_the_budget():
     async def main():
         requests, budget = 20, 5
-        found = engines(decode_script(), prefill=refuse)
-        found.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
-        async with gateway(*found, budget=budget) as app:
+        servers = engines(decode_script(), prefill=refuse)
+        servers.append(StandIn("p1", refuse, EngineStage.PREFILL, "llm"))
+        async with gateway(*servers, budget=budget) as app:
             for number in range(requests):
                 await app.generate("/res/x", attempt=f"a{number}")
-        assert arrivals(*found) - requests <= budget
+        assert request_count(*servers) - requests <= budget
 
-    play(main)
+    run_async(main)
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -1,4 +1,4 @@
-"""Guards against streams with missing, repeated or joined pieces."""
+"""Test that streams have no missing, duplicate or merged events."""
 
 import asyncio
 
@@ -23,21 +23,28 @@
     )
 
 
-def decode_script(total=9, *, cut_after=None, torn=b"", stall=False):
-    """Stream events from `last-event-id` on, and perhaps break off."""
+def decode_script(
+    event_count=9, *, disconnect_after=None, partial_event=b"", stall=False
+):
+    """
+    Return a script that streams events after `last-event-id`.
+
+    With `disconnect_after`, it stops after the event of this number, sends
+    `partial_event` and closes the connection; with `stall`, only after 6 seconds.
+    """
 
     async def script(request, writer):
         first = int(request.headers.get("last-event-id", 0)) + 1
         writer.write(chunked_head(request))
-        last = total if cut_after is None else cut_after
+        last = event_count if disconnect_after is None else disconnect_after
         for number in range(first, last + 1):
             writer.write(chunk(events(number, number)))
             await asyncio.sleep(0.005)
-        if cut_after is None:
+        if disconnect_after is None:
             writer.write(b"0\r\n\r\n")
             return False
-        if torn:
-            writer.write(chunk(torn))
+        if partial_event:
+            writer.write(chunk(partial_event))
         await writer.drain()
         if stall:
             await asyncio.sleep(6)
@@ -51,9 +58,9 @@
 
 
 def engines(*decoders, prefill=run_prefill):
-    reader = StandIn("p", prefill, EngineStage.PREFILL, "llm")
+    prefill_engine = StandIn("p", prefill, EngineStage.PREFILL, "llm")
     return [
-        reader,
+        prefill_engine,
         *(
             StandIn(f"d{number}", script, EngineStage.DECODE, "llm")
             for number, script in enumerate(decoders)
@@ -61,222 +68,224 @@
     ]
 
 
-def play(main):
+def run_async(main):
     asyncio.run(main())
 
 
-def test_a_stream_takes_the_prefilled_cache():
+def test_the_decode_engine_imports_the_prefilled_cache():
     async def main():
-        found = engines(decode_script())
-        async with gateway(*found) as app:
+        servers = engines(decode_script())
+        async with gateway(*servers) as app:
             status, headers, body = await app.generate("/gen/x")
         assert (status, body) == (200, events(1, 9))
         assert headers["x-response-signature"] == "sig"
-        prefill, decode = found[0].received[0], found[1].received[0]
+        prefill, decode = servers[0].received[0], servers[1].received[0]
         assert prefill.headers["x-stage"] == "prefill"
-        assert decode.headers["x-kv-source"] == f"{found[0].address}/h-a1"
+        assert decode.headers["x-kv-source"] == f"{servers[0].address}/h-a1"
         assert decode.headers["x-kv-hold"] == "h1"
         assert prefill.body == decode.body == b"prompt"
 
-    play(main)
+    run_async(main)
 
 
-def test_a_second_reading_of_a_prompt_is_taken_from_the_retry_budget():
-    """The operator counts each one after the first, also after an answer of failure."""
+def test_a_second_prefill_is_charged_to_the_retry_budget():
+    """The operator counts every prefill after the first, even if the first failed."""
 
     async def main():
         async def refuse(request, writer):
             writer.write(response(request, 500, b"", signed=False))
 
-        found = engines(decode_script())
-        broken = StandIn("p1", refuse, EngineStage.PREFILL, "llm")
-        found[0].script = refuse
-        async with gateway(broken, *found) as app:
+        servers = engines(decode_script())
+        failing = StandIn("p1", refuse, EngineStage.PREFILL, "llm")
+        servers[0].script = refuse
+        async with gateway(failing, *servers) as app:
             status, _, _ = await app.generate("/gen/x")
             assert status == 200
-            assert len(broken.received) + len(found[0].received) == 2
-            assert len(app.resends) == 1
+            assert len(failing.received) + len(servers[0].received) == 2
+            assert len(app.spend_requests) == 1
 
-    play(main)
+    run_async(main)
 
 
-def test_a_broken_stream_goes_on_without_gap_or_repeat():
+def test_a_broken_stream_resumes_after_the_last_event():
     async def main():
-        found = engines(
-            decode_script(cut_after=4, torn=b"id: 5\ndata: to"),
-            decode_script(cut_after=4, torn=b"id: 5\ndata: to"),
+        servers = engines(
+            decode_script(disconnect_after=4, partial_event=b"id: 5\ndata: to"),
+            decode_script(disconnect_after=4, partial_event=b"id: 5\ndata: to"),
         )
-        async with gateway(*found) as app:
-            # Whichever engine is chosen first breaks; the other goes on from there.
+        async with gateway(*servers) as app:
+            # The stream breaks on the first engine and resumes on the other one.
             status, _, body = await app.generate("/res/x")
-        sent = [request for engine in found[1:] for request in engine.received]
+        sent = [request for engine in servers[1:] for request in engine.received]
         assert len(sent) == 2
         assert sorted(request.headers.get("last-event-id", "") for request in sent) == [
             "",
             "4",
         ]
         assert status == 200
-        # The second engine broke off too, so that the answer must look cut.
+        # It breaks on the second engine too, so the caller sees a truncated body.
         assert body is None
 
-    play(main)
+    run_async(main)
 
 
-def test_a_resumed_stream_is_whole():
+def test_a_resumed_stream_is_complete():
     async def main():
-        def second_time():
+        def disconnect_once():
             runs = []
 
             async def script(request, writer):
                 runs.append(request)
                 if "last-event-id" in request.headers:
                     return await decode_script()(request, writer)
-                return await decode_script(cut_after=3, torn=b"id: 4\nda")(
-                    request, writer
-                )
+                return await decode_script(
+                    disconnect_after=3, partial_event=b"id: 4\nda"
+                )(request, writer)
 
             return script
 
-        found = engines(second_time(), second_time())
-        async with gateway(*found) as app:
+        servers = engines(disconnect_once(), disconnect_once())
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 9))
 
-    play(main)
+    run_async(main)
 
 
-def test_a_silent_engine_is_left_for_another():
+def test_a_stalled_stream_resumes_on_another_engine():
     async def main():
         async def script(request, writer):
             if "last-event-id" in request.headers:
                 return await decode_script()(request, writer)
-            return await decode_script(cut_after=3, stall=True)(request, writer)
+            return await decode_script(disconnect_after=3, stall=True)(request, writer)
 
-        found = engines(script, script)
-        async with gateway(*found) as app:
+        servers = engines(script, script)
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 9))
 
-    play(main)
+    run_async(main)
 
 
-def test_a_stream_that_cannot_be_resumed_looks_cut():
+def test_a_broken_stream_that_cannot_resume_is_truncated():
     async def main():
-        found = engines(decode_script(cut_after=4), decode_script())
-        found[2].service = "other"
-        async with gateway(*found) as app:
+        servers = engines(decode_script(disconnect_after=4), decode_script())
+        servers[2].service = "other"
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/gen/x")
         assert status == 200
         assert body is None
-        assert len(found[1].received) == 1
+        assert len(servers[1].received) == 1
 
-    play(main)
+    run_async(main)
 
 
-def test_a_decode_engine_reads_the_prompt_without_prefill_engines():
+def test_the_decode_engine_prefills_if_the_prefill_engine_refuses():
     async def main():
-        found = engines(decode_script(), prefill=refuse)
-        async with gateway(*found) as app:
+        servers = engines(decode_script(), prefill=refuse)
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/gen/x")
         assert (status, body) == (200, events(1, 9))
-        assert "x-kv-source" not in found[1].received[0].headers
+        assert "x-kv-source" not in servers[1].received[0].headers
 
-    play(main)
+    run_async(main)
 
 
-def test_an_engine_that_refuses_is_followed_by_another_with_the_same_cache():
+def test_a_cache_is_offered_to_another_engine_after_a_refusal():
     async def main():
-        found = engines(refuse, decode_script())
-        async with gateway(*found) as app:
-            answers = [await app.generate("/gen/x") for _ in range(4)]
-        assert [body for _, _, body in answers] == [events(1, 9)] * 4
-        assert len(found[0].received) == 4
+        servers = engines(refuse, decode_script())
+        async with gateway(*servers) as app:
+            responses = [await app.generate("/gen/x") for _ in range(4)]
+        assert [body for _, _, body in responses] == [events(1, 9)] * 4
+        assert len(servers[0].received) == 4
 
-    play(main)
+    run_async(main)
 
 
-def test_a_caller_that_resumes_gets_what_it_lacks():
+def test_a_resuming_caller_gets_only_the_missing_events():
     async def main():
-        found = engines(decode_script())
-        async with gateway(*found) as app:
+        servers = engines(decode_script())
+        async with gateway(*servers) as app:
             status, _, body = await app.send_request(
                 "/res/x", ["x-token-count: 100,50", "last-event-id: 6"], b"prompt"
             )
         assert (status, body) == (200, events(7, 9))
 
-    play(main)
+    run_async(main)
 
 
-def test_engines_without_room_are_a_true_refusal():
+def test_full_engines_cause_a_refusal_without_a_prefill():
     async def main():
-        found = engines(decode_script())
-        found[1]._api = lambda request: (
+        servers = engines(decode_script())
+        servers[1]._api_response = lambda request: (
             b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n"
         )
-        async with gateway(*found) as app:
+        async with gateway(*servers) as app:
             status, headers, _ = await app.generate("/gen/x")
         assert status == 503
         assert "retry-after" in headers
-        # No prompt is read for an engine without room.
-        assert found[0].received == found[1].received == []
+        # There is no prefill for a full engine.
+        assert servers[0].received == servers[1].received == []
 
-    play(main)
+    run_async(main)
 
 
-def test_a_caller_who_leaves_while_room_is_sought_leaves_no_load():
-    """A counted request that never ended would keep work from its engine for good."""
+def test_a_caller_that_disconnects_during_the_reservation_leaves_no_load():
+    """Load that is never removed would keep further requests from the engine."""
 
     async def main():
-        found = engines(decode_script())
-        async with gateway(*found) as app:
-            asked = asyncio.Event()
+        servers = engines(decode_script())
+        async with gateway(*servers) as app:
+            call_received = asyncio.Event()
 
-            async def never(reader, writer):
-                asked.set()
+            async def never_respond(reader, writer):
+                call_received.set()
                 await reader.read()
 
-            silent = await asyncio.start_server(never, "127.0.0.1", 0)
-            host, port = silent.sockets[0].getsockname()
-            found[1].address = f"{host}:{port}"
-            app.registry.replace([engine.instance() for engine in found])
+            server = await asyncio.start_server(never_respond, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            servers[1].address = f"{host}:{port}"
+            app.registry.replace([engine.instance() for engine in servers])
             _, writer = await asyncio.open_connection("127.0.0.1", app.port)
             writer.write(
                 b"POST /gen/x HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: a1\r\n"
                 b"authorization: Bearer k\r\nx-token-count: 100,50\r\n"
                 b"content-length: 0\r\n\r\n"
             )
-            await asyncio.wait_for(asked.wait(), 2)
+            await asyncio.wait_for(call_received.wait(), 2)
             assert app.load.total("d0").requests == 1
             writer.close()
             await asyncio.sleep(0.2)
             assert app.load.total("d0").requests == 0
-            silent.close()
+            server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_stream_that_goes_on_elsewhere_is_read_by_a_prefill_engine_again():
-    """A decode engine that reads a long prompt holds up all of its other streams."""
+def test_a_resumed_stream_is_prefilled_again():
+    """A decode engine that prefills a long prompt delays all its other streams."""
 
     async def main():
-        def breaking():
+        def disconnect_once():
             async def script(request, writer):
                 if "last-event-id" in request.headers:
                     return await decode_script()(request, writer)
-                return await decode_script(cut_after=3)(request, writer)
+                return await decode_script(disconnect_after=3)(request, writer)
 
             return script
 
-        found = engines(breaking(), breaking())
-        async with gateway(*found) as app:
+        servers = engines(disconnect_once(), disconnect_once())
+        async with gateway(*servers) as app:
             status, _, body = await app.generate("/res/x")
             assert (status, body) == (200, events(1, 9))
-            # One for the run that goes on and one for the second reading.
-            assert len(app.resends) == 2
-        sent = [request for engine in found[1:] for request in engine.received]
-        assert len(found[0].received) == len(sent) == 2
-        again = next(request for request in sent if "last-event-id" in request.headers)
-        assert "x-kv-source" in again.headers
-        assert "x-kv-hold" in again.headers
-
-    play(main)
+            # One for the second decode and one for the second prefill.
+            assert len(app.spend_requests) == 2
+        sent = [request for engine in servers[1:] for request in engine.received]
+        assert len(servers[0].received) == len(sent) == 2
+        resumed = next(
+            request for request in sent if "last-event-id" in request.headers
+        )
+        assert "x-kv-source" in resumed.headers
+        assert "x-kv-hold" in resumed.headers
+
+    run_async(main)
