Add doc comments to the gateway's forwarders and finish the wording

Some private methods had no doc comment although their result needs one, and a few names were still vague.

--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -87,6 +87,7 @@
     def _choose_server(
         self, admitted: AdmittedRequest, tried: frozenset[str]
     ) -> tuple[BackendInstance | None, int]:
+        """Return the server to send to, and how many candidates there were."""
         now_s = admitted.now_s
         service = admitted.service.name
         candidates = self._registry.candidates(service, now_s, excluded=tried)
@@ -178,6 +179,7 @@
     def _failure_of(
         self, admitted: AdmittedRequest, decision: Resend | GiveUp, reason: str
     ) -> Failure | None:
+        """Return the failure to respond with; None if the call is to be retried."""
         if not isinstance(decision, GiveUp):
             return None
         retry_after_s = None
@@ -186,6 +188,7 @@
         return decision.failure(reason, retry_after_s)
 
     def _response_timeout_s(self, admitted: AdmittedRequest, candidates: int) -> float:
+        """Return the time limit for the response of one server."""
         remaining_s = max(0.0, admitted.route_remaining_s)
         if not admitted.policy.has_another_run or candidates < 2:
             return remaining_s
@@ -200,6 +203,7 @@
         response: CallerResponse,
         server_response: OpenReply,
     ) -> Failure | None:
+        """Forward the response; the result has the same meaning as in `_send_once`."""
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
         except ConnectionBroken as error:
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -55,7 +55,7 @@
 
 
 class _ConnectionProtocol(asyncio.Protocol):
-    """Buffer received data with flow control, and keep how the connection ended."""
+    """Buffers received data with flow control, and records how the connection ended."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -28,8 +28,8 @@
 # Time between two rounds while all engines are full.
 POLL_INTERVAL_S = 0.05
 # Longest wait for a reservation when a stream resumes on another engine. Callers
-# abandon a stream after 2 seconds without an event at the earliest, and detecting that
-# the first engine stalled may have taken more than one of them.
+# abandon a stream after 2 seconds without an event at the earliest, of which more than
+# one may have passed until the stall was detected.
 RESUME_WAIT_S = 0.4
 # The error of `Sender.call_engine` for an engine that is full.
 ENGINE_FULL = "status 503"
@@ -45,8 +45,8 @@
     """
     The outcome of the search for a decode engine with free capacity.
 
-    `DONE` means that the decode may be sent: there is a reservation, or the engines
-    could not be asked for one, and the decode is tried without it. `FULL` means that
+    `DONE` means that the decode may be sent: there is a reservation, or none could be
+    requested, and the decode is tried without one. `FULL` means that
     the engines have no free capacity, `PAUSED` that all of them asked for a pause.
     """
 
--- a/src/damaskridge/adapters/gateway/pool.py
+++ b/src/damaskridge/adapters/gateway/pool.py
@@ -18,7 +18,7 @@
 
 
 class ConnectionPool:
-    """Open connections and keep the reusable ones."""
+    """Opens connections to backend servers and keeps the reusable ones."""
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, str], list[BackendConnection]] = defaultdict(list)
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -113,6 +113,7 @@
     async def _prefill_on(
         self, instance: BackendInstance, generation: Generation, candidates: int
     ) -> CacheHandle | None:
+        """Run the prefill on one engine; returns None if it failed."""
         admitted = generation.admitted
         request, name = admitted.request, instance.instance
         generation.log_sent(
@@ -123,7 +124,7 @@
             list_seen_s=self._registry.seen_s,
         )
         step = EngineStep(is_prefill=True, priority=admitted.priority)
-        tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
+        queued_tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
         started_s = generation.admitted.now_s
         self._load.start(
             request.request_id, name, InstanceLoad(prompt_tokens=request.prompt_tokens)
@@ -148,7 +149,7 @@
             )
             if handle is not None:
                 now_s = generation.admitted.now_s
-                self._speed.observe(tokens, now_s - started_s)
+                self._speed.observe(queued_tokens, now_s - started_s)
             return handle
         finally:
             self._load.finish(request.request_id, name)
@@ -156,6 +157,7 @@
     async def _read_handle(
         self, server_response: OpenReply, generation: Generation, deadline_s: float
     ) -> CacheHandle | None:
+        """Read the handle from a prefill response; returns None if it is unusable."""
         reason = f"status {server_response.head.status}"
         body = b""
         try:
--- a/src/damaskridge/adapters/gateway/responses.py
+++ b/src/damaskridge/adapters/gateway/responses.py
@@ -14,7 +14,7 @@
 logger = logging.getLogger(__name__)
 
 # Hop-by-hop headers, and the length, which is set anew.
-_HOP_BY_HOP_HEADERS = frozenset(
+_DROPPED_HEADERS = frozenset(
     {
         b"connection",
         b"content-length",
@@ -178,11 +178,12 @@
 
 
 def _end_to_end_headers(headers: Headers) -> Headers:
-    listed = {
+    """Return the headers that are forwarded to the caller."""
+    connection_options = {
         token.strip().lower()
         for name, value in headers
         if name == b"connection"
         for token in value.split(b",")
     }
-    removed = _HOP_BY_HOP_HEADERS | listed
-    return [(name, value) for name, value in headers if name not in removed]
+    dropped = _DROPPED_HEADERS | connection_options
+    return [(name, value) for name, value in headers if name not in dropped]
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -388,9 +388,9 @@
             self._record_unreachable(instance, "another instance has the address")
             return NotRun("another instance has the address")
         if metadata.did_not_run:
-            source = "" if metadata.request_id else " and no request id"
+            suffix = "" if metadata.request_id else " and no request id"
             return NotRun(
-                f"refused with status {head.status}{source}",
+                f"refused with status {head.status}{suffix}",
                 is_full=head.status in (429, 503),
             )
         if head.status < 300 and not (metadata.is_signed or is_prefill):
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -85,15 +85,15 @@
         self._data_centre = data_centre
         self._gate = gate
         self._refusals = refusals
-        engines: dict[str, Any] = {
+        shared: dict[str, Any] = {
             "dialect": dialect,
             "sender": sender,
             "registry": registry,
             "load": load,
             "data_centre": data_centre,
         }
-        self._reservations = DecodeReservations(**engines)
-        self._prefills = PrefillRunner(gate=gate, **engines)
+        self._reservations = DecodeReservations(**shared)
+        self._prefills = PrefillRunner(gate=gate, **shared)
 
     async def forward(
         self, admitted: AdmittedRequest, response: CallerResponse
@@ -103,10 +103,10 @@
         try:
             search = await self._reservations.reserve(generation)
             if search is not RoomSearch.DONE:
-                full = search is RoomSearch.FULL
+                is_full = search is RoomSearch.FULL
                 await response.refuse(
                     self._full_failure(admitted)
-                    if full
+                    if is_full
                     else self._no_engine_failure(admitted)
                 )
                 return
@@ -203,6 +203,7 @@
     def _choose_engine(
         self, generation: Generation
     ) -> tuple[BackendInstance | None, int]:
+        """Return the engine for the decode, and how many candidates there were."""
         now_s = generation.admitted.now_s
         reservation = generation.reservation
         if reservation is not None:
@@ -247,6 +248,7 @@
     async def _handle_failed_send(
         self, generation: Generation, outcome: NotRun | Unknown
     ) -> None:
+        """Respond to the caller if the policy allows no further send."""
         admitted = generation.admitted
         decision: Resend | GiveUp
         if isinstance(outcome, NotRun):
@@ -384,6 +386,7 @@
     async def _forward_failure(
         self, generation: Generation, server_response: OpenReply
     ) -> None:
+        """Forward a response that is not a stream, unless it is to be retried."""
         admitted = generation.admitted
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
@@ -415,6 +418,7 @@
     async def _resume_or_fail(
         self, generation: Generation, outcome: Unknown, instance: BackendInstance
     ) -> None:
+        """Resume a broken stream on another engine if the policy allows it."""
         generation.log_failed(instance.instance, "stream", outcome.reason)
         self._sender.record_run(
             instance, generation.admitted.fingerprint, is_complete=False
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -35,9 +35,9 @@
             for number in range(8):
                 await app.send_request("/once/x", body=b"bad", attempt=f"bad{number}")
                 # Further requests detect that the server can't be reached.
-                for again in range(8):
+                for other in range(8):
                     await app.send_request(
-                        "/safe/x", body=b"good", attempt=f"g{number}{again}"
+                        "/safe/x", body=b"good", attempt=f"g{number}{other}"
                     )
             ran = sum(request.body == b"bad" for s in servers for request in s.received)
             status, headers, _ = await app.send_request(
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -200,8 +200,8 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        read = await PlatformInstanceList(f"127.0.0.1:{port}").read()
-        assert read.is_err()
+        listed = await PlatformInstanceList(f"127.0.0.1:{port}").read()
+        assert listed.is_err()
         async with asyncio.timeout(2):
             await script.is_closed.wait()
         server.close()
