--- /dev/null
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -0,0 +1,117 @@
+"""A request that the gateway has admitted, with what is needed to forward it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
+from damaskridge.core.gateway.crash_watch import fingerprint_of
+from damaskridge.core.gateway.send_account import SendAccount
+from damaskridge.core.gateway.send_policy import SendPolicy
+from damaskridge.model.gateway import GatewayRoute, GatewayService
+
+__all__ = ["AdmittedRequest"]
+
+# Share of the expected output that counts as memory in use. A generation holds half of
+# its output on average over its run; the margin above that keeps an engine that fills
+# with long generations from having to preempt one.
+OUTPUT_MEMORY_FRACTION = 0.6
+
+
+@dataclass(slots=True, kw_only=True)
+class AdmittedRequest:
+    """
+    A caller's request, and what was decided on its admission.
+
+    Parameters
+    ----------
+    request, body : CallerRequest, bytes
+        The request as the caller sent it.
+    route, service : GatewayRoute, GatewayService
+        The route that matched, and the service chosen among the route's targets.
+    workspace : str
+        Workspace of the caller's key; empty on public routes.
+    priority : int
+        Priority of the request; 0 is the most urgent.
+    arrived_s : float
+        Event loop time at which the head of the request was read.
+    account : SendAccount
+        What sending the request has cost the retry budget.
+
+    Attributes
+    ----------
+    policy : SendPolicy
+        Decides whether the request may be sent to a further backend server.
+    fingerprint : str
+        Digest that is the same for every retry of the request by its caller.
+    """
+
+    request: CallerRequest
+    body: bytes
+    route: GatewayRoute
+    service: GatewayService
+    workspace: str
+    priority: int
+    arrived_s: float
+    policy: SendPolicy = field(init=False)
+    fingerprint: str = field(init=False)
+    account: SendAccount = field(default_factory=SendAccount)
+
+    def __post_init__(self) -> None:
+        route = self.route
+        path = self.request.target.decode("latin-1")
+        self.fingerprint = fingerprint_of(self.workspace, path, self.body)
+        self.policy = SendPolicy(
+            route.kind, route.attempts, is_resumable=route.is_resumable
+        )
+
+    @property
+    def now_s(self) -> float:
+        """Current event loop time."""
+        return asyncio.get_running_loop().time()
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the request arrived."""
+        return self.now_s - self.arrived_s
+
+    @property
+    def route_remaining_s(self) -> float:
+        """Time until the timeout of the route; negative after it."""
+        return self.route.timeout_ms / 1000 - self.elapsed_s
+
+    @property
+    def remaining_s(self) -> float:
+        """Time until the timeout of the route or of the caller, the earlier of both."""
+        caller_timeout_s = self.request.caller_timeout_s
+        if caller_timeout_s is None:
+            return self.route_remaining_s
+        return min(self.route_remaining_s, caller_timeout_s - self.elapsed_s)
+
+    @property
+    def memory_tokens(self) -> int:
+        """
+        KV cache that a generation is expected to occupy on average, in tokens.
+
+        The limit of the output would leave much of the memory unused. The caller's
+        estimate of the output is right at the median, and a generation holds half of
+        its output on average over its run.
+        """
+        request = self.request
+        expected_tokens = request.expected_output_tokens or request.max_output_tokens
+        output_tokens = min(expected_tokens, request.max_output_tokens)
+        return request.prompt_tokens + int(OUTPUT_MEMORY_FRACTION * output_tokens)
+
+    def send_options(
+        self,
+        instance: str,
+        step: EngineStep | None = None,
+        last_event_id: int | None = None,
+    ) -> SendOptions:
+        """Return what the gateway adds to the request if it is sent now."""
+        return SendOptions(
+            instance=instance,
+            remaining_s=max(0.0, self.remaining_s),
+            workspace=self.workspace,
+            step=step,
+            last_event_id=last_event_id,
+        )
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -81,7 +81,7 @@
             headers = [(b"host", self._address.encode()), (b"connection", b"close")]
             await connection.send("GET", target.encode(), headers, b"")
             head = await connection.head()
-            body = await connection.whole_body(MAX_PAGE_BYTES)
+            body = await connection.read_body(MAX_PAGE_BYTES)
         finally:
             connection.close()
         if head.status != 200:
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -95,7 +95,7 @@
             ]
             await connection.send(method, target, headers, body)
             head = await connection.head()
-            body = await connection.whole_body(MAX_RESPONSE_BYTES)
+            body = await connection.read_body(MAX_RESPONSE_BYTES)
         finally:
             connection.close()
         return head.status, body
--- a/tests/adapters/gateway/test_connections.py
+++ b/tests/adapters/gateway/test_connections.py
@@ -1,4 +1,4 @@
-"""Guards against connections that are used again though something follows an answer."""
+"""Test that a connection is reused only if nothing has followed the last response."""
 
 import asyncio
 
@@ -15,15 +15,15 @@
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-def play(main):
+def run_async(main):
     asyncio.run(asyncio.wait_for(main(), 10))
 
 
-async def serve(answer, *, after=None):
+async def serve(data, *, after=None):
     async def handle(reader, writer):
         try:
             while await reader.readuntil(b"\r\n\r\n"):
-                writer.write(answer)
+                writer.write(data)
                 if after is not None:
                     await after(writer)
         except (asyncio.IncompleteReadError, OSError):
@@ -33,27 +33,27 @@
     return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
-async def ask(connection):
+async def send_request(connection):
     await connection.send("GET", b"/", [(b"host", b"h")], b"")
     head = await connection.head()
     return head.status, b"".join([part async for part in connection.body()])
 
 
-def test_a_connection_serves_one_request_after_another():
+def test_a_connection_is_reused_for_several_requests():
     async def main():
         server, address = await serve(OK)
         connection = await open_connection(address, 1.0)
         for _ in range(3):
-            assert await ask(connection) == (200, b"ok")
+            assert await send_request(connection) == (200, b"ok")
             assert connection.is_reusable
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
 @pytest.mark.parametrize("late", [False, True])
-def test_bytes_after_an_answer_end_the_use_of_its_connection(late):
+def test_data_after_a_response_makes_its_connection_unusable(late):
     async def main():
         async def more(writer):
             await asyncio.sleep(0.05 if late else 0)
@@ -61,16 +61,16 @@
 
         server, address = await serve(OK, after=more)
         connection = await open_connection(address, 1.0)
-        assert await ask(connection) == (200, b"ok")
+        assert await send_request(connection) == (200, b"ok")
         await asyncio.sleep(0.1)
         assert not connection.is_reusable
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_reset_body_without_a_length_is_not_whole():
+def test_a_body_without_a_length_is_incomplete_after_a_reset():
     async def main():
         async def reset(writer):
             await asyncio.sleep(0.05)
@@ -85,14 +85,14 @@
         server, address = await serve(b"HTTP/1.1 200 OK\r\n\r\npart", after=reset)
         connection = await open_connection(address, 1.0)
         with pytest.raises(ConnectionBroken):
-            await ask(connection)
+            await send_request(connection)
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_refused_connection_means_that_nothing_was_sent():
+def test_a_refused_connection_raises_not_sent():
     async def main():
         server, address = await serve(OK)
         server.close()
@@ -100,10 +100,10 @@
         with pytest.raises(NotSent):
             await open_connection(address, 1.0)
 
-    play(main)
+    run_async(main)
 
 
-def test_a_request_that_is_no_http_is_not_sent():
+def test_an_invalid_request_raises_not_sent():
     async def main():
         server, address = await serve(OK)
         connection = await open_connection(address, 1.0)
@@ -112,10 +112,10 @@
         connection.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_the_pool_keeps_instances_apart_and_drops_closed_connections():
+def test_the_pool_separates_instances_and_discards_closed_connections():
     async def main():
         async def close(writer):
             await asyncio.sleep(0.05)
@@ -129,31 +129,31 @@
         second = BackendInstance(
             instance="b", service="s", address=address, data_centre="w", slots=1
         )
-        connection = await pool.take(first, 1.0)
-        await ask(connection)
-        pool.give_back(first, connection)
-        assert await pool.take(second, 1.0) is not connection
+        connection = await pool.acquire(first, 1.0)
+        await send_request(connection)
+        pool.release(first, connection)
+        assert await pool.acquire(second, 1.0) is not connection
         await asyncio.sleep(0.1)
-        assert await pool.take(first, 1.0) is not connection
+        assert await pool.acquire(first, 1.0) is not connection
         pool.close()
         server.close()
 
-    play(main)
+    run_async(main)
 
 
-def test_a_connection_is_given_up_before_the_server_would_close_it():
+def test_a_connection_is_retired_before_its_keep_alive_expires():
     async def main():
         server, address = await serve(OK)
         pool = ConnectionPool()
         instance = BackendInstance(
             instance="a", service="s", address=address, data_centre="w", slots=1
         )
-        connection = await pool.take(instance, 1.0)
-        await ask(connection)
+        connection = await pool.acquire(instance, 1.0)
+        await send_request(connection)
         connection.keep_alive_s = 0.5
-        pool.give_back(instance, connection)
-        assert await pool.take(instance, 1.0) is not connection
+        pool.release(instance, connection)
+        assert await pool.acquire(instance, 1.0) is not connection
         pool.close()
         server.close()
 
-    play(main)
+    run_async(main)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from damaskridge.adapters.gateway.connections import ReplyHead
+from damaskridge.adapters.gateway.connections import ResponseHead
 from damaskridge.adapters.gateway.dialect import EngineStep, SendOptions
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.platform.dialect import PlatformDialect
@@ -33,12 +33,12 @@
 
 
 def decode_request(*extra, base=BASE_HEADERS):
-    return DIALECT.caller_request("POST", b"/a/b?q=1", [*base, *extra])
+    return DIALECT.decode_request("POST", b"/a/b?q=1", [*base, *extra])
 
 
-def send_headers(request, **options):
-    options = {"instance": "i1", "left_s": 1.2, "workspace": "w", **options}
-    return DIALECT.send_headers(request, SendOptions(**options))
+def encode_headers(request, **options):
+    options = {"instance": "i1", "remaining_s": 1.2, "workspace": "w", **options}
+    return DIALECT.encode_headers(request, SendOptions(**options))
 
 
 def test_caller_request_is_decoded():
@@ -53,8 +53,8 @@
         "h.example",
         "/a/b",
     )
-    assert (request.key, request.patience_s) == ("key", 1.5)
-    assert (request.prompt_tokens, request.output_tokens) == (1460, 80)
+    assert (request.key, request.caller_timeout_s) == ("key", 1.5)
+    assert (request.prompt_tokens, request.max_output_tokens) == (1460, 80)
     assert request.prompt_parts == (("5c", 800), ("91", 410), ("e4", 250))
     assert (request.expected_output_tokens, request.last_event_id) == (33, 12)
 
@@ -62,13 +62,13 @@
 @pytest.mark.parametrize("name", SYSTEM_HEADERS)
 def test_forged_system_headers_are_dropped(name):
     request = decode_request((name, b"forged")).unwrap()
-    headers = send_headers(request)
+    headers = encode_headers(request)
     assert (name, b"forged") not in headers
     assert (b"x-tenant", b"w") in headers
 
 
 def test_key_is_dropped_and_deadline_is_replaced():
-    headers = dict(send_headers(decode_request().unwrap()))
+    headers = dict(encode_headers(decode_request().unwrap()))
     assert b"authorization" not in headers
     assert headers[b"x-deadline-ms"] == b"1200"
     assert headers[b"x-expect-instance"] == b"i1"
@@ -99,12 +99,12 @@
 
 def test_headers_of_prefill_and_decode():
     request = decode_request().unwrap()
-    prefill = dict(send_headers(request, step=EngineStep(is_prefill=True)))
+    prefill = dict(encode_headers(request, step=EngineStep(is_prefill=True)))
     assert prefill[b"x-stage"] == b"prefill"
     step = EngineStep(
         source_address="1.2.3.4:5", source_handle="ab", reservation="r", priority=12
     )
-    decode = dict(send_headers(request, step=step, last_event_id=4))
+    decode = dict(encode_headers(request, step=step, last_event_id=4))
     assert decode[b"x-kv-source"] == b"1.2.3.4:5/ab"
     assert decode[b"x-kv-hold"] == b"r"
     assert decode[b"x-request-priority"] == b"9"
@@ -122,19 +122,22 @@
     ],
 )
 def test_not_run_requires_an_explicit_statement(status, headers, did_not_run):
-    assert DIALECT.reply_facts(ReplyHead(status, headers)).did_not_run is did_not_run
+    assert (
+        DIALECT.decode_response_head(ResponseHead(status, headers)).did_not_run
+        is did_not_run
+    )
 
 
 def test_keep_alive_timeout_is_decoded():
-    head = ReplyHead(200, [(b"keep-alive", b"max=9, timeout=4")])
-    assert DIALECT.reply_facts(head).keep_alive_s == 4.0
-    assert DIALECT.reply_facts(ReplyHead(200, [])).keep_alive_s is None
+    head = ResponseHead(200, [(b"keep-alive", b"max=9, timeout=4")])
+    assert DIALECT.decode_response_head(head).keep_alive_s == 4.0
+    assert DIALECT.decode_response_head(ResponseHead(200, [])).keep_alive_s is None
 
 
 def test_leaving_header_is_decoded():
-    head = ReplyHead(200, [(b"server-leaving", b"1")])
-    assert DIALECT.reply_facts(head).is_leaving
-    assert not DIALECT.reply_facts(ReplyHead(200, [])).is_leaving
+    head = ResponseHead(200, [(b"server-leaving", b"1")])
+    assert DIALECT.decode_response_head(head).is_leaving
+    assert not DIALECT.decode_response_head(ResponseHead(200, [])).is_leaving
 
 
 @pytest.mark.parametrize(
@@ -151,13 +154,13 @@
     ],
 )
 def test_retry_after_counts_only_on_status_503(status, value, pause_s):
-    head = ReplyHead(status, [(b"retry-after", value)])
-    assert DIALECT.reply_facts(head).pause_s == pause_s
+    head = ResponseHead(status, [(b"retry-after", value)])
+    assert DIALECT.decode_response_head(head).pause_s == pause_s
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b"\xff", b'{"HandleId":3}'])
 def test_prefill_response_without_handle_is_an_error(body):
-    assert DIALECT.handle_reply(body).is_err()
+    assert DIALECT.decode_prefill_response(body).is_err()
 
 
 def test_refusal_carries_retry_after():
