--- a/bench/policies.py
+++ b/bench/policies.py
@@ -108,7 +108,7 @@
                 priority=profile.prompt_tokens if self._policy == "shortest" else 0,
             )
             actions.append(
-                m.SendSubmitReply(profile.front, profile.request_id, placement)
+                m.SendSubmitResponse(profile.front, profile.request_id, placement)
             )
         return actions
 
@@ -126,10 +126,10 @@
         output = max(1, request.output_tokens - request.produced)
         return Estimate(level, slack_s, output, output)
 
-    def note_finished(self, profile, output_tokens, waited_s):
+    def record_finished(self, profile, output_tokens, waited_s):
         pass
 
-    def note_left(self, profile, waited_s):
+    def record_abandoned(self, profile, waited_s):
         pass
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -152,7 +152,7 @@
                 now_s,
             )
         for name in self.engines:
-            self.tell(False, sm.EngineListed(name, (), now_s))
+            self.tell(False, sm.EngineRequestsListed(name, (), now_s))
 
     # Calls of the decisions; actions are carried out after one network hop.
 
@@ -165,7 +165,7 @@
         wakeup_s = cell.next_wakeup_s(self.clock.now_s)
         self.result.cpu_s += time.perf_counter() - start_s
         for action in actions:
-            if isinstance(action, sm.SendSubmitReply):
+            if isinstance(action, sm.SendSubmitResponse):
                 self.clock.after(HOP_S, self.submit_reply, action)
             elif isinstance(action, sm.SendOrder):
                 self.clock.after(ORDER_S, self.change_role, action)
--- a/bench/slopes_owners.py
+++ b/bench/slopes_owners.py
@@ -126,7 +126,7 @@
                 time_us(lambda: send(sm.LoadReported("engine-00001", load))) / 200,
             )
         )
-        event = sm.EngineListed("engine-00001", listed, 9.0)
+        event = sm.EngineRequestsListed("engine-00001", listed, 9.0)
         lists.append((runners, time_us(lambda event=event: send(event)) / 200))
     machine = cell(500, 1_000)
     for items in (1, 20, 100):
--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bench.slope_fit import Slope, fit
-from damaskridge.core.requests.fleet_index import FleetIndex
+from damaskridge.core.requests.fleet_index import BundleIndex
 from damaskridge.core.state.commands import ControlState
 from damaskridge.core.state.view import FleetView
 from damaskridge.model import control as mc
@@ -175,8 +175,8 @@
     return min(spent)
 
 
-def decoded_view(data: bytes) -> tuple[FleetView, FleetIndex]:
-    view, index = FleetView(), FleetIndex()
+def decoded_view(data: bytes) -> tuple[FleetView, BundleIndex]:
+    view, index = FleetView(), BundleIndex()
     view.restore(msgspec.msgpack.decode(data, type=mc.FleetSnapshot))
     index.workspace_of_key(view, "")
     return view, index
--- a/src/damaskridge/adapters/cell_events.py
+++ b/src/damaskridge/adapters/cell_events.py
@@ -7,9 +7,9 @@
     CancelOnEngine,
     CellAction,
     CellEvent,
-    EngineListed,
+    EngineRequestsListed,
     SendOrder,
-    SendSubmitReply,
+    SendSubmitResponse,
     TimePassed,
 )
 from damaskridge.model.control import Owner
@@ -24,7 +24,7 @@
 
 def log_action(event: CellEvent, action: CellAction) -> None:
     """Log a decision; `event` is what led to it."""
-    if isinstance(action, SendSubmitReply):
+    if isinstance(action, SendSubmitResponse):
         _log_reply(action)
     elif isinstance(action, SendOrder) and action.kind is OrderKind.CHANGE_ROLE:
         log_event(
@@ -34,7 +34,7 @@
             role=action.value,
         )
     elif isinstance(action, CancelOnEngine) and isinstance(
-        event, TimePassed | EngineListed
+        event, TimePassed | EngineRequestsListed
     ):
         # Other events that lead to a cancellation come from the request's front.
         log_event(
@@ -55,7 +55,7 @@
     )
 
 
-def _log_reply(action: SendSubmitReply) -> None:
+def _log_reply(action: SendSubmitResponse) -> None:
     reply = action.reply
     if isinstance(reply, Placement):
         log_event(
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -32,10 +32,10 @@
     ReportSuspectCleared,
     RequestRegistered,
     SendOrder,
-    SendSubmitReply,
-    SendTakeOverReply,
+    SendSubmitResponse,
+    SendTakeOverResponse,
+    ServerLeaveCancelled,
     ServerLeaving,
-    ServerStaying,
     TimePassed,
 )
 from damaskridge.core.state.fleet_queries import servers_of_cell
@@ -220,7 +220,7 @@
             self.handle(ServerLeaving(name))
         for name in sorted(self._leaving - mine):
             if any(server.name == name for server in self._servers):
-                self.handle(ServerStaying(name))
+                self.handle(ServerLeaveCancelled(name))
         self._leaving = mine
 
     def gain(self) -> None:
@@ -301,11 +301,11 @@
         raise TypeError(f"unknown action: {type(action).__name__}")
 
     @_carry_out.register
-    def _(self, action: SendSubmitReply) -> None:
+    def _(self, action: SendSubmitResponse) -> None:
         self._links.submitted.resolve(action.front, action.request_id, action.reply)
 
     @_carry_out.register
-    def _(self, action: SendTakeOverReply) -> None:
+    def _(self, action: SendTakeOverResponse) -> None:
         self._links.taken_over.resolve(action.front, action.request_id, action.reply)
 
     @_carry_out.register
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -11,7 +11,7 @@
 from damaskridge.core.scheduling.messages import (
     CacheReported,
     CellEvent,
-    EngineListed,
+    EngineRequestsListed,
     LoadReported,
     ServerFailed,
     ServerRecovered,
@@ -70,7 +70,9 @@
         with self.scope:
             if self._engine is None:
                 # A service has no list of requests; the scheduler waits for one.
-                self._emit(EngineListed(self.server.name, (), anyio.current_time()))
+                self._emit(
+                    EngineRequestsListed(self.server.name, (), anyio.current_time())
+                )
                 await _repeat(self._probe, LOAD_PERIOD_S)
             async with anyio.create_task_group() as group:
                 group.start_soon(_repeat, self._poll_load, LOAD_PERIOD_S)
@@ -115,7 +117,9 @@
         with anyio.move_on_after(POLL_TIMEOUT_S):
             result = await self._engine.list_requests()
             if isinstance(result, Ok):
-                self._emit(EngineListed(self.server.name, result.ok_value, asked_s))
+                self._emit(
+                    EngineRequestsListed(self.server.name, result.ok_value, asked_s)
+                )
 
     async def _probe(self) -> None:
         host, _, port = self.server.address.rpartition(":")
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -24,25 +24,25 @@
     StreamFailed,
 )
 from damaskridge.core.dispatch import DispatchMethod
-from damaskridge.core.requests.lifecycle import RequestMachine
+from damaskridge.core.requests.lifecycle import RequestStateMachine
 from damaskridge.core.requests.messages import (
     AskPlacement,
     AskRate,
     AttemptFailed,
-    Begun,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
-    Close,
-    Deliver,
-    Event,
-    Granted,
+    CloseRequest,
+    DeliverChunks,
     Placed,
     PlacementRefused,
     Prefilled,
+    RateGranted,
     RateRefused,
     RefundTokens,
-    Report,
+    ReportProgress,
+    RequestAccepted,
+    RequestEvent,
     RequestSpec,
     ResumeDecode,
     SendDecode,
@@ -113,7 +113,7 @@
         self._events = RequestEvents(
             call.spec.request_id, call.workspace, self._loop.time
         )
-        self.machine = RequestMachine(
+        self.machine = RequestStateMachine(
             call.spec, context.settings.retry_limits(), self.accepted_s
         )
         self.profile: RequestProfile | None = None
@@ -156,7 +156,7 @@
         """Return what the cell owner needs to know now."""
         return self.machine.progress()
 
-    def dispatch(self, event: Event) -> None:
+    def dispatch(self, event: RequestEvent) -> None:
         """Apply an event to the life cycle and perform its actions."""
         for action in self.machine.handle(event, self._loop.time()):
             self._perform(action)
@@ -165,7 +165,7 @@
     def begin(self) -> None:
         """Ask for admission."""
         self._events.accepted(self.call.spec.prompt_tokens)
-        self.dispatch(Begun())
+        self.dispatch(RequestAccepted())
 
     def cancel(self, failure: Failure) -> None:
         """Stop the request and free its memory everywhere."""
@@ -276,12 +276,12 @@
         self._context.start(self._context.owners.tell(cells.withdraw(withdraw)))
 
     @_perform.register
-    def _(self, action: Deliver) -> None:
+    def _(self, action: DeliverChunks) -> None:
         self._events.delivered(self.machine.first_token_s)
         self._output.extend(action.chunks[-1])
 
     @_perform.register
-    def _(self, action: Report) -> None:
+    def _(self, action: ReportProgress) -> None:
         if self.profile is not None:
             progress = self._note_crash(action.progress, self.profile)
             work = report(self._context, self.profile.resource, (progress,))
@@ -304,7 +304,7 @@
         )
 
     @_perform.register
-    def _(self, action: Close) -> None:
+    def _(self, action: CloseRequest) -> None:
         self.failure = action.failure
         if action.failure is None:
             self._context.suspects.clear(self.call.fingerprint)
@@ -344,7 +344,7 @@
         if isinstance(reply, RateGrant):
             self._grant = (request.resource, reply)
             self._events.granted(reply.waited_s)
-            self.dispatch(Granted())
+            self.dispatch(RateGranted())
         elif isinstance(reply, Duplicate):
             self.original = reply
             self.dispatch(TakenOver())
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -21,8 +21,8 @@
     RatePort,
     ServicePort,
 )
-from damaskridge.core.requests.fleet_index import FleetIndex
-from damaskridge.core.scheduling.suspects import HELD_S, SuspectTable
+from damaskridge.core.requests.fleet_index import BundleIndex
+from damaskridge.core.scheduling.suspects import LOCAL_CRASH_WINDOW_S, SuspectTable
 from damaskridge.core.state.fleet_queries import cell_resource, owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import DecodeChunk
@@ -59,7 +59,7 @@
     services: ServicePort
     settings: FrontSettings
     owners: OwnerClient
-    index: FleetIndex = field(default_factory=FleetIndex)
+    index: BundleIndex = field(default_factory=BundleIndex)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     crashes: deque[tuple[float, str, Progress]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -83,8 +83,9 @@
         a cell owner did not report before it ended.
         """
         now_s = asyncio.get_running_loop().time()
-        return fingerprint in self.control.fleet.quarantined or self.suspects.is_held(
-            fingerprint, now_s
+        return (
+            fingerprint in self.control.fleet.quarantined
+            or self.suspects.has_reached_crash_limit(fingerprint, now_s)
         )
 
     def note_crash(self, profile: RequestProfile, progress: Progress) -> None:
@@ -92,7 +93,7 @@
         now_s = asyncio.get_running_loop().time()
         self._forget_crashes(now_s)
         self.crashes.append((now_s, profile.resource, progress))
-        self.suspects.note_failure(
+        self.suspects.record_failure(
             profile.fingerprint,
             progress.failed_server,
             # A front does not know the engine's process: the same engine counts
@@ -117,7 +118,7 @@
         )
 
     def _forget_crashes(self, now_s: float) -> None:
-        while self.crashes and self.crashes[0][0] < now_s - HELD_S:
+        while self.crashes and self.crashes[0][0] < now_s - LOCAL_CRASH_WINDOW_S:
             self.crashes.popleft()
 
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/src/damaskridge/adapters/front_output.py
+++ b/src/damaskridge/adapters/front_output.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from damaskridge.adapters.ports import StreamFailed
-from damaskridge.core.requests.lifecycle import RequestMachine
+from damaskridge.core.requests.lifecycle import RequestStateMachine
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure
 
@@ -17,12 +17,12 @@
 
     Parameters
     ----------
-    machine : RequestMachine
+    machine : RequestStateMachine
         Has the tokens. They are bounded by the request's limit of output tokens,
         so a slow reader needs no buffer of its own.
     """
 
-    def __init__(self, machine: RequestMachine) -> None:
+    def __init__(self, machine: RequestStateMachine) -> None:
         self._machine = machine
         self._last: DecodeChunk | None = None
         self._failure: Failure | None = None
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.front_context import FrontContext, closing
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import StreamFailed
-from damaskridge.core.requests.messages import Continued, RequestSpec
+from damaskridge.core.requests.messages import RequestSpec, TakeOverGranted
 from damaskridge.core.state.fleet_queries import cell_resource
 from damaskridge.model.bundle import BackendServerRole
 from damaskridge.model.control import Owner
@@ -216,4 +216,4 @@
         self._calls[profile.request_id] = running
         log_event(_logger, EventNumber.STREAM_TAKEN_OVER, request_id=profile.request_id)
         # Another caller may resume from an earlier offset, so all text is fetched.
-        running.dispatch(Continued(active.placement, 0, wanted_offset=offset))
+        running.dispatch(TakeOverGranted(active.placement, 0, caller_offset=offset))
--- a/src/damaskridge/core/requests/fleet_index.py
+++ b/src/damaskridge/core/requests/fleet_index.py
@@ -11,10 +11,10 @@
 from damaskridge.model.bundle import Bundle, Model, Route
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["FleetIndex"]
+__all__ = ["BundleIndex"]
 
 
-class FleetIndex:
+class BundleIndex:
     """Answers the questions that every request asks."""
 
     def __init__(self) -> None:
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -5,25 +5,24 @@
 from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.requests.assembler import Assembler, InvalidChunk
 from damaskridge.core.requests.messages import (
-    Action,
     AskPlacement,
     AskRate,
     AttemptFailed,
-    Begun,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
-    Close,
-    Continued,
-    Deliver,
-    Event,
-    Granted,
+    CloseRequest,
+    DeliverChunks,
     Placed,
     PlacementRefused,
     Prefilled,
+    RateGranted,
     RateRefused,
     RefundTokens,
-    Report,
+    ReportProgress,
+    RequestAccepted,
+    RequestAction,
+    RequestEvent,
     RequestSpec,
     ResumeDecode,
     RetryLimits,
@@ -31,6 +30,7 @@
     SendPrefill,
     Stage,
     TakenOver,
+    TakeOverGranted,
     TimePassed,
     WithdrawRequest,
 )
@@ -38,7 +38,7 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.routing import Placement, Progress, RequestPhase
 
-__all__ = ["RequestMachine"]
+__all__ = ["RequestStateMachine"]
 
 _PHASES = {
     Stage.PREFILLING: RequestPhase.PREFILLING,
@@ -53,7 +53,7 @@
 _NEVER_S = float("inf")
 
 
-class RequestMachine:
+class RequestStateMachine:
     """
     Decides what happens to one request.
 
@@ -128,40 +128,40 @@
             crashed=crashed,
         )
 
-    def handle(self, event: Event, now_s: float) -> list[Action]:
+    def handle(self, event: RequestEvent, now_s: float) -> list[RequestAction]:
         """Apply an event and return what has to be done."""
         self._now_s = now_s
         if self.ended:
             return self._after_end(event)
         return self._handle(event)
 
-    def _after_end(self, event: Event) -> list[Action]:
+    def _after_end(self, event: RequestEvent) -> list[RequestAction]:
         # The reservation of a placement that arrives after the end is released.
         if isinstance(event, Placed):
             self.attempt = max(self.attempt, event.placement.attempt)
-            return [Report(self.progress())]
+            return [ReportProgress(self.progress())]
         return []
 
     @DispatchMethod
-    def _handle(self, event: object) -> list[Action]:
+    def _handle(self, event: object) -> list[RequestAction]:
         raise TypeError(f"unknown event: {type(event).__name__}")
 
     @_handle.register
-    def _(self, event: Begun) -> list[Action]:
+    def _(self, event: RequestAccepted) -> list[RequestAction]:
         self.stage = Stage.QUEUED_FOR_RATE
         return [AskRate(self.spec.prompt_tokens + self.spec.max_output_tokens)]
 
     @_handle.register
-    def _(self, event: Granted) -> list[Action]:
+    def _(self, event: RateGranted) -> list[RequestAction]:
         self._granted = True
         return self._ask_placement()
 
     @_handle.register
-    def _(self, event: RateRefused) -> list[Action]:
+    def _(self, event: RateRefused) -> list[RequestAction]:
         return self._end(Stage.FAILED, event.failure)
 
     @_handle.register
-    def _(self, event: Placed) -> list[Action]:
+    def _(self, event: Placed) -> list[RequestAction]:
         placement = event.placement
         if (
             self.stage is not Stage.QUEUED_FOR_PLACEMENT
@@ -179,16 +179,16 @@
         send = SendPrefill(
             self.attempt, placement.prefill_server, placement.prefill_address, request
         )
-        return [send, Report(self.progress())]
+        return [send, ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: PlacementRefused) -> list[Action]:
+    def _(self, event: PlacementRefused) -> list[RequestAction]:
         if event.attempt != self.attempt:
             return []
         return self._end(Stage.FAILED, event.failure)
 
     @_handle.register
-    def _(self, event: Prefilled) -> list[Action]:
+    def _(self, event: Prefilled) -> list[RequestAction]:
         if event.attempt != self.attempt or self.stage is not Stage.PREFILLING:
             return []
         placement = self._placed()
@@ -208,16 +208,16 @@
         send = SendDecode(
             self.attempt, placement.decode_server, placement.decode_address, request
         )
-        return [send, Report(self.progress())]
+        return [send, ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: ChunkReceived) -> list[Action]:
+    def _(self, event: ChunkReceived) -> list[RequestAction]:
         if event.attempt != self.attempt or self.stage not in _RUNNING:
             return []
-        actions: list[Action] = []
+        actions: list[RequestAction] = []
         if self.stage is not Stage.DECODING:
             self._enter(Stage.DECODING, self._limits.silence_s)
-            actions.append(Report(self.progress()))
+            actions.append(ReportProgress(self.progress()))
         self.deadline_s = self._now_s + self._limits.silence_s
         self._resumed = False
         try:
@@ -228,7 +228,7 @@
         return [*actions, *self._deliver(chunks)]
 
     @_handle.register
-    def _(self, event: AttemptFailed) -> list[Action]:
+    def _(self, event: AttemptFailed) -> list[RequestAction]:
         if event.attempt != self.attempt or self.stage not in _RUNNING:
             return []
         if self._starts_later(event.failure):
@@ -238,29 +238,29 @@
         return self._retry(event.server, event.failure, broken)
 
     @_handle.register
-    def _(self, event: CancelRequested) -> list[Action]:
+    def _(self, event: CancelRequested) -> list[RequestAction]:
         self._may_have_run |= self.stage in _RUNNING
         return self._end(Stage.CANCELLED, event.failure)
 
     @_handle.register
-    def _(self, event: TakenOver) -> list[Action]:
+    def _(self, event: TakenOver) -> list[RequestAction]:
         self.stage = Stage.CANCELLED
         self.deadline_s = _NEVER_S
-        return [Close(Failure(ErrorKind.STREAM_TAKEN_OVER))]
+        return [CloseRequest(Failure(ErrorKind.STREAM_TAKEN_OVER))]
 
     @_handle.register
-    def _(self, event: Continued) -> list[Action]:
+    def _(self, event: TakeOverGranted) -> list[RequestAction]:
         self.placement = event.placement
         self.attempt = event.placement.attempt
         self.base_offset = event.offset
-        self._wanted_offset = max(event.offset, event.wanted_offset)
+        self._wanted_offset = max(event.offset, event.caller_offset)
         self._assembler = Assembler(self._limits.window, event.offset)
         self._enter(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
-        return [self._resume(), Report(self.progress())]
+        return [self._resume(), ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: TimePassed) -> list[Action]:
+    def _(self, event: TimePassed) -> list[RequestAction]:
         if self._now_s < self.deadline_s:
             return []
         placement = self._placed()
@@ -284,7 +284,7 @@
         self.deadline_s = self._now_s + self._limits.silence_s
         return True
 
-    def _ask_placement(self) -> list[Action]:
+    def _ask_placement(self) -> list[RequestAction]:
         self.attempt += 1
         self.placement = None
         self._resumed = False
@@ -305,7 +305,7 @@
 
     def _retry(
         self, server: str, failure: Failure, server_failed: bool = True
-    ) -> list[Action]:
+    ) -> list[RequestAction]:
         crashed = False
         if failure.ran is not RunState.NOT_RUN:
             self._may_have_run = True
@@ -329,15 +329,15 @@
         cancels = self._cancel_engines()
         self.stage = Stage.FAILED
         self._crashed_server = server if crashed else ""
-        report = Report(self.progress(failed_server, crashed))
+        report = ReportProgress(self.progress(failed_server, crashed))
         return [*cancels, report, *self._ask_placement()]
 
-    def _finish_at_length(self) -> list[Action]:
+    def _finish_at_length(self) -> list[RequestAction]:
         # Only the last chunk, which carries no text, was lost.
         last = DecodeChunk(self.output_tokens, finish_reason="length")
         return [*self._cancel_engines(), *self._deliver(self._assembler.add(last))]
 
-    def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[Action]:
+    def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[RequestAction]:
         if not chunks:
             return []
         for chunk in chunks:
@@ -349,8 +349,8 @@
         if self.first_token_s is None:
             self.first_token_s = self._now_s - self._accepted_s
         if not self._assembler.finished:
-            return [Deliver(chunks)]
-        return [Deliver(chunks), *self._end(Stage.FINISHED, None)]
+            return [DeliverChunks(chunks)]
+        return [DeliverChunks(chunks), *self._end(Stage.FINISHED, None)]
 
     def _end(
         self,
@@ -358,8 +358,8 @@
         failure: Failure | None,
         failed_server: str = "",
         crashed: bool = False,
-    ) -> list[Action]:
-        actions: list[Action] = []
+    ) -> list[RequestAction]:
+        actions: list[RequestAction] = []
         if failure is not None:
             state = self._final_run_state()
             failure = msgspec.structs.replace(failure, run_state=state)
@@ -371,11 +371,11 @@
         self.stage = stage
         self.deadline_s = _NEVER_S
         if queued or self.placement is not None:
-            actions.append(Report(self.progress(failed_server, crashed)))
+            actions.append(ReportProgress(self.progress(failed_server, crashed)))
         unused = self._unused_tokens()
         if unused > 0:
             actions.append(RefundTokens(unused))
-        return [*actions, Close(failure)]
+        return [*actions, CloseRequest(failure)]
 
     def _final_run_state(self) -> RunState:
         if self.output_tokens:
@@ -390,7 +390,7 @@
             unused += self.spec.prompt_tokens
         return unused
 
-    def _cancel_engines(self) -> list[Action]:
+    def _cancel_engines(self) -> list[RequestAction]:
         placement = self.placement
         if placement is None:
             return []
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -8,25 +8,25 @@
 from damaskridge.model.routing import Placement, Progress
 
 __all__ = [
-    "Action",
+    "RequestAction",
     "AskPlacement",
     "AskRate",
     "AttemptFailed",
-    "Begun",
+    "RequestAccepted",
     "CancelOnServer",
     "CancelRequested",
     "ChunkReceived",
-    "Close",
-    "Continued",
-    "Deliver",
-    "Event",
-    "Granted",
+    "CloseRequest",
+    "TakeOverGranted",
+    "DeliverChunks",
+    "RequestEvent",
+    "RateGranted",
     "Placed",
     "PlacementRefused",
     "Prefilled",
     "RateRefused",
     "RefundTokens",
-    "Report",
+    "ReportProgress",
     "RequestSpec",
     "ResumeDecode",
     "RetryLimits",
@@ -97,12 +97,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Begun:
+class RequestAccepted:
     """The front accepted the request."""
 
 
 @dataclass(frozen=True, slots=True)
-class Granted:
+class RateGranted:
     """The rate owner granted the request."""
 
 
@@ -165,7 +165,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Continued:
+class TakeOverGranted:
     """
     The front continues a request of a front that is gone.
 
@@ -175,13 +175,13 @@
         Engines of its last attempt.
     offset : int
         First token to fetch.
-    wanted_offset : int
+    caller_offset : int
         First token to fetch if the engine has none before; the caller's offset.
     """
 
     placement: Placement
     offset: int
-    wanted_offset: int = 0
+    caller_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,9 +189,9 @@
     """A deadline may have passed."""
 
 
-Event = (
-    Begun
-    | Granted
+RequestEvent = (
+    RequestAccepted
+    | RateGranted
     | RateRefused
     | Placed
     | PlacementRefused
@@ -200,7 +200,7 @@
     | AttemptFailed
     | CancelRequested
     | TakenOver
-    | Continued
+    | TakeOverGranted
     | TimePassed
 )
 
@@ -269,14 +269,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Deliver:
+class DeliverChunks:
     """Hand chunks to the caller."""
 
     chunks: tuple[DecodeChunk, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
+class ReportProgress:
     """Tell the cell owner at once."""
 
     progress: Progress
@@ -290,13 +290,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Close:
+class CloseRequest:
     """The request has ended, well if `failure` is `None`."""
 
     failure: Failure | None = None
 
 
-Action = (
+RequestAction = (
     AskRate
     | AskPlacement
     | SendPrefill
@@ -304,8 +304,8 @@
     | ResumeDecode
     | CancelOnServer
     | WithdrawRequest
-    | Deliver
-    | Report
+    | DeliverChunks
+    | ReportProgress
     | RefundTokens
-    | Close
+    | CloseRequest
 )
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -2,9 +2,9 @@
 
 from damaskridge.core.scheduling import admission
 from damaskridge.core.scheduling.fair_queue import FairQueue, QueueItem
-from damaskridge.core.scheduling.messages import CellAction, SendSubmitReply
+from damaskridge.core.scheduling.messages import CellAction, SendSubmitResponse
 from damaskridge.core.scheduling.placement import Choice, Placer, is_service
-from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.registry import Entry, RequestRegistry
 from damaskridge.core.scheduling.settings import (
     FIRST_TOKEN_TARGET_S,
     SchedulerSettings,
@@ -85,7 +85,7 @@
             QueueItem(profile.request_id, profile.workspace, level, due_s, cost_s)
         )
 
-    def dispatch(self, registry: Registry, now_s: float) -> list[CellAction]:
+    def dispatch(self, registry: RequestRegistry, now_s: float) -> list[CellAction]:
         """Place what fits, in order."""
         actions: list[CellAction] = []
         if not self.has_work:
@@ -100,7 +100,7 @@
                 actions.append(placed)
         return actions
 
-    def find_unservable(self, registry: Registry, now_s: float) -> list[str]:
+    def find_unservable(self, registry: RequestRegistry, now_s: float) -> list[str]:
         """Return queued requests whose model has had no usable server for long."""
         if not self.has_work:
             self._unservable_since_s.clear()
@@ -119,7 +119,9 @@
         entries = registry.entries
         return [r for r in self.queue.request_ids() if entries[r].profile.model in late]
 
-    def _place_claimant(self, registry: Registry, now_s: float) -> list[CellAction]:
+    def _place_claimant(
+        self, registry: RequestRegistry, now_s: float
+    ) -> list[CellAction]:
         """Place the request that an engine is kept for, or find one that needs it."""
         claimant = self.placer.claimant
         if claimant is not None:
@@ -137,7 +139,7 @@
                         return []
         return []
 
-    def _place_aged(self, registry: Registry, now_s: float) -> list[CellAction]:
+    def _place_aged(self, registry: RequestRegistry, now_s: float) -> list[CellAction]:
         """Place delay-tolerant work that is past its slack, within its credit."""
         actions: list[CellAction] = []
         while self._settings.age_queued and self._aged_credit_s > 0:
@@ -152,7 +154,7 @@
         return actions
 
     def _place_first(
-        self, registry: Registry, level: Level, now_s: float
+        self, registry: RequestRegistry, level: Level, now_s: float
     ) -> CellAction | None:
         for item in self.queue.first(level, _HEADS):
             placed = self._place(registry, item, level, now_s)
@@ -164,10 +166,10 @@
         return None
 
     def _place(
-        self, registry: Registry, item: QueueItem, level: Level, now_s: float
+        self, registry: RequestRegistry, item: QueueItem, level: Level, now_s: float
     ) -> CellAction | None:
         entry = registry.entries[item.request_id]
-        if entry.suspect and _runs(registry, entry.profile.fingerprint):
+        if entry.suspect and _is_running(registry, entry.profile.fingerprint):
             return None
         choice = self._choose(entry, level, now_s)
         if choice is None:
@@ -177,7 +179,7 @@
         self.placer.reserve(entry, choice, level, now_s)
         entry.placement = _to_placement(entry, choice, level)
         entry.phase = RequestPhase.PREFILLING
-        return SendSubmitReply(entry.front, item.request_id, entry.placement)
+        return SendSubmitResponse(entry.front, item.request_id, entry.placement)
 
     def _choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
         first = next(iter(self.placer.servers.values()))
@@ -185,7 +187,7 @@
             return self.placer.choose_service(entry, level, now_s)
         return self.placer.choose(entry, level, now_s)
 
-    def _demote_late(self, registry: Registry, now_s: float) -> None:
+    def _demote_late(self, registry: RequestRegistry, now_s: float) -> None:
         """
         Move urgent requests that missed their target behind those that can meet it.
 
@@ -220,7 +222,7 @@
         ) / 3
 
 
-def _runs(registry: Registry, fingerprint: str) -> bool:
+def _is_running(registry: RequestRegistry, fingerprint: str) -> bool:
     # Two copies of a suspect could cost two more servers before the first is lost.
     found = registry.with_fingerprint(fingerprint)
     return any(item.placement is not None for item in found)
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -25,7 +25,7 @@
     "CellChanged",
     "CellEvent",
     "CellGained",
-    "EngineListed",
+    "EngineRequestsListed",
     "FrontLost",
     "FrontRegistered",
     "LoadReported",
@@ -37,12 +37,12 @@
     "RequestSubmitted",
     "RequestWithdrawn",
     "SendOrder",
-    "SendSubmitReply",
-    "SendTakeOverReply",
+    "SendSubmitResponse",
+    "SendTakeOverResponse",
     "ServerFailed",
     "ServerLeaving",
     "ServerRecovered",
-    "ServerStaying",
+    "ServerLeaveCancelled",
     "TakeOverRequested",
     "TimePassed",
 ]
@@ -126,7 +126,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineListed:
+class EngineRequestsListed:
     """An engine's own list of requests arrived; `asked_s` is when it was asked."""
 
     backend_server: str
@@ -151,7 +151,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerStaying:
+class ServerLeaveCancelled:
     """A server that was leaving is not leaving any more."""
 
     backend_server: str
@@ -194,11 +194,11 @@
     | ProgressReported
     | LoadReported
     | CacheReported
-    | EngineListed
+    | EngineRequestsListed
     | ServerFailed
     | ServerRecovered
     | ServerLeaving
-    | ServerStaying
+    | ServerLeaveCancelled
     | FrontLost
     | TakeOverRequested
     | TimePassed
@@ -206,7 +206,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendSubmitReply:
+class SendSubmitResponse:
     """Answer a submitted request."""
 
     front: str
@@ -215,7 +215,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendTakeOverReply:
+class SendTakeOverResponse:
     """Answer a request to take over."""
 
     front: str
@@ -265,8 +265,8 @@
 
 
 CellAction = (
-    SendSubmitReply
-    | SendTakeOverReply
+    SendSubmitResponse
+    | SendTakeOverResponse
     | NotifyTakenOver
     | CancelOnEngine
     | ReportCrashedRequests
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -6,11 +6,11 @@
     CellAction,
     NotifyTakenOver,
     ReportCrashedRequests,
-    SendSubmitReply,
-    SendTakeOverReply,
+    SendSubmitResponse,
+    SendTakeOverResponse,
 )
 from damaskridge.core.scheduling.placement import Placer
-from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.registry import Entry, RequestRegistry
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.model.errors import ErrorKind, Failure
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        registry: Registry,
+        registry: RequestRegistry,
         placer: Placer,
         suspects: SuspectTable,
         end_request: EndRequest,
@@ -57,12 +57,12 @@
         """Note silent fronts, and reclaim what nobody took over."""
         actions: list[CellAction] = []
         for front, incarnation in self._registry.find_silent(now_s):
-            actions += self.lose_front(front, incarnation, now_s)
+            actions += self.handle_front_loss(front, incarnation, now_s)
         for entry in self._registry.take_due(now_s):
             actions += self._end_request(entry, now_s, True)
         return actions
 
-    def lose_front(
+    def handle_front_loss(
         self, front: str, incarnation: int, now_s: float
     ) -> list[CellAction]:
         """Drop what a lost front has queued; the rest may be taken over."""
@@ -96,7 +96,7 @@
                 actions.append(NotifyTakenOver(entry.front, ask.request_id))
             self._registry.move(entry, ask.front, ask.incarnation)
         reply = TakeOverReply(active=entry.to_active())
-        return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
+        return [*actions, SendTakeOverResponse(ask.front, ask.request_id, reply)]
 
     def note_lost_server(
         self, fingerprint: str, server: ServerState, now_s: float, *, was_suspect: bool
@@ -109,7 +109,7 @@
         """
         if not fingerprint:
             return []
-        self._suspects.note_failure(
+        self._suspects.record_failure(
             fingerprint,
             server.spec.name,
             server.incarnation,
@@ -121,7 +121,7 @@
             if other.placement is not None:
                 continue
             other.suspect = True
-            if self._suspects.is_held(fingerprint, now_s):
+            if self._suspects.has_reached_crash_limit(fingerprint, now_s):
                 actions.append(refuse_held(other.profile))
                 actions += self._end_request(other, now_s, False)
         return actions
@@ -150,17 +150,17 @@
         return [ReportCrashedRequests(name, incarnation, fingerprints)]
 
 
-def refuse_held(profile: RequestProfile) -> SendSubmitReply:
+def refuse_held(profile: RequestProfile) -> SendSubmitResponse:
     """Return the answer to a request that has cost all the servers it may."""
     return _refuse(profile, ErrorKind.REQUEST_QUARANTINED)
 
 
-def _refuse(profile: RequestProfile, kind: ErrorKind) -> SendSubmitReply:
+def _refuse(profile: RequestProfile, kind: ErrorKind) -> SendSubmitResponse:
     refused = Refused(request_id=profile.request_id, failure=Failure(kind))
-    return SendSubmitReply(profile.front, profile.request_id, refused)
+    return SendSubmitResponse(profile.front, profile.request_id, refused)
 
 
-def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverReply:
+def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverResponse:
     """Return the answer to a front that may not continue a request."""
     reply = TakeOverReply(failure=Failure(kind))
-    return SendTakeOverReply(ask.front, ask.request_id, reply)
+    return SendTakeOverResponse(ask.front, ask.request_id, reply)
--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -11,7 +11,7 @@
     RequestProfile,
 )
 
-__all__ = ["TAKE_OVER_GRACE_S", "Entry", "Registry"]
+__all__ = ["TAKE_OVER_GRACE_S", "Entry", "RequestRegistry"]
 
 # With the lease of 3 s this leaves 1 s of the promised lease time plus 3 s.
 TAKE_OVER_GRACE_S = 2.0
@@ -61,7 +61,7 @@
     lost: bool = False
 
 
-class Registry:
+class RequestRegistry:
     """Finds requests, and fronts that have been silent for too long."""
 
     def __init__(self) -> None:
@@ -165,7 +165,7 @@
             if not front.lost and now_s - front.seen_s >= FRONT_LEASE_S
         ]
 
-    def is_stray(
+    def is_leaked(
         self, server: str, engine_request_id: str, asked_s: float, now_s: float
     ) -> bool:
         """
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -11,7 +11,7 @@
     CellChanged,
     CellEvent,
     CellGained,
-    EngineListed,
+    EngineRequestsListed,
     FrontLost,
     FrontRegistered,
     LoadReported,
@@ -21,17 +21,17 @@
     RequestSubmitted,
     RequestWithdrawn,
     SendOrder,
-    SendSubmitReply,
+    SendSubmitResponse,
     ServerFailed,
+    ServerLeaveCancelled,
     ServerLeaving,
     ServerRecovered,
-    ServerStaying,
     TakeOverRequested,
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
 from damaskridge.core.scheduling.recovery import Recovery, refuse_held, refuse_take_over
-from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.registry import Entry, RequestRegistry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
 from damaskridge.core.scheduling.servers import ServerState
@@ -82,7 +82,7 @@
         self._settings = settings or SchedulerSettings()
         self._estimator = estimator or UrgencyEstimator()
         self._overload = OverloadControl(rng)
-        self._registry = Registry()
+        self._registry = RequestRegistry()
         self._retries = RetryBudget()
         self._suspects = SuspectTable()
         self._roles = RoleAdvisor()
@@ -164,7 +164,7 @@
         if known is not None:
             self._note_lost_transfer(known)
             actions += self._end(known, now_s, cancel=True)
-        if self._suspects.is_held(profile.fingerprint, now_s):
+        if self._suspects.has_reached_crash_limit(profile.fingerprint, now_s):
             return [*actions, refuse_held(profile)]
         refusal = self._check_submitted(profile)
         if refusal is not None:
@@ -198,7 +198,7 @@
             return []
         if entry.placement is None:
             waited_s = now_s - entry.queued_s + entry.profile.waited_s
-            self._estimator.note_left(entry.profile, waited_s)
+            self._estimator.record_abandoned(entry.profile, waited_s)
         return self._end(entry, now_s, cancel=True)
 
     @_apply.register
@@ -248,7 +248,7 @@
         return []
 
     @_apply.register
-    def _(self, event: EngineListed, now_s: float) -> list[CellAction]:
+    def _(self, event: EngineRequestsListed, now_s: float) -> list[CellAction]:
         name = event.backend_server
         self._missing_engines.discard(name)
         listed = {item.engine_request_id for item in event.requests}
@@ -256,7 +256,7 @@
         return [
             CancelOnEngine(name, engine_request_id)
             for engine_request_id in sorted(listed)
-            if self._registry.is_stray(name, engine_request_id, event.asked_s, now_s)
+            if self._registry.is_leaked(name, engine_request_id, event.asked_s, now_s)
         ]
 
     @_apply.register
@@ -292,7 +292,7 @@
         return []
 
     @_apply.register
-    def _(self, event: ServerStaying, now_s: float) -> list[CellAction]:
+    def _(self, event: ServerLeaveCancelled, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
         if server is not None:
             server.leaving = False
@@ -302,7 +302,7 @@
     @_apply.register
     def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
         self._missing_fronts.discard(event.front)
-        return self._recovery.lose_front(event.front, event.incarnation, now_s)
+        return self._recovery.handle_front_loss(event.front, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
@@ -346,7 +346,7 @@
             self._missing_engines.discard(name)
         self._dispatcher.note_servers()
 
-    def _check_submitted(self, profile: RequestProfile) -> SendSubmitReply | None:
+    def _check_submitted(self, profile: RequestProfile) -> SendSubmitResponse | None:
         """Refuse what no server could ever run, and retries beyond the budget."""
         if not any(
             server.spec.serves == profile.model
@@ -389,7 +389,7 @@
     def _repeat_reply(self, known: Entry, profile: RequestProfile) -> list[CellAction]:
         if known.placement is None or known.profile.attempt != profile.attempt:
             return []
-        reply = SendSubmitReply(known.front, profile.request_id, known.placement)
+        reply = SendSubmitResponse(known.front, profile.request_id, known.placement)
         return [reply] if known.front == profile.front else []
 
     def _note_progress(
@@ -417,7 +417,7 @@
 
     def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
         waited_s = max(0.0, entry.placed_s - entry.queued_s)
-        self._estimator.note_finished(entry.profile, item.output_tokens, waited_s)
+        self._estimator.record_finished(entry.profile, item.output_tokens, waited_s)
         self._placer.note_transfer(arrived=True)
         actions: list[CellAction] = []
         if entry.suspect:
@@ -461,7 +461,7 @@
 
 def _refuse(
     profile: RequestProfile, kind: ErrorKind, retry_after_s: float | None = None
-) -> SendSubmitReply:
+) -> SendSubmitResponse:
     failure = Failure(kind, retry_after_s=retry_after_s)
     refused = Refused(request_id=profile.request_id, failure=failure)
-    return SendSubmitReply(profile.front, profile.request_id, refused)
+    return SendSubmitResponse(profile.front, profile.request_id, refused)
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -1,12 +1,12 @@
 """Fingerprints that were on a server when it crashed."""
 
-__all__ = ["HELD_S", "SUSPECT_RETENTION_S", "SuspectTable"]
+__all__ = ["LOCAL_CRASH_WINDOW_S", "SUSPECT_RETENTION_S", "SuspectTable"]
 
 SUSPECT_RETENTION_S = 3600.0
 # A front sees a crash at once, the owner with its next polls of the engine.
 CRASH_SEEN_S = 5.0
 # By then the control group has the reports of the crashes.
-HELD_S = 10.0
+LOCAL_CRASH_WINDOW_S = 10.0
 _CRASHES = 2
 _EARLIER_CRASH = ("", 0)
 
@@ -25,7 +25,7 @@
         for fingerprint in [f for f, end_s in self._until_s.items() if end_s <= now_s]:
             del self._until_s[fingerprint]
 
-    def note_failure(
+    def record_failure(
         self,
         fingerprint: str,
         server: str,
@@ -46,7 +46,9 @@
             failed[_EARLIER_CRASH] = now_s
         failed.setdefault((server, incarnation), now_s)
         for name, items in list(self._failed_s.items()):
-            if all(now_s - failed_s > HELD_S for failed_s in items.values()):
+            if all(
+                now_s - failed_s > LOCAL_CRASH_WINDOW_S for failed_s in items.values()
+            ):
                 del self._failed_s[name]
 
     def failed_on(self, server: str, incarnation: int, now_s: float) -> list[str]:
@@ -62,10 +64,13 @@
             if now_s - failed.get(key, float("-inf")) <= CRASH_SEEN_S
         ]
 
-    def is_held(self, fingerprint: str, now_s: float) -> bool:
+    def has_reached_crash_limit(self, fingerprint: str, now_s: float) -> bool:
         """Tell whether a fingerprint was lost with as many servers as it may cost."""
         failed = self._failed_s.get(fingerprint, {}).values()
-        return sum(now_s - failed_s <= HELD_S for failed_s in failed) >= _CRASHES
+        return (
+            sum(now_s - failed_s <= LOCAL_CRASH_WINDOW_S for failed_s in failed)
+            >= _CRASHES
+        )
 
     def clear(self, fingerprint: str) -> None:
         """Forget a fingerprint that ran to its end."""
--- a/src/damaskridge/core/scheduling/urgency.py
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -64,12 +64,12 @@
     def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
         """Return what is expected of a request."""
 
-    def note_finished(
+    def record_finished(
         self, profile: RequestProfile, output_tokens: int, waited_s: float
     ) -> None:
         """Learn from a request that ran to its end after `waited_s` in the queue."""
 
-    def note_left(self, profile: RequestProfile, waited_s: float) -> None:
+    def record_abandoned(self, profile: RequestProfile, waited_s: float) -> None:
         """Learn from a caller that left while its request was queued."""
 
 
@@ -110,7 +110,7 @@
         slack_s = FIRST_TOKEN_TARGET_S / 2 if urgent else BULK_SLACK_S
         return Estimate(level, slack_s, output, most)
 
-    def note_finished(
+    def record_finished(
         self, profile: RequestProfile, output_tokens: int, waited_s: float
     ) -> None:
         """Learn the output length; the caller waited to the end."""
@@ -126,7 +126,7 @@
         group.impatient_share *= 0.5 if is_patient else 1 - _LEARNING_RATE
         self._learn_size(profile.prompt_tokens + _OUTPUT_FACTOR * output_tokens)
 
-    def note_left(self, profile: RequestProfile, waited_s: float) -> None:
+    def record_abandoned(self, profile: RequestProfile, waited_s: float) -> None:
         """Learn that a caller left after `waited_s` in the queue."""
         if waited_s <= _IMPATIENT_WAIT_S:
             group = self._group(profile)
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -19,7 +19,7 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.http.credentials import key_digest
-from damaskridge.core.scheduling.suspects import HELD_S
+from damaskridge.core.scheduling.suspects import LOCAL_CRASH_WINDOW_S
 from damaskridge.core.state.fleet_queries import owner_of
 from damaskridge.model.control import Owner, RecordResult
 from damaskridge.model.errors import ErrorKind, Failure, RunState
@@ -411,7 +411,7 @@
             found.engines[name].break_at = 0
         await completion(found.app, stream=False).task
         assert len(found.front.context.crashes) == 2
-        await asyncio.sleep(HELD_S + 1)
+        await asyncio.sleep(LOCAL_CRASH_WINDOW_S + 1)
         await completion(found.app, stream=False, prompt="another prompt").task
         assert len(found.front.context.crashes) == 2
 
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -5,7 +5,7 @@
 import pytest
 
 from damaskridge.core.requests import messages as m
-from damaskridge.core.requests.lifecycle import RequestMachine
+from damaskridge.core.requests.lifecycle import RequestStateMachine
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.routing import Placement, RequestPhase
@@ -30,10 +30,12 @@
 
 
 def machine_at(stage, tokens=0):
-    machine = RequestMachine(m.RequestSpec("r", "m", "p", 10, 5), m.RetryLimits(), 0.0)
+    machine = RequestStateMachine(
+        m.RequestSpec("r", "m", "p", 10, 5), m.RetryLimits(), 0.0
+    )
     path = [
-        (m.Stage.QUEUED_FOR_RATE, m.Begun()),
-        (m.Stage.QUEUED_FOR_PLACEMENT, m.Granted()),
+        (m.Stage.QUEUED_FOR_RATE, m.RequestAccepted()),
+        (m.Stage.QUEUED_FOR_PLACEMENT, m.RateGranted()),
         (m.Stage.PREFILLING, placed()),
         (m.Stage.TRANSFERRING, m.Prefilled(1)),
         (m.Stage.DECODING, m.ChunkReceived(1, DecodeChunk(0, "a"))),
@@ -95,7 +97,7 @@
     assert (decode.request.first_offset, decode.request.max_output_tokens) == (1, 4)
     assert machine.handle(m.ChunkReceived(1, DecodeChunk(1, "old")), 1.0) == []
     end = machine.handle(m.AttemptFailed(2, "d2", LOST), 1.0)[-1]
-    assert isinstance(end, m.Close)
+    assert isinstance(end, m.CloseRequest)
     assert end.failure.ran is RunState.RAN
 
 
@@ -103,7 +105,7 @@
     machine = machine_at(m.Stage.TRANSFERRING)
     assert machine.handle(m.TimePassed(), 0.9) == []
     actions = machine.handle(m.TimePassed(), 1.0)
-    assert kinds(actions, m.Report)[0].progress.failed_server == ""
+    assert kinds(actions, m.ReportProgress)[0].progress.failed_server == ""
     assert kinds(actions, m.AskPlacement)[0].excluded == ("d1",)
     machine.handle(placed(2, 2), 1.0)
     machine.handle(m.Prefilled(2), 1.0)
@@ -113,7 +115,7 @@
     (resume,) = machine.handle(m.TimePassed(), 1.5)
     assert (resume.address, resume.offset) == ("da1", 1)
     actions = machine.handle(m.TimePassed(), 3.0)
-    assert kinds(actions, m.Report)[0].progress.failed_server == "d1"
+    assert kinds(actions, m.ReportProgress)[0].progress.failed_server == "d1"
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -140,14 +142,16 @@
                 open_on.add((action.address, action.request.engine_request_id))
             elif isinstance(action, m.CancelOnServer):
                 open_on.discard((action.address, action.engine_request_id))
-            closes += isinstance(action, m.Close)
+            closes += isinstance(action, m.CloseRequest)
     assert closes == 1
     assert machine.stage is m.Stage.FINISHED or not open_on
 
 
 def test_a_request_taken_over_is_fetched_whole_or_from_the_callers_offset():
-    machine = RequestMachine(m.RequestSpec("r", "m", "", 10, 9), m.RetryLimits(), 0.0)
-    continued = m.Continued(placed(2).placement, 0, wanted_offset=4)
+    machine = RequestStateMachine(
+        m.RequestSpec("r", "m", "", 10, 9), m.RetryLimits(), 0.0
+    )
+    continued = m.TakeOverGranted(placed(2).placement, 0, caller_offset=4)
     assert [item.offset for item in kinds(machine.handle(continued, 0.0), RESUME)] == [
         0
     ]
--- a/tests/core/scheduling/test_parts.py
+++ b/tests/core/scheduling/test_parts.py
@@ -119,9 +119,9 @@
     )
     estimator = UrgencyEstimator()
     assert estimator.estimate(profile, 0).level is Level.BULK
-    estimator.note_left(profile, 60.0)
+    estimator.record_abandoned(profile, 60.0)
     assert estimator.estimate(profile, 0).level is Level.BULK
-    estimator.note_left(profile, 2.0)
+    estimator.record_abandoned(profile, 2.0)
     assert estimator.estimate(profile, 0).level is Level.URGENT
 
 
@@ -139,7 +139,7 @@
 def test_a_suspect_that_loses_one_more_server_is_held():
     # Its first crash may be long ago: a third server must not be lost to it.
     table = SuspectTable()
-    table.note_failure("f", "p1", 1, 0.0)
-    assert not table.is_held("f", 1.0)
-    table.note_failure("f", "p2", 1, 100.0, was_suspect=True)
-    assert table.is_held("f", 101.0)
+    table.record_failure("f", "p1", 1, 0.0)
+    assert not table.has_reached_crash_limit("f", 1.0)
+    table.record_failure("f", "p2", 1, 100.0, was_suspect=True)
+    assert table.has_reached_crash_limit("f", 101.0)
--- a/tests/core/scheduling/test_random_runs.py
+++ b/tests/core/scheduling/test_random_runs.py
@@ -62,7 +62,7 @@
 
     def send(self, event, now_s):
         for action in self.cell.handle(event, now_s):
-            if isinstance(action, m.SendSubmitReply):
+            if isinstance(action, m.SendSubmitResponse):
                 reply = action.reply
                 if not isinstance(reply, Placement):
                     self.open.pop(action.request_id, None)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -43,7 +43,7 @@
     cell.handle(m.CellGained("c", 1, servers, SPACES, fronts), 0.0)
     for item in servers:
         if listed and item.role is not ROLE.SERVICE:
-            cell.handle(m.EngineListed(item.name, (), 0.0), 0.0)
+            cell.handle(m.EngineRequestsListed(item.name, (), 0.0), 0.0)
     return cell
 
 
@@ -73,7 +73,7 @@
     return {
         a.request_id: a.reply
         for a in actions
-        if isinstance(a, m.SendSubmitReply) and isinstance(a.reply, Placement)
+        if isinstance(a, m.SendSubmitResponse) and isinstance(a.reply, Placement)
     }
 
 
@@ -108,7 +108,9 @@
     cell = make_cell(fronts=("f",), listed=False)
     assert submit(cell, 0.0, "r") == []
     for item in ENGINES:
-        assert not placements(cell.handle(m.EngineListed(item.name, (), 0.0), 0.1))
+        assert not placements(
+            cell.handle(m.EngineRequestsListed(item.name, (), 0.0), 0.1)
+        )
     assert placements(cell.handle(m.FrontRegistered("f", 1), 0.2))
     late = make_cell(fronts=("f",), listed=False)
     submit(late, 0.0, "r")
@@ -165,8 +167,8 @@
 def test_unregistered_engine_entries_are_cancelled_after_the_lease():
     cell = make_cell()
     listed = (EngineRequest("req-x-1-1.1", EnginePhase.DECODING, 5, 1),)
-    assert not cancels(cell.handle(m.EngineListed("d1", listed, 1.0), 1.0))
-    actions = cell.handle(m.EngineListed("d1", listed, 4.0), 4.0)
+    assert not cancels(cell.handle(m.EngineRequestsListed("d1", listed, 1.0), 1.0))
+    actions = cell.handle(m.EngineRequestsListed("d1", listed, 4.0), 4.0)
     assert cancels(actions) == {("d1", "req-x-1-1.1")}
 
 
@@ -191,7 +193,7 @@
     return [
         a.reply.failure.kind
         for a in actions
-        if isinstance(a, m.SendSubmitReply) and isinstance(a.reply, Refused)
+        if isinstance(a, m.SendSubmitResponse) and isinstance(a.reply, Refused)
     ]
 
 
@@ -330,7 +332,9 @@
     found, now_s = [], 0.1
     while not found and now_s < 10.0:
         now_s += 0.25
-        found = [a for a in progress(cell, now_s) if isinstance(a, m.SendSubmitReply)]
+        found = [
+            a for a in progress(cell, now_s) if isinstance(a, m.SendSubmitResponse)
+        ]
     assert 3.0 <= now_s <= 4.0
     assert found[0].reply.failure.kind is ErrorKind.NO_BACKEND_SERVER
     assert found[0].reply.failure.retry_after_s >= 3.0
@@ -344,5 +348,5 @@
     cell.handle(m.ServerFailed("d1", 0, False), 0.1)
     cell.handle(m.ServerRecovered("d1"), 0.2)
     assert not placements(submit(cell, 0.3, "r")), "an answer does not end leaving"
-    actions = cell.handle(m.ServerStaying("d1"), 0.4)
+    actions = cell.handle(m.ServerLeaveCancelled("d1"), 0.4)
     assert placements(actions).keys() == {"r"}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
     ReleaseRequested,
     SendRateReply,
 )
-from damaskridge.core.scheduling.messages import RequestSubmitted, SendSubmitReply
+from damaskridge.core.scheduling.messages import RequestSubmitted, SendSubmitResponse
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.bundle import (
     BackendServer,
@@ -82,7 +82,7 @@
         if isinstance(event, RequestSubmitted):
             item = event.profile
             place = Placement(request_id=item.request_id, attempt=1, epoch=1)
-            return [SendSubmitReply(item.front, item.request_id, place)]
+            return [SendSubmitResponse(item.front, item.request_id, place)]
         return []
 
     def seen(self, kind):
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -17,7 +17,7 @@
 from damaskridge.core.scheduling import dispatch
 from damaskridge.core.scheduling.placement import Placer
 from damaskridge.core.scheduling.recovery import Recovery
-from damaskridge.core.scheduling.registry import Registry
+from damaskridge.core.scheduling.registry import RequestRegistry
 from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.core.state import ledger, ownership as state_ownership
 from damaskridge.model.control import LedgerRecord, LedgerState
@@ -75,11 +75,11 @@
 
 
 def _cancel_of_unregistered():
-    yield mock.patch.object(Registry, "is_stray", lambda *_: False)
+    yield mock.patch.object(RequestRegistry, "is_leaked", lambda *_: False)
 
 
 def _release_on_front_loss():
-    yield mock.patch.object(Recovery, "lose_front", lambda *_: [])
+    yield mock.patch.object(Recovery, "handle_front_loss", lambda *_: [])
 
 
 def _single_winner():
@@ -161,8 +161,8 @@
             entry.suspect = suspect
 
     yield mock.patch.object(Placer, "_is_allowed", any_suspect)
-    yield mock.patch.object(dispatch, "_runs", lambda *_: False)
-    yield mock.patch.object(SuspectTable, "is_held", lambda *_: False)
+    yield mock.patch.object(dispatch, "_is_running", lambda *_: False)
+    yield mock.patch.object(SuspectTable, "has_reached_crash_limit", lambda *_: False)
 
 
 async def _always_wins(self):
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -6,7 +6,7 @@
 
 from damaskridge.core.limits.messages import RefundReceived, SendRateReply
 from damaskridge.core.limits.rate_owner import RateOwner
-from damaskridge.core.scheduling.messages import SendSubmitReply
+from damaskridge.core.scheduling.messages import SendSubmitResponse
 from damaskridge.core.scheduling.scheduler import CellScheduler
 from damaskridge.model.control import BundleActivated, KeyWithdrawn, LedgerState
 from damaskridge.model.routing import Placement, RateGrant
@@ -67,7 +67,7 @@
     def handle(self, event, now_s):
         actions = super().handle(event, now_s)
         for action in actions:
-            if isinstance(action, SendSubmitReply) and isinstance(
+            if isinstance(action, SendSubmitResponse) and isinstance(
                 action.reply, Placement
             ):
                 self._world.invariants.decided(action.reply.epoch, "placement")
