Rename the module fleet_index to bundle_index

It holds BundleIndex, the look-ups in the active bundle; fleet_index is also the name of a log position of the control state. Type checker, linter and the tests of requests pass; same shape.

--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bench.slope_fit import Slope, fit
-from damaskridge.core.requests.fleet_index import BundleIndex
+from damaskridge.core.requests.bundle_index import BundleIndex
 from damaskridge.core.state.commands import ControlState
 from damaskridge.core.state.view import FleetView
 from damaskridge.model import control as mc
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -21,7 +21,7 @@
     RatePort,
     ServicePort,
 )
-from damaskridge.core.requests.fleet_index import BundleIndex
+from damaskridge.core.requests.bundle_index import BundleIndex
 from damaskridge.core.scheduling.suspects import LOCAL_CRASH_WINDOW_S, SuspectTable
 from damaskridge.core.state.fleet_queries import cell_resource, owner_of
 from damaskridge.model.control import Owner
