--- a/src/damaskridge/core/scheduling/admission.py
+++ b/src/damaskridge/core/scheduling/admission.py
@@ -12,7 +12,7 @@
     "pieces_for",
     "release",
     "reserve",
-    "shared_limit",
+    "shared_pieces_limit",
 ]
 
 # A decode engine allocates this far ahead of the token that it computes.
@@ -40,13 +40,13 @@
         return False
     if spec.kv_pieces == 0:
         return True
-    used = server.used_pieces + server.stray_pieces
+    used = server.used_pieces + server.unaccounted_pieces
     # A request larger than the limit may run alone rather than never.
-    alone = server.used_slots == 0 and used + pieces <= spec.kv_pieces
-    return alone or used + pieces <= shared_limit(server, level)
+    fits_alone = server.used_slots == 0 and used + pieces <= spec.kv_pieces
+    return fits_alone or used + pieces <= shared_pieces_limit(server, level)
 
 
-def shared_limit(server: ServerState, level: Level) -> float:
+def shared_pieces_limit(server: ServerState, level: Level) -> float:
     """Return the memory that requests of this level may fill beside others."""
     reserved = _BULK_HEADROOM if level is Level.BULK else 0.0
     return server.spec.kv_pieces * (1 - reserved - _GROWTH_HEADROOM)
@@ -54,24 +54,26 @@
 
 def reserve(server: ServerState, request_id: str, pieces: int) -> None:
     """Take a slot and memory."""
-    assert request_id not in server.requests, "a request is placed once per attempt"
-    server.requests.add(request_id)
+    assert request_id not in server.request_ids, "a request is placed once per attempt"
+    server.request_ids.add(request_id)
     server.used_slots += 1
     server.used_pieces += pieces
 
 
-def extend(server: ServerState, held: int, needed: int) -> int:
+def extend(server: ServerState, held_pieces: int, needed_pieces: int) -> int:
     """Return the pieces that a longer stream holds, within what is free."""
     spec = server.spec
-    gained = min(max(0, needed - held), max(0, spec.kv_pieces - server.used_pieces))
-    server.used_pieces += gained
-    return held + gained
+    added_pieces = min(
+        max(0, needed_pieces - held_pieces), max(0, spec.kv_pieces - server.used_pieces)
+    )
+    server.used_pieces += added_pieces
+    return held_pieces + added_pieces
 
 
 def release(server: ServerState, request_id: str, pieces: int) -> None:
     """Free what `reserve` and `extend` took; a second release does nothing."""
-    if request_id in server.requests:
-        server.requests.discard(request_id)
+    if request_id in server.request_ids:
+        server.request_ids.discard(request_id)
         server.used_slots -= 1
         server.used_pieces -= pieces
         assert server.used_slots >= 0, "slots are released once"
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -3,8 +3,8 @@
 from damaskridge.core.scheduling import admission
 from damaskridge.core.scheduling.fair_queue import FairQueue, QueueItem
 from damaskridge.core.scheduling.messages import CellAction, SendSubmitResponse
-from damaskridge.core.scheduling.placement import Choice, Placer, is_service
-from damaskridge.core.scheduling.registry import Entry, RequestRegistry
+from damaskridge.core.scheduling.placement import PlacementChoice, Placer, is_service
+from damaskridge.core.scheduling.registry import RequestEntry, RequestRegistry
 from damaskridge.core.scheduling.settings import (
     FIRST_TOKEN_TARGET_S,
     SchedulerSettings,
@@ -12,14 +12,14 @@
 from damaskridge.core.scheduling.urgency import Level
 from damaskridge.model.routing import Placement, RequestPhase, RequestProfile
 
-__all__ = ["NO_SERVER_LIMIT_S", "Dispatcher"]
+__all__ = ["NO_SERVER_TIMEOUT_S", "Dispatcher"]
 
 # Time for which requests wait for a server to return before they are refused.
-NO_SERVER_LIMIT_S = 3.0
-_RETRY_S = 0.02
+NO_SERVER_TIMEOUT_S = 3.0
+_RETRY_INTERVAL_S = 0.02
 # Wait past its slack after which a large request gets an engine kept for it.
 _CLAIM_AFTER_S = 10.0
-_HEADS = 4
+_MAX_HEADS = 4
 # Share of the cell that delay-tolerant work gets after its slack has passed.
 _AGED_SHARE = 0.15
 _MAX_AGED_CREDIT_S = 1.0
@@ -31,45 +31,45 @@
 class Dispatcher:
     """Orders queued requests and turns them into placements."""
 
-    retry_s = _RETRY_S
+    retry_interval_s = _RETRY_INTERVAL_S
 
     def __init__(self, settings: SchedulerSettings) -> None:
         self._settings = settings
         self.placer = Placer(settings)
         self.queue = FairQueue(settings.fair_share)
         self._aged_credit_s = 0.0
-        self._prefill_rate = 1.0
-        self._slots = _DEFAULT_SLOTS
-        self._pieces = 0
-        self._most_pieces = 0
+        self._prefill_tokens_per_s = 1.0
+        self._total_slots = _DEFAULT_SLOTS
+        self._total_pieces = 0
+        self._max_pieces = 0
         self._piece_tokens = 16
-        self._step_s = 0.04
+        self._decode_step_s = 0.04
         self._unservable_since_s: dict[str, float] = {}
 
     @property
-    def has_work(self) -> bool:
+    def has_queued_requests(self) -> bool:
         """Whether requests are queued."""
         return len(self.queue) > 0
 
-    def note_servers(self) -> None:
+    def update_capacity(self) -> None:
         """Recompute the capacity of the cell after its servers changed."""
         usable = [s for s in self.placer.servers.values() if s.is_usable]
-        prefill = [s.spec.prefill_tokens_per_s for s in usable if s.prefills]
-        decode = [s.spec for s in usable if s.decodes]
-        self._prefill_rate = sum(prefill) or 1.0
-        self._slots = sum(spec.slots for spec in decode) or _DEFAULT_SLOTS
-        self._pieces = sum(spec.kv_pieces for spec in decode)
-        self._most_pieces = max((spec.kv_pieces for spec in decode), default=0)
+        prefill = [s.spec.prefill_tokens_per_s for s in usable if s.can_prefill]
+        decode = [s.spec for s in usable if s.can_decode]
+        self._prefill_tokens_per_s = sum(prefill) or 1.0
+        self._total_slots = sum(spec.slots for spec in decode) or _DEFAULT_SLOTS
+        self._total_pieces = sum(spec.kv_pieces for spec in decode)
+        self._max_pieces = max((spec.kv_pieces for spec in decode), default=0)
         if decode:
             self._piece_tokens = decode[0].piece_tokens
-            self._step_s = max(spec.decode_step_ms for spec in decode) / 1000
+            self._decode_step_s = max(spec.decode_step_ms for spec in decode) / 1000
 
     def can_ever_fit(self, profile: RequestProfile) -> bool:
         """Tell whether the largest engine could hold the request alone."""
         tokens = profile.prompt_tokens + admission.LOOK_AHEAD_TOKENS
-        return not self._most_pieces or tokens <= self._most_pieces * self._piece_tokens
+        return not self._max_pieces or tokens <= self._max_pieces * self._piece_tokens
 
-    def enqueue(self, entry: Entry, now_s: float) -> None:
+    def enqueue(self, entry: RequestEntry, now_s: float) -> None:
         """Queue a request by its urgency."""
         profile = entry.profile
         is_retry = profile.attempt > 1
@@ -88,7 +88,7 @@
     def dispatch(self, registry: RequestRegistry, now_s: float) -> list[CellAction]:
         """Place what fits, in order."""
         actions: list[CellAction] = []
-        if not self.has_work:
+        if not self.has_queued_requests:
             return actions
         if self._settings.infer_urgency:
             self._demote_late(registry, now_s)
@@ -102,7 +102,7 @@
 
     def find_unservable(self, registry: RequestRegistry, now_s: float) -> list[str]:
         """Return queued requests whose model has had no usable server for long."""
-        if not self.has_work:
+        if not self.has_queued_requests:
             self._unservable_since_s.clear()
             return []
         servable = self.placer.servable_models()
@@ -113,29 +113,35 @@
                 since_s.pop(model, None)
             else:
                 since_s.setdefault(model, now_s)
-        late = {m for m in since_s if now_s - since_s[m] >= NO_SERVER_LIMIT_S}
-        if not late:
+        expired_models = {
+            m for m in since_s if now_s - since_s[m] >= NO_SERVER_TIMEOUT_S
+        }
+        if not expired_models:
             return []
         entries = registry.entries
-        return [r for r in self.queue.request_ids() if entries[r].profile.model in late]
+        return [
+            r
+            for r in self.queue.request_ids()
+            if entries[r].profile.model in expired_models
+        ]
 
     def _place_claimant(
         self, registry: RequestRegistry, now_s: float
     ) -> list[CellAction]:
         """Place the request that an engine is kept for, or find one that needs it."""
-        claimant = self.placer.claimant
-        if claimant is not None:
-            self.placer.check_claim(claimant in self.queue)
-            if self.placer.claimant is not None:
-                item = self.queue.get(claimant)
+        claimant_id = self.placer.claimant_id
+        if claimant_id is not None:
+            self.placer.release_stale_claim(claimant_id in self.queue)
+            if self.placer.claimant_id is not None:
+                item = self.queue.get(claimant_id)
                 placed = self._place(registry, item, item.level, now_s)
                 return [placed] if placed else []
         for level in Level:
-            for item in self.queue.first(level, _HEADS):
+            for item in self.queue.heads(level, _MAX_HEADS):
                 if now_s >= item.due_s + _CLAIM_AFTER_S:
                     entry = registry.entries[item.request_id]
-                    self.placer.claim(entry, level, now_s)
-                    if self.placer.claimant is not None:
+                    self.placer.claim_engine(entry, level, now_s)
+                    if self.placer.claimant_id is not None:
                         return []
         return []
 
@@ -143,7 +149,7 @@
         """Place delay-tolerant work that is past its slack, within its credit."""
         actions: list[CellAction] = []
         while self._settings.age_queued and self._aged_credit_s > 0:
-            item = next(self.queue.first(Level.BULK, 1), None)
+            item = next(self.queue.heads(Level.BULK, 1), None)
             if item is None or now_s < item.due_s:
                 break
             placed = self._place(registry, item, Level.BULK, now_s)
@@ -156,7 +162,7 @@
     def _place_first(
         self, registry: RequestRegistry, level: Level, now_s: float
     ) -> CellAction | None:
-        for item in self.queue.first(level, _HEADS):
+        for item in self.queue.heads(level, _MAX_HEADS):
             placed = self._place(registry, item, level, now_s)
             if placed is not None:
                 if level is not Level.BULK:
@@ -175,13 +181,15 @@
         if choice is None:
             return None
         assert entry.placement is None, "a request is placed once per attempt"
-        self.queue.take(item.request_id)
+        self.queue.remove_placed(item.request_id)
         self.placer.reserve(entry, choice, level, now_s)
         entry.placement = _to_placement(entry, choice, level)
         entry.phase = RequestPhase.PREFILLING
         return SendSubmitResponse(entry.front, item.request_id, entry.placement)
 
-    def _choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+    def _choose(
+        self, entry: RequestEntry, level: Level, now_s: float
+    ) -> PlacementChoice | None:
         first = next(iter(self.placer.servers.values()))
         if is_service(first):
             return self.placer.choose_service(entry, level, now_s)
@@ -196,9 +204,9 @@
         moved = True
         while moved:
             moved = False
-            for item in list(self.queue.first(Level.URGENT, _HEADS)):
+            for item in list(self.queue.heads(Level.URGENT, _MAX_HEADS)):
                 entry = registry.entries[item.request_id]
-                waited_s = now_s - entry.queued_s + entry.profile.waited_s
+                waited_s = now_s - entry.queued_at_s + entry.profile.waited_s
                 if waited_s < FIRST_TOKEN_TARGET_S or entry.profile.attempt > 1:
                     continue
                 self.queue.remove(item.request_id)
@@ -206,29 +214,31 @@
                 self.queue.push(item)
                 moved = True
 
-    def _cost_s(self, entry: Entry) -> float:
+    def _cost_s(self, entry: RequestEntry) -> float:
         """Return how long the request occupies the whole cell."""
         profile, output = entry.profile, entry.estimate.output_tokens
-        if not self._pieces:
-            return _SERVICE_CALL_S / self._slots
-        decode_s = output * self._step_s
+        if not self._total_pieces:
+            return _SERVICE_CALL_S / self._total_slots
+        decode_s = output * self._decode_step_s
         pieces = (profile.prompt_tokens + output) / self._piece_tokens
         cached_tokens = self.placer.cached_tokens(entry)
         prefill_tokens = max(1, profile.prompt_tokens - cached_tokens)
         return (
-            prefill_tokens / self._prefill_rate
-            + decode_s / self._slots
-            + decode_s * pieces / self._pieces
+            prefill_tokens / self._prefill_tokens_per_s
+            + decode_s / self._total_slots
+            + decode_s * pieces / self._total_pieces
         ) / 3
 
 
 def _is_running(registry: RequestRegistry, fingerprint: str) -> bool:
     # Two copies of a suspect could cost two more servers before the first is lost.
-    found = registry.with_fingerprint(fingerprint)
+    found = registry.find_by_fingerprint(fingerprint)
     return any(item.placement is not None for item in found)
 
 
-def _to_placement(entry: Entry, choice: Choice, level: Level) -> Placement:
+def _to_placement(
+    entry: RequestEntry, choice: PlacementChoice, level: Level
+) -> Placement:
     profile = entry.profile
     placement = Placement(
         request_id=profile.request_id,
--- a/src/damaskridge/core/scheduling/fair_queue.py
+++ b/src/damaskridge/core/scheduling/fair_queue.py
@@ -43,15 +43,15 @@
         self._items: dict[str, QueueItem] = {}
         self._heaps: dict[tuple[Level, str], list[tuple[float, int, str]]] = {}
         self._heads = {level: LazyHeap() for level in Level}
-        self._virtual: dict[tuple[bool, str], float] = {}
-        self._counts: dict[str, int] = {}
-        self._lane_counts: dict[tuple[bool, str], int] = {}
+        self._virtual_times_s: dict[tuple[bool, str], float] = {}
+        self._workspace_counts: dict[str, int] = {}
+        self._flow_counts: dict[tuple[bool, str], int] = {}
         self._weights: dict[str, float] = {}
         self._total_weight = 1.0
-        self._now_virtual = {True: 0.0, False: 0.0}
+        self._system_virtual_times_s = {True: 0.0, False: 0.0}
         self._sequence = 0
         self._backlog_s = dict.fromkeys(Level, 0.0)
-        self._own_backlog_s: dict[str, dict[Level, float]] = {}
+        self._workspace_backlog_s: dict[str, dict[Level, float]] = {}
         self._active_weight = 0.0
 
     def __len__(self) -> int:
@@ -72,73 +72,79 @@
         """Use the weights of a new bundle."""
         self._weights = {name: max(weight, 1e-6) for name, weight in weights.items()}
         self._total_weight = sum(self._weights.values()) or 1.0
-        self._active_weight = sum(self._weight(space) for space in self._counts)
+        self._active_weight = sum(
+            self._weight(workspace) for workspace in self._workspace_counts
+        )
 
     def push(self, item: QueueItem) -> None:
         """Add a request."""
         assert item.request_id not in self._items, "a request is queued once"
-        space = item.workspace
-        lane = _lane(item.level, space)
-        if not self._lane_counts.get(lane):
-            now_virtual = self._now_virtual[lane[0]]
-            self._virtual[lane] = max(self._virtual.get(lane, 0.0), now_virtual)
-        self._lane_counts[lane] = self._lane_counts.get(lane, 0) + 1
-        if not self._counts.get(space):
-            self._own_backlog_s[space] = dict.fromkeys(Level, 0.0)
-            self._active_weight += self._weight(space)
-        self._counts[space] = self._counts.get(space, 0) + 1
+        workspace = item.workspace
+        flow = _flow_of(item.level, workspace)
+        if not self._flow_counts.get(flow):
+            system_virtual_time_s = self._system_virtual_times_s[flow[0]]
+            self._virtual_times_s[flow] = max(
+                self._virtual_times_s.get(flow, 0.0), system_virtual_time_s
+            )
+        self._flow_counts[flow] = self._flow_counts.get(flow, 0) + 1
+        if not self._workspace_counts.get(workspace):
+            self._workspace_backlog_s[workspace] = dict.fromkeys(Level, 0.0)
+            self._active_weight += self._weight(workspace)
+        self._workspace_counts[workspace] = self._workspace_counts.get(workspace, 0) + 1
         self._items[item.request_id] = item
         self._backlog_s[item.level] += item.cost_s
-        self._own_backlog_s[space][item.level] += item.cost_s
+        self._workspace_backlog_s[workspace][item.level] += item.cost_s
         self._sequence += 1
-        heap = self._heaps.setdefault((item.level, space), [])
+        heap = self._heaps.setdefault((item.level, workspace), [])
         heapq.heappush(heap, (item.due_s, self._sequence, item.request_id))
-        self._update_head(item.level, space)
+        self._update_head(item.level, workspace)
 
     def remove(self, request_id: str) -> QueueItem | None:
         """Remove a request that is not placed."""
         item = self._items.pop(request_id, None)
         if item is None:
             return None
-        space = item.workspace
+        workspace = item.workspace
         self._backlog_s[item.level] -= item.cost_s
-        self._own_backlog_s[space][item.level] -= item.cost_s
-        self._counts[space] -= 1
-        self._lane_counts[_lane(item.level, space)] -= 1
-        self._update_head(item.level, space)
-        if not self._counts[space]:
-            del self._counts[space], self._own_backlog_s[space]
-            self._active_weight -= self._weight(space)
+        self._workspace_backlog_s[workspace][item.level] -= item.cost_s
+        self._workspace_counts[workspace] -= 1
+        self._flow_counts[_flow_of(item.level, workspace)] -= 1
+        self._update_head(item.level, workspace)
+        if not self._workspace_counts[workspace]:
+            del self._workspace_counts[workspace], self._workspace_backlog_s[workspace]
+            self._active_weight -= self._weight(workspace)
         return item
 
-    def take(self, request_id: str) -> QueueItem:
+    def remove_placed(self, request_id: str) -> QueueItem:
         """Remove a request that was placed, and charge its workspace."""
         item = self._items[request_id]
-        space = item.workspace
-        share = self._weight(space) / self._total_weight
+        workspace = item.workspace
+        share = self._weight(workspace) / self._total_weight
         if self._is_fair:
-            lane = _lane(item.level, space)
-            start = self._virtual[lane]
-            self._now_virtual[lane[0]] = max(self._now_virtual[lane[0]], start)
-            self._virtual[lane] = start + item.cost_s / share
+            flow = _flow_of(item.level, workspace)
+            start = self._virtual_times_s[flow]
+            self._system_virtual_times_s[flow[0]] = max(
+                self._system_virtual_times_s[flow[0]], start
+            )
+            self._virtual_times_s[flow] = start + item.cost_s / share
             for level in Level:
-                self._update_head(level, space)
+                self._update_head(level, workspace)
         self.remove(request_id)
         return item
 
-    def first(self, level: Level, count: int) -> Iterator[QueueItem]:
+    def heads(self, level: Level, count: int) -> Iterator[QueueItem]:
         """Return the heads of up to `count` workspaces, the next one first."""
-        for space in self._heads[level].first(count):
-            yield self._items[self._heaps[level, space][0][2]]
+        for workspace in self._heads[level].smallest(count):
+            yield self._items[self._heaps[level, workspace][0][2]]
 
-    def wait_s(self, workspace: str, level: Level) -> float:
+    def expected_wait_s(self, workspace: str, level: Level) -> float:
         """
         Return how long a new request waits for work at its level and above.
 
         The work of a workspace that floods does not delay the others beyond their
         share, so a workspace waits for all work or for its own at its share.
         """
-        own_s = self._own_backlog_s.get(workspace)
+        own_s = self._workspace_backlog_s.get(workspace)
         if own_s is None:
             return 0.0
         levels = [item for item in Level if level is Level.BULK or item < Level.BULK]
@@ -151,24 +157,25 @@
     def _weight(self, workspace: str) -> float:
         return self._weights.get(workspace, 1.0)
 
-    def _update_head(self, level: Level, space: str) -> None:
-        heap = self._heaps.get((level, space))
+    def _update_head(self, level: Level, workspace: str) -> None:
+        heap = self._heaps.get((level, workspace))
         if heap is None:
             return
         while heap and not self._is_live(heap[0][2], level):
             heapq.heappop(heap)
         if heap:
             self._heads[level].update(
-                space, heap[0][0] + self._virtual[_lane(level, space)]
+                workspace,
+                heap[0][0] + self._virtual_times_s[_flow_of(level, workspace)],
             )
         else:
-            self._heads[level].discard(space)
-            del self._heaps[level, space]
+            self._heads[level].discard(workspace)
+            del self._heaps[level, workspace]
 
     def _is_live(self, request_id: str, level: Level) -> bool:
         item = self._items.get(request_id)
         return item is not None and item.level is level
 
 
-def _lane(level: Level, space: str) -> tuple[bool, str]:
-    return level is Level.BULK, space
+def _flow_of(level: Level, workspace: str) -> tuple[bool, str]:
+    return level is Level.BULK, workspace
--- a/src/damaskridge/core/scheduling/links.py
+++ b/src/damaskridge/core/scheduling/links.py
@@ -4,8 +4,8 @@
 from damaskridge.core.scheduling.urgency import Level
 
 __all__ = [
-    "GAP_SHARE",
-    "HOLD_S",
+    "BULK_GAP_RATIO",
+    "MAX_TRANSFER_DELAY_S",
     "reserve_transfer",
     "transfer_start_s",
     "transfer_time_s",
@@ -13,10 +13,10 @@
 
 # A prefill result is evicted in less than a second; the transfer starts before.
 # Delay-tolerant work waits in the queue instead, so that links stay free.
-HOLD_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.1}
+MAX_TRANSFER_DELAY_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.1}
 # Free time before each delay-tolerant transfer, as a share of its length: with
 # transfers back to back, urgent ones find no gap for longer than their target.
-GAP_SHARE = 1.0
+BULK_GAP_RATIO = 1.0
 
 
 def transfer_time_s(source: ServerState, target: ServerState, size_bytes: int) -> float:
@@ -39,7 +39,9 @@
     if source is target:
         return ready_s
     start_s = ready_s
-    for busy_s, free_s in sorted([*source.transfers_s, *target.transfers_s]):
+    for busy_s, free_s in sorted(
+        [*source.reserved_transfers_s, *target.reserved_transfers_s]
+    ):
         if busy_s < start_s + duration_s and free_s > start_s:
             start_s = free_s
     return start_s
@@ -56,5 +58,5 @@
     if source is target:
         return
     for server in (source, target):
-        kept = [item for item in server.transfers_s if item[1] > now_s]
-        server.transfers_s = [*kept, (start_s, start_s + duration_s)]
+        kept = [item for item in server.reserved_transfers_s if item[1] > now_s]
+        server.reserved_transfers_s = [*kept, (start_s, start_s + duration_s)]
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -127,11 +127,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineRequestsListed:
-    """An engine's own list of requests arrived; `asked_s` is when it was asked."""
+    """An engine's own list of requests arrived; `requested_s` is when it was asked."""
 
     backend_server: str
     requests: tuple[EngineRequest, ...]
-    asked_s: float
+    requested_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/scheduling/overload.py
+++ b/src/damaskridge/core/scheduling/overload.py
@@ -9,7 +9,7 @@
 # Longer than bursts at full load, so that only lasting overload refuses.
 _MAX_URGENT_WAIT_S = 5.0
 _MAX_BULK_WAIT_S = 120.0
-_RETRY_SPREAD = 0.5
+_MAX_RETRY_JITTER = 0.5
 
 
 class OverloadControl:
@@ -29,8 +29,8 @@
         """Return the time after which to retry, or none to admit."""
         limit_s = _MAX_BULK_WAIT_S if level is Level.BULK else _MAX_URGENT_WAIT_S
         excess_s = wait_s - limit_s
-        return self.spread_s(1.0 + excess_s) if excess_s > 0 else None
+        return self.with_jitter_s(1.0 + excess_s) if excess_s > 0 else None
 
-    def spread_s(self, wait_s: float) -> float:
+    def with_jitter_s(self, wait_s: float) -> float:
         """Return `wait_s`, spread upwards by jitter."""
-        return wait_s * (1 + _RETRY_SPREAD * self._rng.random())
+        return wait_s * (1 + _MAX_RETRY_JITTER * self._rng.random())
--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -6,27 +6,27 @@
 from damaskridge.core.scheduling import admission, links
 from damaskridge.core.scheduling.lazy_heap import LazyHeap
 from damaskridge.core.scheduling.prefix_hints import PrefixHints
-from damaskridge.core.scheduling.registry import Entry
+from damaskridge.core.scheduling.registry import RequestEntry
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.core.scheduling.settings import SchedulerSettings
 from damaskridge.core.scheduling.urgency import Level
 from damaskridge.model.bundle import BackendServerRole
 from damaskridge.model.routing import Placement
 
-__all__ = ["Choice", "Placer", "is_service"]
+__all__ = ["PlacementChoice", "Placer", "is_service"]
 
-_CANDIDATES = 8
+_MAX_CANDIDATES = 8
 # One lost transfer in about 50 keeps the estimate in balance.
-_LOST_FACTOR, _ARRIVED_FACTOR = 1.1, 0.998
-_MAX_SLOWNESS = 2.2
+_SLOWDOWN_ON_LOSS, _SLOWDOWN_ON_ARRIVAL = 1.1, 0.998
+_MAX_TRANSFER_SLOWDOWN = 2.2
 # A request that no other server can run goes back to those that failed it.
-_EXCLUSION_S = 2.0
+_EXCLUSION_TIMEOUT_S = 2.0
 # Longer queues at an engine would take the order out of the cell owner's hands.
 _MAX_PREFILL_WAIT_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.15}
 
 
 @dataclass(frozen=True, slots=True)
-class Choice:
+class PlacementChoice:
     """Where a request could run, and when."""
 
     prefill: ServerState | None
@@ -45,51 +45,53 @@
         self._settings = settings
         self.servers: dict[str, ServerState] = {}
         self.hints = PrefixHints()
-        self._slowness = 1.0
+        self._transfer_slowdown = 1.0
         self._claim: tuple[str, str] | None = None
-        self._prefill = LazyHeap()
-        self._decode = LazyHeap()
+        self._prefill_by_backlog = LazyHeap()
+        self._decode_by_load = LazyHeap()
 
     def update(self, server: ServerState) -> None:
         """Reorder a server after a change."""
         name = server.spec.name
         known = self.servers.get(name) is server
-        if known and server.is_usable and server.prefills:
-            self._prefill.update(name, server.busy_until_s)
+        if known and server.is_usable and server.can_prefill:
+            self._prefill_by_backlog.update(name, server.busy_until_s)
         else:
-            self._prefill.discard(name)
-        if known and server.is_usable and server.decodes:
-            self._decode.update(name, server.load)
+            self._prefill_by_backlog.discard(name)
+        if known and server.is_usable and server.can_decode:
+            self._decode_by_load.update(name, server.load)
         else:
-            self._decode.discard(name)
+            self._decode_by_load.discard(name)
 
-    def note_transfer(self, arrived: bool) -> None:
+    def record_transfer(self, arrived: bool) -> None:
         """Learn from transfers how much slower links are than the bundle says."""
-        change = _ARRIVED_FACTOR if arrived else _LOST_FACTOR
-        self._slowness = min(_MAX_SLOWNESS, max(1.0, self._slowness * change))
+        change = _SLOWDOWN_ON_ARRIVAL if arrived else _SLOWDOWN_ON_LOSS
+        self._transfer_slowdown = min(
+            _MAX_TRANSFER_SLOWDOWN, max(1.0, self._transfer_slowdown * change)
+        )
 
-    def cached_tokens(self, entry: Entry) -> int:
+    def cached_tokens(self, entry: RequestEntry) -> int:
         """Return the longest cached prefix of a request on any engine."""
         hashes = entry.profile.prefix_hashes
         if not self._settings.use_prefix_hints:
             return 0
-        names = self.hints.servers_with(hashes, _CANDIDATES)
+        names = self.hints.servers_with_prefix(hashes, _MAX_CANDIDATES)
         return max((self.hints.cached_tokens(n, hashes) for n in names), default=0)
 
     @property
-    def claimant(self) -> str | None:
+    def claimant_id(self) -> str | None:
         """The request for which a decode engine is kept, if any."""
         return self._claim[0] if self._claim else None
 
-    def claim(self, entry: Entry, level: Level, now_s: float) -> None:
+    def claim_engine(self, entry: RequestEntry, level: Level, now_s: float) -> None:
         """Keep an engine for a request that small ones would overtake for ever."""
         for server in self._decode_candidates(entry, now_s):
-            pieces = self._pieces(server, entry)
-            if 2 * pieces > admission.shared_limit(server, level):
+            pieces = self._pieces_for(server, entry)
+            if 2 * pieces > admission.shared_pieces_limit(server, level):
                 self._claim = (entry.profile.request_id, server.spec.name)
                 return
 
-    def check_claim(self, is_queued: bool) -> None:
+    def release_stale_claim(self, is_queued: bool) -> None:
         """Give the claimed engine free when it or the request is gone."""
         if self._claim is not None:
             server = self.servers.get(self._claim[1])
@@ -99,33 +101,41 @@
     def servable_models(self) -> set[str]:
         """Return models and services for which usable servers exist."""
         usable = [server for server in self.servers.values() if server.is_usable]
-        prefill = {s.spec.serves for s in usable if s.prefills}
-        decode = {s.spec.serves for s in usable if s.decodes and not is_service(s)}
+        prefill = {s.spec.serves for s in usable if s.can_prefill}
+        decode = {s.spec.serves for s in usable if s.can_decode and not is_service(s)}
         services = {s.spec.serves for s in usable if is_service(s)}
         return (prefill & decode) | services
 
-    def choose(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+    def choose(
+        self, entry: RequestEntry, level: Level, now_s: float
+    ) -> PlacementChoice | None:
         """Return the best place that is free now, if any."""
         # In a full cell no prefill engine is worth a look.
-        targets = self._free_targets(entry, level, now_s)
-        if not targets:
+        decode_engines = self._decode_engines_with_room(entry, level, now_s)
+        if not decode_engines:
             return None
-        for prefill, tokens in self._rank_prefill(entry, level, now_s):
+        for prefill, tokens in self._rank_prefill_engines(entry, level, now_s):
             end_s = now_s + prefill.prefill_wait_s(level, now_s)
             end_s += tokens / prefill.spec.prefill_tokens_per_s
-            choice = self._choose_decode(entry, level, prefill, targets, tokens, end_s)
+            choice = self._choose_decode(
+                entry, level, prefill, decode_engines, tokens, end_s
+            )
             if choice is not None:
                 return choice
         return None
 
-    def choose_service(self, entry: Entry, level: Level, now_s: float) -> Choice | None:
+    def choose_service(
+        self, entry: RequestEntry, level: Level, now_s: float
+    ) -> PlacementChoice | None:
         """Return the least busy instance of a plain service that has a slot."""
         for server in self._decode_candidates(entry, now_s):
             if admission.can_reserve(server, 0, level):
-                return Choice(None, server, 0)
+                return PlacementChoice(None, server, 0)
         return None
 
-    def reserve(self, entry: Entry, choice: Choice, level: Level, now_s: float) -> None:
+    def reserve(
+        self, entry: RequestEntry, choice: PlacementChoice, level: Level, now_s: float
+    ) -> None:
         """Reserve what was chosen, before anything starts."""
         request_id = entry.profile.request_id
         if self._settings.reserve_decode:
@@ -134,11 +144,11 @@
             )
         admission.reserve(choice.decode, request_id, choice.pieces)
         if entry.suspect:
-            choice.decode.suspects += 1
+            choice.decode.suspect_count += 1
         if choice.prefill is not None:
             choice.prefill.add_prefill(choice.uncached_tokens, level, now_s)
             if choice.prefill is not choice.decode and entry.suspect:
-                choice.prefill.suspects += 1
+                choice.prefill.suspect_count += 1
             links.reserve_transfer(
                 choice.prefill,
                 choice.decode,
@@ -148,70 +158,72 @@
             )
             self.update(choice.prefill)
         entry.pieces = choice.pieces
-        entry.placed_s, entry.prefill_end_s = now_s, choice.prefill_end_s
+        entry.placed_at_s, entry.prefill_end_s = now_s, choice.prefill_end_s
         self.update(choice.decode)
 
-    def adopt(self, entry: Entry, placement: Placement) -> None:
+    def reserve_running(self, entry: RequestEntry, placement: Placement) -> None:
         """Reserve what a registered request already uses."""
         server = self.servers.get(placement.decode_server)
-        if server is None or entry.profile.request_id in server.requests:
+        if server is None or entry.profile.request_id in server.request_ids:
             return
-        entry.pieces = self._pieces(server, entry)
+        entry.pieces = self._pieces_for(server, entry)
         admission.reserve(server, entry.profile.request_id, entry.pieces)
-        self._count_suspect(entry, placement, 1)
+        self._change_suspect_count(entry, placement, 1)
         self.update(server)
 
-    def release(self, entry: Entry, now_s: float) -> None:
+    def release(self, entry: RequestEntry, now_s: float) -> None:
         """Free what a request holds."""
         if entry.placement is None:
             return
         server = self.servers.get(entry.placement.decode_server)
-        if server is None or entry.profile.request_id not in server.requests:
+        if server is None or entry.profile.request_id not in server.request_ids:
             return
         admission.release(server, entry.profile.request_id, entry.pieces)
-        server.note_release(entry.pieces, now_s)
+        server.record_release(entry.pieces, now_s)
         entry.pieces = 0
-        self._count_suspect(entry, entry.placement, -1)
+        self._change_suspect_count(entry, entry.placement, -1)
         self.update(server)
 
-    def extend(self, entry: Entry) -> None:
+    def extend(self, entry: RequestEntry) -> None:
         """Reserve more memory for a stream that exceeds its prediction."""
         assert entry.placement is not None
         server = self.servers.get(entry.placement.decode_server)
-        if server is None or entry.profile.request_id not in server.requests:
+        if server is None or entry.profile.request_id not in server.request_ids:
             return
         tokens = entry.profile.prompt_tokens
-        needed = admission.pieces_for(server, tokens, entry.output_tokens)
-        if needed > entry.pieces:
-            entry.pieces = admission.extend(server, entry.pieces, needed)
+        needed_pieces = admission.pieces_for(server, tokens, entry.output_tokens)
+        if needed_pieces > entry.pieces:
+            entry.pieces = admission.extend(server, entry.pieces, needed_pieces)
             self.update(server)
 
-    def _count_suspect(self, entry: Entry, placement: Placement, change: int) -> None:
+    def _change_suspect_count(
+        self, entry: RequestEntry, placement: Placement, change: int
+    ) -> None:
         if entry.suspect:
             for name in {placement.prefill_server, placement.decode_server}:
                 if name in self.servers:
                     server = self.servers[name]
-                    server.suspects = max(0, server.suspects + change)
+                    server.suspect_count = max(0, server.suspect_count + change)
 
-    def _pieces(self, server: ServerState, entry: Entry) -> int:
-        most = entry.estimate.most_output_tokens
+    def _pieces_for(self, server: ServerState, entry: RequestEntry) -> int:
+        most = entry.estimate.max_expected_output_tokens
         output = max(most, entry.output_tokens)
         pieces = admission.pieces_for(server, entry.profile.prompt_tokens, output)
         return min(pieces, server.spec.kv_pieces)
 
-    def _rank_prefill(
-        self, entry: Entry, level: Level, now_s: float
+    def _rank_prefill_engines(
+        self, entry: RequestEntry, level: Level, now_s: float
     ) -> list[tuple[ServerState, int]]:
         hashes = entry.profile.prefix_hashes
-        names = self._prefill.first(_CANDIDATES)
+        names = self._prefill_by_backlog.smallest(_MAX_CANDIDATES)
         if self._settings.use_prefix_hints:
-            names += self.hints.servers_with(hashes, _CANDIDATES)
+            names += self.hints.servers_with_prefix(hashes, _MAX_CANDIDATES)
         ranked: list[tuple[float, str, int]] = []
         for name in dict.fromkeys(names):
             server = self.servers.get(name)
             if server is None or not self._is_allowed(server, entry, now_s):
                 continue
-            if name not in self._prefill:
+            if name not in self._prefill_by_backlog:
                 continue
             wait_s = server.prefill_wait_s(level, now_s)
             if wait_s > _MAX_PREFILL_WAIT_S[level]:
@@ -224,13 +236,13 @@
             ranked.append((ready_s, name, tokens))
         return [(self.servers[name], tokens) for _, name, tokens in sorted(ranked)]
 
-    def _free_targets(
-        self, entry: Entry, level: Level, now_s: float
+    def _decode_engines_with_room(
+        self, entry: RequestEntry, level: Level, now_s: float
     ) -> list[tuple[ServerState, int]]:
         """Return decode engines with room for a request, and the memory it needs."""
         found: list[tuple[ServerState, int]] = []
         for server in self._decode_candidates(entry, now_s):
-            pieces = self._pieces(server, entry)
+            pieces = self._pieces_for(server, entry)
             if not self._settings.reserve_decode or admission.can_reserve(
                 server, pieces, level
             ):
@@ -239,53 +251,61 @@
 
     def _choose_decode(
         self,
-        entry: Entry,
+        entry: RequestEntry,
         level: Level,
         prefill: ServerState,
-        targets: list[tuple[ServerState, int]],
+        decode_engines: list[tuple[ServerState, int]],
         tokens: int,
         end_s: float,
-    ) -> Choice | None:
+    ) -> PlacementChoice | None:
         size_bytes = entry.profile.prompt_tokens * self._settings.kv_bytes_per_token
-        best: Choice | None = None
-        for decode, pieces in targets:
+        best: PlacementChoice | None = None
+        for decode, pieces in decode_engines:
             start_s = end_s
             duration_s = links.transfer_time_s(prefill, decode, size_bytes)
-            duration_s *= self._slowness
+            duration_s *= self._transfer_slowdown
             if self._settings.reserve_links:
-                gap_s = duration_s * links.GAP_SHARE if level is Level.BULK else 0.0
+                gap_s = (
+                    duration_s * links.BULK_GAP_RATIO if level is Level.BULK else 0.0
+                )
                 start_s = gap_s + links.transfer_start_s(
                     prefill, decode, end_s - gap_s, gap_s + duration_s
                 )
-                if start_s > end_s + links.HOLD_S[level]:
+                if start_s > end_s + links.MAX_TRANSFER_DELAY_S[level]:
                     continue
-            found = Choice(prefill, decode, pieces, tokens, end_s, start_s, duration_s)
-            if best is None or _arrival_s(found) < _arrival_s(best):
+            found = PlacementChoice(
+                prefill, decode, pieces, tokens, end_s, start_s, duration_s
+            )
+            if best is None or _arrival_score_s(found) < _arrival_score_s(best):
                 best = found
         return best
 
-    def _decode_candidates(self, entry: Entry, now_s: float) -> Iterator[ServerState]:
-        names = self._decode.first(_CANDIDATES)
-        claimant, claimed = self._claim or ("", "")
-        if claimant == entry.profile.request_id:
+    def _decode_candidates(
+        self, entry: RequestEntry, now_s: float
+    ) -> Iterator[ServerState]:
+        names = self._decode_by_load.smallest(_MAX_CANDIDATES)
+        claimant_id, claimed = self._claim or ("", "")
+        if claimant_id == entry.profile.request_id:
             names = [claimed, *names]
         for name in dict.fromkeys(names):
             server = self.servers[name]
-            if name == claimed and claimant != entry.profile.request_id:
+            if name == claimed and claimant_id != entry.profile.request_id:
                 continue
             if self._is_allowed(server, entry, now_s):
                 yield server
 
-    def _is_allowed(self, server: ServerState, entry: Entry, now_s: float) -> bool:
+    def _is_allowed(
+        self, server: ServerState, entry: RequestEntry, now_s: float
+    ) -> bool:
         if server.spec.serves != entry.profile.model:
             return False
         is_excluded = server.spec.name in entry.profile.excluded
-        if is_excluded and now_s - entry.queued_s < _EXCLUSION_S:
+        if is_excluded and now_s - entry.queued_at_s < _EXCLUSION_TIMEOUT_S:
             return False
-        return not (entry.suspect and server.suspects)
+        return not (entry.suspect and server.suspect_count)
 
 
-def _arrival_s(choice: Choice) -> float:
+def _arrival_score_s(choice: PlacementChoice) -> float:
     # Load breaks ties between links that are free, so that engines fill evenly.
     return choice.transfer_start_s + choice.transfer_time_s + 0.1 * choice.decode.load
 
--- a/src/damaskridge/core/scheduling/prefix_hints.py
+++ b/src/damaskridge/core/scheduling/prefix_hints.py
@@ -11,43 +11,43 @@
 __all__ = ["PrefixHints"]
 
 _BLOCK_TOKENS = PREFIX_BLOCK_BYTES // BYTES_PER_TOKEN
-_MAX_BLOCKS = 50_000
+_MAX_BLOCKS_PER_SERVER = 50_000
 
 
 class PrefixHints:
     """Which engine has which prefix blocks in its cache, as far as is known."""
 
     def __init__(self) -> None:
-        self._blocks: dict[str, set[int]] = {}
-        self._servers: dict[int, dict[str, None]] = {}
-        self._sequences: dict[str, int] = {}
+        self._blocks_by_server: dict[str, set[int]] = {}
+        self._servers_by_block: dict[int, dict[str, None]] = {}
+        self._last_sequences: dict[str, int] = {}
 
     def apply(self, server: str, page: CacheEventPage) -> None:
         """Apply events in order; a gap discards the server's hints first."""
         for event in page.events:
-            last = self._sequences.get(server)
+            last = self._last_sequences.get(server)
             if last is not None and event.sequence <= last:
                 continue
             if last is not None and event.sequence > last + 1:
-                self.forget(server)
-            self._sequences[server] = event.sequence
-            self._change(server, event.block_hash, event.cached)
+                self.discard_server(server)
+            self._last_sequences[server] = event.sequence
+            self._apply_event(server, event.block_hash, event.cached)
         if page.gap:
-            self.forget(server)
+            self.discard_server(server)
 
-    def forget(self, server: str) -> None:
+    def discard_server(self, server: str) -> None:
         """Discard all hints of a server."""
-        for block_hash in self._blocks.pop(server, set()):
-            self._drop(server, block_hash)
+        for block_hash in self._blocks_by_server.pop(server, set()):
+            self._remove_holder(server, block_hash)
 
-    def restart(self, server: str) -> None:
+    def reset_server(self, server: str) -> None:
         """Discard a server's hints and accept a new numbering of its events."""
-        self.forget(server)
-        self._sequences.pop(server, None)
+        self.discard_server(server)
+        self._last_sequences.pop(server, None)
 
     def cached_tokens(self, server: str, hashes: Sequence[int]) -> int:
         """Return the length of the longest cached prefix, in tokens."""
-        blocks = self._blocks.get(server)
+        blocks = self._blocks_by_server.get(server)
         if not blocks:
             return 0
         low, high = 0, len(hashes)
@@ -59,25 +59,25 @@
                 high = middle - 1
         return low * _BLOCK_TOKENS
 
-    def servers_with(self, hashes: Sequence[int], count: int) -> list[str]:
+    def servers_with_prefix(self, hashes: Sequence[int], count: int) -> list[str]:
         """Return up to `count` servers that have at least the first block."""
         if not hashes:
             return []
-        found = self._servers.get(hashes[0], {})
+        found = self._servers_by_block.get(hashes[0], {})
         return [name for _, name in zip(range(count), found, strict=False)]
 
-    def _change(self, server: str, block_hash: int, cached: bool) -> None:
-        blocks = self._blocks.setdefault(server, set())
+    def _apply_event(self, server: str, block_hash: int, cached: bool) -> None:
+        blocks = self._blocks_by_server.setdefault(server, set())
         if not cached:
             blocks.discard(block_hash)
-            self._drop(server, block_hash)
-        elif len(blocks) < _MAX_BLOCKS:
+            self._remove_holder(server, block_hash)
+        elif len(blocks) < _MAX_BLOCKS_PER_SERVER:
             blocks.add(block_hash)
-            self._servers.setdefault(block_hash, {})[server] = None
+            self._servers_by_block.setdefault(block_hash, {})[server] = None
 
-    def _drop(self, server: str, block_hash: int) -> None:
-        holders = self._servers.get(block_hash)
+    def _remove_holder(self, server: str, block_hash: int) -> None:
+        holders = self._servers_by_block.get(block_hash)
         if holders is not None:
             holders.pop(server, None)
             if not holders:
-                del self._servers[block_hash]
+                del self._servers_by_block[block_hash]
--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -11,29 +11,29 @@
     RequestProfile,
 )
 
-__all__ = ["TAKE_OVER_GRACE_S", "Entry", "RequestRegistry"]
+__all__ = ["TAKE_OVER_GRACE_S", "RequestEntry", "RequestRegistry"]
 
 # With the lease of 3 s this leaves 1 s of the promised lease time plus 3 s.
 TAKE_OVER_GRACE_S = 2.0
-_TOMBSTONE_S = 60.0
+_ENDED_RETENTION_S = 60.0
 
 
 @dataclass(slots=True)
-class Entry:
+class RequestEntry:
     """One request: queued without a placement, running with one."""
 
     profile: RequestProfile
     front: str
     incarnation: int
     estimate: Estimate
-    queued_s: float
+    queued_at_s: float
     placement: Placement | None = None
     phase: RequestPhase = RequestPhase.QUEUED
     pieces: int = 0
     output_tokens: int = 0
-    placed_s: float = 0.0
+    placed_at_s: float = 0.0
     prefill_end_s: float = 0.0
-    reclaim_s: float | None = None
+    reclaim_at_s: float | None = None
     taken_over: bool = False
     suspect: bool = False
 
@@ -42,7 +42,7 @@
         """The name of the attempt on engines."""
         return f"{self.profile.request_id}.{self.profile.attempt}"
 
-    def to_active(self) -> ActiveRequest | None:
+    def to_active_request(self) -> ActiveRequest | None:
         """Return the message that describes the running request."""
         if self.placement is None:
             return None
@@ -55,118 +55,118 @@
 
 
 @dataclass(slots=True)
-class _Front:
+class _FrontState:
     incarnation: int
-    seen_s: float
-    lost: bool = False
+    last_seen_s: float
+    is_lost: bool = False
 
 
 class RequestRegistry:
     """Finds requests, and fronts that have been silent for too long."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, Entry] = {}
-        self._by_front: dict[str, dict[str, None]] = {}
-        self._fronts: dict[str, _Front] = {}
+        self.entries: dict[str, RequestEntry] = {}
+        self._ids_by_front: dict[str, dict[str, None]] = {}
+        self._fronts: dict[str, _FrontState] = {}
         self._orphans: dict[str, None] = {}
-        self._ended: dict[str, float] = {}
-        self._unknown: dict[tuple[str, str], float] = {}
+        self._ended_at_s: dict[str, float] = {}
+        self._unknown_since_s: dict[tuple[str, str], float] = {}
 
-    def add(self, entry: Entry) -> None:
+    def add(self, entry: RequestEntry) -> None:
         """Record a request of its front."""
         request_id = entry.profile.request_id
         self.entries[request_id] = entry
-        self._by_front.setdefault(entry.front, {})[request_id] = None
+        self._ids_by_front.setdefault(entry.front, {})[request_id] = None
 
-    def remove(self, request_id: str, now_s: float) -> Entry | None:
+    def remove(self, request_id: str, now_s: float) -> RequestEntry | None:
         """Forget a request; an attempt that was placed counts as ended."""
         entry = self.entries.pop(request_id, None)
         if entry is not None:
-            self._by_front.get(entry.front, {}).pop(request_id, None)
+            self._ids_by_front.get(entry.front, {}).pop(request_id, None)
             self._orphans.pop(request_id, None)
             if entry.placement is not None:
-                self.note_ended(entry.engine_request_id, now_s)
+                self.record_ended(entry.engine_request_id, now_s)
         return entry
 
-    def note_ended(self, engine_request_id: str, now_s: float) -> None:
+    def record_ended(self, engine_request_id: str, now_s: float) -> None:
         """Remember that an attempt is over."""
-        self._ended[engine_request_id] = now_s
-        while self._ended:
-            oldest = next(iter(self._ended))
-            if self._ended[oldest] > now_s - _TOMBSTONE_S:
+        self._ended_at_s[engine_request_id] = now_s
+        while self._ended_at_s:
+            oldest = next(iter(self._ended_at_s))
+            if self._ended_at_s[oldest] > now_s - _ENDED_RETENTION_S:
                 break
-            del self._ended[oldest]
+            del self._ended_at_s[oldest]
 
     def has_ended(self, engine_request_id: str) -> bool:
         """Tell whether an attempt was placed and is over."""
-        return engine_request_id in self._ended
+        return engine_request_id in self._ended_at_s
 
-    def move(self, entry: Entry, front: str, incarnation: int) -> None:
+    def reassign(self, entry: RequestEntry, front: str, incarnation: int) -> None:
         """Give a request to another front."""
         request_id = entry.profile.request_id
-        self._by_front.get(entry.front, {}).pop(request_id, None)
+        self._ids_by_front.get(entry.front, {}).pop(request_id, None)
         entry.front, entry.incarnation = front, incarnation
-        entry.reclaim_s, entry.taken_over = None, True
+        entry.reclaim_at_s, entry.taken_over = None, True
         self._orphans.pop(request_id, None)
-        self._by_front.setdefault(front, {})[request_id] = None
+        self._ids_by_front.setdefault(front, {})[request_id] = None
 
-    def with_fingerprint(self, fingerprint: str) -> list[Entry]:
+    def find_by_fingerprint(self, fingerprint: str) -> list[RequestEntry]:
         """Return the requests with a fingerprint; asked for suspects only."""
         entries = self.entries.values()
         return [item for item in entries if item.profile.fingerprint == fingerprint]
 
-    def note_front(self, front: str, incarnation: int, now_s: float) -> None:
+    def record_front_alive(self, front: str, incarnation: int, now_s: float) -> None:
         """Note that a front is alive."""
         known = self._fronts.get(front)
         if known is None or incarnation != known.incarnation:
-            self._fronts[front] = _Front(incarnation, now_s)
+            self._fronts[front] = _FrontState(incarnation, now_s)
         else:
-            known.seen_s, known.lost = now_s, False
+            known.last_seen_s, known.is_lost = now_s, False
 
-    def is_front_lost(self, entry: Entry) -> bool:
+    def is_front_lost(self, entry: RequestEntry) -> bool:
         """Tell whether the front of a request is gone."""
         known = self._fronts.get(entry.front)
-        return known is None or known.lost or known.incarnation != entry.incarnation
+        return known is None or known.is_lost or known.incarnation != entry.incarnation
 
-    def mark_lost(self, front: str, incarnation: int) -> None:
+    def mark_front_lost(self, front: str, incarnation: int) -> None:
         """Note that a front's process is gone."""
         known = self._fronts.get(front)
         if known is not None and known.incarnation == incarnation:
-            known.lost = True
+            known.is_lost = True
 
-    def orphan(self, entry: Entry, now_s: float) -> None:
+    def mark_orphaned(self, entry: RequestEntry, now_s: float) -> None:
         """Let others take the request over until its grace has passed."""
-        if entry.reclaim_s is None:
-            entry.reclaim_s = now_s + TAKE_OVER_GRACE_S
+        if entry.reclaim_at_s is None:
+            entry.reclaim_at_s = now_s + TAKE_OVER_GRACE_S
             self._orphans[entry.profile.request_id] = None
 
-    def take_due(self, now_s: float) -> list[Entry]:
+    def pop_expired_orphans(self, now_s: float) -> list[RequestEntry]:
         """Return orphans whose grace has passed; a front that is back keeps its."""
-        due: list[Entry] = []
+        due: list[RequestEntry] = []
         for request_id in list(self._orphans):
             entry = self.entries[request_id]
-            if entry.reclaim_s is None or now_s < entry.reclaim_s:
+            if entry.reclaim_at_s is None or now_s < entry.reclaim_at_s:
                 continue
             del self._orphans[request_id]
-            entry.reclaim_s = None
+            entry.reclaim_at_s = None
             if self.is_front_lost(entry):
                 due.append(entry)
         return due
 
-    def requests_of(self, front: str) -> list[Entry]:
+    def requests_of_front(self, front: str) -> list[RequestEntry]:
         """Return the requests of a front."""
-        return [self.entries[item] for item in self._by_front.get(front, {})]
+        return [self.entries[item] for item in self._ids_by_front.get(front, {})]
 
-    def find_silent(self, now_s: float) -> list[tuple[str, int]]:
+    def find_silent_fronts(self, now_s: float) -> list[tuple[str, int]]:
         """Return fronts that became silent, with their incarnations."""
         return [
             (name, front.incarnation)
             for name, front in self._fronts.items()
-            if not front.lost and now_s - front.seen_s >= FRONT_LEASE_S
+            if not front.is_lost and now_s - front.last_seen_s >= FRONT_LEASE_S
         ]
 
     def is_leaked(
-        self, server: str, engine_request_id: str, asked_s: float, now_s: float
+        self, server: str, engine_request_id: str, requested_s: float, now_s: float
     ) -> bool:
         """
         Tell whether an engine's list entry belongs to no request and is old.
@@ -178,15 +178,15 @@
         key = (server, engine_request_id)
         entry = self.entries.get(request_id)
         if entry is not None and str(entry.profile.attempt) == attempt:
-            self._unknown.pop(key, None)
+            self._unknown_since_s.pop(key, None)
             return False
-        ended_s = self._ended.get(engine_request_id)
+        ended_s = self._ended_at_s.get(engine_request_id)
         if ended_s is not None:
-            return asked_s > ended_s
-        return now_s - self._unknown.setdefault(key, now_s) >= FRONT_LEASE_S
+            return requested_s > ended_s
+        return now_s - self._unknown_since_s.setdefault(key, now_s) >= FRONT_LEASE_S
 
-    def forget_unlisted(self, server: str, listed: set[str]) -> None:
+    def discard_unlisted(self, server: str, listed: set[str]) -> None:
         """Forget unknown entries that an engine no longer lists."""
-        for key in [key for key in self._unknown if key[0] == server]:
+        for key in [key for key in self._unknown_since_s if key[0] == server]:
             if key[1] not in listed:
-                del self._unknown[key]
+                del self._unknown_since_s[key]
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -3,7 +3,7 @@
 import random
 
 from damaskridge.core.dispatch import DispatchMethod
-from damaskridge.core.scheduling.dispatch import NO_SERVER_LIMIT_S, Dispatcher
+from damaskridge.core.scheduling.dispatch import NO_SERVER_TIMEOUT_S, Dispatcher
 from damaskridge.core.scheduling.messages import (
     CacheReported,
     CancelOnEngine,
@@ -30,8 +30,12 @@
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
-from damaskridge.core.scheduling.recovery import Recovery, refuse_held, refuse_take_over
-from damaskridge.core.scheduling.registry import Entry, RequestRegistry
+from damaskridge.core.scheduling.recovery import (
+    Recovery,
+    refuse_quarantined,
+    refuse_take_over,
+)
+from damaskridge.core.scheduling.registry import RequestEntry, RequestRegistry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
 from damaskridge.core.scheduling.servers import ServerState
@@ -48,10 +52,10 @@
     RequestProfile,
 )
 
-__all__ = ["REBUILD_LIMIT_S", "CellScheduler"]
+__all__ = ["REBUILD_TIMEOUT_S", "CellScheduler"]
 
-REBUILD_LIMIT_S = 3.0
-_SILENCE_CHECK_S = 0.25
+REBUILD_TIMEOUT_S = 3.0
+_CHECK_INTERVAL_S = 0.25
 _ENGINE_ROLES = {
     role.value: role
     for role in BackendServerRole
@@ -83,27 +87,27 @@
         self._estimator = estimator or UrgencyEstimator()
         self._overload = OverloadControl(rng)
         self._registry = RequestRegistry()
-        self._retries = RetryBudget()
+        self._retry_budget = RetryBudget()
         self._suspects = SuspectTable()
-        self._roles = RoleAdvisor()
+        self._role_advisor = RoleAdvisor()
         self._dispatcher = Dispatcher(self._settings)
         self._placer = self._dispatcher.placer
         self._recovery = Recovery(
-            self._registry, self._placer, self._suspects, self._end
+            self._registry, self._placer, self._suspects, self._end_request
         )
         self._epoch: int | None = None
-        self._missing_fronts: set[str] = set()
-        self._missing_engines: set[str] = set()
-        self._rebuilt_by_s = 0.0
+        self._unregistered_fronts: set[str] = set()
+        self._unlisted_engines: set[str] = set()
+        self._rebuild_deadline_s = 0.0
         self._next_check_s = 0.0
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
         """Apply `event` and return what to send."""
         actions = self._apply(event, now_s)
         if now_s >= self._next_check_s:
-            self._next_check_s = now_s + _SILENCE_CHECK_S
+            self._next_check_s = now_s + _CHECK_INTERVAL_S
             actions += self._recovery.check_fronts(now_s)
-            actions += self._propose_role(now_s)
+            actions += self._propose_role_change(now_s)
             actions += self._refuse_unservable(now_s)
         if self.is_rebuilt(now_s):
             actions += self._dispatcher.dispatch(self._registry, now_s)
@@ -114,9 +118,9 @@
         if self._epoch is None:
             return None
         if not self.is_rebuilt(now_s):
-            return min(self._rebuilt_by_s, self._next_check_s)
-        if self._dispatcher.has_work:
-            return min(self._next_check_s, now_s + self._dispatcher.retry_s)
+            return min(self._rebuild_deadline_s, self._next_check_s)
+        if self._dispatcher.has_queued_requests:
+            return min(self._next_check_s, now_s + self._dispatcher.retry_interval_s)
         return self._next_check_s if self._registry.entries else None
 
     @DispatchMethod
@@ -127,10 +131,10 @@
     def _(self, event: CellGained, now_s: float) -> list[CellAction]:
         assert self._epoch is None or event.epoch > self._epoch, "epochs only grow"
         self._epoch = event.epoch
-        self._missing_fronts = set(event.fronts)
-        self._rebuilt_by_s = now_s + REBUILD_LIMIT_S
-        self._change_servers(event.backend_servers, event.workspaces)
-        self._missing_engines = {
+        self._unregistered_fronts = set(event.fronts)
+        self._rebuild_deadline_s = now_s + REBUILD_TIMEOUT_S
+        self._update_servers(event.backend_servers, event.workspaces)
+        self._unlisted_engines = {
             server.name
             for server in event.backend_servers
             if server.role is not BackendServerRole.SERVICE
@@ -139,7 +143,7 @@
 
     @_apply.register
     def _(self, event: CellChanged, now_s: float) -> list[CellAction]:
-        self._change_servers(event.backend_servers, event.workspaces)
+        self._update_servers(event.backend_servers, event.workspaces)
         return []
 
     @_apply.register
@@ -147,26 +151,26 @@
         profile = event.profile
         if profile.epoch != self._epoch:
             return [_refuse(profile, ErrorKind.EPOCH_CONFLICT)]
-        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        self._registry.record_front_alive(profile.front, profile.incarnation, now_s)
         actions: list[CellAction] = []
         if self._registry.has_ended(f"{profile.request_id}.{profile.attempt}"):
             return [_refuse(profile, ErrorKind.CANCELLED)]
         known = self._registry.entries.get(profile.request_id)
         if known is not None and known.profile.attempt >= profile.attempt:
-            return self._repeat_reply(known, profile)
+            return self._resend_placement(known, profile)
         server = self._placer.servers.get(profile.crashed_server)
         if server is not None:
             was_suspect = known is not None and known.suspect
-            actions += self._recovery.note_lost_server(
+            actions += self._recovery.record_crash_seen_by_front(
                 profile.fingerprint, server, now_s, was_suspect=was_suspect
             )
             known = self._registry.entries.get(profile.request_id)
         if known is not None:
-            self._note_lost_transfer(known)
-            actions += self._end(known, now_s, cancel=True)
+            self._record_lost_transfer(known)
+            actions += self._end_request(known, now_s, cancel=True)
         if self._suspects.has_reached_crash_limit(profile.fingerprint, now_s):
-            return [*actions, refuse_held(profile)]
-        refusal = self._check_submitted(profile)
+            return [*actions, refuse_quarantined(profile)]
+        refusal = self._check_admissible(profile)
         if refusal is not None:
             return [*actions, refusal]
         return actions + self._enqueue(profile, now_s)
@@ -175,20 +179,20 @@
     def _(self, event: RequestRegistered, now_s: float) -> list[CellAction]:
         active = event.active
         profile = active.profile
-        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        self._registry.record_front_alive(profile.front, profile.incarnation, now_s)
         if profile.request_id in self._registry.entries:
             return []
         entry = self._new_entry(profile, now_s)
         entry.placement, entry.phase = active.placement, active.phase
         entry.output_tokens = active.output_tokens
         self._registry.add(entry)
-        self._placer.adopt(entry, active.placement)
+        self._placer.reserve_running(entry, active.placement)
         return []
 
     @_apply.register
     def _(self, event: FrontRegistered, now_s: float) -> list[CellAction]:
-        self._registry.note_front(event.front, event.incarnation, now_s)
-        self._missing_fronts.discard(event.front)
+        self._registry.record_front_alive(event.front, event.incarnation, now_s)
+        self._unregistered_fronts.discard(event.front)
         return []
 
     @_apply.register
@@ -197,23 +201,23 @@
         if entry is None:
             return []
         if entry.placement is None:
-            waited_s = now_s - entry.queued_s + entry.profile.waited_s
+            waited_s = now_s - entry.queued_at_s + entry.profile.waited_s
             self._estimator.record_abandoned(entry.profile, waited_s)
-        return self._end(entry, now_s, cancel=True)
+        return self._end_request(entry, now_s, cancel=True)
 
     @_apply.register
     def _(self, event: ProgressReported, now_s: float) -> list[CellAction]:
         batch = event.batch
         if batch.epoch != self._epoch:
             return []
-        self._registry.note_front(batch.front, batch.incarnation, now_s)
+        self._registry.record_front_alive(batch.front, batch.incarnation, now_s)
         actions: list[CellAction] = []
         for item in batch.items:
             entry = self._registry.entries.get(item.request_id)
             server = self._placer.servers.get(item.failed_server)
             if item.crashed and server is not None:
                 # The request may have ended here: its withdrawal overtakes reports.
-                actions += self._recovery.note_lost_server(
+                actions += self._recovery.record_crash_seen_by_front(
                     item.fingerprint,
                     server,
                     now_s - item.age_s,
@@ -223,7 +227,7 @@
             if entry is None or entry.profile.attempt != item.attempt:
                 continue
             if entry.front == batch.front and entry.incarnation == batch.incarnation:
-                actions += self._note_progress(entry, item, now_s)
+                actions += self._apply_progress(entry, item, now_s)
         return actions
 
     @_apply.register
@@ -234,7 +238,7 @@
         report = event.report
         if report.incarnation != server.incarnation:
             server.incarnation = report.incarnation
-            self._placer.hints.restart(event.backend_server)
+            self._placer.hints.reset_server(event.backend_server)
         if report.role in _ENGINE_ROLES:
             server.role = _ENGINE_ROLES[report.role]
         server.apply_report(report, self._settings.correct_reports, now_s)
@@ -250,27 +254,29 @@
     @_apply.register
     def _(self, event: EngineRequestsListed, now_s: float) -> list[CellAction]:
         name = event.backend_server
-        self._missing_engines.discard(name)
+        self._unlisted_engines.discard(name)
         listed = {item.engine_request_id for item in event.requests}
-        self._registry.forget_unlisted(name, listed)
+        self._registry.discard_unlisted(name, listed)
         return [
             CancelOnEngine(name, engine_request_id)
             for engine_request_id in sorted(listed)
-            if self._registry.is_leaked(name, engine_request_id, event.asked_s, now_s)
+            if self._registry.is_leaked(
+                name, engine_request_id, event.requested_s, now_s
+            )
         ]
 
     @_apply.register
     def _(self, event: ServerFailed, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
-        self._missing_engines.discard(event.backend_server)
+        self._unlisted_engines.discard(event.backend_server)
         if server is None or event.incarnation < server.incarnation:
             return []
         was_failed, server.failed = server.failed, True
-        self._placer.hints.restart(event.backend_server)
+        self._placer.hints.reset_server(event.backend_server)
         self._placer.update(server)
         if not event.crashed or was_failed:
             return []
-        return self._recovery.note_crash(server, event.incarnation, now_s)
+        return self._recovery.record_crash(server, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
@@ -278,14 +284,14 @@
         if server is not None:
             # A server that answers after a silence may still be leaving.
             server.failed = False
-            server.busy_until_s = server.urgent_until_s = now_s
+            server.busy_until_s = server.urgent_busy_until_s = now_s
             self._placer.update(server)
         return []
 
     @_apply.register
     def _(self, event: ServerLeaving, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
-        self._missing_engines.discard(event.backend_server)
+        self._unlisted_engines.discard(event.backend_server)
         if server is not None:
             server.leaving = True
             self._placer.update(server)
@@ -301,15 +307,15 @@
 
     @_apply.register
     def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
-        self._missing_fronts.discard(event.front)
+        self._unregistered_fronts.discard(event.front)
         return self._recovery.handle_front_loss(event.front, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
-        ask = event.take_over
-        if ask.epoch != self._epoch:
-            return [refuse_take_over(ask, ErrorKind.EPOCH_CONFLICT)]
-        return self._recovery.take_over(ask, now_s)
+        request = event.take_over
+        if request.epoch != self._epoch:
+            return [refuse_take_over(request, ErrorKind.EPOCH_CONFLICT)]
+        return self._recovery.take_over(request, now_s)
 
     @_apply.register
     def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
@@ -319,10 +325,10 @@
         """Tell whether fronts and engines have reported, or the wait is over."""
         if self._epoch is None:
             return False
-        is_complete = not self._missing_fronts and not self._missing_engines
-        return is_complete or now_s >= self._rebuilt_by_s
+        is_complete = not self._unregistered_fronts and not self._unlisted_engines
+        return is_complete or now_s >= self._rebuild_deadline_s
 
-    def _change_servers(
+    def _update_servers(
         self, servers: tuple[BackendServer, ...], workspaces: tuple[Workspace, ...]
     ) -> None:
         self._dispatcher.queue.set_weights(
@@ -343,10 +349,10 @@
             server = self._placer.servers[name]
             server.removed = True
             self._placer.update(server)
-            self._missing_engines.discard(name)
-        self._dispatcher.note_servers()
+            self._unlisted_engines.discard(name)
+        self._dispatcher.update_capacity()
 
-    def _check_submitted(self, profile: RequestProfile) -> SendSubmitResponse | None:
+    def _check_admissible(self, profile: RequestProfile) -> SendSubmitResponse | None:
         """Refuse what no server could ever run, and retries beyond the budget."""
         if not any(
             server.spec.serves == profile.model
@@ -356,18 +362,20 @@
         if not self._dispatcher.can_ever_fit(profile):
             return _refuse(profile, ErrorKind.INVALID_REQUEST)
         if profile.attempt == 1:
-            self._retries.earn(profile.workspace)
-        elif self._settings.budget_retries and not self._retries.spend(
+            self._retry_budget.record_first_attempt(profile.workspace)
+        elif self._settings.budget_retries and not self._retry_budget.try_spend(
             profile.workspace, profile.attempt
         ):
-            return _refuse(profile, ErrorKind.OVERLOADED, self._overload.spread_s(1.0))
+            return _refuse(
+                profile, ErrorKind.OVERLOADED, self._overload.with_jitter_s(1.0)
+            )
         return None
 
     def _enqueue(self, profile: RequestProfile, now_s: float) -> list[CellAction]:
         entry = self._new_entry(profile, now_s)
         if self._settings.control_overload and profile.attempt == 1:
             level = entry.estimate.level
-            wait_s = self._dispatcher.queue.wait_s(profile.workspace, level)
+            wait_s = self._dispatcher.queue.expected_wait_s(profile.workspace, level)
             retry_after_s = self._overload.retry_after_s(level, wait_s)
             if retry_after_s is not None:
                 return [_refuse(profile, ErrorKind.OVERLOADED, retry_after_s)]
@@ -375,9 +383,11 @@
         self._dispatcher.enqueue(entry, now_s)
         return []
 
-    def _new_entry(self, profile: RequestProfile, now_s: float) -> Entry:
+    def _new_entry(self, profile: RequestProfile, now_s: float) -> RequestEntry:
         estimate = self._estimator.estimate(profile, 0)
-        entry = Entry(profile, profile.front, profile.incarnation, estimate, now_s)
+        entry = RequestEntry(
+            profile, profile.front, profile.incarnation, estimate, now_s
+        )
         cached_tokens = self._placer.cached_tokens(entry)
         if cached_tokens:
             entry.estimate = self._estimator.estimate(profile, cached_tokens)
@@ -386,26 +396,28 @@
         )
         return entry
 
-    def _repeat_reply(self, known: Entry, profile: RequestProfile) -> list[CellAction]:
+    def _resend_placement(
+        self, known: RequestEntry, profile: RequestProfile
+    ) -> list[CellAction]:
         if known.placement is None or known.profile.attempt != profile.attempt:
             return []
-        reply = SendSubmitResponse(known.front, profile.request_id, known.placement)
-        return [reply] if known.front == profile.front else []
+        response = SendSubmitResponse(known.front, profile.request_id, known.placement)
+        return [response] if known.front == profile.front else []
 
-    def _note_progress(
-        self, entry: Entry, item: Progress, now_s: float
+    def _apply_progress(
+        self, entry: RequestEntry, item: Progress, now_s: float
     ) -> list[CellAction]:
         if item.phase is RequestPhase.FINISHED:
             return self._finish(entry, item, now_s)
         if item.phase is RequestPhase.CANCELLED:
-            return self._end(entry, now_s, cancel=True)
+            return self._end_request(entry, now_s, cancel=True)
         if entry.placement is not None and item.phase is not RequestPhase.QUEUED:
             entry.phase = item.phase
             entry.output_tokens = max(entry.output_tokens, item.output_tokens)
             self._placer.extend(entry)
         return []
 
-    def _note_lost_transfer(self, entry: Entry) -> None:
+    def _record_lost_transfer(self, entry: RequestEntry) -> None:
         """Take a new attempt without a failed server for an evicted prefill result."""
         placement = entry.placement
         if placement is None or entry.phase is RequestPhase.DECODING:
@@ -413,19 +425,23 @@
         names = (placement.prefill_server, placement.decode_server)
         servers = [self._placer.servers.get(name) for name in names]
         if all(server is not None and not server.failed for server in servers):
-            self._placer.note_transfer(arrived=False)
+            self._placer.record_transfer(arrived=False)
 
-    def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
-        waited_s = max(0.0, entry.placed_s - entry.queued_s)
+    def _finish(
+        self, entry: RequestEntry, item: Progress, now_s: float
+    ) -> list[CellAction]:
+        waited_s = max(0.0, entry.placed_at_s - entry.queued_at_s)
         self._estimator.record_finished(entry.profile, item.output_tokens, waited_s)
-        self._placer.note_transfer(arrived=True)
+        self._placer.record_transfer(arrived=True)
         actions: list[CellAction] = []
         if entry.suspect:
             self._suspects.clear(entry.profile.fingerprint)
             actions.append(ReportSuspectCleared(entry.profile.fingerprint))
-        return actions + self._end(entry, now_s, cancel=False)
+        return actions + self._end_request(entry, now_s, cancel=False)
 
-    def _end(self, entry: Entry, now_s: float, cancel: bool) -> list[CellAction]:
+    def _end_request(
+        self, entry: RequestEntry, now_s: float, cancel: bool
+    ) -> list[CellAction]:
         """Forget a request, free its reservations, and cancel it on its engines."""
         self._dispatcher.queue.remove(entry.profile.request_id)
         self._registry.remove(entry.profile.request_id, now_s)
@@ -443,16 +459,18 @@
         actions: list[CellAction] = []
         for request_id in self._dispatcher.find_unservable(self._registry, now_s):
             entry = self._registry.entries[request_id]
-            retry_after_s = self._overload.spread_s(NO_SERVER_LIMIT_S)
+            retry_after_s = self._overload.with_jitter_s(NO_SERVER_TIMEOUT_S)
             kind = ErrorKind.NO_BACKEND_SERVER
             actions.append(_refuse(entry.profile, kind, retry_after_s))
-            actions += self._end(entry, now_s, cancel=False)
+            actions += self._end_request(entry, now_s, cancel=False)
         return actions
 
-    def _propose_role(self, now_s: float) -> list[CellAction]:
+    def _propose_role_change(self, now_s: float) -> list[CellAction]:
         if not self._settings.propose_roles:
             return []
-        proposal = self._roles.propose(list(self._placer.servers.values()), now_s)
+        proposal = self._role_advisor.propose(
+            list(self._placer.servers.values()), now_s
+        )
         if proposal is None:
             return []
         server, role = proposal
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -4,10 +4,10 @@
 
 SUSPECT_RETENTION_S = 3600.0
 # A front sees a crash at once, the owner with its next polls of the engine.
-CRASH_SEEN_S = 5.0
+MAX_CRASH_DETECTION_DELAY_S = 5.0
 # By then the control group has the reports of the crashes.
 LOCAL_CRASH_WINDOW_S = 10.0
-_CRASHES = 2
+_MAX_CRASHES = 2
 _EARLIER_CRASH = ("", 0)
 
 
@@ -15,15 +15,17 @@
     """Suspects of this cell's own crashes, beside those that fronts report."""
 
     def __init__(self) -> None:
-        self._until_s: dict[str, float] = {}
-        self._failed_s: dict[str, dict[tuple[str, int], float]] = {}
+        self._suspect_until_s: dict[str, float] = {}
+        self._failures_s: dict[str, dict[tuple[str, int], float]] = {}
 
     def add(self, fingerprints: tuple[str, ...], now_s: float) -> None:
         """Suspect the fingerprints of a crash."""
         for fingerprint in fingerprints:
-            self._until_s[fingerprint] = now_s + SUSPECT_RETENTION_S
-        for fingerprint in [f for f, end_s in self._until_s.items() if end_s <= now_s]:
-            del self._until_s[fingerprint]
+            self._suspect_until_s[fingerprint] = now_s + SUSPECT_RETENTION_S
+        for fingerprint in [
+            f for f, end_s in self._suspect_until_s.items() if end_s <= now_s
+        ]:
+            del self._suspect_until_s[fingerprint]
 
     def record_failure(
         self,
@@ -41,17 +43,19 @@
         however long ago it was.
         """
         self.add((fingerprint,), now_s)
-        failed = self._failed_s.setdefault(fingerprint, {})
-        if was_suspect and (server, incarnation) not in failed:
-            failed[_EARLIER_CRASH] = now_s
-        failed.setdefault((server, incarnation), now_s)
-        for name, items in list(self._failed_s.items()):
+        failures = self._failures_s.setdefault(fingerprint, {})
+        if was_suspect and (server, incarnation) not in failures:
+            failures[_EARLIER_CRASH] = now_s
+        failures.setdefault((server, incarnation), now_s)
+        for name, items in list(self._failures_s.items()):
             if all(
                 now_s - failed_s > LOCAL_CRASH_WINDOW_S for failed_s in items.values()
             ):
-                del self._failed_s[name]
+                del self._failures_s[name]
 
-    def failed_on(self, server: str, incarnation: int, now_s: float) -> list[str]:
+    def recently_failed_on(
+        self, server: str, incarnation: int, now_s: float
+    ) -> list[str]:
         """
         Return what fronts lost on a server just before its crash was seen.
 
@@ -60,23 +64,23 @@
         key = (server, incarnation)
         return [
             fingerprint
-            for fingerprint, failed in self._failed_s.items()
-            if now_s - failed.get(key, float("-inf")) <= CRASH_SEEN_S
+            for fingerprint, failures in self._failures_s.items()
+            if now_s - failures.get(key, float("-inf")) <= MAX_CRASH_DETECTION_DELAY_S
         ]
 
     def has_reached_crash_limit(self, fingerprint: str, now_s: float) -> bool:
         """Tell whether a fingerprint was lost with as many servers as it may cost."""
-        failed = self._failed_s.get(fingerprint, {}).values()
+        failures = self._failures_s.get(fingerprint, {}).values()
         return (
-            sum(now_s - failed_s <= LOCAL_CRASH_WINDOW_S for failed_s in failed)
-            >= _CRASHES
+            sum(now_s - failed_s <= LOCAL_CRASH_WINDOW_S for failed_s in failures)
+            >= _MAX_CRASHES
         )
 
     def clear(self, fingerprint: str) -> None:
         """Forget a fingerprint that ran to its end."""
-        self._until_s.pop(fingerprint, None)
-        self._failed_s.pop(fingerprint, None)
+        self._suspect_until_s.pop(fingerprint, None)
+        self._failures_s.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Tell whether the fingerprint is suspect."""
-        return self._until_s.get(fingerprint, 0.0) > now_s
+        return self._suspect_until_s.get(fingerprint, 0.0) > now_s
--- a/tests/core/scheduling/test_parts.py
+++ b/tests/core/scheduling/test_parts.py
@@ -34,10 +34,10 @@
     hints = PrefixHints()
     hints.apply("e", page(1, 2, 3))
     assert hints.cached_tokens("e", (101, 102, 103, 104)) == 192
-    assert hints.servers_with((101,), 3) == ["e"]
+    assert hints.servers_with_prefix((101,), 3) == ["e"]
     hints.apply("e", page(5))
     assert hints.cached_tokens("e", (101, 102)) == 0
-    assert hints.servers_with((101,), 3) == []
+    assert hints.servers_with_prefix((101,), 3) == []
     hints.apply("e", page(2))
     assert hints.cached_tokens("e", (102,)) == 0, "a repeated event is old"
     hints.apply("e", page(6, gap=True))
@@ -57,7 +57,7 @@
             due_s = rng.random()
             queue.push(QueueItem(name, space, Level.URGENT, due_s, size))
     while sum(served.values()) < 100:
-        item = queue.take(next(queue.first(Level.URGENT, 1)).request_id)
+        item = queue.remove_placed(next(queue.heads(Level.URGENT, 1)).request_id)
         served[item.workspace] += item.cost_s
     assert served["large"] == pytest.approx(25, abs=2)
     assert served["small"] == pytest.approx(25, abs=2)
@@ -73,17 +73,17 @@
         start_s = links.transfer_start_s(source, target, ready_s, duration_s)
         assert start_s >= ready_s
         links.reserve_transfer(source, target, start_s, duration_s, 0.0)
-    spans = sorted(source.transfers_s)
+    spans = sorted(source.reserved_transfers_s)
     assert all(a[1] <= b[0] + 1e-9 for a, b in pairwise(spans))
 
 
 def test_retries_end():
     budget = RetryBudget()
-    assert not budget.spend("a", MAX_ATTEMPTS + 1)
-    assert sum(budget.spend("a", 2) for _ in range(100)) == 50
+    assert not budget.try_spend("a", MAX_ATTEMPTS + 1)
+    assert sum(budget.try_spend("a", 2) for _ in range(100)) == 50
     for _ in range(11):
-        budget.earn("a")
-    assert budget.spend("a", 2)
+        budget.record_first_attempt("a")
+    assert budget.try_spend("a", 2)
 
 
 def test_a_report_does_not_hide_what_was_sent_since():
@@ -130,10 +130,10 @@
     for number in range(10):
         queue.push(QueueItem(f"bulk{number}", "a", Level.BULK, 0.0, 1.0))
     for number in range(10):
-        queue.take(f"bulk{number}")
+        queue.remove_placed(f"bulk{number}")
     queue.push(QueueItem("first", "a", Level.URGENT, 1.0, 0.01))
     queue.push(QueueItem("second", "b", Level.URGENT, 1.1, 0.01))
-    assert next(queue.first(Level.URGENT, 1)).request_id == "first"
+    assert next(queue.heads(Level.URGENT, 1)).request_id == "first"
 
 
 def test_a_suspect_that_loses_one_more_server_is_held():
--- a/tests/core/scheduling/test_random_runs.py
+++ b/tests/core/scheduling/test_random_runs.py
@@ -161,7 +161,11 @@
         run.beat(now_s)
     assert not run.open
     for server in run.cell._placer.servers.values():
-        assert (server.used_slots, server.used_pieces, server.suspects) == (0, 0, 0)
+        assert (server.used_slots, server.used_pieces, server.suspect_count) == (
+            0,
+            0,
+            0,
+        )
     for name, placement in lost.items():
         assert f"{name}.{placement.attempt}" in run.cancelled
     assert not run.cell._registry.entries
