--- a/src/damaskridge/core/scheduling/__init__.py
+++ b/src/damaskridge/core/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Order, admission and placement of requests within one cell."""
+"""Queueing, admission control and placement of requests within one cell."""
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -1,4 +1,4 @@
-"""Takes requests from the queue in order and places them."""
+"""Removes requests from the queue in scheduling order and places them."""
 
 from damaskridge.core.scheduling import admission
 from damaskridge.core.scheduling.fair_queue import FairQueue, QueueItem
@@ -14,13 +14,13 @@
 
 __all__ = ["NO_SERVER_TIMEOUT_S", "Dispatcher"]
 
-# Time for which requests wait for a server to return before they are refused.
+# Queued requests are refused after their model has had no usable server for this long.
 NO_SERVER_TIMEOUT_S = 3.0
 _RETRY_INTERVAL_S = 0.02
-# Wait past its slack after which a large request gets an engine kept for it.
+# Time past its due time after which an engine is kept free for a large request.
 _CLAIM_AFTER_S = 10.0
 _MAX_HEADS = 4
-# Share of the cell that delay-tolerant work gets after its slack has passed.
+# Share of the cell that delay-tolerant requests past their due time are given.
 _AGED_SHARE = 0.15
 _MAX_AGED_CREDIT_S = 1.0
 _TRANSFER_MARGIN_S = 0.3
@@ -29,7 +29,7 @@
 
 
 class Dispatcher:
-    """Orders queued requests and turns them into placements."""
+    """Decides which queued request is placed next, and places it."""
 
     retry_interval_s = _RETRY_INTERVAL_S
 
@@ -52,7 +52,7 @@
         return len(self.queue) > 0
 
     def update_capacity(self) -> None:
-        """Recompute the capacity of the cell after its servers changed."""
+        """Recompute the capacity of the cell after a change of its servers."""
         usable = [s for s in self.placer.servers.values() if s.is_usable]
         prefill = [s.spec.prefill_tokens_per_s for s in usable if s.can_prefill]
         decode = [s.spec for s in usable if s.can_decode]
@@ -65,12 +65,12 @@
             self._decode_step_s = max(spec.decode_step_ms for spec in decode) / 1000
 
     def can_ever_fit(self, profile: RequestProfile) -> bool:
-        """Tell whether the largest engine could hold the request alone."""
+        """Return whether the prompt fits into the memory of the largest engine."""
         tokens = profile.prompt_tokens + admission.LOOK_AHEAD_TOKENS
         return not self._max_pieces or tokens <= self._max_pieces * self._piece_tokens
 
     def enqueue(self, entry: RequestEntry, now_s: float) -> None:
-        """Queue a request by its urgency."""
+        """Queue a request at the level of its estimated urgency."""
         profile = entry.profile
         is_retry = profile.attempt > 1
         level, due_s = Level.URGENT, now_s
@@ -78,7 +78,7 @@
             level = entry.estimate.level
             due_s = now_s - profile.waited_s + entry.estimate.slack_s
         if is_retry:
-            # A stream that lost its engine has a caller who already reads it.
+            # The caller of a stream that lost its engine may be reading it already.
             level = Level.URGENT
         cost_s = self._cost_s(entry)
         self.queue.push(
@@ -86,7 +86,7 @@
         )
 
     def dispatch(self, registry: RequestRegistry, now_s: float) -> list[CellAction]:
-        """Place what fits, in order."""
+        """Place as many queued requests as fit, in scheduling order."""
         actions: list[CellAction] = []
         if not self.has_queued_requests:
             return actions
@@ -101,34 +101,36 @@
         return actions
 
     def find_unservable(self, registry: RequestRegistry, now_s: float) -> list[str]:
-        """Return queued requests whose model has had no usable server for long."""
+        """Return queued requests whose model has had no server for the timeout."""
         if not self.has_queued_requests:
             self._unservable_since_s.clear()
             return []
         servable = self.placer.servable_models()
-        since_s = self._unservable_since_s
+        unservable_since_s = self._unservable_since_s
         models = {server.spec.serves for server in self.placer.servers.values()}
         for model in models:
             if model in servable:
-                since_s.pop(model, None)
+                unservable_since_s.pop(model, None)
             else:
-                since_s.setdefault(model, now_s)
-        expired_models = {
-            m for m in since_s if now_s - since_s[m] >= NO_SERVER_TIMEOUT_S
+                unservable_since_s.setdefault(model, now_s)
+        unservable_models = {
+            m
+            for m in unservable_since_s
+            if now_s - unservable_since_s[m] >= NO_SERVER_TIMEOUT_S
         }
-        if not expired_models:
+        if not unservable_models:
             return []
         entries = registry.entries
         return [
             r
             for r in self.queue.request_ids()
-            if entries[r].profile.model in expired_models
+            if entries[r].profile.model in unservable_models
         ]
 
     def _place_claimant(
         self, registry: RequestRegistry, now_s: float
     ) -> list[CellAction]:
-        """Place the request that an engine is kept for, or find one that needs it."""
+        """Place the request that claims an engine, or let an overdue one claim one."""
         claimant_id = self.placer.claimant_id
         if claimant_id is not None:
             self.placer.release_stale_claim(claimant_id in self.queue)
@@ -146,7 +148,7 @@
         return []
 
     def _place_aged(self, registry: RequestRegistry, now_s: float) -> list[CellAction]:
-        """Place delay-tolerant work that is past its slack, within its credit."""
+        """Place delay-tolerant requests past their due time, within their credit."""
         actions: list[CellAction] = []
         while self._settings.age_queued and self._aged_credit_s > 0:
             item = next(self.queue.heads(Level.BULK, 1), None)
@@ -180,7 +182,7 @@
         choice = self._choose(entry, level, now_s)
         if choice is None:
             return None
-        assert entry.placement is None, "a request is placed once per attempt"
+        assert entry.placement is None, "an attempt is placed only once"
         self.queue.remove_placed(item.request_id)
         self.placer.reserve(entry, choice, level, now_s)
         entry.placement = _to_placement(entry, choice, level)
@@ -197,9 +199,9 @@
 
     def _demote_late(self, registry: RequestRegistry, now_s: float) -> None:
         """
-        Move urgent requests that missed their target behind those that can meet it.
+        Demote urgent requests that missed the target below those that can meet it.
 
-        Every request moves at most once.
+        Each request is demoted at most once.
         """
         moved = True
         while moved:
@@ -215,7 +217,7 @@
                 moved = True
 
     def _cost_s(self, entry: RequestEntry) -> float:
-        """Return how long the request occupies the whole cell."""
+        """Return the time for which the request would occupy the whole cell."""
         profile, output = entry.profile, entry.estimate.output_tokens
         if not self._total_pieces:
             return _SERVICE_CALL_S / self._total_slots
@@ -231,7 +233,7 @@
 
 
 def _is_running(registry: RequestRegistry, fingerprint: str) -> bool:
-    # Two copies of a suspect could cost two more servers before the first is lost.
+    # Two copies of a suspect could crash two servers before the first crash is seen.
     found = registry.find_by_fingerprint(fingerprint)
     return any(item.placement is not None for item in found)
 
--- a/src/damaskridge/core/scheduling/fair_queue.py
+++ b/src/damaskridge/core/scheduling/fair_queue.py
@@ -1,4 +1,4 @@
-"""The queue: levels of urgency, and within a level fair shares of engine cost."""
+"""The queue of a cell: levels of urgency, and weighted fair queueing in each."""
 
 import heapq
 from collections.abc import Iterator
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class QueueItem:
-    """A queued request; `cost_s` is the time it takes of the whole cell."""
+    """A queued request; `cost_s` is the time for which it occupies the whole cell."""
 
     request_id: str
     workspace: str
@@ -23,19 +23,21 @@
 
 class FairQueue:
     """
-    Start-time fair queueing by cost, blended with due times.
+    Start-time fair queueing by cost, combined with due times.
 
-    Every workspace has a virtual time that grows by the cost of what was taken,
-    divided by its share. The next request of a level is the one with the smallest
-    sum of due time and virtual time, so a workspace is served late by as much as
-    it is ahead of its share, and many small requests count as one large.
-    Delay-tolerant work has virtual times of its own: its backlog is many seconds
-    long, and leads of seconds would decide the order of urgent requests.
+    The virtual time of a workspace advances by the cost of each placed request,
+    divided by the workspace's share. The next request of a level is the one with the
+    smallest sum of due time and virtual time. A workspace is thus delayed by as much
+    as it is ahead of its share, and many small requests count as much as one large.
+
+    Each workspace has two flows with separate virtual times, for delay-tolerant and
+    for other requests. The backlog of delay-tolerant requests is many seconds long, so
+    with a common virtual time its leads would decide the order of urgent requests.
 
     Parameters
     ----------
     is_fair : bool
-        Whether shares count; without, due times alone decide.
+        Whether workspaces get shares; otherwise only due times decide.
     """
 
     def __init__(self, is_fair: bool = True) -> None:
@@ -65,11 +67,11 @@
         return self._items[request_id]
 
     def request_ids(self) -> list[str]:
-        """Return the queued requests."""
+        """Return the identifiers of the queued requests."""
         return list(self._items)
 
     def set_weights(self, weights: dict[str, float]) -> None:
-        """Use the weights of a new bundle."""
+        """Set the weights of the workspaces, as of a new bundle."""
         self._weights = {name: max(weight, 1e-6) for name, weight in weights.items()}
         self._total_weight = sum(self._weights.values()) or 1.0
         self._active_weight = sum(
@@ -77,8 +79,8 @@
         )
 
     def push(self, item: QueueItem) -> None:
-        """Add a request."""
-        assert item.request_id not in self._items, "a request is queued once"
+        """Add a request to the queue."""
+        assert item.request_id not in self._items, "a request is queued only once"
         workspace = item.workspace
         flow = _flow_of(item.level, workspace)
         if not self._flow_counts.get(flow):
@@ -100,7 +102,7 @@
         self._update_head(item.level, workspace)
 
     def remove(self, request_id: str) -> QueueItem | None:
-        """Remove a request that is not placed."""
+        """Remove a request that is not placed, at no charge to its workspace."""
         item = self._items.pop(request_id, None)
         if item is None:
             return None
@@ -116,7 +118,7 @@
         return item
 
     def remove_placed(self, request_id: str) -> QueueItem:
-        """Remove a request that was placed, and charge its workspace."""
+        """Remove a request that was placed, and charge its cost to its workspace."""
         item = self._items[request_id]
         workspace = item.workspace
         share = self._weight(workspace) / self._total_weight
@@ -133,16 +135,17 @@
         return item
 
     def heads(self, level: Level, count: int) -> Iterator[QueueItem]:
-        """Return the heads of up to `count` workspaces, the next one first."""
+        """Yield the first requests of up to `count` workspaces, in scheduling order."""
         for workspace in self._heads[level].smallest(count):
             yield self._items[self._heaps[level, workspace][0][2]]
 
     def expected_wait_s(self, workspace: str, level: Level) -> float:
         """
-        Return how long a new request waits for work at its level and above.
+        Return the expected wait of a new request for requests of its level and above.
 
-        The work of a workspace that floods does not delay the others beyond their
-        share, so a workspace waits for all work or for its own at its share.
+        A workspace that floods the queue does not delay the others beyond their shares.
+        A request therefore waits for the whole backlog, or for that of its workspace
+        served at its share, whichever is shorter.
         """
         own_s = self._workspace_backlog_s.get(workspace)
         if own_s is None:
--- a/src/damaskridge/core/scheduling/lazy_heap.py
+++ b/src/damaskridge/core/scheduling/lazy_heap.py
@@ -1,4 +1,4 @@
-"""A heap of names whose keys change, with logarithmic updates.
+"""A priority queue of names whose keys can change, with logarithmic updates.
 
 >>> heap = LazyHeap()
 >>> heap.update("a", 2.0); heap.update("b", 1.0); heap.update("a", 0.5)
@@ -12,7 +12,7 @@
 
 
 class LazyHeap:
-    """Outdated entries stay in the heap and are dropped when they surface."""
+    """Priority queue with lazy deletion: stale entries are dropped when popped."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, str]] = []
@@ -23,7 +23,7 @@
         return name in self._current_versions
 
     def update(self, name: str, key: float) -> None:
-        """Insert `name` or change its key."""
+        """Insert `name`, or change its key."""
         self._version += 1
         self._current_versions[name] = self._version
         heapq.heappush(self._heap, (key, self._version, name))
@@ -33,11 +33,11 @@
             heapq.heapify(self._heap)
 
     def discard(self, name: str) -> None:
-        """Remove `name` if it is there."""
+        """Remove `name` if it is present."""
         self._current_versions.pop(name, None)
 
     def smallest(self, count: int) -> list[str]:
-        """Return up to `count` names with the smallest keys."""
+        """Return up to `count` names in ascending order of their keys."""
         popped: list[tuple[float, int, str]] = []
         while self._heap and len(popped) < count:
             item = heapq.heappop(self._heap)
--- a/src/damaskridge/core/scheduling/links.py
+++ b/src/damaskridge/core/scheduling/links.py
@@ -1,4 +1,4 @@
-"""Reserves the links that carry KV transfers."""
+"""Reserves the network links of engines for KV transfers."""
 
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.core.scheduling.urgency import Level
@@ -11,16 +11,17 @@
     "transfer_time_s",
 ]
 
-# A prefill result is evicted in less than a second; the transfer starts before.
-# Delay-tolerant work waits in the queue instead, so that links stay free.
+# Longest wait from the end of prefill to the start of the transfer. Prefill engines
+# evict a result in less than a second. Delay-tolerant requests get the shortest wait
+# and stay in the queue instead, so that the links are not reserved far ahead.
 MAX_TRANSFER_DELAY_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.1}
-# Free time before each delay-tolerant transfer, as a share of its length: with
-# transfers back to back, urgent ones find no gap for longer than their target.
+# Idle time before each delay-tolerant transfer, as a ratio of its duration. Without
+# it such transfers run back to back, and urgent ones find no gap within their target.
 BULK_GAP_RATIO = 1.0
 
 
 def transfer_time_s(source: ServerState, target: ServerState, size_bytes: int) -> float:
-    """Return how long a transfer takes on the slower of both links."""
+    """Return the duration of a transfer, which the slower of both links decides."""
     if source is target:
         return 0.0
     rate = min(source.spec.link_bytes_per_s, target.spec.link_bytes_per_s)
@@ -31,10 +32,10 @@
     source: ServerState, target: ServerState, ready_s: float, duration_s: float
 ) -> float:
     """
-    Return the first time from `ready_s` on when both links are free for long enough.
+    Return the earliest start from `ready_s` on with both links free for `duration_s`.
 
-    A transfer may use a gap before a later reservation, because the long prefill
-    of that one would otherwise keep the links from short requests.
+    A transfer may use a gap before a reservation that was made earlier. Otherwise the
+    reservation for a long prefill would block the links for short requests until then.
     """
     if source is target:
         return ready_s
@@ -54,7 +55,7 @@
     duration_s: float,
     now_s: float,
 ) -> None:
-    """Occupy both links, and forget transfers that are over."""
+    """Reserve both links, and discard reservations that have passed."""
     if source is target:
         return
     for server in (source, target):
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -1,4 +1,4 @@
-"""Events and actions of the scheduler of one cell."""
+"""Events and actions of the cell scheduler."""
 
 from dataclasses import dataclass
 
@@ -51,11 +51,11 @@
 @dataclass(frozen=True, slots=True)
 class CellGained:
     """
-    The host now owns the cell.
+    The host acquired the ownership of the cell.
 
-    Nothing is placed before every host in `fronts` has registered its running
-    requests (`RequestRegistered`, then `FrontRegistered`) or was reported lost,
-    and every engine has been listed once or reported as failed.
+    No request is placed until every host in `fronts` has registered its running
+    requests (`RequestRegistered`, then `FrontRegistered`) or was reported lost, and
+    every engine has listed its requests once or was reported as failed.
     """
 
     cell: str
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CellChanged:
-    """A new bundle changed the cell's servers or the workspaces."""
+    """A new bundle changed the servers of the cell or the workspaces."""
 
     backend_servers: tuple[BackendServer, ...]
     workspaces: tuple[Workspace, ...]
@@ -75,21 +75,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSubmitted:
-    """A front asks for a placement."""
+    """A front requests a placement."""
 
     profile: RequestProfile
 
 
 @dataclass(frozen=True, slots=True)
 class RequestRegistered:
-    """A front reports a request that already runs."""
+    """A front reports a request that runs already, to a new owner of the cell."""
 
     active: ActiveRequest
 
 
 @dataclass(frozen=True, slots=True)
 class FrontRegistered:
-    """A front has reported all its running requests."""
+    """A front has registered all its running requests."""
 
     front: str
     incarnation: int
@@ -97,21 +97,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestWithdrawn:
-    """A front gives a request up, queued or running."""
+    """A front cancels a request, queued or running."""
 
     request_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class ProgressReported:
-    """Progress of a front's requests."""
+    """A front reports the progress of its requests."""
 
     batch: ProgressBatch
 
 
 @dataclass(frozen=True, slots=True)
 class LoadReported:
-    """An engine's load report arrived."""
+    """An engine returned a load report."""
 
     backend_server: str
     report: LoadReport
@@ -119,7 +119,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheReported:
-    """Cache events of an engine arrived."""
+    """An engine returned a page of prefix cache events."""
 
     backend_server: str
     page: CacheEventPage
@@ -127,7 +127,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineRequestsListed:
-    """An engine's own list of requests arrived; `requested_s` is when it was asked."""
+    """An engine listed the requests it holds; the call was sent at `requested_s`."""
 
     backend_server: str
     requests: tuple[EngineRequest, ...]
@@ -136,7 +136,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerFailed:
-    """A server died (`crashed`) or does not answer."""
+    """A server crashed (`crashed`) or does not respond."""
 
     backend_server: str
     incarnation: int
@@ -145,28 +145,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRecovered:
-    """A server answers again."""
+    """A server responds again."""
 
     backend_server: str
 
 
 @dataclass(frozen=True, slots=True)
 class ServerLeaveCancelled:
-    """A server that was leaving is not leaving any more."""
+    """A server that was leaving stays after all."""
 
     backend_server: str
 
 
 @dataclass(frozen=True, slots=True)
 class ServerLeaving:
-    """A server is leaving: no new work."""
+    """A server is leaving and gets no new requests."""
 
     backend_server: str
 
 
 @dataclass(frozen=True, slots=True)
 class FrontLost:
-    """A front's process is gone, or its session ended."""
+    """The process of a front is gone, or its session ended."""
 
     front: str
     incarnation: int
@@ -174,14 +174,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeOverRequested:
-    """A front asks to continue a request of a front that is gone."""
+    """A front asks to take over a request of a lost front."""
 
     take_over: TakeOver
 
 
 @dataclass(frozen=True, slots=True)
 class TimePassed:
-    """Nothing happened but time."""
+    """A timer fired; no other event happened."""
 
 
 CellEvent = (
@@ -207,7 +207,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendSubmitResponse:
-    """Answer a submitted request."""
+    """Send the response to `RequestSubmitted`."""
 
     front: str
     request_id: str
@@ -216,7 +216,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendTakeOverResponse:
-    """Answer a request to take over."""
+    """Send the response to `TakeOverRequested`."""
 
     front: str
     request_id: str
@@ -225,7 +225,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotifyTakenOver:
-    """Tell the earlier front, if it is alive, that the request is no longer its."""
+    """Notify the previous front, if it is alive, that a request was taken over."""
 
     front: str
     request_id: str
@@ -233,7 +233,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelOnEngine:
-    """Cancel a request on an engine and free its memory."""
+    """Cancel a request on an engine, which frees its memory there."""
 
     backend_server: str
     engine_request_id: str
@@ -241,7 +241,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportCrashedRequests:
-    """Report the fingerprints that ran on an engine when it died."""
+    """Report the fingerprints that ran on an engine when it crashed."""
 
     backend_server: str
     incarnation: int
@@ -250,14 +250,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportSuspectCleared:
-    """A suspect ran to its end without a crash."""
+    """Report that a suspect request finished without a crash."""
 
     fingerprint: str
 
 
 @dataclass(frozen=True, slots=True)
 class SendOrder:
-    """Send an order to an engine, with a fencing number of the owner."""
+    """Send an order to an engine, with a fencing number of the cell owner."""
 
     backend_server: str
     kind: OrderKind
--- a/src/damaskridge/core/scheduling/overload.py
+++ b/src/damaskridge/core/scheduling/overload.py
@@ -1,4 +1,4 @@
-"""Refuses at once what nobody can serve in time and whose waiting hurts others."""
+"""Refuses requests at once that would wait in the queue for too long."""
 
 import random
 
@@ -6,7 +6,7 @@
 
 __all__ = ["OverloadControl"]
 
-# Longer than bursts at full load, so that only lasting overload refuses.
+# Longer than a burst at full load lasts, so that only sustained overload refuses.
 _MAX_URGENT_WAIT_S = 5.0
 _MAX_BULK_WAIT_S = 120.0
 _MAX_RETRY_JITTER = 0.5
@@ -14,23 +14,23 @@
 
 class OverloadControl:
     """
-    Decides from the time that a new request would wait.
+    Decides on admission by the expected wait of a new request.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads retry times.
+        Source of the jitter on retry times.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
     def retry_after_s(self, level: Level, wait_s: float) -> float | None:
-        """Return the time after which to retry, or none to admit."""
+        """Return when the caller may retry, or `None` if the request is admitted."""
         limit_s = _MAX_BULK_WAIT_S if level is Level.BULK else _MAX_URGENT_WAIT_S
         excess_s = wait_s - limit_s
         return self.with_jitter_s(1.0 + excess_s) if excess_s > 0 else None
 
     def with_jitter_s(self, wait_s: float) -> float:
-        """Return `wait_s`, spread upwards by jitter."""
+        """Return `wait_s` plus random jitter."""
         return wait_s * (1 + _MAX_RETRY_JITTER * self._rng.random())
--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -1,4 +1,4 @@
-"""Picks engines by predicted time to first token, and reserves them."""
+"""Selects engines by predicted time to first token, and reserves them."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -16,18 +16,20 @@
 __all__ = ["PlacementChoice", "Placer", "is_service"]
 
 _MAX_CANDIDATES = 8
-# One lost transfer in about 50 keeps the estimate in balance.
+# The slowdown stays constant at one lost transfer in about 50.
 _SLOWDOWN_ON_LOSS, _SLOWDOWN_ON_ARRIVAL = 1.1, 0.998
 _MAX_TRANSFER_SLOWDOWN = 2.2
-# A request that no other server can run goes back to those that failed it.
+# After this time in the queue a request may use servers again that failed it, since
+# there may be no others for it.
 _EXCLUSION_TIMEOUT_S = 2.0
-# Longer queues at an engine would take the order out of the cell owner's hands.
+# Requests wait longer than this in the cell's queue instead of that of an engine, so
+# that the cell owner can still decide their order.
 _MAX_PREFILL_WAIT_S = {Level.URGENT: 0.5, Level.LATE: 0.3, Level.BULK: 0.15}
 
 
 @dataclass(frozen=True, slots=True)
 class PlacementChoice:
-    """Where a request could run, and when."""
+    """A possible placement of a request, with its predicted times."""
 
     prefill: ServerState | None
     decode: ServerState
@@ -39,7 +41,11 @@
 
 
 class Placer:
-    """Keeps the servers of the cell ordered by load; costs O(log n) a request."""
+    """
+    Selects servers of the cell for requests, and reserves them.
+
+    Servers are kept ordered by load, so a placement takes O(log n) time.
+    """
 
     def __init__(self, settings: SchedulerSettings) -> None:
         self._settings = settings
@@ -51,27 +57,27 @@
         self._decode_by_load = LazyHeap()
 
     def update(self, server: ServerState) -> None:
-        """Reorder a server after a change."""
+        """Update the position of a server after a change of its state."""
         name = server.spec.name
-        known = self.servers.get(name) is server
-        if known and server.is_usable and server.can_prefill:
+        is_current = self.servers.get(name) is server
+        if is_current and server.is_usable and server.can_prefill:
             self._prefill_by_backlog.update(name, server.busy_until_s)
         else:
             self._prefill_by_backlog.discard(name)
-        if known and server.is_usable and server.can_decode:
+        if is_current and server.is_usable and server.can_decode:
             self._decode_by_load.update(name, server.load)
         else:
             self._decode_by_load.discard(name)
 
     def record_transfer(self, arrived: bool) -> None:
-        """Learn from transfers how much slower links are than the bundle says."""
+        """Adapt the estimate of how much slower links are than the bundle declares."""
         change = _SLOWDOWN_ON_ARRIVAL if arrived else _SLOWDOWN_ON_LOSS
         self._transfer_slowdown = min(
             _MAX_TRANSFER_SLOWDOWN, max(1.0, self._transfer_slowdown * change)
         )
 
     def cached_tokens(self, entry: RequestEntry) -> int:
-        """Return the longest cached prefix of a request on any engine."""
+        """Return the length of the longest prefix cached by any engine, in tokens."""
         hashes = entry.profile.prefix_hashes
         if not self._settings.use_prefix_hints:
             return 0
@@ -80,11 +86,16 @@
 
     @property
     def claimant_id(self) -> str | None:
-        """The request for which a decode engine is kept, if any."""
+        """Identifier of the request that claims a decode engine, if any."""
         return self._claim[0] if self._claim else None
 
     def claim_engine(self, entry: RequestEntry, level: Level, now_s: float) -> None:
-        """Keep an engine for a request that small ones would overtake for ever."""
+        """
+        Keep a decode engine free for a request that needs most of its memory.
+
+        Small requests would otherwise fill the memory as it becomes free, and the
+        large request would starve.
+        """
         for server in self._decode_candidates(entry, now_s):
             pieces = self._pieces_for(server, entry)
             if 2 * pieces > admission.shared_pieces_limit(server, level):
@@ -92,14 +103,14 @@
                 return
 
     def release_stale_claim(self, is_queued: bool) -> None:
-        """Give the claimed engine free when it or the request is gone."""
+        """Release the claim if the request left the queue or the engine is unusable."""
         if self._claim is not None:
             server = self.servers.get(self._claim[1])
             if not is_queued or server is None or not server.is_usable:
                 self._claim = None
 
     def servable_models(self) -> set[str]:
-        """Return models and services for which usable servers exist."""
+        """Return the models and services that have the usable servers they need."""
         usable = [server for server in self.servers.values() if server.is_usable]
         prefill = {s.spec.serves for s in usable if s.can_prefill}
         decode = {s.spec.serves for s in usable if s.can_decode and not is_service(s)}
@@ -109,16 +120,16 @@
     def choose(
         self, entry: RequestEntry, level: Level, now_s: float
     ) -> PlacementChoice | None:
-        """Return the best place that is free now, if any."""
-        # In a full cell no prefill engine is worth a look.
+        """Return the best placement that is possible now, or `None`."""
+        # Without room on a decode engine, prefill engines need not be ranked.
         decode_engines = self._decode_engines_with_room(entry, level, now_s)
         if not decode_engines:
             return None
-        for prefill, tokens in self._rank_prefill_engines(entry, level, now_s):
+        for prefill, uncached_tokens in self._rank_prefill_engines(entry, level, now_s):
             end_s = now_s + prefill.prefill_wait_s(level, now_s)
-            end_s += tokens / prefill.spec.prefill_tokens_per_s
+            end_s += uncached_tokens / prefill.spec.prefill_tokens_per_s
             choice = self._choose_decode(
-                entry, level, prefill, decode_engines, tokens, end_s
+                entry, level, prefill, decode_engines, uncached_tokens, end_s
             )
             if choice is not None:
                 return choice
@@ -127,7 +138,7 @@
     def choose_service(
         self, entry: RequestEntry, level: Level, now_s: float
     ) -> PlacementChoice | None:
-        """Return the least busy instance of a plain service that has a slot."""
+        """Return the least loaded instance of a plain service with a free slot."""
         for server in self._decode_candidates(entry, now_s):
             if admission.can_reserve(server, 0, level):
                 return PlacementChoice(None, server, 0)
@@ -136,11 +147,11 @@
     def reserve(
         self, entry: RequestEntry, choice: PlacementChoice, level: Level, now_s: float
     ) -> None:
-        """Reserve what was chosen, before anything starts."""
+        """Reserve everything that a chosen placement uses, before it is sent."""
         request_id = entry.profile.request_id
         if self._settings.reserve_decode:
             assert admission.can_reserve(choice.decode, choice.pieces, level), (
-                "slots and pieces stay within capacity"
+                "slots and pieces have to stay within capacity"
             )
         admission.reserve(choice.decode, request_id, choice.pieces)
         if entry.suspect:
@@ -162,7 +173,7 @@
         self.update(choice.decode)
 
     def reserve_running(self, entry: RequestEntry, placement: Placement) -> None:
-        """Reserve what a registered request already uses."""
+        """Reserve what a registered request, which runs already, uses."""
         server = self.servers.get(placement.decode_server)
         if server is None or entry.profile.request_id in server.request_ids:
             return
@@ -172,7 +183,7 @@
         self.update(server)
 
     def release(self, entry: RequestEntry, now_s: float) -> None:
-        """Free what a request holds."""
+        """Free the decode reservation of a request."""
         if entry.placement is None:
             return
         server = self.servers.get(entry.placement.decode_server)
@@ -185,13 +196,13 @@
         self.update(server)
 
     def extend(self, entry: RequestEntry) -> None:
-        """Reserve more memory for a stream that exceeds its prediction."""
+        """Reserve more memory for a stream that exceeds its predicted length."""
         assert entry.placement is not None
         server = self.servers.get(entry.placement.decode_server)
         if server is None or entry.profile.request_id not in server.request_ids:
             return
-        tokens = entry.profile.prompt_tokens
-        needed_pieces = admission.pieces_for(server, tokens, entry.output_tokens)
+        prompt_tokens = entry.profile.prompt_tokens
+        needed_pieces = admission.pieces_for(server, prompt_tokens, entry.output_tokens)
         if needed_pieces > entry.pieces:
             entry.pieces = admission.extend(server, entry.pieces, needed_pieces)
             self.update(server)
@@ -231,23 +242,26 @@
             cached = 0
             if self._settings.use_prefix_hints:
                 cached = self.hints.cached_tokens(name, hashes)
-            tokens = max(1, entry.profile.prompt_tokens - cached)
-            ready_s = wait_s + tokens / server.spec.prefill_tokens_per_s
-            ranked.append((ready_s, name, tokens))
-        return [(self.servers[name], tokens) for _, name, tokens in sorted(ranked)]
+            uncached_tokens = max(1, entry.profile.prompt_tokens - cached)
+            ready_s = wait_s + uncached_tokens / server.spec.prefill_tokens_per_s
+            ranked.append((ready_s, name, uncached_tokens))
+        return [
+            (self.servers[name], uncached_tokens)
+            for _, name, uncached_tokens in sorted(ranked)
+        ]
 
     def _decode_engines_with_room(
         self, entry: RequestEntry, level: Level, now_s: float
     ) -> list[tuple[ServerState, int]]:
-        """Return decode engines with room for a request, and the memory it needs."""
-        found: list[tuple[ServerState, int]] = []
+        """Return decode engines with room for a request, and the pieces it needs."""
+        with_room: list[tuple[ServerState, int]] = []
         for server in self._decode_candidates(entry, now_s):
             pieces = self._pieces_for(server, entry)
             if not self._settings.reserve_decode or admission.can_reserve(
                 server, pieces, level
             ):
-                found.append((server, pieces))
-        return found
+                with_room.append((server, pieces))
+        return with_room
 
     def _choose_decode(
         self,
@@ -255,7 +269,7 @@
         level: Level,
         prefill: ServerState,
         decode_engines: list[tuple[ServerState, int]],
-        tokens: int,
+        uncached_tokens: int,
         end_s: float,
     ) -> PlacementChoice | None:
         size_bytes = entry.profile.prompt_tokens * self._settings.kv_bytes_per_token
@@ -273,11 +287,11 @@
                 )
                 if start_s > end_s + links.MAX_TRANSFER_DELAY_S[level]:
                     continue
-            found = PlacementChoice(
-                prefill, decode, pieces, tokens, end_s, start_s, duration_s
+            candidate = PlacementChoice(
+                prefill, decode, pieces, uncached_tokens, end_s, start_s, duration_s
             )
-            if best is None or _arrival_score_s(found) < _arrival_score_s(best):
-                best = found
+            if best is None or _arrival_score_s(candidate) < _arrival_score_s(best):
+                best = candidate
         return best
 
     def _decode_candidates(
@@ -306,10 +320,10 @@
 
 
 def _arrival_score_s(choice: PlacementChoice) -> float:
-    # Load breaks ties between links that are free, so that engines fill evenly.
+    # The load decides among engines with free links, so that they fill evenly.
     return choice.transfer_start_s + choice.transfer_time_s + 0.1 * choice.decode.load
 
 
 def is_service(server: ServerState) -> bool:
-    """Tell whether a server is an instance of a plain service."""
+    """Return whether a server is an instance of a plain service."""
     return server.spec.role is BackendServerRole.SERVICE
--- a/src/damaskridge/core/scheduling/prefix_hints.py
+++ b/src/damaskridge/core/scheduling/prefix_hints.py
@@ -1,4 +1,8 @@
-"""Hints at cached prefixes; a gap in the events forgets, never invents."""
+"""Tracks which engines have which prompt prefixes cached.
+
+After a gap in an engine's cache events its hints are discarded, so that no hint names
+a block whose eviction was missed.
+"""
 
 from collections.abc import Sequence
 
@@ -15,7 +19,7 @@
 
 
 class PrefixHints:
-    """Which engine has which prefix blocks in its cache, as far as is known."""
+    """Prefix blocks that each engine has cached, as far as its events show."""
 
     def __init__(self) -> None:
         self._blocks_by_server: dict[str, set[int]] = {}
@@ -23,7 +27,7 @@
         self._last_sequences: dict[str, int] = {}
 
     def apply(self, server: str, page: CacheEventPage) -> None:
-        """Apply events in order; a gap discards the server's hints first."""
+        """Apply events in order; a gap in them discards the hints of the server."""
         for event in page.events:
             last = self._last_sequences.get(server)
             if last is not None and event.sequence <= last:
@@ -41,12 +45,12 @@
             self._remove_holder(server, block_hash)
 
     def reset_server(self, server: str) -> None:
-        """Discard a server's hints and accept a new numbering of its events."""
+        """Discard the hints of a restarted server, whose event numbers start anew."""
         self.discard_server(server)
         self._last_sequences.pop(server, None)
 
     def cached_tokens(self, server: str, hashes: Sequence[int]) -> int:
-        """Return the length of the longest cached prefix, in tokens."""
+        """Return the length of the longest prefix cached by a server, in tokens."""
         blocks = self._blocks_by_server.get(server)
         if not blocks:
             return 0
@@ -60,7 +64,7 @@
         return low * _BLOCK_TOKENS
 
     def servers_with_prefix(self, hashes: Sequence[int], count: int) -> list[str]:
-        """Return up to `count` servers that have at least the first block."""
+        """Return up to `count` servers that have at least the first block cached."""
         if not hashes:
             return []
         found = self._servers_by_block.get(hashes[0], {})
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -1,4 +1,4 @@
-"""What happens to requests whose front or server is gone."""
+"""Recovers requests whose front or server is lost."""
 
 from collections.abc import Callable
 
@@ -31,14 +31,14 @@
 
 class Recovery:
     """
-    Moves or reclaims requests after failures.
+    Reassigns or cancels requests after failures of fronts and servers.
 
     Parameters
     ----------
     registry, placer, suspects : Registry, Placer, SuspectTable
         State of the cell.
     end_request : EndRequest
-        Forgets a request and, if told so, cancels it on its engines.
+        Removes a request and, if its last argument is true, cancels it on engines.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self._end_request = end_request
 
     def check_fronts(self, now_s: float) -> list[CellAction]:
-        """Note silent fronts, and reclaim what nobody took over."""
+        """Mark silent fronts as lost, and cancel orphans past their grace period."""
         actions: list[CellAction] = []
         for front, incarnation in self._registry.find_silent_fronts(now_s):
             actions += self.handle_front_loss(front, incarnation, now_s)
@@ -65,14 +65,14 @@
     def handle_front_loss(
         self, front: str, incarnation: int, now_s: float
     ) -> list[CellAction]:
-        """Drop what a lost front has queued; the rest may be taken over."""
+        """Refuse the queued requests of a lost front; running ones become orphans."""
         self._registry.mark_front_lost(front, incarnation)
         actions: list[CellAction] = []
         for entry in self._registry.requests_of_front(front):
             if entry.incarnation != incarnation:
                 continue
             if entry.placement is None:
-                # A front that is alive after all asks again.
+                # If the front is alive after all, it submits the request once more.
                 actions.append(_refuse(entry.profile, ErrorKind.OWNER_UNAVAILABLE))
                 actions += self._end_request(entry, now_s, False)
             else:
@@ -80,7 +80,7 @@
         return actions
 
     def take_over(self, request: TakeOver, now_s: float) -> list[CellAction]:
-        """Give a request to the first other front of the workspace that asks."""
+        """Assign a request to the first front that asks, if the workspace matches."""
         self._registry.record_front_alive(request.front, request.incarnation, now_s)
         entry = self._registry.entries.get(request.request_id)
         if entry is None or entry.placement is None:
@@ -105,10 +105,10 @@
         self, fingerprint: str, server: ServerState, now_s: float, *, was_suspect: bool
     ) -> list[CellAction]:
         """
-        Suspect a request whose front saw its engine break off.
+        Mark a request as suspect because its front lost the connection to its engine.
 
-        The front ends the attempt long before the owner's polls find the crash, so
-        the request would otherwise be missing in the report of the crash.
+        The front ends the attempt long before the owner's polls detect the crash, so
+        the request would otherwise be missing from the crash report.
         """
         if not fingerprint:
             return []
@@ -132,7 +132,7 @@
     def record_crash(
         self, server: ServerState, incarnation: int, now_s: float
     ) -> list[CellAction]:
-        """Report the fingerprints that ran on a server when it crashed."""
+        """Free the reservations on a crashed server, and report what ran on it."""
         name = server.spec.name
         ran: list[str] = []
         for entry in self._registry.entries.values():
@@ -154,7 +154,7 @@
 
 
 def refuse_quarantined(profile: RequestProfile) -> SendSubmitResponse:
-    """Return the answer to a request that has cost all the servers it may."""
+    """Return the refusal of a request that crashed as many servers as allowed."""
     return _refuse(profile, ErrorKind.REQUEST_QUARANTINED)
 
 
@@ -164,6 +164,6 @@
 
 
 def refuse_take_over(request: TakeOver, kind: ErrorKind) -> SendTakeOverResponse:
-    """Return the answer to a front that may not continue a request."""
+    """Return the refusal of a take-over."""
     response = TakeOverReply(failure=Failure(kind))
     return SendTakeOverResponse(request.front, request.request_id, response)
--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -1,4 +1,4 @@
-"""Requests of the cell by id and by front."""
+"""Tracks the requests of a cell, by identifier and by front."""
 
 from dataclasses import dataclass
 
@@ -13,14 +13,15 @@
 
 __all__ = ["TAKE_OVER_GRACE_S", "RequestEntry", "RequestRegistry"]
 
-# With the lease of 3 s this leaves 1 s of the promised lease time plus 3 s.
+# Time for other fronts to take over the requests of a lost front. Its memory has to be
+# free within the lease time plus 3 s; with a lease of 3 s this leaves 1 s to free it.
 TAKE_OVER_GRACE_S = 2.0
 _ENDED_RETENTION_S = 60.0
 
 
 @dataclass(slots=True)
 class RequestEntry:
-    """One request: queued without a placement, running with one."""
+    """A request of the cell: queued while it has no placement, else running."""
 
     profile: RequestProfile
     front: str
@@ -39,11 +40,11 @@
 
     @property
     def engine_request_id(self) -> str:
-        """The name of the attempt on engines."""
+        """The identifier of the current attempt on engines."""
         return f"{self.profile.request_id}.{self.profile.attempt}"
 
     def to_active_request(self) -> ActiveRequest | None:
-        """Return the message that describes the running request."""
+        """Return the description of a running request, or `None` if it is queued."""
         if self.placement is None:
             return None
         return ActiveRequest(
@@ -62,7 +63,7 @@
 
 
 class RequestRegistry:
-    """Finds requests, and fronts that have been silent for too long."""
+    """Requests of a cell, the fronts that run them, and recently ended attempts."""
 
     def __init__(self) -> None:
         self.entries: dict[str, RequestEntry] = {}
@@ -73,13 +74,13 @@
         self._unknown_since_s: dict[tuple[str, str], float] = {}
 
     def add(self, entry: RequestEntry) -> None:
-        """Record a request of its front."""
+        """Add a request to those of its front."""
         request_id = entry.profile.request_id
         self.entries[request_id] = entry
         self._ids_by_front.setdefault(entry.front, {})[request_id] = None
 
     def remove(self, request_id: str, now_s: float) -> RequestEntry | None:
-        """Forget a request; an attempt that was placed counts as ended."""
+        """Remove a request; if it was placed, its attempt is recorded as ended."""
         entry = self.entries.pop(request_id, None)
         if entry is not None:
             self._ids_by_front.get(entry.front, {}).pop(request_id, None)
@@ -89,7 +90,7 @@
         return entry
 
     def record_ended(self, engine_request_id: str, now_s: float) -> None:
-        """Remember that an attempt is over."""
+        """Record that an attempt ended, and discard records that are too old."""
         self._ended_at_s[engine_request_id] = now_s
         while self._ended_at_s:
             oldest = next(iter(self._ended_at_s))
@@ -98,11 +99,11 @@
             del self._ended_at_s[oldest]
 
     def has_ended(self, engine_request_id: str) -> bool:
-        """Tell whether an attempt was placed and is over."""
+        """Return whether an attempt was placed and has ended."""
         return engine_request_id in self._ended_at_s
 
     def reassign(self, entry: RequestEntry, front: str, incarnation: int) -> None:
-        """Give a request to another front."""
+        """Move a request to another front, which ends its grace period."""
         request_id = entry.profile.request_id
         self._ids_by_front.get(entry.front, {}).pop(request_id, None)
         entry.front, entry.incarnation = front, incarnation
@@ -111,12 +112,12 @@
         self._ids_by_front.setdefault(front, {})[request_id] = None
 
     def find_by_fingerprint(self, fingerprint: str) -> list[RequestEntry]:
-        """Return the requests with a fingerprint; asked for suspects only."""
+        """Return the requests with a fingerprint, by a scan; used for suspects only."""
         entries = self.entries.values()
         return [item for item in entries if item.profile.fingerprint == fingerprint]
 
     def record_front_alive(self, front: str, incarnation: int, now_s: float) -> None:
-        """Note that a front is alive."""
+        """Record that a front's process is alive."""
         known = self._fronts.get(front)
         if known is None or incarnation != known.incarnation:
             self._fronts[front] = _FrontState(incarnation, now_s)
@@ -124,24 +125,24 @@
             known.last_seen_s, known.is_lost = now_s, False
 
     def is_front_lost(self, entry: RequestEntry) -> bool:
-        """Tell whether the front of a request is gone."""
+        """Return whether the process of the front of a request is lost."""
         known = self._fronts.get(entry.front)
         return known is None or known.is_lost or known.incarnation != entry.incarnation
 
     def mark_front_lost(self, front: str, incarnation: int) -> None:
-        """Note that a front's process is gone."""
+        """Record that a front's process is lost."""
         known = self._fronts.get(front)
         if known is not None and known.incarnation == incarnation:
             known.is_lost = True
 
     def mark_orphaned(self, entry: RequestEntry, now_s: float) -> None:
-        """Let others take the request over until its grace has passed."""
+        """Start the grace period in which other fronts may take over the request."""
         if entry.reclaim_at_s is None:
             entry.reclaim_at_s = now_s + TAKE_OVER_GRACE_S
             self._orphans[entry.profile.request_id] = None
 
     def pop_expired_orphans(self, now_s: float) -> list[RequestEntry]:
-        """Return orphans whose grace has passed; a front that is back keeps its."""
+        """Remove and return expired orphans, except those of a front alive again."""
         due: list[RequestEntry] = []
         for request_id in list(self._orphans):
             entry = self.entries[request_id]
@@ -158,7 +159,7 @@
         return [self.entries[item] for item in self._ids_by_front.get(front, {})]
 
     def find_silent_fronts(self, now_s: float) -> list[tuple[str, int]]:
-        """Return fronts that became silent, with their incarnations."""
+        """Return fronts silent for the lease time, with their incarnations."""
         return [
             (name, front.incarnation)
             for name, front in self._fronts.items()
@@ -169,10 +170,10 @@
         self, server: str, engine_request_id: str, requested_s: float, now_s: float
     ) -> bool:
         """
-        Tell whether an engine's list entry belongs to no request and is old.
+        Return whether an engine holds a request that belongs to no known request.
 
-        An attempt that ended before the list was asked for is stray at once; one
-        that nobody registered is stray after the lease time.
+        An attempt that ended before the engine was asked for its list counts as leaked
+        at once. One that no front has registered counts after the lease time.
         """
         request_id, _, attempt = engine_request_id.rpartition(".")
         key = (server, engine_request_id)
@@ -186,7 +187,7 @@
         return now_s - self._unknown_since_s.setdefault(key, now_s) >= FRONT_LEASE_S
 
     def discard_unlisted(self, server: str, listed: set[str]) -> None:
-        """Forget unknown entries that an engine no longer lists."""
+        """Discard unknown requests that an engine no longer lists."""
         for key in [key for key in self._unknown_since_s if key[0] == server]:
             if key[1] not in listed:
                 del self._unknown_since_s[key]
--- a/src/damaskridge/core/scheduling/retry_budget.py
+++ b/src/damaskridge/core/scheduling/retry_budget.py
@@ -1,22 +1,22 @@
-"""Budgets for further attempts, per request, workspace and cell."""
+"""Limits retries per request, workspace and cell."""
 
 __all__ = ["MAX_ATTEMPTS", "RetryBudget"]
 
 MAX_ATTEMPTS = 4
 _RETRIES_PER_REQUEST = 0.1
-# Enough for the requests of two engines that fail at the same time.
+# Covers the requests of two engines that fail at the same time.
 _MAX_BALANCE = 50.0
 _CELL_KEY = ""
 
 
 class RetryBudget:
-    """Every first attempt earns a tenth of a retry, up to a burst."""
+    """Token bucket of retries: each first attempt adds a fraction of a retry."""
 
     def __init__(self) -> None:
         self._balances: dict[str, float] = {}
 
     def record_first_attempt(self, workspace: str) -> None:
-        """Note a first attempt."""
+        """Add the retries that a first attempt earns for its workspace and the cell."""
         for name in (workspace, _CELL_KEY):
             self._balances[name] = min(
                 _MAX_BALANCE,
@@ -24,7 +24,7 @@
             )
 
     def try_spend(self, workspace: str, attempt: int) -> bool:
-        """Tell whether a further attempt is allowed, and count it if so."""
+        """Return whether a retry is allowed, and charge it if so."""
         names = (workspace, _CELL_KEY)
         if attempt > MAX_ATTEMPTS:
             return False
--- a/src/damaskridge/core/scheduling/roles.py
+++ b/src/damaskridge/core/scheduling/roles.py
@@ -1,4 +1,4 @@
-"""Proposes role changes between prefill and decode, with hysteresis."""
+"""Proposes changes of engine roles between prefill and decode, with hysteresis."""
 
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.model.bundle import BackendServerRole
@@ -9,11 +9,12 @@
 _HIGH_LOAD, _LOW_LOAD = 0.85, 0.4
 _MIN_IMBALANCE_S = 30.0
 _COOLDOWN_S = 120.0
+# An engine with this backlog counts as fully loaded with prefills.
 _FULL_PREFILL_BACKLOG_S = 0.5
 
 
 class RoleAdvisor:
-    """Moves one engine when one pool is full and the other idle for long."""
+    """Proposes to move an engine while one pool is full and the other nearly idle."""
 
     def __init__(self) -> None:
         self._next_sample_s = 0.0
@@ -23,7 +24,7 @@
     def propose(
         self, servers: list[ServerState], now_s: float
     ) -> tuple[ServerState, BackendServerRole] | None:
-        """Return an engine and its new role, if a change has been due for long."""
+        """Return an engine and its new role after a sustained imbalance, or `None`."""
         if now_s < self._next_sample_s:
             return None
         self._next_sample_s = now_s + _SAMPLE_INTERVAL_S
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -1,4 +1,4 @@
-"""The scheduler of one cell: composes order, admission, placement and recovery."""
+"""The cell scheduler: combines queueing, admission, placement and recovery."""
 
 import random
 
@@ -65,16 +65,18 @@
 
 class CellScheduler:
     """
-    Decides for one cell; use a new instance for every cell and every epoch.
+    Schedules the requests of a cell, without I/O.
+
+    An instance serves one cell in one epoch of its ownership.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads retry times.
+        Source of the jitter on retry times.
     settings : SchedulerSettings
-        Assumptions and switches.
+        Assumptions and feature switches.
     estimator : Estimator or None
-        Replaces the inference of urgency, for comparisons.
+        Replaces the estimator of urgency, for benchmarks.
     """
 
     def __init__(
@@ -102,7 +104,7 @@
         self._next_check_s = 0.0
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
-        """Apply `event` and return what to send."""
+        """Apply an event and return the actions to perform."""
         actions = self._apply(event, now_s)
         if now_s >= self._next_check_s:
             self._next_check_s = now_s + _CHECK_INTERVAL_S
@@ -114,7 +116,7 @@
         return actions
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return the time at which to send `TimePassed`, if any."""
+        """Return the time at which `TimePassed` is due, or `None`."""
         if self._epoch is None:
             return None
         if not self.is_rebuilt(now_s):
@@ -129,7 +131,7 @@
 
     @_apply.register
     def _(self, event: CellGained, now_s: float) -> list[CellAction]:
-        assert self._epoch is None or event.epoch > self._epoch, "epochs only grow"
+        assert self._epoch is None or event.epoch > self._epoch, "epochs only increase"
         self._epoch = event.epoch
         self._unregistered_fronts = set(event.fronts)
         self._rebuild_deadline_s = now_s + REBUILD_TIMEOUT_S
@@ -216,7 +218,7 @@
             entry = self._registry.entries.get(item.request_id)
             server = self._placer.servers.get(item.failed_server)
             if item.crashed and server is not None:
-                # The request may have ended here: its withdrawal overtakes reports.
+                # The entry may be gone: a withdrawal can overtake the progress report.
                 actions += self._recovery.record_crash_seen_by_front(
                     item.fingerprint,
                     server,
@@ -282,7 +284,7 @@
     def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
         if server is not None:
-            # A server that answers after a silence may still be leaving.
+            # A server that responds again may still be leaving.
             server.failed = False
             server.busy_until_s = server.urgent_busy_until_s = now_s
             self._placer.update(server)
@@ -322,7 +324,7 @@
         return []
 
     def is_rebuilt(self, now_s: float) -> bool:
-        """Tell whether fronts and engines have reported, or the wait is over."""
+        """Return whether all fronts and engines have reported, or the time is over."""
         if self._epoch is None:
             return False
         is_complete = not self._unregistered_fronts and not self._unlisted_engines
@@ -353,7 +355,7 @@
         self._dispatcher.update_capacity()
 
     def _check_admissible(self, profile: RequestProfile) -> SendSubmitResponse | None:
-        """Refuse what no server could ever run, and retries beyond the budget."""
+        """Refuse a request that no server can ever run, or a retry over the budget."""
         if not any(
             server.spec.serves == profile.model
             for server in self._placer.servers.values()
@@ -418,7 +420,11 @@
         return []
 
     def _record_lost_transfer(self, entry: RequestEntry) -> None:
-        """Take a new attempt without a failed server for an evicted prefill result."""
+        """
+        Count a KV transfer as lost if a retry follows although no server failed.
+
+        The prefill engine has probably evicted its result before the transfer.
+        """
         placement = entry.placement
         if placement is None or entry.phase is RequestPhase.DECODING:
             return
@@ -442,7 +448,7 @@
     def _end_request(
         self, entry: RequestEntry, now_s: float, cancel: bool
     ) -> list[CellAction]:
-        """Forget a request, free its reservations, and cancel it on its engines."""
+        """Remove a request, free its reservations, and cancel it on its engines."""
         self._dispatcher.queue.remove(entry.profile.request_id)
         self._registry.remove(entry.profile.request_id, now_s)
         self._placer.release(entry, now_s)
@@ -453,7 +459,7 @@
         return [CancelOnEngine(name, entry.engine_request_id) for name in names if name]
 
     def _refuse_unservable(self, now_s: float) -> list[CellAction]:
-        """Answer queued requests whose model has had no server for long."""
+        """Refuse queued requests whose model has had no server for the timeout."""
         if not self.is_rebuilt(now_s):
             return []
         actions: list[CellAction] = []
--- a/src/damaskridge/core/scheduling/servers.py
+++ b/src/damaskridge/core/scheduling/servers.py
@@ -1,4 +1,4 @@
-"""What the cell owner knows of each server, with its reservations."""
+"""State of the servers of a cell, with the reservations on them."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -16,7 +16,14 @@
 
 @dataclass(slots=True)
 class ServerState:
-    """One server: condition, reservations of memory, slots, link and prefill."""
+    """
+    One backend server: its condition and its reservations.
+
+    Memory is counted in pieces of KV cache. `busy_until_s` is the predicted end of the
+    prefill backlog, and `urgent_busy_until_s` that of its part above `Level.BULK`.
+    `sent_prompts` and `released_pieces` hold recent times with tokens or pieces, to
+    correct load reports that were measured before.
+    """
 
     spec: BackendServer
     role: BackendServerRole
@@ -37,28 +44,28 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether new work may go to the server."""
+        """Whether new requests may be placed on the server."""
         return not (self.failed or self.leaving or self.removed)
 
     @property
     def can_prefill(self) -> bool:
-        """Whether the server prefills."""
+        """Whether the server runs prefills."""
         return self.role in _PREFILL_ROLES
 
     @property
     def can_decode(self) -> bool:
-        """Whether the server decodes, or is a plain service."""
+        """Whether the server runs decodes, or is a plain service."""
         return self.role in _DECODE_ROLES or self.role is BackendServerRole.SERVICE
 
     @property
     def load(self) -> float:
-        """Share of the scarcer of slots and memory that is reserved."""
+        """Utilisation of slots or memory, whichever is higher."""
         slots = self.used_slots / max(1, self.spec.slots)
         pieces = self.used_pieces + self.unaccounted_pieces
         return max(slots, pieces / max(1, self.spec.kv_pieces))
 
     def add_prefill(self, tokens: int, level: Level, now_s: float) -> float:
-        """Count a prompt that is sent, and return when it should be computed."""
+        """Add a prompt to the backlog, and return the predicted end of its prefill."""
         duration_s = tokens / self.spec.prefill_tokens_per_s
         self.busy_until_s = max(now_s, self.busy_until_s) + duration_s
         self.sent_prompts.append((now_s, tokens))
@@ -70,36 +77,43 @@
         return self.urgent_busy_until_s
 
     def prefill_wait_s(self, level: Level, now_s: float) -> float:
-        """Return how long a new prompt of this level waits for prefill."""
+        """Return the predicted wait of a new prompt of `level` for its prefill."""
         until_s = self.busy_until_s if level is Level.BULK else self.urgent_busy_until_s
         return max(0.0, until_s - now_s)
 
     def record_release(self, pieces: int, now_s: float) -> None:
-        """Remember memory that a late report may still count as in use."""
+        """Record freed memory, which a delayed load report may still count as used."""
         self.released_pieces.append((now_s, pieces))
         while self.released_pieces[0][0] < now_s - _HISTORY_RETENTION_S:
             self.released_pieces.popleft()
 
     def _count_unaccounted(self, report: LoadReport, measured_s: float) -> None:
-        """Count memory that is in use but belongs to no request of the cell."""
+        """Compute the memory that is in use but reserved for no request of the cell."""
         if not self.spec.kv_pieces or not self.can_decode:
             return
         known = self.used_pieces
-        known += sum(held for at_s, held in self.released_pieces if at_s >= measured_s)
+        known += sum(
+            pieces for at_s, pieces in self.released_pieces if at_s >= measured_s
+        )
         used = self.spec.kv_pieces - report.free_kv_pieces
         self.unaccounted_pieces = max(0, used - known)
 
     def apply_report(
         self, report: LoadReport, count_sent_since: bool, now_s: float
     ) -> None:
-        """Correct the backlog by a report and what was sent since."""
+        """
+        Set the backlog to that of a load report.
+
+        With `count_sent_since`, prompts that were sent after the report was measured
+        are added; without it the report is taken as current.
+        """
         measured_s = now_s - report.age_s
         self._count_unaccounted(report, measured_s)
         tokens = report.queued_prefill_tokens
         if count_sent_since:
             tokens += sum(
-                sent_prompts
-                for sent_s, sent_prompts in self.sent_prompts
+                prompt_tokens
+                for sent_s, prompt_tokens in self.sent_prompts
                 if sent_s >= measured_s
             )
         start_s = measured_s if count_sent_since else now_s
--- a/src/damaskridge/core/scheduling/settings.py
+++ b/src/damaskridge/core/scheduling/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the scheduler of one cell; the switches exist for comparisons."""
+"""Settings of a cell scheduler; the feature switches exist for benchmarks."""
 
 from dataclasses import dataclass
 
@@ -11,19 +11,32 @@
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
     """
-    What the scheduler assumes and which mechanisms it uses.
+    Assumptions of the scheduler, and switches for its mechanisms.
 
     Parameters
     ----------
     kv_bytes_per_token : int
-        Size of the KV cache of one token, for transfer times.
-    infer_urgency, age_queued, fair_share, reserve_decode, reserve_links : bool
-        Switches for urgency, aging, fair share, decode memory and links.
-    use_prefix_hints, correct_reports, control_overload, budget_retries : bool
-        Switches for prefix hints, own counts beside load reports, refusals, and
-        the budget of retries.
+        Size of the KV cache of one token, used to predict transfer times.
+    infer_urgency : bool
+        Whether requests are queued by inferred urgency, else by arrival.
+    age_queued : bool
+        Whether delay-tolerant requests past their slack get a share of the cell.
+    fair_share : bool
+        Whether workspaces are served by their weights.
+    reserve_decode : bool
+        Whether decode slots and KV memory are reserved before prefill.
+    reserve_links : bool
+        Whether the links are reserved for KV transfers.
+    use_prefix_hints : bool
+        Whether placement prefers engines that have a prefix of the prompt cached.
+    correct_reports : bool
+        Whether prompts sent after an engine's load report are added to it.
+    control_overload : bool
+        Whether requests that would wait for too long are refused at once.
+    budget_retries : bool
+        Whether the number of retries is limited by a budget.
     propose_roles : bool
-        Whether to order role changes.
+        Whether engines are ordered to change between prefill and decode.
     """
 
     kv_bytes_per_token: int = 131_072
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -1,25 +1,30 @@
-"""Fingerprints that were on a server when it crashed."""
+"""Tracks the fingerprints of requests that ran on a server when it crashed."""
 
 __all__ = ["LOCAL_CRASH_WINDOW_S", "SUSPECT_RETENTION_S", "SuspectTable"]
 
 SUSPECT_RETENTION_S = 3600.0
-# A front sees a crash at once, the owner with its next polls of the engine.
+# The front detects a crash at once, the cell owner only when it next polls the engine.
 MAX_CRASH_DETECTION_DELAY_S = 5.0
-# By then the control group has the reports of the crashes.
+# Crashes are counted here until the control group has received the reports of them.
 LOCAL_CRASH_WINDOW_S = 10.0
 _MAX_CRASHES = 2
 _EARLIER_CRASH = ("", 0)
 
 
 class SuspectTable:
-    """Suspects of this cell's own crashes, beside those that fronts report."""
+    """
+    Fingerprints suspected of crashing servers, as seen by this process.
+
+    The control group keeps the list for the whole fleet; this table covers the time
+    until the list contains a new crash.
+    """
 
     def __init__(self) -> None:
         self._suspect_until_s: dict[str, float] = {}
         self._failures_s: dict[str, dict[tuple[str, int], float]] = {}
 
     def add(self, fingerprints: tuple[str, ...], now_s: float) -> None:
-        """Suspect the fingerprints of a crash."""
+        """Mark the fingerprints that ran on a crashed server as suspect."""
         for fingerprint in fingerprints:
             self._suspect_until_s[fingerprint] = now_s + SUSPECT_RETENTION_S
         for fingerprint in [
@@ -37,10 +42,10 @@
         was_suspect: bool = False,
     ) -> None:
         """
-        Suspect a fingerprint because a front lost the server that ran it.
+        Mark a fingerprint as suspect because a front lost the server that ran it.
 
-        For a request that was suspect before, the crash behind that counts too,
-        however long ago it was.
+        If the request was suspect before, the earlier crash counts as well, however
+        long ago it was.
         """
         self.add((fingerprint,), now_s)
         failures = self._failures_s.setdefault(fingerprint, {})
@@ -57,9 +62,10 @@
         self, server: str, incarnation: int, now_s: float
     ) -> list[str]:
         """
-        Return what fronts lost on a server just before its crash was seen.
+        Return the fingerprints that fronts lost on a server shortly before now.
 
-        What was lost with an earlier process of the server explains another crash.
+        Losses with an earlier process of the server belong to an earlier crash and
+        are left out.
         """
         key = (server, incarnation)
         return [
@@ -69,7 +75,7 @@
         ]
 
     def has_reached_crash_limit(self, fingerprint: str, now_s: float) -> bool:
-        """Tell whether a fingerprint was lost with as many servers as it may cost."""
+        """Return whether a fingerprint was on as many crashed servers as allowed."""
         failures = self._failures_s.get(fingerprint, {}).values()
         return (
             sum(now_s - failed_s <= LOCAL_CRASH_WINDOW_S for failed_s in failures)
@@ -77,10 +83,10 @@
         )
 
     def clear(self, fingerprint: str) -> None:
-        """Forget a fingerprint that ran to its end."""
+        """Discard a fingerprint whose request finished."""
         self._suspect_until_s.pop(fingerprint, None)
         self._failures_s.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: str, now_s: float) -> bool:
-        """Tell whether the fingerprint is suspect."""
+        """Return whether the fingerprint is suspect."""
         return self._suspect_until_s.get(fingerprint, 0.0) > now_s
--- a/src/damaskridge/core/scheduling/urgency.py
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -1,4 +1,4 @@
-"""Infers how urgent a request is; no field that the caller sets decides it."""
+"""Infers the urgency of requests; no field set by the caller alone decides it."""
 
 import math
 from collections import OrderedDict
@@ -15,20 +15,23 @@
 _PRIOR_OUTPUT_TOKENS = 128.0
 _MIN_SAMPLES = 5
 _LEARNING_RATE = 0.1
-# Slower than output learning, so that one burst of long prompts moves no border.
+# Lower than the rate for output lengths, so that one burst of long prompts does not
+# move the border between the groups.
 _CENTRE_LEARNING_RATE = 0.01
-# Groups of sizes closer than this factor are one group, and all of it is urgent.
+# Groups whose sizes differ by less than this factor count as one, which is urgent.
 _MIN_SEPARATION = math.log(2.0)
+# A caller that abandons a queued request within this time counts as impatient.
 _MAX_IMPATIENT_WAIT_S = 10.0
+# Share of impatient callers above which similar requests are urgent.
 _MIN_IMPATIENT_SHARE = 0.05
 _MAX_GROUPS = 10_000
-# Engine cost of an output token in prompt tokens: 40 ms in a batch of 20 at a
-# prefill speed of 8,000 tokens/s.
+# Cost of an output token in prompt tokens: a decode step of 40 ms in a batch of 20, at
+# a prefill speed of 8,000 tokens/s.
 _OUTPUT_FACTOR = 16.0
 
 
 class Level(IntEnum):
-    """Levels of the queue, the most urgent first."""
+    """Levels of the queue, from the most urgent to delay-tolerant requests."""
 
     URGENT = 0
     LATE = 1
@@ -38,18 +41,18 @@
 @dataclass(frozen=True, slots=True)
 class Estimate:
     """
-    What is expected of a request.
+    Estimated urgency and output length of a request.
 
     Parameters
     ----------
     level : Level
-        Level at which the request is queued.
+        Level of the queue.
     slack_s : float
-        Time for which it can wait.
+        Time for which the request can wait after its arrival.
     output_tokens : float
-        Expected output.
+        Expected output length.
     max_expected_output_tokens : int
-        Output that is rarely exceeded, for reservations.
+        Output length that is rarely exceeded; memory is reserved for it.
     """
 
     level: Level
@@ -59,18 +62,18 @@
 
 
 class Estimator(Protocol):
-    """Estimates requests and learns from how they end."""
+    """Estimates requests, and learns from their outcome."""
 
     def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
-        """Return what is expected of a request."""
+        """Return the estimate, given the tokens of the prompt that an engine cached."""
 
     def record_finished(
         self, profile: RequestProfile, output_tokens: int, waited_s: float
     ) -> None:
-        """Learn from a request that ran to its end after `waited_s` in the queue."""
+        """Learn from a request that finished after `waited_s` in the queue."""
 
     def record_abandoned(self, profile: RequestProfile, waited_s: float) -> None:
-        """Learn from a caller that left while its request was queued."""
+        """Learn from a request that its caller abandoned in the queue."""
 
 
 @dataclass(slots=True)
@@ -83,11 +86,12 @@
 
 class UrgencyEstimator:
     """
-    Learns per workspace, route and size of prompt.
+    Estimates requests from earlier ones of their workspace, route and prompt size.
 
-    Requests fall into two groups by the logarithm of their size (prompt less
-    cached prefix, plus weighted output), found by online 2-means. The smaller
-    group is urgent, and so is any group whose callers leave early.
+    Online 2-means divides requests into two groups by the logarithm of their size,
+    which is the prompt less the cached prefix, plus the weighted output. The group of
+    small requests is urgent. A request is urgent too if callers of earlier ones like it
+    abandoned them early.
     """
 
     def __init__(self) -> None:
@@ -98,26 +102,30 @@
         self._large_centre = math.log(8000.0)
 
     def estimate(self, profile: RequestProfile, cached_tokens: int) -> Estimate:
-        """Return what is expected of `profile`."""
+        """Return the estimate, given the tokens of the prompt that an engine cached."""
         statistics = self._statistics_for(profile)
-        most = profile.max_output_tokens
-        output = min(statistics.mean, float(most))
+        max_output_tokens = profile.max_output_tokens
+        expected_output_tokens = min(statistics.mean, float(max_output_tokens))
         if statistics.samples >= _MIN_SAMPLES:
-            most = min(
-                most, math.ceil(statistics.mean + 2.5 * statistics.deviation) + 16
+            max_output_tokens = min(
+                max_output_tokens,
+                math.ceil(statistics.mean + 2.5 * statistics.deviation) + 16,
             )
-        size = max(1, profile.prompt_tokens - cached_tokens) + _OUTPUT_FACTOR * output
-        urgent = self._is_small(math.log(size))
+        size = (
+            max(1, profile.prompt_tokens - cached_tokens)
+            + _OUTPUT_FACTOR * expected_output_tokens
+        )
+        is_urgent = self._is_small(math.log(size))
         if statistics.impatient_share > _MIN_IMPATIENT_SHARE:
-            urgent = True
-        level = Level.URGENT if urgent else Level.BULK
-        slack_s = FIRST_TOKEN_TARGET_S / 2 if urgent else BULK_SLACK_S
-        return Estimate(level, slack_s, output, most)
+            is_urgent = True
+        level = Level.URGENT if is_urgent else Level.BULK
+        slack_s = FIRST_TOKEN_TARGET_S / 2 if is_urgent else BULK_SLACK_S
+        return Estimate(level, slack_s, expected_output_tokens, max_output_tokens)
 
     def record_finished(
         self, profile: RequestProfile, output_tokens: int, waited_s: float
     ) -> None:
-        """Learn the output length; the caller waited to the end."""
+        """Learn the output length, and that the caller waited to the end."""
         statistics = self._statistics_for(profile)
         if statistics.samples == 0:
             statistics.mean, statistics.deviation = (
@@ -128,13 +136,13 @@
         statistics.samples += 1
         statistics.mean += _LEARNING_RATE * error
         statistics.deviation += _LEARNING_RATE * (abs(error) - statistics.deviation)
-        # A caller that waited for long weighs more than one that had no need to.
+        # A caller that waited for long weighs more than one that did not have to wait.
         is_patient = waited_s > _MAX_IMPATIENT_WAIT_S
         statistics.impatient_share *= 0.5 if is_patient else 1 - _LEARNING_RATE
         self._learn_size(profile.prompt_tokens + _OUTPUT_FACTOR * output_tokens)
 
     def record_abandoned(self, profile: RequestProfile, waited_s: float) -> None:
-        """Learn that a caller left after `waited_s` in the queue."""
+        """Learn that a caller abandoned a request after `waited_s` in the queue."""
         if waited_s <= _MAX_IMPATIENT_WAIT_S:
             statistics = self._statistics_for(profile)
             statistics.impatient_share += _LEARNING_RATE * (
--- a/tests/core/scheduling/test_parts.py
+++ b/tests/core/scheduling/test_parts.py
@@ -1,4 +1,4 @@
-"""Parts of the scheduler: invented hints, unfair shares, links, endless retries."""
+"""Parts of the scheduler: stale hints, unfair shares, links, unlimited retries."""
 
 import random
 from itertools import pairwise
@@ -20,42 +20,42 @@
 ROLE = BackendServerRole
 
 
-def state(name, role, used=0):
+def server_state(name, role, used=0):
     spec = BackendServer(name, "c", role, "m", "dc", "", 10, kv_pieces=100)
     return ServerState(spec, role, used_slots=used)
 
 
-def page(*numbers, cached=True, gap=False):
+def cache_page(*numbers, cached=True, gap=False):
     events = tuple(CacheEvent(n, 100 + n, cached) for n in numbers)
     return CacheEventPage(events, gap)
 
 
-def test_a_gap_in_cache_events_forgets():
+def test_a_gap_in_cache_events_discards_the_hints_of_the_server():
     hints = PrefixHints()
-    hints.apply("e", page(1, 2, 3))
+    hints.apply("e", cache_page(1, 2, 3))
     assert hints.cached_tokens("e", (101, 102, 103, 104)) == 192
     assert hints.servers_with_prefix((101,), 3) == ["e"]
-    hints.apply("e", page(5))
+    hints.apply("e", cache_page(5))
     assert hints.cached_tokens("e", (101, 102)) == 0
     assert hints.servers_with_prefix((101,), 3) == []
-    hints.apply("e", page(2))
-    assert hints.cached_tokens("e", (102,)) == 0, "a repeated event is old"
-    hints.apply("e", page(6, gap=True))
+    hints.apply("e", cache_page(2))
+    assert hints.cached_tokens("e", (102,)) == 0, "a duplicate event has no effect"
+    hints.apply("e", cache_page(6, gap=True))
     assert hints.cached_tokens("e", (106,)) == 0
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_shares_follow_weights_whatever_the_size_of_requests(seed):
+def test_shares_follow_weights_for_any_size_of_requests(seed):
     rng = random.Random(seed)
     queue = FairQueue()
     queue.set_weights({"large": 1.0, "small": 1.0, "heavy": 2.0})
     served = dict.fromkeys(("large", "small", "heavy"), 0.0)
     sizes = {"large": 1.0, "small": 0.01, "heavy": 0.1}
-    for space, size in sizes.items():
+    for workspace, size in sizes.items():
         for number in range(int(100 / size)):
-            name = f"{space}{number}"
+            name = f"{workspace}{number}"
             due_s = rng.random()
-            queue.push(QueueItem(name, space, Level.URGENT, due_s, size))
+            queue.push(QueueItem(name, workspace, Level.URGENT, due_s, size))
     while sum(served.values()) < 100:
         item = queue.remove_placed(next(queue.heads(Level.URGENT, 1)).request_id)
         served[item.workspace] += item.cost_s
@@ -66,7 +66,10 @@
 
 def test_transfers_never_overlap_on_a_link():
     rng = random.Random(3)
-    source, targets = state("p", ROLE.PREFILL), [state("d", ROLE.DECODE) for _ in "ab"]
+    source, targets = (
+        server_state("p", ROLE.PREFILL),
+        [server_state("d", ROLE.DECODE) for _ in "ab"],
+    )
     for _ in range(200):
         target, ready_s = rng.choice(targets), rng.random() * 10
         duration_s = rng.random() * 0.2
@@ -77,7 +80,7 @@
     assert all(a[1] <= b[0] + 1e-9 for a, b in pairwise(spans))
 
 
-def test_retries_end():
+def test_retries_are_limited_by_attempt_and_budget():
     budget = RetryBudget()
     assert not budget.try_spend("a", MAX_ATTEMPTS + 1)
     assert sum(budget.try_spend("a", 2) for _ in range(100)) == 50
@@ -86,16 +89,16 @@
     assert budget.try_spend("a", 2)
 
 
-def test_a_report_does_not_hide_what_was_sent_since():
-    server = state("p", ROLE.PREFILL)
+def test_a_load_report_keeps_prompts_sent_after_its_measurement():
+    server = server_state("p", ROLE.PREFILL)
     server.add_prefill(8000, Level.URGENT, 10.0)
     server.apply_report(LoadReport(1, 1.0, 0, 0, 0), True, 10.5)
     assert server.prefill_wait_s(Level.BULK, 10.0) > 0.4
 
 
-def test_roles_change_only_after_a_lasting_imbalance():
-    servers = [state(n, ROLE.PREFILL) for n in "ab"]
-    servers += [state(n, ROLE.DECODE, 10) for n in "cd"]
+def test_roles_change_only_after_a_sustained_imbalance():
+    servers = [server_state(n, ROLE.PREFILL) for n in "ab"]
+    servers += [server_state(n, ROLE.DECODE, 10) for n in "cd"]
     advisor = RoleAdvisor()
     found = [(s, advisor.propose(servers, float(s))) for s in range(60)]
     proposals = [(s, p) for s, p in found if p is not None]
@@ -103,7 +106,7 @@
     assert 30 <= at_s <= 32 and role is ROLE.DECODE and server in servers[:2]
 
 
-def test_impatient_callers_make_their_requests_urgent():
+def test_requests_are_urgent_if_callers_abandoned_similar_ones_early():
     profile = RequestProfile(
         resource="c",
         epoch=1,
@@ -136,8 +139,9 @@
     assert next(queue.heads(Level.URGENT, 1)).request_id == "first"
 
 
-def test_a_suspect_that_loses_one_more_server_is_held():
-    # Its first crash may be long ago: a third server must not be lost to it.
+def test_a_suspect_reaches_the_crash_limit_at_the_next_crash():
+    # The crash behind the suspicion counts although it left the window long ago, else
+    # the request could crash a third server.
     table = SuspectTable()
     table.record_failure("f", "p1", 1, 0.0)
     assert not table.has_reached_crash_limit("f", 1.0)
--- a/tests/core/scheduling/test_random_runs.py
+++ b/tests/core/scheduling/test_random_runs.py
@@ -1,4 +1,4 @@
-"""Randomised runs: leaked reservations, double placement, requests that starve."""
+"""Randomised runs: leaked reservations, duplicate placements, starvation."""
 
 import random
 
@@ -16,7 +16,7 @@
 )
 
 ROLE = BackendServerRole
-SPACES = tuple(Workspace(f"w{n}", 1e6, 1e6, n + 1.0) for n in range(3))
+WORKSPACES = tuple(Workspace(f"w{n}", 1e6, 1e6, n + 1.0) for n in range(3))
 ENGINES = tuple(
     BackendServer(
         f"e{n}",
@@ -38,7 +38,7 @@
         epoch=1,
         request_id=f"r{number}",
         attempt=attempt,
-        workspace=rng.choice(SPACES).name,
+        workspace=rng.choice(WORKSPACES).name,
         front=f"f{number % 3}",
         incarnation=1,
         route="/v1",
@@ -51,26 +51,31 @@
 
 
 class Run:
-    """Fronts that submit, finish, retry, leave and die at random."""
+    """Fronts that submit, finish, retry and withdraw requests at random, or die."""
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.cell = CellScheduler(random.Random(seed))
-        self.open, self.placed, self.answers, self.cancelled = {}, {}, {}, set()
-        self.number, self.dead = 0, set()
-        self.send(m.CellGained("c", 1, ENGINES, SPACES, ()), 0.0)
+        self.open_requests, self.placements, self.first_placements, self.cancelled = (
+            {},
+            {},
+            {},
+            set(),
+        )
+        self.number, self.dead_fronts = 0, set()
+        self.send(m.CellGained("c", 1, ENGINES, WORKSPACES, ()), 0.0)
 
     def send(self, event, now_s):
         for action in self.cell.handle(event, now_s):
             if isinstance(action, m.SendSubmitResponse):
                 reply = action.reply
                 if not isinstance(reply, Placement):
-                    self.open.pop(action.request_id, None)
+                    self.open_requests.pop(action.request_id, None)
                     continue
                 key = (reply.request_id, reply.attempt)
-                assert self.answers.setdefault(key, reply) == reply
-                if action.request_id in self.open:
-                    self.placed[action.request_id] = reply
+                assert self.first_placements.setdefault(key, reply) == reply
+                if action.request_id in self.open_requests:
+                    self.placements[action.request_id] = reply
             elif isinstance(action, m.CancelOnEngine):
                 self.cancelled.add(action.engine_request_id)
         for server in self.cell._placer.servers.values():
@@ -78,67 +83,67 @@
             assert 0 <= server.used_pieces <= server.spec.kv_pieces
 
     def step(self, now_s):
-        roll = self.rng.random()
-        if roll < 0.45 or not self.placed:
+        draw = self.rng.random()
+        if draw < 0.45 or not self.placements:
             self.number += 1
             item = profile(self.rng, self.number)
-            if item.front in self.dead:
+            if item.front in self.dead_fronts:
                 return
-            self.open[item.request_id] = item
+            self.open_requests[item.request_id] = item
             self.send(m.RequestSubmitted(item), now_s)
-        elif roll < 0.9:
-            self.finish(self.rng.choice(list(self.placed)), now_s)
-        elif roll < 0.93:
-            name = self.rng.choice(list(self.open))
-            self.open.pop(name)
-            self.placed.pop(name, None)
+        elif draw < 0.9:
+            self.finish(self.rng.choice(list(self.placements)), now_s)
+        elif draw < 0.93:
+            name = self.rng.choice(list(self.open_requests))
+            self.open_requests.pop(name)
+            self.placements.pop(name, None)
             self.send(m.RequestWithdrawn(name), now_s)
-        elif roll < 0.94:
-            self.retry(self.rng.choice(list(self.placed)), now_s)
-        elif roll < 0.945:
+        elif draw < 0.94:
+            self.retry(self.rng.choice(list(self.placements)), now_s)
+        elif draw < 0.945:
             name = self.rng.choice(ENGINES[2:]).name
             self.send(m.ServerFailed(name, 0, self.rng.random() < 0.5), now_s)
             self.send(m.ServerRecovered(name), now_s + 0.01)
         else:
-            self.beat(now_s)
+            self.send_heartbeats(now_s)
 
-    def beat(self, now_s):
+    def send_heartbeats(self, now_s):
         for front in ("f0", "f1", "f2"):
-            if front not in self.dead:
-                self.progress(front, now_s)
+            if front not in self.dead_fronts:
+                self.report_progress(front, now_s)
 
-    def progress(self, front, now_s, *items):
+    def report_progress(self, front, now_s, *items):
         batch = ProgressBatch(
             resource="c", epoch=1, front=front, incarnation=1, items=items
         )
         self.send(m.ProgressReported(batch), now_s)
 
     def finish(self, name, now_s):
-        item, placement = self.open.pop(name), self.placed.pop(name)
+        item, placement = self.open_requests.pop(name), self.placements.pop(name)
         done = Progress(
             request_id=name,
             attempt=placement.attempt,
             phase=RequestPhase.FINISHED,
             output_tokens=self.rng.randint(1, 300),
         )
-        self.progress(item.front, now_s, done)
+        self.report_progress(item.front, now_s, done)
 
     def retry(self, name, now_s):
-        placement = self.placed.pop(name)
+        placement = self.placements.pop(name)
         item = profile(
             self.rng, int(name[1:]), placement.attempt + 1, (placement.decode_server,)
         )
-        self.open[name] = item
+        self.open_requests[name] = item
         self.send(m.RequestSubmitted(item), now_s)
 
     def drain(self, now_s):
-        """Finish everything; whatever is queued must be placed in the end."""
+        """Finish all requests; queued ones have to be placed in time."""
         for _ in range(4000):
             now_s += 0.05
-            self.beat(now_s)
-            if self.placed:
-                self.finish(next(iter(self.placed)), now_s)
-            elif not self.open:
+            self.send_heartbeats(now_s)
+            if self.placements:
+                self.finish(next(iter(self.placements)), now_s)
+            elif not self.open_requests:
                 break
         return now_s
 
@@ -149,17 +154,19 @@
     for _ in range(1500):
         now_s += run.rng.expovariate(30)
         run.step(now_s)
-    run.dead.add("f1")
-    lost = {n: p for n, p in run.placed.items() if run.open[n].front == "f1"}
-    for name in [n for n, item in run.open.items() if item.front == "f1"]:
-        del run.open[name]
-        run.placed.pop(name, None)
-    run.beat(now_s)
+    run.dead_fronts.add("f1")
+    lost = {
+        n: p for n, p in run.placements.items() if run.open_requests[n].front == "f1"
+    }
+    for name in [n for n, item in run.open_requests.items() if item.front == "f1"]:
+        del run.open_requests[name]
+        run.placements.pop(name, None)
+    run.send_heartbeats(now_s)
     now_s = run.drain(now_s)
     for _ in range(30):
         now_s += 0.25
-        run.beat(now_s)
-    assert not run.open
+        run.send_heartbeats(now_s)
+    assert not run.open_requests
     for server in run.cell._placer.servers.values():
         assert (server.used_slots, server.used_pieces, server.suspect_count) == (
             0,
