Reword the request life cycle, and rename its internals

The doc comments of events, actions and limits assume knowledge of the design. State what each means, keep the figures and reasons, and name fields and tests by what they hold or check. The detail of InvalidChunk names the offset as out of range.

--- a/src/damaskridge/core/requests/__init__.py
+++ b/src/damaskridge/core/requests/__init__.py
@@ -1,1 +1,1 @@
-"""The life cycle of one request on its front."""
+"""The life cycle of a request on its front."""
--- a/src/damaskridge/core/requests/assembler.py
+++ b/src/damaskridge/core/requests/assembler.py
@@ -1,6 +1,6 @@
-"""Puts the chunks of one answer in order.
+"""Reorders the chunks of a response stream.
 
->>> stream = Assembler(window=8)
+>>> stream = Assembler(max_pending_chunks=8)
 >>> stream.add(DecodeChunk(1, "b"))
 ()
 >>> [chunk.text for chunk in stream.add(DecodeChunk(0, "a"))]
@@ -15,49 +15,55 @@
 
 
 class InvalidChunk(ValueError):
-    """A chunk cannot belong to the answer."""
+    """The offset of a chunk is negative or too far ahead."""
 
 
 class Assembler:
     """
-    Delivers each token once and in order of offset.
+    Delivers each token exactly once and in order of its offset.
 
     Parameters
     ----------
     window : int
-        Most chunks that wait for a missing one; more are an engine's fault.
+        Limit of how far ahead of the next offset a chunk may be. An engine that sends
+        chunks beyond it is at fault, and must not fill the memory.
     next_offset : int
-        Offset of the first token that is delivered.
+        Offset of the first token to deliver.
     """
 
-    def __init__(self, window: int, next_offset: int = 0) -> None:
-        self._window = window
-        self._waiting: dict[int, DecodeChunk] = {}
+    def __init__(self, max_pending_chunks: int, next_offset: int = 0) -> None:
+        self._max_pending_chunks = max_pending_chunks
+        self._pending_chunks: dict[int, DecodeChunk] = {}
         self.next_offset = next_offset
         self.finished = False
 
     def add(self, chunk: DecodeChunk) -> tuple[DecodeChunk, ...]:
-        """Return the chunks that are now deliverable; `InvalidChunk` if absurd."""
+        """Add a chunk and return those that can be delivered; raises `InvalidChunk`."""
         if self.finished or 0 <= chunk.offset < self.next_offset:
             return ()
-        if chunk.offset < 0 or chunk.offset >= self.next_offset + self._window:
-            raise InvalidChunk(f"offset {chunk.offset} at {self.next_offset}")
-        self._waiting.setdefault(chunk.offset, chunk)
+        if (
+            chunk.offset < 0
+            or chunk.offset >= self.next_offset + self._max_pending_chunks
+        ):
+            raise InvalidChunk(
+                f"chunk offset {chunk.offset} out of range at {self.next_offset}"
+            )
+        self._pending_chunks.setdefault(chunk.offset, chunk)
         ready: list[DecodeChunk] = []
-        while not self.finished and self.next_offset in self._waiting:
-            ready.append(self._take())
+        while not self.finished and self.next_offset in self._pending_chunks:
+            ready.append(self._pop_next())
         return tuple(ready)
 
-    def restart(self) -> None:
-        """Drop waiting chunks: another attempt may generate other tokens."""
-        self._waiting.clear()
+    def discard_pending(self) -> None:
+        """Discard pending chunks, since a new attempt may generate other tokens."""
+        self._pending_chunks.clear()
 
-    def _take(self) -> DecodeChunk:
-        chunk = self._waiting.pop(self.next_offset)
-        assert chunk.offset == self.next_offset, "a token left out of order"
+    def _pop_next(self) -> DecodeChunk:
+        chunk = self._pending_chunks.pop(self.next_offset)
+        assert chunk.offset == self.next_offset, "tokens are delivered in order"
         if chunk.finish_reason is None:
             self.next_offset += 1
         else:
             self.finished = True
-            self._waiting.clear()
+            self._pending_chunks.clear()
         return chunk
--- a/src/damaskridge/core/requests/bundle_index.py
+++ b/src/damaskridge/core/requests/bundle_index.py
@@ -1,7 +1,7 @@
-"""Look-ups in the bundle in force that do not grow with the fleet.
+"""Index of the active bundle, for look-ups that do not slow down with the fleet.
 
-A front reads keys, models, routes and cells for each request. The index is built
-anew only when another bundle is in force.
+A front looks up keys, models, routes and cells for each request. The index is rebuilt
+only when another bundle becomes active.
 """
 
 from result import Err, Ok, Result
@@ -15,7 +15,7 @@
 
 
 class BundleIndex:
-    """Answers the questions that every request asks."""
+    """Look-ups that a front needs for every request."""
 
     def __init__(self) -> None:
         self._bundle: Bundle | None = None
@@ -25,32 +25,32 @@
         self._cells: dict[tuple[str, str], list[str]] = {}
 
     def workspace_of_key(self, view: FleetView, digest: str) -> Result[str, Failure]:
-        """Return the workspace of a key, or why the key does not work."""
-        self._refresh(view)
+        """Return the workspace of a key, or why the key is refused."""
+        self._rebuild_if_changed(view)
         if digest in view.withdrawn_keys:
             return Err(Failure(ErrorKind.KEY_WITHDRAWN))
         workspace = self._workspaces.get(digest)
         return Ok(workspace) if workspace else Err(Failure(ErrorKind.INVALID_KEY))
 
     def model(self, view: FleetView, name: str) -> Model | None:
-        """Return a model of the bundle in force."""
-        self._refresh(view)
+        """Return a model by name, or `None`."""
+        self._rebuild_if_changed(view)
         return self._models.get(name)
 
     def route(self, view: FleetView, service: str, path: str) -> Route | None:
-        """Return the route of a path below a service."""
-        self._refresh(view)
+        """Return the route for a path of a service, or `None`."""
+        self._rebuild_if_changed(view)
         return find_route(view, service, path) if service in self._services else None
 
     def cells(self, view: FleetView, serves: str, data_centre: str) -> list[str]:
         """Return the cells that serve a model or service, `data_centre` first."""
-        self._refresh(view)
+        self._rebuild_if_changed(view)
         key = (serves, data_centre)
         if key not in self._cells:
             self._cells[key] = cells_serving(view, serves, data_centre)
         return self._cells[key]
 
-    def _refresh(self, view: FleetView) -> None:
+    def _rebuild_if_changed(self, view: FleetView) -> None:
         bundle = view.bundle
         if bundle is self._bundle:
             return
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -1,4 +1,4 @@
-"""The life cycle of one request on its front, without I/O."""
+"""State machine of a request on its front, without I/O."""
 
 import msgspec
 
@@ -40,7 +40,7 @@
 
 __all__ = ["RequestStateMachine"]
 
-_PHASES = {
+_PHASE_BY_STAGE = {
     Stage.PREFILLING: RequestPhase.PREFILLING,
     Stage.TRANSFERRING: RequestPhase.TRANSFERRING,
     Stage.DECODING: RequestPhase.DECODING,
@@ -48,38 +48,39 @@
     Stage.FAILED: RequestPhase.CANCELLED,
     Stage.CANCELLED: RequestPhase.CANCELLED,
 }
-_ENDED = frozenset({Stage.FINISHED, Stage.FAILED, Stage.CANCELLED})
-_RUNNING = frozenset({Stage.PREFILLING, Stage.TRANSFERRING, Stage.DECODING})
-_NEVER_S = float("inf")
+_ENDED_STAGES = frozenset({Stage.FINISHED, Stage.FAILED, Stage.CANCELLED})
+_RUNNING_STAGES = frozenset({Stage.PREFILLING, Stage.TRANSFERRING, Stage.DECODING})
+_NO_DEADLINE_S = float("inf")
 
 
 class RequestStateMachine:
     """
-    Decides what happens to one request.
+    Turns the events of a request into the actions that its front has to perform.
 
     Parameters
     ----------
     spec : RequestSpec
-        What the caller asked for.
+        Model, prompt and output limit of the request.
     limits : RetryLimits
-        Bounds of the attempts.
+        Limits of the attempts.
     accepted_s : float
-        When the front accepted the request.
+        Time at which the front accepted the request.
 
     Attributes
     ----------
     stage : Stage
-        Where the request is.
+        Current stage of the request.
     attempt : int
-        The current attempt, from 1; 0 before the first.
+        Number of the current attempt, from 1; 0 before the first.
     placement : Placement or None
         Engines of the current attempt.
     deadline_s : float
-        When `TimePassed` is due.
+        Time at which `TimePassed` is due.
     texts : list[str]
-        Output tokens so far, the first at `base_offset`.
+        Texts of the output tokens received so far, from `base_offset` on.
     base_offset : int
-        Not 0 for a request that was taken over from another front.
+        Offset of the first token in `texts`; 0 unless the request was taken over from
+        another front.
     """
 
     def __init__(
@@ -89,39 +90,39 @@
         self.stage = Stage.NEW
         self.attempt = 0
         self.placement: Placement | None = None
-        self.deadline_s = _NEVER_S
+        self.deadline_s = _NO_DEADLINE_S
         self.texts: list[str] = []
         self.base_offset = 0
         self.first_token_s: float | None = None
         self._limits = limits
         self._accepted_s = accepted_s
         self._now_s = accepted_s
-        self._assembler = Assembler(limits.window)
+        self._assembler = Assembler(limits.max_pending_chunks)
         self._excluded: tuple[str, ...] = ()
-        self._avoided = ""
-        self._crashes = 0
+        self._avoid_once = ""
+        self._crash_count = 0
         self._crashed_server = ""
-        self._granted = False
+        self._has_rate_grant = False
         self._may_have_run = False
-        self._resumed = False
-        self._wanted_offset = 0
+        self._is_resuming = False
+        self._caller_offset = 0
 
     @property
     def ended(self) -> bool:
-        """Whether the request has its final answer."""
-        return self.stage in _ENDED
+        """Whether the request has finished, failed or was cancelled."""
+        return self.stage in _ENDED_STAGES
 
     @property
     def output_tokens(self) -> int:
-        """Number of tokens delivered so far, by all fronts."""
+        """Number of output tokens delivered so far, by all fronts."""
         return self.base_offset + len(self.texts)
 
     def progress(self, failed_server: str = "", crashed: bool = False) -> Progress:
-        """Return what the cell owner needs to know now."""
+        """Return the current progress, for the cell owner."""
         return Progress(
             request_id=self.spec.request_id,
             attempt=max(self.attempt, 1),
-            phase=_PHASES.get(self.stage, RequestPhase.QUEUED),
+            phase=_PHASE_BY_STAGE.get(self.stage, RequestPhase.QUEUED),
             output_tokens=self.output_tokens,
             first_token_s=self.first_token_s,
             failed_server=failed_server,
@@ -129,14 +130,15 @@
         )
 
     def handle(self, event: RequestEvent, now_s: float) -> list[RequestAction]:
-        """Apply an event and return what has to be done."""
+        """Apply an event and return the actions to perform."""
         self._now_s = now_s
         if self.ended:
-            return self._after_end(event)
+            return self._handle_after_end(event)
         return self._handle(event)
 
-    def _after_end(self, event: RequestEvent) -> list[RequestAction]:
-        # The reservation of a placement that arrives after the end is released.
+    def _handle_after_end(self, event: RequestEvent) -> list[RequestAction]:
+        # A placement that arrives after the end is reported as ended, so that the cell
+        # owner releases its reservation.
         if isinstance(event, Placed):
             self.attempt = max(self.attempt, event.placement.attempt)
             return [ReportProgress(self.progress())]
@@ -153,7 +155,7 @@
 
     @_handle.register
     def _(self, event: RateGranted) -> list[RequestAction]:
-        self._granted = True
+        self._has_rate_grant = True
         return self._ask_placement()
 
     @_handle.register
@@ -169,7 +171,7 @@
         ):
             return []
         self.placement = placement
-        self._enter(Stage.PREFILLING, self._limits.prefill_s)
+        self._enter_stage(Stage.PREFILLING, self._limits.prefill_s)
         request = PrefillRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -191,12 +193,14 @@
     def _(self, event: Prefilled) -> list[RequestAction]:
         if event.attempt != self.attempt or self.stage is not Stage.PREFILLING:
             return []
-        placement = self._placed()
-        # The prefill engine evicts its result in under a second, so the transfer
-        # starts at once and has a deadline. The first token also waits for the first
-        # decode step and, in a burst, for this process.
-        limit_s = max(placement.transfer_deadline_s, self._limits.transfer_s)
-        self._enter(Stage.TRANSFERRING, limit_s)
+        placement = self._current_placement()
+        # The prefill engine evicts its result in less than a second, so the transfer
+        # has to start at once and has a deadline. The deadline also covers the first
+        # decode step and, in a burst, delays in this process.
+        limit_s = max(
+            placement.transfer_deadline_s, self._limits.min_transfer_timeout_s
+        )
+        self._enter_stage(Stage.TRANSFERRING, limit_s)
         request = DecodeRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -212,40 +216,40 @@
 
     @_handle.register
     def _(self, event: ChunkReceived) -> list[RequestAction]:
-        if event.attempt != self.attempt or self.stage not in _RUNNING:
+        if event.attempt != self.attempt or self.stage not in _RUNNING_STAGES:
             return []
         actions: list[RequestAction] = []
         if self.stage is not Stage.DECODING:
-            self._enter(Stage.DECODING, self._limits.silence_s)
+            self._enter_stage(Stage.DECODING, self._limits.silence_s)
             actions.append(ReportProgress(self.progress()))
         self.deadline_s = self._now_s + self._limits.silence_s
-        self._resumed = False
+        self._is_resuming = False
         try:
             chunks = self._assembler.add(event.chunk)
         except InvalidChunk as error:
             failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, str(error))
-            return self._retry(self._placed().decode_server, failure)
+            return self._retry(self._current_placement().decode_server, failure)
         return [*actions, *self._deliver(chunks)]
 
     @_handle.register
     def _(self, event: AttemptFailed) -> list[RequestAction]:
-        if event.attempt != self.attempt or self.stage not in _RUNNING:
+        if event.attempt != self.attempt or self.stage not in _RUNNING_STAGES:
             return []
-        if self._starts_later(event.failure):
-            return [self._resume()]
-        # Other kinds are answers of a server that is alive.
-        broken = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-        return self._retry(event.server, event.failure, broken)
+        if self._skip_to_caller_offset(event.failure):
+            return [self._resume_decode()]
+        # Failures of other kinds are responses of a server that is alive.
+        server_failed = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+        return self._retry(event.server, event.failure, server_failed)
 
     @_handle.register
     def _(self, event: CancelRequested) -> list[RequestAction]:
-        self._may_have_run |= self.stage in _RUNNING
+        self._may_have_run |= self.stage in _RUNNING_STAGES
         return self._end(Stage.CANCELLED, event.failure)
 
     @_handle.register
     def _(self, event: TakenOver) -> list[RequestAction]:
         self.stage = Stage.CANCELLED
-        self.deadline_s = _NEVER_S
+        self.deadline_s = _NO_DEADLINE_S
         return [CloseRequest(Failure(ErrorKind.STREAM_TAKEN_OVER))]
 
     @_handle.register
@@ -253,52 +257,53 @@
         self.placement = event.placement
         self.attempt = event.placement.attempt
         self.base_offset = event.offset
-        self._wanted_offset = max(event.offset, event.caller_offset)
-        self._assembler = Assembler(self._limits.window, event.offset)
-        self._enter(Stage.DECODING, self._limits.silence_s)
+        self._caller_offset = max(event.offset, event.caller_offset)
+        self._assembler = Assembler(self._limits.max_pending_chunks, event.offset)
+        self._enter_stage(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
-        return [self._resume(), ReportProgress(self.progress())]
+        return [self._resume_decode(), ReportProgress(self.progress())]
 
     @_handle.register
     def _(self, event: TimePassed) -> list[RequestAction]:
         if self._now_s < self.deadline_s:
             return []
-        placement = self._placed()
-        if self.stage is Stage.DECODING and not self._resumed:
-            self._resumed = True
+        placement = self._current_placement()
+        if self.stage is Stage.DECODING and not self._is_resuming:
+            self._is_resuming = True
             self.deadline_s = self._now_s + self._limits.silence_s
-            return [self._resume()]
+            return [self._resume_decode()]
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, self.stage.value)
         prefilling = self.stage is Stage.PREFILLING
         server = placement.prefill_server if prefilling else placement.decode_server
-        # A stalled transfer may be the link's fault, so no server is reported.
+        # The link may be the cause of a stalled transfer, so no server is reported.
         return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
-    def _starts_later(self, failure: Failure) -> bool:
-        """Continue at the caller's offset if the engine has nothing before it."""
-        refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
-        if not refused or self.base_offset >= self._wanted_offset:
+    def _skip_to_caller_offset(self, failure: Failure) -> bool:
+        """Skip to the caller's offset if the engine lacks the output before it."""
+        is_offset_refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
+        if not is_offset_refused or self.base_offset >= self._caller_offset:
             return False
-        self.base_offset = self._wanted_offset
-        self._assembler = Assembler(self._limits.window, self.base_offset)
+        self.base_offset = self._caller_offset
+        self._assembler = Assembler(self._limits.max_pending_chunks, self.base_offset)
         self.deadline_s = self._now_s + self._limits.silence_s
         return True
 
     def _ask_placement(self) -> list[RequestAction]:
         self.attempt += 1
         self.placement = None
-        self._resumed = False
-        self._assembler.restart()
+        self._is_resuming = False
+        self._assembler.discard_pending()
         self.stage = Stage.QUEUED_FOR_PLACEMENT
-        self.deadline_s = _NEVER_S
+        self.deadline_s = _NO_DEADLINE_S
         crashed_server, self._crashed_server = self._crashed_server, ""
         return [
             AskPlacement(
                 attempt=self.attempt,
                 prompt_tokens=self.spec.prompt_tokens + self.output_tokens,
                 max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
-                suspect=self._crashes > 0,
-                excluded=self._excluded + ((self._avoided,) if self._avoided else ()),
+                suspect=self._crash_count > 0,
+                excluded=self._excluded
+                + ((self._avoid_once,) if self._avoid_once else ()),
                 crashed_server=crashed_server,
             )
         ]
@@ -310,30 +315,34 @@
         if failure.ran is not RunState.NOT_RUN:
             self._may_have_run = True
             crashed = failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-            self._crashes += crashed
-        # A prefill has run by the time of a transfer.
+            self._crash_count += crashed
+        # After the prefill stage the prefill has run.
         self._may_have_run |= self.stage is not Stage.PREFILLING
-        # A server that is alive is avoided once only, else a few stalls in a small
-        # fleet would leave no server and refuse the request.
-        self._avoided = "" if server_failed else server
+        # A server that is alive is excluded from the next attempt only. Otherwise a few
+        # stalls in a small fleet would exclude all servers and refuse the request.
+        self._avoid_once = "" if server_failed else server
         if server_failed and server not in self._excluded:
             self._excluded = (*self._excluded, server)
         failed_server = server if server_failed else ""
         if self.output_tokens >= self.spec.max_output_tokens:
             return self._finish_at_length()
-        # The prompt of a request that was taken over is not known here.
-        no_prompt = not self._granted
-        exhausted = self.attempt >= self._limits.attempts
-        if no_prompt or exhausted or self._crashes >= self._limits.crashes:
+        # Without a rate grant the request was taken over, and its prompt is unknown.
+        is_prompt_unknown = not self._has_rate_grant
+        is_exhausted = self.attempt >= self._limits.attempts
+        if (
+            is_prompt_unknown
+            or is_exhausted
+            or self._crash_count >= self._limits.crashes
+        ):
             return self._end(Stage.FAILED, failure, failed_server, crashed)
-        cancels = self._cancel_engines()
+        cancellations = self._cancel_engines()
         self.stage = Stage.FAILED
         self._crashed_server = server if crashed else ""
         report = ReportProgress(self.progress(failed_server, crashed))
-        return [*cancels, report, *self._ask_placement()]
+        return [*cancellations, report, *self._ask_placement()]
 
     def _finish_at_length(self) -> list[RequestAction]:
-        # Only the last chunk, which carries no text, was lost.
+        # Only the last chunk is missing, which has no text.
         last = DecodeChunk(self.output_tokens, finish_reason="length")
         return [*self._cancel_engines(), *self._deliver(self._assembler.add(last))]
 
@@ -343,7 +352,7 @@
         for chunk in chunks:
             if chunk.finish_reason is None:
                 assert chunk.offset == self.output_tokens, (
-                    "a token twice or out of order"
+                    "a token is duplicate or out of order"
                 )
                 self.texts.append(chunk.text)
         if self.first_token_s is None:
@@ -364,13 +373,13 @@
             state = self._final_run_state()
             failure = msgspec.structs.replace(failure, run_state=state)
             actions += self._cancel_engines()
-        # The placement may have been decided while its answer is on the way.
-        queued = self.stage is Stage.QUEUED_FOR_PLACEMENT
-        if queued:
+        # The cell owner may have placed the request, with its response in transit.
+        is_queued = self.stage is Stage.QUEUED_FOR_PLACEMENT
+        if is_queued:
             actions.append(WithdrawRequest())
         self.stage = stage
-        self.deadline_s = _NEVER_S
-        if queued or self.placement is not None:
+        self.deadline_s = _NO_DEADLINE_S
+        if is_queued or self.placement is not None:
             actions.append(ReportProgress(self.progress(failed_server, crashed)))
         unused = self._unused_tokens()
         if unused > 0:
@@ -383,7 +392,7 @@
         return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
 
     def _unused_tokens(self) -> int:
-        if not self._granted:
+        if not self._has_rate_grant:
             return 0
         unused = self.spec.max_output_tokens - self.output_tokens
         if not self._may_have_run:
@@ -398,8 +407,8 @@
         addresses = dict.fromkeys((placement.prefill_address, placement.decode_address))
         return [CancelOnServer(item, engine_request_id) for item in addresses if item]
 
-    def _resume(self) -> ResumeDecode:
-        placement = self._placed()
+    def _resume_decode(self) -> ResumeDecode:
+        placement = self._current_placement()
         return ResumeDecode(
             self.attempt,
             placement.decode_server,
@@ -408,13 +417,13 @@
             self._assembler.next_offset,
         )
 
-    def _enter(self, stage: Stage, limit_s: float) -> None:
+    def _enter_stage(self, stage: Stage, limit_s: float) -> None:
         self.stage = stage
         self.deadline_s = self._now_s + limit_s
 
     def _engine_request_id(self) -> str:
         return f"{self.spec.request_id}.{self.attempt}"
 
-    def _placed(self) -> Placement:
-        assert self.placement is not None, "no engine before a placement"
+    def _current_placement(self) -> Placement:
+        assert self.placement is not None, "no attempt is placed"
         return self.placement
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -1,4 +1,4 @@
-"""Events and actions of the life cycle of one request."""
+"""Events and actions of the life cycle of a request."""
 
 from dataclasses import dataclass, field
 from enum import Enum
@@ -40,7 +40,7 @@
 
 
 class Stage(Enum):
-    """Where a request is."""
+    """Stage of a request on its front."""
 
     NEW = "new"
     QUEUED_FOR_RATE = "queued_for_rate"
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSpec:
-    """What a caller asked for; `prompt` never appears in `repr`."""
+    """Parameters of a request; `prompt` never appears in its `repr`."""
 
     request_id: str
     model: str
@@ -67,33 +67,34 @@
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
     """
-    Bounds of one request's attempts.
+    Limits of the attempts of a request.
 
     Parameters
     ----------
     attempts : int
-        Most attempts on engines.
+        Limit of the attempts on engines.
     crashes : int
-        Connections that broke under this request; a request that crashes engines
-        may cost two of them.
+        Limit of engine connections that broke while they ran this request. It bounds
+        how many engines a request that crashes them can bring down.
     silence_s : float
-        Time without a chunk after which a stream is resumed on a new connection.
+        Time without a chunk after which a stream is resumed on a new connection, and
+        after which a resumed stream counts as failed.
     prefill_s : float
-        Longest prefill.
-    transfer_s : float
-        Shortest deadline from the end of prefill to the first token. With 0.3 s, 144
-        of 200 requests that came at once were moved and then refused, although no
-        transfer had stalled.
+        Timeout of the prefill.
+    min_transfer_timeout_s : float
+        Lower limit of the timeout from the end of prefill to the first token. With
+        0.3 s, 144 of 200 requests that arrived at once were retried elsewhere and then
+        refused, although no transfer had stalled.
     window : int
-        Most chunks that wait for a missing one.
+        Limit of how far ahead of the next token a received chunk may be.
     """
 
     attempts: int = 4
     crashes: int = 2
     silence_s: float = 1.5
     prefill_s: float = 30.0
-    transfer_s: float = 1.0
-    window: int = 256
+    min_transfer_timeout_s: float = 1.0
+    max_pending_chunks: int = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,26 +104,26 @@
 
 @dataclass(frozen=True, slots=True)
 class RateGranted:
-    """The rate owner granted the request."""
+    """The rate owner granted the tokens of the request."""
 
 
 @dataclass(frozen=True, slots=True)
 class RateRefused:
-    """The rate owner refused the request."""
+    """The rate owner refused the tokens of the request."""
 
     failure: Failure
 
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The cell owner placed an attempt."""
+    """The cell owner placed the attempt on engines."""
 
     placement: Placement
 
 
 @dataclass(frozen=True, slots=True)
 class PlacementRefused:
-    """The cell owner refused an attempt."""
+    """The cell owner refused to place the attempt."""
 
     attempt: int
     failure: Failure
@@ -130,14 +131,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Prefilled:
-    """The prefill engine holds the result."""
+    """The prefill engine finished and holds the result for the transfer."""
 
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class ChunkReceived:
-    """A chunk arrived from the decode engine."""
+    """The decode engine sent a chunk of the output."""
 
     attempt: int
     chunk: DecodeChunk
@@ -145,7 +146,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """A call to an engine failed, or its stream ended early."""
+    """A call to an engine failed, or the stream of one ended early."""
 
     attempt: int
     server: str
@@ -154,29 +155,30 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelRequested:
-    """The request must stop, for the reason in `failure`."""
+    """The request is to be cancelled, for the reason in `failure`."""
 
     failure: Failure
 
 
 @dataclass(frozen=True, slots=True)
 class TakenOver:
-    """Another front continues the request; engines must keep running it."""
+    """Another front serves the request now; engines must keep running it."""
 
 
 @dataclass(frozen=True, slots=True)
 class TakeOverGranted:
     """
-    The front continues a request of a front that is gone.
+    The front took over a request of a lost front.
 
     Parameters
     ----------
     placement : Placement
-        Engines of its last attempt.
+        Engines of the last attempt.
     offset : int
-        First token to fetch.
+        Offset of the first token to fetch.
     caller_offset : int
-        First token to fetch if the engine has none before; the caller's offset.
+        Offset of the first token that the caller needs; used if the engine lacks
+        the output before it.
     """
 
     placement: Placement
@@ -186,7 +188,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TimePassed:
-    """A deadline may have passed."""
+    """A timer fired; a deadline may have passed."""
 
 
 RequestEvent = (
@@ -207,14 +209,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AskRate:
-    """Ask the rate owner for `cost_tokens`."""
+    """Request `cost_tokens` from the rate owner."""
 
     cost_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
 class AskPlacement:
-    """Ask the cell owner for engines."""
+    """Request a placement on engines from the cell owner."""
 
     attempt: int
     prompt_tokens: int
@@ -226,7 +228,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendPrefill:
-    """Send a prefill to an engine."""
+    """Start the prefill on an engine."""
 
     attempt: int
     server: str
@@ -236,7 +238,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendDecode:
-    """Import and decode on an engine."""
+    """Start the KV transfer and the decode on an engine."""
 
     attempt: int
     server: str
@@ -246,7 +248,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResumeDecode:
-    """Replace the connection to an engine and read on at `offset`."""
+    """Replace the connection to an engine and resume its stream at `offset`."""
 
     attempt: int
     server: str
@@ -257,7 +259,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelOnServer:
-    """Free everything that an engine holds for an attempt."""
+    """Cancel an attempt on an engine, which frees everything held for it."""
 
     address: str
     engine_request_id: str
@@ -265,33 +267,33 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawRequest:
-    """Take the request out of the cell owner's queue."""
+    """Withdraw the request from the queue of the cell owner."""
 
 
 @dataclass(frozen=True, slots=True)
 class DeliverChunks:
-    """Hand chunks to the caller."""
+    """Deliver chunks to the caller."""
 
     chunks: tuple[DecodeChunk, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ReportProgress:
-    """Tell the cell owner at once."""
+    """Report progress to the cell owner without waiting for the next batch."""
 
     progress: Progress
 
 
 @dataclass(frozen=True, slots=True)
 class RefundTokens:
-    """Give unused tokens back."""
+    """Return unused tokens to the rate owner."""
 
     tokens: int
 
 
 @dataclass(frozen=True, slots=True)
 class CloseRequest:
-    """The request has ended, well if `failure` is `None`."""
+    """Close the request: finished if `failure` is `None`, else failed."""
 
     failure: Failure | None = None
 
--- a/tests/core/requests/test_assembler.py
+++ b/tests/core/requests/test_assembler.py
@@ -1,4 +1,4 @@
-"""Guards against tokens that are lost, repeated or out of order."""
+"""Stream assembler: lost, duplicate or reordered tokens."""
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -13,11 +13,11 @@
     count = data.draw(st.integers(0, 30))
     chunks = [DecodeChunk(offset, str(offset)) for offset in range(count)]
     chunks.append(DecodeChunk(count, finish_reason="stop"))
-    repeats = data.draw(st.lists(st.sampled_from(chunks), max_size=30))
+    duplicates = data.draw(st.lists(st.sampled_from(chunks), max_size=30))
     missing = data.draw(st.sets(st.integers(0, count), max_size=2))
     late = [chunks[offset] for offset in sorted(missing)]
-    early = [chunk for chunk in chunks + repeats if chunk.offset not in missing]
-    stream = Assembler(window=64)
+    early = [chunk for chunk in chunks + duplicates if chunk.offset not in missing]
+    stream = Assembler(max_pending_chunks=64)
     delivered = []
     for chunk in data.draw(st.permutations(early)):
         delivered += stream.add(chunk)
@@ -29,14 +29,14 @@
 
 
 @pytest.mark.parametrize("offset", [-1, 8])
-def test_absurd_offsets_do_not_fill_memory(offset):
+def test_chunks_with_offsets_out_of_range_are_refused(offset):
     with pytest.raises(InvalidChunk):
-        Assembler(window=8).add(DecodeChunk(offset, "x"))
+        Assembler(max_pending_chunks=8).add(DecodeChunk(offset, "x"))
 
 
-def test_another_attempt_does_not_mix_with_an_earlier_one():
-    stream = Assembler(window=8)
+def test_pending_chunks_of_an_earlier_attempt_are_discarded():
+    stream = Assembler(max_pending_chunks=8)
     stream.add(DecodeChunk(1, "old"))
-    stream.restart()
+    stream.discard_pending()
     stream.add(DecodeChunk(0, "a"))
     assert stream.add(DecodeChunk(1, "new")) == (DecodeChunk(1, "new"),)
