Explain the remaining names of the scheduler and the request life cycle

A second reading found parameters with old names in doc comments, undocumented constants and vague local names. Name and document them.

--- a/src/damaskridge/core/requests/assembler.py
+++ b/src/damaskridge/core/requests/assembler.py
@@ -24,7 +24,7 @@
 
     Parameters
     ----------
-    window : int
+    max_pending_chunks : int
         Limit of how far ahead of the next offset a chunk may be. An engine that sends
         chunks beyond it is at fault, and must not fill the memory.
     next_offset : int
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -81,6 +81,8 @@
     base_offset : int
         Offset of the first token in `texts`; 0 unless the request was taken over from
         another front.
+    first_token_s : float or None
+        Time from `accepted_s` to the first token, once it was received.
     """
 
     def __init__(
@@ -99,7 +101,7 @@
         self._now_s = accepted_s
         self._assembler = Assembler(limits.max_pending_chunks)
         self._excluded: tuple[str, ...] = ()
-        self._avoid_once = ""
+        self._excluded_once = ""
         self._crash_count = 0
         self._crashed_server = ""
         self._has_rate_grant = False
@@ -197,10 +199,10 @@
         # The prefill engine evicts its result in less than a second, so the transfer
         # has to start at once and has a deadline. The deadline also covers the first
         # decode step and, in a burst, delays in this process.
-        limit_s = max(
+        timeout_s = max(
             placement.transfer_deadline_s, self._limits.min_transfer_timeout_s
         )
-        self._enter_stage(Stage.TRANSFERRING, limit_s)
+        self._enter_stage(Stage.TRANSFERRING, timeout_s)
         request = DecodeRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -273,8 +275,8 @@
             self.deadline_s = self._now_s + self._limits.silence_s
             return [self._resume_decode()]
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, self.stage.value)
-        prefilling = self.stage is Stage.PREFILLING
-        server = placement.prefill_server if prefilling else placement.decode_server
+        is_prefilling = self.stage is Stage.PREFILLING
+        server = placement.prefill_server if is_prefilling else placement.decode_server
         # The link may be the cause of a stalled transfer, so no server is reported.
         return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
@@ -303,7 +305,7 @@
                 max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
                 suspect=self._crash_count > 0,
                 excluded=self._excluded
-                + ((self._avoid_once,) if self._avoid_once else ()),
+                + ((self._excluded_once,) if self._excluded_once else ()),
                 crashed_server=crashed_server,
             )
         ]
@@ -311,6 +313,7 @@
     def _retry(
         self, server: str, failure: Failure, server_failed: bool = True
     ) -> list[RequestAction]:
+        """End the current attempt, and start another or close the request."""
         crashed = False
         if failure.ran is not RunState.NOT_RUN:
             self._may_have_run = True
@@ -320,7 +323,7 @@
         self._may_have_run |= self.stage is not Stage.PREFILLING
         # A server that is alive is excluded from the next attempt only. Otherwise a few
         # stalls in a small fleet would exclude all servers and refuse the request.
-        self._avoid_once = "" if server_failed else server
+        self._excluded_once = "" if server_failed else server
         if server_failed and server not in self._excluded:
             self._excluded = (*self._excluded, server)
         failed_server = server if server_failed else ""
@@ -381,9 +384,9 @@
         self.deadline_s = _NO_DEADLINE_S
         if is_queued or self.placement is not None:
             actions.append(ReportProgress(self.progress(failed_server, crashed)))
-        unused = self._unused_tokens()
-        if unused > 0:
-            actions.append(RefundTokens(unused))
+        unused_tokens = self._unused_tokens()
+        if unused_tokens > 0:
+            actions.append(RefundTokens(unused_tokens))
         return [*actions, CloseRequest(failure)]
 
     def _final_run_state(self) -> RunState:
@@ -394,10 +397,10 @@
     def _unused_tokens(self) -> int:
         if not self._has_rate_grant:
             return 0
-        unused = self.spec.max_output_tokens - self.output_tokens
+        unused_tokens = self.spec.max_output_tokens - self.output_tokens
         if not self._may_have_run:
-            unused += self.spec.prompt_tokens
-        return unused
+            unused_tokens += self.spec.prompt_tokens
+        return unused_tokens
 
     def _cancel_engines(self) -> list[RequestAction]:
         placement = self.placement
@@ -417,9 +420,9 @@
             self._assembler.next_offset,
         )
 
-    def _enter_stage(self, stage: Stage, limit_s: float) -> None:
+    def _enter_stage(self, stage: Stage, timeout_s: float) -> None:
         self.stage = stage
-        self.deadline_s = self._now_s + limit_s
+        self.deadline_s = self._now_s + timeout_s
 
     def _engine_request_id(self) -> str:
         return f"{self.spec.request_id}.{self.attempt}"
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -85,7 +85,7 @@
         Lower limit of the timeout from the end of prefill to the first token. With
         0.3 s, 144 of 200 requests that arrived at once were retried elsewhere and then
         refused, although no transfer had stalled.
-    window : int
+    max_pending_chunks : int
         Limit of how far ahead of the next token a received chunk may be.
     """
 
--- a/src/damaskridge/core/scheduling/admission.py
+++ b/src/damaskridge/core/scheduling/admission.py
@@ -61,7 +61,7 @@
 
 
 def extend(server: ServerState, held_pieces: int, needed_pieces: int) -> int:
-    """Reserve more pieces for a growing stream if free, and return its total."""
+    """Reserve free pieces for a growing stream, and return how many it then has."""
     spec = server.spec
     added_pieces = min(
         max(0, needed_pieces - held_pieces), max(0, spec.kv_pieces - server.used_pieces)
--- a/src/damaskridge/core/scheduling/dispatch.py
+++ b/src/damaskridge/core/scheduling/dispatch.py
@@ -17,14 +17,15 @@
 # Queued requests are refused after their model has had no usable server for this long.
 NO_SERVER_TIMEOUT_S = 3.0
 _RETRY_INTERVAL_S = 0.02
-# Time past its due time after which an engine is kept free for a large request.
-_CLAIM_AFTER_S = 10.0
+# Time past its due time after which a large request may claim an engine.
+_CLAIM_TIMEOUT_S = 10.0
+# Number of workspaces of a level whose first requests are considered.
 _MAX_HEADS = 4
 # Share of the cell that delay-tolerant requests past their due time are given.
 _AGED_SHARE = 0.15
 _MAX_AGED_CREDIT_S = 1.0
 _TRANSFER_MARGIN_S = 0.3
-_SERVICE_CALL_S = 0.1
+_ASSUMED_SERVICE_CALL_S = 0.1
 _DEFAULT_SLOTS = 1
 
 
@@ -140,7 +141,7 @@
                 return [placed] if placed else []
         for level in Level:
             for item in self.queue.heads(level, _MAX_HEADS):
-                if now_s >= item.due_s + _CLAIM_AFTER_S:
+                if now_s >= item.due_s + _CLAIM_TIMEOUT_S:
                     entry = registry.entries[item.request_id]
                     self.placer.claim_engine(entry, level, now_s)
                     if self.placer.claimant_id is not None:
@@ -203,9 +204,9 @@
 
         Each request is demoted at most once.
         """
-        moved = True
-        while moved:
-            moved = False
+        demoted = True
+        while demoted:
+            demoted = False
             for item in list(self.queue.heads(Level.URGENT, _MAX_HEADS)):
                 entry = registry.entries[item.request_id]
                 waited_s = now_s - entry.queued_at_s + entry.profile.waited_s
@@ -214,15 +215,19 @@
                 self.queue.remove(item.request_id)
                 item.level = Level.LATE
                 self.queue.push(item)
-                moved = True
+                demoted = True
 
     def _cost_s(self, entry: RequestEntry) -> float:
-        """Return the time for which the request would occupy the whole cell."""
-        profile, output = entry.profile, entry.estimate.output_tokens
+        """
+        Return the time for which the request would occupy the whole cell.
+
+        It is the mean of the times for prefill, decode slots and KV memory.
+        """
+        profile, output_tokens = entry.profile, entry.estimate.output_tokens
         if not self._total_pieces:
-            return _SERVICE_CALL_S / self._total_slots
-        decode_s = output * self._decode_step_s
-        pieces = (profile.prompt_tokens + output) / self._piece_tokens
+            return _ASSUMED_SERVICE_CALL_S / self._total_slots
+        decode_s = output_tokens * self._decode_step_s
+        pieces = (profile.prompt_tokens + output_tokens) / self._piece_tokens
         cached_tokens = self.placer.cached_tokens(entry)
         prefill_tokens = max(1, profile.prompt_tokens - cached_tokens)
         return (
--- a/src/damaskridge/core/scheduling/overload.py
+++ b/src/damaskridge/core/scheduling/overload.py
@@ -9,7 +9,7 @@
 # Longer than a burst at full load lasts, so that only sustained overload refuses.
 _MAX_URGENT_WAIT_S = 5.0
 _MAX_BULK_WAIT_S = 120.0
-_MAX_RETRY_JITTER = 0.5
+_MAX_JITTER_RATIO = 0.5
 
 
 class OverloadControl:
@@ -32,5 +32,5 @@
         return self.with_jitter_s(1.0 + excess_s) if excess_s > 0 else None
 
     def with_jitter_s(self, wait_s: float) -> float:
-        """Return `wait_s` plus random jitter."""
-        return wait_s * (1 + _MAX_RETRY_JITTER * self._rng.random())
+        """Return `wait_s` plus random jitter in proportion to it."""
+        return wait_s * (1 + _MAX_JITTER_RATIO * self._rng.random())
--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -52,6 +52,7 @@
         self.servers: dict[str, ServerState] = {}
         self.hints = PrefixHints()
         self._transfer_slowdown = 1.0
+        # Identifier of a request, and name of the engine that is kept free for it.
         self._claim: tuple[str, str] | None = None
         self._prefill_by_backlog = LazyHeap()
         self._decode_by_load = LazyHeap()
@@ -126,10 +127,10 @@
         if not decode_engines:
             return None
         for prefill, uncached_tokens in self._rank_prefill_engines(entry, level, now_s):
-            end_s = now_s + prefill.prefill_wait_s(level, now_s)
-            end_s += uncached_tokens / prefill.spec.prefill_tokens_per_s
+            prefill_end_s = now_s + prefill.prefill_wait_s(level, now_s)
+            prefill_end_s += uncached_tokens / prefill.spec.prefill_tokens_per_s
             choice = self._choose_decode(
-                entry, level, prefill, decode_engines, uncached_tokens, end_s
+                entry, level, prefill, decode_engines, uncached_tokens, prefill_end_s
             )
             if choice is not None:
                 return choice
@@ -217,9 +218,11 @@
                     server.suspect_count = max(0, server.suspect_count + change)
 
     def _pieces_for(self, server: ServerState, entry: RequestEntry) -> int:
-        most = entry.estimate.max_expected_output_tokens
-        output = max(most, entry.output_tokens)
-        pieces = admission.pieces_for(server, entry.profile.prompt_tokens, output)
+        expected_tokens = entry.estimate.max_expected_output_tokens
+        output_tokens = max(expected_tokens, entry.output_tokens)
+        pieces = admission.pieces_for(
+            server, entry.profile.prompt_tokens, output_tokens
+        )
         return min(pieces, server.spec.kv_pieces)
 
     def _rank_prefill_engines(
@@ -239,10 +242,10 @@
             wait_s = server.prefill_wait_s(level, now_s)
             if wait_s > _MAX_PREFILL_WAIT_S[level]:
                 continue
-            cached = 0
+            cached_tokens = 0
             if self._settings.use_prefix_hints:
-                cached = self.hints.cached_tokens(name, hashes)
-            uncached_tokens = max(1, entry.profile.prompt_tokens - cached)
+                cached_tokens = self.hints.cached_tokens(name, hashes)
+            uncached_tokens = max(1, entry.profile.prompt_tokens - cached_tokens)
             ready_s = wait_s + uncached_tokens / server.spec.prefill_tokens_per_s
             ranked.append((ready_s, name, uncached_tokens))
         return [
@@ -270,12 +273,12 @@
         prefill: ServerState,
         decode_engines: list[tuple[ServerState, int]],
         uncached_tokens: int,
-        end_s: float,
+        prefill_end_s: float,
     ) -> PlacementChoice | None:
         size_bytes = entry.profile.prompt_tokens * self._settings.kv_bytes_per_token
         best: PlacementChoice | None = None
         for decode, pieces in decode_engines:
-            start_s = end_s
+            start_s = prefill_end_s
             duration_s = links.transfer_time_s(prefill, decode, size_bytes)
             duration_s *= self._transfer_slowdown
             if self._settings.reserve_links:
@@ -283,12 +286,18 @@
                     duration_s * links.BULK_GAP_RATIO if level is Level.BULK else 0.0
                 )
                 start_s = gap_s + links.transfer_start_s(
-                    prefill, decode, end_s - gap_s, gap_s + duration_s
+                    prefill, decode, prefill_end_s - gap_s, gap_s + duration_s
                 )
-                if start_s > end_s + links.MAX_TRANSFER_DELAY_S[level]:
+                if start_s > prefill_end_s + links.MAX_TRANSFER_DELAY_S[level]:
                     continue
             candidate = PlacementChoice(
-                prefill, decode, pieces, uncached_tokens, end_s, start_s, duration_s
+                prefill,
+                decode,
+                pieces,
+                uncached_tokens,
+                prefill_end_s,
+                start_s,
+                duration_s,
             )
             if best is None or _arrival_score_s(candidate) < _arrival_score_s(best):
                 best = candidate
@@ -298,12 +307,12 @@
         self, entry: RequestEntry, now_s: float
     ) -> Iterator[ServerState]:
         names = self._decode_by_load.smallest(_MAX_CANDIDATES)
-        claimant_id, claimed = self._claim or ("", "")
+        claimant_id, claimed_server = self._claim or ("", "")
         if claimant_id == entry.profile.request_id:
-            names = [claimed, *names]
+            names = [claimed_server, *names]
         for name in dict.fromkeys(names):
             server = self.servers[name]
-            if name == claimed and claimant_id != entry.profile.request_id:
+            if name == claimed_server and claimant_id != entry.profile.request_id:
                 continue
             if self._is_allowed(server, entry, now_s):
                 yield server
@@ -311,6 +320,7 @@
     def _is_allowed(
         self, server: ServerState, entry: RequestEntry, now_s: float
     ) -> bool:
+        """Return whether model, exclusions and suspects permit the placement."""
         if server.spec.serves != entry.profile.model:
             return False
         is_excluded = server.spec.name in entry.profile.excluded
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -24,7 +24,7 @@
 
 __all__ = ["EndRequest", "Recovery", "refuse_quarantined", "refuse_take_over"]
 
-_AFTER_PREFILL = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
+_PHASES_AFTER_PREFILL = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
 
 EndRequest = Callable[[RequestEntry, float, bool], list[CellAction]]
 
@@ -35,7 +35,7 @@
 
     Parameters
     ----------
-    registry, placer, suspects : Registry, Placer, SuspectTable
+    registry, placer, suspects : RequestRegistry, Placer, SuspectTable
         State of the cell.
     end_request : EndRequest
         Removes a request and, if its last argument is true, cancels it on engines.
@@ -120,13 +120,13 @@
             was_suspect=was_suspect,
         )
         actions: list[CellAction] = []
-        for other in self._registry.find_by_fingerprint(fingerprint):
-            if other.placement is not None:
+        for entry in self._registry.find_by_fingerprint(fingerprint):
+            if entry.placement is not None:
                 continue
-            other.suspect = True
+            entry.suspect = True
             if self._suspects.has_reached_crash_limit(fingerprint, now_s):
-                actions.append(refuse_quarantined(other.profile))
-                actions += self._end_request(other, now_s, False)
+                actions.append(refuse_quarantined(entry.profile))
+                actions += self._end_request(entry, now_s, False)
         return actions
 
     def record_crash(
@@ -141,9 +141,11 @@
                 continue
             on_prefill = placement.prefill_server == name
             on_decode = placement.decode_server == name
-            started = entry.phase in _AFTER_PREFILL or now_s >= entry.prefill_end_s
-            decoding = entry.phase is RequestPhase.DECODING
-            if (on_prefill and not decoding) or (on_decode and started):
+            decode_started = (
+                entry.phase in _PHASES_AFTER_PREFILL or now_s >= entry.prefill_end_s
+            )
+            is_decoding = entry.phase is RequestPhase.DECODING
+            if (on_prefill and not is_decoding) or (on_decode and decode_started):
                 ran.append(entry.profile.fingerprint)
             if on_decode:
                 self._placer.release(entry, now_s)
--- a/src/damaskridge/core/scheduling/registry.py
+++ b/src/damaskridge/core/scheduling/registry.py
@@ -118,22 +118,22 @@
 
     def record_front_alive(self, front: str, incarnation: int, now_s: float) -> None:
         """Record that a front's process is alive."""
-        known = self._fronts.get(front)
-        if known is None or incarnation != known.incarnation:
+        state = self._fronts.get(front)
+        if state is None or incarnation != state.incarnation:
             self._fronts[front] = _FrontState(incarnation, now_s)
         else:
-            known.last_seen_s, known.is_lost = now_s, False
+            state.last_seen_s, state.is_lost = now_s, False
 
     def is_front_lost(self, entry: RequestEntry) -> bool:
         """Return whether the process of the front of a request is lost."""
-        known = self._fronts.get(entry.front)
-        return known is None or known.is_lost or known.incarnation != entry.incarnation
+        state = self._fronts.get(entry.front)
+        return state is None or state.is_lost or state.incarnation != entry.incarnation
 
     def mark_front_lost(self, front: str, incarnation: int) -> None:
         """Record that a front's process is lost."""
-        known = self._fronts.get(front)
-        if known is not None and known.incarnation == incarnation:
-            known.is_lost = True
+        state = self._fronts.get(front)
+        if state is not None and state.incarnation == incarnation:
+            state.is_lost = True
 
     def mark_orphaned(self, entry: RequestEntry, now_s: float) -> None:
         """Start the grace period in which other fronts may take over the request."""
@@ -143,7 +143,7 @@
 
     def pop_expired_orphans(self, now_s: float) -> list[RequestEntry]:
         """Remove and return expired orphans, except those of a front alive again."""
-        due: list[RequestEntry] = []
+        expired: list[RequestEntry] = []
         for request_id in list(self._orphans):
             entry = self.entries[request_id]
             if entry.reclaim_at_s is None or now_s < entry.reclaim_at_s:
@@ -151,8 +151,8 @@
             del self._orphans[request_id]
             entry.reclaim_at_s = None
             if self.is_front_lost(entry):
-                due.append(entry)
-        return due
+                expired.append(entry)
+        return expired
 
     def requests_of_front(self, front: str) -> list[RequestEntry]:
         """Return the requests of a front."""
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -157,22 +157,22 @@
         actions: list[CellAction] = []
         if self._registry.has_ended(f"{profile.request_id}.{profile.attempt}"):
             return [_refuse(profile, ErrorKind.CANCELLED)]
-        known = self._registry.entries.get(profile.request_id)
-        if known is not None and known.profile.attempt >= profile.attempt:
-            return self._resend_placement(known, profile)
+        existing = self._registry.entries.get(profile.request_id)
+        if existing is not None and existing.profile.attempt >= profile.attempt:
+            return self._resend_placement(existing, profile)
         server = self._placer.servers.get(profile.crashed_server)
         if server is not None:
-            was_suspect = known is not None and known.suspect
+            was_suspect = existing is not None and existing.suspect
             actions += self._recovery.record_crash_seen_by_front(
                 profile.fingerprint, server, now_s, was_suspect=was_suspect
             )
-            known = self._registry.entries.get(profile.request_id)
-        if known is not None:
-            self._record_lost_transfer(known)
-            actions += self._end_request(known, now_s, cancel=True)
+            existing = self._registry.entries.get(profile.request_id)
+        if existing is not None:
+            self._record_lost_transfer(existing)
+            actions += self._end_request(existing, now_s, cancel=True)
         if self._suspects.has_reached_crash_limit(profile.fingerprint, now_s):
             return [*actions, refuse_quarantined(profile)]
-        refusal = self._check_admissible(profile)
+        refusal = self._refusal_for(profile)
         if refusal is not None:
             return [*actions, refusal]
         return actions + self._enqueue(profile, now_s)
@@ -334,7 +334,7 @@
         self, servers: tuple[BackendServer, ...], workspaces: tuple[Workspace, ...]
     ) -> None:
         self._dispatcher.queue.set_weights(
-            {space.name: space.share_weight for space in workspaces}
+            {workspace.name: workspace.share_weight for workspace in workspaces}
         )
         names = {server.name for server in servers}
         for spec in servers:
@@ -354,7 +354,7 @@
             self._unlisted_engines.discard(name)
         self._dispatcher.update_capacity()
 
-    def _check_admissible(self, profile: RequestProfile) -> SendSubmitResponse | None:
+    def _refusal_for(self, profile: RequestProfile) -> SendSubmitResponse | None:
         """Refuse a request that no server can ever run, or a retry over the budget."""
         if not any(
             server.spec.serves == profile.model
@@ -399,12 +399,14 @@
         return entry
 
     def _resend_placement(
-        self, known: RequestEntry, profile: RequestProfile
+        self, existing: RequestEntry, profile: RequestProfile
     ) -> list[CellAction]:
-        if known.placement is None or known.profile.attempt != profile.attempt:
+        if existing.placement is None or existing.profile.attempt != profile.attempt:
             return []
-        response = SendSubmitResponse(known.front, profile.request_id, known.placement)
-        return [response] if known.front == profile.front else []
+        response = SendSubmitResponse(
+            existing.front, profile.request_id, existing.placement
+        )
+        return [response] if existing.front == profile.front else []
 
     def _apply_progress(
         self, entry: RequestEntry, item: Progress, now_s: float
--- a/src/damaskridge/core/scheduling/settings.py
+++ b/src/damaskridge/core/scheduling/settings.py
@@ -4,7 +4,9 @@
 
 __all__ = ["FIRST_TOKEN_TARGET_S", "FRONT_LEASE_S", "SchedulerSettings"]
 
+# Target for the time to first token of urgent requests.
 FIRST_TOKEN_TARGET_S = 1.0
+# Time without a message from a front after which it counts as lost.
 FRONT_LEASE_S = 3.0
 
 
--- a/src/damaskridge/core/scheduling/suspects.py
+++ b/src/damaskridge/core/scheduling/suspects.py
@@ -8,6 +8,7 @@
 # Crashes are counted here until the control group has received the reports of them.
 LOCAL_CRASH_WINDOW_S = 10.0
 _MAX_CRASHES = 2
+# Stands for the server and incarnation of an earlier crash, which are not known.
 _EARLIER_CRASH = ("", 0)
 
 
@@ -62,7 +63,7 @@
         self, server: str, incarnation: int, now_s: float
     ) -> list[str]:
         """
-        Return the fingerprints that fronts lost on a server shortly before now.
+        Return the fingerprints of requests that fronts recently lost on a server.
 
         Losses with an earlier process of the server belong to an earlier crash and
         are left out.
@@ -75,7 +76,7 @@
         ]
 
     def has_reached_crash_limit(self, fingerprint: str, now_s: float) -> bool:
-        """Return whether a fingerprint was on as many crashed servers as allowed."""
+        """Return whether a fingerprint was on the maximum number of lost servers."""
         failures = self._failures_s.get(fingerprint, {}).values()
         return (
             sum(now_s - failed_s <= LOCAL_CRASH_WINDOW_S for failed_s in failures)
--- a/src/damaskridge/core/scheduling/urgency.py
+++ b/src/damaskridge/core/scheduling/urgency.py
@@ -31,7 +31,12 @@
 
 
 class Level(IntEnum):
-    """Levels of the queue, from the most urgent to delay-tolerant requests."""
+    """
+    Levels of the queue, in scheduling order.
+
+    `LATE` holds urgent requests that missed the target for the first token, and `BULK`
+    delay-tolerant requests.
+    """
 
     URGENT = 0
     LATE = 1
