Rename a local list of engines in the placer

Its name with_room is also in the list of renames of another part, which would change it. The tests of scheduling and requests pass; same shape.

--- a/src/damaskridge/core/scheduling/placement.py
+++ b/src/damaskridge/core/scheduling/placement.py
@@ -257,14 +257,14 @@
         self, entry: RequestEntry, level: Level, now_s: float
     ) -> list[tuple[ServerState, int]]:
         """Return decode engines with room for a request, and the pieces it needs."""
-        with_room: list[tuple[ServerState, int]] = []
+        candidates: list[tuple[ServerState, int]] = []
         for server in self._decode_candidates(entry, now_s):
             pieces = self._pieces_for(server, entry)
             if not self._settings.reserve_decode or admission.can_reserve(
                 server, pieces, level
             ):
-                with_room.append((server, pieces))
-        return with_room
+                candidates.append((server, pieces))
+        return candidates
 
     def _choose_decode(
         self,
