--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -1,29 +1,28 @@
-"""The life cycle of one request on its front, without I/O."""
+"""State machine of a request on its front, without I/O."""
 
 import msgspec
 
 from damaskridge.core.dispatch import DispatchMethod
 from damaskridge.core.requests.assembler import Assembler, InvalidChunk
 from damaskridge.core.requests.messages import (
-    Action,
     AskPlacement,
     AskRate,
     AttemptFailed,
-    Begun,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
-    Close,
-    Continued,
-    Deliver,
-    Event,
-    Granted,
+    CloseRequest,
+    DeliverChunks,
     Placed,
     PlacementRefused,
     Prefilled,
+    RateGranted,
     RateRefused,
     RefundTokens,
-    Report,
+    ReportProgress,
+    RequestAccepted,
+    RequestAction,
+    RequestEvent,
     RequestSpec,
     ResumeDecode,
     RetryLimits,
@@ -31,6 +30,7 @@
     SendPrefill,
     Stage,
     TakenOver,
+    TakeOverGranted,
     TimePassed,
     WithdrawRequest,
 )
@@ -38,9 +38,9 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.routing import Placement, Progress, RequestPhase
 
-__all__ = ["RequestMachine"]
+__all__ = ["RequestStateMachine"]
 
-_PHASES = {
+_PHASE_BY_STAGE = {
     Stage.PREFILLING: RequestPhase.PREFILLING,
     Stage.TRANSFERRING: RequestPhase.TRANSFERRING,
     Stage.DECODING: RequestPhase.DECODING,
@@ -48,38 +48,41 @@
     Stage.FAILED: RequestPhase.CANCELLED,
     Stage.CANCELLED: RequestPhase.CANCELLED,
 }
-_ENDED = frozenset({Stage.FINISHED, Stage.FAILED, Stage.CANCELLED})
-_RUNNING = frozenset({Stage.PREFILLING, Stage.TRANSFERRING, Stage.DECODING})
-_NEVER_S = float("inf")
+_ENDED_STAGES = frozenset({Stage.FINISHED, Stage.FAILED, Stage.CANCELLED})
+_RUNNING_STAGES = frozenset({Stage.PREFILLING, Stage.TRANSFERRING, Stage.DECODING})
+_NO_DEADLINE_S = float("inf")
 
 
-class RequestMachine:
+class RequestStateMachine:
     """
-    Decides what happens to one request.
+    Turns the events of a request into the actions that its front has to perform.
 
     Parameters
     ----------
     spec : RequestSpec
-        What the caller asked for.
+        Model, prompt and output limit of the request.
     limits : RetryLimits
-        Bounds of the attempts.
+        Limits of the attempts.
     accepted_s : float
-        When the front accepted the request.
+        Time at which the front accepted the request.
 
     Attributes
     ----------
     stage : Stage
-        Where the request is.
+        Current stage of the request.
     attempt : int
-        The current attempt, from 1; 0 before the first.
+        Number of the current attempt, from 1; 0 before the first.
     placement : Placement or None
         Engines of the current attempt.
     deadline_s : float
-        When `TimePassed` is due.
+        Time at which `TimePassed` is due.
     texts : list[str]
-        Output tokens so far, the first at `base_offset`.
+        Texts of the output tokens received so far, from `base_offset` on.
     base_offset : int
-        Not 0 for a request that was taken over from another front.
+        Offset of the first token in `texts`; 0 unless the request was taken over from
+        another front.
+    first_token_s : float or None
+        Time from `accepted_s` to the first token, once it was received.
     """
 
     def __init__(
@@ -89,79 +92,80 @@
         self.stage = Stage.NEW
         self.attempt = 0
         self.placement: Placement | None = None
-        self.deadline_s = _NEVER_S
+        self.deadline_s = _NO_DEADLINE_S
         self.texts: list[str] = []
         self.base_offset = 0
         self.first_token_s: float | None = None
         self._limits = limits
         self._accepted_s = accepted_s
         self._now_s = accepted_s
-        self._assembler = Assembler(limits.window)
+        self._assembler = Assembler(limits.max_pending_chunks)
         self._excluded: tuple[str, ...] = ()
-        self._avoided = ""
-        self._crashes = 0
+        self._excluded_once = ""
+        self._crash_count = 0
         self._crashed_server = ""
-        self._granted = False
+        self._has_rate_grant = False
         self._may_have_run = False
-        self._resumed = False
-        self._wanted_offset = 0
+        self._is_resuming = False
+        self._caller_offset = 0
 
     @property
     def ended(self) -> bool:
-        """Whether the request has its final answer."""
-        return self.stage in _ENDED
+        """Whether the request has finished, failed or was cancelled."""
+        return self.stage in _ENDED_STAGES
 
     @property
     def output_tokens(self) -> int:
-        """Number of tokens delivered so far, by all fronts."""
+        """Number of output tokens delivered so far, by all fronts."""
         return self.base_offset + len(self.texts)
 
     def progress(self, failed_server: str = "", crashed: bool = False) -> Progress:
-        """Return what the cell owner needs to know now."""
+        """Return the current progress, for the cell owner."""
         return Progress(
             request_id=self.spec.request_id,
             attempt=max(self.attempt, 1),
-            phase=_PHASES.get(self.stage, RequestPhase.QUEUED),
+            phase=_PHASE_BY_STAGE.get(self.stage, RequestPhase.QUEUED),
             output_tokens=self.output_tokens,
             first_token_s=self.first_token_s,
             failed_server=failed_server,
             crashed=crashed,
         )
 
-    def handle(self, event: Event, now_s: float) -> list[Action]:
-        """Apply an event and return what has to be done."""
+    def handle(self, event: RequestEvent, now_s: float) -> list[RequestAction]:
+        """Apply an event and return the actions to perform."""
         self._now_s = now_s
         if self.ended:
-            return self._after_end(event)
+            return self._handle_after_end(event)
         return self._handle(event)
 
-    def _after_end(self, event: Event) -> list[Action]:
-        # The reservation of a placement that arrives after the end is released.
+    def _handle_after_end(self, event: RequestEvent) -> list[RequestAction]:
+        # A placement that arrives after the end is reported as ended, so that the cell
+        # owner releases its reservation.
         if isinstance(event, Placed):
             self.attempt = max(self.attempt, event.placement.attempt)
-            return [Report(self.progress())]
+            return [ReportProgress(self.progress())]
         return []
 
     @DispatchMethod
-    def _handle(self, event: object) -> list[Action]:
+    def _handle(self, event: object) -> list[RequestAction]:
         raise TypeError(f"unknown event: {type(event).__name__}")
 
     @_handle.register
-    def _(self, event: Begun) -> list[Action]:
+    def _(self, event: RequestAccepted) -> list[RequestAction]:
         self.stage = Stage.QUEUED_FOR_RATE
         return [AskRate(self.spec.prompt_tokens + self.spec.max_output_tokens)]
 
     @_handle.register
-    def _(self, event: Granted) -> list[Action]:
-        self._granted = True
+    def _(self, event: RateGranted) -> list[RequestAction]:
+        self._has_rate_grant = True
         return self._ask_placement()
 
     @_handle.register
-    def _(self, event: RateRefused) -> list[Action]:
+    def _(self, event: RateRefused) -> list[RequestAction]:
         return self._end(Stage.FAILED, event.failure)
 
     @_handle.register
-    def _(self, event: Placed) -> list[Action]:
+    def _(self, event: Placed) -> list[RequestAction]:
         placement = event.placement
         if (
             self.stage is not Stage.QUEUED_FOR_PLACEMENT
@@ -169,7 +173,7 @@
         ):
             return []
         self.placement = placement
-        self._enter(Stage.PREFILLING, self._limits.prefill_s)
+        self._enter_stage(Stage.PREFILLING, self._limits.prefill_s)
         request = PrefillRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -179,24 +183,26 @@
         send = SendPrefill(
             self.attempt, placement.prefill_server, placement.prefill_address, request
         )
-        return [send, Report(self.progress())]
+        return [send, ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: PlacementRefused) -> list[Action]:
+    def _(self, event: PlacementRefused) -> list[RequestAction]:
         if event.attempt != self.attempt:
             return []
         return self._end(Stage.FAILED, event.failure)
 
     @_handle.register
-    def _(self, event: Prefilled) -> list[Action]:
+    def _(self, event: Prefilled) -> list[RequestAction]:
         if event.attempt != self.attempt or self.stage is not Stage.PREFILLING:
             return []
-        placement = self._placed()
-        # The prefill engine evicts its result in under a second, so the transfer
-        # starts at once and has a deadline. The first token also waits for the first
-        # decode step and, in a burst, for this process.
-        limit_s = max(placement.transfer_deadline_s, self._limits.transfer_s)
-        self._enter(Stage.TRANSFERRING, limit_s)
+        placement = self._current_placement()
+        # The prefill engine evicts its result in less than a second, so the transfer
+        # has to start at once and has a deadline. The deadline also covers the first
+        # decode step and, in a burst, delays in this process.
+        timeout_s = max(
+            placement.transfer_deadline_s, self._limits.min_transfer_timeout_s
+        )
+        self._enter_stage(Stage.TRANSFERRING, timeout_s)
         request = DecodeRequest(
             engine_request_id=self._engine_request_id(),
             model=self.spec.model,
@@ -208,149 +214,155 @@
         send = SendDecode(
             self.attempt, placement.decode_server, placement.decode_address, request
         )
-        return [send, Report(self.progress())]
+        return [send, ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: ChunkReceived) -> list[Action]:
-        if event.attempt != self.attempt or self.stage not in _RUNNING:
+    def _(self, event: ChunkReceived) -> list[RequestAction]:
+        if event.attempt != self.attempt or self.stage not in _RUNNING_STAGES:
             return []
-        actions: list[Action] = []
+        actions: list[RequestAction] = []
         if self.stage is not Stage.DECODING:
-            self._enter(Stage.DECODING, self._limits.silence_s)
-            actions.append(Report(self.progress()))
+            self._enter_stage(Stage.DECODING, self._limits.silence_s)
+            actions.append(ReportProgress(self.progress()))
         self.deadline_s = self._now_s + self._limits.silence_s
-        self._resumed = False
+        self._is_resuming = False
         try:
             chunks = self._assembler.add(event.chunk)
         except InvalidChunk as error:
             failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, str(error))
-            return self._retry(self._placed().decode_server, failure)
+            return self._retry(self._current_placement().decode_server, failure)
         return [*actions, *self._deliver(chunks)]
 
     @_handle.register
-    def _(self, event: AttemptFailed) -> list[Action]:
-        if event.attempt != self.attempt or self.stage not in _RUNNING:
+    def _(self, event: AttemptFailed) -> list[RequestAction]:
+        if event.attempt != self.attempt or self.stage not in _RUNNING_STAGES:
             return []
-        if self._starts_later(event.failure):
-            return [self._resume()]
-        # Other kinds are answers of a server that is alive.
-        broken = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-        return self._retry(event.server, event.failure, broken)
+        if self._skip_to_caller_offset(event.failure):
+            return [self._resume_decode()]
+        # Failures of other kinds are responses of a server that is alive.
+        server_failed = event.failure.kind is ErrorKind.BACKEND_SERVER_FAILED
+        return self._retry(event.server, event.failure, server_failed)
 
     @_handle.register
-    def _(self, event: CancelRequested) -> list[Action]:
-        self._may_have_run |= self.stage in _RUNNING
+    def _(self, event: CancelRequested) -> list[RequestAction]:
+        self._may_have_run |= self.stage in _RUNNING_STAGES
         return self._end(Stage.CANCELLED, event.failure)
 
     @_handle.register
-    def _(self, event: TakenOver) -> list[Action]:
+    def _(self, event: TakenOver) -> list[RequestAction]:
         self.stage = Stage.CANCELLED
-        self.deadline_s = _NEVER_S
-        return [Close(Failure(ErrorKind.STREAM_TAKEN_OVER))]
+        self.deadline_s = _NO_DEADLINE_S
+        return [CloseRequest(Failure(ErrorKind.STREAM_TAKEN_OVER))]
 
     @_handle.register
-    def _(self, event: Continued) -> list[Action]:
+    def _(self, event: TakeOverGranted) -> list[RequestAction]:
         self.placement = event.placement
         self.attempt = event.placement.attempt
         self.base_offset = event.offset
-        self._wanted_offset = max(event.offset, event.wanted_offset)
-        self._assembler = Assembler(self._limits.window, event.offset)
-        self._enter(Stage.DECODING, self._limits.silence_s)
+        self._caller_offset = max(event.offset, event.caller_offset)
+        self._assembler = Assembler(self._limits.max_pending_chunks, event.offset)
+        self._enter_stage(Stage.DECODING, self._limits.silence_s)
         self._may_have_run = True
-        return [self._resume(), Report(self.progress())]
+        return [self._resume_decode(), ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: TimePassed) -> list[Action]:
+    def _(self, event: TimePassed) -> list[RequestAction]:
         if self._now_s < self.deadline_s:
             return []
-        placement = self._placed()
-        if self.stage is Stage.DECODING and not self._resumed:
-            self._resumed = True
+        placement = self._current_placement()
+        if self.stage is Stage.DECODING and not self._is_resuming:
+            self._is_resuming = True
             self.deadline_s = self._now_s + self._limits.silence_s
-            return [self._resume()]
+            return [self._resume_decode()]
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, self.stage.value)
-        prefilling = self.stage is Stage.PREFILLING
-        server = placement.prefill_server if prefilling else placement.decode_server
-        # A stalled transfer may be the link's fault, so no server is reported.
+        is_prefilling = self.stage is Stage.PREFILLING
+        server = placement.prefill_server if is_prefilling else placement.decode_server
+        # The link may be the cause of a stalled transfer, so no server is reported.
         return self._retry(server, failure, self.stage is not Stage.TRANSFERRING)
 
-    def _starts_later(self, failure: Failure) -> bool:
-        """Continue at the caller's offset if the engine has nothing before it."""
-        refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
-        if not refused or self.base_offset >= self._wanted_offset:
+    def _skip_to_caller_offset(self, failure: Failure) -> bool:
+        """Skip to the caller's offset if the engine lacks the output before it."""
+        is_offset_refused = failure.kind is ErrorKind.INVALID_OFFSET and not self.texts
+        if not is_offset_refused or self.base_offset >= self._caller_offset:
             return False
-        self.base_offset = self._wanted_offset
-        self._assembler = Assembler(self._limits.window, self.base_offset)
+        self.base_offset = self._caller_offset
+        self._assembler = Assembler(self._limits.max_pending_chunks, self.base_offset)
         self.deadline_s = self._now_s + self._limits.silence_s
         return True
 
-    def _ask_placement(self) -> list[Action]:
+    def _ask_placement(self) -> list[RequestAction]:
         self.attempt += 1
         self.placement = None
-        self._resumed = False
-        self._assembler.restart()
+        self._is_resuming = False
+        self._assembler.discard_pending()
         self.stage = Stage.QUEUED_FOR_PLACEMENT
-        self.deadline_s = _NEVER_S
+        self.deadline_s = _NO_DEADLINE_S
         crashed_server, self._crashed_server = self._crashed_server, ""
         return [
             AskPlacement(
                 attempt=self.attempt,
                 prompt_tokens=self.spec.prompt_tokens + self.output_tokens,
                 max_output_tokens=self.spec.max_output_tokens - self.output_tokens,
-                suspect=self._crashes > 0,
-                excluded=self._excluded + ((self._avoided,) if self._avoided else ()),
+                suspect=self._crash_count > 0,
+                excluded=self._excluded
+                + ((self._excluded_once,) if self._excluded_once else ()),
                 crashed_server=crashed_server,
             )
         ]
 
     def _retry(
         self, server: str, failure: Failure, server_failed: bool = True
-    ) -> list[Action]:
+    ) -> list[RequestAction]:
+        """End the current attempt, and start another or close the request."""
         crashed = False
         if failure.final_run_state is not RunState.NOT_RUN:
             self._may_have_run = True
             crashed = failure.kind is ErrorKind.BACKEND_SERVER_FAILED
-            self._crashes += crashed
-        # A prefill has run by the time of a transfer.
+            self._crash_count += crashed
+        # After the prefill stage the prefill has run.
         self._may_have_run |= self.stage is not Stage.PREFILLING
-        # A server that is alive is avoided once only, else a few stalls in a small
-        # fleet would leave no server and refuse the request.
-        self._avoided = "" if server_failed else server
+        # A server that is alive is excluded from the next attempt only. Otherwise a few
+        # stalls in a small fleet would exclude all servers and refuse the request.
+        self._excluded_once = "" if server_failed else server
         if server_failed and server not in self._excluded:
             self._excluded = (*self._excluded, server)
         failed_server = server if server_failed else ""
         if self.output_tokens >= self.spec.max_output_tokens:
             return self._finish_at_length()
-        # The prompt of a request that was taken over is not known here.
-        no_prompt = not self._granted
-        exhausted = self.attempt >= self._limits.attempts
-        if no_prompt or exhausted or self._crashes >= self._limits.crashes:
+        # Without a rate grant the request was taken over, and its prompt is unknown.
+        is_prompt_unknown = not self._has_rate_grant
+        is_exhausted = self.attempt >= self._limits.attempts
+        if (
+            is_prompt_unknown
+            or is_exhausted
+            or self._crash_count >= self._limits.crashes
+        ):
             return self._end(Stage.FAILED, failure, failed_server, crashed)
-        cancels = self._cancel_engines()
+        cancellations = self._cancel_engines()
         self.stage = Stage.FAILED
         self._crashed_server = server if crashed else ""
-        report = Report(self.progress(failed_server, crashed))
-        return [*cancels, report, *self._ask_placement()]
+        report = ReportProgress(self.progress(failed_server, crashed))
+        return [*cancellations, report, *self._ask_placement()]
 
-    def _finish_at_length(self) -> list[Action]:
-        # Only the last chunk, which carries no text, was lost.
+    def _finish_at_length(self) -> list[RequestAction]:
+        # Only the last chunk is missing, which has no text.
         last = DecodeChunk(self.output_tokens, finish_reason="length")
         return [*self._cancel_engines(), *self._deliver(self._assembler.add(last))]
 
-    def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[Action]:
+    def _deliver(self, chunks: tuple[DecodeChunk, ...]) -> list[RequestAction]:
         if not chunks:
             return []
         for chunk in chunks:
             if chunk.finish_reason is None:
                 assert chunk.offset == self.output_tokens, (
-                    "a token twice or out of order"
+                    "a token is duplicate or out of order"
                 )
                 self.texts.append(chunk.text)
         if self.first_token_s is None:
             self.first_token_s = self._now_s - self._accepted_s
         if not self._assembler.finished:
-            return [Deliver(chunks)]
-        return [Deliver(chunks), *self._end(Stage.FINISHED, None)]
+            return [DeliverChunks(chunks)]
+        return [DeliverChunks(chunks), *self._end(Stage.FINISHED, None)]
 
     def _end(
         self,
@@ -358,24 +370,24 @@
         failure: Failure | None,
         failed_server: str = "",
         crashed: bool = False,
-    ) -> list[Action]:
-        actions: list[Action] = []
+    ) -> list[RequestAction]:
+        actions: list[RequestAction] = []
         if failure is not None:
             state = self._final_run_state()
             failure = msgspec.structs.replace(failure, run_state=state)
             actions += self._cancel_engines()
-        # The placement may have been decided while its answer is on the way.
-        queued = self.stage is Stage.QUEUED_FOR_PLACEMENT
-        if queued:
+        # The cell owner may have placed the request, with its response in transit.
+        is_queued = self.stage is Stage.QUEUED_FOR_PLACEMENT
+        if is_queued:
             actions.append(WithdrawRequest())
         self.stage = stage
-        self.deadline_s = _NEVER_S
-        if queued or self.placement is not None:
-            actions.append(Report(self.progress(failed_server, crashed)))
-        unused = self._unused_tokens()
-        if unused > 0:
-            actions.append(RefundTokens(unused))
-        return [*actions, Close(failure)]
+        self.deadline_s = _NO_DEADLINE_S
+        if is_queued or self.placement is not None:
+            actions.append(ReportProgress(self.progress(failed_server, crashed)))
+        unused_tokens = self._unused_tokens()
+        if unused_tokens > 0:
+            actions.append(RefundTokens(unused_tokens))
+        return [*actions, CloseRequest(failure)]
 
     def _final_run_state(self) -> RunState:
         if self.output_tokens:
@@ -383,14 +395,14 @@
         return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
 
     def _unused_tokens(self) -> int:
-        if not self._granted:
+        if not self._has_rate_grant:
             return 0
-        unused = self.spec.max_output_tokens - self.output_tokens
+        unused_tokens = self.spec.max_output_tokens - self.output_tokens
         if not self._may_have_run:
-            unused += self.spec.prompt_tokens
-        return unused
+            unused_tokens += self.spec.prompt_tokens
+        return unused_tokens
 
-    def _cancel_engines(self) -> list[Action]:
+    def _cancel_engines(self) -> list[RequestAction]:
         placement = self.placement
         if placement is None:
             return []
@@ -398,8 +410,8 @@
         addresses = dict.fromkeys((placement.prefill_address, placement.decode_address))
         return [CancelOnServer(item, engine_request_id) for item in addresses if item]
 
-    def _resume(self) -> ResumeDecode:
-        placement = self._placed()
+    def _resume_decode(self) -> ResumeDecode:
+        placement = self._current_placement()
         return ResumeDecode(
             self.attempt,
             placement.decode_server,
@@ -408,13 +420,13 @@
             self._assembler.next_offset,
         )
 
-    def _enter(self, stage: Stage, limit_s: float) -> None:
+    def _enter_stage(self, stage: Stage, timeout_s: float) -> None:
         self.stage = stage
-        self.deadline_s = self._now_s + limit_s
+        self.deadline_s = self._now_s + timeout_s
 
     def _engine_request_id(self) -> str:
         return f"{self.spec.request_id}.{self.attempt}"
 
-    def _placed(self) -> Placement:
-        assert self.placement is not None, "no engine before a placement"
+    def _current_placement(self) -> Placement:
+        assert self.placement is not None, "no attempt is placed"
         return self.placement
--- a/src/damaskridge/core/scheduling/recovery.py
+++ b/src/damaskridge/core/scheduling/recovery.py
@@ -1,4 +1,4 @@
-"""What happens to requests whose front or server is gone."""
+"""Recovers requests whose front or server is lost."""
 
 from collections.abc import Callable
 
@@ -6,11 +6,11 @@
     CellAction,
     NotifyTakenOver,
     ReportCrashedRequests,
-    SendSubmitReply,
-    SendTakeOverReply,
+    SendSubmitResponse,
+    SendTakeOverResponse,
 )
 from damaskridge.core.scheduling.placement import Placer
-from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.registry import RequestEntry, RequestRegistry
 from damaskridge.core.scheduling.servers import ServerState
 from damaskridge.core.scheduling.suspects import SuspectTable
 from damaskridge.model.errors import ErrorKind, Failure
@@ -22,28 +22,28 @@
     TakeOverResponse,
 )
 
-__all__ = ["EndRequest", "Recovery", "refuse_held", "refuse_take_over"]
+__all__ = ["EndRequest", "Recovery", "refuse_quarantined", "refuse_take_over"]
 
-_STARTED = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
+_PHASES_AFTER_PREFILL = (RequestPhase.TRANSFERRING, RequestPhase.DECODING)
 
-EndRequest = Callable[[Entry, float, bool], list[CellAction]]
+EndRequest = Callable[[RequestEntry, float, bool], list[CellAction]]
 
 
 class Recovery:
     """
-    Moves or reclaims requests after failures.
+    Reassigns or cancels requests after failures of fronts and servers.
 
     Parameters
     ----------
-    registry, placer, suspects : Registry, Placer, SuspectTable
+    registry, placer, suspects : RequestRegistry, Placer, SuspectTable
         State of the cell.
     end_request : EndRequest
-        Forgets a request and, if told so, cancels it on its engines.
+        Removes a request and, if its last argument is true, cancels it on engines.
     """
 
     def __init__(
         self,
-        registry: Registry,
+        registry: RequestRegistry,
         placer: Placer,
         suspects: SuspectTable,
         end_request: EndRequest,
@@ -54,62 +54,65 @@
         self._end_request = end_request
 
     def check_fronts(self, now_s: float) -> list[CellAction]:
-        """Note silent fronts, and reclaim what nobody took over."""
+        """Mark silent fronts as lost, and cancel orphans past their grace period."""
         actions: list[CellAction] = []
-        for front, incarnation in self._registry.find_silent(now_s):
-            actions += self.lose_front(front, incarnation, now_s)
-        for entry in self._registry.take_due(now_s):
+        for front, incarnation in self._registry.find_silent_fronts(now_s):
+            actions += self.handle_front_loss(front, incarnation, now_s)
+        for entry in self._registry.pop_expired_orphans(now_s):
             actions += self._end_request(entry, now_s, True)
         return actions
 
-    def lose_front(
+    def handle_front_loss(
         self, front: str, incarnation: int, now_s: float
     ) -> list[CellAction]:
-        """Drop what a lost front has queued; the rest may be taken over."""
-        self._registry.mark_lost(front, incarnation)
+        """Refuse the queued requests of a lost front; running ones become orphans."""
+        self._registry.mark_front_lost(front, incarnation)
         actions: list[CellAction] = []
-        for entry in self._registry.requests_of(front):
+        for entry in self._registry.requests_of_front(front):
             if entry.incarnation != incarnation:
                 continue
             if entry.placement is None:
-                # A front that is alive after all asks again.
+                # If the front is alive after all, it submits the request once more.
                 actions.append(_refuse(entry.profile, ErrorKind.OWNER_UNAVAILABLE))
                 actions += self._end_request(entry, now_s, False)
             else:
-                self._registry.orphan(entry, now_s)
+                self._registry.mark_orphaned(entry, now_s)
         return actions
 
-    def take_over(self, ask: TakeOver, now_s: float) -> list[CellAction]:
-        """Give a request to the first other front of the workspace that asks."""
-        self._registry.note_front(ask.front, ask.incarnation, now_s)
-        entry = self._registry.entries.get(ask.request_id)
+    def take_over(self, request: TakeOver, now_s: float) -> list[CellAction]:
+        """Assign a request to the first front that asks, if the workspace matches."""
+        self._registry.record_front_alive(request.front, request.incarnation, now_s)
+        entry = self._registry.entries.get(request.request_id)
         if entry is None or entry.placement is None:
-            return [refuse_take_over(ask, ErrorKind.UNKNOWN_REQUEST)]
-        if entry.profile.workspace != ask.workspace:
-            return [refuse_take_over(ask, ErrorKind.UNKNOWN_REQUEST)]
+            return [refuse_take_over(request, ErrorKind.UNKNOWN_REQUEST)]
+        if entry.profile.workspace != request.workspace:
+            return [refuse_take_over(request, ErrorKind.UNKNOWN_REQUEST)]
         actions: list[CellAction] = []
-        if (entry.front, entry.incarnation) != (ask.front, ask.incarnation):
+        if (entry.front, entry.incarnation) != (request.front, request.incarnation):
             is_lost = self._registry.is_front_lost(entry)
             if entry.taken_over and not is_lost:
-                return [refuse_take_over(ask, ErrorKind.STREAM_TAKEN_OVER)]
+                return [refuse_take_over(request, ErrorKind.STREAM_TAKEN_OVER)]
             if not is_lost:
-                actions.append(NotifyTakenOver(entry.front, ask.request_id))
-            self._registry.move(entry, ask.front, ask.incarnation)
-        reply = TakeOverResponse(active=entry.to_active())
-        return [*actions, SendTakeOverReply(ask.front, ask.request_id, reply)]
-
-    def note_lost_server(
+                actions.append(NotifyTakenOver(entry.front, request.request_id))
+            self._registry.reassign(entry, request.front, request.incarnation)
+        response = TakeOverResponse(active=entry.to_active_request())
+        return [
+            *actions,
+            SendTakeOverResponse(request.front, request.request_id, response),
+        ]
+
+    def record_crash_seen_by_front(
         self, fingerprint: str, server: ServerState, now_s: float, *, was_suspect: bool
     ) -> list[CellAction]:
         """
-        Suspect a request whose front saw its engine break off.
+        Mark a request as suspect because its front lost the connection to its engine.
 
-        The front ends the attempt long before the owner's polls find the crash, so
-        the request would otherwise be missing in the report of the crash.
+        The front ends the attempt long before the owner's polls detect the crash, so
+        the request would otherwise be missing from the crash report.
         """
         if not fingerprint:
             return []
-        self._suspects.note_failure(
+        self._suspects.record_failure(
             fingerprint,
             server.spec.name,
             server.incarnation,
@@ -117,19 +120,19 @@
             was_suspect=was_suspect,
         )
         actions: list[CellAction] = []
-        for other in self._registry.with_fingerprint(fingerprint):
-            if other.placement is not None:
+        for entry in self._registry.find_by_fingerprint(fingerprint):
+            if entry.placement is not None:
                 continue
-            other.suspect = True
-            if self._suspects.is_held(fingerprint, now_s):
-                actions.append(refuse_held(other.profile))
-                actions += self._end_request(other, now_s, False)
+            entry.suspect = True
+            if self._suspects.has_reached_crash_limit(fingerprint, now_s):
+                actions.append(refuse_quarantined(entry.profile))
+                actions += self._end_request(entry, now_s, False)
         return actions
 
-    def note_crash(
+    def record_crash(
         self, server: ServerState, incarnation: int, now_s: float
     ) -> list[CellAction]:
-        """Report the fingerprints that ran on a server when it crashed."""
+        """Free the reservations on a crashed server, and report what ran on it."""
         name = server.spec.name
         ran: list[str] = []
         for entry in self._registry.entries.values():
@@ -138,29 +141,31 @@
                 continue
             on_prefill = placement.prefill_server == name
             on_decode = placement.decode_server == name
-            started = entry.phase in _STARTED or now_s >= entry.prefill_end_s
-            decoding = entry.phase is RequestPhase.DECODING
-            if (on_prefill and not decoding) or (on_decode and started):
+            decode_started = (
+                entry.phase in _PHASES_AFTER_PREFILL or now_s >= entry.prefill_end_s
+            )
+            is_decoding = entry.phase is RequestPhase.DECODING
+            if (on_prefill and not is_decoding) or (on_decode and decode_started):
                 ran.append(entry.profile.fingerprint)
             if on_decode:
                 self._placer.release(entry, now_s)
-        ran += self._suspects.failed_on(name, server.incarnation, now_s)
+        ran += self._suspects.recently_failed_on(name, server.incarnation, now_s)
         fingerprints = tuple(dict.fromkeys(item for item in ran if item))
         self._suspects.add(fingerprints, now_s)
         return [ReportCrashedRequests(name, incarnation, fingerprints)]
 
 
-def refuse_held(profile: RequestProfile) -> SendSubmitReply:
-    """Return the answer to a request that has cost all the servers it may."""
+def refuse_quarantined(profile: RequestProfile) -> SendSubmitResponse:
+    """Return the refusal of a request that crashed as many servers as allowed."""
     return _refuse(profile, ErrorKind.REQUEST_QUARANTINED)
 
 
-def _refuse(profile: RequestProfile, kind: ErrorKind) -> SendSubmitReply:
+def _refuse(profile: RequestProfile, kind: ErrorKind) -> SendSubmitResponse:
     refused = Refused(request_id=profile.request_id, failure=Failure(kind))
-    return SendSubmitReply(profile.front, profile.request_id, refused)
+    return SendSubmitResponse(profile.front, profile.request_id, refused)
 
 
-def refuse_take_over(ask: TakeOver, kind: ErrorKind) -> SendTakeOverReply:
-    """Return the answer to a front that may not continue a request."""
-    reply = TakeOverResponse(failure=Failure(kind))
-    return SendTakeOverReply(ask.front, ask.request_id, reply)
+def refuse_take_over(request: TakeOver, kind: ErrorKind) -> SendTakeOverResponse:
+    """Return the refusal of a take-over."""
+    response = TakeOverResponse(failure=Failure(kind))
+    return SendTakeOverResponse(request.front, request.request_id, response)
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -1,9 +1,9 @@
-"""The scheduler of one cell: composes order, admission, placement and recovery."""
+"""The cell scheduler: combines queueing, admission, placement and recovery."""
 
 import random
 
 from damaskridge.core.dispatch import DispatchMethod
-from damaskridge.core.scheduling.dispatch import NO_SERVER_LIMIT_S, Dispatcher
+from damaskridge.core.scheduling.dispatch import NO_SERVER_TIMEOUT_S, Dispatcher
 from damaskridge.core.scheduling.messages import (
     CacheReported,
     CancelOnEngine,
@@ -11,7 +11,7 @@
     CellChanged,
     CellEvent,
     CellGained,
-    EngineListed,
+    EngineRequestsListed,
     FrontLost,
     FrontRegistered,
     LoadReported,
@@ -21,17 +21,21 @@
     RequestSubmitted,
     RequestWithdrawn,
     SendOrder,
-    SendSubmitReply,
+    SendSubmitResponse,
     ServerFailed,
+    ServerLeaveCancelled,
     ServerLeaving,
     ServerRecovered,
-    ServerStaying,
     TakeOverRequested,
     TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
-from damaskridge.core.scheduling.recovery import Recovery, refuse_held, refuse_take_over
-from damaskridge.core.scheduling.registry import Entry, Registry
+from damaskridge.core.scheduling.recovery import (
+    Recovery,
+    refuse_quarantined,
+    refuse_take_over,
+)
+from damaskridge.core.scheduling.registry import RequestEntry, RequestRegistry
 from damaskridge.core.scheduling.retry_budget import RetryBudget
 from damaskridge.core.scheduling.roles import RoleAdvisor
 from damaskridge.core.scheduling.servers import ServerState
@@ -48,10 +52,10 @@
     RequestProfile,
 )
 
-__all__ = ["REBUILD_LIMIT_S", "CellScheduler"]
+__all__ = ["REBUILD_TIMEOUT_S", "CellScheduler"]
 
-REBUILD_LIMIT_S = 3.0
-_SILENCE_CHECK_S = 0.25
+REBUILD_TIMEOUT_S = 3.0
+_CHECK_INTERVAL_S = 0.25
 _ENGINE_ROLES = {
     role.value: role
     for role in BackendServerRole
@@ -61,16 +65,18 @@
 
 class CellScheduler:
     """
-    Decides for one cell; use a new instance for every cell and every epoch.
+    Schedules the requests of a cell, without I/O.
+
+    An instance serves one cell in one epoch of its ownership.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads retry times.
+        Source of the jitter on retry times.
     settings : SchedulerSettings
-        Assumptions and switches.
+        Assumptions and feature switches.
     estimator : Estimator or None
-        Replaces the inference of urgency, for comparisons.
+        Replaces the estimator of urgency, for benchmarks.
     """
 
     def __init__(
@@ -82,41 +88,41 @@
         self._settings = settings or SchedulerSettings()
         self._estimator = estimator or UrgencyEstimator()
         self._overload = OverloadControl(rng)
-        self._registry = Registry()
-        self._retries = RetryBudget()
+        self._registry = RequestRegistry()
+        self._retry_budget = RetryBudget()
         self._suspects = SuspectTable()
-        self._roles = RoleAdvisor()
+        self._role_advisor = RoleAdvisor()
         self._dispatcher = Dispatcher(self._settings)
         self._placer = self._dispatcher.placer
         self._recovery = Recovery(
-            self._registry, self._placer, self._suspects, self._end
+            self._registry, self._placer, self._suspects, self._end_request
         )
         self._epoch: int | None = None
-        self._missing_fronts: set[str] = set()
-        self._missing_engines: set[str] = set()
-        self._rebuilt_by_s = 0.0
+        self._unregistered_fronts: set[str] = set()
+        self._unlisted_engines: set[str] = set()
+        self._rebuild_deadline_s = 0.0
         self._next_check_s = 0.0
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
-        """Apply `event` and return what to send."""
+        """Apply an event and return the actions to perform."""
         actions = self._apply(event, now_s)
         if now_s >= self._next_check_s:
-            self._next_check_s = now_s + _SILENCE_CHECK_S
+            self._next_check_s = now_s + _CHECK_INTERVAL_S
             actions += self._recovery.check_fronts(now_s)
-            actions += self._propose_role(now_s)
+            actions += self._propose_role_change(now_s)
             actions += self._refuse_unservable(now_s)
         if self.is_rebuilt(now_s):
             actions += self._dispatcher.dispatch(self._registry, now_s)
         return actions
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return the time at which to send `TimePassed`, if any."""
+        """Return the time at which `TimePassed` is due, or `None`."""
         if self._epoch is None:
             return None
         if not self.is_rebuilt(now_s):
-            return min(self._rebuilt_by_s, self._next_check_s)
-        if self._dispatcher.has_work:
-            return min(self._next_check_s, now_s + self._dispatcher.retry_s)
+            return min(self._rebuild_deadline_s, self._next_check_s)
+        if self._dispatcher.has_queued_requests:
+            return min(self._next_check_s, now_s + self._dispatcher.retry_interval_s)
         return self._next_check_s if self._registry.entries else None
 
     @DispatchMethod
@@ -125,12 +131,12 @@
 
     @_apply.register
     def _(self, event: CellGained, now_s: float) -> list[CellAction]:
-        assert self._epoch is None or event.epoch > self._epoch, "epochs only grow"
+        assert self._epoch is None or event.epoch > self._epoch, "epochs only increase"
         self._epoch = event.epoch
-        self._missing_fronts = set(event.fronts)
-        self._rebuilt_by_s = now_s + REBUILD_LIMIT_S
-        self._change_servers(event.backend_servers, event.workspaces)
-        self._missing_engines = {
+        self._unregistered_fronts = set(event.fronts)
+        self._rebuild_deadline_s = now_s + REBUILD_TIMEOUT_S
+        self._update_servers(event.backend_servers, event.workspaces)
+        self._unlisted_engines = {
             server.name
             for server in event.backend_servers
             if server.role is not BackendServerRole.SERVICE
@@ -139,7 +145,7 @@
 
     @_apply.register
     def _(self, event: CellChanged, now_s: float) -> list[CellAction]:
-        self._change_servers(event.backend_servers, event.workspaces)
+        self._update_servers(event.backend_servers, event.workspaces)
         return []
 
     @_apply.register
@@ -147,26 +153,26 @@
         profile = event.profile
         if profile.epoch != self._epoch:
             return [_refuse(profile, ErrorKind.EPOCH_CONFLICT)]
-        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        self._registry.record_front_alive(profile.front, profile.incarnation, now_s)
         actions: list[CellAction] = []
         if self._registry.has_ended(f"{profile.request_id}.{profile.attempt}"):
             return [_refuse(profile, ErrorKind.CANCELLED)]
-        known = self._registry.entries.get(profile.request_id)
-        if known is not None and known.profile.attempt >= profile.attempt:
-            return self._repeat_reply(known, profile)
+        existing = self._registry.entries.get(profile.request_id)
+        if existing is not None and existing.profile.attempt >= profile.attempt:
+            return self._resend_placement(existing, profile)
         server = self._placer.servers.get(profile.crashed_server)
         if server is not None:
-            was_suspect = known is not None and known.suspect
-            actions += self._recovery.note_lost_server(
+            was_suspect = existing is not None and existing.suspect
+            actions += self._recovery.record_crash_seen_by_front(
                 profile.fingerprint, server, now_s, was_suspect=was_suspect
             )
-            known = self._registry.entries.get(profile.request_id)
-        if known is not None:
-            self._note_lost_transfer(known)
-            actions += self._end(known, now_s, cancel=True)
-        if self._suspects.is_held(profile.fingerprint, now_s):
-            return [*actions, refuse_held(profile)]
-        refusal = self._check_submitted(profile)
+            existing = self._registry.entries.get(profile.request_id)
+        if existing is not None:
+            self._record_lost_transfer(existing)
+            actions += self._end_request(existing, now_s, cancel=True)
+        if self._suspects.has_reached_crash_limit(profile.fingerprint, now_s):
+            return [*actions, refuse_quarantined(profile)]
+        refusal = self._refusal_for(profile)
         if refusal is not None:
             return [*actions, refusal]
         return actions + self._enqueue(profile, now_s)
@@ -175,20 +181,20 @@
     def _(self, event: RequestRegistered, now_s: float) -> list[CellAction]:
         active = event.active
         profile = active.profile
-        self._registry.note_front(profile.front, profile.incarnation, now_s)
+        self._registry.record_front_alive(profile.front, profile.incarnation, now_s)
         if profile.request_id in self._registry.entries:
             return []
         entry = self._new_entry(profile, now_s)
         entry.placement, entry.phase = active.placement, active.phase
         entry.output_tokens = active.output_tokens
         self._registry.add(entry)
-        self._placer.adopt(entry, active.placement)
+        self._placer.reserve_running(entry, active.placement)
         return []
 
     @_apply.register
     def _(self, event: FrontRegistered, now_s: float) -> list[CellAction]:
-        self._registry.note_front(event.front, event.incarnation, now_s)
-        self._missing_fronts.discard(event.front)
+        self._registry.record_front_alive(event.front, event.incarnation, now_s)
+        self._unregistered_fronts.discard(event.front)
         return []
 
     @_apply.register
@@ -197,23 +203,23 @@
         if entry is None:
             return []
         if entry.placement is None:
-            waited_s = now_s - entry.queued_s + entry.profile.waited_s
-            self._estimator.note_left(entry.profile, waited_s)
-        return self._end(entry, now_s, cancel=True)
+            waited_s = now_s - entry.queued_at_s + entry.profile.waited_s
+            self._estimator.record_abandoned(entry.profile, waited_s)
+        return self._end_request(entry, now_s, cancel=True)
 
     @_apply.register
     def _(self, event: ProgressReported, now_s: float) -> list[CellAction]:
         batch = event.batch
         if batch.epoch != self._epoch:
             return []
-        self._registry.note_front(batch.front, batch.incarnation, now_s)
+        self._registry.record_front_alive(batch.front, batch.incarnation, now_s)
         actions: list[CellAction] = []
         for item in batch.items:
             entry = self._registry.entries.get(item.request_id)
             server = self._placer.servers.get(item.failed_server)
             if item.crashed and server is not None:
-                # The request may have ended here: its withdrawal overtakes reports.
-                actions += self._recovery.note_lost_server(
+                # The entry may be gone: a withdrawal can overtake the progress report.
+                actions += self._recovery.record_crash_seen_by_front(
                     item.fingerprint,
                     server,
                     now_s - item.age_s,
@@ -223,7 +229,7 @@
             if entry is None or entry.profile.attempt != item.attempt:
                 continue
             if entry.front == batch.front and entry.incarnation == batch.incarnation:
-                actions += self._note_progress(entry, item, now_s)
+                actions += self._apply_progress(entry, item, now_s)
         return actions
 
     @_apply.register
@@ -234,7 +240,7 @@
         report = event.report
         if report.incarnation != server.incarnation:
             server.incarnation = report.incarnation
-            self._placer.hints.restart(event.backend_server)
+            self._placer.hints.reset_server(event.backend_server)
         if report.role in _ENGINE_ROLES:
             server.role = _ENGINE_ROLES[report.role]
         server.apply_report(report, self._settings.correct_reports, now_s)
@@ -248,51 +254,53 @@
         return []
 
     @_apply.register
-    def _(self, event: EngineListed, now_s: float) -> list[CellAction]:
+    def _(self, event: EngineRequestsListed, now_s: float) -> list[CellAction]:
         name = event.backend_server
-        self._missing_engines.discard(name)
+        self._unlisted_engines.discard(name)
         listed = {item.engine_request_id for item in event.requests}
-        self._registry.forget_unlisted(name, listed)
+        self._registry.discard_unlisted(name, listed)
         return [
             CancelOnEngine(name, engine_request_id)
             for engine_request_id in sorted(listed)
-            if self._registry.is_stray(name, engine_request_id, event.asked_s, now_s)
+            if self._registry.is_leaked(
+                name, engine_request_id, event.requested_s, now_s
+            )
         ]
 
     @_apply.register
     def _(self, event: ServerFailed, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
-        self._missing_engines.discard(event.backend_server)
+        self._unlisted_engines.discard(event.backend_server)
         if server is None or event.incarnation < server.incarnation:
             return []
         was_failed, server.failed = server.failed, True
-        self._placer.hints.restart(event.backend_server)
+        self._placer.hints.reset_server(event.backend_server)
         self._placer.update(server)
         if not event.crashed or was_failed:
             return []
-        return self._recovery.note_crash(server, event.incarnation, now_s)
+        return self._recovery.record_crash(server, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: ServerRecovered, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
         if server is not None:
-            # A server that answers after a silence may still be leaving.
+            # A server that responds again may still be leaving.
             server.failed = False
-            server.busy_until_s = server.urgent_until_s = now_s
+            server.busy_until_s = server.urgent_busy_until_s = now_s
             self._placer.update(server)
         return []
 
     @_apply.register
     def _(self, event: ServerLeaving, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
-        self._missing_engines.discard(event.backend_server)
+        self._unlisted_engines.discard(event.backend_server)
         if server is not None:
             server.leaving = True
             self._placer.update(server)
         return []
 
     @_apply.register
-    def _(self, event: ServerStaying, now_s: float) -> list[CellAction]:
+    def _(self, event: ServerLeaveCancelled, now_s: float) -> list[CellAction]:
         server = self._placer.servers.get(event.backend_server)
         if server is not None:
             server.leaving = False
@@ -301,32 +309,32 @@
 
     @_apply.register
     def _(self, event: FrontLost, now_s: float) -> list[CellAction]:
-        self._missing_fronts.discard(event.front)
-        return self._recovery.lose_front(event.front, event.incarnation, now_s)
+        self._unregistered_fronts.discard(event.front)
+        return self._recovery.handle_front_loss(event.front, event.incarnation, now_s)
 
     @_apply.register
     def _(self, event: TakeOverRequested, now_s: float) -> list[CellAction]:
-        ask = event.take_over
-        if ask.epoch != self._epoch:
-            return [refuse_take_over(ask, ErrorKind.EPOCH_CONFLICT)]
-        return self._recovery.take_over(ask, now_s)
+        request = event.take_over
+        if request.epoch != self._epoch:
+            return [refuse_take_over(request, ErrorKind.EPOCH_CONFLICT)]
+        return self._recovery.take_over(request, now_s)
 
     @_apply.register
     def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
         return []
 
     def is_rebuilt(self, now_s: float) -> bool:
-        """Tell whether fronts and engines have reported, or the wait is over."""
+        """Return whether all fronts and engines have reported, or the time is over."""
         if self._epoch is None:
             return False
-        is_complete = not self._missing_fronts and not self._missing_engines
-        return is_complete or now_s >= self._rebuilt_by_s
+        is_complete = not self._unregistered_fronts and not self._unlisted_engines
+        return is_complete or now_s >= self._rebuild_deadline_s
 
-    def _change_servers(
+    def _update_servers(
         self, servers: tuple[BackendServer, ...], workspaces: tuple[Workspace, ...]
     ) -> None:
         self._dispatcher.queue.set_weights(
-            {space.name: space.share_weight for space in workspaces}
+            {workspace.name: workspace.share_weight for workspace in workspaces}
         )
         names = {server.name for server in servers}
         for spec in servers:
@@ -343,11 +351,11 @@
             server = self._placer.servers[name]
             server.removed = True
             self._placer.update(server)
-            self._missing_engines.discard(name)
-        self._dispatcher.note_servers()
+            self._unlisted_engines.discard(name)
+        self._dispatcher.update_capacity()
 
-    def _check_submitted(self, profile: RequestProfile) -> SendSubmitReply | None:
-        """Refuse what no server could ever run, and retries beyond the budget."""
+    def _refusal_for(self, profile: RequestProfile) -> SendSubmitResponse | None:
+        """Refuse a request that no server can ever run, or a retry over the budget."""
         if not any(
             server.spec.serves == profile.model
             for server in self._placer.servers.values()
@@ -356,18 +364,20 @@
         if not self._dispatcher.can_ever_fit(profile):
             return _refuse(profile, ErrorKind.INVALID_REQUEST)
         if profile.attempt == 1:
-            self._retries.earn(profile.workspace)
-        elif self._settings.budget_retries and not self._retries.spend(
+            self._retry_budget.record_first_attempt(profile.workspace)
+        elif self._settings.budget_retries and not self._retry_budget.try_spend(
             profile.workspace, profile.attempt
         ):
-            return _refuse(profile, ErrorKind.OVERLOADED, self._overload.spread_s(1.0))
+            return _refuse(
+                profile, ErrorKind.OVERLOADED, self._overload.with_jitter_s(1.0)
+            )
         return None
 
     def _enqueue(self, profile: RequestProfile, now_s: float) -> list[CellAction]:
         entry = self._new_entry(profile, now_s)
         if self._settings.control_overload and profile.attempt == 1:
             level = entry.estimate.level
-            wait_s = self._dispatcher.queue.wait_s(profile.workspace, level)
+            wait_s = self._dispatcher.queue.expected_wait_s(profile.workspace, level)
             retry_after_s = self._overload.retry_after_s(level, wait_s)
             if retry_after_s is not None:
                 return [_refuse(profile, ErrorKind.OVERLOADED, retry_after_s)]
@@ -375,9 +385,11 @@
         self._dispatcher.enqueue(entry, now_s)
         return []
 
-    def _new_entry(self, profile: RequestProfile, now_s: float) -> Entry:
+    def _new_entry(self, profile: RequestProfile, now_s: float) -> RequestEntry:
         estimate = self._estimator.estimate(profile, 0)
-        entry = Entry(profile, profile.front, profile.incarnation, estimate, now_s)
+        entry = RequestEntry(
+            profile, profile.front, profile.incarnation, estimate, now_s
+        )
         cached_tokens = self._placer.cached_tokens(entry)
         if cached_tokens:
             entry.estimate = self._estimator.estimate(profile, cached_tokens)
@@ -386,47 +398,59 @@
         )
         return entry
 
-    def _repeat_reply(self, known: Entry, profile: RequestProfile) -> list[CellAction]:
-        if known.placement is None or known.profile.attempt != profile.attempt:
+    def _resend_placement(
+        self, existing: RequestEntry, profile: RequestProfile
+    ) -> list[CellAction]:
+        if existing.placement is None or existing.profile.attempt != profile.attempt:
             return []
-        reply = SendSubmitReply(known.front, profile.request_id, known.placement)
-        return [reply] if known.front == profile.front else []
+        response = SendSubmitResponse(
+            existing.front, profile.request_id, existing.placement
+        )
+        return [response] if existing.front == profile.front else []
 
-    def _note_progress(
-        self, entry: Entry, item: Progress, now_s: float
+    def _apply_progress(
+        self, entry: RequestEntry, item: Progress, now_s: float
     ) -> list[CellAction]:
         if item.phase is RequestPhase.FINISHED:
             return self._finish(entry, item, now_s)
         if item.phase is RequestPhase.CANCELLED:
-            return self._end(entry, now_s, cancel=True)
+            return self._end_request(entry, now_s, cancel=True)
         if entry.placement is not None and item.phase is not RequestPhase.QUEUED:
             entry.phase = item.phase
             entry.output_tokens = max(entry.output_tokens, item.output_tokens)
             self._placer.extend(entry)
         return []
 
-    def _note_lost_transfer(self, entry: Entry) -> None:
-        """Take a new attempt without a failed server for an evicted prefill result."""
+    def _record_lost_transfer(self, entry: RequestEntry) -> None:
+        """
+        Count a KV transfer as lost if a retry follows although no server failed.
+
+        The prefill engine has probably evicted its result before the transfer.
+        """
         placement = entry.placement
         if placement is None or entry.phase is RequestPhase.DECODING:
             return
         names = (placement.prefill_server, placement.decode_server)
         servers = [self._placer.servers.get(name) for name in names]
         if all(server is not None and not server.failed for server in servers):
-            self._placer.note_transfer(arrived=False)
+            self._placer.record_transfer(arrived=False)
 
-    def _finish(self, entry: Entry, item: Progress, now_s: float) -> list[CellAction]:
-        waited_s = max(0.0, entry.placed_s - entry.queued_s)
-        self._estimator.note_finished(entry.profile, item.output_tokens, waited_s)
-        self._placer.note_transfer(arrived=True)
+    def _finish(
+        self, entry: RequestEntry, item: Progress, now_s: float
+    ) -> list[CellAction]:
+        waited_s = max(0.0, entry.placed_at_s - entry.queued_at_s)
+        self._estimator.record_finished(entry.profile, item.output_tokens, waited_s)
+        self._placer.record_transfer(arrived=True)
         actions: list[CellAction] = []
         if entry.suspect:
             self._suspects.clear(entry.profile.fingerprint)
             actions.append(ReportSuspectCleared(entry.profile.fingerprint))
-        return actions + self._end(entry, now_s, cancel=False)
+        return actions + self._end_request(entry, now_s, cancel=False)
 
-    def _end(self, entry: Entry, now_s: float, cancel: bool) -> list[CellAction]:
-        """Forget a request, free its reservations, and cancel it on its engines."""
+    def _end_request(
+        self, entry: RequestEntry, now_s: float, cancel: bool
+    ) -> list[CellAction]:
+        """Remove a request, free its reservations, and cancel it on its engines."""
         self._dispatcher.queue.remove(entry.profile.request_id)
         self._registry.remove(entry.profile.request_id, now_s)
         self._placer.release(entry, now_s)
@@ -437,22 +461,24 @@
         return [CancelOnEngine(name, entry.engine_request_id) for name in names if name]
 
     def _refuse_unservable(self, now_s: float) -> list[CellAction]:
-        """Answer queued requests whose model has had no server for long."""
+        """Refuse queued requests whose model has had no server for the timeout."""
         if not self.is_rebuilt(now_s):
             return []
         actions: list[CellAction] = []
         for request_id in self._dispatcher.find_unservable(self._registry, now_s):
             entry = self._registry.entries[request_id]
-            retry_after_s = self._overload.spread_s(NO_SERVER_LIMIT_S)
+            retry_after_s = self._overload.with_jitter_s(NO_SERVER_TIMEOUT_S)
             kind = ErrorKind.NO_BACKEND_SERVER
             actions.append(_refuse(entry.profile, kind, retry_after_s))
-            actions += self._end(entry, now_s, cancel=False)
+            actions += self._end_request(entry, now_s, cancel=False)
         return actions
 
-    def _propose_role(self, now_s: float) -> list[CellAction]:
+    def _propose_role_change(self, now_s: float) -> list[CellAction]:
         if not self._settings.propose_roles:
             return []
-        proposal = self._roles.propose(list(self._placer.servers.values()), now_s)
+        proposal = self._role_advisor.propose(
+            list(self._placer.servers.values()), now_s
+        )
         if proposal is None:
             return []
         server, role = proposal
@@ -461,7 +487,7 @@
 
 def _refuse(
     profile: RequestProfile, kind: ErrorKind, retry_after_s: float | None = None
-) -> SendSubmitReply:
+) -> SendSubmitResponse:
     failure = Failure(kind, retry_after_s=retry_after_s)
     refused = Refused(request_id=profile.request_id, failure=failure)
-    return SendSubmitReply(profile.front, profile.request_id, refused)
+    return SendSubmitResponse(profile.front, profile.request_id, refused)
