Rename events, actions and queries of the control group to the field's terms

Names such as Received, Save, LogLost, blank_vote and stamp say little without their authors. They are now named for what they do: MessageReceived, Persist, SyncedEntriesLost, member_id_per_disk, next_timestamp_ms. Every use follows, including the strings by which tests patch or name them.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -27,21 +27,21 @@
 from damaskridge.core.consensus.membership import OBSERVER_PREFIX, host_name
 from damaskridge.core.consensus.messages import (
     Action,
-    Appended,
-    Apply,
-    Compact,
+    ApplyEntries,
+    CompactLog,
     Event,
     LeadershipLost,
     LeadershipWon,
-    LogLost,
+    MessageReceived,
+    ProposalAppended,
+    ProposalRefused,
     Propose,
     ReadFailed,
     ReadReady,
     ReadRequest,
-    Received,
-    Refused,
-    Restore,
-    Send,
+    RestoreSnapshot,
+    SendMessage,
+    SyncedEntriesLost,
     Tick,
     TransferLeadership,
 )
@@ -97,7 +97,7 @@
         The state machine.
     rng : random.Random
         Source of timeouts and jitter.
-    may_form : bool
+    may_bootstrap : bool
         Whether this member may form a new group.
     is_observer : bool
         Whether the folder is lost with the process: the member then never votes.
@@ -112,7 +112,7 @@
         folder: Folder,
         state: ControlStatePort,
         rng: random.Random,
-        may_form: bool = True,
+        may_bootstrap: bool = True,
         is_observer: bool = False,
         wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
@@ -123,7 +123,7 @@
         self._clock = ReplicatedClock(anyio.current_time())
         self._folder = folder
         self._rng = rng
-        self._may_form = may_form
+        self._may_form = may_bootstrap
         self._is_observer = is_observer
         self._empty_state = state.encode()
         store = LogStore(folder, self._new_disk_id())
@@ -252,7 +252,7 @@
             events.append(Propose(tuple(map(self._stamp, commands))))
         was = self._driver.node.role
         for action in self._driver.run(events, anyio.current_time()):
-            if isinstance(action, LogLost):
+            if isinstance(action, SyncedEntriesLost):
                 self._rejoin()
                 return
             self._act(action)
@@ -285,7 +285,7 @@
         return prefix + secrets.token_hex(8)
 
     def _stamp(self, command: Command) -> bytes:
-        at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
+        at_ms = self._clock.next_timestamp_ms(self._wall_ms(), anyio.current_time())
         return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
     def _compact(self) -> None:
@@ -295,8 +295,10 @@
         if count < COMPACT_AFTER_ENTRIES and not full:
             return
         self._applied_bytes = 0
-        image = _encode(_StateImage(self._clock.last_ms, self._state.encode()))
-        event = Compact(self._applied, image)
+        image = _encode(
+            _StateImage(self._clock.last_timestamp_ms, self._state.encode())
+        )
+        event = CompactLog(self._applied, image)
         for action in self._driver.run([event], anyio.current_time()):
             self._act(action)
         log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied)
@@ -328,28 +330,28 @@
         return self._links[name]
 
     @_act.register
-    def _(self, action: Send) -> None:
+    def _(self, action: SendMessage) -> None:
         link = self._link_to(host_name(action.to))
         if link is not None:
             link.send(PeerFrame(action.to, action.message))  # type: ignore[arg-type]
 
     @_act.register
-    def _(self, action: Apply) -> None:
+    def _(self, action: ApplyEntries) -> None:
         for entry in action.entries:
             self._apply(entry)
 
     @_act.register
-    def _(self, action: Restore) -> None:
+    def _(self, action: RestoreSnapshot) -> None:
         self._restore(action.snapshot)
         self._subscribers.end_all()
         log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
 
     @_act.register
-    def _(self, action: Appended) -> None:
+    def _(self, action: ProposalAppended) -> None:
         self._proposals.appended(action.first_index, action.term)
 
     @_act.register
-    def _(self, action: Refused) -> None:
+    def _(self, action: ProposalRefused) -> None:
         self._proposals.refused(self._not_leader())
 
     @_act.register
@@ -393,7 +395,7 @@
         self._proposals.applied(entry.index, entry.term, result)
 
     def _observe(self, at_ms: int) -> None:
-        self._clock.observe(at_ms, anyio.current_time())
+        self._clock.observe_timestamp(at_ms, anyio.current_time())
 
     def _restore(self, snapshot: Snapshot) -> None:
         image = _decode_image(snapshot.state)
@@ -410,9 +412,9 @@
         if recipient not in (self._driver.node.name, self._host):
             if host_name(recipient) == self._host:
                 # The settings may name hosts only that have lost their logs too.
-                self._driver.node.note_host(host_name(message.sender))
+                self._driver.node.add_join_target(host_name(message.sender))
             return
-        self._events.append(Received(message))
+        self._events.append(MessageReceived(message))
         if not self._can_wait(message):
             self._wake.set()
 
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -209,7 +209,7 @@
         if log.snapshot.index > (snapshot.index if snapshot else 0):
             raise _Damaged(SNAPSHOT_FILE)
         if snapshot is not None:
-            log.install(snapshot)
+            log.install_snapshot(snapshot)
         log.synced_index = log.last_index
         return log
 
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -40,7 +40,7 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.core.requests.messages import RequestSpec
-from damaskridge.core.state.fleet_queries import addresses_for
+from damaskridge.core.state.fleet_queries import caller_addresses_for
 from damaskridge.model.engine import estimate_tokens
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
@@ -149,7 +149,7 @@
 
     async def _addresses(self, exchange: Exchange) -> None:
         front = self._front
-        addresses = addresses_for(front.fleet, front.context.data_centre)
+        addresses = caller_addresses_for(front.fleet, front.context.data_centre)
         session = front.fleet.sessions.get(front.context.host)
         if front.draining and session is not None:
             addresses = [item for item in addresses if item != session.caller_address]
--- a/src/damaskridge/adapters/log_driver.py
+++ b/src/damaskridge/adapters/log_driver.py
@@ -4,7 +4,13 @@
 from collections.abc import Iterable
 
 from damaskridge.adapters.disk.store import LogStore, StoredState
-from damaskridge.core.consensus.messages import Action, Event, Guards, Save, Synced
+from damaskridge.core.consensus.messages import (
+    Action,
+    EntriesSynced,
+    Event,
+    Guards,
+    Persist,
+)
 from damaskridge.core.consensus.node import RaftNode
 
 __all__ = ["LogDriver", "member_id"]
@@ -14,7 +20,7 @@
 
 def member_id(host: str, disk_id: str, guards: Guards) -> str:
     """Return the id of a member; with another disk a host is another member."""
-    return f"{host}#{disk_id}" if guards.blank_vote else host
+    return f"{host}#{disk_id}" if guards.member_id_per_disk else host
 
 
 class LogDriver:
@@ -35,7 +41,7 @@
         Present time.
     hosts : tuple of str
         Names of all hosts of the group.
-    may_form : bool
+    may_bootstrap : bool
         Whether this member may form a new group.
     max_entries : int
         Bound on the entries of one message.
@@ -51,7 +57,7 @@
         rng: random.Random,
         now_s: float,
         hosts: tuple[str, ...],
-        may_form: bool = True,
+        may_bootstrap: bool = True,
         max_entries: int = 64,
         guards: Guards | None = None,
     ) -> None:
@@ -65,7 +71,7 @@
             rng,
             now_s,
             hosts,
-            may_form,
+            may_bootstrap,
             max_entries,
             self._guards,
         )
@@ -83,12 +89,12 @@
         actions: list[Action] = []
         for event in events:
             actions += self.node.step(event, now_s)
-        saves = [action for action in actions if isinstance(action, Save)]
-        others = [action for action in actions if not isinstance(action, Save)]
+        saves = [action for action in actions if isinstance(action, Persist)]
+        others = [action for action in actions if not isinstance(action, Persist)]
         if saves:
             self._save(saves)
             log = self.node.log
-            synced = Synced(log.last_index, log.last_term)
+            synced = EntriesSynced(log.last_index, log.last_term)
             others += self.node.step(synced, now_s)
         return others
 
@@ -101,7 +107,7 @@
             self._unsynced_runs = 0
             self._store.sync()
 
-    def _save(self, saves: list[Save]) -> None:
+    def _save(self, saves: list[Persist]) -> None:
         if any(save.snapshot is not None for save in saves):
             # Writes all of the batch, because log and hard state are up to date.
             # Entries after a new snapshot would leave a gap in the old segment.
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -38,7 +38,7 @@
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.commands import ControlState
-from damaskridge.core.state.queries import live_session, status_of
+from damaskridge.core.state.queries import fleet_status_of, live_session
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.control import (
     AnyCommand,
@@ -233,7 +233,7 @@
             await stream.send_message(FleetStatus(failure=self._not_leader()))
             return
         version, at_ms = self._activated
-        status = status_of(self._state.data, with_bundle=request.with_bundle)
+        status = fleet_status_of(self._state.data, with_bundle=request.with_bundle)
         status = msgspec.structs.replace(
             status,
             leader=self._node.name,
@@ -319,7 +319,7 @@
         request, follower = renewal.request, renewal.follower
         if live_session(self._state.data, request.host, request.session) is None:
             follower.push(SessionLost(session=request.session))
-        elif self._duties.sessions.renewed(
+        elif self._duties.sessions.record_renewal(
             request.host, request.session, renewal.received_s
         ):
             follower.push(
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -71,9 +71,11 @@
         for change in delta.changes:
             if isinstance(change, SessionChanged):
                 session = change.session
-                self.sessions.renewed(session.host, session.number, self._clock())
+                self.sessions.record_renewal(
+                    session.host, session.number, self._clock()
+                )
             elif isinstance(change, SessionEnded):
-                self.sessions.ended(change.host, change.number)
+                self.sessions.remove_session(change.host, change.number)
 
     def resync(self) -> None:
         """Lead anew after deltas were missed: streams start from a snapshot."""
@@ -87,7 +89,7 @@
             while True:
                 await self._check_term()
                 if self.ready:
-                    for key in self.sessions.expired(self._clock()):
+                    for key in self.sessions.expired_sessions(self._clock()):
                         if key not in self._expiring:
                             self._expiring.add(key)
                             group.start_soon(self._expire, key)
@@ -105,7 +107,7 @@
         # An entry of this term is applied after every earlier one. Before that, an
         # `ExpireSession` of the last leader may be in the log but not in the state.
         if await self._advance_time() and self._node.term == term:
-            self.sessions.leader_elected(
+            self.sessions.reset_leases(
                 self._clock(), self._state.data.sessions.values()
             )
             self._ready_term = term
@@ -127,7 +129,7 @@
             if failure is None:
                 log_event(_log, EventNumber.SESSION_EXPIRED, host=host, session=session)
             elif failure.kind is ErrorKind.SESSION_ENDED:
-                self.sessions.ended(host, session)
+                self.sessions.remove_session(host, session)
         finally:
             self._expiring.discard(key)
 
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -84,7 +84,7 @@
         folder,
         state,
         random.Random(),
-        may_form=not settings.join_as_learner,
+        may_bootstrap=not settings.join_as_learner,
     )
     services = control_services(node, state)
     server = Server([node.service(), *services], codec=MsgpackCodec())
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -15,7 +15,11 @@
 from damaskridge.adapters.bundle_file import read_bundle
 from damaskridge.adapters.rpc.control_calls import ControlCalls
 from damaskridge.core.state.bundles import bundle_difference
-from damaskridge.core.state.view import IDENTITY_FIELDS, apply_bundle_delta, identity
+from damaskridge.core.state.view import (
+    IDENTITY_FIELDS,
+    apply_bundle_delta,
+    item_identity,
+)
 from damaskridge.model.bundle import Bundle, KeyRecord
 from damaskridge.model.control import (
     Command,
@@ -359,7 +363,7 @@
 
 def _items(bundle: Bundle) -> list[tuple[str, object]]:
     return [
-        (identity(field, item), item)
+        (item_identity(field, item), item)
         for field in IDENTITY_FIELDS
         for item in getattr(bundle, field)
     ]
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -38,7 +38,7 @@
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.refusals import RefusalTimes
 from damaskridge.core.gateway.routing import RoutingIndex
-from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
+from damaskridge.core.state.fleet_queries import caller_addresses_for, live_sessions
 from damaskridge.model.control import (
     CrashesSeen,
     HostsNeeded,
@@ -218,7 +218,7 @@
             if session.data_centre == data_centre
         }
         if len(local) < LEAST_LOCAL_HOSTS:
-            return addresses_for(fleet, data_centre)
+            return caller_addresses_for(fleet, data_centre)
         needed = self._hosts_needed.get(data_centre, len(local))
         return [local[host] for host in chosen_hosts(list(local), needed)]
 
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -70,7 +70,7 @@
         random.Random(),
         # A host that is not a seed would count other hosts than the seeds do, and a
         # second group could form beside theirs.
-        may_form=settings.first_start and name in settings.control_addresses,
+        may_bootstrap=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
     )
     reader = PlatformInstanceList(settings.list_address)
--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -20,17 +20,21 @@
     """
 
     def __init__(
-        self, state: MemberState, hosts: tuple[str, ...], may_form: bool, now_s: float
+        self,
+        state: MemberState,
+        hosts: tuple[str, ...],
+        may_bootstrap: bool,
+        now_s: float,
     ) -> None:
         self._state = state
         self._host = host_name(state.name)
         self._others = tuple(host for host in hosts if host != self._host)
-        self._may_form = may_form and not is_observer(state.name)
+        self._may_form = may_bootstrap and not is_observer(state.name)
         self._empty: dict[str, JoinRequest] = {}
         self._heard: set[str] = set()
         self._due_s = now_s
 
-    def note_host(self, host: str) -> None:
+    def add_join_target(self, host: str) -> None:
         """Remember a host that takes this one for a member of its group."""
         self._heard.add(host)
 
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -10,11 +10,11 @@
     without_silent,
 )
 from damaskridge.core.consensus.messages import (
-    Appended,
     Guards,
+    ProposalAppended,
+    ProposalRefused,
     ReadFailed,
     ReadReady,
-    Refused,
 )
 from damaskridge.core.consensus.read_index import ReadIndex
 from damaskridge.core.consensus.replication import Progress, quorum_value
@@ -84,11 +84,11 @@
     def propose(self, commands: tuple[bytes, ...], now_s: float) -> None:
         """Append commands, unless leadership is being handed over."""
         if self._transfer_to:
-            self._state.actions.append(Refused())
+            self._state.actions.append(ProposalRefused())
             return
         first_index = self._state.log.last_index + 1
         self._append(commands, None, now_s)
-        self._state.actions.append(Appended(first_index, self._state.term))
+        self._state.actions.append(ProposalAppended(first_index, self._state.term))
 
     def synced(self, index: int, term: int) -> None:
         """Count own entries that are on disk."""
@@ -119,11 +119,11 @@
             and state.name in membership.voters
         )
         if not allowed:
-            state.actions.append(Refused())
+            state.actions.append(ProposalRefused())
             return
         index = state.log.last_index + 1
         self._append((b"",), membership, now_s)
-        state.actions.append(Appended(index, state.term))
+        state.actions.append(ProposalAppended(index, state.term))
 
     def join(self, member: str, now_s: float) -> None:
         """Add a member with an empty disk as a learner."""
@@ -262,10 +262,10 @@
         return self._state.log.term(self._state.commit_index) == self._state.term
 
     def _release_reads(self) -> None:
-        if not self._has_committed() and self._guards.read_round:
+        if not self._has_committed() and self._guards.confirm_reads:
             return
         confirmed = int(self._quorum(lambda p: p.round, self._round))
-        if not self._guards.read_round:
+        if not self._guards.confirm_reads:
             confirmed = self._round
         for read_id in self._reads.take_confirmed(confirmed):
             ready = ReadReady(read_id, self._state.commit_index)
--- a/src/damaskridge/core/consensus/log.py
+++ b/src/damaskridge/core/consensus/log.py
@@ -116,7 +116,7 @@
         self._replace(snapshot, self.slice(index + 1, self.last_index))
         return snapshot
 
-    def install(self, snapshot: Snapshot) -> None:
+    def install_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the log by a leader's snapshot; keep a suffix that fits."""
         suffix: tuple[LogEntry, ...] = ()
         if self.term(snapshot.index) == snapshot.term:
--- a/src/damaskridge/core/consensus/messages.py
+++ b/src/damaskridge/core/consensus/messages.py
@@ -12,25 +12,25 @@
 
 __all__ = [
     "Action",
-    "Appended",
-    "Apply",
+    "ProposalAppended",
+    "ApplyEntries",
     "ChangeMembership",
-    "Compact",
+    "CompactLog",
     "Event",
     "Guards",
     "LeadershipLost",
     "LeadershipWon",
-    "LogLost",
+    "SyncedEntriesLost",
     "Propose",
     "ReadFailed",
     "ReadReady",
     "ReadRequest",
-    "Received",
-    "Refused",
-    "Restore",
-    "Save",
-    "Send",
-    "Synced",
+    "MessageReceived",
+    "ProposalRefused",
+    "RestoreSnapshot",
+    "Persist",
+    "SendMessage",
+    "EntriesSynced",
     "Tick",
     "TransferLeadership",
 ]
@@ -43,8 +43,8 @@
     sync_before_ack: bool = True
     pre_vote: bool = True
     current_term_commit: bool = True
-    read_round: bool = True
-    blank_vote: bool = True
+    confirm_reads: bool = True
+    member_id_per_disk: bool = True
     checksum: bool = True
 
 
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Received(Event):
+class MessageReceived(Event):
     """A message arrived from another member."""
 
     message: Message
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Synced(Event):
+class EntriesSynced(Event):
     """Everything saved up to entry `index` of `term` is on disk."""
 
     index: int
@@ -99,7 +99,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Compact(Event):
+class CompactLog(Event):
     """Replaces the log up to the applied `index` by `state`."""
 
     index: int
@@ -111,8 +111,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Save(Action):
-    """Write these; they must be synced before any later `Send` leaves."""
+class Persist(Action):
+    """Write these; they must be synced before any later `SendMessage` leaves."""
 
     hard_state: HardState | None = None
     entries: tuple[LogEntry, ...] = ()
@@ -120,7 +120,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Send(Action):
+class SendMessage(Action):
     """Send a message; it may get lost."""
 
     to: str
@@ -128,21 +128,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Apply(Action):
+class ApplyEntries(Action):
     """Apply committed entries."""
 
     entries: tuple[LogEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Restore(Action):
+class RestoreSnapshot(Action):
     """Replace the state by that of a snapshot."""
 
     snapshot: Snapshot
 
 
 @dataclass(frozen=True, slots=True)
-class Appended(Action):
+class ProposalAppended(Action):
     """A proposal got the indexes from `first_index` on in `term`."""
 
     first_index: int
@@ -150,7 +150,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused(Action):
+class ProposalRefused(Action):
     """A proposal was not appended."""
 
 
@@ -182,5 +182,5 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LogLost(Action):
+class SyncedEntriesLost(Action):
     """The disk lost synced entries: the host must rejoin as an empty member."""
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -15,20 +15,20 @@
 from damaskridge.core.consensus.messages import (
     Action,
     ChangeMembership,
-    Compact,
+    CompactLog,
+    EntriesSynced,
     Event,
     Guards,
     LeadershipLost,
     LeadershipWon,
-    LogLost,
+    MessageReceived,
+    Persist,
+    ProposalRefused,
     Propose,
     ReadFailed,
     ReadRequest,
-    Received,
-    Refused,
-    Restore,
-    Save,
-    Synced,
+    RestoreSnapshot,
+    SyncedEntriesLost,
     Tick,
     TransferLeadership,
 )
@@ -73,7 +73,7 @@
     hosts : tuple of str
         Names of all hosts of the group. The first one forms the group once all
         have reported an empty disk.
-    may_form : bool
+    may_bootstrap : bool
         Whether this member may form a new group.
     max_entries : int
         Bound on the entries of one message.
@@ -89,7 +89,7 @@
         rng: random.Random,
         now_s: float,
         hosts: tuple[str, ...] = (),
-        may_form: bool = True,
+        may_bootstrap: bool = True,
         max_entries: int = MAX_ENTRIES,
         guards: Guards | None = None,
     ) -> None:
@@ -99,7 +99,7 @@
         self._max_entries = max_entries
         self._leader: Leader | None = None
         self._tally = Tally()
-        self._joining = Joining(self._state, hosts, may_form, now_s)
+        self._joining = Joining(self._state, hosts, may_bootstrap, now_s)
         self._heard_s = float("-inf")
         self._started_s = now_s
         self.role = Role.FOLLOWER
@@ -133,9 +133,9 @@
         """Term and vote."""
         return self._state.hard_state
 
-    def note_host(self, host: str) -> None:
+    def add_join_target(self, host: str) -> None:
         """Remember a host that takes this one for a member of its group."""
-        self._joining.note_host(host)
+        self._joining.add_join_target(host)
 
     def step(self, event: Event, now_s: float) -> list[Action]:
         """Handle an event and return what must be done."""
@@ -160,7 +160,7 @@
                 self._campaign(self._guards.pre_vote, False, now_s)
 
     @_on.register
-    def _(self, event: Received, now_s: float) -> None:
+    def _(self, event: MessageReceived, now_s: float) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
             self._on_join(message, now_s)
@@ -174,12 +174,12 @@
     @_on.register
     def _(self, event: Propose, now_s: float) -> None:
         if self._leader is None:
-            self._state.actions.append(Refused())
+            self._state.actions.append(ProposalRefused())
         else:
             self._leader.propose(event.commands, now_s)
 
     @_on.register
-    def _(self, event: Synced, now_s: float) -> None:
+    def _(self, event: EntriesSynced, now_s: float) -> None:
         if self._leader is not None:
             self._leader.synced(event.index, event.term)
         elif self.log.term(event.index) == event.term:
@@ -200,16 +200,16 @@
     @_on.register
     def _(self, event: ChangeMembership, now_s: float) -> None:
         if self._leader is None:
-            self._state.actions.append(Refused())
+            self._state.actions.append(ProposalRefused())
         else:
             self._leader.change(event.membership, now_s)
 
     @_on.register
-    def _(self, event: Compact, now_s: float) -> None:
+    def _(self, event: CompactLog, now_s: float) -> None:
         assert event.index <= self.commit_index, "only committed entries are compacted"
         if event.index > self.log.snapshot.index:
             snapshot = self.log.compact(event.index, event.state)
-            self._state.actions.append(Save(snapshot=snapshot))
+            self._state.actions.append(Persist(snapshot=snapshot))
 
     @singledispatchmethod
     def _receive(self, message: Message, now_s: float) -> None:
@@ -246,7 +246,7 @@
         if message.acknowledged_index > log.last_index:
             # The leader counts these entries as held here, so this member must not
             # vote any more under its present id.
-            state.actions.append(LogLost())
+            state.actions.append(SyncedEntriesLost())
             return
         if previous < log.snapshot.index:
             self._reply_append(message, True, state.commit_index)
@@ -263,9 +263,9 @@
         self._hear_leader(message, now_s)
         state, snapshot = self._state, message.snapshot
         if snapshot.index > state.commit_index:
-            self.log.install(snapshot)
+            self.log.install_snapshot(snapshot)
             state.commit_index = snapshot.index
-            state.actions += [Save(snapshot=snapshot), Restore(snapshot)]
+            state.actions += [Persist(snapshot=snapshot), RestoreSnapshot(snapshot)]
         reply = SnapshotReply(
             sender=self.name,
             term=self.term,
--- a/src/damaskridge/core/consensus/state.py
+++ b/src/damaskridge/core/consensus/state.py
@@ -1,7 +1,12 @@
 """What a member knows in every role, and the actions it has collected."""
 
 from damaskridge.core.consensus.log import RaftLog
-from damaskridge.core.consensus.messages import Action, Apply, Save, Send
+from damaskridge.core.consensus.messages import (
+    Action,
+    ApplyEntries,
+    Persist,
+    SendMessage,
+)
 from damaskridge.model.consensus import HardState, LogEntry, Membership, Message
 
 __all__ = ["MemberState"]
@@ -45,7 +50,7 @@
 
     def send(self, to: str, message: Message) -> None:
         """Collect a message."""
-        self.actions.append(Send(to, message))
+        self.actions.append(SendMessage(to, message))
 
     def vote(self, term: int, voted_for: str) -> None:
         """Save a new term or the vote in the current one."""
@@ -53,7 +58,7 @@
         old = self.hard_state
         assert term > old.term or old.voted_for in ("", voted_for), "one vote a term"
         self.hard_state = HardState(term, voted_for)
-        self.actions.append(Save(hard_state=self.hard_state))
+        self.actions.append(Persist(hard_state=self.hard_state))
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Append and save entries; those they conflict with are removed."""
@@ -64,14 +69,14 @@
         if first <= self.log.last_index:
             self.log.truncate(first)
         self.log.append(entries)
-        self.actions.append(Save(entries=entries))
+        self.actions.append(Persist(entries=entries))
 
     def commit(self, index: int) -> None:
         """Commit and apply up to `index`; a smaller one changes nothing."""
         if index <= self.commit_index:
             return
         assert index <= self.log.last_index, "only existing entries are committed"
-        self.actions.append(Apply(self.log.slice(self.commit_index + 1, index)))
+        self.actions.append(ApplyEntries(self.log.slice(self.commit_index + 1, index)))
         self.commit_index = index
 
     def is_up_to_date(self, last_term: int, last_index: int) -> bool:
--- a/src/damaskridge/core/state/bundles.py
+++ b/src/damaskridge/core/state/bundles.py
@@ -6,7 +6,7 @@
 from damaskridge.core.state.view import (
     IDENTITY_FIELDS,
     apply_bundle_delta,
-    identity,
+    item_identity,
 )
 from damaskridge.model.bundle import Bundle, Operator
 from damaskridge.model.control import (
@@ -58,8 +58,8 @@
     upserted: dict[str, tuple[object, ...]] = {}
     removed: list[str] = []
     for field in IDENTITY_FIELDS:
-        before = {identity(field, item): item for item in getattr(old, field)}
-        after = {identity(field, item): item for item in getattr(new, field)}
+        before = {item_identity(field, item): item for item in getattr(old, field)}
+        after = {item_identity(field, item): item for item in getattr(new, field)}
         upserted[field] = tuple(
             item for name, item in after.items() if before.get(name) != item
         )
--- a/src/damaskridge/core/state/commands.py
+++ b/src/damaskridge/core/state/commands.py
@@ -15,7 +15,7 @@
 )
 from damaskridge.core.state.applied import AppliedCommand
 from damaskridge.core.state.data import Answered, Changes, StateData, refused
-from damaskridge.core.state.queries import snapshot_of
+from damaskridge.core.state.queries import fleet_snapshot_of
 from damaskridge.model.control import (
     AdvanceTime,
     AllocateFencingNumber,
@@ -88,7 +88,7 @@
 
     def fleet_snapshot(self) -> FleetSnapshot:
         """Return what entry hosts know of the state."""
-        return snapshot_of(self.data)
+        return fleet_snapshot_of(self.data)
 
     def encode(self) -> bytes:
         """Return the whole state for a snapshot of the log."""
@@ -133,7 +133,7 @@
         )
         if intent is None or intent.state is not LedgerState.FINISHED:
             return result
-        return msgspec.structs.replace(result, ledger=ledger.record_of(intent))
+        return msgspec.structs.replace(result, ledger=ledger.to_ledger_record(intent))
 
     def _prune_answers(self) -> None:
         answers = self.data.answers
@@ -147,7 +147,7 @@
         data = self.data
         for owner in data.owners.values():
             assert owner.epoch <= data.last_epoch, "an epoch above the last one"
-            assert not owner.host or ownership.is_live(
+            assert not owner.host or ownership.is_live_session(
                 data, owner.host, owner.session
             ), "a resource of an ended session"
             assert not owner.moving_to or (
--- a/src/damaskridge/core/state/fleet_queries.py
+++ b/src/damaskridge/core/state/fleet_queries.py
@@ -8,7 +8,7 @@
 from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = [
-    "addresses_for",
+    "caller_addresses_for",
     "cell_resource",
     "cells_serving",
     "find_route",
@@ -72,7 +72,7 @@
     ]
 
 
-def addresses_for(view: FleetView, data_centre: str) -> list[str]:
+def caller_addresses_for(view: FleetView, data_centre: str) -> list[str]:
     """Return callers' addresses, those in `data_centre` first."""
     sessions = live_sessions(view)
     sessions.sort(key=lambda session: session.data_centre != data_centre)
--- a/src/damaskridge/core/state/ledger.py
+++ b/src/damaskridge/core/state/ledger.py
@@ -1,7 +1,7 @@
 """The ledger of calls that must not be repeated."""
 
 from damaskridge.core.state.data import Intent, StateData, refused
-from damaskridge.core.state.ownership import is_live
+from damaskridge.core.state.ownership import is_live_session
 from damaskridge.model.control import (
     CommandResult,
     LedgerRecord,
@@ -20,7 +20,7 @@
     "ledger_key",
     "prune_ledger",
     "record_intent",
-    "record_of",
+    "to_ledger_record",
     "record_result",
 ]
 
@@ -48,7 +48,7 @@
     return data.ledger.get(ledger_key(workspace, idempotency_key))
 
 
-def record_of(intent: Intent) -> LedgerRecord:
+def to_ledger_record(intent: Intent) -> LedgerRecord:
     """Return the answer to a repeated call."""
     return LedgerRecord(intent.state, intent.status, intent.content_type, intent.body)
 
@@ -59,8 +59,8 @@
     if intent is not None:
         if intent.body_digest != command.body_digest:
             return refused(ErrorKind.IDEMPOTENCY_CONFLICT)
-        return CommandResult(ledger=record_of(intent))
-    if not is_live(data, command.host, command.session):
+        return CommandResult(ledger=to_ledger_record(intent))
+    if not is_live_session(data, command.host, command.session):
         return refused(ErrorKind.SESSION_ENDED, command.host)
     key = ledger_key(command.workspace, command.idempotency_key)
     intent = Intent(
@@ -89,7 +89,7 @@
     if intent.state is LedgerState.UNKNOWN:
         return refused(ErrorKind.SESSION_ENDED, intent.host)
     if intent.state is LedgerState.FINISHED:
-        return CommandResult(ledger=record_of(intent))
+        return CommandResult(ledger=to_ledger_record(intent))
     key = ledger_key(command.workspace, command.idempotency_key)
     _close(data, key, intent)
     if command.not_run:
--- a/src/damaskridge/core/state/ownership.py
+++ b/src/damaskridge/core/state/ownership.py
@@ -24,7 +24,13 @@
 )
 from damaskridge.model.errors import ErrorKind
 
-__all__ = ["allocate_fencing", "is_live", "rebalance", "release", "resources_of"]
+__all__ = [
+    "allocate_fencing",
+    "is_live_session",
+    "rebalance",
+    "release",
+    "resources_of",
+]
 
 # About 1 MB of state. A workspace that was removed 10,000 workspaces ago starts with
 # a full bucket again.
@@ -59,7 +65,7 @@
     return resources
 
 
-def is_live(data: StateData, host: str, session: int) -> bool:
+def is_live_session(data: StateData, host: str, session: int) -> bool:
     """Tell whether `session` is the live session of `host`."""
     held = data.sessions.get(host)
     return held is not None and held.number == session
@@ -90,7 +96,7 @@
     }
     for resource, place in sorted(resources.items()):
         owner = data.owners.get(resource)
-        live = owner is not None and is_live(data, owner.host, owner.session)
+        live = owner is not None and is_live_session(data, owner.host, owner.session)
         if owner is not None and live and changed_host:
             if _keeps(owner, place, hosts, changed_host):
                 continue
@@ -98,7 +104,7 @@
         if owner is None or not live:
             if owner is None or owner.host or wanted is not None:
                 level_tokens = _first_level_tokens(data, resource, owner)
-                _assign(data, resource, wanted, level_tokens, changes)
+                _assign_owner(data, resource, wanted, level_tokens, changes)
             continue
         moving_to = wanted.host if wanted and wanted.host != owner.host else ""
         if moving_to != owner.moving_to:
@@ -111,7 +117,7 @@
     data: StateData, command: ReleaseOwnership, changes: Changes
 ) -> CommandResult:
     """Hand a resource over to the host it is moving to."""
-    if not is_live(data, command.host, command.session):
+    if not is_live_session(data, command.host, command.session):
         return refused(ErrorKind.SESSION_ENDED, command.host)
     owner = data.owners.get(command.resource)
     if owner is None or (owner.host, owner.session, owner.epoch) != (
@@ -123,7 +129,7 @@
     if not owner.moving_to:
         return refused(ErrorKind.EPOCH_CONFLICT, f"{command.resource} does not move")
     target = data.sessions[owner.moving_to]
-    _assign(data, command.resource, target, command.level_tokens, changes)
+    _assign_owner(data, command.resource, target, command.level_tokens, changes)
     return CommandResult(value=str(data.owners[command.resource].epoch))
 
 
@@ -162,7 +168,7 @@
     return _rank(resource, place, changed) < _rank(resource, place, wanted)
 
 
-def _assign(
+def _assign_owner(
     data: StateData,
     resource: str,
     session: Session | None,
--- a/src/damaskridge/core/state/queries.py
+++ b/src/damaskridge/core/state/queries.py
@@ -1,8 +1,8 @@
 """Reads the control state; nothing here changes it."""
 
 from damaskridge.core.state.data import StateData
-from damaskridge.core.state.ledger import find_intent, record_of
-from damaskridge.core.state.ownership import is_live
+from damaskridge.core.state.ledger import find_intent, to_ledger_record
+from damaskridge.core.state.ownership import is_live_session
 from damaskridge.model.control import (
     FingerprintState,
     FleetSnapshot,
@@ -17,8 +17,8 @@
     "ledger_record",
     "live_session",
     "owners_of_host",
-    "snapshot_of",
-    "status_of",
+    "fleet_snapshot_of",
+    "fleet_status_of",
 ]
 
 
@@ -31,7 +31,7 @@
 
 def live_session(data: StateData, host: str, number: int) -> Session | None:
     """Return a session if it is live."""
-    return data.sessions[host] if is_live(data, host, number) else None
+    return data.sessions[host] if is_live_session(data, host, number) else None
 
 
 def owners_of_host(data: StateData, host: str) -> tuple[Owner, ...]:
@@ -45,10 +45,10 @@
 ) -> LedgerRecord | None:
     """Return what the ledger knows of a call."""
     intent = find_intent(data, workspace, idempotency_key)
-    return record_of(intent) if intent is not None else None
+    return to_ledger_record(intent) if intent is not None else None
 
 
-def snapshot_of(data: StateData) -> FleetSnapshot:
+def fleet_snapshot_of(data: StateData) -> FleetSnapshot:
     """Return what entry hosts know of the state."""
     return FleetSnapshot(
         index=data.index,
@@ -65,7 +65,7 @@
     )
 
 
-def status_of(data: StateData, *, with_bundle: bool = False) -> FleetStatus:
+def fleet_status_of(data: StateData, *, with_bundle: bool = False) -> FleetStatus:
     """Return what operators see; the node's own part is added by the service."""
     return FleetStatus(
         index=data.index,
--- a/src/damaskridge/core/state/replicated_clock.py
+++ b/src/damaskridge/core/state/replicated_clock.py
@@ -1,11 +1,11 @@
 """The time that a leader stamps on commands, bounded by its monotonic clock.
 
 >>> clock = ReplicatedClock(now_s=0.0)
->>> clock.stamp(wall_ms=5_000, now_s=0.0)
+>>> clock.next_timestamp_ms(wall_ms=5_000, now_s=0.0)
 5000
->>> clock.stamp(wall_ms=99_000, now_s=1.0)
+>>> clock.next_timestamp_ms(wall_ms=99_000, now_s=1.0)
 6100
->>> clock.stamp(wall_ms=1_000, now_s=2.0)
+>>> clock.next_timestamp_ms(wall_ms=1_000, now_s=2.0)
 6100
 """
 
@@ -29,24 +29,26 @@
     """
 
     def __init__(self, now_s: float) -> None:
-        self.last_ms = 0
+        self.last_timestamp_ms = 0
         self._limit_ms = 0.0
         self._since_s = now_s
 
-    def observe(self, at_ms: int, now_s: float) -> None:
+    def observe_timestamp(self, at_ms: int, now_s: float) -> None:
         """Record a stamp of the log."""
-        if at_ms > self.last_ms:
-            self.last_ms = at_ms
+        if at_ms > self.last_timestamp_ms:
+            self.last_timestamp_ms = at_ms
             self._limit_ms, self._since_s = float(at_ms), now_s
 
-    def stamp(self, wall_ms: int, now_s: float) -> int:
+    def next_timestamp_ms(self, wall_ms: int, now_s: float) -> int:
         """Return the stamp of a new command."""
-        if not self.last_ms:
+        if not self.last_timestamp_ms:
             self._limit_ms = float(wall_ms)
         else:
             self._limit_ms += (now_s - self._since_s) * 1000 * MAX_RATE
         self._since_s = now_s
-        self.last_ms = max(self.last_ms, min(wall_ms, int(self._limit_ms)))
+        self.last_timestamp_ms = max(
+            self.last_timestamp_ms, min(wall_ms, int(self._limit_ms))
+        )
         # Time that the wall clock did not use is not saved up for a later jump.
-        self._limit_ms = min(self._limit_ms, max(wall_ms, self.last_ms) + 1.0)
-        return self.last_ms
+        self._limit_ms = min(self._limit_ms, max(wall_ms, self.last_timestamp_ms) + 1.0)
+        return self.last_timestamp_ms
--- a/src/damaskridge/core/state/session_tracker.py
+++ b/src/damaskridge/core/state/session_tracker.py
@@ -20,17 +20,17 @@
         self._renewed_s: dict[tuple[str, int], float] = {}
         self._expired: set[tuple[str, int]] = set()
 
-    def leader_elected(self, now_s: float, sessions: Iterable[Session]) -> None:
+    def reset_leases(self, now_s: float, sessions: Iterable[Session]) -> None:
         """Treat every session as renewed: an earlier leader may have done so."""
         self._renewed_s = {(item.host, item.number): now_s for item in sessions}
         self._expired = set()
 
-    def renewed(self, host: str, session: int, received_s: float) -> bool:
+    def record_renewal(self, host: str, session: int, received_s: float) -> bool:
         """
         Count a lease from the arrival of its renewal.
 
-        `False` once `expired` has named the session: `ExpireSession` may already be
-        in the log, and a lease granted now would outlive the session.
+        `False` once `expired_sessions` has named the session: `ExpireSession` may
+        already be in the log, and a lease granted now would outlive the session.
         """
         key = (host, session)
         if key in self._expired:
@@ -38,12 +38,12 @@
         self._renewed_s[key] = max(self._renewed_s.get(key, received_s), received_s)
         return True
 
-    def ended(self, host: str, session: int) -> None:
+    def remove_session(self, host: str, session: int) -> None:
         """Forget a session that has ended."""
         self._renewed_s.pop((host, session), None)
         self._expired.discard((host, session))
 
-    def expired(self, now_s: float) -> list[tuple[str, int]]:
+    def expired_sessions(self, now_s: float) -> list[tuple[str, int]]:
         """Return host and number of every session whose lease has run out."""
         limit_s = SESSION_DURATION_S * (1 + 2 * CLOCK_DRIFT)
         self._expired.update(
--- a/src/damaskridge/core/state/sessions.py
+++ b/src/damaskridge/core/state/sessions.py
@@ -5,7 +5,7 @@
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.data import Changes, StateData, refused
 from damaskridge.core.state.ledger import end_session_intents
-from damaskridge.core.state.ownership import is_live, rebalance
+from damaskridge.core.state.ownership import is_live_session, rebalance
 from damaskridge.model.control import (
     CommandResult,
     DrainChanged,
@@ -48,7 +48,7 @@
     data: StateData, host: str, number: int, changes: Changes
 ) -> CommandResult:
     """End a session if it is the live one of its host."""
-    if not is_live(data, host, number):
+    if not is_live_session(data, host, number):
         return refused(ErrorKind.SESSION_ENDED, host)
     _ended(data, data.sessions.pop(host), changes)
     rebalance(data, changes, host)
@@ -59,7 +59,7 @@
     data: StateData, command: SetHostDraining, changes: Changes
 ) -> CommandResult:
     """Mark the session of a host that shuts down."""
-    if not is_live(data, command.host, command.session):
+    if not is_live_session(data, command.host, command.session):
         return refused(ErrorKind.SESSION_ENDED, command.host)
     session = msgspec.structs.replace(data.sessions[command.host], draining=True)
     data.sessions[command.host] = session
--- a/src/damaskridge/core/state/view.py
+++ b/src/damaskridge/core/state/view.py
@@ -29,7 +29,7 @@
 )
 from damaskridge.model.gateway import RoutingTable
 
-__all__ = ["IDENTITY_FIELDS", "FleetView", "apply_bundle_delta", "identity"]
+__all__ = ["IDENTITY_FIELDS", "FleetView", "apply_bundle_delta", "item_identity"]
 
 IDENTITY_FIELDS: dict[str, tuple[str, ...]] = {
     "workspaces": ("name",),
@@ -41,7 +41,7 @@
 }
 
 
-def identity(field: str, item: object) -> str:
+def item_identity(field: str, item: object) -> str:
     """Return the name by which a delta removes an item of a bundle."""
     parts = [getattr(item, part) for part in IDENTITY_FIELDS[field]]
     return "/".join([field, *parts])
@@ -60,13 +60,15 @@
     upserted : Bundle
         Items that are new or changed.
     removed : iterable of str
-        Identities as `identity` spells them.
+        Identities as `item_identity` spells them.
     """
     gone = set(removed)
     fields: dict[str, object] = {}
     for field in IDENTITY_FIELDS:
-        items = {identity(field, item): item for item in getattr(bundle, field)}
-        items.update({identity(field, item): item for item in getattr(upserted, field)})
+        items = {item_identity(field, item): item for item in getattr(bundle, field)}
+        items.update(
+            {item_identity(field, item): item for item in getattr(upserted, field)}
+        )
         fields[field] = tuple(items[key] for key in sorted(items) if key not in gone)
     return msgspec.structs.replace(bundle, **fields)
 
--- a/tests/adapters/disk/test_store.py
+++ b/tests/adapters/disk/test_store.py
@@ -84,7 +84,7 @@
     folder = MemoryFolder()
     store = written(folder)
     log = RaftLog(None, list(ENTRIES))
-    log.install(Snapshot(3, 2, Membership(("c1#a1",)), b"state"))
+    log.install_snapshot(Snapshot(3, 2, Membership(("c1#a1",)), b"state"))
     folder.operations_left = operations
     try:
         store.save_snapshot(log, HardState(2, "c1#a1"))
@@ -102,7 +102,7 @@
     folder = MemoryFolder()
     store = written(folder)
     log = RaftLog(None, list(ENTRIES))
-    log.install(Snapshot(installed, 9, Membership(("c1#a1",)), b"state"))
+    log.install_snapshot(Snapshot(installed, 9, Membership(("c1#a1",)), b"state"))
     folder.operations_left = 1
     with pytest.raises(PowerLost):
         store.save_snapshot(log, HardState(9, ""))
--- a/tests/core/consensus/test_consensus.py
+++ b/tests/core/consensus/test_consensus.py
@@ -58,11 +58,11 @@
 @pytest.mark.parametrize(
     "guard",
     [
-        "blank_vote",
+        "member_id_per_disk",
         "checksum",
         "current_term_commit",
         "pre_vote",
-        "read_round",
+        "confirm_reads",
         "sync_before_ack",
     ],
 )
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -40,7 +40,7 @@
     hosts = tuple(sorted((*simulation.hosts, host)))
     rng = random.Random(host)
     member.driver = LogDriver(
-        host, store, store.open(), rng, simulation.now_s, hosts, may_form=False
+        host, store, store.open(), rng, simulation.now_s, hosts, may_bootstrap=False
     )
     simulation.hosts = (*simulation.hosts, host)
 
--- a/tests/core/state/test_commands.py
+++ b/tests/core/state/test_commands.py
@@ -313,13 +313,13 @@
 def test_a_session_named_as_expired_is_never_renewed_again():
     tracker = SessionTracker()
     fleet = Fleet("h1", "h2")
-    tracker.leader_elected(10.0, fleet.data.sessions.values())
-    assert tracker.renewed("h2", 2, 12.0)
-    assert tracker.expired(13.05) == []
-    assert tracker.expired(13.07) == [("h1", 1)]
-    assert not tracker.renewed("h1", 1, 13.08)
-    tracker.ended("h1", 1)
-    assert tracker.expired(13.1) == []
+    tracker.reset_leases(10.0, fleet.data.sessions.values())
+    assert tracker.record_renewal("h2", 2, 12.0)
+    assert tracker.expired_sessions(13.05) == []
+    assert tracker.expired_sessions(13.07) == [("h1", 1)]
+    assert not tracker.record_renewal("h1", 1, 13.08)
+    tracker.remove_session("h1", 1)
+    assert tracker.expired_sessions(13.1) == []
 
 
 def random_command(rng, fleet, number):
--- a/tests/core/state/test_replicated_clock.py
+++ b/tests/core/state/test_replicated_clock.py
@@ -12,13 +12,13 @@
     for seed in range(20):
         rng = random.Random(seed)
         clock, now_s, last_ms = ReplicatedClock(0.0), 0.0, START_MS
-        clock.stamp(START_MS, 0.0)
+        clock.next_timestamp_ms(START_MS, 0.0)
         jump_ms = 0
         for step in range(2000):
             now_s += rng.choice((0.0003, 0.002, 0.5))
             jump_ms = rng.choice((0, -DAY_MS, 30 * DAY_MS)) if step >= 1000 else 0
             wall_ms = START_MS + int(now_s * 1000) + jump_ms
-            stamp_ms = clock.stamp(wall_ms, now_s)
+            stamp_ms = clock.next_timestamp_ms(wall_ms, now_s)
             assert last_ms <= stamp_ms <= START_MS + now_s * 1000 * MAX_RATE + 1
             if step < 1000:
                 assert stamp_ms == wall_ms
@@ -27,8 +27,11 @@
 
 def test_a_new_leader_goes_on_from_the_log_and_catches_up_after_a_pause():
     clock = ReplicatedClock(0.0)
-    clock.observe(START_MS, 0.0)
-    assert clock.stamp(START_MS + DAY_MS, 10.0) == START_MS + 11_000
+    clock.observe_timestamp(START_MS, 0.0)
+    assert clock.next_timestamp_ms(START_MS + DAY_MS, 10.0) == START_MS + 11_000
     wall_ms = START_MS + 3600_000
-    stamps = [clock.stamp(wall_ms + s * 1000, 10.0 + s) for s in range(0, 60_000, 60)]
+    stamps = [
+        clock.next_timestamp_ms(wall_ms + s * 1000, 10.0 + s)
+        for s in range(0, 60_000, 60)
+    ]
     assert stamps == sorted(stamps) and stamps[-1] == wall_ms + 59_940_000
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -175,11 +175,11 @@
         def checked(event, now_s):
             actions = step(event, now_s)
             for action in actions:
-                if isinstance(action, m.Save):
+                if isinstance(action, m.Persist):
                     self.invariants.appended(driver.node, action.entries)
                 elif isinstance(action, m.LeadershipWon):
                     self.invariants.won(driver.node, action.term)
-                elif isinstance(action, m.Apply):
+                elif isinstance(action, m.ApplyEntries):
                     self.invariants.applied(driver.node, action.entries)
             return actions
 
@@ -197,16 +197,16 @@
         return actions
 
     def act(self, member: Member, action: m.Action) -> None:
-        if isinstance(action, m.Send):
+        if isinstance(action, m.SendMessage):
             self.transmit(member.host, action.to, action.message)
-        elif isinstance(action, m.Apply):
+        elif isinstance(action, m.ApplyEntries):
             for entry in action.entries:
                 self.apply(member, entry)
             is_leader = member.driver and member.driver.node.role is Role.LEADER
             self.committed_now |= bool(is_leader)
-        elif isinstance(action, m.Restore):
+        elif isinstance(action, m.RestoreSnapshot):
             self.restore(member, action.snapshot)
-        elif isinstance(action, m.LogLost):
+        elif isinstance(action, m.SyncedEntriesLost):
             assert self.guards != m.Guards(), "a synced entry is lost"
         elif isinstance(action, m.LeadershipLost):
             member.waiting, member.ready = {}, []
@@ -270,7 +270,7 @@
             if (source, member.host) in self.blocked or member.driver is None:
                 continue
             if to in (member.driver.node.name, member.host):
-                actions = self.run(member.host, m.Received(message))
+                actions = self.run(member.host, m.MessageReceived(message))
                 self.record_votes(message, actions)
 
     def record_votes(self, message: wire.Message, actions: list[m.Action]) -> None:
@@ -421,7 +421,7 @@
         index = driver.node.log.last_index + 1
         member.waiting[index] = (driver.node.term, operation)
         actions = self.run(host, m.Propose((command,)))
-        if any(isinstance(action, m.Refused) for action in actions):
+        if any(isinstance(action, m.ProposalRefused) for action in actions):
             member.waiting.pop(index, None)
             self.history.remove(operation)
             self.calls[client] = None
@@ -448,7 +448,7 @@
             return
         if member.applied > member.driver.node.log.snapshot.index:
             self.faults["snapshot"] += 1
-            self.run(host, m.Compact(member.applied, str(member.value).encode()))
+            self.run(host, m.CompactLog(member.applied, str(member.value).encode()))
 
     def check_isolated(self) -> None:
         for member in self.members.values():
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -48,12 +48,12 @@
 
 
 def _empty_bucket_after_crash():
-    assign = state_ownership._assign
+    assign = state_ownership._assign_owner
 
     def full(data, resource, session, level_tokens, changes):
         assign(data, resource, session, level_tokens or _BURST, changes)
 
-    yield mock.patch.object(state_ownership, "_assign", full)
+    yield mock.patch.object(state_ownership, "_assign_owner", full)
 
 
 def _grant_validity():
@@ -112,16 +112,16 @@
 
 
 def _ledger_session():
-    yield mock.patch.object(ledger, "is_live", lambda *_: True)
-    record_of = ledger.record_of
+    yield mock.patch.object(ledger, "is_live_session", lambda *_: True)
+    to_ledger_record = ledger.to_ledger_record
 
     def unended(intent):
-        record = record_of(intent)
+        record = to_ledger_record(intent)
         is_unknown = record.state is LedgerState.UNKNOWN
         return LedgerRecord(LedgerState.NEW) if is_unknown else record
 
     # A call whose session has ended is taken for one that never left.
-    yield mock.patch.object(ledger, "record_of", unended)
+    yield mock.patch.object(ledger, "to_ledger_record", unended)
 
 
 def _leaving_check():
