Name two modules for what they hold

core/state/commands.py holds ControlState, and core/consensus/state.py holds MemberState: they become control_state.py and member_state.py, and the test of the control state follows. The commands themselves are in model/control.py.

--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -10,7 +10,7 @@
 
 from bench.slope_fit import Slope, fit
 from damaskridge.core.requests.fleet_index import FleetIndex
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.view import FleetView
 from damaskridge.model import control as mc
 from damaskridge.model.bundle import (
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -9,7 +9,7 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_node import ControlNodePort
 from damaskridge.core.gateway.table_checks import table_faults
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import PublishRoutingTable
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -37,7 +37,7 @@
 from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.queries import fleet_status_of, live_session
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.control import (
--- a/src/damaskridge/adapters/rpc/followers.py
+++ b/src/damaskridge/adapters/rpc/followers.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import AnyFollowReply, FleetDelta
 
 __all__ = ["Follower", "FollowerSet"]
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -24,7 +24,7 @@
 from damaskridge.binaries.control_settings import ControlSettings
 from damaskridge.binaries.http_server import HttpServer, listen
 from damaskridge.binaries.settings_file import load_settings
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.events import EventNumber
 
 __all__ = ["build_state", "main", "run_control"]
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -21,7 +21,7 @@
 from damaskridge.adapters.replicated_routing import ReplicatedRouting
 from damaskridge.adapters.rpc.control_server import control_services
 from damaskridge.binaries.http_server import HttpServer, listen
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.events import EventNumber
 from damaskridge.platform.apps import operators_app
 from damaskridge.platform.instance_list import PlatformInstanceList
--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -1,7 +1,7 @@
 """How a member that is not in the group gets into it, or forms a new one."""
 
+from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.membership import host_name, is_observer
-from damaskridge.core.consensus.state import MemberState
 from damaskridge.model.consensus import JoinRequest, LogEntry, Membership
 
 __all__ = ["BOOTSTRAP_TERM", "Joining"]
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from damaskridge.core.consensus.election import ELECTION_TIMEOUT_S, HEARTBEAT_S
+from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.membership import (
     is_single_change,
     next_membership,
@@ -18,7 +19,6 @@
 )
 from damaskridge.core.consensus.read_index import ReadIndex
 from damaskridge.core.consensus.replication import Progress, quorum_value
-from damaskridge.core.consensus.state import MemberState
 from damaskridge.model.consensus import (
     AppendEntries,
     AppendReply,
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -12,6 +12,7 @@
 from damaskridge.core.consensus.joining import BOOTSTRAP_TERM, Joining
 from damaskridge.core.consensus.leader import MAX_ENTRIES, Leader
 from damaskridge.core.consensus.log import RaftLog
+from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.messages import (
     Action,
     ChangeMembership,
@@ -32,7 +33,6 @@
     Tick,
     TransferLeadership,
 )
-from damaskridge.core.consensus.state import MemberState
 from damaskridge.model.consensus import (
     AppendEntries,
     AppendReply,
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -11,7 +11,7 @@
 from damaskridge.adapters.rpc.control_calls import ControlCalls
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.control_server import control_services
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import (
     ExpireSession,
     FleetDelta,
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -7,7 +7,7 @@
 from damaskridge.adapters.rpc.followers import FollowerSet
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
 from damaskridge.core.gateway.instance_feed import InstanceCopy
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceList, ServerStart
 
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.rpc.stage_orders import TAKE_OVER_S, StageOrders
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.gateway.stage_balance import WARM_UP_S
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import InstanceLoad, ReportLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, InstanceList
 
--- a/tests/adapters/test_front_claims.py
+++ b/tests/adapters/test_front_claims.py
@@ -6,7 +6,7 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.front_claims import AnswerClaim
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import OpenSession, Session
 from damaskridge.model.errors import ErrorKind, RunState
 
--- a/tests/core/state/fleet.py
+++ b/tests/core/state/fleet.py
@@ -2,7 +2,7 @@
 
 from hashlib import sha256
 
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.bundle import (
     BackendServer,
     BackendServerRole,
--- a/tests/core/state/test_commands.py
+++ b/tests/core/state/test_control_state.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.core.state.fleet import Fleet, bundle, digest
 
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.fleet_queries import workspace_of_key
 from damaskridge.core.state.ledger import (
     KEPT_BODY_BYTES,
--- a/tests/core/state/test_routing_tables.py
+++ b/tests/core/state/test_routing_tables.py
@@ -2,7 +2,7 @@
 
 from tests.core.gateway.tables import route, table
 
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import PublishRoutingTable
 from damaskridge.model.errors import ErrorKind
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.rpc.control_calls import ATTEMPT_TIMEOUT_S
 from damaskridge.adapters.rpc.control_methods import FOLLOW_PATH
 from damaskridge.adapters.rpc.control_server import ControlService
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import CommandResult, SessionEnded
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from tests.system.network import Pipe, Process, start_in_world
