--- a/src/damaskridge/core/state/__init__.py
+++ b/src/damaskridge/core/state/__init__.py
@@ -1,1 +1,1 @@
-"""The replicated control state and the entry hosts' view of it."""
+"""The replicated state machine of the control group, and its view on entry hosts."""
--- a/src/damaskridge/core/state/applied.py
+++ b/src/damaskridge/core/state/applied.py
@@ -1,4 +1,4 @@
-"""What applying one command of the replicated log yields."""
+"""The outcome of applying one command of the replicated log."""
 
 from dataclasses import dataclass
 
@@ -9,7 +9,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedCommand:
-    """The result of a command and the delta that followers need."""
+    """
+    The outcome of one command.
+
+    Attributes
+    ----------
+    result : CommandResult
+        What the proposer of the command receives.
+    delta : FleetDelta
+        What entry hosts receive; without changes if the command altered nothing
+        that they can see.
+    """
 
     result: CommandResult
     delta: FleetDelta
--- a/src/damaskridge/core/state/bundle_checks.py
+++ b/src/damaskridge/core/state/bundle_checks.py
@@ -1,4 +1,10 @@
-"""Checks of a bundle as a whole, with the path of every fault."""
+"""
+Validation of a whole bundle.
+
+Every fault names the path of the invalid field, such as ``keys[3].digest``. Messages
+of faults are stored with the refused proposal, so every control host has to produce
+the same text.
+"""
 
 import ipaddress
 import math
@@ -11,9 +17,9 @@
 __all__ = ["bundle_faults"]
 
 MIN_OPERATORS = 2
-DIGEST_CHARACTERS = 64
+SHA256_HEX_CHARACTERS = 64
 
-_POSITIVE = {
+_POSITIVE_FIELDS = {
     "workspaces": ("rate_tokens_per_s", "burst_tokens", "share_weight"),
     "models": ("context_tokens", "kv_bytes_per_token"),
     "backend_servers": (
@@ -23,66 +29,66 @@
         "link_bytes_per_s",
     ),
 }
-_PREFILL = {BackendServerRole.PREFILL, BackendServerRole.MIXED}
-_DECODE = {BackendServerRole.DECODE, BackendServerRole.MIXED}
+_PREFILL_ROLES = {BackendServerRole.PREFILL, BackendServerRole.MIXED}
+_DECODE_ROLES = {BackendServerRole.DECODE, BackendServerRole.MIXED}
 
 
 def bundle_faults(bundle: Bundle) -> list[str]:
-    """Return every fault as ``path: what is wrong``; empty if none."""
+    """Return every fault as ``<path>: <description>``, or an empty list."""
     return [
-        *_duplicates(bundle),
-        *_values(bundle),
-        *_references(bundle),
-        *_servers(bundle),
-        *_cells(bundle),
+        *_duplicate_faults(bundle),
+        *_value_faults(bundle),
+        *_reference_faults(bundle),
+        *_backend_server_faults(bundle),
+        *_cell_faults(bundle),
     ]
 
 
-def _duplicates(bundle: Bundle) -> Iterator[str]:
-    for field, parts in IDENTITY_FIELDS.items():
+def _duplicate_faults(bundle: Bundle) -> Iterator[str]:
+    for field, names in IDENTITY_FIELDS.items():
         seen: dict[tuple[str, ...], int] = {}
-        for number, item in enumerate(getattr(bundle, field)):
-            key = tuple(getattr(item, part) for part in parts)
-            first = seen.setdefault(key, number)
+        for position, item in enumerate(getattr(bundle, field)):
+            key = tuple(getattr(item, name) for name in names)
+            first = seen.setdefault(key, position)
             if not key[0]:
-                yield f"{field}[{number}].{parts[0]}: must not be empty"
-            elif first != number:
-                yield f"{field}[{number}].{parts[0]}: same as {field}[{first}]"
+                yield f"{field}[{position}].{names[0]}: must not be empty"
+            elif first != position:
+                yield f"{field}[{position}].{names[0]}: same as {field}[{first}]"
 
 
-def _values(bundle: Bundle) -> Iterator[str]:
-    for field, names in _POSITIVE.items():
-        for number, item in enumerate(getattr(bundle, field)):
+def _value_faults(bundle: Bundle) -> Iterator[str]:
+    for field, names in _POSITIVE_FIELDS.items():
+        for position, item in enumerate(getattr(bundle, field)):
             for name in names:
                 value = getattr(item, name)
                 if not (value > 0 and math.isfinite(value)):
-                    yield f"{field}[{number}].{name}: must be above 0, not {value:g}"
-    for number, route in enumerate(bundle.routes):
+                    yield f"{field}[{position}].{name}: must be above 0, not {value:g}"
+    for position, route in enumerate(bundle.routes):
         if route.cost_tokens < 0:
             yield (
-                f"routes[{number}].cost_tokens: must be at least 0, "
+                f"routes[{position}].cost_tokens: must be at least 0, "
                 f"not {route.cost_tokens}"
             )
 
 
-def _references(bundle: Bundle) -> Iterator[str]:
+def _reference_faults(bundle: Bundle) -> Iterator[str]:
     workspaces = {item.name for item in bundle.workspaces}
-    for number, key in enumerate(bundle.keys):
+    for position, key in enumerate(bundle.keys):
         if key.workspace not in workspaces:
-            yield f"keys[{number}].workspace: unknown workspace {key.workspace!r}"
+            yield f"keys[{position}].workspace: unknown workspace {key.workspace!r}"
         if not _is_digest(key.digest):
-            yield f"keys[{number}].digest: must be a SHA-256 in hexadecimal"
-    for number, operator in enumerate(bundle.operators):
+            yield f"keys[{position}].digest: must be a SHA-256 in hexadecimal"
+    for position, operator in enumerate(bundle.operators):
         if not _is_digest(operator.key_digest):
-            yield f"operators[{number}].key_digest: must be a SHA-256 in hexadecimal"
+            yield f"operators[{position}].key_digest: must be a SHA-256 in hexadecimal"
     if len(bundle.operators) < MIN_OPERATORS:
         yield f"operators: must be at least {MIN_OPERATORS}, a change needs two"
 
 
-def _servers(bundle: Bundle) -> Iterator[str]:
+def _backend_server_faults(bundle: Bundle) -> Iterator[str]:
     models = {item.name for item in bundle.models}
-    for number, server in enumerate(bundle.backend_servers):
-        path = f"backend_servers[{number}]"
+    for position, server in enumerate(bundle.backend_servers):
+        path = f"backend_servers[{position}]"
         if not server.cell:
             yield f"{path}.cell: must not be empty"
         if server.slots < 1:
@@ -97,33 +103,33 @@
             yield f"{path}.kv_pieces: must be at least 1, not {server.kv_pieces}"
 
 
-def _cells(bundle: Bundle) -> Iterator[str]:
+def _cell_faults(bundle: Bundle) -> Iterator[str]:
     cells: dict[str, list[tuple[int, BackendServer]]] = defaultdict(list)
-    for number, server in enumerate(bundle.backend_servers):
-        cells[server.cell].append((number, server))
+    for position, server in enumerate(bundle.backend_servers):
+        cells[server.cell].append((position, server))
     for cell, servers in cells.items():
-        number, first = servers[0]
-        path = f"backend_servers[{number}].cell: cell {cell!r}"
-        for other, server in servers:
-            service = server.role is BackendServerRole.SERVICE
-            if server.serves != first.serves or service != (
+        position, first = servers[0]
+        path = f"backend_servers[{position}].cell: cell {cell!r}"
+        for other_position, server in servers:
+            is_service = server.role is BackendServerRole.SERVICE
+            if server.serves != first.serves or is_service != (
                 first.role is BackendServerRole.SERVICE
             ):
                 yield (
-                    f"backend_servers[{other}].serves: cell {cell!r} serves "
+                    f"backend_servers[{other_position}].serves: cell {cell!r} serves "
                     f"{first.serves!r}, not {server.serves!r}"
                 )
         roles = {server.role for _, server in servers}
         if roles == {BackendServerRole.SERVICE}:
             continue
-        if not roles & _PREFILL:
+        if not roles & _PREFILL_ROLES:
             yield f"{path} has no backend server for prefill"
-        if not roles & _DECODE:
+        if not roles & _DECODE_ROLES:
             yield f"{path} has no backend server for decode"
 
 
 def _is_digest(text: str) -> bool:
-    return len(text) == DIGEST_CHARACTERS and set(text) <= set("0123456789abcdef")
+    return len(text) == SHA256_HEX_CHARACTERS and set(text) <= set("0123456789abcdef")
 
 
 def _is_address(text: str) -> bool:
--- a/src/damaskridge/core/state/bundles.py
+++ b/src/damaskridge/core/state/bundles.py
@@ -1,7 +1,18 @@
-"""Proposals, versions and keys of the control state."""
+"""
+Commands that change the configuration bundle, and withdrawal of keys.
+
+An operator proposes a bundle, a second one signs it off, and rolling it puts it in
+force as the next version.
+"""
 
 from damaskridge.core.state.bundle_checks import bundle_faults
-from damaskridge.core.state.data import Changes, Proposal, StateData, Undo, refused
+from damaskridge.core.state.data import (
+    Changes,
+    Proposal,
+    StateData,
+    UndoRecord,
+    refusal,
+)
 from damaskridge.core.state.ownership import rebalance
 from damaskridge.core.state.view import (
     IDENTITY_FIELDS,
@@ -22,30 +33,30 @@
 from damaskridge.model.errors import ErrorKind
 
 __all__ = [
-    "KEPT_PROPOSALS",
-    "KEPT_VERSIONS",
+    "MAX_KEPT_PROPOSALS",
+    "MAX_KEPT_VERSIONS",
+    "bundle_at_version",
     "bundle_difference",
-    "content_of",
     "find_operator",
-    "propose",
-    "roll",
-    "roll_back",
-    "sign_off",
+    "propose_bundle",
+    "roll_back_bundle",
+    "roll_bundle",
+    "sign_off_bundle",
     "withdraw_key",
 ]
 
-KEPT_VERSIONS = 200
-KEPT_PROPOSALS = 20
+MAX_KEPT_VERSIONS = 200
+MAX_KEPT_PROPOSALS = 20
 
 
 def find_operator(
     data: StateData, name: str, proposed: Bundle | None = None
 ) -> Operator | None:
     """
-    Return a known operator.
+    Return the operator called `name`, or None.
 
-    Before the first version is in force, the operators of the `proposed` bundle
-    count instead.
+    Operators are those of the bundle in force. Before the first version, there are
+    none, so those of the `proposed` bundle are used instead.
     """
     bundle = data.bundle if data.version else proposed
     if bundle is None:
@@ -54,21 +65,21 @@
 
 
 def bundle_difference(old: Bundle, new: Bundle) -> tuple[Bundle, tuple[str, ...]]:
-    """Return the items of `new` that `old` lacks, and the names to remove."""
+    """Return new or changed items of `new`, and the identities missing from it."""
     upserted: dict[str, tuple[object, ...]] = {}
     removed: list[str] = []
     for field in IDENTITY_FIELDS:
-        before = {item_identity(field, item): item for item in getattr(old, field)}
-        after = {item_identity(field, item): item for item in getattr(new, field)}
+        old_items = {item_identity(field, item): item for item in getattr(old, field)}
+        new_items = {item_identity(field, item): item for item in getattr(new, field)}
         upserted[field] = tuple(
-            item for name, item in after.items() if before.get(name) != item
+            item for name, item in new_items.items() if old_items.get(name) != item
         )
-        removed.extend(name for name in before if name not in after)
+        removed.extend(name for name in old_items if name not in new_items)
     return apply_bundle_delta(Bundle(**upserted), Bundle(), ()), tuple(removed)  # type: ignore[arg-type]
 
 
-def content_of(data: StateData, version: int) -> Bundle | None:
-    """Return the content of one of the last `KEPT_VERSIONS` versions."""
+def bundle_at_version(data: StateData, version: int) -> Bundle | None:
+    """Rebuild a version from undo records; None if it is unknown or pruned."""
     if not 1 <= version <= data.version:
         return None
     bundle = data.bundle
@@ -80,75 +91,80 @@
     return bundle
 
 
-def propose(data: StateData, command: ProposeBundle) -> CommandResult:
-    """Store a proposal; its id is the result's value."""
+def propose_bundle(data: StateData, command: ProposeBundle) -> CommandResult:
+    """Store a proposal; the result's `value` is its id."""
     if find_operator(data, command.operator, command.bundle) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     faults = bundle_faults(command.bundle)
     if faults:
-        return refused(ErrorKind.INVALID_BUNDLE, faults[0])
+        return refusal(ErrorKind.INVALID_BUNDLE, faults[0])
     data.last_proposal += 1
     name = f"p{data.last_proposal}"
     bundle = apply_bundle_delta(Bundle(), command.bundle, ())
     data.proposals[name] = Proposal(command.operator, bundle)
-    while len(data.proposals) > KEPT_PROPOSALS:
+    while len(data.proposals) > MAX_KEPT_PROPOSALS:
         del data.proposals[next(iter(data.proposals))]
     return CommandResult(value=name)
 
 
-def sign_off(data: StateData, command: SignOffBundle) -> CommandResult:
-    """Approve a proposal by a second operator."""
+def sign_off_bundle(data: StateData, command: SignOffBundle) -> CommandResult:
+    """Approve a proposal; the operator must not be its proposer."""
     proposal = data.proposals.get(command.proposal)
     if proposal is None:
-        return refused(ErrorKind.UNKNOWN_PROPOSAL, command.proposal)
+        return refusal(ErrorKind.UNKNOWN_PROPOSAL, command.proposal)
     if find_operator(data, command.operator, proposal.bundle) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.operator == proposal.proposer:
-        return refused(ErrorKind.SELF_SIGN_OFF, command.proposal)
+        return refusal(ErrorKind.SELF_SIGN_OFF, command.proposal)
     proposal.signed_off_by = command.operator
     return CommandResult(value=command.proposal)
 
 
-def roll(data: StateData, command: RollBundle, changes: Changes) -> CommandResult:
+def roll_bundle(
+    data: StateData, command: RollBundle, changes: Changes
+) -> CommandResult:
     """Put a signed-off proposal in force."""
     proposal = data.proposals.get(command.proposal)
     proposed = proposal.bundle if proposal else None
     if data.version and find_operator(data, command.operator) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.expected_version != data.version:
         return _version_conflict(data)
     if proposal is None:
-        return refused(ErrorKind.UNKNOWN_PROPOSAL, command.proposal)
+        return refusal(ErrorKind.UNKNOWN_PROPOSAL, command.proposal)
     if find_operator(data, command.operator, proposed) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
-    # An operator who has left since may no longer stand for the approval.
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+    # An approval is void once its operator has been removed from the bundle. Without
+    # an approval, `signed_off_by` is empty and names no operator.
     if find_operator(data, proposal.signed_off_by, proposed) is None:
-        return refused(ErrorKind.NOT_SIGNED_OFF, command.proposal)
-    assert proposal.signed_off_by != proposal.proposer, "sign-off by the proposer"
+        return refusal(ErrorKind.NOT_SIGNED_OFF, command.proposal)
+    assert proposal.signed_off_by != proposal.proposer, (
+        "the proposer must not sign off a proposal"
+    )
     del data.proposals[command.proposal]
     return _activate(data, proposal.bundle, changes)
 
 
-def roll_back(
+def roll_back_bundle(
     data: StateData, command: RollBackBundle, changes: Changes
 ) -> CommandResult:
-    """Put an older version's content in force as a new, higher version."""
+    """Put the content of an older version in force as a new version."""
     if find_operator(data, command.operator) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.expected_version != data.version:
         return _version_conflict(data)
-    bundle = content_of(data, command.to_version)
+    bundle = bundle_at_version(data, command.to_version)
     if bundle is None:
-        return refused(ErrorKind.UNKNOWN_VERSION, str(command.to_version))
+        return refusal(ErrorKind.UNKNOWN_VERSION, str(command.to_version))
     return _activate(data, bundle, changes)
 
 
 def withdraw_key(
     data: StateData, command: WithdrawKey, changes: Changes
 ) -> CommandResult:
-    """Withdraw a key for good; the digest need not be in any bundle."""
+    """Withdraw a key permanently, whether or not any bundle contains it."""
     if find_operator(data, command.operator) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.key_digest not in data.withdrawn_keys:
         data.withdrawn_keys.add(command.key_digest)
         changes.append(KeyWithdrawn(key_digest=command.key_digest))
@@ -156,20 +172,20 @@
 
 
 def _version_conflict(data: StateData) -> CommandResult:
-    return refused(ErrorKind.VERSION_CONFLICT, f"version {data.version} is in force")
+    return refusal(ErrorKind.VERSION_CONFLICT, f"version {data.version} is in force")
 
 
 def _activate(data: StateData, bundle: Bundle, changes: Changes) -> CommandResult:
     upserted, removed = bundle_difference(data.bundle, bundle)
-    base = data.version
+    base_version = data.version
     data.version += 1
-    data.undo[str(data.version)] = Undo(*bundle_difference(bundle, data.bundle))
-    data.undo.pop(str(data.version - KEPT_VERSIONS + 1), None)
+    data.undo[str(data.version)] = UndoRecord(*bundle_difference(bundle, data.bundle))
+    data.undo.pop(str(data.version - MAX_KEPT_VERSIONS + 1), None)
     data.bundle = bundle
     changes.append(
         BundleActivated(
             version=data.version,
-            base_version=base,
+            base_version=base_version,
             upserted=upserted,
             removed=removed,
         )
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -1,4 +1,8 @@
-"""The content of the replicated control state, as it is stored in a snapshot."""
+"""
+Values of the replicated control state.
+
+Snapshots of the log contain these records, so names of fields must not change.
+"""
 
 import msgspec
 
@@ -15,37 +19,50 @@
 from damaskridge.model.gateway import RoutingTable
 
 __all__ = [
-    "Answered",
     "Changes",
-    "Crash",
-    "Fingerprint",
+    "CrashRecord",
+    "FingerprintRecord",
     "Intent",
     "Proposal",
     "StateData",
-    "Undo",
-    "refused",
+    "StoredResult",
+    "UndoRecord",
+    "refusal",
 ]
 
 Changes = list[FleetChange]
 
 
 class Proposal(msgspec.Struct):
-    """A proposed bundle and who approved it."""
+    """A proposed bundle; `signed_off_by` is empty until an operator approves it."""
 
     proposer: str
     bundle: Bundle
     signed_off_by: str = ""
 
 
-class Undo(msgspec.Struct, frozen=True):
-    """The difference that leads from a version back to the one before it."""
+class UndoRecord(msgspec.Struct, frozen=True):
+    """The delta from a bundle version to the version before it."""
 
     upserted: Bundle
     removed: tuple[str, ...]
 
 
 class Intent(msgspec.Struct):
-    """A ledger entry; `at_ms` is the time of its last change."""
+    """
+    A ledger entry: a call that must run at most once, and its result.
+
+    Parameters
+    ----------
+    intent_id : str
+        Command id of the `RecordIntent` that allowed the call.
+    host, session
+        The entry host that makes the call.
+    at_ms : int
+        Time of the last change of state.
+    status, content_type, body
+        The response, once the call has finished.
+    """
 
     intent_id: str
     body_digest: str
@@ -58,22 +75,22 @@
     body: bytes = b""
 
 
-class Crash(msgspec.Struct):
-    """The fingerprints that ran on an engine when it died."""
+class CrashRecord(msgspec.Struct):
+    """The fingerprints of requests that ran on an engine when it crashed."""
 
     fingerprints: tuple[str, ...]
     at_ms: int
 
 
-class Fingerprint(msgspec.Struct):
-    """The state of one request fingerprint since `at_ms`."""
+class FingerprintRecord(msgspec.Struct):
+    """The state of a request fingerprint, entered at `at_ms`."""
 
     state: FingerprintState
     at_ms: int
 
 
-class Answered(msgspec.Struct):
-    """The first result of a command, and a digest of the command itself."""
+class StoredResult(msgspec.Struct):
+    """The result that retries of a command receive, and the command's digest."""
 
     digest: bytes
     result: CommandResult
@@ -82,35 +99,43 @@
 
 class StateData(msgspec.Struct):
     """
-    Every replicated value.
+    All replicated values.
 
     Attributes
     ----------
     index : int
         Index of the last applied log entry.
     fleet_index : int
-        Index of the last entry that changed the fleet view.
+        Index of the last entry that changed the view of entry hosts.
     now_ms : int
-        Largest wall time that a command has carried.
-    undo : dict[str, Undo]
-        By version, how to get the content of the version before it. Whole
-        bundles of 1,700 backend servers would take 100 MB.
+        Largest timestamp of any applied command; the clock of all retentions.
+    undo : dict[str, UndoRecord]
+        By version, the delta to the version before it. Storing whole bundles of
+        1,700 backend servers instead would take 100 MB.
+    withdrawn_keys : set[str]
+        Digests of keys that no bundle can make valid again.
     last_epoch : int
-        Largest epoch given to any owner, so that a resource that comes back
-        never repeats an epoch.
+        Largest epoch of any owner. Epochs increase across all resources, so a
+        resource that is removed and added again never reuses one.
+    crashes : dict[str, CrashRecord]
+        By ``<incarnation>/<backend server>``.
+    fencing : dict[str, int]
+        By cell resource, the last fencing number that was allocated.
     fencing_floor : int
-        Largest fencing number of a removed cell.
+        Largest fencing number of any removed cell; new cells start above it.
     known_workspaces : dict[str, bool]
-        Resources of workspaces that ever had a rate bucket, the oldest first; an
-        ordered set. One that comes back gets no fresh burst.
+        Resources of workspaces that have had a rate bucket, oldest first; an
+        ordered set. A workspace that is added again does not get a second burst.
     ledger : dict[str, Intent]
-        In the order of `Intent.at_ms`.
+        By `ledger.ledger_key`, in order of `Intent.at_ms`.
     open_intents : dict[str, dict[str, bool]]
-        By session number, the ledger's keys of its calls in progress.
+        By session number, the ledger keys of its calls in progress.
     ledger_bytes : dict[str, int]
-        By workspace, the size of its part of the ledger.
+        By workspace, the size of its ledger entries.
+    answers : dict[str, StoredResult]
+        By command id, oldest first.
     routing_source : bytes
-        The document of the routing table in force.
+        The document from which the routing table in force was decoded.
     """
 
     index: int = 0
@@ -118,7 +143,7 @@
     now_ms: int = 0
     version: int = 0
     bundle: Bundle = Bundle()
-    undo: dict[str, Undo] = {}
+    undo: dict[str, UndoRecord] = {}
     proposals: dict[str, Proposal] = {}
     last_proposal: int = 0
     withdrawn_keys: set[str] = set()
@@ -128,19 +153,24 @@
     last_epoch: int = 0
     draining_hosts: set[str] = set()
     draining_backend_servers: set[str] = set()
-    crashes: dict[str, Crash] = {}
-    fingerprints: dict[str, Fingerprint] = {}
+    crashes: dict[str, CrashRecord] = {}
+    fingerprints: dict[str, FingerprintRecord] = {}
     fencing: dict[str, int] = {}
     fencing_floor: int = 0
     known_workspaces: dict[str, bool] = {}
     ledger: dict[str, Intent] = {}
     open_intents: dict[str, dict[str, bool]] = {}
     ledger_bytes: dict[str, int] = {}
-    answers: dict[str, Answered] = {}
+    answers: dict[str, StoredResult] = {}
     routing: RoutingTable = RoutingTable()
     routing_source: bytes = b""
 
 
-def refused(kind: ErrorKind, detail: str = "") -> CommandResult:
-    """Return the result of a command that changed nothing."""
+def refusal(kind: ErrorKind, detail: str = "") -> CommandResult:
+    """
+    Return the result of a refused command.
+
+    `detail` is stored with the result, so every control host has to produce the
+    same text.
+    """
     return CommandResult(failure=Failure(kind, detail))
--- a/src/damaskridge/core/state/fingerprints.py
+++ b/src/damaskridge/core/state/fingerprints.py
@@ -1,6 +1,16 @@
-"""Requests that were on engines which died."""
+"""
+Quarantine of requests that crash engines.
 
-from damaskridge.core.state.data import Changes, Crash, Fingerprint, StateData
+A request that ran on a crashing engine becomes a suspect. If it was on a second one,
+it is quarantined. A suspect that finishes without a crash is cleared.
+"""
+
+from damaskridge.core.state.data import (
+    Changes,
+    CrashRecord,
+    FingerprintRecord,
+    StateData,
+)
 from damaskridge.model.control import (
     CommandResult,
     FingerprintChanged,
@@ -9,47 +19,57 @@
     SuspectCleared,
 )
 
-__all__ = ["FINGERPRINT_MS", "clear_suspect", "prune_fingerprints", "report_crash"]
+__all__ = [
+    "FINGERPRINT_RETENTION_MS",
+    "clear_suspect",
+    "prune_fingerprints",
+    "report_crash",
+]
 
-FINGERPRINT_MS = 3600 * 1000
+FINGERPRINT_RETENTION_MS = 3600 * 1000
 
 
 def report_crash(
     data: StateData, command: ReportCrash, changes: Changes
 ) -> CommandResult:
-    """Suspect the requests of a crash; quarantine those of a second one."""
+    """Mark the requests of a crash as suspects; quarantine those of two crashes."""
     key = f"{command.incarnation}/{command.backend_server}"
     if key in data.crashes:
         return CommandResult()
-    found = set(command.fingerprints)
-    earlier = [
-        crash for crash in data.crashes.values() if found & set(crash.fingerprints)
+    reported = set(command.fingerprints)
+    related_crashes = [
+        crash for crash in data.crashes.values() if reported & set(crash.fingerprints)
     ]
-    culprits = {name for crash in earlier for name in crash.fingerprints} & found
-    crash = Crash(tuple(sorted(found)), data.now_ms)
+    causes = {
+        name for crash in related_crashes for name in crash.fingerprints
+    } & reported
+    crash = CrashRecord(tuple(sorted(reported)), data.now_ms)
     data.crashes[key] = crash
-    if len(found) == 1 and not culprits:
-        # A suspect runs alone among suspects; nothing else was on the server either.
-        culprits = {name for name in found if _is_suspect(data, name)}
-    if not culprits:
-        for name in sorted(found):
-            _set(data, name, FingerprintState.SUSPECT, changes)
+    if len(reported) == 1 and not causes:
+        # Engines run at most one suspect at a time. This one was the only request
+        # at all, so it caused the crash.
+        causes = {name for name in reported if _is_suspect(data, name)}
+    if not causes:
+        for name in sorted(reported):
+            _set_state(data, name, FingerprintState.SUSPECT, changes)
         return CommandResult()
-    for explained in (crash, *earlier):
-        # The others stay suspects until they have run to their end: one of them may
-        # have crashed the server while the culprit was there too.
-        explained.fingerprints = tuple(sorted(culprits & set(explained.fingerprints)))
-    for name in sorted(culprits):
-        _set(data, name, FingerprintState.QUARANTINED, changes)
+    for explained_crash in (crash, *related_crashes):
+        # The other requests of these crashes stay suspects until they finish, because
+        # one of them may crash engines too. The crashes no longer count against them.
+        explained_crash.fingerprints = tuple(
+            sorted(causes & set(explained_crash.fingerprints))
+        )
+    for name in sorted(causes):
+        _set_state(data, name, FingerprintState.QUARANTINED, changes)
     return CommandResult()
 
 
 def clear_suspect(
     data: StateData, command: SuspectCleared, changes: Changes
 ) -> CommandResult:
-    """Clear a suspect that ran to its end; a quarantine stays."""
-    held = data.fingerprints.get(command.fingerprint)
-    if held is None or held.state is not FingerprintState.SUSPECT:
+    """Clear a suspect that finished; a quarantined request stays quarantined."""
+    record = data.fingerprints.get(command.fingerprint)
+    if record is None or record.state is not FingerprintState.SUSPECT:
         return CommandResult()
     _clear(data, command.fingerprint, changes)
     for crash in data.crashes.values():
@@ -60,8 +80,8 @@
 
 
 def prune_fingerprints(data: StateData, changes: Changes) -> None:
-    """Forget crashes and fingerprints after their time."""
-    oldest_ms = data.now_ms - FINGERPRINT_MS
+    """Remove crashes and fingerprints older than `FINGERPRINT_RETENTION_MS`."""
+    oldest_ms = data.now_ms - FINGERPRINT_RETENTION_MS
     for key in [key for key, item in data.crashes.items() if item.at_ms < oldest_ms]:
         del data.crashes[key]
     for name in [
@@ -71,12 +91,14 @@
 
 
 def _is_suspect(data: StateData, name: str) -> bool:
-    held = data.fingerprints.get(name)
-    return held is not None and held.state is FingerprintState.SUSPECT
+    record = data.fingerprints.get(name)
+    return record is not None and record.state is FingerprintState.SUSPECT
 
 
-def _set(data: StateData, name: str, state: FingerprintState, changes: Changes) -> None:
-    data.fingerprints[name] = Fingerprint(state, data.now_ms)
+def _set_state(
+    data: StateData, name: str, state: FingerprintState, changes: Changes
+) -> None:
+    data.fingerprints[name] = FingerprintRecord(state, data.now_ms)
     changes.append(FingerprintChanged(fingerprint=name, state=state))
 
 
--- a/src/damaskridge/core/state/fleet_queries.py
+++ b/src/damaskridge/core/state/fleet_queries.py
@@ -1,4 +1,4 @@
-"""Reads the fleet view; nothing here changes it."""
+"""Read-only queries of the fleet view."""
 
 from result import Err, Ok, Result
 
@@ -22,17 +22,17 @@
 
 
 def workspace_resource(workspace: str) -> str:
-    """Return the name of the resource whose owner counts a workspace's rate."""
+    """Return the resource whose owner enforces the rate of a workspace."""
     return f"workspace/{workspace}"
 
 
 def cell_resource(cell: str) -> str:
-    """Return the name of the resource whose owner schedules a cell."""
+    """Return the resource whose owner schedules the requests of a cell."""
     return f"cell/{cell}"
 
 
 def workspace_of_key(view: FleetView, digest: str) -> Result[str, Failure]:
-    """Return the workspace of a key, or why the key does not work."""
+    """Return the workspace of a key, or why the key is refused."""
     if digest in view.withdrawn_keys:
         return Err(Failure(ErrorKind.KEY_WITHDRAWN))
     for record in view.bundle.keys:
@@ -42,7 +42,7 @@
 
 
 def find_workspace(view: FleetView, name: str) -> Workspace | None:
-    """Return a workspace of the bundle in force."""
+    """Return a workspace of the bundle in force, or None."""
     for workspace in view.bundle.workspaces:
         if workspace.name == name:
             return workspace
@@ -50,21 +50,21 @@
 
 
 def find_route(view: FleetView, service: str, path: str) -> Route | None:
-    """Return the route with the longest prefix of `path` at path boundaries."""
-    best: Route | None = None
+    """Return the route whose path is the longest prefix of `path` by segments."""
+    longest: Route | None = None
     for route in view.bundle.routes:
         if route.service != service:
             continue
         prefix = route.path.strip("/")
         if prefix and path != prefix and not path.startswith(prefix + "/"):
             continue
-        if best is None or len(prefix) > len(best.path.strip("/")):
-            best = route
-    return best
+        if longest is None or len(prefix) > len(longest.path.strip("/")):
+            longest = route
+    return longest
 
 
 def live_sessions(view: FleetView) -> list[Session]:
-    """Return the sessions of hosts that are not draining, by host."""
+    """Return the sessions of hosts that are not draining, sorted by host."""
     return [
         session
         for host, session in sorted(view.sessions.items())
@@ -73,14 +73,14 @@
 
 
 def caller_addresses_for(view: FleetView, data_centre: str) -> list[str]:
-    """Return callers' addresses, those in `data_centre` first."""
+    """Return the addresses that callers can use, those in `data_centre` first."""
     sessions = live_sessions(view)
     sessions.sort(key=lambda session: session.data_centre != data_centre)
     return [session.caller_address for session in sessions]
 
 
 def owner_of(view: FleetView, resource: str) -> Owner | None:
-    """Return the owner of a resource if a live session holds it."""
+    """Return the owner of a resource if its session is live, else None."""
     owner = view.owners.get(resource)
     if owner is None or not owner.host:
         return None
@@ -96,10 +96,16 @@
 
 
 def cells_serving(view: FleetView, serves: str, data_centre: str) -> list[str]:
-    """Return the cells that serve a model or service, `data_centre` first."""
-    places: dict[str, bool] = {}
+    """
+    Return the cells that serve a model or service.
+
+    Cells with a backend server in `data_centre` come first.
+    """
+    has_local_server: dict[str, bool] = {}
     for server in view.bundle.backend_servers:
         if server.serves == serves:
-            near = server.data_centre == data_centre
-            places[server.cell] = places.get(server.cell, False) or near
-    return sorted(places, key=lambda cell: (not places[cell], cell))
+            is_local = server.data_centre == data_centre
+            has_local_server[server.cell] = (
+                has_local_server.get(server.cell, False) or is_local
+            )
+    return sorted(has_local_server, key=lambda cell: (not has_local_server[cell], cell))
--- a/src/damaskridge/core/state/ownership.py
+++ b/src/damaskridge/core/state/ownership.py
@@ -1,8 +1,10 @@
-"""Owners of workspaces' rates and of cells, by rendezvous hashing.
+"""
+Assigns the owners of workspace rates and of cells by rendezvous hashing.
 
-A resource belongs to the live host with the highest score, so a host that joins or
-leaves moves only its own share. A living owner is never replaced: it is asked to
-release the resource, and only its `ReleaseOwnership` or its session's end moves it.
+A resource is assigned to the host with the highest score, so a host that joins or
+leaves moves only its own share. A live owner is never replaced. Instead, `moving_to`
+asks it to release the resource, which moves only with its `ReleaseOwnership` or at
+the end of its session.
 """
 
 from collections import Counter
@@ -11,7 +13,7 @@
 
 import msgspec
 
-from damaskridge.core.state.data import Changes, StateData, refused
+from damaskridge.core.state.data import Changes, StateData, refusal
 from damaskridge.core.state.fleet_queries import cell_resource, workspace_resource
 from damaskridge.model.bundle import Bundle
 from damaskridge.model.control import (
@@ -25,147 +27,166 @@
 from damaskridge.model.errors import ErrorKind
 
 __all__ = [
-    "allocate_fencing",
+    "allocate_fencing_number",
     "is_live_session",
+    "preferred_data_centres",
     "rebalance",
-    "release",
-    "resources_of",
+    "release_ownership",
 ]
 
-# About 1 MB of state. A workspace that was removed 10,000 workspaces ago starts with
-# a full bucket again.
-KNOWN_WORKSPACES = 10_000
+# About 1 MB of state. A workspace that was removed 10,000 workspaces ago has been
+# pruned, and starts with a full bucket if it is added again.
+MAX_KNOWN_WORKSPACES = 10_000
 
 _MASK = (1 << 64) - 1
 
 
 @lru_cache(maxsize=8192)
-def _name_hash(name: str) -> int:
+def _hash_name(name: str) -> int:
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest())
 
 
 def _score(resource: int, host: int) -> int:
-    # The finaliser of splitmix64. A blake2b per pair of resource and host would
-    # take most of a second for 390 hosts and some hundred resources.
+    # The finalizer of splitmix64. Computing blake2b for every pair of resource and
+    # host would take most of a second for 390 hosts and some hundred resources.
     value = resource ^ host
     value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
     value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
     return value ^ (value >> 31)
 
 
-def resources_of(bundle: Bundle) -> dict[str, str]:
-    """Return every resource with its preferred data centre, which may be empty."""
-    places: dict[str, Counter[str]] = {}
+def preferred_data_centres(bundle: Bundle) -> dict[str, str]:
+    """
+    Return the preferred data centre of every resource.
+
+    For a cell it is the one with most of its backend servers; for a workspace it is
+    empty.
+    """
+    server_counts: dict[str, Counter[str]] = {}
     for server in bundle.backend_servers:
-        places.setdefault(server.cell, Counter())[server.data_centre] += 1
+        server_counts.setdefault(server.cell, Counter())[server.data_centre] += 1
     resources = {workspace_resource(item.name): "" for item in bundle.workspaces}
-    for cell, count in places.items():
-        best = max(sorted(count), key=lambda place, count=count: count[place])  # type: ignore[misc]
-        resources[cell_resource(cell)] = best
+    for cell, counts in server_counts.items():
+        preferred = max(sorted(counts), key=lambda name, counts=counts: counts[name])  # type: ignore[misc]
+        resources[cell_resource(cell)] = preferred
     return resources
 
 
 def is_live_session(data: StateData, host: str, session: int) -> bool:
-    """Tell whether `session` is the live session of `host`."""
-    held = data.sessions.get(host)
-    return held is not None and held.number == session
+    """Return whether `session` is the live session of `host`."""
+    live_session = data.sessions.get(host)
+    return live_session is not None and live_session.number == session
 
 
 def rebalance(data: StateData, changes: Changes, changed_host: str = "") -> None:
     """
-    Give every resource an owner after sessions, drains or the bundle changed.
+    Update the owners after sessions, drains or the bundle changed.
 
     Parameters
     ----------
     data : StateData
-        The state; its owners are changed.
+        The state whose owners are updated.
     changes : list of FleetChange
-        Gets every change.
+        Every change is appended to it.
     changed_host : str
-        The only host that came, went or changed since the last call, so that the
-        loss of a data centre does not score all hosts again for each of its hosts;
-        empty if anything may have changed.
+        The only host whose session started, ended or changed since the last call;
+        empty if anything may have changed. Resources that this host does not affect
+        are skipped. Otherwise the loss of a data centre would score all hosts once
+        for each host lost.
     """
-    resources = resources_of(data.bundle)
+    resources = preferred_data_centres(data.bundle)
     for resource in sorted(set(data.owners) - set(resources)):
-        _remove(data, resource, changes)
+        _remove_resource(data, resource, changes)
     hosts = {
         host: session
         for host, session in sorted(data.sessions.items())
         if not session.draining and host not in data.draining_hosts
     }
-    for resource, place in sorted(resources.items()):
+    for resource, data_centre in sorted(resources.items()):
         owner = data.owners.get(resource)
-        live = owner is not None and is_live_session(data, owner.host, owner.session)
-        if owner is not None and live and changed_host:
-            if _keeps(owner, place, hosts, changed_host):
+        is_owned = owner is not None and is_live_session(
+            data, owner.host, owner.session
+        )
+        if owner is not None and is_owned and changed_host:
+            if _is_unaffected(owner, data_centre, hosts, changed_host):
                 continue
-        wanted = _choose(resource, place, hosts)
-        if owner is None or not live:
-            if owner is None or owner.host or wanted is not None:
-                level_tokens = _first_level_tokens(data, resource, owner)
-                _assign_owner(data, resource, wanted, level_tokens, changes)
+        preferred = _preferred_session(resource, data_centre, hosts)
+        if owner is None or not is_owned:
+            if owner is None or owner.host or preferred is not None:
+                level_tokens = _initial_level_tokens(data, resource, owner)
+                _assign_owner(data, resource, preferred, level_tokens, changes)
             continue
-        moving_to = wanted.host if wanted and wanted.host != owner.host else ""
+        moving_to = preferred.host if preferred and preferred.host != owner.host else ""
         if moving_to != owner.moving_to:
             owner = msgspec.structs.replace(owner, moving_to=moving_to)
             data.owners[resource] = owner
             changes.append(OwnerChanged(owner=owner))
 
 
-def release(
+def release_ownership(
     data: StateData, command: ReleaseOwnership, changes: Changes
 ) -> CommandResult:
-    """Hand a resource over to the host it is moving to."""
+    """Transfer a resource to the host that it is moving to."""
     if not is_live_session(data, command.host, command.session):
-        return refused(ErrorKind.SESSION_ENDED, command.host)
+        return refusal(ErrorKind.SESSION_ENDED, command.host)
     owner = data.owners.get(command.resource)
     if owner is None or (owner.host, owner.session, owner.epoch) != (
         command.host,
         command.session,
         command.epoch,
     ):
-        return refused(ErrorKind.EPOCH_CONFLICT, command.resource)
+        return refusal(ErrorKind.EPOCH_CONFLICT, command.resource)
     if not owner.moving_to:
-        return refused(ErrorKind.EPOCH_CONFLICT, f"{command.resource} does not move")
+        return refusal(ErrorKind.EPOCH_CONFLICT, f"{command.resource} does not move")
     target = data.sessions[owner.moving_to]
     _assign_owner(data, command.resource, target, command.level_tokens, changes)
     return CommandResult(value=str(data.owners[command.resource].epoch))
 
 
-def allocate_fencing(data: StateData, command: AllocateFencingNumber) -> CommandResult:
-    """Give the owner of a cell its next fencing number."""
+def allocate_fencing_number(
+    data: StateData, command: AllocateFencingNumber
+) -> CommandResult:
+    """Allocate the next fencing number of a cell to its owner."""
     owner = data.owners.get(command.resource)
     if owner is None or (owner.host, owner.epoch) != (command.host, command.epoch):
-        return refused(ErrorKind.EPOCH_CONFLICT, command.resource)
+        return refusal(ErrorKind.EPOCH_CONFLICT, command.resource)
     number = data.fencing.get(command.resource, data.fencing_floor) + 1
     data.fencing[command.resource] = number
     return CommandResult(value=str(number))
 
 
-def _rank(resource: str, place: str, session: Session) -> tuple[bool, int]:
-    score = _score(_name_hash(resource), _name_hash(session.host))
-    return bool(place) and session.data_centre == place, score
+def _rank(resource: str, data_centre: str, session: Session) -> tuple[bool, int]:
+    score = _score(_hash_name(resource), _hash_name(session.host))
+    return bool(data_centre) and session.data_centre == data_centre, score
 
 
-def _choose(resource: str, place: str, hosts: dict[str, Session]) -> Session | None:
+def _preferred_session(
+    resource: str, data_centre: str, hosts: dict[str, Session]
+) -> Session | None:
     return max(
         hosts.values(),
-        key=lambda session: _rank(resource, place, session),
+        key=lambda session: _rank(resource, data_centre, session),
         default=None,
     )
 
 
-def _keeps(
-    owner: Owner, place: str, hosts: dict[str, Session], changed_host: str
+def _is_unaffected(
+    owner: Owner, data_centre: str, hosts: dict[str, Session], changed_host: str
 ) -> bool:
-    """Tell whether a change of one host leaves a live owner as it is."""
-    wanted = hosts.get(owner.moving_to or owner.host)
-    changed = hosts.get(changed_host)
-    if wanted is None or changed is None:
-        return wanted is not None
+    """
+    Return whether a change of `changed_host` cannot change a live owner.
+
+    If that host is no longer in `hosts`, it is enough that the preferred host still
+    is. Otherwise it must not score higher than the preferred host.
+    """
+    preferred = hosts.get(owner.moving_to or owner.host)
+    changed_session = hosts.get(changed_host)
+    if preferred is None or changed_session is None:
+        return preferred is not None
     resource = owner.resource
-    return _rank(resource, place, changed) < _rank(resource, place, wanted)
+    return _rank(resource, data_centre, changed_session) < _rank(
+        resource, data_centre, preferred
+    )
 
 
 def _assign_owner(
@@ -176,8 +197,10 @@
     changes: Changes,
 ) -> None:
     data.last_epoch += 1
-    before = data.owners.get(resource)
-    assert before is None or before.epoch < data.last_epoch, "an epoch must grow"
+    previous = data.owners.get(resource)
+    assert previous is None or previous.epoch < data.last_epoch, (
+        "owner epoch must increase"
+    )
     owner = Owner(
         resource,
         session.host if session else "",
@@ -189,29 +212,29 @@
     changes.append(OwnerChanged(owner=owner))
 
 
-def _first_level_tokens(data: StateData, resource: str, owner: Owner | None) -> float:
-    """Return the level of a bucket that no living owner hands over."""
+def _initial_level_tokens(data: StateData, resource: str, owner: Owner | None) -> float:
+    """Return the bucket level of a resource that no live owner has released."""
     if owner is not None:
-        # Without a host nothing was taken since the owner was recorded. After a
-        # crash nobody knows the level, so that the bucket starts empty.
+        # A resource without an owner keeps its level, as nothing is taken from it. The
+        # level of an owner whose session ended is unknown, so the bucket starts empty.
         return 0.0 if owner.host else owner.level_tokens
     if resource in data.known_workspaces:
         return 0.0
     for workspace in data.bundle.workspaces:
         if workspace_resource(workspace.name) == resource:
             data.known_workspaces[resource] = True
-            _forget_workspaces(data)
+            _prune_known_workspaces(data)
             return workspace.burst_tokens
     return 0.0
 
 
-def _forget_workspaces(data: StateData) -> None:
+def _prune_known_workspaces(data: StateData) -> None:
     removed = [name for name in data.known_workspaces if name not in data.owners]
-    for name in removed[: max(0, len(data.known_workspaces) - KNOWN_WORKSPACES)]:
+    for name in removed[: max(0, len(data.known_workspaces) - MAX_KNOWN_WORKSPACES)]:
         del data.known_workspaces[name]
 
 
-def _remove(data: StateData, resource: str, changes: Changes) -> None:
+def _remove_resource(data: StateData, resource: str, changes: Changes) -> None:
     owner = data.owners.pop(resource)
     number = data.fencing.pop(resource, 0)
     data.fencing_floor = max(data.fencing_floor, number)
--- a/src/damaskridge/core/state/queries.py
+++ b/src/damaskridge/core/state/queries.py
@@ -1,4 +1,4 @@
-"""Reads the control state; nothing here changes it."""
+"""Read-only queries of the control state."""
 
 from damaskridge.core.state.data import StateData
 from damaskridge.core.state.ledger import find_intent, to_ledger_record
@@ -14,28 +14,28 @@
 
 __all__ = [
     "fingerprints_in",
+    "fleet_snapshot_of",
+    "fleet_status_of",
     "ledger_record",
     "live_session",
     "owners_of_host",
-    "fleet_snapshot_of",
-    "fleet_status_of",
 ]
 
 
 def fingerprints_in(data: StateData, state: FingerprintState) -> tuple[str, ...]:
-    """Return the fingerprints in one state."""
+    """Return the fingerprints in `state`, sorted."""
     return tuple(
         sorted(name for name, item in data.fingerprints.items() if item.state is state)
     )
 
 
 def live_session(data: StateData, host: str, number: int) -> Session | None:
-    """Return a session if it is live."""
+    """Return the session of `host` if `number` is its live session, else None."""
     return data.sessions[host] if is_live_session(data, host, number) else None
 
 
 def owners_of_host(data: StateData, host: str) -> tuple[Owner, ...]:
-    """Return what a host owns, by resource."""
+    """Return the resources of which `host` is the owner, sorted by name."""
     owners = (data.owners[resource] for resource in sorted(data.owners))
     return tuple(owner for owner in owners if owner.host == host)
 
@@ -43,13 +43,13 @@
 def ledger_record(
     data: StateData, workspace: str, idempotency_key: str
 ) -> LedgerRecord | None:
-    """Return what the ledger knows of a call."""
+    """Return the ledger record of a call, or None."""
     intent = find_intent(data, workspace, idempotency_key)
     return to_ledger_record(intent) if intent is not None else None
 
 
 def fleet_snapshot_of(data: StateData) -> FleetSnapshot:
-    """Return what entry hosts know of the state."""
+    """Return the part of the state that is sent to entry hosts."""
     return FleetSnapshot(
         index=data.index,
         version=data.version,
@@ -66,7 +66,11 @@
 
 
 def fleet_status_of(data: StateData, *, with_bundle: bool = False) -> FleetStatus:
-    """Return what operators see; the node's own part is added by the service."""
+    """
+    Return the replicated part of the status for operators.
+
+    The control server adds the local part, such as leader and term.
+    """
     return FleetStatus(
         index=data.index,
         version=data.version,
--- a/src/damaskridge/core/state/replicated_clock.py
+++ b/src/damaskridge/core/state/replicated_clock.py
@@ -1,4 +1,7 @@
-"""The time that a leader stamps on commands, bounded by its monotonic clock.
+"""
+The clock from which a leader takes the timestamps of commands.
+
+Its rate is limited by the monotonic clock.
 
 >>> clock = ReplicatedClock(now_s=0.0)
 >>> clock.next_timestamp_ms(wall_ms=5_000, now_s=0.0)
@@ -9,46 +12,53 @@
 6100
 """
 
-__all__ = ["MAX_RATE", "ReplicatedClock"]
+__all__ = ["MAX_CLOCK_RATE", "ReplicatedClock"]
 
-# A wall clock that jumps ahead shortens every retention by at most a tenth. After a
-# time in which the whole group was down the stamps catch up with this rate.
-MAX_RATE = 1.1
+# If the wall clock jumps ahead, retentions are shortened by at most a tenth. After an
+# outage of the whole group, timestamps catch up with the wall clock at this rate.
+MAX_CLOCK_RATE = 1.1
 
 
 class ReplicatedClock:
     """
-    Never goes back, and runs at most `MAX_RATE` times as fast as real time.
+    A clock that never goes back and runs at most `MAX_CLOCK_RATE` times real time.
 
-    Only the first stamp of a new group takes the wall clock as it is.
+    Only the first timestamp of a new group is the wall clock without a limit.
 
     Parameters
     ----------
     now_s : float
-        The monotonic clock.
+        The monotonic time.
+
+    Attributes
+    ----------
+    last_timestamp_ms : int
+        The largest timestamp issued or observed; 0 before the first.
     """
 
     def __init__(self, now_s: float) -> None:
         self.last_timestamp_ms = 0
-        self._limit_ms = 0.0
-        self._since_s = now_s
+        self._max_timestamp_ms = 0.0
+        self._updated_s = now_s
 
     def observe_timestamp(self, at_ms: int, now_s: float) -> None:
-        """Record a stamp of the log."""
+        """Record the timestamp of a command of the log."""
         if at_ms > self.last_timestamp_ms:
             self.last_timestamp_ms = at_ms
-            self._limit_ms, self._since_s = float(at_ms), now_s
+            self._max_timestamp_ms, self._updated_s = float(at_ms), now_s
 
     def next_timestamp_ms(self, wall_ms: int, now_s: float) -> int:
-        """Return the stamp of a new command."""
+        """Return the timestamp for a new command."""
         if not self.last_timestamp_ms:
-            self._limit_ms = float(wall_ms)
+            self._max_timestamp_ms = float(wall_ms)
         else:
-            self._limit_ms += (now_s - self._since_s) * 1000 * MAX_RATE
-        self._since_s = now_s
+            self._max_timestamp_ms += (now_s - self._updated_s) * 1000 * MAX_CLOCK_RATE
+        self._updated_s = now_s
         self.last_timestamp_ms = max(
-            self.last_timestamp_ms, min(wall_ms, int(self._limit_ms))
+            self.last_timestamp_ms, min(wall_ms, int(self._max_timestamp_ms))
+        )
+        # Time for which the wall clock stands still must not allow a later jump.
+        self._max_timestamp_ms = min(
+            self._max_timestamp_ms, max(wall_ms, self.last_timestamp_ms) + 1.0
         )
-        # Time that the wall clock did not use is not saved up for a later jump.
-        self._limit_ms = min(self._limit_ms, max(wall_ms, self.last_timestamp_ms) + 1.0)
         return self.last_timestamp_ms
--- a/src/damaskridge/core/state/routing_tables.py
+++ b/src/damaskridge/core/state/routing_tables.py
@@ -1,8 +1,8 @@
-"""The routing table of the control state: the highest version is in force."""
+"""Publication of routing tables; the highest published version is in force."""
 
 from damaskridge.core.gateway.table_checks import table_faults
 from damaskridge.core.gateway.table_delta import table_difference
-from damaskridge.core.state.data import Changes, StateData, refused
+from damaskridge.core.state.data import Changes, StateData, refusal
 from damaskridge.model.control import (
     CommandResult,
     PublishRoutingTable,
@@ -16,16 +16,21 @@
 def publish_table(
     data: StateData, command: PublishRoutingTable, changes: Changes
 ) -> CommandResult:
-    """Put a table in force; the result's value is the version in force."""
-    table, held = command.table, data.routing
+    """
+    Put a table in force if its version is higher than the current one.
+
+    A lower version, or the same table again, changes nothing and is not refused. The
+    result's `value` is the version in force.
+    """
+    table, current = command.table, data.routing
     faults = table_faults(table)
     if faults:
-        return refused(ErrorKind.INVALID_BUNDLE, faults[0])
-    if table.version == held.version and table != held:
-        detail = f"version {held.version} is in force with other content"
-        return refused(ErrorKind.VERSION_CONFLICT, detail)
-    if table.version > held.version:
-        changed, removed = table_difference(held, table)
+        return refusal(ErrorKind.INVALID_BUNDLE, faults[0])
+    if table.version == current.version and table != current:
+        detail = f"version {current.version} is in force with other content"
+        return refusal(ErrorKind.VERSION_CONFLICT, detail)
+    if table.version > current.version:
+        changed, removed = table_difference(current, table)
         data.routing, data.routing_source = table, command.source
         changes.append(RoutingTableActivated(changed=changed, removed=removed))
     return CommandResult(value=str(data.routing.version))
--- a/src/damaskridge/core/state/sessions.py
+++ b/src/damaskridge/core/state/sessions.py
@@ -1,9 +1,9 @@
-"""Sessions of entry hosts and drains."""
+"""Commands that change sessions of entry hosts and drains."""
 
 import msgspec
 
 from damaskridge.core.state.bundles import find_operator
-from damaskridge.core.state.data import Changes, StateData, refused
+from damaskridge.core.state.data import Changes, StateData, refusal
 from damaskridge.core.state.ledger import end_session_intents
 from damaskridge.core.state.ownership import is_live_session, rebalance
 from damaskridge.model.control import (
@@ -25,10 +25,10 @@
 def open_session(
     data: StateData, command: OpenSession, changes: Changes
 ) -> CommandResult:
-    """Start a session, whose number is the result's value."""
-    old = data.sessions.pop(command.host, None)
-    if old is not None:
-        _ended(data, old, changes)
+    """Start a session and end the previous one of the host; `value` is its number."""
+    previous = data.sessions.pop(command.host, None)
+    if previous is not None:
+        _record_session_end(data, previous, changes)
     data.last_session += 1
     session = Session(
         host=command.host,
@@ -47,10 +47,10 @@
 def end_session(
     data: StateData, host: str, number: int, changes: Changes
 ) -> CommandResult:
-    """End a session if it is the live one of its host."""
+    """End a session if it is the live session of its host."""
     if not is_live_session(data, host, number):
-        return refused(ErrorKind.SESSION_ENDED, host)
-    _ended(data, data.sessions.pop(host), changes)
+        return refusal(ErrorKind.SESSION_ENDED, host)
+    _record_session_end(data, data.sessions.pop(host), changes)
     rebalance(data, changes, host)
     return CommandResult()
 
@@ -58,9 +58,9 @@
 def drain_host(
     data: StateData, command: SetHostDraining, changes: Changes
 ) -> CommandResult:
-    """Mark the session of a host that shuts down."""
+    """Mark the session of a host that is shutting down as draining."""
     if not is_live_session(data, command.host, command.session):
-        return refused(ErrorKind.SESSION_ENDED, command.host)
+        return refusal(ErrorKind.SESSION_ENDED, command.host)
     session = msgspec.structs.replace(data.sessions[command.host], draining=True)
     data.sessions[command.host] = session
     changes.append(SessionChanged(session=session))
@@ -69,16 +69,16 @@
 
 
 def set_drain(data: StateData, command: SetDrain, changes: Changes) -> CommandResult:
-    """Start or end a drain by an operator."""
+    """Start or end the draining of a host or backend server by an operator."""
     if find_operator(data, command.operator) is None:
-        return refused(ErrorKind.UNKNOWN_OPERATOR, command.operator)
+        return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.target is DrainTarget.HOST:
         names, known = data.draining_hosts, set(data.sessions)
     else:
         names = data.draining_backend_servers
         known = {item.name for item in data.bundle.backend_servers}
     if command.name not in known and command.name not in names:
-        return refused(ErrorKind.UNKNOWN_NAME, command.name)
+        return refusal(ErrorKind.UNKNOWN_NAME, command.name)
     if command.draining == (command.name in names):
         return CommandResult()
     (names.add if command.draining else names.discard)(command.name)
@@ -91,6 +91,6 @@
     return CommandResult()
 
 
-def _ended(data: StateData, session: Session, changes: Changes) -> None:
+def _record_session_end(data: StateData, session: Session, changes: Changes) -> None:
     changes.append(SessionEnded(host=session.host, number=session.number))
     end_session_intents(data, session.number)
--- a/src/damaskridge/core/state/view.py
+++ b/src/damaskridge/core/state/view.py
@@ -1,6 +1,7 @@
-"""The entry hosts' copy of what the fleet must know.
+"""
+The part of the control state that every entry host replicates.
 
-`FleetView` is changed by deltas and snapshots only; `fleet_queries` reads it.
+Only deltas and snapshots change a `FleetView`; `fleet_queries` has its queries.
 """
 
 from collections.abc import Iterable
@@ -31,6 +32,7 @@
 
 __all__ = ["IDENTITY_FIELDS", "FleetView", "apply_bundle_delta", "item_identity"]
 
+# Fields that identify an item within each field of a bundle.
 IDENTITY_FIELDS: dict[str, tuple[str, ...]] = {
     "workspaces": ("name",),
     "keys": ("digest",),
@@ -42,7 +44,7 @@
 
 
 def item_identity(field: str, item: object) -> str:
-    """Return the name by which a delta removes an item of a bundle."""
+    """Return ``<field>/<identity>``, by which a delta removes an item of a bundle."""
     parts = [getattr(item, part) for part in IDENTITY_FIELDS[field]]
     return "/".join([field, *parts])
 
@@ -51,50 +53,54 @@
     bundle: Bundle, upserted: Bundle, removed: Iterable[str]
 ) -> Bundle:
     """
-    Return `bundle` with items replaced, added and removed.
+    Return a bundle with `upserted` items added or replaced and others removed.
+
+    The items of the result are sorted by identity.
 
     Parameters
     ----------
     bundle : Bundle
-        The content to start from.
+        The bundle to which the delta applies.
     upserted : Bundle
         Items that are new or changed.
     removed : iterable of str
-        Identities as `item_identity` spells them.
+        Identities in the format of `item_identity`.
     """
-    gone = set(removed)
+    removed_identities = set(removed)
     fields: dict[str, object] = {}
     for field in IDENTITY_FIELDS:
         items = {item_identity(field, item): item for item in getattr(bundle, field)}
         items.update(
             {item_identity(field, item): item for item in getattr(upserted, field)}
         )
-        fields[field] = tuple(items[key] for key in sorted(items) if key not in gone)
+        fields[field] = tuple(
+            items[key] for key in sorted(items) if key not in removed_identities
+        )
     return msgspec.structs.replace(bundle, **fields)
 
 
 class FleetView:
     """
-    What an entry host knows of the fleet.
+    An entry host's view of the fleet.
 
     Attributes
     ----------
     index : int
-        Index of the last log entry that is reflected.
+        Index of the last log entry that the view includes.
     version : int
         Version of the bundle in force; 0 before the first.
     bundle : Bundle
-        Its content.
+        The bundle in force.
     withdrawn_keys : set[str]
-        Digests that never work again.
+        Digests of keys that are refused permanently.
     sessions : dict[str, Session]
         Live sessions by host.
     owners : dict[str, Owner]
         Owners by resource.
     draining_hosts, draining_backend_servers : set[str]
-        Drained by an operator.
+        Names that an operator is draining.
     suspects, quarantined : set[str]
-        Fingerprints of requests.
+        Fingerprints of requests in these states.
     routing : RoutingTable
         The routing table in force; its version is 0 before the first.
     """
@@ -113,7 +119,7 @@
         self.routing = RoutingTable()
 
     def restore(self, snapshot: FleetSnapshot) -> bool:
-        """Take over `snapshot`; `False` if it is older than the view."""
+        """Replace the view by `snapshot`; return False if that is older."""
         if snapshot.index < self.index:
             return False
         self.index = snapshot.index
@@ -130,7 +136,7 @@
         return True
 
     def apply_delta(self, delta: FleetDelta) -> bool:
-        """Apply `delta`; `False` if changes before it are missing."""
+        """Apply `delta`, or return False if the view lacks changes before it."""
         if delta.base_index > self.index:
             return False
         if delta.index <= self.index:
@@ -142,18 +148,20 @@
 
     @singledispatchmethod
     def apply(self, change: FleetChange) -> None:
-        """Apply one change."""
+        """Apply one change of a delta."""
         raise TypeError(f"unknown fleet change: {type(change).__name__}")
 
     @apply.register
     def _(self, change: BundleActivated) -> None:
-        assert change.version > self.version, "a bundle version must never revert"
+        assert change.version > self.version, "bundle version must never revert"
         self.bundle = apply_bundle_delta(self.bundle, change.upserted, change.removed)
         self.version = change.version
 
     @apply.register
     def _(self, change: RoutingTableActivated) -> None:
-        assert change.changed.version > self.routing.version, "a table never reverts"
+        assert change.changed.version > self.routing.version, (
+            "routing table must never revert"
+        )
         self.routing = apply_table_delta(self.routing, change.changed, change.removed)
 
     @apply.register
--- a/tests/core/state/fleet.py
+++ b/tests/core/state/fleet.py
@@ -1,4 +1,4 @@
-"""Builders shared by the tests of the control state."""
+"""Helpers shared by the tests of the control state."""
 
 from hashlib import sha256
 
@@ -42,7 +42,12 @@
 
 
 class Fleet:
-    """A control state with a counter for indices and command ids."""
+    """
+    A control state to which commands are applied with increasing indexes.
+
+    Without `state`, it begins with a bundle in force, and one session for each of
+    `hosts`. `deltas` has the delta of every command.
+    """
 
     def __init__(self, *hosts, state=None):
         self.state = state or ControlState()
@@ -64,16 +69,19 @@
         return applied.result
 
     def run(self, kind, command_id="", **fields):
+        """Apply a command of class `kind`, by default with a new command id."""
         command_id = command_id or f"id-{self.index}"
         fields.setdefault("at_ms", self.data.now_ms)
         return self.apply(kind(command_id=command_id, **fields))
 
     def signed(self, content):
+        """Propose and sign off a bundle; return the id of the proposal."""
         name = self.run(ProposeBundle, operator="ada", bundle=content).value
         assert self.run(SignOffBundle, operator="bob", proposal=name).failure is None
         return name
 
     def roll(self, content):
+        """Put a bundle in force."""
         return self.run(
             RollBundle,
             operator="ada",
@@ -82,6 +90,7 @@
         )
 
     def open(self, host, data_centre="west"):
+        """Open a session of a host; return its number."""
         return int(
             self.run(
                 OpenSession,
--- a/tests/core/state/test_view.py
+++ b/tests/core/state/test_view.py
@@ -1,4 +1,4 @@
-"""The fleet view: a delta after a gap, or an older version, must not be applied."""
+"""Guards against a fleet view that applies a delta after a gap or an older version."""
 
 import pytest
 
@@ -18,21 +18,21 @@
     )
 
 
-def test_delta_after_a_gap_is_refused():
+def test_delta_after_a_gap_is_not_applied():
     view = FleetView()
     delta = FleetDelta(base_index=5, index=6, changes=(KeyWithdrawn(key_digest="a"),))
     assert not view.apply_delta(delta)
     assert view.withdrawn_keys == set()
 
 
-def test_bundle_delta_adds_and_removes():
+def test_bundle_delta_adds_and_removes_items():
     view = FleetView()
     view.apply(bundle_change(1, "a", "b"))
     view.apply(bundle_change(2, "c", removed=("workspaces/a",)))
     assert [item.name for item in view.bundle.workspaces] == ["b", "c"]
 
 
-def test_version_never_reverts():
+def test_bundle_version_must_not_revert():
     view = FleetView()
     view.apply(bundle_change(2, "a"))
     with pytest.raises(AssertionError, match="never revert"):
@@ -41,7 +41,7 @@
 
 def test_route_prefix_ends_at_a_path_boundary():
     view = FleetView()
-    closed = Route("desk", "bookings", repeatable=False)
-    view.bundle = Bundle(routes=(Route("desk"), closed))
-    assert find_route(view, "desk", "bookings/7") == closed
+    bookings_route = Route("desk", "bookings", repeatable=False)
+    view.bundle = Bundle(routes=(Route("desk"), bookings_route))
+    assert find_route(view, "desk", "bookings/7") == bookings_route
     assert find_route(view, "desk", "bookingsearch") == Route("desk")
