Reword the consensus modules in the terms of Raft

Comments, doc comments, private names and test names of core/consensus used words of their own, such as hear, silent, give_up, form and Tally. They now use the terms of the Raft paper and dissertation; each guard, event and action says what it stands for, and every reason and number is kept.

--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -1,22 +1,35 @@
-"""How a member that is not in the group gets into it, or forms a new one."""
+"""How a member joins the group, or bootstraps a new one on the first start."""
 
 from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.membership import host_name, is_observer
 from damaskridge.model.consensus import JoinRequest, LogEntry, Membership
 
-__all__ = ["BOOTSTRAP_TERM", "Joining"]
+__all__ = ["BOOTSTRAP_TERM", "JoinProtocol"]
 
-JOIN_INTERVAL_S = 0.2
+JOIN_REQUEST_INTERVAL_S = 0.2
+# Term of the entry that bootstraps a group; a member with a higher term had a log.
 BOOTSTRAP_TERM = 1
 
 
-class Joining:
+class JoinProtocol:
     """
-    Asks to join, and forms the group on the first start.
+    Sends requests to join, and bootstraps the group on the first start.
 
-    Only the first of `hosts` with a disk forms a group, and only after every other
-    host has reported an empty disk and has named this member's id. A host that lost
-    its disk later finds others that are not empty, and can only join as a learner.
+    Only the first of `hosts` with a disk bootstraps a group, and only after every
+    other host has reported an empty disk and has listed this member's id in its
+    request. A host that loses its disk later finds hosts that are not empty, so it
+    can only join as a learner and never starts a second group.
+
+    Parameters
+    ----------
+    state : MemberState
+        The state of this member.
+    hosts : tuple of str
+        Names of all hosts of the group.
+    may_bootstrap : bool
+        Whether this member may bootstrap a new group; ignored for an observer.
+    now_s : float
+        Current time; the first request is due at once.
     """
 
     def __init__(
@@ -28,49 +41,56 @@
     ) -> None:
         self._state = state
         self._host = host_name(state.name)
-        self._others = tuple(host for host in hosts if host != self._host)
-        self._may_form = may_bootstrap and not is_observer(state.name)
-        self._empty: dict[str, JoinRequest] = {}
-        self._heard: set[str] = set()
-        self._due_s = now_s
+        self._other_hosts = tuple(host for host in hosts if host != self._host)
+        self._may_bootstrap = may_bootstrap and not is_observer(state.name)
+        self._empty_members: dict[str, JoinRequest] = {}
+        self._join_targets: set[str] = set()
+        self._next_request_s = now_s
 
     def add_join_target(self, host: str) -> None:
-        """Remember a host that takes this one for a member of its group."""
-        self._heard.add(host)
+        """Also send requests to a host that addresses this one as a member."""
+        self._join_targets.add(host)
 
-    def record(self, request: JoinRequest) -> None:
-        """Remember a host that reported an empty disk."""
+    def record_empty_member(self, request: JoinRequest) -> None:
+        """Record a request from a member with an empty disk."""
         if request.term <= BOOTSTRAP_TERM:
-            self._empty[host_name(request.sender)] = request
+            self._empty_members[host_name(request.sender)] = request
 
     def tick(self, now_s: float, members: tuple[str, ...] = ()) -> None:
-        """Ask every other host, and those of `members`, once in an interval."""
-        if now_s < self._due_s:
+        """Send a request to every known host if the interval has passed."""
+        if now_s < self._next_request_s:
             return
-        self._due_s = now_s + JOIN_INTERVAL_S
+        self._next_request_s = now_s + JOIN_REQUEST_INTERVAL_S
         state = self._state
-        seen = tuple(sorted(request.sender for request in self._empty.values()))
+        seen = tuple(sorted(request.sender for request in self._empty_members.values()))
         request = JoinRequest(sender=state.name, term=state.term, seen=seen)
-        known = {host_name(member) for member in members} | self._heard
-        for host in sorted((known | set(self._others)) - {self._host}):
+        targets = {host_name(member) for member in members} | self._join_targets
+        for host in sorted((targets | set(self._other_hosts)) - {self._host}):
             state.send(host, request)
 
-    def try_form(self) -> bool:
-        """Form the group if every host is known to be empty."""
+    def try_bootstrap(self) -> bool:
+        """Bootstrap the group if all hosts are empty; return whether that was done."""
         state = self._state
-        # The term alone is on disk if power was lost while the group was formed.
+        # A power loss during an earlier bootstrap may leave only the term on disk.
         is_empty = state.term <= BOOTSTRAP_TERM and state.log.last_index == 0
-        if not (self._may_form and is_empty and all(map(self._knows_us, self._others))):
+        if not (
+            self._may_bootstrap
+            and is_empty
+            and all(map(self._has_seen_this_member, self._other_hosts))
+        ):
             return False
-        empty = (self._empty[host].sender for host in self._others)
-        voters = (state.name, *(name for name in empty if not is_observer(name)))
+        empty_members = (self._empty_members[host].sender for host in self._other_hosts)
+        voters = (
+            state.name,
+            *(name for name in empty_members if not is_observer(name)),
+        )
         if min(voters, key=host_name) != state.name:
             return False
-        state.vote(BOOTSTRAP_TERM, "")
+        state.set_term_and_vote(BOOTSTRAP_TERM, "")
         entry = LogEntry(1, BOOTSTRAP_TERM, membership=Membership(voters))
         state.append((entry,))
         return True
 
-    def _knows_us(self, host: str) -> bool:
-        request = self._empty.get(host)
+    def _has_seen_this_member(self, host: str) -> bool:
+        request = self._empty_members.get(host)
         return request is not None and self._state.name in request.seen
--- a/src/damaskridge/core/consensus/member_state.py
+++ b/src/damaskridge/core/consensus/member_state.py
@@ -1,4 +1,4 @@
-"""What a member knows in every role, and the actions it has collected."""
+"""The state that a member has in every role, and its pending actions."""
 
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.core.consensus.messages import (
@@ -14,16 +14,16 @@
 
 class MemberState:
     """
-    Log, term, vote and commit index of one member.
+    Log, term, vote, commit index and pending actions of one member.
 
     Parameters
     ----------
     name : str
         The member id.
     log : RaftLog
-        The log as found on disk.
+        The log loaded from disk.
     hard_state : HardState
-        Term and vote as found on disk.
+        Term and vote loaded from disk.
     """
 
     def __init__(self, name: str, log: RaftLog, hard_state: HardState) -> None:
@@ -40,45 +40,49 @@
 
     @property
     def membership(self) -> Membership:
-        """The membership in force, committed or not."""
+        """The last membership of the log, whether or not it is committed."""
         return self.log.membership()
 
     def take_actions(self) -> list[Action]:
-        """Remove and return the collected actions."""
+        """Remove and return the pending actions."""
         actions, self.actions = self.actions, []
         return actions
 
     def send(self, to: str, message: Message) -> None:
-        """Collect a message."""
+        """Add an action that sends a message to a member id or host name."""
         self.actions.append(SendMessage(to, message))
 
-    def vote(self, term: int, voted_for: str) -> None:
-        """Save a new term or the vote in the current one."""
-        assert term >= self.term, "the term never decreases"
+    def set_term_and_vote(self, term: int, voted_for: str) -> None:
+        """Persist a new term, or the vote in the current term."""
+        assert term >= self.term, "term must never decrease"
         old = self.hard_state
-        assert term > old.term or old.voted_for in ("", voted_for), "one vote a term"
+        assert term > old.term or old.voted_for in ("", voted_for), (
+            "a member must not vote twice in one term"
+        )
         self.hard_state = HardState(term, voted_for)
         self.actions.append(Persist(hard_state=self.hard_state))
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
-        """Append and save entries; those they conflict with are removed."""
+        """Append and persist entries; remove the ones with which they conflict."""
         if not entries:
             return
         first = entries[0].index
-        assert first > self.commit_index, "a committed entry is never replaced"
+        assert first > self.commit_index, "a committed entry must not be replaced"
         if first <= self.log.last_index:
             self.log.truncate(first)
         self.log.append(entries)
         self.actions.append(Persist(entries=entries))
 
     def commit(self, index: int) -> None:
-        """Commit and apply up to `index`; a smaller one changes nothing."""
+        """Advance the commit index and apply the entries; never moves it back."""
         if index <= self.commit_index:
             return
-        assert index <= self.log.last_index, "only existing entries are committed"
+        assert index <= self.log.last_index, (
+            "commit index exceeds the last index of the log"
+        )
         self.actions.append(ApplyEntries(self.log.slice(self.commit_index + 1, index)))
         self.commit_index = index
 
     def is_up_to_date(self, last_term: int, last_index: int) -> bool:
-        """Tell whether a log that ends there is at least as complete as ours."""
+        """Return whether a log with this last entry is at least as up to date."""
         return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -1,13 +1,14 @@
-"""Member ids, quorums, and the next step of a membership change.
+"""
+Member ids, quorums and single-server membership changes.
 
-A member id is ``<name>#<disk id>``. The disk id is random and stored on the disk,
-so a host that lost its disk has another id and none of its old votes. An observer,
-a host without a disk, has a disk id of its own for each process; it follows the log
-and never votes.
+A member id is ``<host name>#<disk id>``. The disk id is random and stored on the disk.
+A host that loses its disk therefore gets another id, and none of its earlier votes and
+acknowledgements count for it. An observer is a host without a disk. It has a new disk
+id for each process, replicates the log as a learner and never votes.
 
 >>> host_name("control-1#9f")
 'control-1'
->>> quorum(3)
+>>> quorum_size(3)
 2
 """
 
@@ -19,25 +20,25 @@
     "OBSERVER_PREFIX",
     "host_name",
     "is_observer",
-    "next_membership",
-    "quorum",
+    "next_promotion",
+    "quorum_size",
     "with_learner",
-    "without_silent",
+    "without_unreachable_member",
 ]
 
 OBSERVER_PREFIX = "observer-"
-# The smallest group that survives the loss of one disk.
-SMALLEST_GROUP = 3
+# The smallest number of voters that tolerates the loss of one disk.
+MIN_FAULT_TOLERANT_VOTERS = 3
 
 
 def host_name(member: str) -> str:
-    """Return the name without the disk id."""
+    """Return the host name of a member id."""
     return member.partition("#")[0]
 
 
 def is_observer(member: str) -> bool:
     """
-    Tell whether a member keeps nothing on a disk.
+    Return whether a member is an observer, which has no disk.
 
     >>> is_observer("control-1#observer-9f")
     True
@@ -45,61 +46,62 @@
     return member.partition("#")[2].startswith(OBSERVER_PREFIX)
 
 
-def quorum(voters: int) -> int:
-    """Return the size of a majority."""
+def quorum_size(voters: int) -> int:
+    """Return the size of a majority of `voters`."""
     return voters // 2 + 1
 
 
-def is_single_change(old: Membership, new: Membership) -> bool:
-    """Tell whether at most one voter differs."""
+def is_single_voter_change(old: Membership, new: Membership) -> bool:
+    """Return whether at most one voter is added or removed."""
     return bool(new.voters) and len(set(old.voters) ^ set(new.voters)) <= 1
 
 
 def with_learner(membership: Membership, member: str) -> Membership:
-    """Return the membership with a learner that replaces one of the same host."""
+    """Return the membership with a learner; it replaces one of the same host."""
     name = host_name(member)
     others = tuple(x for x in membership.learners if host_name(x) != name)
     return Membership(membership.voters, (*others, member))
 
 
-def next_membership(
-    membership: Membership, leader: str, caught_up: Callable[[str], bool]
+def next_promotion(
+    membership: Membership, leader: str, has_caught_up: Callable[[str], bool]
 ) -> Membership | None:
     """
-    Return the next one-server change that gives a caught-up learner its vote.
+    Return the next single-server change that makes a caught-up learner a voter.
 
-    The old id of the learner's host is removed first: its disk is lost, and as a
-    voter it would only enlarge the quorum.
+    If an earlier id of the learner's host is still a voter, removing it is the first
+    change. Its disk is lost, so as a voter it would only enlarge the quorum.
     """
     voters, learners = membership.voters, membership.learners
-    for learner in filter(caught_up, learners):
+    for learner in filter(has_caught_up, learners):
         if is_observer(learner):
             continue
         name = host_name(learner)
-        old = [v for v in voters if host_name(v) == name and v != leader]
-        if old and len(voters) > 1:
-            return Membership(tuple(v for v in voters if v != old[0]), learners)
+        earlier_ids = [v for v in voters if host_name(v) == name and v != leader]
+        if earlier_ids and len(voters) > 1:
+            return Membership(tuple(v for v in voters if v != earlier_ids[0]), learners)
         rest = tuple(x for x in learners if x != learner)
         return Membership((*voters, learner), rest)
     return None
 
 
-def without_silent(
-    membership: Membership, leader: str, is_silent: Callable[[str], bool]
+def without_unreachable_member(
+    membership: Membership, leader: str, is_unreachable: Callable[[str], bool]
 ) -> Membership | None:
     """
-    Return the membership without one member that has been silent for long.
+    Return the membership without one unreachable member, or None.
 
-    A group of an even size survives as many lost disks as one with a voter fewer,
-    which needs a smaller quorum. So the loss of a host for good, or its replacement
-    by one with another name, costs no tolerance after that. A removed member that
-    was only cut off joins again.
+    A voter is removed only from a group of even size. Such a group tolerates the loss
+    of no more disks than a group with one voter fewer, which needs a smaller quorum.
+    The permanent loss of a host, or its replacement by a host with another name, thus
+    does not lower the fault tolerance afterwards. A removed member that was only
+    partitioned requests to join again.
     """
     voters, learners = membership.voters, membership.learners
-    for learner in filter(is_silent, learners):
+    for learner in filter(is_unreachable, learners):
         return Membership(voters, tuple(x for x in learners if x != learner))
-    if len(voters) > SMALLEST_GROUP and len(voters) % 2 == 0:
+    if len(voters) > MIN_FAULT_TOLERANT_VOTERS and len(voters) % 2 == 0:
         for voter in voters:
-            if voter != leader and is_silent(voter):
+            if voter != leader and is_unreachable(voter):
                 return Membership(tuple(v for v in voters if v != voter), learners)
     return None
--- a/src/damaskridge/core/consensus/messages.py
+++ b/src/damaskridge/core/consensus/messages.py
@@ -1,4 +1,8 @@
-"""Events that a Raft node receives and actions that it asks for."""
+"""
+Events that a Raft node handles, and actions that its driver performs.
+
+The messages between members are in `model.consensus`.
+"""
 
 from dataclasses import dataclass
 
@@ -12,25 +16,25 @@
 
 __all__ = [
     "Action",
-    "ProposalAppended",
     "ApplyEntries",
     "ChangeMembership",
     "CompactLog",
+    "EntriesSynced",
     "Event",
     "Guards",
     "LeadershipLost",
     "LeadershipWon",
-    "SyncedEntriesLost",
+    "MessageReceived",
+    "Persist",
+    "ProposalAppended",
+    "ProposalRefused",
     "Propose",
     "ReadFailed",
     "ReadReady",
     "ReadRequest",
-    "MessageReceived",
-    "ProposalRefused",
     "RestoreSnapshot",
-    "Persist",
     "SendMessage",
-    "EntriesSynced",
+    "SyncedEntriesLost",
     "Tick",
     "TransferLeadership",
 ]
@@ -38,7 +42,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Guards:
-    """Safety rules of the log; tests switch one off to see that they find it."""
+    """
+    Safety rules of the consensus protocol, all enabled outside tests.
+
+    A test disables one of them to show that the randomised runs detect its absence.
+
+    Parameters
+    ----------
+    sync_before_ack : bool
+        Saved data is synced to disk before any message is sent.
+    pre_vote : bool
+        A candidate asks for preliminary votes before it raises its term, and a member
+        in contact with a leader ignores requests for votes.
+    current_term_commit : bool
+        A leader commits only entries of its own term by counting acknowledgements.
+    confirm_reads : bool
+        A read waits until the leader has committed an entry of its term and a quorum
+        has confirmed its leadership.
+    member_id_per_disk : bool
+        A host that lost its disk gets another member id, so that none of its earlier
+        votes and acknowledgements are counted for it.
+    checksum : bool
+        The log store verifies the checksums of its records.
+    """
 
     sync_before_ack: bool = True
     pre_vote: bool = True
@@ -49,31 +75,31 @@
 
 
 class Event:
-    """Something that happened to a node."""
+    """An input of a node."""
 
 
 @dataclass(frozen=True, slots=True)
 class Tick(Event):
-    """Time passed."""
+    """Time has passed; timeouts and heartbeats may be due."""
 
 
 @dataclass(frozen=True, slots=True)
 class MessageReceived(Event):
-    """A message arrived from another member."""
+    """A message from another member was received."""
 
     message: Message
 
 
 @dataclass(frozen=True, slots=True)
 class Propose(Event):
-    """Commands to append as one batch."""
+    """Commands were proposed, to be appended as one batch."""
 
     commands: tuple[bytes, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class EntriesSynced(Event):
-    """Everything saved up to entry `index` of `term` is on disk."""
+    """The log is synced to disk up to the entry `index` of `term`."""
 
     index: int
     term: int
@@ -81,38 +107,38 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRequest(Event):
-    """Asks for an index at which a read is current."""
+    """A linearizable read was requested; `ReadReady` or `ReadFailed` follows."""
 
     read_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class TransferLeadership(Event):
-    """Asks the leader to hand over to the most advanced voter."""
+    """The leader is to transfer leadership to the most up-to-date voter."""
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeMembership(Event):
-    """Asks for a membership that differs in one server from the present one."""
+    """A membership was proposed that adds or removes at most one voter."""
 
     membership: Membership
 
 
 @dataclass(frozen=True, slots=True)
 class CompactLog(Event):
-    """Replaces the log up to the applied `index` by `state`."""
+    """The log up to the applied `index` is to be replaced by a snapshot, `state`."""
 
     index: int
     state: bytes
 
 
 class Action:
-    """Something that the driver must do, in the order given."""
+    """An output of a node, which its driver performs in the order returned."""
 
 
 @dataclass(frozen=True, slots=True)
 class Persist(Action):
-    """Write these; they must be synced before any later `SendMessage` leaves."""
+    """Write to disk, and sync before any later `SendMessage` is performed."""
 
     hard_state: HardState | None = None
     entries: tuple[LogEntry, ...] = ()
@@ -121,7 +147,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendMessage(Action):
-    """Send a message; it may get lost."""
+    """Send a message to a member id or host name; delivery is not guaranteed."""
 
     to: str
     message: Message
@@ -129,21 +155,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyEntries(Action):
-    """Apply committed entries."""
+    """Apply committed entries to the state machine."""
 
     entries: tuple[LogEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class RestoreSnapshot(Action):
-    """Replace the state by that of a snapshot."""
+    """Replace the state of the state machine by that of a snapshot."""
 
     snapshot: Snapshot
 
 
 @dataclass(frozen=True, slots=True)
 class ProposalAppended(Action):
-    """A proposal got the indexes from `first_index` on in `term`."""
+    """A proposal was appended from `first_index` on in `term`, not yet committed."""
 
     first_index: int
     term: int
@@ -151,12 +177,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ProposalRefused(Action):
-    """A proposal was not appended."""
+    """A proposal was refused; the node is no leader or cannot accept it now."""
 
 
 @dataclass(frozen=True, slots=True)
 class ReadReady(Action):
-    """A read is current once `index` is applied."""
+    """A read is linearizable once `index` has been applied."""
 
     read_id: int
     index: int
@@ -164,23 +190,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadFailed(Action):
-    """The node is not the leader or could not confirm it."""
+    """The node is not the leader, or lost leadership before confirming it."""
 
     read_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class LeadershipWon(Action):
-    """The node leads `term`."""
+    """The node became the leader of `term`."""
 
     term: int
 
 
 @dataclass(frozen=True, slots=True)
 class LeadershipLost(Action):
-    """The node no longer leads."""
+    """The node stepped down as leader."""
 
 
 @dataclass(frozen=True, slots=True)
 class SyncedEntriesLost(Action):
-    """The disk lost synced entries: the host must rejoin as an empty member."""
+    """The disk lost synced entries; the host must join again with an empty disk."""
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -1,16 +1,16 @@
-"""A Raft node: a deterministic state machine without I/O."""
+"""A Raft node: a deterministic state machine that performs no I/O."""
 
 import random
 from functools import singledispatchmethod
 
 from damaskridge.core.consensus.election import (
-    ELECTION_TIMEOUT_S,
+    ELECTION_TIMEOUT_RANGE_S,
     Role,
-    Tally,
+    VoteCount,
     election_timeout_s,
 )
-from damaskridge.core.consensus.joining import BOOTSTRAP_TERM, Joining
-from damaskridge.core.consensus.leader import MAX_ENTRIES, Leader
+from damaskridge.core.consensus.joining import BOOTSTRAP_TERM, JoinProtocol
+from damaskridge.core.consensus.leader import MAX_ENTRIES_PER_MESSAGE, Leader
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.messages import (
@@ -48,37 +48,45 @@
 
 __all__ = ["RaftNode"]
 
-# Within this spread after a start two members seldom campaign at the same time.
-START_TIMEOUT_S = (0.05, 0.25)
-# Well above the time of an election, which needs no request to join.
-REJOIN_AFTER_S = 3.0
+# Wide enough that members that start together seldom become candidates at the same
+# time.
+INITIAL_ELECTION_TIMEOUT_RANGE_S = (0.05, 0.25)
+# Well above the duration of an election, during which no request to join is needed.
+REJOIN_TIMEOUT_S = 3.0
 
 
 class RaftNode:
     """
-    One member of the group.
+    One member of the control group.
 
     Parameters
     ----------
     name : str
-        Member id, ``<name>#<disk id>``.
+        Member id, ``<host name>#<disk id>``.
     log : RaftLog
-        The log found on disk.
+        The log loaded from disk.
     hard_state : HardState
-        Term and vote found on disk.
+        Term and vote loaded from disk.
     rng : random.Random
         Source of the election timeouts.
     now_s : float
-        Present time.
+        Current time.
     hosts : tuple of str
-        Names of all hosts of the group. The first one forms the group once all
-        have reported an empty disk.
+        Names of all hosts of the group. The first one with a disk bootstraps the group
+        once all others have reported an empty disk.
     may_bootstrap : bool
-        Whether this member may form a new group.
+        Whether this member may bootstrap a new group.
     max_entries : int
-        Bound on the entries of one message.
+        Maximum number of entries in one message.
     guards : Guards
-        Safety rules; all in force outside tests.
+        The safety rules; all are enabled outside tests.
+
+    Attributes
+    ----------
+    role : Role
+        The current role.
+    leader_name : str
+        Member id of the current leader; empty if unknown.
     """
 
     def __init__(
@@ -90,7 +98,7 @@
         now_s: float,
         hosts: tuple[str, ...] = (),
         may_bootstrap: bool = True,
-        max_entries: int = MAX_ENTRIES,
+        max_entries: int = MAX_ENTRIES_PER_MESSAGE,
         guards: Guards | None = None,
     ) -> None:
         self._state = MemberState(name, log, hard_state)
@@ -98,15 +106,18 @@
         self._guards = guards or Guards()
         self._max_entries = max_entries
         self._leader: Leader | None = None
-        self._tally = Tally()
-        self._joining = Joining(self._state, hosts, may_bootstrap, now_s)
-        self._heard_s = float("-inf")
+        self._votes = VoteCount()
+        self._join_protocol = JoinProtocol(self._state, hosts, may_bootstrap, now_s)
+        self._last_leader_contact_s = float("-inf")
         self._started_s = now_s
         self.role = Role.FOLLOWER
         self.leader_name = ""
-        # If all members start at once, nobody has to wait for a leader. A member that
-        # starts alone disturbs no leader: others refuse its preliminary vote.
-        self._deadline_s = now_s + rng.uniform(*START_TIMEOUT_S)
+        # Shorter than the election timeout, because there is no leader to wait for if
+        # all members start at once. A member that starts alone does not disrupt a
+        # leader, because the others do not grant its preliminary vote.
+        self._election_deadline_s = now_s + rng.uniform(
+            *INITIAL_ELECTION_TIMEOUT_RANGE_S
+        )
 
     @property
     def name(self) -> str:
@@ -120,102 +131,104 @@
 
     @property
     def log(self) -> RaftLog:
-        """The log; to be read only."""
+        """The log; callers must not change it."""
         return self._state.log
 
     @property
     def commit_index(self) -> int:
-        """Index up to which entries are committed."""
+        """Index up to which entries are known to be committed."""
         return self._state.commit_index
 
     @property
     def hard_state(self) -> HardState:
-        """Term and vote."""
+        """The persistent term and vote."""
         return self._state.hard_state
 
     def add_join_target(self, host: str) -> None:
-        """Remember a host that takes this one for a member of its group."""
-        self._joining.add_join_target(host)
+        """Also send requests to join to a host that addresses this one as a member."""
+        self._join_protocol.add_join_target(host)
 
     def step(self, event: Event, now_s: float) -> list[Action]:
-        """Handle an event and return what must be done."""
-        self._on(event, now_s)
+        """Handle an event and return the actions for the driver."""
+        self._handle(event, now_s)
         return self._state.take_actions()
 
     @singledispatchmethod
-    def _on(self, event: Event, now_s: float) -> None:
+    def _handle(self, event: Event, now_s: float) -> None:
         raise TypeError(type(event))
 
-    @_on.register
+    @_handle.register
     def _(self, event: Tick, now_s: float) -> None:
         if self._leader is not None:
             if not self._leader.tick(now_s):
-                self._follow(self.term, "", now_s)
+                self._become_follower(self.term, "", now_s)
             return
-        self._request_join(now_s)
-        if now_s >= self._deadline_s:
+        self._request_join_if_due(now_s)
+        if now_s >= self._election_deadline_s:
             self.leader_name = ""
-            self._reset_deadline(now_s)
+            self._reset_election_deadline(now_s)
             if self.name in self._state.membership.voters:
-                self._campaign(self._guards.pre_vote, False, now_s)
+                self._start_election(self._guards.pre_vote, False, now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: MessageReceived, now_s: float) -> None:
         message = event.message
         if isinstance(message, JoinRequest):
-            self._on_join(message, now_s)
-        elif message.term > self.term and not self._accept_term(message, now_s):
+            self._handle_join_request(message, now_s)
+        elif message.term > self.term and not self._handle_newer_term(message, now_s):
             return
         elif message.term < self.term:
-            self._refuse_old(message)
+            self._refuse_stale_term(message)
         else:
-            self._receive(message, now_s)
+            self._handle_message(message, now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: Propose, now_s: float) -> None:
         if self._leader is None:
             self._state.actions.append(ProposalRefused())
         else:
             self._leader.propose(event.commands, now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: EntriesSynced, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.synced(event.index, event.term)
+            self._leader.record_synced(event.index, event.term)
         elif self.log.term(event.index) == event.term:
             self.log.synced_index = event.index
 
-    @_on.register
+    @_handle.register
     def _(self, event: ReadRequest, now_s: float) -> None:
         if self._leader is None:
             self._state.actions.append(ReadFailed(event.read_id))
         else:
-            self._leader.read(event.read_id, now_s)
+            self._leader.request_read(event.read_id, now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: TransferLeadership, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.transfer(now_s)
+            self._leader.transfer_leadership(now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: ChangeMembership, now_s: float) -> None:
         if self._leader is None:
             self._state.actions.append(ProposalRefused())
         else:
-            self._leader.change(event.membership, now_s)
+            self._leader.change_membership(event.membership, now_s)
 
-    @_on.register
+    @_handle.register
     def _(self, event: CompactLog, now_s: float) -> None:
-        assert event.index <= self.commit_index, "only committed entries are compacted"
+        assert event.index <= self.commit_index, (
+            "only committed entries can be compacted"
+        )
         if event.index > self.log.snapshot.index:
             snapshot = self.log.compact(event.index, event.state)
             self._state.actions.append(Persist(snapshot=snapshot))
 
     @singledispatchmethod
-    def _receive(self, message: Message, now_s: float) -> None:
+    def _handle_message(self, message: Message, now_s: float) -> None:
         raise TypeError(type(message))
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteRequest, now_s: float) -> None:
         voted_for = self.hard_state.voted_for
         granted = self._state.is_up_to_date(message.last_term, message.last_index)
@@ -224,43 +237,43 @@
         else:
             granted = granted and voted_for in ("", message.sender)
         if granted and not message.pre_vote and not voted_for:
-            self._state.vote(self.term, message.sender)
-            self._reset_deadline(now_s)
+            self._state.set_term_and_vote(self.term, message.sender)
+            self._reset_election_deadline(now_s)
         term = message.term if granted else self.term
-        self._reply_vote(message, term, granted)
+        self._send_vote_reply(message, term, granted)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: VoteReply, now_s: float) -> None:
         expected = Role.PRE_CANDIDATE if message.pre_vote else Role.CANDIDATE
         term = self.term + 1 if message.pre_vote else self.term
         if self.role is not expected or message.term != term or not message.granted:
             return
-        self._tally.grant(message.sender)
-        self._check_tally(now_s)
+        self._votes.record_vote(message.sender)
+        self._check_votes(now_s)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendEntries, now_s: float) -> None:
-        self._hear_leader(message, now_s)
+        self._record_leader_contact(message, now_s)
         state, log = self._state, self.log
         previous = message.previous_index
         if message.acknowledged_index > log.last_index:
-            # The leader counts these entries as held here, so this member must not
-            # vote any more under its present id.
+            # The leader has counted acknowledgements of entries that are no longer in
+            # this log, so this member must not vote again with its current id.
             state.actions.append(SyncedEntriesLost())
             return
         if previous < log.snapshot.index:
-            self._reply_append(message, True, state.commit_index)
+            self._send_append_reply(message, True, state.commit_index)
         elif log.term(previous) != message.previous_term:
-            self._reply_append(message, False, log.conflict_hint(previous))
+            self._send_append_reply(message, False, log.conflict_hint(previous))
         else:
-            state.append(log.new_entries(message.entries))
+            state.append(log.entries_to_append(message.entries))
             match = previous + len(message.entries)
             state.commit(min(message.commit_index, match))
-            self._reply_append(message, True, match)
+            self._send_append_reply(message, True, match)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: InstallSnapshot, now_s: float) -> None:
-        self._hear_leader(message, now_s)
+        self._record_leader_contact(message, now_s)
         state, snapshot = self._state, message.snapshot
         if snapshot.index > state.commit_index:
             self.log.install_snapshot(snapshot)
@@ -274,132 +287,149 @@
         )
         state.send(message.sender, reply)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: AppendReply, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.append_reply(message, now_s)
+            self._leader.handle_append_reply(message, now_s)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: SnapshotReply, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.snapshot_reply(message, now_s)
+            self._leader.handle_snapshot_reply(message, now_s)
 
-    @_receive.register
+    @_handle_message.register
     def _(self, message: TimeoutNow, now_s: float) -> None:
         if self._leader is None and self.name in self._state.membership.voters:
-            self._campaign(False, True, now_s)
+            self._start_election(False, True, now_s)
 
-    def _accept_term(self, message: Message, now_s: float) -> bool:
-        """Handle a message of a higher term; True once nothing is left to do."""
+    def _handle_newer_term(self, message: Message, now_s: float) -> bool:
+        """Handle a message of a higher term; return False, as nothing is left to do."""
         if isinstance(message, VoteRequest):
-            self._on_newer_vote(message, now_s)
+            self._handle_newer_vote_request(message, now_s)
         elif isinstance(message, VoteReply) and message.pre_vote and message.granted:
-            self._receive(message, now_s)
+            self._handle_message(message, now_s)
         else:
-            self._follow(message.term, "", now_s)
-            self._receive(message, now_s)
+            self._become_follower(message.term, "", now_s)
+            self._handle_message(message, now_s)
         return False
 
-    def _on_newer_vote(self, message: VoteRequest, now_s: float) -> None:
-        # A member that hears its leader must not be disrupted by one that does not.
-        recent = now_s < self._heard_s + ELECTION_TIMEOUT_S[0]
-        has_leader = self._leader is not None or recent
-        if has_leader and not message.leadership_transfer and self._guards.pre_vote:
+    def _handle_newer_vote_request(self, message: VoteRequest, now_s: float) -> None:
+        # A member that is in contact with a leader must not be disrupted by one that is
+        # not (Raft dissertation, section 4.2.3).
+        heard_recently = (
+            now_s < self._last_leader_contact_s + ELECTION_TIMEOUT_RANGE_S[0]
+        )
+        has_live_leader = self._leader is not None or heard_recently
+        if (
+            has_live_leader
+            and not message.leadership_transfer
+            and self._guards.pre_vote
+        ):
             return
         if not message.pre_vote:
-            self._follow(message.term, "", now_s)
-        self._receive(message, now_s)
+            self._become_follower(message.term, "", now_s)
+        self._handle_message(message, now_s)
 
-    def _refuse_old(self, message: Message) -> None:
+    def _refuse_stale_term(self, message: Message) -> None:
         if isinstance(message, AppendEntries | InstallSnapshot):
             reply = AppendReply(
                 sender=self.name, term=self.term, accepted=False, match_index=0, round=0
             )
             self._state.send(message.sender, reply)
         elif isinstance(message, VoteRequest):
-            self._reply_vote(message, self.term, False)
+            self._send_vote_reply(message, self.term, False)
 
-    def _on_join(self, message: JoinRequest, now_s: float) -> None:
+    def _handle_join_request(self, message: JoinRequest, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.join(message.sender, now_s)
+            self._leader.add_learner(message.sender, now_s)
         else:
-            self._joining.record(message)
+            self._join_protocol.record_empty_member(message)
 
-    def _request_join(self, now_s: float) -> None:
+    def _request_join_if_due(self, now_s: float) -> None:
         membership = self._state.membership
         members = membership.voters + membership.learners
         if self.name in members:
-            # A member that was removed while it was cut off does not learn of it.
-            heard_s, limit_s = max(self._heard_s, self._started_s), REJOIN_AFTER_S
+            # A member that was removed during a partition does not know of its removal.
+            last_contact_s, timeout_s = (
+                max(self._last_leader_contact_s, self._started_s),
+                REJOIN_TIMEOUT_S,
+            )
             if self.term <= BOOTSTRAP_TERM:
-                # Its request would be taken for that of an empty disk.
+                # Others would treat its request as that of a member with an empty disk.
                 return
         else:
-            heard_s, limit_s = self._heard_s, ELECTION_TIMEOUT_S[1]
-        if now_s >= heard_s + limit_s:
-            self._joining.tick(now_s, members)
-            if self._joining.try_form():
-                self._deadline_s = now_s
+            last_contact_s, timeout_s = (
+                self._last_leader_contact_s,
+                ELECTION_TIMEOUT_RANGE_S[1],
+            )
+        if now_s >= last_contact_s + timeout_s:
+            self._join_protocol.tick(now_s, members)
+            if self._join_protocol.try_bootstrap():
+                self._election_deadline_s = now_s
 
-    def _campaign(self, pre_vote: bool, transfer: bool, now_s: float) -> None:
+    def _start_election(
+        self, pre_vote: bool, leadership_transfer: bool, now_s: float
+    ) -> None:
         self.role = Role.PRE_CANDIDATE if pre_vote else Role.CANDIDATE
         self.leader_name = ""
-        self._tally = Tally()
-        self._tally.grant(self.name)
+        self._votes = VoteCount()
+        self._votes.record_vote(self.name)
         if not pre_vote:
-            self._state.vote(self.term + 1, self.name)
-        self._reset_deadline(now_s)
+            self._state.set_term_and_vote(self.term + 1, self.name)
+        self._reset_election_deadline(now_s)
         request = VoteRequest(
             sender=self.name,
             term=self.term + 1 if pre_vote else self.term,
             last_index=self.log.last_index,
             last_term=self.log.last_term,
             pre_vote=pre_vote,
-            leadership_transfer=transfer,
+            leadership_transfer=leadership_transfer,
         )
         for voter in self._state.membership.voters:
             if voter != self.name:
                 self._state.send(voter, request)
-        self._check_tally(now_s)
+        self._check_votes(now_s)
 
-    def _check_tally(self, now_s: float) -> None:
-        if not self._tally.is_won(self._state.membership.voters):
+    def _check_votes(self, now_s: float) -> None:
+        if not self._votes.is_won(self._state.membership.voters):
             return
         if self.role is Role.PRE_CANDIDATE:
-            self._campaign(False, False, now_s)
+            self._start_election(False, False, now_s)
             return
         self.role = Role.LEADER
         self.leader_name = self.name
         self._state.actions.append(LeadershipWon(self.term))
         self._leader = Leader(self._state, self._guards, self._max_entries, now_s)
 
-    def _follow(self, term: int, leader: str, now_s: float) -> None:
+    def _become_follower(self, term: int, leader: str, now_s: float) -> None:
         if self._leader is not None:
-            self._leader.give_up()
+            self._leader.step_down()
             self._leader = None
             self._state.actions.append(LeadershipLost())
         self.role = Role.FOLLOWER
         self.leader_name = leader
         if term > self.term:
-            self._state.vote(term, "")
-        self._reset_deadline(now_s)
+            self._state.set_term_and_vote(term, "")
+        self._reset_election_deadline(now_s)
 
-    def _hear_leader(self, message: Message, now_s: float) -> None:
+    def _record_leader_contact(self, message: Message, now_s: float) -> None:
         assert self._leader is None, "two leaders in one term"
-        self._heard_s = now_s
-        self._follow(message.term, message.sender, now_s)
+        self._last_leader_contact_s = now_s
+        self._become_follower(message.term, message.sender, now_s)
 
-    def _reset_deadline(self, now_s: float) -> None:
-        campaigning = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
-        self._deadline_s = now_s + election_timeout_s(self._rng, campaigning)
+    def _reset_election_deadline(self, now_s: float) -> None:
+        is_candidate = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
+        self._election_deadline_s = now_s + election_timeout_s(self._rng, is_candidate)
 
-    def _reply_vote(self, request: VoteRequest, term: int, granted: bool) -> None:
+    def _send_vote_reply(self, request: VoteRequest, term: int, granted: bool) -> None:
         reply = VoteReply(
             sender=self.name, term=term, granted=granted, pre_vote=request.pre_vote
         )
         self._state.send(request.sender, reply)
 
-    def _reply_append(self, message: AppendEntries, accepted: bool, match: int) -> None:
+    def _send_append_reply(
+        self, message: AppendEntries, accepted: bool, match: int
+    ) -> None:
         reply = AppendReply(
             sender=self.name,
             term=self.term,
--- a/src/damaskridge/core/consensus/read_index.py
+++ b/src/damaskridge/core/consensus/read_index.py
@@ -1,26 +1,26 @@
-"""Reads that wait until a quorum has confirmed the leader."""
+"""Linearizable reads without log entries, by the ReadIndex method of Raft."""
 
-__all__ = ["ReadIndex"]
+__all__ = ["ReadIndexQueue"]
 
 
-class ReadIndex:
+class ReadIndexQueue:
     """
-    Pending reads by the heartbeat round that must confirm them.
+    Pending reads with the heartbeat round that has to confirm leadership for them.
 
-    A read counts only acknowledgements of a round that began after the read
-    arrived: an older one may have been answered before another leader was elected.
+    Only a round that began after the read was received can confirm it. Members may
+    have acknowledged an earlier round before they elected another leader.
     """
 
     def __init__(self) -> None:
         self._pending: list[tuple[int, int]] = []
 
     def add(self, read_id: int, round_number: int) -> None:
-        """Let a read wait for a round."""
+        """Queue a read until a quorum has acknowledged a round."""
         self._pending.append((read_id, round_number))
 
     def take_confirmed(self, round_number: int) -> list[int]:
-        """Remove and return the reads that a confirmed round releases."""
-        ready = [read for read, needed in self._pending if needed <= round_number]
+        """Remove and return the reads that need `round_number` or an earlier round."""
+        ready = [read for read, required in self._pending if required <= round_number]
         self._pending = [item for item in self._pending if item[1] > round_number]
         return ready
 
--- a/src/damaskridge/core/consensus/replication.py
+++ b/src/damaskridge/core/consensus/replication.py
@@ -1,9 +1,9 @@
-"""What a leader knows of the other members."""
+"""Replication progress of the other members, as a leader tracks it."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from damaskridge.core.consensus.membership import quorum
+from damaskridge.core.consensus.membership import quorum_size
 
 __all__ = ["Progress", "quorum_value"]
 
@@ -11,47 +11,62 @@
 @dataclass(slots=True)
 class Progress:
     """
-    Replication to one member.
+    Replication progress of one member.
 
-    `match_index` is known to be synced there; `next_index` is sent next.
+    Parameters
+    ----------
+    next_index : int
+        Index of the next entry to send.
+    last_contact_s : float
+        Time of its last response.
+    match_index : int
+        Index up to which its log is known to match and to be synced.
+    round : int
+        The last heartbeat round that it acknowledged.
+    last_refused_index : int
+        `next_index` after the last refusal; 0 after an acknowledgement.
+    snapshot_sent_s : float
+        Time at which a snapshot was sent that it has not acknowledged.
     """
 
     next_index: int
-    contact_s: float
+    last_contact_s: float
     match_index: int = 0
     round: int = 0
-    refused_index: int = 0
+    last_refused_index: int = 0
     snapshot_sent_s: float = float("-inf")
 
-    def acknowledge(self, match_index: int, round_number: int) -> None:
-        """Record an acknowledgement; late and repeated ones change nothing."""
+    def record_acknowledgement(self, match_index: int, round_number: int) -> None:
+        """Record an acknowledgement; delayed and duplicate ones change nothing."""
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
         self.round = max(self.round, round_number)
-        self.refused_index = 0
+        self.last_refused_index = 0
 
-    def back_up(self, hint: int) -> bool:
+    def record_refusal(self, hint: int) -> bool:
         """
-        Record a refusal: retry after `hint`, never below what is known.
+        Record a refusal by moving `next_index` back to the entry after `hint`.
+
+        It always stays above `match_index`.
 
         Returns
         -------
         bool
-            Whether to retry at once; not after two refusals at the same place, so
-            that a member that refuses for good costs one message a heartbeat.
+            Whether to retry at once. After two refusals at the same index it is False,
+            so that a member that refuses permanently causes one message per heartbeat.
         """
         self.next_index = max(self.match_index, min(self.next_index - 1, hint)) + 1
-        repeated = self.next_index == self.refused_index
-        self.refused_index = self.next_index
-        return not repeated
+        is_repeated = self.next_index == self.last_refused_index
+        self.last_refused_index = self.next_index
+        return not is_repeated
 
 
 def quorum_value(values: Iterable[float]) -> float:
     """
-    Return the largest value that a majority has reached.
+    Return the largest value that a majority has reached or exceeded.
 
     >>> quorum_value([5, 3, 9])
     5
     """
     ordered = sorted(values, reverse=True)
-    return ordered[quorum(len(ordered)) - 1]
+    return ordered[quorum_size(len(ordered)) - 1]
--- a/tests/core/consensus/test_consensus.py
+++ b/tests/core/consensus/test_consensus.py
@@ -1,4 +1,4 @@
-"""Guards against violations of the log's invariants under random faults."""
+"""Guards against violations of the invariants of Raft under random faults."""
 
 import pytest
 from tests.linearizability import Operation, is_linearizable
@@ -11,19 +11,24 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_invariants_hold_under_faults(seed):
+def test_invariants_hold_under_random_faults(seed):
     assert sum(run_seed(seed, STEPS).faults.values()) > 0
 
 
-def test_lost_leader_is_replaced_within_a_second():
+def test_failed_leader_is_replaced_within_a_second():
     assert max(map(election_steps, range(100))) * STEP_S < 1.0
 
 
-def test_member_that_waits_for_a_snapshot_counts_for_the_quorum(monkeypatch):
+def test_leader_keeps_its_quorum_while_a_member_waits_for_a_snapshot(monkeypatch):
+    """
+    A leader has to step down if no quorum responds, for example to heartbeats.
+
+    A member that is still waiting for a snapshot has to respond to heartbeats too.
+    """
     simulation = next(s for s in map(new_group, range(9)) if len(s.hosts) == 3)
     (leader,) = simulation.leaders()
-    behind, other = (h for h in simulation.hosts if h != leader)
-    simulation.stop(behind)
+    lagging, other = (h for h in simulation.hosts if h != leader)
+    simulation.stop(lagging)
     run_steps(simulation, 300)
     transmit = simulation.transmit
     monkeypatch.setattr(
@@ -35,7 +40,7 @@
             else transmit(source, to, message)
         ),
     )
-    simulation.start(behind)
+    simulation.start(lagging)
     run_steps(simulation, 20)
     simulation.stop(other)
     term = simulation.members[leader].driver.node.term
@@ -66,19 +71,19 @@
         "sync_before_ack",
     ],
 )
-def test_seeds_find_a_disabled_guard(guard):
+def test_random_runs_detect_a_disabled_guard(guard):
     for seed in SEEDS:
         try:
             run_seed(seed, STEPS, frozenset({guard}))
         except AssertionError:
             return
-    pytest.fail(f"no seed found that {guard} is off")
+    pytest.fail(f"no seed detects that the guard {guard} is disabled")
 
 
-def test_checker_refuses_a_stale_read():
+def test_linearizability_checker_detects_a_stale_read():
     write = Operation(0.0, expected=0, new=7, returned_s=1.0, result=1)
     fresh = Operation(2.0, returned_s=3.0, result=7)
     stale = Operation(2.0, returned_s=3.0, result=0)
-    during = Operation(0.5, returned_s=3.0, result=0)
-    assert is_linearizable([write, fresh]) and is_linearizable([write, during])
+    concurrent = Operation(0.5, returned_s=3.0, result=0)
+    assert is_linearizable([write, fresh]) and is_linearizable([write, concurrent])
     assert not is_linearizable([write, stale])
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -1,4 +1,4 @@
-"""Guards against groups that count hosts which are gone, and against two groups."""
+"""Guards against quorums that count lost hosts, and against two separate groups."""
 
 import random
 
@@ -6,17 +6,17 @@
 
 from damaskridge.adapters.disk.store import LogStore
 from damaskridge.adapters.log_driver import LogDriver
-from damaskridge.core.consensus.leader import EVICT_AFTER_S
+from damaskridge.core.consensus.leader import EVICTION_TIMEOUT_S
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
     host_name,
-    without_silent,
+    without_unreachable_member,
 )
 from damaskridge.model.consensus import Membership
 
 
 def new_group(seed=1, size=3):
-    """Return a formed group without faults."""
+    """Return a group of `size` members that has elected a leader, without faults."""
     simulation = next(
         simulation
         for simulation in (Simulation(n, frozenset()) for n in range(seed, seed + 50))
@@ -33,7 +33,12 @@
 
 
 def add_host(simulation, host, is_observer=False):
-    """Start a process that is told the first hosts only, as those are not told it."""
+    """
+    Start a process on a new host, which is configured with all hosts.
+
+    The other hosts are not configured with the new one, so they have to learn of it
+    from its requests to join.
+    """
     member = simulation.members[host] = Member(host)
     prefix = OBSERVER_PREFIX if is_observer else ""
     store = LogStore(member.folder, f"{prefix}disk-of-{host}")
@@ -55,50 +60,53 @@
     return next(h for h in simulation.hosts if h not in simulation.leaders())
 
 
-def test_a_host_that_is_gone_for_good_is_replaced():
+def test_permanently_lost_host_is_replaced():
     simulation = new_group()
     first = set(simulation.hosts)
-    gone = follower(simulation)
-    simulation.stop(gone)
+    lost = follower(simulation)
+    simulation.stop(lost)
     add_host(simulation, "c9")
     run_for(simulation, 3.0)
     assert voters(simulation) == {*first, "c9"}
-    run_for(simulation, EVICT_AFTER_S + 2.0)
-    assert voters(simulation) == {*first, "c9"} - {gone}
-    # The group bears the next loss again.
+    run_for(simulation, EVICTION_TIMEOUT_S + 2.0)
+    assert voters(simulation) == {*first, "c9"} - {lost}
+    # The group tolerates the loss of another host.
     simulation.stop(follower(simulation))
     before = simulation.invariants.last_committed
     run_for(simulation, 5.0)
     assert simulation.invariants.last_committed > before
 
 
-def test_a_host_that_was_only_cut_off_gets_its_vote_back():
+def test_partitioned_host_becomes_a_voter_again():
     simulation = new_group()
     add_host(simulation, "c9")
     run_for(simulation, 3.0)
-    everyone = voters(simulation)
-    assert len(everyone) == 4
-    away = follower(simulation)
-    simulation.split({away})
-    run_for(simulation, EVICT_AFTER_S + 2.0)
-    assert voters(simulation) == everyone - {away}
+    all_voters = voters(simulation)
+    assert len(all_voters) == 4
+    partitioned = follower(simulation)
+    simulation.split({partitioned})
+    run_for(simulation, EVICTION_TIMEOUT_S + 2.0)
+    assert voters(simulation) == all_voters - {partitioned}
     simulation.heal()
     run_for(simulation, 5.0)
-    assert voters(simulation) == everyone
+    assert voters(simulation) == all_voters
 
 
-def test_a_group_of_odd_size_keeps_a_silent_voter():
-    """With a voter fewer it would survive the loss of fewer disks."""
+def test_group_of_odd_size_keeps_an_unreachable_voter():
+    """With one voter fewer, it would tolerate the loss of fewer disks."""
     simulation = new_group()
-    away = follower(simulation)
-    simulation.stop(away)
-    run_for(simulation, EVICT_AFTER_S + 5.0)
-    assert away in voters(simulation)
-    assert without_silent(Membership(("a#1", "b#2")), "a#1", lambda _: True) is None
+    stopped = follower(simulation)
+    simulation.stop(stopped)
+    run_for(simulation, EVICTION_TIMEOUT_S + 5.0)
+    assert stopped in voters(simulation)
+    assert (
+        without_unreachable_member(Membership(("a#1", "b#2")), "a#1", lambda _: True)
+        is None
+    )
 
 
-def test_a_group_that_starts_at_once_does_not_wait_for_its_old_leader():
-    steps = []
+def test_group_that_restarts_at_once_does_not_wait_for_its_last_leader():
+    durations_s = []
     for seed in range(1, 12):
         simulation = new_group(seed)
         for host in simulation.hosts:
@@ -108,12 +116,12 @@
         started_s = simulation.now_s
         while not simulation.leaders():
             simulation.step()
-        steps.append(simulation.now_s - started_s)
-    assert sorted(steps)[len(steps) // 2] < 0.25
-    assert max(steps) < 1.0
+        durations_s.append(simulation.now_s - started_s)
+    assert sorted(durations_s)[len(durations_s) // 2] < 0.25
+    assert max(durations_s) < 1.0
 
 
-def test_an_observer_follows_the_log_and_never_votes():
+def test_observer_replicates_the_log_and_never_votes():
     simulation = new_group()
     first = set(simulation.hosts)
     add_host(simulation, "c0-observer", is_observer=True)
@@ -129,18 +137,19 @@
     assert voters(simulation) == first
 
 
-def test_an_observer_that_is_gone_costs_no_messages_for_ever():
+def test_lost_observer_is_removed_from_the_learners():
+    """Otherwise the leader would send messages to it forever."""
     simulation = new_group()
     add_host(simulation, "c9", is_observer=True)
     run_for(simulation, 3.0)
     simulation.stop("c9")
-    run_for(simulation, EVICT_AFTER_S + 2.0)
+    run_for(simulation, EVICTION_TIMEOUT_S + 2.0)
     (leader,) = simulation.leaders()
     assert not simulation.members[leader].driver.node.log.membership().learners
 
 
-def test_a_group_forms_beside_a_seed_without_a_disk():
-    """The seed that sorts first may have none; the next one forms the group."""
+def test_group_bootstraps_although_the_first_host_has_no_disk():
+    """The first host by name may be an observer; the next one bootstraps the group."""
     simulation = Simulation(1, frozenset())
     simulation.loss = 0.0
     hosts = simulation.hosts
