Describe more fields of the replicated state and of the consensus messages

A second reading found fields without a description, and local names such as known and held. They are described or renamed.

--- a/src/damaskridge/core/consensus/joining.py
+++ b/src/damaskridge/core/consensus/joining.py
@@ -7,7 +7,8 @@
 __all__ = ["BOOTSTRAP_TERM", "JoinProtocol"]
 
 JOIN_REQUEST_INTERVAL_S = 0.2
-# Term of the entry that bootstraps a group; a member with a higher term had a log.
+# Term of the entry that bootstraps a group. A member with a higher term has already
+# taken part in one.
 BOOTSTRAP_TERM = 1
 
 
--- a/src/damaskridge/core/consensus/member_state.py
+++ b/src/damaskridge/core/consensus/member_state.py
@@ -55,8 +55,8 @@
     def set_term_and_vote(self, term: int, voted_for: str) -> None:
         """Persist a new term, or the vote in the current term."""
         assert term >= self.term, "term must never decrease"
-        old = self.hard_state
-        assert term > old.term or old.voted_for in ("", voted_for), (
+        previous = self.hard_state
+        assert term > previous.term or previous.voted_for in ("", voted_for), (
             "a member must not vote twice in one term"
         )
         self.hard_state = HardState(term, voted_for)
--- a/src/damaskridge/core/consensus/messages.py
+++ b/src/damaskridge/core/consensus/messages.py
@@ -169,7 +169,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProposalAppended(Action):
-    """A proposal was appended from `first_index` on in `term`, not yet committed."""
+    """A proposal was appended in `term` from `first_index` on; it may never commit."""
 
     first_index: int
     term: int
--- a/src/damaskridge/core/state/bundles.py
+++ b/src/damaskridge/core/state/bundles.py
@@ -65,7 +65,7 @@
 
 
 def bundle_difference(old: Bundle, new: Bundle) -> tuple[Bundle, tuple[str, ...]]:
-    """Return new or changed items of `new`, and the identities missing from it."""
+    """Return the new or changed items of `new`, and the identities it removes."""
     upserted: dict[str, tuple[object, ...]] = {}
     removed: list[str] = []
     for field in IDENTITY_FIELDS:
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -112,8 +112,16 @@
     undo : dict[str, UndoRecord]
         By version, the delta to the version before it. Storing whole bundles of
         1,700 backend servers instead would take 100 MB.
+    proposals : dict[str, Proposal]
+        By id, oldest first.
+    last_proposal, last_session : int
+        Numbers of the last proposal and the last session.
     withdrawn_keys : set[str]
         Digests of keys that no bundle can make valid again.
+    sessions : dict[str, Session]
+        Live sessions by host.
+    owners : dict[str, Owner]
+        Owners by resource.
     last_epoch : int
         Largest epoch of any owner. Epochs increase across all resources, so a
         resource that is removed and added again never reuses one.
--- a/src/damaskridge/core/state/ownership.py
+++ b/src/damaskridge/core/state/ownership.py
@@ -176,8 +176,8 @@
     """
     Return whether a change of `changed_host` cannot change a live owner.
 
-    If that host is no longer in `hosts`, it is enough that the preferred host still
-    is. Otherwise it must not score higher than the preferred host.
+    The preferred host must still be in `hosts`, and the changed one must rank below it
+    or no longer be there.
     """
     preferred = hosts.get(owner.moving_to or owner.host)
     changed_session = hosts.get(changed_host)
--- a/src/damaskridge/core/state/sessions.py
+++ b/src/damaskridge/core/state/sessions.py
@@ -73,11 +73,11 @@
     if find_operator(data, command.operator) is None:
         return refusal(ErrorKind.UNKNOWN_OPERATOR, command.operator)
     if command.target is DrainTarget.HOST:
-        names, known = data.draining_hosts, set(data.sessions)
+        names, existing = data.draining_hosts, set(data.sessions)
     else:
         names = data.draining_backend_servers
-        known = {item.name for item in data.bundle.backend_servers}
-    if command.name not in known and command.name not in names:
+        existing = {item.name for item in data.bundle.backend_servers}
+    if command.name not in existing and command.name not in names:
         return refusal(ErrorKind.UNKNOWN_NAME, command.name)
     if command.draining == (command.name in names):
         return CommandResult()
--- a/tests/core/state/test_control_state.py
+++ b/tests/core/state/test_control_state.py
@@ -382,9 +382,9 @@
     ]  # fmt: skip
     if current is not None:
         epoch = current.epoch - (rng.random() < 0.2)
-        held = {"host": current.host, "resource": current.resource, "epoch": epoch}
-        options.append((ReleaseOwnership, {**held, "session": current.session}))
-        options.append((AllocateFencingNumber, held))
+        owned = {"host": current.host, "resource": current.resource, "epoch": epoch}
+        options.append((ReleaseOwnership, {**owned, "session": current.session}))
+        options.append((AllocateFencingNumber, owned))
     kind, fields = rng.choice(options)
     at_ms = data.now_ms + rng.choice((-5, 10, 60_000, 900_000))
     return kind(command_id=f"r{number}", at_ms=at_ms, **fields)
