--- a/src/damaskridge/core/state/bundle_checks.py
+++ b/src/damaskridge/core/state/bundle_checks.py
@@ -16,6 +16,7 @@
 
 __all__ = ["bundle_faults"]
 
+# A change of the bundle needs a proposer and another operator who signs it off.
 MIN_OPERATORS = 2
 SHA256_HEX_CHARACTERS = 64
 
--- a/src/damaskridge/core/state/fingerprints.py
+++ b/src/damaskridge/core/state/fingerprints.py
@@ -55,7 +55,8 @@
         return CommandResult()
     for explained_crash in (crash, *related_crashes):
         # The other requests of these crashes stay suspects until they finish, because
-        # one of them may crash engines too. The crashes no longer count against them.
+        # one of them may also have crashed a server. These crashes no longer count
+        # against them.
         explained_crash.fingerprints = tuple(
             sorted(causes & set(explained_crash.fingerprints))
         )
--- a/src/damaskridge/core/state/replicated_clock.py
+++ b/src/damaskridge/core/state/replicated_clock.py
@@ -57,7 +57,8 @@
         self.last_timestamp_ms = max(
             self.last_timestamp_ms, min(wall_ms, int(self._max_timestamp_ms))
         )
-        # Time for which the wall clock stands still must not allow a later jump.
+        # While the wall clock runs slower than the limit, the difference must not
+        # accumulate, because it would allow a jump later.
         self._max_timestamp_ms = min(
             self._max_timestamp_ms, max(wall_ms, self.last_timestamp_ms) + 1.0
         )
--- a/tests/core/consensus/test_consensus.py
+++ b/tests/core/consensus/test_consensus.py
@@ -21,9 +21,10 @@
 
 def test_leader_keeps_its_quorum_while_a_member_waits_for_a_snapshot(monkeypatch):
     """
-    A leader has to step down if no quorum responds, for example to heartbeats.
+    The leader has to send heartbeats to a member that waits for a snapshot.
 
-    A member that is still waiting for a snapshot has to respond to heartbeats too.
+    Without them, a slow or lost snapshot lets the leader lose its quorum as soon as
+    another member fails.
     """
     simulation = next(s for s in map(new_group, range(9)) if len(s.hosts) == 3)
     (leader,) = simulation.leaders()
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -27,8 +27,8 @@
     return simulation
 
 
-def run_for(simulation, seconds_s):
-    for _ in range(int(seconds_s / STEP_S)):
+def run_for(simulation, duration_s):
+    for _ in range(int(duration_s / STEP_S)):
         simulation.step()
 
 
@@ -62,14 +62,14 @@
 
 def test_permanently_lost_host_is_replaced():
     simulation = new_group()
-    first = set(simulation.hosts)
+    initial_hosts = set(simulation.hosts)
     lost = follower(simulation)
     simulation.stop(lost)
     add_host(simulation, "c9")
     run_for(simulation, 3.0)
-    assert voters(simulation) == {*first, "c9"}
+    assert voters(simulation) == {*initial_hosts, "c9"}
     run_for(simulation, EVICTION_TIMEOUT_S + 2.0)
-    assert voters(simulation) == {*first, "c9"} - {lost}
+    assert voters(simulation) == {*initial_hosts, "c9"} - {lost}
     # The group tolerates the loss of another host.
     simulation.stop(follower(simulation))
     before = simulation.invariants.last_committed
@@ -123,18 +123,18 @@
 
 def test_observer_replicates_the_log_and_never_votes():
     simulation = new_group()
-    first = set(simulation.hosts)
+    initial_hosts = set(simulation.hosts)
     add_host(simulation, "c0-observer", is_observer=True)
     run_for(simulation, 5.0)
-    assert voters(simulation) == first
+    assert voters(simulation) == initial_hosts
     observer = simulation.members["c0-observer"]
     assert observer.applied >= simulation.invariants.last_committed - 3
-    for host in first:
+    for host in initial_hosts:
         if host in simulation.leaders():
             simulation.stop(host)
     run_for(simulation, 5.0)
     assert "c0-observer" not in simulation.leaders()
-    assert voters(simulation) == first
+    assert voters(simulation) == initial_hosts
 
 
 def test_lost_observer_is_removed_from_the_learners():
