--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -24,7 +24,7 @@
 from damaskridge.binaries.control_settings import ControlSettings
 from damaskridge.binaries.http_server import HttpServer, listen
 from damaskridge.binaries.settings_file import load_settings
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.events import EventNumber
 
 __all__ = ["build_state", "main", "run_control"]
@@ -84,7 +84,7 @@
         folder,
         state,
         random.Random(),
-        may_form=not settings.join_as_learner,
+        may_bootstrap=not settings.join_as_learner,
     )
     services = control_services(node, state)
     server = Server([node.service(), *services], codec=MsgpackCodec())
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -21,7 +21,7 @@
 from damaskridge.adapters.replicated_routing import ReplicatedRouting
 from damaskridge.adapters.rpc.control_server import control_services
 from damaskridge.binaries.http_server import HttpServer, listen
-from damaskridge.core.state.commands import ControlState
+from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.events import EventNumber
 from damaskridge.platform.apps import operators_app
 from damaskridge.platform.instance_list import PlatformInstanceListReader
@@ -70,7 +70,7 @@
         random.Random(),
         # A host that is not a seed would count other hosts than the seeds do, and a
         # second group could form beside theirs.
-        may_form=settings.first_start and name in settings.control_addresses,
+        may_bootstrap=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
     )
     reader = PlatformInstanceListReader(settings.list_address)
