--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -11,7 +11,7 @@
 from damaskridge.adapters.cell_worker import CellLinks, CellMachine, CellWorker
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ownership import held_resources, propose_release
-from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.pending import PendingResponses
 from damaskridge.adapters.ports import ControlPort, EnginePort, HostListPort
 from damaskridge.adapters.rpc.peer_messages import ActiveRequests
 from damaskridge.core.scheduling.messages import (
@@ -90,13 +90,13 @@
             engine_for=engine_for,
             ask_requests=ask_requests,
             notify_taken_over=notify_taken_over,
-            submitted=PendingReplies(
+            submitted=PendingResponses(
                 lambda request_id: Refused(
                     request_id=request_id,
                     failure=self._failure(ErrorKind.OWNER_UNAVAILABLE),
                 )
             ),
-            taken_over=PendingReplies(
+            taken_over=PendingResponses(
                 lambda request_id: TakeOverReply(
                     failure=self._failure(ErrorKind.OWNER_UNAVAILABLE)
                 )
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -14,7 +14,7 @@
 from damaskridge.adapters.engine_commands import cancel_once, send_order
 from damaskridge.adapters.engine_poller import BackendServerPoller
 from damaskridge.adapters.ownership import lease_is_valid
-from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.pending import PendingResponses
 from damaskridge.adapters.ports import ControlPort, EnginePort
 from damaskridge.adapters.rpc.peer_messages import ActiveRequests
 from damaskridge.core.dispatch import DispatchMethod
@@ -83,7 +83,7 @@
         Asks the front on a host for its running requests in a cell.
     notify_taken_over : callable
         Tells the front on a host that a request was taken over.
-    submitted, taken_over : PendingReplies
+    submitted, taken_over : PendingResponses
         Calls that wait.
     """
 
@@ -91,8 +91,8 @@
     engine_for: Callable[[str], EnginePort]
     ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]]
     notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]]
-    submitted: PendingReplies[SubmitReply]
-    taken_over: PendingReplies[TakeOverReply]
+    submitted: PendingResponses[SubmitReply]
+    taken_over: PendingResponses[TakeOverReply]
 
 
 @dataclass(slots=True)
@@ -162,8 +162,8 @@
         if self._stopped:
             return
         self._stopped = True
-        self._links.submitted.refuse(self.owner.resource)
-        self._links.taken_over.refuse(self.owner.resource)
+        self._links.submitted.refuse_all(self.owner.resource)
+        self._links.taken_over.refuse_all(self.owner.resource)
         self.scope.cancel()
 
     def handle(self, event: CellEvent) -> None:
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -6,7 +6,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damaskridge.adapters.http_client import BackendClient, HttpReply, failed
+from damaskridge.adapters.http_client import (
+    BackendClient,
+    HttpResponse,
+    backend_failure,
+)
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.engine import (
     CacheEventPage,
@@ -47,7 +51,7 @@
     async def prefill(self, request: PrefillRequest) -> Result[PrefillResult, Failure]:
         """Compute and hold a KV cache."""
         return await self._call(
-            "POST", "/prefill", PrefillResult, request, read_s=_PREFILL_S
+            "POST", "/prefill", PrefillResult, request, read_timeout_s=_PREFILL_S
         )
 
     async def decode(self, request: DecodeRequest) -> AsyncIterator[DecodeChunk]:
@@ -61,7 +65,7 @@
     ) -> AsyncIterator[DecodeChunk]:
         """Stream output again from `offset` on a new connection."""
         path = f"/requests/{engine_request_id}/stream?offset={offset}"
-        async for chunk in self._chunks("GET", path, b"", fresh=True):
+        async for chunk in self._chunks("GET", path, b"", new_connection=True):
             yield chunk
 
     async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
@@ -95,12 +99,16 @@
         kind: Any,
         body: msgspec.Struct | None = None,
         *,
-        read_s: float = _SHORT_S,
+        read_timeout_s: float = _SHORT_S,
         repeat: bool = False,
     ) -> Result[Any, Failure]:
-        failure = await self._try(method, path, kind, body, read_s, fresh=False)
+        failure = await self._try(
+            method, path, kind, body, read_timeout_s, new_connection=False
+        )
         if isinstance(failure, Err) and repeat:
-            return await self._try(method, path, kind, body, read_s, fresh=True)
+            return await self._try(
+                method, path, kind, body, read_timeout_s, new_connection=True
+            )
         return failure
 
     async def _try(
@@ -109,17 +117,17 @@
         path: str,
         kind: Any,
         body: msgspec.Struct | None,
-        read_s: float,
-        fresh: bool,
+        read_timeout_s: float,
+        new_connection: bool,
     ) -> Result[Any, Failure]:
         try:
             reply = await self._client.call(
                 method,
                 self._base + path,
                 body=msgspec.json.encode(body) if body is not None else b"",
-                read_s=read_s,
-                limit_bytes=_ANSWER_LIMIT_BYTES,
-                fresh=fresh,
+                read_timeout_s=read_timeout_s,
+                max_bytes=_ANSWER_LIMIT_BYTES,
+                new_connection=new_connection,
             )
             if reply.status // 100 != 2:
                 return Err(_refusal(reply))
@@ -130,16 +138,18 @@
             return Err(error.failure)
 
     async def _chunks(
-        self, method: str, path: str, body: bytes, fresh: bool = False
+        self, method: str, path: str, body: bytes, new_connection: bool = False
     ) -> AsyncIterator[DecodeChunk]:
         url = self._base + path
         # The life cycle detects silence; a timer at every read would be costly.
-        opened = self._client.stream(method, url, body=body, read_s=None, fresh=fresh)
+        opened = self._client.stream(
+            method, url, body=body, read_timeout_s=None, new_connection=new_connection
+        )
         async with opened as response:
             lines = self._client.lines(response, _LINE_LIMIT_BYTES)
             if response.status != 200:
                 data = b"".join([line async for line in lines])
-                raise StreamFailed(_refusal(HttpReply(response.status, "", data)))
+                raise StreamFailed(_refusal(HttpResponse(response.status, "", data)))
             async for line in lines:
                 chunk = _decoded(line, DecodeChunk)
                 yield chunk
@@ -151,12 +161,12 @@
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        raise failed("answer is not of the protocol") from None
+        raise backend_failure("answer is not of the protocol") from None
 
 
-def _refusal(reply: HttpReply) -> Failure:
+def _refusal(reply: HttpResponse) -> Failure:
     """Return the engine's own failure, if it sent one."""
     try:
         return msgspec.json.decode(reply.body, type=Failure)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        return failed(f"status {reply.status}").failure
+        return backend_failure(f"status {reply.status}").failure
--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -8,11 +8,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damaskridge.adapters.front_call import ModelCall, RunningCall
-from damaskridge.adapters.front_context import FrontContext, closing, report
+from damaskridge.adapters.front_call import ModelCall, RunningModelCall
+from damaskridge.adapters.front_context import FrontContext, closing_stream, report
 from damaskridge.adapters.front_owners import OwnerClient
 from damaskridge.adapters.front_resume import StreamResumer
-from damaskridge.adapters.front_services import RouteCall, RunningService
+from damaskridge.adapters.front_services import RouteCall, RunningServiceCall
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.ports import (
     CellPort,
@@ -20,8 +20,8 @@
     EnginePort,
     PeerPort,
     RatePort,
-    ServiceAnswer,
     ServicePort,
+    ServiceResponse,
 )
 from damaskridge.core.requests.messages import TakenOver
 from damaskridge.core.state.fleet_queries import (
@@ -109,12 +109,12 @@
         self.settings = settings
         self.draining = False
         self._sequence = 0
-        self._calls: dict[str, RunningCall] = {}
-        self._services: dict[str, RunningService] = {}
+        self._model_calls: dict[str, RunningModelCall] = {}
+        self._services: dict[str, RunningServiceCall] = {}
         self._ended: dict[str, int] = {}
         self._registered: dict[str, int] = {}
         self._seen_index = -1
-        self._resumer = StreamResumer(self.context, self._calls)
+        self._resumer = StreamResumer(self.context, self._model_calls)
 
     @property
     def fleet(self) -> FleetView:
@@ -134,43 +134,47 @@
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
         return self.context.index.workspace_of_key(self.fleet, digest)
 
-    def key_works(self, digest: str) -> bool:
+    def is_key_valid(self, digest: str) -> bool:
         """Tell whether a running stream may go on for a key."""
         return isinstance(self.context.index.workspace_of_key(self.fleet, digest), Ok)
 
-    def accept(self, call: ModelCall) -> Result[RunningCall, Failure]:
+    def accept(self, call: ModelCall) -> Result[RunningModelCall, Failure]:
         """Start a request to a model."""
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
         if self.context.is_quarantined(call.fingerprint):
             return Err(Failure(ErrorKind.REQUEST_QUARANTINED))
-        running = RunningCall(self.context, call)
-        self._calls[running.request_id] = running
+        running = RunningModelCall(self.context, call)
+        self._model_calls[running.request_id] = running
         running.begin()
         return Ok(running)
 
-    async def output(self, running: RunningCall) -> AsyncIterator[DecodeChunk]:
+    async def read_output(
+        self, running: RunningModelCall
+    ) -> AsyncIterator[DecodeChunk]:
         """Yield a request's output, or that of the request it repeats."""
         stream = running.read(0)
-        async with closing(stream):
+        async with closing_stream(stream):
             async for chunk in stream:
                 yield chunk
-        original = running.original
-        if original is not None:
+        duplicate_of = running.duplicate_of
+        if duplicate_of is not None:
             workspace = running.call.workspace
-            stream = self.resume(original.request_id, workspace, 0, original.front)
-            async with closing(stream):
+            stream = self.resume(
+                duplicate_of.request_id, workspace, 0, duplicate_of.front
+            )
+            async with closing_stream(stream):
                 async for chunk in stream:
                     yield chunk
 
-    async def call_service(self, call: RouteCall) -> Result[ServiceAnswer, Failure]:
+    async def call_service(self, call: RouteCall) -> Result[ServiceResponse, Failure]:
         """Call a plain service; a call that has left outlives its caller."""
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
-        running = RunningService(self.context, call)
+        running = RunningServiceCall(self.context, call)
         running.events.accepted()
         self._services[running.request_id] = running
-        done: asyncio.Future[Result[ServiceAnswer, Failure]]
+        done: asyncio.Future[Result[ServiceResponse, Failure]]
         done = asyncio.get_running_loop().create_future()
         running.task = self.context.start(self._run_service(running, done))
         try:
@@ -180,10 +184,10 @@
 
     async def _run_service(
         self,
-        running: RunningService,
-        done: asyncio.Future[Result[ServiceAnswer, Failure]],
+        running: RunningServiceCall,
+        done: asyncio.Future[Result[ServiceResponse, Failure]],
     ) -> None:
-        result: Result[ServiceAnswer, Failure] = Err(Failure(ErrorKind.INTERNAL))
+        result: Result[ServiceResponse, Failure] = Err(Failure(ErrorKind.INTERNAL))
         cancelled = False
         try:
             result = await running.run()
@@ -208,19 +212,19 @@
     ) -> AsyncIterator[DecodeChunk]:
         """Yield output of a request that this host runs; raises `StreamFailed`."""
         stream = self._resumer.local(request_id, workspace, offset)
-        async with closing(stream):
+        async with closing_stream(stream):
             async for chunk in stream:
                 yield chunk
 
     def cancel(self, request_id: str) -> None:
         """Cancel a request of this host for its caller."""
-        running = self._calls.get(request_id)
+        running = self._model_calls.get(request_id)
         if running is not None:
             running.cancel(Failure(ErrorKind.CANCELLED))
 
-    def taken_over(self, request_id: str) -> None:
+    def handle_take_over(self, request_id: str) -> None:
         """Stop a request that another host continues; engines keep running it."""
-        running = self._calls.get(request_id)
+        running = self._model_calls.get(request_id)
         if running is not None:
             running.dispatch(TakenOver())
 
@@ -248,7 +252,7 @@
                 running.call.body_digest,
                 running.machine.ended,
             )
-            for running in self._calls.values()
+            for running in self._model_calls.values()
             if running.call.workspace == workspace
             and running.call.idempotency_key
             and running.granted
@@ -284,13 +288,13 @@
             await asyncio.sleep(self.settings.check_s)
 
     def _running(self) -> Iterable[_Running]:
-        for running in self._calls.values():
+        for running in self._model_calls.values():
             if not running.machine.ended:
                 yield running
         yield from self._services.values()
 
     def _stop_withdrawn_keys(self) -> None:
-        for running in list(self._calls.values()):
+        for running in list(self._model_calls.values()):
             # The reader of a request that was taken over watches its own key.
             if running.machine.ended or not running.call.key_digest:
                 continue
@@ -344,7 +348,7 @@
             items = batches.setdefault(running.profile.resource, [])
             if running.placement is not None:
                 items.append(running.progress())
-        for call in self._calls.values():
+        for call in self._model_calls.values():
             if not call.machine.ended or call.profile is None:
                 continue
             sent = self._ended.get(call.request_id, 0)
@@ -356,10 +360,12 @@
 
     def _forget_old(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        ended = [call for call in self._calls.values() if call.ended_s is not None]
+        ended = [
+            call for call in self._model_calls.values() if call.ended_s is not None
+        ]
         surplus = len(ended) - self.settings.retain_requests
         for number, call in enumerate(ended):
             age_s = now_s - (call.ended_s or now_s)
             if number < surplus or age_s > self.settings.retain_s:
-                del self._calls[call.request_id]
+                del self._model_calls[call.request_id]
                 self._ended.pop(call.request_id, None)
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -9,15 +9,15 @@
 import msgspec
 from result import Err
 
-from damaskridge.adapters.front_claims import AnswerClaim
+from damaskridge.adapters.front_claims import ResponseClaim
 from damaskridge.adapters.front_context import (
     FrontContext,
-    ask_rate,
-    closing,
+    closing_stream,
     place,
     report,
+    reserve_rate,
 )
-from damaskridge.adapters.front_events import RequestEvents
+from damaskridge.adapters.front_events import RequestEventLogger
 from damaskridge.adapters.front_output import RequestOutput
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import (
@@ -70,7 +70,7 @@
     Withdraw,
 )
 
-__all__ = ["ModelCall", "RunningCall"]
+__all__ = ["ModelCall", "RunningModelCall"]
 
 _logger = logging.getLogger(__name__)
 # A cancel can overtake the call that it cancels, so it is sent a second time.
@@ -91,7 +91,7 @@
     body_digest: str = ""
 
 
-class RunningCall:
+class RunningModelCall:
     """
     One request with its output and its readers.
 
@@ -110,7 +110,7 @@
         self._loop = asyncio.get_running_loop()
         self.call = call
         self.accepted_s = self._loop.time()
-        self._events = RequestEvents(
+        self._events = RequestEventLogger(
             call.spec.request_id, call.workspace, self._loop.time
         )
         self.machine = RequestMachine(
@@ -118,14 +118,14 @@
         )
         self.profile: RequestProfile | None = None
         self.failure: Failure | None = None
-        self.original: Duplicate | None = None
+        self.duplicate_of: Duplicate | None = None
         self.ended_s: float | None = None
         self.moved = False
         self._output = RequestOutput(self.machine)
         self._grant: tuple[str, RateGrant] | None = None
-        self._claimed: AnswerClaim | None = None
+        self._claimed: ResponseClaim | None = None
         if call.idempotency_key:
-            self._claimed = AnswerClaim(
+            self._claimed = ResponseClaim(
                 context,
                 request_id=self.request_id,
                 workspace=call.workspace,
@@ -176,7 +176,7 @@
         self._readers += 1
         stream = self._output.read(offset)
         try:
-            async with closing(stream):
+            async with closing_stream(stream):
                 async for chunk in stream:
                     yield chunk
         finally:
@@ -184,7 +184,7 @@
             self._reader_left()
 
     def _reader_left(self) -> None:
-        if self._readers or self.machine.ended or self.original is not None:
+        if self._readers or self.machine.ended or self.duplicate_of is not None:
             return
         if self.call.streaming and self.machine.texts:
             grace_s = self._context.settings.resume_grace_s
@@ -316,11 +316,15 @@
         self._stop()
         if self._timer is not None:
             self._timer.cancel()
-        self._output.end(action.failure, answered_elsewhere=self.original is not None)
+        self._output.end(
+            action.failure, answered_elsewhere=self.duplicate_of is not None
+        )
         context = self._context
         if self.call.idempotency_key and not self.moved:
             resource = workspace_resource(self.call.workspace)
-            ended = context.rates.ended(resource, self.call.workspace, self.request_id)
+            ended = context.rates.notify_request_ended(
+                resource, self.call.workspace, self.request_id
+            )
             context.start(context.owners.tell(ended))
         cancelled = self.machine.stage is Stage.CANCELLED
         machine = self.machine
@@ -340,13 +344,13 @@
             body_digest=self.call.body_digest,
             wait_s=self._context.settings.rate_wait_s,
         )
-        reply = await ask_rate(self._context, request)
+        reply = await reserve_rate(self._context, request)
         if isinstance(reply, RateGrant):
             self._grant = (request.resource, reply)
             self._events.granted(reply.waited_s)
             self.dispatch(Granted())
         elif isinstance(reply, Duplicate):
-            self.original = reply
+            self.duplicate_of = reply
             self.dispatch(TakenOver())
         else:
             self.dispatch(RateRefused(reply.failure))
@@ -421,7 +425,7 @@
         self, attempt: int, server: str, chunks: AsyncIterator[DecodeChunk]
     ) -> None:
         try:
-            async with closing(chunks):
+            async with closing_stream(chunks):
                 async for chunk in chunks:
                     if chunk.finish_reason is not None and not await self._claim():
                         return
@@ -437,7 +441,7 @@
         """Tell whether the answer may end; a keyed request ends once in the fleet."""
         if self._claimed is None:
             return True
-        failure = await self._claimed.win()
+        failure = await self._claimed.acquire()
         if failure is not None:
             self.cancel(failure)
         return failure is None
--- a/src/damaskridge/adapters/front_claims.py
+++ b/src/damaskridge/adapters/front_claims.py
@@ -16,7 +16,7 @@
 )
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["AnswerClaim"]
+__all__ = ["ResponseClaim"]
 
 # No header can contain it, so keys of calls to plain services stay apart.
 _PREFIX = "model\x00"
@@ -24,7 +24,7 @@
 _RETRY_S = 0.25
 
 
-class AnswerClaim:
+class ResponseClaim:
     """
     The claim of one request; asked for once, whoever waits for it.
 
@@ -53,7 +53,7 @@
         self._intent: RecordIntent | None = None
         self._task: asyncio.Task[Failure | None] | None = None
 
-    async def win(self) -> Failure | None:
+    async def acquire(self) -> Failure | None:
         """Return why the last chunk may not be delivered, `None` if it may."""
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._ask())
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -39,7 +39,7 @@
     SubmitReply,
 )
 
-__all__ = ["FrontContext", "ask_rate", "closing", "place", "report"]
+__all__ = ["FrontContext", "reserve_rate", "closing_stream", "place", "report"]
 
 _logger = logging.getLogger(__name__)
 
@@ -134,7 +134,7 @@
 
 
 @asynccontextmanager
-async def closing(chunks: AsyncIterator[DecodeChunk]) -> AsyncIterator[None]:
+async def closing_stream(chunks: AsyncIterator[DecodeChunk]) -> AsyncIterator[None]:
     """Close a stream on the way out, so that its connection is released at once."""
     try:
         yield
@@ -144,7 +144,7 @@
             await close()
 
 
-async def ask_rate(context: FrontContext, request: RateRequest) -> RateReply:
+async def reserve_rate(context: FrontContext, request: RateRequest) -> RateReply:
     """Ask the rate owner; a grant that arrives after its end is asked for again."""
     loop = asyncio.get_running_loop()
     sent_s = loop.time()
--- a/src/damaskridge/adapters/front_events.py
+++ b/src/damaskridge/adapters/front_events.py
@@ -9,12 +9,12 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import Placement
 
-__all__ = ["RequestEvents"]
+__all__ = ["RequestEventLogger"]
 
 _logger = logging.getLogger("damaskridge.front")
 
 
-class RequestEvents:
+class RequestEventLogger:
     """
     Logs the steps of one request.
 
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from damaskridge.adapters.front_call import ModelCall, RunningCall
-from damaskridge.adapters.front_context import FrontContext, closing
+from damaskridge.adapters.front_call import ModelCall, RunningModelCall
+from damaskridge.adapters.front_context import FrontContext, closing_stream
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.core.requests.messages import Continued, RequestSpec
@@ -43,31 +43,33 @@
     ----------
     context : FrontContext
         What the front's requests share.
-    calls : dict[str, RunningCall]
+    calls : dict[str, RunningModelCall]
         The front's requests; a request that is taken over is added.
     """
 
-    def __init__(self, context: FrontContext, calls: dict[str, RunningCall]) -> None:
+    def __init__(
+        self, context: FrontContext, calls: dict[str, RunningModelCall]
+    ) -> None:
         self._context = context
-        self._calls = calls
+        self._model_calls = calls
 
     async def local(
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
         """Yield output of a request of this front; raises `StreamFailed`."""
-        running = self._calls.get(request_id)
+        running = self._model_calls.get(request_id)
         if running is None or running.call.workspace != workspace:
             raise StreamFailed(Failure(ErrorKind.UNKNOWN_REQUEST, request_id[:80]))
         stream = running.read(offset)
-        async with closing(stream):
+        async with closing_stream(stream):
             async for chunk in stream:
                 yield chunk
-        original = running.original
-        if original is not None:
+        duplicate_of = running.duplicate_of
+        if duplicate_of is not None:
             relayed = self.resume(
-                original.request_id, workspace, offset, original.front
+                duplicate_of.request_id, workspace, offset, duplicate_of.front
             )
-            async with closing(relayed):
+            async with closing_stream(relayed):
                 async for chunk in relayed:
                     yield chunk
 
@@ -83,7 +85,7 @@
         while True:
             try:
                 stream = await self._find(request_id, workspace, offset, front)
-                async with closing(stream):
+                async with closing_stream(stream):
                     async for chunk in stream:
                         if chunk.offset != offset:
                             continue
@@ -127,7 +129,7 @@
         self, request_id: str, workspace: str, offset: int, front: str
     ) -> AsyncIterator[DecodeChunk]:
         host, incarnation = self._home(request_id, front)
-        if request_id in self._calls:
+        if request_id in self._model_calls:
             return self.local(request_id, workspace, offset)
         session = self._context.control.fleet.sessions.get(host)
         alive = session is not None and incarnation in (None, session.incarnation)
@@ -142,7 +144,7 @@
     ) -> AsyncIterator[DecodeChunk]:
         stream = self._context.peers.resume_stream(host, request_id, workspace, offset)
         try:
-            async with closing(stream):
+            async with closing_stream(stream):
                 async for chunk in stream:
                     yield chunk
         except (OSError, TimeoutError) as error:
@@ -188,7 +190,7 @@
 
     def _continue(self, active: ActiveRequest, workspace: str, offset: int) -> None:
         profile = active.profile
-        if profile.request_id in self._calls:
+        if profile.request_id in self._model_calls:
             return
         spec = RequestSpec(
             request_id=profile.request_id,
@@ -207,13 +209,13 @@
             spec=spec,
             fingerprint=profile.fingerprint,
         )
-        running = RunningCall(self._context, call)
+        running = RunningModelCall(self._context, call)
         running.profile = msgspec.structs.replace(
             profile,
             front=self._context.host,
             incarnation=self._context.incarnation,
         )
-        self._calls[profile.request_id] = running
+        self._model_calls[profile.request_id] = running
         log_event(_logger, EventNumber.STREAM_TAKEN_OVER, request_id=profile.request_id)
         # Another caller may resume from an earlier offset, so all text is fetched.
         running.dispatch(Continued(active.placement, 0, wanted_offset=offset))
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -8,10 +8,10 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damaskridge.adapters.front_context import FrontContext, ask_rate, place, report
-from damaskridge.adapters.front_events import RequestEvents
+from damaskridge.adapters.front_context import FrontContext, place, report, reserve_rate
+from damaskridge.adapters.front_events import RequestEventLogger
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.ports import ServiceAnswer, ServiceCall
+from damaskridge.adapters.ports import ServiceCall, ServiceResponse
 from damaskridge.core.state.fleet_queries import workspace_resource
 from damaskridge.model.bundle import Route
 from damaskridge.model.control import (
@@ -34,7 +34,7 @@
     Withdraw,
 )
 
-__all__ = ["RouteCall", "RunningService"]
+__all__ = ["RouteCall", "RunningServiceCall"]
 
 _logger = logging.getLogger(__name__)
 _ATTEMPTS = 3
@@ -53,7 +53,7 @@
     body_digest: str = ""
 
 
-class RunningService:
+class RunningServiceCall:
     """
     One call to a plain service.
 
@@ -72,7 +72,7 @@
         self._loop = asyncio.get_running_loop()
         self.call = call
         self.accepted_s = self._loop.time()
-        self.events = RequestEvents(
+        self.events = RequestEventLogger(
             call.request_id, call.workspace, self._loop.time, "service"
         )
         self.sent = False
@@ -106,7 +106,7 @@
         if self.task is not None and queued and not self._may_have_run:
             self.task.cancel()
 
-    async def run(self) -> Result[ServiceAnswer, Failure]:
+    async def run(self) -> Result[ServiceResponse, Failure]:
         """Return the answer of the service, or why there is none."""
         route = self.call.route
         if not route.repeatable and not self.call.idempotency_key:
@@ -135,7 +135,7 @@
             cost_tokens=call.route.cost_tokens,
             wait_s=self._context.settings.rate_wait_s,
         )
-        reply = await ask_rate(self._context, request)
+        reply = await reserve_rate(self._context, request)
         if isinstance(reply, RateGrant):
             self._grant = reply
             self.events.granted(reply.waited_s)
@@ -167,7 +167,7 @@
         progress = self._progress(RequestPhase.CANCELLED)
         await report(context, profile.resource, (progress,))
 
-    async def _attempts(self) -> Result[ServiceAnswer, Failure]:
+    async def _attempts(self) -> Result[ServiceResponse, Failure]:
         excluded: tuple[str, ...] = ()
         while True:
             self._attempt += 1
@@ -212,13 +212,13 @@
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
 
-    async def _once(self, placement: Placement) -> Result[ServiceAnswer, Failure]:
+    async def _once(self, placement: Placement) -> Result[ServiceResponse, Failure]:
         failed_server = ""
         try:
             if self.call.route.repeatable:
                 result = await self._send(placement)
             else:
-                result = await self._send_once_only(placement)
+                result = await self._send_with_ledger(placement)
             if isinstance(result, Err) and result.err_value.kind in _RETRIED:
                 failed_server = placement.decode_server
             return result
@@ -226,7 +226,7 @@
             self.sent = False
             await self._finished(failed_server)
 
-    async def _send(self, placement: Placement) -> Result[ServiceAnswer, Failure]:
+    async def _send(self, placement: Placement) -> Result[ServiceResponse, Failure]:
         if not self.call.route.open_to_all:
             # Asked again: the key may have been withdrawn while the call was queued.
             failure = self._context.key_failure(self.call.key_digest)
@@ -235,13 +235,15 @@
         self.sent = True
         call = self._context.services.call(placement.decode_address, self.call.call)
         try:
-            return await asyncio.wait_for(call, self._context.settings.service_wait_s)
+            return await asyncio.wait_for(
+                call, self._context.settings.service_timeout_s
+            )
         except TimeoutError:
             return Err(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
 
-    async def _send_once_only(
+    async def _send_with_ledger(
         self, placement: Placement
-    ) -> Result[ServiceAnswer, Failure]:
+    ) -> Result[ServiceResponse, Failure]:
         call = self.call
         session = self._context.control.session
         if session is None:
@@ -263,12 +265,12 @@
         self._log(EventNumber.LEDGER_INTENT, state=record.state.value)
         if record.state is LedgerState.FINISHED:
             self._log(EventNumber.LEDGER_REPLAYED, status=record.status)
-            return Ok(ServiceAnswer(record.status, record.content_type, record.body))
+            return Ok(ServiceResponse(record.status, record.content_type, record.body))
         if record.state is not LedgerState.NEW:
             return Err(Failure(_LEDGER_REFUSALS[record.state]))
         current = self._context.control.session
         if current is None or current.number != session.number:
-            result: Result[ServiceAnswer, Failure] = Err(
+            result: Result[ServiceResponse, Failure] = Err(
                 Failure(ErrorKind.SESSION_ENDED, retry_after_s=1.0)
             )
         else:
@@ -276,8 +278,8 @@
         return await self._record(intent, result)
 
     async def _record(
-        self, intent: RecordIntent, result: Result[ServiceAnswer, Failure]
-    ) -> Result[ServiceAnswer, Failure]:
+        self, intent: RecordIntent, result: Result[ServiceResponse, Failure]
+    ) -> Result[ServiceResponse, Failure]:
         not_run = isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN
         answer = result.ok_value if isinstance(result, Ok) else _unknown_answer(self)
         record = RecordResult(
@@ -299,7 +301,9 @@
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, result.err_value.kind.value))
         return result
 
-    def log_end(self, result: Result[ServiceAnswer, Failure], cancelled: bool) -> None:
+    def log_end(
+        self, result: Result[ServiceResponse, Failure], cancelled: bool
+    ) -> None:
         """Log the final answer."""
         failure = result.err_value if isinstance(result, Err) else None
         self.events.ended(failure, cancelled, self._output_tokens, self._attempt)
@@ -344,7 +348,7 @@
     return failure
 
 
-def _unknown_answer(run: RunningService) -> ServiceAnswer:
+def _unknown_answer(run: RunningServiceCall) -> ServiceResponse:
     # A later call with the same key is answered, and never sent.
     error = {
         "kind": ErrorKind.OUTCOME_UNKNOWN.value,
@@ -354,4 +358,4 @@
         "retry_after_s": None,
     }
     body = msgspec.json.encode({"error": error})
-    return ServiceAnswer(502, "application/json", body)
+    return ServiceResponse(502, "application/json", body)
--- a/src/damaskridge/adapters/front_settings.py
+++ b/src/damaskridge/adapters/front_settings.py
@@ -25,7 +25,7 @@
         See `RetryLimits`.
     body_limit_bytes, body_wait_s : int, float
         Largest body of a caller, and longest time until it is complete.
-    write_wait_s : float
+    write_timeout_s : float
         Longest time for which a caller may leave its stream unread.
     keep_s : float
         How long callers may cache the address list.
@@ -33,7 +33,7 @@
         How long a stream that began runs on after its caller disconnected.
     retain_s, retain_requests : float, int
         How long, and how many, finished answers stay readable.
-    service_wait_s : float
+    service_timeout_s : float
         Longest call to a plain service.
     default_output_tokens : int
         Output tokens of a request that names no limit.
@@ -52,12 +52,12 @@
     crashes: int = 2
     body_limit_bytes: int = 1_048_576
     body_wait_s: float = 10.0
-    write_wait_s: float = 10.0
+    write_timeout_s: float = 10.0
     keep_s: float = 5.0
     resume_grace_s: float = 3.0
     retain_s: float = 30.0
     retain_requests: int = 1_000
-    service_wait_s: float = 30.0
+    service_timeout_s: float = 30.0
     default_output_tokens: int = 256
     progress_s: float = 1.0
     check_s: float = 0.1
--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -299,7 +299,7 @@
         return ExchangeLimits(
             body_limit_bytes=limits.body_bytes,
             body_wait_s=limits.idle_timeout_ms / 1000,
-            write_wait_s=WRITE_WAIT_S,
+            write_timeout_s=WRITE_WAIT_S,
         )
 
 
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -50,7 +50,7 @@
         """Return the names of backend servers that are leaving or gone."""
         try:
             reply = await self._client.call(
-                "GET", self._url, read_s=_READ_S, limit_bytes=_ANSWER_LIMIT_BYTES
+                "GET", self._url, read_timeout_s=_READ_S, max_bytes=_ANSWER_LIMIT_BYTES
             )
             hosts = msgspec.json.decode(reply.body, type=tuple[ListedHost, ...])
         except StreamFailed as error:
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from damaskridge.adapters.front import Front
-from damaskridge.adapters.front_call import ModelCall, RunningCall
+from damaskridge.adapters.front_call import ModelCall, RunningModelCall
 from damaskridge.adapters.front_services import RouteCall
 from damaskridge.adapters.http.answers import AnswerForm, error_event
 from damaskridge.adapters.http.bodies import (
@@ -68,7 +68,7 @@
         self._limits = ExchangeLimits(
             body_limit_bytes=settings.body_limit_bytes,
             body_wait_s=settings.body_wait_s,
-            write_wait_s=settings.write_wait_s,
+            write_timeout_s=settings.write_timeout_s,
         )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -214,25 +214,25 @@
         await self._answer_call(exchange, accepted.ok_value, form)
 
     async def _answer_call(
-        self, exchange: Exchange, running: RunningCall, form: AnswerForm
+        self, exchange: Exchange, running: RunningModelCall, form: AnswerForm
     ) -> None:
         def named() -> None:
-            if running.original is not None:
-                exchange.request_id = running.original.request_id
+            if running.duplicate_of is not None:
+                exchange.request_id = running.duplicate_of.request_id
 
-        def key_works() -> bool:
+        def is_key_valid() -> bool:
             # The front ends its own requests and knows whether they have run.
-            local = running.original is None
-            return local or self._front.key_works(running.call.key_digest)
+            local = running.duplicate_of is None
+            return local or self._front.is_key_valid(running.call.key_digest)
 
-        chunks = self._front.output(running)
+        chunks = self._front.read_output(running)
         if running.call.streaming:
             work = send_events(exchange, chunks, form, named)
         else:
             tokens = running.call.spec.prompt_tokens
             work = send_whole(exchange, chunks, form, tokens, named)
         try:
-            await while_watched(exchange, work, key_works)
+            await while_watched(exchange, work, is_key_valid)
         except CallerGone as gone:
             if gone.too_slow:
                 running.cancel(Failure(ErrorKind.CALLER_TOO_SLOW))
@@ -254,7 +254,9 @@
         form = AnswerForm(chat=True, completion=True)
         work = send_events(exchange, stream, form, lambda: None)
         try:
-            await while_watched(exchange, work, lambda: self._front.key_works(digest))
+            await while_watched(
+                exchange, work, lambda: self._front.is_key_valid(digest)
+            )
         except CallerGone as gone:
             if gone.too_slow:
                 self._front.cancel(request_id)
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -47,13 +47,13 @@
     ----------
     body_limit_bytes, body_wait_s : int, float
         Largest body, and longest time until it is complete.
-    write_wait_s : float
+    write_timeout_s : float
         Longest time for which the caller may leave its answer unread.
     """
 
     body_limit_bytes: int
     body_wait_s: float
-    write_wait_s: float
+    write_timeout_s: float
 
 
 class Exchange:
@@ -178,7 +178,7 @@
             if self.is_watched:
                 await self._send(message)
             else:
-                async with asyncio.timeout(self._limits.write_wait_s):
+                async with asyncio.timeout(self._limits.write_timeout_s):
                     await self._send(message)
         except TimeoutError:
             raise CallerGone(too_slow=True) from None
@@ -199,7 +199,7 @@
     def stalled(self) -> bool:
         """Tell whether the caller has not read for too long."""
         now_s = asyncio.get_running_loop().time()
-        return now_s - self._writing_since_s >= self._limits.write_wait_s
+        return now_s - self._writing_since_s >= self._limits.write_timeout_s
 
     async def _disconnected(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
-from damaskridge.adapters.front_context import closing
+from damaskridge.adapters.front_context import closing_stream
 from damaskridge.adapters.http.answers import AnswerForm
 from damaskridge.adapters.http.exchange import CallerGone, Exchange
 from damaskridge.adapters.ports import StreamFailed
@@ -23,7 +23,7 @@
 async def while_watched(
     exchange: Exchange,
     work: Coroutine[Any, Any, None],
-    key_works: Callable[[], bool],
+    is_key_valid: Callable[[], bool],
 ) -> None:
     """Run `work` until the caller disconnects or its key is withdrawn."""
     async with exchange.watched() as gone:
@@ -36,7 +36,7 @@
                     waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
                 )
                 if not task.done():
-                    _check(exchange, gone, key_works)
+                    _check(exchange, gone, is_key_valid)
         finally:
             exchange.is_watched = False
             task.cancel()
@@ -45,13 +45,13 @@
 
 
 def _check(
-    exchange: Exchange, gone: asyncio.Task[None], key_works: Callable[[], bool]
+    exchange: Exchange, gone: asyncio.Task[None], is_key_valid: Callable[[], bool]
 ) -> None:
     if gone.done():
         raise CallerGone
     if exchange.stalled():
         raise CallerGone(too_slow=True)
-    if not key_works():
+    if not is_key_valid():
         run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
         raise StreamFailed(Failure(ErrorKind.KEY_WITHDRAWN, run_state=run_state))
 
@@ -63,7 +63,7 @@
     named: Callable[[], None],
 ) -> None:
     """Send chunks as events; `named` is called before the id is used."""
-    async with closing(chunks):
+    async with closing_stream(chunks):
         async for chunk in chunks:
             if not exchange.started:
                 named()
@@ -83,7 +83,7 @@
 ) -> None:
     """Send the answer in one piece once it is complete."""
     texts: list[str] = []
-    async with closing(chunks):
+    async with closing_stream(chunks):
         async for chunk in chunks:
             if chunk.finish_reason is None:
                 texts.append(chunk.text)
--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -8,12 +8,12 @@
 import httpcore
 import msgspec
 
-from damaskridge.adapters.http_pool import AddressPool
+from damaskridge.adapters.http_pool import BackendConnectionPool
 from damaskridge.adapters.http_streams import StreamBackend
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["BackendClient", "HttpReply", "failed"]
+__all__ = ["BackendClient", "HttpResponse", "backend_failure"]
 
 if importlib.util.find_spec("sniffio") is None:
     # httpcore tries to import it several times per request, and Python searches all
@@ -25,7 +25,7 @@
 _CONNECT_S = 1.0
 
 
-class HttpReply(msgspec.Struct, frozen=True):
+class HttpResponse(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     status: int
@@ -46,7 +46,7 @@
     def __init__(self, connections: int = 400) -> None:
         self._connections = connections
         self._backend = StreamBackend()
-        self._pools: dict[bytes, AddressPool] = {}
+        self._pools: dict[bytes, BackendConnectionPool] = {}
 
     async def close(self) -> None:
         """Close all connections."""
@@ -60,25 +60,30 @@
         *,
         body: bytes = b"",
         headers: list[tuple[bytes, bytes]] | None = None,
-        read_s: float | None,
-        limit_bytes: int,
-        fresh: bool = False,
-    ) -> HttpReply:
+        read_timeout_s: float | None,
+        max_bytes: int,
+        new_connection: bool = False,
+    ) -> HttpResponse:
         """Return the whole answer; raises `StreamFailed`."""
         stream = self.stream(
-            method, url, body=body, headers=headers, read_s=read_s, fresh=fresh
+            method,
+            url,
+            body=body,
+            headers=headers,
+            read_timeout_s=read_timeout_s,
+            new_connection=new_connection,
         )
         data = bytearray()
         async with stream as response:
             with _failures():
                 async for part in response.aiter_stream():
                     data += part
-                    if len(data) > limit_bytes:
-                        raise failed("answer over the limit")
-            return HttpReply(response.status, _content_type(response), bytes(data))
+                    if len(data) > max_bytes:
+                        raise backend_failure("answer over the limit")
+            return HttpResponse(response.status, _content_type(response), bytes(data))
 
     async def lines(
-        self, response: httpcore.Response, limit_bytes: int
+        self, response: httpcore.Response, max_bytes: int
     ) -> AsyncIterator[bytes]:
         """Yield the lines of a response; raises `StreamFailed`."""
         rest = b""
@@ -88,8 +93,8 @@
                 for line in lines:
                     if line.strip():
                         yield line
-                if len(rest) > limit_bytes:
-                    raise failed("line over the limit")
+                if len(rest) > max_bytes:
+                    raise backend_failure("line over the limit")
         if rest.strip():
             yield rest
 
@@ -101,13 +106,13 @@
         *,
         body: bytes = b"",
         headers: list[tuple[bytes, bytes]] | None = None,
-        read_s: float | None,
-        fresh: bool = False,
+        read_timeout_s: float | None,
+        new_connection: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
         """
         Give the response with its body unread; raises `StreamFailed`.
 
-        With `fresh` the call never meets a connection that went silent.
+        With `new_connection` the call never meets a connection that went silent.
         """
         with _failures():
             parsed = httpcore.URL(url)
@@ -116,8 +121,8 @@
                 parsed.target,
                 headers or [(b"content-type", b"application/json")],
                 body,
-                read_s,
-                fresh,
+                read_timeout_s,
+                new_connection,
             )
             response = await opened.__aenter__()
         try:
@@ -125,11 +130,11 @@
         finally:
             await opened.__aexit__(None, None, None)
 
-    def _pool_of(self, url: httpcore.URL) -> AddressPool:
+    def _pool_of(self, url: httpcore.URL) -> BackendConnectionPool:
         port = url.port or 80
         address = b"%b:%d" % (url.host, port)
         if address not in self._pools:
-            self._pools[address] = AddressPool(
+            self._pools[address] = BackendConnectionPool(
                 url.host,
                 port,
                 self._backend,
@@ -146,12 +151,12 @@
     try:
         yield
     except _NOT_SENT as error:
-        raise failed(type(error).__name__, RunState.NOT_RUN) from error
+        raise backend_failure(type(error).__name__, RunState.NOT_RUN) from error
     except httpcore.TimeoutException as error:
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, type(error).__name__)
         raise StreamFailed(failure) from error
     except _BROKEN as error:
-        raise failed(type(error).__name__) from error
+        raise backend_failure(type(error).__name__) from error
 
 
 _NOT_SENT = (
@@ -164,7 +169,7 @@
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, OSError, ValueError)
 
 
-def failed(detail: str, run_state: RunState | None = None) -> StreamFailed:
+def backend_failure(detail: str, run_state: RunState | None = None) -> StreamFailed:
     """Return the exception for a backend server that failed."""
     failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, detail, run_state)
     return StreamFailed(failure)
--- a/src/damaskridge/adapters/http_pool.py
+++ b/src/damaskridge/adapters/http_pool.py
@@ -6,12 +6,12 @@
 
 import httpcore
 
-__all__ = ["AddressPool"]
+__all__ = ["BackendConnectionPool"]
 
 Headers = list[tuple[bytes, bytes]]
 
 
-class AddressPool:
+class BackendConnectionPool:
     """
     Open connections to one address.
 
@@ -64,31 +64,35 @@
         target: bytes,
         headers: Headers,
         body: bytes,
-        read_s: float | None,
-        fresh: bool,
+        read_timeout_s: float | None,
+        new_connection: bool,
     ) -> AsyncIterator[httpcore.Response]:
-        """Give the response with its body unread; `fresh` opens a new connection."""
+        """Yield the response with its body unread."""
         if self._running >= self._limit:
             raise httpcore.PoolTimeout
         self._running += 1
         try:
-            connection = await self._connection(fresh)
-            request = self._request(method, target, headers, body, read_s)
+            connection = await self._connection(new_connection)
+            request = self._request(method, target, headers, body, read_timeout_s)
             response = await connection.handle_async_request(request)
             try:
                 yield response
             finally:
                 await response.aclose()
-                if connection.is_idle() and not fresh and not _has_extra(connection):
+                if (
+                    connection.is_idle()
+                    and not new_connection
+                    and not _has_extra(connection)
+                ):
                     self._idle.append((connection, _now_s()))
                 else:
                     await connection.aclose()
         finally:
             self._running -= 1
 
-    async def _connection(self, fresh: bool) -> httpcore.AsyncHTTP11Connection:
+    async def _connection(self, new_connection: bool) -> httpcore.AsyncHTTP11Connection:
         # The connection used last is the least likely to have gone silent.
-        while self._idle and not fresh:
+        while self._idle and not new_connection:
             connection, idle_since_s = self._idle.pop()
             # The library's clock stands still while the machine is suspended.
             is_fresh = _now_s() - idle_since_s < self._keepalive_s
@@ -108,7 +112,7 @@
         target: bytes,
         headers: Headers,
         body: bytes,
-        read_s: float | None,
+        read_timeout_s: float | None,
     ) -> httpcore.Request:
         origin = self._origin
         url = httpcore.URL(
@@ -119,7 +123,7 @@
             headers = [(b"Content-Length", b"%d" % len(body)), *headers]
         if b"host" not in names:
             headers = [(b"Host", b"%b:%d" % (origin.host, origin.port)), *headers]
-        timeouts = {"write": read_s, "read": read_s}
+        timeouts = {"write": read_timeout_s, "read": read_timeout_s}
         return httpcore.Request(
             method, url, headers=headers, content=body, extensions={"timeout": timeouts}
         )
--- a/src/damaskridge/adapters/owners.py
+++ b/src/damaskridge/adapters/owners.py
@@ -5,10 +5,10 @@
 from damaskridge.adapters.cell_runtime import CellRuntime
 from damaskridge.adapters.rate_runtime import RateRuntime
 
-__all__ = ["Owners"]
+__all__ = ["OwnerRuntimes"]
 
 
-class Owners:
+class OwnerRuntimes:
     """Runs both kinds of owners together."""
 
     def __init__(self, rates: RateRuntime, cells: CellRuntime) -> None:
--- a/src/damaskridge/adapters/pending.py
+++ b/src/damaskridge/adapters/pending.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-__all__ = ["PendingReplies"]
+__all__ = ["PendingResponses"]
 
 T = TypeVar("T")
 
 
-class PendingReplies(Generic[T]):
+class PendingResponses(Generic[T]):
     """
     Futures by front and request id.
 
@@ -49,7 +49,7 @@
         future.set_result(reply)
         return True
 
-    def refuse(self, resource: str) -> None:
+    def refuse_all(self, resource: str) -> None:
         """Give up every call that waits on a resource."""
         for (front, request_id), name in list(self._resources.items()):
             if name == resource:
--- a/src/damaskridge/adapters/ports.py
+++ b/src/damaskridge/adapters/ports.py
@@ -45,7 +45,7 @@
     "HostListPort",
     "PeerPort",
     "RatePort",
-    "ServiceAnswer",
+    "ServiceResponse",
     "ServiceCall",
     "ServicePort",
     "StreamFailed",
@@ -107,7 +107,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServiceAnswer:
+class ServiceResponse:
     """The answer of a plain service."""
 
     status: int
@@ -120,7 +120,7 @@
 
     async def call(
         self, address: str, call: ServiceCall
-    ) -> Result[ServiceAnswer, Failure]:
+    ) -> Result[ServiceResponse, Failure]:
         """
         Send a call to one instance.
 
@@ -172,7 +172,9 @@
         """Give unused tokens back; a lost refund is not repeated."""
         ...
 
-    async def ended(self, resource: str, workspace: str, request_id: str) -> None:
+    async def notify_request_ended(
+        self, resource: str, workspace: str, request_id: str
+    ) -> None:
         """Tell that a request with an idempotency key has finished."""
         ...
 
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -14,7 +14,7 @@
     lease_is_valid,
     propose_release,
 )
-from damaskridge.adapters.pending import PendingReplies
+from damaskridge.adapters.pending import PendingResponses
 from damaskridge.adapters.ports import ControlPort
 from damaskridge.adapters.rpc.peer_messages import ActiveKey
 from damaskridge.core.limits.messages import (
@@ -104,7 +104,7 @@
         # Epochs that this process has held: a regained epoch starts empty.
         self._seen_epochs: dict[str, int] = {}
         self._passed_on: dict[str, int] = {}
-        self._pending: PendingReplies[RateReply] = PendingReplies(
+        self._pending: PendingResponses[RateReply] = PendingResponses(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
         )
         self._wake = anyio.Event()
@@ -165,7 +165,9 @@
             self._decide(RefundReceived(refund))
             self._wake.set()
 
-    async def ended(self, resource: str, workspace: str, request_id: str) -> None:
+    async def notify_request_ended(
+        self, resource: str, workspace: str, request_id: str
+    ) -> None:
         """Note that a request with an idempotency key has finished."""
         if workspace in self._held:
             self._decide(RequestEnded(workspace, request_id))
@@ -221,7 +223,7 @@
         _log_owner(EventNumber.OWNERSHIP_LOST, held.owner)
         # Whatever the machine answers, nothing may be granted any more.
         self._machine.handle(OwnershipEnded(name), anyio.current_time())
-        self._pending.refuse(held.owner.resource)
+        self._pending.refuse_all(held.owner.resource)
 
     def _release(self, held: _Held) -> None:
         held.releasing = True
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -123,10 +123,12 @@
         else:
             await self._lookup.send(refund.resource, refund.epoch, "Refund", refund)
 
-    async def ended(self, resource: str, workspace: str, request_id: str) -> None:
+    async def notify_request_ended(
+        self, resource: str, workspace: str, request_id: str
+    ) -> None:
         """Tell that a request with an idempotency key has finished."""
         if self._is_local(resource):
-            await self._local.ended(resource, workspace, request_id)
+            await self._local.notify_request_ended(resource, workspace, request_id)
             return
         message = KeyEnded(resource, workspace, request_id)
         await self._lookup.send(resource, None, "KeyEnded", message)
@@ -265,7 +267,7 @@
     async def notify_taken_over(self, host: str, request_id: str) -> None:
         """Tell a front that a request is no longer its; lost if it is gone."""
         if host == self._host and self._front is not None:
-            outcome = self._front.taken_over(request_id)
+            outcome = self._front.handle_take_over(request_id)
             if outcome is not None:
                 await outcome
             return
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -52,7 +52,7 @@
         """Relay a request's output; raises `StreamFailed`."""
         ...
 
-    def taken_over(self, request_id: str) -> Any:
+    def handle_take_over(self, request_id: str) -> Any:
         """Note that another front has continued a request; may be a coroutine."""
         ...
 
@@ -124,7 +124,9 @@
         return Ack()
 
     async def _key_ended(self, message: KeyEnded) -> Ack:
-        await self._rates.ended(message.resource, message.workspace, message.request_id)
+        await self._rates.notify_request_ended(
+            message.resource, message.workspace, message.request_id
+        )
         return Ack()
 
     async def _withdraw(self, message: Withdraw) -> Ack:
@@ -153,7 +155,7 @@
         return ActiveKeys(active_keys_of(self._front, message.workspace))
 
     async def _taken_over(self, message: RequestTakenOver) -> Ack:
-        outcome = self._front.taken_over(message.request_id)
+        outcome = self._front.handle_take_over(message.request_id)
         if outcome is not None:
             await outcome
         return Ack()
--- a/src/damaskridge/adapters/services/http_service.py
+++ b/src/damaskridge/adapters/services/http_service.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from damaskridge.adapters.http_client import BackendClient
-from damaskridge.adapters.ports import ServiceAnswer, ServiceCall, StreamFailed
+from damaskridge.adapters.ports import ServiceCall, ServiceResponse, StreamFailed
 from damaskridge.model.errors import Failure
 
 __all__ = ["HttpService"]
@@ -19,17 +19,17 @@
     ----------
     client : BackendClient
         Connections, shared by all services.
-    read_s : float
+    read_timeout_s : float
         Longest silence of an instance.
     """
 
-    def __init__(self, client: BackendClient, read_s: float = 30.0) -> None:
+    def __init__(self, client: BackendClient, read_timeout_s: float = 30.0) -> None:
         self._client = client
-        self._read_s = read_s
+        self._read_s = read_timeout_s
 
     async def call(
         self, address: str, call: ServiceCall
-    ) -> Result[ServiceAnswer, Failure]:
+    ) -> Result[ServiceResponse, Failure]:
         """Send a call; only a failure to connect has run state ``not_run``."""
         headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
@@ -43,10 +43,10 @@
                 f"http://{address}{call.path}",
                 body=call.body,
                 headers=headers,
-                read_s=self._read_s,
-                limit_bytes=_ANSWER_LIMIT_BYTES,
-                fresh=True,
+                read_timeout_s=self._read_s,
+                max_bytes=_ANSWER_LIMIT_BYTES,
+                new_connection=True,
             )
         except StreamFailed as error:
             return Err(error.failure)
-        return Ok(ServiceAnswer(reply.status, reply.content_type, reply.body))
+        return Ok(ServiceResponse(reply.status, reply.content_type, reply.body))
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -25,7 +25,7 @@
 from damaskridge.adapters.observability.event_metrics import count_events
 from damaskridge.adapters.observability.events import configure, log_event
 from damaskridge.adapters.observability.metrics import Metrics
-from damaskridge.adapters.owners import Owners
+from damaskridge.adapters.owners import OwnerRuntimes
 from damaskridge.adapters.ownership import lease_is_valid
 from damaskridge.adapters.ports import ControlPort, EnginePort
 from damaskridge.adapters.rate_runtime import RateRuntime
@@ -168,7 +168,7 @@
 
     def _owners(
         self, fronts: FrontClient, engine_for: Callable[[str], EnginePort]
-    ) -> Owners:
+    ) -> OwnerRuntimes:
         rng = random.Random(secrets.randbits(64))
         rates = RateRuntime(
             host=self.settings.host,
@@ -185,7 +185,7 @@
             ask_requests=fronts.active_requests,
             notify_taken_over=fronts.notify_taken_over,
         )
-        return Owners(rates, cells)
+        return OwnerRuntimes(rates, cells)
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
--- a/tests/adapters/front_fakes.py
+++ b/tests/adapters/front_fakes.py
@@ -11,7 +11,7 @@
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.http.app import CallerApp
 from damaskridge.adapters.http.credentials import key_digest
-from damaskridge.adapters.ports import ServiceAnswer, StreamFailed
+from damaskridge.adapters.ports import ServiceResponse, StreamFailed
 from damaskridge.core.leases import HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.bundle import (
@@ -97,7 +97,7 @@
     async def refund(self, refund):
         self.refunds.append(refund)
 
-    async def ended(self, resource, workspace, request_id):
+    async def notify_request_ended(self, resource, workspace, request_id):
         self.ended_ids.append(request_id)
 
 
@@ -222,7 +222,7 @@
         await asyncio.sleep(self.delay_s)
         if self.results:
             return self.results.pop(0)
-        return Ok(ServiceAnswer(200, "text/plain", b"done"))
+        return Ok(ServiceResponse(200, "text/plain", b"done"))
 
 
 class FakePeers:
@@ -261,7 +261,7 @@
     )
 
 
-def world(host="h1", peers=None, **settings):
+def start_front(host="h1", peers=None, **settings):
     """Return a front with its fakes; call it inside a running loop."""
     control = FakeControl(host)
     fleet = control.fleet
@@ -303,7 +303,7 @@
     return {name: engine.memory for name, engine in found.engines.items()}
 
 
-def nothing_held(found):
+def holds_no_memory(found):
     return not any(engine.memory for engine in found.engines.values())
 
 
--- a/tests/adapters/http/test_app.py
+++ b/tests/adapters/http/test_app.py
@@ -5,7 +5,7 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
-from tests.adapters.front_fakes import KEY, LOST_KEY, OTHER_KEY, Caller, world
+from tests.adapters.front_fakes import KEY, LOST_KEY, OTHER_KEY, Caller, start_front
 from tests.paused import run_paused
 
 from damaskridge.adapters.http.bodies import (
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize(("method", "path", "body", "options", "kind"), BAD)
 def test_bad_input_has_its_own_kind_and_runs_nothing(method, path, body, options, kind):
     async def main():
-        found = world()
+        found = start_front()
         caller = Caller(found.app, method, path, body or b"", **options)
         await caller.task
         assert caller.error["kind"] == kind.value
@@ -94,7 +94,7 @@
 
 def test_a_body_of_one_byte_a_second_is_given_up():
     async def main():
-        found = world()
+        found = start_front()
         caller = Caller(found.app, "POST", COMPLETION, None)
         for _ in range(20):
             part = {"type": "http.request", "body": b" ", "more_body": True}
@@ -107,7 +107,7 @@
 
 def test_a_refusal_says_when_to_retry():
     async def main():
-        found = world()
+        found = start_front()
         found.rates.refusal = Failure(ErrorKind.RATE_EXCEEDED, retry_after_s=1.2)
         caller = Caller(found.app, "POST", COMPLETION, GOOD)
         await caller.task
@@ -120,7 +120,7 @@
 
 def test_no_key_reaches_a_backend_server():
     async def main():
-        found = world()
+        found = start_front()
         headers = [
             ("cookie", "a=b"),
             ("proxy-authorization", "Basic x"),
@@ -171,7 +171,7 @@
 
 def test_chat_models_and_addresses():
     async def main():
-        found = world()
+        found = start_front()
         body = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
         chat = Caller(found.app, "POST", CHAT, {**body, "max_tokens": 3})
         await chat.task
--- a/tests/adapters/http/test_sockets.py
+++ b/tests/adapters/http/test_sockets.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from examples.demo_settings import free_ports
-from tests.adapters.front_fakes import KEY, OTHER_KEY, nothing_held, world
+from tests.adapters.front_fakes import KEY, OTHER_KEY, holds_no_memory, start_front
 
 from damaskridge.adapters.engines.http_engine import HttpEngine
 from damaskridge.adapters.http_client import BackendClient
@@ -33,7 +33,7 @@
 @contextlib.asynccontextmanager
 async def serving(**settings):
     """Give a front on a real port, with its server and address."""
-    found = world(**settings)
+    found = start_front(**settings)
     port = free_ports(1)[0]
     listener = listen("caller_address", f"127.0.0.1:{port}").unwrap()
     # Small buffers, so that a caller that does not read is noticed early.
@@ -154,7 +154,7 @@
 
 def test_a_caller_that_stops_reading_leaves_no_buffer_and_no_request():
     async def main():
-        async with serving(write_wait_s=0.5) as found:
+        async with serving(write_timeout_s=0.5) as found:
             for item in found.engines.values():
                 item.step_s = 0.001
             caller = socket.socket()
@@ -164,8 +164,8 @@
             connections = found.server.server_state.connections
             await until(lambda: found.cells.profiles and connections)
             # The caller neither reads nor closes.
-            await until(lambda: not connections and nothing_held(found))
-            (call,) = found.front._calls.values()
+            await until(lambda: not connections and holds_no_memory(found))
+            (call,) = found.front._model_calls.values()
             assert call.failure.kind.value == "caller_too_slow"
             caller.close()
 
--- a/tests/adapters/rpc/test_peer.py
+++ b/tests/adapters/rpc/test_peer.py
@@ -38,7 +38,7 @@
         yield DecodeChunk(offset, "x")
         raise StreamFailed(Failure(ErrorKind.CANCELLED))
 
-    def taken_over(self, request_id):
+    def handle_take_over(self, request_id):
         return None
 
 
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -13,8 +13,8 @@
     FakePeers,
     completion,
     held,
-    nothing_held,
-    world,
+    holds_no_memory,
+    start_front,
 )
 from tests.paused import run_paused
 
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("stream", [True, False])
 def test_the_whole_answer_arrives_in_spite_of(fault, stream):
     async def main():
-        found = world()
+        found = start_front()
         for name in ("p1", "d1"):
             for field, value in fault.items():
                 setattr(found.engines[name], field, value)
@@ -63,7 +63,7 @@
         else:
             assert caller.json["choices"][0]["text"] == WHOLE
         await asyncio.sleep(3)
-        assert nothing_held(found), held(found)
+        assert holds_no_memory(found), held(found)
         request_id = caller.headers["x-request-id"]
         assert found.cells.phases(request_id)[-1] is RequestPhase.FINISHED
 
@@ -76,14 +76,14 @@
     """Stages: rate, placement, prefill, transfer, decode."""
 
     async def main():
-        found = world(resume_grace_s=0.5)
+        found = start_front(resume_grace_s=0.5)
         found.rates.wait_s = found.cells.wait_s = 0.1
         caller = completion(found.app, 1000, stream)
         await asyncio.sleep(after_s)
         caller.disconnect()
         await caller.task
         await asyncio.sleep(2)
-        assert nothing_held(found), held(found)
+        assert holds_no_memory(found), held(found)
         assert not found.front.active_requests("cell/llm")
         assert len(found.cells.withdrawn) == (0.1 < after_s < 0.2)
         if after_s > 0.1:
@@ -94,12 +94,12 @@
 
 def test_a_caller_that_stops_reading_is_cancelled():
     async def main():
-        found = world(write_wait_s=2.0)
+        found = start_front(write_timeout_s=2.0)
         caller = completion(found.app, 1000)
         caller.stalled = 5
         await caller.task
         await asyncio.sleep(1.5)
-        assert nothing_held(found)
+        assert holds_no_memory(found)
         assert len(caller.sent) == 5
 
     run_paused(main())
@@ -107,7 +107,7 @@
 
 def test_a_withdrawn_key_ends_streams_and_queued_requests():
     async def main():
-        found = world()
+        found = start_front()
         running = completion(found.app, 1000)
         await asyncio.sleep(1)
         found.cells.wait_s = 100
@@ -123,7 +123,7 @@
         for refused in (queued, service):
             assert (refused.status, refused.error["run"]) == (401, NOT_RUN)
         await asyncio.sleep(2)
-        assert nothing_held(found)
+        assert holds_no_memory(found)
         assert not found.services.calls
 
     run_paused(main())
@@ -131,7 +131,7 @@
 
 def test_a_request_waits_for_a_lost_owner_and_is_submitted_again():
     async def main():
-        found = world()
+        found = start_front()
         fleet = found.control.fleet
         found.rates.down = True
         found.cells.wait_s = 1e6
@@ -160,7 +160,7 @@
 
 def test_a_late_grant_is_not_used():
     async def main():
-        found = world()
+        found = start_front()
         found.rates.wait_s, found.rates.valid_s = 0.2, [5.0, 0.1]
         caller = completion(found.app)
         await caller.task
@@ -172,7 +172,7 @@
 
 def test_without_a_lease_nothing_starts_and_streams_go_on():
     async def main():
-        found = world()
+        found = start_front()
         running = completion(found.app)
         await asyncio.sleep(0.3)
         found.cells.wait_s = 1
@@ -192,8 +192,8 @@
 
 def test_the_same_idempotency_key_attaches_to_the_running_request():
     async def main():
-        found = world()
-        other = world("h2", found.peers)
+        found = start_front()
+        other = start_front("h2", found.peers)
         other.rates.keys = found.rates.keys
         for fleet in (found.control.fleet, other.control.fleet):
             fleet.sessions = {
@@ -230,8 +230,8 @@
 
     async def main():
         rng = random.Random(seed)
-        found = world()
-        other = world("h2", found.peers)
+        found = start_front()
+        other = start_front("h2", found.peers)
         found.cells.take_overs = other.cells.take_overs
         other.engines.update(found.engines)
         fleet = other.control.fleet
@@ -270,10 +270,10 @@
 
 def test_a_request_that_was_taken_over_is_not_cancelled_on_its_engine():
     async def main():
-        found = world()
+        found = start_front()
         caller = completion(found.app, 50)
         await asyncio.sleep(0.5)
-        found.front.taken_over(caller.headers["x-request-id"])
+        found.front.handle_take_over(caller.headers["x-request-id"])
         await caller.task
         assert caller.error["kind"] == "stream_taken_over"
         await asyncio.sleep(2)
@@ -290,7 +290,7 @@
 
 def test_a_call_that_must_not_be_repeated_runs_at_most_once():
     async def main():
-        found = world()
+        found = start_front()
         sent_first = []
         found.services.delay_s = 0.5
         first = charge(found)
@@ -316,7 +316,7 @@
 @pytest.mark.parametrize("run", [RunState.NOT_RUN, RunState.UNKNOWN])
 def test_the_ledger_tells_the_truth_about_a_failed_call(run):
     async def main():
-        found = world()
+        found = start_front()
         failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, run_state=run)
         found.services.results = [Err(failure)]
         first = charge(found)
@@ -334,7 +334,7 @@
 
 def test_a_repeatable_call_is_sent_again():
     async def main():
-        found = world()
+        found = start_front()
         found.cells.pairs = [("", "desk1"), ("", "d1")]
         found.services.results = [Err(Failure(ErrorKind.BACKEND_SERVER_FAILED))]
         caller = Caller(found.app, "POST", "/services/desk/list")
@@ -347,7 +347,7 @@
 
 def test_a_drain_refuses_new_requests_and_finishes_running_ones():
     async def main():
-        found = world(peers=FakePeers())
+        found = start_front(peers=FakePeers())
         caller = completion(found.app)
         await asyncio.sleep(0.1)
         found.front.begin_drain()
@@ -367,7 +367,7 @@
     """The cell owner may end before it has reported the second crash."""
 
     async def main():
-        found = world()
+        found = start_front()
         for name in ("d1", "d2", "d3"):
             found.engines[name].break_at = 0
         first = completion(found.app, stream=False)
@@ -386,7 +386,7 @@
 
 def test_a_new_cell_owner_hears_of_crashes_that_the_last_one_may_have_kept():
     async def main():
-        found = world()
+        found = start_front()
         for name in ("d1", "d2", "d3"):
             found.engines[name].break_at = 0
         await completion(found.app, stream=False).task
@@ -406,7 +406,7 @@
     """A cell may keep its owner for months, in which nobody asks for the reports."""
 
     async def main():
-        found = world()
+        found = start_front()
         for name in ("d1", "d2", "d3"):
             found.engines[name].break_at = 0
         await completion(found.app, stream=False).task
--- a/tests/adapters/test_front_claims.py
+++ b/tests/adapters/test_front_claims.py
@@ -5,7 +5,7 @@
 
 from tests.paused import run_paused
 
-from damaskridge.adapters.front_claims import AnswerClaim
+from damaskridge.adapters.front_claims import ResponseClaim
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import OpenSession, Session
 from damaskridge.model.errors import ErrorKind, RunState
@@ -38,7 +38,7 @@
 
 
 def claim_of(context, request_id, body_digest="b"):
-    return AnswerClaim(
+    return ResponseClaim(
         context,
         request_id=request_id,
         workspace="w",
@@ -49,8 +49,8 @@
 
 async def claim(context, request_id, body_digest="b", answered=True):
     claimed = claim_of(context, request_id, body_digest)
-    failure = await claimed.win()
-    assert await claimed.win() is failure
+    failure = await claimed.acquire()
+    assert await claimed.acquire() is failure
     claimed.settle(answered=answered)
     await asyncio.sleep(0.01)
     return failure
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -32,7 +32,7 @@
         bodies = []
         for number in range(4):
             url = f"http://127.0.0.1:{port}/{number}"
-            reply = await client.call("GET", url, read_s=2.0, limit_bytes=100)
+            reply = await client.call("GET", url, read_timeout_s=2.0, max_bytes=100)
             bodies.append(reply.body)
             await asyncio.sleep(2 * delay_s)
         await client.close()
--- a/tests/system/driver.py
+++ b/tests/system/driver.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from damaskridge.adapters import front_call, front_services
-from damaskridge.adapters.front_context import ask_rate
+from damaskridge.adapters.front_context import reserve_rate
 from damaskridge.adapters.http.credentials import key_digest
 from damaskridge.model.bundle import (
     BackendServer,
@@ -395,7 +395,7 @@
 
 def _recorded(world):
     async def recorded(context, request):
-        reply = await ask_rate(context, request)
+        reply = await reserve_rate(context, request)
         if isinstance(reply, RateGrant) and world.hosts[context.host].process.alive:
             world.invariants.grant_used(request, reply)
         return reply
@@ -419,7 +419,7 @@
     logger = logging.getLogger("damaskridge")
     with ExitStack() as stack:
         for module in (front_call, front_services):
-            patch = mock.patch.object(module, "ask_rate", _recorded(world))
+            patch = mock.patch.object(module, "reserve_rate", _recorded(world))
             stack.enter_context(patch)
         stack.enter_context(mock.patch.object(anyio, "connect_tcp", _connect(world)))
         for name in sorted(disabled_guards):
--- a/tests/system/fakes.py
+++ b/tests/system/fakes.py
@@ -6,7 +6,7 @@
 from examples.standins.engine import next_token
 from result import Err, Ok
 
-from damaskridge.adapters.ports import ServiceAnswer, StreamFailed
+from damaskridge.adapters.ports import ServiceResponse, StreamFailed
 from damaskridge.model.engine import (
     CacheEvent,
     CacheEventPage,
@@ -339,7 +339,7 @@
         number = self._world.service_saw(name, call)
         rng = self._network.rng
         await asyncio.sleep(rng.choice((0.01, 0.05, 0.15, rng.uniform(0.2, 2.5))))
-        return ServiceAnswer(200, "text/plain", b"%s run %d" % (call.body, number))
+        return ServiceResponse(200, "text/plain", b"%s run %d" % (call.body, number))
 
 
 class HostList:
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.front import Front
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.http.app import CallerApp
-from damaskridge.adapters.owners import Owners
+from damaskridge.adapters.owners import OwnerRuntimes
 from damaskridge.adapters.rate_runtime import RateRuntime
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.peer_client import CellClient, FrontClient, RateClient
@@ -225,7 +225,7 @@
             for item in world.engines.values()
         }
         self.machines = []
-        self.owners = Owners(
+        self.owners = OwnerRuntimes(
             RateRuntime(
                 host=name,
                 control=self.control,
@@ -252,7 +252,7 @@
             peers=fronts,
             engine_for=clients.__getitem__,
             services=ServiceClient(process, network, world),
-            settings=FrontSettings(keep_s=KEEP_S, prefill_s=6.0, service_wait_s=6.0),
+            settings=FrontSettings(keep_s=KEEP_S, prefill_s=6.0, service_timeout_s=6.0),
         )
         fronts.attach(self.front)
         self.control.on_change(self._changed)
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -8,8 +8,8 @@
 from damaskridge.adapters import cell_runtime, cell_worker, ownership, rate_runtime
 from damaskridge.adapters.cell_worker import CellWorker
 from damaskridge.adapters.front import Front
-from damaskridge.adapters.front_claims import AnswerClaim
-from damaskridge.adapters.front_services import RunningService
+from damaskridge.adapters.front_claims import ResponseClaim
+from damaskridge.adapters.front_services import RunningServiceCall
 from damaskridge.adapters.rate_runtime import RateRuntime
 from damaskridge.core.limits.keys import KeyTable
 from damaskridge.core.limits.rate_owner import RateOwner
@@ -71,7 +71,7 @@
 
 def _key_check_on_streams():
     yield mock.patch.object(Front, "_stop_withdrawn_keys", lambda self: None)
-    yield mock.patch.object(Front, "key_works", lambda self, digest: True)
+    yield mock.patch.object(Front, "is_key_valid", lambda self, digest: True)
 
 
 def _cancel_of_unregistered():
@@ -108,7 +108,7 @@
     async def send(self, placement):
         return await self._send(placement)
 
-    yield mock.patch.object(RunningService, "_send_once_only", send)
+    yield mock.patch.object(RunningServiceCall, "_send_with_ledger", send)
 
 
 def _ledger_session():
@@ -170,7 +170,7 @@
 
 
 def _answer_claim():
-    yield mock.patch.object(AnswerClaim, "win", _always_wins)
+    yield mock.patch.object(ResponseClaim, "acquire", _always_wins)
 
 
 def _duplicate_detection():
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -219,7 +219,7 @@
     def _running(self):
         running = {}
         for host in self._world.live_hosts():
-            for call in host.front._calls.values():
+            for call in host.front._model_calls.values():
                 if not call.machine.ended:
                     running.setdefault(call.request_id, []).append((host, call))
         return running
