--- a/src/damaskridge/adapters/addresses.py
+++ b/src/damaskridge/adapters/addresses.py
@@ -1,4 +1,4 @@
-"""Addresses in settings, as ``ip:port``."""
+"""Validation of ``ip:port`` addresses in settings."""
 
 import ipaddress
 from typing import Annotated
@@ -9,7 +9,14 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return IP address and port of ``ip:port``; `ValueError` if malformed."""
+    """
+    Return the IP address and the port of ``ip:port``.
+
+    Raises
+    ------
+    ValueError
+        If the address is malformed.
+    """
     ip, separator, port = address.rpartition(":")
     if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError("must be <ip>:<port>")
--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -1,4 +1,4 @@
-"""The front: runs the requests that an entry host accepted."""
+"""The front: runs the requests that callers send to this entry host."""
 
 import asyncio
 import logging
@@ -9,7 +9,11 @@
 from result import Err, Ok, Result
 
 from damaskridge.adapters.front_call import ModelCall, RunningModelCall
-from damaskridge.adapters.front_context import FrontContext, closing_stream, report
+from damaskridge.adapters.front_context import (
+    FrontContext,
+    closing_stream,
+    send_progress,
+)
 from damaskridge.adapters.front_owners import OwnerClient
 from damaskridge.adapters.front_resume import StreamResumer
 from damaskridge.adapters.front_services import RouteCall, RunningServiceCall
@@ -42,12 +46,17 @@
 __all__ = ["ActiveKey", "Front", "FrontSettings"]
 
 _logger = logging.getLogger(__name__)
-# An end that was lost on the way to the cell owner is reported again this often.
-_END_REPORTS = 2
+# How often the periodic reports repeat that a request has ended. The first report of
+# it may be lost on the way to the cell owner.
+_FINAL_REPORT_RETRIES = 2
 
 
 class ActiveKey(msgspec.Struct, frozen=True):
-    """A request with an idempotency key, for a new rate owner."""
+    """
+    A request with an idempotency key, as reported to a new rate owner.
+
+    The new owner rebuilds its table of keys from these records.
+    """
 
     request_id: str
     idempotency_key: str
@@ -55,7 +64,9 @@
     finished: bool = False
 
 
-class _Running(Protocol):
+class _RunningRequest(Protocol):
+    """What model calls and service calls have in common."""
+
     @property
     def request_id(self) -> str: ...
     @property
@@ -72,11 +83,12 @@
     Parameters
     ----------
     host, incarnation, data_centre : str, int, str
-        This process.
+        Name, incarnation number and data centre of this process.
     control, rates, cells, peers, engine_for, services
-        The other parts of the system.
+        Ports to the control group, the rate owners, the cell owners, other entry
+        hosts, the engines (by address) and the plain services.
     settings : FrontSettings
-        Times and limits.
+        Timeouts and limits.
     """
 
     def __init__(
@@ -110,15 +122,15 @@
         self.draining = False
         self._sequence = 0
         self._model_calls: dict[str, RunningModelCall] = {}
-        self._services: dict[str, RunningServiceCall] = {}
-        self._ended: dict[str, int] = {}
-        self._registered: dict[str, int] = {}
-        self._seen_index = -1
+        self._service_calls: dict[str, RunningServiceCall] = {}
+        self._final_reports_sent: dict[str, int] = {}
+        self._registered_epochs: dict[str, int] = {}
+        self._last_fleet_index = -1
         self._resumer = StreamResumer(self.context, self._model_calls)
 
     @property
     def fleet(self) -> FleetView:
-        """The fleet as last seen."""
+        """The last received fleet view."""
         return self.context.control.fleet
 
     def next_request_id(self) -> str:
@@ -128,18 +140,27 @@
         return str(RequestId(context.host, context.incarnation, self._sequence))
 
     def authorize(self, digest: str) -> Result[str, Failure]:
-        """Return the workspace of a key; fails closed without a valid lease."""
+        """
+        Return the workspace of a key.
+
+        Every key is refused while this host has no valid lease, because its list of
+        withdrawn keys may be stale.
+        """
         now_s = asyncio.get_running_loop().time()
         if not self.context.control.lease.is_valid(now_s):
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
         return self.context.index.workspace_of_key(self.fleet, digest)
 
     def is_key_valid(self, digest: str) -> bool:
-        """Tell whether a running stream may go on for a key."""
+        """
+        Return whether a key may still be used by a running stream.
+
+        Unlike `authorize`, this doesn't need a valid lease.
+        """
         return isinstance(self.context.index.workspace_of_key(self.fleet, digest), Ok)
 
     def accept(self, call: ModelCall) -> Result[RunningModelCall, Failure]:
-        """Start a request to a model."""
+        """Start a request to a model and return it, or the reason for its refusal."""
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
         if self.context.is_quarantined(call.fingerprint):
@@ -152,7 +173,12 @@
     async def read_output(
         self, running: RunningModelCall
     ) -> AsyncIterator[DecodeChunk]:
-        """Yield a request's output, or that of the request it repeats."""
+        """
+        Yield the output of a request.
+
+        For a request whose idempotency key is already in use, this is the output
+        of the earlier request.
+        """
         stream = running.read(0)
         async with closing_stream(stream):
             async for chunk in stream:
@@ -168,19 +194,24 @@
                     yield chunk
 
     async def call_service(self, call: RouteCall) -> Result[ServiceResponse, Failure]:
-        """Call a plain service; a call that has left outlives its caller."""
+        """
+        Call a plain service.
+
+        If the caller disconnects, the call is cancelled only while it is queued.
+        Once it may have been sent, it runs to its end in the background.
+        """
         if self.draining:
             return Err(Failure(ErrorKind.SHUTTING_DOWN, retry_after_s=0.1))
         running = RunningServiceCall(self.context, call)
-        running.events.accepted()
-        self._services[running.request_id] = running
+        running.events.log_accepted()
+        self._service_calls[running.request_id] = running
         done: asyncio.Future[Result[ServiceResponse, Failure]]
         done = asyncio.get_running_loop().create_future()
-        running.task = self.context.start(self._run_service(running, done))
+        running.task = self.context.start_task(self._run_service(running, done))
         try:
             return await asyncio.shield(done)
         finally:
-            running.give_up()
+            running.cancel_if_queued()
 
     async def _run_service(
         self,
@@ -193,10 +224,10 @@
             result = await running.run()
         except asyncio.CancelledError:
             cancelled = True
-            result = Err(Failure(running.ended_by, run_state=RunState.NOT_RUN))
+            result = Err(Failure(running.cancel_kind, run_state=RunState.NOT_RUN))
             raise
         finally:
-            del self._services[running.request_id]
+            del self._service_calls[running.request_id]
             running.log_end(result, cancelled)
             if not done.done():
                 done.set_result(result)
@@ -204,32 +235,39 @@
     def resume(
         self, request_id: str, workspace: str, offset: int, front: str = ""
     ) -> AsyncIterator[DecodeChunk]:
-        """Yield a request's output from `offset`, wherever it runs."""
+        """Yield a request's output from `offset`, whichever host runs the request."""
         return self._resumer.resume(request_id, workspace, offset, front)
 
     async def stream_local(
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Yield output of a request that this host runs; raises `StreamFailed`."""
-        stream = self._resumer.local(request_id, workspace, offset)
+        """
+        Yield the output of a request that this host runs.
+
+        Raises
+        ------
+        StreamFailed
+            If the request is unknown, or fails before its last chunk.
+        """
+        stream = self._resumer.stream_local(request_id, workspace, offset)
         async with closing_stream(stream):
             async for chunk in stream:
                 yield chunk
 
     def cancel(self, request_id: str) -> None:
-        """Cancel a request of this host for its caller."""
+        """Cancel a request of this host on behalf of its caller."""
         running = self._model_calls.get(request_id)
         if running is not None:
             running.cancel(Failure(ErrorKind.CANCELLED))
 
     def handle_take_over(self, request_id: str) -> None:
-        """Stop a request that another host continues; engines keep running it."""
+        """Stop a request that another front has taken over; engines continue it."""
         running = self._model_calls.get(request_id)
         if running is not None:
             running.dispatch(TakenOver())
 
     def active_requests(self, resource: str) -> tuple[ActiveRequest, ...]:
-        """Return the requests that run in a cell."""
+        """Return the requests that are placed in a cell."""
         return tuple(
             ActiveRequest(
                 profile=running.profile,
@@ -237,14 +275,14 @@
                 phase=running.progress().phase,
                 output_tokens=running.progress().output_tokens,
             )
-            for running in self._running()
+            for running in self._running_requests()
             if running.profile is not None
             and running.placement is not None
             and running.profile.resource == resource
         )
 
     def active_keys(self, workspace: str) -> tuple[ActiveKey, ...]:
-        """Return the requests of a workspace with a key, also those that have ended."""
+        """Return a workspace's requests with idempotency keys, also ended ones."""
         return tuple(
             ActiveKey(
                 running.request_id,
@@ -255,47 +293,53 @@
             for running in self._model_calls.values()
             if running.call.workspace == workspace
             and running.call.idempotency_key
-            and running.granted
-            and not running.moved
+            and running.is_granted
+            and not running.is_taken_over
         )
 
     def begin_drain(self) -> None:
-        """Refuse new requests; running ones go on."""
+        """Refuse new requests from now on; running requests continue."""
         self.draining = True
 
     async def wait_idle(self) -> None:
-        """Return once no request runs."""
+        """Wait until no request is running and the last messages are sent."""
         while True:
-            if not any(True for _ in self._running()):
+            if not any(True for _ in self._running_requests()):
                 break
-            await asyncio.sleep(self.settings.check_s)
-        # Cancels and last reports are still on their way.
-        await asyncio.sleep(self.settings.progress_s)
+            await asyncio.sleep(self.settings.check_interval_s)
+        # Leaves time for cancellations and final reports that are still being sent.
+        await asyncio.sleep(self.settings.progress_interval_s)
 
     async def run(self) -> None:
-        """Report progress, register at new owners, watch keys; runs for ever."""
+        """
+        Run the periodic work of the front until cancelled.
+
+        Cancels requests whose key was withdrawn, registers the running requests
+        with new cell owners, reports progress, and evicts ended requests.
+        """
         loop = asyncio.get_running_loop()
         next_report_s = loop.time()
         while True:
-            if self.fleet.index != self._seen_index:
-                self._seen_index = self.fleet.index
+            if self.fleet.index != self._last_fleet_index:
+                self._last_fleet_index = self.fleet.index
                 self._stop_withdrawn_keys()
             self._register_at_new_owners()
             if loop.time() >= next_report_s:
-                next_report_s = loop.time() + self.settings.progress_s
+                next_report_s = loop.time() + self.settings.progress_interval_s
                 self._report_progress()
-                self._forget_old()
-            await asyncio.sleep(self.settings.check_s)
+                self._evict_ended_calls()
+            await asyncio.sleep(self.settings.check_interval_s)
 
-    def _running(self) -> Iterable[_Running]:
+    def _running_requests(self) -> Iterable[_RunningRequest]:
         for running in self._model_calls.values():
             if not running.machine.ended:
                 yield running
-        yield from self._services.values()
+        yield from self._service_calls.values()
 
     def _stop_withdrawn_keys(self) -> None:
         for running in list(self._model_calls.values()):
-            # The reader of a request that was taken over watches its own key.
+            # A request that was taken over has no key of its own: the key of each
+            # reader is checked instead.
             if running.machine.ended or not running.call.key_digest:
                 continue
             allowed = self.context.index.workspace_of_key(
@@ -303,23 +347,23 @@
             )
             if isinstance(allowed, Err):
                 running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
-        for service in list(self._services.values()):
+        for service in list(self._service_calls.values()):
             if not service.call.route.open_to_all:
                 allowed = self.context.index.workspace_of_key(
                     self.fleet, service.call.key_digest
                 )
                 if isinstance(allowed, Err):
-                    service.withdraw_key()
+                    service.cancel_for_withdrawn_key()
 
     def _register_at_new_owners(self) -> None:
         for resource in self.fleet.owners:
             if not resource.startswith("cell/"):
                 continue
             owner = owner_of(self.fleet, resource)
-            if owner is None or self._registered.get(resource) == owner.epoch:
+            if owner is None or self._registered_epochs.get(resource) == owner.epoch:
                 continue
-            self._registered[resource] = owner.epoch
-            self.context.start(self._register(owner))
+            self._registered_epochs[resource] = owner.epoch
+            self.context.start_task(self._register(owner))
 
     async def _register(self, owner: Owner) -> None:
         context = self.context
@@ -334,31 +378,32 @@
             )
             return True
 
-        if isinstance(await context.owners.ask(owner.resource, send), Failure):
-            self._registered.pop(owner.resource, None)
-        elif crashes := context.recent_crashes(owner.resource):
-            await report(context, owner.resource, crashes)
+        if isinstance(await context.owners.call(owner.resource, send), Failure):
+            self._registered_epochs.pop(owner.resource, None)
+        elif crashes := context.recent_crash_reports(owner.resource):
+            await send_progress(context, owner.resource, crashes)
 
     def _report_progress(self) -> None:
         batches: dict[str, list[Progress]] = {}
-        for running in self._running():
+        for running in self._running_requests():
             if running.profile is None or not running.profile.resource:
                 continue
-            # Without items, the batch tells that the front of a queued request lives.
+            # A batch without items shows the owner that the front of a queued request
+            # is alive.
             items = batches.setdefault(running.profile.resource, [])
             if running.placement is not None:
                 items.append(running.progress())
         for call in self._model_calls.values():
             if not call.machine.ended or call.profile is None:
                 continue
-            sent = self._ended.get(call.request_id, 0)
-            if sent < _END_REPORTS and not call.moved:
-                self._ended[call.request_id] = sent + 1
+            sent_count = self._final_reports_sent.get(call.request_id, 0)
+            if sent_count < _FINAL_REPORT_RETRIES and not call.is_taken_over:
+                self._final_reports_sent[call.request_id] = sent_count + 1
                 batches.setdefault(call.profile.resource, []).append(call.progress())
         for resource, items in batches.items():
-            self.context.start(report(self.context, resource, tuple(items)))
+            self.context.start_task(send_progress(self.context, resource, tuple(items)))
 
-    def _forget_old(self) -> None:
+    def _evict_ended_calls(self) -> None:
         now_s = asyncio.get_running_loop().time()
         ended = [
             call for call in self._model_calls.values() if call.ended_s is not None
@@ -368,4 +413,4 @@
             age_s = now_s - (call.ended_s or now_s)
             if number < surplus or age_s > self.settings.retain_s:
                 del self._model_calls[call.request_id]
-                self._ended.pop(call.request_id, None)
+                self._final_reports_sent.pop(call.request_id, None)
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -1,4 +1,4 @@
-"""Runs one request on its front: performs the actions of its life cycle."""
+"""Run one request to a model: perform the actions that its state machine returns."""
 
 import asyncio
 import logging
@@ -13,9 +13,9 @@
 from damaskridge.adapters.front_context import (
     FrontContext,
     closing_stream,
-    place,
-    report,
+    request_placement,
     reserve_rate,
+    send_progress,
 )
 from damaskridge.adapters.front_events import RequestEventLogger
 from damaskridge.adapters.front_output import RequestOutput
@@ -73,13 +73,34 @@
 __all__ = ["ModelCall", "RunningModelCall"]
 
 _logger = logging.getLogger(__name__)
-# A cancel can overtake the call that it cancels, so it is sent a second time.
-_CANCEL_AGAIN_S = 1.0
+# A cancellation may reach the engine before the call that it cancels, so it is sent
+# once more after this delay.
+_CANCEL_RETRY_DELAY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelCall:
-    """A caller's request to a model, after all checks."""
+    """
+    A validated request to a model.
+
+    Attributes
+    ----------
+    workspace, key_digest : str
+        The caller's workspace, and the digest of its key. The digest is empty for a
+        request that was taken over from another front.
+    route : str
+        Path of the HTTP request.
+    streaming : bool
+        Whether the caller reads a stream of events.
+    spec : RequestSpec
+        Model, prompt and limits.
+    fingerprint : str
+        Digest of model and prompt, by which a request that crashes engines is
+        recognized when it is sent again.
+    idempotency_key, body_digest : str
+        The idempotency key, if any, and a digest by which another body with the same
+        key is refused.
+    """
 
     workspace: str
     key_digest: str
@@ -93,16 +114,17 @@
 
 class RunningModelCall:
     """
-    One request with its output and its readers.
+    One request to a model with its state machine, its output and its readers.
 
     Attributes
     ----------
     failure : Failure or None
-        Why the request ended before its last token.
+        Why the request ended before its last token, if it did.
     original : Duplicate or None
-        The request with the same idempotency key that is answered instead.
+        The earlier request with the same idempotency key, whose output is sent
+        instead, if there is one.
     moved : bool
-        Whether another front continues the request.
+        Whether another front continues this request.
     """
 
     def __init__(self, context: FrontContext, call: ModelCall) -> None:
@@ -120,12 +142,12 @@
         self.failure: Failure | None = None
         self.duplicate_of: Duplicate | None = None
         self.ended_s: float | None = None
-        self.moved = False
+        self.is_taken_over = False
         self._output = RequestOutput(self.machine)
         self._grant: tuple[str, RateGrant] | None = None
-        self._claimed: ResponseClaim | None = None
+        self._response_claim: ResponseClaim | None = None
         if call.idempotency_key:
-            self._claimed = ResponseClaim(
+            self._response_claim = ResponseClaim(
                 context,
                 request_id=self.request_id,
                 workspace=call.workspace,
@@ -133,7 +155,7 @@
                 body_digest=call.body_digest,
             )
         self._readers = 0
-        self._work: asyncio.Task[None] | None = None
+        self._step_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s = float("inf")
 
@@ -143,36 +165,43 @@
         return self.call.spec.request_id
 
     @property
-    def granted(self) -> bool:
+    def is_granted(self) -> bool:
         """Whether a rate owner admitted the request."""
         return self._grant is not None
 
     @property
     def placement(self) -> Placement | None:
-        """Engines of the current attempt."""
+        """The engines of the current attempt."""
         return self.machine.placement
 
     def progress(self) -> Progress:
-        """Return what the cell owner needs to know now."""
+        """Return the progress to report to the cell owner."""
         return self.machine.progress()
 
     def dispatch(self, event: Event) -> None:
-        """Apply an event to the life cycle and perform its actions."""
+        """Pass an event to the state machine and perform the resulting actions."""
         for action in self.machine.handle(event, self._loop.time()):
             self._perform(action)
         self._arm_timer()
 
     def begin(self) -> None:
-        """Ask for admission."""
-        self._events.accepted(self.call.spec.prompt_tokens)
+        """Start the request by reserving its rate."""
+        self._events.log_accepted(self.call.spec.prompt_tokens)
         self.dispatch(Begun())
 
     def cancel(self, failure: Failure) -> None:
-        """Stop the request and free its memory everywhere."""
+        """Cancel the request and free the memory that it holds on engines."""
         self.dispatch(CancelRequested(failure))
 
     async def read(self, offset: int) -> AsyncIterator[DecodeChunk]:
-        """Yield output from `offset`; raises `StreamFailed`."""
+        """
+        Yield output from `offset`.
+
+        Raises
+        ------
+        StreamFailed
+            If the request fails before its last chunk.
+        """
         self._readers += 1
         stream = self._output.read(offset)
         try:
@@ -181,9 +210,9 @@
                     yield chunk
         finally:
             self._readers -= 1
-            self._reader_left()
+            self._on_reader_closed()
 
-    def _reader_left(self) -> None:
+    def _on_reader_closed(self) -> None:
         if self._readers or self.machine.ended or self.duplicate_of is not None:
             return
         if self.call.streaming and self.machine.texts:
@@ -198,7 +227,8 @@
             self.cancel(Failure(ErrorKind.CANCELLED, "the caller disconnected"))
 
     def _arm_timer(self) -> None:
-        # A later deadline keeps the timer: chunks would re-arm it at every token.
+        # The timer is kept if the deadline moves to a later time, because it would
+        # otherwise be set anew for every token.
         deadline_s = self.machine.deadline_s
         if deadline_s < self._timer_s:
             if self._timer is not None:
@@ -211,14 +241,18 @@
         self._timer = None
         self.dispatch(TimePassed())
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        self._stop()
-        self._work = self._context.start(work)
+    def _start_step(self, work: Coroutine[Any, Any, None]) -> None:
+        """Replace the running step (a call to an owner or an engine) by `work`."""
+        self._cancel_step()
+        self._step_task = self._context.start_task(work)
 
-    def _stop(self) -> None:
-        if self._work is not None and self._work is not asyncio.current_task():
-            self._work.cancel()
-        self._work = None
+    def _cancel_step(self) -> None:
+        if (
+            self._step_task is not None
+            and self._step_task is not asyncio.current_task()
+        ):
+            self._step_task.cancel()
+        self._step_task = None
 
     @DispatchMethod
     def _perform(self, action: object) -> None:
@@ -226,40 +260,41 @@
 
     @_perform.register
     def _(self, action: AskRate) -> None:
-        self._start(self._ask_rate(action))
+        self._start_step(self._reserve_rate(action))
 
     @_perform.register
     def _(self, action: AskPlacement) -> None:
-        self._events.asks_placement(action.attempt)
-        self._start(self._ask_placement(action))
+        self._events.log_placement_requested(action.attempt)
+        self._start_step(self._request_placement(action))
 
     @_perform.register
     def _(self, action: SendPrefill) -> None:
         if self.machine.placement is not None:
-            self._events.placed(self.machine.placement)
-        self._start(self._prefill(action))
+            self._events.log_placed(self.machine.placement)
+        self._start_step(self._prefill(action))
 
     @_perform.register
     def _(self, action: SendDecode) -> None:
-        self._events.prefilled(action.attempt)
+        self._events.log_prefilled(action.attempt)
         engine = self._context.engine_for(action.address)
         chunks = engine.decode(action.request)
-        self._start(self._receive(action.attempt, action.server, chunks))
+        self._start_step(self._receive_chunks(action.attempt, action.server, chunks))
 
     @_perform.register
     def _(self, action: ResumeDecode) -> None:
-        # A request that was just taken over has no connection that was silent.
+        # A request that was just taken over had no connection before, so that none
+        # was silent.
         taken_over = self.machine.base_offset > 0 and not self.machine.texts
-        if self._work is not None and not taken_over:
-            self._events.silent(action.address, action.offset)
+        if self._step_task is not None and not taken_over:
+            self._events.log_silent_connection(action.address, action.offset)
         engine = self._context.engine_for(action.address)
         chunks = engine.resume(action.engine_request_id, action.offset)
-        self._start(self._receive(action.attempt, action.server, chunks))
+        self._start_step(self._receive_chunks(action.attempt, action.server, chunks))
 
     @_perform.register
     def _(self, action: CancelOnServer) -> None:
-        self._stop()
-        self._context.start(self._cancel_on_server(action))
+        self._cancel_step()
+        self._context.start_task(self._cancel_on_server(action))
 
     @_perform.register
     def _(self, action: WithdrawRequest) -> None:
@@ -273,19 +308,21 @@
             request_id=self.request_id,
         )
         cells = self._context.cells
-        self._context.start(self._context.owners.tell(cells.withdraw(withdraw)))
+        self._context.start_task(
+            self._context.owners.send_best_effort(cells.withdraw(withdraw))
+        )
 
     @_perform.register
     def _(self, action: Deliver) -> None:
-        self._events.delivered(self.machine.first_token_s)
-        self._output.extend(action.chunks[-1])
+        self._events.log_first_token(self.machine.first_token_s)
+        self._output.notify_chunks(action.chunks[-1])
 
     @_perform.register
     def _(self, action: Report) -> None:
         if self.profile is not None:
-            progress = self._note_crash(action.progress, self.profile)
-            work = report(self._context, self.profile.resource, (progress,))
-            self._context.start(work)
+            progress = self._record_crash(action.progress, self.profile)
+            work = send_progress(self._context, self.profile.resource, (progress,))
+            self._context.start_task(work)
 
     @_perform.register
     def _(self, action: RefundTokens) -> None:
@@ -299,8 +336,8 @@
             request_id=self.request_id,
             tokens=action.tokens,
         )
-        self._context.start(
-            self._context.owners.tell(self._context.rates.refund(refund))
+        self._context.start_task(
+            self._context.owners.send_best_effort(self._context.rates.refund(refund))
         )
 
     @_perform.register
@@ -308,31 +345,31 @@
         self.failure = action.failure
         if action.failure is None:
             self._context.suspects.clear(self.call.fingerprint)
-        if self._claimed is not None:
-            self._claimed.settle(answered=action.failure is None)
+        if self._response_claim is not None:
+            self._response_claim.close(completed=action.failure is None)
         kind = action.failure.kind if action.failure else None
-        self.moved = kind is ErrorKind.STREAM_TAKEN_OVER
+        self.is_taken_over = kind is ErrorKind.STREAM_TAKEN_OVER
         self.ended_s = self._loop.time()
-        self._stop()
+        self._cancel_step()
         if self._timer is not None:
             self._timer.cancel()
-        self._output.end(
-            action.failure, answered_elsewhere=self.duplicate_of is not None
+        self._output.notify_ended(
+            action.failure, is_duplicate=self.duplicate_of is not None
         )
         context = self._context
-        if self.call.idempotency_key and not self.moved:
+        if self.call.idempotency_key and not self.is_taken_over:
             resource = workspace_resource(self.call.workspace)
             ended = context.rates.notify_request_ended(
                 resource, self.call.workspace, self.request_id
             )
-            context.start(context.owners.tell(ended))
+            context.start_task(context.owners.send_best_effort(ended))
         cancelled = self.machine.stage is Stage.CANCELLED
         machine = self.machine
-        self._events.ended(
+        self._events.log_ended(
             self.failure, cancelled, machine.output_tokens, machine.attempt
         )
 
-    async def _ask_rate(self, action: AskRate) -> None:
+    async def _reserve_rate(self, action: AskRate) -> None:
         request = RateRequest(
             resource=workspace_resource(self.call.workspace),
             epoch=0,
@@ -344,18 +381,18 @@
             body_digest=self.call.body_digest,
             wait_s=self._context.settings.rate_wait_s,
         )
-        reply = await reserve_rate(self._context, request)
-        if isinstance(reply, RateGrant):
-            self._grant = (request.resource, reply)
-            self._events.granted(reply.waited_s)
+        response = await reserve_rate(self._context, request)
+        if isinstance(response, RateGrant):
+            self._grant = (request.resource, response)
+            self._events.log_granted(response.waited_s)
             self.dispatch(Granted())
-        elif isinstance(reply, Duplicate):
-            self.duplicate_of = reply
+        elif isinstance(response, Duplicate):
+            self.duplicate_of = response
             self.dispatch(TakenOver())
         else:
-            self.dispatch(RateRefused(reply.failure))
+            self.dispatch(RateRefused(response.failure))
 
-    async def _ask_placement(self, action: AskPlacement) -> None:
+    async def _request_placement(self, action: AskPlacement) -> None:
         fleet = self._context.control.fleet
         call = self.call
         if self._context.is_quarantined(call.fingerprint):
@@ -381,32 +418,34 @@
             excluded=action.excluded,
             crashed_server=action.crashed_server,
         )
-        reply = await place(self._context, self.profile, self._set_profile)
-        if isinstance(reply, Placement):
-            self._start_if_allowed(reply)
+        response = await request_placement(
+            self._context, self.profile, self._set_profile
+        )
+        if isinstance(response, Placement):
+            self._start_if_allowed(response)
         else:
-            self.dispatch(PlacementRefused(action.attempt, reply.failure))
+            self.dispatch(PlacementRefused(action.attempt, response.failure))
 
     def _start_if_allowed(self, placement: Placement) -> None:
-        # It may have been quarantined while this attempt was queued.
+        # The request may have been quarantined while this attempt was queued.
         if self._context.is_quarantined(self.call.fingerprint):
             self.cancel(Failure(ErrorKind.REQUEST_QUARANTINED))
             return
         # The key may have been withdrawn while the request was queued.
-        failure = self._context.key_failure(self.call.key_digest)
+        failure = self._context.check_key(self.call.key_digest)
         if failure is None or self.machine.texts:
             self.dispatch(Placed(placement))
         else:
             self.cancel(failure)
 
-    def _note_crash(self, progress: Progress, profile: RequestProfile) -> Progress:
-        """Suspect the request if its engine broke off; returns the whole report."""
+    def _record_crash(self, progress: Progress, profile: RequestProfile) -> Progress:
+        """Record a crash, if this is one; return the report with its fingerprint."""
         if not (progress.crashed and progress.failed_server and profile.fingerprint):
             return progress
         progress = msgspec.structs.replace(
             progress, fingerprint=profile.fingerprint, suspect=profile.suspect
         )
-        self._context.note_crash(profile, progress)
+        self._context.record_crash(profile, progress)
         return progress
 
     def _set_profile(self, profile: RequestProfile) -> None:
@@ -414,34 +453,44 @@
 
     async def _prefill(self, action: SendPrefill) -> None:
         engine = self._context.engine_for(action.address)
-        reply = await engine.prefill(action.request)
-        if isinstance(reply, Err):
-            failure = reply.err_value
+        response = await engine.prefill(action.request)
+        if isinstance(response, Err):
+            failure = response.err_value
             self.dispatch(AttemptFailed(action.attempt, action.server, failure))
         else:
             self.dispatch(Prefilled(action.attempt))
 
-    async def _receive(
+    async def _receive_chunks(
         self, attempt: int, server: str, chunks: AsyncIterator[DecodeChunk]
     ) -> None:
         try:
             async with closing_stream(chunks):
                 async for chunk in chunks:
-                    if chunk.finish_reason is not None and not await self._claim():
+                    if (
+                        chunk.finish_reason is not None
+                        and not await self._claim_response()
+                    ):
                         return
                     self.dispatch(ChunkReceived(attempt, chunk))
-                    if self._work is not asyncio.current_task():
+                    if self._step_task is not asyncio.current_task():
                         return
-            failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, "stream ended early")
+            failure = Failure(
+                ErrorKind.BACKEND_SERVER_FAILED, "stream ended before its last chunk"
+            )
         except StreamFailed as error:
             failure = error.failure
         self.dispatch(AttemptFailed(attempt, server, failure))
 
-    async def _claim(self) -> bool:
-        """Tell whether the answer may end; a keyed request ends once in the fleet."""
-        if self._claimed is None:
+    async def _claim_response(self) -> bool:
+        """
+        Return whether the last chunk may be delivered.
+
+        Of all requests with the same idempotency key, only one in the fleet may
+        deliver its last chunk.
+        """
+        if self._response_claim is None:
             return True
-        failure = await self._claimed.acquire()
+        failure = await self._response_claim.acquire()
         if failure is not None:
             self.cancel(failure)
         return failure is None
@@ -449,5 +498,5 @@
     async def _cancel_on_server(self, action: CancelOnServer) -> None:
         engine = self._context.engine_for(action.address)
         await engine.cancel(action.engine_request_id)
-        await asyncio.sleep(_CANCEL_AGAIN_S)
+        await asyncio.sleep(_CANCEL_RETRY_DELAY_S)
         await engine.cancel(action.engine_request_id)
--- a/src/damaskridge/adapters/front_claims.py
+++ b/src/damaskridge/adapters/front_claims.py
@@ -1,7 +1,8 @@
-"""Claims the answer of a request with an idempotency key before its last chunk.
+"""Claim the response to a request with an idempotency key before its last chunk.
 
-The rate owner and the front remember keys in memory only. When both are lost, a
-request that is sent again runs again; the ledger then lets only one run end.
+The rate owner and the front store idempotency keys in memory only. If both are lost, a
+request that the caller sends once more runs once more. The ledger of the control group
+then lets only one of the runs deliver its last chunk.
 """
 
 import asyncio
@@ -18,22 +19,23 @@
 
 __all__ = ["ResponseClaim"]
 
-# No header can contain it, so keys of calls to plain services stay apart.
-_PREFIX = "model\x00"
-_ANSWERED_STATUS = 200
-_RETRY_S = 0.25
+# Separates these keys from those of calls to plain services: no header can contain a
+# null character.
+_KEY_PREFIX = "model\x00"
+_COMPLETED_STATUS = 200
+_COMMIT_RETRY_DELAY_S = 0.25
 
 
 class ResponseClaim:
     """
-    The claim of one request; asked for once, whoever waits for it.
+    The claim of one request, which is acquired at most once.
 
     Parameters
     ----------
     context : FrontContext
-        The front.
+        Shared state of the front.
     request_id, workspace, idempotency_key, body_digest : str
-        The request.
+        Identify the request and its body.
     """
 
     def __init__(
@@ -48,27 +50,32 @@
         self._context = context
         self._request_id = request_id
         self._workspace = workspace
-        self._key = _PREFIX + idempotency_key
+        self._key = _KEY_PREFIX + idempotency_key
         self._body_digest = body_digest
         self._intent: RecordIntent | None = None
         self._task: asyncio.Task[Failure | None] | None = None
 
     async def acquire(self) -> Failure | None:
-        """Return why the last chunk may not be delivered, `None` if it may."""
+        """
+        Return why the last chunk may not be delivered, or `None` if it may.
+
+        Further calls return the result of the first.
+        """
         if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._ask())
-        # The stream that waits may be replaced by a new one, which waits on.
+            self._task = asyncio.get_running_loop().create_task(self._propose())
+        # The step that waits here is cancelled if its engine stream is replaced. The
+        # step for the new stream then waits for the same task.
         return await asyncio.shield(self._task)
 
-    def settle(self, *, answered: bool) -> None:
-        """Close the claim once the request has ended."""
+    def close(self, *, completed: bool) -> None:
+        """Record in the ledger how the request ended."""
         if self._intent is not None:
-            self._context.start(self._settle(self._intent, answered))
+            self._context.start_task(self._close(self._intent, completed))
 
-    async def _ask(self) -> Failure | None:
+    async def _propose(self) -> Failure | None:
         session = self._context.control.session
         if session is None:
-            return _unknown("no session with the control group")
+            return _outcome_unknown("no session with the control group")
         self._intent = RecordIntent(
             command_id=f"{self._request_id}-answer",
             workspace=self._workspace,
@@ -79,13 +86,16 @@
         )
         committed = await self._context.control.propose(self._intent)
         if committed.failure is not None:
-            return _unknown(committed.failure.kind.value)
+            return _outcome_unknown(committed.failure.kind.value)
         if not _is_new(committed):
-            return _unknown("a request with this idempotency key was answered before")
+            return _outcome_unknown(
+                "another request with this idempotency key has claimed the response"
+            )
         return None
 
-    async def _settle(self, intent: RecordIntent, answered: bool) -> None:
-        # Sent again to learn for certain whether it was committed.
+    async def _close(self, intent: RecordIntent, completed: bool) -> None:
+        # The intent may have been committed although its first proposal failed. As
+        # commands are deduplicated by id, proposing it once more shows the outcome.
         committed = await self._commit(intent, intent.session)
         if committed is None or not _is_new(committed):
             return
@@ -94,20 +104,24 @@
             workspace=intent.workspace,
             idempotency_key=intent.idempotency_key,
             intent_id=intent.command_id,
-            status=_ANSWERED_STATUS if answered else 0,
-            not_run=not answered,
+            status=_COMPLETED_STATUS if completed else 0,
+            not_run=not completed,
         )
         await self._commit(result, intent.session)
 
     async def _commit(self, command: Command, session: int) -> CommandResult | None:
-        """Commit while the session lives; its end closes what is open."""
-        held = self._context.control.session
-        while held is not None and held.number == session:
+        """
+        Retry a command until it is committed or the session has ended.
+
+        When a session ends, the control group closes its open intents itself.
+        """
+        current = self._context.control.session
+        while current is not None and current.number == session:
             committed = await self._context.control.propose(command)
             if committed.failure is None or committed.index:
                 return committed
-            await asyncio.sleep(_RETRY_S)
-            held = self._context.control.session
+            await asyncio.sleep(_COMMIT_RETRY_DELAY_S)
+            current = self._context.control.session
         return None
 
 
@@ -116,5 +130,5 @@
     return record is not None and record.state is LedgerState.NEW
 
 
-def _unknown(detail: str) -> Failure:
+def _outcome_unknown(detail: str) -> Failure:
     return Failure(ErrorKind.OUTCOME_UNKNOWN, detail, run_state=RunState.RAN)
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -1,4 +1,4 @@
-"""What all requests of a front share, and their calls to owners."""
+"""State that all requests of a front share, and their messages to owners."""
 
 import asyncio
 import logging
@@ -39,14 +39,37 @@
     SubmitReply,
 )
 
-__all__ = ["FrontContext", "reserve_rate", "closing_stream", "place", "report"]
+__all__ = [
+    "FrontContext",
+    "reserve_rate",
+    "closing_stream",
+    "request_placement",
+    "send_progress",
+]
 
 _logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
 class FrontContext:
-    """What every request of a front uses."""
+    """
+    State and ports that all requests of a front share.
+
+    Attributes
+    ----------
+    host, incarnation, data_centre : str, int, str
+        Name, incarnation number and data centre of this process.
+    engine_for : callable
+        Returns the engine at an address.
+    index : FleetIndex
+        Lookups in the present bundle.
+    suspects : SuspectTable
+        Requests during which engine connections broke on this host.
+    crash_reports : deque of tuple
+        Time, cell resource and report of each recently lost attempt.
+    tasks : set of asyncio.Task
+        Background tasks, referenced here so that they aren't garbage collected.
+    """
 
     host: str
     incarnation: int
@@ -61,73 +84,75 @@
     owners: OwnerClient
     index: FleetIndex = field(default_factory=FleetIndex)
     suspects: SuspectTable = field(default_factory=SuspectTable)
-    crashes: deque[tuple[float, str, Progress]] = field(default_factory=deque)
+    crash_reports: deque[tuple[float, str, Progress]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def key_failure(self, digest: str) -> Failure | None:
-        """Return why no request may start for a key now, if so."""
+    def check_key(self, digest: str) -> Failure | None:
+        """Return why a request with this key may not start now, or `None`."""
         now_s = asyncio.get_running_loop().time()
         if not self.control.lease.is_valid(now_s):
             return Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0)
         if not digest:
-            # The reader of a request that was taken over brought its own key.
+            # A request that was taken over has no key of its own: the key of each
+            # reader is checked instead.
             return None
         found = self.index.workspace_of_key(self.control.fleet, digest)
         return found.err_value if isinstance(found, Err) else None
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """
-        Tell whether a request has cost as many backend servers as it may.
+        Return whether a request has crashed too many engines to be run once more.
 
-        What this host saw counts at once; the group's list lacks the crashes that
-        a cell owner did not report before it ended.
+        Crashes that this host observed count at once. The control group's list may
+        lack crashes that a cell owner didn't report before it failed.
         """
         now_s = asyncio.get_running_loop().time()
         return fingerprint in self.control.fleet.quarantined or self.suspects.is_held(
             fingerprint, now_s
         )
 
-    def note_crash(self, profile: RequestProfile, progress: Progress) -> None:
-        """Keep the report of a lost attempt for the next owner of its cell."""
+    def record_crash(self, profile: RequestProfile, progress: Progress) -> None:
+        """Record a lost attempt, and keep its report for a new owner of the cell."""
         now_s = asyncio.get_running_loop().time()
-        self._forget_crashes(now_s)
-        self.crashes.append((now_s, profile.resource, progress))
+        self._evict_crash_reports(now_s)
+        self.crash_reports.append((now_s, profile.resource, progress))
         self.suspects.note_failure(
             profile.fingerprint,
             progress.failed_server,
-            # A front does not know the engine's process: the same engine counts
-            # once within the time that a suspect is held.
+            # A front doesn't know the engine's incarnation, so that several crashes
+            # of one engine within `HELD_S` count once.
             0,
             now_s,
             was_suspect=profile.suspect,
         )
 
-    def recent_crashes(self, resource: str) -> tuple[Progress, ...]:
+    def recent_crash_reports(self, resource: str) -> tuple[Progress, ...]:
         """
-        Return the reports of attempts of a cell that were lost not long ago.
+        Return the reports of attempts in a cell that were lost recently.
 
-        An owner may end before it has seen or reported the crash behind them.
+        The previous owner may have failed before it detected or reported the crash
+        that caused them.
         """
         now_s = asyncio.get_running_loop().time()
-        self._forget_crashes(now_s)
+        self._evict_crash_reports(now_s)
         return tuple(
             msgspec.structs.replace(item, age_s=now_s - lost_s)
-            for lost_s, cell, item in self.crashes
+            for lost_s, cell, item in self.crash_reports
             if cell == resource
         )
 
-    def _forget_crashes(self, now_s: float) -> None:
-        while self.crashes and self.crashes[0][0] < now_s - HELD_S:
-            self.crashes.popleft()
+    def _evict_crash_reports(self, now_s: float) -> None:
+        while self.crash_reports and self.crash_reports[0][0] < now_s - HELD_S:
+            self.crash_reports.popleft()
 
-    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run `work` in the background."""
+    def start_task(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run `work` in a background task; errors are logged."""
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self._ended)
+        task.add_done_callback(self._on_task_done)
         return task
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             _logger.error("UNEXPECTED_ERROR", exc_info=error)
@@ -135,7 +160,7 @@
 
 @asynccontextmanager
 async def closing_stream(chunks: AsyncIterator[DecodeChunk]) -> AsyncIterator[None]:
-    """Close a stream on the way out, so that its connection is released at once."""
+    """Close `chunks` on exit, so that its connection is released immediately."""
     try:
         yield
     finally:
@@ -145,7 +170,7 @@
 
 
 async def reserve_rate(context: FrontContext, request: RateRequest) -> RateReply:
-    """Ask the rate owner; a grant that arrives after its end is asked for again."""
+    """Request a grant from the rate owner; retries if a grant arrives expired."""
     loop = asyncio.get_running_loop()
     sent_s = loop.time()
 
@@ -155,25 +180,32 @@
         current = msgspec.structs.replace(request, epoch=owner.epoch)
         return await context.rates.reserve(current)
 
-    limit_s = request.wait_s + context.settings.owner_wait_s / 4
+    timeout_s = request.wait_s + context.settings.owner_timeout_s / 4
     for _ in range(context.settings.attempts):
-        reply = await context.owners.ask(request.resource, send, limit_s)
-        if isinstance(reply, Failure):
-            return Refused(request_id=request.request_id, failure=reply)
-        if not isinstance(reply, RateGrant):
-            return reply
-        if loop.time() < sent_s + reply.waited_s + reply.valid_for_s:
-            return reply
-    failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "grants came late", retry_after_s=1)
+        response = await context.owners.call(request.resource, send, timeout_s)
+        if isinstance(response, Failure):
+            return Refused(request_id=request.request_id, failure=response)
+        if not isinstance(response, RateGrant):
+            return response
+        if loop.time() < sent_s + response.waited_s + response.valid_for_s:
+            return response
+    failure = Failure(
+        ErrorKind.OWNER_UNAVAILABLE, "rate grants arrived expired", retry_after_s=1
+    )
     return Refused(request_id=request.request_id, failure=failure)
 
 
-async def place(
+async def request_placement(
     context: FrontContext,
     profile: RequestProfile,
-    submitted: Callable[[RequestProfile], None],
+    on_submit: Callable[[RequestProfile], None],
 ) -> SubmitReply:
-    """Ask the cells that serve the model or service, the nearest first."""
+    """
+    Request a placement from the cells that serve a model or service.
+
+    The cells are tried by distance, the nearest first. `on_submit` is called with the
+    profile that is sent to each owner.
+    """
     fleet = context.control.fleet
     cells = context.index.cells(fleet, profile.model, context.data_centre)
     failure = Failure(ErrorKind.NO_BACKEND_SERVER, profile.model, retry_after_s=1.0)
@@ -182,14 +214,14 @@
         current = msgspec.structs.replace(
             profile, resource=owner.resource, epoch=owner.epoch
         )
-        submitted(current)
+        on_submit(current)
         return await context.cells.submit(current)
 
     for cell in cells:
-        reply = await context.owners.ask(cell_resource(cell), send)
-        if isinstance(reply, Placement):
-            return reply
-        failure = reply if isinstance(reply, Failure) else reply.failure
+        response = await context.owners.call(cell_resource(cell), send)
+        if isinstance(response, Placement):
+            return response
+        failure = response if isinstance(response, Failure) else response.failure
         if failure.kind not in (
             ErrorKind.NO_BACKEND_SERVER,
             ErrorKind.OWNER_UNAVAILABLE,
@@ -198,10 +230,10 @@
     return Refused(request_id=profile.request_id, failure=failure)
 
 
-async def report(
+async def send_progress(
     context: FrontContext, resource: str, items: tuple[Progress, ...]
 ) -> None:
-    """Send progress to the present owner of a cell."""
+    """Send progress to the current owner of a cell; it may be lost."""
     owner = owner_of(context.control.fleet, resource)
     if owner is None:
         return
@@ -212,4 +244,4 @@
         incarnation=context.incarnation,
         items=items,
     )
-    await context.owners.tell(context.cells.report(batch))
+    await context.owners.send_best_effort(context.cells.report(batch))
--- a/src/damaskridge/adapters/front_events.py
+++ b/src/damaskridge/adapters/front_events.py
@@ -1,4 +1,4 @@
-"""The events that a front logs about one request; none of them per token."""
+"""Log events of a single request at its front; no event is logged per token."""
 
 import logging
 from collections.abc import Callable
@@ -16,14 +16,14 @@
 
 class RequestEventLogger:
     """
-    Logs the steps of one request.
+    Logs the stages of one request.
 
     Parameters
     ----------
     request_id, workspace : str
-        The request and whose it is; the workspace of an open route is empty.
+        The request and its workspace, which is empty for a route open to all.
     clock : callable
-        The loop's time in seconds.
+        Returns the event loop's time in seconds.
     kind : str
         ``"model"`` or ``"service"``.
     """
@@ -39,11 +39,11 @@
         self._workspace = workspace
         self._clock = clock
         self._kind = kind
-        self._asked_s = clock()
-        self._has_token = False
+        self._placement_requested_s = clock()
+        self._has_logged_first_token = False
 
-    def accepted(self, prompt_tokens: int = 0) -> None:
-        """Log that the front runs the request."""
+    def log_accepted(self, prompt_tokens: int = 0) -> None:
+        """Log that the front accepted the request."""
         self._log(
             EventNumber.REQUEST_ACCEPTED,
             workspace=self._workspace,
@@ -51,52 +51,52 @@
             prompt_tokens=prompt_tokens,
         )
 
-    def granted(self, waited_s: float) -> None:
-        """Log that the rate owner admitted it."""
+    def log_granted(self, waited_s: float) -> None:
+        """Log that the rate owner admitted the request."""
         self._log(EventNumber.REQUEST_GRANTED, waited_s=round(waited_s, 6))
 
-    def asks_placement(self, attempt: int) -> None:
-        """Note when the cell owner is asked; later attempts are logged."""
-        self._asked_s = self._clock()
+    def log_placement_requested(self, attempt: int) -> None:
+        """Store when a placement is requested; log every attempt but the first."""
+        self._placement_requested_s = self._clock()
         if attempt > 1:
             self._log(EventNumber.REQUEST_RETRIED, attempt=attempt)
 
-    def placed(self, placement: Placement) -> None:
-        """Log the engines, or the instance of a service."""
+    def log_placed(self, placement: Placement) -> None:
+        """Log the engines or the service instance chosen for the attempt."""
         self._log(
             EventNumber.REQUEST_PLACED,
             attempt=placement.attempt,
             prefill_server=placement.prefill_server,
             decode_server=placement.decode_server,
-            waited_s=round(self._clock() - self._asked_s, 6),
+            waited_s=round(self._clock() - self._placement_requested_s, 6),
         )
 
-    def prefilled(self, attempt: int) -> None:
-        """Log that the prompt's KV cache can be fetched."""
+    def log_prefilled(self, attempt: int) -> None:
+        """Log that prefill is complete and the KV cache can be transferred."""
         self._log(EventNumber.REQUEST_PREFILLED, attempt=attempt)
 
-    def delivered(self, first_token_s: float | None) -> None:
-        """Log the first token; costs nothing for the others."""
-        if self._has_token or first_token_s is None:
+    def log_first_token(self, first_token_s: float | None) -> None:
+        """Log the first token; does nothing for later ones."""
+        if self._has_logged_first_token or first_token_s is None:
             return
-        self._has_token = True
+        self._has_logged_first_token = True
         rounded_s = round(first_token_s, 6)
         self._log(EventNumber.REQUEST_FIRST_TOKEN, first_token_s=rounded_s)
 
-    def silent(self, peer_address: str, offset: int) -> None:
-        """Log that a silent connection to an engine is replaced."""
+    def log_silent_connection(self, peer_address: str, offset: int) -> None:
+        """Log that a connection on which an engine sent nothing is replaced."""
         self._log(
             EventNumber.CONNECTION_SILENT, peer_address=peer_address, offset=offset
         )
 
-    def ended(
+    def log_ended(
         self,
         failure: Failure | None,
         cancelled: bool,
         output_tokens: int,
         attempt: int,
     ) -> None:
-        """Log the final answer."""
+        """Log the outcome of the request."""
         number = EventNumber.REQUEST_FINISHED
         if cancelled:
             number = EventNumber.REQUEST_CANCELLED
--- a/src/damaskridge/adapters/front_output.py
+++ b/src/damaskridge/adapters/front_output.py
@@ -1,4 +1,4 @@
-"""The output of one request, for any number of readers."""
+"""The output of one request, for any number of concurrent readers."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -13,38 +13,51 @@
 
 class RequestOutput:
     """
-    Lets readers wait for output.
+    Streams the output of a request to its readers.
 
     Parameters
     ----------
     machine : RequestMachine
-        Has the tokens. They are bounded by the request's limit of output tokens,
-        so a slow reader needs no buffer of its own.
+        Holds the tokens. Their number is bounded by the request's limit of output
+        tokens, so that a slow reader needs no buffer of its own.
     """
 
     def __init__(self, machine: RequestMachine) -> None:
         self._machine = machine
-        self._last: DecodeChunk | None = None
+        self._last_chunk: DecodeChunk | None = None
         self._failure: Failure | None = None
-        self._answered_elsewhere = False
+        self._is_duplicate = False
         self._changed = asyncio.Event()
 
-    def extend(self, newest: DecodeChunk) -> None:
-        """Wake the readers after chunks up to `newest` were added."""
+    def notify_chunks(self, newest: DecodeChunk) -> None:
+        """Wake the readers after the state machine added chunks up to `newest`."""
         if newest.finish_reason is not None:
-            self._last = newest
-        self._wake()
+            self._last_chunk = newest
+        self._wake_readers()
 
-    def end(self, failure: Failure | None, answered_elsewhere: bool) -> None:
-        """Wake the readers at the end; they stop without a failure if answered."""
+    def notify_ended(self, failure: Failure | None, is_duplicate: bool) -> None:
+        """
+        Wake the readers after the request ended.
+
+        Readers raise `failure`. With `is_duplicate` they stop without an error, since
+        another request with the same idempotency key provides the output.
+        """
         self._failure = failure
-        self._answered_elsewhere = answered_elsewhere
-        self._wake()
+        self._is_duplicate = is_duplicate
+        self._wake_readers()
 
     async def read(self, offset: int) -> AsyncIterator[DecodeChunk]:
-        """Yield output from `offset`; raises `StreamFailed`."""
-        while not self._answered_elsewhere:
-            # Kept before the check: a change while a caller reads is not missed.
+        """
+        Yield output from `offset` as it arrives.
+
+        Raises
+        ------
+        StreamFailed
+            If the request failed, or never has output at `offset`.
+        """
+        while not self._is_duplicate:
+            # Stored before the check, so that a change that happens while the reader
+            # handles a chunk isn't missed.
             changed = self._changed
             while (chunk := self._chunk_at(offset)) is not None:
                 yield chunk
@@ -59,12 +72,12 @@
     def _chunk_at(self, offset: int) -> DecodeChunk | None:
         texts = self._machine.texts
         index = offset - self._machine.base_offset
-        if index < 0 or (index > len(texts) and self._last is not None):
+        if index < 0 or (index > len(texts) and self._last_chunk is not None):
             raise StreamFailed(Failure(ErrorKind.INVALID_OFFSET, str(offset)))
         if index < len(texts):
             return DecodeChunk(offset, texts[index])
-        return self._last if index == len(texts) else None
+        return self._last_chunk if index == len(texts) else None
 
-    def _wake(self) -> None:
+    def _wake_readers(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -1,4 +1,4 @@
-"""Asks rate and cell owners, and asks again when an owner changes."""
+"""Client of rate and cell owners that retries when an owner changes."""
 
 import asyncio
 import logging
@@ -18,7 +18,7 @@
 __all__ = ["OwnerClient"]
 
 _logger = logging.getLogger(__name__)
-_OWNER_TROUBLE = frozenset(
+_RETRIED_KINDS = frozenset(
     {
         ErrorKind.OWNER_UNAVAILABLE,
         ErrorKind.EPOCH_CONFLICT,
@@ -35,70 +35,72 @@
 
 class OwnerClient:
     """
-    Calls the owner of a resource, whoever it is.
+    Calls the current owner of a resource.
 
-    A request within its rate is not refused because an owner was lost: the call
-    waits, and is repeated when the owner's epoch changes.
+    A request within its rate must not be refused because an owner was lost. The call
+    therefore waits for a new owner, and is sent once more when the epoch changes.
     """
 
     def __init__(self, control: ControlPort, settings: FrontSettings) -> None:
         self._control = control
         self._settings = settings
 
-    async def ask(
+    async def call(
         self,
         resource: str,
         send: Callable[[Owner], Coroutine[Any, Any, T]],
-        limit_s: float | None = None,
+        timeout_s: float | None = None,
     ) -> T | Failure:
         """
-        Return the owner's answer, or why none came in time.
+        Return the owner's response, or a failure if none arrived in time.
 
         Parameters
         ----------
         resource : str
-            What the owner owns.
+            The resource whose owner is called.
         send : callable
-            Sends the call, which must be safe to repeat.
-        limit_s : float or None
-            Longest time for one call; without it a call lasts as long as the epoch.
+            Sends the call to an owner. It may be sent several times, so the call must
+            be idempotent.
+        timeout_s : float or None
+            Timeout of one call. Without it, a call ends only when the epoch does.
         """
         loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + self._settings.owner_wait_s
+        deadline_s = loop.time() + self._settings.owner_timeout_s
         epoch = -1
         while True:
             owner = owner_of(self._control.fleet, resource)
             if owner is not None:
                 if epoch not in (-1, owner.epoch):
-                    give_up_s = loop.time() + self._settings.owner_wait_s
+                    deadline_s = loop.time() + self._settings.owner_timeout_s
                 epoch = owner.epoch
-                reply = await self._while_owned(owner, send(owner), limit_s)
-                if reply is not None and not _is_trouble(reply):
-                    return reply
-            if loop.time() >= give_up_s:
-                detail = f"no answer from the owner of {resource}"
+                response = await self._call_while_owned(owner, send(owner), timeout_s)
+                if response is not None and not _is_retried(response):
+                    return response
+            if loop.time() >= deadline_s:
+                detail = f"no response from the owner of {resource}"
                 return Failure(
                     ErrorKind.OWNER_UNAVAILABLE, detail, retry_after_s=_RETRY_AFTER_S
                 )
-            await asyncio.sleep(self._settings.ask_again_s)
+            await asyncio.sleep(self._settings.retry_pause_s)
 
-    async def tell(self, sent: Awaitable[None]) -> None:
-        """Send what may be lost; a failure is logged only."""
+    async def send_best_effort(self, message: Awaitable[None]) -> None:
+        """Await the sending of a message that may be lost; errors are only logged."""
         try:
-            await sent
+            await message
         except Exception as error:
-            _log_unreachable("", error)
+            _log_call_error("", error)
 
-    async def _while_owned(
-        self, owner: Owner, sent: Coroutine[Any, Any, T], limit_s: float | None
+    async def _call_while_owned(
+        self, owner: Owner, message: Coroutine[Any, Any, T], timeout_s: float | None
     ) -> T | None:
+        """Return the response, or `None` on an error, a timeout or a new epoch."""
         loop = asyncio.get_running_loop()
-        end_s = float("inf") if limit_s is None else loop.time() + limit_s
-        task = asyncio.ensure_future(sent)
+        call_deadline_s = float("inf") if timeout_s is None else loop.time() + timeout_s
+        task = asyncio.ensure_future(message)
         task.add_done_callback(retrieve)
         try:
-            while not task.done() and loop.time() < end_s:
-                await asyncio.wait({task}, timeout=self._settings.ask_again_s)
+            while not task.done() and loop.time() < call_deadline_s:
+                await asyncio.wait({task}, timeout=self._settings.retry_pause_s)
                 current = owner_of(self._control.fleet, owner.resource)
                 if current is None or current.epoch != owner.epoch:
                     break
@@ -106,21 +108,22 @@
                 return None
             return task.result()
         except Exception as error:
-            _log_unreachable(owner.resource, error)
+            _log_call_error(owner.resource, error)
             return None
         finally:
             task.cancel()
 
 
-def _is_trouble(reply: object) -> bool:
-    if isinstance(reply, Refused):
-        return reply.failure.kind in _OWNER_TROUBLE
-    if isinstance(reply, TakeOverReply) and reply.failure is not None:
-        return reply.failure.kind in _OWNER_TROUBLE
+def _is_retried(response: object) -> bool:
+    """Return whether another owner, or the same one later, may accept the call."""
+    if isinstance(response, Refused):
+        return response.failure.kind in _RETRIED_KINDS
+    if isinstance(response, TakeOverReply) and response.failure is not None:
+        return response.failure.kind in _RETRIED_KINDS
     return False
 
 
-def _log_unreachable(resource: str, error: Exception) -> None:
+def _log_call_error(resource: str, error: Exception) -> None:
     log_event(
         _logger,
         EventNumber.PEER_LOST,
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -1,4 +1,4 @@
-"""Resumes streams: here, from the front that has them, or by a take-over."""
+"""Resume streams: from this front, through the request's front, or by a take-over."""
 
 import asyncio
 import logging
@@ -23,8 +23,8 @@
 __all__ = ["StreamResumer"]
 
 _logger = logging.getLogger(__name__)
-# Kinds with which a relay ends although the request may go on elsewhere.
-_LOOK_AGAIN = frozenset(
+# Kinds of failure after which the request may still continue on another front.
+_RETRIED_KINDS = frozenset(
     {
         ErrorKind.OWNER_UNAVAILABLE,
         ErrorKind.UNKNOWN_REQUEST,
@@ -37,14 +37,14 @@
 
 class StreamResumer:
     """
-    Finds the output of a request by its id.
+    Finds the front of a request by the request's id, and streams its output.
 
     Parameters
     ----------
     context : FrontContext
-        What the front's requests share.
+        Shared state of the front.
     calls : dict[str, RunningModelCall]
-        The front's requests; a request that is taken over is added.
+        Requests of the front by id. A request that is taken over is added.
     """
 
     def __init__(
@@ -53,10 +53,17 @@
         self._context = context
         self._model_calls = calls
 
-    async def local(
+    async def stream_local(
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Yield output of a request of this front; raises `StreamFailed`."""
+        """
+        Yield the output of a request of this front.
+
+        Raises
+        ------
+        StreamFailed
+            If the request is unknown, or fails before its last chunk.
+        """
         running = self._model_calls.get(request_id)
         if running is None or running.call.workspace != workspace:
             raise StreamFailed(Failure(ErrorKind.UNKNOWN_REQUEST, request_id[:80]))
@@ -76,15 +83,31 @@
     async def resume(
         self, request_id: str, workspace: str, offset: int, front: str = ""
     ) -> AsyncIterator[DecodeChunk]:
-        """Yield output from `offset`; follows the request to another front."""
+        """
+        Yield output from `offset`, also if the request moves to another front.
+
+        Parameters
+        ----------
+        request_id, workspace : str
+            The request, which must be one of this workspace.
+        offset : int
+            Offset of the first chunk to yield.
+        front : str
+            Host that runs the request, if it isn't the one named in the id.
+
+        Raises
+        ------
+        StreamFailed
+            If the request fails, or isn't found in time.
+        """
         loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + self._context.settings.owner_wait_s
+        deadline_s = loop.time() + self._context.settings.owner_timeout_s
         log_event(
             _logger, EventNumber.STREAM_RESUMED, request_id=request_id, offset=offset
         )
         while True:
             try:
-                stream = await self._find(request_id, workspace, offset, front)
+                stream = await self._open_stream(request_id, workspace, offset, front)
                 async with closing_stream(stream):
                     async for chunk in stream:
                         if chunk.offset != offset:
@@ -93,29 +116,38 @@
                         if chunk.finish_reason is not None:
                             return
                         offset += 1
-                        give_up_s = loop.time() + self._context.settings.owner_wait_s
-                failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "relay ended early")
+                        deadline_s = (
+                            loop.time() + self._context.settings.owner_timeout_s
+                        )
+                failure = Failure(
+                    ErrorKind.OWNER_UNAVAILABLE, "relay ended before the last chunk"
+                )
             except StreamFailed as error:
                 failure = error.failure
-            if failure.kind in _LOOK_AGAIN and failure.ran is RunState.NOT_RUN:
-                # It tells of the search; the request itself may well have run.
+            if failure.kind in _RETRIED_KINDS and failure.ran is RunState.NOT_RUN:
+                # The failure is one of finding the request, which may itself have run.
                 failure = msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
-            if failure.kind not in _LOOK_AGAIN or loop.time() >= give_up_s:
+            if failure.kind not in _RETRIED_KINDS or loop.time() >= deadline_s:
                 raise StreamFailed(failure)
-            if failure.kind is ErrorKind.UNKNOWN_REQUEST and not self._may_return(
+            if failure.kind is ErrorKind.UNKNOWN_REQUEST and not self._may_reappear(
                 request_id, front
             ):
                 raise StreamFailed(failure)
-            await asyncio.sleep(self._context.settings.ask_again_s)
+            await asyncio.sleep(self._context.settings.retry_pause_s)
 
-    def _may_return(self, request_id: str, front: str) -> bool:
-        """Tell whether the answer "unknown" may be due to a lagging fleet view."""
-        host, incarnation = self._home(request_id, front)
+    def _may_reappear(self, request_id: str, front: str) -> bool:
+        """
+        Return whether "unknown request" may be due to a stale fleet view.
+
+        This is so if the request's front has ended, and another host may take over.
+        """
+        host, incarnation = self._front_of(request_id, front)
         session = self._context.control.fleet.sessions.get(host)
-        alive = session is not None and incarnation in (None, session.incarnation)
-        return not alive and host != self._context.host
+        is_alive = session is not None and incarnation in (None, session.incarnation)
+        return not is_alive and host != self._context.host
 
-    def _home(self, request_id: str, front: str) -> tuple[str, int | None]:
+    def _front_of(self, request_id: str, front: str) -> tuple[str, int | None]:
+        """Return the host that accepted a request, and its incarnation if known."""
         try:
             parsed = RequestId.parse(request_id)
         except ValueError:
@@ -125,19 +157,19 @@
             return front, None
         return parsed.host, parsed.incarnation
 
-    async def _find(
+    async def _open_stream(
         self, request_id: str, workspace: str, offset: int, front: str
     ) -> AsyncIterator[DecodeChunk]:
-        host, incarnation = self._home(request_id, front)
+        host, incarnation = self._front_of(request_id, front)
         if request_id in self._model_calls:
-            return self.local(request_id, workspace, offset)
+            return self.stream_local(request_id, workspace, offset)
         session = self._context.control.fleet.sessions.get(host)
-        alive = session is not None and incarnation in (None, session.incarnation)
-        if alive and host != self._context.host:
+        is_alive = session is not None and incarnation in (None, session.incarnation)
+        if is_alive and host != self._context.host:
             return self._relay(host, request_id, workspace, offset)
         active = await self._take_over(request_id, workspace)
-        self._continue(active, workspace, offset)
-        return self.local(request_id, workspace, offset)
+        self._continue_request(active, workspace, offset)
+        return self.stream_local(request_id, workspace, offset)
 
     async def _relay(
         self, host: str, request_id: str, workspace: str, offset: int
@@ -160,17 +192,19 @@
             if server.role is not BackendServerRole.SERVICE
         )
         for cell in cells:
-            reply = await self._ask_owner(cell_resource(cell), request_id, workspace)
-            if isinstance(reply, Failure):
-                failure = reply
-            elif reply.active is not None:
-                return reply.active
-            elif reply.failure is not None:
-                if reply.failure.kind is not ErrorKind.UNKNOWN_REQUEST:
-                    failure = reply.failure
+            response = await self._request_take_over(
+                cell_resource(cell), request_id, workspace
+            )
+            if isinstance(response, Failure):
+                failure = response
+            elif response.active is not None:
+                return response.active
+            elif response.failure is not None:
+                if response.failure.kind is not ErrorKind.UNKNOWN_REQUEST:
+                    failure = response.failure
         raise StreamFailed(failure)
 
-    async def _ask_owner(
+    async def _request_take_over(
         self, resource: str, request_id: str, workspace: str
     ) -> TakeOverReply | Failure:
         context = self._context
@@ -186,9 +220,11 @@
             )
             return await context.cells.take_over(take_over)
 
-        return await context.owners.ask(resource, send)
+        return await context.owners.call(resource, send)
 
-    def _continue(self, active: ActiveRequest, workspace: str, offset: int) -> None:
+    def _continue_request(
+        self, active: ActiveRequest, workspace: str, offset: int
+    ) -> None:
         profile = active.profile
         if profile.request_id in self._model_calls:
             return
@@ -197,7 +233,8 @@
             model=profile.model,
             prompt="",
             prompt_tokens=profile.prompt_tokens,
-            # Of a later attempt the number of earlier tokens is not known.
+            # The limit of a later attempt excludes the tokens of earlier ones, whose
+            # number isn't known here.
             max_output_tokens=profile.max_output_tokens
             + (offset if profile.attempt > 1 else 0),
         )
@@ -217,5 +254,6 @@
         )
         self._model_calls[profile.request_id] = running
         log_event(_logger, EventNumber.STREAM_TAKEN_OVER, request_id=profile.request_id)
-        # Another caller may resume from an earlier offset, so all text is fetched.
+        # All of the text is fetched, because another caller may resume from an earlier
+        # offset.
         running.dispatch(Continued(active.placement, 0, wanted_offset=offset))
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -1,4 +1,4 @@
-"""Calls to plain services, with the ledger for calls that must not be repeated."""
+"""Run calls to plain services; the ledger guards calls that must not run twice."""
 
 import asyncio
 import logging
@@ -8,7 +8,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damaskridge.adapters.front_context import FrontContext, place, report, reserve_rate
+from damaskridge.adapters.front_context import (
+    FrontContext,
+    request_placement,
+    reserve_rate,
+    send_progress,
+)
 from damaskridge.adapters.front_events import RequestEventLogger
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, ServiceResponse
@@ -37,12 +42,27 @@
 __all__ = ["RouteCall", "RunningServiceCall"]
 
 _logger = logging.getLogger(__name__)
-_ATTEMPTS = 3
+_MAX_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RouteCall:
-    """A caller's call to a plain service, after all checks."""
+    """
+    A validated request to a plain service.
+
+    Attributes
+    ----------
+    request_id, workspace, key_digest : str
+        The request, its workspace, and the digest of the caller's key. Workspace and
+        digest are empty for a route that is open to all.
+    route : Route
+        The configured route.
+    call : ServiceCall
+        The HTTP request to send to an instance of the service.
+    idempotency_key, body_digest : str
+        The idempotency key, if any, and a digest by which another body with the same
+        key is refused.
+    """
 
     request_id: str
     workspace: str
@@ -55,16 +75,17 @@
 
 class RunningServiceCall:
     """
-    One call to a plain service.
+    One call to a plain service, with all its attempts.
 
     Attributes
     ----------
-    sent : bool
-        Whether the call may have left; from then on it is not cancelled.
-    ended_by : ErrorKind
-        Why the call was cancelled while it was queued.
+    is_sent : bool
+        Whether the present attempt may have been sent to an instance. A call that may
+        have been sent isn't cancelled any more.
+    cancel_kind : ErrorKind
+        The reason to report if the call is cancelled while it is queued.
     task : asyncio.Task or None
-        Runs the call.
+        The task that runs the call.
     """
 
     def __init__(self, context: FrontContext, call: RouteCall) -> None:
@@ -75,56 +96,56 @@
         self.events = RequestEventLogger(
             call.request_id, call.workspace, self._loop.time, "service"
         )
-        self.sent = False
-        self.ended_by = ErrorKind.CANCELLED
+        self.is_sent = False
+        self.cancel_kind = ErrorKind.CANCELLED
         self.task: asyncio.Task[None] | None = None
         self.profile: RequestProfile | None = None
         self.placement: Placement | None = None
         self._attempt = 0
         self._output_tokens = 0
         self._grant: RateGrant | None = None
-        self._recorded = False
+        self._is_intent_proposed = False
         self._may_have_run = False
 
     @property
     def request_id(self) -> str:
-        """The request's identifier."""
+        """The id of the request."""
         return self.call.request_id
 
     def progress(self) -> Progress:
-        """Return what the cell owner needs to know now."""
-        return self._progress(RequestPhase.DECODING if self.sent else _QUEUED)
+        """Return the progress to report to the cell owner."""
+        return self._progress(RequestPhase.DECODING if self.is_sent else _QUEUED)
 
-    def withdraw_key(self) -> None:
-        """Stop the call unless it has left."""
-        self.ended_by = ErrorKind.KEY_WITHDRAWN
-        self.give_up()
+    def cancel_for_withdrawn_key(self) -> None:
+        """Cancel the call, because its key was withdrawn, if it is still queued."""
+        self.cancel_kind = ErrorKind.KEY_WITHDRAWN
+        self.cancel_if_queued()
 
-    def give_up(self) -> None:
-        """Cancel the call while it is queued; one that was placed is finished."""
-        queued = self.placement is None and not self._recorded
+    def cancel_if_queued(self) -> None:
+        """Cancel the call if it is queued; a call that was placed is completed."""
+        queued = self.placement is None and not self._is_intent_proposed
         if self.task is not None and queued and not self._may_have_run:
             self.task.cancel()
 
     async def run(self) -> Result[ServiceResponse, Failure]:
-        """Return the answer of the service, or why there is none."""
+        """Return the response of the service, or why there is none."""
         route = self.call.route
         if not route.repeatable and not self.call.idempotency_key:
             return Err(Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING))
         if not route.open_to_all:
-            failure = await self._reserve()
+            failure = await self._reserve_rate()
             if failure is not None:
                 return Err(failure)
         try:
-            result = await self._attempts()
+            result = await self._run_attempts()
         except asyncio.CancelledError:
-            self._context.start(self._release())
+            self._context.start_task(self._release_reservations())
             raise
         if isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN:
             await self._refund()
         return result
 
-    async def _reserve(self) -> Failure | None:
+    async def _reserve_rate(self) -> Failure | None:
         call = self.call
         request = RateRequest(
             resource=workspace_resource(call.workspace),
@@ -135,12 +156,12 @@
             cost_tokens=call.route.cost_tokens,
             wait_s=self._context.settings.rate_wait_s,
         )
-        reply = await reserve_rate(self._context, request)
-        if isinstance(reply, RateGrant):
-            self._grant = reply
-            self.events.granted(reply.waited_s)
+        response = await reserve_rate(self._context, request)
+        if isinstance(response, RateGrant):
+            self._grant = response
+            self.events.log_granted(response.waited_s)
             return None
-        return getattr(reply, "failure", Failure(ErrorKind.IDEMPOTENCY_IN_PROGRESS))
+        return getattr(response, "failure", Failure(ErrorKind.IDEMPOTENCY_IN_PROGRESS))
 
     async def _refund(self) -> None:
         if self._grant is None:
@@ -152,9 +173,10 @@
             request_id=self.request_id,
             tokens=self.call.route.cost_tokens,
         )
-        await self._context.owners.tell(self._context.rates.refund(refund))
+        await self._context.owners.send_best_effort(self._context.rates.refund(refund))
 
-    async def _release(self) -> None:
+    async def _release_reservations(self) -> None:
+        """Return the tokens, and withdraw the request from the cell owner."""
         await self._refund()
         profile = self.profile
         if profile is None:
@@ -163,29 +185,31 @@
         withdraw = Withdraw(
             resource=profile.resource, epoch=profile.epoch, request_id=self.request_id
         )
-        await context.owners.tell(context.cells.withdraw(withdraw))
+        await context.owners.send_best_effort(context.cells.withdraw(withdraw))
         progress = self._progress(RequestPhase.CANCELLED)
-        await report(context, profile.resource, (progress,))
+        await send_progress(context, profile.resource, (progress,))
 
-    async def _attempts(self) -> Result[ServiceResponse, Failure]:
+    async def _run_attempts(self) -> Result[ServiceResponse, Failure]:
         excluded: tuple[str, ...] = ()
         while True:
             self._attempt += 1
-            self.events.asks_placement(self._attempt)
-            placed = await self._place(excluded)
+            self.events.log_placement_requested(self._attempt)
+            placed = await self._request_placement(excluded)
             if isinstance(placed, Failure):
-                return Err(_truthful(placed, self._may_have_run))
-            result = await self._once(placed)
+                return Err(_with_possible_run(placed, self._may_have_run))
+            result = await self._run_attempt(placed)
             if isinstance(result, Ok):
                 return result
             self._may_have_run |= result.err_value.ran is not RunState.NOT_RUN
-            if not self.call.route.repeatable or self._attempt >= _ATTEMPTS:
-                return Err(_truthful(result.err_value, self._may_have_run))
-            if result.err_value.kind not in _RETRIED:
-                return Err(_truthful(result.err_value, self._may_have_run))
+            if not self.call.route.repeatable or self._attempt >= _MAX_ATTEMPTS:
+                return Err(_with_possible_run(result.err_value, self._may_have_run))
+            if result.err_value.kind not in _RETRIED_KINDS:
+                return Err(_with_possible_run(result.err_value, self._may_have_run))
             excluded = (*excluded, placed.decode_server)
 
-    async def _place(self, excluded: tuple[str, ...]) -> Placement | Failure:
+    async def _request_placement(
+        self, excluded: tuple[str, ...]
+    ) -> Placement | Failure:
         call = self.call
         profile = RequestProfile(
             resource="",
@@ -202,37 +226,39 @@
             waited_s=self._loop.time() - self.accepted_s,
             excluded=excluded,
         )
-        reply = await place(self._context, profile, self._set_profile)
-        if not isinstance(reply, Placement):
-            return reply.failure
-        self.placement = reply
-        self.events.placed(reply)
-        return reply
+        response = await request_placement(self._context, profile, self._set_profile)
+        if not isinstance(response, Placement):
+            return response.failure
+        self.placement = response
+        self.events.log_placed(response)
+        return response
 
     def _set_profile(self, profile: RequestProfile) -> None:
         self.profile = profile
 
-    async def _once(self, placement: Placement) -> Result[ServiceResponse, Failure]:
+    async def _run_attempt(
+        self, placement: Placement
+    ) -> Result[ServiceResponse, Failure]:
         failed_server = ""
         try:
             if self.call.route.repeatable:
                 result = await self._send(placement)
             else:
                 result = await self._send_with_ledger(placement)
-            if isinstance(result, Err) and result.err_value.kind in _RETRIED:
+            if isinstance(result, Err) and result.err_value.kind in _RETRIED_KINDS:
                 failed_server = placement.decode_server
             return result
         finally:
-            self.sent = False
-            await self._finished(failed_server)
+            self.is_sent = False
+            await self._report_attempt_end(failed_server)
 
     async def _send(self, placement: Placement) -> Result[ServiceResponse, Failure]:
         if not self.call.route.open_to_all:
-            # Asked again: the key may have been withdrawn while the call was queued.
-            failure = self._context.key_failure(self.call.key_digest)
+            # The key may have been withdrawn while the call was queued.
+            failure = self._context.check_key(self.call.key_digest)
             if failure is not None:
                 return Err(failure)
-        self.sent = True
+        self.is_sent = True
         call = self._context.services.call(placement.decode_address, self.call.call)
         try:
             return await asyncio.wait_for(
@@ -244,6 +270,7 @@
     async def _send_with_ledger(
         self, placement: Placement
     ) -> Result[ServiceResponse, Failure]:
+        """Send a call that must not run twice, after its intent is committed."""
         call = self.call
         session = self._context.control.session
         if session is None:
@@ -256,12 +283,12 @@
             host=self._context.host,
             session=session.number,
         )
-        self._recorded = True
+        self._is_intent_proposed = True
         committed = await self._propose(intent)
         if committed.failure is not None:
             return Err(committed.failure)
         record = committed.ledger
-        assert record is not None, "an intent is answered with a ledger record"
+        assert record is not None, "a committed intent returns a ledger record"
         self._log(EventNumber.LEDGER_INTENT, state=record.state.value)
         if record.state is LedgerState.FINISHED:
             self._log(EventNumber.LEDGER_REPLAYED, status=record.status)
@@ -275,28 +302,32 @@
             )
         else:
             result = await self._send(placement)
-        return await self._record(intent, result)
+        return await self._record_result(intent, result)
 
-    async def _record(
+    async def _record_result(
         self, intent: RecordIntent, result: Result[ServiceResponse, Failure]
     ) -> Result[ServiceResponse, Failure]:
         not_run = isinstance(result, Err) and result.err_value.ran is RunState.NOT_RUN
-        answer = result.ok_value if isinstance(result, Ok) else _unknown_answer(self)
+        response = (
+            result.ok_value
+            if isinstance(result, Ok)
+            else _outcome_unknown_response(self)
+        )
         record = RecordResult(
             command_id=f"{self.request_id}-result",
             workspace=intent.workspace,
             idempotency_key=intent.idempotency_key,
             intent_id=intent.command_id,
-            status=0 if not_run else answer.status,
-            content_type="" if not_run else answer.content_type,
-            body=b"" if not_run else answer.body,
+            status=0 if not_run else response.status,
+            content_type="" if not_run else response.content_type,
+            body=b"" if not_run else response.body,
             not_run=not_run,
         )
         committed = await self._propose(record)
         if committed.failure is None:
             self._log(EventNumber.LEDGER_RESULT, status=record.status)
         if committed.failure is not None and not not_run:
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the result is not recorded"))
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "result was not recorded"))
         if isinstance(result, Err) and not not_run:
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, result.err_value.kind.value))
         return result
@@ -304,9 +335,9 @@
     def log_end(
         self, result: Result[ServiceResponse, Failure], cancelled: bool
     ) -> None:
-        """Log the final answer."""
+        """Log the outcome of the call."""
         failure = result.err_value if isinstance(result, Err) else None
-        self.events.ended(failure, cancelled, self._output_tokens, self._attempt)
+        self.events.log_ended(failure, cancelled, self._output_tokens, self._attempt)
 
     def _log(self, number: EventNumber, **fields: Any) -> None:
         log_event(_logger, number, request_id=self.request_id, **fields)
@@ -314,12 +345,12 @@
     async def _propose(self, command: Command) -> CommandResult:
         return await self._context.control.propose(command)
 
-    async def _finished(self, failed_server: str) -> None:
+    async def _report_attempt_end(self, failed_server: str) -> None:
         if self.profile is None:
             return
         self._output_tokens = 1
         progress = self._progress(RequestPhase.FINISHED, failed_server)
-        await report(self._context, self.profile.resource, (progress,))
+        await send_progress(self._context, self.profile.resource, (progress,))
         self.placement = None
 
     def _progress(self, phase: RequestPhase, failed_server: str = "") -> Progress:
@@ -333,7 +364,7 @@
 
 
 _QUEUED = RequestPhase.QUEUED
-_RETRIED = frozenset(
+_RETRIED_KINDS = frozenset(
     {ErrorKind.BACKEND_SERVER_FAILED, ErrorKind.BACKEND_SERVER_TIMEOUT}
 )
 _LEDGER_REFUSALS = {
@@ -342,14 +373,16 @@
 }
 
 
-def _truthful(failure: Failure, may_have_run: bool) -> Failure:
+def _with_possible_run(failure: Failure, may_have_run: bool) -> Failure:
+    """Return the failure, not claiming "not run" if an earlier attempt may have run."""
     if may_have_run and failure.ran is RunState.NOT_RUN:
         return msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
     return failure
 
 
-def _unknown_answer(run: RunningServiceCall) -> ServiceResponse:
-    # A later call with the same key is answered, and never sent.
+def _outcome_unknown_response(run: RunningServiceCall) -> ServiceResponse:
+    # Stored in the ledger, and sent for each later call with the same key, which is
+    # never sent to an instance.
     error = {
         "kind": ErrorKind.OUTCOME_UNKNOWN.value,
         "message": "the connection broke after the call had left",
--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -1,4 +1,8 @@
-"""HTTP calls to backend servers over httpcore, with every failure as a value."""
+"""HTTP client for backend servers, based on httpcore.
+
+Every error is raised as `StreamFailed`, whose `Failure` states whether the request may
+have run.
+"""
 
 import importlib.util
 import sys
@@ -16,17 +20,18 @@
 __all__ = ["BackendClient", "HttpResponse", "backend_failure"]
 
 if importlib.util.find_spec("sniffio") is None:
-    # httpcore tries to import it several times per request, and Python searches all
-    # paths each time: a fifth of an entry host's processor time under load.
+    # httpcore tries to import sniffio several times per request. Without this entry,
+    # Python searches all paths each time, which took a fifth of an entry host's
+    # processor time under load.
     sys.modules["sniffio"] = None  # type: ignore[assignment]
 
-# A connection that has been idle for longer may have gone silent.
-_KEEPALIVE_S = 2.0
-_CONNECT_S = 1.0
+# An idle connection may fail unnoticed, so it isn't reused after this time.
+_KEEPALIVE_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 1.0
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
-    """A whole answer."""
+    """A complete HTTP response."""
 
     status: int
     content_type: str
@@ -35,21 +40,21 @@
 
 class BackendClient:
     """
-    Connections to backend servers.
+    HTTP client with a connection pool per backend server.
 
     Parameters
     ----------
     connections : int
-        Most connections to one address at the same time.
+        Maximum number of concurrent requests to one address.
     """
 
-    def __init__(self, connections: int = 400) -> None:
-        self._connections = connections
+    def __init__(self, max_connections: int = 400) -> None:
+        self._max_connections = max_connections
         self._backend = StreamBackend()
         self._pools: dict[bytes, BackendConnectionPool] = {}
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all idle connections."""
         for pool in self._pools.values():
             await pool.close()
 
@@ -64,7 +69,26 @@
         max_bytes: int,
         new_connection: bool = False,
     ) -> HttpResponse:
-        """Return the whole answer; raises `StreamFailed`."""
+        """
+        Send a request and return the complete response.
+
+        Parameters
+        ----------
+        method, url, body, headers
+            The request.
+        read_timeout_s : float or None
+            Timeout of each read and write.
+        max_bytes : int
+            Maximum size of the response body.
+        new_connection : bool
+            Whether to open a new connection, so that the request isn't sent on an idle
+            one that has failed unnoticed.
+
+        Raises
+        ------
+        StreamFailed
+            If there is no complete response within the limits.
+        """
         stream = self.stream(
             method,
             url,
@@ -75,28 +99,28 @@
         )
         data = bytearray()
         async with stream as response:
-            with _failures():
-                async for part in response.aiter_stream():
-                    data += part
+            with _translate_errors():
+                async for chunk in response.aiter_stream():
+                    data += chunk
                     if len(data) > max_bytes:
-                        raise backend_failure("answer over the limit")
+                        raise backend_failure("response exceeds the size limit")
             return HttpResponse(response.status, _content_type(response), bytes(data))
 
     async def lines(
         self, response: httpcore.Response, max_bytes: int
     ) -> AsyncIterator[bytes]:
-        """Yield the lines of a response; raises `StreamFailed`."""
-        rest = b""
-        with _failures():
-            async for part in response.aiter_stream():
-                *lines, rest = (rest + part).split(b"\n")
+        """Yield the non-empty lines of a response; raises `StreamFailed`."""
+        remainder = b""
+        with _translate_errors():
+            async for chunk in response.aiter_stream():
+                *lines, remainder = (remainder + chunk).split(b"\n")
                 for line in lines:
                     if line.strip():
                         yield line
-                if len(rest) > max_bytes:
-                    raise backend_failure("line over the limit")
-        if rest.strip():
-            yield rest
+                if len(remainder) > max_bytes:
+                    raise backend_failure("response line exceeds the size limit")
+        if remainder.strip():
+            yield remainder
 
     @asynccontextmanager
     async def stream(
@@ -110,13 +134,13 @@
         new_connection: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
         """
-        Give the response with its body unread; raises `StreamFailed`.
+        Send a request and yield the response before its body is read.
 
-        With `new_connection` the call never meets a connection that went silent.
+        The parameters are those of `call`. Raises `StreamFailed`.
         """
-        with _failures():
+        with _translate_errors():
             parsed = httpcore.URL(url)
-            opened = self._pool_of(parsed).stream(
+            stream_context = self._pool_for(parsed).stream(
                 method,
                 parsed.target,
                 headers or [(b"content-type", b"application/json")],
@@ -124,13 +148,13 @@
                 read_timeout_s,
                 new_connection,
             )
-            response = await opened.__aenter__()
+            response = await stream_context.__aenter__()
         try:
             yield response
         finally:
-            await opened.__aexit__(None, None, None)
+            await stream_context.__aexit__(None, None, None)
 
-    def _pool_of(self, url: httpcore.URL) -> BackendConnectionPool:
+    def _pool_for(self, url: httpcore.URL) -> BackendConnectionPool:
         port = url.port or 80
         address = b"%b:%d" % (url.host, port)
         if address not in self._pools:
@@ -138,39 +162,44 @@
                 url.host,
                 port,
                 self._backend,
-                limit=self._connections,
-                keepalive_s=_KEEPALIVE_S,
-                connect_s=_CONNECT_S,
+                max_requests=self._max_connections,
+                keepalive_timeout_s=_KEEPALIVE_TIMEOUT_S,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
             )
         return self._pools[address]
 
 
 @contextmanager
-def _failures() -> Iterator[None]:
-    """Turn errors of httpcore into `StreamFailed`."""
+def _translate_errors() -> Iterator[None]:
+    """Translate errors of httpcore to `StreamFailed`."""
     try:
         yield
-    except _NOT_SENT as error:
+    except _NOT_SENT_ERRORS as error:
         raise backend_failure(type(error).__name__, RunState.NOT_RUN) from error
     except httpcore.TimeoutException as error:
         failure = Failure(ErrorKind.BACKEND_SERVER_TIMEOUT, type(error).__name__)
         raise StreamFailed(failure) from error
-    except _BROKEN as error:
+    except _CONNECTION_ERRORS as error:
         raise backend_failure(type(error).__name__) from error
 
 
-_NOT_SENT = (
+_NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
     httpcore.UnsupportedProtocol,
     httpcore.LocalProtocolError,
 )
-_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, OSError, ValueError)
+_CONNECTION_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    OSError,
+    ValueError,
+)
 
 
 def backend_failure(detail: str, run_state: RunState | None = None) -> StreamFailed:
-    """Return the exception for a backend server that failed."""
+    """Return the exception for a failure of a backend server."""
     failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, detail, run_state)
     return StreamFailed(failure)
 
--- a/src/damaskridge/adapters/http_pool.py
+++ b/src/damaskridge/adapters/http_pool.py
@@ -1,4 +1,4 @@
-"""Connections of httpcore to one address, kept for reuse."""
+"""Pool of httpcore connections to one address."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -13,23 +13,23 @@
 
 class BackendConnectionPool:
     """
-    Open connections to one address.
+    Keeps open connections to one address for reuse.
 
-    httpcore's own pool looks at all pairs of its connections at every request, which
-    took a third of an entry host's processor time when 200 requests came at once.
+    httpcore's own pool compares all pairs of its connections at every request, which
+    took a third of an entry host's processor time for 200 concurrent requests.
 
     Parameters
     ----------
     host, port : bytes, int
-        The address.
+        The address of the backend server.
     backend : httpcore.AsyncNetworkBackend
         Opens connections.
     limit : int
-        Most requests at the same time.
-    keepalive_s : float
-        How long an idle connection is kept.
-    connect_s : float
-        Longest time until a connection is open.
+        Maximum number of concurrent requests.
+    keepalive_timeout_s : float
+        Maximum time for which an idle connection is kept.
+    connect_timeout_s : float
+        Timeout of opening a connection.
     """
 
     def __init__(
@@ -38,17 +38,17 @@
         port: int,
         backend: httpcore.AsyncNetworkBackend,
         *,
-        limit: int,
-        keepalive_s: float,
-        connect_s: float,
+        max_requests: int,
+        keepalive_timeout_s: float,
+        connect_timeout_s: float,
     ) -> None:
         self._origin = httpcore.Origin(b"http", host, port)
         self._backend = backend
-        self._limit = limit
-        self._keepalive_s = keepalive_s
-        self._connect_s = connect_s
-        self._running = 0
-        # With the loop time since when each has been idle.
+        self._max_requests = max_requests
+        self._keepalive_timeout_s = keepalive_timeout_s
+        self._connect_timeout_s = connect_timeout_s
+        self._active_requests = 0
+        # Each connection with the event loop's time at which it became idle.
         self._idle: list[tuple[httpcore.AsyncHTTP11Connection, float]] = []
 
     async def close(self) -> None:
@@ -67,12 +67,12 @@
         read_timeout_s: float | None,
         new_connection: bool,
     ) -> AsyncIterator[httpcore.Response]:
-        """Yield the response with its body unread."""
-        if self._running >= self._limit:
+        """Send a request and yield the response before its body is read."""
+        if self._active_requests >= self._max_requests:
             raise httpcore.PoolTimeout
-        self._running += 1
+        self._active_requests += 1
         try:
-            connection = await self._connection(new_connection)
+            connection = await self._acquire(new_connection)
             request = self._request(method, target, headers, body, read_timeout_s)
             response = await connection.handle_async_request(request)
             try:
@@ -82,28 +82,31 @@
                 if (
                     connection.is_idle()
                     and not new_connection
-                    and not _has_extra(connection)
+                    and not _has_trailing_data(connection)
                 ):
                     self._idle.append((connection, _now_s()))
                 else:
                     await connection.aclose()
         finally:
-            self._running -= 1
+            self._active_requests -= 1
 
-    async def _connection(self, new_connection: bool) -> httpcore.AsyncHTTP11Connection:
-        # The connection used last is the least likely to have gone silent.
+    async def _acquire(self, new_connection: bool) -> httpcore.AsyncHTTP11Connection:
+        # The most recently used connection is the least likely to have failed.
         while self._idle and not new_connection:
             connection, idle_since_s = self._idle.pop()
-            # The library's clock stands still while the machine is suspended.
-            is_fresh = _now_s() - idle_since_s < self._keepalive_s
-            if is_fresh and not connection.has_expired():
+            # The clock of httpcore stops while the machine is suspended, so that
+            # `has_expired` alone isn't enough.
+            is_recent = _now_s() - idle_since_s < self._keepalive_timeout_s
+            if is_recent and not connection.has_expired():
                 return connection
             await connection.aclose()
         stream = await self._backend.connect_tcp(
-            self._origin.host.decode(), self._origin.port, timeout=self._connect_s
+            self._origin.host.decode(),
+            self._origin.port,
+            timeout=self._connect_timeout_s,
         )
         return httpcore.AsyncHTTP11Connection(
-            self._origin, stream, keepalive_expiry=self._keepalive_s
+            self._origin, stream, keepalive_expiry=self._keepalive_timeout_s
         )
 
     def _request(
@@ -133,11 +136,11 @@
     return asyncio.get_running_loop().time()
 
 
-def _has_extra(connection: httpcore.AsyncHTTP11Connection) -> bool:
+def _has_trailing_data(connection: httpcore.AsyncHTTP11Connection) -> bool:
     """
-    Tell whether bytes followed a complete answer.
+    Return whether bytes followed a complete response.
 
-    They belong to no request, and httpcore would take them for the next answer. It
-    offers no public way to see them.
+    They belong to no request, and httpcore would parse them as the next response.
+    None of its public attributes shows them.
     """
     return bool(connection._h11_state.trailing_data[0])
--- a/src/damaskridge/adapters/http_streams.py
+++ b/src/damaskridge/adapters/http_streams.py
@@ -1,7 +1,7 @@
-"""Connections for httpcore on the streams of asyncio.
+"""Network backend for httpcore, based on asyncio streams.
 
-The default backend stops and restarts reading from the socket at every read and
-sets a timer each time, which cost two fifths of the processor time of token streams.
+The default backend stops and resumes reading from the socket at every read, and sets a
+timer each time. This took two fifths of the processor time spent on token streams.
 """
 
 import asyncio
@@ -14,8 +14,8 @@
 __all__ = ["StreamBackend"]
 
 
-class _Reader(asyncio.StreamReader):
-    """Tells whether bytes have arrived that nobody has read."""
+class _CountingReader(asyncio.StreamReader):
+    """Stream reader that counts the received bytes that have not been read."""
 
     def __init__(self) -> None:
         super().__init__(loop=asyncio.get_running_loop())
@@ -23,30 +23,30 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether bytes have arrived that nobody has read."""
+        """Whether received bytes have not been read."""
         return self._unread_bytes > 0
 
     def feed_data(self, data: Any) -> None:
-        """Take bytes from the transport."""
+        """Add bytes received by the transport."""
         self._unread_bytes += len(data)
         super().feed_data(data)
 
     async def read(self, n: int = -1) -> bytes:
-        """Return some bytes, or none at the end."""
+        """Return received bytes; an empty result means the end of the stream."""
         data = await super().read(n)
         self._unread_bytes -= len(data)
         return data
 
 
 class _Connection(httpcore.AsyncNetworkStream):
-    """One connection; a timeout of `None` sets no timer."""
+    """One connection; reads with a timeout of `None` set no timer."""
 
-    def __init__(self, reader: _Reader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, reader: _CountingReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:  # noqa: ASYNC109
-        """Return some bytes, or none at the end."""
+        """Return received bytes; an empty result means the end of the stream."""
         try:
             if timeout is None:
                 return await self._reader.read(max_bytes)
@@ -69,7 +69,7 @@
             raise httpcore.WriteError from error
 
     async def aclose(self) -> None:
-        """Close the connection without waiting for the other side."""
+        """Close the connection without waiting for the peer."""
         self._writer.transport.abort()
 
     async def start_tls(
@@ -78,11 +78,16 @@
         server_hostname: str | None = None,
         timeout: float | None = None,  # noqa: ASYNC109
     ) -> httpcore.AsyncNetworkStream:
-        """Refuse: backend servers are met over plain TCP."""
+        """Raise an error: connections to backend servers use plain TCP."""
         raise httpcore.UnsupportedProtocol("TLS")
 
     def get_extra_info(self, info: str) -> Any:
-        """Tell whether an idle connection has ended, or holds bytes of no request."""
+        """
+        Return whether an idle connection must not be reused.
+
+        httpcore asks for this as ``is_readable``: the peer has closed the connection
+        or has sent bytes that belong to no request.
+        """
         if info != "is_readable":
             return None
         return self._reader.at_eof() or self._reader.has_unread
@@ -99,10 +104,10 @@
         local_address: str | None = None,
         socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        """Return a connection."""
+        """Open a connection."""
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await _open(host, port)
+                reader, writer = await _open_connection(host, port)
         except TimeoutError as error:
             raise httpcore.ConnectTimeout from error
         except OSError as error:
@@ -110,12 +115,14 @@
         return _Connection(reader, writer)
 
     async def sleep(self, seconds: float) -> None:
-        """Wait."""
+        """Wait for `seconds`."""
         await asyncio.sleep(seconds)
 
 
-async def _open(host: str, port: int) -> tuple[_Reader, asyncio.StreamWriter]:
-    loop, reader = asyncio.get_running_loop(), _Reader()
+async def _open_connection(
+    host: str, port: int
+) -> tuple[_CountingReader, asyncio.StreamWriter]:
+    loop, reader = asyncio.get_running_loop(), _CountingReader()
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/src/damaskridge/adapters/owners.py
+++ b/src/damaskridge/adapters/owners.py
@@ -1,4 +1,4 @@
-"""The owners on this host: rates of workspaces and schedulers of cells."""
+"""The owners that this host may run: rate owners and cell owners."""
 
 import anyio
 
@@ -9,7 +9,7 @@
 
 
 class OwnerRuntimes:
-    """Runs both kinds of owners together."""
+    """Runs the rate owners and the cell owners of one host."""
 
     def __init__(self, rates: RateRuntime, cells: CellRuntime) -> None:
         self.rates = rates
@@ -22,12 +22,12 @@
             group.start_soon(self.cells.run)
 
     def fleet_changed(self) -> None:
-        """Follow a change of the fleet view."""
+        """Apply a change of the fleet view."""
         self.rates.fleet_changed()
         self.cells.fleet_changed()
 
     async def release_all(self) -> None:
-        """Hand over everything that this host owns."""
+        """Release the ownership of every resource that this host owns."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.rates.release_all)
             group.start_soon(self.cells.release_all)
--- a/src/damaskridge/adapters/ports.py
+++ b/src/damaskridge/adapters/ports.py
@@ -1,8 +1,8 @@
-"""Typed interfaces of everything outside one process.
+"""Protocols of the systems outside the process.
 
-Every outside system (engines, plain services, the platform's host list, the
-control group, other entry hosts) is used through one of these protocols, so a test
-or a bench replaces it without touching a decision.
+Every outside system (engines, plain services, the platform's host list, the control
+group, other entry hosts) is used through one of these protocols, so that a test or a
+benchmark can replace it without changing the code under test.
 """
 
 from collections.abc import AsyncIterator, Mapping
@@ -53,7 +53,7 @@
 
 
 class StreamFailed(Exception):
-    """A stream of tokens ended before its last chunk."""
+    """Raised when a call or a stream fails; `failure` has the details."""
 
     def __init__(self, failure: Failure) -> None:
         super().__init__(f"{failure.kind.value}: {failure.detail}")
@@ -61,44 +61,48 @@
 
 
 class EnginePort(Protocol):
-    """One model engine; every failure says whether the engine may have run it."""
+    """
+    One engine.
+
+    Every failure states whether the engine may have run the request.
+    """
 
     async def prefill(self, request: PrefillRequest) -> Result[PrefillResult, Failure]:
-        """Compute and hold a KV cache."""
+        """Compute the KV cache of a prompt and keep it for a transfer."""
         ...
 
     def decode(self, request: DecodeRequest) -> AsyncIterator[DecodeChunk]:
-        """Import a KV cache and stream output; raises `StreamFailed`."""
+        """Import a KV cache and stream the output; raises `StreamFailed`."""
         ...
 
     def resume(self, engine_request_id: str, offset: int) -> AsyncIterator[DecodeChunk]:
-        """Stream output again from `offset`; raises `StreamFailed`."""
+        """Stream the output once more, from `offset`; raises `StreamFailed`."""
         ...
 
     async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
-        """Stop a request and free all its memory; unknown requests are fine."""
+        """Stop a request and free its memory; does nothing if it is unknown."""
         ...
 
     async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
-        """List every request that holds memory or waits."""
+        """List the requests that hold memory or are queued."""
         ...
 
     async def load(self) -> Result[LoadReport, Failure]:
-        """Return the last load report."""
+        """Return the latest load report."""
         ...
 
     async def cache_events(self, after: int) -> Result[CacheEventPage, Failure]:
-        """Return cache events after a sequence number."""
+        """Return the cache events after a sequence number."""
         ...
 
     async def order(self, order: Order) -> Result[None, Failure]:
-        """Give an order."""
+        """Send an order."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
-    """A call to a plain service, without any header that carries a credential."""
+    """An HTTP request to a plain service, without headers that carry credentials."""
 
     method: str
     path: str
@@ -108,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceResponse:
-    """The answer of a plain service."""
+    """The HTTP response of a plain service."""
 
     status: int
     content_type: str
@@ -116,7 +120,7 @@
 
 
 class ServicePort(Protocol):
-    """Instances of plain services."""
+    """Calls to instances of plain services."""
 
     async def call(
         self, address: str, call: ServiceCall
@@ -124,14 +128,14 @@
         """
         Send a call to one instance.
 
-        A failure before the first byte left has run state ``not_run``, any later
+        A failure before the first byte is sent has the run state ``not_run``, a later
         one ``unknown``.
         """
         ...
 
 
 class HostListPort(Protocol):
-    """The platform's list of backend servers, which lags."""
+    """The platform's list of backend servers, which may be stale."""
 
     async def leaving(self) -> Result[frozenset[str], Failure]:
         """Return the names of backend servers that are leaving or gone."""
@@ -143,7 +147,7 @@
 
     @property
     def fleet(self) -> FleetView:
-        """The fleet as last seen."""
+        """The last received fleet view."""
         ...
 
     @property
@@ -153,45 +157,45 @@
 
     @property
     def session(self) -> Session | None:
-        """The session of this host, if it has one."""
+        """The open session of this host, if any."""
         ...
 
     async def propose(self, command: Command) -> CommandResult:
-        """Commit a command; finds the leader, sends again with the same id."""
+        """Commit a command; finds the leader, and retries with the same command id."""
         ...
 
 
 class RatePort(Protocol):
-    """The rate owner of a workspace, wherever it is."""
+    """Calls to the rate owner of a workspace, on this or another host."""
 
     async def reserve(self, request: RateRequest) -> RateReply:
-        """Ask for admission; returns after the wait, if any."""
+        """Request a grant; returns once the request is granted or refused."""
         ...
 
     async def refund(self, refund: Refund) -> None:
-        """Give unused tokens back; a lost refund is not repeated."""
+        """Return unused tokens; a lost refund is not retried."""
         ...
 
     async def notify_request_ended(
         self, resource: str, workspace: str, request_id: str
     ) -> None:
-        """Tell that a request with an idempotency key has finished."""
+        """Notify the owner that a request with an idempotency key has ended."""
         ...
 
 
 class CellPort(Protocol):
-    """The owner of a cell, wherever it is."""
+    """Calls to the owner of a cell, on this or another host."""
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
-        """Ask for a placement; returns when the request is placed or refused."""
+        """Request a placement; returns once the request is placed or refused."""
         ...
 
     async def withdraw(self, withdraw: Withdraw) -> None:
-        """Give a request up."""
+        """Withdraw a request that no longer needs a placement."""
         ...
 
     async def report(self, batch: ProgressBatch) -> None:
-        """Report progress."""
+        """Report the progress of requests."""
         ...
 
     async def register(
@@ -202,16 +206,16 @@
         incarnation: int,
         active: tuple[ActiveRequest, ...],
     ) -> None:
-        """Report all running requests to a new owner."""
+        """Register the running requests of a front with a new owner."""
         ...
 
     async def take_over(self, take_over: TakeOver) -> TakeOverReply:
-        """Ask to continue a request whose front is gone."""
+        """Request to continue a request whose front has failed."""
         ...
 
 
 class PeerPort(Protocol):
-    """Streams of requests on other entry hosts."""
+    """Access to streams of requests on other entry hosts."""
 
     def resume_stream(
         self, host: str, request_id: str, workspace: str, offset: int
--- a/tests/adapters/front_fakes.py
+++ b/tests/adapters/front_fakes.py
@@ -1,4 +1,4 @@
-"""In-process fakes of everything around a front, and a caller of its application."""
+"""In-process fakes of the ports of a front, and a caller of its ASGI application."""
 
 import asyncio
 from types import SimpleNamespace
@@ -43,10 +43,12 @@
 )
 
 KEY, OTHER_KEY, LOST_KEY = "key-one-secret", "key-two-secret", "key-lost-secret"
-BROKEN = StreamFailed(Failure(ErrorKind.BACKEND_SERVER_FAILED, "broken"))
+DISCONNECTED = StreamFailed(Failure(ErrorKind.BACKEND_SERVER_FAILED, "broken"))
 
 
 class FakeControl:
+    """A control group that keeps a ledger; its lease doesn't expire by itself."""
+
     def __init__(self, host):
         self.fleet = FleetView()
         self.lease = HolderLease()
@@ -57,56 +59,70 @@
     async def propose(self, command):
         self.commands.append(command)
         if not isinstance(command, RecordIntent):
-            answer = LedgerRecord(
+            record = LedgerRecord(
                 LedgerState.FINISHED, command.status, command.content_type, command.body
             )
             if command.not_run:
                 del self.ledger[command.idempotency_key]
             else:
-                self.ledger[command.idempotency_key] = answer
+                self.ledger[command.idempotency_key] = record
             return CommandResult()
-        known = self.ledger.get(command.idempotency_key)
+        earlier = self.ledger.get(command.idempotency_key)
         self.ledger.setdefault(
             command.idempotency_key, LedgerRecord(LedgerState.IN_PROGRESS)
         )
-        return CommandResult(ledger=known or LedgerRecord(LedgerState.NEW))
+        return CommandResult(ledger=earlier or LedgerRecord(LedgerState.NEW))
 
 
 class FakeRates:
+    """A rate owner that grants every request, unless set to fail or refuse."""
+
     def __init__(self):
-        self.requests, self.refunds, self.keys, self.ended_ids = [], [], {}, []
-        self.wait_s, self.refusal, self.valid_s, self.down = 0.0, None, [], False
+        self.requests, self.refunds, self.keys, self.ended_request_ids = [], [], {}, []
+        self.wait_s, self.refusal, self.grant_valid_s, self.is_down = (
+            0.0,
+            None,
+            [],
+            False,
+        )
 
     async def reserve(self, request):
         self.requests.append(request)
-        if self.down:
+        if self.is_down:
             raise ConnectionError
         await asyncio.sleep(self.wait_s)
         if self.refusal:
             return Refused(request_id=request.request_id, failure=self.refusal)
-        known = self.keys.setdefault(request.idempotency_key, request)
-        if request.idempotency_key and known.request_id != request.request_id:
+        earlier = self.keys.setdefault(request.idempotency_key, request)
+        if request.idempotency_key and earlier.request_id != request.request_id:
             return Duplicate(
-                request_id=known.request_id, front=known.front, finished=False
+                request_id=earlier.request_id, front=earlier.front, finished=False
             )
-        valid_s = self.valid_s.pop() if self.valid_s else 5.0
+        grant_valid_s = self.grant_valid_s.pop() if self.grant_valid_s else 5.0
         return RateGrant(
-            request_id=request.request_id, epoch=request.epoch, valid_for_s=valid_s
+            request_id=request.request_id,
+            epoch=request.epoch,
+            valid_for_s=grant_valid_s,
         )
 
     async def refund(self, refund):
         self.refunds.append(refund)
 
     async def notify_request_ended(self, resource, workspace, request_id):
-        self.ended_ids.append(request_id)
+        self.ended_request_ids.append(request_id)
 
 
 class FakeCells:
-    """Places on the first pair of engines that is not excluded."""
-
-    def __init__(self, pairs):
-        self.pairs, self.wait_s, self.refusal = pairs, 0.0, None
-        self.profiles, self.reports, self.withdrawn, self.registered = [], [], [], []
+    """A cell owner that chooses the first pair of servers that isn't excluded."""
+
+    def __init__(self, server_pairs):
+        self.server_pairs, self.wait_s, self.refusal = server_pairs, 0.0, None
+        self.profiles, self.reports, self.withdrawals, self.registrations = (
+            [],
+            [],
+            [],
+            [],
+        )
         self.take_overs = {}
 
     async def submit(self, profile):
@@ -114,7 +130,7 @@
         await asyncio.sleep(self.wait_s)
         if self.refusal:
             return Refused(request_id=profile.request_id, failure=self.refusal)
-        for prefill, decode in self.pairs:
+        for prefill, decode in self.server_pairs:
             if not {prefill, decode} & set(profile.excluded):
                 return Placement(
                     request_id=profile.request_id,
@@ -129,13 +145,13 @@
         return Refused(request_id=profile.request_id, failure=failure)
 
     async def withdraw(self, withdraw):
-        self.withdrawn.append(withdraw)
+        self.withdrawals.append(withdraw)
 
     async def report(self, batch):
         self.reports.extend(batch.items)
 
     async def register(self, resource, epoch, front, incarnation, active):
-        self.registered.append((resource, epoch, active))
+        self.registrations.append((resource, epoch, active))
 
     async def take_over(self, take_over):
         active = self.take_overs.pop((take_over.request_id, take_over.workspace), None)
@@ -148,12 +164,12 @@
 
 
 class FakeEngine:
-    """Holds `memory` from the first call until it is cancelled or has finished."""
+    """An engine; a request is in `memory` until it finishes or is cancelled."""
 
-    def __init__(self, fleet):
-        self.fleet, self.memory, self.texts, self.prompts = fleet, {}, {}, {}
+    def __init__(self, engines):
+        self.engines, self.memory, self.texts, self.prompts = engines, {}, {}, {}
         self.prefill_s, self.transfer_s, self.step_s = 0.1, 0.1, 0.02
-        self.break_at = self.silent_at = self.garbage_at = None
+        self.disconnect_at = self.stall_at = self.malformed_at = None
         self.refusal, self.shuffle, self.cancelled = None, False, []
 
     async def prefill(self, request):
@@ -170,42 +186,42 @@
         name = request.engine_request_id
         self.memory[name] = RequestPhase.TRANSFERRING
         await asyncio.sleep(self.transfer_s)
-        source = self.fleet[request.prefill_address]
+        source = self.engines[request.prefill_address]
         text = source.prompts[name]
         source.memory.pop(name, None)
         self.memory[name] = RequestPhase.DECODING
-        made = self.texts[name] = {}
+        generated = self.texts[name] = {}
         for offset in range(
             request.first_offset, request.first_offset + request.max_output_tokens
         ):
-            made[offset] = next_token(text)
-            text += made[offset]
+            generated[offset] = next_token(text)
+            text += generated[offset]
         async for chunk in self.stream(name, request.first_offset):
             yield chunk
 
     async def resume(self, engine_request_id, offset):
-        self.silent_at = None
+        self.stall_at = None
         if engine_request_id not in self.texts:
             raise StreamFailed(Failure(ErrorKind.UNKNOWN_REQUEST))
         async for chunk in self.stream(engine_request_id, offset):
             yield chunk
 
     async def stream(self, name, first):
-        made = self.texts[name]
-        offsets = [offset for offset in sorted(made) if offset >= first]
+        generated = self.texts[name]
+        offsets = [offset for offset in sorted(generated) if offset >= first]
         if self.shuffle:
             pairs = zip(offsets[::2], offsets[1::2], strict=True)
             offsets = [item for a, b in pairs for item in (b, a, b)]
         for offset in offsets:
             await asyncio.sleep(self.step_s)
-            if offset == self.break_at:
-                raise BROKEN
-            if offset == self.silent_at:
+            if offset == self.disconnect_at:
+                raise DISCONNECTED
+            if offset == self.stall_at:
                 await asyncio.sleep(1e6)
-            bad = offset == self.garbage_at
-            yield DecodeChunk(-7 if bad else offset, made[offset])
+            bad = offset == self.malformed_at
+            yield DecodeChunk(-7 if bad else offset, generated[offset])
         self.memory.pop(name, None)
-        yield DecodeChunk(max(made) + 1, finish_reason="length")
+        yield DecodeChunk(max(generated) + 1, finish_reason="length")
 
     async def cancel(self, engine_request_id):
         self.cancelled.append(engine_request_id)
@@ -214,6 +230,8 @@
 
 
 class FakeServices:
+    """Instances of plain services that return `results`, then a fixed response."""
+
     def __init__(self):
         self.calls, self.results, self.delay_s = [], [], 0.0
 
@@ -226,6 +244,8 @@
 
 
 class FakePeers:
+    """Connects the fronts of one test by host name."""
+
     def __init__(self):
         self.fronts = {}
 
@@ -262,7 +282,7 @@
 
 
 def start_front(host="h1", peers=None, **settings):
-    """Return a front with its fakes; call it inside a running loop."""
+    """Start a front with fake ports; must be called in a running event loop."""
     control = FakeControl(host)
     fleet = control.fleet
     fleet.bundle, fleet.withdrawn_keys = bundle(), {key_digest(LOST_KEY)}
@@ -272,47 +292,53 @@
     engines = {}
     for name in ("p1", "p2", "d1", "d2", "d3", "desk1"):
         engines[name] = FakeEngine(engines)
-    pairs = [("p1", "d1"), ("p2", "d2"), ("p1", "d2"), ("p2", "d3"), ("p1", "d3")]
-    found = SimpleNamespace(
+    server_pairs = [
+        ("p1", "d1"),
+        ("p2", "d2"),
+        ("p1", "d2"),
+        ("p2", "d3"),
+        ("p1", "d3"),
+    ]
+    env = SimpleNamespace(
         control=control,
         rates=FakeRates(),
-        cells=FakeCells(pairs),
+        cells=FakeCells(server_pairs),
         peers=peers or FakePeers(),
         services=FakeServices(),
         engines=engines,
     )
-    found.front = Front(
+    env.front = Front(
         host=host,
         incarnation=1,
         data_centre="dc",
         control=control,
-        rates=found.rates,
-        cells=found.cells,
-        peers=found.peers,
+        rates=env.rates,
+        cells=env.cells,
+        peers=env.peers,
         engine_for=engines.__getitem__,
-        services=found.services,
+        services=env.services,
         settings=FrontSettings(**settings),
     )
-    found.peers.fronts[host] = found.front
-    found.app = CallerApp(found.front)
-    found.run = asyncio.ensure_future(found.front.run())
-    return found
+    env.peers.fronts[host] = env.front
+    env.app = CallerApp(env.front)
+    env.run = asyncio.ensure_future(env.front.run())
+    return env
 
 
-def held(found):
-    return {name: engine.memory for name, engine in found.engines.items()}
+def held_memory(env):
+    return {name: engine.memory for name, engine in env.engines.items()}
 
 
-def holds_no_memory(found):
-    return not any(engine.memory for engine in found.engines.values())
+def holds_no_memory(env):
+    return not any(engine.memory for engine in env.engines.values())
 
 
 class Caller:
     """One HTTP request to the application."""
 
     def __init__(self, app, method, path, body=b"", headers=(), key=KEY, query=""):
-        self.sent, self.changed = [], asyncio.Event()
-        self.parts, self.stalled = asyncio.Queue(), None
+        self.messages, self.changed = [], asyncio.Event()
+        self.parts, self.stall_after = asyncio.Queue(), None
         raw = [(b"authorization", f"Bearer {key}".encode())] if key else []
         raw += [(name.encode(), value.encode()) for name, value in headers]
         scope = {"type": "http", "method": method, "path": path, "headers": raw}
@@ -323,26 +349,26 @@
         self.task = asyncio.ensure_future(app(scope, self.parts.get, self._send))
 
     async def _send(self, message):
-        if self.stalled is not None and len(self.sent) >= self.stalled:
+        if self.stall_after is not None and len(self.messages) >= self.stall_after:
             await asyncio.sleep(1e6)
-        self.sent.append(message)
+        self.messages.append(message)
 
     def disconnect(self):
         self.parts.put_nowait({"type": "http.disconnect"})
 
     @property
     def status(self):
-        return self.sent[0]["status"]
+        return self.messages[0]["status"]
 
     @property
     def headers(self):
         return {
-            name.decode(): value.decode() for name, value in self.sent[0]["headers"]
+            name.decode(): value.decode() for name, value in self.messages[0]["headers"]
         }
 
     @property
     def body(self):
-        return b"".join(message.get("body", b"") for message in self.sent[1:])
+        return b"".join(message.get("body", b"") for message in self.messages[1:])
 
     @property
     def json(self):
@@ -350,23 +376,23 @@
 
     @property
     def error(self):
-        """The refusal, also one in a stream."""
+        """The error in the response body, or in the last event of a stream."""
         return msgspec.json.decode(self.body.rpartition(b"data: ")[2])["error"]
 
     @property
     def tokens(self):
-        """The text by offset of every event, in the order received."""
-        found = []
+        """Offset and text of every token event, in the order received."""
+        tokens = []
         for event in self.body.decode().split("\n\n"):
             if event.startswith("id: "):
                 first, data = event.split("\n")
                 choice = msgspec.json.decode(data.removeprefix("data: "))["choices"][0]
                 if choice["finish_reason"] is None:
-                    found.append((int(first[4:]), choice["text"]))
-        return found
+                    tokens.append((int(first[4:]), choice["text"]))
+        return tokens
 
 
-def completion(app, tokens=20, stream=True, prompt="a prompt", **options):
+def send_completion(app, tokens=20, stream=True, prompt="a prompt", **options):
     body = {"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": stream}
     return Caller(app, "POST", "/v1/completions", body, **options)
 
--- a/tests/adapters/test_front_claims.py
+++ b/tests/adapters/test_front_claims.py
@@ -1,4 +1,8 @@
-"""Guards against a second whole answer after both memories of a key were lost."""
+"""Test that only one run of a keyed request can deliver a complete response.
+
+Without the claim, a request that is sent once more after both the rate owner and the
+front lost its idempotency key would be answered in full a second time.
+"""
 
 import asyncio
 from types import SimpleNamespace
@@ -11,8 +15,8 @@
 from damaskridge.model.errors import ErrorKind, RunState
 
 
-class Control:
-    """The control group without a network; `index` counts log entries."""
+class FakeControl:
+    """A control group without a network; `index` counts the log entries."""
 
     def __init__(self):
         self.state, self.index = ControlState(), 0
@@ -34,10 +38,12 @@
         )
         session = Session(host, int(opened.value), 1, "west", "", "")
         control = SimpleNamespace(session=session, propose=self.propose)
-        return SimpleNamespace(host=host, control=control, start=asyncio.ensure_future)
+        return SimpleNamespace(
+            host=host, control=control, start_task=asyncio.ensure_future
+        )
 
 
-def claim_of(context, request_id, body_digest="b"):
+def make_claim(context, request_id, body_digest="b"):
     return ResponseClaim(
         context,
         request_id=request_id,
@@ -47,38 +53,38 @@
     )
 
 
-async def claim(context, request_id, body_digest="b", answered=True):
-    claimed = claim_of(context, request_id, body_digest)
-    failure = await claimed.acquire()
-    assert await claimed.acquire() is failure
-    claimed.settle(answered=answered)
+async def acquire_and_close(context, request_id, body_digest="b", completed=True):
+    response_claim = make_claim(context, request_id, body_digest)
+    failure = await response_claim.acquire()
+    assert await response_claim.acquire() is failure
+    response_claim.close(completed=completed)
     await asyncio.sleep(0.01)
     return failure
 
 
-async def claims():
-    control = Control()
+async def acquire_four_claims():
+    control = FakeControl()
     first, second = await control.context("h1"), await control.context("h2")
     return [
-        await claim(first, "r0", answered=False),
-        await claim(first, "r1"),
-        await claim(second, "r2"),
-        await claim(second, "r3", body_digest="other"),
+        await acquire_and_close(first, "r0", completed=False),
+        await acquire_and_close(first, "r1"),
+        await acquire_and_close(second, "r2"),
+        await acquire_and_close(second, "r3", body_digest="other"),
     ]
 
 
-def test_one_run_of_a_key_ends_in_the_fleet():
-    given_up, won, lost, other_body = run_paused(claims())
-    assert given_up is None and won is None
-    assert lost.kind is other_body.kind is ErrorKind.OUTCOME_UNKNOWN
-    assert lost.ran is RunState.RAN
+def test_one_request_per_key_acquires_the_claim():
+    cancelled, acquired, refused, other_body = run_paused(acquire_four_claims())
+    assert cancelled is None and acquired is None
+    assert refused.kind is other_body.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert refused.ran is RunState.RAN
 
 
 async def claim_without_session():
-    context = await Control().context("h1")
+    context = await FakeControl().context("h1")
     context.control.session = None
-    return await claim(context, "r1")
+    return await acquire_and_close(context, "r1")
 
 
-def test_a_host_without_a_session_ends_no_keyed_answer():
+def test_host_without_session_acquires_no_claim():
     assert run_paused(claim_without_session()).kind is ErrorKind.OUTCOME_UNKNOWN
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -1,4 +1,8 @@
-"""Guards against an answer that follows another one on a connection that is kept."""
+"""Test that a reused connection never returns the response to another request.
+
+If a server sends a response twice, the second copy must not be read as the response to
+the next request on the connection.
+"""
 
 import asyncio
 
@@ -7,22 +11,22 @@
 from damaskridge.adapters.http_client import BackendClient
 
 
-def answer(body):
+def make_response(body):
     return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.02])
-def test_a_second_copy_of_an_answer_is_not_given_to_the_next_request(delay_s):
+def test_duplicate_response_is_not_returned_for_the_next_request(delay_s):
     async def serve(reader, writer):
         while head := await reader.readuntil(b"\r\n\r\n"):
             body = head.split(b" ")[1]
             if delay_s:
-                writer.write(answer(body))
+                writer.write(make_response(body))
                 await writer.drain()
                 await asyncio.sleep(delay_s)
-                writer.write(answer(body))
+                writer.write(make_response(body))
             else:
-                writer.write(answer(body) + answer(body))
+                writer.write(make_response(body) + make_response(body))
             await writer.drain()
 
     async def main():
@@ -32,8 +36,8 @@
         bodies = []
         for number in range(4):
             url = f"http://127.0.0.1:{port}/{number}"
-            reply = await client.call("GET", url, read_timeout_s=2.0, max_bytes=100)
-            bodies.append(reply.body)
+            response = await client.call("GET", url, read_timeout_s=2.0, max_bytes=100)
+            bodies.append(response.body)
             await asyncio.sleep(2 * delay_s)
         await client.close()
         server.close()
