--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -73,8 +73,8 @@
 __all__ = ["ModelCall", "RunningModelCall"]
 
 _logger = logging.getLogger(__name__)
-# A cancellation may reach the engine before the call that it cancels, so it is sent
-# once more after this delay.
+# A cancellation may reach the engine before the call that it cancels, so it is
+# sent a second time after this delay.
 _CANCEL_RETRY_DELAY_S = 1.0
 
 
@@ -96,7 +96,7 @@
         Model, prompt and limits.
     fingerprint : str
         Digest of model and prompt, by which a request that crashes engines is
-        recognized when it is sent again.
+        recognized when the caller retries it.
     idempotency_key, body_digest : str
         The idempotency key, if any, and a digest by which another body with the same
         key is refused.
@@ -120,10 +120,10 @@
     ----------
     failure : Failure or None
         Why the request ended before its last token, if it did.
-    original : Duplicate or None
+    duplicate_of : Duplicate or None
         The earlier request with the same idempotency key, whose output is sent
         instead, if there is one.
-    moved : bool
+    is_taken_over : bool
         Whether another front continues this request.
     """
 
@@ -157,7 +157,7 @@
         self._readers = 0
         self._step_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._timer_s = float("inf")
+        self._timer_due_s = float("inf")
 
     @property
     def request_id(self) -> str:
@@ -182,7 +182,7 @@
         """Pass an event to the state machine and perform the resulting actions."""
         for action in self.machine.handle(event, self._loop.time()):
             self._perform(action)
-        self._arm_timer()
+        self._update_timer()
 
     def begin(self) -> None:
         """Start the request by reserving its rate."""
@@ -217,27 +217,27 @@
             return
         if self.call.streaming and self.machine.texts:
             grace_s = self._context.settings.resume_grace_s
-            self._loop.call_later(grace_s, self._cancel_unread)
+            self._loop.call_later(grace_s, self._cancel_if_unread)
         else:
-            self._cancel_unread()
+            self._cancel_if_unread()
 
-    def _cancel_unread(self) -> None:
+    def _cancel_if_unread(self) -> None:
         if self._readers == 0 and not self.machine.ended:
             log_event(_logger, EventNumber.CALLER_LOST, request_id=self.request_id)
             self.cancel(Failure(ErrorKind.CANCELLED, "the caller disconnected"))
 
-    def _arm_timer(self) -> None:
+    def _update_timer(self) -> None:
         # The timer is kept if the deadline moves to a later time, because it would
         # otherwise be set anew for every token.
         deadline_s = self.machine.deadline_s
-        if deadline_s < self._timer_s:
+        if deadline_s < self._timer_due_s:
             if self._timer is not None:
                 self._timer.cancel()
-            self._timer_s = deadline_s
-            self._timer = self._loop.call_at(deadline_s, self._timer_fired)
+            self._timer_due_s = deadline_s
+            self._timer = self._loop.call_at(deadline_s, self._on_timer)
 
-    def _timer_fired(self) -> None:
-        self._timer_s = float("inf")
+    def _on_timer(self) -> None:
+        self._timer_due_s = float("inf")
         self._timer = None
         self.dispatch(TimePassed())
 
@@ -422,11 +422,11 @@
             self._context, self.profile, self._set_profile
         )
         if isinstance(response, Placement):
-            self._start_if_allowed(response)
+            self._start_attempt_if_allowed(response)
         else:
             self.dispatch(PlacementRefused(action.attempt, response.failure))
 
-    def _start_if_allowed(self, placement: Placement) -> None:
+    def _start_attempt_if_allowed(self, placement: Placement) -> None:
         # The request may have been quarantined while this attempt was queued.
         if self._context.is_quarantined(self.call.fingerprint):
             self.cancel(Failure(ErrorKind.REQUEST_QUARANTINED))
--- a/src/damaskridge/adapters/front_claims.py
+++ b/src/damaskridge/adapters/front_claims.py
@@ -1,8 +1,8 @@
 """Claim the response to a request with an idempotency key before its last chunk.
 
 The rate owner and the front store idempotency keys in memory only. If both are lost, a
-request that the caller sends once more runs once more. The ledger of the control group
-then lets only one of the runs deliver its last chunk.
+request that the caller retries runs a second time. The ledger of the control group then
+lets only one of the runs deliver its last chunk.
 """
 
 import asyncio
@@ -95,7 +95,8 @@
 
     async def _close(self, intent: RecordIntent, completed: bool) -> None:
         # The intent may have been committed although its first proposal failed. As
-        # commands are deduplicated by id, proposing it once more shows the outcome.
+        # commands are deduplicated by id, proposing it a second time shows the
+        # outcome.
         committed = await self._commit(intent, intent.session)
         if committed is None or not _is_new(committed):
             return
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -62,7 +62,7 @@
     engine_for : callable
         Returns the engine at an address.
     index : FleetIndex
-        Lookups in the present bundle.
+        Lookups in the current bundle.
     suspects : SuspectTable
         Requests during which engine connections broke on this host.
     crash_reports : deque of tuple
@@ -101,7 +101,7 @@
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """
-        Return whether a request has crashed too many engines to be run once more.
+        Return whether a request has crashed too many engines to be retried.
 
         Crashes that this host observed count at once. The control group's list may
         lack crashes that a cell owner didn't report before it failed.
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -38,7 +38,7 @@
     Calls the current owner of a resource.
 
     A request within its rate must not be refused because an owner was lost. The call
-    therefore waits for a new owner, and is sent once more when the epoch changes.
+    therefore waits for a new owner, and is retried when the epoch changes.
     """
 
     def __init__(self, control: ControlPort, settings: FrontSettings) -> None:
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -160,6 +160,7 @@
     async def _open_stream(
         self, request_id: str, workspace: str, offset: int, front: str
     ) -> AsyncIterator[DecodeChunk]:
+        """Return a stream from this front, from a peer, or after a take-over."""
         host, incarnation = self._front_of(request_id, front)
         if request_id in self._model_calls:
             return self.stream_local(request_id, workspace, offset)
@@ -184,6 +185,7 @@
             raise StreamFailed(failure) from error
 
     async def _take_over(self, request_id: str, workspace: str) -> ActiveRequest:
+        """Request the take-over from the owner of each cell until one grants it."""
         failure = Failure(ErrorKind.UNKNOWN_REQUEST, request_id[:80])
         fleet = self._context.control.fleet
         cells = dict.fromkeys(
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -80,7 +80,7 @@
     Attributes
     ----------
     is_sent : bool
-        Whether the present attempt may have been sent to an instance. A call that may
+        Whether the current attempt may have been sent to an instance. A call that may
         have been sent isn't cancelled any more.
     cancel_kind : ErrorKind
         The reason to report if the call is cancelled while it is queued.
@@ -194,18 +194,18 @@
         while True:
             self._attempt += 1
             self.events.log_placement_requested(self._attempt)
-            placed = await self._request_placement(excluded)
-            if isinstance(placed, Failure):
-                return Err(_with_possible_run(placed, self._may_have_run))
-            result = await self._run_attempt(placed)
+            placement = await self._request_placement(excluded)
+            if isinstance(placement, Failure):
+                return Err(_correct_run_state(placement, self._may_have_run))
+            result = await self._run_attempt(placement)
             if isinstance(result, Ok):
                 return result
             self._may_have_run |= result.err_value.ran is not RunState.NOT_RUN
             if not self.call.route.repeatable or self._attempt >= _MAX_ATTEMPTS:
-                return Err(_with_possible_run(result.err_value, self._may_have_run))
+                return Err(_correct_run_state(result.err_value, self._may_have_run))
             if result.err_value.kind not in _RETRIED_KINDS:
-                return Err(_with_possible_run(result.err_value, self._may_have_run))
-            excluded = (*excluded, placed.decode_server)
+                return Err(_correct_run_state(result.err_value, self._may_have_run))
+            excluded = (*excluded, placement.decode_server)
 
     async def _request_placement(
         self, excluded: tuple[str, ...]
@@ -373,7 +373,7 @@
 }
 
 
-def _with_possible_run(failure: Failure, may_have_run: bool) -> Failure:
+def _correct_run_state(failure: Failure, may_have_run: bool) -> Failure:
     """Return the failure, not claiming "not run" if an earlier attempt may have run."""
     if may_have_run and failure.ran is RunState.NOT_RUN:
         return msgspec.structs.replace(failure, run_state=RunState.UNKNOWN)
--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -44,7 +44,7 @@
 
     Parameters
     ----------
-    connections : int
+    max_connections : int
         Maximum number of concurrent requests to one address.
     """
 
--- a/src/damaskridge/adapters/http_pool.py
+++ b/src/damaskridge/adapters/http_pool.py
@@ -24,7 +24,7 @@
         The address of the backend server.
     backend : httpcore.AsyncNetworkBackend
         Opens connections.
-    limit : int
+    max_requests : int
         Maximum number of concurrent requests.
     keepalive_timeout_s : float
         Maximum time for which an idle connection is kept.
--- a/src/damaskridge/adapters/ports.py
+++ b/src/damaskridge/adapters/ports.py
@@ -76,7 +76,7 @@
         ...
 
     def resume(self, engine_request_id: str, offset: int) -> AsyncIterator[DecodeChunk]:
-        """Stream the output once more, from `offset`; raises `StreamFailed`."""
+        """Resume the output from `offset` on a new stream; raises `StreamFailed`."""
         ...
 
     async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -28,7 +28,7 @@
 EXPECTED_OUTPUT = expected_output("a prompt", 20)
 
 
-def received_whole_output(caller):
+def received_complete_output(caller):
     assert [offset for offset, _ in caller.tokens] == list(range(20))
     return "".join(text for _, text in caller.tokens) == EXPECTED_OUTPUT
 
@@ -58,7 +58,7 @@
         caller = send_completion(env.app, stream=stream)
         await caller.task
         if stream:
-            assert received_whole_output(caller)
+            assert received_complete_output(caller)
             assert caller.body.endswith(b"data: [DONE]\n\n")
         else:
             assert caller.json["choices"][0]["text"] == EXPECTED_OUTPUT
@@ -145,7 +145,7 @@
         env.cells.wait_s = 0
         fleet.owners["cell/llm"] = Owner("cell/llm", "h1", 1, 2)
         await caller.task
-        assert received_whole_output(caller)
+        assert received_complete_output(caller)
         assert [profile.epoch for profile in env.cells.profiles] == [1, 2]
         assert env.cells.registrations[-1][:2] == ("cell/llm", 2)
         del fleet.owners["cell/llm"]
@@ -164,7 +164,7 @@
         env.rates.wait_s, env.rates.grant_valid_s = 0.2, [5.0, 0.1]
         caller = send_completion(env.app)
         await caller.task
-        assert received_whole_output(caller)
+        assert received_complete_output(caller)
         assert len(env.rates.requests) == 2
 
     run_paused(main())
@@ -180,12 +180,12 @@
         await asyncio.sleep(0)
         env.control.lease.end()
         refused = send_completion(env.app)
-        free = Caller(env.app, "GET", "/services/desk/open", key=None)
-        await asyncio.gather(running.task, queued.task, refused.task, free.task)
-        assert received_whole_output(running)
+        open_route = Caller(env.app, "GET", "/services/desk/open", key=None)
+        await asyncio.gather(running.task, queued.task, refused.task, open_route.task)
+        assert received_complete_output(running)
         assert (queued.error["kind"], queued.error["run"]) == ("lease_expired", NOT_RUN)
         assert refused.error["kind"] == "lease_expired"
-        assert free.status == 200
+        assert open_route.status == 200
 
     run_paused(main())
 
@@ -206,12 +206,12 @@
             callers.append(send_completion(app, headers=headers))
             await asyncio.sleep(0.3)
         await asyncio.gather(*(caller.task for caller in callers))
-        assert all(received_whole_output(caller) for caller in callers)
+        assert all(received_complete_output(caller) for caller in callers)
         assert len({caller.headers["x-request-id"] for caller in callers}) == 1
         assert len(env.cells.profiles) + len(other.cells.profiles) == 1
-        again = send_completion(other.app, headers=headers)
-        await again.task
-        assert received_whole_output(again)
+        retry = send_completion(other.app, headers=headers)
+        await retry.task
+        assert received_complete_output(retry)
         (key,) = env.front.active_keys("one")
         assert key.idempotency_key == "k"
         assert key.finished
@@ -251,19 +251,19 @@
             for task in list(env.front.context.tasks):
                 task.cancel()
             other.cells.take_overs[(request_id, "one")] = active
-        again = send_resume((env if mode == 0 else other).app, request_id, last)
+        retry = send_resume((env if mode == 0 else other).app, request_id, last)
         await asyncio.sleep(1)
         fleet.sessions.pop("h1")
-        await again.task
-        assert is_whole_output(caller.tokens + again.tokens)
-        stranger = send_resume(env.app, request_id, 0, key="key-two-secret")
-        await stranger.task
-        assert stranger.error["kind"] == "unknown_request"
+        await retry.task
+        assert is_complete_output(caller.tokens + retry.tokens)
+        other_workspace = send_resume(env.app, request_id, 0, key="key-two-secret")
+        await other_workspace.task
+        assert other_workspace.error["kind"] == "unknown_request"
 
     run_paused(main())
 
 
-def is_whole_output(tokens):
+def is_complete_output(tokens):
     assert [offset for offset, _ in tokens] == list(range(20))
     return "".join(text for _, text in tokens) == EXPECTED_OUTPUT
 
@@ -291,24 +291,26 @@
 def test_non_repeatable_call_runs_at_most_once():
     async def main():
         env = start_front()
-        sent_first = []
+        commands_before_call = []
         env.services.delay_s = 0.5
         first = send_charge(env)
         await asyncio.sleep(0.1)
-        sent_first.append(len(env.control.commands))
+        commands_before_call.append(len(env.control.commands))
         second = send_charge(env)
         first.disconnect()
         await asyncio.gather(first.task, second.task)
         await asyncio.sleep(1)
         third = send_charge(env)
         await third.task
-        assert sent_first == [1], "the intent is committed before the call is sent"
+        assert commands_before_call == [1], (
+            "the intent is committed before the call is sent"
+        )
         assert second.error["kind"] == "idempotency_in_progress"
         assert (third.status, third.body) == (200, b"done")
         assert len(env.services.calls) == 1
-        nameless = send_charge(env, key="")
-        await nameless.task
-        assert nameless.error["kind"] == "idempotency_key_missing"
+        without_key = send_charge(env, key="")
+        await without_key.task
+        assert without_key.error["kind"] == "idempotency_key_missing"
 
     run_paused(main())
 
@@ -321,12 +323,12 @@
         env.services.results = [Err(failure)]
         first = send_charge(env)
         await first.task
-        again = send_charge(env)
-        await again.task
+        retry = send_charge(env)
+        await retry.task
         records = [c for c in env.control.commands if isinstance(c, RecordResult)]
         assert records[0].not_run is (run is RunState.NOT_RUN)
         assert first.error["run"] == run.value
-        assert again.status == (200 if run is RunState.NOT_RUN else 502)
+        assert retry.status == (200 if run is RunState.NOT_RUN else 502)
         assert len(env.services.calls) == 1 + (run is RunState.NOT_RUN)
 
     run_paused(main())
@@ -354,7 +356,7 @@
         refused = send_completion(env.app)
         await env.front.wait_idle()
         await refused.task
-        assert received_whole_output(caller)
+        assert received_complete_output(caller)
         assert refused.error["kind"] == "shutting_down"
         addresses = Caller(env.app, "GET", "/v1/addresses", key=None)
         await addresses.task
@@ -363,7 +365,7 @@
     run_paused(main())
 
 
-def test_request_that_crashed_two_engines_is_refused_when_sent_once_more():
+def test_request_that_crashed_two_engines_is_refused_on_retry():
     """
     The front refuses it without the control group.
 
@@ -377,9 +379,9 @@
         first = send_completion(env.app, stream=False)
         await first.task
         prompts = [len(engine.prompts) for engine in env.engines.values()]
-        again = send_completion(env.app, stream=False)
-        await again.task
-        assert again.status == 422
+        retry = send_completion(env.app, stream=False)
+        await retry.task
+        assert retry.status == 422
         assert [len(engine.prompts) for engine in env.engines.values()] == prompts
         other = send_completion(env.app, stream=False, prompt="another prompt")
         await other.task
@@ -398,10 +400,10 @@
         owner = Owner("cell/llm", "h1", 1, 2)
         env.control.fleet.owners["cell/llm"] = owner
         await asyncio.sleep(1)
-        again = [item for item in env.cells.reports if item.crashed][reported:]
-        assert [item.failed_server for item in again] == ["d1", "d2"]
-        assert all(item.fingerprint for item in again)
-        assert again[-1].suspect
+        repeated = [item for item in env.cells.reports if item.crashed][reported:]
+        assert [item.failed_server for item in repeated] == ["d1", "d2"]
+        assert all(item.fingerprint for item in repeated)
+        assert repeated[-1].suspect
 
     run_paused(main())
 
--- a/tests/adapters/test_front_claims.py
+++ b/tests/adapters/test_front_claims.py
@@ -1,7 +1,7 @@
 """Test that only one run of a keyed request can deliver a complete response.
 
-Without the claim, a request that is sent once more after both the rate owner and the
-front lost its idempotency key would be answered in full a second time.
+Without the claim, a request that is retried after both the rate owner and the front
+lost its idempotency key would get a second complete response.
 """
 
 import asyncio
