Rename the bundle index of a front and the withdrawn key of its tests

Both names said too little: the index is over the bundle, and the lost key is one that was withdrawn.

check.sh: formatter, linter, types, layers, doc tests pass; test_front, test_front_claims, test_http_pool and tests/adapters/http pass; same shape.

--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -149,7 +149,7 @@
         now_s = asyncio.get_running_loop().time()
         if not self.context.control.lease.is_valid(now_s):
             return Err(Failure(ErrorKind.LEASE_EXPIRED, retry_after_s=1.0))
-        return self.context.index.workspace_of_key(self.fleet, digest)
+        return self.context.bundle_index.workspace_of_key(self.fleet, digest)
 
     def is_key_valid(self, digest: str) -> bool:
         """
@@ -157,7 +157,9 @@
 
         Unlike `authorize`, this doesn't need a valid lease.
         """
-        return isinstance(self.context.index.workspace_of_key(self.fleet, digest), Ok)
+        return isinstance(
+            self.context.bundle_index.workspace_of_key(self.fleet, digest), Ok
+        )
 
     def accept(self, call: ModelCall) -> Result[RunningModelCall, Failure]:
         """Start a request to a model and return it, or the reason for its refusal."""
@@ -342,14 +344,14 @@
             # reader is checked instead.
             if running.machine.ended or not running.call.key_digest:
                 continue
-            allowed = self.context.index.workspace_of_key(
+            allowed = self.context.bundle_index.workspace_of_key(
                 self.fleet, running.call.key_digest
             )
             if isinstance(allowed, Err):
                 running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
         for service in list(self._service_calls.values()):
             if not service.call.route.open_to_all:
-                allowed = self.context.index.workspace_of_key(
+                allowed = self.context.bundle_index.workspace_of_key(
                     self.fleet, service.call.key_digest
                 )
                 if isinstance(allowed, Err):
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -61,7 +61,7 @@
         Name, incarnation number and data centre of this process.
     engine_for : callable
         Returns the engine at an address.
-    index : FleetIndex
+    bundle_index : FleetIndex
         Lookups in the current bundle.
     suspects : SuspectTable
         Requests during which engine connections broke on this host.
@@ -82,7 +82,7 @@
     services: ServicePort
     settings: FrontSettings
     owners: OwnerClient
-    index: FleetIndex = field(default_factory=FleetIndex)
+    bundle_index: FleetIndex = field(default_factory=FleetIndex)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     crash_reports: deque[tuple[float, str, Progress]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -96,7 +96,7 @@
             # A request that was taken over has no key of its own: the key of each
             # reader is checked instead.
             return None
-        found = self.index.workspace_of_key(self.control.fleet, digest)
+        found = self.bundle_index.workspace_of_key(self.control.fleet, digest)
         return found.err_value if isinstance(found, Err) else None
 
     def is_quarantined(self, fingerprint: str) -> bool:
@@ -207,7 +207,7 @@
     profile that is sent to each owner.
     """
     fleet = context.control.fleet
-    cells = context.index.cells(fleet, profile.model, context.data_centre)
+    cells = context.bundle_index.cells(fleet, profile.model, context.data_centre)
     failure = Failure(ErrorKind.NO_BACKEND_SERVER, profile.model, retry_after_s=1.0)
 
     async def send(owner: Owner) -> SubmitReply:
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -178,7 +178,7 @@
         body: ChatBody | CompletionBody = decode_body(kind, raw)
         # The key may have been withdrawn while a slow body arrived.
         self._authorize(exchange)
-        model = self._front.context.index.model(self._front.fleet, body.model)
+        model = self._front.context.bundle_index.model(self._front.fleet, body.model)
         if model is None:
             raise RequestError(Failure(ErrorKind.UNKNOWN_MODEL))
         text = body.text
@@ -269,7 +269,7 @@
     async def _service(self, exchange: Exchange) -> None:
         _, _, rest = exchange.path.partition("/services/")
         name, _, path = rest.partition("/")
-        route = self._front.context.index.route(self._front.fleet, name, path)
+        route = self._front.context.bundle_index.route(self._front.fleet, name, path)
         if route is None or ".." in path.split("/"):
             raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
         workspace, key = "", ""
--- a/tests/adapters/front_fakes.py
+++ b/tests/adapters/front_fakes.py
@@ -42,7 +42,7 @@
     TakeOverReply,
 )
 
-KEY, OTHER_KEY, LOST_KEY = "key-one-secret", "key-two-secret", "key-lost-secret"
+KEY, OTHER_KEY, WITHDRAWN_KEY = "key-one-secret", "key-two-secret", "key-lost-secret"
 DISCONNECTED = StreamFailed(Failure(ErrorKind.BACKEND_SERVER_FAILED, "broken"))
 
 
@@ -266,7 +266,7 @@
         keys=(
             KeyRecord(key_digest(KEY), "one"),
             KeyRecord(key_digest(OTHER_KEY), "two"),
-            KeyRecord(key_digest(LOST_KEY), "one"),
+            KeyRecord(key_digest(WITHDRAWN_KEY), "one"),
         ),
         models=(Model("m", 4096),),
         routes=(
@@ -285,7 +285,7 @@
     """Start a front with fake ports; must be called in a running event loop."""
     control = FakeControl(host)
     fleet = control.fleet
-    fleet.bundle, fleet.withdrawn_keys = bundle(), {key_digest(LOST_KEY)}
+    fleet.bundle, fleet.withdrawn_keys = bundle(), {key_digest(WITHDRAWN_KEY)}
     fleet.sessions = {host: control.session}
     resources = ("workspace/one", "workspace/two", "cell/llm", "cell/desk")
     fleet.owners = {name: Owner(name, host, 1, 1) for name in resources}
--- a/tests/adapters/http/test_app.py
+++ b/tests/adapters/http/test_app.py
@@ -5,7 +5,13 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
-from tests.adapters.front_fakes import KEY, LOST_KEY, OTHER_KEY, Caller, start_front
+from tests.adapters.front_fakes import (
+    KEY,
+    OTHER_KEY,
+    WITHDRAWN_KEY,
+    Caller,
+    start_front,
+)
 from tests.paused import run_paused
 
 from damaskridge.adapters.http.bodies import (
@@ -31,7 +37,7 @@
     ("GET", "/services/none/x", None, {}, ErrorKind.UNKNOWN_ROUTE),
     ("POST", COMPLETION, GOOD, {"key": None}, ErrorKind.MISSING_KEY),
     ("POST", COMPLETION, GOOD, {"key": "wrong"}, ErrorKind.INVALID_KEY),
-    ("POST", COMPLETION, GOOD, {"key": LOST_KEY}, ErrorKind.KEY_WITHDRAWN),
+    ("POST", COMPLETION, GOOD, {"key": WITHDRAWN_KEY}, ErrorKind.KEY_WITHDRAWN),
     (
         "POST",
         COMPLETION,
