--- a/src/damaskridge/adapters/front.py
+++ b/src/damaskridge/adapters/front.py
@@ -344,17 +344,17 @@
             # reader is checked instead.
             if running.machine.ended or not running.call.key_digest:
                 continue
-            allowed = self.context.bundle_index.workspace_of_key(
+            workspace = self.context.bundle_index.workspace_of_key(
                 self.fleet, running.call.key_digest
             )
-            if isinstance(allowed, Err):
+            if isinstance(workspace, Err):
                 running.cancel(Failure(ErrorKind.KEY_WITHDRAWN))
         for service in list(self._service_calls.values()):
             if not service.call.route.open_to_all:
-                allowed = self.context.bundle_index.workspace_of_key(
+                workspace = self.context.bundle_index.workspace_of_key(
                     self.fleet, service.call.key_digest
                 )
-                if isinstance(allowed, Err):
+                if isinstance(workspace, Err):
                     service.cancel_for_withdrawn_key()
 
     def _register_at_new_owners(self) -> None:
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -96,8 +96,8 @@
             # A request that was taken over has no key of its own: the key of each
             # reader is checked instead.
             return None
-        found = self.bundle_index.workspace_of_key(self.control.fleet, digest)
-        return found.err_value if isinstance(found, Err) else None
+        workspace = self.bundle_index.workspace_of_key(self.control.fleet, digest)
+        return workspace.err_value if isinstance(workspace, Err) else None
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """
--- a/src/damaskridge/adapters/pending.py
+++ b/src/damaskridge/adapters/pending.py
@@ -22,7 +22,7 @@
     def __init__(self, make_refusal: Callable[[str], T]) -> None:
         self._make_refusal = make_refusal
         self._futures: dict[tuple[str, str], asyncio.Future[T]] = {}
-        self._resources: dict[tuple[str, str], str] = {}
+        self._resource_by_call: dict[tuple[str, str], str] = {}
 
     def __len__(self) -> int:
         return len(self._futures)
@@ -32,14 +32,14 @@
         self.resolve(front, request_id, self._make_refusal(request_id))
         future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
         self._futures[front, request_id] = future
-        self._resources[front, request_id] = resource
+        self._resource_by_call[front, request_id] = resource
         return future
 
     def close(self, front: str, request_id: str, future: asyncio.Future[T]) -> None:
         """Remove a call that has ended, unless a newer call has replaced it."""
         if self._futures.get((front, request_id)) is future:
             del self._futures[front, request_id]
-            del self._resources[front, request_id]
+            del self._resource_by_call[front, request_id]
 
     def resolve(self, front: str, request_id: str, response: T) -> bool:
         """Deliver the response to a call; return `False` if no call waits for it."""
@@ -51,6 +51,6 @@
 
     def refuse_all(self, resource: str) -> None:
         """Refuse every call that waits for the owner of a resource."""
-        for (front, request_id), name in list(self._resources.items()):
+        for (front, request_id), name in list(self._resource_by_call.items()):
             if name == resource:
                 self.resolve(front, request_id, self._make_refusal(request_id))
--- a/tests/adapters/front_fakes.py
+++ b/tests/adapters/front_fakes.py
@@ -78,7 +78,12 @@
     """A rate owner that grants every request, unless set to fail or refuse."""
 
     def __init__(self):
-        self.requests, self.refunds, self.keys, self.ended_request_ids = [], [], {}, []
+        self.requests, self.refunds, self.requests_by_key, self.ended_request_ids = (
+            [],
+            [],
+            {},
+            [],
+        )
         self.wait_s, self.refusal, self.grant_valid_s, self.is_down = (
             0.0,
             None,
@@ -93,7 +98,7 @@
         await asyncio.sleep(self.wait_s)
         if self.refusal:
             return Refused(request_id=request.request_id, failure=self.refusal)
-        earlier = self.keys.setdefault(request.idempotency_key, request)
+        earlier = self.requests_by_key.setdefault(request.idempotency_key, request)
         if request.idempotency_key and earlier.request_id != request.request_id:
             return Duplicate(
                 request_id=earlier.request_id, front=earlier.front, finished=False
@@ -218,8 +223,8 @@
                 raise DISCONNECTED
             if offset == self.stall_at:
                 await asyncio.sleep(1e6)
-            bad = offset == self.malformed_at
-            yield DecodeChunk(-7 if bad else offset, generated[offset])
+            is_malformed = offset == self.malformed_at
+            yield DecodeChunk(-7 if is_malformed else offset, generated[offset])
         self.memory.pop(name, None)
         yield DecodeChunk(max(generated) + 1, finish_reason="length")
 
@@ -257,7 +262,7 @@
             yield chunk
 
 
-def bundle():
+def make_bundle():
     def server(name, role, serves, cell):
         return BackendServer(name, cell, role, serves, "dc", name, 20)
 
@@ -285,7 +290,7 @@
     """Start a front with fake ports; must be called in a running event loop."""
     control = FakeControl(host)
     fleet = control.fleet
-    fleet.bundle, fleet.withdrawn_keys = bundle(), {key_digest(WITHDRAWN_KEY)}
+    fleet.bundle, fleet.withdrawn_keys = make_bundle(), {key_digest(WITHDRAWN_KEY)}
     fleet.sessions = {host: control.session}
     resources = ("workspace/one", "workspace/two", "cell/llm", "cell/desk")
     fleet.owners = {name: Owner(name, host, 1, 1) for name in resources}
@@ -325,7 +330,7 @@
     return env
 
 
-def held_memory(env):
+def memory_by_engine(env):
     return {name: engine.memory for name, engine in env.engines.items()}
 
 
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -11,8 +11,8 @@
     NOT_RUN,
     Caller,
     FakePeers,
-    held_memory,
     holds_no_memory,
+    memory_by_engine,
     send_completion,
     start_front,
 )
@@ -63,7 +63,7 @@
         else:
             assert caller.json["choices"][0]["text"] == EXPECTED_OUTPUT
         await asyncio.sleep(3)
-        assert holds_no_memory(env), held_memory(env)
+        assert holds_no_memory(env), memory_by_engine(env)
         request_id = caller.headers["x-request-id"]
         assert env.cells.phases(request_id)[-1] is RequestPhase.FINISHED
 
@@ -83,7 +83,7 @@
         caller.disconnect()
         await caller.task
         await asyncio.sleep(2)
-        assert holds_no_memory(env), held_memory(env)
+        assert holds_no_memory(env), memory_by_engine(env)
         assert not env.front.active_requests("cell/llm")
         assert len(env.cells.withdrawals) == (0.1 < after_s < 0.2)
         if after_s > 0.1:
@@ -194,7 +194,7 @@
     async def main():
         env = start_front()
         other = start_front("h2", env.peers)
-        other.rates.keys = env.rates.keys
+        other.rates.requests_by_key = env.rates.requests_by_key
         for fleet in (env.control.fleet, other.control.fleet):
             fleet.sessions = {
                 "h1": env.control.session,
