Keep the failure details that callers receive

Cause: nine texts that callers get as the message of an error had been reworded with the code around them; texts on the wire stay. Change: the old texts are back in the assembler, the front and the HTTP client.

--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -474,9 +474,7 @@
                     self.dispatch(ChunkReceived(attempt, chunk))
                     if self._step_task is not asyncio.current_task():
                         return
-            failure = Failure(
-                ErrorKind.BACKEND_SERVER_FAILED, "stream ended before its last chunk"
-            )
+            failure = Failure(ErrorKind.BACKEND_SERVER_FAILED, "stream ended early")
         except StreamFailed as error:
             failure = error.failure
         self.dispatch(AttemptFailed(attempt, server, failure))
--- a/src/damaskridge/adapters/front_claims.py
+++ b/src/damaskridge/adapters/front_claims.py
@@ -89,7 +89,7 @@
             return _outcome_unknown(committed.failure.kind.value)
         if not _is_new(committed):
             return _outcome_unknown(
-                "another request with this idempotency key has claimed the response"
+                "a request with this idempotency key was answered before"
             )
         return None
 
--- a/src/damaskridge/adapters/front_context.py
+++ b/src/damaskridge/adapters/front_context.py
@@ -193,9 +193,7 @@
             return response
         if loop.time() < sent_s + response.waited_s + response.valid_for_s:
             return response
-    failure = Failure(
-        ErrorKind.OWNER_UNAVAILABLE, "rate grants arrived expired", retry_after_s=1
-    )
+    failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "grants came late", retry_after_s=1)
     return Refused(request_id=request.request_id, failure=failure)
 
 
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -77,7 +77,7 @@
                 if response is not None and not _is_retried(response):
                     return response
             if loop.time() >= deadline_s:
-                detail = f"no response from the owner of {resource}"
+                detail = f"no answer from the owner of {resource}"
                 return Failure(
                     ErrorKind.OWNER_UNAVAILABLE, detail, retry_after_s=_RETRY_AFTER_S
                 )
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -119,9 +119,7 @@
                         deadline_s = (
                             loop.time() + self._context.settings.owner_timeout_s
                         )
-                failure = Failure(
-                    ErrorKind.OWNER_UNAVAILABLE, "relay ended before the last chunk"
-                )
+                failure = Failure(ErrorKind.OWNER_UNAVAILABLE, "relay ended early")
             except StreamFailed as error:
                 failure = error.failure
             if (
--- a/src/damaskridge/adapters/front_services.py
+++ b/src/damaskridge/adapters/front_services.py
@@ -335,7 +335,7 @@
         if committed.failure is None:
             self._log(EventNumber.LEDGER_RESULT, status=record.status)
         if committed.failure is not None and not not_run:
-            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "result was not recorded"))
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "the result is not recorded"))
         if isinstance(result, Err) and not not_run:
             return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, result.err_value.kind.value))
         return result
--- a/src/damaskridge/adapters/http_client.py
+++ b/src/damaskridge/adapters/http_client.py
@@ -103,7 +103,7 @@
                 async for chunk in response.aiter_stream():
                     data += chunk
                     if len(data) > max_bytes:
-                        raise backend_failure("response exceeds the size limit")
+                        raise backend_failure("answer over the limit")
             return HttpResponse(response.status, _content_type(response), bytes(data))
 
     async def lines(
@@ -118,7 +118,7 @@
                     if line.strip():
                         yield line
                 if len(remainder) > max_bytes:
-                    raise backend_failure("response line exceeds the size limit")
+                    raise backend_failure("line over the limit")
         if remainder.strip():
             yield remainder
 
--- a/src/damaskridge/core/requests/assembler.py
+++ b/src/damaskridge/core/requests/assembler.py
@@ -45,9 +45,7 @@
             chunk.offset < 0
             or chunk.offset >= self.next_offset + self._max_pending_chunks
         ):
-            raise InvalidChunk(
-                f"chunk offset {chunk.offset} out of range at {self.next_offset}"
-            )
+            raise InvalidChunk(f"offset {chunk.offset} at {self.next_offset}")
         self._pending_chunks.setdefault(chunk.offset, chunk)
         ready: list[DecodeChunk] = []
         while not self.finished and self.next_offset in self._pending_chunks:
