Rename modules of the RPC adapter to the terms of the field

Cause: names such as confined, followers and control_calls don't say what the modules hold; followers also suggests Raft's followers. Change: the modules, their imports and their test files only.

--- a/bench/process.py
+++ b/bench/process.py
@@ -32,7 +32,7 @@
 )
 
 from damaskridge.adapters.bundle_file import read_bundle
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.model.control import (
     Command,
     ProposeBundle,
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -13,7 +13,7 @@
 
 from examples.demo_settings import free_ports
 
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.model.bundle import Bundle, Operator
 from damaskridge.model.control import ProposeBundle, RollBundle, SignOffBundle
 
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -22,7 +22,7 @@
     PeerFrame,
     PeerLink,
 )
-from damaskridge.adapters.rpc.control_node import ControlStatePort
+from damaskridge.adapters.rpc.control_ports import ControlStatePort
 from damaskridge.core.consensus.election import Role
 from damaskridge.core.consensus.membership import OBSERVER_PREFIX, host_name
 from damaskridge.core.consensus.messages import (
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ControlPort
-from damaskridge.adapters.rpc.confined import retrieve
+from damaskridge.adapters.rpc.isolated_tasks import retrieve
 from damaskridge.core.state.fleet_queries import owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.errors import ErrorKind, Failure
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.control_node import ControlNodePort
+from damaskridge.adapters.rpc.control_ports import ControlNodePort
 from damaskridge.core.gateway.table_checks import table_faults
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import PublishRoutingTable
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -10,8 +10,8 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
-from damaskridge.adapters.rpc.confined import confined
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.isolated_tasks import confined
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import (
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -22,7 +22,7 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.confined import confined
+from damaskridge.adapters.rpc.isolated_tasks import confined
 from damaskridge.model.consensus import AnyMessage, InstallSnapshot
 from damaskridge.model.events import EventNumber
 
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -26,15 +26,15 @@
     PROPOSE_PATH,
     STATUS_PATH,
 )
-from damaskridge.adapters.rpc.control_node import ControlNodePort
-from damaskridge.adapters.rpc.followers import Follower, FollowerSet
+from damaskridge.adapters.rpc.control_ports import ControlNodePort
 from damaskridge.adapters.rpc.instance_publisher import (
     InstanceListReader,
     InstancePublisher,
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.load_publisher import LoadPublisher
-from damaskridge.adapters.rpc.stage_orders import EngineOrders, StageOrders
+from damaskridge.adapters.rpc.stage_controller import EngineOrders, StageOrders
+from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.commands import ControlState
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -10,7 +10,7 @@
 from result import Err, Result
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.followers import Follower, FollowerSet
+from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
 from damaskridge.core.gateway.instance_feed import InstanceReadings
 from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -9,13 +9,13 @@
 
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.confined import confined
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
     OPERATOR_KEY,
     PROPOSE_PATH,
     STATUS_PATH,
 )
+from damaskridge.adapters.rpc.isolated_tasks import confined
 from damaskridge.model.control import (
     AnyCommand,
     AnyFollowReply,
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.control_node import ControlNodePort
+from damaskridge.adapters.rpc.control_ports import ControlNodePort
 from damaskridge.core.state.commands import ControlState
 from damaskridge.core.state.session_tracker import SessionTracker
 from damaskridge.model.control import (
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -6,7 +6,7 @@
 import anyio
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.followers import Follower, FollowerSet
+from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
 from damaskridge.core.gateway.crash_watch import CrashWatch
 from damaskridge.core.gateway.host_choice import HostDemand
 from damaskridge.core.gateway.load_board import LoadBoard
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -12,7 +12,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.confined import retrieve
+from damaskridge.adapters.rpc.isolated_tasks import retrieve
 from damaskridge.adapters.rpc.peer_messages import (
     METHODS,
     Ping,
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_controller.py
@@ -18,7 +18,7 @@
 from result import Err, Result
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.control_node import ControlNodePort
+from damaskridge.adapters.rpc.control_ports import ControlNodePort
 from damaskridge.core.gateway.load_board import LoadBoard
 from damaskridge.core.gateway.stage_balance import StageBalance, StageChange
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -13,7 +13,7 @@
 
 from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.bundle_file import read_bundle
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.core.state.bundles import bundle_difference
 from damaskridge.core.state.view import IDENTITY_FIELDS, apply_bundle_delta, identity
 from damaskridge.model.bundle import Bundle, KeyRecord
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -8,9 +8,9 @@
 from tests.core.state.fleet import Fleet, digest
 
 from damaskridge.adapters.codec import MsgpackCodec
-from damaskridge.adapters.rpc.control_calls import ControlCalls
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.control_server import control_services
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import (
     ExpireSession,
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -4,8 +4,8 @@
 from result import Ok
 from tests.paused import run_paused
 
-from damaskridge.adapters.rpc.followers import FollowerSet
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
+from damaskridge.adapters.rpc.subscribers import FollowerSet
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstancesSeen
--- a/tests/adapters/rpc/test_confined.py
+++ b/tests/adapters/rpc/test_isolated_tasks.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.paused import run_paused
 
-from damaskridge.adapters.rpc.confined import confined
+from damaskridge.adapters.rpc.isolated_tasks import confined
 
 
 def test_a_cancellation_from_inside_is_a_lost_connection_and_stays_inside():
--- a/tests/adapters/rpc/test_followers.py
+++ b/tests/adapters/rpc/test_subscribers.py
@@ -3,7 +3,7 @@
 import anyio
 from tests.core.state.fleet import Fleet
 
-from damaskridge.adapters.rpc.followers import QUEUED_MESSAGES, Follower, FollowerSet
+from damaskridge.adapters.rpc.subscribers import QUEUED_MESSAGES, Follower, FollowerSet
 from damaskridge.model.control import FleetSnapshot
 
 
--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters import control_node
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.control_node import ControlNode
-from damaskridge.adapters.rpc.control_node import AppliedCommand
+from damaskridge.adapters.rpc.control_ports import AppliedCommand
 from damaskridge.model.control import (
     AdvanceTime,
     CommandResult,
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -17,7 +17,7 @@
 import anyio
 import msgspec
 
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.leader_client import ControlCalls
 from damaskridge.model.bundle import (
     BackendServer,
     BackendServerRole,
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -5,9 +5,9 @@
 
 import anyio
 
-from damaskridge.adapters.rpc.control_calls import ATTEMPT_TIMEOUT_S
 from damaskridge.adapters.rpc.control_methods import FOLLOW_PATH
 from damaskridge.adapters.rpc.control_server import ControlService
+from damaskridge.adapters.rpc.leader_client import ATTEMPT_TIMEOUT_S
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import CommandResult, SessionEnded
 from damaskridge.model.errors import ErrorKind, Failure, RunState
