Rename the RPC adapter's shared names to the terms of the field

Cause: names such as confined, ControlCalls, found and own_cancellation don't say what they do; PeerLink is a stream to a member of the control group, while peers are entry hosts elsewhere. Change: names only, in every file that uses them.

--- a/bench/process.py
+++ b/bench/process.py
@@ -32,7 +32,7 @@
 )
 
 from damaskridge.adapters.bundle_file import read_bundle
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.model.control import (
     Command,
     ProposeBundle,
@@ -171,7 +171,7 @@
 
     def commit(self, command: Command, key: str = ALICE_KEY) -> str:
         async def send() -> str:
-            calls = ControlCalls(self.layout.control_addresses(), operator_key=key)
+            calls = LeaderClient(self.layout.control_addresses(), operator_key=key)
             result = await calls.propose(command, 10.0)
             calls.close()
             if result.failure is not None:
@@ -182,7 +182,7 @@
 
     def leader(self) -> str:
         async def ask() -> str:
-            calls = ControlCalls(self.layout.control_addresses())
+            calls = LeaderClient(self.layout.control_addresses())
             status = await calls.status(10.0)
             calls.close()
             return status.leader
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -13,7 +13,7 @@
 
 from examples.demo_settings import free_ports
 
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.model.bundle import Bundle, Operator
 from damaskridge.model.control import ProposeBundle, RollBundle, SignOffBundle
 
@@ -174,7 +174,7 @@
             Relay(relay, f"127.0.0.1:{rpc}") for rpc, relay, _ in self._ports.values()
         ]
         self.addresses = [relay.address for relay in self.relays]
-        self.calls = ControlCalls(self.addresses, operator_key=OPERATOR_KEY)
+        self.calls = LeaderClient(self.addresses, operator_key=OPERATOR_KEY)
         self.version = 0
         self.callers: list[str] = []
 
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -19,8 +19,8 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
-    PeerFrame,
-    PeerLink,
+    MemberFrame,
+    MemberStream,
 )
 from damaskridge.adapters.rpc.control_ports import ControlStatePort
 from damaskridge.core.consensus.election import Role
@@ -133,7 +133,7 @@
         self._applied_bytes = 0
         if stored.log.snapshot.index:
             self._restore(stored.log.snapshot)
-        self._links: dict[str, PeerLink] = {}
+        self._links: dict[str, MemberStream] = {}
         self._tasks: TaskGroup | None = None
         for name in [*members, *map(host_name, self._known_members())]:
             self._link_to(name)
@@ -309,7 +309,7 @@
         membership = self._driver.node.log.membership()
         return (*membership.voters, *membership.learners)
 
-    def _link_to(self, name: str) -> PeerLink | None:
+    def _link_to(self, name: str) -> MemberStream | None:
         """
         Return the stream to a host, and start it if it is new.
 
@@ -322,7 +322,7 @@
             if not address.rpartition(":")[2].isdecimal():
                 return None
             self._members[name] = address
-            link = self._links[name] = PeerLink(name, address, self._rng)
+            link = self._links[name] = MemberStream(name, address, self._rng)
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
         return self._links[name]
@@ -331,7 +331,7 @@
     def _(self, action: Send) -> None:
         link = self._link_to(host_name(action.to))
         if link is not None:
-            link.send(PeerFrame(action.to, action.message))  # type: ignore[arg-type]
+            link.send(MemberFrame(action.to, action.message))  # type: ignore[arg-type]
 
     @_act.register
     def _(self, action: Apply) -> None:
--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ControlPort
-from damaskridge.adapters.rpc.isolated_tasks import retrieve
+from damaskridge.adapters.rpc.isolated_tasks import mark_exception_retrieved
 from damaskridge.core.state.fleet_queries import owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.errors import ErrorKind, Failure
@@ -95,7 +95,7 @@
         loop = asyncio.get_running_loop()
         end_s = float("inf") if limit_s is None else loop.time() + limit_s
         task = asyncio.ensure_future(sent)
-        task.add_done_callback(retrieve)
+        task.add_done_callback(mark_exception_retrieved)
         try:
             while not task.done() and loop.time() < end_s:
                 await asyncio.wait({task}, timeout=self._settings.ask_again_s)
--- a/src/damaskridge/adapters/rpc/cancellation.py
+++ b/src/damaskridge/adapters/rpc/cancellation.py
@@ -12,13 +12,13 @@
 
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-__all__ = ["CONNECTION_ERRORS", "own_cancellation"]
+__all__ = ["CONNECTION_ERRORS", "uncancel_on_connection_error"]
 
 CONNECTION_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 @contextlib.contextmanager
-def own_cancellation() -> Iterator[None]:
+def uncancel_on_connection_error() -> Iterator[None]:
     """Take back the cancellation behind a connection error that passes through."""
     task = asyncio.current_task()
     assert task is not None, "used outside a task"
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -9,9 +9,12 @@
 import anyio
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
-from damaskridge.adapters.rpc.isolated_tasks import confined
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.cancellation import (
+    CONNECTION_ERRORS,
+    uncancel_on_connection_error,
+)
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import (
@@ -44,7 +47,7 @@
 CLOSE_TIMEOUT_S = 2.0
 # Bounds the pauses of a host that has just started to about a tenth of a second.
 FIRST_ATTEMPTS = 1
-SILENCE_S = 1.0
+SILENCE_TIMEOUT_S = 1.0
 # Together with the leader's period, the time in which another host's placement shows.
 LOAD_PERIOD_S = 0.03
 # Smaller than any index, so that the leader answers with a snapshot.
@@ -87,7 +90,7 @@
         ``ip:port`` for callers and for other processes of the fleet.
     clock : callable
         Monotonic time in seconds.
-    calls : ControlCalls or None
+    calls : LeaderClient or None
         Connections to the control hosts.
     """
 
@@ -101,9 +104,9 @@
         caller_address: str,
         peer_address: str,
         clock: Callable[[], float] = anyio.current_time,
-        calls: ControlCalls | None = None,
+        calls: LeaderClient | None = None,
     ) -> None:
-        self._calls = calls or ControlCalls(control_addresses)
+        self._calls = calls or LeaderClient(control_addresses)
         self._host = host
         self._incarnation = incarnation
         self._data_centre = data_centre
@@ -190,12 +193,12 @@
                 address = self._calls.next_address()
                 index, leader = self._fleet.index, ""
                 try:
-                    await confined(self._follow(address))
+                    await run_isolated(self._follow(address))
                 except _StreamEnded as ended:
                     leader = ended.leader
                 except (*CONNECTION_ERRORS, TimeoutError) as error:
-                    self._calls.drop(address, error)
-                self._calls.failed(address, leader)
+                    self._calls.drop_connection(address, error)
+                self._calls.record_failure(address, leader)
                 self._note_lease()
                 progressed = self._fleet.index > index
                 if progressed or not attempt:
@@ -238,7 +241,7 @@
     async def _follow(self, address: str) -> None:
         ended: _StreamEnded | None = None
         async with self._calls.follow(address) as stream:
-            with anyio.fail_after(SILENCE_S), own_cancellation():
+            with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 await stream.send_message(
                     OpenFollow(host=self._host, index=self._index)
                 )
@@ -251,23 +254,26 @@
                 except _StreamEnded as error:
                     ended = error
                 except (*CONNECTION_ERRORS, TimeoutError):
-                    self._calls.drop(address)
+                    self._calls.drop_connection(address)
                     ended = _StreamEnded()
                 group.cancel_scope.cancel()
-            with contextlib.suppress(*CONNECTION_ERRORS), own_cancellation():
+            with (
+                contextlib.suppress(*CONNECTION_ERRORS),
+                uncancel_on_connection_error(),
+            ):
                 await stream.cancel()
         if ended is not None:
             raise ended
 
     async def _read(self, stream: Any, address: str) -> None:
         while True:
-            with anyio.fail_after(SILENCE_S), own_cancellation():
+            with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 message = await stream.recv_message()
             if message is None:
                 raise _StreamEnded
             if isinstance(message, FollowRefused):
                 raise _StreamEnded(message.failure.leader)
-            self._calls.found(address)
+            self._calls.record_leader(address)
             self._received(message)
 
     def _received(self, message: AnyFollowReply) -> None:
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -20,19 +20,22 @@
 from grpclib.server import Stream as ServerStream
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
+from damaskridge.adapters.rpc.cancellation import (
+    CONNECTION_ERRORS,
+    uncancel_on_connection_error,
+)
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.isolated_tasks import confined
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 from damaskridge.model.consensus import AnyMessage, InstallSnapshot
 from damaskridge.model.events import EventNumber
 
-__all__ = ["ControlGroupService", "PeerFrame", "PeerLink", "ProbeAnswer"]
+__all__ = ["ControlGroupService", "MemberFrame", "MemberStream", "ProbeResponse"]
 
 EXCHANGE_PATH = "/damaskridge.ControlGroup/Exchange"
 PROBE_INTERVAL_S = 0.3
 # A silent stream is replaced within 0.8 s. Meanwhile the other members are a quorum,
 # and pre-vote keeps the member behind the stream from disturbing them.
-SILENCE_S = 0.5
+SILENCE_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 SERVER_IDLE_S = 5.0
 BACKOFF_S = (0.05, 1.0)
@@ -44,7 +47,7 @@
 _logger = logging.getLogger("damaskridge.control_group")
 
 
-class PeerFrame(msgspec.Struct, frozen=True, omit_defaults=True):
+class MemberFrame(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     A message for the member `recipient`, a part of one, or a probe.
 
@@ -62,14 +65,14 @@
     is_last: bool = False
 
 
-_decode = msgspec.msgpack.Decoder(PeerFrame).decode
+_decode = msgspec.msgpack.Decoder(MemberFrame).decode
 
 
-class ProbeAnswer(msgspec.Struct, frozen=True):
+class ProbeResponse(msgspec.Struct, frozen=True):
     """Answers a probe."""
 
 
-def split_frame(frame: PeerFrame) -> list[PeerFrame]:
+def split_frame(frame: MemberFrame) -> list[MemberFrame]:
     """Return the frame itself, or its parts if it carries a large snapshot."""
     message = frame.message
     if not isinstance(message, InstallSnapshot):
@@ -79,7 +82,7 @@
     data = _encode(frame)
     starts = range(0, len(data), PART_BYTES)
     return [
-        PeerFrame(
+        MemberFrame(
             part=data[start : start + PART_BYTES],
             is_last=start + PART_BYTES >= len(data),
         )
@@ -93,7 +96,7 @@
     def __init__(self) -> None:
         self._parts: list[bytes] = []
 
-    def add(self, frame: PeerFrame) -> PeerFrame | None:
+    def add(self, frame: MemberFrame) -> MemberFrame | None:
         """Return the frame, or None while parts of it are missing."""
         if not frame.part:
             return frame
@@ -104,7 +107,7 @@
         return _decode(data)
 
 
-class PeerLink:
+class MemberStream:
     """
     The outgoing stream to one member.
 
@@ -123,13 +126,13 @@
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._rng = rng
-        self._frames, self._queue = anyio.create_memory_object_stream[PeerFrame](
+        self._frames, self._queue = anyio.create_memory_object_stream[MemberFrame](
             QUEUE_FRAMES
         )
         self._answered_s = 0.0
         self._connected = False
 
-    def send(self, frame: PeerFrame) -> None:
+    def send(self, frame: MemberFrame) -> None:
         """Send a frame, or drop it while the member cannot be reached."""
         if not self._connected:
             return
@@ -153,7 +156,7 @@
     async def _connect(self) -> None:
         channel = RpcChannel(self._ip, self._port)
         try:
-            await confined(self._exchange(channel))
+            await run_isolated(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
             _logger.debug("stream to %s ended: %r", self._host, errors.exceptions)
         except* Exception as errors:
@@ -168,12 +171,12 @@
             log_event(_logger, EventNumber.PEER_LOST, peer=self._host)
 
     async def _exchange(self, channel: RpcChannel) -> None:
-        method: StreamStreamMethod[PeerFrame, ProbeAnswer] = StreamStreamMethod(
-            channel, EXCHANGE_PATH, PeerFrame, ProbeAnswer
+        method: StreamStreamMethod[MemberFrame, ProbeResponse] = StreamStreamMethod(
+            channel, EXCHANGE_PATH, MemberFrame, ProbeResponse
         )
         async with method.open() as stream:
-            with anyio.fail_after(CONNECT_TIMEOUT_S), own_cancellation():
-                await stream.send_message(PeerFrame())
+            with anyio.fail_after(CONNECT_TIMEOUT_S), uncancel_on_connection_error():
+                await stream.send_message(MemberFrame())
                 await stream.recv_message()
             self._answered_s = anyio.current_time()
             self._connected = True
@@ -183,8 +186,8 @@
                 tasks.start_soon(self._read, stream)
                 tasks.start_soon(self._probe)
 
-    async def _write(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
-        large: deque[PeerFrame] = deque()
+    async def _write(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
+        large: deque[MemberFrame] = deque()
         while True:
             if not large:
                 frame = await self._queue.receive()
@@ -202,14 +205,14 @@
                 # Otherwise it repeats the snapshot that is on its way.
                 large.extend(parts)
 
-    async def _read(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
+    async def _read(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
         while await stream.recv_message() is not None:
             self._answered_s = anyio.current_time()
         raise StreamTerminatedError("closed by the other side")
 
     async def _probe(self) -> None:
-        while anyio.current_time() < self._answered_s + SILENCE_S:
-            self.send(PeerFrame())
+        while anyio.current_time() < self._answered_s + SILENCE_TIMEOUT_S:
+            self.send(MemberFrame())
             await anyio.sleep(PROBE_INTERVAL_S)
         raise TimeoutError("no answer to probes")
 
@@ -229,7 +232,7 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(
-            self._exchange, Cardinality.STREAM_STREAM, PeerFrame, ProbeAnswer
+            self._exchange, Cardinality.STREAM_STREAM, MemberFrame, ProbeResponse
         )
         return {EXCHANGE_PATH: handler}
 
@@ -242,6 +245,6 @@
                 if frame is None:
                     continue
                 if frame.message is None:
-                    await stream.send_message(ProbeAnswer())
+                    await stream.send_message(ProbeResponse())
                 else:
                     self._deliver(frame.recipient, frame.message)
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,7 +33,7 @@
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.load_publisher import LoadPublisher
-from damaskridge.adapters.rpc.stage_controller import EngineOrders, StageOrders
+from damaskridge.adapters.rpc.stage_controller import EngineOrderPort, StageOrders
 from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
@@ -95,7 +95,7 @@
         Wall time in milliseconds, which commands carry.
     instances : InstanceListReader or None
         The list of backend servers that the leader reads for all hosts.
-    orders : EngineOrders or None
+    orders : EngineOrderPort or None
         Orders to model engines, which the leader gives as `host`.
     host : str
         The machine.
@@ -109,7 +109,7 @@
         clock: Callable[[], float] = anyio.current_time,
         wall_ms: Callable[[], int] = _wall_ms,
         instances: InstanceListReader | None = None,
-        orders: EngineOrders | None = None,
+        orders: EngineOrderPort | None = None,
         host: str = "",
     ) -> None:
         self._node = node
@@ -369,7 +369,7 @@
     clock: Callable[[], float] = anyio.current_time,
     wall_ms: Callable[[], int] = _wall_ms,
     instances: InstanceListReader | None = None,
-    orders: EngineOrders | None = None,
+    orders: EngineOrderPort | None = None,
     host: str = "",
 ) -> list[ControlService]:
     """Return the handlers for a grpclib server; each one's `run` must run."""
--- a/src/damaskridge/adapters/rpc/isolated_tasks.py
+++ b/src/damaskridge/adapters/rpc/isolated_tasks.py
@@ -9,12 +9,14 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-__all__ = ["confined", "retrieve"]
+__all__ = ["run_isolated", "mark_exception_retrieved"]
 
 T = TypeVar("T")
 
 
-async def confined(step: Coroutine[Any, Any, T], timeout_s: float | None = None) -> T:
+async def run_isolated(
+    step: Coroutine[Any, Any, T], timeout_s: float | None = None
+) -> T:
     """
     Return the result of `step`, or raise its exception.
 
@@ -31,7 +33,7 @@
         The step was cancelled from inside.
     """
     task = asyncio.ensure_future(step)
-    task.add_done_callback(retrieve)
+    task.add_done_callback(mark_exception_retrieved)
     try:
         await asyncio.wait({task}, timeout=timeout_s)
     finally:
@@ -44,7 +46,7 @@
     return task.result()
 
 
-def retrieve(task: asyncio.Future[Any]) -> None:
+def mark_exception_retrieved(task: asyncio.Future[Any]) -> None:
     """
     Mark the error of an abandoned task as seen; for `add_done_callback`.
 
--- a/src/damaskridge/adapters/rpc/leader_client.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -15,7 +15,7 @@
     PROPOSE_PATH,
     STATUS_PATH,
 )
-from damaskridge.adapters.rpc.isolated_tasks import confined
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 from damaskridge.model.control import (
     AnyCommand,
     AnyFollowReply,
@@ -26,7 +26,7 @@
 from damaskridge.model.control_status import FleetStatus, StatusRequest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["ControlCalls"]
+__all__ = ["LeaderClient"]
 
 # Above one commit under load and below the time of an election.
 ATTEMPT_TIMEOUT_S = 1.0
@@ -37,7 +37,7 @@
 AVOID_S = 1.0
 
 
-class ControlCalls:
+class LeaderClient:
     """
     Finds the leader by asking and by its hints, and resends lost calls.
 
@@ -82,11 +82,11 @@
                 break
         return address
 
-    def found(self, address: str) -> None:
+    def record_leader(self, address: str) -> None:
         """Remember the leader's address."""
         self._hint = address
 
-    def failed(self, address: str, leader: str = "") -> None:
+    def record_failure(self, address: str, leader: str = "") -> None:
         """Try another address next, `leader` if it is named."""
         self._hint = "" if leader == address else leader
 
@@ -95,7 +95,7 @@
         longest_s = min(MAX_RETRY_WAIT_S, RETRY_WAIT_S * 2 ** min(attempt, 8))
         return self._rng.uniform(0, longest_s)
 
-    def drop(self, address: str, error: BaseException | None = None) -> None:
+    def drop_connection(self, address: str, error: BaseException | None = None) -> None:
         """
         Close a broken connection, and try the other addresses first.
 
@@ -165,15 +165,15 @@
                 address = self.next_address()
                 leader = ""
                 try:
-                    reply = await confined(send(address), ATTEMPT_TIMEOUT_S)
+                    reply = await run_isolated(send(address), ATTEMPT_TIMEOUT_S)
                     failure = reply.failure
                     if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
-                        self.found(address)
+                        self.record_leader(address)
                         return reply
                     leader = failure.leader
                 except CONNECTION_ERRORS as error:
-                    self.drop(address, error)
-                self.failed(address, leader)
+                    self.drop_connection(address, error)
+                self.record_failure(address, leader)
                 await anyio.sleep(self.retry_wait_s(attempt))
                 attempt += 1
         run_state = RunState.UNKNOWN if reached else RunState.NOT_RUN
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -12,9 +12,9 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.isolated_tasks import retrieve
+from damaskridge.adapters.rpc.isolated_tasks import mark_exception_retrieved
 from damaskridge.adapters.rpc.peer_messages import (
-    METHODS,
+    UNARY_METHODS,
     Ping,
     ResumeItem,
     ResumeStream,
@@ -59,7 +59,7 @@
         cancel scope of the calling task open.
         """
         task = asyncio.ensure_future(step)
-        task.add_done_callback(retrieve)
+        task.add_done_callback(mark_exception_retrieved)
         self.waits.add(task)
         try:
             await asyncio.wait({task}, timeout=timeout_s)
@@ -148,7 +148,7 @@
 
 
 async def _invoke(link: _Link, name: str, message: Any) -> Any:
-    request, reply = METHODS[name]
+    request, reply = UNARY_METHODS[name]
     method: Any = UnaryUnaryMethod(link.channel, method_path(name), request, reply)
     return await method(message)
 
--- a/src/damaskridge/adapters/rpc/peer_messages.py
+++ b/src/damaskridge/adapters/rpc/peer_messages.py
@@ -27,7 +27,7 @@
     "AskActiveKeys",
     "AskActiveRequests",
     "KeyEnded",
-    "METHODS",
+    "UNARY_METHODS",
     "Ping",
     "RegisterFront",
     "RequestTakenOver",
@@ -121,7 +121,7 @@
 
 
 # Request and reply type of each unary method; `Resume` is a stream of `ResumeItem`.
-METHODS: dict[str, tuple[Any, Any]] = {
+UNARY_METHODS: dict[str, tuple[Any, Any]] = {
     "Ping": (Ping, Ack),
     "Reserve": (RateRequest, RateReply),
     "Refund": (Refund, Ack),
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import CellPort, RatePort, StreamFailed
 from damaskridge.adapters.rpc.peer_messages import (
-    METHODS,
+    UNARY_METHODS,
     Ack,
     ActiveKey,
     ActiveKeys,
@@ -109,7 +109,7 @@
             method_path(name): Handler(
                 _unary(calls[name]), Cardinality.UNARY_UNARY, request, reply
             )
-            for name, (request, reply) in METHODS.items()
+            for name, (request, reply) in UNARY_METHODS.items()
         }
         handlers[method_path("Resume")] = Handler(
             self._resume, Cardinality.UNARY_STREAM, ResumeStream, ResumeItem
--- a/src/damaskridge/adapters/rpc/stage_controller.py
+++ b/src/damaskridge/adapters/rpc/stage_controller.py
@@ -29,7 +29,7 @@
     ServerStart,
 )
 
-__all__ = ["EngineOrders", "StageOrders"]
+__all__ = ["EngineOrderPort", "StageOrders"]
 
 WATCH_PERIOD_S = 0.1
 # An order of the leader before may still be on its way.
@@ -44,7 +44,7 @@
 _log = logging.getLogger("damaskridge.orders")
 
 
-class EngineOrders(Protocol):
+class EngineOrderPort(Protocol):
     """Orders to model engines."""
 
     async def order_stage(
@@ -85,7 +85,7 @@
         The machine; the holder of all orders from here.
     board : LoadBoard
         What all hosts have in flight.
-    orders : EngineOrders
+    orders : EngineOrderPort
         Sends orders.
     routing : callable
         Returns the routing table in force.
@@ -101,7 +101,7 @@
         node: ControlNodePort,
         host: str,
         board: LoadBoard,
-        orders: EngineOrders,
+        orders: EngineOrderPort,
         routing: Callable[[], RoutingTable],
         leads: Callable[[], bool],
         publish: Callable[[], None],
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -13,7 +13,7 @@
 
 from damaskridge.adapters.boottime_loop import run_program
 from damaskridge.adapters.bundle_file import read_bundle
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.core.state.bundles import bundle_difference
 from damaskridge.core.state.view import IDENTITY_FIELDS, apply_bundle_delta, identity
 from damaskridge.model.bundle import Bundle, KeyRecord
@@ -265,7 +265,7 @@
         return key
 
     def _commit(self, command: Command) -> CommandResult:
-        async def call(calls: ControlCalls) -> CommandResult:
+        async def call(calls: LeaderClient) -> CommandResult:
             return await calls.propose(command, CALL_TIMEOUT_S)
 
         result = self._run(call, self._key())
@@ -274,7 +274,7 @@
         return result
 
     def _read_status(self, *, with_bundle: bool = False) -> FleetStatus:
-        async def call(calls: ControlCalls) -> FleetStatus:
+        async def call(calls: LeaderClient) -> FleetStatus:
             return await calls.status(CALL_TIMEOUT_S, with_bundle=with_bundle)
 
         status = self._run(call)
@@ -293,7 +293,7 @@
         where = f"in force on {reached} of {live} live hosts after {took_s:.2f} s"
         self._print(f"version {version} {where}", content)
 
-    def _run(self, call: Callable[[ControlCalls], Awaitable[T]], key: str = "") -> T:
+    def _run(self, call: Callable[[LeaderClient], Awaitable[T]], key: str = "") -> T:
         addresses = self._settings.control
         if not addresses:
             raise CtlError(CtlError.USAGE, "needs --control with ip:port")
@@ -303,7 +303,7 @@
                 raise CtlError(CtlError.USAGE, f"--control: not ip:port: {address!r}")
 
         async def main() -> T:
-            calls = ControlCalls(addresses, operator_key=key)
+            calls = LeaderClient(addresses, operator_key=key)
             try:
                 return await call(calls)
             finally:
@@ -317,7 +317,7 @@
         print(text)
 
 
-async def _in_force(calls: ControlCalls, version: int) -> tuple[int, int, float]:
+async def _in_force(calls: LeaderClient, version: int) -> tuple[int, int, float]:
     """Return on how many live hosts a version is in force, of how many, and when."""
     started_s = anyio.current_time()
     reached = live = 0
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -39,7 +39,7 @@
 
 
 class PlatformOrders:
-    """Implements `EngineOrders`."""
+    """Implements `EngineOrderPort`."""
 
     async def order_stage(
         self, instance: BackendInstance, stage: EngineStage, holder: str, fence: int
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.codec import MsgpackCodec
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.control_server import control_services
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import (
     ExpireSession,
@@ -183,7 +183,7 @@
     async def main():
         async with control_group() as group, entry_host(group):
             addresses = [item.address for item in group.members]
-            calls = ControlCalls(addresses, operator_key="ada")
+            calls = LeaderClient(addresses, operator_key="ada")
             group.members[0].lose_reply = True
 
             async def break_connection():
@@ -207,7 +207,7 @@
         async with control_group(2) as group:
             addresses = [item.address for item in group.members]
             back = {"to_version": 1, "expected_version": 1}
-            calls = ControlCalls(addresses, operator_key="bob")
+            calls = LeaderClient(addresses, operator_key="bob")
             command = RollBackBundle(command_id="x", operator="ada", **back)
             refused = await calls.propose(command, 5.0)
             assert refused.failure.kind is ErrorKind.UNKNOWN_OPERATOR
--- a/tests/adapters/rpc/test_control_group.py
+++ b/tests/adapters/rpc/test_control_group.py
@@ -9,8 +9,8 @@
 from damaskridge.adapters.rpc import control_group
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
-    PeerFrame,
-    PeerLink,
+    MemberFrame,
+    MemberStream,
 )
 from damaskridge.model.consensus import (
     InstallSnapshot,
@@ -52,12 +52,12 @@
     relay = Relay(server._server.sockets[0].getsockname()[1])
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    link = PeerLink("c2", f"127.0.0.1:{port}", random.Random(1))
+    link = MemberStream("c2", f"127.0.0.1:{port}", random.Random(1))
 
     async def send_until_received(term: int) -> None:
         with anyio.fail_after(30):
             while term not in received:
-                link.send(PeerFrame("c2#1", TimeoutNow(sender="c1#1", term=term)))
+                link.send(MemberFrame("c2#1", TimeoutNow(sender="c1#1", term=term)))
                 await anyio.sleep(0.02)
 
     async with anyio.create_task_group() as tasks:
@@ -77,11 +77,11 @@
     state = random.Random(1).randbytes(3 * control_group.PART_BYTES)
     snapshot = Snapshot(7, 2, Membership(("a",)), state)
     message = InstallSnapshot(sender="a", term=2, snapshot=snapshot, round=1)
-    frame = control_group.PeerFrame("b", message)
+    frame = control_group.MemberFrame("b", message)
     parts = control_group.split_frame(frame)
-    size_bytes = [len(MsgpackCodec().encode(part, PeerFrame)) for part in parts]
+    size_bytes = [len(MsgpackCodec().encode(part, MemberFrame)) for part in parts]
     assert len(parts) > 3 and max(size_bytes) < control_group.PART_BYTES + 100
-    assembler, heartbeat = control_group.FrameAssembler(), PeerFrame()
+    assembler, heartbeat = control_group.FrameAssembler(), MemberFrame()
     for part in parts[:-1]:
         assert assembler.add(part) is None and assembler.add(heartbeat) is heartbeat
     assert assembler.add(parts[-1]) == frame
--- a/tests/adapters/rpc/test_isolated_tasks.py
+++ b/tests/adapters/rpc/test_isolated_tasks.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.paused import run_paused
 
-from damaskridge.adapters.rpc.isolated_tasks import confined
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 
 
 def test_a_cancellation_from_inside_is_a_lost_connection_and_stays_inside():
@@ -19,8 +19,8 @@
             (asyncio.sleep(9), 0.5, TimeoutError),
         ):
             with pytest.raises(error):
-                await confined(step, timeout_s)
+                await run_isolated(step, timeout_s)
         assert asyncio.current_task().cancelling() == 0
-        assert await confined(asyncio.sleep(1, "done")) == "done"
+        assert await run_isolated(asyncio.sleep(1, "done")) == "done"
 
     run_paused(main())
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -6,7 +6,7 @@
 
 from damaskridge.adapters import codec as codec_module
 from damaskridge.adapters.codec import MsgpackCodec
-from damaskridge.adapters.rpc.control_group import SILENCE_S
+from damaskridge.adapters.rpc.control_group import SILENCE_TIMEOUT_S
 from damaskridge.model.control import (
     AnyFollowReply,
     FleetDelta,
@@ -17,7 +17,7 @@
 # The fleet that the system is built towards.
 HOSTS = 390
 # What a link of 100 Mbit/s carries until the leader's peers take it for silent.
-LINK_BYTES = 100e6 / 8 * SILENCE_S
+LINK_BYTES = 100e6 / 8 * SILENCE_TIMEOUT_S
 
 
 def large_delta():
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -17,7 +17,7 @@
 import anyio
 import msgspec
 
-from damaskridge.adapters.rpc.leader_client import ControlCalls
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.model.bundle import (
     BackendServer,
     BackendServerRole,
@@ -232,7 +232,7 @@
 
         async def main():
             addresses = [self.address(f"{name}/rpc") for name in CONTROLS]
-            calls = ControlCalls(addresses, operator_key=key)
+            calls = LeaderClient(addresses, operator_key=key)
             try:
                 return await work(calls)
             finally:
@@ -265,7 +265,7 @@
         return int(result.value)
 
     def propose_many(self, contents: list[Bundle]) -> None:
-        async def work(calls: ControlCalls) -> None:
+        async def work(calls: LeaderClient) -> None:
             for number, content in enumerate(contents):
                 command = ProposeBundle(
                     command_id=f"many/{number}", operator="ada", bundle=content
@@ -277,7 +277,7 @@
     def roll_many(self, count: int, version: int) -> int:
         """Alternate between the last two versions' contents; returns the version."""
 
-        async def work(calls: ControlCalls) -> int:
+        async def work(calls: LeaderClient) -> int:
             for number in range(version, version + count):
                 command = RollBackBundle(
                     command_id=f"rolled/{number}",
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -116,7 +116,7 @@
 
 
 class ControlCallsFake:
-    """`ControlCalls` of one entry host over the simulated network."""
+    """`LeaderClient` of one entry host over the simulated network."""
 
     def __init__(self, owner, group, network, rng):
         self._owner, self._group, self._network = owner, group, network
@@ -125,13 +125,13 @@
     def next_address(self):
         return CONTROL
 
-    def found(self, address):
+    def record_leader(self, address):
         return None
 
-    def failed(self, address, leader=""):
+    def record_failure(self, address, leader=""):
         return None
 
-    def drop(self, address, error=None):
+    def drop_connection(self, address, error=None):
         return None
 
     def close(self):
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -14,7 +14,7 @@
 from damaskridge.adapters.rate_runtime import RateRuntime
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.peer_client import CellClient, FrontClient, RateClient
-from damaskridge.adapters.rpc.peer_messages import METHODS, ResumeItem
+from damaskridge.adapters.rpc.peer_messages import UNARY_METHODS, ResumeItem
 from damaskridge.adapters.rpc.peer_server import PeerService, method_path
 from damaskridge.model.errors import ErrorKind, Failure
 from tests.system.control import ControlCallsFake
@@ -173,7 +173,7 @@
 
 
 async def _serve(target, name, message):
-    assert isinstance(message, METHODS[name][0]), name
+    assert isinstance(message, UNARY_METHODS[name][0]), name
     stream = _UnaryStream(message)
     await target.peers.__mapping__()[method_path(name)].func(stream)
     return stream.reply
