--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,7 +33,7 @@
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.load_publisher import LoadPublisher
-from damaskridge.adapters.rpc.stage_controller import EngineOrderPort, StageOrders
+from damaskridge.adapters.rpc.stage_orders import EngineOrderPort, StageOrders
 from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
