--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -104,9 +104,9 @@
         caller_address: str,
         peer_address: str,
         clock: Callable[[], float] = anyio.current_time,
-        calls: LeaderClient | None = None,
+        leader_client: LeaderClient | None = None,
     ) -> None:
-        self._calls = calls or LeaderClient(control_addresses)
+        self._calls = leader_client or LeaderClient(control_addresses)
         self._host = host
         self._incarnation = incarnation
         self._data_centre = data_centre
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -216,7 +216,7 @@
             data_centre=data_centre,
             caller_address=f"{name}:1",
             peer_address=f"{name}:2",
-            calls=ControlCallsFake(process, world.control, network, rng),
+            leader_client=ControlCallsFake(process, world.control, network, rng),
         )
         channels = Channels(process, network, world)
         fronts = FrontClient(name, self.incarnation, self.control, channels)
