--- a/src/damaskridge/adapters/rpc/cancellation.py
+++ b/src/damaskridge/adapters/rpc/cancellation.py
@@ -22,10 +22,10 @@
     """Take back the cancellation behind a connection error that passes through."""
     task = asyncio.current_task()
     assert task is not None, "used outside a task"
-    before = task.cancelling()
+    cancelling_before = task.cancelling()
     try:
         yield
     except CONNECTION_ERRORS:
-        if task.cancelling() > before:
+        if task.cancelling() > cancelling_before:
             task.uncancel()
         raise
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -46,12 +46,12 @@
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
 # Bounds the pauses of a host that has just started to about a tenth of a second.
-FIRST_ATTEMPTS = 1
+MAX_STARTUP_BACKOFF_STEP = 1
 SILENCE_TIMEOUT_S = 1.0
 # Together with the leader's period, the time in which another host's placement shows.
 LOAD_PERIOD_S = 0.03
 # Smaller than any index, so that the leader answers with a snapshot.
-NOTHING_SEEN = -1
+NO_INDEX = -1
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
 InstancesCallback = Callable[[InstancesSeen], None]
@@ -64,7 +64,7 @@
 _log = logging.getLogger("damaskridge.control_client")
 
 
-class _StreamEnded(Exception):
+class _StreamEndedError(Exception):
     """The `Follow` stream must be opened again, at `leader` if it is named."""
 
     def __init__(self, leader: str = "") -> None:
@@ -106,7 +106,7 @@
         clock: Callable[[], float] = anyio.current_time,
         leader_client: LeaderClient | None = None,
     ) -> None:
-        self._calls = leader_client or LeaderClient(control_addresses)
+        self._leader_client = leader_client or LeaderClient(control_addresses)
         self._host = host
         self._incarnation = incarnation
         self._data_centre = data_centre
@@ -116,12 +116,12 @@
         self._fleet = FleetView()
         self._lease = HolderLease()
         self._session: Session | None = None
-        self._index = NOTHING_SEEN
+        self._resume_index = NO_INDEX
         self._version = 0
-        self._was_held = False
+        self._lease_was_valid = False
         self._sequence = 0
-        self._sent_s: dict[int, float] = {}
-        self._callbacks: list[ChangeCallback] = []
+        self._renewals_sent_s: dict[int, float] = {}
+        self._change_callbacks: list[ChangeCallback] = []
         self._instances_callbacks: list[InstancesCallback] = []
         self._crashes_callbacks: list[CrashesCallback] = []
         self._hosts_needed_callbacks: list[HostsNeededCallback] = []
@@ -150,7 +150,7 @@
 
     def on_change(self, callback: ChangeCallback) -> None:
         """Call back after every change; with no changes after a snapshot."""
-        self._callbacks.append(callback)
+        self._change_callbacks.append(callback)
 
     def on_instances(self, callback: InstancesCallback) -> None:
         """Call back after every reading of the list of backend servers."""
@@ -179,27 +179,27 @@
 
     def add_control_addresses(self, addresses: Sequence[str]) -> None:
         """Try further addresses of control hosts as well."""
-        self._calls.add_addresses(addresses)
+        self._leader_client.add_addresses(addresses)
 
     async def propose(self, command: Command) -> CommandResult:
         """Commit a command; finds the leader, sends again with the same id."""
-        return await self._calls.propose(command, PROPOSE_TIMEOUT_S)
+        return await self._leader_client.propose(command, PROPOSE_TIMEOUT_S)
 
     async def run(self) -> None:
         """Follow the leader until `close`."""
         attempt = 0
         with self._scope:
             while not self._closing:
-                address = self._calls.next_address()
+                address = self._leader_client.next_address()
                 index, leader = self._fleet.index, ""
                 try:
                     await run_isolated(self._follow(address))
-                except _StreamEnded as ended:
-                    leader = ended.leader
+                except _StreamEndedError as stream_ended:
+                    leader = stream_ended.leader
                 except (*CONNECTION_ERRORS, TimeoutError) as error:
-                    self._calls.drop_connection(address, error)
-                self._calls.record_failure(address, leader)
-                self._note_lease()
+                    self._leader_client.drop_connection(address, error)
+                self._leader_client.record_failure(address, leader)
+                self._log_lease_change()
                 progressed = self._fleet.index > index
                 if progressed or not attempt:
                     # Further attempts tell nothing new.
@@ -207,8 +207,8 @@
                 attempt = 0 if progressed else attempt + 1
                 if not self._fleet.index:
                     # A host that knows nothing yet cannot serve anyone.
-                    attempt = min(attempt, FIRST_ATTEMPTS)
-                await anyio.sleep(self._calls.retry_wait_s(attempt))
+                    attempt = min(attempt, MAX_STARTUP_BACKOFF_STEP)
+                await anyio.sleep(self._leader_client.retry_wait_s(attempt))
 
     async def begin_drain(self) -> bool:
         """
@@ -221,7 +221,7 @@
         if session is None:
             return True
         command = SetHostDraining(
-            command_id=_new_id("drain"), host=self._host, session=session.number
+            command_id=_new_command_id("drain"), host=self._host, session=session.number
         )
         return (await self.propose(command)).failure is None
 
@@ -232,58 +232,60 @@
         session, self._session = self._session, None
         if session is not None:
             command = CloseSession(
-                command_id=_new_id("close"), host=self._host, session=session.number
+                command_id=_new_command_id("close"),
+                host=self._host,
+                session=session.number,
             )
-            await self._calls.propose(command, CLOSE_TIMEOUT_S)
+            await self._leader_client.propose(command, CLOSE_TIMEOUT_S)
         self._scope.cancel()
-        self._calls.close()
+        self._leader_client.close()
 
     async def _follow(self, address: str) -> None:
-        ended: _StreamEnded | None = None
-        async with self._calls.follow(address) as stream:
+        stream_ended: _StreamEndedError | None = None
+        async with self._leader_client.follow(address) as stream:
             with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 await stream.send_message(
-                    OpenFollow(host=self._host, index=self._index)
+                    OpenFollow(host=self._host, index=self._resume_index)
                 )
             async with anyio.create_task_group() as group:
-                group.start_soon(self._keep_session)
-                group.start_soon(self._renew, stream)
-                group.start_soon(self._report_load, stream)
+                group.start_soon(self._maintain_session)
+                group.start_soon(self._send_renewals, stream)
+                group.start_soon(self._send_load_reports, stream)
                 try:
-                    await self._read(stream, address)
-                except _StreamEnded as error:
-                    ended = error
+                    await self._receive_messages(stream, address)
+                except _StreamEndedError as error:
+                    stream_ended = error
                 except (*CONNECTION_ERRORS, TimeoutError):
-                    self._calls.drop_connection(address)
-                    ended = _StreamEnded()
+                    self._leader_client.drop_connection(address)
+                    stream_ended = _StreamEndedError()
                 group.cancel_scope.cancel()
             with (
                 contextlib.suppress(*CONNECTION_ERRORS),
                 uncancel_on_connection_error(),
             ):
                 await stream.cancel()
-        if ended is not None:
-            raise ended
+        if stream_ended is not None:
+            raise stream_ended
 
-    async def _read(self, stream: Any, address: str) -> None:
+    async def _receive_messages(self, stream: Any, address: str) -> None:
         while True:
             with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 message = await stream.recv_message()
             if message is None:
-                raise _StreamEnded
+                raise _StreamEndedError
             if isinstance(message, FollowRefused):
-                raise _StreamEnded(message.failure.leader)
-            self._calls.record_leader(address)
-            self._received(message)
+                raise _StreamEndedError(message.failure.leader)
+            self._leader_client.record_leader(address)
+            self._handle_message(message)
 
-    def _received(self, message: AnyFollowReply) -> None:
+    def _handle_message(self, message: AnyFollowReply) -> None:
         if isinstance(message, FleetDelta):
             self._apply_delta(message)
         elif isinstance(message, FleetSnapshot):
             # An older snapshot is refused: a view never goes back.
             if self._fleet.restore(message):
-                self._index = self._fleet.index
-                self._notify(())
+                self._resume_index = self._fleet.index
+                self._notify_change(())
         elif isinstance(message, LoadSeen):
             if self._load_callback is not None:
                 self._load_callback(message)
@@ -291,62 +293,66 @@
             for callback in self._instances_callbacks:
                 callback(message)
         elif isinstance(message, CrashesSeen):
-            for learn in self._crashes_callbacks:
-                learn(message)
+            for crashes_callback in self._crashes_callbacks:
+                crashes_callback(message)
         elif isinstance(message, HostsNeeded):
-            for notify in self._hosts_needed_callbacks:
-                notify(message)
+            for hosts_needed_callback in self._hosts_needed_callbacks:
+                hosts_needed_callback(message)
         elif isinstance(message, SessionRenewed):
-            sent_s = self._sent_s.get(message.sequence)
-            self._forget_sent(message.sequence)
-            if sent_s is not None and self._is_current(message.session):
+            sent_s = self._renewals_sent_s.get(message.sequence)
+            self._discard_renewals_up_to(message.sequence)
+            if sent_s is not None and self._is_current_session(message.session):
                 self._lease.renew(sent_s, message.duration_s)
-                self._note_lease()
-        elif isinstance(message, SessionLost) and self._is_current(message.session):
+                self._log_lease_change()
+        elif isinstance(message, SessionLost) and self._is_current_session(
+            message.session
+        ):
             self._lease.end()
-            self._note_lease()
+            self._log_lease_change()
             self._session = None
             self._session_missing.set()
 
     def _apply_delta(self, delta: FleetDelta) -> None:
         if not self._fleet.apply_delta(delta):
-            self._index = NOTHING_SEEN
-            raise _StreamEnded
-        self._index = self._fleet.index
-        self._notify(delta.changes)
+            self._resume_index = NO_INDEX
+            raise _StreamEndedError
+        self._resume_index = self._fleet.index
+        self._notify_change(delta.changes)
 
-    def _notify(self, changes: tuple[FleetChange, ...]) -> None:
+    def _notify_change(self, changes: tuple[FleetChange, ...]) -> None:
         if self._fleet.version != self._version:
             self._version = self._fleet.version
             log_event(_log, EventNumber.BUNDLE_IN_FORCE, version=self._version)
-        for callback in self._callbacks:
+        for callback in self._change_callbacks:
             callback(changes)
 
-    def _note_lease(self) -> None:
+    def _log_lease_change(self) -> None:
         """Log when the lease is lost or valid again."""
-        held = self._lease.is_valid(self._clock())
-        if held is self._was_held or self._session is None:
+        is_valid = self._lease.is_valid(self._clock())
+        if is_valid is self._lease_was_valid or self._session is None:
             return
-        self._was_held = held
-        number = EventNumber.LEASE_CONFIRMED if held else EventNumber.LEASE_LOST
+        self._lease_was_valid = is_valid
+        number = EventNumber.LEASE_CONFIRMED if is_valid else EventNumber.LEASE_LOST
         log_event(_log, number, session=self._session.number)
 
-    def _is_current(self, number: int) -> bool:
+    def _is_current_session(self, number: int) -> bool:
         return self._session is not None and self._session.number == number
 
-    def _forget_sent(self, sequence: int) -> None:
-        for number in [number for number in self._sent_s if number <= sequence]:
-            del self._sent_s[number]
+    def _discard_renewals_up_to(self, sequence: int) -> None:
+        for number in [
+            number for number in self._renewals_sent_s if number <= sequence
+        ]:
+            del self._renewals_sent_s[number]
 
-    async def _renew(self, stream: Any) -> None:
+    async def _send_renewals(self, stream: Any) -> None:
         # Without a session the message still draws an answer, which tells a live
         # leader from a silent connection.
         while True:
             self._session_opened = anyio.Event()
-            self._note_lease()
+            self._log_lease_change()
             self._sequence += 1
             session = self._session
-            self._sent_s[self._sequence] = self._clock()
+            self._renewals_sent_s[self._sequence] = self._clock()
             try:
                 await stream.send_message(
                     RenewSession(
@@ -363,11 +369,11 @@
             with anyio.move_on_after(SESSION_RENEWAL_S):
                 await self._session_opened.wait()
 
-    async def _report_load(self, stream: Any) -> None:
-        everything = True
+    async def _send_load_reports(self, stream: Any) -> None:
+        is_whole = True
         while self._load_source is not None:
-            report = self._load_source(everything)
-            everything = False
+            report = self._load_source(is_whole)
+            is_whole = False
             try:
                 if report is not None:
                     await stream.send_message(report)
@@ -375,7 +381,7 @@
                 return
             await anyio.sleep(LOAD_PERIOD_S)
 
-    async def _keep_session(self) -> None:
+    async def _maintain_session(self) -> None:
         while not self._closing:
             self._session_missing = anyio.Event()
             if self._session is None:
@@ -385,7 +391,7 @@
 
     async def _open_session(self) -> None:
         command = OpenSession(
-            command_id=_new_id("open"),
+            command_id=_new_command_id("open"),
             host=self._host,
             incarnation=self._incarnation,
             data_centre=self._data_centre,
@@ -394,7 +400,7 @@
         )
         result = await self.propose(command)
         if result.failure is not None:
-            await anyio.sleep(self._calls.retry_wait_s(1))
+            await anyio.sleep(self._leader_client.retry_wait_s(1))
             return
         self._session = Session(
             host=self._host,
@@ -410,5 +416,5 @@
             await self.begin_drain()
 
 
-def _new_id(purpose: str) -> str:
+def _new_command_id(purpose: str) -> str:
     return f"{purpose}/{secrets.token_hex(8)}"
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -37,14 +37,14 @@
 # and pre-vote keeps the member behind the stream from disturbing them.
 SILENCE_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-SERVER_IDLE_S = 5.0
-BACKOFF_S = (0.05, 1.0)
-QUEUE_FRAMES = 256
+SERVER_IDLE_TIMEOUT_S = 5.0
+BACKOFF_RANGE_S = (0.05, 1.0)
+MAX_QUEUED_FRAMES = 256
 # Above a batch of entries. Longer messages would hold up heartbeats and probes.
-PART_BYTES = 256 * 1024
+MAX_PART_BYTES = 256 * 1024
 
 _encode = msgspec.msgpack.Encoder().encode
-_logger = logging.getLogger("damaskridge.control_group")
+_log = logging.getLogger("damaskridge.control_group")
 
 
 class MemberFrame(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -77,14 +77,14 @@
     message = frame.message
     if not isinstance(message, InstallSnapshot):
         return [frame]
-    if len(message.snapshot.state) <= PART_BYTES:
+    if len(message.snapshot.state) <= MAX_PART_BYTES:
         return [frame]
     data = _encode(frame)
-    starts = range(0, len(data), PART_BYTES)
+    starts = range(0, len(data), MAX_PART_BYTES)
     return [
         MemberFrame(
-            part=data[start : start + PART_BYTES],
-            is_last=start + PART_BYTES >= len(data),
+            part=data[start : start + MAX_PART_BYTES],
+            is_last=start + MAX_PART_BYTES >= len(data),
         )
         for start in starts
     ]
@@ -126,49 +126,49 @@
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._rng = rng
-        self._frames, self._queue = anyio.create_memory_object_stream[MemberFrame](
-            QUEUE_FRAMES
-        )
-        self._answered_s = 0.0
-        self._connected = False
+        self._queue_sender, self._queue_receiver = anyio.create_memory_object_stream[
+            MemberFrame
+        ](MAX_QUEUED_FRAMES)
+        self._last_response_s = 0.0
+        self._is_connected = False
 
     def send(self, frame: MemberFrame) -> None:
         """Send a frame, or drop it while the member cannot be reached."""
-        if not self._connected:
+        if not self._is_connected:
             return
         try:
-            self._frames.send_nowait(frame)
+            self._queue_sender.send_nowait(frame)
         except anyio.WouldBlock:
             return
 
     async def run(self) -> None:
         """Keep a stream open until cancelled."""
-        backoff_s = BACKOFF_S[0]
-        with self._frames, self._queue:
+        backoff_s = BACKOFF_RANGE_S[0]
+        with self._queue_sender, self._queue_receiver:
             while True:
                 started_s = anyio.current_time()
-                await self._connect()
-                if anyio.current_time() - started_s > BACKOFF_S[1]:
-                    backoff_s = BACKOFF_S[0]
+                await self._run_stream()
+                if anyio.current_time() - started_s > BACKOFF_RANGE_S[1]:
+                    backoff_s = BACKOFF_RANGE_S[0]
                 await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(backoff_s * 2, BACKOFF_S[1])
+                backoff_s = min(backoff_s * 2, BACKOFF_RANGE_S[1])
 
-    async def _connect(self) -> None:
+    async def _run_stream(self) -> None:
         channel = RpcChannel(self._ip, self._port)
         try:
             await run_isolated(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
-            _logger.debug("stream to %s ended: %r", self._host, errors.exceptions)
+            _log.debug("stream to %s ended: %r", self._host, errors.exceptions)
         except* Exception as errors:
             # One peer's fault, such as a message of another version, must not end
             # the process.
-            _logger.warning("stream to %s failed: %r", self._host, errors.exceptions)
+            _log.warning("stream to %s failed: %r", self._host, errors.exceptions)
         finally:
-            was_connected = self._connected
-            self._connected = False
+            was_connected = self._is_connected
+            self._is_connected = False
             channel.close()
         if was_connected:
-            log_event(_logger, EventNumber.PEER_LOST, peer=self._host)
+            log_event(_log, EventNumber.PEER_LOST, peer=self._host)
 
     async def _exchange(self, channel: RpcChannel) -> None:
         method: StreamStreamMethod[MemberFrame, ProbeResponse] = StreamStreamMethod(
@@ -178,40 +178,42 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S), uncancel_on_connection_error():
                 await stream.send_message(MemberFrame())
                 await stream.recv_message()
-            self._answered_s = anyio.current_time()
-            self._connected = True
-            log_event(_logger, EventNumber.PEER_CONNECTED, peer=self._host)
+            self._last_response_s = anyio.current_time()
+            self._is_connected = True
+            log_event(_log, EventNumber.PEER_CONNECTED, peer=self._host)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write, stream)
-                tasks.start_soon(self._read, stream)
-                tasks.start_soon(self._probe)
+                tasks.start_soon(self._send_frames, stream)
+                tasks.start_soon(self._receive_responses, stream)
+                tasks.start_soon(self._send_probes)
 
-    async def _write(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
-        large: deque[MemberFrame] = deque()
+    async def _send_frames(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
+        pending_parts: deque[MemberFrame] = deque()
         while True:
-            if not large:
-                frame = await self._queue.receive()
+            if not pending_parts:
+                frame = await self._queue_receiver.receive()
             else:
                 # Heartbeats go out between the parts of a snapshot.
-                await stream.send_message(large.popleft())
+                await stream.send_message(pending_parts.popleft())
                 try:
-                    frame = self._queue.receive_nowait()
+                    frame = self._queue_receiver.receive_nowait()
                 except anyio.WouldBlock:
                     continue
             parts = split_frame(frame)
             if len(parts) == 1:
                 await stream.send_message(frame)
-            elif not large:
+            elif not pending_parts:
                 # Otherwise it repeats the snapshot that is on its way.
-                large.extend(parts)
+                pending_parts.extend(parts)
 
-    async def _read(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
+    async def _receive_responses(
+        self, stream: Stream[MemberFrame, ProbeResponse]
+    ) -> None:
         while await stream.recv_message() is not None:
-            self._answered_s = anyio.current_time()
+            self._last_response_s = anyio.current_time()
         raise StreamTerminatedError("closed by the other side")
 
-    async def _probe(self) -> None:
-        while anyio.current_time() < self._answered_s + SILENCE_TIMEOUT_S:
+    async def _send_probes(self) -> None:
+        while anyio.current_time() < self._last_response_s + SILENCE_TIMEOUT_S:
             self.send(MemberFrame())
             await anyio.sleep(PROBE_INTERVAL_S)
         raise TimeoutError("no answer to probes")
@@ -238,9 +240,9 @@
 
     async def _exchange(self, stream: ServerStream[Any, Any]) -> None:
         assembler = FrameAssembler()
-        with anyio.move_on_after(SERVER_IDLE_S) as idle:
+        with anyio.move_on_after(SERVER_IDLE_TIMEOUT_S) as idle:
             while (received := await stream.recv_message()) is not None:
-                idle.deadline = anyio.current_time() + SERVER_IDLE_S
+                idle.deadline = anyio.current_time() + SERVER_IDLE_TIMEOUT_S
                 frame = assembler.add(received)
                 if frame is None:
                     continue
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -33,8 +33,8 @@
 )
 from damaskridge.adapters.rpc.leader_duties import LeaderDuties
 from damaskridge.adapters.rpc.load_publisher import LoadPublisher
-from damaskridge.adapters.rpc.stage_orders import EngineOrderPort, StageOrders
-from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
+from damaskridge.adapters.rpc.stage_orders import EngineOrderPort, StageController
+from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.commands import ControlState
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Renewal:
-    follower: Follower
+    subscriber: Subscriber
     request: RenewSession
     received_s: float
 
@@ -116,34 +116,36 @@
         self._state = state
         self._clock = clock
         self._wall_ms = wall_ms
-        self._followers = FollowerSet(state)
+        self._subscribers = SubscriberSet(state)
         self._duties = LeaderDuties(node, state, clock, wall_ms, self._step_down)
-        self._load = LoadPublisher(
-            self._followers, lambda: self._duties.ready, self._data_centre_of
+        self._load_publisher = LoadPublisher(
+            self._subscribers, lambda: self._duties.is_ready, self._host_data_centre
         )
-        self._orders: StageOrders | None = None
+        self._stage_controller: StageController | None = None
         if orders is not None:
-            self._orders = StageOrders(
+            self._stage_controller = StageController(
                 node=node,
                 host=host,
-                board=self._load.board,
+                board=self._load_publisher.board,
                 orders=orders,
                 routing=lambda: state.data.routing,
-                leads=lambda: self._duties.ready,
-                publish=self._publish_instances,
+                is_leading=lambda: self._duties.is_ready,
+                publish=self._republish_instances,
             )
-        self._instances: InstancePublisher | None = None
+        self._instance_publisher: InstancePublisher | None = None
         if instances is not None:
-            self._instances = InstancePublisher(
+            self._instance_publisher = InstancePublisher(
                 instances,
-                self._followers,
-                lambda: self._duties.ready,
-                self._orders.adjust if self._orders is not None else tuple,
+                self._subscribers,
+                lambda: self._duties.is_ready,
+                self._stage_controller.adjust_instances
+                if self._stage_controller is not None
+                else tuple,
             )
         self._renewals: list[_Renewal] = []
-        self._renewal_arrived = anyio.Event()
-        self._hosts: dict[str, HostStatus] = {}
-        self._activated = (0, 0)
+        self._renewal_received = anyio.Event()
+        self._host_statuses: dict[str, HostStatus] = {}
+        self._last_activation = (0, 0)
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -164,20 +166,20 @@
     async def run(self) -> None:
         """Publish deltas, answer renewals and do the leader's duties for ever."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._publish)
+            group.start_soon(self._publish_deltas)
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
-            group.start_soon(self._load.run)
-            if self._instances is not None:
-                group.start_soon(self._instances.run)
-            if self._orders is not None:
-                group.start_soon(self._orders.run)
+            group.start_soon(self._load_publisher.run)
+            if self._instance_publisher is not None:
+                group.start_soon(self._instance_publisher.run)
+            if self._stage_controller is not None:
+                group.start_soon(self._stage_controller.run)
 
-    def _publish_instances(self) -> None:
-        if self._instances is not None:
-            self._instances.publish_again()
+    def _republish_instances(self) -> None:
+        if self._instance_publisher is not None:
+            self._instance_publisher.republish()
 
-    def _data_centre_of(self, host: str) -> str | None:
+    def _host_data_centre(self, host: str) -> str | None:
         session = self._state.data.sessions.get(host)
         return session.data_centre if session is not None else None
 
@@ -186,9 +188,9 @@
         return Failure(ErrorKind.NOT_LEADER, leader=address)
 
     def _step_down(self) -> None:
-        self._followers.end_all(FollowRefused(failure=self._not_leader()))
+        self._subscribers.end_all(FollowRefused(failure=self._not_leader()))
         self._renewals.clear()
-        self._hosts.clear()
+        self._host_statuses.clear()
 
     async def _propose(self, stream: Any) -> None:
         command = await stream.recv_message()
@@ -200,11 +202,11 @@
             return CommandResult(failure=self._not_leader())
         refusal = self._check_operator(command, key)
         if refusal is not None:
-            _log_operator(command, EventNumber.OPERATOR_REFUSED)
+            _log_operator_command(command, EventNumber.OPERATOR_REFUSED)
             return CommandResult(failure=refusal)
-        _log_operator(command, EventNumber.OPERATOR_COMMAND)
-        stamped = msgspec.structs.replace(command, at_ms=self._wall_ms())
-        result = await self._node.propose(stamped)
+        _log_operator_command(command, EventNumber.OPERATOR_COMMAND)
+        stamped_command = msgspec.structs.replace(command, at_ms=self._wall_ms())
+        result = await self._node.propose(stamped_command)
         log_command(command, result)
         return result
 
@@ -212,14 +214,14 @@
         name = getattr(command, "operator", None)
         if name is None:
             return None
-        operator = find_operator(self._state.data, name, self._proposed(command))
+        operator = find_operator(self._state.data, name, self._proposed_bundle(command))
         digest = sha256(key.encode()).hexdigest()
         # One answer for both, so that names cannot be found out by trying.
         if operator is None or not hmac.compare_digest(digest, operator.key_digest):
             return Failure(ErrorKind.UNKNOWN_OPERATOR, "operator or key is wrong")
         return None
 
-    def _proposed(self, command: Command) -> Bundle | None:
+    def _proposed_bundle(self, command: Command) -> Bundle | None:
         if isinstance(command, ProposeBundle):
             return command.bundle
         if isinstance(command, SignOffBundle | RollBundle):
@@ -232,67 +234,71 @@
         if not await self._node.confirm_leadership():
             await stream.send_message(FleetStatus(failure=self._not_leader()))
             return
-        version, at_ms = self._activated
+        version, at_ms = self._last_activation
         status = status_of(self._state.data, with_bundle=request.with_bundle)
         status = msgspec.structs.replace(
             status,
             leader=self._node.name,
             term=self._node.term,
             activated_at_ms=at_ms if version == status.version else 0,
-            hosts=tuple(self._hosts[host] for host in sorted(self._hosts)),
+            hosts=tuple(
+                self._host_statuses[host] for host in sorted(self._host_statuses)
+            ),
         )
         await stream.send_message(status)
 
     async def _follow(self, stream: Any) -> None:
-        first = await stream.recv_message()
-        if not isinstance(first, OpenFollow) or not self._duties.ready:
+        first_message = await stream.recv_message()
+        if not isinstance(first_message, OpenFollow) or not self._duties.is_ready:
             await stream.send_message(FollowRefused(failure=self._not_leader()))
             return
         async with anyio.create_task_group() as group:
-            follower = Follower(group.cancel_scope.cancel)
-            self._followers.add(follower, first.index)
-            self._load.join(follower, first.host)
-            if self._instances is not None:
-                self._instances.greet(follower)
+            subscriber = Subscriber(group.cancel_scope.cancel)
+            self._subscribers.add(subscriber, first_message.index)
+            self._load_publisher.add_subscriber(subscriber, first_message.host)
+            if self._instance_publisher is not None:
+                self._instance_publisher.send_snapshot(subscriber)
             try:
-                group.start_soon(self._write, stream, follower, group.cancel_scope)
-                await self._read(stream, follower)
+                group.start_soon(
+                    self._send_messages, stream, subscriber, group.cancel_scope
+                )
+                await self._receive_messages(stream, subscriber)
             finally:
-                self._followers.remove(follower)
-                self._load.leave(follower)
+                self._subscribers.remove(subscriber)
+                self._load_publisher.remove_subscriber(subscriber)
                 group.cancel_scope.cancel()
 
-    async def _read(self, stream: Any, follower: Follower) -> None:
+    async def _receive_messages(self, stream: Any, subscriber: Subscriber) -> None:
         # A host renews several times in this period; a silent one has gone.
-        with anyio.move_on_after(SESSION_DURATION_S) as silence:
+        with anyio.move_on_after(SESSION_DURATION_S) as silence_scope:
             while (message := await stream.recv_message()) is not None:
-                silence.deadline = anyio.current_time() + SESSION_DURATION_S
+                silence_scope.deadline = anyio.current_time() + SESSION_DURATION_S
                 if isinstance(message, RenewSession):
-                    self._received(follower, message)
+                    self._record_renewal(subscriber, message)
                 elif isinstance(message, ReportLoad):
-                    self._load.report(follower, message)
-                    if self._instances is not None:
+                    self._load_publisher.handle_report(subscriber, message)
+                    if self._instance_publisher is not None:
                         for notice in message.leaving:
-                            self._instances.notices.add(notice)
+                            self._instance_publisher.notices.add(notice)
 
-    async def _write(
-        self, stream: Any, follower: Follower, scope: anyio.CancelScope
+    async def _send_messages(
+        self, stream: Any, subscriber: Subscriber, scope: anyio.CancelScope
     ) -> None:
         try:
-            async for message in follower.messages:
+            async for message in subscriber.messages:
                 await stream.send_message(message)
         except (OSError, StreamTerminatedError, anyio.ClosedResourceError):
             pass  # The host has gone or this one leads no more.
         scope.cancel()
 
-    def _received(self, follower: Follower, request: RenewSession) -> None:
-        self._renewals.append(_Renewal(follower, request, self._clock()))
-        self._renewal_arrived.set()
-        held = self._hosts.get(request.host)
+    def _record_renewal(self, subscriber: Subscriber, request: RenewSession) -> None:
+        self._renewals.append(_Renewal(subscriber, request, self._clock()))
+        self._renewal_received.set()
+        previous = self._host_statuses.get(request.host)
         reached_at_ms = self._wall_ms()
-        if held is not None and held.version == request.version:
-            reached_at_ms = held.reached_at_ms
-        self._hosts[request.host] = HostStatus(
+        if previous is not None and previous.version == request.version:
+            reached_at_ms = previous.reached_at_ms
+        self._host_statuses[request.host] = HostStatus(
             host=request.host,
             session=request.session,
             version=request.version,
@@ -302,27 +308,27 @@
 
     async def _confirm_renewals(self) -> None:
         while True:
-            await self._renewal_arrived.wait()
-            self._renewal_arrived = anyio.Event()
+            await self._renewal_received.wait()
+            self._renewal_received = anyio.Event()
             batch, self._renewals = self._renewals, []
             if not batch:
                 continue
             confirmed = await self._node.confirm_leadership()
             for renewal in batch:
-                if confirmed and self._duties.ready:
-                    self._answer(renewal)
+                if confirmed and self._duties.is_ready:
+                    self._respond_to_renewal(renewal)
                 else:
-                    renewal.follower.push(FollowRefused(failure=self._not_leader()))
-                    renewal.follower.end()
+                    renewal.subscriber.push(FollowRefused(failure=self._not_leader()))
+                    renewal.subscriber.end()
 
-    def _answer(self, renewal: _Renewal) -> None:
-        request, follower = renewal.request, renewal.follower
+    def _respond_to_renewal(self, renewal: _Renewal) -> None:
+        request, subscriber = renewal.request, renewal.subscriber
         if live_session(self._state.data, request.host, request.session) is None:
-            follower.push(SessionLost(session=request.session))
+            subscriber.push(SessionLost(session=request.session))
         elif self._duties.sessions.renewed(
             request.host, request.session, renewal.received_s
         ):
-            follower.push(
+            subscriber.push(
                 SessionRenewed(
                     session=request.session,
                     sequence=request.sequence,
@@ -330,27 +336,29 @@
                 )
             )
 
-    async def _publish(self) -> None:
+    async def _publish_deltas(self) -> None:
         while True:
             deltas = self._node.applied_deltas()
             # The last iterator ended because deltas were missed.
             self._duties.resync()
-            await self._publish_all(deltas)
+            await self._publish_until_missed(deltas)
 
-    async def _publish_all(self, deltas: AsyncIterator[FleetDelta]) -> None:
+    async def _publish_until_missed(self, deltas: AsyncIterator[FleetDelta]) -> None:
         async for delta in deltas:
-            self._duties.observe(delta)
+            self._duties.handle_delta(delta)
             for change in delta.changes:
                 if isinstance(change, BundleActivated):
-                    self._activated = (change.version, self._wall_ms())
+                    self._last_activation = (change.version, self._wall_ms())
                 log_change(change)
-            live = self._state.data.sessions
-            for host in [host for host in self._hosts if host not in live]:
-                del self._hosts[host]
-            self._followers.publish(delta)
+            live_sessions = self._state.data.sessions
+            for host in [
+                host for host in self._host_statuses if host not in live_sessions
+            ]:
+                del self._host_statuses[host]
+            self._subscribers.publish(delta)
 
 
-def _log_operator(command: Command, number: EventNumber) -> None:
+def _log_operator_command(command: Command, number: EventNumber) -> None:
     operator = getattr(command, "operator", None)
     if operator is not None:
         log_event(
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -10,7 +10,7 @@
 from result import Err, Result
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
+from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
 from damaskridge.core.gateway.instance_feed import InstanceReadings
 from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
@@ -22,7 +22,7 @@
 # reading, its way to the hosts and one lost reading fit in.
 READ_PERIOD_S = 0.8
 
-Adjust = Callable[[tuple[BackendInstance, ...]], tuple[BackendInstance, ...]]
+AdjustInstances = Callable[[tuple[BackendInstance, ...]], tuple[BackendInstance, ...]]
 
 _log = logging.getLogger("damaskridge.instances")
 
@@ -43,7 +43,7 @@
     ----------
     reader : InstanceListReader
         The list.
-    followers : FollowerSet
+    followers : SubscriberSet
         The open streams of the hosts.
     leads : callable
         Whether this host leads.
@@ -59,72 +59,72 @@
     def __init__(
         self,
         reader: InstanceListReader,
-        followers: FollowerSet,
-        leads: Callable[[], bool],
-        adjust: Adjust = tuple,
+        subscribers: SubscriberSet,
+        is_leading: Callable[[], bool],
+        adjust_instances: AdjustInstances = tuple,
     ) -> None:
-        self._adjust = adjust
+        self._adjust_instances = adjust_instances
         self.notices = ServerNotices()
         self._reader = reader
-        self._followers = followers
-        self._leads = leads
-        self._readings: InstanceReadings | None = None
-        self._listed: tuple[BackendInstance, ...] = ()
-        self._failed = False
+        self._subscribers = subscribers
+        self._is_leading = is_leading
+        self._list_differ: InstanceReadings | None = None
+        self._last_instances: tuple[BackendInstance, ...] = ()
+        self._read_failed = False
 
-    def greet(self, follower: Follower) -> None:
+    def send_snapshot(self, subscriber: Subscriber) -> None:
         """Send a new stream all entries."""
-        whole = self._readings.whole() if self._readings is not None else None
+        whole = self._list_differ.whole() if self._list_differ is not None else None
         if whole is not None:
-            follower.push(whole)
+            subscriber.push(whole)
 
     async def run(self) -> None:
         """Read for ever."""
         while True:
-            if self._leads():
+            if self._is_leading():
                 await self._read()
             else:
-                self._readings = None
+                self._list_differ = None
             await anyio.sleep(READ_PERIOD_S)
 
     async def _read(self) -> None:
-        listed = await self._reader.read()
-        if isinstance(listed, Err):
-            if not self._failed:
+        read_result = await self._reader.read()
+        if isinstance(read_result, Err):
+            if not self._read_failed:
                 log_event(
-                    _log, EventNumber.INSTANCE_LIST_FAILED, reason=listed.err_value
+                    _log, EventNumber.INSTANCE_LIST_FAILED, reason=read_result.err_value
                 )
-            self._failed = True
+            self._read_failed = True
             return
-        self._failed = False
-        if not self._leads():
+        self._read_failed = False
+        if not self._is_leading():
             return
-        if self._readings is None:
-            self._readings = InstanceReadings(secrets.token_hex(4))
-        self._listed = listed.ok_value.instances
-        self.notices.forget_all_but(self._listed)
-        self._notify(self._readings)
+        if self._list_differ is None:
+            self._list_differ = InstanceReadings(secrets.token_hex(4))
+        self._last_instances = read_result.ok_value.instances
+        self.notices.forget_all_but(self._last_instances)
+        self._publish_update(self._list_differ)
 
-    def publish_again(self) -> None:
+    def republish(self) -> None:
         """Hand the last reading on again, after what is changed in it has changed."""
-        if self._readings is not None and self._leads():
-            self._notify(self._readings)
-
-    def _notify(self, readings: InstanceReadings) -> None:
-        instances = tuple(map(self._with_notice, self._listed))
-        seen = readings.add(self._adjust(instances))
-        self._followers.notify(seen)
-        if seen.changed or seen.removed:
+        if self._list_differ is not None and self._is_leading():
+            self._publish_update(self._list_differ)
+
+    def _publish_update(self, list_differ: InstanceReadings) -> None:
+        instances = tuple(map(self._apply_leave_notice, self._last_instances))
+        update = list_differ.add(self._adjust_instances(instances))
+        self._subscribers.broadcast(update)
+        if update.changed or update.removed:
             log_event(
                 _log,
                 EventNumber.INSTANCES_CHANGED,
-                revision=seen.revision,
-                changed=[item.instance for item in seen.changed],
-                removed=seen.removed,
-                source=seen.source,
+                revision=update.revision,
+                changed=[item.instance for item in update.changed],
+                removed=update.removed,
+                source=update.source,
             )
 
-    def _with_notice(self, item: BackendInstance) -> BackendInstance:
+    def _apply_leave_notice(self, item: BackendInstance) -> BackendInstance:
         """Mark an instance that a host knows to be leaving before the list does."""
         if item.is_leaving or not self.notices.has_left(item):
             return item
--- a/src/damaskridge/adapters/rpc/isolated_tasks.py
+++ b/src/damaskridge/adapters/rpc/isolated_tasks.py
@@ -15,10 +15,10 @@
 
 
 async def run_isolated(
-    step: Coroutine[Any, Any, T], timeout_s: float | None = None
+    coroutine: Coroutine[Any, Any, T], timeout_s: float | None = None
 ) -> T:
     """
-    Return the result of `step`, or raise its exception.
+    Return the result of `coroutine`, or raise its exception.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
     ConnectionResetError
         The step was cancelled from inside.
     """
-    task = asyncio.ensure_future(step)
+    task = asyncio.ensure_future(coroutine)
     task.add_done_callback(mark_exception_retrieved)
     try:
         await asyncio.wait({task}, timeout=timeout_s)
--- a/src/damaskridge/adapters/rpc/leader_client.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -30,11 +30,11 @@
 
 # Above one commit under load and below the time of an election.
 ATTEMPT_TIMEOUT_S = 1.0
-RETRY_WAIT_S = 0.05
+BASE_RETRY_WAIT_S = 0.05
 MAX_RETRY_WAIT_S = 0.4
 # Followers name a silent leader until the next election; each attempt there would
 # cost a second of the lease.
-AVOID_S = 1.0
+AVOID_AFTER_ERROR_S = 1.0
 
 
 class LeaderClient:
@@ -62,10 +62,10 @@
         self._addresses = list(addresses)
         self._metadata = {OPERATOR_KEY: operator_key} if operator_key else {}
         self._rng = rng or random.Random()
-        self._next = 0
-        self._hint = ""
+        self._next_index = 0
+        self._leader_hint = ""
         self._channels: dict[str, RpcChannel] = {}
-        self._avoided_until_s: dict[str, float] = {}
+        self._avoid_until_s: dict[str, float] = {}
 
     def add_addresses(self, addresses: Sequence[str]) -> None:
         """Try further addresses as well; known ones are kept."""
@@ -73,27 +73,27 @@
 
     def next_address(self) -> str:
         """Return the address to try next."""
-        if self._hint and not self._is_avoided(self._hint):
-            return self._hint
+        if self._leader_hint and not self._is_avoided(self._leader_hint):
+            return self._leader_hint
         for _ in self._addresses:
-            self._next += 1
-            address = self._addresses[self._next % len(self._addresses)]
+            self._next_index += 1
+            address = self._addresses[self._next_index % len(self._addresses)]
             if not self._is_avoided(address):
                 break
         return address
 
     def record_leader(self, address: str) -> None:
         """Remember the leader's address."""
-        self._hint = address
+        self._leader_hint = address
 
     def record_failure(self, address: str, leader: str = "") -> None:
         """Try another address next, `leader` if it is named."""
-        self._hint = "" if leader == address else leader
+        self._leader_hint = "" if leader == address else leader
 
     def retry_wait_s(self, attempt: int) -> float:
         """Return a jittered wait; the first attempts follow at once."""
-        longest_s = min(MAX_RETRY_WAIT_S, RETRY_WAIT_S * 2 ** min(attempt, 8))
-        return self._rng.uniform(0, longest_s)
+        max_wait_s = min(MAX_RETRY_WAIT_S, BASE_RETRY_WAIT_S * 2 ** min(attempt, 8))
+        return self._rng.uniform(0, max_wait_s)
 
     def drop_connection(self, address: str, error: BaseException | None = None) -> None:
         """
@@ -103,7 +103,7 @@
         it listens, so that its address is not put off.
         """
         if not isinstance(error, ConnectionRefusedError):
-            self._avoided_until_s[address] = anyio.current_time() + AVOID_S
+            self._avoid_until_s[address] = anyio.current_time() + AVOID_AFTER_ERROR_S
         self._close(address)
 
     def close(self) -> None:
@@ -117,16 +117,16 @@
             channel.close()
 
     def _is_avoided(self, address: str) -> bool:
-        return anyio.current_time() < self._avoided_until_s.get(address, 0.0)
+        return anyio.current_time() < self._avoid_until_s.get(address, 0.0)
 
     def follow(self, address: str) -> Any:
         """Return the context manager of a `Follow` stream."""
         # grpclib types messages as classes; the codec also takes unions.
         request_type: Any = AnyFollowRequest
-        reply_type: Any = AnyFollowReply
+        response_type: Any = AnyFollowReply
         channel = self._channel(address)
         method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
-            channel, FOLLOW_PATH, request_type, reply_type
+            channel, FOLLOW_PATH, request_type, response_type
         )
         return method.open()
 
@@ -146,7 +146,7 @@
     async def _call(
         self, path: str, request_type: Any, request: Any, timeout_s: float
     ) -> Any:
-        reply_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
+        response_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
         attempt, reached = 0, False
 
         async def send(address: str) -> Any:
@@ -156,7 +156,7 @@
             # A reply may be lost from here on.
             reached = True
             method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
-                channel, path, request_type, reply_type
+                channel, path, request_type, response_type
             )
             return await method(request, metadata=self._metadata)
 
@@ -165,11 +165,11 @@
                 address = self.next_address()
                 leader = ""
                 try:
-                    reply = await run_isolated(send(address), ATTEMPT_TIMEOUT_S)
-                    failure = reply.failure
+                    response = await run_isolated(send(address), ATTEMPT_TIMEOUT_S)
+                    failure = response.failure
                     if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
                         self.record_leader(address)
-                        return reply
+                        return response
                     leader = failure.leader
                 except CONNECTION_ERRORS as error:
                     self.drop_connection(address, error)
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -25,8 +25,8 @@
 
 __all__ = ["LeaderDuties"]
 
-TICK_S = 0.1
-ADVANCE_TIME_S = 60.0
+TICK_PERIOD_S = 0.1
+ADVANCE_TIME_PERIOD_S = 60.0
 # Above the time of an election, so that a proposal is not given up needlessly.
 PROPOSE_TIMEOUT_S = 2.0
 
@@ -49,24 +49,24 @@
         state: ControlState,
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
-        step_down: Callable[[], None],
+        on_step_down: Callable[[], None],
     ) -> None:
         self.sessions = SessionTracker()
         self._node = node
         self._state = state
         self._clock = clock
         self._wall_ms = wall_ms
-        self._step_down = step_down
+        self._on_step_down = on_step_down
         self._ready_term = -1
-        self._advanced_s = float("-inf")
-        self._expiring: set[tuple[str, int]] = set()
+        self._last_advance_s = float("-inf")
+        self._expiring_sessions: set[tuple[str, int]] = set()
 
     @property
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Whether this node leads and has applied all earlier entries."""
         return self._node.is_leader and self._node.term == self._ready_term
 
-    def observe(self, delta: FleetDelta) -> None:
+    def handle_delta(self, delta: FleetDelta) -> None:
         """Start and end leases as sessions start and end."""
         for change in delta.changes:
             if isinstance(change, SessionChanged):
@@ -79,24 +79,24 @@
         """Lead anew after deltas were missed: streams start from a snapshot."""
         if self._ready_term >= 0:
             self._ready_term = -1
-            self._step_down()
+            self._on_step_down()
 
     async def run(self) -> None:
         """Do the duties for ever."""
         async with anyio.create_task_group() as group:
             while True:
-                await self._check_term()
-                if self.ready:
-                    for key in self.sessions.expired(self._clock()):
-                        if key not in self._expiring:
-                            self._expiring.add(key)
-                            group.start_soon(self._expire, key)
-                    if self._clock() - self._advanced_s >= ADVANCE_TIME_S:
+                await self._update_readiness()
+                if self.is_ready:
+                    for session_key in self.sessions.expired(self._clock()):
+                        if session_key not in self._expiring_sessions:
+                            self._expiring_sessions.add(session_key)
+                            group.start_soon(self._expire_session, session_key)
+                    if self._clock() - self._last_advance_s >= ADVANCE_TIME_PERIOD_S:
                         await self._advance_time()
-                await anyio.sleep(TICK_S)
+                await anyio.sleep(TICK_PERIOD_S)
 
-    async def _check_term(self) -> None:
-        if self.ready:
+    async def _update_readiness(self) -> None:
+        if self.is_ready:
             return
         self.resync()
         if not self._node.is_leader:
@@ -111,16 +111,16 @@
             self._ready_term = term
 
     async def _advance_time(self) -> bool:
-        result = await self._propose(AdvanceTime(command_id=_new_id("advance")))
+        result = await self._propose(AdvanceTime(command_id=_new_command_id("advance")))
         if result.failure is None:
-            self._advanced_s = self._clock()
+            self._last_advance_s = self._clock()
         return result.failure is None
 
-    async def _expire(self, key: tuple[str, int]) -> None:
-        host, session = key
+    async def _expire_session(self, session_key: tuple[str, int]) -> None:
+        host, session = session_key
         try:
             command = ExpireSession(
-                command_id=_new_id("expire"), host=host, session=session
+                command_id=_new_command_id("expire"), host=host, session=session
             )
             result = await self._propose(command)
             failure = result.failure
@@ -129,14 +129,14 @@
             elif failure.kind is ErrorKind.SESSION_ENDED:
                 self.sessions.ended(host, session)
         finally:
-            self._expiring.discard(key)
+            self._expiring_sessions.discard(session_key)
 
     async def _propose(self, command: Command) -> CommandResult:
-        stamped = msgspec.structs.replace(command, at_ms=self._wall_ms())
+        stamped_command = msgspec.structs.replace(command, at_ms=self._wall_ms())
         with anyio.move_on_after(PROPOSE_TIMEOUT_S):
-            return await self._node.propose(stamped)
+            return await self._node.propose(stamped_command)
         return CommandResult(failure=Failure(ErrorKind.CONTROL_UNAVAILABLE))
 
 
-def _new_id(purpose: str) -> str:
+def _new_command_id(purpose: str) -> str:
     return f"{purpose}/{secrets.token_hex(8)}"
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -32,25 +32,25 @@
 RPC_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 
 
-class _Link:
+class _Connection:
     """One channel and the calls that wait on it."""
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self.channel = RpcChannel(host, int(port))
-        self.waits: set[asyncio.Task[Any]] = set()
-        self.silent = False
+        self.pending_calls: set[asyncio.Task[Any]] = set()
+        self.is_silent = False
 
     def close(self) -> None:
         """Close the channel and end every call on it."""
-        self.silent = True
-        for task in self.waits:
+        self.is_silent = True
+        for task in self.pending_calls:
             task.cancel()
         self.channel.close()
 
-    async def wait(
-        self, step: Coroutine[Any, Any, Any], timeout_s: float | None
+    async def run_call(
+        self, coroutine: Coroutine[Any, Any, Any], timeout_s: float | None
     ) -> Result[Any, Failure]:
         """
         Run one step of a call in its own task, so that `close` can end it.
@@ -58,17 +58,17 @@
         grpclib turns a cancellation into an error of its own, which would leave the
         cancel scope of the calling task open.
         """
-        task = asyncio.ensure_future(step)
+        task = asyncio.ensure_future(coroutine)
         task.add_done_callback(mark_exception_retrieved)
-        self.waits.add(task)
+        self.pending_calls.add(task)
         try:
             await asyncio.wait({task}, timeout=timeout_s)
         finally:
-            self.waits.discard(task)
+            self.pending_calls.discard(task)
             if not task.done():
                 task.cancel()
         if not task.done() or task.cancelled():
-            reason = "silent" if self.silent else "timed out"
+            reason = "silent" if self.is_silent else "timed out"
             return Err(_unavailable(self.address, reason))
         error = task.exception()
         if error is None:
@@ -87,43 +87,45 @@
     """
 
     def __init__(self) -> None:
-        self._links: dict[str, _Link] = {}
+        self._connections: dict[str, _Connection] = {}
 
     async def run(self) -> None:
         """Ping every connection on which a call waits, until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                for link in list(self._links.values()):
-                    if link.waits:
-                        group.start_soon(self._ping, link)
+                for connection in list(self._connections.values()):
+                    if connection.pending_calls:
+                        group.start_soon(self._ping, connection)
                 await anyio.sleep(PING_PERIOD_S)
 
     def close(self) -> None:
         """Close every channel."""
-        for link in self._links.values():
-            link.close()
-        self._links.clear()
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
 
     async def call(
-        self, address: str, name: str, message: Any, timeout_s: float
+        self, address: str, method_name: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
         """Call a unary method; every failure means that no reply arrived."""
-        link = self._link(address)
-        return await link.wait(_invoke(link, name, message), timeout_s)
+        connection = self._connection_to(address)
+        return await connection.run_call(
+            _call_unary(connection, method_name, message), timeout_s
+        )
 
     async def resume(
         self, address: str, message: ResumeStream
     ) -> AsyncIterator[ResumeItem]:
         """Yield the items of a relayed stream; the last one may be a failure."""
-        link = self._link(address)
+        connection = self._connection_to(address)
         method: Any = UnaryStreamMethod(
-            link.channel, method_path("Resume"), ResumeStream, ResumeItem
+            connection.channel, method_path("Resume"), ResumeStream, ResumeItem
         )
         try:
             async with method.open() as stream:
                 await stream.send_message(message, end=True)
                 while True:
-                    item = await link.wait(stream.recv_message(), None)
+                    item = await connection.run_call(stream.recv_message(), None)
                     if isinstance(item, Err):
                         yield ResumeItem(failure=item.err_value)
                         return
@@ -133,23 +135,32 @@
         except RPC_ERRORS as error:
             yield ResumeItem(failure=_unavailable(address, type(error).__name__))
 
-    def _link(self, address: str) -> _Link:
-        link = self._links.get(address)
-        if link is None:
-            link = self._links[address] = _Link(address)
-        return link
-
-    async def _ping(self, link: _Link) -> None:
-        reply = await link.wait(_invoke(link, "Ping", Ping()), PING_TIMEOUT_S)
-        if isinstance(reply, Err) and self._links.get(link.address) is link:
-            log_event(logger, EventNumber.CONNECTION_SILENT, peer_address=link.address)
-            del self._links[link.address]
-            link.close()
+    def _connection_to(self, address: str) -> _Connection:
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = self._connections[address] = _Connection(address)
+        return connection
 
-
-async def _invoke(link: _Link, name: str, message: Any) -> Any:
-    request, reply = UNARY_METHODS[name]
-    method: Any = UnaryUnaryMethod(link.channel, method_path(name), request, reply)
+    async def _ping(self, connection: _Connection) -> None:
+        response = await connection.run_call(
+            _call_unary(connection, "Ping", Ping()), PING_TIMEOUT_S
+        )
+        if (
+            isinstance(response, Err)
+            and self._connections.get(connection.address) is connection
+        ):
+            log_event(
+                logger, EventNumber.CONNECTION_SILENT, peer_address=connection.address
+            )
+            del self._connections[connection.address]
+            connection.close()
+
+
+async def _call_unary(connection: _Connection, method_name: str, message: Any) -> Any:
+    request, response = UNARY_METHODS[method_name]
+    method: Any = UnaryUnaryMethod(
+        connection.channel, method_path(method_name), request, response
+    )
     return await method(message)
 
 
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -12,9 +12,9 @@
     ActiveKey,
     ActiveKeys,
     ActiveRequests,
-    AskActiveKeys,
-    AskActiveRequests,
     KeyEnded,
+    ListActiveKeys,
+    ListActiveRequests,
     RegisterFront,
     RequestTakenOver,
     ResumeStream,
@@ -47,7 +47,7 @@
 SUBMIT_TIMEOUT_S = 600.0
 
 
-class _OwnerLookup:
+class _OwnerClient:
     """Finds the live owner of a resource and its address."""
 
     def __init__(self, host: str, control: ControlPort, channels: PeerChannels) -> None:
@@ -55,7 +55,7 @@
         self.control = control
         self.channels = channels
 
-    def owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
+    def find_owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
         """Return the owner; `EPOCH_CONFLICT` if the caller knows another epoch."""
         owner = owner_of(self.control.fleet, resource)
         if owner is None:
@@ -65,19 +65,21 @@
         return Ok(owner)
 
     async def call(
-        self, owner: Owner, name: str, message: Any, timeout_s: float
+        self, owner: Owner, method_name: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
         """Call the owner's host."""
         session = self.control.fleet.sessions[owner.host]
-        return await self.channels.call(session.peer_address, name, message, timeout_s)
+        return await self.channels.call(
+            session.peer_address, method_name, message, timeout_s
+        )
 
     async def send(
-        self, resource: str, epoch: int | None, name: str, message: Any
+        self, resource: str, epoch: int | None, method_name: str, message: Any
     ) -> None:
         """Call the owner, and drop the message if it cannot be reached."""
-        owner = self.owner(resource, epoch)
+        owner = self.find_owner(resource, epoch)
         if isinstance(owner, Ok):
-            await self.call(owner.ok_value, name, message, CALL_TIMEOUT_S)
+            await self.call(owner.ok_value, method_name, message, CALL_TIMEOUT_S)
 
 
 class RateClient:
@@ -99,21 +101,23 @@
     def __init__(
         self, host: str, control: ControlPort, channels: PeerChannels, local: RatePort
     ) -> None:
-        self._lookup = _OwnerLookup(host, control, channels)
+        self._owner_client = _OwnerClient(host, control, channels)
         self._local = local
 
     async def reserve(self, request: RateRequest) -> RateReply:
         """Ask for admission."""
-        owner = self._lookup.owner(request.resource, request.epoch)
+        owner = self._owner_client.find_owner(request.resource, request.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=request.request_id, failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.reserve(request)
         timeout_s = request.wait_s + CALL_TIMEOUT_S
-        reply = await self._lookup.call(owner.ok_value, "Reserve", request, timeout_s)
-        if isinstance(reply, Err):
-            return Refused(request_id=request.request_id, failure=reply.err_value)
-        grant: RateReply = reply.ok_value
+        response = await self._owner_client.call(
+            owner.ok_value, "Reserve", request, timeout_s
+        )
+        if isinstance(response, Err):
+            return Refused(request_id=request.request_id, failure=response.err_value)
+        grant: RateReply = response.ok_value
         return grant
 
     async def refund(self, refund: Refund) -> None:
@@ -121,7 +125,9 @@
         if self._is_local(refund.resource):
             await self._local.refund(refund)
         else:
-            await self._lookup.send(refund.resource, refund.epoch, "Refund", refund)
+            await self._owner_client.send(
+                refund.resource, refund.epoch, "Refund", refund
+            )
 
     async def ended(self, resource: str, workspace: str, request_id: str) -> None:
         """Tell that a request with an idempotency key has finished."""
@@ -129,11 +135,11 @@
             await self._local.ended(resource, workspace, request_id)
             return
         message = KeyEnded(resource, workspace, request_id)
-        await self._lookup.send(resource, None, "KeyEnded", message)
+        await self._owner_client.send(resource, None, "KeyEnded", message)
 
     def _is_local(self, resource: str) -> bool:
-        owner = self._lookup.owner(resource, None)
-        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+        owner = self._owner_client.find_owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._owner_client.host
 
 
 class CellClient:
@@ -142,22 +148,22 @@
     def __init__(
         self, host: str, control: ControlPort, channels: PeerChannels, local: CellPort
     ) -> None:
-        self._lookup = _OwnerLookup(host, control, channels)
+        self._owner_client = _OwnerClient(host, control, channels)
         self._local = local
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
         """Ask for a placement."""
-        owner = self._lookup.owner(profile.resource, profile.epoch)
+        owner = self._owner_client.find_owner(profile.resource, profile.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=profile.request_id, failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.submit(profile)
-        reply = await self._lookup.call(
+        response = await self._owner_client.call(
             owner.ok_value, "Submit", profile, SUBMIT_TIMEOUT_S
         )
-        if isinstance(reply, Err):
-            return Refused(request_id=profile.request_id, failure=reply.err_value)
-        placement: SubmitReply = reply.ok_value
+        if isinstance(response, Err):
+            return Refused(request_id=profile.request_id, failure=response.err_value)
+        placement: SubmitReply = response.ok_value
         return placement
 
     async def withdraw(self, withdraw: Withdraw) -> None:
@@ -166,14 +172,14 @@
             await self._local.withdraw(withdraw)
             return
         # A withdrawal holds in every epoch: a new owner may have the registration.
-        await self._lookup.send(withdraw.resource, None, "Withdraw", withdraw)
+        await self._owner_client.send(withdraw.resource, None, "Withdraw", withdraw)
 
     async def report(self, batch: ProgressBatch) -> None:
         """Report progress."""
         if self._is_local(batch.resource):
             await self._local.report(batch)
         else:
-            await self._lookup.send(batch.resource, batch.epoch, "Report", batch)
+            await self._owner_client.send(batch.resource, batch.epoch, "Report", batch)
 
     async def register(
         self,
@@ -188,26 +194,26 @@
             await self._local.register(resource, epoch, front, incarnation, active)
             return
         message = RegisterFront(resource, epoch, front, incarnation, active)
-        await self._lookup.send(resource, epoch, "Register", message)
+        await self._owner_client.send(resource, epoch, "Register", message)
 
     async def take_over(self, take_over: TakeOver) -> TakeOverReply:
         """Ask to continue a request whose front is gone."""
-        owner = self._lookup.owner(take_over.resource, take_over.epoch)
+        owner = self._owner_client.find_owner(take_over.resource, take_over.epoch)
         if isinstance(owner, Err):
             return TakeOverReply(failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.take_over(take_over)
-        reply = await self._lookup.call(
+        response = await self._owner_client.call(
             owner.ok_value, "TakeOver", take_over, 3 * CALL_TIMEOUT_S
         )
-        if isinstance(reply, Err):
-            return TakeOverReply(failure=reply.err_value)
-        answer: TakeOverReply = reply.ok_value
-        return answer
+        if isinstance(response, Err):
+            return TakeOverReply(failure=response.err_value)
+        take_over_response: TakeOverReply = response.ok_value
+        return take_over_response
 
     def _is_local(self, resource: str) -> bool:
-        owner = self._lookup.owner(resource, None)
-        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+        owner = self._owner_client.find_owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._owner_client.host
 
 
 class FrontClient:
@@ -248,7 +254,9 @@
         if host == self._host and self._front is not None:
             items = tuple(self._front.active_requests(resource))
             return Ok(ActiveRequests(self._incarnation, items))
-        return await self._ask(host, "ActiveRequests", AskActiveRequests(resource))
+        return await self._call_front(
+            host, "ActiveRequests", ListActiveRequests(resource)
+        )
 
     async def active_keys(
         self, host: str, workspace: str
@@ -256,10 +264,10 @@
         """Ask a front for its idempotency keys of a workspace."""
         if host == self._host and self._front is not None:
             return Ok(active_keys_of(self._front, workspace))
-        reply = await self._ask(host, "ActiveKeys", AskActiveKeys(workspace))
-        if isinstance(reply, Err):
-            return reply
-        keys: ActiveKeys = reply.ok_value
+        response = await self._call_front(host, "ActiveKeys", ListActiveKeys(workspace))
+        if isinstance(response, Err):
+            return response
+        keys: ActiveKeys = response.ok_value
         return Ok(keys.items)
 
     async def notify_taken_over(self, host: str, request_id: str) -> None:
@@ -269,12 +277,14 @@
             if outcome is not None:
                 await outcome
             return
-        await self._ask(host, "TakenOver", RequestTakenOver(request_id))
+        await self._call_front(host, "TakenOver", RequestTakenOver(request_id))
 
-    async def _ask(self, host: str, name: str, message: Any) -> Result[Any, Failure]:
+    async def _call_front(
+        self, host: str, method_name: str, message: Any
+    ) -> Result[Any, Failure]:
         session = self._control.fleet.sessions.get(host)
         if session is None:
             return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{host} has no session"))
         return await self._channels.call(
-            session.peer_address, name, message, CALL_TIMEOUT_S
+            session.peer_address, method_name, message, CALL_TIMEOUT_S
         )
--- a/src/damaskridge/adapters/rpc/peer_messages.py
+++ b/src/damaskridge/adapters/rpc/peer_messages.py
@@ -24,8 +24,8 @@
     "ActiveKey",
     "ActiveKeys",
     "ActiveRequests",
-    "AskActiveKeys",
-    "AskActiveRequests",
+    "ListActiveKeys",
+    "ListActiveRequests",
     "KeyEnded",
     "UNARY_METHODS",
     "Ping",
@@ -65,7 +65,7 @@
     active: tuple[ActiveRequest, ...]
 
 
-class AskActiveRequests(msgspec.Struct, frozen=True):
+class ListActiveRequests(msgspec.Struct, frozen=True):
     """A new cell owner asks a front for its running requests."""
 
     resource: str
@@ -78,7 +78,7 @@
     items: tuple[ActiveRequest, ...]
 
 
-class AskActiveKeys(msgspec.Struct, frozen=True):
+class ListActiveKeys(msgspec.Struct, frozen=True):
     """A new rate owner asks a front for its idempotency keys."""
 
     workspace: str
@@ -131,12 +131,12 @@
     "Report": (ProgressBatch, Ack),
     "Register": (RegisterFront, Ack),
     "TakeOver": (TakeOver, TakeOverReply),
-    "ActiveRequests": (AskActiveRequests, ActiveRequests),
-    "ActiveKeys": (AskActiveKeys, ActiveKeys),
+    "ActiveRequests": (ListActiveRequests, ActiveRequests),
+    "ActiveKeys": (ListActiveKeys, ActiveKeys),
     "TakenOver": (RequestTakenOver, Ack),
 }
 
 
-def method_path(name: str) -> str:
+def method_path(method_name: str) -> str:
     """Return the HTTP/2 path of a method."""
-    return f"/{SERVICE}/{name}"
+    return f"/{SERVICE}/{method_name}"
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -15,9 +15,9 @@
     ActiveKey,
     ActiveKeys,
     ActiveRequests,
-    AskActiveKeys,
-    AskActiveRequests,
     KeyEnded,
+    ListActiveKeys,
+    ListActiveRequests,
     Ping,
     RegisterFront,
     RequestTakenOver,
@@ -91,7 +91,7 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return grpclib's table from path to handler."""
-        calls: dict[str, Callable[[Any], Awaitable[Any]]] = {
+        functions: dict[str, Callable[[Any], Awaitable[Any]]] = {
             "Ping": self._ping,
             "Reserve": self._rates.reserve,
             "Refund": self._refund,
@@ -103,13 +103,16 @@
             "TakeOver": self._cells.take_over,
             "ActiveRequests": self._active_requests,
             "ActiveKeys": self._active_keys,
-            "TakenOver": self._taken_over,
+            "TakenOver": self._request_taken_over,
         }
         handlers = {
             method_path(name): Handler(
-                _unary(calls[name]), Cardinality.UNARY_UNARY, request, reply
+                _unary_handler(functions[name]),
+                Cardinality.UNARY_UNARY,
+                request,
+                response,
             )
-            for name, (request, reply) in UNARY_METHODS.items()
+            for name, (request, response) in UNARY_METHODS.items()
         }
         handlers[method_path("Resume")] = Handler(
             self._resume, Cardinality.UNARY_STREAM, ResumeStream, ResumeItem
@@ -145,14 +148,14 @@
         )
         return Ack()
 
-    async def _active_requests(self, message: AskActiveRequests) -> ActiveRequests:
+    async def _active_requests(self, message: ListActiveRequests) -> ActiveRequests:
         items = tuple(self._front.active_requests(message.resource))
         return ActiveRequests(self._incarnation, items)
 
-    async def _active_keys(self, message: AskActiveKeys) -> ActiveKeys:
+    async def _active_keys(self, message: ListActiveKeys) -> ActiveKeys:
         return ActiveKeys(active_keys_of(self._front, message.workspace))
 
-    async def _taken_over(self, message: RequestTakenOver) -> Ack:
+    async def _request_taken_over(self, message: RequestTakenOver) -> Ack:
         outcome = self._front.taken_over(message.request_id)
         if outcome is not None:
             await outcome
@@ -174,17 +177,17 @@
             await stream.send_message(ResumeItem(failure=failure))
 
 
-def _unary(
-    call: Callable[[Any], Awaitable[Any]],
+def _unary_handler(
+    function: Callable[[Any], Awaitable[Any]],
 ) -> Callable[["Stream[Any, Any]"], Awaitable[None]]:
     async def handle(stream: "Stream[Any, Any]") -> None:
         message = await stream.recv_message()
         try:
-            reply = await call(message)
+            response = await function(message)
         except Exception as error:
             _log_unexpected(error)
             raise
-        await stream.send_message(reply)
+        await stream.send_message(response)
 
     return handle
 
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -29,17 +29,17 @@
     ServerStart,
 )
 
-__all__ = ["EngineOrderPort", "StageOrders"]
+__all__ = ["EngineOrderPort", "StageController"]
 
-WATCH_PERIOD_S = 0.1
+BALANCE_PERIOD_S = 0.1
 # An order of the leader before may still be on its way.
-TAKE_OVER_S = 4.0
+TAKE_OVER_DELAY_S = 4.0
 # An engine that has not changed by then did not take the order.
-CHANGE_S = 14.0
+CHANGE_TIMEOUT_S = 14.0
 # Longer than a message takes to all hosts, and a request of theirs to an engine.
-SPREAD_S = 0.1
+NOTIFY_DELAY_S = 0.1
 # A live engine answers within milliseconds.
-SURVEY_S = 0.25
+BUSY_CHECK_TIMEOUT_S = 0.25
 
 _log = logging.getLogger("damaskridge.orders")
 
@@ -59,21 +59,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Change:
+class _PendingChange:
     """An engine that is on its way to another stage."""
 
     start: ServerStart
     stage: EngineStage
     until_s: float
 
-    def is_over(self, item: BackendInstance, now_s: float) -> bool:
+    def has_ended(self, item: BackendInstance, now_s: float) -> bool:
         """Tell whether the engine can be used as the list shows it."""
         # A restart ends an order.
         is_done = item.stage is self.stage or item.start != self.start
         return is_done or now_s > self.until_s
 
 
-class StageOrders:
+class StageController:
     """
     Watches the load of all engines and orders changes.
 
@@ -92,7 +92,7 @@
     leads : callable
         Whether this host leads.
     publish : callable
-        Hands the list on to all hosts again, through `adjust`.
+        Hands the list on to all hosts again, through `adjust_instances`.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
         board: LoadBoard,
         orders: EngineOrderPort,
         routing: Callable[[], RoutingTable],
-        leads: Callable[[], bool],
+        is_leading: Callable[[], bool],
         publish: Callable[[], None],
     ) -> None:
         self._publish = publish
@@ -112,22 +112,22 @@
         self._board = board
         self._orders = orders
         self._routing = routing
-        self._leads = leads
-        self._balances: dict[str, StageBalance] = {}
-        self._changing: dict[str, _Change] = {}
-        self._surveys_due_s: list[float] = []
+        self._is_leading = is_leading
+        self._balancers: dict[str, StageBalance] = {}
+        self._pending_changes: dict[str, _PendingChange] = {}
+        self._busy_checks_due_s: list[float] = []
         self._instances: tuple[BackendInstance, ...] = ()
 
-    def adjust(
+    def adjust_instances(
         self, instances: Iterable[BackendInstance]
     ) -> tuple[BackendInstance, ...]:
         """Take over a reading of the list; engines that change get no work."""
         now_s = anyio.current_time()
         adjusted = []
         for item in instances:
-            change = self._changing.get(item.instance)
-            if change is None or change.is_over(item, now_s):
-                self._changing.pop(item.instance, None)
+            change = self._pending_changes.get(item.instance)
+            if change is None or change.has_ended(item, now_s):
+                self._pending_changes.pop(item.instance, None)
                 adjusted.append(item)
             else:
                 adjusted.append(msgspec.structs.replace(item, is_leaving=True))
@@ -139,48 +139,54 @@
         leading_since_s: float | None = None
         while True:
             now_s = anyio.current_time()
-            if not self._leads():
+            if not self._is_leading():
                 leading_since_s = None
-                self._balances.clear()
-                self._changing.clear()
+                self._balancers.clear()
+                self._pending_changes.clear()
                 self._instances = ()
             else:
                 if leading_since_s is None:
                     leading_since_s = now_s
                     # An order that was on its way may act after the first one.
-                    self._surveys_due_s = [now_s, now_s + TAKE_OVER_S]
-                await self._survey(now_s)
+                    self._busy_checks_due_s = [now_s, now_s + TAKE_OVER_DELAY_S]
+                await self._find_busy_engines(now_s)
                 # The averages warm up while the last leader's orders may still act.
-                await self._watch(now_s, now_s - leading_since_s >= TAKE_OVER_S)
-            await anyio.sleep(WATCH_PERIOD_S)
+                await self._balance_stages(
+                    now_s, now_s - leading_since_s >= TAKE_OVER_DELAY_S
+                )
+            await anyio.sleep(BALANCE_PERIOD_S)
 
-    async def _survey(self, now_s: float) -> None:
+    async def _find_busy_engines(self, now_s: float) -> None:
         """Find engines that carry out an order of the leader before."""
-        if not self._instances or now_s < min(self._surveys_due_s, default=now_s + 1):
+        if not self._instances or now_s < min(
+            self._busy_checks_due_s, default=now_s + 1
+        ):
             return
-        self._surveys_due_s.pop(0)
-        known = set(self._changing)
-        with anyio.move_on_after(SURVEY_S):
+        self._busy_checks_due_s.pop(0)
+        known_changes = set(self._pending_changes)
+        with anyio.move_on_after(BUSY_CHECK_TIMEOUT_S):
             async with anyio.create_task_group() as group:
                 for item in self._instances:
                     if item.stage is not None and not item.is_leaving:
-                        group.start_soon(self._ask, item, item.stage)
-        found = sorted(self._changing.keys() - known)
+                        group.start_soon(self._check_if_busy, item, item.stage)
+        found = sorted(self._pending_changes.keys() - known_changes)
         if found:
             log_event(_log, EventNumber.ORDERS_FOUND, backend_servers=found)
             self._publish()
 
-    async def _ask(self, item: BackendInstance, stage: EngineStage) -> None:
+    async def _check_if_busy(self, item: BackendInstance, stage: EngineStage) -> None:
         busy = await self._orders.is_busy(item)
         # One that does not answer gets no request either.
         if busy.unwrap_or(False):
-            self._mark(item, _other(stage))
+            self._add_pending_change(item, _other_stage(stage))
 
-    def _mark(self, item: BackendInstance, stage: EngineStage) -> None:
-        until_s = anyio.current_time() + CHANGE_S
-        self._changing[item.instance] = _Change(item.start, stage, until_s)
+    def _add_pending_change(self, item: BackendInstance, stage: EngineStage) -> None:
+        until_s = anyio.current_time() + CHANGE_TIMEOUT_S
+        self._pending_changes[item.instance] = _PendingChange(
+            item.start, stage, until_s
+        )
 
-    async def _watch(self, now_s: float, may_order: bool) -> None:
+    async def _balance_stages(self, now_s: float, may_order: bool) -> None:
         load = self._board.total()
         for service in self._routing().services:
             if service.engine is None:
@@ -190,34 +196,34 @@
                 for item in self._instances
                 if item.service == service.name and not item.is_leaving
             ]
-            balance = self._balances.setdefault(service.name, StageBalance(now_s))
-            changes = balance.observe(
+            balancer = self._balancers.setdefault(service.name, StageBalance(now_s))
+            changes = balancer.observe(
                 engines, load, service.engine, now_s, may_change=may_order
             )
             if changes:
-                await self._order_all(changes)
+                await self._order_changes(changes)
 
-    async def _order_all(self, changes: Iterable[StageChange]) -> None:
+    async def _order_changes(self, changes: Iterable[StageChange]) -> None:
         for change in changes:
-            self._mark(change.instance, change.stage)
+            self._add_pending_change(change.instance, change.stage)
         self._publish()
-        await anyio.sleep(SPREAD_S)
+        await anyio.sleep(NOTIFY_DELAY_S)
         if not await self._node.confirm_leadership():
             # The next leader orders; if this one still leads, nothing was ordered.
             for change in changes:
-                self._changing.pop(change.instance.instance, None)
+                self._pending_changes.pop(change.instance.instance, None)
             return
         async with anyio.create_task_group() as group:
             for change in changes:
-                group.start_soon(self._order, change)
+                group.start_soon(self._send_order, change)
 
-    async def _order(self, change: StageChange) -> None:
+    async def _send_order(self, change: StageChange) -> None:
         instance, fence = change.instance, self._node.term
-        ordered = await self._orders.order_stage(
+        order_result = await self._orders.order_stage(
             instance, change.stage, self._host, fence
         )
         number = EventNumber.ORDER_SENT
-        if isinstance(ordered, Err):
+        if isinstance(order_result, Err):
             number = EventNumber.ORDER_REFUSED
         log_event(
             _log,
@@ -227,10 +233,10 @@
             fencing_number=fence,
             decode_use=round(change.decode_use, 2),
             prefill_use=round(change.prefill_use, 2),
-            reason=ordered.err() or "",
+            reason=order_result.err() or "",
         )
 
 
-def _other(stage: EngineStage) -> EngineStage:
+def _other_stage(stage: EngineStage) -> EngineStage:
     is_prefill = stage is EngineStage.PREFILL
     return EngineStage.DECODE if is_prefill else EngineStage.PREFILL
--- a/src/damaskridge/adapters/rpc/subscribers.py
+++ b/src/damaskridge/adapters/rpc/subscribers.py
@@ -9,15 +9,15 @@
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import AnyFollowReply, FleetDelta
 
-__all__ = ["Follower", "FollowerSet"]
+__all__ = ["Subscriber", "SubscriberSet"]
 
 # A follower that lags by more messages reconnects and gets a snapshot instead.
-QUEUED_MESSAGES = 512
+MAX_QUEUED_MESSAGES = 512
 # Lets hosts that reconnect after a change of leader catch up without a snapshot.
-KEPT_DELTAS = 512
+MAX_RECENT_DELTAS = 512
 
 
-class Follower:
+class Subscriber:
     """
     The queue of one stream.
 
@@ -28,12 +28,12 @@
         force, because its writer may wait for a silent connection.
     """
 
-    def __init__(self, overflowed: Callable[[], None]) -> None:
-        self._overflowed = overflowed
+    def __init__(self, on_overflow: Callable[[], None]) -> None:
+        self._on_overflow = on_overflow
         self._send: MemoryObjectSendStream[AnyFollowReply]
         self.messages: MemoryObjectReceiveStream[AnyFollowReply]
         self._send, self.messages = anyio.create_memory_object_stream[AnyFollowReply](
-            QUEUED_MESSAGES
+            MAX_QUEUED_MESSAGES
         )
 
     def push(self, message: AnyFollowReply) -> None:
@@ -41,7 +41,7 @@
         try:
             self._send.send_nowait(message)
         except anyio.WouldBlock:
-            self._overflowed()
+            self._on_overflow()
         except (anyio.ClosedResourceError, anyio.BrokenResourceError):
             return
 
@@ -55,57 +55,61 @@
         self.messages.close()
 
 
-class FollowerSet:
+class SubscriberSet:
     """Hands every delta to every open stream, in the order of the log."""
 
     def __init__(self, state: ControlState) -> None:
         self._state = state
         # In the order in which the streams were opened, so that runs can be repeated.
-        self._followers: dict[Follower, None] = {}
-        self._recent: deque[FleetDelta] = deque(maxlen=KEPT_DELTAS)
+        self._subscribers: dict[Subscriber, None] = {}
+        self._recent_deltas: deque[FleetDelta] = deque(maxlen=MAX_RECENT_DELTAS)
 
-    def add(self, follower: Follower, index: int) -> None:
+    def add(self, subscriber: Subscriber, index: int) -> None:
         """Add a stream whose host has seen everything up to `index`."""
-        self._followers[follower] = None
-        for message in self._missing(index):
-            follower.push(message)
+        self._subscribers[subscriber] = None
+        for message in self._messages_since(index):
+            subscriber.push(message)
 
-    def open(self) -> list[Follower]:
+    def open_streams(self) -> list[Subscriber]:
         """Return every open stream."""
-        return list(self._followers)
+        return list(self._subscribers)
 
-    def remove(self, follower: Follower) -> None:
+    def remove(self, subscriber: Subscriber) -> None:
         """Forget a stream."""
-        self._followers.pop(follower, None)
-        follower.close()
+        self._subscribers.pop(subscriber, None)
+        subscriber.close()
 
     def publish(self, delta: FleetDelta) -> None:
         """Hand on a delta; one without changes is not sent."""
         if not delta.changes:
             return
-        if self._recent and self._recent[-1].index != delta.base_index:
+        if self._recent_deltas and self._recent_deltas[-1].index != delta.base_index:
             # The state was restored from a snapshot in between.
-            self._recent.clear()
-        self._recent.append(delta)
-        for follower in self._followers:
-            follower.push(delta)
+            self._recent_deltas.clear()
+        self._recent_deltas.append(delta)
+        for subscriber in self._subscribers:
+            subscriber.push(delta)
 
-    def notify(self, message: AnyFollowReply) -> None:
+    def broadcast(self, message: AnyFollowReply) -> None:
         """Send a message that is no part of the log on every stream."""
-        for follower in self._followers:
-            follower.push(message)
-
-    def end_all(self, last: AnyFollowReply) -> None:
-        """Send `last` on every stream and end it."""
-        for follower in self._followers:
-            follower.push(last)
-            follower.end()
-
-    def _missing(self, index: int) -> list[AnyFollowReply]:
-        current = self._state.data.fleet_index
-        if index >= current:
+        for subscriber in self._subscribers:
+            subscriber.push(message)
+
+    def end_all(self, last_message: AnyFollowReply) -> None:
+        """Send `last_message` on every stream and end it."""
+        for subscriber in self._subscribers:
+            subscriber.push(last_message)
+            subscriber.end()
+
+    def _messages_since(self, index: int) -> list[AnyFollowReply]:
+        current_index = self._state.data.fleet_index
+        if index >= current_index:
             return []
-        recent = self._recent
-        if recent and recent[-1].index == current and recent[0].base_index <= index:
-            return [delta for delta in recent if delta.index > index]
+        recent_deltas = self._recent_deltas
+        if (
+            recent_deltas
+            and recent_deltas[-1].index == current_index
+            and recent_deltas[0].base_index <= index
+        ):
+            return [delta for delta in recent_deltas if delta.index > index]
         return [self._state.fleet_snapshot()]
--- a/tests/adapters/rpc/fake_node.py
+++ b/tests/adapters/rpc/fake_node.py
@@ -23,7 +23,7 @@
         self.index += 1
         applied = [item.state.apply(self.index, command) for item in self.members]
         for member, outcome in zip(self.members, applied, strict=True):
-            for queue in member.queues:
+            for queue in member.delta_queues:
                 queue.send_nowait(outcome.delta)
         return applied[0].result
 
@@ -32,11 +32,11 @@
     def __init__(self, group, name, state):
         self.group, self.name, self.state = group, name, state
         self.is_leader = not group.members
-        self.confirms = True
-        self.lose_reply = False
-        self.rounds = 0
+        self.confirms_leadership = True
+        self.lose_next_response = False
+        self.confirmation_rounds = 0
         self.address = ""
-        self.queues = []
+        self.delta_queues = []
         group.members.append(self)
 
     @property
@@ -51,18 +51,18 @@
         if not self.is_leader:
             return CommandResult(failure=Failure(ErrorKind.NOT_LEADER))
         result = self.group.commit(command)
-        if self.lose_reply:
-            self.lose_reply = False
+        if self.lose_next_response:
+            self.lose_next_response = False
             await anyio.sleep_forever()
         return result
 
     async def confirm_leadership(self):
-        self.rounds += 1
+        self.confirmation_rounds += 1
         await anyio.sleep(0.01)
-        return self.is_leader and self.confirms
+        return self.is_leader and self.confirms_leadership
 
     async def applied_deltas(self):
         send, receive = anyio.create_memory_object_stream(10_000)
-        self.queues.append(send)
+        self.delta_queues.append(send)
         async for delta in receive:
             yield delta
--- a/tests/adapters/rpc/test_channels.py
+++ b/tests/adapters/rpc/test_channels.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.rpc import channels
 
 
-class LostAtOnce(channels.RpcChannel):
+class ChannelLosingConnection(channels.RpcChannel):
     """Loses its connection before the caller that waits for it goes on."""
 
     async def _create_connection(self):
@@ -24,7 +24,7 @@
         server = Server([], codec=MsgpackCodec())
         await server.start("127.0.0.1", 0)
         port = server._server.sockets[0].getsockname()[1]
-        channel = LostAtOnce("127.0.0.1", port)
+        channel = ChannelLosingConnection("127.0.0.1", port)
         call = UnaryUnaryMethod(channel, "/service/Method", bytes, bytes)
         with pytest.raises(ConnectionResetError):
             await call(b"")
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -24,13 +24,13 @@
 
 @contextlib.asynccontextmanager
 async def control_group(size=1):
-    seed = Fleet()
+    seed_fleet = Fleet()
     group, servers = FakeGroup(), []
-    group.index = seed.index
+    group.index = seed_fleet.index
     async with anyio.create_task_group() as tasks:
         for number in range(size):
             state = ControlState()
-            state.restore(seed.state.encode())
+            state.restore(seed_fleet.state.encode())
             node = FakeNode(group, f"c{number}", state)
             services = control_services(node, state)
             server = Server(services, codec=MsgpackCodec())
@@ -104,18 +104,20 @@
             node = group.members[0]
             async with entry_host(group) as client:
                 first = client.session.number
-                commit, held = group.commit, []
+                commit, lease_was_valid = group.commit, []
 
-                def watched(command):
+                def record_lease(command):
                     if isinstance(command, ExpireSession):
-                        held.append(client.lease.is_valid(anyio.current_time()))
+                        lease_was_valid.append(
+                            client.lease.is_valid(anyio.current_time())
+                        )
                     return commit(command)
 
-                group.commit = watched
-                node.confirms = False
+                group.commit = record_lease
+                node.confirms_leadership = False
                 await until(lambda: not node.state.data.sessions)
-                assert held == [False]
-                node.confirms = True
+                assert lease_was_valid == [False]
+                node.confirms_leadership = True
                 await until(lambda: client.lease.is_valid(anyio.current_time()))
                 assert client.session.number > first
                 await until(lambda: client.fleet.sessions["h1"] == client.session)
@@ -129,8 +131,12 @@
             async with entry_host(group) as client:
                 number = client.session.number
                 group.elect("c2")
-                rounds = group.members[2].rounds
-                await until(lambda: group.members[2].rounds > rounds + 2)
+                confirmation_rounds = group.members[2].confirmation_rounds
+                await until(
+                    lambda: (
+                        group.members[2].confirmation_rounds > confirmation_rounds + 2
+                    )
+                )
                 group.commit(
                     WithdrawKey(command_id="w", operator="ada", key_digest="d")
                 )
@@ -158,7 +164,7 @@
                 index=gap.index,
                 changes=(KeyWithdrawn(key_digest="lost"),),
             )
-            group.members[0].queues[0].send_nowait(changed)
+            group.members[0].delta_queues[0].send_nowait(changed)
             await until(lambda: "lost" in client.fleet.withdrawn_keys)
             assert client.fleet.index <= group.index
 
@@ -169,10 +175,10 @@
     async def main():
         async with control_group() as group, entry_host(group) as client:
             node = group.members[0]
-            queues, node.queues = node.queues, []
-            for queue in queues:
+            delta_queues, node.delta_queues = node.delta_queues, []
+            for queue in delta_queues:
                 queue.close()
-            await until(lambda: node.queues)
+            await until(lambda: node.delta_queues)
             group.commit(WithdrawKey(command_id="w", operator="ada", key_digest="d"))
             await until(lambda: "d" in client.fleet.withdrawn_keys)
 
@@ -183,21 +189,21 @@
     async def main():
         async with control_group() as group, entry_host(group):
             addresses = [item.address for item in group.members]
-            calls = LeaderClient(addresses, operator_key="ada")
-            group.members[0].lose_reply = True
+            leader_client = LeaderClient(addresses, operator_key="ada")
+            group.members[0].lose_next_response = True
 
             async def break_connection():
-                await until(lambda: not group.members[0].lose_reply)
-                (channel,) = calls._channels.values()
+                await until(lambda: not group.members[0].lose_next_response)
+                (channel,) = leader_client._channels.values()
                 channel._protocol.connection._transport.abort()
                 group.elect("nobody")
 
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(break_connection)
                 command = WithdrawKey(command_id="w", operator="ada", key_digest="d")
-                result = await calls.propose(command, 0.9)
+                result = await leader_client.propose(command, 0.9)
             assert result.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
-            calls.close()
+            leader_client.close()
 
     run(main)
 
@@ -206,21 +212,21 @@
     async def main():
         async with control_group(2) as group:
             addresses = [item.address for item in group.members]
-            back = {"to_version": 1, "expected_version": 1}
-            calls = LeaderClient(addresses, operator_key="bob")
-            command = RollBackBundle(command_id="x", operator="ada", **back)
-            refused = await calls.propose(command, 5.0)
-            assert refused.failure.kind is ErrorKind.UNKNOWN_OPERATOR
-            group.members[0].lose_reply = True
-            command = RollBackBundle(command_id="y", operator="bob", **back)
-            result = await calls.propose(command, 5.0)
+            roll_back = {"to_version": 1, "expected_version": 1}
+            leader_client = LeaderClient(addresses, operator_key="bob")
+            command = RollBackBundle(command_id="x", operator="ada", **roll_back)
+            refusal = await leader_client.propose(command, 5.0)
+            assert refusal.failure.kind is ErrorKind.UNKNOWN_OPERATOR
+            group.members[0].lose_next_response = True
+            command = RollBackBundle(command_id="y", operator="bob", **roll_back)
+            result = await leader_client.propose(command, 5.0)
             assert (result.failure, result.value) == (None, "2")
-            status = await calls.status(5.0, with_bundle=True)
+            status = await leader_client.status(5.0, with_bundle=True)
             assert (status.version, status.leader) == (2, "c0")
             assert digest("k1") in {item.digest for item in status.bundle.keys}
             group.elect("nobody")
-            lost = await calls.propose(command, 0.3)
+            lost = await leader_client.propose(command, 0.3)
             assert lost.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
-            calls.close()
+            leader_client.close()
 
     run(main)
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -5,14 +5,14 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
-from damaskridge.adapters.rpc.subscribers import FollowerSet
+from damaskridge.adapters.rpc.subscribers import SubscriberSet
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceList, ServerStart
 
 
-def server(started_ms):
+def make_instance(started_ms):
     return BackendInstance(
         instance="a",
         service="s",
@@ -23,42 +23,42 @@
     )
 
 
-class Reader:
+class FakeListReader:
     """A list whose only entry is always ready."""
 
     def __init__(self):
         self.started_ms = 1
 
     async def read(self):
-        return Ok(InstanceList(instances=(server(self.started_ms),)))
+        return Ok(InstanceList(instances=(make_instance(self.started_ms),)))
 
 
-class Hosts(FollowerSet):
+class RecordingSubscriberSet(SubscriberSet):
     """Applies what is sent to one copy."""
 
     def __init__(self):
         super().__init__(ControlState())
-        self.copy = InstanceCopy()
+        self.replica = InstanceCopy()
 
-    def notify(self, message):
+    def broadcast(self, message):
         assert isinstance(message, InstancesSeen)
-        assert self.copy.apply(message, 0.0)
+        assert self.replica.apply(message, 0.0)
 
 
 def test_what_one_host_reports_as_leaving_is_leaving_for_all_until_it_starts_anew():
     async def main():
-        hosts, reader = Hosts(), Reader()
-        publisher = InstancePublisher(reader, hosts, lambda: True)
+        subscriber_set, reader = RecordingSubscriberSet(), FakeListReader()
+        publisher = InstancePublisher(reader, subscriber_set, lambda: True)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(publisher.run)
             await anyio.sleep(1)
-            assert not hosts.copy.items[0].is_leaving
+            assert not subscriber_set.replica.items[0].is_leaving
             publisher.notices.add(ServerStart("a", 1))
             await anyio.sleep(2)
-            assert hosts.copy.items[0].is_leaving
+            assert subscriber_set.replica.items[0].is_leaving
             reader.started_ms = 2
             await anyio.sleep(2)
-            assert not hosts.copy.items[0].is_leaving
+            assert not subscriber_set.replica.items[0].is_leaving
             tasks.cancel_scope.cancel()
 
     run_paused(main())
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -4,65 +4,67 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.rpc.load_publisher import DEMAND_WARM_UP_S, LoadPublisher
-from damaskridge.adapters.rpc.subscribers import Follower, FollowerSet
+from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
 from damaskridge.core.gateway.host_choice import GENERATIONS_PER_HOST
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import CrashesSeen, HostsNeeded, InstanceLoad, ReportLoad
 from damaskridge.model.gateway import CrashNotice, ServerStart
 
-NEEDED = 9
-REPORT = ReportLoad(
-    load={"a": InstanceLoad(NEEDED * GENERATIONS_PER_HOST, memory_tokens=1)}
+HOSTS_NEEDED = 9
+LOAD_REPORT = ReportLoad(
+    load={"a": InstanceLoad(HOSTS_NEEDED * GENERATIONS_PER_HOST, memory_tokens=1)}
 )
 
 
-class Play:
+class PublisherFixture:
     """A publisher with one host, whose leadership the test decides."""
 
     def __init__(self):
-        self.leads = False
-        self.followers = FollowerSet(ControlState())
+        self.is_leading = False
+        self.subscribers = SubscriberSet(ControlState())
         self.publisher = LoadPublisher(
-            self.followers, lambda: self.leads, lambda host: "west"
+            self.subscribers, lambda: self.is_leading, lambda host: "west"
         )
 
     def connect(self):
-        follower = Follower(lambda: None)
-        self.followers.add(follower, 0)
-        self.publisher.join(follower, "h")
-        return follower
+        subscriber = Subscriber(lambda: None)
+        self.subscribers.add(subscriber, 0)
+        self.publisher.add_subscriber(subscriber, "h")
+        return subscriber
 
 
-def received(follower, kind):
-    found = []
+def received_messages(subscriber, message_type):
+    matching = []
     while True:
         try:
-            message = follower.messages.receive_nowait()
+            message = subscriber.messages.receive_nowait()
         except anyio.WouldBlock:
-            return found
-        if isinstance(message, kind):
-            found.append(message)
+            return matching
+        if isinstance(message, message_type):
+            matching.append(message)
 
 
 def test_a_new_leader_says_how_many_hosts_are_needed_once_they_have_reported():
     async def main():
-        play = Play()
-        first = play.connect()
-        play.publisher.report(first, ReportLoad())
+        fixture = PublisherFixture()
+        first = fixture.connect()
+        fixture.publisher.handle_report(first, ReportLoad())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(play.publisher.run)
+            tasks.start_soon(fixture.publisher.run)
             await anyio.sleep(10)
-            assert not received(first, HostsNeeded)
-            play.leads = True
+            assert not received_messages(first, HostsNeeded)
+            fixture.is_leading = True
             await anyio.sleep(DEMAND_WARM_UP_S / 2)
-            assert not received(first, HostsNeeded)
-            play.publisher.report(first, REPORT)
+            assert not received_messages(first, HostsNeeded)
+            fixture.publisher.handle_report(first, LOAD_REPORT)
             await anyio.sleep(DEMAND_WARM_UP_S)
-            said = received(first, HostsNeeded)
-            assert [item.by_data_centre for item in said] == [{"west": NEEDED}]
+            received = received_messages(first, HostsNeeded)
+            assert [item.by_data_centre for item in received] == [
+                {"west": HOSTS_NEEDED}
+            ]
             # A host that connects later is told at once.
-            later = play.connect()
-            assert received(later, HostsNeeded) == said
+            later = fixture.connect()
+            assert received_messages(later, HostsNeeded) == received
             tasks.cancel_scope.cancel()
 
     run_paused(main())
@@ -70,12 +72,12 @@
 
 def test_crashes_are_told_to_all_hosts_and_to_those_that_connect_later():
     async def main():
-        play = Play()
-        first, second = play.connect(), play.connect()
+        fixture = PublisherFixture()
+        first, second = fixture.connect(), fixture.connect()
         notice = CrashNotice("f", ServerStart("a", 1))
-        play.publisher.report(first, ReportLoad(crashes=(notice,)))
-        for follower in (second, play.connect()):
-            (seen,) = received(follower, CrashesSeen)
-            assert seen.crashes == (notice,)
+        fixture.publisher.handle_report(first, ReportLoad(crashes=(notice,)))
+        for subscriber in (second, fixture.connect()):
+            (message,) = received_messages(subscriber, CrashesSeen)
+            assert message.crashes == (notice,)
 
     run_paused(main())
--- a/tests/adapters/rpc/test_peer.py
+++ b/tests/adapters/rpc/test_peer.py
@@ -42,7 +42,7 @@
         return None
 
 
-async def run_with_server(body):
+async def run_with_peer_server(scenario):
     owners = FakeOwners()
     service = PeerService(incarnation=7, rates=owners, cells=owners, front=FakeFront())
     server = Server([service], codec=MsgpackCodec())
@@ -51,7 +51,7 @@
     control = FakeControl("h2", f"127.0.0.1:{port}")
     channels = PeerChannels()
     try:
-        await body(control, channels)
+        await scenario(control, channels)
     finally:
         channels.close()
         server.close()
@@ -59,7 +59,7 @@
 
 
 def test_calls_reach_the_owner_and_streams_end_with_their_failure():
-    async def body(control, channels):
+    async def scenario(control, channels):
         control.own("workspace/w", host="h2")
         control.own("cell/chat", host="h2")
         rates = RateClient("h1", control, channels, None)
@@ -71,20 +71,20 @@
         assert isinstance(await cells.submit(profile()), Placement)
         keys = await fronts.active_keys("h2", "w")
         assert keys.ok_value == (ActiveKey("r1", "k", "d"),)
-        seen = []
+        chunks = []
         with pytest.raises(StreamFailed, match="cancelled"):
             async for chunk in fronts.resume_stream("h2", "r1", "w", 4):
-                seen.append(chunk)
-        assert seen == [DecodeChunk(4, "x")]
+                chunks.append(chunk)
+        assert chunks == [DecodeChunk(4, "x")]
 
-    anyio.run(run_with_server, body)
+    anyio.run(run_with_peer_server, scenario)
 
 
 def test_silent_connection_ends_its_calls_and_is_replaced():
     async def main():
         accepted = []
 
-        async def swallow(stream):
+        async def read_nothing(stream):
             accepted.append(stream)
             await anyio.sleep_forever()
 
@@ -95,7 +95,7 @@
         channels = PeerChannels()
         cells = CellClient("h1", control, channels, None)
         async with anyio.create_task_group() as group:
-            group.start_soon(listener.serve, swallow)
+            group.start_soon(listener.serve, read_nothing)
             group.start_soon(channels.run)
             for _ in range(2):
                 reply = await cells.submit(profile())
