--- a/src/damaskridge/adapters/rpc/__init__.py
+++ b/src/damaskridge/adapters/rpc/__init__.py
@@ -1,1 +1,1 @@
-"""Services between the system's processes, on grpclib."""
+"""RPC services between the processes of a fleet, built on grpclib."""
--- a/src/damaskridge/adapters/rpc/cancellation.py
+++ b/src/damaskridge/adapters/rpc/cancellation.py
@@ -1,9 +1,9 @@
-"""Keeps the cancellations of grpclib apart from those of anyio.
+"""Separates cancellations made by grpclib from those made by anyio.
 
-grpclib ends a wait on a lost connection by cancelling the waiting task, and then
-replaces the `CancelledError` by an error of its own. The task still counts as being
-cancelled, so the next anyio scope that is cancelled in it lets its `CancelledError`
-through, which ends the task and all tasks of its group without an error.
+When a connection is lost, grpclib cancels the task that waits on it and converts the
+`CancelledError` to an error of its own, without calling `Task.uncancel`. The task still
+counts as being cancelled, so the next anyio scope that is cancelled in it doesn't catch
+its own `CancelledError`, which then ends the task and its task group without an error.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 
 @contextlib.contextmanager
 def uncancel_on_connection_error() -> Iterator[None]:
-    """Take back the cancellation behind a connection error that passes through."""
+    """Undo the task cancellation that grpclib left behind a connection error."""
     task = asyncio.current_task()
     assert task is not None, "used outside a task"
     cancelling_before = task.cancelling()
--- a/src/damaskridge/adapters/rpc/channels.py
+++ b/src/damaskridge/adapters/rpc/channels.py
@@ -1,4 +1,4 @@
-"""Channels to other processes of the system."""
+"""A grpclib channel that copes with connections lost during connection setup."""
 
 from grpclib.client import Channel
 from grpclib.protocol import H2Protocol
@@ -10,24 +10,24 @@
 
 class RpcChannel(Channel):
     """
-    A grpclib channel that reports a connection that is lost as soon as it is open.
+    A grpclib channel that raises an `OSError` if a new connection is lost at once.
 
-    grpclib fails with `AttributeError` on such a connection, which no caller expects of
-    a lost connection, so that the process would end.
+    grpclib raises `AttributeError` for such a connection. Callers don't handle that as
+    a connection error, so it would end the process.
 
     Parameters
     ----------
     host : str
-        IP number.
+        IP address of the server.
     port : int
-        Port.
+        Its TCP port.
     """
 
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port, codec=MsgpackCodec())
 
     async def __connect__(self) -> H2Protocol:
-        """Return an open connection; raises `ConnectionResetError` if it is lost."""
+        """Return an open connection; raise `ConnectionResetError` if it was lost."""
         protocol = await super().__connect__()
         if protocol.processor.connection.is_closing():
             raise ConnectionResetError("the connection was lost at once")
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -1,4 +1,4 @@
-"""An entry host's connection to the control group."""
+"""The session of an entry host with the control group."""
 
 import contextlib
 import logging
@@ -45,12 +45,13 @@
 
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
-# Bounds the pauses of a host that has just started to about a tenth of a second.
+# Limits the retry waits of a host that has received no state yet to 0.1 s.
 MAX_STARTUP_BACKOFF_STEP = 1
 SILENCE_TIMEOUT_S = 1.0
-# Together with the leader's period, the time in which another host's placement shows.
+# This and the leader's `LOAD_PERIOD_S` add up to the delay after which a host knows of
+# another host's placement.
 LOAD_PERIOD_S = 0.03
-# Smaller than any index, so that the leader answers with a snapshot.
+# Less than any index of the log, so that the leader responds with a snapshot.
 NO_INDEX = -1
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
@@ -58,14 +59,15 @@
 CrashesCallback = Callable[[CrashesSeen], None]
 HostsNeededCallback = Callable[[HostsNeeded], None]
 LoadCallback = Callable[[LoadSeen], None]
-# Returns what changed; all that is in flight if its argument is true.
+# Returns the load that changed since the last call; the whole load if its argument is
+# true; None if nothing changed.
 LoadSource = Callable[[bool], ReportLoad | None]
 
 _log = logging.getLogger("damaskridge.control_client")
 
 
 class _StreamEndedError(Exception):
-    """The `Follow` stream must be opened again, at `leader` if it is named."""
+    """The `Follow` stream must be reopened, at `leader` unless that is empty."""
 
     def __init__(self, leader: str = "") -> None:
         super().__init__(leader)
@@ -74,7 +76,10 @@
 
 class ControlClient:
     """
-    Keeps the session, its lease and the fleet view of one entry host.
+    Maintains the session, the lease and the fleet view of one entry host.
+
+    `run` follows the leader: it renews the session's lease, applies the deltas of the
+    fleet's state, and reports this host's load.
 
     Parameters
     ----------
@@ -83,15 +88,15 @@
     host : str
         Name of this host.
     incarnation : int
-        Distinguishes processes that ran on this host one after another.
+        Identifies this run of the process among all runs on this host.
     data_centre : str
-        Where this host stands.
+        The data centre of this host.
     caller_address, peer_address : str
-        ``ip:port`` for callers and for other processes of the fleet.
+        ``ip:port`` at which callers and other entry hosts reach this host.
     clock : callable
         Monotonic time in seconds.
-    calls : LeaderClient or None
-        Connections to the control hosts.
+    leader_client : LeaderClient or None
+        Client of the control group; by default a new one for `control_addresses`.
     """
 
     def __init__(
@@ -135,7 +140,7 @@
 
     @property
     def fleet(self) -> FleetView:
-        """The fleet as last seen."""
+        """The latest received state of the fleet."""
         return self._fleet
 
     @property
@@ -149,40 +154,45 @@
         return self._session
 
     def on_change(self, callback: ChangeCallback) -> None:
-        """Call back after every change; with no changes after a snapshot."""
+        """
+        Register a callback for changes of the fleet.
+
+        It is called with an empty tuple after the view was replaced by a snapshot.
+        """
         self._change_callbacks.append(callback)
 
     def on_instances(self, callback: InstancesCallback) -> None:
-        """Call back after every reading of the list of backend servers."""
+        """Register a callback for updates of the list of backend servers."""
         self._instances_callbacks.append(callback)
 
     def on_crashes(self, callback: CrashesCallback) -> None:
-        """Call back when a host has reported requests that were there at a crash."""
+        """Register a callback for reports of requests in flight at a server crash."""
         self._crashes_callbacks.append(callback)
 
     def on_hosts_needed(self, callback: HostsNeededCallback) -> None:
-        """Call back when another number of hosts is needed."""
+        """Register a callback for changes of the number of hosts needed."""
         self._hosts_needed_callbacks.append(callback)
 
     def share_load(self, source: LoadSource, callback: LoadCallback) -> None:
         """
-        Report this host's load, and learn that of the others.
+        Report this host's load to the leader, and receive that of the other hosts.
 
         Parameters
         ----------
         source : callable
-            Returns what changed since its last call, or None.
+            Returns what changed since its last call, or None; everything that is in
+            flight if its argument is true.
         callback : callable
-            Called with what changed on the other hosts.
+            Called with the changes of the other hosts' load.
         """
         self._load_source, self._load_callback = source, callback
 
     def add_control_addresses(self, addresses: Sequence[str]) -> None:
-        """Try further addresses of control hosts as well."""
+        """Add addresses of control hosts."""
         self._leader_client.add_addresses(addresses)
 
     async def propose(self, command: Command) -> CommandResult:
-        """Commit a command; finds the leader, sends again with the same id."""
+        """Commit a command through the leader; retries use the same command id."""
         return await self._leader_client.propose(command, PROPOSE_TIMEOUT_S)
 
     async def run(self) -> None:
@@ -202,19 +212,24 @@
                 self._log_lease_change()
                 progressed = self._fleet.index > index
                 if progressed or not attempt:
-                    # Further attempts tell nothing new.
+                    # Log only the first of several failures in a row.
                     log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
                 attempt = 0 if progressed else attempt + 1
                 if not self._fleet.index:
-                    # A host that knows nothing yet cannot serve anyone.
+                    # Without any state, the host cannot serve callers: retry fast.
                     attempt = min(attempt, MAX_STARTUP_BACKOFF_STEP)
                 await anyio.sleep(self._leader_client.retry_wait_s(attempt))
 
     async def begin_drain(self) -> bool:
         """
-        Leave the address answer and give up ownership; the lease goes on.
+        Start draining: callers are no longer sent here and ownerships are released.
+
+        The lease of the session is kept and renewed.
 
-        `False` if the control group did not accept it; the caller may try again.
+        Returns
+        -------
+        bool
+            False if the control group didn't accept the command; the caller may retry.
         """
         self._draining = True
         session = self._session
@@ -282,7 +297,7 @@
         if isinstance(message, FleetDelta):
             self._apply_delta(message)
         elif isinstance(message, FleetSnapshot):
-            # An older snapshot is refused: a view never goes back.
+            # `restore` refuses a snapshot that is older than the view.
             if self._fleet.restore(message):
                 self._resume_index = self._fleet.index
                 self._notify_change(())
@@ -327,7 +342,7 @@
             callback(changes)
 
     def _log_lease_change(self) -> None:
-        """Log when the lease is lost or valid again."""
+        """Log an event when the lease has become invalid or valid again."""
         is_valid = self._lease.is_valid(self._clock())
         if is_valid is self._lease_was_valid or self._session is None:
             return
@@ -345,8 +360,8 @@
             del self._renewals_sent_s[number]
 
     async def _send_renewals(self, stream: Any) -> None:
-        # Without a session the message still draws an answer, which tells a live
-        # leader from a silent connection.
+        # Renewals are sent even without a session: the leader responds to them, which
+        # distinguishes a live leader from a silent connection.
         while True:
             self._session_opened = anyio.Event()
             self._log_lease_change()
--- a/src/damaskridge/adapters/rpc/control_events.py
+++ b/src/damaskridge/adapters/rpc/control_events.py
@@ -1,4 +1,4 @@
-"""The events of the control group's state."""
+"""Log events for committed commands and for changes of the fleet's state."""
 
 import logging
 from functools import singledispatch
@@ -26,7 +26,7 @@
 
 @singledispatch
 def log_change(change: FleetChange) -> None:
-    """Log a committed change; every control host does."""
+    """Log a committed change of the fleet; called on every control host."""
 
 
 @log_change.register
@@ -71,7 +71,7 @@
 
 
 def log_command(command: Command, result: CommandResult) -> None:
-    """Log a command's result on the host that proposed it."""
+    """Log the result of a command on the control host that proposed it."""
     if result.failure is not None:
         log_event(
             _log,
@@ -85,7 +85,7 @@
 
 @singledispatch
 def _log_committed(command: Command, result: CommandResult) -> None:
-    """Log commands that lead to no change of the fleet view."""
+    """Log a committed command that `log_change` doesn't cover."""
 
 
 @_log_committed.register
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -1,9 +1,9 @@
 """Streams between the members of the control group.
 
-Every member opens one stream to every other one and sends its messages there. The
-other direction carries only answers to probes: a stream whose probes stay
-unanswered is replaced, because an open connection can go silent for good while new
-ones work.
+Every member opens a stream to every other member and sends its messages on it. The
+opposite direction carries only responses to probes. A stream whose probes get no
+response is replaced, because an open connection can stay silent for ever while new
+connections work.
 """
 
 import logging
@@ -33,14 +33,15 @@
 
 EXCHANGE_PATH = "/damaskridge.ControlGroup/Exchange"
 PROBE_INTERVAL_S = 0.3
-# A silent stream is replaced within 0.8 s. Meanwhile the other members are a quorum,
-# and pre-vote keeps the member behind the stream from disturbing them.
+# With the probe interval, a silent stream is replaced within 0.8 s. In the meantime the
+# other members form a quorum, and pre-vote prevents the isolated member from disrupting
+# them.
 SILENCE_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 SERVER_IDLE_TIMEOUT_S = 5.0
 BACKOFF_RANGE_S = (0.05, 1.0)
 MAX_QUEUED_FRAMES = 256
-# Above a batch of entries. Longer messages would hold up heartbeats and probes.
+# Larger than a batch of log entries. Longer messages would delay heartbeats and probes.
 MAX_PART_BYTES = 256 * 1024
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -49,14 +50,18 @@
 
 class MemberFrame(msgspec.Struct, frozen=True, omit_defaults=True):
     """
-    A message for the member `recipient`, a part of one, or a probe.
+    A message to a member, a part of a large frame, or a probe if all fields are empty.
 
     Parameters
     ----------
+    recipient : str
+        Name of the member that the message is for.
+    message : AnyMessage or None
+        A Raft message.
     part : bytes
-        A part of an encoded frame that is too large for one message.
+        A part of an encoded frame that is too large to be sent at once.
     is_last : bool
-        Whether the part completes its frame.
+        Whether `part` is the last one of its frame.
     """
 
     recipient: str = ""
@@ -69,11 +74,11 @@
 
 
 class ProbeResponse(msgspec.Struct, frozen=True):
-    """Answers a probe."""
+    """The response to a probe."""
 
 
 def split_frame(frame: MemberFrame) -> list[MemberFrame]:
-    """Return the frame itself, or its parts if it carries a large snapshot."""
+    """Return a list of the frame alone, or of its parts if its snapshot is large."""
     message = frame.message
     if not isinstance(message, InstallSnapshot):
         return [frame]
@@ -91,13 +96,13 @@
 
 
 class FrameAssembler:
-    """Puts the parts of large frames together, one frame after another."""
+    """Reassembles large frames from their parts; parts of frames must not mix."""
 
     def __init__(self) -> None:
         self._parts: list[bytes] = []
 
     def add(self, frame: MemberFrame) -> MemberFrame | None:
-        """Return the frame, or None while parts of it are missing."""
+        """Return the complete frame, or None while parts are missing."""
         if not frame.part:
             return frame
         self._parts.append(frame.part)
@@ -109,16 +114,16 @@
 
 class MemberStream:
     """
-    The outgoing stream to one member.
+    The outgoing stream to another member; reconnects when it is lost.
 
     Parameters
     ----------
     host : str
-        Name of the other host.
+        Name of the other member's host.
     address : str
         Its RPC address, ``<ip>:<port>``.
     rng : random.Random
-        Source of the jitter between attempts to connect.
+        Source of the jitter of reconnection waits.
     """
 
     def __init__(self, host: str, address: str, rng: random.Random) -> None:
@@ -133,7 +138,7 @@
         self._is_connected = False
 
     def send(self, frame: MemberFrame) -> None:
-        """Send a frame, or drop it while the member cannot be reached."""
+        """Queue a frame; drop it if there is no connection or the queue is full."""
         if not self._is_connected:
             return
         try:
@@ -142,7 +147,7 @@
             return
 
     async def run(self) -> None:
-        """Keep a stream open until cancelled."""
+        """Keep a stream to the member open until cancelled."""
         backoff_s = BACKOFF_RANGE_S[0]
         with self._queue_sender, self._queue_receiver:
             while True:
@@ -160,8 +165,8 @@
         except* CONNECTION_ERRORS as errors:
             _log.debug("stream to %s ended: %r", self._host, errors.exceptions)
         except* Exception as errors:
-            # One peer's fault, such as a message of another version, must not end
-            # the process.
+            # An error of one peer, such as a message of an incompatible version, must
+            # not end the process.
             _log.warning("stream to %s failed: %r", self._host, errors.exceptions)
         finally:
             was_connected = self._is_connected
@@ -192,7 +197,8 @@
             if not pending_parts:
                 frame = await self._queue_receiver.receive()
             else:
-                # Heartbeats go out between the parts of a snapshot.
+                # Send queued frames between the parts, so that a large snapshot
+                # doesn't delay heartbeats.
                 await stream.send_message(pending_parts.popleft())
                 try:
                     frame = self._queue_receiver.receive_nowait()
@@ -202,7 +208,7 @@
             if len(parts) == 1:
                 await stream.send_message(frame)
             elif not pending_parts:
-                # Otherwise it repeats the snapshot that is on its way.
+                # While a snapshot is being sent, a further one is a duplicate.
                 pending_parts.extend(parts)
 
     async def _receive_responses(
@@ -221,12 +227,12 @@
 
 class ControlGroupService:
     """
-    The incoming streams of the other members.
+    The gRPC service for the incoming streams of the other members.
 
     Parameters
     ----------
     deliver : callable
-        Receives the recipient and the message of each frame.
+        Called with the recipient and the message of each frame.
     """
 
     def __init__(self, deliver: Callable[[str, AnyMessage], None]) -> None:
--- a/src/damaskridge/adapters/rpc/control_methods.py
+++ b/src/damaskridge/adapters/rpc/control_methods.py
@@ -1,4 +1,4 @@
-"""Names of the control group's methods and of their metadata."""
+"""Paths of the control service's methods and keys of their metadata."""
 
 __all__ = ["FOLLOW_PATH", "OPERATOR_KEY", "PROPOSE_PATH", "STATUS_PATH"]
 
--- a/src/damaskridge/adapters/rpc/control_ports.py
+++ b/src/damaskridge/adapters/rpc/control_ports.py
@@ -1,4 +1,4 @@
-"""The typed interface between the replicated log and the control services."""
+"""Protocols between the replicated log and the control service."""
 
 from collections.abc import AsyncIterator
 from typing import Protocol
@@ -10,27 +10,27 @@
 
 
 class ControlStatePort(Protocol):
-    """The state machine that the replicated log feeds."""
+    """The state machine to which the replicated log applies commands."""
 
     def apply(self, index: int, command: Command) -> AppliedCommand:
-        """Apply a committed command; deterministic, never raises."""
+        """Apply a committed command; must be deterministic and must not raise."""
         ...
 
     def fleet_snapshot(self) -> FleetSnapshot:
-        """Return what entry hosts know of the state."""
+        """Return the part of the state that is sent to entry hosts."""
         ...
 
     def encode(self) -> bytes:
-        """Return the whole state for a snapshot of the log."""
+        """Serialize the whole state for a snapshot of the log."""
         ...
 
     def restore(self, data: bytes) -> None:
-        """Replace the whole state by an encoded one."""
+        """Replace the whole state with the result of an earlier `encode`."""
         ...
 
 
 class ControlNodePort(Protocol):
-    """One member of the control group, as the control services use it."""
+    """A member of the control group, as the control service uses it."""
 
     @property
     def name(self) -> str:
@@ -39,27 +39,27 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this member believes that it leads."""
+        """Whether this member believes that it is the leader; may be stale."""
         ...
 
     @property
     def term(self) -> int:
-        """The current term."""
+        """The current Raft term."""
         ...
 
     @property
     def leader_address(self) -> str:
-        """RPC address of the leader, empty if unknown."""
+        """The RPC address of the leader; empty if unknown."""
         ...
 
     async def propose(self, command: Command) -> CommandResult:
-        """Return the result after commit and apply, or a `NOT_LEADER` failure."""
+        """Commit and apply a command; fail with `NOT_LEADER` on other members."""
         ...
 
     async def confirm_leadership(self) -> bool:
-        """Tell whether a quorum acknowledged a round that began after the call."""
+        """Return whether a quorum acknowledges a round that starts after the call."""
         ...
 
     def applied_deltas(self) -> AsyncIterator[FleetDelta]:
-        """Yield the delta of every command applied from now on."""
+        """Yield the delta of each command applied from now on; end if one is missed."""
         ...
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -1,8 +1,8 @@
-"""The services of a control host for entry hosts and operators.
+"""The gRPC service of a control host for entry hosts and operators.
 
-Entry hosts and control hosts are reached over a peer network that only processes of
-the fleet can use, so commands of entry hosts carry no credential. A command of an
-operator carries the operator's key in the metadata `operator-key`.
+Control hosts are reachable only over a private network between the processes of the
+fleet, so commands of entry hosts carry no credential. A command of an operator carries
+the operator's key in the metadata `operator-key`.
 """
 
 import hmac
@@ -81,24 +81,24 @@
 
 class ControlService:
     """
-    The handlers of one control host; `run` must run beside the server.
+    The RPC handlers of one control host; `run` must run while the server does.
 
     Parameters
     ----------
     node : ControlNodePort
-        The member of the replicated log.
+        The member of the control group on this host.
     state : ControlState
-        The state that the member feeds.
+        The state machine to which `node` applies commands.
     clock : callable
         Monotonic time in seconds.
     wall_ms : callable
-        Wall time in milliseconds, which commands carry.
+        Wall-clock time in milliseconds, with which commands are stamped.
     instances : InstanceListReader or None
-        The list of backend servers that the leader reads for all hosts.
+        Reads the list of backend servers, on the leader, for all entry hosts.
     orders : EngineOrderPort or None
-        Orders to model engines, which the leader gives as `host`.
+        Sends orders to model engines, on the leader.
     host : str
-        The machine.
+        Name of this host, as the sender of orders.
     """
 
     def __init__(
@@ -126,11 +126,11 @@
             self._stage_controller = StageController(
                 node=node,
                 host=host,
-                board=self._load_publisher.board,
+                load_aggregator=self._load_publisher.load_aggregator,
                 orders=orders,
                 routing=lambda: state.data.routing,
                 is_leading=lambda: self._duties.is_ready,
-                publish=self._republish_instances,
+                republish=self._republish_instances,
             )
         self._instance_publisher: InstancePublisher | None = None
         if instances is not None:
@@ -164,7 +164,7 @@
         }
 
     async def run(self) -> None:
-        """Publish deltas, answer renewals and do the leader's duties for ever."""
+        """Publish deltas, confirm renewals and do the leader's work until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._publish_deltas)
             group.start_soon(self._confirm_renewals)
@@ -216,7 +216,7 @@
             return None
         operator = find_operator(self._state.data, name, self._proposed_bundle(command))
         digest = sha256(key.encode()).hexdigest()
-        # One answer for both, so that names cannot be found out by trying.
+        # The same failure for both cases, so that names of operators can't be guessed.
         if operator is None or not hmac.compare_digest(digest, operator.key_digest):
             return Failure(ErrorKind.UNKNOWN_OPERATOR, "operator or key is wrong")
         return None
@@ -269,7 +269,7 @@
                 group.cancel_scope.cancel()
 
     async def _receive_messages(self, stream: Any, subscriber: Subscriber) -> None:
-        # A host renews several times in this period; a silent one has gone.
+        # A host renews its session several times in this period; a silent one is gone.
         with anyio.move_on_after(SESSION_DURATION_S) as silence_scope:
             while (message := await stream.recv_message()) is not None:
                 silence_scope.deadline = anyio.current_time() + SESSION_DURATION_S
@@ -288,7 +288,7 @@
             async for message in subscriber.messages:
                 await stream.send_message(message)
         except (OSError, StreamTerminatedError, anyio.ClosedResourceError):
-            pass  # The host has gone or this one leads no more.
+            pass  # The entry host is gone, or this host is no longer the leader.
         scope.cancel()
 
     def _record_renewal(self, subscriber: Subscriber, request: RenewSession) -> None:
@@ -339,7 +339,7 @@
     async def _publish_deltas(self) -> None:
         while True:
             deltas = self._node.applied_deltas()
-            # The last iterator ended because deltas were missed.
+            # The previous iterator ended because deltas were missed.
             self._duties.resync()
             await self._publish_until_missed(deltas)
 
@@ -380,7 +380,7 @@
     orders: EngineOrderPort | None = None,
     host: str = "",
 ) -> list[ControlService]:
-    """Return the handlers for a grpclib server; each one's `run` must run."""
+    """Return the services for a grpclib server; `run` of each must be running."""
     return [
         ControlService(
             node,
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -1,4 +1,4 @@
-"""Reads the list of backend servers on the leader and hands it to all hosts."""
+"""Reads the list of backend servers on the leader and sends it to all entry hosts."""
 
 import logging
 import secrets
@@ -18,8 +18,8 @@
 
 __all__ = ["InstanceListReader", "InstancePublisher"]
 
-# A server that leaves may get no request three seconds after the list shows it. One
-# reading, its way to the hosts and one lost reading fit in.
+# A leaving server must get no requests from three seconds after the list shows that it
+# leaves. This period allows for one failed read and for the delay to the hosts.
 READ_PERIOD_S = 0.8
 
 AdjustInstances = Callable[[tuple[BackendInstance, ...]], tuple[BackendInstance, ...]]
@@ -28,32 +28,32 @@
 
 
 class InstanceListReader(Protocol):
-    """The list of backend servers."""
+    """Reads the list of backend servers."""
 
     async def read(self) -> Result[InstanceList, str]:
-        """Return every usable entry, or why the list could not be read."""
+        """Return all usable entries, or the reason why the list cannot be read."""
         ...
 
 
 class InstancePublisher:
     """
-    Reads while this host leads.
+    Polls the list and publishes its changes, while this host is the leader.
 
     Parameters
     ----------
     reader : InstanceListReader
-        The list.
-    followers : SubscriberSet
-        The open streams of the hosts.
-    leads : callable
-        Whether this host leads.
-    adjust : callable
-        Changes what is handed on of a reading.
+        Reads the list.
+    subscribers : SubscriberSet
+        The open streams of the entry hosts.
+    is_leading : callable
+        Returns whether this host is the leader.
+    adjust_instances : callable
+        Returns the entries to publish for the entries that were read.
 
     Attributes
     ----------
     notices : ServerNotices
-        What hosts have reported of servers that leave.
+        Reports of entry hosts that instances are leaving.
     """
 
     def __init__(
@@ -73,13 +73,13 @@
         self._read_failed = False
 
     def send_snapshot(self, subscriber: Subscriber) -> None:
-        """Send a new stream all entries."""
+        """Send all entries to a new subscriber."""
         whole = self._list_differ.whole() if self._list_differ is not None else None
         if whole is not None:
             subscriber.push(whole)
 
     async def run(self) -> None:
-        """Read for ever."""
+        """Poll the list until cancelled."""
         while True:
             if self._is_leading():
                 await self._read()
@@ -106,7 +106,7 @@
         self._publish_update(self._list_differ)
 
     def republish(self) -> None:
-        """Hand the last reading on again, after what is changed in it has changed."""
+        """Publish the last entries again, after the result of adjusting has changed."""
         if self._list_differ is not None and self._is_leading():
             self._publish_update(self._list_differ)
 
@@ -125,7 +125,7 @@
             )
 
     def _apply_leave_notice(self, item: BackendInstance) -> BackendInstance:
-        """Mark an instance that a host knows to be leaving before the list does."""
+        """Mark an instance as leaving if a host has reported it before the list."""
         if item.is_leaving or not self.notices.has_left(item):
             return item
         return msgspec.structs.replace(item, is_leaving=True)
--- a/src/damaskridge/adapters/rpc/isolated_tasks.py
+++ b/src/damaskridge/adapters/rpc/isolated_tasks.py
@@ -1,6 +1,6 @@
-"""Runs steps with grpclib in their own task.
+"""Runs grpclib calls in tasks of their own, isolated from grpclib's cancellations.
 
-grpclib ends a waiting call by cancelling the task that waits. If the call has just
+grpclib aborts a waiting call by cancelling the task that waits. If the call has just
 returned, the cancellation hits whatever that task awaits next, and a cancel scope or
 task group around it ends without an error.
 """
@@ -18,19 +18,21 @@
     coroutine: Coroutine[Any, Any, T], timeout_s: float | None = None
 ) -> T:
     """
-    Return the result of `coroutine`, or raise its exception.
+    Run a coroutine in its own task; return its result or raise its exception.
 
     Parameters
     ----------
-    step : coroutine
-        Calls grpclib.
+    coroutine : coroutine
+        Makes calls to grpclib.
     timeout_s : float or None
-        Longest time; `TimeoutError` is raised after it.
+        Time limit in seconds; None for no limit.
 
     Raises
     ------
+    TimeoutError
+        The time limit has passed. The coroutine is cancelled.
     ConnectionResetError
-        The step was cancelled from inside.
+        The coroutine was cancelled by grpclib, not by the caller.
     """
     task = asyncio.ensure_future(coroutine)
     task.add_done_callback(mark_exception_retrieved)
@@ -48,10 +50,10 @@
 
 def mark_exception_retrieved(task: asyncio.Future[Any]) -> None:
     """
-    Mark the error of an abandoned task as seen; for `add_done_callback`.
+    Retrieve the exception of an abandoned task; use it with `add_done_callback`.
 
-    Otherwise asyncio formats a traceback when the task is collected, at any moment,
-    also inside `ast.parse`, which is not reentrant in Python 3.11.
+    Otherwise asyncio formats a traceback when the task is garbage-collected. That can
+    happen at any point, also inside `ast.parse`, which isn't reentrant in Python 3.11.
     """
     if not task.cancelled():
         task.exception()
--- a/src/damaskridge/adapters/rpc/leader_client.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -1,4 +1,4 @@
-"""Calls to the leader of the control group, wherever it is."""
+"""Client that finds and calls the leader of the control group."""
 
 import random
 from collections.abc import Sequence
@@ -28,27 +28,30 @@
 
 __all__ = ["LeaderClient"]
 
-# Above one commit under load and below the time of an election.
+# Longer than a commit takes under load, shorter than an election.
 ATTEMPT_TIMEOUT_S = 1.0
 BASE_RETRY_WAIT_S = 0.05
 MAX_RETRY_WAIT_S = 0.4
-# Followers name a silent leader until the next election; each attempt there would
-# cost a second of the lease.
+# Followers still return the address of an unresponsive leader until the next election.
+# Each attempt to reach it would use up one second of the session's lease.
 AVOID_AFTER_ERROR_S = 1.0
 
 
 class LeaderClient:
     """
-    Finds the leader by asking and by its hints, and resends lost calls.
+    Calls the leader of the control group, and retries calls that are lost.
+
+    The leader is found by trying the control hosts in turn. A control host that doesn't
+    lead returns the leader's address, if it knows it; that address is tried next.
 
     Parameters
     ----------
     addresses : sequence of str
         ``ip:port`` of every control host.
     operator_key : str
-        Sent with every command; empty for an entry host.
+        Credential sent with commands and status requests; empty for an entry host.
     rng : random.Random or None
-        Source of the jitter.
+        Source of the jitter of retry waits.
     """
 
     def __init__(
@@ -68,11 +71,11 @@
         self._avoid_until_s: dict[str, float] = {}
 
     def add_addresses(self, addresses: Sequence[str]) -> None:
-        """Try further addresses as well; known ones are kept."""
+        """Add addresses of control hosts; those already known are kept."""
         self._addresses += [item for item in addresses if item not in self._addresses]
 
     def next_address(self) -> str:
-        """Return the address to try next."""
+        """Return the address to try next, if possible the leader's."""
         if self._leader_hint and not self._is_avoided(self._leader_hint):
             return self._leader_hint
         for _ in self._addresses:
@@ -83,24 +86,24 @@
         return address
 
     def record_leader(self, address: str) -> None:
-        """Remember the leader's address."""
+        """Record that the control host at `address` is the leader."""
         self._leader_hint = address
 
     def record_failure(self, address: str, leader: str = "") -> None:
-        """Try another address next, `leader` if it is named."""
+        """Record a failed attempt; try `leader` next, or another address if empty."""
         self._leader_hint = "" if leader == address else leader
 
     def retry_wait_s(self, attempt: int) -> float:
-        """Return a jittered wait; the first attempts follow at once."""
+        """Return the wait before a retry: exponential backoff with full jitter."""
         max_wait_s = min(MAX_RETRY_WAIT_S, BASE_RETRY_WAIT_S * 2 ** min(attempt, 8))
         return self._rng.uniform(0, max_wait_s)
 
     def drop_connection(self, address: str, error: BaseException | None = None) -> None:
         """
-        Close a broken connection, and try the other addresses first.
+        Close a broken connection, and prefer the other addresses for a while.
 
-        A refused connection costs no time, and a process that starts refuses until
-        it listens, so that its address is not put off.
+        An address that refused the connection isn't avoided: the refusal costs no
+        time, and a process that is starting refuses connections until it listens.
         """
         if not isinstance(error, ConnectionRefusedError):
             self._avoid_until_s[address] = anyio.current_time() + AVOID_AFTER_ERROR_S
@@ -120,8 +123,8 @@
         return anyio.current_time() < self._avoid_until_s.get(address, 0.0)
 
     def follow(self, address: str) -> Any:
-        """Return the context manager of a `Follow` stream."""
-        # grpclib types messages as classes; the codec also takes unions.
+        """Return a context manager that opens a `Follow` stream."""
+        # grpclib annotates message types as classes; the codec also accepts unions.
         request_type: Any = AnyFollowRequest
         response_type: Any = AnyFollowReply
         channel = self._channel(address)
@@ -131,14 +134,14 @@
         return method.open()
 
     async def propose(self, command: Command, timeout_s: float) -> CommandResult:
-        """Commit a command; sends it again with the same id until it is answered."""
+        """Commit a command; retry with the same command id until a response arrives."""
         result = await self._call(PROPOSE_PATH, AnyCommand, command, timeout_s)
         return CommandResult(failure=result) if isinstance(result, Failure) else result
 
     async def status(
         self, timeout_s: float, *, with_bundle: bool = False
     ) -> FleetStatus:
-        """Return the status as confirmed by a quorum."""
+        """Return the fleet's status from a leader that a quorum has confirmed."""
         request = StatusRequest(with_bundle=with_bundle)
         result = await self._call(STATUS_PATH, StatusRequest, request, timeout_s)
         return FleetStatus(failure=result) if isinstance(result, Failure) else result
@@ -153,7 +156,7 @@
             nonlocal reached
             channel = self._channel(address)
             await channel.__connect__()
-            # A reply may be lost from here on.
+            # From here on the request may have run even if no response arrives.
             reached = True
             method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
                 channel, path, request_type, response_type
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -1,4 +1,4 @@
-"""What a leader does by itself: it expires sessions and advances the time."""
+"""Periodic work of the leader: expires sessions and advances the replicated time."""
 
 import logging
 import secrets
@@ -27,7 +27,7 @@
 
 TICK_PERIOD_S = 0.1
 ADVANCE_TIME_PERIOD_S = 60.0
-# Above the time of an election, so that a proposal is not given up needlessly.
+# Longer than an election, so that a proposal isn't abandoned needlessly.
 PROPOSE_TIMEOUT_S = 2.0
 
 _log = logging.getLogger("damaskridge.control")
@@ -35,12 +35,25 @@
 
 class LeaderDuties:
     """
-    Follows whether the node leads and does the leader's periodic work.
+    Tracks whether the node is the leader, and does the leader's periodic work.
+
+    Parameters
+    ----------
+    node : ControlNodePort
+        The member of the control group on this host.
+    state : ControlState
+        The state machine to which `node` applies commands.
+    clock : callable
+        Monotonic time in seconds.
+    wall_ms : callable
+        Wall-clock time in milliseconds, with which commands are stamped.
+    on_step_down : callable
+        Called when leadership is lost or `resync` starts over.
 
     Attributes
     ----------
     sessions : SessionTracker
-        Leases granted by this leader.
+        The leases that this leader has granted.
     """
 
     def __init__(
@@ -63,11 +76,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this node leads and has applied all earlier entries."""
+        """Whether this node is the leader and has applied all earlier log entries."""
         return self._node.is_leader and self._node.term == self._ready_term
 
     def handle_delta(self, delta: FleetDelta) -> None:
-        """Start and end leases as sessions start and end."""
+        """Track the leases of sessions that start, change or end."""
         for change in delta.changes:
             if isinstance(change, SessionChanged):
                 session = change.session
@@ -76,13 +89,13 @@
                 self.sessions.ended(change.host, change.number)
 
     def resync(self) -> None:
-        """Lead anew after deltas were missed: streams start from a snapshot."""
+        """Start over after missed deltas, so that streams begin with a snapshot."""
         if self._ready_term >= 0:
             self._ready_term = -1
             self._on_step_down()
 
     async def run(self) -> None:
-        """Do the duties for ever."""
+        """Do the leader's work until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 await self._update_readiness()
@@ -102,8 +115,8 @@
         if not self._node.is_leader:
             return
         term = self._node.term
-        # An entry of this term is applied after every earlier one. Before that, an
-        # `ExpireSession` of the last leader may be in the log but not in the state.
+        # Once an entry of this term is applied, so are all earlier ones. Until then, an
+        # `ExpireSession` of the previous leader may be in the log but not yet applied.
         if await self._advance_time() and self._node.term == term:
             self.sessions.leader_elected(
                 self._clock(), self._state.data.sessions.values()
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -1,4 +1,4 @@
-"""Hands what entry hosts report of their load to the others, on the leader."""
+"""Collects load reports of entry hosts on the leader and sends them to the others."""
 
 import logging
 from collections.abc import Callable
@@ -20,16 +20,17 @@
 
 __all__ = ["LoadPublisher"]
 
-# A placement is wrong by what arrives in this time.
+# A host doesn't know of the load that arrives at other hosts in this time, so that a
+# longer period makes placements worse.
 LOAD_PERIOD_S = 0.04
-# Keeps the leader's work for load reports below a fifth of a core.
+# Limits the leader's work for load reports to a fifth of a CPU core.
 LOAD_PERIOD_PER_HOST_S = 0.002
-# Hosts without requests only hear what others admitted, so that a workspace's bucket is
-# known there when a request comes.
+# Hosts without requests receive updates less often: they only need to know what others
+# admitted, so that the level of a workspace's bucket is known when a request arrives.
 IDLE_LOAD_PERIOD_S = 2.0
-# A burst doubles the load within a second.
+# Short enough for a burst, which doubles the load within a second.
 DEMAND_PERIOD_S = 0.5
-# Longer than hosts take to find a new leader and to report.
+# Longer than hosts take to find a new leader and to report their load.
 DEMAND_WARM_UP_S = 3.0
 
 _log = logging.getLogger("damaskridge.control")
@@ -37,21 +38,21 @@
 
 class LoadPublisher:
     """
-    The reports of all hosts and what follows from them.
+    Publishes the load, the crashes and the number of hosts needed, from load reports.
 
     Parameters
     ----------
-    followers : SubscriberSet
-        The open streams of the hosts.
-    leads : callable
-        Whether this host leads.
+    subscribers : SubscriberSet
+        The open streams of the entry hosts.
+    is_leading : callable
+        Returns whether this host is the leader.
     data_centre_of : callable
         Returns the data centre of a host; None if it has no session.
 
     Attributes
     ----------
-    board : LoadBoard
-        What all hosts have in flight.
+    load_aggregator : LoadBoard
+        The load of all entry hosts.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         is_leading: Callable[[], bool],
         data_centre_of: Callable[[str], str | None],
     ) -> None:
-        self.board = LoadBoard()
+        self.load_aggregator = LoadBoard()
         self._subscribers = subscribers
         self._is_leading = is_leading
         self._data_centre_of = data_centre_of
@@ -70,9 +71,9 @@
         self._hosts_needed: dict[str, int] = {}
 
     def add_subscriber(self, subscriber: Subscriber, host: str) -> None:
-        """Add the stream of a host, and tell it what it has missed."""
+        """Add a host's stream; send it the hosts needed and the recent crashes."""
         now_s = anyio.current_time()
-        self.board.join(subscriber, now_s)
+        self.load_aggregator.join(subscriber, now_s)
         self._hosts[subscriber] = host
         if self._hosts_needed:
             subscriber.push(HostsNeeded(by_data_centre=self._hosts_needed))
@@ -81,22 +82,22 @@
             subscriber.push(CrashesSeen(crashes=crashes))
 
     def remove_subscriber(self, subscriber: Subscriber) -> None:
-        """Remove a stream."""
-        self.board.leave(subscriber)
+        """Remove a host's stream and its load."""
+        self.load_aggregator.leave(subscriber)
         self._hosts.pop(subscriber, None)
 
     def handle_report(self, subscriber: Subscriber, message: ReportLoad) -> None:
-        """Take over a report."""
+        """Record a load report; publish the crashes that it contains."""
         now_s = anyio.current_time()
-        self.board.report(subscriber, message, now_s)
+        self.load_aggregator.report(subscriber, message, now_s)
         self._first_report_received.set()
         if message.crashes:
             self._crash_tracker.heard(message.crashes, now_s)
             self._subscribers.broadcast(CrashesSeen(crashes=message.crashes))
 
     async def run(self) -> None:
-        """Publish for ever."""
-        # Hosts that forward no requests report none.
+        """Publish until cancelled."""
+        # In fleets whose entry hosts don't report load there is nothing to publish.
         await self._first_report_received.wait()
         async with anyio.create_task_group() as group:
             group.start_soon(self._publish_load)
@@ -110,11 +111,11 @@
             if includes_idle:
                 last_idle_update_s = now_s
             for subscriber in self._subscribers.open_streams():
-                if includes_idle or self.board.is_active(subscriber, now_s):
-                    news = self.board.news(subscriber, now_s)
+                if includes_idle or self.load_aggregator.is_active(subscriber, now_s):
+                    news = self.load_aggregator.news(subscriber, now_s)
                     if news is not None:
                         subscriber.push(news)
-            active = self.board.active(now_s)
+            active = self.load_aggregator.active(now_s)
             await anyio.sleep(max(LOAD_PERIOD_S, active * LOAD_PERIOD_PER_HOST_S))
 
     async def _publish_hosts_needed(self) -> None:
@@ -138,11 +139,11 @@
             log_event(_log, EventNumber.HOSTS_NEEDED, hosts=by_data_centre)
 
     def _load_by_data_centre(self) -> dict[str, list[InstanceLoad]]:
-        """Return what the hosts of each data centre have in flight."""
+        """Return the load of the hosts in each data centre."""
         load: dict[str, list[InstanceLoad]] = {}
         for subscriber, host in self._hosts.items():
             data_centre = self._data_centre_of(host)
             if data_centre is not None:
                 items = load.setdefault(data_centre, [])
-                items += self.board.load_of(subscriber).values()
+                items += self.load_aggregator.load_of(subscriber).values()
         return load
--- a/src/damaskridge/adapters/rpc/peer_channels.py
+++ b/src/damaskridge/adapters/rpc/peer_channels.py
@@ -1,4 +1,4 @@
-"""Long-lived channels to other entry hosts, replaced when they go silent."""
+"""Long-lived channels to other entry hosts, replaced when they become silent."""
 
 import asyncio
 import logging
@@ -33,7 +33,7 @@
 
 
 class _Connection:
-    """One channel and the calls that wait on it."""
+    """A channel and the calls that are waiting on it."""
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -43,7 +43,7 @@
         self.is_silent = False
 
     def close(self) -> None:
-        """Close the channel and end every call on it."""
+        """Close the channel and cancel every call on it."""
         self.is_silent = True
         for task in self.pending_calls:
             task.cancel()
@@ -53,10 +53,10 @@
         self, coroutine: Coroutine[Any, Any, Any], timeout_s: float | None
     ) -> Result[Any, Failure]:
         """
-        Run one step of a call in its own task, so that `close` can end it.
+        Await a part of a call in its own task, so that `close` can cancel it.
 
-        grpclib turns a cancellation into an error of its own, which would leave the
-        cancel scope of the calling task open.
+        grpclib converts a cancellation to an error of its own, so that a cancel scope
+        of the calling task would not end.
         """
         task = asyncio.ensure_future(coroutine)
         task.add_done_callback(mark_exception_retrieved)
@@ -80,17 +80,17 @@
 
 class PeerChannels:
     """
-    Calls to entry hosts by address.
+    Calls methods of other entry hosts, given their address.
 
-    A call may wait long for a grant or a placement, so a separate ping on the same
-    connection tells a silent connection from a long wait.
+    A call may wait long for a grant or a placement. To distinguish that from a silent
+    connection, a connection with waiting calls is also pinged.
     """
 
     def __init__(self) -> None:
         self._connections: dict[str, _Connection] = {}
 
     async def run(self) -> None:
-        """Ping every connection on which a call waits, until cancelled."""
+        """Ping every connection with waiting calls, until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 for connection in list(self._connections.values()):
@@ -107,7 +107,7 @@
     async def call(
         self, address: str, method_name: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
-        """Call a unary method; every failure means that no reply arrived."""
+        """Call a unary method; a failure means that no response arrived."""
         connection = self._connection_to(address)
         return await connection.run_call(
             _call_unary(connection, method_name, message), timeout_s
@@ -116,7 +116,7 @@
     async def resume(
         self, address: str, message: ResumeStream
     ) -> AsyncIterator[ResumeItem]:
-        """Yield the items of a relayed stream; the last one may be a failure."""
+        """Yield the items of a relayed stream; the last item may be a failure."""
         connection = self._connection_to(address)
         method: Any = UnaryStreamMethod(
             connection.channel, method_path("Resume"), ResumeStream, ResumeItem
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -1,4 +1,4 @@
-"""The rate, cell and peer ports of a front: local or by RPC to the owner's host."""
+"""Clients of a front for owners and other fronts, on this host or by RPC."""
 
 import logging
 from collections.abc import AsyncIterator
@@ -43,12 +43,12 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 2.0
-# A delay-tolerant request may queue for minutes; pings detect a dead owner earlier.
+# A delay-tolerant request may queue for minutes; pings detect a lost owner earlier.
 SUBMIT_TIMEOUT_S = 600.0
 
 
 class _OwnerClient:
-    """Finds the live owner of a resource and its address."""
+    """Finds the owner of a resource and calls its host."""
 
     def __init__(self, host: str, control: ControlPort, channels: PeerChannels) -> None:
         self.host = host
@@ -56,7 +56,7 @@
         self.channels = channels
 
     def find_owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
-        """Return the owner; `EPOCH_CONFLICT` if the caller knows another epoch."""
+        """Return the owner; fail with `EPOCH_CONFLICT` if its epoch isn't `epoch`."""
         owner = owner_of(self.control.fleet, resource)
         if owner is None:
             return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{resource} has no owner"))
@@ -67,7 +67,7 @@
     async def call(
         self, owner: Owner, method_name: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
-        """Call the owner's host."""
+        """Call a method of the owner's host."""
         session = self.control.fleet.sessions[owner.host]
         return await self.channels.call(
             session.peer_address, method_name, message, timeout_s
@@ -76,7 +76,7 @@
     async def send(
         self, resource: str, epoch: int | None, method_name: str, message: Any
     ) -> None:
-        """Call the owner, and drop the message if it cannot be reached."""
+        """Send the owner a message; drop the message if the owner is unreachable."""
         owner = self.find_owner(resource, epoch)
         if isinstance(owner, Ok):
             await self.call(owner.ok_value, method_name, message, CALL_TIMEOUT_S)
@@ -84,18 +84,18 @@
 
 class RateClient:
     """
-    `RatePort` for a front.
+    A `RatePort` that forwards calls to the owner's host.
 
     Parameters
     ----------
     host : str
-        This host.
+        Name of this host.
     control : ControlPort
-        Gives the owners.
+        Source of the owners and their addresses.
     channels : PeerChannels
         Connections to the other hosts.
     local : RatePort
-        The owners on this host.
+        The rate owners on this host.
     """
 
     def __init__(
@@ -105,7 +105,7 @@
         self._local = local
 
     async def reserve(self, request: RateRequest) -> RateReply:
-        """Ask for admission."""
+        """Request admission and reserve its tokens."""
         owner = self._owner_client.find_owner(request.resource, request.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=request.request_id, failure=owner.err_value)
@@ -121,7 +121,7 @@
         return grant
 
     async def refund(self, refund: Refund) -> None:
-        """Give unused tokens back."""
+        """Return unused tokens to the workspace's bucket."""
         if self._is_local(refund.resource):
             await self._local.refund(refund)
         else:
@@ -130,7 +130,7 @@
             )
 
     async def ended(self, resource: str, workspace: str, request_id: str) -> None:
-        """Tell that a request with an idempotency key has finished."""
+        """Report that a request with an idempotency key has finished."""
         if self._is_local(resource):
             await self._local.ended(resource, workspace, request_id)
             return
@@ -143,7 +143,7 @@
 
 
 class CellClient:
-    """`CellPort` for a front; parameters as for `RateClient`."""
+    """A `CellPort` that forwards calls to the owner's host; see `RateClient`."""
 
     def __init__(
         self, host: str, control: ControlPort, channels: PeerChannels, local: CellPort
@@ -152,7 +152,7 @@
         self._local = local
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
-        """Ask for a placement."""
+        """Request a placement."""
         owner = self._owner_client.find_owner(profile.resource, profile.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=profile.request_id, failure=owner.err_value)
@@ -167,15 +167,16 @@
         return placement
 
     async def withdraw(self, withdraw: Withdraw) -> None:
-        """Give a request up."""
+        """Withdraw a request that the front has abandoned."""
         if self._is_local(withdraw.resource):
             await self._local.withdraw(withdraw)
             return
-        # A withdrawal holds in every epoch: a new owner may have the registration.
+        # A withdrawal is valid in every epoch: the request may be registered with a new
+        # owner.
         await self._owner_client.send(withdraw.resource, None, "Withdraw", withdraw)
 
     async def report(self, batch: ProgressBatch) -> None:
-        """Report progress."""
+        """Report the progress of requests."""
         if self._is_local(batch.resource):
             await self._local.report(batch)
         else:
@@ -189,7 +190,7 @@
         incarnation: int,
         active: tuple[ActiveRequest, ...],
     ) -> None:
-        """Report all running requests to a new owner."""
+        """Register all running requests of a front with a new owner."""
         if self._is_local(resource):
             await self._local.register(resource, epoch, front, incarnation, active)
             return
@@ -197,7 +198,7 @@
         await self._owner_client.send(resource, epoch, "Register", message)
 
     async def take_over(self, take_over: TakeOver) -> TakeOverReply:
-        """Ask to continue a request whose front is gone."""
+        """Request to continue a request whose front is gone."""
         owner = self._owner_client.find_owner(take_over.resource, take_over.epoch)
         if isinstance(owner, Err):
             return TakeOverReply(failure=owner.err_value)
@@ -217,7 +218,11 @@
 
 
 class FrontClient:
-    """`PeerPort`, and what owners ask of fronts; `attach` names the local front."""
+    """
+    A `PeerPort` that also gives owners access to the state of fronts.
+
+    `attach` sets the front of this host; calls to it don't use the network.
+    """
 
     def __init__(
         self, host: str, incarnation: int, control: ControlPort, channels: PeerChannels
@@ -229,13 +234,13 @@
         self._front: FrontPort | None = None
 
     def attach(self, front: FrontPort) -> None:
-        """Set this host's front."""
+        """Set the front of this host."""
         self._front = front
 
     async def resume_stream(
         self, host: str, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Relay a request's output from `offset`; raises `StreamFailed`."""
+        """Yield a request's output from `offset`; raise `StreamFailed` on failure."""
         session = self._control.fleet.sessions.get(host)
         if session is None:
             detail = f"entry host {host} has no session"
@@ -250,7 +255,7 @@
     async def active_requests(
         self, host: str, resource: str
     ) -> Result[ActiveRequests, Failure]:
-        """Ask a front for its running requests in a cell."""
+        """Return the running requests of a front in a cell."""
         if host == self._host and self._front is not None:
             items = tuple(self._front.active_requests(resource))
             return Ok(ActiveRequests(self._incarnation, items))
@@ -261,7 +266,7 @@
     async def active_keys(
         self, host: str, workspace: str
     ) -> Result[tuple[ActiveKey, ...], Failure]:
-        """Ask a front for its idempotency keys of a workspace."""
+        """Return the idempotency keys of a workspace that a front holds."""
         if host == self._host and self._front is not None:
             return Ok(active_keys_of(self._front, workspace))
         response = await self._call_front(host, "ActiveKeys", ListActiveKeys(workspace))
@@ -271,7 +276,7 @@
         return Ok(keys.items)
 
     async def notify_taken_over(self, host: str, request_id: str) -> None:
-        """Tell a front that a request is no longer its; lost if it is gone."""
+        """Notify a front that another one continues its request; best effort."""
         if host == self._host and self._front is not None:
             outcome = self._front.taken_over(request_id)
             if outcome is not None:
--- a/src/damaskridge/adapters/rpc/peer_messages.py
+++ b/src/damaskridge/adapters/rpc/peer_messages.py
@@ -40,15 +40,15 @@
 
 
 class Ack(msgspec.Struct, frozen=True):
-    """The message was handled."""
+    """Acknowledges that a message was handled."""
 
 
 class Ping(msgspec.Struct, frozen=True):
-    """Tests whether a connection still carries messages."""
+    """Checks whether a connection still delivers messages."""
 
 
 class KeyEnded(msgspec.Struct, frozen=True):
-    """A request with an idempotency key has finished."""
+    """Reports that a request with an idempotency key has finished."""
 
     resource: str
     workspace: str
@@ -56,7 +56,7 @@
 
 
 class RegisterFront(msgspec.Struct, frozen=True):
-    """All running requests of a front in one cell."""
+    """Registers all running requests of a front in a cell with its new owner."""
 
     resource: str
     epoch: int
@@ -66,26 +66,26 @@
 
 
 class ListActiveRequests(msgspec.Struct, frozen=True):
-    """A new cell owner asks a front for its running requests."""
+    """Request of a new cell owner for a front's running requests."""
 
     resource: str
 
 
 class ActiveRequests(msgspec.Struct, frozen=True):
-    """A front's running requests in one cell."""
+    """The response to `ListActiveRequests`: a front's running requests in a cell."""
 
     incarnation: int
     items: tuple[ActiveRequest, ...]
 
 
 class ListActiveKeys(msgspec.Struct, frozen=True):
-    """A new rate owner asks a front for its idempotency keys."""
+    """Request of a new rate owner for a front's idempotency keys."""
 
     workspace: str
 
 
 class ActiveKey(msgspec.Struct, frozen=True):
-    """One request with an idempotency key."""
+    """A request that has an idempotency key."""
 
     request_id: str
     idempotency_key: str
@@ -94,19 +94,19 @@
 
 
 class ActiveKeys(msgspec.Struct, frozen=True):
-    """A front's idempotency keys of one workspace."""
+    """The response to `ListActiveKeys`: a front's keys of a workspace."""
 
     items: tuple[ActiveKey, ...]
 
 
 class RequestTakenOver(msgspec.Struct, frozen=True):
-    """Another front has continued the request."""
+    """Notifies a front that another front has taken over its request."""
 
     request_id: str
 
 
 class ResumeStream(msgspec.Struct, frozen=True):
-    """Asks a front to relay a request's output from `offset`."""
+    """Requests that a front relays the output of a request from `offset`."""
 
     request_id: str
     workspace: str
@@ -114,13 +114,14 @@
 
 
 class ResumeItem(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One chunk of a relayed stream, or why it ended."""
+    """A chunk of a relayed stream, or the failure that ended it."""
 
     chunk: DecodeChunk | None = None
     failure: Failure | None = None
 
 
-# Request and reply type of each unary method; `Resume` is a stream of `ResumeItem`.
+# Request and response type of each unary method. `Resume`, which isn't unary, responds
+# with a stream of `ResumeItem`.
 UNARY_METHODS: dict[str, tuple[Any, Any]] = {
     "Ping": (Ping, Ack),
     "Reserve": (RateRequest, RateReply),
@@ -138,5 +139,5 @@
 
 
 def method_path(method_name: str) -> str:
-    """Return the HTTP/2 path of a method."""
+    """Return the HTTP/2 path of a method of the peer service."""
     return f"/{SERVICE}/{method_name}"
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -1,4 +1,4 @@
-"""The RPC service by which entry hosts reach this host's owners and front."""
+"""The gRPC service through which entry hosts call this host's owners and front."""
 
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -36,29 +36,29 @@
 
 
 class FrontPort(Protocol):
-    """What other hosts need of this host's front."""
+    """The methods of this host's front that other hosts can call."""
 
     def active_requests(self, resource: str) -> Sequence[ActiveRequest]:
-        """Return the running requests in a cell."""
+        """Return the running requests of this front in a cell."""
         ...
 
     def active_keys(self, workspace: str) -> Sequence[Any]:
-        """Return requests with an idempotency key; items as `ActiveKey`."""
+        """Return the requests of a workspace with a key; items are like `ActiveKey`."""
         ...
 
     def stream_local(
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Relay a request's output; raises `StreamFailed`."""
+        """Yield a request's output from `offset`; raise `StreamFailed` on failure."""
         ...
 
     def taken_over(self, request_id: str) -> Any:
-        """Note that another front has continued a request; may be a coroutine."""
+        """Handle a take-over by another front; may return an awaitable."""
         ...
 
 
 def active_keys_of(front: FrontPort, workspace: str) -> tuple[ActiveKey, ...]:
-    """Return the front's idempotency keys of a workspace as wire messages."""
+    """Return the front's idempotency keys of a workspace as messages."""
     return tuple(
         ActiveKey(
             item.request_id, item.idempotency_key, item.body_digest, item.finished
@@ -69,14 +69,14 @@
 
 class PeerService:
     """
-    Handlers of the peer RPC.
+    RPC handlers for calls of other entry hosts.
 
     Parameters
     ----------
     incarnation : int
-        This host's process.
+        Identifies this run of the process.
     rates, cells : RatePort, CellPort
-        The owners on this host.
+        The rate owners and cell owners on this host.
     front : FrontPort
         The front on this host.
     """
@@ -90,7 +90,7 @@
         self._front = front
 
     def __mapping__(self) -> dict[str, Handler]:
-        """Return grpclib's table from path to handler."""
+        """Return the handler of each method path, for grpclib."""
         functions: dict[str, Callable[[Any], Awaitable[Any]]] = {
             "Ping": self._ping,
             "Reserve": self._rates.reserve,
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -1,11 +1,12 @@
-"""Orders engines into another stage, on the leader only.
+"""Orders engines to change between prefill and decode, on the leader only.
 
-The term of the replicated log is the fencing number: it belongs to one leader and grows
-with every new one.
+The Raft term is the fencing number of an order: each term has one leader, and a new
+leader has a higher term.
 
-An engine that changes refuses everything, with nothing in flight, so that it would be
-chosen before all others. So every host is told before the order leaves, and a new
-leader asks the engines which of them carry out an order of the leader before.
+An engine refuses all requests while it changes its stage. As it then has nothing in
+flight, load balancing would prefer it to all other engines. So every host is notified
+before the order is sent, and a new leader asks all engines whether they are carrying
+out an order of the previous leader.
 """
 
 import logging
@@ -32,67 +33,68 @@
 __all__ = ["EngineOrderPort", "StageController"]
 
 BALANCE_PERIOD_S = 0.1
-# An order of the leader before may still be on its way.
+# An order of the previous leader may still be in transit for this time.
 TAKE_OVER_DELAY_S = 4.0
-# An engine that has not changed by then did not take the order.
+# An engine that hasn't changed its stage after this time didn't accept the order.
 CHANGE_TIMEOUT_S = 14.0
-# Longer than a message takes to all hosts, and a request of theirs to an engine.
+# Longer than a message takes to reach all hosts and their last request takes to reach
+# the engine.
 NOTIFY_DELAY_S = 0.1
-# A live engine answers within milliseconds.
+# A live engine responds within milliseconds.
 BUSY_CHECK_TIMEOUT_S = 0.25
 
 _log = logging.getLogger("damaskridge.orders")
 
 
 class EngineOrderPort(Protocol):
-    """Orders to model engines."""
+    """Sends orders to model engines."""
 
     async def order_stage(
         self, instance: BackendInstance, stage: EngineStage, holder: str, fence: int
     ) -> Result[None, str]:
-        """Order a stage; an error may mean that the order is carried out late."""
+        """Order an engine to a stage; it may carry out the order despite an error."""
         ...
 
     async def is_busy(self, instance: BackendInstance) -> Result[bool, str]:
-        """Tell whether an engine carries out an order now."""
+        """Return whether an engine is carrying out an order."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class _PendingChange:
-    """An engine that is on its way to another stage."""
+    """A change of an engine's stage that is being carried out."""
 
     start: ServerStart
     stage: EngineStage
     until_s: float
 
     def has_ended(self, item: BackendInstance, now_s: float) -> bool:
-        """Tell whether the engine can be used as the list shows it."""
-        # A restart ends an order.
+        """Return whether the engine can be used again in the stage the list shows."""
+        # A restart of the engine cancels an order.
         is_done = item.stage is self.stage or item.start != self.start
         return is_done or now_s > self.until_s
 
 
 class StageController:
     """
-    Watches the load of all engines and orders changes.
+    Watches the load of all engines and orders them to change their stage.
 
     Parameters
     ----------
     node : ControlNodePort
-        The member of the control group.
+        The member of the control group on this host.
     host : str
-        The machine; the holder of all orders from here.
-    board : LoadBoard
-        What all hosts have in flight.
+        Name of this host; the holder of the orders that it sends.
+    load_aggregator : LoadBoard
+        The load of all entry hosts.
     orders : EngineOrderPort
         Sends orders.
     routing : callable
         Returns the routing table in force.
-    leads : callable
-        Whether this host leads.
-    publish : callable
-        Hands the list on to all hosts again, through `adjust_instances`.
+    is_leading : callable
+        Returns whether this host is the leader.
+    republish : callable
+        Publishes the list of instances again, after applying `adjust_instances`.
     """
 
     def __init__(
@@ -100,16 +102,16 @@
         *,
         node: ControlNodePort,
         host: str,
-        board: LoadBoard,
+        load_aggregator: LoadBoard,
         orders: EngineOrderPort,
         routing: Callable[[], RoutingTable],
         is_leading: Callable[[], bool],
-        publish: Callable[[], None],
+        republish: Callable[[], None],
     ) -> None:
-        self._publish = publish
+        self._republish = republish
         self._node = node
         self._host = host
-        self._board = board
+        self._load_aggregator = load_aggregator
         self._orders = orders
         self._routing = routing
         self._is_leading = is_leading
@@ -121,7 +123,7 @@
     def adjust_instances(
         self, instances: Iterable[BackendInstance]
     ) -> tuple[BackendInstance, ...]:
-        """Take over a reading of the list; engines that change get no work."""
+        """Accept a new list of instances; mark engines that change as leaving."""
         now_s = anyio.current_time()
         adjusted = []
         for item in instances:
@@ -135,7 +137,7 @@
         return self._instances
 
     async def run(self) -> None:
-        """Watch and order for ever."""
+        """Watch the load and send orders until cancelled."""
         leading_since_s: float | None = None
         while True:
             now_s = anyio.current_time()
@@ -147,17 +149,18 @@
             else:
                 if leading_since_s is None:
                     leading_since_s = now_s
-                    # An order that was on its way may act after the first one.
+                    # The second check finds orders that reached their engine late.
                     self._busy_checks_due_s = [now_s, now_s + TAKE_OVER_DELAY_S]
                 await self._find_busy_engines(now_s)
-                # The averages warm up while the last leader's orders may still act.
+                # The load averages warm up while no order may be sent yet, because
+                # orders of the previous leader may still arrive.
                 await self._balance_stages(
                     now_s, now_s - leading_since_s >= TAKE_OVER_DELAY_S
                 )
             await anyio.sleep(BALANCE_PERIOD_S)
 
     async def _find_busy_engines(self, now_s: float) -> None:
-        """Find engines that carry out an order of the leader before."""
+        """Find engines that are carrying out an order of the previous leader."""
         if not self._instances or now_s < min(
             self._busy_checks_due_s, default=now_s + 1
         ):
@@ -172,11 +175,11 @@
         found = sorted(self._pending_changes.keys() - known_changes)
         if found:
             log_event(_log, EventNumber.ORDERS_FOUND, backend_servers=found)
-            self._publish()
+            self._republish()
 
     async def _check_if_busy(self, item: BackendInstance, stage: EngineStage) -> None:
         busy = await self._orders.is_busy(item)
-        # One that does not answer gets no request either.
+        # An engine that doesn't respond needs no mark: it gets no requests anyway.
         if busy.unwrap_or(False):
             self._add_pending_change(item, _other_stage(stage))
 
@@ -187,7 +190,7 @@
         )
 
     async def _balance_stages(self, now_s: float, may_order: bool) -> None:
-        load = self._board.total()
+        load = self._load_aggregator.total()
         for service in self._routing().services:
             if service.engine is None:
                 continue
@@ -206,10 +209,11 @@
     async def _order_changes(self, changes: Iterable[StageChange]) -> None:
         for change in changes:
             self._add_pending_change(change.instance, change.stage)
-        self._publish()
+        self._republish()
         await anyio.sleep(NOTIFY_DELAY_S)
         if not await self._node.confirm_leadership():
-            # The next leader orders; if this one still leads, nothing was ordered.
+            # Send nothing: another host may lead now. The changes are dropped, in case
+            # this host is still the leader.
             for change in changes:
                 self._pending_changes.pop(change.instance.instance, None)
             return
@@ -218,9 +222,9 @@
                 group.start_soon(self._send_order, change)
 
     async def _send_order(self, change: StageChange) -> None:
-        instance, fence = change.instance, self._node.term
+        instance, fencing_number = change.instance, self._node.term
         order_result = await self._orders.order_stage(
-            instance, change.stage, self._host, fence
+            instance, change.stage, self._host, fencing_number
         )
         number = EventNumber.ORDER_SENT
         if isinstance(order_result, Err):
@@ -230,7 +234,7 @@
             number,
             backend_server=instance.instance,
             kind=change.stage.value,
-            fencing_number=fence,
+            fencing_number=fencing_number,
             decode_use=round(change.decode_use, 2),
             prefill_use=round(change.prefill_use, 2),
             reason=order_result.err() or "",
--- a/src/damaskridge/adapters/rpc/subscribers.py
+++ b/src/damaskridge/adapters/rpc/subscribers.py
@@ -1,4 +1,4 @@
-"""The open `Follow` streams of a leader and what each of them is still to get."""
+"""Message queues of the `Follow` streams that are open on the leader."""
 
 from collections import deque
 from collections.abc import Callable
@@ -11,21 +11,27 @@
 
 __all__ = ["Subscriber", "SubscriberSet"]
 
-# A follower that lags by more messages reconnects and gets a snapshot instead.
+# A subscriber that lags further behind is disconnected; it reconnects and receives a
+# snapshot instead.
 MAX_QUEUED_MESSAGES = 512
-# Lets hosts that reconnect after a change of leader catch up without a snapshot.
+# Allows hosts that reconnect after a change of leader to catch up without a snapshot.
 MAX_RECENT_DELTAS = 512
 
 
 class Subscriber:
     """
-    The queue of one stream.
+    The queue of messages to one entry host.
 
     Parameters
     ----------
-    overflowed : callable
-        Called when the host reads too slowly. The stream must then be ended by
-        force, because its writer may wait for a silent connection.
+    on_overflow : callable
+        Called when the queue is full because the host reads too slowly. It must cancel
+        the stream, because the stream's writer may be blocked on a silent connection.
+
+    Attributes
+    ----------
+    messages : MemoryObjectReceiveStream
+        The receiving end of the queue, for the stream's writer.
     """
 
     def __init__(self, on_overflow: Callable[[], None]) -> None:
@@ -37,7 +43,7 @@
         )
 
     def push(self, message: AnyFollowReply) -> None:
-        """Queue a message; a full queue ends the stream."""
+        """Queue a message; call `on_overflow` if the queue is full."""
         try:
             self._send.send_nowait(message)
         except anyio.WouldBlock:
@@ -46,57 +52,65 @@
             return
 
     def end(self) -> None:
-        """End the stream once the queue is empty."""
+        """Accept no more messages; the stream ends once the queue is empty."""
         self._send.close()
 
     def close(self) -> None:
-        """Drop the queue."""
+        """Close the queue and discard its messages."""
         self._send.close()
         self.messages.close()
 
 
 class SubscriberSet:
-    """Hands every delta to every open stream, in the order of the log."""
+    """
+    Sends every delta to every subscriber, in the order of the log.
+
+    Parameters
+    ----------
+    state : ControlState
+        Source of snapshots for subscribers that can't catch up by deltas.
+    """
 
     def __init__(self, state: ControlState) -> None:
         self._state = state
-        # In the order in which the streams were opened, so that runs can be repeated.
+        # A dict as an ordered set: iteration in the order of insertion keeps simulated
+        # runs deterministic.
         self._subscribers: dict[Subscriber, None] = {}
         self._recent_deltas: deque[FleetDelta] = deque(maxlen=MAX_RECENT_DELTAS)
 
     def add(self, subscriber: Subscriber, index: int) -> None:
-        """Add a stream whose host has seen everything up to `index`."""
+        """Add a subscriber that has everything up to `index`, and send it the rest."""
         self._subscribers[subscriber] = None
         for message in self._messages_since(index):
             subscriber.push(message)
 
     def open_streams(self) -> list[Subscriber]:
-        """Return every open stream."""
+        """Return the subscribers whose streams are open."""
         return list(self._subscribers)
 
     def remove(self, subscriber: Subscriber) -> None:
-        """Forget a stream."""
+        """Remove a subscriber and close its queue."""
         self._subscribers.pop(subscriber, None)
         subscriber.close()
 
     def publish(self, delta: FleetDelta) -> None:
-        """Hand on a delta; one without changes is not sent."""
+        """Send a delta to all subscribers; a delta without changes is skipped."""
         if not delta.changes:
             return
         if self._recent_deltas and self._recent_deltas[-1].index != delta.base_index:
-            # The state was restored from a snapshot in between.
+            # The state was restored from a snapshot in the meantime.
             self._recent_deltas.clear()
         self._recent_deltas.append(delta)
         for subscriber in self._subscribers:
             subscriber.push(delta)
 
     def broadcast(self, message: AnyFollowReply) -> None:
-        """Send a message that is no part of the log on every stream."""
+        """Send all subscribers a message that isn't derived from the log."""
         for subscriber in self._subscribers:
             subscriber.push(message)
 
     def end_all(self, last_message: AnyFollowReply) -> None:
-        """Send `last_message` on every stream and end it."""
+        """End every stream after sending `last_message` on it."""
         for subscriber in self._subscribers:
             subscriber.push(last_message)
             subscriber.end()
--- a/tests/adapters/rpc/fake_node.py
+++ b/tests/adapters/rpc/fake_node.py
@@ -1,4 +1,4 @@
-"""A control node without consensus: every member shares one log in memory."""
+"""Fake control nodes without consensus: all members share a log in memory."""
 
 import anyio
 
@@ -7,7 +7,7 @@
 
 
 class FakeGroup:
-    """Applies every command on all members, in the order of their proposals."""
+    """Applies every command on all members at once, in the order of the proposals."""
 
     def __init__(self):
         self.members = []
--- a/tests/adapters/rpc/test_channels.py
+++ b/tests/adapters/rpc/test_channels.py
@@ -1,4 +1,7 @@
-"""Guards against a process that ends because a connection is lost at once."""
+"""A connection that is lost during connection setup must not end the process.
+
+grpclib raises `AttributeError` for such a connection instead of an `OSError`.
+"""
 
 import asyncio
 
@@ -11,7 +14,7 @@
 
 
 class ChannelLosingConnection(channels.RpcChannel):
-    """Loses its connection before the caller that waits for it goes on."""
+    """Loses its connection before the caller that waits for it resumes."""
 
     async def _create_connection(self):
         protocol = await super()._create_connection()
@@ -19,7 +22,7 @@
         return protocol
 
 
-def test_a_connection_that_is_lost_at_once_is_a_lost_connection():
+def test_connection_lost_during_setup_raises_connection_reset_error():
     async def main():
         server = Server([], codec=MsgpackCodec())
         await server.start("127.0.0.1", 0)
--- a/tests/adapters/rpc/test_control.py
+++ b/tests/adapters/rpc/test_control.py
@@ -1,4 +1,4 @@
-"""Control services over loopback: leases, deltas and operators' keys must hold."""
+"""The control service over loopback: leases, deltas and operators' keys."""
 
 import contextlib
 
@@ -74,7 +74,7 @@
     anyio.run(main)
 
 
-def test_session_is_renewed_deltas_arrive_and_close_ends_the_session():
+def test_session_is_renewed_deltas_are_applied_and_close_ends_the_session():
     async def main():
         async with control_group() as group:
             node = group.members[0]
@@ -90,20 +90,20 @@
                 assert client.fleet.owners == node.state.data.owners
                 await client.begin_drain()
                 await until(lambda: client.fleet.sessions["h1"].draining)
-                first = client.session.number
+                first_session = client.session.number
             assert node.state.data.sessions == {}
             assert not client.lease.is_valid(anyio.current_time())
-            assert first == node.state.data.last_session
+            assert first_session == node.state.data.last_session
 
     run(main)
 
 
-def test_lease_runs_out_while_the_leader_has_no_quorum_and_a_new_session_follows():
+def test_lease_expires_before_the_session_without_quorum_and_a_new_one_is_opened():
     async def main():
         async with control_group() as group:
             node = group.members[0]
             async with entry_host(group) as client:
-                first = client.session.number
+                first_session = client.session.number
                 commit, lease_was_valid = group.commit, []
 
                 def record_lease(command):
@@ -119,13 +119,13 @@
                 assert lease_was_valid == [False]
                 node.confirms_leadership = True
                 await until(lambda: client.lease.is_valid(anyio.current_time()))
-                assert client.session.number > first
+                assert client.session.number > first_session
                 await until(lambda: client.fleet.sessions["h1"] == client.session)
 
     run(main)
 
 
-def test_new_leader_keeps_the_session_and_the_view():
+def test_session_and_fleet_view_survive_a_change_of_leader():
     async def main():
         async with control_group(3) as group:
             async with entry_host(group) as client:
@@ -147,7 +147,7 @@
     run(main)
 
 
-def test_gap_in_the_deltas_leads_to_a_snapshot():
+def test_client_requests_a_snapshot_after_a_gap_in_the_deltas():
     async def main():
         async with control_group() as group, entry_host(group) as client:
             await until(lambda: client.fleet.version == 1)
@@ -171,7 +171,7 @@
     run(main)
 
 
-def test_leader_that_missed_deltas_publishes_again():
+def test_leader_that_missed_deltas_publishes_later_ones():
     async def main():
         async with control_group() as group, entry_host(group) as client:
             node = group.members[0]
@@ -185,7 +185,7 @@
     run(main)
 
 
-def test_broken_connection_ends_neither_its_task_nor_the_group():
+def test_broken_connection_does_not_end_the_calling_task_or_its_group():
     async def main():
         async with control_group() as group, entry_host(group):
             addresses = [item.address for item in group.members]
@@ -208,7 +208,7 @@
     run(main)
 
 
-def test_lost_answer_is_resent_and_an_operator_needs_the_own_key():
+def test_retry_after_lost_response_runs_once_and_operators_need_their_own_key():
     async def main():
         async with control_group(2) as group:
             addresses = [item.address for item in group.members]
@@ -225,8 +225,8 @@
             assert (status.version, status.leader) == (2, "c0")
             assert digest("k1") in {item.digest for item in status.bundle.keys}
             group.elect("nobody")
-            lost = await leader_client.propose(command, 0.3)
-            assert lost.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
+            timed_out = await leader_client.propose(command, 0.3)
+            assert timed_out.failure.kind is ErrorKind.CONTROL_UNAVAILABLE
             leader_client.close()
 
     run(main)
--- a/tests/adapters/rpc/test_control_group.py
+++ b/tests/adapters/rpc/test_control_group.py
@@ -1,4 +1,4 @@
-"""Guards against silent streams that stay in use and against very long messages."""
+"""Silent streams must be replaced, and large snapshots must not block heartbeats."""
 
 import random
 
@@ -21,7 +21,10 @@
 
 
 class FreezableRelay:
-    """Forwards connections; `freeze` silences the open ones without closing them."""
+    """A TCP relay that can stop forwarding on open connections without closing them.
+
+    Connections up to number `frozen_connections` are silent.
+    """
 
     def __init__(self, port: int) -> None:
         self.port, self.connection_count, self.frozen_connections = port, 0, 0
@@ -77,7 +80,7 @@
     await server.wait_closed()
 
 
-def test_large_snapshot_travels_in_parts_and_lets_heartbeats_through():
+def test_large_snapshot_is_split_and_heartbeats_pass_between_its_parts():
     state = random.Random(1).randbytes(3 * control_group.MAX_PART_BYTES)
     snapshot = Snapshot(7, 2, Membership(("a",)), state)
     message = InstallSnapshot(sender="a", term=2, snapshot=snapshot, round=1)
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -1,4 +1,7 @@
-"""Guards against hosts that find out one by one that a server leaves."""
+"""All hosts must learn at once that an instance leaves.
+
+Otherwise each host sends it a request to find that out by itself.
+"""
 
 import anyio
 from result import Ok
@@ -24,7 +27,7 @@
 
 
 class FakeListReader:
-    """A list whose only entry is always ready."""
+    """Returns a list whose only entry never leaves."""
 
     def __init__(self):
         self.started_ms = 1
@@ -33,8 +36,8 @@
         return Ok(InstanceList(instances=(make_instance(self.started_ms),)))
 
 
-class RecordingSubscriberSet(SubscriberSet):
-    """Applies what is sent to one copy."""
+class ReplicatingSubscriberSet(SubscriberSet):
+    """Applies every update that is broadcast to a replica of the list."""
 
     def __init__(self):
         super().__init__(ControlState())
@@ -45,9 +48,9 @@
         assert self.replica.apply(message, 0.0)
 
 
-def test_what_one_host_reports_as_leaving_is_leaving_for_all_until_it_starts_anew():
+def test_instance_that_a_host_reported_as_leaving_is_leaving_until_it_restarts():
     async def main():
-        subscriber_set, reader = RecordingSubscriberSet(), FakeListReader()
+        subscriber_set, reader = ReplicatingSubscriberSet(), FakeListReader()
         publisher = InstancePublisher(reader, subscriber_set, lambda: True)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(publisher.run)
--- a/tests/adapters/rpc/test_isolated_tasks.py
+++ b/tests/adapters/rpc/test_isolated_tasks.py
@@ -1,4 +1,8 @@
-"""A task that ends silently because grpclib cancelled it after a call had returned."""
+"""A cancellation by grpclib must not reach the task that made the call.
+
+If grpclib cancels a task just after its call has returned, the task would end without
+an error.
+"""
 
 import asyncio
 
@@ -8,14 +12,14 @@
 from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 
 
-def test_a_cancellation_from_inside_is_a_lost_connection_and_stays_inside():
-    async def cancelled_later():
+def test_inner_cancellation_raises_connection_reset_error_and_is_contained():
+    async def cancel_itself():
         asyncio.current_task().cancel()
         await asyncio.sleep(1)
 
     async def main():
         for step, timeout_s, error in (
-            (cancelled_later(), None, ConnectionResetError),
+            (cancel_itself(), None, ConnectionResetError),
             (asyncio.sleep(9), 0.5, TimeoutError),
         ):
             with pytest.raises(error):
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -1,4 +1,8 @@
-"""Guards against a new leader that sends all callers to a few hosts."""
+"""Load publisher: hosts needed and crashes.
+
+A new leader that hasn't received the hosts' load reports yet must not publish a number
+of hosts: it would be too low, and all callers would be sent to a few hosts.
+"""
 
 import anyio
 from tests.paused import run_paused
@@ -17,7 +21,7 @@
 
 
 class PublisherFixture:
-    """A publisher with one host, whose leadership the test decides."""
+    """A publisher whose leadership is set by the test."""
 
     def __init__(self):
         self.is_leading = False
@@ -44,7 +48,7 @@
             matching.append(message)
 
 
-def test_a_new_leader_says_how_many_hosts_are_needed_once_they_have_reported():
+def test_new_leader_publishes_hosts_needed_only_after_the_warm_up():
     async def main():
         fixture = PublisherFixture()
         first = fixture.connect()
@@ -62,7 +66,7 @@
             assert [item.by_data_centre for item in received] == [
                 {"west": HOSTS_NEEDED}
             ]
-            # A host that connects later is told at once.
+            # A host that connects later receives the number at once.
             later = fixture.connect()
             assert received_messages(later, HostsNeeded) == received
             tasks.cancel_scope.cancel()
@@ -70,7 +74,7 @@
     run_paused(main())
 
 
-def test_crashes_are_told_to_all_hosts_and_to_those_that_connect_later():
+def test_crashes_are_sent_to_all_hosts_and_to_hosts_that_connect_later():
     async def main():
         fixture = PublisherFixture()
         first, second = fixture.connect(), fixture.connect()
--- a/tests/adapters/rpc/test_peer.py
+++ b/tests/adapters/rpc/test_peer.py
@@ -1,4 +1,4 @@
-"""Peer RPC over loopback: lost owners, silent connections and broken streams."""
+"""Peer RPC over loopback: epoch conflicts, failed streams and silent connections."""
 
 import anyio
 import pytest
@@ -80,7 +80,7 @@
     anyio.run(run_with_peer_server, scenario)
 
 
-def test_silent_connection_ends_its_calls_and_is_replaced():
+def test_silent_connection_is_replaced_and_its_calls_fail():
     async def main():
         accepted = []
 
@@ -98,8 +98,8 @@
             group.start_soon(listener.serve, read_nothing)
             group.start_soon(channels.run)
             for _ in range(2):
-                reply = await cells.submit(profile())
-                assert reply.failure.kind is ErrorKind.OWNER_UNAVAILABLE
+                response = await cells.submit(profile())
+                assert response.failure.kind is ErrorKind.OWNER_UNAVAILABLE
             assert len(accepted) == 2
             group.cancel_scope.cancel()
         channels.close()
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -1,10 +1,14 @@
-"""Guards against requests to engines that change their stage and refuse everything."""
+"""No requests must go to engines that are changing their stage.
+
+Such an engine refuses everything. It has nothing in flight, so that hosts would choose
+it first.
+"""
 
 import anyio
 import pytest
 from result import Err, Ok
 from tests.adapters.rpc.fake_node import FakeGroup, FakeNode
-from tests.adapters.rpc.test_instance_publisher import RecordingSubscriberSet
+from tests.adapters.rpc.test_instance_publisher import ReplicatingSubscriberSet
 from tests.core.gateway.tables import table
 from tests.paused import run_paused
 
@@ -33,37 +37,42 @@
 
 
 class SimulatedLeader:
-    """A leader with engines that are short of decode memory, if so much is in use."""
+    """A leader with engines; by default, the load calls for more decode engines.
+
+    It is also the list reader and the order port: engines in `busy_engines` say that
+    they are carrying out an order, and `d1` doesn't respond. `leaving_when_ordered`
+    holds each ordered engine with the instances that hosts then saw as leaving.
+    """
 
-    def __init__(self, busy=(), used_tokens=40_000):
-        self.items = [make_engine(f"p{n}", PREFILL) for n in range(4)]
-        self.items += [make_engine(f"d{n}", DECODE) for n in range(2)]
-        self.busy = set(busy)
+    def __init__(self, busy_engines=(), used_tokens=40_000):
+        self.engines = [make_engine(f"p{n}", PREFILL) for n in range(4)]
+        self.engines += [make_engine(f"d{n}", DECODE) for n in range(2)]
+        self.busy_engines = set(busy_engines)
         self.leaving_when_ordered = []
         self.node = FakeNode(FakeGroup(), "c1", ControlState())
-        self.subscriber_set = RecordingSubscriberSet()
-        board = LoadBoard()
-        board.join("h", 0.0)
+        self.subscriber_set = ReplicatingSubscriberSet()
+        load_aggregator = LoadBoard()
+        load_aggregator.join("h", 0.0)
         load = {name: InstanceLoad(9, 0, used_tokens) for name in ("d0", "d1")}
-        board.report("h", ReportLoad(load=load), 0.0)
-        self.orders = StageController(
+        load_aggregator.report("h", ReportLoad(load=load), 0.0)
+        self.stage_controller = StageController(
             node=self.node,
             host="c1",
-            board=board,
+            load_aggregator=load_aggregator,
             orders=self,
             routing=lambda: table(1),
             is_leading=lambda: self.node.is_leader,
-            publish=lambda: self.publisher.republish(),
+            republish=lambda: self.publisher.republish(),
         )
         self.publisher = InstancePublisher(
             self,
             self.subscriber_set,
             lambda: self.node.is_leader,
-            self.orders.adjust_instances,
+            self.stage_controller.adjust_instances,
         )
 
     async def read(self):
-        return Ok(InstanceList(instances=tuple(self.items)))
+        return Ok(InstanceList(instances=tuple(self.engines)))
 
     async def order_stage(self, instance, stage, holder, fence):
         self.leaving_when_ordered.append((instance.instance, self.leaving_instances()))
@@ -72,7 +81,7 @@
     async def is_busy(self, instance):
         if instance.instance == "d1":
             return Err("no answer")
-        return Ok(instance.instance in self.busy)
+        return Ok(instance.instance in self.busy_engines)
 
     def leaving_instances(self):
         return {
@@ -85,10 +94,10 @@
         with anyio.move_on_after(time_s):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.publisher.run)
-                tasks.start_soon(self.orders.run)
+                tasks.start_soon(self.stage_controller.run)
 
 
-def test_every_host_is_told_of_a_change_before_it_is_ordered():
+def test_hosts_are_notified_of_a_change_before_it_is_ordered():
     async def main():
         leader = SimulatedLeader()
         await leader.run_for(FIRST_ORDER_DELAY_S + 1)
@@ -99,20 +108,20 @@
     run_paused(main())
 
 
-def test_a_new_leader_finds_engines_that_carry_out_an_order():
+def test_new_leader_finds_engines_that_are_carrying_out_an_order():
     async def main():
-        leader = SimulatedLeader(busy={"p1"})
+        leader = SimulatedLeader(busy_engines={"p1"})
         await leader.run_for(0.5)
         assert leader.leaving_instances() == {"p1"}
-        # The list shows the end of the change.
-        leader.items[1], leader.busy = make_engine("p1", DECODE), set()
+        # The list shows that the change has ended.
+        leader.engines[1], leader.busy_engines = make_engine("p1", DECODE), set()
         await leader.run_for(1.0)
         assert leader.leaving_instances() == set()
 
     run_paused(main())
 
 
-def test_a_late_order_of_the_leader_before_is_found():
+def test_late_order_of_the_previous_leader_is_found():
     async def main():
         leader = SimulatedLeader(used_tokens=0)
         with anyio.move_on_after(TAKE_OVER_DELAY_S + 0.5):
@@ -120,17 +129,20 @@
                 tasks.start_soon(leader.run_for, 60.0)
                 await anyio.sleep(1.0)
                 assert leader.leaving_instances() == set()
-                leader.busy = {"p2"}
+                leader.busy_engines = {"p2"}
         assert "p2" in leader.leaving_instances()
 
     run_paused(main())
 
 
-def test_an_engine_that_starts_again_carries_out_no_order():
+def test_restart_of_an_engine_ends_its_pending_change():
     async def main():
-        leader = SimulatedLeader(busy={"p1"})
+        leader = SimulatedLeader(busy_engines={"p1"})
         await leader.run_for(0.5)
-        leader.items[1], leader.busy = make_engine("p1", PREFILL, started_ms=2), set()
+        leader.engines[1], leader.busy_engines = (
+            make_engine("p1", PREFILL, started_ms=2),
+            set(),
+        )
         await leader.run_for(1.0)
         assert leader.leaving_instances() == set()
 
@@ -138,7 +150,7 @@
 
 
 @pytest.mark.parametrize("confirms_leadership", [False, True])
-def test_a_leader_that_cannot_confirm_itself_orders_nothing(confirms_leadership):
+def test_leader_sends_orders_only_if_its_leadership_is_confirmed(confirms_leadership):
     async def main():
         leader = SimulatedLeader()
         leader.node.confirms_leadership = confirms_leadership
--- a/tests/adapters/rpc/test_subscribers.py
+++ b/tests/adapters/rpc/test_subscribers.py
@@ -1,4 +1,8 @@
-"""Deltas kept for reconnecting hosts must not hide a state that was restored."""
+"""Queues of `Follow` streams: catching up by deltas, and overflow.
+
+After the state was restored from a snapshot, the recent deltas don't lead to it, so
+that a reconnecting host must receive a snapshot.
+"""
 
 import anyio
 from tests.core.state.fleet import Fleet
@@ -17,23 +21,23 @@
     return subscriber.messages.receive_nowait()
 
 
-def test_kept_deltas_serve_a_small_gap_until_the_state_is_restored():
+def test_recent_deltas_fill_a_small_gap_until_the_state_is_restored():
     async def main():
         fleet, newer = Fleet("h1"), Fleet("h1", "h2")
         subscribers = SubscriberSet(fleet.state)
         for delta in fleet.deltas:
             subscribers.publish(delta)
-        last = fleet.deltas[-1]
-        assert first_message(fleet, subscribers, last.base_index) == last
+        last_delta = fleet.deltas[-1]
+        assert first_message(fleet, subscribers, last_delta.base_index) == last_delta
         assert isinstance(first_message(fleet, subscribers, -1), FleetSnapshot)
         fleet.state.restore(newer.state.encode())
-        reply = first_message(fleet, subscribers, last.base_index)
-        assert isinstance(reply, FleetSnapshot) and reply.index == newer.index
+        response = first_message(fleet, subscribers, last_delta.base_index)
+        assert isinstance(response, FleetSnapshot) and response.index == newer.index
 
     anyio.run(main)
 
 
-def test_a_follower_that_does_not_read_is_ended():
+def test_subscriber_that_does_not_read_is_ended():
     async def main():
         fleet, ended = Fleet("h1"), []
         subscribers = SubscriberSet(fleet.state)
