Reword internal error messages of the RPC adapter; explain renewals

Cause: messages such as 'lost at once' don't say what happened. Change: texts of assertions and of connection errors that are only written to debug logs, none of them matched elsewhere; two comments and a doc comment on how renewals are confirmed; open_subscribers and idle_scope. Checks: check.sh tests/adapters/rpc passes and prints same shape.

--- a/src/damaskridge/adapters/rpc/cancellation.py
+++ b/src/damaskridge/adapters/rpc/cancellation.py
@@ -21,7 +21,7 @@
 def uncancel_on_connection_error() -> Iterator[None]:
     """Undo the task cancellation that grpclib left behind a connection error."""
     task = asyncio.current_task()
-    assert task is not None, "used outside a task"
+    assert task is not None, "must be used inside a task"
     cancelling_before = task.cancelling()
     try:
         yield
--- a/src/damaskridge/adapters/rpc/channels.py
+++ b/src/damaskridge/adapters/rpc/channels.py
@@ -30,5 +30,5 @@
         """Return an open connection; raise `ConnectionResetError` if it was lost."""
         protocol = await super().__connect__()
         if protocol.processor.connection.is_closing():
-            raise ConnectionResetError("the connection was lost at once")
+            raise ConnectionResetError("connection lost during setup")
         return protocol
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -216,13 +216,13 @@
     ) -> None:
         while await stream.recv_message() is not None:
             self._last_response_s = anyio.current_time()
-        raise StreamTerminatedError("closed by the other side")
+        raise StreamTerminatedError("the peer closed the stream")
 
     async def _send_probes(self) -> None:
         while anyio.current_time() < self._last_response_s + SILENCE_TIMEOUT_S:
             self.send(MemberFrame())
             await anyio.sleep(PROBE_INTERVAL_S)
-        raise TimeoutError("no answer to probes")
+        raise TimeoutError("no response to probes")
 
 
 class ControlGroupService:
@@ -246,9 +246,9 @@
 
     async def _exchange(self, stream: ServerStream[Any, Any]) -> None:
         assembler = FrameAssembler()
-        with anyio.move_on_after(SERVER_IDLE_TIMEOUT_S) as idle:
+        with anyio.move_on_after(SERVER_IDLE_TIMEOUT_S) as idle_scope:
             while (received := await stream.recv_message()) is not None:
-                idle.deadline = anyio.current_time() + SERVER_IDLE_TIMEOUT_S
+                idle_scope.deadline = anyio.current_time() + SERVER_IDLE_TIMEOUT_S
                 frame = assembler.add(received)
                 if frame is None:
                     continue
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -70,6 +70,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Renewal:
+    """A renewal that is not acknowledged yet; `received_s` starts its lease."""
+
     subscriber: Subscriber
     request: RenewSession
     received_s: float
@@ -145,6 +147,7 @@
         self._renewals: list[_Renewal] = []
         self._renewal_received = anyio.Event()
         self._host_statuses: dict[str, HostStatus] = {}
+        # Version of the active bundle, and the wall-clock time of its activation in ms.
         self._last_activation = (0, 0)
 
     def __mapping__(self) -> dict[str, Handler]:
@@ -310,6 +313,7 @@
         while True:
             await self._renewal_received.wait()
             self._renewal_received = anyio.Event()
+            # One quorum round confirms all renewals received before it.
             batch, self._renewals = self._renewals, []
             if not batch:
                 continue
--- a/src/damaskridge/adapters/rpc/isolated_tasks.py
+++ b/src/damaskridge/adapters/rpc/isolated_tasks.py
@@ -44,7 +44,7 @@
     if not task.done():
         raise TimeoutError
     if task.cancelled():
-        raise ConnectionResetError("the call was cancelled with its connection")
+        raise ConnectionResetError("connection lost: grpclib cancelled the call")
     return task.result()
 
 
--- a/src/damaskridge/adapters/rpc/leader_client.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -61,7 +61,7 @@
         operator_key: str = "",
         rng: random.Random | None = None,
     ) -> None:
-        assert addresses, "no address of a control host"
+        assert addresses, "addresses must not be empty"
         self._addresses = list(addresses)
         self._metadata = {OPERATOR_KEY: operator_key} if operator_key else {}
         self._rng = rng or random.Random()
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -110,7 +110,7 @@
             includes_idle = now_s - last_idle_update_s >= IDLE_LOAD_PERIOD_S
             if includes_idle:
                 last_idle_update_s = now_s
-            for subscriber in self._subscribers.open_streams():
+            for subscriber in self._subscribers.open_subscribers():
                 if includes_idle or self.load_aggregator.is_active(subscriber, now_s):
                     news = self.load_aggregator.news(subscriber, now_s)
                     if news is not None:
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -76,7 +76,7 @@
     async def send(
         self, resource: str, epoch: int | None, method_name: str, message: Any
     ) -> None:
-        """Send the owner a message; drop the message if the owner is unreachable."""
+        """Send the owner a message; drop it if that fails or the epoch has changed."""
         owner = self.find_owner(resource, epoch)
         if isinstance(owner, Ok):
             await self.call(owner.ok_value, method_name, message, CALL_TIMEOUT_S)
@@ -105,7 +105,7 @@
         self._local = local
 
     async def reserve(self, request: RateRequest) -> RateReply:
-        """Request admission and reserve its tokens."""
+        """Request admission from the owner of the workspace's rate limit."""
         owner = self._owner_client.find_owner(request.resource, request.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=request.request_id, failure=owner.err_value)
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -163,7 +163,7 @@
 
     async def _resume(self, stream: "Stream[ResumeStream, ResumeItem]") -> None:
         message = await stream.recv_message()
-        assert message is not None, "a unary request has one message"
+        assert message is not None, "the request has no message"
         try:
             async for chunk in self._front.stream_local(
                 message.request_id, message.workspace, message.offset
--- a/src/damaskridge/adapters/rpc/subscribers.py
+++ b/src/damaskridge/adapters/rpc/subscribers.py
@@ -84,7 +84,7 @@
         for message in self._messages_since(index):
             subscriber.push(message)
 
-    def open_streams(self) -> list[Subscriber]:
+    def open_subscribers(self) -> list[Subscriber]:
         """Return the subscribers whose streams are open."""
         return list(self._subscribers)
 
