Clarify a comment on unconfirmed stage changes; align doc comments of tests

Cause: the comment didn't say why the pending changes are dropped. Change: the comment, and the layout of two doc comments. Checks: check.sh tests/adapters/rpc passes and prints same shape.

--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -212,8 +212,8 @@
         self._republish()
         await anyio.sleep(NOTIFY_DELAY_S)
         if not await self._node.confirm_leadership():
-            # Send nothing: another host may lead now. The changes are dropped, in case
-            # this host is still the leader.
+            # Another host may lead now and send orders. If this host is still the
+            # leader, it must forget the changes, because it has ordered none.
             for change in changes:
                 self._pending_changes.pop(change.instance.instance, None)
             return
--- a/tests/adapters/rpc/test_control_group.py
+++ b/tests/adapters/rpc/test_control_group.py
@@ -21,7 +21,8 @@
 
 
 class FreezableRelay:
-    """A TCP relay that can stop forwarding on open connections without closing them.
+    """
+    A TCP relay that can stop forwarding on open connections without closing them.
 
     Connections up to number `frozen_connections` are silent.
     """
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -37,7 +37,8 @@
 
 
 class SimulatedLeader:
-    """A leader with engines; by default, the load calls for more decode engines.
+    """
+    A leader with engines; by default, the load calls for more decode engines.
 
     It is also the list reader and the order port: engines in `busy_engines` say that
     they are carrying out an order, and `d1` doesn't respond. `leaving_when_ordered`
