--- a/src/damaskridge/adapters/front_owners.py
+++ b/src/damaskridge/adapters/front_owners.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.front_settings import FrontSettings
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ControlPort
-from damaskridge.adapters.rpc.confined import retrieve
+from damaskridge.adapters.rpc.isolated_tasks import mark_exception_retrieved
 from damaskridge.core.state.fleet_queries import owner_of
 from damaskridge.model.control import Owner
 from damaskridge.model.errors import ErrorKind, Failure
@@ -97,7 +97,7 @@
         loop = asyncio.get_running_loop()
         call_deadline_s = float("inf") if timeout_s is None else loop.time() + timeout_s
         task = asyncio.ensure_future(message)
-        task.add_done_callback(retrieve)
+        task.add_done_callback(mark_exception_retrieved)
         try:
             while not task.done() and loop.time() < call_deadline_s:
                 await asyncio.wait({task}, timeout=self._settings.retry_pause_s)
--- a/src/damaskridge/adapters/rpc/control_client.py
+++ b/src/damaskridge/adapters/rpc/control_client.py
@@ -1,4 +1,4 @@
-"""An entry host's connection to the control group."""
+"""The session of an entry host with the control group."""
 
 import contextlib
 import logging
@@ -9,9 +9,12 @@
 import anyio
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
-from damaskridge.adapters.rpc.confined import confined
-from damaskridge.adapters.rpc.control_calls import ControlCalls
+from damaskridge.adapters.rpc.cancellation import (
+    CONNECTION_ERRORS,
+    uncancel_on_connection_error,
+)
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
+from damaskridge.adapters.rpc.leader_client import LeaderClient
 from damaskridge.core.leases import SESSION_RENEWAL_S, HolderLease
 from damaskridge.core.state.view import FleetView
 from damaskridge.model.control import (
@@ -42,27 +45,29 @@
 
 PROPOSE_TIMEOUT_S = 5.0
 CLOSE_TIMEOUT_S = 2.0
-# Bounds the pauses of a host that has just started to about a tenth of a second.
-FIRST_ATTEMPTS = 1
-SILENCE_S = 1.0
-# Together with the leader's period, the time in which another host's placement shows.
+# Limits the retry waits of a host that has received no state yet to 0.1 s.
+MAX_STARTUP_BACKOFF_STEP = 1
+SILENCE_TIMEOUT_S = 1.0
+# This and the leader's `LOAD_PERIOD_S` add up to the delay after which a host knows of
+# another host's placement.
 LOAD_PERIOD_S = 0.03
-# Smaller than any index, so that the leader answers with a snapshot.
-NOTHING_SEEN = -1
+# Less than any index of the log, so that the leader responds with a snapshot.
+NO_INDEX = -1
 
 ChangeCallback = Callable[[tuple[FleetChange, ...]], None]
 InstancesCallback = Callable[[InstancesSeen], None]
 CrashesCallback = Callable[[CrashesSeen], None]
 HostsNeededCallback = Callable[[HostsNeeded], None]
 LoadCallback = Callable[[LoadSeen], None]
-# Returns what changed; all that is in flight if its argument is true.
+# Returns the load that changed since the last call; the whole load if its argument is
+# true; None if nothing changed.
 LoadSource = Callable[[bool], ReportLoad | None]
 
 _log = logging.getLogger("damaskridge.control_client")
 
 
-class _StreamEnded(Exception):
-    """The `Follow` stream must be opened again, at `leader` if it is named."""
+class _StreamEndedError(Exception):
+    """The `Follow` stream must be reopened, at `leader` unless that is empty."""
 
     def __init__(self, leader: str = "") -> None:
         super().__init__(leader)
@@ -71,7 +76,10 @@
 
 class ControlClient:
     """
-    Keeps the session, its lease and the fleet view of one entry host.
+    Maintains the session, the lease and the fleet view of one entry host.
+
+    `run` follows the leader: it renews the session's lease, applies the deltas of the
+    fleet's state, and reports this host's load.
 
     Parameters
     ----------
@@ -80,15 +88,15 @@
     host : str
         Name of this host.
     incarnation : int
-        Distinguishes processes that ran on this host one after another.
+        Identifies this run of the process among all runs on this host.
     data_centre : str
-        Where this host stands.
+        The data centre of this host.
     caller_address, peer_address : str
-        ``ip:port`` for callers and for other processes of the fleet.
+        ``ip:port`` at which callers and other entry hosts reach this host.
     clock : callable
         Monotonic time in seconds.
-    calls : ControlCalls or None
-        Connections to the control hosts.
+    leader_client : LeaderClient or None
+        Client of the control group; by default a new one for `control_addresses`.
     """
 
     def __init__(
@@ -101,9 +109,9 @@
         caller_address: str,
         peer_address: str,
         clock: Callable[[], float] = anyio.current_time,
-        calls: ControlCalls | None = None,
+        leader_client: LeaderClient | None = None,
     ) -> None:
-        self._calls = calls or ControlCalls(control_addresses)
+        self._leader_client = leader_client or LeaderClient(control_addresses)
         self._host = host
         self._incarnation = incarnation
         self._data_centre = data_centre
@@ -113,12 +121,12 @@
         self._fleet = FleetView()
         self._lease = HolderLease()
         self._session: Session | None = None
-        self._index = NOTHING_SEEN
+        self._resume_index = NO_INDEX
         self._version = 0
-        self._was_held = False
+        self._lease_was_valid = False
         self._sequence = 0
-        self._sent_s: dict[int, float] = {}
-        self._callbacks: list[ChangeCallback] = []
+        self._renewals_sent_s: dict[int, float] = {}
+        self._change_callbacks: list[ChangeCallback] = []
         self._instances_callbacks: list[InstancesCallback] = []
         self._crashes_callbacks: list[CrashesCallback] = []
         self._hosts_needed_callbacks: list[HostsNeededCallback] = []
@@ -132,7 +140,7 @@
 
     @property
     def fleet(self) -> FleetView:
-        """The fleet as last seen."""
+        """The latest received state of the fleet."""
         return self._fleet
 
     @property
@@ -146,79 +154,89 @@
         return self._session
 
     def on_change(self, callback: ChangeCallback) -> None:
-        """Call back after every change; with no changes after a snapshot."""
-        self._callbacks.append(callback)
+        """
+        Register a callback for changes of the fleet.
+
+        It is called with an empty tuple after the view was replaced by a snapshot.
+        """
+        self._change_callbacks.append(callback)
 
     def on_instances(self, callback: InstancesCallback) -> None:
-        """Call back after every reading of the list of backend servers."""
+        """Register a callback for updates of the list of backend servers."""
         self._instances_callbacks.append(callback)
 
     def on_crashes(self, callback: CrashesCallback) -> None:
-        """Call back when a host has reported requests that were there at a crash."""
+        """Register a callback for reports of requests in flight at a server crash."""
         self._crashes_callbacks.append(callback)
 
     def on_hosts_needed(self, callback: HostsNeededCallback) -> None:
-        """Call back when another number of hosts is needed."""
+        """Register a callback for changes of the number of hosts needed."""
         self._hosts_needed_callbacks.append(callback)
 
     def share_load(self, source: LoadSource, callback: LoadCallback) -> None:
         """
-        Report this host's load, and learn that of the others.
+        Report this host's load to the leader, and receive that of the other hosts.
 
         Parameters
         ----------
         source : callable
-            Returns what changed since its last call, or None.
+            Returns what changed since its last call, or None; everything that is in
+            flight if its argument is true.
         callback : callable
-            Called with what changed on the other hosts.
+            Called with the changes of the other hosts' load.
         """
         self._load_source, self._load_callback = source, callback
 
     def add_control_addresses(self, addresses: Sequence[str]) -> None:
-        """Try further addresses of control hosts as well."""
-        self._calls.add_addresses(addresses)
+        """Add addresses of control hosts."""
+        self._leader_client.add_addresses(addresses)
 
     async def propose(self, command: Command) -> CommandResult:
-        """Commit a command; finds the leader, sends again with the same id."""
-        return await self._calls.propose(command, PROPOSE_TIMEOUT_S)
+        """Commit a command through the leader; retries use the same command id."""
+        return await self._leader_client.propose(command, PROPOSE_TIMEOUT_S)
 
     async def run(self) -> None:
         """Follow the leader until `close`."""
         attempt = 0
         with self._scope:
             while not self._closing:
-                address = self._calls.next_address()
+                address = self._leader_client.next_address()
                 index, leader = self._fleet.index, ""
                 try:
-                    await confined(self._follow(address))
-                except _StreamEnded as ended:
-                    leader = ended.leader
+                    await run_isolated(self._follow(address))
+                except _StreamEndedError as stream_ended:
+                    leader = stream_ended.leader
                 except (*CONNECTION_ERRORS, TimeoutError) as error:
-                    self._calls.drop(address, error)
-                self._calls.failed(address, leader)
-                self._note_lease()
+                    self._leader_client.drop_connection(address, error)
+                self._leader_client.record_failure(address, leader)
+                self._log_lease_change()
                 progressed = self._fleet.index > index
                 if progressed or not attempt:
-                    # Further attempts tell nothing new.
+                    # Log only the first of several failures in a row.
                     log_event(_log, EventNumber.CONTROL_STREAM_LOST, address=address)
                 attempt = 0 if progressed else attempt + 1
                 if not self._fleet.index:
-                    # A host that knows nothing yet cannot serve anyone.
-                    attempt = min(attempt, FIRST_ATTEMPTS)
-                await anyio.sleep(self._calls.retry_wait_s(attempt))
+                    # Without any state, the host cannot serve callers: retry fast.
+                    attempt = min(attempt, MAX_STARTUP_BACKOFF_STEP)
+                await anyio.sleep(self._leader_client.retry_wait_s(attempt))
 
     async def begin_drain(self) -> bool:
         """
-        Leave the address answer and give up ownership; the lease goes on.
+        Start draining: callers are no longer sent here and ownerships are released.
+
+        The lease of the session is kept and renewed.
 
-        `False` if the control group did not accept it; the caller may try again.
+        Returns
+        -------
+        bool
+            False if the control group didn't accept the command; the caller may retry.
         """
         self._draining = True
         session = self._session
         if session is None:
             return True
         command = SetHostDraining(
-            command_id=_new_id("drain"), host=self._host, session=session.number
+            command_id=_new_command_id("drain"), host=self._host, session=session.number
         )
         return (await self.propose(command)).failure is None
 
@@ -229,55 +247,60 @@
         session, self._session = self._session, None
         if session is not None:
             command = CloseSession(
-                command_id=_new_id("close"), host=self._host, session=session.number
+                command_id=_new_command_id("close"),
+                host=self._host,
+                session=session.number,
             )
-            await self._calls.propose(command, CLOSE_TIMEOUT_S)
+            await self._leader_client.propose(command, CLOSE_TIMEOUT_S)
         self._scope.cancel()
-        self._calls.close()
+        self._leader_client.close()
 
     async def _follow(self, address: str) -> None:
-        ended: _StreamEnded | None = None
-        async with self._calls.follow(address) as stream:
-            with anyio.fail_after(SILENCE_S), own_cancellation():
+        stream_ended: _StreamEndedError | None = None
+        async with self._leader_client.follow(address) as stream:
+            with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 await stream.send_message(
-                    OpenFollow(host=self._host, index=self._index)
+                    OpenFollow(host=self._host, index=self._resume_index)
                 )
             async with anyio.create_task_group() as group:
-                group.start_soon(self._keep_session)
-                group.start_soon(self._renew, stream)
-                group.start_soon(self._report_load, stream)
+                group.start_soon(self._maintain_session)
+                group.start_soon(self._send_renewals, stream)
+                group.start_soon(self._send_load_reports, stream)
                 try:
-                    await self._read(stream, address)
-                except _StreamEnded as error:
-                    ended = error
+                    await self._receive_messages(stream, address)
+                except _StreamEndedError as error:
+                    stream_ended = error
                 except (*CONNECTION_ERRORS, TimeoutError):
-                    self._calls.drop(address)
-                    ended = _StreamEnded()
+                    self._leader_client.drop_connection(address)
+                    stream_ended = _StreamEndedError()
                 group.cancel_scope.cancel()
-            with contextlib.suppress(*CONNECTION_ERRORS), own_cancellation():
+            with (
+                contextlib.suppress(*CONNECTION_ERRORS),
+                uncancel_on_connection_error(),
+            ):
                 await stream.cancel()
-        if ended is not None:
-            raise ended
+        if stream_ended is not None:
+            raise stream_ended
 
-    async def _read(self, stream: Any, address: str) -> None:
+    async def _receive_messages(self, stream: Any, address: str) -> None:
         while True:
-            with anyio.fail_after(SILENCE_S), own_cancellation():
+            with anyio.fail_after(SILENCE_TIMEOUT_S), uncancel_on_connection_error():
                 message = await stream.recv_message()
             if message is None:
-                raise _StreamEnded
+                raise _StreamEndedError
             if isinstance(message, FollowRefused):
-                raise _StreamEnded(message.failure.leader)
-            self._calls.found(address)
-            self._received(message)
+                raise _StreamEndedError(message.failure.leader)
+            self._leader_client.record_leader(address)
+            self._handle_message(message)
 
-    def _received(self, message: AnyFollowResponse) -> None:
+    def _handle_message(self, message: AnyFollowResponse) -> None:
         if isinstance(message, FleetDelta):
             self._apply_delta(message)
         elif isinstance(message, FleetSnapshot):
-            # An older snapshot is refused: a view never goes back.
+            # `restore` refuses a snapshot that is older than the view.
             if self._fleet.restore(message):
-                self._index = self._fleet.index
-                self._notify(())
+                self._resume_index = self._fleet.index
+                self._notify_change(())
         elif isinstance(message, LoadSeen):
             if self._load_callback is not None:
                 self._load_callback(message)
@@ -285,62 +308,66 @@
             for callback in self._instances_callbacks:
                 callback(message)
         elif isinstance(message, CrashesSeen):
-            for learn in self._crashes_callbacks:
-                learn(message)
+            for crashes_callback in self._crashes_callbacks:
+                crashes_callback(message)
         elif isinstance(message, HostsNeeded):
-            for notify in self._hosts_needed_callbacks:
-                notify(message)
+            for hosts_needed_callback in self._hosts_needed_callbacks:
+                hosts_needed_callback(message)
         elif isinstance(message, SessionRenewed):
-            sent_s = self._sent_s.get(message.sequence)
-            self._forget_sent(message.sequence)
-            if sent_s is not None and self._is_current(message.session):
+            sent_s = self._renewals_sent_s.get(message.sequence)
+            self._discard_renewals_up_to(message.sequence)
+            if sent_s is not None and self._is_current_session(message.session):
                 self._lease.renew(sent_s, message.duration_s)
-                self._note_lease()
-        elif isinstance(message, SessionLost) and self._is_current(message.session):
+                self._log_lease_change()
+        elif isinstance(message, SessionLost) and self._is_current_session(
+            message.session
+        ):
             self._lease.end()
-            self._note_lease()
+            self._log_lease_change()
             self._session = None
             self._session_missing.set()
 
     def _apply_delta(self, delta: FleetDelta) -> None:
         if not self._fleet.apply_delta(delta):
-            self._index = NOTHING_SEEN
-            raise _StreamEnded
-        self._index = self._fleet.index
-        self._notify(delta.changes)
+            self._resume_index = NO_INDEX
+            raise _StreamEndedError
+        self._resume_index = self._fleet.index
+        self._notify_change(delta.changes)
 
-    def _notify(self, changes: tuple[FleetChange, ...]) -> None:
+    def _notify_change(self, changes: tuple[FleetChange, ...]) -> None:
         if self._fleet.version != self._version:
             self._version = self._fleet.version
             log_event(_log, EventNumber.BUNDLE_IN_FORCE, version=self._version)
-        for callback in self._callbacks:
+        for callback in self._change_callbacks:
             callback(changes)
 
-    def _note_lease(self) -> None:
-        """Log when the lease is lost or valid again."""
-        held = self._lease.is_valid(self._clock())
-        if held is self._was_held or self._session is None:
+    def _log_lease_change(self) -> None:
+        """Log an event when the lease has become invalid or valid again."""
+        is_valid = self._lease.is_valid(self._clock())
+        if is_valid is self._lease_was_valid or self._session is None:
             return
-        self._was_held = held
-        number = EventNumber.LEASE_CONFIRMED if held else EventNumber.LEASE_LOST
+        self._lease_was_valid = is_valid
+        number = EventNumber.LEASE_CONFIRMED if is_valid else EventNumber.LEASE_LOST
         log_event(_log, number, session=self._session.number)
 
-    def _is_current(self, number: int) -> bool:
+    def _is_current_session(self, number: int) -> bool:
         return self._session is not None and self._session.number == number
 
-    def _forget_sent(self, sequence: int) -> None:
-        for number in [number for number in self._sent_s if number <= sequence]:
-            del self._sent_s[number]
+    def _discard_renewals_up_to(self, sequence: int) -> None:
+        for number in [
+            number for number in self._renewals_sent_s if number <= sequence
+        ]:
+            del self._renewals_sent_s[number]
 
-    async def _renew(self, stream: Any) -> None:
-        # Without a session the message still draws an answer, which tells a live
-        # leader from a silent connection.
+    async def _send_renewals(self, stream: Any) -> None:
+        # Renewals are sent even without a session: the leader responds to them, which
+        # distinguishes a live leader from a silent connection.
         while True:
             self._session_opened = anyio.Event()
-            self._note_lease()
+            self._log_lease_change()
             self._sequence += 1
             session = self._session
-            self._sent_s[self._sequence] = self._clock()
+            self._renewals_sent_s[self._sequence] = self._clock()
             try:
                 await stream.send_message(
                     RenewSession(
@@ -357,11 +384,11 @@
             with anyio.move_on_after(SESSION_RENEWAL_S):
                 await self._session_opened.wait()
 
-    async def _report_load(self, stream: Any) -> None:
-        everything = True
+    async def _send_load_reports(self, stream: Any) -> None:
+        is_whole = True
         while self._load_source is not None:
-            report = self._load_source(everything)
-            everything = False
+            report = self._load_source(is_whole)
+            is_whole = False
             try:
                 if report is not None:
                     await stream.send_message(report)
@@ -369,7 +396,7 @@
                 return
             await anyio.sleep(LOAD_PERIOD_S)
 
-    async def _keep_session(self) -> None:
+    async def _maintain_session(self) -> None:
         while not self._closing:
             self._session_missing = anyio.Event()
             if self._session is None:
@@ -379,7 +406,7 @@
 
     async def _open_session(self) -> None:
         command = OpenSession(
-            command_id=_new_id("open"),
+            command_id=_new_command_id("open"),
             host=self._host,
             incarnation=self._incarnation,
             data_centre=self._data_centre,
@@ -388,7 +415,7 @@
         )
         result = await self.propose(command)
         if result.failure is not None:
-            await anyio.sleep(self._calls.retry_wait_s(1))
+            await anyio.sleep(self._leader_client.retry_wait_s(1))
             return
         self._session = Session(
             host=self._host,
@@ -404,5 +431,5 @@
             await self.begin_drain()
 
 
-def _new_id(purpose: str) -> str:
+def _new_command_id(purpose: str) -> str:
     return f"{purpose}/{secrets.token_hex(8)}"
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -1,9 +1,9 @@
 """Streams between the members of the control group.
 
-Every member opens one stream to every other one and sends its messages there. The
-other direction carries only answers to probes: a stream whose probes stay
-unanswered is replaced, because an open connection can go silent for good while new
-ones work.
+Every member opens a stream to every other member and sends its messages on it. The
+opposite direction carries only responses to probes. A stream whose probes get no
+response is replaced, because an open connection can stay silent for ever while new
+connections work.
 """
 
 import logging
@@ -20,40 +20,48 @@
 from grpclib.server import Stream as ServerStream
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS, own_cancellation
+from damaskridge.adapters.rpc.cancellation import (
+    CONNECTION_ERRORS,
+    uncancel_on_connection_error,
+)
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.confined import confined
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 from damaskridge.model.consensus import AnyMessage, InstallSnapshot
 from damaskridge.model.events import EventNumber
 
-__all__ = ["ControlGroupService", "PeerFrame", "PeerLink", "ProbeAnswer"]
+__all__ = ["ControlGroupService", "MemberFrame", "MemberStream", "ProbeResponse"]
 
 EXCHANGE_PATH = "/damaskridge.ControlGroup/Exchange"
 PROBE_INTERVAL_S = 0.3
-# A silent stream is replaced within 0.8 s. Meanwhile the other members are a quorum,
-# and pre-vote keeps the member behind the stream from disturbing them.
-SILENCE_S = 0.5
+# With the probe interval, a silent stream is replaced within 0.8 s. In the meantime the
+# other members form a quorum, and pre-vote prevents the isolated member from disrupting
+# them.
+SILENCE_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-SERVER_IDLE_S = 5.0
-BACKOFF_S = (0.05, 1.0)
-QUEUE_FRAMES = 256
-# Above a batch of entries. Longer messages would hold up heartbeats and probes.
-PART_BYTES = 256 * 1024
+SERVER_IDLE_TIMEOUT_S = 5.0
+BACKOFF_RANGE_S = (0.05, 1.0)
+MAX_QUEUED_FRAMES = 256
+# Larger than a batch of log entries. Longer messages would delay heartbeats and probes.
+MAX_PART_BYTES = 256 * 1024
 
 _encode = msgspec.msgpack.Encoder().encode
-_logger = logging.getLogger("damaskridge.control_group")
+_log = logging.getLogger("damaskridge.control_group")
 
 
-class PeerFrame(msgspec.Struct, frozen=True, omit_defaults=True):
+class MemberFrame(msgspec.Struct, frozen=True, omit_defaults=True):
     """
-    A message for the member `recipient`, a part of one, or a probe.
+    A message to a member, a part of a large frame, or a probe if all fields are empty.
 
     Parameters
     ----------
+    recipient : str
+        Name of the member that the message is for.
+    message : AnyMessage or None
+        A Raft message.
     part : bytes
-        A part of an encoded frame that is too large for one message.
+        A part of an encoded frame that is too large to be sent at once.
     is_last : bool
-        Whether the part completes its frame.
+        Whether `part` is the last one of its frame.
     """
 
     recipient: str = ""
@@ -62,39 +70,39 @@
     is_last: bool = False
 
 
-_decode = msgspec.msgpack.Decoder(PeerFrame).decode
+_decode = msgspec.msgpack.Decoder(MemberFrame).decode
 
 
-class ProbeAnswer(msgspec.Struct, frozen=True):
-    """Answers a probe."""
+class ProbeResponse(msgspec.Struct, frozen=True):
+    """The response to a probe."""
 
 
-def split_frame(frame: PeerFrame) -> list[PeerFrame]:
-    """Return the frame itself, or its parts if it carries a large snapshot."""
+def split_frame(frame: MemberFrame) -> list[MemberFrame]:
+    """Return a list of the frame alone, or of its parts if its snapshot is large."""
     message = frame.message
     if not isinstance(message, InstallSnapshot):
         return [frame]
-    if len(message.snapshot.state) <= PART_BYTES:
+    if len(message.snapshot.state) <= MAX_PART_BYTES:
         return [frame]
     data = _encode(frame)
-    starts = range(0, len(data), PART_BYTES)
+    starts = range(0, len(data), MAX_PART_BYTES)
     return [
-        PeerFrame(
-            part=data[start : start + PART_BYTES],
-            is_last=start + PART_BYTES >= len(data),
+        MemberFrame(
+            part=data[start : start + MAX_PART_BYTES],
+            is_last=start + MAX_PART_BYTES >= len(data),
         )
         for start in starts
     ]
 
 
 class FrameAssembler:
-    """Puts the parts of large frames together, one frame after another."""
+    """Reassembles large frames from their parts; parts of frames must not mix."""
 
     def __init__(self) -> None:
         self._parts: list[bytes] = []
 
-    def add(self, frame: PeerFrame) -> PeerFrame | None:
-        """Return the frame, or None while parts of it are missing."""
+    def add(self, frame: MemberFrame) -> MemberFrame | None:
+        """Return the complete frame, or None while parts are missing."""
         if not frame.part:
             return frame
         self._parts.append(frame.part)
@@ -104,18 +112,18 @@
         return _decode(data)
 
 
-class PeerLink:
+class MemberStream:
     """
-    The outgoing stream to one member.
+    The outgoing stream to another member; reconnects when it is lost.
 
     Parameters
     ----------
     host : str
-        Name of the other host.
+        Name of the other member's host.
     address : str
         Its RPC address, ``<ip>:<port>``.
     rng : random.Random
-        Source of the jitter between attempts to connect.
+        Source of the jitter of reconnection waits.
     """
 
     def __init__(self, host: str, address: str, rng: random.Random) -> None:
@@ -123,105 +131,108 @@
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._rng = rng
-        self._frames, self._queue = anyio.create_memory_object_stream[PeerFrame](
-            QUEUE_FRAMES
-        )
-        self._answered_s = 0.0
-        self._connected = False
-
-    def send(self, frame: PeerFrame) -> None:
-        """Send a frame, or drop it while the member cannot be reached."""
-        if not self._connected:
+        self._queue_sender, self._queue_receiver = anyio.create_memory_object_stream[
+            MemberFrame
+        ](MAX_QUEUED_FRAMES)
+        self._last_response_s = 0.0
+        self._is_connected = False
+
+    def send(self, frame: MemberFrame) -> None:
+        """Queue a frame; drop it if there is no connection or the queue is full."""
+        if not self._is_connected:
             return
         try:
-            self._frames.send_nowait(frame)
+            self._queue_sender.send_nowait(frame)
         except anyio.WouldBlock:
             return
 
     async def run(self) -> None:
-        """Keep a stream open until cancelled."""
-        backoff_s = BACKOFF_S[0]
-        with self._frames, self._queue:
+        """Keep a stream to the member open until cancelled."""
+        backoff_s = BACKOFF_RANGE_S[0]
+        with self._queue_sender, self._queue_receiver:
             while True:
                 started_s = anyio.current_time()
-                await self._connect()
-                if anyio.current_time() - started_s > BACKOFF_S[1]:
-                    backoff_s = BACKOFF_S[0]
+                await self._run_stream()
+                if anyio.current_time() - started_s > BACKOFF_RANGE_S[1]:
+                    backoff_s = BACKOFF_RANGE_S[0]
                 await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(backoff_s * 2, BACKOFF_S[1])
+                backoff_s = min(backoff_s * 2, BACKOFF_RANGE_S[1])
 
-    async def _connect(self) -> None:
+    async def _run_stream(self) -> None:
         channel = RpcChannel(self._ip, self._port)
         try:
-            await confined(self._exchange(channel))
+            await run_isolated(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
-            _logger.debug("stream to %s ended: %r", self._host, errors.exceptions)
+            _log.debug("stream to %s ended: %r", self._host, errors.exceptions)
         except* Exception as errors:
-            # One peer's fault, such as a message of another version, must not end
-            # the process.
-            _logger.warning("stream to %s failed: %r", self._host, errors.exceptions)
+            # An error of one peer, such as a message of an incompatible version, must
+            # not end the process.
+            _log.warning("stream to %s failed: %r", self._host, errors.exceptions)
         finally:
-            was_connected = self._connected
-            self._connected = False
+            was_connected = self._is_connected
+            self._is_connected = False
             channel.close()
         if was_connected:
-            log_event(_logger, EventNumber.PEER_LOST, peer=self._host)
+            log_event(_log, EventNumber.PEER_LOST, peer=self._host)
 
     async def _exchange(self, channel: RpcChannel) -> None:
-        method: StreamStreamMethod[PeerFrame, ProbeAnswer] = StreamStreamMethod(
-            channel, EXCHANGE_PATH, PeerFrame, ProbeAnswer
+        method: StreamStreamMethod[MemberFrame, ProbeResponse] = StreamStreamMethod(
+            channel, EXCHANGE_PATH, MemberFrame, ProbeResponse
         )
         async with method.open() as stream:
-            with anyio.fail_after(CONNECT_TIMEOUT_S), own_cancellation():
-                await stream.send_message(PeerFrame())
+            with anyio.fail_after(CONNECT_TIMEOUT_S), uncancel_on_connection_error():
+                await stream.send_message(MemberFrame())
                 await stream.recv_message()
-            self._answered_s = anyio.current_time()
-            self._connected = True
-            log_event(_logger, EventNumber.PEER_CONNECTED, peer=self._host)
+            self._last_response_s = anyio.current_time()
+            self._is_connected = True
+            log_event(_log, EventNumber.PEER_CONNECTED, peer=self._host)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write, stream)
-                tasks.start_soon(self._read, stream)
-                tasks.start_soon(self._probe)
+                tasks.start_soon(self._send_frames, stream)
+                tasks.start_soon(self._receive_responses, stream)
+                tasks.start_soon(self._send_probes)
 
-    async def _write(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
-        large: deque[PeerFrame] = deque()
+    async def _send_frames(self, stream: Stream[MemberFrame, ProbeResponse]) -> None:
+        pending_parts: deque[MemberFrame] = deque()
         while True:
-            if not large:
-                frame = await self._queue.receive()
+            if not pending_parts:
+                frame = await self._queue_receiver.receive()
             else:
-                # Heartbeats go out between the parts of a snapshot.
-                await stream.send_message(large.popleft())
+                # Send queued frames between the parts, so that a large snapshot
+                # doesn't delay heartbeats.
+                await stream.send_message(pending_parts.popleft())
                 try:
-                    frame = self._queue.receive_nowait()
+                    frame = self._queue_receiver.receive_nowait()
                 except anyio.WouldBlock:
                     continue
             parts = split_frame(frame)
             if len(parts) == 1:
                 await stream.send_message(frame)
-            elif not large:
-                # Otherwise it repeats the snapshot that is on its way.
-                large.extend(parts)
+            elif not pending_parts:
+                # While a snapshot is being sent, a further one is a duplicate.
+                pending_parts.extend(parts)
 
-    async def _read(self, stream: Stream[PeerFrame, ProbeAnswer]) -> None:
+    async def _receive_responses(
+        self, stream: Stream[MemberFrame, ProbeResponse]
+    ) -> None:
         while await stream.recv_message() is not None:
-            self._answered_s = anyio.current_time()
-        raise StreamTerminatedError("closed by the other side")
+            self._last_response_s = anyio.current_time()
+        raise StreamTerminatedError("the peer closed the stream")
 
-    async def _probe(self) -> None:
-        while anyio.current_time() < self._answered_s + SILENCE_S:
-            self.send(PeerFrame())
+    async def _send_probes(self) -> None:
+        while anyio.current_time() < self._last_response_s + SILENCE_TIMEOUT_S:
+            self.send(MemberFrame())
             await anyio.sleep(PROBE_INTERVAL_S)
-        raise TimeoutError("no answer to probes")
+        raise TimeoutError("no response to probes")
 
 
 class ControlGroupService:
     """
-    The incoming streams of the other members.
+    The gRPC service for the incoming streams of the other members.
 
     Parameters
     ----------
     deliver : callable
-        Receives the recipient and the message of each frame.
+        Called with the recipient and the message of each frame.
     """
 
     def __init__(self, deliver: Callable[[str, AnyMessage], None]) -> None:
@@ -229,19 +240,19 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(
-            self._exchange, Cardinality.STREAM_STREAM, PeerFrame, ProbeAnswer
+            self._exchange, Cardinality.STREAM_STREAM, MemberFrame, ProbeResponse
         )
         return {EXCHANGE_PATH: handler}
 
     async def _exchange(self, stream: ServerStream[Any, Any]) -> None:
         assembler = FrameAssembler()
-        with anyio.move_on_after(SERVER_IDLE_S) as idle:
+        with anyio.move_on_after(SERVER_IDLE_TIMEOUT_S) as idle_scope:
             while (received := await stream.recv_message()) is not None:
-                idle.deadline = anyio.current_time() + SERVER_IDLE_S
+                idle_scope.deadline = anyio.current_time() + SERVER_IDLE_TIMEOUT_S
                 frame = assembler.add(received)
                 if frame is None:
                     continue
                 if frame.message is None:
-                    await stream.send_message(ProbeAnswer())
+                    await stream.send_message(ProbeResponse())
                 else:
                     self._deliver(frame.recipient, frame.message)
--- a/src/damaskridge/adapters/rpc/control_calls.py
+++ b/src/damaskridge/adapters/rpc/leader_client.py
@@ -1,4 +1,4 @@
-"""Calls to the leader of the control group, wherever it is."""
+"""Client that finds and calls the leader of the control group."""
 
 import random
 from collections.abc import Sequence
@@ -9,13 +9,13 @@
 
 from damaskridge.adapters.rpc.cancellation import CONNECTION_ERRORS
 from damaskridge.adapters.rpc.channels import RpcChannel
-from damaskridge.adapters.rpc.confined import confined
 from damaskridge.adapters.rpc.control_methods import (
     FOLLOW_PATH,
     OPERATOR_KEY,
     PROPOSE_PATH,
     STATUS_PATH,
 )
+from damaskridge.adapters.rpc.isolated_tasks import run_isolated
 from damaskridge.model.control import (
     AnyCommand,
     AnyFollowRequest,
@@ -26,29 +26,32 @@
 from damaskridge.model.control_status import FleetStatus, StatusRequest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["ControlCalls"]
+__all__ = ["LeaderClient"]
 
-# Above one commit under load and below the time of an election.
+# Longer than a commit takes under load, shorter than an election.
 ATTEMPT_TIMEOUT_S = 1.0
-RETRY_WAIT_S = 0.05
+BASE_RETRY_WAIT_S = 0.05
 MAX_RETRY_WAIT_S = 0.4
-# Followers name a silent leader until the next election; each attempt there would
-# cost a second of the lease.
-AVOID_S = 1.0
+# Followers still return the address of an unresponsive leader until the next election.
+# Each attempt to reach it would use up one second of the session's lease.
+AVOID_AFTER_ERROR_S = 1.0
 
 
-class ControlCalls:
+class LeaderClient:
     """
-    Finds the leader by asking and by its hints, and resends lost calls.
+    Calls the leader of the control group, and retries calls that are lost.
+
+    The leader is found by trying the control hosts in turn. A control host that doesn't
+    lead returns the leader's address, if it knows it; that address is tried next.
 
     Parameters
     ----------
     addresses : sequence of str
         ``ip:port`` of every control host.
     operator_key : str
-        Sent with every command; empty for an entry host.
+        Credential sent with commands and status requests; empty for an entry host.
     rng : random.Random or None
-        Source of the jitter.
+        Source of the jitter of retry waits.
     """
 
     def __init__(
@@ -58,52 +61,52 @@
         operator_key: str = "",
         rng: random.Random | None = None,
     ) -> None:
-        assert addresses, "no address of a control host"
+        assert addresses, "addresses must not be empty"
         self._addresses = list(addresses)
         self._metadata = {OPERATOR_KEY: operator_key} if operator_key else {}
         self._rng = rng or random.Random()
-        self._next = 0
-        self._hint = ""
+        self._next_index = 0
+        self._leader_hint = ""
         self._channels: dict[str, RpcChannel] = {}
-        self._avoided_until_s: dict[str, float] = {}
+        self._avoid_until_s: dict[str, float] = {}
 
     def add_addresses(self, addresses: Sequence[str]) -> None:
-        """Try further addresses as well; known ones are kept."""
+        """Add addresses of control hosts; those already known are kept."""
         self._addresses += [item for item in addresses if item not in self._addresses]
 
     def next_address(self) -> str:
-        """Return the address to try next."""
-        if self._hint and not self._is_avoided(self._hint):
-            return self._hint
+        """Return the address to try next, if possible the leader's."""
+        if self._leader_hint and not self._is_avoided(self._leader_hint):
+            return self._leader_hint
         for _ in self._addresses:
-            self._next += 1
-            address = self._addresses[self._next % len(self._addresses)]
+            self._next_index += 1
+            address = self._addresses[self._next_index % len(self._addresses)]
             if not self._is_avoided(address):
                 break
         return address
 
-    def found(self, address: str) -> None:
-        """Remember the leader's address."""
-        self._hint = address
+    def record_leader(self, address: str) -> None:
+        """Record that the control host at `address` is the leader."""
+        self._leader_hint = address
 
-    def failed(self, address: str, leader: str = "") -> None:
-        """Try another address next, `leader` if it is named."""
-        self._hint = "" if leader == address else leader
+    def record_failure(self, address: str, leader: str = "") -> None:
+        """Record a failed attempt; try `leader` next, or another address if empty."""
+        self._leader_hint = "" if leader == address else leader
 
     def retry_wait_s(self, attempt: int) -> float:
-        """Return a jittered wait; the first attempts follow at once."""
-        longest_s = min(MAX_RETRY_WAIT_S, RETRY_WAIT_S * 2 ** min(attempt, 8))
-        return self._rng.uniform(0, longest_s)
+        """Return the wait before a retry: exponential backoff with full jitter."""
+        max_wait_s = min(MAX_RETRY_WAIT_S, BASE_RETRY_WAIT_S * 2 ** min(attempt, 8))
+        return self._rng.uniform(0, max_wait_s)
 
-    def drop(self, address: str, error: BaseException | None = None) -> None:
+    def drop_connection(self, address: str, error: BaseException | None = None) -> None:
         """
-        Close a broken connection, and try the other addresses first.
+        Close a broken connection, and prefer the other addresses for a while.
 
-        A refused connection costs no time, and a process that starts refuses until
-        it listens, so that its address is not put off.
+        An address that refused the connection isn't avoided: the refusal costs no
+        time, and a process that is starting refuses connections until it listens.
         """
         if not isinstance(error, ConnectionRefusedError):
-            self._avoided_until_s[address] = anyio.current_time() + AVOID_S
+            self._avoid_until_s[address] = anyio.current_time() + AVOID_AFTER_ERROR_S
         self._close(address)
 
     def close(self) -> None:
@@ -117,28 +120,28 @@
             channel.close()
 
     def _is_avoided(self, address: str) -> bool:
-        return anyio.current_time() < self._avoided_until_s.get(address, 0.0)
+        return anyio.current_time() < self._avoid_until_s.get(address, 0.0)
 
     def follow(self, address: str) -> Any:
-        """Return the context manager of a `Follow` stream."""
-        # grpclib types messages as classes; the codec also takes unions.
+        """Return a context manager that opens a `Follow` stream."""
+        # grpclib annotates message types as classes; the codec also accepts unions.
         request_type: Any = AnyFollowRequest
-        reply_type: Any = AnyFollowResponse
+        response_type: Any = AnyFollowResponse
         channel = self._channel(address)
         method: StreamStreamMethod[Any, Any] = StreamStreamMethod(
-            channel, FOLLOW_PATH, request_type, reply_type
+            channel, FOLLOW_PATH, request_type, response_type
         )
         return method.open()
 
     async def propose(self, command: Command, timeout_s: float) -> CommandResult:
-        """Commit a command; sends it again with the same id until it is answered."""
+        """Commit a command; retry with the same command id until a response arrives."""
         result = await self._call(PROPOSE_PATH, AnyCommand, command, timeout_s)
         return CommandResult(failure=result) if isinstance(result, Failure) else result
 
     async def status(
         self, timeout_s: float, *, with_bundle: bool = False
     ) -> FleetStatus:
-        """Return the status as confirmed by a quorum."""
+        """Return the fleet's status from a leader that a quorum has confirmed."""
         request = StatusRequest(with_bundle=with_bundle)
         result = await self._call(STATUS_PATH, StatusRequest, request, timeout_s)
         return FleetStatus(failure=result) if isinstance(result, Failure) else result
@@ -146,17 +149,17 @@
     async def _call(
         self, path: str, request_type: Any, request: Any, timeout_s: float
     ) -> Any:
-        reply_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
+        response_type: Any = CommandResult if path == PROPOSE_PATH else FleetStatus
         attempt, reached = 0, False
 
         async def send(address: str) -> Any:
             nonlocal reached
             channel = self._channel(address)
             await channel.__connect__()
-            # A reply may be lost from here on.
+            # From here on the request may have run even if no response arrives.
             reached = True
             method: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
-                channel, path, request_type, reply_type
+                channel, path, request_type, response_type
             )
             return await method(request, metadata=self._metadata)
 
@@ -165,15 +168,15 @@
                 address = self.next_address()
                 leader = ""
                 try:
-                    reply = await confined(send(address), ATTEMPT_TIMEOUT_S)
-                    failure = reply.failure
+                    response = await run_isolated(send(address), ATTEMPT_TIMEOUT_S)
+                    failure = response.failure
                     if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
-                        self.found(address)
-                        return reply
+                        self.record_leader(address)
+                        return response
                     leader = failure.leader
                 except CONNECTION_ERRORS as error:
-                    self.drop(address, error)
-                self.failed(address, leader)
+                    self.drop_connection(address, error)
+                self.record_failure(address, leader)
                 await anyio.sleep(self.retry_wait_s(attempt))
                 attempt += 1
         run_state = RunState.UNKNOWN if reached else RunState.NOT_RUN
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -1,4 +1,4 @@
-"""What a leader does by itself: it expires sessions and advances the time."""
+"""Periodic work of the leader: expires sessions and advances the replicated time."""
 
 import logging
 import secrets
@@ -8,7 +8,7 @@
 import msgspec
 
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.rpc.control_node import ControlNodePort
+from damaskridge.adapters.rpc.control_ports import ControlNodePort
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.session_tracker import SessionTracker
 from damaskridge.model.control import (
@@ -25,9 +25,9 @@
 
 __all__ = ["LeaderDuties"]
 
-TICK_S = 0.1
-ADVANCE_TIME_S = 60.0
-# Above the time of an election, so that a proposal is not given up needlessly.
+TICK_PERIOD_S = 0.1
+ADVANCE_TIME_PERIOD_S = 60.0
+# Longer than an election, so that a proposal isn't abandoned needlessly.
 PROPOSE_TIMEOUT_S = 2.0
 
 _log = logging.getLogger("damaskridge.control")
@@ -35,12 +35,25 @@
 
 class LeaderDuties:
     """
-    Follows whether the node leads and does the leader's periodic work.
+    Tracks whether the node is the leader, and does the leader's periodic work.
+
+    Parameters
+    ----------
+    node : ControlNodePort
+        The member of the control group on this host.
+    state : ControlState
+        The state machine to which `node` applies commands.
+    clock : callable
+        Monotonic time in seconds.
+    wall_ms : callable
+        Wall-clock time in milliseconds, with which commands are stamped.
+    on_step_down : callable
+        Called when leadership is lost or `resync` starts over.
 
     Attributes
     ----------
     sessions : SessionTracker
-        Leases granted by this leader.
+        The leases that this leader has granted.
     """
 
     def __init__(
@@ -49,25 +62,25 @@
         state: ControlState,
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
-        step_down: Callable[[], None],
+        on_step_down: Callable[[], None],
     ) -> None:
         self.sessions = SessionTracker()
         self._node = node
         self._state = state
         self._clock = clock
         self._wall_ms = wall_ms
-        self._step_down = step_down
+        self._on_step_down = on_step_down
         self._ready_term = -1
-        self._advanced_s = float("-inf")
-        self._expiring: set[tuple[str, int]] = set()
+        self._last_advance_s = float("-inf")
+        self._expiring_sessions: set[tuple[str, int]] = set()
 
     @property
-    def ready(self) -> bool:
-        """Whether this node leads and has applied all earlier entries."""
+    def is_ready(self) -> bool:
+        """Whether this node is the leader and has applied all earlier log entries."""
         return self._node.is_leader and self._node.term == self._ready_term
 
-    def observe(self, delta: FleetDelta) -> None:
-        """Start and end leases as sessions start and end."""
+    def handle_delta(self, delta: FleetDelta) -> None:
+        """Track the leases of sessions that start, change or end."""
         for change in delta.changes:
             if isinstance(change, SessionChanged):
                 session = change.session
@@ -78,34 +91,34 @@
                 self.sessions.remove_session(change.host, change.number)
 
     def resync(self) -> None:
-        """Lead anew after deltas were missed: streams start from a snapshot."""
+        """Start over after missed deltas, so that streams begin with a snapshot."""
         if self._ready_term >= 0:
             self._ready_term = -1
-            self._step_down()
+            self._on_step_down()
 
     async def run(self) -> None:
-        """Do the duties for ever."""
+        """Do the leader's work until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                await self._check_term()
-                if self.ready:
-                    for key in self.sessions.expired_sessions(self._clock()):
-                        if key not in self._expiring:
-                            self._expiring.add(key)
-                            group.start_soon(self._expire, key)
-                    if self._clock() - self._advanced_s >= ADVANCE_TIME_S:
+                await self._update_readiness()
+                if self.is_ready:
+                    for session_key in self.sessions.expired_sessions(self._clock()):
+                        if session_key not in self._expiring_sessions:
+                            self._expiring_sessions.add(session_key)
+                            group.start_soon(self._expire_session, session_key)
+                    if self._clock() - self._last_advance_s >= ADVANCE_TIME_PERIOD_S:
                         await self._advance_time()
-                await anyio.sleep(TICK_S)
+                await anyio.sleep(TICK_PERIOD_S)
 
-    async def _check_term(self) -> None:
-        if self.ready:
+    async def _update_readiness(self) -> None:
+        if self.is_ready:
             return
         self.resync()
         if not self._node.is_leader:
             return
         term = self._node.term
-        # An entry of this term is applied after every earlier one. Before that, an
-        # `ExpireSession` of the last leader may be in the log but not in the state.
+        # Once an entry of this term is applied, so are all earlier ones. Until then, an
+        # `ExpireSession` of the previous leader may be in the log but not yet applied.
         if await self._advance_time() and self._node.term == term:
             self.sessions.reset_leases(
                 self._clock(), self._state.data.sessions.values()
@@ -113,16 +126,16 @@
             self._ready_term = term
 
     async def _advance_time(self) -> bool:
-        result = await self._propose(AdvanceTime(command_id=_new_id("advance")))
+        result = await self._propose(AdvanceTime(command_id=_new_command_id("advance")))
         if result.failure is None:
-            self._advanced_s = self._clock()
+            self._last_advance_s = self._clock()
         return result.failure is None
 
-    async def _expire(self, key: tuple[str, int]) -> None:
-        host, session = key
+    async def _expire_session(self, session_key: tuple[str, int]) -> None:
+        host, session = session_key
         try:
             command = ExpireSession(
-                command_id=_new_id("expire"), host=host, session=session
+                command_id=_new_command_id("expire"), host=host, session=session
             )
             result = await self._propose(command)
             failure = result.failure
@@ -131,14 +144,14 @@
             elif failure.kind is ErrorKind.SESSION_ENDED:
                 self.sessions.remove_session(host, session)
         finally:
-            self._expiring.discard(key)
+            self._expiring_sessions.discard(session_key)
 
     async def _propose(self, command: Command) -> CommandResult:
-        stamped = msgspec.structs.replace(command, at_ms=self._wall_ms())
+        stamped_command = msgspec.structs.replace(command, at_ms=self._wall_ms())
         with anyio.move_on_after(PROPOSE_TIMEOUT_S):
-            return await self._node.propose(stamped)
+            return await self._node.propose(stamped_command)
         return CommandResult(failure=Failure(ErrorKind.CONTROL_UNAVAILABLE))
 
 
-def _new_id(purpose: str) -> str:
+def _new_command_id(purpose: str) -> str:
     return f"{purpose}/{secrets.token_hex(8)}"
--- a/src/damaskridge/adapters/rpc/peer_client.py
+++ b/src/damaskridge/adapters/rpc/peer_client.py
@@ -1,4 +1,4 @@
-"""The rate, cell and peer ports of a front: local or by RPC to the owner's host."""
+"""Clients of a front for owners and other fronts, on this host or by RPC."""
 
 import logging
 from collections.abc import AsyncIterator
@@ -12,9 +12,9 @@
     ActiveKey,
     ActiveKeys,
     ActiveRequests,
-    AskActiveKeys,
-    AskActiveRequests,
     KeyEnded,
+    ListActiveKeys,
+    ListActiveRequests,
     RegisterFront,
     RequestTakenOver,
     ResumeStream,
@@ -43,20 +43,20 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 2.0
-# A delay-tolerant request may queue for minutes; pings detect a dead owner earlier.
+# A delay-tolerant request may queue for minutes; pings detect a lost owner earlier.
 SUBMIT_TIMEOUT_S = 600.0
 
 
-class _OwnerLookup:
-    """Finds the live owner of a resource and its address."""
+class _OwnerClient:
+    """Finds the owner of a resource and calls its host."""
 
     def __init__(self, host: str, control: ControlPort, channels: PeerChannels) -> None:
         self.host = host
         self.control = control
         self.channels = channels
 
-    def owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
-        """Return the owner; `EPOCH_CONFLICT` if the caller knows another epoch."""
+    def find_owner(self, resource: str, epoch: int | None) -> Result[Owner, Failure]:
+        """Return the owner; fail with `EPOCH_CONFLICT` if its epoch isn't `epoch`."""
         owner = owner_of(self.control.fleet, resource)
         if owner is None:
             return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{resource} has no owner"))
@@ -65,117 +65,124 @@
         return Ok(owner)
 
     async def call(
-        self, owner: Owner, name: str, message: Any, timeout_s: float
+        self, owner: Owner, method_name: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
-        """Call the owner's host."""
+        """Call a method of the owner's host."""
         session = self.control.fleet.sessions[owner.host]
-        return await self.channels.call(session.peer_address, name, message, timeout_s)
+        return await self.channels.call(
+            session.peer_address, method_name, message, timeout_s
+        )
 
     async def send(
-        self, resource: str, epoch: int | None, name: str, message: Any
+        self, resource: str, epoch: int | None, method_name: str, message: Any
     ) -> None:
-        """Call the owner, and drop the message if it cannot be reached."""
-        owner = self.owner(resource, epoch)
+        """Send the owner a message; drop it if that fails or the epoch has changed."""
+        owner = self.find_owner(resource, epoch)
         if isinstance(owner, Ok):
-            await self.call(owner.ok_value, name, message, CALL_TIMEOUT_S)
+            await self.call(owner.ok_value, method_name, message, CALL_TIMEOUT_S)
 
 
 class RateClient:
     """
-    `RatePort` for a front.
+    A `RatePort` that forwards calls to the owner's host.
 
     Parameters
     ----------
     host : str
-        This host.
+        Name of this host.
     control : ControlPort
-        Gives the owners.
+        Source of the owners and their addresses.
     channels : PeerChannels
         Connections to the other hosts.
     local : RatePort
-        The owners on this host.
+        The rate owners on this host.
     """
 
     def __init__(
         self, host: str, control: ControlPort, channels: PeerChannels, local: RatePort
     ) -> None:
-        self._lookup = _OwnerLookup(host, control, channels)
+        self._owner_client = _OwnerClient(host, control, channels)
         self._local = local
 
     async def reserve(self, request: RateRequest) -> RateResponse:
-        """Ask for admission."""
-        owner = self._lookup.owner(request.resource, request.epoch)
+        """Request admission from the owner of the workspace's rate limit."""
+        owner = self._owner_client.find_owner(request.resource, request.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=request.request_id, failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.reserve(request)
         timeout_s = request.wait_s + CALL_TIMEOUT_S
-        reply = await self._lookup.call(owner.ok_value, "Reserve", request, timeout_s)
-        if isinstance(reply, Err):
-            return Refused(request_id=request.request_id, failure=reply.err_value)
-        grant: RateResponse = reply.ok_value
+        response = await self._owner_client.call(
+            owner.ok_value, "Reserve", request, timeout_s
+        )
+        if isinstance(response, Err):
+            return Refused(request_id=request.request_id, failure=response.err_value)
+        grant: RateResponse = response.ok_value
         return grant
 
     async def refund(self, refund: Refund) -> None:
-        """Give unused tokens back."""
+        """Return unused tokens to the workspace's bucket."""
         if self._is_local(refund.resource):
             await self._local.refund(refund)
         else:
-            await self._lookup.send(refund.resource, refund.epoch, "Refund", refund)
+            await self._owner_client.send(
+                refund.resource, refund.epoch, "Refund", refund
+            )
 
     async def notify_request_ended(
         self, resource: str, workspace: str, request_id: str
     ) -> None:
-        """Tell that a request with an idempotency key has finished."""
+        """Report that a request with an idempotency key has finished."""
         if self._is_local(resource):
             await self._local.notify_request_ended(resource, workspace, request_id)
             return
         message = KeyEnded(resource, workspace, request_id)
-        await self._lookup.send(resource, None, "KeyEnded", message)
+        await self._owner_client.send(resource, None, "KeyEnded", message)
 
     def _is_local(self, resource: str) -> bool:
-        owner = self._lookup.owner(resource, None)
-        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+        owner = self._owner_client.find_owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._owner_client.host
 
 
 class CellClient:
-    """`CellPort` for a front; parameters as for `RateClient`."""
+    """A `CellPort` that forwards calls to the owner's host; see `RateClient`."""
 
     def __init__(
         self, host: str, control: ControlPort, channels: PeerChannels, local: CellPort
     ) -> None:
-        self._lookup = _OwnerLookup(host, control, channels)
+        self._owner_client = _OwnerClient(host, control, channels)
         self._local = local
 
     async def submit(self, profile: RequestProfile) -> SubmitResponse:
-        """Ask for a placement."""
-        owner = self._lookup.owner(profile.resource, profile.epoch)
+        """Request a placement."""
+        owner = self._owner_client.find_owner(profile.resource, profile.epoch)
         if isinstance(owner, Err):
             return Refused(request_id=profile.request_id, failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.submit(profile)
-        reply = await self._lookup.call(
+        response = await self._owner_client.call(
             owner.ok_value, "Submit", profile, SUBMIT_TIMEOUT_S
         )
-        if isinstance(reply, Err):
-            return Refused(request_id=profile.request_id, failure=reply.err_value)
-        placement: SubmitResponse = reply.ok_value
+        if isinstance(response, Err):
+            return Refused(request_id=profile.request_id, failure=response.err_value)
+        placement: SubmitResponse = response.ok_value
         return placement
 
     async def withdraw(self, withdraw: Withdraw) -> None:
-        """Give a request up."""
+        """Withdraw a request that the front has abandoned."""
         if self._is_local(withdraw.resource):
             await self._local.withdraw(withdraw)
             return
-        # A withdrawal holds in every epoch: a new owner may have the registration.
-        await self._lookup.send(withdraw.resource, None, "Withdraw", withdraw)
+        # A withdrawal is valid in every epoch: the request may be registered with a new
+        # owner.
+        await self._owner_client.send(withdraw.resource, None, "Withdraw", withdraw)
 
     async def report(self, batch: ProgressBatch) -> None:
-        """Report progress."""
+        """Report the progress of requests."""
         if self._is_local(batch.resource):
             await self._local.report(batch)
         else:
-            await self._lookup.send(batch.resource, batch.epoch, "Report", batch)
+            await self._owner_client.send(batch.resource, batch.epoch, "Report", batch)
 
     async def register(
         self,
@@ -185,35 +192,39 @@
         incarnation: int,
         active: tuple[ActiveRequest, ...],
     ) -> None:
-        """Report all running requests to a new owner."""
+        """Register all running requests of a front with a new owner."""
         if self._is_local(resource):
             await self._local.register(resource, epoch, front, incarnation, active)
             return
         message = RegisterFront(resource, epoch, front, incarnation, active)
-        await self._lookup.send(resource, epoch, "Register", message)
+        await self._owner_client.send(resource, epoch, "Register", message)
 
     async def take_over(self, take_over: TakeOver) -> TakeOverResponse:
-        """Ask to continue a request whose front is gone."""
-        owner = self._lookup.owner(take_over.resource, take_over.epoch)
+        """Request to continue a request whose front is gone."""
+        owner = self._owner_client.find_owner(take_over.resource, take_over.epoch)
         if isinstance(owner, Err):
             return TakeOverResponse(failure=owner.err_value)
-        if owner.ok_value.host == self._lookup.host:
+        if owner.ok_value.host == self._owner_client.host:
             return await self._local.take_over(take_over)
-        reply = await self._lookup.call(
+        response = await self._owner_client.call(
             owner.ok_value, "TakeOver", take_over, 3 * CALL_TIMEOUT_S
         )
-        if isinstance(reply, Err):
-            return TakeOverResponse(failure=reply.err_value)
-        answer: TakeOverResponse = reply.ok_value
-        return answer
+        if isinstance(response, Err):
+            return TakeOverResponse(failure=response.err_value)
+        take_over_response: TakeOverResponse = response.ok_value
+        return take_over_response
 
     def _is_local(self, resource: str) -> bool:
-        owner = self._lookup.owner(resource, None)
-        return isinstance(owner, Ok) and owner.ok_value.host == self._lookup.host
+        owner = self._owner_client.find_owner(resource, None)
+        return isinstance(owner, Ok) and owner.ok_value.host == self._owner_client.host
 
 
 class FrontClient:
-    """`PeerPort`, and what owners ask of fronts; `attach` names the local front."""
+    """
+    A `PeerPort` that also gives owners access to the state of fronts.
+
+    `attach` sets the front of this host; calls to it don't use the network.
+    """
 
     def __init__(
         self, host: str, incarnation: int, control: ControlPort, channels: PeerChannels
@@ -225,13 +236,13 @@
         self._front: FrontPort | None = None
 
     def attach(self, front: FrontPort) -> None:
-        """Set this host's front."""
+        """Set the front of this host."""
         self._front = front
 
     async def resume_stream(
         self, host: str, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Relay a request's output from `offset`; raises `StreamFailed`."""
+        """Yield a request's output from `offset`; raise `StreamFailed` on failure."""
         session = self._control.fleet.sessions.get(host)
         if session is None:
             detail = f"entry host {host} has no session"
@@ -246,37 +257,41 @@
     async def active_requests(
         self, host: str, resource: str
     ) -> Result[ActiveRequests, Failure]:
-        """Ask a front for its running requests in a cell."""
+        """Return the running requests of a front in a cell."""
         if host == self._host and self._front is not None:
             items = tuple(self._front.active_requests(resource))
             return Ok(ActiveRequests(self._incarnation, items))
-        return await self._ask(host, "ActiveRequests", AskActiveRequests(resource))
+        return await self._call_front(
+            host, "ActiveRequests", ListActiveRequests(resource)
+        )
 
     async def active_keys(
         self, host: str, workspace: str
     ) -> Result[tuple[ActiveKey, ...], Failure]:
-        """Ask a front for its idempotency keys of a workspace."""
+        """Return the idempotency keys of a workspace that a front holds."""
         if host == self._host and self._front is not None:
             return Ok(active_keys_of(self._front, workspace))
-        reply = await self._ask(host, "ActiveKeys", AskActiveKeys(workspace))
-        if isinstance(reply, Err):
-            return reply
-        keys: ActiveKeys = reply.ok_value
+        response = await self._call_front(host, "ActiveKeys", ListActiveKeys(workspace))
+        if isinstance(response, Err):
+            return response
+        keys: ActiveKeys = response.ok_value
         return Ok(keys.items)
 
     async def notify_taken_over(self, host: str, request_id: str) -> None:
-        """Tell a front that a request is no longer its; lost if it is gone."""
+        """Notify a front that another one continues its request; best effort."""
         if host == self._host and self._front is not None:
             outcome = self._front.handle_take_over(request_id)
             if outcome is not None:
                 await outcome
             return
-        await self._ask(host, "TakenOver", RequestTakenOver(request_id))
+        await self._call_front(host, "TakenOver", RequestTakenOver(request_id))
 
-    async def _ask(self, host: str, name: str, message: Any) -> Result[Any, Failure]:
+    async def _call_front(
+        self, host: str, method_name: str, message: Any
+    ) -> Result[Any, Failure]:
         session = self._control.fleet.sessions.get(host)
         if session is None:
             return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{host} has no session"))
         return await self._channels.call(
-            session.peer_address, name, message, CALL_TIMEOUT_S
+            session.peer_address, method_name, message, CALL_TIMEOUT_S
         )
--- a/src/damaskridge/adapters/rpc/peer_server.py
+++ b/src/damaskridge/adapters/rpc/peer_server.py
@@ -1,4 +1,4 @@
-"""The RPC service by which entry hosts reach this host's owners and front."""
+"""The gRPC service through which entry hosts call this host's owners and front."""
 
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -10,14 +10,14 @@
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import CellPort, RatePort, StreamFailed
 from damaskridge.adapters.rpc.peer_messages import (
-    METHODS,
+    UNARY_METHODS,
     Ack,
     ActiveKey,
     ActiveKeys,
     ActiveRequests,
-    AskActiveKeys,
-    AskActiveRequests,
     KeyEnded,
+    ListActiveKeys,
+    ListActiveRequests,
     Ping,
     RegisterFront,
     RequestTakenOver,
@@ -36,29 +36,29 @@
 
 
 class FrontPort(Protocol):
-    """What other hosts need of this host's front."""
+    """The methods of this host's front that other hosts can call."""
 
     def active_requests(self, resource: str) -> Sequence[ActiveRequest]:
-        """Return the running requests in a cell."""
+        """Return the running requests of this front in a cell."""
         ...
 
     def active_keys(self, workspace: str) -> Sequence[Any]:
-        """Return requests with an idempotency key; items as `ActiveKey`."""
+        """Return the requests of a workspace with a key; items are like `ActiveKey`."""
         ...
 
     def stream_local(
         self, request_id: str, workspace: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Relay a request's output; raises `StreamFailed`."""
+        """Yield a request's output from `offset`; raise `StreamFailed` on failure."""
         ...
 
     def handle_take_over(self, request_id: str) -> Any:
-        """Note that another front has continued a request; may be a coroutine."""
+        """Handle a take-over by another front; may return an awaitable."""
         ...
 
 
 def active_keys_of(front: FrontPort, workspace: str) -> tuple[ActiveKey, ...]:
-    """Return the front's idempotency keys of a workspace as wire messages."""
+    """Return the front's idempotency keys of a workspace as messages."""
     return tuple(
         ActiveKey(
             item.request_id, item.idempotency_key, item.body_digest, item.finished
@@ -69,14 +69,14 @@
 
 class PeerService:
     """
-    Handlers of the peer RPC.
+    RPC handlers for calls of other entry hosts.
 
     Parameters
     ----------
     incarnation : int
-        This host's process.
+        Identifies this run of the process.
     rates, cells : RatePort, CellPort
-        The owners on this host.
+        The rate owners and cell owners on this host.
     front : FrontPort
         The front on this host.
     """
@@ -90,8 +90,8 @@
         self._front = front
 
     def __mapping__(self) -> dict[str, Handler]:
-        """Return grpclib's table from path to handler."""
-        calls: dict[str, Callable[[Any], Awaitable[Any]]] = {
+        """Return the handler of each method path, for grpclib."""
+        functions: dict[str, Callable[[Any], Awaitable[Any]]] = {
             "Ping": self._ping,
             "Reserve": self._rates.reserve,
             "Refund": self._refund,
@@ -103,13 +103,16 @@
             "TakeOver": self._cells.take_over,
             "ActiveRequests": self._active_requests,
             "ActiveKeys": self._active_keys,
-            "TakenOver": self._taken_over,
+            "TakenOver": self._request_taken_over,
         }
         handlers = {
             method_path(name): Handler(
-                _unary(calls[name]), Cardinality.UNARY_UNARY, request, reply
+                _unary_handler(functions[name]),
+                Cardinality.UNARY_UNARY,
+                request,
+                response,
             )
-            for name, (request, reply) in METHODS.items()
+            for name, (request, response) in UNARY_METHODS.items()
         }
         handlers[method_path("Resume")] = Handler(
             self._resume, Cardinality.UNARY_STREAM, ResumeStream, ResumeItem
@@ -147,14 +150,14 @@
         )
         return Ack()
 
-    async def _active_requests(self, message: AskActiveRequests) -> ActiveRequests:
+    async def _active_requests(self, message: ListActiveRequests) -> ActiveRequests:
         items = tuple(self._front.active_requests(message.resource))
         return ActiveRequests(self._incarnation, items)
 
-    async def _active_keys(self, message: AskActiveKeys) -> ActiveKeys:
+    async def _active_keys(self, message: ListActiveKeys) -> ActiveKeys:
         return ActiveKeys(active_keys_of(self._front, message.workspace))
 
-    async def _taken_over(self, message: RequestTakenOver) -> Ack:
+    async def _request_taken_over(self, message: RequestTakenOver) -> Ack:
         outcome = self._front.handle_take_over(message.request_id)
         if outcome is not None:
             await outcome
@@ -162,7 +165,7 @@
 
     async def _resume(self, stream: "Stream[ResumeStream, ResumeItem]") -> None:
         message = await stream.recv_message()
-        assert message is not None, "a unary request has one message"
+        assert message is not None, "the request has no message"
         try:
             async for chunk in self._front.stream_local(
                 message.request_id, message.workspace, message.offset
@@ -176,17 +179,17 @@
             await stream.send_message(ResumeItem(failure=failure))
 
 
-def _unary(
-    call: Callable[[Any], Awaitable[Any]],
+def _unary_handler(
+    function: Callable[[Any], Awaitable[Any]],
 ) -> Callable[["Stream[Any, Any]"], Awaitable[None]]:
     async def handle(stream: "Stream[Any, Any]") -> None:
         message = await stream.recv_message()
         try:
-            reply = await call(message)
+            response = await function(message)
         except Exception as error:
             _log_unexpected(error)
             raise
-        await stream.send_message(reply)
+        await stream.send_message(response)
 
     return handle
 
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -40,7 +40,7 @@
 
 
 class PlatformOrderClient:
-    """Implements `EngineOrders` with the HTTP calls of the platform."""
+    """Implements `EngineOrderPort` with the HTTP calls of the platform."""
 
     async def order_stage(
         self, instance: BackendInstance, stage: EngineStage, holder: str, fence: int
--- a/tests/adapters/rpc/test_channels.py
+++ b/tests/adapters/rpc/test_channels.py
@@ -1,4 +1,7 @@
-"""Guards against a process that ends because a connection is lost at once."""
+"""A connection that is lost during connection setup must not end the process.
+
+grpclib raises `AttributeError` for such a connection instead of an `OSError`.
+"""
 
 import asyncio
 
@@ -10,8 +13,8 @@
 from damaskridge.adapters.rpc import channels
 
 
-class LostAtOnce(channels.RpcChannel):
-    """Loses its connection before the caller that waits for it goes on."""
+class ChannelLosingConnection(channels.RpcChannel):
+    """Loses its connection before the caller that waits for it resumes."""
 
     async def _create_connection(self):
         protocol = await super()._create_connection()
@@ -19,12 +22,12 @@
         return protocol
 
 
-def test_a_connection_that_is_lost_at_once_is_a_lost_connection():
+def test_connection_lost_during_setup_raises_connection_reset_error():
     async def main():
         server = Server([], codec=MsgpackCodec())
         await server.start("127.0.0.1", 0)
         port = server._server.sockets[0].getsockname()[1]
-        channel = LostAtOnce("127.0.0.1", port)
+        channel = ChannelLosingConnection("127.0.0.1", port)
         call = UnaryUnaryMethod(channel, "/service/Method", bytes, bytes)
         with pytest.raises(ConnectionResetError):
             await call(b"")
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -1,18 +1,21 @@
-"""Guards against hosts that find out one by one that a server leaves."""
+"""All hosts must learn at once that an instance leaves.
+
+Otherwise each host sends it a request to find that out by itself.
+"""
 
 import anyio
 from result import Ok
 from tests.paused import run_paused
 
-from damaskridge.adapters.rpc.followers import FollowerSet
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
+from damaskridge.adapters.rpc.subscribers import SubscriberSet
 from damaskridge.core.gateway.instance_feed import InstanceCopy
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceId, InstanceList
 
 
-def server(started_ms):
+def make_instance(started_ms):
     return BackendInstance(
         instance="a",
         service="s",
@@ -23,42 +26,42 @@
     )
 
 
-class Reader:
-    """A list whose only entry is always ready."""
+class FakeListReader:
+    """Returns a list whose only entry never leaves."""
 
     def __init__(self):
         self.started_ms = 1
 
     async def read(self):
-        return Ok(InstanceList(instances=(server(self.started_ms),)))
+        return Ok(InstanceList(instances=(make_instance(self.started_ms),)))
 
 
-class Hosts(FollowerSet):
-    """Applies what is sent to one copy."""
+class ReplicatingSubscriberSet(SubscriberSet):
+    """Applies every update that is broadcast to a replica of the list."""
 
     def __init__(self):
         super().__init__(ControlState())
-        self.copy = InstanceCopy()
+        self.replica = InstanceCopy()
 
-    def notify(self, message):
+    def broadcast(self, message):
         assert isinstance(message, InstancesSeen)
-        assert self.copy.apply(message, 0.0)
+        assert self.replica.apply(message, 0.0)
 
 
-def test_what_one_host_reports_as_leaving_is_leaving_for_all_until_it_starts_anew():
+def test_instance_that_a_host_reported_as_leaving_is_leaving_until_it_restarts():
     async def main():
-        hosts, reader = Hosts(), Reader()
-        publisher = InstancePublisher(reader, hosts, lambda: True)
+        subscriber_set, reader = ReplicatingSubscriberSet(), FakeListReader()
+        publisher = InstancePublisher(reader, subscriber_set, lambda: True)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(publisher.run)
             await anyio.sleep(1)
-            assert not hosts.copy.items[0].is_leaving
+            assert not subscriber_set.replica.items[0].is_leaving
             publisher.notices.add(InstanceId("a", 1))
             await anyio.sleep(2)
-            assert hosts.copy.items[0].is_leaving
+            assert subscriber_set.replica.items[0].is_leaving
             reader.started_ms = 2
             await anyio.sleep(2)
-            assert not hosts.copy.items[0].is_leaving
+            assert not subscriber_set.replica.items[0].is_leaving
             tasks.cancel_scope.cancel()
 
     run_paused(main())
