--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -24,9 +24,9 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_watch import CrashTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.refusals import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
@@ -87,9 +87,9 @@
         Forward what was admitted.
     quota : FleetQuota
         Limits of workspaces.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         When refused callers may come back.
-    crashes : CrashWatch
+    crashes : CrashTracker
         Which requests crash backend servers.
     rng : random.Random
         Draws the target of routes with several.
@@ -105,8 +105,8 @@
         calls: CallForwarder,
         streams: StreamForwarder,
         quota: FleetQuota,
-        refusals: RefusalTimes,
-        crashes: CrashWatch,
+        refusals: RetryAfterTimes,
+        crashes: CrashTracker,
         rng: random.Random,
         on_request: Callable[[str], None],
     ) -> None:
@@ -260,7 +260,7 @@
         if workspace.counts_tokens:
             tokens = request.prompt_tokens + request.output_tokens
             cost = float(tokens if request.has_size else workspace.plain_tokens)
-        wait_s = self._quota.take(workspace, cost, now_s)
+        wait_s = self._quota.acquire(workspace, cost, now_s)
         if wait_s > 0:
             raise RequestError(
                 Failure(
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -9,10 +9,10 @@
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.refusals import RetryAfterTimes
 from damaskridge.core.gateway.send_account import SendStep
-from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.core.gateway.send_policy import Fail, Retry
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
@@ -36,13 +36,13 @@
 
     Parameters
     ----------
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
     gate : RetryGate
         Admits sends against the retry budget.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         When refused callers may come back.
     """
 
@@ -51,10 +51,10 @@
         *,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
-        refusals: RefusalTimes,
+        refusals: RetryAfterTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -114,7 +114,7 @@
     ) -> Failure | None:
         """Send once; returns the failure to answer, or None to go on or when done."""
         policy, name = work.policy, instance.instance
-        policy.sent()
+        policy.record_send()
         answer.attempts = policy.sends
         load = self._load.total(name).requests
         log_event(
@@ -126,7 +126,7 @@
             attempt=policy.sends,
             load=load,
             candidates=candidates,
-            list_age_ms=round((work.now_s - self._registry.seen_s) * 1000),
+            list_age_ms=round((work.now_s - self._registry.confirmed_s) * 1000),
         )
         self._load.start(work.request.request_id, name, InstanceLoad(requests=1))
         try:
@@ -134,32 +134,32 @@
                 instance,
                 work,
                 answer_s=self._answer_s(work, candidates),
-                fresh=not policy.may_repeat,
+                fresh=not policy.is_repeatable,
             )
             if isinstance(outcome, OpenReply):
                 return await self._answer(work, answer, outcome)
         finally:
             self._load.finish(work.request.request_id, name)
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(work, SendStep.RUN)
-            decision = policy.not_run(left_s=work.left_s, may_resend=may_resend)
+            may_retry = self._gate.admits(work, SendStep.RUN)
+            decision = policy.after_not_run(left_s=work.left_s, may_retry=may_retry)
         else:
             self._sender.note_run(instance, work.fingerprint, is_whole=False)
             decision = self._after_unknown(work, outcome)
         return self._failure(work, decision, outcome.reason)
 
-    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> Resend | GiveUp:
-        return work.policy.unknown(
+    def _after_unknown(self, work: GatewayWork, outcome: Unknown) -> Retry | Fail:
+        return work.policy.after_unknown(
             left_s=work.left_s,
-            may_resend=work.policy.has_another_run
+            may_retry=work.policy.may_run_again
             and self._gate.admits(work, SendStep.RUN),
             timed_out=outcome.timed_out,
         )
 
     def _failure(
-        self, work: GatewayWork, decision: Resend | GiveUp, reason: str
+        self, work: GatewayWork, decision: Retry | Fail, reason: str
     ) -> Failure | None:
-        if not isinstance(decision, GiveUp):
+        if not isinstance(decision, Fail):
             return None
         retry_after_s = None
         if decision.kind is ErrorKind.OVERLOADED:
@@ -168,7 +168,7 @@
 
     def _answer_s(self, work: GatewayWork, candidates: int) -> float:
         left_s = max(0.0, work.timeout_s)
-        if not work.policy.has_another_run or candidates < 2:
+        if not work.policy.may_run_again or candidates < 2:
             return left_s
         patience_s = PATIENCE_OBJECTIVES * work.route.objective_ms / 1000
         return min(left_s, max(LEAST_PATIENCE_S, patience_s))
@@ -191,10 +191,10 @@
             reply.instance, good=not is_failure, reason=f"status {reply.head.status}"
         )
         if is_failure:
-            may_resend = work.policy.has_another_run and self._gate.admits(
+            may_retry = work.policy.may_run_again and self._gate.admits(
                 work, SendStep.RUN
             )
-            if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
+            if work.policy.after_failure(left_s=work.left_s, may_retry=may_retry):
                 return None
         await answer.pass_on(reply.head, reply.facts, body)
         return None
--- a/src/damaskridge/adapters/gateway/decode_room.py
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.gateway.generation import Generation, Reservation
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load import LoadTracker
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
@@ -57,7 +57,7 @@
     ----------
     dialect : Dialect
         Encodes the calls.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
@@ -69,7 +69,7 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
     ) -> None:
         self._dialect = dialect
@@ -125,13 +125,13 @@
                 EngineStage.DECODE,
                 frozenset(tried),
             )
-            candidates = self._load.with_room(
+            candidates = self._load.with_free_memory(
                 untried, run.work.memory_tokens, engine.memory_tokens
             )
             if not candidates:
                 full += len(untried)
                 break
-            instance = self._load.most_memory(candidates, self._data_centre)
+            instance = self._load.least_memory_used(candidates, self._data_centre)
             tried.add(instance.instance)
             reason = await self._ask(run, instance, engine.reservation_s)
             if run.reservation is not None:
@@ -140,7 +140,7 @@
                     "reserve",
                     load=self._load.total(instance.instance),
                     candidates=len(candidates),
-                    list_seen_s=self._registry.seen_s,
+                    list_seen_s=self._registry.confirmed_s,
                 )
                 break
             full += reason == FULL
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -8,8 +8,8 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
+from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.prompt_reading import EventPace, PrefillEstimator
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
@@ -34,7 +34,7 @@
     ----------
     dialect : Dialect
         Decodes the answers.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
@@ -48,7 +48,7 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
     ) -> None:
@@ -58,7 +58,7 @@
         self._load = load
         self._data_centre = data_centre
         self._gate = gate
-        self._speed = ReadingSpeed()
+        self._speed = PrefillEstimator()
 
     def release(self, run: Generation) -> None:
         """Free a KV cache that will not be imported."""
@@ -78,9 +78,9 @@
             )
             if not candidates or work.left_s <= 0:
                 return None
-            if not self._gate.admits(work, SendStep.READ):
+            if not self._gate.admits(work, SendStep.PREFILL):
                 return None
-            instance = self._load.shortest_prefill(candidates, self._data_centre)
+            instance = self._load.shortest_prefill_queue(candidates, self._data_centre)
             if self._decode_reads(run, instance):
                 return None
             tried.add(instance.instance)
@@ -117,7 +117,7 @@
             "prefill",
             load=self._load.total(name),
             candidates=candidates,
-            list_seen_s=self._registry.seen_s,
+            list_seen_s=self._registry.confirmed_s,
         )
         step = EngineStep(is_prefill=True, priority=work.priority)
         tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -53,7 +53,7 @@
                 request_id=work.request.request_id,
                 service=work.service.name,
                 step=step.value,
-                arrivals=work.account.counted,
+                arrivals=work.account.counted_arrivals,
                 paid=work.account.paid,
                 left=round(self._budget.left(work.service.name), 2),
             )
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -25,7 +25,7 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_watch import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
@@ -142,7 +142,7 @@
         Connections.
     registry : InstanceRegistry
         Where the health of servers is noted.
-    crashes : CrashWatch
+    crashes : CrashTracker
         Where lost servers are noted.
     gate : RetryGate
         Admits each send against the retry budget.
@@ -153,7 +153,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         registry: InstanceRegistry,
-        crashes: CrashWatch,
+        crashes: CrashTracker,
         gate: RetryGate,
     ) -> None:
         self._dialect = dialect
@@ -205,7 +205,7 @@
             paused = NotRun("the server wants no request now", was_sent=False)
             return self._log(request, instance, paused, started_s)
         is_prefill = step is not None and step.is_prefill
-        send_step = SendStep.READ if is_prefill else SendStep.RUN
+        send_step = SendStep.PREFILL if is_prefill else SendStep.RUN
         if not self._gate.admits(work, send_step):
             unpaid = NotRun("the retry budget has no send left", was_sent=False)
             return self._log(request, instance, unpaid, started_s)
@@ -239,7 +239,7 @@
                 connection.close()
         was_refused = isinstance(outcome, NotRun)
         if not isinstance(outcome, NotRun) or outcome.was_sent:
-            work.account.arrived(send_step, was_refused=was_refused)
+            work.account.record_arrival(send_step, was_refused=was_refused)
         if isinstance(outcome, Unknown):
             self.note_answer(instance, good=False, reason=outcome.reason)
         return self._log(request, instance, outcome, started_s)
@@ -250,7 +250,7 @@
         """Note whether an answer was good, for the choice of servers."""
         now_s = asyncio.get_running_loop().time()
         was_avoided = self._registry.is_avoided(instance.instance, now_s)
-        avoided_s = self._registry.answered(instance.instance, now_s, good=good)
+        avoided_s = self._registry.record_response(instance.instance, now_s, good=good)
         if avoided_s:
             self._log_avoided(instance, reason, avoided_s)
         elif good and was_avoided:
@@ -264,9 +264,9 @@
         """Note that a server ran a request to its end, or broke off on the way."""
         now_s = asyncio.get_running_loop().time()
         if is_whole:
-            self._crashes.answered(fingerprint, now_s)
+            self._crashes.record_response(fingerprint, now_s)
         else:
-            self._crashes.broke_off(fingerprint, instance.start, now_s)
+            self._crashes.record_interrupted_run(fingerprint, instance.start, now_s)
 
     async def call_engine(
         self,
@@ -379,17 +379,17 @@
 
     def _is_paused(self, instance: BackendInstance) -> bool:
         now_s = asyncio.get_running_loop().time()
-        return self._registry.notices.pause_left_s(instance.instance, now_s) > 0
+        return self._registry.notices.remaining_pause_s(instance.instance, now_s) > 0
 
     def _heed(self, instance: BackendInstance, facts: ReplyFacts) -> None:
         """Take over what a server asks of this host."""
         notices, name = self._registry.notices, instance.instance
-        if facts.is_leaving and notices.leaves(instance):
+        if facts.is_leaving and notices.record_leaving(instance):
             self._pool.drop(instance)
             log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
         if facts.pause_s:
             now_s = asyncio.get_running_loop().time()
-            notices.asked_to_pause(name, now_s + facts.pause_s)
+            notices.record_pause(name, now_s + facts.pause_s)
             pause_ms = round(facts.pause_s * 1000)
             log_event(
                 logger, EventNumber.INSTANCE_PAUSED, instance=name, pause_ms=pause_ms
@@ -397,8 +397,8 @@
 
     def _note_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
-        avoided_s = self._registry.unreachable(instance.instance, now_s)
-        self._crashes.was_lost(instance.start, now_s)
+        avoided_s = self._registry.record_unreachable(instance.instance, now_s)
+        self._crashes.record_lost_server(instance.start, now_s)
         self._pool.drop(instance)
         self._log_avoided(instance, reason, avoided_s)
 
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -21,10 +21,10 @@
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.refusals import RetryAfterTimes
 from damaskridge.core.gateway.send_account import SendStep
-from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.core.gateway.send_policy import Fail, Retry
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.gateway import BackendInstance, EngineStage
@@ -54,13 +54,13 @@
     ----------
     dialect : Dialect
         Encodes the calls to engines.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Shared by all forwarders of the host.
     data_centre : str
         Where this host stands.
     gate : RetryGate
         Admits sends against the retry budget.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         When refused callers may come back.
     """
 
@@ -70,10 +70,10 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
-        refusals: RefusalTimes,
+        refusals: RetryAfterTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -124,7 +124,7 @@
         """Run the generation on one decode engine."""
         work = run.work
         if not self._gate.admits(work, SendStep.RUN):
-            decision = work.policy.not_run(left_s=work.left_s, may_resend=False)
+            decision = work.policy.after_not_run(left_s=work.left_s, may_retry=False)
             await self._give_up(run, decision, "the retry budget has no send left")
             return
         instance, candidates = self._choose(run)
@@ -136,14 +136,14 @@
             self._prefills.release(run)
         name = instance.instance
         run.tried.add(name)
-        work.policy.sent()
+        work.policy.record_send()
         run.answer.attempts = work.policy.sends
         run.log_sent(
             name,
             "decode",
             load=self._load.total(name),
             candidates=candidates,
-            list_seen_s=self._registry.seen_s,
+            list_seen_s=self._registry.confirmed_s,
         )
         self._load.start(work.request.request_id, name, self._load_of(run))
         try:
@@ -186,7 +186,7 @@
         reservation = run.reservation
         if reservation is not None:
             name = reservation.instance.instance
-            paused = self._registry.notices.pause_left_s(name, now_s) > 0
+            paused = self._registry.notices.remaining_pause_s(name, now_s) > 0
             if now_s < reservation.usable_until_s and not paused:
                 return reservation.instance, 1
             self._room.cancel(run)
@@ -197,7 +197,7 @@
         candidates = candidates or self._registry.candidates(service, now_s, stage)
         if not candidates:
             return None, 0
-        chosen = self._load.most_memory(candidates, self._data_centre)
+        chosen = self._load.least_memory_used(candidates, self._data_centre)
         return chosen, len(candidates)
 
     async def _send(self, run: Generation, instance: BackendInstance) -> Outcome:
@@ -210,7 +210,7 @@
             priority=work.priority,
         )
         answer_s = max(0.0, work.timeout_s)
-        if work.policy.has_another_run:
+        if work.policy.may_run_again:
             answer_s = min(answer_s, FIRST_EVENT_S)
         return await self._sender.send(
             instance,
@@ -219,31 +219,33 @@
             last_event_id=run.last_event_id,
             answer_s=answer_s,
             # A late copy of an earlier refusal would pass for this one's.
-            fresh=not work.policy.may_repeat,
+            fresh=not work.policy.is_repeatable,
         )
 
     async def _after_failed_send(
         self, run: Generation, outcome: NotRun | Unknown
     ) -> None:
         work = run.work
-        decision: Resend | GiveUp
+        decision: Retry | Fail
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(work, SendStep.RUN)
-            decision = work.policy.not_run(left_s=work.left_s, may_resend=may_resend)
+            may_retry = self._gate.admits(work, SendStep.RUN)
+            decision = work.policy.after_not_run(
+                left_s=work.left_s, may_retry=may_retry
+            )
         else:
-            decision = work.policy.unknown(
+            decision = work.policy.after_unknown(
                 left_s=work.left_s,
-                may_resend=work.policy.has_another_run
+                may_retry=work.policy.may_run_again
                 and self._gate.admits(work, SendStep.RUN),
                 timed_out=outcome.timed_out,
             )
         await self._give_up(run, decision, outcome.reason)
 
     async def _give_up(
-        self, run: Generation, decision: Resend | GiveUp, reason: str
+        self, run: Generation, decision: Retry | Fail, reason: str
     ) -> None:
         """Answer the caller if no engine is to be tried again."""
-        if not isinstance(decision, GiveUp):
+        if not isinstance(decision, Fail):
             return
         retry_after_s = None
         if decision.run_state is RunState.NOT_RUN:
@@ -306,7 +308,7 @@
         chunks = reply.chunks()
         while True:
             deadline_s: float | None = None
-            if run.work.policy.has_another_run:
+            if run.work.policy.may_run_again:
                 limit_s = SILENCE_S if run.answer.has_started else FIRST_EVENT_S
                 deadline_s = run.progress_s + limit_s
             try:
@@ -335,10 +337,10 @@
         good = reply.head.status < 500
         self._sender.note_answer(reply.instance, good=good, reason=reason)
         if not good:
-            may_resend = work.policy.has_another_run and self._gate.admits(
+            may_retry = work.policy.may_run_again and self._gate.admits(
                 work, SendStep.RUN
             )
-            if work.policy.failed(left_s=work.left_s, may_resend=may_resend):
+            if work.policy.after_failure(left_s=work.left_s, may_retry=may_retry):
                 return
         if run.answer.has_started:
             await self._fail(run, Failure(ErrorKind.BACKEND_SERVER_FAILED, reason))
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -209,7 +209,11 @@
         level_tokens = 0.0 if regained else owner.level_tokens
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         gained = OwnershipGained(
-            workspace, owner.epoch, level_tokens, fronts, lost=level_tokens <= 0
+            workspace,
+            owner.epoch,
+            level_tokens,
+            fronts,
+            is_level_unknown=level_tokens <= 0,
         )
         self._decide(gained)
         for front in fronts:
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -11,7 +11,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
-from damaskridge.core.gateway.instance_feed import InstanceReadings
+from damaskridge.core.gateway.instance_feed import InstanceListDiffer
 from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, InstanceList
@@ -68,15 +68,15 @@
         self._reader = reader
         self._followers = followers
         self._leads = leads
-        self._readings: InstanceReadings | None = None
+        self._readings: InstanceListDiffer | None = None
         self._listed: tuple[BackendInstance, ...] = ()
         self._failed = False
 
     def greet(self, follower: Follower) -> None:
         """Send a new stream all entries."""
-        whole = self._readings.whole() if self._readings is not None else None
-        if whole is not None:
-            follower.push(whole)
+        snapshot = self._readings.snapshot() if self._readings is not None else None
+        if snapshot is not None:
+            follower.push(snapshot)
 
     async def run(self) -> None:
         """Read for ever."""
@@ -100,9 +100,9 @@
         if not self._leads():
             return
         if self._readings is None:
-            self._readings = InstanceReadings(secrets.token_hex(4))
+            self._readings = InstanceListDiffer(secrets.token_hex(4))
         self._listed = listed.ok_value.instances
-        self.notices.forget_all_but(self._listed)
+        self.notices.retain_only(self._listed)
         self._notify(self._readings)
 
     def publish_again(self) -> None:
@@ -110,7 +110,7 @@
         if self._readings is not None and self._leads():
             self._notify(self._readings)
 
-    def _notify(self, readings: InstanceReadings) -> None:
+    def _notify(self, readings: InstanceListDiffer) -> None:
         instances = tuple(map(self._with_notice, self._listed))
         seen = readings.add(self._adjust(instances))
         self._followers.notify(seen)
@@ -126,6 +126,6 @@
 
     def _with_notice(self, item: BackendInstance) -> BackendInstance:
         """Mark an instance that a host knows to be leaving before the list does."""
-        if item.is_leaving or not self.notices.has_left(item):
+        if item.is_leaving or not self.notices.has_announced_leaving(item):
             return item
         return msgspec.structs.replace(item, is_leaving=True)
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -7,9 +7,9 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_watch import CrashTracker
 from damaskridge.core.gateway.host_choice import HostDemand
-from damaskridge.core.gateway.load_board import LoadBoard
+from damaskridge.core.gateway.load_board import LoadAggregator
 from damaskridge.model.control import (
     CrashesSeen,
     HostsNeeded,
@@ -50,7 +50,7 @@
 
     Attributes
     ----------
-    board : LoadBoard
+    board : LoadAggregator
         What all hosts have in flight.
     """
 
@@ -60,13 +60,13 @@
         leads: Callable[[], bool],
         data_centre_of: Callable[[str], str | None],
     ) -> None:
-        self.board = LoadBoard()
+        self.board = LoadAggregator()
         self._followers = followers
         self._leads = leads
         self._data_centre_of = data_centre_of
         self._hosts: dict[Follower, str] = {}
         self._reported = anyio.Event()
-        self._crashes = CrashWatch()
+        self._crashes = CrashTracker()
         self._needed: dict[str, int] = {}
 
     def join(self, follower: Follower, host: str) -> None:
@@ -76,7 +76,7 @@
         self._hosts[follower] = host
         if self._needed:
             follower.push(HostsNeeded(by_data_centre=self._needed))
-        crashes = self._crashes.recent(now_s)
+        crashes = self._crashes.recent_crashes(now_s)
         if crashes:
             follower.push(CrashesSeen(crashes=crashes))
 
@@ -91,7 +91,7 @@
         self.board.report(follower, message, now_s)
         self._reported.set()
         if message.crashes:
-            self._crashes.heard(message.crashes, now_s)
+            self._crashes.on_report(message.crashes, now_s)
             self._followers.notify(CrashesSeen(crashes=message.crashes))
 
     async def run(self) -> None:
@@ -111,11 +111,11 @@
                 idle_told_s = now_s
             for follower in self._followers.open():
                 if tells_idle or self.board.is_active(follower, now_s):
-                    news = self.board.news(follower, now_s)
-                    if news is not None:
-                        follower.push(news)
-            active = self.board.active(now_s)
-            await anyio.sleep(max(LOAD_PERIOD_S, active * LOAD_HOST_S))
+                    next_update = self.board.next_update(follower, now_s)
+                    if next_update is not None:
+                        follower.push(next_update)
+            active_count = self.board.active_count(now_s)
+            await anyio.sleep(max(LOAD_PERIOD_S, active_count * LOAD_HOST_S))
 
     async def _publish_needed(self) -> None:
         demand, leading_since_s = HostDemand(), None
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -19,8 +19,8 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_node import ControlNodePort
-from damaskridge.core.gateway.load_board import LoadBoard
-from damaskridge.core.gateway.stage_balance import StageBalance, StageChange
+from damaskridge.core.gateway.load_board import LoadAggregator
+from damaskridge.core.gateway.stage_balance import StageBalancer, StageChange
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import (
     BackendInstance,
@@ -83,7 +83,7 @@
         The member of the control group.
     host : str
         The machine; the holder of all orders from here.
-    board : LoadBoard
+    board : LoadAggregator
         What all hosts have in flight.
     orders : EngineOrders
         Sends orders.
@@ -100,7 +100,7 @@
         *,
         node: ControlNodePort,
         host: str,
-        board: LoadBoard,
+        board: LoadAggregator,
         orders: EngineOrders,
         routing: Callable[[], RoutingTable],
         leads: Callable[[], bool],
@@ -113,7 +113,7 @@
         self._orders = orders
         self._routing = routing
         self._leads = leads
-        self._balances: dict[str, StageBalance] = {}
+        self._balances: dict[str, StageBalancer] = {}
         self._changing: dict[str, _Change] = {}
         self._surveys_due_s: list[float] = []
         self._instances: tuple[BackendInstance, ...] = ()
@@ -190,7 +190,7 @@
                 for item in self._instances
                 if item.service == service.name and not item.is_leaving
             ]
-            balance = self._balances.setdefault(service.name, StageBalance(now_s))
+            balance = self._balances.setdefault(service.name, StageBalancer(now_s))
             changes = balance.observe(
                 engines, load, service.engine, now_s, may_change=may_order
             )
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -28,15 +28,15 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import HttpServer
-from damaskridge.core.gateway.crash_watch import CrashWatch
-from damaskridge.core.gateway.host_choice import chosen_hosts
-from damaskridge.core.gateway.host_count import HostCount
+from damaskridge.core.gateway.crash_watch import CrashTracker
+from damaskridge.core.gateway.host_choice import select_hosts
+from damaskridge.core.gateway.host_count import PeakHostCount
 from damaskridge.core.gateway.host_retry_budget import HostRetryBudget
-from damaskridge.core.gateway.instance_feed import InstanceCopy
+from damaskridge.core.gateway.instance_feed import InstanceListReplica
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load import LoadTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.refusals import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import (
@@ -156,10 +156,10 @@
         self.state = GatewayState(RoutingIndex(RoutingTable()))
         self.registry = InstanceRegistry()
         self._pool = ConnectionPool()
-        self._crashes = CrashWatch()
-        self._copy = InstanceCopy()
-        self._host_count = HostCount()
-        self._used_count = HostCount()
+        self._crashes = CrashTracker()
+        self._copy = InstanceListReplica()
+        self._host_count = PeakHostCount()
+        self._used_count = PeakHostCount()
         self._hosts_needed: dict[str, int] = {}
         self._retries = HostRetryBudget(
             RETRY_SHARE * settings.retry_ratio,
@@ -167,7 +167,7 @@
             settings.retry_window_s,
             started_s=anyio.current_time(),
         )
-        self._load = LoadBook(rng)
+        self._load = LoadTracker(rng)
         self._quota = FleetQuota(
             QUOTA_SLACK_SHARE * settings.quota_slack,
             SMALL_SLACK_SHARE * settings.quota_slack,
@@ -175,7 +175,7 @@
         )
         self._load_heard_s = float("-inf")
         self._reported_leaving: tuple[ServerStart, ...] = ()
-        refusals = RefusalTimes(rng)
+        refusals = RetryAfterTimes(rng)
         gate = RetryGate(self._retries)
         sender = Sender(dialect, self._pool, self.registry, self._crashes, gate)
         shared: dict[str, Any] = {
@@ -220,7 +220,7 @@
         if len(local) < LEAST_LOCAL_HOSTS:
             return addresses_for(fleet, data_centre)
         needed = self._hosts_needed.get(data_centre, len(local))
-        return [local[host] for host in chosen_hosts(list(local), needed)]
+        return [local[host] for host in select_hosts(list(local), needed)]
 
     def operators_app(self) -> Any:
         """Return the application that serves the metrics."""
@@ -289,14 +289,14 @@
         used = {
             host
             for data_centre, hosts in names.items()
-            for host in chosen_hosts(
+            for host in select_hosts(
                 hosts, self._hosts_needed.get(data_centre, len(hosts))
             )
         }
-        every = self._host_count.note(sum(map(len, names.values())), now_s)
-        used_count = self._used_count.note(len(used), now_s)
+        every = self._host_count.update(sum(map(len, names.values())), now_s)
+        used_count = self._used_count.update(len(used), now_s)
         self.state.hosts = every
-        self._retries.share_among(
+        self._retries.set_host_counts(
             hosts=every,
             used_hosts=used_count,
             is_used=self.settings.host in used,
@@ -309,7 +309,7 @@
         if table.version == self.state.index.table.version:
             return
         self.state.index = RoutingIndex(table)
-        self._quota.limits_changed(table.workspaces, anyio.current_time())
+        self._quota.update_limits(table.workspaces, anyio.current_time())
         limits = table.limits
         self.caller_server.limit(
             max_header_bytes=limits.header_bytes,
@@ -324,46 +324,46 @@
         )
 
     def _load_report(self, everything: bool) -> ReportLoad | None:
-        load = self._load.unreported(everything=everything)
-        usage = self._quota.unreported()
+        load = self._load.pop_unreported(everything=everything)
+        usage = self._quota.pop_unreported()
         leaving = self.registry.notices.leaving()
         news = leaving if everything or leaving != self._reported_leaving else ()
         self._reported_leaving = leaving
-        crashes = self._crashes.unreported()
+        crashes = self._crashes.pop_unreported()
         if not (load or usage or news or crashes):
             return None
         return ReportLoad(load=load, usage=usage, leaving=news, crashes=crashes)
 
     def _crashes_seen(self, message: CrashesSeen) -> None:
-        self._crashes.heard(message.crashes, anyio.current_time())
+        self._crashes.on_report(message.crashes, anyio.current_time())
 
     def _load_seen(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
         self._load_heard_s = now_s
         if message.is_whole:
-            self._load.forget_others()
-        self._load.others_changed(message.load)
-        self._quota.others_admitted(message.usage, now_s)
+            self._load.clear_remote_load()
+        self._load.update_remote_load(message.load)
+        self._quota.record_remote_usage(message.usage, now_s)
 
     def _instances_seen(self, message: InstancesSeen) -> None:
         now_s = anyio.current_time()
         # The leader speaks, so that no news of the others' load means no change.
         self._load_heard_s = now_s
-        self._quota.heard(now_s)
+        self._quota.on_report(now_s)
         if self._copy.apply(message, now_s):
             self._use_list(self._copy.items)
 
     def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.drop(gone)
-            self._crashes.was_lost(gone.start, anyio.current_time())
-        self.registry.seen_s = self._copy.seen_s
+            self._crashes.record_lost_server(gone.start, anyio.current_time())
+        self.registry.confirmed_s = self._copy.confirmed_s
 
     async def _keep_list(self) -> None:
         """Read the list here while no leader sends it."""
         while True:
             period_s = max(LIST_PERIOD_S, self.state.hosts / LIST_READERS_PER_S)
-            if anyio.current_time() - self._copy.seen_s > LIST_STALE_S:
+            if anyio.current_time() - self._copy.confirmed_s > LIST_STALE_S:
                 await self._read_list()
             await anyio.sleep(period_s * random.uniform(0.7, 1.3))
 
@@ -380,7 +380,7 @@
             await anyio.sleep(PRUNE_S)
             self._pool.prune()
             if anyio.current_time() - self._load_heard_s > LOAD_STALE_S:
-                self._load.forget_others()
+                self._load.clear_remote_load()
 
     def _earn(self, service: str) -> None:
         self._retries.earn(service, anyio.current_time())
@@ -396,6 +396,6 @@
         metrics.watch(
             "instance_list_age_seconds",
             "Age of the list of backend servers",
-            lambda: asyncio.get_running_loop().time() - self._copy.seen_s,
+            lambda: asyncio.get_running_loop().time() - self._copy.confirmed_s,
         )
         return metrics
--- a/src/damaskridge/binaries/timeline.py
+++ b/src/damaskridge/binaries/timeline.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-from damaskridge.core.timeline import Filter, LogEntry, ParsedLog, merge, parse_log
+from damaskridge.core.timeline import EntryFilter, LogEntry, ParsedLog, merge, parse_log
 
 __all__ = ["main"]
 
@@ -45,7 +45,7 @@
     if not logs:
         _fail("LOGS: no log file given")
     try:
-        shown = Filter(
+        shown = EntryFilter(
             request_id=str(request_id),
             host=str(host),
             backend_server=str(backend_server),
@@ -60,9 +60,9 @@
     for offset in merged.offsets:
         basis = f"from {offset.pairs} pairs" if offset.pairs else "assumed, no pairs"
         print(f"# clock of {offset.process}: {offset.offset_s:+.6f} s ({basis})")
-    torn_lines = sum(log.torn_lines for log in parsed)
-    if torn_lines:
-        print(f"# {torn_lines} lines were torn or are no events")
+    malformed_lines = sum(log.malformed_lines for log in parsed)
+    if malformed_lines:
+        print(f"# {malformed_lines} lines were torn or are no events")
     for line in _lines(merged.entries):
         print(line)
 
--- a/src/damaskridge/core/gateway/crash_watch.py
+++ b/src/damaskridge/core/gateway/crash_watch.py
@@ -7,10 +7,10 @@
 host has seen it answered: many calls have neither a body nor a path of their own. Load
 answered: a single request that would take down one server after the other.
 
->>> watch = CrashWatch()
+>>> watch = CrashTracker()
 >>> for server in ("a", "b", "c"):
-...     watch.broke_off("f1", ServerStart(server), now_s=1.0)
-...     watch.was_lost(ServerStart(server), now_s=1.5)
+...     watch.record_interrupted_run("f1", ServerStart(server), now_s=1.0)
+...     watch.record_lost_server(ServerStart(server), now_s=1.5)
 >>> watch.is_suspect("f1", now_s=2.0)
 True
 >>> watch.is_suspect("f2", now_s=2.0)
@@ -24,7 +24,7 @@
 
 from damaskridge.model.gateway import CrashNotice, ServerStart
 
-__all__ = ["CrashWatch", "fingerprint_of"]
+__all__ = ["CrashTracker", "fingerprint_of"]
 
 K = TypeVar("K")
 N = TypeVar("N")
@@ -48,7 +48,7 @@
     return digest.hexdigest()
 
 
-class CrashWatch:
+class CrashTracker:
     """What one host knows of crashes, its own and those that others report."""
 
     def __init__(self) -> None:
@@ -57,20 +57,22 @@
         self._unreported: list[CrashNotice] = []
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
-    def broke_off(self, fingerprint: str, server: ServerStart, now_s: float) -> None:
+    def record_interrupted_run(
+        self, fingerprint: str, server: ServerStart, now_s: float
+    ) -> None:
         """Note that a server broke off a run; whether it crashed shows later."""
         self._forget_old(now_s)
         self._broken.setdefault(server, {})[fingerprint] = now_s
 
-    def was_lost(self, server: ServerStart, now_s: float) -> None:
+    def record_lost_server(self, server: ServerStart, now_s: float) -> None:
         """Note that a start of a server cannot be reached, or is gone."""
         for fingerprint, broken_s in self._broken.pop(server, {}).items():
             if now_s - broken_s <= CONFIRM_S:
                 notice = CrashNotice(fingerprint, server)
                 self._unreported.append(notice)
-                self.heard((notice,), now_s)
+                self.on_report((notice,), now_s)
 
-    def answered(self, fingerprint: str, now_s: float) -> None:
+    def record_response(self, fingerprint: str, now_s: float) -> None:
         """Clear a request that a server ran to its end."""
         self._crashes.pop(fingerprint, None)
         self._answered_s[fingerprint] = now_s
@@ -78,7 +80,7 @@
         if len(self._answered_s) > REMEMBERED:
             self._answered_s.popitem(last=False)
 
-    def heard(self, notices: Iterable[CrashNotice], now_s: float) -> None:
+    def on_report(self, notices: Iterable[CrashNotice], now_s: float) -> None:
         """Take over crashes, of this host or of others."""
         self._forget_old(now_s)
         for notice in notices:
@@ -89,15 +91,15 @@
         if now_s - self._answered_s.get(fingerprint, float("-inf")) <= KEEP_S:
             return False
         crashes = self._crashes.get(fingerprint, {}).values()
-        recent = sum(now_s - seen_s <= KEEP_S for seen_s in crashes)
-        return recent >= MOST_CRASHES
+        recent_crashes = sum(now_s - seen_s <= KEEP_S for seen_s in crashes)
+        return recent_crashes >= MOST_CRASHES
 
-    def unreported(self) -> tuple[CrashNotice, ...]:
+    def pop_unreported(self) -> tuple[CrashNotice, ...]:
         """Return what this host has found since the last call."""
         notices, self._unreported = tuple(self._unreported), []
         return notices
 
-    def recent(self, now_s: float) -> tuple[CrashNotice, ...]:
+    def recent_crashes(self, now_s: float) -> tuple[CrashNotice, ...]:
         """Return every crash that still counts."""
         self._forget_old(now_s)
         return tuple(
--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -13,7 +13,7 @@
 __all__ = ["EventSplitter", "EventTooLong", "StreamEvent"]
 
 # An event holds a few tokens. Bytes without the end of an event are no stream.
-EVENT_LIMIT_BYTES = 262_144
+MAX_EVENT_BYTES = 262_144
 
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
@@ -41,7 +41,7 @@
         Longest event.
     """
 
-    def __init__(self, limit_bytes: int = EVENT_LIMIT_BYTES) -> None:
+    def __init__(self, limit_bytes: int = MAX_EVENT_BYTES) -> None:
         self._limit_bytes = limit_bytes
         self._rest = b""
 
--- a/src/damaskridge/core/gateway/host_choice.py
+++ b/src/damaskridge/core/gateway/host_choice.py
@@ -6,9 +6,9 @@
 burst, and the others stand by. Load answered: fleets with hundreds of hosts, each with
 a request every few seconds.
 
->>> chosen_hosts(["a", "b", "c", "d"], 2)
+>>> select_hosts(["a", "b", "c", "d"], 2)
 ['a', 'c']
->>> chosen_hosts(["a", "b", "d"], 2)
+>>> select_hosts(["a", "b", "d"], 2)
 ['a', 'b']
 """
 
@@ -16,10 +16,10 @@
 from hashlib import blake2b
 from math import ceil
 
-from damaskridge.core.gateway.host_count import HostCount
+from damaskridge.core.gateway.host_count import PeakHostCount
 from damaskridge.model.control import InstanceLoad
 
-__all__ = ["HostDemand", "chosen_hosts"]
+__all__ = ["HostDemand", "select_hosts"]
 
 # Generations in flight that take a quarter of a link of 5 Mbit/s: each prompt of 5 KB
 # is sent twice, and some twenty events a second pass on. A burst may double them before
@@ -35,7 +35,7 @@
     """How many hosts of each data centre its requests need; slow to fall."""
 
     def __init__(self) -> None:
-        self._counts: dict[str, HostCount] = {}
+        self._counts: dict[str, PeakHostCount] = {}
 
     def hosts_needed(
         self, load: Mapping[str, Iterable[InstanceLoad]], now_s: float
@@ -54,12 +54,12 @@
         for data_centre, items in load.items():
             hosts = round(sum(map(_hosts, items)), ndigits=6)
             count = max(LEAST_HOSTS, ceil(hosts))
-            known = self._counts.setdefault(data_centre, HostCount())
-            needed[data_centre] = known.note(count, now_s)
+            known = self._counts.setdefault(data_centre, PeakHostCount())
+            needed[data_centre] = known.update(count, now_s)
         return needed
 
 
-def chosen_hosts(hosts: Sequence[str], count: int) -> list[str]:
+def select_hosts(hosts: Sequence[str], count: int) -> list[str]:
     """
     Return the hosts that callers are sent to, sorted by name.
 
--- a/src/damaskridge/core/gateway/host_count.py
+++ b/src/damaskridge/core/gateway/host_count.py
@@ -6,13 +6,13 @@
 
 from collections import deque
 
-__all__ = ["HostCount"]
+__all__ = ["PeakHostCount"]
 
 # Longer than cuts and freezes last; a budget window is 10 s.
 KEEP_S = 30.0
 
 
-class HostCount:
+class PeakHostCount:
     """
     The largest number of hosts of late.
 
@@ -27,7 +27,7 @@
         # Numbers that fall from left to right, each with the end of its time.
         self._seen: deque[tuple[int, float]] = deque()
 
-    def note(self, hosts: int, now_s: float) -> int:
+    def update(self, hosts: int, now_s: float) -> int:
         """Note the present number; returns the one to share by, at least 1."""
         if self._seen:
             self._seen[-1] = (self._seen[-1][0], now_s)
--- a/src/damaskridge/core/gateway/host_retry_budget.py
+++ b/src/damaskridge/core/gateway/host_retry_budget.py
@@ -31,7 +31,7 @@
         self._part = RetryPart()
         self._shares: dict[str, RetryShare] = {}
 
-    def share_among(self, *, hosts: int, used_hosts: int, is_used: bool) -> None:
+    def set_host_counts(self, *, hosts: int, used_hosts: int, is_used: bool) -> None:
         """Take this host's part, with so many hosts in the fleet and in use."""
         self._part = part_of(
             self._allowance, hosts=hosts, used_hosts=used_hosts, is_used=is_used
--- a/src/damaskridge/core/gateway/instance_feed.py
+++ b/src/damaskridge/core/gateway/instance_feed.py
@@ -9,10 +9,10 @@
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance
 
-__all__ = ["InstanceCopy", "InstanceReadings"]
+__all__ = ["InstanceListReplica", "InstanceListDiffer"]
 
 
-class InstanceReadings:
+class InstanceListDiffer:
     """
     The reader's side: turns readings of the list into differences.
 
@@ -46,7 +46,7 @@
             removed=removed,
         )
 
-    def whole(self) -> InstancesSeen | None:
+    def snapshot(self) -> InstancesSeen | None:
         """Return all entries, or None before the first reading."""
         if not self._revision:
             return None
@@ -57,13 +57,13 @@
         )
 
 
-class InstanceCopy:
+class InstanceListReplica:
     """
     A copy of the list.
 
     Attributes
     ----------
-    seen_s : float
+    confirmed_s : float
         When the list was last known to be as the copy says.
     """
 
@@ -73,7 +73,7 @@
         self._items: dict[str, BackendInstance] = {}
         # A reading of this host's own, which must not break the leader's sequence.
         self._own: tuple[BackendInstance, ...] | None = None
-        self.seen_s = float("-inf")
+        self.confirmed_s = float("-inf")
 
     @property
     def items(self) -> tuple[BackendInstance, ...]:
@@ -93,10 +93,10 @@
         for name in message.removed:
             self._items.pop(name, None)
         self._own = None
-        self.seen_s = now_s
+        self.confirmed_s = now_s
         return True
 
     def replace(self, instances: Iterable[BackendInstance], now_s: float) -> None:
         """Take over a reading of this host's own."""
         self._own = tuple(instances)
-        self.seen_s = now_s
+        self.confirmed_s = now_s
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -35,19 +35,19 @@
     """
 
     avoided_until_s: float = float("-inf")
-    unreachable: int = 0
-    recent: list[bool] = field(default_factory=list)
+    record_unreachable: int = 0
+    recent_results: list[bool] = field(default_factory=list)
 
     def note(self, good: bool) -> None:
         """Record one answer."""
-        self.recent.append(good)
-        del self.recent[:-WINDOW_ANSWERS]
+        self.recent_results.append(good)
+        del self.recent_results[:-WINDOW_ANSWERS]
 
     @property
     def is_failing(self) -> bool:
         """Whether most of the last answers were failures."""
-        failures = self.recent.count(False)
-        return failures >= FAILING_ANSWERS and 2 * failures >= len(self.recent)
+        failures = self.recent_results.count(False)
+        return failures >= FAILING_ANSWERS and 2 * failures >= len(self.recent_results)
 
 
 class InstanceRegistry:
@@ -59,7 +59,7 @@
 
     Attributes
     ----------
-    seen_s : float
+    confirmed_s : float
         When the list was last known to be as it is here.
     notices : ServerNotices
         What servers have asked of this host.
@@ -68,7 +68,7 @@
     def __init__(self) -> None:
         self._instances: dict[str, BackendInstance] = {}
         self._health: dict[str, InstanceHealth] = {}
-        self.seen_s = 0.0
+        self.confirmed_s = 0.0
         self.notices = ServerNotices()
 
     def __len__(self) -> int:
@@ -85,7 +85,7 @@
         self._instances = listed
         for item in gone:
             self._health.pop(item.instance, None)
-        self.notices.forget_all_but(listed.values())
+        self.notices.retain_only(listed.values())
         return gone
 
     def find(self, name: str) -> BackendInstance | None:
@@ -113,7 +113,7 @@
             item
             for item in self._staying(service, stage)
             if item.instance not in excluded
-            and not self.notices.pause_left_s(item.instance, now_s)
+            and not self.notices.remaining_pause_s(item.instance, now_s)
         ]
         healthy = [item for item in usable if not self.is_avoided(item.instance, now_s)]
         return healthy or usable
@@ -128,30 +128,30 @@
         """
         return min(
             (
-                self.notices.pause_left_s(item.instance, now_s)
+                self.notices.remaining_pause_s(item.instance, now_s)
                 for item in self._staying(service, stage)
             ),
             default=0.0,
         )
 
-    def unreachable(self, instance: str, now_s: float) -> float:
+    def record_unreachable(self, instance: str, now_s: float) -> float:
         """Note a failure to connect; returns how long the server is avoided."""
-        health = self._of(instance)
-        doubled_s: float = UNREACHABLE_S * 2**health.unreachable
+        health = self._health_of(instance)
+        doubled_s: float = UNREACHABLE_S * 2**health.record_unreachable
         avoided_s = min(doubled_s, LONGEST_UNREACHABLE_S)
-        health.unreachable += 1
+        health.record_unreachable += 1
         health.avoided_until_s = now_s + avoided_s
         return avoided_s
 
-    def answered(self, instance: str, now_s: float, *, good: bool) -> float:
+    def record_response(self, instance: str, now_s: float, *, good: bool) -> float:
         """Note an answer or its absence; returns how long the server is avoided."""
-        health = self._of(instance)
+        health = self._health_of(instance)
         health.note(good)
         if good:
-            health.unreachable = 0
+            health.record_unreachable = 0
             health.avoided_until_s = float("-inf")
         elif health.is_failing:
-            health.recent.clear()
+            health.recent_results.clear()
             health.avoided_until_s = now_s + FAILING_S
             return FAILING_S
         return 0.0
@@ -170,10 +170,10 @@
             if item.service == service
             and item.stage is stage
             and not item.is_leaving
-            and not self.notices.has_left(item)
+            and not self.notices.has_announced_leaving(item)
         ]
 
-    def _of(self, instance: str) -> InstanceHealth:
+    def _health_of(self, instance: str) -> InstanceHealth:
         return self._health.setdefault(instance, InstanceHealth())
 
 
--- a/src/damaskridge/core/gateway/load.py
+++ b/src/damaskridge/core/gateway/load.py
@@ -1,6 +1,6 @@
 """What is in flight on each backend server, and which one gets the next request.
 
->>> book = LoadBook(random.Random(1))
+>>> book = LoadTracker(random.Random(1))
 >>> servers = [
 ...     BackendInstance(
 ...         instance=name, service="s", address="", data_centre="west", slots=2
@@ -18,7 +18,7 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance
 
-__all__ = ["LoadBook"]
+__all__ = ["LoadTracker"]
 
 # About one long request.
 NEAR_TOKENS = 6_000
@@ -34,7 +34,7 @@
 DRAWN = 3
 
 
-class LoadBook:
+class LoadTracker:
     """
     Requests in flight by backend server.
 
@@ -81,18 +81,18 @@
             own.memory_tokens + others.memory_tokens,
         )
 
-    def others_changed(self, load: Mapping[str, InstanceLoad]) -> None:
+    def update_remote_load(self, load: Mapping[str, InstanceLoad]) -> None:
         """Take over what the other hosts have in flight."""
         self._others.update(load)
         for name, work in load.items():
             if work == InstanceLoad():
                 del self._others[name]
 
-    def forget_others(self) -> None:
+    def clear_remote_load(self) -> None:
         """Count this host's requests only, after others were not heard for long."""
         self._others.clear()
 
-    def unreported(self, *, everything: bool) -> dict[str, InstanceLoad]:
+    def pop_unreported(self, *, everything: bool) -> dict[str, InstanceLoad]:
         """Return what changed since the last call, or all that is in flight."""
         names = self._unreported | (self._work.keys() if everything else set())
         self._unreported = set()
@@ -110,7 +110,7 @@
             ),
         )
 
-    def shortest_prefill(
+    def shortest_prefill_queue(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
         """Return a candidate with few prompt tokens to read."""
@@ -122,7 +122,7 @@
             ),
         )
 
-    def with_room(
+    def with_free_memory(
         self, candidates: Sequence[BackendInstance], tokens: int, memory_tokens: int
     ) -> list[BackendInstance]:
         """
@@ -147,7 +147,7 @@
             or used + tokens <= limit_tokens
         ]
 
-    def most_memory(
+    def least_memory_used(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
         """
--- a/src/damaskridge/core/gateway/load_board.py
+++ b/src/damaskridge/core/gateway/load_board.py
@@ -17,7 +17,7 @@
 
 from damaskridge.model.control import InstanceLoad, LoadSeen, ReportLoad
 
-__all__ = ["ACTIVE_S", "LoadBoard"]
+__all__ = ["ACTIVE_S", "LoadAggregator"]
 
 # A host that reported fewer requests than this in the last seconds, weighted by their
 # age, is not told what others have in flight. Callers that keep an old answer, and
@@ -71,7 +71,7 @@
         return self.number_of_another if member == self.member else self.number
 
 
-class LoadBoard:
+class LoadAggregator:
     """The reports of all hosts that are connected."""
 
     def __init__(self) -> None:
@@ -105,7 +105,7 @@
         found = self._members.get(member)
         return found is not None and found.requests(now_s) >= ACTIVE_REQUESTS
 
-    def active(self, now_s: float) -> int:
+    def active_count(self, now_s: float) -> int:
         """Return how many hosts have reported enough requests of late."""
         return sum(self.is_active(member, now_s) for member in self._members)
 
@@ -131,7 +131,7 @@
             own[workspace] = own.get(workspace, 0.0) + used
             self._usage[workspace] = self._usage.get(workspace, 0.0) + used
 
-    def news(self, member: Hashable, now_s: float) -> LoadSeen | None:
+    def next_update(self, member: Hashable, now_s: float) -> LoadSeen | None:
         """Return what a host has not been told yet, or None."""
         reader = self._members.get(member)
         if reader is None:
--- a/src/damaskridge/core/gateway/prompt_reading.py
+++ b/src/damaskridge/core/gateway/prompt_reading.py
@@ -5,7 +5,7 @@
 no transfer; meanwhile the events of those requests are late. Load answered: bursts of
 long prompts, and lost prefill engines.
 
->>> speed = ReadingSpeed()
+>>> speed = PrefillEstimator()
 >>> speed.prefill_s(prompt_tokens=5000, pending_tokens=0)
 0.1
 >>> speed.decode_s(prompt_tokens=5000, pending_tokens=0)
@@ -21,7 +21,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["EventPace", "ReadingSpeed"]
+__all__ = ["EventPace", "PrefillEstimator"]
 
 # Until the first prompt has been read; a current accelerator reads about this fast.
 FIRST_TOKENS_PER_S = 50_000.0
@@ -74,7 +74,7 @@
         return added_s <= READ_GAP_SHARE * self.event_gap_s
 
 
-class ReadingSpeed:
+class PrefillEstimator:
     """The speed at which the prefill engines of a service read, as observed."""
 
     def __init__(self) -> None:
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -16,10 +16,10 @@
 
 >>> quota = FleetQuota()
 >>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
->>> quota.take(limit, cost=60.0, now_s=0.0)
+>>> quota.acquire(limit, cost=60.0, now_s=0.0)
 0.0
->>> quota.others_admitted({"w": 30.0}, now_s=0.0)
->>> quota.take(limit, cost=60.0, now_s=0.0)
+>>> quota.record_remote_usage({"w": 30.0}, now_s=0.0)
+>>> quota.acquire(limit, cost=60.0, now_s=0.0)
 0.6
 """
 
@@ -79,7 +79,7 @@
         self._buckets: dict[str, _Bucket] = {}
         self._heard_s = 0.0
 
-    def limits_changed(
+    def update_limits(
         self, workspaces: Iterable[GatewayWorkspace], now_s: float
     ) -> None:
         """Keep a bucket for each of these workspaces, and no other."""
@@ -89,7 +89,7 @@
             if workspace.rate_per_s > 0
         }
 
-    def take(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
+    def acquire(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
         """
         Take a request's cost.
 
@@ -119,7 +119,7 @@
         bucket.own_unreported += cost
         return 0.0
 
-    def others_admitted(self, usage: Mapping[str, float], now_s: float) -> None:
+    def record_remote_usage(self, usage: Mapping[str, float], now_s: float) -> None:
         """Take what other hosts have admitted; call it for every message."""
         self._heard_s = now_s
         for name, used in usage.items():
@@ -129,11 +129,11 @@
                 bucket.level -= used
                 bucket.others_per_s += used / AVERAGE_S
 
-    def heard(self, now_s: float) -> None:
+    def on_report(self, now_s: float) -> None:
         """Note that the other hosts can be heard, though nothing has changed."""
         self._heard_s = now_s
 
-    def unreported(self) -> dict[str, float]:
+    def pop_unreported(self) -> dict[str, float]:
         """Return what this host admitted since the last call."""
         usage = {}
         for name, bucket in self._buckets.items():
--- a/src/damaskridge/core/gateway/refusals.py
+++ b/src/damaskridge/core/gateway/refusals.py
@@ -7,7 +7,7 @@
 
 import random
 
-__all__ = ["RefusalTimes"]
+__all__ = ["RetryAfterTimes"]
 
 # A backend server that is full has room again within about one answer.
 OVERLOAD_S = 0.15
@@ -26,7 +26,7 @@
 SPREAD = 0.5
 
 
-class RefusalTimes:
+class RetryAfterTimes:
     """
     Times for `Retry-After`.
 
--- a/src/damaskridge/core/gateway/send_account.py
+++ b/src/damaskridge/core/gateway/send_account.py
@@ -5,9 +5,9 @@
 paid before it is sent.
 
 >>> account = SendAccount()
->>> account.unpaid_before(SendStep.READ)
+>>> account.unpaid_before(SendStep.PREFILL)
 0
->>> account.arrived(SendStep.READ, was_refused=True)
+>>> account.record_arrival(SendStep.PREFILL, was_refused=True)
 >>> account.unpaid_before(SendStep.RUN)
 1
 >>> account.pay()
@@ -24,7 +24,7 @@
 class SendStep(Enum):
     """What a backend server is asked for: to read a prompt, or to run a request."""
 
-    READ = "read"
+    PREFILL = "read"
     RUN = "run"
 
 
@@ -39,13 +39,13 @@
         Arrivals so far that count.
     paid : int
         Sends that were taken from the retry budget.
-    has_free_reading : bool
+    has_free_prefill : bool
         Whether no engine has taken a reading of the prompt yet.
     """
 
-    counted: int = 0
+    counted_arrivals: int = 0
     paid: int = 0
-    has_free_reading: bool = True
+    has_free_prefill: bool = True
 
     def unpaid_before(self, step: SendStep) -> int:
         """
@@ -55,17 +55,17 @@
         counts is paid together with its run.
         """
         sends = 1
-        if step is SendStep.READ and not self.has_free_reading:
+        if step is SendStep.PREFILL and not self.has_free_prefill:
             sends = 2
-        return max(0, self.counted + sends - 1 - self.paid)
+        return max(0, self.counted_arrivals + sends - 1 - self.paid)
 
     def pay(self) -> None:
         """Count one send that was taken from the retry budget."""
         self.paid += 1
 
-    def arrived(self, step: SendStep, *, was_refused: bool) -> None:
+    def record_arrival(self, step: SendStep, *, was_refused: bool) -> None:
         """Count a send that has, or may have, reached a backend server."""
-        if step is SendStep.READ and self.has_free_reading and not was_refused:
-            self.has_free_reading = False
+        if step is SendStep.PREFILL and self.has_free_prefill and not was_refused:
+            self.has_free_prefill = False
         else:
-            self.counted += 1
+            self.counted_arrivals += 1
--- a/src/damaskridge/core/gateway/send_policy.py
+++ b/src/damaskridge/core/gateway/send_policy.py
@@ -5,9 +5,9 @@
 if no send may have run.
 
 >>> policy = SendPolicy(WorkKind.AT_MOST_ONCE, attempts=2)
->>> policy.not_run(left_s=1.0, may_resend=True)
-Resend()
->>> policy.unknown(left_s=1.0, may_resend=True, timed_out=False).kind
+>>> policy.after_not_run(left_s=1.0, may_retry=True)
+Retry()
+>>> policy.after_unknown(left_s=1.0, may_retry=True, timed_out=False).kind
 <ErrorKind.BACKEND_SERVER_FAILED: 'backend_server_failed'>
 """
 
@@ -16,7 +16,7 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.gateway import WorkKind
 
-__all__ = ["GiveUp", "Resend", "SendPolicy"]
+__all__ = ["Fail", "Retry", "SendPolicy"]
 
 # A backend server needs about as long to answer; a send with less cannot succeed.
 LEAST_LEFT_S = 0.02
@@ -25,12 +25,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Resend:
+class Retry:
     """Send the request again, to another backend server."""
 
 
 @dataclass(frozen=True, slots=True)
-class GiveUp:
+class Fail:
     """Answer the caller with a failure of this kind."""
 
     kind: ErrorKind
@@ -64,48 +64,48 @@
         self.runs = 0
 
     @property
-    def may_repeat(self) -> bool:
+    def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
         return self._may_repeat
 
     @property
-    def has_another_run(self) -> bool:
+    def may_run_again(self) -> bool:
         """Whether a further backend server may run the request."""
         return self._may_repeat and self.runs + 1 < self._attempts
 
-    def sent(self) -> None:
+    def record_send(self) -> None:
         """Count a send."""
         self.sends += 1
 
-    def not_run(self, *, left_s: float, may_resend: bool) -> Resend | GiveUp:
-        """Decide after a send that did not run; `may_resend` is the retry budget."""
-        if may_resend and left_s > LEAST_LEFT_S and self.sends < MOST_SENDS:
-            return Resend()
+    def after_not_run(self, *, left_s: float, may_retry: bool) -> Retry | Fail:
+        """Decide after a send that did not run; `may_retry` is the retry budget."""
+        if may_retry and left_s > LEAST_LEFT_S and self.sends < MOST_SENDS:
+            return Retry()
         if self.runs:
-            return GiveUp(ErrorKind.BACKEND_SERVER_FAILED, RunState.UNKNOWN)
-        return GiveUp(ErrorKind.OVERLOADED, RunState.NOT_RUN)
+            return Fail(ErrorKind.BACKEND_SERVER_FAILED, RunState.UNKNOWN)
+        return Fail(ErrorKind.OVERLOADED, RunState.NOT_RUN)
 
-    def unknown(
-        self, *, left_s: float, may_resend: bool, timed_out: bool
-    ) -> Resend | GiveUp:
+    def after_unknown(
+        self, *, left_s: float, may_retry: bool, timed_out: bool
+    ) -> Retry | Fail:
         """Decide after a send that may have run."""
         self.runs += 1
-        if self._may_run_again(left_s, may_resend):
-            return Resend()
+        if self._may_run_again(left_s, may_retry):
+            return Retry()
         kind = ErrorKind.BACKEND_SERVER_FAILED
         if timed_out:
             kind = ErrorKind.BACKEND_SERVER_TIMEOUT
-        return GiveUp(kind, RunState.UNKNOWN)
+        return Fail(kind, RunState.UNKNOWN)
 
-    def failed(self, *, left_s: float, may_resend: bool) -> Resend | None:
+    def after_failure(self, *, left_s: float, may_retry: bool) -> Retry | None:
         """Decide after an answer that is a failure; None passes it on."""
         self.runs += 1
-        return Resend() if self._may_run_again(left_s, may_resend) else None
+        return Retry() if self._may_run_again(left_s, may_retry) else None
 
-    def _may_run_again(self, left_s: float, may_resend: bool) -> bool:
+    def _may_run_again(self, left_s: float, may_retry: bool) -> bool:
         return (
             self._may_repeat
             and self.runs < self._attempts
-            and may_resend
+            and may_retry
             and left_s > LEAST_LEFT_S
         )
--- a/src/damaskridge/core/gateway/server_notices.py
+++ b/src/damaskridge/core/gateway/server_notices.py
@@ -5,10 +5,10 @@
 load, and servers that are overloaded by all hosts together.
 
 >>> notices = ServerNotices()
->>> notices.asked_to_pause("a", until_s=12.0)
->>> notices.pause_left_s("a", now_s=10.5)
+>>> notices.record_pause("a", until_s=12.0)
+>>> notices.remaining_pause_s("a", now_s=10.5)
 1.5
->>> notices.pause_left_s("b", now_s=10.5)
+>>> notices.remaining_pause_s("b", now_s=10.5)
 0.0
 """
 
@@ -26,7 +26,7 @@
         self._leaving: dict[str, ServerStart] = {}
         self._paused_until_s: dict[str, float] = {}
 
-    def leaves(self, item: BackendInstance) -> bool:
+    def record_leaving(self, item: BackendInstance) -> bool:
         """Note that an instance leaves; `False` if that was known."""
         return self.add(item.start)
 
@@ -36,7 +36,7 @@
         self._leaving[notice.instance] = notice
         return is_new
 
-    def has_left(self, item: BackendInstance) -> bool:
+    def has_announced_leaving(self, item: BackendInstance) -> bool:
         """Tell whether this start of an instance has said that it leaves."""
         return self._leaving.get(item.instance) == item.start
 
@@ -44,16 +44,16 @@
         """Return all instances that said that they leave."""
         return tuple(self._leaving.values())
 
-    def asked_to_pause(self, instance: str, until_s: float) -> None:
+    def record_pause(self, instance: str, until_s: float) -> None:
         """Note that an instance wants nothing until then; a pause never shrinks."""
         known_s = self._paused_until_s.get(instance, until_s)
         self._paused_until_s[instance] = max(known_s, until_s)
 
-    def pause_left_s(self, instance: str, now_s: float) -> float:
+    def remaining_pause_s(self, instance: str, now_s: float) -> float:
         """Return for how long an instance still wants nothing; 0 if it takes work."""
         return max(0.0, self._paused_until_s.get(instance, now_s) - now_s)
 
-    def forget_all_but(self, listed: Iterable[BackendInstance]) -> None:
+    def retain_only(self, listed: Iterable[BackendInstance]) -> None:
         """Drop notices of instances that are gone or have started anew."""
         present = {item.instance: item.start for item in listed}
         self._leaving = {
--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -13,7 +13,7 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
-__all__ = ["StageBalance", "StageChange"]
+__all__ = ["StageBalancer", "StageChange"]
 
 # Time constant of the averages: above the length of one generation, well below the time
 # that a change has to pay off in.
@@ -49,7 +49,7 @@
     prefill_use: float
 
 
-class StageBalance:
+class StageBalancer:
     """
     Watches the engines of one service.
 
--- a/src/damaskridge/core/limits/messages.py
+++ b/src/damaskridge/core/limits/messages.py
@@ -27,18 +27,18 @@
     """
     The host now owns a workspace's rate.
 
-    `level_tokens` is what the earlier owner handed over, 0 after its crash; `lost`
-    tells that it is unknown and counts as 0. Until
-    every host in `fronts` has reported its active requests (`RequestActive`,
-    closed by one with an empty request id), requests with an idempotency key
-    wait.
+    `level_tokens` is the bucket level that the previous owner released, or 0 after a
+    crash. `is_level_unknown` marks a level that was lost with the previous owner.
+    Requests with an idempotency key wait until every host in `fronts` has reported
+    its active requests: one `RequestActive` per request, then one with an empty
+    request id as the end marker.
     """
 
     workspace: Workspace
     epoch: int
     level_tokens: float
     fronts: tuple[str, ...]
-    lost: bool = False
+    is_level_unknown: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/limits/rate_owner.py
+++ b/src/damaskridge/core/limits/rate_owner.py
@@ -50,7 +50,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._spaces: dict[str, WorkspaceState] = {}
+        self._workspaces: dict[str, WorkspaceState] = {}
         self._lease_ends_s = float("-inf")
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
@@ -60,7 +60,7 @@
     def next_wakeup_s(self, now_s: float) -> float | None:
         """Return the time at which to send `TimePassed`, if any."""
         times: list[float] = []
-        for space in self._spaces.values():
+        for space in self._workspaces.values():
             if space.parked:
                 times.append(space.rebuilt_by_s)
             if space.waiting:
@@ -80,17 +80,17 @@
     @_apply.register
     def _(self, event: OwnershipGained, now_s: float) -> list[RateAction]:
         name = event.workspace.name
-        current = self._spaces.get(name)
+        current = self._workspaces.get(name)
         if current is not None and current.epoch >= event.epoch:
             return []
         actions = self._refuse_all(name)
-        self._spaces[name] = WorkspaceState(event, now_s)
+        self._workspaces[name] = WorkspaceState(event, now_s)
         return actions
 
     @_apply.register
     def _(self, event: WorkspaceChanged, now_s: float) -> list[RateAction]:
         changed: Workspace = event.workspace
-        space = self._spaces.get(changed.name)
+        space = self._workspaces.get(changed.name)
         if space is None:
             return []
         space.rate_tokens_per_s = changed.rate_tokens_per_s
@@ -105,7 +105,7 @@
 
     @_apply.register
     def _(self, event: ReleaseRequested, now_s: float) -> list[RateAction]:
-        space = self._spaces.get(event.workspace)
+        space = self._workspaces.get(event.workspace)
         if space is None:
             return []
         level_tokens = space.bucket.level_tokens(now_s)
@@ -117,7 +117,7 @@
     def _(self, event: RateRequested, now_s: float) -> list[RateAction]:
         self._note_lease(event.lease_remaining_s, now_s)
         request = event.request
-        space = self._spaces.get(request.workspace)
+        space = self._workspaces.get(request.workspace)
         if space is None or space.epoch != request.epoch:
             return [_refuse(request, ErrorKind.EPOCH_CONFLICT)]
         if event.lease_remaining_s <= 0:
@@ -130,7 +130,7 @@
     @_apply.register
     def _(self, event: RefundReceived, now_s: float) -> list[RateAction]:
         refund = event.refund
-        space = self._spaces.get(refund.workspace)
+        space = self._workspaces.get(refund.workspace)
         if space is None or space.epoch != refund.epoch:
             return []
         charge = space.charges.get(refund.request_id)
@@ -144,7 +144,7 @@
 
     @_apply.register
     def _(self, event: RequestActive, now_s: float) -> list[RateAction]:
-        space = self._spaces.get(event.workspace)
+        space = self._workspaces.get(event.workspace)
         if space is None:
             return []
         if not event.request_id:
@@ -161,7 +161,7 @@
 
     @_apply.register
     def _(self, event: RequestEnded, now_s: float) -> list[RateAction]:
-        space = self._spaces.get(event.workspace)
+        space = self._workspaces.get(event.workspace)
         if space is None:
             return []
         space.keys.finish(event.request_id, now_s)
@@ -175,7 +175,7 @@
     def _(self, event: TimePassed, now_s: float) -> list[RateAction]:
         self._note_lease(event.lease_remaining_s, now_s)
         actions: list[RateAction] = []
-        for space in self._spaces.values():
+        for space in self._workspaces.values():
             space.expire(now_s)
             actions += self._serve(space, now_s)
             if space.history.is_active(now_s):
@@ -192,7 +192,7 @@
         space.keys.discard(request_id)
 
     def _refuse_all(self, name: str) -> list[RateAction]:
-        space = self._spaces.pop(name, None)
+        space = self._workspaces.pop(name, None)
         if space is None:
             return []
         entries = [*space.waiting.values(), *space.parked.values()]
--- a/src/damaskridge/core/limits/workspace_state.py
+++ b/src/damaskridge/core/limits/workspace_state.py
@@ -45,9 +45,9 @@
     workspace caused; it grants nothing.
     """
 
-    def __init__(self, space: Workspace, lost: bool, now_s: float) -> None:
+    def __init__(self, space: Workspace, is_level_unknown: bool, now_s: float) -> None:
         self._bucket: TokenBucket | None = None
-        if lost:
+        if is_level_unknown:
             rate, burst = space.rate_tokens_per_s, space.burst_tokens
             self._bucket = TokenBucket(rate, burst, burst, now_s)
             # By then the real bucket would be full as well.
@@ -80,7 +80,7 @@
         self.bucket = TokenBucket(
             space.rate_tokens_per_s, space.burst_tokens, gained.level_tokens, now_s
         )
-        self.history = History(space, gained.lost, now_s)
+        self.history = History(space, gained.is_level_unknown, now_s)
         self.keys = KeyTable()
         self.charges: OrderedDict[str, Charge] = OrderedDict()
         self.waiting: OrderedDict[str, Waiting] = OrderedDict()
--- a/src/damaskridge/core/timeline.py
+++ b/src/damaskridge/core/timeline.py
@@ -3,7 +3,7 @@
 >>> lines = ['{"time_s": 2.0, "process": "b", "event": 5000, "name": "N"}', '{"torn']
 >>> [item.process for item in parse_log(lines).entries]
 ['b']
->>> parse_log(lines).torn_lines
+>>> parse_log(lines).malformed_lines
 1
 """
 
@@ -15,7 +15,7 @@
 
 __all__ = [
     "ClockOffset",
-    "Filter",
+    "EntryFilter",
     "LogEntry",
     "ParsedLog",
     "Timeline",
@@ -51,7 +51,7 @@
     """The entries of one log and the number of lines that were no entry."""
 
     entries: tuple[LogEntry, ...]
-    torn_lines: int
+    malformed_lines: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Filter:
+class EntryFilter:
     """Which entries are shown; empty fields let everything pass."""
 
     request_id: str = ""
@@ -108,16 +108,16 @@
 def parse_log(lines: Iterable[str]) -> ParsedLog:
     """Return the entries of a log; torn lines and other output are counted."""
     entries: list[LogEntry] = []
-    torn_lines = 0
+    malformed_lines = 0
     for line in lines:
         if not line.strip():
             continue
         entry = _parse_line(line)
         if entry is None:
-            torn_lines += 1
+            malformed_lines += 1
         else:
             entries.append(entry)
-    return ParsedLog(tuple(entries), torn_lines)
+    return ParsedLog(tuple(entries), malformed_lines)
 
 
 def estimate_offsets(entries: Iterable[LogEntry]) -> tuple[ClockOffset, ...]:
@@ -152,7 +152,7 @@
     )
 
 
-def merge(logs: Iterable[ParsedLog], shown: Filter | None = None) -> Timeline:
+def merge(logs: Iterable[ParsedLog], shown: EntryFilter | None = None) -> Timeline:
     """Return one time line over all logs, filtered by corrected times."""
     entries = [entry for log in logs for entry in log.entries]
     offsets = estimate_offsets(entries)
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -15,11 +15,11 @@
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_watch import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load import LoadTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.refusals import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.model.gateway import BackendInstance, WorkKind
 from damaskridge.platform.dialect import PlatformDialect
@@ -159,7 +159,7 @@
     state: GatewayState
     registry: InstanceRegistry
     resends: list
-    load: LoadBook
+    load: LoadTracker
 
     async def ask(
         self,
@@ -233,9 +233,9 @@
     registry.replace([standin.instance() for standin in standins])
     retries = Retries(budget)
     gate = RetryGate(retries)
-    rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashWatch()
-    refusals = RefusalTimes(rng)
-    load = LoadBook(rng)
+    rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashTracker()
+    refusals = RetryAfterTimes(rng)
+    load = LoadTracker(rng)
     shared = {
         "sender": Sender(dialect, pool, registry, crashes, gate),
         "registry": registry,
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -14,7 +14,7 @@
 from tests.adapters.gateway.test_streams import decoding, engines
 
 from damaskridge.adapters.gateway.connections import READ_AHEAD_BYTES, BackendConnection
-from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
+from damaskridge.core.gateway.event_stream import MAX_EVENT_BYTES
 from damaskridge.platform.instance_list import PlatformInstanceList
 
 PIECE = b"x" * 8192
@@ -92,7 +92,7 @@
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
             assert script.sent_bytes < MOST_BUFFERED_BYTES
-            assert app.registry._of("a").recent == [False]
+            assert app.registry._health_of("a").recent_results == [False]
 
     play(main)
 
@@ -120,7 +120,7 @@
         script = Endless(start, piece)
         found = engines(script, decoding())
         async with gateway(*found) as app:
-            app.registry.unreachable("d1", asyncio.get_running_loop().time())
+            app.registry.record_unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
             assert (status, body) == (200, events(1, 9))
             async with asyncio.timeout(2):
@@ -212,7 +212,7 @@
         script = Endless(begin, chunk(b":"), pause_s=0.1)
         found = engines(script, decoding())
         async with gateway(*found) as app:
-            app.registry.unreachable("d1", asyncio.get_running_loop().time())
+            app.registry.record_unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 9))
 
@@ -240,5 +240,5 @@
 
 
 def test_bytes_without_the_end_of_an_event_are_bounded():
-    assert READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MOST_BUFFERED_BYTES
+    assert READ_AHEAD_BYTES <= MAX_EVENT_BYTES < MOST_BUFFERED_BYTES
     assert BackendConnection._new_parser()._max_incomplete_event_size <= 65_536
--- a/tests/adapters/gateway/test_server_notices.py
+++ b/tests/adapters/gateway/test_server_notices.py
@@ -82,7 +82,7 @@
         found = engines(answering(PAUSE, 503), answering(PAUSE, 503))
         async with gateway(*found) as app:
             for engine in found[1:]:
-                app.registry.notices.asked_to_pause(
+                app.registry.notices.record_pause(
                     engine.name, asyncio.get_running_loop().time() + 1.5
                 )
             status, headers, _ = await app.generate("/gen/x")
@@ -102,7 +102,7 @@
                 for engine in found[1:]:
                     if app.load.total(engine.name).requests:
                         until_s = asyncio.get_running_loop().time() + 1.5
-                        app.registry.notices.asked_to_pause(engine.name, until_s)
+                        app.registry.notices.record_pause(engine.name, until_s)
                         paused.append(engine)
                 await read_prompt(seen, writer)
 
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -6,7 +6,7 @@
 
 from damaskridge.adapters.rpc.followers import FollowerSet
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
-from damaskridge.core.gateway.instance_feed import InstanceCopy
+from damaskridge.core.gateway.instance_feed import InstanceListReplica
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceList, ServerStart
@@ -38,7 +38,7 @@
 
     def __init__(self):
         super().__init__(ControlState())
-        self.copy = InstanceCopy()
+        self.copy = InstanceListReplica()
 
     def notify(self, message):
         assert isinstance(message, InstancesSeen)
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -10,7 +10,7 @@
 
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
 from damaskridge.adapters.rpc.stage_orders import TAKE_OVER_S, StageOrders
-from damaskridge.core.gateway.load_board import LoadBoard
+from damaskridge.core.gateway.load_board import LoadAggregator
 from damaskridge.core.gateway.stage_balance import WARM_UP_S
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstanceLoad, ReportLoad
@@ -42,7 +42,7 @@
         self.unusable_when_ordered = []
         self.node = FakeNode(FakeGroup(), "c1", ControlState())
         self.hosts = Hosts()
-        board = LoadBoard()
+        board = LoadAggregator()
         board.join("h", 0.0)
         load = {name: InstanceLoad(9, 0, used_tokens) for name in ("d0", "d1")}
         board.report("h", ReportLoad(load=load), 0.0)
--- a/tests/adapters/test_boottime_loop.py
+++ b/tests/adapters/test_boottime_loop.py
@@ -7,7 +7,7 @@
 from tests.adapters.gateway.test_streams import decoding, engines, read_prompt
 
 from damaskridge.adapters.boottime_loop import BoottimeEventLoop
-from damaskridge.core.gateway.instance_feed import InstanceCopy
+from damaskridge.core.gateway.instance_feed import InstanceListReplica
 from damaskridge.core.leases import SESSION_DURATION_S, HolderLease
 
 SUSPENDED_S = 5.0
@@ -53,10 +53,10 @@
 
 def test_a_list_of_backend_servers_grows_old_during_a_suspension():
     async def main(clock):
-        copy = InstanceCopy()
+        copy = InstanceListReplica()
         copy.replace((), anyio.current_time())
         clock.suspend()
-        assert anyio.current_time() - copy.seen_s >= SUSPENDED_S
+        assert anyio.current_time() - copy.confirmed_s >= SUSPENDED_S
 
     play(main)
 
--- a/tests/binaries/test_gateway_host.py
+++ b/tests/binaries/test_gateway_host.py
@@ -42,7 +42,7 @@
         await anyio.sleep(10)
         with_table(host)
         host._load_seen(LoadSeen(usage={"w": 900.0}))
-        assert host._quota.take(LIMIT, 500.0, anyio.current_time()) > 0
+        assert host._quota.acquire(LIMIT, 500.0, anyio.current_time()) > 0
 
     run_paused(main())
 
--- a/tests/core/gateway/test_host_choice.py
+++ b/tests/core/gateway/test_host_choice.py
@@ -5,7 +5,7 @@
     GENERATIONS_PER_HOST,
     LEAST_HOSTS,
     HostDemand,
-    chosen_hosts,
+    select_hosts,
 )
 from damaskridge.core.gateway.host_count import KEEP_S
 from damaskridge.model.control import InstanceLoad
@@ -18,24 +18,24 @@
 
 
 def test_all_hosts_choose_alike_whatever_the_order_of_names():
-    assert chosen_hosts(HOSTS, 5) == chosen_hosts(HOSTS[::-1], 5)
-    assert len(chosen_hosts(HOSTS, 5)) == 5
+    assert select_hosts(HOSTS, 5) == select_hosts(HOSTS[::-1], 5)
+    assert len(select_hosts(HOSTS, 5)) == 5
 
 
 def test_a_larger_number_only_adds_hosts():
-    assert set(chosen_hosts(HOSTS, 4)) < set(chosen_hosts(HOSTS, 7))
-    assert chosen_hosts(HOSTS, 100) == sorted(HOSTS)
+    assert set(select_hosts(HOSTS, 4)) < set(select_hosts(HOSTS, 7))
+    assert select_hosts(HOSTS, 100) == sorted(HOSTS)
 
 
 def test_a_host_that_goes_changes_one_place():
-    chosen = chosen_hosts(HOSTS, 5)
+    chosen = select_hosts(HOSTS, 5)
     left = [host for host in HOSTS if host != chosen[0]]
-    assert set(chosen) - set(chosen_hosts(left, 5)) == {chosen[0]}
+    assert set(chosen) - set(select_hosts(left, 5)) == {chosen[0]}
 
 
 def test_different_hosts_bear_the_load_in_different_data_centres():
     """The first machines of a data centre also run control hosts."""
-    assert chosen_hosts(HOSTS, 5) != sorted(HOSTS)[:5]
+    assert select_hosts(HOSTS, 5) != sorted(HOSTS)[:5]
 
 
 def test_the_number_follows_the_load_up_at_once_and_down_slowly():
--- a/tests/core/gateway/test_load_board.py
+++ b/tests/core/gateway/test_load_board.py
@@ -2,12 +2,12 @@
 
 import random
 
-from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load import LoadTracker
 from damaskridge.core.gateway.load_board import (
     ACTIVE_REQUESTS,
     ACTIVE_S,
     KEPT_EMPTY,
-    LoadBoard,
+    LoadAggregator,
 )
 from damaskridge.model.control import InstanceLoad, LoadSeen, ReportLoad
 
@@ -18,8 +18,8 @@
     """Hosts whose reports and news are applied as over the leader."""
 
     def __init__(self, size):
-        self.board = LoadBoard()
-        self.books = [LoadBook(random.Random(number)) for number in range(size)]
+        self.board = LoadAggregator()
+        self.books = [LoadTracker(random.Random(number)) for number in range(size)]
         for number in range(size):
             self.board.join(number, LONG_AGO_S)
 
@@ -32,17 +32,17 @@
         self.tell(number, now_s)
 
     def report(self, number, now_s=0.0):
-        load = self.books[number].unreported(everything=False)
+        load = self.books[number].pop_unreported(everything=False)
         self.board.report(number, ReportLoad(load=load), now_s)
 
     def tell(self, number, now_s=0.0):
-        news = self.board.news(number, now_s)
-        if news is None:
+        next_update = self.board.next_update(number, now_s)
+        if next_update is None:
             return 0
-        if news.is_whole:
-            self.books[number].forget_others()
-        self.books[number].others_changed(news.load)
-        return len(news.load)
+        if next_update.is_whole:
+            self.books[number].clear_remote_load()
+        self.books[number].update_remote_load(next_update.load)
+        return len(next_update.load)
 
 
 def test_all_active_hosts_agree_with_what_is_in_flight():
@@ -98,7 +98,7 @@
         fleet.report(number, step / 100)
     told = sum(fleet.tell(number, 1.0) for number in range(10, 390))
     assert told == 0
-    assert fleet.board.active(1.0) == 10
+    assert fleet.board.active_count(1.0) == 10
 
 
 def test_a_host_that_gets_requests_again_is_told_everything():
@@ -136,20 +136,20 @@
                 fleet.report(number, now_s)
                 fleet.books[number].finish(request, "s")
                 fleet.report(number, now_s)
-    assert fleet.board.active(100.0) == 1
+    assert fleet.board.active_count(100.0) == 1
 
 
 def test_admissions_are_told_to_hosts_without_requests_too():
-    board = LoadBoard()
+    board = LoadAggregator()
     board.join("x", LONG_AGO_S)
     board.join("y", LONG_AGO_S)
     board.report("x", ReportLoad(usage={"w": 5.0}), 0.0)
     board.report("x", ReportLoad(usage={"w": 2.0}), 0.1)
-    assert board.news("y", 0.2) == LoadSeen(usage={"w": 7.0})
-    assert board.news("y", 0.3) is None
-    assert board.news("x", 0.3) is None
+    assert board.next_update("y", 0.2) == LoadSeen(usage={"w": 7.0})
+    assert board.next_update("y", 0.3) is None
+    assert board.next_update("x", 0.3) is None
     board.join("z", LONG_AGO_S)
-    assert board.news("z", 0.3) is None
+    assert board.next_update("z", 0.3) is None
 
 
 def test_servers_that_are_gone_are_forgotten():
--- a/tests/core/gateway/test_prompt_reading.py
+++ b/tests/core/gateway/test_prompt_reading.py
@@ -2,18 +2,18 @@
 
 import random
 
-from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
+from damaskridge.core.gateway.prompt_reading import EventPace, PrefillEstimator
 
 
 def test_an_idle_prefill_engine_reads():
-    speed = ReadingSpeed()
+    speed = PrefillEstimator()
     assert not speed.prefers_decode(
         prompt_tokens=5000, prefill_pending=0, decode_pending=0
     )
 
 
 def test_the_speed_follows_what_is_seen():
-    speed = ReadingSpeed()
+    speed = PrefillEstimator()
     for _ in range(100):
         speed.observe(5000, 0.05)
     assert speed.prefill_s(prompt_tokens=5000, pending_tokens=0) < 0.06
@@ -21,7 +21,7 @@
 
 def waits(rate_per_s, *, may_share, engines=2, speed_per_s=50_000.0):
     """Return the reading times of a burst of prompts on two prefill engines."""
-    rng, speed = random.Random(5), ReadingSpeed()
+    rng, speed = random.Random(5), PrefillEstimator()
     prefill_free_s = [0.0] * engines
     decode_free_s = [0.0] * 3
     now_s, found = 0.0, []
@@ -56,7 +56,7 @@
 
 def prefers_decode(pace, tokens=5000, **fields):
     fields = {"prefill_pending": 15_000, "decode_pending": 0, **fields}
-    return ReadingSpeed().prefers_decode(prompt_tokens=tokens, pace=pace, **fields)
+    return PrefillEstimator().prefers_decode(prompt_tokens=tokens, pace=pace, **fields)
 
 
 def test_streams_whose_events_cover_many_steps_are_not_held_up_by_a_prompt():
--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -15,12 +15,12 @@
 
 
 def tell_each_other(fleet, now_s):
-    usage = [quota.unreported() for quota in fleet]
+    usage = [quota.pop_unreported() for quota in fleet]
     for number, quota in enumerate(fleet):
-        quota.heard(now_s)
+        quota.on_report(now_s)
         for other, used in enumerate(usage):
             if other != number:
-                quota.others_admitted(used, now_s)
+                quota.record_remote_usage(used, now_s)
 
 
 def play(demand_per_s, *, hosts=11, length_s=30.0, silent=(0.0, 0.0), delay_s=0.1):
@@ -31,7 +31,7 @@
     while now_s < length_s:
         cost = rng.uniform(2_000, 9_000)
         now_s += rng.expovariate(demand_per_s / 5_500)
-        if rng.choice(fleet).take(LIMIT, cost, now_s) == 0:
+        if rng.choice(fleet).acquire(LIMIT, cost, now_s) == 0:
             admitted.append((now_s, cost))
         else:
             refused += 1
@@ -66,35 +66,35 @@
 
 def test_a_refusal_names_the_time_after_which_there_is_room():
     quota = FleetQuota()
-    assert quota.take(LIMIT, RATE, 0.0) == 0
-    wait_s = quota.take(LIMIT, 9_400.0, 0.0)
+    assert quota.acquire(LIMIT, RATE, 0.0) == 0
+    wait_s = quota.acquire(LIMIT, 9_400.0, 0.0)
     # A large request also waits for what it leaves to small ones.
     assert wait_s == pytest.approx(0.2 + RESERVED_S)
-    assert quota.take(LIMIT, 9_400.0, wait_s + 0.001) == 0
+    assert quota.acquire(LIMIT, 9_400.0, wait_s + 0.001) == 0
 
 
 def test_a_request_larger_than_the_burst_is_admitted_by_a_full_bucket():
     quota = FleetQuota()
-    assert quota.take(LIMIT, 3 * RATE, 0.0) == 0
-    assert quota.take(LIMIT, 10.0, 0.0) > 0
+    assert quota.acquire(LIMIT, 3 * RATE, 0.0) == 0
+    assert quota.acquire(LIMIT, 10.0, 0.0) > 0
 
 
 def test_a_workspace_without_a_rate_has_no_limit():
     quota = FleetQuota()
     free = workspace("free")
-    assert [quota.take(free, 1e9, 0.0) for _ in range(3)] == [0, 0, 0]
+    assert [quota.acquire(free, 1e9, 0.0) for _ in range(3)] == [0, 0, 0]
 
 
 def test_a_host_that_is_cut_off_for_long_goes_on_within_the_rate():
     quota = FleetQuota(SLACK)
     now_s = 0.0
     while now_s < 10.0:
-        quota.others_admitted({"w": 0.2 * RATE * 0.1}, now_s)
-        assert quota.take(LIMIT, 0.02 * RATE * 0.1, now_s) == 0
+        quota.record_remote_usage({"w": 0.2 * RATE * 0.1}, now_s)
+        assert quota.acquire(LIMIT, 0.02 * RATE * 0.1, now_s) == 0
         now_s += 0.1
     refused = 0
     while now_s < 100.0:
-        refused += quota.take(LIMIT, 0.02 * RATE * 0.1, now_s) > 0
+        refused += quota.acquire(LIMIT, 0.02 * RATE * 0.1, now_s) > 0
         now_s += 0.1
     assert refused == 0
 
@@ -110,7 +110,7 @@
         # Calls, and generations that alone would use up the rate.
         is_call = rng.random() < 0.77
         cost = 200.0 if is_call else rng.uniform(9_000, 14_000)
-        taken = rng.choice(fleet).take(limit, cost, now_s) == 0
+        taken = rng.choice(fleet).acquire(limit, cost, now_s) == 0
         calls += is_call
         refused += is_call and not taken
         if taken:
@@ -140,7 +140,7 @@
     admitted, now_s = [], 0.0
     while now_s < 20.0:
         now_s += 0.004
-        if quota.take(LIMIT, 400.0, now_s) == 0:
+        if quota.acquire(LIMIT, 400.0, now_s) == 0:
             admitted.append((now_s, 400.0))
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
 
@@ -156,9 +156,9 @@
         while restarts and now_s >= restarts[0][0]:
             _, number = restarts.pop(0)
             fleet[number] = FleetQuota(SLACK, started_s=now_s)
-            fleet[number].limits_changed([LIMIT], now_s)
+            fleet[number].update_limits([LIMIT], now_s)
         cost = rng.uniform(2_000, 9_000)
-        if rng.choice(fleet).take(LIMIT, cost, now_s) == 0:
+        if rng.choice(fleet).acquire(LIMIT, cost, now_s) == 0:
             admitted.append((now_s, cost))
         if now_s >= told_s:
             told_s = now_s + delay_s
@@ -176,14 +176,14 @@
     rng = random.Random(5)
     busy, idle = FleetQuota(SLACK), [FleetQuota(SLACK) for _ in range(20)]
     for quota in [busy, *idle]:
-        quota.limits_changed([LIMIT], 0.0)
+        quota.update_limits([LIMIT], 0.0)
     admitted, now_s = [], 0.0
     while now_s < 30.0:
         now_s += 0.1
         quotas = [busy, *idle] if now_s > 25.0 else [busy]
         for quota in quotas:
             cost = rng.uniform(2_000, 9_000)
-            while quota.take(LIMIT, cost, now_s) == 0:
+            while quota.acquire(LIMIT, cost, now_s) == 0:
                 admitted.append((now_s, cost))
         tell_each_other([busy, *idle], now_s)
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
@@ -195,7 +195,7 @@
     active, idle, share_of_idle = 16, 52, 0.2
     fleet = [FleetQuota(SLACK) for _ in range(active + idle)]
     for quota in fleet:
-        quota.limits_changed([LIMIT], 0.0)
+        quota.update_limits([LIMIT], 0.0)
     untold = [0.0] * len(fleet)
     admitted, now_s, tick = [], 0.0, 0
     while now_s < 30.0:
@@ -204,17 +204,17 @@
         if rng.random() < share_of_idle:
             number = active + rng.randrange(idle)
         cost = rng.uniform(2_000, 9_000)
-        if fleet[number].take(LIMIT, cost, now_s) == 0:
+        if fleet[number].acquire(LIMIT, cost, now_s) == 0:
             admitted.append((now_s, cost))
         if now_s < tick * 0.1:
             continue
         tick += 1
-        used = [quota.unreported().get("w", 0.0) for quota in fleet]
+        used = [quota.pop_unreported().get("w", 0.0) for quota in fleet]
         for number, quota in enumerate(fleet):
             untold[number] += sum(used) - used[number]
             if tick % 8 == 0:
-                quota.heard(now_s)
+                quota.on_report(now_s)
             if number < active or tick % 20 == 0:
-                quota.others_admitted({"w": untold[number]}, now_s)
+                quota.record_remote_usage({"w": untold[number]}, now_s)
                 untold[number] = 0.0
     assert most_in_a_window(admitted) <= 8 * RATE + RATE + TOLERATED
--- a/tests/core/gateway/test_stage_balance.py
+++ b/tests/core/gateway/test_stage_balance.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from damaskridge.core.gateway.stage_balance import PAUSE_S, StageBalance
+from damaskridge.core.gateway.stage_balance import PAUSE_S, StageBalancer
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
@@ -35,7 +35,7 @@
 
 
 def changes(items, load, length_s=30.0):
-    balance, now_s, found = StageBalance(0.0), 0.0, []
+    balance, now_s, found = StageBalancer(0.0), 0.0, []
     while now_s < length_s:
         for change in balance.observe(items, load, TRAITS, now_s):
             found.append((now_s, change))
@@ -115,7 +115,7 @@
 
 def test_no_engine_changes_while_orders_of_another_leader_may_act():
     items = engines(2, 3)
-    balance = StageBalance(0.0)
+    balance = StageBalancer(0.0)
     load = load_of(items, decode_use=0.9, prefill_busy=0)
     for tick in range(100):
         assert not balance.observe(items, load, TRAITS, 0.1 * tick, may_change=False)
--- a/tests/core/limits/test_rate_owner.py
+++ b/tests/core/limits/test_rate_owner.py
@@ -30,9 +30,9 @@
     )
 
 
-def make_owner(level=200.0, fronts=(), lost=False):
+def make_owner(level=200.0, fronts=(), is_level_unknown=False):
     owner = RateOwner(random.Random(1))
-    owner.handle(m.OwnershipGained(SPACE, 1, level, fronts, lost), 0.0)
+    owner.handle(m.OwnershipGained(SPACE, 1, level, fronts, is_level_unknown), 0.0)
     return owner
 
 
@@ -188,7 +188,7 @@
 
 
 def test_loss_of_an_owner_refuses_nobody_within_the_rate():
-    owner, found = make_owner(level=0.0, lost=True), []
+    owner, found = make_owner(level=0.0, is_level_unknown=True), []
     for number in range(400):
         now_s = number * 0.1
         actions = owner.handle(request(number, 9, wait_s=0.5), now_s)
@@ -197,7 +197,7 @@
     assert all(isinstance(reply, RateGrant) for reply in found)
     assert len(found) > 390
     # What exceeds a full history as well is refused after the normal wait.
-    owner = make_owner(level=0.0, lost=True)
+    owner = make_owner(level=0.0, is_level_unknown=True)
     for number in range(20):
         assert owner.handle(request(number, 10, wait_s=0.5), 0.0) == []
     assert kind(owner.handle(request(21, 10, wait_s=0.5), 0.0)) is (
--- a/tests/core/test_timeline.py
+++ b/tests/core/test_timeline.py
@@ -2,7 +2,7 @@
 
 import json
 
-from damaskridge.core.timeline import Filter, merge, parse_log
+from damaskridge.core.timeline import EntryFilter, merge, parse_log
 from damaskridge.model.events import EventNumber
 
 
@@ -44,11 +44,13 @@
 
 
 def test_torn_lines_are_counted_and_skipped():
-    assert [log.torn_lines for log in logs()] == [0, 2, 0]
+    assert [log.malformed_lines for log in logs()] == [0, 2, 0]
 
 
 def test_filters_combine_and_find_attempts_on_engines():
-    shown = merge(logs(), Filter(request_id="r1", backend_server="e1")).entries
+    shown = merge(logs(), EntryFilter(request_id="r1", backend_server="e1")).entries
     assert [entry.name for entry in shown] == ["ENGINE_REQUEST_CANCELLED"]
-    shown = merge(logs(), Filter(since_s=10.01, until_s=10.1, event="1001")).entries
+    shown = merge(
+        logs(), EntryFilter(since_s=10.01, until_s=10.1, event="1001")
+    ).entries
     assert [entry.process for entry in shown] == ["lone"]
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -40,7 +40,7 @@
     status: int | None = None
     runs: list = field(default_factory=list)
     arrivals: int = 0
-    has_free_reading: bool = True
+    has_free_prefill: bool = True
 
 
 class Record:
@@ -98,8 +98,8 @@
         request = self.requests.get(attempt)
         if request is None:
             return
-        if is_reading and not was_refused and request.has_free_reading:
-            request.has_free_reading = False
+        if is_reading and not was_refused and request.has_free_prefill:
+            request.has_free_prefill = False
             return
         request.arrivals += 1
         if request.arrivals > 1:
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -140,7 +140,7 @@
 
     async def any_epoch(self, request):
         held = self._held.get(request.workspace)
-        space = self._machine._spaces.get(request.workspace)
+        space = self._machine._workspaces.get(request.workspace)
         if held is None or space is None:
             return await reserve(self, request)
         held.owner = msgspec.structs.replace(held.owner, epoch=space.epoch)
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -45,7 +45,7 @@
     def handle(self, event, now_s):
         if isinstance(event, RefundReceived):
             refund = event.refund
-            space = self._spaces.get(refund.workspace)
+            space = self._workspaces.get(refund.workspace)
             if space is not None and space.epoch == refund.epoch:
                 self._world.invariants.refunded(refund)
         actions = super().handle(event, now_s)
