Rename the modules of core.gateway after the classes they hold

crash_watch, host_choice, instance_feed, load, load_board, prompt_reading, refusals and retry_share follow the new class names; the test files move with them.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -24,9 +24,9 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashTracker
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RetryAfterTimes
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/gateway/decode_room.py
+++ b/src/damaskridge/adapters/gateway/decode_room.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.gateway.generation import Generation, Reservation
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -8,8 +8,8 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadTracker
-from damaskridge.core.gateway.prompt_reading import EventPace, PrefillEstimator
+from damaskridge.core.gateway.load_tracker import LoadTracker
+from damaskridge.core.gateway.prefill_choice import EventPace, PrefillEstimator
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -25,7 +25,7 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashTracker
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -21,8 +21,8 @@
 from damaskridge.adapters.gateway.work import GatewayWork
 from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadTracker
-from damaskridge.core.gateway.refusals import RetryAfterTimes
+from damaskridge.core.gateway.load_tracker import LoadTracker
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.core.gateway.send_policy import Fail, Retry
 from damaskridge.model.control import InstanceLoad
--- a/src/damaskridge/adapters/gateway/work.py
+++ b/src/damaskridge/adapters/gateway/work.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
-from damaskridge.core.gateway.crash_watch import fingerprint_of
+from damaskridge.core.gateway.crash_tracker import fingerprint_of
 from damaskridge.core.gateway.send_account import SendAccount
 from damaskridge.core.gateway.send_policy import SendPolicy
 from damaskridge.model.gateway import GatewayRoute, GatewayService
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -11,7 +11,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
-from damaskridge.core.gateway.instance_feed import InstanceListDiffer
+from damaskridge.core.gateway.instance_replication import InstanceListDiffer
 from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, InstanceList
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -7,9 +7,9 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
-from damaskridge.core.gateway.crash_watch import CrashTracker
-from damaskridge.core.gateway.host_choice import HostDemand
-from damaskridge.core.gateway.load_board import LoadAggregator
+from damaskridge.core.gateway.crash_tracker import CrashTracker
+from damaskridge.core.gateway.host_selection import HostDemand
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.model.control import (
     CrashesSeen,
     HostsNeeded,
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -19,7 +19,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_node import ControlNodePort
-from damaskridge.core.gateway.load_board import LoadAggregator
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.core.gateway.stage_balance import StageBalancer, StageChange
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import (
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -28,15 +28,15 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import HttpServer
-from damaskridge.core.gateway.crash_watch import CrashTracker
-from damaskridge.core.gateway.host_choice import select_hosts
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.host_count import PeakHostCount
 from damaskridge.core.gateway.host_retry_budget import HostRetryBudget
-from damaskridge.core.gateway.instance_feed import InstanceListReplica
+from damaskridge.core.gateway.host_selection import select_hosts
+from damaskridge.core.gateway.instance_replication import InstanceListReplica
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RetryAfterTimes
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.core.state.fleet_queries import addresses_for, live_sessions
 from damaskridge.model.control import (
--- a/src/damaskridge/core/gateway/host_retry_budget.py
+++ b/src/damaskridge/core/gateway/host_retry_budget.py
@@ -1,6 +1,6 @@
 """Takes repeats of all services from one host's part of the retry budgets."""
 
-from damaskridge.core.gateway.retry_share import RetryPart, RetryShare, part_of
+from damaskridge.core.gateway.retry_bucket import RetryPart, RetryShare, part_of
 
 __all__ = ["HostRetryBudget"]
 
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -15,11 +15,11 @@
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
-from damaskridge.core.gateway.crash_watch import CrashTracker
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadTracker
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RetryAfterTimes
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.model.gateway import BackendInstance, WorkKind
 from damaskridge.platform.dialect import PlatformDialect
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -6,7 +6,7 @@
 
 from damaskridge.adapters.rpc.followers import FollowerSet
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
-from damaskridge.core.gateway.instance_feed import InstanceListReplica
+from damaskridge.core.gateway.instance_replication import InstanceListReplica
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceList, ServerStart
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -5,7 +5,7 @@
 
 from damaskridge.adapters.rpc.followers import Follower, FollowerSet
 from damaskridge.adapters.rpc.load_publisher import DEMAND_WARM_UP_S, LoadPublisher
-from damaskridge.core.gateway.host_choice import GENERATIONS_PER_HOST
+from damaskridge.core.gateway.host_selection import GENERATIONS_PER_HOST
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import CrashesSeen, HostsNeeded, InstanceLoad, ReportLoad
 from damaskridge.model.gateway import CrashNotice, ServerStart
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -10,7 +10,7 @@
 
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
 from damaskridge.adapters.rpc.stage_orders import TAKE_OVER_S, StageOrders
-from damaskridge.core.gateway.load_board import LoadAggregator
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.core.gateway.stage_balance import WARM_UP_S
 from damaskridge.core.state.commands import ControlState
 from damaskridge.model.control import InstanceLoad, ReportLoad
--- a/tests/adapters/test_boottime_loop.py
+++ b/tests/adapters/test_boottime_loop.py
@@ -7,7 +7,7 @@
 from tests.adapters.gateway.test_streams import decoding, engines, read_prompt
 
 from damaskridge.adapters.boottime_loop import BoottimeEventLoop
-from damaskridge.core.gateway.instance_feed import InstanceListReplica
+from damaskridge.core.gateway.instance_replication import InstanceListReplica
 from damaskridge.core.leases import SESSION_DURATION_S, HolderLease
 
 SUSPENDED_S = 5.0
--- a/tests/core/gateway/test_crash_watch.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -1,6 +1,6 @@
 """Guards against a request that takes down one backend server after the other."""
 
-from damaskridge.core.gateway.crash_watch import (
+from damaskridge.core.gateway.crash_tracker import (
     CONFIRM_S,
     KEEP_S,
     MOST_CRASHES,
--- a/tests/core/gateway/test_host_choice.py
+++ b/tests/core/gateway/test_host_selection.py
@@ -1,13 +1,13 @@
 """Guards against callers spread over so many hosts that none knows the load."""
 
-from damaskridge.core.gateway.host_choice import (
+from damaskridge.core.gateway.host_count import KEEP_S
+from damaskridge.core.gateway.host_selection import (
     CALLS_PER_HOST,
     GENERATIONS_PER_HOST,
     LEAST_HOSTS,
     HostDemand,
     select_hosts,
 )
-from damaskridge.core.gateway.host_count import KEEP_S
 from damaskridge.model.control import InstanceLoad
 
 HOSTS = [f"front-{number}" for number in range(40)]
--- a/tests/core/gateway/test_instances.py
+++ b/tests/core/gateway/test_instances.py
@@ -1,6 +1,6 @@
 """Guards against requests to servers that are leaving, silent or failing."""
 
-from damaskridge.core.gateway.instance_feed import (
+from damaskridge.core.gateway.instance_replication import (
     InstanceListDiffer,
     InstanceListReplica,
 )
--- a/tests/core/gateway/test_load_board.py
+++ b/tests/core/gateway/test_load_aggregator.py
@@ -2,13 +2,13 @@
 
 import random
 
-from damaskridge.core.gateway.load import LoadTracker
-from damaskridge.core.gateway.load_board import (
+from damaskridge.core.gateway.load_aggregator import (
     ACTIVE_REQUESTS,
     ACTIVE_S,
     KEPT_EMPTY,
     LoadAggregator,
 )
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.model.control import InstanceLoad, LoadSeen, ReportLoad
 
 LONG_AGO_S = -20 * ACTIVE_S
--- a/tests/core/gateway/test_load.py
+++ b/tests/core/gateway/test_load_tracker.py
@@ -2,8 +2,8 @@
 
 import random
 
-from damaskridge.core.gateway.load import LoadTracker
-from damaskridge.core.gateway.load_board import LoadAggregator
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.model.control import InstanceLoad, ReportLoad
 from damaskridge.model.gateway import BackendInstance
 
--- a/tests/core/gateway/test_prompt_reading.py
+++ b/tests/core/gateway/test_prefill_choice.py
@@ -2,7 +2,7 @@
 
 import random
 
-from damaskridge.core.gateway.prompt_reading import EventPace, PrefillEstimator
+from damaskridge.core.gateway.prefill_choice import EventPace, PrefillEstimator
 
 
 def test_an_idle_prefill_engine_reads():
--- a/tests/core/gateway/test_retry_share.py
+++ b/tests/core/gateway/test_retry_bucket.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from damaskridge.core.gateway.retry_share import RetryShare, part_of
+from damaskridge.core.gateway.retry_bucket import RetryShare, part_of
 
 
 def test_any_window_stays_within_the_budget_of_all_hosts():
