--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -1,4 +1,4 @@
-r"""Splits an event stream into whole events and reads their ids.
+r"""Splits a server-sent event stream into complete events and parses their ids.
 
 >>> splitter = EventSplitter()
 >>> splitter.feed(b"id: 7\ndata: a\n\nid: 8\nda")
@@ -12,33 +12,34 @@
 
 __all__ = ["EventSplitter", "EventTooLong", "StreamEvent"]
 
-# An event holds a few tokens. Bytes without the end of an event are no stream.
+# An event holds a few tokens. A response with no end of an event in this many bytes is
+# not an event stream.
 MAX_EVENT_BYTES = 262_144
 
-_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+_ID_LINE = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One event with its blank line; `event_id` is None if it has none."""
+    """One event with its terminating blank line; `event_id` is None if it has no id."""
 
     data: bytes
     event_id: int | None
 
 
 class EventTooLong(Exception):
-    """The end of an event is missing after as many bytes as an event may have."""
+    """No end of an event within the maximum size of an event."""
 
 
 class EventSplitter:
     """
-    Collects bytes until an event is whole.
+    Buffers bytes until an event is complete.
 
     Parameters
     ----------
     limit_bytes : int
-        Longest event.
+        Maximum size of an event.
     """
 
     def __init__(self, limit_bytes: int = MAX_EVENT_BYTES) -> None:
@@ -47,16 +48,16 @@
 
     @property
     def rest(self) -> bytes:
-        """The beginning of an event whose end has not arrived."""
+        """The bytes received of the event that is not yet complete."""
         return self._rest
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that `data` completes; raises `EventTooLong`."""
+        """Return the events that `data` completes, or raise `EventTooLong`."""
         buffer = self._rest + data
         events = []
         start = 0
-        for end in _END.finditer(buffer):
-            events.append(_event(buffer[start : end.end()]))
+        for end in _EVENT_END.finditer(buffer):
+            events.append(_parse_event(buffer[start : end.end()]))
             start = end.end()
         self._rest = buffer[start:]
         if len(self._rest) > self._limit_bytes:
@@ -64,6 +65,6 @@
         return events
 
 
-def _event(data: bytes) -> StreamEvent:
-    found = _ID.search(data)
+def _parse_event(data: bytes) -> StreamEvent:
+    found = _ID_LINE.search(data)
     return StreamEvent(data, int(found.group(1)) if found else None)
--- a/src/damaskridge/core/gateway/host_count.py
+++ b/src/damaskridge/core/gateway/host_count.py
@@ -1,39 +1,43 @@
-"""How many entry hosts share a budget.
+"""Counts the entry hosts that share a budget.
 
-A host that is cut off from the control group loses its session, and still serves its
-callers from its part of the budgets. So a smaller number counts only after a while.
+A host that is partitioned from the control group loses its session but continues to
+serve its callers from its share of the budgets. A smaller number of hosts therefore
+takes effect only after a delay.
 """
 
 from collections import deque
 
 __all__ = ["PeakHostCount"]
 
-# Longer than cuts and freezes last; a budget window is 10 s.
-KEEP_S = 30.0
+# Longer than network partitions and frozen processes last; a budget window is 10 s.
+PEAK_WINDOW_S = 30.0
 
 
 class PeakHostCount:
     """
-    The largest number of hosts of late.
+    Largest number of hosts within a sliding window.
 
     Parameters
     ----------
-    keep_s : float
-        Time for which a larger number counts.
+    window_s : float
+        Length of the window.
     """
 
-    def __init__(self, keep_s: float = KEEP_S) -> None:
-        self._keep_s = keep_s
-        # Numbers that fall from left to right, each with the end of its time.
-        self._seen: deque[tuple[int, float]] = deque()
+    def __init__(self, window_s: float = PEAK_WINDOW_S) -> None:
+        self._window_s = window_s
+        # Strictly decreasing counts, each with the last time at which it was current.
+        self._candidates: deque[tuple[int, float]] = deque()
 
     def update(self, hosts: int, now_s: float) -> int:
-        """Note the present number; returns the one to share by, at least 1."""
-        if self._seen:
-            self._seen[-1] = (self._seen[-1][0], now_s)
-        while self._seen and self._seen[-1][0] <= hosts:
-            self._seen.pop()
-        self._seen.append((hosts, now_s))
-        while len(self._seen) > 1 and self._seen[0][1] < now_s - self._keep_s:
-            self._seen.popleft()
-        return max(1, self._seen[0][0])
+        """Record the current number; return the maximum of the window, at least 1."""
+        if self._candidates:
+            self._candidates[-1] = (self._candidates[-1][0], now_s)
+        while self._candidates and self._candidates[-1][0] <= hosts:
+            self._candidates.pop()
+        self._candidates.append((hosts, now_s))
+        while (
+            len(self._candidates) > 1
+            and self._candidates[0][1] < now_s - self._window_s
+        ):
+            self._candidates.popleft()
+        return max(1, self._candidates[0][0])
--- a/src/damaskridge/core/gateway/host_retry_budget.py
+++ b/src/damaskridge/core/gateway/host_retry_budget.py
@@ -1,24 +1,28 @@
-"""Takes repeats of all services from one host's part of the retry budgets."""
+"""One host's share of the retry budgets of all services."""
 
-from damaskridge.core.gateway.retry_bucket import RetryPart, RetryShare, part_of
+from damaskridge.core.gateway.retry_bucket import (
+    HostRetryShare,
+    RetryBucket,
+    host_retry_share,
+)
 
 __all__ = ["HostRetryBudget"]
 
 
 class HostRetryBudget:
     """
-    One bucket for each service.
+    A retry bucket for each service.
 
     Parameters
     ----------
     ratio : float
-        Additional sends that each request earns.
+        Extra sends that each request earns.
     allowance : float
-        Additional sends of all hosts to one service in one window.
+        Extra sends of all hosts to one service in one window.
     window_s : float
-        The window, in seconds.
+        Length of the budget window.
     started_s : float
-        When this process started.
+        Start time of this process.
     """
 
     def __init__(
@@ -28,30 +32,39 @@
         self._allowance = allowance
         self._window_s = window_s
         self._started_s = started_s
-        self._part = RetryPart()
-        self._shares: dict[str, RetryShare] = {}
+        self._share = HostRetryShare()
+        self._buckets: dict[str, RetryBucket] = {}
 
     def set_host_counts(self, *, hosts: int, used_hosts: int, is_used: bool) -> None:
-        """Take this host's part, with so many hosts in the fleet and in use."""
-        self._part = part_of(
+        """
+        Compute this host's share of the allowance again.
+
+        Parameters
+        ----------
+        hosts, used_hosts : int
+            Number of all hosts, and of those that callers are sent to.
+        is_used : bool
+            Whether callers are sent to this host.
+        """
+        self._share = host_retry_share(
             self._allowance, hosts=hosts, used_hosts=used_hosts, is_used=is_used
         )
 
     def earn(self, service: str, now_s: float) -> None:
-        """Count one request for a service."""
-        self._share(service).earn(self._part, now_s)
+        """Add what one request for a service earns."""
+        self._bucket(service).earn(self._share, now_s)
 
     def spend(self, service: str, now_s: float) -> bool:
-        """Take one additional send; `False` if none is left."""
-        return self._share(service).spend(self._part, now_s)
+        """Consume one extra send; return `False` if none is available."""
+        return self._bucket(service).spend(self._share, now_s)
 
     def left(self, service: str) -> float:
-        """Return the additional sends that were left after the last change."""
-        return self._share(service).level
+        """Return the extra sends that were available after the last change."""
+        return self._bucket(service).level
 
-    def _share(self, service: str) -> RetryShare:
-        if service not in self._shares:
-            self._shares[service] = RetryShare(
+    def _bucket(self, service: str) -> RetryBucket:
+        if service not in self._buckets:
+            self._buckets[service] = RetryBucket(
                 self._ratio, self._window_s, self._started_s
             )
-        return self._shares[service]
+        return self._buckets[service]
--- a/src/damaskridge/core/gateway/host_selection.py
+++ b/src/damaskridge/core/gateway/host_selection.py
@@ -1,10 +1,10 @@
-"""Chooses which entry hosts of a data centre callers are sent to.
+"""Selects the entry hosts of a data centre that callers are sent to.
 
-A host that carries few requests places them blindly: it hears of the others late, opens
-a connection for nearly every request, and has a small part of each budget. So callers
-of a data centre are sent to as many hosts as their requests need, with room for a
-burst, and the others stand by. Load answered: fleets with hundreds of hosts, each with
-a request every few seconds.
+A host with few requests places them poorly: it receives the load of other hosts late,
+opens a connection for nearly every request, and has a small share of each budget. This
+happens in fleets of hundreds of hosts that receive a request every few seconds each.
+Callers of a data centre are therefore sent to as many hosts as their requests need,
+with room for a burst, and the other hosts remain on standby.
 
 >>> select_hosts(["a", "b", "c", "d"], 2)
 ['a', 'c']
@@ -21,18 +21,19 @@
 
 __all__ = ["HostDemand", "select_hosts"]
 
-# Generations in flight that take a quarter of a link of 5 Mbit/s: each prompt of 5 KB
-# is sent twice, and some twenty events a second pass on. A burst may double them before
-# further hosts are in use.
+# Generations in flight that use a quarter of a 5 Mbit/s link: each prompt of 5 KB is
+# sent twice, and about 20 events per second are forwarded. A burst may double them
+# before further hosts are in use.
 GENERATIONS_PER_HOST = 12
-# Calls in flight that take a tenth of a core, at 3 ms for a call that lasts 80 ms.
+# Calls in flight that use a tenth of a core, at 3 ms of processor time for a call that
+# lasts 80 ms.
 CALLS_PER_HOST = 2.5
-# With one that fails while another one is being replaced, half are left.
-LEAST_HOSTS = 4
+# Half of the hosts remain if one fails while another one is being replaced.
+MIN_HOSTS = 4
 
 
 class HostDemand:
-    """How many hosts of each data centre its requests need; slow to fall."""
+    """Number of hosts that each data centre needs; rises at once and falls slowly."""
 
     def __init__(self) -> None:
         self._counts: dict[str, PeakHostCount] = {}
@@ -41,21 +42,21 @@
         self, load: Mapping[str, Iterable[InstanceLoad]], now_s: float
     ) -> dict[str, int]:
         """
-        Return the number of hosts by data centre.
+        Return the number of hosts needed by data centre.
 
         Parameters
         ----------
         load : mapping of str to iterable of InstanceLoad
-            By data centre, what its hosts have in flight.
+            Load in flight at the hosts of each data centre.
         now_s : float
-            Present time.
+            Current time.
         """
         needed = {}
         for data_centre, items in load.items():
-            hosts = round(sum(map(_hosts, items)), ndigits=6)
-            count = max(LEAST_HOSTS, ceil(hosts))
-            known = self._counts.setdefault(data_centre, PeakHostCount())
-            needed[data_centre] = known.update(count, now_s)
+            hosts = round(sum(map(_hosts_for, items)), ndigits=6)
+            count = max(MIN_HOSTS, ceil(hosts))
+            peak = self._counts.setdefault(data_centre, PeakHostCount())
+            needed[data_centre] = peak.update(count, now_s)
         return needed
 
 
@@ -63,18 +64,20 @@
     """
     Return the hosts that callers are sent to, sorted by name.
 
-    All that choose by the same names choose alike. A host that comes or goes changes
-    one place, and a larger count only adds hosts.
+    The selection depends only on the names and the count (rendezvous hashing), so that
+    all hosts agree on it. A host that joins or leaves changes at most one selected
+    host, and a larger count only adds hosts.
     """
-    return sorted(sorted(hosts, key=_rank)[:count])
+    return sorted(sorted(hosts, key=_hash_rank)[:count])
 
 
-def _rank(host: str) -> bytes:
+def _hash_rank(host: str) -> bytes:
     return blake2b(host.encode(), digest_size=8).digest()
 
 
-def _hosts(load: InstanceLoad) -> float:
-    # Generations hold memory; a prompt that is being read belongs to one of them.
+def _hosts_for(load: InstanceLoad) -> float:
+    # Only generations occupy KV cache memory. The load of a prefill counts no requests,
+    # as it belongs to a generation.
     if load.memory_tokens:
         return load.requests / GENERATIONS_PER_HOST
     return load.requests / CALLS_PER_HOST
--- a/src/damaskridge/core/gateway/instance_replication.py
+++ b/src/damaskridge/core/gateway/instance_replication.py
@@ -1,7 +1,7 @@
-"""Copies of the list of backend servers: what changed, and how old a copy is.
+"""Replication of the list of backend servers from the leader to the entry hosts.
 
-One host reads the list for the whole fleet. The others hold copies that are kept up to
-date by differences and are replaced whole after a gap.
+The leader reads the list for the whole fleet. The other hosts hold replicas that are
+updated by differences and replaced completely after a gap.
 """
 
 from collections.abc import Iterable
@@ -14,12 +14,13 @@
 
 class InstanceListDiffer:
     """
-    The reader's side: turns readings of the list into differences.
+    Converts successive readings of the list into numbered differences.
 
     Parameters
     ----------
     source : str
-        Name of the reader; a new one for each time that it starts to read.
+        Identifier of the reader; unique for each time that it begins to read, because
+        revisions start again.
     """
 
     def __init__(self, source: str) -> None:
@@ -28,7 +29,7 @@
         self._items: dict[str, BackendInstance] = {}
 
     def add(self, instances: Iterable[BackendInstance]) -> InstancesSeen:
-        """Return the difference between this reading and the last."""
+        """Return the difference between this reading and the previous one."""
         items = {item.instance: item for item in instances}
         changed = tuple(
             item for name, item in items.items() if self._items.get(name) != item
@@ -47,7 +48,7 @@
         )
 
     def snapshot(self) -> InstancesSeen | None:
-        """Return all entries, or None before the first reading."""
+        """Return the complete list as a message, or None before the first reading."""
         if not self._revision:
             return None
         return InstancesSeen(
@@ -59,29 +60,34 @@
 
 class InstanceListReplica:
     """
-    A copy of the list.
+    A host's replica of the list.
 
     Attributes
     ----------
     confirmed_s : float
-        When the list was last known to be as the copy says.
+        When the replica was last known to match the list.
     """
 
     def __init__(self) -> None:
         self._source = ""
         self._revision = 0
         self._items: dict[str, BackendInstance] = {}
-        # A reading of this host's own, which must not break the leader's sequence.
-        self._own: tuple[BackendInstance, ...] | None = None
+        # A reading by this host itself. Kept separately, so that the next difference of
+        # the leader still applies.
+        self._own_listing: tuple[BackendInstance, ...] | None = None
         self.confirmed_s = float("-inf")
 
     @property
     def items(self) -> tuple[BackendInstance, ...]:
         """Return every entry."""
-        return tuple(self._items.values()) if self._own is None else self._own
+        return (
+            tuple(self._items.values())
+            if self._own_listing is None
+            else self._own_listing
+        )
 
     def apply(self, message: InstancesSeen, now_s: float) -> bool:
-        """Apply a difference; `False` if what it leads on from is missing."""
+        """Apply a message; return `False` if its base revision is missing."""
         if message.base_revision:
             known = (self._source, self._revision)
             if known != (message.source, message.base_revision):
@@ -92,11 +98,11 @@
         self._items.update({item.instance: item for item in message.changed})
         for name in message.removed:
             self._items.pop(name, None)
-        self._own = None
+        self._own_listing = None
         self.confirmed_s = now_s
         return True
 
     def replace(self, instances: Iterable[BackendInstance], now_s: float) -> None:
-        """Take over a reading of this host's own."""
-        self._own = tuple(instances)
+        """Use a list read by this host itself until the leader's next message."""
+        self._own_listing = tuple(instances)
         self.confirmed_s = now_s
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -1,4 +1,4 @@
-"""The backend servers that a host may use, and how their answers have been."""
+"""Registry of the instances that a host may use, and their health."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -8,61 +8,62 @@
 
 __all__ = ["InstanceHealth", "InstanceRegistry"]
 
-# A server that cannot be reached is tried again after this, doubled each time.
-UNREACHABLE_S = 0.5
-LONGEST_UNREACHABLE_S = 4.0
-# A server that fails most of its requests is left alone for this long. Shorter tries
-# would spend more requests on it than they would find recoveries.
-FAILING_S = 3.0
-# Of so many last answers, so many failures are taken as the server's own fault.
-WINDOW_ANSWERS = 8
-FAILING_ANSWERS = 4
+# An instance that can't be reached is avoided for this long, doubled for each failure.
+UNREACHABLE_BACKOFF_S = 0.5
+MAX_UNREACHABLE_BACKOFF_S = 4.0
+# An instance that fails most of its requests is avoided for this long. With shorter
+# times the failed requests would outnumber the recoveries that are found.
+FAILING_AVOIDANCE_S = 3.0
+# Number of latest results that are kept for each instance.
+RESULT_WINDOW = 8
+# Fewer failures than this among them aren't attributed to the instance.
+MIN_FAILURES = 4
 
 
 @dataclass(slots=True)
 class InstanceHealth:
     """
-    What one host has seen of one backend server.
+    Health of one instance as observed by this host.
 
     Attributes
     ----------
     avoided_until_s : float
-        It gets no request before this time, unless no other server is left.
-    unreachable : int
-        Failures to connect in a row.
-    recent : list of bool
-        Whether each of the last answers was good, the oldest first.
+        Until then it receives requests only if no other instance is available.
+    failed_connects : int
+        Consecutive failures to connect.
+    recent_results : list of bool
+        Whether each of the latest requests got a good response, the oldest first.
     """
 
     avoided_until_s: float = float("-inf")
-    record_unreachable: int = 0
+    failed_connects: int = 0
     recent_results: list[bool] = field(default_factory=list)
 
-    def note(self, good: bool) -> None:
-        """Record one answer."""
+    def record(self, good: bool) -> None:
+        """Record the result of one request."""
         self.recent_results.append(good)
-        del self.recent_results[:-WINDOW_ANSWERS]
+        del self.recent_results[:-RESULT_WINDOW]
 
     @property
     def is_failing(self) -> bool:
-        """Whether most of the last answers were failures."""
+        """Whether at least half of the latest results are failures."""
         failures = self.recent_results.count(False)
-        return failures >= FAILING_ANSWERS and 2 * failures >= len(self.recent_results)
+        return failures >= MIN_FAILURES and 2 * failures >= len(self.recent_results)
 
 
 class InstanceRegistry:
     """
-    All instances of the list, with their health as this host has seen it.
+    All listed instances, with their health as observed by this host.
 
-    Health comes from requests alone. Backend servers are not probed: a health check
-    needs a slot like a request and says less.
+    Health is derived from requests only. Backend servers aren't probed, because a
+    health check occupies a slot like a request and yields less information.
 
     Attributes
     ----------
     confirmed_s : float
-        When the list was last known to be as it is here.
+        When the registry was last known to match the list.
     notices : ServerNotices
-        What servers have asked of this host.
+        Notices of instances that leave or have asked for a pause.
     """
 
     def __init__(self) -> None:
@@ -75,12 +76,12 @@
         return len(self._instances)
 
     def replace(self, instances: Iterable[BackendInstance]) -> list[BackendInstance]:
-        """Take over a whole list; returns the instances that are gone."""
+        """Replace the list; return the instances that are no longer running."""
         listed = {item.instance: item for item in instances}
         gone = [
             item
             for name, item in self._instances.items()
-            if name not in listed or _is_other_start(item, listed[name])
+            if name not in listed or _is_other_run(item, listed[name])
         ]
         self._instances = listed
         for item in gone:
@@ -89,11 +90,11 @@
         return gone
 
     def find(self, name: str) -> BackendInstance | None:
-        """Return an instance by its name."""
+        """Return the instance with this name, if it is listed."""
         return self._instances.get(name)
 
     def all(self) -> tuple[BackendInstance, ...]:
-        """Return every instance of the list."""
+        """Return every listed instance."""
         return tuple(self._instances.values())
 
     def candidates(
@@ -104,14 +105,14 @@
         excluded: frozenset[str] = frozenset(),
     ) -> list[BackendInstance]:
         """
-        Return the instances that may get a request now.
+        Return the instances that may receive a request now.
 
-        Avoided ones are left out unless nothing else is there. Those that asked for a
-        pause are always left out.
+        Avoided instances are included only if there are no others. Paused instances
+        are never included.
         """
         usable = [
             item
-            for item in self._staying(service, stage)
+            for item in self._not_leaving(service, stage)
             if item.instance not in excluded
             and not self.notices.remaining_pause_s(item.instance, now_s)
         ]
@@ -122,48 +123,49 @@
         self, service: str, now_s: float, stage: EngineStage | None = None
     ) -> float:
         """
-        Return the time until the first server takes work again.
+        Return the time until the first pause of an instance ends.
 
-        0 if a server takes work now, or if there is none.
+        0 if an instance isn't paused, or if there is no instance.
         """
         return min(
             (
                 self.notices.remaining_pause_s(item.instance, now_s)
-                for item in self._staying(service, stage)
+                for item in self._not_leaving(service, stage)
             ),
             default=0.0,
         )
 
     def record_unreachable(self, instance: str, now_s: float) -> float:
-        """Note a failure to connect; returns how long the server is avoided."""
+        """Record a failure to connect; return how long the instance is avoided."""
         health = self._health_of(instance)
-        doubled_s: float = UNREACHABLE_S * 2**health.record_unreachable
-        avoided_s = min(doubled_s, LONGEST_UNREACHABLE_S)
-        health.record_unreachable += 1
+        doubled_s: float = UNREACHABLE_BACKOFF_S * 2**health.failed_connects
+        avoided_s = min(doubled_s, MAX_UNREACHABLE_BACKOFF_S)
+        health.failed_connects += 1
         health.avoided_until_s = now_s + avoided_s
         return avoided_s
 
     def record_response(self, instance: str, now_s: float, *, good: bool) -> float:
-        """Note an answer or its absence; returns how long the server is avoided."""
+        """Record a response or its absence; return how long the instance is avoided."""
         health = self._health_of(instance)
-        health.note(good)
+        health.record(good)
         if good:
-            health.record_unreachable = 0
+            health.failed_connects = 0
             health.avoided_until_s = float("-inf")
         elif health.is_failing:
             health.recent_results.clear()
-            health.avoided_until_s = now_s + FAILING_S
-            return FAILING_S
+            health.avoided_until_s = now_s + FAILING_AVOIDANCE_S
+            return FAILING_AVOIDANCE_S
         return 0.0
 
     def is_avoided(self, instance: str, now_s: float) -> bool:
-        """Tell whether an instance gets requests only if no other is left."""
+        """Tell whether an instance receives requests only if there is no other."""
         health = self._health.get(instance)
         return health is not None and now_s < health.avoided_until_s
 
-    def _staying(
+    def _not_leaving(
         self, service: str, stage: EngineStage | None
     ) -> list[BackendInstance]:
+        """Return the instances of a service and stage that aren't leaving."""
         return [
             item
             for item in self._instances.values()
@@ -177,6 +179,6 @@
         return self._health.setdefault(instance, InstanceHealth())
 
 
-def _is_other_start(known: BackendInstance, listed: BackendInstance) -> bool:
-    """Tell whether two entries of one name are different processes."""
+def _is_other_run(known: BackendInstance, listed: BackendInstance) -> bool:
+    """Tell whether two entries with the same name are different processes."""
     return known.address != listed.address or known.started_ms != listed.started_ms
--- a/src/damaskridge/core/gateway/load_tracker.py
+++ b/src/damaskridge/core/gateway/load_tracker.py
@@ -1,14 +1,14 @@
-"""What is in flight on each backend server, and which one gets the next request.
+"""Tracks the load in flight on each instance and chooses the instance of a request.
 
->>> book = LoadTracker(random.Random(1))
+>>> tracker = LoadTracker(random.Random(1))
 >>> servers = [
 ...     BackendInstance(
 ...         instance=name, service="s", address="", data_centre="west", slots=2
 ...     )
 ...     for name in ("a", "b")
 ... ]
->>> book.start("r1", "a", InstanceLoad(requests=1))
->>> book.least_loaded(servers, "west").instance
+>>> tracker.start("r1", "a", InstanceLoad(requests=1))
+>>> tracker.least_loaded(servers, "west").instance
 'b'
 """
 
@@ -20,61 +20,64 @@
 
 __all__ = ["LoadTracker"]
 
-# About one long request.
-NEAR_TOKENS = 6_000
-# Share of an engine's memory that may be promised. Generations grow after an engine has
-# admitted them; one for which no memory is left is preempted and read again, and all
-# others on the engine wait for that.
-PROMISED_SHARE = 0.92
+# Memory by which a remote engine must be less used to be preferred; about one long
+# request.
+REMOTE_PENALTY_TOKENS = 6_000
+# Share of an engine's memory that may be reserved. Generations grow after admission;
+# one for which no memory is left is preempted and prefilled again, and all others on
+# the engine wait for that.
+MAX_RESERVED_SHARE = 0.92
 
-
-# With more candidates than this, a host chooses among some drawn at random. Hosts with
-# the same, slightly old view would else all send to the least loaded one.
-MOST_COMPARED = 5
-DRAWN = 3
+# With more candidates than this, a host chooses among a random sample. Otherwise hosts
+# with the same, slightly stale view would all choose the least loaded one.
+MAX_COMPARED = 5
+SAMPLE_SIZE = 3
 
 
 class LoadTracker:
     """
-    Requests in flight by backend server.
+    Load in flight by instance, of this host and as a sum of the other hosts.
 
     Parameters
     ----------
     rng : random.Random
-        Breaks ties, so that hosts with the same view do not choose the same server.
+        Breaks ties, so that hosts with the same view don't choose the same instance.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._work: dict[str, dict[str, InstanceLoad]] = {}
-        self._others: dict[str, InstanceLoad] = {}
+        self._own_load: dict[str, dict[str, InstanceLoad]] = {}
+        self._remote_load: dict[str, InstanceLoad] = {}
         self._unreported: set[str] = set()
 
     def start(self, request: str, instance: str, work: InstanceLoad) -> None:
-        """Count a request on an instance."""
-        self._work.setdefault(instance, {})[request] = work
+        """Add a request's load to an instance."""
+        self._own_load.setdefault(instance, {})[request] = work
         self._unreported.add(instance)
 
     def finish(self, request: str, instance: str) -> None:
-        """Stop counting a request."""
-        running = self._work.get(instance)
-        if running is not None and running.pop(request, None) is not None:
+        """Remove a request's load from an instance."""
+        requests = self._own_load.get(instance)
+        if requests is not None and requests.pop(request, None) is not None:
             self._unreported.add(instance)
-            if not running:
-                del self._work[instance]
+            if not requests:
+                del self._own_load[instance]
 
     def own(self, instance: str) -> InstanceLoad:
-        """Return what this host has in flight on an instance."""
-        running = self._work.get(instance, {}).values()
+        """Return the load of this host's requests on an instance."""
+        requests = self._own_load.get(instance, {}).values()
         return InstanceLoad(
-            sum(work.requests for work in running),
-            sum(work.prompt_tokens for work in running),
-            sum(work.memory_tokens for work in running),
+            sum(work.requests for work in requests),
+            sum(work.prompt_tokens for work in requests),
+            sum(work.memory_tokens for work in requests),
         )
 
     def total(self, instance: str) -> InstanceLoad:
-        """Return what all hosts have in flight on an instance, as far as known."""
-        own, others = self.own(instance), self._others.get(instance, InstanceLoad())
+        """Return the load of all hosts on an instance, as far as this host knows it."""
+        own, others = (
+            self.own(instance),
+            self._remote_load.get(instance, InstanceLoad()),
+        )
         return InstanceLoad(
             own.requests + others.requests,
             own.prompt_tokens + others.prompt_tokens,
@@ -82,26 +85,30 @@
         )
 
     def update_remote_load(self, load: Mapping[str, InstanceLoad]) -> None:
-        """Take over what the other hosts have in flight."""
-        self._others.update(load)
+        """Replace the load of the other hosts on the given instances."""
+        self._remote_load.update(load)
         for name, work in load.items():
             if work == InstanceLoad():
-                del self._others[name]
+                del self._remote_load[name]
 
     def clear_remote_load(self) -> None:
-        """Count this host's requests only, after others were not heard for long."""
-        self._others.clear()
+        """Discard the load of the other hosts, for example when it is stale."""
+        self._remote_load.clear()
 
     def pop_unreported(self, *, everything: bool) -> dict[str, InstanceLoad]:
-        """Return what changed since the last call, or all that is in flight."""
-        names = self._unreported | (self._work.keys() if everything else set())
+        """
+        Return the load of the instances that changed since the last call.
+
+        With `everything`, all other load in flight is included.
+        """
+        names = self._unreported | (self._own_load.keys() if everything else set())
         self._unreported = set()
         return {name: self.own(name) for name in names}
 
     def least_loaded(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
-        """Return the candidate with the most free slots, the nearest of equals."""
+        """Return the candidate with the lowest slot usage; local ones win ties."""
         return min(
             self._shuffled(candidates),
             key=lambda item: (
@@ -113,9 +120,9 @@
     def shortest_prefill_queue(
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
-        """Return a candidate with few prompt tokens to read."""
+        """Return a candidate with few prompt tokens that wait for prefill."""
         return min(
-            self._drawn(candidates),
+            self._sampled(candidates),
             key=lambda item: (
                 self.total(item.instance).prompt_tokens,
                 item.data_centre != data_centre,
@@ -126,20 +133,20 @@
         self, candidates: Sequence[BackendInstance], tokens: int, memory_tokens: int
     ) -> list[BackendInstance]:
         """
-        Return the candidates whose generations leave room for another one.
+        Return the candidates with enough unreserved memory for one more generation.
 
-        An engine that runs nothing has room for a generation of any size.
+        An engine without generations accepts one of any size.
 
         Parameters
         ----------
         candidates : sequence of BackendInstance
             Engines of one service.
         tokens : int
-            Memory that the generation is expected to need.
+            Memory that the generation is expected to need, in tokens.
         memory_tokens : int
-            Memory of an engine.
+            Memory of an engine, in tokens.
         """
-        limit_tokens = PROMISED_SHARE * memory_tokens
+        limit_tokens = MAX_RESERVED_SHARE * memory_tokens
         return [
             item
             for item in candidates
@@ -151,23 +158,24 @@
         self, candidates: Sequence[BackendInstance], data_centre: str
     ) -> BackendInstance:
         """
-        Return a candidate with little KV cache in use.
+        Return a candidate with little KV cache memory in use.
 
-        One in the same data centre may hold one request more: a transfer between
-        data centres takes twice as long, and every event would cross their link.
+        A local engine may hold about one request more, because a transfer between data
+        centres takes twice as long and every event would cross the link between them.
         """
         return min(
-            self._drawn(candidates),
+            self._sampled(candidates),
             key=lambda item: (
                 self.total(item.instance).memory_tokens
-                + (item.data_centre != data_centre) * NEAR_TOKENS
+                + (item.data_centre != data_centre) * REMOTE_PENALTY_TOKENS
             ),
         )
 
-    def _drawn(self, items: Sequence[BackendInstance]) -> list[BackendInstance]:
-        if len(items) <= MOST_COMPARED:
+    def _sampled(self, items: Sequence[BackendInstance]) -> list[BackendInstance]:
+        """Return all items in random order, or a random sample of many."""
+        if len(items) <= MAX_COMPARED:
             return self._shuffled(items)
-        return self._rng.sample(items, DRAWN)
+        return self._rng.sample(items, SAMPLE_SIZE)
 
     def _shuffled(self, items: Iterable[BackendInstance]) -> list[BackendInstance]:
         shuffled = list(items)
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -31,14 +31,14 @@
 __all__ = ["FleetQuota"]
 
 # The leader speaks at least once a second; after this it is not heard.
-SILENCE_S = 1.5
+REPORT_TIMEOUT_S = 1.5
 # A request is small if the rate refills its cost within this time.
-SMALL_S = 0.05
+SMALL_REQUEST_S = 0.05
 # What large requests leave in the bucket, as a time of refill. Calls take a tenth of
 # a workspace's tokens.
-RESERVED_S = 0.1
+SMALL_REQUEST_RESERVE_S = 0.1
 # Over how long the others' admissions are averaged, to go on without reports.
-AVERAGE_S = 4.0
+AVERAGING_S = 4.0
 
 
 @dataclass(slots=True)
@@ -48,9 +48,9 @@
     workspace: GatewayWorkspace
     level: float
     refilled_s: float
-    others_per_s: float = 0.0
-    own_unreported: float = 0.0
-    assumed_s: float = 0.0
+    remote_per_s: float = 0.0
+    unreported: float = 0.0
+    assumed_until_s: float = 0.0
 
 
 class FleetQuota:
@@ -77,7 +77,7 @@
         self._small_slack = small_slack
         self._started_s = started_s
         self._buckets: dict[str, _Bucket] = {}
-        self._heard_s = 0.0
+        self._last_report_s = 0.0
 
     def update_limits(
         self, workspaces: Iterable[GatewayWorkspace], now_s: float
@@ -111,51 +111,51 @@
             return 0.0
         bucket = self._bucket(workspace, now_s)
         # What the others have probably admitted since they were heard last.
-        level = bucket.level - self._assumed(bucket, now_s)
-        needed = self._needed(workspace, cost)
-        if level < needed:
-            return (needed - level) / workspace.rate_per_s
+        level = bucket.level - self._assumed_remote_usage(bucket, now_s)
+        required = self._required_level(workspace, cost)
+        if level < required:
+            return (required - level) / workspace.rate_per_s
         bucket.level -= cost
-        bucket.own_unreported += cost
+        bucket.unreported += cost
         return 0.0
 
     def record_remote_usage(self, usage: Mapping[str, float], now_s: float) -> None:
         """Take what other hosts have admitted; call it for every message."""
-        self._heard_s = now_s
+        self._last_report_s = now_s
         for name, used in usage.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
                 self._refill(bucket, now_s)
                 bucket.level -= used
-                bucket.others_per_s += used / AVERAGE_S
+                bucket.remote_per_s += used / AVERAGING_S
 
     def on_report(self, now_s: float) -> None:
         """Note that the other hosts can be heard, though nothing has changed."""
-        self._heard_s = now_s
+        self._last_report_s = now_s
 
     def pop_unreported(self) -> dict[str, float]:
         """Return what this host admitted since the last call."""
         usage = {}
         for name, bucket in self._buckets.items():
-            if bucket.own_unreported:
-                usage[name], bucket.own_unreported = bucket.own_unreported, 0.0
+            if bucket.unreported:
+                usage[name], bucket.unreported = bucket.unreported, 0.0
         return usage
 
-    def _needed(self, workspace: GatewayWorkspace, cost: float) -> float:
+    def _required_level(self, workspace: GatewayWorkspace, cost: float) -> float:
         """Return the level from which a request is admitted."""
-        if cost <= SMALL_S * workspace.rate_per_s:
+        if cost <= SMALL_REQUEST_S * workspace.rate_per_s:
             return cost - self._small_slack
         # A request larger than the bucket must not be refused for good.
-        reserved = RESERVED_S * workspace.rate_per_s
+        reserved = SMALL_REQUEST_RESERVE_S * workspace.rate_per_s
         return min(cost + reserved, self._capacity(workspace))
 
     def _capacity(self, workspace: GatewayWorkspace) -> float:
         return workspace.burst + self._slack
 
-    def _assumed(self, bucket: _Bucket, now_s: float) -> float:
+    def _assumed_remote_usage(self, bucket: _Bucket, now_s: float) -> float:
         """Return what the others have probably admitted and is not yet taken."""
-        since_s = max(self._heard_s, bucket.assumed_s)
-        return bucket.others_per_s * max(0.0, now_s - since_s)
+        since_s = max(self._last_report_s, bucket.assumed_until_s)
+        return bucket.remote_per_s * max(0.0, now_s - since_s)
 
     def _bucket(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
         """Return the bucket of a workspace as it is now, by its present limit."""
@@ -171,11 +171,11 @@
     def _refill(self, bucket: _Bucket, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - bucket.refilled_s)
         refill = bucket.workspace.rate_per_s * elapsed_s
-        if now_s - self._heard_s < SILENCE_S:
-            bucket.others_per_s *= max(0.0, 1 - elapsed_s / AVERAGE_S)
+        if now_s - self._last_report_s < REPORT_TIMEOUT_S:
+            bucket.remote_per_s *= max(0.0, 1 - elapsed_s / AVERAGING_S)
         else:
-            refill -= self._assumed(bucket, now_s)
-            bucket.assumed_s = now_s
+            refill -= self._assumed_remote_usage(bucket, now_s)
+            bucket.assumed_until_s = now_s
         capacity = self._capacity(bucket.workspace)
         bucket.level = min(capacity, bucket.level + refill)
         bucket.refilled_s = now_s
--- a/src/damaskridge/core/gateway/retry_after.py
+++ b/src/damaskridge/core/gateway/retry_after.py
@@ -19,11 +19,11 @@
 # An entry host has its routes about this long after it started.
 NOT_READY_S = 0.6
 # A request that crashed servers stays under suspicion for a minute.
-SUSPECT_S = 60.0
-LEFT_SHARE = 0.3
+QUARANTINE_S = 60.0
+MAX_REMAINING_SHARE = 0.3
 # A workspace without any rate is told this.
-LONGEST_S = 30.0
-SPREAD = 0.5
+MAX_RATE_WAIT_S = 30.0
+MAX_JITTER = 0.5
 
 
 class RetryAfterTimes:
@@ -41,32 +41,32 @@
 
     def overloaded_s(self, left_s: float) -> float:
         """Return the time after which a full server may have room."""
-        return self._spread(OVERLOAD_S, left_s)
+        return self._jittered(OVERLOAD_S, left_s)
 
     def engine_full_s(self, left_s: float) -> float:
         """Return the time after which a decode engine may have room."""
-        return self._spread(ENGINE_FULL_S, left_s)
+        return self._jittered(ENGINE_FULL_S, left_s)
 
     def no_server_s(self, left_s: float) -> float:
         """Return the time after which a server may be there."""
-        return self._spread(NO_SERVER_S, left_s)
+        return self._jittered(NO_SERVER_S, left_s)
 
     def paused_s(self, pause_s: float) -> float:
         """Return the time after which a server takes work again, never sooner."""
-        return self._spread(pause_s, float("inf"))
+        return self._jittered(pause_s, float("inf"))
 
     def suspect_s(self) -> float:
         """Return the time after which a request that crashed servers may be tried."""
-        return self._spread(SUSPECT_S, float("inf"))
+        return self._jittered(QUARANTINE_S, float("inf"))
 
     def not_ready_s(self) -> float:
         """Return the time after which this host may know its routes."""
-        return self._spread(NOT_READY_S, float("inf"))
+        return self._jittered(NOT_READY_S, float("inf"))
 
     def over_rate_s(self, wait_s: float) -> float:
         """Return the time after which the workspace's rate has room."""
-        return self._spread(min(wait_s, LONGEST_S), float("inf"))
+        return self._jittered(min(wait_s, MAX_RATE_WAIT_S), float("inf"))
 
-    def _spread(self, wait_s: float, left_s: float) -> float:
-        spread_s = wait_s * self._rng.uniform(1.0, 1.0 + SPREAD)
-        return max(0.0, min(spread_s, LEFT_SHARE * max(0.0, left_s)))
+    def _jittered(self, wait_s: float, left_s: float) -> float:
+        jittered_s = wait_s * self._rng.uniform(1.0, 1.0 + MAX_JITTER)
+        return max(0.0, min(jittered_s, MAX_REMAINING_SHARE * max(0.0, left_s)))
--- a/src/damaskridge/core/gateway/retry_bucket.py
+++ b/src/damaskridge/core/gateway/retry_bucket.py
@@ -1,78 +1,83 @@
-"""Bounds the sends beyond each request's first, over all hosts together.
-
-Every host has a part of the fixed allowance and earns its part of the share of
-requests by its own requests, so that no retry waits for another host. A bucket is
-empty when its process starts: a process that was there before on the same host may
-have spent everything a moment ago, and nobody knows.
-
-A send can't be divided, so that each host may hold one that its requests have earned.
-What these leave of the allowance is shared among the hosts that callers are sent to.
-
->>> part_of(100.0, hosts=40, used_hosts=10, is_used=True)
-RetryPart(fixed=6.0, held=1.0)
->>> part_of(100.0, hosts=40, used_hosts=10, is_used=False)
-RetryPart(fixed=0.0, held=1.0)
+"""Limits the sends beyond the first of each request, over all hosts together.
+
+The retry budget of the fleet is a fixed allowance per window plus a ratio of the
+requests. Every host has a share of the allowance and earns the ratio of its own
+requests, so that no retry waits for another host. A bucket is empty when its process
+starts, because an earlier process on the same host may just have spent its share, and
+that isn't recorded anywhere.
+
+A send is indivisible, so every host may hold one that its requests have earned. These
+are reserved from the allowance; the rest is divided among the hosts that callers are
+sent to.
+
+>>> host_retry_share(100.0, hosts=40, used_hosts=10, is_used=True)
+HostRetryShare(fixed_per_window=6.0, max_earned=1.0)
+>>> host_retry_share(100.0, hosts=40, used_hosts=10, is_used=False)
+HostRetryShare(fixed_per_window=0.0, max_earned=1.0)
 """
 
 from dataclasses import dataclass
 
-__all__ = ["RetryPart", "RetryShare", "part_of"]
+__all__ = ["HostRetryShare", "RetryBucket", "host_retry_share"]
 
-# Part of the fixed sends that a bucket holds. The rest is its refill in one window, so
-# that any window stays within the whole.
-BUCKET_PART = 0.7
+# Fraction of the fixed sends that is the bucket's capacity. The remaining fraction is
+# the refill over one window, so that capacity plus refill never exceed the share.
+BUCKET_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
-class RetryPart:
+class HostRetryShare:
     """
-    What one host may hold of the allowance.
+    One host's share of the allowance.
 
     Parameters
     ----------
-    fixed : float
-        Sends in one window, whatever the host's requests.
-    held : float
-        Most sends that its requests earn and that it keeps on top.
+    fixed_per_window : float
+        Extra sends in one window, independent of the host's requests.
+    max_earned : float
+        Capacity in addition to that for extra sends earned by requests.
     """
 
-    fixed: float = 0.0
-    held: float = 0.0
+    fixed_per_window: float = 0.0
+    max_earned: float = 0.0
 
 
-def part_of(
+def host_retry_share(
     allowance: float, *, hosts: int, used_hosts: int, is_used: bool
-) -> RetryPart:
+) -> HostRetryShare:
     """
-    Return the part of one host; the parts of all hosts add up to the allowance.
+    Return the share of one host; the shares of all hosts add up to the allowance.
 
     Parameters
     ----------
     allowance : float
-        Additional sends of all hosts in one window.
+        Extra sends of all hosts in one window.
     hosts, used_hosts : int
-        All hosts, and those that callers are sent to.
+        Number of all hosts, and of those that callers are sent to.
     is_used : bool
         Whether callers are sent to this host.
     """
-    held = min(1.0, allowance / hosts)
+    max_earned = min(1.0, allowance / hosts)
     if not is_used:
-        return RetryPart(held=held)
-    return RetryPart(fixed=(allowance - held * hosts) / used_hosts, held=held)
+        return HostRetryShare(max_earned=max_earned)
+    return HostRetryShare(
+        fixed_per_window=(allowance - max_earned * hosts) / used_hosts,
+        max_earned=max_earned,
+    )
 
 
-class RetryShare:
+class RetryBucket:
     """
-    One host's budget of additional sends to one service.
+    Token bucket of one host's extra sends to one service.
 
     Parameters
     ----------
     ratio : float
-        Additional sends that each request earns.
+        Extra sends that each request earns.
     window_s : float
-        The window, in seconds.
+        Length of the budget window.
     started_s : float
-        When this process started.
+        Start time of this process, when the bucket is empty.
     """
 
     def __init__(self, ratio: float, window_s: float, started_s: float) -> None:
@@ -83,28 +88,28 @@
 
     @property
     def level(self) -> float:
-        """Additional sends that are left, as of the last change."""
+        """Extra sends that were available after the last change."""
         return self._level
 
-    def earn(self, part: RetryPart, now_s: float) -> None:
-        """Count one request."""
-        self._refill(part, now_s)
-        self._level = min(self._level + self._ratio, _capacity(part))
+    def earn(self, share: HostRetryShare, now_s: float) -> None:
+        """Add what one request earns."""
+        self._refill(share, now_s)
+        self._level = min(self._level + self._ratio, _capacity(share))
 
-    def spend(self, part: RetryPart, now_s: float) -> bool:
-        """Take one additional send; `False` if none is left."""
-        self._refill(part, now_s)
+    def spend(self, share: HostRetryShare, now_s: float) -> bool:
+        """Consume one extra send; return `False` if none is available."""
+        self._refill(share, now_s)
         if self._level < 1:
             return False
         self._level -= 1
         return True
 
-    def _refill(self, part: RetryPart, now_s: float) -> None:
+    def _refill(self, share: HostRetryShare, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._refilled_s)
-        gained = elapsed_s * (1 - BUCKET_PART) * part.fixed / self._window_s
-        self._level = min(_capacity(part), self._level + gained)
+        added = elapsed_s * (1 - BUCKET_SHARE) * share.fixed_per_window / self._window_s
+        self._level = min(_capacity(share), self._level + added)
         self._refilled_s = now_s
 
 
-def _capacity(part: RetryPart) -> float:
-    return part.held + BUCKET_PART * part.fixed
+def _capacity(share: HostRetryShare) -> float:
+    return share.max_earned + BUCKET_SHARE * share.fixed_per_window
--- a/src/damaskridge/core/gateway/routing.py
+++ b/src/damaskridge/core/gateway/routing.py
@@ -35,7 +35,7 @@
             (route.host_name.lower(), route.path_prefix): route
             for route in table.routes
         }
-        self._holders = {
+        self._workspaces_by_digest = {
             digest: workspace
             for workspace in table.workspaces
             for digest in workspace.key_digests
@@ -60,7 +60,7 @@
 
     def workspace(self, digest: str) -> GatewayWorkspace | None:
         """Return the workspace that holds the key with this digest."""
-        return self._holders.get(digest)
+        return self._workspaces_by_digest.get(digest)
 
     def service(self, name: str) -> GatewayService | None:
         """Return a service."""
--- a/src/damaskridge/core/gateway/send_policy.py
+++ b/src/damaskridge/core/gateway/send_policy.py
@@ -19,9 +19,9 @@
 __all__ = ["Fail", "Retry", "SendPolicy"]
 
 # A backend server needs about as long to answer; a send with less cannot succeed.
-LEAST_LEFT_S = 0.02
+MIN_REMAINING_S = 0.02
 # Sends that were refused before they ran; more would only multiply an overload.
-MOST_SENDS = 4
+MAX_SENDS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +58,7 @@
     def __init__(
         self, kind: WorkKind, attempts: int, *, is_resumable: bool = False
     ) -> None:
-        self._may_repeat = kind is WorkKind.REPEATABLE or is_resumable
+        self._is_repeatable = kind is WorkKind.REPEATABLE or is_resumable
         self._attempts = max(1, attempts)
         self.sends = 0
         self.runs = 0
@@ -66,12 +66,12 @@
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
-        return self._may_repeat
+        return self._is_repeatable
 
     @property
     def may_run_again(self) -> bool:
         """Whether a further backend server may run the request."""
-        return self._may_repeat and self.runs + 1 < self._attempts
+        return self._is_repeatable and self.runs + 1 < self._attempts
 
     def record_send(self) -> None:
         """Count a send."""
@@ -79,7 +79,7 @@
 
     def after_not_run(self, *, left_s: float, may_retry: bool) -> Retry | Fail:
         """Decide after a send that did not run; `may_retry` is the retry budget."""
-        if may_retry and left_s > LEAST_LEFT_S and self.sends < MOST_SENDS:
+        if may_retry and left_s > MIN_REMAINING_S and self.sends < MAX_SENDS:
             return Retry()
         if self.runs:
             return Fail(ErrorKind.BACKEND_SERVER_FAILED, RunState.UNKNOWN)
@@ -90,7 +90,7 @@
     ) -> Retry | Fail:
         """Decide after a send that may have run."""
         self.runs += 1
-        if self._may_run_again(left_s, may_retry):
+        if self._may_retry_run(left_s, may_retry):
             return Retry()
         kind = ErrorKind.BACKEND_SERVER_FAILED
         if timed_out:
@@ -100,12 +100,12 @@
     def after_failure(self, *, left_s: float, may_retry: bool) -> Retry | None:
         """Decide after an answer that is a failure; None passes it on."""
         self.runs += 1
-        return Retry() if self._may_run_again(left_s, may_retry) else None
+        return Retry() if self._may_retry_run(left_s, may_retry) else None
 
-    def _may_run_again(self, left_s: float, may_retry: bool) -> bool:
+    def _may_retry_run(self, left_s: float, may_retry: bool) -> bool:
         return (
-            self._may_repeat
+            self._is_repeatable
             and self.runs < self._attempts
             and may_retry
-            and left_s > LEAST_LEFT_S
+            and left_s > MIN_REMAINING_S
         )
--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -17,26 +17,26 @@
 
 # Time constant of the averages: above the length of one generation, well below the time
 # that a change has to pay off in.
-AVERAGE_S = 4.0
+AVERAGING_S = 4.0
 # Keeps the first observation, which covers no time, from dividing by zero.
-EPSILON_S = 1e-3
+MIN_SPAN_S = 1e-3
 # The averages mean nothing before they have seen about this much.
 WARM_UP_S = 3.0
 # Share of the decode memory in use from which a burst of four times the load does not
 # fit. A change takes longer than most bursts, so it has to come before them.
-DECODE_SHORT = 0.2
+MAX_DECODE_USE = 0.2
 # Share of the memory of the other decode engines below which one can be spared.
-DECODE_SPARE = 0.2
+MAX_SPARE_DECODE_USE = 0.2
 # The same if no engine is left that only reads prompts: decode engines then read them
 # at half speed.
-DECODE_SPARE_FOR_FIRST = 0.5
+MAX_SPARE_DECODE_USE_WITHOUT_PREFILL = 0.5
 # Share of the time in which prefill engines are busy: with more, prompts queue.
-PREFILL_SHORT = 0.85
+MAX_PREFILL_USE = 0.85
 # What the remaining prefill engines may be busy after others were given away. A burst
 # doubles it, and a change back takes longer than the burst lasts.
-PREFILL_SPARE = 0.5
+TARGET_PREFILL_USE = 0.5
 # Rest after a change; the averages then show its effect.
-PAUSE_S = 12.0
+COOLDOWN_S = 12.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,8 +61,8 @@
 
     def __init__(self, started_s: float) -> None:
         self._started_s = started_s
-        self._seen_s = started_s
-        self._quiet_until_s = started_s + WARM_UP_S
+        self._observed_s = started_s
+        self._cooldown_until_s = started_s + WARM_UP_S
         self.decode_use = 0.0
         self.prefill_use = 0.0
 
@@ -95,11 +95,11 @@
         prefill = [item for item in engines if item.stage is EngineStage.PREFILL]
         decode = [item for item in engines if item.stage is EngineStage.DECODE]
         self._average(prefill, decode, load, traits, now_s)
-        if not may_change or now_s < self._quiet_until_s:
+        if not may_change or now_s < self._cooldown_until_s:
             return ()
         changes = self._changes(prefill, decode, load)
         if changes:
-            self._quiet_until_s = now_s + PAUSE_S
+            self._cooldown_until_s = now_s + COOLDOWN_S
         return changes
 
     def _average(
@@ -110,14 +110,14 @@
         traits: EngineTraits,
         now_s: float,
     ) -> None:
-        nothing = InstanceLoad()
-        busy = sum(load.get(e.instance, nothing).prompt_tokens > 0 for e in prefill)
-        used = sum(load.get(e.instance, nothing).memory_tokens for e in decode)
+        empty = InstanceLoad()
+        busy = sum(load.get(e.instance, empty).prompt_tokens > 0 for e in prefill)
+        used = sum(load.get(e.instance, empty).memory_tokens for e in decode)
         capacity = max(1, len(decode) * traits.memory_tokens)
         # A plain mean at first, or the averages would stay too low for long.
-        span_s = min(AVERAGE_S, max(now_s - self._started_s, EPSILON_S))
-        weight = min(1.0, max(0.0, now_s - self._seen_s) / span_s)
-        self._seen_s = now_s
+        span_s = min(AVERAGING_S, max(now_s - self._started_s, MIN_SPAN_S))
+        weight = min(1.0, max(0.0, now_s - self._observed_s) / span_s)
+        self._observed_s = now_s
         self.prefill_use += weight * (busy / max(1, len(prefill)) - self.prefill_use)
         self.decode_use += weight * (used / capacity - self.decode_use)
 
@@ -127,21 +127,27 @@
         decode: list[BackendInstance],
         load: Mapping[str, InstanceLoad],
     ) -> tuple[StageChange, ...]:
-        nothing = InstanceLoad()
-        if prefill and self.decode_use > DECODE_SHORT:
-            needed = max(1, ceil(self.prefill_use * len(prefill) / PREFILL_SPARE))
-            prefill.sort(key=lambda e: load.get(e.instance, nothing).prompt_tokens)
-            given = prefill[: max(0, len(prefill) - needed)]
-            if given:
-                return tuple(self._to(item, EngineStage.DECODE) for item in given)
-        if len(decode) > 1 and (not prefill or self.prefill_use > PREFILL_SHORT):
-            left = self.decode_use * len(decode) / (len(decode) - 1)
-            if left < (DECODE_SPARE if prefill else DECODE_SPARE_FOR_FIRST):
+        empty = InstanceLoad()
+        if prefill and self.decode_use > MAX_DECODE_USE:
+            needed = max(1, ceil(self.prefill_use * len(prefill) / TARGET_PREFILL_USE))
+            prefill.sort(key=lambda e: load.get(e.instance, empty).prompt_tokens)
+            surplus = prefill[: max(0, len(prefill) - needed)]
+            if surplus:
+                return tuple(
+                    self._change_to(item, EngineStage.DECODE) for item in surplus
+                )
+        if len(decode) > 1 and (not prefill or self.prefill_use > MAX_PREFILL_USE):
+            remaining_use = self.decode_use * len(decode) / (len(decode) - 1)
+            if remaining_use < (
+                MAX_SPARE_DECODE_USE
+                if prefill
+                else MAX_SPARE_DECODE_USE_WITHOUT_PREFILL
+            ):
                 chosen = min(
-                    decode, key=lambda e: load.get(e.instance, nothing).memory_tokens
+                    decode, key=lambda e: load.get(e.instance, empty).memory_tokens
                 )
-                return (self._to(chosen, EngineStage.PREFILL),)
+                return (self._change_to(chosen, EngineStage.PREFILL),)
         return ()
 
-    def _to(self, instance: BackendInstance, stage: EngineStage) -> StageChange:
+    def _change_to(self, instance: BackendInstance, stage: EngineStage) -> StageChange:
         return StageChange(instance, stage, self.decode_use, self.prefill_use)
--- a/src/damaskridge/core/gateway/table_checks.py
+++ b/src/damaskridge/core/gateway/table_checks.py
@@ -23,11 +23,11 @@
 
 def _routes(table: RoutingTable) -> Iterator[str]:
     services = {service.name for service in table.services}
-    places: dict[tuple[str, str], int] = {}
+    first_by_prefix: dict[tuple[str, str], int] = {}
     for number, route in enumerate(table.routes):
         path = f"routes[{number}]"
         yield from (f"{path}.{fault}" for fault in _route_faults(route, services))
-        first = places.setdefault((route.host_name, route.path_prefix), number)
+        first = first_by_prefix.setdefault((route.host_name, route.path_prefix), number)
         if first != number:
             yield f"{path}: same host name and path prefix as routes[{first}]"
 
--- a/src/damaskridge/core/limits/bucket.py
+++ b/src/damaskridge/core/limits/bucket.py
@@ -1,7 +1,7 @@
 """A token bucket in integer arithmetic, so that rounding never adds tokens.
 
 >>> bucket = TokenBucket(100.0, 50.0, level_tokens=50.0, now_s=0.0)
->>> bucket.take(50, now_s=0.0), bucket.take(1, now_s=0.0)
+>>> bucket.acquire(50, now_s=0.0), bucket.acquire(1, now_s=0.0)
 (True, False)
 >>> round(bucket.seconds_until(99, now_s=0.0), 3)
 1.0
@@ -45,8 +45,8 @@
         self._rate = self._burst = 0
         self._set_limits(rate_tokens_per_s, burst_tokens)
         self._level = min(int(level_tokens * _UNITS_PER_TOKEN), self._burst)
-        self._allowance = self._level
-        self._used = 0
+        self._total_added = self._level
+        self._total_granted = 0
 
     @property
     def burst_tokens(self) -> float:
@@ -57,37 +57,37 @@
         self, rate_tokens_per_s: float, burst_tokens: float, now_s: float
     ) -> None:
         """Apply a new rate and capacity from `now_s` on."""
-        self._fill(now_s)
+        self._refill(now_s)
         self._set_limits(rate_tokens_per_s, burst_tokens)
         self._level = min(self._level, self._burst)
 
-    def take(self, tokens: int, now_s: float) -> bool:
+    def acquire(self, tokens: int, now_s: float) -> bool:
         """Take `tokens` if all of them are there."""
-        self._fill(now_s)
+        self._refill(now_s)
         units = tokens * _UNITS_PER_TOKEN
         if units > self._level:
             return False
         self._level -= units
-        self._used += units
-        self._check()
+        self._total_granted += units
+        self._check_invariants()
         return True
 
-    def give_back(self, tokens: int, now_s: float) -> None:
+    def refund(self, tokens: int, now_s: float) -> None:
         """Return `tokens` that were taken from this bucket."""
-        self._fill(now_s)
+        self._refill(now_s)
         units = tokens * _UNITS_PER_TOKEN
-        self._used -= units
+        self._total_granted -= units
         self._level = min(self._level + units, self._burst)
-        self._check()
+        self._check_invariants()
 
     def level_tokens(self, now_s: float) -> float:
         """Return what is in the bucket, rounded down to whole tokens."""
-        self._fill(now_s)
+        self._refill(now_s)
         return float(self._level // _UNITS_PER_TOKEN)
 
     def seconds_until(self, tokens: int, now_s: float) -> float:
         """Return the time until `tokens` have come in, ignoring the capacity."""
-        self._fill(now_s)
+        self._refill(now_s)
         missing = tokens * _UNITS_PER_TOKEN - self._level
         if missing <= 0:
             return 0.0
@@ -101,17 +101,17 @@
         self._rate = int(slowed * _UNITS_PER_TOKEN / _NS_PER_S)
         self._burst = int(burst_tokens * _UNITS_PER_TOKEN)
 
-    def _fill(self, now_s: float) -> None:
+    def _refill(self, now_s: float) -> None:
         now_ns = int(now_s * _NS_PER_S)
         if now_ns <= self._updated_ns:
             return
-        gained = (now_ns - self._updated_ns) * self._rate
+        added = (now_ns - self._updated_ns) * self._rate
         self._updated_ns = now_ns
-        self._allowance += gained
-        self._level = min(self._level + gained, self._burst)
+        self._total_added += added
+        self._level = min(self._level + added, self._burst)
 
-    def _check(self) -> None:
+    def _check_invariants(self) -> None:
         assert self._level >= 0, "a bucket never holds less than nothing"
-        assert self._used + self._level <= self._allowance, (
+        assert self._total_granted + self._level <= self._total_added, (
             "grants less refunds stay within burst plus rate times time"
         )
--- a/src/damaskridge/core/limits/workspace_state.py
+++ b/src/damaskridge/core/limits/workspace_state.py
@@ -10,17 +10,17 @@
 from damaskridge.model.bundle import Workspace
 from damaskridge.model.routing import RateRequest
 
-__all__ = ["REBUILD_LIMIT_S", "History", "Waiting", "WorkspaceState"]
+__all__ = ["KEYS_TIMEOUT_S", "HypotheticalBucket", "QueuedRequest", "WorkspaceState"]
 
-REBUILD_LIMIT_S = 2.0
+KEYS_TIMEOUT_S = 2.0
 _CHARGE_RETENTION_S = 3600.0
 # While a lost bucket rebuilds, a request waits behind smaller ones that come within
 # this many times the time that its own tokens take: urgent requests are small.
-_REBUILD_SPREAD = 10.0
+_OVERTAKE_FACTOR = 10.0
 
 
 @dataclass(slots=True)
-class Waiting:
+class QueuedRequest:
     """A request that waits for tokens or for the rebuild of the keys."""
 
     request: RateRequest
@@ -33,10 +33,10 @@
     """What a request paid and may still get back."""
 
     tokens: int
-    forget_s: float
+    expires_s: float
 
 
-class History:
+class HypotheticalBucket:
     """
     What the bucket would hold if the earlier owner had handed it over full.
 
@@ -57,16 +57,16 @@
         """Tell whether the real bucket may still hold less."""
         return self._bucket is not None and now_s < self._ends_s
 
-    def would_pay(self, tokens: int, now_s: float) -> bool:
+    def would_grant(self, tokens: int, now_s: float) -> bool:
         """Take `tokens` and tell whether a full history would have paid them."""
         if not self.is_active(now_s):
             self._bucket = None
-        return self._bucket is not None and self._bucket.take(tokens, now_s)
+        return self._bucket is not None and self._bucket.acquire(tokens, now_s)
 
-    def give_back(self, tokens: int, now_s: float) -> None:
+    def refund(self, tokens: int, now_s: float) -> None:
         """Return tokens that were not used."""
         if self._bucket is not None:
-            self._bucket.give_back(tokens, now_s)
+            self._bucket.refund(tokens, now_s)
 
 
 class WorkspaceState:
@@ -80,38 +80,40 @@
         self.bucket = TokenBucket(
             space.rate_tokens_per_s, space.burst_tokens, gained.level_tokens, now_s
         )
-        self.history = History(space, gained.is_level_unknown, now_s)
+        self.hypothetical = HypotheticalBucket(space, gained.is_level_unknown, now_s)
         self.keys = KeyTable()
         self.charges: OrderedDict[str, Charge] = OrderedDict()
-        self.waiting: OrderedDict[str, Waiting] = OrderedDict()
+        self.waiting: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.waiting_tokens = 0
         self._order: list[tuple[float, int, str]] = []
         self._sequence = 0
-        self.parked: OrderedDict[str, Waiting] = OrderedDict()
-        self.missing_fronts = set(gained.fronts)
-        self.rebuilt_by_s = now_s + REBUILD_LIMIT_S
+        self.awaiting_keys: OrderedDict[str, QueuedRequest] = OrderedDict()
+        self.unreported_fronts = set(gained.fronts)
+        self.keys_deadline_s = now_s + KEYS_TIMEOUT_S
 
-    def is_rebuilt(self, now_s: float) -> bool:
+    def are_keys_complete(self, now_s: float) -> bool:
         """Tell whether the fronts have reported their keys."""
-        return not self.missing_fronts or now_s >= self.rebuilt_by_s
+        return not self.unreported_fronts or now_s >= self.keys_deadline_s
 
-    def delay_s(self, request: RateRequest, now_s: float) -> float:
+    def overtake_s(self, request: RateRequest, now_s: float) -> float:
         """Return by how much small requests may overtake while the bucket rebuilds."""
-        if not self.history.is_active(now_s):
+        if not self.hypothetical.is_active(now_s):
             return 0.0
-        return _REBUILD_SPREAD * request.cost_tokens / max(self.rate_tokens_per_s, 1e-9)
+        return (
+            _OVERTAKE_FACTOR * request.cost_tokens / max(self.rate_tokens_per_s, 1e-9)
+        )
 
-    def head(self) -> Waiting:
+    def head(self) -> QueuedRequest:
         """Return the request that is granted next."""
         while self._order[0][2] not in self.waiting:
             heapq.heappop(self._order)
         return self.waiting[self._order[0][2]]
 
-    def enqueue(self, entry: Waiting, now_s: float) -> None:
+    def enqueue(self, entry: QueuedRequest, now_s: float) -> None:
         """Let a request wait."""
         request = entry.request
         self._sequence += 1
-        key_s = entry.arrived_s + self.delay_s(request, now_s)
+        key_s = entry.arrived_s + self.overtake_s(request, now_s)
         item = (key_s, self._sequence, request.request_id)
         heapq.heappush(self._order, item)
         self.waiting[request.request_id] = entry
@@ -123,15 +125,15 @@
 
     def charge(self, request: RateRequest, now_s: float) -> None:
         """Remember what a request paid."""
-        forget_s = now_s + _CHARGE_RETENTION_S
-        self.charges[request.request_id] = Charge(request.cost_tokens, forget_s)
+        expires_s = now_s + _CHARGE_RETENTION_S
+        self.charges[request.request_id] = Charge(request.cost_tokens, expires_s)
 
     def expire(self, now_s: float) -> None:
         """Forget old keys and charges."""
         self.keys.expire(now_s)
         while self.charges:
             request_id, charge = next(iter(self.charges.items()))
-            if charge.forget_s > now_s:
+            if charge.expires_s > now_s:
                 break
             self.keys.finish(request_id, now_s)
             del self.charges[request_id]
--- a/src/damaskridge/core/timeline.py
+++ b/src/damaskridge/core/timeline.py
@@ -25,14 +25,14 @@
 ]
 
 # The first event on one process causes the second on another, by the shared field.
-CAUSES: tuple[tuple[EventNumber, EventNumber, str], ...] = (
+CAUSAL_PAIRS: tuple[tuple[EventNumber, EventNumber, str], ...] = (
     (EventNumber.REQUEST_ACCEPTED, EventNumber.QUEUE_PLACED, "request_id"),
     (EventNumber.QUEUE_PLACED, EventNumber.REQUEST_PLACED, "request_id"),
     (EventNumber.BUNDLE_ACTIVATED, EventNumber.BUNDLE_IN_FORCE, "version"),
     (EventNumber.SESSION_OPENED, EventNumber.OWNERSHIP_GAINED, "session"),
 )
 # Changes to the offsets pass along chains of processes, so a few rounds settle them.
-MAX_ROUNDS = 32
+MAX_RELAXATION_ROUNDS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +94,10 @@
             self.since_s <= entry.time_s <= self.until_s
             and self._matches_request(fields)
             and (not self.host or self.host in (entry.process, fields.get("host")))
-            and (not self.backend_server or self.backend_server in _servers_of(fields))
+            and (
+                not self.backend_server
+                or self.backend_server in _backend_servers_in(fields)
+            )
             and (not self.event or self.event in (entry.name, str(entry.event)))
         )
 
@@ -128,18 +131,18 @@
     shows that they cannot; then the effect's process is moved by the least amount.
     """
     ordered = list(entries)
-    least_s: dict[tuple[str, str], float] = {}
+    min_lead_s: dict[tuple[str, str], float] = {}
     pairs = dict.fromkeys((entry.process for entry in ordered), 0)
-    for cause, effect in _pairs(ordered):
+    for cause, effect in _causal_pairs(ordered):
         key = (cause.process, effect.process)
         lead_s = cause.time_s - effect.time_s
-        least_s[key] = max(lead_s, least_s.get(key, float("-inf")))
+        min_lead_s[key] = max(lead_s, min_lead_s.get(key, float("-inf")))
         pairs[cause.process] += 1
         pairs[effect.process] += 1
     offsets = dict.fromkeys(pairs, 0.0)
-    for _ in range(MAX_ROUNDS):
+    for _ in range(MAX_RELAXATION_ROUNDS):
         changed = False
-        for (earlier, later), lead_s in least_s.items():
+        for (earlier, later), lead_s in min_lead_s.items():
             needed_s = offsets[earlier] + lead_s
             if needed_s > offsets[later] + 1e-9:
                 offsets[later] = needed_s
@@ -156,10 +159,10 @@
     """Return one time line over all logs, filtered by corrected times."""
     entries = [entry for log in logs for entry in log.entries]
     offsets = estimate_offsets(entries)
-    shift_s = {item.process: item.offset_s for item in offsets}
-    moved = [
+    offset_by_process = {item.process: item.offset_s for item in offsets}
+    shifted = [
         LogEntry(
-            entry.time_s + shift_s[entry.process],
+            entry.time_s + offset_by_process[entry.process],
             entry.process,
             entry.event,
             entry.name,
@@ -168,13 +171,15 @@
         for entry in entries
     ]
     # The sort is stable: entries of one process at one time keep their order.
-    moved.sort(key=lambda entry: entry.time_s)
-    kept = tuple(entry for entry in moved if shown is None or shown.matches(entry))
-    return Timeline(kept, offsets)
+    shifted.sort(key=lambda entry: entry.time_s)
+    selected = tuple(
+        entry for entry in shifted if shown is None or shown.matches(entry)
+    )
+    return Timeline(selected, offsets)
 
 
-def _pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
-    for cause_number, effect_number, field in CAUSES:
+def _causal_pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
+    for cause_number, effect_number, field in CAUSAL_PAIRS:
         causes: dict[object, LogEntry] = {}
         for entry in entries:
             value = entry.fields.get(field)
@@ -205,6 +210,6 @@
         return None
 
 
-def _servers_of(fields: Mapping[str, object]) -> tuple[object, ...]:
+def _backend_servers_in(fields: Mapping[str, object]) -> tuple[object, ...]:
     names = ("backend_server", "prefill_server", "decode_server")
     return tuple(fields.get(name) for name in names)
--- a/tests/core/gateway/test_crash_tracker.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -1,22 +1,22 @@
-"""Guards against a request that takes down one backend server after the other."""
+"""A single request must not crash one backend server after another."""
 
 from damaskridge.core.gateway.crash_tracker import (
-    CONFIRM_S,
-    KEEP_S,
-    MOST_CRASHES,
-    REMEMBERED,
+    CONFIRMATION_TIMEOUT_S,
+    CRASH_RETENTION_S,
+    MAX_REMEMBERED_RESPONSES,
+    MIN_CRASHES,
     CrashTracker,
     fingerprint_of,
 )
 from damaskridge.model.gateway import ServerStart
 
 
-def crash(watch, fingerprint, name, now_s=0.0, delay_s=0.5):
-    watch.record_interrupted_run(fingerprint, ServerStart(name), now_s)
-    watch.record_lost_server(ServerStart(name), now_s + delay_s)
+def crash(tracker, fingerprint, name, now_s=0.0, delay_s=0.5):
+    tracker.record_interrupted_run(fingerprint, ServerStart(name), now_s)
+    tracker.record_lost_server(ServerStart(name), now_s + delay_s)
 
 
-def test_a_request_is_refused_after_three_crashes_on_any_hosts():
+def test_request_is_refused_after_three_crashes_observed_by_different_hosts():
     hosts = [CrashTracker() for _ in range(3)]
     for number, host in enumerate(hosts):
         crash(host, "f", f"s{number}")
@@ -30,67 +30,69 @@
     assert not first.is_suspect("g", 1.0)
 
 
-def test_fewer_crashes_do_not_refuse_a_request():
-    watch = CrashTracker()
-    for number in range(MOST_CRASHES - 1):
-        crash(watch, "f", f"s{number}")
+def test_request_is_not_refused_after_fewer_crashes():
+    tracker = CrashTracker()
+    for number in range(MIN_CRASHES - 1):
+        crash(tracker, "f", f"s{number}")
     # A crash that two hosts report counts once.
-    watch.on_report(watch.recent_crashes(1.0), 1.0)
-    assert not watch.is_suspect("f", 1.0)
+    tracker.on_report(tracker.recent_crashes(1.0), 1.0)
+    assert not tracker.is_suspect("f", 1.0)
 
 
-def test_an_answer_that_is_lost_is_no_crash():
-    watch = CrashTracker()
+def test_lost_response_without_lost_server_is_not_a_crash():
+    tracker = CrashTracker()
     for number in range(9):
-        watch.record_interrupted_run("f", ServerStart(f"s{number}"), 0.0)
-    assert not watch.is_suspect("f", 1.0)
+        tracker.record_interrupted_run("f", ServerStart(f"s{number}"), 0.0)
+    assert not tracker.is_suspect("f", 1.0)
     for number in range(9):
-        watch.record_lost_server(ServerStart(f"s{number}"), CONFIRM_S + 1.0)
-    assert not watch.is_suspect("f", CONFIRM_S + 1.0)
+        tracker.record_lost_server(
+            ServerStart(f"s{number}"), CONFIRMATION_TIMEOUT_S + 1.0
+        )
+    assert not tracker.is_suspect("f", CONFIRMATION_TIMEOUT_S + 1.0)
 
 
-def test_a_restart_under_the_same_name_counts_as_a_crash_of_its_own():
-    watch = CrashTracker()
-    for started_ms in range(MOST_CRASHES):
+def test_restarts_under_one_name_count_as_separate_crashes():
+    tracker = CrashTracker()
+    for started_ms in range(MIN_CRASHES):
         start = ServerStart("s", started_ms)
-        watch.record_interrupted_run("f", start, 0.0)
-        watch.record_lost_server(start, 0.5)
-    assert watch.is_suspect("f", 1.0)
+        tracker.record_interrupted_run("f", start, 0.0)
+        tracker.record_lost_server(start, 0.5)
+    assert tracker.is_suspect("f", 1.0)
 
 
-def test_a_request_that_is_answered_is_not_refused():
-    """Calls without a body and with a common path share a fingerprint."""
-    watch = CrashTracker()
-    watch.record_response("f", 0.0)
-    for number in range(MOST_CRASHES):
-        crash(watch, "f", f"s{number}")
-    assert not watch.is_suspect("f", 1.0)
+def test_request_that_completed_is_not_refused():
+    """Calls without a body and with the same path share a fingerprint."""
+    tracker = CrashTracker()
+    tracker.record_response("f", 0.0)
+    for number in range(MIN_CRASHES):
+        crash(tracker, "f", f"s{number}")
+    assert not tracker.is_suspect("f", 1.0)
 
 
-def test_a_suspicion_ends():
-    watch = CrashTracker()
-    for number in range(MOST_CRASHES):
-        crash(watch, "f", f"s{number}")
-    assert watch.is_suspect("f", KEEP_S / 2)
-    assert not watch.is_suspect("f", 2 * KEEP_S)
-    watch.on_report((), 2 * KEEP_S)
-    assert watch.recent_crashes(2 * KEEP_S) == ()
+def test_suspicion_expires():
+    tracker = CrashTracker()
+    for number in range(MIN_CRASHES):
+        crash(tracker, "f", f"s{number}")
+    assert tracker.is_suspect("f", CRASH_RETENTION_S / 2)
+    assert not tracker.is_suspect("f", 2 * CRASH_RETENTION_S)
+    tracker.on_report((), 2 * CRASH_RETENTION_S)
+    assert tracker.recent_crashes(2 * CRASH_RETENTION_S) == ()
 
 
-def test_what_is_remembered_is_bounded():
-    watch = CrashTracker()
-    for number in range(2 * REMEMBERED):
-        watch.record_response(f"f{number}", 0.0)
-    assert len(watch._answered_s) == REMEMBERED
+def test_number_of_remembered_responses_is_bounded():
+    tracker = CrashTracker()
+    for number in range(2 * MAX_REMEMBERED_RESPONSES):
+        tracker.record_response(f"f{number}", 0.0)
+    assert len(tracker._last_response_s) == MAX_REMEMBERED_RESPONSES
 
 
-def test_a_crash_is_reported_once():
-    watch = CrashTracker()
-    crash(watch, "f", "s")
-    assert len(watch.pop_unreported()) == 1
-    assert watch.pop_unreported() == ()
+def test_crash_is_reported_once():
+    tracker = CrashTracker()
+    crash(tracker, "f", "s")
+    assert len(tracker.pop_unreported()) == 1
+    assert tracker.pop_unreported() == ()
 
 
-def test_fingerprints_tell_workspace_path_and_body_apart():
+def test_fingerprint_depends_on_workspace_path_and_body():
     parts = [("w", "/a", b"b"), ("w", "/ab", b""), ("wa", "/", b"b"), ("w", "/a", b"c")]
     assert len({fingerprint_of(*item) for item in parts}) == len(parts)
--- a/tests/core/gateway/test_event_stream.py
+++ b/tests/core/gateway/test_event_stream.py
@@ -1,4 +1,4 @@
-"""Guards against torn, lost or repeated events."""
+"""Events must not be split, lost or duplicated, wherever the stream is cut."""
 
 import itertools
 
@@ -11,7 +11,7 @@
 
 
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
-def test_events_come_whole_however_the_stream_is_cut(cuts):
+def test_events_are_complete_wherever_the_stream_is_cut(cuts):
     splitter, events = EventSplitter(), []
     edges = [0, *sorted(cuts), len(STREAM)]
     for start, end in itertools.pairwise(edges):
@@ -21,7 +21,7 @@
     assert splitter.rest == b""
 
 
-def test_other_lines_and_line_ends_are_kept():
+def test_other_fields_and_crlf_line_endings_are_kept():
     splitter = EventSplitter()
     events = splitter.feed(b"x-weight-versions: 3\r\nid: 9\r\ndata: a\r\n\r\nrest")
     assert [event.event_id for event in events] == [9]
--- a/tests/core/gateway/test_quota.py
+++ b/tests/core/gateway/test_quota.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.core.gateway.tables import workspace
 
-from damaskridge.core.gateway.quota import RESERVED_S, FleetQuota
+from damaskridge.core.gateway.quota import SMALL_REQUEST_RESERVE_S, FleetQuota
 
 RATE = 47_000.0
 LIMIT = workspace("w", rate_per_s=RATE, burst=RATE)
@@ -69,7 +69,7 @@
     assert quota.acquire(LIMIT, RATE, 0.0) == 0
     wait_s = quota.acquire(LIMIT, 9_400.0, 0.0)
     # A large request also waits for what it leaves to small ones.
-    assert wait_s == pytest.approx(0.2 + RESERVED_S)
+    assert wait_s == pytest.approx(0.2 + SMALL_REQUEST_RESERVE_S)
     assert quota.acquire(LIMIT, 9_400.0, wait_s + 0.001) == 0
 
 
--- a/tests/core/gateway/test_retry_bucket.py
+++ b/tests/core/gateway/test_retry_bucket.py
@@ -1,100 +1,102 @@
-"""Guards against repeats that multiply an overload."""
+"""Retries must not amplify an overload."""
 
 import random
 
 import pytest
 
-from damaskridge.core.gateway.retry_bucket import RetryShare, part_of
+from damaskridge.core.gateway.retry_bucket import RetryBucket, host_retry_share
 
 
-def test_any_window_stays_within_the_budget_of_all_hosts():
+def test_retries_of_any_window_stay_within_the_budget_of_the_fleet():
     rng = random.Random(3)
     ratio, allowance, window_s, hosts = 0.2, 60.0, 10.0, 11
-    part = part_of(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
-    shares = [RetryShare(ratio, window_s, 0.0) for _ in range(hosts)]
-    requests, repeats, now_s = [], [], 0.0
+    share = host_retry_share(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    buckets = [RetryBucket(ratio, window_s, 0.0) for _ in range(hosts)]
+    requests, retries, now_s = [], [], 0.0
     while now_s < 60.0:
         now_s += 0.01
-        share = rng.choice(shares)
+        bucket = rng.choice(buckets)
         if rng.random() < 0.5:
             requests.append(now_s)
-            share.earn(part, now_s)
-        while share.spend(part, now_s):
-            repeats.append(now_s)
+            bucket.earn(share, now_s)
+        while bucket.spend(share, now_s):
+            retries.append(now_s)
     for start_s in range(50):
         end_s = start_s + window_s
-        asked = sum(start_s <= at_s < end_s for at_s in requests)
-        again = sum(start_s <= at_s < end_s for at_s in repeats)
-        assert again <= ratio * asked + allowance
+        request_count = sum(start_s <= at_s < end_s for at_s in requests)
+        retry_count = sum(start_s <= at_s < end_s for at_s in retries)
+        assert retry_count <= ratio * request_count + allowance
 
 
-def test_a_quiet_host_can_repeat_several_requests_at_once():
-    part = part_of(60.0, hosts=11, used_hosts=11, is_used=True)
-    share = RetryShare(0.2, 10.0, 0.0)
-    # The host has run for three windows.
-    assert sum(share.spend(part, 30.0) for _ in range(10)) >= 3
+def test_idle_host_can_retry_several_requests_at_once():
+    share = host_retry_share(60.0, hosts=11, used_hosts=11, is_used=True)
+    bucket = RetryBucket(0.2, 10.0, 0.0)
+    # Three windows after the process started the bucket is full.
+    assert sum(bucket.spend(share, 30.0) for _ in range(10)) >= 3
 
 
-def most_in_a_window(repeats, window_s):
+def max_in_window(retries, window_s):
     return max(
-        sum(start_s <= at_s < start_s + window_s for at_s in repeats)
-        for start_s in repeats
+        sum(start_s <= at_s < start_s + window_s for at_s in retries)
+        for start_s in retries
     )
 
 
-def test_hosts_that_start_again_within_a_window_have_no_second_budget():
+def test_restart_within_a_window_does_not_renew_the_budget():
     allowance, window_s, hosts = 60.0, 10.0, 11
-    repeats, now_s = [], 0.0
-    part = part_of(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
-    shares = [RetryShare(0.2, window_s, 0.0) for _ in range(hosts)]
+    retries, now_s = [], 0.0
+    share = host_retry_share(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    buckets = [RetryBucket(0.2, window_s, 0.0) for _ in range(hosts)]
     while now_s < 30.0:
         now_s += 0.1
         if round(now_s, 1) == 20.0:
-            shares = [RetryShare(0.2, window_s, now_s) for _ in range(hosts)]
-        for share in shares:
-            # All hosts are quiet at first, so that their buckets are full.
-            while now_s >= 19.0 and share.spend(part, now_s):
-                repeats.append(now_s)
-    assert most_in_a_window(repeats, window_s) <= allowance
-
-
-def test_hosts_that_stand_by_hold_no_more_than_the_allowance_leaves():
-    allowance, window_s, used, standing_by = 158.0, 10.0, 16, 52
-    hosts = used + standing_by
-    parts = [
-        part_of(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+            buckets = [RetryBucket(0.2, window_s, now_s) for _ in range(hosts)]
+        for bucket in buckets:
+            # No host spends anything for the first 19 s, so that the buckets are full.
+            while now_s >= 19.0 and bucket.spend(share, now_s):
+                retries.append(now_s)
+    assert max_in_window(retries, window_s) <= allowance
+
+
+def test_standby_hosts_stay_within_the_allowance():
+    allowance, window_s, used, standby = 158.0, 10.0, 16, 52
+    hosts = used + standby
+    shares = [
+        host_retry_share(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
         for number in range(hosts)
     ]
-    shares = [RetryShare(0.18, window_s, 0.0) for _ in parts]
-    repeats, requests, now_s = [], [], 0.0
+    buckets = [RetryBucket(0.18, window_s, 0.0) for _ in shares]
+    retries, requests, now_s = [], [], 0.0
     while now_s < 60.0:
         now_s += 0.1
-        for part, share in zip(parts, shares, strict=True):
-            # Every host has requests before all of them fail.
+        for share, bucket in zip(shares, buckets, strict=True):
+            # Every host earns from requests for 40 s, then spends all it can.
             if now_s < 40.0 and round(now_s * 10) % 20 == 0:
-                share.earn(part, now_s)
+                bucket.earn(share, now_s)
                 requests.append(now_s)
-            while now_s >= 40.0 and share.spend(part, now_s):
-                repeats.append(now_s)
-    assert most_in_a_window(repeats, window_s) <= allowance
+            while now_s >= 40.0 and bucket.spend(share, now_s):
+                retries.append(now_s)
+    assert max_in_window(retries, window_s) <= allowance
 
 
 @pytest.mark.parametrize(
     ("allowance", "hosts", "used"), [(55.8, 11, 11), (396.0, 200, 20), (30.0, 390, 120)]
 )
-def test_the_parts_of_all_hosts_add_up_to_the_allowance(allowance, hosts, used):
-    parts = [
-        part_of(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+def test_shares_of_all_hosts_add_up_to_the_allowance(allowance, hosts, used):
+    shares = [
+        host_retry_share(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
         for number in range(hosts)
     ]
-    assert sum(part.fixed + part.held for part in parts) == pytest.approx(allowance)
+    assert sum(
+        share.fixed_per_window + share.max_earned for share in shares
+    ) == pytest.approx(allowance)
 
 
-def test_a_host_that_stands_by_repeats_what_its_requests_have_earned():
-    part = part_of(158.0, hosts=68, used_hosts=16, is_used=False)
-    share = RetryShare(0.2, 10.0, 0.0)
-    assert not share.spend(part, 100.0)
+def test_standby_host_retries_only_what_its_requests_have_earned():
+    share = host_retry_share(158.0, hosts=68, used_hosts=16, is_used=False)
+    bucket = RetryBucket(0.2, 10.0, 0.0)
+    assert not bucket.spend(share, 100.0)
     for _ in range(5):
-        share.earn(part, 101.0)
-    assert share.spend(part, 101.0)
-    assert not share.spend(part, 101.0)
+        bucket.earn(share, 101.0)
+    assert bucket.spend(share, 101.0)
+    assert not bucket.spend(share, 101.0)
--- a/tests/core/gateway/test_stage_balance.py
+++ b/tests/core/gateway/test_stage_balance.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from damaskridge.core.gateway.stage_balance import PAUSE_S, StageBalancer
+from damaskridge.core.gateway.stage_balance import COOLDOWN_S, StageBalancer
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
@@ -35,9 +35,9 @@
 
 
 def changes(items, load, length_s=30.0):
-    balance, now_s, found = StageBalancer(0.0), 0.0, []
+    balancer, now_s, found = StageBalancer(0.0), 0.0, []
     while now_s < length_s:
-        for change in balance.observe(items, load, TRAITS, now_s):
+        for change in balancer.observe(items, load, TRAITS, now_s):
             found.append((now_s, change))
         now_s += 0.1
     return found
@@ -57,7 +57,7 @@
         t for t, _ in changes(items, load_of(items, decode_use=0.9, prefill_busy=0))
     ]
     assert len(set(times)) > 1
-    assert all(b - a >= PAUSE_S for a, b in itertools.pairwise(sorted(set(times))))
+    assert all(b - a >= COOLDOWN_S for a, b in itertools.pairwise(sorted(set(times))))
 
 
 def test_the_last_engine_of_a_stage_stays():
@@ -115,8 +115,8 @@
 
 def test_no_engine_changes_while_orders_of_another_leader_may_act():
     items = engines(2, 3)
-    balance = StageBalancer(0.0)
+    balancer = StageBalancer(0.0)
     load = load_of(items, decode_use=0.9, prefill_busy=0)
     for tick in range(100):
-        assert not balance.observe(items, load, TRAITS, 0.1 * tick, may_change=False)
-    assert balance.observe(items, load, TRAITS, 10.0)
+        assert not balancer.observe(items, load, TRAITS, 0.1 * tick, may_change=False)
+    assert balancer.observe(items, load, TRAITS, 10.0)
