Reword the quota, routing, retry and table modules of core.gateway

The quota, retry, notice and stage modules used figures of speech for reports, admissions and runs. Comments, doc comments, local names and test names now use the terms of the field; reasons and numbers are kept.

--- a/src/damaskridge/core/gateway/__init__.py
+++ b/src/damaskridge/core/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions about forwarded requests: routes, limits, placement, retries."""
+"""Decisions about forwarded requests: routing, limits, placement and retries."""
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -1,18 +1,19 @@
-"""Limits a workspace's rate over all entry hosts.
+"""Limits the rate of each workspace over all entry hosts.
 
-Every host keeps the whole bucket of each workspace. It takes its own admissions at once
-and those of the other hosts as it hears of them, so that no request waits for another
-host and no host's failure stops a workspace. What the hosts admit before they hear of
-each other is covered by the tolerance that the operator grants. Until the next news of
-the others a host assumes that they admit as before.
+Every host keeps a full-size token bucket for each workspace. It deducts its own
+admissions at once and those of other hosts when they are reported, so that no request
+waits for another host and the failure of a host doesn't block a workspace. Admissions
+by several hosts before they receive each other's reports are covered by the tolerance
+that the operator grants. Between reports, a host assumes that the other hosts continue
+to admit at their recent rate.
 
 A host keeps the buckets of all workspaces from its first routing table on, so that it
-knows what the others admitted before its own first request. They are empty when its
-process starts, since nobody tells what was admitted before.
+knows what other hosts admitted before its own first request. The buckets are empty when
+the process starts, because earlier admissions are not known.
 
-Small requests go before large ones: a large one leaves a part of the bucket to them,
-and they may overdraw it a little. Load answered: a workspace near its rate whose long
-generations would take everything that its calls need.
+Small requests have precedence over large ones: a large request must leave a reserve in
+the bucket, and a small one may overdraw the bucket slightly. Otherwise the long
+generations of a workspace near its rate would use all tokens that its calls need.
 
 >>> quota = FleetQuota()
 >>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
@@ -30,20 +31,32 @@
 
 __all__ = ["FleetQuota"]
 
-# The leader speaks at least once a second; after this it is not heard.
+# The leader sends at least one message per second; after this time without one, the
+# host is considered disconnected.
 REPORT_TIMEOUT_S = 1.5
 # A request is small if the rate refills its cost within this time.
 SMALL_REQUEST_S = 0.05
-# What large requests leave in the bucket, as a time of refill. Calls take a tenth of
-# a workspace's tokens.
+# Reserve that a large request must leave for small ones, in seconds of refill. Calls
+# use about a tenth of a workspace's tokens.
 SMALL_REQUEST_RESERVE_S = 0.1
-# Over how long the others' admissions are averaged, to go on without reports.
+# Time constant of the average rate at which other hosts admit.
 AVERAGING_S = 4.0
 
 
 @dataclass(slots=True)
 class _Bucket:
-    """The bucket of one workspace."""
+    """
+    The bucket of one workspace.
+
+    Attributes
+    ----------
+    remote_per_s : float
+        Average rate at which the other hosts admit.
+    unreported : float
+        What this host has admitted since its last report.
+    assumed_until_s : float
+        Time up to which assumed admissions of other hosts have been deducted.
+    """
 
     workspace: GatewayWorkspace
     level: float
@@ -55,16 +68,16 @@
 
 class FleetQuota:
     """
-    The buckets of all workspaces, as one host knows them.
+    One host's view of the buckets of all workspaces.
 
     Parameters
     ----------
     slack : float
-        What may be admitted at once beyond a workspace's burst.
+        Capacity in addition to a workspace's burst.
     small_slack : float
-        By how much small requests may overdraw a bucket.
+        Amount by which small requests may overdraw a bucket.
     started_s : float
-        When this process started.
+        Start time of this process, when the buckets were empty.
     """
 
     def __init__(
@@ -82,7 +95,7 @@
     def update_limits(
         self, workspaces: Iterable[GatewayWorkspace], now_s: float
     ) -> None:
-        """Keep a bucket for each of these workspaces, and no other."""
+        """Keep a bucket for exactly the workspaces that have a rate limit."""
         self._buckets = {
             workspace.name: self._bucket(workspace, now_s)
             for workspace in workspaces
@@ -91,26 +104,26 @@
 
     def acquire(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
         """
-        Take a request's cost.
+        Admit a request if the bucket allows it.
 
         Parameters
         ----------
         workspace : GatewayWorkspace
-            Whose rate it counts against.
+            Workspace whose rate is charged.
         cost : float
-            What it counts.
+            Cost of the request, in the unit of the rate.
         now_s : float
-            Present time.
+            Current time.
 
         Returns
         -------
         float
-            0 if it was admitted, else the seconds until it may be.
+            0 if the request was admitted, else the seconds until it may be.
         """
         if workspace.rate_per_s <= 0:
             return 0.0
         bucket = self._bucket(workspace, now_s)
-        # What the others have probably admitted since they were heard last.
+        # The other hosts have probably admitted more since the last report.
         level = bucket.level - self._assumed_remote_usage(bucket, now_s)
         required = self._required_level(workspace, cost)
         if level < required:
@@ -120,7 +133,7 @@
         return 0.0
 
     def record_remote_usage(self, usage: Mapping[str, float], now_s: float) -> None:
-        """Take what other hosts have admitted; call it for every message."""
+        """Deduct what other hosts have admitted; call this for every load message."""
         self._last_report_s = now_s
         for name, used in usage.items():
             bucket = self._buckets.get(name)
@@ -130,7 +143,7 @@
                 bucket.remote_per_s += used / AVERAGING_S
 
     def on_report(self, now_s: float) -> None:
-        """Note that the other hosts can be heard, though nothing has changed."""
+        """Record that the leader is connected although there is no new usage."""
         self._last_report_s = now_s
 
     def pop_unreported(self) -> dict[str, float]:
@@ -142,10 +155,11 @@
         return usage
 
     def _required_level(self, workspace: GatewayWorkspace, cost: float) -> float:
-        """Return the level from which a request is admitted."""
+        """Return the bucket level at which a request is admitted."""
         if cost <= SMALL_REQUEST_S * workspace.rate_per_s:
             return cost - self._small_slack
-        # A request larger than the bucket must not be refused for good.
+        # A request larger than the capacity is admitted by a full bucket, because it
+        # would otherwise be refused forever.
         reserved = SMALL_REQUEST_RESERVE_S * workspace.rate_per_s
         return min(cost + reserved, self._capacity(workspace))
 
@@ -153,12 +167,12 @@
         return workspace.burst + self._slack
 
     def _assumed_remote_usage(self, bucket: _Bucket, now_s: float) -> float:
-        """Return what the others have probably admitted and is not yet taken."""
+        """Return what other hosts have probably admitted since the last deduction."""
         since_s = max(self._last_report_s, bucket.assumed_until_s)
         return bucket.remote_per_s * max(0.0, now_s - since_s)
 
     def _bucket(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
-        """Return the bucket of a workspace as it is now, by its present limit."""
+        """Return the bucket of a workspace, refilled and with the current limit."""
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             filled = workspace.rate_per_s * max(0.0, now_s - self._started_s)
--- a/src/damaskridge/core/gateway/retry_after.py
+++ b/src/damaskridge/core/gateway/retry_after.py
@@ -1,7 +1,7 @@
-"""When the callers of refused requests may come back.
+"""Chooses when the callers of refused requests should retry.
 
-A caller that is refused for lack of room comes back within a third of the time that it
-has left. The times are spread, so that callers who were refused together do not return
+A caller that is refused for lack of capacity retries within a third of its remaining
+time. The times are randomised, so that callers that were refused together don't retry
 together.
 """
 
@@ -9,62 +9,66 @@
 
 __all__ = ["RetryAfterTimes"]
 
-# A backend server that is full has room again within about one answer.
+# A full backend server has capacity again after about one response.
 OVERLOAD_S = 0.15
-# A decode engine has room again when generations end, which last a few seconds. Callers
-# who return sooner meet the same burst and have only one more try.
+# A decode engine has capacity again when generations end, after a few seconds. Callers
+# that retry sooner meet the same burst and have only one more attempt.
 ENGINE_FULL_S = 2.5
-# A new backend server, or one that was restarted, is listed after about a second.
+# A new or restarted instance is listed after about 1 s.
 NO_SERVER_S = 0.8
-# An entry host has its routes about this long after it started.
+# Time from the start of an entry host until it has its routes.
 NOT_READY_S = 0.6
-# A request that crashed servers stays under suspicion for a minute.
+# A request that crashed servers remains suspect for one minute.
 QUARANTINE_S = 60.0
+# Latest retry after a lack of capacity, as a share of the caller's remaining time.
 MAX_REMAINING_SHARE = 0.3
-# A workspace without any rate is told this.
+# Upper limit for requests beyond the rate, also for a rate that is almost 0.
 MAX_RATE_WAIT_S = 30.0
+# Largest random extension, as a share of the time.
 MAX_JITTER = 0.5
 
 
 class RetryAfterTimes:
     """
-    Times for `Retry-After`.
+    Values of the header `Retry-After`, in seconds, by the reason of the refusal.
+
+    Arguments named `left_s` are the caller's remaining time.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads the times.
+        Randomises the times.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
     def overloaded_s(self, left_s: float) -> float:
-        """Return the time after which a full server may have room."""
+        """Return the time after which a full server may have capacity."""
         return self._jittered(OVERLOAD_S, left_s)
 
     def engine_full_s(self, left_s: float) -> float:
-        """Return the time after which a decode engine may have room."""
+        """Return the time after which a decode engine may have capacity."""
         return self._jittered(ENGINE_FULL_S, left_s)
 
     def no_server_s(self, left_s: float) -> float:
-        """Return the time after which a server may be there."""
+        """Return the time after which an instance may be available."""
         return self._jittered(NO_SERVER_S, left_s)
 
     def paused_s(self, pause_s: float) -> float:
-        """Return the time after which a server takes work again, never sooner."""
+        """Return a time that is never before the end of a server's pause."""
         return self._jittered(pause_s, float("inf"))
 
     def suspect_s(self) -> float:
-        """Return the time after which a request that crashed servers may be tried."""
+        """Return the time after which a suspect request may be retried."""
         return self._jittered(QUARANTINE_S, float("inf"))
 
     def not_ready_s(self) -> float:
-        """Return the time after which this host may know its routes."""
+        """Return the time after which this host may have its routes."""
         return self._jittered(NOT_READY_S, float("inf"))
 
     def over_rate_s(self, wait_s: float) -> float:
-        """Return the time after which the workspace's rate has room."""
+        """Return the time after which the workspace's rate allows the request."""
         return self._jittered(min(wait_s, MAX_RATE_WAIT_S), float("inf"))
 
     def _jittered(self, wait_s: float, left_s: float) -> float:
--- a/src/damaskridge/core/gateway/routing.py
+++ b/src/damaskridge/core/gateway/routing.py
@@ -1,4 +1,4 @@
-"""Finds the route and the workspace of a request in a routing table."""
+"""Look-up of the route and the workspace of a request in a routing table."""
 
 from bisect import bisect_left
 from hashlib import sha256
@@ -15,18 +15,18 @@
 
 
 def key_digest(key: str) -> str:
-    """Return the digest by which a key is known."""
+    """Return the digest under which a caller's key is stored."""
     return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 class RoutingIndex:
     """
-    A routing table prepared for look-ups.
+    An index of a routing table.
 
     Parameters
     ----------
     table : RoutingTable
-        The table in force.
+        Routing table in force.
     """
 
     def __init__(self, table: RoutingTable) -> None:
@@ -48,7 +48,7 @@
         return bool(self.table.workspaces)
 
     def route(self, host_name: str, path: str) -> GatewayRoute | None:
-        """Return the route with the longest prefix that begins `path`."""
+        """Return the route with the longest path prefix of `path`, if any."""
         name = host_name.rpartition(":")[0] or host_name
         name = name.lower()
         end = len(path)
@@ -59,16 +59,16 @@
         return None
 
     def workspace(self, digest: str) -> GatewayWorkspace | None:
-        """Return the workspace that holds the key with this digest."""
+        """Return the workspace to which the key with this digest belongs."""
         return self._workspaces_by_digest.get(digest)
 
     def service(self, name: str) -> GatewayService | None:
-        """Return a service."""
+        """Return the service with this name."""
         return self._services.get(name)
 
     @staticmethod
     def target(route: GatewayRoute, draw: float) -> str:
-        """Return the service for `draw`, a number from 0 up to but not including 1."""
+        """Return a service of the route by weight; `draw` is random in [0, 1)."""
         sums = list(accumulate(target.weight for target in route.targets))
         position = int(draw * sums[-1])
         return route.targets[bisect_left(sums, position + 1)].service
--- a/src/damaskridge/core/gateway/send_account.py
+++ b/src/damaskridge/core/gateway/send_account.py
@@ -1,8 +1,8 @@
-"""Counts what the sends of one request cost the retry budget.
+"""Counts the sends of one request that have to be paid from the retry budget.
 
-The operator counts arrivals at backend servers. One arrival of a request is free, and
-so is the first reading of its prompt that an engine takes; each further one has to be
-paid before it is sent.
+The operator limits the arrivals at backend servers. For each request one arrival is
+free, and so is the first prefill that an engine accepts. Every further arrival has to
+be paid before it is sent.
 
 >>> account = SendAccount()
 >>> account.unpaid_before(SendStep.PREFILL)
@@ -22,7 +22,7 @@
 
 
 class SendStep(Enum):
-    """What a backend server is asked for: to read a prompt, or to run a request."""
+    """What a send asks of a backend server: a prefill, or to run the request."""
 
     PREFILL = "read"
     RUN = "run"
@@ -31,16 +31,16 @@
 @dataclass(slots=True)
 class SendAccount:
     """
-    The arrivals of one request that count, and those that were paid.
+    The arrivals of one request and the sends that were paid for it.
 
     Attributes
     ----------
     counted : int
-        Arrivals so far that count.
+        Arrivals so far, without the free prefill.
     paid : int
-        Sends that were taken from the retry budget.
+        Sends that were paid from the retry budget.
     has_free_prefill : bool
-        Whether no engine has taken a reading of the prompt yet.
+        Whether no engine has accepted a prefill yet.
     """
 
     counted_arrivals: int = 0
@@ -49,10 +49,10 @@
 
     def unpaid_before(self, step: SendStep) -> int:
         """
-        Return how many sends must be paid before a step may be sent.
+        Return how many sends have to be paid before a step may be sent.
 
-        A reading is worthless without the run that follows it, so that a reading that
-        counts is paid together with its run.
+        A prefill is useless without the run that follows it, so a prefill that isn't
+        free is paid together with its run.
         """
         sends = 1
         if step is SendStep.PREFILL and not self.has_free_prefill:
@@ -60,11 +60,11 @@
         return max(0, self.counted_arrivals + sends - 1 - self.paid)
 
     def pay(self) -> None:
-        """Count one send that was taken from the retry budget."""
+        """Record that one send was paid from the retry budget."""
         self.paid += 1
 
     def record_arrival(self, step: SendStep, *, was_refused: bool) -> None:
-        """Count a send that has, or may have, reached a backend server."""
+        """Record a send that has, or may have, reached a backend server."""
         if step is SendStep.PREFILL and self.has_free_prefill and not was_refused:
             self.has_free_prefill = False
         else:
--- a/src/damaskridge/core/gateway/send_policy.py
+++ b/src/damaskridge/core/gateway/send_policy.py
@@ -1,8 +1,8 @@
-"""Decides what follows a send that brought no answer for the caller.
+"""Decides how to continue after a send without a response for the caller.
 
-The rules keep two promises: a request that must run at most once is never sent again
-after a send whose outcome is unknown, and a refusal that says "not run" is given only
-if no send may have run.
+Two guarantees hold. A request that may run at most once is not sent again after a send
+with an unknown outcome. A refusal has the run state "not run" only if no send of the
+request can have run.
 
 >>> policy = SendPolicy(WorkKind.AT_MOST_ONCE, attempts=2)
 >>> policy.after_not_run(left_s=1.0, may_retry=True)
@@ -18,41 +18,42 @@
 
 __all__ = ["Fail", "Retry", "SendPolicy"]
 
-# A backend server needs about as long to answer; a send with less cannot succeed.
+# Shortest response time of a backend server; a send with less time left can't succeed.
 MIN_REMAINING_S = 0.02
-# Sends that were refused before they ran; more would only multiply an overload.
+# A refused send is retried only below this number of sends. More sends would only
+# amplify an overload.
 MAX_SENDS = 4
 
 
 @dataclass(frozen=True, slots=True)
 class Retry:
-    """Send the request again, to another backend server."""
+    """Send the request to another instance."""
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Answer the caller with a failure of this kind."""
+    """Respond to the caller with a failure of this kind."""
 
     kind: ErrorKind
     run_state: RunState
 
     def failure(self, detail: str, retry_after_s: float | None = None) -> Failure:
-        """Return the failure with what is known of the reason."""
+        """Return the failure with a detail for the caller."""
         return Failure(self.kind, detail, self.run_state, retry_after_s)
 
 
 class SendPolicy:
     """
-    What one request has been through, and what may follow.
+    Counts the sends and runs of one request and decides on retries.
 
     Parameters
     ----------
     kind : WorkKind
-        How often the request may run.
+        Whether the request may run more than once.
     attempts : int
-        Most backend servers that may run it.
+        Maximum number of runs.
     is_resumable : bool
-        Whether a stream may be continued on another backend server.
+        Whether a stream may be resumed on another instance.
     """
 
     def __init__(
@@ -70,15 +71,19 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Whether a further backend server may run the request."""
+        """Whether another instance may run the request if the current run fails."""
         return self._is_repeatable and self.runs + 1 < self._attempts
 
     def record_send(self) -> None:
-        """Count a send."""
+        """Record a send."""
         self.sends += 1
 
     def after_not_run(self, *, left_s: float, may_retry: bool) -> Retry | Fail:
-        """Decide after a send that did not run; `may_retry` is the retry budget."""
+        """
+        Decide after a send that did not run.
+
+        `may_retry` is whether the retry budget allows another send.
+        """
         if may_retry and left_s > MIN_REMAINING_S and self.sends < MAX_SENDS:
             return Retry()
         if self.runs:
@@ -98,7 +103,7 @@
         return Fail(kind, RunState.UNKNOWN)
 
     def after_failure(self, *, left_s: float, may_retry: bool) -> Retry | None:
-        """Decide after an answer that is a failure; None passes it on."""
+        """Decide after a failure response; None forwards it to the caller."""
         self.runs += 1
         return Retry() if self._may_retry_run(left_s, may_retry) else None
 
--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -1,9 +1,9 @@
-"""Decides when a model engine changes between prefill and decode.
+"""Decides when an engine changes between the prefill and the decode stage.
 
-A change takes seconds, in which the engine does nothing, so that it has to pay for
-itself: one stage must be short of room for a while, and the other must be able to give
-an engine away. Load answered: a mix of long prompts and long answers for which the
-engines are divided badly.
+A change takes seconds, during which the engine does no work. It therefore happens only
+if one stage is short of capacity for a while and the other can spare an engine. This
+serves mixes of long prompts and long outputs that the current division of the engines
+doesn't fit.
 """
 
 from collections.abc import Iterable, Mapping
@@ -15,33 +15,33 @@
 
 __all__ = ["StageBalancer", "StageChange"]
 
-# Time constant of the averages: above the length of one generation, well below the time
-# that a change has to pay off in.
+# Time constant of the averages: longer than one generation, and much shorter than the
+# time in which a change has to pay off.
 AVERAGING_S = 4.0
-# Keeps the first observation, which covers no time, from dividing by zero.
+# Avoids a division by zero at the first observation, which covers no time.
 MIN_SPAN_S = 1e-3
-# The averages mean nothing before they have seen about this much.
+# The averages aren't meaningful before this time has been observed.
 WARM_UP_S = 3.0
-# Share of the decode memory in use from which a burst of four times the load does not
-# fit. A change takes longer than most bursts, so it has to come before them.
+# Share of decode memory in use above which a burst of four times the load would not
+# fit. A change takes longer than most bursts, so it has to happen before them.
 MAX_DECODE_USE = 0.2
-# Share of the memory of the other decode engines below which one can be spared.
+# Memory use of the remaining decode engines below which one can be spared.
 MAX_SPARE_DECODE_USE = 0.2
-# The same if no engine is left that only reads prompts: decode engines then read them
-# at half speed.
+# The same if there is no prefill engine. The limit is higher, because decode engines
+# then prefill at half speed.
 MAX_SPARE_DECODE_USE_WITHOUT_PREFILL = 0.5
-# Share of the time in which prefill engines are busy: with more, prompts queue.
+# Share of prefill engines that are busy above which prompts queue.
 MAX_PREFILL_USE = 0.85
-# What the remaining prefill engines may be busy after others were given away. A burst
-# doubles it, and a change back takes longer than the burst lasts.
+# Largest busy share of the prefill engines that remain after a change. A burst doubles
+# it, and a change back would take longer than the burst.
 TARGET_PREFILL_USE = 0.5
-# Rest after a change; the averages then show its effect.
+# Time after a change without further changes, until the averages show its effect.
 COOLDOWN_S = 12.0
 
 
 @dataclass(frozen=True, slots=True)
 class StageChange:
-    """An engine that should work in another stage, and the averages behind it."""
+    """An engine that should change to a stage, and the averages that caused it."""
 
     instance: BackendInstance
     stage: EngineStage
@@ -51,12 +51,12 @@
 
 class StageBalancer:
     """
-    Watches the engines of one service.
+    Averages the load of one service's engines and decides on their stages.
 
     Parameters
     ----------
     started_s : float
-        When the watch began.
+        Time of the first observation.
     """
 
     def __init__(self, started_s: float) -> None:
@@ -76,20 +76,20 @@
         may_change: bool = True,
     ) -> tuple[StageChange, ...]:
         """
-        Note the present load; returns the changes that should be ordered now.
+        Record the current load and return the changes that should be ordered now.
 
         Parameters
         ----------
         engines : iterable of BackendInstance
-            The engines of the service that are not leaving.
+            Engines of the service that aren't leaving.
         load : mapping of str to InstanceLoad
-            What all hosts have in flight.
+            Load in flight of all hosts, by instance.
         traits : EngineTraits
             Properties of the engines.
         now_s : float
-            Present time.
+            Current time.
         may_change : bool
-            Whether changes can be ordered; if not, the load is noted only.
+            Whether changes can be ordered; if not, the load is only recorded.
         """
         engines = list(engines)
         prefill = [item for item in engines if item.stage is EngineStage.PREFILL]
@@ -114,7 +114,8 @@
         busy = sum(load.get(e.instance, empty).prompt_tokens > 0 for e in prefill)
         used = sum(load.get(e.instance, empty).memory_tokens for e in decode)
         capacity = max(1, len(decode) * traits.memory_tokens)
-        # A plain mean at first, or the averages would stay too low for long.
+        # An arithmetic mean at first; otherwise the averages would stay too low for
+        # long.
         span_s = min(AVERAGING_S, max(now_s - self._started_s, MIN_SPAN_S))
         weight = min(1.0, max(0.0, now_s - self._observed_s) / span_s)
         self._observed_s = now_s
--- a/src/damaskridge/core/gateway/table_checks.py
+++ b/src/damaskridge/core/gateway/table_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a routing table as a whole.
+"""Validation of a complete routing table.
 
 >>> table_faults(RoutingTable(version=0))
 ['version: must be above 0, not 0']
@@ -12,7 +12,7 @@
 
 
 def table_faults(table: RoutingTable) -> list[str]:
-    """Return every fault as ``path: what is wrong``; empty if none."""
+    """Return every fault as ``path: description``; an empty list if none."""
     return [*_version(table), *_routes(table), *_names(table), *_keys(table)]
 
 
--- a/src/damaskridge/core/gateway/table_delta.py
+++ b/src/damaskridge/core/gateway/table_delta.py
@@ -1,4 +1,4 @@
-"""Differences between routing tables, so that a change is sent without the rest."""
+"""Differences between routing tables, so that only what changed is sent."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -16,10 +16,11 @@
     old: RoutingTable, new: RoutingTable
 ) -> tuple[RoutingTable, tuple[str, ...]]:
     """
-    Return the items of `new` that `old` lacks, and the names to remove.
+    Return the items of `new` that are new or changed, and the names to remove.
 
-    Routes are known by host name and path, services and workspaces by name. The
-    names to remove are ``<field>/<identity>``. Version and limits are those of `new`.
+    Routes are identified by host name and path prefix, services and workspaces by name.
+    The names to remove have the form ``<field>/<identity>``. Version and limits of the
+    returned table are those of `new`.
     """
     changed: dict[str, Any] = {}
     removed: list[str] = []
--- a/tests/core/gateway/tables.py
+++ b/tests/core/gateway/tables.py
@@ -1,4 +1,4 @@
-"""Routing tables for tests."""
+"""Builders of routing tables for tests."""
 
 from damaskridge.core.gateway.routing import key_digest
 from damaskridge.model.gateway import (
--- a/tests/core/gateway/test_send_account.py
+++ b/tests/core/gateway/test_send_account.py
@@ -1,4 +1,4 @@
-"""Guards against arrivals that count for the operator and not for this host."""
+"""No arrival that the operator counts may be missed by this host."""
 
 import pytest
 
@@ -8,12 +8,12 @@
 
 
 def extra_arrivals(steps):
-    """Count arrivals beyond the first as the operator does."""
-    taken, counted = 0, 0
+    """Count the arrivals beyond the free ones as the operator does."""
+    accepted, counted = 0, 0
     for step, was_refused in steps:
         if step is PREFILL and not was_refused:
-            taken += 1
-            counted += taken > 1
+            accepted += 1
+            counted += accepted > 1
         else:
             counted += 1
     return max(0, counted - 1)
@@ -33,7 +33,7 @@
         [(RUN, False), (PREFILL, True), (PREFILL, True), (RUN, False)],
     ],
 )
-def test_every_arrival_beyond_the_first_is_paid_before_it_is_sent(steps):
+def test_every_arrival_beyond_the_free_ones_is_paid_before_it_is_sent(steps):
     account = SendAccount()
     for number, (step, was_refused) in enumerate(steps, start=1):
         for _ in range(account.unpaid_before(step)):
@@ -43,7 +43,7 @@
     assert account.paid == extra_arrivals(steps)
 
 
-def test_a_step_that_was_paid_and_not_sent_is_not_paid_again():
+def test_payment_for_an_unsent_step_is_kept():
     account = SendAccount()
     account.record_arrival(RUN, was_refused=True)
     account.pay()
--- a/tests/core/gateway/test_send_policy.py
+++ b/tests/core/gateway/test_send_policy.py
@@ -1,4 +1,4 @@
-"""Guards against second runs of calls, and refusals that are untrue."""
+"""Calls must not run twice, and refusals must not claim "not run" wrongly."""
 
 import pytest
 
@@ -10,7 +10,7 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-def test_what_may_have_run_once_is_not_sent_again(kind):
+def test_request_that_may_run_once_is_not_retried_after_an_unknown_outcome(kind):
     policy = SendPolicy(kind, attempts=3)
     policy.record_send()
     decision = policy.after_unknown(left_s=9.0, may_retry=True, timed_out=False)
@@ -18,7 +18,7 @@
     assert policy.after_failure(left_s=9.0, may_retry=True) is None
 
 
-def test_a_resumable_stream_goes_on_within_its_attempts():
+def test_resumable_stream_is_retried_within_its_attempts():
     policy = SendPolicy(WorkKind.STREAM, attempts=2, is_resumable=True)
     assert policy.may_run_again
     first = policy.after_unknown(left_s=9.0, may_retry=True, timed_out=False)
@@ -28,21 +28,21 @@
     assert second.kind is ErrorKind.BACKEND_SERVER_TIMEOUT
 
 
-def test_no_refusal_says_not_run_after_a_run():
+def test_refusal_after_a_run_has_an_unknown_run_state():
     policy = SendPolicy(WorkKind.REPEATABLE, attempts=2)
     policy.after_unknown(left_s=9.0, may_retry=True, timed_out=False)
     decision = policy.after_not_run(left_s=9.0, may_retry=False)
     assert decision.run_state is RunState.UNKNOWN
 
 
-def test_a_refused_send_may_go_elsewhere_within_the_budget():
+def test_refused_send_is_retried_within_the_budget():
     policy = SendPolicy(WorkKind.AT_MOST_ONCE, attempts=1)
     assert policy.after_not_run(left_s=1.0, may_retry=True) == Retry()
     decision = policy.after_not_run(left_s=1.0, may_retry=False)
     assert decision == Fail(ErrorKind.OVERLOADED, RunState.NOT_RUN)
 
 
-def test_without_time_nothing_is_sent():
+def test_nothing_is_sent_without_remaining_time():
     policy = SendPolicy(WorkKind.REPEATABLE, attempts=3)
     assert isinstance(policy.after_not_run(left_s=0.0, may_retry=True), Fail)
     assert policy.after_failure(left_s=0.0, may_retry=True) is None
--- a/tests/core/gateway/test_server_notices.py
+++ b/tests/core/gateway/test_server_notices.py
@@ -1,4 +1,4 @@
-"""Guards against requests to servers that asked to be left alone."""
+"""Requests must not go to instances that are leaving or have asked for a pause."""
 
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.server_notices import ServerNotices
@@ -20,7 +20,7 @@
     return {item.instance for item in registry.candidates("s", now_s, **options)}
 
 
-def test_a_server_that_says_it_leaves_gets_nothing_though_it_is_listed_as_ready():
+def test_leaving_instance_receives_nothing_although_it_is_listed_as_ready():
     first, second = server("a"), server("b")
     registry = registry_of(first, second)
     assert registry.notices.record_leaving(first)
@@ -31,7 +31,7 @@
     assert names(registry) == set()
 
 
-def test_a_new_start_under_the_same_name_gets_work_again():
+def test_restarted_instance_receives_requests_again():
     old, new = server("a", started_ms=1), server("a", started_ms=2)
     registry = registry_of(old)
     registry.notices.record_leaving(old)
@@ -40,7 +40,7 @@
     assert names(registry) == {"a"}
 
 
-def test_a_server_that_asked_for_a_pause_gets_nothing_even_if_no_other_is_left():
+def test_paused_instance_receives_nothing_even_if_there_is_no_other():
     registry = registry_of(server("a"), server("b"))
     registry.notices.record_pause("a", until_s=3.0)
     assert names(registry, 2.9) == {"b"}
@@ -49,7 +49,7 @@
     assert names(registry, 3.0) == {"a"}
 
 
-def test_the_shortest_pause_is_what_callers_are_told():
+def test_pause_of_a_service_is_the_shortest_of_its_instances():
     registry = registry_of(server("a"), server("b"))
     registry.notices.record_pause("a", until_s=3.0)
     assert registry.pause_s("s", 1.0) == 0.0
@@ -58,14 +58,14 @@
     assert registry.pause_s("s", 1.0, EngineStage.DECODE) == 0.0
 
 
-def test_a_later_answer_does_not_shorten_a_pause():
+def test_later_notice_does_not_shorten_a_pause():
     notices = ServerNotices()
     notices.record_pause("a", until_s=5.0)
     notices.record_pause("a", until_s=2.0)
     assert notices.remaining_pause_s("a", 1.0) == 4.0
 
 
-def test_notices_of_servers_that_are_gone_are_dropped():
+def test_notices_of_removed_instances_are_dropped():
     registry = registry_of(server("a"))
     registry.notices.record_leaving(server("a"))
     registry.notices.record_pause("a", until_s=5.0)
@@ -74,7 +74,7 @@
     assert registry.notices.remaining_pause_s("a", 0.0) == 0.0
 
 
-def test_a_notice_of_another_host_counts_for_the_same_start_only():
+def test_notice_from_another_host_applies_to_the_same_run_only():
     notices = ServerNotices()
     notices.add(ServerStart("a", 1))
     assert notices.has_announced_leaving(server("a", started_ms=1))
--- a/tests/core/gateway/test_stage_balance.py
+++ b/tests/core/gateway/test_stage_balance.py
@@ -1,4 +1,4 @@
-"""Guards against engines that change their stage to and fro, or too late."""
+"""Engines must not change their stage back and forth, or too late."""
 
 import itertools
 
@@ -43,7 +43,7 @@
     return found
 
 
-def test_a_prefill_engine_helps_full_decode_engines():
+def test_prefill_engine_changes_if_decode_engines_are_full():
     items = engines(2, 3)
     at_s, change = changes(items, load_of(items, decode_use=0.6, prefill_busy=0))[0]
     assert change.stage is EngineStage.DECODE
@@ -51,7 +51,7 @@
     assert at_s < 6.0
 
 
-def test_changes_are_far_apart():
+def test_cooldown_separates_changes():
     items = engines(3, 3)
     times = [
         t for t, _ in changes(items, load_of(items, decode_use=0.9, prefill_busy=0))
@@ -60,60 +60,60 @@
     assert all(b - a >= COOLDOWN_S for a, b in itertools.pairwise(sorted(set(times))))
 
 
-def test_the_last_engine_of_a_stage_stays():
+def test_last_engine_of_a_stage_does_not_change():
     items = engines(1, 4)
     assert not changes(items, load_of(items, decode_use=0.9, prefill_busy=0))
     items = engines(1, 1)
     assert not changes(items, load_of(items, decode_use=0.0, prefill_busy=1))
 
 
-def test_busy_prefill_engines_are_kept():
+def test_busy_prefill_engines_do_not_change():
     items = engines(2, 3)
     assert not changes(items, load_of(items, decode_use=0.9, prefill_busy=2))
 
 
-def test_an_idle_decode_engine_helps_busy_prefill_engines():
+def test_spare_decode_engine_changes_if_prefill_engines_are_busy():
     items = engines(1, 4)
     found = changes(items, load_of(items, decode_use=0.1, prefill_busy=1))
     assert found[0][1].stage is EngineStage.PREFILL
 
 
-def test_a_balanced_service_is_left_alone():
+def test_balanced_service_does_not_change():
     items = engines(2, 3)
     assert not changes(items, load_of(items, decode_use=0.3, prefill_busy=1))
 
 
-def test_idle_prefill_engines_help_before_a_burst_fills_the_memory():
-    """The change takes longer than the burst, so that it is too late within one."""
+def test_idle_prefill_engines_change_before_a_burst_fills_the_memory():
+    """A change takes longer than a burst, so that it would be too late during one."""
     items = engines(2, 3)
     found = changes(items, load_of(items, decode_use=0.25, prefill_busy=0))
     assert found and found[0][1].stage is EngineStage.DECODE
 
 
-def test_as_many_engines_change_at_once_as_reading_can_spare():
-    """One at a time would take minutes in a fleet of many engines."""
+def test_all_spare_prefill_engines_change_at_once():
+    """Changing one at a time would take minutes in a large fleet."""
     items = engines(16, 29)
     found = changes(items, load_of(items, decode_use=0.6, prefill_busy=4), 10.0)
     assert len({change.instance.instance for _, change in found}) == 16 - 8
     assert len({at_s for at_s, _ in found}) == 1
 
 
-def test_the_prefill_engines_that_are_left_read_twice_the_prompts():
-    """Nine of fourteen were given away, and a burst then waited for the rest."""
+def test_remaining_prefill_engines_can_handle_twice_the_load():
+    """When 9 of 14 engines changed, the next burst queued for the remaining ones."""
     for prefill, busy in ((14, 3), (14, 4), (16, 4), (7, 2), (5, 1)):
         items = engines(prefill, 29)
         load = load_of(items, decode_use=0.6, prefill_busy=busy)
-        given = {change.instance.instance for _, change in changes(items, load, 10.0)}
-        assert 2 * busy <= prefill - len(given) < prefill
+        changed = {change.instance.instance for _, change in changes(items, load, 10.0)}
+        assert 2 * busy <= prefill - len(changed) < prefill
 
 
-def test_the_first_prefill_engine_comes_back_from_a_loaded_service():
+def test_loaded_service_without_prefill_engines_gets_one_back():
     items = engines(0, 4)
     found = changes(items, load_of(items, decode_use=0.35, prefill_busy=0))
     assert found and found[0][1].stage is EngineStage.PREFILL
 
 
-def test_no_engine_changes_while_orders_of_another_leader_may_act():
+def test_no_change_while_orders_of_another_leader_may_be_pending():
     items = engines(2, 3)
     balancer = StageBalancer(0.0)
     load = load_of(items, decode_use=0.9, prefill_busy=0)
--- a/tests/core/gateway/test_table_checks.py
+++ b/tests/core/gateway/test_table_checks.py
@@ -1,4 +1,4 @@
-"""Guards against invalid tables that are put in force, and valid ones refused."""
+"""Invalid tables must be refused, and valid ones accepted."""
 
 import pytest
 from tests.core.gateway.tables import route, table, workspace
@@ -7,12 +7,12 @@
 from damaskridge.model.gateway import RouteTarget
 
 
-def test_a_valid_table_has_no_faults():
+def test_valid_table_has_no_faults():
     assert table_faults(table(3, route("/a/"), route("/a/b/"))) == []
 
 
 @pytest.mark.parametrize(
-    ("faulty", "named"),
+    ("faulty", "expected"),
     [
         (table(0), "version"),
         (table(1, route(targets=(RouteTarget("other"),))), "unknown service"),
@@ -24,7 +24,7 @@
         (table(1, workspaces=(workspace("a", "k"), workspace("b", "k"))), "share"),
     ],
 )
-def test_each_fault_is_named(faulty, named):
+def test_each_fault_is_reported(faulty, expected):
     faults = table_faults(faulty)
     assert len(faults) == 1
-    assert named in faults[0]
+    assert expected in faults[0]
