Reword core.limits, leases, dispatch and timeline

The rate owner spoke of lost, parked and paid; its names and comments now use the terms of token buckets, queues and leases. Reasons and numbers are kept, and constants without a comment say what they are.

--- a/src/damaskridge/core/dispatch.py
+++ b/src/damaskridge/core/dispatch.py
@@ -1,4 +1,4 @@
-"""Dispatch of methods by the type of their first argument, for hot paths.
+"""Method dispatch by the type of the first argument, for frequent calls.
 
 >>> class Machine:
 ...     @DispatchMethod
@@ -18,32 +18,37 @@
 
 __all__ = ["DispatchMethod"]
 
-T = TypeVar("T")
-F = TypeVar("F", bound=Callable[..., Any])
+ResultT = TypeVar("ResultT")
+FunctionT = TypeVar("FunctionT", bound=Callable[..., Any])
 
 
-class DispatchMethod(Generic[T]):
+class DispatchMethod(Generic[ResultT]):
     """
-    Works as `functools.singledispatchmethod` and costs less per call.
+    A replacement for `functools.singledispatchmethod` with less overhead per call.
 
-    The one of the standard library builds and names a function at every access,
-    which took a tenth of an entry host's processor time under token streams.
+    The standard library's version creates a function and updates its metadata at every
+    access, which took a tenth of an entry host's processor time under token streams.
+
+    Parameters
+    ----------
+    default : callable
+        Called for types without a registered function.
     """
 
-    def __init__(self, default: Callable[..., T]) -> None:
+    def __init__(self, default: Callable[..., ResultT]) -> None:
         self.__doc__ = default.__doc__
         self._functions = singledispatch(default)
 
-    def register(self, function: F) -> F:
-        """Use `function` for the type of its first annotated argument."""
+    def register(self, function: FunctionT) -> FunctionT:
+        """Register `function` for the type of its first annotated argument."""
         self._functions.register(function)
         return function
 
-    def __get__(self, obj: Any, cls: Any = None) -> Callable[..., T]:
-        """Return the method of `obj`."""
+    def __get__(self, obj: Any, cls: Any = None) -> Callable[..., ResultT]:
+        """Return the method bound to `obj`."""
         dispatch = self._functions.dispatch
 
-        def call(argument: object, *args: Any) -> T:
+        def call(argument: object, *args: Any) -> ResultT:
             return dispatch(argument.__class__)(obj, argument, *args)
 
         return call
--- a/src/damaskridge/core/limits/bucket.py
+++ b/src/damaskridge/core/limits/bucket.py
@@ -17,20 +17,20 @@
 
 class TokenBucket:
     """
-    Counts what a workspace may still use.
+    The tokens that a workspace may use.
 
-    The bucket fills `CLOCK_DRIFT` slower than the rate, because the owner's clock
-    may run that much fast. All amounts are integers: a fraction of a token is
-    rounded down when it enters and up when it leaves.
+    The refill rate is reduced by `CLOCK_DRIFT`, because the owner's clock may run
+    faster by that factor. All amounts are integer units: fractions are rounded down
+    when tokens are added and up when they are removed.
 
     Parameters
     ----------
     rate_tokens_per_s, burst_tokens : float
-        Rate and capacity.
+        Refill rate and capacity.
     level_tokens : float
-        What is in the bucket at the start: 0 after the crash of an owner.
+        Initial level; 0 after a crash of the previous owner.
     now_s : float
-        Time of the start, in seconds.
+        Current time, in seconds.
     """
 
     def __init__(
@@ -56,13 +56,13 @@
     def change_limits(
         self, rate_tokens_per_s: float, burst_tokens: float, now_s: float
     ) -> None:
-        """Apply a new rate and capacity from `now_s` on."""
+        """Apply a new rate and capacity as of `now_s`."""
         self._refill(now_s)
         self._set_limits(rate_tokens_per_s, burst_tokens)
         self._level = min(self._level, self._burst)
 
     def acquire(self, tokens: int, now_s: float) -> bool:
-        """Take `tokens` if all of them are there."""
+        """Remove `tokens` if the bucket holds all of them."""
         self._refill(now_s)
         units = tokens * _UNITS_PER_TOKEN
         if units > self._level:
@@ -73,7 +73,7 @@
         return True
 
     def refund(self, tokens: int, now_s: float) -> None:
-        """Return `tokens` that were taken from this bucket."""
+        """Put back unused `tokens` that were acquired from this bucket."""
         self._refill(now_s)
         units = tokens * _UNITS_PER_TOKEN
         self._total_granted -= units
@@ -81,24 +81,25 @@
         self._check_invariants()
 
     def level_tokens(self, now_s: float) -> float:
-        """Return what is in the bucket, rounded down to whole tokens."""
+        """Return the level, rounded down to an integer number of tokens."""
         self._refill(now_s)
         return float(self._level // _UNITS_PER_TOKEN)
 
     def seconds_until(self, tokens: int, now_s: float) -> float:
-        """Return the time until `tokens` have come in, ignoring the capacity."""
+        """Return the time until the level reaches `tokens`, ignoring the capacity."""
         self._refill(now_s)
         missing = tokens * _UNITS_PER_TOKEN - self._level
         if missing <= 0:
             return 0.0
         if self._rate == 0:
             return float("inf")
-        # One nanosecond more, so that the bucket can pay when the time has passed.
+        # One extra nanosecond, so that rounding doesn't leave the level short at that
+        # time.
         return (-(-missing // self._rate) + 1) / _NS_PER_S
 
     def _set_limits(self, rate_tokens_per_s: float, burst_tokens: float) -> None:
-        slowed = rate_tokens_per_s * (1 - CLOCK_DRIFT)
-        self._rate = int(slowed * _UNITS_PER_TOKEN / _NS_PER_S)
+        reduced_rate = rate_tokens_per_s * (1 - CLOCK_DRIFT)
+        self._rate = int(reduced_rate * _UNITS_PER_TOKEN / _NS_PER_S)
         self._burst = int(burst_tokens * _UNITS_PER_TOKEN)
 
     def _refill(self, now_s: float) -> None:
@@ -111,7 +112,7 @@
         self._level = min(self._level + added, self._burst)
 
     def _check_invariants(self) -> None:
-        assert self._level >= 0, "a bucket never holds less than nothing"
+        assert self._level >= 0, "the level of a bucket is negative"
         assert self._total_granted + self._level <= self._total_added, (
-            "grants less refunds stay within burst plus rate times time"
+            "grants less refunds exceed burst plus rate times time"
         )
--- a/src/damaskridge/core/limits/messages.py
+++ b/src/damaskridge/core/limits/messages.py
@@ -25,7 +25,7 @@
 @dataclass(frozen=True, slots=True)
 class OwnershipGained:
     """
-    The host now owns a workspace's rate.
+    The ownership of a workspace's rate has moved to this host.
 
     `level_tokens` is the bucket level that the previous owner released, or 0 after a
     crash. `is_level_unknown` marks a level that was lost with the previous owner.
@@ -43,28 +43,28 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkspaceChanged:
-    """A new bundle changed the workspace's rate, burst or weight."""
+    """A new bundle has changed the workspace's rate, burst or weight."""
 
     workspace: Workspace
 
 
 @dataclass(frozen=True, slots=True)
 class OwnershipEnded:
-    """The lease or the ownership of a workspace ended."""
+    """The lease of this host or its ownership of the workspace has ended."""
 
     workspace: str
 
 
 @dataclass(frozen=True, slots=True)
 class ReleaseRequested:
-    """The ownership is to move: refuse new requests and hand the level over."""
+    """The ownership moves: refuse waiting and new requests and release the level."""
 
     workspace: str
 
 
 @dataclass(frozen=True, slots=True)
 class RateRequested:
-    """A front asks for admission; `lease_remaining_s` bounds the grant."""
+    """A front requests admission; a grant is valid for `lease_remaining_s` at most."""
 
     request: RateRequest
     lease_remaining_s: float
@@ -72,14 +72,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RefundReceived:
-    """A front gives back unused tokens."""
+    """A front refunds unused tokens of a request."""
 
     refund: Refund
 
 
 @dataclass(frozen=True, slots=True)
 class RequestActive:
-    """A front reports a request with an idempotency key that it runs."""
+    """
+    A front reports a request with an idempotency key that is active there.
+
+    An empty `request_id` marks the end of the front's report.
+    """
 
     workspace: str
     front: str
@@ -91,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
-    """A front has finished a request; its idempotency key stays known a while."""
+    """A front has finished a request; its idempotency key is retained for a while."""
 
     workspace: str
     request_id: str
@@ -99,7 +103,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TimePassed:
-    """Nothing happened but time."""
+    """Only time has passed: check queues, deadlines and expiry."""
 
     lease_remaining_s: float
 
@@ -119,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendRateReply:
-    """Answer the request `request_id` of `front`."""
+    """Send a response to `front` for the request `request_id`."""
 
     front: str
     request_id: str
@@ -128,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseBucket:
-    """Commit the release of a workspace with the level of its bucket."""
+    """Commit the release of a workspace together with its bucket level."""
 
     workspace: str
     epoch: int
--- a/src/damaskridge/core/limits/rate_owner.py
+++ b/src/damaskridge/core/limits/rate_owner.py
@@ -1,4 +1,4 @@
-"""The owner of workspaces' rates: grants, queues and refuses by exact count."""
+"""Rate owner of workspaces: grants, queues and refuses requests by exact counts."""
 
 import random
 from collections import OrderedDict
@@ -31,21 +31,25 @@
 
 __all__ = ["KEYS_TIMEOUT_S", "RateOwner"]
 
+# Limit of each queue of a workspace.
 _MAX_QUEUED = 1000
+# Largest random extension of a retry time, as a share of it.
 _MAX_RETRY_JITTER = 0.25
+# Interval at which the queue is checked while this host has no lease.
 _LEASE_RECHECK_S = 0.05
-# Covers late wake-ups; the wait itself is known from the rate.
+# Allowance for late wake-ups in the deadline of a request within its rate; the wait
+# itself is calculated from the rate.
 _WAKEUP_SLACK_S = 5.0
 
 
 class RateOwner:
     """
-    Decides on the rates of all workspaces that this host owns.
+    State machine for the rates of all workspaces that this host owns.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads retry times.
+        Randomises retry times.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -54,11 +58,11 @@
         self._lease_ends_s = float("-inf")
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
-        """Apply `event` and return what to send or commit."""
+        """Apply an event; return the messages to send and the releases to commit."""
         return self._apply(event, now_s)
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return the time at which to send `TimePassed`, if any."""
+        """Return the time at which `TimePassed` is due, if any."""
         times: list[float] = []
         for state in self._workspaces.values():
             if state.awaiting_keys:
@@ -139,7 +143,7 @@
         tokens = max(0, min(refund.tokens, charge.tokens))
         charge.tokens -= tokens
         state.bucket.refund(tokens, now_s)
-        state.hypothetical.refund(tokens, now_s)
+        state.hypothetical_bucket.refund(tokens, now_s)
         return self._serve_queue(state, now_s)
 
     @_apply.register
@@ -178,7 +182,7 @@
         for state in self._workspaces.values():
             state.expire(now_s)
             actions += self._serve_queue(state, now_s)
-            if state.hypothetical.is_active(now_s):
+            if state.hypothetical_bucket.is_active(now_s):
                 actions += self._refuse_late(state, now_s)
         return actions
 
@@ -224,7 +228,9 @@
         self, state: WorkspaceState, entry: QueuedRequest, now_s: float
     ) -> list[RateAction]:
         request = entry.request
-        is_within_rate = state.hypothetical.would_grant(request.cost_tokens, now_s)
+        is_within_rate = state.hypothetical_bucket.would_grant(
+            request.cost_tokens, now_s
+        )
         if not state.waiting and self._acquire(state, request, now_s):
             self._record_key(state, request)
             return self._reply_grant(state, entry, now_s)
@@ -232,7 +238,7 @@
         wait_s = state.bucket.seconds_until(needed, now_s)
         fits = len(state.waiting) < _MAX_QUEUED
         if is_within_rate:
-            # The loss of an owner refuses nobody who is within the rate.
+            # The loss of the previous owner must not cause refusals within the rate.
             max_wait_s = wait_s + state.overtake_s(request, now_s) + _WAKEUP_SLACK_S
             entry.deadline_s = max(entry.deadline_s, now_s + max_wait_s)
         if fits and now_s + wait_s <= entry.deadline_s:
@@ -252,7 +258,7 @@
         return True
 
     def _serve_queue(self, state: WorkspaceState, now_s: float) -> list[RateAction]:
-        """Grant what the bucket can pay, in order; refuse what waited too long."""
+        """Grant waiting requests in order; refuse the head after its deadline."""
         actions: list[RateAction] = []
         while state.waiting:
             entry = state.head()
@@ -269,14 +275,15 @@
         if state.awaiting_keys and state.are_keys_complete(now_s):
             awaiting_keys, state.awaiting_keys = state.awaiting_keys, OrderedDict()
             for entry in awaiting_keys.values():
-                # The rebuild is not the caller's fault: it adds to the wait.
+                # The wait for the keys isn't caused by the caller, so it extends the
+                # deadline.
                 waited_s = now_s - entry.arrived_s
                 entry.deadline_s += waited_s
                 actions += self._admit(state, entry, now_s)
         return actions
 
     def _refuse_late(self, state: WorkspaceState, now_s: float) -> list[RateAction]:
-        """Refuse what waited too long behind smaller requests."""
+        """Refuse requests whose deadline passed while smaller ones overtook them."""
         actions: list[RateAction] = []
         late = [item for item in state.waiting.values() if now_s >= item.deadline_s]
         for entry in late:
--- a/src/damaskridge/core/timeline.py
+++ b/src/damaskridge/core/timeline.py
@@ -1,4 +1,4 @@
-"""Merges the event logs of many processes into one ordered time line.
+"""Merges the event logs of several processes into one ordered timeline.
 
 >>> lines = ['{"time_s": 2.0, "process": "b", "event": 5000, "name": "N"}', '{"torn']
 >>> [item.process for item in parse_log(lines).entries]
@@ -24,20 +24,22 @@
     "parse_log",
 ]
 
-# The first event on one process causes the second on another, by the shared field.
+# Pairs of events of which the first, on one process, causes the second on another. The
+# named field has the same value in both.
 CAUSAL_PAIRS: tuple[tuple[EventNumber, EventNumber, str], ...] = (
     (EventNumber.REQUEST_ACCEPTED, EventNumber.QUEUE_PLACED, "request_id"),
     (EventNumber.QUEUE_PLACED, EventNumber.REQUEST_PLACED, "request_id"),
     (EventNumber.BUNDLE_ACTIVATED, EventNumber.BUNDLE_IN_FORCE, "version"),
     (EventNumber.SESSION_OPENED, EventNumber.OWNERSHIP_GAINED, "session"),
 )
-# Changes to the offsets pass along chains of processes, so a few rounds settle them.
+# Limit of the iterations that propagate offsets along chains of processes; a few
+# suffice.
 MAX_RELAXATION_ROUNDS = 32
 
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
-    """One line of a log; `time_s` is the wall clock of `process`."""
+    """One line of a log; `time_s` is the wall-clock time of `process`."""
 
     time_s: float
     process: str
@@ -48,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ParsedLog:
-    """The entries of one log and the number of lines that were no entry."""
+    """The entries of one log and the number of lines that could not be parsed."""
 
     entries: tuple[LogEntry, ...]
     malformed_lines: int
@@ -57,10 +59,10 @@
 @dataclass(frozen=True, slots=True)
 class ClockOffset:
     """
-    What is added to the times of a process.
+    Correction that is added to the times of a process.
 
-    `pairs` counts the pairs of cause and effect with other processes; 0 means that
-    the offset is an assumption.
+    `pairs` is the number of pairs of cause and effect that involve another process;
+    with 0 the offset is only assumed.
     """
 
     process: str
@@ -70,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Timeline:
-    """Entries in order, with corrected times, and the offsets."""
+    """Entries with corrected times in chronological order, and the offsets."""
 
     entries: tuple[LogEntry, ...]
     offsets: tuple[ClockOffset, ...]
@@ -78,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryFilter:
-    """Which entries are shown; empty fields let everything pass."""
+    """Criteria for entries; empty fields match every entry."""
 
     request_id: str = ""
     host: str = ""
@@ -88,7 +90,7 @@
     until_s: float = float("inf")
 
     def matches(self, entry: LogEntry) -> bool:
-        """Tell whether an entry passes."""
+        """Tell whether an entry matches all criteria."""
         fields = entry.fields
         return (
             self.since_s <= entry.time_s <= self.until_s
@@ -109,7 +111,7 @@
 
 
 def parse_log(lines: Iterable[str]) -> ParsedLog:
-    """Return the entries of a log; torn lines and other output are counted."""
+    """Parse a log; count truncated lines and other output as malformed."""
     entries: list[LogEntry] = []
     malformed_lines = 0
     for line in lines:
@@ -125,10 +127,11 @@
 
 def estimate_offsets(entries: Iterable[LogEntry]) -> tuple[ClockOffset, ...]:
     """
-    Estimate each process's clock offset from causes and effects.
+    Estimate the clock offset of each process from causes and effects.
 
-    An effect never precedes its cause. Processes keep their own time unless a pair
-    shows that they cannot; then the effect's process is moved by the least amount.
+    An effect can't precede its cause. The offset of a process is 0 unless a pair
+    violates this; then the process of the effect is shifted by the smallest sufficient
+    amount.
     """
     ordered = list(entries)
     min_lead_s: dict[tuple[str, str], float] = {}
@@ -156,7 +159,7 @@
 
 
 def merge(logs: Iterable[ParsedLog], shown: EntryFilter | None = None) -> Timeline:
-    """Return one time line over all logs, filtered by corrected times."""
+    """Return one timeline of all logs, filtered after the times are corrected."""
     entries = [entry for log in logs for entry in log.entries]
     offsets = estimate_offsets(entries)
     offset_by_process = {item.process: item.offset_s for item in offsets}
@@ -170,7 +173,7 @@
         )
         for entry in entries
     ]
-    # The sort is stable: entries of one process at one time keep their order.
+    # The sort is stable, so entries of one process with equal times keep their order.
     shifted.sort(key=lambda entry: entry.time_s)
     selected = tuple(
         entry for entry in shifted if shown is None or shown.matches(entry)
@@ -179,6 +182,7 @@
 
 
 def _causal_pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
+    """Yield cause and effect where they are on different processes."""
     for cause_number, effect_number, field in CAUSAL_PAIRS:
         causes: dict[object, LogEntry] = {}
         for entry in entries:
--- a/tests/core/limits/test_rate_owner.py
+++ b/tests/core/limits/test_rate_owner.py
@@ -1,4 +1,4 @@
-"""Rates: overshoot, double charges, overtaking and grants without a lease."""
+"""Rates must hold; no double charge, no overtaking and no grant without a lease."""
 
 import random
 
@@ -10,7 +10,7 @@
 from damaskridge.model.errors import ErrorKind
 from damaskridge.model.routing import Duplicate, RateGrant, RateRequest, Refund, Refused
 
-SPACE = Workspace("a", 100.0, 200.0)
+WORKSPACE = Workspace("a", 100.0, 200.0)
 
 
 def request(number, cost, wait_s=0.0, key="", digest="", epoch=1, front="f"):
@@ -32,7 +32,7 @@
 
 def make_owner(level=200.0, fronts=(), is_level_unknown=False):
     owner = RateOwner(random.Random(1))
-    owner.handle(m.OwnershipGained(SPACE, 1, level, fronts, is_level_unknown), 0.0)
+    owner.handle(m.OwnershipGained(WORKSPACE, 1, level, fronts, is_level_unknown), 0.0)
     return owner
 
 
@@ -53,7 +53,7 @@
     assert kind(owner.handle(request(2, 1), 0.0)) is ErrorKind.RATE_EXCEEDED
 
 
-def test_waiting_is_in_order_and_small_requests_do_not_overtake():
+def test_waiting_requests_are_granted_in_order_without_overtaking():
     owner = make_owner(level=0.0)
     assert owner.handle(request(1, 100, wait_s=2.0), 0.0) == []
     assert owner.handle(request(2, 1, wait_s=2.0), 0.0) == []
@@ -64,7 +64,7 @@
     assert replies(actions)["r2"].waited_s > 1.0
 
 
-def test_refusals_name_kind_and_time():
+def test_refusals_have_kind_and_retry_time():
     owner = make_owner(level=0.0)
     assert kind(owner.handle(request(1, 201), 0.0)) is ErrorKind.INVALID_REQUEST
     reply = replies(owner.handle(request(2, 200), 0.0))["r2"]
@@ -81,7 +81,7 @@
     assert kind(owner.handle(late, 2.0)) is ErrorKind.LEASE_EXPIRED
 
 
-def test_idempotency_keys():
+def test_idempotency_keys_find_duplicates_and_conflicts_until_they_expire():
     owner = make_owner()
     owner.handle(request(1, 1, key="k", digest="x", front="f1"), 0.0)
     reply = replies(owner.handle(request(2, 1, key="k", digest="x"), 0.0))["r2"]
@@ -95,7 +95,7 @@
     assert isinstance(reply, RateGrant)
 
 
-def test_new_owner_holds_keyed_requests_until_fronts_report():
+def test_new_owner_delays_requests_with_keys_until_fronts_report():
     owner = make_owner(fronts=("f1", "f2"))
     assert owner.handle(request(1, 1, key="k"), 0.0) == []
     assert replies(owner.handle(request(2, 1), 0.0))
@@ -109,7 +109,7 @@
     assert replies(silent.handle(m.TimePassed(2.0), 2.0))
 
 
-def test_release_hands_the_level_over_and_refuses_the_rest():
+def test_release_returns_the_level_and_refuses_waiting_requests():
     owner = make_owner(level=150.0)
     owner.handle(request(1, 50), 0.0)
     owner.handle(m.RefundReceived(refund("r1", 20)), 0.0)
@@ -132,7 +132,7 @@
 
 
 def worst_overshoot(uses, rate, burst):
-    """Return the largest excess over burst plus rate times length of any window."""
+    """Return the largest excess of any window over burst plus rate times length."""
     worst = excess = 0.0
     last_s = 0.0
     for at_s, tokens in uses:
@@ -141,22 +141,22 @@
     return worst - burst
 
 
-def run_handovers(seed):
-    """Run owners one after another, on clocks 1% apart; return grants and refunds."""
+def simulate_ownership_changes(seed):
+    """Run successive owners on clocks up to 1% off; return grants and refunds."""
     rng = random.Random(seed)
     uses, level, now_s, number, charged = [], 200.0, 0.0, 0, []
     costs = {}
     for epoch in range(1, 30):
         speed, offset = rng.choice([0.99, 1.0, 1.01]), rng.random() * 100
         owner = RateOwner(rng)
-        owner.handle(m.OwnershipGained(SPACE, epoch, level, (), level <= 0), offset)
+        owner.handle(m.OwnershipGained(WORKSPACE, epoch, level, (), level <= 0), offset)
         started_s, end_s = now_s, now_s + rng.uniform(0.5, 6.0)
         is_crash = rng.random() < 0.5
         charged.clear()
         while now_s < end_s:
             now_s += rng.expovariate(20)
             clock_s = offset + (now_s - started_s) * speed
-            # A frozen owner resumes after its lease has ended.
+            # An owner that was frozen may resume after its lease has expired.
             lease_s = end_s - now_s if rng.random() < 0.95 else 0.0
             number += 1
             event = request(number, rng.randint(1, 60), rng.random(), epoch=epoch)
@@ -181,27 +181,29 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_no_window_overshoots_across_handovers(seed):
-    uses = run_handovers(seed)
+def test_no_window_exceeds_the_rate_across_ownership_changes(seed):
+    uses = simulate_ownership_changes(seed)
     assert sum(tokens for _, tokens in uses if tokens > 0) > 1000
-    assert worst_overshoot(uses, SPACE.rate_tokens_per_s, SPACE.burst_tokens) <= 0
+    assert (
+        worst_overshoot(uses, WORKSPACE.rate_tokens_per_s, WORKSPACE.burst_tokens) <= 0
+    )
 
 
-def test_loss_of_an_owner_refuses_nobody_within_the_rate():
-    owner, found = make_owner(level=0.0, is_level_unknown=True), []
+def test_loss_of_an_owner_causes_no_refusals_within_the_rate():
+    owner, responses = make_owner(level=0.0, is_level_unknown=True), []
     for number in range(400):
         now_s = number * 0.1
         actions = owner.handle(request(number, 9, wait_s=0.5), now_s)
         for reply in replies(actions).values():
-            found.append(reply)
-    assert all(isinstance(reply, RateGrant) for reply in found)
-    assert len(found) > 390
-    # What exceeds a full history as well is refused after the normal wait.
+            responses.append(reply)
+    assert all(isinstance(reply, RateGrant) for reply in responses)
+    assert len(responses) > 390
+    # Requests that even a full bucket could not grant are refused after the usual wait.
     owner = make_owner(level=0.0, is_level_unknown=True)
     for number in range(20):
         assert owner.handle(request(number, 10, wait_s=0.5), 0.0) == []
     assert kind(owner.handle(request(21, 10, wait_s=0.5), 0.0)) is (
         ErrorKind.RATE_EXCEEDED
     )
-    handed_over = make_owner(level=10.0)
-    assert kind(handed_over.handle(request(1, 100), 0.0)) is ErrorKind.RATE_EXCEEDED
+    released = make_owner(level=10.0)
+    assert kind(released.handle(request(1, 100), 0.0)) is ErrorKind.RATE_EXCEEDED
--- a/tests/core/test_timeline.py
+++ b/tests/core/test_timeline.py
@@ -1,4 +1,4 @@
-"""The time line: effects before causes, torn lines, filters that hide attempts."""
+"""Timelines must order causes before effects, tolerate malformed lines and filter."""
 
 import json
 
@@ -16,7 +16,7 @@
         line(10.0, "front", EventNumber.REQUEST_ACCEPTED, request_id="r1"),
         line(10.2, "front", EventNumber.REQUEST_PLACED, request_id="r1"),
     ]
-    # The owner's clock is 3 s slow.
+    # The clock of the owner is 3 s behind.
     owner = [
         line(7.1, "owner", EventNumber.QUEUE_PLACED, request_id="r1"),
         line(
@@ -33,7 +33,7 @@
     return [parse_log(front), parse_log(owner), parse_log(lone)]
 
 
-def test_offset_keeps_every_effect_after_its_cause():
+def test_offsets_place_every_effect_after_its_cause():
     merged = merge(logs())
     names = [entry.name for entry in merged.entries]
     assert names.index("REQUEST_ACCEPTED") <= names.index("QUEUE_PLACED")
@@ -43,11 +43,11 @@
     assert (offsets["lone"].offset_s, offsets["lone"].pairs) == (0.0, 0)
 
 
-def test_torn_lines_are_counted_and_skipped():
+def test_malformed_lines_are_counted_and_skipped():
     assert [log.malformed_lines for log in logs()] == [0, 2, 0]
 
 
-def test_filters_combine_and_find_attempts_on_engines():
+def test_filter_criteria_combine_and_match_attempts_on_engines():
     shown = merge(logs(), EntryFilter(request_id="r1", backend_server="e1")).entries
     assert [entry.name for entry in shown] == ["ENGINE_REQUEST_CANCELLED"]
     shown = merge(
