Rename used_hosts and is_used after the selection of hosts

The hosts that callers are sent to are chosen by select_hosts; the retry budget now calls them selected hosts.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -298,8 +298,8 @@
         self.state.hosts = every
         self._retries.set_host_counts(
             hosts=every,
-            used_hosts=used_count,
-            is_used=self.settings.host in used,
+            selected_hosts=used_count,
+            is_selected=self.settings.host in used,
         )
 
     def _fleet_changed(self) -> None:
--- a/src/damaskridge/core/gateway/host_retry_budget.py
+++ b/src/damaskridge/core/gateway/host_retry_budget.py
@@ -35,19 +35,24 @@
         self._share = HostRetryShare()
         self._buckets: dict[str, RetryBucket] = {}
 
-    def set_host_counts(self, *, hosts: int, used_hosts: int, is_used: bool) -> None:
+    def set_host_counts(
+        self, *, hosts: int, selected_hosts: int, is_selected: bool
+    ) -> None:
         """
         Compute this host's share of the allowance again.
 
         Parameters
         ----------
-        hosts, used_hosts : int
+        hosts, selected_hosts : int
             Number of all hosts, and of those that callers are sent to.
-        is_used : bool
+        is_selected : bool
             Whether callers are sent to this host.
         """
         self._share = host_retry_share(
-            self._allowance, hosts=hosts, used_hosts=used_hosts, is_used=is_used
+            self._allowance,
+            hosts=hosts,
+            selected_hosts=selected_hosts,
+            is_selected=is_selected,
         )
 
     def earn(self, service: str, now_s: float) -> None:
--- a/src/damaskridge/core/gateway/retry_bucket.py
+++ b/src/damaskridge/core/gateway/retry_bucket.py
@@ -10,9 +10,9 @@
 are reserved from the allowance; the rest is divided among the hosts that callers are
 sent to.
 
->>> host_retry_share(100.0, hosts=40, used_hosts=10, is_used=True)
+>>> host_retry_share(100.0, hosts=40, selected_hosts=10, is_selected=True)
 HostRetryShare(fixed_per_window=6.0, max_earned=1.0)
->>> host_retry_share(100.0, hosts=40, used_hosts=10, is_used=False)
+>>> host_retry_share(100.0, hosts=40, selected_hosts=10, is_selected=False)
 HostRetryShare(fixed_per_window=0.0, max_earned=1.0)
 """
 
@@ -43,7 +43,7 @@
 
 
 def host_retry_share(
-    allowance: float, *, hosts: int, used_hosts: int, is_used: bool
+    allowance: float, *, hosts: int, selected_hosts: int, is_selected: bool
 ) -> HostRetryShare:
     """
     Return the share of one host; the shares of all hosts add up to the allowance.
@@ -52,16 +52,16 @@
     ----------
     allowance : float
         Extra sends of all hosts in one window.
-    hosts, used_hosts : int
+    hosts, selected_hosts : int
         Number of all hosts, and of those that callers are sent to.
-    is_used : bool
+    is_selected : bool
         Whether callers are sent to this host.
     """
     max_earned = min(1.0, allowance / hosts)
-    if not is_used:
+    if not is_selected:
         return HostRetryShare(max_earned=max_earned)
     return HostRetryShare(
-        fixed_per_window=(allowance - max_earned * hosts) / used_hosts,
+        fixed_per_window=(allowance - max_earned * hosts) / selected_hosts,
         max_earned=max_earned,
     )
 
--- a/tests/core/gateway/test_retry_bucket.py
+++ b/tests/core/gateway/test_retry_bucket.py
@@ -10,7 +10,9 @@
 def test_retries_of_any_window_stay_within_the_budget_of_the_fleet():
     rng = random.Random(3)
     ratio, allowance, window_s, hosts = 0.2, 60.0, 10.0, 11
-    share = host_retry_share(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    share = host_retry_share(
+        allowance, hosts=hosts, selected_hosts=hosts, is_selected=True
+    )
     buckets = [RetryBucket(ratio, window_s, 0.0) for _ in range(hosts)]
     requests, retries, now_s = [], [], 0.0
     while now_s < 60.0:
@@ -29,7 +31,7 @@
 
 
 def test_idle_host_can_retry_several_requests_at_once():
-    share = host_retry_share(60.0, hosts=11, used_hosts=11, is_used=True)
+    share = host_retry_share(60.0, hosts=11, selected_hosts=11, is_selected=True)
     bucket = RetryBucket(0.2, 10.0, 0.0)
     # Three windows after the process started the bucket is full.
     assert sum(bucket.spend(share, 30.0) for _ in range(10)) >= 3
@@ -45,7 +47,9 @@
 def test_restart_within_a_window_does_not_renew_the_budget():
     allowance, window_s, hosts = 60.0, 10.0, 11
     retries, now_s = [], 0.0
-    share = host_retry_share(allowance, hosts=hosts, used_hosts=hosts, is_used=True)
+    share = host_retry_share(
+        allowance, hosts=hosts, selected_hosts=hosts, is_selected=True
+    )
     buckets = [RetryBucket(0.2, window_s, 0.0) for _ in range(hosts)]
     while now_s < 30.0:
         now_s += 0.1
@@ -62,7 +66,9 @@
     allowance, window_s, used, standby = 158.0, 10.0, 16, 52
     hosts = used + standby
     shares = [
-        host_retry_share(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+        host_retry_share(
+            allowance, hosts=hosts, selected_hosts=used, is_selected=number < used
+        )
         for number in range(hosts)
     ]
     buckets = [RetryBucket(0.18, window_s, 0.0) for _ in shares]
@@ -84,7 +90,9 @@
 )
 def test_shares_of_all_hosts_add_up_to_the_allowance(allowance, hosts, used):
     shares = [
-        host_retry_share(allowance, hosts=hosts, used_hosts=used, is_used=number < used)
+        host_retry_share(
+            allowance, hosts=hosts, selected_hosts=used, is_selected=number < used
+        )
         for number in range(hosts)
     ]
     assert sum(
@@ -93,7 +101,7 @@
 
 
 def test_standby_host_retries_only_what_its_requests_have_earned():
-    share = host_retry_share(158.0, hosts=68, used_hosts=16, is_used=False)
+    share = host_retry_share(158.0, hosts=68, selected_hosts=16, is_selected=False)
     bucket = RetryBucket(0.2, 10.0, 0.0)
     assert not bucket.spend(share, 100.0)
     for _ in range(5):
