--- a/src/damaskridge/core/gateway/instance_replication.py
+++ b/src/damaskridge/core/gateway/instance_replication.py
@@ -9,7 +9,7 @@
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance
 
-__all__ = ["InstanceListReplica", "InstanceListDiffer"]
+__all__ = ["InstanceListDiffer", "InstanceListReplica"]
 
 
 class InstanceListDiffer:
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -8,15 +8,16 @@
 
 __all__ = ["InstanceHealth", "InstanceRegistry"]
 
-# An instance that can't be reached is avoided for this long, doubled for each failure.
+# An instance that can't be reached is avoided for this long, doubled for each
+# consecutive failure.
 UNREACHABLE_BACKOFF_S = 0.5
 MAX_UNREACHABLE_BACKOFF_S = 4.0
-# An instance that fails most of its requests is avoided for this long. With shorter
-# times the failed requests would outnumber the recoveries that are found.
+# An instance that fails most of its requests is avoided for this long. With a shorter
+# time, more requests would fail on it than recoveries would be noticed.
 FAILING_AVOIDANCE_S = 3.0
 # Number of latest results that are kept for each instance.
 RESULT_WINDOW = 8
-# Fewer failures than this among them aren't attributed to the instance.
+# Failures among them from which the instance itself is considered the cause.
 MIN_FAILURES = 4
 
 
@@ -78,16 +79,16 @@
     def replace(self, instances: Iterable[BackendInstance]) -> list[BackendInstance]:
         """Replace the list; return the instances that are no longer running."""
         listed = {item.instance: item for item in instances}
-        gone = [
+        removed = [
             item
             for name, item in self._instances.items()
             if name not in listed or _is_other_run(item, listed[name])
         ]
         self._instances = listed
-        for item in gone:
+        for item in removed:
             self._health.pop(item.instance, None)
         self.notices.retain_only(listed.values())
-        return gone
+        return removed
 
     def find(self, name: str) -> BackendInstance | None:
         """Return the instance with this name, if it is listed."""
@@ -123,9 +124,9 @@
         self, service: str, now_s: float, stage: EngineStage | None = None
     ) -> float:
         """
-        Return the time until the first pause of an instance ends.
+        Return the shortest remaining pause of the instances of a service.
 
-        0 if an instance isn't paused, or if there is no instance.
+        0 if one of them isn't paused, or if there is none.
         """
         return min(
             (
@@ -176,6 +177,7 @@
         ]
 
     def _health_of(self, instance: str) -> InstanceHealth:
+        """Return the health of an instance, created at the first request."""
         return self._health.setdefault(instance, InstanceHealth())
 
 
--- a/src/damaskridge/core/gateway/load_tracker.py
+++ b/src/damaskridge/core/gateway/load_tracker.py
@@ -50,9 +50,9 @@
         self._remote_load: dict[str, InstanceLoad] = {}
         self._unreported: set[str] = set()
 
-    def start(self, request: str, instance: str, work: InstanceLoad) -> None:
+    def start(self, request: str, instance: str, load: InstanceLoad) -> None:
         """Add a request's load to an instance."""
-        self._own_load.setdefault(instance, {})[request] = work
+        self._own_load.setdefault(instance, {})[request] = load
         self._unreported.add(instance)
 
     def finish(self, request: str, instance: str) -> None:
@@ -67,28 +67,28 @@
         """Return the load of this host's requests on an instance."""
         requests = self._own_load.get(instance, {}).values()
         return InstanceLoad(
-            sum(work.requests for work in requests),
-            sum(work.prompt_tokens for work in requests),
-            sum(work.memory_tokens for work in requests),
+            sum(load.requests for load in requests),
+            sum(load.prompt_tokens for load in requests),
+            sum(load.memory_tokens for load in requests),
         )
 
     def total(self, instance: str) -> InstanceLoad:
         """Return the load of all hosts on an instance, as far as this host knows it."""
-        own, others = (
+        own, remote = (
             self.own(instance),
             self._remote_load.get(instance, InstanceLoad()),
         )
         return InstanceLoad(
-            own.requests + others.requests,
-            own.prompt_tokens + others.prompt_tokens,
-            own.memory_tokens + others.memory_tokens,
+            own.requests + remote.requests,
+            own.prompt_tokens + remote.prompt_tokens,
+            own.memory_tokens + remote.memory_tokens,
         )
 
     def update_remote_load(self, load: Mapping[str, InstanceLoad]) -> None:
         """Replace the load of the other hosts on the given instances."""
         self._remote_load.update(load)
-        for name, work in load.items():
-            if work == InstanceLoad():
+        for name, remote in load.items():
+            if remote == InstanceLoad():
                 del self._remote_load[name]
 
     def clear_remote_load(self) -> None:
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -183,6 +183,7 @@
         return bucket
 
     def _refill(self, bucket: _Bucket, now_s: float) -> None:
+        """Refill a bucket; without reports, deduct the assumed remote usage."""
         elapsed_s = max(0.0, now_s - bucket.refilled_s)
         refill = bucket.workspace.rate_per_s * elapsed_s
         if now_s - self._last_report_s < REPORT_TIMEOUT_S:
--- a/src/damaskridge/core/gateway/send_account.py
+++ b/src/damaskridge/core/gateway/send_account.py
@@ -35,7 +35,7 @@
 
     Attributes
     ----------
-    counted : int
+    counted_arrivals : int
         Arrivals so far, without the free prefill.
     paid : int
         Sends that were paid from the retry budget.
--- a/src/damaskridge/core/gateway/server_notices.py
+++ b/src/damaskridge/core/gateway/server_notices.py
@@ -28,11 +28,11 @@
         self._paused_until_s: dict[str, float] = {}
 
     def record_leaving(self, item: BackendInstance) -> bool:
-        """Record that an instance leaves; return `False` if that was known."""
+        """Record that a listed instance leaves; return `False` if it was known."""
         return self.add(item.start)
 
     def add(self, notice: ServerStart) -> bool:
-        """Record a notice from another host; return `False` if it was known."""
+        """Record the run of an instance that leaves; return `False` if it was known."""
         is_new = self._leaving.get(notice.instance) != notice
         self._leaving[notice.instance] = notice
         return is_new
@@ -42,7 +42,7 @@
         return self._leaving.get(item.instance) == item.start
 
     def leaving(self) -> tuple[ServerStart, ...]:
-        """Return all instances that have announced that they leave."""
+        """Return the runs of instances that have announced that they leave."""
         return tuple(self._leaving.values())
 
     def record_pause(self, instance: str, until_s: float) -> None:
--- a/src/damaskridge/core/gateway/stage_balance.py
+++ b/src/damaskridge/core/gateway/stage_balance.py
@@ -110,6 +110,7 @@
         traits: EngineTraits,
         now_s: float,
     ) -> None:
+        """Add the current load to the averages."""
         empty = InstanceLoad()
         busy = sum(load.get(e.instance, empty).prompt_tokens > 0 for e in prefill)
         used = sum(load.get(e.instance, empty).memory_tokens for e in decode)
@@ -128,6 +129,7 @@
         decode: list[BackendInstance],
         load: Mapping[str, InstanceLoad],
     ) -> tuple[StageChange, ...]:
+        """Choose all surplus prefill engines, or one decode engine, or none."""
         empty = InstanceLoad()
         if prefill and self.decode_use > MAX_DECODE_USE:
             needed = max(1, ceil(self.prefill_use * len(prefill) / TARGET_PREFILL_USE))
--- a/src/damaskridge/core/gateway/table_checks.py
+++ b/src/damaskridge/core/gateway/table_checks.py
@@ -55,9 +55,9 @@
 
 
 def _keys(table: RoutingTable) -> Iterator[str]:
-    holders: dict[str, str] = {}
+    first_by_digest: dict[str, str] = {}
     for workspace in table.workspaces:
         for digest in workspace.key_digests:
-            holder = holders.setdefault(digest, workspace.name)
-            if holder != workspace.name:
-                yield f"workspaces: {holder!r} and {workspace.name!r} share a key"
+            first = first_by_digest.setdefault(digest, workspace.name)
+            if first != workspace.name:
+                yield f"workspaces: {first!r} and {workspace.name!r} share a key"
--- a/src/damaskridge/core/gateway/table_delta.py
+++ b/src/damaskridge/core/gateway/table_delta.py
@@ -38,12 +38,14 @@
     table: RoutingTable, changed: RoutingTable, removed: Iterable[str]
 ) -> RoutingTable:
     """Return `table` with items replaced, added and removed."""
-    gone = set(removed)
+    removed_names = set(removed)
     fields: dict[str, Any] = {}
     for field in FIELDS:
         items = {**_by_identity(table, field), **_by_identity(changed, field)}
         fields[field] = tuple(
-            item for name, item in items.items() if f"{field}/{name}" not in gone
+            item
+            for name, item in items.items()
+            if f"{field}/{name}" not in removed_names
         )
     return msgspec.structs.replace(changed, **fields)
 
--- a/src/damaskridge/core/limits/rate_owner.py
+++ b/src/damaskridge/core/limits/rate_owner.py
@@ -187,15 +187,18 @@
         return actions
 
     def _update_lease(self, remaining_s: float, now_s: float) -> None:
+        """Set the end of this host's lease, until which tokens may be granted."""
         self._lease_ends_s = now_s + remaining_s if remaining_s > 0 else float("-inf")
 
     def _drop(self, state: WorkspaceState, request_id: str) -> None:
+        """Remove a request from the queues together with its key."""
         if request_id in state.waiting:
             state.dequeue(request_id)
         state.awaiting_keys.pop(request_id, None)
         state.keys.discard(request_id)
 
     def _refuse_all(self, name: str) -> list[RateAction]:
+        """Remove a workspace and refuse all requests that wait for it."""
         state = self._workspaces.pop(name, None)
         if state is None:
             return []
@@ -205,6 +208,11 @@
     def _admit(
         self, state: WorkspaceState, entry: QueuedRequest, now_s: float
     ) -> list[RateAction]:
+        """
+        Decide on a request that has arrived or whose wait for keys has ended.
+
+        A request that was granted before gets a grant again without another charge.
+        """
         request = entry.request
         request_id = request.request_id
         if request_id in state.charges:
@@ -227,6 +235,7 @@
     def _grant_or_queue(
         self, state: WorkspaceState, entry: QueuedRequest, now_s: float
     ) -> list[RateAction]:
+        """Grant a request, or queue it if it can be granted before its deadline."""
         request = entry.request
         is_within_rate = state.hypothetical_bucket.would_grant(
             request.cost_tokens, now_s
@@ -250,6 +259,7 @@
     def _acquire(
         self, state: WorkspaceState, request: RateRequest, now_s: float
     ) -> bool:
+        """Charge a request if the lease is valid and the bucket has its tokens."""
         if now_s >= self._lease_ends_s:
             return False
         if not state.bucket.acquire(request.cost_tokens, now_s):
@@ -336,6 +346,7 @@
 
 
 def _reply_duplicate(request: RateRequest, known: KeyEntry) -> SendRateReply:
+    """Return the response to a request whose idempotency key is already in use."""
     if known.body_digest != request.body_digest:
         return _refuse(request, ErrorKind.IDEMPOTENCY_CONFLICT)
     reply = Duplicate(
--- a/tests/core/gateway/test_instances.py
+++ b/tests/core/gateway/test_instances.py
@@ -68,8 +68,8 @@
 
 def test_instance_whose_address_was_reused_is_reported_gone():
     registry = registry_of(server("a", "1.1.1.1:1"), server("b"))
-    gone = registry.replace([server("c", "1.1.1.1:1"), server("b")])
-    assert [item.instance for item in gone] == ["a"]
+    removed = registry.replace([server("c", "1.1.1.1:1"), server("b")])
+    assert [item.instance for item in removed] == ["a"]
 
 
 def test_replica_follows_the_readings():
--- a/tests/core/gateway/test_stage_balance.py
+++ b/tests/core/gateway/test_stage_balance.py
@@ -35,12 +35,13 @@
 
 
 def changes(items, load, length_s=30.0):
-    balancer, now_s, found = StageBalancer(0.0), 0.0, []
+    """Return the changes under a constant load, each with its time."""
+    balancer, now_s, timed_changes = StageBalancer(0.0), 0.0, []
     while now_s < length_s:
         for change in balancer.observe(items, load, TRAITS, now_s):
-            found.append((now_s, change))
+            timed_changes.append((now_s, change))
         now_s += 0.1
-    return found
+    return timed_changes
 
 
 def test_prefill_engine_changes_if_decode_engines_are_full():
@@ -74,8 +75,8 @@
 
 def test_spare_decode_engine_changes_if_prefill_engines_are_busy():
     items = engines(1, 4)
-    found = changes(items, load_of(items, decode_use=0.1, prefill_busy=1))
-    assert found[0][1].stage is EngineStage.PREFILL
+    timed_changes = changes(items, load_of(items, decode_use=0.1, prefill_busy=1))
+    assert timed_changes[0][1].stage is EngineStage.PREFILL
 
 
 def test_balanced_service_does_not_change():
@@ -86,16 +87,16 @@
 def test_idle_prefill_engines_change_before_a_burst_fills_the_memory():
     """A change takes longer than a burst, so that it would be too late during one."""
     items = engines(2, 3)
-    found = changes(items, load_of(items, decode_use=0.25, prefill_busy=0))
-    assert found and found[0][1].stage is EngineStage.DECODE
+    timed_changes = changes(items, load_of(items, decode_use=0.25, prefill_busy=0))
+    assert timed_changes and timed_changes[0][1].stage is EngineStage.DECODE
 
 
 def test_all_spare_prefill_engines_change_at_once():
     """Changing one at a time would take minutes in a large fleet."""
     items = engines(16, 29)
-    found = changes(items, load_of(items, decode_use=0.6, prefill_busy=4), 10.0)
-    assert len({change.instance.instance for _, change in found}) == 16 - 8
-    assert len({at_s for at_s, _ in found}) == 1
+    timed_changes = changes(items, load_of(items, decode_use=0.6, prefill_busy=4), 10.0)
+    assert len({change.instance.instance for _, change in timed_changes}) == 16 - 8
+    assert len({at_s for at_s, _ in timed_changes}) == 1
 
 
 def test_remaining_prefill_engines_can_handle_twice_the_load():
@@ -109,8 +110,8 @@
 
 def test_loaded_service_without_prefill_engines_gets_one_back():
     items = engines(0, 4)
-    found = changes(items, load_of(items, decode_use=0.35, prefill_busy=0))
-    assert found and found[0][1].stage is EngineStage.PREFILL
+    timed_changes = changes(items, load_of(items, decode_use=0.35, prefill_busy=0))
+    assert timed_changes and timed_changes[0][1].stage is EngineStage.PREFILL
 
 
 def test_no_change_while_orders_of_another_leader_may_be_pending():
--- a/tests/core/limits/test_rate_owner.py
+++ b/tests/core/limits/test_rate_owner.py
@@ -40,7 +40,8 @@
     return {a.request_id: a.reply for a in actions if isinstance(a, m.SendRateReply)}
 
 
-def kind(actions):
+def refusal_kind(actions):
+    """Return the kind of the only response, which has to be a refusal."""
     (reply,) = replies(actions).values()
     assert isinstance(reply, Refused)
     return reply.failure.kind
@@ -50,7 +51,7 @@
     owner = make_owner()
     assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
     assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
-    assert kind(owner.handle(request(2, 1), 0.0)) is ErrorKind.RATE_EXCEEDED
+    assert refusal_kind(owner.handle(request(2, 1), 0.0)) is ErrorKind.RATE_EXCEEDED
 
 
 def test_waiting_requests_are_granted_in_order_without_overtaking():
@@ -66,19 +67,22 @@
 
 def test_refusals_have_kind_and_retry_time():
     owner = make_owner(level=0.0)
-    assert kind(owner.handle(request(1, 201), 0.0)) is ErrorKind.INVALID_REQUEST
+    assert refusal_kind(owner.handle(request(1, 201), 0.0)) is ErrorKind.INVALID_REQUEST
     reply = replies(owner.handle(request(2, 200), 0.0))["r2"]
     assert 2.0 <= reply.failure.retry_after_s <= 2.6
-    assert kind(owner.handle(request(3, 1, epoch=2), 9.0)) is ErrorKind.EPOCH_CONFLICT
+    assert (
+        refusal_kind(owner.handle(request(3, 1, epoch=2), 9.0))
+        is ErrorKind.EPOCH_CONFLICT
+    )
 
 
 def test_nothing_is_granted_without_a_lease():
     owner = make_owner(level=0.0)
     owner.handle(request(1, 10, wait_s=1.0), 0.0)
     assert owner.handle(m.TimePassed(0.0), 0.5) == []
-    assert kind(owner.handle(m.TimePassed(0.0), 1.1)) is ErrorKind.RATE_EXCEEDED
+    assert refusal_kind(owner.handle(m.TimePassed(0.0), 1.1)) is ErrorKind.RATE_EXCEEDED
     late = m.RateRequested(request(2, 1).request, 0.0)
-    assert kind(owner.handle(late, 2.0)) is ErrorKind.LEASE_EXPIRED
+    assert refusal_kind(owner.handle(late, 2.0)) is ErrorKind.LEASE_EXPIRED
 
 
 def test_idempotency_keys_find_duplicates_and_conflicts_until_they_expire():
@@ -87,7 +91,7 @@
     reply = replies(owner.handle(request(2, 1, key="k", digest="x"), 0.0))["r2"]
     assert reply == Duplicate(request_id="r1", front="f1", finished=False)
     conflict = owner.handle(request(3, 1, key="k", digest="y"), 0.0)
-    assert kind(conflict) is ErrorKind.IDEMPOTENCY_CONFLICT
+    assert refusal_kind(conflict) is ErrorKind.IDEMPOTENCY_CONFLICT
     owner.handle(m.RequestEnded("a", "r1"), 1.0)
     reply = replies(owner.handle(request(4, 1, key="k", digest="x"), 600.9))["r4"]
     assert isinstance(reply, Duplicate) and reply.finished
@@ -116,9 +120,9 @@
     owner.handle(m.RefundReceived(refund("r1", 500)), 0.0)
     owner.handle(request(2, 151, wait_s=5.0), 0.0)
     actions = owner.handle(m.ReleaseRequested("a"), 0.0)
-    assert kind(actions) is ErrorKind.EPOCH_CONFLICT
+    assert refusal_kind(actions) is ErrorKind.EPOCH_CONFLICT
     assert actions[-1] == m.ReleaseBucket("a", 1, 150.0)
-    assert kind(owner.handle(request(3, 1), 0.0)) is ErrorKind.EPOCH_CONFLICT
+    assert refusal_kind(owner.handle(request(3, 1), 0.0)) is ErrorKind.EPOCH_CONFLICT
 
 
 def refund(request_id, tokens, epoch=1):
@@ -202,8 +206,10 @@
     owner = make_owner(level=0.0, is_level_unknown=True)
     for number in range(20):
         assert owner.handle(request(number, 10, wait_s=0.5), 0.0) == []
-    assert kind(owner.handle(request(21, 10, wait_s=0.5), 0.0)) is (
+    assert refusal_kind(owner.handle(request(21, 10, wait_s=0.5), 0.0)) is (
         ErrorKind.RATE_EXCEEDED
     )
     released = make_owner(level=10.0)
-    assert kind(released.handle(request(1, 100), 0.0)) is ErrorKind.RATE_EXCEEDED
+    assert (
+        refusal_kind(released.handle(request(1, 100), 0.0)) is ErrorKind.RATE_EXCEEDED
+    )
