Name the queue time, the lead of a cause and the entry filter plainly

key_s was no key and shown no list; the heap of the rate owner's queue gets a comment, and the crash tracker says which requests a crash counts against.

--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -1,10 +1,10 @@
 """Detects requests that crash the backend servers which run them.
 
-A caller sends such a request over and over, with a new id each time and to any host, so
-it is identified by a fingerprint of its workspace, path and body. An instance that
-breaks off a run and then can't be reached, disappears from the list or restarts has
-crashed, and every request that it broke off becomes suspect. A request that was present
-at three crashes is refused for a while. It is not refused if this host has recently
+A caller retries such a request with a new id each time and at any host, so it is
+identified by a fingerprint of its workspace, path and body. An instance that interrupts
+a run and then can't be reached, disappears from the list or restarts has crashed, and
+the crash counts against every request that ran there. A request that was present at
+three crashes is refused for a while. It is not refused if this host has recently
 seen it complete, because many calls have neither a body nor a path of their own and
 share a fingerprint. This keeps a single request from crashing one backend server after
 another.
@@ -64,7 +64,7 @@
     def record_interrupted_run(
         self, fingerprint: str, server: ServerStart, now_s: float
     ) -> None:
-        """Record that an instance broke off a run; it may or may not have crashed."""
+        """Record an interrupted run; whether the instance crashed is not yet known."""
         self._expire(now_s)
         self._interrupted_runs.setdefault(server, {})[fingerprint] = now_s
 
--- a/src/damaskridge/core/limits/workspace_state.py
+++ b/src/damaskridge/core/limits/workspace_state.py
@@ -110,6 +110,8 @@
         self.charges: OrderedDict[str, Charge] = OrderedDict()
         self.waiting: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.waiting_tokens = 0
+        # Heap of queue time, sequence number and request id. Requests that have left
+        # the queue are skipped in `head`.
         self._order: list[tuple[float, int, str]] = []
         self._sequence = 0
         self.awaiting_keys: OrderedDict[str, QueuedRequest] = OrderedDict()
@@ -143,8 +145,8 @@
         """Add a request to the queue."""
         request = entry.request
         self._sequence += 1
-        key_s = entry.arrived_s + self.overtake_s(request, now_s)
-        item = (key_s, self._sequence, request.request_id)
+        queue_time_s = entry.arrived_s + self.overtake_s(request, now_s)
+        item = (queue_time_s, self._sequence, request.request_id)
         heapq.heappush(self._order, item)
         self.waiting[request.request_id] = entry
         self.waiting_tokens += entry.request.cost_tokens
--- a/src/damaskridge/core/timeline.py
+++ b/src/damaskridge/core/timeline.py
@@ -134,18 +134,18 @@
     amount.
     """
     ordered = list(entries)
-    min_lead_s: dict[tuple[str, str], float] = {}
+    required_lead_s: dict[tuple[str, str], float] = {}
     pairs = dict.fromkeys((entry.process for entry in ordered), 0)
     for cause, effect in _causal_pairs(ordered):
         key = (cause.process, effect.process)
         lead_s = cause.time_s - effect.time_s
-        min_lead_s[key] = max(lead_s, min_lead_s.get(key, float("-inf")))
+        required_lead_s[key] = max(lead_s, required_lead_s.get(key, float("-inf")))
         pairs[cause.process] += 1
         pairs[effect.process] += 1
     offsets = dict.fromkeys(pairs, 0.0)
     for _ in range(MAX_RELAXATION_ROUNDS):
         changed = False
-        for (earlier, later), lead_s in min_lead_s.items():
+        for (earlier, later), lead_s in required_lead_s.items():
             needed_s = offsets[earlier] + lead_s
             if needed_s > offsets[later] + 1e-9:
                 offsets[later] = needed_s
@@ -158,7 +158,9 @@
     )
 
 
-def merge(logs: Iterable[ParsedLog], shown: EntryFilter | None = None) -> Timeline:
+def merge(
+    logs: Iterable[ParsedLog], entry_filter: EntryFilter | None = None
+) -> Timeline:
     """Return one timeline of all logs, filtered after the times are corrected."""
     entries = [entry for log in logs for entry in log.entries]
     offsets = estimate_offsets(entries)
@@ -176,13 +178,15 @@
     # The sort is stable, so entries of one process with equal times keep their order.
     shifted.sort(key=lambda entry: entry.time_s)
     selected = tuple(
-        entry for entry in shifted if shown is None or shown.matches(entry)
+        entry
+        for entry in shifted
+        if entry_filter is None or entry_filter.matches(entry)
     )
     return Timeline(selected, offsets)
 
 
 def _causal_pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
-    """Yield cause and effect where they are on different processes."""
+    """Yield each effect with its earliest cause if that is on another process."""
     for cause_number, effect_number, field in CAUSAL_PAIRS:
         causes: dict[object, LogEntry] = {}
         for entry in entries:
--- a/tests/core/gateway/test_crash_tracker.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -12,6 +12,7 @@
 
 
 def crash(tracker, fingerprint, name, now_s=0.0, delay_s=0.5):
+    """Interrupt a run and lose the instance shortly after."""
     tracker.record_interrupted_run(fingerprint, ServerStart(name), now_s)
     tracker.record_lost_server(ServerStart(name), now_s + delay_s)
 
--- a/tests/core/test_timeline.py
+++ b/tests/core/test_timeline.py
@@ -48,9 +48,9 @@
 
 
 def test_filter_criteria_combine_and_match_attempts_on_engines():
-    shown = merge(logs(), EntryFilter(request_id="r1", backend_server="e1")).entries
-    assert [entry.name for entry in shown] == ["ENGINE_REQUEST_CANCELLED"]
-    shown = merge(
+    selected = merge(logs(), EntryFilter(request_id="r1", backend_server="e1")).entries
+    assert [entry.name for entry in selected] == ["ENGINE_REQUEST_CANCELLED"]
+    selected = merge(
         logs(), EntryFilter(since_s=10.01, until_s=10.1, event="1001")
     ).entries
-    assert [entry.process for entry in shown] == ["lone"]
+    assert [entry.process for entry in selected] == ["lone"]
