--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -24,9 +24,9 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.quota import FleetQuota
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
@@ -89,9 +89,9 @@
         Forward admitted requests to plain services and to engines.
     quota : FleetQuota
         Enforces the rate limits of workspaces.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         Computes after what time refused callers may retry.
-    crashes : CrashWatch
+    crashes : CrashTracker
         Tracks which requests crash backend servers.
     rng : random.Random
         Selects among the targets of a route.
@@ -107,8 +107,8 @@
         calls: CallForwarder,
         streams: StreamForwarder,
         quota: FleetQuota,
-        refusals: RefusalTimes,
-        crashes: CrashWatch,
+        refusals: RetryAfterTimes,
+        crashes: CrashTracker,
         rng: random.Random,
         on_request: Callable[[str], None],
     ) -> None:
@@ -271,7 +271,7 @@
         if workspace.counts_tokens:
             tokens = request.prompt_tokens + request.max_output_tokens
             cost = float(tokens if request.has_size else workspace.plain_tokens)
-        wait_s = self._quota.take(workspace, cost, now_s)
+        wait_s = self._quota.acquire(workspace, cost, now_s)
         if wait_s > 0:
             raise RequestError(
                 Failure(
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -9,10 +9,10 @@
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.load_tracker import LoadTracker
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.send_account import SendStep
-from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.core.gateway.send_policy import Fail, Retry
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
@@ -39,13 +39,13 @@
 
     Parameters
     ----------
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Objects that all forwarders of the host share.
     data_centre : str
         Data centre of this host.
     gate : RetryGate
         Checks requests against the retry budget before they are sent.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         Computes after what time refused callers may retry.
     """
 
@@ -54,10 +54,10 @@
         *,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
-        refusals: RefusalTimes,
+        refusals: RetryAfterTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -130,7 +130,7 @@
             call is to be sent to another server.
         """
         policy, name = admitted.policy, instance.instance
-        policy.sent()
+        policy.record_send()
         response.attempts = policy.sends
         load = self._load.total(name).requests
         log_event(
@@ -142,7 +142,7 @@
             attempt=policy.sends,
             load=load,
             candidates=candidates,
-            list_age_ms=round((admitted.now_s - self._registry.seen_s) * 1000),
+            list_age_ms=round((admitted.now_s - self._registry.confirmed_s) * 1000),
         )
         self._load.start(admitted.request.request_id, name, InstanceLoad(requests=1))
         try:
@@ -150,16 +150,16 @@
                 instance,
                 admitted,
                 response_timeout_s=self._response_timeout_s(admitted, candidates),
-                fresh=not policy.may_repeat,
+                fresh=not policy.is_repeatable,
             )
             if isinstance(outcome, OpenReply):
                 return await self._forward_response(admitted, response, outcome)
         finally:
             self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(admitted, SendStep.RUN)
-            decision = policy.not_run(
-                left_s=admitted.remaining_s, may_resend=may_resend
+            may_retry = self._gate.admits(admitted, SendStep.RUN)
+            decision = policy.after_not_run(
+                left_s=admitted.remaining_s, may_retry=may_retry
             )
         else:
             self._sender.record_run(instance, admitted.fingerprint, is_complete=False)
@@ -168,19 +168,19 @@
 
     def _decide_after_unknown(
         self, admitted: AdmittedRequest, outcome: Unknown
-    ) -> Resend | GiveUp:
-        return admitted.policy.unknown(
+    ) -> Retry | Fail:
+        return admitted.policy.after_unknown(
             left_s=admitted.remaining_s,
-            may_resend=admitted.policy.has_another_run
+            may_retry=admitted.policy.may_run_again
             and self._gate.admits(admitted, SendStep.RUN),
             timed_out=outcome.timed_out,
         )
 
     def _failure_of(
-        self, admitted: AdmittedRequest, decision: Resend | GiveUp, reason: str
+        self, admitted: AdmittedRequest, decision: Retry | Fail, reason: str
     ) -> Failure | None:
         """Return the failure to respond with; None if the call is to be retried."""
-        if not isinstance(decision, GiveUp):
+        if not isinstance(decision, Fail):
             return None
         retry_after_s = None
         if decision.kind is ErrorKind.OVERLOADED:
@@ -190,7 +190,7 @@
     def _response_timeout_s(self, admitted: AdmittedRequest, candidates: int) -> float:
         """Return the time limit for the response of one server."""
         remaining_s = max(0.0, admitted.route_remaining_s)
-        if not admitted.policy.has_another_run or candidates < 2:
+        if not admitted.policy.may_run_again or candidates < 2:
             return remaining_s
         response_timeout_s = (
             RESPONSE_TIMEOUT_OBJECTIVES * admitted.route.objective_ms / 1000
@@ -227,11 +227,11 @@
             reason=f"status {server_response.head.status}",
         )
         if is_failure:
-            may_resend = admitted.policy.has_another_run and self._gate.admits(
+            may_retry = admitted.policy.may_run_again and self._gate.admits(
                 admitted, SendStep.RUN
             )
-            if admitted.policy.failed(
-                left_s=admitted.remaining_s, may_resend=may_resend
+            if admitted.policy.after_failure(
+                left_s=admitted.remaining_s, may_retry=may_retry
             ):
                 return None
         await response.forward(server_response.head, server_response.metadata, body)
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -12,7 +12,7 @@
 from damaskridge.adapters.gateway.generation import Generation, Reservation
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
+from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage, EngineTraits
 
@@ -63,7 +63,7 @@
     ----------
     dialect : Dialect
         Encodes the calls to engines.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Objects that all forwarders of the host share.
     data_centre : str
         Data centre of this host.
@@ -75,7 +75,7 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
     ) -> None:
         self._dialect = dialect
@@ -134,13 +134,13 @@
                 EngineStage.DECODE,
                 frozenset(tried_engines),
             )
-            candidates = self._load.with_room(
+            candidates = self._load.with_free_memory(
                 untried, generation.admitted.memory_tokens, engine.memory_tokens
             )
             if not candidates:
                 full_count += len(untried)
                 break
-            instance = self._load.most_memory(candidates, self._data_centre)
+            instance = self._load.least_memory_used(candidates, self._data_centre)
             tried_engines.add(instance.instance)
             reason = await self._reserve_on(generation, instance, engine.reservation_s)
             if generation.reservation is not None:
@@ -149,7 +149,7 @@
                     "reserve",
                     load=self._load.total(instance.instance),
                     candidates=len(candidates),
-                    list_seen_s=self._registry.seen_s,
+                    list_seen_s=self._registry.confirmed_s,
                 )
                 break
             full_count += reason == ENGINE_FULL
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -8,8 +8,8 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.prompt_reading import EventPace, ReadingSpeed
+from damaskridge.core.gateway.load_tracker import LoadTracker
+from damaskridge.core.gateway.prefill_choice import EventPace, PrefillEstimator
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.gateway import BackendInstance, EngineStage
@@ -35,7 +35,7 @@
     ----------
     dialect : Dialect
         Decodes the responses of engines.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Objects that all forwarders of the host share.
     data_centre : str
         Data centre of this host.
@@ -49,7 +49,7 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
     ) -> None:
@@ -59,7 +59,7 @@
         self._load = load
         self._data_centre = data_centre
         self._gate = gate
-        self._speed = ReadingSpeed()
+        self._speed = PrefillEstimator()
 
     def release_handle(self, generation: Generation) -> None:
         """Free an exported KV cache that will not be imported."""
@@ -79,9 +79,9 @@
             )
             if not candidates or admitted.remaining_s <= 0:
                 return None
-            if not self._gate.admits(admitted, SendStep.READ):
+            if not self._gate.admits(admitted, SendStep.PREFILL):
                 return None
-            instance = self._load.shortest_prefill(candidates, self._data_centre)
+            instance = self._load.shortest_prefill_queue(candidates, self._data_centre)
             if self._prefers_decode_engine(generation, instance):
                 return None
             tried.add(instance.instance)
@@ -121,7 +121,7 @@
             "prefill",
             load=self._load.total(name),
             candidates=candidates,
-            list_seen_s=self._registry.seen_s,
+            list_seen_s=self._registry.confirmed_s,
         )
         step = EngineStep(is_prefill=True, priority=admitted.priority)
         queued_tokens = request.prompt_tokens + self._load.total(name).prompt_tokens
--- a/src/damaskridge/adapters/gateway/retry_gate.py
+++ b/src/damaskridge/adapters/gateway/retry_gate.py
@@ -53,7 +53,7 @@
                 request_id=admitted.request.request_id,
                 service=admitted.service.name,
                 step=step.value,
-                arrivals=admitted.account.counted,
+                arrivals=admitted.account.counted_arrivals,
                 paid=admitted.account.paid,
                 left=round(self._budget.left(admitted.service.name), 2),
             )
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -25,7 +25,7 @@
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_watch import CrashWatch
+from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
@@ -154,7 +154,7 @@
         Supplies connections to backend servers.
     registry : InstanceRegistry
         Records the health of backend servers.
-    crashes : CrashWatch
+    crashes : CrashTracker
         Records runs that broke off and servers that were lost.
     gate : RetryGate
         Checks each request against the retry budget before it is sent.
@@ -165,7 +165,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         registry: InstanceRegistry,
-        crashes: CrashWatch,
+        crashes: CrashTracker,
         gate: RetryGate,
     ) -> None:
         self._dialect = dialect
@@ -217,7 +217,7 @@
             paused = NotRun("the server wants no request now", was_sent=False)
             return self._log_outcome(request, instance, paused, started_s)
         is_prefill = step is not None and step.is_prefill
-        send_step = SendStep.READ if is_prefill else SendStep.RUN
+        send_step = SendStep.PREFILL if is_prefill else SendStep.RUN
         if not self._gate.admits(admitted, send_step):
             over_budget = NotRun("the retry budget has no send left", was_sent=False)
             return self._log_outcome(request, instance, over_budget, started_s)
@@ -257,7 +257,7 @@
                 connection.close()
         was_refused = isinstance(outcome, NotRun)
         if not isinstance(outcome, NotRun) or outcome.was_sent:
-            admitted.account.arrived(send_step, was_refused=was_refused)
+            admitted.account.record_arrival(send_step, was_refused=was_refused)
         if isinstance(outcome, Unknown):
             self.record_response(instance, good=False, reason=outcome.reason)
         return self._log_outcome(request, instance, outcome, started_s)
@@ -268,7 +268,7 @@
         """Record whether a server responded as expected; failing ones are avoided."""
         now_s = asyncio.get_running_loop().time()
         was_avoided = self._registry.is_avoided(instance.instance, now_s)
-        avoided_s = self._registry.answered(instance.instance, now_s, good=good)
+        avoided_s = self._registry.record_response(instance.instance, now_s, good=good)
         if avoided_s:
             self._log_avoided(instance, reason, avoided_s)
         elif good and was_avoided:
@@ -282,9 +282,11 @@
         """Record that a server completed a request, or broke off while running it."""
         now_s = asyncio.get_running_loop().time()
         if is_complete:
-            self._crashes.answered(fingerprint, now_s)
+            self._crashes.record_response(fingerprint, now_s)
         else:
-            self._crashes.broke_off(fingerprint, instance.instance_id, now_s)
+            self._crashes.record_interrupted_run(
+                fingerprint, instance.instance_id, now_s
+            )
 
     async def call_engine(
         self,
@@ -399,19 +401,19 @@
 
     def _is_paused(self, instance: BackendInstance) -> bool:
         now_s = asyncio.get_running_loop().time()
-        return self._registry.notices.pause_left_s(instance.instance, now_s) > 0
+        return self._registry.notices.remaining_pause_s(instance.instance, now_s) > 0
 
     def _apply_notices(
         self, instance: BackendInstance, metadata: ResponseMetadata
     ) -> None:
         """Record that a server is shutting down or asks for a pause."""
         notices, name = self._registry.notices, instance.instance
-        if metadata.is_leaving and notices.leaves(instance):
+        if metadata.is_leaving and notices.record_leaving(instance):
             self._pool.close_idle(instance)
             log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
         if metadata.pause_s:
             now_s = asyncio.get_running_loop().time()
-            notices.asked_to_pause(name, now_s + metadata.pause_s)
+            notices.record_pause(name, now_s + metadata.pause_s)
             pause_ms = round(metadata.pause_s * 1000)
             log_event(
                 logger, EventNumber.INSTANCE_PAUSED, instance=name, pause_ms=pause_ms
@@ -419,8 +421,8 @@
 
     def _record_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
-        avoided_s = self._registry.unreachable(instance.instance, now_s)
-        self._crashes.was_lost(instance.instance_id, now_s)
+        avoided_s = self._registry.record_unreachable(instance.instance, now_s)
+        self._crashes.record_lost_server(instance.instance_id, now_s)
         self._pool.close_idle(instance)
         self._log_avoided(instance, reason, avoided_s)
 
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -24,10 +24,10 @@
 )
 from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
-from damaskridge.core.gateway.load import LoadBook
-from damaskridge.core.gateway.refusals import RefusalTimes
+from damaskridge.core.gateway.load_tracker import LoadTracker
+from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.send_account import SendStep
-from damaskridge.core.gateway.send_policy import GiveUp, Resend
+from damaskridge.core.gateway.send_policy import Fail, Retry
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.gateway import BackendInstance, EngineStage
@@ -58,13 +58,13 @@
     ----------
     dialect : Dialect
         Encodes the gateway's own calls to engines.
-    sender, registry, load : Sender, InstanceRegistry, LoadBook
+    sender, registry, load : Sender, InstanceRegistry, LoadTracker
         Objects that all forwarders of the host share.
     data_centre : str
         Data centre of this host.
     gate : RetryGate
         Checks requests against the retry budget before they are sent.
-    refusals : RefusalTimes
+    refusals : RetryAfterTimes
         Computes after what time refused callers may retry.
     """
 
@@ -74,10 +74,10 @@
         dialect: Dialect,
         sender: Sender,
         registry: InstanceRegistry,
-        load: LoadBook,
+        load: LoadTracker,
         data_centre: str,
         gate: RetryGate,
-        refusals: RefusalTimes,
+        refusals: RetryAfterTimes,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -135,8 +135,8 @@
         """Send the generation to one decode engine and relay its events."""
         admitted = generation.admitted
         if not self._gate.admits(admitted, SendStep.RUN):
-            decision = admitted.policy.not_run(
-                left_s=admitted.remaining_s, may_resend=False
+            decision = admitted.policy.after_not_run(
+                left_s=admitted.remaining_s, may_retry=False
             )
             await self._fail_if_final(
                 generation, decision, "the retry budget has no send left"
@@ -151,14 +151,14 @@
             self._prefills.release_handle(generation)
         name = instance.instance
         generation.tried_engines.add(name)
-        admitted.policy.sent()
+        admitted.policy.record_send()
         generation.response.attempts = admitted.policy.sends
         generation.log_sent(
             name,
             "decode",
             load=self._load.total(name),
             candidates=candidates,
-            list_seen_s=self._registry.seen_s,
+            list_seen_s=self._registry.confirmed_s,
         )
         self._load.start(
             admitted.request.request_id, name, self._expected_load(generation)
@@ -208,7 +208,7 @@
         reservation = generation.reservation
         if reservation is not None:
             name = reservation.instance.instance
-            paused = self._registry.notices.pause_left_s(name, now_s) > 0
+            paused = self._registry.notices.remaining_pause_s(name, now_s) > 0
             if now_s < reservation.usable_until_s and not paused:
                 return reservation.instance, 1
             self._reservations.cancel(generation)
@@ -219,7 +219,7 @@
         candidates = candidates or self._registry.candidates(service, now_s, stage)
         if not candidates:
             return None, 0
-        chosen = self._load.most_memory(candidates, self._data_centre)
+        chosen = self._load.least_memory_used(candidates, self._data_centre)
         return chosen, len(candidates)
 
     async def _send(self, generation: Generation, instance: BackendInstance) -> Outcome:
@@ -232,7 +232,7 @@
             priority=admitted.priority,
         )
         response_timeout_s = max(0.0, admitted.route_remaining_s)
-        if admitted.policy.has_another_run:
+        if admitted.policy.may_run_again:
             response_timeout_s = min(response_timeout_s, FIRST_EVENT_TIMEOUT_S)
         return await self._sender.send(
             instance,
@@ -242,7 +242,7 @@
             response_timeout_s=response_timeout_s,
             # On a reused connection, a late duplicate of an earlier refusal could be
             # taken for the response to this request.
-            fresh=not admitted.policy.may_repeat,
+            fresh=not admitted.policy.is_repeatable,
         )
 
     async def _handle_failed_send(
@@ -250,26 +250,26 @@
     ) -> None:
         """Respond to the caller if the policy allows no further send."""
         admitted = generation.admitted
-        decision: Resend | GiveUp
+        decision: Retry | Fail
         if isinstance(outcome, NotRun):
-            may_resend = self._gate.admits(admitted, SendStep.RUN)
-            decision = admitted.policy.not_run(
-                left_s=admitted.remaining_s, may_resend=may_resend
+            may_retry = self._gate.admits(admitted, SendStep.RUN)
+            decision = admitted.policy.after_not_run(
+                left_s=admitted.remaining_s, may_retry=may_retry
             )
         else:
-            decision = admitted.policy.unknown(
+            decision = admitted.policy.after_unknown(
                 left_s=admitted.remaining_s,
-                may_resend=admitted.policy.has_another_run
+                may_retry=admitted.policy.may_run_again
                 and self._gate.admits(admitted, SendStep.RUN),
                 timed_out=outcome.timed_out,
             )
         await self._fail_if_final(generation, decision, outcome.reason)
 
     async def _fail_if_final(
-        self, generation: Generation, decision: Resend | GiveUp, reason: str
+        self, generation: Generation, decision: Retry | Fail, reason: str
     ) -> None:
         """Fail the generation unless it is to be sent to another engine."""
-        if not isinstance(decision, GiveUp):
+        if not isinstance(decision, Fail):
             return
         retry_after_s = None
         if decision.run_state is RunState.NOT_RUN:
@@ -359,7 +359,7 @@
         chunks = server_response.chunks()
         while True:
             deadline_s: float | None = None
-            if generation.admitted.policy.has_another_run:
+            if generation.admitted.policy.may_run_again:
                 limit_s = (
                     EVENT_TIMEOUT_S
                     if generation.response.has_started
@@ -399,11 +399,11 @@
         good = server_response.head.status < 500
         self._sender.record_response(server_response.instance, good=good, reason=reason)
         if not good:
-            may_resend = admitted.policy.has_another_run and self._gate.admits(
+            may_retry = admitted.policy.may_run_again and self._gate.admits(
                 admitted, SendStep.RUN
             )
-            if admitted.policy.failed(
-                left_s=admitted.remaining_s, may_resend=may_resend
+            if admitted.policy.after_failure(
+                left_s=admitted.remaining_s, may_retry=may_retry
             ):
                 return
         if generation.response.has_started:
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -11,7 +11,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
-from damaskridge.core.gateway.instance_feed import InstanceReadings
+from damaskridge.core.gateway.instance_replication import InstanceListDiffer
 from damaskridge.core.gateway.server_notices import ServerNotices
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import BackendInstance, InstanceList
@@ -68,15 +68,17 @@
         self._reader = reader
         self._subscribers = subscribers
         self._is_leading = is_leading
-        self._list_differ: InstanceReadings | None = None
+        self._list_differ: InstanceListDiffer | None = None
         self._last_instances: tuple[BackendInstance, ...] = ()
         self._read_failed = False
 
     def send_snapshot(self, subscriber: Subscriber) -> None:
         """Send all entries to a new subscriber."""
-        whole = self._list_differ.whole() if self._list_differ is not None else None
-        if whole is not None:
-            subscriber.push(whole)
+        snapshot = (
+            self._list_differ.snapshot() if self._list_differ is not None else None
+        )
+        if snapshot is not None:
+            subscriber.push(snapshot)
 
     async def run(self) -> None:
         """Poll the list until cancelled."""
@@ -100,9 +102,9 @@
         if not self._is_leading():
             return
         if self._list_differ is None:
-            self._list_differ = InstanceReadings(secrets.token_hex(4))
+            self._list_differ = InstanceListDiffer(secrets.token_hex(4))
         self._last_instances = read_result.ok_value.instances
-        self.notices.forget_all_but(self._last_instances)
+        self.notices.retain_only(self._last_instances)
         self._publish_update(self._list_differ)
 
     def republish(self) -> None:
@@ -110,7 +112,7 @@
         if self._list_differ is not None and self._is_leading():
             self._publish_update(self._list_differ)
 
-    def _publish_update(self, list_differ: InstanceReadings) -> None:
+    def _publish_update(self, list_differ: InstanceListDiffer) -> None:
         instances = tuple(map(self._apply_leave_notice, self._last_instances))
         update = list_differ.add(self._adjust_instances(instances))
         self._subscribers.broadcast(update)
@@ -126,6 +128,6 @@
 
     def _apply_leave_notice(self, item: BackendInstance) -> BackendInstance:
         """Mark an instance as leaving if a host has reported it before the list."""
-        if item.is_leaving or not self.notices.has_left(item):
+        if item.is_leaving or not self.notices.has_announced_leaving(item):
             return item
         return msgspec.structs.replace(item, is_leaving=True)
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -7,9 +7,9 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
-from damaskridge.core.gateway.crash_watch import CrashWatch
-from damaskridge.core.gateway.host_choice import HostDemand
-from damaskridge.core.gateway.load_board import LoadBoard
+from damaskridge.core.gateway.crash_tracker import CrashTracker
+from damaskridge.core.gateway.host_selection import HostDemand
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.model.control import (
     CrashesSeen,
     HostsNeeded,
@@ -51,7 +51,7 @@
 
     Attributes
     ----------
-    load_aggregator : LoadBoard
+    load_aggregator : LoadAggregator
         The load of all entry hosts.
     """
 
@@ -61,13 +61,13 @@
         is_leading: Callable[[], bool],
         data_centre_of: Callable[[str], str | None],
     ) -> None:
-        self.load_aggregator = LoadBoard()
+        self.load_aggregator = LoadAggregator()
         self._subscribers = subscribers
         self._is_leading = is_leading
         self._data_centre_of = data_centre_of
         self._hosts: dict[Subscriber, str] = {}
         self._first_report_received = anyio.Event()
-        self._crash_tracker = CrashWatch()
+        self._crash_tracker = CrashTracker()
         self._hosts_needed: dict[str, int] = {}
 
     def add_subscriber(self, subscriber: Subscriber, host: str) -> None:
@@ -77,7 +77,7 @@
         self._hosts[subscriber] = host
         if self._hosts_needed:
             subscriber.push(HostsNeeded(by_data_centre=self._hosts_needed))
-        crashes = self._crash_tracker.recent(now_s)
+        crashes = self._crash_tracker.recent_crashes(now_s)
         if crashes:
             subscriber.push(CrashesSeen(crashes=crashes))
 
@@ -92,7 +92,7 @@
         self.load_aggregator.report(subscriber, message, now_s)
         self._first_report_received.set()
         if message.crashes:
-            self._crash_tracker.heard(message.crashes, now_s)
+            self._crash_tracker.on_report(message.crashes, now_s)
             self._subscribers.broadcast(CrashesSeen(crashes=message.crashes))
 
     async def run(self) -> None:
@@ -112,11 +112,11 @@
                 last_idle_update_s = now_s
             for subscriber in self._subscribers.open_subscribers():
                 if includes_idle or self.load_aggregator.is_active(subscriber, now_s):
-                    news = self.load_aggregator.news(subscriber, now_s)
-                    if news is not None:
-                        subscriber.push(news)
-            active = self.load_aggregator.active(now_s)
-            await anyio.sleep(max(LOAD_PERIOD_S, active * LOAD_PERIOD_PER_HOST_S))
+                    next_update = self.load_aggregator.next_update(subscriber, now_s)
+                    if next_update is not None:
+                        subscriber.push(next_update)
+            active_count = self.load_aggregator.active_count(now_s)
+            await anyio.sleep(max(LOAD_PERIOD_S, active_count * LOAD_PERIOD_PER_HOST_S))
 
     async def _publish_hosts_needed(self) -> None:
         demand, leading_since_s = HostDemand(), None
--- a/src/damaskridge/adapters/rpc/stage_orders.py
+++ b/src/damaskridge/adapters/rpc/stage_orders.py
@@ -20,8 +20,8 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_ports import ControlNodePort
-from damaskridge.core.gateway.load_board import LoadBoard
-from damaskridge.core.gateway.stage_balance import StageBalance, StageChange
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
+from damaskridge.core.gateway.stage_balance import StageBalancer, StageChange
 from damaskridge.model.events import EventNumber
 from damaskridge.model.gateway import (
     BackendInstance,
@@ -85,7 +85,7 @@
         The member of the control group on this host.
     host : str
         Name of this host; the holder of the orders that it sends.
-    load_aggregator : LoadBoard
+    load_aggregator : LoadAggregator
         The load of all entry hosts.
     orders : EngineOrderPort
         Sends orders.
@@ -102,7 +102,7 @@
         *,
         node: ControlNodePort,
         host: str,
-        load_aggregator: LoadBoard,
+        load_aggregator: LoadAggregator,
         orders: EngineOrderPort,
         routing: Callable[[], RoutingTable],
         is_leading: Callable[[], bool],
@@ -115,7 +115,7 @@
         self._orders = orders
         self._routing = routing
         self._is_leading = is_leading
-        self._balancers: dict[str, StageBalance] = {}
+        self._balancers: dict[str, StageBalancer] = {}
         self._pending_changes: dict[str, _PendingChange] = {}
         self._busy_checks_due_s: list[float] = []
         self._instances: tuple[BackendInstance, ...] = ()
@@ -199,7 +199,7 @@
                 for item in self._instances
                 if item.service == service.name and not item.is_leaving
             ]
-            balancer = self._balancers.setdefault(service.name, StageBalance(now_s))
+            balancer = self._balancers.setdefault(service.name, StageBalancer(now_s))
             changes = balancer.observe(
                 engines, load, service.engine, now_s, may_change=may_order
             )
--- a/src/damaskridge/core/gateway/quota.py
+++ b/src/damaskridge/core/gateway/quota.py
@@ -1,25 +1,26 @@
-"""Limits a workspace's rate over all entry hosts.
+"""Limits the rate of each workspace over all entry hosts.
 
-Every host keeps the whole bucket of each workspace. It takes its own admissions at once
-and those of the other hosts as it hears of them, so that no request waits for another
-host and no host's failure stops a workspace. What the hosts admit before they hear of
-each other is covered by the tolerance that the operator grants. Until the next news of
-the others a host assumes that they admit as before.
+Every host keeps a full-size token bucket for each workspace. It deducts its own
+admissions at once and those of other hosts when they are reported, so that no request
+waits for another host and the failure of a host doesn't block a workspace. Admissions
+by several hosts before they receive each other's reports are covered by the tolerance
+that the operator grants. Between reports, a host assumes that the other hosts continue
+to admit at their recent rate.
 
 A host keeps the buckets of all workspaces from its first routing table on, so that it
-knows what the others admitted before its own first request. They are empty when its
-process starts, since nobody tells what was admitted before.
+knows what other hosts admitted before its own first request. The buckets are empty when
+the process starts, because earlier admissions are not known.
 
-Small requests go before large ones: a large one leaves a part of the bucket to them,
-and they may overdraw it a little. Load answered: a workspace near its rate whose long
-generations would take everything that its calls need.
+Small requests have precedence over large ones: a large request must leave a reserve in
+the bucket, and a small one may overdraw the bucket slightly. Otherwise the long
+generations of a workspace near its rate would use all tokens that its calls need.
 
 >>> quota = FleetQuota()
 >>> limit = GatewayWorkspace(name="w", rate_per_s=100.0, burst=100.0)
->>> quota.take(limit, cost=60.0, now_s=0.0)
+>>> quota.acquire(limit, cost=60.0, now_s=0.0)
 0.0
->>> quota.others_admitted({"w": 30.0}, now_s=0.0)
->>> quota.take(limit, cost=60.0, now_s=0.0)
+>>> quota.record_remote_usage({"w": 30.0}, now_s=0.0)
+>>> quota.acquire(limit, cost=60.0, now_s=0.0)
 0.6
 """
 
@@ -30,41 +31,53 @@
 
 __all__ = ["FleetQuota"]
 
-# The leader speaks at least once a second; after this it is not heard.
-SILENCE_S = 1.5
+# The leader sends at least one message per second; after this time without one, the
+# host is considered disconnected.
+REPORT_TIMEOUT_S = 1.5
 # A request is small if the rate refills its cost within this time.
-SMALL_S = 0.05
-# What large requests leave in the bucket, as a time of refill. Calls take a tenth of
-# a workspace's tokens.
-RESERVED_S = 0.1
-# Over how long the others' admissions are averaged, to go on without reports.
-AVERAGE_S = 4.0
+SMALL_REQUEST_S = 0.05
+# Reserve that a large request must leave for small ones, in seconds of refill. Calls
+# use about a tenth of a workspace's tokens.
+SMALL_REQUEST_RESERVE_S = 0.1
+# Time constant of the average rate at which other hosts admit.
+AVERAGING_S = 4.0
 
 
 @dataclass(slots=True)
 class _Bucket:
-    """The bucket of one workspace."""
+    """
+    The bucket of one workspace.
+
+    Attributes
+    ----------
+    remote_per_s : float
+        Average rate at which the other hosts admit.
+    unreported : float
+        What this host has admitted since its last report.
+    assumed_until_s : float
+        Time up to which assumed admissions of other hosts have been deducted.
+    """
 
     workspace: GatewayWorkspace
     level: float
     refilled_s: float
-    others_per_s: float = 0.0
-    own_unreported: float = 0.0
-    assumed_s: float = 0.0
+    remote_per_s: float = 0.0
+    unreported: float = 0.0
+    assumed_until_s: float = 0.0
 
 
 class FleetQuota:
     """
-    The buckets of all workspaces, as one host knows them.
+    One host's view of the buckets of all workspaces.
 
     Parameters
     ----------
     slack : float
-        What may be admitted at once beyond a workspace's burst.
+        Capacity in addition to a workspace's burst.
     small_slack : float
-        By how much small requests may overdraw a bucket.
+        Amount by which small requests may overdraw a bucket.
     started_s : float
-        When this process started.
+        Start time of this process, when the buckets were empty.
     """
 
     def __init__(
@@ -77,88 +90,89 @@
         self._small_slack = small_slack
         self._started_s = started_s
         self._buckets: dict[str, _Bucket] = {}
-        self._heard_s = 0.0
+        self._last_report_s = 0.0
 
-    def limits_changed(
+    def update_limits(
         self, workspaces: Iterable[GatewayWorkspace], now_s: float
     ) -> None:
-        """Keep a bucket for each of these workspaces, and no other."""
+        """Keep a bucket for exactly the workspaces that have a rate limit."""
         self._buckets = {
             workspace.name: self._bucket(workspace, now_s)
             for workspace in workspaces
             if workspace.rate_per_s > 0
         }
 
-    def take(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
+    def acquire(self, workspace: GatewayWorkspace, cost: float, now_s: float) -> float:
         """
-        Take a request's cost.
+        Admit a request if the bucket allows it.
 
         Parameters
         ----------
         workspace : GatewayWorkspace
-            Whose rate it counts against.
+            Workspace whose rate is charged.
         cost : float
-            What it counts.
+            Cost of the request, in the unit of the rate.
         now_s : float
-            Present time.
+            Current time.
 
         Returns
         -------
         float
-            0 if it was admitted, else the seconds until it may be.
+            0 if the request was admitted, else the seconds until it may be.
         """
         if workspace.rate_per_s <= 0:
             return 0.0
         bucket = self._bucket(workspace, now_s)
-        # What the others have probably admitted since they were heard last.
-        level = bucket.level - self._assumed(bucket, now_s)
-        needed = self._needed(workspace, cost)
-        if level < needed:
-            return (needed - level) / workspace.rate_per_s
+        # The other hosts have probably admitted more since the last report.
+        level = bucket.level - self._assumed_remote_usage(bucket, now_s)
+        required = self._required_level(workspace, cost)
+        if level < required:
+            return (required - level) / workspace.rate_per_s
         bucket.level -= cost
-        bucket.own_unreported += cost
+        bucket.unreported += cost
         return 0.0
 
-    def others_admitted(self, usage: Mapping[str, float], now_s: float) -> None:
-        """Take what other hosts have admitted; call it for every message."""
-        self._heard_s = now_s
+    def record_remote_usage(self, usage: Mapping[str, float], now_s: float) -> None:
+        """Deduct what other hosts have admitted; call this for every load message."""
+        self._last_report_s = now_s
         for name, used in usage.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
                 self._refill(bucket, now_s)
                 bucket.level -= used
-                bucket.others_per_s += used / AVERAGE_S
+                bucket.remote_per_s += used / AVERAGING_S
 
-    def heard(self, now_s: float) -> None:
-        """Note that the other hosts can be heard, though nothing has changed."""
-        self._heard_s = now_s
+    def on_report(self, now_s: float) -> None:
+        """Record that the leader is connected although there is no new usage."""
+        self._last_report_s = now_s
 
-    def unreported(self) -> dict[str, float]:
+    def pop_unreported(self) -> dict[str, float]:
         """Return what this host admitted since the last call."""
         usage = {}
         for name, bucket in self._buckets.items():
-            if bucket.own_unreported:
-                usage[name], bucket.own_unreported = bucket.own_unreported, 0.0
+            if bucket.unreported:
+                usage[name], bucket.unreported = bucket.unreported, 0.0
         return usage
 
-    def _needed(self, workspace: GatewayWorkspace, cost: float) -> float:
-        """Return the level from which a request is admitted."""
-        if cost <= SMALL_S * workspace.rate_per_s:
+    def _required_level(self, workspace: GatewayWorkspace, cost: float) -> float:
+        """Return the bucket level at which a request is admitted."""
+        if cost <= SMALL_REQUEST_S * workspace.rate_per_s:
             return cost - self._small_slack
-        # A request larger than the bucket must not be refused for good.
-        reserved = RESERVED_S * workspace.rate_per_s
+        # A request larger than the capacity is admitted by a full bucket, because it
+        # would otherwise be refused forever.
+        reserved = SMALL_REQUEST_RESERVE_S * workspace.rate_per_s
         return min(cost + reserved, self._capacity(workspace))
 
     def _capacity(self, workspace: GatewayWorkspace) -> float:
         return workspace.burst + self._slack
 
-    def _assumed(self, bucket: _Bucket, now_s: float) -> float:
-        """Return what the others have probably admitted and is not yet taken."""
-        since_s = max(self._heard_s, bucket.assumed_s)
-        return bucket.others_per_s * max(0.0, now_s - since_s)
+    def _assumed_remote_usage(self, bucket: _Bucket, now_s: float) -> float:
+        """Return what other hosts have probably admitted since the last deduction."""
+        since_s = max(self._last_report_s, bucket.assumed_until_s)
+        return bucket.remote_per_s * max(0.0, now_s - since_s)
 
     def _bucket(self, workspace: GatewayWorkspace, now_s: float) -> _Bucket:
-        """Return the bucket of a workspace as it is now, by its present limit."""
+        """Return the bucket of a workspace, refilled and with the current limit."""
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             filled = workspace.rate_per_s * max(0.0, now_s - self._started_s)
@@ -169,13 +183,14 @@
         return bucket
 
     def _refill(self, bucket: _Bucket, now_s: float) -> None:
+        """Refill a bucket; without reports, deduct the assumed remote usage."""
         elapsed_s = max(0.0, now_s - bucket.refilled_s)
         refill = bucket.workspace.rate_per_s * elapsed_s
-        if now_s - self._heard_s < SILENCE_S:
-            bucket.others_per_s *= max(0.0, 1 - elapsed_s / AVERAGE_S)
+        if now_s - self._last_report_s < REPORT_TIMEOUT_S:
+            bucket.remote_per_s *= max(0.0, 1 - elapsed_s / AVERAGING_S)
         else:
-            refill -= self._assumed(bucket, now_s)
-            bucket.assumed_s = now_s
+            refill -= self._assumed_remote_usage(bucket, now_s)
+            bucket.assumed_until_s = now_s
         capacity = self._capacity(bucket.workspace)
         bucket.level = min(capacity, bucket.level + refill)
         bucket.refilled_s = now_s
--- a/src/damaskridge/core/gateway/table_checks.py
+++ b/src/damaskridge/core/gateway/table_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a routing table as a whole.
+"""Validation of a complete routing table.
 
 >>> table_faults(RoutingTable(version=0))
 ['version: must be above 0, not 0']
@@ -12,7 +12,7 @@
 
 
 def table_faults(table: RoutingTable) -> list[str]:
-    """Return every fault as ``path: what is wrong``; empty if none."""
+    """Return every fault as ``path: description``; an empty list if none."""
     return [*_version(table), *_routes(table), *_names(table), *_keys(table)]
 
 
@@ -23,11 +23,11 @@
 
 def _routes(table: RoutingTable) -> Iterator[str]:
     services = {service.name for service in table.services}
-    places: dict[tuple[str, str], int] = {}
+    first_by_prefix: dict[tuple[str, str], int] = {}
     for number, route in enumerate(table.routes):
         path = f"routes[{number}]"
         yield from (f"{path}.{fault}" for fault in _route_faults(route, services))
-        first = places.setdefault((route.host_name, route.path_prefix), number)
+        first = first_by_prefix.setdefault((route.host_name, route.path_prefix), number)
         if first != number:
             yield f"{path}: same host name and path prefix as routes[{first}]"
 
@@ -55,9 +55,9 @@
 
 
 def _keys(table: RoutingTable) -> Iterator[str]:
-    holders: dict[str, str] = {}
+    first_by_digest: dict[str, str] = {}
     for workspace in table.workspaces:
         for digest in workspace.key_digests:
-            holder = holders.setdefault(digest, workspace.name)
-            if holder != workspace.name:
-                yield f"workspaces: {holder!r} and {workspace.name!r} share a key"
+            first = first_by_digest.setdefault(digest, workspace.name)
+            if first != workspace.name:
+                yield f"workspaces: {first!r} and {workspace.name!r} share a key"
--- a/src/damaskridge/core/limits/workspace_state.py
+++ b/src/damaskridge/core/limits/workspace_state.py
@@ -1,4 +1,4 @@
-"""The bucket, the queue and the keys of one workspace at its rate owner."""
+"""State of one workspace at its rate owner: bucket, queue and idempotency keys."""
 
 import heapq
 from collections import OrderedDict
@@ -10,18 +10,22 @@
 from damaskridge.model.bundle import Workspace
 from damaskridge.model.routing import RateRequest
 
-__all__ = ["REBUILD_LIMIT_S", "History", "Waiting", "WorkspaceState"]
+__all__ = ["KEYS_TIMEOUT_S", "HypotheticalBucket", "QueuedRequest", "WorkspaceState"]
 
-REBUILD_LIMIT_S = 2.0
+# After this time a new owner no longer waits for fronts that have not reported their
+# keys.
+KEYS_TIMEOUT_S = 2.0
+# How long a granted request may be refunded; then its key also counts as finished.
 _CHARGE_RETENTION_S = 3600.0
-# While a lost bucket rebuilds, a request waits behind smaller ones that come within
-# this many times the time that its own tokens take: urgent requests are small.
-_REBUILD_SPREAD = 10.0
+# While a bucket refills after the loss of its level, smaller requests may overtake a
+# request if they arrive within this multiple of the refill time of its tokens. Urgent
+# requests are small.
+_OVERTAKE_FACTOR = 10.0
 
 
 @dataclass(slots=True)
-class Waiting:
-    """A request that waits for tokens or for the rebuild of the keys."""
+class QueuedRequest:
+    """A request that waits for tokens or for the keys of all fronts."""
 
     request: RateRequest
     arrived_s: float
@@ -30,108 +34,138 @@
 
 @dataclass(slots=True)
 class Charge:
-    """What a request paid and may still get back."""
+    """Tokens that a request was charged and that may still be refunded."""
 
     tokens: int
-    forget_s: float
+    expires_s: float
 
 
-class History:
+class HypotheticalBucket:
     """
-    What the bucket would hold if the earlier owner had handed it over full.
+    A bucket as it would be if it had been full at the change of owner.
 
-    After a crash the bucket starts empty, so a workspace within its rate has to
-    wait for tokens. This second bucket tells such a wait from one that the
-    workspace caused; it grants nothing.
+    After a crash of the previous owner the real bucket starts empty, so that even a
+    workspace within its rate has to wait for tokens. This second bucket distinguishes
+    such a wait from one that the workspace has caused itself. It grants nothing.
     """
 
-    def __init__(self, space: Workspace, lost: bool, now_s: float) -> None:
+    def __init__(
+        self, workspace: Workspace, is_level_unknown: bool, now_s: float
+    ) -> None:
         self._bucket: TokenBucket | None = None
-        if lost:
-            rate, burst = space.rate_tokens_per_s, space.burst_tokens
+        if is_level_unknown:
+            rate, burst = workspace.rate_tokens_per_s, workspace.burst_tokens
             self._bucket = TokenBucket(rate, burst, burst, now_s)
-            # By then the real bucket would be full as well.
+            # By then the real bucket would have refilled as well.
             self._ends_s = now_s + 2 * burst / max(rate, 1e-9)
 
     def is_active(self, now_s: float) -> bool:
-        """Tell whether the real bucket may still hold less."""
+        """Tell whether the real bucket may still have a lower level."""
         return self._bucket is not None and now_s < self._ends_s
 
-    def would_pay(self, tokens: int, now_s: float) -> bool:
-        """Take `tokens` and tell whether a full history would have paid them."""
+    def would_grant(self, tokens: int, now_s: float) -> bool:
+        """Remove `tokens`; return whether this bucket holds them."""
         if not self.is_active(now_s):
             self._bucket = None
-        return self._bucket is not None and self._bucket.take(tokens, now_s)
+        return self._bucket is not None and self._bucket.acquire(tokens, now_s)
 
-    def give_back(self, tokens: int, now_s: float) -> None:
-        """Return tokens that were not used."""
+    def refund(self, tokens: int, now_s: float) -> None:
+        """Put back unused tokens."""
         if self._bucket is not None:
-            self._bucket.give_back(tokens, now_s)
+            self._bucket.refund(tokens, now_s)
 
 
 class WorkspaceState:
-    """The bucket, the queue and the keys of one workspace."""
+    """
+    State of one workspace.
+
+    Attributes
+    ----------
+    waiting : dict of str to QueuedRequest
+        Requests that wait for tokens, by request id.
+    awaiting_keys : dict of str to QueuedRequest
+        Requests with an idempotency key that wait until the fronts have reported
+        theirs.
+    charges : dict of str to Charge
+        Granted requests that may still be refunded, the oldest first.
+    unreported_fronts : set of str
+        Fronts that have not yet reported their active keys.
+    """
 
     def __init__(self, gained: OwnershipGained, now_s: float) -> None:
-        space = gained.workspace
-        self.name = space.name
+        workspace = gained.workspace
+        self.name = workspace.name
         self.epoch = gained.epoch
-        self.rate_tokens_per_s = space.rate_tokens_per_s
+        self.rate_tokens_per_s = workspace.rate_tokens_per_s
         self.bucket = TokenBucket(
-            space.rate_tokens_per_s, space.burst_tokens, gained.level_tokens, now_s
+            workspace.rate_tokens_per_s,
+            workspace.burst_tokens,
+            gained.level_tokens,
+            now_s,
+        )
+        self.hypothetical_bucket = HypotheticalBucket(
+            workspace, gained.is_level_unknown, now_s
         )
-        self.history = History(space, gained.lost, now_s)
         self.keys = KeyTable()
         self.charges: OrderedDict[str, Charge] = OrderedDict()
-        self.waiting: OrderedDict[str, Waiting] = OrderedDict()
+        self.waiting: OrderedDict[str, QueuedRequest] = OrderedDict()
         self.waiting_tokens = 0
+        # Heap of queue time, sequence number and request id. Requests that have left
+        # the queue are skipped in `head`.
         self._order: list[tuple[float, int, str]] = []
         self._sequence = 0
-        self.parked: OrderedDict[str, Waiting] = OrderedDict()
-        self.missing_fronts = set(gained.fronts)
-        self.rebuilt_by_s = now_s + REBUILD_LIMIT_S
-
-    def is_rebuilt(self, now_s: float) -> bool:
-        """Tell whether the fronts have reported their keys."""
-        return not self.missing_fronts or now_s >= self.rebuilt_by_s
-
-    def delay_s(self, request: RateRequest, now_s: float) -> float:
-        """Return by how much small requests may overtake while the bucket rebuilds."""
-        if not self.history.is_active(now_s):
+        self.awaiting_keys: OrderedDict[str, QueuedRequest] = OrderedDict()
+        self.unreported_fronts = set(gained.fronts)
+        self.keys_deadline_s = now_s + KEYS_TIMEOUT_S
+
+    def are_keys_complete(self, now_s: float) -> bool:
+        """Tell whether all fronts have reported their keys, or the wait timed out."""
+        return not self.unreported_fronts or now_s >= self.keys_deadline_s
+
+    def overtake_s(self, request: RateRequest, now_s: float) -> float:
+        """
+        Return how much later a request may arrive and still overtake this one.
+
+        0 unless the bucket refills after the loss of its level. The time is
+        proportional to the cost, so that small requests overtake large ones.
+        """
+        if not self.hypothetical_bucket.is_active(now_s):
             return 0.0
-        return _REBUILD_SPREAD * request.cost_tokens / max(self.rate_tokens_per_s, 1e-9)
+        return (
+            _OVERTAKE_FACTOR * request.cost_tokens / max(self.rate_tokens_per_s, 1e-9)
+        )
 
-    def head(self) -> Waiting:
-        """Return the request that is granted next."""
+    def head(self) -> QueuedRequest:
+        """Return the waiting request that is granted next."""
         while self._order[0][2] not in self.waiting:
             heapq.heappop(self._order)
         return self.waiting[self._order[0][2]]
 
-    def enqueue(self, entry: Waiting, now_s: float) -> None:
-        """Let a request wait."""
+    def enqueue(self, entry: QueuedRequest, now_s: float) -> None:
+        """Add a request to the queue."""
         request = entry.request
         self._sequence += 1
-        key_s = entry.arrived_s + self.delay_s(request, now_s)
-        item = (key_s, self._sequence, request.request_id)
+        queue_time_s = entry.arrived_s + self.overtake_s(request, now_s)
+        item = (queue_time_s, self._sequence, request.request_id)
         heapq.heappush(self._order, item)
         self.waiting[request.request_id] = entry
         self.waiting_tokens += entry.request.cost_tokens
 
     def dequeue(self, request_id: str) -> None:
-        """Remove a waiting request."""
+        """Remove a request from the queue."""
         self.waiting_tokens -= self.waiting.pop(request_id).request.cost_tokens
 
     def charge(self, request: RateRequest, now_s: float) -> None:
-        """Remember what a request paid."""
-        forget_s = now_s + _CHARGE_RETENTION_S
-        self.charges[request.request_id] = Charge(request.cost_tokens, forget_s)
+        """Record the cost of a granted request, for refunds."""
+        expires_s = now_s + _CHARGE_RETENTION_S
+        self.charges[request.request_id] = Charge(request.cost_tokens, expires_s)
 
     def expire(self, now_s: float) -> None:
-        """Forget old keys and charges."""
+        """Remove expired keys and charges."""
         self.keys.expire(now_s)
         while self.charges:
             request_id, charge = next(iter(self.charges.items()))
-            if charge.forget_s > now_s:
+            if charge.expires_s > now_s:
                 break
             self.keys.finish(request_id, now_s)
             del self.charges[request_id]
--- a/src/damaskridge/core/timeline.py
+++ b/src/damaskridge/core/timeline.py
@@ -1,9 +1,9 @@
-"""Merges the event logs of many processes into one ordered time line.
+"""Merges the event logs of several processes into one ordered timeline.
 
 >>> lines = ['{"time_s": 2.0, "process": "b", "event": 5000, "name": "N"}', '{"torn']
 >>> [item.process for item in parse_log(lines).entries]
 ['b']
->>> parse_log(lines).torn_lines
+>>> parse_log(lines).malformed_lines
 1
 """
 
@@ -15,7 +15,7 @@
 
 __all__ = [
     "ClockOffset",
-    "Filter",
+    "EntryFilter",
     "LogEntry",
     "ParsedLog",
     "Timeline",
@@ -24,20 +24,22 @@
     "parse_log",
 ]
 
-# The first event on one process causes the second on another, by the shared field.
-CAUSES: tuple[tuple[EventNumber, EventNumber, str], ...] = (
+# Pairs of events of which the first, on one process, causes the second on another. The
+# named field has the same value in both.
+CAUSAL_PAIRS: tuple[tuple[EventNumber, EventNumber, str], ...] = (
     (EventNumber.REQUEST_ACCEPTED, EventNumber.QUEUE_PLACED, "request_id"),
     (EventNumber.QUEUE_PLACED, EventNumber.REQUEST_PLACED, "request_id"),
     (EventNumber.BUNDLE_ACTIVATED, EventNumber.BUNDLE_IN_FORCE, "version"),
     (EventNumber.SESSION_OPENED, EventNumber.OWNERSHIP_GAINED, "session"),
 )
-# Changes to the offsets pass along chains of processes, so a few rounds settle them.
-MAX_ROUNDS = 32
+# Limit of the iterations that propagate offsets along chains of processes; a few
+# suffice.
+MAX_RELAXATION_ROUNDS = 32
 
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
-    """One line of a log; `time_s` is the wall clock of `process`."""
+    """One line of a log; `time_s` is the wall-clock time of `process`."""
 
     time_s: float
     process: str
@@ -48,19 +50,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ParsedLog:
-    """The entries of one log and the number of lines that were no entry."""
+    """The entries of one log and the number of lines that could not be parsed."""
 
     entries: tuple[LogEntry, ...]
-    torn_lines: int
+    malformed_lines: int
 
 
 @dataclass(frozen=True, slots=True)
 class ClockOffset:
     """
-    What is added to the times of a process.
+    Correction that is added to the times of a process.
 
-    `pairs` counts the pairs of cause and effect with other processes; 0 means that
-    the offset is an assumption.
+    `pairs` is the number of pairs of cause and effect that involve another process;
+    with 0 the offset is only assumed.
     """
 
     process: str
@@ -70,15 +72,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Timeline:
-    """Entries in order, with corrected times, and the offsets."""
+    """Entries with corrected times in chronological order, and the offsets."""
 
     entries: tuple[LogEntry, ...]
     offsets: tuple[ClockOffset, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Filter:
-    """Which entries are shown; empty fields let everything pass."""
+class EntryFilter:
+    """Criteria for entries; empty fields match every entry."""
 
     request_id: str = ""
     host: str = ""
@@ -88,13 +90,16 @@
     until_s: float = float("inf")
 
     def matches(self, entry: LogEntry) -> bool:
-        """Tell whether an entry passes."""
+        """Tell whether an entry matches all criteria."""
         fields = entry.fields
         return (
             self.since_s <= entry.time_s <= self.until_s
             and self._matches_request(fields)
             and (not self.host or self.host in (entry.process, fields.get("host")))
-            and (not self.backend_server or self.backend_server in _servers_of(fields))
+            and (
+                not self.backend_server
+                or self.backend_server in _backend_servers_in(fields)
+            )
             and (not self.event or self.event in (entry.name, str(entry.event)))
         )
 
@@ -106,40 +111,41 @@
 
 
 def parse_log(lines: Iterable[str]) -> ParsedLog:
-    """Return the entries of a log; torn lines and other output are counted."""
+    """Parse a log; count truncated lines and other output as malformed."""
     entries: list[LogEntry] = []
-    torn_lines = 0
+    malformed_lines = 0
     for line in lines:
         if not line.strip():
             continue
         entry = _parse_line(line)
         if entry is None:
-            torn_lines += 1
+            malformed_lines += 1
         else:
             entries.append(entry)
-    return ParsedLog(tuple(entries), torn_lines)
+    return ParsedLog(tuple(entries), malformed_lines)
 
 
 def estimate_offsets(entries: Iterable[LogEntry]) -> tuple[ClockOffset, ...]:
     """
-    Estimate each process's clock offset from causes and effects.
+    Estimate the clock offset of each process from causes and effects.
 
-    An effect never precedes its cause. Processes keep their own time unless a pair
-    shows that they cannot; then the effect's process is moved by the least amount.
+    An effect can't precede its cause. The offset of a process is 0 unless a pair
+    violates this; then the process of the effect is shifted by the smallest sufficient
+    amount.
     """
     ordered = list(entries)
-    least_s: dict[tuple[str, str], float] = {}
+    required_lead_s: dict[tuple[str, str], float] = {}
     pairs = dict.fromkeys((entry.process for entry in ordered), 0)
-    for cause, effect in _pairs(ordered):
+    for cause, effect in _causal_pairs(ordered):
         key = (cause.process, effect.process)
         lead_s = cause.time_s - effect.time_s
-        least_s[key] = max(lead_s, least_s.get(key, float("-inf")))
+        required_lead_s[key] = max(lead_s, required_lead_s.get(key, float("-inf")))
         pairs[cause.process] += 1
         pairs[effect.process] += 1
     offsets = dict.fromkeys(pairs, 0.0)
-    for _ in range(MAX_ROUNDS):
+    for _ in range(MAX_RELAXATION_ROUNDS):
         changed = False
-        for (earlier, later), lead_s in least_s.items():
+        for (earlier, later), lead_s in required_lead_s.items():
             needed_s = offsets[earlier] + lead_s
             if needed_s > offsets[later] + 1e-9:
                 offsets[later] = needed_s
@@ -152,14 +158,16 @@
     )
 
 
-def merge(logs: Iterable[ParsedLog], shown: Filter | None = None) -> Timeline:
-    """Return one time line over all logs, filtered by corrected times."""
+def merge(
+    logs: Iterable[ParsedLog], entry_filter: EntryFilter | None = None
+) -> Timeline:
+    """Return one timeline of all logs, filtered after the times are corrected."""
     entries = [entry for log in logs for entry in log.entries]
     offsets = estimate_offsets(entries)
-    shift_s = {item.process: item.offset_s for item in offsets}
-    moved = [
+    offset_by_process = {item.process: item.offset_s for item in offsets}
+    shifted = [
         LogEntry(
-            entry.time_s + shift_s[entry.process],
+            entry.time_s + offset_by_process[entry.process],
             entry.process,
             entry.event,
             entry.name,
@@ -167,14 +175,19 @@
         )
         for entry in entries
     ]
-    # The sort is stable: entries of one process at one time keep their order.
-    moved.sort(key=lambda entry: entry.time_s)
-    kept = tuple(entry for entry in moved if shown is None or shown.matches(entry))
-    return Timeline(kept, offsets)
+    # The sort is stable, so entries of one process with equal times keep their order.
+    shifted.sort(key=lambda entry: entry.time_s)
+    selected = tuple(
+        entry
+        for entry in shifted
+        if entry_filter is None or entry_filter.matches(entry)
+    )
+    return Timeline(selected, offsets)
 
 
-def _pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
-    for cause_number, effect_number, field in CAUSES:
+def _causal_pairs(entries: list[LogEntry]) -> Iterable[tuple[LogEntry, LogEntry]]:
+    """Yield each effect with its earliest cause if that is on another process."""
+    for cause_number, effect_number, field in CAUSAL_PAIRS:
         causes: dict[object, LogEntry] = {}
         for entry in entries:
             value = entry.fields.get(field)
@@ -205,6 +218,6 @@
         return None
 
 
-def _servers_of(fields: Mapping[str, object]) -> tuple[object, ...]:
+def _backend_servers_in(fields: Mapping[str, object]) -> tuple[object, ...]:
     names = ("backend_server", "prefill_server", "decode_server")
     return tuple(fields.get(name) for name in names)
--- a/tests/adapters/gateway/test_endless_bytes.py
+++ b/tests/adapters/gateway/test_endless_bytes.py
@@ -17,7 +17,7 @@
     MAX_READ_AHEAD_BYTES,
     BackendConnection,
 )
-from damaskridge.core.gateway.event_stream import EVENT_LIMIT_BYTES
+from damaskridge.core.gateway.event_stream import MAX_EVENT_BYTES
 from damaskridge.platform.instance_list import PlatformInstanceListReader
 
 CHUNK_DATA = b"x" * 8192
@@ -95,7 +95,7 @@
             async with asyncio.timeout(2):
                 await script.is_closed.wait()
             assert script.sent_bytes < MAX_BUFFERED_BYTES
-            assert app.registry._of("a").recent == [False]
+            assert app.registry._health_of("a").recent_results == [False]
 
     run_async(main)
 
@@ -123,7 +123,7 @@
         script = EndlessScript(start, data)
         servers = engines(script, decode_script())
         async with gateway(*servers) as app:
-            app.registry.unreachable("d1", asyncio.get_running_loop().time())
+            app.registry.record_unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
             assert (status, body) == (200, events(1, 9))
             async with asyncio.timeout(2):
@@ -219,7 +219,7 @@
         script = EndlessScript(begin_stream, chunk(b":"), pause_s=0.1)
         servers = engines(script, decode_script())
         async with gateway(*servers) as app:
-            app.registry.unreachable("d1", asyncio.get_running_loop().time())
+            app.registry.record_unreachable("d1", asyncio.get_running_loop().time())
             status, _, body = await app.generate("/res/x")
         assert (status, body) == (200, events(1, 9))
 
@@ -247,5 +247,5 @@
 
 
 def test_the_buffers_for_incomplete_data_are_bounded():
-    assert MAX_READ_AHEAD_BYTES <= EVENT_LIMIT_BYTES < MAX_BUFFERED_BYTES
+    assert MAX_READ_AHEAD_BYTES <= MAX_EVENT_BYTES < MAX_BUFFERED_BYTES
     assert BackendConnection._new_parser()._max_incomplete_event_size <= 65_536
--- a/tests/adapters/gateway/test_server_notices.py
+++ b/tests/adapters/gateway/test_server_notices.py
@@ -88,7 +88,7 @@
         servers = engines(respond_with(PAUSE, 503), respond_with(PAUSE, 503))
         async with gateway(*servers) as app:
             for engine in servers[1:]:
-                app.registry.notices.asked_to_pause(
+                app.registry.notices.record_pause(
                     engine.name, asyncio.get_running_loop().time() + 1.5
                 )
             status, headers, _ = await app.generate("/gen/x")
@@ -108,7 +108,7 @@
                 for engine in servers[1:]:
                     if app.load.total(engine.name).requests:
                         until_s = asyncio.get_running_loop().time() + 1.5
-                        app.registry.notices.asked_to_pause(engine.name, until_s)
+                        app.registry.notices.record_pause(engine.name, until_s)
                         paused.append(engine)
                 await run_prefill(request, writer)
 
--- a/tests/adapters/rpc/test_instance_publisher.py
+++ b/tests/adapters/rpc/test_instance_publisher.py
@@ -9,7 +9,7 @@
 
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
 from damaskridge.adapters.rpc.subscribers import SubscriberSet
-from damaskridge.core.gateway.instance_feed import InstanceCopy
+from damaskridge.core.gateway.instance_replication import InstanceListReplica
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import InstancesSeen
 from damaskridge.model.gateway import BackendInstance, InstanceId, InstanceList
@@ -41,7 +41,7 @@
 
     def __init__(self):
         super().__init__(ControlState())
-        self.replica = InstanceCopy()
+        self.replica = InstanceListReplica()
 
     def broadcast(self, message):
         assert isinstance(message, InstancesSeen)
--- a/tests/adapters/rpc/test_stage_orders.py
+++ b/tests/adapters/rpc/test_stage_orders.py
@@ -14,7 +14,7 @@
 
 from damaskridge.adapters.rpc.instance_publisher import InstancePublisher
 from damaskridge.adapters.rpc.stage_orders import TAKE_OVER_DELAY_S, StageController
-from damaskridge.core.gateway.load_board import LoadBoard
+from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.core.gateway.stage_balance import WARM_UP_S
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import InstanceLoad, ReportLoad
@@ -52,7 +52,7 @@
         self.leaving_when_ordered = []
         self.node = FakeNode(FakeGroup(), "c1", ControlState())
         self.subscriber_set = ReplicatingSubscriberSet()
-        load_aggregator = LoadBoard()
+        load_aggregator = LoadAggregator()
         load_aggregator.join("h", 0.0)
         load = {name: InstanceLoad(9, 0, used_tokens) for name in ("d0", "d1")}
         load_aggregator.report("h", ReportLoad(load=load), 0.0)
--- a/tests/core/test_timeline.py
+++ b/tests/core/test_timeline.py
@@ -1,8 +1,8 @@
-"""The time line: effects before causes, torn lines, filters that hide attempts."""
+"""Timelines must order causes before effects, tolerate malformed lines and filter."""
 
 import json
 
-from damaskridge.core.timeline import Filter, merge, parse_log
+from damaskridge.core.timeline import EntryFilter, merge, parse_log
 from damaskridge.model.events import EventNumber
 
 
@@ -16,7 +16,7 @@
         line(10.0, "front", EventNumber.REQUEST_ACCEPTED, request_id="r1"),
         line(10.2, "front", EventNumber.REQUEST_PLACED, request_id="r1"),
     ]
-    # The owner's clock is 3 s slow.
+    # The clock of the owner is 3 s behind.
     owner = [
         line(7.1, "owner", EventNumber.QUEUE_PLACED, request_id="r1"),
         line(
@@ -33,7 +33,7 @@
     return [parse_log(front), parse_log(owner), parse_log(lone)]
 
 
-def test_offset_keeps_every_effect_after_its_cause():
+def test_offsets_place_every_effect_after_its_cause():
     merged = merge(logs())
     names = [entry.name for entry in merged.entries]
     assert names.index("REQUEST_ACCEPTED") <= names.index("QUEUE_PLACED")
@@ -43,12 +43,14 @@
     assert (offsets["lone"].offset_s, offsets["lone"].pairs) == (0.0, 0)
 
 
-def test_torn_lines_are_counted_and_skipped():
-    assert [log.torn_lines for log in logs()] == [0, 2, 0]
+def test_malformed_lines_are_counted_and_skipped():
+    assert [log.malformed_lines for log in logs()] == [0, 2, 0]
 
 
-def test_filters_combine_and_find_attempts_on_engines():
-    shown = merge(logs(), Filter(request_id="r1", backend_server="e1")).entries
-    assert [entry.name for entry in shown] == ["ENGINE_REQUEST_CANCELLED"]
-    shown = merge(logs(), Filter(since_s=10.01, until_s=10.1, event="1001")).entries
-    assert [entry.process for entry in shown] == ["lone"]
+def test_filter_criteria_combine_and_match_attempts_on_engines():
+    selected = merge(logs(), EntryFilter(request_id="r1", backend_server="e1")).entries
+    assert [entry.name for entry in selected] == ["ENGINE_REQUEST_CANCELLED"]
+    selected = merge(
+        logs(), EntryFilter(since_s=10.01, until_s=10.1, event="1001")
+    ).entries
+    assert [entry.process for entry in selected] == ["lone"]
