Rename adapter interfaces to the terms of the field

Several names of the owner runtimes, the logging setup and the host list were vague (fleet_changed, machine, watch, configure).

--- a/examples/standins/hosts.py
+++ b/examples/standins/hosts.py
@@ -6,23 +6,26 @@
 import fire
 import msgspec
 
-from damaskridge.adapters.host_list.http_host_list import ListedHost, ListedState
+from damaskridge.adapters.host_list.http_host_list import (
+    ListedServer,
+    ListedServerState,
+)
 from examples.standins.asgi import Reply, encoded, serve
 
 __all__ = ["main"]
 
 
 def main(port: int, host: str = "127.0.0.1", lag_s: float = 1.0) -> None:
-    """Run the list; `POST /hosts` with a `ListedHost` changes it after the lag."""
-    states: dict[str, ListedState] = {}
+    """Run the list; `POST /hosts` with a `ListedServer` changes it after the lag."""
+    states: dict[str, ListedServerState] = {}
 
     async def handle(scope: dict[str, Any], body: bytes) -> Reply:
         if scope["method"] == "POST":
-            change = msgspec.json.decode(body, type=ListedHost)
+            change = msgspec.json.decode(body, type=ListedServer)
             loop = asyncio.get_running_loop()
             loop.call_later(lag_s, states.__setitem__, change.name, change.state)
             return 204, b""
-        return encoded([ListedHost(name, state) for name, state in states.items()])
+        return encoded([ListedServer(name, state) for name, state in states.items()])
 
     serve(handle, host, port)
 
--- a/src/damaskridge/adapters/bundle_file.py
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -17,7 +17,7 @@
 from damaskridge.core.state.bundle_checks import bundle_faults
 from damaskridge.model.bundle import Bundle
 
-__all__ = ["bundle_text", "parse_bundle", "read_bundle"]
+__all__ = ["format_bundle", "parse_bundle", "read_bundle"]
 
 
 def _validator(struct: type[msgspec.Struct]) -> type[BaseModel]:
@@ -66,7 +66,7 @@
     return Err(faults) if faults else Ok(bundle)
 
 
-def bundle_text(bundle: Bundle) -> str:
+def format_bundle(bundle: Bundle) -> str:
     """Return the text of a bundle file."""
     return msgspec.json.format(msgspec.json.encode(bundle), indent=2).decode() + "\n"
 
--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -8,9 +8,9 @@
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
-from damaskridge.adapters.cell_worker import CellLinks, CellMachine, CellWorker
+from damaskridge.adapters.cell_worker import CellLinks, CellSchedulerPort, CellWorker
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.adapters.ownership import held_resources, propose_release
+from damaskridge.adapters.ownership import find_owned_resources, propose_release
 from damaskridge.adapters.pending import PendingReplies
 from damaskridge.adapters.ports import ControlPort, EnginePort, HostListPort
 from damaskridge.adapters.rpc.peer_messages import ActiveRequests
@@ -54,7 +54,7 @@
         This host.
     control : ControlPort
         Gives ownership and the lease.
-    new_machine : callable
+    new_scheduler : callable
         Returns a new scheduler for one cell.
     engine_for : callable
         Returns the engine at an address.
@@ -69,7 +69,7 @@
         *,
         host: str,
         control: ControlPort,
-        new_machine: Callable[[], CellMachine],
+        new_scheduler: Callable[[], CellSchedulerPort],
         engine_for: Callable[[str], EnginePort],
         host_list: HostListPort,
         ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]],
@@ -77,7 +77,7 @@
     ) -> None:
         self._host = host
         self._control = control
-        self._new_machine = new_machine
+        self._new_machine = new_scheduler
         self._host_list = host_list
         self._listed_leaving: frozenset[str] = frozenset()
         self._workers: dict[str, CellWorker] = {}
@@ -104,7 +104,7 @@
         )
 
     @property
-    def owned(self) -> dict[str, int]:
+    def owned_epochs(self) -> dict[str, int]:
         """The epoch of every owned cell."""
         return {cell: worker.owner.epoch for cell, worker in self._workers.items()}
 
@@ -119,12 +119,12 @@
             self._group = group
             group.start_soon(self._poll_host_list)
             while True:
-                self.fleet_changed()
+                self.sync_ownership()
                 await anyio.sleep(CHECK_PERIOD_S)
 
-    def fleet_changed(self) -> None:
+    def sync_ownership(self) -> None:
         """Start and stop ownership as the fleet view and the lease say."""
-        owners = held_resources(self._control, self._host, PREFIX)
+        owners = find_owned_resources(self._control, self._host, PREFIX)
         for cell, worker in list(self._workers.items()):
             current = owners.get(worker.owner.resource)
             if current is None or current.epoch != worker.owner.epoch or worker.stopped:
@@ -136,7 +136,7 @@
             cell = resource.removeprefix(PREFIX)
             if cell in self._workers:
                 self._workers[cell].follow_bundle()
-                self._workers[cell].follow_leaving(leaving)
+                self._workers[cell].update_leaving_servers(leaving)
             elif self._released.get(cell) != owner.epoch:
                 if owner.moving_to:
                     # It moved on before this host began; nobody else can release it.
@@ -212,7 +212,7 @@
     def _worker(self, resource: str, epoch: int) -> CellWorker | Failure:
         cell = resource.removeprefix(PREFIX)
         if cell not in self._workers:
-            self.fleet_changed()
+            self.sync_ownership()
         worker = self._workers.get(cell)
         if worker is None or worker.stopped:
             return self._failure(ErrorKind.OWNER_UNAVAILABLE)
@@ -228,7 +228,7 @@
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         worker.gain()
         # Known before the first request is placed.
-        worker.follow_leaving(leaving)
+        worker.update_leaving_servers(leaving)
         self._group.start_soon(worker.run)
 
     def _stop(self, cell: str) -> None:
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -44,7 +44,7 @@
 from damaskridge.model.errors import Failure
 from damaskridge.model.routing import ActiveRequest, SubmitReply, TakeOverReply
 
-__all__ = ["CellLinks", "CellMachine", "CellWorker"]
+__all__ = ["CellLinks", "CellSchedulerPort", "CellWorker"]
 
 logger = logging.getLogger(__name__)
 
@@ -52,7 +52,7 @@
 CANCEL_RETRY_S = 0.2
 
 
-class CellMachine(Protocol):
+class CellSchedulerPort(Protocol):
     """The pure scheduler of one cell."""
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
@@ -109,14 +109,14 @@
     ----------
     cell, owner : str, Owner
         The cell and this host's ownership.
-    machine : CellMachine
+    machine : CellSchedulerPort
         Decides; used for this ownership only.
     links : CellLinks
         Everything outside.
     """
 
     def __init__(
-        self, cell: str, owner: Owner, machine: CellMachine, links: CellLinks
+        self, cell: str, owner: Owner, machine: CellSchedulerPort, links: CellLinks
     ) -> None:
         self.cell = cell
         self.owner = owner
@@ -213,7 +213,7 @@
         self.handle(CellChanged(servers, self._workspaces))
         self._sync_pollers()
 
-    def follow_leaving(self, names: frozenset[str]) -> None:
+    def update_leaving_servers(self, names: frozenset[str]) -> None:
         """Pass on which servers are leaving by the host list or by a drain."""
         mine = names & {server.name for server in self._servers}
         for name in sorted(mine - self._leaving):
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -15,7 +15,7 @@
 from damaskridge.adapters.delta_subscribers import DeltaSubscribers
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.store import LogStore, StoredState
-from damaskridge.adapters.log_driver import LogDriver
+from damaskridge.adapters.log_driver import RaftDriver
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
@@ -260,9 +260,9 @@
             log_event(_logger, EventNumber.ELECTION_STARTED, term=self.term)
         self._compact()
 
-    def _open(self, store: LogStore, stored: StoredState) -> LogDriver:
+    def _open(self, store: LogStore, stored: StoredState) -> RaftDriver:
         _report(stored)
-        return LogDriver(
+        return RaftDriver(
             self._host,
             store,
             stored,
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -9,13 +9,13 @@
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["HttpHostList", "ListedHost", "ListedState"]
+__all__ = ["HttpHostList", "ListedServer", "ListedServerState"]
 
 _READ_S = 1.0
 _ANSWER_LIMIT_BYTES = 4_194_304
 
 
-class ListedState(Enum):
+class ListedServerState(Enum):
     """What the platform says of a backend server."""
 
     LIVE = "live"
@@ -23,11 +23,11 @@
     GONE = "gone"
 
 
-class ListedHost(msgspec.Struct, frozen=True):
+class ListedServer(msgspec.Struct, frozen=True):
     """One entry of the list."""
 
     name: str
-    state: ListedState
+    state: ListedServerState
 
 
 class HttpHostList:
@@ -52,11 +52,11 @@
             reply = await self._client.call(
                 "GET", self._url, read_s=_READ_S, limit_bytes=_ANSWER_LIMIT_BYTES
             )
-            hosts = msgspec.json.decode(reply.body, type=tuple[ListedHost, ...])
+            hosts = msgspec.json.decode(reply.body, type=tuple[ListedServer, ...])
         except StreamFailed as error:
             return Err(error.failure)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             detail = "the host list is not of the protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
-        leaving = (host for host in hosts if host.state is not ListedState.LIVE)
+        leaving = (host for host in hosts if host.state is not ListedServerState.LIVE)
         return Ok(frozenset(host.name for host in leaving))
--- a/src/damaskridge/adapters/log_driver.py
+++ b/src/damaskridge/adapters/log_driver.py
@@ -7,7 +7,7 @@
 from damaskridge.core.consensus.messages import Action, Event, Guards, Save, Synced
 from damaskridge.core.consensus.node import RaftNode
 
-__all__ = ["LogDriver", "member_id"]
+__all__ = ["RaftDriver", "member_id"]
 
 LATE_SYNC_RUNS = 50
 
@@ -17,7 +17,7 @@
     return f"{host}#{disk_id}" if guards.blank_vote else host
 
 
-class LogDriver:
+class RaftDriver:
     """
     One member with its store.
 
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -6,10 +6,10 @@
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.model.events import EventNumber
 
-__all__ = ["EventMetrics", "count_events"]
+__all__ = ["EventMetricsHandler", "install_event_metrics"]
 
 
-class EventMetrics(logging.Handler):
+class EventMetricsHandler(logging.Handler):
     """
     Updates metrics from the fields of events that are logged.
 
@@ -58,9 +58,9 @@
                 pass
 
 
-def count_events(metrics: Metrics) -> None:
+def install_event_metrics(metrics: Metrics) -> None:
     """Count every event that this process logs from now on."""
-    logging.getLogger(ROOT_LOGGER).addHandler(EventMetrics(metrics))
+    logging.getLogger(ROOT_LOGGER).addHandler(EventMetricsHandler(metrics))
 
 
 def _number(fields: dict[str, object], name: str) -> float:
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -21,8 +21,8 @@
 __all__ = [
     "BoundedHandler",
     "JsonFormatter",
-    "configure",
-    "configure_bounded",
+    "configure_logging",
+    "configure_bounded_logging",
     "event_record",
     "fields_of",
     "log_event",
@@ -102,7 +102,9 @@
         return msgspec.json.encode(line).decode()
 
 
-def configure(process: str, level: str = "INFO", stream: TextIO | None = None) -> None:
+def configure_logging(
+    process: str, level: str = "INFO", stream: TextIO | None = None
+) -> None:
     """Send the records of the project and its libraries to `stream`, or stderr."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(process))
@@ -174,7 +176,7 @@
         return True
 
 
-def configure_bounded(process: str, level: str = "INFO") -> None:
+def configure_bounded_logging(process: str, level: str = "INFO") -> None:
     """Send the records of the project and its libraries to standard output."""
     handler = BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(process))
--- a/src/damaskridge/adapters/observability/metrics.py
+++ b/src/damaskridge/adapters/observability/metrics.py
@@ -54,7 +54,7 @@
         )
         self.ledger_states = self._counter("ledger_answers", "Ledger answers", "state")
 
-    def watch(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+    def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """
         Add a gauge that is read when the metrics are collected.
 
--- a/src/damaskridge/adapters/owners.py
+++ b/src/damaskridge/adapters/owners.py
@@ -21,10 +21,10 @@
             group.start_soon(self.rates.run)
             group.start_soon(self.cells.run)
 
-    def fleet_changed(self) -> None:
+    def sync_ownership(self) -> None:
         """Follow a change of the fleet view."""
-        self.rates.fleet_changed()
-        self.cells.fleet_changed()
+        self.rates.sync_ownership()
+        self.cells.sync_ownership()
 
     async def release_all(self) -> None:
         """Hand over everything that this host owns."""
--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -6,7 +6,12 @@
 from damaskridge.model.control import Owner, ReleaseOwnership
 from damaskridge.model.errors import ErrorKind
 
-__all__ = ["RELEASE_RETRY_S", "held_resources", "lease_is_valid", "propose_release"]
+__all__ = [
+    "RELEASE_RETRY_S",
+    "find_owned_resources",
+    "lease_is_valid",
+    "propose_release",
+]
 
 RELEASE_RETRY_S = 0.2
 
@@ -29,7 +34,9 @@
     return control.lease.is_valid(anyio.current_time())
 
 
-def held_resources(control: ControlPort, host: str, prefix: str) -> dict[str, Owner]:
+def find_owned_resources(
+    control: ControlPort, host: str, prefix: str
+) -> dict[str, Owner]:
     """Return the resources that this host's session owns; none without a lease."""
     session = control.session
     if session is None or not lease_is_valid(control):
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -10,7 +10,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ownership import (
-    held_resources,
+    find_owned_resources,
     lease_is_valid,
     propose_release,
 )
@@ -39,7 +39,7 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import RateReply, RateRequest, Refund, Refused
 
-__all__ = ["RateMachine", "RateRuntime"]
+__all__ = ["RateOwnerPort", "RateRuntime"]
 
 logger = logging.getLogger(__name__)
 
@@ -50,7 +50,7 @@
 AskKeys = Callable[[str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]]
 
 
-class RateMachine(Protocol):
+class RateOwnerPort(Protocol):
     """The pure rate owner."""
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
@@ -82,7 +82,7 @@
         This host.
     control : ControlPort
         Gives ownership and the lease.
-    machine : RateMachine
+    machine : RateOwnerPort
         Decides; one machine for all workspaces.
     ask_keys : AskKeys
         Asks the front on a host for its idempotency keys of a workspace.
@@ -93,14 +93,14 @@
         *,
         host: str,
         control: ControlPort,
-        machine: RateMachine,
+        rate_owner: RateOwnerPort,
         ask_keys: AskKeys,
     ) -> None:
         self._host = host
         self._control = control
-        self._machine = machine
+        self._rate_owner = rate_owner
         self._ask_keys = ask_keys
-        self._held: dict[str, _Held] = {}
+        self._owned: dict[str, _Held] = {}
         # Epochs that this process has held: a regained epoch starts empty.
         self._seen_epochs: dict[str, int] = {}
         self._passed_on: dict[str, int] = {}
@@ -111,28 +111,28 @@
         self._group: TaskGroup | None = None
 
     @property
-    def owned(self) -> dict[str, int]:
+    def owned_epochs(self) -> dict[str, int]:
         """The epoch of every owned workspace."""
-        return {name: held.owner.epoch for name, held in self._held.items()}
+        return {name: held.owner.epoch for name, held in self._owned.items()}
 
     async def run(self) -> None:
         """Follow ownership and time until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             while True:
-                self.fleet_changed()
-                if self._held:
+                self.sync_ownership()
+                if self._owned:
                     self._decide(TimePassed(self._lease_remaining_s()))
                 wake = self._wake = anyio.Event()
                 with anyio.move_on_after(self._pause_s()):
                     await wake.wait()
 
-    def fleet_changed(self) -> None:
+    def sync_ownership(self) -> None:
         """Start and stop ownership as the fleet view and the lease say."""
         if self._group is None:
             return
-        owners = held_resources(self._control, self._host, PREFIX)
-        for name, held in list(self._held.items()):
+        owners = find_owned_resources(self._control, self._host, PREFIX)
+        for name, held in list(self._owned.items()):
             current = owners.get(workspace_resource(name))
             if current is None or current.epoch != held.owner.epoch:
                 self._stop(name)
@@ -143,9 +143,9 @@
 
     async def reserve(self, request: RateRequest) -> RateReply:
         """Ask the machine; returns after the wait, if any."""
-        if request.workspace not in self._held:
-            self.fleet_changed()
-        held = self._held.get(request.workspace)
+        if request.workspace not in self._owned:
+            self.sync_ownership()
+        held = self._owned.get(request.workspace)
         if held is None or held.released.is_set():
             return self._refusal(request.request_id, ErrorKind.OWNER_UNAVAILABLE)
         if held.owner.epoch != request.epoch:
@@ -160,19 +160,19 @@
 
     async def refund(self, refund: Refund) -> None:
         """Give unused tokens back."""
-        held = self._held.get(refund.workspace)
+        held = self._owned.get(refund.workspace)
         if held is not None and held.owner.epoch == refund.epoch:
             self._decide(RefundReceived(refund))
             self._wake.set()
 
     async def ended(self, resource: str, workspace: str, request_id: str) -> None:
         """Note that a request with an idempotency key has finished."""
-        if workspace in self._held:
+        if workspace in self._owned:
             self._decide(RequestEnded(workspace, request_id))
 
     async def release_all(self) -> None:
         """Hand every workspace over; returns when all are released or lost."""
-        held = list(self._held.values())
+        held = list(self._owned.values())
         for item in held:
             if not item.releasing:
                 self._release(item)
@@ -181,7 +181,7 @@
 
     def _follow(self, name: str, owner: Owner) -> None:
         workspace = find_workspace(self._control.fleet, name)
-        held = self._held.get(name)
+        held = self._owned.get(name)
         if workspace is None:
             return
         if held is None:
@@ -204,7 +204,7 @@
     def _start(self, workspace: Workspace, owner: Owner) -> None:
         regained = self._seen_epochs.get(workspace.name) == owner.epoch
         self._seen_epochs[workspace.name] = owner.epoch
-        held = self._held[workspace.name] = _Held(owner, workspace)
+        held = self._owned[workspace.name] = _Held(owner, workspace)
         fronts = tuple(sorted(self._control.fleet.sessions))
         level_tokens = 0.0 if regained else owner.level_tokens
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
@@ -216,11 +216,11 @@
             self._spawn(self._collect_keys, held, front)
 
     def _stop(self, name: str) -> None:
-        held = self._held.pop(name)
+        held = self._owned.pop(name)
         held.released.set()
         _log_owner(EventNumber.OWNERSHIP_LOST, held.owner)
         # Whatever the machine answers, nothing may be granted any more.
-        self._machine.handle(OwnershipEnded(name), anyio.current_time())
+        self._rate_owner.handle(OwnershipEnded(name), anyio.current_time())
         self._pending.refuse(held.owner.resource)
 
     def _release(self, held: _Held) -> None:
@@ -233,16 +233,16 @@
             self._stop_all()
             return
         self._stop_earlier_sessions()
-        self._carry_out(self._machine.handle(event, anyio.current_time()))
+        self._carry_out(self._rate_owner.handle(event, anyio.current_time()))
 
     def _stop_earlier_sessions(self) -> None:
         # The lease of a new session does not cover what an earlier one owned.
-        for name, held in list(self._held.items()):
+        for name, held in list(self._owned.items()):
             if not lease_is_valid(self._control, held.owner.session):
                 self._stop(name)
 
     def _stop_all(self) -> None:
-        for name in list(self._held):
+        for name in list(self._owned):
             self._stop(name)
 
     def _carry_out(self, actions: list[RateAction]) -> None:
@@ -253,7 +253,7 @@
                 self._spawn(self._hand_over, action)
 
     async def _hand_over(self, action: ReleaseBucket) -> None:
-        held = self._held.get(action.workspace)
+        held = self._owned.get(action.workspace)
         if held is None or held.owner.epoch != action.epoch:
             return
         if await propose_release(self._control, held.owner, action.level_tokens):
@@ -265,7 +265,7 @@
         name = held.workspace.name
         while front in self._control.fleet.sessions:
             reply = await self._ask_keys(front, name)
-            if self._held.get(name) is not held:
+            if self._owned.get(name) is not held:
                 return
             if isinstance(reply, Ok):
                 for key in reply.ok_value:
@@ -273,7 +273,7 @@
                 break
             await anyio.sleep(CHECK_PERIOD_S)
         # What a front without a session had sent is known to the ledger only.
-        if self._held.get(name) is held:
+        if self._owned.get(name) is held:
             self._decide(RequestActive(name, front, "", "", ""))
             self._wake.set()
 
@@ -288,7 +288,7 @@
 
     def _pause_s(self) -> float:
         now_s = anyio.current_time()
-        wakeup_s = self._machine.next_wakeup_s(now_s) if self._held else None
+        wakeup_s = self._rate_owner.next_wakeup_s(now_s) if self._owned else None
         if wakeup_s is None:
             return CHECK_PERIOD_S
         return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -17,8 +17,8 @@
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.disk.folder import DiskFolder
 from damaskridge.adapters.http.operators_app import operators_app
-from damaskridge.adapters.observability.event_metrics import count_events
-from damaskridge.adapters.observability.events import configure, log_event
+from damaskridge.adapters.observability.event_metrics import install_event_metrics
+from damaskridge.adapters.observability.events import configure_logging, log_event
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.rpc.control_server import control_services
 from damaskridge.binaries.control_settings import ControlSettings
@@ -56,10 +56,10 @@
     if isinstance(listener, Err):
         raise _StartFailed(listener.err_value)
     metrics = Metrics()
-    count_events(metrics)
-    metrics.watch("is_leader", "Whether this host leads", lambda: node.is_leader)
-    metrics.watch("term", "Term of the replicated log", lambda: node.term)
-    metrics.watch(
+    install_event_metrics(metrics)
+    metrics.add_gauge("is_leader", "Whether this host leads", lambda: node.is_leader)
+    metrics.add_gauge("term", "Term of the replicated log", lambda: node.term)
+    metrics.add_gauge(
         "bundle_version", "Bundle in force", lambda: state.fleet_snapshot().version
     )
     app = operators_app(metrics, lambda: bool(node.leader_address) or node.is_leader)
@@ -173,7 +173,7 @@
 
 
 def _run(settings: ControlSettings) -> None:
-    configure(settings.host)
+    configure_logging(settings.host)
     log_event(_logger, EventNumber.PROCESS_STARTED, host=settings.host)
     try:
         run_program(run_control, settings, build_state())
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -22,8 +22,8 @@
 from damaskridge.adapters.http.app import CallerApp
 from damaskridge.adapters.http.operators_app import operators_app
 from damaskridge.adapters.http_client import BackendClient
-from damaskridge.adapters.observability.event_metrics import count_events
-from damaskridge.adapters.observability.events import configure, log_event
+from damaskridge.adapters.observability.event_metrics import install_event_metrics
+from damaskridge.adapters.observability.events import configure_logging, log_event
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.owners import Owners
 from damaskridge.adapters.ownership import lease_is_valid
@@ -100,7 +100,7 @@
             ),
         )
         fronts.attach(self.front)
-        self.control.on_change(lambda *_: self.owners.fleet_changed())
+        self.control.on_change(lambda *_: self.owners.sync_ownership())
         service = PeerService(
             incarnation=incarnation,
             rates=self.owners.rates,
@@ -173,13 +173,13 @@
         rates = RateRuntime(
             host=self.settings.host,
             control=self.control,
-            machine=RateOwner(rng=rng),
+            rate_owner=RateOwner(rng=rng),
             ask_keys=fronts.active_keys,
         )
         cells = CellRuntime(
             host=self.settings.host,
             control=self.control,
-            new_machine=lambda: CellScheduler(rng=rng),
+            new_scheduler=lambda: CellScheduler(rng=rng),
             engine_for=engine_for,
             host_list=HttpHostList(self.backends, self.settings.host_list_address),
             ask_requests=fronts.active_requests,
@@ -189,30 +189,30 @@
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
-        count_events(metrics)
+        install_event_metrics(metrics)
         control, owners = self.control, self.owners
-        metrics.watch(
+        metrics.add_gauge(
             "queue_length", "Requests that wait here", lambda: owners.cells.queue_length
         )
-        metrics.watch(
+        metrics.add_gauge(
             "lease_remaining_seconds",
             "Time left of the session's lease",
             lambda: control.lease.remaining_s(anyio.current_time()),
         )
-        metrics.watch(
+        metrics.add_gauge(
             "bundle_version", "Bundle in force", lambda: control.fleet.version
         )
-        metrics.watch(
+        metrics.add_gauge(
             "owned_resources",
             "Workspaces and cells owned",
-            lambda: len(owners.rates.owned) + len(owners.cells.owned),
+            lambda: len(owners.rates.owned_epochs) + len(owners.cells.owned_epochs),
         )
         return metrics
 
 
 def run_entry_host(settings: EntrySettings) -> str:
     """Run an entry host; returns why it failed, or an empty line."""
-    configure(settings.host, settings.log_level)
+    configure_logging(settings.host, settings.log_level)
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
     listeners = []
     for name in ("caller_address", "peer_address", "operators_address"):
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -22,7 +22,7 @@
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.adapters.http.operators_app import operators_app
-from damaskridge.adapters.observability.event_metrics import count_events
+from damaskridge.adapters.observability.event_metrics import install_event_metrics
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.rpc.control_client import ControlClient
@@ -387,13 +387,13 @@
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
-        count_events(metrics)
+        install_event_metrics(metrics)
         state = self.state
-        metrics.watch("requests_running", "Requests now", lambda: state.running)
-        metrics.watch(
+        metrics.add_gauge("requests_running", "Requests now", lambda: state.running)
+        metrics.add_gauge(
             "routing_version", "Version in force", lambda: state.index.table.version
         )
-        metrics.watch(
+        metrics.add_gauge(
             "instance_list_age_seconds",
             "Age of the list of backend servers",
             lambda: asyncio.get_running_loop().time() - self._copy.seen_s,
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -15,8 +15,11 @@
 from damaskridge.adapters.control_node import ControlNode
 from damaskridge.adapters.disk.folder import DiskFolder, VolatileFolder
 from damaskridge.adapters.http.operators_app import operators_app as metrics_app
-from damaskridge.adapters.observability.event_metrics import count_events
-from damaskridge.adapters.observability.events import configure_bounded, log_event
+from damaskridge.adapters.observability.event_metrics import install_event_metrics
+from damaskridge.adapters.observability.events import (
+    configure_bounded_logging,
+    log_event,
+)
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.replicated_routing import ReplicatedRouting
 from damaskridge.adapters.rpc.control_server import control_services
@@ -48,7 +51,7 @@
     if settings.control is None:
         print("damaskridge-platform: Listen.Control: missing", file=sys.stderr)
         return EXIT_SETTINGS
-    configure_bounded(f"{settings.host}/control")
+    configure_bounded_logging(f"{settings.host}/control")
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
     run_program(_run, settings, settings.control)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
@@ -118,10 +121,10 @@
 
 def _metrics(node: ControlNode, state: ControlState) -> Metrics:
     metrics = Metrics()
-    count_events(metrics)
-    metrics.watch("is_leader", "Whether this host leads", lambda: node.is_leader)
-    metrics.watch("term", "Term of the replicated log", lambda: node.term)
-    metrics.watch(
+    install_event_metrics(metrics)
+    metrics.add_gauge("is_leader", "Whether this host leads", lambda: node.is_leader)
+    metrics.add_gauge("term", "Term of the replicated log", lambda: node.term)
+    metrics.add_gauge(
         "routing_version", "Version in force", lambda: state.data.routing.version
     )
     return metrics
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -11,7 +11,10 @@
 from result import Err
 
 from damaskridge.adapters.boottime_loop import run_program
-from damaskridge.adapters.observability.events import configure_bounded, log_event
+from damaskridge.adapters.observability.events import (
+    configure_bounded_logging,
+    log_event,
+)
 from damaskridge.binaries.gateway_host import GatewayHost, GatewaySettings
 from damaskridge.binaries.http_server import HttpServer, listen
 from damaskridge.model.events import EventNumber
@@ -40,7 +43,7 @@
             print(f"damaskridge-platform: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok_value
-    configure_bounded(settings.host)
+    configure_bounded_logging(settings.host)
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
     listeners: dict[str, socket] = {}
     for name in ("front", "ready", "directory"):
--- a/tests/adapters/http/test_operators_app.py
+++ b/tests/adapters/http/test_operators_app.py
@@ -3,7 +3,7 @@
 import anyio
 
 from damaskridge.adapters.http.operators_app import operators_app
-from damaskridge.adapters.observability.event_metrics import EventMetrics
+from damaskridge.adapters.observability.event_metrics import EventMetricsHandler
 from damaskridge.adapters.observability.events import event_record
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.model.events import EventNumber
@@ -23,7 +23,7 @@
 def test_ready_and_metrics_are_read_at_the_request():
     state = {"ready": False}
     metrics = Metrics()
-    metrics.watch("bundle_version", "Bundle", lambda: 7)
+    metrics.add_gauge("bundle_version", "Bundle", lambda: 7)
     metrics.requests.labels("model", "ok").inc()
     app = operators_app(metrics, lambda: state["ready"])
     assert ask(app, "/ready")[0] == 503
@@ -38,7 +38,7 @@
 
 def test_events_are_counted_by_their_fields():
     metrics = Metrics()
-    handler = EventMetrics(metrics)
+    handler = EventMetricsHandler(metrics)
     for number, fields in (
         (EventNumber.REQUEST_REFUSED, {"error_kind": "rate_exceeded"}),
         (EventNumber.REQUEST_FIRST_TOKEN, {"first_token_s": 0.4}),
--- a/tests/adapters/test_bundle_file.py
+++ b/tests/adapters/test_bundle_file.py
@@ -4,17 +4,17 @@
 
 from tests.core.state.fleet import bundle
 
-from damaskridge.adapters.bundle_file import bundle_text, parse_bundle
+from damaskridge.adapters.bundle_file import format_bundle, parse_bundle
 
 
 def faults(change):
-    content = json.loads(bundle_text(bundle()))
+    content = json.loads(format_bundle(bundle()))
     change(content)
     return parse_bundle(json.dumps(content)).unwrap_err()
 
 
 def test_a_valid_file_with_comments_reads_back_unchanged():
-    text = "// fleet\n" + bundle_text(bundle())
+    text = "// fleet\n" + format_bundle(bundle())
     assert parse_bundle(text).unwrap() == bundle()
 
 
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -68,14 +68,14 @@
         self.runtime = CellRuntime(
             host="h1",
             control=self.control,
-            new_machine=self.new_machine,
+            new_scheduler=self.new_scheduler,
             engine_for=lambda address: self.engine,
             host_list=self,
             ask_requests=self.ask,
             notify_taken_over=self.ask,
         )
 
-    def new_machine(self):
+    def new_scheduler(self):
         self.machines.append(FakeMachine())
         return self.machines[-1]
 
@@ -198,7 +198,7 @@
 def test_handover_stops_placing_before_the_release():
     async def body(cell):
         cell.control.own("cell/chat", moving_to="h2")
-        cell.runtime.fleet_changed()
+        cell.runtime.sync_ownership()
         events = len(cell.machines[0].events)
         await anyio.sleep(1)
         assert [type(item) for item in cell.control.proposed] == [ReleaseOwnership]
--- a/tests/binaries/test_control.py
+++ b/tests/binaries/test_control.py
@@ -55,7 +55,7 @@
     path, occupied = tmp_path / "control.json", tmp_path / "data"
     occupied.write_text("a file in place of the folder")
     path.write_text(VALID.replace('"data"', f'"{occupied}"'))
-    monkeypatch.setattr(control, "configure", lambda process: None)
+    monkeypatch.setattr(control, "configure_logging", lambda process: None)
     assert run(monkeypatch, "--settings", str(path)) == 1
     error = capsys.readouterr().err
     assert f"{tmp_path / 'none'}: " in error and "data_folder: " in error
@@ -71,7 +71,7 @@
 
 def test_occupied_address_is_named(tmp_path, capsys, monkeypatch):
     path = tmp_path / "control.json"
-    monkeypatch.setattr(control, "configure", lambda process: None)
+    monkeypatch.setattr(control, "configure_logging", lambda process: None)
     with socket.create_server(("127.0.0.1", 0)) as occupied:
         address = f"127.0.0.1:{occupied.getsockname()[1]}"
         text = VALID.replace("127.0.0.1:7101", address)
--- a/tests/binaries/test_ctl.py
+++ b/tests/binaries/test_ctl.py
@@ -8,7 +8,7 @@
 from tests.adapters.rpc.test_control import control_group, entry_host
 from tests.core.state.fleet import bundle, digest
 
-from damaskridge.adapters.bundle_file import bundle_text
+from damaskridge.adapters.bundle_file import format_bundle
 from damaskridge.binaries.ctl import main
 
 
@@ -34,7 +34,7 @@
     for name in ("ada", "bob"):
         (tmp_path / name).write_text(f"{name}\n")
     file = tmp_path / "bundle.json"
-    file.write_text(bundle_text(bundle("w1", "new")))
+    file.write_text(format_bundle(bundle("w1", "new")))
 
     def ctl(*arguments, operator="ada", code=0):
         options = ["--control", addresses, "--operator", operator, "--json"]
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -5,7 +5,7 @@
 from tests.soak_consensus import STEP_S, Member, Simulation
 
 from damaskridge.adapters.disk.store import LogStore
-from damaskridge.adapters.log_driver import LogDriver
+from damaskridge.adapters.log_driver import RaftDriver
 from damaskridge.core.consensus.leader import EVICT_AFTER_S
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
@@ -39,7 +39,7 @@
     store = LogStore(member.folder, f"{prefix}disk-of-{host}")
     hosts = tuple(sorted((*simulation.hosts, host)))
     rng = random.Random(host)
-    member.driver = LogDriver(
+    member.driver = RaftDriver(
         host, store, store.open(), rng, simulation.now_s, hosts, may_form=False
     )
     simulation.hosts = (*simulation.hosts, host)
@@ -151,7 +151,7 @@
         prefix = OBSERVER_PREFIX if number == 0 else ""
         store = LogStore(member.folder, f"{prefix}{number}")
         rng = random.Random(number)
-        member.driver = LogDriver(
+        member.driver = RaftDriver(
             host, store, store.open(), rng, simulation.now_s, hosts
         )
     run_for(simulation, 5.0)
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from damaskridge.adapters.disk.store import LogStore
-from damaskridge.adapters.log_driver import LogDriver
+from damaskridge.adapters.log_driver import RaftDriver
 from damaskridge.core.consensus import messages as m
 from damaskridge.core.consensus.election import Role
 from damaskridge.core.consensus.membership import host_name, with_learner
@@ -87,7 +87,7 @@
 
     host: str
     folder: MemoryFolder = field(default_factory=MemoryFolder)
-    driver: LogDriver | None = None
+    driver: RaftDriver | None = None
     value: int = 0
     applied: int = 0
     isolated_term: int | None = None
@@ -135,7 +135,7 @@
         member.flipped = False
         self.faults["torn_tail"] += bool(stored.cut_bytes)
         rng = random.Random(self.rng.getrandbits(64))
-        driver = LogDriver(
+        driver = RaftDriver(
             host, store, stored, rng, self.now_s, self.hosts,
             max_entries=3, guards=self.guards,
         )  # fmt: skip
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -229,13 +229,13 @@
             RateRuntime(
                 host=name,
                 control=self.control,
-                machine=RecordingRateOwner(rng, world),
+                rate_owner=RecordingRateOwner(rng, world),
                 ask_keys=fronts.active_keys,
             ),
             CellRuntime(
                 host=name,
                 control=self.control,
-                new_machine=lambda: RecordingCellScheduler(rng, world),
+                new_scheduler=lambda: RecordingCellScheduler(rng, world),
                 engine_for=clients.__getitem__,
                 host_list=HostList(process, network, world),
                 ask_requests=fronts.active_requests,
@@ -268,7 +268,7 @@
 
     def _changed(self, changes):
         self.world.invariants.version_seen(self, self.control.fleet.version)
-        self.owners.fleet_changed()
+        self.owners.sync_ownership()
 
     async def _guarded(self, work):
         try:
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -32,7 +32,7 @@
         mock.patch.object(module, "lease_is_valid", lambda *_: True)
         for module in (cell_worker, ownership, rate_runtime)
     )
-    found = ownership.held_resources
+    found = ownership.find_owned_resources
 
     def held(control, host, prefix):
         owned = found(control, host, prefix) if control.session else {}
@@ -43,7 +43,7 @@
         }
 
     for module in (cell_runtime, rate_runtime):
-        yield mock.patch.object(module, "held_resources", held)
+        yield mock.patch.object(module, "find_owned_resources", held)
     yield mock.patch.object(RateRuntime, "_lease_remaining_s", lambda self: 3.0)
 
 
@@ -125,28 +125,28 @@
 
 
 def _leaving_check():
-    yield mock.patch.object(CellWorker, "follow_leaving", lambda *_: None)
+    yield mock.patch.object(CellWorker, "update_leaving_servers", lambda *_: None)
 
 
 def _fencing_of_epochs():
-    reserve, changed = RateRuntime.reserve, RateRuntime.fleet_changed
+    reserve, changed = RateRuntime.reserve, RateRuntime.sync_ownership
 
     def keep(self):
-        for name, held in self._held.items():
+        for name, held in self._owned.items():
             owner = self._control.fleet.owners.get(f"workspace/{name}")
             if owner is not None and owner.host == self._host:
                 held.owner = owner
         changed(self)
 
     async def any_epoch(self, request):
-        held = self._held.get(request.workspace)
-        space = self._machine._spaces.get(request.workspace)
+        held = self._owned.get(request.workspace)
+        space = self._rate_owner._spaces.get(request.workspace)
         if held is None or space is None:
             return await reserve(self, request)
         held.owner = msgspec.structs.replace(held.owner, epoch=space.epoch)
         return await reserve(self, msgspec.structs.replace(request, epoch=space.epoch))
 
-    yield mock.patch.object(RateRuntime, "fleet_changed", keep)
+    yield mock.patch.object(RateRuntime, "sync_ownership", keep)
     yield mock.patch.object(RateRuntime, "reserve", any_epoch)
 
 
