Rename three adapter modules after what they hold

cell_events held log calls rather than events, engine_commands held cancellations and orders rather than log commands, and log_driver drives a Raft node.

--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -10,8 +10,8 @@
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
-from damaskridge.adapters.cell_events import log_action, log_rebuilt
-from damaskridge.adapters.engine_commands import cancel_once, send_order
+from damaskridge.adapters.cell_event_log import log_action, log_rebuilt
+from damaskridge.adapters.engine_actions import cancel_once, send_order
 from damaskridge.adapters.engine_poller import BackendServerPoller
 from damaskridge.adapters.ownership import lease_is_valid
 from damaskridge.adapters.pending import PendingReplies
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -15,8 +15,8 @@
 from damaskridge.adapters.delta_subscribers import DeltaSubscribers
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.store import LogStore, StoredState
-from damaskridge.adapters.log_driver import RaftDriver
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
     PeerFrame,
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -7,7 +7,7 @@
 from tests.paused import run_paused
 
 from damaskridge.adapters.cell_runtime import CellRuntime
-from damaskridge.adapters.engine_commands import send_order
+from damaskridge.adapters.engine_actions import send_order
 from damaskridge.adapters.rpc.peer_messages import ActiveRequests
 from damaskridge.core.scheduling.messages import (
     CancelOnEngine,
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -5,7 +5,7 @@
 from tests.soak_consensus import STEP_S, Member, Simulation
 
 from damaskridge.adapters.disk.store import LogStore
-from damaskridge.adapters.log_driver import RaftDriver
+from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.core.consensus.leader import EVICT_AFTER_S
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from damaskridge.adapters.disk.store import LogStore
-from damaskridge.adapters.log_driver import RaftDriver
+from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.core.consensus import messages as m
 from damaskridge.core.consensus.election import Role
 from damaskridge.core.consensus.membership import host_name, with_learner
