--- a/src/damaskridge/adapters/bundle_file.py
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -20,13 +20,13 @@
 __all__ = ["format_bundle", "parse_bundle", "read_bundle"]
 
 
-def _validator(struct: type[msgspec.Struct]) -> type[BaseModel]:
+def _validation_model(struct: type[msgspec.Struct]) -> type[BaseModel]:
     """Return the validated model with the fields of a data class."""
     fields: dict[str, Any] = {}
     for field in msgspec.structs.fields(struct):
         required = field.default is msgspec.NODEFAULT
         default = ... if required else field.default
-        fields[field.name] = (_validated_type(field.type), Field(default))
+        fields[field.name] = (_validation_type(field.type), Field(default))
     return create_model(
         struct.__name__,
         __config__=ConfigDict(extra="forbid", strict=True, allow_inf_nan=False),
@@ -34,13 +34,13 @@
     )
 
 
-def _validated_type(kind: Any) -> Any:
+def _validation_type(kind: Any) -> Any:
     if get_origin(kind) is tuple:
-        return tuple[_validator(get_args(kind)[0]), ...]  # type: ignore[misc]
+        return tuple[_validation_model(get_args(kind)[0]), ...]  # type: ignore[misc]
     return kind
 
 
-_BundleModel = _validator(Bundle)
+_BundleModel = _validation_model(Bundle)
 
 
 def read_bundle(path: Path) -> Result[Bundle, list[str]]:
@@ -55,10 +55,10 @@
 def parse_bundle(text: str) -> Result[Bundle, list[str]]:
     """Return the bundle that `text` spells, or every fault."""
     try:
-        content = _decode(text)
+        content = _parse_json(text)
         model = _BundleModel.model_validate_json(json.dumps(content))
     except ValidationError as error:
-        return Err([_fault(item["loc"], item["msg"]) for item in error.errors()])
+        return Err([_format_fault(item["loc"], item["msg"]) for item in error.errors()])
     except (ValueError, RecursionError) as error:
         return Err([f"not JSON with comments: {str(error).splitlines()[0]}"])
     bundle = msgspec.convert(model.model_dump(), Bundle)
@@ -71,7 +71,7 @@
     return msgspec.json.format(msgspec.json.encode(bundle), indent=2).decode() + "\n"
 
 
-def _decode(text: str) -> Any:
+def _parse_json(text: str) -> Any:
     try:
         # json5 is written in Python and takes seconds for some thousand servers.
         return json.loads(text)
@@ -79,7 +79,7 @@
         return json5.loads(text)
 
 
-def _fault(location: Iterable[int | str], message: str) -> str:
+def _format_fault(location: Iterable[int | str], message: str) -> str:
     path = ""
     for part in location:
         if isinstance(part, int):
--- a/src/damaskridge/adapters/cell_event_log.py
+++ b/src/damaskridge/adapters/cell_event_log.py
@@ -17,7 +17,7 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import Placement
 
-__all__ = ["log_action", "log_rebuilt"]
+__all__ = ["log_action", "log_cell_rebuilt"]
 
 _logger = logging.getLogger("damaskridge.cell")
 
@@ -25,7 +25,7 @@
 def log_action(event: CellEvent, action: CellAction) -> None:
     """Log a decision; `event` is what led to it."""
     if isinstance(action, SendSubmitReply):
-        _log_reply(action)
+        _log_submit_response(action)
     elif isinstance(action, SendOrder) and action.kind is OrderKind.CHANGE_ROLE:
         log_event(
             _logger,
@@ -45,7 +45,7 @@
         )
 
 
-def log_rebuilt(owner: Owner) -> None:
+def log_cell_rebuilt(owner: Owner) -> None:
     """Log that a new owner knows all running requests."""
     log_event(
         _logger,
@@ -55,7 +55,7 @@
     )
 
 
-def _log_reply(action: SendSubmitReply) -> None:
+def _log_submit_response(action: SendSubmitReply) -> None:
     reply = action.reply
     if isinstance(reply, Placement):
         log_event(
--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -8,7 +8,11 @@
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
-from damaskridge.adapters.cell_worker import CellLinks, CellSchedulerPort, CellWorker
+from damaskridge.adapters.cell_worker import (
+    CellDependencies,
+    CellSchedulerPort,
+    CellWorker,
+)
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ownership import find_owned_resources, propose_release
 from damaskridge.adapters.pending import PendingReplies
@@ -38,7 +42,7 @@
 
 logger = logging.getLogger(__name__)
 
-PREFIX = "cell/"
+RESOURCE_PREFIX = "cell/"
 CHECK_PERIOD_S = 0.25
 HOST_LIST_PERIOD_S = 0.5
 HOST_LIST_TIMEOUT_S = 1.0
@@ -60,8 +64,8 @@
         Returns the engine at an address.
     host_list : HostListPort
         The platform's list of leaving servers.
-    ask_requests, notify_taken_over : callable
-        Calls to fronts; see `CellLinks`.
+    fetch_active_requests, notify_taken_over : callable
+        Calls to fronts; see `CellDependencies`.
     """
 
     def __init__(
@@ -72,31 +76,33 @@
         new_scheduler: Callable[[], CellSchedulerPort],
         engine_for: Callable[[str], EnginePort],
         host_list: HostListPort,
-        ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]],
+        fetch_active_requests: Callable[
+            [str, str], Awaitable[Result[ActiveRequests, Failure]]
+        ],
         notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]],
     ) -> None:
         self._host = host
         self._control = control
-        self._new_machine = new_scheduler
+        self._new_scheduler = new_scheduler
         self._host_list = host_list
-        self._listed_leaving: frozenset[str] = frozenset()
+        self._listed_as_leaving: frozenset[str] = frozenset()
         self._workers: dict[str, CellWorker] = {}
         # Released epochs: the fleet view names this host until the release commits.
-        self._released: dict[str, int] = {}
-        self._releases: list[anyio.Event] = []
+        self._released_epochs: dict[str, int] = {}
+        self._pending_releases: list[anyio.Event] = []
         self._group: TaskGroup | None = None
-        self._links = CellLinks(
+        self._dependencies = CellDependencies(
             control=control,
             engine_for=engine_for,
-            ask_requests=ask_requests,
+            fetch_active_requests=fetch_active_requests,
             notify_taken_over=notify_taken_over,
-            submitted=PendingReplies(
+            pending_submits=PendingReplies(
                 lambda request_id: Refused(
                     request_id=request_id,
                     failure=self._failure(ErrorKind.OWNER_UNAVAILABLE),
                 )
             ),
-            taken_over=PendingReplies(
+            pending_take_overs=PendingReplies(
                 lambda request_id: TakeOverReply(
                     failure=self._failure(ErrorKind.OWNER_UNAVAILABLE)
                 )
@@ -111,7 +117,7 @@
     @property
     def queue_length(self) -> int:
         """Requests that wait for a placement on this host."""
-        return len(self._links.submitted)
+        return len(self._dependencies.pending_submits)
 
     async def run(self) -> None:
         """Follow ownership and the host list until cancelled."""
@@ -124,37 +130,37 @@
 
     def sync_ownership(self) -> None:
         """Start and stop ownership as the fleet view and the lease say."""
-        owners = find_owned_resources(self._control, self._host, PREFIX)
+        owners = find_owned_resources(self._control, self._host, RESOURCE_PREFIX)
         for cell, worker in list(self._workers.items()):
             current = owners.get(worker.owner.resource)
             if current is None or current.epoch != worker.owner.epoch or worker.stopped:
                 self._stop(cell)
             elif current.moving_to:
-                self._release(cell)
-        leaving = self._listed_leaving | self._control.fleet.draining_backend_servers
+                self._release_cell(cell)
+        leaving = self._listed_as_leaving | self._control.fleet.draining_backend_servers
         for resource, owner in owners.items():
-            cell = resource.removeprefix(PREFIX)
+            cell = resource.removeprefix(RESOURCE_PREFIX)
             if cell in self._workers:
-                self._workers[cell].follow_bundle()
+                self._workers[cell].update_bundle()
                 self._workers[cell].update_leaving_servers(leaving)
-            elif self._released.get(cell) != owner.epoch:
+            elif self._released_epochs.get(cell) != owner.epoch:
                 if owner.moving_to:
                     # It moved on before this host began; nobody else can release it.
-                    self._release_owner(cell, owner)
+                    self._start_release(cell, owner)
                 else:
                     self._start(cell, owner, leaving)
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
         """Queue a request; returns when it is placed or refused."""
-        worker = self._worker(profile.resource, profile.epoch)
+        worker = self._current_worker(profile.resource, profile.epoch)
         if isinstance(worker, Failure):
             return Refused(request_id=profile.request_id, failure=worker)
-        worker.heard(profile.front, profile.incarnation)
+        worker.record_contact(profile.front, profile.incarnation)
         if profile.fingerprint in self._control.fleet.quarantined:
             # The front's view of the fleet may be older than this host's.
             failure = Failure(ErrorKind.REQUEST_QUARANTINED)
             return Refused(request_id=profile.request_id, failure=failure)
-        pending = self._links.submitted
+        pending = self._dependencies.pending_submits
         future = pending.open(profile.resource, profile.front, profile.request_id)
         try:
             worker.handle(RequestSubmitted(profile))
@@ -164,15 +170,15 @@
 
     async def withdraw(self, withdraw: Withdraw) -> None:
         """Forget a request in whatever epoch."""
-        worker = self._workers.get(withdraw.resource.removeprefix(PREFIX))
+        worker = self._workers.get(withdraw.resource.removeprefix(RESOURCE_PREFIX))
         if worker is not None:
             worker.handle(RequestWithdrawn(withdraw.request_id))
 
     async def report(self, batch: ProgressBatch) -> None:
         """Take progress in."""
-        worker = self._worker(batch.resource, batch.epoch)
+        worker = self._current_worker(batch.resource, batch.epoch)
         if not isinstance(worker, Failure):
-            worker.heard(batch.front, batch.incarnation)
+            worker.record_contact(batch.front, batch.incarnation)
             worker.handle(ProgressReported(batch))
 
     async def register(
@@ -184,17 +190,17 @@
         active: tuple[ActiveRequest, ...],
     ) -> None:
         """Take a front's running requests in."""
-        worker = self._worker(resource, epoch)
+        worker = self._current_worker(resource, epoch)
         if not isinstance(worker, Failure):
             worker.register(front, incarnation, active)
 
     async def take_over(self, take_over: TakeOver) -> TakeOverReply:
         """Ask the machine whether a new front may continue a request."""
-        worker = self._worker(take_over.resource, take_over.epoch)
+        worker = self._current_worker(take_over.resource, take_over.epoch)
         if isinstance(worker, Failure):
             return TakeOverReply(failure=worker)
-        worker.heard(take_over.front, take_over.incarnation)
-        pending = self._links.taken_over
+        worker.record_contact(take_over.front, take_over.incarnation)
+        pending = self._dependencies.pending_take_overs
         future = pending.open(take_over.resource, take_over.front, take_over.request_id)
         try:
             worker.handle(TakeOverRequested(take_over))
@@ -205,12 +211,12 @@
     async def release_all(self) -> None:
         """Hand every cell over; returns when all are released or lost."""
         for cell in list(self._workers):
-            self._release(cell)
-        for event in list(self._releases):
+            self._release_cell(cell)
+        for event in list(self._pending_releases):
             await event.wait()
 
-    def _worker(self, resource: str, epoch: int) -> CellWorker | Failure:
-        cell = resource.removeprefix(PREFIX)
+    def _current_worker(self, resource: str, epoch: int) -> CellWorker | Failure:
+        cell = resource.removeprefix(RESOURCE_PREFIX)
         if cell not in self._workers:
             self.sync_ownership()
         worker = self._workers.get(cell)
@@ -223,10 +229,10 @@
     def _start(self, cell: str, owner: Owner, leaving: frozenset[str]) -> None:
         if self._group is None:
             return
-        worker = CellWorker(cell, owner, self._new_machine(), self._links)
+        worker = CellWorker(cell, owner, self._new_scheduler(), self._dependencies)
         self._workers[cell] = worker
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
-        worker.gain()
+        worker.begin_ownership()
         # Known before the first request is placed.
         worker.update_leaving_servers(leaving)
         self._group.start_soon(worker.run)
@@ -236,28 +242,30 @@
         worker.stop()
         _log_owner(EventNumber.OWNERSHIP_LOST, worker.owner)
 
-    def _release(self, cell: str) -> None:
+    def _release_cell(self, cell: str) -> None:
         worker = self._workers.pop(cell)
         worker.stop()
-        self._release_owner(cell, worker.owner)
+        self._start_release(cell, worker.owner)
 
-    def _release_owner(self, cell: str, owner: Owner) -> None:
+    def _start_release(self, cell: str, owner: Owner) -> None:
         if self._group is None:
             return
-        self._released[cell] = owner.epoch
+        self._released_epochs[cell] = owner.epoch
         done = anyio.Event()
-        self._releases.append(done)
-        self._group.start_soon(self._hand_over, owner, done)
+        self._pending_releases.append(done)
+        self._group.start_soon(self._propose_release, owner, done)
 
-    async def _hand_over(self, owner: Owner, done: anyio.Event) -> None:
+    async def _propose_release(self, owner: Owner, done: anyio.Event) -> None:
         try:
             if await propose_release(self._control, owner):
                 _log_owner(EventNumber.OWNERSHIP_RELEASED, owner)
             else:
                 # The move was called off, or another session decides.
-                self._released.pop(owner.resource.removeprefix(PREFIX), None)
+                self._released_epochs.pop(
+                    owner.resource.removeprefix(RESOURCE_PREFIX), None
+                )
         finally:
-            self._releases.remove(done)
+            self._pending_releases.remove(done)
             done.set()
 
     async def _poll_host_list(self) -> None:
@@ -265,13 +273,13 @@
             with anyio.move_on_after(HOST_LIST_TIMEOUT_S):
                 result = await self._host_list.leaving()
                 if isinstance(result, Ok):
-                    self._note_leaving(result.ok_value)
+                    self._update_listed_as_leaving(result.ok_value)
             await anyio.sleep(HOST_LIST_PERIOD_S)
 
-    def _note_leaving(self, names: frozenset[str]) -> None:
-        for name in sorted(names - self._listed_leaving):
+    def _update_listed_as_leaving(self, names: frozenset[str]) -> None:
+        for name in sorted(names - self._listed_as_leaving):
             log_event(logger, EventNumber.BACKEND_SERVER_LEAVING, backend_server=name)
-        self._listed_leaving = names
+        self._listed_as_leaving = names
 
     def _failure(self, kind: ErrorKind) -> Failure:
         return Failure(kind, f"{self._host} does not schedule this cell now")
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -10,8 +10,8 @@
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
-from damaskridge.adapters.cell_event_log import log_action, log_rebuilt
-from damaskridge.adapters.engine_actions import cancel_once, send_order
+from damaskridge.adapters.cell_event_log import log_action, log_cell_rebuilt
+from damaskridge.adapters.engine_actions import send_order, try_cancel
 from damaskridge.adapters.engine_poller import BackendServerPoller
 from damaskridge.adapters.ownership import lease_is_valid
 from damaskridge.adapters.pending import PendingReplies
@@ -44,12 +44,12 @@
 from damaskridge.model.errors import Failure
 from damaskridge.model.routing import ActiveRequest, SubmitReply, TakeOverReply
 
-__all__ = ["CellLinks", "CellSchedulerPort", "CellWorker"]
+__all__ = ["CellDependencies", "CellSchedulerPort", "CellWorker"]
 
 logger = logging.getLogger(__name__)
 
 CHECK_PERIOD_S = 0.25
-CANCEL_RETRY_S = 0.2
+CANCEL_RETRY_DELAY_S = 0.2
 
 
 class CellSchedulerPort(Protocol):
@@ -69,7 +69,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CellLinks:
+class CellDependencies:
     """
     What a cell's scheduler needs from outside.
 
@@ -79,26 +79,28 @@
         The control group.
     engine_for : callable
         Returns the engine at an address.
-    ask_requests : callable
+    fetch_active_requests : callable
         Asks the front on a host for its running requests in a cell.
     notify_taken_over : callable
         Tells the front on a host that a request was taken over.
-    submitted, taken_over : PendingReplies
+    submitted, pending_take_overs : PendingReplies
         Calls that wait.
     """
 
     control: ControlPort
     engine_for: Callable[[str], EnginePort]
-    ask_requests: Callable[[str, str], Awaitable[Result[ActiveRequests, Failure]]]
+    fetch_active_requests: Callable[
+        [str, str], Awaitable[Result[ActiveRequests, Failure]]
+    ]
     notify_taken_over: Callable[[str, str], Coroutine[Any, Any, None]]
-    submitted: PendingReplies[SubmitReply]
-    taken_over: PendingReplies[TakeOverReply]
+    pending_submits: PendingReplies[SubmitReply]
+    pending_take_overs: PendingReplies[TakeOverReply]
 
 
 @dataclass(slots=True)
 class _FrontContact:
     incarnation: int
-    heard_s: float
+    last_contact_s: float
 
 
 class CellWorker:
@@ -111,29 +113,33 @@
         The cell and this host's ownership.
     machine : CellSchedulerPort
         Decides; used for this ownership only.
-    links : CellLinks
+    links : CellDependencies
         Everything outside.
     """
 
     def __init__(
-        self, cell: str, owner: Owner, machine: CellSchedulerPort, links: CellLinks
+        self,
+        cell: str,
+        owner: Owner,
+        scheduler: CellSchedulerPort,
+        dependencies: CellDependencies,
     ) -> None:
         self.cell = cell
         self.owner = owner
-        self.scope = anyio.CancelScope()
-        self.gained_s = anyio.current_time()
-        self._machine = machine
-        self._links = links
+        self.cancel_scope = anyio.CancelScope()
+        self.acquired_s = anyio.current_time()
+        self._scheduler = scheduler
+        self._dependencies = dependencies
         self._stopped = False
-        self._rebuilt = False
+        self._rebuild_logged = False
         self._servers: tuple[BackendServer, ...] = ()
         self._workspaces: tuple[Workspace, ...] = ()
         self._pollers: dict[str, BackendServerPoller] = {}
         self._fronts: dict[str, _FrontContact] = {}
-        self._leaving: frozenset[str] = frozenset()
+        self._leaving_servers: frozenset[str] = frozenset()
         self._wake = anyio.Event()
         self._group: TaskGroup | None = None
-        self._queued: list[
+        self._deferred_tasks: list[
             tuple[Callable[..., Coroutine[Any, Any, None]], tuple[Any, ...]]
         ] = []
 
@@ -144,16 +150,16 @@
 
     async def run(self) -> None:
         """Schedule until stopped."""
-        with self.scope:
+        with self.cancel_scope:
             async with anyio.create_task_group() as group:
                 self._group = group
-                for function, args in self._queued:
+                for function, args in self._deferred_tasks:
                     group.start_soon(function, *args)
                 while not self._stopped:
-                    self._check_fronts()
+                    self._detect_lost_fronts()
                     self.handle(TimePassed())
                     wake = self._wake = anyio.Event()
-                    with anyio.move_on_after(self._pause_s()):
+                    with anyio.move_on_after(self._sleep_duration_s()):
                         await wake.wait()
                 group.cancel_scope.cancel()
 
@@ -162,33 +168,33 @@
         if self._stopped:
             return
         self._stopped = True
-        self._links.submitted.refuse(self.owner.resource)
-        self._links.taken_over.refuse(self.owner.resource)
-        self.scope.cancel()
+        self._dependencies.pending_submits.refuse(self.owner.resource)
+        self._dependencies.pending_take_overs.refuse(self.owner.resource)
+        self.cancel_scope.cancel()
 
     def handle(self, event: CellEvent) -> None:
         """Let the machine decide, if the lease is still valid."""
         # A process that was frozen must not act on an expired lease.
         session = self.owner.session
-        if self._stopped or not lease_is_valid(self._links.control, session):
+        if self._stopped or not lease_is_valid(self._dependencies.control, session):
             self.stop()
             return
         now_s = anyio.current_time()
-        for action in self._machine.handle(event, now_s):
+        for action in self._scheduler.handle(event, now_s):
             log_action(event, action)
-            self._carry_out(action)
-        if not self._rebuilt and self._machine.is_rebuilt(now_s):
-            self._rebuilt = True
-            log_rebuilt(self.owner)
+            self._execute(action)
+        if not self._rebuild_logged and self._scheduler.is_rebuilt(now_s):
+            self._rebuild_logged = True
+            log_cell_rebuilt(self.owner)
         if not isinstance(event, TimePassed):
             self._wake.set()
 
-    def heard(self, front: str, incarnation: int) -> None:
+    def record_contact(self, front: str, incarnation: int) -> None:
         """Note that a front's process is alive."""
         now_s = anyio.current_time()
         contact = self._fronts.get(front)
         if contact is not None and contact.incarnation != incarnation:
-            session = self._links.control.fleet.sessions.get(front)
+            session = self._dependencies.control.fleet.sessions.get(front)
             if session is not None and session.incarnation == contact.incarnation:
                 return
             self.handle(FrontLost(front, contact.incarnation))
@@ -198,14 +204,14 @@
         self, front: str, incarnation: int, active: tuple[ActiveRequest, ...]
     ) -> None:
         """Take a front's running requests over into the machine."""
-        self.heard(front, incarnation)
+        self.record_contact(front, incarnation)
         for item in active:
             self.handle(RequestRegistered(item))
         self.handle(FrontRegistered(front, incarnation))
 
-    def follow_bundle(self) -> None:
+    def update_bundle(self) -> None:
         """Pass a change of the cell's servers or workspaces on."""
-        fleet = self._links.control.fleet
+        fleet = self._dependencies.control.fleet
         servers = servers_of_cell(fleet, self.cell)
         if servers == self._servers and fleet.bundle.workspaces == self._workspaces:
             return
@@ -215,17 +221,17 @@
 
     def update_leaving_servers(self, names: frozenset[str]) -> None:
         """Pass on which servers are leaving by the host list or by a drain."""
-        mine = names & {server.name for server in self._servers}
-        for name in sorted(mine - self._leaving):
+        leaving = names & {server.name for server in self._servers}
+        for name in sorted(leaving - self._leaving_servers):
             self.handle(ServerLeaving(name))
-        for name in sorted(self._leaving - mine):
+        for name in sorted(self._leaving_servers - leaving):
             if any(server.name == name for server in self._servers):
                 self.handle(ServerStaying(name))
-        self._leaving = mine
+        self._leaving_servers = leaving
 
-    def gain(self) -> None:
+    def begin_ownership(self) -> None:
         """Start deciding; pollers and questions to fronts start with `run`."""
-        fleet = self._links.control.fleet
+        fleet = self._dependencies.control.fleet
         self._servers = servers_of_cell(fleet, self.cell)
         self._workspaces = fleet.bundle.workspaces
         now_s = anyio.current_time()
@@ -245,43 +251,47 @@
         wanted = {server.name: server for server in self._servers}
         for name, poller in list(self._pollers.items()):
             if wanted.get(name) != poller.server:
-                poller.scope.cancel()
+                poller.cancel_scope.cancel()
                 del self._pollers[name]
         for name, server in wanted.items():
             if name not in self._pollers:
-                poller = BackendServerPoller(server, self._engine(server), self.handle)
+                poller = BackendServerPoller(
+                    server, self._engine_of(server), self.handle
+                )
                 self._pollers[name] = poller
                 self._spawn(poller.run)
 
-    def _engine(self, server: BackendServer) -> EnginePort | None:
+    def _engine_of(self, server: BackendServer) -> EnginePort | None:
         if server.role is BackendServerRole.SERVICE:
             return None
-        return self._links.engine_for(server.address)
+        return self._dependencies.engine_for(server.address)
 
     async def _collect_requests(self, front: str) -> None:
         """Ask a front until it answers or counts as lost."""
         while front in self._fronts:
-            reply = await self._links.ask_requests(front, self.owner.resource)
+            reply = await self._dependencies.fetch_active_requests(
+                front, self.owner.resource
+            )
             if isinstance(reply, Ok):
                 answer = reply.ok_value
                 self.register(front, answer.incarnation, answer.items)
                 return
             await anyio.sleep(CHECK_PERIOD_S)
 
-    def _check_fronts(self) -> None:
+    def _detect_lost_fronts(self) -> None:
         # A front that lost only the control group goes on serving its streams, so
         # it counts as lost when its session has ended and it is silent too.
         now_s = anyio.current_time()
         for front, contact in list(self._fronts.items()):
-            session = self._links.control.fleet.sessions.get(front)
+            session = self._dependencies.control.fleet.sessions.get(front)
             alive = session is not None and session.incarnation == contact.incarnation
-            if not alive and now_s - contact.heard_s >= SESSION_DURATION_S:
+            if not alive and now_s - contact.last_contact_s >= SESSION_DURATION_S:
                 del self._fronts[front]
                 self.handle(FrontLost(front, contact.incarnation))
 
-    def _pause_s(self) -> float:
+    def _sleep_duration_s(self) -> float:
         now_s = anyio.current_time()
-        wakeup_s = self._machine.next_wakeup_s(now_s)
+        wakeup_s = self._scheduler.next_wakeup_s(now_s)
         if wakeup_s is None:
             return CHECK_PERIOD_S
         return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
@@ -292,35 +302,41 @@
         if self._stopped:
             return
         if self._group is None:
-            self._queued.append((function, args))
+            self._deferred_tasks.append((function, args))
         else:
             self._group.start_soon(function, *args)
 
     @DispatchMethod
-    def _carry_out(self, action: CellAction) -> None:
+    def _execute(self, action: CellAction) -> None:
         raise TypeError(f"unknown action: {type(action).__name__}")
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: SendSubmitReply) -> None:
-        self._links.submitted.resolve(action.front, action.request_id, action.reply)
+        self._dependencies.pending_submits.resolve(
+            action.front, action.request_id, action.reply
+        )
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: SendTakeOverReply) -> None:
-        self._links.taken_over.resolve(action.front, action.request_id, action.reply)
+        self._dependencies.pending_take_overs.resolve(
+            action.front, action.request_id, action.reply
+        )
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: NotifyTakenOver) -> None:
-        self._spawn(self._links.notify_taken_over, action.front, action.request_id)
+        self._spawn(
+            self._dependencies.notify_taken_over, action.front, action.request_id
+        )
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: CancelOnEngine) -> None:
-        self._spawn(self._cancel, action)
+        self._spawn(self._cancel_on_engine, action)
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: SendOrder) -> None:
-        self._spawn(self._order, action)
+        self._spawn(self._send_order, action)
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: ReportCrashedRequests) -> None:
         # The same crash seen by two successive owners counts once.
         command = ReportCrash(
@@ -331,7 +347,7 @@
         )
         self._spawn(self._propose, command)
 
-    @_carry_out.register
+    @_execute.register
     def _(self, action: ReportSuspectCleared) -> None:
         command = SuspectCleared(
             command_id=uuid.uuid4().hex, fingerprint=action.fingerprint
@@ -340,34 +356,36 @@
 
     async def _propose(self, command: Command) -> None:
         while not self._stopped:
-            result = await self._links.control.propose(command)
+            result = await self._dependencies.control.propose(command)
             if result.failure is None or result.index:
                 return
             await anyio.sleep(CHECK_PERIOD_S)
 
-    async def _cancel(self, action: CancelOnEngine) -> None:
+    async def _cancel_on_engine(self, action: CancelOnEngine) -> None:
         """Cancel until the engine confirms, has crashed or left the bundle."""
         poller = self._pollers.get(action.backend_server)
         if poller is None:
             return
-        engine = self._engine(poller.server)
-        crashes = poller.crashes
+        engine = self._engine_of(poller.server)
+        crash_count = poller.crash_count
         session = self.owner.session
-        while engine is not None and lease_is_valid(self._links.control, session):
-            if await cancel_once(engine, action) or poller.crashes != crashes:
+        while engine is not None and lease_is_valid(
+            self._dependencies.control, session
+        ):
+            if await try_cancel(engine, action) or poller.crash_count != crash_count:
                 return
             if self._pollers.get(action.backend_server) is not poller:
                 return
-            await anyio.sleep(CANCEL_RETRY_S)
+            await anyio.sleep(CANCEL_RETRY_DELAY_S)
 
-    async def _order(self, action: SendOrder) -> None:
+    async def _send_order(self, action: SendOrder) -> None:
         poller = self._pollers.get(action.backend_server)
-        engine = None if poller is None else self._engine(poller.server)
+        engine = None if poller is None else self._engine_of(poller.server)
         if poller is not None and engine is not None:
             await send_order(
-                self._links.control,
+                self._dependencies.control,
                 self.owner,
-                self.gained_s,
+                self.acquired_s,
                 poller.server,
                 engine,
                 action,
--- a/src/damaskridge/adapters/codec.py
+++ b/src/damaskridge/adapters/codec.py
@@ -14,13 +14,13 @@
 __all__ = ["MsgpackCodec"]
 
 # One HTTP/2 frame; smaller messages gain little.
-COMPRESSED_BYTES = 16_384
+MIN_COMPRESSED_BYTES = 16_384
 # The fastest level; routes are so much alike that others gain little.
-LEVEL = 1
+COMPRESSION_LEVEL = 1
 # A zlib stream begins with this byte, and no message does: it is a small integer.
-ZLIB_MARK = b"\x78"
+ZLIB_FIRST_BYTE = b"\x78"
 # Above the largest bundle; a longer message is damaged.
-MOST_BYTES = 67_108_864
+MAX_MESSAGE_BYTES = 67_108_864
 
 
 class MsgpackCodec(CodecBase):
@@ -37,18 +37,21 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
         # The last large message, which cannot change, and its bytes.
-        self._large: Any = None
-        self._large_data = b""
+        self._cached_message: Any = None
+        self._cached_data = b""
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the encoded message."""
-        if message is self._large and message is not None:
-            return self._large_data
+        if message is self._cached_message and message is not None:
+            return self._cached_data
         data = self._encoder.encode(message)
-        if len(data) < COMPRESSED_BYTES:
+        if len(data) < MIN_COMPRESSED_BYTES:
             return data
-        self._large, self._large_data = message, zlib.compress(data, LEVEL)
-        return self._large_data
+        self._cached_message, self._cached_data = (
+            message,
+            zlib.compress(data, COMPRESSION_LEVEL),
+        )
+        return self._cached_data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the decoded message; `msgspec.ValidationError` if invalid."""
@@ -56,17 +59,17 @@
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
             self._decoders[message_type] = decoder
-        return decoder.decode(_decompressed(data))
+        return decoder.decode(_decompress(data))
 
 
-def _decompressed(data: bytes) -> bytes:
-    if data[:1] != ZLIB_MARK:
+def _decompress(data: bytes) -> bytes:
+    if data[:1] != ZLIB_FIRST_BYTE:
         return data
     stream = zlib.decompressobj()
     try:
-        whole = stream.decompress(data, MOST_BYTES)
+        decompressed = stream.decompress(data, MAX_MESSAGE_BYTES)
     except zlib.error as error:
         raise msgspec.ValidationError(str(error)) from error
     if not stream.eof:
-        raise msgspec.ValidationError(f"message cut, or over {MOST_BYTES} bytes")
-    return whole
+        raise msgspec.ValidationError(f"message cut, or over {MAX_MESSAGE_BYTES} bytes")
+    return decompressed
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -60,7 +60,7 @@
 __all__ = ["ControlNode"]
 
 # Half a heartbeat. Messages and commands wake the node at once.
-TICK_S = 0.05
+TICK_PERIOD_S = 0.05
 # Bounds the memory and the start-up time that the log costs.
 COMPACT_AFTER_ENTRIES = 2000
 COMPACT_AFTER_BYTES = 4_000_000
@@ -71,14 +71,14 @@
 _decode_command = msgspec.msgpack.Decoder(AnyCommand).decode
 
 
-class _StateImage(msgspec.Struct, frozen=True, array_like=True):
+class _SnapshotContent(msgspec.Struct, frozen=True, array_like=True):
     """The content of a snapshot: last time stamp and state."""
 
     at_ms: int
     state: bytes
 
 
-_decode_image = msgspec.msgpack.Decoder(_StateImage).decode
+_decode_snapshot_content = msgspec.msgpack.Decoder(_SnapshotContent).decode
 
 
 class ControlNode:
@@ -128,18 +128,18 @@
         self._empty_state = state.encode()
         store = LogStore(folder, self._new_disk_id())
         stored = store.open()
-        self._driver = self._open(store, stored)
-        self._applied = 0
-        self._applied_bytes = 0
+        self._driver = self._open_driver(store, stored)
+        self._applied_index = 0
+        self._uncompacted_bytes = 0
         if stored.log.snapshot.index:
             self._restore(stored.log.snapshot)
-        self._links: dict[str, PeerLink] = {}
+        self._peer_links: dict[str, PeerLink] = {}
         self._tasks: TaskGroup | None = None
         for name in [*members, *map(host_name, self._known_members())]:
-            self._link_to(name)
-        self._events: list[Event] = []
-        self._proposals = ProposalWaiters()
-        self._readers = ReadWaiters()
+            self._peer_link_to(name)
+        self._pending_events: list[Event] = []
+        self._proposal_waiters = ProposalWaiters()
+        self._read_waiters = ReadWaiters()
         self._wake = anyio.Event()
         self._subscribers = DeltaSubscribers()
         self._leadership_lost = anyio.Event()
@@ -179,25 +179,25 @@
     @property
     def applied_index(self) -> int:
         """Index of the last applied entry."""
-        return self._applied
+        return self._applied_index
 
     def service(self) -> ControlGroupService:
         """Return the handler for the streams of the other members."""
-        return ControlGroupService(self._deliver)
+        return ControlGroupService(self._receive)
 
     async def propose(self, command: Command) -> CommandResult:
         """Return the result after commit and apply, or a `NOT_LEADER` failure."""
         if not self.is_leader:
             return self._not_leader()
         self._wake.set()
-        return await self._proposals.wait(command)
+        return await self._proposal_waiters.wait(command)
 
     async def confirm_leadership(self) -> bool:
         """Tell whether a quorum acknowledged a round that began after the call."""
         if not self.is_leader:
             return False
         self._wake.set()
-        return await self._readers.wait()
+        return await self._read_waiters.wait()
 
     def applied_deltas(self) -> AsyncIterator[FleetDelta]:
         """
@@ -214,19 +214,19 @@
             with self._scope:
                 async with anyio.create_task_group() as tasks:
                     self._tasks = tasks
-                    for link in self._links.values():
+                    for link in self._peer_links.values():
                         tasks.start_soon(link.run)
                     await self._loop()
         finally:
             self._running = False
-            self._proposals.refuse_all(self._not_leader())
-            self._fail_waiting()
+            self._proposal_waiters.refuse_all(self._not_leader())
+            self._fail_waiters()
 
     async def stop(self) -> None:
         """Hand leadership over, then leave `run`."""
-        if self.is_leader and self._links:
+        if self.is_leader and self._peer_links:
             term = self.term
-            self._push(TransferLeadership())
+            self._enqueue(TransferLeadership())
             with anyio.move_on_after(TRANSFER_TIMEOUT_S):
                 await self._leadership_lost.wait()
             if self.term > term:
@@ -236,32 +236,35 @@
     async def _loop(self) -> None:
         while True:
             # Yields even while there is work, so that streams are served.
-            with anyio.move_on_after(TICK_S):
+            with anyio.move_on_after(TICK_PERIOD_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            self._run_batch()
+            self._process_events()
 
-    def _run_batch(self) -> None:
-        events, self._events = self._events, []
+    def _process_events(self) -> None:
+        events, self._pending_events = self._pending_events, []
         events.append(Tick())
-        read_id = self._readers.take_read()
+        read_id = self._read_waiters.begin_read()
         if read_id is not None:
             events.append(ReadRequest(read_id))
-        commands = self._proposals.take_commands()
+        commands = self._proposal_waiters.begin_append()
         if commands:
-            events.append(Propose(tuple(map(self._stamp, commands))))
-        was = self._driver.node.role
+            events.append(Propose(tuple(map(self._encode_with_timestamp, commands))))
+        previous_role = self._driver.node.role
         for action in self._driver.run(events, anyio.current_time()):
             if isinstance(action, LogLost):
-                self._rejoin()
+                self._rejoin_empty()
                 return
-            self._act(action)
-        if was is not Role.CANDIDATE and self._driver.node.role is Role.CANDIDATE:
+            self._execute(action)
+        if (
+            previous_role is not Role.CANDIDATE
+            and self._driver.node.role is Role.CANDIDATE
+        ):
             log_event(_logger, EventNumber.ELECTION_STARTED, term=self.term)
-        self._compact()
+        self._compact_if_needed()
 
-    def _open(self, store: LogStore, stored: StoredState) -> RaftDriver:
-        _report(stored)
+    def _open_driver(self, store: LogStore, stored: StoredState) -> RaftDriver:
+        _log_repairs(stored)
         return RaftDriver(
             self._host,
             store,
@@ -272,44 +275,46 @@
             self._may_form,
         )
 
-    def _rejoin(self) -> None:
+    def _rejoin_empty(self) -> None:
         """Go on as an empty member after the disk lost synced entries."""
         store = LogStore(self._folder, self._new_disk_id())
-        self._driver = self._open(store, store.discard("synced entries are missing"))
+        self._driver = self._open_driver(
+            store, store.reset("synced entries are missing")
+        )
         self._state.restore(self._empty_state)
-        self._applied = self._applied_bytes = 0
-        self._subscribers.end_all()
+        self._applied_index = self._uncompacted_bytes = 0
+        self._subscribers.close_all()
 
     def _new_disk_id(self) -> str:
         prefix = OBSERVER_PREFIX if self._is_observer else ""
         return prefix + secrets.token_hex(8)
 
-    def _stamp(self, command: Command) -> bytes:
+    def _encode_with_timestamp(self, command: Command) -> bytes:
         at_ms = self._clock.stamp(self._wall_ms(), anyio.current_time())
         return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
-    def _compact(self) -> None:
+    def _compact_if_needed(self) -> None:
         log = self._driver.node.log
-        count = self._applied - log.snapshot.index
-        full = self._applied_bytes >= COMPACT_AFTER_BYTES
-        if count < COMPACT_AFTER_ENTRIES and not full:
+        entry_count = self._applied_index - log.snapshot.index
+        is_log_large = self._uncompacted_bytes >= COMPACT_AFTER_BYTES
+        if entry_count < COMPACT_AFTER_ENTRIES and not is_log_large:
             return
-        self._applied_bytes = 0
-        image = _encode(_StateImage(self._clock.last_ms, self._state.encode()))
-        event = Compact(self._applied, image)
+        self._uncompacted_bytes = 0
+        content = _encode(_SnapshotContent(self._clock.last_ms, self._state.encode()))
+        event = Compact(self._applied_index, content)
         for action in self._driver.run([event], anyio.current_time()):
-            self._act(action)
-        log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied)
+            self._execute(action)
+        log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied_index)
 
     @singledispatchmethod
-    def _act(self, action: Action) -> None:
+    def _execute(self, action: Action) -> None:
         raise TypeError(type(action))
 
     def _known_members(self) -> tuple[str, ...]:
         membership = self._driver.node.log.membership()
         return (*membership.voters, *membership.learners)
 
-    def _link_to(self, name: str) -> PeerLink | None:
+    def _peer_link_to(self, name: str) -> PeerLink | None:
         """
         Return the stream to a host, and start it if it is new.
 
@@ -317,117 +322,119 @@
         """
         if name == self._host:
             return None
-        if name not in self._links:
+        if name not in self._peer_links:
             address = self._members.get(name, name)
             if not address.rpartition(":")[2].isdecimal():
                 return None
             self._members[name] = address
-            link = self._links[name] = PeerLink(name, address, self._rng)
+            link = self._peer_links[name] = PeerLink(name, address, self._rng)
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
-        return self._links[name]
+        return self._peer_links[name]
 
-    @_act.register
+    @_execute.register
     def _(self, action: Send) -> None:
-        link = self._link_to(host_name(action.to))
+        link = self._peer_link_to(host_name(action.to))
         if link is not None:
             link.send(PeerFrame(action.to, action.message))  # type: ignore[arg-type]
 
-    @_act.register
+    @_execute.register
     def _(self, action: Apply) -> None:
         for entry in action.entries:
             self._apply(entry)
 
-    @_act.register
+    @_execute.register
     def _(self, action: Restore) -> None:
         self._restore(action.snapshot)
-        self._subscribers.end_all()
-        log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
+        self._subscribers.close_all()
+        log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied_index)
 
-    @_act.register
+    @_execute.register
     def _(self, action: Appended) -> None:
-        self._proposals.appended(action.first_index, action.term)
+        self._proposal_waiters.appended(action.first_index, action.term)
 
-    @_act.register
+    @_execute.register
     def _(self, action: Refused) -> None:
-        self._proposals.refused(self._not_leader())
+        self._proposal_waiters.refused(self._not_leader())
 
-    @_act.register
+    @_execute.register
     def _(self, action: ReadReady) -> None:
-        assert self._applied >= action.index, "a confirmed read sees applied entries"
-        self._readers.answer(action.read_id, True)
+        assert self._applied_index >= action.index, (
+            "a confirmed read sees applied entries"
+        )
+        self._read_waiters.finish_read(action.read_id, True)
 
-    @_act.register
+    @_execute.register
     def _(self, action: ReadFailed) -> None:
-        self._readers.answer(action.read_id, False)
+        self._read_waiters.finish_read(action.read_id, False)
 
-    @_act.register
+    @_execute.register
     def _(self, action: LeadershipWon) -> None:
         log = self._driver.node.log
         # Entries that are not applied yet may carry later stamps than our clock.
-        for entry in log.slice(self._applied + 1, log.last_index):
+        for entry in log.slice(self._applied_index + 1, log.last_index):
             if entry.command:
-                self._observe(_decode_command(entry.command).at_ms)
+                self._observe_clock(_decode_command(entry.command).at_ms)
         self._leadership_lost = anyio.Event()
         log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
 
-    @_act.register
+    @_execute.register
     def _(self, action: LeadershipLost) -> None:
         self._leadership_lost.set()
         log_event(_logger, EventNumber.LEADER_LOST, term=self.term)
-        self._fail_waiting()
+        self._fail_waiters()
 
     def _apply(self, entry: LogEntry) -> None:
-        assert entry.index == self._applied + 1, "entries are applied in order"
-        self._applied = entry.index
-        self._applied_bytes += len(entry.command)
+        assert entry.index == self._applied_index + 1, "entries are applied in order"
+        self._applied_index = entry.index
+        self._uncompacted_bytes += len(entry.command)
         if entry.membership is not None:
             _log_membership(entry)
         result = CommandResult(index=entry.index)
         if entry.command:
             command = _decode_command(entry.command)
-            self._observe(command.at_ms)
+            self._observe_clock(command.at_ms)
             applied = self._state.apply(entry.index, command)
             self._subscribers.publish(applied.delta)
             result = applied.result
-        self._proposals.applied(entry.index, entry.term, result)
+        self._proposal_waiters.applied(entry.index, entry.term, result)
 
-    def _observe(self, at_ms: int) -> None:
+    def _observe_clock(self, at_ms: int) -> None:
         self._clock.observe(at_ms, anyio.current_time())
 
     def _restore(self, snapshot: Snapshot) -> None:
-        image = _decode_image(snapshot.state)
-        self._observe(image.at_ms)
-        self._state.restore(image.state)
-        self._applied = snapshot.index
+        content = _decode_snapshot_content(snapshot.state)
+        self._observe_clock(content.at_ms)
+        self._state.restore(content.state)
+        self._applied_index = snapshot.index
 
-    def _fail_waiting(self) -> None:
-        self._proposals.leadership_lost()
-        self._readers.fail_all()
+    def _fail_waiters(self) -> None:
+        self._proposal_waiters.leadership_lost()
+        self._read_waiters.fail_all()
 
-    def _deliver(self, recipient: str, message: AnyMessage) -> None:
+    def _receive(self, recipient: str, message: AnyMessage) -> None:
         # A frame for an older disk of this host must not reach the present one.
         if recipient not in (self._driver.node.name, self._host):
             if host_name(recipient) == self._host:
                 # The settings may name hosts only that have lost their logs too.
                 self._driver.node.note_host(host_name(message.sender))
             return
-        self._events.append(Received(message))
-        if not self._can_wait(message):
+        self._pending_events.append(Received(message))
+        if not self._is_idle_acknowledgment(message):
             self._wake.set()
 
-    def _can_wait(self, message: AnyMessage) -> bool:
+    def _is_idle_acknowledgment(self, message: AnyMessage) -> bool:
         """Tell whether a message is an answer that only confirms a heartbeat."""
         last_index = self._driver.node.log.last_index
         return (
             isinstance(message, AppendReply)
             and message.accepted
-            and message.match_index == self._applied == last_index
-            and self._readers.is_empty
+            and message.match_index == self._applied_index == last_index
+            and self._read_waiters.is_empty
         )
 
-    def _push(self, event: Event) -> None:
-        self._events.append(event)
+    def _enqueue(self, event: Event) -> None:
+        self._pending_events.append(event)
         self._wake.set()
 
     def _not_leader(self) -> CommandResult:
@@ -435,7 +442,7 @@
         return CommandResult(Failure(ErrorKind.NOT_LEADER, leader=leader))
 
 
-def _report(stored: StoredState) -> None:
+def _log_repairs(stored: StoredState) -> None:
     if stored.damage:
         log_event(
             _logger, EventNumber.LOG_DAMAGED, level=logging.ERROR, file=stored.damage
--- a/src/damaskridge/adapters/control_waiters.py
+++ b/src/damaskridge/adapters/control_waiters.py
@@ -46,7 +46,7 @@
         await proposal.done.wait()
         return proposal.result
 
-    def take_commands(self) -> list[Command]:
+    def begin_append(self) -> list[Command]:
         """Return the new commands; `appended` or `refused` must follow."""
         assert not self._appending
         self._appending, self._new = self._new, []
@@ -88,8 +88,8 @@
 
     def __init__(self) -> None:
         self._new: list[_Reader] = []
-        self._reads: dict[int, list[_Reader]] = {}
-        self._last_id = 0
+        self._readers_by_read: dict[int, list[_Reader]] = {}
+        self._last_read_id = 0
 
     async def wait(self) -> bool:
         """Queue a caller and tell whether leadership was confirmed for it."""
@@ -101,27 +101,27 @@
     @property
     def is_empty(self) -> bool:
         """Whether nobody waits."""
-        return not self._new and not self._reads
+        return not self._new and not self._readers_by_read
 
-    def take_read(self) -> int | None:
+    def begin_read(self) -> int | None:
         """Return the id of one read for all new callers, None if there are none."""
         if not self._new:
             return None
-        self._last_id += 1
-        self._reads[self._last_id], self._new = self._new, []
-        return self._last_id
+        self._last_read_id += 1
+        self._readers_by_read[self._last_read_id], self._new = self._new, []
+        return self._last_read_id
 
-    def answer(self, read_id: int, confirmed: bool) -> None:
+    def finish_read(self, read_id: int, confirmed: bool) -> None:
         """Answer the callers of a read."""
-        for reader in self._reads.pop(read_id, []):
+        for reader in self._readers_by_read.pop(read_id, []):
             reader.confirmed = confirmed
             reader.done.set()
 
     def fail_all(self) -> None:
         """Answer every caller that leadership is not confirmed."""
-        self.take_read()
-        for read_id in list(self._reads):
-            self.answer(read_id, False)
+        self.begin_read()
+        for read_id in list(self._readers_by_read):
+            self.finish_read(read_id, False)
 
 
 def _outcome_unknown() -> CommandResult:
--- a/src/damaskridge/adapters/delta_subscribers.py
+++ b/src/damaskridge/adapters/delta_subscribers.py
@@ -9,38 +9,38 @@
 
 __all__ = ["DeltaSubscribers"]
 
-QUEUED_DELTAS = 10_000
+MAX_QUEUED_DELTAS = 10_000
 
 
 class DeltaSubscribers:
     """Hands every delta to every subscriber; one that misses any is ended."""
 
     def __init__(self) -> None:
-        self._streams: list[MemoryObjectSendStream[FleetDelta]] = []
+        self._send_streams: list[MemoryObjectSendStream[FleetDelta]] = []
 
     def subscribe(self) -> AsyncIterator[FleetDelta]:
         """Return the deltas from now on."""
-        send, receive = anyio.create_memory_object_stream[FleetDelta](QUEUED_DELTAS)
-        self._streams.append(send)
-        return _drain(receive)
+        send, receive = anyio.create_memory_object_stream[FleetDelta](MAX_QUEUED_DELTAS)
+        self._send_streams.append(send)
+        return _iterate(receive)
 
     def publish(self, delta: FleetDelta) -> None:
         """Queue a delta; a subscriber that is too slow is ended."""
-        for stream in list(self._streams):
+        for stream in list(self._send_streams):
             try:
                 stream.send_nowait(delta)
             except (anyio.WouldBlock, anyio.BrokenResourceError):
                 stream.close()
-                self._streams.remove(stream)
+                self._send_streams.remove(stream)
 
-    def end_all(self) -> None:
+    def close_all(self) -> None:
         """End every subscriber, because deltas were skipped."""
-        for stream in self._streams:
+        for stream in self._send_streams:
             stream.close()
-        self._streams.clear()
+        self._send_streams.clear()
 
 
-async def _drain(
+async def _iterate(
     receive: MemoryObjectReceiveStream[FleetDelta],
 ) -> AsyncIterator[FleetDelta]:
     with receive:
--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -57,12 +57,12 @@
     def __init__(self, path: Path) -> None:
         path.mkdir(parents=True, exist_ok=True)
         self._path = path
-        self._open: dict[str, int] = {}
-        self._lock = os.open(path, os.O_RDONLY)
+        self._descriptors: dict[str, int] = {}
+        self._folder_descriptor = os.open(path, os.O_RDONLY)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._folder_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
-            os.close(self._lock)
+            os.close(self._folder_descriptor)
             raise
         for leftover in path.glob(f"*{TEMPORARY_SUFFIX}"):
             leftover.unlink()
@@ -110,23 +110,23 @@
 
     def close(self) -> None:
         """Close all files and give up the lock."""
-        for name in list(self._open):
+        for name in list(self._descriptors):
             self._close(name)
-        os.close(self._lock)
+        os.close(self._folder_descriptor)
 
     def _descriptor(self, name: str) -> int:
-        if name not in self._open:
+        if name not in self._descriptors:
             flags = os.O_WRONLY | os.O_APPEND
-            self._open[name] = os.open(self._path / name, flags)
-        return self._open[name]
+            self._descriptors[name] = os.open(self._path / name, flags)
+        return self._descriptors[name]
 
     def _close(self, name: str) -> None:
-        descriptor = self._open.pop(name, None)
+        descriptor = self._descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
 
     def _sync_folder(self) -> None:
-        os.fsync(self._lock)
+        os.fsync(self._folder_descriptor)
 
 
 class VolatileFolder:
--- a/src/damaskridge/adapters/disk/records.py
+++ b/src/damaskridge/adapters/disk/records.py
@@ -5,11 +5,11 @@
 would otherwise look like a record that was cut short.
 
 >>> data = encode_record(b"a") + encode_record(b"b")
->>> scan(data)
-Scan(payloads=[b'a', b'b'], size_bytes=26, damaged=False)
->>> scan(data[:-1])
-Scan(payloads=[b'a'], size_bytes=13, damaged=False)
->>> scan(data[:-1] + b"x").damaged
+>>> scan_records(data)
+ScanResult(payloads=[b'a', b'b'], size_bytes=26, damaged=False)
+>>> scan_records(data[:-1])
+ScanResult(payloads=[b'a'], size_bytes=13, damaged=False)
+>>> scan_records(data[:-1] + b"x").damaged
 True
 """
 
@@ -17,14 +17,14 @@
 import zlib
 from dataclasses import dataclass
 
-__all__ = ["Scan", "encode_record", "scan"]
+__all__ = ["ScanResult", "encode_record", "scan_records"]
 
-_BODY = struct.Struct("<II")
+_LENGTH_AND_CHECKSUM = struct.Struct("<II")
 _HEADER = struct.Struct("<III")
 
 
 @dataclass(frozen=True, slots=True)
-class Scan:
+class ScanResult:
     """
     What a file contains.
 
@@ -46,25 +46,29 @@
 
 def encode_record(payload: bytes) -> bytes:
     """Return the record of a payload."""
-    body = _BODY.pack(len(payload), zlib.crc32(payload))
-    return body + struct.pack("<I", zlib.crc32(body)) + payload
+    length_and_checksum = _LENGTH_AND_CHECKSUM.pack(len(payload), zlib.crc32(payload))
+    return (
+        length_and_checksum
+        + struct.pack("<I", zlib.crc32(length_and_checksum))
+        + payload
+    )
 
 
-def scan(data: bytes, verify: bool = True) -> Scan:
+def scan_records(data: bytes, verify: bool = True) -> ScanResult:
     """Return the intact records of a file; `verify` is off only in tests."""
     payloads: list[bytes] = []
     offset = 0
     while len(data) - offset >= _HEADER.size:
         length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
-        body = data[offset : offset + _BODY.size]
-        if verify and zlib.crc32(body) != header_checksum:
-            return Scan(payloads, offset, any(data[offset:]))
+        length_and_checksum = data[offset : offset + _LENGTH_AND_CHECKSUM.size]
+        if verify and zlib.crc32(length_and_checksum) != header_checksum:
+            return ScanResult(payloads, offset, any(data[offset:]))
         start = offset + _HEADER.size
         payload = data[start : start + length]
         if len(payload) < length:
             break
         if verify and zlib.crc32(payload) != checksum:
-            return Scan(payloads, offset, True)
+            return ScanResult(payloads, offset, True)
         payloads.append(payload)
         offset = start + length
-    return Scan(payloads, offset, False)
+    return ScanResult(payloads, offset, False)
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskridge.adapters.disk.folder import Folder
-from damaskridge.adapters.disk.records import Scan, encode_record, scan
+from damaskridge.adapters.disk.records import ScanResult, encode_record, scan_records
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.model.consensus import HardState, LogEntry, Membership, Snapshot
 
@@ -60,7 +60,7 @@
     damage: str = ""
 
 
-class _Damaged(Exception):
+class _DamagedFileError(Exception):
     """A synced record was altered or is missing."""
 
 
@@ -72,15 +72,15 @@
     ----------
     folder : Folder
         The data folder.
-    new_member : str
+    new_disk_id : str
         Random id to use if the folder has none.
     verify : bool
         Whether checksums are verified; off only in tests.
     """
 
-    def __init__(self, folder: Folder, new_member: str, verify: bool = True) -> None:
+    def __init__(self, folder: Folder, new_disk_id: str, verify: bool = True) -> None:
         self._folder = folder
-        self._new_member = new_member
+        self._new_disk_id = new_disk_id
         self._verify = verify
         self._segment = ""
         self._dirty = False
@@ -89,24 +89,24 @@
         """Read the folder; a damaged one is emptied and gets a new id."""
         try:
             return self._read()
-        except (_Damaged, msgspec.MsgspecError) as error:
-            return self.discard(str(error))
+        except (_DamagedFileError, msgspec.MsgspecError) as error:
+            return self.reset(str(error))
 
-    def discard(self, damage: str) -> StoredState:
+    def reset(self, damage: str) -> StoredState:
         """Empty the folder and give it the new id."""
         # The vote may be lost, so this disk must not keep its old name.
         for name in [MEMBER_FILE, *self._folder.names()]:
             self._folder.remove(name)
-        return self._create(damage)
+        return self._initialize(damage)
 
     def save_hard_state(self, hard_state: HardState) -> None:
         """Write term and vote; durable after `sync`."""
-        self._write(_encode(_HardRecord(hard_state)))
+        self._append_record(_encode(_HardRecord(hard_state)))
 
     def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
         """Write entries; the first replaces all from its index on."""
         for entry in entries:
-            self._write(_encode(_EntryRecord(entry)))
+            self._append_record(_encode(_EntryRecord(entry)))
 
     def save_snapshot(self, log: RaftLog, hard_state: HardState) -> None:
         """Write a snapshot and a new segment with what follows it, durably."""
@@ -120,31 +120,35 @@
             self._folder.sync(self._segment)
             self._dirty = False
 
-    def _write(self, payload: bytes) -> None:
+    def _append_record(self, payload: bytes) -> None:
         self._folder.append(self._segment, encode_record(payload))
         self._dirty = True
 
     def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
-        old = self._segments()
-        number = int(old[-1].removeprefix(SEGMENT_PREFIX)) + 1 if old else 1
+        old_segments = self._segments()
+        number = (
+            int(old_segments[-1].removeprefix(SEGMENT_PREFIX)) + 1
+            if old_segments
+            else 1
+        )
         entries = log.slice(log.snapshot.index + 1, log.last_index)
         payloads = [_encode(_HardRecord(hard_state))]
         payloads += [_encode(_EntryRecord(entry)) for entry in entries]
         self._segment = f"{SEGMENT_PREFIX}{number:012d}"
         self._folder.replace(self._segment, b"".join(map(encode_record, payloads)))
         self._dirty = False
-        for name in old:
+        for name in old_segments:
             self._folder.remove(name)
 
     def _segments(self) -> list[str]:
         names = self._folder.names()
         return [name for name in names if name.startswith(SEGMENT_PREFIX)]
 
-    def _create(self, damage: str = "") -> StoredState:
+    def _initialize(self, damage: str = "") -> StoredState:
         log, hard_state = RaftLog(), HardState()
         self._start_segment(log, hard_state)
-        self._folder.replace(MEMBER_FILE, encode_record(self._new_member.encode()))
-        return StoredState(self._new_member, log, hard_state, damage=damage)
+        self._folder.replace(MEMBER_FILE, encode_record(self._new_disk_id.encode()))
+        return StoredState(self._new_disk_id, log, hard_state, damage=damage)
 
     def _read(self) -> StoredState:
         names = self._folder.names()
@@ -153,28 +157,28 @@
             # under it.
             for name in names:
                 self._folder.remove(name)
-            return self._create()
-        member = self._single(MEMBER_FILE).decode()
+            return self._initialize()
+        member = self._read_single_record(MEMBER_FILE).decode()
         snapshot = None
         if SNAPSHOT_FILE in names:
-            snapshot = _decode_snapshot(self._single(SNAPSHOT_FILE))
+            snapshot = _decode_snapshot(self._read_single_record(SNAPSHOT_FILE))
         return self._read_segment(member, snapshot)
 
     def _read_segment(self, member: str, snapshot: Snapshot | None) -> StoredState:
         segments = self._segments()
         if not segments:
-            raise _Damaged("log")
+            raise _DamagedFileError("log")
         # A segment is complete once it exists; older ones are leftovers.
         for name in segments[:-1]:
             self._folder.remove(name)
         self._segment = segments[-1]
         data = self._folder.read(self._segment)
-        found = self._scan(self._segment, data)
-        cut_bytes = len(data) - found.size_bytes
+        result = self._scan(self._segment, data)
+        cut_bytes = len(data) - result.size_bytes
         if cut_bytes:
-            self._folder.truncate(self._segment, found.size_bytes)
-        replayed, hard_state = self._replay(found.payloads, snapshot)
-        log = self._join(replayed, snapshot)
+            self._folder.truncate(self._segment, result.size_bytes)
+        replayed, hard_state = self._replay(result.payloads, snapshot)
+        log = self._merge_snapshot(replayed, snapshot)
         if replayed.snapshot.index != log.snapshot.index:
             # Entries after the snapshot would leave a gap in the old segment.
             self._start_segment(log, hard_state)
@@ -193,40 +197,40 @@
                 continue
             entry = record.entry
             if is_first:
-                log = RaftLog(_base(snapshot, entry.index - 1))
+                log = RaftLog(_snapshot_before(snapshot, entry.index - 1))
                 is_first = False
             if entry.index <= log.last_index:
                 log.truncate(entry.index)
             if entry.index != log.last_index + 1:
-                raise _Damaged(self._segment)
+                raise _DamagedFileError(self._segment)
             log.append((entry,))
         return log, hard_state
 
-    def _join(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
+    def _merge_snapshot(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
         """Put snapshot and segment together after a stop between their writes."""
         base = replayed.snapshot
         log = RaftLog(base, list(replayed.slice(base.index + 1, replayed.last_index)))
         if log.snapshot.index > (snapshot.index if snapshot else 0):
-            raise _Damaged(SNAPSHOT_FILE)
+            raise _DamagedFileError(SNAPSHOT_FILE)
         if snapshot is not None:
             log.install(snapshot)
         log.synced_index = log.last_index
         return log
 
-    def _single(self, name: str) -> bytes:
-        found = self._scan(name, self._folder.read(name))
-        if len(found.payloads) != 1:
-            raise _Damaged(name)
-        return found.payloads[0]
+    def _read_single_record(self, name: str) -> bytes:
+        result = self._scan(name, self._folder.read(name))
+        if len(result.payloads) != 1:
+            raise _DamagedFileError(name)
+        return result.payloads[0]
 
-    def _scan(self, name: str, data: bytes) -> Scan:
-        found = scan(data, self._verify)
-        if found.damaged:
-            raise _Damaged(name)
-        return found
+    def _scan(self, name: str, data: bytes) -> ScanResult:
+        result = scan_records(data, self._verify)
+        if result.damaged:
+            raise _DamagedFileError(name)
+        return result
 
 
-def _base(snapshot: Snapshot | None, index: int) -> Snapshot:
+def _snapshot_before(snapshot: Snapshot | None, index: int) -> Snapshot:
     """Return what precedes the first entry of a segment."""
     if snapshot is not None and snapshot.index == index:
         return snapshot
--- a/src/damaskridge/adapters/engine_actions.py
+++ b/src/damaskridge/adapters/engine_actions.py
@@ -16,16 +16,16 @@
 from damaskridge.model.engine import LoadReport, Order, OrderKind
 from damaskridge.model.events import EventNumber
 
-__all__ = ["ORDER_IN_FLIGHT_S", "cancel_once", "send_order"]
+__all__ = ["MAX_ORDER_DELAY_S", "try_cancel", "send_order"]
 
 logger = logging.getLogger(__name__)
 
 CANCEL_TIMEOUT_S = 1.0
 # Longest time between sending an order and its effect on the engine.
-ORDER_IN_FLIGHT_S = 2.0
+MAX_ORDER_DELAY_S = 2.0
 
 
-async def cancel_once(engine: EnginePort, action: CancelOnEngine) -> bool:
+async def try_cancel(engine: EnginePort, action: CancelOnEngine) -> bool:
     """Try to cancel a request; tells whether the engine confirmed."""
     with anyio.move_on_after(CANCEL_TIMEOUT_S):
         result = await engine.cancel(action.engine_request_id)
@@ -44,7 +44,7 @@
 async def send_order(
     control: ControlPort,
     owner: Owner,
-    gained_s: float,
+    acquired_s: float,
     server: BackendServer,
     engine: EnginePort,
     action: SendOrder,
@@ -56,10 +56,10 @@
     this one, so the order waits until none can be on its way any more.
     """
     if not server.checks_fencing:
-        ready_s = gained_s + SESSION_DURATION_S + ORDER_IN_FLIGHT_S
-        await anyio.sleep(max(0.0, ready_s - anyio.current_time()))
-        current = await engine.load()
-        if isinstance(current, Err) or _is_done(current.ok_value, action):
+        send_at_s = acquired_s + SESSION_DURATION_S + MAX_ORDER_DELAY_S
+        await anyio.sleep(max(0.0, send_at_s - anyio.current_time()))
+        report = await engine.load()
+        if isinstance(report, Err) or _is_in_effect(report.ok_value, action):
             return False
     command = AllocateFencingNumber(
         command_id=uuid.uuid4().hex,
@@ -71,7 +71,7 @@
     if allocated.failure is not None or not lease_is_valid(control):
         return False
     number = int(allocated.value)
-    with anyio.move_on_after(ORDER_IN_FLIGHT_S):
+    with anyio.move_on_after(MAX_ORDER_DELAY_S):
         result = await engine.order(Order(action.kind, action.value, number))
         event = EventNumber.ORDER_SENT
         if isinstance(result, Err):
@@ -87,7 +87,7 @@
     return False
 
 
-def _is_done(report: LoadReport, action: SendOrder) -> bool:
+def _is_in_effect(report: LoadReport, action: SendOrder) -> bool:
     if action.kind is OrderKind.CHANGE_ROLE:
         return report.role == action.value
     return action.value in report.models
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -27,10 +27,10 @@
 
 LOAD_PERIOD_S = 0.5
 CACHE_PERIOD_S = 0.5
-LIST_PERIOD_S = 1.0
+REQUEST_LIST_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 1.0
 # One lost answer is no failure; two in a row are 3 s at most with the period.
-SILENT_POLLS = 2
+SILENT_POLL_LIMIT = 2
 
 
 class BackendServerPoller:
@@ -54,29 +54,31 @@
         emit: Callable[[CellEvent], None],
     ) -> None:
         self.server = server
-        self.scope = anyio.CancelScope()
+        self.cancel_scope = anyio.CancelScope()
         self.incarnation = 0
         self.report: LoadReport | None = None
-        self.crashes = 0
+        self.crash_count = 0
         self._engine = engine
         self._emit = emit
         self._failed = False
         self._crash_reported = False
         self._silent_polls = 0
-        self._cache_after = 0
+        self._last_cache_sequence = 0
 
     async def run(self) -> None:
         """Poll until the scope is cancelled."""
-        with self.scope:
+        with self.cancel_scope:
             if self._engine is None:
                 # A service has no list of requests; the scheduler waits for one.
                 self._emit(EngineListed(self.server.name, (), anyio.current_time()))
-                await _repeat(self._probe, LOAD_PERIOD_S)
+                await _poll_forever(self._probe_connection, LOAD_PERIOD_S)
             async with anyio.create_task_group() as group:
-                group.start_soon(_repeat, self._poll_load, LOAD_PERIOD_S)
-                group.start_soon(_repeat, self._poll_list, LIST_PERIOD_S)
+                group.start_soon(_poll_forever, self._poll_load, LOAD_PERIOD_S)
+                group.start_soon(
+                    _poll_forever, self._poll_requests, REQUEST_LIST_PERIOD_S
+                )
                 if self.server.role is not BackendServerRole.DECODE:
-                    group.start_soon(_repeat, self._poll_cache, CACHE_PERIOD_S)
+                    group.start_soon(_poll_forever, self._poll_cache, CACHE_PERIOD_S)
 
     async def _poll_load(self) -> None:
         assert self._engine is not None
@@ -84,17 +86,17 @@
             with anyio.fail_after(POLL_TIMEOUT_S):
                 result = await self._engine.load()
         except TimeoutError:
-            self._no_answer(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
+            self._handle_no_response(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
             return
         if isinstance(result, Ok):
-            self._answered(result.ok_value)
+            self._handle_report(result.ok_value)
         else:
-            self._no_answer(result.err_value)
+            self._handle_no_response(result.err_value)
 
     async def _poll_cache(self) -> None:
         assert self._engine is not None
         with anyio.move_on_after(POLL_TIMEOUT_S):
-            result = await self._engine.cache_events(self._cache_after)
+            result = await self._engine.cache_events(self._last_cache_sequence)
             if not isinstance(result, Ok):
                 return
             page = result.ok_value
@@ -105,57 +107,57 @@
                     backend_server=self.server.name,
                 )
             if page.events:
-                self._cache_after = max(event.sequence for event in page.events)
+                self._last_cache_sequence = max(event.sequence for event in page.events)
             if page.events or page.gap:
                 self._emit(CacheReported(self.server.name, page))
 
-    async def _poll_list(self) -> None:
+    async def _poll_requests(self) -> None:
         assert self._engine is not None
-        asked_s = anyio.current_time()
+        requested_s = anyio.current_time()
         with anyio.move_on_after(POLL_TIMEOUT_S):
             result = await self._engine.list_requests()
             if isinstance(result, Ok):
-                self._emit(EngineListed(self.server.name, result.ok_value, asked_s))
+                self._emit(EngineListed(self.server.name, result.ok_value, requested_s))
 
-    async def _probe(self) -> None:
+    async def _probe_connection(self) -> None:
         host, _, port = self.server.address.rpartition(":")
         try:
             with anyio.fail_after(POLL_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
                 await stream.aclose()
         except (OSError, TimeoutError):
-            self._no_answer(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
+            self._handle_no_response(Failure(ErrorKind.BACKEND_SERVER_TIMEOUT))
         else:
             self._silent_polls = 0
-            self._recover()
+            self._report_recovery()
 
-    def _answered(self, report: LoadReport) -> None:
+    def _handle_report(self, report: LoadReport) -> None:
         name = self.server.name
         self._silent_polls = 0
         restarted = self.incarnation not in (0, report.incarnation)
         if restarted and not self._crash_reported:
-            self._fail(crashed=True)
+            self._report_failure(crashed=True)
         if report.incarnation != self.incarnation:
-            self._cache_after = 0
+            self._last_cache_sequence = 0
         self.incarnation = report.incarnation
         self.report = report
-        self._recover()
+        self._report_recovery()
         self._emit(LoadReported(name, report))
 
-    def _no_answer(self, failure: Failure) -> None:
+    def _handle_no_response(self, failure: Failure) -> None:
         refused = (
             failure.kind is ErrorKind.BACKEND_SERVER_FAILED
             and failure.ran is RunState.NOT_RUN
         )
         self._silent_polls += 1
-        silent = not self._failed and self._silent_polls >= SILENT_POLLS
+        silent = not self._failed and self._silent_polls >= SILENT_POLL_LIMIT
         if (refused and not self._crash_reported) or silent:
-            self._fail(crashed=refused)
+            self._report_failure(crashed=refused)
 
-    def _fail(self, *, crashed: bool) -> None:
+    def _report_failure(self, *, crashed: bool) -> None:
         self._failed = True
         self._crash_reported = crashed
-        self.crashes += crashed
+        self.crash_count += crashed
         log_event(
             logger,
             EventNumber.BACKEND_SERVER_LOST,
@@ -166,7 +168,7 @@
         )
         self._emit(ServerFailed(self.server.name, self.incarnation, crashed))
 
-    def _recover(self) -> None:
+    def _report_recovery(self) -> None:
         if self._failed:
             self._failed = self._crash_reported = False
             log_event(
@@ -178,7 +180,7 @@
             self._emit(ServerRecovered(self.server.name))
 
 
-async def _repeat(poll: Callable[[], Awaitable[None]], period_s: float) -> None:
+async def _poll_forever(poll: Callable[[], Awaitable[None]], period_s: float) -> None:
     while True:
         try:
             await poll()
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -22,10 +22,10 @@
 
 __all__ = ["HttpEngine"]
 
-_SHORT_S = 1.0
-_PREFILL_S = 30.0
-_ANSWER_LIMIT_BYTES = 4_194_304
-_LINE_LIMIT_BYTES = 65_536
+_REQUEST_TIMEOUT_S = 1.0
+_PREFILL_TIMEOUT_S = 30.0
+_MAX_RESPONSE_BYTES = 4_194_304
+_MAX_LINE_BYTES = 65_536
 
 
 class HttpEngine:
@@ -47,13 +47,13 @@
     async def prefill(self, request: PrefillRequest) -> Result[PrefillResult, Failure]:
         """Compute and hold a KV cache."""
         return await self._call(
-            "POST", "/prefill", PrefillResult, request, read_s=_PREFILL_S
+            "POST", "/prefill", PrefillResult, request, read_s=_PREFILL_TIMEOUT_S
         )
 
     async def decode(self, request: DecodeRequest) -> AsyncIterator[DecodeChunk]:
         """Import a KV cache and stream output; raises `StreamFailed`."""
         body = msgspec.json.encode(request)
-        async for chunk in self._chunks("POST", "/decode", body):
+        async for chunk in self._stream_chunks("POST", "/decode", body):
             yield chunk
 
     async def resume(
@@ -61,28 +61,28 @@
     ) -> AsyncIterator[DecodeChunk]:
         """Stream output again from `offset` on a new connection."""
         path = f"/requests/{engine_request_id}/stream?offset={offset}"
-        async for chunk in self._chunks("GET", path, b"", fresh=True):
+        async for chunk in self._stream_chunks("GET", path, b"", fresh=True):
             yield chunk
 
     async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
         """Stop a request and free all its memory."""
         path = f"/requests/{engine_request_id}"
-        return await self._call("DELETE", path, None, repeat=True)
+        return await self._call("DELETE", path, None, retry=True)
 
     async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
         """List every request that holds memory or waits."""
         return await self._call(
-            "GET", "/requests", tuple[EngineRequest, ...], repeat=True
+            "GET", "/requests", tuple[EngineRequest, ...], retry=True
         )
 
     async def load(self) -> Result[LoadReport, Failure]:
         """Return the last load report."""
-        return await self._call("GET", "/load", LoadReport, repeat=True)
+        return await self._call("GET", "/load", LoadReport, retry=True)
 
     async def cache_events(self, after: int) -> Result[CacheEventPage, Failure]:
         """Return cache events after a sequence number."""
         path = f"/cache-events?after={after}"
-        return await self._call("GET", path, CacheEventPage, repeat=True)
+        return await self._call("GET", path, CacheEventPage, retry=True)
 
     async def order(self, order: Order) -> Result[None, Failure]:
         """Give an order."""
@@ -95,15 +95,15 @@
         kind: Any,
         body: msgspec.Struct | None = None,
         *,
-        read_s: float = _SHORT_S,
-        repeat: bool = False,
+        read_s: float = _REQUEST_TIMEOUT_S,
+        retry: bool = False,
     ) -> Result[Any, Failure]:
-        failure = await self._try(method, path, kind, body, read_s, fresh=False)
-        if isinstance(failure, Err) and repeat:
-            return await self._try(method, path, kind, body, read_s, fresh=True)
+        failure = await self._send_once(method, path, kind, body, read_s, fresh=False)
+        if isinstance(failure, Err) and retry:
+            return await self._send_once(method, path, kind, body, read_s, fresh=True)
         return failure
 
-    async def _try(
+    async def _send_once(
         self,
         method: str,
         path: str,
@@ -118,43 +118,45 @@
                 self._base + path,
                 body=msgspec.json.encode(body) if body is not None else b"",
                 read_s=read_s,
-                limit_bytes=_ANSWER_LIMIT_BYTES,
+                limit_bytes=_MAX_RESPONSE_BYTES,
                 fresh=fresh,
             )
             if reply.status // 100 != 2:
-                return Err(_refusal(reply))
+                return Err(_engine_failure(reply))
             if kind is None:
                 return Ok(None)
-            return Ok(_decoded(reply.body, kind))
+            return Ok(_decode_json(reply.body, kind))
         except StreamFailed as error:
             return Err(error.failure)
 
-    async def _chunks(
+    async def _stream_chunks(
         self, method: str, path: str, body: bytes, fresh: bool = False
     ) -> AsyncIterator[DecodeChunk]:
         url = self._base + path
         # The life cycle detects silence; a timer at every read would be costly.
         opened = self._client.stream(method, url, body=body, read_s=None, fresh=fresh)
         async with opened as response:
-            lines = self._client.lines(response, _LINE_LIMIT_BYTES)
+            lines = self._client.lines(response, _MAX_LINE_BYTES)
             if response.status != 200:
                 data = b"".join([line async for line in lines])
-                raise StreamFailed(_refusal(HttpReply(response.status, "", data)))
+                raise StreamFailed(
+                    _engine_failure(HttpReply(response.status, "", data))
+                )
             async for line in lines:
-                chunk = _decoded(line, DecodeChunk)
+                chunk = _decode_json(line, DecodeChunk)
                 yield chunk
                 if chunk.finish_reason is not None:
                     return
 
 
-def _decoded(data: bytes, kind: Any) -> Any:
+def _decode_json(data: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         raise failed("answer is not of the protocol") from None
 
 
-def _refusal(reply: HttpReply) -> Failure:
+def _engine_failure(reply: HttpReply) -> Failure:
     """Return the engine's own failure, if it sent one."""
     try:
         return msgspec.json.decode(reply.body, type=Failure)
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -11,8 +11,8 @@
 
 __all__ = ["HttpHostList", "ListedServer", "ListedServerState"]
 
-_READ_S = 1.0
-_ANSWER_LIMIT_BYTES = 4_194_304
+_READ_TIMEOUT_S = 1.0
+_MAX_RESPONSE_BYTES = 4_194_304
 
 
 class ListedServerState(Enum):
@@ -50,13 +50,18 @@
         """Return the names of backend servers that are leaving or gone."""
         try:
             reply = await self._client.call(
-                "GET", self._url, read_s=_READ_S, limit_bytes=_ANSWER_LIMIT_BYTES
+                "GET",
+                self._url,
+                read_s=_READ_TIMEOUT_S,
+                limit_bytes=_MAX_RESPONSE_BYTES,
             )
-            hosts = msgspec.json.decode(reply.body, type=tuple[ListedServer, ...])
+            servers = msgspec.json.decode(reply.body, type=tuple[ListedServer, ...])
         except StreamFailed as error:
             return Err(error.failure)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             detail = "the host list is not of the protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
-        leaving = (host for host in hosts if host.state is not ListedServerState.LIVE)
-        return Ok(frozenset(host.name for host in leaving))
+        leaving = (
+            server for server in servers if server.state is not ListedServerState.LIVE
+        )
+        return Ok(frozenset(server.name for server in leaving))
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from damaskridge.adapters.observability.events import ROOT_LOGGER, fields_of
+from damaskridge.adapters.observability.events import ROOT_LOGGER, get_event_fields
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.model.events import EventNumber
 
@@ -28,7 +28,7 @@
         number = getattr(record, "event_number", None)
         if number is None:
             return
-        fields = fields_of(record)
+        fields = get_event_fields(record)
         metrics = self._metrics
         metrics.events.labels(number.name).inc()
         kind = str(fields.get("kind", "model"))
@@ -38,14 +38,14 @@
             case EventNumber.REQUEST_REFUSED:
                 metrics.requests.labels(kind, str(fields.get("error_kind", ""))).inc()
             case EventNumber.REQUEST_GRANTED:
-                metrics.waits_s.labels("rate").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("rate").observe(_number(fields, "waited_s"))
             case EventNumber.REQUEST_PLACED:
-                metrics.waits_s.labels("cell").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("cell").observe(_number(fields, "waited_s"))
             case EventNumber.REQUEST_FIRST_TOKEN:
                 metrics.first_token_s.observe(_number(fields, "first_token_s"))
             case EventNumber.REQUEST_ANSWERED:
                 metrics.requests.labels("gateway", str(fields.get("status", ""))).inc()
-                metrics.answer_s.observe(_number(fields, "elapsed_ms") / 1000)
+                metrics.response_s.observe(_number(fields, "elapsed_ms") / 1000)
                 metrics.first_token_s.observe(_number(fields, "first_ms") / 1000)
                 metrics.token_gap_s.observe(_number(fields, "longest_gap_ms") / 1000)
             case EventNumber.REQUEST_FAILED:
@@ -53,7 +53,7 @@
                 metrics.requests.labels("gateway", outcome).inc()
                 metrics.failure_s.observe(_number(fields, "elapsed_ms") / 1000)
             case EventNumber.LEDGER_INTENT:
-                metrics.ledger_states.labels(str(fields.get("state", ""))).inc()
+                metrics.ledger_responses.labels(str(fields.get("state", ""))).inc()
             case _:
                 pass
 
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -4,7 +4,7 @@
 >>> record = event_record("front", EventNumber.REQUEST_ACCEPTED, {"request_id": "r1"})
 >>> record.getMessage()
 'REQUEST_ACCEPTED'
->>> fields_of(record)["request_id"]
+>>> get_event_fields(record)["request_id"]
 'r1'
 """
 
@@ -24,7 +24,7 @@
     "configure_logging",
     "configure_bounded_logging",
     "event_record",
-    "fields_of",
+    "get_event_fields",
     "log_event",
 ]
 
@@ -45,7 +45,7 @@
     return record
 
 
-def fields_of(record: logging.LogRecord) -> dict[str, object]:
+def get_event_fields(record: logging.LogRecord) -> dict[str, object]:
     """Return the fields of an event's record; empty for other records."""
     fields: dict[str, object] = getattr(record, "event_fields", {})
     return fields
@@ -96,7 +96,7 @@
             "event": int(number) if number is not None else 0,
             "name": record.getMessage(),
         }
-        line.update(fields_of(record))
+        line.update(get_event_fields(record))
         if record.exc_info:
             line["error"] = self.formatException(record.exc_info)
         return msgspec.json.encode(line).decode()
@@ -117,7 +117,7 @@
 
 
 # Lines of one event in one second: above what one host logs on a busy day.
-LINES_PER_S = 100
+MAX_LINES_PER_S = 100
 
 
 class BoundedHandler(logging.Handler):
@@ -135,44 +135,44 @@
         Most lines of one event in one second.
     """
 
-    def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S) -> None:
+    def __init__(self, descriptor: int, lines_per_s: int = MAX_LINES_PER_S) -> None:
         super().__init__()
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
         self._second = 0
-        self._written: dict[str, int] = {}
-        self._dropped: dict[str, int] = {}
-        self._cut = b""
+        self._line_counts: dict[str, int] = {}
+        self._dropped_lines: dict[str, int] = {}
+        self._unwritten = b""
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record, or count it."""
         if int(record.created) != self._second:
-            self._begin_second(record)
+            self._start_second(record)
         name = record.getMessage()
-        written = self._written.get(name, 0)
-        self._written[name] = written + 1
+        written = self._line_counts.get(name, 0)
+        self._line_counts[name] = written + 1
         if written >= self._lines_per_s or not self._write(self.format(record)):
-            self._dropped[name] = self._dropped.get(name, 0) + 1
+            self._dropped_lines[name] = self._dropped_lines.get(name, 0) + 1
 
-    def _begin_second(self, record: logging.LogRecord) -> None:
+    def _start_second(self, record: logging.LogRecord) -> None:
         self._second = int(record.created)
-        self._written.clear()
-        dropped, self._dropped = self._dropped, {}
+        self._line_counts.clear()
+        dropped, self._dropped_lines = self._dropped_lines, {}
         for name, lines in dropped.items():
             fields = {"dropped_event": name, "dropped_lines": lines}
             report = event_record("log", EventNumber.LOG_LINES_DROPPED, fields)
             self._write(self.format(report))
 
     def _write(self, line: str) -> bool:
-        data = self._cut + line.encode() + b"\n"
+        data = self._unwritten + line.encode() + b"\n"
         try:
             count = os.write(self._descriptor, data)
         except OSError:
             # The reader is slow or gone; the line is counted as dropped.
             return False
         # The rest of a line that was cut goes before the next one.
-        self._cut = data[count:]
+        self._unwritten = data[count:]
         return True
 
 
--- a/src/damaskridge/adapters/observability/metrics.py
+++ b/src/damaskridge/adapters/observability/metrics.py
@@ -27,13 +27,13 @@
     requests : Counter
         Requests by `kind` (model, service or gateway) and `outcome`: an error kind,
         ``ok``, or the status of an answer that was passed on.
-    waits_s, first_token_s, token_gap_s : Histogram
+    wait_s, first_token_s, token_gap_s : Histogram
         Waits by `stage` (rate or cell), time to first token, time between tokens.
-    answer_s, failure_s : Histogram
+    response_s, failure_s : Histogram
         Time to the end of an answer that was passed on, and to a failure.
     prefill_tokens, wasted_prefill_tokens : Counter
         Prefilled tokens, and those whose result was never decoded.
-    ledger_states : Counter
+    ledger_responses : Counter
         Answers of the ledger by `state`.
     """
 
@@ -41,18 +41,20 @@
         self.registry = CollectorRegistry(auto_describe=False)
         self.events = self._counter("events", "Numbered log events", "name")
         self.requests = self._counter("requests", "Requests", "kind", "outcome")
-        self.waits_s = self._histogram("wait_seconds", "Time waited", "stage")
+        self.wait_s = self._histogram("wait_seconds", "Time waited", "stage")
         self.first_token_s = self._histogram(
             "first_token_seconds", "Time to first token"
         )
         self.token_gap_s = self._histogram("token_gap_seconds", "Time between tokens")
-        self.answer_s = self._histogram("answer_seconds", "Time to a whole answer")
+        self.response_s = self._histogram("answer_seconds", "Time to a whole answer")
         self.failure_s = self._histogram("failure_seconds", "Time to a failure")
         self.prefill_tokens = self._counter("prefill_tokens", "Prefilled tokens")
         self.wasted_prefill_tokens = self._counter(
             "wasted_prefill_tokens", "Prefilled tokens that were never decoded"
         )
-        self.ledger_states = self._counter("ledger_answers", "Ledger answers", "state")
+        self.ledger_responses = self._counter(
+            "ledger_answers", "Ledger answers", "state"
+        )
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """
--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -7,13 +7,13 @@
 from damaskridge.model.errors import ErrorKind
 
 __all__ = [
-    "RELEASE_RETRY_S",
+    "RELEASE_RETRY_DELAY_S",
     "find_owned_resources",
     "lease_is_valid",
     "propose_release",
 ]
 
-RELEASE_RETRY_S = 0.2
+RELEASE_RETRY_DELAY_S = 0.2
 
 
 def lease_is_valid(control: ControlPort, session: int | None = None) -> bool:
@@ -61,7 +61,7 @@
     bool
         Whether the control group committed the release.
     """
-    command = _release(control, owner, level_tokens)
+    command = _release_command(control, owner, level_tokens)
     while control.session is not None and control.session.number == owner.session:
         result = await control.propose(command)
         if result.failure is None:
@@ -69,21 +69,21 @@
         if result.failure.kind is not ErrorKind.CONTROL_UNAVAILABLE:
             # The refusal is remembered by the command's id. The move may have been
             # called off at that moment and ordered again since.
-            command = _release(control, owner, level_tokens)
-        await anyio.sleep(RELEASE_RETRY_S)
+            command = _release_command(control, owner, level_tokens)
+        await anyio.sleep(RELEASE_RETRY_DELAY_S)
         current = control.fleet.owners.get(owner.resource)
         if current is None or current.epoch != owner.epoch or not current.moving_to:
             return False
     return False
 
 
-def _release(
+def _release_command(
     control: ControlPort, owner: Owner, level_tokens: float
 ) -> ReleaseOwnership:
     """Return the command for a move as this host's view of the fleet shows it."""
-    move = f"{owner.resource}/{owner.epoch}/{control.fleet.index}"
+    move_id = f"{owner.resource}/{owner.epoch}/{control.fleet.index}"
     return ReleaseOwnership(
-        command_id=f"release/{move}",
+        command_id=f"release/{move_id}",
         host=owner.host,
         session=owner.session,
         resource=owner.resource,
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -43,11 +43,13 @@
 
 logger = logging.getLogger(__name__)
 
-PREFIX = "workspace/"
+RESOURCE_PREFIX = "workspace/"
 # Bounds the time for which an ended lease goes unnoticed while nothing happens.
 CHECK_PERIOD_S = 0.25
 
-AskKeys = Callable[[str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]]
+FetchActiveKeys = Callable[
+    [str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]
+]
 
 
 class RateOwnerPort(Protocol):
@@ -62,7 +64,7 @@
         ...
 
 
-class _Held:
+class _Ownership:
     """One workspace that this host owns now."""
 
     def __init__(self, owner: Owner, workspace: Workspace) -> None:
@@ -84,7 +86,7 @@
         Gives ownership and the lease.
     machine : RateOwnerPort
         Decides; one machine for all workspaces.
-    ask_keys : AskKeys
+    fetch_active_keys : FetchActiveKeys
         Asks the front on a host for its idempotency keys of a workspace.
     """
 
@@ -94,16 +96,16 @@
         host: str,
         control: ControlPort,
         rate_owner: RateOwnerPort,
-        ask_keys: AskKeys,
+        fetch_active_keys: FetchActiveKeys,
     ) -> None:
         self._host = host
         self._control = control
         self._rate_owner = rate_owner
-        self._ask_keys = ask_keys
-        self._owned: dict[str, _Held] = {}
+        self._fetch_active_keys = fetch_active_keys
+        self._owned: dict[str, _Ownership] = {}
         # Epochs that this process has held: a regained epoch starts empty.
-        self._seen_epochs: dict[str, int] = {}
-        self._passed_on: dict[str, int] = {}
+        self._acquired_epochs: dict[str, int] = {}
+        self._unstarted_releases: dict[str, int] = {}
         self._pending: PendingReplies[RateReply] = PendingReplies(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
         )
@@ -113,7 +115,7 @@
     @property
     def owned_epochs(self) -> dict[str, int]:
         """The epoch of every owned workspace."""
-        return {name: held.owner.epoch for name, held in self._owned.items()}
+        return {name: ownership.owner.epoch for name, ownership in self._owned.items()}
 
     async def run(self) -> None:
         """Follow ownership and time until cancelled."""
@@ -122,37 +124,37 @@
             while True:
                 self.sync_ownership()
                 if self._owned:
-                    self._decide(TimePassed(self._lease_remaining_s()))
+                    self._handle(TimePassed(self._lease_remaining_s()))
                 wake = self._wake = anyio.Event()
-                with anyio.move_on_after(self._pause_s()):
+                with anyio.move_on_after(self._sleep_duration_s()):
                     await wake.wait()
 
     def sync_ownership(self) -> None:
         """Start and stop ownership as the fleet view and the lease say."""
         if self._group is None:
             return
-        owners = find_owned_resources(self._control, self._host, PREFIX)
-        for name, held in list(self._owned.items()):
+        owners = find_owned_resources(self._control, self._host, RESOURCE_PREFIX)
+        for name, ownership in list(self._owned.items()):
             current = owners.get(workspace_resource(name))
-            if current is None or current.epoch != held.owner.epoch:
+            if current is None or current.epoch != ownership.owner.epoch:
                 self._stop(name)
-            elif current.moving_to and not held.releasing:
-                self._release(held)
+            elif current.moving_to and not ownership.releasing:
+                self._release(ownership)
         for resource, owner in owners.items():
-            self._follow(resource.removeprefix(PREFIX), owner)
+            self._sync_workspace(resource.removeprefix(RESOURCE_PREFIX), owner)
 
     async def reserve(self, request: RateRequest) -> RateReply:
         """Ask the machine; returns after the wait, if any."""
         if request.workspace not in self._owned:
             self.sync_ownership()
-        held = self._owned.get(request.workspace)
-        if held is None or held.released.is_set():
+        ownership = self._owned.get(request.workspace)
+        if ownership is None or ownership.released.is_set():
             return self._refusal(request.request_id, ErrorKind.OWNER_UNAVAILABLE)
-        if held.owner.epoch != request.epoch:
+        if ownership.owner.epoch != request.epoch:
             return self._refusal(request.request_id, ErrorKind.EPOCH_CONFLICT)
         future = self._pending.open(request.resource, request.front, request.request_id)
         try:
-            self._decide(RateRequested(request, self._lease_remaining_s()))
+            self._handle(RateRequested(request, self._lease_remaining_s()))
             self._wake.set()
             return await future
         finally:
@@ -160,121 +162,121 @@
 
     async def refund(self, refund: Refund) -> None:
         """Give unused tokens back."""
-        held = self._owned.get(refund.workspace)
-        if held is not None and held.owner.epoch == refund.epoch:
-            self._decide(RefundReceived(refund))
+        ownership = self._owned.get(refund.workspace)
+        if ownership is not None and ownership.owner.epoch == refund.epoch:
+            self._handle(RefundReceived(refund))
             self._wake.set()
 
     async def ended(self, resource: str, workspace: str, request_id: str) -> None:
         """Note that a request with an idempotency key has finished."""
         if workspace in self._owned:
-            self._decide(RequestEnded(workspace, request_id))
+            self._handle(RequestEnded(workspace, request_id))
 
     async def release_all(self) -> None:
         """Hand every workspace over; returns when all are released or lost."""
-        held = list(self._owned.values())
-        for item in held:
+        ownership = list(self._owned.values())
+        for item in ownership:
             if not item.releasing:
                 self._release(item)
-        for item in held:
+        for item in ownership:
             await item.released.wait()
 
-    def _follow(self, name: str, owner: Owner) -> None:
+    def _sync_workspace(self, name: str, owner: Owner) -> None:
         workspace = find_workspace(self._control.fleet, name)
-        held = self._owned.get(name)
+        ownership = self._owned.get(name)
         if workspace is None:
             return
-        if held is None:
+        if ownership is None:
             if not owner.moving_to:
                 self._start(workspace, owner)
-            elif self._passed_on.get(name) != owner.epoch:
-                self._pass_on(name, owner)
-        elif held.workspace != workspace:
-            held.workspace = workspace
-            self._decide(WorkspaceChanged(workspace))
+            elif self._unstarted_releases.get(name) != owner.epoch:
+                self._release_unstarted(name, owner)
+        elif ownership.workspace != workspace:
+            ownership.workspace = workspace
+            self._handle(WorkspaceChanged(workspace))
 
-    def _pass_on(self, name: str, owner: Owner) -> None:
+    def _release_unstarted(self, name: str, owner: Owner) -> None:
         """Release what moved on before this host began; nobody else can."""
-        self._passed_on[name] = owner.epoch
-        regained = self._seen_epochs.get(name) == owner.epoch
-        self._seen_epochs[name] = owner.epoch
+        self._unstarted_releases[name] = owner.epoch
+        regained = self._acquired_epochs.get(name) == owner.epoch
+        self._acquired_epochs[name] = owner.epoch
         level_tokens = 0.0 if regained else owner.level_tokens
         self._spawn(propose_release, self._control, owner, level_tokens)
 
     def _start(self, workspace: Workspace, owner: Owner) -> None:
-        regained = self._seen_epochs.get(workspace.name) == owner.epoch
-        self._seen_epochs[workspace.name] = owner.epoch
-        held = self._owned[workspace.name] = _Held(owner, workspace)
+        regained = self._acquired_epochs.get(workspace.name) == owner.epoch
+        self._acquired_epochs[workspace.name] = owner.epoch
+        ownership = self._owned[workspace.name] = _Ownership(owner, workspace)
         fronts = tuple(sorted(self._control.fleet.sessions))
         level_tokens = 0.0 if regained else owner.level_tokens
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         gained = OwnershipGained(
             workspace, owner.epoch, level_tokens, fronts, lost=level_tokens <= 0
         )
-        self._decide(gained)
+        self._handle(gained)
         for front in fronts:
-            self._spawn(self._collect_keys, held, front)
+            self._spawn(self._collect_keys, ownership, front)
 
     def _stop(self, name: str) -> None:
-        held = self._owned.pop(name)
-        held.released.set()
-        _log_owner(EventNumber.OWNERSHIP_LOST, held.owner)
+        ownership = self._owned.pop(name)
+        ownership.released.set()
+        _log_owner(EventNumber.OWNERSHIP_LOST, ownership.owner)
         # Whatever the machine answers, nothing may be granted any more.
         self._rate_owner.handle(OwnershipEnded(name), anyio.current_time())
-        self._pending.refuse(held.owner.resource)
+        self._pending.refuse(ownership.owner.resource)
 
-    def _release(self, held: _Held) -> None:
-        held.releasing = True
-        self._decide(ReleaseRequested(held.workspace.name))
+    def _release(self, ownership: _Ownership) -> None:
+        ownership.releasing = True
+        self._handle(ReleaseRequested(ownership.workspace.name))
 
-    def _decide(self, event: RateEvent) -> None:
+    def _handle(self, event: RateEvent) -> None:
         # A process that was frozen must not act on an expired lease.
         if not lease_is_valid(self._control):
             self._stop_all()
             return
-        self._stop_earlier_sessions()
-        self._carry_out(self._rate_owner.handle(event, anyio.current_time()))
+        self._stop_previous_sessions()
+        self._execute(self._rate_owner.handle(event, anyio.current_time()))
 
-    def _stop_earlier_sessions(self) -> None:
+    def _stop_previous_sessions(self) -> None:
         # The lease of a new session does not cover what an earlier one owned.
-        for name, held in list(self._owned.items()):
-            if not lease_is_valid(self._control, held.owner.session):
+        for name, ownership in list(self._owned.items()):
+            if not lease_is_valid(self._control, ownership.owner.session):
                 self._stop(name)
 
     def _stop_all(self) -> None:
         for name in list(self._owned):
             self._stop(name)
 
-    def _carry_out(self, actions: list[RateAction]) -> None:
+    def _execute(self, actions: list[RateAction]) -> None:
         for action in actions:
             if isinstance(action, SendRateReply):
                 self._pending.resolve(action.front, action.request_id, action.reply)
             else:
-                self._spawn(self._hand_over, action)
+                self._spawn(self._propose_release, action)
 
-    async def _hand_over(self, action: ReleaseBucket) -> None:
-        held = self._owned.get(action.workspace)
-        if held is None or held.owner.epoch != action.epoch:
+    async def _propose_release(self, action: ReleaseBucket) -> None:
+        ownership = self._owned.get(action.workspace)
+        if ownership is None or ownership.owner.epoch != action.epoch:
             return
-        if await propose_release(self._control, held.owner, action.level_tokens):
-            _log_owner(EventNumber.OWNERSHIP_RELEASED, held.owner)
-        held.released.set()
+        if await propose_release(self._control, ownership.owner, action.level_tokens):
+            _log_owner(EventNumber.OWNERSHIP_RELEASED, ownership.owner)
+        ownership.released.set()
 
-    async def _collect_keys(self, held: _Held, front: str) -> None:
+    async def _collect_keys(self, ownership: _Ownership, front: str) -> None:
         """Ask a front until it answers or its session ends."""
-        name = held.workspace.name
+        name = ownership.workspace.name
         while front in self._control.fleet.sessions:
-            reply = await self._ask_keys(front, name)
-            if self._owned.get(name) is not held:
+            reply = await self._fetch_active_keys(front, name)
+            if self._owned.get(name) is not ownership:
                 return
             if isinstance(reply, Ok):
                 for key in reply.ok_value:
-                    self._decide(_active_event(name, front, key))
+                    self._handle(_active_event(name, front, key))
                 break
             await anyio.sleep(CHECK_PERIOD_S)
         # What a front without a session had sent is known to the ledger only.
-        if self._owned.get(name) is held:
-            self._decide(RequestActive(name, front, "", "", ""))
+        if self._owned.get(name) is ownership:
+            self._handle(RequestActive(name, front, "", "", ""))
             self._wake.set()
 
     def _spawn(
@@ -286,7 +288,7 @@
     def _lease_remaining_s(self) -> float:
         return self._control.lease.remaining_s(anyio.current_time())
 
-    def _pause_s(self) -> float:
+    def _sleep_duration_s(self) -> float:
         now_s = anyio.current_time()
         wakeup_s = self._rate_owner.next_wakeup_s(now_s) if self._owned else None
         if wakeup_s is None:
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -18,9 +18,9 @@
 __all__ = ["ReplicatedRouting"]
 
 # Operators ask another host after a second; an answer after that is lost.
-ANSWER_S = 0.9
+RESPONSE_TIMEOUT_S = 0.9
 
-_log = logging.getLogger("damaskridge.control")
+_logger = logging.getLogger("damaskridge.control")
 
 
 class ReplicatedRouting:
@@ -47,18 +47,18 @@
         """Put a table in force; returns the version in force."""
         faults = table_faults(table)
         if faults:
-            return self._refused(table, Failure(ErrorKind.INVALID_BUNDLE, faults[0]))
+            return self._refuse(table, Failure(ErrorKind.INVALID_BUNDLE, faults[0]))
         if not self._node.is_leader:
             return Err(self._not_leader())
         command = PublishRoutingTable(
             command_id=f"routing/{secrets.token_hex(8)}", table=table, source=source
         )
-        with anyio.move_on_after(ANSWER_S):
+        with anyio.move_on_after(RESPONSE_TIMEOUT_S):
             result = await self._node.propose(command)
             if result.failure is not None:
-                return self._refused(table, result.failure)
+                return self._refuse(table, result.failure)
             return Ok(int(result.value))
-        return self._refused(
+        return self._refuse(
             table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time")
         )
 
@@ -66,7 +66,7 @@
         """Return the document in force, as a quorum confirms it; empty if none."""
         if not self._node.is_leader:
             return Err(self._not_leader())
-        with anyio.move_on_after(ANSWER_S):
+        with anyio.move_on_after(RESPONSE_TIMEOUT_S):
             if await self._node.confirm_leadership():
                 return Ok(self._state.data.routing_source)
             return Err(self._not_leader())
@@ -77,9 +77,9 @@
         return Failure(ErrorKind.NOT_LEADER, leader=leader)
 
     @staticmethod
-    def _refused(table: RoutingTable, failure: Failure) -> Result[int, Failure]:
+    def _refuse(table: RoutingTable, failure: Failure) -> Result[int, Failure]:
         log_event(
-            _log,
+            _logger,
             EventNumber.ROUTING_REFUSED,
             version=table.version,
             error_kind=failure.kind.value,
--- a/src/damaskridge/adapters/services/http_service.py
+++ b/src/damaskridge/adapters/services/http_service.py
@@ -8,7 +8,7 @@
 
 __all__ = ["HttpService"]
 
-_ANSWER_LIMIT_BYTES = 4_194_304
+_MAX_RESPONSE_BYTES = 4_194_304
 
 
 class HttpService:
@@ -44,7 +44,7 @@
                 body=call.body,
                 headers=headers,
                 read_s=self._read_s,
-                limit_bytes=_ANSWER_LIMIT_BYTES,
+                limit_bytes=_MAX_RESPONSE_BYTES,
                 fresh=True,
             )
         except StreamFailed as error:
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -174,7 +174,7 @@
             host=self.settings.host,
             control=self.control,
             rate_owner=RateOwner(rng=rng),
-            ask_keys=fronts.active_keys,
+            fetch_active_keys=fronts.active_keys,
         )
         cells = CellRuntime(
             host=self.settings.host,
@@ -182,7 +182,7 @@
             new_scheduler=lambda: CellScheduler(rng=rng),
             engine_for=engine_for,
             host_list=HttpHostList(self.backends, self.settings.host_list_address),
-            ask_requests=fronts.active_requests,
+            fetch_active_requests=fronts.active_requests,
             notify_taken_over=fronts.notify_taken_over,
         )
         return Owners(rates, cells)
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -71,7 +71,7 @@
             new_scheduler=self.new_scheduler,
             engine_for=lambda address: self.engine,
             host_list=self,
-            ask_requests=self.ask,
+            fetch_active_requests=self.ask,
             notify_taken_over=self.ask,
         )
 
@@ -162,7 +162,7 @@
     async def body(cell):
         cell.engine.cancels_to_fail = 3
         worker = cell.runtime._workers["chat"]
-        worker._carry_out(CancelOnEngine("e1", "req-h1-7-1.1"))
+        worker._execute(CancelOnEngine("e1", "req-h1-7-1.1"))
         await anyio.sleep(5)
         assert len(cell.engine.cancelled) == 4
 
@@ -173,10 +173,10 @@
     async def body(cell):
         worker = cell.runtime._workers["chat"]
         cell.control.fleet.sessions["h2"] = Session("h2", 2, 9, "a", "", "")
-        worker.heard("h2", 9)
+        worker.record_contact("h2", 9)
         await anyio.sleep(10)
         assert not cell.seen(FrontLost)
-        worker.heard("h2", 9)
+        worker.record_contact("h2", 9)
         del cell.control.fleet.sessions["h2"]
         await anyio.sleep(2.5)
         assert not cell.seen(FrontLost)
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -57,6 +57,6 @@
     for damaged in (data[:-9], data[:2] + b"\0" + data[3:]):
         with pytest.raises(msgspec.ValidationError):
             MsgpackCodec().decode(damaged, AnyFollowReply)
-    monkeypatch.setattr(codec_module, "MOST_BYTES", 1000)
+    monkeypatch.setattr(codec_module, "MAX_MESSAGE_BYTES", 1000)
     with pytest.raises(msgspec.ValidationError):
         MsgpackCodec().decode(data, AnyFollowReply)
--- a/tests/adapters/test_rate_runtime.py
+++ b/tests/adapters/test_rate_runtime.py
@@ -20,7 +20,7 @@
     async def main():
         control, rate_owner = FakeControl(), FakeMachine(hold)
         runtime = RateRuntime(
-            host="h1", control=control, rate_owner=rate_owner, ask_keys=no_keys
+            host="h1", control=control, rate_owner=rate_owner, fetch_active_keys=no_keys
         )
         control.own("workspace/w")
         control.renew()
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -230,7 +230,7 @@
                 host=name,
                 control=self.control,
                 rate_owner=RecordingRateOwner(rng, world),
-                ask_keys=fronts.active_keys,
+                fetch_active_keys=fronts.active_keys,
             ),
             CellRuntime(
                 host=name,
@@ -238,7 +238,7 @@
                 new_scheduler=lambda: RecordingCellScheduler(rng, world),
                 engine_for=clients.__getitem__,
                 host_list=HostList(process, network, world),
-                ask_requests=fronts.active_requests,
+                fetch_active_requests=fronts.active_requests,
                 notify_taken_over=fronts.notify_taken_over,
             ),
         )
