Reword the runtimes of owned cells and workspaces

Comments and doc comments relied on words private to the project (machine, heard, pass on, give back).

--- a/src/damaskridge/adapters/cell_event_log.py
+++ b/src/damaskridge/adapters/cell_event_log.py
@@ -1,4 +1,4 @@
-"""The events that the owner of a cell logs about its decisions."""
+"""Logs the decisions of a cell's scheduler as numbered events."""
 
 import logging
 
@@ -23,7 +23,7 @@
 
 
 def log_action(event: CellEvent, action: CellAction) -> None:
-    """Log a decision; `event` is what led to it."""
+    """Log an action of the scheduler; `event` is the event that caused it."""
     if isinstance(action, SendSubmitReply):
         _log_submit_response(action)
     elif isinstance(action, SendOrder) and action.kind is OrderKind.CHANGE_ROLE:
@@ -36,7 +36,8 @@
     elif isinstance(action, CancelOnEngine) and isinstance(
         event, TimePassed | EngineListed
     ):
-        # Other events that lead to a cancellation come from the request's front.
+        # Only these events reclaim a request that no front tracks any more; all
+        # others that lead to a cancellation come from the request's front.
         log_event(
             _logger,
             EventNumber.REQUEST_RECLAIMED,
@@ -46,7 +47,7 @@
 
 
 def log_cell_rebuilt(owner: Owner) -> None:
-    """Log that a new owner knows all running requests."""
+    """Log that a new owner has learned all running requests of its cell."""
     log_event(
         _logger,
         EventNumber.CELL_REBUILT,
@@ -56,19 +57,19 @@
 
 
 def _log_submit_response(action: SendSubmitReply) -> None:
-    reply = action.reply
-    if isinstance(reply, Placement):
+    response = action.reply
+    if isinstance(response, Placement):
         log_event(
             _logger,
             EventNumber.QUEUE_PLACED,
             request_id=action.request_id,
-            prefill_server=reply.prefill_server,
-            decode_server=reply.decode_server,
+            prefill_server=response.prefill_server,
+            decode_server=response.decode_server,
         )
     else:
         log_event(
             _logger,
             EventNumber.QUEUE_REFUSED,
             request_id=action.request_id,
-            error_kind=reply.failure.kind.value,
+            error_kind=response.failure.kind.value,
         )
--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -1,4 +1,4 @@
-"""Runs the schedulers of the cells that this host owns."""
+"""Runs one scheduler for each cell that this host owns."""
 
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
@@ -50,20 +50,20 @@
 
 class CellRuntime:
     """
-    `CellPort` for the cells that this host owns.
+    Implements `CellPort` for the cells that this host owns.
 
     Parameters
     ----------
     host : str
-        This host.
+        Name of this host.
     control : ControlPort
-        Gives ownership and the lease.
+        Source of the fleet view and of this host's lease.
     new_scheduler : callable
-        Returns a new scheduler for one cell.
+        Creates the scheduler of one cell; called for every new ownership.
     engine_for : callable
-        Returns the engine at an address.
+        Returns the client of the engine at an address.
     host_list : HostListPort
-        The platform's list of leaving servers.
+        The platform's list of leaving backend servers.
     fetch_active_requests, notify_taken_over : callable
         Calls to fronts; see `CellDependencies`.
     """
@@ -87,7 +87,8 @@
         self._host_list = host_list
         self._listed_as_leaving: frozenset[str] = frozenset()
         self._workers: dict[str, CellWorker] = {}
-        # Released epochs: the fleet view names this host until the release commits.
+        # Epochs being released, by cell. The fleet view still names this host as
+        # the owner until the release commits; the cell must not start again.
         self._released_epochs: dict[str, int] = {}
         self._pending_releases: list[anyio.Event] = []
         self._group: TaskGroup | None = None
@@ -111,16 +112,16 @@
 
     @property
     def owned_epochs(self) -> dict[str, int]:
-        """The epoch of every owned cell."""
+        """Epoch of every owned cell, by its name."""
         return {cell: worker.owner.epoch for cell, worker in self._workers.items()}
 
     @property
     def queue_length(self) -> int:
-        """Requests that wait for a placement on this host."""
+        """Number of requests that wait for a placement by this host."""
         return len(self._dependencies.pending_submits)
 
     async def run(self) -> None:
-        """Follow ownership and the host list until cancelled."""
+        """Update ownership and poll the host list until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._poll_host_list)
@@ -129,7 +130,7 @@
                 await anyio.sleep(CHECK_PERIOD_S)
 
     def sync_ownership(self) -> None:
-        """Start and stop ownership as the fleet view and the lease say."""
+        """Start and stop schedulers according to the fleet view and the lease."""
         owners = find_owned_resources(self._control, self._host, RESOURCE_PREFIX)
         for cell, worker in list(self._workers.items()):
             current = owners.get(worker.owner.resource)
@@ -145,19 +146,20 @@
                 self._workers[cell].update_leaving_servers(leaving)
             elif self._released_epochs.get(cell) != owner.epoch:
                 if owner.moving_to:
-                    # It moved on before this host began; nobody else can release it.
+                    # Ordered to move before it started here. Only this host, as
+                    # the registered owner, can release it.
                     self._start_release(cell, owner)
                 else:
                     self._start(cell, owner, leaving)
 
     async def submit(self, profile: RequestProfile) -> SubmitReply:
-        """Queue a request; returns when it is placed or refused."""
+        """Queue a request and return once it is placed or refused."""
         worker = self._current_worker(profile.resource, profile.epoch)
         if isinstance(worker, Failure):
             return Refused(request_id=profile.request_id, failure=worker)
         worker.record_contact(profile.front, profile.incarnation)
         if profile.fingerprint in self._control.fleet.quarantined:
-            # The front's view of the fleet may be older than this host's.
+            # The front checks this too, but its fleet view may be older.
             failure = Failure(ErrorKind.REQUEST_QUARANTINED)
             return Refused(request_id=profile.request_id, failure=failure)
         pending = self._dependencies.pending_submits
@@ -169,13 +171,13 @@
             pending.close(profile.front, profile.request_id, future)
 
     async def withdraw(self, withdraw: Withdraw) -> None:
-        """Forget a request in whatever epoch."""
+        """Withdraw a request, whatever epoch its front knows."""
         worker = self._workers.get(withdraw.resource.removeprefix(RESOURCE_PREFIX))
         if worker is not None:
             worker.handle(RequestWithdrawn(withdraw.request_id))
 
     async def report(self, batch: ProgressBatch) -> None:
-        """Take progress in."""
+        """Pass the progress of a front's requests to the scheduler."""
         worker = self._current_worker(batch.resource, batch.epoch)
         if not isinstance(worker, Failure):
             worker.record_contact(batch.front, batch.incarnation)
@@ -189,13 +191,13 @@
         incarnation: int,
         active: tuple[ActiveRequest, ...],
     ) -> None:
-        """Take a front's running requests in."""
+        """Register all running requests of a front with a new owner."""
         worker = self._current_worker(resource, epoch)
         if not isinstance(worker, Failure):
             worker.register(front, incarnation, active)
 
     async def take_over(self, take_over: TakeOver) -> TakeOverReply:
-        """Ask the machine whether a new front may continue a request."""
+        """Ask the scheduler whether a new front may continue a request."""
         worker = self._current_worker(take_over.resource, take_over.epoch)
         if isinstance(worker, Failure):
             return TakeOverReply(failure=worker)
@@ -209,7 +211,7 @@
             pending.close(take_over.front, take_over.request_id, future)
 
     async def release_all(self) -> None:
-        """Hand every cell over; returns when all are released or lost."""
+        """Release every cell and return once all are released or lost."""
         for cell in list(self._workers):
             self._release_cell(cell)
         for event in list(self._pending_releases):
@@ -233,7 +235,7 @@
         self._workers[cell] = worker
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
         worker.begin_ownership()
-        # Known before the first request is placed.
+        # The scheduler has to know the leaving servers before it places a request.
         worker.update_leaving_servers(leaving)
         self._group.start_soon(worker.run)
 
@@ -260,7 +262,7 @@
             if await propose_release(self._control, owner):
                 _log_owner(EventNumber.OWNERSHIP_RELEASED, owner)
             else:
-                # The move was called off, or another session decides.
+                # The move was cancelled, or a later session of this host owns it.
                 self._released_epochs.pop(
                     owner.resource.removeprefix(RESOURCE_PREFIX), None
                 )
@@ -282,7 +284,9 @@
         self._listed_as_leaving = names
 
     def _failure(self, kind: ErrorKind) -> Failure:
-        return Failure(kind, f"{self._host} does not schedule this cell now")
+        return Failure(
+            kind, f"{self._host} is not the owner of this cell in this epoch"
+        )
 
 
 def _log_owner(number: EventNumber, owner: Owner) -> None:
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -53,38 +53,38 @@
 
 
 class CellSchedulerPort(Protocol):
-    """The pure scheduler of one cell."""
+    """The scheduler of one cell: a state machine without input or output."""
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
-        """Return what is to be done about an event."""
+        """Process an event and return the actions to execute."""
         ...
 
     def is_rebuilt(self, now_s: float) -> bool:
-        """Tell whether all running requests of the cell are known."""
+        """Return whether all running requests of the cell are known."""
         ...
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return when `TimePassed` is due."""
+        """Return when `TimePassed` is due next, None if it isn't needed."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class CellDependencies:
     """
-    What a cell's scheduler needs from outside.
+    The external interfaces that the workers of all cells share.
 
     Parameters
     ----------
     control : ControlPort
-        The control group.
+        Connection to the control group.
     engine_for : callable
-        Returns the engine at an address.
+        Returns the client of the engine at an address.
     fetch_active_requests : callable
-        Asks the front on a host for its running requests in a cell.
+        Returns the running requests of the front on a host in one cell.
     notify_taken_over : callable
-        Tells the front on a host that a request was taken over.
-    submitted, pending_take_overs : PendingReplies
-        Calls that wait.
+        Notifies the front on a host that another front took over a request.
+    pending_submits, pending_take_overs : PendingReplies
+        Calls that wait for a decision of the scheduler.
     """
 
     control: ControlPort
@@ -99,22 +99,24 @@
 
 @dataclass(slots=True)
 class _FrontContact:
+    """The last contact with the process of a front."""
+
     incarnation: int
     last_contact_s: float
 
 
 class CellWorker:
     """
-    One owned cell: its machine, its pollers and the fronts that use it.
+    Runs one owned cell: its scheduler, its pollers and the contact to its fronts.
 
     Parameters
     ----------
     cell, owner : str, Owner
-        The cell and this host's ownership.
-    machine : CellSchedulerPort
-        Decides; used for this ownership only.
-    links : CellDependencies
-        Everything outside.
+        The cell and this host's ownership of it.
+    scheduler : CellSchedulerPort
+        Scheduler that serves this ownership only.
+    dependencies : CellDependencies
+        The external interfaces.
     """
 
     def __init__(
@@ -145,11 +147,11 @@
 
     @property
     def stopped(self) -> bool:
-        """Whether this worker has stopped deciding."""
+        """Whether this worker makes no more decisions."""
         return self._stopped
 
     async def run(self) -> None:
-        """Schedule until stopped."""
+        """Run the scheduler until the worker is stopped."""
         with self.cancel_scope:
             async with anyio.create_task_group() as group:
                 self._group = group
@@ -164,7 +166,7 @@
                 group.cancel_scope.cancel()
 
     def stop(self) -> None:
-        """Stop deciding at once; waiting calls are refused."""
+        """Stop all decisions at once and refuse the waiting calls."""
         if self._stopped:
             return
         self._stopped = True
@@ -173,8 +175,8 @@
         self.cancel_scope.cancel()
 
     def handle(self, event: CellEvent) -> None:
-        """Let the machine decide, if the lease is still valid."""
-        # A process that was frozen must not act on an expired lease.
+        """Pass an event to the scheduler if the lease is still valid."""
+        # The process may have been frozen since the last check, past its lease.
         session = self.owner.session
         if self._stopped or not lease_is_valid(self._dependencies.control, session):
             self.stop()
@@ -190,7 +192,7 @@
             self._wake.set()
 
     def record_contact(self, front: str, incarnation: int) -> None:
-        """Note that a front's process is alive."""
+        """Record that the process of a front is alive."""
         now_s = anyio.current_time()
         contact = self._fronts.get(front)
         if contact is not None and contact.incarnation != incarnation:
@@ -203,14 +205,14 @@
     def register(
         self, front: str, incarnation: int, active: tuple[ActiveRequest, ...]
     ) -> None:
-        """Take a front's running requests over into the machine."""
+        """Register all running requests of a front with the scheduler."""
         self.record_contact(front, incarnation)
         for item in active:
             self.handle(RequestRegistered(item))
         self.handle(FrontRegistered(front, incarnation))
 
     def update_bundle(self) -> None:
-        """Pass a change of the cell's servers or workspaces on."""
+        """Notify the scheduler if the cell's servers or the workspaces changed."""
         fleet = self._dependencies.control.fleet
         servers = servers_of_cell(fleet, self.cell)
         if servers == self._servers and fleet.bundle.workspaces == self._workspaces:
@@ -220,7 +222,7 @@
         self._sync_pollers()
 
     def update_leaving_servers(self, names: frozenset[str]) -> None:
-        """Pass on which servers are leaving by the host list or by a drain."""
+        """Notify the scheduler of servers that the host list or a drain withdraws."""
         leaving = names & {server.name for server in self._servers}
         for name in sorted(leaving - self._leaving_servers):
             self.handle(ServerLeaving(name))
@@ -230,7 +232,7 @@
         self._leaving_servers = leaving
 
     def begin_ownership(self) -> None:
-        """Start deciding; pollers and questions to fronts start with `run`."""
+        """Start the scheduler; pollers and calls to fronts start with `run`."""
         fleet = self._dependencies.control.fleet
         self._servers = servers_of_cell(fleet, self.cell)
         self._workspaces = fleet.bundle.workspaces
@@ -267,20 +269,20 @@
         return self._dependencies.engine_for(server.address)
 
     async def _collect_requests(self, front: str) -> None:
-        """Ask a front until it answers or counts as lost."""
+        """Fetch a front's running requests until it responds or counts as lost."""
         while front in self._fronts:
-            reply = await self._dependencies.fetch_active_requests(
+            response = await self._dependencies.fetch_active_requests(
                 front, self.owner.resource
             )
-            if isinstance(reply, Ok):
-                answer = reply.ok_value
-                self.register(front, answer.incarnation, answer.items)
+            if isinstance(response, Ok):
+                active = response.ok_value
+                self.register(front, active.incarnation, active.items)
                 return
             await anyio.sleep(CHECK_PERIOD_S)
 
     def _detect_lost_fronts(self) -> None:
-        # A front that lost only the control group goes on serving its streams, so
-        # it counts as lost when its session has ended and it is silent too.
+        # A front that lost only the control group goes on serving its streams. So
+        # it counts as lost only if its session has ended and it has been silent.
         now_s = anyio.current_time()
         for front, contact in list(self._fronts.items()):
             session = self._dependencies.control.fleet.sessions.get(front)
@@ -338,7 +340,7 @@
 
     @_execute.register
     def _(self, action: ReportCrashedRequests) -> None:
-        # The same crash seen by two successive owners counts once.
+        # With this id, a crash that two successive owners report counts once.
         command = ReportCrash(
             command_id=f"crash/{action.backend_server}/{action.incarnation}",
             backend_server=action.backend_server,
@@ -362,7 +364,7 @@
             await anyio.sleep(CHECK_PERIOD_S)
 
     async def _cancel_on_engine(self, action: CancelOnEngine) -> None:
-        """Cancel until the engine confirms, has crashed or left the bundle."""
+        """Retry until the engine confirms, crashes or leaves the bundle."""
         poller = self._pollers.get(action.backend_server)
         if poller is None:
             return
--- a/src/damaskridge/adapters/engine_actions.py
+++ b/src/damaskridge/adapters/engine_actions.py
@@ -1,4 +1,4 @@
-"""Cancellations and orders that the scheduler of an owned cell sends to engines."""
+"""Executes the cancellations and orders that a cell's scheduler sends to engines."""
 
 import logging
 import uuid
@@ -21,12 +21,12 @@
 logger = logging.getLogger(__name__)
 
 CANCEL_TIMEOUT_S = 1.0
-# Longest time between sending an order and its effect on the engine.
+# Longest time between sending an order and its execution by the engine.
 MAX_ORDER_DELAY_S = 2.0
 
 
 async def try_cancel(engine: EnginePort, action: CancelOnEngine) -> bool:
-    """Try to cancel a request; tells whether the engine confirmed."""
+    """Try once to cancel a request; return whether the engine confirmed."""
     with anyio.move_on_after(CANCEL_TIMEOUT_S):
         result = await engine.cancel(action.engine_request_id)
         if isinstance(result, Err):
@@ -52,8 +52,14 @@
     """
     Send an order with a new fencing number.
 
-    An engine that ignores the number could take an earlier owner's order after
-    this one, so the order waits until none can be on its way any more.
+    An engine that ignores the number could execute an order of the previous owner
+    after this one. So an order to such an engine waits until all orders of the
+    previous owner have arrived or timed out.
+
+    Returns
+    -------
+    bool
+        Whether the engine accepted the order.
     """
     if not server.checks_fencing:
         send_at_s = acquired_s + SESSION_DURATION_S + MAX_ORDER_DELAY_S
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -1,4 +1,4 @@
-"""Polls one backend server of an owned cell and detects failures and restarts."""
+"""Polls one backend server of a cell and detects its failures and restarts."""
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -29,22 +29,23 @@
 CACHE_PERIOD_S = 0.5
 REQUEST_LIST_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 1.0
-# One lost answer is no failure; two in a row are 3 s at most with the period.
+# A single lost response is no failure. Two in a row are detected within 3 s, the
+# timeouts and the period included.
 SILENT_POLL_LIMIT = 2
 
 
 class BackendServerPoller:
     """
-    Turns an engine's reports into events of the scheduler.
+    Converts the reports of a backend server to events of the scheduler.
 
     Parameters
     ----------
     server : BackendServer
-        What is polled; of a plain service only the connection.
-    engine : EnginePort
-        Connection to the engine; not used for plain services.
+        Server to poll. A plain service is only probed for a TCP connection.
+    engine : EnginePort or None
+        Client of the engine, None for a plain service.
     emit : callable
-        Takes each event.
+        Receives each event.
     """
 
     def __init__(
@@ -66,10 +67,10 @@
         self._last_cache_sequence = 0
 
     async def run(self) -> None:
-        """Poll until the scope is cancelled."""
+        """Poll until `cancel_scope` is cancelled."""
         with self.cancel_scope:
             if self._engine is None:
-                # A service has no list of requests; the scheduler waits for one.
+                # The scheduler waits for a server's requests; a service lists none.
                 self._emit(EngineListed(self.server.name, (), anyio.current_time()))
                 await _poll_forever(self._probe_connection, LOAD_PERIOD_S)
             async with anyio.create_task_group() as group:
@@ -145,6 +146,8 @@
         self._emit(LoadReported(name, report))
 
     def _handle_no_response(self, failure: Failure) -> None:
+        # A refused connection shows at once that the process has ended; a missing
+        # response has to recur before the server counts as failed.
         refused = (
             failure.kind is ErrorKind.BACKEND_SERVER_FAILED
             and failure.ran is RunState.NOT_RUN
@@ -187,7 +190,7 @@
         except AssertionError:
             raise
         except Exception as error:
-            # One engine's malformed answer must not end the whole entry host.
+            # A malformed response of one engine must not stop the entry host.
             log_event(
                 logger,
                 EventNumber.UNEXPECTED_ERROR,
--- a/src/damaskridge/adapters/ownership.py
+++ b/src/damaskridge/adapters/ownership.py
@@ -1,4 +1,4 @@
-"""What this host owns according to the fleet view and its own lease."""
+"""Resources that this host owns by the fleet view and its lease."""
 
 import anyio
 
@@ -18,18 +18,18 @@
 
 def lease_is_valid(control: ControlPort, session: int | None = None) -> bool:
     """
-    Tell whether this host may decide now; asked before every decision.
+    Return whether this host may make decisions now; checked before each of them.
 
     Parameters
     ----------
     control : ControlPort
-        The control group.
+        Connection to the control group.
     session : int or None
-        Session by which a resource is owned. The lease of a later session does not
-        cover what an earlier one owned.
+        Number of the session that owns the resource, None for the present one. The
+        lease of a later session doesn't cover the resources of an earlier one.
     """
-    held = control.session
-    if held is None or session not in (None, held.number):
+    current = control.session
+    if current is None or session not in (None, current.number):
         return False
     return control.lease.is_valid(anyio.current_time())
 
@@ -37,7 +37,7 @@
 def find_owned_resources(
     control: ControlPort, host: str, prefix: str
 ) -> dict[str, Owner]:
-    """Return the resources that this host's session owns; none without a lease."""
+    """Return the resources of this host's session, none without a valid lease."""
     session = control.session
     if session is None or not lease_is_valid(control):
         return {}
@@ -54,7 +54,7 @@
     control: ControlPort, owner: Owner, level_tokens: float = 0.0
 ) -> bool:
     """
-    Hand a resource over; tries again while the session that owned it lives.
+    Release a resource; retries as long as the session that owns it lasts.
 
     Returns
     -------
@@ -67,8 +67,9 @@
         if result.failure is None:
             return True
         if result.failure.kind is not ErrorKind.CONTROL_UNAVAILABLE:
-            # The refusal is remembered by the command's id. The move may have been
-            # called off at that moment and ordered again since.
+            # The control group stores the refusal under the command's id and would
+            # return it again, even if the move was cancelled at that moment and has
+            # been ordered anew since. So the next attempt needs a new id.
             command = _release_command(control, owner, level_tokens)
         await anyio.sleep(RELEASE_RETRY_DELAY_S)
         current = control.fleet.owners.get(owner.resource)
@@ -80,7 +81,7 @@
 def _release_command(
     control: ControlPort, owner: Owner, level_tokens: float
 ) -> ReleaseOwnership:
-    """Return the command for a move as this host's view of the fleet shows it."""
+    """Return the command, with an id of the move as this host's fleet view has it."""
     move_id = f"{owner.resource}/{owner.epoch}/{control.fleet.index}"
     return ReleaseOwnership(
         command_id=f"release/{move_id}",
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -1,4 +1,4 @@
-"""Runs the rate owner of the workspaces that this host owns."""
+"""Runs the rate limiting of the workspaces that this host owns."""
 
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
@@ -44,7 +44,7 @@
 logger = logging.getLogger(__name__)
 
 RESOURCE_PREFIX = "workspace/"
-# Bounds the time for which an ended lease goes unnoticed while nothing happens.
+# Bounds the time until an idle host notices that its lease has expired.
 CHECK_PERIOD_S = 0.25
 
 FetchActiveKeys = Callable[
@@ -53,19 +53,19 @@
 
 
 class RateOwnerPort(Protocol):
-    """The pure rate owner."""
+    """The rate owner: a state machine without input or output."""
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
-        """Return what is to be done about an event."""
+        """Process an event and return the actions to execute."""
         ...
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return when `TimePassed` is due."""
+        """Return when `TimePassed` is due next, None if it isn't needed."""
         ...
 
 
 class _Ownership:
-    """One workspace that this host owns now."""
+    """Ownership of one workspace by this host."""
 
     def __init__(self, owner: Owner, workspace: Workspace) -> None:
         self.owner = owner
@@ -76,18 +76,18 @@
 
 class RateRuntime:
     """
-    `RatePort` for the workspaces that this host owns.
+    Implements `RatePort` for the workspaces that this host owns.
 
     Parameters
     ----------
     host : str
-        This host.
+        Name of this host.
     control : ControlPort
-        Gives ownership and the lease.
-    machine : RateOwnerPort
-        Decides; one machine for all workspaces.
+        Source of the fleet view and of this host's lease.
+    rate_owner : RateOwnerPort
+        State machine that decides; one for all workspaces.
     fetch_active_keys : FetchActiveKeys
-        Asks the front on a host for its idempotency keys of a workspace.
+        Returns the active idempotency keys of the front on a host for a workspace.
     """
 
     def __init__(
@@ -103,8 +103,11 @@
         self._rate_owner = rate_owner
         self._fetch_active_keys = fetch_active_keys
         self._owned: dict[str, _Ownership] = {}
-        # Epochs that this process has held: a regained epoch starts empty.
+        # The last epoch that this process acquired, by workspace. If it acquires the
+        # same epoch again, the bucket starts empty: the level that came with the
+        # epoch was used the first time.
         self._acquired_epochs: dict[str, int] = {}
+        # Epochs that were released without being started here, by workspace.
         self._unstarted_releases: dict[str, int] = {}
         self._pending: PendingReplies[RateReply] = PendingReplies(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
@@ -114,11 +117,11 @@
 
     @property
     def owned_epochs(self) -> dict[str, int]:
-        """The epoch of every owned workspace."""
+        """Epoch of every owned workspace, by its name."""
         return {name: ownership.owner.epoch for name, ownership in self._owned.items()}
 
     async def run(self) -> None:
-        """Follow ownership and time until cancelled."""
+        """Update ownership and process timers until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             while True:
@@ -130,7 +133,7 @@
                     await wake.wait()
 
     def sync_ownership(self) -> None:
-        """Start and stop ownership as the fleet view and the lease say."""
+        """Start and stop ownership according to the fleet view and the lease."""
         if self._group is None:
             return
         owners = find_owned_resources(self._control, self._host, RESOURCE_PREFIX)
@@ -144,7 +147,7 @@
             self._sync_workspace(resource.removeprefix(RESOURCE_PREFIX), owner)
 
     async def reserve(self, request: RateRequest) -> RateReply:
-        """Ask the machine; returns after the wait, if any."""
+        """Request tokens and return the decision, after the wait if there is one."""
         if request.workspace not in self._owned:
             self.sync_ownership()
         ownership = self._owned.get(request.workspace)
@@ -161,25 +164,25 @@
             self._pending.close(request.front, request.request_id, future)
 
     async def refund(self, refund: Refund) -> None:
-        """Give unused tokens back."""
+        """Return unused tokens to the bucket."""
         ownership = self._owned.get(refund.workspace)
         if ownership is not None and ownership.owner.epoch == refund.epoch:
             self._handle(RefundReceived(refund))
             self._wake.set()
 
     async def ended(self, resource: str, workspace: str, request_id: str) -> None:
-        """Note that a request with an idempotency key has finished."""
+        """Record that a request with an idempotency key has finished."""
         if workspace in self._owned:
             self._handle(RequestEnded(workspace, request_id))
 
     async def release_all(self) -> None:
-        """Hand every workspace over; returns when all are released or lost."""
-        ownership = list(self._owned.values())
-        for item in ownership:
-            if not item.releasing:
-                self._release(item)
-        for item in ownership:
-            await item.released.wait()
+        """Release every workspace and return once all are released or lost."""
+        ownerships = list(self._owned.values())
+        for ownership in ownerships:
+            if not ownership.releasing:
+                self._release(ownership)
+        for ownership in ownerships:
+            await ownership.released.wait()
 
     def _sync_workspace(self, name: str, owner: Owner) -> None:
         workspace = find_workspace(self._control.fleet, name)
@@ -196,7 +199,11 @@
             self._handle(WorkspaceChanged(workspace))
 
     def _release_unstarted(self, name: str, owner: Owner) -> None:
-        """Release what moved on before this host began; nobody else can."""
+        """
+        Release a workspace that was ordered to move before it started here.
+
+        Only this host, as the registered owner, can release it.
+        """
         self._unstarted_releases[name] = owner.epoch
         regained = self._acquired_epochs.get(name) == owner.epoch
         self._acquired_epochs[name] = owner.epoch
@@ -221,7 +228,7 @@
         ownership = self._owned.pop(name)
         ownership.released.set()
         _log_owner(EventNumber.OWNERSHIP_LOST, ownership.owner)
-        # Whatever the machine answers, nothing may be granted any more.
+        # The actions are dropped: without ownership, nothing may be granted.
         self._rate_owner.handle(OwnershipEnded(name), anyio.current_time())
         self._pending.refuse(ownership.owner.resource)
 
@@ -230,7 +237,7 @@
         self._handle(ReleaseRequested(ownership.workspace.name))
 
     def _handle(self, event: RateEvent) -> None:
-        # A process that was frozen must not act on an expired lease.
+        # The process may have been frozen since the last check, past its lease.
         if not lease_is_valid(self._control):
             self._stop_all()
             return
@@ -263,18 +270,19 @@
         ownership.released.set()
 
     async def _collect_keys(self, ownership: _Ownership, front: str) -> None:
-        """Ask a front until it answers or its session ends."""
+        """Fetch a front's active keys until it responds or its session ends."""
         name = ownership.workspace.name
         while front in self._control.fleet.sessions:
-            reply = await self._fetch_active_keys(front, name)
+            response = await self._fetch_active_keys(front, name)
             if self._owned.get(name) is not ownership:
                 return
-            if isinstance(reply, Ok):
-                for key in reply.ok_value:
+            if isinstance(response, Ok):
+                for key in response.ok_value:
                     self._handle(_active_event(name, front, key))
                 break
             await anyio.sleep(CHECK_PERIOD_S)
-        # What a front without a session had sent is known to the ledger only.
+        # Reports the front as complete. Requests of a front whose session ended are
+        # known to the ledger only.
         if self._owned.get(name) is ownership:
             self._handle(RequestActive(name, front, "", "", ""))
             self._wake.set()
@@ -296,7 +304,9 @@
         return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
 
     def _refusal(self, request_id: str, kind: ErrorKind) -> Refused:
-        failure = Failure(kind, f"{self._host} does not count this rate now")
+        failure = Failure(
+            kind, f"{self._host} is not the owner of this workspace in this epoch"
+        )
         return Refused(request_id=request_id, failure=failure)
 
 
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -1,4 +1,4 @@
-"""The cell runtime: placements without a lease, engines and fronts that vanish."""
+"""Tests of the cell runtime: expired leases, lost engines and fronts, hand-overs."""
 
 import anyio
 import pytest
@@ -25,15 +25,19 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.routing import Placement
 
-REFUSED = Failure(ErrorKind.BACKEND_SERVER_FAILED, run_state=RunState.NOT_RUN)
+CONNECTION_REFUSED = Failure(
+    ErrorKind.BACKEND_SERVER_FAILED, run_state=RunState.NOT_RUN
+)
 
 
 class FakeEngine:
+    """An engine that can be made to fail, to be silent or to refuse cancellations."""
+
     def __init__(self):
         self.incarnation = 1
         self.failure = None
         self.silent = False
-        self.cancels_to_fail = 0
+        self.failing_cancels = 0
         self.cancelled = []
         self.orders = []
 
@@ -52,8 +56,8 @@
 
     async def cancel(self, engine_request_id):
         self.cancelled.append(engine_request_id)
-        failing = len(self.cancelled) <= self.cancels_to_fail
-        return Err(REFUSED) if failing else Ok(None)
+        failing = len(self.cancelled) <= self.failing_cancels
+        return Err(CONNECTION_REFUSED) if failing else Ok(None)
 
     async def order(self, order):
         self.orders.append((anyio.current_time(), order.fencing_number))
@@ -61,9 +65,11 @@
 
 
 class Fixture:
+    """A cell runtime on host h1, which owns the cell "chat"."""
+
     def __init__(self):
-        self.control, self.engine, self.machines = FakeControl(), FakeEngine(), []
-        self.leaving_names = frozenset()
+        self.control, self.engine, self.schedulers = FakeControl(), FakeEngine(), []
+        self.leaving_servers = frozenset()
         self.control.own("cell/chat")
         self.runtime = CellRuntime(
             host="h1",
@@ -71,25 +77,25 @@
             new_scheduler=self.new_scheduler,
             engine_for=lambda address: self.engine,
             host_list=self,
-            fetch_active_requests=self.ask,
-            notify_taken_over=self.ask,
+            fetch_active_requests=self.fetch_active_requests,
+            notify_taken_over=self.fetch_active_requests,
         )
 
     def new_scheduler(self):
-        self.machines.append(FakeMachine())
-        return self.machines[-1]
+        self.schedulers.append(FakeMachine())
+        return self.schedulers[-1]
 
-    async def ask(self, host, resource):
+    async def fetch_active_requests(self, host, resource):
         return Ok(ActiveRequests(7, ()))
 
     async def leaving(self):
-        return Ok(self.leaving_names)
+        return Ok(self.leaving_servers)
 
-    def seen(self, kind):
-        return self.machines[-1].seen(kind)
+    def events_of(self, kind):
+        return self.schedulers[-1].seen(kind)
 
 
-def with_cell(body, lease_s=60.0):
+def run_with_cell(body, lease_s=60.0):
     async def main():
         fixture = Fixture()
         fixture.control.renew(lease_s)
@@ -102,36 +108,37 @@
     run_paused(main())
 
 
-def test_frozen_process_past_its_lease_does_not_place():
+def test_no_placement_after_the_lease_expired():
     async def body(cell):
         assert isinstance(await cell.runtime.submit(profile()), Placement)
         cell.control.lease.end()
-        reply = await cell.runtime.submit(profile(request_id="r2"))
-        assert reply.failure.kind is ErrorKind.OWNER_UNAVAILABLE
-        assert len(cell.seen(RequestSubmitted)) == 1
-        events = len(cell.machines[0].events)
+        response = await cell.runtime.submit(profile(request_id="r2"))
+        assert response.failure.kind is ErrorKind.OWNER_UNAVAILABLE
+        assert len(cell.events_of(RequestSubmitted)) == 1
+        events = len(cell.schedulers[0].events)
         await anyio.sleep(2)
-        assert len(cell.machines[0].events) == events
-        # A regained lease starts from the fronts and engines, not from old state.
+        assert len(cell.schedulers[0].events) == events
+        # With a new lease, a new scheduler learns its state from the fronts and
+        # engines; nothing of the old state is used.
         cell.control.renew()
         await anyio.sleep(0.5)
-        assert len(cell.machines) == 2
-        assert cell.seen(FrontRegistered) == [FrontRegistered("h1", 7)]
+        assert len(cell.schedulers) == 2
+        assert cell.events_of(FrontRegistered) == [FrontRegistered("h1", 7)]
 
-    with_cell(body)
+    run_with_cell(body)
 
 
 @pytest.mark.parametrize("crashed", [True, False])
-def test_failed_engine_is_reported_once_and_recovers(crashed):
+def test_engine_failure_and_recovery_are_reported_once(crashed):
     async def body(cell):
-        cell.engine.failure, cell.engine.silent = REFUSED, not crashed
+        cell.engine.failure, cell.engine.silent = CONNECTION_REFUSED, not crashed
         await anyio.sleep(5)
-        assert cell.seen(ServerFailed) == [ServerFailed("e1", 1, crashed)]
+        assert cell.events_of(ServerFailed) == [ServerFailed("e1", 1, crashed)]
         cell.engine.failure, cell.engine.silent = None, False
         await anyio.sleep(2)
-        assert len(cell.seen(ServerRecovered)) == 1
+        assert len(cell.events_of(ServerRecovered)) == 1
 
-    with_cell(body)
+    run_with_cell(body)
 
 
 def test_restart_between_two_polls_counts_as_a_crash():
@@ -139,81 +146,83 @@
         await anyio.sleep(1)
         cell.engine.incarnation = 2
         await anyio.sleep(1)
-        assert cell.seen(ServerFailed) == [ServerFailed("e1", 1, True)]
-        assert cell.seen(LoadReported)[-1].report.incarnation == 2
+        assert cell.events_of(ServerFailed) == [ServerFailed("e1", 1, True)]
+        assert cell.events_of(LoadReported)[-1].report.incarnation == 2
 
-    with_cell(body)
+    run_with_cell(body)
 
 
-def test_restart_after_a_silence_counts_as_a_crash_once():
+def test_restart_after_a_silence_is_reported_as_one_crash():
     async def body(cell):
         cell.engine.silent = True
         await anyio.sleep(5)
         cell.engine.silent, cell.engine.incarnation = False, 2
         await anyio.sleep(3)
-        failed = [item.crashed for item in cell.seen(ServerFailed)]
+        failed = [item.crashed for item in cell.events_of(ServerFailed)]
         assert failed == [False, True]
-        assert len(cell.seen(ServerRecovered)) == 1
+        assert len(cell.events_of(ServerRecovered)) == 1
 
-    with_cell(body)
+    run_with_cell(body)
 
 
-def test_cancel_is_repeated_until_the_engine_confirms():
+def test_cancellation_is_retried_until_the_engine_confirms():
     async def body(cell):
-        cell.engine.cancels_to_fail = 3
+        cell.engine.failing_cancels = 3
         worker = cell.runtime._workers["chat"]
         worker._execute(CancelOnEngine("e1", "req-h1-7-1.1"))
         await anyio.sleep(5)
         assert len(cell.engine.cancelled) == 4
 
-    with_cell(body)
+    run_with_cell(body)
 
 
-def test_front_is_lost_only_without_session_and_silent():
+def test_front_is_lost_only_if_its_session_ended_and_it_is_silent():
     async def body(cell):
         worker = cell.runtime._workers["chat"]
         cell.control.fleet.sessions["h2"] = Session("h2", 2, 9, "a", "", "")
         worker.record_contact("h2", 9)
         await anyio.sleep(10)
-        assert not cell.seen(FrontLost)
+        assert not cell.events_of(FrontLost)
         worker.record_contact("h2", 9)
         del cell.control.fleet.sessions["h2"]
         await anyio.sleep(2.5)
-        assert not cell.seen(FrontLost)
+        assert not cell.events_of(FrontLost)
         await anyio.sleep(1)
-        assert cell.seen(FrontLost) == [FrontLost("h2", 9)]
+        assert cell.events_of(FrontLost) == [FrontLost("h2", 9)]
 
-    with_cell(body)
+    run_with_cell(body)
 
 
 def test_leaving_server_is_reported_within_3_s():
     async def body(cell):
-        cell.leaving_names = frozenset({"e1", "other"})
+        cell.leaving_servers = frozenset({"e1", "other"})
         await anyio.sleep(3)
-        assert cell.seen(ServerLeaving) == [ServerLeaving("e1")]
+        assert cell.events_of(ServerLeaving) == [ServerLeaving("e1")]
 
-    with_cell(body)
+    run_with_cell(body)
 
 
-def test_handover_stops_placing_before_the_release():
+def test_hand_over_stops_placement_before_the_release():
     async def body(cell):
         cell.control.own("cell/chat", moving_to="h2")
         cell.runtime.sync_ownership()
-        events = len(cell.machines[0].events)
+        events = len(cell.schedulers[0].events)
         await anyio.sleep(1)
         assert [type(item) for item in cell.control.proposed] == [ReleaseOwnership]
-        assert len(cell.machines[0].events) == events
-        assert len(cell.machines) == 1
+        assert len(cell.schedulers[0].events) == events
+        assert len(cell.schedulers) == 1
 
-    with_cell(body)
+    run_with_cell(body)
 
 
-@pytest.mark.parametrize(("checks", "earliest_s"), [(True, 0.0), (False, 5.0)])
-def test_order_waits_for_engines_that_ignore_fencing(checks, earliest_s):
+@pytest.mark.parametrize(("checks_fencing", "earliest_s"), [(True, 0.0), (False, 5.0)])
+def test_order_to_an_engine_without_fencing_waits_for_earlier_orders(
+    checks_fencing, earliest_s
+):
     async def body(cell):
         import msgspec
 
-        server = msgspec.structs.replace(ENGINE, checks_fencing=checks)
+        server = msgspec.structs.replace(ENGINE, checks_fencing=checks_fencing)
         owner = cell.control.fleet.owners["cell/chat"]
         action = SendOrder("e1", OrderKind.CHANGE_ROLE, "decode")
         await send_order(cell.control, owner, 0.0, server, cell.engine, action)
@@ -221,4 +230,4 @@
         assert sent_s >= earliest_s
         assert number == 42
 
-    with_cell(body)
+    run_with_cell(body)
--- a/tests/adapters/test_rate_runtime.py
+++ b/tests/adapters/test_rate_runtime.py
@@ -1,4 +1,4 @@
-"""The rate runtime: decisions without a lease, wrong epochs, lost bucket levels."""
+"""Tests of the rate runtime: expired leases, wrong epochs and hand-overs."""
 
 import anyio
 from result import Ok
@@ -12,15 +12,18 @@
 from damaskridge.model.routing import RateGrant, Refused
 
 
-async def no_keys(host, workspace):
+async def fetch_no_keys(host, workspace):
     return Ok(())
 
 
-def with_runtime(body, hold=False):
+def run_with_runtime(body, hold=False):
     async def main():
         control, rate_owner = FakeControl(), FakeMachine(hold)
         runtime = RateRuntime(
-            host="h1", control=control, rate_owner=rate_owner, fetch_active_keys=no_keys
+            host="h1",
+            control=control,
+            rate_owner=rate_owner,
+            fetch_active_keys=fetch_no_keys,
         )
         control.own("workspace/w")
         control.renew()
@@ -33,15 +36,15 @@
     run_paused(main())
 
 
-def test_frozen_process_past_its_lease_does_not_grant():
+def test_no_grant_after_the_lease_expired():
     async def body(control, rate_owner, runtime):
         assert isinstance(await runtime.reserve(rate_request()), RateGrant)
-        # The loop does not run while the process is frozen.
+        # The event loop doesn't run while the process is frozen.
         control.lease.end()
-        reply = await runtime.reserve(rate_request(request_id="r2"))
-        assert reply.failure.kind is ErrorKind.OWNER_UNAVAILABLE
+        response = await runtime.reserve(rate_request(request_id="r2"))
+        assert response.failure.kind is ErrorKind.OWNER_UNAVAILABLE
         assert len(rate_owner.seen(RateRequested)) == 1
-        # The same epoch again must not bring the level that was handed over back.
+        # Acquiring the same epoch again must not restore the bucket's level.
         control.renew()
         await anyio.sleep(0.3)
         assert [item.level_tokens for item in rate_owner.seen(OwnershipGained)] == [
@@ -49,28 +52,28 @@
             0,
         ]
 
-    with_runtime(body)
+    run_with_runtime(body)
 
 
-def test_waiting_call_is_refused_when_the_lease_ends():
+def test_waiting_request_is_refused_when_the_lease_expires():
     async def body(control, rate_owner, runtime):
-        reply = await runtime.reserve(rate_request())
-        assert isinstance(reply, Refused)
+        response = await runtime.reserve(rate_request())
+        assert isinstance(response, Refused)
         assert 2.9 < anyio.current_time() < 3.5
 
-    with_runtime(body, hold=True)
+    run_with_runtime(body, hold=True)
 
 
-def test_another_epoch_is_refused():
+def test_request_for_another_epoch_is_refused():
     async def body(control, rate_owner, runtime):
-        reply = await runtime.reserve(rate_request(epoch=2))
-        assert reply.failure.kind is ErrorKind.EPOCH_CONFLICT
+        response = await runtime.reserve(rate_request(epoch=2))
+        assert response.failure.kind is ErrorKind.EPOCH_CONFLICT
         assert not rate_owner.seen(RateRequested)
 
-    with_runtime(body)
+    run_with_runtime(body)
 
 
-def test_handover_commits_the_level_once():
+def test_hand_over_commits_the_bucket_level_once():
     async def body(control, rate_owner, runtime):
         control.own("workspace/w", moving_to="h2")
         await anyio.sleep(0.6)
@@ -79,4 +82,4 @@
         assert (release.level_tokens, release.epoch) == (3.5, 1)
         assert runtime.owned_epochs == {}
 
-    with_runtime(body)
+    run_with_runtime(body)
