--- a/src/damaskridge/adapters/boottime_loop.py
+++ b/src/damaskridge/adapters/boottime_loop.py
@@ -1,8 +1,8 @@
-"""An event loop whose clock goes on while the machine is suspended.
+"""An event loop whose clock also counts the time while the host is suspended.
 
-The loop's usual clock stands still during a suspension, so that a lease, a reservation
-or a key that ran out meanwhile would pass for valid on waking. Every permission in this
-package is checked against the loop's clock; programs therefore run on this loop.
+The clock of asyncio's loops stops during a suspension, so a lease, a reservation or a
+key that expired meanwhile would still count as valid afterwards. This package checks
+all expiry times against the loop's clock; therefore its programs run on this loop.
 """
 
 import asyncio
@@ -23,12 +23,12 @@
 
 class BoottimeEventLoop(asyncio.SelectorEventLoop):
     """
-    A selector loop that counts suspended time.
+    A selector event loop whose clock includes suspensions of the host.
 
     Parameters
     ----------
     clock : callable
-        Seconds since a fixed moment, suspensions included.
+        Returns the seconds since a fixed point in time, suspensions included.
     """
 
     def __init__(self, clock: Callable[[], float] = _boottime_s) -> None:
@@ -36,7 +36,7 @@
         super().__init__()
 
     def time(self) -> float:
-        """Return the clock's seconds; timers that passed meanwhile are due at once."""
+        """Return the clock's time; timers due in a suspension run right after it."""
         return self._clock()
 
 
--- a/src/damaskridge/adapters/bundle_file.py
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -1,7 +1,7 @@
-"""Reads a bundle file: JSON with comments, validated as a whole.
+"""Reads bundle files: JSON with comments, validated as a whole.
 
-Faults of shape (types, missing or unknown fields) are reported first, all of them.
-The checks across fields run on a file whose shape is right.
+Schema faults (wrong types, missing or unknown fields) are all reported first. The
+checks across fields run only on a file without schema faults.
 """
 
 import json
@@ -21,7 +21,7 @@
 
 
 def _validation_model(struct: type[msgspec.Struct]) -> type[BaseModel]:
-    """Return the validated model with the fields of a data class."""
+    """Return a strict pydantic model with the fields of a struct."""
     fields: dict[str, Any] = {}
     for field in msgspec.structs.fields(struct):
         required = field.default is msgspec.NODEFAULT
@@ -44,7 +44,7 @@
 
 
 def read_bundle(path: Path) -> Result[Bundle, list[str]]:
-    """Return the bundle of a file, or every fault as ``path: what is wrong``."""
+    """Return the bundle in a file, or all its faults as ``path: message``."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -53,7 +53,7 @@
 
 
 def parse_bundle(text: str) -> Result[Bundle, list[str]]:
-    """Return the bundle that `text` spells, or every fault."""
+    """Return the bundle in a JSON text, or all its faults."""
     try:
         content = _parse_json(text)
         model = _BundleModel.model_validate_json(json.dumps(content))
@@ -67,13 +67,14 @@
 
 
 def format_bundle(bundle: Bundle) -> str:
-    """Return the text of a bundle file."""
+    """Return a bundle as the text of a bundle file."""
     return msgspec.json.format(msgspec.json.encode(bundle), indent=2).decode() + "\n"
 
 
 def _parse_json(text: str) -> Any:
     try:
-        # json5 is written in Python and takes seconds for some thousand servers.
+        # Plain JSON first: json5 is written in Python and takes seconds for a bundle
+        # of some thousand servers.
         return json.loads(text)
     except ValueError:
         return json5.loads(text)
--- a/src/damaskridge/adapters/codec.py
+++ b/src/damaskridge/adapters/codec.py
@@ -1,8 +1,9 @@
 """The msgpack codec of all messages between the system's processes.
 
-A leader sends a large routing table to every host at once. Whole, the copies fill its
-link for over a second, and its memory, so that its heartbeats come too late. So large
-messages are compressed, and one that is sent to many hosts is encoded once.
+A leader sends a large routing table to all hosts at the same time. Uncompressed, the
+copies take its memory and saturate its network link for more than a second, which
+delays its heartbeats too long. So large messages are compressed, and a message for
+many hosts is encoded only once.
 """
 
 import zlib
@@ -13,22 +14,22 @@
 
 __all__ = ["MsgpackCodec"]
 
-# One HTTP/2 frame; smaller messages gain little.
+# One HTTP/2 frame. Compressing smaller messages gains little.
 MIN_COMPRESSED_BYTES = 16_384
-# The fastest level; routes are so much alike that others gain little.
+# The fastest level. Routes resemble each other so much that others gain little.
 COMPRESSION_LEVEL = 1
-# A zlib stream begins with this byte, and no message does: it is a small integer.
+# First byte of a zlib stream. In msgpack it is a small integer, and no message is one.
 ZLIB_FIRST_BYTE = b"\x78"
-# Above the largest bundle; a longer message is damaged.
+# Larger than the largest bundle; a longer message counts as damaged.
 MAX_MESSAGE_BYTES = 67_108_864
 
 
 class MsgpackCodec(CodecBase):
     """
-    Encodes message types of the model and validates them when decoding.
+    Encodes message types of the model and validates them when it decodes.
 
-    The message type that grpclib hands over is the type of `msgspec`, which may
-    be a union.
+    The message type that grpclib passes is a type that `msgspec` can decode, such as
+    a union.
     """
 
     __content_subtype__ = "msgpack"
@@ -36,7 +37,7 @@
     def __init__(self) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
-        # The last large message, which cannot change, and its bytes.
+        # The last large message and its encoding; messages are immutable.
         self._cached_message: Any = None
         self._cached_data = b""
 
@@ -54,7 +55,7 @@
         return self._cached_data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the decoded message; `msgspec.ValidationError` if invalid."""
+        """Return the decoded message; raises `msgspec.ValidationError` if invalid."""
         decoder = self._decoders.get(message_type)
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
@@ -71,5 +72,7 @@
     except zlib.error as error:
         raise msgspec.ValidationError(str(error)) from error
     if not stream.eof:
-        raise msgspec.ValidationError(f"message cut, or over {MAX_MESSAGE_BYTES} bytes")
+        raise msgspec.ValidationError(
+            f"message is truncated or exceeds {MAX_MESSAGE_BYTES} bytes"
+        )
     return decompressed
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -1,4 +1,4 @@
-"""One member of the control group: replicated log, disk, streams and state."""
+"""One member of the control group: Raft node, disk, peer streams and state machine."""
 
 import logging
 import random
@@ -59,9 +59,9 @@
 
 __all__ = ["ControlNode"]
 
-# Half a heartbeat. Messages and commands wake the node at once.
+# Half a heartbeat period. Messages and commands wake the node at once.
 TICK_PERIOD_S = 0.05
-# Bounds the memory and the start-up time that the log costs.
+# Bound the memory and the start-up time that the log takes.
 COMPACT_AFTER_ENTRIES = 2000
 COMPACT_AFTER_BYTES = 4_000_000
 TRANSFER_TIMEOUT_S = 2.0
@@ -72,7 +72,7 @@
 
 
 class _SnapshotContent(msgspec.Struct, frozen=True, array_like=True):
-    """The content of a snapshot: last time stamp and state."""
+    """Content of a snapshot: the last timestamp and the encoded state."""
 
     at_ms: int
     state: bytes
@@ -83,26 +83,26 @@
 
 class ControlNode:
     """
-    Drives one member; implements `ControlNodePort`.
+    Runs one member of the control group; implements `ControlNodePort`.
 
     Parameters
     ----------
     host : str
         Name of this host.
     members : dict of str to str
-        RPC address of every host of the group.
+        RPC address of every host of the group, by its name.
     folder : Folder
         The data folder.
     state : ControlStatePort
-        The state machine.
+        The replicated state machine.
     rng : random.Random
-        Source of timeouts and jitter.
+        Source of the random parts of timeouts and retry delays.
     may_form : bool
-        Whether this member may form a new group.
+        Whether this member may bootstrap a new group.
     is_observer : bool
-        Whether the folder is lost with the process: the member then never votes.
+        Whether the member never votes, since its folder is lost with the process.
     wall_ms : callable
-        The wall clock in milliseconds.
+        Returns the wall clock in milliseconds.
     """
 
     def __init__(
@@ -153,47 +153,47 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this member believes that it leads."""
+        """Whether this member considers itself the leader."""
         return self._running and self._driver.node.role is Role.LEADER
 
     @property
     def term(self) -> int:
-        """The current term."""
+        """The current Raft term."""
         return self._driver.node.term
 
     @property
     def leader_address(self) -> str:
-        """RPC address of the leader, empty if unknown."""
+        """RPC address of the leader, empty if it is unknown."""
         return self._members.get(host_name(self._driver.node.leader_name), "")
 
     @property
     def member(self) -> str:
-        """The member id; it changes when the disk is lost."""
+        """The member id, which changes when the disk is lost."""
         return self._driver.node.name
 
     @property
     def membership(self) -> Membership:
-        """The membership in force."""
+        """The current membership of the group."""
         return self._driver.node.log.membership()
 
     @property
     def applied_index(self) -> int:
-        """Index of the last applied entry."""
+        """Index of the last applied log entry."""
         return self._applied_index
 
     def service(self) -> ControlGroupService:
-        """Return the handler for the streams of the other members."""
+        """Return the gRPC service that receives the streams of the other members."""
         return ControlGroupService(self._receive)
 
     async def propose(self, command: Command) -> CommandResult:
-        """Return the result after commit and apply, or a `NOT_LEADER` failure."""
+        """Commit and apply a command; return its result or a `NOT_LEADER` failure."""
         if not self.is_leader:
             return self._not_leader()
         self._wake.set()
         return await self._proposal_waiters.wait(command)
 
     async def confirm_leadership(self) -> bool:
-        """Tell whether a quorum acknowledged a round that began after the call."""
+        """Return whether a quorum acknowledged a round that began after the call."""
         if not self.is_leader:
             return False
         self._wake.set()
@@ -203,13 +203,13 @@
         """
         Yield the delta of every command applied from now on.
 
-        The iterator ends when deltas were missed: by a snapshot, or because the
-        consumer was too slow.
+        The iterator ends if it would skip a delta: after a snapshot was installed,
+        or if the consumer is too slow.
         """
         return self._subscribers.subscribe()
 
     async def run(self) -> None:
-        """Take part in the group until `stop`."""
+        """Participate in the group until `stop` is called."""
         try:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
@@ -223,7 +223,7 @@
             self._fail_waiters()
 
     async def stop(self) -> None:
-        """Hand leadership over, then leave `run`."""
+        """Transfer leadership if this member has it, then end `run`."""
         if self.is_leader and self._peer_links:
             term = self.term
             self._enqueue(TransferLeadership())
@@ -235,7 +235,8 @@
 
     async def _loop(self) -> None:
         while True:
-            # Yields even while there is work, so that streams are served.
+            # Yields to the event loop even if there is work, so that the streams
+            # are served.
             with anyio.move_on_after(TICK_PERIOD_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -276,7 +277,7 @@
         )
 
     def _rejoin_empty(self) -> None:
-        """Go on as an empty member after the disk lost synced entries."""
+        """Continue as an empty member with a new id: the disk lost synced entries."""
         store = LogStore(self._folder, self._new_disk_id())
         self._driver = self._open_driver(
             store, store.reset("synced entries are missing")
@@ -316,9 +317,10 @@
 
     def _peer_link_to(self, name: str) -> PeerLink | None:
         """
-        Return the stream to a host, and start it if it is new.
+        Return the stream to a host; start it first if it is new.
 
-        A host that is not in the settings is reached if its name is its address.
+        A host that isn't in the settings is reachable only if its name is its
+        address.
         """
         if name == self._host:
             return None
@@ -351,16 +353,16 @@
 
     @_execute.register
     def _(self, action: Appended) -> None:
-        self._proposal_waiters.appended(action.first_index, action.term)
+        self._proposal_waiters.on_appended(action.first_index, action.term)
 
     @_execute.register
     def _(self, action: Refused) -> None:
-        self._proposal_waiters.refused(self._not_leader())
+        self._proposal_waiters.on_refused(self._not_leader())
 
     @_execute.register
     def _(self, action: ReadReady) -> None:
         assert self._applied_index >= action.index, (
-            "a confirmed read sees applied entries"
+            "a read was confirmed before its entries were applied"
         )
         self._read_waiters.finish_read(action.read_id, True)
 
@@ -371,7 +373,7 @@
     @_execute.register
     def _(self, action: LeadershipWon) -> None:
         log = self._driver.node.log
-        # Entries that are not applied yet may carry later stamps than our clock.
+        # Entries that aren't applied yet may have later timestamps than this clock.
         for entry in log.slice(self._applied_index + 1, log.last_index):
             if entry.command:
                 self._observe_clock(_decode_command(entry.command).at_ms)
@@ -385,7 +387,9 @@
         self._fail_waiters()
 
     def _apply(self, entry: LogEntry) -> None:
-        assert entry.index == self._applied_index + 1, "entries are applied in order"
+        assert entry.index == self._applied_index + 1, (
+            "log entries must be applied in order"
+        )
         self._applied_index = entry.index
         self._uncompacted_bytes += len(entry.command)
         if entry.membership is not None:
@@ -397,7 +401,7 @@
             applied = self._state.apply(entry.index, command)
             self._subscribers.publish(applied.delta)
             result = applied.result
-        self._proposal_waiters.applied(entry.index, entry.term, result)
+        self._proposal_waiters.on_applied(entry.index, entry.term, result)
 
     def _observe_clock(self, at_ms: int) -> None:
         self._clock.observe(at_ms, anyio.current_time())
@@ -409,14 +413,15 @@
         self._applied_index = snapshot.index
 
     def _fail_waiters(self) -> None:
-        self._proposal_waiters.leadership_lost()
+        self._proposal_waiters.on_leadership_lost()
         self._read_waiters.fail_all()
 
     def _receive(self, recipient: str, message: AnyMessage) -> None:
-        # A frame for an older disk of this host must not reach the present one.
+        # Drops frames for an earlier disk of this host, which was another member.
         if recipient not in (self._driver.node.name, self._host):
             if host_name(recipient) == self._host:
-                # The settings may name hosts only that have lost their logs too.
+                # If all hosts in the settings have lost their logs too, the sender
+                # is the only host that this member can join through.
                 self._driver.node.note_host(host_name(message.sender))
             return
         self._pending_events.append(Received(message))
@@ -424,7 +429,7 @@
             self._wake.set()
 
     def _is_idle_acknowledgment(self, message: AnyMessage) -> bool:
-        """Tell whether a message is an answer that only confirms a heartbeat."""
+        """Return whether a message only acknowledges a heartbeat."""
         last_index = self._driver.node.log.last_index
         return (
             isinstance(message, AppendReply)
--- a/src/damaskridge/adapters/delta_subscribers.py
+++ b/src/damaskridge/adapters/delta_subscribers.py
@@ -1,4 +1,4 @@
-"""Consumers of the deltas that a control node applies."""
+"""Subscriptions to the deltas of the commands that a control node applies."""
 
 from collections.abc import AsyncIterator
 
@@ -13,19 +13,19 @@
 
 
 class DeltaSubscribers:
-    """Hands every delta to every subscriber; one that misses any is ended."""
+    """Sends every delta to every subscriber and closes those that would miss one."""
 
     def __init__(self) -> None:
         self._send_streams: list[MemoryObjectSendStream[FleetDelta]] = []
 
     def subscribe(self) -> AsyncIterator[FleetDelta]:
-        """Return the deltas from now on."""
+        """Return an iterator over the deltas from now on."""
         send, receive = anyio.create_memory_object_stream[FleetDelta](MAX_QUEUED_DELTAS)
         self._send_streams.append(send)
         return _iterate(receive)
 
     def publish(self, delta: FleetDelta) -> None:
-        """Queue a delta; a subscriber that is too slow is ended."""
+        """Queue a delta for every subscriber; close those whose queue is full."""
         for stream in list(self._send_streams):
             try:
                 stream.send_nowait(delta)
@@ -34,7 +34,7 @@
                 self._send_streams.remove(stream)
 
     def close_all(self) -> None:
-        """End every subscriber, because deltas were skipped."""
+        """Close every subscriber, because deltas were skipped."""
         for stream in self._send_streams:
             stream.close()
         self._send_streams.clear()
--- a/src/damaskridge/adapters/disk/__init__.py
+++ b/src/damaskridge/adapters/disk/__init__.py
@@ -1,1 +1,1 @@
-"""Files of the control group: synced and checksummed."""
+"""Durable, checksummed files of a member of the control group."""
--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -1,4 +1,4 @@
-"""Files of one data folder, with explicit durability."""
+"""Data folders on disk and in memory, with explicit durability."""
 
 import fcntl
 import os
@@ -11,7 +11,7 @@
 
 
 class Folder(Protocol):
-    """What the store needs of a data folder; names are plain file names."""
+    """Interface of a data folder; a file name has no directory part."""
 
     def names(self) -> list[str]:
         """Return the names of all files, sorted."""
@@ -26,11 +26,11 @@
         ...
 
     def sync(self, name: str) -> None:
-        """Make what was appended durable."""
+        """Make all appended data durable."""
         ...
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file, durably."""
+        """Truncate a file, durably."""
         ...
 
     def replace(self, name: str, data: bytes) -> None:
@@ -44,14 +44,14 @@
 
 class DiskFolder:
     """
-    A folder on a real disk, locked until `close`.
+    A folder on disk, locked until `close`.
 
-    Two processes on one folder would vote twice under one member id.
+    The lock keeps two processes from voting twice under the same member id.
 
     Parameters
     ----------
     path : Path
-        The folder; it is created if it is missing.
+        The folder, which is created if it is missing.
     """
 
     def __init__(self, path: Path) -> None:
@@ -64,8 +64,8 @@
         except OSError:
             os.close(self._folder_descriptor)
             raise
-        for leftover in path.glob(f"*{TEMPORARY_SUFFIX}"):
-            leftover.unlink()
+        for temporary in path.glob(f"*{TEMPORARY_SUFFIX}"):
+            temporary.unlink()
         self._sync_folder()
 
     def names(self) -> list[str]:
@@ -83,11 +83,11 @@
             view = view[os.write(self._descriptor(name), view) :]
 
     def sync(self, name: str) -> None:
-        """Make what was appended durable."""
+        """Make all appended data durable."""
         os.fsync(self._descriptor(name))
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file, durably."""
+        """Truncate a file, durably."""
         os.ftruncate(self._descriptor(name), size_bytes)
         self.sync(name)
 
@@ -109,7 +109,7 @@
         self._sync_folder()
 
     def close(self) -> None:
-        """Close all files and give up the lock."""
+        """Close all files and release the lock."""
         for name in list(self._descriptors):
             self._close(name)
         os.close(self._folder_descriptor)
@@ -148,10 +148,10 @@
         self._files[name] += data
 
     def sync(self, name: str) -> None:
-        """Do nothing; the content is lost with the process."""
+        """Do nothing: the content is lost with the process anyway."""
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file."""
+        """Truncate a file."""
         del self._files[name][size_bytes:]
 
     def replace(self, name: str, data: bytes) -> None:
@@ -163,5 +163,5 @@
         self._files.pop(name, None)
 
     def close(self) -> None:
-        """Forget all files."""
+        """Delete all files."""
         self._files.clear()
--- a/src/damaskridge/adapters/disk/records.py
+++ b/src/damaskridge/adapters/disk/records.py
@@ -1,8 +1,8 @@
 """Checksummed records of the log files.
 
-A record is a header (length of the payload, checksum of the payload, checksum of
-both) and the payload. The header has a checksum of its own because a damaged length
-would otherwise look like a record that was cut short.
+A record consists of a header (length of the payload, checksum of the payload, checksum
+of these two) and the payload. Without its own checksum, a header with a damaged length
+would look like a record that wasn't written completely.
 
 >>> data = encode_record(b"a") + encode_record(b"b")
 >>> scan_records(data)
@@ -26,17 +26,17 @@
 @dataclass(frozen=True, slots=True)
 class ScanResult:
     """
-    What a file contains.
+    Result of scanning a file.
 
     Parameters
     ----------
     payloads : list of bytes
-        Payloads of the intact records before the first other one.
+        Payloads of the intact records, up to the first one that isn't intact.
     size_bytes : int
-        Size of these records.
+        Total size of these records.
     damaged : bool
-        Whether a complete record follows that was altered. A write that did not
-        finish is shorter than its record or reads as zeros, and is no damage.
+        Whether a complete but altered record follows. An unfinished write is no
+        damage: it is shorter than its record or reads as zeros.
     """
 
     payloads: list[bytes]
@@ -45,7 +45,7 @@
 
 
 def encode_record(payload: bytes) -> bytes:
-    """Return the record of a payload."""
+    """Return a payload as a record."""
     length_and_checksum = _LENGTH_AND_CHECKSUM.pack(len(payload), zlib.crc32(payload))
     return (
         length_and_checksum
@@ -55,7 +55,7 @@
 
 
 def scan_records(data: bytes, verify: bool = True) -> ScanResult:
-    """Return the intact records of a file; `verify` is off only in tests."""
+    """Scan the records of a file; `verify` is off only in tests."""
     payloads: list[bytes] = []
     offset = 0
     while len(data) - offset >= _HEADER.size:
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -1,8 +1,8 @@
-"""Log, hard state and snapshot of one member in a data folder.
+"""Storage of the log, hard state and snapshot of one member in a data folder.
 
-Files: `member` holds the random disk id, `snapshot` the latest snapshot, and
-`log-<number>` the records since then. Entries and hard states share the log file,
-so that one sync covers a batch of both.
+The file `member` contains the random disk id, `snapshot` the latest snapshot, and
+`log-<number>` (a segment) the records since then. Entries and hard states share the
+segment, so that one sync makes a batch of both durable.
 """
 
 from dataclasses import dataclass
@@ -37,23 +37,24 @@
 @dataclass(frozen=True, slots=True)
 class StoredState:
     """
-    What a folder contained at the start.
+    Content of a folder when it was opened.
 
     Parameters
     ----------
-    member : str
-        Random id of the disk.
+    disk_id : str
+        Random id of the disk, a part of the member id.
     log : RaftLog
-        Snapshot and entries.
+        The snapshot and the entries after it.
     hard_state : HardState
         Term and vote.
     cut_bytes : int
-        Size of an unsynced tail that was cut off.
+        Size of an unsynced tail that was truncated.
     damage : str
-        Name of the damaged file; the folder was emptied and got a new id.
+        Name of the damaged file or a description of the damage, empty if there is
+        none. A damaged folder was emptied and has a new id.
     """
 
-    member: str
+    disk_id: str
     log: RaftLog
     hard_state: HardState
     cut_bytes: int = 0
@@ -61,19 +62,19 @@
 
 
 class _DamagedFileError(Exception):
-    """A synced record was altered or is missing."""
+    """A synced record was altered or is missing; the text is the file name."""
 
 
 class LogStore:
     """
-    Writes what a Raft node asks to save.
+    Stores the log, hard state and snapshot of a Raft node.
 
     Parameters
     ----------
     folder : Folder
         The data folder.
     new_disk_id : str
-        Random id to use if the folder has none.
+        Random id for a folder that has none or is damaged.
     verify : bool
         Whether checksums are verified; off only in tests.
     """
@@ -86,36 +87,37 @@
         self._dirty = False
 
     def open(self) -> StoredState:
-        """Read the folder; a damaged one is emptied and gets a new id."""
+        """Read the folder; reset it if it is damaged."""
         try:
             return self._read()
         except (_DamagedFileError, msgspec.MsgspecError) as error:
             return self.reset(str(error))
 
     def reset(self, damage: str) -> StoredState:
-        """Empty the folder and give it the new id."""
-        # The vote may be lost, so this disk must not keep its old name.
+        """Empty the folder and store the new id in it."""
+        # The recorded vote may be lost. Under its old id, the member could vote twice
+        # in one term.
         for name in [MEMBER_FILE, *self._folder.names()]:
             self._folder.remove(name)
         return self._initialize(damage)
 
     def save_hard_state(self, hard_state: HardState) -> None:
-        """Write term and vote; durable after `sync`."""
+        """Append term and vote; durable after `sync`."""
         self._append_record(_encode(_HardRecord(hard_state)))
 
     def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
-        """Write entries; the first replaces all from its index on."""
+        """Append entries, which replace all entries from the first index on."""
         for entry in entries:
             self._append_record(_encode(_EntryRecord(entry)))
 
     def save_snapshot(self, log: RaftLog, hard_state: HardState) -> None:
-        """Write a snapshot and a new segment with what follows it, durably."""
+        """Write a snapshot and a new segment with the entries after it, durably."""
         snapshot = encode_record(_encode(log.snapshot))
         self._folder.replace(SNAPSHOT_FILE, snapshot)
         self._start_segment(log, hard_state)
 
     def sync(self) -> None:
-        """Make all writes durable."""
+        """Make all appended records durable."""
         if self._dirty:
             self._folder.sync(self._segment)
             self._dirty = False
@@ -125,19 +127,15 @@
         self._dirty = True
 
     def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
-        old_segments = self._segments()
-        number = (
-            int(old_segments[-1].removeprefix(SEGMENT_PREFIX)) + 1
-            if old_segments
-            else 1
-        )
+        previous = self._segments()
+        number = int(previous[-1].removeprefix(SEGMENT_PREFIX)) + 1 if previous else 1
         entries = log.slice(log.snapshot.index + 1, log.last_index)
         payloads = [_encode(_HardRecord(hard_state))]
         payloads += [_encode(_EntryRecord(entry)) for entry in entries]
         self._segment = f"{SEGMENT_PREFIX}{number:012d}"
         self._folder.replace(self._segment, b"".join(map(encode_record, payloads)))
         self._dirty = False
-        for name in old_segments:
+        for name in previous:
             self._folder.remove(name)
 
     def _segments(self) -> list[str]:
@@ -153,22 +151,23 @@
     def _read(self) -> StoredState:
         names = self._folder.names()
         if MEMBER_FILE not in names:
-            # The id is written last, so without it nothing was ever acknowledged
-            # under it.
+            # The id is written last. Without it, the member has never acknowledged
+            # anything.
             for name in names:
                 self._folder.remove(name)
             return self._initialize()
-        member = self._read_single_record(MEMBER_FILE).decode()
+        disk_id = self._read_single_record(MEMBER_FILE).decode()
         snapshot = None
         if SNAPSHOT_FILE in names:
             snapshot = _decode_snapshot(self._read_single_record(SNAPSHOT_FILE))
-        return self._read_segment(member, snapshot)
+        return self._read_segment(disk_id, snapshot)
 
-    def _read_segment(self, member: str, snapshot: Snapshot | None) -> StoredState:
+    def _read_segment(self, disk_id: str, snapshot: Snapshot | None) -> StoredState:
         segments = self._segments()
         if not segments:
             raise _DamagedFileError("log")
-        # A segment is complete once it exists; older ones are leftovers.
+        # A segment is created atomically, so the newest is complete. A crash while
+        # it was started may have left older ones.
         for name in segments[:-1]:
             self._folder.remove(name)
         self._segment = segments[-1]
@@ -180,9 +179,9 @@
         replayed, hard_state = self._replay(result.payloads, snapshot)
         log = self._merge_snapshot(replayed, snapshot)
         if replayed.snapshot.index != log.snapshot.index:
-            # Entries after the snapshot would leave a gap in the old segment.
+            # Entries that follow the snapshot would leave a gap in the old segment.
             self._start_segment(log, hard_state)
-        return StoredState(member, log, hard_state, cut_bytes)
+        return StoredState(disk_id, log, hard_state, cut_bytes)
 
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
@@ -207,7 +206,7 @@
         return log, hard_state
 
     def _merge_snapshot(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
-        """Put snapshot and segment together after a stop between their writes."""
+        """Combine snapshot and segment; a crash may have come between their writes."""
         base = replayed.snapshot
         log = RaftLog(base, list(replayed.slice(base.index + 1, replayed.last_index)))
         if log.snapshot.index > (snapshot.index if snapshot else 0):
@@ -231,7 +230,7 @@
 
 
 def _snapshot_before(snapshot: Snapshot | None, index: int) -> Snapshot:
-    """Return what precedes the first entry of a segment."""
+    """Return a snapshot that ends right before the first entry of a segment."""
     if snapshot is not None and snapshot.index == index:
         return snapshot
     return Snapshot(index, 0, Membership(()), b"")
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -1,4 +1,4 @@
-"""Model engines over HTTP; see docs/engines.md."""
+"""Client of model engines over HTTP; see docs/engines.md."""
 
 from collections.abc import AsyncIterator
 from typing import Any
@@ -30,14 +30,14 @@
 
 class HttpEngine:
     """
-    One model engine.
+    Client of one model engine; implements `EnginePort`.
 
     Parameters
     ----------
     client : BackendClient
-        Connections, shared by all engines.
+        HTTP client, shared by all engines.
     address : str
-        ``ip:port``.
+        Address of the engine, ``ip:port``.
     """
 
     def __init__(self, client: BackendClient, address: str) -> None:
@@ -45,13 +45,13 @@
         self._base = f"http://{address}/v1"
 
     async def prefill(self, request: PrefillRequest) -> Result[PrefillResult, Failure]:
-        """Compute and hold a KV cache."""
+        """Prefill a prompt and hold its KV cache on the engine."""
         return await self._call(
             "POST", "/prefill", PrefillResult, request, read_s=_PREFILL_TIMEOUT_S
         )
 
     async def decode(self, request: DecodeRequest) -> AsyncIterator[DecodeChunk]:
-        """Import a KV cache and stream output; raises `StreamFailed`."""
+        """Import a KV cache and stream the output; raises `StreamFailed`."""
         body = msgspec.json.encode(request)
         async for chunk in self._stream_chunks("POST", "/decode", body):
             yield chunk
@@ -59,61 +59,66 @@
     async def resume(
         self, engine_request_id: str, offset: int
     ) -> AsyncIterator[DecodeChunk]:
-        """Stream output again from `offset` on a new connection."""
+        """Stream the output again from `offset`, on a new connection."""
         path = f"/requests/{engine_request_id}/stream?offset={offset}"
         async for chunk in self._stream_chunks("GET", path, b"", fresh=True):
             yield chunk
 
     async def cancel(self, engine_request_id: str) -> Result[None, Failure]:
-        """Stop a request and free all its memory."""
+        """Cancel a request and free all its memory."""
         path = f"/requests/{engine_request_id}"
         return await self._call("DELETE", path, None, retry=True)
 
     async def list_requests(self) -> Result[tuple[EngineRequest, ...], Failure]:
-        """List every request that holds memory or waits."""
+        """Return all requests that wait or hold memory."""
         return await self._call(
             "GET", "/requests", tuple[EngineRequest, ...], retry=True
         )
 
     async def load(self) -> Result[LoadReport, Failure]:
-        """Return the last load report."""
+        """Return the latest load report."""
         return await self._call("GET", "/load", LoadReport, retry=True)
 
     async def cache_events(self, after: int) -> Result[CacheEventPage, Failure]:
-        """Return cache events after a sequence number."""
+        """Return the cache events after a sequence number."""
         path = f"/cache-events?after={after}"
         return await self._call("GET", path, CacheEventPage, retry=True)
 
     async def order(self, order: Order) -> Result[None, Failure]:
-        """Give an order."""
+        """Send an order to the engine."""
         return await self._call("POST", "/orders", None, order)
 
     async def _call(
         self,
         method: str,
         path: str,
-        kind: Any,
+        response_type: Any,
         body: msgspec.Struct | None = None,
         *,
         read_s: float = _REQUEST_TIMEOUT_S,
         retry: bool = False,
     ) -> Result[Any, Failure]:
-        failure = await self._send_once(method, path, kind, body, read_s, fresh=False)
-        if isinstance(failure, Err) and retry:
-            return await self._send_once(method, path, kind, body, read_s, fresh=True)
-        return failure
+        result = await self._send_once(
+            method, path, response_type, body, read_s, fresh=False
+        )
+        if isinstance(result, Err) and retry:
+            # The pooled connection may have been stale; the retry uses a new one.
+            return await self._send_once(
+                method, path, response_type, body, read_s, fresh=True
+            )
+        return result
 
     async def _send_once(
         self,
         method: str,
         path: str,
-        kind: Any,
+        response_type: Any,
         body: msgspec.Struct | None,
         read_s: float,
         fresh: bool,
     ) -> Result[Any, Failure]:
         try:
-            reply = await self._client.call(
+            response = await self._client.call(
                 method,
                 self._base + path,
                 body=msgspec.json.encode(body) if body is not None else b"",
@@ -121,11 +126,11 @@
                 limit_bytes=_MAX_RESPONSE_BYTES,
                 fresh=fresh,
             )
-            if reply.status // 100 != 2:
-                return Err(_engine_failure(reply))
-            if kind is None:
+            if response.status // 100 != 2:
+                return Err(_engine_failure(response))
+            if response_type is None:
                 return Ok(None)
-            return Ok(_decode_json(reply.body, kind))
+            return Ok(_decode_json(response.body, response_type))
         except StreamFailed as error:
             return Err(error.failure)
 
@@ -133,7 +138,8 @@
         self, method: str, path: str, body: bytes, fresh: bool = False
     ) -> AsyncIterator[DecodeChunk]:
         url = self._base + path
-        # The life cycle detects silence; a timer at every read would be costly.
+        # No read timeout: a timer for every read would be costly, and the state
+        # machine of the request detects silence.
         opened = self._client.stream(method, url, body=body, read_s=None, fresh=fresh)
         async with opened as response:
             lines = self._client.lines(response, _MAX_LINE_BYTES)
@@ -149,16 +155,16 @@
                     return
 
 
-def _decode_json(data: bytes, kind: Any) -> Any:
+def _decode_json(data: bytes, response_type: Any) -> Any:
     try:
-        return msgspec.json.decode(data, type=kind)
+        return msgspec.json.decode(data, type=response_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        raise failed("answer is not of the protocol") from None
+        raise failed("response violates the engine protocol") from None
 
 
-def _engine_failure(reply: HttpReply) -> Failure:
-    """Return the engine's own failure, if it sent one."""
+def _engine_failure(response: HttpReply) -> Failure:
+    """Return the failure that the engine sent, else one with the status."""
     try:
-        return msgspec.json.decode(reply.body, type=Failure)
+        return msgspec.json.decode(response.body, type=Failure)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        return failed(f"status {reply.status}").failure
+        return failed(f"status {response.status}").failure
--- a/src/damaskridge/adapters/host_list/__init__.py
+++ b/src/damaskridge/adapters/host_list/__init__.py
@@ -1,1 +1,1 @@
-"""The list of live and leaving hosts."""
+"""Client of the platform's list of live and leaving backend servers."""
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of backend servers over HTTP."""
+"""Client of the platform's list of backend servers over HTTP."""
 
 from enum import Enum
 
@@ -16,7 +16,7 @@
 
 
 class ListedServerState(Enum):
-    """What the platform says of a backend server."""
+    """State of a backend server in the list."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -32,14 +32,14 @@
 
 class HttpHostList:
     """
-    Reads ``GET /hosts``.
+    Fetches the list with ``GET /hosts``; implements `HostListPort`.
 
     Parameters
     ----------
     client : BackendClient
-        Connections.
+        HTTP client.
     address : str
-        ``ip:port`` of the platform.
+        Address of the platform, ``ip:port``.
     """
 
     def __init__(self, client: BackendClient, address: str) -> None:
@@ -49,17 +49,17 @@
     async def leaving(self) -> Result[frozenset[str], Failure]:
         """Return the names of backend servers that are leaving or gone."""
         try:
-            reply = await self._client.call(
+            response = await self._client.call(
                 "GET",
                 self._url,
                 read_s=_READ_TIMEOUT_S,
                 limit_bytes=_MAX_RESPONSE_BYTES,
             )
-            servers = msgspec.json.decode(reply.body, type=tuple[ListedServer, ...])
+            servers = msgspec.json.decode(response.body, type=tuple[ListedServer, ...])
         except StreamFailed as error:
             return Err(error.failure)
         except (msgspec.MsgspecError, UnicodeDecodeError):
-            detail = "the host list is not of the protocol"
+            detail = "host list violates its protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
         leaving = (
             server for server in servers if server.state is not ListedServerState.LIVE
--- a/src/damaskridge/adapters/raft_driver.py
+++ b/src/damaskridge/adapters/raft_driver.py
@@ -1,4 +1,4 @@
-"""Runs a Raft node on a store: saves are synced before anything else happens."""
+"""Runs a Raft node on a store: what it saves is synced before it acts on it."""
 
 import random
 from collections.abc import Iterable
@@ -9,17 +9,18 @@
 
 __all__ = ["RaftDriver", "member_id"]
 
+# Batches between two syncs if `Guards.sync_before_ack` is off.
 LATE_SYNC_RUNS = 50
 
 
 def member_id(host: str, disk_id: str, guards: Guards) -> str:
-    """Return the id of a member; with another disk a host is another member."""
+    """Return the id of a member: a host with a new disk is a new member."""
     return f"{host}#{disk_id}" if guards.blank_vote else host
 
 
 class RaftDriver:
     """
-    One member with its store.
+    The Raft node of one member, together with its store.
 
     Parameters
     ----------
@@ -28,19 +29,19 @@
     store : LogStore
         The opened store.
     stored : StoredState
-        What the store contained.
+        What the store contained when it was opened.
     rng : random.Random
         Source of the election timeouts.
     now_s : float
-        Present time.
+        The present time.
     hosts : tuple of str
-        Names of all hosts of the group.
+        Names of all hosts in the settings.
     may_form : bool
-        Whether this member may form a new group.
+        Whether this member may bootstrap a new group.
     max_entries : int
-        Bound on the entries of one message.
+        Most entries of one message.
     guards : Guards
-        Safety rules; all in force outside tests.
+        Safety rules; tests turn them off, to show that a fault is found.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         self._store = store
         self._unsynced_runs = 0
         self.node = RaftNode(
-            member_id(host, stored.member, self._guards),
+            member_id(host, stored.disk_id, self._guards),
             stored.log,
             stored.hard_state,
             rng,
@@ -72,12 +73,12 @@
 
     def run(self, events: Iterable[Event], now_s: float) -> list[Action]:
         """
-        Handle a batch of events with one sync.
+        Process a batch of events with a single sync.
 
         Returns
         -------
         list of Action
-            Everything but the saves, which are durable on return.
+            All actions except the saves, which are durable on return.
         """
         self._sync_late()
         actions: list[Action] = []
@@ -93,7 +94,7 @@
         return others
 
     def _sync_late(self) -> None:
-        """Without the guard, sync as a disk's background writer would."""
+        """Sync now and then, like the kernel's write-back, if the guard is off."""
         if self._guards.sync_before_ack:
             return
         self._unsynced_runs += 1
@@ -103,8 +104,8 @@
 
     def _save(self, saves: list[Save]) -> None:
         if any(save.snapshot is not None for save in saves):
-            # Writes all of the batch, because log and hard state are up to date.
-            # Entries after a new snapshot would leave a gap in the old segment.
+            # The node's log and hard state already include the whole batch. Entries
+            # that follow a new snapshot would leave a gap in the old segment.
             self._store.save_snapshot(self.node.log, self.node.hard_state)
             return
         for save in saves:
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -1,4 +1,4 @@
-"""The routing table for operators, on one member of the control group."""
+"""Access of operators to the routing table, on one member of the control group."""
 
 import logging
 import secrets
@@ -17,7 +17,7 @@
 
 __all__ = ["ReplicatedRouting"]
 
-# Operators ask another host after a second; an answer after that is lost.
+# Operators try another host after a second, so a later response is lost.
 RESPONSE_TIMEOUT_S = 0.9
 
 _logger = logging.getLogger("damaskridge.control")
@@ -25,14 +25,14 @@
 
 class ReplicatedRouting:
     """
-    Publishes and reads the table through the replicated log.
+    Publishes and reads the routing table through the replicated log.
 
     Parameters
     ----------
     node : ControlNodePort
-        The member.
+        This member of the control group.
     state : ControlState
-        The state that it feeds.
+        The state machine to which the member applies commands.
     """
 
     def __init__(self, node: ControlNodePort, state: ControlState) -> None:
@@ -40,11 +40,11 @@
         self._state = state
 
     def leader_ip(self) -> str:
-        """Return the address of the leader's machine, empty if it is unknown."""
+        """Return the IP address of the leader, empty if it is unknown."""
         return self._node.leader_address.rpartition(":")[0]
 
     async def publish(self, table: RoutingTable, source: bytes) -> Result[int, Failure]:
-        """Put a table in force; returns the version in force."""
+        """Activate a table and return the version that is then active."""
         faults = table_faults(table)
         if faults:
             return self._refuse(table, Failure(ErrorKind.INVALID_BUNDLE, faults[0]))
@@ -59,18 +59,20 @@
                 return self._refuse(table, result.failure)
             return Ok(int(result.value))
         return self._refuse(
-            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time")
+            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
         )
 
     async def read(self) -> Result[bytes, Failure]:
-        """Return the document in force, as a quorum confirms it; empty if none."""
+        """Return the active document, confirmed by a quorum; empty if there is none."""
         if not self._node.is_leader:
             return Err(self._not_leader())
         with anyio.move_on_after(RESPONSE_TIMEOUT_S):
             if await self._node.confirm_leadership():
                 return Ok(self._state.data.routing_source)
             return Err(self._not_leader())
-        return Err(Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time"))
+        return Err(
+            Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
+        )
 
     def _not_leader(self) -> Failure:
         leader = "" if self._node.is_leader else self._node.leader_address
--- a/src/damaskridge/adapters/services/http_service.py
+++ b/src/damaskridge/adapters/services/http_service.py
@@ -1,4 +1,4 @@
-"""Instances of plain services over HTTP."""
+"""Client of plain services over HTTP."""
 
 from result import Err, Ok, Result
 
@@ -13,14 +13,14 @@
 
 class HttpService:
     """
-    Calls plain services.
+    Client of plain services; implements `ServicePort`.
 
     Parameters
     ----------
     client : BackendClient
-        Connections, shared by all services.
+        HTTP client, shared by all services.
     read_s : float
-        Longest silence of an instance.
+        Read timeout: the longest silence of an instance.
     """
 
     def __init__(self, client: BackendClient, read_s: float = 30.0) -> None:
@@ -30,15 +30,16 @@
     async def call(
         self, address: str, call: ServiceCall
     ) -> Result[ServiceAnswer, Failure]:
-        """Send a call; only a failure to connect has run state ``not_run``."""
+        """Send a call; a failure to connect has run state ``not_run``, others don't."""
         headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in call.headers.items()
         ]
         headers.append((b"host", address.encode()))
         try:
-            # A call on a connection that went silent could not be sent again.
-            reply = await self._client.call(
+            # A call that fails on a stale pooled connection couldn't be retried, since
+            # the service may have run it. So each call uses a new connection.
+            response = await self._client.call(
                 call.method,
                 f"http://{address}{call.path}",
                 body=call.body,
@@ -49,4 +50,4 @@
             )
         except StreamFailed as error:
             return Err(error.failure)
-        return Ok(ServiceAnswer(reply.status, reply.content_type, reply.body))
+        return Ok(ServiceAnswer(response.status, response.content_type, response.body))
--- a/tests/adapters/engines/test_http_engine.py
+++ b/tests/adapters/engines/test_http_engine.py
@@ -1,4 +1,4 @@
-"""Guards against engines and services whose garbage breaks a front or lies."""
+"""Tests that invalid responses of engines, services and the host list are failures."""
 
 import asyncio
 
@@ -17,10 +17,10 @@
 DECODE = DecodeRequest("req-h-1-1.1", "m", "1.2.3.4:5", 0, 4)
 
 
-async def serve(answer):
+async def serve(response):
     async def handle(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(answer)
+        writer.write(response)
         await writer.drain()
         writer.close()
 
@@ -28,35 +28,35 @@
     return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
-def lines(*parts):
+def response_with(*parts):
     body = b"".join(parts)
     return OK + b"content-length: %d\r\n\r\n" % len(body) + body
 
 
 @pytest.mark.parametrize(
-    ("answer", "tokens"),
+    ("response", "tokens"),
     [
         (b"", 0),
         (b"\x00\xff nothing of HTTP\r\n\r\n", 0),
-        (lines(b"{}\n"), 0),
-        (lines(b"\xff\xfe\n"), 0),
-        (lines(b"[" * 50_000 + b"\n"), 0),
-        (lines(b"x" * 100_000), 0),
-        (lines(CHUNK, b'{"offset":"1"}\n'), 1),
+        (response_with(b"{}\n"), 0),
+        (response_with(b"\xff\xfe\n"), 0),
+        (response_with(b"[" * 50_000 + b"\n"), 0),
+        (response_with(b"x" * 100_000), 0),
+        (response_with(CHUNK, b'{"offset":"1"}\n'), 1),
         (OK + b"content-length: 99\r\n\r\n" + CHUNK, 1),
         (b"HTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\n??", 0),
     ],
 )
-def test_garbage_is_a_failed_server_of_unknown_run_state(answer, tokens):
+def test_invalid_response_is_a_server_failure_with_unknown_run_state(response, tokens):
     async def main():
-        server, address = await serve(answer)
+        server, address = await serve(response)
         client = BackendClient()
         engine = HttpEngine(client, address)
-        got = []
+        chunks = []
         with pytest.raises(StreamFailed) as failed:
             async for chunk in engine.decode(DECODE):
-                got.append(chunk)
-        assert got == [DecodeChunk(0, "a")] * tokens
+                chunks.append(chunk)
+        assert chunks == [DecodeChunk(0, "a")] * tokens
         failures = [failed.value.failure]
         prefill = PrefillRequest("req-h-1-1.1", "m", "p")
         failures.append((await engine.prefill(prefill)).err_value)
@@ -70,9 +70,9 @@
     asyncio.run(main())
 
 
-def test_run_states_of_service_calls():
+def test_run_state_of_a_service_call_is_not_run_only_if_connecting_failed():
     async def main():
-        server, address = await serve(lines(b"x" * 5_000_000))
+        server, address = await serve(response_with(b"x" * 5_000_000))
         client = BackendClient()
         service = HttpService(client)
         call = ServiceCall("POST", "/")
--- a/tests/adapters/test_boottime_loop.py
+++ b/tests/adapters/test_boottime_loop.py
@@ -1,4 +1,4 @@
-"""Guards against permissions that outlive a suspension of the machine."""
+"""Guards against leases and reservations that outlive a suspension of the host."""
 
 import asyncio
 
@@ -14,24 +14,24 @@
 
 
 class SuspendedClock:
-    """Counts like the loop's usual clock, and what `suspend` adds."""
+    """Returns the time of a standard loop plus the suspensions so far."""
 
     def __init__(self):
         self._added_s = 0.0
-        self._usual = asyncio.SelectorEventLoop()
+        self._standard_loop = asyncio.SelectorEventLoop()
 
     def __call__(self):
-        return self._usual.time() + self._added_s
+        return self._standard_loop.time() + self._added_s
 
     def suspend(self, duration_s=SUSPENDED_S):
         self._added_s += duration_s
 
     def close(self):
-        self._usual.close()
+        self._standard_loop.close()
 
 
-def play(main):
-    """Run `main(clock)` on a loop whose clock it may move on."""
+def run_with_clock(main):
+    """Run `main(clock)` on a loop that uses this clock."""
     clock = SuspendedClock()
     options = {"loop_factory": lambda: BoottimeEventLoop(clock)}
     try:
@@ -40,7 +40,7 @@
         clock.close()
 
 
-def test_a_session_lease_ends_during_a_suspension():
+def test_session_lease_expires_during_a_suspension():
     async def main(clock):
         lease = HolderLease()
         lease.renew(anyio.current_time(), SESSION_DURATION_S)
@@ -48,28 +48,28 @@
         clock.suspend()
         assert not lease.is_valid(anyio.current_time())
 
-    play(main)
+    run_with_clock(main)
 
 
-def test_a_list_of_backend_servers_grows_old_during_a_suspension():
+def test_instance_list_becomes_stale_during_a_suspension():
     async def main(clock):
         copy = InstanceCopy()
         copy.replace((), anyio.current_time())
         clock.suspend()
         assert anyio.current_time() - copy.seen_s >= SUSPENDED_S
 
-    play(main)
+    run_with_clock(main)
 
 
-def test_a_reservation_and_a_handle_are_not_used_after_a_suspension():
-    """Both have lapsed at the engines, which may have given them to others."""
+def test_reservation_and_kv_handle_are_not_used_after_a_suspension():
+    """Both have expired at the engines, which may have reassigned the memory."""
 
     async def main(clock):
-        async def read_and_suspend(seen, writer):
+        async def prefill_and_suspend(seen, writer):
             clock.suspend(2.5)
             await read_prompt(seen, writer)
 
-        found = engines(decoding(), prefill=read_and_suspend)
+        found = engines(decoding(), prefill=prefill_and_suspend)
         async with gateway(*found) as app:
             status, _, _ = await app.generate("/res/x")
         (decode,) = found[1].seen
@@ -77,11 +77,11 @@
         assert "x-kv-hold" not in decode.headers
         assert "x-kv-source" not in decode.headers
 
-    play(main)
+    run_with_clock(main)
 
 
-def test_an_idle_connection_is_not_used_after_a_suspension():
-    """The server has closed it or has lost track of it."""
+def test_idle_connection_is_not_reused_after_a_suspension():
+    """The server may have closed it or dropped its state meanwhile."""
 
     async def main(clock):
         async def answer(seen, writer):
@@ -97,10 +97,10 @@
         assert first is second
         assert third is not second
 
-    play(main)
+    run_with_clock(main)
 
 
-def test_timers_that_passed_during_a_suspension_are_due_at_once():
+def test_timers_due_during_a_suspension_run_right_after_it():
     async def main(clock):
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -111,4 +111,4 @@
             await woken.wait()
         assert loop.time() - started_s < SUSPENDED_S + 1.0
 
-    play(main)
+    run_with_clock(main)
--- a/tests/adapters/test_bundle_file.py
+++ b/tests/adapters/test_bundle_file.py
@@ -1,4 +1,4 @@
-"""A bundle file with any fault must be refused, with the path of every fault."""
+"""Tests that an invalid bundle file is refused with the path of every fault."""
 
 import json
 
@@ -7,19 +7,19 @@
 from damaskridge.adapters.bundle_file import format_bundle, parse_bundle
 
 
-def faults(change):
+def faults_after(change):
     content = json.loads(format_bundle(bundle()))
     change(content)
     return parse_bundle(json.dumps(content)).unwrap_err()
 
 
-def test_a_valid_file_with_comments_reads_back_unchanged():
+def test_valid_file_with_comments_is_read_unchanged():
     text = "// fleet\n" + format_bundle(bundle())
     assert parse_bundle(text).unwrap() == bundle()
 
 
-def test_every_fault_is_named_by_its_path():
-    def values(content):
+def test_every_fault_is_reported_with_its_path():
+    def break_values(content):
         content["backend_servers"][1].update(slots=0, address="db:x", role="prefill")
         content["backend_servers"][0]["serves"] = "other"
         content["workspaces"][2]["name"] = "w1"
@@ -27,7 +27,7 @@
         content["keys"][0]["workspace"] = "nobody"
         content["operators"].pop()
 
-    assert sorted(faults(values)) == [
+    assert sorted(faults_after(break_values)) == [
         "backend_servers[0].serves: unknown model 'other'",
         "backend_servers[1].address: must be ip:port, not 'db:x'",
         "backend_servers[1].cell: cell 'c2' has no backend server for decode",
@@ -38,22 +38,23 @@
         "workspaces[2].name: same as workspaces[0]",
     ]
 
-    def mixed(content):
+    def mix_models_in_cell(content):
         content["backend_servers"][1].update(cell="c1", serves="other")
 
-    assert "backend_servers[1].serves: cell 'c1' serves 'm', not 'other'" in faults(
-        mixed
+    assert (
+        "backend_servers[1].serves: cell 'c1' serves 'm', not 'other'"
+        in faults_after(mix_models_in_cell)
     )
 
 
-def test_faults_of_shape_are_all_named():
-    def shape(content):
+def test_all_schema_faults_are_reported():
+    def break_schema(content):
         content["models"][0]["context_tokens"] = "many"
         content["backend_servers"][0]["role"] = "both"
         content["workspaces"][1]["rate"] = 3
         del content["keys"][0]["digest"]
 
-    paths = sorted(fault.split(":")[0] for fault in faults(shape))
+    paths = sorted(fault.split(":")[0] for fault in faults_after(break_schema))
     assert paths == [
         "backend_servers[0].role",
         "keys[0].digest",
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -1,4 +1,4 @@
-"""Guards against a large table that fills the leader's link and memory."""
+"""Guards against a large routing table that saturates the leader's network link."""
 
 import msgspec
 import pytest
@@ -14,10 +14,10 @@
     RoutingTableActivated,
 )
 
-# The fleet that the system is built towards.
+# Size of the fleet that the system is designed for.
 HOSTS = 390
-# What a link of 100 Mbit/s carries until the leader's peers take it for silent.
-LINK_BYTES = 100e6 / 8 * SILENCE_S
+# What a link of 100 Mbit/s carries until the leader's peers consider it silent.
+MAX_LINK_BYTES = 100e6 / 8 * SILENCE_S
 
 
 def large_delta():
@@ -28,11 +28,11 @@
     )
 
 
-def test_a_large_table_for_every_host_fits_the_leaders_link():
-    assert HOSTS * len(MsgpackCodec().encode(large_delta(), None)) <= LINK_BYTES
+def test_copies_of_a_large_table_for_all_hosts_fit_the_leaders_link():
+    assert HOSTS * len(MsgpackCodec().encode(large_delta(), None)) <= MAX_LINK_BYTES
 
 
-def test_a_large_message_for_many_hosts_is_encoded_once():
+def test_large_message_for_many_hosts_is_encoded_once():
     codec, delta = MsgpackCodec(), large_delta()
     assert codec.encode(delta, None) is codec.encode(delta, None)
     other = large_delta()
@@ -42,17 +42,17 @@
 @pytest.mark.parametrize(
     "message", [large_delta(), InstancesSeen(source="s", revision=1)]
 )
-def test_what_is_encoded_is_decoded_as_it_was(message):
+def test_decoding_restores_the_message(message):
     data = MsgpackCodec().encode(message, None)
     assert MsgpackCodec().decode(data, AnyFollowReply) == message
 
 
-def test_small_messages_stay_as_they_are():
+def test_small_message_is_not_compressed():
     message = InstancesSeen(source="s", revision=1)
     assert MsgpackCodec().encode(message, None) == msgspec.msgpack.encode(message)
 
 
-def test_damaged_and_endless_messages_are_invalid(monkeypatch):
+def test_damaged_and_oversized_messages_are_invalid(monkeypatch):
     data = MsgpackCodec().encode(large_delta(), None)
     for damaged in (data[:-9], data[:2] + b"\0" + data[3:]):
         with pytest.raises(msgspec.ValidationError):
--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -1,4 +1,4 @@
-"""Guards against a control group that does not form, fail over or come back."""
+"""Tests that a control group forms, fails over and readmits a host with a new disk."""
 
 import random
 import socket
@@ -23,7 +23,7 @@
 
 
 class FakeState:
-    """Records the ids and stamps of the commands."""
+    """Records the ids and timestamps of the applied commands."""
 
     def __init__(self) -> None:
         self.applied: list[tuple[str, int]] = []
@@ -41,7 +41,7 @@
         self.applied = [tuple(x) for x in msgspec.msgpack.decode(data)]
 
 
-class Host:
+class ControlHost:
     """One control host whose process can be started and stopped."""
 
     def __init__(self, name: str, members: dict[str, str], clock: list[int]) -> None:
@@ -73,7 +73,7 @@
     return {n: f"127.0.0.1:{p}" for n, p in zip(names, ports, strict=True)}
 
 
-async def leader_of(hosts: list[Host]) -> Host:
+async def wait_for_leader(hosts: list[ControlHost]) -> ControlHost:
     with anyio.fail_after(30):
         while True:
             for host in hosts:
@@ -82,64 +82,66 @@
             await anyio.sleep(0.02)
 
 
-async def until(condition) -> None:
+async def wait_until(condition) -> None:
     with anyio.fail_after(30):
         while not condition():  # noqa: ASYNC110
             await anyio.sleep(0.02)
 
 
-async def propose(hosts: list[Host], command_id: str) -> CommandResult:
+async def propose_to_leader(hosts: list[ControlHost], command_id: str) -> CommandResult:
     with anyio.fail_after(30):
         while True:
-            leader = await leader_of(hosts)
+            leader = await wait_for_leader(hosts)
             command = AdvanceTime(command_id=command_id)
             result = await leader.node.propose(command)
             if result.failure is None:
                 return result
 
 
-async def scenario() -> None:
+async def run_fail_over() -> None:
     members, clock = free_addresses(["c0", "c1", "c2"]), [1000]
-    hosts = [Host(name, members, clock) for name in members]
+    hosts = [ControlHost(name, members, clock) for name in members]
     async with anyio.create_task_group() as tasks:
         for host in hosts:
             await host.start(tasks)
-        leader = await leader_of(hosts)
+        leader = await wait_for_leader(hosts)
         deltas = leader.node.applied_deltas()
-        await propose(hosts, "first")
+        await propose_to_leader(hosts, "first")
         assert (await anext(deltas)).changes[0].key_digest == "first"
         follower = next(h for h in hosts if h is not leader)
-        await until(lambda: follower.state.applied)
+        await wait_until(lambda: follower.state.applied)
         refused = await follower.node.propose(AdvanceTime(command_id="x"))
         assert refused.failure.kind is ErrorKind.NOT_LEADER
         assert refused.failure.leader == members[leader.name]
 
         await leader.stop()
-        clock[0] = 500  # a wall clock that runs backwards must not move stamps back
-        rest = [h for h in hosts if h is not leader]
-        await propose(rest, "second")
+        clock[0] = 500  # timestamps must not decrease, even if the wall clock does
+        remaining = [h for h in hosts if h is not leader]
+        await propose_to_leader(remaining, "second")
         leader.folder.lose()
         await leader.start(tasks)
-        await until(lambda: all(len(h.state.applied) == 2 for h in hosts))
+        await wait_until(lambda: all(len(h.state.applied) == 2 for h in hosts))
         assert leader.state.applied == [("first", 1000), ("second", 1000)]
-        await until(lambda: leader.node.member in leader.node.membership.voters)
+        await wait_until(lambda: leader.node.member in leader.node.membership.voters)
         for host in hosts:
             await host.stop()
 
 
 @pytest.mark.parametrize("compact_after", [2000, 1])
-def test_group_fails_over_and_takes_back_a_lost_disk(monkeypatch, compact_after):
+def test_group_fails_over_and_readmits_a_host_with_a_new_disk(
+    monkeypatch, compact_after
+):
     monkeypatch.setattr(control_node, "COMPACT_AFTER_ENTRIES", compact_after)
-    anyio.run(scenario)
+    anyio.run(run_fail_over)
 
 
-async def isolated_proposal() -> None:
+async def run_proposal_without_quorum() -> None:
     members = free_addresses(["c0", "c1", "c2"])
-    hosts = [Host(name, members, [0]) for name in members]
+    hosts = [ControlHost(name, members, [0]) for name in members]
     async with anyio.create_task_group() as tasks:
         for host in hosts:
             await host.start(tasks)
-        leader = await leader_of(hosts)
+        leader = await wait_for_leader(hosts)
         for host in hosts:
             if host is not leader:
                 host.node._scope.cancel()
@@ -151,4 +153,4 @@
 
 
 def test_leader_without_quorum_reports_an_unknown_outcome():
-    anyio.run(isolated_proposal)
+    anyio.run(run_proposal_without_quorum)
