Reword the event log and the metrics

The comments described the log bound and the handler in figurative words. They now name the limit, the pipe and the drop count; metric names and their help texts are unchanged, since they are exported. check.sh with tests of observability and of the operators app: passed, same shape.

--- a/src/damaskridge/adapters/observability/__init__.py
+++ b/src/damaskridge/adapters/observability/__init__.py
@@ -1,1 +1,1 @@
-"""The event log and metrics."""
+"""Event log and metrics of a process."""
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -1,4 +1,4 @@
-"""Counts numbered events in the metrics, so that a decision reports itself once."""
+"""Updates the metrics from logged events, so that code reports a decision only once."""
 
 import logging
 
@@ -11,12 +11,12 @@
 
 class EventMetricsHandler(logging.Handler):
     """
-    Updates metrics from the fields of events that are logged.
+    Logging handler that updates metrics from the fields of logged events.
 
     Parameters
     ----------
     metrics : Metrics
-        What is updated. Events below the log level are not counted.
+        Metrics to update. Events below the log level aren't counted.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -24,7 +24,7 @@
         self._metrics = metrics
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Count one record."""
+        """Update the metrics from one record, if it carries an event."""
         number = getattr(record, "event_number", None)
         if number is None:
             return
@@ -59,7 +59,7 @@
 
 
 def install_event_metrics(metrics: Metrics) -> None:
-    """Count every event that this process logs from now on."""
+    """Update the metrics from all events that this process logs from now on."""
     logging.getLogger(ROOT_LOGGER).addHandler(EventMetricsHandler(metrics))
 
 
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -1,4 +1,4 @@
-"""Numbered events through `logging`, one JSON object a line.
+"""Numbered events in the standard `logging`, written as one JSON object a line.
 
 >>> import logging
 >>> record = event_record("front", EventNumber.REQUEST_ACCEPTED, {"request_id": "r1"})
@@ -21,15 +21,15 @@
 __all__ = [
     "BoundedHandler",
     "JsonFormatter",
-    "configure_logging",
     "configure_bounded_logging",
+    "configure_logging",
     "event_record",
     "get_event_fields",
     "log_event",
 ]
 
 ROOT_LOGGER = "damaskridge"
-# Without a handler their warnings would be lines that are no JSON.
+# Without these handlers, the warnings of the libraries would be lines without JSON.
 LIBRARY_LOGGERS = ("asyncio", "grpclib", "uvicorn.error")
 
 
@@ -46,7 +46,7 @@
 
 
 def get_event_fields(record: logging.LogRecord) -> dict[str, object]:
-    """Return the fields of an event's record; empty for other records."""
+    """Return the fields of a record's event, an empty dict if it carries none."""
     fields: dict[str, object] = getattr(record, "event_fields", {})
     return fields
 
@@ -66,11 +66,11 @@
     logger : logging.Logger
         The module's logger.
     number : EventNumber
-        What happened.
+        Number of the event.
     level : int
         Level of the record.
     **fields : object
-        Values with a unit in their names. Never a key or a prompt.
+        Values of the event, named with their units. Never a key or a prompt.
     """
     if logger.isEnabledFor(level):
         extra = {"event_number": number, "event_fields": fields}
@@ -78,14 +78,14 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats records as JSON with wall time, monotonic time and process name."""
+    """Formats records as JSON with wall clock, monotonic clock and process name."""
 
     def __init__(self, process: str) -> None:
         super().__init__()
         self._process = process
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return one line of JSON."""
+        """Return a record as one line of JSON."""
         number = getattr(record, "event_number", None)
         line: dict[str, object] = {
             "time_s": round(record.created, 6),
@@ -105,7 +105,7 @@
 def configure_logging(
     process: str, level: str = "INFO", stream: TextIO | None = None
 ) -> None:
-    """Send the records of the project and its libraries to `stream`, or stderr."""
+    """Write the records of the project and its libraries to `stream` or stderr."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(process))
     logger = logging.getLogger(ROOT_LOGGER)
@@ -116,23 +116,24 @@
         logging.getLogger(name).handlers[:] = [handler]
 
 
-# Lines of one event in one second: above what one host logs on a busy day.
+# Most lines of one event in one second: more than a host logs on a busy day.
 MAX_LINES_PER_S = 100
 
 
 class BoundedHandler(logging.Handler):
     """
-    Writes lines to a descriptor, bounded by event and second, and never waits.
+    Writes records to a file descriptor without blocking, at a limited rate per event.
 
-    What is over the budget, and what the reader of the descriptor has no room for, is
-    left out and counted; the counts are written with the next second's first line.
+    Lines over the limit, and lines for which the pipe behind the descriptor has no
+    room, are dropped and counted. The counts are written before the first line of the
+    next second.
 
     Parameters
     ----------
     descriptor : int
-        Where lines go; it is made non-blocking.
+        File descriptor to write to; it is set to non-blocking.
     lines_per_s : int
-        Most lines of one event in one second.
+        Most lines of one event per second.
     """
 
     def __init__(self, descriptor: int, lines_per_s: int = MAX_LINES_PER_S) -> None:
@@ -146,7 +147,7 @@
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write one record, or count it."""
+        """Write one record, or drop and count it."""
         if int(record.created) != self._second:
             self._start_second(record)
         name = record.getMessage()
@@ -169,15 +170,16 @@
         try:
             count = os.write(self._descriptor, data)
         except OSError:
-            # The reader is slow or gone; the line is counted as dropped.
+            # The reader is too slow or has closed the pipe. The caller counts the
+            # line as dropped.
             return False
-        # The rest of a line that was cut goes before the next one.
+        # The rest of a partially written line goes before the next line.
         self._unwritten = data[count:]
         return True
 
 
 def configure_bounded_logging(process: str, level: str = "INFO") -> None:
-    """Send the records of the project and its libraries to standard output."""
+    """Write the records of the project and its libraries to stdout, bounded."""
     handler = BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(process))
     logger = logging.getLogger(ROOT_LOGGER)
--- a/src/damaskridge/adapters/observability/metrics.py
+++ b/src/damaskridge/adapters/observability/metrics.py
@@ -12,13 +12,14 @@
 
 __all__ = ["Metrics"]
 
-# Upper bounds around the targets: 78 ms between tokens and 1 s to the first token.
+# Upper bounds, chosen around the targets of 78 ms between tokens and 1 s to the first
+# token.
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.078, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0)
 
 
 class Metrics:
     """
-    All metrics, in a registry of their own so that a test may have several.
+    All metrics of a process, in a registry of their own so that a test can use several.
 
     Attributes
     ----------
@@ -26,15 +27,15 @@
         Numbered events by `name`.
     requests : Counter
         Requests by `kind` (model, service or gateway) and `outcome`: an error kind,
-        ``ok``, or the status of an answer that was passed on.
+        ``ok``, or the status of a response that was relayed.
     wait_s, first_token_s, token_gap_s : Histogram
-        Waits by `stage` (rate or cell), time to first token, time between tokens.
+        Wait by `stage` (rate or cell), time to first token, time between tokens.
     response_s, failure_s : Histogram
-        Time to the end of an answer that was passed on, and to a failure.
+        Time to the end of a response that was relayed, and to a failure.
     prefill_tokens, wasted_prefill_tokens : Counter
         Prefilled tokens, and those whose result was never decoded.
     ledger_responses : Counter
-        Answers of the ledger by `state`.
+        Responses of the idempotency ledger by `state`.
     """
 
     def __init__(self) -> None:
@@ -58,7 +59,7 @@
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """
-        Add a gauge that is read when the metrics are collected.
+        Add a gauge; `read` returns its value when the metrics are collected.
 
         Used for `queue_length`, `lease_remaining_seconds`, `bundle_version`,
         `owned_resources` and, on control hosts, `leader`.
@@ -67,7 +68,7 @@
         gauge.set_function(read)
 
     def text(self) -> bytes:
-        """Return all metrics in the text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
