Reword the adapters after a second reading

Names of constants in the engine tests and comments on private steps of the poller, the control node and the store still needed context.

--- a/src/damaskridge/adapters/cell_event_log.py
+++ b/src/damaskridge/adapters/cell_event_log.py
@@ -36,8 +36,8 @@
     elif isinstance(action, CancelOnEngine) and isinstance(
         event, TimePassed | EngineListed
     ):
-        # Only these events reclaim a request that no front tracks any more; all
-        # others that lead to a cancellation come from the request's front.
+        # On these events the scheduler reclaims a request by itself. All others that
+        # lead to a cancellation come from the request's front.
         log_event(
             _logger,
             EventNumber.REQUEST_RECLAIMED,
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -53,7 +53,7 @@
 
 
 class CellSchedulerPort(Protocol):
-    """The scheduler of one cell: a state machine without input or output."""
+    """Interface of the scheduler of one cell, a state machine that does no I/O."""
 
     def handle(self, event: CellEvent, now_s: float) -> list[CellAction]:
         """Process an event and return the actions to execute."""
@@ -222,7 +222,7 @@
         self._sync_pollers()
 
     def update_leaving_servers(self, names: frozenset[str]) -> None:
-        """Notify the scheduler of servers that the host list or a drain withdraws."""
+        """Notify the scheduler of changes among the leaving servers of the cell."""
         leaving = names & {server.name for server in self._servers}
         for name in sorted(leaving - self._leaving_servers):
             self.handle(ServerLeaving(name))
@@ -364,7 +364,7 @@
             await anyio.sleep(CHECK_PERIOD_S)
 
     async def _cancel_on_engine(self, action: CancelOnEngine) -> None:
-        """Retry until the engine confirms, crashes or leaves the bundle."""
+        """Retry a cancellation until the engine confirms, crashes or is removed."""
         poller = self._pollers.get(action.backend_server)
         if poller is None:
             return
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -243,6 +243,7 @@
             self._process_events()
 
     def _process_events(self) -> None:
+        """Run the node on all pending events, reads and commands as one batch."""
         events, self._pending_events = self._pending_events, []
         events.append(Tick())
         read_id = self._read_waiters.begin_read()
@@ -295,6 +296,7 @@
         return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
     def _compact_if_needed(self) -> None:
+        """Replace the applied entries by a snapshot if there are too many."""
         log = self._driver.node.log
         entry_count = self._applied_index - log.snapshot.index
         is_log_large = self._uncompacted_bytes >= COMPACT_AFTER_BYTES
@@ -420,8 +422,8 @@
         # Drops frames for an earlier disk of this host, which was another member.
         if recipient not in (self._driver.node.name, self._host):
             if host_name(recipient) == self._host:
-                # If all hosts in the settings have lost their logs too, the sender
-                # is the only host that this member can join through.
+                # The hosts in the settings may all have lost their logs too, so this
+                # member also tries to join through the sender.
                 self._driver.node.note_host(host_name(message.sender))
             return
         self._pending_events.append(Received(message))
@@ -448,6 +450,7 @@
 
 
 def _log_repairs(stored: StoredState) -> None:
+    """Log what was damaged or truncated when the store was opened."""
     if stored.damage:
         log_event(
             _logger, EventNumber.LOG_DAMAGED, level=logging.ERROR, file=stored.damage
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -127,6 +127,7 @@
         self._dirty = True
 
     def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
+        """Write a new segment with hard state and entries; remove the previous ones."""
         previous = self._segments()
         number = int(previous[-1].removeprefix(SEGMENT_PREFIX)) + 1 if previous else 1
         entries = log.slice(log.snapshot.index + 1, log.last_index)
@@ -163,6 +164,7 @@
         return self._read_segment(disk_id, snapshot)
 
     def _read_segment(self, disk_id: str, snapshot: Snapshot | None) -> StoredState:
+        """Read the newest segment, truncate its unsynced tail and add the snapshot."""
         segments = self._segments()
         if not segments:
             raise _DamagedFileError("log")
@@ -186,6 +188,7 @@
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
     ) -> tuple[RaftLog, HardState]:
+        """Return the log and the hard state that the records of a segment lead to."""
         hard_state = HardState()
         log = RaftLog(snapshot)
         is_first = True
--- a/src/damaskridge/adapters/engine_actions.py
+++ b/src/damaskridge/adapters/engine_actions.py
@@ -94,6 +94,7 @@
 
 
 def _is_in_effect(report: LoadReport, action: SendOrder) -> bool:
+    """Return whether the engine already reports the state that an order requests."""
     if action.kind is OrderKind.CHANGE_ROLE:
         return report.role == action.value
     return action.value in report.models
--- a/src/damaskridge/adapters/engine_poller.py
+++ b/src/damaskridge/adapters/engine_poller.py
@@ -146,16 +146,16 @@
         self._emit(LoadReported(name, report))
 
     def _handle_no_response(self, failure: Failure) -> None:
-        # A refused connection shows at once that the process has ended; a missing
-        # response has to recur before the server counts as failed.
-        refused = (
+        # A refused connection shows at once that the process has ended. Any other
+        # failure has to recur before the server counts as lost.
+        is_refused = (
             failure.kind is ErrorKind.BACKEND_SERVER_FAILED
             and failure.ran is RunState.NOT_RUN
         )
         self._silent_polls += 1
-        silent = not self._failed and self._silent_polls >= SILENT_POLL_LIMIT
-        if (refused and not self._crash_reported) or silent:
-            self._report_failure(crashed=refused)
+        is_silent = not self._failed and self._silent_polls >= SILENT_POLL_LIMIT
+        if (is_refused and not self._crash_reported) or is_silent:
+            self._report_failure(crashed=is_refused)
 
     def _report_failure(self, *, crashed: bool) -> None:
         self._failed = True
@@ -184,6 +184,7 @@
 
 
 async def _poll_forever(poll: Callable[[], Awaitable[None]], period_s: float) -> None:
+    """Run a poll periodically; an unexpected error is logged and doesn't end it."""
     while True:
         try:
             await poll()
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -98,6 +98,7 @@
         read_s: float = _REQUEST_TIMEOUT_S,
         retry: bool = False,
     ) -> Result[Any, Failure]:
+        """Send a request; with `retry`, send it once more if it fails."""
         result = await self._send_once(
             method, path, response_type, body, read_s, fresh=False
         )
--- a/src/damaskridge/adapters/raft_driver.py
+++ b/src/damaskridge/adapters/raft_driver.py
@@ -41,7 +41,7 @@
     max_entries : int
         Most entries of one message.
     guards : Guards
-        Safety rules; tests turn them off, to show that a fault is found.
+        Safety rules; all of them are on outside tests.
     """
 
     def __init__(
@@ -94,7 +94,7 @@
         return others
 
     def _sync_late(self) -> None:
-        """Sync now and then, like the kernel's write-back, if the guard is off."""
+        """Without the guard, sync periodically, as a kernel's write-back would."""
         if self._guards.sync_before_ack:
             return
         self._unsynced_runs += 1
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -53,7 +53,7 @@
 
 
 class RateOwnerPort(Protocol):
-    """The rate owner: a state machine without input or output."""
+    """Interface of the rate owner, a state machine that does no I/O."""
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
         """Process an event and return the actions to execute."""
@@ -281,8 +281,8 @@
                     self._handle(_active_event(name, front, key))
                 break
             await anyio.sleep(CHECK_PERIOD_S)
-        # Reports the front as complete. Requests of a front whose session ended are
-        # known to the ledger only.
+        # Marks the front as done. If its session ended, its requests are known to the
+        # ledger only.
         if self._owned.get(name) is ownership:
             self._handle(RequestActive(name, front, "", "", ""))
             self._wake.set()
--- a/tests/adapters/engines/test_http_engine.py
+++ b/tests/adapters/engines/test_http_engine.py
@@ -12,9 +12,9 @@
 from damaskridge.model.engine import DecodeChunk, DecodeRequest, PrefillRequest
 from damaskridge.model.errors import ErrorKind, RunState
 
-OK = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
-CHUNK = b'{"offset":0,"text":"a"}\n'
-DECODE = DecodeRequest("req-h-1-1.1", "m", "1.2.3.4:5", 0, 4)
+OK_HEADER = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+CHUNK_LINE = b'{"offset":0,"text":"a"}\n'
+DECODE_REQUEST = DecodeRequest("req-h-1-1.1", "m", "1.2.3.4:5", 0, 4)
 
 
 async def serve(response):
@@ -30,7 +30,7 @@
 
 def response_with(*parts):
     body = b"".join(parts)
-    return OK + b"content-length: %d\r\n\r\n" % len(body) + body
+    return OK_HEADER + b"content-length: %d\r\n\r\n" % len(body) + body
 
 
 @pytest.mark.parametrize(
@@ -42,8 +42,8 @@
         (response_with(b"\xff\xfe\n"), 0),
         (response_with(b"[" * 50_000 + b"\n"), 0),
         (response_with(b"x" * 100_000), 0),
-        (response_with(CHUNK, b'{"offset":"1"}\n'), 1),
-        (OK + b"content-length: 99\r\n\r\n" + CHUNK, 1),
+        (response_with(CHUNK_LINE, b'{"offset":"1"}\n'), 1),
+        (OK_HEADER + b"content-length: 99\r\n\r\n" + CHUNK_LINE, 1),
         (b"HTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\n??", 0),
     ],
 )
@@ -54,7 +54,7 @@
         engine = HttpEngine(client, address)
         chunks = []
         with pytest.raises(StreamFailed) as failed:
-            async for chunk in engine.decode(DECODE):
+            async for chunk in engine.decode(DECODE_REQUEST):
                 chunks.append(chunk)
         assert chunks == [DecodeChunk(0, "a")] * tokens
         failures = [failed.value.failure]
