--- a/src/damaskridge/adapters/bundle_file.py
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -34,10 +34,10 @@
     )
 
 
-def _validation_type(kind: Any) -> Any:
-    if get_origin(kind) is tuple:
-        return tuple[_validation_model(get_args(kind)[0]), ...]  # type: ignore[misc]
-    return kind
+def _validation_type(field_type: Any) -> Any:
+    if get_origin(field_type) is tuple:
+        return tuple[_validation_model(get_args(field_type)[0]), ...]  # type: ignore[misc]
+    return field_type
 
 
 _BundleModel = _validation_model(Bundle)
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -357,6 +357,7 @@
         self._spawn(self._propose, command)
 
     async def _propose(self, command: Command) -> None:
+        """Propose a command until it is committed, even if with a refusal."""
         while not self._stopped:
             result = await self._dependencies.control.propose(command)
             if result.failure is None or result.index:
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -38,20 +38,22 @@
             case EventNumber.REQUEST_REFUSED:
                 metrics.requests.labels(kind, str(fields.get("error_kind", ""))).inc()
             case EventNumber.REQUEST_GRANTED:
-                metrics.wait_s.labels("rate").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("rate").observe(_float_field(fields, "waited_s"))
             case EventNumber.REQUEST_PLACED:
-                metrics.wait_s.labels("cell").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("cell").observe(_float_field(fields, "waited_s"))
             case EventNumber.REQUEST_FIRST_TOKEN:
-                metrics.first_token_s.observe(_number(fields, "first_token_s"))
+                metrics.first_token_s.observe(_float_field(fields, "first_token_s"))
             case EventNumber.REQUEST_ANSWERED:
                 metrics.requests.labels("gateway", str(fields.get("status", ""))).inc()
-                metrics.response_s.observe(_number(fields, "elapsed_ms") / 1000)
-                metrics.first_token_s.observe(_number(fields, "first_ms") / 1000)
-                metrics.token_gap_s.observe(_number(fields, "longest_gap_ms") / 1000)
+                metrics.response_s.observe(_float_field(fields, "elapsed_ms") / 1000)
+                metrics.first_token_s.observe(_float_field(fields, "first_ms") / 1000)
+                metrics.token_gap_s.observe(
+                    _float_field(fields, "longest_gap_ms") / 1000
+                )
             case EventNumber.REQUEST_FAILED:
                 outcome = str(fields.get("error_kind", ""))
                 metrics.requests.labels("gateway", outcome).inc()
-                metrics.failure_s.observe(_number(fields, "elapsed_ms") / 1000)
+                metrics.failure_s.observe(_float_field(fields, "elapsed_ms") / 1000)
             case EventNumber.LEDGER_INTENT:
                 metrics.ledger_responses.labels(str(fields.get("state", ""))).inc()
             case _:
@@ -63,6 +65,6 @@
     logging.getLogger(ROOT_LOGGER).addHandler(EventMetricsHandler(metrics))
 
 
-def _number(fields: dict[str, object], name: str) -> float:
+def _float_field(fields: dict[str, object], name: str) -> float:
     value = fields.get(name)
     return float(value) if isinstance(value, int | float) else 0.0
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -151,9 +151,9 @@
         if int(record.created) != self._second:
             self._start_second(record)
         name = record.getMessage()
-        written = self._line_counts.get(name, 0)
-        self._line_counts[name] = written + 1
-        if written >= self._lines_per_s or not self._write(self.format(record)):
+        line_count = self._line_counts.get(name, 0)
+        self._line_counts[name] = line_count + 1
+        if line_count >= self._lines_per_s or not self._write(self.format(record)):
             self._dropped_lines[name] = self._dropped_lines.get(name, 0) + 1
 
     def _start_second(self, record: logging.LogRecord) -> None:
@@ -168,13 +168,13 @@
     def _write(self, line: str) -> bool:
         data = self._unwritten + line.encode() + b"\n"
         try:
-            count = os.write(self._descriptor, data)
+            written_bytes = os.write(self._descriptor, data)
         except OSError:
             # The reader is too slow or has closed the pipe. The caller counts the
             # line as dropped.
             return False
         # The rest of a partially written line goes before the next line.
-        self._unwritten = data[count:]
+        self._unwritten = data[written_bytes:]
         return True
 
 
--- a/tests/adapters/test_cell_runtime.py
+++ b/tests/adapters/test_cell_runtime.py
@@ -64,7 +64,7 @@
         return Ok(None)
 
 
-class Fixture:
+class CellFixture:
     """A cell runtime on host h1, which owns the cell "chat"."""
 
     def __init__(self):
@@ -97,7 +97,7 @@
 
 def run_with_cell(body, lease_s=60.0):
     async def main():
-        fixture = Fixture()
+        fixture = CellFixture()
         fixture.control.renew(lease_s)
         async with anyio.create_task_group() as group:
             group.start_soon(fixture.runtime.run)
