--- a/src/damaskridge/adapters/bundle_file.py
+++ b/src/damaskridge/adapters/bundle_file.py
@@ -1,7 +1,7 @@
-"""Reads a bundle file: JSON with comments, validated as a whole.
+"""Reads bundle files: JSON with comments, validated as a whole.
 
-Faults of shape (types, missing or unknown fields) are reported first, all of them.
-The checks across fields run on a file whose shape is right.
+Schema faults (wrong types, missing or unknown fields) are all reported first. The
+checks across fields run only on a file without schema faults.
 """
 
 import json
@@ -17,16 +17,16 @@
 from damaskridge.core.state.bundle_checks import bundle_faults
 from damaskridge.model.bundle import Bundle
 
-__all__ = ["bundle_text", "parse_bundle", "read_bundle"]
+__all__ = ["format_bundle", "parse_bundle", "read_bundle"]
 
 
-def _validator(struct: type[msgspec.Struct]) -> type[BaseModel]:
-    """Return the validated model with the fields of a data class."""
+def _validation_model(struct: type[msgspec.Struct]) -> type[BaseModel]:
+    """Return a strict pydantic model with the fields of a struct."""
     fields: dict[str, Any] = {}
     for field in msgspec.structs.fields(struct):
         required = field.default is msgspec.NODEFAULT
         default = ... if required else field.default
-        fields[field.name] = (_validated_type(field.type), Field(default))
+        fields[field.name] = (_validation_type(field.type), Field(default))
     return create_model(
         struct.__name__,
         __config__=ConfigDict(extra="forbid", strict=True, allow_inf_nan=False),
@@ -34,17 +34,17 @@
     )
 
 
-def _validated_type(kind: Any) -> Any:
-    if get_origin(kind) is tuple:
-        return tuple[_validator(get_args(kind)[0]), ...]  # type: ignore[misc]
-    return kind
+def _validation_type(field_type: Any) -> Any:
+    if get_origin(field_type) is tuple:
+        return tuple[_validation_model(get_args(field_type)[0]), ...]  # type: ignore[misc]
+    return field_type
 
 
-_BundleModel = _validator(Bundle)
+_BundleModel = _validation_model(Bundle)
 
 
 def read_bundle(path: Path) -> Result[Bundle, list[str]]:
-    """Return the bundle of a file, or every fault as ``path: what is wrong``."""
+    """Return the bundle in a file, or all its faults as ``path: message``."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -53,12 +53,12 @@
 
 
 def parse_bundle(text: str) -> Result[Bundle, list[str]]:
-    """Return the bundle that `text` spells, or every fault."""
+    """Return the bundle in a JSON text, or all its faults."""
     try:
-        content = _decode(text)
+        content = _parse_json(text)
         model = _BundleModel.model_validate_json(json.dumps(content))
     except ValidationError as error:
-        return Err([_fault(item["loc"], item["msg"]) for item in error.errors()])
+        return Err([_format_fault(item["loc"], item["msg"]) for item in error.errors()])
     except (ValueError, RecursionError) as error:
         return Err([f"not JSON with comments: {str(error).splitlines()[0]}"])
     bundle = msgspec.convert(model.model_dump(), Bundle)
@@ -66,20 +66,21 @@
     return Err(faults) if faults else Ok(bundle)
 
 
-def bundle_text(bundle: Bundle) -> str:
-    """Return the text of a bundle file."""
+def format_bundle(bundle: Bundle) -> str:
+    """Return a bundle as the text of a bundle file."""
     return msgspec.json.format(msgspec.json.encode(bundle), indent=2).decode() + "\n"
 
 
-def _decode(text: str) -> Any:
+def _parse_json(text: str) -> Any:
     try:
-        # json5 is written in Python and takes seconds for some thousand servers.
+        # Plain JSON first: json5 is written in Python and takes seconds for a bundle
+        # of some thousand servers.
         return json.loads(text)
     except ValueError:
         return json5.loads(text)
 
 
-def _fault(location: Iterable[int | str], message: str) -> str:
+def _format_fault(location: Iterable[int | str], message: str) -> str:
     path = ""
     for part in location:
         if isinstance(part, int):
--- a/src/damaskridge/adapters/cell_events.py
+++ b/src/damaskridge/adapters/cell_event_log.py
@@ -1,4 +1,4 @@
-"""The events that the owner of a cell logs about its decisions."""
+"""Logs the decisions of a cell's scheduler as numbered events."""
 
 import logging
 
@@ -17,15 +17,15 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import Placement
 
-__all__ = ["log_action", "log_rebuilt"]
+__all__ = ["log_action", "log_cell_rebuilt"]
 
 _logger = logging.getLogger("damaskridge.cell")
 
 
 def log_action(event: CellEvent, action: CellAction) -> None:
-    """Log a decision; `event` is what led to it."""
+    """Log an action of the scheduler; `event` is the event that caused it."""
     if isinstance(action, SendSubmitResponse):
-        _log_reply(action)
+        _log_submit_response(action)
     elif isinstance(action, SendOrder) and action.kind is OrderKind.CHANGE_ROLE:
         log_event(
             _logger,
@@ -36,7 +36,8 @@
     elif isinstance(action, CancelOnEngine) and isinstance(
         event, TimePassed | EngineRequestsListed
     ):
-        # Other events that lead to a cancellation come from the request's front.
+        # On these events the scheduler reclaims a request by itself. All others that
+        # lead to a cancellation come from the request's front.
         log_event(
             _logger,
             EventNumber.REQUEST_RECLAIMED,
@@ -45,8 +46,8 @@
         )
 
 
-def log_rebuilt(owner: Owner) -> None:
-    """Log that a new owner knows all running requests."""
+def log_cell_rebuilt(owner: Owner) -> None:
+    """Log that a new owner has learned all running requests of its cell."""
     log_event(
         _logger,
         EventNumber.CELL_REBUILT,
@@ -55,20 +56,20 @@
     )
 
 
-def _log_reply(action: SendSubmitResponse) -> None:
-    reply = action.reply
-    if isinstance(reply, Placement):
+def _log_submit_response(action: SendSubmitResponse) -> None:
+    response = action.reply
+    if isinstance(response, Placement):
         log_event(
             _logger,
             EventNumber.QUEUE_PLACED,
             request_id=action.request_id,
-            prefill_server=reply.prefill_server,
-            decode_server=reply.decode_server,
+            prefill_server=response.prefill_server,
+            decode_server=response.decode_server,
         )
     else:
         log_event(
             _logger,
             EventNumber.QUEUE_REFUSED,
             request_id=action.request_id,
-            error_kind=reply.failure.kind.value,
+            error_kind=response.failure.kind.value,
         )
--- a/src/damaskridge/adapters/codec.py
+++ b/src/damaskridge/adapters/codec.py
@@ -1,8 +1,9 @@
 """The msgpack codec of all messages between the system's processes.
 
-A leader sends a large routing table to every host at once. Whole, the copies fill its
-link for over a second, and its memory, so that its heartbeats come too late. So large
-messages are compressed, and one that is sent to many hosts is encoded once.
+A leader sends a large routing table to all hosts at the same time. Uncompressed, the
+copies take its memory and saturate its network link for more than a second, which
+delays its heartbeats too long. So large messages are compressed, and a message for
+many hosts is encoded only once.
 """
 
 import zlib
@@ -13,22 +14,22 @@
 
 __all__ = ["MsgpackCodec"]
 
-# One HTTP/2 frame; smaller messages gain little.
-COMPRESSED_BYTES = 16_384
-# The fastest level; routes are so much alike that others gain little.
-LEVEL = 1
-# A zlib stream begins with this byte, and no message does: it is a small integer.
-ZLIB_MARK = b"\x78"
-# Above the largest bundle; a longer message is damaged.
-MOST_BYTES = 67_108_864
+# One HTTP/2 frame. Compressing smaller messages gains little.
+MIN_COMPRESSED_BYTES = 16_384
+# The fastest level. Routes resemble each other so much that others gain little.
+COMPRESSION_LEVEL = 1
+# First byte of a zlib stream. In msgpack it is a small integer, and no message is one.
+ZLIB_FIRST_BYTE = b"\x78"
+# Larger than the largest bundle; a longer message counts as damaged.
+MAX_MESSAGE_BYTES = 67_108_864
 
 
 class MsgpackCodec(CodecBase):
     """
-    Encodes message types of the model and validates them when decoding.
+    Encodes message types of the model and validates them when it decodes.
 
-    The message type that grpclib hands over is the type of `msgspec`, which may
-    be a union.
+    The message type that grpclib passes is a type that `msgspec` can decode, such as
+    a union.
     """
 
     __content_subtype__ = "msgpack"
@@ -36,37 +37,42 @@
     def __init__(self) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
-        # The last large message, which cannot change, and its bytes.
-        self._large: Any = None
-        self._large_data = b""
+        # The last large message and its encoding; messages are immutable.
+        self._cached_message: Any = None
+        self._cached_data = b""
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the encoded message."""
-        if message is self._large and message is not None:
-            return self._large_data
+        if message is self._cached_message and message is not None:
+            return self._cached_data
         data = self._encoder.encode(message)
-        if len(data) < COMPRESSED_BYTES:
+        if len(data) < MIN_COMPRESSED_BYTES:
             return data
-        self._large, self._large_data = message, zlib.compress(data, LEVEL)
-        return self._large_data
+        self._cached_message, self._cached_data = (
+            message,
+            zlib.compress(data, COMPRESSION_LEVEL),
+        )
+        return self._cached_data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the decoded message; `msgspec.ValidationError` if invalid."""
+        """Return the decoded message; raises `msgspec.ValidationError` if invalid."""
         decoder = self._decoders.get(message_type)
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
             self._decoders[message_type] = decoder
-        return decoder.decode(_decompressed(data))
+        return decoder.decode(_decompress(data))
 
 
-def _decompressed(data: bytes) -> bytes:
-    if data[:1] != ZLIB_MARK:
+def _decompress(data: bytes) -> bytes:
+    if data[:1] != ZLIB_FIRST_BYTE:
         return data
     stream = zlib.decompressobj()
     try:
-        whole = stream.decompress(data, MOST_BYTES)
+        decompressed = stream.decompress(data, MAX_MESSAGE_BYTES)
     except zlib.error as error:
         raise msgspec.ValidationError(str(error)) from error
     if not stream.eof:
-        raise msgspec.ValidationError(f"message cut, or over {MOST_BYTES} bytes")
-    return whole
+        raise msgspec.ValidationError(
+            f"message is truncated or exceeds {MAX_MESSAGE_BYTES} bytes"
+        )
+    return decompressed
--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -1,4 +1,4 @@
-"""One member of the control group: replicated log, disk, streams and state."""
+"""One member of the control group: Raft node, disk, peer streams and state machine."""
 
 import logging
 import random
@@ -15,8 +15,8 @@
 from damaskridge.adapters.delta_subscribers import DeltaSubscribers
 from damaskridge.adapters.disk.folder import Folder
 from damaskridge.adapters.disk.store import LogStore, StoredState
-from damaskridge.adapters.log_driver import LogDriver
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.adapters.rpc.control_group import (
     ControlGroupService,
     MemberFrame,
@@ -59,9 +59,9 @@
 
 __all__ = ["ControlNode"]
 
-# Half a heartbeat. Messages and commands wake the node at once.
-TICK_S = 0.05
-# Bounds the memory and the start-up time that the log costs.
+# Half a heartbeat period. Messages and commands wake the node at once.
+TICK_PERIOD_S = 0.05
+# Bound the memory and the start-up time that the log takes.
 COMPACT_AFTER_ENTRIES = 2000
 COMPACT_AFTER_BYTES = 4_000_000
 TRANSFER_TIMEOUT_S = 2.0
@@ -71,38 +71,38 @@
 _decode_command = msgspec.msgpack.Decoder(AnyCommand).decode
 
 
-class _StateImage(msgspec.Struct, frozen=True, array_like=True):
-    """The content of a snapshot: last time stamp and state."""
+class _SnapshotContent(msgspec.Struct, frozen=True, array_like=True):
+    """Content of a snapshot: the last timestamp and the encoded state."""
 
     at_ms: int
     state: bytes
 
 
-_decode_image = msgspec.msgpack.Decoder(_StateImage).decode
+_decode_snapshot_content = msgspec.msgpack.Decoder(_SnapshotContent).decode
 
 
 class ControlNode:
     """
-    Drives one member; implements `ControlNodePort`.
+    Runs one member of the control group; implements `ControlNodePort`.
 
     Parameters
     ----------
     host : str
         Name of this host.
     members : dict of str to str
-        RPC address of every host of the group.
+        RPC address of every host of the group, by its name.
     folder : Folder
         The data folder.
     state : ControlStatePort
-        The state machine.
+        The replicated state machine.
     rng : random.Random
-        Source of timeouts and jitter.
+        Source of the random parts of timeouts and retry delays.
     may_bootstrap : bool
-        Whether this member may form a new group.
+        Whether this member may bootstrap a new group.
     is_observer : bool
-        Whether the folder is lost with the process: the member then never votes.
+        Whether the member never votes, since its folder is lost with the process.
     wall_ms : callable
-        The wall clock in milliseconds.
+        Returns the wall clock in milliseconds.
     """
 
     def __init__(
@@ -128,18 +128,18 @@
         self._empty_state = state.encode()
         store = LogStore(folder, self._new_disk_id())
         stored = store.open()
-        self._driver = self._open(store, stored)
-        self._applied = 0
-        self._applied_bytes = 0
+        self._driver = self._open_driver(store, stored)
+        self._applied_index = 0
+        self._uncompacted_bytes = 0
         if stored.log.snapshot.index:
             self._restore(stored.log.snapshot)
-        self._links: dict[str, MemberStream] = {}
+        self._peer_links: dict[str, MemberStream] = {}
         self._tasks: TaskGroup | None = None
         for name in [*members, *map(host_name, self._known_members())]:
-            self._link_to(name)
-        self._events: list[Event] = []
-        self._proposals = ProposalWaiters()
-        self._readers = ReadWaiters()
+            self._peer_link_to(name)
+        self._pending_events: list[Event] = []
+        self._proposal_waiters = ProposalWaiters()
+        self._read_waiters = ReadWaiters()
         self._wake = anyio.Event()
         self._subscribers = DeltaSubscribers()
         self._leadership_lost = anyio.Event()
@@ -153,80 +153,80 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this member believes that it leads."""
+        """Whether this member considers itself the leader."""
         return self._running and self._driver.node.role is Role.LEADER
 
     @property
     def term(self) -> int:
-        """The current term."""
+        """The current Raft term."""
         return self._driver.node.term
 
     @property
     def leader_address(self) -> str:
-        """RPC address of the leader, empty if unknown."""
+        """RPC address of the leader, empty if it is unknown."""
         return self._members.get(host_name(self._driver.node.leader_name), "")
 
     @property
     def member(self) -> str:
-        """The member id; it changes when the disk is lost."""
+        """The member id, which changes when the disk is lost."""
         return self._driver.node.name
 
     @property
     def membership(self) -> Membership:
-        """The membership in force."""
+        """The current membership of the group."""
         return self._driver.node.log.membership()
 
     @property
     def applied_index(self) -> int:
-        """Index of the last applied entry."""
-        return self._applied
+        """Index of the last applied log entry."""
+        return self._applied_index
 
     def service(self) -> ControlGroupService:
-        """Return the handler for the streams of the other members."""
-        return ControlGroupService(self._deliver)
+        """Return the gRPC service that receives the streams of the other members."""
+        return ControlGroupService(self._receive)
 
     async def propose(self, command: Command) -> CommandResult:
-        """Return the result after commit and apply, or a `NOT_LEADER` failure."""
+        """Commit and apply a command; return its result or a `NOT_LEADER` failure."""
         if not self.is_leader:
             return self._not_leader()
         self._wake.set()
-        return await self._proposals.wait(command)
+        return await self._proposal_waiters.wait(command)
 
     async def confirm_leadership(self) -> bool:
-        """Tell whether a quorum acknowledged a round that began after the call."""
+        """Return whether a quorum acknowledged a round that began after the call."""
         if not self.is_leader:
             return False
         self._wake.set()
-        return await self._readers.wait()
+        return await self._read_waiters.wait()
 
     def applied_deltas(self) -> AsyncIterator[FleetDelta]:
         """
         Yield the delta of every command applied from now on.
 
-        The iterator ends when deltas were missed: by a snapshot, or because the
-        consumer was too slow.
+        The iterator ends if it would skip a delta: after a snapshot was installed,
+        or if the consumer is too slow.
         """
         return self._subscribers.subscribe()
 
     async def run(self) -> None:
-        """Take part in the group until `stop`."""
+        """Participate in the group until `stop` is called."""
         try:
             with self._scope:
                 async with anyio.create_task_group() as tasks:
                     self._tasks = tasks
-                    for link in self._links.values():
+                    for link in self._peer_links.values():
                         tasks.start_soon(link.run)
                     await self._loop()
         finally:
             self._running = False
-            self._proposals.refuse_all(self._not_leader())
-            self._fail_waiting()
+            self._proposal_waiters.refuse_all(self._not_leader())
+            self._fail_waiters()
 
     async def stop(self) -> None:
-        """Hand leadership over, then leave `run`."""
-        if self.is_leader and self._links:
+        """Transfer leadership if this member has it, then end `run`."""
+        if self.is_leader and self._peer_links:
             term = self.term
-            self._push(TransferLeadership())
+            self._enqueue(TransferLeadership())
             with anyio.move_on_after(TRANSFER_TIMEOUT_S):
                 await self._leadership_lost.wait()
             if self.term > term:
@@ -235,34 +235,39 @@
 
     async def _loop(self) -> None:
         while True:
-            # Yields even while there is work, so that streams are served.
-            with anyio.move_on_after(TICK_S):
+            # Yields to the event loop even if there is work, so that the streams
+            # are served.
+            with anyio.move_on_after(TICK_PERIOD_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            self._run_batch()
+            self._process_events()
 
-    def _run_batch(self) -> None:
-        events, self._events = self._events, []
+    def _process_events(self) -> None:
+        """Run the node on all pending events, reads and commands as one batch."""
+        events, self._pending_events = self._pending_events, []
         events.append(Tick())
-        read_id = self._readers.take_read()
+        read_id = self._read_waiters.begin_read()
         if read_id is not None:
             events.append(ReadRequest(read_id))
-        commands = self._proposals.take_commands()
+        commands = self._proposal_waiters.begin_append()
         if commands:
-            events.append(Propose(tuple(map(self._stamp, commands))))
-        was = self._driver.node.role
+            events.append(Propose(tuple(map(self._encode_with_timestamp, commands))))
+        previous_role = self._driver.node.role
         for action in self._driver.run(events, anyio.current_time()):
             if isinstance(action, SyncedEntriesLost):
-                self._rejoin()
+                self._rejoin_empty()
                 return
-            self._act(action)
-        if was is not Role.CANDIDATE and self._driver.node.role is Role.CANDIDATE:
+            self._execute(action)
+        if (
+            previous_role is not Role.CANDIDATE
+            and self._driver.node.role is Role.CANDIDATE
+        ):
             log_event(_logger, EventNumber.ELECTION_STARTED, term=self.term)
-        self._compact()
+        self._compact_if_needed()
 
-    def _open(self, store: LogStore, stored: StoredState) -> LogDriver:
-        _report(stored)
-        return LogDriver(
+    def _open_driver(self, store: LogStore, stored: StoredState) -> RaftDriver:
+        _log_repairs(stored)
+        return RaftDriver(
             self._host,
             store,
             stored,
@@ -272,164 +277,173 @@
             self._may_form,
         )
 
-    def _rejoin(self) -> None:
-        """Go on as an empty member after the disk lost synced entries."""
+    def _rejoin_empty(self) -> None:
+        """Continue as an empty member with a new id: the disk lost synced entries."""
         store = LogStore(self._folder, self._new_disk_id())
-        self._driver = self._open(store, store.discard("synced entries are missing"))
+        self._driver = self._open_driver(
+            store, store.reset("synced entries are missing")
+        )
         self._state.restore(self._empty_state)
-        self._applied = self._applied_bytes = 0
-        self._subscribers.end_all()
+        self._applied_index = self._uncompacted_bytes = 0
+        self._subscribers.close_all()
 
     def _new_disk_id(self) -> str:
         prefix = OBSERVER_PREFIX if self._is_observer else ""
         return prefix + secrets.token_hex(8)
 
-    def _stamp(self, command: Command) -> bytes:
+    def _encode_with_timestamp(self, command: Command) -> bytes:
         at_ms = self._clock.next_timestamp_ms(self._wall_ms(), anyio.current_time())
         return _encode(msgspec.structs.replace(command, at_ms=at_ms))
 
-    def _compact(self) -> None:
+    def _compact_if_needed(self) -> None:
+        """Replace the applied entries by a snapshot if there are too many."""
         log = self._driver.node.log
-        count = self._applied - log.snapshot.index
-        full = self._applied_bytes >= COMPACT_AFTER_BYTES
-        if count < COMPACT_AFTER_ENTRIES and not full:
+        entry_count = self._applied_index - log.snapshot.index
+        is_log_large = self._uncompacted_bytes >= COMPACT_AFTER_BYTES
+        if entry_count < COMPACT_AFTER_ENTRIES and not is_log_large:
             return
-        self._applied_bytes = 0
-        image = _encode(
-            _StateImage(self._clock.last_timestamp_ms, self._state.encode())
+        self._uncompacted_bytes = 0
+        content = _encode(
+            _SnapshotContent(self._clock.last_timestamp_ms, self._state.encode())
         )
-        event = CompactLog(self._applied, image)
+        event = CompactLog(self._applied_index, content)
         for action in self._driver.run([event], anyio.current_time()):
-            self._act(action)
-        log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied)
+            self._execute(action)
+        log_event(_logger, EventNumber.SNAPSHOT_WRITTEN, index=self._applied_index)
 
     @singledispatchmethod
-    def _act(self, action: Action) -> None:
+    def _execute(self, action: Action) -> None:
         raise TypeError(type(action))
 
     def _known_members(self) -> tuple[str, ...]:
         membership = self._driver.node.log.membership()
         return (*membership.voters, *membership.learners)
 
-    def _link_to(self, name: str) -> MemberStream | None:
+    def _peer_link_to(self, name: str) -> MemberStream | None:
         """
-        Return the stream to a host, and start it if it is new.
+        Return the stream to a host; start it first if it is new.
 
-        A host that is not in the settings is reached if its name is its address.
+        A host that isn't in the settings is reachable only if its name is its
+        address.
         """
         if name == self._host:
             return None
-        if name not in self._links:
+        if name not in self._peer_links:
             address = self._members.get(name, name)
             if not address.rpartition(":")[2].isdecimal():
                 return None
             self._members[name] = address
-            link = self._links[name] = MemberStream(name, address, self._rng)
+            link = self._peer_links[name] = MemberStream(name, address, self._rng)
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
-        return self._links[name]
+        return self._peer_links[name]
 
-    @_act.register
+    @_execute.register
     def _(self, action: SendMessage) -> None:
-        link = self._link_to(host_name(action.to))
+        link = self._peer_link_to(host_name(action.to))
         if link is not None:
             link.send(MemberFrame(action.to, action.message))  # type: ignore[arg-type]
 
-    @_act.register
+    @_execute.register
     def _(self, action: ApplyEntries) -> None:
         for entry in action.entries:
             self._apply(entry)
 
-    @_act.register
+    @_execute.register
     def _(self, action: RestoreSnapshot) -> None:
         self._restore(action.snapshot)
-        self._subscribers.end_all()
-        log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied)
+        self._subscribers.close_all()
+        log_event(_logger, EventNumber.SNAPSHOT_INSTALLED, index=self._applied_index)
 
-    @_act.register
+    @_execute.register
     def _(self, action: ProposalAppended) -> None:
-        self._proposals.appended(action.first_index, action.term)
+        self._proposal_waiters.on_appended(action.first_index, action.term)
 
-    @_act.register
+    @_execute.register
     def _(self, action: ProposalRefused) -> None:
-        self._proposals.refused(self._not_leader())
+        self._proposal_waiters.on_refused(self._not_leader())
 
-    @_act.register
+    @_execute.register
     def _(self, action: ReadReady) -> None:
-        assert self._applied >= action.index, "a confirmed read sees applied entries"
-        self._readers.answer(action.read_id, True)
+        assert self._applied_index >= action.index, (
+            "a read was confirmed before its entries were applied"
+        )
+        self._read_waiters.finish_read(action.read_id, True)
 
-    @_act.register
+    @_execute.register
     def _(self, action: ReadFailed) -> None:
-        self._readers.answer(action.read_id, False)
+        self._read_waiters.finish_read(action.read_id, False)
 
-    @_act.register
+    @_execute.register
     def _(self, action: LeadershipWon) -> None:
         log = self._driver.node.log
-        # Entries that are not applied yet may carry later stamps than our clock.
-        for entry in log.slice(self._applied + 1, log.last_index):
+        # Entries that aren't applied yet may have later timestamps than this clock.
+        for entry in log.slice(self._applied_index + 1, log.last_index):
             if entry.command:
-                self._observe(_decode_command(entry.command).at_ms)
+                self._observe_clock(_decode_command(entry.command).at_ms)
         self._leadership_lost = anyio.Event()
         log_event(_logger, EventNumber.LEADER_ELECTED, term=action.term)
 
-    @_act.register
+    @_execute.register
     def _(self, action: LeadershipLost) -> None:
         self._leadership_lost.set()
         log_event(_logger, EventNumber.LEADER_LOST, term=self.term)
-        self._fail_waiting()
+        self._fail_waiters()
 
     def _apply(self, entry: LogEntry) -> None:
-        assert entry.index == self._applied + 1, "entries are applied in order"
-        self._applied = entry.index
-        self._applied_bytes += len(entry.command)
+        assert entry.index == self._applied_index + 1, (
+            "log entries must be applied in order"
+        )
+        self._applied_index = entry.index
+        self._uncompacted_bytes += len(entry.command)
         if entry.membership is not None:
             _log_membership(entry)
         result = CommandResult(index=entry.index)
         if entry.command:
             command = _decode_command(entry.command)
-            self._observe(command.at_ms)
+            self._observe_clock(command.at_ms)
             applied = self._state.apply(entry.index, command)
             self._subscribers.publish(applied.delta)
             result = applied.result
-        self._proposals.applied(entry.index, entry.term, result)
+        self._proposal_waiters.on_applied(entry.index, entry.term, result)
 
-    def _observe(self, at_ms: int) -> None:
+    def _observe_clock(self, at_ms: int) -> None:
         self._clock.observe_timestamp(at_ms, anyio.current_time())
 
     def _restore(self, snapshot: Snapshot) -> None:
-        image = _decode_image(snapshot.state)
-        self._observe(image.at_ms)
-        self._state.restore(image.state)
-        self._applied = snapshot.index
+        content = _decode_snapshot_content(snapshot.state)
+        self._observe_clock(content.at_ms)
+        self._state.restore(content.state)
+        self._applied_index = snapshot.index
 
-    def _fail_waiting(self) -> None:
-        self._proposals.leadership_lost()
-        self._readers.fail_all()
+    def _fail_waiters(self) -> None:
+        self._proposal_waiters.on_leadership_lost()
+        self._read_waiters.fail_all()
 
-    def _deliver(self, recipient: str, message: AnyMessage) -> None:
-        # A frame for an older disk of this host must not reach the present one.
+    def _receive(self, recipient: str, message: AnyMessage) -> None:
+        # Drops frames for an earlier disk of this host, which was another member.
         if recipient not in (self._driver.node.name, self._host):
             if host_name(recipient) == self._host:
-                # The settings may name hosts only that have lost their logs too.
+                # The hosts in the settings may all have lost their logs too, so this
+                # member also tries to join through the sender.
                 self._driver.node.add_join_target(host_name(message.sender))
             return
-        self._events.append(MessageReceived(message))
-        if not self._can_wait(message):
+        self._pending_events.append(MessageReceived(message))
+        if not self._is_idle_acknowledgment(message):
             self._wake.set()
 
-    def _can_wait(self, message: AnyMessage) -> bool:
-        """Tell whether a message is an answer that only confirms a heartbeat."""
+    def _is_idle_acknowledgment(self, message: AnyMessage) -> bool:
+        """Return whether a message only acknowledges a heartbeat."""
         last_index = self._driver.node.log.last_index
         return (
             isinstance(message, AppendReply)
             and message.accepted
-            and message.match_index == self._applied == last_index
-            and self._readers.is_empty
+            and message.match_index == self._applied_index == last_index
+            and self._read_waiters.is_empty
         )
 
-    def _push(self, event: Event) -> None:
-        self._events.append(event)
+    def _enqueue(self, event: Event) -> None:
+        self._pending_events.append(event)
         self._wake.set()
 
     def _not_leader(self) -> CommandResult:
@@ -437,7 +451,8 @@
         return CommandResult(Failure(ErrorKind.NOT_LEADER, leader=leader))
 
 
-def _report(stored: StoredState) -> None:
+def _log_repairs(stored: StoredState) -> None:
+    """Log what was damaged or truncated when the store was opened."""
     if stored.damage:
         log_event(
             _logger, EventNumber.LOG_DAMAGED, level=logging.ERROR, file=stored.damage
--- a/src/damaskridge/adapters/disk/folder.py
+++ b/src/damaskridge/adapters/disk/folder.py
@@ -1,4 +1,4 @@
-"""Files of one data folder, with explicit durability."""
+"""Data folders on disk and in memory, with explicit durability."""
 
 import fcntl
 import os
@@ -11,7 +11,7 @@
 
 
 class Folder(Protocol):
-    """What the store needs of a data folder; names are plain file names."""
+    """Interface of a data folder; a file name has no directory part."""
 
     def names(self) -> list[str]:
         """Return the names of all files, sorted."""
@@ -26,11 +26,11 @@
         ...
 
     def sync(self, name: str) -> None:
-        """Make what was appended durable."""
+        """Make all appended data durable."""
         ...
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file, durably."""
+        """Truncate a file, durably."""
         ...
 
     def replace(self, name: str, data: bytes) -> None:
@@ -44,28 +44,28 @@
 
 class DiskFolder:
     """
-    A folder on a real disk, locked until `close`.
+    A folder on disk, locked until `close`.
 
-    Two processes on one folder would vote twice under one member id.
+    The lock keeps two processes from voting twice under the same member id.
 
     Parameters
     ----------
     path : Path
-        The folder; it is created if it is missing.
+        The folder, which is created if it is missing.
     """
 
     def __init__(self, path: Path) -> None:
         path.mkdir(parents=True, exist_ok=True)
         self._path = path
-        self._open: dict[str, int] = {}
-        self._lock = os.open(path, os.O_RDONLY)
+        self._descriptors: dict[str, int] = {}
+        self._folder_descriptor = os.open(path, os.O_RDONLY)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._folder_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
-            os.close(self._lock)
+            os.close(self._folder_descriptor)
             raise
-        for leftover in path.glob(f"*{TEMPORARY_SUFFIX}"):
-            leftover.unlink()
+        for temporary in path.glob(f"*{TEMPORARY_SUFFIX}"):
+            temporary.unlink()
         self._sync_folder()
 
     def names(self) -> list[str]:
@@ -83,11 +83,11 @@
             view = view[os.write(self._descriptor(name), view) :]
 
     def sync(self, name: str) -> None:
-        """Make what was appended durable."""
+        """Make all appended data durable."""
         os.fsync(self._descriptor(name))
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file, durably."""
+        """Truncate a file, durably."""
         os.ftruncate(self._descriptor(name), size_bytes)
         self.sync(name)
 
@@ -109,24 +109,24 @@
         self._sync_folder()
 
     def close(self) -> None:
-        """Close all files and give up the lock."""
-        for name in list(self._open):
+        """Close all files and release the lock."""
+        for name in list(self._descriptors):
             self._close(name)
-        os.close(self._lock)
+        os.close(self._folder_descriptor)
 
     def _descriptor(self, name: str) -> int:
-        if name not in self._open:
+        if name not in self._descriptors:
             flags = os.O_WRONLY | os.O_APPEND
-            self._open[name] = os.open(self._path / name, flags)
-        return self._open[name]
+            self._descriptors[name] = os.open(self._path / name, flags)
+        return self._descriptors[name]
 
     def _close(self, name: str) -> None:
-        descriptor = self._open.pop(name, None)
+        descriptor = self._descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
 
     def _sync_folder(self) -> None:
-        os.fsync(self._lock)
+        os.fsync(self._folder_descriptor)
 
 
 class VolatileFolder:
@@ -148,10 +148,10 @@
         self._files[name] += data
 
     def sync(self, name: str) -> None:
-        """Do nothing; the content is lost with the process."""
+        """Do nothing: the content is lost with the process anyway."""
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file."""
+        """Truncate a file."""
         del self._files[name][size_bytes:]
 
     def replace(self, name: str, data: bytes) -> None:
@@ -163,5 +163,5 @@
         self._files.pop(name, None)
 
     def close(self) -> None:
-        """Forget all files."""
+        """Delete all files."""
         self._files.clear()
--- a/src/damaskridge/adapters/disk/records.py
+++ b/src/damaskridge/adapters/disk/records.py
@@ -1,15 +1,15 @@
 """Checksummed records of the log files.
 
-A record is a header (length of the payload, checksum of the payload, checksum of
-both) and the payload. The header has a checksum of its own because a damaged length
-would otherwise look like a record that was cut short.
+A record consists of a header (length of the payload, checksum of the payload, checksum
+of these two) and the payload. Without its own checksum, a header with a damaged length
+would look like a record that wasn't written completely.
 
 >>> data = encode_record(b"a") + encode_record(b"b")
->>> scan(data)
-Scan(payloads=[b'a', b'b'], size_bytes=26, damaged=False)
->>> scan(data[:-1])
-Scan(payloads=[b'a'], size_bytes=13, damaged=False)
->>> scan(data[:-1] + b"x").damaged
+>>> scan_records(data)
+ScanResult(payloads=[b'a', b'b'], size_bytes=26, damaged=False)
+>>> scan_records(data[:-1])
+ScanResult(payloads=[b'a'], size_bytes=13, damaged=False)
+>>> scan_records(data[:-1] + b"x").damaged
 True
 """
 
@@ -17,26 +17,26 @@
 import zlib
 from dataclasses import dataclass
 
-__all__ = ["Scan", "encode_record", "scan"]
+__all__ = ["ScanResult", "encode_record", "scan_records"]
 
-_BODY = struct.Struct("<II")
+_LENGTH_AND_CHECKSUM = struct.Struct("<II")
 _HEADER = struct.Struct("<III")
 
 
 @dataclass(frozen=True, slots=True)
-class Scan:
+class ScanResult:
     """
-    What a file contains.
+    Result of scanning a file.
 
     Parameters
     ----------
     payloads : list of bytes
-        Payloads of the intact records before the first other one.
+        Payloads of the intact records, up to the first one that isn't intact.
     size_bytes : int
-        Size of these records.
+        Total size of these records.
     damaged : bool
-        Whether a complete record follows that was altered. A write that did not
-        finish is shorter than its record or reads as zeros, and is no damage.
+        Whether a complete but altered record follows. An unfinished write is no
+        damage: it is shorter than its record or reads as zeros.
     """
 
     payloads: list[bytes]
@@ -45,26 +45,30 @@
 
 
 def encode_record(payload: bytes) -> bytes:
-    """Return the record of a payload."""
-    body = _BODY.pack(len(payload), zlib.crc32(payload))
-    return body + struct.pack("<I", zlib.crc32(body)) + payload
+    """Return a payload as a record."""
+    length_and_checksum = _LENGTH_AND_CHECKSUM.pack(len(payload), zlib.crc32(payload))
+    return (
+        length_and_checksum
+        + struct.pack("<I", zlib.crc32(length_and_checksum))
+        + payload
+    )
 
 
-def scan(data: bytes, verify: bool = True) -> Scan:
-    """Return the intact records of a file; `verify` is off only in tests."""
+def scan_records(data: bytes, verify: bool = True) -> ScanResult:
+    """Scan the records of a file; `verify` is off only in tests."""
     payloads: list[bytes] = []
     offset = 0
     while len(data) - offset >= _HEADER.size:
         length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
-        body = data[offset : offset + _BODY.size]
-        if verify and zlib.crc32(body) != header_checksum:
-            return Scan(payloads, offset, any(data[offset:]))
+        length_and_checksum = data[offset : offset + _LENGTH_AND_CHECKSUM.size]
+        if verify and zlib.crc32(length_and_checksum) != header_checksum:
+            return ScanResult(payloads, offset, any(data[offset:]))
         start = offset + _HEADER.size
         payload = data[start : start + length]
         if len(payload) < length:
             break
         if verify and zlib.crc32(payload) != checksum:
-            return Scan(payloads, offset, True)
+            return ScanResult(payloads, offset, True)
         payloads.append(payload)
         offset = start + length
-    return Scan(payloads, offset, False)
+    return ScanResult(payloads, offset, False)
--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -1,8 +1,8 @@
-"""Log, hard state and snapshot of one member in a data folder.
+"""Storage of the log, hard state and snapshot of one member in a data folder.
 
-Files: `member` holds the random disk id, `snapshot` the latest snapshot, and
-`log-<number>` the records since then. Entries and hard states share the log file,
-so that one sync covers a batch of both.
+The file `member` contains the random disk id, `snapshot` the latest snapshot, and
+`log-<number>` (a segment) the records since then. Entries and hard states share the
+segment, so that one sync makes a batch of both durable.
 """
 
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskridge.adapters.disk.folder import Folder
-from damaskridge.adapters.disk.records import Scan, encode_record, scan
+from damaskridge.adapters.disk.records import ScanResult, encode_record, scan_records
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.model.consensus import HardState, LogEntry, Membership, Snapshot
 
@@ -37,152 +37,158 @@
 @dataclass(frozen=True, slots=True)
 class StoredState:
     """
-    What a folder contained at the start.
+    Content of a folder when it was opened.
 
     Parameters
     ----------
-    member : str
-        Random id of the disk.
+    disk_id : str
+        Random id of the disk, a part of the member id.
     log : RaftLog
-        Snapshot and entries.
+        The snapshot and the entries after it.
     hard_state : HardState
         Term and vote.
     cut_bytes : int
-        Size of an unsynced tail that was cut off.
+        Size of an unsynced tail that was truncated.
     damage : str
-        Name of the damaged file; the folder was emptied and got a new id.
+        Name of the damaged file or a description of the damage, empty if there is
+        none. A damaged folder was emptied and has a new id.
     """
 
-    member: str
+    disk_id: str
     log: RaftLog
     hard_state: HardState
     cut_bytes: int = 0
     damage: str = ""
 
 
-class _Damaged(Exception):
-    """A synced record was altered or is missing."""
+class _DamagedFileError(Exception):
+    """A synced record was altered or is missing; the text is the file name."""
 
 
 class LogStore:
     """
-    Writes what a Raft node asks to save.
+    Stores the log, hard state and snapshot of a Raft node.
 
     Parameters
     ----------
     folder : Folder
         The data folder.
-    new_member : str
-        Random id to use if the folder has none.
+    new_disk_id : str
+        Random id for a folder that has none or is damaged.
     verify : bool
         Whether checksums are verified; off only in tests.
     """
 
-    def __init__(self, folder: Folder, new_member: str, verify: bool = True) -> None:
+    def __init__(self, folder: Folder, new_disk_id: str, verify: bool = True) -> None:
         self._folder = folder
-        self._new_member = new_member
+        self._new_disk_id = new_disk_id
         self._verify = verify
         self._segment = ""
         self._dirty = False
 
     def open(self) -> StoredState:
-        """Read the folder; a damaged one is emptied and gets a new id."""
+        """Read the folder; reset it if it is damaged."""
         try:
             return self._read()
-        except (_Damaged, msgspec.MsgspecError) as error:
-            return self.discard(str(error))
+        except (_DamagedFileError, msgspec.MsgspecError) as error:
+            return self.reset(str(error))
 
-    def discard(self, damage: str) -> StoredState:
-        """Empty the folder and give it the new id."""
-        # The vote may be lost, so this disk must not keep its old name.
+    def reset(self, damage: str) -> StoredState:
+        """Empty the folder and store the new id in it."""
+        # The recorded vote may be lost. Under its old id, the member could vote twice
+        # in one term.
         for name in [MEMBER_FILE, *self._folder.names()]:
             self._folder.remove(name)
-        return self._create(damage)
+        return self._initialize(damage)
 
     def save_hard_state(self, hard_state: HardState) -> None:
-        """Write term and vote; durable after `sync`."""
-        self._write(_encode(_HardRecord(hard_state)))
+        """Append term and vote; durable after `sync`."""
+        self._append_record(_encode(_HardRecord(hard_state)))
 
     def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
-        """Write entries; the first replaces all from its index on."""
+        """Append entries, which replace all entries from the first index on."""
         for entry in entries:
-            self._write(_encode(_EntryRecord(entry)))
+            self._append_record(_encode(_EntryRecord(entry)))
 
     def save_snapshot(self, log: RaftLog, hard_state: HardState) -> None:
-        """Write a snapshot and a new segment with what follows it, durably."""
+        """Write a snapshot and a new segment with the entries after it, durably."""
         snapshot = encode_record(_encode(log.snapshot))
         self._folder.replace(SNAPSHOT_FILE, snapshot)
         self._start_segment(log, hard_state)
 
     def sync(self) -> None:
-        """Make all writes durable."""
+        """Make all appended records durable."""
         if self._dirty:
             self._folder.sync(self._segment)
             self._dirty = False
 
-    def _write(self, payload: bytes) -> None:
+    def _append_record(self, payload: bytes) -> None:
         self._folder.append(self._segment, encode_record(payload))
         self._dirty = True
 
     def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
-        old = self._segments()
-        number = int(old[-1].removeprefix(SEGMENT_PREFIX)) + 1 if old else 1
+        """Write a new segment with hard state and entries; remove the previous ones."""
+        previous = self._segments()
+        number = int(previous[-1].removeprefix(SEGMENT_PREFIX)) + 1 if previous else 1
         entries = log.slice(log.snapshot.index + 1, log.last_index)
         payloads = [_encode(_HardRecord(hard_state))]
         payloads += [_encode(_EntryRecord(entry)) for entry in entries]
         self._segment = f"{SEGMENT_PREFIX}{number:012d}"
         self._folder.replace(self._segment, b"".join(map(encode_record, payloads)))
         self._dirty = False
-        for name in old:
+        for name in previous:
             self._folder.remove(name)
 
     def _segments(self) -> list[str]:
         names = self._folder.names()
         return [name for name in names if name.startswith(SEGMENT_PREFIX)]
 
-    def _create(self, damage: str = "") -> StoredState:
+    def _initialize(self, damage: str = "") -> StoredState:
         log, hard_state = RaftLog(), HardState()
         self._start_segment(log, hard_state)
-        self._folder.replace(MEMBER_FILE, encode_record(self._new_member.encode()))
-        return StoredState(self._new_member, log, hard_state, damage=damage)
+        self._folder.replace(MEMBER_FILE, encode_record(self._new_disk_id.encode()))
+        return StoredState(self._new_disk_id, log, hard_state, damage=damage)
 
     def _read(self) -> StoredState:
         names = self._folder.names()
         if MEMBER_FILE not in names:
-            # The id is written last, so without it nothing was ever acknowledged
-            # under it.
+            # The id is written last. Without it, the member has never acknowledged
+            # anything.
             for name in names:
                 self._folder.remove(name)
-            return self._create()
-        member = self._single(MEMBER_FILE).decode()
+            return self._initialize()
+        disk_id = self._read_single_record(MEMBER_FILE).decode()
         snapshot = None
         if SNAPSHOT_FILE in names:
-            snapshot = _decode_snapshot(self._single(SNAPSHOT_FILE))
-        return self._read_segment(member, snapshot)
+            snapshot = _decode_snapshot(self._read_single_record(SNAPSHOT_FILE))
+        return self._read_segment(disk_id, snapshot)
 
-    def _read_segment(self, member: str, snapshot: Snapshot | None) -> StoredState:
+    def _read_segment(self, disk_id: str, snapshot: Snapshot | None) -> StoredState:
+        """Read the newest segment, truncate its unsynced tail and add the snapshot."""
         segments = self._segments()
         if not segments:
-            raise _Damaged("log")
-        # A segment is complete once it exists; older ones are leftovers.
+            raise _DamagedFileError("log")
+        # A segment is created atomically, so the newest is complete. A crash while
+        # it was started may have left older ones.
         for name in segments[:-1]:
             self._folder.remove(name)
         self._segment = segments[-1]
         data = self._folder.read(self._segment)
-        found = self._scan(self._segment, data)
-        cut_bytes = len(data) - found.size_bytes
+        result = self._scan(self._segment, data)
+        cut_bytes = len(data) - result.size_bytes
         if cut_bytes:
-            self._folder.truncate(self._segment, found.size_bytes)
-        replayed, hard_state = self._replay(found.payloads, snapshot)
-        log = self._join(replayed, snapshot)
+            self._folder.truncate(self._segment, result.size_bytes)
+        replayed, hard_state = self._replay(result.payloads, snapshot)
+        log = self._merge_snapshot(replayed, snapshot)
         if replayed.snapshot.index != log.snapshot.index:
-            # Entries after the snapshot would leave a gap in the old segment.
+            # Entries that follow the snapshot would leave a gap in the old segment.
             self._start_segment(log, hard_state)
-        return StoredState(member, log, hard_state, cut_bytes)
+        return StoredState(disk_id, log, hard_state, cut_bytes)
 
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
     ) -> tuple[RaftLog, HardState]:
+        """Return the log and the hard state that the records of a segment lead to."""
         hard_state = HardState()
         log = RaftLog(snapshot)
         is_first = True
@@ -193,41 +199,41 @@
                 continue
             entry = record.entry
             if is_first:
-                log = RaftLog(_base(snapshot, entry.index - 1))
+                log = RaftLog(_snapshot_before(snapshot, entry.index - 1))
                 is_first = False
             if entry.index <= log.last_index:
                 log.truncate(entry.index)
             if entry.index != log.last_index + 1:
-                raise _Damaged(self._segment)
+                raise _DamagedFileError(self._segment)
             log.append((entry,))
         return log, hard_state
 
-    def _join(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
-        """Put snapshot and segment together after a stop between their writes."""
+    def _merge_snapshot(self, replayed: RaftLog, snapshot: Snapshot | None) -> RaftLog:
+        """Combine snapshot and segment; a crash may have come between their writes."""
         base = replayed.snapshot
         log = RaftLog(base, list(replayed.slice(base.index + 1, replayed.last_index)))
         if log.snapshot.index > (snapshot.index if snapshot else 0):
-            raise _Damaged(SNAPSHOT_FILE)
+            raise _DamagedFileError(SNAPSHOT_FILE)
         if snapshot is not None:
             log.install_snapshot(snapshot)
         log.synced_index = log.last_index
         return log
 
-    def _single(self, name: str) -> bytes:
-        found = self._scan(name, self._folder.read(name))
-        if len(found.payloads) != 1:
-            raise _Damaged(name)
-        return found.payloads[0]
+    def _read_single_record(self, name: str) -> bytes:
+        result = self._scan(name, self._folder.read(name))
+        if len(result.payloads) != 1:
+            raise _DamagedFileError(name)
+        return result.payloads[0]
 
-    def _scan(self, name: str, data: bytes) -> Scan:
-        found = scan(data, self._verify)
-        if found.damaged:
-            raise _Damaged(name)
-        return found
+    def _scan(self, name: str, data: bytes) -> ScanResult:
+        result = scan_records(data, self._verify)
+        if result.damaged:
+            raise _DamagedFileError(name)
+        return result
 
 
-def _base(snapshot: Snapshot | None, index: int) -> Snapshot:
-    """Return what precedes the first entry of a segment."""
+def _snapshot_before(snapshot: Snapshot | None, index: int) -> Snapshot:
+    """Return a snapshot that ends right before the first entry of a segment."""
     if snapshot is not None and snapshot.index == index:
         return snapshot
     return Snapshot(index, 0, Membership(()), b"")
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of backend servers over HTTP."""
+"""Client of the platform's list of backend servers over HTTP."""
 
 from enum import Enum
 
@@ -9,37 +9,37 @@
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["HttpHostList", "ListedHost", "ListedState"]
+__all__ = ["HttpHostList", "ListedServer", "ListedServerState"]
 
-_READ_S = 1.0
-_ANSWER_LIMIT_BYTES = 4_194_304
+_READ_TIMEOUT_S = 1.0
+_MAX_RESPONSE_BYTES = 4_194_304
 
 
-class ListedState(Enum):
-    """What the platform says of a backend server."""
+class ListedServerState(Enum):
+    """State of a backend server in the list."""
 
     LIVE = "live"
     LEAVING = "leaving"
     GONE = "gone"
 
 
-class ListedHost(msgspec.Struct, frozen=True):
+class ListedServer(msgspec.Struct, frozen=True):
     """One entry of the list."""
 
     name: str
-    state: ListedState
+    state: ListedServerState
 
 
 class HttpHostList:
     """
-    Reads ``GET /hosts``.
+    Fetches the list with ``GET /hosts``; implements `HostListPort`.
 
     Parameters
     ----------
     client : BackendClient
-        Connections.
+        HTTP client.
     address : str
-        ``ip:port`` of the platform.
+        Address of the platform, ``ip:port``.
     """
 
     def __init__(self, client: BackendClient, address: str) -> None:
@@ -49,14 +49,19 @@
     async def leaving(self) -> Result[frozenset[str], Failure]:
         """Return the names of backend servers that are leaving or gone."""
         try:
-            reply = await self._client.call(
-                "GET", self._url, read_timeout_s=_READ_S, max_bytes=_ANSWER_LIMIT_BYTES
+            response = await self._client.call(
+                "GET",
+                self._url,
+                read_timeout_s=_READ_TIMEOUT_S,
+                max_bytes=_MAX_RESPONSE_BYTES,
             )
-            hosts = msgspec.json.decode(reply.body, type=tuple[ListedHost, ...])
+            servers = msgspec.json.decode(response.body, type=tuple[ListedServer, ...])
         except StreamFailed as error:
             return Err(error.failure)
         except (msgspec.MsgspecError, UnicodeDecodeError):
-            detail = "the host list is not of the protocol"
+            detail = "host list violates its protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
-        leaving = (host for host in hosts if host.state is not ListedState.LIVE)
-        return Ok(frozenset(host.name for host in leaving))
+        leaving = (
+            server for server in servers if server.state is not ListedServerState.LIVE
+        )
+        return Ok(frozenset(server.name for server in leaving))
--- a/src/damaskridge/adapters/observability/event_metrics.py
+++ b/src/damaskridge/adapters/observability/event_metrics.py
@@ -1,22 +1,22 @@
-"""Counts numbered events in the metrics, so that a decision reports itself once."""
+"""Updates the metrics from logged events, so that code reports a decision only once."""
 
 import logging
 
-from damaskridge.adapters.observability.events import ROOT_LOGGER, fields_of
+from damaskridge.adapters.observability.events import ROOT_LOGGER, get_event_fields
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.model.events import EventNumber
 
-__all__ = ["EventMetrics", "count_events"]
+__all__ = ["EventMetricsHandler", "install_event_metrics"]
 
 
-class EventMetrics(logging.Handler):
+class EventMetricsHandler(logging.Handler):
     """
-    Updates metrics from the fields of events that are logged.
+    Logging handler that updates metrics from the fields of logged events.
 
     Parameters
     ----------
     metrics : Metrics
-        What is updated. Events below the log level are not counted.
+        Metrics to update. Events below the log level aren't counted.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -24,11 +24,11 @@
         self._metrics = metrics
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Count one record."""
+        """Update the metrics from one record, if it carries an event."""
         number = getattr(record, "event_number", None)
         if number is None:
             return
-        fields = fields_of(record)
+        fields = get_event_fields(record)
         metrics = self._metrics
         metrics.events.labels(number.name).inc()
         kind = str(fields.get("kind", "model"))
@@ -38,31 +38,33 @@
             case EventNumber.REQUEST_REFUSED:
                 metrics.requests.labels(kind, str(fields.get("error_kind", ""))).inc()
             case EventNumber.REQUEST_GRANTED:
-                metrics.waits_s.labels("rate").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("rate").observe(_float_field(fields, "waited_s"))
             case EventNumber.REQUEST_PLACED:
-                metrics.waits_s.labels("cell").observe(_number(fields, "waited_s"))
+                metrics.wait_s.labels("cell").observe(_float_field(fields, "waited_s"))
             case EventNumber.REQUEST_FIRST_TOKEN:
-                metrics.first_token_s.observe(_number(fields, "first_token_s"))
+                metrics.first_token_s.observe(_float_field(fields, "first_token_s"))
             case EventNumber.REQUEST_ANSWERED:
                 metrics.requests.labels("gateway", str(fields.get("status", ""))).inc()
-                metrics.answer_s.observe(_number(fields, "elapsed_ms") / 1000)
-                metrics.first_token_s.observe(_number(fields, "first_ms") / 1000)
-                metrics.token_gap_s.observe(_number(fields, "longest_gap_ms") / 1000)
+                metrics.response_s.observe(_float_field(fields, "elapsed_ms") / 1000)
+                metrics.first_token_s.observe(_float_field(fields, "first_ms") / 1000)
+                metrics.token_gap_s.observe(
+                    _float_field(fields, "longest_gap_ms") / 1000
+                )
             case EventNumber.REQUEST_FAILED:
                 outcome = str(fields.get("error_kind", ""))
                 metrics.requests.labels("gateway", outcome).inc()
-                metrics.failure_s.observe(_number(fields, "elapsed_ms") / 1000)
+                metrics.failure_s.observe(_float_field(fields, "elapsed_ms") / 1000)
             case EventNumber.LEDGER_INTENT:
-                metrics.ledger_states.labels(str(fields.get("state", ""))).inc()
+                metrics.ledger_responses.labels(str(fields.get("state", ""))).inc()
             case _:
                 pass
 
 
-def count_events(metrics: Metrics) -> None:
-    """Count every event that this process logs from now on."""
-    logging.getLogger(ROOT_LOGGER).addHandler(EventMetrics(metrics))
+def install_event_metrics(metrics: Metrics) -> None:
+    """Update the metrics from all events that this process logs from now on."""
+    logging.getLogger(ROOT_LOGGER).addHandler(EventMetricsHandler(metrics))
 
 
-def _number(fields: dict[str, object], name: str) -> float:
+def _float_field(fields: dict[str, object], name: str) -> float:
     value = fields.get(name)
     return float(value) if isinstance(value, int | float) else 0.0
--- a/src/damaskridge/adapters/observability/events.py
+++ b/src/damaskridge/adapters/observability/events.py
@@ -1,10 +1,10 @@
-"""Numbered events through `logging`, one JSON object a line.
+"""Numbered events in the standard `logging`, written as one JSON object a line.
 
 >>> import logging
 >>> record = event_record("front", EventNumber.REQUEST_ACCEPTED, {"request_id": "r1"})
 >>> record.getMessage()
 'REQUEST_ACCEPTED'
->>> fields_of(record)["request_id"]
+>>> get_event_fields(record)["request_id"]
 'r1'
 """
 
@@ -21,15 +21,15 @@
 __all__ = [
     "BoundedHandler",
     "JsonFormatter",
-    "configure",
-    "configure_bounded",
+    "configure_bounded_logging",
+    "configure_logging",
     "event_record",
-    "fields_of",
+    "get_event_fields",
     "log_event",
 ]
 
 ROOT_LOGGER = "damaskridge"
-# Without a handler their warnings would be lines that are no JSON.
+# Without these handlers, the warnings of the libraries would be lines without JSON.
 LIBRARY_LOGGERS = ("asyncio", "grpclib", "uvicorn.error")
 
 
@@ -45,8 +45,8 @@
     return record
 
 
-def fields_of(record: logging.LogRecord) -> dict[str, object]:
-    """Return the fields of an event's record; empty for other records."""
+def get_event_fields(record: logging.LogRecord) -> dict[str, object]:
+    """Return the fields of a record's event, an empty dict if it carries none."""
     fields: dict[str, object] = getattr(record, "event_fields", {})
     return fields
 
@@ -66,11 +66,11 @@
     logger : logging.Logger
         The module's logger.
     number : EventNumber
-        What happened.
+        Number of the event.
     level : int
         Level of the record.
     **fields : object
-        Values with a unit in their names. Never a key or a prompt.
+        Values of the event, named with their units. Never a key or a prompt.
     """
     if logger.isEnabledFor(level):
         extra = {"event_number": number, "event_fields": fields}
@@ -78,14 +78,14 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats records as JSON with wall time, monotonic time and process name."""
+    """Formats records as JSON with wall clock, monotonic clock and process name."""
 
     def __init__(self, process: str) -> None:
         super().__init__()
         self._process = process
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return one line of JSON."""
+        """Return a record as one line of JSON."""
         number = getattr(record, "event_number", None)
         line: dict[str, object] = {
             "time_s": round(record.created, 6),
@@ -96,14 +96,16 @@
             "event": int(number) if number is not None else 0,
             "name": record.getMessage(),
         }
-        line.update(fields_of(record))
+        line.update(get_event_fields(record))
         if record.exc_info:
             line["error"] = self.formatException(record.exc_info)
         return msgspec.json.encode(line).decode()
 
 
-def configure(process: str, level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send the records of the project and its libraries to `stream`, or stderr."""
+def configure_logging(
+    process: str, level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Write the records of the project and its libraries to `stream` or stderr."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(process))
     logger = logging.getLogger(ROOT_LOGGER)
@@ -114,68 +116,70 @@
         logging.getLogger(name).handlers[:] = [handler]
 
 
-# Lines of one event in one second: above what one host logs on a busy day.
-LINES_PER_S = 100
+# Most lines of one event in one second: more than a host logs on a busy day.
+MAX_LINES_PER_S = 100
 
 
 class BoundedHandler(logging.Handler):
     """
-    Writes lines to a descriptor, bounded by event and second, and never waits.
+    Writes records to a file descriptor without blocking, at a limited rate per event.
 
-    What is over the budget, and what the reader of the descriptor has no room for, is
-    left out and counted; the counts are written with the next second's first line.
+    Lines over the limit, and lines for which the pipe behind the descriptor has no
+    room, are dropped and counted. The counts are written before the first line of the
+    next second.
 
     Parameters
     ----------
     descriptor : int
-        Where lines go; it is made non-blocking.
+        File descriptor to write to; it is set to non-blocking.
     lines_per_s : int
-        Most lines of one event in one second.
+        Most lines of one event per second.
     """
 
-    def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S) -> None:
+    def __init__(self, descriptor: int, lines_per_s: int = MAX_LINES_PER_S) -> None:
         super().__init__()
         self._descriptor = descriptor
         self._lines_per_s = lines_per_s
         self._second = 0
-        self._written: dict[str, int] = {}
-        self._dropped: dict[str, int] = {}
-        self._cut = b""
+        self._line_counts: dict[str, int] = {}
+        self._dropped_lines: dict[str, int] = {}
+        self._unwritten = b""
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write one record, or count it."""
+        """Write one record, or drop and count it."""
         if int(record.created) != self._second:
-            self._begin_second(record)
+            self._start_second(record)
         name = record.getMessage()
-        written = self._written.get(name, 0)
-        self._written[name] = written + 1
-        if written >= self._lines_per_s or not self._write(self.format(record)):
-            self._dropped[name] = self._dropped.get(name, 0) + 1
+        line_count = self._line_counts.get(name, 0)
+        self._line_counts[name] = line_count + 1
+        if line_count >= self._lines_per_s or not self._write(self.format(record)):
+            self._dropped_lines[name] = self._dropped_lines.get(name, 0) + 1
 
-    def _begin_second(self, record: logging.LogRecord) -> None:
+    def _start_second(self, record: logging.LogRecord) -> None:
         self._second = int(record.created)
-        self._written.clear()
-        dropped, self._dropped = self._dropped, {}
+        self._line_counts.clear()
+        dropped, self._dropped_lines = self._dropped_lines, {}
         for name, lines in dropped.items():
             fields = {"dropped_event": name, "dropped_lines": lines}
             report = event_record("log", EventNumber.LOG_LINES_DROPPED, fields)
             self._write(self.format(report))
 
     def _write(self, line: str) -> bool:
-        data = self._cut + line.encode() + b"\n"
+        data = self._unwritten + line.encode() + b"\n"
         try:
-            count = os.write(self._descriptor, data)
+            written_bytes = os.write(self._descriptor, data)
         except OSError:
-            # The reader is slow or gone; the line is counted as dropped.
+            # The reader is too slow or has closed the pipe. The caller counts the
+            # line as dropped.
             return False
-        # The rest of a line that was cut goes before the next one.
-        self._cut = data[count:]
+        # The rest of a partially written line goes before the next line.
+        self._unwritten = data[written_bytes:]
         return True
 
 
-def configure_bounded(process: str, level: str = "INFO") -> None:
-    """Send the records of the project and its libraries to standard output."""
+def configure_bounded_logging(process: str, level: str = "INFO") -> None:
+    """Write the records of the project and its libraries to stdout, bounded."""
     handler = BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(process))
     logger = logging.getLogger(ROOT_LOGGER)
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -1,4 +1,4 @@
-"""Runs the rate owner of the workspaces that this host owns."""
+"""Runs the rate limiting of the workspaces that this host owns."""
 
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
@@ -10,7 +10,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ownership import (
-    held_resources,
+    find_owned_resources,
     lease_is_valid,
     propose_release,
 )
@@ -39,31 +39,33 @@
 from damaskridge.model.events import EventNumber
 from damaskridge.model.routing import RateRequest, RateResponse, Refund, Refused
 
-__all__ = ["RateMachine", "RateRuntime"]
+__all__ = ["RateOwnerPort", "RateRuntime"]
 
 logger = logging.getLogger(__name__)
 
-PREFIX = "workspace/"
-# Bounds the time for which an ended lease goes unnoticed while nothing happens.
+RESOURCE_PREFIX = "workspace/"
+# Bounds the time until an idle host notices that its lease has expired.
 CHECK_PERIOD_S = 0.25
 
-AskKeys = Callable[[str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]]
+FetchActiveKeys = Callable[
+    [str, str], Awaitable[Result[tuple[ActiveKey, ...], Failure]]
+]
 
 
-class RateMachine(Protocol):
-    """The pure rate owner."""
+class RateOwnerPort(Protocol):
+    """Interface of the rate owner, a state machine that does no I/O."""
 
     def handle(self, event: RateEvent, now_s: float) -> list[RateAction]:
-        """Return what is to be done about an event."""
+        """Process an event and return the actions to execute."""
         ...
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return when `TimePassed` is due."""
+        """Return when `TimePassed` is due next, None if it isn't needed."""
         ...
 
 
-class _Held:
-    """One workspace that this host owns now."""
+class _Ownership:
+    """Ownership of one workspace by this host."""
 
     def __init__(self, owner: Owner, workspace: Workspace) -> None:
         self.owner = owner
@@ -74,18 +76,18 @@
 
 class RateRuntime:
     """
-    `RatePort` for the workspaces that this host owns.
+    Implements `RatePort` for the workspaces that this host owns.
 
     Parameters
     ----------
     host : str
-        This host.
+        Name of this host.
     control : ControlPort
-        Gives ownership and the lease.
-    machine : RateMachine
-        Decides; one machine for all workspaces.
-    ask_keys : AskKeys
-        Asks the front on a host for its idempotency keys of a workspace.
+        Source of the fleet view and of this host's lease.
+    rate_owner : RateOwnerPort
+        State machine that decides; one for all workspaces.
+    fetch_active_keys : FetchActiveKeys
+        Returns the active idempotency keys of the front on a host for a workspace.
     """
 
     def __init__(
@@ -93,17 +95,20 @@
         *,
         host: str,
         control: ControlPort,
-        machine: RateMachine,
-        ask_keys: AskKeys,
+        rate_owner: RateOwnerPort,
+        fetch_active_keys: FetchActiveKeys,
     ) -> None:
         self._host = host
         self._control = control
-        self._machine = machine
-        self._ask_keys = ask_keys
-        self._held: dict[str, _Held] = {}
-        # Epochs that this process has held: a regained epoch starts empty.
-        self._seen_epochs: dict[str, int] = {}
-        self._passed_on: dict[str, int] = {}
+        self._rate_owner = rate_owner
+        self._fetch_active_keys = fetch_active_keys
+        self._owned: dict[str, _Ownership] = {}
+        # The last epoch that this process acquired, by workspace. If it acquires the
+        # same epoch again, the bucket starts empty: the level that came with the
+        # epoch was used the first time.
+        self._acquired_epochs: dict[str, int] = {}
+        # Epochs that were released without being started here, by workspace.
+        self._unstarted_releases: dict[str, int] = {}
         self._pending: PendingResponses[RateResponse] = PendingResponses(
             lambda request_id: self._refusal(request_id, ErrorKind.OWNER_UNAVAILABLE)
         )
@@ -111,102 +116,106 @@
         self._group: TaskGroup | None = None
 
     @property
-    def owned(self) -> dict[str, int]:
-        """The epoch of every owned workspace."""
-        return {name: held.owner.epoch for name, held in self._held.items()}
+    def owned_epochs(self) -> dict[str, int]:
+        """Epoch of every owned workspace, by its name."""
+        return {name: ownership.owner.epoch for name, ownership in self._owned.items()}
 
     async def run(self) -> None:
-        """Follow ownership and time until cancelled."""
+        """Update ownership and process timers until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             while True:
-                self.fleet_changed()
-                if self._held:
-                    self._decide(TimePassed(self._lease_remaining_s()))
+                self.sync_ownership()
+                if self._owned:
+                    self._handle(TimePassed(self._lease_remaining_s()))
                 wake = self._wake = anyio.Event()
-                with anyio.move_on_after(self._pause_s()):
+                with anyio.move_on_after(self._sleep_duration_s()):
                     await wake.wait()
 
-    def fleet_changed(self) -> None:
-        """Start and stop ownership as the fleet view and the lease say."""
+    def sync_ownership(self) -> None:
+        """Start and stop ownership according to the fleet view and the lease."""
         if self._group is None:
             return
-        owners = held_resources(self._control, self._host, PREFIX)
-        for name, held in list(self._held.items()):
+        owners = find_owned_resources(self._control, self._host, RESOURCE_PREFIX)
+        for name, ownership in list(self._owned.items()):
             current = owners.get(workspace_resource(name))
-            if current is None or current.epoch != held.owner.epoch:
+            if current is None or current.epoch != ownership.owner.epoch:
                 self._stop(name)
-            elif current.moving_to and not held.releasing:
-                self._release(held)
+            elif current.moving_to and not ownership.releasing:
+                self._release(ownership)
         for resource, owner in owners.items():
-            self._follow(resource.removeprefix(PREFIX), owner)
+            self._sync_workspace(resource.removeprefix(RESOURCE_PREFIX), owner)
 
     async def reserve(self, request: RateRequest) -> RateResponse:
-        """Ask the machine; returns after the wait, if any."""
-        if request.workspace not in self._held:
-            self.fleet_changed()
-        held = self._held.get(request.workspace)
-        if held is None or held.released.is_set():
+        """Request tokens and return the decision, after the wait if there is one."""
+        if request.workspace not in self._owned:
+            self.sync_ownership()
+        ownership = self._owned.get(request.workspace)
+        if ownership is None or ownership.released.is_set():
             return self._refusal(request.request_id, ErrorKind.OWNER_UNAVAILABLE)
-        if held.owner.epoch != request.epoch:
+        if ownership.owner.epoch != request.epoch:
             return self._refusal(request.request_id, ErrorKind.EPOCH_CONFLICT)
         future = self._pending.open(request.resource, request.front, request.request_id)
         try:
-            self._decide(RateRequested(request, self._lease_remaining_s()))
+            self._handle(RateRequested(request, self._lease_remaining_s()))
             self._wake.set()
             return await future
         finally:
             self._pending.close(request.front, request.request_id, future)
 
     async def refund(self, refund: Refund) -> None:
-        """Give unused tokens back."""
-        held = self._held.get(refund.workspace)
-        if held is not None and held.owner.epoch == refund.epoch:
-            self._decide(RefundReceived(refund))
+        """Return unused tokens to the bucket."""
+        ownership = self._owned.get(refund.workspace)
+        if ownership is not None and ownership.owner.epoch == refund.epoch:
+            self._handle(RefundReceived(refund))
             self._wake.set()
 
     async def notify_request_ended(
         self, resource: str, workspace: str, request_id: str
     ) -> None:
-        """Note that a request with an idempotency key has finished."""
-        if workspace in self._held:
-            self._decide(RequestEnded(workspace, request_id))
+        """Record that a request with an idempotency key has finished."""
+        if workspace in self._owned:
+            self._handle(RequestEnded(workspace, request_id))
 
     async def release_all(self) -> None:
-        """Hand every workspace over; returns when all are released or lost."""
-        held = list(self._held.values())
-        for item in held:
-            if not item.releasing:
-                self._release(item)
-        for item in held:
-            await item.released.wait()
-
-    def _follow(self, name: str, owner: Owner) -> None:
+        """Release every workspace and return once all are released or lost."""
+        ownerships = list(self._owned.values())
+        for ownership in ownerships:
+            if not ownership.releasing:
+                self._release(ownership)
+        for ownership in ownerships:
+            await ownership.released.wait()
+
+    def _sync_workspace(self, name: str, owner: Owner) -> None:
         workspace = find_workspace(self._control.fleet, name)
-        held = self._held.get(name)
+        ownership = self._owned.get(name)
         if workspace is None:
             return
-        if held is None:
+        if ownership is None:
             if not owner.moving_to:
                 self._start(workspace, owner)
-            elif self._passed_on.get(name) != owner.epoch:
-                self._pass_on(name, owner)
-        elif held.workspace != workspace:
-            held.workspace = workspace
-            self._decide(WorkspaceChanged(workspace))
-
-    def _pass_on(self, name: str, owner: Owner) -> None:
-        """Release what moved on before this host began; nobody else can."""
-        self._passed_on[name] = owner.epoch
-        regained = self._seen_epochs.get(name) == owner.epoch
-        self._seen_epochs[name] = owner.epoch
+            elif self._unstarted_releases.get(name) != owner.epoch:
+                self._release_unstarted(name, owner)
+        elif ownership.workspace != workspace:
+            ownership.workspace = workspace
+            self._handle(WorkspaceChanged(workspace))
+
+    def _release_unstarted(self, name: str, owner: Owner) -> None:
+        """
+        Release a workspace that was ordered to move before it started here.
+
+        Only this host, as the registered owner, can release it.
+        """
+        self._unstarted_releases[name] = owner.epoch
+        regained = self._acquired_epochs.get(name) == owner.epoch
+        self._acquired_epochs[name] = owner.epoch
         level_tokens = 0.0 if regained else owner.level_tokens
         self._spawn(propose_release, self._control, owner, level_tokens)
 
     def _start(self, workspace: Workspace, owner: Owner) -> None:
-        regained = self._seen_epochs.get(workspace.name) == owner.epoch
-        self._seen_epochs[workspace.name] = owner.epoch
-        held = self._held[workspace.name] = _Held(owner, workspace)
+        regained = self._acquired_epochs.get(workspace.name) == owner.epoch
+        self._acquired_epochs[workspace.name] = owner.epoch
+        ownership = self._owned[workspace.name] = _Ownership(owner, workspace)
         fronts = tuple(sorted(self._control.fleet.sessions))
         level_tokens = 0.0 if regained else owner.level_tokens
         _log_owner(EventNumber.OWNERSHIP_GAINED, owner)
@@ -217,70 +226,71 @@
             fronts,
             is_level_unknown=level_tokens <= 0,
         )
-        self._decide(gained)
+        self._handle(gained)
         for front in fronts:
-            self._spawn(self._collect_keys, held, front)
+            self._spawn(self._collect_keys, ownership, front)
 
     def _stop(self, name: str) -> None:
-        held = self._held.pop(name)
-        held.released.set()
-        _log_owner(EventNumber.OWNERSHIP_LOST, held.owner)
-        # Whatever the machine answers, nothing may be granted any more.
-        self._machine.handle(OwnershipEnded(name), anyio.current_time())
-        self._pending.refuse_all(held.owner.resource)
-
-    def _release(self, held: _Held) -> None:
-        held.releasing = True
-        self._decide(ReleaseRequested(held.workspace.name))
-
-    def _decide(self, event: RateEvent) -> None:
-        # A process that was frozen must not act on an expired lease.
+        ownership = self._owned.pop(name)
+        ownership.released.set()
+        _log_owner(EventNumber.OWNERSHIP_LOST, ownership.owner)
+        # The actions are dropped: without ownership, nothing may be granted.
+        self._rate_owner.handle(OwnershipEnded(name), anyio.current_time())
+        self._pending.refuse_all(ownership.owner.resource)
+
+    def _release(self, ownership: _Ownership) -> None:
+        ownership.releasing = True
+        self._handle(ReleaseRequested(ownership.workspace.name))
+
+    def _handle(self, event: RateEvent) -> None:
+        # The process may have been frozen since the last check, past its lease.
         if not lease_is_valid(self._control):
             self._stop_all()
             return
-        self._stop_earlier_sessions()
-        self._carry_out(self._machine.handle(event, anyio.current_time()))
+        self._stop_previous_sessions()
+        self._execute(self._rate_owner.handle(event, anyio.current_time()))
 
-    def _stop_earlier_sessions(self) -> None:
+    def _stop_previous_sessions(self) -> None:
         # The lease of a new session does not cover what an earlier one owned.
-        for name, held in list(self._held.items()):
-            if not lease_is_valid(self._control, held.owner.session):
+        for name, ownership in list(self._owned.items()):
+            if not lease_is_valid(self._control, ownership.owner.session):
                 self._stop(name)
 
     def _stop_all(self) -> None:
-        for name in list(self._held):
+        for name in list(self._owned):
             self._stop(name)
 
-    def _carry_out(self, actions: list[RateAction]) -> None:
+    def _execute(self, actions: list[RateAction]) -> None:
         for action in actions:
             if isinstance(action, SendRateReply):
                 self._pending.resolve(action.front, action.request_id, action.reply)
             else:
-                self._spawn(self._hand_over, action)
+                self._spawn(self._propose_release, action)
 
-    async def _hand_over(self, action: ReleaseBucket) -> None:
-        held = self._held.get(action.workspace)
-        if held is None or held.owner.epoch != action.epoch:
+    async def _propose_release(self, action: ReleaseBucket) -> None:
+        ownership = self._owned.get(action.workspace)
+        if ownership is None or ownership.owner.epoch != action.epoch:
             return
-        if await propose_release(self._control, held.owner, action.level_tokens):
-            _log_owner(EventNumber.OWNERSHIP_RELEASED, held.owner)
-        held.released.set()
+        if await propose_release(self._control, ownership.owner, action.level_tokens):
+            _log_owner(EventNumber.OWNERSHIP_RELEASED, ownership.owner)
+        ownership.released.set()
 
-    async def _collect_keys(self, held: _Held, front: str) -> None:
-        """Ask a front until it answers or its session ends."""
-        name = held.workspace.name
+    async def _collect_keys(self, ownership: _Ownership, front: str) -> None:
+        """Fetch a front's active keys until it responds or its session ends."""
+        name = ownership.workspace.name
         while front in self._control.fleet.sessions:
-            reply = await self._ask_keys(front, name)
-            if self._held.get(name) is not held:
+            response = await self._fetch_active_keys(front, name)
+            if self._owned.get(name) is not ownership:
                 return
-            if isinstance(reply, Ok):
-                for key in reply.ok_value:
-                    self._decide(_active_event(name, front, key))
+            if isinstance(response, Ok):
+                for key in response.ok_value:
+                    self._handle(_active_event(name, front, key))
                 break
             await anyio.sleep(CHECK_PERIOD_S)
-        # What a front without a session had sent is known to the ledger only.
-        if self._held.get(name) is held:
-            self._decide(RequestActive(name, front, "", "", ""))
+        # Marks the front as done. If its session ended, its requests are known to the
+        # ledger only.
+        if self._owned.get(name) is ownership:
+            self._handle(RequestActive(name, front, "", "", ""))
             self._wake.set()
 
     def _spawn(
@@ -292,15 +302,17 @@
     def _lease_remaining_s(self) -> float:
         return self._control.lease.remaining_s(anyio.current_time())
 
-    def _pause_s(self) -> float:
+    def _sleep_duration_s(self) -> float:
         now_s = anyio.current_time()
-        wakeup_s = self._machine.next_wakeup_s(now_s) if self._held else None
+        wakeup_s = self._rate_owner.next_wakeup_s(now_s) if self._owned else None
         if wakeup_s is None:
             return CHECK_PERIOD_S
         return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
 
     def _refusal(self, request_id: str, kind: ErrorKind) -> Refused:
-        failure = Failure(kind, f"{self._host} does not count this rate now")
+        failure = Failure(
+            kind, f"{self._host} is not the owner of this workspace in this epoch"
+        )
         return Refused(request_id=request_id, failure=failure)
 
 
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -1,4 +1,4 @@
-"""The routing table for operators, on one member of the control group."""
+"""Access of operators to the routing table, on one member of the control group."""
 
 import logging
 import secrets
@@ -17,22 +17,22 @@
 
 __all__ = ["ReplicatedRouting"]
 
-# Operators ask another host after a second; an answer after that is lost.
-ANSWER_S = 0.9
+# Operators try another host after a second, so a later response is lost.
+RESPONSE_TIMEOUT_S = 0.9
 
-_log = logging.getLogger("damaskridge.control")
+_logger = logging.getLogger("damaskridge.control")
 
 
 class ReplicatedRouting:
     """
-    Publishes and reads the table through the replicated log.
+    Publishes and reads the routing table through the replicated log.
 
     Parameters
     ----------
     node : ControlNodePort
-        The member.
+        This member of the control group.
     state : ControlState
-        The state that it feeds.
+        The state machine to which the member applies commands.
     """
 
     def __init__(self, node: ControlNodePort, state: ControlState) -> None:
@@ -40,46 +40,48 @@
         self._state = state
 
     def leader_ip(self) -> str:
-        """Return the address of the leader's machine, empty if it is unknown."""
+        """Return the IP address of the leader, empty if it is unknown."""
         return self._node.leader_address.rpartition(":")[0]
 
     async def publish(self, table: RoutingTable, source: bytes) -> Result[int, Failure]:
-        """Put a table in force; returns the version in force."""
+        """Activate a table and return the version that is then active."""
         faults = table_faults(table)
         if faults:
-            return self._refused(table, Failure(ErrorKind.INVALID_BUNDLE, faults[0]))
+            return self._refuse(table, Failure(ErrorKind.INVALID_BUNDLE, faults[0]))
         if not self._node.is_leader:
             return Err(self._not_leader())
         command = PublishRoutingTable(
             command_id=f"routing/{secrets.token_hex(8)}", table=table, source=source
         )
-        with anyio.move_on_after(ANSWER_S):
+        with anyio.move_on_after(RESPONSE_TIMEOUT_S):
             result = await self._node.propose(command)
             if result.failure is not None:
-                return self._refused(table, result.failure)
+                return self._refuse(table, result.failure)
             return Ok(int(result.value))
-        return self._refused(
-            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time")
+        return self._refuse(
+            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
         )
 
     async def read(self) -> Result[bytes, Failure]:
-        """Return the document in force, as a quorum confirms it; empty if none."""
+        """Return the active document, confirmed by a quorum; empty if there is none."""
         if not self._node.is_leader:
             return Err(self._not_leader())
-        with anyio.move_on_after(ANSWER_S):
+        with anyio.move_on_after(RESPONSE_TIMEOUT_S):
             if await self._node.confirm_leadership():
                 return Ok(self._state.data.routing_source)
             return Err(self._not_leader())
-        return Err(Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time"))
+        return Err(
+            Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
+        )
 
     def _not_leader(self) -> Failure:
         leader = "" if self._node.is_leader else self._node.leader_address
         return Failure(ErrorKind.NOT_LEADER, leader=leader)
 
     @staticmethod
-    def _refused(table: RoutingTable, failure: Failure) -> Result[int, Failure]:
+    def _refuse(table: RoutingTable, failure: Failure) -> Result[int, Failure]:
         log_event(
-            _log,
+            _logger,
             EventNumber.ROUTING_REFUSED,
             version=table.version,
             error_kind=failure.kind.value,
