Keep the failure details of owners, engines and the control group

Cause: six texts that callers and peers get in a failure had been reworded with the code around them; texts on the wire stay. Change: the old texts are back.

--- a/src/damaskridge/adapters/cell_runtime.py
+++ b/src/damaskridge/adapters/cell_runtime.py
@@ -284,9 +284,7 @@
         self._listed_as_leaving = names
 
     def _failure(self, kind: ErrorKind) -> Failure:
-        return Failure(
-            kind, f"{self._host} is not the owner of this cell in this epoch"
-        )
+        return Failure(kind, f"{self._host} does not schedule this cell now")
 
 
 def _log_owner(number: EventNumber, owner: Owner) -> None:
--- a/src/damaskridge/adapters/control_waiters.py
+++ b/src/damaskridge/adapters/control_waiters.py
@@ -125,5 +125,5 @@
 
 
 def _outcome_unknown() -> CommandResult:
-    detail = "leadership was lost before the command was committed"
+    detail = "leadership was lost before the command was confirmed"
     return CommandResult(Failure(ErrorKind.OUTCOME_UNKNOWN, detail=detail))
--- a/src/damaskridge/adapters/engines/http_engine.py
+++ b/src/damaskridge/adapters/engines/http_engine.py
@@ -170,7 +170,7 @@
     try:
         return msgspec.json.decode(data, type=response_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
-        raise backend_failure("response violates the engine protocol") from None
+        raise backend_failure("answer is not of the protocol") from None
 
 
 def _engine_failure(response: HttpResponse) -> Failure:
--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -59,7 +59,7 @@
         except StreamFailed as error:
             return Err(error.failure)
         except (msgspec.MsgspecError, UnicodeDecodeError):
-            detail = "host list violates its protocol"
+            detail = "the host list is not of the protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
         leaving = (
             server for server in servers if server.state is not ListedServerState.LIVE
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -310,9 +310,7 @@
         return min(CHECK_PERIOD_S, max(0.001, wakeup_s - now_s))
 
     def _refusal(self, request_id: str, kind: ErrorKind) -> Refused:
-        failure = Failure(
-            kind, f"{self._host} is not the owner of this workspace in this epoch"
-        )
+        failure = Failure(kind, f"{self._host} does not count this rate now")
         return Refused(request_id=request_id, failure=failure)
 
 
--- a/src/damaskridge/adapters/replicated_routing.py
+++ b/src/damaskridge/adapters/replicated_routing.py
@@ -59,7 +59,7 @@
                 return self._refuse(table, result.failure)
             return Ok(int(result.value))
         return self._refuse(
-            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
+            table, Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time")
         )
 
     async def read(self) -> Result[bytes, Failure]:
@@ -70,9 +70,7 @@
             if await self._node.confirm_leadership():
                 return Ok(self._state.data.routing_source)
             return Err(self._not_leader())
-        return Err(
-            Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum responded in time")
-        )
+        return Err(Failure(ErrorKind.CONTROL_UNAVAILABLE, "no quorum in time"))
 
     def _not_leader(self) -> Failure:
         leader = "" if self._node.is_leader else self._node.leader_address
