Name the fault soak's records, faults and checks by what they do

The soak's names and texts are private to the project, such as promises, disturbances and a calm end. They become guarantees and violations, faults, and checks after the last fault. Faults of the proxy are named by their effect on the bytes, and the printed counts follow.

--- a/tests/fault_soak/__init__.py
+++ b/tests/fault_soak/__init__.py
@@ -1,5 +1,6 @@
-"""Randomised runs of the platform's programs as processes, with faults from outside.
+"""Randomised soak test: runs the platform's programs as processes under faults.
 
-``python -m tests.fault_soak --seeds N [--first-seed F] [--workers W]`` plays N seeds
-and prints what was played and found. The exit status is 1 if a promise was broken.
+``python -m tests.fault_soak --seeds N [--first-seed F] [--workers W]`` runs N seeds
+and prints the injected faults, the response statuses and the violated guarantees. The
+exit status is 1 if a guarantee was violated.
 """
--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays seeds from the command line."""
+"""Command line of the fault soak."""
 
 import argparse
 import logging
@@ -12,41 +12,52 @@
 from tests.fault_soak.soak import run_seed
 
 
-def _play(seed, length_s, guard):
-    # Servers that are stopped in the middle of an answer would each leave a trace.
+def _run_in_folder(seed, fault_duration_s, guard):
+    # Otherwise asyncio logs a traceback for each server stopped during a response.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    record = run_seed(seed, folder, length_s, guard)
-    if not record.broken:
+    record = run_seed(seed, folder, fault_duration_s, guard)
+    if not record.violations:
         shutil.rmtree(folder)
-    return seed, str(folder), record.broken, record.faults, record.answers
+    return (
+        seed,
+        str(folder),
+        record.violations,
+        record.fault_counts,
+        record.status_counts,
+    )
 
 
 def main():
-    """Play the seeds asked for; returns the exit status."""
+    """Run the requested seeds and return the exit status."""
     parser = argparse.ArgumentParser(prog="python -m tests.fault_soak")
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--workers", type=int, default=4)
-    parser.add_argument("--guard", default="", help="switch this guard off")
+    parser.add_argument("--guard", default="", help="disable this guard")
     options = parser.parse_args()
     seeds = range(options.first_seed, options.first_seed + options.seeds)
-    faults, answers, failed = Counter(), Counter(), 0
+    fault_counts, status_counts, failed_seeds = Counter(), Counter(), 0
     with ProcessPoolExecutor(options.workers) as pool:
-        jobs = [pool.submit(_play, s, options.seconds, options.guard) for s in seeds]
+        jobs = [
+            pool.submit(_run_in_folder, s, options.seconds, options.guard)
+            for s in seeds
+        ]
         for job in jobs:
-            seed, folder, broken, seen_faults, seen_answers = job.result()
-            faults += seen_faults
-            answers += seen_answers
-            failed += bool(broken)
-            if broken:
+            seed, folder, violations, seed_fault_counts, seed_status_counts = (
+                job.result()
+            )
+            fault_counts += seed_fault_counts
+            status_counts += seed_status_counts
+            failed_seeds += bool(violations)
+            if violations:
                 print(f"seed {seed}, logs in {folder}")
-                print("\n".join(f"  {line}" for line in broken[:6]), flush=True)
-    print(f"{len(seeds)} seeds of {options.seconds} s, {failed} failed")
-    print("faults:", dict(sorted(faults.items())))
-    print("answers:", dict(sorted(answers.items(), key=str)))
-    return 1 if failed else 0
+                print("\n".join(f"  {line}" for line in violations[:6]), flush=True)
+    print(f"{len(seeds)} seeds of {options.seconds} s, {failed_seeds} failed")
+    print("faults by kind:", dict(sorted(fault_counts.items())))
+    print("responses by status:", dict(sorted(status_counts.items(), key=str)))
+    return 1 if failed_seeds else 0
 
 
 if __name__ == "__main__":
--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -1,4 +1,4 @@
-"""Backend servers that record what they run."""
+"""Scripted backend servers that record the requests they receive and run."""
 
 import asyncio
 
@@ -13,51 +13,51 @@
 
 __all__ = ["event_count", "make_backends"]
 
-EVENT_PAUSE_S = 0.02
+EVENT_INTERVAL_S = 0.02
 
 
-def event_count(attempt):
-    """Return how many events the stream of a request has."""
-    return 4 + sum(attempt.encode()) % 40
+def event_count(attempt_id):
+    """Return the number of events in the response stream of a request."""
+    return 4 + sum(attempt_id.encode()) % 40
 
 
-class Backends:
-    """The servers of one run, with a shared record."""
+class BackendFactory:
+    """Makes the backend servers of one seed, which share a record."""
 
     def __init__(self, record, rng):
         self._record = record
         self._rng = rng
-        # Names of servers that turn every request away.
-        self.refusing = set()
+        # Names of the servers that refuse every request.
+        self.refusing_servers = set()
 
-    def _begin(self, request, name):
+    def _begin_run(self, request, name):
         has_key = "authorization" in request.headers
-        return self._record.run_began(name, request.attempt, has_key)
+        return self._record.begin_run(name, request.attempt, has_key)
 
-    def _refuses(self, name, request, writer, *, is_reading=False):
-        """Count an arrival; answers it if the server turns requests away."""
-        refuses = name in self.refusing
-        self._record.arrived(
-            request.attempt, is_reading=is_reading, was_refused=refuses
+    def _record_arrival(self, name, request, writer, *, is_prefill=False):
+        """Record an arrival, refuse it if the server refuses; return whether it did."""
+        is_refused = name in self.refusing_servers
+        self._record.add_arrival(
+            request.attempt, is_prefill=is_prefill, is_refused=is_refused
         )
-        if refuses:
+        if is_refused:
             writer.write(not_executed(request))
-        return refuses
+        return is_refused
 
-    def call(self, name):
+    def make_plain_server(self, name):
         async def script(request, writer):
-            if self._refuses(name, request, writer):
+            if self._record_arrival(name, request, writer):
                 return
-            run = self._begin(request, name)
+            run = self._begin_run(request, name)
             await asyncio.sleep(self._rng.uniform(0.0, 0.06))
-            self._record.run_ended(run)
+            self._record.end_run(run)
             writer.write(response(request, body=b"ran:" + request.attempt.encode()))
 
         return StandIn(name, script)
 
-    def prefill(self, name):
+    def make_prefill_engine(self, name):
         async def script(request, writer):
-            if self._refuses(name, request, writer, is_reading=True):
+            if self._record_arrival(name, request, writer, is_prefill=True):
                 return
             await asyncio.sleep(self._rng.uniform(0.0, 0.03))
             body = b'{"HandleId":"h-%s","Tokens":100}' % request.attempt.encode()
@@ -65,16 +65,16 @@
 
         return StandIn(name, script, EngineStage.PREFILL, "llm")
 
-    def decode(self, name):
+    def make_decode_engine(self, name):
         async def script(request, writer):
-            if self._refuses(name, request, writer):
+            if self._record_arrival(name, request, writer):
                 return False
-            run = self._begin(request, name)
+            run = self._begin_run(request, name)
             try:
-                first = int(request.headers.get("last-event-id", "0")) + 1
+                first_event = int(request.headers.get("last-event-id", "0")) + 1
                 writer.write(chunked_head(request))
-                for number in range(first, event_count(request.attempt) + 1):
-                    await asyncio.sleep(EVENT_PAUSE_S)
+                for number in range(first_event, event_count(request.attempt) + 1):
+                    await asyncio.sleep(EVENT_INTERVAL_S)
                     if writer.transport.is_closing() or request.reader.at_eof():
                         return True
                     event = f"id: {number}\ndata: {request.attempt}/{number}\n\n"
@@ -82,18 +82,23 @@
                     await writer.drain()
                 writer.write(b"0\r\n\r\n")
             finally:
-                self._record.run_ended(run)
+                self._record.end_run(run)
 
         return StandIn(name, script, EngineStage.DECODE, "llm")
 
 
 def make_backends(record, rng):
     """
-    Return three plain servers, a prefill engine and two decode engines.
+    Return three plain servers, a prefill engine and two decode engines in a list.
 
-    The second value is the set of names of those that turn requests away.
+    The second value is the set of names of the servers that refuse every request; the
+    caller changes it during the run.
     """
-    made = Backends(record, rng)
-    calls = [made.call(f"app-{number}") for number in range(3)]
-    decodes = [made.decode(f"d-{number}") for number in range(2)]
-    return [*calls, made.prefill("p-0"), *decodes], made.refusing
+    factory = BackendFactory(record, rng)
+    plain_servers = [factory.make_plain_server(f"app-{number}") for number in range(3)]
+    decode_engines = [factory.make_decode_engine(f"d-{number}") for number in range(2)]
+    return [
+        *plain_servers,
+        factory.make_prefill_engine("p-0"),
+        *decode_engines,
+    ], factory.refusing_servers
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep connections open and check every answer."""
+"""Callers that reuse connections and check every response."""
 
 import asyncio
 
@@ -6,123 +6,127 @@
 
 __all__ = ["Caller"]
 
-ANSWER_S = 8.0
-# Longer pauses end a stream for its reader.
-PAUSE_S = 4.0
+RESPONSE_TIMEOUT_S = 8.0
+# A caller abandons a stream whose next chunk takes longer than this.
+CHUNK_TIMEOUT_S = 4.0
 
 
-class _Cut(Exception):
-    """The answer ended early."""
+class _TruncatedResponse(Exception):
+    """The response ended before its last byte."""
 
 
 class Caller:
     """
-    Sends requests to one machine, over one connection for as long as that is good.
+    Sends requests one at a time and reuses its connection.
+
+    A connection is closed after an error and before a request to another machine.
 
     Parameters
     ----------
     number : int
-        Makes the ids of its requests.
-    world : Soak
-        The run.
+        Number of the caller, part of the ids of its requests.
+    soak : Soak
+        Holds the record, the front addresses and the configuration in force.
     rng : random.Random
-        Chooses requests.
+        Source of the choices of requests and pauses.
     """
 
-    def __init__(self, number, world, rng):
+    def __init__(self, number, soak, rng):
         self._number = number
-        self._world = world
+        self._soak = soak
         self._rng = rng
         self._connection = None
         self._machine = 0
-        self._sent = 0
+        self._sent_count = 0
 
     async def run(self):
-        """Send until cancelled."""
+        """Send random requests until cancelled."""
         while True:
             kind = self._rng.choice(("safe", "safe", "once", "stream"))
-            await self.ask(kind, self._rng.randrange(self._world.machines))
+            await self.send_request(kind, self._rng.randrange(self._soak.machine_count))
             await asyncio.sleep(self._rng.uniform(0.0, 0.15))
 
-    async def ask(self, kind, machine, path="", key=""):
-        """Send one request; returns its status, None without a whole answer."""
-        world, record = self._world, self._world.record
-        self._sent += 1
-        attempt = f"a{self._number}-{self._sent}"
-        path = path or world.path_of(kind)
-        key = key or self._rng.choice(world.keys)
+    async def send_request(self, kind, machine, path="", key=""):
+        """Send one request; return its status, or None without a complete response."""
+        soak, record = self._soak, self._soak.record
+        self._sent_count += 1
+        attempt_id = f"a{self._number}-{self._sent_count}"
+        path = path or soak.path_prefix_of(kind)
+        key = key or self._rng.choice(soak.keys)
         if self._connection is not None and machine != self._machine:
             self._close()
         self._machine = machine
-        request = record.sent(attempt, kind, path, key, machine)
+        request = record.add_request(attempt_id, kind, path, key, machine)
         try:
-            async with asyncio.timeout(ANSWER_S):
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 status, body = await self._exchange(request)
-        except (OSError, EOFError, TimeoutError, _Cut, ValueError):
+        except (OSError, EOFError, TimeoutError, _TruncatedResponse, ValueError):
             self._close()
             return None
-        record.answered(request, status)
+        record.add_response(request, status)
         if status == 200:
-            self._check(request, body)
+            self._check_body(request, body)
         elif status in (401, 403, 404):
-            since_s = world.in_force_s.get(path, float("inf"))
-            allowed_s = max(since_s, world.in_force_s.get(key, float("inf")))
-            removed = {path, key} & record.removed_s.keys()
-            perhaps_s = record.perhaps_removed_s
+            path_since_s = soak.in_force_since_s.get(path, float("inf"))
+            allowed_since_s = max(
+                path_since_s, soak.in_force_since_s.get(key, float("inf"))
+            )
+            removed = {path, key} & record.removed_at_s.keys()
+            maybe_removed = record.maybe_removed_until_s
             removed |= {
                 item
                 for item in (path, key)
-                if request.sent_s <= perhaps_s.get(item, float("-inf"))
+                if request.sent_s <= maybe_removed.get(item, float("-inf"))
             }
-            if not removed and request.sent_s > allowed_s + 5.0:
-                record.note_broken("denied", f"{request}")
+            if not removed and request.sent_s > allowed_since_s + 5.0:
+                record.add_violation("denied", f"{request} was denied")
         return status
 
-    def _check(self, request, body):
+    def _check_body(self, request, body):
         if request.kind == "stream":
-            wanted = "".join(
-                f"id: {n}\ndata: {request.attempt}/{n}\n\n"
-                for n in range(1, event_count(request.attempt) + 1)
+            expected = "".join(
+                f"id: {n}\ndata: {request.attempt_id}/{n}\n\n"
+                for n in range(1, event_count(request.attempt_id) + 1)
             )
-            if body.decode() != wanted:
-                self._world.record.note_broken("order", f"{request}: {body!r}")
-        elif body != b"ran:" + request.attempt.encode():
-            self._world.record.note_broken("mixed", f"{request}: {body!r}")
+            if body.decode() != expected:
+                self._soak.record.add_violation("stream body", f"{request}: {body!r}")
+        elif body != b"ran:" + request.attempt_id.encode():
+            self._soak.record.add_violation("body", f"{request}: {body!r}")
 
     async def _exchange(self, request):
         if self._connection is None:
-            ip, port = self._world.address_of(request.machine)
+            ip, port = self._soak.front_address_of(request.machine)
             self._connection = await asyncio.open_connection(ip, port)
         reader, writer = self._connection
-        size = "x-token-count: 100,50\r\n" if request.kind == "stream" else ""
-        body = request.attempt.encode()
+        token_header = "x-token-count: 100,50\r\n" if request.kind == "stream" else ""
+        body = request.attempt_id.encode()
         writer.write(
-            f"POST {request.path}x HTTP/1.1\r\nhost: h.example\r\n{size}"
-            f"x-attempt-id: {request.attempt}\r\n"
+            f"POST {request.path}x HTTP/1.1\r\nhost: h.example\r\n{token_header}"
+            f"x-attempt-id: {request.attempt_id}\r\n"
             f"authorization: Bearer {request.key}\r\n"
             f"content-length: {len(body)}\r\n\r\n".encode()
             + body
         )
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        first, *lines = head.strip().split("\r\n")
-        fields = dict(line.lower().split(": ", 1) for line in lines)
-        if fields.get("transfer-encoding") == "chunked":
-            answer = await self._chunks(reader)
+        status_line, *header_lines = head.strip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in header_lines)
+        if headers.get("transfer-encoding") == "chunked":
+            response_body = await self._read_chunked_body(reader)
         else:
-            answer = await reader.readexactly(int(fields["content-length"]))
-        if fields.get("connection") == "close":
+            response_body = await reader.readexactly(int(headers["content-length"]))
+        if headers.get("connection") == "close":
             self._close()
-        return int(first.split()[1]), answer
+        return int(status_line.split()[1]), response_body
 
-    async def _chunks(self, reader):
+    async def _read_chunked_body(self, reader):
         data = b""
         while True:
-            async with asyncio.timeout(PAUSE_S):
+            async with asyncio.timeout(CHUNK_TIMEOUT_S):
                 size = int(await reader.readuntil(b"\r\n"), 16)
-                part = await reader.readexactly(size + 2)
+                chunk = await reader.readexactly(size + 2)
             if size == 0:
                 return data
-            data += part[:-2]
+            data += chunk[:-2]
 
     def _close(self):
         if self._connection is not None:
--- a/tests/fault_soak/proxy.py
+++ b/tests/fault_soak/proxy.py
@@ -1,4 +1,4 @@
-"""A proxy on the loopback that delays, resets, silences and half-closes connections."""
+"""A loopback TCP proxy that delays or drops data and closes or resets connections."""
 
 import asyncio
 import contextlib
@@ -8,29 +8,30 @@
 
 __all__ = ["FaultProxy", "LinkFault"]
 
-_CHUNK_BYTES = 65_536
-_LINGER_NONE = struct.pack("ii", 1, 0)
+_READ_BYTES = 65_536
+_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class LinkFault(Enum):
-    """What the proxy does to all its connections."""
+    """Fault that the proxy applies to all its connections."""
 
     NONE = "none"
     DELAY = "delay"
-    SILENCE = "silence"
-    # Only what the accepting side sends is lost.
-    MUTE = "mute"
-    REFUSE = "refuse"
+    DROP_ALL = "drop_all"
+    # Drops only the bytes that the target sends.
+    DROP_RESPONSES = "drop_responses"
+    # Closes new connections without contacting the target.
+    CLOSE = "close"
 
 
 class FaultProxy:
     """
-    Passes connections on to a target.
+    Relays connections to a target and applies the current `fault` to them.
 
     Parameters
     ----------
     target : callable
-        Returns IP address and port to connect to.
+        Returns the IP address and port to connect to.
     """
 
     def __init__(self, target):
@@ -43,7 +44,7 @@
         self.address = ""
 
     async def start(self, ip="127.0.0.1"):
-        self._server = await asyncio.start_server(self._accept, ip, 0)
+        self._server = await asyncio.start_server(self._start_connection, ip, 0)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
     async def stop(self):
@@ -58,54 +59,60 @@
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
-                # Without this the peer would see an orderly end.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+                # Linger time 0 sends RST; otherwise the peer sees a regular close.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
             writer.transport.abort()
 
-    def _accept(self, reader, writer):
-        task = asyncio.ensure_future(self._serve(reader, writer))
+    def _start_connection(self, reader, writer):
+        task = asyncio.ensure_future(self._relay_connection(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, reader, writer):
+    async def _relay_connection(self, reader, writer):
         self._writers.add(writer)
-        upstream = None
+        upstream_writer = None
         try:
-            if self.fault is not LinkFault.REFUSE:
+            if self.fault is not LinkFault.CLOSE:
                 ip, port = self._target()
-                far_reader, upstream = await asyncio.open_connection(ip, port)
-                self._writers.add(upstream)
-                pumps = (
-                    asyncio.ensure_future(self._pump(reader, upstream, False)),
-                    asyncio.ensure_future(self._pump(far_reader, writer, True)),
+                upstream_reader, upstream_writer = await asyncio.open_connection(
+                    ip, port
+                )
+                self._writers.add(upstream_writer)
+                relays = (
+                    asyncio.ensure_future(
+                        self._relay_direction(reader, upstream_writer, False)
+                    ),
+                    asyncio.ensure_future(
+                        self._relay_direction(upstream_reader, writer, True)
+                    ),
                 )
                 try:
-                    await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-                    # The other direction may still carry the end of an answer.
-                    await asyncio.wait(pumps, timeout=0.05)
+                    await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
+                    # The other direction may still carry the end of a response.
+                    await asyncio.wait(relays, timeout=0.05)
                 finally:
-                    for pump in pumps:
-                        pump.cancel()
+                    for relay in relays:
+                        relay.cancel()
         except OSError:
             pass
         finally:
-            for item in (writer, upstream):
-                if item is not None:
-                    self._writers.discard(item)
-                    item.transport.abort()
+            for open_writer in (writer, upstream_writer):
+                if open_writer is not None:
+                    self._writers.discard(open_writer)
+                    open_writer.transport.abort()
 
-    async def _pump(self, reader, writer, is_answer):
-        is_silent = False
+    async def _relay_direction(self, reader, writer, is_response):
+        is_dropping = False
         with contextlib.suppress(OSError):
-            while data := await reader.read(_CHUNK_BYTES):
+            while data := await reader.read(_READ_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
-                muted = is_answer and self.fault is LinkFault.MUTE
-                # Nothing follows bytes that were lost, as on a real connection.
-                is_silent |= muted or self.fault is LinkFault.SILENCE
-                if not is_silent:
+                drops_response = is_response and self.fault is LinkFault.DROP_RESPONSES
+                # TCP delivers no bytes after lost ones, so the rest is dropped too.
+                is_dropping |= drops_response or self.fault is LinkFault.DROP_ALL
+                if not is_dropping:
                     writer.write(data)
                     await writer.drain()
-            # What was written before has left when the buffer is empty.
+            # `_relay_connection` aborts the transport, which discards unsent data.
             while writer.transport.get_write_buffer_size():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -1,27 +1,30 @@
-"""What callers and backend servers saw, and the promises that it is held against."""
+"""Record of what callers and backend servers saw, and checks of the guarantees."""
 
 import asyncio
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 __all__ = [
-    "CHANGE_S",
-    "CONTACT_S",
-    "DRAIN_S",
+    "MAX_CHANGE_DELAY_S",
+    "FAULT_AFTERMATH_S",
+    "MAX_DRAIN_DELAY_S",
     "RETRY_SLACK",
     "Record",
     "Request",
 ]
 
-# A new run of a stream may begin this long before the old one has ended.
-OVERLAP_S = 0.4
-# Statuses which promise that a request has not run and never will.
-NOT_RUN = frozenset({408, 421, 429, 503})
-# The system's bound for a change, and the time after a fault in which it may be late.
-CHANGE_S = 2.0
-CONTACT_S = 3.0
-DRAIN_S = 3.0
-# The operator's bound for arrivals beyond the first of each request.
+# A stream may begin a second run while its first one, at most this old, still runs.
+MAX_OVERLAPPED_RUN_AGE_S = 0.4
+# Statuses that guarantee that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Time within which the system has to apply a configuration change.
+MAX_CHANGE_DELAY_S = 2.0
+# Time after a fault during which the bounds on changes and draining may be exceeded.
+FAULT_AFTERMATH_S = 3.0
+# Time after which a leaving server receives no new requests.
+MAX_DRAIN_DELAY_S = 3.0
+# The operator's limit on retries: arrivals at servers beyond the first of each request,
+# as a ratio of the requests in a window plus a constant.
 RETRY_RATIO = 0.2
 RETRY_SLACK = 12
 RETRY_WINDOW_S = 10.0
@@ -31,7 +34,7 @@
 class Request:
     """One request of a caller."""
 
-    attempt: str
+    attempt_id: str
     kind: str
     path: str
     key: str
@@ -40,123 +43,147 @@
     status: int | None = None
     runs: list = field(default_factory=list)
     arrivals: int = 0
-    has_free_reading: bool = True
+    has_uncounted_prefill: bool = True
 
 
 class Record:
-    """Collects what was seen; broken promises are kept with their time."""
+    """Requests, runs and faults of one seed, and the violations of guarantees found."""
 
     def __init__(self):
         self.requests = {}
-        self.broken = []
-        self.faults = Counter()
-        self.answers = Counter()
-        self.disturbed_s = 0.0
-        # Prefix or key by the time at which its removal was acknowledged.
-        self.removed_s = {}
-        # What a change removes that was sent and not acknowledged, by the time until
-        # which it may be in force.
-        self.perhaps_removed_s = {}
-        self.leaving_s = {}
-        self._active = defaultdict(dict)
-        # Times of arrivals beyond the first, by whether they belong to a stream.
-        self._repeats_s = {True: [], False: []}
+        self.violations = []
+        self.fault_counts = Counter()
+        self.status_counts = Counter()
+        self.last_fault_s = 0.0
+        # Time at which the removal of a path prefix or key was acknowledged.
+        self.removed_at_s = {}
+        # Path prefixes and keys that a sent change removes: the time until which the
+        # removal may be in force. Infinite until a change is acknowledged.
+        self.maybe_removed_until_s = {}
+        self.leaving_since_s = {}
+        self._active_runs = defaultdict(dict)
+        # Times of arrivals beyond the first of a request, by whether it is a stream.
+        self._retry_times_s = {True: [], False: []}
         self.started_s = asyncio.get_running_loop().time()
 
     @property
     def now_s(self):
         return asyncio.get_running_loop().time() - self.started_s
 
-    def is_calm(self, since_s):
-        """Tell whether nothing was disturbed from shortly before a time until now."""
-        return self.disturbed_s < since_s - CONTACT_S
+    def is_fault_free_since(self, since_s):
+        """Tell whether the last fault was over `FAULT_AFTERMATH_S` before `since_s`."""
+        return self.last_fault_s < since_s - FAULT_AFTERMATH_S
 
-    def note_broken(self, promise, detail):
-        self.broken.append(f"{self.now_s:.3f} {promise}: {detail}")
+    def add_violation(self, guarantee, detail):
+        self.violations.append(f"{self.now_s:.3f} {guarantee}: {detail}")
 
-    def disturb(self, fault):
-        self.faults[fault] += 1
-        self.disturbed_s = self.now_s
+    def add_fault(self, fault):
+        self.fault_counts[fault] += 1
+        self.last_fault_s = self.now_s
 
-    # Callers.
+    # Events reported by callers.
 
-    def sent(self, attempt, kind, path, key, machine):
-        request = Request(attempt, kind, path, key, machine, self.now_s)
-        self.requests[attempt] = request
+    def add_request(self, attempt_id, kind, path, key, machine):
+        request = Request(attempt_id, kind, path, key, machine, self.now_s)
+        self.requests[attempt_id] = request
         return request
 
-    def answered(self, request, status):
+    def add_response(self, request, status):
         request.status = status
-        self.answers[status] += 1
-        if status in NOT_RUN and request.runs:
-            self.note_broken("not run", f"{request} was refused after it had run")
+        self.status_counts[status] += 1
+        if status in NOT_RUN_STATUSES and request.runs:
+            self.add_violation("not run", f"{request} was refused although it had run")
 
-    # Backend servers.
+    # Events reported by backend servers.
 
-    def arrived(self, attempt, *, is_reading=False, was_refused=False):
-        """Count an arrival as the operator does."""
-        request = self.requests.get(attempt)
+    def add_arrival(self, attempt_id, *, is_prefill=False, is_refused=False):
+        """
+        Count an arrival at a server the way the operator counts retries.
+
+        The first accepted prefill of a request does not count.
+        """
+        request = self.requests.get(attempt_id)
         if request is None:
             return
-        if is_reading and not was_refused and request.has_free_reading:
-            request.has_free_reading = False
+        if is_prefill and not is_refused and request.has_uncounted_prefill:
+            request.has_uncounted_prefill = False
             return
         request.arrivals += 1
         if request.arrivals > 1:
-            self._repeats_s[request.kind == "stream"].append(self.now_s)
+            self._retry_times_s[request.kind == "stream"].append(self.now_s)
 
-    def check_repeats(self):
-        """Hold every window against the bound for repeats."""
-        for is_stream, repeats_s in self._repeats_s.items():
-            sent_s = [
+    def check_retries(self):
+        """Check the number of retries in every window against the limit."""
+        for is_stream, retry_times_s in self._retry_times_s.items():
+            sent_times_s = [
                 request.sent_s
                 for request in self.requests.values()
                 if (request.kind == "stream") is is_stream
             ]
-            for start_s in repeats_s:
-                repeats = _count(repeats_s, start_s)
-                sent = max(
-                    _count(sent_s, start_s - back * RETRY_WINDOW_S)
-                    for back in (0.0, 0.5, 1.0)
+            for window_start_s in retry_times_s:
+                retry_count = _count_in_window(retry_times_s, window_start_s)
+                request_count = max(
+                    _count_in_window(
+                        sent_times_s, window_start_s - windows_back * RETRY_WINDOW_S
+                    )
+                    for windows_back in (0.0, 0.5, 1.0)
                 )
-                allowed = RETRY_RATIO * sent + RETRY_SLACK
-                if repeats > allowed:
-                    text = f"{repeats} repeats from {start_s:.3f}, {allowed:g} allowed"
-                    self.note_broken("repeats", f"streams {is_stream}: {text}")
+                limit = RETRY_RATIO * request_count + RETRY_SLACK
+                if retry_count > limit:
+                    text = f"{retry_count} from {window_start_s:.3f}, {limit:g} allowed"
+                    self.add_violation("retries", f"streams {is_stream}: {text}")
                     break
 
-    def run_began(self, server, attempt, key_seen):
-        """Note a run; returns a token for `run_ended`."""
-        request, now_s = self.requests.get(attempt), self.now_s
+    def begin_run(self, server, attempt_id, has_key):
+        """Record the start of a run and return a handle for `end_run`."""
+        request, now_s = self.requests.get(attempt_id), self.now_s
         token = object()
         if request is None:
-            self.note_broken("unasked", f"{server} runs {attempt!r}")
-            return attempt, token
+            self.add_violation("unknown", f"{server} runs {attempt_id!r}, never sent")
+            return attempt_id, token
         request.runs.append((server, now_s))
-        if key_seen:
-            self.note_broken("key", f"{server} saw the key of {attempt}")
+        if has_key:
+            self.add_violation("key", f"{server} received the key of {attempt_id}")
         if request.kind == "once" and len(request.runs) > 1:
-            self.note_broken("once", f"{request} ran again")
-        if request.status in NOT_RUN:
-            self.note_broken("not run", f"{request} runs after its refusal")
+            self.add_violation("once", f"{request} ran more than once")
+        if request.status in NOT_RUN_STATUSES:
+            self.add_violation("not run", f"{request} runs after it was refused")
         if request.kind == "stream":
-            for other, began_s in self._active[attempt].values():
-                if now_s - began_s > OVERLAP_S and self.is_calm(began_s):
-                    self.note_broken("twice", f"{attempt} runs on {other} and {server}")
+            for other_server, started_s in self._active_runs[attempt_id].values():
+                if (
+                    now_s - started_s > MAX_OVERLAPPED_RUN_AGE_S
+                    and self.is_fault_free_since(started_s)
+                ):
+                    self.add_violation(
+                        "overlap", f"{attempt_id} runs on {other_server} and {server}"
+                    )
         for item in (request.path, request.key):
-            removed_s = self.removed_s.get(item, float("inf"))
-            if request.sent_s > removed_s + CHANGE_S and self.is_calm(removed_s):
-                self.note_broken("change", f"{request} runs, removed {removed_s:.3f}")
-        leaving_s = self.leaving_s.get(server, float("inf"))
-        if request.sent_s > leaving_s + DRAIN_S and self.is_calm(leaving_s):
-            self.note_broken("drain", f"{request}, leaving since {leaving_s:.3f}")
-        self._active[attempt][token] = (server, now_s)
-        return attempt, token
-
-    def run_ended(self, run):
-        attempt, token = run
-        self._active[attempt].pop(token, None)
-
-
-def _count(times_s, start_s):
-    return sum(start_s <= at_s < start_s + RETRY_WINDOW_S for at_s in times_s)
+            removed_at_s = self.removed_at_s.get(item, float("inf"))
+            if (
+                request.sent_s > removed_at_s + MAX_CHANGE_DELAY_S
+                and self.is_fault_free_since(removed_at_s)
+            ):
+                self.add_violation(
+                    "change", f"{request} runs, removed at {removed_at_s:.3f}"
+                )
+        leaving_since_s = self.leaving_since_s.get(server, float("inf"))
+        if (
+            request.sent_s > leaving_since_s + MAX_DRAIN_DELAY_S
+            and self.is_fault_free_since(leaving_since_s)
+        ):
+            self.add_violation(
+                "drain", f"{request} runs, leaving since {leaving_since_s:.3f}"
+            )
+        self._active_runs[attempt_id][token] = (server, now_s)
+        return attempt_id, token
+
+    def end_run(self, run):
+        attempt_id, token = run
+        self._active_runs[attempt_id].pop(token, None)
+
+
+def _count_in_window(event_times_s, window_start_s):
+    return sum(
+        window_start_s <= at_s < window_start_s + RETRY_WINDOW_S
+        for at_s in event_times_s
+    )
--- a/tests/fault_soak/test_proxy.py
+++ b/tests/fault_soak/test_proxy.py
@@ -1,4 +1,4 @@
-"""Guards against a proxy that harms connections in another way than it is told."""
+"""Guards against a fault proxy whose effect differs from the selected fault."""
 
 import asyncio
 
@@ -13,12 +13,12 @@
     writer.close()
 
 
-async def _ask(address, wait_s=0.1):
+async def _send_ping(address, timeout_s=0.1):
     ip, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
     writer.write(b"ping")
     try:
-        async with asyncio.timeout(wait_s):
+        async with asyncio.timeout(timeout_s):
             return await reader.read(100)
     except TimeoutError:
         return None
@@ -28,7 +28,7 @@
         writer.close()
 
 
-def play(fault):
+def send_through_proxy(fault):
     async def main():
         server = await asyncio.start_server(_echo, "127.0.0.1", 0)
         target = server.sockets[0].getsockname()[:2]
@@ -36,30 +36,30 @@
         await proxy.start()
         proxy.fault = fault
         proxy.delay_s = 0.02
-        answer = await _ask(proxy.address)
+        response = await _send_ping(proxy.address)
         await proxy.stop()
         server.close()
-        return answer
+        return response
 
     return asyncio.run(main())
 
 
 @pytest.mark.parametrize(
-    ("fault", "answer"),
+    ("fault", "response"),
     [
         (LinkFault.NONE, b"ping"),
         (LinkFault.DELAY, b"ping"),
-        (LinkFault.SILENCE, None),
-        (LinkFault.MUTE, None),
-        (LinkFault.REFUSE, b""),
+        (LinkFault.DROP_ALL, None),
+        (LinkFault.DROP_RESPONSES, None),
+        (LinkFault.CLOSE, b""),
     ],
 )
-def test_each_fault_does_what_it_says(fault, answer):
-    assert play(fault) == answer
+def test_each_fault_has_its_effect(fault, response):
+    assert send_through_proxy(fault) == response
 
 
-def test_nothing_follows_what_a_connection_has_lost():
-    """A proxy that lost only the middle would show faults that no network has."""
+def test_no_bytes_arrive_after_dropped_bytes():
+    """A proxy that dropped bytes and then delivered later ones would not model TCP."""
 
     async def main():
         server = await asyncio.start_server(_echo, "127.0.0.1", 0)
@@ -68,7 +68,10 @@
         await proxy.start()
         ip, _, port = proxy.address.rpartition(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
-        for data, fault in ((b"lost", LinkFault.MUTE), (b"late", LinkFault.NONE)):
+        for data, fault in (
+            (b"lost", LinkFault.DROP_RESPONSES),
+            (b"late", LinkFault.NONE),
+        ):
             proxy.fault = fault
             writer.write(data)
             with pytest.raises(TimeoutError):
@@ -81,7 +84,7 @@
     asyncio.run(main())
 
 
-def test_a_reset_ends_open_connections():
+def test_reset_aborts_open_connections():
     async def main():
         server = await asyncio.start_server(_echo, "127.0.0.1", 0)
         target = server.sockets[0].getsockname()[:2]
--- a/tests/fault_soak/test_seeds.py
+++ b/tests/fault_soak/test_seeds.py
@@ -1,22 +1,22 @@
-"""Guards against broken promises of the real programs when faults meet.
+"""Guards against guarantees that the programs violate when faults overlap.
 
-Each seed plays again what once failed, or a mix; `python -m tests.fault_soak` plays
-many. The processes' own timing varies from run to run.
+A seed repeats the faults of an earlier failure or a mix of all faults; the timing of
+the processes varies from run to run. `python -m tests.fault_soak` runs many seeds.
 """
 
 import pytest
 
 from tests.fault_soak.soak import run_seed
 
-LENGTH_S = 6.0
-# 5: a process that was told to stop while it loaded ended with -15.
+FAULT_DURATION_S = 6.0
+# 5: a process that received SIGTERM while it loaded exited with status -15.
 SEEDS = (1, 5)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_under_faults(seed, tmp_path):
-    record = run_seed(seed, tmp_path, LENGTH_S)
-    assert record.broken == []
-    # A run in which nothing was disturbed or served would show nothing.
-    assert record.faults["healed"] >= 3
-    assert record.answers[200] >= 50
+def test_guarantees_hold_under_faults(seed, tmp_path):
+    record = run_seed(seed, tmp_path, FAULT_DURATION_S)
+    assert record.violations == []
+    # A run with few faults or few served requests would prove nothing.
+    assert record.fault_counts["healed"] >= 3
+    assert record.status_counts[200] >= 50
--- a/tests/fault_soak/unguarded.py
+++ b/tests/fault_soak/unguarded.py
@@ -1,7 +1,7 @@
-"""Runs a program of the platform with one of its guards switched off.
+"""Runs a program of the platform with one of its guards disabled.
 
-``python -m tests.fault_soak.unguarded GUARD entry|control``; a soak that does not find
-the missing guard does not prove the guard.
+``python -m tests.fault_soak.unguarded GUARD entry|control``; a soak that
+reports no violation without a guard does not test that guard.
 """
 
 import os
@@ -13,34 +13,34 @@
 
 
 def _key_withdrawal():
-    """Accept the keys of older tables."""
+    """Keep accepting keys that a later routing table has removed."""
     from damaskridge.core.gateway.routing import RoutingIndex
 
-    known, lookup = {}, RoutingIndex.workspace
+    known_workspaces, original_lookup = {}, RoutingIndex.workspace
 
     def workspace(self, digest):
-        found = lookup(self, digest) or known.get(digest)
+        found = original_lookup(self, digest) or known_workspaces.get(digest)
         if found is not None:
-            known[digest] = found
+            known_workspaces[digest] = found
         return found
 
     RoutingIndex.workspace = workspace
 
 
 def _one_run():
-    """Send calls again that may run once."""
+    """Retry calls that may run at most once."""
     from damaskridge.core.gateway.send_policy import SendPolicy
 
-    begin = SendPolicy.__init__
+    original_init = SendPolicy.__init__
 
-    def forgiving(self, kind, attempts, *, is_resumable=False):
-        begin(self, kind, max(2, attempts), is_resumable=True)
+    def init_with_retries(self, kind, attempts, *, is_resumable=False):
+        original_init(self, kind, max(2, attempts), is_resumable=True)
 
-    SendPolicy.__init__ = forgiving
+    SendPolicy.__init__ = init_with_retries
 
 
 def _event_offsets():
-    """Pass on events that the caller has already."""
+    """Forward events that the caller has already received."""
     from damaskridge.adapters.gateway.generation import Generation
 
     def accept_event(self, event_id):
@@ -51,21 +51,21 @@
 
 
 def _leaving():
-    """Send new requests to servers that leave."""
+    """Send new requests to servers that are leaving."""
     from damaskridge.core.gateway.instances import InstanceRegistry
 
-    candidates = InstanceRegistry.candidates
+    original_candidates = InstanceRegistry.candidates
 
-    def all_candidates(self, *arguments, **options):
-        for name, item in self._instances.items():
-            self._instances[name] = msgspec.structs.replace(item, is_leaving=False)
-        return candidates(self, *arguments, **options)
+    def candidates_with_leaving(self, *arguments, **options):
+        for name, instance in self._instances.items():
+            self._instances[name] = msgspec.structs.replace(instance, is_leaving=False)
+        return original_candidates(self, *arguments, **options)
 
-    InstanceRegistry.candidates = all_candidates
+    InstanceRegistry.candidates = candidates_with_leaving
 
 
 def _durable_log():
-    """Keep the log of the control group in memory."""
+    """Keep the log of the control group in memory only."""
     from damaskridge.adapters.disk import folder
     from damaskridge.binaries import platform_control
 
@@ -73,7 +73,7 @@
 
 
 def _retry_budget():
-    """Send repeats that nobody pays for."""
+    """Allow retries beyond the retry budget."""
     from damaskridge.adapters.gateway.retry_gate import RetryGate
 
     RetryGate.admits = lambda self, admitted, step: True
