Name the process fleets and their tests by what they do

Names that the fault soak shares follow.

The tests of tests/processes start processes and are not run.

--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -17,7 +17,7 @@
     RETRY_SLACK,
     Record,
 )
-from tests.processes.platform_fleet import MACHINES, START_S, PlatformFleet
+from tests.processes.platform_fleet import MACHINES, START_TIMEOUT_S, PlatformFleet
 
 __all__ = ["Soak", "run_seed"]
 
@@ -34,7 +34,7 @@
 class SoakFleet(PlatformFleet):
     """A fleet whose backend servers are reached through fault proxies."""
 
-    bounds = (*PlatformFleet.bounds, f"Bounds.RetrySlack={RETRY_SLACK}")
+    bound_settings = (*PlatformFleet.bound_settings, f"Bounds.RetrySlack={RETRY_SLACK}")
 
     def __init__(self, folder, backends, guard):
         super().__init__(folder)
@@ -53,7 +53,7 @@
             await proxy.start()
             backend.address = proxy.address
             self.proxies.append(proxy)
-        await self.start_list()
+        await self.start_list_and_programs()
         return self
 
     async def __aexit__(self, *error):
@@ -63,13 +63,13 @@
         for server in self._backend_listeners:
             server.close()
 
-    def listed(self):
+    def listed_backends(self):
         return self.backends
 
-    def program_words(self):
+    def program_arguments(self):
         if self._guard:
             return ["-m", "tests.fault_soak.unguarded", self._guard]
-        return super().program_words()
+        return super().program_arguments()
 
 
 class Soak:
@@ -116,13 +116,13 @@
         """Inject faults, then check recovery without faults; return the record."""
         async with self.fleet:
             for ip in MACHINES:
-                proxy = FaultProxy(lambda ip=ip: (ip, self.fleet.front))
+                proxy = FaultProxy(lambda ip=ip: (ip, self.fleet.front_port))
                 await proxy.start()
                 self._front_proxies.append(proxy)
             await self._change_config()
             for number in range(self.machine_count):
-                await self.fleet.until(
-                    lambda number=number: self.fleet.is_ready(number), START_S
+                await self.fleet.wait_until(
+                    lambda number=number: self.fleet.is_ready(number), START_TIMEOUT_S
                 )
             rngs = [random.Random(self.rng.random()) for _ in range(CALLER_COUNT)]
             callers = [Caller(n, self, rng) for n, rng in enumerate(rngs)]
@@ -301,8 +301,9 @@
         removed = {old_path, *old_keys} - {new_path, *keys}
         self.record.maybe_removed_until_s.update(dict.fromkeys(removed, float("inf")))
         with contextlib.suppress(TimeoutError):
-            await self.fleet.until(
-                lambda: self.fleet.offer("PUT", "/api/config", body), START_S
+            await self.fleet.wait_until(
+                lambda: self.fleet.request_any_control("PUT", "/api/config", body),
+                START_TIMEOUT_S,
             )
             if version < self.sent_version:
                 return
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet of real processes: starts them, disturbs them, and ends them all."""
+"""A small fleet of control and entry processes that tests start, pause and kill."""
 
 import contextlib
 import json
@@ -34,18 +34,19 @@
     SignOffBundle,
 )
 
-__all__ = ["Fleet", "Watch", "bundle", "digest", "until"]
+__all__ = ["Fleet", "VersionWatch", "digest", "make_bundle", "wait_until"]
 
 ROOT = Path(__file__).resolve().parents[2]
-CONTROLS = ("c1", "c2", "c3")
-ENTRIES = ("e1", "e2", "e3")
-IN_FORCE_S = 4.0
-WAIT_S = 20.0
-POLL_S = 0.02
+CONTROL_HOSTS = ("c1", "c2", "c3")
+ENTRY_HOSTS = ("e1", "e2", "e3")
+# Time within which an accepted bundle has to be in force on every entry host.
+MAX_IN_FORCE_DELAY_S = 4.0
+TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.02
 CALL_TIMEOUT_S = 8.0
-# Below the range of outgoing connections, one of which may take the port of a
-# process that is down.
-FIRST_PORT, PORTS, BLOCK = 12_000, 20_000, 40
+# Below the ephemeral port range: an outgoing connection could otherwise take the port
+# of a process that is down.
+FIRST_PORT, PORT_COUNT, PORTS_PER_PROCESS = 12_000, 20_000, 40
 
 
 def digest(key: str) -> str:
@@ -53,11 +54,11 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports, from a block that depends on the process."""
+    """Return free ports, searched from a block that depends on the process id."""
     ports: list[int] = []
-    start = os.getpid() * BLOCK
-    for offset in range(PORTS):
-        port = FIRST_PORT + (start + offset) % PORTS
+    start = os.getpid() * PORTS_PER_PROCESS
+    for offset in range(PORT_COUNT):
+        port = FIRST_PORT + (start + offset) % PORT_COUNT
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind(("127.0.0.1", port))
@@ -67,21 +68,27 @@
     raise RuntimeError("no free ports")
 
 
-def until(condition, what: str = "", wait_s: float = WAIT_S):
-    """Return the first true value of the condition; fail after `wait_s`."""
-    end_s = time.monotonic() + wait_s
+def wait_until(condition, description: str = "", timeout_s: float = TIMEOUT_S):
+    """Return the first true value of the condition; fail after `timeout_s`."""
+    end_s = time.monotonic() + timeout_s
     while True:
         value = condition()
         if value:
             return value
-        assert time.monotonic() < end_s, f"not within {wait_s} s: {what}"
-        time.sleep(POLL_S)
+        assert time.monotonic() < end_s, f"timed out after {timeout_s} s: {description}"
+        time.sleep(POLL_INTERVAL_S)
 
 
-def bundle(number: int = 0, service: str = "127.0.0.1:9") -> Bundle:
-    """Return a valid bundle; different numbers differ in a rate."""
+def make_bundle(number: int = 0, service_address: str = "127.0.0.1:9") -> Bundle:
+    """Return a valid bundle; `number` is added to the rate of the workspace."""
     server = BackendServer(
-        "desk-1", "desk", BackendServerRole.SERVICE, "desk", "west", service, slots=8
+        "desk-1",
+        "desk",
+        BackendServerRole.SERVICE,
+        "desk",
+        "west",
+        service_address,
+        slots=8,
     )
     return Bundle(
         workspaces=(Workspace("w1", 10_000.0 + number, 50_000.0),),
@@ -94,44 +101,48 @@
 
 class Fleet:
     """
-    Three control and some entry processes with their files in one folder.
+    Three control hosts and some entry hosts as processes, with their files in a folder.
 
     Parameters
     ----------
     folder : Path
-        An empty folder.
-    entries : tuple of str
+        Empty folder for settings, logs and data.
+    entry_hosts : tuple of str
         Names of the entry hosts.
     """
 
-    def __init__(self, folder: Path, entries: tuple[str, ...] = ENTRIES) -> None:
+    def __init__(
+        self, folder: Path, entry_hosts: tuple[str, ...] = ENTRY_HOSTS
+    ) -> None:
         self.folder = folder
-        self.entries = entries
-        names = [f"{name}/{use}" for name in CONTROLS for use in ("rpc", "operators")]
+        self.entry_hosts = entry_hosts
+        names = [
+            f"{name}/{use}" for name in CONTROL_HOSTS for use in ("rpc", "operators")
+        ]
         names += [
             f"{name}/{use}"
-            for name in entries
+            for name in entry_hosts
             for use in ("caller", "peer", "operators")
         ]
         names += ["hosts", "service"]
         ports = free_ports(len(names))
         self.ports = dict(zip(names, ports, strict=True))
-        self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self.commands = 0
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.command_count = 0
 
     def __enter__(self) -> "Fleet":
         try:
             self.start("hosts")
-            for name in (*CONTROLS, *self.entries):
+            for name in (*CONTROL_HOSTS, *self.entry_hosts):
                 self.start(name)
-            until(self.leader, "a leader")
+            wait_until(self.leader, "a leader")
         except BaseException:
             self.__exit__()
             raise
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        for name in list(self.running):
+        for name in list(self.processes):
             self.kill(name)
 
     # Processes
@@ -140,117 +151,123 @@
         if name in ("hosts", "service"):
             arguments = [f"examples.standins.{name}", "--port", str(self.ports[name])]
         else:
-            kind = "control" if name in CONTROLS else "entry"
-            path = self._write_settings(name, kind)
-            arguments = [f"damaskridge.binaries.{kind}", "--settings", str(path)]
+            program = "control" if name in CONTROL_HOSTS else "entry"
+            path = self._write_settings(name, program)
+            arguments = [f"damaskridge.binaries.{program}", "--settings", str(path)]
         paths = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
         with (self.folder / f"{name}.log").open("ab") as log:
-            self.running[name] = subprocess.Popen(
+            self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", *arguments, *options],
                 cwd=ROOT,
                 env={**os.environ, "PYTHONPATH": paths},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                # The end of the shell that started the tests would signal stopped
-                # processes of its process group.
+                # Otherwise the stopped processes receive a signal when the shell that
+                # started the tests exits, as members of its process group.
                 start_new_session=True,
             )
 
     def kill(self, name: str) -> None:
-        process = self.running.pop(name)
+        process = self.processes.pop(name)
         process.kill()
         process.wait()
 
     def pause(self, name: str) -> None:
-        self.running[name].send_signal(signal.SIGSTOP)
+        self.processes[name].send_signal(signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
-        self.running[name].send_signal(signal.SIGCONT)
+        self.processes[name].send_signal(signal.SIGCONT)
 
-    def data(self, name: str) -> Path:
+    def data_folder(self, name: str) -> Path:
         return self.folder / f"{name}-data"
 
-    def log(self, name: str) -> str:
+    def read_log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
-    # What the processes show
+    # State that the processes report
 
     def address(self, name: str) -> str:
         return f"127.0.0.1:{self.ports[name]}"
 
-    def metric(self, host: str, name: str, wait_s: float = 1.0) -> float | None:
-        """Return a metric of a process, or None if it does not answer."""
+    def metric(self, host: str, name: str, timeout_s: float = 1.0) -> float | None:
+        """Return a metric of a process, or None if it does not respond."""
         url = f"http://{self.address(f'{host}/operators')}/metrics"
         try:
-            with urllib.request.urlopen(url, timeout=wait_s) as answer:
-                lines = answer.read().decode().splitlines()
+            with urllib.request.urlopen(url, timeout=timeout_s) as response:
+                lines = response.read().decode().splitlines()
         except (OSError, ValueError):
             return None
-        start = f"damaskridge_{name} "
-        return next((float(x.split()[1]) for x in lines if x.startswith(start)), None)
+        prefix = f"damaskridge_{name} "
+        return next((float(x.split()[1]) for x in lines if x.startswith(prefix)), None)
 
     def leader(self) -> str:
-        """Return the leader of the highest term, empty if none answers as one."""
+        """Return the leader of the highest term, or an empty text without a leader."""
         found = [
             (self.metric(name, "term", 0.3) or 0.0, name)
-            for name in CONTROLS
+            for name in CONTROL_HOSTS
             if self.metric(name, "is_leader", 0.3)
         ]
         return max(found)[1] if found else ""
 
-    def versions(self) -> list[float | None]:
-        return [self.metric(name, "bundle_version") for name in self.entries]
+    def bundle_versions(self) -> list[float | None]:
+        return [self.metric(name, "bundle_version") for name in self.entry_hosts]
 
     def assert_in_force(self, version: int, since_s: float) -> None:
-        """Check that every entry host has the version within the promised time."""
-        end_s = since_s + IN_FORCE_S
+        """Check that every entry host has the version within `MAX_IN_FORCE_DELAY_S`."""
+        end_s = since_s + MAX_IN_FORCE_DELAY_S
         while True:
-            versions = self.versions()
-            took_s = time.monotonic() - since_s
+            versions = self.bundle_versions()
+            elapsed_s = time.monotonic() - since_s
             if all(item is not None and item >= version for item in versions):
-                assert took_s <= IN_FORCE_S, f"in force after {took_s:.2f} s"
+                assert elapsed_s <= MAX_IN_FORCE_DELAY_S, (
+                    f"in force only after {elapsed_s:.2f} s"
+                )
                 return
-            assert time.monotonic() < end_s, f"{versions} after {took_s:.2f} s"
-            time.sleep(POLL_S)
+            assert time.monotonic() < end_s, (
+                f"versions {versions} after {elapsed_s:.2f} s"
+            )
+            time.sleep(POLL_INTERVAL_S)
 
     def wait_for_entries(self, version: int) -> None:
         """Wait until every entry host has the version and a lease."""
-        until(
+        wait_until(
             lambda: all(
                 self.metric(name, "bundle_version") == version
                 and (self.metric(name, "lease_remaining_seconds") or 0) > 0
-                for name in self.entries
+                for name in self.entry_hosts
             ),
             f"version {version} on all entry hosts",
         )
 
     # Operators
 
-    def calls(self, work, key: str = "ada"):
-        """Run a coroutine function with a client of the control group."""
+    def run_with_client(self, operation, key: str = "ada"):
+        """Return the result of a coroutine function called with a control client."""
 
         async def main():
-            addresses = [self.address(f"{name}/rpc") for name in CONTROLS]
-            calls = ControlCalls(addresses, operator_key=key)
+            addresses = [self.address(f"{name}/rpc") for name in CONTROL_HOSTS]
+            client = ControlCalls(addresses, operator_key=key)
             try:
-                return await work(calls)
+                return await operation(client)
             finally:
-                calls.close()
+                client.close()
 
         return anyio.run(main)
 
-    def commit(self, kind, operator: str = "ada", command_id: str = "", **fields):
-        """Send a command of an operator until it is answered."""
-        self.commands += 1
-        command_id = command_id or f"test/{self.commands}"
-        command = kind(command_id=command_id, operator=operator, **fields)
-        return self.calls(
-            lambda calls: calls.propose(command, CALL_TIMEOUT_S), operator
+    def commit(
+        self, command_type, operator: str = "ada", command_id: str = "", **fields
+    ):
+        """Propose a command as an operator and return its result."""
+        self.command_count += 1
+        command_id = command_id or f"test/{self.command_count}"
+        command = command_type(command_id=command_id, operator=operator, **fields)
+        return self.run_with_client(
+            lambda client: client.propose(command, CALL_TIMEOUT_S), operator
         )
 
-    def signed(self, content: Bundle) -> str:
-        """Propose and sign off a bundle; returns the proposal's id."""
+    def propose_and_sign_off(self, content: Bundle) -> str:
+        """Propose and sign off a bundle; return the id of the proposal."""
         result = self.commit(ProposeBundle, bundle=content)
         assert result.failure is None, result
         signed = self.commit(SignOffBundle, "bob", proposal=result.value)
@@ -258,26 +275,26 @@
         return result.value
 
     def roll(self, content: Bundle, expected: int) -> int:
-        """Put a bundle in force; returns its version."""
-        proposal = self.signed(content)
+        """Put a bundle in force; return its version."""
+        proposal = self.propose_and_sign_off(content)
         result = self.commit(RollBundle, proposal=proposal, expected_version=expected)
         assert result.failure is None, result
         return int(result.value)
 
     def propose_many(self, contents: list[Bundle]) -> None:
-        async def work(calls: ControlCalls) -> None:
+        async def propose_all(client: ControlCalls) -> None:
             for number, content in enumerate(contents):
                 command = ProposeBundle(
                     command_id=f"many/{number}", operator="ada", bundle=content
                 )
-                assert (await calls.propose(command, CALL_TIMEOUT_S)).failure is None
+                assert (await client.propose(command, CALL_TIMEOUT_S)).failure is None
 
-        self.calls(work)
+        self.run_with_client(propose_all)
 
-    def roll_many(self, count: int, version: int) -> int:
-        """Alternate between the last two versions' contents; returns the version."""
+    def roll_back_many(self, count: int, version: int) -> int:
+        """Alternate two contents by `count` rollbacks; return the last version."""
 
-        async def work(calls: ControlCalls) -> int:
+        async def roll_back_all(client: ControlCalls) -> int:
             for number in range(version, version + count):
                 command = RollBackBundle(
                     command_id=f"rolled/{number}",
@@ -285,32 +302,32 @@
                     to_version=number - 1,
                     expected_version=number,
                 )
-                result = await calls.propose(command, CALL_TIMEOUT_S)
+                result = await client.propose(command, CALL_TIMEOUT_S)
                 assert result.failure is None, result
             return version + count
 
-        return self.calls(work)
+        return self.run_with_client(roll_back_all)
 
     def status(self):
-        """Return the status that a quorum confirms."""
-        status = self.calls(
-            lambda calls: calls.status(CALL_TIMEOUT_S, with_bundle=True)
+        """Return the fleet status, confirmed by a quorum."""
+        status = self.run_with_client(
+            lambda client: client.status(CALL_TIMEOUT_S, with_bundle=True)
         )
         assert status.failure is None, status.failure
         return status
 
     # Callers
 
-    def call(self, host: str, body: str, key: str) -> tuple[int, bytes]:
-        """Send a call that must not be repeated; status 0 if no answer came."""
+    def send_call(self, host: str, body: str, key: str) -> tuple[int, bytes]:
+        """Send a non-repeatable call; the status is 0 if no response arrived."""
         request = urllib.request.Request(
             f"http://{self.address(f'{host}/caller')}/services/desk/book",
             data=body.encode(),
             headers={"Authorization": "Bearer key-w1", "Idempotency-Key": key},
         )
         try:
-            with urllib.request.urlopen(request, timeout=WAIT_S) as answer:
-                return answer.status, answer.read()
+            with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
+                return response.status, response.read()
         except urllib.error.HTTPError as error:
             return error.code, error.read()
         except OSError:
@@ -319,58 +336,60 @@
     def service_calls(self) -> list[str]:
         """Return the bodies of all calls that the service received."""
         url = f"http://{self.address('service')}/__calls"
-        with urllib.request.urlopen(url, timeout=5) as answer:
-            return [item["body"] for item in msgspec.json.decode(answer.read())]
+        with urllib.request.urlopen(url, timeout=5) as response:
+            return [item["body"] for item in msgspec.json.decode(response.read())]
 
-    def _write_settings(self, name: str, kind: str) -> Path:
+    def _write_settings(self, name: str, program: str) -> Path:
         content: dict[str, object] = {
             "host": name,
             "data_centre": "west",
             "operators_address": self.address(f"{name}/operators"),
         }
-        controls = {item: self.address(f"{item}/rpc") for item in CONTROLS}
-        if kind == "control":
-            content["rpc_address"] = controls[name]
-            content["members"] = controls
-            content["data_folder"] = str(self.data(name))
+        control_addresses = {
+            item: self.address(f"{item}/rpc") for item in CONTROL_HOSTS
+        }
+        if program == "control":
+            content["rpc_address"] = control_addresses[name]
+            content["members"] = control_addresses
+            content["data_folder"] = str(self.data_folder(name))
         else:
             content["caller_address"] = self.address(f"{name}/caller")
             content["peer_address"] = self.address(f"{name}/peer")
-            content["control_addresses"] = list(controls.values())
+            content["control_addresses"] = list(control_addresses.values())
             content["host_list_address"] = self.address("hosts")
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(content))
         return path
 
 
-class Watch:
-    """Reads the versions of all entry hosts all the time; none may go back."""
+class VersionWatch:
+    """Polls the bundle versions of all entry hosts and checks that none decreases."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run)
-        self.reverted: list[str] = []
-        self.reads = 0
+        self.regressions: list[str] = []
+        self.read_count = 0
 
-    def __enter__(self) -> "Watch":
+    def __enter__(self) -> "VersionWatch":
         self._thread.start()
         return self
 
-    def __exit__(self, kind: object, *exc_info: object) -> None:
+    def __exit__(self, exc_type: object, *exc_info: object) -> None:
         self._stopped.set()
         self._thread.join()
-        if kind is None:
-            assert not self.reverted and self.reads > 0, self.reverted
+        if exc_type is None:
+            assert not self.regressions and self.read_count > 0, self.regressions
 
     def _run(self) -> None:
-        seen: dict[str, float] = {}
-        while not self._stopped.wait(POLL_S):
-            for name in self._fleet.entries:
+        highest: dict[str, float] = {}
+        while not self._stopped.wait(POLL_INTERVAL_S):
+            for name in self._fleet.entry_hosts:
                 version = self._fleet.metric(name, "bundle_version")
                 if version is None:
                     continue
-                self.reads += 1
-                if version < seen.get(name, 0.0) and version > 0:
-                    self.reverted.append(f"{name}: {seen[name]} to {version}")
-                seen[name] = max(version, seen.get(name, 0.0))
+                self.read_count += 1
+                if version < highest.get(name, 0.0) and version > 0:
+                    self.regressions.append(f"{name}: {highest[name]} to {version}")
+                highest[name] = max(version, highest.get(name, 0.0))
--- a/tests/processes/loaded_fleet.py
+++ b/tests/processes/loaded_fleet.py
@@ -1,4 +1,4 @@
-"""Real processes for tests, and callers that load them."""
+"""A fleet of processes for tests, and callers that generate load."""
 
 import itertools
 import json
@@ -14,13 +14,13 @@
 from examples.demo_processes import Processes
 from examples.demo_settings import ENTRIES, KEYS, Layout
 
-READY_S = 30.0
-KEY = KEYS["magicians"]
+READY_TIMEOUT_S = 30.0
+API_KEY = KEYS["magicians"]
 _ENGINES = {"prefill-1": "prefill", "decode-1": "decode", "decode-2": "decode"}
 
 
 class Fleet:
-    """Three control processes, three entry hosts, engines and services."""
+    """The processes of three control hosts, three entry hosts, engines and services."""
 
     def __init__(self, folder):
         self.layout = Layout(folder, engines=_ENGINES, slots=40)
@@ -29,7 +29,7 @@
     def __enter__(self):
         self.processes.start_all()
         try:
-            self._roll(self.layout.bundle("bundle", 1e6))
+            self._put_in_force(self.layout.bundle("bundle", 1e6))
             self.wait_ready(ENTRIES)
         except BaseException:
             self.__exit__()
@@ -37,15 +37,15 @@
         return self
 
     def __exit__(self, *exc_info):
-        # No test looks at the end of these processes, so it costs no drain.
+        # Kills without a drain, since no test checks the exit of these processes.
         for name in list(self.processes.running):
             self.processes.kill(name)
 
-    def _roll(self, path):
+    def _put_in_force(self, path):
         def propose():
             return self.processes.ctl("alice", "propose", str(path))
 
-        proposal = retry(READY_S, propose).split()[-1]
+        proposal = retry(READY_TIMEOUT_S, propose).split()[-1]
         self.processes.ctl("bob", "sign-off", proposal)
         self.processes.ctl("alice", "roll", proposal, "--expected-version", "0")
 
@@ -54,22 +54,22 @@
 
     def wait_ready(self, names):
         for name in names:
-            self.wait_for(lambda name=name: self._answers(name), f"{name} ready")
+            self.wait_for(lambda name=name: self._is_serving(name), f"{name} ready")
 
-    def _answers(self, name):
-        answer = caller.generate(self.address(name), KEY, "ready?", 1)
-        return answer.whole and answer.finished
+    def _is_serving(self, name):
+        response = caller.generate(self.address(name), API_KEY, "ready?", 1)
+        return response.whole and response.finished
 
-    def wait_for(self, condition, what, limit_s=READY_S):
-        if wait_until(limit_s, condition) is None:
-            pytest.fail(f"not seen in {limit_s} s: {what}")
+    def wait_for(self, condition, description, timeout_s=READY_TIMEOUT_S):
+        if wait_until(timeout_s, condition) is None:
+            pytest.fail(f"timed out after {timeout_s} s: {description}")
 
     def engine_requests(self):
-        found = []
+        requests = []
         for name in _ENGINES:
             url = f"http://{self.layout.addresses[name]}/v1/requests"
-            found += json.loads(httpcore.request("GET", url).content)
-        return found
+            requests += json.loads(httpcore.request("GET", url).content)
+        return requests
 
     def events(self, name, event):
         lines = self.processes.log_path(name).read_text().splitlines()
@@ -77,7 +77,7 @@
         return [line for line in parsed if line["name"] == event]
 
     def owner_of(self, resource):
-        """Return the entry host that gained a resource last."""
+        """Return the entry host that most recently gained ownership of a resource."""
         gained = [
             (event["time_s"], name)
             for name in ENTRIES
@@ -87,61 +87,67 @@
         return max(gained)[1]
 
 
-class Load:
+class LoadGenerator:
     """
-    Callers that ask for addresses, keep them for `keep_s` and go on until stopped.
+    Callers that send generation requests until stopped.
 
-    With `names` they use these entry hosts only.
+    They look up entry host addresses and cache them for one second, or use only the
+    entry hosts in `entry_hosts`.
     """
 
-    def __init__(self, fleet, callers=6, tokens=5, names=()):
+    def __init__(self, fleet, caller_count=6, token_count=5, entry_hosts=()):
         self._fleet = fleet
-        self._tokens = tokens
-        self._names = names
+        self._token_count = token_count
+        self._entry_hosts = entry_hosts
         self._stopping = threading.Event()
-        self._numbers = itertools.count()
-        self._pool = ThreadPoolExecutor(callers)
-        self.answers = []
+        self._prompt_numbers = itertools.count()
+        self._pool = ThreadPoolExecutor(caller_count)
+        self.responses = []
         self._jobs = [
-            self._pool.submit(self._call, random.Random(n)) for n in range(callers)
+            self._pool.submit(self._send_requests, random.Random(n))
+            for n in range(caller_count)
         ]
 
     def stop(self):
-        """Let the open requests end; returns all answers."""
+        """Stop after the open requests have finished; return all responses."""
         self._stopping.set()
         for job in self._jobs:
             job.result()
         self._pool.shutdown()
-        return self.answers
+        return self.responses
 
-    def _call(self, rng):
+    def _send_requests(self, rng):
         addresses, keep_until_s = [], 0.0
         while not self._stopping.is_set():
             if time.monotonic() >= keep_until_s:
-                addresses = self._addresses(rng)
-                # The keep_s of the demo's settings.
+                addresses = self._look_up_addresses(rng)
+                # Equals keep_s in the settings of the demo.
                 keep_until_s = time.monotonic() + 1.0
-            prompt = f"{next(self._numbers)} which sail is ready?"
+            prompt = f"{next(self._prompt_numbers)} which sail is ready?"
             address = rng.choice(addresses)
-            self.answers.append(caller.generate(address, KEY, prompt, self._tokens))
-
-    def _addresses(self, rng):
-        """Ask any entry host; one that restarts does not answer."""
-        if self._names:
-            return [self._fleet.address(name) for name in self._names]
+            self.responses.append(
+                caller.generate(address, API_KEY, prompt, self._token_count)
+            )
+
+    def _look_up_addresses(self, rng):
+        """Look up addresses at any entry host; retry, as a restarting one fails."""
+        if self._entry_hosts:
+            return [self._fleet.address(name) for name in self._entry_hosts]
         while True:
             try:
-                found = caller.addresses(self._fleet.address(rng.choice(ENTRIES)))
+                addresses_found = caller.addresses(
+                    self._fleet.address(rng.choice(ENTRIES))
+                )
             except (OSError, ValueError):
-                found = []
-            if found:
-                return found
+                addresses_found = []
+            if addresses_found:
+                return addresses_found
 
 
-def problems(answers):
-    """Return what went wrong, one entry per answer that is not whole."""
+def failed_responses(responses):
+    """Return a description of each response that is incomplete or an error."""
     return [
         (item.status, item.error_kind, len(item.tokens), item.body[:200])
-        for item in answers
+        for item in responses
         if not item.whole or item.error_kind
     ]
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -1,4 +1,4 @@
-"""The platform's programs as processes, with stand-ins for what they meet."""
+"""The platform's programs as processes, with stand-ins for their surroundings."""
 
 import asyncio
 import os
@@ -19,12 +19,13 @@
 from damaskridge.model.gateway import EngineStage
 
 ROOT = Path(__file__).resolve().parents[2]
-# Loopback addresses of three machines: ports are the same on all of them.
+# Loopback addresses of three machines, which use the same port numbers.
 MACHINES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+# A fourth machine, whose control process has no disk.
 WITHOUT_DISK = "127.0.0.4"
-START_S = 15.0
-BLOCK_PORTS = 40
-USED_PORTS = 26
+START_TIMEOUT_S = 15.0
+PORTS_PER_BLOCK = 40
+USED_PORT_COUNT = 26
 
 
 def _is_free(ip, port):
@@ -39,57 +40,59 @@
     """
     Return a listening socket that reserves a block of ports, and the first of them.
 
-    Ports that the kernel hands out to connections may be taken before a program
-    that was told them starts; those of a block are below that range.
+    The block is below the ephemeral port range: an outgoing connection could otherwise
+    take a port before the program that is configured with it starts.
     """
-    for first in range(20_000, 32_000, BLOCK_PORTS):
+    for first_port in range(20_000, 32_000, PORTS_PER_BLOCK):
         try:
-            reserved = socket.create_server((MACHINES[0], first))
+            reserved = socket.create_server((MACHINES[0], first_port))
         except OSError:
             continue
         if all(
-            _is_free(ip, first + n) for ip in MACHINES for n in range(1, USED_PORTS)
+            _is_free(ip, first_port + n)
+            for ip in MACHINES
+            for n in range(1, USED_PORT_COUNT)
         ):
-            return reserved, first
-        # Programs of a run that was killed may still listen here.
+            return reserved, first_port
+        # Programs of a killed test run may still listen on ports of this block.
         reserved.close()
     raise RuntimeError("no block of ports is free")
 
 
-async def _answer(request, writer):
+async def _serve_call(request, writer):
     writer.write(response(request, body=b"served"))
 
 
-async def _read_prompt(request, writer):
+async def _serve_prefill(request, writer):
     body = b'{"HandleId":"h1","Tokens":100}'
     writer.write(response(request, body=body, signed=False))
 
 
-async def _generate(request, writer):
+async def _serve_decode(request, writer):
     writer.write(chunked_head(request) + chunk(events(1, 3)) + b"0\r\n\r\n")
 
 
 class PlatformFleet:
     """Three machines, each with a control and an entry process."""
 
-    # What the settings of every process say of the operator's bounds.
-    bounds = ("Bounds.GraceS=6",)
+    # Lines with the operator's bounds in the settings of every process.
+    bound_settings = ("Bounds.GraceS=6",)
 
     def __init__(self, folder):
         self.folder = folder
         self.processes = {}
-        # Sizes of the logs when the programs were last started.
+        # Size of each log when its program was last started.
         self.log_bytes = {}
         self.leaving = set()
         self.version = 0
-        self._reserved, first = _reserve_ports()
-        self.front, self.ready, self.control, self.directory = range(
-            first + 1, first + 5
+        self._reserved, first_port = _reserve_ports()
+        self.front_port, self.ready_port, self.control_port, self.directory_port = (
+            range(first_port + 1, first_port + 5)
         )
-        self.list_port, self.rpc = first + 5, first + 10
-        self.app = StandIn("app-1", _answer)
-        self.prefill = StandIn("p-1", _read_prompt, EngineStage.PREFILL, "llm")
-        self.decode = StandIn("d-1", _generate, EngineStage.DECODE, "llm")
+        self.list_port, self.rpc_port = first_port + 5, first_port + 10
+        self.app = StandIn("app-1", _serve_call)
+        self.prefill = StandIn("p-1", _serve_prefill, EngineStage.PREFILL, "llm")
+        self.decode = StandIn("d-1", _serve_decode, EngineStage.DECODE, "llm")
         self._servers = []
 
     async def __aenter__(self):
@@ -98,19 +101,21 @@
             host, port = server.sockets[0].getsockname()
             standin.address = f"{host}:{port}"
             self._servers.append(server)
-        await self.start_list()
+        await self.start_list_and_programs()
         return self
 
-    async def start_list(self):
-        """Serve the list of backend servers, and start all programs."""
-        listing = await asyncio.start_server(self._list, MACHINES[0], self.list_port)
-        self._servers.append(listing)
+    async def start_list_and_programs(self):
+        """Serve the list of backend servers and start all programs."""
+        list_server = await asyncio.start_server(
+            self._serve_list, MACHINES[0], self.list_port
+        )
+        self._servers.append(list_server)
         for number in range(len(MACHINES)):
-            self.start("control", number, first=True)
-            self.start("entry", number, first=True)
+            self.start("control", number, bootstrap=True)
+            self.start("entry", number, bootstrap=True)
 
-    def listed(self):
-        """Return the backend servers of the list."""
+    def listed_backends(self):
+        """Return the backend servers to put on the list."""
         return [self.app, self.prefill, self.decode]
 
     async def __aexit__(self, *error):
@@ -123,30 +128,30 @@
             server.close()
         self._reserved.close()
 
-    def start(self, program, number, *, first=False, has_disk=True, seeds=MACHINES):
+    def start(self, program, number, *, bootstrap=False, has_disk=True, seeds=MACHINES):
         import subprocess
 
         ip = (*MACHINES, WITHOUT_DISK)[number]
-        seeds = ",".join(f"{other}:{self.control}" for other in seeds)
+        seeds = ",".join(f"{other}:{self.control_port}" for other in seeds)
         lines = [
             f"Node=machine-{number}",
             f"Ip={ip}",
             "Zone=west",
-            f"PortRange={self.rpc},{self.rpc + 15}",
+            f"PortRange={self.rpc_port},{self.rpc_port + 15}",
             f"Seeds={seeds}",
-            f"Bootstrap={str(first).lower()}",
+            f"Bootstrap={str(bootstrap).lower()}",
             f"Cloud.Address={MACHINES[0]}:{self.list_port}",
-            *self.bounds,
+            *self.bound_settings,
         ]
         if program == "entry":
             lines += [
-                f"Listen.Front={ip}:{self.front}",
-                f"Listen.Ready={ip}:{self.ready}",
-                f"Listen.Directory={ip}:{self.directory}",
+                f"Listen.Front={ip}:{self.front_port}",
+                f"Listen.Ready={ip}:{self.ready_port}",
+                f"Listen.Directory={ip}:{self.directory_port}",
             ]
         else:
             lines += [
-                f"Listen.Control={ip}:{self.control}",
+                f"Listen.Control={ip}:{self.control_port}",
                 f"DataDir={self.folder}/data-{number}" if has_disk else "DataDir=",
             ]
         settings = self.folder / f"{program}-{number}.conf"
@@ -154,35 +159,40 @@
         log = (self.folder / f"{program}-{number}.log").open("ab")
         self.log_bytes[program, number] = log.tell()
         self.processes[program, number] = subprocess.Popen(
-            [sys.executable, *self.program_words(), program],
+            [sys.executable, *self.program_arguments(), program],
             env={**os.environ, "DAMASKRIDGE_CONFIG": str(settings)},
             stdout=log,
             stderr=log,
             start_new_session=True,
         )
 
-    def program_words(self):
-        """Return the words of the command line before the program's name."""
+    def program_arguments(self):
+        """Return the interpreter arguments that precede the program's name."""
         return [str(ROOT / "deploy" / "run.py")]
 
     def has_logged(self, program, number):
-        """Tell whether a program has written a line since its last start."""
+        """Tell whether a program has logged anything since its last start."""
         log = self.folder / f"{program}-{number}.log"
         return log.stat().st_size > self.log_bytes[program, number]
 
-    def stop(self, program, number, sent=signal.SIGTERM):
-        self.processes[program, number].send_signal(sent)
+    def stop(self, program, number, stop_signal=signal.SIGTERM):
+        self.processes[program, number].send_signal(stop_signal)
 
-    async def publish(self, *, path="/a/", keys=("k",), timeout_s=START_S):
-        """Put a configuration in force; returns when it is acknowledged."""
+    async def publish(self, *, path="/a/", keys=("k",), timeout_s=START_TIMEOUT_S):
+        """Put a configuration and wait until it is acknowledged."""
         self.version += 1
-        host = {"Hostname": "h.example", "TimeoutMs": 4000, "MaxAttempts": 2}
+        common_fields = {"Hostname": "h.example", "TimeoutMs": 4000, "MaxAttempts": 2}
         document = {
             "Version": self.version,
             "Routes": [
-                {**host, "Name": "r1", "PathPrefix": path, "Kind": "idempotent"}
+                {
+                    **common_fields,
+                    "Name": "r1",
+                    "PathPrefix": path,
+                    "Kind": "idempotent",
+                }
                 | {"Service": "app"},
-                {**host, "Name": "r2", "PathPrefix": "/gen/", "Kind": "stream"}
+                {**common_fields, "Name": "r2", "PathPrefix": "/gen/", "Kind": "stream"}
                 | {"Service": "llm", "SloMs": 900},
             ],
             "Services": [
@@ -200,46 +210,52 @@
             "Tenants": [{"Name": "t", "ApiKeys": list(keys)}],
         }
         body = msgspec.json.encode(document)
-        await self.until(lambda: self.offer("PUT", "/api/config", body), timeout_s)
+        await self.wait_until(
+            lambda: self.request_any_control("PUT", "/api/config", body), timeout_s
+        )
 
-    async def offer(self, method, path, body=b""):
-        """Ask one control host after the other; tell whether one did it."""
+    async def request_any_control(self, method, path, body=b""):
+        """Try the control hosts in turn; tell whether one returned status 200."""
         for ip in MACHINES:
-            status, _ = await self.http(ip, self.control, method, path, body=body)
+            status, _ = await self.http(ip, self.control_port, method, path, body=body)
             if status == 200:
                 return True
         return False
 
-    async def read_version(self, timeout_s=START_S):
-        """Return the version in force as a control host confirms it."""
-        found = []
+    async def read_version(self, timeout_s=START_TIMEOUT_S):
+        """Return the configuration version that a control host confirms."""
+        confirmed = []
 
-        async def is_read():
+        async def read_from_any():
             for ip in MACHINES:
-                status, body = await self.http(ip, self.control, "GET", "/api/config")
+                status, body = await self.http(
+                    ip, self.control_port, "GET", "/api/config"
+                )
                 if status == 200:
-                    found.append(msgspec.json.decode(body)["Version"])
+                    confirmed.append(msgspec.json.decode(body)["Version"])
                     return True
             return False
 
-        await self.until(is_read, timeout_s)
-        return found[0]
+        await self.wait_until(read_from_any, timeout_s)
+        return confirmed[0]
 
-    async def until(self, condition, timeout_s=START_S):
+    async def wait_until(self, condition, timeout_s=START_TIMEOUT_S):
         async with asyncio.timeout(timeout_s):
             while not await condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
-    async def is_ready(self, number, wanted=200):
-        status, _ = await self.http(MACHINES[number], self.ready, "GET", "/api/ready")
-        return status == wanted
+    async def is_ready(self, number, expected_status=200):
+        status, _ = await self.http(
+            MACHINES[number], self.ready_port, "GET", "/api/ready"
+        )
+        return status == expected_status
 
-    async def ask(self, number, path="/a/x", headers=(), key="k"):
+    async def send_call(self, number, path="/a/x", headers=(), key="k"):
         lines = ["x-attempt-id: a1", f"authorization: Bearer {key}", *headers]
-        return await self.http(MACHINES[number], self.front, "POST", path, lines)
+        return await self.http(MACHINES[number], self.front_port, "POST", path, lines)
 
     async def http(self, ip, port, method, path, headers=(), body=b""):
-        """Return status and body; status 0 without an answer."""
+        """Send a request; return status and body, status 0 without a response."""
         try:
             reader, writer = await asyncio.open_connection(ip, port)
             lines = [f"{method} {path} HTTP/1.1", "host: h.example", *headers]
@@ -252,20 +268,20 @@
         except (OSError, IndexError, TimeoutError):
             return 0, b""
 
-    async def _list(self, reader, writer):
+    async def _serve_list(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         entries = []
-        for item in self.listed():
+        for backend in self.listed_backends():
             entry = {
-                "Id": item.name,
-                "Service": item.service,
-                "Address": item.address,
+                "Id": backend.name,
+                "Service": backend.service,
+                "Address": backend.address,
                 "Zone": "west",
                 "Slots": 64,
-                "State": "draining" if item.name in self.leaving else "ready",
+                "State": "draining" if backend.name in self.leaving else "ready",
             }
-            if item.stage is not None:
-                entry["Phase"] = item.stage.value
+            if backend.stage is not None:
+                entry["Phase"] = backend.stage.value
             entries.append(entry)
         entries.append({"Id": 3})
         body = msgspec.json.encode({"Instances": entries, "Next": None})
