--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -283,6 +283,7 @@
             if backend.stage is not None:
                 entry["Phase"] = backend.stage.value
             entries.append(entry)
+        # An invalid entry, which the programs have to ignore.
         entries.append({"Id": 3})
         body = msgspec.json.encode({"Instances": entries, "Next": None})
         writer.write(
