--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -194,10 +194,10 @@
         forwarding: Coroutine[Any, Any, None],
     ) -> None:
         """Run until the response is complete, the caller leaves or a timeout."""
-        async with exchange.watched() as caller_gone:
+        async with exchange.watch_disconnect() as caller_gone:
             task = asyncio.ensure_future(forwarding)
             pending: set[asyncio.Future[Any]] = {task, caller_gone}
-            exchange.is_watched = True
+            exchange.has_stall_check = True
             first_completed = asyncio.FIRST_COMPLETED
             try:
                 timeout_s = max(0.0, admitted.route_remaining_s)
@@ -213,7 +213,7 @@
                         return_when=first_completed,
                     )
             finally:
-                exchange.is_watched = False
+                exchange.has_stall_check = False
                 if not task.done():
                     task.cancel()
                     await asyncio.wait({task})
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -299,7 +299,7 @@
         await self._answer_service(exchange, route_call)
 
     async def _answer_service(self, exchange: Exchange, call: RouteCall) -> None:
-        async with exchange.watched() as gone:
+        async with exchange.watch_disconnect() as gone:
             work = asyncio.ensure_future(self._front.call_service(call))
             try:
                 waits: set[asyncio.Future[Any]] = {work, gone}
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -73,7 +73,7 @@
     ----------
     started : bool
         Whether the answer has begun.
-    is_watched : bool
+    has_stall_check : bool
         Whether `stalled` is asked regularly; a timer for each write is costly.
     """
 
@@ -99,7 +99,7 @@
         }
         self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION)
         self.started = False
-        self.is_watched = False
+        self.has_stall_check = False
         self._writing_since_s = float("inf")
 
     def check_headers(self, limit_bytes: int = _HEADERS_LIMIT_BYTES) -> None:
@@ -130,7 +130,7 @@
             raise RequestError(Failure(ErrorKind.BODY_TIMEOUT)) from None
 
     @asynccontextmanager
-    async def watched(self) -> AsyncIterator[asyncio.Task[None]]:
+    async def watch_disconnect(self) -> AsyncIterator[asyncio.Task[None]]:
         """Give a task that ends when the caller disconnects."""
         task = asyncio.get_running_loop().create_task(self._disconnected())
         try:
@@ -175,7 +175,7 @@
         loop = asyncio.get_running_loop()
         self._writing_since_s = loop.time()
         try:
-            if self.is_watched:
+            if self.has_stall_check:
                 await self._send(message)
             else:
                 async with asyncio.timeout(self._limits.write_wait_s):
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -26,9 +26,9 @@
     key_works: Callable[[], bool],
 ) -> None:
     """Run `work` until the caller disconnects or its key is withdrawn."""
-    async with exchange.watched() as gone:
+    async with exchange.watch_disconnect() as gone:
         task = asyncio.ensure_future(work)
-        exchange.is_watched = True
+        exchange.has_stall_check = True
         try:
             while not task.done():
                 waits: set[asyncio.Future[Any]] = {task, gone}
@@ -38,7 +38,7 @@
                 if not task.done():
                     _check(exchange, gone, key_works)
         finally:
-            exchange.is_watched = False
+            exchange.has_stall_check = False
             task.cancel()
             await asyncio.wait({task})
         await task
