--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -12,7 +12,6 @@
 from damaskridge.adapters.front import Front
 from damaskridge.adapters.front_call import ModelCall, RunningCall
 from damaskridge.adapters.front_services import RouteCall
-from damaskridge.adapters.http.answers import AnswerForm, error_event
 from damaskridge.adapters.http.bodies import (
     ChatBody,
     CompletionBody,
@@ -37,6 +36,7 @@
     Send,
 )
 from damaskridge.adapters.http.relay import send_events, send_whole, while_watched
+from damaskridge.adapters.http.responses import AnswerForm, error_event
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.core.requests.messages import RequestSpec
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from damaskridge.adapters.http.answers import error_body, retry_after_header
 from damaskridge.adapters.http.bodies import RequestError
+from damaskridge.adapters.http.responses import error_body, retry_after_header
 from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = [
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from damaskridge.adapters.front_context import closing
-from damaskridge.adapters.http.answers import AnswerForm
 from damaskridge.adapters.http.exchange import CallerGone, Exchange
+from damaskridge.adapters.http.responses import AnswerForm
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure, RunState
--- a/src/damaskridge/binaries/http_server.py
+++ b/src/damaskridge/binaries/http_server.py
@@ -13,8 +13,8 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from damaskridge.adapters.addresses import split_address
-from damaskridge.adapters.http.answers import error_body
 from damaskridge.adapters.http.exchange import ABORT_EXTENSION
+from damaskridge.adapters.http.responses import error_body
 from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = ["HttpServer", "listen"]
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -14,7 +14,7 @@
     ResponseMetadata,
     SendOptions,
 )
-from damaskridge.adapters.http.answers import error_body
+from damaskridge.adapters.http.responses import error_body
 from damaskridge.model.errors import ErrorKind, Failure
 
 __all__ = ["PlatformDialect"]
