Name the flag of an exchange by what its writes rely on

has_stall_check was wrong for the gateway, which limits the time of the whole request and does not poll for a stalled caller: has_external_timeout.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -197,7 +197,7 @@
         async with exchange.watch_disconnect() as caller_gone:
             task = asyncio.ensure_future(forwarding)
             pending: set[asyncio.Future[Any]] = {task, caller_gone}
-            exchange.has_stall_check = True
+            exchange.has_external_timeout = True
             first_completed = asyncio.FIRST_COMPLETED
             try:
                 timeout_s = max(0.0, admitted.route_remaining_s)
@@ -213,7 +213,7 @@
                         return_when=first_completed,
                     )
             finally:
-                exchange.has_stall_check = False
+                exchange.has_external_timeout = False
                 if not task.done():
                     task.cancel()
                     await asyncio.wait({task})
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -73,7 +73,7 @@
     ----------
     started : bool
         Whether the answer has begun.
-    has_stall_check : bool
+    has_external_timeout : bool
         Whether `stalled` is asked regularly; a timer for each write is costly.
     """
 
@@ -99,7 +99,7 @@
         }
         self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION)
         self.started = False
-        self.has_stall_check = False
+        self.has_external_timeout = False
         self._writing_since_s = float("inf")
 
     def check_headers(self, limit_bytes: int = _HEADERS_LIMIT_BYTES) -> None:
@@ -175,7 +175,7 @@
         loop = asyncio.get_running_loop()
         self._writing_since_s = loop.time()
         try:
-            if self.has_stall_check:
+            if self.has_external_timeout:
                 await self._send(message)
             else:
                 async with asyncio.timeout(self._limits.write_wait_s):
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -28,7 +28,7 @@
     """Run `work` until the caller disconnects or its key is withdrawn."""
     async with exchange.watch_disconnect() as gone:
         task = asyncio.ensure_future(work)
-        exchange.has_stall_check = True
+        exchange.has_external_timeout = True
         try:
             while not task.done():
                 waits: set[asyncio.Future[Any]] = {task, gone}
@@ -38,7 +38,7 @@
                 if not task.done():
                     _check(exchange, gone, key_works)
         finally:
-            exchange.has_stall_check = False
+            exchange.has_external_timeout = False
             task.cancel()
             await asyncio.wait({task})
         await task
