Reword the HTTP adapter and its tests

Names and comments were figurative (mentions, stripped, named, while_watched) or said answer for response. They now use the terms of HTTP; a few doc comments also name the exceptions that are raised. Texts sent to callers are unchanged.

--- a/src/damaskridge/adapters/http/__init__.py
+++ b/src/damaskridge/adapters/http/__init__.py
@@ -1,1 +1,1 @@
-"""The callers' side: a plain ASGI application."""
+"""The HTTP interface for callers and operators, as plain ASGI applications."""
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -1,4 +1,4 @@
-"""The ASGI application for callers; see docs/callers.md."""
+"""The ASGI application for callers; `docs/callers.md` describes its interface."""
 
 import asyncio
 import hashlib
@@ -22,10 +22,10 @@
 )
 from damaskridge.adapters.http.credentials import (
     bearer_key,
+    contains_key,
+    forwarded_headers,
     key_digest,
-    mentions,
     strip_query,
-    stripped,
 )
 from damaskridge.adapters.http.exchange import (
     CallerGone,
@@ -35,8 +35,12 @@
     Scope,
     Send,
 )
-from damaskridge.adapters.http.relay import send_events, send_whole, while_watched
-from damaskridge.adapters.http.responses import AnswerForm, error_event
+from damaskridge.adapters.http.relay import (
+    run_while_connected,
+    send_complete,
+    send_events,
+)
+from damaskridge.adapters.http.responses import ResponseFormat, error_event
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
 from damaskridge.core.requests.messages import RequestSpec
@@ -48,13 +52,13 @@
 __all__ = ["CallerApp"]
 
 _logger = logging.getLogger(__name__)
-_IDEMPOTENCY_KEY_LIMIT = 255
-_UNEXPECTED = {"event_number": EventNumber.UNEXPECTED_ERROR}
+_MAX_IDEMPOTENCY_KEY_LENGTH = 255
+_UNEXPECTED_ERROR_EVENT = {"event_number": EventNumber.UNEXPECTED_ERROR}
 
 
 class CallerApp:
     """
-    Answers callers.
+    Serves the requests of callers.
 
     Parameters
     ----------
@@ -74,7 +78,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await _handle_lifespan(receive, send)
         elif scope["type"] == "http":
             front = self._front
             request_id = front.next_request_id()
@@ -92,12 +96,12 @@
                 _log_refusal(exchange, error.failure)
                 await self._refuse(exchange, error.failure)
             except StreamFailed as error:
-                # The request's own end has been logged by its front.
+                # The front has already logged the end of the request.
                 await self._refuse(exchange, error.failure)
             except CallerGone:
                 raise
             except Exception:
-                _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
+                _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED_ERROR_EVENT)
                 await self._refuse(exchange, Failure(ErrorKind.INTERNAL))
         except CallerGone as gone:
             if gone.too_slow:
@@ -119,22 +123,22 @@
     async def _route(self, exchange: Exchange) -> None:
         path = exchange.path
         if path == "/v1/chat/completions":
-            _expect(exchange, "POST")
-            await self._model_call(exchange, ChatBody)
+            _require_method(exchange, "POST")
+            await self._handle_model_call(exchange, ChatBody)
         elif path == "/v1/completions":
-            _expect(exchange, "POST")
-            await self._model_call(exchange, CompletionBody)
+            _require_method(exchange, "POST")
+            await self._handle_model_call(exchange, CompletionBody)
         elif path == "/v1/models":
-            _expect(exchange, "GET")
-            await self._models(exchange)
+            _require_method(exchange, "GET")
+            await self._list_models(exchange)
         elif path == "/v1/addresses":
-            _expect(exchange, "GET")
-            await self._addresses(exchange)
+            _require_method(exchange, "GET")
+            await self._list_addresses(exchange)
         elif path.startswith("/v1/requests/") and path.endswith("/stream"):
-            _expect(exchange, "GET")
-            await self._resume(exchange)
+            _require_method(exchange, "GET")
+            await self._handle_resume(exchange)
         elif path.startswith("/services/"):
-            await self._service(exchange)
+            await self._handle_service_call(exchange)
         else:
             raise RequestError(Failure(ErrorKind.UNKNOWN_ROUTE))
 
@@ -147,16 +151,16 @@
             raise RequestError(workspace.err_value)
         return workspace.ok_value, key.ok_value
 
-    async def _addresses(self, exchange: Exchange) -> None:
+    async def _list_addresses(self, exchange: Exchange) -> None:
         front = self._front
         addresses = caller_addresses_for(front.fleet, front.context.data_centre)
         session = front.fleet.sessions.get(front.context.host)
         if front.draining and session is not None:
             addresses = [item for item in addresses if item != session.caller_address]
         body = {"addresses": addresses, "keep_s": front.settings.keep_s}
-        await exchange.answer(200, msgspec.json.encode(body))
+        await exchange.respond(200, msgspec.json.encode(body))
 
-    async def _models(self, exchange: Exchange) -> None:
+    async def _list_models(self, exchange: Exchange) -> None:
         self._authorize(exchange)
         data = [
             {
@@ -167,22 +171,22 @@
             for model in self._front.fleet.bundle.models
         ]
         body = {"object": "list", "data": data}
-        await exchange.answer(200, msgspec.json.encode(body))
+        await exchange.respond(200, msgspec.json.encode(body))
 
-    async def _model_call(
-        self, exchange: Exchange, kind: type[ChatBody] | type[CompletionBody]
+    async def _handle_model_call(
+        self, exchange: Exchange, body_type: type[ChatBody] | type[CompletionBody]
     ) -> None:
         workspace, key = self._authorize(exchange)
         check_encoding(exchange.headers)
         raw = await exchange.body()
-        body: ChatBody | CompletionBody = decode_body(kind, raw)
-        # The key may have been withdrawn while a slow body arrived.
+        body: ChatBody | CompletionBody = decode_body(body_type, raw)
+        # The key may have been withdrawn while the body was received.
         self._authorize(exchange)
         model = self._front.context.index.model(self._front.fleet, body.model)
         if model is None:
             raise RequestError(Failure(ErrorKind.UNKNOWN_MODEL))
         text = body.text
-        if mentions(text, key):
+        if contains_key(text, key):
             raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
         spec = RequestSpec(
             request_id=exchange.request_id,
@@ -192,7 +196,7 @@
             max_output_tokens=output_limit(
                 model,
                 text,
-                body.limit_tokens,
+                body.requested_output_tokens,
                 self._front.settings.default_output_tokens,
             ),
         )
@@ -209,52 +213,59 @@
         accepted = self._front.accept(call)
         if isinstance(accepted, Err):
             raise RequestError(accepted.err_value)
-        chat = kind is ChatBody
-        form = AnswerForm(chat=chat, completion=not chat, model=model.name)
-        await self._answer_call(exchange, accepted.ok_value, form)
+        chat = body_type is ChatBody
+        response_format = ResponseFormat(
+            chat=chat, completion=not chat, model=model.name
+        )
+        await self._send_model_response(exchange, accepted.ok_value, response_format)
 
-    async def _answer_call(
-        self, exchange: Exchange, running: RunningCall, form: AnswerForm
+    async def _send_model_response(
+        self, exchange: Exchange, running: RunningCall, response_format: ResponseFormat
     ) -> None:
-        def named() -> None:
+        def adopt_request_id() -> None:
             if running.original is not None:
                 exchange.request_id = running.original.request_id
 
         def key_works() -> bool:
-            # The front ends its own requests and knows whether they have run.
-            local = running.original is None
-            return local or self._front.key_works(running.call.key_digest)
+            # The front ends the requests that it runs itself when their key is
+            # withdrawn, since it knows whether they have run.
+            is_own_request = running.original is None
+            return is_own_request or self._front.key_works(running.call.key_digest)
 
         chunks = self._front.output(running)
         if running.call.streaming:
-            work = send_events(exchange, chunks, form, named)
+            work = send_events(exchange, chunks, response_format, adopt_request_id)
         else:
             tokens = running.call.spec.prompt_tokens
-            work = send_whole(exchange, chunks, form, tokens, named)
+            work = send_complete(
+                exchange, chunks, response_format, tokens, adopt_request_id
+            )
         try:
-            await while_watched(exchange, work, key_works)
+            await run_while_connected(exchange, work, key_works)
         except CallerGone as gone:
             if gone.too_slow:
                 running.cancel(Failure(ErrorKind.CALLER_TOO_SLOW))
             raise
         except StreamFailed:
-            named()
+            adopt_request_id()
             raise
 
-    async def _resume(self, exchange: Exchange) -> None:
+    async def _handle_resume(self, exchange: Exchange) -> None:
         workspace, key = self._authorize(exchange)
         request_id = exchange.path.removeprefix("/v1/requests/")
         request_id = request_id.removesuffix("/stream")
         exchange.request_id = request_id[:200].encode("ascii", "replace").decode()
         if not exchange.request_id.isprintable():
             raise RequestError(Failure(ErrorKind.UNKNOWN_REQUEST))
-        offset = _offset(exchange)
+        offset = _requested_offset(exchange)
         stream = self._front.resume(request_id, workspace, offset)
         digest = key_digest(key)
-        form = AnswerForm(chat=True, completion=True)
-        work = send_events(exchange, stream, form, lambda: None)
+        response_format = ResponseFormat(chat=True, completion=True)
+        work = send_events(exchange, stream, response_format, lambda: None)
         try:
-            await while_watched(exchange, work, lambda: self._front.key_works(digest))
+            await run_while_connected(
+                exchange, work, lambda: self._front.key_works(digest)
+            )
         except CallerGone as gone:
             if gone.too_slow:
                 self._front.cancel(request_id)
@@ -264,7 +275,7 @@
                 raise
             raise RequestError(error.failure) from None
 
-    async def _service(self, exchange: Exchange) -> None:
+    async def _handle_service_call(self, exchange: Exchange) -> None:
         _, _, rest = exchange.path.partition("/services/")
         name, _, path = rest.partition("/")
         route = self._front.context.index.route(self._front.fleet, name, path)
@@ -273,9 +284,11 @@
         workspace, key = "", ""
         if not route.open_to_all:
             workspace, key = self._authorize(exchange)
-        keys = _keys_of(exchange)
+        keys = _authorization_keys(exchange)
         raw = await exchange.body()
-        if any(mentions(path, item) or item.encode("latin-1") in raw for item in keys):
+        if any(
+            contains_key(path, item) or item.encode("latin-1") in raw for item in keys
+        ):
             raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
         if not route.open_to_all:
             self._authorize(exchange)
@@ -284,7 +297,7 @@
         call = ServiceCall(
             method=exchange.method,
             path=quoted + (f"?{query}" if query else ""),
-            headers=stripped(exchange.raw_headers, keys),
+            headers=forwarded_headers(exchange.raw_headers, keys),
             body=raw,
         )
         route_call = RouteCall(
@@ -296,14 +309,14 @@
             idempotency_key=_idempotency_key(exchange, *keys),
             body_digest=_digest(call.method, call.path, raw),
         )
-        await self._answer_service(exchange, route_call)
+        await self._send_service_response(exchange, route_call)
 
-    async def _answer_service(self, exchange: Exchange, call: RouteCall) -> None:
-        async with exchange.watch_disconnect() as gone:
+    async def _send_service_response(self, exchange: Exchange, call: RouteCall) -> None:
+        async with exchange.watch_disconnect() as disconnect:
             work = asyncio.ensure_future(self._front.call_service(call))
             try:
-                waits: set[asyncio.Future[Any]] = {work, gone}
-                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                pending: set[asyncio.Future[Any]] = {work, disconnect}
+                await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
                 if not work.done():
                     raise CallerGone
             finally:
@@ -311,9 +324,9 @@
         result = work.result()
         if isinstance(result, Err):
             raise StreamFailed(result.err_value)
-        answer = result.ok_value
-        content_type = answer.content_type.encode("latin-1", "replace")
-        await exchange.answer(answer.status, answer.body, content_type)
+        response = result.ok_value
+        content_type = response.content_type.encode("latin-1", "replace")
+        await exchange.respond(response.status, response.body, content_type)
 
 
 def _log_refusal(exchange: Exchange, failure: Failure) -> None:
@@ -327,7 +340,7 @@
     )
 
 
-async def _lifespan(receive: Receive, send: Send) -> None:
+async def _handle_lifespan(receive: Receive, send: Send) -> None:
     while True:
         message = await receive()
         await send({"type": f"{message['type']}.complete"})
@@ -335,7 +348,7 @@
             return
 
 
-def _expect(exchange: Exchange, method: str) -> None:
+def _require_method(exchange: Exchange, method: str) -> None:
     if exchange.method != method:
         raise RequestError(Failure(ErrorKind.METHOD_NOT_ALLOWED, f"use {method}"))
 
@@ -348,7 +361,7 @@
     return digest.hexdigest()
 
 
-def _keys_of(exchange: Exchange) -> list[str]:
+def _authorization_keys(exchange: Exchange) -> list[str]:
     keys: list[str] = []
     for name, value in exchange.raw_headers:
         if name.lower() == b"authorization":
@@ -358,16 +371,18 @@
 
 def _idempotency_key(exchange: Exchange, *keys: str) -> str:
     value = exchange.headers.get("idempotency-key", "").strip()
-    if len(value) > _IDEMPOTENCY_KEY_LIMIT or any(mentions(value, key) for key in keys):
+    if len(value) > _MAX_IDEMPOTENCY_KEY_LENGTH or any(
+        contains_key(value, key) for key in keys
+    ):
         raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "idempotency-key"))
     return value
 
 
-def _offset(exchange: Exchange) -> int:
-    """Return the first offset wanted: after `Last-Event-ID`, or ``offset``."""
-    last = exchange.headers.get("last-event-id", "")
+def _requested_offset(exchange: Exchange) -> int:
+    """Return the offset to resume at: after ``Last-Event-ID``, else ``offset``."""
+    last_event_id = exchange.headers.get("last-event-id", "")
     values = parse_qs(exchange.query).get("offset", [])
-    text = last or (values[0] if values else "0")
+    text = last_event_id or (values[0] if values else "0")
     if not (text.isascii() and text.isdecimal() and len(text) < 10):
         raise RequestError(Failure(ErrorKind.INVALID_OFFSET))
-    return int(text) + 1 if last else int(text)
+    return int(text) + 1 if last_event_id else int(text)
--- a/src/damaskridge/adapters/http/bodies.py
+++ b/src/damaskridge/adapters/http/bodies.py
@@ -1,4 +1,4 @@
-"""Decodes and checks the bodies of callers' requests to models.
+"""Decoding and validation of the bodies of model requests.
 
 >>> decode_body(CompletionBody, b'{"model": "m", "prompt": "p"}').prompt
 'p'
@@ -14,32 +14,32 @@
 
 __all__ = [
     "ChatBody",
+    "ChatMessage",
     "CompletionBody",
-    "Message",
     "RequestError",
     "check_encoding",
     "decode_body",
     "output_limit",
 ]
 
-_MESSAGES_LIMIT = 4096
-_OUTPUT_LIMIT = 1_000_000
+_MAX_MESSAGES = 4096
+_MAX_OUTPUT_TOKENS = 1_000_000
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-Tokens = Annotated[int, msgspec.Meta(ge=1, le=_OUTPUT_LIMIT)]
+TokenCount = Annotated[int, msgspec.Meta(ge=1, le=_MAX_OUTPUT_TOKENS)]
 
 T = TypeVar("T")
 
 
 class RequestError(Exception):
-    """A request is refused."""
+    """The request is refused with `failure`."""
 
     def __init__(self, failure: Failure) -> None:
         super().__init__(failure.kind.value)
         self.failure = failure
 
 
-class Message(msgspec.Struct, frozen=True):
+class ChatMessage(msgspec.Struct, frozen=True):
     """One message of a conversation."""
 
     role: Name
@@ -51,21 +51,21 @@
 
     model: Name
     messages: Annotated[
-        list[Message], msgspec.Meta(min_length=1, max_length=_MESSAGES_LIMIT)
+        list[ChatMessage], msgspec.Meta(min_length=1, max_length=_MAX_MESSAGES)
     ]
-    max_tokens: Tokens | None = None
-    max_completion_tokens: Tokens | None = None
+    max_tokens: TokenCount | None = None
+    max_completion_tokens: TokenCount | None = None
     stream: bool = False
 
     @property
     def text(self) -> str:
-        """The conversation as one prompt."""
+        """The conversation as a single prompt."""
         lines = [f"{message.role}: {message.content}\n" for message in self.messages]
         return "".join(lines) + "assistant:"
 
     @property
-    def limit_tokens(self) -> int | None:
-        """Most output tokens, if the caller names them."""
+    def requested_output_tokens(self) -> int | None:
+        """The caller's limit of output tokens, or None."""
         return self.max_completion_tokens or self.max_tokens
 
 
@@ -74,7 +74,7 @@
 
     model: Name
     prompt: Annotated[str, msgspec.Meta(min_length=1)]
-    max_tokens: Tokens | None = None
+    max_tokens: TokenCount | None = None
     stream: bool = False
 
     @property
@@ -83,25 +83,25 @@
         return self.prompt
 
     @property
-    def limit_tokens(self) -> int | None:
-        """Most output tokens, if the caller names them."""
+    def requested_output_tokens(self) -> int | None:
+        """The caller's limit of output tokens, or None."""
         return self.max_tokens
 
 
 def check_encoding(headers: dict[str, str]) -> None:
-    """Refuse bodies that are compressed or not UTF-8."""
-    coding = headers.get("content-encoding", "identity").strip().lower()
+    """Raise `RequestError` if the headers declare a compressed or non-UTF-8 body."""
+    content_encoding = headers.get("content-encoding", "identity").strip().lower()
     _, _, parameters = headers.get("content-type", "").lower().partition("charset=")
     charset = parameters.split(";")[0].strip(" \"'") or "utf-8"
-    if coding != "identity" or charset not in ("utf-8", "utf8", "us-ascii"):
+    if content_encoding != "identity" or charset not in ("utf-8", "utf8", "us-ascii"):
         raise RequestError(Failure(ErrorKind.INVALID_ENCODING, "only plain UTF-8"))
 
 
-def decode_body(kind: type[T], body: bytes) -> T:
-    """Return the decoded body; raises `RequestError`."""
+def decode_body(body_type: type[T], body: bytes) -> T:
+    """Decode and validate a body; raise `RequestError` if it is invalid."""
     try:
         body.decode()
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(body, type=body_type)
     except UnicodeDecodeError as error:
         failure = Failure(ErrorKind.INVALID_ENCODING, f"byte {error.start}")
     except msgspec.ValidationError as error:
@@ -112,11 +112,15 @@
 
 
 def output_limit(
-    model: Model, text: str, wanted_tokens: int | None, default_tokens: int
+    model: Model, text: str, requested_tokens: int | None, default_tokens: int
 ) -> int:
-    """Return the most output tokens; raises `RequestError` if they do not fit."""
-    room_tokens = model.context_tokens - estimate_tokens(text)
-    if room_tokens < (wanted_tokens or 1):
+    """
+    Return the limit of output tokens of a request.
+
+    Raises `RequestError` if prompt and output exceed the context of the model.
+    """
+    available_tokens = model.context_tokens - estimate_tokens(text)
+    if available_tokens < (requested_tokens or 1):
         detail = f"prompt and output exceed {model.context_tokens} tokens"
         raise RequestError(Failure(ErrorKind.INVALID_REQUEST, detail))
-    return wanted_tokens or min(default_tokens, room_tokens)
+    return requested_tokens or min(default_tokens, available_tokens)
--- a/src/damaskridge/adapters/http/credentials.py
+++ b/src/damaskridge/adapters/http/credentials.py
@@ -1,4 +1,4 @@
-"""Keys in requests, and requests without keys.
+"""Extraction of keys from requests, and their removal before forwarding.
 
 >>> bearer_key([(b"authorization", b"Bearer abc")]).ok_value
 'abc'
@@ -16,14 +16,23 @@
 
 from damaskridge.model.errors import ErrorKind, Failure
 
-__all__ = ["Headers", "bearer_key", "key_digest", "mentions", "strip_query", "stripped"]
+__all__ = [
+    "Headers",
+    "bearer_key",
+    "contains_key",
+    "forwarded_headers",
+    "key_digest",
+    "strip_query",
+]
 
 Headers = Iterable[tuple[bytes, bytes]]
 
-_CREDENTIALS = frozenset(
+# Headers that are not forwarded, because they may hold secrets of the caller.
+_CREDENTIAL_HEADERS = frozenset(
     {"authorization", "cookie", "proxy-authorization", "x-api-key"}
 )
-_HOP_BY_HOP = frozenset(
+# Headers that are not forwarded, because they apply to the caller's connection only.
+_CONNECTION_HEADERS = frozenset(
     {
         "connection",
         "content-length",
@@ -40,12 +49,12 @@
 
 
 def key_digest(key: str) -> str:
-    """Return the digest by which a key is known."""
+    """Return the SHA-256 digest under which a key is stored."""
     return hashlib.sha256(key.encode("latin-1")).hexdigest()
 
 
 def bearer_key(headers: Headers) -> Result[str, Failure]:
-    """Return the one key of a request."""
+    """Return the bearer key of a request; more than one distinct key is a failure."""
     keys: set[str] = set()
     for name, value in headers:
         if name.lower() != b"authorization":
@@ -58,28 +67,36 @@
     return Ok(keys.pop()) if keys else Err(Failure(ErrorKind.MISSING_KEY))
 
 
-def mentions(text: str, key: str) -> bool:
-    """Tell whether a text contains a key, plainly or percent-encoded."""
+def contains_key(text: str, key: str) -> bool:
+    """Return whether a text contains a key, verbatim or percent-encoded."""
     return bool(key) and (key in text or key in unquote_plus(text))
 
 
-def stripped(headers: Headers, keys: Iterable[str]) -> dict[str, str]:
-    """Return the headers that a backend server may see."""
+def forwarded_headers(headers: Headers, keys: Iterable[str]) -> dict[str, str]:
+    """
+    Return the headers to forward to a backend server.
+
+    Headers that hold credentials, apply to one connection or contain one of the keys
+    are left out; repeated headers are joined with commas.
+    """
     kept: dict[str, str] = {}
     secrets = list(keys)
     for raw_name, raw_value in headers:
         name, value = raw_name.decode("latin-1").lower(), raw_value.decode("latin-1")
-        if name in _CREDENTIALS or name in _HOP_BY_HOP:
+        if name in _CREDENTIAL_HEADERS or name in _CONNECTION_HEADERS:
             continue
-        if any(mentions(name, key.lower()) or mentions(value, key) for key in secrets):
+        if any(
+            contains_key(name, key.lower()) or contains_key(value, key)
+            for key in secrets
+        ):
             continue
         kept[name] = f"{kept[name]}, {value}" if name in kept else value
     return kept
 
 
 def strip_query(query: str, *keys: str) -> str:
-    """Return the query string without the pairs that contain a key."""
+    """Return the query string without the parameters that contain a key."""
     pairs = [pair for pair in query.split("&") if pair]
     return "&".join(
-        pair for pair in pairs if not any(mentions(pair, key) for key in keys)
+        pair for pair in pairs if not any(contains_key(pair, key) for key in keys)
     )
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP request of a caller and its answer, with bounds on both."""
+"""One HTTP request of a caller and its response, with limits on both."""
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
@@ -24,9 +24,10 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-_HEADERS_LIMIT_BYTES = 32_768
+_MAX_HEADER_BYTES = 32_768
 _JSON = b"application/json"
-# Key in the scope's extensions of a function that drops the connection at once.
+# Key in the ASGI scope's `extensions`: a function that closes the connection at once
+# and discards what is still buffered.
 ABORT_EXTENSION = "damaskridge.abort"
 
 
@@ -34,7 +35,7 @@
     """The caller disconnected, or stopped reading (`too_slow`)."""
 
     def __init__(self, too_slow: bool = False) -> None:
-        super().__init__("caller gone")
+        super().__init__("caller disconnected or stopped reading")
         self.too_slow = too_slow
 
 
@@ -46,9 +47,9 @@
     Parameters
     ----------
     body_limit_bytes, body_wait_s : int, float
-        Largest body, and longest time until it is complete.
+        Maximum size of a request body, and maximum time until it is complete.
     write_wait_s : float
-        Longest time for which the caller may leave its answer unread.
+        Maximum time for which a write may block because the caller does not read.
     """
 
     body_limit_bytes: int
@@ -58,23 +59,25 @@
 
 class Exchange:
     """
-    A request with its answer.
+    A request with its response.
 
     Parameters
     ----------
     scope, receive, send
-        The ASGI connection.
+        The arguments of the ASGI application.
     request_id : str
-        Goes into every answer.
+        Sent in the ``x-request-id`` header of the response.
     limits : ExchangeLimits
-        Times and limits.
+        Limits of size and time.
 
     Attributes
     ----------
     started : bool
-        Whether the answer has begun.
+        Whether the response has started.
     has_external_timeout : bool
-        Whether `stalled` is asked regularly; a timer for each write is costly.
+        Whether the code that runs the exchange limits its time, for example by polling
+        `is_stalled`. Writes then set no timeout of their own, since a timer for each
+        write is costly.
     """
 
     def __init__(
@@ -102,17 +105,17 @@
         self.has_external_timeout = False
         self._writing_since_s = float("inf")
 
-    def check_headers(self, limit_bytes: int = _HEADERS_LIMIT_BYTES) -> None:
-        """Refuse headers over the limit."""
+    def check_headers(self, limit_bytes: int = _MAX_HEADER_BYTES) -> None:
+        """Raise `RequestError` if path, query and headers exceed the limit."""
         size_bytes = sum(len(name) + len(value) for name, value in self.raw_headers)
         if size_bytes + len(self.path) + len(self.query) > limit_bytes:
             raise RequestError(Failure(ErrorKind.HEADERS_TOO_LARGE))
 
     async def body(self) -> bytes:
-        """Return the whole body, within the limits of size and time."""
+        """Receive the whole body; raise `RequestError` if it exceeds a limit."""
         limit_bytes = self._limits.body_limit_bytes
-        declared = self.headers.get("content-length", "0")
-        if declared.isdecimal() and int(declared) > limit_bytes:
+        declared_length = self.headers.get("content-length", "0")
+        if declared_length.isdecimal() and int(declared_length) > limit_bytes:
             raise RequestError(Failure(ErrorKind.BODY_TOO_LARGE))
         body = bytearray()
         try:
@@ -131,45 +134,45 @@
 
     @asynccontextmanager
     async def watch_disconnect(self) -> AsyncIterator[asyncio.Task[None]]:
-        """Give a task that ends when the caller disconnects."""
-        task = asyncio.get_running_loop().create_task(self._disconnected())
+        """Provide a task that finishes when the caller disconnects."""
+        task = asyncio.get_running_loop().create_task(self._wait_for_disconnect())
         try:
             yield task
         finally:
             task.cancel()
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Begin the answer."""
+        """Start the response."""
         self.started = True
         headers = [*headers, (b"x-request-id", self.request_id.encode())]
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await self._write(start)
 
     async def write(self, data: bytes, more: bool = True) -> None:
-        """Send a part of the body; `CallerGone` if the caller does not read it."""
+        """Send a part of the body; raise `CallerGone` if the caller is not reading."""
         body = {"type": "http.response.body", "body": data, "more_body": more}
         await self._write(body)
 
-    async def answer(
+    async def respond(
         self,
         status: int,
         body: bytes,
         content_type: bytes = _JSON,
         headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         length = (b"content-length", str(len(body)).encode())
         await self.start(status, [(b"content-type", content_type), length, *headers])
         await self.write(b"" if self.method == "HEAD" else body, more=False)
 
     async def refuse(self, failure: Failure) -> None:
-        """Send a refusal."""
+        """Send an error response."""
         headers = retry_after_header(failure)
-        # The rest of a body that was not read must not pass for another request.
+        # Otherwise the unread rest of the body would be parsed as the next request.
         if failure.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TIMEOUT):
             headers.append((b"connection", b"close"))
         body = error_body(failure, self.request_id)
-        await self.answer(failure.status, body, headers=tuple(headers))
+        await self.respond(failure.status, body, headers=tuple(headers))
 
     async def _write(self, message: MutableMapping[str, Any]) -> None:
         loop = asyncio.get_running_loop()
@@ -188,19 +191,19 @@
             self._writing_since_s = float("inf")
 
     def abort(self) -> None:
-        """Drop the connection; what the caller has not read is freed."""
+        """Close the connection at once and discard data that is still buffered."""
         if self._abort is not None:
             self._abort()
 
     def now_s(self) -> float:
-        """Return the time on the clock that arrival is measured with."""
+        """Return the time of the event loop's clock."""
         return asyncio.get_running_loop().time()
 
-    def stalled(self) -> bool:
-        """Tell whether the caller has not read for too long."""
+    def is_stalled(self) -> bool:
+        """Return whether a write has been blocked for longer than the limit."""
         now_s = asyncio.get_running_loop().time()
         return now_s - self._writing_since_s >= self._limits.write_wait_s
 
-    async def _disconnected(self) -> None:
+    async def _wait_for_disconnect(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
--- a/src/damaskridge/adapters/http/operators_app.py
+++ b/src/damaskridge/adapters/http/operators_app.py
@@ -1,4 +1,4 @@
-"""The operators' port of every process: metrics, health and readiness."""
+"""The ASGI application for operators: metrics, health and readiness."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
@@ -7,31 +7,35 @@
 
 __all__ = ["operators_app"]
 
-Message = MutableMapping[str, Any]
+AsgiMessage = MutableMapping[str, Any]
 AsgiApp = Callable[
-    [Message, Callable[[], Awaitable[Message]], Callable[[Message], Awaitable[None]]],
+    [
+        AsgiMessage,
+        Callable[[], Awaitable[AsgiMessage]],
+        Callable[[AsgiMessage], Awaitable[None]],
+    ],
     Awaitable[None],
 ]
-METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 def operators_app(metrics: Metrics, is_ready: Callable[[], bool]) -> AsgiApp:
     """
-    Return the ASGI application of the operators' port.
+    Return the ASGI application for the operators' address of a process.
 
     Parameters
     ----------
     metrics : Metrics
-        Shown at ``/metrics``.
+        Served at ``/metrics``.
     is_ready : callable
-        Whether the process does its work; ``/ready`` answers 503 otherwise.
+        Whether the process is ready; ``/ready`` responds with 503 otherwise.
     """
 
-    def answer(method: str, path: str) -> tuple[int, bytes, bytes]:
+    def respond(method: str, path: str) -> tuple[int, bytes, bytes]:
         if method not in ("GET", "HEAD"):
             return 405, b"text/plain", b"method not allowed\n"
         if path == "/metrics":
-            return 200, METRICS_TYPE, metrics.text()
+            return 200, METRICS_CONTENT_TYPE, metrics.text()
         if path == "/health":
             return 200, b"text/plain", b"healthy\n"
         if path == "/ready":
@@ -40,13 +44,13 @@
         return 404, b"text/plain", b"not found\n"
 
     async def app(
-        scope: Message,
-        receive: Callable[[], Awaitable[Message]],
-        send: Callable[[Message], Awaitable[None]],
+        scope: AsgiMessage,
+        receive: Callable[[], Awaitable[AsgiMessage]],
+        send: Callable[[AsgiMessage], Awaitable[None]],
     ) -> None:
         if scope["type"] != "http":
             return
-        status, content_type, body = answer(scope["method"], scope["path"])
+        status, content_type, body = respond(scope["method"], scope["path"])
         headers = [
             (b"content-type", content_type),
             (b"content-length", str(len(body)).encode()),
--- a/src/damaskridge/adapters/http/relay.py
+++ b/src/damaskridge/adapters/http/relay.py
@@ -1,4 +1,4 @@
-"""Relays chunks to a caller while watching the caller and its key."""
+"""Relays output chunks to a caller until it disconnects or loses its key."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Coroutine
@@ -6,37 +6,45 @@
 
 from damaskridge.adapters.front_context import closing
 from damaskridge.adapters.http.exchange import CallerGone, Exchange
-from damaskridge.adapters.http.responses import AnswerForm
+from damaskridge.adapters.http.responses import ResponseFormat
 from damaskridge.adapters.ports import StreamFailed
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 
-__all__ = ["send_events", "send_whole", "while_watched"]
+__all__ = ["run_while_connected", "send_complete", "send_events"]
 
-_KEY_CHECK_S = 1.0
+# Interval of the checks for a withdrawn key and for a stalled caller.
+_CHECK_INTERVAL_S = 1.0
 _EVENT_STREAM = [
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-store"),
 ]
 
 
-async def while_watched(
+async def run_while_connected(
     exchange: Exchange,
     work: Coroutine[Any, Any, None],
     key_works: Callable[[], bool],
 ) -> None:
-    """Run `work` until the caller disconnects or its key is withdrawn."""
-    async with exchange.watch_disconnect() as gone:
+    """
+    Run `work`, and cancel it if the caller leaves or its key is withdrawn.
+
+    Raises `CallerGone` if the caller disconnects or stops reading, and `StreamFailed`
+    if the key is withdrawn.
+    """
+    async with exchange.watch_disconnect() as disconnect:
         task = asyncio.ensure_future(work)
         exchange.has_external_timeout = True
         try:
             while not task.done():
-                waits: set[asyncio.Future[Any]] = {task, gone}
+                pending: set[asyncio.Future[Any]] = {task, disconnect}
                 await asyncio.wait(
-                    waits, timeout=_KEY_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+                    pending,
+                    timeout=_CHECK_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not task.done():
-                    _check(exchange, gone, key_works)
+                    _check_caller(exchange, disconnect, key_works)
         finally:
             exchange.has_external_timeout = False
             task.cancel()
@@ -44,12 +52,12 @@
         await task
 
 
-def _check(
-    exchange: Exchange, gone: asyncio.Task[None], key_works: Callable[[], bool]
+def _check_caller(
+    exchange: Exchange, disconnect: asyncio.Task[None], key_works: Callable[[], bool]
 ) -> None:
-    if gone.done():
+    if disconnect.done():
         raise CallerGone
-    if exchange.stalled():
+    if exchange.is_stalled():
         raise CallerGone(too_slow=True)
     if not key_works():
         run_state = RunState.RAN if exchange.started else RunState.UNKNOWN
@@ -59,38 +67,46 @@
 async def send_events(
     exchange: Exchange,
     chunks: AsyncIterator[DecodeChunk],
-    form: AnswerForm,
-    named: Callable[[], None],
+    response_format: ResponseFormat,
+    adopt_request_id: Callable[[], None],
 ) -> None:
-    """Send chunks as events; `named` is called before the id is used."""
+    """
+    Send chunks as server-sent events, as they arrive.
+
+    `adopt_request_id` is called before the request id is sent: only the first chunk
+    shows whether the output is that of an earlier request with the same idempotency
+    key.
+    """
     async with closing(chunks):
         async for chunk in chunks:
             if not exchange.started:
-                named()
+                adopt_request_id()
                 await exchange.start(200, _EVENT_STREAM)
-            last = chunk.finish_reason is not None
-            await exchange.write(form.event(chunk, exchange.request_id), more=not last)
-            if last:
+            is_last = chunk.finish_reason is not None
+            await exchange.write(
+                response_format.event(chunk, exchange.request_id), more=not is_last
+            )
+            if is_last:
                 return
 
 
-async def send_whole(
+async def send_complete(
     exchange: Exchange,
     chunks: AsyncIterator[DecodeChunk],
-    form: AnswerForm,
+    response_format: ResponseFormat,
     prompt_tokens: int,
-    named: Callable[[], None],
+    adopt_request_id: Callable[[], None],
 ) -> None:
-    """Send the answer in one piece once it is complete."""
+    """Send the response as one JSON body once the output is complete."""
     texts: list[str] = []
     async with closing(chunks):
         async for chunk in chunks:
             if chunk.finish_reason is None:
                 texts.append(chunk.text)
                 continue
-            named()
-            body = form.whole(
+            adopt_request_id()
+            body = response_format.complete_body(
                 texts, chunk.finish_reason, prompt_tokens, exchange.request_id
             )
-            await exchange.answer(200, body)
+            await exchange.respond(200, body)
             return
--- a/src/damaskridge/adapters/http/responses.py
+++ b/src/damaskridge/adapters/http/responses.py
@@ -1,4 +1,4 @@
-"""Forms of answers to callers."""
+"""Bodies and headers of responses to callers."""
 
 import math
 
@@ -7,11 +7,11 @@
 from damaskridge.model.engine import DecodeChunk
 from damaskridge.model.errors import Failure
 
-__all__ = ["AnswerForm", "error_body", "error_event", "retry_after_header"]
+__all__ = ["ResponseFormat", "error_body", "error_event", "retry_after_header"]
 
 
 def error_body(failure: Failure, request_id: str) -> bytes:
-    """Return the JSON of a refusal."""
+    """Return the JSON body of an error response."""
     error = {
         "kind": failure.kind.value,
         "message": failure.detail or failure.kind.value.replace("_", " "),
@@ -23,26 +23,26 @@
 
 
 def error_event(failure: Failure, request_id: str) -> bytes:
-    """Return a refusal in a stream that has begun."""
+    """Return the event that ends a stream with an error after it has started."""
     return b"event: error\ndata: " + error_body(failure, request_id) + b"\n\n"
 
 
 def retry_after_header(failure: Failure) -> list[tuple[bytes, bytes]]:
-    """Return the header for a retry, in whole seconds rounded up."""
+    """Return the ``Retry-After`` header, in whole seconds rounded up, if known."""
     if failure.retry_after_s is None:
         return []
     return [(b"retry-after", str(max(1, math.ceil(failure.retry_after_s))).encode())]
 
 
-class AnswerForm:
+class ResponseFormat:
     """
-    The OpenAI-compatible form of one answer.
+    The OpenAI-compatible format of one response.
 
     Parameters
     ----------
     chat, completion : bool
-        Which form the tokens take; a resumed stream carries both, because the
-        route of the original request is not known to every host.
+        Which fields hold the text of a chunk. A resumed stream has the fields of
+        both, because not every host knows the route of the original request.
     model : str
         Name of the model, if known.
     """
@@ -53,7 +53,7 @@
         self._model = model
 
     def event(self, chunk: DecodeChunk, request_id: str) -> bytes:
-        """Return the event of one chunk; its id is the offset."""
+        """Return the server-sent event of one chunk, with its offset as event id."""
         choice: dict[str, object] = {"index": 0, "finish_reason": chunk.finish_reason}
         if self._chat:
             choice["delta"] = {"content": chunk.text} if chunk.text else {}
@@ -64,10 +64,10 @@
         event = b"id: %d\ndata: %s\n\n" % (chunk.offset, data)
         return event + (b"data: [DONE]\n\n" if chunk.finish_reason else b"")
 
-    def whole(
+    def complete_body(
         self, texts: list[str], finish_reason: str, prompt_tokens: int, request_id: str
     ) -> bytes:
-        """Return the body of an answer that is not streamed."""
+        """Return the body of a response that is not streamed."""
         text = "".join(texts)
         choice: dict[str, object] = {"index": 0, "finish_reason": finish_reason}
         if self._chat:
--- a/tests/adapters/http/test_app.py
+++ b/tests/adapters/http/test_app.py
@@ -1,4 +1,4 @@
-"""Guards against keys that leak, untrue refusals and input that breaks a front."""
+"""Guards against leaked keys, wrong error responses and input that breaks a front."""
 
 import asyncio
 import base64
@@ -14,29 +14,33 @@
     RequestError,
     decode_body,
 )
-from damaskridge.adapters.http.credentials import mentions, strip_query, stripped
+from damaskridge.adapters.http.credentials import (
+    contains_key,
+    forwarded_headers,
+    strip_query,
+)
 from damaskridge.model.errors import ERROR_SPECS, ErrorKind, Failure
 
-GOOD = {"model": "m", "prompt": "p", "max_tokens": 2}
+VALID_BODY = {"model": "m", "prompt": "p", "max_tokens": 2}
 CHAT, COMPLETION = "/v1/chat/completions", "/v1/completions"
 
 
-def two_keys(key):
+def bearer_headers(key):
     return [("authorization", f"Bearer {key}")]
 
 
-BAD = [
+REFUSED_REQUESTS = [
     ("GET", COMPLETION, None, {}, ErrorKind.METHOD_NOT_ALLOWED),
     ("GET", "/nothing", None, {}, ErrorKind.UNKNOWN_ROUTE),
     ("GET", "/services/none/x", None, {}, ErrorKind.UNKNOWN_ROUTE),
-    ("POST", COMPLETION, GOOD, {"key": None}, ErrorKind.MISSING_KEY),
-    ("POST", COMPLETION, GOOD, {"key": "wrong"}, ErrorKind.INVALID_KEY),
-    ("POST", COMPLETION, GOOD, {"key": LOST_KEY}, ErrorKind.KEY_WITHDRAWN),
+    ("POST", COMPLETION, VALID_BODY, {"key": None}, ErrorKind.MISSING_KEY),
+    ("POST", COMPLETION, VALID_BODY, {"key": "wrong"}, ErrorKind.INVALID_KEY),
+    ("POST", COMPLETION, VALID_BODY, {"key": LOST_KEY}, ErrorKind.KEY_WITHDRAWN),
     (
         "POST",
         COMPLETION,
-        GOOD,
-        {"headers": two_keys(OTHER_KEY)},
+        VALID_BODY,
+        {"headers": bearer_headers(OTHER_KEY)},
         ErrorKind.MULTIPLE_KEYS,
     ),
     ("POST", COMPLETION, b"{", {}, ErrorKind.INVALID_JSON),
@@ -45,21 +49,33 @@
     (
         "POST",
         COMPLETION,
-        GOOD,
+        VALID_BODY,
         {"headers": [("content-encoding", "gzip")]},
         ErrorKind.INVALID_ENCODING,
     ),
-    ("POST", COMPLETION, {**GOOD, "prompt": 1}, {}, ErrorKind.INVALID_REQUEST),
-    ("POST", COMPLETION, {**GOOD, "max_tokens": 0}, {}, ErrorKind.INVALID_REQUEST),
-    ("POST", COMPLETION, {**GOOD, "max_tokens": 5000}, {}, ErrorKind.INVALID_REQUEST),
-    ("POST", COMPLETION, {**GOOD, "prompt": KEY}, {}, ErrorKind.INVALID_REQUEST),
+    ("POST", COMPLETION, {**VALID_BODY, "prompt": 1}, {}, ErrorKind.INVALID_REQUEST),
+    (
+        "POST",
+        COMPLETION,
+        {**VALID_BODY, "max_tokens": 0},
+        {},
+        ErrorKind.INVALID_REQUEST,
+    ),
+    (
+        "POST",
+        COMPLETION,
+        {**VALID_BODY, "max_tokens": 5000},
+        {},
+        ErrorKind.INVALID_REQUEST,
+    ),
+    ("POST", COMPLETION, {**VALID_BODY, "prompt": KEY}, {}, ErrorKind.INVALID_REQUEST),
     ("POST", CHAT, {"model": "m", "messages": []}, {}, ErrorKind.INVALID_REQUEST),
-    ("POST", COMPLETION, {**GOOD, "model": "x"}, {}, ErrorKind.UNKNOWN_MODEL),
+    ("POST", COMPLETION, {**VALID_BODY, "model": "x"}, {}, ErrorKind.UNKNOWN_MODEL),
     ("POST", COMPLETION, b"x" * 2_000_000, {}, ErrorKind.BODY_TOO_LARGE),
     (
         "POST",
         COMPLETION,
-        GOOD,
+        VALID_BODY,
         {"headers": [("x", "y" * 40_000)]},
         ErrorKind.HEADERS_TOO_LARGE,
     ),
@@ -76,26 +92,30 @@
 ]
 
 
-@pytest.mark.parametrize(("method", "path", "body", "options", "kind"), BAD)
-def test_bad_input_has_its_own_kind_and_runs_nothing(method, path, body, options, kind):
+@pytest.mark.parametrize(
+    ("method", "path", "body", "options", "kind"), REFUSED_REQUESTS
+)
+def test_invalid_request_is_refused_with_its_error_kind_and_not_run(
+    method, path, body, options, kind
+):
     async def main():
-        found = world()
-        caller = Caller(found.app, method, path, body or b"", **options)
+        env = world()
+        caller = Caller(env.app, method, path, body or b"", **options)
         await caller.task
         assert caller.error["kind"] == kind.value
         assert caller.status == ERROR_SPECS[kind].status
         assert caller.error["run"] == ERROR_SPECS[kind].run_state.value
         assert caller.error["request_id"] == caller.headers["x-request-id"]
-        assert not found.cells.profiles
-        assert not found.services.calls
+        assert not env.cells.profiles
+        assert not env.services.calls
 
     run_paused(main())
 
 
-def test_a_body_of_one_byte_a_second_is_given_up():
+def test_slow_body_times_out():
     async def main():
-        found = world()
-        caller = Caller(found.app, "POST", COMPLETION, None)
+        env = world()
+        caller = Caller(env.app, "POST", COMPLETION, None)
         for _ in range(20):
             part = {"type": "http.request", "body": b" ", "more_body": True}
             caller.parts.put_nowait(part)
@@ -105,11 +125,11 @@
     run_paused(main())
 
 
-def test_a_refusal_says_when_to_retry():
+def test_refusal_has_a_retry_after_header():
     async def main():
-        found = world()
-        found.rates.refusal = Failure(ErrorKind.RATE_EXCEEDED, retry_after_s=1.2)
-        caller = Caller(found.app, "POST", COMPLETION, GOOD)
+        env = world()
+        env.rates.refusal = Failure(ErrorKind.RATE_EXCEEDED, retry_after_s=1.2)
+        caller = Caller(env.app, "POST", COMPLETION, VALID_BODY)
         await caller.task
         assert (caller.status, caller.headers["retry-after"]) == (429, "2")
         assert caller.error["retry_after_s"] == 1.2
@@ -118,9 +138,9 @@
     run_paused(main())
 
 
-def test_no_key_reaches_a_backend_server():
+def test_backend_server_receives_no_key():
     async def main():
-        found = world()
+        env = world()
         headers = [
             ("cookie", "a=b"),
             ("proxy-authorization", "Basic x"),
@@ -131,7 +151,7 @@
         ]
         for path in ("list", "open"):
             caller = Caller(
-                found.app,
+                env.app,
                 "PUT",
                 f"/services/desk/{path}",
                 b"body",
@@ -140,7 +160,7 @@
             )
             await caller.task
             assert caller.status == 200
-        for call in found.services.calls:
+        for call in env.services.calls:
             assert dict(call.headers) == {"x-plain": "kept"}
             assert call.path.endswith("?a=1")
             assert (call.method, call.body) == ("PUT", b"body")
@@ -150,35 +170,35 @@
 
 @settings(derandomize=True, max_examples=200)
 @given(st.lists(st.tuples(st.text("ab-", min_size=1), st.text("ab%61")), max_size=5))
-def test_no_header_or_query_value_with_the_key_is_kept(pairs):
+def test_headers_and_query_pairs_with_the_key_are_removed(pairs):
     raw = [(name.encode(), value.encode()) for name, value in pairs]
-    kept = stripped(raw, ["aab"])
-    assert not any(mentions(text, "aab") for item in kept.items() for text in item)
+    kept = forwarded_headers(raw, ["aab"])
+    assert not any(contains_key(text, "aab") for item in kept.items() for text in item)
     query = "&".join(f"{name}={value}" for name, value in pairs)
     assert "aab" not in strip_query(query, "aab")
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=200) | st.text('{}[]":,mesagprot0-\\u', max_size=80))
-def test_any_body_is_decoded_or_refused(body):
+def test_every_body_is_decoded_or_refused(body):
     data = body if isinstance(body, bytes) else body.encode()
-    for kind in (ChatBody, CompletionBody):
+    for body_type in (ChatBody, CompletionBody):
         try:
-            assert decode_body(kind, data).model
+            assert decode_body(body_type, data).model
         except RequestError as error:
             assert error.failure.kind.value.startswith("invalid_")
 
 
 def test_chat_models_and_addresses():
     async def main():
-        found = world()
+        env = world()
         body = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
-        chat = Caller(found.app, "POST", CHAT, {**body, "max_tokens": 3})
+        chat = Caller(env.app, "POST", CHAT, {**body, "max_tokens": 3})
         await chat.task
         assert chat.json["usage"]["completion_tokens"] == 3
         assert chat.json["id"] == chat.headers["x-request-id"]
-        models = Caller(found.app, "GET", "/v1/models")
-        addresses = Caller(found.app, "GET", "/v1/addresses", key=None)
+        models = Caller(env.app, "GET", "/v1/models")
+        addresses = Caller(env.app, "GET", "/v1/addresses", key=None)
         await asyncio.gather(models.task, addresses.task)
         assert [model["id"] for model in models.json["data"]] == ["m"]
         assert addresses.json == {"addresses": ["h1:80"], "keep_s": 5.0}
@@ -186,6 +206,6 @@
     run_paused(main())
 
 
-def test_keys_in_unusual_spelling_do_not_pass():
+def test_authorization_header_with_an_encoded_key_is_removed():
     coded = base64.b64encode(KEY.encode()).decode()
-    assert stripped([(b"authorization", coded.encode())], [KEY]) == {}
+    assert forwarded_headers([(b"authorization", coded.encode())], [KEY]) == {}
--- a/tests/adapters/http/test_callers_page.py
+++ b/tests/adapters/http/test_callers_page.py
@@ -1,16 +1,18 @@
-"""Guards against a page on callers' errors that differs from the program."""
+"""Checks that the error table in `docs/callers.md` matches `ERROR_SPECS`."""
 
 from pathlib import Path
 
 from damaskridge.model.errors import ERROR_SPECS
 
-PAGE = Path(__file__).parents[3] / "docs" / "callers.md"
+CALLERS_PAGE = Path(__file__).parents[3] / "docs" / "callers.md"
 
 
-def test_the_table_of_errors_is_that_of_the_program():
-    rows = [line for line in PAGE.read_text().splitlines() if line.startswith("| `")]
+def test_error_table_matches_the_error_specs():
+    rows = [
+        line for line in CALLERS_PAGE.read_text().splitlines() if line.startswith("| `")
+    ]
     assert rows == [
-        f"| `{kind.value}` | {answer.status} | `{answer.run_state.value}` | "
-        f"{'yes' if answer.retryable else 'no'} |"
-        for kind, answer in ERROR_SPECS.items()
+        f"| `{kind.value}` | {spec.status} | `{spec.run_state.value}` | "
+        f"{'yes' if spec.retryable else 'no'} |"
+        for kind, spec in ERROR_SPECS.items()
     ]
--- a/tests/adapters/http/test_operators_app.py
+++ b/tests/adapters/http/test_operators_app.py
@@ -1,4 +1,4 @@
-"""The operators' port: readiness that lies, metrics that are not collected."""
+"""Guards against stale readiness, and against metrics that are not collected."""
 
 import anyio
 
@@ -9,7 +9,7 @@
 from damaskridge.model.events import EventNumber
 
 
-def ask(app, path):
+def get(app, path):
     sent = []
 
     async def send(message):
@@ -20,20 +20,20 @@
     return sent[0]["status"], sent[1]["body"].decode()
 
 
-def test_ready_and_metrics_are_read_at_the_request():
+def test_readiness_and_metrics_are_evaluated_on_each_request():
     state = {"ready": False}
     metrics = Metrics()
     metrics.watch("bundle_version", "Bundle", lambda: 7)
     metrics.requests.labels("model", "ok").inc()
     app = operators_app(metrics, lambda: state["ready"])
-    assert ask(app, "/ready")[0] == 503
+    assert get(app, "/ready")[0] == 503
     state["ready"] = True
-    assert ask(app, "/ready")[0] == 200
-    status, text = ask(app, "/metrics")
+    assert get(app, "/ready")[0] == 200
+    status, text = get(app, "/metrics")
     assert status == 200
     assert "damaskridge_bundle_version 7.0" in text
     assert 'damaskridge_requests_total{kind="model",outcome="ok"} 1.0' in text
-    assert ask(app, "/other")[0] == 404
+    assert get(app, "/other")[0] == 404
 
 
 def test_events_are_counted_by_their_fields():
