--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,4 +1,4 @@
-"""Starts a program on the users' platform from a checkout."""
+"""Starts a program for the users' platform from a source checkout."""
 
 import os
 import sys
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -1,4 +1,4 @@
-"""The program of a control host."""
+"""The program `damaskridge-control`, which runs one control host."""
 
 import logging
 import random
@@ -36,11 +36,11 @@
 
 _logger = logging.getLogger("damaskridge.control")
 
-_UNEXPECTED = {"event_number": EventNumber.UNEXPECTED_ERROR}
+_UNEXPECTED_ERROR_EVENT = {"event_number": EventNumber.UNEXPECTED_ERROR}
 
 
 class _StartFailed(Exception):
-    """A setting is valid but cannot be used on this machine."""
+    """A valid setting cannot be applied, such as an address that is in use."""
 
 
 def build_state() -> ControlState:
@@ -75,7 +75,7 @@
     settings : ControlSettings
         Validated settings.
     state : ControlState
-        The empty state that the log feeds.
+        The empty state, to which the entries of the log are applied.
     """
     folder = _open_folder(settings.data_folder)
     node = ControlNode(
@@ -152,7 +152,7 @@
     **options : object
         None other is known.
     """
-    # Fire would run the program before it reports what it does not know.
+    # fire would report unknown arguments only after the program has run.
     if options.pop("help", False):
         print(USAGE)
         return
@@ -184,12 +184,12 @@
     except OSError as error:
         _fail([str(error)], EXIT_FAILURE)
     except Exception as error:
-        _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED)
-        _fail([f"unexpected error: {_innermost(error)!r}"], EXIT_FAILURE)
+        _logger.exception("UNEXPECTED_ERROR", extra=_UNEXPECTED_ERROR_EVENT)
+        _fail([f"unexpected error: {_root_cause(error)!r}"], EXIT_FAILURE)
     log_event(_logger, EventNumber.PROCESS_STOPPED, host=settings.host)
 
 
-def _innermost(error: BaseException) -> BaseException:
+def _root_cause(error: BaseException) -> BaseException:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
--- a/src/damaskridge/binaries/control_settings.py
+++ b/src/damaskridge/binaries/control_settings.py
@@ -28,17 +28,17 @@
     host : str
         Name of this host.
     data_centre : str
-        Where the host is.
+        Data centre of the host.
     rpc_address : str
-        Where the process listens for other processes.
+        Address on which the process listens for RPCs of other processes.
     operators_address : str
-        Where health, readiness and metrics are served.
+        Address on which health, readiness and metrics are served.
     data_folder : Path
         Folder of the replicated log.
     members : dict of str to str
         RPC address of every host of the control group.
     join_as_learner : bool
-        Whether this host only joins an existing group and never forms one.
+        Whether this host only joins an existing group and never bootstraps one.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
--- a/src/damaskridge/binaries/ctl.py
+++ b/src/damaskridge/binaries/ctl.py
@@ -1,7 +1,7 @@
-"""The operators' program `damaskridge-ctl`.
+"""The program `damaskridge-ctl`, with which operators control a fleet.
 
-Exit codes: 0 done, 1 refused, 2 wrong usage or an invalid file, 3 no control host
-answers. Every error is one line on standard error.
+Exit codes: 0 success, 1 refused, 2 wrong usage or an invalid file, 3 no control host
+responds. Every error is one line on standard error.
 """
 
 import sys
@@ -20,8 +20,8 @@
 F = TypeVar("F", bound=Callable[..., Any])
 
 
-def _as_text(*positional: type[str], **named: type[str]) -> Callable[[F], F]:
-    """Keep arguments as they are typed; fire would read ``1e5`` as a number."""
+def _parse_as_text(*positional: type[str], **named: type[str]) -> Callable[[F], F]:
+    """Pass arguments as text; fire would parse ``1e5`` as a number."""
     return cast(Callable[[F], F], SetParseFns(*positional, **named))
 
 
@@ -43,7 +43,7 @@
         Print JSON.
     """
 
-    @_as_text(control=str, operator=str, key_file=str, request_id=str)
+    @_parse_as_text(control=str, operator=str, key_file=str, request_id=str)
     def __init__(
         self,
         *,
@@ -62,27 +62,27 @@
         )
         self._operations = Operations(settings)
 
-    @_as_text(str)
+    @_parse_as_text(str)
     def check(self, file: str) -> None:
         """Check a bundle file and name every fault."""
         self._operations.check(file)
 
-    @_as_text(str)
+    @_parse_as_text(str)
     def diff(self, file: str) -> None:
         """Show what a bundle file changes in the version in force."""
         self._operations.diff(file)
 
-    @_as_text(str)
+    @_parse_as_text(str)
     def propose(self, file: str) -> None:
         """Propose a bundle file; prints the proposal's id."""
         self._operations.propose(file)
 
-    @_as_text(str)
+    @_parse_as_text(str)
     def sign_off(self, proposal: str) -> None:
         """Approve another operator's proposal."""
         self._operations.sign_off(proposal)
 
-    @_as_text(str)
+    @_parse_as_text(str)
     def roll(self, proposal: str, *, expected_version: int) -> None:
         """Put a proposal in force if the expected version is in force now."""
         self._operations.roll(proposal, expected_version)
@@ -99,22 +99,22 @@
         """Show sessions and the owner of every resource."""
         self._operations.leases()
 
-    @_as_text(str, label=str)
+    @_parse_as_text(str, label=str)
     def key_issue(self, workspace: str, *, label: str = "") -> None:
         """Propose a bundle with a new key and print the key once."""
         self._operations.key_issue(workspace, label)
 
-    @_as_text(digest=str)
+    @_parse_as_text(digest=str)
     def key_withdraw(self, *, digest: str = "") -> None:
         """Withdraw a key for good: by its digest, else the key on standard input."""
         self._operations.key_withdraw(digest)
 
-    @_as_text(str, str)
+    @_parse_as_text(str, str)
     def drain(self, target: str, name: str) -> None:
         """Start draining; TARGET is host or backend_server."""
         self._operations.drain(target, name, draining=True)
 
-    @_as_text(str, str)
+    @_parse_as_text(str, str)
     def undrain(self, target: str, name: str) -> None:
         """End draining; TARGET is host or backend_server."""
         self._operations.drain(target, name, draining=False)
@@ -127,8 +127,8 @@
             print("unknown")
 
 
-def _hide_metadata() -> None:
-    """Keep the attribute of `SetParseFns` out of fire's usage texts."""
+def _hide_fire_metadata() -> None:
+    """Hide the attribute that `SetParseFns` adds from fire's usage texts."""
     is_visible = completion.MemberVisible
 
     def is_command(component: object, name: str, *rest: Any, **options: Any) -> bool:
@@ -139,8 +139,8 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
-    """Run the program and exit with its code."""
-    _hide_metadata()
+    """Run the command line; exit with the code of an error."""
+    _hide_fire_metadata()
     try:
         fire.Fire(Ctl, command=arguments, name="damaskridge-ctl")
     except CtlError as error:
--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -1,4 +1,4 @@
-"""What each command of `damaskridge-ctl` does."""
+"""The implementation of the commands of `damaskridge-ctl`."""
 
 import secrets
 import sys
@@ -41,12 +41,12 @@
 
 CALL_TIMEOUT_S = 10.0
 IN_FORCE_TIMEOUT_S = 10.0
-POLL_S = 0.1
+POLL_INTERVAL_S = 0.1
 KEY_BYTES = 32
 
 
 class CtlError(Exception):
-    """Ends the program with `code` and one line."""
+    """An error that ends the program with exit code `code` and one line of text."""
 
     REFUSED = 1
     USAGE = 2
@@ -58,7 +58,7 @@
 
     @classmethod
     def of(cls, failure: Failure) -> "CtlError":
-        """Return the error that a failure stands for."""
+        """Return the error for a failure of a request to the control group."""
         unreachable = failure.kind in (
             ErrorKind.CONTROL_UNAVAILABLE,
             ErrorKind.NOT_LEADER,
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CtlSettings:
-    """The options that every command takes."""
+    """The options that all commands share."""
 
     control: tuple[str, ...]
     operator: str
@@ -82,19 +82,19 @@
 
 
 class Operations:
-    """Runs one command against the control group and prints what came of it."""
+    """Runs commands against the control group and prints their results."""
 
     def __init__(self, settings: CtlSettings) -> None:
         self._settings = settings
 
     def check(self, file: str) -> None:
         """Check a bundle file."""
-        bundle = _load(file)
+        bundle = _load_bundle(file)
         self._print(f"{file}: valid", {"valid": True, "items": _counts(bundle)})
 
     def diff(self, file: str) -> None:
-        """Show the difference from the version in force."""
-        bundle = _load(file)
+        """Show the changes relative to the version in force."""
+        bundle = _load_bundle(file)
         status = self._read_status(with_bundle=True)
         before = status.bundle or Bundle()
         upserted, removed = bundle_difference(before, bundle)
@@ -113,14 +113,14 @@
 
     def propose(self, file: str) -> None:
         """Propose a bundle file."""
-        self._propose(_load(file))
+        self._propose(_load_bundle(file))
 
     def sign_off(self, proposal: str) -> None:
         """Approve a proposal."""
         command = SignOffBundle(
             command_id=self._command_id(), operator=self._operator(), proposal=proposal
         )
-        self._commit(command)
+        self._commit_command(command)
         self._print(f"proposal {proposal} signed off", {"proposal": proposal})
 
     def roll(self, proposal: str, expected_version: int) -> None:
@@ -129,19 +129,19 @@
             command_id=self._command_id(),
             operator=self._operator(),
             proposal=proposal,
-            expected_version=_whole_number("expected-version", expected_version),
+            expected_version=_non_negative_int("expected-version", expected_version),
         )
-        self._report_in_force(int(self._commit(command).value))
+        self._report_in_force(int(self._commit_command(command).value))
 
     def roll_back(self, to_version: int, expected_version: int) -> None:
         """Put an older version's content in force."""
         command = RollBackBundle(
             command_id=self._command_id(),
             operator=self._operator(),
-            to_version=_whole_number("to-version", to_version),
-            expected_version=_whole_number("expected-version", expected_version),
+            to_version=_non_negative_int("to-version", to_version),
+            expected_version=_non_negative_int("expected-version", expected_version),
         )
-        self._report_in_force(int(self._commit(command).value))
+        self._report_in_force(int(self._commit_command(command).value))
 
     def status(self) -> None:
         """Show the status."""
@@ -187,7 +187,7 @@
     def key_issue(self, workspace: str, label: str) -> None:
         """Propose the bundle in force with one more key, and print the key."""
         if self._settings.request_id:
-            # A repeated command must be equal, but the key is stored nowhere.
+            # A retry must send the same command, but the key is not stored anywhere.
             raise CtlError(
                 CtlError.USAGE,
                 "key-issue makes a new key on every run and takes no --request-id; "
@@ -218,7 +218,7 @@
             operator=self._operator(),
             key_digest=digest.lower(),
         )
-        self._commit(command)
+        self._commit_command(command)
         self._print(f"key {digest} withdrawn", {"digest": digest})
 
     def drain(self, target: str, name: str, *, draining: bool) -> None:
@@ -234,7 +234,7 @@
             name=name,
             draining=draining,
         )
-        self._commit(command)
+        self._commit_command(command)
         word = "draining" if draining else "not draining"
         self._print(f"{target} {name} {word}", {"name": name, "draining": draining})
 
@@ -246,7 +246,7 @@
         command = ProposeBundle(
             command_id=command_id, operator=self._operator(), bundle=bundle
         )
-        return self._commit(command).value
+        return self._commit_command(command).value
 
     def _command_id(self) -> str:
         request_id = self._settings.request_id
@@ -269,7 +269,7 @@
             raise CtlError(CtlError.USAGE, "key file: must hold one line with the key")
         return key
 
-    def _commit(self, command: Command) -> CommandResult:
+    def _commit_command(self, command: Command) -> CommandResult:
         async def call(calls: ControlCalls) -> CommandResult:
             return await calls.propose(command, CALL_TIMEOUT_S)
 
@@ -288,7 +288,9 @@
         return status
 
     def _report_in_force(self, version: int) -> None:
-        reached, live, took_s = self._run(lambda calls: _in_force(calls, version))
+        reached, live, took_s = self._run(
+            lambda calls: _wait_until_in_force(calls, version)
+        )
         content = {
             "version": version,
             "hosts_in_force": reached,
@@ -322,8 +324,15 @@
         print(text)
 
 
-async def _in_force(calls: ControlCalls, version: int) -> tuple[int, int, float]:
-    """Return on how many live hosts a version is in force, of how many, and when."""
+async def _wait_until_in_force(
+    calls: ControlCalls, version: int
+) -> tuple[int, int, float]:
+    """
+    Wait until a version is in force on all live hosts, or until the timeout.
+
+    Returns the number of hosts on which it is in force, the number of live hosts and
+    the elapsed seconds.
+    """
     started_s = anyio.current_time()
     reached = live = 0
     with anyio.move_on_after(IN_FORCE_TIMEOUT_S):
@@ -338,11 +347,11 @@
                 )
                 if reached == live:
                     break
-            await anyio.sleep(POLL_S)
+            await anyio.sleep(POLL_INTERVAL_S)
     return reached, live, anyio.current_time() - started_s
 
 
-def _load(file: str) -> Bundle:
+def _load_bundle(file: str) -> Bundle:
     loaded = read_bundle(Path(file))
     if loaded.is_err():
         faults = loaded.unwrap_err()
@@ -356,7 +365,7 @@
     return sha256(key.encode()).hexdigest()
 
 
-def _whole_number(name: str, value: object) -> int:
+def _non_negative_int(name: str, value: object) -> int:
     if type(value) is not int or value < 0:
         raise CtlError(CtlError.USAGE, f"--{name}: must be a whole number")
     return value
--- a/src/damaskridge/binaries/entry.py
+++ b/src/damaskridge/binaries/entry.py
@@ -1,4 +1,4 @@
-"""The entry program: one entry host that serves callers and owns resources."""
+"""The program `damaskridge-entry`, which runs one entry host."""
 
 import inspect
 import sys
@@ -54,7 +54,7 @@
     if check_settings:
         print("settings are valid")
         return
-    # Checking settings must not pay for loading the servers.
+    # Imported late, so that checking settings does not load the servers.
     from damaskridge.binaries.entry_host import run_entry_host
 
     failure = run_entry_host(loaded.ok_value)
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -1,4 +1,4 @@
-"""Wiring and life cycle of one entry host."""
+"""Assembly and life cycle of an entry host."""
 
 import logging
 import random
@@ -44,25 +44,26 @@
 
 logger = logging.getLogger(__name__)
 
-# Two proposals fit in; a hand-over that takes longer is left to the session's end.
+# Enough for two proposals. Resources that are not released by then change their owner
+# when the session ends.
 RELEASE_TIMEOUT_S = 4.0
 CLOSE_TIMEOUT_S = 2.0
-ENGINE_CLIENTS = 4096
+MAX_ENGINE_CLIENTS = 4096
 
 
 class EntryHost:
     """
-    All parts of one entry host.
+    The components of one entry host.
 
     Parameters
     ----------
     settings : EntrySettings
-        The settings.
+        Settings of the host.
     """
 
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
-        # The time alone could repeat after a clock was set back.
+        # The time alone could recur after the clock is set back.
         incarnation = (time.time_ns() // 1_000_000 << 16) | secrets.randbits(16)
         self.control = ControlClient(
             control_addresses=settings.control_addresses,
@@ -76,7 +77,7 @@
         fronts = FrontClient(settings.host, incarnation, self.control, self.channels)
         self.backends = BackendClient()
 
-        @lru_cache(ENGINE_CLIENTS)
+        @lru_cache(MAX_ENGINE_CLIENTS)
         def engine_for(address: str) -> EnginePort:
             return HttpEngine(self.backends, address)
 
@@ -116,7 +117,7 @@
         )
 
     def is_ready(self) -> bool:
-        """Tell whether the host has a bundle and a lease."""
+        """Return whether the host has a bundle and a valid lease."""
         control: ControlPort = self.control
         return control.fleet.version > 0 and lease_is_valid(control)
 
@@ -142,7 +143,7 @@
         self.channels.close()
         await self.backends.close()
         if not drained:
-            # A stray cancellation ends a task group without an error.
+            # An unexpected cancellation ends a task group without an error.
             raise RuntimeError("a part of the host ended without a signal")
 
     async def _serve_callers(self, listener: socket.socket, done: anyio.Event) -> None:
@@ -155,7 +156,7 @@
         drained_s = anyio.current_time() + keep_s
         with anyio.move_on_after(keep_s):
             await self.control.begin_drain()
-        # Callers may use the address until their copy of the answer has expired.
+        # Callers may use the address until their cached list of addresses has expired.
         await anyio.sleep(max(0.0, drained_s - anyio.current_time()))
         self.caller_server.stop()
         self.front.begin_drain()
@@ -211,7 +212,7 @@
 
 
 def run_entry_host(settings: EntrySettings) -> str:
-    """Run an entry host; returns why it failed, or an empty line."""
+    """Run an entry host; return the reason of a failure, or an empty string."""
     configure(settings.host, settings.log_level)
     log_event(logger, EventNumber.PROCESS_STARTED, host=settings.host)
     listeners = []
@@ -228,12 +229,12 @@
     try:
         run_program(run)
     except Exception as error:
-        return _describe(error)
+        return _error_line(error)
     log_event(logger, EventNumber.PROCESS_STOPPED, host=settings.host)
     return ""
 
 
-def _describe(error: BaseException) -> str:
+def _error_line(error: BaseException) -> str:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     text = str(error).splitlines()
--- a/src/damaskridge/binaries/entry_settings.py
+++ b/src/damaskridge/binaries/entry_settings.py
@@ -14,21 +14,21 @@
 
 class FrontLimits(BaseModel):
     """
-    Limits of the front for callers.
+    Limits that the front applies to callers.
 
     Attributes
     ----------
     body_limit_bytes, max_header_bytes : int
-        Longest body and longest request head.
+        Maximum size of a request body and of a request head.
     body_wait_s : float
-        Longest time for which a caller may send its body.
+        Maximum time until a request body is complete.
     rate_wait_s : float
-        Longest time for which a request slightly above the rate waits.
+        Maximum time for which a request slightly above the rate limit waits.
     keep_s : float
-        How long callers may keep the address answer; also how long a draining host
-        serves on.
+        Time for which callers may cache the list of addresses; a draining host accepts
+        requests for as long.
     silence_s : float
-        Time without bytes after which a connection to an engine is replaced.
+        Time without received bytes after which a connection to an engine is replaced.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -48,17 +48,18 @@
     Attributes
     ----------
     host, data_centre : str
-        Name of this host and where it stands.
+        Name and data centre of this host.
     caller_address, peer_address, operators_address : str
-        Where this host listens for callers, entry hosts and operators, ``ip:port``.
+        Addresses on which this host listens for callers, other entry hosts and
+        operators, as ``ip:port``.
     control_addresses : tuple[str, ...]
-        The control group.
+        RPC addresses of the control group.
     host_list_address : str
-        The platform's list of hosts.
+        Address of the platform's list of hosts.
     front : FrontLimits
         Limits for callers.
     log_level : str
-        Least severe level that is logged.
+        Minimum level of logged events.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -1,4 +1,4 @@
-"""Wiring and life cycle of an entry host that forwards opaque requests."""
+"""Assembly and life cycle of an entry host that forwards opaque requests."""
 
 import asyncio
 import logging
@@ -57,55 +57,58 @@
 
 logger = logging.getLogger(__name__)
 
-PRUNE_S = 1.0
-# What others had in flight has ended by then, or will soon.
+PRUNE_INTERVAL_S = 1.0
+# Without updates for this long, the load that other hosts reported is dropped:
+# their requests in flight have ended by then, or will soon.
 LOAD_STALE_S = 3.0
-# A leader is replaced within a second; after that a host reads the list by itself.
+# A leader is replaced within a second. If no leader confirms the instance list for this
+# long, the host reads the list from its source.
 LIST_STALE_S = 2.5
-LIST_PERIOD_S = 2.0
-# So many hosts may read the list by themselves in one second.
-LIST_READERS_PER_S = 8.0
-# Part of the operator's tolerance that a workspace may use at once. The rest covers
-# what hosts admit before they hear of each other.
+LIST_READ_INTERVAL_S = 2.0
+# Limit of reads by all hosts together, while no leader sends the list.
+MAX_LIST_READS_PER_S = 8.0
+# Share of the operator's tolerance that a workspace may use at once. The rest covers
+# what hosts admit before they receive each other's reports.
 QUOTA_SLACK_SHARE = 0.35
-# Part of it by which small requests may overdraw a workspace's bucket.
-SMALL_SLACK_SHARE = 0.35
-# The rest covers arrivals that servers see and this host does not, such as those of a
-# request that it gave up.
+# Share of the tolerance by which small requests may overdraw a workspace's bucket.
+SMALL_REQUEST_SLACK_SHARE = 0.35
+# Share of the permitted retries that hosts use. The rest covers arrivals that servers
+# count and this host does not, such as those of a request that it abandoned.
 RETRY_SHARE = 0.9
-# With fewer hosts in a data centre its callers also get those of the others.
-LEAST_LOCAL_HOSTS = 2
-DRAIN_PROPOSAL_S = 1.5
+# With fewer hosts in a data centre, its callers also get hosts of other data centres.
+MIN_LOCAL_HOSTS = 2
+DRAIN_PROPOSAL_TIMEOUT_S = 1.5
 CLOSE_TIMEOUT_S = 0.3
-# Some callers keep an answer three times as long as they are told.
-TTL_FACTOR = 3.0
-# A request that was sent with the last moment of an address answer.
+# Some callers cache the list of addresses for three times its time to live.
+ADDRESS_TTL_FACTOR = 3.0
+# Time for the arrival of a request that was sent just before the list expired.
 LATE_REQUEST_S = 0.4
-# Streams are finished before the operating system kills the process.
+# Open streams end this long before the operating system kills the process.
 GRACE_MARGIN_S = 0.7
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
     """
-    What a gateway is told at its start.
+    Settings of a gateway host.
 
     Parameters
     ----------
     host, data_centre : str
-        This host and where it stands.
+        Name and data centre of this host.
     caller_address, peer_address : str
         ``ip:port`` for callers and for other hosts.
     control_addresses : tuple of str
         RPC addresses of control hosts.
     address_ttl_s : float
-        How long callers may keep an address answer.
+        Time for which callers may cache the list of addresses.
     grace_s : float
         Time from SIGTERM until the process is killed.
     retry_ratio, retry_allowance, retry_window_s : float
-        Additional sends of all hosts: share of requests, fixed number, window.
+        Limit of retries of all hosts together: as a share of the requests, plus a
+        fixed number, in a time window.
     quota_slack : float
-        Admissions of all hosts beyond a workspace's rate that are tolerated.
+        Tolerated admissions of all hosts together above a workspace's rate.
     """
 
     host: str
@@ -123,16 +126,16 @@
 
 class GatewayHost:
     """
-    All parts of one entry host that forwards requests.
+    The components of one entry host that forwards requests.
 
     Parameters
     ----------
     settings : GatewaySettings
-        The settings.
+        Settings of the host.
     dialect : Dialect
-        What callers and backend servers speak.
+        Protocol of callers and backend servers.
     list_reader : InstanceListReader
-        The list of backend servers, read only while no leader sends it.
+        Reads the list of backend servers, used only while no leader sends it.
     """
 
     def __init__(
@@ -157,9 +160,9 @@
         self.registry = InstanceRegistry()
         self._pool = ConnectionPool()
         self._crashes = CrashWatch()
-        self._copy = InstanceCopy()
+        self._instance_list = InstanceCopy()
         self._host_count = HostCount()
-        self._used_count = HostCount()
+        self._selected_host_count = HostCount()
         self._hosts_needed: dict[str, int] = {}
         self._retries = HostRetryBudget(
             RETRY_SHARE * settings.retry_ratio,
@@ -170,10 +173,10 @@
         self._load = LoadBook(rng)
         self._quota = FleetQuota(
             QUOTA_SLACK_SHARE * settings.quota_slack,
-            SMALL_SLACK_SHARE * settings.quota_slack,
+            SMALL_REQUEST_SLACK_SHARE * settings.quota_slack,
             started_s=anyio.current_time(),
         )
-        self._load_heard_s = float("-inf")
+        self._load_confirmed_s = float("-inf")
         self._reported_leaving: tuple[InstanceId, ...] = ()
         refusals = RefusalTimes(rng)
         gate = RetryGate(self._retries)
@@ -195,18 +198,18 @@
             refusals=refusals,
             crashes=self._crashes,
             rng=rng,
-            on_request=self._earn,
+            on_request=self._record_request,
         )
         self.caller_server = HttpServer(app)
         self.metrics = self._metrics()
-        self.control.on_change(lambda _: self._fleet_changed())
-        self.control.on_instances(self._instances_seen)
-        self.control.on_hosts_needed(self._hosts_needed_changed)
-        self.control.on_crashes(self._crashes_seen)
-        self.control.share_load(self._load_report, self._load_seen)
+        self.control.on_change(lambda _: self._on_fleet_change())
+        self.control.on_instances(self._on_instances)
+        self.control.on_hosts_needed(self._on_hosts_needed)
+        self.control.on_crashes(self._on_crashes)
+        self.control.share_load(self._load_report, self._on_load)
 
     def is_ready(self) -> bool:
-        """Tell whether callers should be sent here."""
+        """Return whether the host has a routing table and is not draining."""
         return self.state.index.table.version > 0 and not self.state.is_draining
 
     def addresses(self, data_centre: str) -> list[str]:
@@ -217,7 +220,7 @@
             for session in live_sessions(fleet)
             if session.data_centre == data_centre
         }
-        if len(local) < LEAST_LOCAL_HOSTS:
+        if len(local) < MIN_LOCAL_HOSTS:
             return caller_addresses_for(fleet, data_centre)
         needed = self._hosts_needed.get(data_centre, len(local))
         return [local[host] for host in chosen_hosts(list(local), needed)]
@@ -229,7 +232,7 @@
     async def run(
         self,
         caller: socket.socket,
-        serve_others: Callable[[anyio.abc.TaskGroup], None],
+        start_services: Callable[[anyio.abc.TaskGroup], None],
     ) -> None:
         """
         Serve until SIGTERM or SIGINT, then drain.
@@ -237,17 +240,17 @@
         Parameters
         ----------
         caller : socket.socket
-            Where callers connect.
-        serve_others : callable
-            Starts what else the process serves, in the task group that it is given.
+            Listening socket for callers.
+        start_services : callable
+            Starts the other servers of the process in the given task group.
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self.control.run)
             group.start_soon(self._prune)
-            group.start_soon(self._keep_list)
+            group.start_soon(self._refresh_list)
             callers_stopped = anyio.Event()
             group.start_soon(self._serve_callers, caller, callers_stopped)
-            serve_others(group)
+            start_services(group)
             log_event(logger, EventNumber.PROCESS_READY, host=self.settings.host)
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
                 async for _ in signals:
@@ -265,44 +268,46 @@
         log_event(logger, EventNumber.PROCESS_DRAINING, host=settings.host)
         started_s = anyio.current_time()
         self.state.is_draining = True
-        with anyio.move_on_after(DRAIN_PROPOSAL_S):
+        with anyio.move_on_after(DRAIN_PROPOSAL_TIMEOUT_S):
             await self.control.begin_drain()
-        keep_s = TTL_FACTOR * settings.address_ttl_s + LATE_REQUEST_S
-        await anyio.sleep(max(0.0, started_s + keep_s - anyio.current_time()))
+        drain_wait_s = ADDRESS_TTL_FACTOR * settings.address_ttl_s + LATE_REQUEST_S
+        await anyio.sleep(max(0.0, started_s + drain_wait_s - anyio.current_time()))
         self.caller_server.stop()
-        left_s = started_s + settings.grace_s - GRACE_MARGIN_S - anyio.current_time()
-        with anyio.move_on_after(max(0.0, left_s)):
+        remaining_s = (
+            started_s + settings.grace_s - GRACE_MARGIN_S - anyio.current_time()
+        )
+        with anyio.move_on_after(max(0.0, remaining_s)):
             await callers_stopped.wait()
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             await self.control.close()
 
-    def _hosts_needed_changed(self, message: HostsNeeded) -> None:
+    def _on_hosts_needed(self, message: HostsNeeded) -> None:
         self._hosts_needed = message.by_data_centre
         self._count_hosts()
 
     def _count_hosts(self) -> None:
-        """Count the hosts, and those that callers are sent to."""
+        """Update the number of hosts and of hosts that are selected for callers."""
         now_s = anyio.current_time()
         names: dict[str, list[str]] = {}
         for session in live_sessions(self.control.fleet):
             names.setdefault(session.data_centre, []).append(session.host)
-        used = {
+        selected = {
             host
             for data_centre, hosts in names.items()
             for host in chosen_hosts(
                 hosts, self._hosts_needed.get(data_centre, len(hosts))
             )
         }
-        every = self._host_count.note(sum(map(len, names.values())), now_s)
-        used_count = self._used_count.note(len(used), now_s)
-        self.state.hosts = every
+        host_count = self._host_count.note(sum(map(len, names.values())), now_s)
+        selected_count = self._selected_host_count.note(len(selected), now_s)
+        self.state.hosts = host_count
         self._retries.share_among(
-            hosts=every,
-            used_hosts=used_count,
-            is_used=self.settings.host in used,
+            hosts=host_count,
+            used_hosts=selected_count,
+            is_used=self.settings.host in selected,
         )
 
-    def _fleet_changed(self) -> None:
+    def _on_fleet_change(self) -> None:
         fleet = self.control.fleet
         self._count_hosts()
         table = fleet.routing
@@ -311,7 +316,7 @@
         self.state.index = RoutingIndex(table)
         self._quota.limits_changed(table.workspaces, anyio.current_time())
         limits = table.limits
-        self.caller_server.limit(
+        self.caller_server.set_limits(
             max_header_bytes=limits.header_bytes,
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
@@ -327,43 +332,50 @@
         load = self._load.unreported(everything=everything)
         usage = self._quota.unreported()
         leaving = self.registry.notices.leaving()
-        news = leaving if everything or leaving != self._reported_leaving else ()
+        leaving_update = (
+            leaving if everything or leaving != self._reported_leaving else ()
+        )
         self._reported_leaving = leaving
         crashes = self._crashes.unreported()
-        if not (load or usage or news or crashes):
+        if not (load or usage or leaving_update or crashes):
             return None
-        return ReportLoad(load=load, usage=usage, leaving=news, crashes=crashes)
+        return ReportLoad(
+            load=load, usage=usage, leaving=leaving_update, crashes=crashes
+        )
 
-    def _crashes_seen(self, message: CrashesSeen) -> None:
+    def _on_crashes(self, message: CrashesSeen) -> None:
         self._crashes.heard(message.crashes, anyio.current_time())
 
-    def _load_seen(self, message: LoadSeen) -> None:
+    def _on_load(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
-        self._load_heard_s = now_s
+        self._load_confirmed_s = now_s
         if message.is_whole:
             self._load.forget_others()
         self._load.others_changed(message.load)
         self._quota.others_admitted(message.usage, now_s)
 
-    def _instances_seen(self, message: InstancesSeen) -> None:
+    def _on_instances(self, message: InstancesSeen) -> None:
         now_s = anyio.current_time()
-        # The leader speaks, so that no news of the others' load means no change.
-        self._load_heard_s = now_s
+        # The leader is connected, so the load of other hosts is current even if no
+        # update arrives.
+        self._load_confirmed_s = now_s
         self._quota.heard(now_s)
-        if self._copy.apply(message, now_s):
-            self._use_list(self._copy.items)
+        if self._instance_list.apply(message, now_s):
+            self._apply_list(self._instance_list.items)
 
-    def _use_list(self, instances: tuple[BackendInstance, ...]) -> None:
+    def _apply_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.close_idle(gone)
             self._crashes.was_lost(gone.instance_id, anyio.current_time())
-        self.registry.seen_s = self._copy.seen_s
+        self.registry.seen_s = self._instance_list.seen_s
 
-    async def _keep_list(self) -> None:
-        """Read the list here while no leader sends it."""
+    async def _refresh_list(self) -> None:
+        """Read the list from its source while no leader sends it."""
         while True:
-            period_s = max(LIST_PERIOD_S, self.state.hosts / LIST_READERS_PER_S)
-            if anyio.current_time() - self._copy.seen_s > LIST_STALE_S:
+            period_s = max(
+                LIST_READ_INTERVAL_S, self.state.hosts / MAX_LIST_READS_PER_S
+            )
+            if anyio.current_time() - self._instance_list.seen_s > LIST_STALE_S:
                 await self._read_list()
             await anyio.sleep(period_s * random.uniform(0.7, 1.3))
 
@@ -372,17 +384,17 @@
         if isinstance(listed, Err):
             log_event(logger, EventNumber.INSTANCE_LIST_FAILED, reason=listed.err_value)
             return
-        self._copy.replace(listed.ok_value.instances, anyio.current_time())
-        self._use_list(self._copy.items)
+        self._instance_list.replace(listed.ok_value.instances, anyio.current_time())
+        self._apply_list(self._instance_list.items)
 
     async def _prune(self) -> None:
         while True:
-            await anyio.sleep(PRUNE_S)
+            await anyio.sleep(PRUNE_INTERVAL_S)
             self._pool.prune()
-            if anyio.current_time() - self._load_heard_s > LOAD_STALE_S:
+            if anyio.current_time() - self._load_confirmed_s > LOAD_STALE_S:
                 self._load.forget_others()
 
-    def _earn(self, service: str) -> None:
+    def _record_request(self, service: str) -> None:
         self._retries.earn(service, anyio.current_time())
 
     def _metrics(self) -> Metrics:
@@ -398,6 +410,6 @@
         metrics.watch(
             "instance_list_age_seconds",
             "Age of the list of backend servers",
-            lambda: asyncio.get_running_loop().time() - self._copy.seen_s,
+            lambda: asyncio.get_running_loop().time() - self._instance_list.seen_s,
         )
         return metrics
--- a/src/damaskridge/binaries/http_server.py
+++ b/src/damaskridge/binaries/http_server.py
@@ -1,4 +1,4 @@
-"""Uvicorn inside a running loop, without signal handlers of its own."""
+"""An HTTP server on uvicorn for a running event loop, without signal handlers."""
 
 import asyncio
 import contextlib
@@ -19,18 +19,18 @@
 
 __all__ = ["HttpServer", "listen"]
 
-BACKLOG = 1024
-# Callers on the slowest links send a head in a few hundred milliseconds.
+LISTEN_BACKLOG = 1024
+# Callers on the slowest links send a request head in a few hundred milliseconds.
 HEADER_TIMEOUT_S = 5.0
-# Longer than callers pause between the requests of one task.
+# Longer than the pauses of callers between the requests of one task.
 IDLE_TIMEOUT_S = 5.0
 
 
 def listen(setting: str, address: str) -> Result[socket.socket, str]:
-    """Return a listening socket, or one line that names the setting at fault."""
+    """Return a listening socket, or an error line that names the setting."""
     ip, port = split_address(address)
     family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    # asyncio sets TCP_NODELAY only on sockets that name the protocol.
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is IPPROTO_TCP.
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -38,61 +38,61 @@
     except OSError as error:
         listener.close()
         return Err(f"{setting}: cannot listen on {address}: {error.strerror}")
-    listener.listen(BACKLOG)
+    listener.listen(LISTEN_BACKLOG)
     listener.setblocking(False)
     return Ok(listener)
 
 
 class _Protocol(H11Protocol):
     """
-    Bounds the time of a request's head.
+    Adds a timeout for the request head to uvicorn's protocol.
 
-    What is no request of HTTP is answered with the body that other refusals have.
+    Input that is not valid HTTP gets the same JSON error body as other refusals.
     """
 
     _head_timer: asyncio.TimerHandle | None = None
-    _has_part_of_head = False
+    _has_partial_head = False
 
     def connection_made(self, transport: Any) -> None:
-        """Start the time of the first request."""
+        """Start the timer for the first request."""
         super().connection_made(transport)
-        self._watch_head(self.config.timeout_keep_alive)
+        self._start_head_timer(self.config.timeout_keep_alive)
 
     def data_received(self, data: bytes) -> None:
-        """Take bytes, and start or stop the time of a head."""
+        """Parse bytes, and start or stop the timer of a request head."""
         super().data_received(data)
         incomplete = self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]
         if not incomplete:
-            self._stop_watching()
-        elif not self._has_part_of_head:
-            self._stop_watching()
-            self._has_part_of_head = True
-            self._watch_head(self.config.header_timeout_s)  # type: ignore[attr-defined]
+            self._stop_head_timer()
+        elif not self._has_partial_head:
+            self._stop_head_timer()
+            self._has_partial_head = True
+            self._start_head_timer(self.config.header_timeout_s)  # type: ignore[attr-defined]
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the timer."""
-        self._stop_watching()
+        """Cancel the timer."""
+        self._stop_head_timer()
         super().connection_lost(exc)
 
-    def _watch_head(self, timeout_s: float) -> None:
-        self._head_timer = self.loop.call_later(timeout_s, self._head_timed_out)
+    def _start_head_timer(self, timeout_s: float) -> None:
+        self._head_timer = self.loop.call_later(timeout_s, self._on_head_timeout)
 
-    def _stop_watching(self) -> None:
-        self._has_part_of_head = False
+    def _stop_head_timer(self) -> None:
+        self._has_partial_head = False
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _head_timed_out(self) -> None:
+    def _on_head_timeout(self) -> None:
         self._head_timer = None
         if not self.conn.trailing_data[0]:
-            # Nothing was sent, so that no request is lost.
+            # No byte of a request has arrived, so closing loses no request.
             self.transport.close()
             return
         self._refuse(Failure(ErrorKind.BODY_TIMEOUT, "the head is not complete"))
 
     def send_400_response(self, msg: str) -> None:
-        """Refuse and close; called while the parser's error is handled."""
+        """Refuse and close; uvicorn calls this while it handles the parse error."""
         error = sys.exc_info()[1]
         kind = ErrorKind.INVALID_REQUEST
         if getattr(error, "error_status_hint", 400) == 431:
@@ -109,8 +109,8 @@
         self.transport.close()
 
 
-def _with_abort(app: Any) -> Any:
-    """Let the application drop a connection with all that is still buffered."""
+def _with_abort_extension(app: Any) -> Any:
+    """Pass the application a function that aborts the connection and its buffers."""
 
     async def wrapped(scope: Any, receive: Any, send: Any) -> None:
         transport = getattr(getattr(send, "__self__", None), "transport", None)
@@ -123,20 +123,20 @@
 
 class HttpServer(uvicorn.Server):
     """
-    Serves one ASGI application.
+    Serves an ASGI application.
 
     Parameters
     ----------
     app : ASGI application
-        What answers.
+        The application.
     max_header_bytes : int
-        Longest request head that h11 takes.
+        Maximum size of a request head, which h11 enforces.
     """
 
     def __init__(self, app: Any, max_header_bytes: int = 16_384) -> None:
         super().__init__(
             uvicorn.Config(
-                _with_abort(app),
+                _with_abort_extension(app),
                 http=_Protocol,
                 ws="none",
                 lifespan="off",
@@ -147,7 +147,7 @@
                 h11_max_incomplete_event_size=max_header_bytes,
             )
         )
-        self.limit(
+        self.set_limits(
             max_header_bytes=max_header_bytes,
             header_timeout_s=HEADER_TIMEOUT_S,
             idle_timeout_s=IDLE_TIMEOUT_S,
@@ -155,32 +155,32 @@
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
-        """Leave the signals to the program, which drains before it stops."""
+        """Install no handlers; the program handles signals and drains before exit."""
         yield
 
     async def run_on(self, listener: socket.socket) -> None:
-        """Serve until `stop`, then until the open responses have ended."""
+        """Serve until `stop` is called and the open responses are complete."""
         await self.serve(sockets=[listener])
 
-    def limit(
+    def set_limits(
         self, *, max_header_bytes: int, header_timeout_s: float, idle_timeout_s: float
     ) -> None:
         """
-        Set the limits of connections that are opened from now on.
+        Set the limits for connections that are opened from now on.
 
         Parameters
         ----------
         max_header_bytes : int
-            Longest request head.
+            Maximum size of a request head.
         header_timeout_s : float
-            Longest time until a head is complete, in seconds.
+            Maximum time until a request head is complete.
         idle_timeout_s : float
-            How long a connection without requests is kept, in seconds.
+            Time after which a connection without requests is closed.
         """
         self.config.h11_max_incomplete_event_size = max_header_bytes
         self.config.timeout_keep_alive = idle_timeout_s  # type: ignore[assignment]
         self.config.header_timeout_s = header_timeout_s  # type: ignore[attr-defined]
 
     def stop(self) -> None:
-        """Close the listener; open responses go on."""
+        """Close the listener; open responses continue."""
         self.should_exit = True
--- a/src/damaskridge/binaries/platform.py
+++ b/src/damaskridge/binaries/platform.py
@@ -1,4 +1,4 @@
-"""The command line of the programs on the users' platform."""
+"""The command line of the programs for the users' platform."""
 
 import os
 import signal
@@ -15,12 +15,12 @@
 
 def main(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
     """
-    Run one program; the environment names its settings file.
+    Run one program with the settings file that the environment names.
 
     Parameters
     ----------
     arguments : sequence of str
-        ``entry``, ``control``, or ``check`` to check the settings only.
+        ``entry``, ``control``, or ``check`` to validate the settings only.
     environment : mapping of str to str
         ``DAMASKRIDGE_CONFIG`` holds the path of the settings file.
 
@@ -33,10 +33,11 @@
     if not path or len(arguments) != 1:
         print(f"usage: {SETTINGS_VARIABLE}=FILE {USAGE}", file=sys.stderr)
         return EXIT_USAGE
-    # The load takes a moment, in which signals mean the same as later.
+    # The imports below take a while. Until the program installs its own handlers,
+    # SIGTERM must end it with status 0 and SIGHUP must not end it.
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Each program loads only what it needs; both must fit small machines.
+    # Each program imports only what it needs, to fit machines with little memory.
     if arguments[0] == "entry":
         from damaskridge.binaries.platform_entry import run_platform_entry
 
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -1,4 +1,4 @@
-"""The control program on the users' platform: replicated log and operators' API."""
+"""The control program for the users' platform: replicated log and operators' API."""
 
 import logging
 import random
@@ -38,7 +38,7 @@
 
 
 def run_platform_control(path: Path) -> int:
-    """Run the control program until SIGTERM; returns the exit status."""
+    """Run the control program until SIGTERM; return the exit status."""
     loaded = load_platform_settings(path)
     if isinstance(loaded, Err):
         for fault in loaded.err_value:
@@ -56,7 +56,7 @@
 
 
 async def _run(settings: PlatformSettings, control: str) -> None:
-    # The address is the member's name, so that members need no list of each other.
+    # The RPC address is the member's name, so that members need no map of names.
     name = f"{settings.ip}:{settings.rpc_port}"
     folder: DiskFolder | VolatileFolder = VolatileFolder()
     if settings.data_folder is not None:
@@ -68,8 +68,8 @@
         folder,
         state,
         random.Random(),
-        # A host that is not a seed would count other hosts than the seeds do, and a
-        # second group could form beside theirs.
+        # A host that is not a seed has another initial membership than the seeds, and
+        # could bootstrap a second group beside theirs.
         may_bootstrap=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
     )
@@ -110,7 +110,7 @@
 
 
 async def _ignore_reloads() -> None:
-    """Keep SIGHUP from ending the process; members know each other from the log."""
+    """Ignore SIGHUP: members learn of each other from the log, not from settings."""
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         async for _ in signals:
             pass
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -1,4 +1,4 @@
-"""The entry program on the users' platform: forwards requests, names addresses."""
+"""The entry program for the users' platform: forwards requests, lists addresses."""
 
 import logging
 import signal
@@ -24,16 +24,16 @@
 
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
-# Callers leave a host that stops, and learn of new ones, within this time.
+# Time within which callers stop using a draining host and learn of new hosts.
 ADDRESS_TTL_S = 1.0
-# The settings file may change without a signal.
-RELOAD_S = 2.0
+# The settings file is also polled, since it may change without a signal.
+RELOAD_INTERVAL_S = 2.0
 
 logger = logging.getLogger("damaskridge.platform_entry")
 
 
 def run_platform_entry(path: Path) -> int:
-    """Run the entry program until SIGTERM; returns the exit status."""
+    """Run the entry program until SIGTERM; return the exit status."""
     loaded = load_platform_settings(path)
     if isinstance(loaded, Err):
         for fault in loaded.err_value:
@@ -69,7 +69,7 @@
         PlatformInstanceListReader(settings.list_address),
     )
 
-    def serve_others(group: TaskGroup) -> None:
+    def start_services(group: TaskGroup) -> None:
         metrics = listen("metrics", f"{settings.ip}:{settings.metrics_port}")
         apps = {
             "ready": ready_app(host.is_ready),
@@ -81,7 +81,7 @@
             group.start_soon(HttpServer(host.operators_app()).run_on, metrics.unwrap())
         group.start_soon(_reload, path, settings, host)
 
-    await host.run(listeners["front"], serve_others)
+    await host.run(listeners["front"], start_services)
 
 
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
@@ -101,7 +101,7 @@
 
 
 async def _reload(path: Path, settings: PlatformSettings, host: GatewayHost) -> None:
-    """Learn further control hosts from the settings file when it changes."""
+    """Add the control hosts that are new in the settings file when it changes."""
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         async with anyio.create_task_group() as group:
             changed = anyio.Event()
@@ -114,7 +114,7 @@
             group.start_soon(wait_for_signals)
             known = settings.control_addresses
             while True:
-                with anyio.move_on_after(RELOAD_S):
+                with anyio.move_on_after(RELOAD_INTERVAL_S):
                     await changed.wait()
                 changed = anyio.Event()
                 loaded = load_platform_settings(path)
--- a/src/damaskridge/binaries/settings_file.py
+++ b/src/damaskridge/binaries/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads settings files: JSON with comments, validated by pydantic models."""
+"""Reading of settings files: JSON5, validated by pydantic models."""
 
 from pathlib import Path
 from typing import TypeVar
@@ -14,14 +14,14 @@
 
 def load_settings(path: Path, model: type[M]) -> Result[M, list[str]]:
     """
-    Return the settings in a file, or every fault as ``<setting>: <reason>``.
+    Return the settings in a file, or all its faults as ``<setting>: <reason>``.
 
     Parameters
     ----------
     path : Path
-        The file.
+        Path of the settings file.
     model : type
-        The pydantic model of the settings.
+        Pydantic model of the settings.
     """
     try:
         text = path.read_text(encoding="utf-8")
@@ -36,10 +36,10 @@
     try:
         return Ok(model.model_validate(content))
     except ValidationError as error:
-        return Err([_fault(item["loc"], item["msg"]) for item in error.errors()])
+        return Err([_format_fault(item["loc"], item["msg"]) for item in error.errors()])
 
 
-def _fault(location: tuple[int | str, ...], reason: str) -> str:
+def _format_fault(location: tuple[int | str, ...], reason: str) -> str:
     path = ".".join(map(str, location)) or "settings"
     return f"{path}: {_one_line(reason)}"
 
--- a/src/damaskridge/binaries/timeline.py
+++ b/src/damaskridge/binaries/timeline.py
@@ -1,4 +1,4 @@
-"""The time line program: one ordered time line from the logs of all processes."""
+"""The program `damaskridge-timeline`, which merges the logs of all processes."""
 
 import inspect
 import sys
@@ -45,7 +45,7 @@
     if not logs:
         _fail("LOGS: no log file given")
     try:
-        shown = Filter(
+        entry_filter = Filter(
             request_id=str(request_id),
             host=str(host),
             backend_server=str(backend_server),
@@ -55,15 +55,15 @@
         )
     except ValueError as error:
         _fail(f"--since or --until: {error}")
-    parsed = [_read(str(name)) for name in logs]
-    merged = merge(parsed, shown)
+    parsed = [_read_log(str(name)) for name in logs]
+    merged = merge(parsed, entry_filter)
     for offset in merged.offsets:
         basis = f"from {offset.pairs} pairs" if offset.pairs else "assumed, no pairs"
         print(f"# clock of {offset.process}: {offset.offset_s:+.6f} s ({basis})")
     torn_lines = sum(log.torn_lines for log in parsed)
     if torn_lines:
         print(f"# {torn_lines} lines were torn or are no events")
-    for line in _lines(merged.entries):
+    for line in _format_entries(merged.entries):
         print(line)
 
 
@@ -74,11 +74,11 @@
     try:
         fire.Fire(timeline)
     except BrokenPipeError:
-        # The reader, for example a pager, has seen enough.
+        # The reader, for example a pager, closed the pipe early.
         sys.stderr.close()
 
 
-def _lines(entries: tuple[LogEntry, ...]) -> Iterator[str]:
+def _format_entries(entries: tuple[LogEntry, ...]) -> Iterator[str]:
     for entry in entries:
         when = datetime.fromtimestamp(entry.time_s, UTC).strftime("%H:%M:%S.%f")
         fields = " ".join(
@@ -89,7 +89,7 @@
         yield f"{when} {entry.process} {entry.event} {entry.name} {fields}".rstrip()
 
 
-def _read(name: str) -> ParsedLog:
+def _read_log(name: str) -> ParsedLog:
     try:
         with Path(name).open(encoding="utf-8", errors="replace") as lines:
             return parse_log(lines)
--- a/tests/binaries/test_control.py
+++ b/tests/binaries/test_control.py
@@ -1,4 +1,4 @@
-"""Guards against settings faults that are not named and wrong exit codes."""
+"""Guards against settings faults that are not reported, and wrong exit codes."""
 
 import socket
 import sys
@@ -38,7 +38,9 @@
         ("{", "[", ["FILE: "]),
     ],
 )
-def test_every_fault_is_named(tmp_path, capsys, monkeypatch, old, new, faults):
+def test_each_settings_fault_is_reported(
+    tmp_path, capsys, monkeypatch, old, new, faults
+):
     path = tmp_path / "control.json"
     path.write_text(VALID.replace(old, new, 1))
     code = run(monkeypatch, "--settings", str(path), "--check-settings")
@@ -50,7 +52,7 @@
         assert line.startswith(f"damaskridge-control: {start}")
 
 
-def test_missing_file_and_folder_are_named(tmp_path, capsys, monkeypatch):
+def test_missing_file_and_unusable_folder_are_reported(tmp_path, capsys, monkeypatch):
     assert run(monkeypatch, "--settings", str(tmp_path / "none")) == 2
     path, occupied = tmp_path / "control.json", tmp_path / "data"
     occupied.write_text("a file in place of the folder")
@@ -61,7 +63,7 @@
     assert f"{tmp_path / 'none'}: " in error and "data_folder: " in error
 
 
-def test_unknown_argument_starts_nothing(tmp_path, capsys, monkeypatch):
+def test_unknown_argument_does_not_start_the_program(tmp_path, capsys, monkeypatch):
     path = tmp_path / "control.json"
     path.write_text(VALID)
     monkeypatch.setattr(control, "_run", lambda settings: pytest.fail("started"))
@@ -69,7 +71,7 @@
     assert "--check-setings: unknown argument" in capsys.readouterr().err
 
 
-def test_occupied_address_is_named(tmp_path, capsys, monkeypatch):
+def test_address_in_use_is_reported(tmp_path, capsys, monkeypatch):
     path = tmp_path / "control.json"
     monkeypatch.setattr(control, "configure", lambda process: None)
     with socket.create_server(("127.0.0.1", 0)) as occupied:
--- a/tests/binaries/test_ctl.py
+++ b/tests/binaries/test_ctl.py
@@ -1,4 +1,4 @@
-"""The operators' program: its exit codes and what it prints must be reliable."""
+"""Guards against wrong exit codes and wrong output of `damaskridge-ctl`."""
 
 import json
 
@@ -27,7 +27,7 @@
         done.result(10)
 
 
-def test_a_change_goes_through_two_operators_and_reports_every_host(
+def test_change_needs_two_operators_and_reports_the_hosts_in_force(
     group, tmp_path, capsys
 ):
     addresses = ",".join(item.address for item in group.members)
@@ -80,7 +80,7 @@
     assert "unknown_operator" in ctl("drain", "host", "h1", operator="bob", code=1)
 
 
-def test_an_invalid_file_and_wrong_usage_end_with_2(tmp_path, capsys):
+def test_invalid_file_and_wrong_usage_exit_with_2(tmp_path, capsys):
     file = tmp_path / "bundle.json"
     file.write_text("{workspaces: 3}")
     for arguments in (["check", str(file)], ["status"], ["nope"], ["roll", "p1"]):
--- a/tests/binaries/test_entry_settings.py
+++ b/tests/binaries/test_entry_settings.py
@@ -1,4 +1,4 @@
-"""Settings: a fault without its path, an unknown name or a comment that is refused."""
+"""Guards against faults without a path, accepted unknown names, refused comments."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 from damaskridge.binaries.entry_settings import EntrySettings
 from damaskridge.binaries.settings_file import load_settings
 
-GOOD = """{
+VALID = """{
   // one entry host
   host: "entry-1", data_centre: "fukuoka",
   caller_address: "127.0.0.1:8000", peer_address: "127.0.0.1:8001",
@@ -15,14 +15,14 @@
 }"""
 
 
-def faults(tmp_path, text):
+def load_faults(tmp_path, text):
     path = tmp_path / "entry.json"
     path.write_text(text)
     return load_settings(path, EntrySettings).err()
 
 
 def test_comments_are_allowed(tmp_path):
-    assert faults(tmp_path, GOOD) is None
+    assert load_faults(tmp_path, VALID) is None
 
 
 @pytest.mark.parametrize(
@@ -36,8 +36,10 @@
         ('"entry-1"', '"Entry_1"', "host"),
     ],
 )
-def test_every_fault_is_named_with_its_path(tmp_path, old, new, path):
-    assert any(path in line for line in faults(tmp_path, GOOD.replace(old, new, 1)))
+def test_each_fault_is_reported_with_its_path(tmp_path, old, new, path):
+    assert any(
+        path in line for line in load_faults(tmp_path, VALID.replace(old, new, 1))
+    )
 
 
 def test_missing_file_exits_with_2_and_one_line(tmp_path, capsys):
--- a/tests/binaries/test_gateway_host.py
+++ b/tests/binaries/test_gateway_host.py
@@ -1,4 +1,4 @@
-"""Guards against limits that a started host does not hold from the first request on."""
+"""Guards against limits that a new host does not apply from its first request on."""
 
 import anyio
 from result import Ok
@@ -31,26 +31,26 @@
         return Ok(InstanceList(instances=()))
 
 
-def with_table(host):
+def activate_table(host):
     host.control.fleet.routing = table(1, workspaces=(LIMIT,))
-    host._fleet_changed()
+    host._on_fleet_change()
 
 
-def test_a_started_host_counts_what_others_admit_before_its_first_request():
+def test_new_host_counts_remote_admissions_before_its_first_request():
     async def main():
         host = GatewayHost(SETTINGS, PlatformDialect(), EmptyList())
         await anyio.sleep(10)
-        with_table(host)
-        host._load_seen(LoadSeen(usage={"w": 900.0}))
+        activate_table(host)
+        host._on_load(LoadSeen(usage={"w": 900.0}))
         assert host._quota.take(LIMIT, 500.0, anyio.current_time()) > 0
 
     run_paused(main())
 
 
-def test_a_started_host_has_no_repeats_yet():
+def test_new_host_has_no_retry_allowance():
     async def main():
         host = GatewayHost(SETTINGS, PlatformDialect(), EmptyList())
-        with_table(host)
+        activate_table(host)
         assert not host._retries.spend("llm", anyio.current_time())
 
     run_paused(main())
--- a/tests/binaries/test_head_timeout.py
+++ b/tests/binaries/test_head_timeout.py
@@ -1,4 +1,4 @@
-"""Guards against connections that are held by slow or idle callers."""
+"""Guards against slow or idle callers that keep connections open."""
 
 import asyncio
 import socket
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize(
-    ("sent", "answer"),
+    ("sent", "expected_start"),
     [
         (b"", b""),
         (b"GET / HTTP/1.1\r\nhost: h\r\nx-slow: ", b"HTTP/1.1 408"),
@@ -23,18 +23,20 @@
         (b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 3000, b"HTTP/1.1 431"),
     ],
 )
-def test_each_connection_ends_in_time(sent, answer):
+def test_slow_or_idle_connections_are_closed_in_time(sent, expected_start):
     async def main():
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         server = HttpServer(app)
-        server.limit(max_header_bytes=2000, header_timeout_s=0.2, idle_timeout_s=0.3)
+        server.set_limits(
+            max_header_bytes=2000, header_timeout_s=0.2, idle_timeout_s=0.3
+        )
         serving = asyncio.ensure_future(server.run_on(listener))
         reader, writer = await asyncio.open_connection(*listener.getsockname())
         writer.write(sent)
-        got = await asyncio.wait_for(reader.read(), 2.0)
-        assert got.startswith(answer)
-        assert bool(got) is bool(answer)
+        received = await asyncio.wait_for(reader.read(), 2.0)
+        assert received.startswith(expected_start)
+        assert bool(received) is bool(expected_start)
         writer.close()
         server.stop()
         await serving
--- a/tests/binaries/test_http_server.py
+++ b/tests/binaries/test_http_server.py
@@ -1,4 +1,4 @@
-"""Small packets held back by Nagle's algorithm: 40 ms on each answer's first event."""
+"""Guards against Nagle's algorithm, which delayed the first event by 40 ms."""
 
 import socket
 
@@ -7,6 +7,6 @@
 from damaskridge.binaries.http_server import listen
 
 
-def test_listener_names_the_protocol_so_that_asyncio_sets_no_delay():
+def test_listener_has_an_explicit_protocol_so_that_asyncio_sets_tcp_nodelay():
     with listen("caller_address", f"127.0.0.1:{free_ports(1)[0]}").unwrap() as listener:
         assert listener.proto == socket.IPPROTO_TCP
--- a/tests/binaries/test_platform.py
+++ b/tests/binaries/test_platform.py
@@ -1,4 +1,4 @@
-"""Guards against programs that end by a signal while they load."""
+"""Guards against programs that a signal kills while they load."""
 
 import signal
 
@@ -8,8 +8,8 @@
 
 
 @pytest.mark.parametrize("program", ["entry", "control"])
-def test_signals_during_the_load_mean_the_same_as_later(program, tmp_path):
-    """A settings change ended a program that had just been restarted (seed 111)."""
+def test_signals_while_the_program_loads_are_handled(program, tmp_path):
+    """A settings change killed a program that had just been restarted (seed 111)."""
     settings = tmp_path / "settings"
     settings.write_text("Node=\n")
     kinds = (signal.SIGTERM, signal.SIGHUP)
