--- a/src/damaskridge/binaries/ctl_commands.py
+++ b/src/damaskridge/binaries/ctl_commands.py
@@ -146,13 +146,13 @@
     def status(self) -> None:
         """Show the status."""
         status = self._read_status()
-        progress = {item.host: item for item in status.hosts}
+        status_by_host = {item.host: item for item in status.hosts}
         lines = [
             f"version {status.version}, leader {status.leader}, term {status.term}"
         ]
         for session in status.sessions:
-            held = progress.get(session.host)
-            reached = f"version {held.version}" if held else "no report"
+            host_status = status_by_host.get(session.host)
+            reached = f"version {host_status.version}" if host_status else "no report"
             state = " draining" if session.draining else ""
             lines.append(
                 f"host {session.host} {session.data_centre} "
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -124,7 +124,7 @@
     async def run(self, listeners: list[socket.socket]) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
         caller, peer, operators = listeners
-        drained = False
+        has_drained = False
         await self.peer_server.start(sock=peer)
         async with anyio.create_task_group() as group:
             for service in (self.channels, self.control, self.owners, self.front):
@@ -137,12 +137,12 @@
                 async for _ in signals:
                     break
                 await self._drain(stopped)
-                drained = True
+                has_drained = True
             group.cancel_scope.cancel()
         self.peer_server.close()
         self.channels.close()
         await self.backends.close()
-        if not drained:
+        if not has_drained:
             # An unexpected cancellation ends a task group without an error.
             raise RuntimeError("a part of the host ended without a signal")
 
@@ -153,11 +153,11 @@
     async def _drain(self, callers_stopped: anyio.Event) -> None:
         log_event(logger, EventNumber.PROCESS_DRAINING, host=self.settings.host)
         keep_s = self.settings.front.keep_s
-        drained_s = anyio.current_time() + keep_s
+        drain_end_s = anyio.current_time() + keep_s
         with anyio.move_on_after(keep_s):
             await self.control.begin_drain()
         # Callers may use the address until their cached list of addresses has expired.
-        await anyio.sleep(max(0.0, drained_s - anyio.current_time()))
+        await anyio.sleep(max(0.0, drain_end_s - anyio.current_time()))
         self.caller_server.stop()
         self.front.begin_drain()
         await self.front.wait_idle()
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -288,17 +288,21 @@
     def _count_hosts(self) -> None:
         """Update the number of hosts and of hosts that are selected for callers."""
         now_s = anyio.current_time()
-        names: dict[str, list[str]] = {}
+        hosts_by_data_centre: dict[str, list[str]] = {}
         for session in live_sessions(self.control.fleet):
-            names.setdefault(session.data_centre, []).append(session.host)
+            hosts_by_data_centre.setdefault(session.data_centre, []).append(
+                session.host
+            )
         selected = {
             host
-            for data_centre, hosts in names.items()
+            for data_centre, hosts in hosts_by_data_centre.items()
             for host in chosen_hosts(
                 hosts, self._hosts_needed.get(data_centre, len(hosts))
             )
         }
-        host_count = self._host_count.note(sum(map(len, names.values())), now_s)
+        host_count = self._host_count.note(
+            sum(map(len, hosts_by_data_centre.values())), now_s
+        )
         selected_count = self._selected_host_count.note(len(selected), now_s)
         self.state.hosts = host_count
         self._retries.share_among(
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -90,8 +90,8 @@
         group.start_soon(_ignore_reloads)
         group.start_soon(HttpServer(app).run_on, operators)
         if metrics.is_ok():
-            exposed = metrics_app(_metrics(node, state), lambda: True)
-            group.start_soon(HttpServer(exposed).run_on, metrics.unwrap())
+            metrics_application = metrics_app(_metrics(node, state), lambda: True)
+            group.start_soon(HttpServer(metrics_application).run_on, metrics.unwrap())
         for service in services:
             group.start_soon(service.run)
         await node.run()
--- a/src/damaskridge/binaries/platform_entry.py
+++ b/src/damaskridge/binaries/platform_entry.py
@@ -79,7 +79,7 @@
             group.start_soon(HttpServer(app).run_on, listeners[name])
         if metrics.is_ok():
             group.start_soon(HttpServer(host.operators_app()).run_on, metrics.unwrap())
-        group.start_soon(_reload, path, settings, host)
+        group.start_soon(_watch_settings, path, settings, host)
 
     await host.run(listeners["front"], start_services)
 
@@ -100,7 +100,9 @@
     )
 
 
-async def _reload(path: Path, settings: PlatformSettings, host: GatewayHost) -> None:
+async def _watch_settings(
+    path: Path, settings: PlatformSettings, host: GatewayHost
+) -> None:
     """Add the control hosts that are new in the settings file when it changes."""
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         async with anyio.create_task_group() as group:
@@ -112,7 +114,7 @@
                     changed.set()
 
             group.start_soon(wait_for_signals)
-            known = settings.control_addresses
+            known_addresses = settings.control_addresses
             while True:
                 with anyio.move_on_after(RELOAD_INTERVAL_S):
                     await changed.wait()
@@ -120,9 +122,9 @@
                 loaded = load_platform_settings(path)
                 if isinstance(loaded, Err):
                     continue
-                if loaded.ok_value.control_addresses != known:
-                    known = loaded.ok_value.control_addresses
-                    host.control.add_control_addresses(known)
+                if loaded.ok_value.control_addresses != known_addresses:
+                    known_addresses = loaded.ok_value.control_addresses
+                    host.control.add_control_addresses(known_addresses)
                     log_event(
                         logger,
                         EventNumber.SETTINGS_RELOADED,
--- a/src/damaskridge/binaries/timeline.py
+++ b/src/damaskridge/binaries/timeline.py
@@ -58,8 +58,12 @@
     parsed = [_read_log(str(name)) for name in logs]
     merged = merge(parsed, entry_filter)
     for offset in merged.offsets:
-        basis = f"from {offset.pairs} pairs" if offset.pairs else "assumed, no pairs"
-        print(f"# clock of {offset.process}: {offset.offset_s:+.6f} s ({basis})")
+        offset_source = (
+            f"from {offset.pairs} pairs" if offset.pairs else "assumed, no pairs"
+        )
+        print(
+            f"# clock of {offset.process}: {offset.offset_s:+.6f} s ({offset_source})"
+        )
     torn_lines = sum(log.torn_lines for log in parsed)
     if torn_lines:
         print(f"# {torn_lines} lines were torn or are no events")
