--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -1,4 +1,4 @@
-"""The control program on the users' platform: replicated log and operators' API."""
+"""The control program for the users' platform: replicated log and operators' API."""
 
 import logging
 import random
@@ -41,7 +41,7 @@
 
 
 def run_platform_control(path: Path) -> int:
-    """Run the control program until SIGTERM; returns the exit status."""
+    """Run the control program until SIGTERM; return the exit status."""
     loaded = load_platform_settings(path)
     if isinstance(loaded, Err):
         for fault in loaded.err_value:
@@ -59,7 +59,7 @@
 
 
 async def _run(settings: PlatformSettings, control: str) -> None:
-    # The address is the member's name, so that members need no list of each other.
+    # The RPC address is the member's name, so that members need no map of names.
     name = f"{settings.ip}:{settings.rpc_port}"
     folder: DiskFolder | VolatileFolder = VolatileFolder()
     if settings.data_folder is not None:
@@ -71,8 +71,8 @@
         folder,
         state,
         random.Random(),
-        # A host that is not a seed would count other hosts than the seeds do, and a
-        # second group could form beside theirs.
+        # A host that is not a seed has another initial membership than the seeds, and
+        # could bootstrap a second group beside theirs.
         may_bootstrap=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
     )
@@ -93,8 +93,8 @@
         group.start_soon(_ignore_reloads)
         group.start_soon(HttpServer(app).run_on, operators)
         if metrics.is_ok():
-            exposed = metrics_app(_metrics(node, state), lambda: True)
-            group.start_soon(HttpServer(exposed).run_on, metrics.unwrap())
+            metrics_application = metrics_app(_metrics(node, state), lambda: True)
+            group.start_soon(HttpServer(metrics_application).run_on, metrics.unwrap())
         for service in services:
             group.start_soon(service.run)
         await node.run()
@@ -113,7 +113,7 @@
 
 
 async def _ignore_reloads() -> None:
-    """Keep SIGHUP from ending the process; members know each other from the log."""
+    """Ignore SIGHUP: members learn of each other from the log, not from settings."""
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         async for _ in signals:
             pass
