Explain the soaks, fakes and checkers of the tests

Comments, messages and private names of the modules directly in tests and of tests/docs were terse or figurative. They now name the failure guarded against and use the terms of Raft and of simulation; fault kinds, random draws and the output of run_suite.py are unchanged.

--- a/tests/docs/test_events_page.py
+++ b/tests/docs/test_events_page.py
@@ -1,4 +1,4 @@
-"""The catalogue of events: an event without an entry, or an entry without event."""
+"""Guards against events that docs/events.md omits, and entries without an event."""
 
 import re
 from pathlib import Path
--- a/tests/docs/test_requirements.py
+++ b/tests/docs/test_requirements.py
@@ -1,4 +1,4 @@
-"""Guards against a deployed package that the lock does not name."""
+"""Guards against deploying unlocked packages or packages for development only."""
 
 from pathlib import Path
 
@@ -6,7 +6,7 @@
 NOT_DEPLOYED = {"matplotlib", "numpy", "pytest", "mypy", "ruff", "hypothesis"}
 
 
-def test_what_is_deployed_is_locked_and_needed():
+def test_deployed_packages_are_locked_and_needed():
     deployed = (ROOT / "requirements.txt").read_text().split()
     locked = (ROOT / "requirements.lock").read_text().split()
     assert set(deployed) <= set(locked)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes of the control group and of the pure machines, for the owner runtime."""
+"""Fakes of the control group and of the state machines of owner runtimes."""
 
 import anyio
 
@@ -31,6 +31,8 @@
 
 
 class FakeControl:
+    """Records proposed commands; a released resource passes to host h2 at once."""
+
     def __init__(self, host="h1", peer_address="127.0.0.1:1"):
         self.fleet = FleetView()
         self.lease = HolderLease()
@@ -57,11 +59,16 @@
 
 
 class FakeMachine:
-    """Grants or places at once unless told to hold, and records every event."""
+    """
+    A rate limiter and scheduler that records every event.
+
+    It grants a rate or places a request at once, or only records if
+    `withholds_responses`.
+    """
 
-    def __init__(self, hold=False):
+    def __init__(self, withholds_responses=False):
         self.events = []
-        self.hold = hold
+        self.withholds_responses = withholds_responses
 
     def is_rebuilt(self, now_s):
         return True
@@ -73,16 +80,16 @@
         self.events.append(event)
         if isinstance(event, ReleaseRequested):
             return [ReleaseBucket(event.workspace, 1, 3.5)]
-        if self.hold:
+        if self.withholds_responses:
             return []
         if isinstance(event, RateRequested):
-            item = event.request
-            grant = RateGrant(request_id=item.request_id, epoch=1, valid_for_s=1.0)
-            return [SendRateReply(item.front, item.request_id, grant)]
+            request = event.request
+            grant = RateGrant(request_id=request.request_id, epoch=1, valid_for_s=1.0)
+            return [SendRateReply(request.front, request.request_id, grant)]
         if isinstance(event, RequestSubmitted):
-            item = event.profile
-            place = Placement(request_id=item.request_id, attempt=1, epoch=1)
-            return [SendSubmitResponse(item.front, item.request_id, place)]
+            request = event.profile
+            placement = Placement(request_id=request.request_id, attempt=1, epoch=1)
+            return [SendSubmitResponse(request.front, request.request_id, placement)]
         return []
 
     def seen(self, kind):
--- a/tests/linearizability.py
+++ b/tests/linearizability.py
@@ -11,7 +11,7 @@
     """
     A read (`new` is None) or a compare-and-set.
 
-    `result` is the value read or whether the set took place; None if unknown.
+    `result` is the value read, or whether the value was set; None if no response came.
     """
 
     called_s: float
@@ -22,7 +22,7 @@
 
 
 def _apply(operation: Operation, value: int) -> int | None:
-    """Return the next value; None if the operation cannot take place here."""
+    """Return the next value, or None if the result contradicts `value`."""
     if operation.new is None:
         return value if operation.result == value else None
     took_place = value == operation.expected
@@ -32,33 +32,37 @@
 
 
 def is_linearizable(history: list[Operation]) -> bool:
-    """Search for an order of the operations that fits times and results."""
-    known = [o for o in history if o.new is not None or o.result is not None]
-    operations = sorted(known, key=lambda o: o.called_s)
-    finished = sum(1 << i for i, o in enumerate(operations) if o.returned_s < inf)
-    stack, seen = [(0, 0)], set()
+    """
+    Search for an order of the operations that fits their times and results.
+
+    Operations without a response may have taken effect at any time, or never.
+    """
+    recorded = [o for o in history if o.new is not None or o.result is not None]
+    operations = sorted(recorded, key=lambda o: o.called_s)
+    returned_mask = sum(1 << i for i, o in enumerate(operations) if o.returned_s < inf)
+    stack, visited = [(0, 0)], set()
     while stack:
-        done, value = stack.pop()
-        if done & finished == finished:
+        applied_mask, value = stack.pop()
+        if applied_mask & returned_mask == returned_mask:
             return True
-        if (done, value) in seen:
+        if (applied_mask, value) in visited:
             continue
-        seen.add((done, value))
-        first_return = inf
+        visited.add((applied_mask, value))
+        earliest_return_s = inf
         for i, operation in enumerate(operations):
-            if operation.called_s > first_return:
+            if operation.called_s > earliest_return_s:
                 break
-            if done >> i & 1:
+            if applied_mask >> i & 1:
                 continue
-            first_return = min(first_return, operation.returned_s)
+            earliest_return_s = min(earliest_return_s, operation.returned_s)
         for i, operation in enumerate(operations):
-            if operation.called_s > first_return:
+            if operation.called_s > earliest_return_s:
                 break
-            if done >> i & 1:
+            if applied_mask >> i & 1:
                 continue
-            following = _apply(operation, value)
-            # An unknown operation that changes nothing may as well be left out.
-            useless = operation.returned_s == inf and following == value
-            if following is not None and not useless:
-                stack.append((done | 1 << i, following))
+            next_value = _apply(operation, value)
+            # Leaving out an operation without a response gives the same state.
+            is_skippable = operation.returned_s == inf and next_value == value
+            if next_value is not None and not is_skippable:
+                stack.append((applied_mask | 1 << i, next_value))
     return False
--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -1,4 +1,4 @@
-"""A data folder in memory that loses what was not synced."""
+"""An in-memory data folder that loses unsynced data in a crash."""
 
 import random
 
@@ -6,10 +6,17 @@
 
 
 class PowerLost(Exception):
-    """The host stopped in the middle of a write to its disk."""
+    """Simulated power loss: the host stopped before an operation on its disk."""
 
 
 class MemoryFolder:
+    """
+    A data folder with simulated disk faults.
+
+    After `operations_left` further operations, the next raises `PowerLost`; None is
+    no limit. Reads and appends do not count.
+    """
+
     def __init__(self) -> None:
         self.files: dict[str, bytearray] = {}
         self.synced_bytes: dict[str, int] = {}
@@ -25,40 +32,41 @@
         self.files[name] += data
 
     def sync(self, name: str) -> None:
-        self._count()
+        self._count_operation()
         self.synced_bytes[name] = len(self.files[name])
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        self._count()
+        self._count_operation()
         del self.files[name][size_bytes:]
         self.synced_bytes[name] = size_bytes
 
     def replace(self, name: str, data: bytes) -> None:
-        self._count()
+        self._count_operation()
         self.files[name] = bytearray(data)
         self.synced_bytes[name] = len(data)
 
     def remove(self, name: str) -> None:
-        self._count()
+        self._count_operation()
         self.files.pop(name, None)
 
     def crash(self, rng: random.Random) -> None:
-        """Keep a random part of what was not synced."""
+        """Keep a random prefix of the unsynced bytes of each file."""
         self.operations_left = None
         for name, data in self.files.items():
             synced = self.synced_bytes[name]
             del data[rng.randint(synced, len(data)) :]
 
     def flip_bit(self, rng: random.Random) -> None:
-        """Alter one bit of a synced record."""
+        """Flip a random bit in the synced part of the first log file."""
         name = next(n for n in self.names() if n.startswith("log-"))
         position = rng.randrange(self.synced_bytes[name])
         self.files[name][position] ^= 1 << rng.randrange(8)
 
     def lose(self) -> None:
+        """Delete all files, as when a disk is replaced."""
         self.files.clear()
 
-    def _count(self) -> None:
+    def _count_operation(self) -> None:
         if self.operations_left is not None:
             if self.operations_left == 0:
                 raise PowerLost
--- a/tests/paused.py
+++ b/tests/paused.py
@@ -1,4 +1,4 @@
-"""Runs coroutines on a loop whose clock jumps over every wait."""
+"""Runs coroutines on an event loop with simulated time."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -12,7 +12,11 @@
 
 
 def run_paused(main: Coroutine[Any, Any, T], end_s: float = 3600.0) -> T:
-    """Return the result of `main`; waits take no real time."""
+    """
+    Run `main` and return its result.
+
+    The clock of the loop skips every wait, up to `end_s` of simulated time.
+    """
 
     def new_loop() -> asyncio.AbstractEventLoop:
         return looptime.new_event_loop(start=0.0, end=end_s)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,11 +17,11 @@
 from tests.system import driver
 
 CONSENSUS_STEPS = 1500
-SYSTEM_STEPS_S = 12.0
+SYSTEM_DURATION_S = 12.0
 
 
 def run_consensus(seed):
-    """Return the steps, the faults and the failure of one seed."""
+    """Run one seed; return it, its number of steps, fault counts and failure."""
     try:
         report = soak_consensus.run_seed(seed, CONSENSUS_STEPS)
     except AssertionError as error:
@@ -30,17 +30,17 @@
 
 
 def run_system(seed):
-    """Return the simulated seconds, the faults and the failure of one seed."""
+    """Run one seed; return it, its simulated seconds, fault counts and failure."""
     logging.disable(logging.WARNING)
     try:
-        report = driver.run_seed(seed, SYSTEM_STEPS_S)
+        report = driver.run_seed(seed, SYSTEM_DURATION_S)
     except AssertionError as error:
         return seed, 0, Counter(), f"{error}"
     return seed, report.steps_s, report.faults, ""
 
 
 def main():
-    """Run the seeds of the command line; returns the exit status."""
+    """Run the seeds given on the command line; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first-seed", type=int, default=0)
@@ -54,13 +54,15 @@
             ("consensus", "steps", run_consensus),
             ("system", "simulated seconds under faults", run_system),
         ):
-            steps, faults, failures = 0.0, Counter(), []
-            for seed, done, kinds, failure in pool.map(run, seeds, chunksize=4):
-                steps += done
-                faults += kinds
+            amount, faults, failures = 0.0, Counter(), []
+            for seed, seed_amount, seed_faults, failure in pool.map(
+                run, seeds, chunksize=4
+            ):
+                amount += seed_amount
+                faults += seed_faults
                 if failure:
                     failures.append(f"  seed {seed}: {failure}")
-            print(f"{name}: {len(seeds)} seeds, {steps:.0f} {unit}")
+            print(f"{name}: {len(seeds)} seeds, {amount:.0f} {unit}")
             for kind, count in sorted(faults.items()):
                 print(f"  {kind}: {count}")
             print(f"  failures: {len(failures)}")
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -1,6 +1,6 @@
-"""Randomised runs of the replicated log under faults, with invariants per step.
+"""Randomised runs of the replicated log under faults; checks invariants at each step.
 
-``python -m tests.soak_consensus SEEDS [STEPS [FIRST]]`` runs many seeds.
+``python -m tests.soak_consensus SEEDS [STEPS [FIRST]]`` runs SEEDS seeds from FIRST.
 """
 
 import heapq
@@ -23,15 +23,15 @@
 __all__ = ["Report", "Simulation", "election_steps", "run_seed"]
 
 STEP_S = 0.01
-FORMING_STEPS = 150
-HEALING_STEPS = 400
-COMPACT_AFTER = 12
+FORMATION_STEPS = 150
+RECOVERY_STEPS = 400
+COMPACTION_THRESHOLD_ENTRIES = 12
 CLIENT_TIMEOUT_S = 0.5
-KINDS = (
+FAULT_KINDS = (
     "crash blackout power power start start start partition isolate isolate heal heal "
     "lose_disk lose_disk flip_bit flip_bit change transfer"
 ).split()
-GUARDS = frozenset(f.name for f in fields(m.Guards))
+GUARD_NAMES = frozenset(f.name for f in fields(m.Guards))
 
 
 @dataclass(frozen=True)
@@ -42,7 +42,7 @@
 
 
 class Invariants:
-    """What must hold over all members and all time."""
+    """The safety properties of Raft, checked over all members and the whole run."""
 
     def __init__(self) -> None:
         self.leaders: dict[int, str] = {}
@@ -52,29 +52,31 @@
         self.last_committed = 0
         self.membership = wire.Membership(())
 
-    def appended(self, node, entries) -> None:
+    def check_appended(self, node, entries) -> None:
         for entry in entries:
-            fact = (entry, node.log.term(entry.index - 1))
-            if fact[1] is None:
+            observed = (entry, node.log.term(entry.index - 1))
+            if observed[1] is None:
                 continue
-            known = self.entries.setdefault((entry.index, entry.term), fact)
-            assert known == fact, f"log matching at {entry.index}"
+            recorded = self.entries.setdefault((entry.index, entry.term), observed)
+            assert recorded == observed, f"log matching violated at {entry.index}"
 
-    def won(self, node, term: int) -> None:
-        assert self.leaders.setdefault(term, node.name) == node.name, "two leaders"
+    def check_leadership_won(self, node, term: int) -> None:
+        assert self.leaders.setdefault(term, node.name) == node.name, (
+            "two leaders in one term"
+        )
         for index in range(node.log.snapshot.index + 1, self.last_committed + 1):
             entry, commit_term = self.committed[index]
             if commit_term < term:
                 present = node.log.term(index) == entry.term
                 assert present, f"leader of {term} lacks committed entry {index}"
 
-    def applied(self, node, entries) -> None:
+    def check_applied(self, node, entries) -> None:
         if node.role is Role.LEADER:
             assert entries[-1].term == node.term, "commit of an older term's entry"
         for entry in entries:
-            fact = (entry, node.term)
-            known = self.committed.setdefault(entry.index, fact)
-            assert known[0] == entry, f"two committed entries at {entry.index}"
+            observed = (entry, node.term)
+            recorded = self.committed.setdefault(entry.index, observed)
+            assert recorded[0] == entry, f"two committed entries at {entry.index}"
             if entry.index > self.last_committed:
                 assert entry.index == self.last_committed + 1
                 self.last_committed = entry.index
@@ -83,7 +85,7 @@
 
 @dataclass
 class Member:
-    """One host: its disk outlives its process."""
+    """One host; its disk is kept when its process stops."""
 
     host: str
     folder: MemoryFolder = field(default_factory=MemoryFolder)
@@ -91,29 +93,31 @@
     value: int = 0
     applied: int = 0
     isolated_term: int | None = None
-    flipped: bool = False
-    waiting: dict[int, tuple[int, Operation]] = field(default_factory=dict)
-    reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
-    ready: list[tuple[int, Operation]] = field(default_factory=list)
+    has_flipped_bit: bool = False
+    pending_proposals: dict[int, tuple[int, Operation]] = field(default_factory=dict)
+    pending_reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
+    ready_reads: list[tuple[int, Operation]] = field(default_factory=list)
 
 
 class Simulation:
-    def __init__(self, seed: int, disabled: frozenset[str]) -> None:
-        assert disabled <= GUARDS
+    """A control group on a simulated network with simulated disks and clients."""
+
+    def __init__(self, seed: int, disabled_guards: frozenset[str]) -> None:
+        assert disabled_guards <= GUARD_NAMES
         self.rng = random.Random(seed)
-        self.guards = m.Guards(**{name: False for name in disabled})
+        self.guards = m.Guards(**{name: False for name in disabled_guards})
         self.hosts = tuple(f"c{i}" for i in range(self.rng.choice((3, 5))))
         self.members = {host: Member(host) for host in self.hosts}
         self.invariants = Invariants()
-        self.network: list[tuple[float, int, str, str, wire.Message]] = []
-        self.blocked: set[tuple[str, str]] = set()
+        self.in_flight: list[tuple[float, int, str, str, wire.Message]] = []
+        self.blocked_links: set[tuple[str, str]] = set()
         self.faults: Counter[str] = Counter()
         self.history: list[Operation] = []
-        self.calls: list[Operation | None] = [None, None, None]
+        self.open_operations: list[Operation | None] = [None, None, None]
         self.now_s = 0.0
         self.sequence = 0
-        self.chaos = False
-        self.committed_now = False
+        self.faults_enabled = False
+        self.committed_in_step = False
         self.loss = self.rng.choice((0.0, 0.02, 0.15))
         for host in self.hosts:
             self.start(host)
@@ -131,8 +135,10 @@
             self.stop(host)
             return
         self.faults["damage"] += bool(stored.damage)
-        assert member.flipped or not stored.damage, "damage without a flipped bit"
-        member.flipped = False
+        assert member.has_flipped_bit or not stored.damage, (
+            "the store reports damage without a bit flip"
+        )
+        member.has_flipped_bit = False
         self.faults["torn_tail"] += bool(stored.cut_bytes)
         rng = random.Random(self.rng.getrandbits(64))
         driver = RaftDriver(
@@ -140,7 +146,7 @@
             max_entries=3, guards=self.guards,
         )  # fmt: skip
         member.driver = driver
-        member.waiting, member.reads, member.ready = {}, {}, []
+        member.pending_proposals, member.pending_reads, member.ready_reads = {}, {}, []
         self.restore(member, driver.node.log.snapshot)
 
     def stop(self, host: str) -> None:
@@ -151,8 +157,12 @@
         member.applied = snapshot.index
         member.value = int(snapshot.state or b"0")
 
-    def is_whole(self) -> bool:
-        """Tell whether every host votes, so that one disk may be lost."""
+    def is_fully_joined(self) -> bool:
+        """
+        Return whether every host runs, votes and has the same membership.
+
+        Only then is it safe to lose the disk of one host.
+        """
         live = [x.driver.node for x in self.members.values() if x.driver]
         names = {node.name for node in live}
         memberships = {node.log.membership() for node in live}
@@ -163,7 +173,7 @@
             and memberships == {whole}
         )
 
-    # Actions of a node
+    # Events and actions of a member
 
     def run(self, host: str, *events: m.Event) -> list[m.Action]:
         member = self.members[host]
@@ -176,11 +186,11 @@
             actions = step(event, now_s)
             for action in actions:
                 if isinstance(action, m.Persist):
-                    self.invariants.appended(driver.node, action.entries)
+                    self.invariants.check_appended(driver.node, action.entries)
                 elif isinstance(action, m.LeadershipWon):
-                    self.invariants.won(driver.node, action.term)
+                    self.invariants.check_leadership_won(driver.node, action.term)
                 elif isinstance(action, m.ApplyEntries):
-                    self.invariants.applied(driver.node, action.entries)
+                    self.invariants.check_applied(driver.node, action.entries)
             return actions
 
         driver.node.step = checked
@@ -192,28 +202,28 @@
         finally:
             driver.node.step = step
         for action in actions:
-            self.act(member, action)
-        self.answer_reads(member)
+            self.execute(member, action)
+        self.complete_reads(member)
         return actions
 
-    def act(self, member: Member, action: m.Action) -> None:
+    def execute(self, member: Member, action: m.Action) -> None:
         if isinstance(action, m.SendMessage):
             self.transmit(member.host, action.to, action.message)
         elif isinstance(action, m.ApplyEntries):
             for entry in action.entries:
                 self.apply(member, entry)
             is_leader = member.driver and member.driver.node.role is Role.LEADER
-            self.committed_now |= bool(is_leader)
+            self.committed_in_step |= bool(is_leader)
         elif isinstance(action, m.RestoreSnapshot):
             self.restore(member, action.snapshot)
         elif isinstance(action, m.SyncedEntriesLost):
-            assert self.guards != m.Guards(), "a synced entry is lost"
+            assert self.guards != m.Guards(), "a synced entry was lost"
         elif isinstance(action, m.LeadershipLost):
-            member.waiting, member.ready = {}, []
-        elif isinstance(action, m.ReadReady) and action.read_id in member.reads:
-            known, operation = member.reads.pop(action.read_id)
-            assert action.index >= known, "stale read index"
-            member.ready.append((action.index, operation))
+            member.pending_proposals, member.ready_reads = {}, []
+        elif isinstance(action, m.ReadReady) and action.read_id in member.pending_reads:
+            min_index, operation = member.pending_reads.pop(action.read_id)
+            assert action.index >= min_index, "stale read index"
+            member.ready_reads.append((action.index, operation))
 
     def apply(self, member: Member, entry: wire.LogEntry) -> None:
         assert entry.index == member.applied + 1
@@ -223,28 +233,28 @@
             expected, new = msgspec.msgpack.decode(entry.command)
             took_place = member.value == expected
             member.value = new if took_place else member.value
-        term, operation = member.waiting.pop(entry.index, (0, None))
+        term, operation = member.pending_proposals.pop(entry.index, (0, None))
         if operation and term == entry.term:
-            self.finish(operation, took_place)
+            self.complete(operation, took_place)
 
-    def answer_reads(self, member: Member) -> None:
-        for item in list(member.ready):
+    def complete_reads(self, member: Member) -> None:
+        for item in list(member.ready_reads):
             if item[0] <= member.applied:
-                member.ready.remove(item)
-                self.finish(item[1], member.value)
+                member.ready_reads.remove(item)
+                self.complete(item[1], member.value)
 
-    def finish(self, operation: Operation, result: int) -> None:
-        if operation in self.calls:
+    def complete(self, operation: Operation, result: int) -> None:
+        if operation in self.open_operations:
             operation.result, operation.returned_s = int(result), self.now_s
-            self.calls[self.calls.index(operation)] = None
+            self.open_operations[self.open_operations.index(operation)] = None
 
     # Network
 
     def transmit(self, source: str, to: str, message: wire.Message) -> None:
-        self.vote_once(message)
+        self.record_own_vote(message)
         copies = 1
         delay_s = self.rng.uniform(0.0005, 0.004)
-        if self.chaos:
+        if self.faults_enabled:
             copies = 0 if self.rng.random() < self.loss else 1
             copies += self.rng.random() < 0.03
             if self.rng.random() < 0.05:
@@ -253,43 +263,45 @@
             self.sequence += 1
             due_s = self.now_s + delay_s * self.rng.uniform(1, 2)
             item = (due_s, self.sequence, source, to, message)
-            heapq.heappush(self.network, item)
+            heapq.heappush(self.in_flight, item)
 
-    def vote_once(self, message: wire.Message) -> None:
+    def record_own_vote(self, message: wire.Message) -> None:
         if isinstance(message, wire.VoteRequest) and not message.pre_vote:
-            self.vote(message.sender, message.term, message.sender)
+            self.record_vote(message.sender, message.term, message.sender)
 
-    def vote(self, voter: str, term: int, candidate: str) -> None:
-        known = self.invariants.votes.setdefault((voter, term), candidate)
-        assert known == candidate, "two votes in one term"
+    def record_vote(self, voter: str, term: int, candidate: str) -> None:
+        recorded = self.invariants.votes.setdefault((voter, term), candidate)
+        assert recorded == candidate, "two votes in one term"
 
     def deliver(self) -> None:
-        while self.network and self.network[0][0] <= self.now_s:
-            _, _, source, to, message = heapq.heappop(self.network)
+        while self.in_flight and self.in_flight[0][0] <= self.now_s:
+            _, _, source, to, message = heapq.heappop(self.in_flight)
             member = self.members[host_name(to)]
-            if (source, member.host) in self.blocked or member.driver is None:
+            if (source, member.host) in self.blocked_links or member.driver is None:
                 continue
             if to in (member.driver.node.name, member.host):
                 actions = self.run(member.host, m.MessageReceived(message))
-                self.record_votes(message, actions)
+                self.record_granted_votes(message, actions)
 
-    def record_votes(self, message: wire.Message, actions: list[m.Action]) -> None:
+    def record_granted_votes(
+        self, message: wire.Message, actions: list[m.Action]
+    ) -> None:
         for action in actions:
             reply = getattr(action, "message", None)
             if isinstance(reply, wire.VoteReply) and reply.granted:
                 if not reply.pre_vote:
-                    self.vote(reply.sender, reply.term, message.sender)
+                    self.record_vote(reply.sender, reply.term, message.sender)
 
     # Faults
 
-    def inject(self) -> None:
+    def inject_fault(self) -> None:
         rng, host = self.rng, self.rng.choice(self.hosts)
         running = self.members[host].driver is not None
-        kind = rng.choice(KINDS)
+        kind = rng.choice(FAULT_KINDS)
         if kind == "crash" and running:
             self.stop(host)
         elif kind == "blackout":
-            self.blackout()
+            self.restart_all()
         elif kind == "power" and running:
             self.members[host].folder.operations_left = rng.randrange(6)
         elif kind == "start" and not running:
@@ -298,10 +310,10 @@
             self.partition(kind == "isolate")
         elif kind == "heal":
             self.heal()
-        elif kind in ("lose_disk", "flip_bit") and self.is_whole():
+        elif kind in ("lose_disk", "flip_bit") and self.is_fully_joined():
             self.stop(host)
             folder = self.members[host].folder
-            self.members[host].flipped = kind == "flip_bit"
+            self.members[host].has_flipped_bit = kind == "flip_bit"
             folder.lose() if kind == "lose_disk" else folder.flip_bit(rng)
             self.start(host)
             if rng.random() < 0.7:
@@ -314,15 +326,15 @@
             return
         self.faults[kind] += 1
 
-    def blackout(self) -> None:
-        """Stop every process at once and start them all again."""
+    def restart_all(self) -> None:
+        """Stop all processes at once, then start them."""
         for host in self.hosts:
             self.stop(host)
         for host in self.hosts:
             self.start(host)
 
-    def lose_power(self) -> None:
-        """Stop a random quorum right after a commit and start it again."""
+    def restart_quorum(self) -> None:
+        """Stop a random quorum right after a commit, then start it."""
         size = self.rng.randrange(len(self.hosts) // 2 + 1, len(self.hosts) + 1)
         group = self.rng.sample(self.hosts, size)
         for host in group:
@@ -331,8 +343,8 @@
             self.start(host)
         self.faults["quorum_power"] += 1
 
-    def disturb_forming(self) -> None:
-        """Stop or start a process; a disk that was empty may be torn."""
+    def disrupt_formation(self) -> None:
+        """Stop or start a process, or cut its power during its first disk writes."""
         host = self.rng.choice(self.hosts)
         member = self.members[host]
         if member.driver is None:
@@ -347,7 +359,7 @@
         self.split(set(self.rng.sample(self.hosts, size)))
 
     def isolate_leader(self) -> None:
-        """Leave a host that lost its disk with those that may lag behind."""
+        """Isolate the leader; a host that lost its disk then sees lagging followers."""
         for host in self.leaders():
             self.split({host})
 
@@ -356,19 +368,19 @@
         for a in self.hosts:
             for b in self.hosts:
                 if (a in group) != (b in group):
-                    self.blocked.add((a, b))
+                    self.blocked_links.add((a, b))
         if len(group) == 1:
             member = self.members[group.pop()]
             if member.driver:
                 member.isolated_term = member.driver.node.term
 
     def heal(self) -> None:
-        self.blocked.clear()
+        self.blocked_links.clear()
         for member in self.members.values():
             member.isolated_term = None
 
     def leaders(self) -> list[str]:
-        """Return the hosts whose member believes that it leads."""
+        """Return the hosts whose member is in the leader role."""
         running = ((h, self.members[h].driver) for h in self.hosts)
         return [h for h, d in running if d and d.node.role is Role.LEADER]
 
@@ -381,7 +393,11 @@
             others = [v for v in present.voters if v != name]
             if absent:
                 new = with_learner(present, absent[0])
-            elif len(present.voters) > 2 and self.is_whole() and self.chaos:
+            elif (
+                len(present.voters) > 2
+                and self.is_fully_joined()
+                and self.faults_enabled
+            ):
                 gone = self.rng.choice(others)
                 left = tuple(v for v in present.voters if v != gone)
                 new = wire.Membership(left, present.learners)
@@ -391,15 +407,15 @@
 
     # Clients
 
-    def call(self) -> None:
-        for client, operation in enumerate(self.calls):
+    def run_clients(self) -> None:
+        for client, operation in enumerate(self.open_operations):
             if operation is not None:
                 if self.now_s > operation.called_s + CLIENT_TIMEOUT_S:
-                    self.calls[client] = None
+                    self.open_operations[client] = None
             elif self.rng.random() < 0.2:
-                self.begin(client, self.rng.choice(self.hosts))
+                self.start_operation(client, self.rng.choice(self.hosts))
 
-    def begin(self, client: int, host: str) -> None:
+    def start_operation(self, client: int, host: str) -> None:
         member = self.members[host]
         driver = member.driver
         if driver is None or driver.node.role is not Role.LEADER:
@@ -407,50 +423,56 @@
         self.sequence += 1
         if self.rng.random() < 0.5:
             operation = Operation(self.now_s)
-            self.calls[client] = operation
-            member.reads[self.sequence] = (self.invariants.last_committed, operation)
+            self.open_operations[client] = operation
+            member.pending_reads[self.sequence] = (
+                self.invariants.last_committed,
+                operation,
+            )
             self.history.append(operation)
             self.run(host, m.ReadRequest(self.sequence))
             return
         expected = self.rng.choice((member.value, member.value, 0))
         operation = Operation(self.now_s, expected, self.sequence)
-        self.calls[client] = operation
+        self.open_operations[client] = operation
         self.history.append(operation)
         command = msgspec.msgpack.encode((expected, self.sequence))
-        # Registered before the step: with one voter the entry commits within it.
+        # Registered before the step, since with one voter the entry commits in it.
         index = driver.node.log.last_index + 1
-        member.waiting[index] = (driver.node.term, operation)
+        member.pending_proposals[index] = (driver.node.term, operation)
         actions = self.run(host, m.Propose((command,)))
         if any(isinstance(action, m.ProposalRefused) for action in actions):
-            member.waiting.pop(index, None)
+            member.pending_proposals.pop(index, None)
             self.history.remove(operation)
-            self.calls[client] = None
+            self.open_operations[client] = None
 
-    # The run
+    # Steps of the run
 
     def step(self) -> None:
         self.now_s += STEP_S
-        self.committed_now = False
+        self.committed_in_step = False
         self.deliver()
-        if self.chaos and self.committed_now and self.rng.random() < 0.01:
-            self.lose_power()
+        if self.faults_enabled and self.committed_in_step and self.rng.random() < 0.01:
+            self.restart_quorum()
         for host in self.hosts:
             self.run(host, m.Tick())
             self.compact(host)
-        self.check_isolated()
-        self.call()
-        if self.chaos and self.rng.random() < 0.03:
-            self.inject()
+        self.check_isolated_terms()
+        self.run_clients()
+        if self.faults_enabled and self.rng.random() < 0.03:
+            self.inject_fault()
 
     def compact(self, host: str) -> None:
         member = self.members[host]
-        if member.driver is None or len(member.driver.node.log) < COMPACT_AFTER:
+        if (
+            member.driver is None
+            or len(member.driver.node.log) < COMPACTION_THRESHOLD_ENTRIES
+        ):
             return
         if member.applied > member.driver.node.log.snapshot.index:
             self.faults["snapshot"] += 1
             self.run(host, m.CompactLog(member.applied, str(member.value).encode()))
 
-    def check_isolated(self) -> None:
+    def check_isolated_terms(self) -> None:
         for member in self.members.values():
             if member.driver and member.isolated_term is not None:
                 term = member.driver.node.term
@@ -458,48 +480,48 @@
                     "an isolated member raised its term"
                 )
 
-    def recover(self) -> None:
-        """Without faults the group must become whole and take commands."""
-        self.chaos = False
+    def check_recovery(self) -> None:
+        """Check that without faults all hosts rejoin and commands are committed."""
+        self.faults_enabled = False
         self.heal()
         for host in self.hosts:
             self.members[host].folder.operations_left = None
             if self.members[host].driver is None:
                 self.start(host)
         before = self.invariants.last_committed
-        for step in range(HEALING_STEPS):
+        for step in range(RECOVERY_STEPS):
             self.step()
             if step % 20 == 19:
                 self.change_membership()
         assert self.invariants.last_committed > before, "no progress after healing"
-        assert self.is_whole(), "a member did not come back"
+        assert self.is_fully_joined(), "a member did not rejoin after healing"
 
 
 def run_seed(
     seed: int, steps: int, disabled_guards: frozenset[str] = frozenset()
 ) -> Report:
-    """Run one seed; `AssertionError` if an invariant is violated."""
+    """Run one seed; raise `AssertionError` if an invariant is violated."""
     simulation = Simulation(seed, disabled_guards)
-    for step in range(FORMING_STEPS):
+    for step in range(FORMATION_STEPS):
         simulation.step()
-        if seed % 4 == 0 and step < FORMING_STEPS // 2 and step % 7 == 3:
-            simulation.disturb_forming()
+        if seed % 4 == 0 and step < FORMATION_STEPS // 2 and step % 7 == 3:
+            simulation.disrupt_formation()
     if seed % 4 == 0:
-        simulation.recover()
-    assert simulation.is_whole(), "the group did not form"
-    simulation.chaos = True
+        simulation.check_recovery()
+    assert simulation.is_fully_joined(), "the group did not form"
+    simulation.faults_enabled = True
     for _ in range(steps):
         simulation.step()
-    simulation.recover()
+    simulation.check_recovery()
     assert is_linearizable(simulation.history), "history is not linearizable"
-    total = steps + FORMING_STEPS + HEALING_STEPS
+    total = steps + FORMATION_STEPS + RECOVERY_STEPS
     return Report(total, simulation.faults, len(simulation.history))
 
 
 def election_steps(seed: int) -> int:
-    """Return the steps of `STEP_S` from the loss of the leader to the next one."""
+    """Return the steps of `STEP_S` from the stop of the leader to the next election."""
     simulation = Simulation(seed, frozenset())
-    for _ in range(FORMING_STEPS):
+    for _ in range(FORMATION_STEPS):
         simulation.step()
     simulation.stop(simulation.leaders()[0])
     steps = 0
@@ -510,7 +532,7 @@
 
 
 def main(seeds: int = 1000, steps: int = 1500, first: int = 0) -> None:
-    """Run seeds from `first` on; the first violation ends the run."""
+    """Run `seeds` seeds from `first` on; stop at the first violation."""
     faults: Counter[str] = Counter()
     for seed in range(first, first + seeds):
         try:
--- a/tests/test_paused.py
+++ b/tests/test_paused.py
@@ -1,4 +1,4 @@
-"""The paused clock: a test that really waits would be slow and vary."""
+"""Guards against waits in real time, which make tests slow and their timing vary."""
 
 import time
 
@@ -7,7 +7,7 @@
 from tests.paused import run_paused
 
 
-async def wait_an_hour() -> float:
+async def sleep_in_simulated_time() -> float:
     started_s = anyio.current_time()
     await anyio.sleep(3000)
     return anyio.current_time() - started_s
@@ -15,5 +15,5 @@
 
 def test_waits_take_no_real_time():
     started_s = time.monotonic()
-    assert run_paused(wait_an_hour()) == 3000
+    assert run_paused(sleep_in_simulated_time()) == 3000
     assert time.monotonic() - started_s < 60
