Name the parts of the demo and the stand-ins by what they do

Private names, doc comments and messages now use the terms of the system; response replaces answer and reply. The demo was not run.

--- a/examples/__init__.py
+++ b/examples/__init__.py
@@ -1,1 +1,1 @@
-"""Programs that show the system at work."""
+"""Programs that demonstrate the system."""
--- a/examples/demo_caller.py
+++ b/examples/demo_caller.py
@@ -1,4 +1,4 @@
-"""A caller: asks for addresses, sends requests, resumes a broken stream."""
+"""A caller that looks up addresses, sends requests and resumes lost streams."""
 
 import http.client
 import json
@@ -7,28 +7,28 @@
 
 GENERATE_PATH = "/v1/completions"
 TIMEOUT_S = 10.0
-RESUME_TRIES = 40
-RESUME_PAUSE_S = 0.25
+MAX_RESUME_ATTEMPTS = 40
+RESUME_INTERVAL_S = 0.25
 
 
 @dataclass
-class Answer:
-    """What a caller has seen of one request."""
+class Response:
+    """What a caller has received for one request, over all its connections."""
 
     status: int = 0
     request_id: str = ""
     error_kind: str = ""
     first_token_s: float | None = None
-    took_s: float = 0.0
+    duration_s: float = 0.0
     host_address: str = ""
-    resumed: int = 0
+    resume_count: int = 0
     finished: bool = False
     body: str = ""
     tokens: dict[int, str] = field(default_factory=dict)
 
     @property
     def whole(self) -> bool:
-        """Whether every offset arrived and the last chunk too."""
+        """Whether every offset and the last chunk have been received."""
         return self.finished and sorted(self.tokens) == list(range(len(self.tokens)))
 
 
@@ -43,8 +43,8 @@
 
 def generate(
     address: str, key: str, prompt: str, max_output_tokens: int, on_token=None
-) -> Answer:
-    answer = Answer(host_address=address)
+) -> Response:
+    response = Response(host_address=address)
     started_s = time.monotonic()
     body = {
         "model": "notes",
@@ -56,44 +56,44 @@
     connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request("POST", GENERATE_PATH, json.dumps(body), headers)
-        _read(connection.getresponse(), answer, started_s, on_token)
+        _read_stream(connection.getresponse(), response, started_s, on_token)
     except (OSError, http.client.HTTPException):
-        answer.error_kind = "connection_lost"
+        response.error_kind = "connection_lost"
     finally:
         connection.close()
-    answer.took_s = time.monotonic() - started_s
-    return answer
+    response.duration_s = time.monotonic() - started_s
+    return response
 
 
-def resume(entry_addresses: list[str], key: str, answer: Answer) -> None:
-    """Ask other hosts for the rest of a stream until it is whole."""
-    for number in range(RESUME_TRIES):
-        if answer.finished:
+def resume(entry_addresses: list[str], key: str, response: Response) -> None:
+    """Fetch the rest of a stream from other hosts; retry until it is finished."""
+    for attempt in range(MAX_RESUME_ATTEMPTS):
+        if response.finished:
             return
-        address = entry_addresses[number % len(entry_addresses)]
+        address = entry_addresses[attempt % len(entry_addresses)]
         headers = {"authorization": f"Bearer {key}"}
-        if answer.tokens:
-            headers["last-event-id"] = str(max(answer.tokens))
+        if response.tokens:
+            headers["last-event-id"] = str(max(response.tokens))
         connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
         try:
-            path = f"/v1/requests/{answer.request_id}/stream"
+            path = f"/v1/requests/{response.request_id}/stream"
             connection.request("GET", path, headers=headers)
-            reply = connection.getresponse()
-            if reply.status == 200:
-                answer.resumed += 1
-                answer.host_address = address
-                answer.error_kind = ""
-            _read(reply, answer, 0.0, None)
+            http_response = connection.getresponse()
+            if http_response.status == 200:
+                response.resume_count += 1
+                response.host_address = address
+                response.error_kind = ""
+            _read_stream(http_response, response, 0.0, None)
         except (OSError, http.client.HTTPException):
             pass
         finally:
             connection.close()
-        time.sleep(RESUME_PAUSE_S)
+        time.sleep(RESUME_INTERVAL_S)
 
 
 def call_service(
     address: str, key: str, path: str, body: bytes, idempotency_key: str
-) -> Answer:
+) -> Response:
     started_s = time.monotonic()
     headers = {"authorization": f"Bearer {key}", "content-type": "application/json"}
     if idempotency_key:
@@ -101,47 +101,47 @@
     connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
     try:
         connection.request("POST", f"/services/{path}", body, headers)
-        reply = connection.getresponse()
-        answer = Answer(reply.status, host_address=address)
-        answer.body = reply.read().decode()
-        answer.finished = reply.status < 300
-        answer.took_s = time.monotonic() - started_s
-        return answer
+        http_response = connection.getresponse()
+        response = Response(http_response.status, host_address=address)
+        response.body = http_response.read().decode()
+        response.finished = http_response.status < 300
+        response.duration_s = time.monotonic() - started_s
+        return response
     finally:
         connection.close()
 
 
-def _read(reply, answer: Answer, started_s: float, on_token) -> None:
-    answer.request_id = reply.getheader("x-request-id") or answer.request_id
-    answer.status = reply.status
-    if reply.status != 200:
-        answer.body = reply.read().decode()
-        answer.error_kind = _error_kind(answer.body)
+def _read_stream(http_response, response: Response, started_s: float, on_token) -> None:
+    response.request_id = http_response.getheader("x-request-id") or response.request_id
+    response.status = http_response.status
+    if http_response.status != 200:
+        response.body = http_response.read().decode()
+        response.error_kind = _error_kind(response.body)
         return
     offset = None
-    while line := reply.readline():
+    while line := http_response.readline():
         name, _, value = line.decode().rstrip("\r\n").partition(": ")
         if name == "id":
             offset = int(value)
         elif name == "data" and value != "[DONE]":
-            _take(json.loads(value), offset, answer)
-            if answer.first_token_s is None and started_s and answer.tokens:
-                answer.first_token_s = time.monotonic() - started_s
+            _add_chunk(json.loads(value), offset, response)
+            if response.first_token_s is None and started_s and response.tokens:
+                response.first_token_s = time.monotonic() - started_s
             if on_token is not None:
-                on_token(answer)
+                on_token(response)
 
 
-def _take(data: dict, offset: int | None, answer: Answer) -> None:
+def _add_chunk(data: dict, offset: int | None, response: Response) -> None:
     if data.get("error"):
-        answer.error_kind = data["error"].get("kind", "")
+        response.error_kind = data["error"].get("kind", "")
         return
     choice = data["choices"][0]
     if choice.get("finish_reason"):
-        answer.finished = True
+        response.finished = True
     elif offset is not None:
-        earlier = answer.tokens.setdefault(offset, choice["text"])
-        if earlier != choice["text"]:
-            answer.error_kind = "different_text"
+        known_text = response.tokens.setdefault(offset, choice["text"])
+        if known_text != choice["text"]:
+            response.error_kind = "different_text"
 
 
 def _error_kind(body: str) -> str:
--- a/examples/demo_processes.py
+++ b/examples/demo_processes.py
@@ -1,4 +1,4 @@
-"""Starts the demo's processes and ends them all, also after an error."""
+"""Starts the processes of the demo and stops all of them, also after an error."""
 
 import contextlib
 import os
@@ -22,13 +22,13 @@
 
 
 class Processes:
-    """A context that leaves no process behind."""
+    """A context manager that stops every process it started."""
 
     def __init__(self, layout: Layout) -> None:
         self.layout = layout
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        paths = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-        self.environment = {**os.environ, "PYTHONPATH": paths}
+        python_path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        self.environment = {**os.environ, "PYTHONPATH": python_path}
 
     def __enter__(self) -> "Processes":
         return self
@@ -37,7 +37,7 @@
         self.stop_all()
 
     def start(self, name: str, module: str, *arguments: str) -> None:
-        # The child keeps its own copy of the file; this one is closed at once.
+        # The child inherits the descriptor, so the parent can close its own.
         with self.log_path(name).open("ab") as log:
             self.running[name] = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
@@ -80,16 +80,16 @@
         process.kill()
         process.wait()
 
-    def dead(self) -> list[str]:
+    def exited(self) -> list[str]:
         return [name for name, item in self.running.items() if item.poll() is not None]
 
     def stop_all(self) -> dict[str, int]:
-        """End everything; returns the exit codes of those that ended by themselves."""
-        # A hand-over needs the control group, which therefore stops after the hosts.
-        codes = {}
+        """Stop all processes; return the exit codes of those that were not killed."""
+        # Entry hosts need the control group to hand over ownership as they stop.
+        exit_codes = {}
         for names in (ENTRIES, CONTROLS, tuple(self.running)):
-            codes |= self._stop([name for name in names if name in self.running])
-        return codes
+            exit_codes |= self._stop([name for name in names if name in self.running])
+        return exit_codes
 
     def _stop(self, names: list[str]) -> dict[str, int]:
         processes = {name: self.running.pop(name) for name in names}
@@ -97,27 +97,27 @@
             with contextlib.suppress(ProcessLookupError):
                 item.send_signal(signal.SIGTERM)
         end_s = time.monotonic() + STOP_TIMEOUT_S
-        codes = {}
+        exit_codes = {}
         for name, item in processes.items():
             try:
-                codes[name] = item.wait(max(0.01, end_s - time.monotonic()))
+                exit_codes[name] = item.wait(max(0.01, end_s - time.monotonic()))
             except subprocess.TimeoutExpired:
                 item.kill()
                 item.wait()
-        return codes
+        return exit_codes
 
     def log_path(self, name: str) -> Path:
         return self.layout.folder / f"{name}.log"
 
     def ctl(self, operator: str, *arguments: str) -> str:
-        """Run damaskridge-ctl as an operator; returns what it printed."""
+        """Run damaskridge-ctl as `operator` and return its standard output."""
         key_file = self.layout.folder / f"{operator}.key"
         key_file.write_text(ALICE_KEY if operator == "alice" else BOB_KEY)
         addresses = ",".join(self.layout.control_addresses())
         command = [sys.executable, "-m", "damaskridge.binaries.ctl", *arguments]
         command += ["--operator", operator, "--control", addresses]
         command += ["--key-file", str(key_file)]
-        done = subprocess.run(
+        completed = subprocess.run(
             command,
             cwd=ROOT,
             env=self.environment,
@@ -126,13 +126,15 @@
             timeout=15,
             check=False,
         )
-        if done.returncode:
-            raise RuntimeError(f"damaskridge-ctl {arguments[0]}: {done.stderr.strip()}")
-        return done.stdout.strip()
+        if completed.returncode:
+            raise RuntimeError(
+                f"damaskridge-ctl {arguments[0]}: {completed.stderr.strip()}"
+            )
+        return completed.stdout.strip()
 
     def timeline(self, *arguments: str) -> list[str]:
         logs = [str(path) for path in sorted(self.layout.folder.glob("*.log"))]
-        done = subprocess.run(
+        completed = subprocess.run(
             [sys.executable, "-m", "damaskridge.binaries.timeline", *logs, *arguments],
             cwd=ROOT,
             env=self.environment,
@@ -141,4 +143,4 @@
             timeout=15,
             check=False,
         )
-        return done.stdout.splitlines()
+        return completed.stdout.splitlines()
--- a/examples/demo_settings.py
+++ b/examples/demo_settings.py
@@ -1,4 +1,4 @@
-"""Settings files, bundles and command lines of the demo's processes."""
+"""Addresses, settings files and bundles of the demo's processes."""
 
 import hashlib
 import json
@@ -23,21 +23,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports; all are held until the last is known, so none repeats."""
-    held = []
+    """Return distinct free ports; each stays bound until all of them are chosen."""
+    sockets = []
     for _ in range(count):
-        item = socket.socket()
-        item.bind(("127.0.0.1", 0))
-        held.append(item)
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
+        bound = socket.socket()
+        bound.bind(("127.0.0.1", 0))
+        sockets.append(bound)
+    ports = [bound.getsockname()[1] for bound in sockets]
+    for bound in sockets:
+        bound.close()
     return ports
 
 
 @dataclass
 class Layout:
-    """Addresses by process and purpose, and the folder of all files."""
+    """The addresses by process and purpose, and the folder for files of the demo."""
 
     folder: Path
     addresses: dict[str, str] = field(default_factory=dict)
@@ -46,11 +46,15 @@
     decode_step_ms: float = 40.0
 
     def __post_init__(self) -> None:
-        names = [f"{name}/{use}" for name in CONTROLS for use in ("peer", "operators")]
+        names = [
+            f"{name}/{purpose}"
+            for name in CONTROLS
+            for purpose in ("peer", "operators")
+        ]
         names += [
-            f"{name}/{use}"
+            f"{name}/{purpose}"
             for name in ENTRIES
-            for use in ("caller", "peer", "operators")
+            for purpose in ("caller", "peer", "operators")
         ]
         names += [*self.engines, *SERVICES, "hosts"]
         for name, port in zip(names, free_ports(len(names)), strict=True):
--- a/examples/standins/asgi.py
+++ b/examples/standins/asgi.py
@@ -1,4 +1,4 @@
-"""The small part of ASGI that the stand-ins need."""
+"""A minimal ASGI server for the stand-ins."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -6,10 +6,10 @@
 import msgspec
 import uvicorn
 
-__all__ = ["Handler", "Reply", "read_body", "serve"]
+__all__ = ["Handler", "Response", "read_body", "serve"]
 
-Reply = tuple[int, bytes] | AsyncIterator[bytes]
-Handler = Callable[[dict[str, Any], bytes], Awaitable[Reply]]
+Response = tuple[int, bytes] | AsyncIterator[bytes]
+Handler = Callable[[dict[str, Any], bytes], Awaitable[Response]]
 
 
 async def read_body(receive: Callable[[], Awaitable[dict[str, Any]]]) -> bytes:
@@ -21,20 +21,20 @@
             return body
 
 
-def application(handler: Handler) -> Any:
+def asgi_app(handler: Handler) -> Any:
     async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope["type"] != "http":
             return
-        reply = await handler(scope, await read_body(receive))
-        status, body = (200, b"") if not isinstance(reply, tuple) else reply
+        response = await handler(scope, await read_body(receive))
+        status, body = (200, b"") if not isinstance(response, tuple) else response
         headers = [(b"content-type", b"application/json")]
-        if isinstance(reply, tuple):
+        if isinstance(response, tuple):
             headers.append((b"content-length", str(len(body)).encode()))
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await send(start)
-        if not isinstance(reply, tuple):
-            async for part in reply:
-                message = {"type": "http.response.body", "body": part}
+        if not isinstance(response, tuple):
+            async for chunk in response:
+                message = {"type": "http.response.body", "body": chunk}
                 await send({**message, "more_body": True})
         await send({"type": "http.response.body", "body": body})
 
@@ -42,15 +42,17 @@
 
 
 class _Server(uvicorn.Server):
+    """Prints its address as soon as it accepts connections."""
+
     async def startup(self, sockets: Any = None) -> None:
         await super().startup(sockets)
         print(f"ready {self.config.host}:{self.config.port}", flush=True)
 
 
 def serve(handler: Handler, host: str, port: int) -> None:
-    """Serve until a signal; prints one line when ready."""
+    """Serve until a signal stops the process; print a line when ready."""
     config = uvicorn.Config(
-        application(handler),
+        asgi_app(handler),
         host=host,
         port=port,
         loop="asyncio",
@@ -63,5 +65,5 @@
     _Server(config).run()
 
 
-def encoded(value: object, status: int = 200) -> tuple[int, bytes]:
+def json_response(value: object, status: int = 200) -> tuple[int, bytes]:
     return status, msgspec.json.encode(value)
--- a/examples/standins/service.py
+++ b/examples/standins/service.py
@@ -1,11 +1,11 @@
-"""A stand-in for an instance of a plain service; records every call."""
+"""A stand-in for an instance of a service; records every call."""
 
 import asyncio
 from typing import Any
 
 import fire
 
-from examples.standins.asgi import Reply, encoded, serve
+from examples.standins.asgi import Response, json_response, serve
 
 __all__ = ["main"]
 
@@ -13,14 +13,15 @@
 def main(
     port: int, host: str = "127.0.0.1", name: str = "service", delay_s: float = 0.0
 ) -> None:
-    """Run an instance; `GET /__calls` lists its calls with their headers."""
+    """Run an instance; `GET /__calls` returns its calls with their headers."""
     calls: list[dict[str, Any]] = []
 
-    async def handle(scope: dict[str, Any], body: bytes) -> Reply:
+    async def handle(scope: dict[str, Any], body: bytes) -> Response:
         if scope["path"] == "/__calls":
-            return encoded(calls)
+            return json_response(calls)
         headers = [
-            [n.decode("latin-1"), v.decode("latin-1")] for n, v in scope["headers"]
+            [key.decode("latin-1"), value.decode("latin-1")]
+            for key, value in scope["headers"]
         ]
         call = {
             "method": scope["method"],
@@ -31,7 +32,9 @@
         }
         calls.append(call)
         await asyncio.sleep(delay_s)
-        return encoded({"service": name, "call": len(calls), "path": scope["path"]})
+        return json_response(
+            {"service": name, "call": len(calls), "path": scope["path"]}
+        )
 
     serve(handle, host, port)
 
