--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -27,6 +27,7 @@
 RECOVERY_STEPS = 400
 COMPACTION_THRESHOLD_ENTRIES = 12
 CLIENT_TIMEOUT_S = 0.5
+# A kind that is listed n times is drawn n times as often.
 FAULT_KINDS = (
     "crash blackout power power start start start partition isolate isolate heal heal "
     "lose_disk lose_disk flip_bit flip_bit change transfer"
@@ -176,6 +177,7 @@
     # Events and actions of a member
 
     def run(self, host: str, *events: m.Event) -> list[m.Action]:
+        """Pass events to a member, check the invariants and execute its actions."""
         member = self.members[host]
         driver = member.driver
         if driver is None:
@@ -251,6 +253,7 @@
     # Network
 
     def transmit(self, source: str, to: str, message: wire.Message) -> None:
+        """Queue a message with a delay; under faults it may be lost or duplicated."""
         self.record_own_vote(message)
         copies = 1
         delay_s = self.rng.uniform(0.0005, 0.004)
@@ -295,6 +298,7 @@
     # Faults
 
     def inject_fault(self) -> None:
+        """Draw a host and a kind of fault; do nothing if the fault cannot apply."""
         rng, host = self.rng, self.rng.choice(self.hosts)
         running = self.members[host].driver is not None
         kind = rng.choice(FAULT_KINDS)
@@ -473,6 +477,7 @@
             self.run(host, m.CompactLog(member.applied, str(member.value).encode()))
 
     def check_isolated_terms(self) -> None:
+        """Check that pre-vote keeps isolated members from raising their term."""
         for member in self.members.values():
             if member.driver and member.isolated_term is not None:
                 term = member.driver.node.term
