--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -1,4 +1,4 @@
-"""Callers of the entry hosts: they send, resend, resume, cancel and check answers."""
+"""Simulated callers, which send, resume and cancel requests and check the responses."""
 
 import asyncio
 
@@ -7,17 +7,17 @@
 
 from damaskridge.adapters.http.credentials import key_digest
 from tests.system.fakes import CRASH_MARK
-from tests.system.network import start_in_world
+from tests.system.network import create_world_task
 
 __all__ = ["Connection", "ModelCaller", "ServiceCaller"]
 
-_RESUMES = 4
-# A caller that resumes does not ask again after these.
-_FINAL = ("key_withdrawn", "unknown_request")
+_MAX_RESUMES = 4
+# Refusals after which a caller does not retry to resume a stream.
+_FINAL_REFUSALS = ("key_withdrawn", "unknown_request")
 
 
 class Connection:
-    """One HTTP request to one entry host."""
+    """One HTTP request to one entry host, made through its ASGI application."""
 
     def __init__(self, world, host, method, path, key, headers=(), body=b""):
         self._world, self.host = world, host
@@ -48,7 +48,7 @@
             self.end(broken=not self.host.process.alive)
 
     def end(self, broken):
-        """Note the end; `broken` if the host died."""
+        """Record the end of the request; `broken` means that the host was killed."""
         if not self.done.is_set():
             self.broken = broken
             self.done.set()
@@ -74,45 +74,57 @@
 
     @property
     def error(self):
-        """The refusal, also one in a stream, or None."""
+        """The error of the response or of the last event of a stream, else None."""
         text = self.body.rpartition(b"data: ")[2]
         try:
-            found = msgspec.json.decode(text)
+            value = msgspec.json.decode(text)
         except msgspec.DecodeError:
             return None
-        return found.get("error") if isinstance(found, dict) else None
+        return value.get("error") if isinstance(value, dict) else None
 
 
 class _Caller:
-    """What all calls share; `number` names the call in prompts and bodies."""
+    """Base of all callers; `number` identifies the call in prompts and bodies."""
 
     def __init__(self, world, number, key, workspace):
         self.world, self.number = world, number
         self.key, self.digest, self.workspace = key, key_digest(key), workspace
-        self.not_run, self.kinds = [], []
+        self.not_run_ids, self.refusal_kinds = [], []
 
-    def _refused(self, connection, request_id):
+    def _record_refusal(self, connection, request_id):
+        """Record the error of a response; one of kind `internal` is a violation."""
         error = connection.error
         if error is None:
             return
-        self.kinds.append(error["kind"])
-        self.world.answers[error["kind"]] += 1
-        self.world.trace.note("refused", self.number, error["kind"], error["run"])
+        self.refusal_kinds.append(error["kind"])
+        self.world.outcomes[error["kind"]] += 1
+        self.world.trace.record("refused", self.number, error["kind"], error["run"])
         if error["run"] == "not_run":
-            self.not_run.append(request_id or error["request_id"])
+            self.not_run_ids.append(request_id or error["request_id"])
         if error["kind"] == "internal":
-            self.world.invariants.broken(f"call {self.number}: {error}")
+            self.world.invariants.report_violation(f"call {self.number}: {error}")
         self._check_drain(connection, error["kind"])
 
     def _check_drain(self, connection, kind):
+        """Check that a host that drains completes calls that it accepted in time."""
         host = connection.host
-        in_time = connection.opened_s < host.drain_s + host.front.settings.keep_s * 0.9
+        in_time = (
+            connection.opened_s
+            < host.drain_started_s + host.front.settings.keep_s * 0.9
+        )
         if host.draining and in_time and kind in ("shutting_down", "broken"):
-            self.world.invariants.broken(f"{host.name} cut off a call", name="drain")
+            self.world.invariants.report_violation(
+                f"{host.name} interrupted a request while draining", name="drain"
+            )
 
 
 class ModelCaller(_Caller):
-    """A call to a model with all that may go wrong with it."""
+    """
+    A caller of a model.
+
+    It sends duplicates, disconnects, resumes the stream on other hosts, and checks
+    every token and the complete output.
+    """
 
     def __init__(self, world, number, key, workspace, *, crashing="", tokens=0):
         super().__init__(world, number, key, workspace)
@@ -122,27 +134,27 @@
         self.tokens = tokens or rng.choice((3, 8, 20, 40, 40, 80, 200, 400))
         self.streaming = rng.random() < 0.7
         self.idempotency_key = f"k{number}" if rng.random() < 0.3 else ""
-        self.whole_ids = []
+        self.complete_ids = []
         self._expected = expected_output(self.prompt, self.tokens)
 
     async def run(self):
         rng = self.world.rng
         if CRASH_MARK in self.prompt:
-            await self._resend_crashing()
+            await self._run_crashing()
             return
-        copies = 1
+        attempts = 1
         if self.idempotency_key and rng.random() < 0.6:
-            copies = 2
+            attempts = 2
         tasks = []
-        for _ in range(copies):
-            tasks.append(start_in_world(self._attempt()))
+        for _ in range(attempts):
+            tasks.append(create_world_task(self._attempt()))
             await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 0.8))))
         await asyncio.gather(*tasks)
 
-    async def _resend_crashing(self):
-        """Send once or twice at the same time, and again after each failure."""
+    async def _run_crashing(self):
+        """Send four times in sequence, at random with one more at the same time."""
         if self.world.rng.random() < 0.5:
-            start_in_world(self._attempt())
+            create_world_task(self._attempt())
         for _ in range(4):
             await self._attempt()
             await asyncio.sleep(self.world.rng.choice((0.0, 0.3, 1.5)))
@@ -168,63 +180,69 @@
             return
         texts = {}
         connection = self._open(host)
-        connection.on_event = lambda data: self._event(connection, texts, data)
+        connection.on_event = lambda data: self._check_event(connection, texts, data)
         connection.next_offset = 0
-        plan = rng.random()
-        limit_s = None if plan > 0.35 else rng.choice((0.01, 0.05, 0.1, 0.4, 1.0, 2.0))
-        await _wait(connection, limit_s)
-        moved = not connection.done.is_set()
-        if moved:
+        disconnect_draw = rng.random()
+        limit_s = (
+            None
+            if disconnect_draw > 0.35
+            else rng.choice((0.01, 0.05, 0.1, 0.4, 1.0, 2.0))
+        )
+        await _wait_done(connection, limit_s)
+        disconnected = not connection.done.is_set()
+        if disconnected:
             connection.disconnect()
-            if plan < 0.15:
+            if disconnect_draw < 0.15:
                 await connection.done.wait()
                 return
-        await self._judge(connection, texts, moved)
+        await self._check_and_resume(connection, texts, disconnected)
 
-    async def _judge(self, connection, texts, moved):
+    async def _check_and_resume(self, connection, texts, disconnected):
+        """Check the response; resume a stream that is incomplete, on other hosts."""
         world = self.world
         request_id = connection.headers.get("x-request-id", "")
-        for _ in range(_RESUMES):
+        for _ in range(_MAX_RESUMES):
             if connection.broken:
                 self._check_drain(connection, "broken")
-                world.answers["broken"] += 1
-            if self._is_whole(connection, texts):
+                world.outcomes["broken"] += 1
+            if self._is_complete(connection, texts):
                 return
             error = connection.error
             if error is not None:
-                self._refused(connection, "")
+                self._record_refusal(connection, "")
             if not self.streaming or not request_id:
                 return
-            lost = connection.broken or moved or error is not None
-            if not lost or (error or {}).get("kind") in _FINAL:
+            needs_resume = connection.broken or disconnected or error is not None
+            if not needs_resume or (error or {}).get("kind") in _FINAL_REFUSALS:
                 break
-            moved = False
+            disconnected = False
             if world.rng.random() < 0.15:
-                start_in_world(self._spy(request_id))
+                create_world_task(self._resume_as_other_workspace(request_id))
             host = world.pick_host()
             if host is None:
                 return
             if world.rng.random() < 0.3:
-                start_in_world(self._rival(request_id, dict(texts)))
+                create_world_task(self._resume_concurrently(request_id, dict(texts)))
             connection = self._resume(host, request_id, texts)
-            await _wait(connection, None)
+            await _wait_done(connection, None)
 
     def _resume(self, host, request_id, texts):
         path = f"/v1/requests/{request_id}/stream"
         headers = [("Last-Event-ID", str(len(texts) - 1))] if texts else []
         connection = Connection(self.world, host, "GET", path, self.key, headers)
         connection.next_offset = len(texts)
-        connection.on_event = lambda data: self._event(connection, texts, data)
-        self.world.answers["resumed"] += 1
+        connection.on_event = lambda data: self._check_event(connection, texts, data)
+        self.world.outcomes["resumed"] += 1
         return connection
 
-    async def _rival(self, request_id, texts):
-        """Resume on a second host at the same time."""
+    async def _resume_concurrently(self, request_id, texts):
+        """Resume the same stream on another host at the same time."""
         host = self.world.pick_host()
         if host is not None:
-            await _wait(self._resume(host, request_id, texts), None)
+            await _wait_done(self._resume(host, request_id, texts), None)
 
-    async def _spy(self, request_id):
+    async def _resume_as_other_workspace(self, request_id):
+        """Check that the key of another workspace can't resume the stream."""
         world = self.world
         others = [item for item in world.keys if item[1] != self.workspace]
         key, _ = world.rng.choice(others)
@@ -232,13 +250,16 @@
         if host is None:
             return
         path = f"/v1/requests/{request_id}/stream"
-        spy = Connection(world, host, "GET", path, key)
-        await _wait(spy, 5.0)
-        spy.disconnect()
-        if spy.status == 200:
-            world.invariants.broken(f"{request_id} read by another", name="workspace")
-
-    def _event(self, connection, texts, data):
+        connection = Connection(world, host, "GET", path, key)
+        await _wait_done(connection, 5.0)
+        connection.disconnect()
+        if connection.status == 200:
+            world.invariants.report_violation(
+                f"{request_id} was streamed to another workspace", name="workspace"
+            )
+
+    def _check_event(self, connection, texts, data):
+        """Check the offset of a token and the caller's key; keep the text."""
         first, _, rest = data.decode().partition("\n")
         offset = int(first.removeprefix("id: "))
         payload = rest.removeprefix("data: ").partition("\n")[0]
@@ -246,16 +267,16 @@
         if choice["finish_reason"] is not None:
             return
         if offset != connection.next_offset:
-            text = f"call {self.number} got {offset}, not {connection.next_offset}"
-            self.world.invariants.broken(text, name="twice")
+            text = f"call {self.number}: offset {offset}, not {connection.next_offset}"
+            self.world.invariants.report_violation(text, name="twice")
         connection.next_offset += 1
         texts[offset] = choice["text"]
         what = f"token {offset} of call {self.number}"
-        # By design a host that is cut off from control lets running streams go on.
-        if not self.world.is_apart(connection.host):
+        # By design a host that is cut off from control lets running streams continue.
+        if not self.world.was_cut_from_control(connection.host):
             self.world.invariants.check_key(self.digest, what)
 
-    def _is_whole(self, connection, texts):
+    def _is_complete(self, connection, texts):
         if connection.status != 200:
             return False
         if self.streaming:
@@ -268,36 +289,43 @@
             text = msgspec.json.decode(connection.body)["choices"][0]["text"]
         world = self.world
         if text != self._expected:
-            world.invariants.broken(f"call {self.number} is not whole", name="whole")
-        world.answers["whole"] += 1
-        world.trace.note("whole", self.number, connection.headers["x-request-id"])
-        self.whole_ids.append(connection.headers["x-request-id"])
+            world.invariants.report_violation(
+                f"call {self.number}: the output is not as expected", name="whole"
+            )
+        world.outcomes["whole"] += 1
+        world.trace.record("whole", self.number, connection.headers["x-request-id"])
+        self.complete_ids.append(connection.headers["x-request-id"])
         return True
 
     def check_end(self, invariants):
-        for request_id in self.not_run:
-            if request_id in invariants.saw:
-                text = f"{request_id} of call {self.number} ran: {self.kinds}"
-                invariants.broken(text, name="not_run")
-        if self.idempotency_key and len(set(self.whole_ids)) > 1:
-            text = f"call {self.number} ran as {self.whole_ids}"
-            invariants.broken(text, name="duplicate")
+        for request_id in self.not_run_ids:
+            if request_id in invariants.executions:
+                text = f"{request_id} of call {self.number} ran: {self.refusal_kinds}"
+                invariants.report_violation(text, name="not_run")
+        if self.idempotency_key and len(set(self.complete_ids)) > 1:
+            text = f"call {self.number} ran as {self.complete_ids}"
+            invariants.report_violation(text, name="duplicate")
 
 
 class ServiceCaller(_Caller):
-    """A call to a plain service; one that must not be repeated is resent."""
+    """
+    A caller of a plain service.
+
+    A call that is not repeatable is sent up to three times with one idempotency key;
+    all its responses have to have the same body.
+    """
 
     def __init__(self, world, number, key, workspace):
         super().__init__(world, number, key, workspace)
-        self.once = world.rng.random() < 0.7
-        self.idempotency_key = f"once-{number}" if self.once else ""
+        self.is_non_repeatable = world.rng.random() < 0.7
+        self.idempotency_key = f"once-{number}" if self.is_non_repeatable else ""
         self.bodies, self._attempts = [], 0
 
     async def run(self):
         rng = self.world.rng
         tasks = []
-        for _ in range(rng.choice((1, 2, 3)) if self.once else 1):
-            tasks.append(start_in_world(self._attempt()))
+        for _ in range(rng.choice((1, 2, 3)) if self.is_non_repeatable else 1):
+            tasks.append(create_world_task(self._attempt()))
             await asyncio.sleep(rng.choice((0.0, 0.2, rng.uniform(0.0, 4.0))))
         await asyncio.gather(*tasks)
 
@@ -309,37 +337,39 @@
         self._attempts += 1
         attempt = f"{self.number}.{self._attempts}"
         headers = [("x-attempt", attempt)]
-        if self.once:
+        if self.is_non_repeatable:
             headers.append(("Idempotency-Key", self.idempotency_key))
-        path = "/services/desk/" + ("charge" if self.once else "look")
+        path = "/services/desk/" + ("charge" if self.is_non_repeatable else "look")
         body = b"call %d " % self.number
         connection = Connection(world, host, "POST", path, self.key, headers, body)
-        impatient = world.rng.random() < 0.1
-        await _wait(connection, 0.1 if impatient else None)
+        cancels = world.rng.random() < 0.1
+        await _wait_done(connection, 0.1 if cancels else None)
         if not connection.done.is_set():
             connection.disconnect()
             await connection.done.wait()
             return
         if connection.broken:
             self._check_drain(connection, "broken")
-            world.answers["broken"] += 1
+            world.outcomes["broken"] += 1
         elif connection.status == 200:
-            world.answers["service"] += 1
-            world.trace.note("service", attempt, connection.body)
+            world.outcomes["service"] += 1
+            world.trace.record("service", attempt, connection.body)
             self.bodies.append(connection.body)
         else:
-            self._refused(connection, attempt)
+            self._record_refusal(connection, attempt)
 
     def check_end(self, invariants):
-        for attempt in self.not_run:
-            if attempt in invariants.saw:
-                text = f"call {attempt} ran: {self.kinds}"
-                invariants.broken(text, name="not_run")
-        if self.once and len(set(self.bodies)) > 1:
-            invariants.broken(f"call {self.number}: {self.bodies}", name="once")
+        for attempt in self.not_run_ids:
+            if attempt in invariants.executions:
+                text = f"call {attempt} ran: {self.refusal_kinds}"
+                invariants.report_violation(text, name="not_run")
+        if self.is_non_repeatable and len(set(self.bodies)) > 1:
+            invariants.report_violation(
+                f"call {self.number}: different bodies {self.bodies}", name="once"
+            )
 
 
-async def _wait(connection, limit_s):
+async def _wait_done(connection, limit_s):
     waiting = asyncio.ensure_future(connection.done.wait())
     await asyncio.wait({waiting}, timeout=limit_s)
     waiting.cancel()
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -1,4 +1,4 @@
-"""The control group: the real services and state on a simulated log."""
+"""The control group: the real service and state machine over a simulated log."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -11,15 +11,19 @@
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import CommandResult, SessionEnded
 from damaskridge.model.errors import ErrorKind, Failure, RunState
-from tests.system.network import Pipe, Process, start_in_world
+from tests.system.network import Pipe, Process, create_world_task
 
-__all__ = ["CONTROL", "ControlCallsFake", "ControlGroup", "operator_commit"]
+__all__ = ["CONTROL", "SimulatedLeaderClient", "ControlGroup", "operator_commit"]
 
 CONTROL = "control"
 
 
 class ControlGroup:
-    """One member that leads, except during an outage; a `ControlNodePort`."""
+    """
+    A `ControlNodePort` with one member, which is the leader except during an outage.
+
+    A committed command is applied at once; there is no consensus protocol.
+    """
 
     name = CONTROL
     leader_address = ""
@@ -41,7 +45,7 @@
         return int(asyncio.get_running_loop().time() * 1000)
 
     async def outage(self, duration_s):
-        """Have no leader for a while; the next one may lack nothing committed."""
+        """Have no leader for a while; every committed command is kept."""
         self.is_leader = False
         await asyncio.sleep(duration_s)
         self.term += 1
@@ -51,14 +55,14 @@
         before = dict(self.state.data.owners)
         self.index += 1
         outcome = self.state.apply(self.index, command)
-        self._note_ended_epochs(before, outcome.delta)
+        self._record_ended_epochs(before, outcome.delta)
         for queue in self.queues:
             queue.send_nowait(outcome.delta)
-        self.world.committed(command, outcome.delta)
+        self.world.record_commit(command, outcome.delta)
         return outcome.result
 
-    def _note_ended_epochs(self, before, delta):
-        """Remember when an ownership ended without a release."""
+    def _record_ended_epochs(self, before, delta):
+        """Record the time at which an ownership ended by the end of its session."""
         now_s = asyncio.get_running_loop().true_time()
         ended = {
             (c.host, c.number) for c in delta.changes if isinstance(c, SessionEnded)
@@ -72,7 +76,7 @@
             return CommandResult(failure=Failure(ErrorKind.NOT_LEADER))
         await asyncio.sleep(self.network.rng.uniform(0.002, 0.01))
         if not self.is_leader:
-            # The entry may or may not be on a majority when the leader is lost.
+            # When the leader is lost, the entry may or may not be on a majority.
             if self.network.rng.random() < 0.5:
                 await self._next_leader()
                 self.commit(command)
@@ -96,8 +100,8 @@
             yield delta
 
 
-class _Stream:
-    """Both ends of a `Follow` stream look like this."""
+class _FollowStream:
+    """One end of a `Follow` stream, as the client and the handler use it."""
 
     def __init__(self, incoming, outgoing):
         self._incoming, self._outgoing = incoming, outgoing
@@ -115,7 +119,7 @@
         self._outgoing.fail(ConnectionError())
 
 
-class ControlCallsFake:
+class SimulatedLeaderClient:
     """`LeaderClient` of one entry host over the simulated network."""
 
     def __init__(self, owner, group, network, rng):
@@ -147,61 +151,65 @@
             await asyncio.sleep(1.0)
             raise ConnectionError
         await asyncio.sleep(network.delay_s())
-        up = Pipe(network, self._owner, CONTROL)
-        down = Pipe(network, group.process, self._owner.name)
+        to_control = Pipe(network, self._owner, CONTROL)
+        to_host = Pipe(network, group.process, self._owner.name)
         handler = group.service.__mapping__()[FOLLOW_PATH].func
-        group.process.start(self._serve(handler, _Stream(up, down), down))
+        group.process.start(
+            self._serve(handler, _FollowStream(to_control, to_host), to_host)
+        )
         try:
-            yield _Stream(down, up)
+            yield _FollowStream(to_host, to_control)
         finally:
-            up.fail(ConnectionError())
+            to_control.fail(ConnectionError())
 
-    async def _serve(self, handler, stream, down):
+    async def _serve(self, handler, stream, to_host):
         try:
             await handler(stream)
         except* (ConnectionError, anyio.ClosedResourceError):
             pass
-        down.send(None)
+        to_host.send(None)
 
     async def propose(self, command, timeout_s):
-        """Commit a command; sends it again with the same id until it is answered."""
+        """Commit a command; retries with the same id until there is a response."""
         loop = asyncio.get_running_loop()
-        give_up_s, reached, attempt = loop.time() + timeout_s, False, 0
-        while (left_s := give_up_s - loop.time()) > 0:
-            if self._network.carries(self._owner, CONTROL):
-                reached = True
+        deadline_s, was_sent, attempt = loop.time() + timeout_s, False, 0
+        while (remaining_s := deadline_s - loop.time()) > 0:
+            if self._network.delivers(self._owner, CONTROL):
+                was_sent = True
                 await asyncio.sleep(self._network.delay_s())
                 task = self._group.process.start(self._commit(command))
-                limit_s = min(ATTEMPT_TIMEOUT_S, left_s)
+                limit_s = min(ATTEMPT_TIMEOUT_S, remaining_s)
                 await asyncio.wait({task}, timeout=limit_s)
-                returned = self._network.carries(self._group.process, self._owner.name)
-                if task.done() and not task.cancelled() and returned:
+                response_delivered = self._network.delivers(
+                    self._group.process, self._owner.name
+                )
+                if task.done() and not task.cancelled() and response_delivered:
                     await asyncio.sleep(self._network.delay_s())
                     result = task.result()
                     failure = result.failure
                     if failure is None or failure.kind is not ErrorKind.NOT_LEADER:
                         return result
-                elif not returned:
+                elif not response_delivered:
                     await asyncio.sleep(max(0.0, min(limit_s, 0.5)))
             else:
-                await asyncio.sleep(min(ATTEMPT_TIMEOUT_S, left_s))
+                await asyncio.sleep(min(ATTEMPT_TIMEOUT_S, remaining_s))
             await asyncio.sleep(self.retry_wait_s(attempt))
             attempt += 1
-        state = RunState.UNKNOWN if reached else RunState.NOT_RUN
+        state = RunState.UNKNOWN if was_sent else RunState.NOT_RUN
         failure = Failure(ErrorKind.CONTROL_UNAVAILABLE, run_state=state)
         return CommandResult(failure=failure)
 
     async def _commit(self, command):
-        if self._network.rng.random() < self._network.repeat:
-            # A resend of a command whose answer is late has the same id.
-            start_in_world(self._commit_late(command))
+        if self._network.rng.random() < self._network.duplicate_probability:
+            # A retry after a late response carries the same command id.
+            create_world_task(self._commit_duplicate(command))
         return await self._group.service._commit(command, "")
 
-    async def _commit_late(self, command):
+    async def _commit_duplicate(self, command):
         await asyncio.sleep(self._network.rng.uniform(0.0, 0.3))
         await self._group.process.start(self._group.service._commit(command, ""))
 
 
 def operator_commit(group, command):
-    """Commit an operator's command with the operator's key."""
+    """Commit a command, authenticated by the key of its operator."""
     return group.service._commit(command, f"key-of-{command.operator}")
--- a/tests/system/driver.py
+++ b/tests/system/driver.py
@@ -1,4 +1,9 @@
-"""One randomised run of the whole request path on a paused clock."""
+"""
+Randomised simulation of the whole request path on a simulated clock.
+
+`run_seed` starts entry hosts, engines, services and the control group in one process,
+draws callers and faults from the seed, and checks the invariants of `invariants.py`.
+"""
 
 import asyncio
 import logging
@@ -29,20 +34,27 @@
 from tests.system import guards
 from tests.system.callers import ModelCaller, ServiceCaller
 from tests.system.control import CONTROL, ControlGroup, operator_commit
-from tests.system.fakes import CRASH_MARK, SimEngine
+from tests.system.fakes import CRASH_MARK, SimulatedEngine
 from tests.system.faults import Faults
-from tests.system.fleet import EntryHostSim
+from tests.system.fleet import SimulatedEntryHost
 from tests.system.invariants import Invariants
-from tests.system.network import DriftLoop, Network, Process, Trace, start_in_world
+from tests.system.network import (
+    DriftingClockLoop,
+    Network,
+    Process,
+    Trace,
+    create_world_task,
+)
 
 __all__ = ["Report", "run_seed"]
 
-FORMING_S = 3.0
-CALLERS_END_S = 60.0
-QUIET_S = 9.0
-MONITOR_S = 0.2
-# A new stream to control, after the silent one was given up, and a delta on it.
-RECONNECTED_S = 2.0
+STARTUP_S = 3.0
+MAX_CALLERS_END_S = 60.0
+SETTLE_S = 9.0
+MONITOR_INTERVAL_S = 0.2
+# Time to open a new stream to control, after the silent one was abandoned, and to
+# receive a delta on it.
+MAX_RECONNECT_S = 2.0
 HOSTS = (("h1", "west"), ("h2", "west"), ("h3", "east"), ("h4", "east"))
 ENGINES = ("p1", "p2", "d1", "d2", "d3")
 INSTANCES = ("s1", "s2")
@@ -53,43 +65,48 @@
 
 @dataclass(frozen=True)
 class Report:
-    """What one run did."""
+    """Result of one run; two runs of one seed have the same `digest`."""
 
     steps_s: float
     faults: Counter[str]
-    answers: Counter[str]
+    outcomes: Counter[str]
     digest: str
 
 
 class World:
-    """Everything of one run."""
+    """
+    The state of one run: hosts, engines, network, callers and observations.
+
+    Code of the world runs outside every simulated process, on the true clock.
+    """
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.trace = Trace()
-        self.faults, self.answers = Counter(), Counter()
+        self.faults, self.outcomes = Counter(), Counter()
         self.network = Network(self.rng)
         self.invariants = Invariants(self)
-        # A dict, because the order of a set of objects differs between runs.
+        # A dict keeps insertion order; the order of a set of objects would differ
+        # between runs.
         self.connections, self.open_connections = Counter(), {}
-        self.calls, self.tasks = {}, []
+        self.callers, self.tasks = {}, []
         self.listed_leaving = set()
-        self.apart_s = {}
+        self.last_cut_from_control_s = {}
         self.withdrawn = []
-        self._acting = defaultdict(lambda: (None, float("inf")))
+        self._owner_access = defaultdict(lambda: (None, float("inf")))
         self._cut_until_s = {}
-        self._operations = 0
+        self._operator_commands = 0
         self._incarnations = Counter()
         self.keys = [
-            (f"secret-{space}-{number}", space)
-            for space in ("one", "two", "three")
+            (f"secret-{workspace}-{number}", workspace)
+            for workspace in ("one", "two", "three")
             for number in range(3)
         ]
         self.bundle = _bundle(self.keys)
         self.engines = {}
         for name in ENGINES:
             address = ADDRESSES[name]
-            self.engines[address] = SimEngine(name, address, self.network, self)
+            self.engines[address] = SimulatedEngine(name, address, self.network, self)
         self.instance_names = {ADDRESSES[name]: name for name in INSTANCES}
         for name in INSTANCES:
             self.network.add(Process(name))
@@ -103,14 +120,19 @@
     # Hosts.
 
     def start_host(self, name):
-        old = self.hosts.get(name)
-        if old is not None and old.process.alive:
+        previous = self.hosts.get(name)
+        if previous is not None and previous.process.alive:
             return
         self._incarnations[name] += 1
-        rate = old.process.clock_rate if old else self._clock_rate()
-        place = dict(HOSTS)[name]
-        host = EntryHostSim(name, self._incarnations[name], place, rate, self)
-        host.born_s, host.drain_s = asyncio.get_running_loop().true_time(), 0.0
+        rate = previous.process.clock_rate if previous else self._clock_rate()
+        data_centre = dict(HOSTS)[name]
+        host = SimulatedEntryHost(
+            name, self._incarnations[name], data_centre, rate, self
+        )
+        host.started_s, host.drain_started_s = (
+            asyncio.get_running_loop().true_time(),
+            0.0,
+        )
         self.hosts[name] = host
 
     def kill(self, host):
@@ -121,35 +143,45 @@
 
     async def drain(self, host):
         host.draining = True
-        host.drain_s = asyncio.get_running_loop().true_time()
+        host.drain_started_s = asyncio.get_running_loop().true_time()
         task = host.process.start(host.drain())
         await asyncio.wait({task})
         if host.process.alive:
             if self.connections[host.name]:
-                self.invariants.broken(f"{host.name} left callers", name="drain")
+                self.invariants.report_violation(
+                    f"{host.name} stopped with open connections", name="drain"
+                )
             self.kill(host)
             await asyncio.sleep(0.5)
             self.start_host(host.name)
 
-    def is_apart(self, host):
-        """Tell whether a host was cut off from control within the last seconds."""
+    def was_cut_from_control(self, host):
+        """Return whether a host was cut off from control in the last seconds."""
         now_s = asyncio.get_running_loop().true_time()
-        return now_s - self.apart_s.get(host.name, float("-inf")) < RECONNECTED_S
+        return (
+            now_s - self.last_cut_from_control_s.get(host.name, float("-inf"))
+            < MAX_RECONNECT_S
+        )
 
     def live_hosts(self):
         return [host for host in self.hosts.values() if host.process.alive]
 
-    def steady_hosts(self):
+    def serving_hosts(self):
         return [host for host in self.live_hosts() if not host.draining]
 
     def pick_host(self):
-        """Return an address as a caller would use it; it may have been cached."""
+        """
+        Return a host for a caller, or None.
+
+        A draining host is included for a while, as a caller may have cached its
+        address.
+        """
         now_s = asyncio.get_running_loop().true_time()
         usable = [
             host
             for host in self.live_hosts()
             if not host.draining
-            or now_s < host.drain_s + 0.8 * host.front.settings.keep_s
+            or now_s < host.drain_started_s + 0.8 * host.front.settings.keep_s
         ]
         return self.rng.choice(usable) if usable else None
 
@@ -159,23 +191,23 @@
 
     # Faults.
 
-    def cut(self, one, other, lasts_s):
-        until_s = asyncio.get_running_loop().true_time() + lasts_s
-        key = (one, other)
+    def cut(self, first, second, duration_s):
+        until_s = asyncio.get_running_loop().true_time() + duration_s
+        key = (first, second)
         self.network.cuts[key] = max(self.network.cuts.get(key, 0.0), until_s)
 
-    def heal(self):
+    def remove_cuts(self):
         self.network.cuts.clear()
 
-    def list_leaving(self, name):
+    def add_leaving(self, name):
         self.listed_leaving.add(name)
-        self._note_leaving(name)
+        self._track_leaving(name)
 
-    def unlist(self, name):
+    def remove_leaving(self, name):
         self.listed_leaving.discard(name)
-        self._note_leaving(name)
+        self._track_leaving(name)
 
-    def _note_leaving(self, name):
+    def _track_leaving(self, name):
         draining = self.control.state.data.draining_backend_servers
         if name in self.listed_leaving or name in draining:
             now_s = asyncio.get_running_loop().true_time()
@@ -183,12 +215,12 @@
         else:
             self.invariants.leaving_s.pop(name, None)
 
-    def operate(self, kind, **fields):
-        start_in_world(self._operate(kind, "ada", **fields))
+    def start_operator_command(self, kind, **fields):
+        create_world_task(self._run_operator_command(kind, "ada", **fields))
 
-    async def _operate(self, kind, operator, **fields):
-        self._operations += 1
-        name = f"operator-{self._operations}"
+    async def _run_operator_command(self, kind, operator, **fields):
+        self._operator_commands += 1
+        name = f"operator-{self._operator_commands}"
         command = kind(command_id=name, operator=operator, **fields)
         while True:
             task = self.control.process.start(operator_commit(self.control, command))
@@ -201,16 +233,18 @@
             await asyncio.sleep(0.2)
 
     async def roll(self, bundle):
-        proposed = await self._operate(ProposeBundle, "ada", bundle=bundle)
+        proposed = await self._run_operator_command(ProposeBundle, "ada", bundle=bundle)
         assert proposed.failure is None, proposed.failure
         name = proposed.value
-        await self._operate(SignOffBundle, "bob", proposal=name)
+        await self._run_operator_command(SignOffBundle, "bob", proposal=name)
         version = self.control.state.data.version
-        await self._operate(RollBundle, "ada", proposal=name, expected_version=version)
+        await self._run_operator_command(
+            RollBundle, "ada", proposal=name, expected_version=version
+        )
 
-    async def roll_next(self):
-        """Roll a bundle with other weights, and at times without one engine."""
-        spaces = tuple(
+    async def roll_changed_bundle(self):
+        """Roll a bundle with other share weights, and at random without one engine."""
+        workspaces = tuple(
             msgspec.structs.replace(item, share_weight=self.rng.choice((0.5, 1.0, 2.0)))
             for item in self.bundle.workspaces
         )
@@ -218,63 +252,66 @@
         if self.rng.random() < 0.3:
             servers = tuple(item for item in servers if item.name != "d3")
         changed = msgspec.structs.replace(
-            self.bundle, workspaces=spaces, backend_servers=servers
+            self.bundle, workspaces=workspaces, backend_servers=servers
         )
         await self.roll(changed)
 
-    # What the fakes report.
+    # Reports of the fakes.
 
-    def committed(self, command, delta):
-        self.invariants.committed(delta)
+    def record_commit(self, command, delta):
+        self.invariants.record_commit(delta)
         for name in self.servers:
-            self._note_leaving(name)
+            self._track_leaving(name)
 
-    def engine_saw(self, engine, request):
-        self.invariants.engine_saw(engine, request)
+    def record_engine_request(self, engine, request):
+        self.invariants.record_engine_request(engine, request)
 
-    def crashed(self, engine, prompt):
-        self.trace.note("crashed", engine.name)
-        self.invariants.crashed(prompt)
+    def record_crash(self, engine, prompt):
+        self.trace.record("crashed", engine.name)
+        self.invariants.record_crash(prompt)
 
-    def service_saw(self, name, call):
+    def record_service_request(self, name, call):
         attempt = call.headers["x-attempt"]
         number = int(attempt.partition(".")[0])
-        self.invariants.saw[attempt].append(name)
-        caller = self.calls[number]
-        self.invariants.service_saw(name, call, number, caller.idempotency_key)
-        return len(self.invariants.saw[attempt])
+        self.invariants.executions[attempt].append(name)
+        caller = self.callers[number]
+        self.invariants.record_service_request(
+            name, call, number, caller.idempotency_key
+        )
+        return len(self.invariants.executions[attempt])
 
-    def acting_since_s(self, engine):
-        """Return since when the cell's owner has been able to act on an engine."""
-        return self._acting[engine.name][1]
+    def owner_access_since_s(self, engine):
+        """Return since when the owner of the cell can reach and poll an engine."""
+        return self._owner_access[engine.name][1]
 
     # Callers.
 
-    def call(self, kind=ModelCaller, space="", **options):
-        keys = [item for item in self.keys if space in ("", item[1])]
-        key, workspace = self.rng.choice(keys)
-        number = len(self.calls)
-        caller = kind(self, number, key, workspace, **options)
-        self.calls[number] = caller
-        self.tasks.append(start_in_world(caller.run()))
+    def start_caller(self, kind=ModelCaller, workspace="", **options):
+        keys = [item for item in self.keys if workspace in ("", item[1])]
+        key, key_workspace = self.rng.choice(keys)
+        number = len(self.callers)
+        caller = kind(self, number, key, key_workspace, **options)
+        self.callers[number] = caller
+        self.tasks.append(create_world_task(caller.run()))
 
-    def call_crashing(self):
-        self.call(crashing=f"{CRASH_MARK} {len(self.calls)} ")
+    def start_crashing_caller(self):
+        self.start_caller(crashing=f"{CRASH_MARK} {len(self.callers)} ")
 
-    def flood(self):
+    def start_burst(self):
         for _ in range(25):
-            self.call(space="three", tokens=30)
+            self.start_caller(workspace="three", tokens=30)
 
-    async def call_until(self, until_s):
+    async def start_callers_until(self, until_s):
         loop = asyncio.get_running_loop()
         while loop.true_time() < until_s:
             kind = ModelCaller if self.rng.random() < 0.7 else ServiceCaller
-            self.call(kind)
+            self.start_caller(kind)
             await asyncio.sleep(self.rng.uniform(0.02, 0.35))
 
     # The run.
 
     async def monitor(self):
+        """Remove cuts that have expired, and check the invariants periodically."""
         loop = asyncio.get_running_loop()
         while True:
             now_s = loop.true_time()
@@ -283,44 +320,45 @@
                 del cuts[key]
             for name in self.hosts:
                 if self.network.is_cut(name, CONTROL):
-                    self.apart_s[name] = now_s
-            self._note_acting(now_s)
+                    self.last_cut_from_control_s[name] = now_s
+            self._track_owner_access(now_s)
             self.invariants.check()
-            await asyncio.sleep(MONITOR_S)
+            await asyncio.sleep(MONITOR_INTERVAL_S)
 
-    def _note_acting(self, now_s):
+    def _track_owner_access(self, now_s):
+        """Record for each engine since when the owner of its cell can reach it."""
         owner = self.control.state.data.owners.get("cell/llm")
         host = self.host_at(f"{owner.host}:") if owner else None
-        # A worker that was stopped and started anew has lost all that it knew.
+        # A worker that was stopped and restarted has lost its state.
         worker = host.owners.cells._workers.get("llm") if host else None
         for engine in self.engines.values():
             key = engine.name
-            # Nobody may speak to an engine that a roll took out of the bundle.
+            # No owner may call an engine that a roll removed from the bundle.
             known = worker is not None and key in worker._pollers
             if not known or self.network.is_cut(host.name, engine.name):
-                self._acting[key] = (None, float("inf"))
-            elif self._acting[key][0] is not worker:
-                self._acting[key] = (worker, now_s)
+                self._owner_access[key] = (None, float("inf"))
+            elif self._owner_access[key][0] is not worker:
+                self._owner_access[key] = (worker, now_s)
 
     async def run(self, steps_s):
         loop = asyncio.get_running_loop()
         for name, _ in HOSTS:
             self.start_host(name)
-        monitor = start_in_world(self.monitor())
+        monitor = create_world_task(self.monitor())
         await self.roll(self.bundle)
-        await asyncio.sleep(FORMING_S)
+        await asyncio.sleep(STARTUP_S)
         until_s = loop.true_time() + steps_s
         faults = Faults(self)
-        running = start_in_world(faults.run(until_s))
-        calling = start_in_world(self.call_until(until_s))
+        fault_task = create_world_task(faults.run(until_s))
+        caller_task = create_world_task(self.start_callers_until(until_s))
         while True:
             await asyncio.sleep(0.5)
             if loop.true_time() >= until_s or self.invariants.violation is not None:
                 break
-        running.cancel()
-        calling.cancel()
-        faults.quiet()
-        self.heal()
+        fault_task.cancel()
+        caller_task.cancel()
+        faults.stop_noise()
+        self.remove_cuts()
         if self.invariants.violation is None:
             await self._finish()
         monitor.cancel()
@@ -336,25 +374,27 @@
         await asyncio.sleep(0.1)
 
     async def _finish(self):
-        """Let everything come to its end without faults."""
+        """Wait without faults until the callers have ended; check the final state."""
         loop = asyncio.get_running_loop()
-        limit_s = loop.true_time() + CALLERS_END_S
+        limit_s = loop.true_time() + MAX_CALLERS_END_S
         while loop.true_time() < limit_s and self.invariants.violation is None:
             if all(task.done() for task in self.tasks):
                 break
             await asyncio.sleep(0.25)
         else:
             waiting = [task for task in self.tasks if not task.done()]
-            self.invariants.broken(f"{len(waiting)} callers wait", name="end")
+            self.invariants.report_violation(
+                f"{len(waiting)} callers have not ended", name="end"
+            )
         for task in self.tasks:
             if task.done() and not task.cancelled() and task.exception():
                 raise task.exception()
-        await asyncio.sleep(QUIET_S)
+        await asyncio.sleep(SETTLE_S)
         self.invariants.check_end()
 
 
-class _Errors(logging.Handler):
-    """Treats an unexpected error in the program as a violation."""
+class _ErrorLogHandler(logging.Handler):
+    """Reports an exception that the product logs as an error as a violation."""
 
     def __init__(self, invariants):
         super().__init__(logging.ERROR)
@@ -363,7 +403,7 @@
     def emit(self, record):
         error = record.exc_info[1] if record.exc_info else None
         if error is not None:
-            self._invariants.broken(f"logged error: {error!r}", error)
+            self._invariants.report_violation(f"logged exception: {error!r}", error)
 
 
 def _bundle(keys):
@@ -383,7 +423,7 @@
             Workspace("two", 400.0, 1000.0),
             Workspace("three", 40.0, 1500.0),
         ),
-        keys=tuple(KeyRecord(key_digest(key), space) for key, space in keys),
+        keys=tuple(KeyRecord(key_digest(key), workspace) for key, workspace in keys),
         operators=tuple(
             Operator(name, key_digest(f"key-of-{name}")) for name in ("ada", "bob")
         ),
@@ -393,18 +433,18 @@
     )
 
 
-def _recorded(world):
-    async def recorded(context, request):
-        reply = await reserve_rate(context, request)
-        if isinstance(reply, RateGrant) and world.hosts[context.host].process.alive:
-            world.invariants.grant_used(request, reply)
-        return reply
+def _recording_reserve_rate(world):
+    async def reserve_and_record(context, request):
+        response = await reserve_rate(context, request)
+        if isinstance(response, RateGrant) and world.hosts[context.host].process.alive:
+            world.invariants.record_grant_use(request, response)
+        return response
 
-    return recorded
+    return reserve_and_record
 
 
-def _connect(world):
-    """Return a replacement of the probe's TCP connection."""
+def _simulated_connect(world):
+    """Return a replacement of `anyio.connect_tcp`, which the probe uses."""
 
     async def connect_tcp(host, port):
         await asyncio.sleep(world.network.delay_s())
@@ -413,27 +453,38 @@
     return connect_tcp
 
 
-async def _main(seed, steps_s, disabled_guards):
+async def _run_world(seed, steps_s, disabled_guards):
     world = World(seed)
-    handler = _Errors(world.invariants)
+    handler = _ErrorLogHandler(world.invariants)
     logger = logging.getLogger("damaskridge")
     with ExitStack() as stack:
         for module in (front_call, front_services):
-            patch = mock.patch.object(module, "reserve_rate", _recorded(world))
+            patch = mock.patch.object(
+                module, "reserve_rate", _recording_reserve_rate(world)
+            )
             stack.enter_context(patch)
-        stack.enter_context(mock.patch.object(anyio, "connect_tcp", _connect(world)))
+        stack.enter_context(
+            mock.patch.object(anyio, "connect_tcp", _simulated_connect(world))
+        )
         for name in sorted(disabled_guards):
             stack.enter_context(guards.disabled(name))
         logger.addHandler(handler)
         stack.callback(logger.removeHandler, handler)
         await world.run(steps_s)
     digest = world.trace.hexdigest()
-    return Report(steps_s, world.faults, world.answers, digest)
+    return Report(steps_s, world.faults, world.outcomes, digest)
 
 
 def run_seed(seed, steps_s=12.0, disabled_guards=frozenset()):
-    """Run one seed; `Violation` if an invariant is violated."""
+    """
+    Run one seed with some guards of the product disabled.
+
+    Raises
+    ------
+    Violation
+        If an invariant is violated.
+    """
     unknown = disabled_guards - guards.NAMES
     assert not unknown, f"unknown guards: {sorted(unknown)}"
-    with asyncio.Runner(loop_factory=DriftLoop) as runner:
-        return runner.run(_main(seed, steps_s, disabled_guards))
+    with asyncio.Runner(loop_factory=DriftingClockLoop) as runner:
+        return runner.run(_run_world(seed, steps_s, disabled_guards))
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -1,4 +1,4 @@
-"""Faults of all kinds, drawn at random and on top of each other."""
+"""Random faults, which may overlap."""
 
 import asyncio
 
@@ -10,15 +10,20 @@
     WithdrawKey,
 )
 from tests.system.control import CONTROL
-from tests.system.network import start_in_world
+from tests.system.network import create_world_task
 
 __all__ = ["Faults"]
 
-_LASTS_S = (0.05, 0.6, 1.5, 3.5, 5.0, 7.0)
+_DURATIONS_S = (0.05, 0.6, 1.5, 3.5, 5.0, 7.0)
 
 
 class Faults:
-    """Draws faults and undoes them; `world` counts them by kind."""
+    """
+    Injects random faults and ends them after a while; `world` counts them by kind.
+
+    A kind that is listed twice in `KINDS` is drawn twice as often. The method of a kind
+    returns False if the fault can't be injected now.
+    """
 
     KINDS = (
         "kill_host kill_host kill_owner kill_owner cut_control cut_control cut_peers "
@@ -39,125 +44,133 @@
             kind = self.rng.choice(self.KINDS)
             if getattr(self, f"_{kind}")() is not False:
                 self.world.faults[kind] += 1
-                self.world.trace.note("fault", kind)
+                self.world.trace.record("fault", kind)
 
-    def _later(self, delay_s, function, *args):
+    def _call_later(self, delay_s, function, *args):
         async def work():
             await asyncio.sleep(delay_s)
             function(*args)
 
-        start_in_world(work())
+        create_world_task(work())
 
-    def _lasts_s(self):
-        return self.rng.choice(_LASTS_S)
+    def _draw_duration_s(self):
+        return self.rng.choice(_DURATIONS_S)
 
-    def _cut(self, name, others, lasts_s):
+    def _cut(self, name, others, duration_s):
         for other in others:
             if other != name:
-                self.world.cut(name, other, lasts_s)
+                self.world.cut(name, other, duration_s)
 
-    def _host(self):
-        hosts = self.world.steady_hosts()
+    def _pick_host(self):
+        hosts = self.world.serving_hosts()
         return self.rng.choice(hosts) if hosts else None
 
-    def _owner(self):
-        """Return the host that owns some resource."""
+    def _pick_owner(self):
+        """Return the host that owns a randomly chosen resource, or None."""
         owners = self.world.control.state.data.owners
         owner = owners[self.rng.choice(sorted(owners))] if owners else None
         return self.world.hosts.get(owner.host) if owner else None
 
     def _kill(self, host):
-        if host is None or len(self.world.steady_hosts()) < 3:
+        if host is None or len(self.world.serving_hosts()) < 3:
             return False
         if host.draining or not host.process.alive:
             return False
         self.world.kill(host)
         wait_s = self.rng.choice((0.2, 1.0, 4.0, 6.0))
-        self._later(wait_s, self.world.start_host, host.name)
+        self._call_later(wait_s, self.world.start_host, host.name)
         return True
 
     def _kill_host(self):
-        return self._kill(self._host())
+        return self._kill(self._pick_host())
 
     def _kill_owner(self):
-        return self._kill(self._owner())
+        return self._kill(self._pick_owner())
 
     def _kill_pair(self):
-        """Kill a cell's owner and a front at the same moment."""
+        """Kill the owner of a cell and a second host at the same time."""
         owner = self.world.control.state.data.owners.get("cell/llm")
         host = self.world.hosts.get(owner.host) if owner else None
-        return self._kill(host) and self._kill(self._host())
+        return self._kill(host) and self._kill(self._pick_host())
 
     def _lose_rate_owner(self):
-        """Kill the owner of a busy workspace before and after a flood."""
+        """Kill the owner of a busy workspace between two bursts of requests."""
         owner = self.world.control.state.data.owners.get("workspace/three")
         host = self.world.hosts.get(owner.host) if owner else None
-        self.world.flood()
-        self._later(0.5, self._kill, host)
-        self._later(4.0, self.world.flood)
+        self.world.start_burst()
+        self._call_later(0.5, self._kill, host)
+        self._call_later(4.0, self.world.start_burst)
 
     def _stale_grants(self):
-        """Delay the answers of an owner while it and a front lose control."""
-        owner, front = self._owner(), self._host()
+        """Delay messages while an owner and a front are cut off from control."""
+        owner, front = self._pick_owner(), self._pick_host()
         if owner is None or front is None:
             return False
         for host in (owner, front):
             self._cut(host.name, [CONTROL], 6.0)
-        self.world.network.stall = 0.3
-        self._later(4.0, self.quiet)
+        self.world.network.stall_probability = 0.3
+        self._call_later(4.0, self.stop_noise)
         return True
 
     def _cut_control(self):
-        if (host := self._host()) is None:
+        if (host := self._pick_host()) is None:
             return False
-        self._cut(host.name, [CONTROL], self._lasts_s())
+        self._cut(host.name, [CONTROL], self._draw_duration_s())
         return True
 
     def _cut_peers(self):
-        if (host := self._host()) is None:
+        if (host := self._pick_host()) is None:
             return False
         others = sorted(self.world.hosts)
         if self.rng.random() < 0.5:
             others = [self.rng.choice(others)]
-        self._cut(host.name, others, self._lasts_s())
+        self._cut(host.name, others, self._draw_duration_s())
         return True
 
     def _cut_engines(self):
-        if (host := self._host()) is None:
+        if (host := self._pick_host()) is None:
             return False
         names = sorted(self.world.servers)
         chosen = self.rng.sample(names, self.rng.randrange(1, len(names) + 1))
-        self._cut(host.name, chosen, self._lasts_s())
+        self._cut(host.name, chosen, self._draw_duration_s())
         return True
 
     def _cut_owner(self):
-        """Cut an owner off past its lease; its connections to others go on."""
-        if (host := self._owner()) is None:
+        """
+        Cut an owner off from control for about the duration of its lease or longer.
+
+        At random it is also cut off from the other hosts.
+        """
+        if (host := self._pick_owner()) is None:
             return False
-        lasts_s = self.rng.uniform(2.5, 6.0)
-        self._cut(host.name, [CONTROL], lasts_s)
+        duration_s = self.rng.uniform(2.5, 6.0)
+        self._cut(host.name, [CONTROL], duration_s)
         if self.rng.random() < 0.5:
-            self._cut(host.name, sorted(self.world.hosts), lasts_s)
+            self._cut(host.name, sorted(self.world.hosts), duration_s)
         return True
 
     def _silent_streams(self):
-        """Make open connections silent for good; new ones work at once."""
-        host = self._host()
+        """Make open streams permanently silent; new connections work again soon."""
+        host = self._pick_host()
         if host is not None:
-            everyone = [*sorted(self.world.hosts), *sorted(self.world.servers), CONTROL]
-            self._cut(host.name, everyone, 0.05)
+            all_names = [
+                *sorted(self.world.hosts),
+                *sorted(self.world.servers),
+                CONTROL,
+            ]
+            self._cut(host.name, all_names, 0.05)
         return host is not None
 
     def _outage(self):
         if not self.world.control.is_leader:
             return False
-        start_in_world(self.world.control.outage(self.rng.uniform(0.2, 1.5)))
+        create_world_task(self.world.control.outage(self.rng.uniform(0.2, 1.5)))
         return True
 
     def _kill_engine(self):
         engine = self.rng.choice(list(self.world.engines.values()))
         engine.kill()
-        self._later(self.rng.choice((0.1, 1.0, 3.0)), engine.restart)
+        self._call_later(self.rng.choice((0.1, 1.0, 3.0)), engine.restart)
 
     def _silent_engine(self):
         engine = self.rng.choice(list(self.world.engines.values()))
@@ -165,8 +178,10 @@
 
     def _slow_transfer(self):
         engine = self.rng.choice(list(self.world.engines.values()))
-        engine.transfer_slow_s = self.rng.choice((0.3, 1.0, 100.0))
-        self._later(self._lasts_s(), setattr, engine, "transfer_slow_s", 0.0)
+        engine.extra_transfer_s = self.rng.choice((0.3, 1.0, 100.0))
+        self._call_later(
+            self._draw_duration_s(), setattr, engine, "extra_transfer_s", 0.0
+        )
 
     def _cache_gap(self):
         self.rng.choice(list(self.world.engines.values())).cache_gap = True
@@ -176,8 +191,8 @@
         world = self.world
         if world.listed_leaving:
             return False
-        self._later(self.rng.uniform(0.0, 1.0), world.list_leaving, name)
-        self._later(self.rng.uniform(4.0, 9.0), world.unlist, name)
+        self._call_later(self.rng.uniform(0.0, 1.0), world.add_leaving, name)
+        self._call_later(self.rng.uniform(4.0, 9.0), world.remove_leaving, name)
         return True
 
     def _drain_server(self):
@@ -185,24 +200,28 @@
         if self.world.control.state.data.draining_backend_servers:
             return False
         target = DrainTarget.BACKEND_SERVER
-        self.world.operate(SetDrain, target=target, name=name, draining=True)
-        lasts_s = self.rng.uniform(3.5, 9.0)
-        self._later(lasts_s, self._undrain, name)
+        self.world.start_operator_command(
+            SetDrain, target=target, name=name, draining=True
+        )
+        duration_s = self.rng.uniform(3.5, 9.0)
+        self._call_later(duration_s, self._undrain, name)
         return True
 
     def _undrain(self, name):
         target = DrainTarget.BACKEND_SERVER
-        self.world.operate(SetDrain, target=target, name=name, draining=False)
+        self.world.start_operator_command(
+            SetDrain, target=target, name=name, draining=False
+        )
 
     def _roll(self):
-        start_in_world(self.world.roll_next())
+        create_world_task(self.world.roll_changed_bundle())
 
     def _roll_back(self):
         version = self.world.control.state.data.version
         if version < 2:
             return False
         to_version = self.rng.randrange(1, version)
-        self.world.operate(
+        self.world.start_operator_command(
             RollBackBundle, to_version=to_version, expected_version=version
         )
         return True
@@ -215,27 +234,34 @@
             [item for item in world.keys if item not in world.withdrawn]
         )
         world.withdrawn.append(key)
-        world.operate(WithdrawKey, key_digest=key_digest(key[0]))
+        world.start_operator_command(WithdrawKey, key_digest=key_digest(key[0]))
         return True
 
     def _drain_host(self):
-        host = self._host()
-        if host is None or len(self.world.steady_hosts()) < 3:
+        host = self._pick_host()
+        if host is None or len(self.world.serving_hosts()) < 3:
             return False
-        start_in_world(self.world.drain(host))
+        create_world_task(self.world.drain(host))
         return True
 
     def _noise(self):
         network = self.world.network
-        network.loss, network.late, network.repeat = 0.01, 0.05, 0.05
-        self._later(self.rng.uniform(1.0, 5.0), self.quiet)
-
-    def quiet(self):
+        (
+            network.loss_probability,
+            network.delay_probability,
+            network.duplicate_probability,
+        ) = 0.01, 0.05, 0.05
+        self._call_later(self.rng.uniform(1.0, 5.0), self.stop_noise)
+
+    def stop_noise(self):
+        """Let the network deliver every message once and without extra delay."""
         network = self.world.network
-        network.loss = network.late = network.repeat = network.stall = 0.0
+        network.loss_probability = network.delay_probability = (
+            network.duplicate_probability
+        ) = network.stall_probability = 0.0
 
     def _crash_request(self):
-        self.world.call_crashing()
+        self.world.start_crashing_caller()
 
     def _flood(self):
-        self.world.flood()
+        self.world.start_burst()
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -1,4 +1,4 @@
-"""Entry hosts made of the real classes, joined by simulated channels."""
+"""Entry hosts built from the product's classes, connected by simulated channels."""
 
 import asyncio
 import random
@@ -17,33 +17,33 @@
 from damaskridge.adapters.rpc.peer_messages import UNARY_METHODS, ResumeItem
 from damaskridge.adapters.rpc.peer_server import PeerService, method_path
 from damaskridge.model.errors import ErrorKind, Failure
-from tests.system.control import ControlCallsFake
+from tests.system.control import SimulatedLeaderClient
 from tests.system.fakes import EngineClient, HostList, ServiceClient
 from tests.system.invariants import RecordingCellScheduler, RecordingRateOwner
-from tests.system.network import Pipe, Process, start_in_world
+from tests.system.network import Pipe, Process, create_world_task
 
-__all__ = ["EntryHostSim"]
+__all__ = ["SimulatedEntryHost"]
 
-# Detection of a silent connection: one ping period plus its time-out.
-SILENCE_S = 1.5
+# Time to detect a silent connection: one ping period plus the ping timeout.
+SILENCE_TIMEOUT_S = 1.5
 KEEP_S = 1.0
-_REPEATED = {
+_DUPLICATED_METHODS = {
     "Reserve", "Refund", "KeyEnded", "Submit", "Withdraw", "Report", "Register",
     "TakeOver", "TakenOver",
 }  # fmt: skip
 
 
 class _UnaryStream:
-    """What a handler of the peer service sees of one call."""
+    """The stream that a handler of the peer service gets for a unary call."""
 
     def __init__(self, message):
-        self.message, self.reply = message, None
+        self.message, self.response = message, None
 
     async def recv_message(self):
         return self.message
 
-    async def send_message(self, reply):
-        self.reply = reply
+    async def send_message(self, response):
+        self.response = response
 
 
 class _ItemStream(_UnaryStream):
@@ -51,11 +51,11 @@
         super().__init__(message)
         self._pipe = pipe
 
-    async def send_message(self, reply):
-        self._pipe.send(reply)
+    async def send_message(self, response):
+        self._pipe.send(response)
 
 
-class Channels:
+class SimulatedChannels:
     """`PeerChannels` of one entry host over the simulated network."""
 
     def __init__(self, owner, network, world):
@@ -63,22 +63,22 @@
 
     async def call(self, address, name, message, timeout_s):
         task = asyncio.ensure_future(self._invoke(address, name, message))
-        watch = asyncio.ensure_future(self._silence(address))
+        silence = asyncio.ensure_future(self._wait_until_silent(address))
         try:
-            waits = {task, watch}
+            waits = {task, silence}
             await asyncio.wait(
                 waits, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            watch.cancel()
+            silence.cancel()
             if not task.done():
                 task.cancel()
         if task.done() and not task.cancelled():
             return task.result()
-        return _unavailable("silent" if watch.done() else "timed out")
+        return _unavailable("silent" if silence.done() else "timed out")
 
-    async def _silence(self, address, pipe=None):
-        """Return once the target could not have answered a ping for a while."""
+    async def _wait_until_silent(self, address, pipe=None):
+        """Return once the target has been unreachable for `SILENCE_TIMEOUT_S`."""
         loop = asyncio.get_running_loop()
         silent_since_s = None
         while True:
@@ -93,7 +93,7 @@
                 silent_since_s = None
             elif silent_since_s is None:
                 silent_since_s = loop.time()
-            elif loop.time() - silent_since_s >= SILENCE_S:
+            elif loop.time() - silent_since_s >= SILENCE_TIMEOUT_S:
                 return
             await asyncio.sleep(0.25)
 
@@ -104,28 +104,31 @@
             await asyncio.sleep(0.001)
             return _unavailable("refused")
         process = target.process
-        if not network.carries(self._owner, process.name):
-            return await _went_silent()
+        if not network.delivers(self._owner, process.name):
+            return await _fail_as_silent()
         delay_s = network.delay_s()
-        if name in _REPEATED and network.rng.random() < network.repeat:
-            network.events["repeated"] += 1
+        if (
+            name in _DUPLICATED_METHODS
+            and network.rng.random() < network.duplicate_probability
+        ):
+            network.events["duplicated"] += 1
             late_s = network.rng.uniform(0, 0.3)
-            start_in_world(self._again(target, name, message, late_s))
+            create_world_task(self._serve_duplicate(target, name, message, late_s))
         await asyncio.sleep(delay_s)
         if network.is_cut(self._owner.name, process.name):
-            return await _went_silent()
+            return await _fail_as_silent()
         if not process.alive:
             return _unavailable("reset")
         served = process.start(_serve(target, name, message))
         try:
             await asyncio.wait({served})
         finally:
-            if not served.done() and network.carries(self._owner, process.name):
+            if not served.done() and network.delivers(self._owner, process.name):
                 served.cancel()
         if not process.alive or served.cancelled():
             return _unavailable("reset")
-        if not network.carries(process, self._owner.name):
-            return await _went_silent()
+        if not network.delivers(process, self._owner.name):
+            return await _fail_as_silent()
         await asyncio.sleep(network.delay_s())
         error = served.exception()
         if isinstance(error, GRPCError):
@@ -134,7 +137,7 @@
             raise error
         return Ok(served.result())
 
-    async def _again(self, target, name, message, late_s):
+    async def _serve_duplicate(self, target, name, message, late_s):
         await asyncio.sleep(late_s)
         if target.process.alive:
             target.process.start(_serve(target, name, message))
@@ -146,19 +149,19 @@
             yield ResumeItem(failure=_unavailable("refused").err_value)
             return
         process = target.process
-        if not network.carries(self._owner, process.name):
-            await asyncio.sleep(SILENCE_S)
+        if not network.delivers(self._owner, process.name):
+            await asyncio.sleep(SILENCE_TIMEOUT_S)
             yield ResumeItem(failure=_unavailable("silent").err_value)
             return
         await asyncio.sleep(network.delay_s())
         pipe = Pipe(network, process, self._owner.name)
         handler = target.peers.__mapping__()[method_path("Resume")].func
         served = process.start(_serve_items(handler, message, pipe))
-        watch = asyncio.ensure_future(self._silence(address, pipe))
+        silence = asyncio.ensure_future(self._wait_until_silent(address, pipe))
         try:
             while True:
                 item = asyncio.ensure_future(pipe.receive())
-                waits = {item, watch}
+                waits = {item, silence}
                 await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
                 if not item.done():
                     item.cancel()
@@ -168,7 +171,7 @@
                     return
                 yield item.result()
         finally:
-            watch.cancel()
+            silence.cancel()
             served.cancel()
 
 
@@ -176,7 +179,7 @@
     assert isinstance(message, UNARY_METHODS[name][0]), name
     stream = _UnaryStream(message)
     await target.peers.__mapping__()[method_path(name)].func(stream)
-    return stream.reply
+    return stream.response
 
 
 async def _serve_items(handler, message, pipe):
@@ -184,9 +187,9 @@
     pipe.send(None)
 
 
-async def _went_silent():
-    """Answer as a call whose connection is found silent by a ping."""
-    await asyncio.sleep(SILENCE_S)
+async def _fail_as_silent():
+    """Fail after the time in which a ping detects a silent connection."""
+    await asyncio.sleep(SILENCE_TIMEOUT_S)
     return _unavailable("silent")
 
 
@@ -194,8 +197,8 @@
     return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, reason))
 
 
-class EntryHostSim:
-    """One process of an entry host, wired as in `binaries.entry_host`."""
+class SimulatedEntryHost:
+    """One process of an entry host, assembled as in `binaries.entry_host`."""
 
     def __init__(self, name, incarnation, data_centre, clock_rate, world):
         self.name, self.incarnation, self.world = name, incarnation, world
@@ -216,9 +219,9 @@
             data_centre=data_centre,
             caller_address=f"{name}:1",
             peer_address=f"{name}:2",
-            leader_client=ControlCallsFake(process, world.control, network, rng),
+            leader_client=SimulatedLeaderClient(process, world.control, network, rng),
         )
-        channels = Channels(process, network, world)
+        channels = SimulatedChannels(process, network, world)
         fronts = FrontClient(name, self.incarnation, self.control, channels)
         clients = {
             item.address: EngineClient(process, item, network)
@@ -255,7 +258,7 @@
             settings=FrontSettings(keep_s=KEEP_S, prefill_s=6.0, service_timeout_s=6.0),
         )
         fronts.attach(self.front)
-        self.control.on_change(self._changed)
+        self.control.on_change(self._handle_change)
         self.peers = PeerService(
             incarnation=self.incarnation,
             rates=self.owners.rates,
@@ -264,22 +267,24 @@
         )
         self.app = CallerApp(self.front)
         for part in (self.control, self.owners, self.front):
-            process.start(self._guarded(part.run()))
+            process.start(self._report_failure(part.run()))
 
-    def _changed(self, changes):
-        self.world.invariants.version_seen(self, self.control.fleet.version)
+    def _handle_change(self, changes):
+        self.world.invariants.record_version(self, self.control.fleet.version)
         self.owners.sync_ownership()
 
-    async def _guarded(self, work):
+    async def _report_failure(self, work):
         try:
             await work
         except Exception as error:
             if self.process.alive:
-                self.world.invariants.broken(f"{self.name} stopped: {error!r}", error)
+                self.world.invariants.report_violation(
+                    f"{self.name} stopped: {error!r}", error
+                )
             raise
 
     async def drain(self):
-        """Stop as on SIGTERM; the same steps as `EntryHost._drain`."""
+        """Stop as on SIGTERM, in the same steps as `EntryHost._drain`."""
         self.draining = True
         loop = asyncio.get_running_loop()
         drained_s = loop.time() + KEEP_S
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -1,4 +1,9 @@
-"""Switches guards of the product off by name, by replacing them for a test."""
+"""
+Disables guards of the product by name, to show that the simulation detects it.
+
+A guard is a check or rule in the product that an invariant depends on. Each function
+yields the patches that disable one guard.
+"""
 
 from contextlib import ExitStack
 from unittest import mock
@@ -24,7 +29,7 @@
 
 __all__ = ["FOUND_BY", "NAMES", "disabled"]
 
-_BURST = 1e9
+_UNLIMITED_TOKENS = 1e9
 
 
 def _lease_check():
@@ -32,10 +37,10 @@
         mock.patch.object(module, "lease_is_valid", lambda *_: True)
         for module in (cell_worker, ownership, rate_runtime)
     )
-    found = ownership.find_owned_resources
+    find_owned = ownership.find_owned_resources
 
-    def held(control, host, prefix):
-        owned = found(control, host, prefix) if control.session else {}
+    def find_without_lease(control, host, prefix):
+        owned = find_owned(control, host, prefix) if control.session else {}
         return owned or {
             resource: owner
             for resource, owner in control.fleet.owners.items()
@@ -43,30 +48,30 @@
         }
 
     for module in (cell_runtime, rate_runtime):
-        yield mock.patch.object(module, "find_owned_resources", held)
+        yield mock.patch.object(module, "find_owned_resources", find_without_lease)
     yield mock.patch.object(RateRuntime, "_lease_remaining_s", lambda self: 3.0)
 
 
 def _empty_bucket_after_crash():
     assign = state_ownership._assign_owner
 
-    def full(data, resource, session, level_tokens, changes):
-        assign(data, resource, session, level_tokens or _BURST, changes)
+    def assign_full(data, resource, session, level_tokens, changes):
+        assign(data, resource, session, level_tokens or _UNLIMITED_TOKENS, changes)
 
-    yield mock.patch.object(state_ownership, "_assign_owner", full)
+    yield mock.patch.object(state_ownership, "_assign_owner", assign_full)
 
 
 def _grant_validity():
-    reply = RateOwner._reply_grant
+    reply_grant = RateOwner._reply_grant
 
-    def endless(self, space, entry, now_s):
-        (action,) = reply(self, space, entry, now_s)
+    def grant_without_expiry(self, workspace, entry, now_s):
+        (action,) = reply_grant(self, workspace, entry, now_s)
         if hasattr(action.reply, "valid_for_s"):
             grant = msgspec.structs.replace(action.reply, valid_for_s=1e6)
             return [type(action)(action.front, action.request_id, grant)]
         return [action]
 
-    yield mock.patch.object(RateOwner, "_reply_grant", endless)
+    yield mock.patch.object(RateOwner, "_reply_grant", grant_without_expiry)
 
 
 def _key_check_on_streams():
@@ -85,43 +90,45 @@
 def _single_winner():
     take_over = Recovery.take_over
 
-    def everyone_wins(self, ask, now_s):
-        entry = self._registry.entries.get(ask.request_id)
+    def take_over_always(self, request, now_s):
+        entry = self._registry.entries.get(request.request_id)
         if entry is not None and entry.placement is not None:
             entry.taken_over = False
-        actions = take_over(self, ask, now_s)
+        actions = take_over(self, request, now_s)
         return [item for item in actions if type(item).__name__ != "NotifyTakenOver"]
 
-    yield mock.patch.object(Recovery, "take_over", everyone_wins)
+    yield mock.patch.object(Recovery, "take_over", take_over_always)
 
 
 def _assembler_offset():
-    def add(self, chunk):
+    def add_unchecked(self, chunk):
         self.next_offset = chunk.offset + 1
         self.finished = chunk.finish_reason is not None
         return (chunk,)
 
-    yield mock.patch.object(Assembler, "add", add)
+    yield mock.patch.object(Assembler, "add", add_unchecked)
 
 
 def _intent_before_call():
-    async def send(self, placement):
+    async def send_without_intent(self, placement):
         return await self._send(placement)
 
-    yield mock.patch.object(RunningServiceCall, "_send_with_ledger", send)
+    yield mock.patch.object(
+        RunningServiceCall, "_send_with_ledger", send_without_intent
+    )
 
 
 def _ledger_session():
     yield mock.patch.object(ledger, "is_live_session", lambda *_: True)
     to_ledger_record = ledger.to_ledger_record
 
-    def unended(intent):
+    def to_record_of_live_session(intent):
         record = to_ledger_record(intent)
         is_unknown = record.state is LedgerState.UNKNOWN
         return LedgerRecord(LedgerState.NEW) if is_unknown else record
 
-    # A call whose session has ended is taken for one that never left.
-    yield mock.patch.object(ledger, "to_ledger_record", unended)
+    # Treats a call whose session has ended as one that was never sent.
+    yield mock.patch.object(ledger, "to_ledger_record", to_record_of_live_session)
 
 
 def _leaving_check():
@@ -129,38 +136,40 @@
 
 
 def _fencing_of_epochs():
-    reserve, changed = RateRuntime.reserve, RateRuntime.sync_ownership
+    reserve, sync_ownership = RateRuntime.reserve, RateRuntime.sync_ownership
 
-    def keep(self):
+    def keep_owner(self):
         for name, held in self._owned.items():
             owner = self._control.fleet.owners.get(f"workspace/{name}")
             if owner is not None and owner.host == self._host:
                 held.owner = owner
-        changed(self)
+        sync_ownership(self)
 
-    async def any_epoch(self, request):
+    async def reserve_any_epoch(self, request):
         held = self._owned.get(request.workspace)
-        space = self._rate_owner._workspaces.get(request.workspace)
-        if held is None or space is None:
+        workspace = self._rate_owner._workspaces.get(request.workspace)
+        if held is None or workspace is None:
             return await reserve(self, request)
-        held.owner = msgspec.structs.replace(held.owner, epoch=space.epoch)
-        return await reserve(self, msgspec.structs.replace(request, epoch=space.epoch))
+        held.owner = msgspec.structs.replace(held.owner, epoch=workspace.epoch)
+        return await reserve(
+            self, msgspec.structs.replace(request, epoch=workspace.epoch)
+        )
 
-    yield mock.patch.object(RateRuntime, "sync_ownership", keep)
-    yield mock.patch.object(RateRuntime, "reserve", any_epoch)
+    yield mock.patch.object(RateRuntime, "sync_ownership", keep_owner)
+    yield mock.patch.object(RateRuntime, "reserve", reserve_any_epoch)
 
 
 def _one_suspect_per_engine():
-    allowed = Placer._is_allowed
+    is_allowed = Placer._is_allowed
 
-    def any_suspect(self, server, entry, now_s):
+    def allow_any_suspect(self, server, entry, now_s):
         suspect, entry.suspect = entry.suspect, False
         try:
-            return allowed(self, server, entry, now_s)
+            return is_allowed(self, server, entry, now_s)
         finally:
             entry.suspect = suspect
 
-    yield mock.patch.object(Placer, "_is_allowed", any_suspect)
+    yield mock.patch.object(Placer, "_is_allowed", allow_any_suspect)
     yield mock.patch.object(dispatch, "_is_running", lambda *_: False)
     yield mock.patch.object(SuspectTable, "has_reached_crash_limit", lambda *_: False)
 
@@ -174,12 +183,12 @@
 
 
 def _duplicate_detection():
-    # The claim of the answer covers for it and the other way round.
+    # The response claim and duplicate detection back each other up, so both are off.
     yield from _answer_claim()
     yield mock.patch.object(KeyTable, "find", lambda *_: None)
 
 
-# The invariant that finds a missing guard.
+# The name of the invariant that is violated when a guard is disabled.
 FOUND_BY = {
     "lease_check": "ownership",
     "empty_bucket_after_crash": "rate",
@@ -218,7 +227,7 @@
 
 
 def disabled(name):
-    """Return a context manager in which a guard is off."""
+    """Disable a guard at once; closing the returned stack enables it again."""
     stack = ExitStack()
     for patch in _GUARDS[name]():
         stack.enter_context(patch)
--- a/tests/system/network.py
+++ b/tests/system/network.py
@@ -1,4 +1,4 @@
-"""Processes with clocks of their own, and a network that fails in many ways."""
+"""Simulated processes with drifting clocks, and an unreliable network between them."""
 
 import asyncio
 import contextvars
@@ -8,28 +8,28 @@
 import looptime
 
 __all__ = [
-    "DriftLoop",
+    "DriftingClockLoop",
     "Network",
     "Pipe",
     "Process",
     "Trace",
     "current_process",
-    "later_in_world",
-    "start_in_world",
+    "call_later_in_world",
+    "create_world_task",
 ]
 
-_PROCESS = contextvars.ContextVar("process", default=None)
-# Above the resolution of the paused clock, so that a timer never fires too early.
+_CURRENT_PROCESS = contextvars.ContextVar("process", default=None)
+# Above the resolution of the simulated clock, so that a timer never fires too early.
 _TIMER_SLACK_S = 3e-6
 
 
 def current_process():
-    """Return the process whose code runs now, or None for the world around."""
-    return _PROCESS.get()
+    """Return the process whose code is running, or None outside every process."""
+    return _CURRENT_PROCESS.get()
 
 
-class DriftLoop(looptime.LoopTimeEventLoop, asyncio.SelectorEventLoop):
-    """A paused clock that each process sees at its own rate."""
+class DriftingClockLoop(looptime.LoopTimeEventLoop, asyncio.SelectorEventLoop):
+    """Event loop with a simulated clock, which each process reads at its own rate."""
 
     def __init__(self):
         super().__init__(start=0.0, noop_cycles=0)
@@ -39,12 +39,12 @@
         return super().time()
 
     def time(self):
-        process = _PROCESS.get()
+        process = _CURRENT_PROCESS.get()
         now_s = super().time()
         return now_s if process is None else now_s * process.clock_rate
 
     def call_at(self, when, callback, *args, context=None):
-        process = _PROCESS.get()
+        process = _CURRENT_PROCESS.get()
         if process is not None:
             when = when / process.clock_rate + _TIMER_SLACK_S
             args = (callback, *args)
@@ -55,14 +55,18 @@
 def _new_task(loop, coro, *, context=None):
     context = context or contextvars.copy_context()
     task = asyncio.Task(coro, loop=loop, context=context)
-    process = context.get(_PROCESS)
+    process = context.get(_CURRENT_PROCESS)
     if process is not None:
-        process.adopt(task)
+        process.track_task(task)
     return task
 
 
 class Process:
-    """Something that can be killed: a name, a clock and tasks."""
+    """
+    A simulated process: a name, a clock rate and the tasks that end when it is killed.
+
+    A context variable holds the process, so that new tasks and timers belong to it.
+    """
 
     def __init__(self, name, clock_rate=1.0):
         self.name = name
@@ -70,9 +74,9 @@
         self.alive = True
         self._tasks = {}
         self._context = contextvars.copy_context()
-        self._context.run(_PROCESS.set, self)
+        self._context.run(_CURRENT_PROCESS.set, self)
 
-    def adopt(self, task):
+    def track_task(self, task):
         self._tasks[task] = None
         task.add_done_callback(lambda task: self._tasks.pop(task, None))
         if not self.alive:
@@ -93,12 +97,13 @@
             callback(*args)
 
     def kill(self):
-        """End every task; nothing that a dying task does leaves the process."""
+        """Cancel every task; messages that a cancelled task sends are not delivered."""
         self.alive = False
-        start_in_world(self._cancel_all())
+        create_world_task(self._cancel_all())
 
     async def _cancel_all(self):
-        # A scope that ends at the same moment may take a cancellation for its own.
+        # A cancel scope that ends at the same time may absorb a cancellation, so a task
+        # is cancelled until it ends.
         while self._tasks:
             for task in list(self._tasks):
                 task.cancel()
@@ -106,85 +111,95 @@
 
 
 class Trace:
-    """A digest of everything that was seen, to compare two runs."""
+    """Records events and their digest, to check that a seed repeats its run."""
 
     def __init__(self):
         self._digest = hashlib.sha256()
-        self.last = []
+        self.lines = []
 
-    def note(self, *parts):
+    def record(self, *parts):
         now_s = asyncio.get_running_loop().true_time()
         line = f"{now_s:.6f} " + " ".join(str(part) for part in parts)
         self._digest.update(line.encode())
-        self.last.append(line)
+        self.lines.append(line)
 
     def hexdigest(self):
         return self._digest.hexdigest()
 
 
 class Network:
-    """Links between named processes; `cuts` are pairs that lose everything."""
+    """
+    Links between named processes.
+
+    `cuts` maps a pair of names, between which every message is lost, to the end of the
+    cut.
+    """
 
     def __init__(self, rng):
         self.rng = rng
         self.cuts = {}
         self.processes = {}
-        self.loss = self.late = self.repeat = self.stall = 0.0
+        self.loss_probability = self.delay_probability = self.duplicate_probability = (
+            self.stall_probability
+        ) = 0.0
         self.events = Counter()
 
     def add(self, process):
         self.processes[process.name] = process
 
-    def is_cut(self, one, other):
-        return (one, other) in self.cuts or (other, one) in self.cuts
+    def is_cut(self, first, second):
+        return (first, second) in self.cuts or (second, first) in self.cuts
 
     def delay_s(self):
+        """Draw the delay of a message, with longer ones at random during faults."""
         delay_s = self.rng.uniform(0.0004, 0.003)
-        if self.rng.random() < self.late:
+        if self.rng.random() < self.delay_probability:
             self.events["late"] += 1
             delay_s += self.rng.uniform(0.0, 0.4)
-        if self.stall and self.rng.random() < self.stall:
+        if self.stall_probability and self.rng.random() < self.stall_probability:
             self.events["stalled"] += 1
             delay_s += self.rng.uniform(0.5, 3.0)
         return delay_s
 
-    def carries(self, source, target):
-        """Tell whether a message sent now arrives."""
+    def delivers(self, source, target):
+        """Return whether a message that is sent now is delivered."""
         if not source.alive or self.is_cut(source.name, target):
             return False
-        if self.rng.random() < self.loss:
+        if self.rng.random() < self.loss_probability:
             self.events["lost"] += 1
             return False
         return True
 
 
 class Pipe:
-    """One direction of a stream; after a lost message it is silent for good."""
+    """One direction of a stream; after a lost message it delivers nothing more."""
 
     def __init__(self, network, source, target):
         self._network, self.source, self._target = network, source, target
         self._queue = asyncio.Queue()
         self.silent = False
-        self._arrives_s = 0.0
+        self._last_arrival_s = 0.0
         self.error = None
 
     def send(self, message):
         loop = asyncio.get_running_loop()
-        self.silent |= not self._network.carries(self.source, self._target)
+        self.silent |= not self._network.delivers(self.source, self._target)
         if self.silent:
             return
         now_s = loop.true_time()
-        self._arrives_s = max(self._arrives_s, now_s + self._network.delay_s())
-        _in_world(loop, self._arrives_s - now_s, self._arrive, message)
+        self._last_arrival_s = max(
+            self._last_arrival_s, now_s + self._network.delay_s()
+        )
+        _call_later_in_world(loop, self._last_arrival_s - now_s, self._deliver, message)
 
-    def _arrive(self, message):
+    def _deliver(self, message):
         if self._network.is_cut(self.source.name, self._target):
             self.silent = True
         if not self.silent:
             self._queue.put_nowait(message)
 
     def fail(self, error):
-        """Let the reader see a broken connection."""
+        """Make the receiver raise `error`, as on a lost connection."""
         self.error = error
         self._queue.put_nowait(None)
 
@@ -196,18 +211,18 @@
         return message
 
 
-def _in_world(loop, delay_s, function, *args):
-    """Call later outside of any process, by the true clock."""
+def _call_later_in_world(loop, delay_s, function, *args):
+    """Call a function after a delay, outside of any process and on the true clock."""
     context = contextvars.copy_context()
-    context.run(_PROCESS.set, None)
+    context.run(_CURRENT_PROCESS.set, None)
     return context.run(loop.call_later, max(0.0, delay_s), function, *args)
 
 
-def start_in_world(coro):
+def create_world_task(coro):
     """Run a coroutine outside of any process."""
     context = contextvars.copy_context()
-    context.run(_PROCESS.set, None)
+    context.run(_CURRENT_PROCESS.set, None)
     return asyncio.get_running_loop().create_task(coro, context=context)
 
 
-later_in_world = _in_world
+call_later_in_world = _call_later_in_world
--- a/tests/system/test_guards.py
+++ b/tests/system/test_guards.py
@@ -1,4 +1,4 @@
-"""Shows that the randomised runs find each guard's absence."""
+"""Checks that the randomised runs detect each guard that is disabled."""
 
 import pytest
 
@@ -6,18 +6,20 @@
 from tests.system.driver import run_seed
 from tests.system.invariants import Violation
 
-MOST_SEEDS = 16
-# Seeds that find a guard's absence late; run first, they spare the others. Beside other
-# work the eleven before it took the whole time of the test.
+MAX_SEEDS = 16
+# The seed to run first, for a guard that lower seeds don't detect. On a busy machine
+# the eleven seeds before seed 11 used up the time limit of the test.
 FIRST_SEEDS = {"single_winner": 11}
 
 
 @pytest.mark.parametrize("name", sorted(guards.NAMES))
 def test_a_missing_guard_is_found(name):
-    for seed in sorted(range(MOST_SEEDS), key=lambda n: n != FIRST_SEEDS.get(name)):
+    for seed in sorted(range(MAX_SEEDS), key=lambda n: n != FIRST_SEEDS.get(name)):
         try:
             run_seed(seed, disabled_guards=frozenset({name}))
         except Violation as violation:
             if violation.name == guards.FOUND_BY[name]:
                 return
-    pytest.fail(f"{MOST_SEEDS} seeds pass without {name}")
+    pytest.fail(
+        f"no violation of {guards.FOUND_BY[name]} in {MAX_SEEDS} seeds without {name}"
+    )
--- a/tests/system/test_seeds.py
+++ b/tests/system/test_seeds.py
@@ -1,4 +1,4 @@
-"""Guards against broken promises when faults of all kinds meet; see driver.py."""
+"""Checks that the invariants hold under random combinations of faults."""
 
 import pytest
 
