Describe the invariants of the simulated fleet

The short names of the invariants were explained nowhere. A list in the doc comment of Invariants says what each one checks; a few local names and texts follow.

--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -12,7 +12,7 @@
 __all__ = ["Connection", "ModelCaller", "ServiceCaller"]
 
 _MAX_RESUMES = 4
-# Refusals after which a caller does not retry to resume a stream.
+# Refusals after which a caller stops resuming a stream.
 _FINAL_REFUSALS = ("key_withdrawn", "unknown_request")
 
 
@@ -236,7 +236,7 @@
         return connection
 
     async def _resume_concurrently(self, request_id, texts):
-        """Resume the same stream on another host at the same time."""
+        """Resume the same stream at the same time over a second connection."""
         host = self.world.pick_host()
         if host is not None:
             await _wait_done(self._resume(host, request_id, texts), None)
@@ -369,7 +369,8 @@
             )
 
 
-async def _wait_done(connection, limit_s):
+async def _wait_done(connection, timeout_s):
+    """Wait until the request has ended, at most for `timeout_s` if it is not None."""
     waiting = asyncio.ensure_future(connection.done.wait())
-    await asyncio.wait({waiting}, timeout=limit_s)
+    await asyncio.wait({waiting}, timeout=timeout_s)
     waiting.cancel()
--- a/tests/system/control.py
+++ b/tests/system/control.py
@@ -13,7 +13,7 @@
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from tests.system.network import Pipe, Process, create_world_task
 
-__all__ = ["CONTROL", "SimulatedLeaderClient", "ControlGroup", "operator_commit"]
+__all__ = ["CONTROL", "ControlGroup", "SimulatedLeaderClient", "operator_commit"]
 
 CONTROL = "control"
 
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -75,7 +75,26 @@
 
 
 class Invariants:
-    """Collects the observations of a run and keeps the first violation."""
+    """
+    Collects the observations of a run and keeps the first violation.
+
+    The names of the invariants:
+
+    - ownership, grant: no decision, and no use of a grant, after the epoch has ended
+    - rate: the tokens granted to a workspace stay within its burst and rate
+    - crashes: one request crashes at most `MAX_CRASHES` engines
+    - key, workspace: backend servers receive no key, other workspaces no stream
+    - leaving, withdrawn: no new request to a leaving server or with a withdrawn key
+    - version, bundle: versions never decrease, and reach connected hosts in time
+    - memory: engines free the pieces of requests that no longer exist
+    - winner: at most one host continues a request after a takeover
+    - twice, whole: each token arrives once and in order, and the output is complete
+    - not_run: a call that is reported as not run has not reached a server
+    - once, duplicate: an idempotency key causes one execution and one result
+    - drain: a draining host completes the requests that it accepted in time
+    - end: after the run nothing is still running or in progress
+    - assertion: no exception and no error of kind `internal` in the product
+    """
 
     def __init__(self, world):
         self._world = world
@@ -104,6 +123,7 @@
         return None
 
     def check_epoch(self, epoch, what):
+        """Check that a decision is made under an epoch that has not ended."""
         if self._epoch_ended_s(epoch) is not None:
             self.report_violation(
                 f"{what} by epoch {epoch} after it ended", name="ownership"
@@ -192,9 +212,10 @@
         self.check_key(self._world.callers[number].digest, f"call {number} on {name}")
 
     def check_key(self, digest, what):
+        """Check that a key was not withdrawn more than the allowed time ago."""
         withdrawn_s = self.withdrawn_s.get(digest)
         if withdrawn_s is not None and _now_s() > withdrawn_s + MAX_KEY_WITHDRAWAL_S:
-            self.report_violation(f"{what} used a withdrawn key", name="withdrawn")
+            self.report_violation(f"{what} with a withdrawn key", name="withdrawn")
 
     # Control state.
 
@@ -225,10 +246,8 @@
         self._pending_versions = self._pending_versions[len(due) :]
         for activated_s, version in due:
             for host in self._world.live_hosts():
-                last_cut_from_control_s = self._world.last_cut_from_control_s.get(
-                    host.name, -1.0
-                )
-                connected = max(last_cut_from_control_s, host.started_s) < activated_s
+                last_cut_s = self._world.last_cut_from_control_s.get(host.name, -1.0)
+                connected = max(last_cut_s, host.started_s) < activated_s
                 if connected and host.control.fleet.version < version:
                     text = f"{host.name} has not received version {version}"
                     self.report_violation(text, name="bundle")
@@ -257,7 +276,7 @@
         """
         now_s, running, held = _now_s(), self._running_calls(), set()
         for engine in self._world.engines.values():
-            acting_s = self._world.owner_access_since_s(engine)
+            accessible_since_s = self._world.owner_access_since_s(engine)
             for name, item in engine.requests.items():
                 request_id, _, attempt = name.rpartition(".")
                 exists = any(
@@ -268,7 +287,9 @@
                     continue
                 key = (engine.name, name)
                 held.add(key)
-                since_s = max(self._unused_since_s.setdefault(key, now_s), acting_s)
+                since_s = max(
+                    self._unused_since_s.setdefault(key, now_s), accessible_since_s
+                )
                 if now_s - since_s > MAX_RELEASE_S + 0.3:
                     self.report_violation(
                         f"{key} held {now_s - since_s:.2f} s", name="memory"
