--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,19 +13,19 @@
 
 import matplotlib
 
-from bench.figures import Figure, compare, measure, merge
-from bench.growth import measure_growth
-from bench.policies import BASELINES, OWN
+from bench.figures import Figure, compare_policies, measure_run, merge_seeds
+from bench.growth import measure_cpu_growth
+from bench.policies import BASELINES, OWN_POLICY
 from bench.simulation import Scenario, simulate
 from bench.workload import WORKLOADS
-from bench.worth import measure_worth
+from bench.worth import measure_ablations
 
 matplotlib.use("Agg")
 
 LOADS = (0.5, 0.8, 1.0, 1.3, 2.0)
 SEEDS = (1, 11, 12)
 # The goals compare with these two; the others are for information, on one seed.
-COMPARED = (OWN, "fcfs", "upper_bound")
+COMPARED_POLICIES = (OWN_POLICY, "fcfs", "upper_bound")
 VARIANTS = (
     ("flood", 0.8),
     ("flood", 1.0),
@@ -37,16 +37,16 @@
     ("resend", 1.3),
 )
 ROOT = Path(__file__).resolve().parent.parent
-WORKERS = 3
+WORKER_PROCESSES = 3
 # Long enough for a lasting imbalance, a change of role and its effect.
-ROLES_S = 180.0
+ROLE_CHANGE_DURATION_S = 180.0
 
 
 def build_scenarios(seed: int) -> list[Scenario]:
     """Return the scenarios of one seed."""
     found = []
     for workload in WORKLOADS:
-        policies = (OWN, *BASELINES) if seed == SEEDS[0] else COMPARED
+        policies = (OWN_POLICY, *BASELINES) if seed == SEEDS[0] else COMPARED_POLICIES
         for load in LOADS:
             found += [Scenario(workload, load, p, seed=seed) for p in policies]
         found += [
@@ -56,9 +56,9 @@
     return found
 
 
-def run_one(scenario: Scenario) -> list[Figure]:
+def measure_scenario(scenario: Scenario) -> list[Figure]:
     """Run one scenario in a worker process."""
-    return measure(simulate(scenario))
+    return measure_run(simulate(scenario))
 
 
 def plot(figures: list[Figure]) -> None:
@@ -67,7 +67,7 @@
 
     chart, axes = pyplot.subplots(1, len(WORKLOADS), figsize=(10, 4), sharey=True)
     for axis, workload in zip(axes, WORKLOADS, strict=True):
-        for policy in (OWN, *BASELINES):
+        for policy in (OWN_POLICY, *BASELINES):
             points = sorted(
                 (f.load * 100, f.value)
                 for f in figures
@@ -82,31 +82,31 @@
     chart.savefig(ROOT / "docs" / "goodput.png", dpi=80)
 
 
-def measure_goals(pool: ProcessPoolExecutor) -> list[Figure]:
+def measure_scenarios(pool: ProcessPoolExecutor) -> list[Figure]:
     """Return the figures of the goals."""
     runs = []
-    pending = [(s, pool.map(run_one, build_scenarios(s))) for s in SEEDS]
+    pending = [(s, pool.map(measure_scenario, build_scenarios(s))) for s in SEEDS]
     for _, found in pending:
         figures = [figure for run in found for figure in run]
-        runs.append(figures + compare(figures))
-    return measure_growth() + merge(runs)
+        runs.append(figures + compare_policies(figures))
+    return measure_cpu_growth() + merge_seeds(runs)
 
 
-def measure_roles(pool: ProcessPoolExecutor) -> list[Figure]:
+def measure_role_changes(pool: ProcessPoolExecutor) -> list[Figure]:
     """Return the figures of a shift of the mix, without bounds."""
     runs = []
     for seed in SEEDS:
         jobs = [
-            Scenario(workload, load, policy, "mix_shift", ROLES_S, seed)
+            Scenario(workload, load, policy, "mix_shift", ROLE_CHANGE_DURATION_S, seed)
             for workload in WORKLOADS
             for load in (0.8, 1.0)
-            for policy in (OWN, f"{OWN}-with-roles")
+            for policy in (OWN_POLICY, f"{OWN_POLICY}-with-roles")
         ]
-        runs.append([f for run in pool.map(run_one, jobs) for f in run])
-    return [replace(f, bound=None) for f in merge(runs)]
+        runs.append([f for run in pool.map(measure_scenario, jobs) for f in run])
+    return [replace(f, bound=None) for f in merge_seeds(runs)]
 
 
-def write(name: str, figures: list[Figure]) -> None:
+def write_figures(name: str, figures: list[Figure]) -> None:
     """Print the figures and store them as JSON."""
     for figure in figures:
         print(figure)
@@ -118,14 +118,14 @@
 
 def main() -> None:
     """Run what the command line asks for."""
-    with ProcessPoolExecutor(WORKERS) as pool:
+    with ProcessPoolExecutor(WORKER_PROCESSES) as pool:
         if sys.argv[1:2] == ["ablations"]:
             seeds = tuple(map(int, sys.argv[2:])) or SEEDS
-            return write("ablations.json", measure_worth(pool, seeds))
+            return write_figures("ablations.json", measure_ablations(pool, seeds))
         if sys.argv[1:] == ["roles"]:
-            return write("roles.json", measure_roles(pool))
-        figures = measure_goals(pool)
-    write("bench.json", figures)
+            return write_figures("roles.json", measure_role_changes(pool))
+        figures = measure_scenarios(pool)
+    write_figures("bench.json", figures)
     plot(figures)
     failed = sum(figure.verdict == "fail" for figure in figures)
     bounded = sum(figure.bound is not None for figure in figures)
--- a/bench/capacity_losses.py
+++ b/bench/capacity_losses.py
@@ -5,27 +5,27 @@
 import msgspec
 
 from bench.capacity_sheet import (
-    BYTES_LIMIT_PER_S,
+    BACKEND_SERVERS,
     CELLS,
     CHANGES_PER_DAY,
-    CORE_LIMIT_PERCENT,
     DAY_S,
     GRANT_RETENTION_S,
+    HOST_LIST_ENTRY_BYTES,
+    HOST_LIST_READS_PER_S,
     HOSTS,
     KV_BYTES_PER_S,
     LARGE_WORKSPACE_SHARE,
-    LEAST_ELECTION_MS,
     LEDGER_SHARE,
-    LIST_READS_PER_S,
-    MEMORY_LIMIT_MB,
-    NAME_BYTES,
+    MAX_BYTES_PER_S,
+    MAX_CORE_PERCENT,
+    MAX_MEMORY_MB,
+    MIN_ELECTION_TIMEOUT_MS,
     REGIONS,
     REQUESTS_PER_S,
-    RUNNERS,
     TOKENS_PER_S,
     TOKENS_PER_S_PER_STREAM,
     WORKSPACES,
-    Sheet,
+    CapacitySheet,
 )
 from damaskridge.model.engine import DecodeRequest, PrefillRequest, PrefillResult
 from damaskridge.model.routing import (
@@ -37,7 +37,7 @@
     RequestProfile,
 )
 
-__all__ = ["end_rows", "kv_rows", "progress_item_bytes", "region_rows"]
+__all__ = ["exhaustion_rows", "kv_transfer_rows", "progress_item_bytes", "loss_rows"]
 
 
 def encoded_bytes(message: object) -> int:
@@ -110,127 +110,151 @@
     return sum(len(msgspec.json.encode(message)) for message in messages)
 
 
-def region_rows(sheet: Sheet) -> None:
+def loss_rows(sheet: CapacitySheet) -> None:
     role = "loss"
-    moved = (WORKSPACES + CELLS) / HOSTS
-    delta = sheet.at("session_loss_bytes_per_resource", moved)
-    each_ms = sheet.at("session_loss_us_per_host", HOSTS) / 1e3
+    resources_per_host = (WORKSPACES + CELLS) / HOSTS
+    delta = sheet.cost_at("session_loss_bytes_per_resource", resources_per_host)
+    loss_ms = sheet.cost_at("session_loss_us_per_host", HOSTS) / 1e3
     streams = TOKENS_PER_S / TOKENS_PER_S_PER_STREAM / HOSTS
     for name, hosts in (
         ("rack", 14),
         ("data centre", 28),
         ("region", HOSTS // REGIONS),
     ):
-        left = HOSTS - hosts
-        resources = hosts * moved
-        sheet.add(role, f"{name}: hosts", "", hosts, "1")
-        sheet.add(role, f"{name}: owners to move", "0.9 a host", resources, "1")
-        sheet.add(
-            role, f"{name}: expiry at the leader", "each loss", hosts * each_ms, "ms"
+        remaining_hosts = HOSTS - hosts
+        resources = hosts * resources_per_host
+        sheet.add_row(role, f"{name}: hosts", "", hosts, "1")
+        sheet.add_row(role, f"{name}: owners to move", "0.9 a host", resources, "1")
+        sheet.add_row(
+            role, f"{name}: expiry at the leader", "each loss", hosts * loss_ms, "ms"
         )
-        sheet.add(
+        sheet.add_row(
             role,
             f"{name}: deltas to each remaining host",
             "losses times their bytes",
             hosts * delta / 1e3,
             "kB",
         )
-        sheet.add(
+        sheet.add_row(
             role,
             f"{name}: questions to each remaining front",
             "one for each moved owner",
             resources,
             "calls",
         )
-        sheet.add(
+        sheet.add_row(
             role,
             f"{name}: questions of a new owner of one resource",
             "remaining hosts",
-            left,
+            remaining_hosts,
             "calls",
         )
-        sheet.add(
+        sheet.add_row(
             role,
             f"{name}: streams resumed by each remaining host",
             "streams of the lost fronts",
-            hosts * streams / left,
+            hosts * streams / remaining_hosts,
             "streams",
         )
 
 
-def kv_rows(sheet: Sheet) -> None:
+def kv_transfer_rows(sheet: CapacitySheet) -> None:
     role = "kv"
     prompt = int(KV_BYTES_PER_S / REQUESTS_PER_S / 131_072)
-    sheet.add(role, "KV cache of one request", "2,900 GB/s over 2,800/s", 1035.7, "MB")
-    sheet.add(role, "its prompt", "at 131,072 B a token", prompt, "tokens")
-    sheet.add(
+    sheet.add_row(
+        role, "KV cache of one request", "2,900 GB/s over 2,800/s", 1035.7, "MB"
+    )
+    sheet.add_row(role, "its prompt", "at 131,072 B a token", prompt, "tokens")
+    sheet.add_row(
         role,
         "messages of front and engines about it, less the prompt",
         "encoded",
         engine_messages_bytes(),
         "B",
     )
-    sheet.add(
+    sheet.add_row(
         role,
         "messages of front and owners for it",
         "encoded; grows by 9 B per 64 tokens",
         request_messages_bytes(prompt),
         "B",
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "the latter on one host",
         "7.2 requests/s",
         request_messages_bytes(prompt) * REQUESTS_PER_S / HOSTS,
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
     )
 
 
-def end_rows(sheet: Sheet) -> None:
+def exhaustion_rows(sheet: CapacitySheet) -> None:
     """Add the sizes at which today's mechanisms reach a limit."""
     role = "ends"
 
-    def end(line: str, limit: str, size: float, unit: str, needed: float) -> None:
+    def add_exhaustion(
+        line: str, limit: str, size: float, unit: str, needed: float
+    ) -> None:
         # Below zero the limit is passed before the first one.
         how = f"{limit}; needed: {needed:,.4g}"
-        sheet.add(role, line, how, max(0.0, size), unit)
+        sheet.add_row(role, line, how, max(0.0, size), unit)
 
-    def reach(name: str, limit: float) -> float:
+    def size_at_limit(name: str, limit: float) -> float:
         slope = sheet.slopes[name]
         return (limit - slope.at_zero) / slope.value
 
-    names = BYTES_LIMIT_PER_S / LIST_READS_PER_S / NAME_BYTES
-    end("platform's host list", "12 KB/s", names, "names", HOSTS + RUNNERS)
-    engines = CORE_LIMIT_PERCENT / sheet.per("poll_core")
-    end("polled engines of one owner", "2.7% of a core", engines, "engines", 20)
-    grants = MEMORY_LIMIT_MB * 1e6 / sheet.per("rate_owner_bytes_per_grant")
+    names = MAX_BYTES_PER_S / HOST_LIST_READS_PER_S / HOST_LIST_ENTRY_BYTES
+    add_exhaustion(
+        "platform's host list", "12 KB/s", names, "names", HOSTS + BACKEND_SERVERS
+    )
+    engines = MAX_CORE_PERCENT / sheet.cost_per_unit("poll_core")
+    add_exhaustion(
+        "polled engines of one owner", "2.7% of a core", engines, "engines", 20
+    )
+    grants = MAX_MEMORY_MB * 1e6 / sheet.cost_per_unit("rate_owner_bytes_per_grant")
     large = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
     grants /= GRANT_RETENTION_S
-    end("grants of one rate owner kept for 1 h", "64 MB", grants, "1/s", large)
-    hosts = reach("leader_idle_core", CORE_LIMIT_PERCENT)
-    end("sessions of one leader", "2.7% of a core", hosts, "hosts", HOSTS)
-    names_by_way = (
+    add_exhaustion(
+        "grants of one rate owner kept for 1 h", "64 MB", grants, "1/s", large
+    )
+    hosts = size_at_limit("leader_idle_core", MAX_CORE_PERCENT)
+    add_exhaustion("sessions of one leader", "2.7% of a core", hosts, "hosts", HOSTS)
+    names_by_direction = (
         "host_idle_in",
         "host_idle_out",
         "member_idle_in",
         "member_idle_out",
     )
-    slopes = [sheet.slopes[f"{name}_bytes"] for name in names_by_way]
+    slopes = [sheet.slopes[f"{name}_bytes"] for name in names_by_direction]
     base = sum(slope.at_zero for slope in slopes)
-    hosts = (BYTES_LIMIT_PER_S - base) / sum(slope.value for slope in slopes)
-    end("sessions of one leader", "12 KB/s", hosts, "hosts", HOSTS)
-    hosts = reach("roll_us_per_host", LEAST_ELECTION_MS / 2 * 1e3)
-    end("stall of a roll", "half the least election timeout", hosts, "hosts", HOSTS)
-    logged = sheet.at("propose_bytes_per_runner", RUNNERS)
-    rolls = BYTES_LIMIT_PER_S / logged * DAY_S
-    end("whole bundles in the log", "12 KB/s", rolls, "rolls a day", CHANGES_PER_DAY)
-    call_bytes = sheet.per("control_state_bytes_per_ledger_call")
+    hosts = (MAX_BYTES_PER_S - base) / sum(slope.value for slope in slopes)
+    add_exhaustion("sessions of one leader", "12 KB/s", hosts, "hosts", HOSTS)
+    hosts = size_at_limit("roll_us_per_host", MIN_ELECTION_TIMEOUT_MS / 2 * 1e3)
+    add_exhaustion(
+        "stall of a roll", "half the least election timeout", hosts, "hosts", HOSTS
+    )
+    proposal_bytes = sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS)
+    rolls = MAX_BYTES_PER_S / proposal_bytes * DAY_S
+    add_exhaustion(
+        "whole bundles in the log", "12 KB/s", rolls, "rolls a day", CHANGES_PER_DAY
+    )
+    call_bytes = sheet.cost_per_unit("control_state_bytes_per_ledger_call")
     calls = REQUESTS_PER_S * LEDGER_SHARE
-    kept = MEMORY_LIMIT_MB * 1e6 / call_bytes / DAY_S
-    end("ledger calls kept for 24 h", "64 MB", kept, "1/s", calls)
-    most = max(rate for _, rate in sheet.slopes["ledger_commits_per_s"].points)
-    end("ledger calls of one group", "most commits measured", most / 2, "1/s", calls)
-    per_token = sheet.per("front_ms_per_request")
+    call_rate = MAX_MEMORY_MB * 1e6 / call_bytes / DAY_S
+    add_exhaustion("ledger calls kept for 24 h", "64 MB", call_rate, "1/s", calls)
+    max_commits_per_s = max(
+        rate for _, rate in sheet.slopes["ledger_commits_per_s"].points
+    )
+    add_exhaustion(
+        "ledger calls of one group",
+        "most commits measured",
+        max_commits_per_s / 2,
+        "1/s",
+        calls,
+    )
+    per_token = sheet.cost_per_unit("front_ms_per_request")
     tokens = 1e3 / per_token
-    end("tokens of one front", "one core", tokens, "1/s", TOKENS_PER_S / HOSTS)
+    add_exhaustion(
+        "tokens of one front", "one core", tokens, "1/s", TOKENS_PER_S / HOSTS
+    )
--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -3,139 +3,146 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from bench.capacity_losses import end_rows, kv_rows, progress_item_bytes, region_rows
+from bench.capacity_losses import (
+    exhaustion_rows,
+    kv_transfer_rows,
+    loss_rows,
+    progress_item_bytes,
+)
 from bench.capacity_sheet import (
-    BYTES_LIMIT_PER_S,
+    BACKEND_SERVERS,
     CELLS,
     CHANGES_PER_DAY,
     CONTROL_HOSTS,
-    CONTROL_HOSTS_LIMIT,
-    CORE_LIMIT_PERCENT,
     DAY_S,
     FAILURES_PER_DAY,
     GRANT_RETENTION_S,
+    HOST_LIST_ENTRY_BYTES,
+    HOST_LIST_READS_PER_S,
     HOSTS,
-    IN_FORCE_LIMIT_MS,
-    KEPT_PROPOSALS,
-    KEPT_VERSIONS,
     LARGE_WORKSPACE_SHARE,
-    LEAST_ELECTION_MS,
     LEDGER_SHARE,
-    LIST_READS_PER_S,
-    MEMORY_LIMIT_MB,
-    NAME_BYTES,
+    MAX_BYTES_PER_S,
+    MAX_CONTROL_HOSTS,
+    MAX_CORE_PERCENT,
+    MAX_IN_FORCE_MS,
+    MAX_MEMORY_MB,
+    MIN_ELECTION_TIMEOUT_MS,
     RENEWALS_PER_S,
     REPLACEMENTS_PER_DAY,
     REQUESTS_PER_S,
-    RUNNERS,
+    STORED_PROPOSALS,
+    STORED_VERSIONS,
     TOKENS_PER_S,
     TOKENS_PER_S_PER_STREAM,
     WORKSPACES,
+    CapacitySheet,
     Row,
-    Sheet,
 )
 from bench.slope_fit import Slope
-from bench.slopes_state import fleet
+from bench.slopes_state import build_state
 
 __all__ = ["capacity_rows"]
 
 
 def largest_shares() -> tuple[int, int, int]:
     """Return the most workspaces, cells and runners that one of 390 hosts owns."""
-    data = fleet(RUNNERS, WORKSPACES, HOSTS).state.data
+    data = build_state(BACKEND_SERVERS, WORKSPACES, HOSTS).state.data
     sizes = Counter(server.cell for server in data.bundle.backend_servers)
-    spaces: Counter[str] = Counter()
+    workspaces: Counter[str] = Counter()
     cells: Counter[str] = Counter()
-    runners: Counter[str] = Counter()
+    backend_servers: Counter[str] = Counter()
     for owner in data.owners.values():
         kind, _, name = owner.resource.partition("/")
-        (spaces if kind == "workspace" else cells)[owner.host] += 1
-        runners[owner.host] += sizes[name] if kind == "cell" else 0
-    return max(spaces.values()), max(cells.values()), max(runners.values())
+        (workspaces if kind == "workspace" else cells)[owner.host] += 1
+        backend_servers[owner.host] += sizes[name] if kind == "cell" else 0
+    return max(workspaces.values()), max(cells.values()), max(backend_servers.values())
 
 
-def front_rows(sheet: Sheet) -> None:
+def front_rows(sheet: CapacitySheet) -> None:
     role = "front"
     view_mb = sheet.state_mb("fleet_view_bytes")
-    sheet.add(role, "fleet view", "1,700, 270 and 390 times its bytes", view_mb, "MB")
-    rss = sheet.largest("entry_rss")
-    sheet.hold(
+    sheet.add_row(
+        role, "fleet view", "1,700, 270 and 390 times its bytes", view_mb, "MB"
+    )
+    rss_mb = sheet.cost_at_largest_size("entry_rss")
+    sheet.add_limited(
         role,
         "memory at idle with the view",
         "`entry_rss` at the largest size measured, plus the view",
-        rss + view_mb,
+        rss_mb + view_mb,
         "MB",
-        MEMORY_LIMIT_MB,
+        MAX_MEMORY_MB,
     )
-    sent = sheet.per("host_idle_in_bytes")
-    sheet.add(role, "renewals out", "`host_idle_in_bytes`", sent, "B/s")
-    got = sheet.per("host_idle_out_bytes")
-    sheet.add(role, "renewals in", "`host_idle_out_bytes`", got, "B/s")
+    sent = sheet.cost_per_unit("host_idle_in_bytes")
+    sheet.add_row(role, "renewals out", "`host_idle_in_bytes`", sent, "B/s")
+    received = sheet.cost_per_unit("host_idle_out_bytes")
+    sheet.add_row(role, "renewals in", "`host_idle_out_bytes`", received, "B/s")
     rolls = CHANGES_PER_DAY / DAY_S
-    deltas = sheet.per("host_bytes_per_roll") * rolls
-    sheet.add(
+    deltas = sheet.cost_per_unit("host_bytes_per_roll") * rolls
+    sheet.add_row(
         role, "deltas of 4,600 rolls a day", "per roll, over a day", deltas, "B/s"
     )
     losses = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
     moved = (WORKSPACES + CELLS) / HOSTS
-    moves = sheet.at("session_loss_bytes_per_resource", moved) * 3 * losses
-    sheet.add(
+    moves = sheet.cost_at("session_loss_bytes_per_resource", moved) * 3 * losses
+    sheet.add_row(
         role,
         "deltas of 265 lost hosts a day",
         "loss, return and release of 0.9 resources",
         moves,
         "B/s",
     )
-    total = sent + got + deltas + moves
-    sheet.hold(
+    total = sent + received + deltas + moves
+    sheet.add_limited(
         role,
         "traffic with the control group",
         "sum of the four lines above",
         total,
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
     )
-    listed = LIST_READS_PER_S * (HOSTS + RUNNERS) * NAME_BYTES
-    sheet.hold(
+    listed = HOST_LIST_READS_PER_S * (HOSTS + BACKEND_SERVERS) * HOST_LIST_ENTRY_BYTES
+    sheet.add_limited(
         role,
         "platform's host list",
-        f"2 reads/s of 2,090 names of {NAME_BYTES} B",
+        f"2 reads/s of 2,090 names of {HOST_LIST_ENTRY_BYTES} B",
         listed,
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
     )
-    idle = sheet.largest("entry_idle_core")
-    roll_us = sheet.at("view_roll_us_per_runner", RUNNERS) * rolls
-    sheet.hold(
+    idle = sheet.cost_at_largest_size("entry_idle_core")
+    roll_us = sheet.cost_at("view_roll_us_per_runner", BACKEND_SERVERS) * rolls
+    sheet.add_limited(
         role,
         "control work at idle with an empty host list",
         "`entry_idle_core` at the largest size measured, plus rolls",
         idle + roll_us / 1e4,
         "% of a core",
-        CORE_LIMIT_PERCENT,
+        MAX_CORE_PERCENT,
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "the same with a host list of 2,090 names",
         "`host_list_core` at 2,090",
-        sheet.at("host_list_core", HOSTS + RUNNERS) + roll_us / 1e4,
+        sheet.cost_at("host_list_core", HOSTS + BACKEND_SERVERS) + roll_us / 1e4,
         "% of a core",
-        CORE_LIMIT_PERCENT,
+        MAX_CORE_PERCENT,
     )
     rate = REQUESTS_PER_S / HOSTS
-    sheet.add(role, "requests", "2,800 over 390 hosts", rate, "1/s")
-    sheet.add(role, "tokens", "1.3 million over 390", TOKENS_PER_S / HOSTS, "1/s")
+    sheet.add_row(role, "requests", "2,800 over 390 hosts", rate, "1/s")
+    sheet.add_row(role, "tokens", "1.3 million over 390", TOKENS_PER_S / HOSTS, "1/s")
     streams = TOKENS_PER_S / TOKENS_PER_S_PER_STREAM / HOSTS
-    sheet.add(role, "streams", "at 20 tokens/s each", streams, "streams")
-    per_token = sheet.per("front_ms_per_request")
-    sheet.add(
+    sheet.add_row(role, "streams", "at 20 tokens/s each", streams, "streams")
+    per_token = sheet.cost_per_unit("front_ms_per_request")
+    sheet.add_row(
         role,
         "requests, all three roles in one process",
         "`front_ms_per_request` at size 0",
-        rate * max(0.0, sheet.at("front_ms_per_request", 0)) / 10,
+        rate * max(0.0, sheet.cost_at("front_ms_per_request", 0)) / 10,
         "% of a core",
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "token relay at an even spread, one process a host",
         "tokens times `front_ms_per_request` per token",
@@ -145,27 +152,27 @@
     )
 
 
-def owner_rows(sheet: Sheet) -> None:
-    spaces, cells, runners = largest_shares()
+def owner_rows(sheet: CapacitySheet) -> None:
+    workspaces, cells, backend_servers = largest_shares()
     role = "workspace owner"
     rate = REQUESTS_PER_S / WORKSPACES
     large = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
     grant_us, grant_bytes = (
-        sheet.per("rate_owner_us_per_grant"),
-        sheet.per("rate_owner_bytes_per_grant"),
-    )
-    call_ms = sheet.per("leader_ms_per_commit")
-    sheet.add(role, "most workspaces on a host", "rendezvous hash", spaces, "1")
-    sheet.add(role, "grants of a mean workspace", "2,800 over 270", rate, "1/s")
-    sheet.add(role, "grants of a very large one", "30% of 2,800", large, "1/s")
-    sheet.add(
+        sheet.cost_per_unit("rate_owner_us_per_grant"),
+        sheet.cost_per_unit("rate_owner_bytes_per_grant"),
+    )
+    call_ms = sheet.cost_per_unit("leader_ms_per_commit")
+    sheet.add_row(role, "most workspaces on a host", "rendezvous hash", workspaces, "1")
+    sheet.add_row(role, "grants of a mean workspace", "2,800 over 270", rate, "1/s")
+    sheet.add_row(role, "grants of a very large one", "30% of 2,800", large, "1/s")
+    sheet.add_row(
         role,
         "its decisions",
         "grants times `rate_owner_us_per_grant`",
         large * grant_us / 1e4,
         "% of a core",
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "its decisions with an RPC each",
         "plus `leader_ms_per_commit` as the upper bound of an RPC",
@@ -173,41 +180,43 @@
         "% of a core",
         100.0,
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "memory for grants of the most mean workspaces on a host",
         "1 h of grants times `rate_owner_bytes_per_grant`",
-        spaces * rate * GRANT_RETENTION_S * grant_bytes / 1e6,
+        workspaces * rate * GRANT_RETENTION_S * grant_bytes / 1e6,
         "MB",
-        MEMORY_LIMIT_MB,
+        MAX_MEMORY_MB,
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "memory for grants of the very large workspace",
         "the same",
         large * GRANT_RETENTION_S * grant_bytes / 1e6,
         "MB",
-        MEMORY_LIMIT_MB,
+        MAX_MEMORY_MB,
     )
-    cell_rows(sheet, cells, runners)
+    cell_rows(sheet, cells, backend_servers)
 
 
-def cell_rows(sheet: Sheet, cells: int, runners: int) -> None:
+def cell_rows(sheet: CapacitySheet, cells: int, backend_servers: int) -> None:
     role = "backend server owner"
-    sheet.add(role, "most cells on a host", "rendezvous hash of 84", cells, "1")
-    sheet.add(role, "most backend servers on a host", "of 1,700", runners, "1")
-    sheet.hold(
+    sheet.add_row(role, "most cells on a host", "rendezvous hash of 84", cells, "1")
+    sheet.add_row(
+        role, "most backend servers on a host", "of 1,700", backend_servers, "1"
+    )
+    sheet.add_limited(
         role,
         "polling of its engines",
         "servers times `poll_core`",
-        runners * sheet.per("poll_core"),
+        backend_servers * sheet.cost_per_unit("poll_core"),
         "% of a core",
-        CORE_LIMIT_PERCENT,
+        MAX_CORE_PERCENT,
     )
     rate = REQUESTS_PER_S / CELLS * cells
-    decide_us = sheet.at("cell_us_per_request_by_runner", runners)
-    sheet.add(role, "placements", "2,800 over 84 cells", rate, "1/s")
-    sheet.add(
+    decide_us = sheet.cost_at("cell_us_per_request_by_runner", backend_servers)
+    sheet.add_row(role, "placements", "2,800 over 84 cells", rate, "1/s")
+    sheet.add_row(
         role,
         "decisions",
         "placements times `cell_us_per_request_by_runner`",
@@ -215,134 +224,146 @@
         "% of a core",
     )
     items = TOKENS_PER_S / TOKENS_PER_S_PER_STREAM / CELLS * cells
-    sheet.add(
+    sheet.add_row(
         role,
         "progress of its streams, once a second",
         "streams times `cell_us_per_progress_item`",
-        items * sheet.per("cell_us_per_progress_item") / 1e4,
+        items * sheet.cost_per_unit("cell_us_per_progress_item") / 1e4,
         "% of a core",
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "progress in",
         f"streams times {progress_item_bytes()} B",
         items * progress_item_bytes(),
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
+    )
+    memory_bytes = backend_servers * sheet.cost_per_unit("cell_bytes_per_runner")
+    memory_bytes += items * sheet.cost_per_unit("cell_bytes_per_request")
+    sheet.add_limited(
+        role, "memory", "servers and streams", memory_bytes / 1e6, "MB", MAX_MEMORY_MB
     )
-    held = runners * sheet.per("cell_bytes_per_runner")
-    held += items * sheet.per("cell_bytes_per_request")
-    sheet.hold(role, "memory", "servers and streams", held / 1e6, "MB", MEMORY_LIMIT_MB)
 
 
-def leader_rows(sheet: Sheet) -> None:
+def leader_rows(sheet: CapacitySheet) -> None:
     role = "leader"
     state_mb = sheet.state_mb("control_state_bytes")
-    state_mb += KEPT_VERSIONS * sheet.per("control_state_bytes_per_version") / 1e6
-    sheet.add(role, "state without proposals and ledger", "as above", state_mb, "MB")
+    state_mb += (
+        STORED_VERSIONS * sheet.cost_per_unit("control_state_bytes_per_version") / 1e6
+    )
+    sheet.add_row(
+        role, "state without proposals and ledger", "as above", state_mb, "MB"
+    )
     proposals = (
-        KEPT_PROPOSALS * sheet.per("control_state_bytes_per_full_proposal") / 1e6
+        STORED_PROPOSALS
+        * sheet.cost_per_unit("control_state_bytes_per_full_proposal")
+        / 1e6
     )
-    sheet.add(role, "20 proposals not in force", "whole bundles", proposals, "MB")
-    sheet.hold(
+    sheet.add_row(role, "20 proposals not in force", "whole bundles", proposals, "MB")
+    sheet.add_limited(
         role,
         "memory with them",
         "`leader_rss` at the largest size, plus both",
-        sheet.largest("leader_rss") + state_mb + proposals,
+        sheet.cost_at_largest_size("leader_rss") + state_mb + proposals,
         "MB",
-        MEMORY_LIMIT_MB,
+        MAX_MEMORY_MB,
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "sessions of 390 hosts",
         "`leader_idle_core` at 390",
-        sheet.at("leader_idle_core", HOSTS),
+        sheet.cost_at("leader_idle_core", HOSTS),
         "% of a core",
-        CORE_LIMIT_PERCENT,
-    )
-    sheet.add(role, "renewals in", "390 over 0.75 s", HOSTS * RENEWALS_PER_S, "1/s")
-    hosts = sum(sheet.at(f"host_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
-    members = sum(sheet.at(f"member_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
-    sheet.add(role, "bytes to and from hosts", "both at 390", hosts, "B/s")
-    sheet.add(role, "bytes between control hosts", "both at 390", members, "B/s")
-    sheet.hold(
+        MAX_CORE_PERCENT,
+    )
+    sheet.add_row(role, "renewals in", "390 over 0.75 s", HOSTS * RENEWALS_PER_S, "1/s")
+    hosts = sum(sheet.cost_at(f"host_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
+    members = sum(
+        sheet.cost_at(f"member_idle_{way}_bytes", HOSTS) for way in ("in", "out")
+    )
+    sheet.add_row(role, "bytes to and from hosts", "both at 390", hosts, "B/s")
+    sheet.add_row(role, "bytes between control hosts", "both at 390", members, "B/s")
+    sheet.add_limited(
         role,
         "bytes in and out at idle",
         "both lines above",
         hosts + members,
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
     )
-    apply_ms = sheet.at("roll_us_per_host", HOSTS) / 1e3
-    sheet.hold(
+    apply_ms = sheet.cost_at("roll_us_per_host", HOSTS) / 1e3
+    sheet.add_limited(
         role,
         "stall while one roll is applied, on all control hosts",
         "`roll_us_per_host` at 390, against the least election timeout",
         apply_ms,
         "ms",
-        LEAST_ELECTION_MS / 2,
+        MIN_ELECTION_TIMEOUT_MS / 2,
     )
-    fan_ms = sheet.at("leader_ms_per_roll", HOSTS)
-    sheet.add(role, "streams of one roll", "`leader_ms_per_roll` at 390", fan_ms, "ms")
-    sheet.hold(
+    stream_ms = sheet.cost_at("leader_ms_per_roll", HOSTS)
+    sheet.add_row(
+        role, "streams of one roll", "`leader_ms_per_roll` at 390", stream_ms, "ms"
+    )
+    sheet.add_limited(
         role,
         "a roll in force on 390 hosts",
         "`in_force_ms` at 390, plus the stall and `view_roll_us_per_runner`",
-        max(0.0, sheet.at("in_force_ms", HOSTS))
+        max(0.0, sheet.cost_at("in_force_ms", HOSTS))
         + apply_ms
-        + sheet.at("view_roll_us_per_runner", RUNNERS) / 1e3,
+        + sheet.cost_at("view_roll_us_per_runner", BACKEND_SERVERS) / 1e3,
         "ms",
-        IN_FORCE_LIMIT_MS,
+        MAX_IN_FORCE_MS,
     )
     rolls = CHANGES_PER_DAY / DAY_S
-    sheet.add(
+    sheet.add_row(
         role,
         "rolls, over a day",
         "stall and streams, 4,600 times",
-        rolls * (apply_ms + fan_ms) / 10,
+        rolls * (apply_ms + stream_ms) / 10,
         "% of a core",
     )
-    session_ms = sheet.at("session_loss_us_per_host", HOSTS)
-    session_ms = (session_ms + sheet.at("session_open_us_per_host", HOSTS)) / 1e3
-    sheet.add(role, "a host lost and back", "both at 390", session_ms, "ms")
+    session_ms = sheet.cost_at("session_loss_us_per_host", HOSTS)
+    session_ms = (session_ms + sheet.cost_at("session_open_us_per_host", HOSTS)) / 1e3
+    sheet.add_row(role, "a host lost and back", "both at 390", session_ms, "ms")
     losses = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
-    sheet.add(
+    sheet.add_row(
         role, "265 of them, over a day", "", losses * session_ms / 10, "% of a core"
     )
     log_rows(sheet, rolls)
 
 
-def log_rows(sheet: Sheet, rolls: float) -> None:
+def log_rows(sheet: CapacitySheet, rolls: float) -> None:
     role = "follower"
-    logged = sheet.at("propose_bytes_per_runner", RUNNERS) * rolls
-    sheet.add(
+    logged = sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls
+    sheet.add_row(
         role,
         "one proposal in the log",
         "whole bundle",
-        sheet.at("propose_bytes_per_runner", RUNNERS) / 1e3,
+        sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) / 1e3,
         "kB",
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "log of 4,600 proposals a day",
         "mean rate to each follower",
         logged,
         "B/s",
-        BYTES_LIMIT_PER_S,
+        MAX_BYTES_PER_S,
     )
-    sheet.hold(
+    sheet.add_limited(
         role,
         "follower at idle",
         "`follower_idle_core` at the largest size measured",
-        sheet.largest("follower_idle_core"),
+        sheet.cost_at_largest_size("follower_idle_core"),
         "% of a core",
-        CORE_LIMIT_PERCENT,
+        MAX_CORE_PERCENT,
     )
     role = "ledger"
     calls = REQUESTS_PER_S * LEDGER_SHARE
     most = max(rate for _, rate in sheet.slopes["ledger_commits_per_s"].points)
-    sheet.add(role, "commits of one group", "most measured", most, "1/s")
-    sheet.hold(
+    sheet.add_row(role, "commits of one group", "most measured", most, "1/s")
+    sheet.add_limited(
         role,
         "commits if 5% of requests must not be repeated",
         "2 for each of 140 calls/s",
@@ -350,16 +371,16 @@
         "1/s",
         most,
     )
-    call_bytes = sheet.per("control_state_bytes_per_ledger_call")
-    sheet.hold(
+    call_bytes = sheet.cost_per_unit("control_state_bytes_per_ledger_call")
+    sheet.add_limited(
         role,
         "memory of 24 h of them",
         "`control_state_bytes_per_ledger_call`",
         calls * DAY_S * call_bytes / 1e6,
         "MB",
-        MEMORY_LIMIT_MB,
+        MAX_MEMORY_MB,
     )
-    sheet.add(
+    sheet.add_row(
         role,
         "calls that fit in 32 MB for 24 h",
         "32 MB over a call's bytes, over a day",
@@ -368,20 +389,27 @@
     )
 
 
-ROLES = (front_rows, owner_rows, leader_rows, region_rows, kv_rows, end_rows)
+ROW_BUILDERS = (
+    front_rows,
+    owner_rows,
+    leader_rows,
+    loss_rows,
+    kv_transfer_rows,
+    exhaustion_rows,
+)
 
 
 def capacity_rows(slopes: Mapping[str, Slope]) -> list[Row]:
     """Return every line of the page."""
-    sheet = Sheet(slopes)
-    for add in ROLES:
-        add(sheet)
-    sheet.hold(
+    sheet = CapacitySheet(slopes)
+    for add_row in ROW_BUILDERS:
+        add_row(sheet)
+    sheet.add_limited(
         "follower",
         "hosts reserved for control",
         "one group of 5",
         CONTROL_HOSTS,
         "hosts",
-        CONTROL_HOSTS_LIMIT,
+        MAX_CONTROL_HOSTS,
     )
     return sheet.rows
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -9,16 +9,16 @@
 from bench.workload import Request
 from damaskridge.model.engine import CacheEvent, CacheEventPage, LoadReport
 
-__all__ = ["Clock", "DecodeEngine", "PrefillEngine", "Run"]
+__all__ = ["SimulatedClock", "DecodeEngine", "PrefillEngine", "EngineRun"]
 
-HOLD_S = 0.8
+EXPORT_HOLD_S = 0.8
 CHUNK_TOKENS = 512
 CACHE_BLOCKS = 3000
 BLOCK_TOKENS = 64
-IMPORT_S = 0.004
+IMPORT_COST_S = 0.004
 
 
-class Clock:
+class SimulatedClock:
     """A heap of events."""
 
     def __init__(self) -> None:
@@ -40,7 +40,7 @@
 
 
 @dataclass(eq=False)
-class Run:
+class EngineRun:
     """One attempt of a request on engines."""
 
     request: Request
@@ -50,23 +50,23 @@
     prompt_tokens: int
     on_token: Callable
     on_end: Callable
-    hashes: tuple[int, ...] = ()
-    left_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    remaining_prefill_tokens: int = 0
     computed_tokens: int = 0
-    produced: int = 0
+    produced_tokens: int = 0
     exported_s: float | None = None
-    is_over: bool = False
+    has_ended: bool = False
 
 
 @dataclass
 class PrefillEngine:
     """Computes prompts in chunks, by priority, with a prefix cache."""
 
-    clock: Clock
+    clock: SimulatedClock
     spec: object
     link_bytes_per_s: float
     kv_bytes_per_token: int
-    alive: bool = True
+    is_alive: bool = True
     wasted_tokens: int = 0
     total_tokens: int = 0
     link_free_s: float = 0.0
@@ -78,69 +78,69 @@
     _count: itertools.count = field(default_factory=itertools.count)
     _sequence: int = 0
 
-    def submit(self, run: Run) -> None:
-        if not self.alive:
+    def submit(self, run: EngineRun) -> None:
+        if not self.is_alive:
             return run.on_end(run, "failed")
         cached = 0
-        for block_hash in run.hashes:
+        for block_hash in run.prefix_hashes:
             if block_hash not in self.cache:
                 break
             self.cache.move_to_end(block_hash)
             cached += BLOCK_TOKENS
-        run.left_tokens = max(1, run.prompt_tokens - cached)
-        run.computed_tokens = run.left_tokens
+        run.remaining_prefill_tokens = max(1, run.prompt_tokens - cached)
+        run.computed_tokens = run.remaining_prefill_tokens
         heapq.heappush(self.queue, (run.priority, next(self._count), run))
-        self._next()
+        self._start_next_chunk()
 
-    def _next(self) -> None:
-        while self.queue and self.queue[0][2].is_over:
+    def _start_next_chunk(self) -> None:
+        while self.queue and self.queue[0][2].has_ended:
             heapq.heappop(self.queue)
-        if self.is_busy or not self.queue or not self.alive:
+        if self.is_busy or not self.queue or not self.is_alive:
             return
         run = self.queue[0][2]
-        tokens = min(CHUNK_TOKENS, run.left_tokens)
+        tokens = min(CHUNK_TOKENS, run.remaining_prefill_tokens)
         duration_s = tokens / self.spec.prefill_tokens_per_s
         self.is_busy = True
         self.busy_s += duration_s
-        self.clock.after(duration_s, self._chunk_done, run, tokens)
+        self.clock.after(duration_s, self._finish_chunk, run, tokens)
 
-    def _chunk_done(self, run: Run, tokens: int) -> None:
+    def _finish_chunk(self, run: EngineRun, tokens: int) -> None:
         self.is_busy = False
         self.total_tokens += tokens
-        run.left_tokens -= tokens
-        if run.left_tokens <= 0 and not run.is_over:
+        run.remaining_prefill_tokens -= tokens
+        if run.remaining_prefill_tokens <= 0 and not run.has_ended:
             self.queue = [item for item in self.queue if item[2] is not run]
             heapq.heapify(self.queue)
-            self._store(run)
+            self._cache_blocks(run)
             run.exported_s = self.clock.now_s
-            self.clock.after(0.002, run.decode.offer, run, self)
-            self.clock.after(HOLD_S, self._evict, run)
-        self._next()
+            self.clock.after(0.002, run.decode.offer_export, run, self)
+            self.clock.after(EXPORT_HOLD_S, self._expire_export, run)
+        self._start_next_chunk()
 
-    def _evict(self, run: Run) -> None:
-        if run.exported_s is not None and not run.is_over:
+    def _expire_export(self, run: EngineRun) -> None:
+        if run.exported_s is not None and not run.has_ended:
             run.exported_s = None
             self.wasted_tokens += run.computed_tokens
             run.on_end(run, "evicted")
 
-    def _store(self, run: Run) -> None:
-        for block_hash in run.hashes:
+    def _cache_blocks(self, run: EngineRun) -> None:
+        for block_hash in run.prefix_hashes:
             if block_hash not in self.cache:
-                self._note(block_hash, True)
+                self._record_cache_event(block_hash, True)
             self.cache[block_hash] = None
             self.cache.move_to_end(block_hash)
         while len(self.cache) > CACHE_BLOCKS:
-            self._note(self.cache.popitem(last=False)[0], False)
+            self._record_cache_event(self.cache.popitem(last=False)[0], False)
 
-    def _note(self, block_hash: int, cached: bool) -> None:
+    def _record_cache_event(self, block_hash: int, cached: bool) -> None:
         self._sequence += 1
         self.events.append(CacheEvent(self._sequence, block_hash, cached))
 
     def report(self, age_s: float) -> LoadReport:
-        queued = sum(item[2].left_tokens for item in self.queue)
+        queued = sum(item[2].remaining_prefill_tokens for item in self.queue)
         return LoadReport(1, age_s, len(self.queue), queued, 0)
 
-    def take_events(self) -> CacheEventPage:
+    def drain_events(self) -> CacheEventPage:
         events = tuple(self.events)
         self.events.clear()
         return CacheEventPage(events)
@@ -150,101 +150,103 @@
 class DecodeEngine:
     """Decodes a batch; imports wait for memory, growth may evict the youngest."""
 
-    clock: Clock
+    clock: SimulatedClock
     spec: object
     link_bytes_per_s: float
     kv_bytes_per_token: int
-    alive: bool = True
+    is_alive: bool = True
     running: list = field(default_factory=list)
     importing: list = field(default_factory=list)
     waiting: deque = field(default_factory=deque)
     link_free_s: float = 0.0
     busy_slot_s: float = 0.0
-    evicted: int = 0
+    evictions: int = 0
     is_stepping: bool = False
-    imports: int = 0
+    finished_imports: int = 0
 
-    def pieces(self, run: Run) -> int:
-        return -(-(run.prompt_tokens + run.produced + 1) // self.spec.piece_tokens)
+    def needed_pieces(self, run: EngineRun) -> int:
+        return -(
+            -(run.prompt_tokens + run.produced_tokens + 1) // self.spec.piece_tokens
+        )
 
     def used_pieces(self) -> int:
-        return sum(self.pieces(run) for run in [*self.running, *self.importing])
+        return sum(self.needed_pieces(run) for run in [*self.running, *self.importing])
 
-    def offer(self, run: Run, source: PrefillEngine) -> None:
+    def offer_export(self, run: EngineRun, source: PrefillEngine) -> None:
         """Start the transfer when there is memory; the export waits meanwhile."""
-        if not self.alive and not run.is_over:
+        if not self.is_alive and not run.has_ended:
             return run.on_end(run, "failed")
         self.waiting.append((run, source))
-        self._import()
+        self._start_imports()
 
-    def _import(self) -> None:
+    def _start_imports(self) -> None:
         while self.waiting:
             run, source = self.waiting[0]
-            if run.is_over or run.exported_s is None:
+            if run.has_ended or run.exported_s is None:
                 self.waiting.popleft()
                 continue
             count = len(self.running) + len(self.importing)
             if count >= self.spec.slots:
                 return
-            if self.used_pieces() + self.pieces(run) > self.spec.kv_pieces:
+            if self.used_pieces() + self.needed_pieces(run) > self.spec.kv_pieces:
                 return
             self.waiting.popleft()
             start_s = max(self.clock.now_s, self.link_free_s, source.link_free_s)
-            if start_s > run.exported_s + HOLD_S:
+            if start_s > run.exported_s + EXPORT_HOLD_S:
                 continue
             rate = min(self.link_bytes_per_s, source.link_bytes_per_s)
             end_s = start_s + run.prompt_tokens * self.kv_bytes_per_token / rate
             self.link_free_s = source.link_free_s = end_s
             run.exported_s = None
             self.importing.append(run)
-            self.clock.at(end_s, self._imported, run)
+            self.clock.at(end_s, self._finish_import, run)
 
-    def _imported(self, run: Run) -> None:
+    def _finish_import(self, run: EngineRun) -> None:
         if run not in self.importing:
             return
         self.importing.remove(run)
-        if run.is_over:
-            return self._import()
-        self.imports += 1
+        if run.has_ended:
+            return self._start_imports()
+        self.finished_imports += 1
         self.running.append(run)
         if not self.is_stepping:
             self.is_stepping = True
-            self._schedule()
+            self._schedule_step()
 
-    def _schedule(self) -> None:
+    def _schedule_step(self) -> None:
         fill = len(self.running) / self.spec.slots
         step_s = self.spec.decode_step_ms / 1000 * (0.5 + 0.5 * fill)
-        step_s += IMPORT_S * self.imports
-        self.imports = 0
+        step_s += IMPORT_COST_S * self.finished_imports
+        self.finished_imports = 0
         self.busy_slot_s += step_s * len(self.running)
         self.clock.after(step_s, self._step)
 
     def _step(self) -> None:
         self.is_stepping = False
         for run in list(self.running):
-            if run.is_over:
+            if run.has_ended:
                 self.running.remove(run)
                 continue
-            run.produced += 1
+            run.produced_tokens += 1
             run.on_token(run)
-            if run.is_over:
+            if run.has_ended:
                 self.running.remove(run)
         while self.running and self.used_pieces() > self.spec.kv_pieces:
-            self.evicted += 1
+            self.evictions += 1
             victim = self.running.pop()
             victim.on_end(victim, "evicted")
-        self._import()
-        if self.running and self.alive:
+        self._start_imports()
+        if self.running and self.is_alive:
             self.is_stepping = True
-            self._schedule()
+            self._schedule_step()
 
     def kill(self) -> None:
-        self.alive = False
+        self.is_alive = False
         lost = [*self.running, *self.importing, *(run for run, _ in self.waiting)]
         self.running, self.importing = [], []
         self.waiting.clear()
         for run in lost:
-            if not run.is_over:
+            if not run.has_ended:
                 run.on_end(run, "failed")
 
     def report(self, age_s: float) -> LoadReport:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -4,16 +4,23 @@
 from collections import defaultdict
 from dataclasses import asdict, dataclass, replace
 
-from bench.policies import OWN
+from bench.policies import OWN_POLICY
 from bench.simulation import Result
-from bench.workload import SHARES
-
-__all__ = ["Figure", "compare", "measure", "merge", "quantile", "summarise"]
-
-FIRST_TOKEN_S = 1.0
-GAP_S = 0.078
+from bench.workload import WORKSPACE_SHARES
+
+__all__ = [
+    "Figure",
+    "compare_policies",
+    "measure_run",
+    "merge_seeds",
+    "quantile",
+    "summarise",
+]
+
+MAX_FIRST_TOKEN_S = 1.0
+MAX_TOKEN_GAP_S = 0.078
 WARM_UP_S = 20.0
-HIGHER_IS_BETTER = ("goodput", "urgent", "worst_workspace", "utilisation")
+HIGHER_IS_BETTER_PREFIXES = ("goodput", "urgent", "worst_workspace", "utilisation")
 
 
 @dataclass
@@ -59,46 +66,46 @@
     return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
 
 
-def is_good(request) -> bool:
+def meets_latency_targets(request) -> bool:
     """Tell whether both latency targets were met."""
-    if request.first_s is None or request.end_s is None:
+    if request.first_token_s is None or request.end_s is None:
         return False
-    on_time = request.first_s - request.arrive_s <= FIRST_TOKEN_S
-    return on_time and quantile(request.gaps_s, 0.95) <= GAP_S
+    on_time = request.first_token_s - request.arrive_s <= MAX_FIRST_TOKEN_S
+    return on_time and quantile(request.gaps_s, 0.95) <= MAX_TOKEN_GAP_S
 
 
-def share_good(requests) -> float:
-    return sum(map(is_good, requests)) / max(1, len(requests))
+def share_meeting_targets(requests) -> float:
+    return sum(map(meets_latency_targets, requests)) / max(1, len(requests))
 
 
-def overshoot_tokens(result: Result) -> float:
+def max_rate_overshoot_tokens(result: Result) -> float:
     """Return the largest excess of any window over burst plus rate times time."""
     worst = 0.0
-    for space in result.fleet.workspaces:
+    for workspace in result.fleet.workspaces:
         excess = last_s = 0.0
-        for at_s, tokens in result.uses[space.name]:
-            allowed = space.rate_tokens_per_s * (at_s - last_s)
+        for at_s, tokens in result.rate_charges[workspace.name]:
+            allowed = workspace.rate_tokens_per_s * (at_s - last_s)
             excess, last_s = max(0.0, excess - allowed) + tokens, at_s
-            worst = max(worst, excess - space.burst_tokens)
+            worst = max(worst, excess - workspace.burst_tokens)
     return worst
 
 
-def same_mix(model, flooded: str) -> float:
+def worst_workspace_at_same_mix(model, flooded: str) -> float:
     """
     Return the worst workspace over the mean, all with the mix of the whole.
 
     Most delay-tolerant requests miss the target of the first token at full load, so
     `worst_workspace` also shows how many of them a small workspace happens to send.
     """
-    calm_share = sum(not r.is_urgent for r in model) / max(1, len(model))
+    tolerant_share = sum(not r.is_urgent for r in model) / max(1, len(model))
     values = []
-    for name in SHARES:
+    for name in WORKSPACE_SHARES:
         if name == flooded:
             continue
         own = [r for r in model if r.workspace == name]
-        urgent = share_good([r for r in own if r.is_urgent])
-        calm = share_good([r for r in own if not r.is_urgent])
-        values.append((1 - calm_share) * urgent + calm_share * calm)
+        urgent = share_meeting_targets([r for r in own if r.is_urgent])
+        tolerant = share_meeting_targets([r for r in own if not r.is_urgent])
+        values.append((1 - tolerant_share) * urgent + tolerant_share * tolerant)
     return min(values) / max(1e-9, sum(values) / len(values))
 
 
@@ -110,40 +117,41 @@
     within = [r for r in counted if r.workspace != flooded]
     model = [r for r in within if not r.is_service]
     urgent = [r for r in model if r.is_urgent]
-    calm = [r for r in model if not r.is_urgent]
-    by_space = [
-        share_good([r for r in model if r.workspace == name])
-        for name in SHARES
+    tolerant = [r for r in model if not r.is_urgent]
+    goodput_by_workspace = [
+        share_meeting_targets([r for r in model if r.workspace == name])
+        for name in WORKSPACE_SHARES
         if name != flooded
     ]
     found = {
-        "goodput_urgent": share_good(urgent),
-        "goodput_all": share_good(model),
-        "goodput_service": share_good([r for r in within if r.is_service]),
-        "urgent_good_per_s": sum(map(is_good, urgent))
+        "goodput_urgent": share_meeting_targets(urgent),
+        "goodput_all": share_meeting_targets(model),
+        "goodput_service": share_meeting_targets([r for r in within if r.is_service]),
+        "urgent_good_per_s": sum(map(meets_latency_targets, urgent))
         / (scenario.duration_s - WARM_UP_S),
         "token_gap_p95_s": quantile([g for r in model for g in r.gaps_s], 0.95),
         "wasted_prefill": result.wasted_tokens / max(1, result.prefill_tokens),
-        "worst_workspace": min(by_space) / max(1e-9, sum(by_space) / len(by_space)),
-        "worst_workspace_same_mix": same_mix(model, flooded),
+        "worst_workspace": min(goodput_by_workspace)
+        / max(1e-9, sum(goodput_by_workspace) / len(goodput_by_workspace)),
+        "worst_workspace_same_mix": worst_workspace_at_same_mix(model, flooded),
         "wrongful_refusals": sum(bool(r.refused) for r in within),
-        "rate_overshoot_tokens": overshoot_tokens(result),
+        "rate_overshoot_tokens": max_rate_overshoot_tokens(result),
         "utilisation": result.utilisation,
-        "cpu_per_decision_us": result.cpu_s / max(1, result.placed) * 1e6,
-        "streams_evicted": result.evicted,
-        "calm_unfinished": sum(r.end_s is None and not r.refused for r in calm),
+        "cpu_per_decision_us": result.cpu_s / max(1, result.placements) * 1e6,
+        "streams_evicted": result.evictions,
+        "calm_unfinished": sum(r.end_s is None and not r.refused for r in tolerant),
         "calm_completion_p99_s": quantile(
-            [(r.end_s or math.inf) - r.arrive_s for r in calm], 0.99
+            [(r.end_s or math.inf) - r.arrive_s for r in tolerant], 0.99
         ),
     }
-    for name, group in (("urgent", urgent), ("calm", calm)):
-        waits = [(r.first_s or math.inf) - r.arrive_s for r in group]
+    for name, group in (("urgent", urgent), ("calm", tolerant)):
+        waits = [(r.first_token_s or math.inf) - r.arrive_s for r in group]
         for share in (0.5, 0.95, 0.99):
             found[f"first_token_{name}_p{share * 100:.0f}_s"] = quantile(waits, share)
     return found
 
 
-def merge(runs: list[list[Figure]]) -> list[Figure]:
+def merge_seeds(runs: list[list[Figure]]) -> list[Figure]:
     """Return one figure for each of several seeds: the median and the worst."""
     groups = defaultdict(list)
     for figure in (figure for run in runs for figure in run):
@@ -153,7 +161,7 @@
     for group in groups.values():
         values = [figure.value for figure in group]
         first = group[0]
-        higher = first.figure.startswith(HIGHER_IS_BETTER)
+        higher = first.figure.startswith(HIGHER_IS_BETTER_PREFIXES)
         is_upper = first.upper if first.bound is not None else not higher
         worst = max(values) if is_upper else min(values)
         median = quantile(values, 0.5)
@@ -161,7 +169,7 @@
     return found
 
 
-def bound_of(name: str, load: float, variant: str) -> tuple[float | None, bool]:
+def bound_for(name: str, load: float, variant: str) -> tuple[float | None, bool]:
     """Return the bound of section 1.3, and whether it is an upper one."""
     faulty = variant not in ("none", "flood", "resend")
     if name == "wasted_prefill":
@@ -174,7 +182,7 @@
     if name.startswith("worst_workspace") and load <= 1.0 and not faulty:
         return 0.9, False
     if name == "token_gap_p95_s":
-        return GAP_S, True
+        return MAX_TOKEN_GAP_S, True
     if name == "goodput_urgent" and load <= 1.0 and variant == "none":
         return 0.95, False
     if name == "goodput_all" and load <= 1.0 and variant == "none":
@@ -184,7 +192,7 @@
     return None, True
 
 
-def measure(result: Result) -> list[Figure]:
+def measure_run(result: Result) -> list[Figure]:
     """Return the figures of one run; only the own policy has bounds."""
     scenario = result.scenario
     policy = scenario.policy
@@ -192,8 +200,8 @@
         policy += f"+{scenario.variant}"
     figures = []
     for name, value in summarise(result).items():
-        bound, upper = bound_of(name, scenario.load, scenario.variant)
-        if scenario.policy != OWN:
+        bound, upper = bound_for(name, scenario.load, scenario.variant)
+        if scenario.policy != OWN_POLICY:
             bound = None
         unit = next(
             (u for u in ("tokens", "per_s", "us", "s") if name.endswith("_" + u)), "1"
@@ -213,7 +221,7 @@
     return figures
 
 
-def compare(figures: list[Figure]) -> list[Figure]:
+def compare_policies(figures: list[Figure]) -> list[Figure]:
     """Return the ratios between policies and loads that have bounds."""
     values = {(f.figure, f.workload, f.load, f.policy): f.value for f in figures}
     found = []
@@ -221,11 +229,13 @@
     def add(name, workload, load, top, bottom, bound, upper=False):
         if top in values and bottom in values:
             value = values[top] / max(1e-9, values[bottom])
-            found.append(Figure(name, workload, load, OWN, value, "1", bound, upper))
+            found.append(
+                Figure(name, workload, load, OWN_POLICY, value, "1", bound, upper)
+            )
 
     for workload in sorted({f.workload for f in figures}):
         for load in sorted({f.load for f in figures}):
-            own = ("goodput_urgent", workload, load, OWN)
+            own = ("goodput_urgent", workload, load, OWN_POLICY)
             add(
                 "urgent_over_upper_bound",
                 workload,
@@ -247,17 +257,17 @@
             "urgent_per_s_over_100",
             workload,
             2.0,
-            (*rate, 2.0, OWN),
-            (*rate, 1.0, OWN),
+            (*rate, 2.0, OWN_POLICY),
+            (*rate, 1.0, OWN_POLICY),
             0.95,
         )
-        calm = ("calm_completion_p99_s", workload, 1.0)
+        tolerant = ("calm_completion_p99_s", workload, 1.0)
         add(
             "calm_p99_over_fcfs",
             workload,
             1.0,
-            (*calm, OWN),
-            (*calm, "fcfs"),
+            (*tolerant, OWN_POLICY),
+            (*tolerant, "fcfs"),
             2.0,
             True,
         )
--- a/bench/process.py
+++ b/bench/process.py
@@ -41,27 +41,27 @@
     WithdrawKey,
 )
 
-KEY = KEYS["magicians"]
-MEMORY_BOUND_MB = 64.0
+CALLER_KEY = KEYS["magicians"]
+MAX_MEMORY_MB = 64.0
 ROUND_TRIPS = 3
-PROCESSING_BOUND_MS = 5.0
-GAP_BOUND_MS = 78.0
-IN_FORCE_BOUND_S = 4.0
-STREAMS = 300
+MAX_PROCESSING_MS = 5.0
+MAX_TOKEN_GAP_MS = 78.0
+MAX_IN_FORCE_S = 4.0
+STREAM_COUNT = 300
 STREAM_TOKENS = 260
-CLIENTS = 2
-REQUESTS = 50
-STEP_MS = 50.0
+CLIENT_PROCESSES = 2
+FIRST_TOKEN_REQUESTS = 50
+DECODE_STEP_MS = 50.0
 ENGINES = {f"prefill-{n}": "prefill" for n in range(1, 5)} | {
     f"decode-{n}": "decode" for n in range(1, 9)
 }
 # Enough for all streams, so that neither slots nor memory are the limit.
-SLOTS = 60
-EXTRA_KEYS = tuple(f"bench-key-{number}" for number in range(3))
+SLOTS_PER_ENGINE = 60
+KEYS_TO_WITHDRAW = tuple(f"bench-key-{number}" for number in range(3))
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-class Report:
+class FigureReport:
     """Figures, printed as they come."""
 
     def __init__(self) -> None:
@@ -84,14 +84,14 @@
         print(*(f"{key}={value}" for key, value in item.items()), flush=True)
 
 
-def memory_mb(pid: int) -> float:
+def rss_mb(pid: int) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / 1024
     raise ProcessLookupError(pid)
 
 
-def processor_s(pid: int) -> float:
+def cpu_time_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
@@ -138,10 +138,10 @@
         connection.close()
 
 
-class Bench:
+class ProcessBench:
     """The measurements on one running fleet."""
 
-    def __init__(self, processes: Processes, report: Report) -> None:
+    def __init__(self, processes: Processes, report: FigureReport) -> None:
         self.processes = processes
         self.layout = processes.layout
         self.report = report
@@ -150,26 +150,26 @@
 
     def run(self) -> None:
         self.processes.start_all()
-        self.roll()
-        self.wait("first bundle", lambda: self.versions() == {1})
-        self.memory()
-        self.first_token()
-        self.streams()
+        self.roll_bundle()
+        self.wait_until("first bundle", lambda: self.active_versions() == {1})
+        self.measure_idle_memory()
+        self.measure_first_token()
+        self.measure_streams()
         # The fleet's first engine reports and leases come before the faults.
-        self.in_force("", None)
-        self.in_force("_leader_killed", signal.SIGKILL)
-        self.in_force("_leader_stopped", signal.SIGSTOP)
+        self.measure_in_force("", None)
+        self.measure_in_force("_leader_killed", signal.SIGKILL)
+        self.measure_in_force("_leader_stopped", signal.SIGSTOP)
 
-    def wait(self, what: str, condition: Callable[[], bool]) -> float:
+    def wait_until(self, what: str, condition: Callable[[], bool]) -> float:
         """Return after how many seconds `condition` held."""
         started_s = time.perf_counter()
-        while not _holds(condition):
+        while not _is_met(condition):
             if time.perf_counter() - started_s > 20:
                 raise TimeoutError(what)
             time.sleep(0.01)
         return time.perf_counter() - started_s
 
-    def commit(self, command: Command, key: str = ALICE_KEY) -> str:
+    def commit_command(self, command: Command, key: str = ALICE_KEY) -> str:
         async def send() -> str:
             calls = LeaderClient(self.layout.control_addresses(), operator_key=key)
             result = await calls.propose(command, 10.0)
@@ -180,7 +180,7 @@
 
         return anyio.run(send)
 
-    def leader(self) -> str:
+    def find_leader(self) -> str:
         async def ask() -> str:
             calls = LeaderClient(self.layout.control_addresses())
             status = await calls.status(10.0)
@@ -189,34 +189,37 @@
 
         return anyio.run(ask)
 
-    def prepare(self) -> RollBundle:
+    def prepare_roll(self) -> RollBundle:
         """Return the command that rolls a new, signed-off bundle."""
         path = self.layout.bundle(f"bundle-{self.version + 1}", 1e6 + self.version)
         content = json.loads(path.read_text())
-        for key in EXTRA_KEYS:
+        for key in KEYS_TO_WITHDRAW:
             content["keys"].append({"digest": digest(key), "workspace": "magicians"})
         for workspace in content["workspaces"]:
             workspace["burst_tokens"] = 1e6
         path.write_text(json.dumps(content))
         bundle = read_bundle(path).unwrap()
-        proposal = self.commit(
-            ProposeBundle(command_id=_id(), operator="alice", bundle=bundle)
+        proposal = self.commit_command(
+            ProposeBundle(command_id=_new_command_id(), operator="alice", bundle=bundle)
         )
-        self.commit(
-            SignOffBundle(command_id=_id(), operator="bob", proposal=proposal), BOB_KEY
+        self.commit_command(
+            SignOffBundle(
+                command_id=_new_command_id(), operator="bob", proposal=proposal
+            ),
+            BOB_KEY,
         )
         return RollBundle(
-            command_id=_id(),
+            command_id=_new_command_id(),
             operator="alice",
             proposal=proposal,
             expected_version=self.version,
         )
 
-    def roll(self) -> None:
-        self.commit(self.prepare())
+    def roll_bundle(self) -> None:
+        self.commit_command(self.prepare_roll())
         self.version += 1
 
-    def versions(self) -> set[int]:
+    def active_versions(self) -> set[int]:
         found = set()
         for name in ENTRIES:
             text = fetch(self.layout.addresses[f"{name}/operators"], "/metrics")
@@ -225,16 +228,16 @@
                     found.add(int(float(line.split()[1])))
         return found
 
-    def memory(self) -> None:
+    def measure_idle_memory(self) -> None:
         time.sleep(5.0)
         for role, names in (("entry", ENTRIES), ("control", CONTROLS)):
-            value = max(memory_mb(self.processes.running[n].pid) for n in names)
-            self.report.add(f"idle_memory_{role}", value, "MB", MEMORY_BOUND_MB)
+            value = max(rss_mb(self.processes.running[n].pid) for n in names)
+            self.report.add(f"idle_memory_{role}", value, "MB", MAX_MEMORY_MB)
 
-    def first_token(self) -> None:
-        bound_ms = ROUND_TRIPS * round_trip_ms() + PROCESSING_BOUND_MS
+    def measure_first_token(self) -> None:
+        bound_ms = ROUND_TRIPS * round_trip_ms() + MAX_PROCESSING_MS
         routed, direct = [], []
-        for number in range(REQUESTS):
+        for number in range(FIRST_TOKEN_REQUESTS):
             prompt = f"{number} which sail is ready?"
             routed.append(self.routed_ms(prompt))
             direct.append(self.direct_ms(prompt, f"direct-{number}.1"))
@@ -245,7 +248,10 @@
 
     def routed_ms(self, prompt: str) -> float:
         body = {"model": "notes", "prompt": prompt, "max_tokens": 2, "stream": True}
-        headers = {"authorization": f"Bearer {KEY}", "content-type": "application/json"}
+        headers = {
+            "authorization": f"Bearer {CALLER_KEY}",
+            "content-type": "application/json",
+        }
         return first_line_ms(self.callers[0], "/v1/completions", body, headers)
 
     def direct_ms(self, prompt: str, name: str) -> float:
@@ -268,11 +274,17 @@
         }
         return prefill_ms + first_line_ms(decode, "/v1/decode", request, headers)
 
-    def streams(self) -> None:
+    def measure_streams(self) -> None:
         pid = self.processes.running[ENTRIES[0]].pid
-        before_s = processor_s(pid)
-        command = [sys.executable, "-m", "bench.process_client", self.callers[0], KEY]
-        command += [str(STREAMS // CLIENTS), str(STREAM_TOKENS)]
+        before_s = cpu_time_s(pid)
+        command = [
+            sys.executable,
+            "-m",
+            "bench.process_client",
+            self.callers[0],
+            CALLER_KEY,
+        ]
+        command += [str(STREAM_COUNT // CLIENT_PROCESSES), str(STREAM_TOKENS)]
         clients = [
             subprocess.Popen(
                 command,
@@ -280,48 +292,50 @@
                 env=self.processes.environment,
                 stdout=subprocess.PIPE,
             )
-            for _ in range(CLIENTS)
+            for _ in range(CLIENT_PROCESSES)
         ]
         results = [json.loads(client.communicate()[0]) for client in clients]
-        used_s = processor_s(pid) - before_s
+        used_s = cpu_time_s(pid) - before_s
         gaps_ms = sorted(gap for item in results for gap in item["gaps_ms"])
-        broken = STREAMS - sum(item["whole"] for item in results)
+        broken = STREAM_COUNT - sum(item["whole"] for item in results)
         for item in results:
-            for seen in item["broken"]:
-                print(f"# broken stream: {seen}")
-        tokens = len(gaps_ms) + STREAMS
+            for broken_stream in item["broken"]:
+                print(f"# broken stream: {broken_stream}")
+        tokens = len(gaps_ms) + STREAM_COUNT
         self.report.add("streams_not_whole", broken, "streams", 0)
         gap_ms = gaps_ms[int(len(gaps_ms) * 0.95)] if gaps_ms else float("inf")
-        self.report.add("token_gap_p95", gap_ms, "ms", GAP_BOUND_MS)
+        self.report.add("token_gap_p95", gap_ms, "ms", MAX_TOKEN_GAP_MS)
         self.report.add("processor_per_token", used_s / tokens * 1e6, "us")
-        self.report.add("entry_memory_after_streams", memory_mb(pid), "MB")
+        self.report.add("entry_memory_after_streams", rss_mb(pid), "MB")
 
-    def in_force(self, suffix: str, fault: signal.Signals | None) -> None:
-        key = EXTRA_KEYS[("", "_leader_killed", "_leader_stopped").index(suffix)]
+    def measure_in_force(self, suffix: str, fault: signal.Signals | None) -> None:
+        key = KEYS_TO_WITHDRAW[("", "_leader_killed", "_leader_stopped").index(suffix)]
         command = WithdrawKey(
-            command_id=_id(), operator="alice", key_digest=digest(key)
+            command_id=_new_command_id(), operator="alice", key_digest=digest(key)
         )
-        took_s = self.measure(command, fault, lambda: self.refused(key))
-        self.report.add(f"key_withdrawn{suffix}", took_s, "s", IN_FORCE_BOUND_S)
-        command = self.prepare()
+        took_s = self.measure_effect_s(command, fault, lambda: self.is_key_refused(key))
+        self.report.add(f"key_withdrawn{suffix}", took_s, "s", MAX_IN_FORCE_S)
+        command = self.prepare_roll()
         self.version += 1
         target = self.version
-        took_s = self.measure(command, fault, lambda: self.versions() == {target})
-        self.report.add(f"bundle_in_force{suffix}", took_s, "s", IN_FORCE_BOUND_S)
+        took_s = self.measure_effect_s(
+            command, fault, lambda: self.active_versions() == {target}
+        )
+        self.report.add(f"bundle_in_force{suffix}", took_s, "s", MAX_IN_FORCE_S)
 
-    def measure(
+    def measure_effect_s(
         self,
         command: Command,
         fault: signal.Signals | None,
         condition: Callable[[], bool],
     ) -> float:
         """Return how long a command takes from its acknowledgement to its effect."""
-        leader = self.leader()
+        leader = self.find_leader()
         process = self.processes.running[leader]
-        self.commit(command)
+        self.commit_command(command)
         if fault is not None:
             process.send_signal(fault)
-        took_s = self.wait(type(command).__name__, condition)
+        took_s = self.wait_until(type(command).__name__, condition)
         if fault is signal.SIGKILL:
             self.processes.kill(leader)
             self.processes.start_control(leader)
@@ -330,7 +344,7 @@
         time.sleep(3.0)
         return took_s
 
-    def refused(self, key: str) -> bool:
+    def is_key_refused(self, key: str) -> bool:
         return all(_error_kind(item, key) == "key_withdrawn" for item in self.callers)
 
 
@@ -345,25 +359,28 @@
         connection.close()
 
 
-def _holds(condition: Callable[[], bool]) -> bool:
+def _is_met(condition: Callable[[], bool]) -> bool:
     try:
         return condition()
     except (OSError, ValueError, http.client.HTTPException):
         return False
 
 
-def _id() -> str:
+def _new_command_id() -> str:
     return f"bench/{uuid.uuid4().hex}"
 
 
 def main() -> int:
-    report = Report()
+    report = FigureReport()
     with tempfile.TemporaryDirectory(prefix="damaskridge-bench-") as folder:
         layout = Layout(
-            Path(folder), engines=ENGINES, slots=SLOTS, decode_step_ms=STEP_MS
+            Path(folder),
+            engines=ENGINES,
+            slots=SLOTS_PER_ENGINE,
+            decode_step_ms=DECODE_STEP_MS,
         )
         with Processes(layout) as processes:
-            Bench(processes, report).run()
+            ProcessBench(processes, report).run()
             if len(sys.argv) > 1:
                 for name in ENTRIES + CONTROLS:
                     text = processes.log_path(name).read_text()
--- a/bench/process_client.py
+++ b/bench/process_client.py
@@ -10,7 +10,7 @@
 
 _START_SPREAD_S = 2.0
 _READ_BYTES = 65_536
-_LIMIT_S = 60.0
+_TIMEOUT_S = 60.0
 
 
 class Stream:
@@ -20,13 +20,13 @@
         self.offsets: list[int] = []
         self.gaps_s: list[float] = []
         self.done = False
-        self.first = b""
+        self.first_data = b""
         self._last_s = 0.0
 
-    def take(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         now_s = time.perf_counter()
-        if not self.first:
-            self.first = data[:400]
+        if not self.first_data:
+            self.first_data = data[:400]
         if b"data: [DONE]" in data:
             self.done = True
         # The last event has an id too, without a token.
@@ -39,7 +39,7 @@
                 self.gaps_s.append(now_s - self._last_s)
             self._last_s = now_s
 
-    def is_whole(self, tokens: int) -> bool:
+    def is_complete(self, tokens: int) -> bool:
         return self.done and self.offsets == list(range(tokens))
 
 
@@ -65,20 +65,20 @@
     while data := await reader.read(_READ_BYTES):
         # Events end with an empty line; an event may come in two parts.
         whole, mark, rest = (rest + data).rpartition(b"\n\n")
-        stream.take(whole + mark) if mark else None
+        stream.receive(whole + mark) if mark else None
     if rest:
-        stream.take(rest)
+        stream.receive(rest)
     writer.close()
     return stream
 
 
 async def run_all(address: str, key: str, count: int, tokens: int) -> list[Stream]:
-    async def one(number: int) -> Stream:
+    async def run_delayed(number: int) -> Stream:
         await asyncio.sleep(number * _START_SPREAD_S / count)
         return await run_stream(address, key, number, tokens)
 
-    work = [asyncio.ensure_future(one(number)) for number in range(count)]
-    await asyncio.wait(work, timeout=_LIMIT_S)
+    work = [asyncio.ensure_future(run_delayed(number)) for number in range(count)]
+    await asyncio.wait(work, timeout=_TIMEOUT_S)
     return [
         item.result() if item.done() and not item.exception() else Stream()
         for item in work
@@ -88,11 +88,11 @@
 def main() -> None:
     address, key, count, tokens = sys.argv[1:]
     streams = asyncio.run(run_all(address, key, int(count), int(tokens)))
-    broken = [item for item in streams if not item.is_whole(int(tokens))]
+    broken = [item for item in streams if not item.is_complete(int(tokens))]
     gaps_ms = [round(gap * 1000, 2) for item in streams for gap in item.gaps_s]
     whole = len(streams) - len(broken)
-    seen = [f"{len(item.offsets)} {item.first!r}" for item in broken[:3]]
-    print(json.dumps({"whole": whole, "gaps_ms": gaps_ms, "broken": seen}))
+    broken_samples = [f"{len(item.offsets)} {item.first_data!r}" for item in broken[:3]]
+    print(json.dumps({"whole": whole, "gaps_ms": gaps_ms, "broken": broken_samples}))
 
 
 if __name__ == "__main__":
--- a/bench/slope_fit.py
+++ b/bench/slope_fit.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
-__all__ = ["COMMAND", "Slope", "fit"]
+__all__ = ["COMMAND", "Slope", "fit_line"]
 
 COMMAND = "make slopes"
 
@@ -44,25 +44,27 @@
         low, high = min(sizes), max(sizes)
         return f"{low:,.0f}" if low == high else f"{low:,.0f} to {high:,.0f}"
 
-    def at(self, size: float) -> float:
+    def cost_at(self, size: float) -> float:
         return self.at_zero + self.value * size
 
     def to_json(self) -> dict:
         return asdict(self) | {"range": self.measured_range}
 
 
-def fit(name: str, unit: str, per: str, points: Sequence[tuple[float, float]]) -> Slope:
+def fit_line(
+    name: str, unit: str, per: str, points: Sequence[tuple[float, float]]
+) -> Slope:
     """Return the least-squares line; one point gives a line through zero."""
-    kept = tuple((float(size), float(cost)) for size, cost in points)
-    if len(kept) == 1:
-        size, cost = kept[0]
-        return Slope(name, cost / size, 0.0, unit, per, kept, None)
-    mean_size = sum(size for size, _ in kept) / len(kept)
-    mean_cost = sum(cost for _, cost in kept) / len(kept)
-    spread = sum((size - mean_size) ** 2 for size, _ in kept)
-    value = sum((s - mean_size) * (c - mean_cost) for s, c in kept) / spread
+    measured = tuple((float(size), float(cost)) for size, cost in points)
+    if len(measured) == 1:
+        size, cost = measured[0]
+        return Slope(name, cost / size, 0.0, unit, per, measured, None)
+    mean_size = sum(size for size, _ in measured) / len(measured)
+    mean_cost = sum(cost for _, cost in measured) / len(measured)
+    size_variation = sum((size - mean_size) ** 2 for size, _ in measured)
+    value = sum((s - mean_size) * (c - mean_cost) for s, c in measured) / size_variation
     at_zero = mean_cost - value * mean_size
-    total = sum((cost - mean_cost) ** 2 for _, cost in kept)
-    missed = sum((cost - at_zero - value * size) ** 2 for size, cost in kept)
-    r_squared = 1.0 - missed / total if total else 1.0
-    return Slope(name, value, at_zero, unit, per, kept, r_squared)
+    cost_variation = sum((cost - mean_cost) ** 2 for _, cost in measured)
+    residual = sum((cost - at_zero - value * size) ** 2 for size, cost in measured)
+    r_squared = 1.0 - residual / cost_variation if cost_variation else 1.0
+    return Slope(name, value, at_zero, unit, per, measured, r_squared)
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -17,15 +17,15 @@
 from damaskridge.model.bundle import Bundle, Operator
 from damaskridge.model.control import ProposeBundle, RollBundle, SignOffBundle
 
-__all__ = ["Fleet", "Relay", "Usage", "cpu_s", "rss_bytes"]
+__all__ = ["ProcessFleet", "CountingRelay", "UsageWindow", "cpu_s", "rss_bytes"]
 
 ROOT = Path(__file__).resolve().parent.parent
-CONTROLS = ("control-1", "control-2", "control-3")
+CONTROL_HOSTS = ("control-1", "control-2", "control-3")
 OPERATOR_KEY = "operator-key-of-the-slopes"
-KEY = "caller-key-of-the-slopes"
-STOP_S = 12.0
-CLASSIFIED_BYTES = 4_096
-READY_S = 45.0
+CALLER_KEY = "caller-key-of-the-slopes"
+STOP_TIMEOUT_S = 12.0
+MAX_CLASSIFIED_BYTES = 4_096
+READY_TIMEOUT_S = 45.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -48,17 +48,21 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
 
 
-class Traffic:
+class ConnectionTraffic:
     """Bytes and reads of one connection, without TCP and IP headers."""
 
     def __init__(self) -> None:
-        self.is_member = False
+        self.is_between_members = False
         self.in_bytes = self.out_bytes = self.in_reads = self.out_reads = 0
 
     def count(self, data: bytes, *, inward: bool) -> None:
         # Only messages between control hosts have this field.
-        if inward and not self.is_member and self.in_bytes < CLASSIFIED_BYTES:
-            self.is_member = b"recipient" in data
+        if (
+            inward
+            and not self.is_between_members
+            and self.in_bytes < MAX_CLASSIFIED_BYTES
+        ):
+            self.is_between_members = b"recipient" in data
         if inward:
             self.in_bytes += len(data)
             self.in_reads += 1
@@ -67,7 +71,7 @@
             self.out_reads += 1
 
 
-class Relay:
+class CountingRelay:
     """
     Passes connections on to one control host and counts their bytes.
 
@@ -79,7 +83,7 @@
 
     def __init__(self, port: int, target: str) -> None:
         self.address = f"127.0.0.1:{port}"
-        self.connections: list[Traffic] = []
+        self.connections: list[ConnectionTraffic] = []
         self._port = port
         self._target = target
         self._server: asyncio.Server | None = None
@@ -92,22 +96,22 @@
     ) -> None:
         ip, _, port = self._target.rpartition(":")
         try:
-            onward_reader, onward_writer = await asyncio.open_connection(ip, int(port))
+            target_reader, target_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
             writer.close()
             return
-        traffic = Traffic()
+        traffic = ConnectionTraffic()
         self.connections.append(traffic)
         await asyncio.gather(
-            _pass(reader, onward_writer, traffic, inward=True),
-            _pass(onward_reader, writer, traffic, inward=False),
+            _forward(reader, target_writer, traffic, inward=True),
+            _forward(target_reader, writer, traffic, inward=False),
         )
 
 
-async def _pass(
+async def _forward(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    traffic: Traffic,
+    traffic: ConnectionTraffic,
     *,
     inward: bool,
 ) -> None:
@@ -119,69 +123,72 @@
     writer.close()
 
 
-class Usage:
+class UsageWindow:
     """Processor time and bytes of the fleet between two moments."""
 
-    def __init__(self, fleet: "Fleet") -> None:
+    def __init__(self, fleet: "ProcessFleet") -> None:
         self._fleet = fleet
         self._start_s = time.monotonic()
         self._cpu_s = {name: cpu_s(pid) for name, pid in fleet.pids().items()}
-        self._counted = self._totals()
+        self._initial_traffic = self._total_traffic()
         self.took_s = 0.0
         self.cpu_s: dict[str, float] = {}
         self.traffic: dict[tuple[str, str], int] = {}
 
-    def _totals(self) -> dict[tuple[str, str], int]:
+    def _total_traffic(self) -> dict[tuple[str, str], int]:
         found: dict[tuple[str, str], int] = {}
         for relay in self._fleet.relays:
             for item in relay.connections:
-                kind = "member" if item.is_member else "host"
+                kind = "member" if item.is_between_members else "host"
                 for name in ("in_bytes", "out_bytes", "in_reads", "out_reads"):
                     key = (kind, name)
                     found[key] = found.get(key, 0) + getattr(item, name)
         return found
 
-    def end(self) -> "Usage":
+    def end(self) -> "UsageWindow":
         self.took_s = time.monotonic() - self._start_s
         now = {name: cpu_s(pid) for name, pid in self._fleet.pids().items()}
         self.cpu_s = {name: now[name] - was for name, was in self._cpu_s.items()}
-        totals = self._totals()
+        totals = self._total_traffic()
         self.traffic = {
-            key: value - self._counted.get(key, 0) for key, value in totals.items()
+            key: value - self._initial_traffic.get(key, 0)
+            for key, value in totals.items()
         }
         return self
 
-    def core_share(self, name: str) -> float:
+    def cpu_share(self, name: str) -> float:
         return self.cpu_s[name] / self.took_s
 
-    def entry_share(self) -> float:
+    def mean_entry_cpu_share(self) -> float:
         shares = [s for name, s in self.cpu_s.items() if name.startswith("entry")]
         return sum(shares) / len(shares) / self.took_s
 
 
-class Fleet:
+class ProcessFleet:
     """Three control hosts and any number of entry hosts, in one folder."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        ports = free_ports(len(CONTROLS) * 3 + 1)
+        ports = free_ports(len(CONTROL_HOSTS) * 3 + 1)
         self._ports = {
-            name: tuple(ports[n * 3 : n * 3 + 3]) for n, name in enumerate(CONTROLS)
+            name: tuple(ports[n * 3 : n * 3 + 3])
+            for n, name in enumerate(CONTROL_HOSTS)
         }
         self.platform_port = ports[-1]
         self.relays = [
-            Relay(relay, f"127.0.0.1:{rpc}") for rpc, relay, _ in self._ports.values()
+            CountingRelay(relay, f"127.0.0.1:{rpc}")
+            for rpc, relay, _ in self._ports.values()
         ]
         self.addresses = [relay.address for relay in self.relays]
-        self.calls = LeaderClient(self.addresses, operator_key=OPERATOR_KEY)
+        self.leader_client = LeaderClient(self.addresses, operator_key=OPERATOR_KEY)
         self.version = 0
         self.callers: list[str] = []
 
-    async def __aenter__(self) -> "Fleet":
+    async def __aenter__(self) -> "ProcessFleet":
         for relay in self.relays:
             await relay.start()
-        members = dict(zip(CONTROLS, self.addresses, strict=True))
+        members = dict(zip(CONTROL_HOSTS, self.addresses, strict=True))
         for name, (rpc, _, operators_port) in self._ports.items():
             settings = {
                 "host": name,
@@ -191,23 +198,23 @@
                 "members": members,
                 "data_folder": str(self.folder / name),
             }
-            self._start_with(name, "damaskridge.binaries.control", settings)
+            self._start_with_settings(name, "damaskridge.binaries.control", settings)
         self.start(
             "hosts", "examples.standins.hosts", "--port", str(self.platform_port)
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        self.calls.close()
+        self.leader_client.close()
         for process in self.processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGTERM)
-        end_s = time.monotonic() + STOP_S
+        end_s = time.monotonic() + STOP_TIMEOUT_S
         for process in self.processes.values():
-            left_s = max(0.01, end_s - time.monotonic())
+            remaining_s = max(0.01, end_s - time.monotonic())
             try:
                 # The relays must go on while the processes drain.
-                await asyncio.to_thread(process.wait, left_s)
+                await asyncio.to_thread(process.wait, remaining_s)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
@@ -224,16 +231,16 @@
                 stderr=log,
             )
 
-    def _start_with(self, name: str, module: str, settings: dict) -> None:
+    def _start_with_settings(self, name: str, module: str, settings: dict) -> None:
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.start(name, module, "--settings", str(path))
 
     def start_entries(self, count: int) -> None:
         """Start entry hosts until there are `count`."""
-        held = len(self.callers)
-        ports = iter(free_ports(3 * (count - held)))
-        for number in range(held, count):
+        started = len(self.callers)
+        ports = iter(free_ports(3 * (count - started)))
+        for number in range(started, count):
             caller, peer, operators_port = (
                 f"127.0.0.1:{next(ports)}" for _ in range(3)
             )
@@ -248,22 +255,22 @@
                 "front": {"keep_s": 0.5},
             }
             name = f"entry-{number:03}"
-            self._start_with(name, "damaskridge.binaries.entry", settings)
+            self._start_with_settings(name, "damaskridge.binaries.entry", settings)
             self.callers.append(caller)
 
     def pids(self) -> dict[str, int]:
         return {name: process.pid for name, process in self.processes.items()}
 
     async def leader(self) -> str:
-        return (await self.calls.status(10.0)).leader
+        return (await self.leader_client.status(10.0)).leader
 
     async def wait_ready(self) -> None:
         """Wait until every entry host has a session and the version in force."""
-        end_s = time.monotonic() + READY_S
+        end_s = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < end_s:
-            status = await self.calls.status(5.0)
-            there = [h for h in status.hosts if h.version >= self.version]
-            if status.failure is None and len(there) >= len(self.callers):
+            status = await self.leader_client.status(5.0)
+            ready = [h for h in status.hosts if h.version >= self.version]
+            if status.failure is None and len(ready) >= len(self.callers):
                 return
             await asyncio.sleep(0.2)
         raise TimeoutError("the fleet did not become ready")
@@ -288,11 +295,11 @@
         self.version = int(value)
 
     async def _commit(self, command: ProposeBundle | SignOffBundle | RollBundle) -> str:
-        result = await self.calls.propose(command, 10.0)
+        result = await self.leader_client.propose(command, 10.0)
         assert result.failure is None, result.failure
         return result.value
 
-    def events(self, number: int) -> list[dict]:
+    def log_events(self, number: int) -> list[dict]:
         """Return all log records with an event number."""
         found = []
         for path in self.folder.glob("*.log"):
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,11 +20,11 @@
 __all__ = ["main", "replace_block"]
 
 ROOT = Path(__file__).resolve().parent.parent
-PAGE = ROOT / "docs" / "CAPACITY.md"
-OUT = ROOT / "out" / "slopes.json"
+PAGE_PATH = ROOT / "docs" / "CAPACITY.md"
+OUTPUT_PATH = ROOT / "out" / "slopes.json"
 
 
-def shown(value: float) -> str:
+def format_value(value: float) -> str:
     """Return a value with three significant digits and no exponent."""
     if value == 0:
         return "0"
@@ -43,45 +43,48 @@
     return "\n".join([f"{head}{begin}", "", *lines, "", f"{end}{tail}"])
 
 
-def slope_lines(slopes: list[Slope]) -> list[str]:
+def slope_table(slopes: list[Slope]) -> list[str]:
     lines = [
         "| slope | at size 0 | for one more | unit | size | measured at | R² |",
         "| --- | --- | --- | --- | --- | --- | --- |",
     ]
     for slope in slopes:
-        straight = "one point" if slope.r_squared is None else f"{slope.r_squared:.3f}"
+        fit_quality = (
+            "one point" if slope.r_squared is None else f"{slope.r_squared:.3f}"
+        )
         lines.append(
-            f"| `{slope.name}` | {shown(slope.at_zero)} | {shown(slope.value)} "
-            f"| {slope.unit} | {slope.per} | {slope.measured_range} | {straight} |"
+            f"| `{slope.name}` | {format_value(slope.at_zero)} "
+            f"| {format_value(slope.value)} | {slope.unit} | {slope.per} "
+            f"| {slope.measured_range} | {fit_quality} |"
         )
     return lines
 
 
-def point_lines(slopes: list[Slope], names: tuple[str, ...]) -> list[str]:
+def point_table(slopes: list[Slope], names: tuple[str, ...]) -> list[str]:
     lines = ["| figure | unit | measured (size: value) |", "| --- | --- | --- |"]
     for slope in slopes:
         if slope.name in names:
-            points = "; ".join(f"{s:,.0f}: {shown(c)}" for s, c in slope.points)
+            points = "; ".join(f"{s:,.0f}: {format_value(c)}" for s, c in slope.points)
             lines.append(f"| `{slope.name}` by {slope.per} | {slope.unit} | {points} |")
     return lines
 
 
-def row_lines(rows: list[Row], role: str) -> list[str]:
+def row_table(rows: list[Row], role: str) -> list[str]:
     lines = [
         "| line | how | value | unit | limit | held |",
         "| --- | --- | --- | --- | --- | --- |",
     ]
     for row in rows:
         if row.role == role:
-            limit = "" if row.limit is None else shown(row.limit)
+            limit = "" if row.limit is None else format_value(row.limit)
             lines.append(
-                f"| {row.line} | {row.how} | {shown(row.value)} | {row.unit} "
+                f"| {row.line} | {row.how} | {format_value(row.value)} | {row.unit} "
                 f"| {limit} | {row.verdict} |"
             )
     return lines
 
 
-def machine_line(took_s: float) -> str:
+def describe_machine(took_s: float) -> str:
     day = datetime.now(UTC).strftime("%Y-%m-%d")
     return (
         f"Measured on {day} with `make slopes` in {took_s:.0f} s on {os.cpu_count()} "
@@ -91,19 +94,19 @@
 
 
 def write_page(slopes: list[Slope], rows: list[Row], machine: str) -> None:
-    page = PAGE.read_text(encoding="utf-8")
+    page = PAGE_PATH.read_text(encoding="utf-8")
     page = replace_block(page, "machine", [machine])
-    page = replace_block(page, "slopes", slope_lines(slopes))
+    page = replace_block(page, "slopes", slope_table(slopes))
     curves = ("ledger_commits_per_s", "ledger_median_ms", "ledger_p99_ms")
-    page = replace_block(page, "curves", point_lines(slopes, curves))
+    page = replace_block(page, "curves", point_table(slopes, curves))
     for role in sorted({row.role for row in rows}):
-        page = replace_block(page, role, row_lines(rows, role))
-    PAGE.write_text(page, encoding="utf-8")
+        page = replace_block(page, role, row_table(rows, role))
+    PAGE_PATH.write_text(page, encoding="utf-8")
 
 
 def load_slopes() -> tuple[list[Slope], str]:
     """Return the slopes of the last run, and its machine line."""
-    content = json.loads(OUT.read_text(encoding="utf-8"))
+    content = json.loads(OUTPUT_PATH.read_text(encoding="utf-8"))
     names = {field.name for field in fields(Slope)}
     slopes = []
     for item in content["slopes"]:
@@ -119,9 +122,9 @@
         slopes, machine = load_slopes()
     else:
         start_s = time.monotonic()
-        OUT.parent.mkdir(exist_ok=True)
+        OUTPUT_PATH.parent.mkdir(exist_ok=True)
         slopes = [*measure_state(), *measure_owners(), *measure_fleet()]
-        machine = machine_line(time.monotonic() - start_s)
+        machine = describe_machine(time.monotonic() - start_s)
     rows = capacity_rows({slope.name: slope for slope in slopes})
     for slope in slopes:
         print(
@@ -136,7 +139,7 @@
         "slopes": [slope.to_json() for slope in slopes],
         "rows": [row.to_json() for row in rows],
     }
-    OUT.write_text(json.dumps(content, indent=1))
+    OUTPUT_PATH.write_text(json.dumps(content, indent=1))
     write_page(slopes, rows, machine)
     breaches = sum(row.verdict == "no" for row in rows)
     print(f"{len(slopes)} slopes, {breaches} limits not held")
--- a/bench/slopes_owners.py
+++ b/bench/slopes_owners.py
@@ -4,9 +4,15 @@
 
 import msgspec
 
-from bench.growth import decision_time_us
-from bench.slope_fit import Slope, fit
-from bench.slopes_state import RUNNERS, WORKSPACES, build_bundle, bytes_of, time_us
+from bench.growth import cpu_per_request_us
+from bench.slope_fit import Slope, fit_line
+from bench.slopes_state import (
+    BACKEND_SERVER_COUNTS,
+    WORKSPACE_COUNTS,
+    build_bundle,
+    memory_bytes,
+    min_cpu_us,
+)
 from damaskridge.core.limits import messages as lm
 from damaskridge.core.limits.rate_owner import RateOwner
 from damaskridge.core.scheduling import messages as sm
@@ -30,31 +36,33 @@
     """Measure rate owners and cell schedulers."""
     found = []
 
-    def rate_owner(spaces: int, grants: int) -> RateOwner:
+    def rate_owner(workspaces: int, grants: int) -> RateOwner:
         owner = RateOwner(random.Random(1))
-        for n in range(spaces):
-            space = Workspace(f"w{n}", 1e12, 1e12)
-            owner.handle(lm.OwnershipGained(space, 1, 1e12, ()), 0.0)
+        for n in range(workspaces):
+            workspace = Workspace(f"w{n}", 1e12, 1e12)
+            owner.handle(lm.OwnershipGained(workspace, 1, 1e12, ()), 0.0)
         for n in range(grants):
             owner.handle(lm.RateRequested(rate_request(n), 2.0), 1.0)
         return owner
 
-    points = [(n, bytes_of(lambda n=n: rate_owner(n, 0))) for n in WORKSPACES]
-    found.append(fit("rate_owner_bytes_per_workspace", "B", "workspace", points))
+    points = [(n, memory_bytes(lambda n=n: rate_owner(n, 0))) for n in WORKSPACE_COUNTS]
+    found.append(fit_line("rate_owner_bytes_per_workspace", "B", "workspace", points))
     counts = (1_000, 5_000, 20_000)
-    points = [(n, bytes_of(lambda n=n: rate_owner(1, n))) for n in counts]
-    found.append(fit("rate_owner_bytes_per_grant", "B", "grant", points))
-    points = [(n, time_us(lambda n=n: rate_owner(1, n))) for n in counts]
-    found.append(fit("rate_owner_us_per_grant", "us", "grant", points))
-    points = [(n, decision_time_us(n, 5, 600)) for n in RUNNERS]
-    found.append(fit("cell_us_per_request_by_runner", "us", "runner", points))
-    points = [(n, decision_time_us(100, n, 600)) for n in WORKSPACES]
-    found.append(fit("cell_us_per_request_by_workspace", "us", "workspace", points))
-    points = [(n, bytes_of(lambda n=n: cell(n, 0))) for n in RUNNERS]
-    found.append(fit("cell_bytes_per_runner", "B", "runner", points))
+    points = [(n, memory_bytes(lambda n=n: rate_owner(1, n))) for n in counts]
+    found.append(fit_line("rate_owner_bytes_per_grant", "B", "grant", points))
+    points = [(n, min_cpu_us(lambda n=n: rate_owner(1, n))) for n in counts]
+    found.append(fit_line("rate_owner_us_per_grant", "us", "grant", points))
+    points = [(n, cpu_per_request_us(n, 5, 600)) for n in BACKEND_SERVER_COUNTS]
+    found.append(fit_line("cell_us_per_request_by_runner", "us", "runner", points))
+    points = [(n, cpu_per_request_us(100, n, 600)) for n in WORKSPACE_COUNTS]
+    found.append(
+        fit_line("cell_us_per_request_by_workspace", "us", "workspace", points)
+    )
+    points = [(n, memory_bytes(lambda n=n: cell(n, 0))) for n in BACKEND_SERVER_COUNTS]
+    found.append(fit_line("cell_bytes_per_runner", "B", "runner", points))
     counts = (100, 1_000, 4_000)
-    points = [(n, bytes_of(lambda n=n: cell(500, n))) for n in counts]
-    found.append(fit("cell_bytes_per_request", "B", "request", points))
+    points = [(n, memory_bytes(lambda n=n: cell(500, n))) for n in counts]
+    found.append(fit_line("cell_bytes_per_request", "B", "request", points))
     found += measure_reports()
     return found
 
@@ -70,19 +78,19 @@
     )
 
 
-def cell(runners: int, requests: int) -> CellScheduler:
+def cell(server_count: int, requests: int) -> CellScheduler:
     """Return a scheduler of one cell with running requests."""
     servers = tuple(
         msgspec.structs.replace(server, cell="c", serves="m")
-        for server in build_bundle(runners, 0).backend_servers
+        for server in build_bundle(server_count, 0).backend_servers
     )
-    machine = CellScheduler(random.Random(1))
-    spaces = (Workspace("w0", 1e9, 1e9),)
-    machine.handle(sm.CellGained("c", 1, servers, spaces, ()), 0.0)
+    scheduler = CellScheduler(random.Random(1))
+    workspaces = (Workspace("w0", 1e9, 1e9),)
+    scheduler.handle(sm.CellGained("c", 1, servers, workspaces, ()), 0.0)
     for n in range(requests):
         profile = request_profile(n)
-        machine.handle(sm.RequestSubmitted(profile), 10.0 + n * 0.01)
-    return machine
+        scheduler.handle(sm.RequestSubmitted(profile), 10.0 + n * 0.01)
+    return scheduler
 
 
 def request_profile(number: int) -> RequestProfile:
@@ -111,24 +119,24 @@
         for n in range(20)
     )
     events, loads, lists = [], [], []
-    for runners in RUNNERS:
-        machine = cell(runners, 0)
+    for server_count in BACKEND_SERVER_COUNTS:
+        scheduler = cell(server_count, 0)
         for _ in range(20):
-            machine.handle(sm.LoadReported("engine-00001", load), 9.0)
+            scheduler.handle(sm.LoadReported("engine-00001", load), 9.0)
 
-        def send(event: object, machine: CellScheduler = machine) -> None:
+        def send(event: object, scheduler: CellScheduler = scheduler) -> None:
             for n in range(200):
-                machine.handle(event, 10.0 + n * 0.001)  # type: ignore[arg-type]
+                scheduler.handle(event, 10.0 + n * 0.001)  # type: ignore[arg-type]
 
         loads.append(
             (
-                runners,
-                time_us(lambda: send(sm.LoadReported("engine-00001", load))) / 200,
+                server_count,
+                min_cpu_us(lambda: send(sm.LoadReported("engine-00001", load))) / 200,
             )
         )
         event = sm.EngineRequestsListed("engine-00001", listed, 9.0)
-        lists.append((runners, time_us(lambda event=event: send(event)) / 200))
-    machine = cell(500, 1_000)
+        lists.append((server_count, min_cpu_us(lambda event=event: send(event)) / 200))
+    scheduler = cell(500, 1_000)
     for items in (1, 20, 100):
         batch = ProgressBatch(
             resource="c",
@@ -146,9 +154,11 @@
             ),
         )
         event = sm.ProgressReported(batch)
-        events.append((items, time_us(lambda event=event: machine.handle(event, 21.0))))
+        events.append(
+            (items, min_cpu_us(lambda event=event: scheduler.handle(event, 21.0)))
+        )
     return [
-        fit("cell_us_per_load_report_by_runner", "us", "runner", loads),
-        fit("cell_us_per_engine_list_by_runner", "us", "runner", lists),
-        fit("cell_us_per_progress_item", "us", "item", events),
+        fit_line("cell_us_per_load_report_by_runner", "us", "runner", loads),
+        fit_line("cell_us_per_engine_list_by_runner", "us", "runner", lists),
+        fit_line("cell_us_per_progress_item", "us", "item", events),
     ]
--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bench.slope_fit import Slope, fit
+from bench.slope_fit import Slope, fit_line
 from damaskridge.core.requests.bundle_index import BundleIndex
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.view import FleetView
@@ -25,28 +25,28 @@
 
 __all__ = [
     "CELLS",
-    "RUNNERS",
-    "WORKSPACES",
+    "BACKEND_SERVER_COUNTS",
+    "WORKSPACE_COUNTS",
     "build_bundle",
-    "bytes_of",
-    "fleet",
+    "memory_bytes",
+    "build_state",
     "measure_state",
-    "time_us",
+    "min_cpu_us",
 ]
 
-RUNNERS = (10, 100, 500, 1_700)
-WORKSPACES = (5, 50, 270)
-HOSTS = (10, 100, 390)
-SMALL_RUNNERS, SMALL_WORKSPACES = 10, 5
+BACKEND_SERVER_COUNTS = (10, 100, 500, 1_700)
+WORKSPACE_COUNTS = (5, 50, 270)
+HOST_COUNTS = (10, 100, 390)
+SMALL_SERVER_COUNT, SMALL_WORKSPACE_COUNT = 10, 5
 CELLS = 84
 DATA_CENTRES = 14
 KEYS_PER_WORKSPACE = 10
-REPEATS = 5
+TIMING_RUNS = 5
 
 
-def build_bundle(runners: int, workspaces: int, slots: int = 20) -> Bundle:
+def build_bundle(server_count: int, workspaces: int, slots: int = 20) -> Bundle:
     """Return a bundle with `runners` engines in cells of 6 models in 14 places."""
-    cells = min(CELLS, max(1, runners // 2))
+    cells = min(CELLS, max(1, server_count // 2))
     roles = (BackendServerRole.PREFILL, BackendServerRole.DECODE)
     servers = tuple(
         BackendServer(
@@ -59,7 +59,7 @@
             slots,
             4000,
         )
-        for n in range(runners)
+        for n in range(server_count)
     )
     keys = tuple(
         KeyRecord(f"{space:032x}{n:032x}", f"workspace-{space:03}")
@@ -100,7 +100,7 @@
         self.propose(bundle, number)
         return self.apply(self.roll_command(number))
 
-    def settle(self) -> None:
+    def release_moving_owners(self) -> None:
         """Let every owner release what is to move, as the entry hosts do."""
         for owner in list(self.state.data.owners.values()):
             if owner.moving_to:
@@ -146,83 +146,83 @@
     )
 
 
-def change_one(bundle: Bundle, number: int) -> Bundle:
+def change_one_server(bundle: Bundle, number: int) -> Bundle:
     servers = list(bundle.backend_servers)
     place = number % len(servers)
     servers[place] = msgspec.structs.replace(servers[place], slots=20 + number % 7)
     return msgspec.structs.replace(bundle, backend_servers=tuple(servers))
 
 
-def bytes_of(build: Callable[[], object]) -> int:
+def memory_bytes(build: Callable[[], object]) -> int:
     """Return the memory that what `build` returns holds."""
     gc.collect()
     tracemalloc.start()
-    held = build()
+    used_bytes = build()
     gc.collect()
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del held
+    del used_bytes
     return used
 
 
-def time_us(work: Callable[[], object]) -> float:
+def min_cpu_us(work: Callable[[], object]) -> float:
     """Return the processor time of one call; the least of several."""
-    spent = []
-    for _ in range(REPEATS):
+    cpu_us = []
+    for _ in range(TIMING_RUNS):
         start_s = time.process_time()
         work()
-        spent.append((time.process_time() - start_s) * 1e6)
-    return min(spent)
+        cpu_us.append((time.process_time() - start_s) * 1e6)
+    return min(cpu_us)
 
 
-def decoded_view(data: bytes) -> tuple[FleetView, BundleIndex]:
+def decode_view(data: bytes) -> tuple[FleetView, BundleIndex]:
     view, index = FleetView(), BundleIndex()
     view.restore(msgspec.msgpack.decode(data, type=mc.FleetSnapshot))
     index.workspace_of_key(view, "")
     return view, index
 
 
-def fleet(runners: int, workspaces: int, hosts: int) -> StateDriver:
+def build_state(server_count: int, workspaces: int, hosts: int) -> StateDriver:
     driver = StateDriver()
-    driver.roll(build_bundle(runners, workspaces), 0)
+    driver.roll(build_bundle(server_count, workspaces), 0)
     driver.open_hosts(hosts)
-    driver.settle()
+    driver.release_moving_owners()
     return driver
 
 
 def measure_views() -> list[Slope]:
     """Measure the entry hosts' view and the control state over each size."""
     sizes = {
-        "runner": [(n, SMALL_WORKSPACES, 3) for n in RUNNERS],
-        "workspace": [(SMALL_RUNNERS, n, 3) for n in WORKSPACES],
-        "host": [(SMALL_RUNNERS, SMALL_WORKSPACES, n) for n in HOSTS],
+        "runner": [(n, SMALL_WORKSPACE_COUNT, 3) for n in BACKEND_SERVER_COUNTS],
+        "workspace": [(SMALL_SERVER_COUNT, n, 3) for n in WORKSPACE_COUNTS],
+        "host": [(SMALL_SERVER_COUNT, SMALL_WORKSPACE_COUNT, n) for n in HOST_COUNTS],
     }
     found = []
     for column, (per, cases) in enumerate(sizes.items()):
         points: dict[str, list[tuple[float, float]]] = {}
         for case in cases:
             size = case[column]
-            data = msgspec.msgpack.encode(fleet(*case).state.fleet_snapshot())
-            held = bytes_of(lambda data=data: decoded_view(data))
-            points.setdefault("fleet_view", []).append((size, held))
+            data = msgspec.msgpack.encode(build_state(*case).state.fleet_snapshot())
+            used_bytes = memory_bytes(lambda data=data: decode_view(data))
+            points.setdefault("fleet_view", []).append((size, used_bytes))
             points.setdefault("snapshot", []).append((size, len(data)))
-            held = bytes_of(lambda case=case: fleet(*case))
-            points.setdefault("control_state", []).append((size, held))
+            used_bytes = memory_bytes(lambda case=case: build_state(*case))
+            points.setdefault("control_state", []).append((size, used_bytes))
         found += [
-            fit(f"{name}_bytes_per_{per}", "B", per, values)
+            fit_line(f"{name}_bytes_per_{per}", "B", per, values)
             for name, values in points.items()
         ]
     return found
 
 
-def measure_kept() -> list[Slope]:
+def measure_stored() -> list[Slope]:
     """Measure what the control state keeps by count: versions, calls, proposals."""
-    bundle = build_bundle(100, SMALL_WORKSPACES)
+    bundle = build_bundle(100, SMALL_WORKSPACE_COUNT)
 
     def versions(count: int) -> StateDriver:
         driver = StateDriver()
         for n in range(count):
-            driver.roll(change_one(bundle, n), n)
+            driver.roll(change_one_server(bundle, n), n)
         return driver
 
     def proposals(count: int) -> StateDriver:
@@ -232,7 +232,7 @@
         return driver
 
     def calls(count: int) -> StateDriver:
-        driver = fleet(SMALL_RUNNERS, SMALL_WORKSPACES, 3)
+        driver = build_state(SMALL_SERVER_COUNT, SMALL_WORKSPACE_COUNT, 3)
         for n in range(count):
             for command in ledger_call(n):
                 driver.apply(command)
@@ -244,10 +244,10 @@
         ("control_state_bytes_per_full_proposal", "proposal", proposals, (1, 3, 6)),
         ("control_state_bytes_per_ledger_call", "call", calls, (100, 1_000, 3_000)),
     ):
-        points = [(n, bytes_of(lambda n=n, build=build: build(n))) for n in counts]
-        found.append(fit(name, "B", per, points))
-    encode = [(n, time_us(calls(n).state.encode)) for n in (1_000, 5_000, 20_000)]
-    found.append(fit("snapshot_encode_us_per_ledger_call", "us", "call", encode))
+        points = [(n, memory_bytes(lambda n=n, build=build: build(n))) for n in counts]
+        found.append(fit_line(name, "B", per, points))
+    encode = [(n, min_cpu_us(calls(n).state.encode)) for n in (1_000, 5_000, 20_000)]
+    found.append(fit_line("snapshot_encode_us_per_ledger_call", "us", "call", encode))
     return found
 
 
@@ -282,53 +282,53 @@
     def add(name: str, unit: str, per: str, size: float, value: float) -> None:
         points.setdefault((name, unit, per), []).append((size, value))
 
-    for runners in RUNNERS:
-        driver = fleet(runners, 270, 390)
-        bundle = build_bundle(runners, 270)
+    for server_count in BACKEND_SERVER_COUNTS:
+        driver = build_state(server_count, 270, 390)
+        bundle = build_bundle(server_count, 270)
         proposal = mc.ProposeBundle(command_id="", operator="alice", bundle=bundle)
         size = len(msgspec.msgpack.encode(proposal))
-        add("propose_bytes_per_runner", "B", "runner", runners, size)
-        spent, applied_us, sizes = [], [], []
+        add("propose_bytes_per_runner", "B", "runner", server_count, size)
+        cpu_us, applied_us, sizes = [], [], []
         for n in range(1, 4):
-            driver.propose(change_one(bundle, n), n)
+            driver.propose(change_one_server(bundle, n), n)
             view = FleetView()
             view.restore(driver.state.fleet_snapshot())
             command = driver.roll_command(n)
             start_s = time.process_time()
             delta = driver.apply(command).delta
-            spent.append((time.process_time() - start_s) * 1e6)
+            cpu_us.append((time.process_time() - start_s) * 1e6)
             sizes.append(len(msgspec.msgpack.encode(delta)))
             start_s = time.process_time()
             view.apply_delta(delta)
             applied_us.append((time.process_time() - start_s) * 1e6)
-        add("roll_us_per_runner", "us", "runner", runners, min(spent))
-        add("view_roll_us_per_runner", "us", "runner", runners, min(applied_us))
-        add("roll_delta_bytes_per_runner", "B", "runner", runners, max(sizes))
-    for hosts in HOSTS:
+        add("roll_us_per_runner", "us", "runner", server_count, min(cpu_us))
+        add("view_roll_us_per_runner", "us", "runner", server_count, min(applied_us))
+        add("roll_delta_bytes_per_runner", "B", "runner", server_count, max(sizes))
+    for hosts in HOST_COUNTS:
         for name, unit, per, value in measure_sessions(hosts):
-            size = moved_by(hosts) if per == "resource" else hosts
+            size = mean_resources_per_host(hosts) if per == "resource" else hosts
             add(name, unit, per, size, value)
-        driver = fleet(1_700, 270, hosts)
+        driver = build_state(1_700, 270, hosts)
         bundle = build_bundle(1_700, 270)
-        spent = []
+        cpu_us = []
         for n in range(1, 4):
-            driver.propose(change_one(bundle, n), n)
+            driver.propose(change_one_server(bundle, n), n)
             command = driver.roll_command(n)
             start_s = time.process_time()
             driver.apply(command)
-            spent.append((time.process_time() - start_s) * 1e6)
-        add("roll_us_per_host", "us", "host", hosts, min(spent))
-    return [fit(*key, values) for key, values in points.items()]
+            cpu_us.append((time.process_time() - start_s) * 1e6)
+        add("roll_us_per_host", "us", "host", hosts, min(cpu_us))
+    return [fit_line(*key, values) for key, values in points.items()]
 
 
-def moved_by(hosts: int) -> float:
+def mean_resources_per_host(hosts: int) -> float:
     """Return how many workspaces and cells one of `hosts` owns on average."""
     return (270 + CELLS) / hosts
 
 
 def measure_sessions(hosts: int) -> list[tuple[str, str, str, float]]:
     """Lose and open sessions of several hosts; returns means per session."""
-    driver = fleet(1_700, 270, hosts)
+    driver = build_state(1_700, 270, hosts)
     count = min(hosts - 1, 30)
     lost_us = opened_us = size = 0.0
     for n in range(count):
@@ -343,7 +343,7 @@
         start_s = time.process_time()
         driver.apply(back)
         opened_us += (time.process_time() - start_s) * 1e6
-        driver.settle()
+        driver.release_moving_owners()
     return [
         ("session_loss_us_per_host", "us", "host", lost_us / count),
         ("session_open_us_per_host", "us", "host", opened_us / count),
@@ -354,6 +354,6 @@
 def measure_state() -> list[Slope]:
     return [
         *measure_views(),
-        *measure_kept(),
+        *measure_stored(),
         *measure_changes(),
     ]
--- a/bench/worth.py
+++ b/bench/worth.py
@@ -4,16 +4,16 @@
 from concurrent.futures import Executor
 
 from bench.figures import Figure, quantile, summarise
-from bench.policies import ABLATIONS, OWN
+from bench.policies import ABLATION_SETTINGS, OWN_POLICY
 from bench.simulation import Scenario, simulate
 from bench.workload import WORKLOADS
 
-__all__ = ["measure_worth"]
+__all__ = ["measure_ablations"]
 
 LOADS = (0.8, 1.0, 1.3, 2.0)
 DURATION_S = 50.0
 # The variant that a mechanism is meant for, beside the normal runs.
-MEANT_FOR = {
+FAULT_VARIANTS = {
     "fair-share": (("flood", 0.8), ("flood", 1.0)),
     "link-reservation": (("slow_links", 0.8),),
     "prefix-hints": (("lost_events", 1.0),),
@@ -21,7 +21,7 @@
     "retry-budget": (("engine_lost_resend", 0.8), ("engine_lost_resend", 1.3)),
 }
 # The sign turns each figure so that more is better.
-WEIGHED = {
+FIGURE_SIGNS = {
     "goodput_urgent": 1,
     "worst_workspace": 1,
     "wasted_prefill": -1,
@@ -30,49 +30,49 @@
 }
 
 
-def points(mechanism: str) -> Iterator[tuple[str, str, float]]:
+def ablation_cases(mechanism: str) -> Iterator[tuple[str, str, float]]:
     """Return workloads, variants and loads at which to weigh a mechanism."""
     for workload in WORKLOADS:
         for load in LOADS:
             yield workload, "none", load
-        for variant, load in MEANT_FOR.get(mechanism, ()):
+        for variant, load in FAULT_VARIANTS.get(mechanism, ()):
             yield workload, variant, load
 
 
-def weigh(scenario: Scenario) -> dict[str, float]:
+def run_scenario(scenario: Scenario) -> dict[str, float]:
     """Run one scenario in a worker process."""
     found = summarise(simulate(scenario))
-    return {name: found[name] for name in WEIGHED}
+    return {name: found[name] for name in FIGURE_SIGNS}
 
 
-def measure_worth(pool: Executor, seeds: tuple[int, ...]) -> list[Figure]:
+def measure_ablations(pool: Executor, seeds: tuple[int, ...]) -> list[Figure]:
     """Return the worth of every mechanism: the median and the least of the seeds."""
     jobs = {}
-    for mechanism in ABLATIONS:
-        for workload, variant, load in points(mechanism):
+    for mechanism in ABLATION_SETTINGS:
+        for workload, variant, load in ablation_cases(mechanism):
             for seed in seeds:
-                for policy in (OWN, f"{OWN}-without-{mechanism}"):
+                for policy in (OWN_POLICY, f"{OWN_POLICY}-without-{mechanism}"):
                     job = Scenario(workload, load, policy, variant, DURATION_S, seed)
                     jobs[job] = None
-    results = dict(zip(jobs, pool.map(weigh, jobs), strict=True))
+    results = dict(zip(jobs, pool.map(run_scenario, jobs), strict=True))
     figures = []
-    for mechanism in ABLATIONS:
-        for workload, variant, load in points(mechanism):
+    for mechanism in ABLATION_SETTINGS:
+        for workload, variant, load in ablation_cases(mechanism):
             pairs = []
             for seed in seeds:
-                own = Scenario(workload, load, OWN, variant, DURATION_S, seed)
-                name = f"{OWN}-without-{mechanism}"
+                own = Scenario(workload, load, OWN_POLICY, variant, DURATION_S, seed)
+                name = f"{OWN_POLICY}-without-{mechanism}"
                 other = Scenario(workload, load, name, variant, DURATION_S, seed)
                 pairs.append((results[own], results[other]))
             suffix = "" if variant == "none" else f"+{variant}"
-            for name, sign in WEIGHED.items():
-                gains = [sign * subtract(a[name], b[name]) for a, b in pairs]
+            for name, sign in FIGURE_SIGNS.items():
+                gains = [sign * difference(a[name], b[name]) for a, b in pairs]
                 figures.append(
                     Figure(
                         f"worth_{name}",
                         workload,
                         load,
-                        f"{OWN}-without-{mechanism}{suffix}",
+                        f"{OWN_POLICY}-without-{mechanism}{suffix}",
                         quantile(gains, 0.5),
                         "s" if name.endswith("_s") else "1",
                         worst=min(gains),
@@ -82,6 +82,6 @@
     return figures
 
 
-def subtract(a: float, b: float) -> float:
+def difference(a: float, b: float) -> float:
     """Return `a` less `b`, where two infinite values are equal."""
     return 0.0 if a == b else a - b
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -2,15 +2,15 @@
 
 import pytest
 from bench.capacity_sheet import Row
-from bench.slope_fit import fit
+from bench.slope_fit import fit_line
 from bench.slopes import replace_block
 
 
 def test_a_straight_line_is_found_exactly_and_a_bent_one_is_told():
-    line = fit("x", "B", "host", [(10, 25), (20, 45), (40, 85)])
+    line = fit_line("x", "B", "host", [(10, 25), (20, 45), (40, 85)])
     assert (line.value, line.at_zero, line.r_squared) == pytest.approx((2, 5, 1))
-    assert line.at(100) == pytest.approx(205)
-    bent = fit("x", "B", "host", [(0, 0), (1, 1), (2, 0)])
+    assert line.cost_at(100) == pytest.approx(205)
+    bent = fit_line("x", "B", "host", [(0, 0), (1, 1), (2, 0)])
     assert bent.r_squared == pytest.approx(0)
 
 
