--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,8 @@
-"""Prints one line per figure.
+"""Run the simulated benchmarks and print one line per figure.
 
-`python -m bench` runs the scenarios of the goals, `python -m bench ablations` the
-worth of every mechanism (on the seeds that follow, if any), `python -m bench roles` a
-shift of the mix with and without role changes.
+`python -m bench` runs the scenarios whose figures have bounds. `python -m bench
+ablations [SEED ...]` compares the scheduler with variants that lack one mechanism.
+`python -m bench roles` shifts the request mix, with and without role changes.
 """
 
 import json
@@ -24,7 +24,8 @@
 
 LOADS = (0.5, 0.8, 1.0, 1.3, 2.0)
 SEEDS = (1, 11, 12)
-# The goals compare with these two; the others are for information, on one seed.
+# Bounded ratios need these policies on every seed; the other baselines are for
+# information and run on the first seed only.
 COMPARED_POLICIES = (OWN_POLICY, "fcfs", "upper_bound")
 VARIANTS = (
     ("flood", 0.8),
@@ -38,31 +39,31 @@
 )
 ROOT = Path(__file__).resolve().parent.parent
 WORKER_PROCESSES = 3
-# Long enough for a lasting imbalance, a change of role and its effect.
+# Long enough for a lasting load imbalance, a role change and its effect.
 ROLE_CHANGE_DURATION_S = 180.0
 
 
 def build_scenarios(seed: int) -> list[Scenario]:
-    """Return the scenarios of one seed."""
-    found = []
+    """Return all scenarios for one seed."""
+    scenarios = []
     for workload in WORKLOADS:
         policies = (OWN_POLICY, *BASELINES) if seed == SEEDS[0] else COMPARED_POLICIES
         for load in LOADS:
-            found += [Scenario(workload, load, p, seed=seed) for p in policies]
-        found += [
+            scenarios += [Scenario(workload, load, p, seed=seed) for p in policies]
+        scenarios += [
             Scenario(workload, load, variant=variant, seed=seed)
             for variant, load in VARIANTS
         ]
-    return found
+    return scenarios
 
 
 def measure_scenario(scenario: Scenario) -> list[Figure]:
-    """Run one scenario in a worker process."""
+    """Run one scenario and return its figures; called in worker processes."""
     return measure_run(simulate(scenario))
 
 
 def plot(figures: list[Figure]) -> None:
-    """Draw urgent goodput over load."""
+    """Plot urgent goodput against load for each workload and policy."""
     from matplotlib import pyplot
 
     chart, axes = pyplot.subplots(1, len(WORKLOADS), figsize=(10, 4), sharey=True)
@@ -83,17 +84,17 @@
 
 
 def measure_scenarios(pool: ProcessPoolExecutor) -> list[Figure]:
-    """Return the figures of the goals."""
+    """Run all scenarios and return their figures, merged over the seeds."""
     runs = []
     pending = [(s, pool.map(measure_scenario, build_scenarios(s))) for s in SEEDS]
-    for _, found in pending:
-        figures = [figure for run in found for figure in run]
+    for _, results in pending:
+        figures = [figure for run in results for figure in run]
         runs.append(figures + compare_policies(figures))
     return measure_cpu_growth() + merge_seeds(runs)
 
 
 def measure_role_changes(pool: ProcessPoolExecutor) -> list[Figure]:
-    """Return the figures of a shift of the mix, without bounds."""
+    """Return figures, without bounds, for a request mix that shifts during the run."""
     runs = []
     for seed in SEEDS:
         jobs = [
@@ -107,7 +108,7 @@
 
 
 def write_figures(name: str, figures: list[Figure]) -> None:
-    """Print the figures and store them as JSON."""
+    """Print the figures and write them as JSON to `out/`."""
     for figure in figures:
         print(figure)
     out = ROOT / "out"
@@ -117,7 +118,7 @@
 
 
 def main() -> None:
-    """Run what the command line asks for."""
+    """Run the benchmark that the command line selects."""
     with ProcessPoolExecutor(WORKER_PROCESSES) as pool:
         if sys.argv[1:2] == ["ablations"]:
             seeds = tuple(map(int, sys.argv[2:])) or SEEDS
--- a/bench/capacity_losses.py
+++ b/bench/capacity_losses.py
@@ -1,4 +1,4 @@
-"""Rows of the page about lost places and about KV traffic."""
+"""Capacity rows for lost hosts, KV transfers and sizes at which limits are reached."""
 
 import random
 
@@ -49,7 +49,7 @@
 
 
 def request_messages_bytes(prompt_tokens: int) -> int:
-    """Return the control messages of one request between front and owners."""
+    """Return the size of the messages between front and owners for one request."""
     request_id = sample_id()
     messages = (
         RateRequest(
@@ -100,7 +100,7 @@
 
 
 def engine_messages_bytes() -> int:
-    """Return what front and engines exchange about one KV transfer, less the prompt."""
+    """Return the bytes of engine messages per KV transfer, without the prompt."""
     engine_request_id = f"{sample_id()}.1"
     messages = (
         PrefillRequest(engine_request_id, "model-0", ""),
@@ -190,13 +190,13 @@
 
 
 def exhaustion_rows(sheet: CapacitySheet) -> None:
-    """Add the sizes at which today's mechanisms reach a limit."""
+    """Add the sizes at which the current mechanisms reach a limit."""
     role = "ends"
 
     def add_exhaustion(
         line: str, limit: str, size: float, unit: str, needed: float
     ) -> None:
-        # Below zero the limit is passed before the first one.
+        # A negative size means that the base cost alone exceeds the limit.
         how = f"{limit}; needed: {needed:,.4g}"
         sheet.add_row(role, line, how, max(0.0, size), unit)
 
@@ -213,10 +213,14 @@
         "polled engines of one owner", "2.7% of a core", engines, "engines", 20
     )
     grants = MAX_MEMORY_MB * 1e6 / sheet.cost_per_unit("rate_owner_bytes_per_grant")
-    large = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
+    large_grants_per_s = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
     grants /= GRANT_RETENTION_S
     add_exhaustion(
-        "grants of one rate owner kept for 1 h", "64 MB", grants, "1/s", large
+        "grants of one rate owner kept for 1 h",
+        "64 MB",
+        grants,
+        "1/s",
+        large_grants_per_s,
     )
     hosts = size_at_limit("leader_idle_core", MAX_CORE_PERCENT)
     add_exhaustion("sessions of one leader", "2.7% of a core", hosts, "hosts", HOSTS)
--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -1,4 +1,4 @@
-"""Derives each role's cost at the size of section 1.4 from the measured slopes."""
+"""Derives the cost of each role at the size of section 1.4 from measured slopes."""
 
 from collections import Counter
 from collections.abc import Mapping
@@ -46,7 +46,7 @@
 
 
 def largest_shares() -> tuple[int, int, int]:
-    """Return the most workspaces, cells and runners that one of 390 hosts owns."""
+    """Return the maximum of workspaces, cells and backend servers owned by a host."""
     data = build_state(BACKEND_SERVERS, WORKSPACES, HOSTS).state.data
     sizes = Counter(server.cell for server in data.bundle.backend_servers)
     workspaces: Counter[str] = Counter()
@@ -74,50 +74,64 @@
         "MB",
         MAX_MEMORY_MB,
     )
-    sent = sheet.cost_per_unit("host_idle_in_bytes")
-    sheet.add_row(role, "renewals out", "`host_idle_in_bytes`", sent, "B/s")
-    received = sheet.cost_per_unit("host_idle_out_bytes")
-    sheet.add_row(role, "renewals in", "`host_idle_out_bytes`", received, "B/s")
-    rolls = CHANGES_PER_DAY / DAY_S
-    deltas = sheet.cost_per_unit("host_bytes_per_roll") * rolls
+    sent_bytes_per_s = sheet.cost_per_unit("host_idle_in_bytes")
+    sheet.add_row(role, "renewals out", "`host_idle_in_bytes`", sent_bytes_per_s, "B/s")
+    received_bytes_per_s = sheet.cost_per_unit("host_idle_out_bytes")
     sheet.add_row(
-        role, "deltas of 4,600 rolls a day", "per roll, over a day", deltas, "B/s"
+        role, "renewals in", "`host_idle_out_bytes`", received_bytes_per_s, "B/s"
+    )
+    rolls_per_s = CHANGES_PER_DAY / DAY_S
+    delta_bytes_per_s = sheet.cost_per_unit("host_bytes_per_roll") * rolls_per_s
+    sheet.add_row(
+        role,
+        "deltas of 4,600 rolls a day",
+        "per roll, over a day",
+        delta_bytes_per_s,
+        "B/s",
+    )
+    losses_per_s = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
+    resources_per_host = (WORKSPACES + CELLS) / HOSTS
+    moved_bytes_per_s = (
+        sheet.cost_at("session_loss_bytes_per_resource", resources_per_host)
+        * 3
+        * losses_per_s
     )
-    losses = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
-    moved = (WORKSPACES + CELLS) / HOSTS
-    moves = sheet.cost_at("session_loss_bytes_per_resource", moved) * 3 * losses
     sheet.add_row(
         role,
         "deltas of 265 lost hosts a day",
         "loss, return and release of 0.9 resources",
-        moves,
+        moved_bytes_per_s,
         "B/s",
     )
-    total = sent + received + deltas + moves
+    total_bytes_per_s = (
+        sent_bytes_per_s + received_bytes_per_s + delta_bytes_per_s + moved_bytes_per_s
+    )
     sheet.add_limited(
         role,
         "traffic with the control group",
         "sum of the four lines above",
-        total,
+        total_bytes_per_s,
         "B/s",
         MAX_BYTES_PER_S,
     )
-    listed = HOST_LIST_READS_PER_S * (HOSTS + BACKEND_SERVERS) * HOST_LIST_ENTRY_BYTES
+    listed_bytes_per_s = (
+        HOST_LIST_READS_PER_S * (HOSTS + BACKEND_SERVERS) * HOST_LIST_ENTRY_BYTES
+    )
     sheet.add_limited(
         role,
         "platform's host list",
         f"2 reads/s of 2,090 names of {HOST_LIST_ENTRY_BYTES} B",
-        listed,
+        listed_bytes_per_s,
         "B/s",
         MAX_BYTES_PER_S,
     )
-    idle = sheet.cost_at_largest_size("entry_idle_core")
-    roll_us = sheet.cost_at("view_roll_us_per_runner", BACKEND_SERVERS) * rolls
+    idle_core = sheet.cost_at_largest_size("entry_idle_core")
+    roll_us = sheet.cost_at("view_roll_us_per_runner", BACKEND_SERVERS) * rolls_per_s
     sheet.add_limited(
         role,
         "control work at idle with an empty host list",
         "`entry_idle_core` at the largest size measured, plus rolls",
-        idle + roll_us / 1e4,
+        idle_core + roll_us / 1e4,
         "% of a core",
         MAX_CORE_PERCENT,
     )
@@ -129,8 +143,8 @@
         "% of a core",
         MAX_CORE_PERCENT,
     )
-    rate = REQUESTS_PER_S / HOSTS
-    sheet.add_row(role, "requests", "2,800 over 390 hosts", rate, "1/s")
+    requests_per_s = REQUESTS_PER_S / HOSTS
+    sheet.add_row(role, "requests", "2,800 over 390 hosts", requests_per_s, "1/s")
     sheet.add_row(role, "tokens", "1.3 million over 390", TOKENS_PER_S / HOSTS, "1/s")
     streams = TOKENS_PER_S / TOKENS_PER_S_PER_STREAM / HOSTS
     sheet.add_row(role, "streams", "at 20 tokens/s each", streams, "streams")
@@ -139,7 +153,7 @@
         role,
         "requests, all three roles in one process",
         "`front_ms_per_request` at size 0",
-        rate * max(0.0, sheet.cost_at("front_ms_per_request", 0)) / 10,
+        requests_per_s * max(0.0, sheet.cost_at("front_ms_per_request", 0)) / 10,
         "% of a core",
     )
     sheet.add_limited(
@@ -155,28 +169,32 @@
 def owner_rows(sheet: CapacitySheet) -> None:
     workspaces, cells, backend_servers = largest_shares()
     role = "workspace owner"
-    rate = REQUESTS_PER_S / WORKSPACES
-    large = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
+    mean_grants_per_s = REQUESTS_PER_S / WORKSPACES
+    large_grants_per_s = REQUESTS_PER_S * LARGE_WORKSPACE_SHARE
     grant_us, grant_bytes = (
         sheet.cost_per_unit("rate_owner_us_per_grant"),
         sheet.cost_per_unit("rate_owner_bytes_per_grant"),
     )
     call_ms = sheet.cost_per_unit("leader_ms_per_commit")
     sheet.add_row(role, "most workspaces on a host", "rendezvous hash", workspaces, "1")
-    sheet.add_row(role, "grants of a mean workspace", "2,800 over 270", rate, "1/s")
-    sheet.add_row(role, "grants of a very large one", "30% of 2,800", large, "1/s")
+    sheet.add_row(
+        role, "grants of a mean workspace", "2,800 over 270", mean_grants_per_s, "1/s"
+    )
+    sheet.add_row(
+        role, "grants of a very large one", "30% of 2,800", large_grants_per_s, "1/s"
+    )
     sheet.add_row(
         role,
         "its decisions",
         "grants times `rate_owner_us_per_grant`",
-        large * grant_us / 1e4,
+        large_grants_per_s * grant_us / 1e4,
         "% of a core",
     )
     sheet.add_limited(
         role,
         "its decisions with an RPC each",
         "plus `leader_ms_per_commit` as the upper bound of an RPC",
-        large * (grant_us / 1e3 + call_ms) / 10,
+        large_grants_per_s * (grant_us / 1e3 + call_ms) / 10,
         "% of a core",
         100.0,
     )
@@ -184,7 +202,7 @@
         role,
         "memory for grants of the most mean workspaces on a host",
         "1 h of grants times `rate_owner_bytes_per_grant`",
-        workspaces * rate * GRANT_RETENTION_S * grant_bytes / 1e6,
+        workspaces * mean_grants_per_s * GRANT_RETENTION_S * grant_bytes / 1e6,
         "MB",
         MAX_MEMORY_MB,
     )
@@ -192,7 +210,7 @@
         role,
         "memory for grants of the very large workspace",
         "the same",
-        large * GRANT_RETENTION_S * grant_bytes / 1e6,
+        large_grants_per_s * GRANT_RETENTION_S * grant_bytes / 1e6,
         "MB",
         MAX_MEMORY_MB,
     )
@@ -255,17 +273,19 @@
     sheet.add_row(
         role, "state without proposals and ledger", "as above", state_mb, "MB"
     )
-    proposals = (
+    proposals_mb = (
         STORED_PROPOSALS
         * sheet.cost_per_unit("control_state_bytes_per_full_proposal")
         / 1e6
     )
-    sheet.add_row(role, "20 proposals not in force", "whole bundles", proposals, "MB")
+    sheet.add_row(
+        role, "20 proposals not in force", "whole bundles", proposals_mb, "MB"
+    )
     sheet.add_limited(
         role,
         "memory with them",
         "`leader_rss` at the largest size, plus both",
-        sheet.cost_at_largest_size("leader_rss") + state_mb + proposals,
+        sheet.cost_at_largest_size("leader_rss") + state_mb + proposals_mb,
         "MB",
         MAX_MEMORY_MB,
     )
@@ -278,17 +298,23 @@
         MAX_CORE_PERCENT,
     )
     sheet.add_row(role, "renewals in", "390 over 0.75 s", HOSTS * RENEWALS_PER_S, "1/s")
-    hosts = sum(sheet.cost_at(f"host_idle_{way}_bytes", HOSTS) for way in ("in", "out"))
-    members = sum(
+    host_bytes_per_s = sum(
+        sheet.cost_at(f"host_idle_{way}_bytes", HOSTS) for way in ("in", "out")
+    )
+    member_bytes_per_s = sum(
         sheet.cost_at(f"member_idle_{way}_bytes", HOSTS) for way in ("in", "out")
     )
-    sheet.add_row(role, "bytes to and from hosts", "both at 390", hosts, "B/s")
-    sheet.add_row(role, "bytes between control hosts", "both at 390", members, "B/s")
+    sheet.add_row(
+        role, "bytes to and from hosts", "both at 390", host_bytes_per_s, "B/s"
+    )
+    sheet.add_row(
+        role, "bytes between control hosts", "both at 390", member_bytes_per_s, "B/s"
+    )
     sheet.add_limited(
         role,
         "bytes in and out at idle",
         "both lines above",
-        hosts + members,
+        host_bytes_per_s + member_bytes_per_s,
         "B/s",
         MAX_BYTES_PER_S,
     )
@@ -315,27 +341,33 @@
         "ms",
         MAX_IN_FORCE_MS,
     )
-    rolls = CHANGES_PER_DAY / DAY_S
+    rolls_per_s = CHANGES_PER_DAY / DAY_S
     sheet.add_row(
         role,
         "rolls, over a day",
         "stall and streams, 4,600 times",
-        rolls * (apply_ms + stream_ms) / 10,
+        rolls_per_s * (apply_ms + stream_ms) / 10,
         "% of a core",
     )
     session_ms = sheet.cost_at("session_loss_us_per_host", HOSTS)
     session_ms = (session_ms + sheet.cost_at("session_open_us_per_host", HOSTS)) / 1e3
     sheet.add_row(role, "a host lost and back", "both at 390", session_ms, "ms")
-    losses = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
+    losses_per_s = (FAILURES_PER_DAY + REPLACEMENTS_PER_DAY) / DAY_S
     sheet.add_row(
-        role, "265 of them, over a day", "", losses * session_ms / 10, "% of a core"
+        role,
+        "265 of them, over a day",
+        "",
+        losses_per_s * session_ms / 10,
+        "% of a core",
     )
-    log_rows(sheet, rolls)
+    log_rows(sheet, rolls_per_s)
 
 
 def log_rows(sheet: CapacitySheet, rolls: float) -> None:
     role = "follower"
-    logged = sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls
+    logged_bytes_per_s = (
+        sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls
+    )
     sheet.add_row(
         role,
         "one proposal in the log",
@@ -347,7 +379,7 @@
         role,
         "log of 4,600 proposals a day",
         "mean rate to each follower",
-        logged,
+        logged_bytes_per_s,
         "B/s",
         MAX_BYTES_PER_S,
     )
@@ -361,15 +393,19 @@
     )
     role = "ledger"
     calls = REQUESTS_PER_S * LEDGER_SHARE
-    most = max(rate for _, rate in sheet.slopes["ledger_commits_per_s"].points)
-    sheet.add_row(role, "commits of one group", "most measured", most, "1/s")
+    max_commits_per_s = max(
+        rate for _, rate in sheet.slopes["ledger_commits_per_s"].points
+    )
+    sheet.add_row(
+        role, "commits of one group", "most measured", max_commits_per_s, "1/s"
+    )
     sheet.add_limited(
         role,
         "commits if 5% of requests must not be repeated",
         "2 for each of 140 calls/s",
         2 * calls,
         "1/s",
-        most,
+        max_commits_per_s,
     )
     call_bytes = sheet.cost_per_unit("control_state_bytes_per_ledger_call")
     sheet.add_limited(
@@ -400,7 +436,7 @@
 
 
 def capacity_rows(slopes: Mapping[str, Slope]) -> list[Row]:
-    """Return every line of the page."""
+    """Return all rows of the tables in docs/CAPACITY.md."""
     sheet = CapacitySheet(slopes)
     for add_row in ROW_BUILDERS:
         add_row(sheet)
--- a/bench/capacity_sheet.py
+++ b/bench/capacity_sheet.py
@@ -1,4 +1,4 @@
-"""The size of section 1.4 and the rows that hold costs against its limits."""
+"""Fleet size and limits of section 1.4 of the design, and rows that compare costs."""
 
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
@@ -29,7 +29,7 @@
 HOST_LOSSES = (("rack", 14), ("data centre", 28), ("region", HOSTS // REGIONS))
 STORED_PROPOSALS = 20
 
-# Assumptions that section 1.4 leaves open; the page names them.
+# Assumed values that section 1.4 doesn't give; docs/CAPACITY.md lists them.
 TOKENS_PER_S_PER_STREAM = 20
 LARGE_WORKSPACE_SHARE = 0.3
 LEDGER_SHARE = 0.05
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One line of the page: a cost at full size against its limit."""
+    """One table row of docs/CAPACITY.md: a cost at full size and its limit."""
 
     role: str
     line: str
@@ -68,7 +68,7 @@
 
 
 class CapacitySheet:
-    """Collects rows; a slope's value is read by its name."""
+    """Collects rows and computes costs from slopes, which are looked up by name."""
 
     def __init__(self, slopes: Mapping[str, Slope]) -> None:
         self.slopes = slopes
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -1,4 +1,4 @@
-"""A small model engine on simulated time: prefill, transfer, batched decode."""
+"""Simulated engines: chunked prefill, KV transfer and batched decode."""
 
 import heapq
 import itertools
@@ -19,7 +19,7 @@
 
 
 class SimulatedClock:
-    """A heap of events."""
+    """Simulated time; runs scheduled actions in order of their time."""
 
     def __init__(self) -> None:
         self.now_s = 0.0
@@ -41,7 +41,7 @@
 
 @dataclass(eq=False)
 class EngineRun:
-    """One attempt of a request on engines."""
+    """One attempt to run a request on a prefill and a decode engine."""
 
     request: Request
     attempt: int
@@ -60,7 +60,7 @@
 
 @dataclass
 class PrefillEngine:
-    """Computes prompts in chunks, by priority, with a prefix cache."""
+    """Computes prompts in chunks, in order of priority, with a prefix cache."""
 
     clock: SimulatedClock
     spec: object
@@ -148,7 +148,11 @@
 
 @dataclass
 class DecodeEngine:
-    """Decodes a batch; imports wait for memory, growth may evict the youngest."""
+    """Decodes a batch.
+
+    Imports wait for a slot and memory. If the growth of the batch exceeds the memory,
+    the most recently started request is evicted.
+    """
 
     clock: SimulatedClock
     spec: object
@@ -173,7 +177,7 @@
         return sum(self.needed_pieces(run) for run in [*self.running, *self.importing])
 
     def offer_export(self, run: EngineRun, source: PrefillEngine) -> None:
-        """Start the transfer when there is memory; the export waits meanwhile."""
+        """Queue a KV transfer until there is memory; the source holds the export."""
         if not self.is_alive and not run.has_ended:
             return run.on_end(run, "failed")
         self.waiting.append((run, source))
@@ -185,8 +189,8 @@
             if run.has_ended or run.exported_s is None:
                 self.waiting.popleft()
                 continue
-            count = len(self.running) + len(self.importing)
-            if count >= self.spec.slots:
+            used_slots = len(self.running) + len(self.importing)
+            if used_slots >= self.spec.slots:
                 return
             if self.used_pieces() + self.needed_pieces(run) > self.spec.kv_pieces:
                 return
@@ -194,8 +198,8 @@
             start_s = max(self.clock.now_s, self.link_free_s, source.link_free_s)
             if start_s > run.exported_s + EXPORT_HOLD_S:
                 continue
-            rate = min(self.link_bytes_per_s, source.link_bytes_per_s)
-            end_s = start_s + run.prompt_tokens * self.kv_bytes_per_token / rate
+            bytes_per_s = min(self.link_bytes_per_s, source.link_bytes_per_s)
+            end_s = start_s + run.prompt_tokens * self.kv_bytes_per_token / bytes_per_s
             self.link_free_s = source.link_free_s = end_s
             run.exported_s = None
             self.importing.append(run)
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,4 +1,8 @@
-"""Turns runs into figures with the bounds of section 1.3 of the design."""
+"""Computes figures from simulation results and compares them with their bounds.
+
+The bounds are those of section 1.3 of the design. "calm" in the name of a figure
+means delay-tolerant requests, as opposed to urgent ones.
+"""
 
 import math
 from collections import defaultdict
@@ -25,7 +29,7 @@
 
 @dataclass
 class Figure:
-    """One line of output: the median of some seeds, judged on the worst."""
+    """One line of output: the median over seeds; the worst seed decides the verdict."""
 
     figure: str
     workload: str
@@ -60,6 +64,7 @@
 
 
 def quantile(values, share):
+    """Return the nearest-rank quantile of the values, or 0 if there are none."""
     if not values:
         return 0.0
     ordered = sorted(values)
@@ -67,7 +72,7 @@
 
 
 def meets_latency_targets(request) -> bool:
-    """Tell whether both latency targets were met."""
+    """Return whether a request met its first-token and token-gap targets."""
     if request.first_token_s is None or request.end_s is None:
         return False
     on_time = request.first_token_s - request.arrive_s <= MAX_FIRST_TOKEN_S
@@ -79,62 +84,75 @@
 
 
 def max_rate_overshoot_tokens(result: Result) -> float:
-    """Return the largest excess of any window over burst plus rate times time."""
-    worst = 0.0
+    """Return the largest excess of granted tokens over burst plus rate times time.
+
+    The maximum is over all time windows and workspaces.
+    """
+    overshoot = 0.0
     for workspace in result.fleet.workspaces:
         excess = last_s = 0.0
         for at_s, tokens in result.rate_charges[workspace.name]:
             allowed = workspace.rate_tokens_per_s * (at_s - last_s)
             excess, last_s = max(0.0, excess - allowed) + tokens, at_s
-            worst = max(worst, excess - workspace.burst_tokens)
-    return worst
+            overshoot = max(overshoot, excess - workspace.burst_tokens)
+    return overshoot
 
 
-def worst_workspace_at_same_mix(model, flooded: str) -> float:
+def worst_workspace_at_same_mix(requests, flooded: str) -> float:
     """
-    Return the worst workspace over the mean, all with the mix of the whole.
+    Return the ratio of the lowest workspace goodput to the mean, at equal mixes.
 
-    Most delay-tolerant requests miss the target of the first token at full load, so
-    `worst_workspace` also shows how many of them a small workspace happens to send.
+    Each workspace is weighted with the overall share of delay-tolerant requests. Most
+    of these miss the first-token target at full load, so the unweighted figure
+    `worst_workspace` also depends on how many of them a small workspace happens to
+    send.
     """
-    tolerant_share = sum(not r.is_urgent for r in model) / max(1, len(model))
-    values = []
+    tolerant_share = sum(not r.is_urgent for r in requests) / max(1, len(requests))
+    goodputs = []
     for name in WORKSPACE_SHARES:
         if name == flooded:
             continue
-        own = [r for r in model if r.workspace == name]
-        urgent = share_meeting_targets([r for r in own if r.is_urgent])
-        tolerant = share_meeting_targets([r for r in own if not r.is_urgent])
-        values.append((1 - tolerant_share) * urgent + tolerant_share * tolerant)
-    return min(values) / max(1e-9, sum(values) / len(values))
+        workspace_requests = [r for r in requests if r.workspace == name]
+        urgent = share_meeting_targets([r for r in workspace_requests if r.is_urgent])
+        tolerant = share_meeting_targets(
+            [r for r in workspace_requests if not r.is_urgent]
+        )
+        goodputs.append((1 - tolerant_share) * urgent + tolerant_share * tolerant)
+    return min(goodputs) / max(1e-9, sum(goodputs) / len(goodputs))
 
 
 def summarise(result: Result) -> dict[str, float]:
-    """Return the raw measures of one run."""
+    """Return the figures of one run by name, without bounds."""
     scenario = result.scenario
-    counted = [r for r in result.requests if r.arrive_s >= WARM_UP_S]
+    after_warm_up = [r for r in result.requests if r.arrive_s >= WARM_UP_S]
     flooded = "w3" if scenario.variant == "flood" else ""
-    within = [r for r in counted if r.workspace != flooded]
-    model = [r for r in within if not r.is_service]
-    urgent = [r for r in model if r.is_urgent]
-    tolerant = [r for r in model if not r.is_urgent]
+    not_flooded = [r for r in after_warm_up if r.workspace != flooded]
+    model_requests = [r for r in not_flooded if not r.is_service]
+    urgent = [r for r in model_requests if r.is_urgent]
+    tolerant = [r for r in model_requests if not r.is_urgent]
     goodput_by_workspace = [
-        share_meeting_targets([r for r in model if r.workspace == name])
+        share_meeting_targets([r for r in model_requests if r.workspace == name])
         for name in WORKSPACE_SHARES
         if name != flooded
     ]
-    found = {
+    figures = {
         "goodput_urgent": share_meeting_targets(urgent),
-        "goodput_all": share_meeting_targets(model),
-        "goodput_service": share_meeting_targets([r for r in within if r.is_service]),
+        "goodput_all": share_meeting_targets(model_requests),
+        "goodput_service": share_meeting_targets(
+            [r for r in not_flooded if r.is_service]
+        ),
         "urgent_good_per_s": sum(map(meets_latency_targets, urgent))
         / (scenario.duration_s - WARM_UP_S),
-        "token_gap_p95_s": quantile([g for r in model for g in r.gaps_s], 0.95),
+        "token_gap_p95_s": quantile(
+            [g for r in model_requests for g in r.gaps_s], 0.95
+        ),
         "wasted_prefill": result.wasted_tokens / max(1, result.prefill_tokens),
         "worst_workspace": min(goodput_by_workspace)
         / max(1e-9, sum(goodput_by_workspace) / len(goodput_by_workspace)),
-        "worst_workspace_same_mix": worst_workspace_at_same_mix(model, flooded),
-        "wrongful_refusals": sum(bool(r.refused) for r in within),
+        "worst_workspace_same_mix": worst_workspace_at_same_mix(
+            model_requests, flooded
+        ),
+        "wrongful_refusals": sum(bool(r.refused) for r in not_flooded),
         "rate_overshoot_tokens": max_rate_overshoot_tokens(result),
         "utilisation": result.utilisation,
         "cpu_per_decision_us": result.cpu_s / max(1, result.placements) * 1e6,
@@ -147,17 +165,17 @@
     for name, group in (("urgent", urgent), ("calm", tolerant)):
         waits = [(r.first_token_s or math.inf) - r.arrive_s for r in group]
         for share in (0.5, 0.95, 0.99):
-            found[f"first_token_{name}_p{share * 100:.0f}_s"] = quantile(waits, share)
-    return found
+            figures[f"first_token_{name}_p{share * 100:.0f}_s"] = quantile(waits, share)
+    return figures
 
 
 def merge_seeds(runs: list[list[Figure]]) -> list[Figure]:
-    """Return one figure for each of several seeds: the median and the worst."""
+    """Merge equal figures of several seeds into one with the median and the worst."""
     groups = defaultdict(list)
     for figure in (figure for run in runs for figure in run):
         key = (figure.figure, figure.workload, figure.load, figure.policy)
         groups[key].append(figure)
-    found = []
+    merged = []
     for group in groups.values():
         values = [figure.value for figure in group]
         first = group[0]
@@ -165,12 +183,12 @@
         is_upper = first.upper if first.bound is not None else not higher
         worst = max(values) if is_upper else min(values)
         median = quantile(values, 0.5)
-        found.append(replace(first, value=median, worst=worst, seeds=len(group)))
-    return found
+        merged.append(replace(first, value=median, worst=worst, seeds=len(group)))
+    return merged
 
 
 def bound_for(name: str, load: float, variant: str) -> tuple[float | None, bool]:
-    """Return the bound of section 1.3, and whether it is an upper one."""
+    """Return the bound from section 1.3, if any, and whether it is an upper bound."""
     faulty = variant not in ("none", "flood", "resend")
     if name == "wasted_prefill":
         return (0.03 if faulty else 0.01), True
@@ -193,7 +211,7 @@
 
 
 def measure_run(result: Result) -> list[Figure]:
-    """Return the figures of one run; only the own policy has bounds."""
+    """Return the figures of one run; only those of `OWN_POLICY` have bounds."""
     scenario = result.scenario
     policy = scenario.policy
     if scenario.variant != "none":
@@ -222,14 +240,14 @@
 
 
 def compare_policies(figures: list[Figure]) -> list[Figure]:
-    """Return the ratios between policies and loads that have bounds."""
+    """Return the ratios between policies, and between loads, as figures."""
     values = {(f.figure, f.workload, f.load, f.policy): f.value for f in figures}
-    found = []
+    ratios = []
 
-    def add(name, workload, load, top, bottom, bound, upper=False):
-        if top in values and bottom in values:
-            value = values[top] / max(1e-9, values[bottom])
-            found.append(
+    def add(name, workload, load, numerator, denominator, bound, upper=False):
+        if numerator in values and denominator in values:
+            value = values[numerator] / max(1e-9, values[denominator])
+            ratios.append(
                 Figure(name, workload, load, OWN_POLICY, value, "1", bound, upper)
             )
 
@@ -271,4 +289,4 @@
             2.0,
             True,
         )
-    return found
+    return ratios
--- a/bench/growth.py
+++ b/bench/growth.py
@@ -1,4 +1,4 @@
-"""Processor time per request of a cell that is full and has queues."""
+"""CPU time of the scheduler per request, in a saturated cell with queued requests."""
 
 import itertools
 import math
@@ -26,13 +26,13 @@
 SLOTS_PER_SERVER = 20
 OUTPUT_TOKENS = 50
 STEP_S = 0.04
-# Below what overload control refuses at the smallest cell.
+# Low enough that overload control refuses no request in the smallest cell.
 QUEUED_PER_WORKSPACE = 1
 CELL_SIZES = ((10, 5), (100, 5), (1700, 5), (10, 270), (1700, 270))
 
 
 class SaturatedCell:
-    """A cell whose slots are all taken, with requests of every workspace queued."""
+    """A scheduler with all slots in use and queued requests of every workspace."""
 
     def __init__(self, servers: int, workspaces: int) -> None:
         role = BackendServerRole
@@ -53,23 +53,23 @@
         workspace_specs = tuple(Workspace(f"w{n}", 1e9, 1e9) for n in range(workspaces))
         self.cell.handle(sm.CellGained("c", 1, fleet, workspace_specs, ()), 0.0)
         self.now_s = 10.0
-        # Arrivals keep all slots busy: one request ends for every one that comes.
+        # Each arrival replaces a finished request, so all slots stay in use.
         self.arrival_gap_s = OUTPUT_TOKENS * STEP_S / self._slots
 
     @property
     def queued(self) -> int:
-        """How many requests wait."""
+        """Number of queued requests."""
         return len(self.cell._dispatcher.queue)
 
     def saturate(self) -> None:
-        """Fill the slots and the queues."""
+        """Submit requests until all slots are in use and the queues are filled."""
         target = QUEUED_PER_WORKSPACE * self._workspaces
         while self.queued < target:
             self.now_s += self.arrival_gap_s
             self.submit()
 
     def submit(self) -> None:
-        """Submit one request of the next workspace."""
+        """Submit one request, cycling through the workspaces."""
         number = next(self._request_numbers)
         profile = RequestProfile(
             resource="c",
@@ -89,7 +89,7 @@
         )
 
     def finish(self) -> None:
-        """End the oldest running request."""
+        """Report the oldest running request as finished."""
         item = Progress(
             request_id=self._running_ids.popleft(),
             attempt=1,
@@ -110,34 +110,40 @@
 
 
 def cpu_per_request_us(servers: int, workspaces: int, requests: int = 1500) -> float:
-    """Return the median CPU time per request; the median ignores other processes."""
+    """Return the median CPU time per request.
+
+    The median limits the effect of other processes on the machine.
+    """
     saturated = SaturatedCell(servers, workspaces)
     saturated.saturate()
-    spent = []
+    cpu_s = []
     for _ in range(requests):
         saturated.now_s += saturated.arrival_gap_s
         start_s = time.process_time()
         saturated.submit()
         saturated.finish()
-        spent.append(time.process_time() - start_s)
-        assert saturated.queued, "the queues stay filled"
-    return quantile(spent, 0.5) * 1e6
+        cpu_s.append(time.process_time() - start_s)
+        assert saturated.queued, "the cell must always have queued requests"
+    return quantile(cpu_s, 0.5) * 1e6
 
 
 def measure_cpu_growth(sizes: tuple[tuple[int, int], ...] = CELL_SIZES) -> list[Figure]:
-    """Return CPU time per request by size, and its growth against the logarithm."""
-    found = {}
+    """Return CPU time per request by cell size, and its growth between sizes.
+
+    The bounds on the growth allow a logarithmic dependency on the size.
+    """
+    cpu_us = {}
     figures = []
     for servers, workspaces in sizes:
         value = cpu_per_request_us(servers, workspaces)
-        found[servers, workspaces] = value
+        cpu_us[servers, workspaces] = value
         name = f"cpu_per_request_{servers}_servers_{workspaces}_workspaces"
         figures.append(Figure(name, "synthetic", 1.0, OWN_POLICY, value, "us"))
-    for name, big, bound in (
+    for name, size, bound in (
         ("cpu_growth_servers", (1700, 5), math.log(1700) / math.log(10)),
         ("cpu_growth_workspaces", (10, 270), math.log(270) / math.log(5)),
     ):
-        value = found[big] / found[10, 5]
+        value = cpu_us[size] / cpu_us[10, 5]
         figures.append(
             Figure(name, "synthetic", 1.0, OWN_POLICY, value, "1", bound, True)
         )
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -1,4 +1,7 @@
-"""Schedulers to compare with: simple baselines and an informed upper bound."""
+"""Schedulers for comparison: simple baselines, an upper bound and ablations.
+
+The upper bound is the own scheduler with true urgency and output lengths.
+"""
 
 import heapq
 import random
@@ -31,7 +34,11 @@
 
 
 class BaselineCell:
-    """A queue by arrival or by prompt, and least-loaded or cyclic placement."""
+    """A baseline scheduler.
+
+    Queues requests by arrival or prompt length; places them on the least loaded
+    server or round robin.
+    """
 
     def __init__(self, policy: str) -> None:
         self._policy = policy
@@ -116,7 +123,7 @@
 
 
 class OracleEstimator:
-    """Knows true urgency and output length."""
+    """Estimates from the true urgency and output length of each request."""
 
     def __init__(self, requests) -> None:
         self._requests = requests
@@ -141,7 +148,8 @@
     if policy in ("shortest", "round_robin"):
         return BaselineCell(policy)
     if policy == "fcfs":
-        # The own placement and reservations, so that only the order is compared.
+        # Placement and reservations stay as in the own policy, so that the comparison
+        # shows the effect of the queue order only.
         disabled_settings = (
             "infer_urgency",
             "age_queued",
--- a/bench/process.py
+++ b/bench/process.py
@@ -1,6 +1,7 @@
-"""Measures real processes on loopback: ``python -m bench.process``.
+"""Measures a fleet of real processes on loopback: ``python -m bench.process``.
 
-Prints one line per figure and writes ``out/process.json``.
+Prints one line per figure and writes ``out/process.json``. An optional argument names
+a folder that receives the log files of the processes.
 """
 
 import http.client
@@ -55,14 +56,14 @@
 ENGINES = {f"prefill-{n}": "prefill" for n in range(1, 5)} | {
     f"decode-{n}": "decode" for n in range(1, 9)
 }
-# Enough for all streams, so that neither slots nor memory are the limit.
+# Enough for all streams, so that neither slots nor memory limit them.
 SLOTS_PER_ENGINE = 60
 KEYS_TO_WITHDRAW = tuple(f"bench-key-{number}" for number in range(3))
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class FigureReport:
-    """Figures, printed as they come."""
+    """Collects figures and prints each one when it is added."""
 
     def __init__(self) -> None:
         self.figures: list[dict[str, object]] = []
@@ -97,7 +98,7 @@
 
 
 def round_trip_ms() -> float:
-    """Return the median of a byte's way there and back on loopback."""
+    """Return the median round-trip time of one byte on loopback."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def echo() -> None:
@@ -108,21 +109,21 @@
 
     thread = threading.Thread(target=echo)
     thread.start()
-    found = []
+    round_trips_ms = []
     with socket.create_connection(listener.getsockname()) as link:
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for _ in range(200):
             started_s = time.perf_counter()
             link.sendall(b"x")
             link.recv(1)
-            found.append((time.perf_counter() - started_s) * 1000)
+            round_trips_ms.append((time.perf_counter() - started_s) * 1000)
     thread.join()
     listener.close()
-    return statistics.median(found)
+    return statistics.median(round_trips_ms)
 
 
 def first_line_ms(address: str, path: str, body: dict, headers: dict) -> float:
-    """Return the time to the first line that carries a token."""
+    """Return the time until the first response line with a token."""
     connection = http.client.HTTPConnection(address, timeout=10)
     try:
         started_s = time.perf_counter()
@@ -133,13 +134,13 @@
         while line := reply.readline():
             if b"text" in line:
                 return (time.perf_counter() - started_s) * 1000
-        raise RuntimeError(f"{path}: no token")
+        raise RuntimeError(f"{path}: response ended without a token")
     finally:
         connection.close()
 
 
 class ProcessBench:
-    """The measurements on one running fleet."""
+    """Starts one fleet and measures it."""
 
     def __init__(self, processes: Processes, report: FigureReport) -> None:
         self.processes = processes
@@ -155,13 +156,14 @@
         self.measure_idle_memory()
         self.measure_first_token()
         self.measure_streams()
-        # The fleet's first engine reports and leases come before the faults.
+        # Measured without faults first, so that every engine has reported and every
+        # lease is held before a leader fails.
         self.measure_in_force("", None)
         self.measure_in_force("_leader_killed", signal.SIGKILL)
         self.measure_in_force("_leader_stopped", signal.SIGSTOP)
 
     def wait_until(self, what: str, condition: Callable[[], bool]) -> float:
-        """Return after how many seconds `condition` held."""
+        """Poll until `condition` is true and return the elapsed seconds."""
         started_s = time.perf_counter()
         while not _is_met(condition):
             if time.perf_counter() - started_s > 20:
@@ -190,7 +192,7 @@
         return anyio.run(ask)
 
     def prepare_roll(self) -> RollBundle:
-        """Return the command that rolls a new, signed-off bundle."""
+        """Propose and sign off a new bundle and return the command that rolls it."""
         path = self.layout.bundle(f"bundle-{self.version + 1}", 1e6 + self.version)
         content = json.loads(path.read_text())
         for key in KEYS_TO_WITHDRAW:
@@ -220,13 +222,13 @@
         self.version += 1
 
     def active_versions(self) -> set[int]:
-        found = set()
+        versions = set()
         for name in ENTRIES:
             text = fetch(self.layout.addresses[f"{name}/operators"], "/metrics")
             for line in text.splitlines():
                 if line.startswith("damaskridge_bundle_version "):
-                    found.add(int(float(line.split()[1])))
-        return found
+                    versions.add(int(float(line.split()[1])))
+        return versions
 
     def measure_idle_memory(self) -> None:
         time.sleep(5.0)
@@ -329,7 +331,10 @@
         fault: signal.Signals | None,
         condition: Callable[[], bool],
     ) -> float:
-        """Return how long a command takes from its acknowledgement to its effect."""
+        """Return the seconds from the acknowledgement of a command to its effect.
+
+        `fault` is a signal to the leader, sent after the acknowledgement.
+        """
         leader = self.find_leader()
         process = self.processes.running[leader]
         self.commit_command(command)
--- a/bench/process_client.py
+++ b/bench/process_client.py
@@ -1,6 +1,7 @@
-"""Opens many streams to one entry host and prints what arrived as one line of JSON.
+"""Opens many streams to one entry host and prints their results as a line of JSON.
 
-It runs in a process of its own, so that it takes no time from the measured ones.
+Runs in a process of its own, so that its work isn't counted as work of the measured
+processes.
 """
 
 import asyncio
@@ -14,7 +15,7 @@
 
 
 class Stream:
-    """Offsets and arrival times of one stream."""
+    """Token offsets, and the gaps between their arrivals, of one stream."""
 
     def __init__(self) -> None:
         self.offsets: list[int] = []
@@ -29,7 +30,7 @@
             self.first_data = data[:400]
         if b"data: [DONE]" in data:
             self.done = True
-        # The last event has an id too, without a token.
+        # The final event has an id but no token.
         for part in data.split(b"id: ")[1:]:
             number = part[: part.index(b"\n")]
             if b'"finish_reason":null' not in part:
@@ -63,7 +64,7 @@
     writer.write(head.encode())
     rest = b""
     while data := await reader.read(_READ_BYTES):
-        # Events end with an empty line; an event may come in two parts.
+        # An empty line ends an event; one read may return part of an event.
         whole, mark, rest = (rest + data).rpartition(b"\n\n")
         stream.receive(whole + mark) if mark else None
     if rest:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,4 +1,4 @@
-"""Drives rate owner, cells, fronts and engines on simulated time."""
+"""Runs the rate owner and the schedulers with simulated fronts and engines."""
 
 import random
 import time
@@ -36,20 +36,20 @@
 __all__ = ["Result", "Scenario", "simulate"]
 
 HOP_DELAY_S = 0.0005
-# The default of the front's setting rate_wait_s.
+# Default of the setting `rate_wait_s` of the front.
 RATE_WAIT_S = 2.0
 OWNER_OUTAGE_S = 3.0
 DRAIN_S = 60.0
 FAULT_TIME_SHARE = 0.5
 MAX_CALLER_RETRIES = 3
-# Time from an order to change a role until the engine works in it.
+# Time from the order to change a role until the engine runs in the new role.
 ROLE_CHANGE_S = 10.0
 CALLER_TIMEOUT_S = 5.0
 
 
 @dataclass(frozen=True)
 class Scenario:
-    """One run: workload, load, policy and fault."""
+    """Parameters of one run: workload, load, policy, fault variant and seed."""
 
     workload: str
     load: float = 1.0
@@ -61,7 +61,7 @@
 
 @dataclass
 class Result:
-    """What a run left behind."""
+    """Requests and totals of a finished run."""
 
     scenario: Scenario
     requests: list
@@ -77,7 +77,7 @@
 
 
 class Simulation:
-    """All parties of one run."""
+    """One run of a scenario on simulated time."""
 
     def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
@@ -158,7 +158,7 @@
         for name in self.engines:
             self.notify_cell(False, sm.EngineRequestsListed(name, (), now_s))
 
-    # Calls of the decisions; actions are carried out after one network hop.
+    # Calls of the schedulers and the rate owner; responses arrive one hop later.
 
     def notify_cell(self, is_service, event) -> None:
         if not self.is_owner_up:
@@ -179,13 +179,13 @@
             self.clock.at(wakeup_s, self.wake_cell, is_service, wakeup_s)
 
     def change_role(self, order) -> None:
-        """Start the engine in its new role; what runs in the old one ends there."""
-        old = self.engines[order.backend_server]
+        """Start an engine in its new role; the old one finishes its requests."""
+        old_engine = self.engines[order.backend_server]
         self.result.role_changes += 1
-        self.retired_engines.append(old)
+        self.retired_engines.append(old_engine)
         kind = PrefillEngine if order.value == "prefill" else DecodeEngine
         self.engines[order.backend_server] = kind(
-            self.clock, old.spec, old.link_bytes_per_s, KV_BYTES_PER_TOKEN
+            self.clock, old_engine.spec, old_engine.link_bytes_per_s, KV_BYTES_PER_TOKEN
         )
 
     def wake_cell(self, is_service, wakeup_s) -> None:
@@ -209,7 +209,7 @@
             del self.wakeups["rates"]
             self.notify_rate_owner(lm.TimePassed(2.0))
 
-    # The front's part of a request's life.
+    # The steps of a request at its front.
 
     def request_rate(self, request) -> None:
         if not self.is_owner_up:
@@ -285,7 +285,7 @@
         decode = self.engines[reply.decode_server]
         source = self.engines[reply.prefill_server]
         if isinstance(decode, PrefillEngine) or isinstance(source, DecodeEngine):
-            # The role changed after the placement was decided.
+            # The engine changed its role after the placement decision.
             request.attempt += 1
             return self.submit_request(request)
         run = EngineRun(
@@ -303,7 +303,7 @@
         self.clock.after(HOP_DELAY_S, source.submit, run)
 
     def abandon(self, request) -> None:
-        """Give up: a caller who waits for an answer does not wait for long."""
+        """Withdraw an urgent request that has no token when its caller times out."""
         if request.first_token_s is not None or request.refused:
             return
         request.is_abandoned = True
@@ -391,7 +391,7 @@
         )
         self.notify_cell(is_service, sm.ProgressReported(batch))
 
-    # Reports and faults.
+    # Progress and load reports, and faults.
 
     def report_all_progress(self) -> None:
         groups = defaultdict(list)
@@ -452,11 +452,13 @@
         result.prefill_tokens = sum(e.total_tokens for e in prefill)
         result.wasted_tokens = sum(e.wasted_tokens for e in prefill)
         result.evictions = sum(e.evictions for e in decode)
-        busy = sum(e.busy_slot_s for e in decode) / sum(e.spec.slots for e in decode)
+        busy_s_per_slot = sum(e.busy_slot_s for e in decode) / sum(
+            e.spec.slots for e in decode
+        )
         end_s = max((r.end_s or 0.0) for r in result.requests)
-        result.utilisation = busy / max(1.0, end_s)
+        result.utilisation = busy_s_per_slot / max(1.0, end_s)
 
 
 def simulate(scenario: Scenario) -> Result:
-    """Run one scenario."""
+    """Run one scenario and return its result."""
     return Simulation(scenario).run()
--- a/bench/slope_fit.py
+++ b/bench/slope_fit.py
@@ -1,4 +1,4 @@
-"""A slope: the linear fit of a cost over a size, with its straightness."""
+"""Linear fits of a measured cost over a size."""
 
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
@@ -11,22 +11,22 @@
 @dataclass(frozen=True, slots=True)
 class Slope:
     """
-    A line through measured points.
+    A line fitted to measured points.
 
     Attributes
     ----------
     name : str
-        Key by which the page refers to the slope.
+        Name by which docs/CAPACITY.md refers to the slope.
     value : float
-        Cost for one more `per`, in `unit`.
+        Cost of each further `per`, in `unit`.
     at_zero : float
-        Where the line meets size zero, in `unit`.
+        Cost at size zero, in `unit`.
     unit, per : str
         Unit of the cost and of the size.
     points : tuple of (float, float)
-        Size and cost as measured.
+        Measured sizes and costs.
     r_squared : float or None
-        Straightness; none if there is a single point.
+        Coefficient of determination; None for a single point.
     """
 
     name: str
@@ -54,7 +54,7 @@
 def fit_line(
     name: str, unit: str, per: str, points: Sequence[tuple[float, float]]
 ) -> Slope:
-    """Return the least-squares line; one point gives a line through zero."""
+    """Return the least-squares line; for a single point, the line through zero."""
     measured = tuple((float(size), float(cost)) for size, cost in points)
     if len(measured) == 1:
         size, cost = measured[0]
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -1,4 +1,4 @@
-"""Real processes of a fleet on loopback, with counted bytes, for the slopes."""
+"""Runs a fleet of real processes on loopback and measures CPU time and traffic."""
 
 import asyncio
 import contextlib
@@ -39,7 +39,7 @@
 
 
 def cpu_s(pid: int) -> float:
-    """Return the processor time of a process, in steps of one clock tick."""
+    """Return the CPU time of a process, with the resolution of a clock tick."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
@@ -49,14 +49,18 @@
 
 
 class ConnectionTraffic:
-    """Bytes and reads of one connection, without TCP and IP headers."""
+    """Bytes and reads of one connection, without TCP and IP headers.
+
+    The connection is either between two members of the control group or from a
+    client, such as an entry host.
+    """
 
     def __init__(self) -> None:
         self.is_between_members = False
         self.in_bytes = self.out_bytes = self.in_reads = self.out_reads = 0
 
     def count(self, data: bytes, *, inward: bool) -> None:
-        # Only messages between control hosts have this field.
+        # Only messages between members of the control group have this field.
         if (
             inward
             and not self.is_between_members
@@ -73,12 +77,12 @@
 
 class CountingRelay:
     """
-    Passes connections on to one control host and counts their bytes.
+    Forwards connections to one control host and counts their bytes.
 
     Attributes
     ----------
     connections : list of Traffic
-        Every connection so far.
+        All connections accepted so far.
     """
 
     def __init__(self, port: int, target: str) -> None:
@@ -124,7 +128,7 @@
 
 
 class UsageWindow:
-    """Processor time and bytes of the fleet between two moments."""
+    """CPU time and traffic of the fleet from its creation to `end`."""
 
     def __init__(self, fleet: "ProcessFleet") -> None:
         self._fleet = fleet
@@ -136,14 +140,14 @@
         self.traffic: dict[tuple[str, str], int] = {}
 
     def _total_traffic(self) -> dict[tuple[str, str], int]:
-        found: dict[tuple[str, str], int] = {}
+        totals: dict[tuple[str, str], int] = {}
         for relay in self._fleet.relays:
             for item in relay.connections:
                 kind = "member" if item.is_between_members else "host"
                 for name in ("in_bytes", "out_bytes", "in_reads", "out_reads"):
                     key = (kind, name)
-                    found[key] = found.get(key, 0) + getattr(item, name)
-        return found
+                    totals[key] = totals.get(key, 0) + getattr(item, name)
+        return totals
 
     def end(self) -> "UsageWindow":
         self.took_s = time.monotonic() - self._start_s
@@ -165,7 +169,7 @@
 
 
 class ProcessFleet:
-    """Three control hosts and any number of entry hosts, in one folder."""
+    """Three control hosts and any number of entry hosts, with files in one folder."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -213,7 +217,7 @@
         for process in self.processes.values():
             remaining_s = max(0.01, end_s - time.monotonic())
             try:
-                # The relays must go on while the processes drain.
+                # Wait in a thread: the relays must keep running while processes drain.
                 await asyncio.to_thread(process.wait, remaining_s)
             except subprocess.TimeoutExpired:
                 process.kill()
@@ -237,7 +241,7 @@
         self.start(name, module, "--settings", str(path))
 
     def start_entries(self, count: int) -> None:
-        """Start entry hosts until there are `count`."""
+        """Start entry hosts until `count` are started."""
         started = len(self.callers)
         ports = iter(free_ports(3 * (count - started)))
         for number in range(started, count):
@@ -265,7 +269,7 @@
         return (await self.leader_client.status(10.0)).leader
 
     async def wait_ready(self) -> None:
-        """Wait until every entry host has a session and the version in force."""
+        """Wait until every entry host has a session and the current bundle version."""
         end_s = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < end_s:
             status = await self.leader_client.status(5.0)
@@ -300,10 +304,10 @@
         return result.value
 
     def log_events(self, number: int) -> list[dict]:
-        """Return all log records with an event number."""
-        found = []
+        """Return the log records of all processes with this event number."""
+        records = []
         for path in self.folder.glob("*.log"):
             for line in path.read_text().splitlines():
                 if f'"event":{number},' in line.replace(" ", ""):
-                    found.append(json.loads(line))
-        return found
+                    records.append(json.loads(line))
+        return records
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,4 +1,4 @@
-"""Measures the slopes of docs/CAPACITY.md and writes its tables."""
+"""Measures cost slopes and writes the tables of docs/CAPACITY.md."""
 
 import json
 import os
@@ -25,7 +25,7 @@
 
 
 def format_value(value: float) -> str:
-    """Return a value with three significant digits and no exponent."""
+    """Format a value with about three significant digits and no exponent."""
     if value == 0:
         return "0"
     if abs(value) >= 100:
@@ -34,11 +34,11 @@
 
 
 def replace_block(page: str, name: str, lines: list[str]) -> str:
-    """Return the page with the lines between the markers of `name` replaced."""
+    """Replace the lines between the begin and end markers of block `name`."""
     begin, end = f"<!-- {name} begin -->", f"<!-- {name} end -->"
     head, _, rest = page.partition(begin)
-    _, found, tail = rest.partition(end)
-    if not found:
+    _, end_marker, tail = rest.partition(end)
+    if not end_marker:
         raise ValueError(f"the page has no block {name!r}")
     return "\n".join([f"{head}{begin}", "", *lines, "", f"{end}{tail}"])
 
@@ -105,7 +105,7 @@
 
 
 def load_slopes() -> tuple[list[Slope], str]:
-    """Return the slopes of the last run, and its machine line."""
+    """Return the slopes of the last run and the description of its machine."""
     content = json.loads(OUTPUT_PATH.read_text(encoding="utf-8"))
     names = {field.name for field in fields(Slope)}
     slopes = []
@@ -117,7 +117,7 @@
 
 
 def main(*, saved: bool = False) -> None:
-    """Measure and write the page; with `saved` from the slopes of the last run."""
+    """Measure the slopes and write the page; `saved` reuses those of the last run."""
     if saved:
         slopes, machine = load_slopes()
     else:
--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -1,4 +1,4 @@
-"""Slopes of real processes: follow streams, rolls, requests, polling, ledger."""
+"""Cost slopes of real processes: follow streams, rolls, requests, polling, ledger."""
 
 import asyncio
 import http.client
@@ -49,7 +49,7 @@
 
 
 def build_bundle(number: int, engines: tuple[BackendServer, ...] = ()) -> Bundle:
-    """Return a bundle whose content differs by `number`."""
+    """Return a bundle whose content depends on `number`."""
     return Bundle(
         workspaces=tuple(
             Workspace(f"workspace-{n:03}", 1e9, 1e9 + number * (n == 0))
@@ -79,7 +79,7 @@
 
 
 async def measure_hosts(folder: Path) -> list[Slope]:
-    """Measure control and entry hosts at idle and under rolls, by entry hosts."""
+    """Measure control and entry hosts, idle and during rolls, by entry host count."""
     points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
 
     def add(name: str, unit: str, per: str, size: float, value: float) -> None:
@@ -131,7 +131,7 @@
 
 
 def in_force_ms(fleet: ProcessFleet, after_version: int) -> float:
-    """Return the median over rolls of the time until the last host has a version."""
+    """Return the median time from a roll until the last host has its version."""
     activated: dict[int, float] = {}
     for event in fleet.log_events(EventNumber.BUNDLE_ACTIVATED):
         version, when_s = event["version"], event["monotonic_s"]
@@ -149,7 +149,7 @@
 
 
 async def measure_requests(folder: Path) -> list[Slope]:
-    """Measure one entry host that is front and owner: requests, tokens, polling."""
+    """Measure requests, tokens and polling of one entry host, both front and owner."""
     poll_points, request_points, host_list_points = [], [], []
     async with ProcessFleet(folder) as fleet:
         port = fleet.platform_port
@@ -204,7 +204,7 @@
 
 
 def add_listed_hosts(port: int, first: int, end: int) -> None:
-    """Add names to the platform's list."""
+    """Add host names to the platform's host list."""
     connection = http.client.HTTPConnection(f"127.0.0.1:{port}")
     for number in range(first, end):
         body = msgspec.json.encode({"name": f"listed-{number:05}", "state": "live"})
@@ -236,7 +236,7 @@
 
 
 async def measure_ledger(folder: Path) -> list[Slope]:
-    """Measure commits of three control hosts by calls in flight."""
+    """Measure ledger commits of three control hosts by concurrent calls."""
     commit_rates, median_ms, p99_ms, leader_costs, refusals = [], [], [], [], []
     async with ProcessFleet(folder) as fleet:
         await fleet.roll(build_bundle(0))
@@ -278,11 +278,11 @@
         if client.session is not None:
             return client.session
         await asyncio.sleep(0.05)
-    raise TimeoutError("no session")
+    raise TimeoutError("the control client opened no session")
 
 
 async def commit_intents(client: ControlClient, count: int) -> tuple[list[float], int]:
-    """Record intents for a while; returns latencies and the number of refusals."""
+    """Record intents for `LEDGER_DURATION_S`; return latencies and refusal count."""
     took_s: list[float] = []
     refused = 0
     end_s = time.monotonic() + LEDGER_DURATION_S
@@ -311,8 +311,8 @@
 
 
 def measure_fleet() -> list[Slope]:
-    found = []
+    slopes = []
     for measure in (measure_hosts, measure_requests, measure_ledger):
         with TemporaryDirectory(prefix="slopes-", dir=Path.cwd() / "out") as folder:
-            found += asyncio.run(measure(Path(folder)))
-    return found
+            slopes += asyncio.run(measure(Path(folder)))
+    return slopes
--- a/bench/slopes_owners.py
+++ b/bench/slopes_owners.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of rate owners and cell schedulers, by size."""
+"""Cost slopes of rate owners and cell schedulers: memory and CPU time by size."""
 
 import random
 
@@ -33,8 +33,8 @@
 
 
 def measure_owners() -> list[Slope]:
-    """Measure rate owners and cell schedulers."""
-    found = []
+    """Measure memory and CPU time of rate owners and cell schedulers."""
+    slopes = []
 
     def rate_owner(workspaces: int, grants: int) -> RateOwner:
         owner = RateOwner(random.Random(1))
@@ -46,25 +46,25 @@
         return owner
 
     points = [(n, memory_bytes(lambda n=n: rate_owner(n, 0))) for n in WORKSPACE_COUNTS]
-    found.append(fit_line("rate_owner_bytes_per_workspace", "B", "workspace", points))
+    slopes.append(fit_line("rate_owner_bytes_per_workspace", "B", "workspace", points))
     counts = (1_000, 5_000, 20_000)
     points = [(n, memory_bytes(lambda n=n: rate_owner(1, n))) for n in counts]
-    found.append(fit_line("rate_owner_bytes_per_grant", "B", "grant", points))
+    slopes.append(fit_line("rate_owner_bytes_per_grant", "B", "grant", points))
     points = [(n, min_cpu_us(lambda n=n: rate_owner(1, n))) for n in counts]
-    found.append(fit_line("rate_owner_us_per_grant", "us", "grant", points))
+    slopes.append(fit_line("rate_owner_us_per_grant", "us", "grant", points))
     points = [(n, cpu_per_request_us(n, 5, 600)) for n in BACKEND_SERVER_COUNTS]
-    found.append(fit_line("cell_us_per_request_by_runner", "us", "runner", points))
+    slopes.append(fit_line("cell_us_per_request_by_runner", "us", "runner", points))
     points = [(n, cpu_per_request_us(100, n, 600)) for n in WORKSPACE_COUNTS]
-    found.append(
+    slopes.append(
         fit_line("cell_us_per_request_by_workspace", "us", "workspace", points)
     )
     points = [(n, memory_bytes(lambda n=n: cell(n, 0))) for n in BACKEND_SERVER_COUNTS]
-    found.append(fit_line("cell_bytes_per_runner", "B", "runner", points))
+    slopes.append(fit_line("cell_bytes_per_runner", "B", "runner", points))
     counts = (100, 1_000, 4_000)
     points = [(n, memory_bytes(lambda n=n: cell(500, n))) for n in counts]
-    found.append(fit_line("cell_bytes_per_request", "B", "request", points))
-    found += measure_reports()
-    return found
+    slopes.append(fit_line("cell_bytes_per_request", "B", "request", points))
+    slopes += measure_reports()
+    return slopes
 
 
 def rate_request(number: int) -> RateRequest:
@@ -79,7 +79,7 @@
 
 
 def cell(server_count: int, requests: int) -> CellScheduler:
-    """Return a scheduler of one cell with running requests."""
+    """Return the scheduler of one cell with submitted requests."""
     servers = tuple(
         msgspec.structs.replace(server, cell="c", serves="m")
         for server in build_bundle(server_count, 0).backend_servers
@@ -112,13 +112,13 @@
 
 
 def measure_reports() -> list[Slope]:
-    """Measure the events that engines and fronts send all the time."""
+    """Measure the periodic reports from engines and fronts."""
     load = LoadReport(1, 0.5, 20, 1000, 900, "decode")
     listed = tuple(
         EngineRequestStatus(f"entry-001-{n:024x}.1", EnginePhase.DECODING, 60, n)
         for n in range(20)
     )
-    events, loads, lists = [], [], []
+    progress_points, load_points, list_points = [], [], []
     for server_count in BACKEND_SERVER_COUNTS:
         scheduler = cell(server_count, 0)
         for _ in range(20):
@@ -128,14 +128,16 @@
             for n in range(200):
                 scheduler.handle(event, 10.0 + n * 0.001)  # type: ignore[arg-type]
 
-        loads.append(
+        load_points.append(
             (
                 server_count,
                 min_cpu_us(lambda: send(sm.LoadReported("engine-00001", load))) / 200,
             )
         )
         event = sm.EngineRequestsListed("engine-00001", listed, 9.0)
-        lists.append((server_count, min_cpu_us(lambda event=event: send(event)) / 200))
+        list_points.append(
+            (server_count, min_cpu_us(lambda event=event: send(event)) / 200)
+        )
     scheduler = cell(500, 1_000)
     for items in (1, 20, 100):
         batch = ProgressBatch(
@@ -154,11 +156,11 @@
             ),
         )
         event = sm.ProgressReported(batch)
-        events.append(
+        progress_points.append(
             (items, min_cpu_us(lambda event=event: scheduler.handle(event, 21.0)))
         )
     return [
-        fit_line("cell_us_per_load_report_by_runner", "us", "runner", loads),
-        fit_line("cell_us_per_engine_list_by_runner", "us", "runner", lists),
-        fit_line("cell_us_per_progress_item", "us", "item", events),
+        fit_line("cell_us_per_load_report_by_runner", "us", "runner", load_points),
+        fit_line("cell_us_per_engine_list_by_runner", "us", "runner", list_points),
+        fit_line("cell_us_per_progress_item", "us", "item", progress_points),
     ]
--- a/bench/slopes_state.py
+++ b/bench/slopes_state.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of the states inside one process, by size."""
+"""Cost slopes of the control state and the fleet view: memory and CPU time by size."""
 
 import gc
 import time
@@ -45,7 +45,7 @@
 
 
 def build_bundle(server_count: int, workspaces: int, slots: int = 20) -> Bundle:
-    """Return a bundle with `runners` engines in cells of 6 models in 14 places."""
+    """Return a bundle with `server_count` engines, 6 models and 14 data centres."""
     cells = min(CELLS, max(1, server_count // 2))
     roles = (BackendServerRole.PREFILL, BackendServerRole.DECODE)
     servers = tuple(
@@ -62,8 +62,8 @@
         for n in range(server_count)
     )
     keys = tuple(
-        KeyRecord(f"{space:032x}{n:032x}", f"workspace-{space:03}")
-        for space in range(workspaces)
+        KeyRecord(f"{workspace:032x}{n:032x}", f"workspace-{workspace:03}")
+        for workspace in range(workspaces)
         for n in range(KEYS_PER_WORKSPACE)
     )
     return Bundle(
@@ -78,7 +78,7 @@
 
 
 class StateDriver:
-    """Applies commands to a control state as the log does, decoded from bytes."""
+    """Applies commands to a control state, decoded from bytes as in the log."""
 
     def __init__(self) -> None:
         self.state = ControlState()
@@ -101,7 +101,7 @@
         return self.apply(self.roll_command(number))
 
     def release_moving_owners(self) -> None:
-        """Let every owner release what is to move, as the entry hosts do."""
+        """Release every ownership that is to move, as the entry hosts do."""
         for owner in list(self.state.data.owners.values()):
             if owner.moving_to:
                 self.apply(
@@ -148,13 +148,13 @@
 
 def change_one_server(bundle: Bundle, number: int) -> Bundle:
     servers = list(bundle.backend_servers)
-    place = number % len(servers)
-    servers[place] = msgspec.structs.replace(servers[place], slots=20 + number % 7)
+    index = number % len(servers)
+    servers[index] = msgspec.structs.replace(servers[index], slots=20 + number % 7)
     return msgspec.structs.replace(bundle, backend_servers=tuple(servers))
 
 
 def memory_bytes(build: Callable[[], object]) -> int:
-    """Return the memory that what `build` returns holds."""
+    """Return the memory that is in use by the result of `build`."""
     gc.collect()
     tracemalloc.start()
     used_bytes = build()
@@ -166,7 +166,7 @@
 
 
 def min_cpu_us(work: Callable[[], object]) -> float:
-    """Return the processor time of one call; the least of several."""
+    """Return the CPU time of one call: the minimum over several runs."""
     cpu_us = []
     for _ in range(TIMING_RUNS):
         start_s = time.process_time()
@@ -191,13 +191,13 @@
 
 
 def measure_views() -> list[Slope]:
-    """Measure the entry hosts' view and the control state over each size."""
+    """Measure the fleet view of entry hosts and the control state, by each size."""
     sizes = {
         "runner": [(n, SMALL_WORKSPACE_COUNT, 3) for n in BACKEND_SERVER_COUNTS],
         "workspace": [(SMALL_SERVER_COUNT, n, 3) for n in WORKSPACE_COUNTS],
         "host": [(SMALL_SERVER_COUNT, SMALL_WORKSPACE_COUNT, n) for n in HOST_COUNTS],
     }
-    found = []
+    slopes = []
     for column, (per, cases) in enumerate(sizes.items()):
         points: dict[str, list[tuple[float, float]]] = {}
         for case in cases:
@@ -208,15 +208,15 @@
             points.setdefault("snapshot", []).append((size, len(data)))
             used_bytes = memory_bytes(lambda case=case: build_state(*case))
             points.setdefault("control_state", []).append((size, used_bytes))
-        found += [
+        slopes += [
             fit_line(f"{name}_bytes_per_{per}", "B", per, values)
             for name, values in points.items()
         ]
-    return found
+    return slopes
 
 
 def measure_stored() -> list[Slope]:
-    """Measure what the control state keeps by count: versions, calls, proposals."""
+    """Measure control state memory per bundle version, proposal and ledger call."""
     bundle = build_bundle(100, SMALL_WORKSPACE_COUNT)
 
     def versions(count: int) -> StateDriver:
@@ -238,17 +238,17 @@
                 driver.apply(command)
         return driver
 
-    found = []
+    slopes = []
     for name, per, build, counts in (
         ("control_state_bytes_per_version", "version", versions, (10, 50, 150)),
         ("control_state_bytes_per_full_proposal", "proposal", proposals, (1, 3, 6)),
         ("control_state_bytes_per_ledger_call", "call", calls, (100, 1_000, 3_000)),
     ):
         points = [(n, memory_bytes(lambda n=n, build=build: build(n))) for n in counts]
-        found.append(fit_line(name, "B", per, points))
+        slopes.append(fit_line(name, "B", per, points))
     encode = [(n, min_cpu_us(calls(n).state.encode)) for n in (1_000, 5_000, 20_000)]
-    found.append(fit_line("snapshot_encode_us_per_ledger_call", "us", "call", encode))
-    return found
+    slopes.append(fit_line("snapshot_encode_us_per_ledger_call", "us", "call", encode))
+    return slopes
 
 
 def ledger_call(number: int) -> tuple[mc.Command, mc.Command]:
@@ -276,7 +276,7 @@
 
 
 def measure_changes() -> list[Slope]:
-    """Measure one roll and one session change, at the leader and at an entry host."""
+    """Measure a roll and a session change, at the leader and at an entry host."""
     points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
 
     def add(name: str, unit: str, per: str, size: float, value: float) -> None:
@@ -322,32 +322,32 @@
 
 
 def mean_resources_per_host(hosts: int) -> float:
-    """Return how many workspaces and cells one of `hosts` owns on average."""
+    """Return the mean number of workspaces and cells that a host owns."""
     return (270 + CELLS) / hosts
 
 
 def measure_sessions(hosts: int) -> list[tuple[str, str, str, float]]:
-    """Lose and open sessions of several hosts; returns means per session."""
+    """Expire and reopen sessions of several hosts; return the means per session."""
     driver = build_state(1_700, 270, hosts)
     count = min(hosts - 1, 30)
-    lost_us = opened_us = size = 0.0
+    lost_us = opened_us = delta_bytes = 0.0
     for n in range(count):
         name = f"entry-{n:03}"
         number = driver.state.data.sessions[name].number
-        end = mc.ExpireSession(command_id=f"e{n}", host=name, session=number)
+        expire = mc.ExpireSession(command_id=f"e{n}", host=name, session=number)
         start_s = time.process_time()
-        delta = driver.apply(end).delta
+        delta = driver.apply(expire).delta
         lost_us += (time.process_time() - start_s) * 1e6
-        size += len(msgspec.msgpack.encode(delta))
-        back = msgspec.structs.replace(open_session(n), command_id=f"o{n}")
+        delta_bytes += len(msgspec.msgpack.encode(delta))
+        reopen = msgspec.structs.replace(open_session(n), command_id=f"o{n}")
         start_s = time.process_time()
-        driver.apply(back)
+        driver.apply(reopen)
         opened_us += (time.process_time() - start_s) * 1e6
         driver.release_moving_owners()
     return [
         ("session_loss_us_per_host", "us", "host", lost_us / count),
         ("session_open_us_per_host", "us", "host", opened_us / count),
-        ("session_loss_bytes_per_resource", "B", "resource", size / count),
+        ("session_loss_bytes_per_resource", "B", "resource", delta_bytes / count),
     ]
 
 
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -1,4 +1,8 @@
-"""The two workloads; only the bench knows which requests are urgent."""
+"""Generates the two workloads and the simulated fleets that serve them.
+
+Requests are urgent or delay-tolerant ("calm" in the names of figures). The scheduler
+isn't given this property and has to infer it.
+"""
 
 import math
 import random
@@ -29,7 +33,7 @@
 
 @dataclass(frozen=True)
 class WorkloadShape:
-    """Sizes of a workload: medians, and the share of long calm requests."""
+    """Parameters of a workload: median lengths and the share of tolerant requests."""
 
     name: str
     tolerant_share: float
@@ -49,7 +53,7 @@
 
 @dataclass(eq=False)
 class Request:
-    """One request with its true nature and what became of it."""
+    """One request: its properties, and its state and outcome in the simulation."""
 
     number: int
     workspace: str
@@ -78,7 +82,7 @@
 
 @dataclass(frozen=True)
 class SimulatedFleet:
-    """Servers and workspaces, sized for the workload."""
+    """Backend servers and workspaces, sized for the workload."""
 
     engines: tuple[BackendServer, ...]
     services: tuple[BackendServer, ...]
@@ -96,14 +100,15 @@
     if not urgent:
         prompt, output = shape.tolerant_prompt_tokens, shape.tolerant_output_tokens
     if is_atypical:
-        # Some urgent prompts are long, and some calm ones short.
+        # Some urgent prompts are long and some delay-tolerant ones short, so that
+        # prompt length alone doesn't reveal the urgency.
         prompt = 1200 if urgent else 500
     prompt = min(8000, max(16, round(prompt * math.exp(rng.gauss(0, 0.3)))))
     output = min(MAX_OUTPUT_TOKENS, max(4, round(output * math.exp(rng.gauss(0, 0.3)))))
     blocks = prompt // 64
     shared = int(blocks * shape.shared_prefix_share) if not urgent else 0
     document = rng.randrange(shape.document_count)
-    # Hashes of integers are equal in every process; those of strings are not.
+    # Hashes of integers are the same in every process; hashes of strings aren't.
     workspace_index = list(WORKSPACE_SHARES).index(workspace)
     prefix_hashes = [hash((0, workspace_index, document, i)) for i in range(shared)]
     prefix_hashes += [hash((1, number, 0, i)) for i in range(shared, blocks)]
@@ -122,7 +127,11 @@
 
 
 def build_fleet(shape: WorkloadShape, load: float) -> SimulatedFleet:
-    """Compute memory for about 20 requests, capacity, and rates at this load."""
+    """Return a fleet for a workload, with workspace rates for this load.
+
+    Decode memory suffices for about 20 requests per engine; the request rate is the
+    capacity of the prefill or of the decode engines, whichever is lower.
+    """
     rng = random.Random(7)
     samples = [sample_request(shape, rng, n, 0.0) for n in range(4000)]
     count = len(samples)
@@ -165,7 +174,7 @@
 
 
 def shift_mix(requests, at_s: float) -> None:
-    """Make requests heavy to prefill before `at_s`, and heavy to decode after it."""
+    """Lengthen prompts before `at_s`, and outputs after it; shorten the other part."""
     for item in requests:
         if item.is_service:
             continue
@@ -178,7 +187,10 @@
 
 
 def generate_requests(shape, fleet, load, duration_s, seed, flood_factor: float = 1.0):
-    """Return requests in order of arrival; `flood` multiplies one workspace."""
+    """Return requests in order of arrival.
+
+    With a `flood_factor` above 1, workspace w3 sends this multiple of its rate limit.
+    """
     rng = random.Random(seed)
     requests, number, now_s = [], 0, 0.0
     while now_s < duration_s:
--- a/bench/worth.py
+++ b/bench/worth.py
@@ -1,4 +1,4 @@
-"""What each mechanism is worth: own figures less those without the mechanism."""
+"""Ablations: the figures of the scheduler minus those without one mechanism."""
 
 from collections.abc import Iterator
 from concurrent.futures import Executor
@@ -12,7 +12,8 @@
 
 LOADS = (0.8, 1.0, 1.3, 2.0)
 DURATION_S = 50.0
-# The variant that a mechanism is meant for, beside the normal runs.
+# Fault variants and loads at which a mechanism has its effect, in addition to the
+# runs without faults.
 FAULT_VARIANTS = {
     "fair-share": (("flood", 0.8), ("flood", 1.0)),
     "link-reservation": (("slow_links", 0.8),),
@@ -20,7 +21,7 @@
     "report-correction": (("stale", 0.8), ("stale", 1.0)),
     "retry-budget": (("engine_lost_resend", 0.8), ("engine_lost_resend", 1.3)),
 }
-# The sign turns each figure so that more is better.
+# Compared figures; the sign makes a positive difference an improvement.
 FIGURE_SIGNS = {
     "goodput_urgent": 1,
     "worst_workspace": 1,
@@ -31,7 +32,7 @@
 
 
 def ablation_cases(mechanism: str) -> Iterator[tuple[str, str, float]]:
-    """Return workloads, variants and loads at which to weigh a mechanism."""
+    """Yield the workload, variant and load of each run for a mechanism."""
     for workload in WORKLOADS:
         for load in LOADS:
             yield workload, "none", load
@@ -40,13 +41,13 @@
 
 
 def run_scenario(scenario: Scenario) -> dict[str, float]:
-    """Run one scenario in a worker process."""
-    found = summarise(simulate(scenario))
-    return {name: found[name] for name in FIGURE_SIGNS}
+    """Run one scenario and return the compared figures; called in worker processes."""
+    figures = summarise(simulate(scenario))
+    return {name: figures[name] for name in FIGURE_SIGNS}
 
 
 def measure_ablations(pool: Executor, seeds: tuple[int, ...]) -> list[Figure]:
-    """Return the worth of every mechanism: the median and the least of the seeds."""
+    """Return the gain of every mechanism: the median and the minimum over seeds."""
     jobs = {}
     for mechanism in ABLATION_SETTINGS:
         for workload, variant, load in ablation_cases(mechanism):
@@ -60,10 +61,14 @@
         for workload, variant, load in ablation_cases(mechanism):
             pairs = []
             for seed in seeds:
-                own = Scenario(workload, load, OWN_POLICY, variant, DURATION_S, seed)
-                name = f"{OWN_POLICY}-without-{mechanism}"
-                other = Scenario(workload, load, name, variant, DURATION_S, seed)
-                pairs.append((results[own], results[other]))
+                full_scenario = Scenario(
+                    workload, load, OWN_POLICY, variant, DURATION_S, seed
+                )
+                policy = f"{OWN_POLICY}-without-{mechanism}"
+                ablated_scenario = Scenario(
+                    workload, load, policy, variant, DURATION_S, seed
+                )
+                pairs.append((results[full_scenario], results[ablated_scenario]))
             suffix = "" if variant == "none" else f"+{variant}"
             for name, sign in FIGURE_SIGNS.items():
                 gains = [sign * difference(a[name], b[name]) for a, b in pairs]
@@ -83,5 +88,5 @@
 
 
 def difference(a: float, b: float) -> float:
-    """Return `a` less `b`, where two infinite values are equal."""
+    """Return `a - b`, with 0 for two equal infinite values."""
     return 0.0 if a == b else a - b
--- a/tests/bench/test_bounds.py
+++ b/tests/bench/test_bounds.py
@@ -1,4 +1,7 @@
-"""Regressions of the decisions below the bounds of the design, at a few points."""
+"""Guards against scheduler changes that miss the bounds of the design.
+
+Short simulations at a few loads and faults, not the whole benchmark.
+"""
 
 import pytest
 from bench.figures import summarise
@@ -13,7 +16,7 @@
 
 
 @pytest.mark.parametrize("workload", ["kyushu", "magia"])
-def test_full_load_refuses_nobody_and_wastes_nothing(workload):
+def test_full_load_has_no_refusals_and_little_wasted_prefill(workload):
     figures = run_summary(workload, 1.0)
     assert figures["wrongful_refusals"] == 0
     assert figures["rate_overshoot_tokens"] <= 0
@@ -22,7 +25,7 @@
     assert figures["streams_evicted"] == 0
 
 
-def test_overload_keeps_urgent_goodput():
+def test_overload_keeps_urgent_goodput_above_fcfs():
     figures = run_summary("kyushu", 1.3)
     baseline = run_summary("kyushu", 1.3, "fcfs")
     bound = run_summary("kyushu", 1.3, "upper_bound")
@@ -30,19 +33,19 @@
     assert figures["goodput_urgent"] >= 0.9 * bound["goodput_urgent"]
 
 
-def test_twice_the_load_keeps_urgent_goodput_near_the_upper_bound():
+def test_double_load_keeps_urgent_goodput_near_the_upper_bound():
     figures = run_summary("kyushu", 2.0)
     bound = run_summary("kyushu", 2.0, "upper_bound")
     assert figures["goodput_urgent"] >= 0.9 * bound["goodput_urgent"]
 
 
 @pytest.mark.parametrize("variant", ["flood", "owner_lost", "stale"])
-def test_faults_refuse_nobody_within_its_rate(variant):
+def test_faults_refuse_no_request_within_its_rate(variant):
     figures = run_summary("magia", 0.8, variant=variant)
     assert figures["wrongful_refusals"] == 0
     assert figures["rate_overshoot_tokens"] <= 0
 
 
-def test_processor_time_grows_at_most_logarithmically():
+def test_cpu_time_grows_at_most_logarithmically():
     for figure in measure_cpu_growth(CELL_SIZES[:4]):
         assert figure.verdict != "fail", str(figure)
