--- a/bench/capacity_losses.py
+++ b/bench/capacity_losses.py
@@ -45,6 +45,7 @@
 
 
 def sample_id(number: int = 1) -> str:
+    """Return a request id of realistic length and randomness."""
     return f"entry-001-{random.Random(number).getrandbits(96):024x}"
 
 
@@ -90,6 +91,7 @@
 
 
 def progress_item_bytes() -> int:
+    """Return the encoded size of the progress of one stream."""
     item = Progress(
         request_id=sample_id(),
         attempt=1,
@@ -111,6 +113,7 @@
 
 
 def loss_rows(sheet: CapacitySheet) -> None:
+    """Add the costs of losing a rack, a data centre or a region."""
     role = "loss"
     resources_per_host = (WORKSPACES + CELLS) / HOSTS
     delta = sheet.cost_at("session_loss_bytes_per_resource", resources_per_host)
@@ -159,6 +162,7 @@
 
 
 def kv_transfer_rows(sheet: CapacitySheet) -> None:
+    """Add the KV cache size of one request and the messages about its transfer."""
     role = "kv"
     prompt = int(KV_BYTES_PER_S / REQUESTS_PER_S / 131_072)
     sheet.add_row(
@@ -196,11 +200,13 @@
     def add_exhaustion(
         line: str, limit: str, size: float, unit: str, needed: float
     ) -> None:
+        """Add a row with the size at which a limit is reached."""
         # A negative size means that the base cost alone exceeds the limit.
         how = f"{limit}; needed: {needed:,.4g}"
         sheet.add_row(role, line, how, max(0.0, size), unit)
 
     def size_at_limit(name: str, limit: float) -> float:
+        """Return the size at which the fitted cost reaches the limit."""
         slope = sheet.slopes[name]
         return (limit - slope.at_zero) / slope.value
 
--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -60,6 +60,7 @@
 
 
 def front_rows(sheet: CapacitySheet) -> None:
+    """Add the costs of an entry host as a front."""
     role = "front"
     view_mb = sheet.state_mb("fleet_view_bytes")
     sheet.add_row(
@@ -167,6 +168,7 @@
 
 
 def owner_rows(sheet: CapacitySheet) -> None:
+    """Add the costs of an entry host as an owner of workspaces and of cells."""
     workspaces, cells, backend_servers = largest_shares()
     role = "workspace owner"
     mean_grants_per_s = REQUESTS_PER_S / WORKSPACES
@@ -218,6 +220,7 @@
 
 
 def cell_rows(sheet: CapacitySheet, cells: int, backend_servers: int) -> None:
+    """Add the costs of the owner of the most cells and backend servers."""
     role = "backend server owner"
     sheet.add_row(role, "most cells on a host", "rendezvous hash of 84", cells, "1")
     sheet.add_row(
@@ -265,6 +268,7 @@
 
 
 def leader_rows(sheet: CapacitySheet) -> None:
+    """Add the costs of the leader of the control group."""
     role = "leader"
     state_mb = sheet.state_mb("control_state_bytes")
     state_mb += (
@@ -364,6 +368,7 @@
 
 
 def log_rows(sheet: CapacitySheet, rolls: float) -> None:
+    """Add the costs of followers and of the ledger."""
     role = "follower"
     logged_bytes_per_s = (
         sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls
--- a/bench/capacity_sheet.py
+++ b/bench/capacity_sheet.py
@@ -75,23 +75,29 @@
         self.rows: list[Row] = []
 
     def cost_per_unit(self, name: str) -> float:
+        """Return the cost of each further unit of size, in the unit of the slope."""
         return self.slopes[name].value
 
     def cost_at(self, name: str, size: float) -> float:
+        """Return the fitted cost at a size."""
         return self.slopes[name].cost_at(size)
 
     def cost_at_largest_size(self, name: str) -> float:
+        """Return the measured cost at the largest measured size."""
         return self.slopes[name].points[-1][1]
 
     def add_row(self, role: str, line: str, how: str, value: float, unit: str) -> None:
+        """Add a row without a limit."""
         self.rows.append(Row(role, line, how, value, unit))
 
     def add_limited(
         self, role: str, line: str, how: str, value: float, unit: str, limit: float
     ) -> None:
+        """Add a row with a limit that its value mustn't exceed."""
         self.rows.append(Row(role, line, how, value, unit, limit))
 
     def state_mb(self, prefix: str) -> float:
+        """Return the size of a state at full fleet size, from its three slopes."""
         base = min(
             self.cost_at(f"{prefix}_per_{n}", 0) for n in ("runner", "workspace")
         )
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -27,10 +27,12 @@
         self._count = itertools.count()
 
     def at(self, time_s: float, action: Callable, *args) -> None:
+        """Schedule an action at a time, or now if the time has passed."""
         item = (max(time_s, self.now_s), next(self._count), action, args)
         heapq.heappush(self._heap, item)
 
     def after(self, delay_s: float, action: Callable, *args) -> None:
+        """Schedule an action after a delay."""
         self.at(self.now_s + delay_s, action, *args)
 
     def run(self, until_s: float) -> None:
@@ -118,6 +120,7 @@
         self._start_next_chunk()
 
     def _expire_export(self, run: EngineRun) -> None:
+        """Drop an export that no decode engine imported within the hold time."""
         if run.exported_s is not None and not run.has_ended:
             run.exported_s = None
             self.wasted_tokens += run.computed_tokens
@@ -141,6 +144,7 @@
         return LoadReport(1, age_s, len(self.queue), queued, 0)
 
     def drain_events(self) -> CacheEventPage:
+        """Return and clear the cache events since the last call."""
         events = tuple(self.events)
         self.events.clear()
         return CacheEventPage(events)
@@ -169,6 +173,7 @@
     finished_imports: int = 0
 
     def needed_pieces(self, run: EngineRun) -> int:
+        """Return the KV pieces of a run, including its next token."""
         return -(
             -(run.prompt_tokens + run.produced_tokens + 1) // self.spec.piece_tokens
         )
@@ -218,6 +223,7 @@
             self._schedule_step()
 
     def _schedule_step(self) -> None:
+        """Schedule the next decode step; it takes longer with a fuller batch."""
         fill = len(self.running) / self.spec.slots
         step_s = self.spec.decode_step_ms / 1000 * (0.5 + 0.5 * fill)
         step_s += IMPORT_COST_S * self.finished_imports
@@ -245,6 +251,7 @@
             self._schedule_step()
 
     def kill(self) -> None:
+        """Fail the engine with all its runs."""
         self.is_alive = False
         lost = [*self.running, *self.importing, *(run for run, _ in self.waiting)]
         self.running, self.importing = [], []
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -143,6 +143,7 @@
 
 
 def make_cell(policy: str, seed: int, requests):
+    """Return the scheduler of a policy; `requests` maps ids for the upper bound."""
     settings = SchedulerSettings(kv_bytes_per_token=KV_BYTES_PER_TOKEN)
     rng = random.Random(seed)
     if policy in ("shortest", "round_robin"):
--- a/bench/process.py
+++ b/bench/process.py
@@ -231,12 +231,14 @@
         return versions
 
     def measure_idle_memory(self) -> None:
+        """Measure the largest memory of each role after a few idle seconds."""
         time.sleep(5.0)
         for role, names in (("entry", ENTRIES), ("control", CONTROLS)):
             value = max(rss_mb(self.processes.running[n].pid) for n in names)
             self.report.add(f"idle_memory_{role}", value, "MB", MAX_MEMORY_MB)
 
     def measure_first_token(self) -> None:
+        """Measure the latency that routing adds to the first token."""
         bound_ms = ROUND_TRIPS * round_trip_ms() + MAX_PROCESSING_MS
         routed, direct = [], []
         for number in range(FIRST_TOKEN_REQUESTS):
@@ -249,6 +251,7 @@
         self.report.add("first_token_added", added_ms, "ms", bound_ms)
 
     def routed_ms(self, prompt: str) -> float:
+        """Return the time to the first token through an entry host."""
         body = {"model": "notes", "prompt": prompt, "max_tokens": 2, "stream": True}
         headers = {
             "authorization": f"Bearer {CALLER_KEY}",
@@ -257,6 +260,7 @@
         return first_line_ms(self.callers[0], "/v1/completions", body, headers)
 
     def direct_ms(self, prompt: str, name: str) -> float:
+        """Return the time to the first token with direct calls of the engines."""
         prefill = self.layout.addresses["prefill-1"]
         decode = self.layout.addresses["decode-1"]
         headers = {"content-type": "application/json"}
@@ -277,6 +281,7 @@
         return prefill_ms + first_line_ms(decode, "/v1/decode", request, headers)
 
     def measure_streams(self) -> None:
+        """Measure token gaps, CPU time and memory with many concurrent streams."""
         pid = self.processes.running[ENTRIES[0]].pid
         before_s = cpu_time_s(pid)
         command = [
@@ -311,6 +316,7 @@
         self.report.add("entry_memory_after_streams", rss_mb(pid), "MB")
 
     def measure_in_force(self, suffix: str, fault: signal.Signals | None) -> None:
+        """Measure how long a key withdrawal and a roll take to reach all hosts."""
         key = KEYS_TO_WITHDRAW[("", "_leader_killed", "_leader_stopped").index(suffix)]
         command = WithdrawKey(
             command_id=_new_command_id(), operator="alice", key_digest=digest(key)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -133,6 +133,7 @@
         return self.result
 
     def gain_ownership(self, level: float | None = None) -> None:
+        """Start new owners, with rate limit levels that are full or at `level`."""
         self.epoch += 1
         now_s = self.clock.now_s
         self.rate_owner = RateOwner(random.Random(self.scenario.seed))
@@ -161,6 +162,7 @@
     # Calls of the schedulers and the rate owner; responses arrive one hop later.
 
     def notify_cell(self, is_service, event) -> None:
+        """Pass an event to a scheduler and schedule its actions and next wakeup."""
         if not self.is_owner_up:
             return
         cell = self.cells[is_service]
@@ -194,6 +196,7 @@
             self.notify_cell(is_service, sm.TimePassed())
 
     def notify_rate_owner(self, event) -> None:
+        """Pass an event to the rate owner and schedule its responses and wakeup."""
         if not self.is_owner_up:
             return
         for action in self.rate_owner.handle(event, self.clock.now_s):
@@ -231,6 +234,7 @@
 
     @staticmethod
     def cost_tokens(request) -> int:
+        """Return the tokens that the rate limit charges before the request runs."""
         return 1 if request.is_service else request.prompt_tokens + MAX_OUTPUT_TOKENS
 
     def receive_rate_response(self, action) -> None:
@@ -359,6 +363,7 @@
             self.notify_rate_owner(lm.RefundReceived(refund))
 
     def retry_ended_run(self, run, reason) -> None:
+        """Submit a request again after its run failed or was evicted."""
         request = run.request
         if run.has_ended:
             return
@@ -368,6 +373,7 @@
         self.submit_request(request)
 
     def receive_refusal(self, request, failure) -> None:
+        """Record a refusal, or let the caller retry in the resend variants."""
         callers_retry = self.scenario.variant.endswith("resend")
         may_retry = callers_retry and request.caller_retries < MAX_CALLER_RETRIES
         if may_retry and failure.retry_after_s is not None:
@@ -394,6 +400,7 @@
     # Progress and load reports, and faults.
 
     def report_all_progress(self) -> None:
+        """Send the periodic progress of all active requests."""
         groups = defaultdict(list)
         for request in self.phases:
             groups[request.is_service, request.front].append(
@@ -405,6 +412,7 @@
             self.clock.after(1.0, self.report_all_progress)
 
     def report_loads(self) -> None:
+        """Send the periodic load and cache reports of all engines."""
         variant = self.scenario.variant
         age_s = 2.0 if variant == "stale" else 0.2
         event_loss_share = 0.25 if variant in ("stale", "lost_events") else 0.02
@@ -430,11 +438,13 @@
         self.engines[name].kill()
 
     def lose_owner(self) -> None:
+        """Stop the owners; requests are deferred until they recover."""
         self.is_owner_up = False
         self.wakeups.clear()
         self.clock.after(OWNER_OUTAGE_S, self.recover_owner)
 
     def recover_owner(self) -> None:
+        """Start new owners and submit deferred and unplaced requests to them."""
         self.is_owner_up = True
         self.gain_ownership(0.0)
         deferred, self.deferred = self.deferred, []
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -150,6 +150,7 @@
         return totals
 
     def end(self) -> "UsageWindow":
+        """Record the differences since the creation."""
         self.took_s = time.monotonic() - self._start_s
         now = {name: cpu_s(pid) for name, pid in self._fleet.pids().items()}
         self.cpu_s = {name: now[name] - was for name, was in self._cpu_s.items()}
@@ -161,9 +162,11 @@
         return self
 
     def cpu_share(self, name: str) -> float:
+        """Return the mean share of a core that a process used."""
         return self.cpu_s[name] / self.took_s
 
     def mean_entry_cpu_share(self) -> float:
+        """Return the mean share of a core over all entry hosts."""
         shares = [s for name, s in self.cpu_s.items() if name.startswith("entry")]
         return sum(shares) / len(shares) / self.took_s
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -44,6 +44,7 @@
 
 
 def slope_table(slopes: list[Slope]) -> list[str]:
+    """Return the lines of the table of slopes."""
     lines = [
         "| slope | at size 0 | for one more | unit | size | measured at | R² |",
         "| --- | --- | --- | --- | --- | --- | --- |",
@@ -61,6 +62,7 @@
 
 
 def point_table(slopes: list[Slope], names: tuple[str, ...]) -> list[str]:
+    """Return the lines of the table of measured points of some slopes."""
     lines = ["| figure | unit | measured (size: value) |", "| --- | --- | --- |"]
     for slope in slopes:
         if slope.name in names:
@@ -70,6 +72,7 @@
 
 
 def row_table(rows: list[Row], role: str) -> list[str]:
+    """Return the lines of the table of capacity rows of a role."""
     lines = [
         "| line | how | value | unit | limit | held |",
         "| --- | --- | --- | --- | --- | --- |",
@@ -85,6 +88,7 @@
 
 
 def describe_machine(took_s: float) -> str:
+    """Return a line with the date, duration and machine of the measurement."""
     day = datetime.now(UTC).strftime("%Y-%m-%d")
     return (
         f"Measured on {day} with `make slopes` in {took_s:.0f} s on {os.cpu_count()} "
--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -63,6 +63,7 @@
 
 
 def engines_at(address: str, count: int) -> tuple[BackendServer, ...]:
+    """Return backend servers that all have the same address."""
     return tuple(
         BackendServer(
             f"engine-{n:03}",
@@ -194,6 +195,7 @@
 
 
 async def idle_cpu_share(fleet: ProcessFleet, bundle: Bundle | None) -> float:
+    """Return the CPU share of an entry host that serves no requests."""
     if bundle is not None:
         await fleet.roll(bundle)
     await fleet.wait_ready()
@@ -214,6 +216,7 @@
 
 
 async def cpu_ms_per_request(fleet: ProcessFleet, tokens: int) -> float:
+    """Return the CPU time of an entry host per request, without its idle share."""
     address = fleet.callers[0]
 
     def call(number: int) -> None:
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -100,8 +100,7 @@
     if not urgent:
         prompt, output = shape.tolerant_prompt_tokens, shape.tolerant_output_tokens
     if is_atypical:
-        # Some urgent prompts are long and some delay-tolerant ones short, so that
-        # prompt length alone doesn't reveal the urgency.
+        # Some urgent prompts are long, and some delay-tolerant ones short.
         prompt = 1200 if urgent else 500
     prompt = min(8000, max(16, round(prompt * math.exp(rng.gauss(0, 0.3)))))
     output = min(MAX_OUTPUT_TOKENS, max(4, round(output * math.exp(rng.gauss(0, 0.3)))))
