Name responses and units in the benchmarks

A response was called reply, and some rates and sizes had no unit in their names. Rename these locals.

The benchmarks themselves are not run.

--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -367,11 +367,11 @@
     log_rows(sheet, rolls_per_s)
 
 
-def log_rows(sheet: CapacitySheet, rolls: float) -> None:
+def log_rows(sheet: CapacitySheet, rolls_per_s: float) -> None:
     """Add the costs of followers and of the ledger."""
     role = "follower"
     logged_bytes_per_s = (
-        sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls
+        sheet.cost_at("propose_bytes_per_runner", BACKEND_SERVERS) * rolls_per_s
     )
     sheet.add_row(
         role,
@@ -397,7 +397,7 @@
         MAX_CORE_PERCENT,
     )
     role = "ledger"
-    calls = REQUESTS_PER_S * LEDGER_SHARE
+    calls_per_s = REQUESTS_PER_S * LEDGER_SHARE
     max_commits_per_s = max(
         rate for _, rate in sheet.slopes["ledger_commits_per_s"].points
     )
@@ -408,7 +408,7 @@
         role,
         "commits if 5% of requests must not be repeated",
         "2 for each of 140 calls/s",
-        2 * calls,
+        2 * calls_per_s,
         "1/s",
         max_commits_per_s,
     )
@@ -417,7 +417,7 @@
         role,
         "memory of 24 h of them",
         "`control_state_bytes_per_ledger_call`",
-        calls * DAY_S * call_bytes / 1e6,
+        calls_per_s * DAY_S * call_bytes / 1e6,
         "MB",
         MAX_MEMORY_MB,
     )
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -224,8 +224,8 @@
 
     def _schedule_step(self) -> None:
         """Schedule the next decode step; it takes longer with a fuller batch."""
-        fill = len(self.running) / self.spec.slots
-        step_s = self.spec.decode_step_ms / 1000 * (0.5 + 0.5 * fill)
+        batch_fill = len(self.running) / self.spec.slots
+        step_s = self.spec.decode_step_ms / 1000 * (0.5 + 0.5 * batch_fill)
         step_s += IMPORT_COST_S * self.finished_imports
         self.finished_imports = 0
         self.busy_slot_s += step_s * len(self.running)
--- a/bench/process.py
+++ b/bench/process.py
@@ -128,10 +128,10 @@
     try:
         started_s = time.perf_counter()
         connection.request("POST", path, json.dumps(body), headers)
-        reply = connection.getresponse()
-        if reply.status != 200:
-            raise RuntimeError(f"{path}: {reply.status} {reply.read()[:200]!r}")
-        while line := reply.readline():
+        response = connection.getresponse()
+        if response.status != 200:
+            raise RuntimeError(f"{path}: {response.status} {response.read()[:200]!r}")
+        while line := response.readline():
             if b"text" in line:
                 return (time.perf_counter() - started_s) * 1000
         raise RuntimeError(f"{path}: response ended without a token")
--- a/bench/process_client.py
+++ b/bench/process_client.py
@@ -32,10 +32,10 @@
             self.done = True
         # The final event has an id but no token.
         for part in data.split(b"id: ")[1:]:
-            number = part[: part.index(b"\n")]
+            offset = part[: part.index(b"\n")]
             if b'"finish_reason":null' not in part:
                 continue
-            self.offsets.append(int(number))
+            self.offsets.append(int(offset))
             if self._last_s:
                 self.gaps_s.append(now_s - self._last_s)
             self._last_s = now_s
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -273,11 +273,11 @@
         self.clock.after(HOP_DELAY_S, self.notify_cell, request.is_service, event)
 
     def receive_submit_response(self, action) -> None:
-        request, reply = self.requests_by_id[action.request_id], action.reply
-        if not isinstance(reply, Placement):
+        request, response = self.requests_by_id[action.request_id], action.reply
+        if not isinstance(response, Placement):
             self.phases.pop(request, None)
-            return self.receive_refusal(request, reply.failure)
-        if reply.attempt != request.attempt or request in self.engine_runs:
+            return self.receive_refusal(request, response.failure)
+        if response.attempt != request.attempt or request in self.engine_runs:
             return
         if request.is_abandoned:
             return
@@ -286,16 +286,16 @@
             self.phases[request] = RequestPhase.DECODING
             self.clock.after(request.service_s, self.finish_service, request)
             return
-        decode = self.engines[reply.decode_server]
-        source = self.engines[reply.prefill_server]
+        decode = self.engines[response.decode_server]
+        source = self.engines[response.prefill_server]
         if isinstance(decode, PrefillEngine) or isinstance(source, DecodeEngine):
             # The engine changed its role after the placement decision.
             request.attempt += 1
             return self.submit_request(request)
         run = EngineRun(
             request,
-            reply.attempt,
-            reply.priority,
+            response.attempt,
+            response.priority,
             decode,
             request.prompt_tokens + request.produced_tokens,
             self.receive_token,
--- a/bench/slope_processes.py
+++ b/bench/slope_processes.py
@@ -152,8 +152,8 @@
     def end(self) -> "UsageWindow":
         """Record the differences since the creation."""
         self.took_s = time.monotonic() - self._start_s
-        now = {name: cpu_s(pid) for name, pid in self._fleet.pids().items()}
-        self.cpu_s = {name: now[name] - was for name, was in self._cpu_s.items()}
+        now_s = {name: cpu_s(pid) for name, pid in self._fleet.pids().items()}
+        self.cpu_s = {name: now_s[name] - was for name, was in self._cpu_s.items()}
         totals = self._total_traffic()
         self.traffic = {
             key: value - self._initial_traffic.get(key, 0)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -139,31 +139,31 @@
     mean_pieces = sum(
         p * d for p, d in zip(pieces_per_request, decode_s, strict=True)
     ) / sum(decode_s)
-    pieces = int(20 * mean_pieces * 1.1)
+    kv_pieces = int(20 * mean_pieces * 1.1)
     prefill_s = sum(
         s.prompt_tokens * (1 if s.is_urgent else 1 - 0.9 * shape.shared_prefix_share)
         for s in samples
     ) / (8000 * count)
-    rate = min(2 / prefill_s, 60 / (sum(decode_s) / count))
-    tokens = sum(s.prompt_tokens + s.output_tokens for s in samples) / count
+    requests_per_s = min(2 / prefill_s, 60 / (sum(decode_s) / count))
+    mean_tokens = sum(s.prompt_tokens + s.output_tokens for s in samples) / count
     workspaces = tuple(
         Workspace(
             name,
-            tokens * rate * share * RATE_MARGIN * load,
-            tokens * rate * share * BURST_S * max(load, 1.0) + 20_000,
+            mean_tokens * requests_per_s * share * RATE_MARGIN * load,
+            mean_tokens * requests_per_s * share * BURST_S * max(load, 1.0) + 20_000,
             share,
         )
         for name, share in WORKSPACE_SHARES.items()
     )
     role = BackendServerRole
-    base = BackendServer("", "cell", role.DECODE, "m", "dc", "", 20, pieces)
+    base = BackendServer("", "cell", role.DECODE, "m", "dc", "", 20, kv_pieces)
     engines = tuple(
         name_server(base, f"e{n}", role.PREFILL if n < 2 else role.DECODE, n)
         for n in range(5)
     )
     service = BackendServer("", "svc", role.SERVICE, "m", "dc", "", 8)
     services = tuple(name_server(service, f"s{n}", role.SERVICE, n) for n in range(3))
-    return SimulatedFleet(engines, services, workspaces, rate)
+    return SimulatedFleet(engines, services, workspaces, requests_per_s)
 
 
 def name_server(base, name, role, number):
