--- a/bench/process.py
+++ b/bench/process.py
@@ -1,6 +1,7 @@
-"""Measures real processes on loopback: ``python -m bench.process``.
+"""Measures a fleet of real processes on loopback: ``python -m bench.process``.
 
-Prints one line per figure and writes ``out/process.json``.
+Prints one line per figure and writes ``out/process.json``. An optional argument names
+a folder that receives the log files of the processes.
 """
 
 import http.client
@@ -41,28 +42,28 @@
     WithdrawKey,
 )
 
-KEY = KEYS["magicians"]
-MEMORY_BOUND_MB = 64.0
+CALLER_KEY = KEYS["magicians"]
+MAX_MEMORY_MB = 64.0
 ROUND_TRIPS = 3
-PROCESSING_BOUND_MS = 5.0
-GAP_BOUND_MS = 78.0
-IN_FORCE_BOUND_S = 4.0
-STREAMS = 300
+MAX_PROCESSING_MS = 5.0
+MAX_TOKEN_GAP_MS = 78.0
+MAX_IN_FORCE_S = 4.0
+STREAM_COUNT = 300
 STREAM_TOKENS = 260
-CLIENTS = 2
-REQUESTS = 50
-STEP_MS = 50.0
+CLIENT_PROCESSES = 2
+FIRST_TOKEN_REQUESTS = 50
+DECODE_STEP_MS = 50.0
 ENGINES = {f"prefill-{n}": "prefill" for n in range(1, 5)} | {
     f"decode-{n}": "decode" for n in range(1, 9)
 }
-# Enough for all streams, so that neither slots nor memory are the limit.
-SLOTS = 60
-EXTRA_KEYS = tuple(f"bench-key-{number}" for number in range(3))
+# Enough for all streams, so that neither slots nor memory limit them.
+SLOTS_PER_ENGINE = 60
+KEYS_TO_WITHDRAW = tuple(f"bench-key-{number}" for number in range(3))
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-class Report:
-    """Figures, printed as they come."""
+class FigureReport:
+    """Collects figures and prints each one when it is added."""
 
     def __init__(self) -> None:
         self.figures: list[dict[str, object]] = []
@@ -84,20 +85,20 @@
         print(*(f"{key}={value}" for key, value in item.items()), flush=True)
 
 
-def memory_mb(pid: int) -> float:
+def rss_mb(pid: int) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / 1024
     raise ProcessLookupError(pid)
 
 
-def processor_s(pid: int) -> float:
+def cpu_time_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
 
 def round_trip_ms() -> float:
-    """Return the median of a byte's way there and back on loopback."""
+    """Return the median round-trip time of one byte on loopback."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def echo() -> None:
@@ -108,40 +109,40 @@
 
     thread = threading.Thread(target=echo)
     thread.start()
-    found = []
+    round_trips_ms = []
     with socket.create_connection(listener.getsockname()) as link:
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for _ in range(200):
             started_s = time.perf_counter()
             link.sendall(b"x")
             link.recv(1)
-            found.append((time.perf_counter() - started_s) * 1000)
+            round_trips_ms.append((time.perf_counter() - started_s) * 1000)
     thread.join()
     listener.close()
-    return statistics.median(found)
+    return statistics.median(round_trips_ms)
 
 
 def first_line_ms(address: str, path: str, body: dict, headers: dict) -> float:
-    """Return the time to the first line that carries a token."""
+    """Return the time until the first response line with a token."""
     connection = http.client.HTTPConnection(address, timeout=10)
     try:
         started_s = time.perf_counter()
         connection.request("POST", path, json.dumps(body), headers)
-        reply = connection.getresponse()
-        if reply.status != 200:
-            raise RuntimeError(f"{path}: {reply.status} {reply.read()[:200]!r}")
-        while line := reply.readline():
+        response = connection.getresponse()
+        if response.status != 200:
+            raise RuntimeError(f"{path}: {response.status} {response.read()[:200]!r}")
+        while line := response.readline():
             if b"text" in line:
                 return (time.perf_counter() - started_s) * 1000
-        raise RuntimeError(f"{path}: no token")
+        raise RuntimeError(f"{path}: response ended without a token")
     finally:
         connection.close()
 
 
-class Bench:
-    """The measurements on one running fleet."""
+class ProcessBench:
+    """Starts one fleet and measures it."""
 
-    def __init__(self, processes: Processes, report: Report) -> None:
+    def __init__(self, processes: Processes, report: FigureReport) -> None:
         self.processes = processes
         self.layout = processes.layout
         self.report = report
@@ -150,26 +151,27 @@
 
     def run(self) -> None:
         self.processes.start_all()
-        self.roll()
-        self.wait("first bundle", lambda: self.versions() == {1})
-        self.memory()
-        self.first_token()
-        self.streams()
-        # The fleet's first engine reports and leases come before the faults.
-        self.in_force("", None)
-        self.in_force("_leader_killed", signal.SIGKILL)
-        self.in_force("_leader_stopped", signal.SIGSTOP)
-
-    def wait(self, what: str, condition: Callable[[], bool]) -> float:
-        """Return after how many seconds `condition` held."""
+        self.roll_bundle()
+        self.wait_until("first bundle", lambda: self.active_versions() == {1})
+        self.measure_idle_memory()
+        self.measure_first_token()
+        self.measure_streams()
+        # Measured without faults first, so that every engine has reported and every
+        # lease is held before a leader fails.
+        self.measure_in_force("", None)
+        self.measure_in_force("_leader_killed", signal.SIGKILL)
+        self.measure_in_force("_leader_stopped", signal.SIGSTOP)
+
+    def wait_until(self, what: str, condition: Callable[[], bool]) -> float:
+        """Poll until `condition` is true and return the elapsed seconds."""
         started_s = time.perf_counter()
-        while not _holds(condition):
+        while not _is_met(condition):
             if time.perf_counter() - started_s > 20:
                 raise TimeoutError(what)
             time.sleep(0.01)
         return time.perf_counter() - started_s
 
-    def commit(self, command: Command, key: str = ALICE_KEY) -> str:
+    def commit_command(self, command: Command, key: str = ALICE_KEY) -> str:
         async def send() -> str:
             calls = LeaderClient(self.layout.control_addresses(), operator_key=key)
             result = await calls.propose(command, 10.0)
@@ -180,7 +182,7 @@
 
         return anyio.run(send)
 
-    def leader(self) -> str:
+    def find_leader(self) -> str:
         async def ask() -> str:
             calls = LeaderClient(self.layout.control_addresses())
             status = await calls.status(10.0)
@@ -189,52 +191,57 @@
 
         return anyio.run(ask)
 
-    def prepare(self) -> RollBundle:
-        """Return the command that rolls a new, signed-off bundle."""
+    def prepare_roll(self) -> RollBundle:
+        """Propose and sign off a new bundle and return the command that rolls it."""
         path = self.layout.bundle(f"bundle-{self.version + 1}", 1e6 + self.version)
         content = json.loads(path.read_text())
-        for key in EXTRA_KEYS:
+        for key in KEYS_TO_WITHDRAW:
             content["keys"].append({"digest": digest(key), "workspace": "magicians"})
         for workspace in content["workspaces"]:
             workspace["burst_tokens"] = 1e6
         path.write_text(json.dumps(content))
         bundle = read_bundle(path).unwrap()
-        proposal = self.commit(
-            ProposeBundle(command_id=_id(), operator="alice", bundle=bundle)
+        proposal = self.commit_command(
+            ProposeBundle(command_id=_new_command_id(), operator="alice", bundle=bundle)
         )
-        self.commit(
-            SignOffBundle(command_id=_id(), operator="bob", proposal=proposal), BOB_KEY
+        self.commit_command(
+            SignOffBundle(
+                command_id=_new_command_id(), operator="bob", proposal=proposal
+            ),
+            BOB_KEY,
         )
         return RollBundle(
-            command_id=_id(),
+            command_id=_new_command_id(),
             operator="alice",
             proposal=proposal,
             expected_version=self.version,
         )
 
-    def roll(self) -> None:
-        self.commit(self.prepare())
+    def roll_bundle(self) -> None:
+        self.commit_command(self.prepare_roll())
         self.version += 1
 
-    def versions(self) -> set[int]:
-        found = set()
+    def active_versions(self) -> set[int]:
+        versions = set()
         for name in ENTRIES:
             text = fetch(self.layout.addresses[f"{name}/operators"], "/metrics")
             for line in text.splitlines():
                 if line.startswith("damaskridge_bundle_version "):
-                    found.add(int(float(line.split()[1])))
-        return found
+                    versions.add(int(float(line.split()[1])))
+        return versions
 
-    def memory(self) -> None:
+    def measure_idle_memory(self) -> None:
+        """Measure the largest memory of each role after a few idle seconds."""
         time.sleep(5.0)
         for role, names in (("entry", ENTRIES), ("control", CONTROLS)):
-            value = max(memory_mb(self.processes.running[n].pid) for n in names)
-            self.report.add(f"idle_memory_{role}", value, "MB", MEMORY_BOUND_MB)
+            value = max(rss_mb(self.processes.running[n].pid) for n in names)
+            self.report.add(f"idle_memory_{role}", value, "MB", MAX_MEMORY_MB)
 
-    def first_token(self) -> None:
-        bound_ms = ROUND_TRIPS * round_trip_ms() + PROCESSING_BOUND_MS
+    def measure_first_token(self) -> None:
+        """Measure the latency that routing adds to the first token."""
+        bound_ms = ROUND_TRIPS * round_trip_ms() + MAX_PROCESSING_MS
         routed, direct = [], []
-        for number in range(REQUESTS):
+        for number in range(FIRST_TOKEN_REQUESTS):
             prompt = f"{number} which sail is ready?"
             routed.append(self.routed_ms(prompt))
             direct.append(self.direct_ms(prompt, f"direct-{number}.1"))
@@ -244,11 +251,16 @@
         self.report.add("first_token_added", added_ms, "ms", bound_ms)
 
     def routed_ms(self, prompt: str) -> float:
+        """Return the time to the first token through an entry host."""
         body = {"model": "notes", "prompt": prompt, "max_tokens": 2, "stream": True}
-        headers = {"authorization": f"Bearer {KEY}", "content-type": "application/json"}
+        headers = {
+            "authorization": f"Bearer {CALLER_KEY}",
+            "content-type": "application/json",
+        }
         return first_line_ms(self.callers[0], "/v1/completions", body, headers)
 
     def direct_ms(self, prompt: str, name: str) -> float:
+        """Return the time to the first token with direct calls of the engines."""
         prefill = self.layout.addresses["prefill-1"]
         decode = self.layout.addresses["decode-1"]
         headers = {"content-type": "application/json"}
@@ -268,11 +280,18 @@
         }
         return prefill_ms + first_line_ms(decode, "/v1/decode", request, headers)
 
-    def streams(self) -> None:
+    def measure_streams(self) -> None:
+        """Measure token gaps, CPU time and memory with many concurrent streams."""
         pid = self.processes.running[ENTRIES[0]].pid
-        before_s = processor_s(pid)
-        command = [sys.executable, "-m", "bench.process_client", self.callers[0], KEY]
-        command += [str(STREAMS // CLIENTS), str(STREAM_TOKENS)]
+        before_s = cpu_time_s(pid)
+        command = [
+            sys.executable,
+            "-m",
+            "bench.process_client",
+            self.callers[0],
+            CALLER_KEY,
+        ]
+        command += [str(STREAM_COUNT // CLIENT_PROCESSES), str(STREAM_TOKENS)]
         clients = [
             subprocess.Popen(
                 command,
@@ -280,48 +299,54 @@
                 env=self.processes.environment,
                 stdout=subprocess.PIPE,
             )
-            for _ in range(CLIENTS)
+            for _ in range(CLIENT_PROCESSES)
         ]
         results = [json.loads(client.communicate()[0]) for client in clients]
-        used_s = processor_s(pid) - before_s
+        used_s = cpu_time_s(pid) - before_s
         gaps_ms = sorted(gap for item in results for gap in item["gaps_ms"])
-        broken = STREAMS - sum(item["whole"] for item in results)
+        broken = STREAM_COUNT - sum(item["whole"] for item in results)
         for item in results:
-            for seen in item["broken"]:
-                print(f"# broken stream: {seen}")
-        tokens = len(gaps_ms) + STREAMS
+            for broken_stream in item["broken"]:
+                print(f"# broken stream: {broken_stream}")
+        tokens = len(gaps_ms) + STREAM_COUNT
         self.report.add("streams_not_whole", broken, "streams", 0)
         gap_ms = gaps_ms[int(len(gaps_ms) * 0.95)] if gaps_ms else float("inf")
-        self.report.add("token_gap_p95", gap_ms, "ms", GAP_BOUND_MS)
+        self.report.add("token_gap_p95", gap_ms, "ms", MAX_TOKEN_GAP_MS)
         self.report.add("processor_per_token", used_s / tokens * 1e6, "us")
-        self.report.add("entry_memory_after_streams", memory_mb(pid), "MB")
+        self.report.add("entry_memory_after_streams", rss_mb(pid), "MB")
 
-    def in_force(self, suffix: str, fault: signal.Signals | None) -> None:
-        key = EXTRA_KEYS[("", "_leader_killed", "_leader_stopped").index(suffix)]
+    def measure_in_force(self, suffix: str, fault: signal.Signals | None) -> None:
+        """Measure how long a key withdrawal and a roll take to reach all hosts."""
+        key = KEYS_TO_WITHDRAW[("", "_leader_killed", "_leader_stopped").index(suffix)]
         command = WithdrawKey(
-            command_id=_id(), operator="alice", key_digest=digest(key)
+            command_id=_new_command_id(), operator="alice", key_digest=digest(key)
         )
-        took_s = self.measure(command, fault, lambda: self.refused(key))
-        self.report.add(f"key_withdrawn{suffix}", took_s, "s", IN_FORCE_BOUND_S)
-        command = self.prepare()
+        took_s = self.measure_effect_s(command, fault, lambda: self.is_key_refused(key))
+        self.report.add(f"key_withdrawn{suffix}", took_s, "s", MAX_IN_FORCE_S)
+        command = self.prepare_roll()
         self.version += 1
         target = self.version
-        took_s = self.measure(command, fault, lambda: self.versions() == {target})
-        self.report.add(f"bundle_in_force{suffix}", took_s, "s", IN_FORCE_BOUND_S)
+        took_s = self.measure_effect_s(
+            command, fault, lambda: self.active_versions() == {target}
+        )
+        self.report.add(f"bundle_in_force{suffix}", took_s, "s", MAX_IN_FORCE_S)
 
-    def measure(
+    def measure_effect_s(
         self,
         command: Command,
         fault: signal.Signals | None,
         condition: Callable[[], bool],
     ) -> float:
-        """Return how long a command takes from its acknowledgement to its effect."""
-        leader = self.leader()
+        """Return the seconds from the acknowledgement of a command to its effect.
+
+        `fault` is a signal to the leader, sent after the acknowledgement.
+        """
+        leader = self.find_leader()
         process = self.processes.running[leader]
-        self.commit(command)
+        self.commit_command(command)
         if fault is not None:
             process.send_signal(fault)
-        took_s = self.wait(type(command).__name__, condition)
+        took_s = self.wait_until(type(command).__name__, condition)
         if fault is signal.SIGKILL:
             self.processes.kill(leader)
             self.processes.start_control(leader)
@@ -330,7 +355,7 @@
         time.sleep(3.0)
         return took_s
 
-    def refused(self, key: str) -> bool:
+    def is_key_refused(self, key: str) -> bool:
         return all(_error_kind(item, key) == "key_withdrawn" for item in self.callers)
 
 
@@ -345,25 +370,28 @@
         connection.close()
 
 
-def _holds(condition: Callable[[], bool]) -> bool:
+def _is_met(condition: Callable[[], bool]) -> bool:
     try:
         return condition()
     except (OSError, ValueError, http.client.HTTPException):
         return False
 
 
-def _id() -> str:
+def _new_command_id() -> str:
     return f"bench/{uuid.uuid4().hex}"
 
 
 def main() -> int:
-    report = Report()
+    report = FigureReport()
     with tempfile.TemporaryDirectory(prefix="damaskridge-bench-") as folder:
         layout = Layout(
-            Path(folder), engines=ENGINES, slots=SLOTS, decode_step_ms=STEP_MS
+            Path(folder),
+            engines=ENGINES,
+            slots=SLOTS_PER_ENGINE,
+            decode_step_ms=DECODE_STEP_MS,
         )
         with Processes(layout) as processes:
-            Bench(processes, report).run()
+            ProcessBench(processes, report).run()
             if len(sys.argv) > 1:
                 for name in ENTRIES + CONTROLS:
                     text = processes.log_path(name).read_text()
