Name the events and actions of the state machines by what they are

The actions that send a response to a front kept it in a field `reply`, three packages had an event TimePassed, and RequestSpec and Placed said little about what they hold.

The field is `response`, SendRateReply is SendRateResponse, and _reply_grant and _reply_duplicate are _send_grant and _send_duplicate; the guard in tests/system/guards.py that patches _send_grant follows. TimePassed is RequestTimerFired, SchedulerTimerFired and RateTimerFired. RequestSpec is RequestParameters and Placed is AttemptPlaced. The lists `__all__` of the three message modules are sorted again.

--- a/bench/growth.py
+++ b/bench/growth.py
@@ -105,7 +105,7 @@
 
     def _record_placements(self, actions: list) -> None:
         for action in actions:
-            if isinstance(action.reply, Placement):
+            if isinstance(action.response, Placement):
                 self._running_ids.append(action.request_id)
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -193,7 +193,7 @@
     def wake_cell(self, is_service, wakeup_s) -> None:
         if self.wakeups.get(is_service) == wakeup_s:
             del self.wakeups[is_service]
-            self.notify_cell(is_service, sm.TimePassed())
+            self.notify_cell(is_service, sm.SchedulerTimerFired())
 
     def notify_rate_owner(self, event) -> None:
         """Pass an event to the rate owner and schedule its responses and wakeup."""
@@ -210,7 +210,7 @@
     def wake_rate_owner(self, wakeup_s) -> None:
         if self.wakeups.get("rates") == wakeup_s:
             del self.wakeups["rates"]
-            self.notify_rate_owner(lm.TimePassed(2.0))
+            self.notify_rate_owner(lm.RateTimerFired(2.0))
 
     # The steps of a request at its front.
 
@@ -239,8 +239,8 @@
 
     def receive_rate_response(self, action) -> None:
         request = self.requests_by_id[action.request_id.rpartition("-")[0]]
-        if not isinstance(action.reply, RateGrant):
-            return self.receive_refusal(request, action.reply.failure)
+        if not isinstance(action.response, RateGrant):
+            return self.receive_refusal(request, action.response.failure)
         cost = self.cost_tokens(request)
         self.result.rate_charges[request.workspace].append((self.clock.now_s, cost))
         self.grant_epochs[request] = self.epoch
@@ -273,7 +273,7 @@
         self.clock.after(HOP_DELAY_S, self.notify_cell, request.is_service, event)
 
     def receive_submit_response(self, action) -> None:
-        request, response = self.requests_by_id[action.request_id], action.reply
+        request, response = self.requests_by_id[action.request_id], action.response
         if not isinstance(response, Placement):
             self.phases.pop(request, None)
             return self.receive_refusal(request, response.failure)
--- a/src/damaskridge/adapters/cell_event_log.py
+++ b/src/damaskridge/adapters/cell_event_log.py
@@ -8,9 +8,9 @@
     CellAction,
     CellEvent,
     EngineRequestsListed,
+    SchedulerTimerFired,
     SendOrder,
     SendSubmitResponse,
-    TimePassed,
 )
 from damaskridge.model.control import Owner
 from damaskridge.model.engine import OrderKind
@@ -34,7 +34,7 @@
             role=action.value,
         )
     elif isinstance(action, CancelOnEngine) and isinstance(
-        event, TimePassed | EngineRequestsListed
+        event, SchedulerTimerFired | EngineRequestsListed
     ):
         # On these events the scheduler reclaims a request by itself. All others that
         # lead to a cancellation come from the request's front.
@@ -57,7 +57,7 @@
 
 
 def _log_submit_response(action: SendSubmitResponse) -> None:
-    response = action.reply
+    response = action.response
     if isinstance(response, Placement):
         log_event(
             _logger,
--- a/src/damaskridge/adapters/cell_worker.py
+++ b/src/damaskridge/adapters/cell_worker.py
@@ -31,12 +31,12 @@
     ReportCrashedRequests,
     ReportSuspectCleared,
     RequestRegistered,
+    SchedulerTimerFired,
     SendOrder,
     SendSubmitResponse,
     SendTakeOverResponse,
     ServerLeaveCancelled,
     ServerLeaving,
-    TimePassed,
 )
 from damaskridge.core.state.fleet_queries import servers_of_cell
 from damaskridge.model.bundle import BackendServer, BackendServerRole, Workspace
@@ -64,7 +64,7 @@
         ...
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return when `TimePassed` is due next, None if it isn't needed."""
+        """Return when `SchedulerTimerFired` is due next, None if it isn't needed."""
         ...
 
 
@@ -159,7 +159,7 @@
                     group.start_soon(function, *args)
                 while not self._stopped:
                     self._detect_lost_fronts()
-                    self.handle(TimePassed())
+                    self.handle(SchedulerTimerFired())
                     wake = self._wake = anyio.Event()
                     with anyio.move_on_after(self._sleep_duration_s()):
                         await wake.wait()
@@ -188,7 +188,7 @@
         if not self._rebuild_logged and self._scheduler.is_rebuilt(now_s):
             self._rebuild_logged = True
             log_cell_rebuilt(self.owner)
-        if not isinstance(event, TimePassed):
+        if not isinstance(event, SchedulerTimerFired):
             self._wake.set()
 
     def record_contact(self, front: str, incarnation: int) -> None:
@@ -315,13 +315,13 @@
     @_execute.register
     def _(self, action: SendSubmitResponse) -> None:
         self._dependencies.pending_submits.resolve(
-            action.front, action.request_id, action.reply
+            action.front, action.request_id, action.response
         )
 
     @_execute.register
     def _(self, action: SendTakeOverResponse) -> None:
         self._dependencies.pending_take_overs.resolve(
-            action.front, action.request_id, action.reply
+            action.front, action.request_id, action.response
         )
 
     @_execute.register
--- a/src/damaskridge/adapters/front_call.py
+++ b/src/damaskridge/adapters/front_call.py
@@ -29,12 +29,12 @@
     AskPlacement,
     AskRate,
     AttemptFailed,
+    AttemptPlaced,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
     CloseRequest,
     DeliverChunks,
-    Placed,
     PlacementRefused,
     Prefilled,
     RateGranted,
@@ -43,13 +43,13 @@
     ReportProgress,
     RequestAccepted,
     RequestEvent,
-    RequestSpec,
+    RequestParameters,
+    RequestTimerFired,
     ResumeDecode,
     SendDecode,
     SendPrefill,
     Stage,
     TakenOver,
-    TimePassed,
     WithdrawRequest,
 )
 from damaskridge.core.state.fleet_queries import (
@@ -92,7 +92,7 @@
         Path of the HTTP request.
     streaming : bool
         Whether the caller reads a stream of events.
-    spec : RequestSpec
+    spec : RequestParameters
         Model, prompt and limits.
     fingerprint : str
         Digest of model and prompt, by which a request that crashes engines is
@@ -106,7 +106,7 @@
     key_digest: str
     route: str
     streaming: bool
-    spec: RequestSpec
+    spec: RequestParameters
     fingerprint: str = ""
     idempotency_key: str = ""
     body_digest: str = ""
@@ -239,7 +239,7 @@
     def _on_timer(self) -> None:
         self._timer_due_s = float("inf")
         self._timer = None
-        self.dispatch(TimePassed())
+        self.dispatch(RequestTimerFired())
 
     def _start_step(self, work: Coroutine[Any, Any, None]) -> None:
         """Replace the running step (a call to an owner or an engine) by `work`."""
@@ -434,7 +434,7 @@
         # The key may have been withdrawn while the request was queued.
         failure = self._context.check_key(self.call.key_digest)
         if failure is None or self.machine.texts:
-            self.dispatch(Placed(placement))
+            self.dispatch(AttemptPlaced(placement))
         else:
             self.cancel(failure)
 
--- a/src/damaskridge/adapters/front_resume.py
+++ b/src/damaskridge/adapters/front_resume.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.front_context import FrontContext, closing_stream
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import StreamFailed
-from damaskridge.core.requests.messages import RequestSpec, TakeOverGranted
+from damaskridge.core.requests.messages import RequestParameters, TakeOverGranted
 from damaskridge.core.state.fleet_queries import cell_resource
 from damaskridge.model.bundle import BackendServerRole
 from damaskridge.model.control import Owner
@@ -231,7 +231,7 @@
         profile = active.profile
         if profile.request_id in self._model_calls:
             return
-        spec = RequestSpec(
+        spec = RequestParameters(
             request_id=profile.request_id,
             model=profile.model,
             prompt="",
--- a/src/damaskridge/adapters/http/app.py
+++ b/src/damaskridge/adapters/http/app.py
@@ -43,7 +43,7 @@
 from damaskridge.adapters.http.responses import ResponseFormat, error_event
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.ports import ServiceCall, StreamFailed
-from damaskridge.core.requests.messages import RequestSpec
+from damaskridge.core.requests.messages import RequestParameters
 from damaskridge.core.state.fleet_queries import caller_addresses_for
 from damaskridge.model.engine import estimate_tokens
 from damaskridge.model.errors import ErrorKind, Failure
@@ -188,7 +188,7 @@
         text = body.text
         if contains_key(text, key):
             raise RequestError(Failure(ErrorKind.INVALID_REQUEST, "contains the key"))
-        spec = RequestSpec(
+        spec = RequestParameters(
             request_id=exchange.request_id,
             model=model.name,
             prompt=text,
--- a/src/damaskridge/adapters/rate_runtime.py
+++ b/src/damaskridge/adapters/rate_runtime.py
@@ -23,13 +23,13 @@
     RateAction,
     RateEvent,
     RateRequested,
+    RateTimerFired,
     RefundReceived,
     ReleaseBucket,
     ReleaseRequested,
     RequestActive,
     RequestEnded,
-    SendRateReply,
-    TimePassed,
+    SendRateResponse,
     WorkspaceChanged,
 )
 from damaskridge.core.state.fleet_queries import find_workspace, workspace_resource
@@ -60,7 +60,7 @@
         ...
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return when `TimePassed` is due next, None if it isn't needed."""
+        """Return when `RateTimerFired` is due next, None if it isn't needed."""
         ...
 
 
@@ -127,7 +127,7 @@
             while True:
                 self.sync_ownership()
                 if self._owned:
-                    self._handle(TimePassed(self._lease_remaining_s()))
+                    self._handle(RateTimerFired(self._lease_remaining_s()))
                 wake = self._wake = anyio.Event()
                 with anyio.move_on_after(self._sleep_duration_s()):
                     await wake.wait()
@@ -262,8 +262,8 @@
 
     def _execute(self, actions: list[RateAction]) -> None:
         for action in actions:
-            if isinstance(action, SendRateReply):
-                self._pending.resolve(action.front, action.request_id, action.reply)
+            if isinstance(action, SendRateResponse):
+                self._pending.resolve(action.front, action.request_id, action.response)
             else:
                 self._spawn(self._propose_release, action)
 
--- a/src/damaskridge/core/limits/messages.py
+++ b/src/damaskridge/core/limits/messages.py
@@ -11,13 +11,13 @@
     "RateAction",
     "RateEvent",
     "RateRequested",
+    "RateTimerFired",
     "RefundReceived",
     "ReleaseBucket",
     "ReleaseRequested",
     "RequestActive",
     "RequestEnded",
-    "SendRateReply",
-    "TimePassed",
+    "SendRateResponse",
     "WorkspaceChanged",
 ]
 
@@ -102,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TimePassed:
+class RateTimerFired:
     """Only time has passed: check queues, deadlines and expiry."""
 
     lease_remaining_s: float
@@ -117,17 +117,17 @@
     | RefundReceived
     | RequestActive
     | RequestEnded
-    | TimePassed
+    | RateTimerFired
 )
 
 
 @dataclass(frozen=True, slots=True)
-class SendRateReply:
+class SendRateResponse:
     """Send a response to `front` for the request `request_id`."""
 
     front: str
     request_id: str
-    reply: RateResponse
+    response: RateResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,4 +139,4 @@
     level_tokens: float
 
 
-RateAction = SendRateReply | ReleaseBucket
+RateAction = SendRateResponse | ReleaseBucket
--- a/src/damaskridge/core/limits/rate_owner.py
+++ b/src/damaskridge/core/limits/rate_owner.py
@@ -11,13 +11,13 @@
     RateAction,
     RateEvent,
     RateRequested,
+    RateTimerFired,
     RefundReceived,
     ReleaseBucket,
     ReleaseRequested,
     RequestActive,
     RequestEnded,
-    SendRateReply,
-    TimePassed,
+    SendRateResponse,
     WorkspaceChanged,
 )
 from damaskridge.core.limits.workspace_state import (
@@ -62,7 +62,7 @@
         return self._apply(event, now_s)
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return the time at which `TimePassed` is due, if any."""
+        """Return the time at which `RateTimerFired` is due, if any."""
         times: list[float] = []
         for state in self._workspaces.values():
             if state.awaiting_keys:
@@ -176,7 +176,7 @@
         return self._serve_queue(state, now_s)
 
     @_apply.register
-    def _(self, event: TimePassed, now_s: float) -> list[RateAction]:
+    def _(self, event: RateTimerFired, now_s: float) -> list[RateAction]:
         self._update_lease(event.lease_remaining_s, now_s)
         actions: list[RateAction] = []
         for state in self._workspaces.values():
@@ -216,7 +216,7 @@
         request = entry.request
         request_id = request.request_id
         if request_id in state.charges:
-            return self._reply_grant(state, entry, now_s)
+            return self._send_grant(state, entry, now_s)
         if request_id in state.waiting or request_id in state.awaiting_keys:
             return []
         if request.cost_tokens < 0 or request.cost_tokens > state.bucket.burst_tokens:
@@ -229,7 +229,7 @@
             return []
         known = state.keys.find(request.idempotency_key)
         if known is not None and known.request_id != request_id:
-            return [_reply_duplicate(request, known)]
+            return [_send_duplicate(request, known)]
         return self._grant_or_queue(state, entry, now_s)
 
     def _grant_or_queue(
@@ -242,7 +242,7 @@
         )
         if not state.waiting and self._acquire(state, request, now_s):
             self._record_key(state, request)
-            return self._reply_grant(state, entry, now_s)
+            return self._send_grant(state, entry, now_s)
         needed = state.waiting_tokens + request.cost_tokens
         wait_s = state.bucket.seconds_until(needed, now_s)
         fits = len(state.waiting) < _MAX_QUEUED
@@ -275,7 +275,7 @@
             request = entry.request
             if self._acquire(state, request, now_s):
                 state.dequeue(request.request_id)
-                actions += self._reply_grant(state, entry, now_s)
+                actions += self._send_grant(state, entry, now_s)
             elif now_s >= entry.deadline_s:
                 self._drop(state, request.request_id)
                 wait_s = state.bucket.seconds_until(request.cost_tokens, now_s)
@@ -313,7 +313,7 @@
             )
         )
 
-    def _reply_grant(
+    def _send_grant(
         self, state: WorkspaceState, entry: QueuedRequest, now_s: float
     ) -> list[RateAction]:
         request = entry.request
@@ -326,9 +326,9 @@
             valid_for_s=valid_for_s,
             waited_s=now_s - entry.arrived_s,
         )
-        return [SendRateReply(request.front, request.request_id, grant)]
+        return [SendRateResponse(request.front, request.request_id, grant)]
 
-    def _refuse_rate(self, request: RateRequest, wait_s: float) -> SendRateReply:
+    def _refuse_rate(self, request: RateRequest, wait_s: float) -> SendRateResponse:
         jitter_s = max(wait_s, 0.1) * _MAX_RETRY_JITTER * self._rng.random()
         retry_after_s = min(wait_s + jitter_s, KEY_RETENTION_S)
         return _refuse(request, ErrorKind.RATE_EXCEEDED, retry_after_s=retry_after_s)
@@ -339,17 +339,17 @@
     kind: ErrorKind,
     detail: str = "",
     retry_after_s: float | None = None,
-) -> SendRateReply:
+) -> SendRateResponse:
     failure = Failure(kind, detail, retry_after_s=retry_after_s)
     refused = Refused(request_id=request.request_id, failure=failure)
-    return SendRateReply(request.front, request.request_id, refused)
+    return SendRateResponse(request.front, request.request_id, refused)
 
 
-def _reply_duplicate(request: RateRequest, known: KeyEntry) -> SendRateReply:
+def _send_duplicate(request: RateRequest, known: KeyEntry) -> SendRateResponse:
     """Return the response to a request whose idempotency key is already in use."""
     if known.body_digest != request.body_digest:
         return _refuse(request, ErrorKind.IDEMPOTENCY_CONFLICT)
-    reply = Duplicate(
+    response = Duplicate(
         request_id=known.request_id, front=known.front, finished=known.finished
     )
-    return SendRateReply(request.front, request.request_id, reply)
+    return SendRateResponse(request.front, request.request_id, response)
--- a/src/damaskridge/core/requests/lifecycle.py
+++ b/src/damaskridge/core/requests/lifecycle.py
@@ -8,12 +8,12 @@
     AskPlacement,
     AskRate,
     AttemptFailed,
+    AttemptPlaced,
     CancelOnServer,
     CancelRequested,
     ChunkReceived,
     CloseRequest,
     DeliverChunks,
-    Placed,
     PlacementRefused,
     Prefilled,
     RateGranted,
@@ -23,7 +23,8 @@
     RequestAccepted,
     RequestAction,
     RequestEvent,
-    RequestSpec,
+    RequestParameters,
+    RequestTimerFired,
     ResumeDecode,
     RetryLimits,
     SendDecode,
@@ -31,7 +32,6 @@
     Stage,
     TakenOver,
     TakeOverGranted,
-    TimePassed,
     WithdrawRequest,
 )
 from damaskridge.model.engine import DecodeChunk, DecodeRequest, PrefillRequest
@@ -59,7 +59,7 @@
 
     Parameters
     ----------
-    spec : RequestSpec
+    spec : RequestParameters
         Model, prompt and output limit of the request.
     limits : RetryLimits
         Limits of the attempts.
@@ -75,7 +75,7 @@
     placement : Placement or None
         Engines of the current attempt.
     deadline_s : float
-        Time at which `TimePassed` is due.
+        Time at which `RequestTimerFired` is due.
     texts : list[str]
         Texts of the output tokens received so far, from `base_offset` on.
     base_offset : int
@@ -86,7 +86,7 @@
     """
 
     def __init__(
-        self, spec: RequestSpec, limits: RetryLimits, accepted_s: float
+        self, spec: RequestParameters, limits: RetryLimits, accepted_s: float
     ) -> None:
         self.spec = spec
         self.stage = Stage.NEW
@@ -141,7 +141,7 @@
     def _handle_after_end(self, event: RequestEvent) -> list[RequestAction]:
         # A placement that arrives after the end is reported as ended, so that the cell
         # owner releases its reservation.
-        if isinstance(event, Placed):
+        if isinstance(event, AttemptPlaced):
             self.attempt = max(self.attempt, event.placement.attempt)
             return [ReportProgress(self.progress())]
         return []
@@ -165,7 +165,7 @@
         return self._end(Stage.FAILED, event.failure)
 
     @_handle.register
-    def _(self, event: Placed) -> list[RequestAction]:
+    def _(self, event: AttemptPlaced) -> list[RequestAction]:
         placement = event.placement
         if (
             self.stage is not Stage.QUEUED_FOR_PLACEMENT
@@ -266,7 +266,7 @@
         return [self._resume_decode(), ReportProgress(self.progress())]
 
     @_handle.register
-    def _(self, event: TimePassed) -> list[RequestAction]:
+    def _(self, event: RequestTimerFired) -> list[RequestAction]:
         if self._now_s < self.deadline_s:
             return []
         placement = self._current_placement()
--- a/src/damaskridge/core/requests/messages.py
+++ b/src/damaskridge/core/requests/messages.py
@@ -8,33 +8,33 @@
 from damaskridge.model.routing import Placement, Progress
 
 __all__ = [
-    "RequestAction",
     "AskPlacement",
     "AskRate",
     "AttemptFailed",
-    "RequestAccepted",
+    "AttemptPlaced",
     "CancelOnServer",
     "CancelRequested",
     "ChunkReceived",
     "CloseRequest",
-    "TakeOverGranted",
     "DeliverChunks",
-    "RequestEvent",
-    "RateGranted",
-    "Placed",
     "PlacementRefused",
     "Prefilled",
+    "RateGranted",
     "RateRefused",
     "RefundTokens",
     "ReportProgress",
-    "RequestSpec",
+    "RequestAccepted",
+    "RequestAction",
+    "RequestEvent",
+    "RequestParameters",
+    "RequestTimerFired",
     "ResumeDecode",
     "RetryLimits",
     "SendDecode",
     "SendPrefill",
     "Stage",
+    "TakeOverGranted",
     "TakenOver",
-    "TimePassed",
     "WithdrawRequest",
 ]
 
@@ -54,7 +54,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestSpec:
+class RequestParameters:
     """Parameters of a request; `prompt` never appears in its `repr`."""
 
     request_id: str
@@ -115,7 +115,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Placed:
+class AttemptPlaced:
     """The cell owner placed the attempt on engines."""
 
     placement: Placement
@@ -187,7 +187,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TimePassed:
+class RequestTimerFired:
     """A timer fired; a deadline may have passed."""
 
 
@@ -195,7 +195,7 @@
     RequestAccepted
     | RateGranted
     | RateRefused
-    | Placed
+    | AttemptPlaced
     | PlacementRefused
     | Prefilled
     | ChunkReceived
@@ -203,7 +203,7 @@
     | CancelRequested
     | TakenOver
     | TakeOverGranted
-    | TimePassed
+    | RequestTimerFired
 )
 
 
--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -36,15 +36,15 @@
     "RequestRegistered",
     "RequestSubmitted",
     "RequestWithdrawn",
+    "SchedulerTimerFired",
     "SendOrder",
     "SendSubmitResponse",
     "SendTakeOverResponse",
     "ServerFailed",
+    "ServerLeaveCancelled",
     "ServerLeaving",
     "ServerRecovered",
-    "ServerLeaveCancelled",
     "TakeOverRequested",
-    "TimePassed",
 ]
 
 
@@ -180,7 +180,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TimePassed:
+class SchedulerTimerFired:
     """A timer fired; no other event happened."""
 
 
@@ -201,7 +201,7 @@
     | ServerLeaveCancelled
     | FrontLost
     | TakeOverRequested
-    | TimePassed
+    | SchedulerTimerFired
 )
 
 
@@ -211,7 +211,7 @@
 
     front: str
     request_id: str
-    reply: SubmitResponse
+    response: SubmitResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +220,7 @@
 
     front: str
     request_id: str
-    reply: TakeOverResponse
+    response: TakeOverResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/damaskridge/core/scheduling/scheduler.py
+++ b/src/damaskridge/core/scheduling/scheduler.py
@@ -20,6 +20,7 @@
     RequestRegistered,
     RequestSubmitted,
     RequestWithdrawn,
+    SchedulerTimerFired,
     SendOrder,
     SendSubmitResponse,
     ServerFailed,
@@ -27,7 +28,6 @@
     ServerLeaving,
     ServerRecovered,
     TakeOverRequested,
-    TimePassed,
 )
 from damaskridge.core.scheduling.overload import OverloadControl
 from damaskridge.core.scheduling.recovery import (
@@ -116,7 +116,7 @@
         return actions
 
     def next_wakeup_s(self, now_s: float) -> float | None:
-        """Return the time at which `TimePassed` is due, or `None`."""
+        """Return the time at which `SchedulerTimerFired` is due, or `None`."""
         if self._epoch is None:
             return None
         if not self.is_rebuilt(now_s):
@@ -320,7 +320,7 @@
         return self._recovery.take_over(request, now_s)
 
     @_apply.register
-    def _(self, event: TimePassed, now_s: float) -> list[CellAction]:
+    def _(self, event: SchedulerTimerFired, now_s: float) -> list[CellAction]:
         return []
 
     def is_rebuilt(self, now_s: float) -> bool:
--- a/tests/core/limits/test_rate_owner.py
+++ b/tests/core/limits/test_rate_owner.py
@@ -36,21 +36,27 @@
     return owner
 
 
-def replies(actions):
-    return {a.request_id: a.reply for a in actions if isinstance(a, m.SendRateReply)}
+def responses_by_id(actions):
+    return {
+        a.request_id: a.response for a in actions if isinstance(a, m.SendRateResponse)
+    }
 
 
 def refusal_kind(actions):
     """Return the kind of the only response, which has to be a refusal."""
-    (reply,) = replies(actions).values()
-    assert isinstance(reply, Refused)
-    return reply.failure.kind
+    (response,) = responses_by_id(actions).values()
+    assert isinstance(response, Refused)
+    return response.failure.kind
 
 
 def test_request_id_is_charged_once():
     owner = make_owner()
-    assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
-    assert isinstance(replies(owner.handle(request(1, 200), 0.0))["r1"], RateGrant)
+    assert isinstance(
+        responses_by_id(owner.handle(request(1, 200), 0.0))["r1"], RateGrant
+    )
+    assert isinstance(
+        responses_by_id(owner.handle(request(1, 200), 0.0))["r1"], RateGrant
+    )
     assert refusal_kind(owner.handle(request(2, 1), 0.0)) is ErrorKind.RATE_EXCEEDED
 
 
@@ -58,18 +64,20 @@
     owner = make_owner(level=0.0)
     assert owner.handle(request(1, 100, wait_s=2.0), 0.0) == []
     assert owner.handle(request(2, 1, wait_s=2.0), 0.0) == []
-    assert owner.handle(m.TimePassed(2.0), 0.5) == []
+    assert owner.handle(m.RateTimerFired(2.0), 0.5) == []
     wakeup_s = owner.next_wakeup_s(0.5)
-    assert list(replies(owner.handle(m.TimePassed(2.0), wakeup_s))) == ["r1"]
-    actions = owner.handle(m.TimePassed(2.0), wakeup_s + 0.02)
-    assert replies(actions)["r2"].waited_s > 1.0
+    assert list(responses_by_id(owner.handle(m.RateTimerFired(2.0), wakeup_s))) == [
+        "r1"
+    ]
+    actions = owner.handle(m.RateTimerFired(2.0), wakeup_s + 0.02)
+    assert responses_by_id(actions)["r2"].waited_s > 1.0
 
 
 def test_refusals_have_kind_and_retry_time():
     owner = make_owner(level=0.0)
     assert refusal_kind(owner.handle(request(1, 201), 0.0)) is ErrorKind.INVALID_REQUEST
-    reply = replies(owner.handle(request(2, 200), 0.0))["r2"]
-    assert 2.0 <= reply.failure.retry_after_s <= 2.6
+    response = responses_by_id(owner.handle(request(2, 200), 0.0))["r2"]
+    assert 2.0 <= response.failure.retry_after_s <= 2.6
     assert (
         refusal_kind(owner.handle(request(3, 1, epoch=2), 9.0))
         is ErrorKind.EPOCH_CONFLICT
@@ -79,8 +87,11 @@
 def test_nothing_is_granted_without_a_lease():
     owner = make_owner(level=0.0)
     owner.handle(request(1, 10, wait_s=1.0), 0.0)
-    assert owner.handle(m.TimePassed(0.0), 0.5) == []
-    assert refusal_kind(owner.handle(m.TimePassed(0.0), 1.1)) is ErrorKind.RATE_EXCEEDED
+    assert owner.handle(m.RateTimerFired(0.0), 0.5) == []
+    assert (
+        refusal_kind(owner.handle(m.RateTimerFired(0.0), 1.1))
+        is ErrorKind.RATE_EXCEEDED
+    )
     late = m.RateRequested(request(2, 1).request, 0.0)
     assert refusal_kind(owner.handle(late, 2.0)) is ErrorKind.LEASE_EXPIRED
 
@@ -88,29 +99,35 @@
 def test_idempotency_keys_find_duplicates_and_conflicts_until_they_expire():
     owner = make_owner()
     owner.handle(request(1, 1, key="k", digest="x", front="f1"), 0.0)
-    reply = replies(owner.handle(request(2, 1, key="k", digest="x"), 0.0))["r2"]
-    assert reply == Duplicate(request_id="r1", front="f1", finished=False)
+    response = responses_by_id(owner.handle(request(2, 1, key="k", digest="x"), 0.0))[
+        "r2"
+    ]
+    assert response == Duplicate(request_id="r1", front="f1", finished=False)
     conflict = owner.handle(request(3, 1, key="k", digest="y"), 0.0)
     assert refusal_kind(conflict) is ErrorKind.IDEMPOTENCY_CONFLICT
     owner.handle(m.RequestEnded("a", "r1"), 1.0)
-    reply = replies(owner.handle(request(4, 1, key="k", digest="x"), 600.9))["r4"]
-    assert isinstance(reply, Duplicate) and reply.finished
-    reply = replies(owner.handle(request(5, 1, key="k", digest="z"), 601.1))["r5"]
-    assert isinstance(reply, RateGrant)
+    response = responses_by_id(owner.handle(request(4, 1, key="k", digest="x"), 600.9))[
+        "r4"
+    ]
+    assert isinstance(response, Duplicate) and response.finished
+    response = responses_by_id(owner.handle(request(5, 1, key="k", digest="z"), 601.1))[
+        "r5"
+    ]
+    assert isinstance(response, RateGrant)
 
 
 def test_new_owner_delays_requests_with_keys_until_fronts_report():
     owner = make_owner(fronts=("f1", "f2"))
     assert owner.handle(request(1, 1, key="k"), 0.0) == []
-    assert replies(owner.handle(request(2, 1), 0.0))
+    assert responses_by_id(owner.handle(request(2, 1), 0.0))
     owner.handle(m.RequestActive("a", "f1", "r0", "k", ""), 0.1)
     owner.handle(m.RequestActive("a", "f1", "", "", ""), 0.1)
     actions = owner.handle(m.RequestActive("a", "f2", "", "", ""), 0.2)
-    assert isinstance(replies(actions)["r1"], Duplicate)
+    assert isinstance(responses_by_id(actions)["r1"], Duplicate)
     silent = make_owner(fronts=("f1",))
     silent.handle(request(1, 1, key="k"), 0.0)
     assert silent.next_wakeup_s(0.0) == 2.0
-    assert replies(silent.handle(m.TimePassed(2.0), 2.0))
+    assert responses_by_id(silent.handle(m.RateTimerFired(2.0), 2.0))
 
 
 def test_release_returns_the_level_and_refuses_waiting_requests():
@@ -170,12 +187,12 @@
                 uses.append((now_s, -tokens))
                 event = m.RefundReceived(refund(request_id, tokens, epoch))
             elif lease_s <= 0:
-                event = m.TimePassed(0.0)
+                event = m.RateTimerFired(0.0)
             else:
                 event = m.RateRequested(event.request, lease_s)
                 costs[event.request.request_id] = event.request.cost_tokens
-            for item, reply in replies(owner.handle(event, clock_s)).items():
-                if isinstance(reply, RateGrant):
+            for item, response in responses_by_id(owner.handle(event, clock_s)).items():
+                if isinstance(response, RateGrant):
                     charged.append((item, costs[item]))
                     uses.append((now_s, costs[item]))
         level = 0.0
@@ -198,9 +215,9 @@
     for number in range(400):
         now_s = number * 0.1
         actions = owner.handle(request(number, 9, wait_s=0.5), now_s)
-        for reply in replies(actions).values():
-            responses.append(reply)
-    assert all(isinstance(reply, RateGrant) for reply in responses)
+        for response in responses_by_id(actions).values():
+            responses.append(response)
+    assert all(isinstance(response, RateGrant) for response in responses)
     assert len(responses) > 390
     # Requests that even a full bucket could not grant are refused after the usual wait.
     owner = make_owner(level=0.0, is_level_unknown=True)
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -16,7 +16,7 @@
 
 
 def placed(attempt=1, server=1):
-    return m.Placed(
+    return m.AttemptPlaced(
         Placement(
             request_id="r",
             attempt=attempt,
@@ -31,7 +31,7 @@
 
 def machine_at(stage, tokens=0):
     machine = RequestStateMachine(
-        m.RequestSpec("r", "m", "p", 10, 5), m.RetryLimits(), 0.0
+        m.RequestParameters("r", "m", "p", 10, 5), m.RetryLimits(), 0.0
     )
     path = [
         (m.Stage.QUEUED_FOR_RATE, m.RequestAccepted()),
@@ -105,18 +105,18 @@
 
 def test_stalled_transfers_and_silent_streams_time_out():
     machine = machine_at(m.Stage.TRANSFERRING)
-    assert machine.handle(m.TimePassed(), 0.9) == []
-    actions = machine.handle(m.TimePassed(), 1.0)
+    assert machine.handle(m.RequestTimerFired(), 0.9) == []
+    actions = machine.handle(m.RequestTimerFired(), 1.0)
     assert of_type(actions, m.ReportProgress)[0].progress.failed_server == ""
     assert of_type(actions, m.AskPlacement)[0].excluded == ("d1",)
     machine.handle(placed(2, 2), 1.0)
     machine.handle(m.Prefilled(2), 1.0)
-    actions = machine.handle(m.TimePassed(), 2.0)
+    actions = machine.handle(m.RequestTimerFired(), 2.0)
     assert of_type(actions, m.AskPlacement)[0].excluded == ("d2",)
     machine = machine_at(m.Stage.DECODING)
-    (resume,) = machine.handle(m.TimePassed(), 1.5)
+    (resume,) = machine.handle(m.RequestTimerFired(), 1.5)
     assert (resume.address, resume.offset) == ("da1", 1)
-    actions = machine.handle(m.TimePassed(), 3.0)
+    actions = machine.handle(m.RequestTimerFired(), 3.0)
     assert of_type(actions, m.ReportProgress)[0].progress.failed_server == "d1"
 
 
@@ -136,7 +136,7 @@
                 m.AttemptFailed(
                     attempt, "d1", rng.choice([CONNECTION_LOST, FAILED_BEFORE_RUN])
                 ),
-                m.TimePassed(),
+                m.RequestTimerFired(),
             ]
         )
         if step == 200:
@@ -153,7 +153,7 @@
 
 def test_a_taken_over_request_is_fetched_whole_or_from_the_callers_offset():
     machine = RequestStateMachine(
-        m.RequestSpec("r", "m", "", 10, 9), m.RetryLimits(), 0.0
+        m.RequestParameters("r", "m", "", 10, 9), m.RetryLimits(), 0.0
     )
     continued = m.TakeOverGranted(placed(2).placement, 0, caller_offset=4)
     assert [
--- a/tests/core/scheduling/test_random_runs.py
+++ b/tests/core/scheduling/test_random_runs.py
@@ -68,14 +68,14 @@
     def send(self, event, now_s):
         for action in self.cell.handle(event, now_s):
             if isinstance(action, m.SendSubmitResponse):
-                reply = action.reply
-                if not isinstance(reply, Placement):
+                response = action.response
+                if not isinstance(response, Placement):
                     self.open_requests.pop(action.request_id, None)
                     continue
-                key = (reply.request_id, reply.attempt)
-                assert self.first_placements.setdefault(key, reply) == reply
+                key = (response.request_id, response.attempt)
+                assert self.first_placements.setdefault(key, response) == response
                 if action.request_id in self.open_requests:
-                    self.placements[action.request_id] = reply
+                    self.placements[action.request_id] = response
             elif isinstance(action, m.CancelOnEngine):
                 self.cancelled.add(action.engine_request_id)
         for server in self.cell._placer.servers.values():
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -71,9 +71,9 @@
 
 def placements(actions):
     return {
-        a.request_id: a.reply
+        a.request_id: a.response
         for a in actions
-        if isinstance(a, m.SendSubmitResponse) and isinstance(a.reply, Placement)
+        if isinstance(a, m.SendSubmitResponse) and isinstance(a.response, Placement)
     }
 
 
@@ -114,8 +114,8 @@
     assert placements(cell.handle(m.FrontRegistered("f", 1), 0.2))
     late = make_cell(fronts=("f",), listed=False)
     submit(late, 0.0, "r")
-    assert not placements(late.handle(m.TimePassed(), 2.9))
-    assert placements(late.handle(m.TimePassed(), 3.0))
+    assert not placements(late.handle(m.SchedulerTimerFired(), 2.9))
+    assert placements(late.handle(m.SchedulerTimerFired(), 3.0))
 
 
 def test_slots_are_reserved_before_prefill_and_freed_when_a_request_finishes():
@@ -133,7 +133,7 @@
     seen, now_s = set(), 0.0
     while now_s < 6.0:
         now_s += 0.25
-        seen |= cancellations(cell.handle(m.TimePassed(), now_s))
+        seen |= cancellations(cell.handle(m.SchedulerTimerFired(), now_s))
         assert now_s >= 5.0 or not seen
     assert seen == {(placement.decode_server, "r.1"), (placement.prefill_server, "r.1")}
 
@@ -154,14 +154,14 @@
     cell = make_cell()
     submit(cell, 0.0, "r")
     cell.handle(m.FrontLost("f", 1), 1.0)
-    (reply,) = cell.handle(request_take_over("g", "b"), 1.1)
-    assert reply.reply.failure.kind is ErrorKind.UNKNOWN_REQUEST
-    (reply,) = cell.handle(request_take_over("g"), 1.2)
-    assert reply.reply.active.profile.request_id == "r"
-    (reply,) = cell.handle(request_take_over("h"), 1.3)
-    assert reply.reply.failure.kind is ErrorKind.STREAM_TAKEN_OVER
+    (action,) = cell.handle(request_take_over("g", "b"), 1.1)
+    assert action.response.failure.kind is ErrorKind.UNKNOWN_REQUEST
+    (action,) = cell.handle(request_take_over("g"), 1.2)
+    assert action.response.active.profile.request_id == "r"
+    (action,) = cell.handle(request_take_over("h"), 1.3)
+    assert action.response.failure.kind is ErrorKind.STREAM_TAKEN_OVER
     report_progress(cell, 2.0, front="g")
-    assert not cancellations(cell.handle(m.TimePassed(), 3.5))
+    assert not cancellations(cell.handle(m.SchedulerTimerFired(), 3.5))
 
 
 def test_unregistered_requests_on_engines_are_cancelled_after_the_lease():
@@ -177,7 +177,7 @@
 def test_a_crash_is_reported_with_what_ran_and_suspects_do_not_share_engines():
     cell = make_cell()
     submit(cell, 0.0, "r1")
-    cell.handle(m.TimePassed(), 0.5)
+    cell.handle(m.SchedulerTimerFired(), 0.5)
     name = placements(submit(cell, 0.6, "r1"))["r1"].decode_server
     actions = cell.handle(m.ServerFailed(name, 0, True), 1.0)
     (report,) = [a for a in actions if isinstance(a, m.ReportCrashedRequests)]
@@ -193,9 +193,9 @@
 
 def refusal_kinds(actions):
     return [
-        a.reply.failure.kind
+        a.response.failure.kind
         for a in actions
-        if isinstance(a, m.SendSubmitResponse) and isinstance(a.reply, Refused)
+        if isinstance(a, m.SendSubmitResponse) and isinstance(a.response, Refused)
     ]
 
 
@@ -348,8 +348,8 @@
             if isinstance(a, m.SendSubmitResponse)
         ]
     assert 3.0 <= now_s <= 4.0
-    assert found[0].reply.failure.kind is ErrorKind.NO_BACKEND_SERVER
-    assert found[0].reply.failure.retry_after_s >= 3.0
+    assert found[0].response.failure.kind is ErrorKind.NO_BACKEND_SERVER
+    assert found[0].response.failure.retry_after_s >= 3.0
     cell.handle(m.ServerRecovered("d1"), now_s)
     assert placements(submit(cell, now_s + 0.1, "r2"))
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,7 @@
     RateRequested,
     ReleaseBucket,
     ReleaseRequested,
-    SendRateReply,
+    SendRateResponse,
 )
 from damaskridge.core.scheduling.messages import RequestSubmitted, SendSubmitResponse
 from damaskridge.core.state.view import FleetView
@@ -85,7 +85,7 @@
         if isinstance(event, RateRequested):
             request = event.request
             grant = RateGrant(request_id=request.request_id, epoch=1, valid_for_s=1.0)
-            return [SendRateReply(request.front, request.request_id, grant)]
+            return [SendRateResponse(request.front, request.request_id, grant)]
         if isinstance(event, RequestSubmitted):
             request = event.profile
             placement = Placement(request_id=request.request_id, attempt=1, epoch=1)
--- a/tests/system/guards.py
+++ b/tests/system/guards.py
@@ -62,16 +62,16 @@
 
 
 def _grant_validity():
-    reply_grant = RateOwner._reply_grant
+    send_grant = RateOwner._send_grant
 
     def grant_without_expiry(self, workspace, entry, now_s):
-        (action,) = reply_grant(self, workspace, entry, now_s)
-        if hasattr(action.reply, "valid_for_s"):
-            grant = msgspec.structs.replace(action.reply, valid_for_s=1e6)
+        (action,) = send_grant(self, workspace, entry, now_s)
+        if hasattr(action.response, "valid_for_s"):
+            grant = msgspec.structs.replace(action.response, valid_for_s=1e6)
             return [type(action)(action.front, action.request_id, grant)]
         return [action]
 
-    yield mock.patch.object(RateOwner, "_reply_grant", grant_without_expiry)
+    yield mock.patch.object(RateOwner, "_send_grant", grant_without_expiry)
 
 
 def _key_check_on_streams():
--- a/tests/system/invariants.py
+++ b/tests/system/invariants.py
@@ -4,7 +4,7 @@
 import re
 from collections import Counter, defaultdict
 
-from damaskridge.core.limits.messages import RefundReceived, SendRateReply
+from damaskridge.core.limits.messages import RefundReceived, SendRateResponse
 from damaskridge.core.limits.rate_owner import RateOwner
 from damaskridge.core.scheduling.messages import SendSubmitResponse
 from damaskridge.core.scheduling.scheduler import CellScheduler
@@ -50,10 +50,10 @@
                 self._world.invariants.record_refund(refund)
         actions = super().handle(event, now_s)
         for action in actions:
-            if isinstance(action, SendRateReply) and isinstance(
-                action.reply, RateGrant
+            if isinstance(action, SendRateResponse) and isinstance(
+                action.response, RateGrant
             ):
-                self._world.invariants.record_grant(action.reply)
+                self._world.invariants.record_grant(action.response)
         return actions
 
 
@@ -68,9 +68,9 @@
         actions = super().handle(event, now_s)
         for action in actions:
             if isinstance(action, SendSubmitResponse) and isinstance(
-                action.reply, Placement
+                action.response, Placement
             ):
-                self._world.invariants.check_epoch(action.reply.epoch, "placement")
+                self._world.invariants.check_epoch(action.response.epoch, "placement")
         return actions
 
 
