--- a/src/damaskridge/core/scheduling/messages.py
+++ b/src/damaskridge/core/scheduling/messages.py
@@ -36,15 +36,15 @@
     "RequestRegistered",
     "RequestSubmitted",
     "RequestWithdrawn",
-    "SchedulerTimerFired",
     "SendOrder",
     "SendSubmitResponse",
     "SendTakeOverResponse",
     "ServerFailed",
-    "ServerLeaveCancelled",
     "ServerLeaving",
     "ServerRecovered",
+    "ServerLeaveCancelled",
     "TakeOverRequested",
+    "SchedulerTimerFired",
 ]
 
 
