Log interrupted runs and crashes of backend servers

Change: events RUN_INTERRUPTED (5023), with digests of the request and of its parts, and BACKEND_SERVER_CRASHED (7016); both are counted by the metric of events. Result: no logic changed; unit tests of gateway, binaries and docs pass.

--- a/src/damaskridge/adapters/gateway/admitted_request.py
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from damaskridge.adapters.gateway.dialect import CallerRequest, EngineStep, SendOptions
-from damaskridge.core.gateway.crash_tracker import fingerprint_of
+from damaskridge.core.gateway.crash_tracker import fingerprint_of, part_fingerprints
 from damaskridge.core.gateway.send_account import SendAccount
 from damaskridge.core.gateway.send_policy import SendPolicy
 from damaskridge.model.gateway import GatewayRoute, GatewayService
@@ -43,6 +43,8 @@
         Decides whether the request may be sent to a further backend server.
     fingerprint : str
         Digest that is the same for every retry of the request by its caller.
+    part_fingerprints : tuple of str
+        Digests of the parts of the prompt that other requests may contain.
     """
 
     request: CallerRequest
@@ -54,12 +56,14 @@
     arrived_s: float
     policy: SendPolicy = field(init=False)
     fingerprint: str = field(init=False)
+    part_fingerprints: tuple[str, ...] = field(init=False)
     account: SendAccount = field(default_factory=SendAccount)
 
     def __post_init__(self) -> None:
         route = self.route
         path = self.request.target.decode("latin-1")
         self.fingerprint = fingerprint_of(self.workspace, path, self.body)
+        self.part_fingerprints = part_fingerprints(self.request.prompt_parts)
         self.policy = SendPolicy(
             route.kind, route.attempts, is_resumable=route.is_resumable
         )
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -178,7 +178,7 @@
                 left_s=admitted.remaining_s, may_retry=may_retry
             )
         else:
-            self._sender.record_run(instance, admitted.fingerprint, is_complete=False)
+            self._sender.record_interrupted_run(instance, admitted, outcome.reason)
             decision = self._decide_after_unknown(admitted, outcome)
         return self._failure_of(admitted, decision, outcome.reason)
 
@@ -226,16 +226,14 @@
             self._sender.record_response(
                 server_response.instance, good=False, reason=str(error)
             )
-            self._sender.record_run(
-                server_response.instance, admitted.fingerprint, is_complete=False
+            self._sender.record_interrupted_run(
+                server_response.instance, admitted, str(error)
             )
             decision = self._decide_after_unknown(admitted, Unknown(str(error)))
             return self._failure_of(admitted, decision, str(error))
         finally:
             server_response.close()
-        self._sender.record_run(
-            server_response.instance, admitted.fingerprint, is_complete=True
-        )
+        self._sender.record_complete_run(admitted)
         is_failure = server_response.head.status >= 500
         self._sender.record_response(
             server_response.instance,
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -82,6 +82,8 @@
         Number of decode engines that refused the request with the current handle.
     has_events : bool
         Whether an engine has sent an event.
+    run_events : int
+        Number of events that the current engine has sent.
     last_progress_s : float
         Event loop time of the last event, or of the head of the current response of an
         engine if that is later.
@@ -95,6 +97,7 @@
     handle: CacheHandle | None = None
     handle_refusals: int = 0
     has_events: bool = False
+    run_events: int = 0
     last_progress_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -107,6 +110,7 @@
         Events that the caller has already received are not forwarded.
         """
         self.has_events = True
+        self.run_events += 1
         self.last_progress_s = self.admitted.now_s
         if event_id is None:
             return True
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -149,8 +149,8 @@
             )
             if not isinstance(outcome, OpenReply):
                 if isinstance(outcome, Unknown):
-                    self._sender.record_run(
-                        instance, admitted.fingerprint, is_complete=False
+                    self._sender.record_interrupted_run(
+                        instance, admitted, outcome.reason
                     )
                 return None
             handle = await self._read_handle(
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -288,17 +288,31 @@
                 logger, EventNumber.INSTANCE_USED_AGAIN, instance=instance.instance
             )
 
-    def record_run(
-        self, instance: BackendInstance, fingerprint: str, *, is_complete: bool
+    def record_complete_run(self, admitted: AdmittedRequest) -> None:
+        """Record that a server ran a request to completion."""
+        self._crashes.record_response(admitted.fingerprint, admitted.now_s)
+
+    def record_interrupted_run(
+        self,
+        instance: BackendInstance,
+        admitted: AdmittedRequest,
+        reason: str,
+        *,
+        events: int = 0,
     ) -> None:
-        """Record that a server completed a request, or broke off while running it."""
-        now_s = asyncio.get_running_loop().time()
-        if is_complete:
-            self._crashes.record_response(fingerprint, now_s)
-        else:
-            self._crashes.record_interrupted_run(
-                fingerprint, instance.instance_id, now_s
-            )
+        """Record that a server broke off a run after a number of events."""
+        self._crashes.record_interrupted_run(
+            admitted.fingerprint, instance.instance_id, admitted.now_s
+        )
+        log_event(
+            logger,
+            EventNumber.RUN_INTERRUPTED,
+            request_id=admitted.request.request_id,
+            backend_server=instance.instance,
+            events=events,
+            reason=reason,
+            fingerprints=(admitted.fingerprint, *admitted.part_fingerprints),
+        )
 
     async def call_engine(
         self,
@@ -458,7 +472,15 @@
     def _record_unreachable(self, instance: BackendInstance, reason: str) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.record_unreachable(instance.instance, now_s)
-        self._crashes.record_lost_server(instance.instance_id, now_s)
+        runs = self._crashes.record_lost_server(instance.instance_id, now_s)
+        if runs:
+            log_event(
+                logger,
+                EventNumber.BACKEND_SERVER_CRASHED,
+                backend_server=instance.instance,
+                runs=runs,
+                source="connection",
+            )
         self._pool.close_idle(instance)
         self._log_avoided(instance, reason, avoided_s)
 
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -181,7 +181,7 @@
         finally:
             self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, Unknown):
-            self._sender.record_run(instance, admitted.fingerprint, is_complete=False)
+            self._sender.record_interrupted_run(instance, admitted, outcome.reason)
         await self._handle_failed_send(generation, outcome)
         self._update_handle(generation, outcome)
 
@@ -331,16 +331,14 @@
             )
         else:
             self._sender.record_response(server_response.instance, good=True, reason="")
-            fingerprint = generation.admitted.fingerprint
-            self._sender.record_run(
-                server_response.instance, fingerprint, is_complete=True
-            )
+            self._sender.record_complete_run(generation.admitted)
             await generation.response.end_stream()
 
     async def _relay_events(
         self, generation: Generation, server_response: OpenReply
     ) -> None:
         splitter = EventSplitter()
+        generation.run_events = 0
         generation.last_progress_s = generation.admitted.now_s
         async for chunk in self._chunks_until_timeout(generation, server_response):
             try:
@@ -448,8 +446,11 @@
     ) -> None:
         """Resume a broken stream on another engine if the policy allows it."""
         generation.log_failed(instance.instance, "stream", outcome.reason)
-        self._sender.record_run(
-            instance, generation.admitted.fingerprint, is_complete=False
+        self._sender.record_interrupted_run(
+            instance,
+            generation.admitted,
+            outcome.reason,
+            events=generation.run_events,
         )
         await self._handle_failed_send(generation, outcome)
 
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -385,7 +385,17 @@
     def _apply_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.close_idle(gone)
-            self._crashes.record_lost_server(gone.instance_id, anyio.current_time())
+            runs = self._crashes.record_lost_server(
+                gone.instance_id, anyio.current_time()
+            )
+            if runs:
+                log_event(
+                    logger,
+                    EventNumber.BACKEND_SERVER_CRASHED,
+                    backend_server=gone.instance,
+                    runs=runs,
+                    source="list",
+                )
         self.registry.confirmed_s = self._instance_list.confirmed_s
 
     async def _refresh_list(self) -> None:
--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -20,13 +20,13 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 from typing import TypeVar
 
 from damaskridge.model.gateway import CrashNotice, InstanceId
 
-__all__ = ["CrashTracker", "fingerprint_of"]
+__all__ = ["CrashTracker", "fingerprint_of", "part_fingerprints"]
 
 KeyT = TypeVar("KeyT")
 NameT = TypeVar("NameT")
@@ -52,6 +52,18 @@
     return digest.hexdigest()
 
 
+def part_fingerprints(prompt_parts: Sequence[tuple[str, int]]) -> tuple[str, ...]:
+    """
+    Return a digest of each part of a prompt except the last one.
+
+    The last part belongs to one request or session; other requests don't contain it.
+    """
+    return tuple(
+        blake2b(name.encode(), digest_size=12).hexdigest()
+        for name, _ in prompt_parts[:-1]
+    )
+
+
 class CrashTracker:
     """Crashes that this host has observed or that other hosts have reported."""
 
@@ -68,15 +80,25 @@
         self._expire(now_s)
         self._interrupted_runs.setdefault(server, {})[fingerprint] = now_s
 
-    def record_lost_server(self, server: InstanceId, now_s: float) -> None:
-        """Record that an instance can't be reached or is no longer listed."""
+    def record_lost_server(self, server: InstanceId, now_s: float) -> int:
+        """
+        Record that an instance can't be reached or is no longer listed.
+
+        Returns
+        -------
+        int
+            Number of interrupted runs from which the instance is taken to have crashed.
+        """
+        runs = 0
         for fingerprint, interrupted_s in self._interrupted_runs.pop(
             server, {}
         ).items():
             if now_s - interrupted_s <= CONFIRMATION_TIMEOUT_S:
+                runs += 1
                 notice = CrashNotice(fingerprint, server)
                 self._unreported.append(notice)
                 self.on_report((notice,), now_s)
+        return runs
 
     def record_response(self, fingerprint: str, now_s: float) -> None:
         """Clear the suspicion of a request that a server ran to completion."""
