--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -5,7 +5,17 @@
 
 import asyncio
 
-from tests.adapters.gateway.standin import StandIn, gateway, response
+from tests.adapters.gateway.standin import (
+    StandIn,
+    chunk,
+    chunked_head,
+    events,
+    gateway,
+    response,
+)
+from tests.adapters.gateway.test_streams import run_prefill
+
+from damaskridge.model.gateway import EngineStage
 
 
 def run_async(main):
@@ -50,3 +60,121 @@
         assert good == 200
 
     run_async(main)
+
+
+class CrashingEngines:
+    """
+    A prefill engine, and decode engines that crash on one part of a prompt.
+
+    Attributes
+    ----------
+    servers : list of StandIn
+        The engines.
+    runs : list of str
+        The prompts that the decode engines were asked to answer, in order.
+    """
+
+    def __init__(self, count, deadly_part):
+        self.runs = []
+        self._deadly_part = deadly_part
+        self.servers = [
+            StandIn("p", run_prefill, EngineStage.PREFILL, "llm"),
+            *(self._engine(f"d{number}") for number in range(count)),
+        ]
+
+    def crashes(self):
+        return sum(self._is_deadly(prompt) for prompt in self.runs)
+
+    def prefills(self):
+        return sum(
+            self._is_deadly(request.headers["x-prompt-prefix"])
+            for request in self.servers[0].received
+        )
+
+    def _is_deadly(self, prompt):
+        return f"{self._deadly_part}:" in prompt
+
+    def _engine(self, name):
+        async def script(request, writer):
+            prompt = request.headers.get("x-prompt-prefix", "")
+            self.runs.append(prompt)
+            writer.write(chunked_head(request))
+            await writer.drain()
+            if self._is_deadly(prompt):
+                await asyncio.sleep(0.01)
+                engine.crash()
+                return True
+            writer.write(chunk(events(1, 3)) + b"0\r\n\r\n")
+            return False
+
+        engine = StandIn(name, script, EngineStage.DECODE, "llm")
+        return engine
+
+
+async def generate(app, parts, number, path="/res/x"):
+    """Send a generation whose last prompt part belongs to it alone."""
+    prompt = ",".join([f"{part}:50" for part in parts] + [f"f{number}:50"])
+    return await app.send_request(
+        path,
+        ["x-token-count: 100,50", f"x-prompt-prefix: {prompt}"],
+        b"prompt %d" % number,
+        attempt=f"a{number}",
+    )
+
+
+def test_a_part_of_prompts_does_not_crash_one_engine_after_the_other():
+    async def main():
+        engines = CrashingEngines(8, "dead")
+        async with gateway(*engines.servers) as app:
+            for number in range(4):
+                await generate(app, ["c0", "dead"], number)
+            crashes, prefills = engines.crashes(), engines.prefills()
+            assert crashes <= 4
+            for number in range(10, 14):
+                status, headers, _ = await generate(app, ["c0", "dead"], number)
+                assert status == 503
+                assert float(headers["retry-after"]) > 60
+        assert (engines.crashes(), engines.prefills()) == (crashes, prefills)
+
+    run_async(main)
+
+
+def test_prompts_without_the_part_that_crashes_engines_are_served():
+    async def main():
+        engines = CrashingEngines(8, "dead")
+        async with gateway(*engines.servers) as app:
+            for number in range(4):
+                await generate(app, ["c0", "dead"], number)
+            for number, parts in enumerate((["c0"], ["c0", "c1"], []), 20):
+                status, _, body = await generate(app, parts, number)
+                assert (status, body) == (200, events(1, 3))
+
+    run_async(main)
+
+
+def test_a_part_that_crashes_engines_is_found_among_other_parts():
+    """The part comes with another one first, then alone."""
+
+    async def main():
+        engines = CrashingEngines(12, "dead")
+        async with gateway(*engines.servers) as app:
+            for number in range(3):
+                await generate(app, ["c0", "dead"], number)
+            for number in range(10, 14):
+                await generate(app, ["dead", "c9"], number)
+        assert engines.crashes() <= 5
+
+    run_async(main)
+
+
+def test_a_request_is_not_resumed_after_its_part_has_crashed_three_engines():
+    async def main():
+        engines = CrashingEngines(8, "dead")
+        async with gateway(*engines.servers) as app:
+            await generate(app, ["dead"], 1, path="/gen/x")
+            await generate(app, ["dead"], 2, path="/gen/x")
+            # May run twice; the first run is the third crash.
+            await generate(app, ["dead"], 3)
+        assert engines.crashes() == 3
+
+    run_async(main)
