Quarantine requests by the parts of prompts that crash backend servers

What callers saw: requests that share one part of their prompts crashed one engine after the other. Streams of other callers broke off with each crash, and engines were missing for seconds.

Cause: a request was known by workspace, path and body, so that no identity was ever present at three crashes. Besides, a crash counted only at a host that had both a broken run and the loss of its server within 4 s, although the list shows a loss after 4 to 5 s; a new leader knew nothing of earlier crashes; and suspicion was looked at on arrival only, so that one request crashed two engines.

Change: crashes are recorded with the fingerprints of the interrupted runs, of the whole request and of each part of its prompt but the last. A cause is what the runs of three crashes have in common; requests that contain all of it are refused. A run that completes clears its parts on all hosts. Hosts tell each other of servers that are gone, so that those with broken runs there learn of the crash, connect once to a server that has broken off a run, and tell a new leader what matters. Every send looks at the quarantine. A connect that times out and a planned stop are no evidence of a crash.

--- a/src/damaskridge/adapters/gateway/admitted_request.py
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -41,10 +41,9 @@
     ----------
     policy : SendPolicy
         Decides whether the request may be sent to a further backend server.
-    fingerprint : str
-        Digest that is the same for every retry of the request by its caller.
-    part_fingerprints : tuple of str
-        Digests of the parts of the prompt that other requests may contain.
+    fingerprints : tuple of str
+        A digest that is the same for every retry of the request by its caller, and the
+        digests of the parts of its prompt that other requests may contain.
     """
 
     request: CallerRequest
@@ -55,15 +54,16 @@
     priority: int
     arrived_s: float
     policy: SendPolicy = field(init=False)
-    fingerprint: str = field(init=False)
-    part_fingerprints: tuple[str, ...] = field(init=False)
+    fingerprints: tuple[str, ...] = field(init=False)
     account: SendAccount = field(default_factory=SendAccount)
 
     def __post_init__(self) -> None:
         route = self.route
         path = self.request.target.decode("latin-1")
-        self.fingerprint = fingerprint_of(self.workspace, path, self.body)
-        self.part_fingerprints = part_fingerprints(self.request.prompt_parts)
+        self.fingerprints = (
+            fingerprint_of(self.workspace, path, self.body),
+            *part_fingerprints(self.request.prompt_parts),
+        )
         self.policy = SendPolicy(
             route.kind, route.attempts, is_resumable=route.is_resumable
         )
--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -11,6 +11,7 @@
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.calls import CallForwarder
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.dialect import CallerRequest, Dialect
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.streams import StreamForwarder
@@ -24,7 +25,6 @@
     Send,
 )
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
@@ -91,8 +91,8 @@
         Enforces the rate limits of workspaces.
     refusals : RetryAfterTimes
         Computes after what time refused callers may retry.
-    crashes : CrashTracker
-        Tracks which requests crash backend servers.
+    crashes : CrashMonitor
+        Decides which requests are refused because they crash backend servers.
     rng : random.Random
         Selects among the targets of a route.
     on_request : callable
@@ -108,7 +108,7 @@
         streams: StreamForwarder,
         quota: FleetQuota,
         refusals: RetryAfterTimes,
-        crashes: CrashTracker,
+        crashes: CrashMonitor,
         rng: random.Random,
         on_request: Callable[[str], None],
     ) -> None:
@@ -167,8 +167,9 @@
             await response.refuse(error.failure)
             return
         admitted = self._admitted_request(request, body, admission, arrived_s)
-        if self._crashes.is_suspect(admitted.fingerprint, admitted.now_s):
-            await response.refuse(self._suspect_failure())
+        quarantined = self._crashes.failure(admitted)
+        if quarantined is not None:
+            await response.refuse(quarantined)
             return
         self._on_request(admitted.service.name)
         log_event(
@@ -224,12 +225,6 @@
             raise CallerGone
         await self._respond_timeout(response, admitted)
 
-    def _suspect_failure(self) -> Failure:
-        detail = "requests like this one have crashed their backend servers"
-        retry_after_s = self._refusals.suspect_s()
-        kind = ErrorKind.NO_BACKEND_SERVER
-        return Failure(kind, detail, RunState.NOT_RUN, retry_after_s)
-
     async def _respond_timeout(
         self, response: CallerResponse, admitted: AdmittedRequest
     ) -> None:
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -4,6 +4,7 @@
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
@@ -50,6 +51,8 @@
         Computes after what time refused callers may retry.
     permits : ServerPermits
         Obtains permits for requests to servers with a limit.
+    crashes : CrashMonitor
+        Decides which requests are refused because they crash servers.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         gate: RetryGate,
         refusals: RetryAfterTimes,
         permits: ServerPermits,
+        crashes: CrashMonitor,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -70,6 +74,7 @@
         self._gate = gate
         self._refusals = refusals
         self._permits = permits
+        self._crashes = crashes
 
     async def forward(
         self, admitted: AdmittedRequest, response: CallerResponse
@@ -77,6 +82,10 @@
         """Forward a call and send the caller the service's response, or a failure."""
         tried: set[str] = set()
         while True:
+            quarantined = self._crashes.failure(admitted)
+            if quarantined is not None:
+                await response.refuse(quarantined)
+                return
             instance, candidates = await self._choose_server(admitted, tried)
             if instance is None:
                 await self._refuse_without_server(admitted, response)
@@ -178,7 +187,7 @@
                 left_s=admitted.remaining_s, may_retry=may_retry
             )
         else:
-            self._sender.record_interrupted_run(instance, admitted, outcome.reason)
+            await self._sender.record_interrupted_run(instance, admitted, outcome)
             decision = self._decide_after_unknown(admitted, outcome)
         return self._failure_of(admitted, decision, outcome.reason)
 
@@ -226,10 +235,11 @@
             self._sender.record_response(
                 server_response.instance, good=False, reason=str(error)
             )
-            self._sender.record_interrupted_run(
-                server_response.instance, admitted, str(error)
+            outcome = Unknown(str(error), is_broken=True)
+            await self._sender.record_interrupted_run(
+                server_response.instance, admitted, outcome
             )
-            decision = self._decide_after_unknown(admitted, Unknown(str(error)))
+            decision = self._decide_after_unknown(admitted, outcome)
             return self._failure_of(admitted, decision, str(error))
         finally:
             server_response.close()
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -15,6 +15,7 @@
 __all__ = [
     "BackendConnection",
     "ConnectionBroken",
+    "ConnectTimeout",
     "NotSent",
     "ResponseHead",
     "open_connection",
@@ -42,6 +43,14 @@
     """No byte of the request was sent."""
 
 
+class ConnectTimeout(NotSent):
+    """
+    The connection was not established in time.
+
+    Unlike a refused connection, this doesn't show that the server is gone.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response."""
@@ -288,8 +297,10 @@
 
     Raises
     ------
+    ConnectTimeout
+        The connection was not established within `timeout_s` seconds.
     NotSent
-        The connection was refused or not established within `timeout_s` seconds.
+        The connection was refused.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -299,7 +310,7 @@
                 _ConnectionProtocol, host, int(port)
             )
     except TimeoutError as error:
-        raise NotSent("connect timed out") from error
+        raise ConnectTimeout("connect timed out") from error
     except OSError as error:
         raise NotSent(f"connect failed: {error.strerror}") from error
     return BackendConnection(protocol)
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -149,8 +149,8 @@
             )
             if not isinstance(outcome, OpenReply):
                 if isinstance(outcome, Unknown):
-                    self._sender.record_interrupted_run(
-                        instance, admitted, outcome.reason
+                    await self._sender.record_interrupted_run(
+                        instance, admitted, outcome
                     )
                 return None
             handle = await self._read_handle(
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -11,10 +12,13 @@
 from damaskridge.adapters.gateway.connections import (
     BackendConnection,
     ConnectionBroken,
+    ConnectTimeout,
     Headers,
     NotSent,
     ResponseHead,
+    open_connection,
 )
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.dialect import (
     CallerRequest,
     Dialect,
@@ -26,7 +30,6 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.send_account import SendStep
 from damaskridge.model.events import EventNumber
@@ -81,10 +84,13 @@
         Why there is no usable response.
     timed_out : bool
         Whether the response did not arrive in time.
+    is_broken : bool
+        Whether the connection ended.
     """
 
     reason: str
     timed_out: bool = False
+    is_broken: bool = False
 
 
 class OpenReply:
@@ -156,8 +162,8 @@
         Supplies connections to backend servers.
     registry : InstanceRegistry
         Records the health of backend servers.
-    crashes : CrashTracker
-        Records runs that broke off and servers that were lost.
+    crashes : CrashMonitor
+        Records runs that broke off and servers that are gone.
     gate : RetryGate
         Checks each request against the retry budget before it is sent.
     permits : ServerPermits
@@ -169,7 +175,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         registry: InstanceRegistry,
-        crashes: CrashTracker,
+        crashes: CrashMonitor,
         gate: RetryGate,
         permits: ServerPermits,
     ) -> None:
@@ -180,6 +186,7 @@
         self._registry = registry
         self._crashes = crashes
         self._background_calls: set[asyncio.Task[None]] = set()
+        self._probes: dict[str, asyncio.Task[None]] = {}
 
     async def send(
         self,
@@ -219,6 +226,10 @@
         """
         request = admitted.request
         started_s = asyncio.get_running_loop().time()
+        quarantined = self._crashes.failure(admitted)
+        if quarantined is not None:
+            refused = NotRun(quarantined.detail, was_sent=False)
+            return self._log_outcome(request, instance, refused, started_s)
         if self._is_paused(instance):
             paused = NotRun("the server wants no request now", was_sent=False)
             return self._log_outcome(request, instance, paused, started_s)
@@ -238,7 +249,7 @@
                 instance, CONNECT_TIMEOUT_S, fresh=fresh
             )
         except NotSent as error:
-            self._record_unreachable(instance, str(error))
+            self._record_unreachable(instance, error)
             failed = NotRun(str(error), was_sent=False)
             return self._log_outcome(request, instance, failed, started_s)
         is_response_open = False
@@ -263,7 +274,7 @@
         except NotSent as error:
             outcome = NotRun(str(error), was_sent=False)
         except ConnectionBroken as error:
-            outcome = Unknown(str(error))
+            outcome = Unknown(str(error), is_broken=True)
         finally:
             if not is_response_open:
                 connection.close()
@@ -290,29 +301,31 @@
 
     def record_complete_run(self, admitted: AdmittedRequest) -> None:
         """Record that a server ran a request to completion."""
-        self._crashes.record_response(admitted.fingerprint, admitted.now_s)
+        self._crashes.record_complete_run(admitted)
 
-    def record_interrupted_run(
+    async def record_interrupted_run(
         self,
         instance: BackendInstance,
         admitted: AdmittedRequest,
-        reason: str,
+        outcome: Unknown,
         *,
         events: int = 0,
     ) -> None:
-        """Record that a server broke off a run after a number of events."""
+        """
+        Record that a server broke off a run after a number of events.
+
+        Returns when it is known whether the server refuses connections, because a
+        request that has crashed enough servers must not be sent to another one.
+        """
         self._crashes.record_interrupted_run(
-            admitted.fingerprint, instance.instance_id, admitted.now_s
-        )
-        log_event(
-            logger,
-            EventNumber.RUN_INTERRUPTED,
-            request_id=admitted.request.request_id,
-            backend_server=instance.instance,
-            events=events,
-            reason=reason,
-            fingerprints=(admitted.fingerprint, *admitted.part_fingerprints),
+            instance, admitted, outcome.reason, events=events
         )
+        if outcome.is_broken:
+            probe = self._probes.get(instance.instance)
+            if probe is None:
+                probe = self._start_in_background(self._probe(instance))
+                self._probes[instance.instance] = probe
+            await asyncio.wait({probe})
 
     async def call_engine(
         self,
@@ -365,7 +378,7 @@
                     else:
                         connection.close()
         except NotSent as error:
-            self._record_unreachable(instance, str(error))
+            self._record_unreachable(instance, error)
             return Err(str(error))
         except TimeoutError:
             return Err(f"no response within {ENGINE_CALL_TIMEOUT_S:g} s")
@@ -381,9 +394,29 @@
 
     def call_in_background(self, instance: BackendInstance, call: EngineCall) -> None:
         """Call an engine to free unused resources, without waiting for the outcome."""
-        task = asyncio.ensure_future(self._call_and_log_failure(instance, call))
+        self._start_in_background(self._call_and_log_failure(instance, call))
+
+    def _start_in_background(
+        self, call: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(call)
         self._background_calls.add(task)
         task.add_done_callback(self._background_calls.discard)
+        return task
+
+    async def _probe(self, instance: BackendInstance) -> None:
+        """
+        Connect to a server that has broken off a run, to find out whether it crashed.
+
+        Without other requests to it, the host would learn of the crash seconds later.
+        """
+        try:
+            connection = await open_connection(instance.address, CONNECT_TIMEOUT_S)
+            connection.close()
+        except NotSent as error:
+            self._record_unreachable(instance, error)
+        finally:
+            del self._probes[instance.instance]
 
     async def _call_and_log_failure(
         self, instance: BackendInstance, call: EngineCall
@@ -416,8 +449,9 @@
             return Unknown("the answer belongs to another request")
         self._apply_notices(instance, metadata)
         if metadata.is_other_instance:
-            self._record_unreachable(instance, "another instance has the address")
-            return NotRun("another instance has the address")
+            moved = NotSent("another instance has the address")
+            self._record_unreachable(instance, moved)
+            return NotRun(str(moved))
         self._apply_limit(instance, metadata)
         if metadata.did_not_run:
             suffix = "" if metadata.request_id else " and no request id"
@@ -469,20 +503,13 @@
             server = response.instance.instance_id
             self._permits.record_stated(ServerLimit(server, None))
 
-    def _record_unreachable(self, instance: BackendInstance, reason: str) -> None:
+    def _record_unreachable(self, instance: BackendInstance, error: NotSent) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.record_unreachable(instance.instance, now_s)
-        runs = self._crashes.record_lost_server(instance.instance_id, now_s)
-        if runs:
-            log_event(
-                logger,
-                EventNumber.BACKEND_SERVER_CRASHED,
-                backend_server=instance.instance,
-                runs=runs,
-                source="connection",
-            )
+        if not isinstance(error, ConnectTimeout):
+            self._crashes.record_refused_connection(instance)
         self._pool.close_idle(instance)
-        self._log_avoided(instance, reason, avoided_s)
+        self._log_avoided(instance, str(error), avoided_s)
 
     def _log_avoided(
         self, instance: BackendInstance, reason: str, avoided_s: float
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -6,6 +6,7 @@
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.decode_reservations import (
     DecodeReservations,
     RoomSearch,
@@ -69,6 +70,8 @@
         Computes after what time refused callers may retry.
     permits : ServerPermits
         Obtains permits for requests to engines with a limit.
+    crashes : CrashMonitor
+        Decides which requests are refused because they crash engines.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         gate: RetryGate,
         refusals: RetryAfterTimes,
         permits: ServerPermits,
+        crashes: CrashMonitor,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -90,6 +94,7 @@
         self._gate = gate
         self._refusals = refusals
         self._permits = permits
+        self._crashes = crashes
         shared: dict[str, Any] = {
             "dialect": dialect,
             "sender": sender,
@@ -140,6 +145,10 @@
     async def _decode(self, generation: Generation) -> None:
         """Send the generation to one decode engine and relay its events."""
         admitted = generation.admitted
+        quarantined = self._crashes.failure(admitted)
+        if quarantined is not None:
+            await self._fail(generation, quarantined)
+            return
         if not self._gate.admits(admitted, SendStep.RUN):
             decision = admitted.policy.after_not_run(
                 left_s=admitted.remaining_s, may_retry=False
@@ -181,7 +190,7 @@
         finally:
             self._load.finish(admitted.request.request_id, name)
         if isinstance(outcome, Unknown):
-            self._sender.record_interrupted_run(instance, admitted, outcome.reason)
+            await self._sender.record_interrupted_run(instance, admitted, outcome)
         await self._handle_failed_send(generation, outcome)
         self._update_handle(generation, outcome)
 
@@ -318,7 +327,9 @@
                 server_response.instance, good=False, reason=str(error)
             )
             await self._resume_or_fail(
-                generation, Unknown(str(error)), server_response.instance
+                generation,
+                Unknown(str(error), is_broken=True),
+                server_response.instance,
             )
         except _EventTimeout:
             server_response.close()
@@ -418,7 +429,9 @@
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
         except ConnectionBroken as error:
             await self._resume_or_fail(
-                generation, Unknown(str(error)), server_response.instance
+                generation,
+                Unknown(str(error), is_broken=True),
+                server_response.instance,
             )
             return
         reason = f"status {server_response.head.status}"
@@ -446,10 +459,10 @@
     ) -> None:
         """Resume a broken stream on another engine if the policy allows it."""
         generation.log_failed(instance.instance, "stream", outcome.reason)
-        self._sender.record_interrupted_run(
+        await self._sender.record_interrupted_run(
             instance,
             generation.admitted,
-            outcome.reason,
+            outcome,
             events=generation.run_events,
         )
         await self._handle_failed_send(generation, outcome)
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -7,7 +7,7 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
-from damaskridge.core.gateway.crash_tracker import CrashTracker
+from damaskridge.core.gateway.crash_log import CrashLog
 from damaskridge.core.gateway.host_selection import HostDemand
 from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.model.control import (
@@ -67,7 +67,7 @@
         self._data_centre_of = data_centre_of
         self._hosts: dict[Subscriber, str] = {}
         self._first_report_received = anyio.Event()
-        self._crash_tracker = CrashTracker()
+        self._crash_log = CrashLog()
         self._hosts_needed: dict[str, int] = {}
 
     def add_subscriber(self, subscriber: Subscriber, host: str) -> None:
@@ -77,7 +77,7 @@
         self._hosts[subscriber] = host
         if self._hosts_needed:
             subscriber.push(HostsNeeded(by_data_centre=self._hosts_needed))
-        crashes = self._crash_tracker.recent_crashes(now_s)
+        crashes = self._crash_log.notices(now_s)
         if crashes:
             subscriber.push(CrashesSeen(crashes=crashes))
 
@@ -91,9 +91,13 @@
         now_s = anyio.current_time()
         self.load_aggregator.report(subscriber, message, now_s)
         self._first_report_received.set()
-        if message.crashes:
-            self._crash_tracker.on_report(message.crashes, now_s)
-            self._subscribers.broadcast(CrashesSeen(crashes=message.crashes))
+        if message.crashes or message.completed:
+            completed = self._crash_log.clear(message.completed, now_s)
+            crashes = self._crash_log.add(message.crashes, now_s)
+            if crashes or completed:
+                self._subscribers.broadcast(
+                    CrashesSeen(crashes=crashes, completed=completed)
+                )
 
     async def run(self) -> None:
         """Publish until cancelled."""
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -16,6 +16,7 @@
 
 from damaskridge.adapters.gateway.app import GatewayApp, GatewayState
 from damaskridge.adapters.gateway.calls import CallForwarder
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.dialect import Dialect
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.retry_gate import RetryGate
@@ -29,7 +30,7 @@
 from damaskridge.adapters.rpc.control_client import ControlClient
 from damaskridge.adapters.rpc.instance_publisher import InstanceListReader
 from damaskridge.binaries.http_server import LATE_REQUEST_S, HttpServer
-from damaskridge.core.gateway.crash_tracker import CrashTracker
+from damaskridge.core.gateway.crash_tracker import CrashReport
 from damaskridge.core.gateway.host_count import PeakHostCount
 from damaskridge.core.gateway.host_retry_budget import HostRetryBudget
 from damaskridge.core.gateway.host_selection import select_hosts
@@ -159,7 +160,6 @@
         self.state = GatewayState(RoutingIndex(RoutingTable()))
         self.registry = InstanceRegistry()
         self._pool = ConnectionPool()
-        self._crashes = CrashTracker()
         self._instance_list = InstanceListReplica()
         self._host_count = PeakHostCount()
         self._selected_host_count = PeakHostCount()
@@ -179,6 +179,7 @@
         self._load_confirmed_s = float("-inf")
         self._reported_leaving: tuple[InstanceId, ...] = ()
         refusals = RetryAfterTimes(rng)
+        self._crashes = CrashMonitor(refusals, self.control.request_report)
         gate = RetryGate(self._retries)
         self._permits = ServerPermits(self.registry.limits, self.control.request_report)
         sender = Sender(
@@ -192,6 +193,7 @@
             "gate": gate,
             "refusals": refusals,
             "permits": self._permits,
+            "crashes": self._crashes,
         }
         app = GatewayApp(
             state=self.state,
@@ -344,13 +346,14 @@
             leaving if everything or leaving != self._reported_leaving else ()
         )
         self._reported_leaving = leaving
-        crashes = self._crashes.pop_unreported()
+        crashes = self._crashes.pop_report(everything=everything)
         permits = self._permits.pop_report(everything=everything)
         report = ReportLoad(
             load=load,
             usage=usage,
             leaving=leaving_update,
-            crashes=crashes,
+            crashes=crashes.crashes,
+            completed=crashes.completed,
             limits=permits.limits,
             sends_wanted=permits.wanted,
             sends_charged=permits.charged,
@@ -358,7 +361,7 @@
         return report if report != EMPTY_REPORT else None
 
     def _on_crashes(self, message: CrashesSeen) -> None:
-        self._crashes.on_report(message.crashes, anyio.current_time())
+        self._crashes.on_report(CrashReport(message.crashes, message.completed))
 
     def _on_load(self, message: LoadSeen) -> None:
         now_s = anyio.current_time()
@@ -385,17 +388,7 @@
     def _apply_list(self, instances: tuple[BackendInstance, ...]) -> None:
         for gone in self.registry.replace(instances):
             self._pool.close_idle(gone)
-            runs = self._crashes.record_lost_server(
-                gone.instance_id, anyio.current_time()
-            )
-            if runs:
-                log_event(
-                    logger,
-                    EventNumber.BACKEND_SERVER_CRASHED,
-                    backend_server=gone.instance,
-                    runs=runs,
-                    source="list",
-                )
+            self._crashes.record_unlisted(gone)
         self.registry.confirmed_s = self._instance_list.confirmed_s
 
     async def _refresh_list(self) -> None:
--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -1,47 +1,48 @@
-"""Detects requests that crash the backend servers which run them.
+"""Detects crashes of backend servers, and the requests that cause them, on one host.
 
-A caller retries such a request with a new id each time and at any host, so it is
-identified by a fingerprint of its workspace, path and body. An instance that interrupts
-a run and then can't be reached, disappears from the list or restarts has crashed, and
-the crash counts against every request that ran there. A request that was present at
-three crashes is refused for a while. It is not refused if this host has recently
-seen it complete, because many calls have neither a body nor a path of their own and
-share a fingerprint. This keeps a single request from crashing one backend server after
-another.
+A caller retries a request with a new id each time and at any host, and different
+requests may share the part of the prompt that crashes servers. Requests are therefore
+identified by fingerprints: of workspace, path and body, and of each part of the prompt
+but the last. An instance that interrupts a run and is then found gone, by this host or
+another one, has crashed. Hosts exchange their crashes through the leader, and each of
+them infers the causes.
 
 >>> tracker = CrashTracker()
->>> for server in ("a", "b", "c"):
-...     tracker.record_interrupted_run("f1", InstanceId(server), now_s=1.0)
-...     tracker.record_lost_server(InstanceId(server), now_s=1.5)
->>> tracker.is_suspect("f1", now_s=2.0)
+>>> for name in ("a", "b", "c"):
+...     tracker.record_interrupted_run(InterruptedRun(("f1",)), InstanceId(name), 1.0)
+...     tracker.record_lost_server(InstanceId(name), now_s=1.5)
+0
+1
+0
+1
+0
+1
+>>> tracker.quarantine_s(("f1", "f2"), now_s=2.0) > 0
 True
->>> tracker.is_suspect("f2", now_s=2.0)
-False
+>>> tracker.quarantine_s(("f2",), now_s=2.0)
+0.0
 """
 
-from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
 from hashlib import blake2b
-from typing import TypeVar
 
-from damaskridge.model.gateway import CrashNotice, InstanceId
+from damaskridge.core.gateway.crash_causes import CrashCause, find_causes
+from damaskridge.core.gateway.crash_log import CrashLog
+from damaskridge.model.crashes import CrashNotice, InterruptedRun
+from damaskridge.model.gateway import InstanceId
 
-__all__ = ["CrashTracker", "fingerprint_of", "part_fingerprints"]
+__all__ = ["CrashReport", "CrashTracker", "fingerprint_of", "part_fingerprints"]
 
-KeyT = TypeVar("KeyT")
-NameT = TypeVar("NameT")
-
-# Crashes from which a request is refused. A request that is present at only one or two
-# is usually not their cause.
-MIN_CRASHES = 3
-# Longest time from an interrupted run to the evidence that the server has crashed: a
-# new connection is tried within seconds, and the list of backend servers lags by about
-# 1 s.
+# Longest time from an interrupted run to the evidence that the server has crashed. If
+# no host connects to it, only the list of backend servers shows that it is gone.
 CONFIRMATION_TIMEOUT_S = 4.0
-# How long a crash counts. By then the caller has probably sent its last retry.
-CRASH_RETENTION_S = 60.0
-# Most fingerprints of completed requests that a host keeps.
-MAX_REMEMBERED_RESPONSES = 4096
+# Interrupted runs that are kept of one instance.
+MAX_RUNS = 256
+# Parts of one prompt that are identified.
+MAX_PARTS = 64
+# Crashes of a fingerprint from which a new leader is told of it.
+MIN_REPORTED_CRASHES = 2
 
 
 def fingerprint_of(workspace: str, path: str, body: bytes) -> str:
@@ -58,100 +59,169 @@
 
     The last part belongs to one request or session; other requests don't contain it.
     """
-    return tuple(
-        blake2b(name.encode(), digest_size=12).hexdigest()
-        for name, _ in prompt_parts[:-1]
-    )
+    names = dict.fromkeys(name for name, _ in prompt_parts[:-1][:MAX_PARTS])
+    return tuple(blake2b(name.encode(), digest_size=12).hexdigest() for name in names)
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """
+    What a host has to tell the leader.
+
+    Parameters
+    ----------
+    crashes : tuple of CrashNotice
+        Crashes that this host has found.
+    completed : tuple of str
+        Possible causes of crashes that are harmless, because a run with them completed.
+    """
+
+    crashes: tuple[CrashNotice, ...] = ()
+    completed: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class _Interruptions:
+    """The interrupted runs of one instance, and whether it was found gone."""
+
+    runs: dict[InterruptedRun, float] = field(default_factory=dict)
+    lost_s: float | None = None
+    last_s: float = 0.0
 
 
 class CrashTracker:
-    """Crashes that this host has observed or that other hosts have reported."""
+    """Crashes that this host has found or that other hosts have reported."""
 
     def __init__(self) -> None:
-        self._interrupted_runs: dict[InstanceId, dict[str, float]] = {}
-        self._crashes: dict[str, dict[InstanceId, float]] = {}
-        self._unreported: list[CrashNotice] = []
-        self._last_response_s: OrderedDict[str, float] = OrderedDict()
+        self._log = CrashLog()
+        self._causes: tuple[CrashCause, ...] = ()
+        self._interruptions: dict[InstanceId, _Interruptions] = {}
+        self._unreported_crashes: list[CrashNotice] = []
+        self._unreported_completions: dict[str, None] = {}
+
+    @property
+    def causes(self) -> tuple[CrashCause, ...]:
+        """The causes that the crashes show, also those whose quarantine has ended."""
+        return self._causes
+
+    @property
+    def has_unreported(self) -> bool:
+        """Whether there is something that the leader has to know."""
+        return bool(self._unreported_crashes or self._unreported_completions)
+
+    def quarantine_s(self, fingerprints: Collection[str], now_s: float) -> float:
+        """Return for how long a request with these fingerprints is refused."""
+        if not self._causes:
+            return 0.0
+        return max(
+            (
+                cause.ends_s - now_s
+                for cause in self._causes
+                if cause.ends_s > now_s and cause.fingerprints.issubset(fingerprints)
+            ),
+            default=0.0,
+        )
 
     def record_interrupted_run(
-        self, fingerprint: str, server: InstanceId, now_s: float
-    ) -> None:
-        """Record an interrupted run; whether the instance crashed is not yet known."""
-        self._expire(now_s)
-        self._interrupted_runs.setdefault(server, {})[fingerprint] = now_s
+        self, run: InterruptedRun, server: InstanceId, now_s: float
+    ) -> int:
+        """
+        Record an interrupted run; the instance may already be known to be gone.
 
-    def record_lost_server(self, server: InstanceId, now_s: float) -> int:
+        Returns
+        -------
+        int
+            Number of runs that are now known to have been interrupted by a crash.
         """
-        Record that an instance can't be reached or is no longer listed.
+        self._expire(now_s)
+        item = self._interruptions.setdefault(server, _Interruptions())
+        item.last_s = now_s
+        if len(item.runs) < MAX_RUNS:
+            item.runs[run] = now_s
+        return self._confirm(server, item, now_s) if item.lost_s is not None else 0
+
+    def record_lost_server(
+        self, server: InstanceId, now_s: float, *, tells_others: bool = False
+    ) -> int:
+        """
+        Record that an instance is gone: its address refuses connections, or the list.
+
+        Parameters
+        ----------
+        server : InstanceId
+            The instance.
+        now_s : float
+            Current time.
+        tells_others : bool
+            Whether to report the loss, so that hosts with runs there learn of it.
 
         Returns
         -------
         int
-            Number of interrupted runs from which the instance is taken to have crashed.
+            Number of runs that are now known to have been interrupted by a crash.
         """
-        runs = 0
-        for fingerprint, interrupted_s in self._interrupted_runs.pop(
-            server, {}
-        ).items():
-            if now_s - interrupted_s <= CONFIRMATION_TIMEOUT_S:
-                runs += 1
-                notice = CrashNotice(fingerprint, server)
-                self._unreported.append(notice)
-                self.on_report((notice,), now_s)
-        return runs
-
-    def record_response(self, fingerprint: str, now_s: float) -> None:
-        """Clear the suspicion of a request that a server ran to completion."""
-        self._crashes.pop(fingerprint, None)
-        self._last_response_s[fingerprint] = now_s
-        self._last_response_s.move_to_end(fingerprint)
-        if len(self._last_response_s) > MAX_REMEMBERED_RESPONSES:
-            self._last_response_s.popitem(last=False)
-
-    def on_report(self, notices: Iterable[CrashNotice], now_s: float) -> None:
-        """Record crashes that this host has found or that others have reported."""
         self._expire(now_s)
-        for notice in notices:
-            self._crashes.setdefault(notice.fingerprint, {})[notice.server] = now_s
-
-    def is_suspect(self, fingerprint: str, now_s: float) -> bool:
-        """Tell whether a request was present at enough crashes to be refused."""
-        if (
-            now_s - self._last_response_s.get(fingerprint, float("-inf"))
-            <= CRASH_RETENTION_S
-        ):
-            return False
-        crashes = self._crashes.get(fingerprint, {}).values()
-        recent_crashes = sum(now_s - seen_s <= CRASH_RETENTION_S for seen_s in crashes)
-        return recent_crashes >= MIN_CRASHES
-
-    def pop_unreported(self) -> tuple[CrashNotice, ...]:
-        """Return the crashes that this host has found since the last call."""
-        notices, self._unreported = tuple(self._unreported), []
-        return notices
-
-    def recent_crashes(self, now_s: float) -> tuple[CrashNotice, ...]:
-        """Return every crash that has not expired."""
+        item = self._interruptions.setdefault(server, _Interruptions())
+        if item.lost_s is None:
+            item.lost_s = now_s
+            if tells_others and not item.runs:
+                self._unreported_crashes.append(CrashNotice(server, 0.0))
+        item.last_s = now_s
+        return self._confirm(server, item, now_s)
+
+    def record_complete_run(self, fingerprints: Sequence[str], now_s: float) -> None:
+        """Record that a server ran a request to completion."""
+        cleared = self._log.clear(fingerprints, now_s)
+        if cleared:
+            self._unreported_completions.update(dict.fromkeys(cleared))
+            self._causes = find_causes(self._log.crashes())
+
+    def on_report(self, report: CrashReport, now_s: float) -> None:
+        """Record what other hosts have found."""
         self._expire(now_s)
-        return tuple(
-            CrashNotice(fingerprint, server)
-            for fingerprint, servers in self._crashes.items()
-            for server in servers
-        )
+        is_changed = bool(self._log.clear(report.completed, now_s))
+        for notice in report.crashes:
+            self._unreported_completions.update(
+                dict.fromkeys(self._log.cleared_among(notice, now_s))
+            )
+            self.record_lost_server(notice.server, now_s)
+        is_changed |= bool(self._log.add(report.crashes, now_s))
+        if is_changed:
+            self._causes = find_causes(self._log.crashes())
+
+    def pop_report(self, now_s: float, *, everything: bool = False) -> CrashReport:
+        """
+        Return what the leader doesn't know yet.
+
+        With `everything`, also the crashes that matter to a new leader, which has lost
+        what its predecessor knew.
+        """
+        crashes = tuple(self._unreported_crashes)
+        if everything:
+            crashes += self._log.notices(now_s, min_crashes=MIN_REPORTED_CRASHES)
+        report = CrashReport(crashes, tuple(self._unreported_completions))
+        self._unreported_crashes = []
+        self._unreported_completions = {}
+        return report
+
+    def _confirm(self, server: InstanceId, item: _Interruptions, now_s: float) -> int:
+        """Record the interrupted runs of an instance that is gone as a crash."""
+        recent = {
+            run: at_s
+            for run, at_s in item.runs.items()
+            if now_s - at_s <= CONFIRMATION_TIMEOUT_S
+        }
+        item.runs.clear()
+        if recent:
+            crash_s = min(recent.values())
+            runs = self._log.possible_runs(recent, crash_s)
+            notice = CrashNotice(server, now_s - crash_s, runs)
+            self._unreported_crashes.append(notice)
+            self._log.add((notice,), now_s)
+            self._causes = find_causes(self._log.crashes())
+        return len(recent)
 
     def _expire(self, now_s: float) -> None:
-        self._interrupted_runs = _without_expired(
-            self._interrupted_runs, now_s - CONFIRMATION_TIMEOUT_S
-        )
-        self._crashes = _without_expired(self._crashes, now_s - CRASH_RETENTION_S)
-
-
-def _without_expired(
-    entries: dict[KeyT, dict[NameT, float]], since_s: float
-) -> dict[KeyT, dict[NameT, float]]:
-    """Return the entries since `since_s`, without keys that have none left."""
-    recent = {
-        key: {name: at_s for name, at_s in items.items() if at_s >= since_s}
-        for key, items in entries.items()
-    }
-    return {key: items for key, items in recent.items() if items}
+        for server, item in list(self._interruptions.items()):
+            if now_s - item.last_s > CONFIRMATION_TIMEOUT_S:
+                del self._interruptions[server]
--- a/src/damaskridge/core/gateway/retry_after.py
+++ b/src/damaskridge/core/gateway/retry_after.py
@@ -18,8 +18,6 @@
 NO_SERVER_S = 0.8
 # Time from the start of an entry host until it has its routes.
 NOT_READY_S = 0.6
-# A request that crashed servers remains suspect for one minute.
-QUARANTINE_S = 60.0
 # Latest retry after a lack of capacity, as a share of the caller's remaining time.
 MAX_REMAINING_SHARE = 0.3
 # Upper limit for requests beyond the rate, also for a rate that is almost 0.
@@ -59,9 +57,9 @@
         """Return a time that is never before the end of a server's pause."""
         return self._jittered(pause_s, float("inf"))
 
-    def suspect_s(self) -> float:
-        """Return the time after which a suspect request may be retried."""
-        return self._jittered(QUARANTINE_S, float("inf"))
+    def quarantine_s(self, left_s: float) -> float:
+        """Return a time that is never before the end of a quarantine."""
+        return self._jittered(left_s, float("inf"))
 
     def not_ready_s(self) -> float:
         """Return the time after which this host may have its routes."""
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from damaskridge.model.bundle import Bundle
+from damaskridge.model.crashes import CrashNotice
 from damaskridge.model.errors import Failure
 from damaskridge.model.gateway import (
     BackendInstance,
-    CrashNotice,
     InstanceId,
     RoutingTable,
 )
@@ -563,7 +563,9 @@
     leaving : tuple of InstanceId
         Instances that announced in a response that they shut down.
     crashes : tuple of CrashNotice
-        Requests that ran on an instance as it crashed.
+        Crashes of instances, with the runs of this host that they interrupted.
+    completed : tuple of str
+        Fingerprints of interrupted runs that are harmless: a run with them completed.
     limits : tuple of ServerLimit
         Limits of requests that instances have named, or their ends.
     sends_wanted : tuple of SendWanted
@@ -576,6 +578,7 @@
     usage: dict[str, float] = {}
     leaving: tuple[InstanceId, ...] = ()
     crashes: tuple[CrashNotice, ...] = ()
+    completed: tuple[str, ...] = ()
     limits: tuple[ServerLimit, ...] = ()
     sends_wanted: tuple[SendWanted, ...] = ()
     sends_charged: tuple[SendsCharged, ...] = ()
@@ -683,9 +686,19 @@
 
 
 class CrashesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
-    """Forwards the requests that entry hosts reported to have run during a crash."""
+    """
+    Forwards crashes that entry hosts have reported.
 
-    crashes: tuple[CrashNotice, ...]
+    Parameters
+    ----------
+    crashes : tuple of CrashNotice
+        Crashes of instances.
+    completed : tuple of str
+        Fingerprints of interrupted runs that are harmless: a run with them completed.
+    """
+
+    crashes: tuple[CrashNotice, ...] = ()
+    completed: tuple[str, ...] = ()
 
 
 class HostsNeeded(FollowResponse, frozen=True, kw_only=True, tag=True):
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -11,7 +11,6 @@
 __all__ = [
     "BackendInstance",
     "CallerLimits",
-    "CrashNotice",
     "EngineStage",
     "EngineTraits",
     "GatewayRoute",
@@ -207,13 +206,6 @@
     started_ms: int = 0
 
 
-class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
-    """The fingerprint of a request that ran on an instance as it crashed."""
-
-    fingerprint: str
-    server: InstanceId
-
-
 class BackendInstance(msgspec.Struct, frozen=True, kw_only=True):
     """
     An instance, as the list of backend servers describes it.
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -12,13 +12,13 @@
 
 from damaskridge.adapters.gateway.app import GatewayApp, GatewayState
 from damaskridge.adapters.gateway.calls import CallForwarder
+from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
-from damaskridge.core.gateway.crash_tracker import CrashTracker
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.core.gateway.quota import FleetQuota
@@ -301,8 +301,9 @@
     retries = FixedRetryBudget(budget)
     gate = RetryGate(retries)
     leader = StandInLeader(registry)
-    rng, dialect, crashes = random.Random(1), PlatformDialect(), CrashTracker()
+    rng, dialect = random.Random(1), PlatformDialect()
     refusals = RetryAfterTimes(rng)
+    crashes = CrashMonitor(refusals, lambda: None)
     load = LoadTracker(rng)
     shared = {
         "sender": Sender(dialect, pool, registry, crashes, gate, leader.permits),
@@ -312,6 +313,7 @@
         "gate": gate,
         "refusals": refusals,
         "permits": leader.permits,
+        "crashes": crashes,
     }
     targets = {"/gen/": "llm", "/res/": "llm"}
     routes = tuple(
@@ -358,3 +360,8 @@
         pool.close()
         for item in servers:
             item.close()
+        for standin in standins:
+            for writer in standin.writers:
+                writer.transport.abort()
+        # Lets the transports close before the event loop ends.
+        await asyncio.sleep(0)
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -5,17 +5,8 @@
 
 import asyncio
 
-from tests.adapters.gateway.standin import (
-    StandIn,
-    chunk,
-    chunked_head,
-    events,
-    gateway,
-    response,
-)
-from tests.adapters.gateway.test_streams import run_prefill
-
-from damaskridge.model.gateway import EngineStage
+from tests.adapters.gateway.crashing_engines import CrashingEngines
+from tests.adapters.gateway.standin import StandIn, events, gateway, response
 
 
 def run_async(main):
@@ -62,55 +53,6 @@
     run_async(main)
 
 
-class CrashingEngines:
-    """
-    A prefill engine, and decode engines that crash on one part of a prompt.
-
-    Attributes
-    ----------
-    servers : list of StandIn
-        The engines.
-    runs : list of str
-        The prompts that the decode engines were asked to answer, in order.
-    """
-
-    def __init__(self, count, deadly_part):
-        self.runs = []
-        self._deadly_part = deadly_part
-        self.servers = [
-            StandIn("p", run_prefill, EngineStage.PREFILL, "llm"),
-            *(self._engine(f"d{number}") for number in range(count)),
-        ]
-
-    def crashes(self):
-        return sum(self._is_deadly(prompt) for prompt in self.runs)
-
-    def prefills(self):
-        return sum(
-            self._is_deadly(request.headers["x-prompt-prefix"])
-            for request in self.servers[0].received
-        )
-
-    def _is_deadly(self, prompt):
-        return f"{self._deadly_part}:" in prompt
-
-    def _engine(self, name):
-        async def script(request, writer):
-            prompt = request.headers.get("x-prompt-prefix", "")
-            self.runs.append(prompt)
-            writer.write(chunked_head(request))
-            await writer.drain()
-            if self._is_deadly(prompt):
-                await asyncio.sleep(0.01)
-                engine.crash()
-                return True
-            writer.write(chunk(events(1, 3)) + b"0\r\n\r\n")
-            return False
-
-        engine = StandIn(name, script, EngineStage.DECODE, "llm")
-        return engine
-
-
 async def generate(app, parts, number, path="/res/x"):
     """Send a generation whose last prompt part belongs to it alone."""
     prompt = ",".join([f"{part}:50" for part in parts] + [f"f{number}:50"])
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -12,7 +12,8 @@
 from damaskridge.core.gateway.host_selection import GENERATIONS_PER_HOST
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import CrashesSeen, HostsNeeded, InstanceLoad, ReportLoad
-from damaskridge.model.gateway import CrashNotice, InstanceId
+from damaskridge.model.crashes import CrashNotice, InterruptedRun
+from damaskridge.model.gateway import InstanceId
 
 HOSTS_NEEDED = 9
 LOAD_REPORT = ReportLoad(
@@ -78,7 +79,7 @@
     async def main():
         fixture = PublisherFixture()
         first, second = fixture.connect(), fixture.connect()
-        notice = CrashNotice("f", InstanceId("a", 1))
+        notice = CrashNotice(InstanceId("a", 1), 0.0, (InterruptedRun(("f",)),))
         fixture.publisher.handle_report(first, ReportLoad(crashes=(notice,)))
         for subscriber in (second, fixture.connect()):
             (message,) = received_messages(subscriber, CrashesSeen)
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -99,6 +99,7 @@
     async def __aenter__(self):
         for standin in self.listed_backends():
             server = await asyncio.start_server(standin.serve, MACHINES[0], 0)
+            standin.listener = server
             host, port = server.sockets[0].getsockname()
             standin.address = f"{host}:{port}"
             self._servers.append(server)
