Pass on no stream as complete that ended inside an event

What callers saw: the response of an engine had neither a length nor chunks, ended with its connection in the middle of an event, and arrived as a whole 200. If a stream had broken off and the next engine answered 200 with a text that holds no event, the text stood in the middle of the caller's stream.

Cause: what was left of an unfinished event at the end of a body was written to the caller and the stream ended as complete. That is right only if the framing shows that the body is complete. Change: a stream that ends inside an event has broken off, and so has one without framing that ends before its first event. It resumes on another engine, or is truncated.

--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -62,6 +62,13 @@
         """Return the value of the first header with this lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, and not just ends."""
+        return any(
+            key in (b"content-length", b"transfer-encoding") for key, _ in self.headers
+        )
+
 
 class _ConnectionProtocol(asyncio.Protocol):
     """Buffers received data with flow control, and records how the connection ended."""
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -365,9 +365,13 @@
                 if not generation.response.has_started:
                     self._clear_prompt_load(generation, server_response.instance)
                 await generation.write(server_response, new_data)
-        # Only at the end of the body is it known that the remaining data is complete.
-        if splitter.rest or not generation.response.has_started:
-            await generation.write(server_response, splitter.rest)
+        # Without a length or chunks, only the events show that data is missing.
+        if splitter.rest:
+            raise ConnectionBroken("the stream ended inside an event")
+        if not (server_response.head.is_framed or generation.run_events):
+            raise ConnectionBroken("the stream ended before its first event")
+        if not generation.response.has_started:
+            await generation.write(server_response, b"")
 
     def _clear_prompt_load(
         self, generation: Generation, instance: BackendInstance
