Take no copy of an earlier refusal for the response to a request

What callers saw: a faulty server wrote an earlier refusal once more on a kept connection, and a request that it ran was answered "not run" (503), or ran once more.

Cause: a refusal without a request id was taken for the response to whatever waited on the connection; a repeat of a request at the same server has the id of the refused one; and a connection on which the server had refused a call of the gateway itself was kept. Change: on a reused connection, a response without a request id leaves it unknown whether the request ran. A request that was sent to a server before gets a new connection there. Connections are kept after calls of the gateway itself only if the call succeeded.

--- a/src/damaskridge/adapters/gateway/admitted_request.py
+++ b/src/damaskridge/adapters/gateway/admitted_request.py
@@ -36,6 +36,8 @@
         Event loop time at which the head of the request was read.
     account : SendAccount
         What sending the request has cost the retry budget.
+    sent_to : set of str
+        Instances that the request was sent to.
 
     Attributes
     ----------
@@ -56,6 +58,7 @@
     policy: SendPolicy = field(init=False)
     fingerprints: tuple[str, ...] = field(init=False)
     account: SendAccount = field(default_factory=SendAccount)
+    sent_to: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         route = self.route
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -172,6 +172,8 @@
         Event loop time at which the last response was complete.
     keep_alive_s : float or None
         How long the server keeps an idle connection open; None if unknown.
+    is_reused : bool
+        Whether the current request is not the first one on this connection.
     """
 
     def __init__(self, protocol: _ConnectionProtocol) -> None:
@@ -179,6 +181,7 @@
         self._http = self._new_parser()
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
+        self.is_reused = False
 
     @property
     def is_reusable(self) -> bool:
@@ -216,6 +219,7 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+            self.is_reused = True
         framed_headers = [*headers, (b"content-length", b"%d" % len(body))]
         try:
             data = self._http.send(
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -246,12 +246,16 @@
         headers = self._dialect.encode_headers(request, options)
         try:
             connection = await self._pool.acquire(
-                instance, CONNECT_TIMEOUT_S, fresh=fresh
+                instance,
+                CONNECT_TIMEOUT_S,
+                # A copy of the response to an earlier send has the same request id.
+                fresh=fresh or instance.instance in admitted.sent_to,
             )
         except NotSent as error:
             self._record_unreachable(instance, error)
             failed = NotRun(str(error), was_sent=False)
             return self._log_outcome(request, instance, failed, started_s)
+        admitted.sent_to.add(instance.instance)
         is_response_open = False
         outcome: Outcome
         try:
@@ -373,7 +377,8 @@
                         head.status != 200 or accepts(body)
                     )
                 finally:
-                    if is_valid:
+                    # A copy of a refusal would be taken for one of the next request.
+                    if is_valid and head.status == 200:
                         self._pool.release(instance, connection)
                     else:
                         connection.close()
@@ -447,6 +452,9 @@
         metadata = self._dialect.decode_response_head(head)
         if metadata.request_id and metadata.request_id != request.request_id:
             return Unknown("the answer belongs to another request")
+        if connection.is_reused and not metadata.request_id:
+            # It may be a copy of an earlier response.
+            return Unknown("an answer without a request id on a reused connection")
         self._apply_notices(instance, metadata)
         if metadata.is_other_instance:
             moved = NotSent("another instance has the address")
--- a/tests/adapters/gateway/test_late_copies.py
+++ b/tests/adapters/gateway/test_late_copies.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+import pytest
 from tests.adapters.gateway.standin import (
     StandIn,
     events,
@@ -139,3 +140,108 @@
         assert "x-kv-hold" not in engine.received[0].headers
 
     run_async(main)
+
+
+def refusal_without_id():
+    return (
+        b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nretry-after: 0\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+
+
+@pytest.mark.parametrize("copied", ["without id", "of another request"])
+def test_a_refusal_on_a_kept_connection_is_not_taken_for_the_response(copied):
+    """The caller would be told that a request did not run although it did."""
+
+    async def main():
+        async def script(request, writer):
+            if request.attempt == "a1":
+                writer.write(response(request, body=b"first"))
+                return
+            is_kept = request.reader is server.received[0].reader
+            if is_kept:
+                copy = refusal_without_id()
+                if copied == "of another request":
+                    copy = not_executed(server.received[0])
+                writer.write(copy)
+                await asyncio.sleep(DELAY_S)
+            runs.append(request)
+            writer.write(response(request, body=b"second"))
+
+        runs = []
+        server = StandIn("a", script)
+        async with gateway(server, budget=0) as app:
+            await app.send_request("/safe/x", attempt="a1")
+            status, _, _ = await app.send_request("/safe/x", attempt="a2")
+        assert runs
+        assert status == 502
+
+    run_async(main)
+
+
+def test_a_copy_of_a_refusal_is_not_taken_for_the_response_to_its_repeat():
+    """The repeat has the same request id, so that only the connection tells."""
+
+    async def main():
+        async def script(request, writer):
+            if request.attempt != "a9":
+                # Two at a time, so that two connections are kept.
+                await asyncio.sleep(DELAY_S)
+                writer.write(response(request))
+                return
+            sends.append(request)
+            is_kept = any(request.reader is item.reader for item in before)
+            if len(sends) == 1 or is_kept:
+                writer.write(not_executed(request))
+            if len(sends) > 1:
+                await asyncio.sleep(DELAY_S)
+                runs.append(request)
+                writer.write(response(request, body=b"ran"))
+
+        sends, runs = [], []
+        server = StandIn("a", script)
+        async with gateway(server) as app:
+            await asyncio.gather(
+                *(app.send_request("/safe/x", attempt=f"a{n}") for n in range(3))
+            )
+            before = list(server.received)
+            status, _, body = await app.send_request("/safe/x", attempt="a9")
+        assert (status, body) == (200, b"ran")
+        assert len(runs) == 1
+
+    run_async(main)
+
+
+def test_a_copy_of_a_refused_reservation_is_not_taken_for_a_refused_run():
+    async def main():
+        servers = engines(decode_script())
+        engine = servers[1]
+        engine._api_response = lambda request: refusal_without_id()
+        decode = engine.script
+
+        async def script(request, writer):
+            if request.headers.get("x-stage") != "prefill":
+                runs.append(request)
+                if any(request.reader is reader for reader in api_readers):
+                    writer.write(refusal_without_id())
+                    await asyncio.sleep(DELAY_S)
+            return await decode(request, writer)
+
+        runs, api_readers = [], []
+        read_request = engine._read_request
+
+        async def record_reader(reader):
+            request = await read_request(reader)
+            if request.target.startswith("/api/"):
+                api_readers.append(reader)
+            return request
+
+        engine._read_request, engine.script = record_reader, script
+        async with gateway(*servers, budget=0) as app:
+            for number in range(3):
+                status, _, _ = await app.generate("/res/x", attempt=f"a{number}")
+                assert not (status == 503 and runs)
+                engine._api_response = StandIn._api_response.__get__(engine)
+        assert api_readers
+
+    run_async(main)
