Let the fault soak send requests with a part that crashes engines

Cause: no stand-in of the soak crashed on a request, so that the quarantine was not tested while hosts, leaders and links fail. Change: a caller sends different requests that share a deadly part to all hosts; engines crash on it, refuse connections for 1.5 s and come back as another run. Requests with the part that arrive after the fifth crash, without faults for 3 s, are counted against the operator's three.

--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -116,6 +116,8 @@
     writers: list = field(default_factory=list)
     address: str = ""
     limit_per_s: float | None = None
+    # Unix time of the start; another one after a restart.
+    started_ms: int = 1_700_000_000_000
     arrivals: ArrivalLog = field(default_factory=ArrivalLog)
 
     def crash(self):
--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -11,9 +11,11 @@
     response,
 )
 
-__all__ = ["event_count", "make_backends"]
+__all__ = ["DEADLY_PART", "event_count", "make_backends"]
 
 EVENT_INTERVAL_S = 0.02
+# Decode engines crash when they begin to respond to a prompt with this part.
+DEADLY_PART = "dead"
 
 
 def event_count(attempt_id):
@@ -29,6 +31,8 @@
         self._rng = rng
         # Names of the servers that refuse every request.
         self.refusing_servers = set()
+        # Called with the name of a decode engine that crashes.
+        self.on_crash = lambda name: None
 
     def _begin_run(self, request, name):
         has_key = "authorization" in request.headers
@@ -37,6 +41,8 @@
     def _record_arrival(self, name, request, writer, *, is_prefill=False):
         """Record an arrival, refuse it if the server refuses; return whether it did."""
         is_refused = name in self.refusing_servers
+        if _is_deadly(request):
+            self._record.add_deadly_arrival(name, request.attempt)
         self._record.add_arrival(
             request.attempt, is_prefill=is_prefill, is_refused=is_refused
         )
@@ -73,6 +79,10 @@
             try:
                 first_event = int(request.headers.get("last-event-id", "0")) + 1
                 writer.write(chunked_head(request))
+                if _is_deadly(request):
+                    await writer.drain()
+                    self.on_crash(name)
+                    return True
                 for number in range(first_event, event_count(request.attempt) + 1):
                     await asyncio.sleep(EVENT_INTERVAL_S)
                     if writer.transport.is_closing() or request.reader.at_eof():
@@ -91,8 +101,7 @@
     """
     Return three plain servers, a prefill engine and two decode engines in a list.
 
-    The second value is the set of names of the servers that refuse every request; the
-    caller changes it during the run.
+    The second value is the factory, by which the caller changes their behaviour.
     """
     factory = BackendFactory(record, rng)
     plain_servers = [factory.make_plain_server(f"app-{number}") for number in range(3)]
@@ -101,4 +110,9 @@
         *plain_servers,
         factory.make_prefill_engine("p-0"),
         *decode_engines,
-    ], factory.refusing_servers
+    ], factory
+
+
+def _is_deadly(request):
+    prompt = request.headers.get("x-prompt-prefix", "")
+    return f"{DEADLY_PART}:" in prompt
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.fault_soak.backends import event_count
+from tests.fault_soak.backends import DEADLY_PART, event_count
 
 __all__ = ["Caller"]
 
@@ -46,7 +46,14 @@
             await self.send_request(kind, self._rng.randrange(self._soak.machine_count))
             await asyncio.sleep(self._rng.uniform(0.0, 0.15))
 
-    async def send_request(self, kind, machine, path="", key=""):
+    async def run_deadly(self):
+        """Send different requests whose prompts share a part that crashes engines."""
+        while True:
+            machine = self._rng.randrange(self._soak.machine_count)
+            await self.send_request("stream", machine, parts=("first", DEADLY_PART))
+            await asyncio.sleep(self._rng.uniform(0.2, 0.8))
+
+    async def send_request(self, kind, machine, path="", key="", parts=("first",)):
         """Send one request; return its status, or None without a complete response."""
         soak, record = self._soak, self._soak.record
         self._sent_count += 1
@@ -59,7 +66,7 @@
         request = record.add_request(attempt_id, kind, path, key, machine)
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                status, body = await self._exchange(request)
+                status, body = await self._exchange(request, parts)
         except (OSError, EOFError, TimeoutError, _TruncatedResponse, ValueError):
             self._close()
             return None
@@ -93,12 +100,15 @@
         elif body != b"ran:" + request.attempt_id.encode():
             self._soak.record.add_violation("body", f"{request}: {body!r}")
 
-    async def _exchange(self, request):
+    async def _exchange(self, request, parts):
         if self._connection is None:
             ip, port = self._soak.front_address_of(request.machine)
             self._connection = await asyncio.open_connection(ip, port)
         reader, writer = self._connection
-        token_header = "x-token-count: 100,50\r\n" if request.kind == "stream" else ""
+        token_header = ""
+        if request.kind == "stream":
+            prompt = ",".join(f"{part}:20" for part in (*parts, request.attempt_id))
+            token_header = f"x-token-count: 100,50\r\nx-prompt-prefix: {prompt}\r\n"
         body = request.attempt_id.encode()
         writer.write(
             f"POST {request.path}x HTTP/1.1\r\nhost: h.example\r\n{token_header}"
--- a/tests/fault_soak/proxy.py
+++ b/tests/fault_soak/proxy.py
@@ -43,10 +43,20 @@
         self.delay_s = 0.15
         self.address = ""
 
-    async def start(self, ip="127.0.0.1"):
-        self._server = await asyncio.start_server(self._start_connection, ip, 0)
+    async def start(self, ip="127.0.0.1", port=0):
+        self._server = await asyncio.start_server(self._start_connection, ip, port)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
+    def crash(self):
+        """Reset every open connection and refuse new ones until `restart`."""
+        self._server.close()
+        self.reset()
+
+    async def restart(self):
+        """Accept connections again, at the same address."""
+        ip, _, port = self.address.rpartition(":")
+        await self.start(ip, int(port))
+
     async def stop(self):
         self._server.close()
         self.reset()
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -32,6 +32,10 @@
 # time, hosts see what they see when all of them stall.
 STALL_S = 0.4
 STALL_CHECK_PERIOD_S = 0.05
+# Crashes by a part of prompts, after which at most so many more requests with the part
+# may arrive that were sent without faults.
+MAX_PART_CRASHES = 5
+MAX_DEADLY_ARRIVALS = 3
 
 
 @dataclass
@@ -65,6 +69,9 @@
         # removal may be in force. Infinite until a change is acknowledged.
         self.maybe_removed_until_s = {}
         self.leaving_since_s = {}
+        # Times of the crashes by a part of prompts.
+        self.crash_times_s = []
+        self._late_deadly_requests = set()
         self._active_runs = defaultdict(dict)
         # Times of arrivals beyond the first of a request, by whether it is a stream.
         self._retry_times_s = {True: [], False: []}
@@ -124,6 +131,17 @@
         if request.arrivals > 1:
             self._retry_times_s[request.kind == "stream"].append(self.now_s)
 
+    def add_deadly_arrival(self, server, attempt_id):
+        """Count requests that arrive although their part is known to be deadly."""
+        request = self.requests.get(attempt_id)
+        if request is None or len(self.crash_times_s) < MAX_PART_CRASHES:
+            return
+        known_since_s = self.crash_times_s[MAX_PART_CRASHES - 1] + FAULT_AFTERMATH_S
+        if self.now_s > known_since_s and self.is_fault_free_since(self.now_s):
+            self._late_deadly_requests.add(attempt_id)
+            if len(self._late_deadly_requests) > MAX_DEADLY_ARRIVALS:
+                self.add_violation("deadly part", f"{request} arrives at {server}")
+
     def check_retries(self):
         """Check the number of retries in every window against the limit."""
         for is_stream, retry_times_s in self._retry_times_s.items():
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -29,6 +29,8 @@
 LIST_UPDATE_MARGIN_S = 0.2
 # Enough for each of the three plain servers to receive one.
 REQUESTS_AFTER_DRAIN = 6
+# Time for which an engine that has crashed refuses connections.
+ENGINE_RESTART_S = 1.5
 
 
 class SoakFleet(PlatformFleet):
@@ -91,11 +93,15 @@
     def __init__(self, seed, folder, guard=""):
         self.rng = random.Random(seed)
         self.record = Record()
-        backends, self._refusing_servers = make_backends(self.record, self.rng)
+        backends, factory = make_backends(self.record, self.rng)
+        self._refusing_servers = factory.refusing_servers
+        factory.on_crash = self._crash_engine
+        self._crash_tasks = set()
         self.fleet = SoakFleet(folder, backends, guard)
         # A separate generator, so that earlier seeds keep their other faults.
         self._refusal_rng = random.Random(f"refusals {seed}")
         self._limit_rng = random.Random(f"limits {seed}")
+        self._deadly_rng = random.Random(f"deadly {seed}")
         self.keys = ["k"]
         self.prefix_number = 0
         self.in_force_since_s = {}
@@ -129,6 +135,8 @@
             callers = [Caller(n, self, rng) for n, rng in enumerate(rngs)]
             tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
             tasks.append(asyncio.ensure_future(self.record.watch_stalls()))
+            deadly_caller = Caller("deadly", self, self._deadly_rng)
+            tasks.append(asyncio.ensure_future(deadly_caller.run_deadly()))
             server_tasks = [
                 asyncio.ensure_future(self._inject_refusals()),
                 asyncio.ensure_future(self._inject_limits()),
@@ -288,6 +296,20 @@
             for server in servers:
                 server.limit_per_s = None
 
+    def _crash_engine(self, name):
+        self.record.crash_times_s.append(self.record.now_s)
+        self.record.fault_counts["crash"] += 1
+        number = [item.name for item in self.fleet.backends].index(name)
+        self.fleet.proxies[number].crash()
+        task = asyncio.ensure_future(self._restart_engine(number))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _restart_engine(self, number):
+        await asyncio.sleep(ENGINE_RESTART_S)
+        await self.fleet.proxies[number].restart()
+        self.fleet.backends[number].started_ms += 1
+
     async def _reset_connections(self):
         self.record.add_fault("reset")
         self.rng.choice([*self._front_proxies, *self.fleet.proxies]).reset()
--- a/tests/fault_soak/unguarded.py
+++ b/tests/fault_soak/unguarded.py
@@ -45,6 +45,7 @@
 
     def accept_event(self, event_id):
         self.has_events = True
+        self.run_events += 1
         return True
 
     Generation.accept_event = accept_event
@@ -90,6 +91,13 @@
     ServerPermits.use = lambda self, instance: True
 
 
+def _quarantine():
+    """Send requests with a part that crashes servers."""
+    from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
+
+    CrashMonitor.failure = lambda self, admitted: None
+
+
 GUARDS = {
     "key_withdrawal": _key_withdrawal,
     "one_run": _one_run,
@@ -98,6 +106,7 @@
     "durable_log": _durable_log,
     "retry_budget": _retry_budget,
     "server_limits": _server_limits,
+    "quarantine": _quarantine,
 }
 
 if __name__ == "__main__":
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -280,6 +280,7 @@
                 "Address": backend.address,
                 "Zone": "west",
                 "Slots": 64,
+                "born": backend.started_ms,
                 "State": "draining" if backend.name in self.leaving else "ready",
             }
             if backend.stage is not None:
