Record the crashes behind a quarantine in the control group

Cause: what hosts know of crashes was kept in memory only. After all processes had been killed, a part of prompts had to crash servers anew before it was refused. Change: the leader passes crashes on in a publisher of their own, and commits those that explain a quarantine as one command when a cause begins, changes or is cleared. A leader sends them to each host that connects. Known red: the product's own interface knows a request by its whole prompt, so that prompts with a common prefix crash one engine after the other there.

--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -27,6 +27,7 @@
     STATUS_PATH,
 )
 from damaskridge.adapters.rpc.control_ports import ControlNodePort
+from damaskridge.adapters.rpc.crash_publisher import CrashPublisher
 from damaskridge.adapters.rpc.instance_publisher import (
     InstanceListReader,
     InstancePublisher,
@@ -127,6 +128,13 @@
         self._permit_publisher = PermitPublisher(
             self._subscribers, lambda: self._duties.is_ready
         )
+        self._crash_publisher = CrashPublisher(
+            self._subscribers,
+            lambda: self._duties.is_ready,
+            state,
+            self._duties.propose,
+            wall_ms,
+        )
         self._stage_controller: StageController | None = None
         if orders is not None:
             self._stage_controller = StageController(
@@ -178,6 +186,7 @@
             group.start_soon(self._confirm_renewals)
             group.start_soon(self._duties.run)
             group.start_soon(self._load_publisher.run)
+            group.start_soon(self._crash_publisher.run)
             if self._instance_publisher is not None:
                 group.start_soon(self._instance_publisher.run)
             if self._stage_controller is not None:
@@ -269,6 +278,7 @@
                 self._instance_publisher.send_snapshot(subscriber)
             # After the list: a host drops the limits of instances that have restarted.
             self._permit_publisher.send_snapshot(subscriber)
+            self._crash_publisher.send_snapshot(subscriber)
             try:
                 group.start_soon(
                     self._send_messages, stream, subscriber, group.cancel_scope
@@ -291,6 +301,7 @@
                 elif isinstance(message, ReportLoad):
                     self._load_publisher.handle_report(subscriber, message)
                     self._permit_publisher.handle_report(subscriber, host, message)
+                    self._crash_publisher.handle_report(message)
                     if self._instance_publisher is not None:
                         for notice in message.leaving:
                             self._instance_publisher.notices.add(notice)
--- /dev/null
+++ b/src/damaskridge/adapters/rpc/crash_publisher.py
@@ -0,0 +1,124 @@
+"""Passes on crashes of backend servers between entry hosts, while this host leads."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
+from damaskridge.core.gateway.crash_causes import find_causes
+from damaskridge.core.gateway.crash_log import CrashLog
+from damaskridge.core.state.control_state import ControlState
+from damaskridge.model.control import (
+    Command,
+    CommandResult,
+    CrashesSeen,
+    RecordCrashes,
+    ReportLoad,
+)
+from damaskridge.model.crashes import CrashNotice, RecordedCrash
+
+__all__ = ["CrashPublisher"]
+
+# Limits how often crashes are recorded.
+RECORD_PERIOD_S = 0.2
+
+
+class CrashPublisher:
+    """
+    Collects the crashes that entry hosts report, and sends them to the others.
+
+    The crashes that explain a quarantine are recorded in the control group, so that
+    they are known even after all processes have restarted.
+
+    Parameters
+    ----------
+    subscribers : SubscriberSet
+        The open streams of the entry hosts.
+    is_leading : callable
+        Returns whether this host is the leader.
+    state : ControlState
+        The state machine of the control group.
+    propose : callable
+        Commits a command.
+    wall_ms : callable
+        Wall-clock time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        subscribers: SubscriberSet,
+        is_leading: Callable[[], bool],
+        state: ControlState,
+        propose: Callable[[Command], Awaitable[CommandResult]],
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._subscribers = subscribers
+        self._is_leading = is_leading
+        self._state = state
+        self._propose = propose
+        self._wall_ms = wall_ms
+        self._log = CrashLog()
+        self._changed = anyio.Event()
+
+    def send_snapshot(self, subscriber: Subscriber) -> None:
+        """Send all crashes to a new subscriber."""
+        now_s = anyio.current_time()
+        self._log.add(self._recorded_notices(), now_s)
+        crashes = self._log.notices(now_s)
+        if crashes:
+            subscriber.push(CrashesSeen(crashes=crashes))
+
+    def handle_report(self, message: ReportLoad) -> None:
+        """Record crashes and completions, and tell all hosts what is new."""
+        if not (message.crashes or message.completed):
+            return
+        now_s = anyio.current_time()
+        completed = self._log.clear(message.completed, now_s)
+        crashes = self._log.add(message.crashes, now_s)
+        if crashes or completed:
+            self._subscribers.broadcast(
+                CrashesSeen(crashes=crashes, completed=completed)
+            )
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Record the crashes that explain quarantines until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            crashes = self._crashes_to_record()
+            recorded = self._state.data.gateway_crashes
+            if self._is_leading() and _identities(crashes) != _identities(recorded):
+                command_id = f"crashes/{secrets.token_hex(8)}"
+                result = await self._propose(
+                    RecordCrashes(command_id=command_id, crashes=crashes)
+                )
+                if result.failure is not None:
+                    self._changed.set()
+            await anyio.sleep(RECORD_PERIOD_S)
+
+    def _crashes_to_record(self) -> tuple[RecordedCrash, ...]:
+        now_s, wall_ms = anyio.current_time(), self._wall_ms()
+        causes = find_causes(self._log.crashes())
+        fingerprints = {item for cause in causes for item in cause.fingerprints}
+        return tuple(
+            RecordedCrash(
+                notice.server, wall_ms - round(notice.age_s * 1000), notice.runs
+            )
+            for notice in self._log.notices(now_s, fingerprints)
+        )
+
+    def _recorded_notices(self) -> tuple[CrashNotice, ...]:
+        wall_ms = self._wall_ms()
+        return tuple(
+            CrashNotice(
+                crash.server, max(0.0, (wall_ms - crash.at_ms) / 1000), crash.runs
+            )
+            for crash in self._state.data.gateway_crashes
+        )
+
+
+def _identities(crashes: tuple[RecordedCrash, ...]) -> set[object]:
+    """Return the crashes without their times, which are never exactly the same."""
+    return {(crash.server, frozenset(crash.runs)) for crash in crashes}
--- a/src/damaskridge/adapters/rpc/leader_duties.py
+++ b/src/damaskridge/adapters/rpc/leader_duties.py
@@ -126,7 +126,7 @@
             self._ready_term = term
 
     async def _advance_time(self) -> bool:
-        result = await self._propose(AdvanceTime(command_id=_new_command_id("advance")))
+        result = await self.propose(AdvanceTime(command_id=_new_command_id("advance")))
         if result.failure is None:
             self._last_advance_s = self._clock()
         return result.failure is None
@@ -137,7 +137,7 @@
             command = ExpireSession(
                 command_id=_new_command_id("expire"), host=host, session=session
             )
-            result = await self._propose(command)
+            result = await self.propose(command)
             failure = result.failure
             if failure is None:
                 log_event(_log, EventNumber.SESSION_EXPIRED, host=host, session=session)
@@ -146,7 +146,8 @@
         finally:
             self._expiring_sessions.discard(session_key)
 
-    async def _propose(self, command: Command) -> CommandResult:
+    async def propose(self, command: Command) -> CommandResult:
+        """Stamp and commit a command; fails if that takes too long."""
         stamped_command = msgspec.structs.replace(command, at_ms=self._wall_ms())
         with anyio.move_on_after(PROPOSE_TIMEOUT_S):
             return await self._node.propose(stamped_command)
--- a/src/damaskridge/adapters/rpc/load_publisher.py
+++ b/src/damaskridge/adapters/rpc/load_publisher.py
@@ -7,11 +7,9 @@
 
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
-from damaskridge.core.gateway.crash_log import CrashLog
 from damaskridge.core.gateway.host_selection import HostDemand
 from damaskridge.core.gateway.load_aggregator import LoadAggregator
 from damaskridge.model.control import (
-    CrashesSeen,
     HostsNeeded,
     InstanceLoad,
     ReportLoad,
@@ -38,7 +36,7 @@
 
 class LoadPublisher:
     """
-    Publishes the load, the crashes and the number of hosts needed, from load reports.
+    Publishes the load and the number of hosts needed, from load reports.
 
     Parameters
     ----------
@@ -67,19 +65,15 @@
         self._data_centre_of = data_centre_of
         self._hosts: dict[Subscriber, str] = {}
         self._first_report_received = anyio.Event()
-        self._crash_log = CrashLog()
         self._hosts_needed: dict[str, int] = {}
 
     def add_subscriber(self, subscriber: Subscriber, host: str) -> None:
-        """Add a host's stream; send it the hosts needed and the recent crashes."""
+        """Add a host's stream; send it the hosts needed."""
         now_s = anyio.current_time()
         self.load_aggregator.join(subscriber, now_s)
         self._hosts[subscriber] = host
         if self._hosts_needed:
             subscriber.push(HostsNeeded(by_data_centre=self._hosts_needed))
-        crashes = self._crash_log.notices(now_s)
-        if crashes:
-            subscriber.push(CrashesSeen(crashes=crashes))
 
     def remove_subscriber(self, subscriber: Subscriber) -> None:
         """Remove a host's stream and its load."""
@@ -87,17 +81,10 @@
         self._hosts.pop(subscriber, None)
 
     def handle_report(self, subscriber: Subscriber, message: ReportLoad) -> None:
-        """Record a load report; publish the crashes that it contains."""
+        """Record a load report."""
         now_s = anyio.current_time()
         self.load_aggregator.report(subscriber, message, now_s)
         self._first_report_received.set()
-        if message.crashes or message.completed:
-            completed = self._crash_log.clear(message.completed, now_s)
-            crashes = self._crash_log.add(message.crashes, now_s)
-            if crashes or completed:
-                self._subscribers.broadcast(
-                    CrashesSeen(crashes=crashes, completed=completed)
-                )
 
     async def run(self) -> None:
         """Publish until cancelled."""
--- a/src/damaskridge/core/gateway/crash_log.py
+++ b/src/damaskridge/core/gateway/crash_log.py
@@ -13,7 +13,7 @@
 [['part']]
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -126,7 +126,16 @@
             }
         )
 
-    def notices(self, now_s: float, *, min_crashes: int = 1) -> tuple[CrashNotice, ...]:
+    def repeated(self, min_crashes: int) -> set[str]:
+        """Return the fingerprints that were present at this many crashes or more."""
+        counts = Counter(
+            item for crash in self._crashes.values() for item in crash.fingerprints
+        )
+        return {item for item, count in counts.items() if count >= min_crashes}
+
+    def notices(
+        self, now_s: float, among: Collection[str] | None = None
+    ) -> tuple[CrashNotice, ...]:
         """
         Return the recorded crashes as notices.
 
@@ -134,14 +143,10 @@
         ----------
         now_s : float
             Current time.
-        min_crashes : int
-            Leave out runs that have no fingerprint with this many crashes.
+        among : collection of str or None
+            If given, leave out runs that have none of these fingerprints.
         """
         self._expire(now_s)
-        counts: dict[str, int] = {}
-        for crash in self._crashes.values():
-            for item in crash.fingerprints:
-                counts[item] = counts.get(item, 0) + 1
         return tuple(
             CrashNotice(server, now_s - crash.at_s, runs)
             for server, crash in self._crashes.items()
@@ -149,7 +154,7 @@
                 runs := tuple(
                     run
                     for run in crash.runs
-                    if any(counts[item] >= min_crashes for item in run.fingerprints)
+                    if among is None or any(i in among for i in run.fingerprints)
                 )
             )
         )
--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -198,7 +198,9 @@
         """
         crashes = tuple(self._unreported_crashes)
         if everything:
-            crashes += self._log.notices(now_s, min_crashes=MIN_REPORTED_CRASHES)
+            crashes += self._log.notices(
+                now_s, self._log.repeated(MIN_REPORTED_CRASHES)
+            )
         report = CrashReport(crashes, tuple(self._unreported_completions))
         self._unreported_crashes = []
         self._unreported_completions = {}
--- a/src/damaskridge/core/state/control_state.py
+++ b/src/damaskridge/core/state/control_state.py
@@ -29,6 +29,7 @@
     OpenSession,
     ProposeBundle,
     PublishRoutingTable,
+    RecordCrashes,
     RecordIntent,
     RecordResult,
     ReleaseOwnership,
@@ -237,6 +238,11 @@
     def _(self, command: SuspectCleared, changes: Changes) -> CommandResult:
         return fingerprints.clear_suspect(self.data, command, changes)
 
+    @_execute.register
+    def _(self, command: RecordCrashes, changes: Changes) -> CommandResult:
+        self.data.gateway_crashes = command.crashes
+        return CommandResult()
+
     @_execute.register
     def _(self, command: AllocateFencingNumber, changes: Changes) -> CommandResult:
         return ownership.allocate_fencing_number(self.data, command)
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -15,6 +15,7 @@
     Owner,
     Session,
 )
+from damaskridge.model.crashes import RecordedCrash
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.gateway import RoutingTable
 
@@ -127,6 +128,8 @@
         resource that is removed and added again never reuses one.
     crashes : dict[str, CrashRecord]
         By ``<incarnation>/<backend server>``.
+    gateway_crashes : tuple[RecordedCrash, ...]
+        The crashes that explain the quarantines of the gateway.
     fencing : dict[str, int]
         By cell resource, the last fencing number that was allocated.
     fencing_floor : int
@@ -163,6 +166,7 @@
     draining_backend_servers: set[str] = set()
     crashes: dict[str, CrashRecord] = {}
     fingerprints: dict[str, FingerprintRecord] = {}
+    gateway_crashes: tuple[RecordedCrash, ...] = ()
     fencing: dict[str, int] = {}
     fencing_floor: int = 0
     known_workspaces: dict[str, bool] = {}
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskridge.model.bundle import Bundle
-from damaskridge.model.crashes import CrashNotice
+from damaskridge.model.crashes import CrashNotice, RecordedCrash
 from damaskridge.model.errors import Failure
 from damaskridge.model.gateway import (
     BackendInstance,
@@ -60,6 +60,7 @@
     "OwnerChanged",
     "ProposeBundle",
     "PublishRoutingTable",
+    "RecordCrashes",
     "RecordIntent",
     "RecordResult",
     "ReleaseOwnership",
@@ -271,6 +272,16 @@
     fingerprint: str
 
 
+class RecordCrashes(Command, frozen=True, kw_only=True, tag=True):
+    """
+    Replaces the record of the crashes that explain the quarantines of the gateway.
+
+    It lets a leader know them although no host remembers them.
+    """
+
+    crashes: tuple[RecordedCrash, ...]
+
+
 class AllocateFencingNumber(Command, frozen=True, kw_only=True, tag=True):
     """Allocates the next fencing number, for an order of a cell's owner."""
 
@@ -490,6 +501,7 @@
     | RecordResult
     | ReportCrash
     | SuspectCleared
+    | RecordCrashes
     | AllocateFencingNumber
     | AdvanceTime
 )
--- a/src/damaskridge/model/crashes.py
+++ b/src/damaskridge/model/crashes.py
@@ -4,7 +4,7 @@
 
 from damaskridge.model.gateway import InstanceId
 
-__all__ = ["CrashNotice", "InterruptedRun"]
+__all__ = ["CrashNotice", "InterruptedRun", "RecordedCrash"]
 
 
 class InterruptedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -41,3 +41,22 @@
     server: InstanceId
     age_s: float
     runs: tuple[InterruptedRun, ...] = ()
+
+
+class RecordedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """
+    A crash that explains a quarantine, as the control group keeps it.
+
+    Parameters
+    ----------
+    server : InstanceId
+        The instance.
+    at_ms : int
+        Unix time of the crash, in milliseconds.
+    runs : tuple of InterruptedRun
+        The interrupted runs to which the quarantine applies.
+    """
+
+    server: InstanceId
+    at_ms: int
+    runs: tuple[InterruptedRun, ...]
--- a/tests/adapters/rpc/test_load_publisher.py
+++ b/tests/adapters/rpc/test_load_publisher.py
@@ -1,4 +1,4 @@
-"""Load publisher: hosts needed and crashes.
+"""Load publisher: hosts needed.
 
 A new leader that hasn't received the hosts' load reports yet must not publish a number
 of hosts: it would be too low, and all callers would be sent to a few hosts.
@@ -11,9 +11,7 @@
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
 from damaskridge.core.gateway.host_selection import GENERATIONS_PER_HOST
 from damaskridge.core.state.control_state import ControlState
-from damaskridge.model.control import CrashesSeen, HostsNeeded, InstanceLoad, ReportLoad
-from damaskridge.model.crashes import CrashNotice, InterruptedRun
-from damaskridge.model.gateway import InstanceId
+from damaskridge.model.control import HostsNeeded, InstanceLoad, ReportLoad
 
 HOSTS_NEEDED = 9
 LOAD_REPORT = ReportLoad(
@@ -73,16 +71,3 @@
             tasks.cancel_scope.cancel()
 
     run_paused(main())
-
-
-def test_crashes_are_sent_to_all_hosts_and_to_hosts_that_connect_later():
-    async def main():
-        fixture = PublisherFixture()
-        first, second = fixture.connect(), fixture.connect()
-        notice = CrashNotice(InstanceId("a", 1), 0.0, (InterruptedRun(("f",)),))
-        fixture.publisher.handle_report(first, ReportLoad(crashes=(notice,)))
-        for subscriber in (second, fixture.connect()):
-            (message,) = received_messages(subscriber, CrashesSeen)
-            assert message.crashes == (notice,)
-
-    run_paused(main())
--- a/tests/adapters/test_front.py
+++ b/tests/adapters/test_front.py
@@ -443,6 +443,29 @@
     run_paused(main())
 
 
+def test_prefix_of_prompts_does_not_crash_one_engine_after_the_other():
+    """No two of the prompts are alike, so that none is known from an earlier crash."""
+
+    async def main():
+        env = start_front()
+        for name in ("d1", "d2", "d3"):
+            env.engines[name].disconnect_at = 0
+        prefix = "deadly " * 200
+        for number in range(3):
+            prompt = f"{prefix} {number}"
+            await send_completion(env.app, stream=False, prompt=prompt).task
+        prompts = [len(engine.prompts) for engine in env.engines.values()]
+        last = send_completion(env.app, stream=False, prompt=f"{prefix} last")
+        await last.task
+        assert last.status == 422
+        assert [len(engine.prompts) for engine in env.engines.values()] == prompts
+        other = send_completion(env.app, stream=False, prompt="another prompt")
+        await other.task
+        assert other.status != 422
+
+    run_paused(main())
+
+
 def test_new_cell_owner_receives_recent_crash_reports():
     async def main():
         env = start_front()
--- a/tests/processes/test_crashing_prompts.py
+++ b/tests/processes/test_crashing_prompts.py
@@ -91,3 +91,22 @@
         assert callers.sound_statuses.count(200) >= 0.8 * len(callers.sound_statuses)
 
     run_scenario(tmp_path, scenario)
+
+
+def test_a_part_stays_known_when_all_processes_are_killed(tmp_path):
+    async def scenario(fleet, callers):
+        await callers.run(ROUNDS)
+        crashes = fleet.engines.crashes()
+        # The leader records a quarantine at once, but not within a kill.
+        await asyncio.sleep(1.0)
+        for name in fleet.processes:
+            fleet.stop(*name, signal.SIGKILL)
+        for name, process in list(fleet.processes.items()):
+            await asyncio.to_thread(process.wait)
+            fleet.start(*name)
+        for number in range(len(MACHINES)):
+            await fleet.wait_until(lambda number=number: fleet.is_ready(number))
+        await callers.run(ROUNDS)
+        assert fleet.engines.crashes() == crashes
+
+    run_scenario(tmp_path, scenario)
