Abandon requests that are quarantined before their response has begun

Cause: a request that an engine was about to run when its part was quarantined, still in the queue or in its prefill, crashed that engine although the part was known. Change: a request in progress whose response has not begun is abandoned when a new cause applies to it; its connection is closed, so that the engine drops it. The caller is told that it may have run, unless it was sent to no server.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -194,37 +194,44 @@
         admitted: AdmittedRequest,
         forwarding: Coroutine[Any, Any, None],
     ) -> None:
-        """Run until the response is complete, the caller leaves or a timeout."""
-        async with exchange.watch_disconnect() as caller_gone:
-            task = asyncio.ensure_future(forwarding)
-            pending: set[asyncio.Future[Any]] = {task, caller_gone}
-            exchange.has_external_timeout = True
-            first_completed = asyncio.FIRST_COMPLETED
-            try:
-                timeout_s = max(0.0, admitted.route_remaining_s)
-                await asyncio.wait(
-                    pending, timeout=timeout_s, return_when=first_completed
-                )
-                if admitted.route_remaining_s < -MAX_TIMER_DELAY_S:
-                    # The process was suspended; the response may have arrived in
-                    # the meantime.
-                    await asyncio.wait(
-                        pending,
-                        timeout=LATE_RESPONSE_GRACE_S,
-                        return_when=first_completed,
-                    )
-            finally:
-                exchange.has_external_timeout = False
-                if not task.done():
-                    task.cancel()
-                    await asyncio.wait({task})
+        """
+        Run until the response is complete, the caller leaves or a timeout.
+
+        A request that is quarantined before its response has begun is abandoned, so
+        that it crashes no further server.
+        """
+        with self._crashes.watch(admitted) as quarantined:
+            async with exchange.watch_disconnect() as caller_gone:
+                task = asyncio.ensure_future(forwarding)
+                exchange.has_external_timeout = True
+                try:
+                    await _wait_for_first(admitted, task, caller_gone, quarantined)
+                    if response.has_started:
+                        await _wait_for_first(admitted, task, caller_gone)
+                finally:
+                    exchange.has_external_timeout = False
+                    if not task.done():
+                        task.cancel()
+                        await asyncio.wait({task})
         if not task.cancelled():
             task.result()
             return
         if caller_gone.done() and not caller_gone.cancelled():
             raise CallerGone
+        if quarantined.done() and not response.has_started:
+            await response.refuse(self._abandoned_failure(admitted))
+            return
         await self._respond_timeout(response, admitted)
 
+    def _abandoned_failure(self, admitted: AdmittedRequest) -> Failure:
+        """Return the failure of a request that was quarantined while in progress."""
+        is_running = bool(admitted.sent_to)
+        failure = self._crashes.failure(admitted, is_running=is_running)
+        # The quarantine may have ended while the request was being abandoned.
+        return failure or Failure(
+            ErrorKind.BACKEND_SERVER_FAILED, "abandoned", RunState.UNKNOWN
+        )
+
     async def _respond_timeout(
         self, response: CallerResponse, admitted: AdmittedRequest
     ) -> None:
@@ -309,6 +316,20 @@
         )
 
 
+async def _wait_for_first(
+    admitted: AdmittedRequest, *futures: asyncio.Future[Any]
+) -> None:
+    """Wait until one of the futures is done, or for the timeout of the route."""
+    first_completed = asyncio.FIRST_COMPLETED
+    timeout_s = max(0.0, admitted.route_remaining_s)
+    await asyncio.wait(futures, timeout=timeout_s, return_when=first_completed)
+    if admitted.route_remaining_s < -MAX_TIMER_DELAY_S:
+        # The process was suspended; the response may have arrived in the meantime.
+        await asyncio.wait(
+            futures, timeout=LATE_RESPONSE_GRACE_S, return_when=first_completed
+        )
+
+
 def _target(scope: Scope) -> bytes:
     """Return the path and query string as the caller sent them."""
     path = bytes(scope.get("raw_path") or scope["path"].encode())
--- a/src/damaskridge/adapters/gateway/crash_monitor.py
+++ b/src/damaskridge/adapters/gateway/crash_monitor.py
@@ -1,8 +1,9 @@
 """Records crashes of backend servers and refuses the requests that cause them."""
 
 import asyncio
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.observability.events import log_event
@@ -41,14 +42,36 @@
         self._request_report = request_report
         self._tracker = CrashTracker()
         self._known_causes: frozenset[frozenset[str]] = frozenset()
-
-    def failure(self, admitted: AdmittedRequest) -> Failure | None:
-        """Return why a request must not be sent; None if it may be."""
+        self._watched: dict[asyncio.Future[None], AdmittedRequest] = {}
+
+    @contextlib.contextmanager
+    def watch(self, admitted: AdmittedRequest) -> Iterator[asyncio.Future[None]]:
+        """Yield a future that is done when a request in progress is quarantined."""
+        quarantined: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._watched[quarantined] = admitted
+        try:
+            yield quarantined
+        finally:
+            del self._watched[quarantined]
+
+    def failure(
+        self, admitted: AdmittedRequest, *, is_running: bool = False
+    ) -> Failure | None:
+        """
+        Return why a request must not be sent; None if it may be.
+
+        Parameters
+        ----------
+        admitted : AdmittedRequest
+            The request.
+        is_running : bool
+            Whether it was sent and a server may be running it.
+        """
         quarantine_s = self._tracker.quarantine_s(admitted.fingerprints, admitted.now_s)
         if not quarantine_s:
             return None
         detail = "requests like this one have crashed their backend servers"
-        if admitted.policy.runs:
+        if is_running or admitted.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
             return Failure(kind, detail, RunState.UNKNOWN)
         retry_after_s = self._refusals.quarantine_s(quarantine_s)
@@ -132,11 +155,21 @@
         known, self._known_causes = self._known_causes, frozenset(causes)
         for fingerprints in self._known_causes - known:
             self._log_quarantine(causes[fingerprints])
+        if self._known_causes - known:
+            self._end_watches()
         for fingerprints in known - self._known_causes:
             log_event(
                 logger, EventNumber.QUARANTINE_ENDED, fingerprints=sorted(fingerprints)
             )
 
+    def _end_watches(self) -> None:
+        for quarantined, admitted in self._watched.items():
+            is_refused = self._tracker.quarantine_s(
+                admitted.fingerprints, admitted.now_s
+            )
+            if is_refused and not quarantined.done():
+                quarantined.set_result(None)
+
     def _log_quarantine(self, cause: CrashCause) -> None:
         now_s = asyncio.get_running_loop().time()
         log_event(
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -120,3 +120,25 @@
         assert engines.crashes() == 3
 
     run_async(main)
+
+
+def test_a_run_that_has_not_begun_is_abandoned_when_its_part_is_quarantined():
+    """It would crash its engine although the part is known."""
+
+    async def main():
+        engines = CrashingEngines(8, "dead", onset_s=0.3)
+        async with gateway(*engines.servers) as app:
+            running = [
+                asyncio.create_task(generate(app, ["dead"], number, path="/gen/x"))
+                for number in range(3)
+            ]
+            await asyncio.sleep(0.15)
+            late = asyncio.create_task(generate(app, ["dead"], 9, path="/gen/x"))
+            await asyncio.gather(*running)
+            status, _, _ = await late
+            await asyncio.sleep(0.3)
+        assert (engines.crashes(), engines.abandoned) == (3, 1)
+        # The engine doesn't tell whether the run began.
+        assert status == 502
+
+    run_async(main)
