Share completions with their times, and only if they matter

Cause: a host reported every completion of a run that a crash had interrupted, and every host then searched all crashes anew. When many servers crash at once, each of their streams completes elsewhere: 64 crashes of 64 runs cost a host 78 s of processor time. A completion had no time, so that one could not be reported later; a report that was lost with the stream to the leader was not repeated; and an old report counted as evidence that a server is gone now. Completions carry their age and are reported if the part was at two crashes, or when another crash is reported with it. A host repeats what it has found for 60 s to a new leader. The leader passes reports on in batches of 20 ms.

--- a/src/damaskridge/adapters/gateway/crash_monitor.py
+++ b/src/damaskridge/adapters/gateway/crash_monitor.py
@@ -106,6 +106,7 @@
         """Record that a server ran a request to completion."""
         self._tracker.record_complete_run(admitted.fingerprints, admitted.now_s)
         if self._tracker.has_unreported:
+            # Otherwise nothing that was known of crashes has changed.
             self._publish_causes()
 
     def record_refused_connection(self, instance: BackendInstance) -> None:
--- a/src/damaskridge/adapters/rpc/crash_publisher.py
+++ b/src/damaskridge/adapters/rpc/crash_publisher.py
@@ -6,7 +6,7 @@
 import anyio
 
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
-from damaskridge.core.gateway.crash_causes import find_causes
+from damaskridge.core.gateway.crash_causes import MIN_CRASHES, find_causes
 from damaskridge.core.gateway.crash_log import CrashLog
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.model.control import (
@@ -16,10 +16,13 @@
     RecordCrashes,
     ReportLoad,
 )
-from damaskridge.model.crashes import CrashNotice, RecordedCrash
+from damaskridge.model.crashes import Completion, CrashNotice, RecordedCrash
 
 __all__ = ["CrashPublisher"]
 
+# Reports that arrive within this time are passed on together: when many servers crash
+# at once, all hosts report at the same time.
+BATCH_PERIOD_S = 0.02
 # Limits how often crashes are recorded.
 RECORD_PERIOD_S = 0.2
 
@@ -59,7 +62,10 @@
         self._propose = propose
         self._wall_ms = wall_ms
         self._log = CrashLog()
-        self._changed = anyio.Event()
+        self._unsent_crashes: list[CrashNotice] = []
+        self._unsent_completions: list[Completion] = []
+        self._has_unsent = anyio.Event()
+        self._has_unrecorded = anyio.Event()
 
     def send_snapshot(self, subscriber: Subscriber) -> None:
         """Send all crashes to a new subscriber."""
@@ -74,19 +80,37 @@
         if not (message.crashes or message.completed):
             return
         now_s = anyio.current_time()
-        completed = self._log.clear(message.completed, now_s)
-        crashes = self._log.add(message.crashes, now_s)
-        if crashes or completed:
+        for completion in message.completed:
+            completed_s = now_s - completion.age_s
+            if self._log.clear((completion.fingerprint,), completed_s):
+                self._unsent_completions.append(completion)
+        self._unsent_crashes += self._log.add(message.crashes, now_s)
+        if self._unsent_crashes or self._unsent_completions:
+            self._has_unsent.set()
+            self._has_unrecorded.set()
+
+    async def run(self) -> None:
+        """Pass crashes on and record those that explain quarantines."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._send_to_hosts)
+            group.start_soon(self._record)
+
+    async def _send_to_hosts(self) -> None:
+        while True:
+            await self._has_unsent.wait()
+            self._has_unsent = anyio.Event()
+            crashes = tuple(self._unsent_crashes)
+            completed = tuple(self._unsent_completions)
+            self._unsent_crashes, self._unsent_completions = [], []
             self._subscribers.broadcast(
                 CrashesSeen(crashes=crashes, completed=completed)
             )
-            self._changed.set()
+            await anyio.sleep(BATCH_PERIOD_S)
 
-    async def run(self) -> None:
-        """Record the crashes that explain quarantines until cancelled."""
+    async def _record(self) -> None:
         while True:
-            await self._changed.wait()
-            self._changed = anyio.Event()
+            await self._has_unrecorded.wait()
+            self._has_unrecorded = anyio.Event()
             crashes = self._crashes_to_record()
             recorded = self._state.data.gateway_crashes
             if self._is_leading() and _identities(crashes) != _identities(recorded):
@@ -95,12 +119,12 @@
                     RecordCrashes(command_id=command_id, crashes=crashes)
                 )
                 if result.failure is not None:
-                    self._changed.set()
+                    self._has_unrecorded.set()
             await anyio.sleep(RECORD_PERIOD_S)
 
     def _crashes_to_record(self) -> tuple[RecordedCrash, ...]:
         now_s, wall_ms = anyio.current_time(), self._wall_ms()
-        causes = find_causes(self._log.crashes())
+        causes = find_causes(self._log.crashes(), self._log.repeated(MIN_CRASHES))
         fingerprints = {item for cause in causes for item in cause.fingerprints}
         return tuple(
             RecordedCrash(
--- a/src/damaskridge/core/gateway/crash_causes.py
+++ b/src/damaskridge/core/gateway/crash_causes.py
@@ -12,12 +12,12 @@
 
 >>> deadly = InterruptedRun(("deadly", "shared"))
 >>> crashes = [Crash(float(n), {deadly, InterruptedRun((f"r{n}",))}) for n in range(3)]
->>> (cause,) = find_causes(crashes)
+>>> (cause,) = find_causes(crashes, {"deadly", "shared"})
 >>> sorted(cause.fingerprints), cause.crashes, cause.ends_s
 (['deadly', 'shared'], 3, 302.0)
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from damaskridge.core.gateway.crash_log import Crash
@@ -72,7 +72,9 @@
     weight: int = 0
 
 
-def find_causes(crashes: Iterable[Crash]) -> tuple[CrashCause, ...]:
+def find_causes(
+    crashes: Iterable[Crash], repeated: Collection[str]
+) -> tuple[CrashCause, ...]:
     """
     Return the causes that crashes show.
 
@@ -80,11 +82,13 @@
     ----------
     crashes : iterable of Crash
         The crashes, without fingerprints that are known to be harmless.
+    repeated : collection of str
+        The fingerprints that were present at `MIN_CRASHES` crashes or more.
     """
-    items = tuple(crashes)
+    items = tuple(crashes) if repeated else ()
     candidates: dict[str, _Candidate] = {}
     for number, crash in enumerate(items):
-        _count_crash(candidates, number, crash)
+        _count_crash(candidates, number, crash, repeated)
     likely = {
         (candidate.common, frozenset(candidate.crashes))
         for candidate in candidates.values()
@@ -104,12 +108,20 @@
     )
 
 
-def _count_crash(candidates: dict[str, _Candidate], number: int, crash: Crash) -> None:
+def _count_crash(
+    candidates: dict[str, _Candidate],
+    number: int,
+    crash: Crash,
+    repeated: Collection[str],
+) -> None:
     """Add one crash to the candidates that were present at it."""
     weights: dict[str, int] = {}
     for run in crash.runs:
+        present = [item for item in run.fingerprints if item in repeated]
+        if not present:
+            continue
         fingerprints = frozenset(run.fingerprints)
-        for item in run.fingerprints:
+        for item in present:
             candidate = candidates.setdefault(item, _Candidate(set(), fingerprints))
             candidate.crashes.add(number)
             candidate.common &= fingerprints
--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -27,9 +27,13 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from damaskridge.core.gateway.crash_causes import CrashCause, find_causes
+from damaskridge.core.gateway.crash_causes import (
+    MIN_CRASHES,
+    CrashCause,
+    find_causes,
+)
 from damaskridge.core.gateway.crash_log import CrashLog
-from damaskridge.model.crashes import CrashNotice, InterruptedRun
+from damaskridge.model.crashes import Completion, CrashNotice, InterruptedRun
 from damaskridge.model.gateway import InstanceId
 
 __all__ = ["CrashReport", "CrashTracker", "fingerprint_of", "part_fingerprints"]
@@ -41,8 +45,12 @@
 MAX_RUNS = 256
 # Parts of one prompt that are identified.
 MAX_PARTS = 64
-# Crashes of a fingerprint from which a new leader is told of it.
+# Crashes of a fingerprint from which its completions are reported, and from which a new
+# leader is told of it. Most runs that a crash interrupts are never present at another.
 MIN_REPORTED_CRASHES = 2
+# How long a host repeats the crashes that it has found to new leaders. The stream to
+# the previous one may have broken with the first report of them.
+REPEAT_S = 60.0
 
 
 def fingerprint_of(workspace: str, path: str, body: bytes) -> str:
@@ -72,12 +80,12 @@
     ----------
     crashes : tuple of CrashNotice
         Crashes that this host has found.
-    completed : tuple of str
-        Possible causes of crashes that are harmless, because a run with them completed.
+    completed : tuple of Completion
+        Completed runs with fingerprints of runs that crashes have interrupted.
     """
 
     crashes: tuple[CrashNotice, ...] = ()
-    completed: tuple[str, ...] = ()
+    completed: tuple[Completion, ...] = ()
 
 
 @dataclass(slots=True)
@@ -96,8 +104,10 @@
         self._log = CrashLog()
         self._causes: tuple[CrashCause, ...] = ()
         self._interruptions: dict[InstanceId, _Interruptions] = {}
+        # The instances whose crashes this host has found, with the times.
+        self._found_s: dict[InstanceId, float] = {}
         self._unreported_crashes: list[CrashNotice] = []
-        self._unreported_completions: dict[str, None] = {}
+        self._unreported_completions: dict[str, Completion] = {}
 
     @property
     def causes(self) -> tuple[CrashCause, ...]:
@@ -171,23 +181,20 @@
 
     def record_complete_run(self, fingerprints: Sequence[str], now_s: float) -> None:
         """Record that a server ran a request to completion."""
-        cleared = self._log.clear(fingerprints, now_s)
-        if cleared:
-            self._unreported_completions.update(dict.fromkeys(cleared))
-            self._causes = find_causes(self._log.crashes())
+        for item, crashes in self._clear(fingerprints, now_s).items():
+            if crashes >= MIN_REPORTED_CRASHES:
+                self._unreported_completions[item] = Completion(item, 0.0)
 
     def on_report(self, report: CrashReport, now_s: float) -> None:
         """Record what other hosts have found."""
         self._expire(now_s)
-        is_changed = bool(self._log.clear(report.completed, now_s))
+        for completion in report.completed:
+            self._clear((completion.fingerprint,), now_s - completion.age_s)
         for notice in report.crashes:
-            self._unreported_completions.update(
-                dict.fromkeys(self._log.cleared_among(notice, now_s))
-            )
-            self.record_lost_server(notice.server, now_s)
-        is_changed |= bool(self._log.add(report.crashes, now_s))
-        if is_changed:
-            self._causes = find_causes(self._log.crashes())
+            if notice.age_s <= CONFIRMATION_TIMEOUT_S:
+                self.record_lost_server(notice.server, now_s)
+        for notice in self._add(report.crashes, now_s):
+            self._report_completions(notice, now_s)
 
     def pop_report(self, now_s: float, *, everything: bool = False) -> CrashReport:
         """
@@ -196,16 +203,51 @@
         With `everything`, also the crashes that matter to a new leader, which has lost
         what its predecessor knew.
         """
+        self._expire(now_s)
         crashes = tuple(self._unreported_crashes)
         if everything:
-            crashes += self._log.notices(
-                now_s, self._log.repeated(MIN_REPORTED_CRASHES)
-            )
-        report = CrashReport(crashes, tuple(self._unreported_completions))
+            crashes += self._notices_for_new_leader(now_s)
+        report = CrashReport(crashes, tuple(self._unreported_completions.values()))
         self._unreported_crashes = []
         self._unreported_completions = {}
         return report
 
+    def _notices_for_new_leader(self, now_s: float) -> tuple[CrashNotice, ...]:
+        repeated = self._log.repeated(MIN_REPORTED_CRASHES)
+        return tuple(
+            notice
+            for notice in self._log.notices(now_s)
+            if notice.server in self._found_s
+            or any(item in repeated for run in notice.runs for item in run.fingerprints)
+        )
+
+    def _clear(self, fingerprints: Sequence[str], completed_s: float) -> dict[str, int]:
+        cleared = self._log.clear(fingerprints, completed_s)
+        if any(crashes >= MIN_CRASHES for crashes in cleared.values()):
+            self._update_causes()
+        return cleared
+
+    def _add(
+        self, notices: Sequence[CrashNotice], now_s: float
+    ) -> tuple[CrashNotice, ...]:
+        new = self._log.add(notices, now_s)
+        if any(
+            self._log.count(item) >= MIN_CRASHES
+            for notice in new
+            for run in notice.runs
+            for item in run.fingerprints
+        ):
+            self._update_causes()
+        return new
+
+    def _update_causes(self) -> None:
+        self._causes = find_causes(self._log.crashes(), self._log.repeated(MIN_CRASHES))
+
+    def _report_completions(self, notice: CrashNotice, now_s: float) -> None:
+        """Report what has completed here, so that other hosts know it is harmless."""
+        for completion in self._log.completions_among(notice, now_s):
+            self._unreported_completions[completion.fingerprint] = completion
+
     def _confirm(self, server: InstanceId, item: _Interruptions, now_s: float) -> int:
         """Record the interrupted runs of an instance that is gone as a crash."""
         recent = {
@@ -216,14 +258,18 @@
         item.runs.clear()
         if recent:
             crash_s = min(recent.values())
+            self._report_completions(CrashNotice(server, 0.0, tuple(recent)), now_s)
             runs = self._log.possible_runs(recent, crash_s)
             notice = CrashNotice(server, now_s - crash_s, runs)
             self._unreported_crashes.append(notice)
-            self._log.add((notice,), now_s)
-            self._causes = find_causes(self._log.crashes())
+            self._found_s[server] = now_s
+            self._add((notice,), now_s)
         return len(recent)
 
     def _expire(self, now_s: float) -> None:
         for server, item in list(self._interruptions.items()):
             if now_s - item.last_s > CONFIRMATION_TIMEOUT_S:
                 del self._interruptions[server]
+        for server, found_s in list(self._found_s.items()):
+            if now_s - found_s > REPEAT_S:
+                del self._found_s[server]
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskridge.model.bundle import Bundle
-from damaskridge.model.crashes import CrashNotice, RecordedCrash
+from damaskridge.model.crashes import Completion, CrashNotice, RecordedCrash
 from damaskridge.model.errors import Failure
 from damaskridge.model.gateway import (
     BackendInstance,
@@ -576,8 +576,8 @@
         Instances that announced in a response that they shut down.
     crashes : tuple of CrashNotice
         Crashes of instances, with the runs of this host that they interrupted.
-    completed : tuple of str
-        Fingerprints of interrupted runs that are harmless: a run with them completed.
+    completed : tuple of Completion
+        Completed runs with fingerprints of runs that crashes have interrupted.
     limits : tuple of ServerLimit
         Limits of requests that instances have named, or their ends.
     sends_wanted : tuple of SendWanted
@@ -590,7 +590,7 @@
     usage: dict[str, float] = {}
     leaving: tuple[InstanceId, ...] = ()
     crashes: tuple[CrashNotice, ...] = ()
-    completed: tuple[str, ...] = ()
+    completed: tuple[Completion, ...] = ()
     limits: tuple[ServerLimit, ...] = ()
     sends_wanted: tuple[SendWanted, ...] = ()
     sends_charged: tuple[SendsCharged, ...] = ()
@@ -705,12 +705,12 @@
     ----------
     crashes : tuple of CrashNotice
         Crashes of instances.
-    completed : tuple of str
-        Fingerprints of interrupted runs that are harmless: a run with them completed.
+    completed : tuple of Completion
+        Completed runs with fingerprints of runs that crashes have interrupted.
     """
 
     crashes: tuple[CrashNotice, ...] = ()
-    completed: tuple[str, ...] = ()
+    completed: tuple[Completion, ...] = ()
 
 
 class HostsNeeded(FollowResponse, frozen=True, kw_only=True, tag=True):
--- a/src/damaskridge/model/crashes.py
+++ b/src/damaskridge/model/crashes.py
@@ -4,7 +4,7 @@
 
 from damaskridge.model.gateway import InstanceId
 
-__all__ = ["CrashNotice", "InterruptedRun", "RecordedCrash"]
+__all__ = ["Completion", "CrashNotice", "InterruptedRun", "RecordedCrash"]
 
 
 class InterruptedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -23,6 +23,22 @@
     is_past_onset: bool = False
 
 
+class Completion(msgspec.Struct, frozen=True, array_like=True):
+    """
+    A run that a server completed, which shows that it is harmless.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Digest of the request or of a part of its prompt.
+    age_s : float
+        Time since the end of the run, in seconds.
+    """
+
+    fingerprint: str
+    age_s: float
+
+
 class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
     """
     A crash of an instance, as known to one host.
