Infer the causes of crashes only when they are needed

Change: causes are inferred at the next look at them; only the runs that contain a fingerprint are rebuilt when it is cleared.

--- a/src/damaskridge/core/gateway/crash_causes.py
+++ b/src/damaskridge/core/gateway/crash_causes.py
@@ -21,7 +21,6 @@
 from dataclasses import dataclass
 
 from damaskridge.core.gateway.crash_log import Crash
-from damaskridge.model.crashes import InterruptedRun
 
 __all__ = ["CrashCause", "find_causes"]
 
@@ -117,18 +116,17 @@
     """Add one crash to the candidates that were present at it."""
     weights: dict[str, int] = {}
     for run in crash.runs:
+        weight = PAST_ONSET_WEIGHT if run.is_past_onset else ONSET_WEIGHT
         present = [item for item in run.fingerprints if item in repeated]
         if not present:
             continue
         fingerprints = frozenset(run.fingerprints)
         for item in present:
-            candidate = candidates.setdefault(item, _Candidate(set(), fingerprints))
+            candidate = candidates.get(item)
+            if candidate is None:
+                candidate = candidates[item] = _Candidate(set(), fingerprints)
             candidate.crashes.add(number)
             candidate.common &= fingerprints
-            weights[item] = max(weights.get(item, 0), _weight(run))
+            weights[item] = max(weights.get(item, 0), weight)
     for item, weight in weights.items():
         candidates[item].weight += weight
-
-
-def _weight(run: InterruptedRun) -> int:
-    return PAST_ONSET_WEIGHT if run.is_past_onset else ONSET_WEIGHT
--- a/src/damaskridge/core/gateway/crash_log.py
+++ b/src/damaskridge/core/gateway/crash_log.py
@@ -185,8 +185,10 @@
             if self._crashes[server].at_s <= completed_s + CLEARANCE_S
         }
         for server in servers:
-            crash = self._crashes[server]
-            crash.runs = _without(crash.runs, (fingerprint,))
+            runs = self._crashes[server].runs
+            present = [run for run in runs if fingerprint in run.fingerprints]
+            runs.difference_update(present)
+            runs.update(_without(present, (fingerprint,)))
         self._forget(fingerprint, servers)
         return bool(servers)
 
--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -102,7 +102,8 @@
 
     def __init__(self) -> None:
         self._log = CrashLog()
-        self._causes: tuple[CrashCause, ...] = ()
+        # None if they have to be inferred anew.
+        self._causes: tuple[CrashCause, ...] | None = ()
         self._interruptions: dict[InstanceId, _Interruptions] = {}
         # The instances whose crashes this host has found, with the times.
         self._found_s: dict[InstanceId, float] = {}
@@ -112,6 +113,9 @@
     @property
     def causes(self) -> tuple[CrashCause, ...]:
         """The causes that the crashes show, also those whose quarantine has ended."""
+        if self._causes is None:
+            repeated = self._log.repeated(MIN_CRASHES)
+            self._causes = find_causes(self._log.crashes(), repeated)
         return self._causes
 
     @property
@@ -121,12 +125,12 @@
 
     def quarantine_s(self, fingerprints: Collection[str], now_s: float) -> float:
         """Return for how long a request with these fingerprints is refused."""
-        if not self._causes:
+        if not self.causes:
             return 0.0
         return max(
             (
                 cause.ends_s - now_s
-                for cause in self._causes
+                for cause in self.causes
                 if cause.ends_s > now_s and cause.fingerprints.issubset(fingerprints)
             ),
             default=0.0,
@@ -224,7 +228,7 @@
     def _clear(self, fingerprints: Sequence[str], completed_s: float) -> dict[str, int]:
         cleared = self._log.clear(fingerprints, completed_s)
         if any(crashes >= MIN_CRASHES for crashes in cleared.values()):
-            self._update_causes()
+            self._causes = None
         return cleared
 
     def _add(
@@ -237,12 +241,9 @@
             for run in notice.runs
             for item in run.fingerprints
         ):
-            self._update_causes()
+            self._causes = None
         return new
 
-    def _update_causes(self) -> None:
-        self._causes = find_causes(self._log.crashes(), self._log.repeated(MIN_CRASHES))
-
     def _report_completions(self, notice: CrashNotice, now_s: float) -> None:
         """Report what has completed here, so that other hosts know it is harmless."""
         for completion in self._log.completions_among(notice, now_s):
