Take planned stops and local failures for no evidence of a crash

Cause: any failure to connect but a timeout counted as evidence that a server has crashed, such as too many open files on the host itself, and so did the end of a server that had announced that it leaves. Harmless requests at three such servers would have been refused. Change: only a refused connection and an address of another instance show that a server is gone, and only if the server is not leaving. The doctest of crash_causes imports what it uses.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -229,7 +229,9 @@
         failure = self._crashes.failure(admitted, is_running=is_running)
         # The quarantine may have ended while the request was being abandoned.
         return failure or Failure(
-            ErrorKind.BACKEND_SERVER_FAILED, "abandoned", RunState.UNKNOWN
+            ErrorKind.BACKEND_SERVER_FAILED,
+            "abandoned, because it may crash its backend server",
+            RunState.UNKNOWN,
         )
 
     async def _respond_timeout(
--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -15,9 +15,9 @@
 __all__ = [
     "BackendConnection",
     "ConnectionBroken",
-    "ConnectTimeout",
     "NotSent",
     "ResponseHead",
+    "ServerGone",
     "open_connection",
 ]
 
@@ -43,12 +43,8 @@
     """No byte of the request was sent."""
 
 
-class ConnectTimeout(NotSent):
-    """
-    The connection was not established in time.
-
-    Unlike a refused connection, this doesn't show that the server is gone.
-    """
+class ServerGone(NotSent):
+    """The address refuses connections, or belongs to another server."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,10 +304,10 @@
 
     Raises
     ------
-    ConnectTimeout
-        The connection was not established within `timeout_s` seconds.
-    NotSent
+    ServerGone
         The connection was refused.
+    NotSent
+        The connection was not established within `timeout_s` seconds.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -321,7 +317,9 @@
                 _ConnectionProtocol, host, int(port)
             )
     except TimeoutError as error:
-        raise ConnectTimeout("connect timed out") from error
+        raise NotSent("connect timed out") from error
+    except ConnectionRefusedError as error:
+        raise ServerGone(f"connect failed: {error.strerror}") from error
     except OSError as error:
         raise NotSent(f"connect failed: {error.strerror}") from error
     return BackendConnection(protocol)
--- a/src/damaskridge/adapters/gateway/crash_monitor.py
+++ b/src/damaskridge/adapters/gateway/crash_monitor.py
@@ -109,8 +109,8 @@
             # Otherwise nothing that was known of crashes has changed.
             self._publish_causes()
 
-    def record_refused_connection(self, instance: BackendInstance) -> None:
-        """Record that the address of a server refuses connections or is another's."""
+    def record_gone(self, instance: BackendInstance) -> None:
+        """Record that a server's address refuses connections or is another's."""
         now_s = asyncio.get_running_loop().time()
         runs = self._tracker.record_lost_server(
             instance.instance_id, now_s, tells_others=True
@@ -119,9 +119,6 @@
 
     def record_unlisted(self, instance: BackendInstance) -> None:
         """Record that a server is no longer listed."""
-        if instance.is_leaving:
-            # A planned stop may cut runs as well.
-            return
         now_s = asyncio.get_running_loop().time()
         runs = self._tracker.record_lost_server(instance.instance_id, now_s)
         self._publish(instance, runs, "list")
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -12,10 +12,10 @@
 from damaskridge.adapters.gateway.connections import (
     BackendConnection,
     ConnectionBroken,
-    ConnectTimeout,
     Headers,
     NotSent,
     ResponseHead,
+    ServerGone,
     open_connection,
 )
 from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
@@ -457,7 +457,7 @@
             return Unknown("an answer without a request id on a reused connection")
         self._apply_notices(instance, metadata)
         if metadata.is_other_instance:
-            moved = NotSent("another instance has the address")
+            moved = ServerGone("another instance has the address")
             self._record_unreachable(instance, moved)
             return NotRun(str(moved))
         self._apply_limit(instance, metadata)
@@ -514,8 +514,9 @@
     def _record_unreachable(self, instance: BackendInstance, error: NotSent) -> None:
         now_s = asyncio.get_running_loop().time()
         avoided_s = self._registry.record_unreachable(instance.instance, now_s)
-        if not isinstance(error, ConnectTimeout):
-            self._crashes.record_refused_connection(instance)
+        # A planned stop may break off runs, too.
+        if isinstance(error, ServerGone) and not self._registry.is_leaving(instance):
+            self._crashes.record_gone(instance)
         self._pool.close_idle(instance)
         self._log_avoided(instance, str(error), avoided_s)
 
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -386,9 +386,16 @@
             self._apply_list(self._instance_list.items)
 
     def _apply_list(self, instances: tuple[BackendInstance, ...]) -> None:
+        leaving = {
+            item.instance_id
+            for item in self.registry.all()
+            if self.registry.is_leaving(item)
+        }
         for gone in self.registry.replace(instances):
             self._pool.close_idle(gone)
-            self._crashes.record_unlisted(gone)
+            # A planned stop may break off runs, too.
+            if gone.instance_id not in leaving:
+                self._crashes.record_unlisted(gone)
         self.registry.confirmed_s = self._instance_list.confirmed_s
 
     async def _refresh_list(self) -> None:
--- a/src/damaskridge/core/gateway/crash_causes.py
+++ b/src/damaskridge/core/gateway/crash_causes.py
@@ -10,6 +10,7 @@
 two causes that explain the same crashes, the narrower one is kept; a cause all of whose
 crashes are explained by one with more crashes is dropped.
 
+>>> from damaskridge.model.crashes import InterruptedRun
 >>> deadly = InterruptedRun(("deadly", "shared"))
 >>> crashes = [Crash(float(n), {deadly, InterruptedRun((f"r{n}",))}) for n in range(3)]
 >>> (cause,) = find_causes(crashes, {"deadly", "shared"})
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -103,6 +103,13 @@
         """Return every listed instance."""
         return tuple(self._instances.values())
 
+    def is_leaving(self, instance: BackendInstance) -> bool:
+        """Tell whether this run of an instance is listed as leaving, or said so."""
+        listed = self._instances.get(instance.instance, instance)
+        if listed.instance_id != instance.instance_id:
+            listed = instance
+        return listed.is_leaving or self.notices.has_announced_leaving(instance)
+
     def candidates(
         self,
         service: str,
--- a/tests/adapters/gateway/test_crashing_requests.py
+++ b/tests/adapters/gateway/test_crashing_requests.py
@@ -4,9 +4,21 @@
 """
 
 import asyncio
+from unittest import mock
 
 from tests.adapters.gateway.crashing_engines import CrashingEngines
-from tests.adapters.gateway.standin import StandIn, events, gateway, response
+from tests.adapters.gateway.standin import (
+    StandIn,
+    chunked_head,
+    events,
+    gateway,
+    response,
+)
+from tests.adapters.gateway.test_streams import run_prefill
+
+from damaskridge.adapters.gateway import sender
+from damaskridge.adapters.gateway.connections import NotSent
+from damaskridge.model.gateway import EngineStage
 
 
 def run_async(main):
@@ -142,3 +154,53 @@
         assert status == 502
 
     run_async(main)
+
+
+def test_planned_stops_that_break_off_runs_are_not_taken_for_crashes():
+    async def main():
+        runs = []
+
+        def leaving_engine(name):
+            async def script(request, writer):
+                runs.append(request)
+                request.server_headers = b"server-leaving: 1\r\n"
+                writer.write(chunked_head(request))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                engine.crash()
+                return True
+
+            engine = StandIn(name, script, EngineStage.DECODE, "llm")
+            return engine
+
+        prefill = StandIn("p", run_prefill, EngineStage.PREFILL, "llm")
+        engines = [leaving_engine(f"d{number}") for number in range(6)]
+        async with gateway(prefill, *engines) as app:
+            for number in range(6):
+                await generate(app, ["shared"], number, path="/gen/x")
+        assert len(runs) == 6
+
+    run_async(main)
+
+
+def test_a_connection_that_times_out_or_fails_locally_is_no_evidence_of_a_crash():
+    """A cut link breaks off all streams to a server as well."""
+
+    async def main():
+        async def reset(request, writer):
+            runs.append(request)
+            writer.transport.abort()
+            return True
+
+        async def fail(address, timeout_s):
+            raise NotSent("connect failed: Too many open files")
+
+        runs = []
+        servers = [StandIn(f"s{number}", reset) for number in range(4)]
+        async with gateway(*servers) as app:
+            with mock.patch.object(sender, "open_connection", fail):
+                for number in range(4):
+                    await app.send_request("/once/x", attempt=f"a{number}")
+        assert len(runs) == 4
+
+    run_async(main)
