Tell a new leader of completions that its predecessor did not record

Cause: a host reported its completions only for crashes that were new to it. A leader that was lost after a part had completed left a record with the part; its successor sent it to all hosts, and a host that started then refused the part. Change: a host reports what has completed for every crash that it is told of. Result: the new test fails on the code before (no completion reported) and passes now.

--- a/src/damaskridge/core/gateway/crash_tracker.py
+++ b/src/damaskridge/core/gateway/crash_tracker.py
@@ -158,7 +158,7 @@
         self, server: InstanceId, now_s: float, *, tells_others: bool = False
     ) -> int:
         """
-        Record that an instance is gone: its address refuses connections, or the list.
+        Record that an instance refuses connections or is no longer listed.
 
         Parameters
         ----------
@@ -197,7 +197,8 @@
         for notice in report.crashes:
             if notice.age_s <= CONFIRMATION_TIMEOUT_S:
                 self.record_lost_server(notice.server, now_s)
-        for notice in self._add(report.crashes, now_s):
+        self._add(report.crashes, now_s)
+        for notice in report.crashes:
             self._report_completions(notice, now_s)
 
     def pop_report(self, now_s: float, *, everything: bool = False) -> CrashReport:
@@ -231,18 +232,14 @@
             self._causes = None
         return cleared
 
-    def _add(
-        self, notices: Sequence[CrashNotice], now_s: float
-    ) -> tuple[CrashNotice, ...]:
-        new = self._log.add(notices, now_s)
+    def _add(self, notices: Sequence[CrashNotice], now_s: float) -> None:
         if any(
             self._log.count(item) >= MIN_CRASHES
-            for notice in new
+            for notice in self._log.add(notices, now_s)
             for run in notice.runs
             for item in run.fingerprints
         ):
             self._causes = None
-        return new
 
     def _report_completions(self, notice: CrashNotice, now_s: float) -> None:
         """Report what has completed here, so that other hosts know it is harmless."""
--- a/tests/core/gateway/test_crash_tracker.py
+++ b/tests/core/gateway/test_crash_tracker.py
@@ -294,6 +294,20 @@
     assert not tracker.causes
 
 
+def test_new_leader_with_an_old_record_is_told_that_a_part_has_completed():
+    """The previous leader may have been lost before it recorded the completion."""
+    host = CrashTracker()
+    for number in range(MIN_CRASHES):
+        crash(host, f"r{number} part", name=f"s{number}")
+    recorded = CrashReport(host.pop_report(1.0).crashes)
+    host.record_complete_run(("x", "part"), 2.0)
+    host.pop_report(2.0)
+    host.on_report(recorded, 3.0)
+    (completion,) = host.pop_report(3.0).completed
+    assert completion.fingerprint == "part"
+    assert not is_refused(host, "new part", 3.0)
+
+
 def test_memory_is_bounded():
     """Callers choose the parts of prompts."""
     tracker = CrashTracker()
