--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -33,6 +33,7 @@
 # Detects an unresponsive peer: the kernel closes a connection whose sent data has been
 # unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
+_BODILESS_STATUSES = frozenset({204, 304})
 
 
 class ConnectionBroken(Exception):
@@ -49,22 +50,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of a response."""
+    """
+    Status and headers of a response.
+
+    Parameters
+    ----------
+    status : int
+        The status code.
+    headers : list of tuple of bytes
+        Names in lower case, and values.
+    ends_with_connection : bool
+        Whether the body has neither a length nor chunks, so that its end does not show
+        that it is complete.
+    """
 
     status: int
     headers: Headers
+    ends_with_connection: bool = False
 
     def value(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
-    @property
-    def is_framed(self) -> bool:
-        """Whether the body has a length or chunks, and not just ends."""
-        return any(
-            key in (b"content-length", b"transfer-encoding") for key, _ in self.headers
-        )
-
 
 class _ConnectionProtocol(asyncio.Protocol):
     """Buffers received data with flow control, and records how the connection ended."""
@@ -175,6 +182,7 @@
     def __init__(self, protocol: _ConnectionProtocol) -> None:
         self._protocol = protocol
         self._http = self._new_parser()
+        self._method = ""
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self.is_reused = False
@@ -216,6 +224,7 @@
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
             self.is_reused = True
+        self._method = method
         framed_headers = [*headers, (b"content-length", b"%d" % len(body))]
         try:
             data = self._http.send(
@@ -240,7 +249,7 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                return self._response_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
         raise ConnectionBroken(
@@ -281,6 +290,20 @@
                 raise ConnectionBroken(f"body over {limit_bytes} bytes")
         return bytes(body)
 
+    def _response_head(self, response: h11.Response) -> ResponseHead:
+        headers = list(response.headers)
+        has_body = (
+            self._method != "HEAD" and response.status_code not in _BODILESS_STATUSES
+        )
+        is_framed = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in headers
+        )
+        return ResponseHead(
+            response.status_code,
+            headers,
+            ends_with_connection=has_body and not is_framed,
+        )
+
     async def _next_event(self) -> object:
         while True:
             try:
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -124,8 +124,11 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises `ConnectionBroken` if it is incomplete."""
+        body_bytes = 0
         async for chunk in self._connection.body():
+            body_bytes += len(chunk)
             yield chunk
+        self._log_unframed_end(body_bytes)
 
     @property
     def has_unread_data(self) -> bool:
@@ -134,7 +137,20 @@
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the complete body; raises `ConnectionBroken`."""
-        return await self._connection.read_body(limit_bytes)
+        body = await self._connection.read_body(limit_bytes)
+        self._log_unframed_end(len(body))
+        return body
+
+    def _log_unframed_end(self, body_bytes: int) -> None:
+        if self.head.ends_with_connection:
+            log_event(
+                logger,
+                EventNumber.UNFRAMED_RESPONSE,
+                request_id=self.metadata.request_id,
+                backend_server=self.instance.instance,
+                status=self.head.status,
+                body_bytes=body_bytes,
+            )
 
     def close(self) -> None:
         """Release the connection to the pool if it is reusable, else close it."""
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -368,7 +368,7 @@
         # Without a length or chunks, only the events show that data is missing.
         if splitter.rest:
             raise ConnectionBroken("the stream ended inside an event")
-        if not (server_response.head.is_framed or generation.run_events):
+        if server_response.head.ends_with_connection and not generation.run_events:
             raise ConnectionBroken("the stream ended before its first event")
         if not generation.response.has_started:
             await generation.write(server_response, b"")
