Reproduce broken responses that are passed on as complete, known red

A server that crashes ends its connections cleanly, so that a response without a length or chunks looks complete; and a stream whose request states no size is forwarded like a call, without a look at its events.

--- a/tests/adapters/gateway/test_unframed_responses.py
+++ b/tests/adapters/gateway/test_unframed_responses.py
@@ -161,3 +161,80 @@
         assert (status, body) == (200, b"whole")
 
     run_async(main)
+
+
+def crashing(server, data):
+    """Write a response that ends with its connection, as its server crashes."""
+
+    async def script(request, writer):
+        writer.write(data(request))
+        await writer.drain()
+        server.crash()
+        return True
+
+    return script
+
+
+def test_unframed_stream_of_a_server_that_is_gone_is_truncated():
+    async def main():
+        servers = engines(None)
+        servers[1].script = crashing(
+            servers[1], lambda request: unframed_head(request) + events(1, 4)
+        )
+        async with gateway(*servers) as app:
+            status, _, body = await app.generate("/gen/x")
+        assert (status, body) == (200, None)
+
+    run_async(main)
+
+
+def test_unframed_stream_of_a_server_that_is_gone_resumes():
+    async def main():
+        servers = engines(None, decode_script(9))
+        servers[1].script = crashing(
+            servers[1], lambda request: unframed_head(request) + events(1, 4)
+        )
+        async with gateway(*servers) as app:
+            # The other engine may be chosen first.
+            for number in range(8):
+                status, _, body = await app.generate("/res/x", attempt=f"a{number}")
+                assert (status, body) == (200, events(1, 9))
+        assert servers[1].received
+
+    run_async(main)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_unframed_response_of_a_server_that_is_gone_is_a_failure(path):
+    async def main():
+        server = StandIn("a", None)
+        server.script = crashing(
+            server,
+            lambda request: response(request, body=b"a part", length=False),
+        )
+        async with gateway(server) as app:
+            status, _, _ = await app.send_request(path)
+        assert status == 502
+
+    run_async(main)
+
+
+@pytest.mark.parametrize("length", [True, False])
+@pytest.mark.parametrize(
+    "rest", [b"id: 5\ndata: e", b"id: 5\ndata: e5\n"], ids=["in_line", "after_line"]
+)
+def test_stream_without_a_size_that_ends_inside_an_event_is_a_failure(rest, length):
+    async def main():
+        async def script(request, writer):
+            body = events(1, 4) + rest
+            writer.write(response(request, body=body, length=length))
+            await writer.drain()
+            writer.write_eof()
+            await request.reader.read()
+            return True
+
+        async with gateway(StandIn("e", script, None, "llm")) as app:
+            status, _, _ = await app.send_request("/gen/x")
+        assert status == 502
+
+    run_async(main)
