Take no response for complete whose server is gone at its end

What callers saw: a stream or a plain response without a length or chunks, whose server crashed between two events or anywhere in a body, arrived as complete. Cause: the end of the connection was taken for the end of the response. The operating system of a server that crashes ends its connections in the same way. Change: after a response that ended with its connection, the host connects to the server before it tells the caller that the response is complete. If the connection is refused, the run was broken off: it resumes, is repeated, or fails. Such a response doesn't clear its request of the suspicion that it crashes servers. The price is one connection for each such response. Why it works: a process that has died listens no longer when its connections are closed.

--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -231,6 +231,7 @@
         """Forward the response; the result has the same meaning as in `_send_once`."""
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
+            await self._sender.check_complete(server_response)
         except ConnectionBroken as error:
             self._sender.record_response(
                 server_response.instance, good=False, reason=str(error)
@@ -243,7 +244,7 @@
             return self._failure_of(admitted, decision, str(error))
         finally:
             server_response.close()
-        self._sender.record_complete_run(admitted)
+        self._sender.record_complete_run(admitted, server_response)
         is_failure = server_response.head.status >= 500
         self._sender.record_response(
             server_response.instance,
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -40,6 +40,8 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 # A live server accepts a connection within a few milliseconds. TCP retransmits a lost
 # first packet only after a second; a new attempt to connect is faster.
 CONNECT_TIMEOUT_S = 0.2
@@ -201,8 +203,8 @@
         self._pool = pool
         self._registry = registry
         self._crashes = crashes
-        self._background_calls: set[asyncio.Task[None]] = set()
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._background_calls: set[asyncio.Task[Any]] = set()
+        self._probes: dict[str, asyncio.Task[bool]] = {}
 
     async def send(
         self,
@@ -319,9 +321,24 @@
                 logger, EventNumber.INSTANCE_USED_AGAIN, instance=instance.instance
             )
 
-    def record_complete_run(self, admitted: AdmittedRequest) -> None:
-        """Record that a server ran a request to completion."""
-        self._crashes.record_complete_run(admitted)
+    async def check_complete(self, server_response: OpenReply) -> None:
+        """
+        Raise `ConnectionBroken` if a response that has ended may be incomplete.
+
+        The operating system of a server that crashes ends its connections in the same
+        way as the server ends a complete response.
+        """
+        if server_response.head.ends_with_connection and await self._is_gone(
+            server_response.instance
+        ):
+            raise ConnectionBroken("the server was gone at the end of its response")
+
+    def record_complete_run(
+        self, admitted: AdmittedRequest, server_response: OpenReply
+    ) -> None:
+        """Record that a server ran a request to completion, if that is certain."""
+        if not server_response.head.ends_with_connection:
+            self._crashes.record_complete_run(admitted)
 
     async def record_interrupted_run(
         self,
@@ -341,11 +358,7 @@
             instance, admitted, outcome.reason, events=events
         )
         if outcome.is_broken:
-            probe = self._probes.get(instance.instance)
-            if probe is None:
-                probe = self._start_in_background(self._probe(instance))
-                self._probes[instance.instance] = probe
-            await asyncio.wait({probe})
+            await self._is_gone(instance)
 
     async def call_engine(
         self,
@@ -417,27 +430,35 @@
         """Call an engine to free unused resources, without waiting for the outcome."""
         self._start_in_background(self._call_and_log_failure(instance, call))
 
-    def _start_in_background(
-        self, call: Coroutine[Any, Any, None]
-    ) -> asyncio.Task[None]:
+    def _start_in_background(self, call: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         task = asyncio.ensure_future(call)
         self._background_calls.add(task)
         task.add_done_callback(self._background_calls.discard)
         return task
 
-    async def _probe(self, instance: BackendInstance) -> None:
+    async def _is_gone(self, instance: BackendInstance) -> bool:
         """
-        Connect to a server that has broken off a run, to find out whether it crashed.
+        Return whether a server whose connection has ended refuses connections.
 
-        Without other requests to it, the host would learn of the crash seconds later.
+        Without other requests to it, the host would learn of a crash seconds later.
         """
+        probe = self._probes.get(instance.instance)
+        if probe is None:
+            probe = self._start_in_background(self._probe(instance))
+            self._probes[instance.instance] = probe
+        await asyncio.wait({probe})
+        return probe.result()
+
+    async def _probe(self, instance: BackendInstance) -> bool:
         try:
             connection = await open_connection(instance.address, CONNECT_TIMEOUT_S)
-            connection.close()
         except NotSent as error:
             self._record_unreachable(instance, error)
+            return isinstance(error, ServerGone)
         finally:
             del self._probes[instance.instance]
+        connection.close()
+        return False
 
     async def _call_and_log_failure(
         self, instance: BackendInstance, call: EngineCall
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -342,7 +342,7 @@
             )
         else:
             self._sender.record_response(server_response.instance, good=True, reason="")
-            self._sender.record_complete_run(generation.admitted)
+            self._sender.record_complete_run(generation.admitted, server_response)
             await generation.response.end_stream()
 
     async def _relay_events(
@@ -370,6 +370,7 @@
             raise ConnectionBroken("the stream ended inside an event")
         if server_response.head.ends_with_connection and not generation.run_events:
             raise ConnectionBroken("the stream ended before its first event")
+        await self._sender.check_complete(server_response)
         if not generation.response.has_started:
             await generation.write(server_response, b"")
 
@@ -431,6 +432,7 @@
         admitted = generation.admitted
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
+            await self._sender.check_complete(server_response)
         except ConnectionBroken as error:
             await self._resume_or_fail(
                 generation,
