Check the events of streams whose request states no size

What callers saw: a stream that had been cut inside an event arrived as complete, if its request had no token count. Cause: such a request is forwarded like a call, whose body is opaque. Change: on routes of streams, a body that ends inside an event, or an empty one without framing, is a broken response also there.

--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -3,13 +3,14 @@
 import logging
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
-from damaskridge.adapters.gateway.connections import ConnectionBroken
+from damaskridge.adapters.gateway.connections import ConnectionBroken, ResponseHead
 from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.observability.events import log_event
+from damaskridge.core.gateway.event_stream import ends_inside_event
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.core.gateway.retry_after import RetryAfterTimes
@@ -18,7 +19,7 @@
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import BackendInstance
+from damaskridge.model.gateway import BackendInstance, RouteKind
 
 __all__ = ["CallForwarder"]
 
@@ -232,6 +233,8 @@
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
             await self._sender.check_complete(server_response)
+            if admitted.route.kind is RouteKind.STREAM:
+                _check_events(server_response.head, body)
         except ConnectionBroken as error:
             self._sender.record_response(
                 server_response.instance, good=False, reason=str(error)
@@ -261,3 +264,11 @@
                 return None
         await response.forward(server_response.head, server_response.metadata, body)
         return None
+
+
+def _check_events(head: ResponseHead, body: bytes) -> None:
+    """Raise `ConnectionBroken` if the body of a stream ends inside an event."""
+    if head.status == 200 and ends_inside_event(body):
+        raise ConnectionBroken("the stream ended inside an event")
+    if head.status == 200 and head.ends_with_connection and not body:
+        raise ConnectionBroken("the stream ended before its first event")
--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -10,7 +10,7 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ["EventSplitter", "EventTooLong", "StreamEvent"]
+__all__ = ["EventSplitter", "EventTooLong", "StreamEvent", "ends_inside_event"]
 
 # An event holds a few tokens. A response with no end of an event in this many bytes is
 # not an event stream.
@@ -65,6 +65,18 @@
         return events
 
 
+def ends_inside_event(body: bytes) -> bool:
+    r"""
+    Return whether the last event of a body is incomplete.
+
+    >>> ends_inside_event(b"id: 7\ndata: a\n\n"), ends_inside_event(b"id: 7\ndata: a\n")
+    (False, True)
+    """
+    splitter = EventSplitter(limit_bytes=len(body))
+    splitter.feed(body)
+    return bool(splitter.rest)
+
+
 def _parse_event(data: bytes) -> StreamEvent:
     found = _ID_LINE.search(data)
     return StreamEvent(data, int(found.group(1)) if found else None)
