Tell callers no length that the server did not state

What callers saw: a plain response without a length or chunks arrived with a content-length, so that a part of it was framed as the whole. Cause: the length was taken from what had been read. Change: such a response ends with the caller's connection as well, and claims nothing that its server didn't. A stream keeps its chunks: without them, a truncation could not be told from an end.

--- a/src/damaskridge/adapters/gateway/responses.py
+++ b/src/damaskridge/adapters/gateway/responses.py
@@ -90,7 +90,14 @@
             length = head.value(b"content-length")
             if self._exchange.method != "HEAD" or length is None:
                 length = b"%d" % len(body)
-            await self._send(head.status, [*headers, (b"content-length", length)], body)
+            if not head.ends_with_connection:
+                headers.append((b"content-length", length))
+            await self._send(
+                head.status,
+                headers,
+                body,
+                ends_with_connection=head.ends_with_connection,
+            )
         self._log_response()
 
     async def refuse(self, failure: Failure) -> None:
@@ -132,13 +139,25 @@
         self._log_failure(failure)
         self._exchange.abort()
 
-    async def _send(self, status: int, headers: Headers, body: bytes) -> None:
+    async def _send(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        *,
+        ends_with_connection: bool = False,
+    ) -> None:
         self.is_complete = True
         self._status = status
         self._head_sent_s = self._now_s()
-        if not any(name == b"content-length" for name, _ in headers):
+        has_length = any(name == b"content-length" for name, _ in headers)
+        if not (has_length or ends_with_connection):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        await self._exchange.start(status, [*headers, *self._connection_headers()])
+        await self._exchange.start(
+            status,
+            [*headers, *self._connection_headers()],
+            ends_with_connection=ends_with_connection,
+        )
         sent_body = b"" if self._exchange.method == "HEAD" else body
         await self._exchange.write(sent_body, more=False)
 
--- a/src/damaskridge/adapters/http/exchange.py
+++ b/src/damaskridge/adapters/http/exchange.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "ABORT_EXTENSION",
+    "UNFRAMED_EXTENSION",
     "CallerGone",
     "Exchange",
     "ExchangeLimits",
@@ -29,6 +30,9 @@
 # Key in the ASGI scope's `extensions`: a function that closes the connection at once
 # and discards what is still buffered.
 ABORT_EXTENSION = "damaskridge.abort"
+# Another one: a function that makes the response end with its connection instead of
+# with a length or chunks. It has to be called before the response starts.
+UNFRAMED_EXTENSION = "damaskridge.unframed"
 
 
 class CallerGone(Exception):
@@ -100,7 +104,9 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in self.raw_headers
         }
-        self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION)
+        extensions = scope.get("extensions", {})
+        self._abort = extensions.get(ABORT_EXTENSION)
+        self._end_with_connection = extensions.get(UNFRAMED_EXTENSION)
         self.started = False
         self.has_external_timeout = False
         self._writing_since_s = float("inf")
@@ -141,9 +147,28 @@
         finally:
             task.cancel()
 
-    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Start the response."""
+    async def start(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        ends_with_connection: bool = False,
+    ) -> None:
+        """
+        Start the response.
+
+        Parameters
+        ----------
+        status : int
+            Status code.
+        headers : list of tuple of bytes
+            Names and values.
+        ends_with_connection : bool
+            Whether the body gets neither a length nor chunks.
+        """
         self.started = True
+        if ends_with_connection and self._end_with_connection is not None:
+            self._end_with_connection()
         headers = [*headers, (b"x-request-id", self.request_id.encode())]
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await self._write(start)
--- a/src/damaskridge/binaries/http_server.py
+++ b/src/damaskridge/binaries/http_server.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 from collections.abc import Iterator
+from functools import partial
 from typing import Any
 
 import h11
@@ -13,7 +14,7 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from damaskridge.adapters.addresses import split_address
-from damaskridge.adapters.http.exchange import ABORT_EXTENSION
+from damaskridge.adapters.http.exchange import ABORT_EXTENSION, UNFRAMED_EXTENSION
 from damaskridge.adapters.http.responses import error_body
 from damaskridge.model.errors import ErrorKind, Failure
 
@@ -137,18 +138,28 @@
         self.transport.close()
 
 
-def _with_abort_extension(app: Any) -> Any:
-    """Pass the application a function that aborts the connection and its buffers."""
+def _with_connection_extensions(app: Any) -> Any:
+    """Pass the application functions that act on its caller's connection."""
 
     async def wrapped(scope: Any, receive: Any, send: Any) -> None:
-        transport = getattr(getattr(send, "__self__", None), "transport", None)
-        if transport is not None:
-            scope.setdefault("extensions", {})[ABORT_EXTENSION] = transport.abort
+        cycle = getattr(send, "__self__", None)
+        if cycle is not None:
+            scope.setdefault("extensions", {}).update(
+                {
+                    ABORT_EXTENSION: cycle.transport.abort,
+                    UNFRAMED_EXTENSION: partial(_end_with_connection, cycle.conn),
+                }
+            )
         await app(scope, receive, send)
 
     return wrapped
 
 
+def _end_with_connection(connection: h11.Connection) -> None:
+    """Let h11 frame the next response as for a peer that knows no chunks."""
+    connection.their_http_version = b"1.0"
+
+
 class HttpServer(uvicorn.Server):
     """
     Serves an ASGI application.
@@ -164,7 +175,7 @@
     def __init__(self, app: Any, max_header_bytes: int = 16_384) -> None:
         super().__init__(
             uvicorn.Config(
-                _with_abort_extension(app),
+                _with_connection_extensions(app),
                 http=_Protocol,
                 ws="none",
                 lifespan="off",
--- a/tests/adapters/gateway/test_unframed_responses.py
+++ b/tests/adapters/gateway/test_unframed_responses.py
@@ -238,3 +238,40 @@
         assert status == 502
 
     run_async(main)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_caller_is_told_no_length_that_the_server_did_not_state(status):
+    async def main():
+        async def script(request, writer):
+            writer.write(response(request, status, b"some", length=False))
+            await writer.drain()
+            writer.write_eof()
+            await request.reader.read()
+            return True
+
+        async with gateway(StandIn("a", script)) as app:
+            status_seen, headers, body = await app.send_request("/once/x")
+        assert (status_seen, body) == (status, b"some")
+        assert not headers.keys() & {"content-length", "transfer-encoding"}
+        assert headers["connection"] == "close"
+
+    run_async(main)
+
+
+@pytest.mark.parametrize("status", [200, 204, 304])
+def test_response_that_has_no_body_is_not_taken_for_unframed(status):
+    async def main():
+        async def script(request, writer):
+            writer.write(response(request, status, b"", length=False))
+            await writer.drain()
+
+        async with gateway(StandIn("a", script)) as app:
+            method = "HEAD" if status == 200 else "GET"
+            for number in range(2):
+                status_seen, _, body = await app.send_request(
+                    method=method, attempt=f"a{number}"
+                )
+                assert (status_seen, body) == (status, b"")
+
+    run_async(main)
