Take text that is no event for a break of its stream

What callers saw: a stream broke off, and the next engine answered 200 with a text such as the head of another response. The text stood in the caller's stream, which ended as complete. Cause: everything up to an empty line was taken for an event, also without an id. It counted as progress and as evidence that the stream was complete. Change: an event has an id; comments are passed on and count as nothing. Other text is a broken response, and nothing of it is passed on.

--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -10,7 +10,7 @@
 from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.event_stream import ends_inside_event
+from damaskridge.core.gateway.event_stream import is_event_stream
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load_tracker import LoadTracker
 from damaskridge.core.gateway.retry_after import RetryAfterTimes
@@ -267,8 +267,8 @@
 
 
 def _check_events(head: ResponseHead, body: bytes) -> None:
-    """Raise `ConnectionBroken` if the body of a stream ends inside an event."""
-    if head.status == 200 and ends_inside_event(body):
-        raise ConnectionBroken("the stream ended inside an event")
+    """Raise `ConnectionBroken` if the body of a stream is cut or holds other text."""
+    if head.status == 200 and not is_event_stream(body):
+        raise ConnectionBroken("the body does not consist of complete events")
     if head.status == 200 and head.ends_with_connection and not body:
         raise ConnectionBroken("the stream ended before its first event")
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -107,13 +107,14 @@
         """
         Return whether to forward an event, and count it as forwarded if so.
 
-        Events that the caller has already received are not forwarded.
+        Events that the caller has already received are not forwarded. A comment, which
+        has no id, is forwarded and is no progress.
         """
+        if event_id is None:
+            return True
         self.has_events = True
         self.run_events += 1
         self.last_progress_s = self.admitted.now_s
-        if event_id is None:
-            return True
         if self.last_event_id is not None and event_id <= self.last_event_id:
             return False
         self.last_event_id = event_id
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from itertools import takewhile
+from operator import attrgetter
 from typing import Any
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
@@ -356,15 +358,18 @@
                 events = splitter.feed(chunk)
             except EventTooLong as error:
                 raise ConnectionBroken(str(error)) from error
+            valid_events = list(takewhile(attrgetter("is_valid"), events))
             new_data = b"".join(
                 event.data
-                for event in events
+                for event in valid_events
                 if generation.accept_event(event.event_id)
             )
             if new_data:
                 if not generation.response.has_started:
                     self._clear_prompt_load(generation, server_response.instance)
                 await generation.write(server_response, new_data)
+            if len(valid_events) < len(events):
+                raise ConnectionBroken("the stream holds text that is no event")
         # Without a length or chunks, only the events show that data is missing.
         if splitter.rest:
             raise ConnectionBroken("the stream ended inside an event")
--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -10,7 +10,7 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ["EventSplitter", "EventTooLong", "StreamEvent", "ends_inside_event"]
+__all__ = ["EventSplitter", "EventTooLong", "StreamEvent", "is_event_stream"]
 
 # An event holds a few tokens. A response with no end of an event in this many bytes is
 # not an event stream.
@@ -27,6 +27,13 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether it has an id, which shows its place, or is a comment."""
+        return self.event_id is not None or all(
+            line.startswith(b":") for line in self.data.splitlines() if line
+        )
+
 
 class EventTooLong(Exception):
     """No end of an event within the maximum size of an event."""
@@ -65,16 +72,17 @@
         return events
 
 
-def ends_inside_event(body: bytes) -> bool:
+def is_event_stream(body: bytes) -> bool:
     r"""
-    Return whether the last event of a body is incomplete.
+    Return whether a body consists of complete events.
 
-    >>> ends_inside_event(b"id: 7\ndata: a\n\n"), ends_inside_event(b"id: 7\ndata: a\n")
-    (False, True)
+    >>> is_event_stream(b"id: 7\ndata: a\n\n"), is_event_stream(b"id: 7\ndata: a\n")
+    (True, False)
+    >>> is_event_stream(b"HTTP/1.1 500 Oops\n\n")
+    False
     """
     splitter = EventSplitter(limit_bytes=len(body))
-    splitter.feed(body)
-    return bool(splitter.rest)
+    return all(event.is_valid for event in splitter.feed(body)) and not splitter.rest
 
 
 def _parse_event(data: bytes) -> StreamEvent:
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -192,6 +192,8 @@
     spend_requests: list
     load: LoadTracker
     leader: "StandInLeader"
+    # The bytes of each body that was received, truncated ones included.
+    raw_bodies: list = field(default_factory=list)
 
     async def send_request(
         self,
@@ -216,6 +218,7 @@
             except ConnectionError:
                 rest = None
         writer.close()
+        self.raw_bodies.append(rest)
         first, *fields = head.strip().split("\r\n")
         response_headers = dict(field.lower().split(": ", 1) for field in fields)
         if rest is not None and response_headers.get("transfer-encoding") == "chunked":
--- a/tests/adapters/gateway/test_unframed_responses.py
+++ b/tests/adapters/gateway/test_unframed_responses.py
@@ -115,6 +115,51 @@
     run_async(main)
 
 
+@pytest.mark.parametrize("length", [True, False])
+@pytest.mark.parametrize("text", [b"HTTP/1.1 500 Oops\r\n\r\n", b"data: no id\n\n"])
+def test_text_that_is_no_event_is_neither_passed_on_nor_taken_for_an_end(text, length):
+    async def main():
+        runs = []
+
+        async def script(request, writer):
+            runs.append(request)
+            if len(runs) % 2:
+                writer.write(chunked_head(request) + chunk(events(1, 3)))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return True
+            writer.write(response(request, body=text, length=length))
+            await writer.drain()
+            writer.write_eof()
+            await request.reader.read()
+            return True
+
+        async with gateway(*engines(script, script)) as app:
+            status, _, body = await app.generate("/res/x")
+        assert len(runs) == 2
+        assert (status, body) == (200, None)
+        assert app.raw_bodies == [chunk(events(1, 3))]
+
+    run_async(main)
+
+
+def test_comments_between_events_are_passed_on():
+    async def main():
+        async def script(request, writer):
+            parts = (events(1, 2), b": keep-alive\n\n", events(3, 4))
+            body = b"".join(map(chunk, parts)) + b"0\r\n\r\n"
+            writer.write(chunked_head(request) + body)
+
+        async with gateway(*engines(script)) as app:
+            status, _, body = await app.generate("/gen/x")
+        assert (status, body) == (
+            200,
+            events(1, 2) + b": keep-alive\n\n" + events(3, 4),
+        )
+
+    run_async(main)
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/gen/x", "/res/x"])
 def test_response_whose_head_broke_off_is_not_passed_on(path):
     """Cut behind every byte of the head; each request meets the next cut."""
