Decode and log software versions and the attempt that a caller resumes

Change: BackendInstance.software_version, CallerRequest.first_attempt_id, and both in the log. An entry of the list without a version is malformed, as the users' pages say that each has one. No decision changes.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -180,6 +180,7 @@
             workspace=admitted.workspace,
             version=self._state.index.table.version,
             deadline_ms=round(admitted.remaining_s * 1000),
+            first_attempt_id=request.first_attempt_id,
         )
         if admitted.service.engine is not None and request.has_size:
             forwarding = self._streams.forward(admitted, response)
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -164,6 +164,7 @@
             EventNumber.REQUEST_SENT,
             request_id=admitted.request.request_id,
             instance=name,
+            software_version=instance.software_version,
             step="call",
             attempt=policy.sends,
             load=load,
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -162,7 +162,7 @@
             reason = await self._reserve_on(generation, instance, engine.reservation_s)
             if generation.reservation is not None:
                 generation.log_sent(
-                    instance.instance,
+                    instance,
                     "reserve",
                     load=self._load.load_on(instance.instance),
                     candidates=len(candidates),
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -52,6 +52,9 @@
         The caller's estimate of the output length; 0 if it gave none.
     last_event_id : int or None
         The last event of this stream that the caller has received.
+    first_attempt_id : str
+        The caller's attempt that brought the first event of this stream; empty if the
+        caller named none.
     prompt_parts : tuple of (str, int)
         Identifiers and token counts of the parts of the prompt. Requests may have
         leading parts in common.
@@ -70,6 +73,7 @@
     max_output_tokens: int = 0
     expected_output_tokens: int = 0
     last_event_id: int | None = None
+    first_attempt_id: str = ""
     prompt_parts: tuple[tuple[str, int], ...] = ()
     headers: Headers = field(default_factory=list)
 
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -128,7 +128,7 @@
 
     def log_sent(
         self,
-        instance: str,
+        instance: BackendInstance,
         step: str,
         *,
         load: InstanceLoad,
@@ -141,7 +141,8 @@
             logger,
             EventNumber.REQUEST_SENT,
             request_id=admitted.request.request_id,
-            instance=instance,
+            instance=instance.instance,
+            software_version=instance.software_version,
             step=step,
             attempt=admitted.policy.sends,
             load=load.prompt_tokens if step == "prefill" else load.memory_tokens,
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -126,7 +126,7 @@
         admitted = generation.admitted
         request, name = admitted.request, instance.instance
         generation.log_sent(
-            name,
+            instance,
             "prefill",
             load=self._load.load_on(name),
             candidates=candidates,
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -171,7 +171,7 @@
         admitted.policy.record_send()
         generation.response.attempts = admitted.policy.sends
         generation.log_sent(
-            name,
+            instance,
             "decode",
             load=self._load.load_on(name),
             candidates=candidates,
--- a/src/damaskridge/model/gateway.py
+++ b/src/damaskridge/model/gateway.py
@@ -229,6 +229,9 @@
     started_ms : int
         Unix time of the start, in milliseconds; 0 if unknown. It distinguishes
         instances if a restart keeps the name.
+    software_version : str
+        Version of the instance's software. A stream may go on only at the version that
+        began it.
     """
 
     instance: str
@@ -239,6 +242,7 @@
     is_leaving: bool = False
     stage: EngineStage | None = None
     started_ms: int = 0
+    software_version: str = ""
 
     @property
     def instance_id(self) -> InstanceId:
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -30,6 +30,8 @@
 # The caller's estimate of the number of output tokens.
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
+# The attempt id of the caller's attempt that brought the first event of the stream.
+_RESUMES = b"resumes"
 _AUTHORIZATION = b"authorization"
 _TENANT = b"x-tenant"
 _EXPECT_INSTANCE = b"x-expect-instance"
@@ -88,6 +90,7 @@
     _TOKEN_COUNT,
     _AUTHORIZATION,
     _LAST_EVENT_ID,
+    _RESUMES,
     b"host",
 )
 # ``x-request-priority`` is 0 to 9; less urgent priorities are sent as 9.
@@ -140,6 +143,7 @@
                 max_output_tokens=tokens[1] if len(tokens) == 2 else 0,
                 expected_output_tokens=_parse_int(values.get(_LENGTH_HINT, b"")) or 0,
                 last_event_id=_parse_int(values.get(_LAST_EVENT_ID, b"")),
+                first_attempt_id=values.get(_RESUMES, b"").decode("latin-1"),
                 prompt_parts=_parse_prompt_parts(values.get(_PROMPT_PREFIX, b"")),
                 headers=_forwarded_headers(headers),
             )
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -32,6 +32,7 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: int
     state: str
     phase: str = ""
@@ -111,4 +112,5 @@
         is_leaving=entry.state == "draining",
         stage=_STAGES.get(entry.phase),
         started_ms=entry.born,
+        software_version=entry.version,
     )
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -118,6 +118,7 @@
     limit_per_s: float | None = None
     # Unix time of the start; another one after a restart.
     started_ms: int = 1_700_000_000_000
+    software_version: str = "v1"
     arrivals: ArrivalLog = field(default_factory=ArrivalLog)
 
     def crash(self):
@@ -179,6 +180,7 @@
             data_centre="west",
             slots=4,
             stage=self.stage,
+            software_version=self.software_version,
         )
 
 
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -66,6 +66,7 @@
     assert (first.is_leaving, first.stage) == (True, None)
     assert (first.address, first.data_centre, first.slots) == ("10.0.0.1:80", "z", 4)
     assert (second.is_leaving, second.stage) == (False, EngineStage.PREFILL)
+    assert first.software_version == "v1"
 
 
 def test_malformed_entries_are_skipped_individually():
@@ -80,6 +81,7 @@
         entry(1, Address="nowhere"),
         entry(1, Phase="other"),
         entry(1, Id=""),
+        entry(1, Version=3),
     ]
     listed, _ = read_list(page(*malformed, entry(9)))
     assert [item.instance for item in listed.unwrap().instances] == ["i9"]
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -279,6 +279,7 @@
                 "Service": backend.service,
                 "Address": backend.address,
                 "Zone": "west",
+                "Version": backend.software_version,
                 "Slots": 64,
                 "born": backend.started_ms,
                 "State": "draining" if backend.name in self.leaving else "ready",
