Reproduce streams that are joined from two software versions, known red

Change: tests only, within one host and over three hosts as processes. Where there has been one version only, taking up works and must go on to.

--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -196,6 +196,8 @@
                 | {"Service": "app"},
                 {**common_fields, "Name": "r2", "PathPrefix": "/gen/", "Kind": "stream"}
                 | {"Service": "llm", "SloMs": 900},
+                {**common_fields, "Name": "r3", "PathPrefix": "/res/", "Kind": "stream"}
+                | {"Service": "llm", "SloMs": 900, "Resumable": True},
             ],
             "Services": [
                 {"Name": "app"},
@@ -252,8 +254,8 @@
         )
         return status == expected_status
 
-    async def send_call(self, number, path="/a/x", headers=(), key="k"):
-        lines = ["x-attempt-id: a1", f"authorization: Bearer {key}", *headers]
+    async def send_call(self, number, path="/a/x", headers=(), key="k", attempt="a1"):
+        lines = [f"x-attempt-id: {attempt}", f"authorization: Bearer {key}", *headers]
         return await self.http(MACHINES[number], self.front_port, "POST", path, lines)
 
     async def http(self, ip, port, method, path, headers=(), body=b""):
