Keep a stream at the software version that began it

Cause: no choice of an engine knew of versions, and no host knew what another one, or an earlier process, had begun. A fact that was needed longer than the process that knew it was kept nowhere. Change: the version of the first event is kept for the stream: for the rest of the response, its reservations and prefills, and for callers that take it up. The control group has two records. One says at which versions the streams of each service may have begun; an engine of a new version is used only once it is there, so that no stream is of an unrecorded version. The other one holds the origin of each stream while there are several; hosts report them, old ones too, as soon as a second version is there. A stream whose origin nobody knows goes on only if there was one version. The leader answers after a quorum has confirmed it. What can't go on is refused at once with 503, without a time to come back if its version has left. A KV cache is imported only by its own version.

--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -108,7 +108,9 @@
                 return RoomSearch.DONE
             service, stage = admitted.service.name, EngineStage.DECODE
             waits_s = self._permits.waits_s(admitted)
-            if self._registry.wait_s(service, admitted.now_s, stage, waits_s):
+            if self._registry.wait_s(
+                service, admitted.now_s, stage, waits_s, generation.software_version
+            ):
                 return RoomSearch.PAUSED
             if not full_count:
                 return RoomSearch.DONE
@@ -145,6 +147,7 @@
                 admitted.now_s,
                 EngineStage.DECODE,
                 frozenset(tried_engines),
+                generation.software_version,
             )
             candidates = self._load.with_free_memory(
                 untried, admitted.memory_tokens, engine.memory_tokens
--- a/src/damaskridge/adapters/gateway/dialect.py
+++ b/src/damaskridge/adapters/gateway/dialect.py
@@ -77,6 +77,11 @@
     prompt_parts: tuple[tuple[str, int], ...] = ()
     headers: Headers = field(default_factory=list)
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the caller goes on with a stream that an earlier attempt began."""
+        return bool(self.first_attempt_id or self.last_event_id)
+
     @property
     def has_size(self) -> bool:
         """Whether the caller gave the token counts of a generation."""
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -87,6 +87,8 @@
     last_progress_s : float
         Event loop time of the last event, or of the head of the current response of an
         engine if that is later.
+    software_version : str or None
+        Version at which the stream began and has to go on; None before its first event.
     """
 
     admitted: AdmittedRequest
@@ -99,10 +101,23 @@
     has_events: bool = False
     run_events: int = 0
     last_progress_s: float = 0.0
+    software_version: str | None = None
 
     def __post_init__(self) -> None:
         self.last_event_id = self.admitted.request.last_event_id
 
+    @property
+    def required_version(self) -> str | None:
+        """
+        The software version at which the next step has to run; None if any will do.
+
+        What engines of two versions write doesn't fit together, KV caches included.
+        """
+        if self.software_version is not None:
+            return self.software_version
+        prepared = self.handle or self.reservation
+        return prepared.instance.software_version if prepared is not None else None
+
     def accept_event(self, event_id: int | None) -> bool:
         """
         Return whether to forward an event, and count it as forwarded if so.
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -81,7 +81,11 @@
         while attempts < MAX_PREFILL_ATTEMPTS:
             now_s = generation.admitted.now_s
             candidates = self._registry.candidates(
-                admitted.service.name, now_s, EngineStage.PREFILL, frozenset(tried)
+                admitted.service.name,
+                now_s,
+                EngineStage.PREFILL,
+                frozenset(tried),
+                generation.required_version,
             )
             if not candidates or admitted.remaining_s <= 0:
                 return None
--- /dev/null
+++ b/src/damaskridge/adapters/gateway/stream_versions.py
@@ -0,0 +1,132 @@
+"""Finds the software version at which a stream began that a caller takes up."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
+from damaskridge.core.gateway.stream_origins import StreamOrigins
+from damaskridge.model.gateway import BackendInstance
+from damaskridge.model.software_versions import (
+    OriginDecided,
+    OriginWanted,
+    ServiceVersions,
+    StreamOrigin,
+)
+
+__all__ = ["OriginReport", "OriginUndecided", "StreamVersions"]
+
+# After a loss of all hosts a leader is elected within a second. Callers abandon a
+# stream after 2 seconds without an event at the earliest.
+DECISION_TIMEOUT_S = 1.5
+
+
+class OriginUndecided(Exception):
+    """No leader has answered in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class OriginReport:
+    """
+    What a host has to tell the leader.
+
+    Parameters
+    ----------
+    origins : tuple of StreamOrigin
+        Streams that began here.
+    wanted : tuple of OriginWanted
+        Questions for the versions of other streams.
+    """
+
+    origins: tuple[StreamOrigin, ...]
+    wanted: tuple[OriginWanted, ...]
+
+
+class StreamVersions:
+    """
+    The software versions at which streams began.
+
+    Parameters
+    ----------
+    request_report : callable
+        Called when there is something that the leader has to know at once.
+    """
+
+    def __init__(self, request_report: Callable[[], None]) -> None:
+        self._request_report = request_report
+        self._origins = StreamOrigins()
+        self._sequence = 0
+        self._questions: dict[int, OriginWanted] = {}
+        self._unsent: dict[int, OriginWanted] = {}
+        self._answers: dict[int, asyncio.Future[str | None]] = {}
+
+    def record_begin(
+        self, admitted: AdmittedRequest, instance: BackendInstance
+    ) -> None:
+        """Record which instance has made the first event of a new stream."""
+        origin = StreamOrigin(
+            admitted.request.request_id, instance.service, instance.software_version
+        )
+        self._origins.add(origin, admitted.now_s)
+        if self._origins.has_unreported:
+            self._request_report()
+
+    async def find(self, admitted: AdmittedRequest) -> str | None:
+        """
+        Return the version at which the stream of a request began.
+
+        None if that is unknown: nobody has recorded it, and several are possible.
+
+        Raises
+        ------
+        OriginUndecided
+            No leader has answered in time.
+        """
+        attempt_id, service = admitted.request.first_attempt_id, admitted.service.name
+        known = self._origins.version_of(attempt_id, service)
+        if known is not None:
+            return known
+        return await self._ask_leader(attempt_id, service)
+
+    def may_run(self, instance: BackendInstance) -> bool:
+        """Return whether the version of an engine is on record, so that it is used."""
+        return self._origins.may_run(instance)
+
+    def on_versions(self, services: Iterable[ServiceVersions]) -> None:
+        """Apply what the leader has recorded."""
+        self._origins.on_versions(services)
+        if self._origins.has_unreported:
+            self._request_report()
+
+    def on_decisions(self, decisions: Iterable[OriginDecided]) -> None:
+        """Accept the leader's answers; one that comes too late is ignored."""
+        for decision in decisions:
+            answer = self._answers.get(decision.sequence)
+            if answer is not None and not answer.done():
+                answer.set_result(decision.software_version)
+
+    def pop_report(self, *, everything: bool) -> OriginReport:
+        """Return what the leader doesn't know yet; with `everything`, all that is."""
+        wanted = self._questions if everything else self._unsent
+        report = OriginReport(
+            self._origins.pop_unreported(everything=everything), tuple(wanted.values())
+        )
+        self._unsent = {}
+        return report
+
+    async def _ask_leader(self, attempt_id: str, service: str) -> str | None:
+        self._sequence += 1
+        number = self._sequence
+        answer: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
+        self._answers[number] = answer
+        self._questions[number] = OriginWanted(number, attempt_id, service)
+        self._unsent[number] = self._questions[number]
+        self._request_report()
+        try:
+            async with asyncio.timeout(DECISION_TIMEOUT_S):
+                return await answer
+        except TimeoutError:
+            raise OriginUndecided from None
+        finally:
+            del self._answers[number], self._questions[number]
+            self._unsent.pop(number, None)
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -26,6 +26,10 @@
     Unknown,
 )
 from damaskridge.adapters.gateway.server_permits import ServerPermits
+from damaskridge.adapters.gateway.stream_versions import (
+    OriginUndecided,
+    StreamVersions,
+)
 from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load_tracker import LoadTracker
@@ -74,6 +78,8 @@
         Obtains permits for requests to engines with a limit.
     crashes : CrashMonitor
         Decides which requests are refused because they crash engines.
+    versions : StreamVersions
+        Finds the software versions at which streams began.
     """
 
     def __init__(
@@ -88,6 +94,7 @@
         refusals: RetryAfterTimes,
         permits: ServerPermits,
         crashes: CrashMonitor,
+        versions: StreamVersions,
     ) -> None:
         self._sender = sender
         self._registry = registry
@@ -97,6 +104,7 @@
         self._refusals = refusals
         self._permits = permits
         self._crashes = crashes
+        self._versions = versions
         shared: dict[str, Any] = {
             "dialect": dialect,
             "sender": sender,
@@ -113,6 +121,11 @@
     ) -> None:
         """Run a generation and send the caller the engine's events, or a failure."""
         generation = Generation(admitted, response)
+        if admitted.request.is_taken_up:
+            failure = await self._pin_version(generation)
+            if failure is not None:
+                await response.refuse(failure)
+                return
         try:
             search = await self._reservations.reserve(generation)
             if search is not RoomSearch.DONE:
@@ -120,7 +133,7 @@
                 await response.refuse(
                     self._full_failure(admitted)
                     if is_full
-                    else self._no_engine_failure(admitted)
+                    else self._no_engine_failure(generation)
                 )
                 return
             generation.handle = await self._prefills.prefill(generation)
@@ -132,6 +145,22 @@
             self._prefills.release_handle(generation)
             self._reservations.cancel(generation)
 
+    async def _pin_version(self, generation: Generation) -> Failure | None:
+        """Find the version at which a stream has to go on; return why it can't."""
+        kind = ErrorKind.NO_BACKEND_SERVER
+        try:
+            version = await self._versions.find(generation.admitted)
+        except OriginUndecided:
+            return Failure(
+                kind,
+                "no leader tells at which software version the stream began",
+                retry_after_s=self._refusals.not_ready_s(),
+            )
+        generation.software_version = version
+        if version is None:
+            return Failure(kind, "the software version of the stream is not on record")
+        return None
+
     async def _prepare_resume(self, generation: Generation) -> None:
         """
         Reserve capacity and prefill again for a stream that resumes elsewhere.
@@ -161,7 +190,7 @@
             return
         instance, candidates = await self._choose_engine(generation)
         if instance is None:
-            await self._fail(generation, self._no_engine_failure(admitted))
+            await self._fail(generation, self._no_engine_failure(generation))
             return
         handle = generation.handle
         if handle is not None and admitted.now_s > handle.usable_until_s:
@@ -233,16 +262,31 @@
             ):
                 return reservation.instance, 1
             self._reservations.cancel(generation)
+        chosen = await self._choose_unreserved(generation)
+        if chosen[0] is None and generation.handle is not None:
+            # There may be an engine of another version, which can't use the cache.
+            self._prefills.release_handle(generation)
+            chosen = await self._choose_unreserved(generation)
+        return chosen
+
+    async def _choose_unreserved(
+        self, generation: Generation
+    ) -> tuple[BackendInstance | None, int]:
         service, stage = generation.admitted.service.name, EngineStage.DECODE
         denied: set[str] = set()
         while True:
             now_s = generation.admitted.now_s
             denied |= self._permits.waits_s(generation.admitted).keys()
+            version = generation.required_version
             candidates = self._registry.candidates(
-                service, now_s, stage, frozenset(generation.tried_engines | denied)
+                service,
+                now_s,
+                stage,
+                frozenset(generation.tried_engines | denied),
+                version,
             )
             candidates = candidates or self._registry.candidates(
-                service, now_s, stage, frozenset(denied)
+                service, now_s, stage, frozenset(denied), version
             )
             if not candidates:
                 return None, 0
@@ -358,6 +402,8 @@
                 events = splitter.feed(chunk)
             except EventTooLong as error:
                 raise ConnectionBroken(str(error)) from error
+            if any(event.event_id is not None for event in events):
+                self._record_begin(generation, server_response.instance)
             valid_events = list(takewhile(attrgetter("is_valid"), events))
             new_data = b"".join(
                 event.data
@@ -379,6 +425,13 @@
         if not generation.response.has_started:
             await generation.write(server_response, b"")
 
+    def _record_begin(self, generation: Generation, instance: BackendInstance) -> None:
+        """Keep a stream at the software version of its first event."""
+        if generation.software_version is None:
+            generation.software_version = instance.software_version
+            if generation.admitted.route.is_resumable:
+                self._versions.record_begin(generation.admitted, instance)
+
     def _clear_prompt_load(
         self, generation: Generation, instance: BackendInstance
     ) -> None:
@@ -491,18 +544,25 @@
             retry_after_s=self._refusals.engine_full_s(admitted.remaining_s),
         )
 
-    def _no_engine_failure(self, admitted: AdmittedRequest) -> Failure:
+    def _no_engine_failure(self, generation: Generation) -> Failure:
+        admitted = generation.admitted
         kind = ErrorKind.NO_BACKEND_SERVER
         if admitted.policy.runs:
             kind = ErrorKind.BACKEND_SERVER_FAILED
         service = admitted.service.name
         detail = f"no decode engine for {service}"
-        retry_after_s = self._refusals.no_server_s(admitted.remaining_s)
+        retry_after_s: float | None = self._refusals.no_server_s(admitted.remaining_s)
+        version = generation.software_version
+        if version is not None:
+            # Engines of a version that has left don't come back.
+            detail = f"no engine of software version {version}, which began the stream"
+            retry_after_s = None
         wait_s = self._registry.wait_s(
             service,
             admitted.now_s,
             EngineStage.DECODE,
             self._permits.waits_s(admitted),
+            version,
         )
         if wait_s:
             detail = f"every decode engine for {service} wants no request now"
--- a/src/damaskridge/adapters/rpc/control_server.py
+++ b/src/damaskridge/adapters/rpc/control_server.py
@@ -37,6 +37,7 @@
 from damaskridge.adapters.rpc.permit_publisher import PermitPublisher
 from damaskridge.adapters.rpc.stage_orders import EngineOrderPort, StageController
 from damaskridge.adapters.rpc.subscribers import Subscriber, SubscriberSet
+from damaskridge.adapters.rpc.version_publisher import VersionPublisher
 from damaskridge.core.leases import SESSION_DURATION_S
 from damaskridge.core.state.bundles import find_operator
 from damaskridge.core.state.control_state import ControlState
@@ -63,6 +64,7 @@
 from damaskridge.model.control_status import FleetStatus, HostStatus, StatusRequest
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
+from damaskridge.model.gateway import BackendInstance
 
 __all__ = ["ControlService", "control_services"]
 
@@ -147,15 +149,21 @@
                 republish=self._republish_instances,
                 on_calls=self._permit_publisher.charge,
             )
+        self._version_publisher = VersionPublisher(
+            node=node,
+            subscribers=self._subscribers,
+            is_leading=lambda: self._duties.is_ready,
+            state=state,
+            propose=self._duties.propose,
+            republish=self._republish_instances,
+        )
         self._instance_publisher: InstancePublisher | None = None
         if instances is not None:
             self._instance_publisher = InstancePublisher(
                 instances,
                 self._subscribers,
                 lambda: self._duties.is_ready,
-                self._stage_controller.adjust_instances
-                if self._stage_controller is not None
-                else tuple,
+                self._published_instances,
             )
         self._renewals: list[_Renewal] = []
         self._renewal_received = anyio.Event()
@@ -189,9 +197,18 @@
             group.start_soon(self._crash_publisher.run)
             if self._instance_publisher is not None:
                 group.start_soon(self._instance_publisher.run)
+                group.start_soon(self._version_publisher.run)
             if self._stage_controller is not None:
                 group.start_soon(self._stage_controller.run)
 
+    def _published_instances(
+        self, listed: tuple[BackendInstance, ...]
+    ) -> tuple[BackendInstance, ...]:
+        instances = self._version_publisher.recorded_instances(listed)
+        if self._stage_controller is None:
+            return instances
+        return self._stage_controller.adjust_instances(instances)
+
     def _republish_instances(self) -> None:
         if self._instance_publisher is not None:
             self._instance_publisher.republish()
@@ -207,6 +224,7 @@
     def _step_down(self) -> None:
         self._subscribers.end_all(FollowRefused(failure=self._not_leader()))
         self._permit_publisher.clear()
+        self._version_publisher.clear()
         self._renewals.clear()
         self._host_statuses.clear()
 
@@ -274,6 +292,8 @@
             subscriber = Subscriber(group.cancel_scope.cancel)
             self._subscribers.add(subscriber, first_message.index)
             self._load_publisher.add_subscriber(subscriber, first_message.host)
+            # Before the list, whose engines are of these versions.
+            self._version_publisher.send_snapshot(subscriber)
             if self._instance_publisher is not None:
                 self._instance_publisher.send_snapshot(subscriber)
             # After the list: a host drops the limits of instances that have restarted.
@@ -302,6 +322,7 @@
                     self._load_publisher.handle_report(subscriber, message)
                     self._permit_publisher.handle_report(subscriber, host, message)
                     self._crash_publisher.handle_report(message)
+                    self._version_publisher.handle_report(subscriber, message)
                     if self._instance_publisher is not None:
                         for notice in message.leaving:
                             self._instance_publisher.notices.add(notice)
--- a/src/damaskridge/adapters/rpc/instance_publisher.py
+++ b/src/damaskridge/adapters/rpc/instance_publisher.py
@@ -21,6 +21,8 @@
 # A leaving server must get no requests from three seconds after the list shows that it
 # leaves. This period allows for one failed read and for the delay to the hosts.
 READ_PERIOD_S = 0.8
+# Hosts use no engine of a new version before the first reading of a new leader.
+LEADER_POLL_S = 0.1
 
 AdjustInstances = Callable[[tuple[BackendInstance, ...]], tuple[BackendInstance, ...]]
 
@@ -85,9 +87,10 @@
         while True:
             if self._is_leading():
                 await self._read()
+                await anyio.sleep(READ_PERIOD_S)
             else:
                 self._list_differ = None
-            await anyio.sleep(READ_PERIOD_S)
+                await anyio.sleep(LEADER_POLL_S)
 
     async def _read(self) -> None:
         read_result = await self._reader.read()
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -22,6 +22,7 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
+from damaskridge.adapters.gateway.stream_versions import StreamVersions
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.adapters.http.operators_app import operators_app
 from damaskridge.adapters.observability.event_metrics import install_event_metrics
@@ -49,11 +50,7 @@
     ReportLoad,
 )
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import (
-    BackendInstance,
-    InstanceId,
-    RoutingTable,
-)
+from damaskridge.model.gateway import InstanceId, RoutingTable
 
 __all__ = ["GatewayHost", "GatewaySettings"]
 
@@ -182,6 +179,7 @@
         self._crashes = CrashMonitor(refusals, self.control.request_report)
         gate = RetryGate(self._retries)
         self._permits = ServerPermits(self.registry.limits, self.control.request_report)
+        self._versions = StreamVersions(self.control.request_report)
         sender = Sender(
             dialect, self._pool, self.registry, self._crashes, gate, self._permits
         )
@@ -199,7 +197,7 @@
             state=self.state,
             dialect=dialect,
             calls=CallForwarder(**shared),
-            streams=StreamForwarder(dialect=dialect, **shared),
+            streams=StreamForwarder(dialect=dialect, versions=self._versions, **shared),
             quota=self._quota,
             refusals=refusals,
             crashes=self._crashes,
@@ -348,6 +346,7 @@
         self._reported_leaving = leaving
         crashes = self._crashes.pop_report(everything=everything)
         permits = self._permits.pop_report(everything=everything)
+        origins = self._versions.pop_report(everything=everything)
         report = ReportLoad(
             load=load,
             usage=usage,
@@ -357,6 +356,8 @@
             limits=permits.limits,
             sends_wanted=permits.wanted,
             sends_charged=permits.charged,
+            origins=origins.origins,
+            origins_wanted=origins.wanted,
         )
         return report if report != EMPTY_REPORT else None
 
@@ -368,6 +369,10 @@
         self._load_confirmed_s = now_s
         self._permits.on_limits(message.limits)
         self._permits.on_decisions(message.sends_decided)
+        if message.software_versions is not None:
+            self._versions.on_versions(message.software_versions)
+            self._apply_list()
+        self._versions.on_decisions(message.origins_decided)
         if not (message.load or message.usage or message.is_whole):
             # Such a message says nothing on what other hosts have admitted.
             return
@@ -383,9 +388,11 @@
         self._load_confirmed_s = now_s
         self._quota.on_report(now_s)
         if self._instance_list.apply(message, now_s):
-            self._apply_list(self._instance_list.items)
+            self._apply_list()
 
-    def _apply_list(self, instances: tuple[BackendInstance, ...]) -> None:
+    def _apply_list(self) -> None:
+        # The host may have read engines of versions that are not on record yet.
+        instances = tuple(filter(self._versions.may_run, self._instance_list.items))
         leaving = {
             item.instance_id
             for item in self.registry.all()
@@ -414,7 +421,7 @@
             log_event(logger, EventNumber.INSTANCE_LIST_FAILED, reason=listed.err_value)
             return
         self._instance_list.replace(listed.ok_value.instances, anyio.current_time())
-        self._apply_list(self._instance_list.items)
+        self._apply_list()
 
     async def _prune(self) -> None:
         while True:
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -116,16 +116,17 @@
         now_s: float,
         stage: EngineStage | None = None,
         excluded: frozenset[str] = frozenset(),
+        software_version: str | None = None,
     ) -> list[BackendInstance]:
         """
         Return the instances that may receive a request now.
 
         Avoided instances are included only if there are no others. Paused instances
-        are never included.
+        are never included. `software_version` excludes all other versions.
         """
         usable = [
             item
-            for item in self._not_leaving(service, stage)
+            for item in self._not_leaving(service, stage, software_version)
             if item.instance not in excluded
             and not self.notices.remaining_pause_s(item.instance, now_s)
         ]
@@ -138,6 +139,7 @@
         now_s: float,
         stage: EngineStage | None = None,
         limit_waits_s: Mapping[str, float] | None = None,
+        software_version: str | None = None,
     ) -> float:
         """
         Return the time until an instance of a service accepts a request.
@@ -152,7 +154,7 @@
                     self.notices.remaining_pause_s(item.instance, now_s),
                     waits_s.get(item.instance, 0.0),
                 )
-                for item in self._not_leaving(service, stage)
+                for item in self._not_leaving(service, stage, software_version)
             ),
             default=0.0,
         )
@@ -185,7 +187,10 @@
         return health is not None and now_s < health.avoided_until_s
 
     def _not_leaving(
-        self, service: str, stage: EngineStage | None
+        self,
+        service: str,
+        stage: EngineStage | None,
+        software_version: str | None,
     ) -> list[BackendInstance]:
         """Return the instances of a service and stage that aren't leaving."""
         return [
@@ -193,6 +198,7 @@
             for item in self._instances.values()
             if item.service == service
             and item.stage is stage
+            and software_version in (None, item.software_version)
             and not item.is_leaving
             and not self.notices.has_announced_leaving(item)
         ]
--- a/src/damaskridge/core/state/control_state.py
+++ b/src/damaskridge/core/state/control_state.py
@@ -12,6 +12,7 @@
     ownership,
     routing_tables,
     sessions,
+    software_versions,
 )
 from damaskridge.core.state.applied import AppliedCommand
 from damaskridge.core.state.data import Changes, StateData, StoredResult, refusal
@@ -32,6 +33,8 @@
     RecordCrashes,
     RecordIntent,
     RecordResult,
+    RecordSoftwareVersions,
+    RecordStreamOrigins,
     ReleaseOwnership,
     ReportCrash,
     RollBackBundle,
@@ -90,7 +93,8 @@
         else:
             result = self._execute(command, changes)
             result = msgspec.structs.replace(result, index=index)
-            self._store_result(command, result)
+            if not command.is_repeatable:
+                self._store_result(command, result)
         base_index = data.fleet_index
         if changes:
             data.fleet_index = index
@@ -243,6 +247,14 @@
         self.data.gateway_crashes = command.crashes
         return CommandResult()
 
+    @_execute.register
+    def _(self, command: RecordSoftwareVersions, changes: Changes) -> CommandResult:
+        return software_versions.record_versions(self.data, command)
+
+    @_execute.register
+    def _(self, command: RecordStreamOrigins, changes: Changes) -> CommandResult:
+        return software_versions.record_origins(self.data, command)
+
     @_execute.register
     def _(self, command: AllocateFencingNumber, changes: Changes) -> CommandResult:
         return ownership.allocate_fencing_number(self.data, command)
--- a/src/damaskridge/core/state/data.py
+++ b/src/damaskridge/core/state/data.py
@@ -24,6 +24,7 @@
     "CrashRecord",
     "FingerprintRecord",
     "Intent",
+    "OriginRecord",
     "Proposal",
     "StateData",
     "StoredResult",
@@ -90,6 +91,14 @@
     at_ms: int
 
 
+class OriginRecord(msgspec.Struct, array_like=True):
+    """The software version at which a stream began, recorded at `at_ms`."""
+
+    service: str
+    software_version: str
+    at_ms: int
+
+
 class StoredResult(msgspec.Struct):
     """The result that retries of a command receive, and the command's digest."""
 
@@ -130,6 +139,12 @@
         By ``<incarnation>/<backend server>``.
     gateway_crashes : tuple[RecordedCrash, ...]
         The crashes that explain the quarantines of the gateway.
+    software_versions : dict[str, tuple[str, ...]]
+        By service, the software versions at which streams that callers may still take
+        up have begun.
+    stream_origins : dict[str, OriginRecord]
+        By the caller's attempt that brought the first event, oldest first; only of
+        services that have had several versions.
     fencing : dict[str, int]
         By cell resource, the last fencing number that was allocated.
     fencing_floor : int
@@ -167,6 +182,8 @@
     crashes: dict[str, CrashRecord] = {}
     fingerprints: dict[str, FingerprintRecord] = {}
     gateway_crashes: tuple[RecordedCrash, ...] = ()
+    software_versions: dict[str, tuple[str, ...]] = {}
+    stream_origins: dict[str, OriginRecord] = {}
     fencing: dict[str, int] = {}
     fencing_floor: int = 0
     known_workspaces: dict[str, bool] = {}
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -6,6 +6,7 @@
 """
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -23,6 +24,12 @@
     SendWanted,
     ServerLimit,
 )
+from damaskridge.model.software_versions import (
+    OriginDecided,
+    OriginWanted,
+    ServiceVersions,
+    StreamOrigin,
+)
 
 __all__ = [
     "AdvanceTime",
@@ -63,6 +70,8 @@
     "RecordCrashes",
     "RecordIntent",
     "RecordResult",
+    "RecordSoftwareVersions",
+    "RecordStreamOrigins",
     "ReleaseOwnership",
     "RenewSession",
     "ReportCrash",
@@ -94,8 +103,16 @@
     at_ms : int
         Wall clock of the leader when it appended the command, so that all members
         apply it with the same time.
+
+    Attributes
+    ----------
+    is_repeatable : bool
+        Whether applying the command twice has the same result, so that its result
+        need not be stored.
     """
 
+    is_repeatable: ClassVar[bool] = False
+
     command_id: str
     at_ms: int = 0
 
@@ -282,6 +299,22 @@
     crashes: tuple[RecordedCrash, ...]
 
 
+class RecordSoftwareVersions(Command, frozen=True, kw_only=True, tag=True):
+    """Replaces the software versions at which streams may have begun."""
+
+    is_repeatable: ClassVar[bool] = True
+
+    services: tuple[ServiceVersions, ...]
+
+
+class RecordStreamOrigins(Command, frozen=True, kw_only=True, tag=True):
+    """Records the software versions at which streams began."""
+
+    is_repeatable: ClassVar[bool] = True
+
+    origins: tuple[StreamOrigin, ...]
+
+
 class AllocateFencingNumber(Command, frozen=True, kw_only=True, tag=True):
     """Allocates the next fencing number, for an order of a cell's owner."""
 
@@ -502,6 +535,8 @@
     | ReportCrash
     | SuspectCleared
     | RecordCrashes
+    | RecordSoftwareVersions
+    | RecordStreamOrigins
     | AllocateFencingNumber
     | AdvanceTime
 )
@@ -584,6 +619,10 @@
         Requests for permits, which the leader decides on at once.
     sends_charged : tuple of SendsCharged
         Requests that were sent without permits.
+    origins : tuple of StreamOrigin
+        Streams that began, of services that have had several software versions.
+    origins_wanted : tuple of OriginWanted
+        Streams that callers take up and whose software version the host doesn't know.
     """
 
     load: dict[str, InstanceLoad] = {}
@@ -594,6 +633,8 @@
     limits: tuple[ServerLimit, ...] = ()
     sends_wanted: tuple[SendWanted, ...] = ()
     sends_charged: tuple[SendsCharged, ...] = ()
+    origins: tuple[StreamOrigin, ...] = ()
+    origins_wanted: tuple[OriginWanted, ...] = ()
 
 
 AnyFollowRequest = OpenFollow | RenewSession | ReportLoad
@@ -688,6 +729,11 @@
         Limits of requests that changed, or have ended.
     sends_decided : tuple of SendDecided
         Decisions on the requests of this host for permits.
+    software_versions : tuple of ServiceVersions or None
+        The software versions at which streams may have begun, of all services; None
+        if they haven't changed.
+    origins_decided : tuple of OriginDecided
+        Answers to the questions of this host for software versions.
     """
 
     load: dict[str, InstanceLoad] = {}
@@ -695,6 +741,8 @@
     is_whole: bool = False
     limits: tuple[ServerLimit, ...] = ()
     sends_decided: tuple[SendDecided, ...] = ()
+    software_versions: tuple[ServiceVersions, ...] | None = None
+    origins_decided: tuple[OriginDecided, ...] = ()
 
 
 class CrashesSeen(FollowResponse, frozen=True, kw_only=True, tag=True):
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -17,6 +17,7 @@
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
+from damaskridge.adapters.gateway.stream_versions import StreamVersions
 from damaskridge.adapters.gateway.streams import StreamForwarder
 from damaskridge.binaries.http_server import HttpServer
 from damaskridge.core.gateway.instances import InstanceRegistry
@@ -26,6 +27,7 @@
 from damaskridge.core.gateway.routing import RoutingIndex
 from damaskridge.model.gateway import BackendInstance, RouteKind
 from damaskridge.model.server_limits import SendDecided
+from damaskridge.model.software_versions import OriginDecided
 from damaskridge.platform.dialect import PlatformDialect
 
 TIMEOUT_S = 10.0
@@ -245,6 +247,8 @@
         The requests for permits so far; `is_asked` is set at the first one.
     charged : list of SendsCharged
         What was sent without permits.
+    origin : str or None
+        The software version of every stream that the host doesn't know.
     """
 
     def __init__(self, registry):
@@ -253,7 +257,15 @@
         self.is_asked = asyncio.Event()
         self.charged = []
         self.limits = []
+        self.origin = "v1"
         self.permits = ServerPermits(registry.limits, self._request_report)
+        self.versions = StreamVersions(self._answer_questions)
+
+    def _answer_questions(self):
+        report = self.versions.pop_report(everything=False)
+        self.versions.on_decisions(
+            OriginDecided(item.sequence, self.origin) for item in report.wanted
+        )
 
     def _request_report(self):
         report = self.permits.pop_report(everything=False)
@@ -340,7 +352,7 @@
         state=state,
         dialect=dialect,
         calls=CallForwarder(**shared),
-        streams=StreamForwarder(dialect=dialect, **shared),
+        streams=StreamForwarder(dialect=dialect, versions=leader.versions, **shared),
         quota=FleetQuota(),
         refusals=refusals,
         crashes=crashes,
--- a/tests/adapters/gateway/test_software_versions.py
+++ b/tests/adapters/gateway/test_software_versions.py
@@ -6,6 +6,7 @@
 from tests.adapters.gateway.standin import StandIn, events, gateway
 from tests.adapters.gateway.test_streams import decode_script, run_async, run_prefill
 
+from damaskridge.adapters.gateway import stream_versions
 from damaskridge.model.gateway import EngineStage
 
 
@@ -42,7 +43,7 @@
         old = [engine(name, "v1", breaking()) for name in ("a", "b")]
         new = [engine(name, "v2", decode_script()) for name in ("c", "d", "e", "f")]
         servers = [prefill_engine("v1"), prefill_engine("v2"), *old, *new]
-        async with gateway(*servers) as app:
+        async with gateway(*servers, budget=99) as app:
             for number in range(24):
                 status, _, body = await app.generate(attempt=f"a{number}")
                 assert (status, body) == (200, events(1, 9))
@@ -59,14 +60,19 @@
 
 def test_stream_without_an_engine_of_its_version_is_truncated():
     async def main():
-        old = engine("a", "v1", breaking())
+        async def crash(request, writer):
+            await decode_script(disconnect_after=3)(request, writer)
+            old.crash()
+            return True
+
+        old = engine("a", "v1", crash)
         new = engine("b", "v2", decode_script())
         async with gateway(prefill_engine("v1"), old, new) as app:
-            for number in range(8):
+            for number in range(16):
                 status, _, body = await app.generate(attempt=f"a{number}")
                 began_at_old = any(r.attempt == f"a{number}" for r in old.received)
                 assert (status, body) == (200, None if began_at_old else events(1, 9))
-        assert old.received
+        assert len(old.received) == 1
 
     run_async(main)
 
@@ -121,3 +127,37 @@
                 assert not server.received
 
     run_async(main)
+
+
+@pytest.mark.parametrize(("origin", "status"), [("v1", 200), ("v2", 503), (None, 503)])
+@pytest.mark.parametrize("header", ["resumes: a0", "last-event-id: 3"])
+def test_stream_that_began_at_another_host_goes_on_as_the_leader_says(
+    origin, status, header
+):
+    async def main():
+        server = engine("a", "v1", decode_script())
+        async with gateway(prefill_engine("v1"), server) as app:
+            app.leader.origin = origin
+            seen, _, _ = await app.send_request(
+                "/res/x", ["x-token-count: 100,50", header], b"prompt"
+            )
+            assert seen == status
+            assert len(server.received) == (status == 200)
+
+    run_async(main)
+
+
+def test_stream_is_refused_if_no_leader_answers(monkeypatch):
+    async def main():
+        server = engine("a", "v1", decode_script())
+        async with gateway(prefill_engine("v1"), server) as app:
+            monkeypatch.setattr(stream_versions, "DECISION_TIMEOUT_S", 0.05)
+            monkeypatch.setattr(app.leader.versions, "on_decisions", lambda _: None)
+            status, headers, _ = await app.send_request(
+                "/res/x", take_up("a0", 3), b"prompt"
+            )
+            assert status == 503
+            assert float(headers["retry-after"]) > 0
+            assert not server.received
+
+    run_async(main)
--- a/tests/processes/test_software_versions.py
+++ b/tests/processes/test_software_versions.py
@@ -99,8 +99,15 @@
         await self.wait_until_ready()
 
     async def wait_until_ready(self):
+        """Wait until each host has a routing table and knows engines."""
         for number in range(len(MACHINES)):
-            await self.wait_until(lambda number=number: self.is_ready(number))
+            await self.wait_until(lambda number=number: self.begins_streams(number))
+
+    async def begins_streams(self, number):
+        status, _ = await self.send_call(
+            number, "/res/x", ["x-token-count: 100,50"], attempt="ready"
+        )
+        return status == 200
 
 
 def run_scenario(tmp_path, scenario):
