Refuse or skip documents whose content can't be held

What operators saw: one odd entry in the list of servers, deeply nested, with a number too large or with a port out of range, ended the leaders one after the other, or the list stood still. Cause: the borders caught the errors of the decoder, and not those of Python for deep nesting, for numbers that no message holds, and for addresses that no connection takes. One unreadable string made its whole page unreadable. Change: one function decodes documents from outside and returns an error for each of these; fields have ranges. A page is split into its entries without a look at them.

--- a/src/damaskridge/adapters/host_list/http_host_list.py
+++ b/src/damaskridge/adapters/host_list/http_host_list.py
@@ -58,7 +58,7 @@
             servers = msgspec.json.decode(response.body, type=tuple[ListedServer, ...])
         except StreamFailed as error:
             return Err(error.failure)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             detail = "the host list is not of the protocol"
             return Err(Failure(ErrorKind.BACKEND_SERVER_FAILED, detail))
         leaving = (
--- a/src/damaskridge/platform/config_document.py
+++ b/src/damaskridge/platform/config_document.py
@@ -3,8 +3,10 @@
 The structs below mirror the JSON document field by field.
 """
 
+from typing import Annotated
+
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
 from damaskridge.core.gateway.routing import key_digest
 from damaskridge.model.gateway import (
@@ -17,6 +19,7 @@
     RouteTarget,
     RoutingTable,
 )
+from damaskridge.platform.json_documents import Int64, decode_json
 
 __all__ = ["decode_document"]
 
@@ -27,9 +30,15 @@
 }
 
 
+# Longer ones don't fit the messages between hosts.
+MAX_DURATION_MS = 10**12
+
+_DurationMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+
+
 class _Target(msgspec.Struct, rename="pascal"):
     service: str
-    weight: int
+    weight: Int64
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -37,23 +46,23 @@
     hostname: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    slo_ms: float = 0
+    timeout_ms: _DurationMs
+    slo_ms: _DurationMs = 0
     # 0 is the most urgent.
-    priority: int = 0
+    priority: Int64 = 0
     # Shorthand for a single target; ignored if `backends` is set.
     service: str = ""
     backends: list[_Target] = []
     # Backend servers that may run a request; one that refuses it does not count.
-    max_attempts: int = 1
+    max_attempts: Int64 = 1
     public: bool = False
     resumable: bool = False
-    itl_slo_ms: float = 0
+    itl_slo_ms: _DurationMs = 0
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
-    slots: int
-    kv_capacity: int
+    slots: Int64
+    kv_capacity: Int64
     # Time for which an exported KV cache is kept, in seconds.
     kv_hold_s: float = 0.0
     # Maximum duration of a reservation on a decode engine, in milliseconds.
@@ -66,29 +75,29 @@
     name: str
     health_path: str = ""
     # Connections that one backend server accepts from all callers together.
-    max_conns: int = 0
+    max_conns: Int64 = 0
     engine: _Engine | None = None
 
 
 class _Tenant(msgspec.Struct, rename="pascal"):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Int64 | None = None
     unit: str = ""
-    plain_tokens: int = 0
+    plain_tokens: Int64 = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: Int64 = 16_384
+    max_body_bytes: Int64 = 4_194_304
+    header_timeout_ms: Int64 = 3_000
+    idle_timeout_ms: Int64 = 15_000
 
 
 class _Document(msgspec.Struct, rename="pascal"):
-    version: int
+    version: Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -100,28 +109,23 @@
 
 def decode_document(body: bytes) -> Result[RoutingTable, str]:
     """Decode a document; the error says what is malformed."""
-    try:
-        document = _decode_json(body)
-        return Ok(
-            RoutingTable(
-                version=document.version,
-                routes=tuple(_to_gateway_route(route) for route in document.routes),
-                services=tuple(
-                    _to_gateway_service(service) for service in document.services
-                ),
-                workspaces=tuple(
-                    _to_gateway_workspace(tenant) for tenant in document.tenants
-                ),
-                limits=CallerLimits(
-                    header_bytes=document.limits.max_header_bytes,
-                    body_bytes=document.limits.max_body_bytes,
-                    header_timeout_ms=document.limits.header_timeout_ms,
-                    idle_timeout_ms=document.limits.idle_timeout_ms,
-                ),
-            )
-        )
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        return Err(str(error)[:200])
+    return decode_json(_decode_table, body)
+
+
+def _decode_table(body: bytes) -> RoutingTable:
+    document = _decode_json(body)
+    return RoutingTable(
+        version=document.version,
+        routes=tuple(map(_to_gateway_route, document.routes)),
+        services=tuple(map(_to_gateway_service, document.services)),
+        workspaces=tuple(map(_to_gateway_workspace, document.tenants)),
+        limits=CallerLimits(
+            header_bytes=document.limits.max_header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            header_timeout_ms=document.limits.header_timeout_ms,
+            idle_timeout_ms=document.limits.idle_timeout_ms,
+        ),
+    )
 
 
 def _to_gateway_route(route: _Route) -> GatewayRoute:
--- a/src/damaskridge/platform/dialect.py
+++ b/src/damaskridge/platform/dialect.py
@@ -16,6 +16,7 @@
 )
 from damaskridge.adapters.http.responses import error_body
 from damaskridge.model.errors import ErrorKind, Failure
+from damaskridge.platform.json_documents import HeaderText, Int64, decode_json
 
 __all__ = ["PlatformDialect"]
 
@@ -98,13 +99,13 @@
 
 
 class _PrefillBody(msgspec.Struct, rename="pascal"):
-    handle_id: str
-    tokens: int = 0
+    handle_id: HeaderText
+    tokens: Int64 = 0
 
 
 class _ReservationBody(msgspec.Struct, rename="pascal"):
     # Identifier of the reservation.
-    hold: str
+    hold: HeaderText
 
 
 _decode_prefill = msgspec.json.Decoder(_PrefillBody).decode
@@ -186,11 +187,11 @@
 
     def decode_prefill_response(self, body: bytes) -> Result[PrefillResponse, str]:
         """Decode the response to a prefill."""
-        try:
-            decoded = _decode_prefill(body)
-        except msgspec.DecodeError as error:
-            return Err(str(error))
-        return Ok(PrefillResponse(handle=decoded.handle_id, tokens=decoded.tokens))
+        return decode_json(_decode_prefill, body).map(
+            lambda decoded: PrefillResponse(
+                handle=decoded.handle_id, tokens=decoded.tokens
+            )
+        )
 
     def release_handle_call(self, handle: str) -> EngineCall:
         """Return the call that releases an exported KV cache."""
@@ -203,10 +204,7 @@
 
     def decode_reservation_response(self, body: bytes) -> Result[str, str]:
         """Decode the response to a reservation."""
-        try:
-            return Ok(_decode_reservation(body).hold)
-        except msgspec.DecodeError as error:
-            return Err(str(error))
+        return decode_json(_decode_reservation, body).map(lambda item: item.hold)
 
     def cancel_reservation_call(self, reservation: str) -> EngineCall:
         """Return the call that cancels a reservation."""
--- a/src/damaskridge/platform/instance_list.py
+++ b/src/damaskridge/platform/instance_list.py
@@ -1,6 +1,8 @@
 """Client for the platform's list of backend servers."""
 
 import asyncio
+import ipaddress
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
@@ -8,6 +10,12 @@
 
 from damaskridge.adapters.gateway.connections import ConnectionBroken, open_connection
 from damaskridge.model.gateway import BackendInstance, EngineStage, InstanceList
+from damaskridge.platform.json_documents import (
+    HeaderText,
+    decode_json,
+    split_array,
+    split_object,
+)
 
 __all__ = ["PlatformInstanceListReader"]
 
@@ -16,31 +24,32 @@
 # Bounds a read in case a faulty list links its pages without end.
 MAX_PAGES = 200
 MAX_PAGE_BYTES = 1_048_576
+MAX_SLOTS = 1_000_000
+# The year 5138; a larger number is no Unix time in milliseconds.
+MAX_UNIX_MS = 10**14
+MAX_TEXT_LENGTH = 256
 
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
 _STAGES = {"prefill": EngineStage.PREFILL, "decode": EngineStage.DECODE}
 
 
-class _Page(msgspec.Struct, rename="pascal"):
-    # Decoded one by one, so that a malformed entry does not affect the others.
-    instances: list[msgspec.Raw]
-    # Token of the next page; empty or missing on the last one.
-    next: str | None = None
-
-
 class _Entry(msgspec.Struct, rename="pascal"):
-    id: str
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
-    state: str
-    phase: str = ""
+    id: HeaderText
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: _Text
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: _Text
+    phase: _Text = ""
     # Unix time of the start, in milliseconds; a restart may keep `id`.
-    born: int = msgspec.field(default=0, name="born")
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = msgspec.field(
+        default=0, name="born"
+    )
 
 
-_decode_page = msgspec.json.Decoder(_Page).decode
+# Token of the next page; empty or missing on the last one.
+_decode_token = msgspec.json.Decoder(str | None).decode
 _decode_entry = msgspec.json.Decoder(_Entry).decode
 
 
@@ -64,15 +73,19 @@
         for _ in range(MAX_PAGES):
             try:
                 async with asyncio.timeout(PAGE_TIMEOUT_S):
-                    page = _decode_page(await self._fetch_page(token))
+                    body = await self._fetch_page(token)
             except TimeoutError:
                 return Err(f"no page within {PAGE_TIMEOUT_S:g} s")
-            except (ConnectionBroken, msgspec.DecodeError) as error:
+            except ConnectionBroken as error:
                 return Err(str(error))
-            entries += filter(None, map(_decode_instance, page.instances))
-            if not page.next:
+            page = decode_json(_split_page, body)
+            if isinstance(page, Err):
+                return page
+            items, next_token = page.ok_value
+            entries += filter(None, map(_decode_instance, items))
+            if not next_token:
                 return Ok(InstanceList(instances=tuple(entries)))
-            token = page.next
+            token = next_token
         return Err(f"more than {MAX_PAGES} pages")
 
     async def _fetch_page(self, token: str) -> bytes:
@@ -90,19 +103,25 @@
         return body
 
 
-def _decode_instance(raw: msgspec.Raw) -> BackendInstance | None:
+def _split_page(body: bytes) -> tuple[list[bytes], str | None]:
+    """Return the entries, which may be malformed, and the token of the next page."""
+    members = split_object(body)
+    if "Instances" not in members:
+        raise ValueError("the page has no Instances")
+    next_token = _decode_token(members.get("Next", b"null"))
+    return split_array(members["Instances"]), next_token
+
+
+def _decode_instance(raw: bytes) -> BackendInstance | None:
     """Decode an entry; returns None if it is malformed or not usable."""
-    try:
-        entry = _decode_entry(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decode_json(_decode_entry, raw)
+    if isinstance(decoded, Err):
         return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in ("ready", "draining") or not host or not port.isdigit():
+    entry = decoded.ok_value
+    if entry.state not in ("ready", "draining") or not _is_address(entry.address):
         return None
     if entry.phase and entry.phase not in _STAGES:
         return None
-    if not entry.id or entry.slots < 1:
-        return None
     return BackendInstance(
         instance=entry.id,
         service=entry.service,
@@ -114,3 +133,15 @@
         started_ms=entry.born,
         software_version=entry.version,
     )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is ``ip:port``."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+        return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= 65_535
--- a/src/damaskridge/platform/orders.py
+++ b/src/damaskridge/platform/orders.py
@@ -7,6 +7,7 @@
 
 from damaskridge.adapters.gateway.connections import ConnectionBroken, open_connection
 from damaskridge.model.gateway import BackendInstance, EngineStage
+from damaskridge.platform.json_documents import Int64, decode_json
 
 __all__ = ["PlatformOrderClient"]
 
@@ -19,7 +20,7 @@
 
 class _Report(msgspec.Struct, rename="pascal"):
     # Number of orders that the engine has accepted since its start.
-    seq: int
+    seq: Int64
     # Whether an order is in progress.
     busy: bool = False
 
@@ -66,7 +67,7 @@
                 )
         except TimeoutError:
             return Err(f"no response within {CALL_TIMEOUT_S:g} s")
-        except (ConnectionBroken, msgspec.DecodeError) as error:
+        except ConnectionBroken as error:
             return Err(str(error))
         return Ok(None) if status in _ACCEPTED_STATUSES else Err(f"status {status}")
 
@@ -77,15 +78,18 @@
                 return Ok((await self._fetch_report(instance)).busy)
         except TimeoutError:
             return Err(f"no response within {CALL_TIMEOUT_S:g} s")
-        except (ConnectionBroken, msgspec.DecodeError) as error:
+        except ConnectionBroken as error:
             return Err(str(error))
 
     async def _fetch_report(self, instance: BackendInstance) -> _Report:
-        """Fetch an engine's report; raises `ConnectionBroken` or `DecodeError`."""
+        """Fetch an engine's report; raises `ConnectionBroken` if it is malformed."""
         status, body = await self._call(instance, "GET", b"/api/report", b"")
         if status != 200:
             raise ConnectionBroken(f"report: status {status}")
-        return _decode_report(body)
+        decoded = decode_json(_decode_report, body)
+        if isinstance(decoded, Err):
+            raise ConnectionBroken(f"report: {decoded.err_value}")
+        return decoded.ok_value
 
     async def _call(
         self, instance: BackendInstance, method: str, target: bytes, body: bytes
--- a/tests/platform/test_instance_list.py
+++ b/tests/platform/test_instance_list.py
@@ -7,6 +7,8 @@
 import asyncio
 
 import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
 
 from damaskridge.model.gateway import EngineStage
 from damaskridge.platform.instance_list import PlatformInstanceListReader
@@ -99,3 +101,68 @@
         1_700_000_000_000,
         0,
     ]
+
+
+def deep(levels):
+    return b"[" * levels + b"]" * levels
+
+
+ODD_ENTRIES = {
+    "nested": b'{"Id":"x","Other":' + deep(3000) + b"}",
+    "nested_alone": deep(3000),
+    "nested_objects": b'{"a":' * 3000 + b"1" + b"}" * 3000,
+    "surrogate": rb'{"Id":"\ud800","Service":"s"}',
+    "not_utf8": b'{"Id":"\xff\xfe"}',
+    "control_character": b'{"Id":"a\nb"}',
+}
+ODD_FIELDS = {
+    "port_above_range": {"Address": "10.0.0.1:70000"},
+    "port_of_superscripts": {"Address": "10.0.0.1:\u00b2"},
+    "port_zero": {"Address": "10.0.0.1:0"},
+    "host_with_nul": {"Address": "10.0.0.1\0:80"},
+    "host_that_is_a_name": {"Address": "example:80"},
+    "long_number": {"Slots": 10**30},
+    "very_long_start": {"born": int("9" * 400)},
+    "negative_start": {"born": -1},
+    "id_that_no_header_holds": {"Id": "i-\u2603"},
+    "id_with_line_end": {"Id": "i\r\nx: y"},
+    "long_id": {"Id": "i" * 5000},
+}
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_entry_that_cannot_be_read_hides_no_other_entry(name):
+    good = msgspec.json.encode(entry(9))
+    body = b'{"Instances":[%s,%s],"Next":null}' % (ODD_ENTRIES[name], good)
+    listed, _ = read_list(body)
+    assert [item.instance for item in listed.unwrap().instances] == ["i9"]
+
+
+@pytest.mark.parametrize("name", ODD_FIELDS)
+def test_entry_with_a_field_out_of_range_is_skipped(name):
+    listed, _ = read_list(page(entry(1, **ODD_FIELDS[name]), entry(9)))
+    instances = listed.unwrap().instances
+    assert [item.instance for item in instances] == ["i9"]
+    # What has been read is passed on to all hosts.
+    msgspec.msgpack.encode(instances)
+
+
+def test_page_after_one_with_an_unreadable_entry_is_read():
+    first = b'{"Next":"p2","Instances":[%s]}' % ODD_ENTRIES["nested"]
+    listed, targets = read_list(first, page(entry(9)))
+    assert [item.instance for item in listed.unwrap().instances] == ["i9"]
+    assert targets[1] == "/instances?PageToken=p2"
+
+
+@pytest.mark.parametrize(
+    "body", [deep(3000), b"[]", b'{"Next":null}', b'{"Instances":']
+)
+def test_page_that_is_no_list_is_an_error(body):
+    assert read_list(body)[0].is_err()
+
+
+@given(st.binary(max_size=60))
+@settings(max_examples=40, deadline=None)
+def test_any_bytes_as_an_entry_end_in_a_list_or_an_error(data):
+    listed, _ = read_list(b'{"Instances":[%s],"Next":null}' % data)
+    assert listed.is_err() or msgspec.msgpack.encode(listed.unwrap().instances)
