Refuse in a planned stop what can't be finished, and answer what still runs

What callers saw: requests that came late in the grace of a planned stop were passed on and cut at its end, with a 500 that says nothing or with no answer, among them requests that may not be repeated. Cause: nothing compared the time that a request may take with the time that was left. Change: a draining host refuses at once, as not run, a request that may not be repeated and whose time limit ends after the stop, and any other one that would take longer than its service's latest requests allow. What still runs at the end is answered: as not run if it was never sent, as unknown otherwise; a stream is truncated, so that its caller goes on elsewhere.

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err
@@ -28,9 +28,10 @@
 from damaskridge.core.gateway.quota import FleetQuota
 from damaskridge.core.gateway.retry_after import RetryAfterTimes
 from damaskridge.core.gateway.routing import RoutingIndex, key_digest
+from damaskridge.core.gateway.stop_deadline import StopDeadline
 from damaskridge.model.errors import ErrorKind, Failure, RunState
 from damaskridge.model.events import EventNumber
-from damaskridge.model.gateway import GatewayRoute, GatewayWorkspace
+from damaskridge.model.gateway import GatewayRoute, GatewayWorkspace, RouteKind
 
 __all__ = ["GatewayApp", "GatewayState"]
 
@@ -59,12 +60,30 @@
         Whether the host is draining; callers are then asked to reconnect elsewhere.
     running_requests : int
         Number of requests in progress.
+    stop : StopDeadline
+        Decides which requests are accepted while the host is draining.
+    requests_ended : asyncio.Future
+        Done when the requests that are still running have to end.
     """
 
     index: RoutingIndex
     hosts: int = 1
     is_draining: bool = False
     running_requests: int = 0
+    stop: StopDeadline = field(default_factory=StopDeadline)
+    requests_ended: asyncio.Future[None] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    def begin_drain(self, ends_s: float) -> None:
+        """Drain; requests that are still running at `ends_s` are ended."""
+        self.is_draining = True
+        self.stop.set(ends_s)
+
+    def end_requests(self) -> None:
+        """Answer the requests that are still running, and end their streams."""
+        if not self.requests_ended.done():
+            self.requests_ended.set_result(None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,11 +181,12 @@
             exchange.check_headers(self._state.index.table.limits.header_bytes)
             admission = self._admit(request)
             body = await exchange.body()
+            admitted = self._admitted_request(request, body, admission, arrived_s)
+            self._check_stop(admitted)
             self._charge_quota(request, admission)
         except RequestError as error:
             await response.refuse(error.failure)
             return
-        admitted = self._admitted_request(request, body, admission, arrived_s)
         quarantined = self._crashes.failure(admitted)
         if quarantined is not None:
             await response.refuse(quarantined)
@@ -206,9 +226,12 @@
                 task = asyncio.ensure_future(forwarding)
                 exchange.has_external_timeout = True
                 try:
-                    await _wait_for_first(admitted, task, caller_gone, quarantined)
-                    if response.has_started:
-                        await _wait_for_first(admitted, task, caller_gone)
+                    ended = self._state.requests_ended
+                    await _wait_for_first(
+                        admitted, task, caller_gone, quarantined, ended
+                    )
+                    if response.has_started and not ended.done():
+                        await _wait_for_first(admitted, task, caller_gone, ended)
                 finally:
                     exchange.has_external_timeout = False
                     if not task.done():
@@ -216,14 +239,54 @@
                         await asyncio.wait({task})
         if not task.cancelled():
             task.result()
+            service = admitted.service.name
+            self._state.stop.record_duration(service, admitted.elapsed_s)
             return
         if caller_gone.done() and not caller_gone.cancelled():
             raise CallerGone
         if quarantined.done() and not response.has_started:
             await response.refuse(self._abandoned_failure(admitted))
             return
+        if self._state.requests_ended.done():
+            await self._respond_stopped(response, admitted)
+            return
         await self._respond_timeout(response, admitted)
 
+    def _check_stop(self, admitted: AdmittedRequest) -> None:
+        """Raise `RequestError` if the host stops before the request can finish."""
+        can_finish = self._state.stop.can_finish(
+            admitted.service.name,
+            limit_s=admitted.remaining_s,
+            may_be_cut=admitted.route.kind is not RouteKind.AT_MOST_ONCE,
+            now_s=admitted.now_s,
+        )
+        if not can_finish:
+            detail = "the host is stopping and could not finish the request"
+            raise RequestError(
+                Failure(
+                    ErrorKind.SHUTTING_DOWN,
+                    detail,
+                    retry_after_s=self._refusals.stopping_s(),
+                )
+            )
+
+    async def _respond_stopped(
+        self, response: CallerResponse, admitted: AdmittedRequest
+    ) -> None:
+        detail = "the host has stopped"
+        if response.has_started:
+            failure = Failure(ErrorKind.SHUTTING_DOWN, detail, RunState.UNKNOWN)
+            response.abort(failure)
+        elif admitted.policy.sends:
+            kind = ErrorKind.BACKEND_SERVER_FAILED
+            await response.refuse(Failure(kind, detail, RunState.UNKNOWN))
+        else:
+            retry_after_s = self._refusals.stopping_s()
+            failure = Failure(
+                ErrorKind.SHUTTING_DOWN, detail, retry_after_s=retry_after_s
+            )
+            await response.refuse(failure)
+
     def _abandoned_failure(self, admitted: AdmittedRequest) -> Failure:
         """Return the failure of a request that was quarantined while in progress."""
         is_running = bool(admitted.sent_to)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -82,6 +82,8 @@
 ADDRESS_TTL_FACTOR = 3.0
 # Open streams end this long before the operating system kills the process.
 GRACE_MARGIN_S = 0.7
+# Time to write the last responses.
+END_REQUESTS_TIMEOUT_S = 0.2
 EMPTY_REPORT = ReportLoad()
 
 
@@ -271,16 +273,17 @@
         settings = self.settings
         log_event(logger, EventNumber.PROCESS_DRAINING, host=settings.host)
         started_s = anyio.current_time()
-        self.state.is_draining = True
+        ends_s = started_s + settings.grace_s - GRACE_MARGIN_S
+        self.state.begin_drain(ends_s)
         with anyio.move_on_after(DRAIN_PROPOSAL_TIMEOUT_S):
             await self.control.begin_drain()
         drain_wait_s = ADDRESS_TTL_FACTOR * settings.address_ttl_s + LATE_REQUEST_S
         await anyio.sleep(max(0.0, started_s + drain_wait_s - anyio.current_time()))
         self.caller_server.stop()
-        remaining_s = (
-            started_s + settings.grace_s - GRACE_MARGIN_S - anyio.current_time()
-        )
-        with anyio.move_on_after(max(0.0, remaining_s)):
+        with anyio.move_on_after(max(0.0, ends_s - anyio.current_time())):
+            await callers_stopped.wait()
+        self.state.end_requests()
+        with anyio.move_on_after(END_REQUESTS_TIMEOUT_S):
             await callers_stopped.wait()
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             await self.control.close()
--- a/src/damaskridge/core/gateway/retry_after.py
+++ b/src/damaskridge/core/gateway/retry_after.py
@@ -18,6 +18,8 @@
 NO_SERVER_S = 0.8
 # Time from the start of an entry host until it has its routes.
 NOT_READY_S = 0.6
+# Other hosts are ready while one is stopping.
+STOPPING_S = 0.05
 # Latest retry after a lack of capacity, as a share of the caller's remaining time.
 MAX_REMAINING_SHARE = 0.3
 # Upper limit for requests beyond the rate, also for a rate that is almost 0.
@@ -65,6 +67,10 @@
         """Return the time after which this host may have its routes."""
         return self._jittered(NOT_READY_S, float("inf"))
 
+    def stopping_s(self) -> float:
+        """Return the time after which another host may be tried."""
+        return self._jittered(STOPPING_S, float("inf"))
+
     def over_rate_s(self, wait_s: float) -> float:
         """Return the time after which the workspace's rate allows the request."""
         return self._jittered(min(wait_s, MAX_RATE_WAIT_S), float("inf"))
--- a/tests/processes/platform_fleet.py
+++ b/tests/processes/platform_fleet.py
@@ -194,6 +194,13 @@
                     "Kind": "idempotent",
                 }
                 | {"Service": "app"},
+                {
+                    **common_fields,
+                    "Name": "r4",
+                    "PathPrefix": "/once/",
+                    "Kind": "non_idempotent",
+                }
+                | {"Service": "app"},
                 {**common_fields, "Name": "r2", "PathPrefix": "/gen/", "Kind": "stream"}
                 | {"Service": "llm", "SloMs": 900},
                 {**common_fields, "Name": "r3", "PathPrefix": "/res/", "Kind": "stream"}
