Let a begun stream go on at a leaving engine if no other one has its version

What callers saw: after a release that replaces all engines at once, streams that broke off in the seconds in which the old engines still serve were refused. Cause: an engine that is listed as leaving got nothing more, and the versions of others don't fit. Change: such a stream may go to a leaving engine for the operator's bound, counted from the last reading that didn't show it as leaving, less half a second. Result: three new tests; they need the change to pass.

--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -149,6 +149,14 @@
                 frozenset(tried_engines),
                 generation.software_version,
             )
+            if not untried and generation.software_version is not None:
+                untried = self._registry.draining_candidates(
+                    admitted.service.name,
+                    admitted.now_s,
+                    EngineStage.DECODE,
+                    frozenset(tried_engines),
+                    software_version=generation.software_version,
+                )
             candidates = self._load.with_free_memory(
                 untried, admitted.memory_tokens, engine.memory_tokens
             )
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -288,6 +288,14 @@
             candidates = candidates or self._registry.candidates(
                 service, now_s, stage, frozenset(denied), version
             )
+            if not candidates and generation.software_version is not None:
+                candidates = self._registry.draining_candidates(
+                    service,
+                    now_s,
+                    stage,
+                    frozenset(denied),
+                    software_version=generation.software_version,
+                )
             if not candidates:
                 return None, 0
             chosen = self._load.least_memory_used(candidates, self._data_centre)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -104,6 +104,8 @@
         Time for which callers may cache the list of addresses.
     grace_s : float
         Time from SIGTERM until the process is killed.
+    server_drain_s : float
+        For how long a backend server may get requests after it is listed as leaving.
     retry_ratio, retry_allowance, retry_window_s : float
         Limit of retries of all hosts together: as a share of the requests, plus a
         fixed number, in a time window.
@@ -122,6 +124,7 @@
     retry_allowance: float
     retry_window_s: float
     quota_slack: float
+    server_drain_s: float = 0.0
 
 
 class GatewayHost:
@@ -157,7 +160,7 @@
             peer_address=settings.peer_address,
         )
         self.state = GatewayState(RoutingIndex(RoutingTable()))
-        self.registry = InstanceRegistry()
+        self.registry = InstanceRegistry(drain_s=settings.server_drain_s)
         self._pool = ConnectionPool()
         self._instance_list = InstanceListReplica()
         self._host_count = PeakHostCount()
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -16,6 +16,8 @@
 # An instance that fails most of its requests is avoided for this long. With a shorter
 # time, more requests would fail on it than recoveries would be noticed.
 FAILING_AVOIDANCE_S = 3.0
+# Covers the way of a request to a leaving instance, and the difference of clocks.
+DRAIN_MARGIN_S = 0.5
 # Number of latest results that are kept for each instance.
 RESULT_WINDOW = 8
 # Failures among them from which the instance itself is considered the cause.
@@ -60,6 +62,11 @@
     Health is derived from requests only. Backend servers aren't probed, because a
     health check occupies a slot like a request and yields less information.
 
+    Parameters
+    ----------
+    drain_s : float
+        For how long an instance may get requests after it is listed as leaving.
+
     Attributes
     ----------
     confirmed_s : float
@@ -70,7 +77,9 @@
         Limits of requests that instances have named.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, drain_s: float = 0.0) -> None:
+        self._drain_s = drain_s
+        self._drains_until_s: dict[str, float] = {}
         self._instances: dict[str, BackendInstance] = {}
         self._health: dict[str, InstanceHealth] = {}
         self.confirmed_s = 0.0
@@ -88,9 +97,17 @@
             for name, item in self._instances.items()
             if name not in listed or _is_other_run(item, listed[name])
         ]
-        self._instances = listed
         for item in removed:
             self._health.pop(item.instance, None)
+            self._drains_until_s.pop(item.instance, None)
+        for name in listed.keys() & self._instances.keys():
+            known, item = self._instances[name], listed[name]
+            has_begun_to_leave = item.is_leaving and not known.is_leaving
+            if has_begun_to_leave and not _is_other_run(known, item):
+                # It may be listed as leaving since the reading before this one.
+                until_s = self.confirmed_s + self._drain_s - DRAIN_MARGIN_S
+                self._drains_until_s[name] = until_s
+        self._instances = listed
         self.notices.retain_only(listed.values())
         self.limits.retain_only(listed.values())
         return removed
@@ -133,6 +150,28 @@
         healthy = [item for item in usable if not self.is_avoided(item.instance, now_s)]
         return healthy or usable
 
+    def draining_candidates(
+        self,
+        service: str,
+        now_s: float,
+        stage: EngineStage,
+        excluded: frozenset[str] = frozenset(),
+        *,
+        software_version: str,
+    ) -> list[BackendInstance]:
+        """Return the leaving instances that may still go on with a begun stream."""
+        return [
+            item
+            for item in self._instances.values()
+            if item.service == service
+            and item.stage is stage
+            and item.software_version == software_version
+            and item.instance not in excluded
+            and now_s < self._drains_until_s.get(item.instance, float("-inf"))
+            and not self.notices.has_announced_leaving(item)
+            and not self.notices.remaining_pause_s(item.instance, now_s)
+        ]
+
     def wait_s(
         self,
         service: str,
--- a/src/damaskridge/platform/settings.py
+++ b/src/damaskridge/platform/settings.py
@@ -61,6 +61,9 @@
         Maximum rate of requests for the list, over all processes together.
     grace_s : float
         Time between SIGTERM and SIGKILL, in seconds.
+    drain_ms : float
+        For how long a backend server may get requests after it is listed as leaving,
+        in milliseconds.
     longest_ttl_s : float
         Maximum TTL that callers honour for the addresses of entry hosts, in seconds.
     retry_ratio, retry_slack, retry_window_s : float
@@ -87,6 +90,7 @@
     list_address: Address = Field(alias="Cloud.Address")
     list_rate_per_s: float = Field(10.0, alias="Cloud.RatePerS", gt=0)
     grace_s: float = Field(8.0, alias="Bounds.GraceS", gt=0)
+    drain_ms: float = Field(0.0, alias="Bounds.DrainMs", ge=0)
     longest_ttl_s: float = Field(5.0, alias="Bounds.ttl_max_s", gt=0)
     retry_ratio: float = Field(0.2, alias="Bounds.RetryRatio", ge=0)
     retry_slack: float = Field(0.0, alias="Bounds.RetrySlack", ge=0)
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -121,6 +121,7 @@
     # Unix time of the start; another one after a restart.
     started_ms: int = 1_700_000_000_000
     software_version: str = "v1"
+    is_leaving: bool = False
     arrivals: ArrivalLog = field(default_factory=ArrivalLog)
 
     def crash(self):
@@ -183,6 +184,7 @@
             slots=4,
             stage=self.stage,
             software_version=self.software_version,
+            is_leaving=self.is_leaving,
         )
 
 
@@ -307,7 +309,7 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(*standins, workspaces=WORKSPACES, budget=9):
+async def gateway(*standins, workspaces=WORKSPACES, budget=9, drain_s=0.0):
     """Run a gateway on a real port with scripted backend servers behind it."""
     servers = []
     for standin in standins:
@@ -315,7 +317,7 @@
         standin.listener = server
         standin.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         servers.append(server)
-    registry, pool = InstanceRegistry(), ConnectionPool()
+    registry, pool = InstanceRegistry(drain_s=drain_s), ConnectionPool()
     registry.replace([standin.instance() for standin in standins])
     retries = FixedRetryBudget(budget)
     gate = RetryGate(retries)
--- a/tests/adapters/gateway/test_software_versions.py
+++ b/tests/adapters/gateway/test_software_versions.py
@@ -161,3 +161,23 @@
             assert not server.received
 
     run_async(main)
+
+
+def test_stream_goes_on_at_a_leaving_engine_if_no_other_one_is_left():
+    async def main():
+        servers = [engine(name, "v1", breaking()) for name in ("a", "b")]
+        new = engine("c", "v2", decode_script())
+        async with gateway(prefill_engine("v1"), *servers, new, drain_s=60) as app:
+            app.registry.confirmed_s = asyncio.get_running_loop().time()
+            for server in servers:
+                server.is_leaving = True
+            app.registry.replace([item.instance() for item in (*servers, new)])
+            status, _, body = await app.send_request(
+                "/res/x", take_up("a0", 3), b"prompt"
+            )
+            assert (status, body) == (200, events(4, 9))
+            status, _, _ = await app.generate(attempt="a2")
+            assert status == 200
+        assert [request.attempt for request in new.received] == ["a2"]
+
+    run_async(main)
--- a/tests/core/gateway/test_instances.py
+++ b/tests/core/gateway/test_instances.py
@@ -114,3 +114,38 @@
         ("a", True),
         ("b", False),
     ]
+
+
+def test_leaving_instance_takes_up_streams_until_the_operator_forbids_it():
+    registry = InstanceRegistry(drain_s=3.0)
+    engine = {"stage": EngineStage.DECODE, "software_version": "v1"}
+    registry.replace([server("a", **engine), server("b", **engine)])
+    registry.confirmed_s = 10.0
+    registry.replace([server("a", is_leaving=True, **engine), server("b", **engine)])
+    registry.confirmed_s = 10.8
+
+    def draining(now_s, version="v1", **options):
+        found = registry.draining_candidates(
+            "s", now_s, EngineStage.DECODE, software_version=version, **options
+        )
+        return [item.instance for item in found]
+
+    # It may have been listed as leaving since the reading before.
+    assert draining(12.4) == ["a"]
+    assert draining(12.6) == []
+    assert draining(11.0, version="v2") == []
+    assert draining(11.0, excluded=frozenset({"a"})) == []
+    registry.replace([server("b", **engine)])
+    registry.replace([server("a", is_leaving=True, **engine), server("b", **engine)])
+    assert draining(11.0) == []
+
+
+def test_instance_that_said_that_it_leaves_takes_up_no_streams():
+    registry = InstanceRegistry(drain_s=3.0)
+    engine = {"stage": EngineStage.DECODE, "software_version": "v1"}
+    registry.replace([server("a", **engine)])
+    registry.notices.record_leaving(server("a", **engine))
+    registry.replace([server("a", is_leaving=True, **engine)])
+    assert not registry.draining_candidates(
+        "s", 0.0, EngineStage.DECODE, software_version="v1"
+    )
