Record software versions with a command that earlier members can apply

Cause: two new commands in the replicated log would end every control host of an earlier version in a rolling upgrade, as it can't apply an unknown command. Change: the records are fields of AdvanceTime, which earlier members ignore.

--- a/src/damaskridge/adapters/rpc/version_publisher.py
+++ b/src/damaskridge/adapters/rpc/version_publisher.py
@@ -17,11 +17,10 @@
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.software_versions import origin_of, stream_retention_s
 from damaskridge.model.control import (
+    AdvanceTime,
     Command,
     CommandResult,
     LoadSeen,
-    RecordSoftwareVersions,
-    RecordStreamOrigins,
     ReportLoad,
 )
 from damaskridge.model.events import EventNumber
@@ -141,9 +140,9 @@
                 continue
             versions = self._history.versions(self._state.data.software_versions)
             result = await self._propose(
-                RecordSoftwareVersions(
+                AdvanceTime(
                     command_id=f"versions/{secrets.token_hex(8)}",
-                    services=_service_versions(versions),
+                    software_versions=_service_versions(versions),
                 )
             )
             if result.failure is not None:
@@ -163,9 +162,7 @@
                 continue
             batch = tuple(self._origins.values())
             result = await self._propose(
-                RecordStreamOrigins(
-                    command_id=f"origins/{secrets.token_hex(8)}", origins=batch
-                )
+                AdvanceTime(command_id=f"origins/{secrets.token_hex(8)}", origins=batch)
             )
             if result.failure is None:
                 for origin in batch:
--- a/src/damaskridge/core/state/control_state.py
+++ b/src/damaskridge/core/state/control_state.py
@@ -33,8 +33,6 @@
     RecordCrashes,
     RecordIntent,
     RecordResult,
-    RecordSoftwareVersions,
-    RecordStreamOrigins,
     ReleaseOwnership,
     ReportCrash,
     RollBackBundle,
@@ -247,20 +245,13 @@
         self.data.gateway_crashes = command.crashes
         return CommandResult()
 
-    @_execute.register
-    def _(self, command: RecordSoftwareVersions, changes: Changes) -> CommandResult:
-        return software_versions.record_versions(self.data, command)
-
-    @_execute.register
-    def _(self, command: RecordStreamOrigins, changes: Changes) -> CommandResult:
-        return software_versions.record_origins(self.data, command)
-
     @_execute.register
     def _(self, command: AllocateFencingNumber, changes: Changes) -> CommandResult:
         return ownership.allocate_fencing_number(self.data, command)
 
     @_execute.register
     def _(self, command: AdvanceTime, changes: Changes) -> CommandResult:
+        software_versions.record(self.data, command)
         ledger.prune_ledger(self.data)
         fingerprints.prune_fingerprints(self.data, changes)
         self._prune_results()
--- a/src/damaskridge/core/state/software_versions.py
+++ b/src/damaskridge/core/state/software_versions.py
@@ -7,18 +7,13 @@
 from collections.abc import Iterable
 
 from damaskridge.core.state.data import OriginRecord, StateData
-from damaskridge.model.control import (
-    CommandResult,
-    RecordSoftwareVersions,
-    RecordStreamOrigins,
-)
+from damaskridge.model.control import AdvanceTime
 from damaskridge.model.gateway import GatewayRoute
 
 __all__ = [
     "MAX_STREAM_ORIGINS",
     "origin_of",
-    "record_origins",
-    "record_versions",
+    "record",
     "stream_retention_s",
 ]
 
@@ -37,16 +32,14 @@
     return max(MIN_STREAM_RETENTION_S, RETENTION_TIMEOUTS * longest_ms / 1000)
 
 
-def record_versions(data: StateData, command: RecordSoftwareVersions) -> CommandResult:
-    """Replace the versions at which streams may have begun."""
-    data.software_versions = {
-        item.service: item.versions for item in command.services if item.versions
-    }
-    return CommandResult()
-
-
-def record_origins(data: StateData, command: RecordStreamOrigins) -> CommandResult:
-    """Record the versions of streams, and forget streams that have ended."""
+def record(data: StateData, command: AdvanceTime) -> None:
+    """Record versions and origins, and forget streams that have ended."""
+    if command.software_versions is not None:
+        data.software_versions = {
+            item.service: item.versions
+            for item in command.software_versions
+            if item.versions
+        }
     origins = data.stream_origins
     for origin in command.origins:
         # The first event decides; a later record of the attempt is a repetition.
@@ -60,7 +53,6 @@
         if not is_expired and len(origins) <= MAX_STREAM_ORIGINS:
             break
         del origins[attempt_id]
-    return CommandResult()
 
 
 def origin_of(data: StateData, attempt_id: str, service: str) -> str | None:
--- a/src/damaskridge/model/control.py
+++ b/src/damaskridge/model/control.py
@@ -70,8 +70,6 @@
     "RecordCrashes",
     "RecordIntent",
     "RecordResult",
-    "RecordSoftwareVersions",
-    "RecordStreamOrigins",
     "ReleaseOwnership",
     "RenewSession",
     "ReportCrash",
@@ -299,22 +297,6 @@
     crashes: tuple[RecordedCrash, ...]
 
 
-class RecordSoftwareVersions(Command, frozen=True, kw_only=True, tag=True):
-    """Replaces the software versions at which streams may have begun."""
-
-    is_repeatable: ClassVar[bool] = True
-
-    services: tuple[ServiceVersions, ...]
-
-
-class RecordStreamOrigins(Command, frozen=True, kw_only=True, tag=True):
-    """Records the software versions at which streams began."""
-
-    is_repeatable: ClassVar[bool] = True
-
-    origins: tuple[StreamOrigin, ...]
-
-
 class AllocateFencingNumber(Command, frozen=True, kw_only=True, tag=True):
     """Allocates the next fencing number, for an order of a cell's owner."""
 
@@ -324,7 +306,24 @@
 
 
 class AdvanceTime(Command, frozen=True, kw_only=True, tag=True):
-    """Advances the replicated clock and removes records that have expired by then."""
+    """
+    Advances the replicated clock, so that old records are removed.
+
+    What else it records has no command of its own: a member of an earlier version
+    ignores fields that it doesn't know, but can't apply an unknown command.
+
+    Parameters
+    ----------
+    software_versions : tuple of ServiceVersions or None
+        Replaces the software versions at which streams may have begun, if given.
+    origins : tuple of StreamOrigin
+        Streams that began, with their software versions.
+    """
+
+    is_repeatable: ClassVar[bool] = True
+
+    software_versions: tuple[ServiceVersions, ...] | None = None
+    origins: tuple[StreamOrigin, ...] = ()
 
 
 class LedgerState(Enum):
@@ -535,8 +534,6 @@
     | ReportCrash
     | SuspectCleared
     | RecordCrashes
-    | RecordSoftwareVersions
-    | RecordStreamOrigins
     | AllocateFencingNumber
     | AdvanceTime
 )
--- a/tests/core/state/test_software_versions.py
+++ b/tests/core/state/test_software_versions.py
@@ -6,11 +6,7 @@
 from damaskridge.core.state import software_versions
 from damaskridge.core.state.control_state import ControlState
 from damaskridge.core.state.software_versions import origin_of, stream_retention_s
-from damaskridge.model.control import (
-    PublishRoutingTable,
-    RecordSoftwareVersions,
-    RecordStreamOrigins,
-)
+from damaskridge.model.control import AdvanceTime, PublishRoutingTable
 from damaskridge.model.software_versions import ServiceVersions, StreamOrigin
 
 
@@ -28,11 +24,11 @@
 
     def versions(self, *names, service="llm"):
         services = (ServiceVersions(service, names),)
-        self.apply(RecordSoftwareVersions, services=services)
+        self.apply(AdvanceTime, software_versions=services)
 
     def origins(self, *attempts, at_ms=0, version="v1"):
         origins = tuple(StreamOrigin(item, "llm", version) for item in attempts)
-        self.apply(RecordStreamOrigins, at_ms=at_ms, origins=origins)
+        self.apply(AdvanceTime, at_ms=at_ms, origins=origins)
 
     def origin(self, attempt, service="llm"):
         return origin_of(self.state.data, attempt, service)
