Let the fault soak take streams up, with engines of two software versions

Cause: no randomised run checked the versions of streams, nor callers that go on with one. Change: the two decode engines have different versions, which their events name; callers take up streams that broke off; without the guard software_versions engines are chosen as before.

--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -25,6 +25,7 @@
         record.violations,
         record.fault_counts,
         record.status_counts,
+        record.take_ups,
     )
 
 
@@ -39,17 +40,18 @@
     options = parser.parse_args()
     seeds = range(options.first_seed, options.first_seed + options.seeds)
     fault_counts, status_counts, failed_seeds = Counter(), Counter(), 0
+    take_ups = Counter()
     with ProcessPoolExecutor(options.workers) as pool:
         jobs = [
             pool.submit(_run_in_folder, s, options.seconds, options.guard)
             for s in seeds
         ]
         for job in jobs:
-            seed, folder, violations, seed_fault_counts, seed_status_counts = (
-                job.result()
-            )
+            seed, folder, violations, *counts = job.result()
+            seed_fault_counts, seed_status_counts, seed_take_ups = counts
             fault_counts += seed_fault_counts
             status_counts += seed_status_counts
+            take_ups += seed_take_ups
             failed_seeds += bool(violations)
             if violations:
                 print(f"seed {seed}, logs in {folder}")
@@ -57,6 +59,7 @@
     print(f"{len(seeds)} seeds of {options.seconds} s, {failed_seeds} failed")
     print("faults by kind:", dict(sorted(fault_counts.items())))
     print("responses by status:", dict(sorted(status_counts.items(), key=str)))
+    print("streams taken up:", dict(sorted(take_ups.items(), key=str)))
     return 1 if failed_seeds else 0
 
 
--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -11,16 +11,21 @@
     response,
 )
 
-__all__ = ["DEADLY_PART", "event_count", "make_backends"]
+__all__ = ["DEADLY_PART", "event_count", "event_text", "make_backends"]
 
 EVENT_INTERVAL_S = 0.02
 # Decode engines crash when they begin to respond to a prompt with this part.
 DEADLY_PART = "dead"
 
 
-def event_count(attempt_id):
-    """Return the number of events in the response stream of a request."""
-    return 4 + sum(attempt_id.encode()) % 40
+def event_count(stream_id):
+    """Return the number of events of a stream, which its first attempt names."""
+    return 4 + sum(stream_id.encode()) % 40
+
+
+def event_text(stream_id, number, software_version):
+    """Return an event of a stream that engines of this version write."""
+    return f"id: {number}\ndata: {stream_id}/{number}/{software_version}\n\n"
 
 
 class BackendFactory:
@@ -71,41 +76,52 @@
 
         return StandIn(name, script, EngineStage.PREFILL, "llm")
 
-    def make_decode_engine(self, name):
+    def make_decode_engine(self, name, software_version):
         async def script(request, writer):
             if self._record_arrival(name, request, writer):
                 return False
             run = self._begin_run(request, name)
             try:
+                stream_id = request.headers.get("resumes", request.attempt)
                 first_event = int(request.headers.get("last-event-id", "0")) + 1
                 writer.write(chunked_head(request))
                 if _is_deadly(request):
                     await writer.drain()
                     self.on_crash(name)
                     return True
-                for number in range(first_event, event_count(request.attempt) + 1):
+                for number in range(first_event, event_count(stream_id) + 1):
                     await asyncio.sleep(EVENT_INTERVAL_S)
                     if writer.transport.is_closing() or request.reader.at_eof():
                         return True
-                    event = f"id: {number}\ndata: {request.attempt}/{number}\n\n"
+                    event = event_text(stream_id, number, software_version)
                     writer.write(chunk(event.encode()))
                     await writer.drain()
                 writer.write(b"0\r\n\r\n")
             finally:
                 self._record.end_run(run)
 
-        return StandIn(name, script, EngineStage.DECODE, "llm")
+        return StandIn(
+            name,
+            script,
+            EngineStage.DECODE,
+            "llm",
+            software_version=software_version,
+        )
 
 
 def make_backends(record, rng):
     """
     Return three plain servers, a prefill engine and two decode engines in a list.
 
+    The decode engines have different software versions.
+
     The second value is the factory, by which the caller changes their behaviour.
     """
     factory = BackendFactory(record, rng)
     plain_servers = [factory.make_plain_server(f"app-{number}") for number in range(3)]
-    decode_engines = [factory.make_decode_engine(f"d-{number}") for number in range(2)]
+    decode_engines = [
+        factory.make_decode_engine(f"d-{number}", f"v{number}") for number in range(2)
+    ]
     return [
         *plain_servers,
         factory.make_prefill_engine("p-0"),
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.fault_soak.backends import DEADLY_PART, event_count
+from tests.fault_soak.backends import DEADLY_PART, event_count, event_text
 
 __all__ = ["Caller"]
 
@@ -38,6 +38,8 @@
         self._connection = None
         self._machine = 0
         self._sent_count = 0
+        # The part of a stream that was received before it broke off.
+        self._partial_body = b""
 
     async def run(self):
         """Send random requests until cancelled."""
@@ -53,8 +55,16 @@
             await self.send_request("stream", machine, parts=("first", DEADLY_PART))
             await asyncio.sleep(self._rng.uniform(0.2, 0.8))
 
-    async def send_request(self, kind, machine, path="", key="", parts=("first",)):
-        """Send one request; return its status, or None without a complete response."""
+    async def send_request(
+        self, kind, machine, path="", key="", parts=("first",), taken_up=None
+    ):
+        """
+        Send one request; return its status, or None without a complete response.
+
+        A stream that breaks off is taken up once, at another machine or the same one.
+        `taken_up` is the first attempt of such a stream, the number of its last event
+        and its software version.
+        """
         soak, record = self._soak, self._soak.record
         self._sent_count += 1
         attempt_id = f"a{self._number}-{self._sent_count}"
@@ -66,13 +76,15 @@
         request = record.add_request(attempt_id, kind, path, key, machine)
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                status, body = await self._exchange(request, parts)
+                status, body = await self._exchange(request, parts, taken_up)
         except (OSError, EOFError, TimeoutError, _TruncatedResponse, ValueError):
             self._close()
+            if kind == "stream" and taken_up is None:
+                await self._take_up(request, key, parts)
             return None
         record.add_response(request, status)
         if status == 200:
-            self._check_body(request, body)
+            self._check_body(request, body, taken_up)
         elif status in (401, 403, 404):
             path_since_s = soak.in_force_since_s.get(path, float("inf"))
             allowed_since_s = max(
@@ -89,18 +101,39 @@
                 record.add_violation("denied", f"{request} was denied")
         return status
 
-    def _check_body(self, request, body):
+    async def _take_up(self, request, key, parts):
+        """Go on with a stream that broke off, if any of its events was received."""
+        lines = self._partial_body.decode().split("\n\n")[:-1]
+        if not lines:
+            return
+        version = lines[-1].rpartition("/")[2]
+        machine = self._rng.randrange(self._soak.machine_count)
+        self._soak.record.take_ups["sent"] += 1
+        status = await self.send_request(
+            "stream",
+            machine,
+            request.path,
+            key,
+            parts,
+            taken_up=(request.attempt_id, len(lines), version),
+        )
+        self._soak.record.take_ups[status] += 1
+
+    def _check_body(self, request, body, taken_up=None):
         if request.kind == "stream":
+            version = body.decode().partition("\n\n")[0].rpartition("/")[2]
+            stream_id, last, version = taken_up or (request.attempt_id, 0, version)
             expected = "".join(
-                f"id: {n}\ndata: {request.attempt_id}/{n}\n\n"
-                for n in range(1, event_count(request.attempt_id) + 1)
+                event_text(stream_id, number, version)
+                for number in range(last + 1, event_count(stream_id) + 1)
             )
             if body.decode() != expected:
                 self._soak.record.add_violation("stream body", f"{request}: {body!r}")
         elif body != b"ran:" + request.attempt_id.encode():
             self._soak.record.add_violation("body", f"{request}: {body!r}")
 
-    async def _exchange(self, request, parts):
+    async def _exchange(self, request, parts, taken_up):
+        self._partial_body = b""
         if self._connection is None:
             ip, port = self._soak.front_address_of(request.machine)
             self._connection = await asyncio.open_connection(ip, port)
@@ -109,6 +142,9 @@
         if request.kind == "stream":
             prompt = ",".join(f"{part}:20" for part in (*parts, request.attempt_id))
             token_header = f"x-token-count: 100,50\r\nx-prompt-prefix: {prompt}\r\n"
+        if taken_up is not None:
+            stream_id, last, _ = taken_up
+            token_header += f"resumes: {stream_id}\r\nlast-event-id: {last}\r\n"
         body = request.attempt_id.encode()
         writer.write(
             f"POST {request.path}x HTTP/1.1\r\nhost: h.example\r\n{token_header}"
@@ -129,14 +165,13 @@
         return int(status_line.split()[1]), response_body
 
     async def _read_chunked_body(self, reader):
-        data = b""
         while True:
             async with asyncio.timeout(CHUNK_TIMEOUT_S):
                 size = int(await reader.readuntil(b"\r\n"), 16)
                 chunk = await reader.readexactly(size + 2)
             if size == 0:
-                return data
-            data += chunk[:-2]
+                return self._partial_body
+            self._partial_body += chunk[:-2]
 
     def _close(self):
         if self._connection is not None:
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -62,6 +62,8 @@
         self.violations = []
         self.fault_counts = Counter()
         self.status_counts = Counter()
+        # Streams that broke off and were taken up, by the status of the response.
+        self.take_ups = Counter()
         self.last_fault_s = 0.0
         # Time at which the removal of a path prefix or key was acknowledged.
         self.removed_at_s = {}
--- a/tests/fault_soak/unguarded.py
+++ b/tests/fault_soak/unguarded.py
@@ -98,6 +98,20 @@
     CrashMonitor.failure = lambda self, admitted: None
 
 
+def _software_versions():
+    """Go on with streams at any software version."""
+    from damaskridge.core.gateway.instances import InstanceRegistry
+
+    original_candidates = InstanceRegistry.candidates
+
+    def candidates(
+        self, service, now_s, stage=None, excluded=frozenset(), software_version=None
+    ):
+        return original_candidates(self, service, now_s, stage, excluded)
+
+    InstanceRegistry.candidates = candidates
+
+
 GUARDS = {
     "key_withdrawal": _key_withdrawal,
     "one_run": _one_run,
@@ -107,6 +121,7 @@
     "retry_budget": _retry_budget,
     "server_limits": _server_limits,
     "quarantine": _quarantine,
+    "software_versions": _software_versions,
 }
 
 if __name__ == "__main__":
