Tell a host what had completed before the crash that it reports

What callers saw: a host refused all streams of a service for minutes, while the others served them. Cause: the leader leaves harmless parts out of a host's notice, and passed completions on only if it still suspected their parts itself. The host that had sent the notice went on suspecting them, and no request with the part could complete there any more. Change: the leader answers a notice with the completions by which it has shortened it. Result: the new test failed before (no completion told) and passes now; 72 tests of the publisher, the tracker and the processes pass.

--- a/src/damaskridge/adapters/rpc/crash_publisher.py
+++ b/src/damaskridge/adapters/rpc/crash_publisher.py
@@ -84,6 +84,9 @@
             completed_s = now_s - completion.age_s
             if self._log.clear((completion.fingerprint,), completed_s):
                 self._unsent_completions.append(completion)
+        for notice in message.crashes:
+            # What the leader leaves out of a notice, its host still suspects.
+            self._unsent_completions += self._log.completions_among(notice, now_s)
         self._unsent_crashes += self._log.add(message.crashes, now_s)
         if self._unsent_crashes or self._unsent_completions:
             self._has_unsent.set()
--- a/tests/adapters/rpc/test_crash_publisher.py
+++ b/tests/adapters/rpc/test_crash_publisher.py
@@ -162,3 +162,27 @@
         assert fixture.state.data.index == 0
 
     run_paused(main())
+
+
+def test_host_is_told_what_had_completed_before_the_crash_that_it_reports():
+    """Otherwise it alone would refuse all requests with a harmless part."""
+
+    async def main():
+        fixture = PublisherFixture()
+        host = fixture.connect()
+        completed = Completion("part", 0.5)
+        fixture.publisher.handle_report(ReportLoad(completed=(completed,)))
+        await fixture.run()
+        received_messages(host, CrashesSeen)
+        run = InterruptedRun(("request", "part"))
+        notice = CrashNotice(InstanceId("a", 1), 0.0, (run,))
+        fixture.publisher.handle_report(ReportLoad(crashes=(notice,)))
+        await fixture.run()
+        told = [
+            item.fingerprint
+            for message in received_messages(host, CrashesSeen)
+            for item in message.completed
+        ]
+        assert told == ["part"]
+
+    run_paused(main())
