Report a new host ready only when it may use the listed engines

What callers saw: streams were refused for up to a second at a host that had just started and called itself ready. Cause: since engines are used only once their versions are on record, a host that has a routing table may still have no engine. Change: a host is ready once the engines that it has listed first are of recorded versions. Later ones don't take its readiness away.

--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -163,6 +163,7 @@
         self.registry = InstanceRegistry(drain_s=settings.server_drain_s)
         self._pool = ConnectionPool()
         self._instance_list = InstanceListReplica()
+        self._has_known_engines = False
         self._host_count = PeakHostCount()
         self._selected_host_count = PeakHostCount()
         self._hosts_needed: dict[str, int] = {}
@@ -218,8 +219,19 @@
         self.control.share_load(self._load_report, self._on_load)
 
     def is_ready(self) -> bool:
-        """Return whether the host has a routing table and is not draining."""
-        return self.state.index.table.version > 0 and not self.state.is_draining
+        """Return whether the host can serve callers, and is not draining."""
+        return (
+            self.state.index.table.version > 0
+            and not self.state.is_draining
+            and self._knows_engines()
+        )
+
+    def _knows_engines(self) -> bool:
+        """Return whether the first engines that were listed may be used."""
+        listed = self._instance_list.items
+        if listed and all(map(self._versions.is_recorded, listed)):
+            self._has_known_engines = True
+        return self._has_known_engines or not listed
 
     def addresses(self, data_centre: str) -> list[str]:
         """Return the addresses that callers in a data centre should use."""
--- a/tests/binaries/test_gateway_host.py
+++ b/tests/binaries/test_gateway_host.py
@@ -3,11 +3,13 @@
 import anyio
 from result import Ok
 from tests.core.gateway.tables import table, workspace
+from tests.core.gateway.test_version_history import engine
 from tests.paused import run_paused
 
 from damaskridge.binaries.gateway_host import GatewayHost, GatewaySettings
 from damaskridge.model.control import LoadSeen
 from damaskridge.model.gateway import InstanceList
+from damaskridge.model.software_versions import ServiceVersions
 from damaskridge.platform.dialect import PlatformDialect
 
 LIMIT = workspace("w", "k", rate_per_s=1000.0, burst=1000.0)
@@ -54,3 +56,32 @@
         assert not host._retries.spend("llm", anyio.current_time())
 
     run_paused(main())
+
+
+class FixedList:
+    """A list of engines whose software versions may not be on record."""
+
+    def __init__(self, *versions):
+        self.versions = versions
+
+    async def read(self):
+        return Ok(InstanceList(instances=tuple(map(engine, self.versions))))
+
+
+def test_new_host_is_not_ready_before_the_versions_of_its_engines_are_on_record():
+    async def main():
+        engines = FixedList("v1")
+        host = GatewayHost(SETTINGS, PlatformDialect(), engines)
+        activate_table(host)
+        await host._read_list()
+        assert not host.is_ready()
+        versions = (ServiceVersions("llm", ("v1",)),)
+        host._on_load(LoadSeen(software_versions=versions))
+        assert host.is_ready()
+        assert len(host.registry) == 1
+        engines.versions = ("v2",)
+        await host._read_list()
+        assert host.is_ready()
+        assert len(host.registry) == 0
+
+    run_paused(main())
