--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -5,9 +5,10 @@
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
 from damaskridge.adapters.gateway.connections import ConnectionBroken, ResponseHead
 from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
+from damaskridge.adapters.gateway.outcomes import NotRun, OpenReply, Unknown
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
-from damaskridge.adapters.gateway.sender import NotRun, OpenReply, Sender, Unknown
+from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.core.gateway.event_stream import is_event_stream
--- a/src/damaskridge/adapters/gateway/generation.py
+++ b/src/damaskridge/adapters/gateway/generation.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
+from damaskridge.adapters.gateway.outcomes import OpenReply
 from damaskridge.adapters.gateway.responses import CallerResponse
-from damaskridge.adapters.gateway.sender import OpenReply
 from damaskridge.adapters.observability.events import log_event
 from damaskridge.model.control import InstanceLoad
 from damaskridge.model.events import EventNumber
--- a/src/damaskridge/adapters/gateway/prefills.py
+++ b/src/damaskridge/adapters/gateway/prefills.py
@@ -5,8 +5,9 @@
 from damaskridge.adapters.gateway.connections import ConnectionBroken
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import CacheHandle, Generation
+from damaskridge.adapters.gateway.outcomes import OpenReply, Unknown
 from damaskridge.adapters.gateway.retry_gate import RetryGate
-from damaskridge.adapters.gateway.sender import OpenReply, Sender, Unknown
+from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.load_tracker import LoadTracker
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -15,16 +15,11 @@
 )
 from damaskridge.adapters.gateway.dialect import Dialect, EngineStep
 from damaskridge.adapters.gateway.generation import Generation, Reservation
+from damaskridge.adapters.gateway.outcomes import NotRun, OpenReply, Outcome, Unknown
 from damaskridge.adapters.gateway.prefills import PrefillRunner
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
-from damaskridge.adapters.gateway.sender import (
-    NotRun,
-    OpenReply,
-    Outcome,
-    Sender,
-    Unknown,
-)
+from damaskridge.adapters.gateway.sender import Sender
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.gateway.stream_versions import (
     OriginUndecided,
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -162,11 +162,8 @@
         """Return the leaving instances that may still go on with a begun stream."""
         return [
             item
-            for item in self._instances.values()
-            if item.service == service
-            and item.stage is stage
-            and item.software_version == software_version
-            and item.instance not in excluded
+            for item in self._of(service, stage, software_version)
+            if item.instance not in excluded
             and now_s < self._drains_until_s.get(item.instance, float("-inf"))
             and not self.notices.has_announced_leaving(item)
             and not self.notices.remaining_pause_s(item.instance, now_s)
@@ -232,14 +229,25 @@
         software_version: str | None,
     ) -> list[BackendInstance]:
         """Return the instances of a service and stage that aren't leaving."""
+        return [
+            item
+            for item in self._of(service, stage, software_version)
+            if not item.is_leaving and not self.notices.has_announced_leaving(item)
+        ]
+
+    def _of(
+        self,
+        service: str,
+        stage: EngineStage | None,
+        software_version: str | None,
+    ) -> list[BackendInstance]:
+        """Return the instances of a service and stage, of one version or of any."""
         return [
             item
             for item in self._instances.values()
             if item.service == service
             and item.stage is stage
             and software_version in (None, item.software_version)
-            and not item.is_leaving
-            and not self.notices.has_announced_leaving(item)
         ]
 
     def _health_of(self, instance: str) -> InstanceHealth:
