review: case 1, the control group is lost with one disk during a replacement

Rule: CONFIG, what was acknowledged doesn't come when it is read back. Case: a successor of a control machine has run for 8 s (CatchUpS is 4 s), the old machine gets SIGTERM, and the leader loses its disk right after the next acknowledgement. Four voters are on record and two are left, so that no leader is elected any more.

--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -96,14 +96,20 @@
     """
     Machines with the programs of the deploy file, runners and the platform's list.
 
-    Every machine has a disk and runs both roles, unless it has a number from
-    `disks` on; then it runs the entry role alone.
+    The first `disks` machines have a disk and run both roles, the others run the entry
+    role alone. `spares` further addresses are for machines that start later.
+
+    Attributes
+    ----------
+    core : list of int
+        The machines with a disk.
     """
 
-    def __init__(self, record, runners, machines=3, disks=3):
+    def __init__(self, record, runners, machines=3, disks=3, spares=0):
         self.record, self.runners = record, runners
-        self.ips = [f"127.0.1.{number + 1}" for number in range(machines)]
-        self.disks = disks
+        self.machines, self.disks = machines, disks
+        self.ips = [f"127.0.1.{number + 1}" for number in range(machines + spares)]
+        self.core = list(range(disks))
         self.processes = {}
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._ports = {}
@@ -126,7 +132,7 @@
         )
         host, port = self._platform.sockets[0].getsockname()[:2]
         self._platform_address = f"{host}:{port}"
-        for machine in range(len(self.ips)):
+        for machine in range(self.machines):
             for role in self.roles_of(machine):
                 self.start(role, machine, bootstrap=True)
         return self
@@ -148,7 +154,7 @@
             shutil.rmtree(self._folder, ignore_errors=True)
 
     def roles_of(self, machine):
-        return ("control", "entry") if machine < self.disks else ("entry",)
+        return ("control", "entry") if machine in self.core else ("entry",)
 
     def _reserve_ports(self):
         names = ("Front", "Ready", "Control", "Directory")
@@ -190,7 +196,7 @@
             f"PortRange={first},{first + 15}",
             f"Seeds={seeds}",
             f"Bootstrap={str(bootstrap).lower()}",
-            f"LossCounts={str(machine < self.disks).lower()}",
+            f"LossCounts={str(machine in self.core).lower()}",
             "Limits.MaxFds=4100",
             "Discovery=cloud",
             "Entry=directory",
@@ -244,6 +250,14 @@
             if self.processes[role, machine].poll() is None:
                 self.signal(role, machine, signal.SIGKILL)
 
+    def lose_disk(self, machine):
+        """Take the power and the disk from a machine."""
+        for role in self.roles_of(machine):
+            self.signal(role, machine, signal.SIGKILL)
+            self.processes[role, machine].wait()
+        shutil.rmtree(self._folder / f"data-{machine}")
+        self.record.add("disk-lost", machine=machine)
+
     async def put_config(self, document, timeout_s=START_TIMEOUT_S, first=0):
         """Put a configuration like the operator, until there is a clear answer."""
         body = json.dumps(document).encode()
@@ -252,7 +266,7 @@
         end_s = time.monotonic() + timeout_s
         machine = first
         while time.monotonic() < end_s:
-            target = self.address(machine % self.disks, "Control")
+            target = self.address(self.core[machine % len(self.core)], "Control")
             for _ in range(3):
                 status, headers, _ = await http(*target, "PUT", "/api/config", {}, body)
                 if status != 307:
@@ -273,14 +287,18 @@
 
     async def leader(self):
         """Return the machine whose control process answers reads itself, or None."""
-        for machine in range(self.disks):
-            status, _, _ = await http(
-                *self.address(machine, "Control"), "GET", "/api/config", {}
-            )
-            if status == 200:
+        for machine in self.core:
+            if await self.read_version(machine) is not None:
                 return machine
         return None
 
+    async def read_version(self, machine):
+        """Return the version that a machine reads back itself, or None."""
+        status, _, body = await http(
+            *self.address(machine, "Control"), "GET", "/api/config", {}
+        )
+        return json.loads(body)["Version"] if status == 200 else None
+
     async def resolve(self, machine, zone):
         """Ask a machine where to connect; return addresses and their time to live."""
         target = f"/api/resolve?Name={HOST_NAME}&Region=kyushu&Zone={zone}"
@@ -300,7 +318,7 @@
 
     async def wait_ready(self):
         end_s = time.monotonic() + START_TIMEOUT_S
-        for machine in range(len(self.ips)):
+        for machine in range(self.machines):
             while not await self.is_ready(machine):
                 if time.monotonic() > end_s:
                     raise CannotRun(f"machine {machine} is not ready")
