--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,8 @@
 # The largest dose of `after_ack_wipe` in the site file.
 DISK_LOST_S = 3.0
 READ_GAP_S = 0.25
+# Time from the end of the old member to the loss of the disk.
+AFTER_STOP_S = 0.5
 
 
 async def case(record, has_trouble):
@@ -45,6 +47,7 @@
         fleet.core.remove(leaver)
         await asyncio.to_thread(fleet.processes["control", leaver].wait)
         record.add("control-ended", machine=leaver)
+        await asyncio.sleep(AFTER_STOP_S)
         if await fleet.put_config(config(5)) != 200:
             raise CannotRun("no change was acknowledged after the stop")
         if has_trouble:
