--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,14 +15,19 @@
 # Some clients keep the list of addresses for three times its time to live.
 TTL_FACTOR = 3.0
 CLIENT_COUNT = 40
-CLIENT_STEP_S = 0.025
+CLIENT_STEP_S = 0.02
+# Machines that are stopped and started in turn, until a rule is broken.
+ROUNDS = 4
+# ContactMs and CatchUpS are over before the next one.
+SETTLE_S = 6.0
+# How long before the end of that time they send.
+SEND_MARGIN_S = 0.01
 # Streams of the usual length, and longer ones: 72 and 150 tokens, one an event.
 SHORT, LONG = (15, 0.03), (150, 0.03)
 TOKENS = {SHORT: "5200,72", LONG: "5200,170"}
 DEADLINE_MS = 14000
 # A request that was sent no later than this after the SIGTERM is excused.
 EXCUSED_S = 3.0
-GRACE_S = 8.0
 
 
 async def case(record, has_trouble):
@@ -43,84 +48,89 @@
         if await fleet.put_config(config(3)) != 200:
             raise CannotRun("the first configuration was not acknowledged")
         await fleet.wait_ready()
-        await asyncio.sleep(4.0)
-        machine = await fleet.leader()
-        if machine is None:
-            raise CannotRun("no leader")
-        record.add("machine", number=machine)
-        return await play(record, fleet, machine, has_trouble)
-
-
-async def play(record, fleet, machine, has_trouble):
+        broken = []
+        for number in range(ROUNDS):
+            await asyncio.sleep(SETTLE_S)
+            machine = await fleet.leader()
+            if machine is None:
+                raise CannotRun("no leader")
+            record.add("round", number=number, machine=machine)
+            broken += await play(record, fleet, machine, number, has_trouble)
+            if broken:
+                break
+        return broken
+
+
+async def play(record, fleet, machine, number, has_trouble):
+    """Stop one machine and start it again; return the streams that were lost."""
     address = fleet.address(machine, "Front")
     clients = [Client(record, address) for _ in range(CLIENT_COUNT)]
     # Usual streams, so that each client has an open connection.
-    for number, client in enumerate(clients):
-        await send(client, f"usual{number:03d}", SHORT, wait_s=0.0)
-    await asyncio.sleep(2.0)
-    if len(record.of("run-end")) < CLIENT_COUNT:
+    usual = []
+    for index, client in enumerate(clients):
+        usual.append(
+            asyncio.ensure_future(send(client, f"u{number}{index:06d}", SHORT))
+        )
+        await asyncio.sleep(0.05)
+    if not all(complete for *_, complete, _ in await asyncio.gather(*usual)):
         raise CannotRun("the usual streams were not served")
+    await asyncio.sleep(1.0)
     stopped_s = record.now_s
     stop = None
     if has_trouble:
         stop = asyncio.ensure_future(fleet.terminate(machine))
     results = await asyncio.gather(
         *(
-            late_client(record, fleet, client, number, machine)
-            for number, client in enumerate(clients)
+            late_client(record, fleet, client, f"l{number}{index:06d}", machine)
+            for index, client in enumerate(clients)
         )
     )
     if stop is not None:
         await stop
+        for role in fleet.roles_of(machine):
+            fleet.start(role, machine)
+        await fleet.wait_ready()
     for client in clients:
         client.close()
-    used = [result for result in results if result is not None]
-    record.add("late-streams", sent=len(used))
-    if has_trouble and not any(at_s > stopped_s + EXCUSED_S for at_s, *_ in used):
-        raise CannotRun("no client was told to use the machine after the SIGTERM")
+    late = [item for item in results if item and item[0] - stopped_s > EXCUSED_S]
+    record.add("late-streams", number=number, sent=len(late))
     broken = []
-    for at_s, attempt, status, complete, ended_s in used:
+    for at_s, attempt, status, complete, ended_s in late:
         runs = record.of("run", attempt=attempt)
-        after_s = at_s - stopped_s
         has_time_left = ended_s - at_s < DEADLINE_MS / 1000 - 1.0
-        if after_s > EXCUSED_S and runs and not complete and has_time_left:
+        if has_trouble and runs and not complete and has_time_left:
             broken.append(
-                f"LOST: {attempt}, sent {after_s:.2f} s after the SIGTERM and run by "
-                f"{runs[0][1]['runner']}, was cut with status {status} "
+                f"LOST: {attempt}, sent {at_s - stopped_s:.2f} s after the SIGTERM and "
+                f"run by {runs[0][1]['runner']}, was cut with status {status} "
                 f"{ended_s - stopped_s:.2f} s after the SIGTERM"
             )
     return broken
 
 
-async def late_client(record, fleet, client, number, machine):
+async def late_client(record, fleet, client, attempt, machine):
     """Resolve around the SIGTERM, and use the answer as long as it may be used."""
+    number = int(attempt[2:])
     await asyncio.sleep(number * CLIENT_STEP_S)
-    ip = fleet.ips[machine]
-    asked_s = record.now_s
-    others = [item for item in range(len(fleet.ips)) if item != machine]
+    others = [item for item in range(fleet.machines) if item != machine]
     addresses, ttl_s = await fleet.resolve(others[number % len(others)], ZONE)
+    ip = fleet.ips[machine]
     has_machine = any(item.startswith(f"{ip}:") for item in addresses)
-    record.add("resolved", client=number, has_machine=has_machine, ttl_s=ttl_s)
+    resolved_s = record.now_s
+    record.add("resolved", attempt=attempt, has_machine=has_machine, ttl_s=ttl_s)
     if not has_machine:
         return None
-    await asyncio.sleep(asked_s + TTL_FACTOR * ttl_s - 0.03 - record.now_s)
-    return await send(client, f"late{number:04d}", LONG)
+    until_s = resolved_s + TTL_FACTOR * ttl_s
+    await asyncio.sleep(until_s - SEND_MARGIN_S - record.now_s)
+    return await send(client, attempt, LONG)
 
 
-async def send(client, attempt, length, wait_s=None):
-    tokens = TOKENS[length]
-    call = client.request(
-        "POST",
-        f"/assess/{attempt}",
-        request_headers(attempt, DEADLINE_MS, tokens),
-        b"x" * 5000,
-    )
-    if wait_s is not None:
-        client.task = asyncio.ensure_future(call)
-        await asyncio.sleep(0.05)
-        return None
+async def send(client, attempt, length):
+    """Send a stream; return when, its id, status, whether it is whole, and its end."""
     at_s = client.record.now_s
-    status, _, _, complete = await call
+    headers = request_headers(attempt, DEADLINE_MS, TOKENS[length])
+    status, _, _, complete = await client.request(
+        "POST", f"/assess/{attempt}", headers, b"x" * 5000
+    )
     return at_s, attempt, status, complete, client.record.now_s
 
 
