--- a/review/kit/runner.py
+++ b/review/kit/runner.py
@@ -191,6 +191,9 @@
 
     async def _stream(self, request, reader, writer):
         count, gap_s = self.pieces(request)
+        loop = asyncio.get_running_loop()
+        # A runner stops work at the deadline that it receives.
+        ends_s = loop.time() + int(request.headers["x-deadline-ms"]) / 1000
         first = int(request.headers.get("last-event-id", "0")) + 1
         fields = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         writer.write(_head(request, fields))
@@ -198,6 +201,9 @@
         is_open = True
         for number in range(first, count + 1):
             await asyncio.sleep(gap_s * self.slow_factor)
+            if loop.time() >= ends_s:
+                self._log("run-late", runner=self.name, attempt=request.attempt)
+                raise ConnectionError
             if is_open and (writer.transport.is_closing() or reader.at_eof()):
                 self._log(
                     "run-cut", runner=self.name, attempt=request.attempt, events=done
