--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -108,8 +109,8 @@
     def directory(self, number):
         return f"{self.ips[number]}:{self.first_port + 4}"
 
-    def start_all(self):
-        for number in range(len(self.ips)):
+    def start_all(self, machines=None):
+        for number in range(machines or len(self.ips)):
             self.start("control", number, first_start=True)
             self.start("entry", number, first_start=True)
 
@@ -207,6 +208,29 @@
             await asyncio.sleep(0.1)
         raise CannotRun("no configuration was acknowledged")
 
+    def kill(self, number):
+        """End the processes of a machine at once."""
+        ended = [process for key, process in self.processes.items() if key[1] == number]
+        for process in ended:
+            process.kill()
+        for process in ended:
+            process.wait()
+
+    def lose_disk(self, number):
+        """Empty the data folder of a machine whose processes have ended."""
+        shutil.rmtree(self.folder / f"data-{number}")
+
+    async def leader(self):
+        """Return the machine that operators are sent to; None if there is none."""
+        for number in range(len(self.ips)):
+            status, got, _ = await call(self.control(number), "GET", "/api/config")
+            if status == 200:
+                return number
+            if status == 307:
+                found = got["location"].removeprefix("http://").partition(":")[0]
+                return self.ips.index(found) if found in self.ips else None
+        return None
+
     async def put_once(self, number, body):
         """Send one change to a machine; follow two redirections."""
         return await self._follow(self.control(number), "PUT", body)
