--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import shutil
-import signal
 import socket
 import subprocess
 import time
@@ -81,7 +80,6 @@
         self.folder = Path(folder)
         self.ips = [f"127.0.0.{number + 1}" for number in range(machines)]
         self.processes = {}
-        self.paused = set()
         self._reserved, self.first_port = self._reserve_ports()
         self.list_address = f"{self.ips[0]}:{self.first_port + 5}"
 
@@ -114,19 +112,9 @@
             self.start("control", number, first_start=True)
             self.start("entry", number, first_start=True)
 
-    def move_list(self, address):
-        """Write the settings of all processes anew, with another `Cloud.Address`."""
-        old, self.list_address = self.list_address, address
-        for role, number in self.processes:
-            settings = self.folder / f"{role}-{number}.conf"
-            text = settings.read_text()
-            replaced = settings.with_suffix(".new")
-            replaced.write_text(text.replace(f"Address={old}", f"Address={address}"))
-            replaced.rename(settings)
-
-    def start(self, role, number, *, first_start=False, has_disk=True):
+    def start(self, role, number, *, first_start=False):
         settings = self.folder / f"{role}-{number}.conf"
-        settings.write_text(self._settings(role, number, first_start, has_disk))
+        settings.write_text(self._settings(role, number, first_start))
         log = (self.folder / f"{role}-{number}.log").open("ab")
         self.processes[role, number] = subprocess.Popen(
             ["python3", "deploy/run.py", role],
@@ -145,7 +133,7 @@
         )
         log.close()
 
-    def _settings(self, role, number, first_start, has_disk):
+    def _settings(self, role, number, first_start):
         ip, first = self.ips[number], self.first_port
         lines = [
             f"Node=front-{ZONES[number % 3]}-{number // 3 + 1}",
@@ -173,21 +161,13 @@
             lines += [
                 "Serves=control",
                 f"Listen.Control={self.control(number)}",
-                f"DataDir={data if has_disk else ''}",
+                f"DataDir={data}",
             ]
         text = BOUNDS.format(first=first + 10, last=first + 25)
         return "\n".join(lines) + "\n" + text
 
-    def send(self, role, number, sent):
-        process = self.processes[role, number]
-        if process.poll() is None:
-            process.send_signal(sent)
-            (self.paused.add if sent == signal.SIGSTOP else self.paused.discard)(
-                (role, number)
-            )
-
     def stop(self):
-        """End all processes, also those that are stopped."""
+        """End all processes."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
