Let case 8 wait longer for its first configuration

Rule: CONFIG. Cause: beside four other cases the programs start too slowly for two seconds, and the script exited with 2.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -54,7 +54,7 @@
             await runner.start(fleet.ips[0], number + 1)
         await platform.start(fleet.list_address)
         fleet.start_all(machines=3)
-        await put(fleet, 7, range(3), record)
+        await fleet.put_config(encode(document(7)))
         await fleet.wait_ready(range(3))
         await asyncio.sleep(CONTACT_S)
         leader = await fleet.leader()
