Log why a control host has no leader

Change: a control host that has known no leader for 2 s, and every 5 s from then on, logs LEADER_MISSING (2012) with the voters of its log, the hosts that its streams reach and those that it has heard from within a second.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -24,6 +24,7 @@
 )
 from damaskridge.adapters.rpc.control_ports import ControlStatePort
 from damaskridge.core.consensus.election import Role
+from damaskridge.core.consensus.leader_absence import LeaderAbsence
 from damaskridge.core.consensus.membership import OBSERVER_PREFIX, host_name
 from damaskridge.core.consensus.messages import (
     Action,
@@ -67,6 +68,8 @@
 COMPACT_AFTER_BYTES = 4_000_000
 # Time to hand over leadership and the vote before the process stops.
 LEAVE_TIMEOUT_S = 3.0
+# A member that leads or follows sends several messages in this time.
+RECENTLY_HEARD_S = 1.0
 
 _logger = logging.getLogger("damaskridge.control_node")
 _encode = msgspec.msgpack.Encoder().encode
@@ -131,6 +134,7 @@
         store = LogStore(folder, self._new_disk_id())
         stored = _open_store(store)
         self._driver = self._open_driver(store, stored)
+        self._leader_absence = LeaderAbsence(anyio.current_time())
         self._applied_index = 0
         self._uncompacted_bytes = 0
         if stored.log.snapshot.index:
@@ -276,9 +280,29 @@
             self._leader_changed.set()
             self._leader_changed = anyio.Event()
         self._compact_if_needed()
+        self._report_missing_leader()
         if self._driver.node.may_stop:
             self._may_stop.set()
 
+    def _report_missing_leader(self) -> None:
+        node, now_s = self._driver.node, anyio.current_time()
+        absent_s = self._leader_absence.update(bool(node.leader_name), now_s)
+        if absent_s is None:
+            return
+        links = self._peer_links.values()
+        heard_since_s = now_s - RECENTLY_HEARD_S
+        log_event(
+            _logger,
+            EventNumber.LEADER_MISSING,
+            level=logging.WARNING,
+            absent_s=round(absent_s, 1),
+            term=node.term,
+            last_index=node.log.last_index,
+            voters=self.membership.voters,
+            connected=[link.host for link in links if link.is_connected],
+            heard=[link.host for link in links if link.last_heard_s >= heard_since_s],
+        )
+
     def _open_driver(self, store: LogStore, stored: StoredState) -> RaftDriver:
         _log_repairs(stored)
         return RaftDriver(
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -132,10 +132,15 @@
         Its RPC address, ``<ip>:<port>``.
     rng : random.Random
         Source of the jitter of reconnection waits.
+
+    Attributes
+    ----------
+    host : str
+        The same name.
     """
 
     def __init__(self, host: str, address: str, rng: random.Random) -> None:
-        self._host = host
+        self.host = host
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._rng = rng
@@ -150,6 +155,16 @@
         self._retry_now = anyio.Event()
         self._last_heard_s = float("-inf")
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the stream is open."""
+        return self._is_connected
+
+    @property
+    def last_heard_s(self) -> float:
+        """Event loop time at which the last message of the member arrived."""
+        return self._last_heard_s
+
     def send(self, frame: MemberFrame) -> None:
         """
         Queue a frame; drop it if there is no connection or the queue is full.
@@ -201,17 +216,17 @@
         try:
             await run_isolated(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
-            _log.debug("stream to %s ended: %r", self._host, errors.exceptions)
+            _log.debug("stream to %s ended: %r", self.host, errors.exceptions)
         except* Exception as errors:
             # An error of one peer, such as a message of an incompatible version, must
             # not end the process.
-            _log.warning("stream to %s failed: %r", self._host, errors.exceptions)
+            _log.warning("stream to %s failed: %r", self.host, errors.exceptions)
         finally:
             was_connected = self._is_connected
             self._is_connected = False
             channel.close()
         if was_connected:
-            log_event(_log, EventNumber.PEER_LOST, peer=self._host)
+            log_event(_log, EventNumber.PEER_LOST, peer=self.host)
 
     async def _exchange(self, channel: RpcChannel) -> None:
         method: StreamStreamMethod[MemberFrame, ProbeResponse] = StreamStreamMethod(
@@ -223,7 +238,7 @@
                 await stream.recv_message()
             self._last_response_s = anyio.current_time()
             self._is_connected = True
-            log_event(_log, EventNumber.PEER_CONNECTED, peer=self._host)
+            log_event(_log, EventNumber.PEER_CONNECTED, peer=self.host)
             self._send_election_frame()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_frames, stream)
--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -15,6 +15,7 @@
 from damaskridge.adapters.disk.records import encode_record
 from damaskridge.adapters.disk.store import LogStore, UnreadableRecord
 from damaskridge.adapters.rpc.control_ports import AppliedCommand
+from damaskridge.core.consensus import leader_absence
 from damaskridge.model.control import AdvanceTime, CommandResult, KeyWithdrawn
 from damaskridge.model.errors import ErrorKind
 from damaskridge.model.events import EventNumber
@@ -195,3 +196,35 @@
     anyio.run(main)
     numbers = [record.event_number for record in caplog.records]
     assert numbers == [EventNumber.RECORD_UNREADABLE]
+
+
+async def run_without_leader() -> None:
+    members = free_addresses(["c0", "c1", "c2"])
+    hosts = [ControlHost(name, members, [0]) for name in members]
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            await host.start(tasks)
+        await propose_to_leader(hosts, "first")
+        for host in hosts[1:]:
+            host.node._scope.cancel()
+        await anyio.sleep(2.5)
+        await hosts[0].stop()
+        for host in hosts[1:]:
+            await host.stop()
+
+
+def test_host_without_leader_logs_the_voters_and_whom_it_reaches(caplog, monkeypatch):
+    """Guards against a group without a leader whose logs don't tell why."""
+    monkeypatch.setattr(leader_absence, "FIRST_REPORT_S", 1.0)
+    caplog.set_level("WARNING")
+    anyio.run(run_without_leader)
+    reports = [
+        record.event_fields
+        for record in caplog.records
+        if getattr(record, "event_number", 0) == EventNumber.LEADER_MISSING
+    ]
+    report = reports[-1]
+    assert len(report["voters"]) == 3
+    assert set(report["connected"]) <= {"c1", "c2"}
+    assert report["heard"] == []
+    assert report["absent_s"] >= 1.0
