Show disks that a loss of power, or a kill before it, costs a group

Cause, as suspected: a loss of power decides on each unsynced write by itself, and the log takes a record that is missing or torn for damage; and what a killed process wrote and did not sync counts as synced when it is read. In both cases a member becomes an empty one, beside the disk that is really lost.

--- a/tests/adapters/disk/test_store.py
+++ b/tests/adapters/disk/test_store.py
@@ -61,7 +61,7 @@
     log = RaftLog(Snapshot(1, 2, Membership(("c1#a1",)), b"state"), [ENTRIES[1]])
     write_store(intact).save_snapshot(log, HardState(2, "c1#a1"))
     for name in intact.names():
-        for position in range(intact.synced_bytes[name]):
+        for position in range(intact.synced_bytes(name)):
             folder = copy.deepcopy(intact)
             folder.files[name][position] ^= 1 << position % 8
             stored = LogStore(folder, "b2").open()
@@ -69,6 +69,45 @@
             assert (stored.log.last_index, stored.hard_state) == (0, HardState())
 
 
+def test_power_loss_before_a_sync_leaves_the_synced_records():
+    """Guards against writes that are missing or torn, taken for a damaged disk."""
+    for seed in range(400):
+        rng, count = random.Random(seed), 1 + seed % 4
+        folder = MemoryFolder()
+        store = write_store(folder)
+        sizes = [rng.choice((5, 90, 700, 3000)) for _ in range(count)]
+        store.save_entries(
+            tuple(LogEntry(5 + i, 2, rng.randbytes(s)) for i, s in enumerate(sizes))
+        )
+        folder.lose_power(rng)
+        stored = LogStore(folder, "b2").open()
+        assert (stored.disk_id, stored.damage) == ("a1", "")
+        assert stored.log.slice(1, 4) == ENTRIES
+
+
+def test_records_of_a_killed_process_are_synced_before_they_count():
+    """Guards against entries that are acknowledged after a kill and then lost."""
+    for seed in range(20):
+        folder = MemoryFolder()
+        write_store(folder).save_entries((LogEntry(5, 2, b"not synced"),))
+        assert LogStore(folder, "b2").open().log.synced_index == 5
+        folder.lose_power(random.Random(seed))
+        assert LogStore(folder, "b2").open().log.last_index == 5
+
+
+def test_missing_part_of_the_synced_records_is_damage():
+    """Guards against a hole before later batches, taken for an unsynced write."""
+    folder = MemoryFolder()
+    store = write_store(folder)
+    (segment,) = (name for name in folder.names() if name.startswith("log-"))
+    size_bytes = folder.synced_bytes(segment)
+    store.save_entries((LogEntry(5, 2, b"next batch"),))
+    store.sync()
+    folder.files[segment][size_bytes - 30 : size_bytes] = bytes(30)
+    stored = LogStore(folder, "b2").open()
+    assert (stored.disk_id, stored.damage) == ("b2", segment)
+
+
 @pytest.mark.parametrize("lost", ["member", "log-", "everything"])
 def test_folder_with_lost_files_gets_a_new_id(lost):
     folder = MemoryFolder()
@@ -90,7 +129,7 @@
     try:
         store.save_snapshot(log, HardState(2, "c1#a1"))
     except PowerLost:
-        folder.crash(random.Random(0))
+        folder.lose_power(random.Random(0))
     folder.operations_left = None
     stored = LogStore(folder, "b2").open()
     assert (stored.disk_id, stored.log.last_index, stored.damage) == ("a1", 4, "")
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+import math
 import random
 import sys
 from collections import Counter
@@ -30,7 +31,8 @@
 # A kind that is listed n times is drawn n times as often.
 FAULT_KINDS = (
     "crash blackout power power start start start partition isolate isolate heal heal "
-    "lose_disk lose_disk flip_bit flip_bit change transfer"
+    "lose_disk lose_disk flip_bit flip_bit change transfer kill_then_power "
+    "kill_then_power"
 ).split()
 GUARD_NAMES = frozenset(f.name for f in fields(m.Guards))
 
@@ -95,6 +97,9 @@
     applied: int = 0
     isolated_term: int | None = None
     has_flipped_bit: bool = False
+    # Whether the process is killed at its next write, and is back at once.
+    is_killed_writing: bool = False
+    power_lost_s: float = math.inf
     pending_proposals: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     pending_reads: dict[int, tuple[int, Operation]] = field(default_factory=dict)
     ready_reads: list[tuple[int, Operation]] = field(default_factory=list)
@@ -150,9 +155,31 @@
         member.pending_proposals, member.pending_reads, member.ready_reads = {}, {}, []
         self.restore(member, driver.node.log.snapshot)
 
-    def stop(self, host: str) -> None:
-        self.members[host].driver = None
-        self.members[host].folder.crash(self.rng)
+    def stop(self, host: str, *, loses_power: bool | None = None) -> None:
+        """End a process by a kill or a loss of power; None draws one of the two."""
+        member = self.members[host]
+        member.driver = None
+        member.folder.operations_left = None
+        if loses_power is None:
+            loses_power = self.rng.random() < 0.5
+        if loses_power:
+            member.folder.lose_power(self.rng)
+
+    def stop_at_write(self, host: str) -> None:
+        """End a process whose write is not synced yet."""
+        member = self.members[host]
+        self.stop(host, loses_power=not member.is_killed_writing)
+        if member.is_killed_writing:
+            member.is_killed_writing = False
+            self.start(host)
+            member.power_lost_s = self.now_s + self.rng.uniform(0.0, 0.2)
+
+    def lose_power_if_due(self, host: str) -> None:
+        member = self.members[host]
+        if self.now_s >= member.power_lost_s:
+            member.power_lost_s = math.inf
+            self.stop(host, loses_power=True)
+            self.faults["power_after_kill"] += 1
 
     def restore(self, member: Member, snapshot: wire.Snapshot) -> None:
         member.applied = snapshot.index
@@ -199,7 +226,7 @@
         try:
             actions = driver.run(events, self.now_s)
         except PowerLost:
-            self.stop(host)
+            self.stop_at_write(host)
             return []
         finally:
             driver.node.step = step
@@ -308,6 +335,9 @@
             self.restart_all()
         elif kind == "power" and running:
             self.members[host].folder.operations_left = rng.randrange(6)
+        elif kind == "kill_then_power" and running:
+            self.members[host].is_killed_writing = True
+            self.members[host].folder.operations_left = 0
         elif kind == "start" and not running:
             self.start(host)
         elif kind in ("partition", "isolate"):
@@ -443,7 +473,9 @@
         # Registered before the step, since with one voter the entry commits in it.
         index = driver.node.log.last_index + 1
         member.pending_proposals[index] = (driver.node.term, operation)
-        actions = self.run(host, m.Propose((command,)))
+        # Empty commands change nothing, and make batches of several records.
+        padding = (b"",) * self.rng.choice((0, 0, 1, 3))
+        actions = self.run(host, m.Propose((command, *padding)))
         if any(isinstance(action, m.ProposalRefused) for action in actions):
             member.pending_proposals.pop(index, None)
             self.history.remove(operation)
@@ -460,6 +492,7 @@
         for host in self.hosts:
             self.run(host, m.Tick())
             self.compact(host)
+            self.lose_power_if_due(host)
         self.check_isolated_terms()
         self.run_clients()
         if self.faults_enabled and self.rng.random() < 0.03:
@@ -490,8 +523,10 @@
         self.faults_enabled = False
         self.heal()
         for host in self.hosts:
-            self.members[host].folder.operations_left = None
-            if self.members[host].driver is None:
+            member = self.members[host]
+            member.folder.operations_left = None
+            member.power_lost_s = math.inf
+            if member.driver is None:
                 self.start(host)
         before = self.invariants.last_committed
         for step in range(RECOVERY_STEPS):
--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -19,7 +19,6 @@
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
     host_name,
-    is_observer,
     quorum_size,
 )
 from damaskridge.core.consensus.messages import BeginLeave
@@ -38,6 +37,10 @@
 # Longest time that a control process takes to leave the group before it stops.
 LEAVE_TIMEOUT_S = 3.0
 SEEDS_PER_HOST = 3
+# Share of the hosts that lose their power while a write isn't synced, and how long such
+# a write is waited for.
+WRITING_SHARE = 0.5
+WRITE_WAIT_S = 0.3
 KINDS = (
     "replace replace replace_planned replace_planned restart_planned wipe wipe power "
     "kill_leader cut power_all halves disk_full disk_full"
@@ -242,14 +245,28 @@
         self.note(f"{hosts} lose power")
         for host in hosts:
             self.lost_until_s[host] = float("inf")
-            self.stop_losing_observer_state(host)
+        self.lose_power_while_writing(hosts)
         run_for(self, self.draw_down_s() if down_s is None else down_s)
         for host in hosts:
             self.restart(host)
 
+    def lose_power_while_writing(self, hosts: list[str]) -> None:
+        """
+        Cut the power of hosts at one time, some of them at their next writes.
+
+        Every other loss of power finds all writes synced, as a step of the simulation
+        ends with a sync.
+        """
+        for host in hosts:
+            if self.rng.random() < WRITING_SHARE:
+                self.members[host].folder.operations_left = self.rng.randrange(2)
+        run_for(self, WRITE_WAIT_S)
+        for host in hosts:
+            self.stop_losing_observer_state(host)
+
     def stop_losing_observer_state(self, host: str) -> None:
-        was_observer = is_observer(self.members[host].driver.node.name)
-        self.stop(host)
+        was_observer = host.startswith("o")
+        self.stop(host, loses_power=True)
         if was_observer:
             self.members[host].folder.lose()
 
@@ -297,8 +314,7 @@
         hosts = [h for h in self.hosts if self.members[h].driver]
         wiped = self.rng.sample(self.counted, self.tolerance)
         self.note(f"final: {wiped} lose their disks, {hosts} lose power")
-        for host in hosts:
-            self.stop_losing_observer_state(host)
+        self.lose_power_while_writing(hosts)
         for host in wiped:
             self.members[host].folder.lose()
         run_for(self, 1.3)
