Tell a loss of power from a damaged disk

Cause: a loss of power leaves each write since the last sync present, missing or torn, by itself. The log is written record by record and synced once a batch, and a record that was missing or torn before a present one was taken for damage: the member emptied its folder and came back under a new id without a vote. Beside a lost disk that is two of three voters. Change: the first and the last byte of a log record are never zero, so that missing bytes, which read as zeros, can be told from altered ones; the tail from the first incomplete record on is cut. Records name the size that was synced before they were written, so that a hole in front of later batches is still damage. Why it works: what is cut was never synced, so that no one has an acknowledgement of it.

--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -24,10 +24,16 @@
 
 class _EntryRecord(msgspec.Struct, frozen=True, tag="e"):
     entry: LogEntry
+    # Size of the part of the segment that was synced before the record was written.
+    synced_bytes: int = 0
+    # Encoded last, so that the last byte of a record is never zero.
+    is_complete: bool = True
 
 
 class _HardRecord(msgspec.Struct, frozen=True, tag="h"):
     hard_state: HardState
+    synced_bytes: int = 0
+    is_complete: bool = True
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -100,7 +106,8 @@
         self._new_disk_id = new_disk_id
         self._verify = verify
         self._segment = ""
-        self._dirty = False
+        self._size_bytes = 0
+        self._synced_bytes = 0
 
     def open(self) -> StoredState:
         """
@@ -126,12 +133,12 @@
 
     def save_hard_state(self, hard_state: HardState) -> None:
         """Append term and vote; durable after `sync`."""
-        self._append_record(_encode(_HardRecord(hard_state)))
+        self._append_record(_encode(_HardRecord(hard_state, self._synced_bytes)))
 
     def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
         """Append entries, which replace all entries from the first index on."""
         for entry in entries:
-            self._append_record(_encode(_EntryRecord(entry)))
+            self._append_record(_encode(_EntryRecord(entry, self._synced_bytes)))
 
     def save_snapshot(self, log: RaftLog, hard_state: HardState) -> None:
         """Write a snapshot and a new segment with the entries after it, durably."""
@@ -141,13 +148,14 @@
 
     def sync(self) -> None:
         """Make all appended records durable."""
-        if self._dirty:
+        if self._size_bytes > self._synced_bytes:
             self._folder.sync(self._segment)
-            self._dirty = False
+            self._synced_bytes = self._size_bytes
 
     def _append_record(self, payload: bytes) -> None:
-        self._folder.append(self._segment, encode_record(payload))
-        self._dirty = True
+        record = encode_record(payload)
+        self._folder.append(self._segment, record)
+        self._size_bytes += len(record)
 
     def _start_segment(self, log: RaftLog, hard_state: HardState) -> None:
         """Write a new segment with hard state and entries; remove the previous ones."""
@@ -157,8 +165,9 @@
         payloads = [_encode(_HardRecord(hard_state))]
         payloads += [_encode(_EntryRecord(entry)) for entry in entries]
         self._segment = f"{SEGMENT_PREFIX}{number:012d}"
-        self._folder.replace(self._segment, b"".join(map(encode_record, payloads)))
-        self._dirty = False
+        content = b"".join(map(encode_record, payloads))
+        self._folder.replace(self._segment, content)
+        self._size_bytes = self._synced_bytes = len(content)
         for name in previous:
             self._folder.remove(name)
 
@@ -195,11 +204,14 @@
         self._segment = segments[-1]
         data = self._folder.read(self._segment)
         result = self._scan(self._segment, data)
+        if any(self._synced_size(p) > result.size_bytes for p in result.later_payloads):
+            raise _DamagedFileError(self._segment)
         replayed, hard_state = self._replay(result.payloads, snapshot)
         # A segment is created atomically, so the newest is complete. A crash while
         # it was started may have left older ones.
         for name in segments[:-1]:
             self._folder.remove(name)
+        self._size_bytes = self._synced_bytes = result.size_bytes
         cut_bytes = len(data) - result.size_bytes
         if cut_bytes:
             self._folder.truncate(self._segment, result.size_bytes)
@@ -209,6 +221,11 @@
             self._start_segment(log, hard_state)
         return StoredState(disk_id, log, hard_state, cut_bytes)
 
+    def _synced_size(self, payload: bytes) -> int:
+        """Return how much of the segment was synced when a record was written."""
+        record = self._decode(_decode_record, payload, self._segment)
+        return int(record.synced_bytes)
+
     def _replay(
         self, payloads: list[bytes], snapshot: Snapshot | None
     ) -> tuple[RaftLog, HardState]:
