Sync what a killed process wrote before it counts as synced

Cause: when a store is opened, all entries in its file count as synced. A process that was killed between write and sync leaves entries that are not, and a loss of power before the next sync takes them although they have been acknowledged; a vote can be lost in the same way. Change: the segment is synced when it is opened; a cut tail was synced already. Why it works: an entry is read, synced, and only then counted.

--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -215,6 +215,9 @@
         cut_bytes = len(data) - result.size_bytes
         if cut_bytes:
             self._folder.truncate(self._segment, result.size_bytes)
+        else:
+            # A killed process may have left records that it had not synced.
+            self._folder.sync(self._segment)
         log = self._merge_snapshot(replayed, snapshot)
         if replayed.snapshot.index != log.snapshot.index:
             # Entries that follow the snapshot would leave a gap in the old segment.
