Take a response to an unread upload for broken off

A server responds at once to a long upload, without a length, ends its side of the connection after a part of the body and then resets it while the upload is on its way. Cause: the clean end of a response without a length was taken for its end, whatever became of the request and of the connection after it. A reset alone, without the clean end before, was noticed. Change: such a response is complete only if the server's side has received the whole request and the connection was not reset, neither at its end nor after the check that the server still accepts connections. The same after a request that was handed over to another host.

--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -41,6 +44,7 @@
 TCP_USER_TIMEOUT_MS = 3_000
 MAX_CONNECT_ATTEMPTS = 2
 _BODILESS_STATUSES = frozenset({204, 304})
+_INT = struct.Struct("i")
 
 
 class ConnectionBroken(Exception):
@@ -137,6 +141,21 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Size of the sent data that the other side has not received."""
+        raw = self.transport.get_extra_info("socket")
+        in_kernel = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        return self.transport.get_write_buffer_size() + int(_INT.unpack(in_kernel)[0])
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection was reset, also after a clean end of the stream."""
+        if self.error is not None:
+            return True
+        raw = self.transport.get_extra_info("socket")
+        return bool(raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     async def read(self) -> bytes:
         """
         Return the buffered data, waiting for some if there is none.
@@ -206,6 +225,7 @@
         self._budget = budget
         self._http = self._new_parser()
         self._method = ""
+        self._ends_with_connection = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self.is_reused = False
@@ -228,6 +248,11 @@
         """Whether received data is waiting to be read."""
         return bool(self._protocol.buffer)
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection was reset, also after the end of a response."""
+        return self._protocol.was_reset
+
     def close(self) -> None:
         """Abort the connection, so that the server notices it at once."""
         self._protocol.transport.abort()
@@ -291,6 +316,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._check_request_received()
                 self.idle_since_s = asyncio.get_running_loop().time()
                 return
             if not isinstance(event, h11.Data):
@@ -322,6 +348,18 @@
             budget.end(number)
         return bytes(body)
 
+    def _check_request_received(self) -> None:
+        """
+        Raise `ConnectionBroken` if a response may have ended before it was complete.
+
+        A server that ends its connection while the request is on its way resets it, so
+        that the end of a response without a length shows nothing.
+        """
+        if self._ends_with_connection and (
+            self._protocol.was_reset or self._protocol.unacknowledged_bytes
+        ):
+            raise ConnectionBroken("the response ended before the request was received")
+
     def _response_head(self, response: h11.Response) -> ResponseHead:
         headers = list(response.headers)
         has_body = (
@@ -330,10 +368,11 @@
         is_framed = any(
             name in (b"content-length", b"transfer-encoding") for name, _ in headers
         )
+        self._ends_with_connection = has_body and not is_framed
         return ResponseHead(
             response.status_code,
             headers,
-            ends_with_connection=has_body and not is_framed,
+            ends_with_connection=self._ends_with_connection,
         )
 
     async def _next_event(self) -> object:
--- a/src/damaskridge/adapters/gateway/handover.py
+++ b/src/damaskridge/adapters/gateway/handover.py
@@ -329,10 +329,12 @@
     Raises
     ------
     ConnectionBroken
-        The body is incomplete, or the host is gone at the end of a body without a
-        length, so that it may be incomplete.
+        The body is incomplete, or the host is gone, or resets the connection, at the
+        end of a body without a length, so that it may be incomplete.
     """
     async for part in connection.body():
         yield part
     if head.ends_with_connection:
         (await open_connection(peer.peer_address, CONNECT_TIMEOUT_S)).close()
+        if connection.was_reset:
+            raise ConnectionBroken("the response was reset after its end")
--- a/src/damaskridge/adapters/gateway/outcomes.py
+++ b/src/damaskridge/adapters/gateway/outcomes.py
@@ -98,6 +98,11 @@
         """Whether received data of the body is waiting to be read."""
         return self._connection.has_unread_data
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection was reset, also after the end of the response."""
+        return self._connection.was_reset
+
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the complete body; raises `ConnectionBroken`."""
         body = await self._connection.read_body(limit_bytes)
--- a/src/damaskridge/adapters/gateway/sender.py
+++ b/src/damaskridge/adapters/gateway/sender.py
@@ -224,12 +224,14 @@
         Raise `ConnectionBroken` if a response that has ended may be incomplete.
 
         The operating system of a server that crashes ends its connections in the same
-        way as the server ends a complete response.
+        way as the server ends a complete response. A reset may follow that end.
         """
-        if server_response.head.ends_with_connection and await self._is_gone(
-            server_response.instance
-        ):
+        if not server_response.head.ends_with_connection:
+            return
+        if await self._is_gone(server_response.instance):
             raise ConnectionBroken("the server was gone at the end of its response")
+        if server_response.was_reset:
+            raise ConnectionBroken("the response was reset after its end")
 
     def record_complete_run(
         self, admitted: AdmittedRequest, server_response: OpenReply
