Treat a status over 599 as a broken response

Cause: the HTTP library on the callers' side raises for such a status. Change: the response counts as broken, like one that is no HTTP: 502, or another server. Result: test_response_with_an_impossible_status_is_a_failure, 16 of its 40 cases failed before (600 and 999), all pass now.

--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -43,6 +43,7 @@
 # unacknowledged for this long. A sound server may be silent for a second or two.
 TCP_USER_TIMEOUT_MS = 3_000
 MAX_CONNECT_ATTEMPTS = 2
+MAX_STATUS = 599
 _BODILESS_STATUSES = frozenset({204, 304})
 _INT = struct.Struct("i")
 
@@ -361,6 +362,8 @@
             raise ConnectionBroken("the response ended before the request was received")
 
     def _response_head(self, response: h11.Response) -> ResponseHead:
+        if response.status_code > MAX_STATUS:
+            raise ConnectionBroken(f"status {response.status_code} is not valid")
         headers = list(response.headers)
         has_body = (
             self._method != "HEAD" and response.status_code not in _BODILESS_STATUSES
--- a/tests/adapters/gateway/test_early_responses.py
+++ b/tests/adapters/gateway/test_early_responses.py
@@ -110,3 +110,26 @@
         assert status == 502 or (status, body) == (200, None)
 
     run_async(main)
+
+
+@pytest.mark.parametrize("status", [0, 42, 99, 600, 999])
+@pytest.mark.parametrize("length", [True, False])
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/gen/x", "/res/x"])
+def test_response_with_an_impossible_status_is_a_failure(path, length, status):
+    async def main():
+        async def script(request, writer):
+            data = response(request, status, events(1, 2), length=length)
+            writer.write(data.replace(b"1.1 %d " % status, b"1.1 %03d " % status))
+            await writer.drain()
+            if not length:
+                writer.write_eof()
+                await request.reader.read()
+            return not length
+
+        async with gateway(StandIn("a", script), *engines(script)) as app:
+            status_seen, _, _ = await app.send_request(
+                path, ["x-token-count: 9,9"], b"prompt"
+            )
+        assert status_seen == 502
+
+    run_async(main)
