Take the vote of a killed control host when it refuses connections

Cause: a group of four counts a voter that is gone until it has been silent for 1.5 s, and from an election on anew. Its quorum of three then has two hosts left. Change: in a group of even size, a voter whose host refuses connections becomes a learner at once, and one that is silent after 0.6 s, an election timeout.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -32,6 +32,7 @@
     BeginLeave,
     CompactLog,
     Event,
+    HostRefusedConnection,
     LeadershipLost,
     LeadershipWon,
     MessageReceived,
@@ -371,7 +372,12 @@
             if not address.rpartition(":")[2].isdecimal():
                 return None
             self._members[name] = address
-            link = self._peer_links[name] = MemberStream(name, address, self._rng)
+            link = self._peer_links[name] = MemberStream(
+                name,
+                address,
+                self._rng,
+                on_refused=lambda: self._enqueue(HostRefusedConnection(name)),
+            )
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
         return self._peer_links[name]
--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -132,6 +132,8 @@
         Its RPC address, ``<ip>:<port>``.
     rng : random.Random
         Source of the jitter of reconnection waits.
+    on_refused : callable
+        Called when the host refuses a connection.
 
     Attributes
     ----------
@@ -139,8 +141,15 @@
         The same name.
     """
 
-    def __init__(self, host: str, address: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        rng: random.Random,
+        on_refused: Callable[[], None] = lambda: None,
+    ) -> None:
         self.host = host
+        self._on_refused = on_refused
         self._ip, _, port = address.rpartition(":")
         self._port = int(port)
         self._rng = rng
@@ -217,6 +226,8 @@
             await run_isolated(self._exchange(channel))
         except* CONNECTION_ERRORS as errors:
             _log.debug("stream to %s ended: %r", self.host, errors.exceptions)
+            if errors.subgroup(ConnectionRefusedError) is not None:
+                self._on_refused()
         except* Exception as errors:
             # An error of one peer, such as a message of an incompatible version, must
             # not end the process.
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -8,10 +8,11 @@
 )
 from damaskridge.core.consensus.member_state import MemberState
 from damaskridge.core.consensus.membership import (
+    host_name,
     is_single_voter_change,
     next_promotion,
     with_learner,
-    without_leaving_voter,
+    with_voter_as_learner,
     without_unreachable_member,
 )
 from damaskridge.core.consensus.messages import (
@@ -44,8 +45,9 @@
 # Longer than the usual restart, pause or partition, so that none of these changes the
 # membership.
 LEARNER_EVICTION_TIMEOUT_S = 15.0
-# Until a host that has been replaced is removed, the group tolerates one loss fewer.
-VOTER_EVICTION_TIMEOUT_S = 1.5
+# Until a replaced host loses its vote, the group tolerates one loss fewer. To take the
+# vote of a host that was only paused costs a group of even size nothing.
+VOTER_DEMOTION_TIMEOUT_S = ELECTION_TIMEOUT_RANGE_S[1]
 
 
 class Leader:
@@ -159,7 +161,7 @@
         progress = self._progress.get(reply.sender)
         if progress is None:
             return
-        progress.last_contact_s = now_s
+        progress.record_contact(now_s)
         progress.is_leaving = reply.is_leaving
         if reply.accepted:
             assert reply.match_index <= self._state.log.last_index
@@ -175,11 +177,17 @@
         progress = self._progress.get(reply.sender)
         if progress is None:
             return
-        progress.last_contact_s = now_s
+        progress.record_contact(now_s)
         progress.snapshot_sent_s = float("-inf")
         progress.record_acknowledgement(reply.match_index, reply.round)
         self._continue_replication(reply.sender, now_s)
 
+    def record_refused_connection(self, host: str) -> None:
+        """Record that no process of the group runs on a host."""
+        for member, progress in self._progress.items():
+            if host_name(member) == host:
+                progress.is_stopped = True
+
     def step_down(self) -> None:
         """Fail all pending reads."""
         for read_id in self._pending_reads.take_all():
@@ -325,16 +333,21 @@
             progress = self._progress.get(member)
             return 0.0 if progress is None else now_s - progress.last_contact_s
 
+        def is_lost_voter(member: str) -> bool:
+            progress = self._progress.get(member)
+            is_stopped = progress is not None and progress.is_stopped
+            return is_stopped or silence_s(member) > VOTER_DEMOTION_TIMEOUT_S
+
         if not self._can_change_membership():
             return
         state = self._state
         change = (
-            without_leaving_voter(state.membership, is_leaving)
+            with_voter_as_learner(state.membership, is_leaving)
             or next_promotion(state.membership, state.name, has_caught_up)
             or without_unreachable_member(
                 state.membership,
                 lambda member: silence_s(member) > LEARNER_EVICTION_TIMEOUT_S,
-                lambda member: silence_s(member) > VOTER_EVICTION_TIMEOUT_S,
+                is_lost_voter,
             )
         )
         if change is not None:
--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -24,7 +24,7 @@
     "next_promotion",
     "quorum_size",
     "with_learner",
-    "without_leaving_voter",
+    "with_voter_as_learner",
     "without_unreachable_member",
 ]
 
@@ -103,19 +103,19 @@
     return count <= MIN_FAULT_TOLERANT_VOTERS or count % 2 == 1
 
 
-def without_leaving_voter(
-    membership: Membership, is_leaving: Callable[[str], bool]
+def with_voter_as_learner(
+    membership: Membership, is_dispensable: Callable[[str], bool]
 ) -> Membership | None:
     """
-    Return the membership in which a voter that is about to stop is a learner, or None.
+    Return the membership in which a voter that is dispensable is a learner, or None.
 
-    As a learner it receives the entry that takes its vote, so that it stops only
-    afterwards, and it becomes a voter again if it comes back.
+    A voter that is about to stop receives the entry that takes its vote as a learner,
+    and stops only afterwards. A learner that comes back becomes a voter again.
     """
     if is_vote_needed(membership):
         return None
     voters, learners = membership.voters, membership.learners
-    for voter in filter(is_leaving, voters):
+    for voter in filter(is_dispensable, voters):
         return Membership(tuple(v for v in voters if v != voter), (*learners, voter))
     return None
 
@@ -128,15 +128,12 @@
     """
     Return the membership without one unreachable member, or None.
 
-    A voter is removed only from a group that doesn't need its vote. The permanent loss
-    of a host, or its replacement by a host with another name, thus does not lower the
-    fault tolerance afterwards. A removed member that was only partitioned requests to
-    join again.
+    A voter becomes a learner, and only in a group that doesn't need its vote. The
+    permanent loss of a host, or its replacement by a host with another name, thus does
+    not lower the fault tolerance afterwards. A learner that was only paused or
+    partitioned catches up and votes again.
     """
     voters, learners = membership.voters, membership.learners
     for learner in filter(is_lost_learner, learners):
         return Membership(voters, tuple(x for x in learners if x != learner))
-    if not is_vote_needed(membership):
-        for voter in filter(is_lost_voter, voters):
-            return Membership(tuple(v for v in voters if v != voter), learners)
-    return None
+    return with_voter_as_learner(membership, is_lost_voter)
--- a/src/damaskridge/core/consensus/messages.py
+++ b/src/damaskridge/core/consensus/messages.py
@@ -23,6 +23,7 @@
     "EntriesSynced",
     "Event",
     "Guards",
+    "HostRefusedConnection",
     "LeadershipLost",
     "LeadershipWon",
     "MessageReceived",
@@ -128,6 +129,13 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class HostRefusedConnection(Event):
+    """A host refused a connection, so that no process of the group runs there."""
+
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeMembership(Event):
     """A membership was proposed that adds or removes at most one voter."""
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -24,6 +24,7 @@
     EntriesSynced,
     Event,
     Guards,
+    HostRefusedConnection,
     LeadershipLost,
     LeadershipWon,
     MessageReceived,
@@ -239,6 +240,11 @@
         if self._leader is not None:
             self._leader.transfer_leadership(now_s)
 
+    @_handle.register
+    def _(self, event: HostRefusedConnection, now_s: float) -> None:
+        if self._leader is not None:
+            self._leader.record_refused_connection(event.host)
+
     @_handle.register
     def _(self, event: ChangeMembership, now_s: float) -> None:
         if self._leader is None:
--- a/src/damaskridge/core/consensus/replication.py
+++ b/src/damaskridge/core/consensus/replication.py
@@ -29,6 +29,8 @@
         Time at which a snapshot was sent that it has not acknowledged.
     is_leaving : bool
         Whether its process is about to stop.
+    is_stopped : bool
+        Whether its host has refused a connection since its last response.
     """
 
     next_index: int
@@ -38,6 +40,12 @@
     last_refused_index: int = 0
     snapshot_sent_s: float = float("-inf")
     is_leaving: bool = False
+    is_stopped: bool = False
+
+    def record_contact(self, now_s: float) -> None:
+        """Record a response of the member."""
+        self.last_contact_s = now_s
+        self.is_stopped = False
 
     def record_acknowledgement(self, match_index: int, round_number: int) -> None:
         """Record an acknowledgement; delayed and duplicate ones change nothing."""
--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -16,6 +16,8 @@
 from damaskridge.adapters.disk.store import LogStore, UnreadableRecord
 from damaskridge.adapters.rpc.control_ports import AppliedCommand
 from damaskridge.core.consensus import leader_absence
+from damaskridge.core.consensus.leader import VOTER_DEMOTION_TIMEOUT_S
+from damaskridge.core.consensus.messages import Event, HostRefusedConnection
 from damaskridge.model.control import AdvanceTime, CommandResult, KeyWithdrawn
 from damaskridge.model.errors import ErrorKind
 from damaskridge.model.events import EventNumber
@@ -181,6 +183,31 @@
     anyio.run(run_stop_in_group_of_four, stops_leader)
 
 
+async def run_beside_a_closed_port(events: list[Event]) -> None:
+    members = free_addresses(["c0", "c1"])
+    host = ControlHost("c0", members, [0])
+    async with anyio.create_task_group() as tasks:
+        await host.start(tasks)
+        run = host.node._driver.run
+        host.node._driver.run = lambda batch, now_s: run(events_of(batch), now_s)
+
+        def events_of(batch):
+            events.extend(batch)
+            return batch
+
+        with anyio.move_on_after(VOTER_DEMOTION_TIMEOUT_S):
+            while HostRefusedConnection("c1") not in events:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        await host.stop()
+
+
+def test_member_learns_at_once_that_a_host_refuses_connections():
+    """Guards against the vote of a killed member that counts until it's silent."""
+    events: list[Event] = []
+    anyio.run(run_beside_a_closed_port, events)
+    assert HostRefusedConnection("c1") in events
+
+
 def test_record_of_a_newer_build_ends_the_start_with_an_event(caplog):
     """Guards against a host that goes on without the records it can't read."""
 
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -8,7 +8,7 @@
 from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.core.consensus.leader import (
     LEARNER_EVICTION_TIMEOUT_S,
-    VOTER_EVICTION_TIMEOUT_S,
+    VOTER_DEMOTION_TIMEOUT_S,
 )
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
@@ -86,7 +86,7 @@
     assert len(all_voters) == 4
     partitioned = follower(simulation)
     simulation.split({partitioned})
-    run_for(simulation, VOTER_EVICTION_TIMEOUT_S + 1.0)
+    run_for(simulation, VOTER_DEMOTION_TIMEOUT_S + 1.0)
     assert voters(simulation) == all_voters - {partitioned}
     simulation.heal()
     run_for(simulation, 5.0)
--- a/tests/core/consensus/test_replacement.py
+++ b/tests/core/consensus/test_replacement.py
@@ -1,7 +1,14 @@
 """Guards against groups that stop for good after hosts were replaced and disks lost."""
 
 import pytest
-from tests.soak_membership import CATCH_UP_S, new_group, run_for, run_seed
+from tests.soak_membership import (
+    CATCH_UP_S,
+    KILLED_VOTE_S,
+    SILENT_VOTE_S,
+    new_group,
+    run_for,
+    run_seed,
+)
 
 from damaskridge.core.consensus.messages import BeginLeave
 
@@ -77,6 +84,40 @@
     simulation.check_serves()
 
 
+@pytest.mark.parametrize("is_killed", [True, False])
+@pytest.mark.parametrize("was_leader", [True, False])
+def test_disk_may_be_lost_after_a_replaced_host_is_gone_without_a_stop(
+    was_leader, is_killed
+):
+    """Guards against quorums that count a host for long after it is gone."""
+    for seed in range(1, 6):
+        simulation = new_group(seed)
+        simulation.add_successor()
+        run_for(simulation, 2 * CATCH_UP_S)
+        host = simulation.leaders()[0] if was_leader else follower(simulation)
+        simulation.stop(host, loses_power=not is_killed)
+        simulation.counted.remove(host)
+        is_noticed_soon = is_killed and not was_leader
+        run_for(simulation, KILLED_VOTE_S if is_noticed_soon else SILENT_VOTE_S)
+        simulation.check_tolerance()
+        lose_disk(simulation, simulation.leaders()[0])
+        simulation.check_serves()
+
+
+def test_voter_that_was_paused_votes_again():
+    """Guards against a group of four that loses a vote for good by a short pause."""
+    simulation = new_group()
+    simulation.add_successor()
+    run_for(simulation, CATCH_UP_S)
+    paused = follower(simulation)
+    simulation.split({paused})
+    run_for(simulation, 1.0)
+    assert paused not in simulation.voters()
+    simulation.heal()
+    run_for(simulation, 1.0)
+    assert simulation.voters() == set(simulation.hosts)
+
+
 def test_voter_of_a_group_of_three_stays_a_voter_while_it_restarts():
     """Its disk is needed if another host loses its own meanwhile."""
     simulation = new_group()
--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -21,7 +21,7 @@
     host_name,
     quorum_size,
 )
-from damaskridge.core.consensus.messages import BeginLeave
+from damaskridge.core.consensus.messages import BeginLeave, HostRefusedConnection
 from tests.soak_consensus import STEP_S, Member, Simulation
 
 __all__ = ["LossSimulation", "new_group", "run_for", "run_seed"]
@@ -42,9 +42,18 @@
 WRITING_SHARE = 0.5
 WRITE_WAIT_S = 0.3
 KINDS = (
-    "replace replace replace_planned replace_planned restart_planned wipe wipe power "
-    "kill_leader cut power_all halves disk_full disk_full"
+    "replace replace replace_planned replace_planned replace_unplanned "
+    "replace_unplanned restart_planned wipe wipe power kill_leader cut power_all "
+    "halves disk_full disk_full"
 ).split()
+# Time within which the group takes the vote of a replaced host that is gone without a
+# stop (docs/design/membership.md): if another host leads and the process was killed, so
+# that connections are refused, and otherwise.
+KILLED_VOTE_S = 0.3
+SILENT_VOTE_S = 2.0
+# How long, and how often, a host without a process is tried by the others.
+REFUSAL_TIME_S = 2.0
+REFUSAL_INTERVAL_STEPS = 5
 
 
 def new_group(seed: int = 1, size: int = 3) -> "LossSimulation":
@@ -70,10 +79,12 @@
     """A control group whose hosts are lost and replaced, one after the other."""
 
     def __init__(self, seed: int, disabled_guards: frozenset[str]) -> None:
+        self.refusing_until_s: dict[str, float] = {}
         super().__init__(seed, disabled_guards)
         self.counted = list(self.hosts)
         self.lost_until_s: dict[str, float] = {}
         self.successors = 0
+        self.steps = 0
         self.log: list[str] = []
 
     @property
@@ -142,6 +153,28 @@
         driver = self.members[host].driver
         return driver is not None and not driver.node.may_stop
 
+    # Connections to hosts without a process
+
+    def step(self) -> None:
+        super().step()
+        self.steps += 1
+        if self.steps % REFUSAL_INTERVAL_STEPS == 0:
+            for host, until_s in self.refusing_until_s.items():
+                if self.now_s < until_s:
+                    self.refuse_connections(host)
+
+    def refuse_connections(self, refusing: str) -> None:
+        for host in self.hosts:
+            if (host, refusing) not in self.blocked_links:
+                self.run(host, HostRefusedConnection(refusing))
+
+    def stop(self, host: str, *, loses_power: bool | None = None) -> None:
+        if loses_power is None:
+            loses_power = self.rng.random() < 0.5
+        super().stop(host, loses_power=loses_power)
+        if not loses_power:
+            self.refusing_until_s[host] = self.now_s + REFUSAL_TIME_S
+
     # Losses
 
     def lose(self, kind: str) -> None:
@@ -173,6 +206,20 @@
         self.counted.remove(host)
         self.lost_until_s[host] = self.lost_until_s[successor]
 
+    def lose_by_replace_unplanned(self) -> None:
+        """Replace a host that goes without a stop once its successor has joined."""
+        host = self.draw_host()
+        successor = self.add_successor()
+        run_for(self, self.rng.uniform(CATCH_UP_S, CATCH_UP_S + 3.0))
+        is_killed = self.rng.random() < 0.5
+        self.note(f"{host} is gone, {'killed' if is_killed else 'without power'}")
+        is_noticed_soon = is_killed and host not in self.leaders()
+        self.stop(host, loses_power=not is_killed)
+        self.counted.remove(host)
+        vote_s = KILLED_VOTE_S if is_noticed_soon else SILENT_VOTE_S
+        self.lost_until_s[host] = self.now_s + vote_s
+        self.lost_until_s[successor] = self.now_s
+
     def lose_by_restart_planned(self) -> None:
         host = self.draw_host()
         self.leave(host)
@@ -271,6 +318,7 @@
             self.members[host].folder.lose()
 
     def start(self, host: str) -> None:
+        self.refusing_until_s.pop(host, None)
         # An observer gets another observer id; other hosts keep what is on their disk.
         if host.startswith("o"):
             self.hosts = tuple(h for h in self.hosts if h != host)
