Take an event id of thousands of digits for no id

What callers saw: 500 of our own for a stream with such an id. Cause: Python refuses to parse a number of over 4,300 digits with a ValueError. Change: an id has at most 20 digits; an event with a longer one is not valid, so that its stream is broken and may go on at another engine. Result: test_id_of_thousands_of_digits_is_no_id failed before (ValueError).

--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -20,7 +20,8 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LONGEST_EVENT_END_BYTES = 4
-_ID_LINE = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?:\n|$)")
+# Python refuses to parse numbers of thousands of digits.
+_ID_LINE = re.compile(rb"(?:^|\n)id: ?(\d{1,20})\r?(?:\n|$)")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/gateway/test_event_stream.py
+++ b/tests/core/gateway/test_event_stream.py
@@ -39,3 +39,9 @@
     except EventTooLong:
         return
     assert size_bytes + len(splitter.rest) == sum(map(len, pieces))
+
+
+def test_id_of_thousands_of_digits_is_no_id():
+    """Guards against the error that Python raises for such a number."""
+    (event,) = EventSplitter().feed(b"id: " + b"7" * 5000 + b"\n\n")
+    assert event.event_id is None and not event.is_valid
