Give way to timers between the parts of one buffer

Cause: the loop over the parts of a body awaits nothing while received bytes are left, and a buffer of 64 KB can hold thousands of parts. Change: other tasks run after every 64 parts. Result: test_host_gives_way_to_timers_within_one_buffer_of_tiny_parts sees no other turn of the loop for 8,000 parts without the change, and over 100 with it.

--- a/src/damaskridge/adapters/gateway/connections.py
+++ b/src/damaskridge/adapters/gateway/connections.py
@@ -44,6 +44,9 @@
 TCP_USER_TIMEOUT_MS = 3_000
 MAX_CONNECT_ATTEMPTS = 2
 MAX_STATUS = 599
+# Parts of a body that are handed on before other tasks and timers run. A full buffer
+# may hold thousands of them.
+MAX_PARTS_PER_TURN = 64
 _BODILESS_STATUSES = frozenset({204, 304})
 _INT = struct.Struct("i")
 
@@ -314,6 +317,7 @@
         ConnectionBroken
             The connection ended before the body was complete.
         """
+        part_count = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -323,6 +327,9 @@
             if not isinstance(event, h11.Data):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
             yield bytes(event.data)
+            part_count += 1
+            if part_count % MAX_PARTS_PER_TURN == 0:
+                await asyncio.sleep(0)
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """
--- a/tests/adapters/gateway/test_streams.py
+++ b/tests/adapters/gateway/test_streams.py
@@ -13,6 +13,7 @@
     response,
 )
 
+from damaskridge.adapters.gateway.connections import open_connection
 from damaskridge.model.gateway import EngineStage
 
 
@@ -363,3 +364,36 @@
         assert "x-kv-hold" in resumed.headers
 
     run_async(main)
+
+
+def test_host_gives_way_to_timers_within_one_buffer_of_tiny_parts():
+    """Guards against a server that holds up all other requests of its host."""
+
+    async def main():
+        body = b"".join(chunk(b":\n\n") for _ in range(8000)) + b"0\r\n\r\n"
+
+        async def script(request, writer):
+            writer.write(chunked_head(request) + body)
+
+        turns = 0
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        server = StandIn("e", script, None, "llm")
+        async with gateway(server):
+            connection = await open_connection(server.address, 1.0)
+            await connection.send("POST", b"/gen/x", [(b"host", b"h")], b"")
+            await connection.head()
+            await asyncio.sleep(0.2)
+            counter = asyncio.ensure_future(count_turns())
+            parts = [part async for part in connection.body()]
+            counter.cancel()
+            connection.close()
+        assert len(parts) == 8000
+        assert turns >= 100
+
+    run_async(main)
