--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -20,6 +20,7 @@
 from damaskridge.adapters.http.operators_app import operators_app
 from damaskridge.adapters.observability.event_metrics import install_event_metrics
 from damaskridge.adapters.observability.events import configure_logging, log_event
+from damaskridge.adapters.observability.loop_watch import LoopWatch
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.rpc.control_server import control_services
 from damaskridge.binaries.control_settings import ControlSettings
@@ -58,13 +59,17 @@
         raise _StartFailed(listener.err_value)
     metrics = Metrics()
     install_event_metrics(metrics)
+    loop_watch = LoopWatch()
+    loop_watch.add_to(metrics)
     metrics.add_gauge("is_leader", "Whether this host leads", lambda: node.is_leader)
     metrics.add_gauge("term", "Term of the replicated log", lambda: node.term)
     metrics.add_gauge(
         "bundle_version", "Bundle in force", lambda: state.fleet_snapshot().version
     )
     app = operators_app(metrics, lambda: bool(node.leader_address) or node.is_leader)
-    await HttpServer(app).run_on(listener.ok_value)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(loop_watch.run)
+        tasks.start_soon(HttpServer(app).run_on, listener.ok_value)
 
 
 async def run_control(settings: ControlSettings, state: ControlState) -> None:
--- a/src/damaskridge/binaries/entry_host.py
+++ b/src/damaskridge/binaries/entry_host.py
@@ -24,6 +24,7 @@
 from damaskridge.adapters.http_client import BackendClient
 from damaskridge.adapters.observability.event_metrics import install_event_metrics
 from damaskridge.adapters.observability.events import configure_logging, log_event
+from damaskridge.adapters.observability.loop_watch import LoopWatch
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.owners import OwnerRuntimes
 from damaskridge.adapters.ownership import lease_is_valid
@@ -112,6 +113,7 @@
         self.caller_server = HttpServer(
             CallerApp(self.front), settings.front.max_header_bytes
         )
+        self._loop_watch = LoopWatch()
         self.operators_server = HttpServer(
             operators_app(self._metrics(), self.is_ready)
         )
@@ -129,6 +131,7 @@
         async with anyio.create_task_group() as group:
             for service in (self.channels, self.control, self.owners, self.front):
                 group.start_soon(service.run)
+            group.start_soon(self._loop_watch.run)
             stopped = anyio.Event()
             group.start_soon(self._serve_callers, caller, stopped)
             group.start_soon(self.operators_server.run_on, operators)
@@ -191,6 +194,7 @@
     def _metrics(self) -> Metrics:
         metrics = Metrics()
         install_event_metrics(metrics)
+        self._loop_watch.add_to(metrics)
         control, owners = self.control, self.owners
         metrics.add_gauge(
             "queue_length", "Requests that wait here", lambda: owners.cells.queue_length
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -359,6 +359,7 @@
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self.control.run)
+            group.start_soon(self._operators.loop_watch.run)
             group.start_soon(self._prune)
             group.start_soon(self._list_refresh.run)
             group.start_soon(self._host_probes.run)
--- a/src/damaskridge/binaries/gateway_operators.py
+++ b/src/damaskridge/binaries/gateway_operators.py
@@ -12,6 +12,7 @@
 from damaskridge.adapters.http.explain_page import explain_page
 from damaskridge.adapters.http.operators_app import AsgiApp, operators_app
 from damaskridge.adapters.observability.event_metrics import install_event_metrics
+from damaskridge.adapters.observability.loop_watch import LoopWatch
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.core.gateway.instance_replication import InstanceListReplica
 from damaskridge.core.gateway.instances import InstanceRegistry
@@ -58,6 +59,8 @@
     ) -> None:
         self.metrics = Metrics()
         install_event_metrics(self.metrics)
+        self.loop_watch = LoopWatch()
+        self.loop_watch.add_to(self.metrics)
         self._explainer = Explainer(
             host=host,
             data_centre=data_centre,
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -21,6 +21,7 @@
     configure_bounded_logging,
     log_event,
 )
+from damaskridge.adapters.observability.loop_watch import LoopWatch
 from damaskridge.adapters.observability.metrics import Metrics
 from damaskridge.adapters.operator_proposals import OperatorProposals
 from damaskridge.adapters.replicated_evacuations import ReplicatedEvacuations
@@ -115,9 +116,13 @@
     async with anyio.create_task_group() as group:
         group.start_soon(_stop_on_signal, node)
         group.start_soon(_ignore_reloads)
+        loop_watch = LoopWatch()
+        group.start_soon(loop_watch.run)
         group.start_soon(HttpServer(app).run_on, operators)
         if metrics.is_ok():
-            metrics_application = metrics_app(_metrics(node, state), lambda: True)
+            metrics_application = metrics_app(
+                _metrics(node, state, loop_watch), lambda: True
+            )
             group.start_soon(HttpServer(metrics_application).run_on, metrics.unwrap())
         for service in services:
             group.start_soon(service.run)
@@ -143,9 +148,10 @@
             pass
 
 
-def _metrics(node: ControlNode, state: ControlState) -> Metrics:
+def _metrics(node: ControlNode, state: ControlState, loop_watch: LoopWatch) -> Metrics:
     metrics = Metrics()
     install_event_metrics(metrics)
+    loop_watch.add_to(metrics)
     metrics.add_gauge("is_leader", "Whether this host leads", lambda: node.is_leader)
     metrics.add_gauge("term", "Term of the replicated log", lambda: node.term)
     metrics.add_gauge(
