Don't count two lost voters in a group larger than it has to be

What callers would see: a group of five control hosts, two of which were replaced at once, stops for good when two further disks are lost, which the larger deployments tolerate. Cause: both successors became voters before a lost voter lost its vote, and a group of odd size, seven here, kept all votes: any of them could be needed if hosts are only cut off. Change: a lost voter loses its vote before a successor gets one; and a host that knows how many losses are to be tolerated (FaultTolerance.Machines) needs no more than 2n + 1 votes. A group never shrinks below that, so that as many copies of an entry exist as before. without_unreachable_member is parted into with_voter_as_learner and without_lost_learner; the check that groups of two and three keep their votes asks is_vote_needed, which decides it now.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -107,6 +107,8 @@
         Whether this member may bootstrap a new group.
     is_observer : bool
         Whether the member never votes, since its folder is lost with the process.
+    tolerated_losses : int or None
+        Number of control hosts that may be lost at a time; None if it is unknown.
     wall_ms : callable
         Returns the wall clock in milliseconds.
     """
@@ -120,6 +122,7 @@
         rng: random.Random,
         may_bootstrap: bool = True,
         is_observer: bool = False,
+        tolerated_losses: int | None = None,
         wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
         self._host = host
@@ -131,6 +134,7 @@
         self._rng = rng
         self._may_form = may_bootstrap
         self._is_observer = is_observer
+        self._tolerated_losses = tolerated_losses
         self._empty_state = state.encode()
         store = LogStore(folder, self._new_disk_id())
         stored = _open_store(store)
@@ -314,6 +318,7 @@
             anyio.current_time(),
             tuple(sorted(self._members)),
             self._may_form,
+            tolerated_losses=self._tolerated_losses,
         )
 
     def _rejoin_empty(self) -> None:
--- a/src/damaskridge/adapters/raft_driver.py
+++ b/src/damaskridge/adapters/raft_driver.py
@@ -48,6 +48,8 @@
         Most entries of one message.
     guards : Guards
         Safety rules; all of them are on outside tests.
+    tolerated_losses : int or None
+        Number of hosts that may be lost at a time; None if it is unknown.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         may_bootstrap: bool = True,
         max_entries: int = 64,
         guards: Guards | None = None,
+        tolerated_losses: int | None = None,
     ) -> None:
         self._guards = guards or Guards()
         self._store = store
@@ -75,6 +78,7 @@
             may_bootstrap,
             max_entries,
             self._guards,
+            tolerated_losses,
         )
 
     def run(self, events: Iterable[Event], now_s: float) -> list[Action]:
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -87,6 +87,7 @@
         # could bootstrap a second group beside theirs.
         may_bootstrap=settings.first_start and name in settings.control_addresses,
         is_observer=settings.data_folder is None,
+        tolerated_losses=settings.tolerated_losses,
     )
     reader = PlatformInstanceListReader(settings.list_address)
     services = control_services(
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -10,10 +10,11 @@
 from damaskridge.core.consensus.membership import (
     host_name,
     is_single_voter_change,
+    is_vote_needed,
     next_promotion,
     with_learner,
     with_voter_as_learner,
-    without_unreachable_member,
+    without_lost_learner,
 )
 from damaskridge.core.consensus.messages import (
     Guards,
@@ -64,11 +65,19 @@
         Maximum number of entries in one message.
     now_s : float
         Time at which the election was won.
+    tolerated_losses : int or None
+        Number of hosts that may be lost at a time; None if it is unknown.
     """
 
     def __init__(
-        self, state: MemberState, guards: Guards, max_entries: int, now_s: float
+        self,
+        state: MemberState,
+        guards: Guards,
+        max_entries: int,
+        now_s: float,
+        tolerated_losses: int | None = None,
     ) -> None:
+        self._tolerated_losses = tolerated_losses
         self._max_entries = max_entries
         self._state = state
         self._guards = guards
@@ -333,22 +342,26 @@
             progress = self._progress.get(member)
             return 0.0 if progress is None else now_s - progress.last_contact_s
 
-        def is_lost_voter(member: str) -> bool:
+        def is_lost_learner(member: str) -> bool:
+            return silence_s(member) > LEARNER_EVICTION_TIMEOUT_S
+
+        def is_dispensable_voter(member: str) -> bool:
             progress = self._progress.get(member)
             is_stopped = progress is not None and progress.is_stopped
-            return is_stopped or silence_s(member) > VOTER_DEMOTION_TIMEOUT_S
+            is_silent = silence_s(member) > VOTER_DEMOTION_TIMEOUT_S
+            return is_leaving(member) or is_stopped or is_silent
 
         if not self._can_change_membership():
             return
-        state = self._state
+        state, change = self._state, None
+        # A lost voter comes first: promotions beside it could make a group of odd size
+        # that needs every vote.
+        if not is_vote_needed(state.membership, self._tolerated_losses):
+            change = with_voter_as_learner(state.membership, is_dispensable_voter)
         change = (
-            with_voter_as_learner(state.membership, is_leaving)
+            change
             or next_promotion(state.membership, state.name, has_caught_up)
-            or without_unreachable_member(
-                state.membership,
-                lambda member: silence_s(member) > LEARNER_EVICTION_TIMEOUT_S,
-                is_lost_voter,
-            )
+            or without_lost_learner(state.membership, is_lost_learner)
         )
         if change is not None:
             self._append_and_replicate((b"",), change, now_s)
--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -25,7 +25,7 @@
     "quorum_size",
     "with_learner",
     "with_voter_as_learner",
-    "without_unreachable_member",
+    "without_lost_learner",
 ]
 
 OBSERVER_PREFIX = "observer-"
@@ -87,20 +87,37 @@
     return None
 
 
-def is_vote_needed(membership: Membership) -> bool:
+def is_vote_needed(membership: Membership, tolerated_losses: int | None = None) -> bool:
     """
-    Return whether the group tolerates fewer lost disks without one of its voters.
+    Return whether the group has too few votes to do without one.
 
-    A group of even size tolerates no more of them than a group with one voter fewer,
-    which needs a smaller quorum.
+    A group of even size tolerates no more lost disks than a group with one voter fewer,
+    which needs a smaller quorum. A larger group than the tolerated losses require only
+    enlarges the quorum, too.
 
+    Parameters
+    ----------
+    membership : Membership
+        The members of the group.
+    tolerated_losses : int or None
+        Number of hosts that may be lost at a time; None if it is unknown.
+
+    Examples
+    --------
     >>> is_vote_needed(Membership(("a#1", "b#1", "c#1")))
     True
     >>> is_vote_needed(Membership(("a#1", "b#1", "c#1", "d#1")))
     False
+    >>> five = Membership(("a#1", "b#1", "c#1", "d#1", "e#1"))
+    >>> is_vote_needed(five), is_vote_needed(five, tolerated_losses=1)
+    (True, False)
     """
     count = len(membership.voters)
-    return count <= MIN_FAULT_TOLERANT_VOTERS or count % 2 == 1
+    if count <= MIN_FAULT_TOLERANT_VOTERS:
+        return True
+    if tolerated_losses is not None and count > 2 * tolerated_losses + 1:
+        return False
+    return count % 2 == 1
 
 
 def with_voter_as_learner(
@@ -112,28 +129,17 @@
     A voter that is about to stop receives the entry that takes its vote as a learner,
     and stops only afterwards. A learner that comes back becomes a voter again.
     """
-    if is_vote_needed(membership):
-        return None
     voters, learners = membership.voters, membership.learners
     for voter in filter(is_dispensable, voters):
         return Membership(tuple(v for v in voters if v != voter), (*learners, voter))
     return None
 
 
-def without_unreachable_member(
-    membership: Membership,
-    is_lost_learner: Callable[[str], bool],
-    is_lost_voter: Callable[[str], bool],
+def without_lost_learner(
+    membership: Membership, is_lost: Callable[[str], bool]
 ) -> Membership | None:
-    """
-    Return the membership without one unreachable member, or None.
-
-    A voter becomes a learner, and only in a group that doesn't need its vote. The
-    permanent loss of a host, or its replacement by a host with another name, thus does
-    not lower the fault tolerance afterwards. A learner that was only paused or
-    partitioned catches up and votes again.
-    """
+    """Return the membership without one learner that is lost, or None."""
     voters, learners = membership.voters, membership.learners
-    for learner in filter(is_lost_learner, learners):
+    for learner in filter(is_lost, learners):
         return Membership(voters, tuple(x for x in learners if x != learner))
-    return with_voter_as_learner(membership, is_lost_voter)
+    return None
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -85,6 +85,8 @@
         Maximum number of entries in one message.
     guards : Guards
         The safety rules; all are enabled outside tests.
+    tolerated_losses : int or None
+        Number of hosts that may be lost at a time; None if it is unknown.
 
     Attributes
     ----------
@@ -105,7 +107,9 @@
         may_bootstrap: bool = True,
         max_entries: int = MAX_ENTRIES_PER_MESSAGE,
         guards: Guards | None = None,
+        tolerated_losses: int | None = None,
     ) -> None:
+        self._tolerated_losses = tolerated_losses
         self._state = MemberState(name, log, hard_state)
         self._rng = rng
         self._guards = guards or Guards()
@@ -164,7 +168,7 @@
         if self._leader is not None and self._leader.has_successor():
             return False
         if self.name in membership.voters:
-            return is_vote_needed(membership)
+            return is_vote_needed(membership, self._tolerated_losses)
         return self.log.membership_index() <= state.commit_index
 
     def add_join_target(self, host: str) -> None:
@@ -440,7 +444,13 @@
         self.role = Role.LEADER
         self.leader_name = self.name
         self._state.actions.append(LeadershipWon(self.term))
-        self._leader = Leader(self._state, self._guards, self._max_entries, now_s)
+        self._leader = Leader(
+            self._state,
+            self._guards,
+            self._max_entries,
+            now_s,
+            self._tolerated_losses,
+        )
 
     def _become_follower(self, term: int, leader: str, now_s: float) -> None:
         if self._leader is not None:
--- a/src/damaskridge/platform/settings.py
+++ b/src/damaskridge/platform/settings.py
@@ -81,6 +81,8 @@
     quota_slack : float
         Admissions beyond the rate limit of a workspace that the operator tolerates,
         over all hosts together.
+    tolerated_losses : int or None
+        Number of control hosts that may be lost at a time; None if it is unknown.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -109,6 +111,7 @@
     retry_slack: float = Field(0.0, alias="Bounds.RetrySlack", ge=0)
     retry_window_s: float = Field(10.0, alias="Bounds.RetryWindowS", gt=0)
     quota_slack: float = Field(0.0, alias="Bounds.QuotaSlack", ge=0)
+    tolerated_losses: int | None = Field(None, alias="FaultTolerance.Machines", ge=0)
 
     @model_validator(mode="before")
     @classmethod
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -13,7 +13,7 @@
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
     host_name,
-    without_unreachable_member,
+    is_vote_needed,
 )
 from damaskridge.model.consensus import Membership
 
@@ -101,11 +101,7 @@
     run_for(simulation, LEARNER_EVICTION_TIMEOUT_S + 5.0)
     assert stopped in voters(simulation)
     for names in (("a#1", "b#2"), ("a#1", "b#2", "c#3")):
-        membership = Membership(names)
-        assert (
-            without_unreachable_member(membership, lambda _: False, lambda _: True)
-            is None
-        )
+        assert is_vote_needed(Membership(names))
 
 
 def test_group_that_restarts_at_once_does_not_wait_for_its_last_leader():
--- a/tests/core/consensus/test_replacement.py
+++ b/tests/core/consensus/test_replacement.py
@@ -104,6 +104,22 @@
         simulation.check_serves()
 
 
+def test_disks_may_be_lost_after_two_hosts_were_replaced_at_once():
+    """Guards against seven voters of which two are gone for good."""
+    for seed in range(1, 4):
+        simulation = new_group(seed, size=5)
+        for host in [h for h in simulation.hosts if h not in simulation.leaders()][:2]:
+            simulation.stop(host, loses_power=True)
+            simulation.counted.remove(host)
+        for _ in range(2):
+            simulation.add_successor()
+        run_for(simulation, CATCH_UP_S + 0.1)
+        simulation.check_tolerance()
+        for host in simulation.counted[:2]:
+            lose_disk(simulation, host)
+        simulation.check_serves()
+
+
 def test_voter_that_was_paused_votes_again():
     """Guards against a group of four that loses a vote for good by a short pause."""
     simulation = new_group()
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -113,6 +113,7 @@
         self.rng = random.Random(seed)
         self.guards = m.Guards(**{name: False for name in disabled_guards})
         self.hosts = tuple(f"c{i}" for i in range(self.rng.choice((3, 5))))
+        self.tolerated_losses = self.known_tolerance()
         self.members = {host: Member(host) for host in self.hosts}
         self.invariants = Invariants()
         self.in_flight: list[tuple[float, int, str, str, wire.Message]] = []
@@ -128,6 +129,10 @@
         for host in self.hosts:
             self.start(host)
 
+    def known_tolerance(self) -> int | None:
+        """Return how many hosts the members know that may be lost at a time."""
+        return None
+
     # Processes and disks
 
     def start(self, host: str) -> None:
@@ -149,7 +154,7 @@
         rng = random.Random(self.rng.getrandbits(64))
         driver = RaftDriver(
             host, store, stored, rng, self.now_s, self.hosts,
-            max_entries=3, guards=self.guards,
+            max_entries=3, guards=self.guards, tolerated_losses=self.tolerated_losses,
         )  # fmt: skip
         member.driver = driver
         member.pending_proposals, member.pending_reads, member.ready_reads = {}, {}, []
--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -87,6 +87,9 @@
         self.steps = 0
         self.log: list[str] = []
 
+    def known_tolerance(self) -> int:
+        return (len(self.hosts) - 1) // 2
+
     @property
     def tolerance(self) -> int:
         """Number of counted hosts that may be lost at a time."""
@@ -117,6 +120,7 @@
             self.now_s,
             tuple(sorted({host, *seeds})),
             may_bootstrap=False,
+            tolerated_losses=self.tolerated_losses,
         )
         self.hosts = (*self.hosts, host)
 
