--- a/src/damaskridge/adapters/rpc/control_group.py
+++ b/src/damaskridge/adapters/rpc/control_group.py
@@ -138,7 +138,7 @@
     Attributes
     ----------
     host : str
-        The same name.
+        Name of the other member's host.
     """
 
     def __init__(
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -47,7 +47,7 @@
 # membership.
 LEARNER_EVICTION_TIMEOUT_S = 15.0
 # Until a replaced host loses its vote, the group tolerates one loss fewer. To take the
-# vote of a host that was only paused costs a group of even size nothing.
+# vote of a host that was only paused costs a group nothing that doesn't need the vote.
 VOTER_DEMOTION_TIMEOUT_S = ELECTION_TIMEOUT_RANGE_S[1]
 
 
--- a/tests/adapters/gateway/test_early_responses.py
+++ b/tests/adapters/gateway/test_early_responses.py
@@ -19,19 +19,17 @@
 
     async def _read_request(self, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        self.content_length = int(head.lower().split("content-length: ")[1].split()[0])
         attempt = head.lower().split("x-attempt-id: ")[1].split()[0]
-        request = await super()._read_request(_head_reader(attempt))
+        # The same head without a length, so that no body is waited for.
+        bodiless = asyncio.StreamReader()
+        bodiless.feed_data(
+            b"POST /x HTTP/1.1\r\nx-attempt-id: %s\r\n\r\n" % attempt.encode()
+        )
+        request = await super()._read_request(bodiless)
         request.reader = reader
         return request
 
 
-def _head_reader(attempt):
-    reader = asyncio.StreamReader()
-    reader.feed_data(b"POST /x HTTP/1.1\r\nx-attempt-id: %s\r\n\r\n" % attempt.encode())
-    return reader
-
-
 def early(end, *, stream=False, part=b"a part"):
     """Respond at once without a length, and end the connection in some way."""
 
@@ -70,8 +68,7 @@
 
 def early_engines(script):
     prefill, decode = engines(script)
-    early_decode = EarlyStandIn(**{**vars(decode)})
-    return prefill, early_decode
+    return prefill, EarlyStandIn(**vars(decode))
 
 
 @pytest.fixture
