--- a/src/damaskridge/adapters/disk/store.py
+++ b/src/damaskridge/adapters/disk/store.py
@@ -22,11 +22,11 @@
 SEGMENT_PREFIX = "log-"
 
 
+# `synced_bytes` is the size of the part of the segment that was synced before a record
+# was written. `is_complete` is encoded last, so that no record ends with a zero byte.
 class _EntryRecord(msgspec.Struct, frozen=True, tag="e"):
     entry: LogEntry
-    # Size of the part of the segment that was synced before the record was written.
     synced_bytes: int = 0
-    # Encoded last, so that the last byte of a record is never zero.
     is_complete: bool = True
 
 
