Let a successor take the vote of the host that it replaces

Change: each member with a disk tells its data centre in AppendReply. A successor takes the vote of the only other host with a disk in its data centre as soon as it has caught up; that host stays as a learner that is up to date. If another host goes than the one so shown, the learner votes in its place: the lost voter goes first, so that no quorum counts it. Why this works: when the replaced host goes it has no vote, so that its end loses none.

--- a/src/damaskridge/adapters/control_node.py
+++ b/src/damaskridge/adapters/control_node.py
@@ -111,6 +111,8 @@
         Number of control hosts that may be lost at a time; None if it is unknown.
     is_added : bool
         Whether the host was added after the first start of the group.
+    data_centre : str
+        Data centre of the host; empty if it is unknown.
     wall_ms : callable
         Returns the wall clock in milliseconds.
     """
@@ -126,6 +128,7 @@
         is_observer: bool = False,
         tolerated_losses: int | None = None,
         is_added: bool = False,
+        data_centre: str = "",
         wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
         self._host = host
@@ -139,6 +142,7 @@
         self._is_observer = is_observer
         self._tolerated_losses = tolerated_losses
         self._is_added = is_added
+        self._data_centre = data_centre
         self._empty_state = state.encode()
         store = LogStore(folder, self._new_disk_id())
         stored = _open_store(store)
@@ -324,6 +328,7 @@
             self._may_form,
             tolerated_losses=self._tolerated_losses,
             is_added=self._is_added,
+            data_centre=self._data_centre,
         )
 
     def _rejoin_empty(self) -> None:
--- a/src/damaskridge/adapters/raft_driver.py
+++ b/src/damaskridge/adapters/raft_driver.py
@@ -52,6 +52,8 @@
         Number of hosts that may be lost at a time; None if it is unknown.
     is_added : bool
         Whether the host was added after the first start of the group.
+    data_centre : str
+        Data centre of the host; empty if it is unknown.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         guards: Guards | None = None,
         tolerated_losses: int | None = None,
         is_added: bool = False,
+        data_centre: str = "",
     ) -> None:
         self._guards = guards or Guards()
         self._store = store
@@ -83,6 +86,7 @@
             self._guards,
             tolerated_losses,
             is_added,
+            data_centre,
         )
 
     def run(self, events: Iterable[Event], now_s: float) -> list[Action]:
--- a/src/damaskridge/binaries/control.py
+++ b/src/damaskridge/binaries/control.py
@@ -92,6 +92,7 @@
         random.Random(),
         may_bootstrap=not settings.join_as_learner,
         is_added=settings.join_as_learner,
+        data_centre=settings.data_centre,
     )
     services = control_services(node, state)
     server = Server([node.service(), *services], codec=MsgpackCodec())
--- a/src/damaskridge/binaries/platform_control.py
+++ b/src/damaskridge/binaries/platform_control.py
@@ -89,6 +89,7 @@
         is_observer=settings.data_folder is None,
         tolerated_losses=settings.tolerated_losses,
         is_added=not settings.first_start,
+        data_centre=settings.data_centre,
     )
     reader = PlatformInstanceListReader(settings.list_address)
     services = control_services(
--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -10,12 +10,12 @@
 from damaskridge.core.consensus.membership import (
     host_name,
     is_single_voter_change,
-    is_vote_needed,
-    may_count_replaced_voter,
-    next_promotion,
     with_learner,
-    with_voter_as_learner,
-    without_lost_learner,
+)
+from damaskridge.core.consensus.membership_changes import (
+    VOTER_DEMOTION_TIMEOUT_S,
+    CommitRule,
+    MembershipChanges,
 )
 from damaskridge.core.consensus.messages import (
     Guards,
@@ -44,12 +44,6 @@
 MAX_COMMAND_BYTES_PER_MESSAGE = 1_000_000
 SNAPSHOT_RETRY_INTERVAL_S = 1.0
 TRANSFER_TIMEOUT_S = ELECTION_TIMEOUT_RANGE_S[1]
-# Longer than the usual restart, pause or partition, so that none of these changes the
-# membership.
-LEARNER_EVICTION_TIMEOUT_S = 15.0
-# Until a replaced host loses its vote, the group tolerates one loss fewer. To take the
-# vote of a host that was only paused costs a group nothing that doesn't need the vote.
-VOTER_DEMOTION_TIMEOUT_S = ELECTION_TIMEOUT_RANGE_S[1]
 
 
 class Leader:
@@ -68,6 +62,8 @@
         Time at which the election was won.
     tolerated_losses : int or None
         Number of hosts that may be lost at a time; None if it is unknown.
+    data_centre : str
+        Data centre of the leader's host; empty if it is unknown.
     """
 
     def __init__(
@@ -77,12 +73,16 @@
         max_entries: int,
         now_s: float,
         tolerated_losses: int | None = None,
+        data_centre: str = "",
     ) -> None:
-        self._tolerated_losses = tolerated_losses
         self._max_entries = max_entries
         self._state = state
         self._guards = guards
         self._progress: dict[str, Progress] = {}
+        self._changes = MembershipChanges(
+            state.name, self._progress, data_centre, tolerated_losses, now_s
+        )
+        self._commit_rule = CommitRule.QUORUM
         self._pending_reads = ReadIndexQueue()
         self._round = 0
         self._next_heartbeat_s = now_s
@@ -110,10 +110,8 @@
             return False
         if self._transfer_target and now_s >= self._transfer_deadline_s:
             self._transfer_target = ""
-        if self._awaited_index <= self._state.commit_index:
-            self._awaited_index = self._replicated_index
-            self._awaited_since_s = now_s
         self._advance_membership(now_s)
+        self._update_commit_rule(now_s)
         if now_s >= self._next_heartbeat_s:
             self._replicate_to_all(now_s)
         return True
@@ -184,6 +182,7 @@
             return
         progress.record_contact(now_s)
         progress.is_leaving = reply.is_leaving
+        progress.data_centre = reply.data_centre
         if reply.accepted:
             assert reply.match_index <= self._state.log.last_index
             progress.record_acknowledgement(reply.match_index, reply.round)
@@ -222,6 +221,7 @@
             tuple(LogEntry(first + i, term, c, change) for i, c in enumerate(commands))
         )
         self._update_progress(now_s)
+        self._update_commit_rule(now_s)
         self._replicate_to_all(now_s)
 
     def _update_progress(self, now_s: float) -> None:
@@ -306,24 +306,34 @@
             own if v == self._state.name else value(progress[v]) for v in voters
         )
 
-    def _advance_commit(self) -> None:
-        """
-        Commit what a quorum has, or all voters if one of them may be gone for good.
+    def _update_commit_rule(self, now_s: float) -> None:
+        state = self._state
+        self._commit_rule = self._changes.commit_rule(
+            state.membership, state.commit_index, now_s
+        )
 
-        While a quorum counts a replaced host that is gone, the group would stop for
-        good if another voter lost its disk after an acknowledgement.
-        """
+    def _advance_commit(self) -> None:
+        """Commit what a quorum has, or all voters while one of them may be gone."""
         state = self._state
         index = int(self._quorum_value(lambda p: p.match_index, state.log.synced_index))
         if not self._can_commit(index):
             return
         self._replicated_index = max(self._replicated_index, index)
-        if may_count_replaced_voter(state.membership, self._tolerated_losses):
+        if self._is_commit_delayed():
+            return
+        if self._commit_rule is CommitRule.ALL_VOTERS:
             index = min(index, self._index_of_all_voters())
         if index > state.commit_index and self._can_commit(index):
             state.commit(index)
             self._complete_reads()
 
+    def _is_commit_delayed(self) -> bool:
+        """Return whether the next change of members has to be replicated first."""
+        if not self._state.membership.successors:
+            return False
+        is_pending = self._state.log.membership_index() > self._replicated_index
+        return is_pending or self._commit_rule is CommitRule.NONE
+
     def _can_commit(self, index: int) -> bool:
         # An entry of an earlier term may still be replaced although a quorum has it
         # (Raft, section 5.4.2), so only an entry of this term is committed by counting.
@@ -361,51 +371,21 @@
         return log.term(index) == self._state.term and log.membership_index() <= index
 
     def _advance_membership(self, now_s: float) -> None:
-        def has_caught_up(member: str) -> bool:
-            progress = self._progress[member]
-            is_recent = progress.last_contact_s >= now_s - ELECTION_TIMEOUT_RANGE_S[0]
-            return (
-                is_recent
-                and not progress.is_leaving
-                and progress.match_index >= self._state.commit_index
-            )
-
-        def is_leaving(member: str) -> bool:
-            progress = self._progress.get(member)
-            return progress is not None and progress.is_leaving
-
-        def silence_s(member: str) -> float:
-            progress = self._progress.get(member)
-            return 0.0 if progress is None else now_s - progress.last_contact_s
-
-        def is_lost_learner(member: str) -> bool:
-            return silence_s(member) > LEARNER_EVICTION_TIMEOUT_S
-
-        def is_late(member: str) -> bool:
-            progress = self._progress.get(member)
-            return (
-                progress is not None
-                and progress.match_index < self._awaited_index
-                and now_s > self._awaited_since_s + VOTER_DEMOTION_TIMEOUT_S
-            )
-
-        def is_dispensable_voter(member: str) -> bool:
-            progress = self._progress.get(member)
-            is_stopped = progress is not None and progress.is_stopped
-            is_silent = silence_s(member) > VOTER_DEMOTION_TIMEOUT_S
-            return is_leaving(member) or is_stopped or is_silent or is_late(member)
-
+        """Make the next change of members, if one is due and none is pending."""
+        state = self._state
+        if self._awaited_index <= state.commit_index:
+            self._awaited_index = self._replicated_index
+            self._awaited_since_s = now_s
         if not self._can_change_membership():
             return
-        state, change = self._state, None
-        # A lost voter comes first: promotions beside it could make a group of odd size
-        # that needs every vote.
-        if not is_vote_needed(state.membership, self._tolerated_losses):
-            change = with_voter_as_learner(state.membership, is_dispensable_voter)
-        change = (
-            change
-            or next_promotion(state.membership, state.name, has_caught_up)
-            or without_lost_learner(state.membership, is_lost_learner)
+        if self._changes.is_leader_replaced(state.membership, now_s):
+            self.transfer_leadership(now_s)
+        is_late = now_s > self._awaited_since_s + VOTER_DEMOTION_TIMEOUT_S
+        change = self._changes.next_change(
+            state.membership,
+            state.commit_index,
+            self._awaited_index if is_late else 0,
+            now_s,
         )
         if change is not None:
             self._append_and_replicate((b"",), change, now_s)
--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -21,11 +21,14 @@
 __all__ = [
     "OBSERVER_PREFIX",
     "host_name",
+    "is_complete",
     "is_observer",
     "is_vote_needed",
     "may_count_replaced_voter",
+    "may_have_spare",
     "next_promotion",
     "quorum_size",
+    "replaced_members",
     "with_learner",
     "with_voter_as_learner",
     "without_lost_learner",
@@ -98,6 +101,68 @@
     return replace(membership, learners=(*others, member), successors=successors)
 
 
+def replaced_members(
+    membership: Membership,
+    data_centre_of: Callable[[str], str],
+    is_present: Callable[[str], bool] = lambda member: True,
+) -> list[str]:
+    """
+    Return the members whose votes successors in their data centres have taken.
+
+    A successor replaces the only other member with a disk in its data centre. If there
+    are several, the settings don't show which of them it replaces. The result is in the
+    order in which the successors were added.
+
+    Parameters
+    ----------
+    membership : Membership
+        The members of the group.
+    data_centre_of : callable
+        Returns the data centre of a member, empty if it is unknown.
+    is_present : callable
+        Returns whether a learner is in contact. A lost one was replaced earlier.
+
+    Examples
+    --------
+    >>> four = Membership(("a#1", "b#1", "c#1", "d#1"), successors=("d#1",))
+    >>> replaced_members(four, {"a#1": "x", "b#1": "y", "c#1": "z", "d#1": "z"}.get)
+    ['c#1']
+    """
+    successors = membership.successors
+    members = (*membership.voters, *filter(is_present, membership.learners))
+    replaced = []
+    for position, successor in enumerate(successors):
+        data_centre = data_centre_of(successor)
+        if successor not in membership.voters or not data_centre:
+            continue
+        neighbours = [
+            member
+            for member in members
+            if member not in successors[position:]
+            and not is_observer(member)
+            and data_centre_of(member) == data_centre
+        ]
+        if len(neighbours) == 1:
+            replaced.append(neighbours[0])
+    return replaced
+
+
+def may_have_spare(membership: Membership) -> bool:
+    """Return whether a learner may be a replaced member that could vote again."""
+    return bool(membership.successors) and any(
+        not is_observer(learner) for learner in membership.learners
+    )
+
+
+def is_complete(membership: Membership, tolerated_losses: int | None = None) -> bool:
+    """Return whether one voter more would only enlarge the quorum."""
+    count = len(membership.voters)
+    smallest = MIN_FAULT_TOLERANT_VOTERS
+    if tolerated_losses is not None:
+        smallest = max(smallest, 2 * tolerated_losses + 1)
+    return count % 2 == 1 and count >= smallest
+
+
 def next_promotion(
     membership: Membership, leader: str, has_caught_up: Callable[[str], bool]
 ) -> Membership | None:
@@ -182,7 +247,7 @@
     count = len(membership.voters)
     if count % 2 or count <= MIN_FAULT_TOLERANT_VOTERS:
         return False
-    if tolerated_losses is not None and count > 2 * tolerated_losses + 2:
+    if tolerated_losses is not None and count != 2 * tolerated_losses + 2:
         return False
     return any(voter in membership.successors for voter in membership.voters)
 
--- a/src/damaskridge/core/consensus/node.py
+++ b/src/damaskridge/core/consensus/node.py
@@ -15,7 +15,11 @@
 from damaskridge.core.consensus.leader import MAX_ENTRIES_PER_MESSAGE, Leader
 from damaskridge.core.consensus.log import RaftLog
 from damaskridge.core.consensus.member_state import MemberState
-from damaskridge.core.consensus.membership import is_vote_needed
+from damaskridge.core.consensus.membership import (
+    is_observer,
+    is_vote_needed,
+    may_have_spare,
+)
 from damaskridge.core.consensus.messages import (
     Action,
     BeginLeave,
@@ -89,6 +93,8 @@
         Number of hosts that may be lost at a time; None if it is unknown.
     is_added : bool
         Whether the host was added after the first start of the group.
+    data_centre : str
+        Data centre of the host; empty if it is unknown.
 
     Attributes
     ----------
@@ -111,7 +117,10 @@
         guards: Guards | None = None,
         tolerated_losses: int | None = None,
         is_added: bool = False,
+        data_centre: str = "",
     ) -> None:
+        # Observers have no vote that a successor could take.
+        self._data_centre = "" if is_observer(name) else data_centre
         self._tolerated_losses = tolerated_losses
         self._state = MemberState(name, log, hard_state)
         self._rng = rng
@@ -165,7 +174,8 @@
         Whether the process may stop, after `BeginLeave`.
 
         It may not while the member leads, or while the group has a vote that it could
-        do without: its quorum would count a member that is gone.
+        do without, or a learner that could take it: its quorum would count a member
+        that is gone.
         """
         state, membership = self._state, self._state.membership
         if not self._is_leaving:
@@ -173,7 +183,9 @@
         if self._leader is not None and self._leader.has_successor():
             return False
         if self.name in membership.voters:
-            return is_vote_needed(membership, self._tolerated_losses)
+            # A leader that still is one has no other voter that stays.
+            has_spare = self._leader is None and may_have_spare(membership)
+            return is_vote_needed(membership, self._tolerated_losses) and not has_spare
         return self.log.membership_index() <= state.commit_index
 
     def add_join_target(self, host: str) -> None:
@@ -455,6 +467,7 @@
             self._max_entries,
             now_s,
             self._tolerated_losses,
+            self._data_centre,
         )
 
     def _become_follower(self, term: int, leader: str, now_s: float) -> None:
@@ -493,5 +506,6 @@
             match_index=match,
             round=message.round,
             is_leaving=self._is_leaving,
+            data_centre=self._data_centre,
         )
         self._state.send(message.sender, reply)
--- a/src/damaskridge/core/consensus/replication.py
+++ b/src/damaskridge/core/consensus/replication.py
@@ -31,6 +31,10 @@
         Whether its process is about to stop.
     is_stopped : bool
         Whether its host has refused a connection since its last response.
+    has_responded : bool
+        Whether it has responded in this term.
+    data_centre : str
+        Data centre of its host; empty if it is unknown.
     """
 
     next_index: int
@@ -41,10 +45,13 @@
     snapshot_sent_s: float = float("-inf")
     is_leaving: bool = False
     is_stopped: bool = False
+    has_responded: bool = False
+    data_centre: str = ""
 
     def record_contact(self, now_s: float) -> None:
         """Record a response of the member."""
         self.last_contact_s = now_s
+        self.has_responded = True
         self.is_stopped = False
 
     def record_acknowledgement(self, match_index: int, round_number: int) -> None:
--- a/src/damaskridge/model/consensus.py
+++ b/src/damaskridge/model/consensus.py
@@ -145,12 +145,16 @@
     ----------
     is_leaving : bool
         Whether the process of the member is about to stop.
+    data_centre : str
+        Data centre of the member's host; empty if it is unknown, or if the member is
+        an observer.
     """
 
     accepted: bool
     match_index: int
     round: int
     is_leaving: bool = False
+    data_centre: str = ""
 
 
 class InstallSnapshot(Message, frozen=True, kw_only=True, tag=True):
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -6,15 +6,15 @@
 
 from damaskridge.adapters.disk.store import LogStore
 from damaskridge.adapters.raft_driver import RaftDriver
-from damaskridge.core.consensus.leader import (
-    LEARNER_EVICTION_TIMEOUT_S,
-    VOTER_DEMOTION_TIMEOUT_S,
-)
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
     host_name,
     is_vote_needed,
 )
+from damaskridge.core.consensus.membership_changes import (
+    LEARNER_EVICTION_TIMEOUT_S,
+    VOTER_DEMOTION_TIMEOUT_S,
+)
 from damaskridge.model.consensus import Membership
 
 
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -133,6 +133,10 @@
         """Return how many hosts the members know that may be lost at a time."""
         return None
 
+    def deployment_of(self, host: str) -> dict[str, object]:
+        """Return what the settings of a host tell of its deployment."""
+        return {"data_centre": host, "is_added": self.now_s > 0.0}
+
     # Processes and disks
 
     def start(self, host: str) -> None:
@@ -155,6 +159,7 @@
         driver = RaftDriver(
             host, store, stored, rng, self.now_s, self.hosts,
             max_entries=3, guards=self.guards, tolerated_losses=self.tolerated_losses,
+            **self.deployment_of(host),
         )  # fmt: skip
         member.driver = driver
         member.pending_proposals, member.pending_reads, member.ready_reads = {}, {}, []
