Abandon an event that comes in over 1,024 pieces

Change: an event without an end in 1,024 pieces breaks the stream as one without an end in 262,144 bytes does. The network splits the largest event into some 200 pieces.

--- a/src/damaskridge/core/gateway/event_stream.py
+++ b/src/damaskridge/core/gateway/event_stream.py
@@ -17,6 +17,9 @@
 # An event holds a few tokens. A response with no end of an event in this many bytes is
 # not an event stream.
 MAX_EVENT_BYTES = 262_144
+# Engines send an event in one piece, and the network splits the largest one into some
+# 200. Each piece costs as much processor time as a sound event.
+MAX_EVENT_PIECES = 1_024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LONGEST_EVENT_END_BYTES = 4
@@ -40,7 +43,7 @@
 
 
 class EventTooLong(Exception):
-    """No end of an event within the maximum size of an event."""
+    """No end of an event within the maximum size, or number of pieces, of an event."""
 
 
 class EventSplitter:
@@ -56,6 +59,7 @@
     def __init__(self, limit_bytes: int = MAX_EVENT_BYTES) -> None:
         self._limit_bytes = limit_bytes
         self._splitter = ByteSplitter(_EVENT_END, _LONGEST_EVENT_END_BYTES)
+        self._pieces = 0
 
     @property
     def rest(self) -> bytes:
@@ -65,8 +69,11 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that `data` completes, or raise `EventTooLong`."""
         events = [_parse_event(part) for part in self._splitter.feed(data)]
+        self._pieces = 0 if events else self._pieces + 1
         if self._splitter.rest_bytes > self._limit_bytes:
             raise EventTooLong(f"no end of an event in {self._limit_bytes} bytes")
+        if self._pieces > MAX_EVENT_PIECES:
+            raise EventTooLong(f"no end of an event in {MAX_EVENT_PIECES} pieces")
         return events
 
 
--- a/tests/core/gateway/test_event_stream.py
+++ b/tests/core/gateway/test_event_stream.py
@@ -2,9 +2,15 @@
 
 import itertools
 
+import pytest
 from hypothesis import given, strategies as st
 
-from damaskridge.core.gateway.event_stream import EventSplitter, EventTooLong
+from damaskridge.core.gateway.event_stream import (
+    MAX_EVENT_BYTES,
+    MAX_EVENT_PIECES,
+    EventSplitter,
+    EventTooLong,
+)
 
 EVENTS = [b"id: %d\ndata: %s\n\n" % (n, b"x" * (n % 7)) for n in range(1, 30)]
 STREAM = b"".join(EVENTS)
@@ -45,3 +51,24 @@
     """Guards against the error that Python raises for such a number."""
     (event,) = EventSplitter().feed(b"id: " + b"7" * 5000 + b"\n\n")
     assert event.event_id is None and not event.is_valid
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 16, 100])
+def test_event_without_an_end_costs_a_limited_number_of_pieces(piece_bytes):
+    """Guards against a server whose tiny pieces take the processor time of others."""
+    splitter = EventSplitter()
+    pieces = 0
+    with pytest.raises(EventTooLong):
+        while True:
+            pieces += 1
+            splitter.feed(b"x" * piece_bytes)
+    assert pieces == MAX_EVENT_PIECES + 1
+
+
+def test_largest_event_is_whole_in_pieces_of_one_network_packet():
+    splitter, packet_bytes = EventSplitter(), 1_400
+    event = b"id: 1\ndata: " + b"x" * (MAX_EVENT_BYTES - 100) + b"\n\n"
+    events = []
+    for start in range(0, len(event), packet_bytes):
+        events += splitter.feed(event[start : start + packet_bytes])
+    assert [item.data for item in events] == [event]
