Test changes after open connections went silent for good

Change: FaultProxy.sever, and four seeded series of severed connections and changes on three control hosts with sockets.

--- a/tests/adapters/test_control_node.py
+++ b/tests/adapters/test_control_node.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 from grpclib.server import Server
+from tests.fault_soak.proxy import FaultProxy
 from tests.memory_folder import MemoryFolder
 
 from damaskridge.adapters import control_node
@@ -16,7 +17,7 @@
 from damaskridge.adapters.disk.store import LogStore, UnreadableRecord
 from damaskridge.adapters.rpc.control_ports import AppliedCommand
 from damaskridge.core.consensus import leader_absence
-from damaskridge.core.consensus.leader import VOTER_DEMOTION_TIMEOUT_S
+from damaskridge.core.consensus.membership_changes import VOTER_DEMOTION_TIMEOUT_S
 from damaskridge.core.consensus.messages import Event, HostRefusedConnection
 from damaskridge.model.control import AdvanceTime, CommandResult, KeyWithdrawn
 from damaskridge.model.errors import ErrorKind
@@ -255,3 +256,42 @@
     assert set(report["connected"]) <= {"c1", "c2"}
     assert report["heard"] == []
     assert report["absent_s"] >= 1.0
+
+
+# Longest time in which a change is acknowledged (`Bounds.AckMs` on the platform).
+ACKNOWLEDGEMENT_TIMEOUT_S = 4.0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_change_is_acknowledged_after_open_connections_went_silent(seed):
+    """Guards against members that wait for streams which are open but silent."""
+    anyio.run(check_severed_connections, random.Random(seed))
+
+
+async def check_severed_connections(rng: random.Random) -> None:
+    clock, names = [1000], ["c0", "c1", "c2"]
+    addresses = free_addresses(names)
+    proxies = {}
+    for name in names:
+        ip, _, port = addresses[name].rpartition(":")
+        proxies[name] = FaultProxy(lambda target=(ip, int(port)): target)
+        await proxies[name].start()
+    hosts = []
+    for name in names:
+        members = {other: proxies[other].address for other in names}
+        hosts.append(ControlHost(name, members | {name: addresses[name]}, clock))
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            await host.start(tasks)
+        await propose_to_leader(hosts, "first")
+        for number in range(3):
+            await anyio.sleep(rng.uniform(0.0, 1.0))
+            share = rng.choice((0.5, 0.7, 1.0))
+            for proxy in proxies.values():
+                proxy.sever(rng, share)
+            with anyio.fail_after(ACKNOWLEDGEMENT_TIMEOUT_S):
+                await propose_to_leader(hosts, f"change-{number}")
+        for host in hosts:
+            await host.stop()
+        for proxy in proxies.values():
+            await proxy.stop()
--- a/tests/fault_soak/proxy.py
+++ b/tests/fault_soak/proxy.py
@@ -24,6 +24,13 @@
     CLOSE = "close"
 
 
+class _Link:
+    """One connection through the proxy."""
+
+    def __init__(self):
+        self.is_severed = False
+
+
 class FaultProxy:
     """
     Relays connections to a target and applies the current `fault` to them.
@@ -39,6 +46,7 @@
         self._server = None
         self._writers = set()
         self._tasks = set()
+        self._links = set()
         self.fault = LinkFault.NONE
         self.delay_s = 0.15
         self.address = ""
@@ -73,6 +81,15 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
             writer.transport.abort()
 
+    def sever(self, rng, share=1.0):
+        """
+        Let a share of the open connections go silent for good, without a close.
+
+        New connections work.
+        """
+        for link in sorted(self._links, key=id):
+            link.is_severed |= rng.random() < share
+
     def _start_connection(self, reader, writer):
         task = asyncio.ensure_future(self._relay_connection(reader, writer))
         self._tasks.add(task)
@@ -80,6 +97,8 @@
 
     async def _relay_connection(self, reader, writer):
         self._writers.add(writer)
+        link = _Link()
+        self._links.add(link)
         upstream_writer = None
         try:
             if self.fault is not LinkFault.CLOSE:
@@ -90,10 +109,10 @@
                 self._writers.add(upstream_writer)
                 relays = (
                     asyncio.ensure_future(
-                        self._relay_direction(reader, upstream_writer, False)
+                        self._relay_direction(reader, upstream_writer, False, link)
                     ),
                     asyncio.ensure_future(
-                        self._relay_direction(upstream_reader, writer, True)
+                        self._relay_direction(upstream_reader, writer, True, link)
                     ),
                 )
                 try:
@@ -106,15 +125,18 @@
         except OSError:
             pass
         finally:
+            self._links.discard(link)
             for open_writer in (writer, upstream_writer):
                 if open_writer is not None:
                     self._writers.discard(open_writer)
                     open_writer.transport.abort()
 
-    async def _relay_direction(self, reader, writer, is_response):
+    async def _relay_direction(self, reader, writer, is_response, link):
         is_dropping = False
         with contextlib.suppress(OSError):
             while data := await reader.read(_READ_BYTES):
+                if link.is_severed:
+                    continue
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
                 drops_response = is_response and self.fault is LinkFault.DROP_RESPONSES
