--- a/src/damaskridge/adapters/gateway/turn_queue.py
+++ b/src/damaskridge/adapters/gateway/turn_queue.py
@@ -1,4 +1,4 @@
-"""Lets connections with much buffered data be worked off one after the other."""
+"""Shares the event loop among connections that have much buffered data."""
 
 import asyncio
 from collections import deque
@@ -18,19 +18,13 @@
 
     Tasks that merely yield all run again in the next iteration, so that many of them
     delay every other task by the sum of their turns.
-
-    Parameters
-    ----------
-    loop : asyncio.AbstractEventLoop
-        The event loop on which the tasks run.
     """
 
     _queues: "WeakKeyDictionary[asyncio.AbstractEventLoop, TurnQueue]" = (
         WeakKeyDictionary()
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
+    def __init__(self) -> None:
         self._waiting: deque[Callable[[], None]] = deque()
 
     @classmethod
@@ -39,23 +33,23 @@
         loop = asyncio.get_running_loop()
         queue = cls._queues.get(loop)
         if queue is None:
-            queue = cls._queues[loop] = cls(loop)
+            queue = cls._queues[loop] = cls()
         return queue
 
     def call(self, callback: Callable[[], None]) -> None:
         """Call a function in a turn of its own, in order of the requests."""
         self._waiting.append(callback)
         if len(self._waiting) == 1:
-            self._loop.call_soon(self._grant)
+            asyncio.get_running_loop().call_soon(self._grant)
 
     async def wait(self) -> None:
         """Wait for a turn of the calling task."""
-        turn = self._loop.create_future()
+        turn = asyncio.get_running_loop().create_future()
         self.call(lambda: None if turn.done() else turn.set_result(None))
         await turn
 
     def _grant(self) -> None:
         callback = self._waiting.popleft()
         if self._waiting:
-            self._loop.call_soon(self._grant)
+            asyncio.get_running_loop().call_soon(self._grant)
         callback()
--- a/src/damaskridge/binaries/paced_protocol.py
+++ b/src/damaskridge/binaries/paced_protocol.py
@@ -1,4 +1,5 @@
-"""Parses the bodies of callers' requests in turns.
+"""
+Parses the bodies of callers' requests in turns.
 
 uvicorn parses all that one read has returned before other tasks run. A caller that
 sends its body in tiny chunks would hold the event loop.
@@ -65,7 +66,7 @@
 
     conn: _PacedConnection
     flow: _PacedFlow
-    _has_turn = False
+    _has_requested_turn = False
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -84,12 +85,12 @@
         super().handle_events()
         if self.conn.parts_left:
             self.flow.release()
-        elif not self._has_turn:
-            self._has_turn = True
+        elif not self._has_requested_turn:
+            self._has_requested_turn = True
             self.flow.hold()
             TurnQueue.of_running_loop().call(self._continue)
 
     def _continue(self) -> None:
-        self._has_turn = False
+        self._has_requested_turn = False
         if not self.transport.is_closing():
             self.handle_events()
--- a/src/damaskridge/core/consensus/membership_changes.py
+++ b/src/damaskridge/core/consensus/membership_changes.py
@@ -28,11 +28,15 @@
 
 
 class CommitRule(Enum):
-    """Which voters must have an entry before it is committed."""
+    """
+    Which voters must have an entry before it is committed.
+
+    With `NONE`, nothing is committed until the members change or the leader has heard
+    from all of them.
+    """
 
     QUORUM = "quorum"
     ALL_VOTERS = "all voters"
-    # Until the next change of members.
     NONE = "none"
 
 
