--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -353,7 +353,7 @@
             if status in (200, 400, 409, 412, 413, 422):
                 return status, machine, answer
             await asyncio.sleep(pause_s)
-            pause_s = min(0.2, 1.3 * pause_s)
+            pause_s = min(0.1, 1.3 * pause_s)
         return 0, None, b""
 
     async def _wait_for_listener(self, ends_s):
@@ -393,12 +393,18 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(has_trouble)}")
     code = 2
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         is_broken = asyncio.run(main(record, has_trouble))
         code = 1 if is_broken else 0
         record.write("RESULT: the rule was " + ("broken" if is_broken else "kept"))
-    except CannotRun as error:
-        record.write(f"RESULT: the case could not be run: {error}")
+    except (CannotRun, KeyboardInterrupt) as error:
+        record.write(f"RESULT: the case could not be run: {error!r}")
     finally:
         record.close()
     return code
+
+
+def _interrupt(*_):
+    """End the case so that the programs that it has started are ended, too."""
+    raise KeyboardInterrupt
