--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -407,4 +407,5 @@
 
 def _interrupt(*_):
     """End the case so that the programs that it has started are ended, too."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     raise KeyboardInterrupt
