--- a/review/kit-3/runners.py
+++ b/review/kit-3/runners.py
@@ -12,14 +12,16 @@
     """
     A sound runner of a plain service.
 
-    `work(request, writer)` writes the response; `runs` holds the requests that it has
-    run, in their order.
+    `work(request, writer)` writes the response, for as many requests at a time as the
+    runner has slots; the others wait.
     """
 
     def __init__(self, record, name, service, zone, work, *, slots=64):
         self.name, self.service, self.zone = name, service, zone
         self.record, self._work, self.slots = record, work, slots
+        # Requests that it has read, in their order, and those that it is working on.
         self.runs = []
+        self._free_slots = asyncio.Semaphore(slots)
         self.in_progress = set()
         self.cut = []
         self.address = ""
@@ -69,12 +71,13 @@
         self.runs.append(request)
         self.in_progress.add(request.attempt)
         self.record.write(
-            f"{self.name} ({self.service}) runs {request.attempt}: {request.method} "
+            f"{self.name} ({self.service}) gets {request.attempt}: {request.method} "
             f"{request.target}, Host {request.headers.get('host')}, "
             f"{len(request.body)} bytes"
         )
         try:
-            await self._work(request, writer)
+            async with self._free_slots:
+                await self._work(request, writer)
         except OSError:
             self.cut.append(request.attempt)
             self.record.write(f"{self.name}: {request.attempt} was cut off")
