--- a/review/kit-3/runners.py
+++ b/review/kit-3/runners.py
@@ -13,15 +13,16 @@
     A sound runner of a plain service.
 
     `work(request, writer)` writes the response, for as many requests at a time as the
-    runner has slots; the others wait.
+    runner has slots; `queue` others wait, and further ones are rejected.
     """
 
-    def __init__(self, record, name, service, zone, work, *, slots=64):
+    def __init__(self, record, name, service, zone, work, *, slots=64, queue=1000):
         self.name, self.service, self.zone = name, service, zone
         self.record, self._work, self.slots = record, work, slots
         # Requests that it has read, in their order, and those that it is working on.
         self.runs = []
         self._free_slots = asyncio.Semaphore(slots)
+        self._capacity = slots + queue
         self.in_progress = set()
         self.cut = []
         self.address = ""
@@ -61,6 +62,8 @@
                     writer.write(head(request, 421, "X-Not-Executed: 1", length=0))
                 elif not request.attempt:
                     writer.write(head(request, 400, "X-Not-Executed: 1", length=0))
+                elif len(self.in_progress) >= self._capacity:
+                    writer.write(head(request, 503, "X-Not-Executed: 1", length=0))
                 else:
                     await self._run(request, writer)
                 await writer.drain()
