A host that lost its disk is not counted as a replaced one

Callers would see: a control group of four that stops for good after two losses, one of them of a host that doesn't count any more.

Cause: a learner that has been silent for 15 s is removed, and the oldest successor then counts as the one that has replaced it. The earlier id of a host that has lost its disk is such a learner, too, although its host is still a member. The group forgets its successor and commits by a quorum of four, one of which is about to go.

Change: no successor is dropped for a learner whose host has another member.

--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -275,14 +275,26 @@
     Return the membership without one learner that is lost, or None.
 
     The oldest successor counts as the one that has replaced it, unless the learner was
-    a successor itself or an observer.
+    a successor itself or an observer, or its host is still a member with another disk.
+
+    Examples
+    --------
+    >>> def is_c1(member):
+    ...     return member == "c#1"
+    >>> voters = ("a#1", "b#1", "c#2", "d#1")
+    >>> without_lost_learner(Membership(voters, ("c#1",), ("d#1",)), is_c1).successors
+    ('d#1',)
+    >>> voters = ("a#1", "b#1", "d#1")
+    >>> without_lost_learner(Membership(voters, ("c#1",), ("d#1",)), is_c1).successors
+    ()
     """
     successors = membership.successors
     for learner in filter(is_lost, membership.learners):
+        rest = tuple(x for x in membership.learners if x != learner)
+        hosts = {host_name(member) for member in membership.voters + rest}
         if learner in successors:
             successors = tuple(x for x in successors if x != learner)
-        elif not is_observer(learner):
+        elif not is_observer(learner) and host_name(learner) not in hosts:
             successors = successors[1:]
-        rest = tuple(x for x in membership.learners if x != learner)
         return replace(membership, learners=rest, successors=successors)
     return None
--- a/tests/core/consensus/test_membership.py
+++ b/tests/core/consensus/test_membership.py
@@ -10,6 +10,7 @@
     OBSERVER_PREFIX,
     host_name,
     is_vote_needed,
+    without_lost_learner,
 )
 from damaskridge.core.consensus.membership_changes import (
     LEARNER_EVICTION_TIMEOUT_S,
@@ -164,3 +165,11 @@
         )
     run_for(simulation, 5.0)
     assert voters(simulation) == set(hosts[1:])
+
+
+def test_lost_disk_of_a_host_is_not_taken_for_a_replaced_host():
+    """Guards against a group of four that forgets the successor of another host."""
+    voters = ("a#1", "b#1", "c#2", "d#1")
+    membership = Membership(voters, ("c#1",), ("d#1",))
+    changed = without_lost_learner(membership, lambda member: member == "c#1")
+    assert changed == Membership(voters, (), ("d#1",))
