A new leader knows nothing of members that have not responded

The leader made the host that is gone a voter: four voters, two of them lost. The same conclusion was drawn in the choice of spares, of the voter that gives up its vote, and of the target of a transfer of leadership, which held commands back for 0.6 s.

Change: the time of the last contact is unknown until a member has responded, so that no reader takes it for a time; silence still counts from the election, so that an unheard voter loses its vote as soon as before. A learner must have the first entry of the term, which follows all that earlier leaders may have committed.

Why the soak missed it: it compacted the log after 12 entries (the product: 2,000), restarted all hosts at one moment and had 2 observers at most. The limits are now drawn, some of them the product's; hosts are back one after the other; half of the runs replace a host last; and each new voter must run and have the committed entries.

--- a/src/damaskridge/core/consensus/leader.py
+++ b/src/damaskridge/core/consensus/leader.py
@@ -91,6 +91,7 @@
         self._replicated_index = state.commit_index
         self._awaited_index = state.commit_index
         self._awaited_since_s = now_s
+        self._first_index = state.log.last_index + 1
         self._append_and_replicate((b"",), None, now_s)
 
     def tick(self, now_s: float) -> bool:
@@ -104,7 +105,7 @@
             leader must step down.
         """
         if (
-            self._quorum_value(lambda p: p.last_contact_s, now_s)
+            self._quorum_value(lambda p: p.silent_since_s, now_s)
             < now_s - ELECTION_TIMEOUT_RANGE_S[1]
         ):
             return False
@@ -138,9 +139,19 @@
         self._complete_reads()
 
     def transfer_leadership(self, now_s: float) -> None:
-        """Start a transfer to the voter whose log is most up to date."""
-        if self.has_successor() and not self._transfer_target:
-            self._transfer_target = max(self._successors(), key=self._transfer_rank)
+        """
+        Start a transfer to the voter whose log is most up to date, if one is present.
+
+        Until the transfer ends, no command is accepted. A voter that is gone would hold
+        the commands back for nothing.
+        """
+        candidates = [
+            voter
+            for voter in self._successors()
+            if self._progress[voter].is_present(now_s)
+        ]
+        if candidates and not self._transfer_target:
+            self._transfer_target = max(candidates, key=self._transfer_rank)
             self._transfer_deadline_s = now_s + TRANSFER_TIMEOUT_S
             self._complete_transfer()
 
@@ -307,9 +318,8 @@
         )
 
     def _update_commit_rule(self, now_s: float) -> None:
-        state = self._state
         self._commit_rule = self._changes.commit_rule(
-            state.membership, state.commit_index, now_s
+            self._state.membership, self._required_index(), now_s
         )
 
     def _advance_commit(self) -> None:
@@ -383,13 +393,23 @@
         is_late = now_s > self._awaited_since_s + VOTER_DEMOTION_TIMEOUT_S
         change = self._changes.next_change(
             state.membership,
-            state.commit_index,
+            self._required_index(),
             self._awaited_index if is_late else 0,
             now_s,
         )
         if change is not None:
             self._append_and_replicate((b"",), change, now_s)
 
+    def _required_index(self) -> int:
+        """
+        Return the index that a learner must have reached to become a voter.
+
+        Until a leader has committed an entry of its term, its commit index may be
+        lower than that of its predecessor, even 0. All that earlier leaders may have
+        committed precedes the first entry of the term.
+        """
+        return max(self._state.commit_index, self._first_index)
+
     def _successors(self) -> list[str]:
         """Return the other voters, without those that are about to stop."""
         return [
@@ -400,7 +420,7 @@
 
     def _transfer_rank(self, member: str) -> tuple[int, float]:
         progress = self._progress[member]
-        return progress.match_index, progress.last_contact_s
+        return progress.match_index, progress.silent_since_s
 
     def _complete_transfer(self) -> None:
         progress = self._progress.get(self._transfer_target)
--- a/src/damaskridge/core/consensus/membership_changes.py
+++ b/src/damaskridge/core/consensus/membership_changes.py
@@ -73,7 +73,7 @@
         self._tolerated_losses = tolerated_losses
 
     def next_change(
-        self, membership: Membership, commit_index: int, late_index: int, now_s: float
+        self, membership: Membership, required_index: int, late_index: int, now_s: float
     ) -> Membership | None:
         """
         Return the next membership, or None if no change is due.
@@ -82,7 +82,7 @@
         ----------
         membership : Membership
             The present members.
-        commit_index : int
+        required_index : int
             Index that a learner must have reached to become a voter.
         late_index : int
             Index that every voter should have reached by now.
@@ -96,19 +96,19 @@
         def is_promotable(learner: str) -> bool:
             if learner in replaced and learner != spare:
                 return False
-            return self._has_caught_up(learner, commit_index, now_s)
+            return self._has_caught_up(learner, required_index, now_s)
 
         def is_lost(learner: str) -> bool:
             return self._silence_s(learner, now_s) > LEARNER_EVICTION_TIMEOUT_S
 
         replaced = self._replaced_members(membership, now_s)
-        spare = self._next_spare(membership, commit_index, now_s)
+        spare = self._next_spare(membership, required_index, now_s)
         change = None
         # A lost voter comes first: promotions beside it could make a group of odd size
         # that needs every vote.
         if not is_vote_needed(membership, self._tolerated_losses):
             change = with_voter_as_learner(membership, is_dispensable)
-        elif self._spares(membership, commit_index, now_s):
+        elif self._spares(membership, required_index, now_s):
             change = self._with_spare_instead(membership, late_index, now_s)
         if change is None:
             extra = self._extra_voter(membership, now_s)
@@ -125,7 +125,7 @@
         return self._extra_voter(membership, now_s) == self._leader
 
     def commit_rule(
-        self, membership: Membership, commit_index: int, now_s: float
+        self, membership: Membership, required_index: int, now_s: float
     ) -> CommitRule:
         """
         Return which voters must have an entry before it is committed.
@@ -137,7 +137,7 @@
             return CommitRule.QUORUM
         if self._is_unsettled(membership, now_s):
             return CommitRule.NONE
-        if self._spares(membership, commit_index, now_s):
+        if self._spares(membership, required_index, now_s):
             if is_complete(membership, self._tolerated_losses):
                 return CommitRule.ALL_VOTERS
             return CommitRule.NONE
@@ -146,14 +146,14 @@
         return CommitRule.QUORUM
 
     def _spares(
-        self, membership: Membership, commit_index: int, now_s: float
+        self, membership: Membership, required_index: int, now_s: float
     ) -> list[str]:
         """Return the replaced learners that could take the vote of another member."""
         return [
             member
             for member in self._replaced_members(membership, now_s)
             if member in membership.learners
-            and self._has_caught_up(member, commit_index, now_s)
+            and self._has_caught_up(member, required_index, now_s)
         ]
 
     def _with_spare_instead(
@@ -175,7 +175,7 @@
         return with_voter_as_learner(membership, lambda voter: voter in lost)
 
     def _next_spare(
-        self, membership: Membership, commit_index: int, now_s: float
+        self, membership: Membership, required_index: int, now_s: float
     ) -> str:
         """
         Return the spare that is to vote again, or an empty string.
@@ -183,7 +183,7 @@
         It votes if the group needs one voter more, or in place of a voter that a newer
         successor replaces, since that voter is the one that may go next.
         """
-        spares = self._spares(membership, commit_index, now_s)
+        spares = self._spares(membership, required_index, now_s)
         if not spares:
             return ""
         if not is_complete(membership, self._tolerated_losses):
@@ -224,7 +224,7 @@
         return replaced_members(
             membership,
             self._data_centre_of,
-            lambda learner: self._is_present(learner, now_s),
+            lambda learner: self._progress[learner].is_present(now_s),
         )
 
     def _data_centre_of(self, member: str) -> str:
@@ -234,28 +234,19 @@
         return progress.data_centre if progress is not None else ""
 
     def _silence_s(self, member: str, now_s: float) -> float:
-        progress = self._progress.get(member)
-        return 0.0 if progress is None else now_s - progress.last_contact_s
-
-    def _is_in_contact(self, member: str, now_s: float) -> bool:
-        return self._silence_s(member, now_s) <= ELECTION_TIMEOUT_RANGE_S[0]
+        return now_s - self._progress[member].silent_since_s
 
     def _are_in_contact(self, members: Iterable[str], now_s: float) -> bool:
-        return all(self._is_in_contact(member, now_s) for member in members)
-
-    def _is_present(self, member: str, now_s: float) -> bool:
-        progress = self._progress[member]
-        return (
-            self._is_in_contact(member, now_s)
-            and not progress.is_leaving
-            and not progress.is_stopped
+        """Return whether members are in contact, as the leader itself always is."""
+        return all(
+            self._progress[member].is_in_contact(now_s)
+            for member in members
+            if member != self._leader
         )
 
-    def _has_caught_up(self, learner: str, commit_index: int, now_s: float) -> bool:
-        return (
-            self._is_present(learner, now_s)
-            and self._progress[learner].match_index >= commit_index
-        )
+    def _has_caught_up(self, learner: str, required_index: int, now_s: float) -> bool:
+        progress = self._progress[learner]
+        return progress.is_present(now_s) and progress.match_index >= required_index
 
     def _is_dispensable(self, voter: str, late_index: int, now_s: float) -> bool:
         progress = self._progress.get(voter)
--- a/src/damaskridge/core/consensus/replication.py
+++ b/src/damaskridge/core/consensus/replication.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from damaskridge.core.consensus.election import ELECTION_TIMEOUT_RANGE_S
 from damaskridge.core.consensus.membership import quorum_size
 
 __all__ = ["Progress", "quorum_value"]
@@ -13,12 +14,18 @@
     """
     Replication progress of one member.
 
+    A leader knows nothing of a member that has not responded in its term: not whether
+    it runs, nor what is in its log, nor where it is. Such a member is not in contact,
+    but has not been silent for longer than the leader has tracked it either.
+
     Parameters
     ----------
     next_index : int
         Index of the next entry to send.
-    last_contact_s : float
-        Time of its last response.
+    tracked_since_s : float
+        Time at which the leader was elected or the member was added.
+    last_contact_s : float or None
+        Time of its last response; None if it has not responded in this term.
     match_index : int
         Index up to which its log is known to match and to be synced.
     round : int
@@ -31,27 +38,46 @@
         Whether its process is about to stop.
     is_stopped : bool
         Whether its host has refused a connection since its last response.
-    has_responded : bool
-        Whether it has responded in this term.
     data_centre : str
         Data centre of its host; empty if it is unknown.
     """
 
     next_index: int
-    last_contact_s: float
+    tracked_since_s: float
+    last_contact_s: float | None = None
     match_index: int = 0
     round: int = 0
     last_refused_index: int = 0
     snapshot_sent_s: float = float("-inf")
     is_leaving: bool = False
     is_stopped: bool = False
-    has_responded: bool = False
     data_centre: str = ""
 
+    @property
+    def has_responded(self) -> bool:
+        """Whether it has responded in this term."""
+        return self.last_contact_s is not None
+
+    @property
+    def silent_since_s(self) -> float:
+        """Time since which nothing has been received from it."""
+        if self.last_contact_s is None:
+            return self.tracked_since_s
+        return self.last_contact_s
+
+    def is_in_contact(self, now_s: float) -> bool:
+        """Return whether it has responded within the shortest election timeout."""
+        oldest_s = now_s - ELECTION_TIMEOUT_RANGE_S[0]
+        return self.last_contact_s is not None and self.last_contact_s >= oldest_s
+
+    def is_present(self, now_s: float) -> bool:
+        """Return whether it is in contact and, as far as is known, will stay so."""
+        is_ending = self.is_leaving or self.is_stopped
+        return self.is_in_contact(now_s) and not is_ending
+
     def record_contact(self, now_s: float) -> None:
         """Record a response of the member."""
         self.last_contact_s = now_s
-        self.has_responded = True
         self.is_stopped = False
 
     def record_acknowledgement(self, match_index: int, round_number: int) -> None:
--- a/tests/core/consensus/test_membership_changes.py
+++ b/tests/core/consensus/test_membership_changes.py
@@ -21,9 +21,9 @@
     progress = {
         member: Progress(
             next_index=COMMIT_INDEX + 1,
+            tracked_since_s=elected_s,
             last_contact_s=NOW_S,
             match_index=COMMIT_INDEX,
-            has_responded=True,
             data_centre=data_centre,
         )
         for member, data_centre in DATA_CENTRES.items()
@@ -109,7 +109,7 @@
 
 def test_new_leader_commits_nothing_until_it_knows_who_is_there():
     """Guards against an acknowledgement before the leader knows of a spare."""
-    unknown = {"has_responded": False, "data_centre": ""}
+    unknown = {"last_contact_s": None, "data_centre": ""}
     for elected_s, rule in ((NOW_S, CommitRule.NONE), (0.0, CommitRule.QUORUM)):
         changes = new_changes(elected_s=elected_s, c=unknown)
         assert changes.commit_rule(SPARE, COMMIT_INDEX, NOW_S) is rule
--- a/tests/core/consensus/test_replacement.py
+++ b/tests/core/consensus/test_replacement.py
@@ -1,6 +1,7 @@
 """Guards against groups that stop for good after hosts were replaced and disks lost."""
 
 import pytest
+from tests.soak_consensus import FREQUENT_SNAPSHOTS, YOUNG_LOG
 from tests.soak_membership import (
     CATCH_UP_S,
     new_group,
@@ -56,6 +57,45 @@
     simulation.check_serves()
 
 
+@pytest.mark.parametrize("limits", [YOUNG_LOG, FREQUENT_SNAPSHOTS])
+@pytest.mark.parametrize("gap_s", [CATCH_UP_S, 9.0, 14.0])
+def test_new_leader_does_not_make_a_host_that_is_gone_a_voter(gap_s, limits):
+    """
+    Guards against a group of four voters of which one is gone and one has no disk.
+
+    The replaced host is still a learner when all hosts lose their power. The leader
+    that is elected then has not heard from it, and has a commit index of 0.
+    """
+    simulation = new_group(limits=limits)
+    replace(simulation, follower(simulation))
+    run_for(simulation, gap_s)
+    wiped = follower(simulation)
+    for host in simulation.counted:
+        simulation.stop(host, loses_power=True)
+    simulation.members[wiped].folder.lose()
+    run_for(simulation, 0.7)
+    for host in simulation.counted:
+        simulation.start(host)
+    simulation.check_serves()
+
+
+def test_leader_that_stops_does_not_transfer_to_a_voter_that_is_gone():
+    """Guards against commands that are held back for a transfer that can't end."""
+    for seed in range(1, 6):
+        simulation = new_group(seed, limits=YOUNG_LOG)
+        gone = min(simulation.hosts)
+        for host in simulation.hosts:
+            simulation.stop(host, loses_power=True)
+        for host in set(simulation.hosts) - {gone}:
+            simulation.start(host)
+        while not simulation.leaders():
+            simulation.step()
+        (leader,) = simulation.leaders()
+        simulation.run(leader, BeginLeave())
+        run_for(simulation, 0.2)
+        assert simulation.leaders() != [leader]
+
+
 def test_disk_may_be_lost_while_all_other_hosts_lose_power():
     simulation = new_group()
     replace(simulation, follower(simulation))
--- a/tests/soak_consensus.py
+++ b/tests/soak_consensus.py
@@ -12,21 +12,31 @@
 
 import msgspec
 
+from damaskridge.adapters.control_node import COMPACT_AFTER_ENTRIES
 from damaskridge.adapters.disk.store import LogStore
 from damaskridge.adapters.raft_driver import RaftDriver
 from damaskridge.core.consensus import messages as m
 from damaskridge.core.consensus.election import Role
+from damaskridge.core.consensus.leader import MAX_ENTRIES_PER_MESSAGE
 from damaskridge.core.consensus.membership import host_name, with_learner
 from damaskridge.model import consensus as wire
 from tests.linearizability import Operation, is_linearizable
 from tests.memory_folder import MemoryFolder, PowerLost
 
-__all__ = ["Report", "Simulation", "election_steps", "run_seed"]
+__all__ = [
+    "FREQUENT_SNAPSHOTS",
+    "LOG_LIMITS",
+    "YOUNG_LOG",
+    "LogLimits",
+    "Report",
+    "Simulation",
+    "election_steps",
+    "run_seed",
+]
 
 STEP_S = 0.01
 FORMATION_STEPS = 150
 RECOVERY_STEPS = 400
-COMPACTION_THRESHOLD_ENTRIES = 12
 CLIENT_TIMEOUT_S = 0.5
 # A kind that is listed n times is drawn n times as often.
 FAULT_KINDS = (
@@ -37,6 +47,24 @@
 GUARD_NAMES = frozenset(f.name for f in fields(m.Guards))
 
 
+@dataclass(frozen=True)
+class LogLimits:
+    """After how many entries a log is compacted, and how many a message holds."""
+
+    compact_after_entries: int
+    max_entries_per_message: int
+
+
+# A member starts with a snapshot, and catches up in many messages.
+FREQUENT_SNAPSHOTS = LogLimits(12, 3)
+# The limits of the product: for its first 2,000 entries a group has no snapshot, so
+# that a member starts with a commit index of 0.
+YOUNG_LOG = LogLimits(COMPACT_AFTER_ENTRIES, MAX_ENTRIES_PER_MESSAGE)
+# A member starts with a snapshot and a long log behind it.
+OLD_LOG = LogLimits(200, MAX_ENTRIES_PER_MESSAGE)
+LOG_LIMITS = (FREQUENT_SNAPSHOTS, YOUNG_LOG, OLD_LOG)
+
+
 @dataclass(frozen=True)
 class Report:
     steps: int
@@ -106,10 +134,21 @@
 
 
 class Simulation:
-    """A control group on a simulated network with simulated disks and clients."""
+    """
+    A control group on a simulated network with simulated disks and clients.
 
-    def __init__(self, seed: int, disabled_guards: frozenset[str]) -> None:
+    Without `limits`, the seed draws those of the log.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        disabled_guards: frozenset[str],
+        limits: LogLimits | None = None,
+    ) -> None:
         assert disabled_guards <= GUARD_NAMES
+        # A source of its own, so that the limits change nothing else of a seed.
+        self.limits = limits or random.Random(f"limits {seed}").choice(LOG_LIMITS)
         self.rng = random.Random(seed)
         self.guards = m.Guards(**{name: False for name in disabled_guards})
         self.hosts = tuple(f"c{i}" for i in range(self.rng.choice((3, 5))))
@@ -158,8 +197,8 @@
         rng = random.Random(self.rng.getrandbits(64))
         driver = RaftDriver(
             host, store, stored, rng, self.now_s, self.hosts,
-            max_entries=3, guards=self.guards, tolerated_losses=self.tolerated_losses,
-            **self.deployment_of(host),
+            max_entries=self.limits.max_entries_per_message, guards=self.guards,
+            tolerated_losses=self.tolerated_losses, **self.deployment_of(host),
         )  # fmt: skip
         member.driver = driver
         member.pending_proposals, member.pending_reads, member.ready_reads = {}, {}, []
@@ -512,7 +551,7 @@
         member = self.members[host]
         if (
             member.driver is None
-            or len(member.driver.node.log) < COMPACTION_THRESHOLD_ENTRIES
+            or len(member.driver.node.log) < self.limits.compact_after_entries
         ):
             return
         if member.applied > member.driver.node.log.snapshot.index:
--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -16,13 +16,14 @@
 
 from damaskridge.adapters.disk.store import LogStore
 from damaskridge.adapters.raft_driver import RaftDriver
+from damaskridge.core.consensus.election import ELECTION_TIMEOUT_RANGE_S
 from damaskridge.core.consensus.membership import (
     OBSERVER_PREFIX,
     host_name,
     quorum_size,
 )
 from damaskridge.core.consensus.messages import BeginLeave, HostRefusedConnection
-from tests.soak_consensus import STEP_S, Member, Simulation
+from tests.soak_consensus import STEP_S, LogLimits, Member, Simulation
 
 __all__ = ["LossSimulation", "new_group", "run_for", "run_seed"]
 
@@ -36,6 +37,14 @@
 LOSSES_PER_RUN = 8
 MAX_DOWN_S = 3.0
 RESTART_DELAY_S = 0.5
+# Hosts that lost their power at one time are back within this time of each other, so
+# that a leader is elected before it has heard from all members.
+MAX_RESTART_SPREAD_S = 1.0
+# Numbers of observers; the deployments have more of them than hosts with a disk.
+OBSERVER_COUNTS = (0, 2, 4)
+# Share of the runs in which the last loss before the final one replaces a host. The
+# one that is gone stays a member until it has been silent for some time.
+REPLACED_LAST_SHARE = 0.5
 # Longest time that a control process takes to leave the group before it stops.
 LEAVE_TIMEOUT_S = 3.0
 SEEDS_PER_HOST = 3
@@ -57,12 +66,14 @@
 REFUSAL_INTERVAL_STEPS = 5
 
 
-def new_group(seed: int = 1, size: int = 3) -> "LossSimulation":
+def new_group(
+    seed: int = 1, size: int = 3, limits: LogLimits | None = None
+) -> "LossSimulation":
     """Return a group of `size` members that has elected a leader, without faults."""
     simulation = next(
         simulation
         for simulation in (
-            LossSimulation(n, frozenset()) for n in range(seed, seed + 50)
+            LossSimulation(n, frozenset(), limits) for n in range(seed, seed + 50)
         )
         if len(simulation.hosts) == size
     )
@@ -79,16 +90,23 @@
 class LossSimulation(Simulation):
     """A control group whose hosts are lost and replaced, one after the other."""
 
-    def __init__(self, seed: int, disabled_guards: frozenset[str]) -> None:
+    def __init__(
+        self,
+        seed: int,
+        disabled_guards: frozenset[str],
+        limits: LogLimits | None = None,
+    ) -> None:
         self.refusing_until_s: dict[str, float] = {}
         self.data_centres: dict[str, str] = {}
         self.data_centre_count = random.Random(seed).choice((3, 5))
-        super().__init__(seed, disabled_guards)
+        super().__init__(seed, disabled_guards, limits)
         self.counted = list(self.hosts)
         self.lost_until_s: dict[str, float] = {}
         self.successors = 0
         self.steps = 0
         self.log: list[str] = []
+        self.last_ran_s: dict[str, float] = {}
+        self.seen_voters: dict[str, frozenset[str]] = {}
 
     def known_tolerance(self) -> int:
         return (len(self.hosts) - 1) // 2
@@ -130,6 +148,7 @@
             self.now_s,
             tuple(sorted({host, *seeds})),
             may_bootstrap=False,
+            max_entries=self.limits.max_entries_per_message,
             tolerated_losses=self.tolerated_losses,
             **self.deployment_of(host),
         )
@@ -179,7 +198,9 @@
     # Connections to hosts without a process
 
     def step(self) -> None:
+        committed = self.invariants.last_committed
         super().step()
+        self.check_new_voters(committed)
         self.steps += 1
         if self.steps % REFUSAL_INTERVAL_STEPS == 0:
             for host, until_s in self.refusing_until_s.items():
@@ -348,8 +369,14 @@
             self.lost_until_s[host] = float("inf")
         self.lose_power_while_writing(hosts)
         run_for(self, self.draw_down_s() if down_s is None else down_s)
-        for host in hosts:
+        self.restart_all_of(hosts)
+
+    def restart_all_of(self, hosts: list[str]) -> None:
+        """Restart hosts in a random order, half of the times one after the other."""
+        spread_s = self.rng.choice((0.0, self.rng.uniform(0.0, MAX_RESTART_SPREAD_S)))
+        for host in self.rng.sample(hosts, len(hosts)):
             self.restart(host)
+            run_for(self, spread_s / len(hosts))
 
     def lose_power_while_writing(self, hosts: list[str]) -> None:
         """
@@ -385,6 +412,28 @@
 
     # Checks
 
+    def check_new_voters(self, committed: int) -> None:
+        """Check that a leader makes only members voters that run and have the log."""
+        for member in self.members.values():
+            if member.driver:
+                self.last_ran_s[member.driver.node.name] = self.now_s
+        if not self.leaders():
+            return
+        leader = max(self.leaders(), key=lambda h: self.members[h].driver.node.term)
+        node = self.members[leader].driver.node
+        voters = frozenset(node.log.membership().voters)
+        for voter in voters - self.seen_voters.get(leader, voters):
+            ran_s = self.last_ran_s.get(voter, 0.0)
+            assert self.now_s - ran_s <= ELECTION_TIMEOUT_RANGE_S[0] + STEP_S, (
+                f"{self.now_s:.2f}: {voter}, which is gone, is made a voter"
+            )
+            driver = self.members[host_name(voter)].driver
+            if driver and driver.node.name == voter:
+                assert driver.node.log.last_index >= committed, (
+                    f"{self.now_s:.2f}: {voter}, which lacks entries, is made a voter"
+                )
+        self.seen_voters = {leader: voters}
+
     def check_tolerance(self) -> None:
         """Check that any further permitted loss of disks leaves a quorum."""
         budget = self.tolerance - len(self.lost_hosts())
@@ -424,8 +473,7 @@
         for host in wiped:
             self.members[host].folder.lose()
         run_for(self, 1.3)
-        for host in hosts:
-            self.restart(host)
+        self.restart_all_of(hosts)
 
 
 def run_seed(seed: int) -> Counter[str]:
@@ -435,7 +483,7 @@
     try:
         for _ in range(rng.choice((0, 1))):
             simulation.add_successor()
-        for number in range(rng.choice((0, 2))):
+        for number in range(rng.choice(OBSERVER_COUNTS)):
             seeds = tuple(simulation.counted[:SEEDS_PER_HOST])
             simulation.add_host(f"o{number}", seeds, observer=True)
         run_for(simulation, CATCH_UP_S + 0.1)
@@ -446,6 +494,8 @@
             simulation.check_tolerance()
             if rng.random() < 0.3:
                 run_for(simulation, rng.uniform(0.0, 10.0))
+        if rng.random() < REPLACED_LAST_SHARE:
+            simulation.lose("replace")
         while simulation.lost_hosts():
             simulation.step()
         simulation.lose_finally()
