A replaced host gets no vote back while its successor is away

Callers would see: a control group that stops for good when a replaced host goes at a time at which its successor has lost its disk or its power.

Cause: who is replaced was worked out from the data centres of members that respond. A successor that the leader has not heard from in its term, or that votes under the id of a lost disk, replaced nobody, so that the host that it replaces became a fourth voter. When that host goes, two of four voters are left.

Change: a successor keeps the vote of its host under any id; its data centre is that of any member of its host; and as long as a successor with a vote has not been heard of, a complete group makes no voter of a learner that it may have replaced.

Why the soak missed it: no loss began while a replaced host was still there. The kind replace_during_loss draws this.

The tests fail before.

--- a/src/damaskridge/core/consensus/membership.py
+++ b/src/damaskridge/core/consensus/membership.py
@@ -109,9 +109,11 @@
     """
     Return the members whose votes successors in their data centres have taken.
 
-    A successor replaces the only other member with a disk in its data centre. If there
-    are several, the settings don't show which of them it replaces. The result is in the
-    order in which the successors were added.
+    A successor replaces the only other host with a disk in its data centre. If there
+    are several, the settings don't show which of them it replaces. A successor that has
+    lost its disk has not given the vote back: its host votes under its earlier id until
+    the new id has caught up. The result is in the order in which the successors were
+    added.
 
     Parameters
     ----------
@@ -125,25 +127,31 @@
     Examples
     --------
     >>> four = Membership(("a#1", "b#1", "c#1", "d#1"), successors=("d#1",))
-    >>> replaced_members(four, {"a#1": "x", "b#1": "y", "c#1": "z", "d#1": "z"}.get)
+    >>> data_centres = {"a": "x", "b": "y", "c": "z", "d": "z"}
+    >>> replaced_members(four, lambda member: data_centres[host_name(member)])
+    ['c#1']
+    >>> lost = Membership(("a#1", "b#1", "d#1"), ("c#1", "d#2"), successors=("d#2",))
+    >>> replaced_members(lost, lambda member: data_centres[host_name(member)])
     ['c#1']
     """
     successors = membership.successors
     members = (*membership.voters, *filter(is_present, membership.learners))
-    replaced = []
+    voting_hosts = {host_name(voter) for voter in membership.voters}
+    replaced: list[str] = []
     for position, successor in enumerate(successors):
         data_centre = data_centre_of(successor)
-        if successor not in membership.voters or not data_centre:
+        if host_name(successor) not in voting_hosts or not data_centre:
             continue
+        newer_hosts = {host_name(member) for member in successors[position:]}
         neighbours = [
             member
             for member in members
-            if member not in successors[position:]
+            if host_name(member) not in newer_hosts
             and not is_observer(member)
             and data_centre_of(member) == data_centre
         ]
-        if len(neighbours) == 1:
-            replaced.append(neighbours[0])
+        if len({host_name(member) for member in neighbours}) == 1:
+            replaced += neighbours
     return replaced
 
 
--- a/src/damaskridge/core/consensus/membership_changes.py
+++ b/src/damaskridge/core/consensus/membership_changes.py
@@ -5,6 +5,7 @@
 
 from damaskridge.core.consensus.election import ELECTION_TIMEOUT_RANGE_S
 from damaskridge.core.consensus.membership import (
+    host_name,
     is_complete,
     is_observer,
     is_vote_needed,
@@ -94,7 +95,9 @@
             return self._is_dispensable(voter, late_index, now_s)
 
         def is_promotable(learner: str) -> bool:
-            if learner in replaced and learner != spare:
+            if learner != spare and (
+                learner in replaced or self._may_be_replaced(membership, learner)
+            ):
                 return False
             return self._has_caught_up(learner, required_index, now_s)
 
@@ -227,11 +230,44 @@
             lambda learner: self._progress[learner].is_present(now_s),
         )
 
+    def _may_be_replaced(self, membership: Membership, learner: str) -> bool:
+        """
+        Return whether a successor that is not heard of may have a learner's vote.
+
+        The host of such a learner may go at any time. As a further voter of a complete
+        group it would only enlarge the quorum. A learner whose host has a vote replaces
+        that one.
+        """
+        if not is_complete(membership, self._tolerated_losses) or is_observer(learner):
+            return False
+        successors = membership.successors
+        if learner in successors:
+            successors = successors[successors.index(learner) + 1 :]
+        voting_hosts = {host_name(voter) for voter in membership.voters}
+        return host_name(learner) not in voting_hosts and any(
+            host_name(successor) in voting_hosts and not self._is_known(successor)
+            for successor in successors
+        )
+
+    def _is_known(self, member: str) -> bool:
+        """Return whether any member of the host has responded in this term."""
+        return member == self._leader or any(
+            progress.has_responded
+            for other, progress in self._progress.items()
+            if host_name(other) == host_name(member)
+        )
+
     def _data_centre_of(self, member: str) -> str:
-        if member == self._leader:
+        """Return the data centre of a member's host; empty if it is unknown."""
+        host = host_name(member)
+        if host == host_name(self._leader):
             return self._data_centre
-        progress = self._progress.get(member)
-        return progress.data_centre if progress is not None else ""
+        known = (
+            progress.data_centre
+            for other, progress in self._progress.items()
+            if host_name(other) == host
+        )
+        return next(filter(None, known), "")
 
     def _silence_s(self, member: str, now_s: float) -> float:
         return now_s - self._progress[member].silent_since_s
--- a/tests/core/consensus/test_replacement.py
+++ b/tests/core/consensus/test_replacement.py
@@ -1,7 +1,7 @@
 """Guards against groups that stop for good after hosts were replaced and disks lost."""
 
 import pytest
-from tests.soak_consensus import FREQUENT_SNAPSHOTS, YOUNG_LOG
+from tests.soak_consensus import FREQUENT_SNAPSHOTS, STEP_S, YOUNG_LOG
 from tests.soak_membership import (
     CATCH_UP_S,
     new_group,
@@ -79,6 +79,54 @@
     simulation.check_serves()
 
 
+def test_new_leader_keeps_a_replaced_host_out_while_its_successor_is_away():
+    """
+    Guards against a vote of a host that may go, while its successor is not heard of.
+
+    The settings of the successor show whom it replaces, and the leader has not heard
+    from it in its term.
+    """
+    simulation = new_group(limits=YOUNG_LOG)
+    replaced = follower(simulation)
+    successor = simulation.add_successor(replaced, simulation.data_centres[replaced])
+    run_for(simulation, CATCH_UP_S)
+    hosts = simulation.counted.copy()
+    for host in hosts:
+        simulation.stop(host, loses_power=True)
+    simulation.members[successor].folder.lose()
+    for host in hosts:
+        if host != successor:
+            simulation.start(host)
+    while not simulation.leaders():
+        simulation.step()
+    run_for(simulation, 0.1)
+    simulation.stop(replaced)
+    simulation.counted.remove(replaced)
+    simulation.start(successor)
+    simulation.check_serves()
+
+
+@pytest.mark.parametrize("steps", range(6))
+def test_replaced_host_stays_a_spare_while_its_successor_replaces_its_disk(steps):
+    """Guards against a vote for a host that goes right after its successor's disk."""
+    simulation = new_group(limits=YOUNG_LOG)
+    replaced = next(h for h in simulation.hosts if h not in simulation.leaders())
+    successor = simulation.add_successor(replaced, simulation.data_centres[replaced])
+    run_for(simulation, CATCH_UP_S)
+    simulation.stop(successor, loses_power=True)
+    simulation.members[successor].folder.lose()
+    run_for(simulation, 0.2)
+    simulation.start(successor)
+    (leader,) = simulation.leaders()
+    empty_member = simulation.members[successor].driver.node.name
+    while empty_member not in simulation.membership_of(leader).learners:
+        simulation.step()
+    run_for(simulation, steps * STEP_S)
+    simulation.stop(replaced)
+    simulation.counted.remove(replaced)
+    simulation.check_serves()
+
+
 def test_leader_that_stops_does_not_transfer_to_a_voter_that_is_gone():
     """Guards against commands that are held back for a transfer that can't end."""
     for seed in range(1, 6):
--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -54,8 +54,8 @@
 WRITE_WAIT_S = 0.3
 KINDS = (
     "replace replace replace_planned replace_planned replace_unplanned "
-    "replace_unplanned restart_planned wipe wipe power kill_leader cut power_all "
-    "halves disk_full disk_full"
+    "replace_unplanned replace_during_loss replace_during_loss restart_planned wipe "
+    "wipe power kill_leader cut power_all halves disk_full disk_full"
 ).split()
 # Longest time in which a change is acknowledged (`Bounds.AckMs` on the platform).
 ACKNOWLEDGEMENT_TIMEOUT_S = 4.0
@@ -246,6 +246,10 @@
         host = self.draw_host()
         successor = self.add_successor(host)
         run_for(self, self.rng.choice((0.5, 1.0, 2.0, CATCH_UP_S, CATCH_UP_S + 3.0)))
+        self.leave_for(host, successor)
+
+    def leave_for(self, host: str, successor: str) -> None:
+        """Stop a replaced host for good."""
         self.leave(host)
         self.counted.remove(host)
         self.lost_until_s[host] = self.lost_until_s[successor]
@@ -274,6 +278,40 @@
         self.lost_until_s[host] = self.now_s
         self.lost_until_s[successor] = self.now_s
 
+    def lose_by_replace_during_loss(self) -> None:
+        """
+        Remove a replaced host while another host, or its successor, is lost.
+
+        The successor has had its time, so that the removed host doesn't count (see
+        `lose_by_replace_unplanned`) and the other loss is the only one.
+        """
+        host = self.draw_host()
+        successor = self.add_successor(host)
+        run_for(self, self.rng.uniform(CATCH_UP_S, CATCH_UP_S + 3.0))
+        if not self.is_shown(host, successor):
+            self.leave_for(host, successor)
+            return
+        wiped = self.rng.choice(([], [successor], [self.draw_host()]))
+        wiped = [h for h in wiped if h != host]
+        dark = wiped
+        if not wiped or self.rng.random() < 0.5:
+            dark = [h for h in self.hosts if self.members[h].driver]
+        self.note(f"{dark} lose power, {wiped} their disks")
+        for other in dark:
+            self.lost_until_s[other] = float("inf")
+            self.stop_losing_observer_state(other)
+            if other in wiped:
+                self.members[other].folder.lose()
+        run_for(self, self.draw_down_s())
+        if host in dark:
+            self.restart_all_of(dark)
+            run_for(self, self.rng.uniform(0.0, 2.0))
+            dark = []
+        self.note(f"{host} is gone")
+        self.counted.remove(host)
+        self.stop(host)
+        self.restart_all_of(dark)
+
     def is_shown(self, host: str, successor: str) -> bool:
         """Return whether the settings show which host a successor replaces."""
         neighbours = [
