Events of servers without engines are forwarded as they arrive

Cause: all that is no generation went through CallForwarder, which reads the whole response before it forwards any of it, for streams, too.

PlainStreamForwarder chooses the server by its requests in progress, like calls (ServerChoice).

--- a/src/damaskridge/adapters/gateway/app.py
+++ b/src/damaskridge/adapters/gateway/app.py
@@ -20,6 +20,7 @@
     NoHandover,
     may_hand_over,
 )
+from damaskridge.adapters.gateway.plain_streams import PlainStreamForwarder
 from damaskridge.adapters.gateway.rate_admission import RateAdmission
 from damaskridge.adapters.gateway.responses import CallerResponse, no_added_headers
 from damaskridge.adapters.gateway.streams import StreamForwarder
@@ -116,8 +117,9 @@
         Routing index and host state, updated from outside.
     dialect : Dialect
         Decodes requests and encodes refusals.
-    calls, streams : CallForwarder, StreamForwarder
-        Forward admitted requests to plain services and to engines.
+    calls, streams, plain_streams : CallForwarder, StreamForwarder, PlainStreamForwarder
+        Forward admitted requests: those with one response, generations, and other
+        streams.
     rates : RateAdmission
         Enforces the rate limits of workspaces.
     refusals : RetryAfterTimes
@@ -139,6 +141,7 @@
         dialect: Dialect,
         calls: CallForwarder,
         streams: StreamForwarder,
+        plain_streams: PlainStreamForwarder,
         rates: RateAdmission,
         refusals: RetryAfterTimes,
         crashes: CrashMonitor,
@@ -152,6 +155,7 @@
         self._dialect = dialect
         self._calls = calls
         self._streams = streams
+        self._plain_streams = plain_streams
         self._rates = rates
         self._refusals = refusals
         self._crashes = crashes
@@ -235,6 +239,8 @@
             forwarding = self._hand_over(exchange, response, admitted)
         elif admitted.service.engine is not None and request.has_size:
             forwarding = self._streams.forward(admitted, response)
+        elif admitted.route.kind is RouteKind.STREAM and request.method != "HEAD":
+            forwarding = self._plain_streams.forward(admitted, response)
         else:
             forwarding = self._calls.forward(admitted, response)
         await self._run_until_done(exchange, response, admitted, forwarding)
--- a/src/damaskridge/adapters/gateway/calls.py
+++ b/src/damaskridge/adapters/gateway/calls.py
@@ -3,15 +3,15 @@
 import logging
 
 from damaskridge.adapters.gateway.admitted_request import AdmittedRequest
-from damaskridge.adapters.gateway.connections import ConnectionBroken, ResponseHead
+from damaskridge.adapters.gateway.connections import ConnectionBroken
 from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
 from damaskridge.adapters.gateway.outcomes import NotRun, OpenReply, Unknown
 from damaskridge.adapters.gateway.responses import CallerResponse
 from damaskridge.adapters.gateway.retry_gate import RetryGate
 from damaskridge.adapters.gateway.sender import Sender
+from damaskridge.adapters.gateway.server_choice import ServerChoice
 from damaskridge.adapters.gateway.server_permits import ServerPermits
 from damaskridge.adapters.observability.events import log_event
-from damaskridge.core.gateway.event_stream import is_event_stream
 from damaskridge.core.gateway.instances import InstanceRegistry
 from damaskridge.core.gateway.placement.load_tracker import LoadTracker
 from damaskridge.core.gateway.retry_after import RetryAfterTimes
@@ -20,7 +20,7 @@
 from damaskridge.model.errors import ErrorKind, Failure
 from damaskridge.model.events import EventNumber
 from damaskridge.model.follow import InstanceLoad
-from damaskridge.model.gateway import BackendInstance, RouteKind
+from damaskridge.model.gateway import BackendInstance
 
 __all__ = ["CallForwarder"]
 
@@ -72,11 +72,16 @@
         self._sender = sender
         self._registry = registry
         self._load = load
-        self._data_centre = data_centre
         self._gate = gate
         self._refusals = refusals
-        self._permits = permits
         self._crashes = crashes
+        self._choice = ServerChoice(
+            registry=registry,
+            load=load,
+            data_centre=data_centre,
+            permits=permits,
+            refusals=refusals,
+        )
 
     async def forward(
         self, admitted: AdmittedRequest, response: CallerResponse
@@ -88,9 +93,9 @@
             if quarantined is not None:
                 await response.refuse(quarantined)
                 return
-            instance, candidates = await self._choose_server(admitted, tried)
+            instance, candidates = await self._choice.choose(admitted, tried)
             if instance is None:
-                await self._refuse_without_server(admitted, response)
+                await response.refuse(self._choice.no_server_failure(admitted))
                 return
             tried.add(instance.instance)
             failure = await self._send_once(admitted, response, instance, candidates)
@@ -100,46 +105,6 @@
             if response.is_complete:
                 return
 
-    async def _choose_server(
-        self, admitted: AdmittedRequest, tried: set[str]
-    ) -> tuple[BackendInstance | None, int]:
-        """Return the server to send to, and how many candidates there were."""
-        service = admitted.service.name
-        denied: set[str] = set()
-        while True:
-            now_s = admitted.now_s
-            denied |= self._permits.waits_s(admitted).keys()
-            candidates = self._registry.candidates(
-                service, now_s, excluded=frozenset(tried | denied)
-            )
-            # If every server has been tried, one that was full may have capacity now.
-            candidates = candidates or self._registry.candidates(
-                service, now_s, excluded=frozenset(denied)
-            )
-            if not candidates:
-                return None, 0
-            chosen = self._load.least_loaded(candidates, self._data_centre)
-            if await self._permits.acquire(chosen, admitted):
-                return chosen, len(candidates)
-            denied.add(chosen.instance)
-
-    async def _refuse_without_server(
-        self, admitted: AdmittedRequest, response: CallerResponse
-    ) -> None:
-        kind = ErrorKind.NO_BACKEND_SERVER
-        if admitted.policy.runs:
-            kind = ErrorKind.BACKEND_SERVER_FAILED
-        service = admitted.service.name
-        detail = f"no backend server for {service}"
-        retry_after_s = self._refusals.no_server_s(admitted.remaining_s)
-        wait_s = self._registry.wait_s(
-            service, admitted.now_s, limit_waits_s=self._permits.waits_s(admitted)
-        )
-        if wait_s:
-            detail = f"every backend server for {service} wants no request now"
-            retry_after_s = self._refusals.paused_s(wait_s)
-        await response.refuse(Failure(kind, detail, retry_after_s=retry_after_s))
-
     async def _send_once(
         self,
         admitted: AdmittedRequest,
@@ -235,8 +200,6 @@
         try:
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
             await self._sender.check_complete(server_response)
-            if admitted.route.kind is RouteKind.STREAM:
-                _check_events(server_response.head, body)
         except ConnectionBroken as error:
             self._sender.record_response(
                 server_response.instance, good=False, reason=str(error)
@@ -266,11 +229,3 @@
                 return None
         await response.forward(server_response.head, server_response.metadata, body)
         return None
-
-
-def _check_events(head: ResponseHead, body: bytes) -> None:
-    """Raise `ConnectionBroken` if the body of a stream is cut or holds other text."""
-    if head.status == 200 and not is_event_stream(body):
-        raise ConnectionBroken("the body does not consist of complete events")
-    if head.status == 200 and head.ends_with_connection and not body:
-        raise ConnectionBroken("the stream ended before its first event")
--- a/src/damaskridge/adapters/gateway/decode_choice.py
+++ b/src/damaskridge/adapters/gateway/decode_choice.py
@@ -87,7 +87,7 @@
                 service,
                 now_s,
                 stage,
-                frozenset(generation.tried_engines | denied),
+                frozenset(generation.tried_servers | denied),
                 version,
             )
             candidates = candidates or self._registry.candidates(
--- a/src/damaskridge/adapters/gateway/decode_reservations.py
+++ b/src/damaskridge/adapters/gateway/decode_reservations.py
@@ -138,7 +138,7 @@
 
         `PAUSED` also means that there is no such engine.
         """
-        if not self._untried(generation, generation.tried_engines):
+        if not self._untried(generation, generation.tried_servers):
             return RoomSearch.PAUSED
         engine = generation.admitted.service.engine
         if engine is None or engine.reservation_s <= 0:
@@ -154,7 +154,7 @@
         """Reserve capacity on engines that the leader assigns; None if it doesn't."""
         admitted, version = generation.admitted, generation.software_version
         service = admitted.service.name
-        excluded = generation.tried_engines | self._avoided(service, admitted.now_s)
+        excluded = generation.tried_servers | self._avoided(service, admitted.now_s)
         while (wait_s := wait_until_s - admitted.elapsed_s) > 0:
             wanted = RoomWanted(
                 sequence=0,
@@ -232,12 +232,12 @@
         """Ask engines until one grants a reservation; returns how many were full."""
         admitted = generation.admitted
         service = admitted.service.name
-        tried_engines = (
-            generation.tried_engines | self._permits.waits_s(admitted).keys()
+        tried_servers = (
+            generation.tried_servers | self._permits.waits_s(admitted).keys()
         )
         full_count = attempts = 0
         while attempts < MAX_RESERVATION_ATTEMPTS:
-            untried = self._untried(generation, tried_engines)
+            untried = self._untried(generation, tried_servers)
             candidates = self._load.with_free_memory(
                 self._without_yielded(untried, generation),
                 admitted.memory_tokens,
@@ -248,7 +248,7 @@
                 full_count += len(untried)
                 break
             instance = self._load.least_memory_used(candidates, self._data_centre)
-            tried_engines.add(instance.instance)
+            tried_servers.add(instance.instance)
             if self._permits.is_limited(instance.instance_id):
                 if not await self._permit_decode(generation, instance, engine):
                     continue
@@ -270,14 +270,14 @@
         return full_count
 
     def _untried(
-        self, generation: Generation, tried_engines: Set[str]
+        self, generation: Generation, tried_servers: Set[str]
     ) -> list[BackendInstance]:
         """Return the engines to ask; leaving ones only if there is no other."""
         admitted, version = generation.admitted, generation.software_version
         service, now_s, tried = (
             admitted.service.name,
             admitted.now_s,
-            frozenset(tried_engines),
+            frozenset(tried_servers),
         )
         stage = EngineStage.DECODE
         untried = self._registry.candidates(service, now_s, stage, tried, version)
--- a/src/damaskridge/adapters/gateway/stream_versions.py
+++ b/src/damaskridge/adapters/gateway/stream_versions.py
@@ -81,12 +81,18 @@
         OriginUndecided
             No leader has answered in time.
         """
-        attempt_id, service = admitted.request.first_attempt_id, admitted.service.name
-        known = self._origins.version_of(attempt_id, service)
+        known = self.known(admitted)
         if known is not None:
             return known
+        attempt_id, service = admitted.request.first_attempt_id, admitted.service.name
         return await self._ask_leader(attempt_id, service)
 
+    def known(self, admitted: AdmittedRequest) -> str | None:
+        """Return the version at which the stream of a request began on this host."""
+        return self._origins.version_of(
+            admitted.request.first_attempt_id, admitted.service.name
+        )
+
     def is_recorded(self, instance: BackendInstance) -> bool:
         """Return whether the version of an engine is on record, so that it is used."""
         return self._origins.is_recorded(instance)
--- a/src/damaskridge/binaries/gateway_host.py
+++ b/src/damaskridge/binaries/gateway_host.py
@@ -21,6 +21,7 @@
 from damaskridge.adapters.gateway.host_probes import HostProbes
 from damaskridge.adapters.gateway.leader_exchange import LeaderExchange
 from damaskridge.adapters.gateway.list_refresh import ListRefresh
+from damaskridge.adapters.gateway.plain_streams import PlainStreamForwarder
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.rate_admission import RateAdmission
 from damaskridge.adapters.gateway.retry_gate import RetryGate
@@ -229,6 +230,7 @@
             "state": self.state,
             "dialect": dialect,
             "calls": CallForwarder(**shared),
+            "plain_streams": PlainStreamForwarder(versions=self._versions, **shared),
             "streams": StreamForwarder(
                 dialect=dialect,
                 versions=self._versions,
--- a/src/damaskridge/core/gateway/instances.py
+++ b/src/damaskridge/core/gateway/instances.py
@@ -172,7 +172,7 @@
         self,
         service: str,
         now_s: float,
-        stage: EngineStage,
+        stage: EngineStage | None = None,
         excluded: frozenset[str] = frozenset(),
         *,
         software_version: str,
--- a/tests/adapters/gateway/standin.py
+++ b/tests/adapters/gateway/standin.py
@@ -13,6 +13,7 @@
 from damaskridge.adapters.gateway.app import GatewayApp, GatewayState
 from damaskridge.adapters.gateway.calls import CallForwarder
 from damaskridge.adapters.gateway.crash_monitor import CrashMonitor
+from damaskridge.adapters.gateway.plain_streams import PlainStreamForwarder
 from damaskridge.adapters.gateway.pool import ConnectionPool
 from damaskridge.adapters.gateway.rate_admission import RateAdmission
 from damaskridge.adapters.gateway.retry_gate import RetryGate
@@ -42,6 +43,14 @@
     route("/open/", RouteKind.REPEATABLE, is_public=True),
     route("/gen/", RouteKind.STREAM, attempts=1, timeout_ms=4000),
     route("/res/", RouteKind.STREAM, attempts=2, is_resumable=True, timeout_ms=4000),
+    route("/events/", RouteKind.STREAM, attempts=1, timeout_ms=4000),
+    route(
+        "/events-res/",
+        RouteKind.STREAM,
+        attempts=2,
+        is_resumable=True,
+        timeout_ms=4000,
+    ),
 )
 
 
@@ -227,12 +236,9 @@
         attempt="a1",
     ):
         """Return status, headers and body; the body is None if it is truncated."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        lines = [f"{method} {path} HTTP/1.1", "host: h.example"]
-        lines.append(f"x-attempt-id: {attempt}")
-        lines += [f"authorization: Bearer {key}"] if key else []
-        lines += [*headers, f"content-length: {len(body)}", "connection: close"]
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        reader, writer = await self.begin_request(
+            path, headers, body, method, key, attempt
+        )
         async with asyncio.timeout(TIMEOUT_S):
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             try:
@@ -247,6 +253,18 @@
             rest = _decode_chunked(rest)
         return int(first.split()[1]), response_headers, rest
 
+    async def begin_request(
+        self, path, headers=(), body=b"", method="POST", key="k", attempt="a1"
+    ):
+        """Send a request, and return the streams of its connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        lines = [f"{method} {path} HTTP/1.1", "host: h.example"]
+        lines.append(f"x-attempt-id: {attempt}")
+        lines += [f"authorization: Bearer {key}"] if key else []
+        lines += [*headers, f"content-length: {len(body)}", "connection: close"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return reader, writer
+
     async def generate(self, path="/res/x", **options):
         return await self.send_request(
             path, ["x-token-count: 100,50"], b"prompt", **options
@@ -400,6 +418,7 @@
         state=state,
         dialect=dialect,
         calls=CallForwarder(**shared),
+        plain_streams=PlainStreamForwarder(versions=leader.versions, **shared),
         streams=StreamForwarder(
             dialect=dialect,
             versions=leader.versions,
