Fault soak: streams of plain servers, and how late events arrive

Change: callers also follow streams of the plain service, resumable or not, longer than those of engines. Each event has to arrive within 1 s of its writing (callers leave after 2 s at the earliest), a stream that breaks off has to hold whole events, and a stream that may not be resumed runs once. Each kind of request is checked after the faults by a caller of its own, as streams take longer than calls.

--- a/tests/fault_soak/backends.py
+++ b/tests/fault_soak/backends.py
@@ -14,6 +14,11 @@
 __all__ = ["DEADLY_PART", "event_count", "event_text", "make_backends"]
 
 EVENT_INTERVAL_S = 0.02
+# Streams of plain servers are longer, so that one that is held back to its end shows.
+PLAIN_EVENT_INTERVAL_S = 0.08
+# Paths of a plain service that lead to streams.
+STREAM_PATHS = ("/feed/", "/follow/")
+PLAIN_VERSION = "v1"
 # Decode engines crash when they begin to respond to a prompt with this part.
 DEADLY_PART = "dead"
 
@@ -61,11 +66,34 @@
             if self._record_arrival(name, request, writer):
                 return
             run = self._begin_run(request, name)
+            if request.target.startswith(STREAM_PATHS):
+                try:
+                    writer.write(chunked_head(request))
+                    return await self._write_events(
+                        request, writer, PLAIN_EVENT_INTERVAL_S, PLAIN_VERSION
+                    )
+                finally:
+                    self._record.end_run(run)
             await asyncio.sleep(self._rng.uniform(0.0, 0.06))
             self._record.end_run(run)
             writer.write(response(request, body=b"ran:" + request.attempt.encode()))
 
-        return StandIn(name, script)
+        return StandIn(name, script, software_version=PLAIN_VERSION)
+
+    async def _write_events(self, request, writer, interval_s, software_version):
+        """Write the events that the caller lacks; return whether it has left."""
+        stream_id = request.headers.get("resumes", request.attempt)
+        first_event = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first_event, event_count(stream_id) + 1):
+            await asyncio.sleep(interval_s)
+            if writer.transport.is_closing() or request.reader.at_eof():
+                return True
+            self._record.add_written_event(request.attempt, number)
+            event = event_text(stream_id, number, software_version)
+            writer.write(chunk(event.encode()))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return False
 
     def make_prefill_engine(self, name):
         async def script(request, writer):
@@ -83,21 +111,14 @@
                 return False
             run = self._begin_run(request, name)
             try:
-                stream_id = request.headers.get("resumes", request.attempt)
-                first_event = int(request.headers.get("last-event-id", "0")) + 1
                 writer.write(chunked_head(request))
                 if _is_deadly(request):
                     await writer.drain()
                     self.on_crash(name)
                     return True
-                for number in range(first_event, event_count(stream_id) + 1):
-                    await asyncio.sleep(EVENT_INTERVAL_S)
-                    if writer.transport.is_closing() or request.reader.at_eof():
-                        return True
-                    event = event_text(stream_id, number, software_version)
-                    writer.write(chunk(event.encode()))
-                    await writer.drain()
-                writer.write(b"0\r\n\r\n")
+                return await self._write_events(
+                    request, writer, EVENT_INTERVAL_S, software_version
+                )
             finally:
                 self._record.end_run(run)
 
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -3,10 +3,15 @@
 import asyncio
 
 from tests.fault_soak.backends import DEADLY_PART, event_count, event_text
+from tests.fault_soak.record import RESUMABLE_KINDS
 
-__all__ = ["Caller"]
+__all__ = ["KINDS", "Caller"]
 
 RESPONSE_TIMEOUT_S = 8.0
+# What callers send: calls to plain servers, streams of engines, and streams of plain
+# servers, of which those of kind "follow" may be resumed.
+KINDS = ("safe", "safe", "safe", "once", "once", "stream", "stream", "feed", "follow")
+STREAM_KINDS = frozenset({"stream", "feed", "follow"})
 # A caller abandons a stream whose next chunk takes longer than this.
 CHUNK_TIMEOUT_S = 4.0
 
@@ -23,8 +28,8 @@
 
     Parameters
     ----------
-    number : int
-        Number of the caller, part of the ids of its requests.
+    number : int or str
+        Names the caller, part of the ids of its requests.
     soak : Soak
         Holds the record, the front addresses and the configuration in force.
     rng : random.Random
@@ -44,7 +49,7 @@
     async def run(self):
         """Send random requests until cancelled."""
         while True:
-            kind = self._rng.choice(("safe", "safe", "once", "stream"))
+            kind = self._rng.choice(KINDS)
             await self.send_request(kind, self._rng.randrange(self._soak.machine_count))
             await asyncio.sleep(self._rng.uniform(0.0, 0.15))
 
@@ -79,7 +84,9 @@
                 status, body = await self._exchange(request, parts, taken_up)
         except (OSError, EOFError, TimeoutError, _TruncatedResponse, ValueError):
             self._close()
-            if kind == "stream" and taken_up is None:
+            if kind in STREAM_KINDS:
+                self._check_partial_body(request, taken_up)
+            if kind in RESUMABLE_KINDS and taken_up is None:
                 await self._take_up(request, key, parts)
             return None
         record.add_response(request, status)
@@ -110,7 +117,7 @@
         machine = self._rng.randrange(self._soak.machine_count)
         self._soak.record.take_ups["sent"] += 1
         status = await self.send_request(
-            "stream",
+            request.kind,
             machine,
             request.path,
             key,
@@ -119,15 +126,27 @@
         )
         self._soak.record.take_ups[status] += 1
 
+    def _expected_stream(self, request, body, taken_up):
+        """Return the whole stream that a body is, or begins."""
+        version = body.decode().partition("\n\n")[0].rpartition("/")[2]
+        stream_id, last, version = taken_up or (request.attempt_id, 0, version)
+        return "".join(
+            event_text(stream_id, number, version)
+            for number in range(last + 1, event_count(stream_id) + 1)
+        )
+
+    def _check_partial_body(self, request, taken_up):
+        """Check that a stream that broke off consists of whole events."""
+        body = self._partial_body
+        expected = self._expected_stream(request, body, taken_up)
+        is_whole = not body or body.endswith(b"\n\n")
+        if not is_whole or not expected.startswith(body.decode()):
+            text = f"{request}: {body!r}"
+            self._soak.record.add_violation("partial stream", text)
+
     def _check_body(self, request, body, taken_up=None):
-        if request.kind == "stream":
-            version = body.decode().partition("\n\n")[0].rpartition("/")[2]
-            stream_id, last, version = taken_up or (request.attempt_id, 0, version)
-            expected = "".join(
-                event_text(stream_id, number, version)
-                for number in range(last + 1, event_count(stream_id) + 1)
-            )
-            if body.decode() != expected:
+        if request.kind in STREAM_KINDS:
+            if body.decode() != self._expected_stream(request, body, taken_up):
                 self._soak.record.add_violation("stream body", f"{request}: {body!r}")
         elif body != b"ran:" + request.attempt_id.encode():
             self._soak.record.add_violation("body", f"{request}: {body!r}")
@@ -157,14 +176,15 @@
         status_line, *header_lines = head.strip().split("\r\n")
         headers = dict(line.lower().split(": ", 1) for line in header_lines)
         if headers.get("transfer-encoding") == "chunked":
-            response_body = await self._read_chunked_body(reader)
+            response_body = await self._read_chunked_body(reader, request)
         else:
             response_body = await reader.readexactly(int(headers["content-length"]))
+            self._record_events(request, response_body)
         if headers.get("connection") == "close":
             self._close()
         return int(status_line.split()[1]), response_body
 
-    async def _read_chunked_body(self, reader):
+    async def _read_chunked_body(self, reader, request):
         while True:
             async with asyncio.timeout(CHUNK_TIMEOUT_S):
                 size = int(await reader.readuntil(b"\r\n"), 16)
@@ -172,6 +192,13 @@
             if size == 0:
                 return self._partial_body
             self._partial_body += chunk[:-2]
+            self._record_events(request, chunk)
+
+    def _record_events(self, request, data):
+        if request.kind in STREAM_KINDS:
+            for line in data.split(b"\n"):
+                if line.startswith(b"id: "):
+                    self._soak.record.add_event(request, int(line[4:]))
 
     def _close(self):
         if self._connection is not None:
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -10,11 +10,18 @@
     "MAX_CHANGE_DELAY_S",
     "FAULT_AFTERMATH_S",
     "MAX_DRAIN_DELAY_S",
+    "RESUMABLE_KINDS",
     "RETRY_SLACK",
     "Record",
     "Request",
 ]
 
+# Kinds of requests that run once at most, and streams that may be resumed.
+RUN_ONCE_KINDS = frozenset({"once", "feed"})
+RESUMABLE_KINDS = frozenset({"stream", "follow"})
+# Longest time from the writing of an event to its arrival without faults. Callers
+# abandon a stream after 2 seconds without an event at the earliest.
+MAX_EVENT_DELAY_S = 1.0
 # A stream may begin a second run while its first one, at most this old, still runs.
 MAX_OVERLAPPED_RUN_AGE_S = 0.4
 # Statuses that guarantee that a request has not run and never will.
@@ -60,6 +67,8 @@
     sent_s: float
     status: int | None = None
     runs: list = field(default_factory=list)
+    # Time at which a server has written each event of the stream.
+    events_written_s: dict = field(default_factory=dict)
     arrivals: int = 0
     has_uncounted_prefill: bool = True
 
@@ -159,8 +168,25 @@
         if status in NOT_RUN_STATUSES and request.runs:
             self.add_violation("not run", f"{request} was refused although it had run")
 
+    def add_event(self, request, number):
+        """Check that an event arrives soon after a server has written it."""
+        written_s = request.events_written_s.get(number)
+        if written_s is None:
+            self.add_violation("event", f"{request}: no server has written {number}")
+        elif self.now_s > written_s + MAX_EVENT_DELAY_S and (
+            self.is_fault_free_since(written_s)
+        ):
+            delay_s = self.now_s - written_s
+            text = f"{request}: event {number} arrives {delay_s:.3f} s late"
+            self.add_violation("late event", text)
+
     # Events reported by backend servers.
 
+    def add_written_event(self, attempt_id, number):
+        request = self.requests.get(attempt_id)
+        if request is not None:
+            request.events_written_s[number] = self.now_s
+
     def add_arrival(self, attempt_id, *, is_prefill=False, is_refused=False):
         """
         Count an arrival at a server the way the operator counts retries.
@@ -220,11 +246,11 @@
         request.runs.append((server, now_s))
         if has_key:
             self.add_violation("key", f"{server} received the key of {attempt_id}")
-        if request.kind == "once" and len(request.runs) > 1:
+        if request.kind in RUN_ONCE_KINDS and len(request.runs) > 1:
             self.add_violation("once", f"{request} ran more than once")
         if request.status in NOT_RUN_STATUSES:
             self.add_violation("not run", f"{request} runs after it was refused")
-        if request.kind == "stream":
+        if request.kind in RESUMABLE_KINDS:
             for other_server, started_s in self._active_runs[attempt_id].values():
                 if (
                     now_s - started_s > MAX_OVERLAPPED_RUN_AGE_S
--- a/tests/fault_soak/soak.py
+++ b/tests/fault_soak/soak.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tests.fault_soak.backends import make_backends
-from tests.fault_soak.callers import Caller
+from tests.fault_soak.callers import KINDS, Caller
 from tests.fault_soak.proxy import FaultProxy, LinkFault
 from tests.fault_soak.record import (
     COLD_PER_S,
@@ -35,6 +35,10 @@
 REQUESTS_AFTER_DRAIN = 6
 # Time for which an engine that has crashed refuses connections.
 ENGINE_RESTART_S = 1.5
+# Path prefixes that no change removes.
+FIXED_PATHS = ("/once/", "/stream/", "/follow/", "/feed/")
+# Above the duration of the longest stream of a plain server.
+STREAM_TIMEOUT_MS = 6_000
 # Servers of the data centre that is evacuated.
 EAST_SERVERS = ("app-2", "d-1")
 
@@ -422,7 +426,7 @@
                 expiry_s = min(until_s, now_s + MAX_CHANGE_DELAY_S)
                 self.record.maybe_removed_until_s[item] = expiry_s
             self.prefix_number, self.keys = prefix_number, keys
-            for item in (new_path, "/once/", "/stream/", *keys):
+            for item in (new_path, *FIXED_PATHS, *keys):
                 self.in_force_since_s.setdefault(item, now_s)
             for item in removed:
                 self.record.removed_at_s[item] = now_s
@@ -436,17 +440,14 @@
         self.fleet.leaving.clear()
         self.record.leaving_since_s.clear()
         record, faults_ended_s = self.record, self.record.now_s
-        kinds = ("safe", "once", "stream")
-        unserved = {(kind, n) for kind in kinds for n in range(self.machine_count)}
-        while unserved and record.now_s < faults_ended_s + MAX_RECOVERY_S:
-            for kind, number in sorted(unserved):
-                if await caller.send_request(kind, number) == 200:
-                    unserved.discard((kind, number))
-            await asyncio.sleep(0.1)
-        for item in sorted(unserved):
-            record.add_violation(
-                "recovery", f"{item} is not served {MAX_RECOVERY_S} s after the faults"
+        end_s = faults_ended_s + MAX_RECOVERY_S
+        await asyncio.gather(
+            *(
+                self._check_recovery(kind, number, end_s)
+                for kind in sorted(set(KINDS))
+                for number in range(self.machine_count)
             )
+        )
         await self._check_removals(caller)
         await self._kill_control_group()
         try:
@@ -471,6 +472,18 @@
                     f"{name} exited unexpectedly with status {process.returncode}",
                 )
 
+    async def _check_recovery(self, kind, machine, end_s):
+        """Check that a machine serves a kind of request again by a time."""
+        caller = Caller(f"{CALLER_COUNT}-{kind}-{machine}", self, self.rng)
+        while self.record.now_s < end_s:
+            if await caller.send_request(kind, machine) == 200:
+                return
+            await asyncio.sleep(0.1)
+        self.record.add_violation(
+            "recovery",
+            f"{(kind, machine)} is not served {MAX_RECOVERY_S} s after the faults",
+        )
+
     async def _check_removals(self, caller):
         """Check that a removed key, route and server are not used without faults."""
         await asyncio.sleep(FAULT_AFTERMATH_S)
@@ -502,7 +515,12 @@
 def _config_document(version, prefix_number, keys):
     common_fields = {"Hostname": "h.example", "TimeoutMs": 4000, "MaxAttempts": 2}
     plain_route = common_fields | {"Service": "app"}
-    stream_route = common_fields | {"Service": "llm", "SloMs": 900, "Resumable": True}
+    stream_route = common_fields | {
+        "Kind": "stream",
+        "Service": "llm",
+        "SloMs": 900,
+        "Resumable": True,
+    }
     engine = {"Slots": 64, "KvCapacity": 60000, "KvHoldS": 0.5, "HoldMs": 2000}
     document = {
         "Version": version,
@@ -515,7 +533,13 @@
             },
             plain_route
             | {"Name": "r2", "PathPrefix": "/once/", "Kind": "non_idempotent"},
-            stream_route | {"Name": "r3", "PathPrefix": "/stream/", "Kind": "stream"},
+            stream_route | {"Name": "r3", "PathPrefix": "/stream/"},
+            stream_route
+            | {"Name": "r4", "PathPrefix": "/follow/"}
+            | {"Service": "app", "TimeoutMs": STREAM_TIMEOUT_MS},
+            stream_route
+            | {"Name": "r5", "PathPrefix": "/feed/", "Resumable": False}
+            | {"Service": "app", "TimeoutMs": STREAM_TIMEOUT_MS},
         ],
         "Services": [
             {"Name": "app", "ColdStartS": COLD_S, "ColdPerS": COLD_PER_S},
