Stream relay: one path for broken streams, head at once for event streams only

Cause: reading the change again, three branches recorded a failed server in the same way, and a 200 that is no event stream, which got 502 before, would have been cut.

Change: the failure is recorded where the relay decides what follows; the head is sent before the first event only if the type of the response is text/event-stream.

--- a/src/damaskridge/adapters/gateway/relayed_stream.py
+++ b/src/damaskridge/adapters/gateway/relayed_stream.py
@@ -89,6 +89,7 @@
     ) -> None:
         """Log that a step was sent, with the data by which its server was chosen."""
         admitted = self.admitted
+        # The load by which servers are compared for the step.
         loads = {"prefill": load.prompt_tokens, "call": load.requests}
         log_event(
             logger,
--- a/src/damaskridge/adapters/gateway/stream_relay.py
+++ b/src/damaskridge/adapters/gateway/stream_relay.py
@@ -20,6 +20,7 @@
 
 __all__ = ["StreamRelay"]
 
+EVENT_STREAM_TYPE = b"text/event-stream"
 # Longest response that is not a stream, which is read in full before it is forwarded.
 MAX_RESPONSE_BYTES = 4_194_304
 
@@ -48,9 +49,9 @@
     on_first_event : callable
         Called before the first event of a stream is forwarded.
     sends_head_at_once : bool
-        Whether the head of a response is forwarded before its first event, if no other
-        server may run the request. Otherwise a failure before that event can still get
-        a status of its own.
+        Whether the head of an event stream is forwarded before the first event, if no
+        other server may run the request. Otherwise a failure before that event still
+        gets a status of its own.
     """
 
     def __init__(
@@ -82,23 +83,12 @@
         try:
             await self._relay_events(stream, server_response)
         except ConnectionBroken as error:
-            self._sender.record_response(
-                server_response.instance, good=False, reason=str(error)
-            )
-            await self._resume_or_fail(
-                stream,
-                Unknown(str(error), is_broken=True),
-                server_response.instance,
-            )
+            outcome = Unknown(str(error), is_broken=True)
+            await self._resume_or_fail(stream, outcome, server_response.instance)
         except EventTimeout:
             server_response.close()
-            reason = "no event for too long"
-            self._sender.record_response(
-                server_response.instance, good=False, reason=reason
-            )
-            await self._resume_or_fail(
-                stream, Unknown(reason, timed_out=True), server_response.instance
-            )
+            outcome = Unknown("no event for too long", timed_out=True)
+            await self._resume_or_fail(stream, outcome, server_response.instance)
         else:
             self._sender.record_response(server_response.instance, good=True, reason="")
             self._sender.record_complete_run(stream.admitted, server_response)
@@ -108,7 +98,7 @@
         splitter = EventSplitter()
         stream.run_events = 0
         stream.last_progress_s = stream.admitted.now_s
-        if self._sends_head_at_once and not stream.admitted.policy.may_run_again:
+        if self._may_send_head_at_once(stream, server_response):
             await stream.write(server_response, b"")
         async for chunk in self._timeouts.chunks(stream, server_response):
             try:
@@ -138,6 +128,16 @@
         if not stream.response.has_started:
             await stream.write(server_response, b"")
 
+    def _may_send_head_at_once(
+        self, stream: StreamT, server_response: OpenReply
+    ) -> bool:
+        content_type = (server_response.head.value(b"content-type") or b"").lower()
+        return (
+            self._sends_head_at_once
+            and not stream.admitted.policy.may_run_again
+            and content_type.startswith(EVENT_STREAM_TYPE)
+        )
+
     def _record_begin(self, stream: StreamT, instance: BackendInstance) -> None:
         """Keep a stream at the software version of its first event."""
         if stream.software_version is None:
@@ -154,14 +154,8 @@
             body = await server_response.read_body(MAX_RESPONSE_BYTES)
             await self._sender.check_complete(server_response)
         except ConnectionBroken as error:
-            self._sender.record_response(
-                server_response.instance, good=False, reason=str(error)
-            )
-            await self._resume_or_fail(
-                stream,
-                Unknown(str(error), is_broken=True),
-                server_response.instance,
-            )
+            outcome = Unknown(str(error), is_broken=True)
+            await self._resume_or_fail(stream, outcome, server_response.instance)
             return
         reason = f"status {server_response.head.status}"
         good = server_response.head.status < 500
@@ -185,6 +179,7 @@
         self, stream: StreamT, outcome: Unknown, instance: BackendInstance
     ) -> None:
         """Resume a broken stream on another server if the policy allows it."""
+        self._sender.record_response(instance, good=False, reason=outcome.reason)
         stream.log_failed(instance.instance, "stream", outcome.reason)
         await self._sender.record_interrupted_run(
             instance,
--- a/src/damaskridge/adapters/gateway/streams.py
+++ b/src/damaskridge/adapters/gateway/streams.py
@@ -38,7 +38,6 @@
 
 __all__ = ["StreamForwarder"]
 
-MAX_RESPONSE_BYTES = 4_194_304
 # Refusals by decode engines after which a handle is no longer used.
 MAX_HANDLE_REFUSALS = 2
 
