--- a/tests/soak_membership.py
+++ b/tests/soak_membership.py
@@ -246,10 +246,10 @@
         host = self.draw_host()
         successor = self.add_successor(host)
         run_for(self, self.rng.choice((0.5, 1.0, 2.0, CATCH_UP_S, CATCH_UP_S + 3.0)))
-        self.leave_for(host, successor)
+        self.leave_for_good(host, successor)
 
-    def leave_for(self, host: str, successor: str) -> None:
-        """Stop a replaced host for good."""
+    def leave_for_good(self, host: str, successor: str) -> None:
+        """Stop a host that does not come back; its successor counts in its place."""
         self.leave(host)
         self.counted.remove(host)
         self.lost_until_s[host] = self.lost_until_s[successor]
@@ -282,14 +282,17 @@
         """
         Remove a replaced host while another host, or its successor, is lost.
 
-        The successor has had its time, so that the removed host doesn't count (see
-        `lose_by_replace_unplanned`) and the other loss is the only one.
+        The other loss is the only one: "A machine that is removed stops counting once
+        its successor has had that time" (DEPLOY.md, Settings of a process). Where the
+        settings don't show which host is replaced, the host goes as planned, since the
+        next loss then comes "right after it has acknowledged something" (SYSTEM.md,
+        Disruptions; see `lose_by_replace_unplanned`).
         """
         host = self.draw_host()
         successor = self.add_successor(host)
         run_for(self, self.rng.uniform(CATCH_UP_S, CATCH_UP_S + 3.0))
         if not self.is_shown(host, successor):
-            self.leave_for(host, successor)
+            self.leave_for_good(host, successor)
             return
         wiped = self.rng.choice(([], [successor], [self.draw_host()]))
         wiped = [h for h in wiped if h != host]
